--- /dev/null
+++ b/entryvm/entryvm.go
@@ -0,0 +1,87 @@
+// Package entryvm is the peer package for other entry VMs: digests of demand,
+// load and liveness, and records of the control stream for a VM that cannot
+// reach the log.
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("entryvm")
+
+// Digest is what one entry VM tells the others of itself, a few times a second.
+type Digest struct {
+	// VM, Address, Domain and Region say who speaks; Address is IP:port of net/rpc.
+	VM, Address, Domain, Region string
+	// Incarnation changes with each start; Sequence grows with each digest of it.
+	Incarnation string
+	Sequence    uint64
+	// Leaving is set from the start of a graceful shutdown.
+	Leaving bool
+	// Applied is the offset of the newest control record folded.
+	Applied uint64
+	// InFlight counts this VM's running requests by engine address.
+	InFlight map[string]int
+	// Demand is what waits here, by unit.
+	Demand []Demand
+	// Usage is what each customer used here lately.
+	Usage []Usage
+	// Health is what this VM found out about backend servers that fail.
+	Failing []string
+}
+
+// Demand is the requests that wait for a unit on one entry VM.
+type Demand struct {
+	Unit     string
+	Customer string
+	Waiting  int
+	// Deadline is the earliest time left among them, at sending.
+	Deadline time.Duration
+	// Priority is the highest among them.
+	Priority int
+}
+
+// Usage is one customer's traffic on one entry VM.
+type Usage struct {
+	Customer string
+	// Admitted and Arrived are requests a second, smoothed over a second.
+	Admitted, Arrived float64
+}
+
+// Record is one record of the control stream, as the log gave it.
+type Record struct {
+	Offset uint64
+	Time   time.Time
+	Data   []byte
+}
+
+// Records is the answer to a request for control records.
+type Records struct {
+	Records []Record
+	// Snapshot is set instead when the records asked for are no longer held:
+	// the encoded state just after SnapshotUpTo.
+	Snapshot     []byte
+	SnapshotUpTo uint64
+}
+
+// Peer talks to other entry VMs by their address.
+type Peer interface {
+	// Exchange sends the digests that the receiver should know and returns what
+	// it knows in turn.
+	Exchange(ctx context.Context, address string, digests []Digest) ([]Digest, error)
+	// Want tells a peer at once that requests wait for a unit.
+	Want(ctx context.Context, address string, from string, demand []Demand) error
+	// Records asks for control records from the given offset on.
+	Records(ctx context.Context, address string, from uint64) (Records, error)
+}
+
+// Handler is what this entry VM does with the messages of its peers.
+type Handler interface {
+	Exchange(digests []Digest) []Digest
+	Want(from string, demand []Demand)
+	Records(from uint64) (Records, error)
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,45 @@
+// Package service is the peer package for plain services: backend servers that
+// answer ordinary HTTP calls beside the model engines.
+package service
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("service")
+
+var (
+	// ErrNotSent says that no byte of the call reached the backend server.
+	ErrNotSent = errs.New("call not sent")
+	// ErrOutcomeUnknown says that the call was sent and its answer was lost.
+	ErrOutcomeUnknown = errs.New("call outcome unknown")
+)
+
+// Call is one call to a plain service.
+type Call struct {
+	// RequestID identifies the request on every hop.
+	RequestID string
+	Method    string
+	// Path is the path within the service, with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client calls the plain services.
+type Client interface {
+	// Do sends the call once, never again, and returns the whole answer. It
+	// fails with ErrNotSent or ErrOutcomeUnknown.
+	Do(ctx context.Context, address string, call Call) (Answer, error)
+}
