Add the HTTP clients of engines and plain services

Cause: entry VMs need engines and plain services over HTTP, with a truthful "not sent". Ruled out: trusting httptrace alone (WroteHeaders fires before the flush, so it says nothing of what left); connections count their own writes instead, and one that was declared unused refuses later writes.

--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,246 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"bergamotreel/internal/sendonce"
+)
+
+// The header fields of the engine protocol; see docs/interfaces/backends.md.
+const (
+	// HeaderRequestID carries the request's identity, both ways.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderPriority carries the request's priority, a decimal integer.
+	HeaderPriority = "X-Priority"
+	// HeaderUnit carries the model or adapter that answers.
+	HeaderUnit = "X-Unit"
+)
+
+// The codes of an engine's refusals, in the body's field "code".
+const (
+	CodeStaleToken    = "stale_token"    // 409: Order
+	CodeIDConflict    = "id_conflict"    // 409: Generate
+	CodeInUse         = "in_use"         // 409: Order
+	CodeWrongRole     = "wrong_role"     // 409: Generate
+	CodeNoMemory      = "no_memory"      // 507: Order
+	CodeNotLoaded     = "not_loaded"     // 404: Generate, Order
+	CodeUnknownStream = "unknown_stream" // 404: streams and KV
+	CodeBusy          = "busy"           // 429: Generate
+	CodeDraining      = "draining"       // 429: Generate
+	CodeBadRequest    = "bad_request"    // 400
+)
+
+// MaxBody bounds a JSON answer and an exported KV cache, in bytes.
+const MaxBody = 256 << 20
+
+// RefusalBody is the JSON body of an engine's refusal.
+type RefusalBody struct {
+	Code    string `json:"code"`
+	Message string `json:"message,omitempty"`
+	// Highest is the highest token seen, with CodeStaleToken.
+	Highest Token `json:"highest,omitempty"`
+}
+
+// refusalByCode maps a refusal's status and code to the error that says so.
+// Both must match: a stray 404 of something between us and the engine must not
+// be taken for the engine's own word that it did nothing.
+var refusalByCode = map[string]struct {
+	status int
+	err    error
+}{
+	CodeStaleToken:    {http.StatusConflict, ErrStaleToken},
+	CodeIDConflict:    {http.StatusConflict, ErrIDConflict},
+	CodeInUse:         {http.StatusConflict, ErrInUse},
+	CodeWrongRole:     {http.StatusConflict, ErrWrongRole},
+	CodeNoMemory:      {http.StatusInsufficientStorage, ErrNoMemory},
+	CodeNotLoaded:     {http.StatusNotFound, ErrNotLoaded},
+	CodeUnknownStream: {http.StatusNotFound, ErrUnknownStream},
+	CodeBusy:          {http.StatusTooManyRequests, ErrBusy},
+	CodeDraining:      {http.StatusTooManyRequests, ErrBusy},
+	CodeBadRequest:    {http.StatusBadRequest, ErrBadRequest},
+}
+
+// HTTPClient is a Client over HTTP. It is safe for concurrent use.
+type HTTPClient struct {
+	http *http.Client
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewClient returns a client that sends through httpClient. Only a client from
+// sendonce.NewClient (or a wrapper around its transport) can tell ErrNotSent
+// apart on a connection in use; with any other one each failure after connecting
+// is ErrOutcomeUnknown. The httpClient must have no timeout of its own, since
+// streams last long; each call is bounded by its context.
+func NewClient(httpClient *http.Client) *HTTPClient {
+	return &HTTPClient{http: httpClient}
+}
+
+// Status implements Client.
+func (c *HTTPClient) Status(ctx context.Context, address string) (Status, error) {
+	var status Status
+	err := c.callJSON(ctx, http.MethodGet, makeURL(address, "/v1/status"), nil, &status)
+	return status, err
+}
+
+// Order implements Client.
+func (c *HTTPClient) Order(ctx context.Context, address string, order Order) (Status, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return Status{}, notSent(err)
+	}
+	var status Status
+	err = c.callJSON(ctx, http.MethodPost, makeURL(address, "/v1/orders"), body, &status)
+	return status, err
+}
+
+// Generate implements Client.
+func (c *HTTPClient) Generate(ctx context.Context, address string, request Request) (Stream, error) {
+	httpRequest, err := newRequest(ctx, http.MethodPost, makeURL(address, request.Path), request.Body)
+	if err != nil {
+		return nil, err
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	httpRequest.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
+	httpRequest.Header.Set(HeaderUnit, request.Unit)
+	return c.open(httpRequest, request.ID, 1)
+}
+
+// Resume implements Client.
+func (c *HTTPClient) Resume(ctx context.Context, address string, id string, from uint64) (Stream, error) {
+	target := makeURL(address, streamPath(id)) + "?from=" + strconv.FormatUint(from, 10)
+	httpRequest, err := newRequest(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.open(httpRequest, id, from)
+}
+
+// Cancel implements Client.
+func (c *HTTPClient) Cancel(ctx context.Context, address string, id string) error {
+	return c.callJSON(ctx, http.MethodDelete, makeURL(address, streamPath(id)), nil, nil)
+}
+
+// CacheEvents implements Client.
+func (c *HTTPClient) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	target := makeURL(address, "/v1/cache/events") + "?after=" + strconv.FormatUint(after, 10)
+	var events []CacheEvent
+	err := c.callJSON(ctx, http.MethodGet, target, nil, &events)
+	return events, err
+}
+
+// ExportKV implements Client.
+func (c *HTTPClient) ExportKV(ctx context.Context, address string, id string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, makeURL(address, kvPath(id)), nil)
+}
+
+// ImportKV implements Client.
+func (c *HTTPClient) ImportKV(ctx context.Context, address string, id string, data []byte) error {
+	_, err := c.call(ctx, http.MethodPut, makeURL(address, kvPath(id)), data)
+	return err
+}
+
+// callJSON decodes the answer into out unless that is nil.
+func (c *HTTPClient) callJSON(ctx context.Context, method, target string, body []byte, out any) error {
+	answer, err := c.call(ctx, method, target, body)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return outcomeUnknown(err)
+	}
+	return nil
+}
+
+// call sends once and returns the whole body of a 200 answer.
+func (c *HTTPClient) call(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	request, err := newRequest(ctx, method, target, body)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.send(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return readBody(response)
+}
+
+// send sends once and turns every answer but 200 into an error.
+func (c *HTTPClient) send(request *http.Request) (*http.Response, error) {
+	response, sent, err := sendonce.Do(c.http, request)
+	if err != nil && !sent {
+		return nil, notSent(err)
+	}
+	if err != nil {
+		return nil, outcomeUnknown(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, refusalOf(response)
+}
+
+func newRequest(ctx context.Context, method, target string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, nil)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if body != nil {
+		request.Body = sendonce.Body(body)
+		request.ContentLength = int64(len(body))
+	}
+	return request, nil
+}
+
+func readBody(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBody+1))
+	if err != nil {
+		return nil, outcomeUnknown(err)
+	}
+	if len(body) > MaxBody {
+		return nil, outcomeUnknown(fmt.Errorf("answer over %d bytes", MaxBody))
+	}
+	return body, nil
+}
+
+// refusalOf finds the error of an answer that is not 200. An answer without a
+// code that we know says nothing about what ran.
+func refusalOf(response *http.Response) error {
+	body, err := readBody(response)
+	if err != nil {
+		return err
+	}
+	var refused RefusalBody
+	if err := json.Unmarshal(body, &refused); err != nil {
+		return outcomeUnknown(fmt.Errorf("status %d without a code", response.StatusCode))
+	}
+	known, ok := refusalByCode[refused.Code]
+	if !ok || known.status != response.StatusCode {
+		return outcomeUnknown(fmt.Errorf("status %d, code %q", response.StatusCode, refused.Code))
+	}
+	return Error.Wrap(fmt.Errorf("%w: %s (highest token %d)", known.err, refused.Message, refused.Highest))
+}
+
+func notSent(err error) error {
+	return Error.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err))
+}
+
+func outcomeUnknown(err error) error {
+	return Error.Wrap(fmt.Errorf("%w: %w", ErrOutcomeUnknown, err))
+}
+
+func makeURL(address, path string) string {
+	return "http://" + address + path
+}
+
+func streamPath(id string) string { return "/v1/streams/" + url.PathEscape(id) }
+
+func kvPath(id string) string { return "/v1/kv/" + url.PathEscape(id) }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -25,6 +25,21 @@
 	ErrBusy = errs.New("engine busy")
 	// ErrUnknownStream says that the engine has no stream of that identity.
 	ErrUnknownStream = errs.New("unknown stream")
+	// ErrBrokenStream says that a stream ended early or carried what is not its
+	// own; it may be resumed.
+	ErrBrokenStream = errs.New("broken stream")
+	// ErrIDConflict says that the engine has a stream of that identity for
+	// another request; it did nothing.
+	ErrIDConflict = errs.New("stream of another request")
+	// ErrInUse says that the unit can't be unloaded or replaced yet: adapters sit
+	// on it or another checkpoint is loaded under its name.
+	ErrInUse = errs.New("unit in use")
+	// ErrWrongRole says that the engine's role excludes the request; it did
+	// nothing.
+	ErrWrongRole = errs.New("wrong role")
+	// ErrBadRequest says that the engine could not read the request; it did
+	// nothing.
+	ErrBadRequest = errs.New("bad request")
 	// ErrOutcomeUnknown says that the answer was lost after bytes were sent.
 	ErrOutcomeUnknown = errs.New("outcome unknown")
 )
@@ -110,6 +125,9 @@
 	ChecksTokens bool   `json:"checks_tokens"`
 	HighestToken Token  `json:"highest_token"`
 	Units        []Unit `json:"units"`
+	// Failed gives the reason of each unit's newest load if that failed, until
+	// the next load order for the unit.
+	Failed map[string]string `json:"failed,omitempty"`
 	// Cached says where checkpoints that are not loaded are cached.
 	Cached map[string]Tier `json:"cached,omitempty"`
 	Load   Load            `json:"load"`
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,97 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"bergamotreel/internal/sendonce"
+)
+
+const (
+	// HeaderRequestID carries the request's identity.
+	HeaderRequestID = "X-Request-Id"
+	// MaxAnswer bounds an answer's body, in bytes.
+	MaxAnswer = 64 << 20
+)
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// HTTPClient is a Client over HTTP. It is safe for concurrent use.
+type HTTPClient struct {
+	http *http.Client
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewClient returns a client that sends through httpClient. Only a client from
+// sendonce.NewClient (or a wrapper around its transport) can tell ErrNotSent
+// apart on a connection in use; with any other one each failure after connecting
+// is ErrOutcomeUnknown.
+func NewClient(httpClient *http.Client) *HTTPClient {
+	return &HTTPClient{http: httpClient}
+}
+
+// Do implements Client. Every whole HTTP answer, of any status, is an Answer.
+func (c *HTTPClient) Do(ctx context.Context, address string, call Call) (Answer, error) {
+	request, err := newRequest(ctx, address, call)
+	if err != nil {
+		return Answer{}, notSent(err)
+	}
+	response, sent, err := sendonce.Do(c.http, request)
+	if err != nil && !sent {
+		return Answer{}, notSent(err)
+	}
+	if err != nil {
+		return Answer{}, outcomeUnknown(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswer+1))
+	if err != nil {
+		return Answer{}, outcomeUnknown(err)
+	}
+	if len(body) > MaxAnswer {
+		return Answer{}, outcomeUnknown(fmt.Errorf("answer over %d bytes", MaxAnswer))
+	}
+	return Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: body}, nil
+}
+
+func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if request.URL.Host != address {
+		return nil, fmt.Errorf("path %q does not start with a slash", call.Path)
+	}
+	request.Header = endToEnd(call.Header)
+	request.Header.Set(HeaderRequestID, call.RequestID)
+	request.Body = sendonce.Body(call.Body)
+	request.ContentLength = int64(len(call.Body))
+	return request, nil
+}
+
+// endToEnd copies the header without the fields of one hop.
+func endToEnd(header http.Header) http.Header {
+	kept := header.Clone()
+	if kept == nil {
+		kept = http.Header{}
+	}
+	for _, name := range hopHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+func notSent(err error) error {
+	return Error.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err))
+}
+
+func outcomeUnknown(err error) error {
+	return Error.Wrap(fmt.Errorf("%w: %w", ErrOutcomeUnknown, err))
+}
