--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,144 @@
+// Package admission decides which requests an entry VM takes, in which order
+// they reach backend servers, and which are refused and when. It keeps each
+// customer to the limits of its contract over all entry VMs, shares a contended
+// pool fairly between customers, and refuses a request as soon as it is known
+// that it cannot make its longest wait.
+//
+// The package does no I/O and reads no clock. A Controller is not safe for
+// concurrent use: its owner calls it under one lock.
+package admission
+
+import (
+	"time"
+
+	"bergamotreel/refusal"
+)
+
+// Request is one request for tokens, as its entry VM received it.
+type Request struct {
+	// ID identifies the request on every hop.
+	ID       string
+	Customer string
+	// Unit is the model or adapter that answers.
+	Unit string
+	// Pool is the base model of Unit: the model and its adapters share engines.
+	Pool string
+	// Priority orders one customer's waiting requests; higher goes first.
+	Priority int
+	Arrived  time.Time
+	// Deadline is when the longest wait for the first token ends.
+	Deadline time.Time
+	// Cost is the expected work; 1 is a typical request. 0 counts as 1.
+	Cost float64
+}
+
+// phase is how far a ticket is. It only moves held → queued ⇄ running → ended.
+type phase int
+
+const (
+	phaseHeld    phase = iota // waits for its customer's rate
+	phaseQueued               // waits in its pool for an engine
+	phaseRunning              // handed out by Next
+	phaseEnded                // finished, left or refused; nothing follows
+)
+
+// Ticket is an accepted request. It ends exactly once: by Finish, by Leave, or
+// as an Expired. Calls on an ended ticket do nothing.
+type Ticket struct {
+	Request
+	// Attempts counts how often Next handed it out.
+	Attempts int
+	// Surplus is whether its customer already runs more than its fair share of
+	// the pool. The owner keeps the pool's reserve of slots free of such tickets.
+	// Next sets it before it asks whether the ticket fits.
+	Surplus bool
+
+	phase    phase
+	sequence uint64 // order of arrival on this entry VM
+	charged  float64
+}
+
+// Ended tells whether the ticket has had its one end.
+func (t *Ticket) Ended() bool { return t.phase == phaseEnded }
+
+// Outcome is how a dispatched request ended.
+type Outcome struct {
+	// OK is whether the whole answer was delivered.
+	OK bool
+	// FirstToken is the time from dispatch to the first token; 0 if none came.
+	FirstToken time.Duration
+	// Served is the time from dispatch to the end of the answer.
+	Served time.Duration
+}
+
+// Expired is a ticket that cannot make its longest wait, with its answer.
+type Expired struct {
+	Ticket  *Ticket
+	Refusal *refusal.Refusal
+}
+
+// Usage is one customer's traffic on this entry VM, smoothed over UsageWindow.
+type Usage struct {
+	Customer string
+	// Admitted and Arrived are requests a second.
+	Admitted, Arrived float64
+}
+
+// PeerUsage is the sum of one customer's traffic on the other entry VMs.
+type PeerUsage struct {
+	// Admitted and Arrived are requests a second.
+	Admitted, Arrived float64
+	// VMs is how many other entry VMs the sum is over.
+	VMs int
+}
+
+// Demand is the requests of one customer that wait for one unit here.
+type Demand struct {
+	Unit     string
+	Customer string
+	Waiting  int
+	// Earliest is the earliest deadline among them.
+	Earliest time.Time
+	// Priority is the highest among them.
+	Priority int
+}
+
+// Config holds the policy. The zero value of a field takes its default.
+type Config struct {
+	// MaxQueued bounds the waiting requests of all customers on this entry VM.
+	MaxQueued int
+	// MaxTokenWait is how long a request may be held for its customer's rate.
+	MaxTokenWait time.Duration
+	// PeersStale is the age of SetPeers from which this VM counts as cut off.
+	PeersStale time.Duration
+}
+
+const (
+	// DefaultMaxQueued requests of a few kB each stay well under a small VM's
+	// memory; at 50 dispatched a second they are over a minute of work.
+	DefaultMaxQueued = 4096
+	// DefaultCustomerQueued stands in for a contract without a queue bound.
+	DefaultCustomerQueued = 100
+	// DefaultMaxTokenWait covers the second in which an unused share moves to
+	// the entry VM that needs it, and the same again for its tokens to accrue.
+	DefaultMaxTokenWait = 2 * time.Second
+	// DefaultPeersStale is several digests; shorter would take a slow network
+	// for a partition.
+	DefaultPeersStale = 3 * time.Second
+	// UsageWindow is the time constant of smoothed rates. Shorter is noise at a
+	// few requests a second, longer delays the giving back of a borrowed share.
+	UsageWindow = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = DefaultMaxQueued
+	}
+	if c.MaxTokenWait <= 0 {
+		c.MaxTokenWait = DefaultMaxTokenWait
+	}
+	if c.PeersStale <= 0 {
+		c.PeersStale = DefaultPeersStale
+	}
+	return c
+}
--- /dev/null
+++ b/admission/retry.go
@@ -0,0 +1,35 @@
+package admission
+
+import "time"
+
+const (
+	// retryShare is the share of recent requests that may be retried. One retry
+	// each would double the load of a pool that already fails under it.
+	retryShare = 0.1
+	// retryFloor is how many retries are allowed beside the share, so that a
+	// quiet VM can still retry a single failure.
+	retryFloor = 3
+	// retryWindow is what "recent" means.
+	retryWindow = 10 * time.Second
+)
+
+// RetryBudget keeps retries to a share of recent traffic. Without it, requests
+// that fail under overload come back as more load, and the overload stays after
+// its cause has gone. The zero value is ready. It is not safe for concurrent use.
+type RetryBudget struct {
+	requests, retries meter
+}
+
+// Sent counts the first attempt of a request.
+func (b *RetryBudget) Sent(now time.Time) { b.requests.add(now, 1, retryWindow) }
+
+// Retry tells whether one more attempt may be made now, and counts it if so.
+func (b *RetryBudget) Retry(now time.Time) bool {
+	b.requests.decay(now, retryWindow)
+	b.retries.decay(now, retryWindow)
+	if b.retries.count+1 > retryShare*b.requests.count+retryFloor {
+		return false
+	}
+	b.retries.add(now, 1, retryWindow)
+	return true
+}
