Add the platform's clients and their stand-ins

Cause: the log, the VM list and the weight store had interfaces only. Now each has an HTTP client and a stand-in that implements the interface in memory (for synctest) and over HTTP, with fault switches. An append counts as "not stored" only where the transport never had a connection or the log itself said so; everything else is "unknown". Ruled out: counting "headers not written" as not sent; buffered bytes may leave. Tests follow; so far only a run by hand with curl.

--- /dev/null
+++ b/cmd/standin/log.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"bergamotreel/internal/standin/logserver"
+
+	"github.com/integrii/flaggy"
+)
+
+// newLogVerb is the stand-in of the platform's log.
+func newLogVerb() verb {
+	listen := "127.0.0.1:7101"
+	config := logserver.Config{
+		MaxAge: time.Hour, MaxRecords: 1_000_000,
+		AppendsPerSecond: 300, Burst: 300,
+		Seed: 1,
+	}
+	return verb{
+		name: "log",
+		help: "the platform's append-only log",
+		attach: func(sub *flaggy.Subcommand) {
+			sub.String(&listen, "l", "listen", "IP:port to listen on")
+			sub.Duration(&config.MaxAge, "a", "max-age", "how long records are kept (0: for ever)")
+			sub.Int(&config.MaxRecords, "m", "max-records", "records kept per stream (0: all)")
+			sub.Float64(&config.AppendsPerSecond, "r", "appends-per-second", "rate limit over all streams (0: none)")
+			sub.Int(&config.Burst, "b", "burst", "appends taken at once above the rate")
+			sub.UInt64(&config.Seed, "s", "seed", "seed of the lost answers")
+		},
+		run: func(ctx context.Context) error {
+			return serveHTTP(ctx, listen, logserver.Handler(logserver.New(config)))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/standin/vmlist.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/vmlist"
+
+	"github.com/integrii/flaggy"
+)
+
+// newVMListVerb is the stand-in of the platform's VM list.
+func newVMListVerb() verb {
+	listen := "127.0.0.1:7102"
+	file := ""
+	lag := time.Duration(0)
+	return verb{
+		name: "vmlist",
+		help: "the platform's list of VMs",
+		attach: func(sub *flaggy.Subcommand) {
+			sub.String(&listen, "l", "listen", "IP:port to listen on")
+			sub.String(&file, "f", "file", "JSON file with the list to start from: {\"vms\":[...]}")
+			sub.Duration(&lag, "g", "lag", "by how much answers trail changes")
+		},
+		run: func(ctx context.Context) error {
+			list, err := readVMs(file)
+			if err != nil {
+				return err
+			}
+			return serveHTTP(ctx, listen, vmlistserver.Handler(vmlistserver.New(lag, list.VMs...)))
+		},
+	}
+}
+
+// readVMs reads a list from a file; no file means no VMs yet.
+func readVMs(file string) (vmlist.List, error) {
+	var list vmlist.List
+	if file == "" {
+		return list, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return list, err
+	}
+	return list, json.Unmarshal(text, &list)
+}
--- /dev/null
+++ b/cmd/standin/weightstore.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"bergamotreel/internal/standin/weightserver"
+
+	"github.com/integrii/flaggy"
+)
+
+// newWeightStoreVerb is the stand-in of the platform's weight store.
+func newWeightStoreVerb() verb {
+	listen := "127.0.0.1:7103"
+	file := ""
+	// The rates are today's in both deployments; a 7 GB checkpoint takes 7 s.
+	config := weightserver.Config{
+		DefaultBytes: 1 << 30, BytesPerSecond: 1e9, AtOnce: 4, LoadsPerSecond: 4,
+	}
+	return verb{
+		name: "weightstore",
+		help: "the platform's store of checkpoints",
+		attach: func(sub *flaggy.Subcommand) {
+			sub.String(&listen, "l", "listen", "IP:port to listen on")
+			sub.String(&file, "f", "file", "JSON file with sizes: {\"checkpoint\":bytes}")
+			sub.Int64(&config.DefaultBytes, "d", "default-bytes", "size of checkpoints not in the file (0: they don't exist)")
+			sub.Float64(&config.BytesPerSecond, "r", "bytes-per-second", "full speed of one load (0: immediate)")
+			sub.Int(&config.AtOnce, "n", "at-once", "loads that run at full speed together (0: all)")
+			sub.Float64(&config.LoadsPerSecond, "s", "loads-per-second", "starts of loads a second (0: no limit)")
+		},
+		run: func(ctx context.Context) error {
+			if err := readSizes(file, &config.Checkpoints); err != nil {
+				return err
+			}
+			return serveHTTP(ctx, listen, weightserver.Handler(weightserver.New(config)))
+		},
+	}
+}
+
+// readSizes reads checkpoint sizes from a file, if one is named.
+func readSizes(file string, sizes *map[string]int64) error {
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, sizes)
+}
--- /dev/null
+++ b/internal/standin/vmlistserver/handler.go
@@ -0,0 +1,70 @@
+package vmlistserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"bergamotreel/internal/httpjson"
+	"bergamotreel/vmlist"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("vmlistserver")
+
+var errNoVM = Error.New("no such VM")
+
+// LagBody is the JSON body of PUT /admin/lag.
+type LagBody struct {
+	LagMS int64 `json:"lag_ms"`
+}
+
+// Handler serves the registry over HTTP as docs/INTERFACES.md describes.
+func Handler(registry *Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
+		list, err := registry.List(r.Context())
+		if err != nil {
+			httpjson.ReplyError(w, http.StatusServiceUnavailable, err)
+			return
+		}
+		httpjson.Reply(w, http.StatusOK, list)
+	})
+	mux.HandleFunc("PUT /admin/vms/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var vm vmlist.VM
+		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+			httpjson.ReplyError(w, http.StatusBadRequest, Error.Wrap(err))
+			return
+		}
+		vm.ID = r.PathValue("id")
+		registry.Put(vm)
+		httpjson.Reply(w, http.StatusOK, vm)
+	})
+	mux.HandleFunc("DELETE /admin/vms/{id}", func(w http.ResponseWriter, r *http.Request) {
+		replyFound(w, registry.Remove(r.PathValue("id")))
+	})
+	mux.HandleFunc("POST /admin/vms/{id}/leaving", func(w http.ResponseWriter, r *http.Request) {
+		replyFound(w, registry.MarkLeaving(r.PathValue("id")))
+	})
+	mux.HandleFunc("PUT /admin/lag", func(w http.ResponseWriter, r *http.Request) {
+		var body LagBody
+		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+			httpjson.ReplyError(w, http.StatusBadRequest, Error.Wrap(err))
+			return
+		}
+		registry.SetLag(time.Duration(body.LagMS) * time.Millisecond)
+		httpjson.Reply(w, http.StatusOK, body)
+	})
+	mux.Handle("/admin/faults", registry.Faults())
+	return mux
+}
+
+func replyFound(w http.ResponseWriter, found bool) {
+	if !found {
+		httpjson.ReplyError(w, http.StatusNotFound, errNoVM)
+		return
+	}
+	httpjson.Reply(w, http.StatusOK, struct{}{})
+}
