caller: serve the OpenAI-style API and the services' paths

Cause: the whole path needs its HTTP front. Chunks are relayed as server-sent events without decoding them, or put together into one answer.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -43,11 +43,18 @@
 	Arrived time.Time
 }
 
-// Sink takes the chunks of an answer in order.
+// Sink takes the chunks of an answer in order. An error from it ends the
+// answer: the caller left, or the chunks were not in order.
 type Sink interface {
 	Chunk(engine.Chunk) error
 }
 
+// ColdMarker is what a Sink may offer besides: the Backend calls Cold before
+// the first chunk when the request had to wait for a load.
+type ColdMarker interface {
+	Cold()
+}
+
 // Backend is what the entry VM does with accepted requests.
 type Backend interface {
 	// Identify finds the owner of an API key.
@@ -62,14 +69,3 @@
 	// Ready tells whether new requests are taken, and if not, why.
 	Ready() error
 }
-
-// Limits bound what a caller can make the entry VM hold.
-type Limits struct {
-	// HeaderBytes and BodyBytes bound one request.
-	HeaderBytes int
-	BodyBytes   int64
-	// ReadTimeout bounds reading a request.
-	ReadTimeout time.Duration
-	// Connections bounds open connections.
-	Connections int
-}
--- /dev/null
+++ b/caller/generate.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/zeebo/errs"
+
+	"bergamotreel/engine"
+	"bergamotreel/refusal"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("caller")
+
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+)
+
+// generate serves both routes that make tokens.
+func (h *Handler) generate(x *exchange) error {
+	inForce, err := h.identify(x)
+	if err != nil {
+		return err
+	}
+	body, err := h.readBody(x)
+	if err != nil {
+		return err
+	}
+	prompt, err := parsePrompt(x.r.URL.Path, body)
+	if err != nil {
+		return err
+	}
+	unit, ok := inForce.FindUnit(prompt.model)
+	if !ok {
+		return refusal.New(refusal.CodeNotFound, 0, "no model %.80q", prompt.model)
+	}
+	g := Generation{
+		Identity: x.identity,
+		Request: engine.Request{
+			ID: x.id, Unit: prompt.model, Path: x.r.URL.Path, Body: prompt.body,
+			Priority: x.identity.Priority + unit.Priority,
+		},
+		Stream:   prompt.stream,
+		Prefixes: prefixes(prompt.model, prompt.text),
+		Arrived:  x.arrived,
+	}
+	if prompt.stream {
+		return h.relay(x, g)
+	}
+	return h.collect(x, g)
+}
+
+// relay sends the answer as it comes.
+func (h *Handler) relay(x *exchange, g Generation) error {
+	x.stream = newStreamSink(h.progress(x), x.w, h.limits.WriteTimeout)
+	err := x.stream.end(h.backend.Generate(x.ctx(), g, x.stream))
+	if err != nil {
+		return err
+	}
+	return x.stream.finish()
+}
+
+// collect sends the answer in one piece.
+func (h *Handler) collect(x *exchange, g Generation) error {
+	sink := newCollectSink(h.progress(x), g.Path, h.limits.AnswerBytes)
+	if err := sink.end(h.backend.Generate(x.ctx(), g, sink)); err != nil {
+		return err
+	}
+	data, err := sink.answer()
+	if err != nil {
+		return err
+	}
+	markCold(x.w.Header(), sink.cold)
+	writeBody(x.w, http.StatusOK, data)
+	return nil
+}
+
+func (h *Handler) progress(x *exchange) progress {
+	return progress{metrics: h.metrics, arrived: x.arrived}
+}
+
+// readBody reads the whole bounded body.
+func (h *Handler) readBody(x *exchange) ([]byte, error) {
+	tooLarge := refusal.New(refusal.CodeTooLarge, 0, "body is over %d bytes", h.limits.BodyBytes)
+	if x.r.ContentLength > h.limits.BodyBytes {
+		return nil, tooLarge
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.BodyBytes))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge
+	}
+	if err != nil {
+		return nil, refusal.New(refusal.CodeBadRequest, 0, "the body could not be read")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/caller/models.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"bergamotreel/refusal"
+)
+
+// modelObject is OpenAI's form of a model. Created is always 0: contracts do
+// not keep it.
+type modelObject struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string        `json:"object"`
+	Data   []modelObject `json:"data"`
+}
+
+func newModelObject(id, customer string) modelObject {
+	return modelObject{ID: id, Object: "model", OwnedBy: customer}
+}
+
+func (h *Handler) listModels(x *exchange) error {
+	inForce, err := h.identify(x)
+	if err != nil {
+		return err
+	}
+	units := inForce.Units()
+	list := modelList{Object: "list", Data: make([]modelObject, 0, len(units))}
+	for i := range units {
+		list.Data = append(list.Data, newModelObject(units[i].Name, inForce.Customer))
+	}
+	return writeJSON(x.w, list)
+}
+
+func (h *Handler) oneModel(x *exchange) error {
+	inForce, err := h.identify(x)
+	if err != nil {
+		return err
+	}
+	id := x.r.PathValue("id")
+	if _, ok := inForce.FindUnit(id); !ok {
+		return refusal.New(refusal.CodeNotFound, 0, "no model %.80q", id)
+	}
+	return writeJSON(x.w, newModelObject(id, inForce.Customer))
+}
