--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,69 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// A collector receives the spans of a hop once tracing is shut down; without an
+// endpoint nothing is sent, yet a caller's traceparent is still handed on.
+func TestSpansReachTheCollector(t *testing.T) {
+	uploads := make(chan string, 4)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		uploads <- r.URL.Path
+	}))
+	defer collector.Close()
+	shutdown, err := SetupTracing(t.Context(), TraceSettings{Endpoint: collector.URL, Service: "entry", SampleRatio: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, span := Hop(t.Context(), "engine", "generate")
+	EndHop(span, errors.New("lost"))
+	if err := shutdown(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if path := <-uploads; path != "/v1/traces" {
+		t.Errorf("upload to %q", path)
+	}
+}
+
+func TestTraceparentIsHandedOnWithoutCollector(t *testing.T) {
+	if _, err := SetupTracing(t.Context(), TraceSettings{}); err != nil {
+		t.Fatal(err)
+	}
+	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	propagator := otel.GetTextMapPropagator()
+	ctx := propagator.Extract(context.Background(), propagation.MapCarrier{"traceparent": parent})
+	ctx, span := Hop(ctx, "engine", "generate")
+	defer span.End()
+	out := propagation.MapCarrier{}
+	propagator.Inject(ctx, out)
+	if out["traceparent"] != parent {
+		t.Errorf("handed on %q, want %q", out["traceparent"], parent)
+	}
+}
+
+func TestLogLevels(t *testing.T) {
+	for level, ok := range map[string]bool{"debug": true, "info": true, "warn": true, "error": true, "loud": false} {
+		if _, err := NewLogger(level); (err == nil) != ok {
+			t.Errorf("level %q: %v", level, err)
+		}
+	}
+}
+
+func TestMetricsPage(t *testing.T) {
+	metrics.GetOrCreateCounter("bergamotreel_telemetry_test_total").Inc()
+	answer := httptest.NewRecorder()
+	MetricsHandler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	if !strings.Contains(answer.Body.String(), "bergamotreel_telemetry_test_total 1") {
+		t.Error("the counter is not on the page")
+	}
+}
