--- /dev/null
+++ b/internal/chunks/chunks.go
@@ -0,0 +1,95 @@
+// Package chunks cuts an encoded state into parts that fit into log records and
+// puts the newest complete set together again. It does no I/O.
+package chunks
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("chunks")
+
+// Size is the most compressed bytes that one chunk carries: small enough to be
+// one append among others, large enough that a snapshot of the two-year size
+// takes tens of appends and not thousands.
+const Size = 256 << 10
+
+// MaxBytes bounds the uncompressed state that Join accepts, so that a corrupt
+// chunk cannot make the reader allocate without end.
+const MaxBytes = 1 << 30
+
+// Chunk is one part of a snapshot of a state just after UpTo.
+type Chunk struct {
+	// Writer identifies the snapshot together with UpTo.
+	Writer string `json:"w"`
+	// UpTo is the offset of the last record folded into it.
+	UpTo  uint64 `json:"upto"`
+	Part  int    `json:"part"`
+	Parts int    `json:"parts"`
+	// Gap marks a snapshot by a VM that lost records to the log's retention.
+	Gap bool `json:"gap,omitempty"`
+	// Sum is the xxhash of the whole encoded state, before compression: equal
+	// states have equal sums.
+	Sum  uint64 `json:"sum"`
+	Data []byte `json:"data"`
+}
+
+// Split compresses an encoded state and cuts it into chunks of at most size
+// bytes of data.
+func Split(encoded []byte, writer string, upTo uint64, size int) ([]Chunk, error) {
+	var compressed bytes.Buffer
+	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if _, err := w.Write(encoded); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	data := compressed.Bytes()
+	parts := (len(data) + size - 1) / size
+	sum := xxhash.Sum64(encoded)
+	all := make([]Chunk, parts)
+	for i := range all {
+		end := min((i+1)*size, len(data))
+		all[i] = Chunk{Writer: writer, UpTo: upTo, Part: i, Parts: parts, Sum: sum, Data: data[i*size : end]}
+	}
+	return all, nil
+}
+
+// Join is the reverse of Split. It fails unless all the chunks of one snapshot
+// are there, in order, and their sum is right.
+func Join(all []Chunk) ([]byte, error) {
+	if len(all) == 0 {
+		return nil, Error.New("no chunks")
+	}
+	var compressed bytes.Buffer
+	for i, c := range all {
+		if !sameSnapshot(c, all[0]) || c.Part != i || c.Parts != len(all) {
+			return nil, Error.New("chunk %d of %d does not fit: part %d of %d", i, len(all), c.Part, c.Parts)
+		}
+		compressed.Write(c.Data)
+	}
+	encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(&compressed), MaxBytes+1))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(encoded) > MaxBytes {
+		return nil, Error.New("more than %d bytes", MaxBytes)
+	}
+	if sum := xxhash.Sum64(encoded); sum != all[0].Sum {
+		return nil, Error.New("sum %x, want %x", sum, all[0].Sum)
+	}
+	return encoded, nil
+}
+
+func sameSnapshot(a, b Chunk) bool {
+	return a.Writer == b.Writer && a.UpTo == b.UpTo && a.Sum == b.Sum
+}
--- /dev/null
+++ b/internal/chunks/collector.go
@@ -0,0 +1,103 @@
+package chunks
+
+// MaxParts bounds the parts of a snapshot that a Collector takes in, and
+// maxOpen the unfinished snapshots that it holds, so that corrupt or abandoned
+// ones cannot fill the memory.
+const (
+	MaxParts = 4096
+	maxOpen  = 8
+)
+
+// Collector finds the newest complete snapshot among chunks that are added in
+// any order, also twice. An older snapshot never takes a newer one's place.
+type Collector struct {
+	open   []*partial
+	newest []Chunk
+}
+
+type partial struct {
+	chunks []Chunk
+	have   int
+}
+
+// Add takes in one chunk and tells whether Newest changed by it.
+func (c *Collector) Add(chunk Chunk) bool {
+	if chunk.Parts < 1 || chunk.Parts > MaxParts || chunk.Part < 0 || chunk.Part >= chunk.Parts {
+		return false
+	}
+	if len(c.newest) > 0 && chunk.UpTo <= c.newest[0].UpTo {
+		return false
+	}
+	p := c.find(chunk)
+	if p.chunks[chunk.Part].Parts != 0 {
+		return false
+	}
+	p.chunks[chunk.Part] = chunk
+	p.have++
+	if p.have < chunk.Parts {
+		return false
+	}
+	c.drop(p)
+	// A set that does not join (corrupt, or two writers of one name) is no
+	// snapshot: it must not hide an older one that is whole.
+	if _, err := Join(p.chunks); err != nil {
+		return false
+	}
+	c.newest = p.chunks
+	return true
+}
+
+// Newest returns the chunks of the newest complete snapshot, nil without one.
+func (c *Collector) Newest() []Chunk { return c.newest }
+
+func (c *Collector) find(chunk Chunk) *partial {
+	for _, p := range c.open {
+		if p.fits(chunk) {
+			return p
+		}
+	}
+	if len(c.open) == maxOpen {
+		c.drop(c.oldest())
+	}
+	p := &partial{chunks: make([]Chunk, chunk.Parts)}
+	c.open = append(c.open, p)
+	return p
+}
+
+func (p *partial) fits(chunk Chunk) bool {
+	for _, have := range p.chunks {
+		if have.Parts != 0 {
+			return sameSnapshot(have, chunk) && have.Parts == chunk.Parts
+		}
+	}
+	return false
+}
+
+func (p *partial) upTo() uint64 {
+	for _, have := range p.chunks {
+		if have.Parts != 0 {
+			return have.UpTo
+		}
+	}
+	return 0
+}
+
+func (c *Collector) oldest() *partial {
+	oldest := c.open[0]
+	for _, p := range c.open {
+		if p.upTo() < oldest.upTo() {
+			oldest = p
+		}
+	}
+	return oldest
+}
+
+func (c *Collector) drop(gone *partial) {
+	kept := c.open[:0]
+	for _, p := range c.open {
+		if p != gone {
+			kept = append(kept, p)
+		}
+	}
+	c.open = kept
+}
--- /dev/null
+++ b/state/apply.go
@@ -0,0 +1,112 @@
+package state
+
+// maxOffset is the highest offset that a revision can hold.
+const maxOffset = 1<<(64-revisionIndexBits) - 1
+
+// New returns the state before the first record.
+func New() *State {
+	s := &State{
+		Contracts: map[string]*Published{},
+		Sessions:  map[SessionID]*Session{},
+		Engines:   map[string]*Engine{},
+		Proposers: map[string]*Proposer{},
+	}
+	s.rebuildIndex()
+	return s
+}
+
+// Apply folds the record at an offset and returns the outcome of each of its
+// proposals. A record at or below Applied was folded before and is ignored. A
+// record that can't be read is skipped and counted: it must neither stop the
+// fold nor change it, else one bad append would hold up every VM.
+func (s *State) Apply(offset uint64, data []byte) []Outcome {
+	if offset <= s.Applied {
+		return nil
+	}
+	s.Applied = offset
+	record, err := Decode(data)
+	if err != nil || offset > maxOffset {
+		s.Skipped++
+		return nil
+	}
+	outcomes := make([]Outcome, 0, len(record.Proposals))
+	for i := range record.Proposals {
+		outcomes = append(outcomes, s.propose(MakeRevision(offset, i), &record.Proposals[i]))
+	}
+	return outcomes
+}
+
+// propose folds one proposal, unless its sequence was folded before.
+func (s *State) propose(rev Revision, p *Proposal) Outcome {
+	if p.ID.Proposer == "" || p.ID.Sequence == 0 {
+		return Outcome{ID: p.ID, Verdict: VerdictInvalid, Revision: rev, Reason: "no identity"}
+	}
+	// A renewal is not remembered: it is by far the most frequent proposal, and
+	// a late duplicate of it only makes the others wait longer for an expiry.
+	if p.SessionRenew != nil && p.only() {
+		return outcome(p.ID, rev, s.sessionRenew(rev, p))
+	}
+	if earlier, found := s.remembered(p.ID); found {
+		return earlier
+	}
+	o := outcome(p.ID, rev, s.fold(rev, p))
+	s.remember(o)
+	return o
+}
+
+func outcome(id ProposalID, rev Revision, r result) Outcome {
+	return Outcome{ID: id, Verdict: r.verdict, Revision: rev, Reason: r.reason}
+}
+
+// fold checks the preconditions of a proposal and makes its change.
+func (s *State) fold(rev Revision, p *Proposal) result {
+	if !p.only() {
+		return invalid("not exactly one known kind")
+	}
+	switch {
+	case p.Publish != nil:
+		return s.publish(rev, p.Publish)
+	case p.SessionOpen != nil:
+		return s.sessionOpen(rev, p)
+	case p.SessionClose != nil:
+		return s.sessionClose(p)
+	case p.SessionExpire != nil:
+		return s.sessionExpire(p.SessionExpire)
+	case p.SessionSettle != nil:
+		return s.sessionSettle(p.SessionSettle)
+	case p.KeeperTake != nil:
+		return s.keeperTake(rev, p)
+	case p.KeeperGiveBack != nil:
+		return s.keeperGiveBack(p)
+	case p.EngineMeet != nil:
+		return s.engineMeet(p)
+	case p.EngineRemove != nil:
+		return s.engineRemove(p.EngineRemove)
+	case p.Grant != nil:
+		return s.grant(rev, p.Grant)
+	case p.Want != nil:
+		return s.want(p.Want)
+	case p.Withdraw != nil:
+		return s.withdraw(rev, p.Withdraw)
+	default:
+		return s.gone(p)
+	}
+}
+
+// only tells whether exactly one kind is set. A kind of a newer version decodes
+// to none.
+func (p *Proposal) only() bool {
+	kinds := [...]bool{
+		p.Publish != nil, p.SessionOpen != nil, p.SessionRenew != nil, p.SessionClose != nil,
+		p.SessionExpire != nil, p.SessionSettle != nil, p.KeeperTake != nil, p.KeeperGiveBack != nil,
+		p.EngineMeet != nil, p.EngineRemove != nil, p.Grant != nil, p.Want != nil,
+		p.Withdraw != nil, p.Gone != nil,
+	}
+	set := 0
+	for _, kind := range kinds {
+		if kind {
+			set++
+		}
+	}
+	return set == 1
+}
--- /dev/null
+++ b/state/codec.go
@@ -0,0 +1,47 @@
+package state
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("state")
+
+// Format is the version of the encoding that this code writes, and the newest
+// that it reads. A fleet is upgraded in two steps: first every VM gets code
+// that reads the new format, then one of them may write it; a VM that skips a
+// record that others fold would have another state.
+const Format = 1
+
+// Encode encodes a record for the log.
+func Encode(r Record) ([]byte, error) {
+	if len(r.Proposals) > MaxProposals {
+		return nil, Error.New("%d proposals in a record, at most %d", len(r.Proposals), MaxProposals)
+	}
+	r.Format = Format
+	data, err := json.Marshal(r)
+	return data, Error.Wrap(err)
+}
+
+// Decode decodes a record of the log. It fails on what is corrupt, truncated or
+// of a newer format; every VM fails on the same records.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(&r); err != nil {
+		return Record{}, Error.Wrap(err)
+	}
+	if decoder.More() {
+		return Record{}, Error.New("text after the record")
+	}
+	if r.Format < 1 || r.Format > Format {
+		return Record{}, Error.New("format %d, this code reads up to %d", r.Format, Format)
+	}
+	if len(r.Proposals) > MaxProposals {
+		return Record{}, Error.New("%d proposals, at most %d", len(r.Proposals), MaxProposals)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/state/read.go
@@ -0,0 +1,47 @@
+package state
+
+import (
+	"maps"
+	"slices"
+)
+
+// Replicas returns the rights to a unit, oldest first, those under withdrawal
+// included. The caller must not change the result.
+func (s *State) Replicas(unit string) []Holding { return s.index.holdings[unit] }
+
+// RightsOf returns an engine's rights by unit. The caller must not change them.
+func (s *State) RightsOf(engine string) map[string]*Right {
+	if e := s.Engines[engine]; e != nil {
+		return e.Rights
+	}
+	return nil
+}
+
+// KeptBy returns the names of the engines that a session keeps, sorted.
+func (s *State) KeptBy(session SessionID) []string {
+	return slices.Sorted(maps.Keys(s.index.keeping[session]))
+}
+
+// KeyOwner returns the customer of an API key by the key's hash.
+func (s *State) KeyOwner(sha256 string) (customer string, ok bool) {
+	customer, ok = s.index.keys[sha256]
+	return customer, ok
+}
+
+// NewestVersion returns the highest contract version in force.
+func (s *State) NewestVersion() Revision { return s.index.newest }
+
+// ConfigVersion returns the version of a customer's contract, 0 without one. A
+// removed contract keeps a version.
+func (s *State) ConfigVersion(customer string) Revision {
+	if published := s.Contracts[customer]; published != nil {
+		return published.Version
+	}
+	return 0
+}
+
+// CustomerBytes returns the engine memory that a customer's rights take.
+func (s *State) CustomerBytes(customer string) int64 { return s.index.customerBytes[customer] }
+
+// UsedBytes returns the memory that an engine's rights take.
+func (e *Engine) UsedBytes() int64 { return e.used }
--- a/state/record.go
+++ b/state/record.go
@@ -5,6 +5,8 @@
 // VM. The package does no I/O and reads no clock.
 package state
 
+import "bergamotreel/internal/chunks"
+
 // Revision is the place of a proposal in the control stream: the offset of its
 // record and its index in that record. Revisions only grow. A revision serves
 // as configuration version, lease epoch and fencing token alike. 0 is "none".
@@ -130,6 +132,10 @@
 type KeeperGiveBack struct {
 	Engine string   `json:"engine"`
 	Keeper Revision `json:"keeper"`
+	// Settled says that each order of the session to this engine was answered
+	// and that no other will be sent under this keeper: the session then no
+	// longer holds up Gone there.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // EngineMeet records what an engine says of itself: at first contact, after its
@@ -195,17 +201,7 @@
 }
 
 // SnapshotChunk is one part of a snapshot of the state just after UpTo.
-type SnapshotChunk struct {
-	// Writer identifies the snapshot together with UpTo.
-	Writer string `json:"w"`
-	// UpTo is the offset of the last record folded into it.
-	UpTo  uint64 `json:"upto"`
-	Part  int    `json:"part"`
-	Parts int    `json:"parts"`
-	// Sum is the xxhash of the whole encoded state.
-	Sum  uint64 `json:"sum"`
-	Data []byte `json:"data"`
-}
+type SnapshotChunk = chunks.Chunk
 
 // Verdict says what a proposal came to.
 type Verdict string
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,123 @@
+package state
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"bergamotreel/contract"
+	"bergamotreel/internal/chunks"
+)
+
+// Collector finds the newest complete snapshot among the records of the stream.
+type Collector = chunks.Collector
+
+// encoded is the canonical form of a state: maps are written with sorted keys,
+// so that equal states encode to equal bytes on every VM.
+type encoded struct {
+	Applied   uint64
+	Skipped   uint64
+	Contracts map[string]*Published
+	Sessions  map[SessionID]*Session
+	Engines   map[string]*Engine
+	Proposers map[string]*Proposer
+}
+
+// Snapshot encodes the state just after Applied in chunks for the log.
+func (s *State) Snapshot(writer string) ([]SnapshotChunk, error) {
+	data, err := s.encode()
+	if err != nil {
+		return nil, err
+	}
+	all, err := chunks.Split(data, writer, s.Applied, chunks.Size)
+	return all, Error.Wrap(err)
+}
+
+func (s *State) encode() ([]byte, error) {
+	data, err := json.Marshal(encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers})
+	return data, Error.Wrap(err)
+}
+
+// Restore makes the state of a complete snapshot.
+func Restore(all []SnapshotChunk) (*State, error) {
+	data, err := chunks.Join(all)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var e encoded
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s := New()
+	s.Applied, s.Skipped = e.Applied, e.Skipped
+	fill(s.Contracts, e.Contracts)
+	fill(s.Sessions, e.Sessions)
+	fill(s.Engines, e.Engines)
+	fill(s.Proposers, e.Proposers)
+	if err := s.parseContracts(); err != nil {
+		return nil, err
+	}
+	for _, engine := range s.Engines {
+		if engine.Rights == nil {
+			engine.Rights = map[string]*Right{}
+		}
+	}
+	s.rebuildIndex()
+	return s, nil
+}
+
+// fill copies all but nil entries, which a hostile snapshot may hold.
+func fill[K comparable, V any](to, from map[K]*V) {
+	for key, value := range from {
+		if value != nil {
+			to[key] = value
+		}
+	}
+}
+
+func (s *State) parseContracts() error {
+	for customer, published := range s.Contracts {
+		if len(published.Sections) == 0 {
+			continue
+		}
+		parsed, err := contract.ParseSections(published.Sections)
+		if err != nil {
+			return Error.New("contract of %q: %w", customer, err)
+		}
+		published.Contract = parsed
+	}
+	return nil
+}
+
+// Clone returns a copy that shares nothing that Apply changes.
+func (s *State) Clone() *State {
+	c := New()
+	c.Applied, c.Skipped = s.Applied, s.Skipped
+	maps.Copy(c.Contracts, s.Contracts)
+	for id, session := range s.Sessions {
+		copied := *session
+		c.Sessions[id] = &copied
+	}
+	for name, engine := range s.Engines {
+		c.Engines[name] = engine.clone()
+	}
+	for name, proposer := range s.Proposers {
+		copied := *proposer
+		copied.Recent = slices.Clone(proposer.Recent)
+		c.Proposers[name] = &copied
+	}
+	c.rebuildIndex()
+	return c
+}
+
+func (e *Engine) clone() *Engine {
+	copied := *e
+	copied.Formers = slices.Clone(e.Formers)
+	copied.Rights = make(map[string]*Right, len(e.Rights))
+	for name, right := range e.Rights {
+		r := *right
+		r.OrderedBy = slices.Clone(right.OrderedBy)
+		copied.Rights[name] = &r
+	}
+	return &copied
+}
