Load the entry daemon's settings, typed, defaulted and checked

Cause: a mistake in the settings must be one line with file, section and key. One table of fields gives the reader, the sample and the defaults. Ruled out: struct tags with reflection (no place for bounds and reasons); the sample's secret as a working one (a copied sample would open the fleet).

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestSample(t *testing.T) {
+	goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, "sample", []byte(Sample()))
+	s, err := Parse("sample.ini", usable())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Policy.SessionTerm != 10*time.Second || s.Limits.HeaderBytes != 16<<10 || s.VM.PeersAdvertise != s.VM.PeersAddress {
+		t.Errorf("defaults: %+v", s)
+	}
+}
+
+// usable is the sample with a secret of its own.
+func usable() string {
+	return strings.Replace(Sample(), sampleSecret, strings.Repeat("x", MinSecretLength), 1)
+}
+
+func TestSecretsInFiles(t *testing.T) {
+	secret := strings.Repeat("s", MinSecretLength)
+	path := filepath.Join(t.TempDir(), "secret")
+	if err := os.WriteFile(path, []byte(secret+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(Sample(), "\nsecret = "+sampleSecret, "\nsecret_file = "+path, 1)
+	s, err := Parse("s.ini", text)
+	if err != nil || s.Peers.Secret != secret {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
+func TestMistakes(t *testing.T) {
+	own := strings.Repeat("x", MinSecretLength)
+	tests := []struct{ name, old, new, want string }{
+		{"unknown section", "[log]", "[logs]", `[logs]: unknown section`},
+		{"unknown key", "[log]", "[log]\nlevl = info", `[log] levl: unknown key`},
+		{"section twice", "[log]", "[vm]", `[vm]: stands twice`},
+		{"bad duration", ";heartbeat = 250ms", "heartbeat = 250", `[policy] heartbeat: bad duration "250"`},
+		{"no peer address", "peers_address = 10.0.1.7:8082", "", `[vm] peers_address: missing`},
+		{"host name", "10.0.1.7:8082", "entry-1:8082", `[vm] peers_address: bad address "entry-1:8082": want IP:port`},
+		{"unreachable", "10.0.1.7:8082", "0.0.0.0:8082", `[vm] peers_advertise: missing: others cannot connect to 0.0.0.0:8082`},
+		{"bad advertise", ";peers_advertise =", "peers_advertise = [::]:1", `[vm] peers_advertise: bad address "[::]:1"`},
+		{"one address twice", "10.0.1.7:8082", "10.0.1.7:8081", `[vm] peers_address: same as operators_address`},
+		{"bad URL", "http://10.0.0.2:9001", "10.0.0.2:9001", `[platform] log_url: bad URL "10.0.0.2:9001"`},
+		{"no domain", "domain = port-of-spain-a", "", `[vm] domain: missing`},
+		{"bad id", "id = entry-1", "id = entry 1", `[vm] id: bad name "entry 1"`},
+		{"sample's secret", own, sampleSecret, `[peers] secret: still the sample's secret`},
+		{"short secret", own, "hush", `[peers] secret: shorter than 32 characters`},
+		{"secret twice", ";secret_file", "secret_file", `[peers] secret_file: give the secret or its file, not both`},
+		{"secret's file", "secret = " + own, "secret_file = /nowhere", `[peers] secret_file: cannot read: no such file or directory`},
+		{"bad hash", strings.Repeat("0", 64), "12", `[operators] token_sha256: want SHA-256 hashes`},
+		{"key without certificate", ";callers_key =", "callers_key = k.pem", `[tls] callers_cert: missing: there is a key`},
+		{"certificate without key", ";operators_cert =", "operators_cert = c.pem", `[tls] operators_key: missing: there is a certificate`},
+		{"bad certificate", ";callers_key =", "callers_cert = /nowhere\ncallers_key = /nowhere", `[tls] callers_cert: open /nowhere`},
+		{"bad size", ";body_bytes = 4MiB", "body_bytes = 4", `[limits] body_bytes: bad size "4"`},
+		{"bad number", ";queue = 4096", "queue = 0", `[limits] queue: 0 is not between 1 and 1000000`},
+		{"bad share", ";retry_budget = 0.1", "retry_budget = 10", `[policy] retry_budget: 10 is not between 0 and 1`},
+		{"bad boolean", ";preload = true", "preload = maybe", `[policy] preload: bad value "maybe"`},
+		{"bad level", ";level = info", "level = loud", `[log] level: bad value "loud": want one of debug, info, warn, error`},
+		{"keep-alive", ";keep_alive_max = 2h", "keep_alive_max = 5s", `[policy] keep_alive_min: 20s is more than keep_alive_max (5s)`},
+		{"session term", ";session_term = 10s", "session_term = 1s\nheartbeat = 500ms", `[policy] session_term: 1s is less than 3 heartbeats (500ms)`},
+		{"not INI", "[log]", "[log", `s.ini: line`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if !strings.Contains(usable(), test.old) {
+				t.Fatalf("sample has no %q", test.old)
+			}
+			_, err := Parse("s.ini", strings.Replace(usable(), test.old, test.new, 1))
+			var problem *Problem
+			if !errors.As(err, &problem) {
+				t.Fatalf("got %v, want a *Problem", err)
+			}
+			if !strings.HasPrefix(problem.Error(), "s.ini: ") || !strings.Contains(problem.Error(), test.want) {
+				t.Errorf("got  %v\nwant %s", problem, test.want)
+			}
+		})
+	}
+}
+
+func TestLoadMissingFile(t *testing.T) {
+	_, err := Load("/nowhere/s.ini")
+	var problem *Problem
+	if !errors.As(err, &problem) || problem.Error() != "/nowhere/s.ini: cannot read: no such file or directory" {
+		t.Errorf("got %v", err)
+	}
+}
+
+// FuzzParse: whatever the text, an answer or a Problem, never a crash.
+func FuzzParse(f *testing.F) {
+	f.Add(usable())
+	f.Fuzz(func(t *testing.T, text string) {
+		// The file system is no part of it.
+		_, err := Parse("s.ini", strings.ReplaceAll(text, fileSuffix, ""))
+		var problem *Problem
+		if err != nil && !errors.As(err, &problem) {
+			t.Errorf("got %v, want a *Problem", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/table.go
@@ -0,0 +1,196 @@
+package settings
+
+import (
+	"strings"
+	"time"
+)
+
+// fields are all keys, in the order of the sample.
+var fields = []field{
+	{
+		section: "vm", key: "id", required: true, example: "entry-1",
+		help: "the platform's name of this VM; a replacement gets another one",
+		set:  name(func(s *Settings) *string { return &s.VM.ID }),
+	},
+	{
+		section: "vm", key: "domain", required: true, example: "port-of-spain-a",
+		help: "failure domain of this VM, as the VM list spells it",
+		set:  name(func(s *Settings) *string { return &s.VM.Domain }),
+	},
+	{
+		section: "vm", key: "region", byDefault: "main",
+		help: "region of the failure domain; one name is enough where there is one region",
+		set:  name(func(s *Settings) *string { return &s.VM.Region }),
+	},
+	{
+		section: "vm", key: "callers_address", required: true, example: "10.0.1.7:8080",
+		help: "IP:port that callers are served on",
+		set:  address(func(s *Settings) *string { return &s.VM.CallersAddress }),
+	},
+	{
+		section: "vm", key: "operators_address", required: true, example: "10.0.1.7:8081",
+		help: "IP:port that operators are served on",
+		set:  address(func(s *Settings) *string { return &s.VM.OperatorsAddress }),
+	},
+	{
+		section: "vm", key: "peers_address", required: true, example: "10.0.1.7:8082",
+		help: "IP:port that the other entry VMs are served on",
+		set:  address(func(s *Settings) *string { return &s.VM.PeersAddress }),
+	},
+	{
+		section: "vm", key: "callers_advertise",
+		help: "IP:port that callers are sent to; default: callers_address",
+		set:  reachable(func(s *Settings) *string { return &s.VM.CallersAdvertise }),
+	},
+	{
+		section: "vm", key: "operators_advertise",
+		help: "IP:port that operators are sent to; default: operators_address",
+		set:  reachable(func(s *Settings) *string { return &s.VM.OperatorsAdvertise }),
+	},
+	{
+		section: "vm", key: "peers_advertise",
+		help: "IP:port that the other entry VMs connect to; default: peers_address",
+		set:  reachable(func(s *Settings) *string { return &s.VM.PeersAdvertise }),
+	},
+	{
+		section: "platform", key: "log_url", required: true, example: "http://10.0.0.2:9001",
+		help: "base URL of the platform's log",
+		set:  baseURL(func(s *Settings) *string { return &s.Platform.LogURL }),
+	},
+	{
+		section: "platform", key: "vmlist_url", required: true, example: "http://10.0.0.2:9002",
+		help: "base URL of the platform's VM list",
+		set:  baseURL(func(s *Settings) *string { return &s.Platform.VMListURL }),
+	},
+	{
+		section: "platform", key: "weightstore_url", required: true, example: "http://10.0.0.2:9003",
+		help: "base URL of the weight store",
+		set:  baseURL(func(s *Settings) *string { return &s.Platform.WeightStoreURL }),
+	},
+	{
+		section: "peers", key: "secret", required: true, secret: true, example: sampleSecret,
+		help: "shared by all entry VMs, who prove it to each other; at least 32 characters",
+		set:  setSecret,
+	},
+	{
+		section: "operators", key: "token_sha256", required: true, secret: true,
+		example: strings.Repeat("0", hashLength),
+		help:    "hashes of the operators' tokens (printf %s TOKEN | sha256sum), commas between them; two while a token is replaced",
+		set:     setTokenHashes,
+	},
+	{
+		section: "tls", key: "callers_cert",
+		help: "PEM file with the certificate for callers; without it callers are served plain HTTP",
+		set:  text(func(s *Settings) *string { return &s.TLS.CallersCert }),
+	},
+	{
+		section: "tls", key: "callers_key",
+		help: "PEM file with the key of callers_cert",
+		set:  text(func(s *Settings) *string { return &s.TLS.CallersKey }),
+	},
+	{
+		section: "tls", key: "operators_cert",
+		help: "PEM file with the certificate for operators; without it operators are served plain HTTP",
+		set:  text(func(s *Settings) *string { return &s.TLS.OperatorsCert }),
+	},
+	{
+		section: "tls", key: "operators_key",
+		help: "PEM file with the key of operators_cert",
+		set:  text(func(s *Settings) *string { return &s.TLS.OperatorsKey }),
+	},
+	{
+		section: "limits", key: "header_bytes", byDefault: "16KiB",
+		help: "longest header of a request; real ones stay under 4 KiB",
+		set:  size(1<<10, 1<<20, func(s *Settings, bytes int64) { s.Limits.HeaderBytes = int(bytes) }),
+	},
+	{
+		section: "limits", key: "body_bytes", byDefault: "4MiB",
+		help: "longest body of a request; a prompt of 128k tokens takes less than 1 MiB",
+		set:  size(1<<10, 1<<30, func(s *Settings, bytes int64) { s.Limits.BodyBytes = bytes }),
+	},
+	{
+		section: "limits", key: "read_timeout", byDefault: "10s",
+		help: "longest time to read a request; slower callers would hold connections for nothing",
+		set:  duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.ReadTimeout }),
+	},
+	{
+		section: "limits", key: "connections", byDefault: "20000",
+		help: "open connections of callers; twice the 10,000 streams a VM is measured with",
+		set:  number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.Connections }),
+	},
+	{
+		section: "limits", key: "queue", byDefault: "4096",
+		help: "waiting requests of all customers; some kB each, over a minute of work",
+		set:  number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.Queue }),
+	},
+	{
+		section: "policy", key: "cold_start_weight", byDefault: "0.5",
+		help: "0.01 to 1: near 0 saves idle accelerator hours, near 1 saves waiting at cold starts",
+		set:  share(0.01, 1, func(s *Settings) *float64 { return &s.Policy.ColdStartWeight }),
+	},
+	{
+		section: "policy", key: "keep_alive_min", byDefault: "20s",
+		help: "least time an idle replica stays; outlasts the pause between two questions, so that two models don't evict each other in turns",
+		set:  duration(0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.KeepAliveMin }),
+	},
+	{
+		section: "policy", key: "keep_alive_max", byDefault: "2h",
+		help: "longest time an idle replica stays, whatever its history says; longer gaps are the next shift",
+		set:  duration(time.Second, 7*24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.KeepAliveMax }),
+	},
+	{
+		section: "policy", key: "preload", byDefault: "true",
+		help: "load ahead of demand that a model's own history makes likely",
+		set:  boolean(func(s *Settings) *bool { return &s.Policy.Preload }),
+	},
+	{
+		section: "policy", key: "heartbeat", byDefault: "250ms",
+		help: "time between two digests to a peer; four a second show a failure within a second and keep within 24 KB/s",
+		set:  duration(10*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.Policy.Heartbeat }),
+	},
+	{
+		section: "policy", key: "session_term", byDefault: "10s",
+		help: "life of a keeper's session without a renewal; several renewals may be lost in it, and a dead keeper is replaced after it",
+		set:  duration(time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Policy.SessionTerm }),
+	},
+	{
+		section: "policy", key: "message_lifetime", byDefault: "2m",
+		help: "longest time a sent message can take to arrive; after it a VM that has left the VM list has no order under way",
+		set:  duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Policy.MessageLifetime }),
+	},
+	{
+		section: "policy", key: "claim_window", byDefault: "24h",
+		help: "how long an idempotency key is remembered; keep it below the log's retention",
+		set:  duration(time.Minute, 7*24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.ClaimWindow }),
+	},
+	{
+		section: "policy", key: "retry_budget", byDefault: "0.1",
+		help: "share of the traffic that may be retries; more would let an overload feed itself",
+		set:  share(0, 1, func(s *Settings) *float64 { return &s.Policy.RetryBudget }),
+	},
+	{
+		section: "policy", key: "shutdown_grace", byDefault: "15m",
+		help: "longest graceful shutdown; longer than any answer streams, so that none is cut off",
+		set:  duration(time.Second, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.ShutdownGrace }),
+	},
+	{
+		section: "log", key: "level", byDefault: "info",
+		help: "debug, info, warn or error",
+		set:  oneOf([]string{"debug", "info", "warn", "error"}, func(s *Settings) *string { return &s.Log.Level }),
+	},
+	{
+		section: "traces", key: "otlp_endpoint",
+		help: "base URL of an OTLP collector (HTTP); without it there are no traces",
+		set:  baseURL(func(s *Settings) *string { return &s.Traces.OTLPEndpoint }),
+	},
+	{
+		section: "traces", key: "sample", byDefault: "0.01",
+		help: "share of the requests that is traced; one in a hundred keeps the cost below that of serving",
+		set:  share(0, 1, func(s *Settings) *float64 { return &s.Traces.Sample }),
+	},
+	{
+		section: "metrics", key: "address",
+		help: "IP:port that serves /metrics, /healthz and /readyz; without it they are served on operators_address",
+		set:  address(func(s *Settings) *string { return &s.Metrics.Address }),
+	},
+}
