Add the stand-ins of engines and plain services

Cause: the whole path needs backend servers, in one process under virtual time and over HTTP. Ruled out: a stand-in per test; its copies would differ in what a late order or a lost answer does.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,8 @@
 	newLogVerb,
 	newVMListVerb,
 	newWeightStoreVerb,
+	newEngineVerb,
+	newServiceVerb,
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/engineserver/http.go
@@ -0,0 +1,188 @@
+package engineserver
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"bergamotreel/engine"
+)
+
+// statusByCode is the HTTP status of each refusal.
+var statusByCode = map[string]int{
+	engine.CodeStaleToken:    http.StatusConflict,
+	engine.CodeIDConflict:    http.StatusConflict,
+	engine.CodeInUse:         http.StatusConflict,
+	engine.CodeWrongRole:     http.StatusConflict,
+	engine.CodeNoMemory:      http.StatusInsufficientStorage,
+	engine.CodeNotLoaded:     http.StatusNotFound,
+	engine.CodeUnknownStream: http.StatusNotFound,
+	engine.CodeBusy:          http.StatusTooManyRequests,
+	engine.CodeDraining:      http.StatusTooManyRequests,
+	engine.CodeBadRequest:    http.StatusBadRequest,
+}
+
+// Handler serves the engine protocol and the admin paths.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", e.serveStatus)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveGenerate)
+	mux.HandleFunc("POST /v1/completions", e.serveGenerate)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("GET /v1/cache/events", e.serveCacheEvents)
+	mux.HandleFunc("GET /v1/kv/{id}", e.serveExport)
+	mux.HandleFunc("PUT /v1/kv/{id}", e.serveImport)
+	mux.HandleFunc("POST /admin/faults", e.serveSetFaults)
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Faults(), nil) })
+	mux.HandleFunc("GET /admin/records", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Records(), nil) })
+	mux.HandleFunc("POST /admin/restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart(); reply(w, nil, nil) })
+	mux.HandleFunc("POST /admin/draining", e.serveDraining)
+	return mux
+}
+
+func (e *Engine) serveStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := e.Status(r.Context())
+	reply(w, status, err)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	status, err := e.Order(r.Context(), order)
+	reply(w, status, err)
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, engine.MaxBody))
+	if err != nil {
+		reply(w, nil, refuse(engine.CodeBadRequest, engine.ErrBadRequest, "%v", err))
+		return
+	}
+	// A priority that is no number counts as 0.
+	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
+	reading, err := e.Generate(r.Context(), engine.Request{
+		ID: r.Header.Get(engine.HeaderRequestID), Unit: r.Header.Get(engine.HeaderUnit),
+		Path: r.URL.Path, Body: body, Priority: priority,
+	})
+	serveStream(w, r, reading, err)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		reply(w, nil, refuse(engine.CodeBadRequest, engine.ErrBadRequest, "%v", err))
+		return
+	}
+	reading, err := e.Resume(r.Context(), r.PathValue("id"), from)
+	serveStream(w, r, reading, err)
+}
+
+// serveStream sends a stream as server-sent events.
+func serveStream(w http.ResponseWriter, r *http.Request, reading *Reading, err error) {
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(engine.HeaderRequestID, reading.stream.request.ID)
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	for {
+		// A failed flush means that the reader is gone; the next write tells.
+		_ = flusher.Flush()
+		chunk, err := reading.Next(r.Context())
+		if err == io.EOF {
+			fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", chunk.Position)
+			return
+		}
+		if errors.Is(err, errEndedEarly) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", chunk.Position, chunk.Data); err != nil {
+			return
+		}
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	reply(w, nil, e.Cancel(r.Context(), r.PathValue("id")))
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		reply(w, nil, refuse(engine.CodeBadRequest, engine.ErrBadRequest, "%v", err))
+		return
+	}
+	events, err := e.CacheEvents(r.Context(), after)
+	reply(w, events, err)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	data, err := e.ExportKV(r.Context(), r.PathValue("id"))
+	reply(w, json.RawMessage(data), err)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, engine.MaxBody))
+	if err != nil {
+		reply(w, nil, refuse(engine.CodeBadRequest, engine.ErrBadRequest, "%v", err))
+		return
+	}
+	reply(w, nil, e.ImportKV(r.Context(), r.PathValue("id"), data))
+}
+
+func (e *Engine) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if readJSON(w, r, &faults) {
+		e.SetFaults(faults)
+		reply(w, nil, nil)
+	}
+}
+
+func (e *Engine) serveDraining(w http.ResponseWriter, r *http.Request) {
+	var draining bool
+	if readJSON(w, r, &draining) {
+		e.SetDraining(draining)
+		reply(w, nil, nil)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, engine.MaxBody)).Decode(into)
+	if err != nil {
+		reply(w, nil, refuse(engine.CodeBadRequest, engine.ErrBadRequest, "%v", err))
+	}
+	return err == nil
+}
+
+// reply answers with the value, the refusal or, for every other error, with a
+// connection that breaks before any answer.
+func reply(w http.ResponseWriter, value any, err error) {
+	var refused *refusal
+	if errors.As(err, &refused) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(statusByCode[refused.code])
+		body := engine.RefusalBody{Code: refused.code, Message: refused.message, Highest: refused.highest}
+		_, _ = w.Write(mustMarshal(body)) // the caller may be gone
+		return
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if value == nil {
+		value = struct{}{}
+	}
+	_, _ = w.Write(mustMarshal(value)) // the caller may be gone
+}
--- /dev/null
+++ b/internal/standin/engineserver/orders.go
@@ -0,0 +1,291 @@
+package engineserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bergamotreel/engine"
+)
+
+// unit is a model or adapter that the engine holds. Its memory counts in every
+// phase.
+type unit struct {
+	engine.Unit
+	// cancel stops the load that is under way.
+	cancel context.CancelFunc
+}
+
+// refusal is an engine's definite "no" to a request: it did nothing.
+type refusal struct {
+	code    string
+	err     error
+	message string
+	highest engine.Token
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.code + ": " + r.message }
+
+// Unwrap gives the sentinel of package engine.
+func (r *refusal) Unwrap() error { return r.err }
+
+func refuse(code string, err error, format string, args ...any) error {
+	return &refusal{code: code, err: err, message: fmt.Sprintf(format, args...)}
+}
+
+// Order takes an order. It returns once the order is taken; a load goes on.
+func (e *Engine) Order(ctx context.Context, order engine.Order) (engine.Status, error) {
+	delay, lose := e.orderFaults()
+	status, err := deliver(ctx, e, delay, func() (engine.Status, error) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		err := e.take(order)
+		return e.status(), err
+	})
+	if lose && err == nil {
+		return engine.Status{}, errLost
+	}
+	return status, err
+}
+
+func (e *Engine) take(order engine.Order) error {
+	err := e.apply(order)
+	received := ReceivedOrder{At: time.Now(), Order: order}
+	if err != nil {
+		received.Refused = err.Error()
+	}
+	e.records.Orders = append(e.records.Orders, received)
+	return err
+}
+
+func (e *Engine) apply(order engine.Order) error {
+	if !e.up {
+		return errDown
+	}
+	if e.options.ChecksTokens && order.Token < e.highest {
+		return &refusal{code: engine.CodeStaleToken, err: engine.ErrStaleToken, highest: e.highest}
+	}
+	e.highest = max(e.highest, order.Token)
+	switch order.Action {
+	case engine.ActionFence:
+		return nil
+	case engine.ActionLoad:
+		return e.load(order)
+	case engine.ActionUnload:
+		return e.unload(order.Unit)
+	case engine.ActionRole:
+		return e.setRole(order.Role)
+	}
+	return refuse(engine.CodeBadRequest, engine.ErrBadRequest, "unknown action %q", order.Action)
+}
+
+func (e *Engine) setRole(role engine.Role) error {
+	if !slices.Contains([]engine.Role{engine.RoleBoth, engine.RolePrefill, engine.RoleDecode}, role) {
+		return refuse(engine.CodeBadRequest, engine.ErrBadRequest, "unknown role %q", role)
+	}
+	e.role = role
+	return nil
+}
+
+func (e *Engine) load(order engine.Order) error {
+	if order.Unit == "" || order.Bytes <= 0 {
+		return refuse(engine.CodeBadRequest, engine.ErrBadRequest, "a load needs a unit and its bytes")
+	}
+	if held, ok := e.units[order.Unit]; ok {
+		return e.loadHeld(held, order)
+	}
+	if order.Base != "" && !e.isReady(order.Base) {
+		return refuse(engine.CodeNotLoaded, engine.ErrNotLoaded, "base %s", order.Base)
+	}
+	if e.memoryUsed()+order.Bytes > e.options.MemoryBytes {
+		e.records.Overcommits++
+		return refuse(engine.CodeNoMemory, engine.ErrNoMemory, "%d of %d bytes in use, %d wanted",
+			e.memoryUsed(), e.options.MemoryBytes, order.Bytes)
+	}
+	e.startLoad(order)
+	return nil
+}
+
+// loadHeld answers a load of a unit that is there already.
+func (e *Engine) loadHeld(held *unit, order engine.Order) error {
+	if held.Checkpoint != order.Checkpoint {
+		return refuse(engine.CodeInUse, engine.ErrInUse, "%s holds checkpoint %s", order.Unit, held.Checkpoint)
+	}
+	if held.Phase == engine.PhaseUnloading {
+		held.Phase = engine.PhaseReady
+	}
+	return nil
+}
+
+func (e *Engine) startLoad(order engine.Order) {
+	loading := &unit{Unit: engine.Unit{
+		Unit: order.Unit, Base: order.Base, Checkpoint: order.Checkpoint,
+		Bytes: order.Bytes, Phase: engine.PhaseLoading,
+	}}
+	var ctx context.Context
+	ctx, loading.cancel = context.WithCancel(e.process)
+	e.units[order.Unit] = loading
+	delete(e.failed, order.Unit)
+	e.records.Loads[order.Unit]++
+	e.records.MaxMemory = max(e.records.MaxMemory, e.memoryUsed())
+	e.records.MaxUnits = max(e.records.MaxUnits, len(e.units))
+	e.start(ctx, func(ctx context.Context) { e.runLoad(ctx, loading) })
+}
+
+// runLoad brings the checkpoint through the tiers into the engine's memory.
+func (e *Engine) runLoad(ctx context.Context, loading *unit) {
+	err := e.bring(ctx, loading.Checkpoint, loading.Bytes, loading.Unit.Unit)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	loading.cancel()
+	if e.units[loading.Unit.Unit] != loading {
+		return
+	}
+	if err == nil && e.faults.DieWhileLoading {
+		e.faults.DieWhileLoading = false
+		e.dieForAWhile()
+		return
+	}
+	if err == nil && slices.Contains(e.faults.FailLoads, loading.Unit.Unit) {
+		err = errors.New("load failed by a fault")
+	}
+	if err != nil {
+		e.failed[loading.Unit.Unit] = err.Error()
+		delete(e.units, loading.Unit.Unit)
+		return
+	}
+	loading.Phase = engine.PhaseReady
+}
+
+func (e *Engine) bring(ctx context.Context, checkpoint string, bytes int64, unitName string) error {
+	e.mu.Lock()
+	tier := e.tierOf(checkpoint)
+	e.mu.Unlock()
+	rate := e.options.MemoryBytesPerSecond
+	if tier == engine.TierRemote {
+		if err := e.fetch(ctx, checkpoint); err != nil {
+			return err
+		}
+	}
+	if tier != engine.TierMemory {
+		rate = e.options.DiskBytesPerSecond
+	}
+	took := time.Duration(float64(bytes) / rate * float64(time.Second))
+	if !e.work(ctx, took) {
+		return ctx.Err()
+	}
+	return e.waitWhileStalled(ctx, unitName)
+}
+
+func (e *Engine) fetch(ctx context.Context, checkpoint string) error {
+	if e.options.Fetcher != nil {
+		if err := e.options.Fetcher.Fetch(ctx, checkpoint); err != nil {
+			return err
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disk[checkpoint] = true
+	return nil
+}
+
+func (e *Engine) unload(name string) error {
+	held, ok := e.units[name]
+	if !ok {
+		return nil
+	}
+	if adapters := e.adaptersOf(name); len(adapters) > 0 {
+		return refuse(engine.CodeInUse, engine.ErrInUse, "adapters %s sit on %s", strings.Join(adapters, ", "), name)
+	}
+	if held.Phase == engine.PhaseLoading {
+		held.cancel()
+		delete(e.units, name)
+		return nil
+	}
+	held.Phase = engine.PhaseUnloading
+	e.finishUnloads()
+	return nil
+}
+
+// finishUnloads drops the unloading units whose streams have all ended.
+func (e *Engine) finishUnloads() {
+	for name, held := range e.units {
+		if held.Phase == engine.PhaseUnloading && !e.hasStreams(name) {
+			delete(e.units, name)
+			e.keepInMemoryTier(held.Checkpoint)
+		}
+	}
+}
+
+func (e *Engine) hasStreams(name string) bool {
+	ofUnit := func(s *stream) bool { return s.request.Unit == name }
+	return slices.ContainsFunc(e.queue, ofUnit) || slices.ContainsFunc(e.running, ofUnit)
+}
+
+func (e *Engine) adaptersOf(base string) []string {
+	var adapters []string
+	for name, held := range e.units {
+		if held.Base == base {
+			adapters = append(adapters, name)
+		}
+	}
+	slices.Sort(adapters)
+	return adapters
+}
+
+func (e *Engine) isReady(name string) bool {
+	held, ok := e.units[name]
+	return ok && held.Phase == engine.PhaseReady
+}
+
+func (e *Engine) memoryUsed() int64 {
+	var used int64
+	for _, held := range e.units {
+		used += held.Bytes
+	}
+	return used
+}
+
+func (e *Engine) listUnits() []engine.Unit {
+	list := make([]engine.Unit, 0, len(e.units))
+	for _, held := range e.units {
+		list = append(list, held.Unit)
+	}
+	slices.SortFunc(list, func(a, b engine.Unit) int { return strings.Compare(a.Unit, b.Unit) })
+	return list
+}
+
+// tierOf is where a checkpoint that is not loaded can be had from.
+func (e *Engine) tierOf(checkpoint string) engine.Tier {
+	if slices.Contains(e.memory, checkpoint) {
+		return engine.TierMemory
+	}
+	if e.disk[checkpoint] {
+		return engine.TierDisk
+	}
+	return engine.TierRemote
+}
+
+func (e *Engine) listCached() map[string]engine.Tier {
+	cached := map[string]engine.Tier{}
+	for checkpoint := range e.disk {
+		cached[checkpoint] = e.tierOf(checkpoint)
+	}
+	for _, held := range e.units {
+		delete(cached, held.Checkpoint)
+	}
+	return cached
+}
+
+// keepInMemoryTier makes the checkpoint the newest of the memory tier.
+func (e *Engine) keepInMemoryTier(checkpoint string) {
+	e.memory = slices.DeleteFunc(e.memory, func(c string) bool { return c == checkpoint })
+	e.memory = append(e.memory, checkpoint)
+	if over := len(e.memory) - e.options.MemoryTierUnits; over > 0 {
+		e.memory = slices.Delete(e.memory, 0, over)
+	}
+}
--- /dev/null
+++ b/internal/standin/serviceserver/http.go
@@ -0,0 +1,112 @@
+package serviceserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"bergamotreel/service"
+)
+
+// Handler serves any call, and the admin paths.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) {
+		write(w, answerJSON(http.StatusOK, s.Calls()))
+	})
+	mux.HandleFunc("GET /admin/bookings", func(w http.ResponseWriter, _ *http.Request) {
+		write(w, answerJSON(http.StatusOK, s.Bookings()))
+	})
+	mux.HandleFunc("POST /admin/faults", s.serveFaults)
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		write(w, answerJSON(http.StatusBadRequest, err.Error()))
+		return
+	}
+	s.SetFaults(faults)
+	write(w, answerJSON(http.StatusOK, faults))
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer, err := s.Do(r.Context(), service.Call{
+		RequestID: r.Header.Get(service.HeaderRequestID), Method: r.Method,
+		Path: r.URL.RequestURI(), Header: r.Header, Body: body,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, answer)
+}
+
+func write(w http.ResponseWriter, answer service.Answer) {
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // the caller may be gone
+}
+
+// Fleet is a service.Client over services in the same process, in place of
+// HTTP. It is safe for concurrent use.
+type Fleet struct {
+	mu       sync.Mutex
+	services map[string]*Service
+	cut      map[string]bool
+}
+
+var _ service.Client = (*Fleet)(nil)
+
+// NewFleet returns a fleet without services.
+func NewFleet() *Fleet {
+	return &Fleet{services: map[string]*Service{}, cut: map[string]bool{}}
+}
+
+// Put makes the service reachable under the address.
+func (f *Fleet) Put(address string, s *Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[address] = s
+}
+
+// Cut separates an address from this client, or joins it again: new calls fail
+// with service.ErrNotSent. Calls under way go on.
+func (f *Fleet) Cut(address string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[address] = cut
+}
+
+// Do implements service.Client.
+func (f *Fleet) Do(ctx context.Context, address string, call service.Call) (service.Answer, error) {
+	f.mu.Lock()
+	s, ok := f.services[address]
+	cut := f.cut[address]
+	f.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return service.Answer{}, wrap(service.ErrNotSent, err)
+	}
+	if !ok || cut {
+		return service.Answer{}, wrap(service.ErrNotSent, fmt.Errorf("no way to %s", address))
+	}
+	answer, err := s.Do(ctx, call)
+	if err != nil {
+		return service.Answer{}, wrap(service.ErrOutcomeUnknown, err)
+	}
+	return answer, nil
+}
+
+func wrap(kind, err error) error {
+	return service.Error.Wrap(fmt.Errorf("%w: %w", kind, err))
+}
