--- /dev/null
+++ b/internal/standin/vmlistserver/registry_test.go
@@ -0,0 +1,80 @@
+package vmlistserver_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/vmlist"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func wantList(t *testing.T, lister vmlist.Lister, version uint64, vms ...vmlist.VM) {
+	t.Helper()
+	got, err := lister.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(vmlist.List{Version: version, VMs: vms}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A VM leaves and goes; the list goes on naming it as live for its whole lag.
+func TestListTrailsByItsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := vmlist.VM{ID: "a"}, vmlist.VM{ID: "b"}
+		registry := vmlistserver.New(10*time.Second, a, b)
+		registry.MarkLeaving("b")
+		time.Sleep(5 * time.Second)
+		registry.Remove("b")
+		wantList(t, registry, 1, a, b)
+		time.Sleep(5 * time.Second)
+		wantList(t, registry, 2, a, vmlist.VM{ID: "b", Leaving: true})
+		time.Sleep(5 * time.Second)
+		wantList(t, registry, 3, a)
+		registry.Put(a)
+		time.Sleep(10 * time.Second)
+		wantList(t, registry, 3, a)
+		registry.Faults().Set(faults.Settings{Outage: true})
+		if _, err := registry.List(t.Context()); !errors.Is(err, vmlist.ErrUnavailable) {
+			t.Errorf("outage: %v", err)
+		}
+	})
+}
+
+func TestListOverHTTP(t *testing.T) {
+	server := httptest.NewServer(vmlistserver.Handler(vmlistserver.New(0)))
+	defer server.Close()
+	admin := func(method, path, body string) int {
+		request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		return answer.StatusCode
+	}
+	client := vmlist.NewClient(server.URL, nil)
+	admin("PUT", "/admin/vms/e1", `{"kind":"engine","address":"127.0.0.1:9","domain":"d","region":"r"}`)
+	vm := vmlist.VM{ID: "e1", Kind: vmlist.KindEngine, Address: "127.0.0.1:9", Domain: "d", Region: "r"}
+	wantList(t, client, 2, vm)
+	admin("POST", "/admin/vms/e1/leaving", "")
+	vm.Leaving = true
+	wantList(t, client, 3, vm)
+	admin("DELETE", "/admin/vms/e1", "")
+	if got := admin("DELETE", "/admin/vms/e1", ""); got != http.StatusNotFound {
+		t.Errorf("second delete: status %d", got)
+	}
+	admin("POST", "/admin/faults", `{"outage":true}`)
+	if _, err := client.List(t.Context()); !errors.Is(err, vmlist.ErrUnavailable) {
+		t.Errorf("outage: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/weightserver/store_test.go
@@ -0,0 +1,148 @@
+package weightserver_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/weightserver"
+	"bergamotreel/weightstore"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// today is the store of today's deployments with one checkpoint of 10 s.
+func today() weightserver.Config {
+	return weightserver.Config{
+		Checkpoints:    map[string]int64{"m": 10e9},
+		BytesPerSecond: 1e9,
+		AtOnce:         4,
+	}
+}
+
+// fetchAll starts n fetches together and returns when each ended, in seconds
+// to the millisecond.
+func fetchAll(t *testing.T, store *weightserver.Store, n int) []float64 {
+	start := time.Now()
+	took := make([]float64, n)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			if err := store.Fetch(t.Context(), "m"); err != nil {
+				t.Error(err)
+			}
+			took[i] = time.Since(start).Round(time.Millisecond).Seconds()
+		})
+	}
+	all.Wait()
+	return took
+}
+
+func TestFetchesShareTheStore(t *testing.T) {
+	cases := map[string]struct {
+		loads int
+		fault faults.Settings
+		want  []float64
+	}{
+		"alone":            {1, faults.Settings{}, []float64{10}},
+		"at full speed":    {4, faults.Settings{}, []float64{10, 10, 10, 10}},
+		"beyond AtOnce":    {5, faults.Settings{}, []float64{12.5, 12.5, 12.5, 12.5, 12.5}},
+		"store slows down": {1, faults.Settings{SlowFactor: 3}, []float64{30}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := weightserver.New(today())
+				store.Faults().Set(c.fault)
+				if diff := cmp.Diff(c.want, fetchAll(t, store, c.loads)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// A fifth load joins four running ones and leaves again half way; progress made
+// before counts, at the speed of that time.
+func TestSpeedFollowsTheNumberOfLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := weightserver.New(today())
+		time.AfterFunc(5*time.Second, func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if err := store.Fetch(ctx, "m"); !errors.Is(err, weightstore.ErrUnavailable) {
+				t.Errorf("given up: %v", err)
+			}
+		})
+		// 5 s at full speed, 5 s at 4/5, the last 1 s at full speed.
+		if diff := cmp.Diff([]float64{11, 11, 11, 11}, fetchAll(t, store, 4)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestStartsAreRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := today()
+		config.LoadsPerSecond = 4
+		store := weightserver.New(config)
+		time.AfterFunc(100*time.Millisecond, func() {
+			status, err := store.Status(t.Context())
+			want := weightstore.Status{LoadsPerSecond: 4, AtOnce: 4, Running: 1, Waiting: 2}
+			if err != nil || status != want {
+				t.Errorf("got %+v, %v", status, err)
+			}
+		})
+		took := fetchAll(t, store, 3)
+		if diff := cmp.Diff(30.75, took[0]+took[1]+took[2]); diff != "" {
+			t.Errorf("starts at 0, 0.25 and 0.5 s: %s", diff)
+		}
+	})
+}
+
+// The store goes down while a load runs: the engine sees its fetch fail at once
+// and a fetch after the outage starts from nothing.
+func TestOutageBreaksRunningFetches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := weightserver.New(today())
+		start := time.Now()
+		time.AfterFunc(3*time.Second, func() { store.Faults().Set(faults.Settings{Outage: true}) })
+		err := store.Fetch(t.Context(), "m")
+		if !errors.Is(err, weightstore.ErrUnavailable) || time.Since(start) != 3*time.Second {
+			t.Errorf("got %v after %v", err, time.Since(start))
+		}
+		store.Faults().Set(faults.Settings{})
+		if diff := cmp.Diff([]float64{10}, fetchAll(t, store, 1)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestClientOverHTTP(t *testing.T) {
+	store := weightserver.New(weightserver.Config{Checkpoints: map[string]int64{"org/m": 5}, AtOnce: 4})
+	server := httptest.NewServer(weightserver.Handler(store))
+	defer server.Close()
+	client := weightstore.NewClient(server.URL, nil)
+	got, err := client.Checkpoint(t.Context(), "org/m")
+	if err != nil || got != (weightstore.Checkpoint{Name: "org/m", Bytes: 5}) {
+		t.Errorf("checkpoint: %+v, %v", got, err)
+	}
+	if status, err := client.Status(t.Context()); err != nil || status.AtOnce != 4 {
+		t.Errorf("status: %+v, %v", status, err)
+	}
+	if err := client.Fetch(t.Context(), "org/m"); err != nil {
+		t.Errorf("fetch: %v", err)
+	}
+	if _, err := client.Checkpoint(t.Context(), "none"); !errors.Is(err, weightstore.ErrNotFound) {
+		t.Errorf("unknown checkpoint: %v", err)
+	}
+	store.Faults().Set(faults.Settings{Outage: true})
+	if err := client.Fetch(t.Context(), "org/m"); !errors.Is(err, weightstore.ErrUnavailable) {
+		t.Errorf("outage: %v", err)
+	}
+}
