placement: Weigh engines, evict by value, scale, drain and retry loads

Cause: the first API only granted to the engine with room. Now: one start per burst; engine chosen by expected time to ready (cache tier, eviction, domain, load); victims by chance to be wanted times reload time per byte; store slots and start rate kept; failed or stalled loads withdrawn before another try; drain with the replacement first; minimum replicas and standby rights per domain; keep time from each unit's gaps with the deployment's weight. Fleet is an index that the owner may keep between plans (View.Fleet).

--- a/placement/config.go
+++ b/placement/config.go
@@ -8,20 +8,27 @@
 	// ColdStartWeight from 0 to 1 weighs the tail of cold starts against idle
 	// accelerator hours: near 0 saves hours, near 1 saves waiting.
 	ColdStartWeight float64
-	// MinKeep is the least time a replica stays after its last use. It is the
-	// hysteresis: without it, two units that take turns would evict each other
-	// on every request.
-	MinKeep time.Duration
-	// MaxKeep bounds what history may ask for.
-	MaxKeep time.Duration
+	// MinKeep and MaxKeep bound the time that history may ask to keep a replica
+	// after its last use.
+	MinKeep, MaxKeep time.Duration
+	// EvictAfter is how long a replica must have been idle before it may make
+	// room for another unit. It is the hysteresis: without it, two units that
+	// take turns would evict each other on every request.
+	EvictAfter time.Duration
 	// LoadStall is how many times the expected load time a load may take before
-	// it counts as stalled and is tried elsewhere.
-	LoadStall float64
+	// it counts as stalled and is tried elsewhere; LoadStallFloor is the least.
+	LoadStall      float64
+	LoadStallFloor time.Duration
 	// AvoidAfterFailure keeps a unit off an engine where its load failed.
 	AvoidAfterFailure time.Duration
 	// ProposalTerm is how long a decision is given to show in the View before
 	// it is proposed again.
 	ProposalTerm time.Duration
+	// ScaleUpWait is the wait of the oldest request from which a unit with a
+	// ready replica gets one more; a quarter of its longest wait if that is less.
+	ScaleUpWait time.Duration
+	// ScaleDownAfter is how long fewer replicas must have been enough.
+	ScaleDownAfter time.Duration
 	// LoadTime holds first estimates by tier, used until loads were seen.
 	LoadTime map[Tier]time.Duration
 	// RemoteBytesPerSecond is the first estimate of one load's rate from the
@@ -35,41 +42,41 @@
 const (
 	DefaultColdStartWeight = 0.5
 	// DefaultMinKeep outlasts a clerk's pause between two questions.
-	DefaultMinKeep = 20 * time.Second
+	DefaultMinKeep    = 20 * time.Second
+	DefaultEvictAfter = 20 * time.Second
 	// DefaultMaxKeep is where a gap counts as "next shift".
 	DefaultMaxKeep           = 2 * time.Hour
-	DefaultLoadStall         = 4
+	DefaultLoadStall         = 4.0
+	DefaultLoadStallFloor    = 15 * time.Second
 	DefaultAvoidAfterFailure = 2 * time.Minute
 	// DefaultProposalTerm is a few log round trips.
-	DefaultProposalTerm         = 3 * time.Second
+	DefaultProposalTerm = 3 * time.Second
+	// DefaultScaleUpWait is longer than the queue of a healthy replica and
+	// shorter than a load from disk.
+	DefaultScaleUpWait          = 2 * time.Second
+	DefaultScaleDownAfter       = 2 * time.Minute
 	DefaultRemoteBytesPerSecond = 1 << 30
 )
 
 // withDefaults fills the fields that are zero.
 func (c Config) withDefaults() Config {
-	if c.ColdStartWeight <= 0 {
-		c.ColdStartWeight = DefaultColdStartWeight
-	}
-	if c.ColdStartWeight > 1 {
-		c.ColdStartWeight = 1
-	}
-	if c.MinKeep <= 0 {
-		c.MinKeep = DefaultMinKeep
-	}
-	if c.MaxKeep <= 0 {
-		c.MaxKeep = DefaultMaxKeep
-	}
-	if c.LoadStall <= 0 {
-		c.LoadStall = DefaultLoadStall
-	}
-	if c.AvoidAfterFailure <= 0 {
-		c.AvoidAfterFailure = DefaultAvoidAfterFailure
-	}
-	if c.ProposalTerm <= 0 {
-		c.ProposalTerm = DefaultProposalTerm
-	}
-	if c.RemoteBytesPerSecond <= 0 {
-		c.RemoteBytesPerSecond = DefaultRemoteBytesPerSecond
-	}
+	c.ColdStartWeight = min(orDefault(c.ColdStartWeight, DefaultColdStartWeight), 1)
+	c.MinKeep = orDefault(c.MinKeep, DefaultMinKeep)
+	c.MaxKeep = orDefault(c.MaxKeep, DefaultMaxKeep)
+	c.EvictAfter = orDefault(c.EvictAfter, DefaultEvictAfter)
+	c.LoadStall = orDefault(c.LoadStall, DefaultLoadStall)
+	c.LoadStallFloor = orDefault(c.LoadStallFloor, DefaultLoadStallFloor)
+	c.AvoidAfterFailure = orDefault(c.AvoidAfterFailure, DefaultAvoidAfterFailure)
+	c.ProposalTerm = orDefault(c.ProposalTerm, DefaultProposalTerm)
+	c.ScaleUpWait = orDefault(c.ScaleUpWait, DefaultScaleUpWait)
+	c.ScaleDownAfter = orDefault(c.ScaleDownAfter, DefaultScaleDownAfter)
+	c.RemoteBytesPerSecond = orDefault(c.RemoteBytesPerSecond, DefaultRemoteBytesPerSecond)
 	return c
 }
+
+func orDefault[T time.Duration | float64](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/placement/demand.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// unitDemand is what waits for one unit at all routers.
+type unitDemand struct {
+	unit    string
+	parts   []Demand // most urgent first
+	waiting int
+}
+
+func (d *unitDemand) first() Demand { return d.parts[0] }
+
+// domain is where most of the requests wait.
+func (d *unitDemand) domain() string {
+	byDomain := make(map[string]int, 4)
+	best := ""
+	for _, part := range d.parts {
+		byDomain[part.Domain] += part.Waiting
+		if n, m := byDomain[part.Domain], byDomain[best]; best == "" || n > m || n == m && part.Domain < best {
+			best = part.Domain
+		}
+	}
+	return best
+}
+
+// gather joins the routers' demand by unit and orders the units.
+func gather(demand []Demand) ([]unitDemand, map[string]*unitDemand) {
+	if len(demand) == 0 {
+		return nil, nil
+	}
+	byUnit := make(map[string]int)
+	var units []unitDemand
+	for _, d := range demand {
+		i, ok := byUnit[d.Unit]
+		if !ok {
+			i = len(units)
+			byUnit[d.Unit] = i
+			units = append(units, unitDemand{unit: d.Unit})
+		}
+		units[i].parts = append(units[i].parts, d)
+		units[i].waiting += d.Waiting
+	}
+	for i := range units {
+		parts := units[i].parts
+		sort.SliceStable(parts, func(a, b int) bool { return moreUrgent(parts[a], parts[b]) })
+	}
+	sort.Slice(units, func(a, b int) bool { return moreUrgent(units[a].first(), units[b].first()) })
+	index := make(map[string]*unitDemand, len(units))
+	for i := range units {
+		index[units[i].unit] = &units[i]
+	}
+	return units, index
+}
+
+// moreUrgent orders by earliest deadline, then priority.
+func moreUrgent(a, b Demand) bool {
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if a.Unit != b.Unit {
+		return a.Unit < b.Unit
+	}
+	return a.Customer < b.Customer
+}
+
+// serveDemand starts loads for units that requests wait for. The weight store
+// takes only so many at full speed; the rest waits its turn, as starting all at
+// once would make the most urgent as slow as the least.
+func (r *round) serveDemand() {
+	for i := range r.demand {
+		d := &r.demand[i]
+		ready, coming := r.counts(d.unit)
+		if coming > 0 || ready > 0 && !r.needsMore(d, ready) {
+			continue
+		}
+		r.startFor(d)
+	}
+}
+
+// counts is the replicas that serve now, and those that load or are about to.
+func (r *round) counts(unit string) (ready, coming int) {
+	for _, at := range r.fleet.byUnit[unit] {
+		if !r.standing(at) || !at.holding.Wanted || !at.engine.serving() {
+			continue
+		}
+		if at.holding.Ready {
+			ready++
+		} else {
+			coming++
+		}
+	}
+	for k, d := range r.p.pending {
+		if k.unit == unit && d.wanted && (d.kind == Grant || d.kind == Want) {
+			coming++
+		}
+	}
+	return ready, coming
+}
+
+// needsMore tells whether the oldest request has waited so long at ready
+// replicas that one more is worth its load.
+func (r *round) needsMore(d *unitDemand, ready int) bool {
+	first := d.first()
+	u, ok := r.unit(d.unit, first.Customer)
+	if !ok || u.MaxWait <= 0 {
+		return false
+	}
+	waited := u.MaxWait - first.Deadline.Sub(r.v.Now)
+	return waited >= min(r.p.cfg.ScaleUpWait, u.MaxWait/4)
+}
+
+// startFor brings one replica up for the demand: the customers' contracts are
+// tried in order of urgency.
+func (r *round) startFor(d *unitDemand) bool {
+	for _, part := range d.parts {
+		u, ok := r.unit(d.unit, part.Customer)
+		if ok && r.start(u, d.domain(), part.Deadline, "requests wait") {
+			return true
+		}
+	}
+	return false
+}
+
+// startLimit is a token bucket on starts of loads from the weight store.
+type startLimit struct {
+	tokens float64
+	at     time.Time
+}
+
+func (l *startLimit) take(now time.Time, rate float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	if l.at.IsZero() {
+		l.tokens = rate
+	} else {
+		l.tokens = min(rate, l.tokens+rate*now.Sub(l.at).Seconds())
+	}
+	l.at = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -2,10 +2,13 @@
 
 import "time"
 
-// loadEstimates learns load times by unit and tier.
+// loadEstimates learns load times by unit and tier, and how slow each tier is
+// at present: when the weight store slows down, the first slow load of any unit
+// corrects the estimates of all.
 type loadEstimates struct {
 	cfg  Config
 	seen map[loadKey]time.Duration
+	pace map[Tier]float64
 }
 
 type loadKey struct {
@@ -14,32 +17,54 @@
 }
 
 func newLoadEstimates(cfg Config) *loadEstimates {
-	return &loadEstimates{cfg: cfg, seen: make(map[loadKey]time.Duration)}
+	return &loadEstimates{cfg: cfg, seen: make(map[loadKey]time.Duration), pace: make(map[Tier]float64)}
 }
 
-// add moves the estimate a quarter of the way to the newest load.
-func (l *loadEstimates) add(unit string, tier Tier, took time.Duration) {
-	k := loadKey{unit, tier}
-	old, ok := l.seen[k]
-	if !ok {
-		l.seen[k] = took
-		return
+const (
+	// paceStep is how far a load moves the pace of its tier: three or four loads
+	// carry it over to a changed store, one outlier does not.
+	paceStep = 0.3
+	// unitStep is the same for the unit's own estimate, which changes only with
+	// its checkpoint.
+	unitStep = 0.1
+)
+
+// add learns from a finished load.
+func (l *loadEstimates) add(unit string, tier Tier, bytes int64, took time.Duration) {
+	base := l.base(unit, tier, bytes)
+	if base <= 0 {
+		base = took
 	}
-	l.seen[k] = old + (took-old)/4
+	pace := l.paceOf(tier)
+	pace += paceStep * (float64(took)/float64(base) - pace)
+	l.pace[tier] = pace
+	l.seen[loadKey{unit, tier}] = base + time.Duration(unitStep*(float64(took)/pace-float64(base)))
 }
 
-// firstTierSpeed is how much faster than the weight store a tier is taken to
-// be until loads were seen.
-var firstTierSpeed = map[Tier]float64{TierMemory: 16, TierDisk: 4, TierRemote: 1}
-
-// expect is the expected load time.
+// expect is the expected load time of a unit.
 func (l *loadEstimates) expect(unit string, tier Tier, bytes int64) time.Duration {
+	return time.Duration(float64(l.base(unit, tier, bytes)) * l.paceOf(tier))
+}
+
+func (l *loadEstimates) paceOf(tier Tier) float64 {
+	if pace, ok := l.pace[tier]; ok {
+		return pace
+	}
+	return 1
+}
+
+// firstSpeed is how much faster than the weight store a tier is taken to be
+// until loads were seen.
+var firstSpeed = map[Tier]float64{TierMemory: 10, TierDisk: 2.5, TierRemote: 1}
+
+// base is the load time at a pace of 1.
+func (l *loadEstimates) base(unit string, tier Tier, bytes int64) time.Duration {
 	if took, ok := l.seen[loadKey{unit, tier}]; ok {
 		return took
 	}
 	if first, ok := l.cfg.LoadTime[tier]; ok {
 		return first
 	}
-	rate := l.cfg.RemoteBytesPerSecond * firstTierSpeed[tier]
+	rate := l.cfg.RemoteBytesPerSecond * firstSpeed[tier]
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
--- /dev/null
+++ b/placement/fleet.go
@@ -0,0 +1,183 @@
+package placement
+
+import "sort"
+
+// Fleet is the engines with the indices that a plan needs. Its owner sets an
+// engine when something about it changed, so that a plan costs what its own
+// units cost and not what all engines do. It is not safe for concurrent use.
+type Fleet struct {
+	engines map[string]*fleetEngine
+	// order is sorted by name, so that equal fleets make equal plans.
+	order  []*fleetEngine
+	byUnit map[string][]place
+	cached map[string]map[*fleetEngine]Tier
+}
+
+// fleetEngine is an engine with the sums over its holdings.
+type fleetEngine struct {
+	Engine
+	// free is memory that no right takes; leaving is what withdrawn rights take.
+	free, leaving int64
+	streams       int
+	// adapters counts standing rights by their base.
+	adapters map[string]int
+}
+
+// place is one right on one engine.
+type place struct {
+	engine  *fleetEngine
+	holding *Holding
+}
+
+// NewFleet makes an empty fleet.
+func NewFleet() *Fleet {
+	return &Fleet{
+		engines: make(map[string]*fleetEngine),
+		byUnit:  make(map[string][]place),
+		cached:  make(map[string]map[*fleetEngine]Tier),
+	}
+}
+
+// fleetOf makes a fleet of a View's engines.
+func fleetOf(engines []Engine) *Fleet {
+	f := NewFleet()
+	for _, e := range engines {
+		f.Set(e)
+	}
+	return f
+}
+
+// Len is the number of engines.
+func (f *Fleet) Len() int { return len(f.order) }
+
+// Set adds an engine or replaces what is known of it. The fleet keeps the
+// engine's slices and maps: its owner must not change them afterwards.
+func (f *Fleet) Set(e Engine) {
+	fe := f.engines[e.Name]
+	if fe == nil {
+		fe = &fleetEngine{}
+		f.engines[e.Name] = fe
+		f.insert(fe, e.Name)
+	} else {
+		f.unindex(fe)
+	}
+	fe.Engine = e
+	f.index(fe)
+}
+
+// Remove forgets an engine.
+func (f *Fleet) Remove(name string) {
+	fe := f.engines[name]
+	if fe == nil {
+		return
+	}
+	f.unindex(fe)
+	delete(f.engines, name)
+	i := f.position(name)
+	f.order = append(f.order[:i], f.order[i+1:]...)
+}
+
+func (f *Fleet) insert(fe *fleetEngine, name string) {
+	i := f.position(name)
+	f.order = append(f.order, nil)
+	copy(f.order[i+1:], f.order[i:])
+	fe.Name = name
+	f.order[i] = fe
+}
+
+func (f *Fleet) position(name string) int {
+	return sort.Search(len(f.order), func(i int) bool { return f.order[i].Name >= name })
+}
+
+func (f *Fleet) index(fe *fleetEngine) {
+	fe.free, fe.leaving, fe.streams = fe.MemoryBytes, 0, 0
+	fe.adapters = nil
+	for i := range fe.Holdings {
+		h := &fe.Holdings[i]
+		fe.free -= h.Bytes
+		fe.streams += h.Streams
+		if h.Withdrawn {
+			fe.leaving += h.Bytes
+		} else if h.Base != "" {
+			if fe.adapters == nil {
+				fe.adapters = make(map[string]int)
+			}
+			fe.adapters[h.Base]++
+		}
+		f.byUnit[h.Unit] = append(f.byUnit[h.Unit], place{fe, h})
+	}
+	for checkpoint, tier := range fe.Cached {
+		at := f.cached[checkpoint]
+		if at == nil {
+			at = make(map[*fleetEngine]Tier)
+			f.cached[checkpoint] = at
+		}
+		at[fe] = tier
+	}
+}
+
+func (f *Fleet) unindex(fe *fleetEngine) {
+	for i := range fe.Holdings {
+		unit := fe.Holdings[i].Unit
+		places := f.byUnit[unit]
+		for j := range places {
+			if places[j].engine == fe {
+				places[j] = places[len(places)-1]
+				places = places[:len(places)-1]
+				break
+			}
+		}
+		if len(places) == 0 {
+			delete(f.byUnit, unit)
+		} else {
+			f.byUnit[unit] = places
+		}
+	}
+	for checkpoint := range fe.Cached {
+		delete(f.cached[checkpoint], fe)
+		if len(f.cached[checkpoint]) == 0 {
+			delete(f.cached, checkpoint)
+		}
+	}
+}
+
+// tierAfterUnload is the tier the unit would load from the next time: engines
+// keep what they unload in memory while there is room, so it is the slower of
+// that and what is known of the other copies.
+func (f *Fleet) tierAfterUnload(checkpoint string) Tier {
+	best := TierDisk
+	for fe, tier := range f.cached[checkpoint] {
+		if fe.usable() && tierRank[tier] < tierRank[best] {
+			best = tier
+		}
+	}
+	return best
+}
+
+var tierRank = map[Tier]int{TierMemory: 0, TierDisk: 1, TierRemote: 2}
+
+// tier is where the engine would load the checkpoint from.
+func (fe *fleetEngine) tier(checkpoint string) Tier {
+	if tier, ok := fe.Cached[checkpoint]; ok {
+		return tier
+	}
+	return TierRemote
+}
+
+// usable engines may get new rights.
+func (fe *fleetEngine) usable() bool {
+	return fe.Reachable && fe.Kept && !fe.Leaving && !fe.Sick
+}
+
+// serving tells whether new requests may go to the engine.
+func (fe *fleetEngine) serving() bool { return fe.Reachable && !fe.Leaving && !fe.Sick }
+
+// holds tells whether the engine has a right for the unit, withdrawn or not.
+func (fe *fleetEngine) holds(unit string) *Holding {
+	for i := range fe.Holdings {
+		if fe.Holdings[i].Unit == unit {
+			return &fe.Holdings[i]
+		}
+	}
+	return nil
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,8 @@
 // Holding is one right of an engine, with what is known of its use.
 type Holding struct {
 	Unit, Customer string
+	// Base is the model an adapter sits on; empty for a model.
+	Base string
 	// Checkpoint is the one the right was granted for; empty means the newest.
 	Checkpoint string
 	Bytes      int64
@@ -47,6 +49,8 @@
 	Wanted bool
 	// Ready is whether the engine reports the unit as ready.
 	Ready bool
+	// Failed is whether its keeper knows that the load failed.
+	Failed bool
 	// Withdrawn rights still take their memory and their place.
 	Withdrawn bool
 	// Streams is how many requests are known to run on it now.
@@ -102,9 +106,12 @@
 	// Self is the planner's own failure domain.
 	Self    string
 	Engines []Engine
-	Units   []Unit
-	Demand  []Demand
-	Store   Store
+	// Fleet, if set, stands for Engines; a plan then does not look at all of
+	// them. See Fleet.
+	Fleet  *Fleet
+	Units  []Unit
+	Demand []Demand
+	Store  Store
 	// Budget is the memory that a customer's contract still allows, in bytes;
 	// nil means no limit.
 	Budget func(customer string) int64
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,134 @@
+package placement
+
+import "time"
+
+// Planner makes plans. It is not safe for concurrent use: one goroutine owns it.
+type Planner struct {
+	cfg       Config
+	histories map[string]*history
+	// all is the habits of all units, the prior of a unit's own.
+	all   gapCounts
+	loads *loadEstimates
+	// bytes is the replica size of each unit planned for.
+	bytes map[string]int64
+	// pending are decisions that do not show in the View yet.
+	pending map[placeKey]pending
+	// loading is when each wanted replica was first seen not ready.
+	loading map[placeKey]time.Time
+	// avoid says until when a unit stays off an engine where its load failed.
+	avoid map[placeKey]time.Time
+	// room is the engine on which room is being made for a unit.
+	room map[string]reservation
+	// quiet is since when fewer replicas of a unit would have been enough.
+	quiet map[string]time.Time
+	// starts limits starts of loads from the weight store.
+	starts startLimit
+}
+
+// placeKey names a unit on an engine.
+type placeKey struct{ engine, unit string }
+
+// pending is a decision under way.
+type pending struct {
+	kind  Kind
+	at    time.Time
+	bytes int64
+	base  string
+	// customer is whose replica a grant is; wanted whether it loads now, remote
+	// whether from the weight store.
+	customer       string
+	wanted, remote bool
+}
+
+// reservation is room that is being made on an engine for a unit.
+type reservation struct {
+	engine string
+	bytes  int64
+	until  time.Time
+}
+
+// roomTerm is how long freed room is kept for the unit it was made for: an
+// unload, its streams' end and its proof, with some to spare.
+const roomTerm = 10 * time.Second
+
+// NewPlanner makes a planner with no history.
+func NewPlanner(cfg Config) *Planner {
+	cfg = cfg.withDefaults()
+	return &Planner{
+		cfg:       cfg,
+		histories: make(map[string]*history),
+		loads:     newLoadEstimates(cfg),
+		bytes:     make(map[string]int64),
+		pending:   make(map[placeKey]pending),
+		loading:   make(map[placeKey]time.Time),
+		avoid:     make(map[placeKey]time.Time),
+		room:      make(map[string]reservation),
+		quiet:     make(map[string]time.Time),
+	}
+}
+
+// Used notes the arrival of a request for the unit at any router.
+func (p *Planner) Used(unit string, at time.Time) {
+	h := p.histories[unit]
+	if h == nil {
+		h = &history{}
+		p.histories[unit] = h
+	}
+	if gap := h.arrive(at); gap > 0 {
+		p.all.add(gap)
+		h.keepAt = time.Time{}
+	}
+}
+
+// Loaded notes how long a load from the tier took.
+func (p *Planner) Loaded(unit string, tier Tier, took time.Duration) {
+	p.loads.add(unit, tier, p.bytes[unit], took)
+}
+
+// KeepUntil is when the unit may be unloaded if no request comes after now,
+// by its history alone.
+func (p *Planner) KeepUntil(unit string, now time.Time) time.Time {
+	h := p.histories[unit]
+	if h == nil {
+		return now.Add(p.cfg.MinKeep)
+	}
+	last := h.last
+	if last.IsZero() {
+		last = now
+	}
+	return last.Add(max(h.keep, p.cfg.MinKeep))
+}
+
+// keepRefresh bounds how long a worked-out keep time stands while the prices
+// (load times, share of an engine) move.
+const keepRefresh = 5 * time.Minute
+
+// keepTime is how long to keep the unit after its last use.
+func (p *Planner) keepTime(u Unit, engineBytes int64, tier Tier, now time.Time) time.Duration {
+	h := p.histories[u.Name]
+	if h == nil {
+		return p.cfg.MinKeep
+	}
+	if !h.keepAt.IsZero() && now.Sub(h.keepAt) < keepRefresh {
+		return h.keep
+	}
+	cold := p.cfg.coldCost(p.loads.expect(u.Name, tier, u.Bytes))
+	idle := p.cfg.idleCost(float64(u.Bytes) / float64(max(engineBytes, 1)))
+	keep := h.gaps.bestKeep(cold, idle, &p.all)
+	h.keep = min(max(keep, p.cfg.MinKeep), p.cfg.MaxKeep)
+	h.keepAt = now
+	return h.keep
+}
+
+// Plan returns what to propose now, most urgent first.
+func (p *Planner) Plan(v View) []Decision {
+	r := newRound(p, v)
+	r.settlePending()
+	r.watchLoads()
+	r.drain()
+	r.serveDemand()
+	r.holdContract()
+	r.scaleDown()
+	r.letGo()
+	return r.out
+}
--- /dev/null
+++ b/placement/round.go
@@ -0,0 +1,194 @@
+package placement
+
+import "time"
+
+// round is the work of one Plan.
+type round struct {
+	p     *Planner
+	v     View
+	fleet *Fleet
+	out   []Decision
+	// units are the View's by name: one for each customer that has it.
+	units map[string][]Unit
+	// budget is what is left of each customer's memory after this round.
+	budget map[string]int64
+	// demand is the View's by unit, most urgent first.
+	demand []unitDemand
+	// waits finds demand by unit.
+	waits map[string]*unitDemand
+}
+
+func newRound(p *Planner, v View) *round {
+	r := &round{p: p, v: v, fleet: v.Fleet,
+		units:  make(map[string][]Unit, len(v.Units)),
+		budget: make(map[string]int64),
+	}
+	if r.fleet == nil {
+		r.fleet = fleetOf(v.Engines)
+	}
+	for _, u := range v.Units {
+		r.units[u.Name] = append(r.units[u.Name], u)
+		p.bytes[u.Name] = u.Bytes
+	}
+	r.demand, r.waits = gather(v.Demand)
+	return r
+}
+
+// settlePending drops decisions that show in the View by now, or that have had
+// their time: they lost a race, or the log is down.
+func (r *round) settlePending() {
+	for k, d := range r.p.pending {
+		if r.shows(k, d) || r.v.Now.Sub(d.at) >= r.p.cfg.ProposalTerm {
+			delete(r.p.pending, k)
+		}
+	}
+	for unit, kept := range r.p.room {
+		if !r.v.Now.Before(kept.until) {
+			delete(r.p.room, unit)
+		}
+	}
+	for k, until := range r.p.avoid {
+		if !r.v.Now.Before(until) {
+			delete(r.p.avoid, k)
+		}
+	}
+}
+
+func (r *round) shows(k placeKey, d pending) bool {
+	fe := r.fleet.engines[k.engine]
+	if fe == nil {
+		return true
+	}
+	h := fe.holds(k.unit)
+	switch d.kind {
+	case Grant:
+		return h != nil
+	case Want:
+		return h == nil || h.Withdrawn || h.Wanted
+	case Unwant:
+		return h == nil || h.Withdrawn || !h.Wanted
+	default:
+		return h == nil || h.Withdrawn
+	}
+}
+
+// propose emits the decision unless one for the same place is under way.
+func (r *round) propose(d Decision, u Unit, remote bool) bool {
+	k := placeKey{d.Engine, d.Unit}
+	if _, ok := r.p.pending[k]; ok {
+		return false
+	}
+	r.p.pending[k] = pending{kind: d.Kind, at: r.v.Now, bytes: u.Bytes, base: u.Base, customer: d.Customer, wanted: d.Wanted, remote: remote}
+	r.out = append(r.out, d)
+	return true
+}
+
+// free is the memory left on the engine once pending grants have landed and
+// without the room that is being made for other units than unit.
+func (r *round) free(fe *fleetEngine, unit string) int64 {
+	free := fe.free
+	for k, d := range r.p.pending {
+		if k.engine == fe.Name && d.kind == Grant {
+			free -= d.bytes
+		}
+	}
+	for other, kept := range r.p.room {
+		if kept.engine == fe.Name && other != unit {
+			free -= kept.bytes
+		}
+	}
+	return free
+}
+
+// standing tells whether the right is neither withdrawn nor about to be.
+func (r *round) standing(at place) bool {
+	if at.holding.Withdrawn {
+		return false
+	}
+	d, ok := r.p.pending[placeKey{at.engine.Name, at.holding.Unit}]
+	return !ok || d.kind != Withdraw
+}
+
+func (r *round) budgetOf(customer string) int64 {
+	left, ok := r.budget[customer]
+	if ok {
+		return left
+	}
+	left = int64(1) << 62
+	if r.v.Budget != nil {
+		left = r.v.Budget(customer)
+	}
+	for _, d := range r.p.pending {
+		if d.kind == Grant && d.customer == customer {
+			left -= d.bytes
+		}
+	}
+	r.budget[customer] = left
+	return left
+}
+
+// replicas counts the customer's rights for the unit, pending ones included:
+// withdrawn rights that are not yet gone count.
+func (r *round) replicas(unit, customer string) int {
+	n := 0
+	for _, at := range r.fleet.byUnit[unit] {
+		if at.holding.Customer == customer {
+			n++
+		}
+	}
+	for k, d := range r.p.pending {
+		if k.unit == unit && d.kind == Grant && d.customer == customer {
+			n++
+		}
+	}
+	return n
+}
+
+// mayGrow tells whether the contract allows one more replica.
+func (r *round) mayGrow(u Unit) bool {
+	return r.replicas(u.Name, u.Customer) < u.MaxReplicas && r.budgetOf(u.Customer) >= u.Bytes
+}
+
+// unit finds a customer's unit among the planner's own and then all others.
+func (r *round) unit(name, customer string) (Unit, bool) {
+	for _, u := range r.units[name] {
+		if u.Customer == customer {
+			return u, true
+		}
+	}
+	if r.v.Lookup == nil {
+		return Unit{}, false
+	}
+	return r.v.Lookup(customer, name)
+}
+
+// demandFor is the most urgent demand for any unit.
+func (r *round) demandFor(unit string) (Demand, bool) {
+	if d := r.waits[unit]; d != nil {
+		return d.first(), true
+	}
+	if r.v.Waiting == nil {
+		return Demand{}, false
+	}
+	return r.v.Waiting(unit)
+}
+
+func (r *round) expect(fe *fleetEngine, u Unit) time.Duration {
+	return r.p.loads.expect(u.Name, fe.tier(u.Checkpoint), u.Bytes)
+}
+
+// idleFor is how long the holding has been without use.
+func (r *round) idleFor(h *Holding) time.Duration {
+	if h.Streams > 0 {
+		return 0
+	}
+	return r.v.Now.Sub(h.lastActive())
+}
+
+// lastActive is the newest of its last use and its getting ready.
+func (h *Holding) lastActive() time.Time {
+	if h.ReadySince.After(h.LastUsed) {
+		return h.ReadySince
+	}
+	return h.LastUsed
+}
--- /dev/null
+++ b/placement/upkeep.go
@@ -0,0 +1,299 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// watchLoads gives up loads that failed or stall: the right is withdrawn first,
+// so the load tried elsewhere is never a replica too many.
+func (r *round) watchLoads() {
+	seen := make(map[placeKey]bool)
+	for _, u := range r.v.Units {
+		for _, at := range r.fleet.byUnit[u.Name] {
+			h := at.holding
+			if h.Customer != u.Customer || h.Ready || !r.standing(at) || !h.Wanted {
+				continue
+			}
+			k := placeKey{at.engine.Name, h.Unit}
+			seen[k] = true
+			since, ok := r.p.loading[k]
+			if !ok {
+				r.p.loading[k] = r.v.Now
+				since = r.v.Now
+			}
+			if h.Failed || r.v.Now.Sub(since) > r.stallAfter(at.engine, u) {
+				r.p.avoid[k] = r.v.Now.Add(r.p.cfg.AvoidAfterFailure)
+				r.withdraw(at, "load failed or stalled")
+			}
+		}
+	}
+	for k := range r.p.loading {
+		if !seen[k] {
+			delete(r.p.loading, k)
+		}
+	}
+}
+
+func (r *round) stallAfter(fe *fleetEngine, u Unit) time.Duration {
+	expected := time.Duration(r.p.cfg.LoadStall * float64(r.expect(fe, u)))
+	return max(expected, r.p.cfg.LoadStallFloor)
+}
+
+// drain moves the units off leaving engines: the replacement first where the
+// contract allows one more replica, else the withdrawal first.
+func (r *round) drain() {
+	for _, u := range r.v.Units {
+		for _, at := range r.holdingsOf(u) {
+			if !at.engine.Leaving || at.holding.Withdrawn {
+				continue
+			}
+			ready, coming := r.counts(u.Name)
+			if at.holding.Wanted && ready+coming == 0 && r.stillNeeded(u, at) {
+				r.start(u, at.engine.Domain, time.Time{}, "engine "+at.engine.Name+" leaves")
+			}
+			r.withdraw(at, "engine leaves")
+		}
+	}
+}
+
+// stillNeeded tells whether the unit would be kept where it is.
+func (r *round) stillNeeded(u Unit, at place) bool {
+	if at.holding.Streams > 0 || u.MinReplicas > 0 || r.waits[u.Name] != nil {
+		return true
+	}
+	return r.idleFor(at.holding) < r.keepTime(u, at.engine)
+}
+
+// holdingsOf are the customer's rights for the unit, in a stable order.
+func (r *round) holdingsOf(u Unit) []place {
+	var out []place
+	for _, at := range r.fleet.byUnit[u.Name] {
+		if at.holding.Customer == u.Customer {
+			out = append(out, at)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].engine.Name < out[b].engine.Name })
+	return out
+}
+
+// holdContract keeps the contract's minimum of replicas loaded and its standby
+// rights in each failure domain.
+func (r *round) holdContract() {
+	for _, u := range r.v.Units {
+		if u.MinReplicas == 0 && u.StandbyPerDomain == 0 {
+			continue
+		}
+		for n := r.wanted(u); n < u.MinReplicas; n++ {
+			if !r.start(u, r.emptiestDomain(u), time.Time{}, "contract's minimum") {
+				break
+			}
+		}
+		if u.StandbyPerDomain > 0 {
+			r.holdStandby(u)
+		}
+	}
+}
+
+// wanted counts the unit's replicas that serve, load or are about to.
+func (r *round) wanted(u Unit) int {
+	n := 0
+	for _, at := range r.fleet.byUnit[u.Name] {
+		h := at.holding
+		if h.Customer == u.Customer && h.Wanted && r.standing(at) && !at.engine.Leaving {
+			n++
+		}
+	}
+	for k, d := range r.p.pending {
+		if k.unit == u.Name && d.wanted && d.customer == u.Customer {
+			n++
+		}
+	}
+	return n
+}
+
+// domains are those with usable engines, in a stable order, with the unit's
+// rights in each.
+func (r *round) domains(u Unit) ([]string, map[string]int) {
+	rights := make(map[string]int)
+	var names []string
+	for _, fe := range r.fleet.order {
+		if !fe.usable() {
+			continue
+		}
+		if _, ok := rights[fe.Domain]; !ok {
+			rights[fe.Domain] = 0
+			names = append(names, fe.Domain)
+		}
+	}
+	sort.Strings(names)
+	for _, at := range r.holdingsOf(u) {
+		if _, ok := rights[at.engine.Domain]; ok && r.standing(at) {
+			rights[at.engine.Domain]++
+		}
+	}
+	for k, d := range r.p.pending {
+		if fe := r.fleet.engines[k.engine]; k.unit == u.Name && d.kind == Grant && fe != nil {
+			rights[fe.Domain]++
+		}
+	}
+	return names, rights
+}
+
+// emptiestDomain spreads replicas over the failure domains.
+func (r *round) emptiestDomain(u Unit) string {
+	names, rights := r.domains(u)
+	best := ""
+	for _, name := range names {
+		if best == "" || rights[name] < rights[best] {
+			best = name
+		}
+	}
+	return best
+}
+
+func (r *round) holdStandby(u Unit) {
+	names, rights := r.domains(u)
+	for _, name := range names {
+		for n := rights[name]; n < u.StandbyPerDomain && r.mayGrow(u); n++ {
+			c, ok := r.chooseIn(u, name)
+			if !ok {
+				break
+			}
+			if c.need > 0 {
+				r.makeRoom(c, u)
+				break
+			}
+			r.grant(c.engine, u, false, "standby in "+name)
+		}
+	}
+}
+
+// chooseIn is choose within one failure domain.
+func (r *round) chooseIn(u Unit, domain string) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, fe := range r.fleet.order {
+		if fe.Domain != domain || !r.allowed(fe, u) {
+			continue
+		}
+		c, ok := r.weigh(fe, u, domain)
+		if ok && (!found || c.cost < best.cost) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// scaleDown gives one replica up once fewer have been enough for a while. The
+// router stops sending to it, and the engine lets its streams end.
+func (r *round) scaleDown() {
+	for _, u := range r.v.Units {
+		if !r.tooMany(u) {
+			delete(r.p.quiet, u.Name)
+			continue
+		}
+		since, ok := r.p.quiet[u.Name]
+		if !ok {
+			r.p.quiet[u.Name] = r.v.Now
+			continue
+		}
+		if r.v.Now.Sub(since) < r.p.cfg.ScaleDownAfter {
+			continue
+		}
+		if at, ok := r.leastUsed(u); ok {
+			r.release(u, at, "fewer replicas are enough")
+			r.p.quiet[u.Name] = r.v.Now
+		}
+	}
+}
+
+// tooMany tells whether one replica fewer would still be under half full.
+func (r *round) tooMany(u Unit) bool {
+	ready, streams, slots := 0, 0, 0
+	for _, at := range r.fleet.byUnit[u.Name] {
+		if at.holding.Ready && !at.holding.Withdrawn && at.engine.serving() {
+			ready++
+			streams += at.engine.streams
+			slots += at.engine.Slots
+		}
+	}
+	if ready < 2 || r.wanted(u) <= u.MinReplicas || r.waits[u.Name] != nil {
+		return false
+	}
+	return 2*streams*ready <= slots*(ready-1)
+}
+
+// leastUsed is the ready replica with the fewest streams, and adapters, on it.
+func (r *round) leastUsed(u Unit) (place, bool) {
+	var best place
+	found := false
+	for _, at := range r.holdingsOf(u) {
+		if !at.holding.Ready || !r.standing(at) || at.engine.adapters[u.Name] > 0 && !r.adaptersIdle(at) {
+			continue
+		}
+		if !found || at.holding.Streams < best.holding.Streams {
+			best, found = at, true
+		}
+	}
+	return best, found
+}
+
+// adaptersIdle tells whether nothing runs on the adapters of a base.
+func (r *round) adaptersIdle(base place) bool {
+	for i := range base.engine.Holdings {
+		h := &base.engine.Holdings[i]
+		if h.Base == base.holding.Unit && !h.Withdrawn && !r.mayEvict(base.engine, h) {
+			return false
+		}
+	}
+	return true
+}
+
+// release lets a replica go: a right that the contract wants kept ready as a
+// standby is only unloaded.
+func (r *round) release(u Unit, at place, reason string) {
+	if u.StandbyPerDomain > 0 {
+		_, rights := r.domains(u)
+		if rights[at.engine.Domain] <= u.StandbyPerDomain {
+			r.propose(Decision{Kind: Unwant, Engine: at.engine.Name, Unit: u.Name, Customer: u.Customer,
+				Right: at.holding.Right, Reason: reason}, u, false)
+			return
+		}
+	}
+	for i := range at.engine.Holdings {
+		h := &at.engine.Holdings[i]
+		if h.Base == u.Name {
+			r.withdraw(place{at.engine, h}, "base goes")
+		}
+	}
+	r.withdraw(at, reason)
+}
+
+// letGo gives replicas up that history no longer expects to be used.
+func (r *round) letGo() {
+	for _, u := range r.v.Units {
+		wanted := -1
+		for _, at := range r.holdingsOf(u) {
+			h := at.holding
+			if !h.Ready || !r.standing(at) || !h.Wanted || h.Streams > 0 || at.engine.adapters[u.Name] > 0 || r.adapterComing(at.engine, u.Name) {
+				continue
+			}
+			if r.idleFor(h) < r.keepTime(u, at.engine) || r.waits[u.Name] != nil {
+				continue
+			}
+			if wanted < 0 {
+				wanted = r.wanted(u)
+			}
+			if wanted <= u.MinReplicas {
+				break
+			}
+			wanted--
+			r.release(u, at, "idle")
+		}
+	}
+}
+
+func (r *round) keepTime(u Unit, fe *fleetEngine) time.Duration {
+	return r.p.keepTime(u, fe.MemoryBytes, r.fleet.tierAfterUnload(u.Checkpoint), r.v.Now)
+}
