--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"bergamotreel/internal/httpjson"
+)
+
+// Client asks an entry VM over HTTP. It is an Operator.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+var _ Operator = (*Client)(nil)
+
+// NewClient makes a client of the entry VM at baseURL, as http://10.0.1.7:8081.
+// A nil httpClient stands for one without a proxy.
+func NewClient(baseURL, token string, httpClient *http.Client) *Client {
+	if httpClient == nil {
+		httpClient = httpjson.DefaultClient()
+	}
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), token: token, http: httpClient}
+}
+
+// Publish sends the request once.
+func (c *Client) Publish(ctx context.Context, request PublishRequest) (PublishResult, error) {
+	var result PublishResult
+	body, err := json.Marshal(request)
+	if err != nil {
+		return result, Error.Wrap(fmt.Errorf("%w: %v", ErrBadRequest, err))
+	}
+	err = c.do(ctx, http.MethodPost, pathPublish, body, &result)
+	return result, err
+}
+
+// Contracts implements Operator.
+func (c *Client) Contracts(ctx context.Context) (contracts []ContractSummary, err error) {
+	err = c.do(ctx, http.MethodGet, pathContracts, nil, &contracts)
+	return contracts, err
+}
+
+// Contract implements Operator.
+func (c *Client) Contract(ctx context.Context, customer string) (contract ContractInForce, err error) {
+	err = c.do(ctx, http.MethodGet, pathContracts+"/"+url.PathEscape(customer), nil, &contract)
+	return contract, err
+}
+
+// History implements Operator.
+func (c *Client) History(ctx context.Context, customer string) (entries []HistoryEntry, err error) {
+	err = c.do(ctx, http.MethodGet, pathContracts+"/"+url.PathEscape(customer)+"/history", nil, &entries)
+	return entries, err
+}
+
+// Status implements Operator.
+func (c *Client) Status(ctx context.Context) (report StatusReport, err error) {
+	err = c.do(ctx, http.MethodGet, pathStatus, nil, &report)
+	return report, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Error.Wrap(fmt.Errorf("%w: %v", ErrBadRequest, err))
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return Error.Wrap(fmt.Errorf("%w: %v", kindOf(err), err))
+	}
+	defer answer.Body.Close()
+	return Error.Wrap(decode(answer, out))
+}
+
+// kindOf tells whether a failed exchange can have had an effect: not if there
+// was never a connection.
+func kindOf(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return ErrOutcomeUnknown
+}
+
+func decode(answer *http.Response, out any) error {
+	content, err := io.ReadAll(io.LimitReader(answer.Body, httpjson.MaxBody))
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		var body errorBody
+		if json.Unmarshal(content, &body) != nil || body.Code == "" {
+			return fmt.Errorf("%w: status %s", ErrOutcomeUnknown, answer.Status)
+		}
+		return fromWire(body)
+	}
+	if err := json.Unmarshal(content, out); err != nil {
+		return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/wire.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"errors"
+	"net/http"
+)
+
+// Paths of the HTTP API.
+const (
+	pathPublish   = "/v1/publish"
+	pathContracts = "/v1/contracts"
+	pathStatus    = "/v1/status"
+)
+
+// MaxBodyBytes bounds a request: a whole contract with 39,000 adapters of 200
+// bytes takes 8 MB.
+const MaxBodyBytes = 16 << 20
+
+// errorBody is the JSON body of every answer that is not a success.
+type errorBody struct {
+	// Code names the error; see the codes below.
+	Code string `json:"code"`
+	// Error says what happened, for people.
+	Error string `json:"error"`
+}
+
+// wireError maps an error of this package to its code and HTTP status.
+type wireError struct {
+	err    error
+	code   string
+	status int
+}
+
+var wireErrors = []wireError{
+	{ErrBadRequest, "bad_request", http.StatusBadRequest},
+	{ErrUnauthorized, "unauthorized", http.StatusUnauthorized},
+	{ErrNotFound, "not_found", http.StatusNotFound},
+	{ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+	{ErrOutcomeUnknown, "outcome_unknown", http.StatusGatewayTimeout},
+}
+
+// toWire finds the code and the status of an error. An unknown one counts as
+// "outcome unknown", which is true of every error.
+func toWire(err error) wireError {
+	for _, known := range wireErrors {
+		if errors.Is(err, known.err) {
+			return known
+		}
+	}
+	return wireErrors[len(wireErrors)-1]
+}
+
+// remoteError is an error that the entry VM answered with.
+type remoteError struct {
+	kind error
+	text string
+}
+
+// Error is the entry VM's own words.
+func (e *remoteError) Error() string { return e.text }
+
+// Unwrap gives one of the errors of this package.
+func (e *remoteError) Unwrap() error { return e.kind }
+
+// fromWire makes the error of an answer that is not a success. A code of a newer
+// version counts as "outcome unknown".
+func fromWire(body errorBody) error {
+	kind := ErrOutcomeUnknown
+	for _, known := range wireErrors {
+		if known.code == body.Code {
+			kind = known.err
+		}
+	}
+	return &remoteError{kind: kind, text: body.Error}
+}
