state, idempotency: CBOR records, outcomes remembered in landing order

Cause: every VM reads every record, so JSON's names cost bytes on each; and a window of sequences per proposer either forgot a whole retried record or, with 3,400 proposers, held tens of MB. Ruled out: JSON under flate with a preset dictionary (a window to reset for each record); a window by sequence. One bound for all outcomes, oldest landing first, holds the memory whatever the number of proposers.

--- a/idempotency/record.go
+++ b/idempotency/record.go
@@ -34,9 +34,9 @@
 // Key names a request for all time of its window: the customer keeps the keys
 // of different customers apart.
 type Key struct {
-	Customer string `json:"c"`
+	Customer string `json:"c" cbor:"1,keyasint"`
 	// Key is the caller's Idempotency-Key.
-	Key string `json:"k"`
+	Key string `json:"k" cbor:"2,keyasint"`
 }
 
 // MaxKeyBytes bounds a caller's idempotency key.
@@ -70,37 +70,37 @@
 // snapshot.
 type Record struct {
 	// Format is the version of the encoding; a newer one is skipped and counted.
-	Format   int           `json:"f"`
-	Entries  []Entry       `json:"es,omitempty"`
-	Snapshot *chunks.Chunk `json:"sn,omitempty"`
+	Format   int           `json:"f" cbor:"1,keyasint"`
+	Entries  []Entry       `json:"es,omitempty" cbor:"2,keyasint,omitempty"`
+	Snapshot *chunks.Chunk `json:"sn,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Entry is one change of a key. Exactly one of the pointers is set.
 type Entry struct {
-	Claim   *Claim   `json:"claim,omitempty"`
-	Outcome *Outcome `json:"out,omitempty"`
-	Release *Release `json:"rel,omitempty"`
+	Claim   *Claim   `json:"claim,omitempty" cbor:"1,keyasint,omitempty"`
+	Outcome *Outcome `json:"out,omitempty" cbor:"2,keyasint,omitempty"`
+	Release *Release `json:"rel,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // ClaimID identifies a claim, so that a retry after a lost answer is known to be
 // the same claim.
 type ClaimID struct {
 	// Claimer is unique to one start of one process of an entry VM.
-	Claimer string `json:"p"`
+	Claimer string `json:"p" cbor:"1,keyasint"`
 	// Sequence differs for each claim of the claimer.
-	Sequence uint64 `json:"s"`
+	Sequence uint64 `json:"s" cbor:"2,keyasint"`
 }
 
 // Claim takes a key for one dispatch. It lands only if the key is free.
 type Claim struct {
-	ID     ClaimID `json:"id"`
-	Key    Key     `json:"key"`
-	Digest Digest  `json:"d"`
+	ID     ClaimID `json:"id" cbor:"1,keyasint"`
+	Key    Key     `json:"key" cbor:"2,keyasint"`
+	Digest Digest  `json:"d" cbor:"3,keyasint"`
 	// VM is the claimer's VM, for the operators.
-	VM string `json:"vm,omitempty"`
+	VM string `json:"vm,omitempty" cbor:"4,keyasint,omitempty"`
 	// WindowMs is how long the key is remembered, in milliseconds of the log's
 	// time from the claim on.
-	WindowMs int64 `json:"w"`
+	WindowMs int64 `json:"w" cbor:"5,keyasint"`
 }
 
 // Window bounds of a claim. MaxWindow must be below the log's retention or the
@@ -113,21 +113,21 @@
 // Outcome stores the answer of a claimed call. It lands only if Claim holds the
 // key and has no outcome yet.
 type Outcome struct {
-	Key    Key      `json:"key"`
-	Claim  Revision `json:"claim"`
-	Answer Answer   `json:"a"`
+	Key    Key      `json:"key" cbor:"1,keyasint"`
+	Claim  Revision `json:"claim" cbor:"2,keyasint"`
+	Answer Answer   `json:"a" cbor:"3,keyasint"`
 }
 
 // Answer is the stored answer of a call.
 type Answer struct {
 	// Status is the HTTP status, 0 when the call may have run and its answer was
 	// lost.
-	Status int `json:"st,omitempty"`
+	Status int `json:"st,omitempty" cbor:"1,keyasint,omitempty"`
 	// Header holds the few headers that a repeated answer needs, by name.
-	Header map[string]string `json:"h,omitempty"`
-	Body   []byte            `json:"b,omitempty"`
+	Header map[string]string `json:"h,omitempty" cbor:"2,keyasint,omitempty"`
+	Body   []byte            `json:"b,omitempty" cbor:"3,keyasint,omitempty"`
 	// BodySHA256 stands for a body above MaxBodyBytes, in hex.
-	BodySHA256 string `json:"bh,omitempty"`
+	BodySHA256 string `json:"bh,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // MaxBodyBytes bounds a stored body: an answer above it is known only by its
@@ -151,7 +151,7 @@
 // never will be under this claim. It lands only if Claim holds the key, ID is
 // that claim's own and it has no outcome.
 type Release struct {
-	Key   Key      `json:"key"`
-	Claim Revision `json:"claim"`
-	ID    ClaimID  `json:"id"`
+	Key   Key      `json:"key" cbor:"1,keyasint"`
+	Claim Revision `json:"claim" cbor:"2,keyasint"`
+	ID    ClaimID  `json:"id" cbor:"3,keyasint"`
 }
--- a/idempotency/snapshot.go
+++ b/idempotency/snapshot.go
@@ -3,11 +3,10 @@
 import (
 	"cmp"
 	"container/heap"
-	"encoding/json"
 	"slices"
-	"time"
 
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/wire"
 )
 
 // Collector finds the newest complete snapshot among the records of a stream.
@@ -15,10 +14,10 @@
 
 // encoded is the canonical form of a table: equal tables encode to equal bytes.
 type encoded struct {
-	Applied uint64
-	Skipped uint64
-	Now     time.Time
-	Holders []*Holder
+	Applied uint64    `cbor:"1,keyasint"`
+	Skipped uint64    `cbor:"2,keyasint"`
+	NowMs   int64     `cbor:"3,keyasint"`
+	Holders []*Holder `cbor:"4,keyasint"`
 }
 
 // Snapshot encodes the table just after Applied in chunks for the log.
@@ -32,12 +31,12 @@
 }
 
 func (t *Table) encode() ([]byte, error) {
-	e := encoded{Applied: t.applied, Skipped: t.skipped, Now: t.now.UTC()}
+	e := encoded{Applied: t.applied, Skipped: t.skipped, NowMs: t.nowMs}
 	for _, holder := range t.holders {
 		e.Holders = append(e.Holders, holder)
 	}
 	slices.SortFunc(e.Holders, func(a, b *Holder) int { return cmp.Compare(a.Revision, b.Revision) })
-	data, err := json.Marshal(e)
+	data, err := wire.Marshal(e)
 	return data, Error.Wrap(err)
 }
 
@@ -48,17 +47,17 @@
 		return nil, Error.Wrap(err)
 	}
 	var e encoded
-	if err := json.Unmarshal(data, &e); err != nil {
+	if err := wire.UnmarshalSnapshot(data, &e); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	t := NewTable()
-	t.applied, t.skipped, t.now = e.Applied, e.Skipped, e.Now
+	t.applied, t.skipped, t.nowMs = e.Applied, e.Skipped, e.NowMs
 	for _, holder := range e.Holders {
 		if holder == nil {
 			return nil, Error.New("snapshot with an empty entry")
 		}
 		t.holders[holder.Key] = holder
-		heap.Push(&t.expiry, expiry{holder.Expires, holder.Key, holder.Revision})
+		heap.Push(&t.expiry, expiry{holder.ExpiresMs, holder.Key, holder.Revision})
 	}
 	return t, nil
 }
@@ -66,7 +65,7 @@
 // Clone returns a copy that shares nothing that Apply changes.
 func (t *Table) Clone() *Table {
 	c := NewTable()
-	c.applied, c.skipped, c.now = t.applied, t.skipped, t.now
+	c.applied, c.skipped, c.nowMs = t.applied, t.skipped, t.nowMs
 	for key, holder := range t.holders {
 		c.holders[key] = holder
 	}
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -12,15 +12,15 @@
 type Table struct {
 	applied uint64
 	skipped uint64
-	// now is the log's time of the newest record.
-	now     time.Time
+	// nowMs is the log's time of the newest record, in Unix milliseconds.
+	nowMs   int64
 	holders map[Key]*Holder
 	expiry  expiryHeap
 }
 
 // expiry is when the window of one claim ends.
 type expiry struct {
-	at    time.Time
+	atMs  int64
 	key   Key
 	claim Revision
 }
@@ -29,7 +29,7 @@
 type expiryHeap []expiry
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].atMs < h[j].atMs }
 func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiry)) }
 func (h *expiryHeap) Pop() any {
@@ -41,20 +41,21 @@
 
 // Holder is the claim that holds a key, and its outcome.
 type Holder struct {
-	Key      Key
-	ID       ClaimID
-	Digest   Digest
-	VM       string `json:",omitempty"`
-	Revision Revision
-	// Expires is when the key is free again, by the log's time.
-	Expires time.Time
+	Key      Key      `cbor:"1,keyasint"`
+	ID       ClaimID  `cbor:"2,keyasint"`
+	Digest   Digest   `cbor:"3,keyasint"`
+	VM       string   `cbor:"4,keyasint,omitempty"`
+	Revision Revision `cbor:"5,keyasint"`
+	// ExpiresMs is when the key is free again, by the log's time in Unix
+	// milliseconds.
+	ExpiresMs int64 `cbor:"6,keyasint"`
 	// Answer is nil until the Outcome.
-	Answer *Answer `json:",omitempty"`
+	Answer *Answer `cbor:"7,keyasint,omitempty"`
 	// Released are claims that held the key before, newest last. A late
 	// duplicate of one must not take the key again: nobody would answer it.
-	Released []ClaimID `json:",omitempty"`
+	Released []ClaimID `cbor:"8,keyasint,omitempty"`
 	// Free is whether this claim was released too.
-	Free bool `json:",omitempty"`
+	Free bool `cbor:"9,keyasint,omitempty"`
 }
 
 // maxReleased bounds Holder.Released.
@@ -105,7 +106,7 @@
 func (t *Table) Skipped() uint64 { return t.skipped }
 
 // Now is the log's time of the newest record.
-func (t *Table) Now() time.Time { return t.now }
+func (t *Table) Now() time.Time { return time.UnixMilli(t.nowMs) }
 
 // Len is the number of keys that are held.
 func (t *Table) Len() int { return len(t.holders) }
@@ -145,10 +146,8 @@
 // expire frees the keys whose window has ended. The log's time never goes back;
 // should a record say so, the time stands still.
 func (t *Table) expire(logTime time.Time) {
-	if logTime.After(t.now) {
-		t.now = logTime.UTC().Round(0)
-	}
-	for len(t.expiry) > 0 && !t.expiry[0].at.After(t.now) {
+	t.nowMs = max(t.nowMs, logTime.UnixMilli())
+	for len(t.expiry) > 0 && t.expiry[0].atMs <= t.nowMs {
 		ended := heap.Pop(&t.expiry).(expiry)
 		// A released key may be held by a later claim.
 		if holder := t.holders[ended.key]; holder != nil && holder.Revision == ended.claim {
@@ -199,20 +198,19 @@
 }
 
 func (c *Claim) valid() bool {
-	window := time.Duration(c.WindowMs) * time.Millisecond
 	return c.Key.Customer != "" && c.Key.Key != "" && len(c.Key.Key) <= MaxKeyBytes &&
 		c.ID.Claimer != "" && c.Digest != "" &&
-		c.WindowMs <= MaxWindow.Milliseconds() && window >= MinWindow
+		c.WindowMs >= MinWindow.Milliseconds() && c.WindowMs <= MaxWindow.Milliseconds()
 }
 
 func (t *Table) hold(rev Revision, c *Claim) *Holder {
 	holder := &Holder{
 		Key: c.Key, ID: c.ID, Digest: c.Digest, VM: c.VM, Revision: rev,
-		Expires:  t.now.Add(time.Duration(c.WindowMs) * time.Millisecond),
-		Released: t.released(c.Key),
+		ExpiresMs: t.nowMs + c.WindowMs,
+		Released:  t.released(c.Key),
 	}
 	t.holders[c.Key] = holder
-	heap.Push(&t.expiry, expiry{holder.Expires, c.Key, rev})
+	heap.Push(&t.expiry, expiry{holder.ExpiresMs, c.Key, rev})
 	return holder
 }
 
--- a/internal/chunks/chunks.go
+++ b/internal/chunks/chunks.go
@@ -26,17 +26,17 @@
 // Chunk is one part of a snapshot of a state just after UpTo.
 type Chunk struct {
 	// Writer identifies the snapshot together with UpTo.
-	Writer string `json:"w"`
+	Writer string `json:"w" cbor:"1,keyasint"`
 	// UpTo is the offset of the last record folded into it.
-	UpTo  uint64 `json:"upto"`
-	Part  int    `json:"part"`
-	Parts int    `json:"parts"`
+	UpTo  uint64 `json:"upto" cbor:"2,keyasint"`
+	Part  int    `json:"part" cbor:"3,keyasint"`
+	Parts int    `json:"parts" cbor:"4,keyasint"`
 	// Gap marks a snapshot by a VM that lost records to the log's retention.
-	Gap bool `json:"gap,omitempty"`
+	Gap bool `json:"gap,omitempty" cbor:"5,keyasint,omitempty"`
 	// Sum is the xxhash of the whole encoded state, before compression: equal
 	// states have equal sums.
-	Sum  uint64 `json:"sum"`
-	Data []byte `json:"data"`
+	Sum  uint64 `json:"sum" cbor:"6,keyasint"`
+	Data []byte `json:"data" cbor:"7,keyasint"`
 }
 
 // Split compresses an encoded state and cuts it into chunks of at most size
--- a/lease/departure.go
+++ b/lease/departure.go
@@ -86,9 +86,11 @@
 // VM is gone, or they belong to an earlier process of this VM (a VM runs one
 // process, which holds the port) and its last messages have died out.
 func (d *Departures) Settleable(now time.Time, sessions map[state.SessionID]*state.Session) []state.SessionSettle {
+	diedOut := now.Sub(d.started) >= d.config.MessageLifetime
+	own := d.ownNewest(sessions)
 	var settleable []state.SessionSettle
 	for id, session := range sessions {
-		if session.Ended && !session.Settled && (d.Gone(session.VM) || d.died(now, session)) {
+		if session.Ended && (d.Gone(session.VM) || diedOut && d.earlier(session, own)) {
 			settleable = append(settleable, state.SessionSettle{Session: id})
 		}
 	}
@@ -96,22 +98,13 @@
 	return settleable
 }
 
-// died tells whether a session belongs to an earlier process of this VM whose
-// messages have died out.
-func (d *Departures) died(now time.Time, session *state.Session) bool {
-	return d.earlier(session) && now.Sub(d.started) >= d.config.MessageLifetime
-}
-
-func (d *Departures) earlier(session *state.Session) bool {
-	return session.VM == d.self && session.Incarnation != d.incarnation
-}
-
 // Abandoned returns the live sessions of earlier processes of this VM. They can
 // be ended at once: nobody is left to renew them.
 func (d *Departures) Abandoned(sessions map[state.SessionID]*state.Session) []state.SessionExpire {
+	own := d.ownNewest(sessions)
 	var abandoned []state.SessionExpire
 	for id, session := range sessions {
-		if !session.Ended && d.earlier(session) {
+		if !session.Ended && d.earlier(session, own) {
 			abandoned = append(abandoned, state.SessionExpire{Session: id, LastRenewal: session.LastRenewal})
 		}
 	}
@@ -119,6 +112,24 @@
 	return abandoned
 }
 
+// earlier tells whether a session belongs to an earlier process of this VM. It
+// must have been opened before this process's own: a process that was paused and
+// replaced must not take its successor for its predecessor.
+func (d *Departures) earlier(session *state.Session, own state.SessionID) bool {
+	return session.VM == d.self && session.Incarnation != d.incarnation && session.ID < own
+}
+
+// ownNewest returns this process's newest session, 0 without one.
+func (d *Departures) ownNewest(sessions map[state.SessionID]*state.Session) state.SessionID {
+	var own state.SessionID
+	for id, session := range sessions {
+		if session.VM == d.self && session.Incarnation == d.incarnation {
+			own = max(own, id)
+		}
+	}
+	return own
+}
+
 // Removable returns the engines whose VM is gone, sorted by name. An engine is
 // named as its VM.
 func (d *Departures) Removable(engines map[string]*state.Engine) []state.EngineRemove {
--- a/state/codec.go
+++ b/state/codec.go
@@ -1,10 +1,9 @@
 package state
 
 import (
-	"bytes"
-	"encoding/json"
-
 	"github.com/zeebo/errs"
+
+	"bergamotreel/internal/wire"
 )
 
 // Error is the class of all errors of this package.
@@ -22,7 +21,7 @@
 		return nil, Error.New("%d proposals in a record, at most %d", len(r.Proposals), MaxProposals)
 	}
 	r.Format = Format
-	data, err := json.Marshal(r)
+	data, err := wire.Marshal(r)
 	return data, Error.Wrap(err)
 }
 
@@ -30,13 +29,9 @@
 // of a newer format; every VM fails on the same records.
 func Decode(data []byte) (Record, error) {
 	var r Record
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	if err := decoder.Decode(&r); err != nil {
+	if err := wire.UnmarshalRecord(data, &r); err != nil {
 		return Record{}, Error.Wrap(err)
 	}
-	if decoder.More() {
-		return Record{}, Error.New("text after the record")
-	}
 	if r.Format < 1 || r.Format > Format {
 		return Record{}, Error.New("format %d, this code reads up to %d", r.Format, Format)
 	}
--- a/state/index.go
+++ b/state/index.go
@@ -29,6 +29,10 @@
 	live map[string]int
 	// newest is the highest contract version.
 	newest Revision
+	// landed are the remembered outcomes, oldest first, and some that were
+	// forgotten; remembered counts those that were not.
+	landed     []landing
+	remembered int
 }
 
 // unit is what all contracts that name a model or an adapter agree on.
@@ -72,6 +76,7 @@
 			s.index.live[session.Proposer]++
 		}
 	}
+	s.indexLandings()
 	for _, engine := range s.Engines {
 		engine.used = 0
 		if engine.KeeperSession != 0 {
--- a/state/proposer.go
+++ b/state/proposer.go
@@ -6,10 +6,13 @@
 )
 
 const (
-	// sequenceWindow is how many sequences below a proposer's highest are told
-	// apart: group commits of one proposer may land out of order, and retries
-	// come within a few appends.
-	sequenceWindow = 32
+	// maxRemembered bounds the outcomes remembered of all proposers together,
+	// about 2 MB: at several hundred appends a second a retry has a minute and
+	// more to land, and it comes within seconds.
+	maxRemembered = 32 << 10
+	// maxRememberedEach keeps one busy proposer from taking all of that; a whole
+	// record can be retried.
+	maxRememberedEach = MaxProposals
 	// maxIdleProposers bounds the remembered proposers without a live session:
 	// operators' commands (45,000 changes a day) and processes that ended.
 	maxIdleProposers = 1024
@@ -35,13 +38,15 @@
 			return Outcome{ID: id, Verdict: r.Verdict, Revision: r.Revision, Reason: r.Reason, Repeated: true}, true
 		}
 	}
-	if p.Highest-id.Sequence >= sequenceWindow {
+	// Group commits may land out of order: a lower sequence that is not
+	// remembered is new unless it is as old as one that was forgotten.
+	if id.Sequence <= p.Forgotten {
 		return Outcome{ID: id, Verdict: VerdictConflict, Reason: ReasonForgotten, Repeated: true}, true
 	}
 	return Outcome{}, false
 }
 
-// remember stores an outcome and forgets those that fell out of the window.
+// remember stores an outcome and forgets the oldest ones.
 func (s *State) remember(o Outcome) {
 	p := s.Proposers[o.ID.Proposer]
 	if p == nil {
@@ -51,12 +56,47 @@
 	p.Highest = max(p.Highest, o.ID.Sequence)
 	p.LastUsed = o.Revision
 	p.Recent = append(p.Recent, Remembered{o.ID.Sequence, o.Revision, o.Verdict, o.Reason})
-	p.Recent = slices.DeleteFunc(p.Recent, func(r Remembered) bool {
-		return p.Highest-r.Sequence >= sequenceWindow
-	})
+	s.index.landed = append(s.index.landed, landing{o.Revision, p})
+	s.index.remembered++
+	if len(p.Recent) > maxRememberedEach {
+		s.forgetOldest(p)
+	}
+	for s.index.remembered > maxRemembered {
+		s.forgetNext()
+	}
+	if len(s.index.landed) > 2*maxRemembered {
+		s.index.landed = slices.DeleteFunc(s.index.landed, landing.stale)
+	}
 	s.forgetProposers()
 }
 
+// landing is one remembered outcome in the order of the stream.
+type landing struct {
+	revision Revision
+	proposer *Proposer
+}
+
+// stale tells whether the outcome was forgotten since.
+func (l landing) stale() bool {
+	recent := l.proposer.Recent
+	return len(recent) == 0 || l.revision < recent[0].Revision
+}
+
+// forgetNext forgets the oldest outcome of all proposers.
+func (s *State) forgetNext() {
+	next := s.index.landed[0]
+	s.index.landed = s.index.landed[1:]
+	if !next.stale() {
+		s.forgetOldest(next.proposer)
+	}
+}
+
+func (s *State) forgetOldest(p *Proposer) {
+	p.Forgotten = max(p.Forgotten, p.Recent[0].Sequence)
+	p.Recent = p.Recent[1:]
+	s.index.remembered--
+}
+
 // forgetProposers keeps the newest of the proposers without a live session. It
 // waits until there are twice as many, so that its sort is rare.
 func (s *State) forgetProposers() {
@@ -69,13 +109,24 @@
 			idle = append(idle, name)
 		}
 	}
-	if len(idle) <= 2*maxIdleProposers {
-		return
-	}
 	slices.SortFunc(idle, func(a, b string) int {
 		return cmp.Compare(s.Proposers[b].LastUsed, s.Proposers[a].LastUsed)
 	})
 	for _, name := range idle[maxIdleProposers:] {
+		p := s.Proposers[name]
+		s.index.remembered -= len(p.Recent)
+		p.Recent = nil
 		delete(s.Proposers, name)
 	}
 }
+
+// indexLandings lists the remembered outcomes of all proposers, oldest first.
+func (s *State) indexLandings() {
+	for _, p := range s.Proposers {
+		for _, r := range p.Recent {
+			s.index.landed = append(s.index.landed, landing{r.Revision, p})
+		}
+	}
+	s.index.remembered = len(s.index.landed)
+	slices.SortFunc(s.index.landed, func(a, b landing) int { return cmp.Compare(a.revision, b.revision) })
+}
--- a/state/record.go
+++ b/state/record.go
@@ -30,39 +30,39 @@
 // to the first outcome.
 type ProposalID struct {
 	// Proposer is unique to one start of one process.
-	Proposer string `json:"p"`
+	Proposer string `json:"p" cbor:"1,keyasint"`
 	// Sequence grows by one for each new proposal of the proposer.
-	Sequence uint64 `json:"s"`
+	Sequence uint64 `json:"s" cbor:"2,keyasint"`
 }
 
 // Record is the content of one log record: several proposals, or one part of a
 // snapshot.
 type Record struct {
 	// Format is the version of the encoding; a newer one is skipped and counted.
-	Format    int            `json:"f"`
-	Proposals []Proposal     `json:"ps,omitempty"`
-	Snapshot  *SnapshotChunk `json:"sn,omitempty"`
+	Format    int            `json:"f" cbor:"1,keyasint"`
+	Proposals []Proposal     `json:"ps,omitempty" cbor:"2,keyasint,omitempty"`
+	Snapshot  *SnapshotChunk `json:"sn,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Proposal is one change, with the preconditions it was made under. Exactly one
 // of the pointers is set.
 type Proposal struct {
-	ID ProposalID `json:"id"`
-
-	Publish        *Publish        `json:"publish,omitempty"`
-	SessionOpen    *SessionOpen    `json:"session_open,omitempty"`
-	SessionRenew   *SessionRenew   `json:"session_renew,omitempty"`
-	SessionClose   *SessionClose   `json:"session_close,omitempty"`
-	SessionExpire  *SessionExpire  `json:"session_expire,omitempty"`
-	SessionSettle  *SessionSettle  `json:"session_settle,omitempty"`
-	KeeperTake     *KeeperTake     `json:"keeper_take,omitempty"`
-	KeeperGiveBack *KeeperGiveBack `json:"keeper_give_back,omitempty"`
-	EngineMeet     *EngineMeet     `json:"engine_meet,omitempty"`
-	EngineRemove   *EngineRemove   `json:"engine_remove,omitempty"`
-	Grant          *Grant          `json:"grant,omitempty"`
-	Want           *Want           `json:"want,omitempty"`
-	Withdraw       *Withdraw       `json:"withdraw,omitempty"`
-	Gone           *Gone           `json:"gone,omitempty"`
+	ID ProposalID `json:"id" cbor:"1,keyasint"`
+
+	Publish        *Publish        `json:"publish,omitempty" cbor:"2,keyasint,omitempty"`
+	SessionOpen    *SessionOpen    `json:"session_open,omitempty" cbor:"3,keyasint,omitempty"`
+	SessionRenew   *SessionRenew   `json:"session_renew,omitempty" cbor:"4,keyasint,omitempty"`
+	SessionClose   *SessionClose   `json:"session_close,omitempty" cbor:"5,keyasint,omitempty"`
+	SessionExpire  *SessionExpire  `json:"session_expire,omitempty" cbor:"6,keyasint,omitempty"`
+	SessionSettle  *SessionSettle  `json:"session_settle,omitempty" cbor:"7,keyasint,omitempty"`
+	KeeperTake     *KeeperTake     `json:"keeper_take,omitempty" cbor:"8,keyasint,omitempty"`
+	KeeperGiveBack *KeeperGiveBack `json:"keeper_give_back,omitempty" cbor:"9,keyasint,omitempty"`
+	EngineMeet     *EngineMeet     `json:"engine_meet,omitempty" cbor:"10,keyasint,omitempty"`
+	EngineRemove   *EngineRemove   `json:"engine_remove,omitempty" cbor:"11,keyasint,omitempty"`
+	Grant          *Grant          `json:"grant,omitempty" cbor:"12,keyasint,omitempty"`
+	Want           *Want           `json:"want,omitempty" cbor:"13,keyasint,omitempty"`
+	Withdraw       *Withdraw       `json:"withdraw,omitempty" cbor:"14,keyasint,omitempty"`
+	Gone           *Gone           `json:"gone,omitempty" cbor:"15,keyasint,omitempty"`
 }
 
 // Publish changes one customer's contract. It lands only if the customer's
@@ -70,14 +70,14 @@
 // operators one wins and the other gets a conflict.
 type Publish struct {
 	// ChangeID is the operator's own identity of the change, for asking again.
-	ChangeID string   `json:"change"`
-	Customer string   `json:"customer"`
-	Base     Revision `json:"base"`
+	ChangeID string   `json:"change" cbor:"1,keyasint"`
+	Customer string   `json:"customer" cbor:"2,keyasint"`
+	Base     Revision `json:"base" cbor:"3,keyasint"`
 	// Sections carries only the changed sections of the contract, as INI text
 	// keyed by section name; an empty text removes the section.
-	Sections map[string]string `json:"sections,omitempty"`
+	Sections map[string]string `json:"sections,omitempty" cbor:"4,keyasint,omitempty"`
 	// Remove ends the contract.
-	Remove bool `json:"remove,omitempty"`
+	Remove bool `json:"remove,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // SessionID is the revision of the SessionOpen that made a session.
@@ -86,36 +86,36 @@
 // SessionOpen starts a session of one entry VM. Engine keepers hold their
 // engines through a session, so one renewal covers all of a VM's engines.
 type SessionOpen struct {
-	VM          string `json:"vm"`
-	Incarnation string `json:"inc"`
-	Domain      string `json:"domain"`
+	VM          string `json:"vm" cbor:"1,keyasint"`
+	Incarnation string `json:"inc" cbor:"2,keyasint"`
+	Domain      string `json:"domain" cbor:"3,keyasint"`
 }
 
 // SessionRenew keeps a live session live.
 type SessionRenew struct {
-	Session SessionID `json:"session"`
+	Session SessionID `json:"session" cbor:"1,keyasint"`
 }
 
 // SessionClose ends a session by its owner's word. It gives back all engines.
 // It also says that the owner will never again send an order under it, so the
 // session is settled.
 type SessionClose struct {
-	Session SessionID `json:"session"`
+	Session SessionID `json:"session" cbor:"1,keyasint"`
 }
 
 // SessionExpire ends a session whose renewal was not seen for its whole term.
 // It lands only if LastRenewal is still the session's newest renewal. The
 // session is not settled by it: its owner may be paused and send one late order.
 type SessionExpire struct {
-	Session     SessionID `json:"session"`
-	LastRenewal Revision  `json:"last"`
+	Session     SessionID `json:"session" cbor:"1,keyasint"`
+	LastRenewal Revision  `json:"last" cbor:"2,keyasint"`
 }
 
 // SessionSettle says that no order of an ended session can arrive any more:
 // its VM has been gone from the VM list for longer than a message can live, or
 // its owner itself says so.
 type SessionSettle struct {
-	Session SessionID `json:"session"`
+	Session SessionID `json:"session" cbor:"1,keyasint"`
 }
 
 // KeeperTake makes the session the engine's keeper. It lands only if the
@@ -123,36 +123,36 @@
 // keeper's session has ended or is the proposer's own. Its revision is the new
 // keeper's fencing token.
 type KeeperTake struct {
-	Engine   string    `json:"engine"`
-	Session  SessionID `json:"session"`
-	Previous Revision  `json:"prev"`
+	Engine   string    `json:"engine" cbor:"1,keyasint"`
+	Session  SessionID `json:"session" cbor:"2,keyasint"`
+	Previous Revision  `json:"prev" cbor:"3,keyasint"`
 }
 
 // KeeperGiveBack frees the engine for another keeper.
 type KeeperGiveBack struct {
-	Engine string   `json:"engine"`
-	Keeper Revision `json:"keeper"`
+	Engine string   `json:"engine" cbor:"1,keyasint"`
+	Keeper Revision `json:"keeper" cbor:"2,keyasint"`
 	// Settled says that each order of the session to this engine was answered
 	// and that no other will be sent under this keeper: the session then no
 	// longer holds up Gone there.
-	Settled bool `json:"settled,omitempty"`
+	Settled bool `json:"settled,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // EngineMeet records what an engine says of itself: at first contact, after its
 // restart, or when that changed. Only its keeper may say so.
 type EngineMeet struct {
-	Engine       string   `json:"engine"`
-	Keeper       Revision `json:"keeper"`
-	Incarnation  string   `json:"inc"`
-	Domain       string   `json:"domain"`
-	MemoryBytes  int64    `json:"mem"`
-	ChecksTokens bool     `json:"checks,omitempty"`
+	Engine       string   `json:"engine" cbor:"1,keyasint"`
+	Keeper       Revision `json:"keeper" cbor:"2,keyasint"`
+	Incarnation  string   `json:"inc" cbor:"3,keyasint"`
+	Domain       string   `json:"domain" cbor:"4,keyasint"`
+	MemoryBytes  int64    `json:"mem" cbor:"5,keyasint"`
+	ChecksTokens bool     `json:"checks,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // EngineRemove forgets an engine and its rights: its VM has been gone from the
 // VM list for longer than a message can live. Any session may say so.
 type EngineRemove struct {
-	Engine string `json:"engine"`
+	Engine string `json:"engine" cbor:"1,keyasint"`
 }
 
 // Grant gives an engine the right to hold a replica of a unit (a model or an
@@ -161,30 +161,30 @@
 // base of an adapter is granted there. Rights belong to the engine, not to the
 // keeper, so a takeover repeats the same load on the same engine.
 type Grant struct {
-	Engine   string   `json:"engine"`
-	Keeper   Revision `json:"keeper"`
-	Customer string   `json:"customer"`
-	Unit     string   `json:"unit"`
+	Engine   string   `json:"engine" cbor:"1,keyasint"`
+	Keeper   Revision `json:"keeper" cbor:"2,keyasint"`
+	Customer string   `json:"customer" cbor:"3,keyasint"`
+	Unit     string   `json:"unit" cbor:"4,keyasint"`
 	// Wanted is whether to load now; false grants a standby right.
-	Wanted bool `json:"wanted,omitempty"`
+	Wanted bool `json:"wanted,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Want switches a standby right between "load it" and "keep only the right".
 type Want struct {
-	Engine string   `json:"engine"`
-	Keeper Revision `json:"keeper"`
-	Unit   string   `json:"unit"`
-	Right  Revision `json:"right"`
-	Wanted bool     `json:"wanted"`
+	Engine string   `json:"engine" cbor:"1,keyasint"`
+	Keeper Revision `json:"keeper" cbor:"2,keyasint"`
+	Unit   string   `json:"unit" cbor:"3,keyasint"`
+	Right  Revision `json:"right" cbor:"4,keyasint"`
+	Wanted bool     `json:"wanted" cbor:"5,keyasint"`
 }
 
 // Withdraw ends a right. Its memory and its place among the replicas stay taken
 // until Gone. Its revision is the fencing token of the unload order.
 type Withdraw struct {
-	Engine string   `json:"engine"`
-	Keeper Revision `json:"keeper"`
-	Unit   string   `json:"unit"`
-	Right  Revision `json:"right"`
+	Engine string   `json:"engine" cbor:"1,keyasint"`
+	Keeper Revision `json:"keeper" cbor:"2,keyasint"`
+	Unit   string   `json:"unit" cbor:"3,keyasint"`
+	Right  Revision `json:"right" cbor:"4,keyasint"`
 }
 
 // Gone says that the engine does not hold a withdrawn unit and no order that
@@ -194,10 +194,10 @@
 // lands only if every other session that kept the engine while the right stood
 // is settled.
 type Gone struct {
-	Engine string   `json:"engine"`
-	Keeper Revision `json:"keeper"`
-	Unit   string   `json:"unit"`
-	Right  Revision `json:"right"`
+	Engine string   `json:"engine" cbor:"1,keyasint"`
+	Keeper Revision `json:"keeper" cbor:"2,keyasint"`
+	Unit   string   `json:"unit" cbor:"3,keyasint"`
+	Right  Revision `json:"right" cbor:"4,keyasint"`
 }
 
 // SnapshotChunk is one part of a snapshot of the state just after UpTo.
@@ -215,10 +215,10 @@
 
 // Outcome is the result of one proposal, the same on every VM.
 type Outcome struct {
-	ID       ProposalID `json:"id"`
-	Verdict  Verdict    `json:"verdict"`
-	Revision Revision   `json:"rev"`
-	Reason   string     `json:"reason,omitempty"`
+	ID       ProposalID `json:"id" cbor:"1,keyasint"`
+	Verdict  Verdict    `json:"verdict" cbor:"2,keyasint"`
+	Revision Revision   `json:"rev" cbor:"3,keyasint"`
+	Reason   string     `json:"reason,omitempty" cbor:"4,keyasint,omitempty"`
 	// Repeated is whether this is the stored outcome of an earlier landing.
-	Repeated bool `json:"-"`
+	Repeated bool `json:"-" cbor:"-"`
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -1,12 +1,12 @@
 package state
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 
 	"bergamotreel/contract"
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/wire"
 )
 
 // Collector finds the newest complete snapshot among the records of the stream.
@@ -15,12 +15,12 @@
 // encoded is the canonical form of a state: maps are written with sorted keys,
 // so that equal states encode to equal bytes on every VM.
 type encoded struct {
-	Applied   uint64
-	Skipped   uint64
-	Contracts map[string]*Published
-	Sessions  map[SessionID]*Session
-	Engines   map[string]*Engine
-	Proposers map[string]*Proposer
+	Applied   uint64                 `cbor:"1,keyasint"`
+	Skipped   uint64                 `cbor:"2,keyasint"`
+	Contracts map[string]*Published  `cbor:"3,keyasint"`
+	Sessions  map[SessionID]*Session `cbor:"4,keyasint"`
+	Engines   map[string]*Engine     `cbor:"5,keyasint"`
+	Proposers map[string]*Proposer   `cbor:"6,keyasint"`
 }
 
 // Snapshot encodes the state just after Applied in chunks for the log.
@@ -34,7 +34,7 @@
 }
 
 func (s *State) encode() ([]byte, error) {
-	data, err := json.Marshal(encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers})
+	data, err := wire.Marshal(encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers})
 	return data, Error.Wrap(err)
 }
 
@@ -45,7 +45,7 @@
 		return nil, Error.Wrap(err)
 	}
 	var e encoded
-	if err := json.Unmarshal(data, &e); err != nil {
+	if err := wire.UnmarshalSnapshot(data, &e); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	s := New()
--- a/state/state.go
+++ b/state/state.go
@@ -29,50 +29,50 @@
 // Published is a contract in force.
 type Published struct {
 	// Version is the revision of the newest accepted Publish.
-	Version  Revision
-	ChangeID string
+	Version  Revision `cbor:"1,keyasint"`
+	ChangeID string   `cbor:"2,keyasint"`
 	// Sections is the contract's text by section.
-	Sections map[string]string `json:",omitempty"`
+	Sections map[string]string `cbor:"3,keyasint,omitempty"`
 	// Contract is parsed from Sections; nil once removed.
-	Contract *contract.Contract `json:"-"`
+	Contract *contract.Contract `json:"-" cbor:"-"`
 }
 
 // Session is an entry VM's lease on being a keeper.
 type Session struct {
-	ID          SessionID
-	VM          string
-	Incarnation string
-	Domain      string
+	ID          SessionID `cbor:"1,keyasint"`
+	VM          string    `cbor:"2,keyasint"`
+	Incarnation string    `cbor:"3,keyasint"`
+	Domain      string    `cbor:"4,keyasint"`
 	// Proposer is the process that opened the session; only it may renew or
 	// close it and speak as keeper through it.
-	Proposer string
+	Proposer string `cbor:"5,keyasint"`
 	// LastRenewal is the revision of the newest renewal (or of the opening).
-	LastRenewal Revision
+	LastRenewal Revision `cbor:"6,keyasint"`
 	// Ended sessions keep no engine; Settled ones can send no order any more.
-	Ended   bool
-	Settled bool
+	Ended   bool `cbor:"7,keyasint"`
+	Settled bool `cbor:"8,keyasint"`
 }
 
 // Engine is what is agreed about one engine.
 type Engine struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Keeper is the revision of the newest KeeperTake; KeeperSession its
 	// session, 0 once given back.
-	Keeper        Revision
-	KeeperSession SessionID
+	Keeper        Revision  `cbor:"2,keyasint"`
+	KeeperSession SessionID `cbor:"3,keyasint"`
 	// Incarnation, Domain, MemoryBytes and ChecksTokens come from EngineMeet.
-	Incarnation  string
-	Domain       string
-	MemoryBytes  int64
-	ChecksTokens bool
-	Rights       map[string]*Right
+	Incarnation  string            `cbor:"4,keyasint"`
+	Domain       string            `cbor:"5,keyasint"`
+	MemoryBytes  int64             `cbor:"6,keyasint"`
+	ChecksTokens bool              `cbor:"7,keyasint"`
+	Rights       map[string]*Right `cbor:"8,keyasint"`
 	// Formers are the unsettled sessions that kept the engine, other than
 	// KeeperSession.
-	Formers []SessionID `json:",omitempty"`
+	Formers []SessionID `cbor:"9,keyasint,omitempty"`
 	// Distrusted is set when the engine stopped checking tokens while Formers
 	// were left, until they are settled: rights were freed there on the engine's
 	// promise to refuse their late orders, so nothing new is granted meanwhile.
-	Distrusted bool `json:",omitempty"`
+	Distrusted bool `cbor:"10,keyasint,omitempty"`
 
 	// used is the memory of Rights.
 	used int64
@@ -80,37 +80,38 @@
 
 // Right is an engine's right to hold a replica of a unit.
 type Right struct {
-	Unit       string
-	Customer   string
-	Base       string
-	Checkpoint string
-	Bytes      int64
+	Unit       string `cbor:"1,keyasint"`
+	Customer   string `cbor:"2,keyasint"`
+	Base       string `cbor:"3,keyasint"`
+	Checkpoint string `cbor:"4,keyasint"`
+	Bytes      int64  `cbor:"5,keyasint"`
 	// Granted is the revision of the Grant; it names the right.
-	Granted Revision
+	Granted Revision `cbor:"6,keyasint"`
 	// Withdrawn is the revision of the Withdraw, 0 while the right stands.
-	Withdrawn Revision
-	Wanted    bool
+	Withdrawn Revision `cbor:"7,keyasint"`
+	Wanted    bool     `cbor:"8,keyasint"`
 	// OrderedBy are the unsettled sessions that kept the engine while the right
 	// stood: each may have sent a load order for it.
-	OrderedBy []SessionID `json:",omitempty"`
+	OrderedBy []SessionID `cbor:"9,keyasint,omitempty"`
 }
 
 // Proposer remembers outcomes, so that a retried proposal is answered as its
 // first landing was.
 type Proposer struct {
-	// Highest is the highest sequence folded.
-	Highest uint64
+	// Highest is the highest sequence folded, Forgotten the highest whose
+	// outcome is no longer remembered.
+	Highest   uint64 `cbor:"1,keyasint"`
+	Forgotten uint64 `cbor:"2,keyasint"`
 	// LastUsed is the revision of its newest folded proposal.
-	LastUsed Revision
-	// Recent are the outcomes of the sequences in (Highest-window, Highest],
-	// in the order of landing.
-	Recent []Remembered `json:",omitempty"`
+	LastUsed Revision `cbor:"3,keyasint"`
+	// Recent are the newest outcomes in the order of landing.
+	Recent []Remembered `cbor:"4,keyasint,omitempty"`
 }
 
 // Remembered is the stored outcome of one sequence of a proposer.
 type Remembered struct {
-	Sequence uint64
-	Revision Revision
-	Verdict  Verdict
-	Reason   string `json:",omitempty"`
+	Sequence uint64   `cbor:"1,keyasint"`
+	Revision Revision `cbor:"2,keyasint"`
+	Verdict  Verdict  `cbor:"3,keyasint"`
+	Reason   string   `cbor:"4,keyasint,omitempty"`
 }
