Add the operators' verbs: contract, status, version

Cause: operators work from the command line: check a file, see the difference, publish it and be told which VMs don't have it in force yet.

--- /dev/null
+++ b/cmd/bergamotreel/contract.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bergamotreel/contract"
+	"bergamotreel/operator"
+	"bergamotreel/state"
+)
+
+// contractCommand is the verb "contract" with its four subcommands.
+type contractCommand struct {
+	connection *connection
+	// file and customer are positional arguments.
+	file     string
+	customer string
+	publish  publishFlags
+	// answers is where the operator's yes or no is read from.
+	answers io.Reader
+	steps   []step
+}
+
+// step is one subcommand of a verb.
+type step struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context, out io.Writer) error
+}
+
+// contractVerb checks, publishes and shows contracts.
+func contractVerb() verb {
+	c := newContractCommand()
+	return verb{
+		name:   "contract",
+		help:   "check, publish and show contracts",
+		attach: c.attach,
+		run:    c.run,
+	}
+}
+
+func newContractCommand() *contractCommand {
+	return &contractCommand{connection: newConnection(), publish: defaultPublishFlags(), answers: os.Stdin}
+}
+
+func (c *contractCommand) attach(parent *flaggy.Subcommand) {
+	check := c.addStep(parent, "check", "read a contract's file and say what is wrong with it", c.runCheck)
+	check.AddPositionalValue(&c.file, "FILE", 1, true, "the contract")
+
+	publish := c.addStep(parent, "publish", "put a contract's file in force", c.runPublish)
+	publish.AddPositionalValue(&c.file, "FILE", 1, true, "the contract")
+	c.publish.attach(publish)
+	c.connection.attach(publish)
+
+	show := c.addStep(parent, "show", "list all contracts, or print one customer's", c.runShow)
+	show.AddPositionalValue(&c.customer, "CUSTOMER", 1, false, "whose contract")
+	c.connection.attach(show)
+
+	history := c.addStep(parent, "history", "list the accepted versions of a customer's contract", c.runHistory)
+	history.AddPositionalValue(&c.customer, "CUSTOMER", 1, true, "whose contract")
+	c.connection.attach(history)
+}
+
+func (c *contractCommand) addStep(parent *flaggy.Subcommand, name, help string, run func(context.Context, io.Writer) error) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = help
+	parent.AttachSubcommand(sub, 1)
+	c.steps = append(c.steps, step{sub, run})
+	return sub
+}
+
+func (c *contractCommand) run(ctx context.Context, out io.Writer) error {
+	for _, step := range c.steps {
+		if step.sub.Used {
+			return step.run(ctx, out)
+		}
+	}
+	return usageError("contract: want check, publish, show or history")
+}
+
+// readContract reads a contract's file into its sections. Its error is one line
+// "file: [section] key: reason".
+func readContract(path string) (map[string]string, *contract.Contract, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, usageError("%w", err)
+	}
+	sections, err := contract.Split(string(text))
+	if err != nil {
+		return nil, nil, contractError(path, err)
+	}
+	parsed, err := contract.ParseSections(sections)
+	if err != nil {
+		return nil, nil, contractError(path, err)
+	}
+	return sections, parsed, nil
+}
+
+func contractError(path string, err error) error {
+	var problem *contract.Problem
+	if errors.As(err, &problem) {
+		return usageError("%s: %w", path, problem)
+	}
+	return usageError("%s: %w", path, err)
+}
+
+func (c *contractCommand) runCheck(_ context.Context, out io.Writer) error {
+	_, parsed, err := readContract(c.file)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: contract of %s is fine: %d models, %d adapters, %d services, %d keys\n",
+		c.file, parsed.Customer, len(parsed.Models), len(parsed.Adapters), len(parsed.Services), len(parsed.Keys))
+	return nil
+}
+
+func (c *contractCommand) runShow(ctx context.Context, out io.Writer) error {
+	op, err := c.connection.open()
+	if err != nil {
+		return err
+	}
+	if c.customer == "" {
+		contracts, err := op.Contracts(ctx)
+		if err != nil {
+			return err
+		}
+		return printContracts(out, contracts)
+	}
+	inForce, err := op.Contract(ctx, c.customer)
+	if err != nil {
+		return err
+	}
+	if inForce.Removed {
+		fmt.Fprintf(out, "; %s: contract removed with version %s, change %s\n", inForce.Customer, formatVersion(inForce.Version), inForce.ChangeID)
+		return nil
+	}
+	fmt.Fprintf(out, "; %s: version %s, change %s\n\n", inForce.Customer, formatVersion(inForce.Version), inForce.ChangeID)
+	fmt.Fprint(out, contract.Join(inForce.Sections))
+	return nil
+}
+
+func printContracts(out io.Writer, contracts []operator.ContractSummary) error {
+	table := newTable(out, "CUSTOMER", "VERSION", "MODELS", "ADAPTERS", "SERVICES", "CHANGE")
+	for _, c := range contracts {
+		change := c.ChangeID
+		if c.Removed {
+			change += " (removed)"
+		}
+		table.row(c.Customer, formatVersion(c.Version), c.Models, c.Adapters, c.Services, change)
+	}
+	return table.flush()
+}
+
+func (c *contractCommand) runHistory(ctx context.Context, out io.Writer) error {
+	op, err := c.connection.open()
+	if err != nil {
+		return err
+	}
+	entries, err := op.History(ctx, c.customer)
+	if err != nil {
+		return err
+	}
+	table := newTable(out, "VERSION", "MADE ON", "TIME", "CHANGE", "SECTIONS")
+	for _, e := range entries {
+		sections := strings.Join(e.Sections, ", ")
+		if e.Removed {
+			sections = "(contract removed)"
+		}
+		table.row(formatVersion(e.Version), formatVersion(e.Base), e.Time.UTC().Format(time.RFC3339), e.ChangeID, sections)
+	}
+	return table.flush()
+}
+
+// formatVersion writes a version as people compare it: the log's offset and the
+// index in the record, "17.0"; "none" for 0.
+func formatVersion(version state.Revision) string {
+	if version == 0 {
+		return "none"
+	}
+	index := uint64(version) - uint64(state.MakeRevision(version.Offset(), 0))
+	return fmt.Sprintf("%d.%d", version.Offset(), index)
+}
+
+// table prints aligned columns.
+type table struct {
+	writer *tabwriter.Writer
+}
+
+func newTable(out io.Writer, columns ...string) table {
+	t := table{tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)}
+	fmt.Fprintln(t.writer, strings.Join(columns, "\t"))
+	return t
+}
+
+func (t table) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(t.writer, "\t")
+		}
+		fmt.Fprint(t.writer, cell)
+	}
+	fmt.Fprintln(t.writer)
+}
+
+func (t table) flush() error { return t.writer.Flush() }
--- /dev/null
+++ b/cmd/bergamotreel/publish.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bergamotreel/contract"
+	"bergamotreel/operator"
+	"bergamotreel/state"
+)
+
+const (
+	// defaultWait is twice the time in which a change is to be in force on all
+	// VMs (4 s), with room for the cold start of an operator's connection.
+	defaultWait = 10 * time.Second
+	// publishFor bounds the repeats of a publish whose answer was lost.
+	publishFor = time.Minute
+	// pollPause is the pause between two looks at the VMs: some heartbeats.
+	pollPause = 500 * time.Millisecond
+)
+
+// publishFlags are the flags of "contract publish".
+type publishFlags struct {
+	yes    bool
+	wait   time.Duration
+	change string
+}
+
+func defaultPublishFlags() publishFlags {
+	return publishFlags{wait: defaultWait}
+}
+
+func (f *publishFlags) attach(sub *flaggy.Subcommand) {
+	sub.Bool(&f.yes, "y", "yes", "don't ask before publishing")
+	sub.Duration(&f.wait, "w", "wait", "how long to wait until every entry VM has the change in force")
+	sub.String(&f.change, "r", "change", "identity of an earlier publish whose outcome is unknown, to ask again")
+}
+
+// runPublish shows the difference, publishes it and waits until it is in force.
+func (c *contractCommand) runPublish(ctx context.Context, out io.Writer) error {
+	sections, parsed, err := readContract(c.file)
+	if err != nil {
+		return err
+	}
+	op, err := c.connection.open()
+	if err != nil {
+		return err
+	}
+	inForce, err := contractInForce(ctx, op, parsed.Customer)
+	if err != nil {
+		return err
+	}
+	changes := contract.Diff(inForce.Sections, sections)
+	if len(changes) == 0 {
+		fmt.Fprintf(out, "nothing to publish: version %s of %s says the same\n", formatVersion(inForce.Version), parsed.Customer)
+		return waitInForce(ctx, out, op, inForce.Version, c.publish.wait)
+	}
+	fmt.Fprintf(out, "contract of %s, against version %s:\n", parsed.Customer, formatVersion(inForce.Version))
+	printChanges(out, changes)
+	if !c.publish.yes && !c.confirm(out) {
+		return errors.New("not published")
+	}
+	version, err := c.send(ctx, out, op, inForce, contract.ChangedSections(inForce.Sections, sections))
+	if err != nil {
+		return err
+	}
+	return waitInForce(ctx, out, op, version, c.publish.wait)
+}
+
+// contractInForce returns the customer's contract, or version 0 of one that
+// doesn't exist yet.
+func contractInForce(ctx context.Context, op operator.Operator, customer string) (operator.ContractInForce, error) {
+	inForce, err := op.Contract(ctx, customer)
+	if errors.Is(err, operator.ErrNotFound) {
+		return operator.ContractInForce{Customer: customer}, nil
+	}
+	return inForce, err
+}
+
+func (c *contractCommand) confirm(out io.Writer) bool {
+	fmt.Fprint(out, "publish? [y/N] ")
+	line, _ := bufio.NewReader(c.answers).ReadString('\n')
+	answer := strings.ToLower(strings.TrimSpace(line))
+	return answer == "y" || answer == "yes"
+}
+
+// send publishes the changed sections and returns the version they made.
+func (c *contractCommand) send(ctx context.Context, out io.Writer, op operator.Operator, inForce operator.ContractInForce, changed map[string]string) (state.Revision, error) {
+	request := operator.PublishRequest{
+		ChangeID: c.publish.change,
+		Customer: inForce.Customer,
+		Base:     inForce.Version,
+		Sections: changed,
+	}
+	if request.ChangeID == "" {
+		request.ChangeID = rand.Text()
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishFor)
+	defer cancel()
+	result, err := operator.PublishUntilKnown(ctx, op, request)
+	switch {
+	case errors.Is(err, operator.ErrOutcomeUnknown):
+		return 0, fmt.Errorf("%w\nthe change may be in force; ask again with: -change %s", err, request.ChangeID)
+	case err != nil:
+		return 0, fmt.Errorf("not published: %w", err)
+	case result.Verdict == state.VerdictConflict:
+		return 0, fmt.Errorf("conflict: %s; version %s is no longer the newest. Look at what changed and publish again", result.Reason, formatVersion(inForce.Version))
+	case result.Verdict != state.VerdictApplied:
+		return 0, fmt.Errorf("refused (%s): %s", result.Verdict, result.Reason)
+	}
+	fmt.Fprintf(out, "published: version %s (log offset %d), change %s\n", formatVersion(result.Revision), result.Revision.Offset(), request.ChangeID)
+	return result.Revision, nil
+}
+
+var changeMarks = map[contract.ChangeKind]string{
+	contract.Added:   "+",
+	contract.Removed: "-",
+	contract.Changed: "~",
+}
+
+func printChanges(out io.Writer, changes []contract.Change) {
+	for _, change := range changes {
+		fmt.Fprintf(out, "%s [%s]\n", changeMarks[change.Kind], change.Section)
+		for _, key := range change.Keys {
+			printKeyChange(out, key)
+		}
+	}
+}
+
+func printKeyChange(out io.Writer, key contract.KeyChange) {
+	switch key.Kind {
+	case contract.Added:
+		fmt.Fprintf(out, "    + %s = %s\n", key.Key, key.New)
+	case contract.Removed:
+		fmt.Fprintf(out, "    - %s = %s\n", key.Key, key.Old)
+	case contract.Changed:
+		fmt.Fprintf(out, "    ~ %s = %s (was %s)\n", key.Key, key.New, key.Old)
+	}
+}
+
+// waitInForce asks until every entry VM has the version in force, and names
+// those that don't after wait.
+func waitInForce(ctx context.Context, out io.Writer, op operator.Operator, version state.Revision, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var behind []string
+	printed := ""
+	for {
+		report, err := op.Status(ctx)
+		if err == nil {
+			var total int
+			behind, total = vmsBehind(report, version)
+			progress := fmt.Sprintf("in force on %d of %d entry VMs", total-len(behind), total)
+			if progress != printed {
+				fmt.Fprintln(out, progress)
+				printed = progress
+			}
+			if len(behind) == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return notEverywhere(wait, behind, printed != "", err)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// vmsBehind names the entry VMs that lack the version, and counts all of them.
+// A leaving VM takes no new requests, so it doesn't count.
+func vmsBehind(report operator.StatusReport, version state.Revision) (behind []string, total int) {
+	for _, vm := range report.VMs {
+		if vm.Leaving {
+			continue
+		}
+		total++
+		if vm.Missing || !vm.InForce(version) {
+			behind = append(behind, describeBehind(vm))
+		}
+	}
+	return behind, total
+}
+
+func describeBehind(vm operator.EntryVM) string {
+	if vm.Missing {
+		return fmt.Sprintf("%s in %s (missing)", vm.ID, vm.Domain)
+	}
+	return fmt.Sprintf("%s in %s (at offset %d)", vm.ID, vm.Domain, vm.Applied)
+}
+
+func notEverywhere(wait time.Duration, behind []string, asked bool, err error) error {
+	if !asked {
+		return &exitError{exitNotEverywhere, fmt.Errorf("published, but can't tell where it is in force: %w", err)}
+	}
+	return &exitError{exitNotEverywhere, fmt.Errorf("published, but not in force after %s on: %s", wait, strings.Join(behind, ", "))}
+}
--- /dev/null
+++ b/cmd/bergamotreel/status.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bergamotreel/operator"
+)
+
+// maxRows bounds each table of the status unless all rows are asked for.
+const maxRows = 40
+
+// statusCommand is the verb "status".
+type statusCommand struct {
+	connection *connection
+	asJSON     bool
+	all        bool
+}
+
+// statusVerb answers what an operator asks first.
+func statusVerb() verb {
+	s := &statusCommand{connection: newConnection()}
+	return verb{
+		name:   "status",
+		help:   "which contracts are in force where, what is loaded, refused, missing and behind",
+		attach: s.attach,
+		run:    s.run,
+	}
+}
+
+func (s *statusCommand) attach(sub *flaggy.Subcommand) {
+	sub.Bool(&s.asJSON, "j", "json", "print JSON for programs")
+	sub.Bool(&s.all, "a", "all", fmt.Sprintf("print all rows of each table, not the first %d", maxRows))
+	s.connection.attach(sub)
+}
+
+func (s *statusCommand) run(ctx context.Context, out io.Writer) error {
+	op, err := s.connection.open()
+	if err != nil {
+		return err
+	}
+	report, err := op.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	page := statusPage{out: out, now: time.Now(), rows: maxRows}
+	if s.all {
+		page.rows = len(report.Engines) + len(report.VMs) + len(report.Contracts) + unitCount(report)
+	}
+	return page.print(report)
+}
+
+// statusPage prints a report for people.
+type statusPage struct {
+	out io.Writer
+	now time.Time
+	// rows bounds each table.
+	rows int
+}
+
+func (p statusPage) print(report operator.StatusReport) error {
+	p.printSelf(report)
+	for _, print := range []func(operator.StatusReport) error{
+		p.printVMs, p.printContracts, p.printUnits, p.printEngines, p.printRefusals,
+	} {
+		if err := print(report); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p statusPage) printSelf(report operator.StatusReport) {
+	vm := report.VM
+	ready := "ready"
+	if !vm.Ready {
+		ready = "NOT READY: " + vm.NotReady
+	}
+	fmt.Fprintf(p.out, "%s in %s, region %s: %s, up %s, %s\n", vm.ID, vm.Domain, vm.Region, ready, p.ago(vm.StartedAt), vm.Version)
+	log := report.Log
+	reachable := "reachable"
+	if !log.Reachable {
+		reachable = "OUT OF REACH, last answer " + p.since(log.ReachedAt)
+	}
+	fmt.Fprintf(p.out, "log: %s, offset %d of %d, %d behind, %d records skipped\n", reachable, log.Applied, log.End, log.Lag, log.Skipped)
+	for _, missing := range report.VMs {
+		if missing.Missing {
+			fmt.Fprintf(p.out, "MISSING: %s in %s, last heard %s\n", missing.ID, missing.Domain, p.since(missing.HeardAt))
+		}
+	}
+}
+
+// ago is the time since t, in whole seconds.
+func (p statusPage) ago(t time.Time) string {
+	return p.now.Sub(t).Truncate(time.Second).String()
+}
+
+func (p statusPage) since(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return p.ago(t) + " ago"
+}
+
+func (p statusPage) printVMs(report operator.StatusReport) error {
+	table := p.section("ENTRY VM", "DOMAIN", "OFFSET", "NEWEST CONTRACT", "HEARD", "STATE")
+	for i, vm := range report.VMs {
+		if i == p.rows {
+			break
+		}
+		newest := formatVersion(vm.Newest)
+		if vm.Newest == 0 {
+			newest = "unknown"
+		}
+		table.row(vm.ID, vm.Domain, vm.Applied, newest, p.since(vm.HeardAt), nodeState(vm.Missing, vm.Leaving))
+	}
+	return p.end(table, len(report.VMs))
+}
+
+func nodeState(missing, leaving bool) string {
+	switch {
+	case missing:
+		return "MISSING"
+	case leaving:
+		return "leaving"
+	}
+	return "live"
+}
+
+func (p statusPage) printContracts(report operator.StatusReport) error {
+	table := p.section("CUSTOMER", "VERSION", "IN FORCE ON", "MODELS", "ADAPTERS", "SERVICES")
+	for i, c := range report.Contracts {
+		if i == p.rows {
+			break
+		}
+		behind, total := vmsBehind(report, c.Version)
+		inForce := fmt.Sprintf("%d of %d VMs", total-len(behind), total)
+		if c.Removed {
+			inForce += " (removed)"
+		}
+		table.row(c.Customer, formatVersion(c.Version), inForce, c.Models, c.Adapters, c.Services)
+	}
+	return p.end(table, len(report.Contracts))
+}
+
+// unitLine sums a unit up over all engines.
+type unitLine struct {
+	name, customer string
+	phases         map[operator.Phase]int
+	waiting        operator.WaitingUnit
+}
+
+// unitLines sums the units up: those that are waited for first, by least time left.
+func unitLines(report operator.StatusReport) []*unitLine {
+	type key struct{ name, customer string }
+	lines := map[key]*unitLine{}
+	at := func(name, customer string) *unitLine {
+		k := key{name, customer}
+		if lines[k] == nil {
+			lines[k] = &unitLine{name: name, customer: customer, phases: map[operator.Phase]int{}}
+		}
+		return lines[k]
+	}
+	for _, engine := range report.Engines {
+		for _, unit := range engine.Units {
+			at(unit.Name, unit.Customer).phases[unit.Phase]++
+		}
+	}
+	for _, waiting := range report.Waiting {
+		at(waiting.Name, waiting.Customer).waiting = waiting
+	}
+	return slices.SortedFunc(maps.Values(lines), compareUnitLines)
+}
+
+func compareUnitLines(a, b *unitLine) int {
+	if (a.waiting.Requests > 0) != (b.waiting.Requests > 0) {
+		return cmp.Compare(b.waiting.Requests, a.waiting.Requests)
+	}
+	return cmp.Or(
+		cmp.Compare(a.waiting.TimeLeft, b.waiting.TimeLeft),
+		cmp.Compare(a.name, b.name),
+		cmp.Compare(a.customer, b.customer),
+	)
+}
+
+func unitCount(report operator.StatusReport) int {
+	count := len(report.Waiting)
+	for _, engine := range report.Engines {
+		count += len(engine.Units)
+	}
+	return count
+}
+
+func (p statusPage) printUnits(report operator.StatusReport) error {
+	lines := unitLines(report)
+	table := p.section("MODEL", "CUSTOMER", "LOADED", "LOADING", "UNLOADING", "STANDBY", "WAITING", "TIME LEFT")
+	for i, line := range lines {
+		if i == p.rows {
+			break
+		}
+		left := "-"
+		if line.waiting.Requests > 0 {
+			left = line.waiting.TimeLeft.Truncate(time.Millisecond).String()
+		}
+		table.row(line.name, line.customer,
+			line.phases[operator.PhaseLoaded], line.phases[operator.PhaseLoading],
+			line.phases[operator.PhaseUnloading], line.phases[operator.PhaseStandby],
+			line.waiting.Requests, left)
+	}
+	return p.end(table, len(lines))
+}
+
+func (p statusPage) printEngines(report operator.StatusReport) error {
+	table := p.section("ENGINE", "DOMAIN", "KEEPER", "TOKENS", "MEMORY", "STATE")
+	for i, e := range report.Engines {
+		if i == p.rows {
+			break
+		}
+		keeper := cmp.Or(e.Keeper, "none")
+		tokens := "ignored"
+		if e.ChecksTokens {
+			tokens = "checked"
+		}
+		memory := formatGB(e.UsedBytes) + " of " + formatGB(e.MemoryBytes)
+		table.row(e.Name, e.Domain, keeper, tokens, memory, nodeState(e.Missing, e.Leaving))
+	}
+	return p.end(table, len(report.Engines))
+}
+
+// formatGB writes a size in decimal gigabytes, as contracts do.
+func formatGB(bytes int64) string {
+	return strconv.FormatFloat(float64(bytes)/1e9, 'f', 1, 64) + "GB"
+}
+
+func (p statusPage) printRefusals(report operator.StatusReport) error {
+	table := p.section("REFUSED HERE", "REASON", "COUNT")
+	for i, r := range report.Refusals {
+		if i == p.rows {
+			break
+		}
+		table.row(cmp.Or(r.Customer, "(unknown)"), r.Code, r.Count)
+	}
+	return p.end(table, len(report.Refusals))
+}
+
+func (p statusPage) section(columns ...string) table {
+	fmt.Fprintln(p.out)
+	return newTable(p.out, columns...)
+}
+
+// end prints the table and says how many rows were left out.
+func (p statusPage) end(table table, rows int) error {
+	if err := table.flush(); err != nil {
+		return err
+	}
+	if rows == 0 {
+		fmt.Fprintln(p.out, "none")
+	}
+	if rows > p.rows {
+		fmt.Fprintf(p.out, "... and %d more (-all prints them)\n", rows-p.rows)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bergamotreel/version.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+)
+
+// versionVerb prints which build this is.
+func versionVerb() verb {
+	return verb{
+		name:   "version",
+		help:   "print the version of this program",
+		attach: func(*flaggy.Subcommand) {},
+		run: func(_ context.Context, out io.Writer) error {
+			_, err := fmt.Fprintln(out, versionLine())
+			return err
+		},
+	}
+}
+
+// versionLine says which build this is, as the toolchain recorded it.
+func versionLine() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "bergamotreel (build unknown)"
+	}
+	return describeBuild(info)
+}
+
+func describeBuild(info *debug.BuildInfo) string {
+	line := "bergamotreel " + info.Main.Version
+	values := map[string]string{}
+	for _, setting := range info.Settings {
+		values[setting.Key] = setting.Value
+	}
+	if revision := values["vcs.revision"]; revision != "" {
+		line += ", commit " + revision
+	}
+	if values["vcs.modified"] == "true" {
+		line += " (changed)"
+	}
+	return line + ", " + info.GoVersion
+}
