admission: Share limits and pools over all entry VMs

Cause: each entry VM admitted the whole limit of a contract, and a burst could take every slot of a pool. A VM now takes its part of the limit by its part of the demand, from digests that lag; until its demand was announced it takes an even share at most. What a VM has no token for yet is held, not refused. The pool's reserve is kept from customers above their fair share.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -32,7 +32,8 @@
 	Cost float64
 }
 
-// phase is how far a ticket is. It only moves held → queued ⇄ running → ended.
+// phase is how far a ticket is. It moves held → queued ⇄ running → ended, and
+// from any phase to ended.
 type phase int
 
 const (
@@ -48,26 +49,30 @@
 	Request
 	// Attempts counts how often Next handed it out.
 	Attempts int
-	// Surplus is whether its customer already runs more than its fair share of
-	// the pool. The owner keeps the pool's reserve of slots free of such tickets.
-	// Next sets it before it asks whether the ticket fits.
+	// Surplus is whether its customer uses more than its fair share of the pool.
+	// The owner keeps the pool's reserve of slots free of such tickets (see
+	// routing.Query). Next sets it before it asks whether the ticket fits.
 	Surplus bool
 
-	phase    phase
-	sequence uint64 // order of arrival on this entry VM
-	charged  float64
+	phase      phase
+	sequence   uint64  // order of arrival on this entry VM
+	charged    float64 // virtual time that the running attempt cost its customer
+	dispatched time.Time
+	heapIndex  int // in its pool's deadlines, while it waits
 }
 
 // Ended tells whether the ticket has had its one end.
 func (t *Ticket) Ended() bool { return t.phase == phaseEnded }
 
+func (t *Ticket) waits() bool { return t.phase == phaseHeld || t.phase == phaseQueued }
+
 // Outcome is how a dispatched request ended.
 type Outcome struct {
 	// OK is whether the whole answer was delivered.
 	OK bool
 	// FirstToken is the time from dispatch to the first token; 0 if none came.
 	FirstToken time.Duration
-	// Served is the time from dispatch to the end of the answer.
+	// Served is the time from dispatch to the end of the answer; 0 if unknown.
 	Served time.Duration
 }
 
@@ -80,7 +85,8 @@
 // Usage is one customer's traffic on this entry VM, smoothed over UsageWindow.
 type Usage struct {
 	Customer string
-	// Admitted and Arrived are requests a second.
+	// Admitted and Arrived are requests a second. Arrived counts refused ones
+	// too: it is the demand by which the VMs divide the customer's limit.
 	Admitted, Arrived float64
 }
 
@@ -88,7 +94,8 @@
 type PeerUsage struct {
 	// Admitted and Arrived are requests a second.
 	Admitted, Arrived float64
-	// VMs is how many other entry VMs the sum is over.
+	// VMs is how many other entry VMs named the customer; it is informative, as
+	// VMs leave out customers without traffic.
 	VMs int
 }
 
@@ -106,8 +113,11 @@
 // Config holds the policy. The zero value of a field takes its default.
 type Config struct {
 	// MaxQueued bounds the waiting requests of all customers on this entry VM.
+	// A customer below its even share may queue beyond it, up to half as much
+	// again in all, so that a few customers' full queues shut nobody out.
 	MaxQueued int
-	// MaxTokenWait is how long a request may be held for its customer's rate.
+	// MaxTokenWait is how long a request may be held for its customer's rate, on
+	// top of the time in which the contract's burst accrues.
 	MaxTokenWait time.Duration
 	// PeersStale is the age of SetPeers from which this VM counts as cut off.
 	PeersStale time.Duration
@@ -120,7 +130,8 @@
 	// DefaultCustomerQueued stands in for a contract without a queue bound.
 	DefaultCustomerQueued = 100
 	// DefaultMaxTokenWait covers the second in which an unused share moves to
-	// the entry VM that needs it, and the same again for its tokens to accrue.
+	// the entry VM that needs it, and as much for a guess that was too short. A
+	// burst within the contract that meets one entry VM is thus held, not refused.
 	DefaultMaxTokenWait = 2 * time.Second
 	// DefaultPeersStale is several digests; shorter would take a slow network
 	// for a partition.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"bergamotreel/contract"
@@ -14,31 +12,47 @@
 type Controller struct {
 	cfg       Config
 	customers map[string]*customer
-	pools     map[string]*pool
-	expected  map[string]time.Time // when a unit that is being loaded is ready
-	fleet     fleet
-	peersAt   time.Time // of the last SetPeers
-	waiting   int
-	sequence  uint64
+	// holding are the customers with tickets held for their rate.
+	holding map[*customer]bool
+	pools   map[string]*pool
+	// expected is when a unit whose load is under way is ready.
+	expected map[string]time.Time
+	// rates is each pool's traffic over all entry VMs, as of the last SetPeers.
+	rates map[string]usage
+
+	fleet   fleet
+	peersAt time.Time // of the last SetPeers
+	lastNow time.Time // the newest time seen
+
+	waiting  int
+	sequence uint64
+	// recheck is whether something changed that may make waiting tickets late.
+	recheck   bool
+	checkedAt time.Time
 }
 
 // customer is one customer's state on this entry VM.
 type customer struct {
 	name     string
 	contract *contract.Contract // nil once removed
+	pools    []string           // base models that the contract gives it
 	limit    *sharedLimit
 	held     ticketList // accepted, waiting for the rate
 	waiting  int        // held and queued
 	running  int
+	drain    meter   // waiting tickets that were dispatched
+	rate     float64 // admitted over all entry VMs, requests a second
 }
 
-// New makes a controller without contracts.
+// New makes a controller without contracts, for a single entry VM until SetVMs.
 func New(cfg Config) *Controller {
 	return &Controller{
 		cfg:       cfg.withDefaults(),
 		customers: map[string]*customer{},
+		holding:   map[*customer]bool{},
 		pools:     map[string]*pool{},
 		expected:  map[string]time.Time{},
+		rates:     map[string]usage{},
 		fleet:     fleet{live: 1},
 	}
 }
@@ -55,54 +69,60 @@
 			known = &customer{name: name, limit: newSharedLimit(k.RequestsPerSecond, k.Burst)}
 			c.customers[name] = known
 		}
-		known.contract = k
 		known.limit.set(k.RequestsPerSecond, k.Burst)
+		if known.contract != k {
+			known.contract = k
+			known.pools = poolsOf(k)
+		}
 	}
 	for name, known := range c.customers {
 		if contracts[name] != nil {
 			continue
 		}
 		known.contract = nil
-		if known.waiting+known.running == 0 {
-			delete(c.customers, name)
-		}
+		c.recheck = true
+		c.forgetIfGone(known)
 	}
 }
 
-// SetVMs tells how many entry VMs are live, this one included, and how many of
-// the others were heard lately.
-func (c *Controller) SetVMs(live, heard int) {
-	c.fleet = fleet{live: max(live, heard+1, 1), heard: max(heard, 0)}
+func poolsOf(k *contract.Contract) []string {
+	var pools []string
+	seen := map[string]bool{}
+	for _, unit := range k.Units() {
+		name := unit.Base
+		if name == "" {
+			name = unit.Name
+		}
+		if !seen[name] {
+			seen[name] = true
+			pools = append(pools, name)
+		}
+	}
+	return pools
 }
 
-// SetPeers gives the usage of the other entry VMs; customers that are left out
-// are idle there.
-func (c *Controller) SetPeers(now time.Time, usage map[string]PeerUsage) {
-	c.peersAt = now
-	for name, known := range c.customers {
-		known.limit.peers = usage[name]
-		known.limit.adjust(now, c.fleetAt(now))
+func (c *Controller) forgetIfGone(known *customer) {
+	if known.contract == nil && known.waiting+known.running == 0 {
+		delete(c.customers, known.name)
 	}
 }
 
-// fleetAt is the fleet as it must be taken now: with no news for PeersStale,
-// the others may use all of their shares.
-func (c *Controller) fleetAt(now time.Time) fleet {
-	if now.Sub(c.peersAt) > c.cfg.PeersStale {
-		return fleet{live: c.fleet.live}
+func (k *customer) weight() float64 {
+	if k.contract == nil {
+		return 1
 	}
-	return c.fleet
+	return float64(max(k.contract.Weight, 1))
 }
 
 // Arrive takes a request, or refuses it: over its contract's rate or queue, or
 // known to miss its longest wait. The ticket waits until Next hands it out.
 func (c *Controller) Arrive(now time.Time, r Request) (*Ticket, *refusal.Refusal) {
+	c.lastNow = now
 	known := c.customers[r.Customer]
 	if known == nil || known.contract == nil {
 		return nil, refusal.New(refusal.CodeUnknownKey, 0, "no contract for customer %q", r.Customer)
 	}
 	known.limit.arrived.add(now, 1, UsageWindow)
-	known.limit.adjust(now, c.fleetAt(now))
 	c.release(now, known)
 	if r.Cost <= 0 {
 		r.Cost = 1
@@ -112,68 +132,67 @@
 	}
 	c.sequence++
 	t := &Ticket{Request: r, sequence: c.sequence}
-	c.waiting++
-	known.waiting++
+	c.wait(t)
 	if len(known.held) == 0 && known.limit.take(now) {
-		c.enqueue(known, t)
+		c.enqueue(now, known, t)
 		return t, nil
 	}
-	t.phase = phaseHeld
 	known.held.insert(t)
+	known.limit.held = len(known.held)
+	c.holding[known] = true
 	return t, nil
 }
 
-func (c *Controller) refuseArrival(now time.Time, known *customer, r Request) *refusal.Refusal {
-	bound := known.contract.MaxQueued
-	if bound <= 0 {
-		bound = DefaultCustomerQueued
-	}
-	if known.waiting >= bound || c.waiting >= c.cfg.MaxQueued {
-		return refusal.New(refusal.CodeQueueFull, time.Second, "%d requests of customer %s wait already", known.waiting, known.name)
-	}
-	wait := known.limit.wait(now, len(known.held)+1)
-	if wait > c.cfg.MaxTokenWait || (wait > 0 && now.Add(wait).After(r.Deadline)) {
-		return refusal.New(refusal.CodeRateLimited, wait, "customer %s is over its rate of %g requests a second", known.name, known.contract.RequestsPerSecond)
-	}
-	return c.tooLate(now, r)
+// wait counts a ticket as waiting.
+func (c *Controller) wait(t *Ticket) {
+	c.waiting++
+	c.customers[t.Customer].waiting++
+	c.pool(t.Pool).deadlines.add(t)
 }
 
-// tooLate refuses a request that cannot make its longest wait.
-func (c *Controller) tooLate(now time.Time, r Request) *refusal.Refusal {
-	if !now.Before(r.Deadline) {
-		return refusal.New(refusal.CodeWaitTooLong, time.Second, "%s was not ready within the longest wait", r.Unit)
-	}
-	at, known := c.expected[r.Unit]
-	if known && at.After(r.Deadline) {
-		return refusal.New(refusal.CodeWaitTooLong, at.Sub(now), "%s is expected in %s, after the longest wait", r.Unit, at.Sub(now).Round(time.Millisecond))
+// unwait ends what wait began.
+func (c *Controller) unwait(t *Ticket) {
+	c.waiting--
+	c.customers[t.Customer].waiting--
+	c.pools[t.Pool].deadlines.remove(t)
+}
+
+func (c *Controller) pool(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = newPool()
+		c.pools[name] = p
 	}
-	return nil
+	return p
 }
 
-// release moves held tickets on as far as the customer's rate allows.
+// release moves a customer's held tickets on as far as its rate allows.
 func (c *Controller) release(now time.Time, known *customer) {
+	known.limit.adjust(now, c.fleetAt(now))
 	for len(known.held) > 0 && known.limit.take(now) {
 		t := known.held[0]
-		known.held.remove(t)
-		c.enqueue(known, t)
+		c.unhold(known, t)
+		c.enqueue(now, known, t)
 	}
 }
 
-func (c *Controller) enqueue(known *customer, t *Ticket) {
-	t.phase = phaseQueued
-	p := c.pools[t.Pool]
-	if p == nil {
-		p = newPool()
-		c.pools[t.Pool] = p
+func (c *Controller) releaseAll(now time.Time) {
+	for known := range c.holding {
+		c.release(now, known)
 	}
-	p.add(t, known.weight())
 }
 
-func (k *customer) weight() float64 {
-	if k.contract == nil {
-		return 1
+func (c *Controller) unhold(known *customer, t *Ticket) {
+	known.held.remove(t)
+	known.limit.held = len(known.held)
+	if len(known.held) == 0 {
+		delete(c.holding, known)
 	}
-	return float64(max(k.contract.Weight, 1))
+}
+
+func (c *Controller) enqueue(now time.Time, known *customer, t *Ticket) {
+	t.phase = phaseQueued
+	c.pool(t.Pool).add(now, t, known.weight())
 }
 
 // Next takes the next ticket of the pool for which fits answers true: weighted
@@ -181,172 +200,95 @@
 // returns nil if there is none. fits may be asked about several tickets, and
 // must not call the controller.
 func (c *Controller) Next(now time.Time, poolName string, fits func(*Ticket) bool) *Ticket {
-	for _, known := range c.customers {
-		if len(known.held) > 0 {
-			known.limit.adjust(now, c.fleetAt(now))
-			c.release(now, known)
-		}
-	}
+	c.lastNow = now
+	c.releaseAll(now)
 	p := c.pools[poolName]
-	if p == nil {
+	if p == nil || len(p.active) == 0 {
 		return nil
 	}
-	t := p.pick(func(t *Ticket) bool {
+	inTime := func(t *Ticket) bool {
 		return now.Before(t.Deadline) && (fits == nil || fits(t))
-	})
+	}
+	surplus := func(f *flow) bool { return c.surplus(now, poolName, p, f) }
+	t := p.pick(now, surplus, inTime)
 	if t == nil {
 		return nil
 	}
+	c.unwait(t)
 	t.phase = phaseRunning
 	t.Attempts++
-	c.waiting--
+	t.dispatched = now
 	known := c.customers[t.Customer]
-	known.waiting--
 	known.running++
+	known.drain.add(now, 1, drainWindow)
 	return t
 }
 
+// surplus tells whether a customer uses more than its fair share of a pool: of
+// what runs from here, or by its traffic at all entry VMs. The second is for a
+// burst at one VM beside others at other VMs, which only digests tell of.
+func (c *Controller) surplus(now time.Time, poolName string, p *pool, f *flow) bool {
+	if p.surplus(now, f) {
+		return true
+	}
+	return overFair(c.customers[f.customer].rate, f.weight, c.rates[poolName])
+}
+
 // Requeue puts back a ticket whose attempt ended before anything ran. It keeps
 // its place: its priority, deadline and time of arrival, and it is not charged
 // for the attempt. It ignores the queue bounds, as the ticket was accepted.
 func (c *Controller) Requeue(now time.Time, t *Ticket) {
+	c.lastNow = now
 	if t.phase != phaseRunning {
 		return
 	}
 	known := c.customers[t.Customer]
 	known.running--
-	known.waiting++
-	c.waiting++
-	p := c.pools[t.Pool]
-	p.release(t)
-	p.refund(t)
-	c.enqueue(known, t)
+	c.pools[t.Pool].release(now, t, 0)
+	c.wait(t)
+	c.enqueue(now, known, t)
+	c.recheck = c.recheck || known.contract == nil
+	if _, loading := c.expected[t.Unit]; loading {
+		c.recheck = true
+	}
 }
 
 // Finish ends a ticket that was handed out.
 func (c *Controller) Finish(now time.Time, t *Ticket, o Outcome) {
+	c.lastNow = now
 	if t.phase != phaseRunning {
 		return
 	}
-	c.end(t)
+	p := c.pools[t.Pool]
+	p.learn(now, o)
+	c.end(now, t, o.Served)
 }
 
 // Leave ends a ticket whose caller went away, at any point.
-func (c *Controller) Leave(now time.Time, t *Ticket) { c.end(t) }
+func (c *Controller) Leave(now time.Time, t *Ticket) {
+	c.lastNow = now
+	c.end(now, t, now.Sub(t.dispatched))
+}
 
-func (c *Controller) end(t *Ticket) {
+// end is the one end of a ticket. served counts only for one that was running.
+func (c *Controller) end(now time.Time, t *Ticket, served time.Duration) {
+	if t.phase == phaseEnded {
+		return
+	}
 	known := c.customers[t.Customer]
+	p := c.pools[t.Pool]
 	switch t.phase {
-	case phaseEnded:
-		return
 	case phaseHeld:
-		known.held.remove(t)
+		c.unhold(known, t)
 	case phaseQueued:
-		c.pools[t.Pool].remove(t)
+		p.remove(t)
 	case phaseRunning:
 		known.running--
-		c.pools[t.Pool].release(t)
+		p.release(now, t, p.actualCost(t, served))
 	}
-	if t.phase != phaseRunning {
-		known.waiting--
-		c.waiting--
+	if t.waits() {
+		c.unwait(t)
 	}
 	t.phase = phaseEnded
-}
-
-// Expire ends the waiting tickets that cannot make their longest wait any more
-// and moves on those held for their customer's rate. The owner answers each
-// with its refusal, then asks Next of each pool.
-func (c *Controller) Expire(now time.Time) []Expired {
-	var expired []Expired
-	for _, known := range c.customers {
-		known.limit.adjust(now, c.fleetAt(now))
-		c.release(now, known)
-	}
-	for _, t := range c.tickets() {
-		refused := c.tooLate(now, t.Request)
-		if known := c.customers[t.Customer]; known.contract == nil {
-			refused = refusal.New(refusal.CodeUnknownKey, 0, "the contract of customer %s has ended", t.Customer)
-		}
-		if refused == nil {
-			continue
-		}
-		c.end(t)
-		expired = append(expired, Expired{Ticket: t, Refusal: refused})
-	}
-	return expired
-}
-
-// tickets lists all waiting tickets by arrival.
-func (c *Controller) tickets() []*Ticket {
-	var all []*Ticket
-	for _, known := range c.customers {
-		all = append(all, known.held...)
-	}
-	for _, p := range c.pools {
-		for _, f := range p.active {
-			all = append(all, f.waiting...)
-		}
-	}
-	slices.SortFunc(all, func(a, b *Ticket) int { return cmp.Compare(a.sequence, b.sequence) })
-	return all
-}
-
-// NextExpiry is when Expire should be called next, if nothing else happens: a
-// deadline passes, or a ticket held for its customer's rate may go on.
-func (c *Controller) NextExpiry() (time.Time, bool) {
-	var next time.Time
-	for _, t := range c.tickets() {
-		if next.IsZero() || t.Deadline.Before(next) {
-			next = t.Deadline
-		}
-	}
-	return next, !next.IsZero()
-}
-
-// Expect tells when capacity for a unit is expected, as a load of it is under
-// way; known false forgets it, as the unit is ready or the load failed. The
-// next Expire refuses those who cannot wait so long.
-func (c *Controller) Expect(unit string, at time.Time, known bool) {
-	if !known {
-		delete(c.expected, unit)
-		return
-	}
-	c.expected[unit] = at
-}
-
-// Usage is the traffic of each customer here, for the digest to the others.
-func (c *Controller) Usage(now time.Time) []Usage {
-	var usage []Usage
-	for name, known := range c.customers {
-		usage = append(usage, known.limit.announce(now, name))
-	}
-	slices.SortFunc(usage, func(a, b Usage) int { return cmp.Compare(a.Customer, b.Customer) })
-	return usage
-}
-
-// Demand is what waits here, by unit and customer.
-func (c *Controller) Demand(now time.Time) []Demand {
-	type key struct{ unit, customer string }
-	byKey := map[key]*Demand{}
-	var order []key
-	for _, t := range c.tickets() {
-		k := key{t.Unit, t.Customer}
-		d := byKey[k]
-		if d == nil {
-			d = &Demand{Unit: t.Unit, Customer: t.Customer, Earliest: t.Deadline, Priority: t.Priority}
-			byKey[k] = d
-			order = append(order, k)
-		}
-		d.Waiting++
-		d.Priority = max(d.Priority, t.Priority)
-		if t.Deadline.Before(d.Earliest) {
-			d.Earliest = t.Deadline
-		}
-	}
-	demand := make([]Demand, 0, len(order))
-	for _, k := range order {
-		demand = append(demand, *byKey[k])
-	}
-	return demand
+	c.forgetIfGone(known)
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,12 +4,32 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
-// fitsPerUnit bounds how many waiting requests of one unit Next asks about: a
-// few may have failed on the engine that is free, but if four don't fit, the
-// unit has no room.
-const fitsPerUnit = 4
+const (
+	// fitsPerUnit bounds how many waiting requests of one unit Next asks about: a
+	// few may have failed on the engine that is free, but if four don't fit, the
+	// unit has no room.
+	fitsPerUnit = 4
+	// flowIdle is how long a customer counts as present in a pool after its last
+	// request: about the pause between two requests of one person.
+	flowIdle = time.Minute
+	// servedWeight is how much one request moves a pool's mean time of service.
+	servedWeight = 0.05
+	// servedLeast is how many requests the mean needs before it is believed.
+	servedLeast = 8
+	// costMost bounds what one request is charged after the fact, so that one
+	// hung stream does not shut its customer out for long.
+	costMost = 10
+	// surplusMargin keeps rounding from marking a customer that is alone.
+	surplusMargin = 1.001
+	// surplusPeak is the part of the highest use from which a customer counts as
+	// one of those that fill the pool.
+	surplusPeak = 0.5
+	// peakEvery bounds how often the highest use is looked for.
+	peakEvery = 100 * time.Millisecond
+)
 
 // compareTickets orders one customer's tickets: priority, earliest deadline,
 // arrival.
@@ -42,10 +62,15 @@
 	customer string
 	weight   float64
 	waiting  ticketList
-	running  float64 // cost handed out and not ended
+	paces    map[string]*pace // by unit, while some wait
+	running  int
+	cost     float64 // of those running
 	start    float64 // virtual time of its next turn
+	seen     time.Time
 }
 
+func (f *flow) idle() bool { return f.running == 0 && len(f.waiting) == 0 }
+
 func compareFlows(a, b *flow) int {
 	if c := cmp.Compare(a.start, b.start); c != 0 {
 		return c
@@ -53,22 +78,40 @@
 	return strings.Compare(a.customer, b.customer)
 }
 
-// pool is the waiting requests of one base model, shared by start-time fair
-// queueing: the customer with the lowest virtual start goes next, and each
-// request moves its customer's start on by cost ÷ weight. So a burst moves only
-// its own customer back.
+// pool is the requests of one base model, shared by start-time fair queueing:
+// the customer with the lowest virtual start goes next, and each request moves
+// its customer's start on by cost ÷ weight. So a burst moves only its own
+// customer back.
 type pool struct {
 	flows map[string]*flow
 	// active are the flows with waiting tickets, in the order of compareFlows.
 	active []*flow
 	// virtual is the highest virtual start served.
 	virtual float64
-	// misses counts tickets that did not fit, by unit, within one pick.
-	misses map[string]int
+	// cost and weight are the sums over flows.
+	cost, weight float64
+	// peak is the highest cost ÷ weight of a flow, as of peakAt.
+	peak   float64
+	peakAt time.Time
+	// deadlines are the tickets that wait, those held for the rate included.
+	deadlines deadlines
+	tokens    firstTokens
+	// served is the mean time a request takes a slot, in seconds.
+	served      float64
+	servedCount int
+	// misses counts tickets that did not fit within one pick.
+	misses map[miss]int
+}
+
+// miss is a kind of ticket that did not fit: one of a customer with surplus use
+// says nothing about the others, for whom the reserve is kept.
+type miss struct {
+	unit    string
+	surplus bool
 }
 
 func newPool() *pool {
-	return &pool{flows: map[string]*flow{}, misses: map[string]int{}}
+	return &pool{flows: map[string]*flow{}, misses: map[miss]int{}}
 }
 
 func (p *pool) activate(f *flow) {
@@ -82,13 +125,21 @@
 	}
 }
 
-func (p *pool) add(t *Ticket, weight float64) {
-	f := p.flows[t.Customer]
+// flow returns the customer's flow, a new one from the present virtual time.
+func (p *pool) flow(customer string) *flow {
+	f := p.flows[customer]
 	if f == nil {
-		f = &flow{customer: t.Customer}
-		p.flows[t.Customer] = f
+		f = &flow{customer: customer, start: p.virtual, paces: map[string]*pace{}}
+		p.flows[customer] = f
 	}
+	return f
+}
+
+func (p *pool) add(now time.Time, t *Ticket, weight float64) {
+	f := p.flow(t.Customer)
+	p.weight += weight - f.weight
 	f.weight = weight
+	f.seen = now
 	if len(f.waiting) == 0 {
 		// An idle customer saves no turns up, else it could come back and shut
 		// the others out.
@@ -96,94 +147,155 @@
 		p.activate(f)
 	}
 	f.waiting.insert(t)
+	if f.paces[t.Unit] == nil {
+		f.paces[t.Unit] = &pace{since: now}
+	}
+	f.paces[t.Unit].waiting++
 }
 
+// remove takes a ticket that leaves without having been served.
 func (p *pool) remove(t *Ticket) {
 	f := p.flows[t.Customer]
-	if f == nil {
-		return
-	}
 	f.waiting.remove(t)
+	f.paces[t.Unit].waiting--
+	p.settle(f, t.Unit)
 	if len(f.waiting) == 0 {
 		p.deactivate(f)
 	}
 }
 
+// settle forgets the unit's pace once none of it wait.
+func (p *pool) settle(f *flow, unit string) {
+	if f.paces[unit].waiting == 0 {
+		delete(f.paces, unit)
+	}
+}
+
 // pick takes the ticket whose turn it is among those that fit.
-func (p *pool) pick(fits func(*Ticket) bool) *Ticket {
+func (p *pool) pick(now time.Time, surplus func(*flow) bool, fits func(*Ticket) bool) *Ticket {
 	clear(p.misses)
-	surplus := p.surplusAbove()
 	for _, f := range p.active {
+		over := surplus(f)
 		for _, t := range f.waiting {
-			if p.misses[t.Unit] >= fitsPerUnit {
+			kind := miss{unit: t.Unit, surplus: over}
+			if p.misses[kind] >= fitsPerUnit {
 				continue
 			}
-			t.Surplus = f.running/f.weight > surplus
-			if fits == nil || fits(t) {
-				p.serve(f, t)
+			t.Surplus = over
+			if fits(t) {
+				p.serve(now, f, t)
 				return t
 			}
-			p.misses[t.Unit]++
+			p.misses[kind]++
 		}
 	}
 	return nil
 }
 
-// surplusAbove is the running cost per weight that is the even share.
-func (p *pool) surplusAbove() float64 {
-	var running, weight float64
-	for _, f := range p.flows {
-		if f.running > 0 || len(f.waiting) > 0 {
-			running += f.running
-			weight += f.weight
+// surplus tells whether the flow runs more than its fair share of what this VM
+// runs for the customers present.
+func (p *pool) surplus(now time.Time, f *flow) bool {
+	if now.Sub(p.peakAt) >= peakEvery {
+		p.peak, p.peakAt = 0, now
+		for _, other := range p.flows {
+			p.peak = max(p.peak, other.cost/other.weight)
 		}
 	}
-	if weight == 0 {
-		return 0
-	}
-	return running / weight
+	return overFair(f.cost, f.weight, usage{sum: p.cost, weight: p.weight, peak: p.peak})
+}
+
+// usage is what the customers of a pool use together.
+type usage struct {
+	sum, weight float64
+	peak        float64 // the most that one uses, by its weight
+}
+
+// overFair tells whether a customer uses more than its fair share: above the
+// even share by weight, and not far below the one that uses most. The second is
+// for customers that happen to have some requests more than usual beside a
+// burst: what they leave of their even shares is not theirs to pay for.
+func overFair(used, weight float64, all usage) bool {
+	return used*all.weight > surplusMargin*all.sum*weight && used > surplusPeak*all.peak*weight
+}
+
+// run counts cost that starts to run, or with a minus sign ends.
+func (p *pool) run(f *flow, cost float64) {
+	p.cost = max(0, p.cost+cost)
+	f.cost = max(0, f.cost+cost)
 }
 
 // serve hands t out and charges its customer. A flow that was passed over, as
 // its unit was not loaded, starts from the present virtual time: it has no claim
 // to turns that it could not have used.
-func (p *pool) serve(f *flow, t *Ticket) {
+func (p *pool) serve(now time.Time, f *flow, t *Ticket) {
 	p.deactivate(f)
 	f.waiting.remove(t)
+	f.paces[t.Unit].serve(now)
+	p.settle(f, t.Unit)
 	p.virtual = max(p.virtual, f.start)
 	t.charged = t.Cost / f.weight
 	f.start = p.virtual + t.charged
-	f.running += t.Cost
+	f.running++
+	p.run(f, t.Cost)
+	f.seen = now
 	if len(f.waiting) > 0 {
 		p.activate(f)
 	}
 }
 
-// release ends t's stay on an engine; what is left over from empty flows goes.
-func (p *pool) release(t *Ticket) {
+// release ends t's stay on an engine, and charges its customer the difference
+// between what the attempt cost and what it was expected to.
+func (p *pool) release(now time.Time, t *Ticket, cost float64) {
 	f := p.flows[t.Customer]
-	if f == nil {
-		return
-	}
-	f.running = max(0, f.running-t.Cost)
-	if f.running == 0 && len(f.waiting) == 0 && f.start <= p.virtual {
-		delete(p.flows, t.Customer)
-	}
-}
-
-// refund takes back the charge of an attempt in which nothing ran.
-func (p *pool) refund(t *Ticket) {
-	f := p.flows[t.Customer]
-	if f == nil {
-		return
-	}
+	f.running--
+	p.run(f, -t.Cost)
+	f.seen = now
 	listed := len(f.waiting) > 0
 	if listed {
 		p.deactivate(f)
 	}
-	f.start -= t.charged
+	f.start += cost/f.weight - t.charged
 	t.charged = 0
 	if listed {
 		p.activate(f)
 	}
 }
+
+// actualCost turns a time of service into cost.
+func (p *pool) actualCost(t *Ticket, served time.Duration) float64 {
+	if served <= 0 || p.servedCount < servedLeast || p.served <= 0 {
+		return t.Cost
+	}
+	return min(served.Seconds()/p.served, costMost)
+}
+
+// learn feeds the estimates with a request that ended.
+func (p *pool) learn(now time.Time, o Outcome) {
+	if o.FirstToken > 0 {
+		p.tokens.add(now, o.FirstToken)
+	}
+	if !o.OK || o.Served <= 0 {
+		return
+	}
+	p.servedCount++
+	weight := max(servedWeight, 1/float64(p.servedCount))
+	p.served += weight * (o.Served.Seconds() - p.served)
+}
+
+// prune forgets flows that have been idle for flowIdle.
+func (p *pool) prune(now time.Time) {
+	for name, f := range p.flows {
+		if f.idle() && now.Sub(f.seen) > flowIdle {
+			p.weight -= f.weight
+			delete(p.flows, name)
+		}
+	}
+}
+
+// latestStart is when a ticket must be dispatched to make its deadline: the
+// quickest first token before it. At most half of the whole wait is taken off,
+// as an engine that is slow now may be quick when its turn comes.
+func (p *pool) latestStart(now time.Time, t *Ticket) time.Time {
+	half := t.Deadline.Sub(t.Arrived) / 2
+	return t.Deadline.Add(-min(p.tokens.quickest(now), max(half, 0)))
+}
