Prove that a call is sent once and "not sent" is true

Cause: net/http repeats requests it takes for idempotent on a reused connection that breaks before the answer; a booking would be made twice. A request given up before its write may still be written a moment later. Ruled out: GetBody unset alone (an empty body stays repeatable); httptrace.WroteHeaders (fires before the flush).

--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,139 @@
+package engine_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"bergamotreel/engine"
+)
+
+// answering answers every request with the same status and body.
+type answering struct {
+	status int
+	id     string
+	body   string
+}
+
+func (a answering) RoundTrip(request *http.Request) (*http.Response, error) {
+	header := http.Header{engine.HeaderRequestID: {a.id}}
+	return &http.Response{
+		StatusCode: a.status, Header: header, Request: request,
+		Body: io.NopCloser(strings.NewReader(a.body)),
+	}, nil
+}
+
+func clientOf(a answering) *engine.HTTPClient {
+	return engine.NewClient(&http.Client{Transport: a})
+}
+
+func event(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+
+// The caller sees the whole answer to its own request, or a broken stream that
+// can be resumed; never half an answer, a piece twice or another's piece.
+// The engine mixes up, loses or repeats events, or its process ends and the
+// connection closes in good order.
+func TestStreamOfAnotherShapeIsBroken(t *testing.T) {
+	one, two := event(1, chunkOf("r", "null")), event(2, chunkOf("r", `"stop"`))
+	done := event(3, "[DONE]")
+	usage := event(3, `{"id":"r","choices":[],"usage":{"total_tokens":9}}`)
+	spaced := event(1, `{ "object":"x", "id" : "r", "choices":[{"finish_reason":"stop"}]}`)
+	for name, c := range map[string]struct {
+		body  string
+		whole bool
+	}{
+		"whole":                       {one + two + done, true},
+		"whole with usage":            {one + two + usage + event(4, "[DONE]"), true},
+		"id not in front":             {spaced + event(2, "[DONE]"), true},
+		"comment between":             {one + ": keep-alive\n\n" + two + done, true},
+		"body ends early":             {one, false},
+		"body ends within an event":   {one + two + "id: 3\ndata: [DONE]\n", false},
+		"body ends without the end":   {one + two, false},
+		"empty body":                  {"", false},
+		"gap":                         {two + done, false},
+		"repeat":                      {one + one + two + done, false},
+		"event without position":      {one + "data: " + chunkOf("r", `"stop"`) + "\n\n" + done, false},
+		"position is no number":       {"id: x\ndata: {}\n\n", false},
+		"other stream's chunk":        {one + event(2, chunkOf("r2", `"stop"`)) + done, false},
+		"id that starts alike":        {event(1, chunkOf("r-2", `"stop"`)) + event(2, "[DONE]"), false},
+		"chunk without an id":         {event(1, `{"choices":[{"finish_reason":"stop"}]}`) + event(2, "[DONE]"), false},
+		"chunk is not JSON":           {event(1, "{") + event(2, "[DONE]"), false},
+		"other stream's end":          {one + event(2, "[DONE]"), false},
+		"end too far":                 {one + two + event(4, "[DONE]"), false},
+		"usage without finish reason": {one + event(2, `{"id":"r","choices":[]}`) + done, false},
+		"error event":                 {one + "event: error\ndata: out of memory\n\n" + two + done, false},
+	} {
+		stream, err := clientOf(answering{http.StatusOK, "r", c.body}).Generate(t.Context(), "e", engine.Request{ID: "r"})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for err == nil {
+			_, err = stream.Next()
+		}
+		if c.whole && err != io.EOF {
+			t.Errorf("%s: %v", name, err)
+		}
+		if !c.whole && !errors.Is(err, engine.ErrBrokenStream) {
+			t.Errorf("%s: %v instead of a broken stream", name, err)
+		}
+		if _, again := stream.Next(); again != err {
+			t.Errorf("%s: %v after the end", name, again)
+		}
+		stream.Close()
+	}
+}
+
+// The caller hears "not run" only where the engine itself said so.
+// An answer that is no success comes from the engine, or from something else
+// that happens to use the same status. Only status and code together count.
+func TestOnlyTheEnginesOwnWordIsARefusal(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		want   error
+	}{
+		{409, `{"code":"stale_token","highest":7}`, engine.ErrStaleToken},
+		{409, `{"code":"id_conflict"}`, engine.ErrIDConflict},
+		{409, `{"code":"in_use"}`, engine.ErrInUse},
+		{409, `{"code":"wrong_role"}`, engine.ErrWrongRole},
+		{507, `{"code":"no_memory"}`, engine.ErrNoMemory},
+		{404, `{"code":"not_loaded"}`, engine.ErrNotLoaded},
+		{404, `{"code":"unknown_stream"}`, engine.ErrUnknownStream},
+		{429, `{"code":"busy"}`, engine.ErrBusy},
+		{429, `{"code":"draining"}`, engine.ErrBusy},
+		{400, `{"code":"bad_request"}`, engine.ErrBadRequest},
+		{404, `404 page not found`, engine.ErrOutcomeUnknown},
+		{429, `{}`, engine.ErrOutcomeUnknown},
+		{500, `{"code":"not_loaded"}`, engine.ErrOutcomeUnknown},
+		{500, ``, engine.ErrOutcomeUnknown},
+		{307, ``, engine.ErrOutcomeUnknown},
+	} {
+		client := clientOf(answering{c.status, "r", c.body})
+		if _, err := client.Generate(t.Context(), "e", engine.Request{ID: "r"}); !errors.Is(err, c.want) {
+			t.Errorf("Generate, %d %s: %v", c.status, c.body, err)
+		}
+		if _, err := client.Order(t.Context(), "e", engine.Order{}); !errors.Is(err, c.want) {
+			t.Errorf("Order, %d %s: %v", c.status, c.body, err)
+		}
+	}
+}
+
+// The caller must not get another request's answer.
+// The engine, or something in between, answers with the wrong stream.
+func TestAnswerOfAnotherRequestIsNotTaken(t *testing.T) {
+	client := clientOf(answering{http.StatusOK, "other", ""})
+	if _, err := client.Resume(t.Context(), "e", "r", 1); !errors.Is(err, engine.ErrOutcomeUnknown) {
+		t.Error(err)
+	}
+}
+
+func TestOrderAnsweredWithRubbishHasUnknownOutcome(t *testing.T) {
+	client := clientOf(answering{http.StatusOK, "", "{"})
+	if _, err := client.Order(t.Context(), "e", engine.Order{}); !errors.Is(err, engine.ErrOutcomeUnknown) {
+		t.Error(err)
+	}
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -162,8 +162,12 @@
 // Stream is an answer under way.
 type Stream interface {
 	// Next returns the next chunk; io.EOF after the whole answer; any other
-	// error means that the stream broke and may be resumed.
+	// error is ErrBrokenStream, and the stream may be resumed after the last
+	// chunk that came. Ending the context of the call that began the stream
+	// interrupts Next.
 	Next() (Chunk, error)
+	// Close ends the reading, not the stream, which Cancel does. It must not run
+	// together with Next.
 	Close() error
 }
 
@@ -192,7 +196,9 @@
 	Resume(ctx context.Context, address string, id string, from uint64) (Stream, error)
 	Cancel(ctx context.Context, address string, id string) error
 	CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error)
-	// ExportKV and ImportKV move the KV cache of a stream between engines.
+	// ExportKV and ImportKV move the KV cache of a stream between engines. The
+	// stream stops where it is exported and goes on where it is imported; Resume
+	// reads it there.
 	ExportKV(ctx context.Context, address string, id string) ([]byte, error)
 	ImportKV(ctx context.Context, address string, id string, data []byte) error
 }
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -35,9 +35,17 @@
 // has no overall timeout: callers bound each request by its context.
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientDialing(dialer.DialContext)
+}
+
+// Dial makes a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClientDialing is NewClient over connections from dial.
+func NewClientDialing(dial Dial) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			inner, err := dialer.DialContext(ctx, network, address)
+			inner, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- /dev/null
+++ b/internal/sendonce/sendonce_test.go
@@ -0,0 +1,171 @@
+package sendonce
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+)
+
+// server answers the first request of its first connection, reads the second
+// one and breaks the connection; every later connection it serves well.
+type server struct {
+	connections, requests atomic.Int32
+}
+
+func (s *server) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go s.serve(far, s.connections.Add(1) == 1)
+	return near, nil
+}
+
+func (s *server) serve(c net.Conn, breaks bool) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		if breaks && n == 2 {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func newTestRequest(t *testing.T, ctx context.Context, method, body, key string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, "http://backend/book", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Body, request.ContentLength = Body([]byte(body)), int64(len(body))
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	return request
+}
+
+// The caller sees one failed call, and the backend server ran it once.
+// The connection was used before; the backend server runs the second call and
+// dies before it answers. net/http takes that for a stale connection and
+// repeats what it holds for idempotent, so a booking would be made twice.
+func TestBrokenAnswerIsNotRepeated(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "DELETE"} {
+		for _, body := range []string{"", `{"slot":"7"}`} {
+			synctest.Test(t, func(t *testing.T) {
+				var s server
+				client := NewClientDialing(s.dial)
+				defer client.CloseIdleConnections()
+				first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				first.Body.Close()
+				synctest.Wait()
+				_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
+				if err == nil || !sent {
+					t.Errorf("%s %q: sent %v, error %v", method, body, sent, err)
+				}
+				if n := s.requests.Load(); n != 2 {
+					t.Errorf("%s %q: %d requests ran instead of 2", method, body, n)
+				}
+			})
+		}
+	}
+}
+
+// stubConn takes so many bytes of each write and fails.
+type stubConn struct {
+	net.Conn
+	takes int
+}
+
+func (c stubConn) Write(p []byte) (int, error) {
+	return min(c.takes, len(p)), io.ErrClosedPipe
+}
+
+// The caller sees "not run", or that it may have run, as it truly was.
+// The connection fails before, during or after the operating system takes the
+// first byte. What is not known for sure must count as sent.
+func TestSentIsTrue(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	taking := func(takes int) Dial {
+		return func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { near.Close(); far.Close() })
+			return stubConn{near, takes}, nil
+		}
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	uncounted := &http.Client{Transport: &http.Transport{DialContext: taking(0)}}
+	for name, c := range map[string]struct {
+		client *http.Client
+		ctx    context.Context
+		sent   bool
+	}{
+		"refused connection":  {NewClientDialing(refused), t.Context(), false},
+		"context over before": {NewClientDialing(refused), ended, false},
+		"no byte taken":       {NewClientDialing(taking(0)), t.Context(), false},
+		"one byte taken":      {NewClientDialing(taking(1)), t.Context(), true},
+		"uncounted writes":    {uncounted, t.Context(), true},
+	} {
+		_, sent, err := Do(c.client, newTestRequest(t, c.ctx, "POST", "{}", ""))
+		if err == nil || sent != c.sent {
+			t.Errorf("%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
+		}
+	}
+}
+
+// The caller was told "not run" and nothing may run after that.
+// The call is given up while its connection is open and net/http's writer is
+// about to write. A later write on that connection must reach nobody; a write
+// that is under way must already count as sent.
+func TestNothingIsWrittenAfterNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		idle := &conn{Conn: near}
+		if idle.sentSince(0) {
+			t.Error("an unused connection says sent")
+		}
+		if _, err := idle.Write([]byte("x")); !errors.Is(err, errPoisoned) {
+			t.Errorf("late write: %v", err)
+		}
+		busy := &conn{Conn: near}
+		go busy.Write([]byte("x")) // blocks: nobody reads
+		synctest.Wait()
+		if !busy.sentSince(0) {
+			t.Error("a write under way does not count as sent")
+		}
+		far.Close()
+		near.Close()
+	})
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		calls := 0
+		client := &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+			calls++
+			header := http.Header{"Location": {"http://elsewhere/"}}
+			return &http.Response{StatusCode: status, Header: header, Body: http.NoBody, Request: r}, nil
+		})}
+		answer, _, err := Do(client, newTestRequest(t, t.Context(), "GET", "", ""))
+		if err != nil || answer.StatusCode != status || calls != 1 {
+			t.Errorf("%d: answer %v, error %v, %d calls", status, answer, err, calls)
+		}
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/standin/engineserver/batch.go
+++ b/internal/standin/engineserver/batch.go
@@ -90,14 +90,20 @@
 
 // admits refuses a request that the engine cannot run.
 func (e *Engine) admits(request engine.Request) error {
+	if e.role == engine.RoleDecode {
+		return refuse(engine.CodeWrongRole, engine.ErrWrongRole, "this engine only decodes")
+	}
+	return e.hasRoom(request.Unit)
+}
+
+// hasRoom refuses a stream of a unit that is not ready or has no place.
+func (e *Engine) hasRoom(unitName string) error {
 	switch {
 	case e.draining:
 		return refuse(engine.CodeDraining, engine.ErrBusy, "no new requests")
-	case e.role == engine.RoleDecode:
-		return refuse(engine.CodeWrongRole, engine.ErrWrongRole, "this engine only decodes")
-	case !e.isReady(request.Unit):
-		return refuse(engine.CodeNotLoaded, engine.ErrNotLoaded, "%s", request.Unit)
-	case len(e.queue) >= e.options.QueueLimit && len(e.running) >= e.options.Slots:
+	case !e.isReady(unitName):
+		return refuse(engine.CodeNotLoaded, engine.ErrNotLoaded, "%s", unitName)
+	case len(e.queue)+len(e.running) >= e.options.QueueLimit+e.options.Slots:
 		return refuse(engine.CodeBusy, engine.ErrBusy, "%d requests wait", len(e.queue))
 	}
 	return nil
@@ -123,12 +129,12 @@
 }
 
 // batch is the duty that decodes: one step after the other while there is work.
-func (e *Engine) batch(ctx context.Context) {
+func (e *Engine) batch(ctx context.Context, wake <-chan struct{}) {
 	for ctx.Err() == nil {
-		step, busy := e.beginStep()
+		step, busy := e.beginStep(ctx)
 		if !busy {
 			select {
-			case <-e.wake:
+			case <-wake:
 			case <-ctx.Done():
 			}
 			continue
@@ -140,9 +146,12 @@
 }
 
 // beginStep fills free slots and tells how long the next step takes.
-func (e *Engine) beginStep() (time.Duration, bool) {
+func (e *Engine) beginStep(ctx context.Context) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0, false
+	}
 	for len(e.running) < e.options.Slots && len(e.queue) > 0 {
 		s := e.queue[0]
 		e.queue = slices.Delete(e.queue, 0, 1)
@@ -240,9 +249,14 @@
 	return nil
 }
 
-// remove takes the stream from wherever it is.
+// remove forgets the stream.
 func (e *Engine) remove(s *stream) {
 	delete(e.streams, s.request.ID)
+	e.stop(s)
+}
+
+// stop ends the stream's work here and breaks off its readers.
+func (e *Engine) stop(s *stream) {
 	isS := func(other *stream) bool { return other == s }
 	e.queue = slices.DeleteFunc(e.queue, isS)
 	e.running = slices.DeleteFunc(e.running, isS)
--- a/internal/standin/engineserver/engine.go
+++ b/internal/standin/engineserver/engine.go
@@ -120,14 +120,15 @@
 	// closed ends with Close; process with each crash.
 	closed context.Context
 	close  context.CancelFunc
-	wake   chan struct{}
 	// closing guards the start of goroutines against Close.
 	closing sync.Mutex
 	wait    sync.WaitGroup
 
-	mu       sync.Mutex
-	process  context.Context
-	kill     context.CancelFunc
+	mu      sync.Mutex
+	process context.Context
+	kill    context.CancelFunc
+	// wake tells this process's batch duty that there is work.
+	wake     chan struct{}
 	up       bool
 	starts   int
 	role     engine.Role
@@ -151,7 +152,6 @@
 func New(options Options) *Engine {
 	e := &Engine{
 		options: options.withDefaults(),
-		wake:    make(chan struct{}, 1),
 		disk:    map[string]bool{},
 		thawed:  make(chan struct{}),
 		records: newRecords(),
@@ -174,6 +174,8 @@
 	e.up = true
 	e.starts++
 	e.process, e.kill = context.WithCancel(e.closed)
+	wake := make(chan struct{}, 1)
+	e.wake = wake
 	e.units = map[string]*unit{}
 	e.failed = map[string]string{}
 	e.memory = nil
@@ -186,7 +188,7 @@
 	if !e.options.ChecksTokens {
 		e.highest = 0
 	}
-	e.start(e.process, e.batch)
+	e.start(e.process, func(ctx context.Context) { e.batch(ctx, wake) })
 }
 
 // Crash ends the engine's process at once: streams break, units are gone.
--- a/internal/standin/engineserver/kv.go
+++ b/internal/standin/engineserver/kv.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"bergamotreel/engine"
 )
@@ -16,7 +17,8 @@
 }
 
 // ExportKV hands a stream over: it stops here and can go on where it is
-// imported.
+// imported. It can be exported again, should the answer be lost, until the
+// stream is forgotten.
 func (e *Engine) ExportKV(ctx context.Context, id string) ([]byte, error) {
 	if err := e.enter(ctx); err != nil {
 		return nil, err
@@ -27,7 +29,10 @@
 	if !ok || s.tokens == 0 {
 		return nil, refuse(engine.CodeUnknownStream, engine.ErrUnknownStream, "%s has no KV cache", id)
 	}
-	e.remove(s)
+	if s.ended.IsZero() {
+		s.ended = time.Now()
+		e.stop(s)
+	}
 	return mustMarshal(handover{Request: s.request, Tokens: s.tokens, Chunks: s.chunks}), nil
 }
 
@@ -50,8 +55,8 @@
 	if _, ok := e.streams[id]; ok {
 		return nil
 	}
-	if !e.isReady(taken.Request.Unit) {
-		return refuse(engine.CodeNotLoaded, engine.ErrNotLoaded, "%s", taken.Request.Unit)
+	if err := e.hasRoom(taken.Request.Unit); err != nil {
+		return err
 	}
 	s := newStream(taken.Request, p)
 	s.tokens, s.chunks = taken.Tokens, taken.Chunks
--- a/internal/standin/engineserver/reading.go
+++ b/internal/standin/engineserver/reading.go
@@ -48,6 +48,9 @@
 // and the chunk holds the position of the end.
 func (r *Reading) Next(ctx context.Context) (engine.Chunk, error) {
 	for {
+		if err := r.engine.enter(ctx); err != nil {
+			return engine.Chunk{}, err
+		}
 		chunk, changed, err := r.try()
 		if changed == nil {
 			return chunk, err
@@ -59,9 +62,6 @@
 		case <-ctx.Done():
 			return engine.Chunk{}, ctx.Err()
 		}
-		if err := r.engine.enter(ctx); err != nil {
-			return engine.Chunk{}, err
-		}
 	}
 }
 
@@ -79,7 +79,7 @@
 	e, s := r.engine, r.stream
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.up {
+	if !e.up || e.streams[s.request.ID] != s {
 		return engine.Chunk{}, nil, errBroken
 	}
 	if drop := e.faults.DropStreamsAfter; drop > 0 && r.given >= drop {
