--- /dev/null
+++ b/internal/archtest/archtest_test.go
@@ -0,0 +1,139 @@
+// Package archtest holds the rules of the module's layers.
+package archtest
+
+import (
+	"encoding/json"
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const module = "bergamotreel"
+
+// decisionPackages decide without I/O. peerPackages talk to somebody.
+var (
+	decisionPackages = []string{"contract", "state", "placement", "admission", "routing", "lease", "idempotency"}
+	peerPackages     = []string{"caller", "engine", "service", "weightstore", "platformlog", "vmlist", "operator", "entryvm"}
+)
+
+// forbiddenCalls would make a decision differ from run to run: they read the
+// clock or a generator that the caller did not pass in.
+var forbiddenCalls = map[string][]string{
+	"time": {"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"},
+}
+
+// randConstructors are the only functions of math/rand and math/rand/v2 that do
+// not use the global generator.
+var randConstructors = []string{"New", "NewSource", "NewZipf", "NewPCG", "NewChaCha8"}
+
+// ioPackages must not appear in a decision package.
+var ioPackages = []string{"net", "net/http", "net/rpc", "os", "os/exec", "syscall", "crypto/rand"}
+
+type goPackage struct {
+	ImportPath string
+	Dir        string
+	GoFiles    []string
+	Imports    []string
+	Deps       []string
+}
+
+func (p goPackage) is(names ...string) bool {
+	top, _, _ := strings.Cut(strings.TrimPrefix(p.ImportPath, module+"/"), "/")
+	return slices.Contains(names, top)
+}
+
+// A decision package that reads a clock, a socket or the global generator gives
+// another answer on another VM or in another run, and the fold diverges. A
+// package that imports cmd cannot be embedded.
+func TestLayers(t *testing.T) {
+	for _, p := range listPackages(t) {
+		for _, imported := range p.Imports {
+			if strings.HasPrefix(imported, module+"/cmd/") {
+				t.Errorf("%s imports %s", p.ImportPath, imported)
+			}
+		}
+		if p.is(decisionPackages...) {
+			checkDecisionPackage(t, p)
+		}
+	}
+}
+
+func checkDecisionPackage(t *testing.T, p goPackage) {
+	for _, imported := range p.Imports {
+		if slices.Contains(ioPackages, imported) {
+			t.Errorf("%s imports %s", p.ImportPath, imported)
+		}
+	}
+	for _, dep := range p.Deps {
+		if strings.HasPrefix(dep, module+"/") && (goPackage{ImportPath: dep}).is(peerPackages...) {
+			t.Errorf("%s depends on the peer package %s", p.ImportPath, dep)
+		}
+	}
+	for _, file := range p.GoFiles {
+		checkCalls(t, filepath.Join(p.Dir, file))
+	}
+}
+
+func checkCalls(t *testing.T, path string) {
+	fileSet := token.NewFileSet()
+	file, err := parser.ParseFile(fileSet, path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	imported := map[string]string{}
+	for _, spec := range file.Imports {
+		importPath := strings.Trim(spec.Path.Value, `"`)
+		name := strings.TrimSuffix(importPath, "/v2")
+		name = name[strings.LastIndex(name, "/")+1:]
+		if spec.Name != nil {
+			name = spec.Name.Name
+		}
+		imported[name] = importPath
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		selector, ok := node.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		if name, ok := selector.X.(*ast.Ident); ok && forbidden(imported[name.Name], selector.Sel.Name) {
+			t.Errorf("%s uses %s.%s", fileSet.Position(node.Pos()), name.Name, selector.Sel.Name)
+		}
+		return true
+	})
+}
+
+// forbidden tells whether a decision package may not use the name. Exported
+// types of math/rand stay allowed: they are how a generator is passed in.
+func forbidden(importPath, name string) bool {
+	if importPath == "math/rand" || importPath == "math/rand/v2" {
+		types := []string{"Rand", "Source", "Source64", "Zipf", "PCG", "ChaCha8"}
+		return !slices.Contains(types, name) && !slices.Contains(randConstructors, name)
+	}
+	return slices.Contains(forbiddenCalls[importPath], name)
+}
+
+func listPackages(t *testing.T) []goPackage {
+	command := exec.Command("go", "list", "-json=ImportPath,Dir,GoFiles,Imports,Deps", module+"/...")
+	output, err := command.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var packages []goPackage
+	decoder := json.NewDecoder(strings.NewReader(string(output)))
+	for {
+		var p goPackage
+		if err := decoder.Decode(&p); errors.Is(err, io.EOF) {
+			return packages
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		packages = append(packages, p)
+	}
+}
