--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -30,8 +30,26 @@
 	Demand []Demand
 	// Usage is what each customer used here lately.
 	Usage []Usage
-	// Health is what this VM found out about backend servers that fail.
+	// Failing are the backend servers that this VM finds failing or leaving.
 	Failing []string
+	// Used is which units had requests here lately; each use is told for a few
+	// digests in a row, since one may be lost.
+	Used []Use
+	// Refused counts refusals here since the start, by customer and code.
+	Refused []Refused
+}
+
+// Use is the newest request for a unit on one entry VM.
+type Use struct {
+	Unit string
+	// Ago is how long before the sending it arrived.
+	Ago time.Duration
+}
+
+// Refused counts refusals of one customer with one code.
+type Refused struct {
+	Customer, Code string
+	Count          uint64
 }
 
 // Demand is the requests that wait for a unit on one entry VM.
@@ -62,10 +80,25 @@
 // Records is the answer to a request for control records.
 type Records struct {
 	Records []Record
-	// Snapshot is set instead when the records asked for are no longer held:
-	// the encoded state just after SnapshotUpTo.
-	Snapshot     []byte
-	SnapshotUpTo uint64
+	// Snapshot is set instead when the records asked for are no longer held: the
+	// log records that carry a snapshot of the sender's state.
+	Snapshot [][]byte
+}
+
+// ClaimQuery asks about one idempotency key.
+type ClaimQuery struct {
+	Customer, Key string
+	// Shard is the stream of claims that holds the key.
+	Shard int
+}
+
+// ClaimReply is what a peer knows of it.
+type ClaimReply struct {
+	// Applied is the newest offset of the shard's stream that the peer has folded;
+	// it has dispatched no call by a claim beyond it.
+	Applied uint64
+	// Held is whether it knows a claim of the key.
+	Held bool
 }
 
 // Peer talks to other entry VMs by their address.
@@ -77,6 +110,8 @@
 	Want(ctx context.Context, address string, from string, demand []Demand) error
 	// Records asks for control records from the given offset on.
 	Records(ctx context.Context, address string, from uint64) (Records, error)
+	// Claimed asks what a peer knows of a claim, while the log is out of reach.
+	Claimed(ctx context.Context, address string, query ClaimQuery) (ClaimReply, error)
 }
 
 // Handler is what this entry VM does with the messages of its peers.
@@ -84,4 +119,5 @@
 	Exchange(digests []Digest) []Digest
 	Want(from string, demand []Demand)
 	Records(from uint64) (Records, error)
+	Claimed(query ClaimQuery) ClaimReply
 }
--- /dev/null
+++ b/internal/claims/claim.go
@@ -0,0 +1,52 @@
+package claims
+
+import (
+	"context"
+
+	"bergamotreel/caller"
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/serving"
+	"bergamotreel/service"
+)
+
+// keptHeaders are the headers of an answer that a repeat needs.
+var keptHeaders = []string{"Content-Type", "Location"}
+
+// claim is the right to dispatch one call; see serving.Claim.
+type claim struct {
+	claimer  *Claimer
+	key      idempotency.Key
+	revision idempotency.Revision
+	id       idempotency.ClaimID
+}
+
+// Begin implements serving.Claims.
+func (c *Claimer) Begin(ctx context.Context, call caller.ServiceCall) (serving.Claim, *service.Answer, error) {
+	won, answer, err := c.begin(ctx, call)
+	if won == nil {
+		return nil, answer, err
+	}
+	return won, nil, nil
+}
+
+// Done implements serving.Claim.
+func (c *claim) Done(answer service.Answer) {
+	header := make(map[string]string)
+	for _, name := range keptHeaders {
+		if value := answer.Header.Get(name); value != "" {
+			header[name] = value
+		}
+	}
+	c.record(idempotency.MakeAnswer(answer.Status, header, answer.Body))
+}
+
+// NotRun implements serving.Claim.
+func (c *claim) NotRun() { c.claimer.release(c.key, c.revision, c.id) }
+
+// Unknown implements serving.Claim: repeats are told at once that the call may
+// have run, without waiting for an answer that will not come.
+func (c *claim) Unknown() { c.record(idempotency.Answer{}) }
+
+func (c *claim) record(answer idempotency.Answer) {
+	c.claimer.store(idempotency.Entry{Outcome: &idempotency.Outcome{Key: c.key, Claim: c.revision, Answer: answer}})
+}
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,279 @@
+// Package claims is an entry VM's access to the streams of claims: a call that
+// may not be repeated is claimed in the platform's log before it is dispatched,
+// and its answer is kept there for repeats at any entry VM.
+package claims
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"bergamotreel/caller"
+	"bergamotreel/entryvm"
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/commit"
+	"bergamotreel/internal/replica"
+	"bergamotreel/platformlog"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("claims")
+
+// Stream is the name of the stream of claims in the platform's log.
+const Stream = "claims"
+
+const (
+	// comeBack is when to come back while the log is out of reach.
+	comeBack = 2 * time.Second
+	// pollHolder is how often a repeat looks for the first arrival's answer.
+	pollHolder = 20 * time.Millisecond
+	// storeTimeout bounds recording an answer; one that is not recorded makes a
+	// repeat be told "may have run".
+	storeTimeout = 10 * time.Second
+	// storePause is the pause before a record that was not stored is tried again.
+	storePause = 500 * time.Millisecond
+)
+
+// Config is what a Claimer needs.
+type Config struct {
+	Log    platformlog.Log
+	Logger *zap.Logger
+	// VM and Incarnation name this entry VM and this start of its process.
+	VM, Incarnation string
+	// Window is how long a key is remembered.
+	Window time.Duration
+	// Alive tells whether the process that claimed may still answer.
+	Alive func(incarnation string) bool
+	// NobodyAhead asks all other entry VMs whether any may have dispatched the
+	// key by a claim that this VM has not folded; see refuseWithoutLog.
+	NobodyAhead func(ctx context.Context, query entryvm.ClaimQuery, applied uint64) bool
+	// WritesSnapshots tells whether this VM should write the snapshots now.
+	WritesSnapshots func() bool
+	SnapshotMaxAge  time.Duration
+}
+
+// Claimer claims calls. Its methods may be called from any goroutine.
+type Claimer struct {
+	config  Config
+	fold    *fold
+	replica *replica.Replica
+	batcher *commit.Batcher[idempotency.Entry, idempotency.Result]
+	// recording are answers on their way into the log.
+	recording sync.WaitGroup
+}
+
+// New makes a claimer; Follow and Commit must be started for it to work.
+func New(config Config) *Claimer {
+	c := &Claimer{config: config}
+	c.fold = &fold{table: idempotency.NewTable(), result: c.resolve}
+	c.replica = replica.New(replica.Config{
+		Log: config.Log, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
+		SnapshotMaxAge: config.SnapshotMaxAge, WritesSnapshots: config.WritesSnapshots,
+	})
+	c.batcher = commit.New[idempotency.Entry, idempotency.Result](commit.Config[idempotency.Entry]{
+		Log: config.Log, Stream: Stream, Encode: encode, Max: idempotency.MaxEntries,
+	})
+	return c
+}
+
+func encode(entries []idempotency.Entry) ([]byte, error) {
+	return idempotency.Encode(idempotency.Record{Entries: entries})
+}
+
+func restore(content any) (*idempotency.Table, error) {
+	return idempotency.Restore(content.([]chunks.Chunk))
+}
+
+func (c *Claimer) resolve(r idempotency.Result) {
+	if r.ID.Claimer == c.config.Incarnation && r.ID.Sequence != 0 {
+		c.batcher.Resolve(r.ID.Sequence, r)
+	}
+}
+
+// Follow reads the stream until ctx ends.
+func (c *Claimer) Follow(ctx context.Context) { c.replica.Run(ctx) }
+
+// Commit appends claims until ctx ends.
+func (c *Claimer) Commit(ctx context.Context) { c.batcher.Run(ctx) }
+
+// WriteSnapshots appends snapshots when due until ctx ends.
+func (c *Claimer) WriteSnapshots(ctx context.Context) { c.replica.WriteSnapshots(ctx) }
+
+// Ready is closed once the table is there.
+func (c *Claimer) Ready() <-chan struct{} { return c.replica.Ready() }
+
+// Drain waits until the answers under way are recorded, at a graceful shutdown.
+func (c *Claimer) Drain() { c.recording.Wait() }
+
+// Claimed answers a peer that cannot reach the log.
+func (c *Claimer) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply {
+	var reply entryvm.ClaimReply
+	c.replica.View(func() {
+		reply.Applied = c.fold.table.Applied()
+		reply.Held = c.fold.table.State(idempotency.Key{Customer: query.Customer, Key: query.Key}) != nil
+	})
+	return reply
+}
+
+func (c *Claimer) holder(key idempotency.Key) *idempotency.Holder {
+	var holder *idempotency.Holder
+	c.replica.View(func() { holder = c.fold.table.State(key) })
+	return holder
+}
+
+// Begin claims the call; see serving.Claims.
+func (c *Claimer) begin(ctx context.Context, call caller.ServiceCall) (*claim, *service.Answer, error) {
+	key := idempotency.Key{Customer: call.Identity.Customer, Key: call.IdempotencyKey}
+	digest := idempotency.DigestOf(call.Method, call.Path, call.Body)
+	select {
+	case <-c.Ready():
+	default:
+		return nil, nil, c.refuseWithoutLog(ctx, key)
+	}
+	for {
+		holder := c.holder(key)
+		if holder == nil {
+			result, err := c.propose(ctx, key, digest)
+			if err != nil {
+				return nil, nil, c.refuseWithoutLog(ctx, key)
+			}
+			if result.Verdict == idempotency.VerdictApplied {
+				return &claim{claimer: c, key: key, revision: result.Holder.Revision, id: result.ID}, nil, nil
+			}
+			if result.Verdict == idempotency.VerdictInvalid {
+				return nil, nil, refusal.New(refusal.CodeBadRequest, 0, "Idempotency-Key is not usable")
+			}
+			continue
+		}
+		answer, again, err := c.awaitHolder(ctx, holder, key, digest)
+		if !again {
+			return nil, answer, err
+		}
+	}
+}
+
+func (c *Claimer) propose(ctx context.Context, key idempotency.Key, digest idempotency.Digest) (idempotency.Result, error) {
+	return c.batcher.Submit(ctx, func(sequence uint64) idempotency.Entry {
+		return idempotency.Entry{Claim: &idempotency.Claim{
+			ID:  idempotency.ClaimID{Claimer: c.config.Incarnation, Sequence: sequence},
+			Key: key, Digest: digest, VM: c.config.VM, WindowMs: c.config.Window.Milliseconds(),
+		}}
+	}, c.abandoned)
+}
+
+// abandoned gives back a claim that landed after its request had its answer:
+// nobody will dispatch it, and without this its key would stay taken.
+func (c *Claimer) abandoned(_ idempotency.Entry, result idempotency.Result) {
+	if result.Verdict != idempotency.VerdictApplied || result.Holder == nil || result.Holder.ID != result.ID {
+		return
+	}
+	c.release(result.Key, result.Holder.Revision, result.ID)
+}
+
+// awaitHolder answers a repeat of a call that another arrival has claimed. It
+// returns again where the claim was given back.
+func (c *Claimer) awaitHolder(ctx context.Context, holder *idempotency.Holder, key idempotency.Key,
+	digest idempotency.Digest,
+) (answer *service.Answer, again bool, err error) {
+	for holder != nil {
+		if holder.Digest != digest {
+			return nil, false, refusal.New(refusal.CodeKeyConflict, 0, "Idempotency-Key was used for another request")
+		}
+		if holder.Answer != nil {
+			answer, err := stored(*holder.Answer)
+			return answer, false, err
+		}
+		if !c.config.Alive(holder.ID.Claimer) {
+			return nil, false, unknownOutcome("the entry VM that took the first arrival is gone")
+		}
+		if !sleep(ctx, pollHolder) {
+			return nil, false, unknownOutcome("the first arrival has no answer yet")
+		}
+		holder = c.holder(key)
+	}
+	return nil, true, nil
+}
+
+func unknownOutcome(why string) *refusal.Refusal {
+	return refusal.Maybe(refusal.CodeOutcomeUnknown, "%s", why)
+}
+
+// stored turns a recorded answer into the answer of a repeat.
+func stored(a idempotency.Answer) (*service.Answer, error) {
+	if a.Unknown() {
+		return nil, unknownOutcome("the call was sent and its answer was lost")
+	}
+	if a.BodySHA256 != "" {
+		return nil, unknownOutcome("the call ran; its answer was too large to keep")
+	}
+	header := make(http.Header)
+	for name, value := range a.Header {
+		header.Set(name, value)
+	}
+	return &service.Answer{Status: a.Status, Header: header, Body: a.Body}, nil
+}
+
+// refuseWithoutLog answers at once while no claim can be recorded.
+//
+// "Not run" must hold for the call, not only for this arrival: an earlier
+// arrival may have been claimed and dispatched by another entry VM. An entry VM
+// dispatches only by a claim that it has folded. So if this VM's table has no
+// claim of the key, and every other entry VM says that it has folded no further
+// than this one and knows no claim, the call has not run.
+func (c *Claimer) refuseWithoutLog(ctx context.Context, key idempotency.Key) error {
+	var applied uint64
+	free := false
+	c.replica.View(func() {
+		applied = c.fold.table.Applied()
+		free = c.fold.table.State(key) == nil
+	})
+	query := entryvm.ClaimQuery{Customer: key.Customer, Key: key.Key}
+	if free && c.config.NobodyAhead(ctx, query, applied) {
+		return refusal.New(refusal.CodeLogUnavailable, comeBack, "the platform's log is out of reach")
+	}
+	r := refusal.Maybe(refusal.CodeLogUnavailable,
+		"this arrival was not run; an earlier one may have been: repeat it with the same Idempotency-Key")
+	r.RetryAfter = comeBack
+	return r
+}
+
+func (c *Claimer) release(key idempotency.Key, revision idempotency.Revision, id idempotency.ClaimID) {
+	c.store(idempotency.Entry{Release: &idempotency.Release{Key: key, Claim: revision, ID: id}})
+}
+
+// store records an entry in the background, again and again for a while: each
+// of them has no effect the second time.
+func (c *Claimer) store(entry idempotency.Entry) {
+	c.recording.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		for {
+			err := c.batcher.Store(ctx, entry)
+			if err == nil || !sleep(ctx, storePause) {
+				return
+			}
+			if !errors.Is(err, commit.ErrNotStored) && ctx.Err() != nil {
+				return
+			}
+		}
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	mathrand "math/rand"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/admission"
+	"bergamotreel/internal/node"
+	"bergamotreel/internal/settings"
+	"bergamotreel/lease"
+	"bergamotreel/placement"
+)
+
+const (
+	// heartbeatsMissed is how many heartbeats may be lost before a VM counts as
+	// gone: one or two are lost to a pause or a dropped connection.
+	heartbeatsMissed = 6
+	// renewalsPerTerm leaves three renewals to be lost before a session ends.
+	renewalsPerTerm = 4
+	// marginPart is the part of the term that a holder leaves for clock drift.
+	marginPart = 6
+)
+
+// nodeConfig turns settings into the node's configuration.
+func nodeConfig(s *settings.Settings, incarnation, version string, random *mathrand.Rand,
+	peers node.Peers, logger *zap.Logger,
+) node.Config {
+	return node.Config{
+		VM: s.VM.ID, Domain: s.VM.Domain, Region: s.VM.Region, PeersAddress: s.VM.PeersAdvertise,
+		Incarnation: incarnation, Version: version, Peers: peers, Logger: logger, Rand: random,
+		Lease:     leaseConfig(s.Policy),
+		Placement: placementConfig(s.Policy),
+		Admission: admission.Config{MaxQueued: s.Limits.Queue},
+		Heartbeat: s.Policy.Heartbeat,
+		HeardFor:  heartbeatsMissed * s.Policy.Heartbeat,
+		Claims:    s.Policy.ClaimWindow,
+	}
+}
+
+func leaseConfig(p settings.Policy) lease.Config {
+	return lease.Config{
+		Term: p.SessionTerm, Margin: p.SessionTerm / marginPart,
+		RenewEvery: p.SessionTerm / renewalsPerTerm, MessageLifetime: p.MessageLifetime,
+	}
+}
+
+func placementConfig(p settings.Policy) placement.Config {
+	return placement.Config{
+		ColdStartWeight: p.ColdStartWeight, MinKeep: p.KeepAliveMin, MaxKeep: p.KeepAliveMax, Preload: p.Preload,
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,235 @@
+// Package daemon makes a running entry VM of its settings: it opens the ports,
+// joins the peers' clients with the node, and shuts all down in order.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/hex"
+	mathrand "math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"bergamotreel/caller"
+	"bergamotreel/engine"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/httpjson"
+	"bergamotreel/internal/node"
+	"bergamotreel/internal/settings"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/operator"
+	"bergamotreel/platformlog"
+	"bergamotreel/service"
+	"bergamotreel/vmlist"
+	"bergamotreel/weightstore"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("daemon")
+
+const (
+	// balancerDelay is how long a leaving entry VM goes on taking connections, so
+	// that the balancer sees /readyz fail before a caller sees a closed port.
+	balancerDelay = 2 * time.Second
+	// stopTimeout bounds what a shutdown does in the log.
+	stopTimeout = 10 * time.Second
+	// dialTimeout bounds connecting to another entry VM.
+	dialTimeout = time.Second
+	// headerTimeout bounds reading a header on the operators' and metrics ports.
+	headerTimeout = 5 * time.Second
+	// incarnationBytes of randomness name a start of the process.
+	incarnationBytes = 12
+)
+
+// Daemon is one entry VM with its ports.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	node     *node.Node
+	peers    *entryvm.Client
+	callers  *caller.Server
+	stopped  chan struct{}
+
+	callersListener, peersListener     net.Listener
+	operatorsListener, metricsListener net.Listener
+	operatorsServer, metricsServer     *http.Server
+}
+
+// New opens all ports and makes the node. A port that is taken is a problem of
+// the settings.
+func New(s *settings.Settings, version string, logger *zap.Logger) (*Daemon, error) {
+	incarnation, random, err := draw()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := entryvm.NewClient([]byte(s.Peers.Secret), dialTimeout, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	d := &Daemon{settings: s, logger: logger.With(zap.String("vm", s.VM.ID)), peers: peers, stopped: make(chan struct{})}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.node = node.New(nodeConfig(s, incarnation, version, random, d.clients(), d.logger))
+	if err := d.serveCallers(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.operatorsServer = &http.Server{
+		Handler:           operator.NewHandler(d.node.Operators(), s.Operators.TokenSHA256...),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	d.metricsServer = &http.Server{Handler: d.metrics(), ReadHeaderTimeout: headerTimeout}
+	return d, nil
+}
+
+// draw names this start of the process and seeds its random choices.
+func draw() (string, *mathrand.Rand, error) {
+	var seed [8]byte
+	var name [incarnationBytes]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return "", nil, Error.Wrap(err)
+	}
+	if _, err := rand.Read(name[:]); err != nil {
+		return "", nil, Error.Wrap(err)
+	}
+	source := mathrand.NewSource(int64(binary.LittleEndian.Uint64(seed[:])))
+	return hex.EncodeToString(name[:]), mathrand.New(source), nil
+}
+
+func (d *Daemon) clients() node.Peers {
+	http := httpjson.DefaultClient()
+	p := d.settings.Platform
+	return node.Peers{
+		Log:         platformlog.NewClient(p.LogURL, http),
+		VMList:      vmlist.NewClient(p.VMListURL, http),
+		WeightStore: weightstore.NewClient(p.WeightStoreURL, http),
+		Engines:     engine.NewClient(http),
+		Services:    service.NewClient(http),
+		EntryVMs:    d.peers,
+	}
+}
+
+func (d *Daemon) serveCallers() error {
+	s := d.settings
+	limits := caller.Limits{
+		HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes,
+		ReadTimeout: s.Limits.ReadTimeout, Connections: s.Limits.Connections,
+	}
+	certificate, err := certificate(s.TLS.CallersCert, s.TLS.CallersKey)
+	if err != nil {
+		return &settings.Problem{File: s.File, Section: "tls", Key: "callers_cert", Reason: err.Error()}
+	}
+	handler := caller.New(d.node, limits, caller.WithLogger(d.logger))
+	d.callers = caller.NewServer(handler, limits, certificate)
+	return nil
+}
+
+// certificate loads a TLS configuration, nil where none is named.
+func certificate(cert, key string) (*tls.Config, error) {
+	if cert == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func (d *Daemon) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", telemetry.MetricsHandler())
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.node.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Run serves until ctx ends and then shuts down gracefully: no request that was
+// taken is cut off within the settings' grace.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer close(d.stopped)
+	stopTracing, err := telemetry.SetupTracing(ctx, telemetry.TraceSettings{
+		Endpoint: d.settings.Traces.OTLPEndpoint, Service: "bergamotreel", SampleRatio: d.settings.Traces.Sample,
+		VM: d.settings.VM.ID, Domain: d.settings.VM.Domain,
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	// The duties outlive ctx: a shutdown needs them until the last request ended.
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	var group sync.WaitGroup
+	failed := make(chan error, 4)
+	serve := func(run func() error) {
+		group.Go(func() {
+			if err := run(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	group.Go(func() { d.node.Run(duties) })
+	serve(func() error { return d.callers.Serve(d.callersListener) })
+	serve(func() error {
+		return entryvm.Serve(duties, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil)
+	})
+	serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
+	serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
+	d.logger.Info("serving", zap.String("callers", d.settings.VM.CallersAddress))
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-failed:
+	}
+	d.shutdown()
+	endDuties()
+	group.Wait()
+	_ = d.peers.Close()
+	_ = stopTracing(context.WithoutCancel(ctx))
+	return Error.Wrap(err)
+}
+
+// Stopped is closed once Run has returned.
+func (d *Daemon) Stopped() <-chan struct{} { return d.stopped }
+
+// shutdown is the graceful way down: out of the rotation, then no new
+// connections, then the last requests, then the engines are given back.
+func (d *Daemon) shutdown() {
+	d.logger.Info("shutting down", zap.Int("open", d.node.Open()))
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Policy.ShutdownGrace)
+	defer cancel()
+	d.node.Leave()
+	d.callers.Drain()
+	wait(ctx, balancerDelay)
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.logger.Warn("requests cut off after the grace", zap.Int("open", d.node.Open()), zap.Error(err))
+		_ = d.callers.Close()
+	}
+	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	d.node.Stop(stop)
+	_ = d.operatorsServer.Shutdown(stop)
+	_ = d.metricsServer.Shutdown(stop)
+	d.logger.Info("stopped")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,303 @@
+// Package fleet keeps an entry VM's picture of the other VMs: the platform's VM
+// list, which lags, and what the engines say of themselves when asked.
+package fleet
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/vmlist"
+)
+
+// Engine is what is known of one engine. Its pool of copies is shared: readers
+// must not change the Status.
+type Engine struct {
+	VM     vmlist.VM
+	Status engine.Status
+	// SeenAt is when the newest status arrived, zero before the first.
+	SeenAt time.Time
+	// Reachable is whether the newest question was answered.
+	Reachable bool
+}
+
+// Leaving tells whether the engine should get new work. Its own word counts
+// beside the VM list, because the list trails by seconds.
+func (e Engine) Leaving() bool { return e.VM.Leaving || e.Status.Draining }
+
+// Holds tells whether the unit is ready on the engine.
+func (e Engine) Holds(unit string) bool {
+	for _, u := range e.Status.Units {
+		if u.Unit == unit {
+			return u.Phase == engine.PhaseReady
+		}
+	}
+	return false
+}
+
+// Config is what a Fleet needs.
+type Config struct {
+	Lister vmlist.Lister
+	Engine engine.Client
+	Log    *zap.Logger
+	// ListEvery is the pause between two reads of the VM list; default 1 s.
+	ListEvery time.Duration
+	// IdleEvery is the pause between two questions to an engine that nobody
+	// here waits for; default 2 s.
+	IdleEvery time.Duration
+	// BusyEvery is the pause for an engine of Interest; default 200 ms.
+	BusyEvery time.Duration
+	// Timeout bounds one question; default 1 s.
+	Timeout time.Duration
+}
+
+// Fleet polls and remembers. Its methods may be called from any goroutine.
+type Fleet struct {
+	config Config
+
+	mu       sync.Mutex
+	list     vmlist.List
+	listedAt time.Time
+	engines  map[string]*entry
+	changed  func()
+	onList   func(time.Time, vmlist.List)
+}
+
+// entry is one engine with its polling state.
+type entry struct {
+	Engine
+	next      time.Time
+	asking    bool
+	busyUntil time.Time
+}
+
+const (
+	defaultListEvery = time.Second
+	defaultIdleEvery = 2 * time.Second
+	defaultBusyEvery = 200 * time.Millisecond
+	defaultTimeout   = time.Second
+	// tick is how often due questions are looked for.
+	tick = 50 * time.Millisecond
+	// interestFor is how long one call of Interest keeps an engine polled often.
+	interestFor = 3 * time.Second
+	// askers bounds the questions under way at once.
+	askers = 32
+)
+
+// New makes a fleet. changed is called after each news of an engine or the VM
+// list; onList after each read of the VM list. Both may be nil.
+func New(config Config, changed func(), onList func(time.Time, vmlist.List)) *Fleet {
+	setDefault(&config.ListEvery, defaultListEvery)
+	setDefault(&config.IdleEvery, defaultIdleEvery)
+	setDefault(&config.BusyEvery, defaultBusyEvery)
+	setDefault(&config.Timeout, defaultTimeout)
+	if changed == nil {
+		changed = func() {}
+	}
+	if onList == nil {
+		onList = func(time.Time, vmlist.List) {}
+	}
+	return &Fleet{config: config, engines: make(map[string]*entry), changed: changed, onList: onList}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Run polls until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { f.pollList(ctx) })
+	slots := make(chan struct{}, askers)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		for _, address := range f.due(time.Now()) {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			group.Go(func() {
+				defer func() { <-slots }()
+				f.ask(ctx, address)
+			})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Fleet) pollList(ctx context.Context) {
+	ticker := time.NewTicker(f.config.ListEvery)
+	defer ticker.Stop()
+	for {
+		f.readList(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readList takes a new VM list. With the platform out of reach the old one
+// stays: backend servers that still answer go on being used.
+func (f *Fleet) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
+	defer cancel()
+	list, err := f.config.Lister.List(ctx)
+	if err != nil {
+		f.config.Log.Debug("VM list not read", zap.Error(err))
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	f.list = list
+	f.listedAt = now
+	f.take(list)
+	f.mu.Unlock()
+	f.onList(now, list)
+	f.changed()
+}
+
+// take brings the engines in line with the list. Call with mu held.
+func (f *Fleet) take(list vmlist.List) {
+	listed := make(map[string]bool)
+	for _, vm := range list.VMs {
+		if vm.Kind != vmlist.KindEngine {
+			continue
+		}
+		listed[vm.Address] = true
+		e, ok := f.engines[vm.Address]
+		if !ok {
+			e = &entry{}
+			f.engines[vm.Address] = e
+		}
+		e.VM = vm
+	}
+	for address := range f.engines {
+		if !listed[address] {
+			delete(f.engines, address)
+		}
+	}
+}
+
+// due picks the engines to ask now and marks them.
+func (f *Fleet) due(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var due []string
+	for address, e := range f.engines {
+		if e.asking || now.Before(e.next) {
+			continue
+		}
+		e.asking = true
+		due = append(due, address)
+	}
+	sort.Strings(due)
+	return due
+}
+
+func (f *Fleet) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
+	defer cancel()
+	status, err := f.config.Engine.Status(ctx, address)
+	f.Saw(address, status, err)
+}
+
+// Saw takes a status that was learned here or by another duty of this VM.
+func (f *Fleet) Saw(address string, status engine.Status, err error) {
+	now := time.Now()
+	f.mu.Lock()
+	e, ok := f.engines[address]
+	if ok {
+		e.asking = false
+		e.next = now.Add(f.pause(e, now))
+		e.Reachable = err == nil
+		if err == nil {
+			e.Status = status
+			e.SeenAt = now
+		}
+	}
+	f.mu.Unlock()
+	if ok {
+		f.changed()
+	}
+}
+
+func (f *Fleet) pause(e *entry, now time.Time) time.Duration {
+	if now.Before(e.busyUntil) {
+		return f.config.BusyEvery
+	}
+	return f.config.IdleEvery
+}
+
+// Interest has the engine asked often for the next seconds: requests wait for
+// what it is loading, or run on it.
+func (f *Fleet) Interest(address string) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.engines[address]
+	if !ok {
+		return
+	}
+	e.busyUntil = now.Add(interestFor)
+	if soon := now.Add(f.config.BusyEvery); soon.Before(e.next) {
+		e.next = soon
+	}
+}
+
+// Engine returns what is known of one engine.
+func (f *Fleet) Engine(address string) (Engine, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.engines[address]
+	if !ok {
+		return Engine{}, false
+	}
+	return e.Engine, true
+}
+
+// Engines returns all engines, ordered by address.
+func (f *Fleet) Engines() []Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Engine, 0, len(f.engines))
+	for _, e := range f.engines {
+		out = append(out, e.Engine)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM.Address < out[j].VM.Address })
+	return out
+}
+
+// VMs returns the listed VMs of a kind.
+func (f *Fleet) VMs(kind vmlist.Kind) []vmlist.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []vmlist.VM
+	for _, vm := range f.list.VMs {
+		if vm.Kind == kind {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// ListedAt is when the VM list was last read, zero before the first time.
+func (f *Fleet) ListedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listedAt
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,241 @@
+// Package keeper is an entry VM's duty as a keeper of engines: it holds the
+// session, takes engines, sends the orders that follow from the fold, and takes
+// part in ending the sessions of VMs that are gone.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/lease"
+	"bergamotreel/state"
+)
+
+const (
+	// dutyTick is how often sessions and engines are looked after.
+	dutyTick = 500 * time.Millisecond
+	// closeTimeout bounds giving the session back at a graceful shutdown.
+	closeTimeout = 3 * time.Second
+)
+
+// Control is what a keeper uses of the control stream.
+type Control interface {
+	View(func(*state.State))
+	Propose(context.Context, state.Proposal) (state.Outcome, error)
+	Ready() <-chan struct{}
+}
+
+// Config is what a Keeper needs.
+type Config struct {
+	VM, Incarnation, Domain string
+	Control                 Control
+	Engines                 engine.Client
+	Logger                  *zap.Logger
+	Lease                   lease.Config
+	MessageLifetime         time.Duration
+	// Keeps returns the engines that this VM should keep now, by address.
+	Keeps func() []string
+	// Settles tells whether this VM is the one that ends and settles the session
+	// of another. Two that do so cost appends, never safety.
+	Settles func(vm string) bool
+	// DomainOf is an engine's failure domain.
+	DomainOf func(engine string) string
+	// Saw is told each status that an engine gave.
+	Saw func(engine string, status engine.Status, err error)
+}
+
+// Keeper is the duty of one entry VM.
+type Keeper struct {
+	config Config
+
+	mu         sync.Mutex
+	departures *lease.Departures
+	observer   *lease.Observer
+	workers    map[string]*worker
+	// running counts the workers of each own session, stopped ones included
+	// until their last order has ended.
+	running map[state.SessionID]int
+	// session is the live session, 0 without one; holder its clock.
+	session  state.SessionID
+	holder   *lease.Holder
+	renewals uint64
+	// ending are own ended sessions, with when their last order has died out.
+	ending map[state.SessionID]time.Time
+	// stopping is set by a graceful shutdown: no new session, no new engine.
+	stopping bool
+	group    sync.WaitGroup
+}
+
+// New makes a keeper; Run must be started for it to work.
+func New(config Config) *Keeper {
+	return &Keeper{
+		config:     config,
+		departures: lease.NewDepartures(config.Lease, config.VM, config.Incarnation, time.Now()),
+		observer:   lease.NewObserver(config.Lease),
+		workers:    make(map[string]*worker),
+		running:    make(map[state.SessionID]int),
+		ending:     make(map[state.SessionID]time.Time),
+	}
+}
+
+// Listed takes an answer of the VM list: the names of all VMs and engines.
+func (k *Keeper) Listed(now time.Time, version uint64, names []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.departures.Saw(now, version, names)
+}
+
+// Wake has the engines looked at soon, after news in the fold.
+func (k *Keeper) Wake() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range k.workers {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Session is the live session, 0 without one.
+func (k *Keeper) Session() state.SessionID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.session
+}
+
+// Run looks after sessions and engines until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	defer k.group.Wait()
+	select {
+	case <-k.config.Control.Ready():
+	case <-ctx.Done():
+		return
+	}
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	duties.Go(func() { every(ctx, k.holdSession) })
+	duties.Go(func() { every(ctx, k.takeEngines) })
+	duties.Go(func() { every(ctx, k.endOthers) })
+	<-ctx.Done()
+}
+
+func every(ctx context.Context, duty func(context.Context)) {
+	ticker := time.NewTicker(dutyTick)
+	defer ticker.Stop()
+	for {
+		duty(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Stop ends the duty at a graceful shutdown: workers finish their order, then
+// the session is closed, which gives the engines back and settles it.
+func (k *Keeper) Stop(ctx context.Context) {
+	k.mu.Lock()
+	k.stopping = true
+	session := k.session
+	k.session = 0
+	for _, w := range k.workers {
+		w.stop()
+	}
+	k.mu.Unlock()
+	k.group.Wait()
+	if session == 0 || k.doubt(session) {
+		// An order without an answer may still arrive. The session then lapses,
+		// and its VM's departure settles it.
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_, _ = k.config.Control.Propose(ctx, state.Proposal{SessionClose: &state.SessionClose{Session: session}})
+}
+
+// doubt tells whether an order of the session may still arrive.
+func (k *Keeper) doubt(session state.SessionID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Now().Before(k.ending[session])
+}
+
+// takeEngines starts a worker for each engine that this session keeps, and
+// proposes to take those that it should keep and nobody does.
+func (k *Keeper) takeEngines(ctx context.Context) {
+	session := k.Session()
+	if session == 0 {
+		return
+	}
+	for _, address := range k.config.Keeps() {
+		k.takeEngine(ctx, address, session)
+	}
+	var kept []string
+	k.config.Control.View(func(s *state.State) { kept = s.KeptBy(session) })
+	for _, address := range kept {
+		k.startWorker(ctx, address, session)
+	}
+}
+
+func (k *Keeper) takeEngine(ctx context.Context, address string, session state.SessionID) {
+	var previous state.Revision
+	free := true
+	k.config.Control.View(func(s *state.State) {
+		if e := s.Engines[address]; e != nil {
+			previous = e.Keeper
+			free = e.KeeperSession == 0
+		}
+	})
+	if !free {
+		return
+	}
+	k.propose(ctx, state.Proposal{KeeperTake: &state.KeeperTake{
+		Engine: address, Session: session, Previous: previous,
+	}})
+}
+
+func (k *Keeper) startWorker(ctx context.Context, address string, session state.SessionID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopping || k.session != session {
+		return
+	}
+	if w, running := k.workers[address]; running && w.session == session {
+		return
+	}
+	w := newWorker(k, address, session)
+	workerCtx, stop := context.WithCancel(ctx)
+	w.stop = stop
+	k.workers[address] = w
+	k.running[session]++
+	k.group.Go(func() {
+		defer stop()
+		lastDoubt := w.run(workerCtx)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.running[session]--
+		if k.workers[address] == w {
+			delete(k.workers, address)
+		}
+		if lastDoubt.After(k.ending[session]) {
+			k.ending[session] = lastDoubt
+		}
+	})
+}
+
+func (k *Keeper) propose(ctx context.Context, p state.Proposal) (state.Outcome, bool) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	outcome, err := k.config.Control.Propose(ctx, p)
+	if err != nil {
+		k.config.Logger.Debug("not proposed", zap.Error(err))
+		return outcome, false
+	}
+	return outcome, outcome.Verdict == state.VerdictApplied
+}
--- /dev/null
+++ b/internal/keeper/reconcile.go
@@ -0,0 +1,181 @@
+package keeper
+
+import (
+	"sort"
+
+	"bergamotreel/engine"
+	"bergamotreel/state"
+)
+
+// stepKind is what a keeper does next with an engine.
+type stepKind string
+
+const (
+	stepFence  stepKind = "fence"  // raise the engine's token to the keeper's
+	stepMeet   stepKind = "meet"   // propose what the engine says of itself
+	stepLoad   stepKind = "load"   // order a load
+	stepUnload stepKind = "unload" // order an unload
+	stepGone   stepKind = "gone"   // propose that a withdrawn right is gone
+)
+
+// step is one thing to do with an engine.
+type step struct {
+	kind  stepKind
+	order engine.Order
+	// right is the revision of the right that the step is for, 0 without one.
+	right state.Revision
+}
+
+// picture is all that the next step is decided from: what the fold says, what
+// the engine says, and what this keeper remembers of its own orders.
+type picture struct {
+	agreed state.Engine
+	status engine.Status
+	memory memory
+}
+
+// memory is what a keeper remembers of its own orders to one engine, by unit.
+type memory struct {
+	// fenced is the token that the engine was last fenced with.
+	fenced engine.Token
+	// unloaded holds the rights whose unload order was answered before the
+	// newest status was asked for.
+	unloaded map[state.Revision]bool
+	// doubtful are units of which a load order has no answer and may still
+	// arrive at an engine.
+	doubtful map[string]bool
+	// resting are units whose last order failed lately.
+	resting map[string]bool
+}
+
+// token is the fencing token for any order now: the newest revision that this
+// keeper's orders to the engine rest on. So an order that arrives late, behind
+// one that was decided after it, is refused by an engine that checks tokens.
+func token(e *state.Engine) engine.Token {
+	newest := e.Keeper
+	for _, right := range e.Rights {
+		newest = max(newest, right.Granted, right.Withdrawn)
+	}
+	return engine.Token(newest)
+}
+
+// nextSteps decides what to do, in the order in which to do it.
+func nextSteps(p picture) []step {
+	now := token(&p.agreed)
+	if p.memory.fenced < engine.Token(p.agreed.Keeper) {
+		return []step{{kind: stepFence, order: engine.Order{Token: now, Action: engine.ActionFence}}}
+	}
+	if !met(p.agreed, p.status) {
+		return []step{{kind: stepMeet}}
+	}
+	held := make(map[string]engine.Unit)
+	for _, u := range p.status.Units {
+		held[u.Unit] = u
+	}
+	steps := unloads(p, held, now)
+	return append(steps, loads(p, held, now)...)
+}
+
+func met(agreed state.Engine, status engine.Status) bool {
+	return agreed.Incarnation == status.Incarnation &&
+		agreed.MemoryBytes == status.MemoryBytes &&
+		agreed.ChecksTokens == status.ChecksTokens
+}
+
+// unloads are the steps that free memory: units without a right, standby rights
+// that are loaded, and withdrawn rights on their way to Gone. Adapters go first.
+func unloads(p picture, held map[string]engine.Unit, now engine.Token) []step {
+	var steps []step
+	for _, unit := range sortedUnits(held) {
+		if p.agreed.Rights[unit.Unit] == nil && !p.memory.resting[unit.Unit] {
+			steps = append(steps, step{kind: stepUnload, order: unloadOrder(unit.Unit, unit.Base, now)})
+		}
+	}
+	for _, right := range sortedRights(p.agreed.Rights) {
+		unit, present := held[right.Unit]
+		switch {
+		case right.Withdrawn != 0:
+			steps = append(steps, withdrawal(p, right, present, now)...)
+		case !right.Wanted && present && unit.Phase != engine.PhaseUnloading && !p.memory.resting[right.Unit]:
+			steps = append(steps, step{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted})
+		}
+	}
+	return steps
+}
+
+// withdrawal takes a withdrawn right one step on. The unload order is sent even
+// where the engine does not show the unit: its answer proves that the engine
+// has seen a token above every earlier load order, so none of them can bring
+// the unit back after Gone. Where the engine ignores tokens, a load order of
+// this keeper without an answer must first be too old to arrive.
+func withdrawal(p picture, right *state.Right, present bool, now engine.Token) []step {
+	if !p.memory.unloaded[right.Granted] {
+		if p.memory.resting[right.Unit] {
+			return nil
+		}
+		return []step{{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted}}
+	}
+	if present {
+		return nil
+	}
+	if !p.status.ChecksTokens && p.memory.doubtful[right.Unit] {
+		return nil
+	}
+	return []step{{kind: stepGone, order: engine.Order{Unit: right.Unit}, right: right.Granted}}
+}
+
+// loads are the wanted rights that the engine does not hold. Bases go first.
+func loads(p picture, held map[string]engine.Unit, now engine.Token) []step {
+	var steps []step
+	for _, right := range sortedRights(p.agreed.Rights) {
+		if !right.Wanted || right.Withdrawn != 0 || p.memory.resting[right.Unit] {
+			continue
+		}
+		if _, present := held[right.Unit]; present {
+			continue
+		}
+		if right.Base != "" && held[right.Base].Phase != engine.PhaseReady {
+			continue
+		}
+		steps = append(steps, step{kind: stepLoad, right: right.Granted, order: engine.Order{
+			Token: now, Action: engine.ActionLoad, Unit: right.Unit, Base: right.Base,
+			Checkpoint: right.Checkpoint, Bytes: right.Bytes,
+		}})
+	}
+	return steps
+}
+
+func unloadOrder(unit, base string, now engine.Token) engine.Order {
+	return engine.Order{Token: now, Action: engine.ActionUnload, Unit: unit, Base: base}
+}
+
+// sortedUnits and sortedRights give a fixed order; adapters (with a base) come
+// before models, so that an unload meets a base only after its adapters.
+func sortedUnits(held map[string]engine.Unit) []engine.Unit {
+	units := make([]engine.Unit, 0, len(held))
+	for _, u := range held {
+		units = append(units, u)
+	}
+	sort.Slice(units, func(i, j int) bool {
+		return adapterFirst(units[i].Base, units[j].Base, units[i].Unit, units[j].Unit)
+	})
+	return units
+}
+
+func sortedRights(rights map[string]*state.Right) []*state.Right {
+	sorted := make([]*state.Right, 0, len(rights))
+	for _, r := range rights {
+		sorted = append(sorted, r)
+	}
+	sort.Slice(sorted, func(i, j int) bool {
+		return adapterFirst(sorted[i].Base, sorted[j].Base, sorted[i].Unit, sorted[j].Unit)
+	})
+	return sorted
+}
+
+func adapterFirst(baseA, baseB, unitA, unitB string) bool {
+	if (baseA != "") != (baseB != "") {
+		return baseA != ""
+	}
+	return unitA < unitB
+}
--- /dev/null
+++ b/internal/keeper/session.go
@@ -0,0 +1,165 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/lease"
+	"bergamotreel/state"
+)
+
+// holdSession opens a session where there is none, renews it, and notices its
+// end.
+func (k *Keeper) holdSession(ctx context.Context) {
+	session := k.Session()
+	if session == 0 {
+		k.openSession(ctx)
+		return
+	}
+	if k.ended(session) {
+		k.loseSession(session)
+		return
+	}
+	k.renewSession(ctx, session)
+}
+
+func (k *Keeper) openSession(ctx context.Context) {
+	k.mu.Lock()
+	stopping := k.stopping
+	k.mu.Unlock()
+	if stopping || len(k.config.Keeps()) == 0 {
+		return
+	}
+	holder := lease.NewHolder(k.config.Lease)
+	holder.SentRenewal(time.Now(), 0)
+	outcome, ok := k.propose(ctx, state.Proposal{SessionOpen: &state.SessionOpen{
+		VM: k.config.VM, Incarnation: k.config.Incarnation, Domain: k.config.Domain,
+	}})
+	if !ok {
+		return
+	}
+	holder.Confirmed(0)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopping {
+		return
+	}
+	k.session, k.holder, k.renewals = outcome.Revision, holder, 0
+	k.observer.Working(time.Now())
+	k.config.Logger.Info("session opened", zap.Uint64("session", uint64(outcome.Revision)))
+}
+
+func (k *Keeper) renewSession(ctx context.Context, session state.SessionID) {
+	k.mu.Lock()
+	now := time.Now()
+	due := k.holder.RenewDue(now)
+	if due {
+		k.renewals++
+		k.holder.SentRenewal(now, k.renewals)
+	}
+	holder, sequence := k.holder, k.renewals
+	k.mu.Unlock()
+	if !due {
+		return
+	}
+	if _, ok := k.propose(ctx, state.Proposal{SessionRenew: &state.SessionRenew{Session: session}}); !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	holder.Confirmed(sequence)
+	k.observer.Working(time.Now())
+}
+
+// Lapsed tells whether the session may look expired to others. A lapsed keeper
+// goes on loading by the rights that it has folded: they stay counted until its
+// session is settled, and with the log down nobody else can take over.
+func (k *Keeper) Lapsed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder == nil || !k.holder.MayOrder(time.Now())
+}
+
+func (k *Keeper) ended(session state.SessionID) bool {
+	ended := false
+	k.config.Control.View(func(s *state.State) {
+		known := s.Sessions[session]
+		ended = known == nil || known.Ended
+	})
+	return ended
+}
+
+// loseSession stops the workers of a session that another VM ended, for example
+// because this process was frozen for longer than the term. It is settled once
+// the last order sent under it can't arrive any more.
+func (k *Keeper) loseSession(session state.SessionID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Logger.Warn("session lost", zap.Uint64("session", uint64(session)))
+	k.session = 0
+	k.holder = nil
+	for _, w := range k.workers {
+		if w.session == session {
+			w.stop()
+		}
+	}
+	if _, known := k.ending[session]; !known {
+		k.ending[session] = time.Time{}
+	}
+}
+
+// endOthers expires sessions that are not renewed and settles those that can
+// send no order any more.
+func (k *Keeper) endOthers(ctx context.Context) {
+	for _, p := range k.endings(time.Now()) {
+		k.propose(ctx, p)
+	}
+}
+
+func (k *Keeper) endings(now time.Time) []state.Proposal {
+	var out []state.Proposal
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Control.View(func(s *state.State) {
+		k.observer.Follow(now, s.Sessions)
+		for _, expire := range k.observer.Expired(now) {
+			if expire.Session != k.session && k.config.Settles(s.Sessions[expire.Session].VM) {
+				out = append(out, state.Proposal{SessionExpire: &expire})
+			}
+		}
+		for _, expire := range k.departures.Abandoned(s.Sessions) {
+			out = append(out, state.Proposal{SessionExpire: &expire})
+		}
+		for _, settle := range k.departures.Settleable(now, s.Sessions) {
+			if vm := s.Sessions[settle.Session].VM; vm == k.config.VM || k.config.Settles(vm) {
+				out = append(out, state.Proposal{SessionSettle: &settle})
+			}
+		}
+		for _, remove := range k.departures.Removable(s.Engines) {
+			if k.config.Settles(remove.Engine) {
+				out = append(out, state.Proposal{EngineRemove: &remove})
+			}
+		}
+		out = append(out, k.ownSettles(now, s)...)
+	})
+	return out
+}
+
+// ownSettles are the own ended sessions that can send no order any more: their
+// workers have stopped and their last order without an answer has died out.
+func (k *Keeper) ownSettles(now time.Time, s *state.State) []state.Proposal {
+	var out []state.Proposal
+	for session, lastDoubt := range k.ending {
+		known := s.Sessions[session]
+		if known == nil || known.Settled {
+			delete(k.ending, session)
+			continue
+		}
+		if known.Ended && now.After(lastDoubt) && k.running[session] == 0 {
+			out = append(out, state.Proposal{SessionSettle: &state.SessionSettle{Session: session}})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/backend.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/entryvm"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+	"bergamotreel/state"
+)
+
+// comeBackToOther is when to come back to an entry VM that takes no requests;
+// the balancer will have chosen another by then.
+const comeBackToOther = time.Second
+
+var _ caller.Backend = (*Node)(nil)
+
+// Identify implements caller.Backend.
+func (n *Node) Identify(key string) (caller.Identity, bool) {
+	hash := contract.HashKey(key)
+	var identity caller.Identity
+	found := false
+	n.control.View(func(s *state.State) {
+		customer, ok := s.KeyOwner(hash)
+		if !ok {
+			return
+		}
+		owned, ok := s.Contracts[customer].Contract.Owns(hash)
+		identity = caller.Identity{Customer: customer, Priority: owned.Priority}
+		found = ok
+	})
+	return identity, found
+}
+
+// Contract implements caller.Backend.
+func (n *Node) Contract(customer string) (*contract.Contract, bool) {
+	var found *contract.Contract
+	n.control.View(func(s *state.State) {
+		if published := s.Contracts[customer]; published != nil {
+			found = published.Contract
+		}
+	})
+	return found, found != nil
+}
+
+// contracts returns all contracts in force and the newest version among them.
+func (n *Node) contracts() (map[string]*contract.Contract, state.Revision) {
+	var version state.Revision
+	all := make(map[string]*contract.Contract)
+	n.control.View(func(s *state.State) {
+		version = s.NewestVersion()
+		for customer, published := range s.Contracts {
+			if published.Contract != nil {
+				all[customer] = published.Contract
+			}
+		}
+	})
+	return all, version
+}
+
+// Generate implements caller.Backend.
+func (n *Node) Generate(ctx context.Context, g caller.Generation, sink caller.Sink) error {
+	unit, err := n.unit(g)
+	if err == nil {
+		n.use(unit.Name, g.Arrived)
+		err = n.serving.Generate(ctx, g, unit, sink)
+	}
+	return n.answered(ctx, g.Identity.Customer, err)
+}
+
+func (n *Node) unit(g caller.Generation) (contract.Unit, error) {
+	found, ok := n.Contract(g.Identity.Customer)
+	if !ok {
+		return contract.Unit{}, n.notReady()
+	}
+	unit, ok := found.FindUnit(g.Unit)
+	if !ok {
+		return unit, refusal.New(refusal.CodeNotFound, 0, "no such model")
+	}
+	return unit, nil
+}
+
+func (n *Node) notReady() error {
+	return refusal.New(refusal.CodeNotReady, comeBackToOther, "this entry VM has no contract of the customer")
+}
+
+// Call implements caller.Backend.
+func (n *Node) Call(ctx context.Context, call caller.ServiceCall) (service.Answer, error) {
+	answer, err := n.serving.Call(ctx, call)
+	return answer, n.answered(ctx, call.Identity.Customer, err)
+}
+
+// answered counts a refusal and makes sure that every failure is one.
+func (n *Node) answered(ctx context.Context, customer string, err error) error {
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil && !isRefusal(err) {
+		return err
+	}
+	refused := refusal.From(err)
+	n.refused.count(customer, string(refused.Code))
+	return refused
+}
+
+func isRefusal(err error) bool {
+	var r *refusal.Refusal
+	return errors.As(err, &r)
+}
+
+// refusals counts refusals since the start by customer and code.
+type refusals struct {
+	mu     sync.Mutex
+	counts map[entryvm.Refused]uint64
+}
+
+func newRefusals() *refusals { return &refusals{counts: make(map[entryvm.Refused]uint64)} }
+
+func (r *refusals) count(customer, code string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[entryvm.Refused{Customer: customer, Code: code}]++
+}
+
+func (r *refusals) all() []entryvm.Refused {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]entryvm.Refused, 0, len(r.counts))
+	for key, count := range r.counts {
+		key.Count = count
+		out = append(out, key)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Customer != out[j].Customer {
+			return out[i].Customer < out[j].Customer
+		}
+		return out[i].Code < out[j].Code
+	})
+	return out
+}
--- /dev/null
+++ b/internal/node/digests.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"bergamotreel/admission"
+	"bergamotreel/entryvm"
+	"bergamotreel/placement"
+	"bergamotreel/routing"
+)
+
+const (
+	// useTold is how long a use is told in the digests: several heartbeats, so
+	// that a lost one does no harm.
+	useTold = 3 * time.Second
+	// fetchTimeout bounds asking a peer for control records.
+	fetchTimeout = 2 * time.Second
+	// catchUpEvery is how often this VM looks whether a peer knows more.
+	catchUpEvery = 250 * time.Millisecond
+)
+
+var _ entryvm.Handler = (*Node)(nil)
+
+// digest is what this VM tells of itself.
+func (n *Node) digest() entryvm.Digest {
+	now := time.Now()
+	applied, _, _ := n.control.Position()
+	d := entryvm.Digest{
+		VM: n.config.VM, Address: n.config.PeersAddress, Domain: n.config.Domain, Region: n.config.Region,
+		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
+		Used: n.uses.lately(now), Refused: n.refused.all(),
+	}
+	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
+		d.InFlight = r.InFlight()
+		for _, demand := range a.Demand(now) {
+			if _, isService := cutService(demand.Unit); !isService {
+				d.Demand = append(d.Demand, peerDemand(now, demand))
+			}
+		}
+		for _, usage := range a.Usage(now) {
+			d.Usage = append(d.Usage, entryvm.Usage{
+				Customer: usage.Customer, Admitted: usage.Admitted, Arrived: usage.Arrived,
+			})
+		}
+	})
+	return d
+}
+
+func peerDemand(now time.Time, d admission.Demand) entryvm.Demand {
+	return entryvm.Demand{
+		Unit: d.Unit, Customer: d.Customer, Waiting: d.Waiting,
+		Deadline: d.Earliest.Sub(now), Priority: d.Priority,
+	}
+}
+
+// cutService tells the pool of a plain service from a unit; see serving.
+func cutService(unit string) (string, bool) { return strings.CutPrefix(unit, "service/") }
+
+// Exchange implements entryvm.Handler.
+func (n *Node) Exchange(digests []entryvm.Digest) []entryvm.Digest { return n.gossip.Exchange(digests) }
+
+// Want implements entryvm.Handler.
+func (n *Node) Want(from string, demand []entryvm.Demand) {
+	n.gossip.Wanted(from, demand)
+	n.planner.Wake()
+}
+
+// Records implements entryvm.Handler.
+func (n *Node) Records(from uint64) (entryvm.Records, error) { return n.control.Since(from) }
+
+// Claimed implements entryvm.Handler.
+func (n *Node) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply { return n.claims.Claimed(query) }
+
+// heard takes in the digests of others.
+func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
+	for _, d := range digests {
+		for _, use := range d.Used {
+			n.planner.Used(use.Unit, now.Add(-use.Ago))
+		}
+		if len(d.Demand) > 0 {
+			n.planner.Wake()
+		}
+	}
+}
+
+// use notes a request here.
+func (n *Node) use(unit string, at time.Time) {
+	n.uses.add(unit, at)
+	n.planner.Used(unit, at)
+}
+
+// demand is what waits at all live entry VMs.
+func (n *Node) demand() []placement.Demand {
+	now := time.Now()
+	var out []placement.Demand
+	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) {
+		for _, d := range a.Demand(now) {
+			if _, isService := cutService(d.Unit); isService {
+				continue
+			}
+			out = append(out, placement.Demand{
+				Unit: d.Unit, Customer: d.Customer, Waiting: d.Waiting, Deadline: d.Earliest,
+				Priority: d.Priority, Domain: n.config.Domain,
+			})
+		}
+	})
+	return append(out, n.gossip.Demand(now)...)
+}
+
+// catchUp follows the control stream through peers whenever one of them knows
+// more: a VM cut off from the log still gets an accepted configuration within a
+// heartbeat and this tick.
+func (n *Node) catchUp(ctx context.Context) {
+	ticker := time.NewTicker(catchUpEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if address, ok := n.peerAhead(); ok {
+			n.fetch(ctx, address)
+		}
+	}
+}
+
+// peerAhead is the live peer that has folded most, if that is more than here.
+func (n *Node) peerAhead() (string, bool) {
+	var most uint64
+	address := ""
+	for _, d := range n.gossip.Live() {
+		if d.Applied > most {
+			most, address = d.Applied, d.Address
+		}
+	}
+	return address, address != "" && n.control.Lags(most)
+}
+
+func (n *Node) fetch(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	applied, _, _ := n.control.Position()
+	records, err := n.config.Peers.EntryVMs.Records(ctx, address, applied+1)
+	if err != nil {
+		return
+	}
+	n.control.Offer(records)
+}
+
+// tellAdmission gives admission the usage of the other entry VMs.
+func (n *Node) tellAdmission(ctx context.Context) {
+	ticker := time.NewTicker(n.config.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		usage, heard := n.peerUsage()
+		listed := len(n.otherVMs()) + 1
+		now := time.Now()
+		n.serving.Decide(func(a *admission.Controller, _ *routing.Router) {
+			a.SetVMs(listed, heard)
+			a.SetPeers(now, usage)
+		})
+	}
+}
+
+func (n *Node) peerUsage() (map[string]admission.PeerUsage, int) {
+	usage := make(map[string]admission.PeerUsage)
+	live := n.gossip.Live()
+	for _, d := range live {
+		for _, u := range d.Usage {
+			sum := usage[u.Customer]
+			sum.Admitted += u.Admitted
+			sum.Arrived += u.Arrived
+			sum.VMs++
+			usage[u.Customer] = sum
+		}
+	}
+	return usage, len(live)
+}
+
+// uses remembers the newest request for each unit here for the digests.
+type uses struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+func newUses() *uses { return &uses{last: make(map[string]time.Time)} }
+
+func (u *uses) add(unit string, at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.last[unit] = at
+}
+
+func (u *uses) lately(now time.Time) []entryvm.Use {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []entryvm.Use
+	for unit, at := range u.last {
+		if now.Sub(at) > useTold {
+			delete(u.last, unit)
+			continue
+		}
+		out = append(out, entryvm.Use{Unit: unit, Ago: now.Sub(at)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/directory.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"bergamotreel/admission"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/routing"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+const (
+	// freshFor is how old an engine's newest status may be for it to get new
+	// work: three questions of the slow kind were lost. An engine that died is
+	// noticed earlier, by the router's breaker.
+	freshFor = 6 * time.Second
+	// serviceSlots bounds the calls of one entry VM on one plain service's
+	// backend server, which has no load report.
+	serviceSlots = 256
+	// wantTimeout bounds telling a planner what waits here.
+	wantTimeout = time.Second
+)
+
+// Candidates implements serving.Directory: engines whose right to hold the unit
+// stands, whatever engine reports hold beside that.
+func (n *Node) Candidates(unit string) []routing.Candidate {
+	var held []string
+	base := ""
+	n.control.View(func(s *state.State) {
+		for _, holding := range s.Replicas(unit) {
+			if right := holding.Right; right.Withdrawn == 0 && right.Wanted {
+				held = append(held, holding.Engine.Name)
+				base = right.Base
+			}
+		}
+	})
+	now := time.Now()
+	out := make([]routing.Candidate, 0, len(held))
+	for _, address := range held {
+		if e, ok := n.fleet.Engine(address); ok {
+			out = append(out, n.candidate(now, e, unit, base))
+		}
+	}
+	return out
+}
+
+func (n *Node) candidate(now time.Time, e fleet.Engine, unit, base string) routing.Candidate {
+	ready := e.Holds(unit) && (base == "" || e.Holds(base)) && now.Sub(e.SeenAt) < freshFor
+	return routing.Candidate{
+		Engine: e.VM.Address, Domain: e.VM.Domain, Slots: e.Status.Slots,
+		Ready: ready, Leaving: e.Leaving(), Role: string(e.Status.Role),
+		LoadKnown: !e.SeenAt.IsZero(), Running: e.Status.Load.Running, Queued: e.Status.Load.Queued,
+		LoadAt: e.SeenAt, PeersInFlight: n.peersInFlight(e.VM.Address),
+	}
+}
+
+// Servers implements serving.Directory.
+func (n *Node) Servers(service string) []routing.Candidate {
+	var out []routing.Candidate
+	for _, vm := range n.fleet.VMs(vmlist.KindService) {
+		if vm.Service != service {
+			continue
+		}
+		out = append(out, routing.Candidate{
+			Engine: vm.Address, Domain: vm.Domain, Slots: serviceSlots, Ready: true, Leaving: vm.Leaving,
+		})
+	}
+	return out
+}
+
+// Interest implements serving.Directory.
+func (n *Node) Interest(engine string) { n.fleet.Interest(engine) }
+
+// Missing implements serving.Directory: the planner of each unit is told at
+// once, since the next digest would come up to a heartbeat later.
+func (n *Node) Missing(demand []admission.Demand) {
+	now := time.Now()
+	elsewhere := make(map[string][]entryvm.Demand)
+	for _, d := range demand {
+		if _, isService := cutService(d.Unit); isService {
+			continue
+		}
+		if planner := n.chosen(d.Unit); planner != n.config.VM {
+			elsewhere[planner] = append(elsewhere[planner], peerDemand(now, d))
+		}
+	}
+	n.planner.Wake()
+	for vm, wanted := range elsewhere {
+		go n.want(vm, wanted)
+	}
+}
+
+func (n *Node) want(vm string, wanted []entryvm.Demand) {
+	address, ok := n.gossip.Address(vm)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
+	defer cancel()
+	_ = n.config.Peers.EntryVMs.Want(ctx, address, n.config.VM, wanted)
+}
+
+func (n *Node) peersInFlight(engine string) int {
+	total := 0
+	for _, d := range n.gossip.Live() {
+		total += d.InFlight[engine]
+	}
+	return total
+}
+
+// streams counts the requests on an engine over all entry VMs.
+func (n *Node) streams(engine string) int {
+	own := 0
+	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) { own = r.InFlight()[engine] })
+	return own + n.peersInFlight(engine)
+}
+
+func (n *Node) sick(engine string) bool {
+	sick := false
+	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) {
+		sick = r.Breaker(time.Now(), engine) == routing.BreakerOpen
+	})
+	return sick
+}
+
+func (n *Node) expect(unit string, at time.Time) {
+	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) { a.Expect(unit, at, true) })
+}
--- /dev/null
+++ b/internal/node/membership.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/vmlist"
+)
+
+// snapshotDuty is the key by which the writer of snapshots is chosen.
+const snapshotDuty = "duty/snapshots"
+
+// liveVMs are the entry VMs that are heard and not leaving, this one included.
+func (n *Node) liveVMs() []string {
+	var live []string
+	if !n.isStopping() {
+		live = append(live, n.config.VM)
+	}
+	for _, d := range n.gossip.Live() {
+		if !d.Leaving {
+			live = append(live, d.VM)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// chosen is the live entry VM that normally does what the key names. VMs that
+// see each other agree on it; two that don't cost appends, never safety.
+func (n *Node) chosen(key string) string {
+	return rendezvous.Pick(key, n.liveVMs())
+}
+
+func (n *Node) isChosen(key string) bool { return n.chosen(key) == n.config.VM }
+
+func (n *Node) writesSnapshots() bool { return n.isChosen(snapshotDuty) }
+
+// keeps returns the engines that this VM should keep: each engine is kept in its
+// own failure domain where an entry VM lives there, so that a cut-off domain
+// can go on loading.
+func (n *Node) keeps() []string {
+	if n.isStopping() {
+		return nil
+	}
+	live := n.liveVMs()
+	domains := map[string][]string{n.config.Domain: {n.config.VM}}
+	for _, d := range n.gossip.Live() {
+		if !d.Leaving {
+			domains[d.Domain] = append(domains[d.Domain], d.VM)
+		}
+	}
+	var mine []string
+	for _, e := range n.fleet.Engines() {
+		eligible := domains[e.VM.Domain]
+		if len(eligible) == 0 {
+			eligible = live
+		}
+		if rendezvous.Pick(e.VM.Address, eligible) == n.config.VM {
+			mine = append(mine, e.VM.Address)
+		}
+	}
+	return mine
+}
+
+func (n *Node) domainOf(engine string) string {
+	e, _ := n.fleet.Engine(engine)
+	return e.VM.Domain
+}
+
+func (n *Node) incarnationAlive(incarnation string) bool {
+	if incarnation == n.config.Incarnation {
+		return true
+	}
+	return slices.ContainsFunc(n.gossip.Live(), func(d entryvm.Digest) bool { return d.Incarnation == incarnation })
+}
+
+// listed hands a VM list to the keeper, which tells from it whose messages have
+// died out. Entry VMs are named by their ID and engines by their address.
+func (n *Node) listed(now time.Time, list vmlist.List) {
+	names := make([]string, 0, len(list.VMs))
+	for _, vm := range list.VMs {
+		if vm.Kind == vmlist.KindEngine {
+			names = append(names, vm.Address)
+			continue
+		}
+		names = append(names, vm.ID)
+	}
+	n.keeper.Listed(now, list.Version, names)
+}
+
+// nobodyAhead asks all other entry VMs whether any may have dispatched the key
+// by a claim that this VM has not folded. Silence counts as "may have".
+func (n *Node) nobodyAhead(ctx context.Context, query entryvm.ClaimQuery, applied uint64) bool {
+	const askTimeout = 300 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	others := n.otherVMs()
+	answers := make(chan bool, len(others))
+	for _, address := range others {
+		go func() {
+			reply, err := n.config.Peers.EntryVMs.Claimed(ctx, address, query)
+			answers <- err == nil && !reply.Held && reply.Applied <= applied
+		}()
+	}
+	for range others {
+		if !<-answers {
+			return false
+		}
+	}
+	return true
+}
+
+// otherVMs are the addresses of all other entry VMs, listed or heard.
+func (n *Node) otherVMs() []string {
+	addresses := make(map[string]bool)
+	for _, vm := range n.fleet.VMs(vmlist.KindEntry) {
+		if vm.ID != n.config.VM {
+			addresses[vm.Address] = true
+		}
+	}
+	for _, d := range n.gossip.Live() {
+		addresses[d.Address] = true
+	}
+	out := make([]string, 0, len(addresses))
+	for address := range addresses {
+		out = append(out, address)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/operator"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+// logReachableFor is how old the log's newest answer may be for it to count as
+// reachable: reads wait up to two seconds for news.
+const logReachableFor = 4 * time.Second
+
+func (o operators) self() operator.Self {
+	self := operator.Self{
+		ID: o.config.VM, Domain: o.config.Domain, Region: o.config.Region,
+		Incarnation: o.config.Incarnation, Version: o.config.Version, StartedAt: o.started, Ready: true,
+	}
+	if err := o.Ready(); err != nil {
+		self.Ready, self.NotReady = false, err.Error()
+	}
+	return self
+}
+
+func (o operators) logPosition(now time.Time) operator.LogPosition {
+	applied, end, reachedAt := o.control.Position()
+	position := operator.LogPosition{
+		Applied: applied, End: end, ReachedAt: reachedAt,
+		Reachable: !reachedAt.IsZero() && now.Sub(reachedAt) < logReachableFor,
+	}
+	if end > applied {
+		position.Lag = end - applied
+	}
+	return position
+}
+
+// entryVMs joins the VM list with the digests.
+func (o operators) entryVMs(now time.Time) []operator.EntryVM {
+	applied, _, _ := o.control.Position()
+	byID := map[string]operator.EntryVM{o.config.VM: {
+		ID: o.config.VM, Domain: o.config.Domain, Region: o.config.Region,
+		Applied: applied, HeardAt: now, Leaving: o.isStopping(), Newest: o.newest(),
+	}}
+	for _, heard := range o.gossip.All() {
+		d := heard.Digest
+		byID[d.VM] = operator.EntryVM{
+			ID: d.VM, Domain: d.Domain, Region: d.Region, Applied: d.Applied, HeardAt: heard.At,
+			Leaving: d.Leaving, Missing: now.Sub(heard.At) > o.config.HeardFor,
+		}
+	}
+	for _, vm := range o.fleet.VMs(vmlist.KindEntry) {
+		if _, known := byID[vm.ID]; !known {
+			byID[vm.ID] = operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: true, Leaving: vm.Leaving}
+		}
+	}
+	out := make([]operator.EntryVM, 0, len(byID))
+	for _, vm := range byID {
+		out = append(out, vm)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func (o operators) newest() state.Revision {
+	var version state.Revision
+	o.control.View(func(s *state.State) { version = s.NewestVersion() })
+	return version
+}
+
+func (o operators) engines(now time.Time) []operator.Engine {
+	seen := make(map[string]fleet.Engine)
+	for _, e := range o.fleet.Engines() {
+		seen[e.VM.Address] = e
+	}
+	byName := make(map[string]operator.Engine)
+	o.control.View(func(s *state.State) {
+		for name, agreed := range s.Engines {
+			byName[name] = describeEngine(s, agreed, seen[name])
+		}
+	})
+	out := make([]operator.Engine, 0, len(byName))
+	for name, described := range byName {
+		out = append(out, reached(described, seen[name], now))
+	}
+	for name, e := range seen {
+		if _, known := byName[name]; !known {
+			out = append(out, reached(operator.Engine{Name: name, Domain: e.VM.Domain}, e, now))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func reached(described operator.Engine, e fleet.Engine, now time.Time) operator.Engine {
+	described.Missing = now.Sub(e.SeenAt) > freshFor
+	described.Leaving = e.Leaving()
+	return described
+}
+
+func describeEngine(s *state.State, agreed *state.Engine, seen fleet.Engine) operator.Engine {
+	out := operator.Engine{
+		Name: agreed.Name, Domain: agreed.Domain, Token: agreed.Keeper, ChecksTokens: agreed.ChecksTokens,
+		MemoryBytes: agreed.MemoryBytes, UsedBytes: agreed.UsedBytes(),
+	}
+	if session := s.Sessions[agreed.KeeperSession]; session != nil {
+		out.Keeper = session.VM
+	}
+	phases := make(map[string]engine.Phase)
+	for _, u := range seen.Status.Units {
+		phases[u.Unit] = u.Phase
+	}
+	for _, right := range agreed.Rights {
+		out.Units = append(out.Units, operator.Unit{
+			Name: right.Unit, Customer: right.Customer, Bytes: right.Bytes, Phase: phaseOf(right, phases[right.Unit]),
+		})
+	}
+	sort.Slice(out.Units, func(i, j int) bool { return out.Units[i].Name < out.Units[j].Name })
+	return out
+}
+
+func phaseOf(right *state.Right, reported engine.Phase) operator.Phase {
+	switch {
+	case right.Withdrawn != 0:
+		return operator.PhaseUnloading
+	case reported == engine.PhaseReady:
+		return operator.PhaseLoaded
+	case right.Wanted:
+		return operator.PhaseLoading
+	default:
+		return operator.PhaseStandby
+	}
+}
+
+// waiting sums the demand of all live entry VMs by unit and customer.
+func (o operators) waiting(now time.Time) []operator.WaitingUnit {
+	type key struct{ unit, customer string }
+	sums := make(map[key]operator.WaitingUnit)
+	for _, d := range o.demand() {
+		k := key{d.Unit, d.Customer}
+		sum, known := sums[k]
+		left := d.Deadline.Sub(now)
+		if !known || left < sum.TimeLeft {
+			sum.TimeLeft = left
+		}
+		sum.Name, sum.Customer = d.Unit, d.Customer
+		sum.Requests += d.Waiting
+		sums[k] = sum
+	}
+	out := make([]operator.WaitingUnit, 0, len(sums))
+	for _, sum := range sums {
+		out = append(out, sum)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,218 @@
+// Package planner runs the placement policy for the units that this entry VM
+// plans: it builds the View from the fold, the fleet and the digests, and turns
+// decisions into proposals.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/fleet"
+	"bergamotreel/placement"
+	"bergamotreel/state"
+)
+
+const (
+	// planEvery bounds how long a change waits for the next plan when nothing
+	// wakes the planner.
+	planEvery = 200 * time.Millisecond
+	// planPause bounds how often the planner runs however often it is woken.
+	planPause = 20 * time.Millisecond
+	// proposeTimeout bounds one proposal; a decision still wanted is made again.
+	proposeTimeout = 5 * time.Second
+	// proposalsAtOnce bounds the proposals under way.
+	proposalsAtOnce = 64
+)
+
+// Control is what the planner uses of the control stream.
+type Control interface {
+	View(func(*state.State))
+	Propose(context.Context, state.Proposal) (state.Outcome, error)
+}
+
+// Config is what a Planner needs.
+type Config struct {
+	Domain  string
+	Control Control
+	Policy  *placement.Planner
+	Logger  *zap.Logger
+	// Engines are the engines as last seen.
+	Engines func() []fleet.Engine
+	// Demand is what waits at all live entry VMs, by unit.
+	Demand func() []placement.Demand
+	// Mine tells whether this VM plans the unit.
+	Mine func(unit string) bool
+	// Streams tells how many requests run on an engine, over all entry VMs.
+	Streams func(engine string) int
+	// Sick tells whether this VM's router keeps away from the engine.
+	Sick func(engine string) bool
+	// Store is how busy the weight store can be.
+	Store func() placement.Store
+	// Expect is told when a unit that requests wait for should be ready.
+	Expect func(unit string, at time.Time)
+}
+
+// Planner is the duty. Its methods may be called from any goroutine.
+type Planner struct {
+	config Config
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	policy   *placement.Planner
+	lastUsed map[string]time.Time
+	// ready is since when a unit is ready on an engine.
+	ready map[holding]time.Time
+}
+
+type holding struct{ engine, unit string }
+
+// New makes a planner; Run must be started for it to work.
+func New(config Config) *Planner {
+	return &Planner{
+		config: config, policy: config.Policy,
+		wake:     make(chan struct{}, 1),
+		lastUsed: make(map[string]time.Time),
+		ready:    make(map[holding]time.Time),
+	}
+}
+
+// Wake has a plan made soon.
+func (p *Planner) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Used notes a request for a unit at any entry VM. Repeated news of the same
+// request has no effect.
+func (p *Planner) Used(unit string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !at.After(p.lastUsed[unit]) {
+		return
+	}
+	p.lastUsed[unit] = at
+	p.policy.Used(unit, at)
+}
+
+// Run plans until ctx ends.
+func (p *Planner) Run(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	slots := make(chan struct{}, proposalsAtOnce)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		for _, decision := range p.plan(time.Now()) {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			group.Go(func() {
+				defer func() { <-slots }()
+				p.propose(ctx, decision)
+			})
+		}
+		if !pause(ctx, planPause) {
+			return
+		}
+		select {
+		case <-p.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decided is a decision with the keeper it was made under.
+type decided struct {
+	placement.Decision
+	keeper state.Revision
+}
+
+// plan makes one plan and remembers the keepers that it rests on.
+func (p *Planner) plan(now time.Time) []decided {
+	// Everything that takes another lock is asked before the fold is read: the
+	// queue holds its lock while it reads the fold.
+	engines := p.config.Engines()
+	demand := p.config.Demand()
+	loads := p.loads(engines)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []decided
+	p.config.Control.View(func(s *state.State) {
+		v := p.view(now, s, engines, loads, demand)
+		for _, decision := range p.policy.Plan(v) {
+			e := s.Engines[decision.Engine]
+			if e == nil {
+				continue
+			}
+			out = append(out, decided{Decision: decision, keeper: e.Keeper})
+		}
+	})
+	for _, d := range out {
+		if d.ExpectReady > 0 {
+			p.config.Expect(d.Unit, now.Add(d.ExpectReady))
+		}
+	}
+	return out
+}
+
+// engineLoad is what this entry VM's requests tell of an engine.
+type engineLoad struct {
+	streams int
+	sick    bool
+}
+
+func (p *Planner) loads(engines []fleet.Engine) map[string]engineLoad {
+	out := make(map[string]engineLoad, len(engines))
+	for _, e := range engines {
+		address := e.VM.Address
+		out[address] = engineLoad{streams: p.config.Streams(address), sick: p.config.Sick(address)}
+	}
+	return out
+}
+
+func (p *Planner) propose(ctx context.Context, d decided) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	outcome, err := p.config.Control.Propose(ctx, proposal(d))
+	p.config.Logger.Info("decided", zap.String("kind", string(d.Kind)), zap.String("unit", d.Unit),
+		zap.String("engine", d.Engine), zap.String("reason", d.Reason),
+		zap.String("verdict", string(outcome.Verdict)), zap.String("why", outcome.Reason), zap.Error(err))
+}
+
+func proposal(d decided) state.Proposal {
+	switch d.Kind {
+	case placement.Grant:
+		return state.Proposal{Grant: &state.Grant{
+			Engine: d.Engine, Keeper: d.keeper, Customer: d.Customer, Unit: d.Unit, Wanted: d.Wanted,
+		}}
+	case placement.Withdraw:
+		return state.Proposal{Withdraw: &state.Withdraw{
+			Engine: d.Engine, Keeper: d.keeper, Unit: d.Unit, Right: state.Revision(d.Right),
+		}}
+	default:
+		return state.Proposal{Want: &state.Want{
+			Engine: d.Engine, Keeper: d.keeper, Unit: d.Unit, Right: state.Revision(d.Right),
+			Wanted: d.Kind == placement.Want,
+		}}
+	}
+}
--- /dev/null
+++ b/internal/planner/view.go
@@ -0,0 +1,143 @@
+package planner
+
+import (
+	"time"
+
+	"bergamotreel/contract"
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/placement"
+	"bergamotreel/state"
+)
+
+// reachableFor is how old an engine's newest status may be for new grants.
+const reachableFor = 10 * time.Second
+
+// view builds the snapshot that a plan is made over.
+func (p *Planner) view(now time.Time, s *state.State, engines []fleet.Engine, loads map[string]engineLoad,
+	demand []placement.Demand,
+) placement.View {
+	v := placement.View{
+		Now: now, Self: p.config.Domain, Store: p.config.Store(),
+		Budget: func(customer string) int64 { return budget(s, customer) },
+		Lookup: func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) },
+	}
+	for _, e := range engines {
+		v.Engines = append(v.Engines, p.engine(now, s, e, loads[e.VM.Address]))
+	}
+	for _, published := range s.Contracts {
+		if published.Contract == nil {
+			continue
+		}
+		for _, unit := range published.Contract.Units() {
+			if p.config.Mine(unit.Name) {
+				v.Units = append(v.Units, planned(unit))
+			}
+		}
+	}
+	v.Store.Running = loading(v.Engines)
+	byUnit := make(map[string]placement.Demand)
+	for _, d := range demand {
+		if known, ok := byUnit[d.Unit]; !ok || d.Deadline.Before(known.Deadline) {
+			byUnit[d.Unit] = d
+		}
+		if p.config.Mine(d.Unit) {
+			v.Demand = append(v.Demand, d)
+		}
+	}
+	v.Waiting = func(unit string) (placement.Demand, bool) {
+		d, ok := byUnit[unit]
+		return d, ok
+	}
+	return v
+}
+
+func budget(s *state.State, customer string) int64 {
+	published := s.Contracts[customer]
+	if published == nil || published.Contract == nil {
+		return 0
+	}
+	return published.Contract.MemoryBytes - s.CustomerBytes(customer)
+}
+
+func lookup(s *state.State, customer, name string) (placement.Unit, bool) {
+	published := s.Contracts[customer]
+	if published == nil || published.Contract == nil {
+		return placement.Unit{}, false
+	}
+	unit, ok := published.Contract.FindUnit(name)
+	return planned(unit), ok
+}
+
+func planned(u contract.Unit) placement.Unit {
+	return placement.Unit{
+		Name: u.Name, Base: u.Base, Checkpoint: u.Checkpoint, Customer: u.Customer, Bytes: u.MemoryBytes,
+		MaxReplicas: u.MaxReplicas, MinReplicas: u.MinReplicas, StandbyPerDomain: u.StandbyPerDomain,
+		MaxWait: u.MaxWait, Priority: u.Priority,
+	}
+}
+
+// loading counts the loads that take from the weight store now, as agreed in the
+// log: so each planner sees those of the others before an engine reports them.
+func loading(engines []placement.Engine) int {
+	n := 0
+	for _, e := range engines {
+		for _, h := range e.Holdings {
+			if h.Wanted && !h.Ready && !h.Withdrawn {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (p *Planner) engine(now time.Time, s *state.State, e fleet.Engine, load engineLoad) placement.Engine {
+	agreed := s.Engines[e.VM.Address]
+	out := placement.Engine{
+		Name: e.VM.Address, Domain: e.VM.Domain, Slots: e.Status.Slots,
+		Leaving:   e.Leaving(),
+		Reachable: e.Reachable && now.Sub(e.SeenAt) < reachableFor,
+		Sick:      load.sick,
+		Cached:    cached(e.Status.Cached),
+	}
+	if agreed == nil {
+		return out
+	}
+	out.Kept = agreed.KeeperSession != 0
+	out.MemoryBytes = agreed.MemoryBytes
+	for _, right := range agreed.Rights {
+		out.Holdings = append(out.Holdings, p.holding(now, e, right, load.streams))
+	}
+	return out
+}
+
+func (p *Planner) holding(now time.Time, e fleet.Engine, right *state.Right, streams int) placement.Holding {
+	h := placement.Holding{
+		Unit: right.Unit, Customer: right.Customer, Checkpoint: right.Checkpoint, Bytes: right.Bytes,
+		Wanted: right.Wanted, Ready: e.Holds(right.Unit), Withdrawn: right.Withdrawn != 0,
+		LastUsed: p.lastUsed[right.Unit], Right: uint64(right.Granted),
+	}
+	key := holding{engine: e.VM.Address, unit: right.Unit}
+	if !h.Ready {
+		delete(p.ready, key)
+		return h
+	}
+	if p.ready[key].IsZero() {
+		p.ready[key] = now
+	}
+	h.ReadySince = p.ready[key]
+	// What runs is known by engine only. It counts for the units that were used
+	// since they became ready; an unload waits for streams at the engine anyway.
+	if h.LastUsed.After(h.ReadySince) {
+		h.Streams = streams
+	}
+	return h
+}
+
+func cached(tiers map[string]engine.Tier) map[string]placement.Tier {
+	out := make(map[string]placement.Tier, len(tiers))
+	for checkpoint, tier := range tiers {
+		out[checkpoint] = placement.Tier(tier)
+	}
+	return out
+}
