entryvm: net/rpc between entry VMs, kept to the fleet

Cause: the peer package had interfaces only; a stranger on the network must not feed an entry VM digests or control records. Both sides prove the fleet secret before net/rpc starts (HMAC-SHA256 over both nonces, the role and, under TLS, keying material of that session).

--- /dev/null
+++ b/entryvm/fakes_test.go
@@ -0,0 +1,127 @@
+package entryvm
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"math/big"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+var fleetSecret = []byte("0123456789abcdef0123456789abcdef")
+
+// recorder is a Handler that keeps what it got.
+type recorder struct {
+	mu      sync.Mutex
+	got     [][]Digest
+	wanted  []Demand
+	records Records
+}
+
+func (r *recorder) Exchange(digests []Digest) []Digest {
+	r.mu.Lock()
+	r.got = append(r.got, digests)
+	r.mu.Unlock()
+	return []Digest{{VM: "callee"}}
+}
+
+func (r *recorder) Want(_ string, demand []Demand) { r.wanted = demand }
+
+func (r *recorder) Records(from uint64) (Records, error) {
+	if from == 0 {
+		return Records{}, errors.New("no such offset")
+	}
+	return r.records, nil
+}
+
+func (r *recorder) Claimed(query ClaimQuery) ClaimReply {
+	return ClaimReply{Applied: uint64(query.Shard), Held: true}
+}
+
+// pipes is a network of one address in memory, so that time is virtual.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipes() *pipes {
+	return &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.done) })
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	select {
+	case p.conns <- theirs:
+		return ours, nil
+	case <-p.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// start serves the handler and returns how to stop it.
+func start(t *testing.T, p *pipes, handler Handler, config *tls.Config) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- Serve(ctx, p, fleetSecret, handler, config) }()
+	return func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func newTestClient(t *testing.T, p *pipes, secret []byte, config *tls.Config) *Client {
+	client, err := NewClient(secret, 0, config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client.dialTCP = p.dial
+	return client
+}
+
+// selfSigned is a TLS configuration that trusts every certificate: the secret
+// alone must keep strangers out.
+func selfSigned(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		Certificates:       []tls.Certificate{{Certificate: [][]byte{certificate}, PrivateKey: key}},
+	}
+}
+
--- /dev/null
+++ b/entryvm/messages.go
@@ -0,0 +1,94 @@
+package entryvm
+
+// The arguments and replies of the net/rpc methods Peer.Exchange, Peer.Want,
+// Peer.Records and Peer.Claimed. They are exported for net/rpc only.
+
+// ExchangeArgs carries the digests of the caller.
+type ExchangeArgs struct{ Digests []Digest }
+
+// ExchangeReply carries the digests of the callee.
+type ExchangeReply struct{ Digests []Digest }
+
+// WantArgs carries demand.
+type WantArgs struct {
+	// From is the calling VM.
+	From   string
+	Demand []Demand
+}
+
+// WantReply is empty.
+type WantReply struct{}
+
+// RecordsArgs asks for control records.
+type RecordsArgs struct {
+	// From is the first offset wanted.
+	From uint64
+}
+
+// names of the methods.
+const (
+	serviceName     = "Peer"
+	methodExchange  = serviceName + ".Exchange"
+	methodWant      = serviceName + ".Want"
+	methodRecords   = serviceName + ".Records"
+	methodClaimed   = serviceName + ".Claimed"
+	maxRecordsBytes = 4 << 20
+)
+
+// service is the net/rpc side of a Handler.
+type service struct{ handler Handler }
+
+// Exchange answers Peer.Exchange.
+func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	reply.Digests = s.handler.Exchange(args.Digests)
+	return nil
+}
+
+// Want answers Peer.Want.
+func (s *service) Want(args *WantArgs, _ *WantReply) error {
+	s.handler.Want(args.From, args.Demand)
+	return nil
+}
+
+// Records answers Peer.Records. It cuts the records where the message would get
+// too long; the caller asks on from there.
+func (s *service) Records(args *RecordsArgs, reply *Records) error {
+	records, err := s.handler.Records(args.From)
+	if err != nil {
+		return err
+	}
+	if total(records.Snapshot) > MaxMessageBytes-maxRecordsBytes {
+		return Error.New("snapshot too large for one message")
+	}
+	records.Records = cut(records.Records)
+	*reply = records
+	return nil
+}
+
+// Claimed answers Peer.Claimed.
+func (s *service) Claimed(args *ClaimQuery, reply *ClaimReply) error {
+	*reply = s.handler.Claimed(*args)
+	return nil
+}
+
+// total is the length of all parts, in bytes.
+func total(parts [][]byte) int {
+	sum := 0
+	for _, part := range parts {
+		sum += len(part)
+	}
+	return sum
+}
+
+// cut returns the first records that together stay below maxRecordsBytes, at
+// least one.
+func cut(records []Record) []Record {
+	bytes := 0
+	for i, record := range records {
+		bytes += len(record.Data)
+		if bytes > maxRecordsBytes && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/entryvm/rpc_test.go
@@ -0,0 +1,326 @@
+package entryvm
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestMessagesOverTCP(t *testing.T) {
+	for name, config := range map[string]*tls.Config{"plain": nil, "TLS": selfSigned(t)} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			handler := &recorder{records: Records{
+				Records:  []Record{{Offset: 7, Time: time.UnixMilli(5).UTC(), Data: []byte("r")}},
+				Snapshot: [][]byte{[]byte("s")},
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error)
+			go func() { ended <- Serve(ctx, listener, fleetSecret, handler, config) }()
+			client, err := NewClient(fleetSecret, 0, config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkMessages(t, client, listener.Addr().String(), handler)
+			client.Close()
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// checkMessages sends one of each message.
+func checkMessages(t *testing.T, peer Peer, address string, handler *recorder) {
+	sent := []Digest{{VM: "a", Sequence: 3, InFlight: map[string]int{"e": 1}, Used: []Use{{"m", time.Second}}}}
+	replied, err := peer.Exchange(t.Context(), address, sent)
+	if diff := cmp.Diff([]Digest{{VM: "callee"}}, replied); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if diff := cmp.Diff([][]Digest{sent}, handler.got); diff != "" {
+		t.Error(diff)
+	}
+	demand := []Demand{{Unit: "m", Customer: "c", Waiting: 2, Deadline: time.Second, Priority: 1}}
+	if err := peer.Want(t.Context(), address, "a", demand); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(demand, handler.wanted); diff != "" {
+		t.Error(diff)
+	}
+	records, err := peer.Records(t.Context(), address, 7)
+	if diff := cmp.Diff(handler.records, records); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if _, err := peer.Records(t.Context(), address, 0); !errors.Is(err, ErrRefused) {
+		t.Errorf("an error of the peer: %v", err)
+	}
+	reply, err := peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4})
+	if reply != (ClaimReply{Applied: 4, Held: true}) || err != nil {
+		t.Error(reply, err)
+	}
+}
+
+// Somebody who does not know the fleet secret calls a VM, or answers in place of
+// one: with another secret, with the caller's own proof sent back, in silence, or
+// from between two TLS sessions. Neither side must take a message from it.
+func TestStrangersAreKeptOut(t *testing.T) {
+	config := selfSigned(t)
+	otherSecret := []byte("another secret of enough length!!")
+	cases := map[string]struct {
+		secret   []byte
+		config   *tls.Config
+		stranger func(network *pipes, ours net.Conn)
+	}{
+		"caller with another secret": {secret: otherSecret},
+		"callee with another secret": {fleetSecret, nil, func(_ *pipes, conn net.Conn) {
+			_ = shakeAsServer(conn, otherSecret)
+		}},
+		"callee reflects the proof": {fleetSecret, nil, func(_ *pipes, conn net.Conn) { _, _ = io.Copy(conn, conn) }},
+		"callee stays silent":       {fleetSecret, nil, func(_ *pipes, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }},
+		"callee speaks HTTP": {fleetSecret, nil, func(_ *pipes, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
+		}},
+		"relay between TLS sessions": {fleetSecret, config, func(network *pipes, conn net.Conn) {
+			onward, err := network.dial(context.Background(), "", "")
+			if err != nil {
+				return
+			}
+			relay(tls.Server(conn, config), tls.Client(onward, config))
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, handler := newPipes(), &recorder{}
+				stop := start(t, network, handler, c.config)
+				defer stop()
+				client := newTestClient(t, network, c.secret, c.config)
+				defer client.Close()
+				if c.stranger != nil {
+					client.dialTCP = func(context.Context, string, string) (net.Conn, error) {
+						ours, theirs := net.Pipe()
+						go func() {
+							defer theirs.Close()
+							c.stranger(network, theirs)
+						}()
+						return ours, nil
+					}
+				}
+				_, err := client.Exchange(t.Context(), "vm", []Digest{{VM: "a"}})
+				if !errors.Is(err, ErrUnreachable) {
+					t.Errorf("got %v", err)
+				}
+				if len(handler.got) != 0 {
+					t.Error("the message arrived")
+				}
+			})
+		})
+	}
+}
+
+// relay copies both ways until one side ends.
+func relay(a, b net.Conn) {
+	var both sync.WaitGroup
+	copyTo := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		a.Close()
+		b.Close()
+	}
+	both.Go(func() { copyTo(a, b) })
+	both.Go(func() { copyTo(b, a) })
+	both.Wait()
+}
+
+// breakable is a connection that breaks at the next write once told to.
+type breakable struct {
+	net.Conn
+	broken bool
+}
+
+func (b *breakable) Write(p []byte) (int, error) {
+	if b.broken {
+		return 0, net.ErrClosed
+	}
+	return b.Conn.Write(p)
+}
+
+// A connection in use breaks under a call, the peer closes it when idle, the peer
+// restarts. The caller notices none of it: its call goes over a fresh connection.
+func TestCallsReconnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, handler := newPipes(), &recorder{}
+		client := newTestClient(t, network, fleetSecret, nil)
+		exchange := func(when string) {
+			t.Helper()
+			if _, err := client.Exchange(t.Context(), "vm", nil); err != nil {
+				t.Errorf("%s: %v", when, err)
+			}
+		}
+		var line *breakable
+		client.dialTCP = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			conn, err := network.dial(ctx, "", "")
+			line = &breakable{Conn: conn}
+			return line, err
+		}
+		stop := start(t, network, handler, nil)
+		exchange("at first")
+		line.broken = true
+		exchange("over a broken connection")
+		time.Sleep(2 * idleTimeout)
+		exchange("after the idle timeout")
+		stop()
+		restarted := newPipes()
+		client.dialTCP = restarted.dial
+		stop = start(t, restarted, handler, nil)
+		exchange("after the restart")
+		stop()
+		_, err := client.Exchange(t.Context(), "vm", nil)
+		if !errors.Is(err, ErrUnreachable) {
+			t.Errorf("after the end: %v", err)
+		}
+		synctest.Wait()
+		if len(client.conns) != 0 {
+			t.Errorf("%d connections are still held", len(client.conns))
+		}
+		client.Close()
+	})
+}
+
+// The peer is cut off without a word after a call has connected. The call ends
+// with its own deadline, and the next one is not caught in the same connection.
+func TestDeadlineLeavesSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newPipes()
+		stop := start(t, network, &recorder{}, nil)
+		defer stop()
+		client := newTestClient(t, network, fleetSecret, nil)
+		defer client.Close()
+		client.dialTCP = func(context.Context, string, string) (net.Conn, error) {
+			client.dialTCP = network.dial
+			ours, theirs := net.Pipe()
+			go func() {
+				_ = shakeAsServer(theirs, fleetSecret)
+				_, _ = io.Copy(io.Discard, theirs)
+			}()
+			return ours, nil
+		}
+		begin := time.Now()
+		for _, want := range []error{context.DeadlineExceeded, nil} {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := client.Exchange(ctx, "vm", nil)
+			if !errors.Is(err, want) || errors.Is(err, ErrUnreachable) != (want != nil) {
+				t.Errorf("got %v, want %v", err, want)
+			}
+			if took := time.Since(begin); took != 300*time.Millisecond {
+				t.Errorf("took %v", took)
+			}
+		}
+	})
+}
+
+// dialRaw connects past the client and sends a hello.
+func dialRaw(t *testing.T, network *pipes) net.Conn {
+	conn, err := network.dial(t.Context(), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// wantClosed checks that the server closes at once, without another byte.
+func wantClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	begin := time.Now()
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if took := time.Since(begin); took != 0 {
+		t.Errorf("closed after %v", took)
+	}
+}
+
+// A stranger calls who can't prove itself and does not care whether we can: it
+// must not even get our proof, at which it could try secrets.
+func TestServerProvesNothingToStrangers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newPipes()
+		stop := start(t, network, &recorder{}, nil)
+		defer stop()
+		conn := dialRaw(t, network)
+		if _, err := sendHello(conn); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readHello(conn); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(make([]byte, 32)); err != nil {
+			t.Fatal(err)
+		}
+		wantClosed(t, conn)
+	})
+}
+
+// A peer announces a message of 4 GB, or sends a snapshot beyond the bound: the
+// receiver must not allocate it, the sender must say so.
+func TestMessagesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newPipes()
+		handler := &recorder{records: Records{Snapshot: [][]byte{make([]byte, MaxMessageBytes)}}}
+		stop := start(t, network, handler, nil)
+		defer stop()
+		client := newTestClient(t, network, fleetSecret, nil)
+		defer client.Close()
+		if _, err := client.Records(t.Context(), "vm", 1); !errors.Is(err, ErrRefused) {
+			t.Errorf("snapshot beyond the bound: %v", err)
+		}
+		conn := dialRaw(t, network)
+		if err := shakeAsClient(conn, fleetSecret); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte{0xff, 0xff, 0xff, 0xff}); err != nil {
+			t.Fatal(err)
+		}
+		wantClosed(t, conn)
+	})
+}
+
+func TestRecordsAreCutToOneMessage(t *testing.T) {
+	half := Record{Data: make([]byte, maxRecordsBytes/2)}
+	huge := Record{Data: make([]byte, maxRecordsBytes+1)}
+	cases := map[string]struct {
+		records []Record
+		want    int
+	}{
+		"none": {nil, 0},
+		"fit":  {[]Record{half, half}, 2},
+		"cut":  {[]Record{half, half, half}, 2},
+		"one":  {[]Record{huge, half}, 1},
+	}
+	for name, c := range cases {
+		if got := len(cut(c.records)); got != c.want {
+			t.Errorf("%s: %d records, want %d", name, got, c.want)
+		}
+	}
+}
+
+func TestShortSecretsAreRefused(t *testing.T) {
+	if _, err := NewClient([]byte("short"), 0, nil); err == nil {
+		t.Error("client took a short secret")
+	}
+	if err := Serve(t.Context(), newPipes(), []byte("short"), &recorder{}, nil); err == nil {
+		t.Error("server took a short secret")
+	}
+}
--- /dev/null
+++ b/entryvm/server.go
@@ -0,0 +1,133 @@
+package entryvm
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+const (
+	// maxConnections bounds the connections that a server holds: the exchange
+	// topology has some dozens of peers talk to one VM.
+	maxConnections = 1024
+	// acceptPause is the pause after a failed accept, for instance for want of
+	// file descriptors.
+	acceptPause = 100 * time.Millisecond
+)
+
+// Serve answers peers on the listener until ctx ends; then it closes all
+// connections and returns when their calls have ended. A peer must know the
+// fleet secret. A tlsConfig of nil means TCP without TLS.
+func Serve(ctx context.Context, listener net.Listener, secret []byte, handler Handler, tlsConfig *tls.Config) error {
+	if err := checkSecret(secret); err != nil {
+		return err
+	}
+	dispatcher := rpc.NewServer()
+	if err := dispatcher.RegisterName(serviceName, &service{handler}); err != nil {
+		return Error.Wrap(err)
+	}
+	s := &server{
+		secret:     secret,
+		dispatcher: dispatcher,
+		tlsConfig:  tlsConfig,
+		conns:      map[net.Conn]struct{}{},
+	}
+	defer s.calls.Wait()
+	stop := context.AfterFunc(ctx, func() { s.close(listener) })
+	defer stop()
+	return s.accept(ctx, listener)
+}
+
+// server is one run of Serve.
+type server struct {
+	secret     []byte
+	dispatcher *rpc.Server
+	tlsConfig  *tls.Config
+	calls      sync.WaitGroup
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+func (s *server) accept(ctx context.Context, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			if conn != nil {
+				conn.Close()
+			}
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return Error.Wrap(err)
+		}
+		if err != nil {
+			pause(ctx, acceptPause)
+			continue
+		}
+		if !s.add(conn) {
+			conn.Close()
+			continue
+		}
+		s.calls.Go(func() {
+			defer s.remove(conn)
+			s.serve(conn)
+		})
+	}
+}
+
+// serve runs one connection to its end.
+func (s *server) serve(conn net.Conn) {
+	secure := conn
+	if s.tlsConfig != nil {
+		secure = tls.Server(conn, s.tlsConfig)
+	}
+	if err := shakeAsServer(secure, s.secret); err != nil {
+		return
+	}
+	s.dispatcher.ServeCodec(&serverCodec{newFramed(secure, conn, idleTimeout)})
+}
+
+// add registers a connection, unless there are too many or the server closes.
+func (s *server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *server) remove(conn net.Conn) {
+	conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// close ends the listener and all connections.
+func (s *server) close(listener net.Listener) {
+	listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
+
+// pause waits for the duration or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/standin/logserver/store_test.go
+++ b/internal/standin/logserver/store_test.go
@@ -166,7 +166,8 @@
 		}
 		return pattern
 	}
-	if draw(7) != draw(7) || draw(7) == draw(8) {
-		t.Errorf("the draws don't follow the seed: %s / %s", draw(7), draw(8))
+	first, again, other := draw(7), draw(7), draw(8)
+	if first != again || first == other {
+		t.Errorf("the draws don't follow the seed: %s / %s / %s", first, again, other)
 	}
 }
