Prove the backend clients against the stand-ins' faults, in virtual time

Cause: the clients in memory and over HTTP must tell the same truth of the same fault, or tests with the one say nothing of the other. Each scenario runs over both; HTTP goes through pipes inside synctest. Ruled out: real sockets with short timeouts (a busy machine changes the verdict).

--- /dev/null
+++ b/internal/standin/engineserver/engineserver_test.go
@@ -0,0 +1,179 @@
+package engineserver_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/sendonce"
+	"bergamotreel/internal/standin/engineserver"
+)
+
+const (
+	unitBytes = 10 << 30
+	// token is the time of a token in these tests.
+	token = 10 * time.Millisecond
+	// loadTime is the time of a load from disk.
+	loadTime = time.Second
+)
+
+// bed is a few engines and one client, in virtual time.
+type bed struct {
+	*testing.T
+	engine.Client
+	start func(address string, options engineserver.Options) *engineserver.Engine
+}
+
+// onBoth runs a test with the client in memory and with the one over HTTP, so
+// that both stand for the same engine.
+func onBoth(t *testing.T, test func(b bed)) {
+	t.Run("memory", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := engineserver.NewFleet()
+			test(bed{t, fleet, func(address string, options engineserver.Options) *engineserver.Engine {
+				e := newEngine(t, options)
+				fleet.Put(address, e)
+				return e
+			}})
+		})
+	})
+	t.Run("http", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			listeners := map[string]pipeListener{}
+			client := sendonce.NewClientDialing(func(_ context.Context, _, address string) (net.Conn, error) {
+				near, far := net.Pipe()
+				listeners[strings.TrimSuffix(address, ":80")] <- far
+				return near, nil
+			})
+			t.Cleanup(client.CloseIdleConnections)
+			test(bed{t, engine.NewClient(client), func(address string, options engineserver.Options) *engineserver.Engine {
+				e := newEngine(t, options)
+				listeners[address] = make(pipeListener)
+				server := &http.Server{Handler: e.Handler()}
+				go server.Serve(listeners[address])
+				t.Cleanup(func() { server.Close() })
+				return e
+			}})
+		})
+	})
+}
+
+func newEngine(t *testing.T, options engineserver.Options) *engineserver.Engine {
+	options.TokenTime = token
+	options.DiskBytesPerSecond = unitBytes / loadTime.Seconds()
+	e := engineserver.New(options)
+	t.Cleanup(e.Close)
+	return e
+}
+
+// pipeListener hands out the far ends of pipes.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l pipeListener) Close() error   { close(l); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// check fails the test unless err is want; nil wants no error.
+func (b bed) check(err, want error) {
+	b.Helper()
+	if !errors.Is(err, want) {
+		b.Fatalf("got %v, want %v", err, want)
+	}
+}
+
+func loadOrder(at engine.Token, unit string) engine.Order {
+	return engine.Order{Token: at, Action: engine.ActionLoad, Unit: unit, Checkpoint: unit + ".ckpt", Bytes: unitBytes}
+}
+
+func unloadOrder(at engine.Token, unit string) engine.Order {
+	return engine.Order{Token: at, Action: engine.ActionUnload, Unit: unit}
+}
+
+// load loads a unit and waits for it.
+func (b bed) load(address, unit string) {
+	b.Helper()
+	_, err := b.Order(b.Context(), address, loadOrder(1, unit))
+	b.check(err, nil)
+	time.Sleep(2 * loadTime)
+}
+
+func (b bed) status(address string) engine.Status {
+	b.Helper()
+	status, err := b.Status(b.Context(), address)
+	b.check(err, nil)
+	return status
+}
+
+// phases lists an engine's units with their phases.
+func (b bed) phases(address string) string {
+	b.Helper()
+	var list []string
+	for _, unit := range b.status(address).Units {
+		list = append(list, unit.Unit+" "+string(unit.Phase))
+	}
+	return strings.Join(list, ", ")
+}
+
+func (b bed) wantPhases(address, want string) {
+	b.Helper()
+	if got := b.phases(address); got != want {
+		b.Fatalf("%s holds %q instead of %q", address, got, want)
+	}
+}
+
+func request(id, unit, prompt string, tokens int) engine.Request {
+	body := fmt.Sprintf(`{"messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, prompt, tokens)
+	return engine.Request{ID: id, Unit: unit, Path: "/v1/chat/completions", Body: []byte(body)}
+}
+
+// generate begins a stream that must be taken.
+func (b bed) generate(address string, r engine.Request) engine.Stream {
+	b.Helper()
+	stream, err := b.Generate(b.Context(), address, r)
+	b.check(err, nil)
+	return stream
+}
+
+// read reads a stream to its end and returns its text, the number of chunks and
+// the error that ended it.
+func read(stream engine.Stream) (text string, chunks uint64, err error) {
+	defer stream.Close()
+	for {
+		chunk, err := stream.Next()
+		if err != nil {
+			return text, chunks, err
+		}
+		var part struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal(chunk.Data, &part); err != nil {
+			return text, chunks, err
+		}
+		text += part.Choices[0].Delta.Content
+		chunks++
+	}
+}
+
+func (b bed) wantWhole(stream engine.Stream, r engine.Request) {
+	b.Helper()
+	text, _, err := read(stream)
+	if err != io.EOF || text != engineserver.ExpectedText(r.Body) {
+		b.Fatalf("got %q, %v", text, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/engineserver/orders_test.go
@@ -0,0 +1,193 @@
+package engineserver_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/standin/engineserver"
+)
+
+func TestUnitLoadsAnswersAndUnloads(t *testing.T) {
+	onBoth(t, func(b bed) {
+		e := b.start("a", engineserver.Options{})
+		_, err := b.Generate(b.Context(), "a", request("r0", "m", "hello", 3))
+		b.check(err, engine.ErrNotLoaded)
+		status, err := b.Order(b.Context(), "a", loadOrder(1, "m"))
+		b.check(err, nil)
+		if len(status.Units) != 1 || status.Units[0].Phase != engine.PhaseLoading {
+			b.Errorf("after the order: %v", status.Units)
+		}
+		time.Sleep(loadTime + token)
+		b.wantPhases("a", "m ready")
+		r := request("r1", "m", "hello", 5)
+		stream := b.generate("a", r)
+		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
+		b.check(err, nil)
+		b.wantPhases("a", "m unloading")
+		_, err = b.Generate(b.Context(), "a", request("r2", "m", "hello", 3))
+		b.check(err, engine.ErrNotLoaded)
+		b.wantWhole(stream, r)
+		b.wantPhases("a", "")
+		if tier := b.status("a").Cached["m.ckpt"]; tier != engine.TierMemory {
+			b.Errorf("unloaded checkpoint is in tier %q", tier)
+		}
+		if ran := e.Records().Ran; ran["r1"] != 1 || len(ran) != 1 {
+			b.Errorf("ran %v", ran)
+		}
+	})
+}
+
+// The keeper sees a refusal, and the engine's memory stays within its size.
+// One unit is loading and one waits for its stream to end while a third is
+// ordered: all phases count, and the refusal is on record.
+func TestMemoryOfAllPhasesCounts(t *testing.T) {
+	onBoth(t, func(b bed) {
+		e := b.start("a", engineserver.Options{MemoryBytes: 2*unitBytes + 1})
+		b.load("a", "m1")
+		stream := b.generate("a", request("r", "m1", "hello", 300))
+		_, err := b.Order(b.Context(), "a", unloadOrder(2, "m1"))
+		b.check(err, nil)
+		_, err = b.Order(b.Context(), "a", loadOrder(3, "m2"))
+		b.check(err, nil)
+		b.wantPhases("a", "m1 unloading, m2 loading")
+		_, err = b.Order(b.Context(), "a", loadOrder(4, "m3"))
+		b.check(err, engine.ErrNoMemory)
+		_, _, _ = read(stream)
+		_, err = b.Order(b.Context(), "a", loadOrder(4, "m3"))
+		b.check(err, nil)
+		if records := e.Records(); records.Overcommits != 1 || records.MaxMemory != 2*unitBytes {
+			b.Errorf("%+v", records)
+		}
+	})
+}
+
+func TestAdapterNeedsItsBase(t *testing.T) {
+	onBoth(t, func(b bed) {
+		b.start("a", engineserver.Options{})
+		adapter := loadOrder(1, "lora")
+		adapter.Base = "m"
+		_, err := b.Order(b.Context(), "a", adapter)
+		b.check(err, engine.ErrNotLoaded)
+		b.load("a", "m")
+		_, err = b.Order(b.Context(), "a", adapter)
+		b.check(err, nil)
+		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
+		b.check(err, engine.ErrInUse)
+		_, err = b.Order(b.Context(), "a", unloadOrder(2, "lora"))
+		b.check(err, nil)
+		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
+		b.check(err, nil)
+		b.wantPhases("a", "")
+	})
+}
+
+// The former keeper sees an unknown outcome; its order arrives after the new
+// keeper has unloaded the unit.
+// An engine that checks tokens refuses it, so nothing comes back. One that
+// ignores tokens obeys: this is the fault that the rights have to stand.
+func TestLateOrder(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		onBoth(t, func(b bed) {
+			e := b.start("a", engineserver.Options{ChecksTokens: checks})
+			e.SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 5000})
+			impatient, cancel := context.WithTimeout(b.Context(), time.Second)
+			defer cancel()
+			_, err := b.Order(impatient, "a", loadOrder(5, "m"))
+			b.check(err, engine.ErrOutcomeUnknown)
+			_, err = b.Order(b.Context(), "a", engine.Order{Token: 6, Action: engine.ActionFence})
+			b.check(err, nil)
+			b.wantPhases("a", "")
+			time.Sleep(time.Minute)
+			want := map[bool]string{true: "", false: "m ready"}[checks]
+			b.wantPhases("a", want)
+			late := e.Records().Orders[1]
+			if late.Order.Unit != "m" || (late.Refused != "") != checks {
+				b.Errorf("late order: %+v", late)
+			}
+			_, err = b.Order(b.Context(), "a", loadOrder(4, "m2"))
+			b.check(err, map[bool]error{true: engine.ErrStaleToken}[checks])
+		})
+	}
+}
+
+// The keeper sees an unknown outcome though the load began.
+// The answer is lost after the effect; the same order again changes nothing.
+func TestLostOrderAnswer(t *testing.T) {
+	onBoth(t, func(b bed) {
+		e := b.start("a", engineserver.Options{})
+		e.SetFaults(engineserver.Faults{LoseOrderAnswers: 1})
+		_, err := b.Order(b.Context(), "a", loadOrder(1, "m"))
+		b.check(err, engine.ErrOutcomeUnknown)
+		b.wantPhases("a", "m loading")
+		b.load("a", "m")
+		b.wantPhases("a", "m ready")
+		if loads := e.Records().Loads["m"]; loads != 1 {
+			b.Errorf("%d loads", loads)
+		}
+	})
+}
+
+// The keeper sees timeouts while the engine is paused; what it sent meanwhile
+// takes effect once the engine runs on.
+func TestOrderToFrozenEngineTakesEffectAtTheThaw(t *testing.T) {
+	onBoth(t, func(b bed) {
+		e := b.start("a", engineserver.Options{})
+		e.SetFaults(engineserver.Faults{Frozen: true})
+		impatient, cancel := context.WithTimeout(b.Context(), time.Second)
+		defer cancel()
+		_, err := b.Order(impatient, "a", loadOrder(1, "m"))
+		b.check(err, engine.ErrOutcomeUnknown)
+		time.Sleep(time.Minute)
+		e.SetFaults(engineserver.Faults{})
+		time.Sleep(2 * loadTime)
+		b.wantPhases("a", "m ready")
+	})
+}
+
+// The caller sees a broken stream and the keeper an empty engine with a new
+// incarnation: the engine dies at the end of a load.
+// It keeps its highest token only if it promises to check tokens.
+func TestEngineDiesWhileLoading(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		onBoth(t, func(b bed) {
+			e := b.start("a", engineserver.Options{ChecksTokens: checks})
+			b.load("a", "m1")
+			before := b.status("a").Incarnation
+			stream := b.generate("a", request("r", "m1", "hello", 1000))
+			e.SetFaults(engineserver.Faults{DieWhileLoading: true})
+			_, err := b.Order(b.Context(), "a", loadOrder(9, "m2"))
+			b.check(err, nil)
+			_, _, err = read(stream)
+			b.check(err, engine.ErrBrokenStream)
+			time.Sleep(time.Minute)
+			after := b.status("a")
+			if after.Incarnation == before || len(after.Units) > 0 {
+				b.Errorf("after the restart: %+v", after)
+			}
+			if kept := after.HighestToken == 9; kept != checks {
+				b.Errorf("highest token after the restart: %d", after.HighestToken)
+			}
+			_, err = b.Resume(b.Context(), "a", "r", 1)
+			b.check(err, engine.ErrUnknownStream)
+		})
+	}
+}
+
+// The keeper sees no unit and the reason; the memory is free again.
+func TestFailedLoad(t *testing.T) {
+	onBoth(t, func(b bed) {
+		e := b.start("a", engineserver.Options{})
+		e.SetFaults(engineserver.Faults{FailLoads: []string{"m"}, StallLoads: []string{"m2"}})
+		b.load("a", "m")
+		b.load("a", "m2")
+		b.wantPhases("a", "m2 loading")
+		if status := b.status("a"); status.Failed["m"] == "" {
+			b.Errorf("%+v", status)
+		}
+		e.SetFaults(engineserver.Faults{})
+		b.load("a", "m")
+		b.wantPhases("a", "m ready, m2 ready")
+	})
+}
--- a/internal/standin/serviceserver/service.go
+++ b/internal/standin/serviceserver/service.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -188,11 +189,14 @@
 		Method: call.Method, Path: call.Path,
 		IdempotencyKey: call.Header.Get(headerKey), RequestID: call.RequestID,
 	}]++
-	path, _, _ := strings.Cut(call.Path, "?")
-	if item, ok := strings.CutPrefix(path, stockPath); ok && call.Method == http.MethodGet {
+	target, err := url.ParseRequestURI(call.Path)
+	if err != nil {
+		return answerJSON(http.StatusBadRequest, err.Error())
+	}
+	if item, ok := strings.CutPrefix(target.Path, stockPath); ok && call.Method == http.MethodGet {
 		return s.stock(item)
 	}
-	if path == bookPath && call.Method == http.MethodPost {
+	if target.Path == bookPath && call.Method == http.MethodPost {
 		return s.book(call.Body)
 	}
 	return answerJSON(http.StatusOK, map[string]string{
--- a/service/client.go
+++ b/service/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"bergamotreel/internal/sendonce"
 )
@@ -76,12 +77,18 @@
 	return request, nil
 }
 
-// endToEnd copies the header without the fields of one hop.
+// endToEnd copies the header without the fields of one hop: the well-known ones
+// and those that the field Connection names.
 func endToEnd(header http.Header) http.Header {
 	kept := header.Clone()
 	if kept == nil {
 		kept = http.Header{}
 	}
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		kept.Del(name)
 	}
