--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -6,9 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/sendonce"
 )
 
 // cannedTransport answers every request with the same body.
@@ -45,6 +50,45 @@
 	}
 }
 
+// BenchmarkRelayOverLoopback is the same over a TCP connection, with a write of
+// its own for each chunk as engines do. cpu-ns/op is the processor time of both
+// ends, with the kernel's part.
+func BenchmarkRelayOverLoopback(b *testing.B) {
+	chunk := chunkOf("r1", "null")
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderRequestID, "r1")
+		flusher := http.NewResponseController(w)
+		for i := 1; r.Context().Err() == nil; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, chunk)
+			_ = flusher.Flush()
+		}
+	}))
+	defer server.Close()
+	client := engine.NewClient(sendonce.NewClient())
+	address := strings.TrimPrefix(server.URL, "http://")
+	stream, err := client.Generate(b.Context(), address, engine.Request{ID: "r1", Path: "/v1/completions"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer stream.Close()
+	begun := processorTime()
+	for b.Loop() {
+		if _, err := stream.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(processorTime()-begun)/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime is what this process has used so far.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		panic(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
 // chunkOf is a chunk as engines send them.
 func chunkOf(id, finish string) string {
 	return fmt.Sprintf(`{"id":%q,"object":"chat.completion.chunk","model":"clerk-assistant",`+
--- a/internal/standin/engineserver/engineserver_test.go
+++ b/internal/standin/engineserver/engineserver_test.go
@@ -31,6 +31,8 @@
 	*testing.T
 	engine.Client
 	start func(address string, options engineserver.Options) *engineserver.Engine
+	// dials counts the connections made over HTTP.
+	dials *int
 }
 
 // onBoth runs a test with the client in memory and with the one over HTTP, so
@@ -43,13 +45,19 @@
 				e := newEngine(t, options)
 				fleet.Put(address, e)
 				return e
-			}})
+			}, nil})
 		})
 	})
+	onHTTP(t, test)
+}
+
+func onHTTP(t *testing.T, test func(b bed)) {
 	t.Run("http", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			listeners := map[string]pipeListener{}
+			dials := 0
 			client := sendonce.NewClientDialing(func(_ context.Context, _, address string) (net.Conn, error) {
+				dials++
 				near, far := net.Pipe()
 				listeners[strings.TrimSuffix(address, ":80")] <- far
 				return near, nil
@@ -62,7 +70,7 @@
 				go server.Serve(listeners[address])
 				t.Cleanup(func() { server.Close() })
 				return e
-			}})
+			}, &dials})
 		})
 	})
 }
--- a/internal/standin/engineserver/streams_test.go
+++ b/internal/standin/engineserver/streams_test.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/engine"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/routing"
 )
 
 // The caller gets one answer. Its request is sent twice, since the first answer
@@ -161,8 +162,10 @@
 		time.Sleep(time.Second)
 		later, err := b.CacheEvents(b.Context(), "a", 0)
 		b.check(err, nil)
-		if len(events) != 0 || len(later) != 2 || later[1].Sequence != 3 {
-			b.Errorf("events %v, a second later %v", events, later)
+		messages, _, _ := strings.Cut(string(request("r", "m", prompt, 1).Body), `,"max_tokens"`)
+		hashes := routing.Prefixes("m", []byte(strings.TrimPrefix(messages, `{"messages":`)))
+		if len(events) != 0 || len(later) != 2 || later[1].Prefix != hashes[2] {
+			b.Errorf("events %v, a second later %v, hashes %v", events, later, hashes)
 		}
 	})
 }
@@ -218,3 +221,19 @@
 		b.check(err, engine.ErrNotSent)
 	})
 }
+
+// The caller waits for no new connection: one that carried a whole answer is
+// used for the next.
+func TestConnectionServesTheNextStream(t *testing.T) {
+	onHTTP(t, func(b bed) {
+		b.start("a", engineserver.Options{})
+		b.load("a", "m")
+		for _, id := range []string{"r1", "r2", "r3"} {
+			r := request(id, "m", "hello", 3)
+			b.wantWhole(b.generate("a", r), r)
+		}
+		if *b.dials != 1 {
+			b.Errorf("%d connections", *b.dials)
+		}
+	})
+}
--- a/internal/standin/engineserver/text.go
+++ b/internal/standin/engineserver/text.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"bergamotreel/routing"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -13,8 +15,6 @@
 	defaultTokens = 16
 	// bytesPerToken is how many bytes of the prompt count as one token.
 	bytesPerToken = 4
-	// prefixBytes is the step of PromptPrefixes.
-	prefixBytes = 256
 	// chatPath is the path whose chunks carry deltas.
 	chatPath = "/v1/chat/completions"
 )
@@ -86,18 +86,19 @@
 	return text.String()
 }
 
-// PromptPrefixes hashes the prefixes of a prompt in steps of 256 bytes, shortest
-// first.
+// PromptPrefixes hashes the prefixes of a request's prompt as the routers do.
 func PromptPrefixes(unit string, body []byte) []uint64 {
-	p, err := parsePrompt(body)
-	if err != nil {
+	var raw struct {
+		Prompt   json.RawMessage `json:"prompt"`
+		Messages json.RawMessage `json:"messages"`
+	}
+	if json.Unmarshal(body, &raw) != nil {
 		return nil
 	}
-	var prefixes []uint64
-	for end := prefixBytes; end <= len(p.text); end += prefixBytes {
-		prefixes = append(prefixes, xxhash.Sum64String(unit+"\x00"+p.text[:end]))
+	if raw.Messages != nil {
+		return routing.Prefixes(unit, raw.Messages)
 	}
-	return prefixes
+	return routing.Prefixes(unit, raw.Prompt)
 }
 
 // The JSON of a chunk, as OpenAI's API streams it.
