Run the system as separate processes in a test; plan of dev split out

Ruled out: running the daemons inside the test process (would not show exit codes, ports or signals). Conclusion: whole path as processes holds, also with one entry VM killed and one stopped.

--- /dev/null
+++ b/cmd/bergamotreel/processes_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"net/http"
+
+	"bergamotreel/internal/devsystem"
+	"bergamotreel/vmlist"
+)
+
+// patience bounds waiting for a process to do what it must do at some point. It
+// asserts nothing about speed.
+const patience = 60 * time.Second
+
+// TestSeparateProcesses runs the system as an operator would: each part is a
+// process of its own. Callers get a cold answer, a whole stream and one booking
+// for two tries. Then one entry VM is killed and one is asked to stop: the
+// others still answer, and the one asked to stop exits with 0.
+func TestSeparateProcesses(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"bergamotreel", "standin"} {
+		build(t, filepath.Join(dir, name), "bergamotreel/cmd/"+name)
+	}
+	p := &processes{t: t, dir: dir}
+	system := p.startSystem()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if err := system.Publish(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := system.Check(ctx, testWriter{t}); err != nil {
+		t.Fatal(err)
+	}
+
+	killed, stopped := p.entries[1], p.entries[3]
+	if err := killed.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := stopped.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := stopped.Wait(); err != nil {
+		t.Errorf("asked to stop, the entry VM exits with %v", err)
+	}
+	rest := &devsystem.System{Entries: []devsystem.Entry{system.Entries[0], system.Entries[2]}, Ran: system.Ran}
+	if err := rest.Answers(ctx, "damage-13b"); err != nil {
+		t.Errorf("after a kill and a stop: %v", err)
+	}
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+func build(t *testing.T, binary, pkg string) {
+	t.Helper()
+	if out, err := exec.Command("go", "build", "-o", binary, pkg).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+}
+
+// processes starts processes and ends them with the test.
+type processes struct {
+	t       *testing.T
+	dir     string
+	entries []*exec.Cmd
+}
+
+func (p *processes) start(binary string, args ...string) *exec.Cmd {
+	p.t.Helper()
+	command := exec.Command(filepath.Join(p.dir, binary), args...)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+// standin starts a stand-in and returns its address once it listens.
+func (p *processes) standin(verb string, args ...string) string {
+	p.t.Helper()
+	address := devsystem.FreePort()
+	p.start("standin", append([]string{verb, "--listen", address}, args...)...)
+	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return address
+		}
+		if time.Since(begun) > patience {
+			p.t.Fatalf("%s does not listen", verb)
+		}
+	}
+}
+
+// startSystem starts one log, VM list, weight store and service, four engines
+// and four entry VMs in two failure domains.
+func (p *processes) startSystem() *devsystem.System {
+	plan := devsystem.NewPlan()
+	plan.LogURL = "http://" + p.standin("log")
+	plan.StoreURL = "http://" + p.standin("weightstore", "--bytes-per-second", "16e9")
+	for i, domain := range plan.Domains() {
+		for j := range 2 {
+			args := []string{
+				"--weight-store", plan.StoreURL, "--memory-bytes", fmt.Sprint(int64(160 << 30)),
+				"--token-time", "5ms", "--disk-bytes-per-second", "68e9",
+			}
+			if j == 0 {
+				args = append(args, "--checks-tokens")
+			}
+			plan.AddBackend(vmlist.VM{
+				ID: fmt.Sprintf("engine-%d-%d", i, j), Kind: vmlist.KindEngine, Domain: domain,
+				Address: p.standin("engine", args...),
+			})
+		}
+	}
+	booking := p.standin("service")
+	plan.AddBackend(vmlist.VM{
+		ID: "booking-1", Kind: vmlist.KindService, Domain: plan.Domains()[0], Service: "booking", Address: booking,
+	})
+	if err := plan.PickEntries(); err != nil {
+		p.t.Fatal(err)
+	}
+	plan.ListURL = "http://" + p.standin("vmlist", "--file", p.writeList(plan.VMs))
+	for i, text := range plan.Settings() {
+		file := filepath.Join(p.dir, fmt.Sprintf("entry-%d.ini", i))
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			p.t.Fatal(err)
+		}
+		p.entries = append(p.entries, p.start("bergamotreel", "serve", "--config", file))
+	}
+	return &devsystem.System{Entries: plan.Entries, Ran: func() int { return bookings(p.t, booking) }}
+}
+
+func (p *processes) writeList(vms []vmlist.VM) string {
+	file := filepath.Join(p.dir, "vms.json")
+	data, err := json.Marshal(vmlist.List{VMs: vms})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	return file
+}
+
+// bookings counts how often the service stand-in really ran POST /book.
+func bookings(t *testing.T, address string) int {
+	answer, err := http.Get("http://" + address + "/admin/calls")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var calls []struct {
+		Method, Path string
+		Times        int
+	}
+	if err := json.NewDecoder(answer.Body).Decode(&calls); err != nil {
+		t.Fatal(err)
+	}
+	total := 0
+	for _, call := range calls {
+		if call.Method == http.MethodPost && call.Path == "/book" {
+			total += call.Times
+		}
+	}
+	return total
+}
--- a/internal/devsystem/check.go
+++ b/internal/devsystem/check.go
@@ -117,6 +117,16 @@
 	return nil
 }
 
+// Answers has every entry VM answer a request for the model.
+func (s *System) Answers(ctx context.Context, model string) error {
+	for i, entry := range s.Entries {
+		if err := s.checkWhole(ctx, i, model); err != nil {
+			return Error.New("%s: %v", entry.ID, err)
+		}
+	}
+	return nil
+}
+
 func chatBody(model string, stream bool) []byte {
 	body, _ := json.Marshal(map[string]any{
 		"model": model, "stream": stream, "max_tokens": 24,
@@ -231,7 +241,7 @@
 	if answers[0] != answers[1] {
 		return fmt.Errorf("answers differ: %q, %q", answers[0], answers[1])
 	}
-	if ran := len(s.Bookings.Bookings()); ran != 1 {
+	if ran := s.Ran(); ran != 1 {
 		return fmt.Errorf("the booking ran %d times", ran)
 	}
 	return nil
--- a/internal/devsystem/devsystem.go
+++ b/internal/devsystem/devsystem.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,11 +35,7 @@
 	// TrinidadKey is a caller's API key of the sample contract.
 	TrinidadKey = "trinidad-desk-key"
 
-	fleetSecret = "dev-fleet-secret-dev-fleet-secret"
-	region      = "dev"
-
 	enginesPerDomain = 2
-	entriesPerDomain = 2
 
 	// The stand-ins' speeds: a load takes about a second, a token 5 ms.
 	storeBytes     = 16 << 30
@@ -55,33 +49,22 @@
 	headerTimeout  = 5 * time.Second
 )
 
-var domains = []string{"domain-a", "domain-b"}
-
-// Entry is one entry VM of the system.
-type Entry struct {
-	ID, Domain                    string
-	Callers, Operators, Telemetry string
-}
-
 // System is the running system.
 type System struct {
-	Entries  []Entry
-	Bookings *serviceserver.Service
+	Entries []Entry
+	// Ran counts how often a booking really ran.
+	Ran func() int
 
 	group   sync.WaitGroup
 	failed  chan error
 	logger  *zap.Logger
-	urls    platformURLs
-	vms     []vmlist.VM
+	plan    *Plan
 	entries []*daemon.Daemon
 }
 
-// platformURLs are the base URLs of the platform's stand-ins.
-type platformURLs struct{ log, list, store string }
-
 // Start makes the system and runs it until ctx ends; Wait returns after that.
 func Start(ctx context.Context, logger *zap.Logger) (*System, error) {
-	s := &System{Bookings: serviceserver.New(), failed: make(chan error, 1), logger: logger}
+	s := &System{failed: make(chan error, 1), logger: logger, plan: NewPlan()}
 	if err := s.startPlatform(ctx); err != nil {
 		return nil, err
 	}
@@ -121,27 +104,27 @@
 	})
 	log := logserver.New(logserver.Config{AppendsPerSecond: appendsASecond, Burst: appendsASecond})
 	var err error
-	if s.urls.store, err = s.serve(ctx, weightserver.Handler(store)); err != nil {
+	if s.plan.StoreURL, err = s.serve(ctx, weightserver.Handler(store)); err != nil {
 		return err
 	}
-	if s.urls.log, err = s.serve(ctx, logserver.Handler(log)); err != nil {
+	if s.plan.LogURL, err = s.serve(ctx, logserver.Handler(log)); err != nil {
 		return err
 	}
 	if err = s.startBackends(ctx, store); err != nil {
 		return err
 	}
-	texts, err := s.planEntries()
-	if err != nil {
+	if err := s.plan.PickEntries(); err != nil {
 		return err
 	}
-	if s.urls.list, err = s.serve(ctx, vmlistserver.Handler(vmlistserver.New(0, s.vms...))); err != nil {
+	s.Entries = s.plan.Entries
+	if s.plan.ListURL, err = s.serve(ctx, vmlistserver.Handler(vmlistserver.New(0, s.plan.VMs...))); err != nil {
 		return err
 	}
-	return s.makeEntries(texts)
+	return s.makeEntries()
 }
 
 func (s *System) startBackends(ctx context.Context, store *weightserver.Store) error {
-	for _, domain := range domains {
+	for _, domain := range s.plan.Domains() {
 		for i := range enginesPerDomain {
 			id := fmt.Sprintf("engine-%s-%d", domain, i+1)
 			e := engineserver.New(engineserver.Options{
@@ -155,8 +138,10 @@
 			}
 		}
 	}
-	booking := vmlist.VM{ID: "booking-1", Kind: vmlist.KindService, Domain: domains[0], Service: "booking"}
-	return s.addBackend(ctx, booking, s.Bookings.Handler())
+	booking := vmlist.VM{ID: "booking-1", Kind: vmlist.KindService, Domain: s.plan.Domains()[0], Service: "booking"}
+	bookings := serviceserver.New()
+	s.Ran = func() int { return len(bookings.Bookings()) }
+	return s.addBackend(ctx, booking, bookings.Handler())
 }
 
 func (s *System) addBackend(ctx context.Context, vm vmlist.VM, handler http.Handler) error {
@@ -165,8 +150,7 @@
 		return err
 	}
 	vm.Address = url[len(scheme):]
-	vm.Region = region
-	s.vms = append(s.vms, vm)
+	s.plan.AddBackend(vm)
 	return nil
 }
 
@@ -196,58 +180,9 @@
 	}
 }
 
-// planEntries picks the entry VMs' ports, lists them, and returns settings that
-// still lack the VM list's URL.
-func (s *System) planEntries() ([]string, error) {
-	var texts []string
-	for _, domain := range domains {
-		for i := range entriesPerDomain {
-			ports, err := freePorts(4)
-			if err != nil {
-				return nil, err
-			}
-			entry := Entry{
-				ID: fmt.Sprintf("entry-%s-%d", domain, i+1), Domain: domain,
-				Callers: ports[0], Operators: ports[1], Telemetry: ports[3],
-			}
-			s.Entries = append(s.Entries, entry)
-			s.vms = append(s.vms, vmlist.VM{
-				ID: entry.ID, Kind: vmlist.KindEntry, Address: ports[2], Domain: domain, Region: region,
-			})
-			texts = append(texts, settingsText(entry, ports[2], s.urls))
-		}
-	}
-	return texts, nil
-}
-
-func settingsText(e Entry, peersAddress string, urls platformURLs) string {
-	token := sha256.Sum256([]byte(OperatorToken))
-	return fmt.Sprintf(`[vm]
-id = %s
-domain = %s
-region = %s
-callers_address = %s
-operators_address = %s
-peers_address = %s
-[platform]
-log_url = %s
-vmlist_url = %%s
-weightstore_url = %s
-[peers]
-secret = %s
-[operators]
-token_sha256 = %s
-[log]
-level = warn
-[metrics]
-address = %s
-`, e.ID, e.Domain, region, e.Callers, e.Operators, peersAddress, urls.log, urls.store,
-		fleetSecret, hex.EncodeToString(token[:]), e.Telemetry)
-}
-
-func (s *System) makeEntries(texts []string) error {
-	for i, text := range texts {
-		parsed, err := settings.Parse(s.Entries[i].ID, fmt.Sprintf(text, s.urls.list))
+func (s *System) makeEntries() error {
+	for i, text := range s.plan.Settings() {
+		parsed, err := settings.Parse(s.Entries[i].ID, text)
 		if err != nil {
 			return err
 		}
@@ -260,21 +195,6 @@
 	return nil
 }
 
-// freePorts returns loopback addresses that nothing listens on.
-func freePorts(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		// All stay open until the last is found, so that they differ.
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
-	}
-	return addresses, nil
-}
-
 // Contracts are the sample contracts by customer.
 func Contracts() map[string]string {
 	return map[string]string{"trinidad": examples.Trinidad, "kathmandu": examples.Kathmandu}
--- /dev/null
+++ b/internal/devsystem/plan.go
@@ -0,0 +1,124 @@
+package devsystem
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+
+	"bergamotreel/vmlist"
+)
+
+const (
+	fleetSecret      = "dev-fleet-secret-dev-fleet-secret"
+	region           = "dev"
+	entriesPerDomain = 2
+	// portsPerEntry: callers, operators, peers, metrics.
+	portsPerEntry = 4
+)
+
+// Entry is one entry VM of the system; its addresses are IP:port.
+type Entry struct {
+	ID, Domain                           string
+	Callers, Operators, Peers, Telemetry string
+}
+
+// Plan is who listens where: entry VMs in two failure domains, and the outside
+// systems, in this process or in others.
+type Plan struct {
+	// LogURL, ListURL and StoreURL are the base URLs of the platform's stand-ins.
+	LogURL, ListURL, StoreURL string
+	// VMs is the VM list.
+	VMs     []vmlist.VM
+	Entries []Entry
+}
+
+// NewPlan returns a plan without any VM.
+func NewPlan() *Plan { return &Plan{} }
+
+// Domains are the failure domains.
+func (p *Plan) Domains() []string { return []string{"domain-a", "domain-b"} }
+
+// AddBackend lists a backend server.
+func (p *Plan) AddBackend(vm vmlist.VM) {
+	vm.Region = region
+	p.VMs = append(p.VMs, vm)
+}
+
+// PickEntries picks free ports for the entry VMs and lists them.
+func (p *Plan) PickEntries() error {
+	for _, domain := range p.Domains() {
+		for i := range entriesPerDomain {
+			ports, err := freePorts(portsPerEntry)
+			if err != nil {
+				return err
+			}
+			entry := Entry{
+				ID: fmt.Sprintf("entry-%s-%d", domain, i+1), Domain: domain,
+				Callers: ports[0], Operators: ports[1], Peers: ports[2], Telemetry: ports[3],
+			}
+			p.Entries = append(p.Entries, entry)
+			p.VMs = append(p.VMs, vmlist.VM{
+				ID: entry.ID, Kind: vmlist.KindEntry, Address: entry.Peers, Domain: domain, Region: region,
+			})
+		}
+	}
+	return nil
+}
+
+// Settings are the entry VMs' settings files, in the order of Entries.
+func (p *Plan) Settings() []string {
+	token := sha256.Sum256([]byte(OperatorToken))
+	texts := make([]string, len(p.Entries))
+	for i, e := range p.Entries {
+		texts[i] = fmt.Sprintf(settingsTemplate, e.ID, e.Domain, region, e.Callers, e.Operators, e.Peers,
+			p.LogURL, p.ListURL, p.StoreURL, fleetSecret, hex.EncodeToString(token[:]), e.Telemetry)
+	}
+	return texts
+}
+
+const settingsTemplate = `[vm]
+id = %s
+domain = %s
+region = %s
+callers_address = %s
+operators_address = %s
+peers_address = %s
+[platform]
+log_url = %s
+vmlist_url = %s
+weightstore_url = %s
+[peers]
+secret = %s
+[operators]
+token_sha256 = %s
+[log]
+level = warn
+[metrics]
+address = %s
+`
+
+// FreePort returns a loopback address that nothing listens on, "" if there is
+// none.
+func FreePort() string {
+	ports, err := freePorts(1)
+	if err != nil {
+		return ""
+	}
+	return ports[0]
+}
+
+// freePorts returns loopback addresses that nothing listens on.
+func freePorts(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		// All stay open until the last is found, so that they differ.
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
