--- a/engine/check.go
+++ b/engine/check.go
@@ -61,9 +61,6 @@
 	return brokenStream(fmt.Errorf("end at position %d without a finish reason", position))
 }
 
-// Next is the position that must come next.
-func (c *Check) Next() uint64 { return c.next }
-
 func (c *Check) ours(data []byte) bool {
 	if bytes.HasPrefix(data, c.prefix) {
 		return true
