routing: Choose by load, prefix, domain and health

Cause: the first API sent to the least loaded engine by its late report. Now the router corrects the report by its own requests since, draws two engines of its failure domain and two outside it, adds those with the prompt's prefix, and weighs load, slowness, domain and cached part. Failing, slow and silent engines are ejected and probed, never all of them.

--- /dev/null
+++ b/routing/prefix_test.go
@@ -0,0 +1,155 @@
+package routing
+
+import (
+	"bytes"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const (
+	cacheEngines  = 20
+	cacheBlocks   = 400 // an engine keeps; all sessions together have over 4000
+	cacheSessions = 300
+	cacheTurns    = 3000
+	cacheInFlight = 80 // a quarter of all slots
+)
+
+// engineCache is an engine's prefix cache, least recently used out first.
+type engineCache struct {
+	used map[uint64]int
+	tick int
+}
+
+// serve counts the blocks found, and caches them all.
+func (c *engineCache) serve(prefixes []uint64) (hits int) {
+	missed := false
+	for _, p := range prefixes {
+		if _, ok := c.used[p]; ok && !missed {
+			hits++
+		} else {
+			missed = true
+		}
+		c.tick++
+		c.used[p] = c.tick
+	}
+	for len(c.used) > cacheBlocks {
+		oldest, at := uint64(0), c.tick+1
+		for p, used := range c.used {
+			if used < at {
+				oldest, at = p, used
+			}
+		}
+		delete(c.used, oldest)
+	}
+	return hits
+}
+
+// hitShare plays sessions whose prompts grow by some blocks a turn behind a
+// common system prompt, and returns the share of blocks found cached.
+func hitShare(pick func(r *Router, now time.Time, prefixes []uint64, list []Candidate) string) float64 {
+	rng := rand.New(rand.NewSource(1))
+	routers := []*Router{New(Config{}, rand.New(rand.NewSource(2))), New(Config{}, rand.New(rand.NewSource(3)))}
+	caches := map[string]*engineCache{}
+	var list []Candidate
+	for i := range cacheEngines {
+		list = append(list, Candidate{Engine: engineName(i), Domain: "a", Slots: herdSlots, Ready: true})
+		caches[engineName(i)] = &engineCache{used: map[uint64]int{}}
+	}
+	system := bytes.Repeat([]byte("s"), 4*PrefixBlock)
+	prompts := make([][]byte, cacheSessions)
+	now := time.Unix(1_000_000, 0)
+	hits, total := 0, 0
+	var ends []func() // of the requests in flight, oldest first
+	for range cacheTurns {
+		now = now.Add(100 * time.Millisecond)
+		at := rng.Intn(cacheSessions)
+		if prompts[at] == nil || len(prompts[at]) > 24*PrefixBlock {
+			prompts[at] = bytes.Clone(system)
+		}
+		turn := make([]byte, 4*PrefixBlock)
+		rng.Read(turn)
+		prompts[at] = append(prompts[at], turn...)
+		prefixes := Prefixes("m", prompts[at])
+		// The balancer keeps a session at one router, but not for ever.
+		r := routers[at%2]
+		if rng.Intn(10) == 0 {
+			r = routers[rng.Intn(2)]
+		}
+		engine := pick(r, now, prefixes, list)
+		r.Started(now, engine, "m", prefixes)
+		hits += caches[engine].serve(prefixes)
+		total += len(prefixes)
+		ends = append(ends, func() { r.Finished(now, engine, Result{OK: true}) })
+		if len(ends) > cacheInFlight {
+			ends[0]()
+			ends = ends[1:]
+		}
+	}
+	return float64(hits) / float64(total)
+}
+
+// A conversation's next turn finds its prompt cached only on the engine of its
+// last one. Elsewhere the caller waits for the prefill of the whole prompt.
+func TestConversationsFindTheirPrefix(t *testing.T) {
+	ours := hitShare(func(r *Router, now time.Time, prefixes []uint64, list []Candidate) string {
+		choice, _ := r.Pick(now, Query{Unit: "m", Pool: "m", Domain: "a", Prefixes: prefixes}, list)
+		return choice.Engine
+	})
+	rng := rand.New(rand.NewSource(4))
+	random := hitShare(func(_ *Router, _ time.Time, _ []uint64, list []Candidate) string {
+		return list[rng.Intn(len(list))].Engine
+	})
+	t.Logf("blocks found cached: ours %.0f%%, random %.0f%%", 100*ours, 100*random)
+	if ours < 2*random {
+		t.Errorf("ours finds %.2f of the blocks cached, random %.2f", ours, random)
+	}
+}
+
+// Prefixes of whole blocks are equal exactly where unit and bytes are.
+func TestPrefixes(t *testing.T) {
+	text := bytes.Repeat([]byte("a"), 3*PrefixBlock+10)
+	other := bytes.Clone(text)
+	other[PrefixBlock] = 'b'
+	one, two, adapter := Prefixes("m", text), Prefixes("m", other), Prefixes("n", text)
+	if len(one) != 3 || one[0] != two[0] || one[1] == two[1] || one[2] == two[2] || one[0] == adapter[0] {
+		t.Errorf("got %x, %x and %x", one, two, adapter)
+	}
+	if got := len(Prefixes("m", make([]byte, 100*PrefixBlock))); got != MaxPrefixes {
+		t.Errorf("got %d hashes of a long prompt", got)
+	}
+}
+
+// An engine's events correct what the router remembers: another router's prompt
+// shows, an evicted one no longer draws, and neither does one of an engine that
+// restarted.
+func TestCacheEvents(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	prompt := Prefixes("m", make([]byte, 8*PrefixBlock))
+	list := testCandidates(8)
+	query := Query{Unit: "m", Pool: "m", Domain: "a", Prefixes: prompt}
+	reason := func(r *Router) string {
+		choice, _ := r.Pick(now, query, list)
+		return choice.Reason + " " + choice.Engine
+	}
+	r := New(Config{Prefixes: 16}, rand.New(rand.NewSource(1)))
+	r.CacheEvent("e5", "m", prompt[7], false)
+	if got := reason(r); got != "prefix e5" {
+		t.Errorf("after the event: %s", got)
+	}
+	r.CacheEvent("e5", "m", prompt[7], true)
+	if got := reason(r); got[:6] == "prefix" {
+		t.Errorf("after the eviction: %s", got)
+	}
+	r.CacheEvent("e5", "m", prompt[7], false)
+	r.Forget("e5")
+	if got := reason(r); got[:6] == "prefix" {
+		t.Errorf("after the restart: %s", got)
+	}
+	for i := range 1000 {
+		r.CacheEvent("e1", "m", uint64(i), false)
+	}
+	if got := len(r.prefixes.entries); got != 16 {
+		t.Errorf("remembers %d prefixes, bound 16", got)
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -11,19 +11,45 @@
 	Prefixes int
 }
 
-// DefaultPrefixes at some 100 bytes each stay within 7 MB.
-const DefaultPrefixes = 1 << 16
+const (
+	// DefaultPrefixes at some 150 bytes each stay within 10 MB.
+	DefaultPrefixes = 1 << 16
+	// busyPause is how long an engine that took nothing gets nothing, unless it
+	// reports after that. Without it, the queue would spin on a full engine
+	// whose report still shows room.
+	busyPause = 200 * time.Millisecond
+)
 
-// Router chooses engines for one entry VM.
+// Router chooses engines for one entry VM. It is not safe for concurrent use.
 type Router struct {
-	cfg     Config
-	rng     *rand.Rand
-	engines map[string]*engineState
+	cfg      Config
+	rng      *rand.Rand
+	engines  map[string]*engineState
+	latency  map[string]*poolLatency // by pool
+	prefixes *prefixMemory
+	lastID   engineID
+	// tokensTold is whether FirstToken is called at all; without it, an engine's
+	// silence can't be told from long answers.
+	tokensTold bool
+
+	// views and found are kept between picks to save their allocation.
+	views []view
+	found []holder
 }
 
 // engineState is what this entry VM has seen of one engine itself.
 type engineState struct {
+	id       engineID
 	inFlight int
+	history  history
+	breaker  breaker
+	pool     string // of the newest request
+	// refusedAt is when the engine last took nothing.
+	refusedAt time.Time
+	// awaiting counts requests without a first token; silentSince is when the
+	// newest of them or the first request after a pause began.
+	awaiting    int
+	silentSince time.Time
 }
 
 // New makes a router that draws from rng.
@@ -31,59 +57,135 @@
 	if cfg.Prefixes <= 0 {
 		cfg.Prefixes = DefaultPrefixes
 	}
-	return &Router{cfg: cfg, rng: rng, engines: map[string]*engineState{}}
+	return &Router{
+		cfg: cfg, rng: rng, engines: map[string]*engineState{},
+		latency: map[string]*poolLatency{}, prefixes: newPrefixMemory(cfg.Prefixes),
+	}
 }
 
-// Pick chooses an engine with a free slot; false if there is none.
-func (r *Router) Pick(now time.Time, q Query, candidates []Candidate) (Choice, bool) {
-	best, bestFree := -1, 0
-	for i, c := range candidates {
-		if !c.Ready || c.Leaving || c.Role == roleDecode || q.Exclude[c.Engine] {
-			continue
-		}
-		free := r.Free(now, c)
-		if free > bestFree || (free == bestFree && free > 0 && r.rng.Intn(2) == 0) {
-			best, bestFree = i, free
-		}
+func (r *Router) state(engine string) *engineState {
+	e := r.engines[engine]
+	if e == nil {
+		r.lastID++
+		e = &engineState{id: r.lastID}
+		r.engines[engine] = e
 	}
-	if best < 0 {
-		return Choice{}, false
+	return e
+}
+
+func (r *Router) pool(name string) *poolLatency {
+	p := r.latency[name]
+	if p == nil {
+		p = &poolLatency{engines: map[string]*latency{}}
+		r.latency[name] = p
 	}
-	return Choice{Engine: candidates[best].Engine, Reason: "least loaded"}, true
+	return p
 }
 
-// Free is how many of the engine's slots this entry VM may use now.
-func (r *Router) Free(now time.Time, c Candidate) int {
-	own := 0
-	if e := r.engines[c.Engine]; e != nil {
-		own = e.inFlight
+// Started counts a request that was sent to an engine, and remembers that the
+// engine now has its prefixes cached.
+func (r *Router) Started(now time.Time, engine, pool string, prefixes []uint64) {
+	e := r.state(engine)
+	e.pool = pool
+	e.inFlight++
+	e.history.record(now, e.inFlight)
+	e.breaker.started(now)
+	if e.awaiting == 0 {
+		e.silentSince = now
 	}
-	busy := own + c.PeersInFlight
-	if c.LoadKnown {
-		busy = max(busy, c.Running+c.Queued)
+	e.awaiting++
+	for _, hash := range prefixes {
+		r.prefixes.use(hash, e.id)
 	}
-	return max(0, c.Slots-busy)
 }
 
-func (r *Router) state(engine string) *engineState {
+// FirstToken tells that the first token of a started request came. It shows at
+// once that the engine works, where Finished may come much later. Calling it is
+// optional, but then for all requests.
+func (r *Router) FirstToken(now time.Time, engine, pool string, took time.Duration) {
 	e := r.engines[engine]
 	if e == nil {
-		e = &engineState{}
-		r.engines[engine] = e
+		return
 	}
-	return e
+	r.tokensTold = true
+	e.answered(now)
+	r.observe(now, e, engine, pool, took)
 }
 
-// Started counts a request that was sent to an engine, and remembers that the
-// engine now has its prefixes cached.
-func (r *Router) Started(now time.Time, engine, pool string, prefixes []uint64) {
-	r.state(engine).inFlight++
+// answered ends the wait of one request for its first token.
+func (e *engineState) answered(now time.Time) {
+	e.awaiting = max(0, e.awaiting-1)
+	e.silentSince = now
+}
+
+// observe counts a first token for the breaker and the pool's latency.
+func (r *Router) observe(now time.Time, e *engineState, engine, pool string, took time.Duration) {
+	p := r.pool(pool)
+	if e.breaker.open && p.slow(took.Seconds()) {
+		e.breaker.fail(now, r.rng)
+		return
+	}
+	wasOpen := e.breaker.open
+	e.breaker.succeed(now)
+	l := p.of(engine)
+	if wasOpen && !e.breaker.open {
+		*l = latency{} // what it was before counts no more
+	}
+	l.observe(now, took)
+	if p.refresh(now) {
+		r.ejectOutliers(now, p)
+	}
+}
+
+// ejectOutliers opens the breakers of engines much slower than their pool.
+func (r *Router) ejectOutliers(now time.Time, p *poolLatency) {
+	for _, name := range p.outliers(now) {
+		e := r.engines[name]
+		if e == nil || e.breaker.open || !r.mayEject(p) {
+			continue
+		}
+		e.breaker.trip(now, r.rng)
+		*p.engines[name] = latency{}
+	}
+}
+
+// mayEject tells whether one more engine of the pool may be ejected.
+func (r *Router) mayEject(p *poolLatency) bool {
+	open := 0
+	for name := range p.engines {
+		if e := r.engines[name]; e != nil && e.breaker.open {
+			open++
+		}
+	}
+	return float64(open+1) <= slowShare*float64(len(p.engines))
 }
 
 // Finished ends what Started began.
 func (r *Router) Finished(now time.Time, engine string, result Result) {
-	e := r.state(engine)
+	e := r.engines[engine]
+	if e == nil {
+		return
+	}
 	e.inFlight = max(0, e.inFlight-1)
+	e.history.record(now, e.inFlight)
+	pool := result.Pool
+	if pool == "" {
+		pool = e.pool
+	}
+	told := result.FirstToken > 0 && r.tokensTold
+	if !told {
+		e.answered(now)
+	}
+	switch {
+	case result.Failed:
+		e.breaker.fail(now, r.rng)
+	case result.NotRun:
+		e.refusedAt = now
+	case result.FirstToken > 0 && !told:
+		r.observe(now, e, engine, pool, result.FirstToken)
+	case result.OK:
+		e.breaker.succeed(now)
+	}
 }
 
 // InFlight is this entry VM's requests by engine.
@@ -97,20 +199,32 @@
 	return counts
 }
 
-// CacheEvent takes an engine's word that it has, or no longer has, a prefix.
-func (r *Router) CacheEvent(engine, unit string, prefix uint64, evicted bool) {}
-
-// BreakerState is how an engine is trusted.
-type BreakerState string
-
-const (
-	BreakerClosed   BreakerState = "closed"    // trusted
-	BreakerOpen     BreakerState = "open"      // gets nothing
-	BreakerHalfOpen BreakerState = "half-open" // gets single requests as probes
-)
+// CacheEvent takes an engine's word that it has, or no longer has, a prefix. The
+// unit is part of the prefix's hash already.
+func (r *Router) CacheEvent(engine, unit string, prefix uint64, evicted bool) {
+	if evicted {
+		if e := r.engines[engine]; e != nil {
+			r.prefixes.drop(prefix, e.id)
+		}
+		return
+	}
+	r.prefixes.add(prefix, r.state(engine).id)
+}
 
 // Breaker tells how the engine is trusted now.
-func (r *Router) Breaker(now time.Time, engine string) BreakerState { return BreakerClosed }
+func (r *Router) Breaker(now time.Time, engine string) BreakerState {
+	if e := r.engines[engine]; e != nil {
+		return e.breaker.state(now)
+	}
+	return BreakerClosed
+}
 
-// Forget drops what is known of an engine that has left.
-func (r *Router) Forget(engine string) { delete(r.engines, engine) }
+// Forget drops what is known of an engine that has left or restarted; its cached
+// prefixes are gone then. Requests in flight there are forgotten too. Call it,
+// as the router keeps all engines it has met.
+func (r *Router) Forget(engine string) {
+	delete(r.engines, engine)
+	for _, p := range r.latency {
+		delete(p.engines, engine)
+	}
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,302 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// testCandidates are ready engines e0, e1, … of domain a with 8 slots each.
+func testCandidates(n int) []Candidate {
+	var list []Candidate
+	for i := range n {
+		list = append(list, Candidate{Engine: fmt.Sprint("e", i), Domain: "a", Slots: 8, Ready: true})
+	}
+	return list
+}
+
+func testRouter() *Router { return New(Config{}, rand.New(rand.NewSource(1))) }
+
+var testQuery = Query{Unit: "m", Pool: "m", Domain: "a"}
+
+// picks counts the engines of n picks, each finished at once with a first token
+// after took.
+func picks(r *Router, now time.Time, list []Candidate, n int, took func(engine string) time.Duration) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		choice, ok := r.Pick(now, testQuery, list)
+		if !ok {
+			continue
+		}
+		counts[choice.Engine]++
+		r.Started(now, choice.Engine, "m", nil)
+		r.Finished(now, choice.Engine, Result{OK: true, FirstToken: took(choice.Engine)})
+	}
+	return counts
+}
+
+func evenly(string) time.Duration { return 300 * time.Millisecond }
+
+func fail(r *Router, now time.Time, engine string, times int) {
+	for range times {
+		r.Started(now, engine, "m", nil)
+		r.Finished(now, engine, Result{Failed: true})
+	}
+}
+
+// Free corrects a report of two seconds ago by what this VM did since, and never
+// goes below what it and its peers know to run.
+func TestFreeCorrectsLateReport(t *testing.T) {
+	r := testRouter()
+	for range 3 {
+		r.Started(start, "e", "m", nil)
+	}
+	report := start.Add(time.Second)
+	now := start.Add(3 * time.Second)
+	c := Candidate{Engine: "e", Slots: 16, Ready: true, LoadKnown: true, Running: 5, Queued: 1, LoadAt: report}
+	check := func(step string, want int) {
+		t.Helper()
+		if got := r.Free(now, c); got != want {
+			t.Errorf("%s: %d free, want %d", step, got, want)
+		}
+	}
+	check("as reported", 10)
+	r.Started(now, "e", "m", nil)
+	r.Started(now, "e", "m", nil)
+	check("two more of ours", 8)
+	for range 4 {
+		r.Finished(now, "e", Result{OK: true})
+	}
+	check("four of ours ended", 12)
+	c.PeersInFlight = 11
+	check("peers know of more", 4)
+	r.Finished(now, "e", Result{NotRun: true})
+	check("it has just refused one", 0)
+	c.LoadAt = now.Add(time.Millisecond)
+	c.Running, c.Queued, c.PeersInFlight = 5, 1, 0
+	check("it has reported since", 10)
+}
+
+// An engine fails all its requests. Three callers meet it, then it gets none,
+// then single probes, and all again once a probe works.
+func TestBreakerOpensAndCloses(t *testing.T) {
+	r, list := testRouter(), testCandidates(4)
+	fail(r, start, "e0", failuresInRow)
+	if got := picks(r, start, list, 100, evenly)["e0"]; got != 0 {
+		t.Errorf("the failing engine got %d requests", got)
+	}
+	if got := r.Free(start, list[0]); got != 0 {
+		t.Errorf("%d slots free behind an open breaker", got)
+	}
+	now := start.Add(2 * openFirst)
+	if got := r.Breaker(now, "e0"); got != BreakerHalfOpen {
+		t.Fatalf("breaker is %s", got)
+	}
+	r.Started(now, "e0", "m", nil)
+	if got := picks(r, now, list, 100, evenly)["e0"]; got != 0 {
+		t.Errorf("%d requests beside the probe", got)
+	}
+	r.Finished(now, "e0", Result{Failed: true})
+	if got := r.Breaker(now.Add(openFirst), "e0"); got != BreakerOpen {
+		t.Errorf("after a failed probe the breaker is %s", got)
+	}
+	now = now.Add(4 * openFirst)
+	r.Started(now, "e0", "m", nil)
+	r.Finished(now, "e0", Result{OK: true, FirstToken: time.Second})
+	if got := r.Breaker(now, "e0"); got != BreakerClosed {
+		t.Errorf("after a probe that worked the breaker is %s", got)
+	}
+}
+
+// All engines fail: more likely the network or the requests are at fault. With
+// all ejected nobody would be served even after it has passed.
+func TestNeverAllEjected(t *testing.T) {
+	r, list := testRouter(), testCandidates(3)
+	for _, c := range list {
+		fail(r, start, c.Engine, 5)
+	}
+	if _, ok := r.Pick(start, testQuery, list); !ok {
+		t.Error("no engine picked with all breakers open")
+	}
+}
+
+// One engine of six brings its first token ten times later than the others. It
+// answers, so nothing fails, but its callers wait. It is ejected, probed, and
+// taken back once it is quick.
+func TestSlowOutlierIsEjected(t *testing.T) {
+	r, list := testRouter(), testCandidates(6)
+	slow := func(engine string) time.Duration {
+		if engine == "e0" {
+			return 3 * time.Second
+		}
+		return 300 * time.Millisecond
+	}
+	now, sick, well := start, 0, 0
+	for second := range 180 {
+		now = now.Add(time.Second)
+		switch {
+		case second < 10: // it is found out
+			picks(r, now, list, 20, slow)
+		case second < 60:
+			sick += picks(r, now, list, 20, slow)["e0"]
+		case second < 120: // it is found out to be well
+			picks(r, now, list, 20, evenly)
+		default:
+			well += picks(r, now, list, 20, evenly)["e0"]
+		}
+	}
+	if sick > 10 {
+		t.Errorf("%d of 1000 requests went to the slow engine", sick)
+	}
+	if well < 100 {
+		t.Errorf("only %d of 1200 went to the engine that is quick again", well)
+	}
+}
+
+// The whole pool slows down under load. Ejecting engines then would only load
+// the rest more.
+func TestSlowPoolIsNotEjected(t *testing.T) {
+	r, list := testRouter(), testCandidates(6)
+	for second := range 60 {
+		took := func(engine string) time.Duration {
+			if engine <= "e2" {
+				return time.Duration(second) * time.Second
+			}
+			return 300 * time.Millisecond
+		}
+		picks(r, start.Add(time.Duration(second)*time.Second), list, 20, took)
+	}
+	open := 0
+	for _, c := range list {
+		if r.engines[c.Engine].breaker.open {
+			open++
+		}
+	}
+	if open > 2 {
+		t.Errorf("%d of 6 engines are ejected", open)
+	}
+}
+
+// An engine takes requests and never answers. They fail only at their longest
+// wait; till then it looks idle and would draw ever more.
+func TestSilentEngineGetsNoMore(t *testing.T) {
+	r, list := testRouter(), testCandidates(4)
+	r.FirstToken(start, "e1", "m", 0)
+	now := start
+	sent := 0
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		choice, _ := r.Pick(now, testQuery, list)
+		r.Started(now, choice.Engine, "m", nil)
+		if choice.Engine == "e0" {
+			sent++
+			continue
+		}
+		r.FirstToken(now, choice.Engine, "m", 300*time.Millisecond)
+		r.Finished(now, choice.Engine, Result{OK: true, FirstToken: 300 * time.Millisecond})
+	}
+	if sent > 6 {
+		t.Errorf("%d requests went to the silent engine", sent)
+	}
+}
+
+// Requests stay in the own failure domain while it has room.
+func TestOwnDomainFirst(t *testing.T) {
+	r, list := testRouter(), testCandidates(8)
+	for i := range 4 {
+		list[i].Domain = "b"
+	}
+	other := func(counts map[string]int) int { return counts["e0"] + counts["e1"] + counts["e2"] + counts["e3"] }
+	if got := other(picks(r, start, list, 100, evenly)); got != 0 {
+		t.Errorf("%d of 100 left an idle domain", got)
+	}
+	for i := 4; i < 8; i++ {
+		list[i].PeersInFlight = 6
+	}
+	if got := other(picks(r, start, list, 100, evenly)); got < 80 {
+		t.Errorf("only %d of 100 left an overloaded domain", got)
+	}
+}
+
+// A customer above its fair share leaves the reserve to the others.
+func TestSurplusLeavesReserve(t *testing.T) {
+	r, list := testRouter(), testCandidates(5)
+	for i := range list {
+		list[i].PeersInFlight = 7
+	}
+	query := testQuery
+	query.Surplus = true
+	if !r.Available(start, query, list) {
+		t.Errorf("5 free slots of 40, reserve %d: refused", Reserve(40))
+	}
+	list[0].PeersInFlight = 8
+	if r.Available(start, query, list) {
+		t.Error("the reserve is taken by surplus use")
+	}
+	if !r.Available(start, testQuery, list) {
+		t.Error("the reserve is kept from all")
+	}
+}
+
+// Whatever the candidates look like, Pick returns a usable one with a free slot,
+// and finds one whenever there is one that is trusted.
+func TestPickReturnsUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(Config{}, rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
+		list := testCandidates(rapid.IntRange(0, 8).Draw(t, "engines"))
+		query := testQuery
+		query.Exclude = map[string]bool{}
+		some := 0
+		for i := range list {
+			c := &list[i]
+			c.Ready = rapid.Bool().Draw(t, "ready")
+			c.Leaving = rapid.Bool().Draw(t, "leaving")
+			c.Role = rapid.SampledFrom([]string{"", "both", "prefill", roleDecode}).Draw(t, "role")
+			c.PeersInFlight = rapid.IntRange(0, 9).Draw(t, "peers")
+			query.Exclude[c.Engine] = rapid.Bool().Draw(t, "excluded")
+			fail(r, start, c.Engine, rapid.SampledFrom([]int{0, 0, 1, 3}).Draw(t, "failures"))
+			if usable(query, c) && r.Free(start, *c) > 0 {
+				some++
+			}
+		}
+		choice, ok := r.Pick(start, query, list)
+		if !ok && some > 0 {
+			t.Fatalf("%d engines have room, none picked", some)
+		}
+		for _, c := range list {
+			if c.Engine == choice.Engine && (!usable(query, &c) || c.PeersInFlight >= c.Slots) {
+				t.Fatalf("picked %+v", c)
+			}
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []struct {
+		name       string
+		candidates int
+	}{{"today-20", 20}, {"planned-500", 500}} {
+		b.Run(size.name, func(b *testing.B) {
+			r, list := testRouter(), testCandidates(size.candidates)
+			for i := range list {
+				list[i].Domain = fmt.Sprint("d", i%3)
+				list[i].LoadKnown, list[i].Running, list[i].LoadAt = true, i%6, start
+				r.Started(start, list[i].Engine, "m", nil)
+			}
+			prompt := Prefixes("m", make([]byte, 16*PrefixBlock))
+			r.Started(start, "e3", "m", prompt)
+			query := Query{Unit: "m", Pool: "m", Domain: "d1", Prefixes: prompt}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := r.Pick(start, query, list); !ok {
+					b.Fatal("none")
+				}
+			}
+		})
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,7 +26,8 @@
 	// LoadKnown is whether Running, Queued and LoadAt hold a report.
 	LoadKnown       bool
 	Running, Queued int
-	// LoadAt is when the engine made the report.
+	// LoadAt is when the engine made the report, by this VM's clock: where the
+	// engine's differs, the time of receipt errs towards a less busy engine.
 	LoadAt time.Time
 	// PeersInFlight is how many requests other entry VMs say they run there.
 	PeersInFlight int
@@ -44,6 +45,9 @@
 	Prefixes []uint64
 	// Exclude names engines that have failed this request.
 	Exclude map[string]bool
+	// Surplus is whether the customer uses more than its fair share (see
+	// admission.Ticket): the request must leave the pool's reserve free.
+	Surplus bool
 }
 
 // Choice is the engine that takes a request.
@@ -59,6 +63,8 @@
 	// answer. NotRun: the engine refused it unharmed (busy, not loaded); that
 	// says nothing about its health. A caller that left sets none of them.
 	OK, Failed, NotRun bool
+	// Pool is the pool of the request; empty for the engine's latest one.
+	Pool string
 	// FirstToken is the time from dispatch to the first token; 0 if none came.
 	FirstToken time.Duration
 }
