--- /dev/null
+++ b/contract/bench_test.go
@@ -0,0 +1,42 @@
+package contract
+
+import (
+	"fmt"
+	"testing"
+)
+
+// manySections is a contract with the given number of adapters on one model.
+func manySections(adapters int) map[string]string {
+	sections := map[string]string{
+		"customer":  "name = c\nmemory = 400GB\n",
+		`model "m"`: "checkpoint = m:1\nmemory = 16GB\nmax_replicas = 20\n",
+	}
+	for i := range adapters {
+		name := SectionName(SectionAdapter, fmt.Sprintf("shop-%d", i))
+		sections[name] = fmt.Sprintf("base = m\ncheckpoint = shop-%d:1\nmemory = 200MB\n", i)
+	}
+	return sections
+}
+
+// BenchmarkParseSections is the cost of a whole contract, as at a VM's start.
+func BenchmarkParseSections(b *testing.B) {
+	for _, adapters := range []int{100, 1000, 10_000, 39_000} {
+		sections := manySections(adapters)
+		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := ParseSections(sections); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkIsOnce(b *testing.B) {
+	for b.Loop() {
+		if !booking.IsOnce("POST", "/book/42?seat=1") {
+			b.Fatal("not once")
+		}
+	}
+}
--- a/contract/check.go
+++ b/contract/check.go
@@ -36,21 +36,28 @@
 	return nil
 }
 
+func modelProblem(m Model, key, format string, args ...any) error {
+	return problem(SectionName(SectionModel, m.Name), key, format, args...)
+}
+
+func adapterProblem(a Adapter, key, format string, args ...any) error {
+	return problem(SectionName(SectionAdapter, a.Name), key, format, args...)
+}
+
 func (c *Contract) checkModels() error {
 	var least int64
 	for _, m := range c.Models {
-		section := SectionName(SectionModel, m.Name)
 		if m.MinReplicas > m.MaxReplicas {
-			return problem(section, "min_replicas", "%d is more than max_replicas (%d)", m.MinReplicas, m.MaxReplicas)
+			return modelProblem(m, "min_replicas", "%d is more than max_replicas (%d)", m.MinReplicas, m.MaxReplicas)
 		}
 		if m.StandbyPerDomain > m.MaxReplicas {
-			return problem(section, "standby_per_domain", "%d is more than max_replicas (%d)", m.StandbyPerDomain, m.MaxReplicas)
+			return modelProblem(m, "standby_per_domain", "%d is more than max_replicas (%d)", m.StandbyPerDomain, m.MaxReplicas)
 		}
 		if m.MemoryBytes > c.MemoryBytes {
-			return problem(section, "memory", "one replica takes more than the customer's memory")
+			return modelProblem(m, "memory", "one replica takes more than the customer's memory")
 		}
 		if int64(m.MinReplicas) > (c.MemoryBytes-least)/m.MemoryBytes {
-			return problem(section, "min_replicas", "the least replicas of all models take more than the customer's memory")
+			return modelProblem(m, "min_replicas", "the least replicas of all models take more than the customer's memory")
 		}
 		least += int64(m.MinReplicas) * m.MemoryBytes
 	}
@@ -63,17 +70,16 @@
 		models[m.Name] = m
 	}
 	for _, a := range c.Adapters {
-		section := SectionName(SectionAdapter, a.Name)
 		// Callers name models and adapters in the same field of a request.
 		if _, taken := models[a.Name]; taken {
-			return problem(section, "", "a model has this name")
+			return adapterProblem(a, "", "a model has this name")
 		}
 		base, ok := models[a.Base]
 		if !ok {
-			return problem(section, "base", "no model %q in this contract", a.Base)
+			return adapterProblem(a, "base", "no model %q in this contract", a.Base)
 		}
 		if a.MemoryBytes > c.MemoryBytes-base.MemoryBytes {
-			return problem(section, "memory", "one replica and its base take more than the customer's memory")
+			return adapterProblem(a, "memory", "one replica and its base take more than the customer's memory")
 		}
 	}
 	return nil
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -50,19 +50,27 @@
 // name for that reason.
 func ParseSections(sections map[string]string) (*Contract, error) {
 	c := defaultContract()
+	if err := c.addSections(sections); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := c.check(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return c, nil
+}
+
+// addSections reads sections into the contract, sorted by name.
+func (c *Contract) addSections(sections map[string]string) error {
 	for _, name := range slices.Sorted(maps.Keys(sections)) {
 		section, err := readSection(name, sections[name])
 		if err != nil {
-			return nil, Error.Wrap(err)
+			return err
 		}
 		if err := c.addSection(section); err != nil {
-			return nil, Error.Wrap(err)
+			return err
 		}
 	}
-	if err := c.check(); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return c, nil
+	return nil
 }
 
 // readSection reads the key lines of one section.
--- /dev/null
+++ b/contract/sections_test.go
@@ -0,0 +1,130 @@
+package contract
+
+import (
+	"errors"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestSplitIsCanonical(t *testing.T) {
+	one, err := Split("; first\n[service \"s\"]\n[model \"m\"]\nmemory=1GB ; small\n  checkpoint   =   m:1\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := Split("[model \"m\"]\r\ncheckpoint = m:1\r\nmemory = 1GB\r\n[service \"s\"]\r\n; nothing\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{
+		`model "m"`:   "checkpoint = m:1\nmemory = 1GB\n",
+		`service "s"`: emptySection,
+	}
+	if diff := cmp.Diff(want, one) + cmp.Diff(want, other); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestJoinExamples(t *testing.T) {
+	for _, name := range []string{"trinidad", "kathmandu"} {
+		sections, err := Split(example(t, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, name, []byte(Join(sections)))
+	}
+}
+
+func TestDiff(t *testing.T) {
+	old, err := Split(small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	new := maps.Clone(old)
+	delete(new, `service "s"`)
+	new[`model "n"`] = "checkpoint = n:1\nmemory = 1GB\n"
+	new[`model "m"`] = "checkpoint = m:2\nmemory = 10GB\npriority = 5\n"
+	new["customer"] = "name = c\n"
+	want := []Change{
+		{"customer", Changed, []KeyChange{{"memory", Removed, "100GB", ""}}},
+		{`model "m"`, Changed, []KeyChange{{"checkpoint", Changed, "m:1", "m:2"}, {"priority", Added, "", "5"}}},
+		{`model "n"`, Added, []KeyChange{{"checkpoint", Added, "", "n:1"}, {"memory", Added, "", "1GB"}}},
+		{`service "s"`, Removed, nil},
+	}
+	if diff := cmp.Diff(want, Diff(old, new)); diff != "" {
+		t.Error(diff)
+	}
+	if changes := Diff(old, maps.Clone(old)); len(changes) != 0 {
+		t.Errorf("no difference, but %+v", changes)
+	}
+	wantChanged := maps.Clone(new)
+	delete(wantChanged, `adapter "a"`)
+	delete(wantChanged, `key "k"`)
+	wantChanged[`service "s"`] = ""
+	if diff := cmp.Diff(wantChanged, ChangedSections(old, new)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Section names and texts come from the log as an operator's program wrote them.
+func TestSectionsFromElsewhere(t *testing.T) {
+	for name, text := range map[string]string{
+		"customer]\n[model": "", "customer\x00": "", "": "", "DEFAULT": "", " customer": "", "customer ": "",
+		`model "m`: "", `model ""`: "", `model "a" "b"`: "", "customer": "[model \"m\"]\n", `service "x"`: "[service \"x\"]\n",
+		`model "m"`: "checkpoint = m:1\nmemory = 1GB\n[key \"k\"]\n", "customer; x": "",
+	} {
+		_, err := ParseSections(map[string]string{name: text})
+		var problem *Problem
+		if !errors.As(err, &problem) || problem.Section == "" && name != "" {
+			t.Errorf("%q: got %v, want a problem with its section", name, err)
+		}
+	}
+}
+
+// FuzzParse: whatever the text, a contract or a Problem, and what was accepted
+// reads the same from its canonical form, which doesn't change any more.
+func FuzzParse(f *testing.F) {
+	f.Add(small)
+	f.Add(example(f, "trinidad"))
+	f.Add(example(f, "kathmandu"))
+	f.Add("[customer]\nname = \"\"\"a\nb\"\"\"\nmemory = `1GB\n`\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Parse(text)
+		if err != nil {
+			var problem *Problem
+			if !errors.As(err, &problem) || strings.ContainsAny(problem.Error(), "\n") {
+				t.Errorf("got %q, want a *Problem on one line", err)
+			}
+			return
+		}
+		sections, err := Split(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		joined := Join(sections)
+		again, err := Split(joined)
+		if err != nil || !maps.Equal(sections, again) || Join(again) != joined {
+			t.Fatalf("%v\n%s", err, cmp.Diff(sections, again))
+		}
+		reread, err := Parse(joined)
+		if err != nil || !cmp.Equal(c, reread) {
+			t.Errorf("%v\n%s", err, cmp.Diff(c, reread))
+		}
+	})
+}
+
+// FuzzParseSections: sections from the log may hold anything.
+func FuzzParseSections(f *testing.F) {
+	f.Add("customer", "name = c\nmemory = 1GB\n", `model "m"`, "checkpoint = m:1\nmemory = 1GB\n")
+	f.Fuzz(func(t *testing.T, name, text, otherName, otherText string) {
+		sections := map[string]string{name: text, otherName: otherText}
+		c, err := ParseSections(sections)
+		again, errAgain := ParseSections(maps.Clone(sections))
+		if !cmp.Equal(c, again) || (err == nil) != (errAgain == nil) || err != nil && err.Error() != errAgain.Error() {
+			t.Errorf("two results: %v, %v", err, errAgain)
+		}
+	})
+}
