admission: Prove lifecycle, refusals and cost

Cause: tickets must end exactly once and refusals must be computed. Adds a property test over any order of calls, a table of refusals with their times to come back, and benchmarks. Ruled out: nothing.

--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/contract"
+)
+
+// benchSizes are one entry VM's view: today's larger deployment, and the planned
+// 72 models with 39,000 adapters of 2,000 customers, with a long queue.
+var benchSizes = []struct {
+	name                      string
+	customers, units, waiting int
+}{{"today", 25, 7, 50}, {"planned", 2000, 20, 2000}}
+
+func benchController(b *testing.B, customers, units, waiting int) (*Controller, func(i int) Request) {
+	c := New(Config{MaxQueued: 2 * waiting})
+	contracts := map[string]*contract.Contract{}
+	names := make([]string, customers)
+	for i := range names {
+		names[i] = fmt.Sprint("shop", i)
+		k := &contract.Contract{Customer: names[i], Weight: 1 + i%3, RequestsPerSecond: 1e6, Burst: 1e6, MaxQueued: waiting}
+		for j := range units {
+			k.Adapters = append(k.Adapters, contract.Adapter{Name: fmt.Sprintf("%s-%d", names[i], j), Base: "m"})
+		}
+		contracts[names[i]] = k
+	}
+	c.SetContracts(contracts)
+	c.SetVMs(9, 8)
+	c.SetPeers(epoch, nil)
+	next := func(i int) Request {
+		k := contracts[names[i%customers]]
+		return Request{Customer: k.Customer, Unit: k.Adapters[i/customers%units].Name, Pool: "m", Arrived: epoch, Deadline: epoch.Add(time.Minute)}
+	}
+	for i := range waiting {
+		if _, refused := c.Arrive(epoch, next(i)); refused != nil {
+			b.Fatal(refused)
+		}
+	}
+	b.ReportAllocs()
+	return c, next
+}
+
+// BenchmarkArrive is one admission and the end of that ticket.
+func BenchmarkArrive(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			c, next := benchController(b, size.customers, size.units, size.waiting)
+			for i := 0; b.Loop(); i++ {
+				t, refused := c.Arrive(epoch, next(i))
+				if refused != nil {
+					b.Fatal(refused)
+				}
+				c.Leave(epoch, t)
+			}
+		})
+	}
+}
+
+// BenchmarkNext is one dispatch, its end and the arrival that takes its place.
+func BenchmarkNext(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			c, next := benchController(b, size.customers, size.units, size.waiting)
+			for i := 0; b.Loop(); i++ {
+				t := c.Next(epoch, "m", nil)
+				c.Finish(epoch, t, Outcome{OK: true, FirstToken: time.Second, Served: time.Second})
+				if _, refused := c.Arrive(epoch, next(i)); refused != nil {
+					b.Fatal(refused)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkNextNothingFits is a look at the whole queue with all units cold.
+func BenchmarkNextNothingFits(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			c, _ := benchController(b, size.customers, size.units, size.waiting)
+			for b.Loop() {
+				c.Next(epoch, "m", func(*Ticket) bool { return false })
+			}
+		})
+	}
+}
+
+// BenchmarkExpire is the look for late tickets over the whole queue.
+func BenchmarkExpire(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			c, _ := benchController(b, size.customers, size.units, size.waiting)
+			for b.Loop() {
+				c.recheck = true
+				c.Expire(epoch)
+			}
+		})
+	}
+}
+
+// BenchmarkDigest is one digest out and one in.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			c, _ := benchController(b, size.customers, size.units, size.waiting)
+			for b.Loop() {
+				c.Usage(epoch)
+				c.SetPeers(epoch, nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,431 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotreel/contract"
+	"bergamotreel/refusal"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func oneShop(k contract.Contract) *Controller {
+	c := New(Config{})
+	k.Customer = "shop"
+	c.SetContracts(map[string]*contract.Contract{"shop": &k})
+	return c
+}
+
+// request is for unit "m" with the given longest wait.
+func request(now time.Time, wait time.Duration) Request {
+	return Request{Customer: "shop", Unit: "m", Pool: "m", Arrived: now, Deadline: now.Add(wait)}
+}
+
+func arrive(t *testing.T, c *Controller, now time.Time, r Request) *Ticket {
+	t.Helper()
+	ticket, refused := c.Arrive(now, r)
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	return ticket
+}
+
+func checkRefusal(t *testing.T, got *refusal.Refusal, code refusal.Code, least, most time.Duration) {
+	t.Helper()
+	if got == nil {
+		t.Errorf("not refused, want %s", code)
+		return
+	}
+	if got.Code != code || got.Ran != refusal.RanNo || got.RetryAfter < least || got.RetryAfter > most {
+		t.Errorf("refused with %v after %s, want %s after %s to %s", got, got.RetryAfter, code, least, most)
+	}
+}
+
+// Each refusal names its cause and a time to come back that follows from the
+// bucket, the queue or the load under way.
+func TestRefusalsOnArrival(t *testing.T) {
+	cases := map[string]struct {
+		contract    contract.Contract
+		setUp       func(c *Controller)
+		wait        time.Duration
+		priority    int
+		code        refusal.Code
+		least, most time.Duration
+	}{
+		"no contract": {
+			setUp: func(c *Controller) { c.SetContracts(nil) },
+			wait:  time.Minute, code: refusal.CodeUnknownKey,
+		},
+		"over the rate": {
+			contract: contract.Contract{RequestsPerSecond: 2, Burst: 4},
+			setUp:    fill(12),
+			// 4 tokens, 8 held; the 13th has to wait for the 9th token.
+			wait: time.Minute, code: refusal.CodeRateLimited, least: 4400 * time.Millisecond, most: 4500 * time.Millisecond,
+		},
+		"rate too slow for its wait": {
+			contract: contract.Contract{RequestsPerSecond: 2, Burst: 4},
+			setUp:    fill(6),
+			wait:     time.Second, code: refusal.CodeRateLimited, least: 1500 * time.Millisecond, most: 1500 * time.Millisecond,
+		},
+		"queue full, nothing dispatched": {
+			contract: contract.Contract{MaxQueued: 3}, setUp: fill(3),
+			wait: time.Minute, code: refusal.CodeQueueFull, least: retryUnknown, most: retryUnknown,
+		},
+		"queue full, 2 a second dispatched": {
+			contract: contract.Contract{MaxQueued: 100}, setUp: drainTwoASecond,
+			// Half of 100 at 2 a second.
+			wait: time.Hour, code: refusal.CodeQueueFull, least: 24 * time.Second, most: 27 * time.Second,
+		},
+		"load takes too long": {
+			setUp: func(c *Controller) { c.Expect("m", epoch.Add(8*time.Second), true) },
+			wait:  5 * time.Second, code: refusal.CodeWaitTooLong, least: 8 * time.Second, most: 8 * time.Second,
+		},
+		"wait over": {
+			setUp: func(*Controller) {}, wait: 0, code: refusal.CodeWaitTooLong, least: retrySoon, most: retrySoon,
+		},
+		"queue too slow": {
+			contract: contract.Contract{MaxQueued: 200}, setUp: drainTwoASecond,
+			wait: 10 * time.Second, priority: -1, code: refusal.CodeWaitTooLong, least: 45 * time.Second, most: 55 * time.Second,
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := oneShop(test.contract)
+			test.setUp(c)
+			r := request(epoch, test.wait)
+			r.Priority = test.priority
+			_, refused := c.Arrive(epoch, r)
+			checkRefusal(t, refused, test.code, test.least, test.most)
+		})
+	}
+}
+
+func fill(n int) func(*Controller) {
+	return func(c *Controller) {
+		for range n {
+			c.Arrive(epoch, request(epoch, time.Minute))
+		}
+	}
+}
+
+// drainTwoASecond leaves 100 waiting, after a minute of two dispatches a second.
+func drainTwoASecond(c *Controller) {
+	for at := -time.Minute; at <= 0; at += 500 * time.Millisecond {
+		for c.waiting < 100 {
+			c.Arrive(epoch.Add(at), request(epoch.Add(at), time.Hour))
+		}
+		c.Next(epoch.Add(at), "m", nil)
+	}
+	c.Arrive(epoch, request(epoch, time.Hour))
+}
+
+// A waiting request is refused as soon as its load is known to take too long,
+// not at its deadline: its caller can go elsewhere meanwhile. Those who can wait
+// stay.
+func TestLoadThatTakesTooLongRefusesAtOnce(t *testing.T) {
+	c := oneShop(contract.Contract{})
+	short := arrive(t, c, epoch, request(epoch, 5*time.Second))
+	arrive(t, c, epoch, request(epoch, time.Minute))
+	c.Expect("m", epoch.Add(20*time.Second), true)
+	if at, ok := c.NextExpiry(); !ok || at.After(epoch) {
+		t.Errorf("next expiry at %s, want at once", at)
+	}
+	expired := c.Expire(epoch)
+	if len(expired) != 1 || expired[0].Ticket != short {
+		t.Fatalf("expired %v", expired)
+	}
+	checkRefusal(t, expired[0].Refusal, refusal.CodeWaitTooLong, 20*time.Second, 20*time.Second)
+	c.Expect("m", time.Time{}, false)
+	arrive(t, c, epoch, request(epoch, 5*time.Second))
+}
+
+// The first token takes a second at least. A request with half a second left
+// can't make it; kept waiting, it would take a slot and still come late.
+func TestExpiresBeforeFirstTokenWouldBeLate(t *testing.T) {
+	c := oneShop(contract.Contract{MaxQueued: 50})
+	for range firstTokenLeast {
+		arrive(t, c, epoch, request(epoch, time.Minute))
+		c.Finish(epoch, c.Next(epoch, "m", nil), Outcome{OK: true, FirstToken: time.Second, Served: 5 * time.Second})
+	}
+	arrive(t, c, epoch, request(epoch, 10*time.Second))
+	at, ok := c.NextExpiry()
+	if want := epoch.Add(9 * time.Second); !ok || !at.Equal(want) {
+		t.Fatalf("next expiry at %s, want %s", at, want)
+	}
+	if early := c.Expire(at.Add(-time.Millisecond)); len(early) != 0 {
+		t.Errorf("expired early: %v", early)
+	}
+	if due := c.Expire(at); len(due) != 1 {
+		t.Errorf("%d expired when due", len(due))
+	}
+}
+
+// One customer fills the queue of the whole VM. The other's requests still get
+// in, and the queue stays bounded.
+func TestFullQueueShutsNobodyOut(t *testing.T) {
+	c := New(Config{MaxQueued: 20})
+	c.SetContracts(map[string]*contract.Contract{
+		"shop": {Customer: "shop", MaxQueued: 1000}, "other": {Customer: "other", MaxQueued: 1000},
+	})
+	taken := map[string]int{}
+	for _, name := range []string{"shop", "other"} {
+		for range 100 {
+			r := request(epoch, time.Minute)
+			r.Customer = name
+			if _, refused := c.Arrive(epoch, r); refused == nil {
+				taken[name]++
+			}
+		}
+	}
+	if taken["shop"] != 20 || taken["other"] != 5 {
+		t.Errorf("taken %v, want 20 and 5", taken)
+	}
+}
+
+// A contract ends while its requests wait: they get an answer at once.
+func TestEndedContractRefusesWaiting(t *testing.T) {
+	c := oneShop(contract.Contract{})
+	arrive(t, c, epoch, request(epoch, time.Minute))
+	c.SetContracts(nil)
+	expired := c.Expire(epoch)
+	if len(expired) != 1 {
+		t.Fatalf("expired %v", expired)
+	}
+	checkRefusal(t, expired[0].Refusal, refusal.CodeUnknownKey, 0, 0)
+	if len(c.customers) != 0 {
+		t.Error("the customer is still remembered")
+	}
+}
+
+// Within a customer, priority goes first, then the earliest deadline; a ticket
+// that is put back keeps its place.
+func TestOrderWithinCustomer(t *testing.T) {
+	c := oneShop(contract.Contract{})
+	for i, r := range []struct {
+		priority int
+		wait     time.Duration
+	}{{0, 30}, {0, 20}, {5, 40}, {0, 20}} {
+		req := request(epoch, r.wait*time.Second)
+		req.ID, req.Priority = fmt.Sprint(i), r.priority
+		arrive(t, c, epoch, req)
+	}
+	first := c.Next(epoch, "m", nil)
+	c.Requeue(epoch, first)
+	var order string
+	for t := c.Next(epoch, "m", nil); t != nil; t = c.Next(epoch, "m", nil) {
+		order += t.ID
+	}
+	if order != "2130" {
+		t.Errorf("order %s, want 2130", order)
+	}
+}
+
+// A unit that is not loaded holds up neither other units of its customer nor
+// other customers.
+func TestUnloadedUnitHoldsNothingUp(t *testing.T) {
+	c := oneShop(contract.Contract{MaxQueued: 100})
+	for range 50 {
+		r := request(epoch, 10*time.Second)
+		r.Unit, r.Priority = "cold", 9
+		arrive(t, c, epoch, r)
+	}
+	arrive(t, c, epoch, request(epoch, 20*time.Second))
+	asked := 0
+	got := c.Next(epoch, "m", func(t *Ticket) bool { asked++; return t.Unit == "m" })
+	if got == nil || got.Unit != "m" {
+		t.Errorf("got %v", got)
+	}
+	if asked != fitsPerUnit+1 {
+		t.Errorf("asked %d times", asked)
+	}
+}
+
+// Retries stay a tenth of the traffic however much fails.
+func TestRetryBudget(t *testing.T) {
+	var b RetryBudget
+	retried := 0
+	for i := range 6000 {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		b.Sent(now)
+		if b.Retry(now) {
+			retried++
+		}
+	}
+	if retried < 500 || retried > 700 {
+		t.Errorf("%d retries of 6000 requests", retried)
+	}
+}
+
+// lifecycle drives a controller by any calls and checks what must always hold.
+type lifecycle struct {
+	c     *Controller
+	now   time.Time
+	open  map[*Ticket]bool // accepted, not ended; true while running
+	taken int
+	ended int
+}
+
+func (l *lifecycle) end(t *rapid.T, ticket *Ticket) {
+	if _, ok := l.open[ticket]; !ok {
+		t.Fatalf("%s ended twice", ticket.ID)
+	}
+	delete(l.open, ticket)
+	l.ended++
+}
+
+func (l *lifecycle) pick(t *rapid.T, running bool) *Ticket {
+	var list []*Ticket
+	for ticket, runs := range l.open {
+		if runs == running {
+			list = append(list, ticket)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	at := rapid.IntRange(0, len(list)-1).Draw(t, "at")
+	for _, ticket := range list {
+		smaller := 0
+		for _, other := range list {
+			if other.sequence < ticket.sequence {
+				smaller++
+			}
+		}
+		if smaller == at {
+			return ticket
+		}
+	}
+	return nil
+}
+
+func (l *lifecycle) check(t *rapid.T) {
+	waits, runs := 0, 0
+	for ticket, running := range l.open {
+		if ticket.Ended() {
+			t.Fatalf("%s ended without an answer", ticket.ID)
+		}
+		if running {
+			runs++
+		} else {
+			waits++
+		}
+	}
+	listed, running := 0, 0
+	for _, p := range l.c.pools {
+		listed += len(p.deadlines)
+		for _, f := range p.flows {
+			running += f.running
+		}
+	}
+	demand := 0
+	for _, d := range l.c.Demand(l.now) {
+		demand += d.Waiting
+	}
+	if waits != l.c.waiting || waits != listed || waits != demand || runs != running {
+		t.Fatalf("%d wait, counted %d, listed %d, demand %d; %d run, counted %d", waits, l.c.waiting, listed, demand, runs, running)
+	}
+}
+
+// Requests arrive, are dispatched, put back, finished, left and refused in any
+// order, while contracts and expectations change. Each accepted one must end
+// exactly once, or a caller waits for ever or hears two answers; and after time
+// enough none may be left.
+func TestEachTicketEndsExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &lifecycle{c: New(Config{MaxQueued: 20}), now: epoch, open: map[*Ticket]bool{}}
+		units, customers := rapid.SampledFrom([]string{"m", "a1", "a2", "other"}), rapid.SampledFrom([]string{"x", "y", "z"})
+		contracts := func(n int) {
+			set := map[string]*contract.Contract{}
+			for i, name := range []string{"x", "y", "z"}[:n] {
+				set[name] = &contract.Contract{Customer: name, Weight: i, RequestsPerSecond: float64(5 * i), Burst: 3, MaxQueued: 8}
+			}
+			l.c.SetContracts(set)
+		}
+		contracts(3)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				r := Request{ID: fmt.Sprint(l.taken), Customer: customers.Draw(t, "customer"), Unit: units.Draw(t, "unit"), Pool: "m",
+					Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Arrived: l.now,
+					Deadline: l.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "wait")) * 100 * time.Millisecond)}
+				if r.Unit == "other" {
+					r.Pool = "other"
+				}
+				if ticket, refused := l.c.Arrive(l.now, r); refused == nil {
+					l.taken++
+					l.open[ticket] = false
+				}
+			},
+			"next": func(t *rapid.T) {
+				fits := units.Draw(t, "fits")
+				if ticket := l.c.Next(l.now, rapid.SampledFrom([]string{"m", "other"}).Draw(t, "pool"), func(t *Ticket) bool { return t.Unit == fits }); ticket != nil {
+					if running, ok := l.open[ticket]; !ok || running {
+						t.Fatalf("%s handed out while running or ended", ticket.ID)
+					}
+					l.open[ticket] = true
+				}
+			},
+			"finish": func(t *rapid.T) {
+				ticket := l.pick(t, true)
+				if ticket == nil {
+					return
+				}
+				l.c.Finish(l.now, ticket, Outcome{OK: true, FirstToken: 100 * time.Millisecond, Served: time.Second})
+				l.end(t, ticket)
+				l.c.Finish(l.now, ticket, Outcome{})
+				l.c.Leave(l.now, ticket)
+			},
+			"leave": func(t *rapid.T) {
+				ticket := l.pick(t, rapid.Bool().Draw(t, "running"))
+				if ticket == nil {
+					return
+				}
+				l.c.Leave(l.now, ticket)
+				l.end(t, ticket)
+				l.c.Requeue(l.now, ticket)
+			},
+			"requeue": func(t *rapid.T) {
+				if ticket := l.pick(t, true); ticket != nil {
+					l.c.Requeue(l.now, ticket)
+					l.open[ticket] = false
+				}
+			},
+			"expire": func(t *rapid.T) {
+				for _, e := range l.c.Expire(l.now) {
+					if l.open[e.Ticket] || e.Refusal == nil {
+						t.Fatalf("%s refused while running, or without an answer", e.Ticket.ID)
+					}
+					l.end(t, e.Ticket)
+				}
+			},
+			"expect": func(t *rapid.T) {
+				l.c.Expect(units.Draw(t, "unit"), l.now.Add(2*time.Second), rapid.Bool().Draw(t, "known"))
+			},
+			"contracts": func(t *rapid.T) { contracts(rapid.IntRange(1, 3).Draw(t, "customers")) },
+			"digest": func(t *rapid.T) {
+				l.c.Usage(l.now)
+				l.c.SetVMs(3, rapid.IntRange(0, 2).Draw(t, "heard"))
+				l.c.SetPeers(l.now, map[string]PeerUsage{"y": {Admitted: 4, Arrived: 9}})
+			},
+			"time": func(t *rapid.T) {
+				l.now = l.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": l.check,
+		})
+		for ticket, running := range l.open {
+			if running {
+				l.c.Finish(l.now, ticket, Outcome{})
+				l.end(t, ticket)
+			}
+		}
+		for _, e := range l.c.Expire(l.now.Add(time.Hour)) {
+			l.end(t, e.Ticket)
+		}
+		if l.taken != l.ended {
+			t.Fatalf("%d accepted, %d ended", l.taken, l.ended)
+		}
+	})
+}
