--- a/internal/chunks/chunks.go
+++ b/internal/chunks/chunks.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -39,14 +40,22 @@
 	Data []byte `json:"data" cbor:"7,keyasint"`
 }
 
+// writers saves the megabyte that each new flate.Writer takes.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.DefaultCompression)
+	if err != nil {
+		panic(err) // only for a level that doesn't exist
+	}
+	return w
+}}
+
 // Split compresses an encoded state and cuts it into chunks of at most size
 // bytes of data.
 func Split(encoded []byte, writer string, upTo uint64, size int) ([]Chunk, error) {
 	var compressed bytes.Buffer
-	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&compressed)
 	if _, err := w.Write(encoded); err != nil {
 		return nil, Error.Wrap(err)
 	}
--- /dev/null
+++ b/state/helper_test.go
@@ -0,0 +1,86 @@
+package state_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"bergamotreel/state"
+)
+
+const gb = int64(1) << 30
+
+// fataler is *testing.T, *testing.B or *rapid.T.
+type fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func sortedSessions(s *state.State) []state.SessionID {
+	return slices.Sorted(maps.Keys(s.Sessions))
+}
+
+// restored sends a state through a snapshot in the log.
+func restored(t fataler, s *state.State) *state.State {
+	t.Helper()
+	parts, err := s.Snapshot("w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var collector state.Collector
+	for _, part := range slices.Backward(parts) {
+		data, err := state.Encode(state.Record{Snapshot: &part})
+		if err != nil {
+			t.Fatal(err)
+		}
+		record, err := state.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		collector.Add(*record.Snapshot)
+	}
+	back, err := state.Restore(collector.Newest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return back
+}
+
+// sum is the same for equal states only.
+func sum(t fataler, s *state.State) uint64 {
+	t.Helper()
+	sum, err := s.Sum()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sum
+}
+
+// invariants recomputes what State promises and returns the first breach.
+// Limits may shrink below what is granted, so they are checked by the reference
+// at each grant and here only where nothing shrank.
+func invariants(s *state.State) string {
+	byCustomer := map[string]int64{}
+	for name, e := range s.Engines {
+		used := int64(0)
+		for unit, right := range e.Rights {
+			used += right.Bytes
+			byCustomer[right.Customer] += right.Bytes
+			if base := e.Rights[right.Base]; right.Base != "" && (base == nil || base.Withdrawn != 0 && right.Withdrawn == 0) {
+				return fmt.Sprintf("%s: %s stands without its base", name, unit)
+			}
+		}
+		if used != e.UsedBytes() {
+			return fmt.Sprintf("%s: %d bytes used, index says %d", name, used, e.UsedBytes())
+		}
+		if session := s.Sessions[e.KeeperSession]; e.KeeperSession != 0 && (session == nil || session.Ended) {
+			return fmt.Sprintf("%s: kept by an ended session", name)
+		}
+	}
+	for customer, used := range byCustomer {
+		if used != s.CustomerBytes(customer) {
+			return fmt.Sprintf("%s: %d bytes, index says %d", customer, used, s.CustomerBytes(customer))
+		}
+	}
+	return ""
+}
--- a/state/keeper.go
+++ b/state/keeper.go
@@ -68,11 +68,12 @@
 		return why
 	}
 	if engine.ChecksTokens && !meet.ChecksTokens {
-		engine.Distrusted = true
+		engine.Distrusted = append(engine.Distrusted, engine.Formers...)
+		slices.Sort(engine.Distrusted)
+		engine.Distrusted = slices.Compact(engine.Distrusted)
 	}
 	engine.Incarnation, engine.Domain = meet.Incarnation, meet.Domain
 	engine.MemoryBytes, engine.ChecksTokens = meet.MemoryBytes, meet.ChecksTokens
-	engine.clearDistrust()
 	return applied
 }
 
@@ -117,14 +118,8 @@
 func (e *Engine) forgive(id SessionID) {
 	is := func(other SessionID) bool { return other == id }
 	e.Formers = slices.DeleteFunc(e.Formers, is)
+	e.Distrusted = slices.DeleteFunc(e.Distrusted, is)
 	for _, right := range e.Rights {
 		right.OrderedBy = slices.DeleteFunc(right.OrderedBy, is)
 	}
-	e.clearDistrust()
-}
-
-func (e *Engine) clearDistrust() {
-	if len(e.Formers) == 0 {
-		e.Distrusted = false
-	}
 }
--- /dev/null
+++ b/state/reference_test.go
@@ -0,0 +1,365 @@
+package state_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"bergamotreel/contract"
+	"bergamotreel/state"
+)
+
+// reference is the naive second opinion on the fold: it forgets nothing, keeps
+// flat lists and recomputes every sum by a walk over all that ever happened.
+type reference struct {
+	outcomes map[state.ProposalID]state.Outcome
+	texts    map[string]map[string]string
+	parsed   map[string]*contract.Contract
+	versions map[string]state.Revision
+	sessions map[state.Revision]*refSession
+	engines  map[string]*refEngine
+	rights   []*refRight
+}
+
+type refSession struct {
+	proposer       string
+	renewal        state.Revision
+	ended, settled bool
+}
+
+type refEngine struct {
+	keeper, session state.Revision
+	memory          int64
+	checks          bool
+	// sent are the sessions that kept the engine and did not vouch for it, and
+	// breach the other ones of them when it stopped checking tokens.
+	sent     map[state.Revision]bool
+	breach   map[state.Revision]bool
+	lastMeet string
+}
+
+type refRight struct {
+	engine, customer, unit, base string
+	bytes                        int64
+	granted, withdrawn           state.Revision
+	wanted, gone                 bool
+	sent                         map[state.Revision]bool
+}
+
+func newReference() *reference {
+	return &reference{
+		outcomes: map[state.ProposalID]state.Outcome{}, texts: map[string]map[string]string{}, parsed: map[string]*contract.Contract{},
+		versions: map[string]state.Revision{}, sessions: map[state.Revision]*refSession{}, engines: map[string]*refEngine{},
+	}
+}
+
+func (r *reference) land(rev state.Revision, p state.Proposal) state.Outcome {
+	if earlier, ok := r.outcomes[p.ID]; ok && p.SessionRenew == nil {
+		return earlier
+	}
+	o := state.Outcome{ID: p.ID, Revision: rev, Verdict: state.VerdictConflict}
+	if r.accept(rev, p) {
+		o.Verdict = state.VerdictApplied
+	}
+	r.outcomes[p.ID] = o
+	return o
+}
+
+// accept makes the change of a proposal if its preconditions hold.
+func (r *reference) accept(rev state.Revision, p state.Proposal) bool {
+	switch {
+	case p.Publish != nil:
+		return r.publish(rev, p.Publish)
+	case p.SessionOpen != nil:
+		r.sessions[rev] = &refSession{proposer: p.ID.Proposer, renewal: rev}
+		return true
+	case p.SessionRenew != nil:
+		s := r.owned(p.SessionRenew.Session, p)
+		if s != nil {
+			s.renewal = rev
+		}
+		return s != nil
+	case p.SessionClose != nil:
+		s := r.owned(p.SessionClose.Session, p)
+		if s != nil {
+			r.end(p.SessionClose.Session)
+			s.settled = true
+		}
+		return s != nil
+	case p.SessionExpire != nil:
+		s := r.sessions[p.SessionExpire.Session]
+		ok := s != nil && !s.ended && s.renewal == p.SessionExpire.LastRenewal
+		if ok {
+			r.end(p.SessionExpire.Session)
+		}
+		return ok
+	case p.SessionSettle != nil:
+		s := r.sessions[p.SessionSettle.Session]
+		ok := s != nil && s.ended && !s.settled
+		if ok {
+			s.settled = true
+		}
+		return ok
+	case p.EngineRemove != nil:
+		_, ok := r.engines[p.EngineRemove.Engine]
+		delete(r.engines, p.EngineRemove.Engine)
+		for _, right := range r.rights {
+			right.gone = right.gone || right.engine == p.EngineRemove.Engine
+		}
+		return ok
+	}
+	return r.acceptKeeping(rev, p)
+}
+
+func (r *reference) acceptKeeping(rev state.Revision, p state.Proposal) bool {
+	switch {
+	case p.KeeperTake != nil:
+		k := p.KeeperTake
+		e := r.engines[k.Engine]
+		if e == nil {
+			e = &refEngine{sent: map[state.Revision]bool{}, breach: map[state.Revision]bool{}}
+		}
+		if r.owned(k.Session, p) == nil || e.keeper != k.Previous || e.session != 0 && e.session != k.Session {
+			return false
+		}
+		r.engines[k.Engine], e.keeper, e.session = e, rev, k.Session
+		e.sent[k.Session] = true
+		for _, right := range r.on(k.Engine) {
+			right.sent[k.Session] = true
+		}
+		return true
+	case p.KeeperGiveBack != nil:
+		e := r.keeping(p.KeeperGiveBack.Engine, p.KeeperGiveBack.Keeper)
+		if e == nil || r.owned(e.session, p) == nil {
+			return false
+		}
+		if p.KeeperGiveBack.Settled {
+			delete(e.sent, e.session)
+			delete(e.breach, e.session)
+			for _, right := range r.on(p.KeeperGiveBack.Engine) {
+				delete(right.sent, e.session)
+			}
+		}
+		e.session = 0
+		return true
+	case p.EngineMeet != nil:
+		m := p.EngineMeet
+		e := r.keeping(m.Engine, m.Keeper)
+		if e == nil || r.owned(e.session, p) == nil || m.MemoryBytes < 0 {
+			return false
+		}
+		if e.checks && !m.ChecksTokens {
+			for id := range e.sent {
+				e.breach[id] = e.breach[id] || id != e.session
+			}
+		}
+		e.memory, e.checks, e.lastMeet = m.MemoryBytes, m.ChecksTokens, m.Incarnation
+		return true
+	case p.Grant != nil:
+		return r.grant(rev, p.Grant)
+	}
+	return r.acceptRight(rev, p)
+}
+
+func (r *reference) acceptRight(rev state.Revision, p state.Proposal) bool {
+	switch {
+	case p.Want != nil:
+		right := r.standing(p.Want.Engine, p.Want.Keeper, p.Want.Unit, p.Want.Right)
+		if right != nil {
+			right.wanted = p.Want.Wanted
+		}
+		return right != nil
+	case p.Withdraw != nil:
+		w := p.Withdraw
+		right := r.standing(w.Engine, w.Keeper, w.Unit, w.Right)
+		if right == nil || slices.ContainsFunc(r.on(w.Engine), func(o *refRight) bool { return o.base == w.Unit && o.withdrawn == 0 }) {
+			return false
+		}
+		right.withdrawn, right.wanted = rev, false
+		return true
+	}
+	g := p.Gone
+	e := r.keeping(g.Engine, g.Keeper)
+	if e == nil || r.owned(e.session, p) == nil || slices.ContainsFunc(r.on(g.Engine), func(o *refRight) bool { return o.base == g.Unit }) {
+		return false
+	}
+	for _, right := range r.on(g.Engine) {
+		if right.granted == g.Right && right.unit == g.Unit && right.withdrawn != 0 && (e.checks || r.others(right.sent, e.session) == 0) {
+			right.gone = true
+			return true
+		}
+	}
+	return false
+}
+
+func (r *reference) grant(rev state.Revision, g *state.Grant) bool {
+	e := r.keeping(g.Engine, g.Keeper)
+	c := r.parsed[g.Customer]
+	if e == nil || c == nil || r.others(e.breach, 0) > 0 {
+		return false
+	}
+	unit, ok := c.FindUnit(g.Unit)
+	replicas, customerBytes, engineBytes, base := 0, int64(0), int64(0), unit.Base == ""
+	for _, right := range r.rights {
+		if right.gone {
+			continue
+		}
+		if right.customer == g.Customer {
+			customerBytes += right.bytes
+			if right.unit == g.Unit {
+				replicas++
+			}
+		}
+		if right.engine == g.Engine {
+			engineBytes += right.bytes
+			base = base || right.unit == unit.Base && right.withdrawn == 0
+			ok = ok && right.unit != g.Unit
+		}
+	}
+	if !ok || !base || replicas+1 > unit.MaxReplicas || customerBytes+unit.MemoryBytes > c.MemoryBytes || engineBytes+unit.MemoryBytes > e.memory {
+		return false
+	}
+	r.rights = append(r.rights, &refRight{
+		engine: g.Engine, customer: g.Customer, unit: g.Unit, base: unit.Base, bytes: unit.MemoryBytes,
+		granted: rev, wanted: g.Wanted, sent: map[state.Revision]bool{e.session: true},
+	})
+	return true
+}
+
+func (r *reference) publish(rev state.Revision, p *state.Publish) bool {
+	if r.versions[p.Customer] != p.Base || p.Remove && r.texts[p.Customer] == nil {
+		return false
+	}
+	if p.Remove {
+		delete(r.texts, p.Customer)
+		delete(r.parsed, p.Customer)
+		r.versions[p.Customer] = rev
+		return true
+	}
+	merged := maps.Clone(r.texts[p.Customer])
+	if merged == nil {
+		merged = map[string]string{}
+	}
+	maps.Copy(merged, p.Sections)
+	maps.DeleteFunc(merged, func(_, text string) bool { return text == "" })
+	c, err := contract.ParseSections(merged)
+	if err != nil || c.Customer != p.Customer {
+		return false
+	}
+	for other, o := range r.parsed {
+		if other == p.Customer {
+			continue
+		}
+		for _, key := range c.Keys {
+			if _, taken := o.Owns(key.SHA256); taken {
+				return false
+			}
+		}
+		for _, u := range c.Units() {
+			if v, both := o.FindUnit(u.Name); both && (u.Base != v.Base || u.Checkpoint != v.Checkpoint || u.MemoryBytes != v.MemoryBytes) {
+				return false
+			}
+		}
+	}
+	r.texts[p.Customer], r.parsed[p.Customer], r.versions[p.Customer] = merged, c, rev
+	return true
+}
+
+func (r *reference) owned(id state.Revision, p state.Proposal) *refSession {
+	if s := r.sessions[id]; s != nil && !s.ended && s.proposer == p.ID.Proposer {
+		return s
+	}
+	return nil
+}
+
+func (r *reference) end(id state.Revision) {
+	r.sessions[id].ended = true
+	for _, e := range r.engines {
+		if e.session == id {
+			e.session = 0
+		}
+	}
+}
+
+func (r *reference) keeping(engine string, keeper state.Revision) *refEngine {
+	if e := r.engines[engine]; e != nil && e.session != 0 && e.keeper == keeper {
+		return e
+	}
+	return nil
+}
+
+func (r *reference) on(engine string) (rights []*refRight) {
+	for _, right := range r.rights {
+		if right.engine == engine && !right.gone {
+			rights = append(rights, right)
+		}
+	}
+	return rights
+}
+
+func (r *reference) standing(engine string, keeper state.Revision, unit string, granted state.Revision) *refRight {
+	for _, right := range r.on(engine) {
+		if r.keeping(engine, keeper) != nil && right.unit == unit && right.granted == granted && right.withdrawn == 0 {
+			return right
+		}
+	}
+	return nil
+}
+
+// others counts the unsettled sessions in a set, but for one.
+func (r *reference) others(sent map[state.Revision]bool, but state.Revision) (n int) {
+	for id, in := range sent {
+		if in && id != but && !r.sessions[id].settled {
+			n++
+		}
+	}
+	return n
+}
+
+// view writes what both must agree on as sorted lines.
+func (r *reference) view() string {
+	var lines []string
+	for id, s := range r.sessions {
+		if !s.settled {
+			lines = append(lines, fmt.Sprint("session ", id, s.proposer, s.renewal, s.ended))
+		}
+	}
+	for name, e := range r.engines {
+		breach := r.others(e.breach, 0)
+		lines = append(lines, fmt.Sprint("engine ", name, e.keeper, e.session, e.memory, e.checks, breach, e.lastMeet))
+	}
+	for _, right := range r.rights {
+		if !right.gone {
+			sent := slices.Sorted(maps.Keys(right.sent))
+			sent = slices.DeleteFunc(sent, func(id state.Revision) bool { return r.sessions[id].settled })
+			lines = append(lines, fmt.Sprint("right ", right.engine, right.customer, right.unit, right.base, right.bytes,
+				right.granted, right.withdrawn, right.wanted, sent))
+		}
+	}
+	for customer, version := range r.versions {
+		lines = append(lines, fmt.Sprint("contract ", customer, version, r.texts[customer]))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+// view writes a state in the same way.
+func view(s *state.State) string {
+	var lines []string
+	for id, session := range s.Sessions {
+		lines = append(lines, fmt.Sprint("session ", id, session.Proposer, session.LastRenewal, session.Ended))
+	}
+	for name, e := range s.Engines {
+		lines = append(lines, fmt.Sprint("engine ", name, e.Keeper, e.KeeperSession, e.MemoryBytes, e.ChecksTokens, len(e.Distrusted), e.Incarnation))
+		for _, right := range e.Rights {
+			lines = append(lines, fmt.Sprint("right ", name, right.Customer, right.Unit, right.Base, right.Bytes,
+				right.Granted, right.Withdrawn, right.Wanted, slices.Sorted(slices.Values(right.OrderedBy))))
+		}
+	}
+	for customer, published := range s.Contracts {
+		lines = append(lines, fmt.Sprint("contract ", customer, published.Version, published.Sections))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
--- a/state/right.go
+++ b/state/right.go
@@ -22,7 +22,7 @@
 	if engine.Rights[g.Unit] != nil {
 		return conflict("granted on this engine already")
 	}
-	if engine.Distrusted {
+	if len(engine.Distrusted) > 0 {
 		return conflict("engine stopped checking tokens and a former keeper may still send")
 	}
 	if base := engine.Rights[unit.base]; unit.base != "" && (base == nil || base.Withdrawn != 0) {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotreel/contract"
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/wire"
@@ -33,6 +35,13 @@
 	return all, Error.Wrap(err)
 }
 
+// Sum is the xxhash of the encoded state, as in the chunks of its snapshot. Two
+// VMs with the same Applied must have the same sum.
+func (s *State) Sum() (uint64, error) {
+	data, err := s.encode()
+	return xxhash.Sum64(data), err
+}
+
 func (s *State) encode() ([]byte, error) {
 	data, err := wire.Marshal(encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers})
 	return data, Error.Wrap(err)
@@ -113,6 +122,7 @@
 func (e *Engine) clone() *Engine {
 	copied := *e
 	copied.Formers = slices.Clone(e.Formers)
+	copied.Distrusted = slices.Clone(e.Distrusted)
 	copied.Rights = make(map[string]*Right, len(e.Rights))
 	for name, right := range e.Rights {
 		r := *right
--- a/state/state.go
+++ b/state/state.go
@@ -69,10 +69,10 @@
 	// Formers are the unsettled sessions that kept the engine, other than
 	// KeeperSession.
 	Formers []SessionID `cbor:"9,keyasint,omitempty"`
-	// Distrusted is set when the engine stopped checking tokens while Formers
-	// were left, until they are settled: rights were freed there on the engine's
-	// promise to refuse their late orders, so nothing new is granted meanwhile.
-	Distrusted bool `cbor:"10,keyasint,omitempty"`
+	// Distrusted are the Formers of the moment when the engine stopped checking
+	// tokens, until they are settled. Rights were freed there on its promise to
+	// refuse their late orders, so nothing new is granted meanwhile.
+	Distrusted []SessionID `cbor:"10,keyasint,omitempty"`
 
 	// used is the memory of Rights.
 	used int64
