Hold the operators' outputs by golden files; contract remove

Cause: operators and their scripts read these outputs; a change must show. Also: `contract remove`, the API's way to end a contract; a first publish is called so; an interrupted wait says so and not "not in force after 10s". Ruled out: golden files of help texts (they are the library's).

--- a/cmd/bergamotreel/contract.go
+++ b/cmd/bergamotreel/contract.go
@@ -17,7 +17,7 @@
 	"bergamotreel/state"
 )
 
-// contractCommand is the verb "contract" with its four subcommands.
+// contractCommand is the verb "contract" with its subcommands.
 type contractCommand struct {
 	connection *connection
 	// file and customer are positional arguments.
@@ -59,6 +59,11 @@
 	c.publish.attach(publish)
 	c.connection.attach(publish)
 
+	remove := c.addStep(parent, "remove", "end a customer's contract", c.runRemove)
+	remove.AddPositionalValue(&c.customer, "CUSTOMER", 1, true, "whose contract")
+	c.publish.attach(remove)
+	c.connection.attach(remove)
+
 	show := c.addStep(parent, "show", "list all contracts, or print one customer's", c.runShow)
 	show.AddPositionalValue(&c.customer, "CUSTOMER", 1, false, "whose contract")
 	c.connection.attach(show)
@@ -82,7 +87,7 @@
 			return step.run(ctx, out)
 		}
 	}
-	return usageError("contract: want check, publish, show or history")
+	return usageError("want check, publish, remove, show or history")
 }
 
 // readContract reads a contract's file into its sections. Its error is one line
--- a/cmd/bergamotreel/publish.go
+++ b/cmd/bergamotreel/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -63,12 +64,45 @@
 		fmt.Fprintf(out, "nothing to publish: version %s of %s says the same\n", formatVersion(inForce.Version), parsed.Customer)
 		return waitInForce(ctx, out, op, inForce.Version, c.publish.wait)
 	}
-	fmt.Fprintf(out, "contract of %s, against version %s:\n", parsed.Customer, formatVersion(inForce.Version))
+	against := "the first one"
+	if inForce.Version != 0 {
+		against = "against version " + formatVersion(inForce.Version)
+	}
+	fmt.Fprintf(out, "contract of %s, %s:\n", parsed.Customer, against)
 	printChanges(out, changes)
 	if !c.publish.yes && !c.confirm(out) {
 		return errors.New("not published")
 	}
-	version, err := c.send(ctx, out, op, inForce, contract.ChangedSections(inForce.Sections, sections))
+	return c.publishAndWait(ctx, out, op, operator.PublishRequest{
+		Customer: parsed.Customer,
+		Base:     inForce.Version,
+		Sections: contract.ChangedSections(inForce.Sections, sections),
+	})
+}
+
+// runRemove ends a contract and waits until that is in force.
+func (c *contractCommand) runRemove(ctx context.Context, out io.Writer) error {
+	op, err := c.connection.open()
+	if err != nil {
+		return err
+	}
+	inForce, err := op.Contract(ctx, c.customer)
+	if err != nil {
+		return err
+	}
+	if inForce.Removed {
+		fmt.Fprintf(out, "nothing to remove: version %s of %s did it\n", formatVersion(inForce.Version), c.customer)
+		return waitInForce(ctx, out, op, inForce.Version, c.publish.wait)
+	}
+	fmt.Fprintf(out, "end the contract of %s, version %s: its keys, models and services go out of use\n", c.customer, formatVersion(inForce.Version))
+	if !c.publish.yes && !c.confirm(out) {
+		return errors.New("not published")
+	}
+	return c.publishAndWait(ctx, out, op, operator.PublishRequest{Customer: c.customer, Base: inForce.Version, Remove: true})
+}
+
+func (c *contractCommand) publishAndWait(ctx context.Context, out io.Writer, op operator.Operator, request operator.PublishRequest) error {
+	version, err := c.send(ctx, out, op, request)
 	if err != nil {
 		return err
 	}
@@ -92,27 +126,19 @@
 	return answer == "y" || answer == "yes"
 }
 
-// send publishes the changed sections and returns the version they made.
-func (c *contractCommand) send(ctx context.Context, out io.Writer, op operator.Operator, inForce operator.ContractInForce, changed map[string]string) (state.Revision, error) {
-	request := operator.PublishRequest{
-		ChangeID: c.publish.change,
-		Customer: inForce.Customer,
-		Base:     inForce.Version,
-		Sections: changed,
-	}
-	if request.ChangeID == "" {
-		request.ChangeID = rand.Text()
-	}
+// send publishes a change and returns the version it made.
+func (c *contractCommand) send(ctx context.Context, out io.Writer, op operator.Operator, request operator.PublishRequest) (state.Revision, error) {
+	request.ChangeID = cmp.Or(c.publish.change, rand.Text())
 	ctx, cancel := context.WithTimeout(ctx, publishFor)
 	defer cancel()
 	result, err := operator.PublishUntilKnown(ctx, op, request)
 	switch {
 	case errors.Is(err, operator.ErrOutcomeUnknown):
-		return 0, fmt.Errorf("%w\nthe change may be in force; ask again with: -change %s", err, request.ChangeID)
+		return 0, fmt.Errorf("%w\nthe change may be in force; the same command with -change %s asks again", err, request.ChangeID)
 	case err != nil:
 		return 0, fmt.Errorf("not published: %w", err)
 	case result.Verdict == state.VerdictConflict:
-		return 0, fmt.Errorf("conflict: %s; version %s is no longer the newest. Look at what changed and publish again", result.Reason, formatVersion(inForce.Version))
+		return 0, fmt.Errorf("conflict: %s; version %s is no longer the newest. Look at what changed and publish again", result.Reason, formatVersion(request.Base))
 	case result.Verdict != state.VerdictApplied:
 		return 0, fmt.Errorf("refused (%s): %s", result.Verdict, result.Reason)
 	}
@@ -149,27 +175,29 @@
 // waitInForce asks until every entry VM has the version in force, and names
 // those that don't after wait.
 func waitInForce(ctx context.Context, out io.Writer, op operator.Operator, version state.Revision, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	deadline, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	var behind []string
+	behind := "unknown, as no entry VM answered"
 	printed := ""
 	for {
-		report, err := op.Status(ctx)
+		report, err := op.Status(deadline)
 		if err == nil {
-			var total int
-			behind, total = vmsBehind(report, version)
-			progress := fmt.Sprintf("in force on %d of %d entry VMs", total-len(behind), total)
+			names, total := vmsBehind(report, version)
+			progress := fmt.Sprintf("in force on %d of %d entry VMs", total-len(names), total)
 			if progress != printed {
 				fmt.Fprintln(out, progress)
 				printed = progress
 			}
-			if len(behind) == 0 {
+			if len(names) == 0 {
 				return nil
 			}
+			behind = strings.Join(names, ", ")
 		}
 		select {
 		case <-ctx.Done():
-			return notEverywhere(wait, behind, printed != "", err)
+			return &exitError{exitNotEverywhere, fmt.Errorf("stopped waiting for version %s; not in force yet on: %s", formatVersion(version), behind)}
+		case <-deadline.Done():
+			return &exitError{exitNotEverywhere, fmt.Errorf("version %s is not in force after %s on: %s", formatVersion(version), wait, behind)}
 		case <-time.After(pollPause):
 		}
 	}
@@ -196,10 +224,3 @@
 	}
 	return fmt.Sprintf("%s in %s (at offset %d)", vm.ID, vm.Domain, vm.Applied)
 }
-
-func notEverywhere(wait time.Duration, behind []string, asked bool, err error) error {
-	if !asked {
-		return &exitError{exitNotEverywhere, fmt.Errorf("published, but can't tell where it is in force: %w", err)}
-	}
-	return &exitError{exitNotEverywhere, fmt.Errorf("published, but not in force after %s on: %s", wait, strings.Join(behind, ", "))}
-}
--- /dev/null
+++ b/cmd/bergamotreel/status_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"bergamotreel/operator"
+)
+
+// bubbleStart is when the clock of a synctest bubble starts.
+var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sampleReport has one of each thing that an operator looks for.
+func sampleReport() operator.StatusReport {
+	ago := func(d time.Duration) time.Time { return bubbleStart.Add(-d) }
+	unit := func(name string, phase operator.Phase) operator.Unit {
+		return operator.Unit{Name: name, Customer: "trinidad", Phase: phase, Bytes: 16e9}
+	}
+	return operator.StatusReport{
+		VM:  operator.Self{ID: "entry-a", Domain: "d1", Region: "main", Incarnation: "1f", Version: "v0.1.0", StartedAt: ago(26 * time.Hour), Ready: true},
+		Log: operator.LogPosition{Applied: 17, End: 20, Lag: 3, Reachable: true, ReachedAt: ago(time.Second)},
+		VMs: []operator.EntryVM{
+			{ID: "entry-a", Domain: "d1", Applied: 17, Newest: version(17), HeardAt: ago(0)},
+			{ID: "entry-b", Domain: "d1", Applied: 15, Newest: version(9), HeardAt: ago(250 * time.Millisecond)},
+			{ID: "entry-c", Domain: "d2", Missing: true, HeardAt: ago(42 * time.Second)},
+			{ID: "entry-d", Domain: "d2", Missing: true},
+			{ID: "entry-e", Domain: "d2", Applied: 16, HeardAt: ago(time.Second), Leaving: true},
+		},
+		Contracts: []operator.ContractSummary{
+			{Customer: "kathmandu", Version: version(12), ChangeID: "FIRST", Models: 2, Adapters: 2, Services: 1},
+			{Customer: "old", Version: version(7), ChangeID: "REMOVE", Removed: true},
+			{Customer: "trinidad", Version: version(17), ChangeID: "CARNIVAL", Models: 3, Adapters: 2, Services: 1},
+		},
+		Engines: []operator.Engine{
+			{Name: "10.0.2.1:9000", Domain: "d1", Keeper: "entry-a", Token: version(11), ChecksTokens: true, MemoryBytes: 80e9, UsedBytes: 32.2e9,
+				Units: []operator.Unit{unit("clerk-7b", operator.PhaseLoaded), unit("damage-13b", operator.PhaseLoading), unit("shop-12", operator.PhaseLoaded)}},
+			{Name: "10.0.2.2:9000", Domain: "d2", MemoryBytes: 80e9, UsedBytes: 16e9, Missing: true,
+				Units: []operator.Unit{unit("clerk-7b", operator.PhaseStandby), unit("season-34b", operator.PhaseUnloading)}},
+			{Name: "10.0.2.3:9000", Domain: "d2", Keeper: "entry-e", Token: version(5), MemoryBytes: 80e9, Leaving: true},
+		},
+		Waiting: []operator.WaitingUnit{
+			{Name: "damage-13b", Customer: "trinidad", Requests: 3, TimeLeft: 12500 * time.Millisecond},
+			{Name: "shop-47", Customer: "trinidad", Requests: 1, TimeLeft: 800 * time.Millisecond},
+		},
+		Refusals: []operator.RefusalCount{{Customer: "", Code: "unknown_key", Count: 4}, {Customer: "trinidad", Code: "wait_too_long", Count: 2}},
+	}
+}
+
+func runStatus(t *testing.T, report operator.StatusReport, args ...string) string {
+	var printed string
+	synctest.Test(t, func(t *testing.T) {
+		s := &statusCommand{connection: newConnection()}
+		op := &fakeOperator{status: func(int) (operator.StatusReport, error) { return report, nil }}
+		s.connection.open = func() (operator.Operator, error) { return op, nil }
+		printed = runVerb(verb{name: "status", attach: s.attach, run: s.run}, args)
+	})
+	return printed
+}
+
+func TestStatus(t *testing.T) {
+	lost := operator.StatusReport{
+		VM:  operator.Self{ID: "entry-a", Domain: "d1", Region: "main", Version: "v0.1.0", StartedAt: bubbleStart, NotReady: "no state yet"},
+		Log: operator.LogPosition{},
+	}
+	many := operator.StatusReport{VM: sampleReport().VM, Log: sampleReport().Log}
+	for i := range maxRows + 2 {
+		many.Engines = append(many.Engines, operator.Engine{Name: fmt.Sprintf("engine-%02d", i), Domain: "d1", MemoryBytes: 80e9})
+	}
+	golden := goldie.New(t)
+	golden.Assert(t, "status", []byte(runStatus(t, sampleReport())))
+	golden.Assert(t, "status_json", []byte(runStatus(t, sampleReport(), "-json")))
+	golden.Assert(t, "status_lost", []byte(runStatus(t, lost)))
+	golden.Assert(t, "status_many", []byte(runStatus(t, many)))
+	golden.Assert(t, "status_all", []byte(runStatus(t, many, "-all")))
+}
