Operators' pages: interface, contracts, settings; bound a change's size

Cause: operators and other programs need each message, field, unit, error and timeout; a change longer than a log record fails with all that shares its group commit, so the handler refuses it (512 KiB) and says why. Tests hold the pages to the code: the settings sample word for word, each key of the contract reference. Ruled out: splitting a large change in the client (its parts would not be in force together).

--- a/contract/sections_test.go
+++ b/contract/sections_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"os"
 	"strings"
 	"testing"
 
@@ -38,6 +39,23 @@
 	}
 }
 
+// The page that operators read names each key.
+func TestPageNamesKeys(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations/contracts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for kind, keys := range keyOrder {
+		_, reference, found := strings.Cut(string(page), "\n### `["+kind)
+		reference, _, _ = strings.Cut(reference, "\n###")
+		for _, key := range keys {
+			if !found || !strings.Contains(reference, "\n| `"+key+"` |") {
+				t.Errorf("docs/operations/contracts.md doesn't name %s of [%s]", key, kind)
+			}
+		}
+	}
+}
+
 func TestDiff(t *testing.T) {
 	old, err := Split(small)
 	if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,6 +22,17 @@
 	}
 }
 
+// The page that operators read holds the sample as it is.
+func TestPageHoldsSample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), "```ini\n"+Sample()+"```\n") {
+		t.Error("docs/operations/settings.md has another sample")
+	}
+}
+
 // usable is the sample with a secret of its own.
 func usable() string {
 	return strings.Replace(Sample(), sampleSecret, strings.Repeat("x", MinSecretLength), 1)
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -131,7 +131,7 @@
 	{
 		section: "policy", key: "keep_alive_min", byDefault: "20s",
 		help: "least time an idle replica stays; outlasts the pause between two questions, so that two models don't evict each other in turns",
-		set:  duration(0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.KeepAliveMin }),
+		set:  duration(time.Second, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.KeepAliveMin }),
 	},
 	{
 		section: "policy", key: "keep_alive_max", byDefault: "2h",
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -129,10 +129,20 @@
 		return errors.New("sections in a removal")
 	case !r.Remove && len(r.Sections) == 0:
 		return errors.New("no sections: nothing to change")
+	case r.changeBytes() > MaxChangeBytes:
+		return fmt.Errorf("sections are longer than %d bytes: publish the change in parts", MaxChangeBytes)
 	}
 	return nil
 }
 
+func (r PublishRequest) changeBytes() int {
+	bytes := 0
+	for name, text := range r.Sections {
+		bytes += len(name) + len(text)
+	}
+	return bytes
+}
+
 // ask serves a question without a body.
 func ask(answer func(context.Context, *http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -172,6 +172,7 @@
 		"no customer":   `{"change_id":"c","sections":{"a":"b"}}`,
 		"nothing":       `{"change_id":"c","customer":"t"}`,
 		"both":          `{"change_id":"c","customer":"t","remove":true,"sections":{"a":"b"}}`,
+		"large change":  `{"change_id":"c","customer":"t","sections":{"a":"` + strings.Repeat("b", MaxChangeBytes) + `"}}`,
 		"too long":      `{"change_id":"c","customer":"` + strings.Repeat("t", MaxBodyBytes) + `"}`,
 	}
 	for name, body := range bodies {
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -12,9 +12,14 @@
 	pathStatus    = "/v1/status"
 )
 
-// MaxBodyBytes bounds a request: a whole contract with 39,000 adapters of 200
-// bytes takes 8 MB.
-const MaxBodyBytes = 16 << 20
+const (
+	// MaxChangeBytes bounds the sections of one publish, names and texts. The log
+	// takes records of 1 MiB, and one that is refused takes the other proposals
+	// of its group commit with it. Some 5,000 adapters of 100 bytes fit.
+	MaxChangeBytes = 512 << 10
+	// MaxBodyBytes bounds a request: a change with its escapes in JSON.
+	MaxBodyBytes = 2 << 20
+)
 
 // errorBody is the JSON body of every answer that is not a success.
 type errorBody struct {
