standin load: callers that check each answer

Cause: trials need callers that don't wait for answers, and a judge that tells a whole answer from a cut, wrong or doubled one. The verb sends at a rate with bursts, compares texts with the engine stand-in's expected ones, repeats bookings with their key at another entry VM, measures an entry VM against its engine called directly in turn, and holds streams open to read the daemon's memory. Loopback only, bounded in count and time. Ruled out: an http.Client for held streams (its buffers would outweigh the daemon's).

--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"bergamotreel/internal/standin/loadgen"
+)
+
+// errBroken ends a run that saw an outcome that must never be.
+var errBroken = errors.New("a promise was broken: see the outcomes in capitals")
+
+// loadFlags are the flags of the verb load.
+type loadFlags struct {
+	settings                       loadgen.Settings
+	targets, models, serviceAdmins string
+	compareDirect, metrics         string
+	workers, streams               int
+	hold                           time.Duration
+	json                           bool
+}
+
+// newLoadVerb is the stand-in of the callers.
+func newLoadVerb() verb {
+	f := &loadFlags{
+		targets: "127.0.0.1:7001", workers: 1, hold: 30 * time.Second,
+		settings: loadgen.Settings{
+			Rate: 20, BurstEvery: 10 * time.Second, Duration: 30 * time.Second, StreamShare: 0.8,
+			RepeatShare: 0.5, Tokens: 16, PromptBytes: 1024, Timeout: 2 * time.Minute, Seed: 1,
+		},
+	}
+	return verb{name: "load", help: "callers: sends requests and checks the answers", attach: f.attach, run: f.run}
+}
+
+func (f *loadFlags) attach(sub *flaggy.Subcommand) {
+	s := &f.settings
+	sub.String(&f.targets, "t", "targets", "IP:port of the entry VMs, separated by commas")
+	sub.String(&s.Key, "k", "key", "API key")
+	sub.String(&f.models, "m", "models", "models and adapters to ask for, most popular first, separated by commas")
+	sub.String(&s.Service, "", "service", "plain service to book at")
+	sub.String(&f.serviceAdmins, "", "service-admin", "IP:port of the service stand-ins, to check that no booking ran twice")
+	sub.Float64(&s.Rate, "r", "rate", "requests a second")
+	sub.Int(&s.Burst, "b", "burst", "requests for one model that come at once")
+	sub.Duration(&s.BurstEvery, "", "burst-every", "time between bursts")
+	sub.Duration(&s.Duration, "d", "duration", "how long to send")
+	sub.Int(&s.Requests, "n", "requests", "stop after that many")
+	sub.Float64(&s.StreamShare, "", "stream-share", "share of generations that stream, 0 to 1")
+	sub.Float64(&s.ServiceShare, "", "service-share", "share of requests that are bookings, 0 to 1")
+	sub.Float64(&s.RepeatShare, "", "repeat-share", "share of bookings sent at two entry VMs with one key, 0 to 1")
+	sub.Int(&s.Tokens, "", "tokens", "max_tokens of a generation")
+	sub.Int(&s.PromptBytes, "", "prompt-bytes", "size of a prompt")
+	sub.Duration(&s.Timeout, "", "timeout", "when an answer counts as never given")
+	sub.UInt64(&s.Seed, "s", "seed", "makes the same requests again")
+	sub.String(&f.compareDirect, "", "compare-direct", "IP:port of an engine: measure what the first target adds")
+	sub.Int(&f.workers, "", "workers", "with compare-direct: streams at once")
+	sub.Int(&f.streams, "", "streams", "open that many streams and hold them")
+	sub.Duration(&f.hold, "", "hold", "with streams: how long")
+	sub.String(&f.metrics, "", "metrics", "with streams: IP:port of the daemon's metrics page")
+	sub.Bool(&f.json, "j", "json", "print JSON")
+}
+
+func (f *loadFlags) run(ctx context.Context) error {
+	f.settings.Targets = loadgen.List(f.targets)
+	f.settings.Models = loadgen.List(f.models)
+	f.settings.ServiceAdmin = loadgen.List(f.serviceAdmins)
+	switch {
+	case f.compareDirect != "":
+		comparison, err := loadgen.Compare(ctx, f.settings, f.compareDirect, f.workers)
+		if err != nil {
+			return err
+		}
+		return f.print(comparison)
+	case f.streams > 0:
+		held, err := loadgen.Hold(ctx, f.settings, f.streams, f.hold, f.metrics)
+		if err != nil {
+			return err
+		}
+		return f.print(held)
+	}
+	report, err := loadgen.Run(ctx, f.settings)
+	if err != nil {
+		return err
+	}
+	if err := f.print(report); err != nil {
+		return err
+	}
+	if report.Broken() {
+		return errBroken
+	}
+	return nil
+}
+
+// print writes a result as JSON or as a table.
+func (f *loadFlags) print(result loadgen.Result) error {
+	if !f.json {
+		return result.WriteTable(os.Stdout)
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(result)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,8 @@
 	newWeightStoreVerb,
 	newEngineVerb,
 	newServiceVerb,
+	newLoadVerb,
+	newReplayVerb,
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/loadgen/loadgen_test.go
@@ -0,0 +1,116 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotreel/internal/standin/engineserver"
+)
+
+// stream writes the words of an answer as events, numbered from 1 up.
+func stream(w io.Writer, words []string) {
+	for i, word := range words {
+		data, _ := json.Marshal(map[string]any{"choices": []any{map[string]any{"delta": message{Content: word + " "}}}})
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, data)
+	}
+}
+
+// The generator is the judge of trials, so it must tell each way in which an
+// answer can be wrong from a whole one.
+func TestOutcomes(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	const refusal = `{"error":{"code":"rate_limited","ran":"no"}}`
+	tests := map[string]struct {
+		answer func(w http.ResponseWriter, words []string)
+		broken bool
+	}{
+		"stream: " + OutcomeOK:     {func(w http.ResponseWriter, words []string) { stream(w, words); io.WriteString(w, done) }, false},
+		"stream: " + OutcomeCut:    {func(w http.ResponseWriter, words []string) { stream(w, words) }, true},
+		"stream: " + OutcomeWrong:  {func(w http.ResponseWriter, words []string) { stream(w, words[1:]); io.WriteString(w, done) }, true},
+		"stream: " + OutcomeBroken: {func(http.ResponseWriter, []string) { panic(http.ErrAbortHandler) }, false},
+		"stream: refused rate_limited ran=no": {func(w http.ResponseWriter, words []string) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			io.WriteString(w, refusal)
+		}, false},
+		"stream: refused rate_limited ran=no (late)": {func(w http.ResponseWriter, words []string) {
+			stream(w, words[:1])
+			io.WriteString(w, "event: error\ndata: "+refusal+"\n\n")
+		}, false},
+	}
+	for want, test := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			test.answer(w, strings.Fields(engineserver.ExpectedText(body)))
+		}))
+		report, err := Run(t.Context(), Settings{
+			Targets: []string{server.Listener.Addr().String()}, Models: []string{"clerk"}, Rate: 1000, Requests: 5,
+			Duration: time.Minute, StreamShare: 1, Tokens: 4, PromptBytes: 100, Timeout: time.Minute,
+		})
+		server.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		counted := map[string]int{strings.TrimSuffix(want, " (late)"): 5}
+		if diff := cmp.Diff(counted, report.Outcomes); diff != "" || report.Broken() != test.broken {
+			t.Errorf("%s: broken %v, %s", want, report.Broken(), diff)
+		}
+	}
+}
+
+// Two entry VMs both say "booked" to one key and mean two bookings.
+func TestDoubledBookingIsWrong(t *testing.T) {
+	bookings := make(chan int, 2)
+	bookings <- 1
+	bookings <- 2
+	book := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, <-bookings) })
+	one, two := httptest.NewServer(book), httptest.NewServer(book)
+	defer one.Close()
+	defer two.Close()
+	report, err := Run(t.Context(), Settings{
+		Targets: []string{one.Listener.Addr().String(), two.Listener.Addr().String()}, Models: []string{"clerk"},
+		Service: "booking", ServiceShare: 1, RepeatShare: 1, Rate: 1000, Requests: 1, Duration: time.Minute, Timeout: time.Minute,
+	})
+	want := map[string]int{"booking: " + OutcomeOK: 1, "booking: " + OutcomeWrong: 1}
+	if diff := cmp.Diff(want, report.Outcomes); diff != "" || err != nil || !report.Broken() {
+		t.Error(err, diff)
+	}
+}
+
+func TestPlanIsTheSameForOneSeed(t *testing.T) {
+	settings := Settings{
+		Targets: []string{"127.0.0.1:1", "127.0.0.1:2"}, Models: []string{"a", "b"}, Service: "s", Seed: 7, Rate: 10,
+		Burst: 20, BurstEvery: time.Second, Duration: 5 * time.Second, Requests: 1000,
+		StreamShare: 0.5, ServiceShare: 0.3, RepeatShare: 0.5, Tokens: 4, PromptBytes: 200,
+	}
+	all := func() (requests []string) {
+		plan := newPlanner(settings)
+		for r, ok := plan.next(); ok; r, ok = plan.next() {
+			requests = append(requests, fmt.Sprint(r.at, r.target, r.path, r.stream, r.key, r.other, string(r.body)))
+		}
+		return requests
+	}
+	first := all()
+	if diff := cmp.Diff(first, all()); diff != "" {
+		t.Error(diff)
+	}
+	// Four bursts of 20 in 5 s and some 50 single ones.
+	if len(first) < 100 || len(first) > 180 {
+		t.Errorf("%d requests", len(first))
+	}
+}
+
+func TestOnlyLoopback(t *testing.T) {
+	for address, ok := range map[string]bool{"127.0.0.1:1": true, "[::1]:1": true, "10.0.0.1:1": false, "localhost:1": false, "": false} {
+		if err := checkLoopback([]string{address}); (err == nil) != ok {
+			t.Errorf("%q: %v", address, err)
+		}
+	}
+}
