--- a/state/main_test.go
+++ b/state/main_test.go
@@ -9,7 +9,7 @@
 // TestMain fixes rapid's seed and number of schedules, unless the command line
 // gives them, so that every run has the same verdict. The long run is
 //
-//	go test ./state -run 'Reference|Order' -rapid.checks=100000 -timeout=30m
+//	go test ./state -run 'Reference|LateOrders' -rapid.checks=100000 -worlds=100000 -timeout=1h
 func TestMain(m *testing.M) {
 	flag.Parse()
 	given := map[string]bool{}
--- a/state/record.go
+++ b/state/record.go
@@ -97,8 +97,9 @@
 }
 
 // SessionClose ends a session by its owner's word. It gives back all engines.
-// It also says that the owner will never again send an order under it, so the
-// session is settled.
+// It also says that each order under it was answered and that its owner will
+// never again send one, so the session is settled. The owner stops ordering
+// before it proposes this, not when it folds it.
 type SessionClose struct {
 	Session SessionID `json:"session" cbor:"1,keyasint"`
 }
@@ -134,7 +135,8 @@
 	Keeper Revision `json:"keeper" cbor:"2,keyasint"`
 	// Settled says that each order of the session to this engine was answered
 	// and that no other will be sent under this keeper: the session then no
-	// longer holds up Gone there.
+	// longer holds up Gone there. The owner stops ordering before it proposes
+	// this, not when it folds it: an order between both would break its word.
 	Settled bool `json:"settled,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
