--- a/internal/standin/loadgen/chat.go
+++ b/internal/standin/loadgen/chat.go
@@ -50,17 +50,18 @@
 // errorBody is a refusal, as in docs/interfaces/caller.md.
 type errorBody struct {
 	Error struct {
-		Code string `json:"code"`
-		Ran  string `json:"ran"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		Ran     string `json:"ran"`
 	} `json:"error"`
 }
 
-func refused(data []byte, status int) string {
+func refused(data []byte, status int) result {
 	var body errorBody
 	if json.Unmarshal(data, &body) != nil || body.Error.Code == "" {
-		return fmt.Sprintf("status %d without a refusal", status)
+		return result{outcome: fmt.Sprintf("status %d without a refusal", status), detail: string(data)}
 	}
-	return fmt.Sprintf("refused %s ran=%s", body.Error.Code, body.Error.Ran)
+	return result{outcome: fmt.Sprintf("refused %s ran=%s", body.Error.Code, body.Error.Ran), detail: body.Error.Message}
 }
 
 // send sends one request and checks its answer.
@@ -109,7 +110,7 @@
 	case err != nil:
 		return result{outcome: brokenOutcome(ctx), detail: err.Error()}
 	case answer.StatusCode/100 != 2:
-		return result{outcome: refused(data, answer.StatusCode)}
+		return refused(data, answer.StatusCode)
 	case request.key != "":
 		return result{outcome: OutcomeOK, body: string(data)}
 	}
@@ -154,7 +155,8 @@
 			return r.end(brokenStream(ctx), err.Error())
 		}
 		if event.Type == "error" {
-			return r.end(refused([]byte(event.Data), http.StatusOK), "")
+			ended := refused([]byte(event.Data), http.StatusOK)
+			return r.end(ended.outcome, ended.detail)
 		}
 		if event.Data == "[DONE]" {
 			checked := checkText(r.text.String(), request)
--- a/internal/standin/loadgen/report.go
+++ b/internal/standin/loadgen/report.go
@@ -18,8 +18,8 @@
 	lowestMicros  = 10
 	highestMicros = int64(maxDuration / time.Microsecond)
 	digits        = 3
-	// maxDetails bounds the kept details of outcomes that must not be.
-	maxDetails = 10
+	// detailsPerOutcome bounds the kept details of each outcome.
+	detailsPerOutcome = 3
 )
 
 // Report is what came out of a run.
@@ -27,7 +27,7 @@
 	Seed     uint64         `json:"seed"`
 	Took     time.Duration  `json:"took_ns"`
 	Outcomes map[string]int `json:"outcomes"`
-	// Details tell of the first outcomes that must not be.
+	// Details tell of the first outcomes of each kind other than ok.
 	Details []string `json:"details,omitempty"`
 	// RanTwice are the idempotency keys whose booking ran more than once.
 	RanTwice []string `json:"ran_twice,omitempty"`
@@ -61,10 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	kind := kindOf(request)
-	r.Outcomes[kind+": "+ended.outcome]++
-	if ended.detail != "" && len(r.Details) < maxDetails {
-		r.Details = append(r.Details, kind+": "+ended.outcome+": "+ended.detail)
-	}
+	r.explain(kind+": "+ended.outcome, ended.detail)
 	if ended.outcome != OutcomeOK {
 		return
 	}
@@ -81,6 +78,14 @@
 	}
 }
 
+// explain counts an outcome and keeps its detail; r.mu is held.
+func (r *Report) explain(outcome, detail string) {
+	r.Outcomes[outcome]++
+	if detail != "" && r.Outcomes[outcome] <= detailsPerOutcome {
+		r.Details = append(r.Details, outcome+": "+detail)
+	}
+}
+
 func kindOf(request planned) string {
 	switch {
 	case request.key != "":
