caller: bound writing a whole answer; hold more safeguards by tests

Cause: a caller that asked for an answer in one piece and did not read it held the answer for good (TestWholeAnswerNotRead). Mutating a scratch copy showed that the bound on held bodies, fields in other case and "Connection: close" while draining were not held by any test: now they are. ReadHeaderTimeout went: ReadTimeout does the same. Ruled out: http.Server.WriteTimeout, which counts from the request's header and would cut off a long wait or stream.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -46,20 +46,35 @@
 	writeBody(w, r.Status(), encodeRefusal(r))
 }
 
-func writeJSON(w http.ResponseWriter, value any) error {
+// writeBody sends a whole answer in JSON. A failed write means that the caller
+// left; there is nobody to tell.
+func writeBody(w http.ResponseWriter, status int, data []byte) {
+	w.Header().Set("Content-Type", typeJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// sendJSON sends a value as the whole answer.
+func (h *Handler) sendJSON(x *exchange, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	writeBody(w, http.StatusOK, data)
+	h.boundWriting(x, len(data))
+	writeBody(x.w, http.StatusOK, data)
 	return nil
 }
 
-// writeBody sends a whole answer. A failed write means that the caller left;
-// there is nobody to tell.
-func writeBody(w http.ResponseWriter, status int, data []byte) {
-	w.Header().Set("Content-Type", typeJSON)
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.WriteHeader(status)
-	_, _ = w.Write(data)
+// slowestCaller is the rate, in bytes a second, at which a large answer must at
+// least be read.
+const slowestCaller = 64 << 10
+
+// boundWriting ends the connection if a whole answer of n bytes is not read in
+// time: else a caller that stops reading holds the answer in memory for good.
+// net/http takes the deadline back after the request.
+func (h *Handler) boundWriting(x *exchange, n int) {
+	allowed := h.limits.WriteTimeout + time.Duration(n)*time.Second/slowestCaller
+	// Writers without deadlines (tests) go without.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(allowed))
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -109,7 +109,7 @@
 		"not an object":      {request("POST", chat, "key-rental", "[1]"), 400, refusal.CodeBadRequest, "body"},
 		"no model":           {request("POST", chat, "key-rental", `{"messages":[1]}`), 400, refusal.CodeBadRequest, "model"},
 		"model twice":        {request("POST", chat, "key-rental", chatBody(`,"model":"counsel"`)), 400, refusal.CodeBadRequest, "model"},
-		"model in caps":      {request("POST", chat, "key-rental", chatBody(`,"Model":"counsel"`)), 400, refusal.CodeBadRequest, "model"},
+		"stream in caps":     {request("POST", chat, "key-rental", chatBody(`,"Stream":true`)), 400, refusal.CodeBadRequest, "stream"},
 		"model no string":    {request("POST", chat, "key-rental", `{"model":1,"messages":[1]}`), 400, refusal.CodeBadRequest, "model"},
 		"messages no list":   {request("POST", chat, "key-rental", `{"model":"clerk","messages":{}}`), 400, refusal.CodeBadRequest, "messages"},
 		"messages empty":     {request("POST", chat, "key-rental", `{"model":"clerk","messages":[ ]}`), 400, refusal.CodeBadRequest, "messages"},
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -49,6 +49,8 @@
 func (h *Handler) serve(route string, do func(*exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		arrived := time.Now()
+		h.metrics.open.Inc()
+		defer h.metrics.open.Dec()
 		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := h.tracer.Start(ctx, "caller/"+route, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
@@ -91,6 +93,7 @@
 	if x.stream != nil && x.stream.sent {
 		x.stream.fail(r)
 	} else {
+		h.boundWriting(x, 0)
 		writeRefusal(x.w, r)
 	}
 	return string(r.Code)
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -96,6 +97,78 @@
 	}
 }
 
+// The same over TLS and HTTP/2, where a body has no last chunk to leave out: the
+// stream must be reset after the error event.
+func TestStreamBrokenOverHTTP2(t *testing.T) {
+	certified := httptest.NewUnstartedServer(nil)
+	certified.EnableHTTP2 = true
+	certified.StartTLS()
+	defer certified.Close()
+	lost := refusal.Maybe(refusal.CodeOutcomeUnknown, "engine lost")
+	handler := caller.New(&fakeBackend{generate: chunks(lost, "{}")}, caller.Limits{})
+	server := caller.NewServer(handler, caller.Limits{}, &tls.Config{Certificates: certified.TLS.Certificates})
+	listener, err := caller.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error)
+	go func() { ended <- server.Serve(listener) }()
+	r := request("POST", "https://"+listener.Addr().String()+chat, "key-rental", goodStream)
+	r.RequestURI = ""
+	answer, err := certified.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	got := readEvents(strings.NewReader(string(body)))
+	if diff := cmp.Diff([]string{"1  {}", "1 error " + cutAnswer}, got); diff != "" || err == nil || answer.ProtoMajor != 2 {
+		t.Errorf("HTTP/%d ended with %v; %s", answer.ProtoMajor, err, diff)
+	}
+	answer.Body.Close()
+	_ = server.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A caller asks for an answer in one piece and does not read it. Its memory must
+// not be held for good.
+func TestWholeAnswerNotRead(t *testing.T) {
+	backend := &fakeBackend{generate: chunks(nil, `{"choices":[{"index":0,"delta":{"content":"`+strings.Repeat("a", 64<<10)+`"}}]}`)}
+	serving(t, backend, caller.Limits{WriteTimeout: time.Second}, func(t *testing.T, _ *caller.Server, network memoryNet) {
+		conn := network.dial()
+		start := time.Now()
+		send(conn, request("POST", chat, "key-rental", goodChat))
+		time.Sleep(time.Minute)
+		if rest, _ := io.ReadAll(conn); strings.HasSuffix(string(rest), "}") {
+			t.Errorf("still held after %v: %d bytes", time.Since(start), len(rest))
+		}
+	})
+}
+
+// One customer sends requests faster than they end. Its bodies may take half of
+// the room; from then on it is refused, and another customer is still served.
+func TestBurstOfBodiesLeavesRoomForOthers(t *testing.T) {
+	var h *caller.Handler
+	var inner []int
+	h = caller.New(&fakeBackend{generate: func(ctx context.Context, g caller.Generation, sink caller.Sink) error {
+		if len(inner) == 0 {
+			inner = append(inner, 0)
+			inner = append(inner, answerOf(h, request("POST", chat, "key-rental", goodChat)).Code)
+			other := strings.Replace(goodChat, "clerk", "counsel", 1)
+			inner = append(inner, answerOf(h, request("POST", chat, "key-advice", other)).Code)
+		}
+		return chunks(nil, "{}")(ctx, g, sink)
+	}}, caller.Limits{HeldBytes: int64(3 * len(goodChat))})
+	for range 2 { // what a request held is free after it
+		inner = nil
+		outer := answerOf(h, request("POST", chat, "key-rental", goodChat)).Code
+		if diff := cmp.Diff([]int{0, 429, 200}, inner); diff != "" || outer != 200 {
+			t.Error(outer, diff)
+		}
+	}
+}
+
 // memoryNet is a listener over net.Pipe, for virtual time.
 type memoryNet chan net.Conn
 
@@ -222,7 +295,7 @@
 		<-started
 		server.Drain()
 		send(probe, request("GET", "/readyz", "", ""))
-		if ready, err := http.ReadResponse(bufio.NewReader(probe), nil); err != nil || ready.StatusCode != 503 {
+		if ready, err := http.ReadResponse(bufio.NewReader(probe), nil); err != nil || ready.StatusCode != 503 || !ready.Close {
 			t.Errorf("draining: %v %v", ready, err)
 		}
 		stopped := make(chan error)
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -73,6 +73,7 @@
 		return err
 	}
 	markCold(x.w.Header(), sink.cold)
+	h.boundWriting(x, len(data))
 	writeBody(x.w, http.StatusOK, data)
 	return nil
 }
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -12,6 +12,8 @@
 	firstTokenCold *metrics.Histogram
 	firstTokenWarm *metrics.Histogram
 	betweenTokens  *metrics.Histogram
+	// open counts the requests under way.
+	open *metrics.Gauge
 }
 
 func newInstruments() *instruments {
@@ -19,6 +21,7 @@
 		firstTokenCold: metrics.GetOrCreateHistogram(`bergamotreel_caller_first_token_seconds{cold="true"}`),
 		firstTokenWarm: metrics.GetOrCreateHistogram(`bergamotreel_caller_first_token_seconds{cold="false"}`),
 		betweenTokens:  metrics.GetOrCreateHistogram(`bergamotreel_caller_between_tokens_seconds`),
+		open:           metrics.GetOrCreateGauge(`bergamotreel_caller_open_requests`, nil),
 	}
 }
 
--- a/caller/models.go
+++ b/caller/models.go
@@ -32,7 +32,7 @@
 	for i := range units {
 		list.Data = append(list.Data, newModelObject(units[i].Name, inForce.Customer))
 	}
-	return writeJSON(x.w, list)
+	return h.sendJSON(x, list)
 }
 
 func (h *Handler) oneModel(x *exchange) error {
@@ -44,5 +44,5 @@
 	if _, ok := inForce.FindUnit(id); !ok {
 		return refusal.New(refusal.CodeNotFound, 0, "no model %.80q", id)
 	}
-	return writeJSON(x.w, newModelObject(id, inForce.Customer))
+	return h.sendJSON(x, newModelObject(id, inForce.Customer))
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/refusal"
 )
 
@@ -19,6 +21,9 @@
 	retrySoon = time.Second
 )
 
+// overLimitTotal counts the requests refused for the limit of connections.
+var overLimitTotal = metrics.NewCounter(`bergamotreel_caller_over_connection_limit_total`)
+
 // Server serves a Handler over TCP within its Limits.
 type Server struct {
 	http    *http.Server
@@ -32,13 +37,12 @@
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
 	s := &Server{handler: handler, limits: limits.withDefaults()}
 	s.http = &http.Server{
-		Handler:           http.HandlerFunc(s.serveHTTP),
-		TLSConfig:         tlsConfig,
-		MaxHeaderBytes:    s.limits.HeaderBytes,
-		ReadHeaderTimeout: s.limits.ReadTimeout,
-		ReadTimeout:       s.limits.ReadTimeout,
-		IdleTimeout:       s.limits.IdleTimeout,
-		ConnContext:       markOverLimit,
+		Handler:        http.HandlerFunc(s.serveHTTP),
+		TLSConfig:      tlsConfig,
+		MaxHeaderBytes: s.limits.HeaderBytes,
+		ReadTimeout:    s.limits.ReadTimeout,
+		IdleTimeout:    s.limits.IdleTimeout,
+		ConnContext:    markOverLimit,
 	}
 	return s
 }
@@ -93,6 +97,7 @@
 	}
 	switch {
 	case over && r.URL.Path != pathHealthz:
+		overLimitTotal.Inc()
 		writeRefusal(w, refusal.New(refusal.CodeNotReady, retrySoon, "this entry VM has no connection left"))
 	case leaving && r.URL.Path == pathReadyz:
 		writeRefusal(w, refusal.New(refusal.CodeShuttingDown, retrySoon, "this entry VM is stopping"))
--- a/caller/services.go
+++ b/caller/services.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	h.boundWriting(x, len(answer.Body))
 	return passOn(x.w, answer)
 }
 
