--- /dev/null
+++ b/state/bench_test.go
@@ -0,0 +1,217 @@
+package state_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"bergamotreel/state"
+)
+
+// fleet is a size of the system.
+type fleet struct{ vms, engines, adapters int }
+
+// fleets are today's size, a step between, and the size to design for.
+var fleets = []fleet{{9, 40, 165}, {340, 1_000, 3_900}, {3_400, 10_000, 39_000}}
+
+func (f fleet) String() string {
+	return fmt.Sprintf("%dvms-%dengines-%dadapters", f.vms, f.engines, f.adapters)
+}
+
+const (
+	// adaptersEach is how many adapters one customer's contract names.
+	adaptersEach = 100
+	// adaptersHeld is how many rights to adapters each engine gets, beside the
+	// one to their base: about 12% of 39,000 awake on 10,000 engines.
+	adaptersHeld = 1
+)
+
+// build folds a fleet into a state: what it has of VMs, contracts and engines.
+func (f fleet) build(b *testing.B, vms, contracts, engines bool) *machine {
+	m := &machine{ours: state.New(), sequence: map[string]uint64{}}
+	fold := func(by string, p state.Proposal) state.Outcome { return m.fold(b, m.identify(by, p)) }
+	if vms || engines {
+		for i := range f.vms {
+			fold(vmName(i), state.Proposal{SessionOpen: &state.SessionOpen{VM: vmName(i), Incarnation: "3f9a2b7c1d", Domain: "domain-1"}})
+		}
+	}
+	if contracts || engines {
+		for customer := 0; customer*adaptersEach < f.adapters; customer++ {
+			fold("op", publish(customerName(customer), 0, f.contract(customer)))
+		}
+	}
+	if !engines {
+		return m
+	}
+	sessions := sortedSessions(m.ours)
+	for i := range f.engines {
+		owner := vmName(i % f.vms)
+		keeper := fold(owner, state.Proposal{KeeperTake: &state.KeeperTake{Engine: engineName(i), Session: sessions[i%f.vms]}}).Revision
+		fold(owner, state.Proposal{EngineMeet: &state.EngineMeet{Engine: engineName(i), Keeper: keeper,
+			Incarnation: "3f9a2b7c1d", Domain: "domain-1", MemoryBytes: 80 * gb}})
+		customer := i * adaptersEach % f.adapters / adaptersEach
+		units := []string{"base-7b", fmt.Sprintf("adapter-%05d", customer*adaptersEach+i/max(1, f.adapters/adaptersEach)%adaptersEach)}
+		for _, unit := range units[:1+adaptersHeld] {
+			o := fold(owner, state.Proposal{Grant: &state.Grant{Engine: engineName(i), Keeper: keeper,
+				Customer: customerName(customer), Unit: unit, Wanted: true}})
+			if o.Verdict != state.VerdictApplied {
+				b.Fatal(o)
+			}
+		}
+	}
+	return m
+}
+
+func vmName(i int) string       { return fmt.Sprintf("entry-vm-%04d", i) }
+func engineName(i int) string   { return fmt.Sprintf("engine-vm-%05d", i) }
+func customerName(i int) string { return fmt.Sprintf("customer-%03d", i) }
+
+// contract names one model, which all share, and the customer's own adapters.
+func (f fleet) contract(customer int) map[string]string {
+	sections := map[string]string{
+		"customer":        "name = " + customerName(customer) + "\nmemory = 100000GB\n",
+		`model "base-7b"`: "checkpoint = base-7b\nmemory = 20GB\nmax_replicas = 1000\nmax_wait = 20s\n",
+	}
+	for i := customer * adaptersEach; i < min(f.adapters, (customer+1)*adaptersEach); i++ {
+		sections[fmt.Sprintf("adapter %q", fmt.Sprintf("adapter-%05d", i))] = fmt.Sprintf(
+			"base = base-7b\ncheckpoint = adapter-%05d-v1\nmemory = 200MB\nmax_replicas = 100\nmax_wait = 20s\n", i)
+	}
+	return sections
+}
+
+// fold lands one proposal without the reference.
+func (m *machine) fold(t fataler, p state.Proposal) state.Outcome {
+	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.offset++
+	return m.ours.Apply(m.offset, data)[0]
+}
+
+// BenchmarkApply folds one record: a renewal; a right from Grant to Gone (four
+// records); a publish that changes one section.
+func BenchmarkApply(b *testing.B) {
+	for _, f := range fleets {
+		m := f.build(b, true, true, true)
+		engine := m.ours.Engines[engineName(0)]
+		owner, session := vmName(0), sortedSessions(m.ours)[0]
+		unit := fmt.Sprintf("adapter-%05d", 7)
+		cycle := func() []state.Proposal {
+			right := state.MakeRevision(m.offset+1, 0)
+			return []state.Proposal{
+				m.identify(owner, state.Proposal{Grant: &state.Grant{Engine: engine.Name, Keeper: engine.Keeper, Customer: customerName(0), Unit: unit, Wanted: true}}),
+				m.identify(owner, state.Proposal{Want: &state.Want{Engine: engine.Name, Keeper: engine.Keeper, Unit: unit, Right: right}}),
+				m.identify(owner, state.Proposal{Withdraw: &state.Withdraw{Engine: engine.Name, Keeper: engine.Keeper, Unit: unit, Right: right}}),
+				m.identify(owner, state.Proposal{Gone: &state.Gone{Engine: engine.Name, Keeper: engine.Keeper, Unit: unit, Right: right}}),
+			}
+		}
+		kinds := map[string]func() []state.Proposal{
+			"renew": func() []state.Proposal {
+				return []state.Proposal{m.identify(owner, state.Proposal{SessionRenew: &state.SessionRenew{Session: session}})}
+			},
+			"right": cycle,
+			"publish": func() []state.Proposal {
+				name := fmt.Sprintf("adapter %q", unit)
+				text := fmt.Sprintf("base = base-7b\ncheckpoint = adapter-00007-v1\nmemory = 200MB\nmax_wait = %ds\n", 20+m.offset%9)
+				return []state.Proposal{m.identify("op", publish(customerName(0), m.ours.ConfigVersion(customerName(0)), map[string]string{name: text}))}
+			},
+		}
+		for _, kind := range []string{"renew", "right", "publish"} {
+			b.Run(kind+"/"+f.String(), func(b *testing.B) { m.benchmark(b, kinds[kind]) })
+		}
+	}
+}
+
+func (m *machine) benchmark(b *testing.B, make func() []state.Proposal) {
+	records, bytes := 0, 0
+	for b.Loop() {
+		b.StopTimer()
+		var all [][]byte
+		for _, p := range make() {
+			data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			all = append(all, data)
+		}
+		b.StartTimer()
+		for _, data := range all {
+			records++
+			bytes += len(data)
+			m.offset++
+			if o := m.ours.Apply(m.offset, data)[0]; o.Verdict != state.VerdictApplied {
+				b.Fatal(o)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(records), "ns/record")
+	b.ReportMetric(float64(bytes)/float64(records), "B/record")
+}
+
+// BenchmarkMemory gives the heap that each part of a state takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, f := range fleets {
+		b.Run(f.String(), func(b *testing.B) {
+			var vms, contracts, whole float64
+			for b.Loop() {
+				vms = f.heap(b, true, false, false)
+				contracts = f.heap(b, false, true, false)
+				whole = f.heap(b, true, true, true)
+			}
+			b.ReportMetric(vms/float64(f.vms), "B/session")
+			b.ReportMetric(contracts/float64(f.adapters), "B/adapter")
+			b.ReportMetric((whole-vms-contracts)/float64(f.engines), "B/engine")
+			b.ReportMetric(whole/(1<<20), "MB/state")
+		})
+	}
+}
+
+func (f fleet) heap(b *testing.B, vms, contracts, engines bool) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := f.build(b, vms, contracts, engines)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(m)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkSnapshot writes a snapshot, and BenchmarkRestore reads one.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, f := range fleets {
+		m := f.build(b, true, true, true)
+		b.Run(f.String(), func(b *testing.B) {
+			size, parts := 0, 0
+			for b.Loop() {
+				all, err := m.ours.Snapshot("w")
+				if err != nil {
+					b.Fatal(err)
+				}
+				size, parts = 0, len(all)
+				for _, part := range all {
+					size += len(part.Data)
+				}
+			}
+			b.ReportMetric(float64(size), "B/snapshot")
+			b.ReportMetric(float64(parts), "records/snapshot")
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, f := range fleets {
+		parts, err := f.build(b, true, true, true).ours.Snapshot("w")
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(f.String(), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := state.Restore(parts); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
