caller: say "not ready" instead of "unknown" before contracts are read

Cause: an entry VM that has just started knows no key; it answered 401 to good callers, who then give up instead of coming back (TestNotReadyIsNotUnknown). Ruled out: asking Ready after the key, which misses a VM that becomes ready between the two. The bound on idempotency keys is idempotency.MaxKeyBytes now.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -38,6 +38,8 @@
 	arrived time.Time
 	// identity is set by identify; its Customer is empty before.
 	identity Identity
+	// notReady is why the entry VM takes no new requests, as identify found it.
+	notReady error
 	// held is how many bytes of its body count as held.
 	held int64
 	// stream is set for an answer sent as server-sent events.
@@ -140,18 +142,31 @@
 	if len(header) <= len(scheme) || !strings.EqualFold(header[:len(scheme)], scheme) {
 		return nil, refusal.New(refusal.CodeUnknownKey, 0, "Authorization: Bearer KEY is missing")
 	}
+	// Asked before the key: it may become ready between the two.
+	x.notReady = h.backend.Ready()
+	unknown := refusal.New(refusal.CodeUnknownKey, 0, "unknown API key")
 	identity, ok := h.backend.Identify(strings.TrimSpace(header[len(scheme):]))
 	if !ok {
-		return nil, refusal.New(refusal.CodeUnknownKey, 0, "unknown API key")
+		return nil, x.unlessNotReady(unknown)
 	}
 	x.identity = identity
 	inForce, ok := h.backend.Contract(identity.Customer)
 	if !ok || inForce == nil {
-		return nil, refusal.New(refusal.CodeUnknownKey, 0, "unknown API key")
+		return nil, x.unlessNotReady(unknown)
 	}
 	return inForce, nil
 }
 
+// unlessNotReady keeps an entry VM that has just started, and has read no or old
+// contracts, from telling a customer that its key or model does not exist: the
+// caller would give up instead of coming back.
+func (x *exchange) unlessNotReady(unknown *refusal.Refusal) *refusal.Refusal {
+	if x.notReady == nil {
+		return unknown
+	}
+	return refusal.New(refusal.CodeNotReady, retrySoon, "%v", x.notReady)
+}
+
 func noRoute(*exchange) error {
 	return refusal.New(refusal.CodeNotFound, 0, "no such route")
 }
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -146,6 +146,22 @@
 	})
 }
 
+// An entry VM has just started and read no contract yet. A key or model that it
+// does not know may well exist: the caller must be told to come back, not that
+// its key is wrong, or it gives up for good.
+func TestNotReadyIsNotUnknown(t *testing.T) {
+	h := caller.New(&fakeBackend{ready: errors.New("no contract read yet")}, caller.Limits{})
+	for _, r := range []*http.Request{
+		request("POST", chat, "not-known-yet", goodChat), request("POST", chat, "key-gone", goodChat),
+		request("GET", "/v1/models/new", "key-rental", ""), request("GET", "/services/new/x", "key-rental", ""),
+		request("POST", chat, "key-rental", strings.Replace(goodChat, "clerk", "new", 1)),
+	} {
+		if w := answerOf(h, r); w.Code != 503 || w.Header().Get("Retry-After") != "1" {
+			t.Errorf("%s: %d %s", r.URL, w.Code, w.Body)
+		}
+	}
+}
+
 // One customer sends requests faster than they end. Its bodies may take half of
 // the room; from then on it is refused, and another customer is still served.
 func TestBurstOfBodiesLeavesRoomForOthers(t *testing.T) {
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -6,7 +6,6 @@
 	"github.com/zeebo/errs"
 
 	"bergamotreel/engine"
-	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
 
@@ -47,7 +46,7 @@
 	}
 	unit, ok := inForce.FindUnit(prompt.model)
 	if !ok {
-		return Generation{}, refusal.New(refusal.CodeNotFound, 0, "no model %.80q", prompt.model)
+		return Generation{}, x.unlessNotReady(noModel(prompt.model))
 	}
 	return Generation{
 		Identity: x.identity,
--- a/caller/models.go
+++ b/caller/models.go
@@ -42,7 +42,13 @@
 	}
 	id := x.r.PathValue("id")
 	if _, ok := inForce.FindUnit(id); !ok {
-		return refusal.New(refusal.CodeNotFound, 0, "no model %.80q", id)
+		return x.unlessNotReady(noModel(id))
 	}
 	return h.sendJSON(x, newModelObject(id, inForce.Customer))
 }
+
+// noModel is the same for a model that does not exist and for one of another
+// customer, so that nobody can find out what others have.
+func noModel(name string) *refusal.Refusal {
+	return refusal.New(refusal.CodeNotFound, 0, "no model %.80q", name)
+}
--- a/caller/services.go
+++ b/caller/services.go
@@ -6,16 +6,12 @@
 	"strings"
 
 	"bergamotreel/contract"
+	"bergamotreel/idempotency"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
 
-const (
-	headerIdempotencyKey = "Idempotency-Key"
-	// maxIdempotencyKey bounds a key, in bytes: it is kept in the log and in
-	// memory. A UUID takes 36.
-	maxIdempotencyKey = 255
-)
+const headerIdempotencyKey = "Idempotency-Key"
 
 // methods are the HTTP methods passed on. Others could mean to a lenient
 // service what they don't mean to the contract's patterns ("post").
@@ -48,7 +44,7 @@
 	}
 	called, ok := inForce.FindService(x.r.PathValue("name"))
 	if !ok {
-		return refusal.New(refusal.CodeNotFound, 0, "no service %.80q", x.r.PathValue("name"))
+		return x.unlessNotReady(refusal.New(refusal.CodeNotFound, 0, "no service %.80q", x.r.PathValue("name")))
 	}
 	call, err := h.readCall(x, called)
 	if err != nil {
@@ -110,8 +106,8 @@
 		return "", badField(headerIdempotencyKey, "stands twice")
 	}
 	key := values[0]
-	if key == "" || len(key) > maxIdempotencyKey {
-		return "", badField(headerIdempotencyKey, "must have 1 to %d bytes", maxIdempotencyKey)
+	if key == "" || len(key) > idempotency.MaxKeyBytes {
+		return "", badField(headerIdempotencyKey, "must have 1 to %d bytes", idempotency.MaxKeyBytes)
 	}
 	if strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c > '~' }) {
 		return "", badField(headerIdempotencyKey, "must be printable ASCII")
