--- /dev/null
+++ b/caller/observe_test.go
@@ -0,0 +1,53 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"bergamotreel/caller"
+	"bergamotreel/refusal"
+)
+
+// The caller's trace goes on through the entry VM, and neither log nor span
+// tells what the caller wrote or its key.
+func TestTraceAndLogOfARefusal(t *testing.T) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	spans := tracetest.NewSpanRecorder()
+	core, lines := observer.New(zap.InfoLevel)
+	var inBackend trace.SpanContext
+	h := caller.New(&fakeBackend{generate: func(ctx context.Context, _ caller.Generation, _ caller.Sink) error {
+		inBackend = trace.SpanContextFromContext(ctx)
+		return refusal.New(refusal.CodeQueueFull, 0, "full")
+	}}, caller.Limits{}, caller.WithLogger(zap.New(core)),
+		caller.WithTracer(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")))
+	r := request("POST", chat, "key-rental", goodChat)
+	r.Header.Set("traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	r.Header.Set("X-Request-Id", "desk-7")
+	w := answerOf(h, r)
+
+	span := spans.Ended()[0]
+	if span.Parent().SpanID().String() != "b7ad6b7169203331" || span.SpanContext().SpanID() != inBackend.SpanID() {
+		t.Errorf("parent %v, in the backend %v", span.Parent(), inBackend)
+	}
+	told := fmt.Sprint(lines.All()[0].ContextMap(), span.Attributes())
+	for _, want := range []string{w.Header().Get("X-Request-Id"), "desk-7", "rental", "queue_full"} {
+		if strings.Count(told, want) < 2 {
+			t.Errorf("%q is not in both of %s", want, told)
+		}
+	}
+	for _, secret := range []string{"key-rental", `"hi"`} {
+		if strings.Contains(told, secret) {
+			t.Errorf("%q is in %s", secret, told)
+		}
+	}
+}
