--- a/internal/standin/loadgen/hold.go
+++ b/internal/standin/loadgen/hold.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,37 +21,43 @@
 	holdBuffer = 512
 	// errorEvent is how a refusal starts in the middle of a stream.
 	errorEvent = "event: error"
+	// idLine starts each token's event.
+	idLine = "id: "
 )
 
 // Held is what came out of holding streams open.
 type Held struct {
 	// Asked streams were opened; Answered of them had a first token and were
-	// open together when memory was read; Ended of them ended before the time.
+	// held; Ended of these ended before the time.
 	Asked    int           `json:"asked"`
 	Answered int           `json:"answered"`
 	Ended    int           `json:"ended_early"`
 	Refused  int           `json:"refused"`
 	Broken   int           `json:"broken"`
-	Bytes    int64         `json:"bytes"`
 	Opening  time.Duration `json:"opening_ns"`
-	// Before and During are the daemon's memory by its own metrics.
-	Before Memory `json:"before"`
-	During Memory `json:"during"`
+	// Tokens came over all streams while they were held.
+	Tokens int64 `json:"tokens"`
+	// Before the opening, Opened at its end and During at the end of the hold
+	// are what the daemon uses by its own metrics.
+	Before Usage `json:"before"`
+	Opened Usage `json:"opened"`
+	During Usage `json:"during"`
 }
 
 // holder opens streams and holds them.
 type holder struct {
 	settings Settings
-	until    time.Time
-	mu       sync.Mutex
-	held     Held
-	conns    []net.Conn
+	tokens   atomic.Int64
 	reading  sync.WaitGroup
+
+	mu    sync.Mutex
+	held  Held
+	conns []net.Conn
 }
 
 // Hold opens n streams over the targets and holds them for the time. It reads
-// the daemon's memory before and in the middle from the metrics page at
-// metricsAddress (IP:port), if given.
+// what the daemon uses from the metrics page at metricsAddress (IP:port), if
+// given.
 func Hold(ctx context.Context, settings Settings, n int, hold time.Duration, metricsAddress string) (*Held, error) {
 	if err := settings.Check(); err != nil {
 		return nil, err
@@ -58,22 +65,28 @@
 	if n <= 0 || n > maxStreams || hold <= 0 || hold > maxDuration {
 		return nil, Error.New("hold 1 to %d streams for at most %v", maxStreams, maxDuration)
 	}
-	before, err := readMemory(ctx, metricsAddress)
-	if err != nil {
+	h := &holder{settings: settings, held: Held{Asked: n}}
+	defer h.closeAll()
+	var err error
+	if h.held.Before, err = readUsage(ctx, metricsAddress); err != nil {
 		return nil, err
 	}
-	h := &holder{settings: settings, held: Held{Asked: n, Before: before}}
 	start := time.Now()
 	h.openAll(n)
 	h.held.Opening = time.Since(start)
+	before := h.tokens.Load()
+	if h.held.Opened, err = readUsage(ctx, metricsAddress); err != nil {
+		return nil, err
+	}
 	sleepUntil(ctx, time.Now().Add(hold))
+	if h.held.During, err = readUsage(ctx, metricsAddress); err != nil {
+		return nil, err
+	}
 	h.mu.Lock()
-	h.until = time.Now()
-	h.mu.Unlock()
-	during, err := readMemory(ctx, metricsAddress)
-	h.closeAll()
-	h.held.During = during
-	return &h.held, err
+	defer h.mu.Unlock()
+	h.held.Tokens = h.tokens.Load() - before
+	held := h.held
+	return &held, nil
 }
 
 // openAll returns once each stream has had its first token or its refusal.
@@ -153,28 +166,24 @@
 	h.conns = append(h.conns, conn)
 	h.mu.Unlock()
 	h.reading.Go(func() {
-		n := drain(reader)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.held.Bytes += n
-		if h.until.IsZero() {
-			h.held.Ended++
-		}
+		h.drain(reader)
+		h.count(func(held *Held) { held.Ended++ })
 	})
 }
 
-// drain counts the bytes that come until the stream ends, in whatever way, or
+// drain counts the tokens that come until the stream ends, in whatever way, or
 // until a refusal.
-func drain(reader *bufio.Reader) int64 {
-	var n int64
+func (h *holder) drain(reader *bufio.Reader) {
 	for {
 		line, err := reader.ReadSlice('\n')
-		n += int64(len(line))
+		if bytes.HasPrefix(line, []byte(idLine)) {
+			h.tokens.Add(1)
+		}
 		if bytes.HasPrefix(line, []byte(errorEvent)) {
-			return n
+			return
 		}
 		if err != nil && err != bufio.ErrBufferFull {
-			return n
+			return
 		}
 	}
 }
@@ -190,13 +199,16 @@
 
 // WriteTable writes the result for people.
 func (h *Held) WriteTable(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "asked %d, answered %d, ended early %d, refused %d, broken %d; %d bytes; opened in %v\n",
-		h.Asked, h.Answered, h.Ended, h.Refused, h.Broken, h.Bytes, h.Opening.Round(time.Millisecond))
-	if err != nil || h.During == (Memory{}) {
+	_, err := fmt.Fprintf(w, "asked %d, answered %d, ended early %d, refused %d, broken %d; opened in %v\n",
+		h.Asked, h.Answered, h.Ended, h.Refused, h.Broken, h.Opening.Round(time.Millisecond))
+	if err != nil || h.During == (Usage{}) {
 		return Error.Wrap(err)
 	}
 	grown := h.During.Resident - h.Before.Resident
-	_, err = fmt.Fprintf(w, "resident %d -> %d bytes (%d a stream), Go heap and stacks %d -> %d bytes\n",
-		h.Before.Resident, h.During.Resident, grown/int64(max(h.Answered, 1)), h.Before.Go, h.During.Go)
+	micros := (h.During.CPU - h.Opened.CPU) * 1e6
+	_, err = fmt.Fprintf(w, "resident %d -> %d bytes (%d a stream), Go heap and stacks %d -> %d bytes\n"+
+		"%d tokens relayed in the hold, %.2f us of processor time each\n",
+		h.Before.Resident, h.During.Resident, grown/int64(max(h.Answered, 1)), h.Before.Go, h.During.Go,
+		h.Tokens, micros/float64(max(h.Tokens, 1)))
 	return Error.Wrap(err)
 }
