--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -37,6 +37,13 @@
 	Used []Use
 	// Refused counts refusals here since the start, by customer and code.
 	Refused []Refused
+	// Age is how long other VMs held the digest before they sent it on, 0 from
+	// its maker. All durations in the digest are as of its making.
+	Age time.Duration
+	// Cell is set in a sum that VM made over all VMs of the named cell (see
+	// internal/digest); VMs is then how many it adds up, else 0.
+	Cell string
+	VMs  int
 }
 
 // Use is the newest request for a unit on one entry VM.
--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -124,4 +124,3 @@
 		Certificates:       []tls.Certificate{{Certificate: [][]byte{certificate}, PrivateKey: key}},
 	}
 }
-
--- /dev/null
+++ b/internal/digest/bench_test.go
@@ -0,0 +1,159 @@
+package digest_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/digest"
+)
+
+// sizes are the fleets of today, of one domain and of the whole at the size to
+// design for.
+var sizes = []int{9, 486, 3400}
+
+// busyDigest is what a VM with 20 requests a second has to tell: entries of
+// everything, named as in production.
+func busyDigest(i, entries int) entryvm.Digest {
+	d := entryvm.Digest{
+		VM: fmt.Sprintf("vm-%05d", i), Address: "10.120.130.140:7000", Domain: "d1", Region: "r1",
+		Incarnation: "0123456789abcdef", Sequence: uint64(1000 + i), Applied: 1 << 30, InFlight: map[string]int{},
+	}
+	for k := range entries {
+		unit, customer := fmt.Sprintf("adapter-%05d", i*7+k), fmt.Sprintf("customer-%03d", (i+k)%100)
+		d.InFlight[fmt.Sprintf("10.120.%d.%d:8000", (i+k)/250%250, (i+k)%250)] = k%4 + 1
+		d.Usage = append(d.Usage, entryvm.Usage{Customer: customer, Admitted: 1.25, Arrived: 1.5})
+		d.Used = append(d.Used, entryvm.Use{Unit: unit, Ago: 1e9})
+		if k%4 == 0 {
+			d.Demand = append(d.Demand, entryvm.Demand{Unit: unit, Customer: customer, Waiting: 1, Deadline: 1e9, Priority: 1})
+		}
+	}
+	return d
+}
+
+// encoded is the bytes of one message on a connection that knows the types.
+func encoded(digests ...entryvm.Digest) int {
+	var out bytes.Buffer
+	encoder := gob.NewEncoder(&out)
+	for range 2 {
+		out.Reset()
+		if err := encoder.Encode(&entryvm.ExchangeArgs{Digests: digests}); err != nil {
+			panic(err)
+		}
+	}
+	return out.Len()
+}
+
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			digests := make([]entryvm.Digest, n)
+			for i := range digests {
+				digests[i] = busyDigest(i, 8)
+			}
+			table := digest.NewTable("self", timeout)
+			b.ReportAllocs()
+			for round := 0; b.Loop(); round++ {
+				for i := range digests {
+					digests[i].Sequence++
+				}
+				table.Merge(begin, digests)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/digest")
+			b.ReportMetric(float64(encoded(digests[0])), "wire-B/digest")
+		})
+	}
+}
+
+func BenchmarkSummarise(b *testing.B) {
+	for _, n := range []int{9, 30} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			digests := make([]entryvm.Digest, n)
+			for i := range digests {
+				digests[i] = busyDigest(i, 8)
+			}
+			var sum entryvm.Digest
+			b.ReportAllocs()
+			for b.Loop() {
+				sum = digest.Summarise(digests[0], "cell", digests, 16)
+			}
+			b.ReportMetric(float64(encoded(sum)), "wire-B/sum")
+		})
+	}
+}
+
+func BenchmarkTargets(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			fleet := newFleet(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				digest.DefaultTopology.Targets(fleet[0], fleet, 0)
+			}
+			cut := digest.DefaultTopology.Cut(fleet, 0)
+			again := time.Now()
+			for range 1000 {
+				cut.Targets(fleet[0])
+			}
+			b.ReportMetric(float64(time.Since(again).Nanoseconds())/1000, "ns/unchanged")
+		})
+	}
+}
+
+// overheadBytes is what net/rpc, our frame, TCP and IP add to a message and its
+// acknowledgement: 24 of net/rpc and frame, 2 times 52 of TCP and IP.
+const overheadBytes = 128
+
+// BenchmarkTraffic reports what one VM sends and receives for digests alone, in
+// bytes a second, worked out from the topology and the encoded sizes with a
+// heartbeat of 500 ms: of the mean and of the busiest VM.
+func BenchmarkTraffic(b *testing.B) {
+	const heartbeat = 500 * time.Millisecond
+	own := float64(encoded(busyDigest(1, 8)) + overheadBytes)
+	digests := make([]entryvm.Digest, 30)
+	for i := range digests {
+		digests[i] = busyDigest(i, 8)
+	}
+	sum := float64(encoded(digest.Summarise(digests[0], "cell", digests, 16)) + overheadBytes)
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			fleet := newFleet(n)
+			var d degrees
+			for b.Loop() {
+				d = count(fleet)
+			}
+			total, busiest := 0.0, 0.0
+			for _, m := range fleet {
+				rate := groupTraffic(m, d, own, sum) / heartbeat.Seconds()
+				for level := digest.LevelDomain; level <= digest.LevelWorld; level++ {
+					messages := float64(d.out[m.VM][level] + d.in[m.VM][level])
+					rate += messages * (sum + overheadBytes) / level.Period(heartbeat).Seconds()
+				}
+				total += rate
+				busiest = max(busiest, rate)
+			}
+			b.ReportMetric(total/float64(n), "mean-B/s")
+			b.ReportMetric(busiest, "busiest-B/s")
+			b.ReportMetric(float64(d.maxTargets), "max-targets")
+			b.ReportMetric(float64(d.maxSources), "max-sources")
+		})
+	}
+}
+
+// groupTraffic is the bytes of one heartbeat within the group: digests out and
+// in, an empty answer to those who send of themselves, and a sum, every second
+// time, as the answer of a relay to the others.
+func groupTraffic(m digest.Member, d degrees, own, sum float64) float64 {
+	out, in := float64(d.out[m.VM][digest.LevelGroup]), float64(d.in[m.VM][digest.LevelGroup])
+	bytes := (out + in) * (own + overheadBytes)
+	switch {
+	case in > out:
+		bytes += (in - out) * sum / 2
+	case in == 0:
+		bytes += out * sum / 2
+	}
+	return bytes
+}
--- /dev/null
+++ b/internal/digest/summary.go
@@ -0,0 +1,155 @@
+package digest
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"bergamotreel/entryvm"
+)
+
+// Summarise adds up digests of VMs and of smaller cells as one digest that
+// speaks for all of them. The maker's digest gives the names, the sequence and
+// Applied (which goes with its Address); its counts are not added unless it is
+// among the digests too. Each list keeps the limit entries that matter most, so
+// that a summary's size does not grow with the fleet: demand with the least time
+// left, customers with the most arrivals, engines with the most requests, units
+// used last. The result does not depend on the order of the digests but for
+// rounding.
+func Summarise(maker entryvm.Digest, cell string, digests []entryvm.Digest, limit int) entryvm.Digest {
+	sum := entryvm.Digest{
+		VM: maker.VM, Address: maker.Address, Domain: maker.Domain, Region: maker.Region,
+		Incarnation: maker.Incarnation, Sequence: maker.Sequence, Applied: maker.Applied,
+		Cell: cell,
+	}
+	var parts sums
+	parts.init()
+	for _, d := range digests {
+		sum.VMs += max(d.VMs, 1)
+		parts.add(d)
+	}
+	sum.InFlight = topInFlight(parts.inFlight, limit)
+	sum.Demand = first(parts.demands(), limit, func(a, b entryvm.Demand) int {
+		return cmp.Or(cmp.Compare(a.Deadline, b.Deadline), strings.Compare(a.Unit, b.Unit), strings.Compare(a.Customer, b.Customer))
+	})
+	sum.Usage = first(slices.Collect(maps.Values(parts.usage)), limit, func(a, b entryvm.Usage) int {
+		return cmp.Or(cmp.Compare(b.Arrived, a.Arrived), strings.Compare(a.Customer, b.Customer))
+	})
+	sum.Used = first(parts.uses(), limit, func(a, b entryvm.Use) int {
+		return cmp.Or(cmp.Compare(a.Ago, b.Ago), strings.Compare(a.Unit, b.Unit))
+	})
+	sum.Failing = first(slices.Collect(maps.Keys(parts.failing)), limit, strings.Compare)
+	sum.Refused = first(parts.refusals(), limit, func(a, b entryvm.Refused) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), strings.Compare(a.Customer, b.Customer), strings.Compare(a.Code, b.Code))
+	})
+	return sum
+}
+
+// demandKey is what demand is added up by.
+type demandKey struct{ unit, customer string }
+
+// refusedKey is what refusals are added up by.
+type refusedKey struct{ customer, code string }
+
+// sums are the parts of a summary while it is added up.
+type sums struct {
+	inFlight map[string]int
+	demand   map[demandKey]entryvm.Demand
+	usage    map[string]entryvm.Usage
+	used     map[string]time.Duration
+	failing  map[string]bool
+	refused  map[refusedKey]uint64
+}
+
+func (s *sums) init() {
+	s.inFlight = map[string]int{}
+	s.demand = map[demandKey]entryvm.Demand{}
+	s.usage = map[string]entryvm.Usage{}
+	s.used = map[string]time.Duration{}
+	s.failing = map[string]bool{}
+	s.refused = map[refusedKey]uint64{}
+}
+
+func (s *sums) add(d entryvm.Digest) {
+	for engine, n := range d.InFlight {
+		s.inFlight[engine] += n
+	}
+	for _, one := range d.Demand {
+		s.addDemand(one, d.Age)
+	}
+	for _, one := range d.Usage {
+		sum := s.usage[one.Customer]
+		sum.Customer = one.Customer
+		sum.Admitted += one.Admitted
+		sum.Arrived += one.Arrived
+		s.usage[one.Customer] = sum
+	}
+	for _, one := range d.Used {
+		ago, found := s.used[one.Unit]
+		if !found || one.Ago+d.Age < ago {
+			s.used[one.Unit] = one.Ago + d.Age
+		}
+	}
+	for _, server := range d.Failing {
+		s.failing[server] = true
+	}
+	for _, one := range d.Refused {
+		s.refused[refusedKey{one.Customer, one.Code}] += one.Count
+	}
+}
+
+// addDemand adds demand that was told age ago; its time has run on since.
+func (s *sums) addDemand(one entryvm.Demand, age time.Duration) {
+	one.Deadline -= age
+	key := demandKey{one.Unit, one.Customer}
+	sum, found := s.demand[key]
+	if !found {
+		s.demand[key] = one
+		return
+	}
+	sum.Waiting += one.Waiting
+	sum.Deadline = min(sum.Deadline, one.Deadline)
+	sum.Priority = max(sum.Priority, one.Priority)
+	s.demand[key] = sum
+}
+
+func (s *sums) demands() []entryvm.Demand { return slices.Collect(maps.Values(s.demand)) }
+
+func (s *sums) uses() []entryvm.Use {
+	uses := make([]entryvm.Use, 0, len(s.used))
+	for unit, ago := range s.used {
+		uses = append(uses, entryvm.Use{Unit: unit, Ago: ago})
+	}
+	return uses
+}
+
+func (s *sums) refusals() []entryvm.Refused {
+	refused := make([]entryvm.Refused, 0, len(s.refused))
+	for key, count := range s.refused {
+		refused = append(refused, entryvm.Refused{Customer: key.customer, Code: key.code, Count: count})
+	}
+	return refused
+}
+
+// first sorts the entries and keeps the first ones.
+func first[T any](all []T, limit int, order func(a, b T) int) []T {
+	slices.SortFunc(all, order)
+	return all[:min(len(all), limit)]
+}
+
+// topInFlight keeps the engines with the most requests.
+func topInFlight(all map[string]int, limit int) map[string]int {
+	if len(all) <= limit {
+		return all
+	}
+	engines := slices.SortedFunc(maps.Keys(all), func(a, b string) int {
+		return cmp.Or(cmp.Compare(all[b], all[a]), strings.Compare(a, b))
+	})
+	top := make(map[string]int, limit)
+	for _, engine := range engines[:limit] {
+		top[engine] = all[engine]
+	}
+	return top
+}
