lease, idempotency: prove clock logic and claims, fuzz, benchmarks

Cause: both had an API and no test. Conclusion: holds; a released claim's late duplicate leaves its key free.

--- /dev/null
+++ b/idempotency/bench_test.go
@@ -0,0 +1,81 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"bergamotreel/idempotency"
+)
+
+// heldClaims are the sizes: claims of one window on one shard.
+var heldClaims = []int{1_000, 10_000, 100_000}
+
+// pair is a claim and its outcome as two records, each alone.
+func pair(b *testing.B, i int) (claim, outcome []byte) {
+	key := idempotency.Key{Customer: "customer-017", Key: fmt.Sprintf("0f8fad5b-d9cb-469f-a165-%012d", i)}
+	digest := idempotency.DigestOf("POST", "/services/booking/book", []byte(key.Key))
+	claim = encode(b, idempotency.Entry{Claim: &idempotency.Claim{
+		ID: idempotency.ClaimID{Claimer: "entry-vm-0017-3f9a2b7c1d", Sequence: uint64(i + 1)}, Key: key, Digest: digest,
+		VM: "entry-vm-0017", WindowMs: time.Hour.Milliseconds()}})
+	outcome = encode(b, idempotency.Entry{Outcome: &idempotency.Outcome{Key: key, Claim: idempotency.MakeRevision(uint64(2*i+1), 0),
+		Answer: idempotency.MakeAnswer(201, map[string]string{"Content-Type": "application/json"}, []byte(`{"booking":"B-2041","shop":"san-fernando"}`))}})
+	return claim, outcome
+}
+
+func fill(b *testing.B, table *idempotency.Table, from, to int) (bytes int) {
+	for i := from; i < to; i++ {
+		claim, outcome := pair(b, i)
+		bytes += len(claim) + len(outcome)
+		table.Apply(uint64(2*i+1), time.UnixMilli(int64(i)), claim)
+		if r := table.Apply(uint64(2*i+2), time.UnixMilli(int64(i)), outcome)[0]; r.Verdict != idempotency.VerdictApplied {
+			b.Fatal(r)
+		}
+	}
+	return bytes
+}
+
+// BenchmarkApply folds a claim and its outcome beside others that are held.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range heldClaims {
+		b.Run(fmt.Sprint(n, "held"), func(b *testing.B) {
+			table := idempotency.NewTable()
+			fill(b, table, 0, n)
+			bytes, i := 0, n
+			for b.Loop() {
+				bytes += fill(b, table, i, i+1)
+				i++
+			}
+			b.ReportMetric(float64(bytes)/float64(i-n), "B/call")
+		})
+	}
+}
+
+// BenchmarkMemory gives the heap and the snapshot that a held claim takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range heldClaims {
+		b.Run(fmt.Sprint(n, "held"), func(b *testing.B) {
+			var heap, snapshot float64
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				table := idempotency.NewTable()
+				fill(b, table, 0, n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				heap, snapshot = float64(after.HeapAlloc)-float64(before.HeapAlloc), 0
+				parts, err := table.Snapshot("w")
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, part := range parts {
+					snapshot += float64(len(part.Data))
+				}
+			}
+			b.ReportMetric(heap/float64(n), "B/claim")
+			b.ReportMetric(snapshot/float64(n), "snapshotB/claim")
+		})
+	}
+}
--- /dev/null
+++ b/idempotency/fold_test.go
@@ -0,0 +1,199 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bergamotreel/idempotency"
+)
+
+// fact is one entry of the whole history, which the reference never forgets.
+type fact struct {
+	at    time.Time
+	rev   idempotency.Revision
+	entry idempotency.Entry
+}
+
+// reference is who holds a key after a history, recomputed from its start.
+type reference struct {
+	claim    *idempotency.Claim
+	rev      idempotency.Revision
+	ends     time.Time
+	answer   *idempotency.Answer
+	free     bool
+	released []idempotency.ClaimID
+}
+
+// replay walks the history of one key up to a time. It returns who holds the key
+// then and the verdict of the last entry.
+func replay(history []fact, key idempotency.Key, now time.Time) (holder reference, last idempotency.Verdict) {
+	for _, f := range history {
+		if holder.claim != nil && !holder.ends.After(f.at) {
+			holder = reference{}
+		}
+		held := holder.claim != nil && !holder.free
+		last = idempotency.VerdictStale
+		switch c, o, r := f.entry.Claim, f.entry.Outcome, f.entry.Release; {
+		case c != nil && c.Key == key:
+			last = holder.verdict(c, held)
+			if last == idempotency.VerdictApplied && !held {
+				holder = reference{claim: c, rev: f.rev, ends: f.at.Add(time.Duration(c.WindowMs) * time.Millisecond), released: holder.released}
+			}
+		case o != nil && o.Key == key && held && o.Claim == holder.rev && holder.answer == nil:
+			holder.answer, last = &o.Answer, idempotency.VerdictApplied
+		case r != nil && r.Key == key && held && r.Claim == holder.rev && r.ID == holder.claim.ID && holder.answer == nil:
+			holder.free, holder.released, last = true, append(slices.Clone(holder.released), r.ID), idempotency.VerdictApplied
+		}
+	}
+	if holder.claim != nil && !holder.ends.After(now) {
+		holder = reference{}
+	}
+	return holder, last
+}
+
+func (h reference) verdict(c *idempotency.Claim, held bool) idempotency.Verdict {
+	switch {
+	case c.WindowMs < idempotency.MinWindow.Milliseconds():
+		return idempotency.VerdictInvalid
+	case held && h.claim.ID == c.ID:
+		return idempotency.VerdictApplied
+	case held && h.claim.Digest != c.Digest:
+		return idempotency.VerdictMismatch
+	case held:
+		return idempotency.VerdictTaken
+	case slices.Contains(h.released, c.ID):
+		return idempotency.VerdictStale
+	}
+	return idempotency.VerdictApplied
+}
+
+func encode(t interface{ Fatal(...any) }, entries ...idempotency.Entry) []byte {
+	data, err := idempotency.Encode(idempotency.Record{Entries: entries})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// restored sends a table through a snapshot.
+func restored(t interface{ Fatal(...any) }, table *idempotency.Table) *idempotency.Table {
+	parts, err := table.Snapshot("w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := idempotency.Restore(parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return back
+}
+
+var keys = []idempotency.Key{{Customer: "hire", Key: "a"}, {Customer: "hire", Key: "b"}, {Customer: "debt", Key: "a"}}
+
+// draw makes an entry that often names what really holds the key.
+func draw(t *rapid.T, table *idempotency.Table) idempotency.Entry {
+	key := rapid.SampledFrom(keys).Draw(t, "key")
+	id := idempotency.ClaimID{Claimer: "vm", Sequence: rapid.Uint64Range(1, 6).Draw(t, "id")}
+	rev := idempotency.Revision(0)
+	if holder := table.State(key); holder != nil && rapid.IntRange(0, 9).Draw(t, "stale") != 4 {
+		id, rev = holder.ID, holder.Revision
+	}
+	switch rapid.SampledFrom([]string{"claim", "outcome", "release", "retry"}).Draw(t, "kind") {
+	case "outcome":
+		return idempotency.Entry{Outcome: &idempotency.Outcome{Key: key, Claim: rev, Answer: idempotency.MakeAnswer(200, nil, []byte("booked"))}}
+	case "release":
+		return idempotency.Entry{Release: &idempotency.Release{Key: key, Claim: rev, ID: id}}
+	case "claim":
+		id.Sequence = rapid.Uint64Range(1, 6).Draw(t, "new id")
+	}
+	window := rapid.Int64Range(1000, 4000).Draw(t, "window")
+	if rapid.IntRange(0, 19).Draw(t, "too short") == 7 {
+		window = 999
+	}
+	return idempotency.Entry{Claim: &idempotency.Claim{
+		ID: id, Key: key, Digest: rapid.SampledFrom([]idempotency.Digest{"x", "y"}).Draw(t, "digest"),
+		WindowMs: window,
+	}}
+}
+
+// TestTableAgreesWithReference lands claims, outcomes and releases alone, in
+// groups, twice and among garbage, while the log's time runs. After each record
+// the table must hold what a replay of the whole history gives, and so must one
+// that keeps starting from snapshots.
+func TestTableAgreesWithReference(t *testing.T) {
+	verdicts := map[idempotency.Verdict]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		table, rejoining := idempotency.NewTable(), idempotency.NewTable()
+		var history []fact
+		now, offset := time.UnixMilli(1_000_000), uint64(0)
+		land := func(t *rapid.T, entries ...idempotency.Entry) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			offset++
+			data := encode(t, entries...)
+			rejoining.Apply(offset, now, data)
+			for i, result := range table.Apply(offset, now, data) {
+				history = append(history, fact{now, idempotency.MakeRevision(offset, i), entries[i]})
+				_, want := replay(history, result.Key, now)
+				verdicts[result.Verdict]++
+				if result.Verdict != want {
+					t.Fatalf("%+v: verdict %s, reference %s", entries[i], result.Verdict, want)
+				}
+			}
+			for _, key := range keys {
+				holder, _ := replay(history, key, now)
+				if diff := cmp.Diff(holder.String(), describe(table.State(key))); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"land":  func(t *rapid.T) { land(t, draw(t, table)) },
+			"group": func(t *rapid.T) { land(t, draw(t, table), draw(t, table)) },
+			"again": func(t *rapid.T) {
+				if len(history) > 0 {
+					land(t, rapid.SampledFrom(history).Draw(t, "again").entry)
+				}
+			},
+			"garbage": func(t *rapid.T) {
+				offset++
+				table.Apply(offset, now, []byte{0xff, 1})
+				rejoining.Apply(offset, now, []byte{0xff, 1})
+			},
+			"snapshot": func(t *rapid.T) { rejoining = restored(t, rejoining) },
+		})
+		if one, other := sum(t, table), sum(t, rejoining); one != other || sum(t, table.Clone()) != one {
+			t.Fatal("tables differ")
+		}
+	})
+	t.Log(verdicts)
+	if len(verdicts) != 5 {
+		t.Error("not every verdict was met")
+	}
+}
+
+func sum(t interface{ Fatal(...any) }, table *idempotency.Table) uint64 {
+	parts, err := table.Snapshot("w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parts[0].Sum
+}
+
+func (h reference) String() string {
+	if h.claim == nil || h.free {
+		return "free"
+	}
+	return fmt.Sprint(h.claim.ID, h.claim.Digest, h.rev, h.ends.UnixMilli(), h.answer != nil)
+}
+
+func describe(h *idempotency.Holder) string {
+	if h == nil {
+		return "free"
+	}
+	return fmt.Sprint(h.ID, h.Digest, h.Revision, h.ExpiresMs, h.Answer != nil)
+}
--- /dev/null
+++ b/idempotency/fuzz_test.go
@@ -0,0 +1,84 @@
+package idempotency_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/wire"
+)
+
+// seeded returns a table with a claim, an outcome and a released claim, and the
+// records that made it.
+func seeded(t interface{ Fatal(...any) }) (*idempotency.Table, [][]byte) {
+	claim := func(key idempotency.Key, sequence uint64) idempotency.Entry {
+		return idempotency.Entry{Claim: &idempotency.Claim{
+			ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence}, Key: key, Digest: "d", WindowMs: 60_000}}
+	}
+	records := [][]byte{
+		encode(t, claim(keys[0], 1), claim(keys[1], 2), claim(keys[2], 3)),
+		encode(t, idempotency.Entry{Outcome: &idempotency.Outcome{Key: keys[0], Claim: idempotency.MakeRevision(1, 0), Answer: idempotency.MakeAnswer(200, map[string]string{"Content-Type": "x"}, []byte("ok"))}},
+			idempotency.Entry{Release: &idempotency.Release{Key: keys[1], Claim: idempotency.MakeRevision(1, 1), ID: idempotency.ClaimID{Claimer: "vm", Sequence: 2}}}),
+	}
+	table := idempotency.NewTable()
+	for i, data := range records {
+		table.Apply(uint64(i+1), time.UnixMilli(int64(i)), data)
+	}
+	return table, records
+}
+
+// FuzzApply feeds the fold what a log may hold: no record may crash it or come
+// to different tables on two VMs.
+func FuzzApply(f *testing.F) {
+	table, records := seeded(f)
+	for _, data := range records {
+		f.Add(data, int64(5))
+		f.Add(data[:len(data)/2], int64(100_000))
+	}
+	newer, err := wire.Marshal(idempotency.Record{Format: 99})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(newer, int64(0))
+	f.Fuzz(func(t *testing.T, data []byte, ms int64) {
+		one, other := table.Clone(), restored(t, table)
+		_, unreadable := idempotency.Decode(data)
+		one.Apply(table.Applied()+1, time.UnixMilli(ms), data)
+		other.Apply(table.Applied()+1, time.UnixMilli(ms), data)
+		if sum(t, one) != sum(t, other) || sum(t, one) != sum(t, restored(t, one)) {
+			t.Fatal("two VMs fold the record to different tables")
+		}
+		if unreadable != nil && one.Skipped() != table.Skipped()+1 {
+			t.Fatal("an unreadable record is not counted")
+		}
+	})
+}
+
+// FuzzRestore feeds Restore a whole snapshot of anything: it must fail or give a
+// table that folds on.
+func FuzzRestore(f *testing.F) {
+	table, records := seeded(f)
+	parts, err := table.Snapshot("w")
+	if err != nil {
+		f.Fatal(err)
+	}
+	encoded, err := chunks.Join(parts)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		parts, err := chunks.Split(encoded, "w", 1, chunks.Size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table, err := idempotency.Restore(parts)
+		if err != nil {
+			return
+		}
+		for i, data := range records {
+			table.Apply(table.Applied()+1, time.UnixMilli(int64(i)), data)
+		}
+	})
+}
--- /dev/null
+++ b/idempotency/linear_test.go
@@ -0,0 +1,155 @@
+package idempotency_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/platformlog"
+)
+
+// claimOp is one claim or release of a key, and its answer.
+type claimOp struct {
+	key     idempotency.Key
+	release bool
+	// done is whether it landed; holder is who holds the key after it.
+	done   bool
+	holder idempotency.Revision
+}
+
+// claimModel is a lock for each key: 0 is free, else the holding claim.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[idempotency.Key][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Output.(claimOp).key
+			parts[key] = append(parts[key], op)
+		}
+		var all [][]porcupine.Operation
+		for _, part := range parts {
+			all = append(all, part)
+		}
+		return all
+	},
+	Init: func() any { return idempotency.Revision(0) },
+	Step: func(now, _, output any) (bool, any) {
+		op := output.(claimOp)
+		switch {
+		case op.release:
+			return now == op.holder, idempotency.Revision(0)
+		case op.done:
+			return now == idempotency.Revision(0), op.holder
+		}
+		return now == op.holder, now
+	},
+	DescribeOperation: func(_, output any) string { return fmt.Sprintf("%+v", output) },
+}
+
+// claimer is one entry VM with a table of its own.
+type claimer struct {
+	name     string
+	sequence uint64
+	log      platformlog.Log
+	table    *idempotency.Table
+	results  map[idempotency.ClaimID]idempotency.Result
+}
+
+// land appends the entry until its result is folded.
+func (c *claimer) land(e idempotency.Entry, id idempotency.ClaimID) idempotency.Result {
+	data, err := idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{e}})
+	if err != nil {
+		panic(err)
+	}
+	delete(c.results, id)
+	for {
+		_, _ = c.log.Append(context.Background(), "claims", data)
+		batch, err := c.log.Read(context.Background(), "claims", platformlog.Offset(c.table.Applied()+1), 1000, 0)
+		if err != nil {
+			continue
+		}
+		for _, record := range batch.Records {
+			for _, result := range c.table.Apply(uint64(record.Offset), record.Time, record.Data) {
+				if _, known := c.results[result.ID]; !known && !result.Repeated {
+					c.results[result.ID] = result
+				}
+			}
+		}
+		if result, found := c.results[id]; found {
+			return result
+		}
+	}
+}
+
+func (c *claimer) claim(key idempotency.Key) claimOp {
+	c.sequence++
+	id := idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}
+	r := c.land(idempotency.Entry{Claim: &idempotency.Claim{ID: id, Key: key, Digest: "d", WindowMs: time.Hour.Milliseconds()}}, id)
+	return claimOp{key: key, done: r.Verdict == idempotency.VerdictApplied, holder: r.Holder.Revision}
+}
+
+func (c *claimer) release(held claimOp) claimOp {
+	id := idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}
+	c.land(idempotency.Entry{Release: &idempotency.Release{Key: held.key, Claim: held.holder, ID: id}}, id)
+	return claimOp{key: held.key, release: true, holder: held.holder}
+}
+
+// TestClaimsAreLinearizable: four entry VMs claim two keys at once and release
+// what they hold, over a log that is slow and loses answers, so that claims land
+// twice and after their claimer asked again. All answers fit one order in which
+// a key has one holder at a time.
+func TestClaimsAreLinearizable(t *testing.T) {
+	won := 0
+	for seed := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			store := logserver.New(logserver.Config{Seed: seed})
+			store.Faults().Set(faults.Settings{SlowMS: 1, LoseProbability: 0.3})
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			var vms sync.WaitGroup
+			start := time.Now()
+			for client := range 4 {
+				vms.Go(func() {
+					random := rand.New(rand.NewPCG(seed, uint64(client)))
+					c := &claimer{name: fmt.Sprint("vm", client), log: store.View(fmt.Sprint(client)),
+						table: idempotency.NewTable(), results: map[idempotency.ClaimID]idempotency.Result{}}
+					note := func(op func() claimOp) claimOp {
+						time.Sleep(time.Duration(random.IntN(3000)) * time.Microsecond)
+						call := time.Since(start)
+						answer := op()
+						mu.Lock()
+						defer mu.Unlock()
+						if answer.done {
+							won++
+						}
+						history = append(history, porcupine.Operation{ClientId: client, Output: answer,
+							Call: int64(call), Return: int64(time.Since(start))})
+						return answer
+					}
+					for range 6 {
+						held := note(func() claimOp { return c.claim(keys[random.IntN(2)]) })
+						if held.done {
+							note(func() claimOp { return c.release(held) })
+						}
+					}
+				})
+			}
+			vms.Wait()
+			if !porcupine.CheckOperations(claimModel, history) {
+				t.Errorf("seed %d: not linearizable", seed)
+			}
+		})
+	}
+	t.Logf("%d of 2400 claims won", won)
+	if won < 200 || won > 2200 {
+		t.Errorf("%d of 2400 claims won, the histories prove little", won)
+	}
+}
--- /dev/null
+++ b/internal/chunks/chunks_test.go
@@ -0,0 +1,90 @@
+package chunks_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"bergamotreel/internal/chunks"
+)
+
+// split cuts random bytes of a seed, which do not compress, into many parts.
+func split(t *testing.T, seed, upTo uint64) ([]byte, []chunks.Chunk) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	content := make([]byte, 1000)
+	for i := range content {
+		content[i] = byte(random.Uint32())
+	}
+	parts, err := chunks.Split(content, "w", upTo, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content, parts
+}
+
+// TestCollectorFindsTheNewestWhole: several VMs write snapshots at once; parts
+// come crossed, twice, and of a writer that died half way. The newest whole one
+// is found, whatever the order, and an older one never takes its place.
+func TestCollectorFindsTheNewestWhole(t *testing.T) {
+	_, older := split(t, 1, 10)
+	content, newer := split(t, 2, 20)
+	_, dead := split(t, 3, 30)
+	all := append(append(append(dead[1:len(dead):len(dead)], older...), newer...), newer...)
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		var c chunks.Collector
+		for _, part := range all {
+			c.Add(part)
+		}
+		if got, err := chunks.Join(c.Newest()); err != nil || !bytes.Equal(got, content) {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for _, part := range older {
+			if c.Add(part) {
+				t.Fatal("an older snapshot took the newer one's place")
+			}
+		}
+	}
+}
+
+// TestCorruptSnapshotHidesNoWholeOne: a part of the newest snapshot is corrupt,
+// another writer has the same name, and parts claim impossible numbers. The
+// older whole snapshot stays the one to start from.
+func TestCorruptSnapshotHidesNoWholeOne(t *testing.T) {
+	content, older := split(t, 1, 10)
+	_, newer := split(t, 2, 20)
+	newer[3].Data = bytes.Clone(newer[3].Data)
+	newer[3].Data[0] ^= 1
+	var c chunks.Collector
+	for _, part := range append(older, newer...) {
+		c.Add(part)
+	}
+	c.Add(chunks.Chunk{UpTo: 30, Part: 5, Parts: 5})
+	c.Add(chunks.Chunk{UpTo: 30, Part: -1, Parts: 5})
+	c.Add(chunks.Chunk{UpTo: 30, Parts: 1 << 30})
+	if got, err := chunks.Join(c.Newest()); err != nil || !bytes.Equal(got, content) {
+		t.Fatalf("older snapshot lost: %v", err)
+	}
+	if _, err := chunks.Join(older[1:]); err == nil {
+		t.Fatal("joined a snapshot without its first part")
+	}
+}
+
+// TestAbandonedSnapshotsAreBounded: writers that die half way must not fill the
+// memory of all readers, nor keep a later snapshot from being found.
+func TestAbandonedSnapshotsAreBounded(t *testing.T) {
+	var c chunks.Collector
+	for upTo := range uint64(100) {
+		_, parts := split(t, upTo, upTo+1)
+		c.Add(parts[0])
+	}
+	content, last := split(t, 200, 200)
+	for _, part := range last {
+		c.Add(part)
+	}
+	if got, err := chunks.Join(c.Newest()); err != nil || !bytes.Equal(got, content) {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,216 @@
+package lease_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotreel/lease"
+	"bergamotreel/state"
+)
+
+const session = state.SessionID(7)
+
+// at is a time of the test, in seconds.
+func at(seconds float64) time.Time {
+	return time.Unix(1_000_000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestSlowAnswerGivesNoLongerTerm: the answer of a renewal comes 8 s late. The
+// others read the renewal at once and end the session a term later; by then the
+// holder has stopped. The naive twin counts its term from the answer and goes on
+// ordering beside the next keeper.
+func TestSlowAnswerGivesNoLongerTerm(t *testing.T) {
+	holder, naive, observer := lease.NewHolder(lease.Default), lease.NewHolder(lease.Default), lease.NewObserver(lease.Default)
+	holder.SentRenewal(at(0), 1)
+	observer.Working(at(0))
+	observer.Saw(at(0.1), session, 70)
+	holder.Confirmed(1)
+	naive.SentRenewal(at(8), 1)
+	naive.Confirmed(1)
+	for s := 1.0; s <= 13; s++ {
+		observer.Working(at(s))
+	}
+	if got := observer.Expired(at(12.2)); !slices.Equal(got, []state.SessionExpire{{Session: session, LastRenewal: 70}}) {
+		t.Fatalf("expired: %v", got)
+	}
+	if holder.MayOrder(at(12.2)) {
+		t.Error("the holder orders after others ended its session")
+	}
+	if !naive.MayOrder(at(12.2)) {
+		t.Error("the naive twin stopped in time")
+	}
+}
+
+// TestNobodyTakesOverFromALiveHolder draws renewals that are slow, lost or never
+// sent, answers that come late, and an observer that reads with a lag and loses
+// the log. Whenever the observer's word would end the session, the holder has
+// already stopped.
+func TestNobodyTakesOverFromALiveHolder(t *testing.T) {
+	ended := 0
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		holder, observer := lease.NewHolder(lease.Default), lease.NewObserver(lease.Default)
+		var landing, unread, answers []uint64
+		newest, stalled := uint64(0), false
+		for now := 0.0; now < 120; now += 0.25 {
+			if holder.RenewDue(at(now)) && random.IntN(20) > 0 {
+				holder.SentRenewal(at(now), uint64(now*4)+1)
+				landing = append(landing, uint64(now*4)+1)
+			}
+			if random.IntN(80) == 0 {
+				stalled = !stalled
+			}
+			if len(landing) > 0 && !stalled && random.IntN(3) == 0 {
+				newest, landing = landing[0], landing[1:]
+				unread, answers = append(unread, newest), append(answers, newest)
+			}
+			if len(unread) > 0 && random.IntN(2) == 0 {
+				observer.Saw(at(now), session, state.Revision(unread[0]))
+				unread = unread[1:]
+			}
+			if len(answers) > 0 && random.IntN(8) == 0 {
+				holder.Confirmed(answers[0])
+				answers = answers[1:]
+			}
+			if random.IntN(4) > 0 {
+				observer.Working(at(now))
+			}
+			for _, expire := range observer.Expired(at(now)) {
+				if expire.LastRenewal == state.Revision(newest) {
+					ended++
+					if holder.MayOrder(at(now)) {
+						t.Fatalf("seed %d: ended at %v s while the holder may order", seed, now)
+					}
+				}
+			}
+		}
+	}
+	if ended < 2000 {
+		t.Errorf("only %d times was a session ended", ended)
+	}
+}
+
+// TestOutageEndsNoSession: the log is down for an hour. No VM can renew. When
+// the log is back, the first VM to see it must not call all sessions expired;
+// one that stays silent for a term after that is.
+func TestOutageEndsNoSession(t *testing.T) {
+	observer := lease.NewObserver(lease.Default)
+	observer.Working(at(0))
+	observer.Saw(at(0), session, 70)
+	observer.Working(at(3600))
+	if got := observer.Expired(at(3600)); got != nil {
+		t.Fatalf("expired by the outage: %v", got)
+	}
+	for s := 3600.0; s <= 3612; s++ {
+		observer.Working(at(s))
+	}
+	if got := observer.Expired(at(3612)); len(got) != 1 {
+		t.Fatalf("a silent session lives on: %v", got)
+	}
+	observer.Follow(at(3612), map[state.SessionID]*state.Session{session: {ID: session, Ended: true}})
+	if got := observer.Expired(at(9999)); got != nil {
+		t.Fatalf("an ended session is called expired again: %v", got)
+	}
+}
+
+// TestHolderStates: before the opening is confirmed, after the session was lost
+// and when the answer to an older renewal comes last.
+func TestHolderStates(t *testing.T) {
+	holder := lease.NewHolder(lease.Default)
+	if holder.MayOrder(at(0)) || !holder.RenewDue(at(0)) {
+		t.Error("a holder that sent nothing")
+	}
+	holder.SentRenewal(at(0), 1)
+	holder.SentRenewal(at(3), 2)
+	if holder.MayOrder(at(4)) || holder.RenewDue(at(4)) {
+		t.Error("a holder without an answer")
+	}
+	holder.Confirmed(2)
+	holder.Confirmed(1)
+	if !holder.MayOrder(at(12.9)) || holder.MayOrder(at(13)) || !holder.RenewDue(at(6)) {
+		t.Error("an older answer moved the term")
+	}
+	holder.Lost()
+	if holder.MayOrder(at(5)) || holder.RenewDue(at(50)) || !holder.IsLost() {
+		t.Error("a lost session lives on")
+	}
+}
+
+// TestGoneOnlyByFreshLists walks through what a VM list that lags, fails or
+// stands still may make of a VM. Calling a live VM gone would free memory that
+// its late orders still fill.
+func TestGoneOnlyByFreshLists(t *testing.T) {
+	life := lease.Default.MessageLifetime.Seconds()
+	type list struct {
+		at      float64
+		version uint64
+		vms     []string
+	}
+	both, alone := []string{"me", "vm"}, []string{"me"}
+	for name, c := range map[string]struct {
+		lists []list
+		gone  bool
+	}{
+		"no list":           {nil, false},
+		"listed":            {[]list{{0, 1, both}, {1000, 1, both}}, false},
+		"dropped":           {[]list{{0, 1, both}, {1, 2, alone}, {1 + life, 2, alone}}, true},
+		"dropped just now":  {[]list{{0, 1, both}, {1, 2, alone}, {life, 2, alone}}, false},
+		"not refreshed":     {[]list{{0, 1, both}, {1, 2, alone}}, false},
+		"came back":         {[]list{{0, 1, both}, {1, 2, alone}, {5, 3, both}, {6, 4, alone}, {1 + life, 4, alone}}, false},
+		"older list":        {[]list{{0, 2, both}, {1, 1, alone}, {900, 1, alone}}, false},
+		"list without me":   {[]list{{0, 1, both}, {1, 2, nil}, {900, 2, nil}}, false},
+		"never listed":      {[]list{{0, 1, alone}, {1 + life, 1, alone}}, false},
+		"never listed long": {[]list{{0, 1, alone}, {1 + 10*life, 1, alone}}, true},
+	} {
+		departures := lease.NewDepartures(lease.Default, "me", "1", at(0))
+		for _, l := range c.lists {
+			departures.Saw(at(l.at), l.version, l.vms)
+			departures.Gone("vm")
+		}
+		if got := departures.Gone("vm"); got != c.gone {
+			t.Errorf("%s: gone %v", name, got)
+		}
+		engines := map[string]*state.Engine{"vm": {Name: "vm"}}
+		if got := len(departures.Removable(engines)); (got == 1) != c.gone {
+			t.Errorf("%s: %d engines removable", name, got)
+		}
+	}
+}
+
+// TestEarlierProcessOfThisVM: an entry VM's process is killed and started again.
+// It ends the session that the dead one left behind at once, and settles it when
+// the dead one's last messages have died out; never that of its own successor.
+func TestEarlierProcessOfThisVM(t *testing.T) {
+	departures := lease.NewDepartures(lease.Default, "me", "2", at(0))
+	departures.Saw(at(0), 1, []string{"me", "other"})
+	sessions := map[state.SessionID]*state.Session{
+		1: {ID: 1, VM: "me", Incarnation: "1", LastRenewal: 5},
+		2: {ID: 2, VM: "me", Incarnation: "0", Ended: true},
+		3: {ID: 3, VM: "other", Incarnation: "1", Ended: true},
+		9: {ID: 9, VM: "me", Incarnation: "3"},
+	}
+	if got := departures.Abandoned(sessions); got != nil {
+		t.Fatalf("abandoned before an own session: %v", got)
+	}
+	sessions[4] = &state.Session{ID: 4, VM: "me", Incarnation: "2"}
+	if got := departures.Abandoned(sessions); !slices.Equal(got, []state.SessionExpire{{Session: 1, LastRenewal: 5}}) {
+		t.Fatalf("abandoned: %v", got)
+	}
+	if got := departures.Settleable(at(29), sessions); got != nil {
+		t.Fatalf("settled while messages live: %v", got)
+	}
+	if got := departures.Settleable(at(30), sessions); !slices.Equal(got, []state.SessionSettle{{Session: 2}}) {
+		t.Fatalf("settleable: %v", got)
+	}
+}
+
+// TestConfigCheck: a term that two lost renewals end, or none at all, is refused.
+func TestConfigCheck(t *testing.T) {
+	tight := lease.Default
+	tight.Term = 7 * time.Second
+	if lease.Default.Check() != nil || tight.Check() == nil || (lease.Config{}).Check() == nil {
+		t.Error("wrong verdict on a timing")
+	}
+}
