serving, fleet: end expectations, tell first tokens, judge every attempt's end

Cause: expectations of loads were never ended, so a unit that was ready early went on being refused; the router never heard of first tokens, restarts or cache events; a second attempt that surely did not run hid a first one that may have ("ran: no"); a resume that met a closed port counted as not sent; an engine moved to whose answer was shorter than the delivered part passed for a whole answer; a request that each engine refused went round without a pause; a caller's bad request or leaving blamed the engine; those who waited at the end of Run waited for ever; 32 questions to engines cut off held up all others.

Ruled out: Generate sent again after a lost answer. It would rely on the engine's own deduplication; asking for the stream starts nothing.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,9 @@
 	BusyEvery time.Duration
 	// Timeout bounds one question; default 1 s.
 	Timeout time.Duration
+	// Gone is called for an engine that left the VM list or restarted: what was
+	// learned of it counts no more. May be nil.
+	Gone func(address string)
 }
 
 // Fleet polls and remembers. Its methods may be called from any goroutine.
@@ -84,8 +87,10 @@
 	tick = 50 * time.Millisecond
 	// interestFor is how long one call of Interest keeps an engine polled often.
 	interestFor = 3 * time.Second
-	// askers bounds the questions under way at once.
-	askers = 32
+	// askers bounds the questions under way at once. It is above the number of
+	// engines that a deployment has: questions to engines that are cut off last
+	// until Timeout, and must not hold up those to the others.
+	askers = 1024
 )
 
 // New makes a fleet. changed is called after each news of an engine or the VM
@@ -101,6 +106,9 @@
 	if onList == nil {
 		onList = func(time.Time, vmlist.List) {}
 	}
+	if config.Gone == nil {
+		config.Gone = func(string) {}
+	}
 	return &Fleet{config: config, engines: make(map[string]*entry), changed: changed, onList: onList}
 }
 
@@ -165,14 +173,18 @@
 	f.mu.Lock()
 	f.list = list
 	f.listedAt = now
-	f.take(list)
+	gone := f.take(list)
 	f.mu.Unlock()
+	for _, address := range gone {
+		f.config.Gone(address)
+	}
 	f.onList(now, list)
 	f.changed()
 }
 
-// take brings the engines in line with the list. Call with mu held.
-func (f *Fleet) take(list vmlist.List) {
+// take brings the engines in line with the list and returns those that left it.
+// Call with mu held.
+func (f *Fleet) take(list vmlist.List) (gone []string) {
 	listed := make(map[string]bool)
 	for _, vm := range list.VMs {
 		if vm.Kind != vmlist.KindEngine {
@@ -189,8 +201,10 @@
 	for address := range f.engines {
 		if !listed[address] {
 			delete(f.engines, address)
+			gone = append(gone, address)
 		}
 	}
+	return gone
 }
 
 // due picks the engines to ask now and marks them.
@@ -221,16 +235,21 @@
 	now := time.Now()
 	f.mu.Lock()
 	e, ok := f.engines[address]
+	restarted := false
 	if ok {
 		e.asking = false
 		e.next = now.Add(f.pause(e, now))
 		e.Reachable = err == nil
 		if err == nil {
+			restarted = !e.SeenAt.IsZero() && e.Status.Incarnation != status.Incarnation
 			e.Status = status
 			e.SeenAt = now
 		}
 	}
 	f.mu.Unlock()
+	if restarted {
+		f.config.Gone(address)
+	}
 	if ok {
 		f.changed()
 	}
--- a/internal/serving/call.go
+++ b/internal/serving/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"bergamotreel/admission"
 	"bergamotreel/caller"
@@ -72,49 +71,49 @@
 		Arrived:  call.Arrived, Deadline: call.Arrived.Add(call.Service.MaxWait), Cost: 1,
 	}
 	query := routing.Query{Unit: request.Unit, Pool: request.Pool, Domain: s.config.Domain}
-	p, w, refused := s.arrive(request, query)
+	p, w, refused := s.arrive(request, query, s.find(request.Unit))
 	if refused != nil {
 		return service.Answer{}, refused
 	}
-	answer, err := s.callQueued(ctx, p, w, call)
-	p.end(ctx, err)
-	return answer, err
+	answer, v, err := s.callQueued(ctx, p, w, call)
+	p.end(ctx, err, v)
+	return answer, p.honest(err)
 }
 
 // callQueued waits for a backend server and sends the call, until it was sent
-// once, or until it may be repeated and the budget allows no more.
-func (s *Server) callQueued(ctx context.Context, p *place, w *waiter, call caller.ServiceCall) (service.Answer, error) {
-	sent := false
+// once, or until it may be repeated and the budget allows no more. It returns
+// the verdict on the last attempt too.
+func (s *Server) callQueued(ctx context.Context, p *place, w *waiter, call caller.ServiceCall) (service.Answer, verdict, error) {
 	err := p.wait(ctx, w)
 	for err == nil {
-		var answer service.Answer
-		answer, err = s.config.Services.Do(ctx, p.backend, call.Call)
-		if err == nil {
-			p.firstToken = time.Since(p.begun)
-			return answer, nil
+		answer, callErr := s.config.Services.Do(ctx, p.backend, call.Call)
+		v := judgeCall(callErr)
+		if callErr == nil {
+			p.answer()
+			return answer, v, nil
+		}
+		if errors.Is(ctx.Err(), context.Canceled) || (ctx.Err() != nil && !v.ran) {
+			v.result = routing.Result{} // the caller left or came too late; that blames no one
 		}
-		sent = sent || !errors.Is(err, service.ErrNotSent)
-		if sent && (!repeatable(call) || !p.mayRetry()) {
-			return answer, refusal.Maybe(refusal.CodeOutcomeUnknown, "the call was sent and its answer was lost")
+		p.mayHaveRun = p.mayHaveRun || v.ran
+		if p.mayHaveRun && (ctx.Err() != nil || !repeatable(call) || !p.mayRetry()) {
+			return answer, v, refusal.Maybe(refusal.CodeOutcomeUnknown, "the call was sent and its answer was lost")
 		}
-		err = p.again(ctx, routing.Result{Failed: true, NotRun: !sent}, true)
+		err = p.again(ctx, v)
 	}
-	return service.Answer{}, callRefusal(ctx, err, sent)
+	return service.Answer{}, verdict{}, callRefusal(ctx, err)
 }
 
 // callRefusal turns the end of a call's wait into its final answer.
-func callRefusal(ctx context.Context, err error, sent bool) error {
+func callRefusal(ctx context.Context, err error) error {
 	var refused *refusal.Refusal
-	if !errors.As(err, &refused) {
-		refused = refusal.New(refusal.CodeWaitTooLong, comeBackSoon, "no backend server within the longest wait")
-		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			refused = refusal.New(refusal.CodeInternal, 0, "the caller left")
-		}
+	if errors.As(err, &refused) {
+		return refused
 	}
-	if sent {
-		refused.Ran = refusal.RanMaybe
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.CodeWaitTooLong, comeBackSoon, "no backend server within the longest wait")
 	}
-	return refused
+	return refusal.New(refusal.CodeInternal, 0, "the caller left")
 }
 
 // repeatable tells whether the call may be sent again after it may have run:
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -20,23 +21,39 @@
 	return strings.CutPrefix(pool, servicePoolPrefix)
 }
 
-// place is a request's place with the decision code, from Arrive to its end.
+// place is a request's place with the decision code, from Arrive to its end. It
+// belongs to the request's goroutine, but for query.Exclude: that is the queue's
+// while the request waits.
 type place struct {
 	server *Server
 	ticket *admission.Ticket
 	query  routing.Query
-	// backend is where the current attempt runs, empty between attempts.
+	// backend is where the current attempt runs, empty between attempts; start
+	// is its count in Server.starts.
 	backend string
-	begun   time.Time
-	// FirstToken is the time to the first token of the current attempt.
+	start   uint64
+	// begun is when the current attempt began, firstToken how long its first
+	// token took, zero before.
+	begun      time.Time
 	firstToken time.Duration
+	// dispatched is when the request last left the queue, answered how long the
+	// caller's first token took from then on, zero before.
+	dispatched time.Time
+	answered   time.Duration
+	// mayHaveRun is whether any attempt of this request may have run.
+	mayHaveRun bool
 }
 
 // arrive takes a request into the queue or refuses it.
-func (s *Server) arrive(request admission.Request, query routing.Query) (*place, *waiter, *refusal.Refusal) {
+func (s *Server) arrive(request admission.Request, query routing.Query, known []routing.Candidate) (*place, *waiter, *refusal.Refusal) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		return nil, nil, stopping()
+	}
+	// Before Arrive, which would refuse for a load that has ended.
+	s.observe(request.Unit, known)
 	ticket, refused := s.config.Admission.Arrive(now, request)
 	if refused != nil {
 		return nil, nil, refused
@@ -45,14 +62,19 @@
 	s.budget.Sent(now)
 	query.Exclude = make(map[string]bool)
 	p := &place{server: s, ticket: ticket, query: query}
-	return p, s.register(p), nil
+	return p, s.register(p, time.Time{}), nil
 }
 
 // register puts the place into the queue. Call with mu held.
-func (s *Server) register(p *place) *waiter {
-	w := &waiter{query: p.query, assign: make(chan assignment, 1)}
+func (s *Server) register(p *place, failedAt time.Time) *waiter {
+	w := &waiter{query: p.query, failedAt: failedAt, assign: make(chan assignment, 1)}
+	if s.stopped {
+		w.assign <- assignment{refused: stopping()}
+		return w
+	}
 	s.waiters[p.ticket] = w
 	s.pools[p.query.Pool]++
+	s.units[p.query.Unit]++
 	return w
 }
 
@@ -79,48 +101,78 @@
 	if a.refused != nil {
 		return a.refused
 	}
-	p.backend = a.backend
-	p.begun = time.Now()
-	p.firstToken = 0
+	p.enter(time.Now(), a.backend, a.start)
+	p.dispatched = p.begun
 	return nil
 }
 
-// again ends an attempt in which nothing ran and goes back to the queue. The
+// enter begins an attempt.
+func (p *place) enter(now time.Time, backend string, start uint64) {
+	p.backend = backend
+	p.start = start
+	p.begun = now
+	p.firstToken = 0
+}
+
+// again ends an attempt that delivered nothing and goes back to the queue. The
 // request keeps its place there.
-func (p *place) again(ctx context.Context, result routing.Result, exclude bool) error {
+func (p *place) again(ctx context.Context, v verdict) error {
 	s := p.server
 	now := time.Now()
 	s.mu.Lock()
-	s.config.Router.Finished(now, p.backend, result)
-	if exclude {
-		p.query.Exclude[p.backend] = true
-	}
-	p.backend = ""
+	p.leave(now, v)
 	s.config.Admission.Requeue(now, p.ticket)
-	w := s.register(p)
+	w := s.register(p, now)
 	s.mu.Unlock()
 	return p.wait(ctx, w)
 }
 
+// leave ends the attempt, if there is one. Call with mu held.
+func (p *place) leave(now time.Time, v verdict) {
+	if p.backend == "" {
+		return
+	}
+	result := v.result
+	result.Pool = p.query.Pool
+	result.FirstToken = p.firstToken
+	p.server.finished(now, p.backend, p.start, result)
+	if v.avoid {
+		p.query.Exclude[p.backend] = true
+	}
+	p.backend = ""
+}
+
 // move ends a broken attempt and picks another backend server at once: the
 // request has been admitted and part of its answer delivered.
-func (p *place) move() bool {
+func (p *place) move(v verdict) bool {
 	s := p.server
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.config.Router.Finished(now, p.backend, routing.Result{Failed: true})
-	p.query.Exclude[p.backend] = true
-	p.backend = ""
+	p.leave(now, v)
 	choice, ok := s.config.Router.Pick(now, p.query, s.find(p.query.Unit))
 	if !ok {
 		return false
 	}
-	s.config.Router.Started(now, choice.Engine, p.query.Pool, p.query.Prefixes)
-	p.backend = choice.Engine
+	p.enter(now, choice.Engine, s.started(now, choice.Engine, p.query))
 	return true
 }
 
+// answer notes the first token of the current attempt, or a service's answer.
+func (p *place) answer() {
+	s := p.server
+	now := time.Now()
+	p.firstToken = max(now.Sub(p.begun), 1) // zero would mean none
+	if p.answered == 0 {
+		p.answered = max(now.Sub(p.dispatched), 1)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.starts[p.backend] == p.start {
+		s.config.Router.FirstToken(now, p.backend, p.query.Pool, p.firstToken)
+	}
+}
+
 // mayRetry asks the retry budget.
 func (p *place) mayRetry() bool {
 	p.server.mu.Lock()
@@ -128,27 +180,37 @@
 	return p.server.budget.Retry(time.Now())
 }
 
-// end gives the place back, once, whatever came of the request.
-func (p *place) end(ctx context.Context, err error) {
+// end gives the place back, once, whatever came of the request. The verdict is
+// that of the attempt under way, if there is one.
+func (p *place) end(ctx context.Context, err error, v verdict) {
 	s := p.server
 	now := time.Now()
-	left := ctx.Err() != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	if p.backend != "" {
-		s.config.Router.Finished(now, p.backend, routing.Result{
-			OK: err == nil, Failed: err != nil && !left, FirstToken: p.firstToken,
-		})
-	}
+	served := p.backend != ""
+	p.leave(now, v)
 	switch {
 	case p.ticket.Ended():
-	case left:
+	case ctx.Err() != nil, !served:
 		s.config.Admission.Leave(now, p.ticket)
 	default:
 		s.config.Admission.Finish(now, p.ticket, admission.Outcome{
-			OK: err == nil, FirstToken: p.firstToken, Served: now.Sub(p.begun),
+			OK: err == nil, FirstToken: p.answered, Served: now.Sub(p.dispatched),
 		})
 	}
 	s.Wake()
 }
+
+// honest makes a refusal tell what is known of all attempts. Failure: a first
+// attempt that may have run and a second that surely did not would end in "ran:
+// no", and the caller would have a thing done twice.
+func (p *place) honest(err error) error {
+	var refused *refusal.Refusal
+	if !p.mayHaveRun || !errors.As(err, &refused) {
+		return err
+	}
+	told := *refused
+	told.Ran = refusal.RanMaybe
+	return &told
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -39,8 +39,8 @@
 	Admission *admission.Controller
 	Router    *routing.Router
 	Logger    *zap.Logger
-	// StallTimeout is the longest silence within a stream before it is resumed;
-	// the default is 10 s, far beyond 80 ms between tokens.
+	// StallTimeout is the longest silence within a stream before it moves to
+	// another engine; the default is 10 s, far beyond 80 ms between tokens.
 	StallTimeout time.Duration
 }
 
@@ -52,34 +52,34 @@
 	// missingEvery bounds how often the planner is told that a unit is missing,
 	// beside the first time.
 	missingEvery = 200 * time.Millisecond
+	// comeBackSoon is when to come back after a failure that may pass quickly.
+	comeBackSoon = time.Second
 )
 
-// assignment ends a waiting ticket's wait: an engine, or a refusal.
-type assignment struct {
-	backend string
-	refused *refusal.Refusal
-}
-
-// waiter is a request in the queue.
-type waiter struct {
-	query  routing.Query
-	assign chan assignment
-}
-
 // Server holds the queue of one entry VM. Its methods may be called from any
 // goroutine.
 type Server struct {
-	config Config
-	wake   chan struct{}
+	config    Config
+	wake      chan struct{}
+	abandoned chan abandonment
 
 	mu      sync.Mutex
 	budget  admission.RetryBudget
 	waiters map[*admission.Ticket]*waiter
-	// pools counts the waiters of each pool.
-	pools map[string]int
+	// pools and units count the waiters of each pool and unit.
+	pools, units map[string]int
+	// loading are the units that had candidates, but none ready, when last seen.
+	loading map[string]bool
 	// missingAt is when each unit was last told as missing.
 	missingAt map[string]time.Time
-	running   int
+	// starts counts for each engine how often Forget was called: an attempt of
+	// before must not be subtracted from what runs there since.
+	starts map[string]uint64
+	// caches is one entry for each engine that this VM sent a stream to.
+	caches  map[string]*cacheReader
+	running int
+	// stopped is set when Run has ended: nobody would end a wait any more.
+	stopped bool
 }
 
 // New makes a server; Run must be started for it to work.
@@ -90,9 +90,14 @@
 	return &Server{
 		config:    config,
 		wake:      make(chan struct{}, 1),
+		abandoned: make(chan abandonment, maxAbandoned),
 		waiters:   make(map[*admission.Ticket]*waiter),
 		pools:     make(map[string]int),
+		units:     make(map[string]int),
+		loading:   make(map[string]bool),
 		missingAt: make(map[string]time.Time),
+		starts:    make(map[string]uint64),
+		caches:    make(map[string]*cacheReader),
 	}
 }
 
@@ -111,6 +116,16 @@
 	f(s.config.Admission, s.config.Router)
 }
 
+// Forget drops what is known of an engine that left the VM list or restarted:
+// its cached prefixes are gone, and what it ran is no longer its load.
+func (s *Server) Forget(engine string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config.Router.Forget(engine)
+	s.starts[engine]++
+	delete(s.caches, engine)
+}
+
 // Open tells how many requests wait or run.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -118,8 +133,20 @@
 	return s.running
 }
 
-// Run gives waiting requests to backend servers until ctx ends.
+// Run does the server's duties until ctx ends. Whoever waits then is refused.
 func (s *Server) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	duties.Go(func() { s.readCaches(ctx) })
+	for range cancellers {
+		duties.Go(func() { s.cancelAbandoned(ctx) })
+	}
+	s.giveOut(ctx)
+	s.stop()
+}
+
+// giveOut gives waiting requests to backend servers.
+func (s *Server) giveOut(ctx context.Context) {
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
@@ -147,135 +174,17 @@
 	return max(pause, time.Millisecond)
 }
 
-// dispatch ends the waits that can end now, and returns what waits for units
-// that are ready nowhere.
-func (s *Server) dispatch(now time.Time) []admission.Demand {
+// stop refuses all who wait, now and from now on. Failure: without it a request
+// that waits at the end of Run would wait until its caller gives up.
+func (s *Server) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, expired := range s.config.Admission.Expire(now) {
-		s.assign(expired.Ticket, assignment{refused: expired.Refusal})
-	}
-	look := &lookup{server: s, now: now, units: make(map[string][]routing.Candidate)}
-	for pool, waiting := range s.pools {
-		if waiting > 0 {
-			s.dispatchPool(now, pool, look)
-		}
+	s.stopped = true
+	for ticket := range s.waiters {
+		s.assign(ticket, assignment{refused: stopping()})
 	}
-	return s.missing(now, look)
 }
 
-func (s *Server) dispatchPool(now time.Time, pool string, look *lookup) {
-	for {
-		ticket := s.config.Admission.Next(now, pool, look.fits)
-		if ticket == nil {
-			return
-		}
-		w := s.waiters[ticket]
-		if w == nil {
-			s.config.Admission.Finish(now, ticket, admission.Outcome{})
-			continue
-		}
-		choice, ok := s.config.Router.Pick(now, w.query, look.candidates(ticket.Unit))
-		if !ok {
-			s.config.Admission.Requeue(now, ticket)
-			return
-		}
-		s.config.Router.Started(now, choice.Engine, w.query.Pool, w.query.Prefixes)
-		s.assign(ticket, assignment{backend: choice.Engine})
-	}
-}
-
-// assign ends the wait of a ticket. Call with mu held.
-func (s *Server) assign(ticket *admission.Ticket, a assignment) {
-	w, ok := s.waiters[ticket]
-	if !ok {
-		return
-	}
-	s.forget(ticket, w)
-	w.assign <- a
-}
-
-func (s *Server) forget(ticket *admission.Ticket, w *waiter) {
-	delete(s.waiters, ticket)
-	s.pools[w.query.Pool]--
-	if s.pools[w.query.Pool] == 0 {
-		delete(s.pools, w.query.Pool)
-	}
-}
-
-// missing picks the demand for units that no candidate has ready.
-func (s *Server) missing(now time.Time, look *lookup) []admission.Demand {
-	if len(s.waiters) == 0 {
-		clear(s.missingAt)
-		return nil
-	}
-	var out []admission.Demand
-	for _, demand := range s.config.Admission.Demand(now) {
-		for _, c := range look.candidates(demand.Unit) {
-			s.config.Directory.Interest(c.Engine)
-		}
-		if now.Sub(s.missingAt[demand.Unit]) < missingEvery {
-			continue
-		}
-		s.missingAt[demand.Unit] = now
-		out = append(out, demand)
-	}
-	return out
-}
-
-// lookup remembers the candidates of each unit for one look at the queue.
-type lookup struct {
-	server *Server
-	now    time.Time
-	units  map[string][]routing.Candidate
-}
-
-func (l *lookup) candidates(unit string) []routing.Candidate {
-	if known, ok := l.units[unit]; ok {
-		return known
-	}
-	found := l.server.find(unit)
-	l.units[unit] = found
-	return found
-}
-
-// fits tells whether a backend server could take the ticket now.
-func (l *lookup) fits(ticket *admission.Ticket) bool {
-	w := l.server.waiters[ticket]
-	if w == nil {
-		return true
-	}
-	candidates := l.candidates(ticket.Unit)
-	if allExcluded(candidates, w.query.Exclude) {
-		// The request has failed on each of them. Keeping away from all would
-		// leave it without any; the router's breaker still holds off sick ones.
-		clear(w.query.Exclude)
-	}
-	for _, c := range candidates {
-		usable := c.Ready && !c.Leaving && !w.query.Exclude[c.Engine]
-		if usable && l.server.config.Router.Free(l.now, c) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func allExcluded(candidates []routing.Candidate, excluded map[string]bool) bool {
-	if len(excluded) == 0 {
-		return false
-	}
-	for _, c := range candidates {
-		if c.Ready && !c.Leaving && !excluded[c.Engine] {
-			return false
-		}
-	}
-	return true
-}
-
-// find returns the candidates for a unit, or for a plain service's pool.
-func (s *Server) find(unit string) []routing.Candidate {
-	if name, ok := serviceOfPool(unit); ok {
-		return s.config.Directory.Servers(name)
-	}
-	return s.config.Directory.Candidates(unit)
+func stopping() *refusal.Refusal {
+	return refusal.New(refusal.CodeShuttingDown, comeBackSoon, "this entry VM is stopping")
 }
