caller: take no more connections than there are open files for

Cause: with 20,000 open files and 20,000 connections allowed, a burst takes the last descriptors: accepted requests find no way to their engine and further callers wait unheard. Connections are now at most half of the open files less 512. Ruled out: raising the process's limit, which is the operators' to set.

--- a/caller/server.go
+++ b/caller/server.go
@@ -36,6 +36,7 @@
 // NewServer makes a server. With a tlsConfig it speaks TLS, and HTTP/2 besides.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
 	s := &Server{handler: handler, limits: limits.withDefaults()}
+	s.limits.Connections = connectionsWithinFiles(s.limits.Connections)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
 		TLSConfig:      tlsConfig,
