contract: Find a unit by bisection

Cause: FindUnit is on the way of each request; with 39,000 adapters a scan was the largest part of the look-up. Ruled out: an index inside Contract (contracts are compared and put together by hand elsewhere); sorted input as a must (a hand-made contract would lose units).

--- a/contract/bench_test.go
+++ b/contract/bench_test.go
@@ -40,3 +40,20 @@
 		}
 	}
 }
+
+// BenchmarkFindUnit is on the way of each request.
+func BenchmarkFindUnit(b *testing.B) {
+	for _, adapters := range []int{100, 39_000} {
+		c, err := ParseSections(manySections(adapters))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
+			for b.Loop() {
+				if _, ok := c.FindUnit("shop-7"); !ok {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
--- a/contract/lookup.go
+++ b/contract/lookup.go
@@ -24,19 +24,40 @@
 	Customer         string
 }
 
-// FindUnit finds a model or an adapter by its name.
+// FindUnit finds a model or an adapter by its name. It is on the way of each
+// request, and a contract may have tens of thousands of adapters.
 func (c *Contract) FindUnit(name string) (Unit, bool) {
-	for i := range c.Models {
-		if c.Models[i].Name == name {
-			return c.modelUnit(&c.Models[i]), true
+	if i := find(c.Models, name, func(m *Model) string { return m.Name }); i >= 0 {
+		return c.modelUnit(&c.Models[i]), true
+	}
+	if i := find(c.Adapters, name, func(a *Adapter) string { return a.Name }); i >= 0 {
+		return c.adapterUnit(&c.Adapters[i]), true
+	}
+	return Unit{}, false
+}
+
+// find returns the index of the item with the name, or -1. ParseSections and With
+// leave items sorted, so it bisects; a contract that was put together by hand
+// may be unsorted, so it looks at each item before it says no.
+func find[T any](items []T, name string, nameOf func(*T) string) int {
+	low, high := 0, len(items)
+	for low < high {
+		middle := (low + high) / 2
+		if nameOf(&items[middle]) < name {
+			low = middle + 1
+		} else {
+			high = middle
 		}
 	}
-	for i := range c.Adapters {
-		if c.Adapters[i].Name == name {
-			return c.adapterUnit(&c.Adapters[i]), true
+	if low < len(items) && nameOf(&items[low]) == name {
+		return low
+	}
+	for i := range items {
+		if nameOf(&items[i]) == name {
+			return i
 		}
 	}
-	return Unit{}, false
+	return -1
 }
 
 // Units returns all models and then all adapters of the contract.
--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +47,12 @@
 	if unit, ok := c.FindUnit("shop-12"); !ok || unit != want {
 		t.Errorf("unit: %s", cmp.Diff(want, unit))
 	}
+	slices.Reverse(c.Adapters)
+	for _, name := range []string{"shop-12", "shop-47", "clerk-7b", "season-34b"} {
+		if unit, ok := c.FindUnit(name); !ok || unit.Name != name {
+			t.Errorf("unsorted contract: %s: %+v, %t", name, unit, ok)
+		}
+	}
 	if s, ok := c.FindService("booking"); !ok || len(s.Once) != 3 {
 		t.Errorf("service: %+v, %t", s, ok)
 	}
