--- a/caller/limits.go
+++ b/caller/limits.go
@@ -21,7 +21,8 @@
 	WriteTimeout time.Duration
 	// IdleTimeout ends a keep-alive connection without requests.
 	IdleTimeout time.Duration
-	// Connections bounds open connections.
+	// Connections bounds open connections; a Server lowers it to what the
+	// process's limit of open files allows.
 	Connections int
 }
 
