--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/httpjson"
 	"bergamotreel/internal/node"
+	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/settings"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/operator"
@@ -106,14 +107,17 @@
 }
 
 func (d *Daemon) clients() node.Peers {
+	// Calls that must not be repeated go through a client that never does, and
+	// that knows whether a byte of a call was sent.
+	once := sendonce.NewClient()
 	http := httpjson.DefaultClient()
 	p := d.settings.Platform
 	return node.Peers{
 		Log:         platformlog.NewClient(p.LogURL, http),
 		VMList:      vmlist.NewClient(p.VMListURL, http),
 		WeightStore: weightstore.NewClient(p.WeightStoreURL, http),
-		Engines:     engine.NewClient(http),
-		Services:    service.NewClient(http),
+		Engines:     engine.NewClient(once),
+		Services:    service.NewClient(once),
 		EntryVMs:    d.peers,
 	}
 }
--- /dev/null
+++ b/internal/node/replicas_test.go
@@ -0,0 +1,77 @@
+package node_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var allVMs = []string{"v-a1", "v-a2", "v-b1", "v-b2"}
+
+// burst asks for the model at every entry VM at once.
+func (s *system) burst(model string, each int) []answer {
+	var group sync.WaitGroup
+	answers := make([]answer, len(allVMs)*each)
+	for i := range answers {
+		group.Go(func() {
+			answers[i] = s.ask(allVMs[i%len(allVMs)], model, fmt.Sprint(model, i), 8)
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// A burst for one sleeping model arrives at all routers at once. Each of them
+// misses the model, but one planner decides: one replica, one load. Were each
+// router to load on its own, there would be up to four.
+func TestBurstForASleepingModelIsOneLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, true)
+		s.ready()
+		s.publish("v-a1", "c1", text(1), 0)
+		for i, a := range s.burst("clerk", 5) {
+			if !a.whole("clerk", fmt.Sprint("clerk", i), 8) {
+				t.Errorf("request %d: %q, %v", i, a.text, a.err)
+			}
+		}
+		if n := s.loads("clerk"); n != 1 {
+			t.Errorf("%d loads, want 1", n)
+		}
+		s.checkMemory()
+	})
+}
+
+// The keeper of the engine is frozen between deciding on a load and sending the
+// order. Its session expires, another VM becomes keeper, the model is loaded,
+// and then the frozen one thaws and sends its late order. The caller is
+// answered, and no second replica appears, whether the engine checks fencing
+// tokens or ignores them: rights belong to the engine, and stay counted until
+// no former keeper can send.
+func TestLateOrderOfAFrozenKeeperMakesNoReplica(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t, checks)
+				s.ready()
+				s.publish("v-a1", "c1", text(1), 0)
+				time.Sleep(time.Second)
+				s.nodes["v-a2"].gate.freeze()
+				s.nodes["v-b2"].gate.freeze()
+				a := s.ask("v-a1", "clerk", "hello", 8)
+				if !a.whole("clerk", "hello", 8) {
+					t.Errorf("answer %q, %v", a.text, a.err)
+				}
+				time.Sleep(20 * time.Second)
+				s.nodes["v-a2"].gate.open()
+				s.nodes["v-b2"].gate.open()
+				time.Sleep(20 * time.Second)
+				if n := s.mostReplicas("clerk"); n > 1 {
+					t.Errorf("%d replicas at one time, 1 was decided", n)
+				}
+				s.checkMemory()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/system_test.go
@@ -0,0 +1,515 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/engine"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/node"
+	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/internal/standin/weightserver"
+	"bergamotreel/lease"
+	"bergamotreel/operator"
+	"bergamotreel/platformlog"
+	"bergamotreel/service"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+const gigabyte = 1 << 30
+
+// timing is short, so that a test's virtual day stays small.
+var timing = lease.Config{
+	Term: 6 * time.Second, Margin: time.Second, RenewEvery: 1500 * time.Millisecond, MessageLifetime: 5 * time.Second,
+}
+
+// system is real entry VMs over in-memory peers, in virtual time.
+type system struct {
+	t        *testing.T
+	ctx      context.Context
+	log      *logserver.Store
+	list     *vmlistserver.Registry
+	store    *weightserver.Store
+	engines  *engineserver.Fleet
+	services *serviceserver.Fleet
+	booking  *serviceserver.Service
+	mesh     *mesh
+	nodes    map[string]*entry
+	// replicas is the most engines that held each unit at one time.
+	mu       sync.Mutex
+	replicas map[string]int
+	watching sync.WaitGroup
+}
+
+// entry is one entry VM.
+type entry struct {
+	*node.Node
+	view *logserver.View
+	gate *gate
+	// alive ends with the process: its callers lose their connections.
+	alive context.Context
+	kill  context.CancelFunc
+	done chan struct{}
+}
+
+// newSystem makes engines a1, a2, b1, b2 and entry VMs v-a1, v-a2, v-b1, v-b2 in
+// two failure domains.
+func newSystem(t *testing.T, checksTokens bool) *system {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &system{
+		t: t, ctx: ctx, log: logserver.New(logserver.Config{}), list: vmlistserver.New(0),
+		store: weightserver.New(weightserver.Config{
+			DefaultBytes: 16 * gigabyte, BytesPerSecond: 8 * gigabyte, AtOnce: 4, LoadsPerSecond: 4,
+		}),
+		engines: engineserver.NewFleet(), services: serviceserver.NewFleet(), booking: serviceserver.New(),
+		mesh: newMesh(), nodes: make(map[string]*entry), replicas: make(map[string]int),
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, n := range s.nodes {
+			n.gate.open()
+			n.kill()
+			<-n.done
+		}
+		s.booking.Close()
+		s.watching.Wait()
+	})
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		e := engineserver.New(engineserver.Options{
+			Name: name, MemoryBytes: 40 * gigabyte, Slots: 8, TokenTime: 10 * time.Millisecond,
+			Fetcher: s.store, ChecksTokens: checksTokens, DiskBytesPerSecond: 64 * gigabyte,
+		})
+		t.Cleanup(e.Close)
+		s.engines.Put("engine-"+name, e)
+		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEngine, Address: "engine-" + name, Domain: name[:1]})
+	}
+	s.services.Put("booking-1", s.booking)
+	s.list.Put(vmlist.VM{ID: "booking-1", Kind: vmlist.KindService, Address: "booking-1", Domain: "a", Service: "booking"})
+	for _, name := range []string{"v-a1", "v-a2", "v-b1", "v-b2"} {
+		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEntry, Address: name, Domain: name[2:3]})
+		s.start(name, name)
+	}
+	s.watching.Go(s.watchReplicas)
+	return s
+}
+
+// start runs an entry VM; a restart of it gets another incarnation.
+func (s *system) start(name, incarnation string) *entry {
+	ctx, cancel := context.WithCancel(s.ctx)
+	e := &entry{view: s.log.View(incarnation), gate: newGate(), alive: ctx, kill: cancel, done: make(chan struct{})}
+	e.Node = node.New(node.Config{
+		VM: name, Domain: name[2:3], Region: "r", PeersAddress: name, Incarnation: incarnation,
+		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.nodes)) + 1)), Lease: timing,
+		Peers: node.Peers{
+			Log: gatedLog{e.view, e.gate}, VMList: s.list, WeightStore: s.store,
+			Engines: gatedEngines{s.engines, e.gate}, Services: gatedServices{s.services, e.gate},
+			EntryVMs: link{mesh: s.mesh, from: name, gate: e.gate},
+		},
+	})
+	s.nodes[name] = e
+	s.mesh.join(name, e)
+	go func() {
+		defer close(e.done)
+		e.Run(ctx)
+	}()
+	return e
+}
+
+// ready waits until the entry VMs take requests and engines are kept.
+func (s *system) ready() {
+	for _, n := range s.nodes {
+		for n.Ready() != nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(3 * time.Second)
+}
+
+const contractText = `
+[customer]
+name = trinidad
+memory = 120GB
+requests_per_second = 1000
+burst = 1000
+max_queued = 1000
+[key "desk"]
+sha256 = %s
+[model "clerk"]
+checkpoint = clerk:v1
+memory = 16GB
+max_replicas = %d
+max_wait = 20s
+[model "board"]
+checkpoint = board:v1
+memory = 30GB
+max_replicas = 1
+max_wait = 20s
+[service "booking"]
+max_wait = 5s
+once = POST /book
+`
+
+func text(maxReplicas int) string {
+	return fmt.Sprintf(contractText, contract.HashKey("desk-key"), maxReplicas)
+}
+
+// publish changes the contract through one entry VM.
+func (s *system) publish(at, change, contractText string, base state.Revision) operator.PublishResult {
+	s.t.Helper()
+	sections, err := contract.Split(contractText)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	result, err := s.nodes[at].Operators().Publish(s.ctx, operator.PublishRequest{
+		ChangeID: change, Customer: "trinidad", Base: base, Sections: sections,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return result
+}
+
+// answer is what one caller got.
+type answer struct {
+	text string
+	err  error
+	// took is the time until the end, without what the entry VM was frozen.
+	took time.Duration
+}
+
+// collector is a Sink that puts the text together.
+type collector struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (c *collector) Cold() {}
+
+func (c *collector) Chunk(chunk engine.Chunk) error {
+	var parsed struct {
+		Choices []struct{ Delta struct{ Content string } }
+	}
+	if err := json.Unmarshal(chunk.Data, &parsed); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, choice := range parsed.Choices {
+		c.text.WriteString(choice.Delta.Content)
+	}
+	return nil
+}
+
+func body(model, prompt string, tokens int) []byte {
+	data, _ := json.Marshal(map[string]any{
+		"model": model, "stream": true, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return data
+}
+
+// ask sends one request for tokens and waits for its end.
+func (s *system) ask(at, model, prompt string, tokens int) answer {
+	begun := time.Now()
+	sink := &collector{}
+	n := s.nodes[at]
+	frozen := n.gate.frozenTime()
+	err := n.Generate(n.alive, caller.Generation{
+		Identity: caller.Identity{Customer: "trinidad"},
+		Request: engine.Request{
+			ID: at + "/" + prompt, Unit: model, Path: "/v1/chat/completions", Body: body(model, prompt, tokens),
+		},
+		Stream: true, Arrived: begun,
+	}, sink)
+	return answer{text: sink.text.String(), err: err, took: time.Since(begun) - n.gate.frozenTime() + frozen}
+}
+
+// whole tells whether the caller got all of its own answer.
+func (a answer) whole(model, prompt string, tokens int) bool {
+	return a.err == nil && a.text == engineserver.ExpectedText(body(model, prompt, tokens))
+}
+
+// book sends one booking.
+func (s *system) book(at, key string) (service.Answer, error) {
+	n := s.nodes[at]
+	return n.Call(n.alive, caller.ServiceCall{
+		Identity: caller.Identity{Customer: "trinidad"}, Once: true, IdempotencyKey: key, Arrived: time.Now(),
+		Service: contract.Service{Name: "booking", MaxWait: 5 * time.Second},
+		Call: service.Call{
+			RequestID: at + key, Method: "POST", Path: "/book", Body: []byte(`{"slot":"1","name":"pan"}`),
+			Header: map[string][]string{"Idempotency-Key": {key}},
+		},
+	})
+}
+
+// bookings counts how often the booking of the key really ran.
+func (s *system) bookings(key string) int {
+	total := 0
+	for _, ran := range s.booking.Calls() {
+		if ran.IdempotencyKey == key {
+			total += ran.Times
+		}
+	}
+	return total
+}
+
+// watchReplicas notes how many engines hold each unit at one time.
+func (s *system) watchReplicas() {
+	for s.ctx.Err() == nil {
+		held := make(map[string]int)
+		for _, name := range []string{"a1", "a2", "b1", "b2"} {
+			status, err := s.engines.Status(s.ctx, "engine-"+name)
+			if err != nil {
+				continue
+			}
+			for _, u := range status.Units {
+				held[u.Unit]++
+			}
+		}
+		s.mu.Lock()
+		for unit, n := range held {
+			s.replicas[unit] = max(s.replicas[unit], n)
+		}
+		s.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *system) mostReplicas(unit string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replicas[unit]
+}
+
+// checkMemory fails the test if an engine ever held, or was ever asked to hold,
+// more than it has.
+func (s *system) checkMemory() {
+	s.t.Helper()
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		r := s.engines.Engine("engine-" + name).Records()
+		if r.Overcommits > 0 || r.MaxMemory > 40*gigabyte {
+			s.t.Errorf("engine %s: %d overcommits, at most %d bytes", name, r.Overcommits, r.MaxMemory)
+		}
+	}
+}
+
+func (s *system) loads(unit string) int {
+	total := 0
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		total += s.engines.Engine("engine-" + name).Records().Loads[unit]
+	}
+	return total
+}
+
+// gate stands for a process that is frozen: while closed, nothing that the
+// process does reaches its peers, and nothing of theirs reaches it. What was
+// decided before goes out at the thaw, however late.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+	// frozen adds up the time it was closed; since is when it last closed.
+	frozen time.Duration
+	since  time.Time
+}
+
+func newGate() *gate { return &gate{} }
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+		g.since = time.Now()
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+		g.frozen += time.Since(g.since)
+	}
+}
+
+// frozenTime is how long the process has stood still so far.
+func (g *gate) frozenTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed != nil {
+		return g.frozen + time.Since(g.since)
+	}
+	return g.frozen
+}
+
+// pass waits for the thaw. A frozen process does not see that its time is up:
+// what it was about to send is sent.
+func (g *gate) pass(ctx context.Context) context.Context {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed == nil {
+		return ctx
+	}
+	<-closed
+	return context.WithoutCancel(ctx)
+}
+
+// answer waits for the thaw as a peer sees it: for as long as its ctx allows.
+func (g *gate) answer(ctx context.Context) error {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed == nil {
+		return nil
+	}
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type gatedLog struct {
+	platformlog.Log
+	gate *gate
+}
+
+func (l gatedLog) Append(ctx context.Context, stream string, data []byte) (platformlog.Offset, error) {
+	return l.Log.Append(l.gate.pass(ctx), stream, data)
+}
+
+func (l gatedLog) Read(ctx context.Context, stream string, from platformlog.Offset, max int, wait time.Duration) (platformlog.Batch, error) {
+	batch, err := l.Log.Read(l.gate.pass(ctx), stream, from, max, wait)
+	l.gate.pass(ctx)
+	return batch, err
+}
+
+type gatedEngines struct {
+	engine.Client
+	gate *gate
+}
+
+func (c gatedEngines) Status(ctx context.Context, address string) (engine.Status, error) {
+	return c.Client.Status(c.gate.pass(ctx), address)
+}
+
+func (c gatedEngines) Order(ctx context.Context, address string, order engine.Order) (engine.Status, error) {
+	return c.Client.Order(c.gate.pass(ctx), address, order)
+}
+
+type gatedServices struct {
+	service.Client
+	gate *gate
+}
+
+func (c gatedServices) Do(ctx context.Context, address string, call service.Call) (service.Answer, error) {
+	return c.Client.Do(c.gate.pass(ctx), address, call)
+}
+
+// mesh carries calls between entry VMs.
+type mesh struct {
+	mu    sync.Mutex
+	nodes map[string]*entry
+	cut   map[string]bool
+}
+
+func newMesh() *mesh { return &mesh{nodes: make(map[string]*entry), cut: make(map[string]bool)} }
+
+func (m *mesh) join(name string, e *entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[name] = e
+}
+
+// separate cuts the VM off from all others, or joins it again.
+func (m *mesh) separate(name string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[name] = cut
+}
+
+var errCut = errors.New("no way to the peer")
+
+func (m *mesh) reach(from, to string) (*entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.nodes[to]
+	if !ok || m.cut[from] || m.cut[to] {
+		return nil, errCut
+	}
+	select {
+	case <-e.done:
+		return nil, errCut
+	default:
+		return e, nil
+	}
+}
+
+// link is one entry VM's way to the others.
+type link struct {
+	mesh *mesh
+	from string
+	gate *gate
+}
+
+func (l link) to(ctx context.Context, address string) (*entry, error) {
+	l.gate.pass(ctx)
+	e, err := l.mesh.reach(l.from, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.gate.answer(ctx); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (l link) Exchange(ctx context.Context, address string, digests []entryvm.Digest) ([]entryvm.Digest, error) {
+	e, err := l.to(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return e.Exchange(digests), nil
+}
+
+func (l link) Want(ctx context.Context, address string, from string, demand []entryvm.Demand) error {
+	e, err := l.to(ctx, address)
+	if err == nil {
+		e.Want(from, demand)
+	}
+	return err
+}
+
+func (l link) Records(ctx context.Context, address string, from uint64) (entryvm.Records, error) {
+	e, err := l.to(ctx, address)
+	if err != nil {
+		return entryvm.Records{}, err
+	}
+	return e.Records(from)
+}
+
+func (l link) Claimed(ctx context.Context, address string, query entryvm.ClaimQuery) (entryvm.ClaimReply, error) {
+	e, err := l.to(ctx, address)
+	if err != nil {
+		return entryvm.ClaimReply{}, err
+	}
+	return e.Claimed(query), nil
+}
