--- /dev/null
+++ b/cmd/standin/replay.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/integrii/flaggy"
+
+	"bergamotreel/internal/replay"
+)
+
+// newReplayVerb compares policies over a deployment's day in virtual time.
+func newReplayVerb() verb {
+	deployment, out := "trinidad", "docs/measures"
+	seed, workers := uint64(1), 4
+	return verb{
+		name: "replay",
+		help: "compare placement policies over a deployment's day in virtual time",
+		attach: func(sub *flaggy.Subcommand) {
+			sub.String(&deployment, "d", "deployment", "trinidad or kathmandu")
+			sub.String(&out, "o", "out", "directory for NAME-SEED.md, .json and .svg")
+			sub.UInt64(&seed, "s", "seed", "seed of the day and of all choices")
+			sub.Int(&workers, "n", "workers", "runs at a time")
+		},
+		run: func(ctx context.Context) error { return runReplay(ctx, deployment, out, seed, workers) },
+	}
+}
+
+func runReplay(ctx context.Context, name, out string, seed uint64, workers int) error {
+	deployments := map[string]replay.Deployment{"trinidad": replay.Trinidad(), "kathmandu": replay.Kathmandu()}
+	d, ok := deployments[name]
+	if !ok {
+		return fmt.Errorf("no deployment %q", name)
+	}
+	report, err := replay.Compare(ctx, d, seed, workers)
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(out, fmt.Sprintf("%s-%d", name, seed))
+	if err := writeReport(report, base); err != nil {
+		return err
+	}
+	return report.Markdown(os.Stdout)
+}
+
+// writeReport writes the report as JSON, as a table and as a plot.
+func writeReport(report *replay.Report, base string) error {
+	encoded, err := json.MarshalIndent(report, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(base+".json", append(encoded, '\n'), 0o644); err != nil {
+		return err
+	}
+	file, err := os.Create(base + ".md")
+	if err != nil {
+		return err
+	}
+	if err := report.Markdown(file); err != nil {
+		file.Close()
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	return report.Plot(base + ".svg")
+}
--- a/internal/replay/assumptions.go
+++ b/internal/replay/assumptions.go
@@ -134,6 +134,10 @@
 	// BookingRate to each booking model from 06:00 to 22:00.
 	AssistantRate, BookingRate float64
 
+	// BusyRate is an office's busy rate in requests a second, over its units, in
+	// the fairness experiment. It fills about a third of the slots.
+	BusyRate float64
+
 	// The surge multiplies the sessions of SurgeOffices.
 	SurgeFrom, SurgeTo time.Duration
 	SurgeOffices       int
@@ -188,7 +192,7 @@
 		RequestsPerSession: 5, Pause: 40 * time.Second, PauseSigma: 0.8,
 		Service: 5 * time.Second, ServiceSigma: 0.6,
 		TimerShare: 0.05, TimerEvery: 30 * time.Minute, TimerJitter: 20 * time.Second,
-		AssistantRate: 1.5, BookingRate: 0.3,
+		AssistantRate: 1.5, BookingRate: 0.3, BusyRate: 1.0,
 		// Carnival: half of the shops, six times the sessions.
 		SurgeFrom: 15 * time.Hour, SurgeTo: 17 * time.Hour, SurgeOffices: 11, SurgeFactor: 6,
 		BatchFrom: time.Hour, BatchRequests: 400, BatchRate: 0.5, BatchWait: 10 * time.Minute,
@@ -229,7 +233,7 @@
 		Service: 12 * time.Second, ServiceSigma: 0.6,
 		// Reminders of the day's sessions on every full hour.
 		TimerShare: 0.05, TimerEvery: time.Hour, TimerJitter: 20 * time.Second,
-		AssistantRate: 0.5, BookingRate: 0.2,
+		AssistantRate: 0.5, BookingRate: 0.2, BusyRate: 0.4,
 		// A news item on moneylenders: half of the offices, five times.
 		SurgeFrom: 14 * time.Hour, SurgeTo: 16 * time.Hour, SurgeOffices: 11, SurgeFactor: 5,
 		BatchFrom: 2 * time.Hour, BatchRequests: 150, BatchRate: 0.2, BatchWait: 10 * time.Minute,
@@ -246,11 +250,14 @@
 	BurstFrom   = 11 * time.Hour
 	BurstFor    = 15 * time.Minute
 	BurstFactor = 10
-	// BurstBaseRate is an office's busy rate in requests a second, over its
-	// units; its contract allows twice that.
-	BurstBaseRate = 1.0
-	ContractRate  = 2 * BurstBaseRate
-	ContractBurst = 40
+	// BusyFrom to BusyTo all offices send their busy rate, spread over their
+	// units, with and without the burst.
+	BusyFrom = 10*time.Hour + 40*time.Minute
+	BusyTo   = 11*time.Hour + 20*time.Minute
+	// ContractFactor is how much of its busy rate an office's contract allows,
+	// with a bucket of ContractBurst requests.
+	ContractFactor = 2
+	ContractBurst  = 40
 	// ContractQueue bounds an office's waiting requests on one router.
 	ContractQueue = 100
 )
--- /dev/null
+++ b/internal/replay/compare.go
@@ -0,0 +1,67 @@
+package replay
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// faultPolicies are run under each fault.
+var faultPolicies = []string{"fixed 10 min", "least recently used", "each router on its own", "ours, weight 0.5"}
+
+// Compare runs every policy of one deployment at one seed, workers runs at a
+// time. Each run is its own, so the outcome does not depend on workers.
+func Compare(ctx context.Context, d Deployment, seed uint64, workers int) (*Report, error) {
+	policies := Policies()
+	plain := make([]Row, len(policies))
+	report := &Report{Deployment: d.Name, Seed: seed}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(workers, 1))
+	run := func(opt Options, done func(*Result)) {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			opt.Deployment, opt.Seed, opt.Days = d, seed, DaysOfHistory+1
+			done(Run(opt))
+			return nil
+		})
+	}
+	beside, alone := make([]*Result, len(policies)), make([]*Result, len(policies))
+	for i, p := range policies {
+		run(Options{Policy: p}, func(r *Result) { plain[i].Result = r })
+		run(Options{Policy: p, Busy: true}, func(r *Result) { alone[i] = r })
+		run(Options{Policy: p, Busy: true, Burst: true}, func(r *Result) { beside[i] = r })
+	}
+	report.Faulty = make([]*Result, 0)
+	var faulty []Options
+	for _, fault := range Faults {
+		for _, p := range policies {
+			if fault != FaultNone && chosen(p) {
+				faulty = append(faulty, Options{Policy: p, Fault: fault})
+			}
+		}
+	}
+	report.Faulty = make([]*Result, len(faulty))
+	for i, opt := range faulty {
+		run(opt, func(r *Result) { report.Faulty[i] = r })
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i := range plain {
+		plain[i].Bystander = worstBystander(beside[i], alone[i])
+	}
+	report.Plain = plain
+	report.Verdicts = judge(policies, plain)
+	return report, nil
+}
+
+func chosen(p Policy) bool {
+	for _, name := range faultPolicies {
+		if p.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/replay/measure.go
@@ -0,0 +1,166 @@
+package replay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bergamotreel/placement"
+)
+
+// metrics is what is counted on the measured day.
+type metrics struct {
+	requests, inTime, refused, broken int
+	// overdue requests had no final answer within their longest wait.
+	overdue int
+	// late requests were sent in time and had their first token after it.
+	late       int
+	cold, wake []float64 // seconds
+	idleHours  float64
+	// contractHours is the part of it that the contracts ask for.
+	contractHours float64
+	loads         map[placement.Tier]int
+	decisions     int
+	conflicts     int
+	overLimit     int
+	// byCustomer is the time to the first token in the burst's window.
+	byCustomer map[string][]float64
+}
+
+func newMetrics() *metrics {
+	return &metrics{loads: make(map[placement.Tier]int), byCustomer: make(map[string][]float64)}
+}
+
+func (m *metrics) decided(measuring bool) {
+	if measuring {
+		m.decisions++
+	}
+}
+
+func (m *metrics) loadStarted(measuring bool, tier placement.Tier) {
+	if measuring {
+		m.loads[tier]++
+	}
+}
+
+func (m *metrics) mostReplicas(u *unit, n int) {
+	if n > u.maxReplicas {
+		m.overLimit++
+	}
+}
+
+func (m *metrics) answered(r *request) {
+	if r.firstToken <= r.deadline {
+		m.inTime++
+	} else {
+		m.late++
+	}
+	m.note(r, r.firstToken-r.at)
+}
+
+// refusedRequest counts with its longest wait: to its caller it is no better.
+func (m *metrics) refusedRequest(r *request, _ time.Duration) {
+	m.refused++
+	m.note(r, r.unit.maxWait)
+}
+
+func (m *metrics) note(r *request, took time.Duration) {
+	if r.cold {
+		m.cold = append(m.cold, took.Seconds())
+	}
+	if r.wakeUp {
+		m.wake = append(m.wake, took.Seconds())
+	}
+	clock := r.at % day
+	if r.unit.office >= 0 && clock >= BurstFrom && clock < BurstFrom+BurstFor {
+		m.byCustomer[r.unit.customer] = append(m.byCustomer[r.unit.customer], took.Seconds())
+	}
+}
+
+// Percentiles of a time in seconds.
+type Percentiles struct {
+	Count         int
+	P50, P95, P99 float64
+}
+
+func percentiles(values []float64) Percentiles {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return Percentiles{Count: len(sorted), P50: quantile(sorted, 0.5), P95: quantile(sorted, 0.95), P99: quantile(sorted, 0.99)}
+}
+
+// quantile is the nearest rank of sorted values; 0 for none.
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	rank := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return sorted[max(rank, 0)]
+}
+
+// Result is one run's figures.
+type Result struct {
+	Policy    string
+	Fault     Fault
+	Seed      uint64
+	Requests  int
+	Cold      Percentiles
+	WakeUp    Percentiles
+	InTime    float64 // share of requests
+	Refused   float64 // share of requests
+	Broken    int
+	Overdue   int
+	Late      int
+	IdleHours float64
+	// ContractHours is the part of IdleHours that no policy may save: minimum
+	// replicas and standby rights.
+	ContractHours float64
+	Loads         int
+	Remote        int
+	Decided       int
+	Conflicts     int
+	OverLimit     int
+	// CustomerP99 is each office's p99 in the burst's window, in seconds.
+	CustomerP99 map[string]float64 `json:"-"`
+}
+
+func (m *metrics) result(opt Options) *Result {
+	r := &Result{Policy: opt.Policy.Name, Fault: opt.Fault, Seed: opt.Seed, Requests: m.requests,
+		Cold: percentiles(m.cold), WakeUp: percentiles(m.wake), Broken: m.broken, Overdue: m.overdue, Late: m.late,
+		IdleHours: m.idleHours, ContractHours: m.contractHours, Remote: m.loads[placement.TierRemote], Decided: m.decisions,
+		Conflicts: m.conflicts, OverLimit: m.overLimit, CustomerP99: make(map[string]float64)}
+	for _, n := range m.loads {
+		r.Loads += n
+	}
+	if m.requests > 0 {
+		r.InTime = float64(m.inTime) / float64(m.requests)
+		r.Refused = float64(m.refused) / float64(m.requests)
+	}
+	for customer, times := range m.byCustomer {
+		r.CustomerP99[customer] = percentiles(times).P99
+	}
+	return r
+}
+
+// Bystander is the worst ratio of a bystander's p99 beside the burst to alone.
+type Bystander struct {
+	Customer      string
+	Beside, Alone float64 // seconds
+	Ratio         float64
+}
+
+// worstBystander compares all offices but the bursting one.
+func worstBystander(beside, alone *Result) Bystander {
+	var worst Bystander
+	for customer, p99 := range beside.CustomerP99 {
+		before := alone.CustomerP99[customer]
+		if customer == officeName(0) || before == 0 {
+			continue
+		}
+		ratio := p99 / before
+		if ratio > worst.Ratio || ratio == worst.Ratio && customer < worst.Customer {
+			worst = Bystander{customer, p99, before, ratio}
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/replay/queue.go
@@ -0,0 +1,180 @@
+package replay
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"bergamotreel/admission"
+	"bergamotreel/contract"
+	"bergamotreel/placement"
+)
+
+// queue is the waiting requests of one router.
+type queue interface {
+	// arrive takes a request or refuses it.
+	arrive(now time.Time, r *request) bool
+	// next takes the next request of the pool for which fits answers true.
+	next(now time.Time, pool string, fits func(r *request, surplus bool) bool) *request
+	// requeue puts back a request whose engine was lost.
+	requeue(now time.Time, r *request)
+	finish(now time.Time, r *request)
+	// expire ends the requests that cannot make their longest wait.
+	expire(now time.Time) []*request
+	// expect tells when a unit that is being loaded is ready.
+	expect(unit string, at time.Time, known bool)
+	demand(now time.Time) []placement.Demand
+	// drain empties the queue of a reclaimed router.
+	drain(now time.Time) []*request
+}
+
+// fairQueue is the daemon's own admission.
+type fairQueue struct {
+	ctrl     *admission.Controller
+	requests map[string]*request
+}
+
+func newFairQueue(contracts map[string]*contract.Contract, routers int) *fairQueue {
+	q := &fairQueue{ctrl: admission.New(admission.Config{}), requests: make(map[string]*request)}
+	q.ctrl.SetContracts(contracts)
+	q.ctrl.SetVMs(routers, routers-1)
+	return q
+}
+
+func (q *fairQueue) arrive(now time.Time, r *request) bool {
+	id := strconv.Itoa(r.id)
+	t, refused := q.ctrl.Arrive(now, admission.Request{
+		ID: id, Customer: r.unit.customer, Unit: r.unit.name, Pool: r.unit.pool(),
+		Priority: r.unit.priority, Arrived: now, Deadline: epoch.Add(r.deadline),
+	})
+	if refused != nil {
+		return false
+	}
+	r.ticket = t
+	q.requests[id] = r
+	return true
+}
+
+func (q *fairQueue) next(now time.Time, pool string, fits func(*request, bool) bool) *request {
+	t := q.ctrl.Next(now, pool, func(t *admission.Ticket) bool { return fits(q.requests[t.ID], t.Surplus) })
+	if t == nil {
+		return nil
+	}
+	return q.requests[t.ID]
+}
+
+func (q *fairQueue) requeue(now time.Time, r *request) { q.ctrl.Requeue(now, r.ticket) }
+
+func (q *fairQueue) finish(now time.Time, r *request) {
+	q.ctrl.Finish(now, r.ticket, admission.Outcome{OK: true})
+	delete(q.requests, r.ticket.ID)
+}
+
+func (q *fairQueue) expire(now time.Time) []*request {
+	var out []*request
+	for _, e := range q.ctrl.Expire(now) {
+		out = append(out, q.requests[e.Ticket.ID])
+		delete(q.requests, e.Ticket.ID)
+	}
+	return out
+}
+
+func (q *fairQueue) expect(unit string, at time.Time, known bool) { q.ctrl.Expect(unit, at, known) }
+
+func (q *fairQueue) demand(now time.Time) []placement.Demand {
+	var out []placement.Demand
+	for _, d := range q.ctrl.Demand(now) {
+		out = append(out, placement.Demand{Unit: d.Unit, Customer: d.Customer, Waiting: d.Waiting, Deadline: d.Earliest, Priority: d.Priority})
+	}
+	return out
+}
+
+func (q *fairQueue) drain(now time.Time) []*request {
+	var out []*request
+	for _, r := range q.requests {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *request) int { return a.id - b.id })
+	for _, r := range out {
+		q.ctrl.Leave(now, r.ticket)
+	}
+	clear(q.requests)
+	return out
+}
+
+// fifoQueue has no fairness, no limits and no early refusal: first come, first
+// served, until the deadline.
+type fifoQueue struct {
+	waiting []*request
+	running map[*request]bool
+}
+
+func newFIFOQueue() *fifoQueue { return &fifoQueue{running: make(map[*request]bool)} }
+
+func (q *fifoQueue) arrive(_ time.Time, r *request) bool {
+	q.waiting = append(q.waiting, r)
+	return true
+}
+
+func (q *fifoQueue) next(now time.Time, pool string, fits func(*request, bool) bool) *request {
+	asked := make(map[*unit]bool)
+	for i, r := range q.waiting {
+		if r.unit.pool() != pool || asked[r.unit] || now.After(epoch.Add(r.deadline)) {
+			continue
+		}
+		if fits(r, false) {
+			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			q.running[r] = true
+			return r
+		}
+		asked[r.unit] = true
+	}
+	return nil
+}
+
+func (q *fifoQueue) requeue(_ time.Time, r *request) {
+	delete(q.running, r)
+	q.waiting = append([]*request{r}, q.waiting...)
+}
+
+func (q *fifoQueue) finish(_ time.Time, r *request) { delete(q.running, r) }
+
+func (q *fifoQueue) expire(now time.Time) []*request {
+	var out, rest []*request
+	for _, r := range q.waiting {
+		if now.Before(epoch.Add(r.deadline)) {
+			rest = append(rest, r)
+		} else {
+			out = append(out, r)
+		}
+	}
+	q.waiting = rest
+	return out
+}
+
+func (q *fifoQueue) expect(string, time.Time, bool) {}
+
+func (q *fifoQueue) demand(time.Time) []placement.Demand {
+	var out []placement.Demand
+	index := make(map[*unit]int)
+	for _, r := range q.waiting {
+		i, ok := index[r.unit]
+		if !ok {
+			i = len(out)
+			index[r.unit] = i
+			out = append(out, placement.Demand{Unit: r.unit.name, Customer: r.unit.customer, Deadline: epoch.Add(r.deadline), Priority: r.unit.priority})
+		}
+		out[i].Waiting++
+	}
+	return out
+}
+
+func (q *fifoQueue) drain(time.Time) []*request {
+	out := q.waiting
+	for r := range q.running {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *request) int { return a.id - b.id })
+	q.waiting, q.running = nil, make(map[*request]bool)
+	return out
+}
--- /dev/null
+++ b/internal/replay/report.go
@@ -0,0 +1,63 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Report is all runs of one deployment at one seed.
+type Report struct {
+	Deployment string
+	Seed       uint64
+	// Plain has one row for each policy on the day without a fault.
+	Plain []Row
+	// Faulty has the chosen policies under each fault.
+	Faulty []*Result
+	// Bursts has the loads of the opening hour against what was decided.
+	Verdicts []Verdict
+}
+
+// Row is a policy's day without a fault, with the fairness experiment.
+type Row struct {
+	*Result
+	Bystander Bystander
+}
+
+// header is the table's; every time is in seconds.
+const header = "| Policy | Fault | Cold starts | Cold p50 | p95 | p99 | Wake-up p50 | p95 | p99 | In time % | Refused % | Late | Overdue | " +
+	"Idle acc. hours | of these by contract | Loads (remote) | Decided | Over the contract | Bystander p99 beside / alone |\n" +
+	"|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n"
+
+// Markdown writes the report's tables.
+func (r *Report) Markdown(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "### %s, seed %d\n\n", r.Deployment, r.Seed)
+	b.WriteString(header)
+	for _, row := range r.Plain {
+		bystander := "–"
+		if row.Bystander.Alone > 0 {
+			bystander = fmt.Sprintf("%.2f / %.2f = %.2f", row.Bystander.Beside, row.Bystander.Alone, row.Bystander.Ratio)
+		}
+		writeRow(&b, row.Result, bystander)
+	}
+	for _, result := range r.Faulty {
+		writeRow(&b, result, "–")
+	}
+	b.WriteString("\n| Goal | Against | Measured | Met |\n|---|---|---|---|\n")
+	for _, v := range r.Verdicts {
+		met := "no"
+		if v.Met {
+			met = "yes"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", v.Goal, v.Against, v.Measured, met)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func writeRow(b *strings.Builder, r *Result, bystander string) {
+	fmt.Fprintf(b, "| %s | %s | %d | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.2f | %.2f | %d | %d | %.1f | %.1f | %d (%d) | %d | %d | %s |\n",
+		r.Policy, r.Fault, r.Cold.Count, r.Cold.P50, r.Cold.P95, r.Cold.P99, r.WakeUp.P50, r.WakeUp.P95, r.WakeUp.P99,
+		100*r.InTime, 100*r.Refused, r.Late, r.Overdue, r.IdleHours, r.ContractHours, r.Loads, r.Remote, r.Decided, r.OverLimit, bystander)
+}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -38,10 +38,20 @@
 	}
 }
 
-// fleetOf makes a fleet of a View's engines.
-func fleetOf(engines []Engine) *Fleet {
+// fleetOf makes a fleet of a View's engines, and fills in the bases of adapters
+// that the View left out.
+func fleetOf(v View) *Fleet {
 	f := NewFleet()
-	for _, e := range engines {
+	for _, e := range v.Engines {
+		for i := range e.Holdings {
+			h := &e.Holdings[i]
+			if h.Base != "" || v.Lookup == nil {
+				continue
+			}
+			if u, ok := v.Lookup(h.Customer, h.Unit); ok {
+				h.Base = u.Base
+			}
+		}
 		f.Set(e)
 	}
 	return f
@@ -106,6 +116,9 @@
 		}
 		f.byUnit[h.Unit] = append(f.byUnit[h.Unit], place{fe, h})
 	}
+	if fe.Running > 0 {
+		fe.streams = fe.Running
+	}
 	for checkpoint, tier := range fe.Cached {
 		at := f.cached[checkpoint]
 		if at == nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,8 @@
 	MemoryBytes  int64
 	// Slots is how many requests it runs at once.
 	Slots int
+	// Running is how many requests run on it; 0 means the sum of its holdings'.
+	Running int
 	// Leaving engines are drained; Sick ones get nothing new; Kept ones have a
 	// live keeper that can send orders.
 	Leaving, Reachable, Sick, Kept bool
--- a/placement/round.go
+++ b/placement/round.go
@@ -24,7 +24,7 @@
 		budget: make(map[string]int64),
 	}
 	if r.fleet == nil {
-		r.fleet = fleetOf(v.Engines)
+		r.fleet = fleetOf(v)
 	}
 	for _, u := range v.Units {
 		r.units[u.Name] = append(r.units[u.Name], u)
