--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchFleets are today's size, a step between, and the size to design for.
+// Units are those of one of the VMs that plan, all of them today.
+var benchFleets = []struct{ engines, units, mine int }{{40, 165, 18}, {1_000, 3_900, 12}, {10_000, 39_000, 12}}
+
+// benchView has engines with a base and one adapter each, and requests that wait
+// for one unit.
+func benchView(engines, units, mine int) View {
+	all := make([]Unit, units)
+	for i := range all {
+		all[i] = Unit{
+			Name: fmt.Sprintf("adapter-%05d", i), Base: "base", Checkpoint: fmt.Sprintf("adapter-%05d:1", i),
+			Customer: "c", Bytes: 200 << 20, MaxReplicas: 100, MaxWait: 20 * time.Second,
+		}
+	}
+	base := Unit{Name: "base", Checkpoint: "base:1", Customer: "c", Bytes: 20 << 30, MaxReplicas: engines}
+	v := View{Now: time.Unix(1_800_000_000, 0), Self: "d0", Units: all[:mine], Store: Store{AtOnce: 4, LoadsPerSecond: 4}}
+	v.Lookup = func(_, unit string) (Unit, bool) { return base, unit == base.Name }
+	for i := range engines {
+		adapter := all[i%units]
+		v.Engines = append(v.Engines, Engine{
+			Name: fmt.Sprintf("10.0.%d.%d:7201", i/250, i%250), Domain: fmt.Sprint("d", i%7), MemoryBytes: 80 << 30,
+			Slots: 16, Reachable: true, Kept: true, Cached: map[string]Tier{base.Checkpoint: TierDisk},
+			Holdings: []Holding{
+				{Unit: base.Name, Customer: "c", Bytes: base.Bytes, Wanted: true, Ready: true, LastUsed: v.Now, Right: 1},
+				{Unit: adapter.Name, Customer: "c", Base: base.Name, Bytes: adapter.Bytes, Wanted: true, Ready: true, LastUsed: v.Now, Right: 2},
+			},
+		})
+	}
+	v.Demand = []Demand{{Unit: all[mine-1].Name, Customer: "c", Waiting: 1, Deadline: v.Now.Add(10 * time.Second), Domain: "d0"}}
+	return v
+}
+
+// BenchmarkPlan is one plan: over a list of all engines, as internal/planner
+// makes it, and over a Fleet that is kept up to date.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range benchFleets {
+		v := benchView(size.engines, size.units, size.mine)
+		name := fmt.Sprintf("%dengines", size.engines)
+		b.Run("list/"+name, func(b *testing.B) { benchPlan(b, v) })
+		v.Fleet = fleetOf(v)
+		v.Engines = nil
+		b.Run("fleet/"+name, func(b *testing.B) { benchPlan(b, v) })
+	}
+}
+
+func benchPlan(b *testing.B, v View) {
+	p := NewPlanner(Config{})
+	b.ReportAllocs()
+	for b.Loop() {
+		v.Now = v.Now.Add(time.Millisecond)
+		p.Plan(v)
+	}
+}
