serving, fleet: failure tests in virtual time, each beside a naive twin

Cause: serving had no tests of its own; the system tests of internal/node reach its failures only by the way.

Also: the demand of a second customer for the same unit was dropped within 200 ms of the first one's; each arrival and end looked at all that waited to find units that are ready nowhere, now at units only.

Ruled out: twins for hangs (a twin without a stall timeout hangs as well, and a test that hangs shows nothing).

Conclusion: the twin that reopens and the one that skips by position fail the same scripts that the server stands.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,96 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/vmlist"
+)
+
+func vm(address string) vmlist.VM {
+	return vmlist.VM{ID: address, Kind: vmlist.KindEngine, Address: address, Domain: "a"}
+}
+
+// run starts a fleet; gone holds what was told as gone.
+func run(t *testing.T, list vmlist.Lister, client engine.Client) (f *fleet.Fleet, gone chan string) {
+	gone = make(chan string, 10)
+	f = fleet.New(fleet.Config{
+		Lister: list, Engine: client, Log: zap.NewNop(), Gone: func(address string) { gone <- address },
+	}, nil, nil)
+	go f.Run(t.Context())
+	time.Sleep(3 * time.Second)
+	return f, gone
+}
+
+// Callers go on being served while the platform's VM list is out of reach: the
+// engines of the last list stay, are asked on, and their own word counts: that
+// one drains, holds a unit or was restarted. What the list drops is gone.
+func TestEnginesWordCountsBesideTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines, list := engineserver.New(engineserver.Options{}), engineserver.NewFleet(), vmlistserver.New(0, vm("e"))
+		t.Cleanup(e.Close)
+		engines.Put("e", e)
+		f, gone := run(t, list, engines)
+		list.Faults().Set(faults.Settings{Outage: true})
+		list.Remove("e")
+		time.Sleep(time.Minute)
+		order := engine.Order{Token: 1, Action: engine.ActionLoad, Unit: "m", Checkpoint: "c", Bytes: 1}
+		if _, err := engines.Order(t.Context(), "e", order); err != nil {
+			t.Fatal(err)
+		}
+		e.SetDraining(true)
+		f.Interest("e")
+		time.Sleep(300 * time.Millisecond)
+		known, ok := f.Engine("e")
+		if !ok || !known.Leaving() || known.VM.Leaving || !known.Holds("m") || len(gone) != 0 {
+			t.Errorf("in the outage: %v %+v, %d gone", ok, known, len(gone))
+		}
+		e.Restart()
+		time.Sleep(3 * time.Second)
+		restarted := len(gone)
+		list.Faults().Set(faults.Settings{})
+		time.Sleep(3 * time.Second)
+		if _, ok = f.Engine("e"); ok || restarted != 1 || len(gone) != 2 {
+			t.Errorf("known %v, gone %d times after the restart, %d after the dropping", ok, restarted, len(gone))
+		}
+	})
+}
+
+// cutOff answers for one engine; questions to the others last until the timeout.
+type cutOff struct{ engine.Client }
+
+func (cutOff) Status(ctx context.Context, address string) (engine.Status, error) {
+	if address == "z" {
+		return engine.Status{}, nil
+	}
+	<-ctx.Done()
+	return engine.Status{}, ctx.Err()
+}
+
+// A failure domain with hundreds of engines is cut off. The engine that is left
+// must be asked on in time: with a stale status it would get no work either.
+func TestCutOffEnginesHoldUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := []vmlist.VM{vm("z")}
+		for i := range 500 {
+			vms = append(vms, vm(fmt.Sprint("cut", i)))
+		}
+		f, _ := run(t, vmlistserver.New(0, vms...), cutOff{})
+		for range 20 {
+			time.Sleep(1500 * time.Millisecond)
+			if z, _ := f.Engine("z"); time.Since(z.SeenAt) > 3*time.Second {
+				t.Fatalf("last seen %v ago", time.Since(z.SeenAt))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/serving/calls_test.go
@@ -0,0 +1,105 @@
+package serving_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/internal/serving"
+	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/refusal"
+	"bergamotreel/routing"
+	"bergamotreel/service"
+)
+
+// claims notes what becomes of a test's claims.
+type claims struct{ ends string }
+
+func (c *claims) Begin(context.Context, caller.ServiceCall) (serving.Claim, *service.Answer, error) {
+	return c, nil, nil
+}
+func (c *claims) Done(service.Answer) { c.ends += "done " }
+func (c *claims) NotRun()             { c.ends += "not run " }
+func (c *claims) Unknown()            { c.ends += "unknown " }
+
+// withServices adds the backend servers one and two of a plain service, with
+// faults; ran counts the calls that ran there.
+func (b *bed) withServices(faults serviceserver.Faults) (ran func() int) {
+	var all [2]*serviceserver.Service
+	for i, name := range []string{"one", "two"} {
+		all[i] = serviceserver.New()
+		all[i].SetFaults(faults)
+		b.Cleanup(all[i].Close)
+		b.services.Put(name, all[i])
+		b.servers = append(b.servers, routing.Candidate{Engine: name, Domain: name, Slots: 8, Ready: true})
+	}
+	return func() (ran int) {
+		for _, call := range append(all[0].Calls(), all[1].Calls()...) {
+			ran += call.Times
+		}
+		return ran
+	}
+}
+
+func (b *bed) call(method string, once bool, key string) error {
+	_, err := b.relayer.Call(b.Context(), caller.ServiceCall{
+		Identity: caller.Identity{Customer: "c"}, Service: contract.Service{Name: "desk", MaxWait: maxWait},
+		Call: service.Call{RequestID: "r", Method: method, Path: "/x"}, Once: once, IdempotencyKey: key, Arrived: time.Now(),
+	})
+	return err
+}
+
+// A booking runs and its answer is lost. The caller is told that it may have
+// run; a second one would be a second booking. With a key the claim is kept.
+func TestLostAnswerOfAOnceCall(t *testing.T) {
+	for _, test := range []struct {
+		method, key, claims string
+		once                bool
+	}{{"POST", "", "", true}, {"POST", "k", "unknown ", true}, {"GET", "", "", true}, {"POST", "", "", false}} {
+		script(t, reopens, func(b *bed) string {
+			ran := b.withServices(serviceserver.Faults{LoseAnswers: 1})
+			return first(wantRefused(b.call(test.method, test.once, test.key), refusal.CodeOutcomeUnknown, refusal.RanMaybe),
+				want(ran() == 1 && b.claims.ends == test.claims, "ran %d times, claims %q", ran(), b.claims.ends))
+		})
+	}
+}
+
+// A repeatable call whose answer is lost is sent again, within the budget of
+// retries: while all answers are lost, few are.
+func TestLostAnswerOfARepeatableCall(t *testing.T) {
+	script(t, nil, func(b *bed) string {
+		b.withServices(serviceserver.Faults{LoseAnswers: 1})
+		err := b.call("GET", false, "")
+		return want(err == nil, "%v", err)
+	})
+	script(t, reopens, func(b *bed) string {
+		ran := b.withServices(serviceserver.Faults{LoseAnswers: 1000})
+		for range 20 {
+			_ = b.call("GET", false, "")
+		}
+		return want(ran() <= 20+20/10+3, "20 calls ran %d times", ran())
+	})
+}
+
+// A call that was not sent goes elsewhere, also one that may run but once; with
+// nowhere to go it is refused in time with "ran: no", and its claim given back.
+// One that hangs may have run.
+func TestCallThatWasNotSentGoesElsewhere(t *testing.T) {
+	script(t, nil, func(b *bed) string {
+		ran := b.withServices(serviceserver.Faults{})
+		b.services.Cut("one", true)
+		err := b.call("POST", true, "k")
+		elsewhere := want(err == nil && ran() == 1, "%v", err)
+		b.services.Cut("two", true)
+		refused := wantRefused(b.call("POST", true, "k"), refusal.CodeWaitTooLong, refusal.RanNo)
+		return first(elsewhere, refused, want(b.claims.ends == "done not run ", "claims %q", b.claims.ends))
+	})
+	script(t, nil, func(b *bed) string {
+		b.withServices(serviceserver.Faults{Frozen: true})
+		begun := time.Now()
+		refused := wantRefused(b.call("GET", false, ""), refusal.CodeOutcomeUnknown, refusal.RanMaybe)
+		return first(refused, want(time.Since(begun) == maxWait, "took %v", time.Since(begun)))
+	})
+}
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -146,24 +146,47 @@
 	}
 }
 
-// missing picks the demand for units that no candidate has ready.
+// missing picks the demand that the planner is to be told of, and asks for fresh
+// news of the engines that could meet it.
 func (s *Server) missing(now time.Time, look *lookup) []admission.Demand {
-	if len(s.waiters) == 0 {
-		clear(s.missingAt)
+	due := s.missingUnits(now)
+	if len(due) == 0 {
 		return nil
 	}
 	var out []admission.Demand
 	for _, demand := range s.config.Admission.Demand(now) {
-		for _, c := range look.candidates(demand.Unit) {
+		if due[demand.Unit] {
+			out = append(out, demand)
+		}
+	}
+	for unit := range due {
+		s.missingAt[unit] = now
+		for _, c := range look.candidates(unit) {
 			s.config.Directory.Interest(c.Engine)
 		}
-		if now.Sub(s.missingAt[demand.Unit]) < missingEvery {
+	}
+	return out
+}
+
+// missingUnits are the units that requests wait for and that were not told
+// lately. It is asked at each request's arrival and end, so it looks at units
+// and not at all that waits.
+func (s *Server) missingUnits(now time.Time) map[string]bool {
+	if len(s.units) == 0 {
+		clear(s.missingAt)
+		return nil
+	}
+	var due map[string]bool
+	for unit := range s.units {
+		if now.Sub(s.missingAt[unit]) < missingEvery {
 			continue
 		}
-		s.missingAt[demand.Unit] = now
-		out = append(out, demand)
+		if due == nil {
+			due = make(map[string]bool)
+		}
+		due[unit] = true
 	}
-	return out
+	return due
 }
 
 // lookup remembers the candidates of each unit for one look at the queue.
