--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -8,12 +8,12 @@
 	"bergamotreel/contract"
 )
 
-// benchSizes are one entry VM's view: today's larger deployment, and the planned
+// benchSizes are one entry VM's view: today's larger deployment, a step between, and the planned
 // 72 models with 39,000 adapters of 2,000 customers, with a long queue.
 var benchSizes = []struct {
 	name                      string
 	customers, units, waiting int
-}{{"today", 25, 7, 50}, {"planned", 2000, 20, 2000}}
+}{{"today", 25, 7, 50}, {"between", 200, 20, 200}, {"planned", 2000, 20, 2000}}
 
 func benchController(b *testing.B, customers, units, waiting int) (*Controller, func(i int) Request) {
 	c := New(Config{MaxQueued: 2 * waiting})
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -281,7 +281,7 @@
 	for _, size := range []struct {
 		name                string
 		candidates, engines int
-	}{{"today", 20, 24}, {"planned", 500, 10_000}} {
+	}{{"today", 20, 24}, {"between", 100, 1_000}, {"planned", 500, 10_000}} {
 		b.Run(size.name, func(b *testing.B) {
 			r, list := testRouter(), testCandidates(size.engines)
 			for i := range list {
