gossip: One exchange a pair and heartbeat, sums made once per change

Each VM pushed its digest to each other and was answered with theirs, so every digest travelled twice; the VM with the smaller name now begins, and an answer carries only what the other has not got. The table is internal/digest's: silent VMs are forgotten, and a late digest of a former start never wins. In-flight counts and usage are added up once per change; before, the queue's lock was held while all digests were copied for each candidate. Want replaces the demand of its own units only: it tells just what is missing.

Ruled out: answering always and pushing less often, which is slower news for the same bytes.

Fleets above 18 VMs still talk everyone to everyone: the topology and the sums of internal/digest are not in use yet.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,13 +4,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
-	"bergamotreel/placement"
+	"bergamotreel/internal/digest"
 	"bergamotreel/vmlist"
 )
 
@@ -30,15 +32,22 @@
 	Heard func(now time.Time, digests []entryvm.Digest)
 }
 
-// wantedFor is how long a demand told by Want counts: until well after the next
-// digest of its sender.
-const wantedFor = 2 * time.Second
-
-// Heard is a digest with the time it came, by this VM's clock.
-type Heard struct {
-	Digest entryvm.Digest
-	At     time.Time
-}
+// Heard is a digest with the time it was made, by this VM's clock.
+type Heard = digest.Heard
+
+const (
+	// ownPerHeartbeat is how often in a heartbeat the own digest is made at most:
+	// making one takes the queue's lock, and with many peers each would ask.
+	ownPerHeartbeat = 4
+	// The VM with the smaller name of two begins their exchange as soon as
+	// beginAfter has passed since the other had its digest, in halves of a
+	// heartbeat; the other one waits until answerAfter. So each pair has one
+	// exchange a heartbeat, which carries a digest each way. Failure: with both
+	// beginning, each digest travelled twice. Where only the greater one can
+	// connect, an exchange comes every second heartbeat, well within the timeout.
+	beginAfter  = 1
+	answerAfter = 3
+)
 
 // Gossip is the duty. Its methods may be called from any goroutine.
 type Gossip struct {
@@ -47,14 +56,25 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	heard    map[string]Heard
-	wanted   map[string]wanted
-}
-
-// wanted is demand that a VM told beside its digests.
-type wanted struct {
-	demand []entryvm.Demand
-	at     time.Time
+	// own is this VM's newest digest, ownAt when it was made, zero if it must be
+	// made anew.
+	own   entryvm.Digest
+	ownAt time.Time
+	table *digest.Table
+	// view is what the table says, nil after a change; see seen.
+	view   *view
+	wanted map[string]wanted
+	// told is what each VM was last given.
+	told map[string]told
+}
+
+// told is the newest own digest that a VM was given.
+type told struct {
+	sequence uint64
+	at       time.Time
+	// incarnation is the start of the VM that was given it: the next start knows
+	// nothing. Empty where the VM had not been heard yet.
+	incarnation string
 }
 
 // New makes a gossip; Run must be started for it to work.
@@ -62,13 +82,18 @@
 	return &Gossip{
 		config: config,
 		tell:   make(chan struct{}, 1),
-		heard:  make(map[string]Heard),
+		table:  digest.NewTable(config.VM, config.HeardFor),
 		wanted: make(map[string]wanted),
+		told:   make(map[string]told),
 	}
 }
 
-// Tell has an exchange with all peers made at once.
+// Tell has an exchange with all peers made at once, with a new digest.
 func (g *Gossip) Tell() {
+	g.mu.Lock()
+	g.ownAt = time.Time{}
+	g.told = make(map[string]told)
+	g.mu.Unlock()
 	select {
 	case g.tell <- struct{}{}:
 	default:
@@ -82,9 +107,9 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
-		own := g.own()
-		for _, address := range g.targets() {
-			group.Go(func() { g.exchange(ctx, address, own) })
+		own := g.ownDigest()
+		for vm, address := range g.due(time.Now()) {
+			group.Go(func() { g.exchange(ctx, vm, address, own) })
 		}
 		select {
 		case <-ticker.C:
@@ -95,34 +120,63 @@
 	}
 }
 
-func (g *Gossip) own() entryvm.Digest {
+// ownDigest returns this VM's digest, made within the last part of a heartbeat.
+func (g *Gossip) ownDigest() entryvm.Digest {
+	now := time.Now()
+	g.mu.Lock()
+	if !g.ownAt.IsZero() && now.Sub(g.ownAt) < g.config.Every/ownPerHeartbeat {
+		defer g.mu.Unlock()
+		return g.own
+	}
+	// Numbered before it is made: of two that are made at once the later number
+	// may tell the older news, for a heartbeat.
+	g.sequence++
+	sequence := g.sequence
+	g.mu.Unlock()
 	d := g.config.Self()
+	d.Sequence = sequence
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sequence++
-	d.Sequence = g.sequence
+	if sequence == g.sequence {
+		g.own, g.ownAt = d, now
+	}
 	return d
 }
 
-// targets are the peers to exchange with, listed or heard.
-func (g *Gossip) targets() []string {
-	addresses := make(map[string]bool)
-	for _, vm := range g.config.Listed() {
-		if vm.ID != g.config.VM {
-			addresses[vm.Address] = true
+// due are the peers to begin an exchange with now, by VM, with their addresses.
+func (g *Gossip) due(now time.Time) map[string]string {
+	peers := g.peers(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for vm := range g.told {
+		if _, known := peers[vm]; !known {
+			delete(g.told, vm)
 		}
 	}
-	for _, d := range g.Live() {
-		addresses[d.Address] = true
+	maps.DeleteFunc(peers, func(vm, _ string) bool {
+		halves := time.Duration(beginAfter)
+		if vm < g.config.VM {
+			halves = answerAfter
+		}
+		return now.Sub(g.told[vm].at) < halves*g.config.Every/2
+	})
+	return peers
+}
+
+// peers are the other entry VMs, listed or heard, with their addresses.
+func (g *Gossip) peers(now time.Time) map[string]string {
+	peers := make(map[string]string)
+	for _, vm := range g.config.Listed() {
+		peers[vm.ID] = vm.Address
 	}
-	out := make([]string, 0, len(addresses))
-	for address := range addresses {
-		out = append(out, address)
+	for _, d := range g.seen(now).live {
+		peers[d.VM] = d.Address
 	}
-	return out
+	delete(peers, g.config.VM)
+	return peers
 }
 
-func (g *Gossip) exchange(ctx context.Context, address string, own entryvm.Digest) {
+func (g *Gossip) exchange(ctx context.Context, vm, address string, own entryvm.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, g.config.HeardFor)
 	defer cancel()
 	theirs, err := g.config.Peer.Exchange(ctx, address, []entryvm.Digest{own})
@@ -131,95 +185,50 @@
 		return
 	}
 	g.take(theirs)
+	g.note(vm, own.Sequence)
 }
 
-// Exchange takes a peer's digests and returns this VM's own.
+// Exchange takes a peer's digests and returns what it has not got: this VM's
+// own digest, unless it was given that one already.
 func (g *Gossip) Exchange(digests []entryvm.Digest) []entryvm.Digest {
 	g.take(digests)
-	return []entryvm.Digest{g.own()}
-}
-
-func (g *Gossip) take(digests []entryvm.Digest) {
-	now := time.Now()
-	var fresh []entryvm.Digest
-	g.mu.Lock()
-	for _, d := range digests {
-		known, ok := g.heard[d.VM]
-		if d.VM == g.config.VM || (ok && !newer(d, known.Digest)) {
-			continue
-		}
-		g.heard[d.VM] = Heard{Digest: d, At: now}
-		fresh = append(fresh, d)
+	own := g.ownDigest()
+	from := slices.IndexFunc(digests, func(d entryvm.Digest) bool { return d.Cell == "" && d.Age == 0 })
+	if from < 0 {
+		return []entryvm.Digest{own}
 	}
+	vm, incarnation := digests[from].VM, digests[from].Incarnation
+	g.mu.Lock()
+	known := g.told[vm]
 	g.mu.Unlock()
-	if len(fresh) > 0 {
-		g.config.Heard(now, fresh)
+	if known.incarnation == incarnation && known.sequence >= own.Sequence {
+		return nil
 	}
+	g.note(vm, own.Sequence)
+	return []entryvm.Digest{own}
 }
 
-func newer(a, b entryvm.Digest) bool {
-	return a.Incarnation != b.Incarnation || a.Sequence > b.Sequence
-}
-
-// Wanted takes demand that a peer told at once.
-func (g *Gossip) Wanted(from string, demand []entryvm.Demand) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.wanted[from] = wanted{demand: demand, at: time.Now()}
-}
-
-// Live returns the digests of the other VMs that are heard.
-func (g *Gossip) Live() []entryvm.Digest {
+// note keeps that a VM was given the own digest of the sequence.
+func (g *Gossip) note(vm string, sequence uint64) {
 	now := time.Now()
+	incarnation := g.seen(now).incarnations[vm]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var live []entryvm.Digest
-	for _, h := range g.heard {
-		if now.Sub(h.At) < g.config.HeardFor {
-			live = append(live, h.Digest)
-		}
+	if known := g.told[vm]; known.sequence > sequence && known.incarnation == incarnation {
+		return
 	}
-	return live
+	g.told[vm] = told{sequence: sequence, at: now, incarnation: incarnation}
 }
 
-// All returns the newest digest of each other VM, however old.
-func (g *Gossip) All() []Heard {
+func (g *Gossip) take(digests []entryvm.Digest) {
+	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	all := make([]Heard, 0, len(g.heard))
-	for _, h := range g.heard {
-		all = append(all, h)
+	fresh := g.table.Merge(now, digests)
+	if len(fresh) > 0 {
+		g.view = nil
 	}
-	return all
-}
-
-// Address is where a VM serves its peers.
-func (g *Gossip) Address(vm string) (string, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	h, ok := g.heard[vm]
-	return h.Digest.Address, ok
-}
-
-// Demand is what waits at the other live VMs.
-func (g *Gossip) Demand(now time.Time) []placement.Demand {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []placement.Demand
-	for vm, h := range g.heard {
-		if now.Sub(h.At) >= g.config.HeardFor {
-			continue
-		}
-		told, at := h.Digest.Demand, h.At
-		if w, ok := g.wanted[vm]; ok && w.at.After(at) && now.Sub(w.at) < wantedFor {
-			told, at = w.demand, w.at
-		}
-		for _, d := range told {
-			out = append(out, placement.Demand{
-				Unit: d.Unit, Customer: d.Customer, Waiting: d.Waiting,
-				Deadline: at.Add(d.Deadline), Priority: d.Priority, Domain: h.Digest.Domain,
-			})
-		}
+	g.mu.Unlock()
+	if len(fresh) > 0 {
+		g.config.Heard(now, fresh)
 	}
-	return out
 }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,292 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/gossip"
+	"bergamotreel/vmlist"
+)
+
+const (
+	every    = 250 * time.Millisecond
+	heardFor = 6 * every
+)
+
+// ring is entry VMs that exchange digests in memory.
+type ring struct {
+	entryvm.Peer
+	gossips map[string]*gossip.Gossip
+	list    []vmlist.VM
+	// cut tells whether nothing passes from one VM to another.
+	cut func(from, to string) bool
+	mu  sync.Mutex
+	// carried counts digests by the VM that began the exchange.
+	carried int
+}
+
+// link is one VM's way to the others.
+type link struct {
+	*ring
+	from string
+}
+
+func (l link) Exchange(_ context.Context, address string, digests []entryvm.Digest) ([]entryvm.Digest, error) {
+	if l.cut(l.from, address) {
+		return nil, errors.New("cut")
+	}
+	reply := l.gossips[address].Exchange(digests)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.carried += len(digests) + len(reply)
+	return reply, nil
+}
+
+func newRing(n int) *ring {
+	r := &ring{gossips: make(map[string]*gossip.Gossip), cut: func(string, string) bool { return false }}
+	for i := range n {
+		name := fmt.Sprint("v", i)
+		r.list = append(r.list, vmlist.VM{ID: name, Address: name})
+		r.gossips[name] = newGossip(name, name, link{r, name}, func() []vmlist.VM { return r.list })
+	}
+	return r
+}
+
+func newGossip(name, address string, peer entryvm.Peer, listed func() []vmlist.VM) *gossip.Gossip {
+	return gossip.New(gossip.Config{
+		VM: name, Peer: peer, Logger: zap.NewNop(), Every: every, HeardFor: heardFor, Listed: listed,
+		Self:  func() entryvm.Digest { return entryvm.Digest{VM: name, Address: address, Incarnation: name} },
+		Heard: func(time.Time, []entryvm.Digest) {},
+	})
+}
+
+// run starts all VMs, a little apart from each other as in life.
+func (r *ring) run(ctx context.Context, group *sync.WaitGroup) {
+	for _, vm := range r.list {
+		group.Go(func() { r.gossips[vm.ID].Run(ctx) })
+		time.Sleep(every / 20)
+	}
+}
+
+// heard counts the live VMs that each VM hears, in the order of the list.
+func (r *ring) heard() string {
+	out := ""
+	for _, vm := range r.list {
+		out += fmt.Sprint(len(r.gossips[vm.ID].Live()))
+	}
+	return out
+}
+
+// Digests are most of the traffic between entry VMs. Each pair needs one a
+// heartbeat in each direction; with both VMs pushing and both answering each one
+// went twice.
+func TestOneDigestEachWayAHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		r := newRing(5)
+		r.run(ctx, &group)
+		time.Sleep(2 * every)
+		r.mu.Lock()
+		r.carried = 0
+		r.mu.Unlock()
+		time.Sleep(20 * every)
+		stop()
+		group.Wait()
+		if want := 20 * 5 * 4; r.carried > want*11/10 || r.carried < want*9/10 {
+			t.Errorf("%d digests, want about %d", r.carried, want)
+		}
+		if got := r.heard(); got != "44444" {
+			t.Errorf("heard %s", got)
+		}
+	})
+}
+
+// A firewall lets connections through one way only, and the VM that would begin
+// the exchange is on the wrong side. Then a VM is cut off altogether and dies.
+func TestOneWayCutAndDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		r := newRing(3)
+		var dead atomic.Bool
+		r.cut = func(from, to string) bool {
+			return (from == "v0" && to != "v0") || (dead.Load() && (from == "v2" || to == "v2"))
+		}
+		r.run(ctx, &group)
+		for range 40 {
+			time.Sleep(every)
+			if got := r.heard(); got != "222" {
+				t.Fatalf("cut one way: heard %s", got)
+			}
+		}
+		dead.Store(true)
+		time.Sleep(heardFor)
+		if got := r.heard(); got != "110" {
+			t.Errorf("v2 cut off: heard %s", got)
+		}
+		stop()
+		group.Wait()
+	})
+}
+
+// A VM restarts, and a digest that its former start sent arrives after the first
+// of the new one, by another way. The former start must not come back, and the
+// new one must be given the digest that the former had.
+func TestLateDigestOfFormerStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGossip("v0", "v0", nil, nil)
+		say := func(incarnation string, sequence uint64, age time.Duration, n int) int {
+			return len(g.Exchange([]entryvm.Digest{{
+				VM: "v1", Incarnation: incarnation, Sequence: sequence, Age: age, InFlight: map[string]int{"e": n},
+			}}))
+		}
+		if first, again := say("old", 500, 0, 1), say("old", 501, 0, 2); first != 1 || again != 0 {
+			t.Errorf("given the digest %d and %d times", first, again)
+		}
+		time.Sleep(every / 10)
+		if got := say("new", 1, 0, 5); got != 1 {
+			t.Errorf("the new start was given %d digests", got)
+		}
+		say("old", 502, every/10+1, 3)
+		if live := g.Live(); len(live) != 1 || live[0].Incarnation != "new" || g.InFlight("e") != 5 {
+			t.Errorf("live %+v, %d in flight", live, g.InFlight("e"))
+		}
+		time.Sleep(heardFor)
+		if g.InFlight("e") != 0 {
+			t.Error("a silent VM's requests still count")
+		}
+	})
+}
+
+// Want tells of one unit that waits; the sender's other demand still stands.
+func TestWantedReplacesItsUnitOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGossip("v0", "v0", nil, nil)
+		g.Exchange([]entryvm.Digest{{VM: "v1", Sequence: 1, Demand: []entryvm.Demand{{Unit: "a", Waiting: 1}, {Unit: "b", Waiting: 1}}}})
+		time.Sleep(time.Millisecond)
+		g.Wanted("v1", []entryvm.Demand{{Unit: "b", Waiting: 7}})
+		waiting := make(map[string]int)
+		for _, d := range g.Demand(time.Now()) {
+			waiting[d.Unit] += d.Waiting
+		}
+		if waiting["a"] != 1 || waiting["b"] != 7 {
+			t.Errorf("waiting %v", waiting)
+		}
+	})
+}
+
+// counted counts the bytes of the connections that it accepts, both ways.
+type counted struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, l.bytes}, nil
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// handler is a gossip as its peers reach it.
+type handler struct {
+	entryvm.Handler
+	gossip *gossip.Gossip
+}
+
+func (h handler) Exchange(digests []entryvm.Digest) []entryvm.Digest {
+	return h.gossip.Exchange(digests)
+}
+
+// BenchmarkTraffic has 9 VMs with busy digests exchange them over TCP for two
+// seconds a run. Bytes are those of the connections, without TCP's and IP's own.
+func BenchmarkTraffic(b *testing.B) {
+	const vms, wait = 9, 2 * time.Second
+	secret := []byte("0123456789abcdef0123456789abcdef")
+	ctx, stop := context.WithCancel(b.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	var bytes atomic.Int64
+	var list []vmlist.VM
+	var listeners []net.Listener
+	for i := range vms {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		listeners = append(listeners, counted{listener, &bytes})
+		list = append(list, vmlist.VM{ID: fmt.Sprintf("vm-%05d", i), Address: listener.Addr().String()})
+	}
+	for i, vm := range list {
+		client, err := entryvm.NewClient(secret, time.Second, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer client.Close()
+		g := gossip.New(gossip.Config{
+			VM: vm.ID, Peer: client, Logger: zap.NewNop(), Every: every, HeardFor: heardFor,
+			Listed: func() []vmlist.VM { return list },
+			Self:   func() entryvm.Digest { return busy(vm, i) },
+			Heard:  func(time.Time, []entryvm.Digest) {},
+		})
+		group.Go(func() { _ = entryvm.Serve(ctx, listeners[i], secret, handler{gossip: g}, nil) })
+		time.Sleep(every / vms)
+		group.Go(func() { g.Run(ctx) })
+	}
+	time.Sleep(wait)
+	bytes.Store(0)
+	b.ResetTimer()
+	for b.Loop() {
+		time.Sleep(wait)
+	}
+	b.ReportMetric(float64(bytes.Load())/vms/b.Elapsed().Seconds(), "B/s/node")
+}
+
+// busy is the digest of a VM with 20 requests a second over 8 models.
+func busy(vm vmlist.VM, i int) entryvm.Digest {
+	d := entryvm.Digest{
+		VM: vm.ID, Address: vm.Address, Domain: "d1", Region: "r1", Incarnation: "0123456789abcdef01234567",
+		Applied: 1 << 30, InFlight: map[string]int{},
+	}
+	for k := range 8 {
+		unit, customer := fmt.Sprintf("adapter-%05d", i*7+k), fmt.Sprintf("customer-%03d", i+k)
+		d.InFlight[fmt.Sprintf("10.120.130.%d:8000", i+k)] = k%4 + 1
+		d.Usage = append(d.Usage, entryvm.Usage{Customer: customer, Admitted: 1.25, Arrived: 1.5})
+		d.Used = append(d.Used, entryvm.Use{Unit: unit, Ago: time.Second})
+		d.Refused = append(d.Refused, entryvm.Refused{Customer: customer, Code: "slow", Count: uint64(k)})
+		if k%4 == 0 {
+			d.Demand = append(d.Demand, entryvm.Demand{Unit: unit, Customer: customer, Waiting: 1, Deadline: time.Second})
+		}
+	}
+	return d
+}
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -172,18 +172,12 @@
 }
 
 func (n *Node) peerUsage() (map[string]admission.PeerUsage, int) {
-	usage := make(map[string]admission.PeerUsage)
-	live := n.gossip.Live()
-	for _, d := range live {
-		for _, u := range d.Usage {
-			sum := usage[u.Customer]
-			sum.Admitted += u.Admitted
-			sum.Arrived += u.Arrived
-			sum.VMs++
-			usage[u.Customer] = sum
-		}
+	sums, heard := n.gossip.Usage()
+	usage := make(map[string]admission.PeerUsage, len(sums))
+	for customer, sum := range sums {
+		usage[customer] = admission.PeerUsage{Admitted: sum.Admitted, Arrived: sum.Arrived, VMs: sum.VMs}
 	}
-	return usage, len(live)
+	return usage, heard
 }
 
 // uses remembers the newest request for each unit here for the digests.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -53,7 +53,7 @@
 		Engine: e.VM.Address, Domain: e.VM.Domain, Slots: e.Status.Slots,
 		Ready: ready, Leaving: e.Leaving(), Role: string(e.Status.Role),
 		LoadKnown: !e.SeenAt.IsZero(), Running: e.Status.Load.Running, Queued: e.Status.Load.Queued,
-		LoadAt: e.SeenAt, PeersInFlight: n.peersInFlight(e.VM.Address),
+		LoadAt: e.SeenAt, PeersInFlight: n.gossip.InFlight(e.VM.Address),
 	}
 }
 
@@ -103,19 +103,11 @@
 	_ = n.config.Peers.EntryVMs.Want(ctx, address, n.config.VM, wanted)
 }
 
-func (n *Node) peersInFlight(engine string) int {
-	total := 0
-	for _, d := range n.gossip.Live() {
-		total += d.InFlight[engine]
-	}
-	return total
-}
-
 // streams counts the requests on an engine over all entry VMs.
 func (n *Node) streams(engine string) int {
 	own := 0
 	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) { own = r.InFlight()[engine] })
-	return own + n.peersInFlight(engine)
+	return own + n.gossip.InFlight(engine)
 }
 
 func (n *Node) sick(engine string) bool {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -48,8 +48,8 @@
 	for _, heard := range o.gossip.All() {
 		d := heard.Digest
 		byID[d.VM] = operator.EntryVM{
-			ID: d.VM, Domain: d.Domain, Region: d.Region, Applied: d.Applied, HeardAt: heard.At,
-			Leaving: d.Leaving, Missing: now.Sub(heard.At) > o.config.HeardFor,
+			ID: d.VM, Domain: d.Domain, Region: d.Region, Applied: d.Applied, HeardAt: heard.Made,
+			Leaving: d.Leaving, Missing: now.Sub(heard.Made) > o.config.HeardFor,
 		}
 	}
 	for _, vm := range o.fleet.VMs(vmlist.KindEntry) {
