keeper: unload again what a late order brought back; judge Gone by an answer after the settling

Read in the same place: Gone was decided from an engine's answer that could be older than the folding of the former keeper's settling. Between the two its last order may arrive, and Gone would free a unit that is loaded. Ruled out: the planner (it withdrew in time), the settling (it landed after the thaw). Change: a withdrawn unit that is present and not unloading is ordered out again; Gone waits until every other session has settled in the state that was read before the engine was asked. Also new in internal/node: tests of log outage, cut-off domain, racing operators, configuration in force, leaving engine, stopped entry VM, repeated bookings. Two faults of the tests themselves: a burst asked before the contract was everywhere; teardown did not wait for answers on their way into the log. Conclusion: a paused keeper costs a delay, no replica and no model.

--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"sort"
 
 	"bergamotreel/engine"
@@ -95,7 +96,7 @@
 		unit, present := held[right.Unit]
 		switch {
 		case right.Withdrawn != 0:
-			steps = append(steps, withdrawal(p, right, present, now)...)
+			steps = append(steps, withdrawal(p, right, unit, present, now)...)
 		case !right.Wanted && present && unit.Phase != engine.PhaseUnloading && !p.memory.resting[right.Unit]:
 			steps = append(steps, step{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted})
 		}
@@ -106,24 +107,34 @@
 // withdrawal takes a withdrawn right one step on. The unload order is sent even
 // where the engine does not show the unit: its answer proves that the engine
 // has seen a token above every earlier load order, so none of them can bring
-// the unit back after Gone. Where the engine ignores tokens, a load order of
-// this keeper without an answer must first be too old to arrive.
-func withdrawal(p picture, right *state.Right, present bool, now engine.Token) []step {
-	if !p.memory.unloaded[right.Granted] {
+// the unit back after Gone. It is sent again where the unit is back: on an
+// engine that ignores tokens a former keeper's late order loads it.
+func withdrawal(p picture, right *state.Right, unit engine.Unit, present bool, now engine.Token) []step {
+	unload := step{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted}
+	switch {
+	case !p.memory.unloaded[right.Granted], present && unit.Phase != engine.PhaseUnloading:
 		if p.memory.resting[right.Unit] {
 			return nil
 		}
-		return []step{{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted}}
-	}
-	if present {
-		return nil
-	}
-	if !p.status.ChecksTokens && p.memory.doubtful[right.Unit] {
+		return []step{unload}
+	case present, !p.status.ChecksTokens && mayComeBack(p, right):
 		return nil
 	}
 	return []step{{kind: stepGone, order: engine.Order{Unit: right.Unit}, right: right.Granted}}
 }
 
+// mayComeBack tells whether a load order could still bring the unit back on an
+// engine that ignores tokens: one of this keeper without an answer, or one of a
+// former keeper. The former's settling must have been folded before the engine
+// was asked: otherwise its last order may have arrived after the engine's answer
+// and before the settling, and Gone would free a unit that is loaded.
+func mayComeBack(p picture, right *state.Right) bool {
+	if p.memory.doubtful[right.Unit] {
+		return true
+	}
+	return slices.ContainsFunc(right.OrderedBy, func(id state.SessionID) bool { return id != p.agreed.KeeperSession })
+}
+
 // loads are the wanted rights that the engine does not hold. Bases go first.
 func loads(p picture, held map[string]engine.Unit, now engine.Token) []step {
 	var steps []step
--- /dev/null
+++ b/internal/node/promises_test.go
@@ -0,0 +1,322 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/operator"
+	"bergamotreel/refusal"
+	"bergamotreel/state"
+)
+
+// inSystem runs a script against a ready system with the contract published.
+func inSystem(t *testing.T, checksTokens bool, contractText string, script func(*system)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, checksTokens)
+		s.ready()
+		if r := s.publish("v-a1", "c1", contractText, 0); r.Verdict != state.VerdictApplied {
+			t.Fatalf("publish: %+v", r)
+		}
+		time.Sleep(time.Second)
+		script(s)
+	})
+}
+
+// A keeper freezes with a load order in hand. Another VM takes the engine over
+// and loads the model there; then the engine leaves, the right is withdrawn, and
+// the model is wanted elsewhere. Only then does the frozen keeper thaw and send
+// its order, which an engine that ignores tokens obeys. Callers must see no
+// second replica: the right stays counted until the frozen VM has settled its
+// session, and after that the model is loaded on the other engine.
+func TestLateOrderAfterWithdrawalMakesNoReplica(t *testing.T) {
+	inSystem(t, false, text(1), func(s *system) {
+		var once sync.Once
+		held := make(chan [2]string, 1)
+		s.hold = func(vm, address string, order engine.Order) bool {
+			isFirst := false
+			if order.Action == engine.ActionLoad {
+				once.Do(func() { isFirst = true; held <- [2]string{vm, address} })
+			}
+			return isFirst
+		}
+		go s.ask("v-a1", "clerk", "first", 4)
+		frozen := <-held
+		vm, engineAddress := frozen[0], frozen[1]
+		other := allVMs[0]
+		if other == vm {
+			other = allVMs[1]
+		}
+		if a := s.ask(other, "clerk", "second", 4); !a.whole("clerk", "second", 4) {
+			s.t.Errorf("after the takeover: %q, %v", a.text, a.err)
+		}
+		s.list.MarkLeaving(engineAddress[len("engine-"):])
+		for range 3 {
+			s.ask(other, "clerk", fmt.Sprint("moved", time.Now().Unix()), 4)
+		}
+		s.nodes[vm].gate.open()
+		time.Sleep(30 * time.Second)
+		if a := s.ask(other, "clerk", "last", 4); !a.whole("clerk", "last", 4) {
+			s.t.Errorf("after the thaw: %q, %v", a.text, a.err)
+		}
+		if n := s.mostReplicas("clerk"); n > 1 {
+			s.t.Errorf("%d replicas at one time, 1 was decided", n)
+		}
+		s.checkMemory()
+	})
+}
+
+// The platform's log goes down for ten minutes. A caller of a loaded model is
+// served as before. A booking is refused at once, and "not run" is true: no
+// claim could be recorded, so nothing was sent.
+func TestLogOutage(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		if a := s.ask("v-a1", "clerk", "before", 4); a.err != nil {
+			s.t.Fatal(a.err)
+		}
+		s.log.Faults().Set(faults.Settings{Outage: true})
+		for i := range 10 {
+			time.Sleep(time.Minute)
+			begun := time.Now()
+			_, err := s.book("v-b1", fmt.Sprint("key", i))
+			refused := refusal.From(err)
+			if refused.Ran != refusal.RanNo || refused.RetryAfter == 0 || time.Since(begun) > time.Second {
+				s.t.Errorf("booking %d: %v after %v", i, refused, time.Since(begun))
+			}
+			prompt := fmt.Sprint("during", i)
+			if a := s.ask("v-b2", "clerk", prompt, 4); !a.whole("clerk", prompt, 4) {
+				s.t.Errorf("loaded model in the outage: %q, %v", a.text, a.err)
+			}
+		}
+		s.log.Faults().Set(faults.Settings{})
+		time.Sleep(5 * time.Second)
+		if _, err := s.book("v-b1", "key0"); err != nil {
+			s.t.Errorf("after the outage: %v", err)
+		}
+		if n := s.bookings("key0"); n != 1 {
+			s.t.Errorf("the booking ran %d times", n)
+		}
+	})
+}
+
+// standbyText grants each failure domain a right ahead for the clerk's model.
+func standbyText() string {
+	return text(2) + "[model \"standby\"]\ncheckpoint = standby:v1\nmemory = 10GB\nmax_replicas = 2\nstandby_per_domain = 1\nmax_wait = 20s\n"
+}
+
+// Failure domain a is cut off from the log and from domain b. Its callers still
+// get what is loaded there, and a cold model with a right granted ahead is
+// loaded inside the domain; a booking is refused. After the cut the domain
+// agrees again, and never were there more replicas than decided.
+func TestCutOffDomainServesWhatItCan(t *testing.T) {
+	inSystem(t, true, standbyText(), func(s *system) {
+		time.Sleep(5 * time.Second)
+		for _, vm := range []string{"v-a1", "v-a2"} {
+			s.nodes[vm].view.Cut()
+		}
+		s.mesh.part("v-a", true)
+		time.Sleep(10 * time.Second)
+		for i, vm := range allVMs {
+			prompt := fmt.Sprint("cut", i)
+			if a := s.ask(vm, "standby", prompt, 4); !a.whole("standby", prompt, 4) {
+				s.t.Errorf("%s: %q, %v", vm, a.text, a.err)
+			}
+		}
+		_, err := s.book("v-a1", "key")
+		if err == nil || s.bookings("key") != 0 {
+			s.t.Errorf("booking without the log: %v, ran %d times", err, s.bookings("key"))
+		}
+		s.mesh.part("v-a", false)
+		for _, vm := range []string{"v-a1", "v-a2"} {
+			s.nodes[vm].view.Heal()
+		}
+		time.Sleep(20 * time.Second)
+		if n := s.mostReplicas("standby"); n > 2 {
+			s.t.Errorf("%d replicas, 2 were decided", n)
+		}
+		if n := s.loads("standby"); n != 2 {
+			s.t.Errorf("%d loads, want one in each domain", n)
+		}
+		s.checkMemory()
+	})
+}
+
+// Two operators publish at the same moment on the same base, at different entry
+// VMs; one of the answers is lost. One of them wins, the other is told of the
+// conflict, and asking again with the same identity gives the first result.
+func TestRacingOperators(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		base := s.version("v-a1")
+		s.nodes["v-b1"].view.Faults().Set(faults.Settings{LoseAnswers: 1})
+		results := make([]operator.PublishResult, 2)
+		var group sync.WaitGroup
+		for i, vm := range []string{"v-a1", "v-b1"} {
+			group.Go(func() { results[i] = s.publish(vm, fmt.Sprint("race", i), text(2+i), base) })
+		}
+		group.Wait()
+		applied := 0
+		for i, r := range results {
+			if r.Verdict == state.VerdictApplied {
+				applied++
+			}
+			if again := s.publish("v-b2", fmt.Sprint("race", i), text(2+i), base); again != r {
+				s.t.Errorf("asked again: %+v, first: %+v", again, r)
+			}
+		}
+		if applied != 1 {
+			s.t.Errorf("%d winners: %+v", applied, results)
+		}
+	})
+}
+
+// A change is accepted while one VM cannot reach the log but its peers, and one
+// is restarted. It is in force on all of them within 4 s, and no VM goes back.
+func TestChangeIsInForceEverywhereWithinSeconds(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		s.nodes["v-b2"].view.Cut()
+		s.nodes["v-a2"].kill()
+		<-s.nodes["v-a2"].done
+		ctx, stop := context.WithCancel(s.ctx)
+		defer stop()
+		accepted := s.publish("v-a1", "c2", text(3), s.version("v-a1"))
+		s.start("v-a2", "v-a2-again")
+		go s.watchVersions(ctx)
+		time.Sleep(4 * time.Second)
+		for _, vm := range allVMs {
+			if got := s.version(vm); got != accepted.Revision {
+				s.t.Errorf("%s has version %d in force, want %d", vm, got, accepted.Revision)
+			}
+		}
+	})
+}
+
+func (s *system) version(vm string) state.Revision {
+	got, err := s.nodes[vm].Operators().Contract(s.ctx, "trinidad")
+	if err != nil {
+		return 0
+	}
+	return got.Version
+}
+
+// An engine is told to leave: it says so itself, while the VM list still trails.
+// Requests that run on it are answered whole; after a few seconds nothing new
+// reaches it, and callers are served by another engine.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	inSystem(t, true, text(2), func(s *system) {
+		if a := s.ask("v-a1", "clerk", "warm", 4); a.err != nil {
+			s.t.Fatal(a.err)
+		}
+		leaving := s.holder("clerk")
+		long := make(chan answer)
+		go func() { long <- s.ask("v-a1", "clerk", "long", 400) }()
+		time.Sleep(time.Second)
+		s.engines.Engine(leaving).SetDraining(true)
+		time.Sleep(4 * time.Second)
+		before := len(s.engines.Engine(leaving).Records().Ran)
+		for i := range 20 {
+			prompt := fmt.Sprint("new", i)
+			if a := s.ask(allVMs[i%4], "clerk", prompt, 4); !a.whole("clerk", prompt, 4) {
+				s.t.Errorf("request %d: %q, %v", i, a.text, a.err)
+			}
+		}
+		if after := len(s.engines.Engine(leaving).Records().Ran); after != before {
+			s.t.Errorf("the leaving engine got %d new requests", after-before)
+		}
+		if a := <-long; !a.whole("clerk", "long", 400) {
+			s.t.Errorf("the running stream: %q, %v", a.text, a.err)
+		}
+	})
+}
+
+// holder is an engine that has the unit ready.
+func (s *system) holder(unit string) string {
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		status, err := s.engines.Status(s.ctx, "engine-"+name)
+		if err != nil {
+			continue
+		}
+		for _, u := range status.Units {
+			if u.Unit == unit && u.Phase == engine.PhaseReady {
+				return "engine-" + name
+			}
+		}
+	}
+	return ""
+}
+
+// An entry VM is stopped while requests stream through it, wait in its queue for
+// a load, and its engines load. All of them get their whole answers; then it
+// gives its engines back, and another VM keeps them at once.
+func TestStoppedEntryVMCutsOffNothing(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		if a := s.ask("v-a1", "clerk", "warm", 4); a.err != nil {
+			s.t.Fatal(a.err)
+		}
+		var group sync.WaitGroup
+		check := func(model, prompt string, tokens int) {
+			group.Go(func() {
+				if a := s.ask("v-a1", model, prompt, tokens); !a.whole(model, prompt, tokens) {
+					s.t.Errorf("%s: %q, %v", prompt, a.text, a.err)
+				}
+			})
+		}
+		check("clerk", "streaming", 300)
+		check("board", "waiting for a load", 4)
+		time.Sleep(100 * time.Millisecond)
+		n := s.nodes["v-a1"]
+		n.Leave()
+		if n.Ready() == nil {
+			s.t.Error("a leaving entry VM says that it is ready")
+		}
+		group.Wait()
+		n.Stop(s.ctx)
+		n.kill()
+		<-n.done
+		time.Sleep(3 * time.Second)
+		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for _, e := range report.Engines {
+			if e.Keeper == "" || e.Keeper == "v-a1" {
+				s.t.Errorf("engine %s is kept by %q", e.Name, e.Keeper)
+			}
+		}
+	})
+}
+
+// A tenth of a booking's answers is lost, the claimer is killed at any point, and
+// the caller repeats the booking at another entry VM each time. It runs once or
+// not at all, and whoever is told "not run" is told the truth.
+func TestRepeatedBookingRunsOnce(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		for i := range 20 {
+			key := fmt.Sprint("band", i)
+			vm := allVMs[i%4]
+			go func() { _, _ = s.book(vm, key) }()
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			s.nodes[vm].kill()
+			<-s.nodes[vm].done
+			_, err := s.book(allVMs[(i+1)%4], key)
+			ran := s.bookings(key)
+			if ran > 1 {
+				s.t.Errorf("%s ran %d times", key, ran)
+			}
+			if err == nil && ran != 1 {
+				s.t.Errorf("%s is answered, but ran %d times", key, ran)
+			}
+			if err != nil && refusal.From(err).Ran == refusal.RanNo && ran > 0 {
+				s.t.Errorf("%s: told %v, but it ran", key, err)
+			}
+			s.start(vm, fmt.Sprint(vm, "-after-", i))
+			for s.nodes[vm].Ready() != nil {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	})
+}
--- a/internal/node/replicas_test.go
+++ b/internal/node/replicas_test.go
@@ -27,10 +27,7 @@
 // misses the model, but one planner decides: one replica, one load. Were each
 // router to load on its own, there would be up to four.
 func TestBurstForASleepingModelIsOneLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, true)
-		s.ready()
-		s.publish("v-a1", "c1", text(1), 0)
+	inSystem(t, true, text(1), func(s *system) {
 		for i, a := range s.burst("clerk", 5) {
 			if !a.whole("clerk", fmt.Sprint("clerk", i), 8) {
 				t.Errorf("request %d: %q, %v", i, a.text, a.err)
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -50,6 +50,8 @@
 	booking  *serviceserver.Service
 	mesh     *mesh
 	nodes    map[string]*entry
+	// hold names orders at whose sending the entry VM freezes.
+	hold func(vm, address string, order engine.Order) bool
 	// replicas is the most engines that held each unit at one time.
 	mu       sync.Mutex
 	replicas map[string]int
@@ -64,7 +66,7 @@
 	// alive ends with the process: its callers lose their connections.
 	alive context.Context
 	kill  context.CancelFunc
-	done chan struct{}
+	done  chan struct{}
 }
 
 // newSystem makes engines a1, a2, b1, b2 and entry VMs v-a1, v-a2, v-b1, v-b2 in
@@ -77,7 +79,7 @@
 			DefaultBytes: 16 * gigabyte, BytesPerSecond: 8 * gigabyte, AtOnce: 4, LoadsPerSecond: 4,
 		}),
 		engines: engineserver.NewFleet(), services: serviceserver.NewFleet(), booking: serviceserver.New(),
-		mesh: newMesh(), nodes: make(map[string]*entry), replicas: make(map[string]int),
+		mesh: newMesh(), hold: func(string, string, engine.Order) bool { return false }, nodes: make(map[string]*entry), replicas: make(map[string]int),
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -88,6 +90,8 @@
 		}
 		s.booking.Close()
 		s.watching.Wait()
+		// A killed VM's answers that were on their way into the log give up.
+		time.Sleep(20 * time.Second)
 	})
 	for _, name := range []string{"a1", "a2", "b1", "b2"} {
 		e := engineserver.New(engineserver.Options{
@@ -117,7 +121,7 @@
 		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.nodes)) + 1)), Lease: timing,
 		Peers: node.Peers{
 			Log: gatedLog{e.view, e.gate}, VMList: s.list, WeightStore: s.store,
-			Engines: gatedEngines{s.engines, e.gate}, Services: gatedServices{s.services, e.gate},
+			Engines: gatedEngines{s.engines, e.gate, func(address string, order engine.Order) bool { return s.hold(name, address, order) }}, Services: gatedServices{s.services, e.gate},
 			EntryVMs: link{mesh: s.mesh, from: name, gate: e.gate},
 		},
 	})
@@ -405,6 +409,8 @@
 type gatedEngines struct {
 	engine.Client
 	gate *gate
+	// hold may take an order away before it is sent; nil holds none.
+	hold func(address string, order engine.Order) bool
 }
 
 func (c gatedEngines) Status(ctx context.Context, address string) (engine.Status, error) {
@@ -412,6 +418,9 @@
 }
 
 func (c gatedEngines) Order(ctx context.Context, address string, order engine.Order) (engine.Status, error) {
+	if c.hold(address, order) {
+		c.gate.freeze()
+	}
 	return c.Client.Order(c.gate.pass(ctx), address, order)
 }
 
@@ -429,6 +438,8 @@
 	mu    sync.Mutex
 	nodes map[string]*entry
 	cut   map[string]bool
+	// parted is the prefix of the VMs of a domain that is cut off, "" for none.
+	parted string
 }
 
 func newMesh() *mesh { return &mesh{nodes: make(map[string]*entry), cut: make(map[string]bool)} }
@@ -446,13 +457,28 @@
 	m.cut[name] = cut
 }
 
+// part cuts the VMs of a failure domain, named by their prefix, off from the
+// others, or joins them again. Inside the domain they still meet.
+func (m *mesh) part(prefix string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.parted = ""
+	if cut {
+		m.parted = prefix
+	}
+}
+
+func (m *mesh) apart(from, to string) bool {
+	return m.parted != "" && strings.HasPrefix(from, m.parted) != strings.HasPrefix(to, m.parted)
+}
+
 var errCut = errors.New("no way to the peer")
 
 func (m *mesh) reach(from, to string) (*entry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.nodes[to]
-	if !ok || m.cut[from] || m.cut[to] {
+	if !ok || m.cut[from] || m.cut[to] || m.apart(from, to) {
 		return nil, errCut
 	}
 	select {
