--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -22,6 +21,8 @@
 	ErrNotStored = errs.New("proposal not stored")
 	// ErrUnknown says that the proposal may be in the log, or land there later.
 	ErrUnknown = errs.New("proposal outcome unknown")
+	// ErrTooLarge comes with ErrNotStored: the log takes no record so large.
+	ErrTooLarge = errs.New("proposal too large for a record")
 )
 
 const (
@@ -43,6 +44,12 @@
 	stuckAfter = time.Second
 	// queueLength bounds the proposals that wait for the next record.
 	queueLength = 4096
+	// defaultMaxBytes bounds one record; the platform's log takes 1 MiB.
+	defaultMaxBytes = 1 << 20
+	// abandonedFor is how long a proposal that nobody waits for is remembered,
+	// should it land late: well over the longest life of a message and the time
+	// for which an append is repeated.
+	abandonedFor = 10 * time.Minute
 )
 
 // Config describes one batcher; T is the proposal type.
@@ -51,8 +58,9 @@
 	Stream string
 	// Encode makes one record of several proposals.
 	Encode func([]T) ([]byte, error)
-	// Max bounds the proposals of one record.
-	Max int
+	// Max bounds the proposals of one record, MaxBytes its bytes; MaxBytes
+	// defaults to the constant above.
+	Max, MaxBytes int
 	// MinInterval and AppendTimeout default to the constants above.
 	MinInterval   time.Duration
 	AppendTimeout time.Duration
@@ -71,10 +79,12 @@
 	proposal  T
 	result    chan result[R]
 	abandoned func(T, R)
-	// left is set once nobody reads result any more.
-	left bool
+	// leftAt is when nobody read result any more, zero before.
+	leftAt time.Time
 }
 
+func (w *waiter[T, R]) left() bool { return !w.leftAt.IsZero() }
+
 type result[R any] struct {
 	value R
 	err   error
@@ -90,6 +100,8 @@
 	waiters  map[uint64]*waiter[T, R]
 	// busySince is when the append now under way began, zero if there is none.
 	busySince time.Time
+	// prunedAt is when abandoned waiters were last looked for.
+	prunedAt time.Time
 }
 
 // New makes a batcher; Run must be started for it to work.
@@ -100,10 +112,14 @@
 	if config.AppendTimeout == 0 {
 		config.AppendTimeout = defaultAppendTimeout
 	}
+	if config.MaxBytes == 0 {
+		config.MaxBytes = defaultMaxBytes
+	}
 	return &Batcher[T, R]{
-		config:  config,
-		queue:   make(chan item[T], queueLength),
-		waiters: make(map[uint64]*waiter[T, R]),
+		config:   config,
+		queue:    make(chan item[T], queueLength),
+		waiters:  make(map[uint64]*waiter[T, R]),
+		prunedAt: time.Now(),
 	}
 }
 
@@ -129,6 +145,9 @@
 // for the fold. It fails with ErrNotStored or ErrUnknown.
 func (b *Batcher[T, R]) Store(ctx context.Context, proposal T) error {
 	stored := make(chan error, 1)
+	if b.stuck(time.Now()) {
+		return ErrNotStored
+	}
 	select {
 	case b.queue <- item[T]{proposal: proposal, stored: stored}:
 	default:
@@ -142,16 +161,25 @@
 	}
 }
 
-// enqueue registers the waiter before the proposal can land.
-func (b *Batcher[T, R]) enqueue(propose func(uint64) T, abandoned func(T, R)) (*waiter[T, R], uint64, error) {
+// stuck tells whether the append now under way has taken too long. Failure:
+// with the log down, a proposal behind a stuck append would wait for nothing
+// until its deadline, and the caller with it. It was not stored yet, so "not
+// stored" is true.
+func (b *Batcher[T, R]) stuck(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	// With the log down a proposal behind a stuck append would wait for nothing
-	// until its deadline, and the caller with it. Nothing was stored yet, so
-	// "not stored" is true.
-	if !b.busySince.IsZero() && time.Since(b.busySince) > stuckAfter {
+	return !b.busySince.IsZero() && now.Sub(b.busySince) > stuckAfter
+}
+
+// enqueue registers the waiter before the proposal can land.
+func (b *Batcher[T, R]) enqueue(propose func(uint64) T, abandoned func(T, R)) (*waiter[T, R], uint64, error) {
+	now := time.Now()
+	if b.stuck(now) {
 		return nil, 0, ErrNotStored
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prune(now)
 	b.sequence++
 	w := &waiter[T, R]{proposal: propose(b.sequence), result: make(chan result[R], 1), abandoned: abandoned}
 	select {
@@ -163,6 +191,20 @@
 	return w, b.sequence, nil
 }
 
+// prune forgets abandoned proposals that will not land any more, so that an
+// outage does not leave them in memory for ever. Call with mu held.
+func (b *Batcher[T, R]) prune(now time.Time) {
+	if now.Sub(b.prunedAt) < abandonedFor {
+		return
+	}
+	b.prunedAt = now
+	for sequence, w := range b.waiters {
+		if w.left() && now.Sub(w.leftAt) >= abandonedFor {
+			delete(b.waiters, sequence)
+		}
+	}
+}
+
 // abandon leaves a proposal whose waiter ran out of time.
 func (b *Batcher[T, R]) abandon(sequence uint64, w *waiter[T, R]) (R, error) {
 	b.mu.Lock()
@@ -175,7 +217,7 @@
 	if w.abandoned == nil {
 		delete(b.waiters, sequence)
 	}
-	w.left = true
+	w.leftAt = time.Now()
 	var none R
 	return none, ErrUnknown
 }
@@ -190,7 +232,7 @@
 	b.mu.Lock()
 	w, ok := b.waiters[sequence]
 	delete(b.waiters, sequence)
-	abandoned := ok && w.left
+	abandoned := ok && w.left()
 	if ok && !abandoned {
 		w.result <- r
 	}
@@ -199,153 +241,3 @@
 		w.abandoned(w.proposal, r.value)
 	}
 }
-
-// Run appends records until ctx ends.
-func (b *Batcher[T, R]) Run(ctx context.Context) {
-	for {
-		batch, ok := b.gather(ctx)
-		if !ok {
-			return
-		}
-		b.store(ctx, batch)
-		if !sleep(ctx, b.config.MinInterval) {
-			return
-		}
-	}
-}
-
-// gather waits for a first proposal and takes what else is queued.
-func (b *Batcher[T, R]) gather(ctx context.Context) ([]item[T], bool) {
-	var batch []item[T]
-	select {
-	case first := <-b.queue:
-		batch = append(batch, first)
-	case <-ctx.Done():
-		return nil, false
-	}
-	for len(batch) < b.config.Max {
-		select {
-		case next := <-b.queue:
-			batch = append(batch, next)
-		default:
-			return batch, true
-		}
-	}
-	return batch, true
-}
-
-// store appends one record, again and again while its outcome is unknown: the
-// proposals carry identities, so landing twice does no more than landing once.
-func (b *Batcher[T, R]) store(ctx context.Context, batch []item[T]) {
-	b.setBusy(time.Now())
-	defer b.setBusy(time.Time{})
-	data, err := b.config.Encode(proposals(batch))
-	if err != nil {
-		b.failAll(batch, Error.Wrap(err))
-		return
-	}
-	begun := time.Now()
-	mayBeStored := false
-	for {
-		err := b.append(ctx, data)
-		if err == nil {
-			tellStored(batch, nil)
-			return
-		}
-		if !errors.Is(err, platformlog.ErrUnavailable) {
-			mayBeStored = true
-		}
-		if !mayBeStored {
-			b.failAll(batch, ErrNotStored)
-			return
-		}
-		if ctx.Err() != nil || time.Since(begun) > giveUpAfter || b.resolved(batch) {
-			b.failAll(batch, ErrUnknown)
-			return
-		}
-		if !sleep(ctx, retryPause) {
-			b.failAll(batch, ErrUnknown)
-			return
-		}
-	}
-}
-
-func (b *Batcher[T, R]) append(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, b.config.AppendTimeout)
-	defer cancel()
-	_, err := b.config.Log.Append(ctx, b.config.Stream, data)
-	return err
-}
-
-// resolved tells whether the fold has met every proposal of the batch.
-func (b *Batcher[T, R]) resolved(batch []item[T]) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, i := range batch {
-		if _, waiting := b.waiters[i.sequence]; waiting || i.stored != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// failAll ends the waiters with err. Where the outcome is unknown they stay
-// registered as abandoned: their proposals may still be found in the stream.
-func (b *Batcher[T, R]) failAll(batch []item[T], err error) {
-	tellStored(batch, err)
-	for _, i := range batch {
-		if errors.Is(err, ErrUnknown) {
-			b.failUnknown(i.sequence)
-			continue
-		}
-		b.finish(i.sequence, result[R]{err: err})
-	}
-}
-
-func tellStored[T any](batch []item[T], err error) {
-	for _, i := range batch {
-		if i.stored != nil {
-			i.stored <- err
-		}
-	}
-}
-
-func (b *Batcher[T, R]) failUnknown(sequence uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w, ok := b.waiters[sequence]
-	if !ok || w.left {
-		return
-	}
-	w.result <- result[R]{err: ErrUnknown}
-	if w.abandoned == nil {
-		delete(b.waiters, sequence)
-	}
-	w.left = true
-}
-
-func (b *Batcher[T, R]) setBusy(since time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.busySince = since
-}
-
-func proposals[T any](batch []item[T]) []T {
-	out := make([]T, len(batch))
-	for i, it := range batch {
-		out[i] = it.proposal
-	}
-	return out
-}
-
-// sleep waits for d or the end of ctx; it tells whether the time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sort"
 	"time"
 
@@ -31,6 +32,8 @@
 		ChangeID: r.ChangeID, Customer: r.Customer, Base: r.Base, Sections: r.Sections, Remove: r.Remove,
 	}})
 	switch {
+	case errors.Is(err, commit.ErrTooLarge):
+		return operator.PublishResult{}, fmt.Errorf("%w: the change is too large", operator.ErrBadRequest)
 	case errors.Is(err, commit.ErrNotStored):
 		return operator.PublishResult{}, operator.ErrUnavailable
 	case err != nil:
