keeper: load by standby rights while the log is out of reach

Cause: TestCutOffDomainServesWhatItCan passed only because domain a could still reach domain b's engines. Change: while the log does not answer, a keeper loads what requests wait for by standby rights it has folded; these are counted already, so no record is needed for safety. Routers use any standing right that the engine has ready. Conclusion: a cut-off domain serves cold models that it has standby rights for.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,6 +39,10 @@
 	MessageLifetime         time.Duration
 	// Keeps returns the engines that this VM should keep now, by address.
 	Keeps func() []string
+	// Stranded returns the units that requests wait for while the log is out of
+	// reach, nil while it answers. They are loaded by the standby rights that the
+	// fold holds: these are counted already, so no record is needed for safety.
+	Stranded func() map[string]bool
 	// Settles tells whether this VM is the one that ends and settles the session
 	// of another. Two that do so cost appends, never safety.
 	Settles func(vm string) bool
@@ -65,6 +69,8 @@
 	renewals uint64
 	// ending are own ended sessions, with when their last order has died out.
 	ending map[state.SessionID]time.Time
+	// stranded holds until when a unit stays loaded by a standby right.
+	stranded map[string]time.Time
 	// stopping is set by a graceful shutdown: no new session, no new engine.
 	stopping bool
 	group    sync.WaitGroup
@@ -79,6 +85,7 @@
 		workers:    make(map[string]*worker),
 		running:    make(map[state.SessionID]int),
 		ending:     make(map[state.SessionID]time.Time),
+		stranded:   make(map[string]time.Time),
 	}
 }
 
@@ -121,6 +128,7 @@
 	duties.Go(func() { every(ctx, k.holdSession) })
 	duties.Go(func() { every(ctx, k.takeEngines) })
 	duties.Go(func() { every(ctx, k.endOthers) })
+	duties.Go(func() { every(ctx, k.loadStranded) })
 	<-ctx.Done()
 }
 
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -47,6 +47,13 @@
 	doubtful map[string]bool
 	// resting are units whose last order failed lately.
 	resting map[string]bool
+	// stranded are units to load by standby rights; see Config.Stranded.
+	stranded map[string]bool
+}
+
+// wants tells whether the unit of a standing right should be loaded.
+func (p picture) wants(right *state.Right) bool {
+	return right.Withdrawn == 0 && (right.Wanted || p.memory.stranded[right.Unit])
 }
 
 // token is the fencing token for any order now: the newest revision that this
@@ -97,7 +104,7 @@
 		switch {
 		case right.Withdrawn != 0:
 			steps = append(steps, withdrawal(p, right, unit, present, now)...)
-		case !right.Wanted && present && unit.Phase != engine.PhaseUnloading && !p.memory.resting[right.Unit]:
+		case !p.wants(right) && present && unit.Phase != engine.PhaseUnloading && !p.memory.resting[right.Unit]:
 			steps = append(steps, step{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted})
 		}
 	}
@@ -139,7 +146,7 @@
 func loads(p picture, held map[string]engine.Unit, now engine.Token) []step {
 	var steps []step
 	for _, right := range sortedRights(p.agreed.Rights) {
-		if !right.Wanted || right.Withdrawn != 0 || p.memory.resting[right.Unit] {
+		if !p.wants(right) || p.memory.resting[right.Unit] {
 			continue
 		}
 		if _, present := held[right.Unit]; present {
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -147,6 +147,7 @@
 	return memory{
 		fenced: w.fenced, unloaded: w.unloaded,
 		doubtful: running(w.doubtfulUntil, now), resting: running(w.restUntil, now),
+		stranded: w.keeper.strandedUnits(),
 	}
 }
 
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -77,6 +77,7 @@
 // heard takes in the digests of others.
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
 	for _, d := range digests {
+		n.roster.saw(now.Add(-d.Age), d.VM, d.Address)
 		for _, use := range d.Used {
 			n.planner.Used(use.Unit, now.Add(-use.Ago))
 		}
@@ -110,6 +111,20 @@
 	return append(out, n.gossip.Demand(now)...)
 }
 
+// stranded are the units that requests wait for while the log is out of reach,
+// nil while it answers; see keeper.Config.
+func (n *Node) stranded() map[string]bool {
+	_, _, reachedAt := n.control.Position()
+	if time.Since(reachedAt) < logReachableFor {
+		return nil
+	}
+	units := make(map[string]bool)
+	for _, d := range n.demand() {
+		units[d.Unit] = true
+	}
+	return units
+}
+
 // catchUp follows the control stream through peers whenever one of them knows
 // more: a VM cut off from the log still gets an accepted configuration within a
 // heartbeat and this tick.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -31,7 +31,7 @@
 	base := ""
 	n.control.View(func(s *state.State) {
 		for _, holding := range s.Replicas(unit) {
-			if right := holding.Right; right.Withdrawn == 0 && right.Wanted {
+			if right := holding.Right; right.Withdrawn == 0 {
 				held = append(held, holding.Engine.Name)
 				base = right.Base
 			}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -80,6 +79,11 @@
 // listed hands a VM list to the keeper, which tells from it whose messages have
 // died out. Entry VMs are named by their ID and engines by their address.
 func (n *Node) listed(now time.Time, list vmlist.List) {
+	for _, vm := range list.VMs {
+		if vm.Kind == vmlist.KindEntry {
+			n.roster.saw(now, vm.ID, vm.Address)
+		}
+	}
 	names := make([]string, 0, len(list.VMs))
 	for _, vm := range list.VMs {
 		if vm.Kind == vmlist.KindEngine {
@@ -91,28 +95,6 @@
 	n.keeper.Listed(now, list.Version, names)
 }
 
-// nobodyAhead asks all other entry VMs whether any may have dispatched the key
-// by a claim that this VM has not folded. Silence counts as "may have".
-func (n *Node) nobodyAhead(ctx context.Context, query entryvm.ClaimQuery, applied uint64) bool {
-	const askTimeout = 300 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	others := n.otherVMs()
-	answers := make(chan bool, len(others))
-	for _, address := range others {
-		go func() {
-			reply, err := n.config.Peers.EntryVMs.Claimed(ctx, address, query)
-			answers <- err == nil && !reply.Held && reply.Applied <= applied
-		}()
-	}
-	for range others {
-		if !<-answers {
-			return false
-		}
-	}
-	return true
-}
-
 // otherVMs are the addresses of all other entry VMs, listed or heard.
 func (n *Node) otherVMs() []string {
 	addresses := make(map[string]bool)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 	store   storeWatch
 	uses    *uses
 	refused *refusals
+	roster  *roster
 
 	mu       sync.Mutex
 	stopping bool
@@ -104,7 +105,7 @@
 	setDefault(&config.Heartbeat, defaultHeartbeat)
 	setDefault(&config.HeardFor, defaultHeardFor)
 	setDefault(&config.Claims, defaultClaims)
-	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals()}
+	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM)}
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
@@ -150,7 +151,7 @@
 		VM: n.config.VM, Incarnation: n.config.Incarnation, Domain: n.config.Domain,
 		Control: n.control, Engines: n.config.Peers.Engines, Logger: n.config.Logger,
 		Lease: n.config.Lease, MessageLifetime: n.config.Lease.MessageLifetime,
-		Keeps: n.keeps, Settles: n.isChosen, DomainOf: n.domainOf, Saw: n.fleet.Saw,
+		Keeps: n.keeps, Stranded: n.stranded, Settles: n.isChosen, DomainOf: n.domainOf, Saw: n.fleet.Saw,
 	})
 }
 
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -121,7 +121,11 @@
 		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.nodes)) + 1)), Lease: timing,
 		Peers: node.Peers{
 			Log: gatedLog{e.view, e.gate}, VMList: s.list, WeightStore: s.store,
-			Engines: gatedEngines{s.engines, e.gate, func(address string, order engine.Order) bool { return s.hold(name, address, order) }}, Services: gatedServices{s.services, e.gate},
+			Engines: gatedEngines{
+				Client: s.engines, gate: e.gate,
+				hold:  func(address string, order engine.Order) bool { return s.hold(name, address, order) },
+				apart: func(address string) bool { return s.mesh.engineApart(name, address) },
+			}, Services: gatedServices{s.services, e.gate},
 			EntryVMs: link{mesh: s.mesh, from: name, gate: e.gate},
 		},
 	})
@@ -409,19 +413,38 @@
 type gatedEngines struct {
 	engine.Client
 	gate *gate
-	// hold may take an order away before it is sent; nil holds none.
+	// hold names orders at whose sending the process freezes.
 	hold func(address string, order engine.Order) bool
+	// apart tells which engines a partition has cut off.
+	apart func(address string) bool
 }
 
+var errApart = fmt.Errorf("%w: partition", engine.ErrNotSent)
+
 func (c gatedEngines) Status(ctx context.Context, address string) (engine.Status, error) {
-	return c.Client.Status(c.gate.pass(ctx), address)
+	ctx = c.gate.pass(ctx)
+	if c.apart(address) {
+		return engine.Status{}, errApart
+	}
+	return c.Client.Status(ctx, address)
+}
+
+func (c gatedEngines) Generate(ctx context.Context, address string, request engine.Request) (engine.Stream, error) {
+	if c.apart(address) {
+		return nil, errApart
+	}
+	return c.Client.Generate(ctx, address, request)
 }
 
 func (c gatedEngines) Order(ctx context.Context, address string, order engine.Order) (engine.Status, error) {
 	if c.hold(address, order) {
 		c.gate.freeze()
 	}
-	return c.Client.Order(c.gate.pass(ctx), address, order)
+	ctx = c.gate.pass(ctx)
+	if c.apart(address) {
+		return engine.Status{}, errApart
+	}
+	return c.Client.Order(ctx, address, order)
 }
 
 type gatedServices struct {
@@ -468,6 +491,13 @@
 	}
 }
 
+// engineApart tells whether the partition lies between an entry VM and an engine.
+func (m *mesh) engineApart(vm, address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.apart(vm, "v-"+strings.TrimPrefix(address, "engine-"))
+}
+
 func (m *mesh) apart(from, to string) bool {
 	return m.parted != "" && strings.HasPrefix(from, m.parted) != strings.HasPrefix(to, m.parted)
 }
