node: random schedules also part domains, change contracts, slow the store, let engines leave

Cause: TestChaos did not yet cause cuts between failure domains, operators' changes, a slow weight store or leaving engines.

--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -12,11 +12,14 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/contract"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/operator"
 	"bergamotreel/refusal"
 	"bergamotreel/state"
+	"bergamotreel/vmlist"
 )
 
 var (
@@ -103,6 +106,7 @@
 	if errors.Is(a.err, context.Canceled) {
 		return // the entry VM was killed: the connection broke
 	}
+	s.count(a.err)
 	if a.err == nil {
 		if !a.whole(model, prompt, 12) {
 			s.t.Errorf("%s at %s: wrong answer %q", prompt, at, a.text)
@@ -132,6 +136,9 @@
 	if took := time.Since(begun) - gate.frozenTime() + frozen; took > 8*time.Second {
 		s.t.Errorf("booking %s at %s: final answer after %v", key, at, took)
 	}
+	if !errors.Is(err, context.Canceled) {
+		s.count(err)
+	}
 	// Other arrivals of the key may run it from now on; at this moment it must
 	// not have run.
 	if err != nil && refusal.From(err).Ran == refusal.RanNo && s.bookings(key) > 0 {
@@ -147,7 +154,7 @@
 		n := s.nodes[vm]
 		e := s.engines.Engine("engine-" + []string{"a1", "a2", "b1", "b2"}[rng.Intn(4)])
 		pause := time.Duration(rng.Intn(5000)) * time.Millisecond
-		switch rng.Intn(12) {
+		switch rng.Intn(17) {
 		case 0:
 			n.gate.freeze()
 		case 1:
@@ -179,13 +186,49 @@
 			restarts++
 			time.Sleep(time.Second)
 			s.start(vm, fmt.Sprint(vm, "-", restarts))
+		case 12:
+			s.mesh.part([]string{"v-a", "v-b"}[rng.Intn(2)], true)
+		case 13:
+			s.mesh.part("", false)
+		case 14:
+			go s.changeContract(vm, fmt.Sprint("chaos", rng.Int()), 1+rng.Intn(2))
+		case 15:
+			s.list.MarkLeaving([]string{"a1", "b2"}[rng.Intn(2)])
+		case 16:
+			s.relistEngines()
+			s.store.Faults().Set(faults.Settings{SlowFactor: float64(1 + rng.Intn(6))})
 		}
 		time.Sleep(pause)
 	}
 }
 
+// changeContract publishes another number of the clerk's replicas, whatever
+// comes of it.
+func (s *system) changeContract(vm, change string, clerks int) {
+	n := s.nodes[vm]
+	ctx, cancel := context.WithTimeout(n.alive, 5*time.Second)
+	defer cancel()
+	sections, err := contract.Split(chaosText(clerks))
+	if err != nil {
+		s.t.Error(err)
+	}
+	_, _ = n.Operators().Publish(ctx, operator.PublishRequest{
+		ChangeID: change, Customer: "trinidad", Base: s.version(vm), Sections: sections,
+	})
+}
+
+// relistEngines lists the engines as staying.
+func (s *system) relistEngines() {
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEngine, Address: "engine-" + name, Domain: name[:1]})
+	}
+}
+
 // heal ends all faults.
 func (s *system) heal() {
+	s.mesh.part("", false)
+	s.relistEngines()
+	s.store.Faults().Set(faults.Settings{})
 	s.log.Faults().Set(faults.Settings{})
 	s.booking.SetFaults(serviceserver.Faults{})
 	for vm, n := range s.nodes {
@@ -231,6 +274,7 @@
 		}
 	}
 	s.checkMemory()
+	s.t.Logf("ends: %v", s.ends)
 	for _, vm := range allVMs {
 		if a := s.ask(vm, "clerk", "after "+vm, 8); !a.whole("clerk", "after "+vm, 8) {
 			s.t.Errorf("healed, %s answers %q, %v", vm, a.text, a.err)
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -26,6 +26,7 @@
 	"bergamotreel/lease"
 	"bergamotreel/operator"
 	"bergamotreel/platformlog"
+	"bergamotreel/refusal"
 	"bergamotreel/service"
 	"bergamotreel/state"
 	"bergamotreel/vmlist"
@@ -55,6 +56,8 @@
 	// replicas is the most engines that held each unit at one time.
 	mu       sync.Mutex
 	replicas map[string]int
+	// ends counts how requests ended, by refusal code, "" for served.
+	ends     map[string]int
 	watching sync.WaitGroup
 }
 
@@ -79,7 +82,7 @@
 			DefaultBytes: 16 * gigabyte, BytesPerSecond: 8 * gigabyte, AtOnce: 4, LoadsPerSecond: 4,
 		}),
 		engines: engineserver.NewFleet(), services: serviceserver.NewFleet(), booking: serviceserver.New(),
-		mesh: newMesh(), hold: func(string, string, engine.Order) bool { return false }, nodes: make(map[string]*entry), replicas: make(map[string]int),
+		mesh: newMesh(), hold: func(string, string, engine.Order) bool { return false }, nodes: make(map[string]*entry), replicas: make(map[string]int), ends: make(map[string]int),
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -298,6 +301,17 @@
 	}
 }
 
+// count notes how a request ended.
+func (s *system) count(err error) {
+	end := ""
+	if err != nil {
+		end = string(refusal.From(err).Code)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends[end]++
+}
+
 func (s *system) mostReplicas(unit string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
