state: run the two long proofs side by side

Cause: the package's tests took 24 s one after the other; the counter of applied kinds was shared by all tests. It now belongs to its test. Nothing is drawn or checked less.

--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -25,6 +25,9 @@
 	// held were proposed and have not landed; landed may land again.
 	held, landed []state.Proposal
 	records      [][]byte
+	// applied counts by kind what was applied. Kinds that are rarely applied
+	// would show that the draws prove little.
+	applied map[string]int
 }
 
 var (
@@ -35,7 +38,7 @@
 )
 
 func newMachine() *machine {
-	m := &machine{ours: state.New(), rejoining: state.New(), naive: newReference(), sequence: map[string]uint64{}}
+	m := &machine{applied: map[string]int{}, ours: state.New(), rejoining: state.New(), naive: newReference(), sequence: map[string]uint64{}}
 	for _, customer := range customers {
 		m.land(m.identify("op", state.Proposal{Publish: &state.Publish{Customer: customer, Sections: sections(customer, 8, 1, 2)}}))
 	}
@@ -51,10 +54,6 @@
 	return m
 }
 
-// appliedKinds counts by kind what was applied over all schedules, kinds that
-// are rarely applied would show that the draws prove little.
-var appliedKinds = map[string]int{}
-
 // kindOf names the field of a proposal that is set.
 func kindOf(p state.Proposal) string {
 	v := reflect.ValueOf(p)
@@ -96,7 +95,7 @@
 	for i, o := range m.ours.Apply(m.offset, data) {
 		want := m.naive.land(state.MakeRevision(m.offset, i), ps[i])
 		if o.Verdict == state.VerdictApplied && !o.Repeated {
-			appliedKinds[kindOf(ps[i])]++
+			m.applied[kindOf(ps[i])]++
 		}
 		if (o.Verdict == state.VerdictApplied) != (want.Verdict == state.VerdictApplied) || o.Revision != want.Revision {
 			return fmt.Sprintf("%+v: ours %+v, reference %+v", ps[i], o, want)
@@ -248,8 +247,11 @@
 // what the reference recomputes from scratch, and a VM that keeps starting from
 // snapshots must hold the same.
 func TestFoldAgreesWithReference(t *testing.T) {
+	t.Parallel()
+	applied := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
+		m.applied = applied
 		fail := func(diff string) {
 			if diff != "" {
 				t.Fatal(diff)
@@ -299,10 +301,10 @@
 			}
 		}
 	})
-	t.Log(appliedKinds)
+	t.Log(applied)
 	for i := 1; i < reflect.TypeFor[state.Proposal]().NumField(); i++ {
-		if kind := reflect.TypeFor[state.Proposal]().Field(i).Name; appliedKinds[kind] < 200 {
-			t.Errorf("%s was applied only %d times", kind, appliedKinds[kind])
+		if kind := reflect.TypeFor[state.Proposal]().Field(i).Name; applied[kind] < 200 {
+			t.Errorf("%s was applied only %d times", kind, applied[kind])
 		}
 	}
 }
--- a/state/order_test.go
+++ b/state/order_test.go
@@ -27,6 +27,7 @@
 // late or twice, and leases are called expired at any time. What engines really
 // hold stays within what was decided, on engines that check tokens or don't.
 func TestLateOrdersBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	total := map[string]int{}
 	for seed := range uint64(*worlds) {
 		w, broken := runWorld(seed, twin{})
@@ -54,6 +55,7 @@
 // was settled. Each must break a promise, else the schedules above would prove
 // nothing.
 func TestNaiveTwinsBreakOnLateOrders(t *testing.T) {
+	t.Parallel()
 	for _, naive := range []struct {
 		name string
 		twin twin
