claims: Tell "not run" only where no VM since the last full read can have run it

In an outage of the log a booking was refused with "not run" if all entry VMs of the moment had folded no further and knew no claim. That was not sound:

- A VM that still reached the log claimed, ran the booking and died; the VM list dropped it, nobody asked it, and the repeat was told "not run".
- A VM that restarted in the outage answered for the process before it, of whose claims it knew nothing.
- A table that was never complete counted as one without a claim.

Now the moment counts at which the table was last known complete (the beginning of the newest read whose end has been folded): all entry VMs listed or heard since then, also those that are gone, must say so by a process that ran then.

Ruled out: asking only for the VM list to be fresh, which misses a VM that it has dropped; taking the time of a read's answer, which a frozen process reads too late.

Left: a VM that joined during the outage makes all refusals "maybe" until the log is back, which is true and more careful than needed.

--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -106,6 +106,9 @@
 	Applied uint64
 	// Held is whether it knows a claim of the key.
 	Held bool
+	// Up is how long the peer's process has run: it knows nothing of what the
+	// process before it on the VM dispatched.
+	Up time.Duration
 }
 
 // Peer talks to other entry VMs by their address.
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -52,9 +52,10 @@
 	Window time.Duration
 	// Alive tells whether the process that claimed may still answer.
 	Alive func(incarnation string) bool
-	// NobodyAhead asks all other entry VMs whether any may have dispatched the
-	// key by a claim that this VM has not folded; see refuseWithoutLog.
-	NobodyAhead func(ctx context.Context, query entryvm.ClaimQuery, applied uint64) bool
+	// NobodyAhead asks all entry VMs that were there at or after since, also those
+	// that are gone, whether any may have dispatched the key by a claim that this
+	// VM has not folded; silence counts as "may have". See surelyNotRun.
+	NobodyAhead func(ctx context.Context, query entryvm.ClaimQuery, applied uint64, since time.Time) bool
 	// WritesSnapshots tells whether this VM should write the snapshots now.
 	WritesSnapshots func() bool
 	SnapshotMaxAge  time.Duration
@@ -63,7 +64,9 @@
 // Claimer claims calls. Its methods may be called from any goroutine.
 type Claimer struct {
 	config  Config
+	started time.Time
 	fold    *fold
+	reads   *readWatch
 	replica *replica.Replica
 	batcher *commit.Batcher[idempotency.Entry, idempotency.Result]
 	// recording are answers on their way into the log.
@@ -72,10 +75,10 @@
 
 // New makes a claimer; Follow and Commit must be started for it to work.
 func New(config Config) *Claimer {
-	c := &Claimer{config: config}
+	c := &Claimer{config: config, started: time.Now(), reads: &readWatch{Log: config.Log}}
 	c.fold = &fold{table: idempotency.NewTable(), result: c.resolve}
 	c.replica = replica.New(replica.Config{
-		Log: config.Log, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
+		Log: c.reads, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
 		SnapshotMaxAge: config.SnapshotMaxAge, WritesSnapshots: config.WritesSnapshots,
 	})
 	c.batcher = commit.New[idempotency.Entry, idempotency.Result](commit.Config[idempotency.Entry]{
@@ -115,7 +118,7 @@
 
 // Claimed answers a peer that cannot reach the log.
 func (c *Claimer) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply {
-	var reply entryvm.ClaimReply
+	reply := entryvm.ClaimReply{Up: time.Since(c.started)}
 	c.replica.View(func() {
 		reply.Applied = c.fold.table.Applied()
 		reply.Held = c.fold.table.State(idempotency.Key{Customer: query.Customer, Key: query.Key}) != nil
@@ -222,27 +225,49 @@
 }
 
 // refuseWithoutLog answers at once while no claim can be recorded.
-//
-// "Not run" must hold for the call, not only for this arrival: an earlier
-// arrival may have been claimed and dispatched by another entry VM. An entry VM
-// dispatches only by a claim that it has folded. So if this VM's table has no
-// claim of the key, and every other entry VM says that it has folded no further
-// than this one and knows no claim, the call has not run.
 func (c *Claimer) refuseWithoutLog(ctx context.Context, key idempotency.Key) error {
+	if c.surelyNotRun(ctx, key) {
+		return refusal.New(refusal.CodeLogUnavailable, comeBack, "the platform's log is out of reach")
+	}
+	r := refusal.Maybe(refusal.CodeLogUnavailable,
+		"this arrival was not run; an earlier one may have been: repeat it with the same Idempotency-Key")
+	r.RetryAfter = comeBack
+	return r
+}
+
+// surelyNotRun tells whether no arrival of the call was dispatched so far. "Not
+// run" must hold for the call, not only for this arrival: an earlier one may
+// have been claimed and dispatched by another entry VM, and a caller who is told
+// "not run" may book elsewhere.
+//
+// A VM dispatches only by a claim that it has folded. This VM's table was
+// complete at some moment, since when it may have missed records. Whoever has
+// dispatched by one of those was an entry VM after that moment. So if this table
+// has no claim of the key, and each VM that was there since then says that it
+// has folded no further than this one and knows no claim, the call has not run.
+// Failures that the parts of the rule answer:
+//   - A VM cut off later than this one claimed, dispatched and died; its caller
+//     comes here, and the VM list has dropped it. It was there since: it does
+//     not answer, so the call may have run.
+//   - It restarted, and says truly that it has folded nothing. Its process is
+//     younger than the moment: it can't speak for the one before (ClaimReply.Up).
+//   - All entry VMs restart during an outage, and none has folded anything. A
+//     table that never was complete gives no moment.
+func (c *Claimer) surelyNotRun(ctx context.Context, key idempotency.Key) bool {
+	select {
+	case <-c.Ready():
+	default:
+		return false
+	}
 	var applied uint64
 	free := false
 	c.replica.View(func() {
 		applied = c.fold.table.Applied()
 		free = c.fold.table.State(key) == nil
 	})
+	since, complete := c.reads.completeAt(platformlog.Offset(applied))
 	query := entryvm.ClaimQuery{Customer: key.Customer, Key: key.Key}
-	if free && c.config.NobodyAhead(ctx, query, applied) {
-		return refusal.New(refusal.CodeLogUnavailable, comeBack, "the platform's log is out of reach")
-	}
-	r := refusal.Maybe(refusal.CodeLogUnavailable,
-		"this arrival was not run; an earlier one may have been: repeat it with the same Idempotency-Key")
-	r.RetryAfter = comeBack
-	return r
+	return free && complete && c.config.NobodyAhead(ctx, query, applied, since)
 }
 
 func (c *Claimer) release(key idempotency.Key, revision idempotency.Revision, id idempotency.ClaimID) {
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,174 @@
+package claims_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/refusal"
+)
+
+const (
+	no    = refusal.RanNo
+	maybe = refusal.RanMaybe
+)
+
+// A clerk's script sends a booking to two entry VMs at the same moment. One of
+// them runs it; both callers get that booking's answer, and so does whoever
+// repeats it later, also at a VM that has started since.
+func TestFirstClaimWins(t *testing.T) {
+	inDesk(t, 1, func(d *desk) {
+		a, b := d.start("a"), d.start("b")
+		for i := range 20 {
+			key := fmt.Sprint("key", i)
+			var got [2]answered
+			var group sync.WaitGroup
+			for i, v := range []*vm{a, b} {
+				group.Go(func() { got[i] = v.book(key, "bike", succeed) })
+			}
+			group.Wait()
+			if got[0].booked == "" || got[0].booked != got[1].booked {
+				t.Errorf("%s: %v and %v", key, got[0], got[1])
+			}
+			d.wantRan(key, 1)
+		}
+		a.die()
+		if again := d.start("c").book("key7", "bike", succeed); d.times("key7") != 1 || again.booked != d.ran["key7"][0] {
+			t.Errorf("repeated at a new VM: %v", again)
+		}
+	})
+}
+
+// The log loses the answers of appends: a claim lands several times. The booking
+// runs once.
+func TestLostAppendAnswers(t *testing.T) {
+	for seed := range uint64(5) {
+		inDesk(t, seed+1, func(d *desk) {
+			a, b := d.start("a"), d.start("b")
+			d.log.Faults().Set(faults.Settings{LoseProbability: 0.5})
+			for i := range 10 {
+				key := fmt.Sprint("key", i)
+				first := a.book(key, "bike", succeed)
+				if again := b.book(key, "bike", succeed); first.booked == "" || again.booked != first.booked {
+					t.Errorf("%s: %v, then %v", key, first, again)
+				}
+				d.wantRan(key, 1)
+			}
+		})
+	}
+}
+
+// The entry VM dies between its claim and the answer. Nobody can know whether it
+// sent the booking: repeats are told so at once, and none runs it again. A lost
+// answer is told so as well.
+func TestClaimerDies(t *testing.T) {
+	for name, how := range map[string]attempt{"before": dieBefore, "after": dieAfter, "lost": lose} {
+		inDesk(t, 1, func(d *desk) {
+			a, b := d.start("a"), d.start("b")
+			a.book("key", "bike", how)
+			time.Sleep(time.Second)
+			d.wantTold(name, b.book("key", "bike", succeed), refusal.CodeOutcomeUnknown, maybe)
+			if n := d.times("key"); n > 1 {
+				t.Errorf("%s: ran %d times", name, n)
+			}
+		})
+	}
+}
+
+// A script sends another booking with a key that it used before. It is told of
+// the conflict, and gets neither the other one's answer nor a second booking.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	inDesk(t, 1, func(d *desk) {
+		a, b := d.start("a"), d.start("b")
+		a.book("key", "bike", succeed)
+		conflict := b.book("key", "boat", succeed)
+		d.wantTold("another body", conflict, refusal.CodeKeyConflict, no)
+		if conflict.told != nil && conflict.told.Status() != 409 {
+			t.Errorf("status %d", conflict.told.Status())
+		}
+		d.wantRan("key", 1)
+	})
+}
+
+// An append hangs and lands long after its caller was told that nothing ran. The
+// claim is given back, so that the caller's repeat, at another VM, can run.
+func TestClaimLandsAfterRefusal(t *testing.T) {
+	inDesk(t, 1, func(d *desk) {
+		a, b := d.start("a"), d.start("b")
+		a.view.Faults().Set(faults.Settings{SlowMS: 20_000})
+		if first := a.book("key", "bike", succeed); first.told == nil || first.took > patience+time.Second {
+			t.Errorf("during the hang: %v", first)
+		}
+		a.view.Heal()
+		d.wantRan("key", 0)
+		time.Sleep(30 * time.Second)
+		if again := b.book("key", "bike", succeed); again.booked == "" {
+			t.Errorf("repeated: %v", again)
+		}
+		d.wantRan("key", 1)
+	})
+}
+
+// The log is out of reach. A booking is refused at once with "not run" where
+// that is sure, and with "may have run" where an earlier arrival of it may have
+// been dispatched by somebody whom this VM cannot hear or who cannot know. Each
+// case prepares VMs a and b; the booking is then sent to b.
+func TestOutageTellsWhatIsTrue(t *testing.T) {
+	cases := map[string]struct {
+		before func(d *desk, a, b *vm)
+		want   refusal.Ran
+	}{
+		"nobody claimed": {func(*desk, *vm, *vm) {}, no},
+		"peer cut off":   {func(_ *desk, a, _ *vm) { a.cut = true }, maybe},
+		"peer is ahead": {func(_ *desk, a, b *vm) {
+			b.view.Cut()
+			a.book("key", "bike", succeed)
+		}, maybe},
+		"peer ran it and died": {func(_ *desk, a, b *vm) {
+			b.view.Cut()
+			a.book("key", "bike", dieAfter)
+			time.Sleep(time.Hour)
+		}, maybe},
+		"peer ran it and restarted in the outage": {func(d *desk, a, b *vm) {
+			b.view.Cut()
+			a.book("key", "bike", dieAfter)
+			d.log.Faults().Set(faults.Settings{Outage: true})
+			// The new process stands where the old one was.
+			d.vms = []*vm{b}
+			d.start("a2")
+		}, maybe},
+		"peer died before the outage": {func(_ *desk, a, _ *vm) {
+			a.die()
+			time.Sleep(10 * time.Second)
+		}, no},
+		"ran before the outage": {func(_ *desk, a, _ *vm) { a.book("key", "bike", dieAfter) }, maybe},
+	}
+	for name, c := range cases {
+		inDesk(t, 1, func(d *desk) {
+			a, b := d.start("a"), d.start("b")
+			c.before(d, a, b)
+			d.log.Faults().Set(faults.Settings{Outage: true})
+			time.Sleep(time.Second)
+			got := b.book("key", "bike", succeed)
+			if got.told == nil || got.told.Ran != c.want || got.took > 100*time.Millisecond {
+				t.Errorf("%s: %v, want ran %s", name, got, c.want)
+			}
+		})
+	}
+}
+
+// All entry VMs restart while the log is out of reach. None knows any claim, and
+// all agree that nobody is ahead; still a booking may have run before.
+func TestRestartOfAllInOutage(t *testing.T) {
+	inDesk(t, 1, func(d *desk) {
+		a := d.start("a")
+		a.book("key", "bike", dieAfter)
+		d.log.Faults().Set(faults.Settings{Outage: true})
+		d.vms = nil
+		b, _ := d.start("b"), d.start("c")
+		time.Sleep(time.Hour)
+		d.wantTold("after the restart", b.book("key", "bike", succeed), refusal.CodeLogUnavailable, maybe)
+	})
+}
--- /dev/null
+++ b/internal/claims/desk_test.go
@@ -0,0 +1,216 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/caller"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/claims"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+)
+
+// desk is entry VMs that claim bookings over one log, and the backend server
+// that books.
+type desk struct {
+	t   *testing.T
+	log *logserver.Store
+
+	mu  sync.Mutex
+	vms []*vm
+	// ran are the bookings that ran, by key.
+	ran map[string][]string
+}
+
+// vm is one process of an entry VM.
+type vm struct {
+	*claims.Claimer
+	desk   *desk
+	name   string
+	view   *logserver.View
+	ctx    context.Context
+	kill   context.CancelFunc
+	duties sync.WaitGroup
+	// diedAt is zero while it lives; cut is whether peers can't reach it.
+	diedAt time.Time
+	cut    bool
+}
+
+func inDesk(t *testing.T, seed uint64, test func(d *desk)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &desk{t: t, log: logserver.New(logserver.Config{Seed: seed}), ran: make(map[string][]string)}
+		test(d)
+		for _, v := range d.vms {
+			v.die()
+		}
+		time.Sleep(time.Minute) // late appends land, records of answers give up
+	})
+}
+
+// start starts an entry VM and waits for its table, if the log is there.
+func (d *desk) start(name string) *vm {
+	v := &vm{desk: d, name: name, view: d.log.View(name)}
+	v.ctx, v.kill = context.WithCancel(d.t.Context())
+	v.Claimer = claims.New(claims.Config{
+		Log: v.view, Logger: zap.NewNop(), VM: name, Incarnation: name, Window: time.Hour,
+		Alive: d.alive, NobodyAhead: v.nobodyAhead, WritesSnapshots: func() bool { return false },
+	})
+	v.duties.Go(func() { v.Follow(v.ctx) })
+	v.duties.Go(func() { v.Commit(v.ctx) })
+	d.mu.Lock()
+	d.vms = append(d.vms, v)
+	d.mu.Unlock()
+	// The first read of a quiet stream takes its whole wait.
+	time.Sleep(3 * time.Second)
+	return v
+}
+
+func (v *vm) die() {
+	v.kill()
+	v.duties.Wait()
+	v.desk.mu.Lock()
+	defer v.desk.mu.Unlock()
+	if v.diedAt.IsZero() {
+		v.diedAt = time.Now()
+	}
+}
+
+func (d *desk) alive(incarnation string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range d.vms {
+		if v.name == incarnation {
+			return v.diedAt.IsZero()
+		}
+	}
+	return false
+}
+
+// nobodyAhead asks as a node does: also those that died since.
+func (v *vm) nobodyAhead(_ context.Context, query entryvm.ClaimQuery, applied uint64, since time.Time) bool {
+	v.desk.mu.Lock()
+	defer v.desk.mu.Unlock()
+	for _, other := range v.desk.vms {
+		gone := !other.diedAt.IsZero()
+		if other == v || (gone && other.diedAt.Before(since)) {
+			continue
+		}
+		if gone || other.cut {
+			return false
+		}
+		reply := other.Claimed(query)
+		if reply.Held || reply.Applied > applied || time.Now().Add(-reply.Up).After(since) {
+			return false
+		}
+	}
+	return true
+}
+
+// answered is what one arrival of a booking got.
+type answered struct {
+	// booked is the number of the booking that the caller was told, told the
+	// refusal.
+	booked string
+	told   *refusal.Refusal
+	// dispatched is the booking that this arrival itself ran, empty if none.
+	dispatched string
+	took       time.Duration
+}
+
+func (a answered) String() string { return fmt.Sprintf("%q, %v, after %v", a.booked, a.told, a.took) }
+
+// attempt is how a dispatch ends.
+type attempt func(v *vm, run func()) bool
+
+var (
+	// succeed runs the booking and has its answer.
+	succeed attempt = func(_ *vm, run func()) bool { run(); return true }
+	// dieAfter runs the booking, and the entry VM dies before it has the answer.
+	dieAfter attempt = func(v *vm, run func()) bool { run(); v.die(); return false }
+	// dieBefore has the entry VM die before the booking is sent.
+	dieBefore attempt = func(v *vm, _ func()) bool { v.die(); return false }
+	// lose runs the booking, whose answer is lost.
+	lose attempt = func(_ *vm, run func()) bool { run(); return false }
+)
+
+const patience = 5 * time.Second
+
+func (v *vm) book(key, body string, how attempt) answered {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(v.ctx, patience)
+	defer cancel()
+	claim, stored, err := v.Begin(ctx, caller.ServiceCall{
+		Identity: caller.Identity{Customer: "hire"}, Once: true, IdempotencyKey: key,
+		Call: service.Call{Method: "POST", Path: "/book", Body: []byte(body)},
+	})
+	var a answered
+	switch {
+	case err != nil:
+		a.told = refusal.From(err)
+	case stored != nil:
+		a.booked = string(stored.Body)
+	default:
+		a = v.dispatch(claim, key, how)
+	}
+	a.took = time.Since(begun)
+	return a
+}
+
+// claim is a serving.Claim.
+type claim interface {
+	Done(service.Answer)
+	Unknown()
+}
+
+func (v *vm) dispatch(c claim, key string, how attempt) (a answered) {
+	ok := how(v, func() { a.dispatched = v.desk.run(key, v.name) })
+	if ok {
+		c.Done(service.Answer{Status: 201, Body: []byte(a.dispatched)})
+		a.booked = a.dispatched
+		return a
+	}
+	if v.ctx.Err() == nil {
+		c.Unknown()
+	}
+	a.told = refusal.Maybe(refusal.CodeOutcomeUnknown, "the call was sent and its answer was lost")
+	return a
+}
+
+// run is the backend server.
+func (d *desk) run(key, by string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	booking := fmt.Sprint("B", len(d.ran[key]), "-", key, "-", by)
+	d.ran[key] = append(d.ran[key], booking)
+	return booking
+}
+
+func (d *desk) times(key string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.ran[key])
+}
+
+// wantRan fails the test unless the booking ran so often.
+func (d *desk) wantRan(key string, times int) {
+	d.t.Helper()
+	if n := d.times(key); n != times {
+		d.t.Errorf("%s ran %d times, want %d", key, n, times)
+	}
+}
+
+// wantTold fails the test unless the arrival was refused so, at once.
+func (d *desk) wantTold(what string, a answered, code refusal.Code, ran refusal.Ran) {
+	d.t.Helper()
+	if a.told == nil || a.told.Code != code || a.told.Ran != ran || a.took > 100*time.Millisecond {
+		d.t.Errorf("%s: %v, want %s, ran %s, at once", what, a, code, ran)
+	}
+}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -43,10 +43,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.known[vm]; !known {
+	known, ok := r.known[vm]
+	if !ok {
 		r.forget(now)
 	}
-	r.known[vm] = member{address: address, seenAt: now}
+	if now.After(known.seenAt) {
+		r.known[vm] = member{address: address, seenAt: now}
+	}
 }
 
 // forget drops those that are long gone. Call with mu held.
