--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/vmlist"
+)
+
+// BenchmarkMemory gives the heap for each engine known, with two units and one
+// cached checkpoint, and BenchmarkEngines the time to list them all, which the
+// planner, the keeper and the routers do.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{40, 1_000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var bytes float64
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := knowing(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(f)
+				bytes = float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			}
+			b.ReportMetric(bytes/float64(n), "B/engine")
+		})
+	}
+}
+
+func BenchmarkEngines(b *testing.B) {
+	for _, n := range []int{40, 1_000, 10_000} {
+		f := knowing(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				f.Engines()
+			}
+		})
+	}
+}
+
+// knowing is a fleet that has the status of n engines.
+func knowing(n int) *Fleet {
+	f := New(Config{}, nil, nil)
+	var list vmlist.List
+	for i := range n {
+		list.VMs = append(list.VMs, vmlist.VM{ID: fmt.Sprintf("engine-vm-%05d", i), Kind: vmlist.KindEngine,
+			Address: fmt.Sprintf("10.120.%d.%d:7201", i/250, i%250), Domain: fmt.Sprint("domain-", i%7)})
+	}
+	f.list = list
+	f.take(list)
+	for i, vm := range list.VMs {
+		name := fmt.Sprintf("adapter-%05d", i)
+		f.Saw(vm.Address, engine.Status{Incarnation: fmt.Sprintf("%010d", i), Role: engine.RoleBoth, MemoryBytes: 80 << 30,
+			Units: []engine.Unit{
+				{Unit: "base-7b", Checkpoint: "base-7b:1", Bytes: 20 << 30, Phase: engine.PhaseReady},
+				{Unit: name, Base: "base-7b", Checkpoint: name + ":1", Bytes: 200 << 20, Phase: engine.PhaseReady},
+			},
+			Cached: map[string]engine.Tier{name + ":0": engine.TierDisk},
+			Load:   engine.Load{At: time.Unix(1_800_000_000, 0)}, Slots: 16}, nil)
+	}
+	return f
+}
