--- a/internal/serving/bed_test.go
+++ b/internal/serving/bed_test.go
@@ -73,7 +73,8 @@
 		b.candidates = append(b.candidates, routing.Candidate{Engine: name, Domain: name, Slots: 8, Ready: true})
 	}
 	controller := admission.New(admission.Config{})
-	controller.SetContracts(map[string]*contract.Contract{"c": {RequestsPerSecond: 1e5, Burst: 1e5, MaxQueued: 1e5}})
+	promised := contract.Contract{RequestsPerSecond: 1e5, Burst: 1e5, MaxQueued: 1e5, Models: []contract.Model{{Name: "m"}}}
+	controller.SetContracts(map[string]*contract.Contract{"c": &promised, "other": &promised})
 	b.server = serving.New(serving.Config{
 		Domain: "a", Directory: b, Engines: b, Services: b.services, Claims: &b.claims, Admission: controller,
 		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: zap.NewNop(), StallTimeout: stall,
@@ -165,8 +166,9 @@
 // refusal, and "ran: no" is said only of what no engine ran.
 func (b *bed) ask(ctx context.Context, id string, body []byte, onChunk func(int) error) error {
 	sink, begun := &reader{onChunk: onChunk}, time.Now()
+	customer := map[bool]string{false: "c", true: "other"}[id == "other"]
 	err := b.relayer.Generate(ctx, caller.Generation{
-		Identity: caller.Identity{Customer: "c"}, Arrived: begun, Prefixes: engineserver.PromptPrefixes("m", body),
+		Identity: caller.Identity{Customer: customer}, Arrived: begun, Prefixes: engineserver.PromptPrefixes("m", body),
 		Request: engine.Request{ID: id, Unit: "m", Path: "/v1/chat/completions", Body: body},
 	}, contract.Unit{Name: "m", MaxWait: maxWait}, sink)
 	whole, got := engineserver.ExpectedText(body), sink.text.String()
--- a/internal/serving/streams_test.go
+++ b/internal/serving/streams_test.go
@@ -30,8 +30,8 @@
 }
 
 // The caller gets the whole answer, no gap, no repeat. Its engine dies, or hangs,
-// or goes on with another stream's chunks; the other engine says it all again,
-// and what the caller has is left out.
+// or goes on with another stream's chunks; the other engine, busy at first, says
+// it all again, and what the caller has is left out.
 func TestStreamMovesWhenItsEngineFails(t *testing.T) {
 	for name, fail := range map[string]func(*engineserver.Engine){
 		"dies":    (*engineserver.Engine).Crash,
@@ -43,6 +43,12 @@
 			twin, longest = nil, 2*time.Second+stall // a twin would hang as well
 		}
 		script(t, twin, func(b *bed) {
+			b.hook = func(address string, _ *engine.Request) error {
+				if address == "b" && b.calls.Load() <= 5 {
+					return engine.ErrBusy
+				}
+				return nil
+			}
 			b.set(onlyA)
 			begun := time.Now()
 			b.whole("r", 40, at(5, func() { b.set(both); fail(b.Engine("a")) }))
@@ -71,6 +77,41 @@
 	}
 }
 
+// Six engines break the stream at the same chunk, as if by a fault in what they
+// are asked. The caller is told after three moves, not after the last engine.
+func TestStreamMovesAFewTimes(t *testing.T) {
+	script(t, skips, func(b *bed) {
+		for _, name := range []string{"c", "d", "e", "f"} {
+			b.Put(name, b.Engine("b"))
+			b.candidates = append(b.candidates, routing.Candidate{Engine: name, Slots: 8, Ready: true})
+		}
+		b.Engine("a").SetFaults(engineserver.Faults{CrossChunk: 7})
+		b.Engine("b").SetFaults(engineserver.Faults{CrossChunk: 7})
+		b.refused("r", quietly, refusal.CodeBackendFailed, refusal.RanMaybe)
+		b.want(b.calls.Load() == 4, "%d calls", b.calls.Load())
+	})
+}
+
+// A customer sends far more than its share. It leaves the pool's reserve free,
+// here 4 of 16 slots, so that another's request need not wait behind it.
+func TestBurstLeavesTheReserve(t *testing.T) {
+	script(t, nil, func(b *bed) {
+		b.server.Decide(func(a *admission.Controller, _ *routing.Router) {
+			a.SetPeers(time.Now(), map[string]admission.PeerUsage{"c": {Admitted: 100}, "other": {Admitted: 1}})
+		})
+		for i := range 30 {
+			go b.ask(b.Context(), fmt.Sprint(i), body("hello", 1e5), quietly)
+		}
+		time.Sleep(time.Second)
+		b.server.Decide(func(_ *admission.Controller, r *routing.Router) {
+			b.want(r.InFlight()["a"]+r.InFlight()["b"] == 12, "in flight: %v", r.InFlight())
+		})
+		begun := time.Now()
+		b.whole("other", 4, quietly)
+		b.want(time.Since(begun) < time.Second, "took %v", time.Since(begun))
+	})
+}
+
 // The caller leaves in the middle of a long answer. The engine is told: it would
 // decode to the end otherwise, in a slot that others wait for.
 func TestCallerThatLeavesFreesTheEngine(t *testing.T) {
@@ -211,20 +252,35 @@
 	})
 }
 
+// Callers leave, or can't be written to. That blames no engine: else a few such
+// callers would take it from all others.
+func TestCallersBlameNoEngine(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		script(t, nil, func(b *bed) {
+			b.set(onlyA)
+			for i := range 10 {
+				ctx, leave := context.WithCancel(b.Context())
+				_ = b.ask(ctx, fmt.Sprint(i), body("hello", 8), func(int) error {
+					if leaves {
+						leave()
+						return nil
+					}
+					return errors.New("sink failed")
+				})
+				leave()
+			}
+			b.server.Decide(func(_ *admission.Controller, r *routing.Router) {
+				b.want(r.Breaker(time.Now(), "a") == routing.BreakerClosed, "breaker open")
+			})
+		})
+	}
+}
+
 // An engine restarts below its streams. Their ends must not be subtracted from
-// what runs there since: it would be sent more than it has slots for. And a
-// caller's end that fails blames no engine.
+// what runs there since: it would be sent more than it has slots for.
 func TestRestartedEngineIsCountedAnew(t *testing.T) {
 	script(t, nil, func(b *bed) {
 		b.set(onlyA)
-		failing := errors.New("sink failed")
-		for i := range 5 {
-			err := b.ask(b.Context(), fmt.Sprint(i), body("hello", 8), func(int) error { return failing })
-			b.want(errors.Is(err, failing), "%v", err)
-		}
-		b.server.Decide(func(_ *admission.Controller, r *routing.Router) {
-			b.want(r.Breaker(time.Now(), "a") == routing.BreakerClosed, "breaker open")
-		})
 		ctx, leave := context.WithCancel(b.Context())
 		go b.ask(ctx, "before", body("hello", 1e5), quietly)
 		time.Sleep(time.Second)
@@ -277,6 +333,9 @@
 		time.AfterFunc(time.Second, b.stop)
 		b.refused("waits", quietly, refusal.CodeShuttingDown, refusal.RanNo)
 		b.refused("late", quietly, refusal.CodeShuttingDown, refusal.RanNo)
+		b.server.Decide(func(a *admission.Controller, _ *routing.Router) {
+			b.want(len(a.Demand(time.Now())) == 0, "%v still wait", a.Demand(time.Now()))
+		})
 		b.want(b.server.Open() == 0, "still open")
 	})
 }
