serving: test that requests on a hung engine leave the retry budget alone

Cause: a trial found the refusal of a late first token without a test: sent back to the queue instead, the later ones would spend the retry budget and end as "backend failed".

Ruled out: nothing.

--- a/internal/serving/streams_test.go
+++ b/internal/serving/streams_test.go
@@ -215,19 +215,22 @@
 }
 
 // An engine hangs and looks idle. After two seconds without any first token from
-// it, requests go to the other one: the router hears of each first token.
+// it, requests go to the other one: the router hears of each first token. Those
+// on it are refused at their longest wait and take nothing of the retry budget.
 func TestHungEngineDrawsNoMore(t *testing.T) {
 	script(t, nil, func(b *bed) {
 		b.set(func(a, b *routing.Candidate) { a.Slots, b.Slots = 100, 100 })
 		b.whole("before", 4, quietly)
 		b.Engine("a").SetFaults(engineserver.Faults{Frozen: true})
-		for i := range 4 {
-			go b.ask(b.Context(), fmt.Sprint(i), body("hello", 4), quietly)
+		for i := range 8 {
+			go b.refused(fmt.Sprint(i), quietly, refusal.CodeWaitTooLong, refusal.RanMaybe)
 		}
 		time.Sleep(2500 * time.Millisecond)
 		for i := range 10 {
 			b.whole(fmt.Sprint("later", i), 4, quietly)
 		}
+		time.Sleep(maxWait)
+		b.want(b.server.Open() == 0, "still open")
 	})
 }
 
