daemon: Limits, retry_budget and the log client's name take effect; gauges

held_bytes, answer_bytes, write_timeout and idle_timeout could not be set, and retry_budget was read and used by nobody: the budget had a constant share. The log could not tell its clients apart. Without [metrics] address a port was opened on a random number, where the settings promise the operators' port.

Gauges of the node are in a set of their own, as a development system has several nodes in one process. docs/operations/metrics.md says what each one means and which alert belongs to it; a test holds page and metrics together.

Claims' skipped records are not told either.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -254,3 +254,20 @@
 		t.Errorf("%d retries of 6000 requests", retried)
 	}
 }
+
+// The operator's share of retries counts, and 0 of it leaves only the floor.
+func TestRetryShare(t *testing.T) {
+	for share, most := range map[float64]int{-1: 10, 0.5: 600} {
+		b := RetryBudget{Share: share}
+		retried := 0
+		for i := range 1000 {
+			b.Sent(epoch.Add(time.Duration(i) * 10 * time.Millisecond))
+			if b.Retry(epoch.Add(time.Duration(i) * 10 * time.Millisecond)) {
+				retried++
+			}
+		}
+		if retried > most || (share > 0 && retried < 300) {
+			t.Errorf("share %v: %d retries of 1000 requests", share, retried)
+		}
+	}
+}
--- a/admission/retry.go
+++ b/admission/retry.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// retryShare is the share of recent requests that may be retried. One retry
-	// each would double the load of a pool that already fails under it.
-	retryShare = 0.1
+	// DefaultRetryShare is the share of recent requests that may be retried. One
+	// retry each would double the load of a pool that already fails under it.
+	DefaultRetryShare = 0.1
 	// retryFloor is how many retries are allowed beside the share, so that a
 	// quiet VM can still retry a single failure.
 	retryFloor = 3
@@ -17,6 +17,10 @@
 // that fail under overload come back as more load, and the overload stays after
 // its cause has gone. The zero value is ready. It is not safe for concurrent use.
 type RetryBudget struct {
+	// Share is the share of recent requests that may be retried; 0 means
+	// DefaultRetryShare, less than 0 none.
+	Share float64
+
 	requests, retries meter
 }
 
@@ -25,9 +29,13 @@
 
 // Retry tells whether one more attempt may be made now, and counts it if so.
 func (b *RetryBudget) Retry(now time.Time) bool {
+	share := max(b.Share, 0)
+	if b.Share == 0 {
+		share = DefaultRetryShare
+	}
 	b.requests.decay(now, retryWindow)
 	b.retries.decay(now, retryWindow)
-	if b.retries.count+1 > retryShare*b.requests.count+retryFloor {
+	if b.retries.count+1 > share*b.requests.count+retryFloor {
 		return false
 	}
 	b.retries.add(now, 1, retryWindow)
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/caller"
 	"bergamotreel/internal/node"
 	"bergamotreel/internal/settings"
 	"bergamotreel/lease"
@@ -31,13 +32,30 @@
 		Incarnation: incarnation, Version: version, Peers: peers, Logger: logger, Rand: random,
 		Lease:     leaseConfig(s.Policy),
 		Placement: placementConfig(s.Policy),
-		Admission: admission.Config{MaxQueued: s.Limits.Queue},
+		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
 		Heartbeat: s.Policy.Heartbeat,
 		HeardFor:  heartbeatsMissed * s.Policy.Heartbeat,
 		Claims:    s.Policy.ClaimWindow,
 	}
 }
 
+// callerLimits turns settings into the limits of the callers' port.
+func callerLimits(l settings.Limits) caller.Limits {
+	return caller.Limits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeldBytes: l.HeldBytes, AnswerBytes: l.AnswerBytes,
+		ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout, IdleTimeout: l.IdleTimeout,
+		Connections: l.Connections,
+	}
+}
+
+// retryShare turns the settings' 0, no retries, into what the budget takes for it.
+func retryShare(budget float64) float64 {
+	if budget == 0 {
+		return -1
+	}
+	return budget
+}
+
 func leaseConfig(p settings.Policy) lease.Config {
 	return lease.Config{
 		Term: p.SessionTerm, Margin: p.SessionTerm / marginPart,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,11 +84,13 @@
 		d.closeListeners()
 		return nil, err
 	}
-	d.operatorsServer = &http.Server{
-		Handler:           operator.NewHandler(d.node.Operators(), s.Operators.TokenSHA256...),
-		ReadHeaderTimeout: headerTimeout,
+	operators := operator.NewHandler(d.node.Operators(), s.Operators.TokenSHA256...)
+	telemetry := telemetryHandler(d.node)
+	if s.Metrics.Address == "" {
+		operators = besideOperators(telemetry, operators)
 	}
-	d.metricsServer = &http.Server{Handler: d.metrics(), ReadHeaderTimeout: headerTimeout}
+	d.operatorsServer = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
+	d.metricsServer = &http.Server{Handler: telemetry, ReadHeaderTimeout: headerTimeout}
 	return d, nil
 }
 
@@ -113,7 +115,7 @@
 	http := httpjson.DefaultClient()
 	p := d.settings.Platform
 	return node.Peers{
-		Log:         platformlog.NewClient(p.LogURL, http),
+		Log:         platformlog.NewClient(p.LogURL, http).Named(d.settings.VM.ID),
 		VMList:      vmlist.NewClient(p.VMListURL, http),
 		WeightStore: weightstore.NewClient(p.WeightStoreURL, http),
 		Engines:     engine.NewClient(once),
@@ -124,10 +126,7 @@
 
 func (d *Daemon) serveCallers() error {
 	s := d.settings
-	limits := caller.Limits{
-		HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes,
-		ReadTimeout: s.Limits.ReadTimeout, Connections: s.Limits.Connections,
-	}
+	limits := callerLimits(s.Limits)
 	certificate, err := certificate(s.TLS.CallersCert, s.TLS.CallersKey)
 	if err != nil {
 		return &settings.Problem{File: s.File, Section: "tls", Key: "callers_cert", Reason: err.Error()}
@@ -149,18 +148,6 @@
 	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
 }
 
-func (d *Daemon) metrics() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", telemetry.MetricsHandler())
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := d.node.Ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
 // Run serves until ctx ends and then shuts down gracefully: no request that was
 // taken is cut off within the settings' grace.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -190,7 +177,9 @@
 		return entryvm.Serve(duties, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil)
 	})
 	serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
-	serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
+	if d.metricsListener != nil {
+		serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
+	}
 	d.logger.Info("serving", zap.String("callers", d.settings.VM.CallersAddress))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"bergamotreel/caller"
+	"bergamotreel/internal/node"
+	"bergamotreel/internal/settings"
+)
+
+func sample(t *testing.T) *settings.Settings {
+	text := strings.Replace(settings.Sample(), "secret = replace-by-32-or-more-random-characters",
+		"secret = "+strings.Repeat("x", settings.MinSecretLength), 1)
+	s, err := settings.Parse("sample.ini", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// A limit that the settings name but the port never gets would be believed and
+// not be there.
+func TestEachLimitReachesThePort(t *testing.T) {
+	limits := reflect.ValueOf(callerLimits(sample(t).Limits))
+	for i := range limits.NumField() {
+		if limits.Field(i).IsZero() {
+			t.Errorf("caller.Limits.%s is not set", limits.Type().Field(i).Name)
+		}
+	}
+	if got := limits.Interface().(caller.Limits).HeldBytes; got != 128<<20 {
+		t.Errorf("held bytes %d", got)
+	}
+}
+
+func TestRetryBudgetReachesTheNode(t *testing.T) {
+	s := sample(t)
+	for budget, want := range map[float64]float64{0: -1, 0.25: 0.25} {
+		s.Policy.RetryBudget = budget
+		if got := nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare; got != want {
+			t.Errorf("retry_budget %v: share %v", budget, got)
+		}
+	}
+}
+
+// Without an address of their own the metrics are on the operators' port, free of
+// a token, and the operators' paths still need one.
+func TestMetricsBesideOperators(t *testing.T) {
+	named := func(name string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(name)) })
+	}
+	both := besideOperators(named("telemetry"), named("operators"))
+	for path, want := range map[string]string{"/metrics": "telemetry", "/readyz": "telemetry", "/status": "operators"} {
+		answer := httptest.NewRecorder()
+		both.ServeHTTP(answer, httptest.NewRequest("GET", path, nil))
+		if answer.Body.String() != want {
+			t.Errorf("%s is served by %s", path, answer.Body)
+		}
+	}
+}
+
+// An operator who meets a metric must find what it means, and the other way round.
+func TestPageNamesEachMetric(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	stats := node.Stats{Lag: 7, Refusals: map[string]uint64{"slow": 3}}
+	gauges(func() node.Stats { return stats }).WritePrometheus(&text)
+	answer := httptest.NewRecorder()
+	writeRefusals(answer, stats.Refusals)
+	text.WriteString(answer.Body.String())
+	if !strings.Contains(text.String(), "bergamotreel_control_lag_records 7") {
+		t.Errorf("got %s", text.String())
+	}
+	name := regexp.MustCompile(`bergamotreel_[a-z_]+`)
+	served := make(map[string]bool)
+	for _, metric := range name.FindAllString(text.String(), -1) {
+		served[metric] = true
+		if !strings.Contains(string(page), "`"+metric+"`") {
+			t.Errorf("the page doesn't name %s", metric)
+		}
+	}
+	for _, metric := range name.FindAllString(string(page), -1) {
+		if !served[metric] && !strings.HasPrefix(metric, "bergamotreel_caller_") {
+			t.Errorf("the page names %s, which is not served", metric)
+		}
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -24,6 +24,9 @@
 		{"metrics", "address", s.Metrics.Address, &d.metricsListener},
 	}
 	for _, port := range ports {
+		if port.address == "" {
+			continue // the operators' port serves the metrics too
+		}
 		listener, err := caller.Listen(context.Background(), port.address)
 		if err != nil {
 			return &settings.Problem{File: s.File, Section: port.section, Key: port.key, Reason: err.Error()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,9 +61,11 @@
 	Lease     lease.Config
 	Placement placement.Config
 	Admission admission.Config
-	Heartbeat time.Duration
-	HeardFor  time.Duration
-	Claims    time.Duration
+	// RetryShare is admission.RetryBudget's Share.
+	RetryShare float64
+	Heartbeat  time.Duration
+	HeardFor   time.Duration
+	Claims     time.Duration
 	// SnapshotMaxAge must be well under the log's retention.
 	SnapshotMaxAge time.Duration
 }
@@ -142,7 +144,7 @@
 		Engines: n.config.Peers.Engines, Services: n.config.Peers.Services, Claims: n.claims,
 		Admission: admission.New(n.config.Admission),
 		Router:    routing.New(routing.Config{}, n.config.Rand),
-		Logger:    n.config.Logger,
+		Logger:    n.config.Logger, RetryShare: n.config.RetryShare,
 	})
 }
 
--- /dev/null
+++ b/internal/node/stats.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"time"
+
+	"bergamotreel/admission"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/routing"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+// Stats is what the metrics tell of this entry VM.
+type Stats struct {
+	// Applied and End are offsets of the control stream, Lag their difference.
+	Applied, End, Lag uint64
+	// Skipped counts control records that no VM could read.
+	Skipped uint64
+	// LogReachable and Ready are as in the operators' status.
+	LogReachable, Ready bool
+	// LiveVMs are the entry VMs that are heard, ListedVMs those on the VM list;
+	// both include this one.
+	LiveVMs, ListedVMs int
+	// SessionHeld is whether this VM has a keeper's session, EnginesKept how many
+	// engines it keeps.
+	SessionHeld bool
+	EnginesKept int
+	// EnginesListed are the engines on the VM list, EnginesUnkept those of them
+	// that nobody keeps.
+	EnginesListed, EnginesUnkept int
+	// Open counts requests here; Waiting those for a backend server, InFlight
+	// those on one.
+	Open, Waiting, InFlight int
+	// Refusals counts them here since the start, by code.
+	Refusals map[string]uint64
+}
+
+// Stats reads them.
+func (n *Node) Stats() Stats {
+	now := time.Now()
+	position := operators{n}.logPosition(now)
+	stats := Stats{
+		Applied: position.Applied, End: position.End, Lag: position.Lag,
+		LogReachable: position.Reachable, Ready: n.Ready() == nil,
+		LiveVMs: len(n.gossip.Live()) + 1, ListedVMs: len(n.fleet.VMs(vmlist.KindEntry)),
+		Open: n.serving.Open(), Refusals: n.refused.byCode(),
+	}
+	n.readEngines(&stats, n.fleet.Engines())
+	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
+		for _, demand := range a.Demand(now) {
+			stats.Waiting += demand.Waiting
+		}
+		for _, running := range r.InFlight() {
+			stats.InFlight += running
+		}
+	})
+	return stats
+}
+
+func (n *Node) readEngines(stats *Stats, engines []fleet.Engine) {
+	session := n.keeper.Session()
+	stats.SessionHeld = session != 0
+	stats.EnginesListed = len(engines)
+	n.control.View(func(s *state.State) {
+		stats.Skipped = s.Skipped
+		if session != 0 {
+			stats.EnginesKept = len(s.KeptBy(session))
+		}
+		for _, e := range engines {
+			if agreed := s.Engines[e.VM.Address]; agreed == nil || agreed.KeeperSession == 0 {
+				stats.EnginesUnkept++
+			}
+		}
+	})
+}
+
+// byCode sums the counts over customers.
+func (r *refusals) byCode() map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sums := make(map[string]uint64)
+	for key, count := range r.counts {
+		sums[key.Code] += count
+	}
+	return sums
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -42,6 +42,8 @@
 	// StallTimeout is the longest silence within a stream before it moves to
 	// another engine; the default is 10 s, far beyond 80 ms between tokens.
 	StallTimeout time.Duration
+	// RetryShare is admission.RetryBudget's Share.
+	RetryShare float64
 }
 
 const (
@@ -89,6 +91,7 @@
 	}
 	return &Server{
 		config:    config,
+		budget:    admission.RetryBudget{Share: config.RetryShare},
 		wake:      make(chan struct{}, 1),
 		abandoned: make(chan abandonment, maxAbandoned),
 		waiters:   make(map[*admission.Ticket]*waiter),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,8 +83,16 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeldBytes bounds the bodies of all requests under way, AnswerBytes one
+	// answer that is put together before it is sent.
+	HeldBytes   int64
+	AnswerBytes int64
 	ReadTimeout time.Duration
-	Connections int
+	// WriteTimeout bounds one write to a caller, IdleTimeout a connection
+	// without requests.
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+	Connections  int
 	// Queue bounds the waiting requests of all customers.
 	Queue int
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -108,11 +108,31 @@
 		help: "longest body of a request; a prompt of 128k tokens takes less than 1 MiB",
 		set:  size(1<<10, 1<<30, func(s *Settings, bytes int64) { s.Limits.BodyBytes = bytes }),
 	},
+	{
+		section: "limits", key: "held_bytes", byDefault: "128MiB",
+		help: "bodies of all requests under way; 10,000 streams with 12 KiB of prompt each",
+		set:  size(1<<20, 1<<40, func(s *Settings, bytes int64) { s.Limits.HeldBytes = bytes }),
+	},
+	{
+		section: "limits", key: "answer_bytes", byDefault: "16MiB",
+		help: "longest answer that is put together before it is sent (stream false); longer ones must be streamed",
+		set:  size(1<<10, 1<<30, func(s *Settings, bytes int64) { s.Limits.AnswerBytes = bytes }),
+	},
 	{
 		section: "limits", key: "read_timeout", byDefault: "10s",
 		help: "longest time to read a request; slower callers would hold connections for nothing",
 		set:  duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.ReadTimeout }),
 	},
+	{
+		section: "limits", key: "write_timeout", byDefault: "10s",
+		help: "longest time that one write waits for a caller who doesn't read; longer ones would hold memory and engines for nobody",
+		set:  duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout }),
+	},
+	{
+		section: "limits", key: "idle_timeout", byDefault: "60s",
+		help: "how long a connection without requests stays open; outlasts a clerk's pause between two questions",
+		set:  duration(time.Second, 24*time.Hour, func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout }),
+	},
 	{
 		section: "limits", key: "connections", byDefault: "20000",
 		help: "open connections of callers; twice the 10,000 streams a VM is measured with",
@@ -165,7 +185,7 @@
 	},
 	{
 		section: "policy", key: "retry_budget", byDefault: "0.1",
-		help: "share of the traffic that may be retries; more would let an overload feed itself",
+		help: "share of the traffic that may be retries, beside three in ten seconds that are always allowed; more would let an overload feed itself",
 		set:  share(0, 1, func(s *Settings) *float64 { return &s.Policy.RetryBudget }),
 	},
 	{
