--- a/internal/chunks/chunks.go
+++ b/internal/chunks/chunks.go
@@ -34,6 +34,9 @@
 	Parts int    `json:"parts" cbor:"4,keyasint"`
 	// Gap marks a snapshot by a VM that lost records to the log's retention.
 	Gap bool `json:"gap,omitempty" cbor:"5,keyasint,omitempty"`
+	// Confirms is the offset of the marked snapshot that this one repeats as a
+	// ruling, 0 if it is none; see package replica.
+	Confirms uint64 `json:"confirms,omitempty" cbor:"8,keyasint,omitempty"`
 	// Sum is the xxhash of the whole encoded state, before compression: equal
 	// states have equal sums.
 	Sum  uint64 `json:"sum" cbor:"6,keyasint"`
@@ -100,5 +103,6 @@
 }
 
 func sameSnapshot(a, b Chunk) bool {
-	return a.Writer == b.Writer && a.UpTo == b.UpTo && a.Sum == b.Sum
+	return a.Writer == b.Writer && a.UpTo == b.UpTo && a.Sum == b.Sum &&
+		a.Gap == b.Gap && a.Confirms == b.Confirms
 }
--- a/internal/chunks/collector.go
+++ b/internal/chunks/collector.go
@@ -50,6 +50,14 @@
 // Newest returns the chunks of the newest complete snapshot, nil without one.
 func (c *Collector) Newest() []Chunk { return c.newest }
 
+// Take returns Newest and forgets it, so that an older snapshot may complete
+// next. Parts of other snapshots stay.
+func (c *Collector) Take() []Chunk {
+	taken := c.newest
+	c.newest = nil
+	return taken
+}
+
 func (c *Collector) find(chunk Chunk) *partial {
 	for _, p := range c.open {
 		if p.fits(chunk) {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -16,7 +16,6 @@
 	"bergamotreel/caller"
 	"bergamotreel/entryvm"
 	"bergamotreel/idempotency"
-	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/commit"
 	"bergamotreel/internal/replica"
 	"bergamotreel/platformlog"
@@ -91,10 +90,6 @@
 	return idempotency.Encode(idempotency.Record{Entries: entries})
 }
 
-func restore(content any) (*idempotency.Table, error) {
-	return idempotency.Restore(content.([]chunks.Chunk))
-}
-
 func (c *Claimer) resolve(r idempotency.Result) {
 	if r.ID.Claimer == c.config.Incarnation && r.ID.Sequence != 0 {
 		c.batcher.Resolve(r.ID.Sequence, r)
--- a/internal/claims/fold.go
+++ b/internal/claims/fold.go
@@ -2,15 +2,14 @@
 
 import (
 	"bergamotreel/idempotency"
-	"bergamotreel/internal/replica"
+	"bergamotreel/internal/chunks"
 	"bergamotreel/platformlog"
 )
 
 // fold makes an idempotency.Table the fold of a replica. The replica calls it
 // under its lock.
 type fold struct {
-	table     *idempotency.Table
-	collector idempotency.Collector
+	table *idempotency.Table
 	// result is told what each entry came to.
 	result func(idempotency.Result)
 }
@@ -23,20 +22,21 @@
 
 func (f *fold) Applied() platformlog.Offset { return platformlog.Offset(f.table.Applied()) }
 
-func (f *fold) Collect(r platformlog.Record) (replica.Snapshot, bool) {
+func (f *fold) Part(r platformlog.Record) *chunks.Chunk {
 	record, err := idempotency.Decode(r.Data)
-	if err != nil || record.Snapshot == nil || !f.collector.Add(*record.Snapshot) {
-		return replica.Snapshot{}, false
+	if err != nil {
+		return nil
 	}
-	newest := f.collector.Newest()
-	f.collector = idempotency.Collector{}
-	return replica.Snapshot{
-		UpTo: platformlog.Offset(newest[0].UpTo), Gap: newest[0].Gap, Content: newest,
-	}, true
+	return record.Snapshot
+}
+
+func (f *fold) EncodePart(part chunks.Chunk) ([]byte, error) {
+	data, err := idempotency.Encode(idempotency.Record{Snapshot: &part})
+	return data, Error.Wrap(err)
 }
 
-func (f *fold) Restore(s replica.Snapshot) error {
-	restored, err := restore(s.Content)
+func (f *fold) Restore(parts []chunks.Chunk) error {
+	restored, err := idempotency.Restore(parts)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -44,18 +44,7 @@
 	return nil
 }
 
-func (f *fold) Snapshot(writer string, gap bool) ([][]byte, error) {
+func (f *fold) Snapshot(writer string) ([]chunks.Chunk, error) {
 	parts, err := f.table.Snapshot(writer)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	records := make([][]byte, len(parts))
-	for i := range parts {
-		parts[i].Gap = gap
-		records[i], err = idempotency.Encode(idempotency.Record{Snapshot: &parts[i]})
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-	}
-	return records, nil
+	return parts, Error.Wrap(err)
 }
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"bergamotreel/internal/replica"
+	"bergamotreel/internal/chunks"
 	"bergamotreel/platformlog"
 	"bergamotreel/state"
 )
@@ -9,8 +9,7 @@
 // fold makes a state.State the fold of a replica. The replica calls it under
 // its lock.
 type fold struct {
-	state     *state.State
-	collector state.Collector
+	state *state.State
 	// outcome is told what each proposal came to.
 	outcome func(state.Outcome)
 }
@@ -23,23 +22,21 @@
 
 func (f *fold) Applied() platformlog.Offset { return platformlog.Offset(f.state.Applied) }
 
-func (f *fold) Collect(r platformlog.Record) (replica.Snapshot, bool) {
+func (f *fold) Part(r platformlog.Record) *chunks.Chunk {
 	record, err := state.Decode(r.Data)
-	if err != nil || record.Snapshot == nil || !f.collector.Add(*record.Snapshot) {
-		return replica.Snapshot{}, false
+	if err != nil {
+		return nil
 	}
-	newest := f.collector.Newest()
-	// The parts are needed once; holding them would double the state's memory.
-	f.collector = state.Collector{}
-	return replica.Snapshot{
-		UpTo:    platformlog.Offset(newest[0].UpTo),
-		Gap:     newest[0].Gap,
-		Content: newest,
-	}, true
+	return record.Snapshot
+}
+
+func (f *fold) EncodePart(part chunks.Chunk) ([]byte, error) {
+	data, err := state.Encode(state.Record{Snapshot: &part})
+	return data, Error.Wrap(err)
 }
 
-func (f *fold) Restore(s replica.Snapshot) error {
-	restored, err := state.Restore(s.Content.([]state.SnapshotChunk))
+func (f *fold) Restore(parts []chunks.Chunk) error {
+	restored, err := state.Restore(parts)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -47,18 +44,7 @@
 	return nil
 }
 
-func (f *fold) Snapshot(writer string, gap bool) ([][]byte, error) {
+func (f *fold) Snapshot(writer string) ([]chunks.Chunk, error) {
 	parts, err := f.state.Snapshot(writer)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	records := make([][]byte, len(parts))
-	for i := range parts {
-		parts[i].Gap = gap
-		records[i], err = state.Encode(state.Record{Snapshot: &parts[i]})
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-	}
-	return records, nil
+	return parts, Error.Wrap(err)
 }
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -1,22 +1,28 @@
 package replica
 
 import (
+	"bergamotreel/internal/chunks"
 	"bergamotreel/platformlog"
 )
 
 // Since returns the records from the offset on for a peer that lags. Where they
-// are no longer held, it returns a snapshot instead.
+// are no longer held, it returns a snapshot instead, or nothing if its own state
+// may not be the agreed one.
 func (r *Replica) Since(from platformlog.Offset) ([]platformlog.Record, [][]byte, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.config.Fold.Applied() < from {
+	if records, held := r.ring.from(from, readMax); held && len(records) > 0 {
+		return records, nil, nil
+	}
+	if !r.following || r.config.Fold.Applied() < from {
 		return nil, nil, nil
 	}
-	if records, held := r.ring.from(from, readMax); held {
-		return records, nil, nil
+	parts, err := r.config.Fold.Snapshot(r.config.Writer)
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
 	}
-	snapshot, err := r.config.Fold.Snapshot(r.config.Writer, !r.following)
-	return nil, snapshot, Error.Wrap(err)
+	snapshot, err := r.encode(parts)
+	return nil, snapshot, err
 }
 
 // Lags tells whether a peer that has folded up to the offset knows more.
@@ -27,33 +33,30 @@
 }
 
 // Offer takes what a peer sent for Since(Applied+1): the same records that the
-// log would give, so a VM cut off from the log still follows.
+// log would give, so a VM cut off from the log still follows, and one whose
+// next records expired unread gets them from a peer that has read them.
 func (r *Replica) Offer(records []platformlog.Record, snapshot [][]byte) {
 	r.mu.Lock()
-	for _, data := range snapshot {
-		r.offerSnapshot(data)
-	}
-	if r.following {
-		for _, record := range records {
-			r.fold(record)
-		}
+	r.offerSnapshot(snapshot)
+	if len(records) > 0 && !r.following && !r.suspect && records[0].Offset == r.config.Fold.Applied()+1 {
+		r.follow()
 	}
+	r.takeRecords(records)
 	r.mu.Unlock()
-	r.config.Changed()
+	r.changed()
 }
 
-// offerSnapshot takes a peer's snapshot where it is ahead. A marked one is left
-// to the log: which of several counts is decided by their order there.
-func (r *Replica) offerSnapshot(data []byte) {
-	snapshot, whole := r.config.Fold.Collect(platformlog.Record{Data: data})
-	if !whole || snapshot.Gap {
-		return
-	}
-	if snapshot.UpTo <= r.config.Fold.Applied() {
-		return
-	}
-	if len(r.pending) > 0 && snapshot.UpTo+1 < r.pending[0].Offset {
-		return
+// offerSnapshot takes a peer's snapshot where it is ahead. A marked one counts
+// only in the log, where its place decides.
+func (r *Replica) offerSnapshot(snapshot [][]byte) {
+	var collector chunks.Collector
+	for _, data := range snapshot {
+		part := r.config.Fold.Part(platformlog.Record{Data: data})
+		if part == nil || part.Gap || !collector.Add(*part) {
+			continue
+		}
+		if upTo := platformlog.Offset(part.UpTo); upTo > r.config.Fold.Applied() && r.usable(upTo) {
+			r.restore(collector.Newest())
+		}
 	}
-	r.restore(snapshot)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,7 +1,7 @@
 // Package replica keeps a fold of one stream of the platform's log up to date:
 // from the log itself, from other entry VMs while the log is out of reach, and
 // from a snapshot at the start. It also writes snapshots before the records
-// under them expire.
+// under them expire, and settles what counts where records expired unread.
 package replica
 
 import (
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"bergamotreel/internal/chunks"
 	"bergamotreel/platformlog"
 )
 
@@ -26,23 +27,15 @@
 	Apply(platformlog.Record)
 	// Applied is the offset of the newest record folded.
 	Applied() platformlog.Offset
-	// Collect looks for parts of snapshots. Once a record completes one it
-	// returns that snapshot.
-	Collect(platformlog.Record) (Snapshot, bool)
-	// Restore takes a collected snapshot as the state.
-	Restore(Snapshot) error
-	// Snapshot encodes the state as log records; see Snapshot.Gap.
-	Snapshot(writer string, gap bool) ([][]byte, error)
-}
-
-// Snapshot is a whole snapshot that was found among the records.
-type Snapshot struct {
-	// UpTo is the newest offset folded into it.
-	UpTo platformlog.Offset
-	// Gap marks one by a VM that itself lost records to the retention.
-	Gap bool
-	// Content is the fold's own.
-	Content any
+	// Part returns the part of a snapshot that a record holds, nil if none.
+	Part(platformlog.Record) *chunks.Chunk
+	// EncodePart makes the data of a record of a part.
+	EncodePart(chunks.Chunk) ([]byte, error)
+	// Restore takes a complete snapshot as the state; on an error it keeps the
+	// state it has.
+	Restore([]chunks.Chunk) error
+	// Snapshot cuts the state into parts.
+	Snapshot(writer string) ([]chunks.Chunk, error)
 }
 
 const (
@@ -55,14 +48,16 @@
 	readGrace = time.Second
 	// retryPause is the pause after a read that failed.
 	retryPause = 250 * time.Millisecond
-	// ringRecords bounds the newest records kept for peers that lag.
-	ringRecords = 4096
 	// defaultSnapshotEvery is how many records may follow a snapshot before the
 	// next is due. Its chunks cost appends; at 45,000 changes a day it comes a
 	// few times a day and well within a day's retention.
 	defaultSnapshotEvery = 5000
-	// snapshotCheck is how often a due snapshot is looked for.
-	snapshotCheck = 2 * time.Second
+	// defaultSnapshotMaxAge leaves a log that keeps records for a day many
+	// attempts at the next snapshot before the newest one expires.
+	defaultSnapshotMaxAge = time.Hour
+	// maxPending bounds the records kept while waiting for a snapshot. Dropping
+	// the oldest half only means that a newer snapshot is needed.
+	maxPending = 64 << 10
 )
 
 // Config is what a Replica needs.
@@ -75,18 +70,31 @@
 	Writer string
 	// SnapshotEvery defaults to defaultSnapshotEvery records.
 	SnapshotEvery int
-	// SnapshotMaxAge is the longest time between snapshots while there are new
-	// records; it must be well under the log's retention. Default 1 hour.
+	// SnapshotMaxAge is the longest time between snapshots by the log's clock;
+	// it must be well under the log's retention. Default 1 hour.
 	SnapshotMaxAge time.Duration
 	// WritesSnapshots tells whether this VM is the one to write them now. Two
-	// that write at once cost appends, never safety.
+	// that write at once cost appends, never safety. Where the chosen one does
+	// not (it may be cut off from the log), all others do a little later.
 	WritesSnapshots func() bool
-	// Changed is called after each batch of folded records, without the lock.
+	// Changed is called after each batch of folded records, without the lock,
+	// one call at a time: a slow call must not overwrite what a later one did.
 	Changed func()
 }
 
 // Replica is the fold with its duties. Its methods may be called from any
 // goroutine.
+//
+// Invariants:
+//
+//   - Any two replicas that follow and have folded up to the same offset hold
+//     the same state, whatever expired unread in between.
+//   - Applied never decreases. What it knows is given up only by a ruling (see
+//     ruling.go), which all replicas take at the same offset, and only if for
+//     confirmWait nobody who knew better could append to the log.
+//   - A record is folded only at Applied+1, but for the records of a ruling.
+//   - What a peer gets from Since is what the log holds, or a state that
+//     follows; also from a replica that does not follow itself.
 type Replica struct {
 	config Config
 
@@ -94,24 +102,34 @@
 	ready     chan struct{}
 	readyOnce sync.Once
 
+	// changing makes calls of Changed one at a time.
+	changing sync.Mutex
+
 	mu sync.RWMutex
-	// following is whether the fold has every record up to Applied.
+	// following is whether the fold is the agreed state just after Applied and
+	// the next record needed may still be had. Else records expired unread (or
+	// this process is new), and a whole snapshot or a ruling is waited for.
 	following bool
-	// lostAt is when records expired unread, while not following.
+	// suspect is set while not following where the fold itself may not be the
+	// agreed state: then no further records make it so.
+	suspect bool
+	// lostAt is when it stopped following, by this process's clock.
 	lostAt time.Time
+	// from is the next offset to read while not following without pending.
+	from platformlog.Offset
 	// pending are records read while not following, without a hole.
 	pending []platformlog.Record
-	ring    ring
-	// gap is the newest snapshot taken across a loss, and gapEnd the newest
-	// record then folded or pending; both 0 without one.
-	gap, gapEnd platformlog.Offset
-	// end is the newest offset and earliest the oldest that the log is known to
-	// have; reachedAt is when it last answered a read.
-	end, earliest platformlog.Offset
-	reachedAt     time.Time
-	// snapshotUpTo is the newest snapshot seen in the log, snapshotTime when.
-	snapshotUpTo platformlog.Offset
-	snapshotTime time.Time
+	// ring holds the newest records met, folded or pending.
+	ring      ring
+	collector chunks.Collector
+
+	// end is the newest offset that the log is known to have; reachedAt is when
+	// it last answered a read.
+	end       platformlog.Offset
+	reachedAt time.Time
+
+	snapshots snapshotWatch
+	rulings   rulingWatch
 }
 
 // New makes a replica; Run must be started for it to work.
@@ -120,12 +138,12 @@
 		config.SnapshotEvery = defaultSnapshotEvery
 	}
 	if config.SnapshotMaxAge == 0 {
-		config.SnapshotMaxAge = time.Hour
+		config.SnapshotMaxAge = defaultSnapshotMaxAge
 	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
-	return &Replica{config: config, ready: make(chan struct{}), snapshotTime: time.Now(), lostAt: time.Now()}
+	return &Replica{config: config, ready: make(chan struct{}), lostAt: time.Now(), from: 1}
 }
 
 // Ready is closed once the fold has a state.
@@ -148,17 +166,13 @@
 
 // Run follows the log until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
-	from := platformlog.Offset(1)
 	for ctx.Err() == nil {
-		if next := r.nextOffset(); next > from {
-			from = next
-		}
-		batch, err := r.read(ctx, from)
+		batch, err := r.read(ctx, r.nextOffset())
 		switch {
 		case err == nil:
-			from = r.take(batch)
+			r.take(batch)
 		case errors.Is(err, platformlog.ErrTrimmed):
-			from = r.skipTrimmed(batch)
+			r.skipTrimmed(batch)
 		default:
 			sleep(ctx, retryPause)
 		}
@@ -180,134 +194,167 @@
 	defer r.mu.Unlock()
 	r.reachedAt = time.Now()
 	r.end = max(r.end, batch.End)
-	r.earliest = max(r.earliest, batch.Earliest)
 }
 
-// nextOffset is the first record that this replica still needs.
 func (r *Replica) nextOffset() platformlog.Offset {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	return r.next()
+}
+
+// next is the first record that this replica still needs. Call with mu held.
+func (r *Replica) next() platformlog.Offset {
 	if r.following {
 		return r.config.Fold.Applied() + 1
 	}
 	if n := len(r.pending); n > 0 {
 		return r.pending[n-1].Offset + 1
 	}
-	return 1
+	return r.from
 }
 
-// take folds a batch from the log and returns where to read on.
-func (r *Replica) take(batch platformlog.Batch) platformlog.Offset {
+// take folds a batch from the log.
+func (r *Replica) take(batch platformlog.Batch) {
 	r.mu.Lock()
 	if !r.following && len(r.pending) == 0 && batch.Earliest <= 1 && r.config.Fold.Applied() == 0 {
 		// The whole stream is still there: it needs no snapshot.
 		r.follow()
 	}
-	for _, record := range batch.Records {
-		r.takeRecord(record)
-	}
+	r.takeRecords(batch.Records)
 	r.mu.Unlock()
 	if len(batch.Records) > 0 {
-		r.config.Changed()
+		r.changed()
+	}
+}
+
+func (r *Replica) changed() {
+	r.changing.Lock()
+	defer r.changing.Unlock()
+	r.config.Changed()
+}
+
+// takeRecords takes records without a hole between them, from the log or from a
+// peer. Where they begin after the next one needed (the fold was replaced while
+// they were on their way), none of them is taken: that hole would never close.
+func (r *Replica) takeRecords(records []platformlog.Record) {
+	for _, record := range records {
+		next := r.next()
+		if record.Offset > next {
+			return
+		}
+		if record.Offset == next {
+			r.takeRecord(record)
+		}
 	}
-	return batch.Next
 }
 
-// takeRecord folds one record, or keeps it until a snapshot is found. Call with
-// mu held.
+// takeRecord folds the next record, or keeps it until there is a state to fold
+// it into.
 func (r *Replica) takeRecord(record platformlog.Record) {
+	r.ring.add(record)
+	r.snapshots.saw(record)
 	if r.following {
-		r.fold(record)
+		r.config.Fold.Apply(record)
 	} else {
-		r.pending = append(r.pending, record)
+		r.keepPending(record)
 	}
-	snapshot, whole := r.config.Fold.Collect(record)
-	if !whole {
-		return
+	if part := r.config.Fold.Part(record); part != nil {
+		r.takePart(record, *part)
 	}
-	r.snapshotUpTo = max(r.snapshotUpTo, snapshot.UpTo)
-	r.snapshotTime = time.Now()
-	if r.usable(snapshot) {
-		r.restore(snapshot)
+}
+
+func (r *Replica) keepPending(record platformlog.Record) {
+	if len(r.pending) >= maxPending {
+		r.pending = append([]platformlog.Record(nil), r.pending[maxPending/2:]...)
 	}
+	r.pending = append(r.pending, record)
 }
 
-// usable tells whether the fold should take a snapshot as its state.
-//
-// A snapshot that does not reach the first record still at hand would hide the
-// lost records between: an accepted configuration could revert. So it is taken
-// only if its writer marked it as the best that is left (Gap), and of several
-// such the one that knows most wins, in the order of the stream, the same on
-// every VM. A snapshot never takes a VM back behind what it has folded.
-func (r *Replica) usable(s Snapshot) bool {
-	if s.UpTo < r.config.Fold.Applied() && !(s.Gap && r.gap > 0 && s.UpTo > r.gap) {
-		return false
+// takePart looks at a part of a snapshot in the log.
+func (r *Replica) takePart(record platformlog.Record, part chunks.Chunk) {
+	if part.Confirms != 0 {
+		r.rulings.lastPart = record.Offset
 	}
-	if s.Gap {
-		if r.following {
-			return r.gap > 0 && s.UpTo > r.gap && s.UpTo < r.gapEnd
-		}
-		return true
+	if !r.collector.Add(part) {
+		return
 	}
-	if r.following {
+	parts := r.collector.Take()
+	switch {
+	case !part.Gap:
+		r.takeWhole(record, parts)
+	case part.Confirms == 0:
+		r.takeBid(record, part)
+	default:
+		r.takeRuling(record, parts)
+	}
+}
+
+// takeWhole takes a snapshot of the agreed state that landed in the log.
+func (r *Replica) takeWhole(record platformlog.Record, parts []chunks.Chunk) {
+	upTo := platformlog.Offset(parts[0].UpTo)
+	r.snapshots.landed(record, upTo)
+	r.rulings.landed(upTo)
+	if !r.following && r.usable(upTo) {
+		r.restore(parts)
+	}
+}
+
+// usable tells whether a whole snapshot can become the state.
+//
+// It must not take this VM back. It must reach the first record still at hand:
+// it would else hide the lost ones between, and an accepted configuration could
+// revert. And it must not be from before a ruling, which may have replaced the
+// state that it holds.
+func (r *Replica) usable(upTo platformlog.Offset) bool {
+	if upTo < r.config.Fold.Applied() || upTo < r.rulings.lastPart {
 		return false
 	}
-	return len(r.pending) == 0 || s.UpTo+1 >= r.pending[0].Offset
+	return len(r.pending) == 0 || upTo+1 >= r.pending[0].Offset
 }
 
 // restore takes the snapshot and folds what came after it.
-func (r *Replica) restore(s Snapshot) {
-	if err := r.config.Fold.Restore(s); err != nil {
+func (r *Replica) restore(parts []chunks.Chunk) {
+	if err := r.config.Fold.Restore(parts); err != nil {
 		r.config.Logger.Warn("snapshot not usable", zap.String("stream", r.config.Stream), zap.Error(err))
 		return
 	}
-	r.ring = ring{}
-	if s.Gap {
-		r.gap = s.UpTo
-		r.gapEnd = max(r.gapEnd, r.lastPending())
-	}
+	r.snapshots.upTo = max(r.snapshots.upTo, platformlog.Offset(parts[0].UpTo))
 	pending := r.pending
 	r.follow()
 	for _, record := range pending {
-		r.fold(record)
+		r.config.Fold.Apply(record)
 	}
 }
 
-func (r *Replica) lastPending() platformlog.Offset {
-	if n := len(r.pending); n > 0 {
-		return r.pending[n-1].Offset
-	}
-	return 0
-}
-
-func (r *Replica) fold(record platformlog.Record) {
-	if record.Offset <= r.config.Fold.Applied() {
-		return
-	}
-	r.config.Fold.Apply(record)
-	r.ring.add(record)
-}
-
 func (r *Replica) follow() {
 	r.following = true
+	r.suspect = false
 	r.pending = nil
 	r.readyOnce.Do(func() { close(r.ready) })
 }
 
 // skipTrimmed handles records that expired before this replica read them: it
 // keeps the state it has, if any, goes on at the oldest record kept, folds
-// nothing across the loss, and waits for a snapshot.
-func (r *Replica) skipTrimmed(batch platformlog.Batch) platformlog.Offset {
+// nothing across the loss, and waits for peers, a snapshot or a ruling.
+func (r *Replica) skipTrimmed(batch platformlog.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.next() >= batch.Earliest {
+		return // a peer brought the records while the log answered
+	}
 	if r.following {
-		r.config.Logger.Warn("records expired unread, waiting for a snapshot",
+		r.config.Logger.Warn("records expired unread",
 			zap.String("stream", r.config.Stream), zap.Uint64("earliest", uint64(batch.Earliest)))
-		r.following = false
-		r.lostAt = time.Now()
+		r.lose()
 	}
 	r.pending = nil
-	return batch.Earliest
+	r.from = batch.Earliest
+}
+
+func (r *Replica) lose() {
+	r.following = false
+	r.lostAt = time.Now()
+	r.from = r.config.Fold.Applied() + 1
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,370 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/platformlog"
+)
+
+// words is a fold whose state is the text of all data records in order, so that
+// a lost, repeated or reordered record shows.
+type words struct {
+	applied platformlog.Offset
+	text    string
+}
+
+type wordsState struct {
+	Applied platformlog.Offset
+	Text    string
+}
+
+func (w *words) Apply(r platformlog.Record) {
+	if r.Offset <= w.applied {
+		return
+	}
+	w.applied = r.Offset
+	if w.Part(r) == nil {
+		w.text += string(r.Data) + " "
+	}
+}
+
+func (w *words) Applied() platformlog.Offset { return w.applied }
+
+func (w *words) Part(r platformlog.Record) *chunks.Chunk {
+	var part chunks.Chunk
+	if json.Unmarshal(r.Data, &part) != nil {
+		return nil
+	}
+	return &part
+}
+
+func (w *words) EncodePart(part chunks.Chunk) ([]byte, error) { return json.Marshal(part) }
+
+func (w *words) Restore(parts []chunks.Chunk) error {
+	data, err := chunks.Join(parts)
+	if err != nil {
+		return err
+	}
+	var s wordsState
+	if err := json.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	w.applied, w.text = s.Applied, s.Text
+	return nil
+}
+
+func (w *words) Snapshot(writer string) ([]chunks.Chunk, error) {
+	data, err := json.Marshal(wordsState{w.applied, w.text})
+	if err != nil {
+		return nil, err
+	}
+	// About three parts once it is compressed to a half.
+	return chunks.Split(data, writer, uint64(w.applied), len(data)/6+8)
+}
+
+// bed is a log and replicas on it, by name.
+type bed struct {
+	*testing.T
+	log      *logserver.Store
+	ctx      context.Context
+	replicas map[string]*vm
+	running  sync.WaitGroup
+}
+
+type vm struct {
+	*Replica
+	fold *words
+	view *logserver.View
+	stop context.CancelFunc
+}
+
+func run(t *testing.T, config logserver.Config, test func(b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bed{T: t, log: logserver.New(config), ctx: ctx, replicas: map[string]*vm{}}
+		test(b)
+		cancel()
+		b.running.Wait()
+	})
+}
+
+// start runs a replica; writes tells whether it is the chosen one.
+func (b *bed) start(name string, writes bool) *vm {
+	v := &vm{fold: &words{}, view: b.log.View(name)}
+	v.Replica = New(Config{
+		Log: v.view, Stream: "s", Fold: v.fold, Logger: zap.NewNop(), Writer: name,
+		SnapshotMaxAge: time.Minute, WritesSnapshots: func() bool { return writes },
+	})
+	ctx, stop := context.WithCancel(b.ctx)
+	v.stop = stop
+	b.running.Go(func() { v.Run(ctx) })
+	b.running.Go(func() { v.WriteSnapshots(ctx) })
+	b.replicas[name] = v
+	return v
+}
+
+// say appends one data record for each word.
+func (b *bed) say(text string) {
+	b.Helper()
+	for _, word := range strings.Fields(text) {
+		if _, err := b.log.Append(b.ctx, "s", []byte(word)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	time.Sleep(10 * time.Millisecond)
+}
+
+// words is what a VM knows.
+func (v *vm) words() (text string) {
+	v.View(func() { text = strings.TrimSpace(v.fold.text) })
+	return text
+}
+
+func (v *vm) isReady() bool {
+	select {
+	case <-v.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func (v *vm) follows() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.following
+}
+
+// want fails the test unless each named VM follows and knows just the text.
+func (b *bed) want(text string, names ...string) {
+	b.Helper()
+	for _, name := range names {
+		v := b.replicas[name]
+		if got := v.words(); got != text || !v.follows() {
+			b.Errorf("%s knows %q (following: %v), want %q", name, got, v.follows(), text)
+		}
+	}
+}
+
+// catchUp has one VM ask another one, as the node does every 250 ms.
+func (b *bed) catchUp(from, to string) {
+	b.Helper()
+	asks, asked := b.replicas[to], b.replicas[from]
+	applied, _, _ := asks.Position()
+	records, snapshot, err := asked.Since(applied + 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	asks.Offer(records, snapshot)
+}
+
+// outage takes the log away from everybody for so long that all records expire.
+func (b *bed) outage(d time.Duration) {
+	b.log.Faults().Set(faults.Settings{Outage: true})
+	time.Sleep(d)
+	b.log.Faults().Set(faults.Settings{})
+}
+
+// A new VM finds the whole stream, or only its end with a snapshot before it.
+// The snapshot is torn or corrupt: it counts for nothing, and the VM waits for
+// one that is whole rather than folding records without what came before.
+func TestStart(t *testing.T) {
+	tear := func(parts []chunks.Chunk) []chunks.Chunk { return parts[1:] }
+	corrupt := func(parts []chunks.Chunk) []chunks.Chunk {
+		parts[0].Data = append([]byte{^parts[0].Data[0]}, parts[0].Data[1:]...)
+		return parts
+	}
+	older := func(parts []chunks.Chunk) []chunks.Chunk { return parts }
+	for name, spoil := range map[string]func([]chunks.Chunk) []chunks.Chunk{
+		"from nothing": nil, "torn": tear, "corrupt": corrupt, "too old": older,
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, logserver.Config{MaxRecords: 12}, func(b *bed) {
+				b.start("a", false)
+				b.say("one two three")
+				if spoil == nil {
+					b.start("new", false)
+					time.Sleep(time.Second)
+					b.want("one two three", "a", "new")
+					return
+				}
+				parts, _ := b.replicas["a"].fold.Snapshot("a")
+				b.say("four five six seven eight nine ten eleven")
+				if name != "too old" {
+					parts, _ = b.replicas["a"].fold.Snapshot("a")
+				}
+				for _, part := range spoil(parts) {
+					data, _ := json.Marshal(part)
+					b.say(string(data))
+				}
+				b.say("x x x x x x x x")
+				fresh := b.start("new", false)
+				time.Sleep(time.Second)
+				if fresh.isReady() {
+					t.Errorf("new VM took a %s snapshot: %q", name, fresh.words())
+				}
+				// The other one writes a whole one when its time has come.
+				time.Sleep(2 * time.Minute)
+				b.want(b.replicas["a"].words(), "new")
+			})
+		})
+	}
+}
+
+// Snapshots of several VMs land in any order. A VM that knows more is not taken
+// back by one that lands later; the naive rule, newest landed wins, would.
+func TestLateSnapshotTakesNobodyBack(t *testing.T) {
+	run(t, logserver.Config{MaxRecords: 40}, func(b *bed) {
+		a := b.start("a", false)
+		b.say("one two")
+		old, _ := a.fold.Snapshot("old")
+		b.say("three four")
+		fresh, _ := a.fold.Snapshot("fresh")
+		for _, parts := range [][]chunks.Chunk{fresh, old} {
+			for _, part := range parts {
+				data, _ := json.Marshal(part)
+				b.say(string(data))
+			}
+		}
+		b.start("new", false)
+		time.Sleep(time.Second)
+		b.want("one two three four", "a", "new")
+	})
+}
+
+// The log is away for longer than it keeps records. VMs that had read all of
+// it have lost nothing. One that was cut off before takes the missing records
+// from a peer, or waits for a snapshot and takes that.
+func TestOutageLongerThanTheRetention(t *testing.T) {
+	for _, peers := range []bool{true, false} {
+		t.Run(fmt.Sprintf("peers=%v", peers), func(t *testing.T) {
+			run(t, logserver.Config{MaxAge: time.Minute}, func(b *bed) {
+				b.start("a", true)
+				b.start("b", false)
+				lagging := b.start("lagging", false)
+				b.say("one")
+				lagging.view.Cut()
+				b.say("two three")
+				b.outage(5 * time.Minute)
+				lagging.view.Heal()
+				b.say("four")
+				time.Sleep(time.Second)
+				if peers {
+					b.catchUp("b", "lagging")
+					time.Sleep(time.Second)
+				} else {
+					if lagging.words() != "one" || lagging.follows() {
+						t.Errorf("lagging folded across the hole: %q", lagging.words())
+					}
+					time.Sleep(time.Minute)
+				}
+				b.say("five")
+				b.want("one two three four five", "a", "b", "lagging")
+			})
+		})
+	}
+}
+
+// The log was away for longer than it keeps records, and the newest ones had
+// been read by some VMs only, or by none that still live. The state that knows
+// most counts, on all VMs alike, also on one that starts meanwhile: each VM that
+// went on by itself would differ from the others for good.
+func TestRecordsThatEverybodyLost(t *testing.T) {
+	run(t, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
+		for _, name := range []string{"a", "b", "c"} {
+			b.start(name, name == "a")
+		}
+		b.say("one")
+		b.replicas["a"].view.Cut()
+		b.say("two")
+		b.replicas["b"].view.Cut()
+		b.replicas["c"].view.Cut()
+		b.say("three")
+		b.outage(time.Hour)
+		for _, name := range []string{"a", "b", "c"} {
+			b.replicas[name].view.Heal()
+		}
+		b.start("new", false)
+		for i := range 60 {
+			b.say(fmt.Sprint("w", i))
+			time.Sleep(time.Second)
+		}
+		b.say("end")
+		got := b.replicas["b"].words()
+		if !strings.HasPrefix(got, "one two w") || !strings.HasSuffix(got, " end") {
+			t.Errorf("the state that knew most does not count: %q", got)
+		}
+		b.want(got, "a", "b", "c", "new")
+	})
+}
+
+// One VM lost records, another has read them all. The first is heard by nobody
+// and bids its own state; the second answers in the log. Nobody goes back, and
+// the loser gets what it lost. Naive twin: a marked snapshot counts where it
+// lands.
+func TestVMThatKnowsMoreAnswersABid(t *testing.T) {
+	for _, chosen := range []string{"knows", "lost"} {
+		t.Run("chosen "+chosen, func(t *testing.T) {
+			run(t, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
+				lost := b.start("lost", chosen == "lost")
+				b.start("knows", chosen == "knows")
+				b.say("one")
+				lost.view.Cut()
+				b.say("two three")
+				b.outage(time.Hour)
+				lost.view.Heal()
+				for i := range 40 {
+					b.say(fmt.Sprint("w", i))
+					time.Sleep(time.Second)
+					if got := b.replicas["knows"].words(); !strings.HasPrefix(got, "one two three w0") {
+						t.Fatalf("went back to %q", got)
+					}
+				}
+				b.want(b.replicas["knows"].words(), "lost", "knows")
+			})
+		})
+	}
+}
+
+// The VM that knows more is cut off from the log and from its peers until the
+// others have ruled. What only it knew is lost then; what must not happen is
+// that it goes on by a state of its own.
+func TestVMThatKnewMoreComesBackAfterTheRuling(t *testing.T) {
+	for _, late := range []time.Duration{time.Minute, 30 * time.Minute} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
+				lost := b.start("lost", true)
+				knew := b.start("knew", false)
+				b.say("one")
+				lost.view.Cut()
+				b.say("two")
+				knew.view.Cut()
+				b.outage(time.Hour)
+				lost.view.Heal()
+				for i := range int(late.Seconds()) {
+					b.say(fmt.Sprint("w", i))
+					time.Sleep(time.Second)
+				}
+				knew.view.Heal()
+				time.Sleep(2 * time.Minute)
+				b.say("end")
+				b.want(lost.words(), "lost", "knew")
+				if !strings.HasPrefix(lost.words(), "one w") {
+					t.Errorf("no ruling: %q", lost.words())
+				}
+			})
+		})
+	}
+}
--- a/internal/replica/ring.go
+++ b/internal/replica/ring.go
@@ -2,14 +2,23 @@
 
 import "bergamotreel/platformlog"
 
-// ring keeps the newest folded records, without a hole, for peers that lag.
+// ringRecords bounds the newest records kept: for peers that lag, and to fold
+// again what came after a bid; see rulingSpan.
+const ringRecords = 4096
+
+// ring keeps the newest records of the stream without a hole, whether they are
+// folded or not.
 type ring struct {
 	records []platformlog.Record
 	// next is where the oldest record is overwritten once the ring is full.
 	next int
 }
 
+// add takes a record; one that does not follow the newest starts anew.
 func (r *ring) add(record platformlog.Record) {
+	if n := len(r.records); n > 0 && r.at(n-1).Offset+1 != record.Offset {
+		*r = ring{}
+	}
 	if len(r.records) < ringRecords {
 		r.records = append(r.records, record)
 		return
@@ -25,10 +34,8 @@
 		return nil, false
 	}
 	var out []platformlog.Record
-	for i := range r.records {
-		if record := r.at(i); record.Offset >= offset && len(out) < max {
-			out = append(out, record)
-		}
+	for i := int(offset - r.at(0).Offset); i < len(r.records) && len(out) < max; i++ {
+		out = append(out, r.at(i))
 	}
 	return out, true
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -5,16 +5,57 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"bergamotreel/internal/chunks"
+	"bergamotreel/platformlog"
 )
 
 const (
-	// gapWait is how long a VM that lost records waits for somebody who did not
-	// before it offers its own state. Peers answer within a second.
-	gapWait = 10 * time.Second
+	// snapshotCheck is how often a due snapshot is looked for.
+	snapshotCheck = 2 * time.Second
+	// writePause is the least time between two snapshots of one VM: one that is
+	// not met in the stream (torn, or its answers lost) must not start a storm.
+	writePause = 10 * time.Second
+	// answerWait is how long those that were not chosen leave the answer to a bid
+	// to the chosen one; two of them fit into confirmWait.
+	answerWait = 4 * time.Second
 	// appendTimeout bounds the append of one part.
 	appendTimeout = 5 * time.Second
 )
 
+// snapshotWatch is what a replica knows of the snapshots in the log;
+// Replica.mu guards it.
+type snapshotWatch struct {
+	// upTo is the newest record that a whole snapshot is known to hold.
+	upTo platformlog.Offset
+	// at is when the newest one landed, by the log's clock; before the first
+	// one, when the first record met did.
+	at time.Time
+	// newest is the log's time of the newest record and metAt the own time when
+	// it was met. Only the log's clock outlives this process: counted by its own
+	// clock, VMs that are replaced often would never find a snapshot due.
+	newest, metAt time.Time
+	// wroteAt is when this VM last wrote one, by its own clock.
+	wroteAt time.Time
+}
+
+func (w *snapshotWatch) saw(record platformlog.Record) {
+	if w.at.IsZero() {
+		w.at = record.Time
+	}
+	w.newest, w.metAt = record.Time, time.Now()
+}
+
+func (w *snapshotWatch) landed(record platformlog.Record, upTo platformlog.Offset) {
+	w.upTo = max(w.upTo, upTo)
+	w.at = record.Time
+}
+
+// age is how old the newest snapshot is, by the log's clock.
+func (w *snapshotWatch) age(now time.Time) time.Duration {
+	return w.newest.Sub(w.at) + now.Sub(w.metAt)
+}
+
 // WriteSnapshots appends a snapshot whenever one is due, until ctx ends.
 func (r *Replica) WriteSnapshots(ctx context.Context) {
 	ticker := time.NewTicker(snapshotCheck)
@@ -25,44 +66,73 @@
 		case <-ctx.Done():
 			return
 		}
-		if records := r.dueSnapshot(time.Now()); records != nil {
-			r.append(ctx, records)
-		}
+		r.append(ctx, r.dueSnapshot(time.Now()))
 	}
 }
 
-// dueSnapshot encodes a snapshot if this VM should write one now.
+// dueSnapshot encodes what this VM should append now, nil for nothing.
 func (r *Replica) dueSnapshot(now time.Time) [][]byte {
+	chosen := r.config.WritesSnapshots()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.due(now) || !r.config.WritesSnapshots() {
+	var parts []chunks.Chunk
+	switch {
+	case !r.following:
+		parts = r.nextClaim(now, chosen)
+	case r.due(now, chosen):
+		parts = r.whole()
+	}
+	if len(parts) == 0 {
 		return nil
 	}
-	records, err := r.config.Fold.Snapshot(r.config.Writer, !r.following)
+	records, err := r.encode(parts)
 	if err != nil {
 		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
 		return nil
 	}
-	// A lost answer must not start a storm of snapshots.
-	r.snapshotTime = now
+	r.snapshots.wroteAt = now
 	return records
 }
 
-func (r *Replica) due(now time.Time) bool {
+func (r *Replica) whole() []chunks.Chunk {
+	parts, err := r.config.Fold.Snapshot(r.config.Writer)
+	if err != nil {
+		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
+	}
+	return parts
+}
+
+// due tells whether to write a whole snapshot now. An idle stream gets one too:
+// else its newest one expires, and no new VM finds a state.
+func (r *Replica) due(now time.Time, chosen bool) bool {
 	applied := r.config.Fold.Applied()
 	if applied == 0 {
 		return false
 	}
-	if !r.following {
-		return now.Sub(r.lostAt) > gapWait && now.Sub(r.snapshotTime) > gapWait
+	if r.rulings.owed != 0 && (chosen || now.Sub(r.rulings.owedAt) >= answerWait) {
+		return now.Sub(r.snapshots.wroteAt) >= answerWait
 	}
-	if applied == r.snapshotUpTo {
+	if now.Sub(r.snapshots.wroteAt) < writePause {
 		return false
 	}
-	if now.Sub(r.snapshotTime) > r.config.SnapshotMaxAge {
-		return true
+	maxAge, every := r.config.SnapshotMaxAge, r.config.SnapshotEvery
+	if !chosen {
+		// The chosen one may be heard by all and yet be cut off from the log.
+		maxAge, every = maxAge*5/4, every*5/4
 	}
-	return uint64(applied-r.snapshotUpTo) > uint64(r.config.SnapshotEvery) && now.Sub(r.snapshotTime) > gapWait
+	return r.snapshots.age(now) > maxAge || uint64(applied-r.snapshots.upTo) > uint64(every)
+}
+
+func (r *Replica) encode(parts []chunks.Chunk) ([][]byte, error) {
+	records := make([][]byte, len(parts))
+	for i, part := range parts {
+		data, err := r.config.Fold.EncodePart(part)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		records[i] = data
+	}
+	return records, nil
 }
 
 func (r *Replica) append(ctx context.Context, records [][]byte) {
@@ -80,11 +150,3 @@
 	_, err := r.config.Log.Append(ctx, r.config.Stream, data)
 	return err
 }
-
-// Caught tells whether the fold has reached the newest record that the log is
-// known to have.
-func (r *Replica) Caught() bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.following && r.config.Fold.Applied() >= r.end
-}
