node: Operators see all entry VMs; refusals told twice in twelve heartbeats

An entry VM without a state said that there were no contracts: it answers "unavailable" now. Status gives the newest version for other VMs too, leaving by the VM list's word, refusals of all VMs, and no VM that is neither listed nor heard.

Refusal counts were in each digest, where only operators read them. They are told for two heartbeats of twelve, and kept by the receiver.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"sort"
-	"sync"
 	"time"
 
 	"bergamotreel/caller"
 	"bergamotreel/contract"
-	"bergamotreel/entryvm"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 	"bergamotreel/state"
@@ -113,34 +110,3 @@
 	var r *refusal.Refusal
 	return errors.As(err, &r)
 }
-
-// refusals counts refusals since the start by customer and code.
-type refusals struct {
-	mu     sync.Mutex
-	counts map[entryvm.Refused]uint64
-}
-
-func newRefusals() *refusals { return &refusals{counts: make(map[entryvm.Refused]uint64)} }
-
-func (r *refusals) count(customer, code string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.counts[entryvm.Refused{Customer: customer, Code: code}]++
-}
-
-func (r *refusals) all() []entryvm.Refused {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]entryvm.Refused, 0, len(r.counts))
-	for key, count := range r.counts {
-		key.Count = count
-		out = append(out, key)
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Customer != out[j].Customer {
-			return out[i].Customer < out[j].Customer
-		}
-		return out[i].Code < out[j].Code
-	})
-	return out
-}
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -31,7 +31,7 @@
 	d := entryvm.Digest{
 		VM: n.config.VM, Address: n.config.PeersAddress, Domain: n.config.Domain, Region: n.config.Region,
 		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
-		Used: n.uses.lately(now), Refused: n.refused.all(),
+		Used: n.uses.lately(now), Refused: n.refused.due(now, n.config.Heartbeat),
 	}
 	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
 		d.InFlight = r.InFlight()
@@ -77,6 +77,7 @@
 // heard takes in the digests of others.
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
 	for _, d := range digests {
+		n.peerRefused.saw(now, d)
 		n.roster.saw(now.Add(-d.Age), d.VM, d.Address)
 		for _, use := range d.Used {
 			n.planner.Used(use.Unit, now.Add(-use.Ago))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,8 @@
 	uses    *uses
 	refused *refusals
 	roster  *roster
+	// peerRefused are the refusals of the other entry VMs.
+	peerRefused *peerRefusals
 
 	mu       sync.Mutex
 	stopping bool
@@ -107,7 +109,9 @@
 	setDefault(&config.Heartbeat, defaultHeartbeat)
 	setDefault(&config.HeardFor, defaultHeardFor)
 	setDefault(&config.Claims, defaultClaims)
-	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM)}
+	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM),
+		peerRefused: newPeerRefusals(),
+	}
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -42,8 +42,22 @@
 	return operator.PublishResult{Verdict: outcome.Verdict, Revision: outcome.Revision, Reason: outcome.Reason}, nil
 }
 
+// hasState fails while there is no state. Failure: an entry VM that starts would
+// answer "no such contract", and the operator would publish it anew.
+func (o operators) hasState() error {
+	select {
+	case <-o.control.Ready():
+		return nil
+	default:
+		return operator.ErrUnavailable
+	}
+}
+
 // Contracts implements operator.Operator.
 func (o operators) Contracts(context.Context) ([]operator.ContractSummary, error) {
+	if err := o.hasState(); err != nil {
+		return nil, err
+	}
 	var out []operator.ContractSummary
 	o.control.View(func(s *state.State) { out = summaries(s) })
 	return out, nil
@@ -68,6 +82,9 @@
 // Contract implements operator.Operator.
 func (o operators) Contract(_ context.Context, customer string) (operator.ContractInForce, error) {
 	var out operator.ContractInForce
+	if err := o.hasState(); err != nil {
+		return out, err
+	}
 	err := error(operator.ErrNotFound)
 	o.control.View(func(s *state.State) {
 		published := s.Contracts[customer]
@@ -89,6 +106,9 @@
 // History implements operator.Operator. The accepted versions are a chain: each
 // names the one it was based on.
 func (o operators) History(ctx context.Context, customer string) ([]operator.HistoryEntry, error) {
+	if err := o.hasState(); err != nil {
+		return nil, err
+	}
 	version := state.Revision(0)
 	o.control.View(func(s *state.State) { version = s.ConfigVersion(customer) })
 	if version == 0 {
@@ -159,8 +179,6 @@
 	})
 	report.Engines = o.engines(now)
 	report.Waiting = o.waiting(now)
-	for _, r := range o.refused.all() {
-		report.Refusals = append(report.Refusals, operator.RefusalCount{Customer: r.Customer, Code: r.Code, Count: r.Count})
-	}
+	report.Refusals = o.refusals(report.VMs)
 	return report, nil
 }
--- /dev/null
+++ b/internal/node/operators_test.go
@@ -0,0 +1,57 @@
+package node_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"bergamotreel/operator"
+)
+
+// An entry VM that starts without a log has no state. Asked for contracts it must
+// not say that there are none.
+func TestOperatorsBeforeState(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		s.log.View("late").Cut()
+		late := s.start("late", "late")
+		s.mesh.separate("late", true)
+		time.Sleep(5 * time.Second)
+		o := late.Operators()
+		_, contracts := o.Contracts(s.ctx)
+		_, contract := o.Contract(s.ctx, "trinidad")
+		_, history := o.History(s.ctx, "trinidad")
+		for what, err := range map[string]error{"contracts": contracts, "contract": contract, "history": history} {
+			if !errors.Is(err, operator.ErrUnavailable) {
+				s.t.Errorf("%s: %v", what, err)
+			}
+		}
+	})
+}
+
+// Operators ask any entry VM and see all: the version in force on each, refusals
+// wherever they were made, who leaves by the VM list's word, and nobody that is
+// gone.
+func TestStatusTellsOfAllVMs(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		for range 3 {
+			s.ask("v-a1", "nosuch", "p", 4)
+		}
+		s.ask("v-b1", "nosuch", "p", 4)
+		s.list.MarkLeaving("v-a2")
+		s.nodes["v-b2"].kill()
+		s.list.Remove("v-b2")
+		time.Sleep(10 * time.Second)
+		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		if err != nil || len(report.VMs) != 3 {
+			s.t.Fatalf("%d VMs, %v", len(report.VMs), err)
+		}
+		for _, vm := range report.VMs {
+			if vm.Newest != report.Contracts[0].Version || vm.Missing || vm.Leaving != (vm.ID == "v-a2") {
+				s.t.Errorf("%+v, want version %d", vm, report.Contracts[0].Version)
+			}
+		}
+		if len(report.Refusals) != 1 || report.Refusals[0].Count != 4 {
+			s.t.Errorf("refusals %v", report.Refusals)
+		}
+	})
+}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -73,14 +73,3 @@
 		}
 	})
 }
-
-// byCode sums the counts over customers.
-func (r *refusals) byCode() map[string]uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sums := make(map[string]uint64)
-	for key, count := range r.counts {
-		sums[key.Code] += count
-	}
-	return sums
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/gossip"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 	"bergamotreel/vmlist"
@@ -38,25 +40,29 @@
 	return position
 }
 
-// entryVMs joins the VM list with the digests.
+// entryVMs joins the VM list with the digests. A VM that is neither listed nor
+// heard is gone.
 func (o operators) entryVMs(now time.Time) []operator.EntryVM {
 	applied, _, _ := o.control.Position()
+	newest := o.newest()
 	byID := map[string]operator.EntryVM{o.config.VM: {
 		ID: o.config.VM, Domain: o.config.Domain, Region: o.config.Region,
-		Applied: applied, HeardAt: now, Leaving: o.isStopping(), Newest: o.newest(),
+		Applied: applied, HeardAt: now, Leaving: o.isStopping(), Newest: newest,
 	}}
-	for _, heard := range o.gossip.All() {
-		d := heard.Digest
-		byID[d.VM] = operator.EntryVM{
-			ID: d.VM, Domain: d.Domain, Region: d.Region, Applied: d.Applied, HeardAt: heard.Made,
-			Leaving: d.Leaving, Missing: now.Sub(heard.Made) > o.config.HeardFor,
-		}
-	}
+	listed := make(map[string]vmlist.VM)
 	for _, vm := range o.fleet.VMs(vmlist.KindEntry) {
-		if _, known := byID[vm.ID]; !known {
+		listed[vm.ID] = vm
+		if vm.ID != o.config.VM {
 			byID[vm.ID] = operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: true, Leaving: vm.Leaving}
 		}
 	}
+	for _, heard := range o.gossip.All() {
+		silent := now.Sub(heard.Made) >= o.config.HeardFor
+		vm, known := listed[heard.Digest.VM]
+		if known || !silent {
+			byID[heard.Digest.VM] = describeVM(heard, newest, vm.Leaving, silent)
+		}
+	}
 	out := make([]operator.EntryVM, 0, len(byID))
 	for _, vm := range byID {
 		out = append(out, vm)
@@ -65,6 +71,47 @@
 	return out
 }
 
+// describeVM tells of a VM what its digest says. One that has folded the newest
+// version known here has it in force.
+func describeVM(heard gossip.Heard, newest state.Revision, leaving, silent bool) operator.EntryVM {
+	d := heard.Digest
+	vm := operator.EntryVM{
+		ID: d.VM, Domain: d.Domain, Region: d.Region, Applied: d.Applied, HeardAt: heard.Made,
+		Leaving: d.Leaving || leaving, Missing: silent,
+	}
+	if d.Applied >= newest.Offset() {
+		vm.Newest = newest
+	}
+	return vm
+}
+
+// refusals sums those of the VMs there are.
+func (o operators) refusals(vms []operator.EntryVM) []operator.RefusalCount {
+	there := make(map[string]bool)
+	for _, vm := range vms {
+		there[vm.ID] = true
+	}
+	sums := make(map[entryvm.Refused]uint64)
+	add := func(counts []entryvm.Refused) {
+		for _, r := range counts {
+			sums[entryvm.Refused{Customer: r.Customer, Code: r.Code}] += r.Count
+		}
+	}
+	add(o.refused.all())
+	o.peerRefused.each(there, add)
+	out := make([]operator.RefusalCount, 0, len(sums))
+	for r, count := range sums {
+		out = append(out, operator.RefusalCount{Customer: r.Customer, Code: r.Code, Count: count})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Customer != out[j].Customer {
+			return out[i].Customer < out[j].Customer
+		}
+		return out[i].Code < out[j].Code
+	})
+	return out
+}
+
 func (o operators) newest() state.Revision {
 	var version state.Revision
 	o.control.View(func(s *state.State) { version = s.NewestVersion() })
--- a/operator/report.go
+++ b/operator/report.go
@@ -20,7 +20,8 @@
 	Engines []Engine `json:"engines"`
 	// Waiting are the units that requests wait for, on all entry VMs.
 	Waiting []WaitingUnit `json:"waiting"`
-	// Refusals are the requests refused by this VM since its start.
+	// Refusals are the requests refused by the entry VMs there are, each since its
+	// start. Those of other VMs trail by some seconds.
 	Refusals []RefusalCount `json:"refusals"`
 }
 
