--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -21,6 +21,10 @@
 	renewalsPerTerm = 4
 	// marginPart is the part of the term that a holder leaves for clock drift.
 	marginPart = 6
+	// snapshotsKept is how many snapshots are written in the time that the log
+	// keeps a record: most of them may fail before a new VM finds none, and a day
+	// needs only a handful of appends an hour.
+	snapshotsKept = 24
 )
 
 // nodeConfig turns settings into the node's configuration.
@@ -36,6 +40,8 @@
 		Heartbeat: s.Policy.Heartbeat,
 		HeardFor:  heartbeatsMissed * s.Policy.Heartbeat,
 		Claims:    s.Policy.ClaimWindow,
+
+		SnapshotMaxAge: s.Platform.LogRetention / snapshotsKept,
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,7 +53,9 @@
 
 // Platform gives the base URLs of the platform's services.
 type Platform struct {
-	LogURL         string
+	LogURL string
+	// LogRetention is the least time that the log keeps a record.
+	LogRetention   time.Duration
 	VMListURL      string
 	WeightStoreURL string
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,6 +74,7 @@
 		{"key without certificate", ";callers_key =", "callers_key = k.pem", `[tls] callers_cert: missing: there is a key`},
 		{"certificate without key", ";operators_cert =", "operators_cert = c.pem", `[tls] operators_key: missing: there is a certificate`},
 		{"bad certificate", ";callers_key =", "callers_cert = /nowhere\ncallers_key = /nowhere", `[tls] callers_cert: open /nowhere`},
+		{"short retention", ";log_retention = 24h", "log_retention = 1m", `[platform] log_retention: duration 1m is not between 10m0s and 87600h0m0s`},
 		{"bad size", ";body_bytes = 4MiB", "body_bytes = 4", `[limits] body_bytes: bad size "4"`},
 		{"bad number", ";queue = 4096", "queue = 0", `[limits] queue: 0 is not between 1 and 1000000`},
 		{"bad share", ";retry_budget = 0.1", "retry_budget = 10", `[policy] retry_budget: 10 is not between 0 and 1`},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -57,6 +57,11 @@
 		help: "base URL of the platform's log",
 		set:  baseURL(func(s *Settings) *string { return &s.Platform.LogURL }),
 	},
+	{
+		section: "platform", key: "log_retention", byDefault: "24h",
+		help: "least time that the log keeps a record; 24 snapshots are written in it, so that a new VM always finds one",
+		set:  duration(10*time.Minute, 10*365*24*time.Hour, func(s *Settings) *time.Duration { return &s.Platform.LogRetention }),
+	},
 	{
 		section: "platform", key: "vmlist_url", required: true, example: "http://10.0.0.2:9002",
 		help: "base URL of the platform's VM list",
