--- /dev/null
+++ b/idempotency/example_test.go
@@ -0,0 +1,40 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"time"
+
+	"bergamotreel/idempotency"
+)
+
+// A caller sends a booking to two entry VMs with one key. Both claim it; only
+// the first claim in the stream may dispatch.
+func ExampleTable_Apply() {
+	table := idempotency.NewTable()
+	key := idempotency.Key{Customer: "trinidad", Key: "pickup-2041"}
+	digest := idempotency.DigestOf("POST", "/book", []byte(`{"slot":"tue-10"}`))
+	land := func(offset uint64, entry idempotency.Entry) idempotency.Result {
+		data, err := idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{entry}})
+		if err != nil {
+			fmt.Println(err)
+			return idempotency.Result{}
+		}
+		return table.Apply(offset, time.Unix(int64(offset), 0), data)[0]
+	}
+	claim := func(offset uint64, vm string) {
+		result := land(offset, idempotency.Entry{Claim: &idempotency.Claim{
+			ID: idempotency.ClaimID{Claimer: vm, Sequence: 1}, Key: key, Digest: digest, VM: vm, WindowMs: time.Hour.Milliseconds(),
+		}})
+		fmt.Println(vm, result.Verdict, "holder", result.Holder.VM)
+	}
+	claim(1, "entry-1")
+	claim(2, "entry-4")
+	land(3, idempotency.Entry{Outcome: &idempotency.Outcome{
+		Key: key, Claim: idempotency.MakeRevision(1, 0), Answer: idempotency.MakeAnswer(201, nil, []byte("booked")),
+	}})
+	fmt.Println(table.State(key).Answer.Status)
+	// Output:
+	// entry-1 applied holder entry-1
+	// entry-4 taken holder entry-1
+	// 201
+}
--- /dev/null
+++ b/lease/example_test.go
@@ -0,0 +1,32 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"bergamotreel/lease"
+	"bergamotreel/state"
+)
+
+// A holder counts its term from the sending of a renewal, an observer from the
+// reading: so the holder stops first.
+func ExampleHolder() {
+	config := lease.Config{Term: 10 * time.Second, Margin: 2 * time.Second, RenewEvery: 3 * time.Second, MessageLifetime: time.Minute}
+	start := time.Unix(0, 0)
+	holder, observer := lease.NewHolder(config), lease.NewObserver(config)
+
+	holder.SentRenewal(start, 1)
+	holder.Confirmed(1)
+	observer.Working(start)
+	observer.Saw(start.Add(time.Second), 7, state.Revision(7))
+
+	for _, s := range []int{3, 7, 9} {
+		now := start.Add(time.Duration(s) * time.Second)
+		observer.Working(now)
+		fmt.Println(now.Sub(start), holder.RenewDue(now), holder.MayOrder(now), len(observer.Expired(now)))
+	}
+	// Output:
+	// 3s true true 0
+	// 7s true true 0
+	// 9s true false 0
+}
--- /dev/null
+++ b/refusal/example_test.go
@@ -0,0 +1,24 @@
+package refusal_test
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"bergamotreel/refusal"
+)
+
+// A layer that knows that nothing ran says so; any other error becomes a
+// refusal that says "may have run".
+func ExampleFrom() {
+	for _, err := range []error{
+		fmt.Errorf("dispatch: %w", refusal.New(refusal.CodeWaitTooLong, 5*time.Second, "the queue is too long")),
+		errors.New("connection broken"),
+	} {
+		r := refusal.From(err)
+		fmt.Println(r.Code, r.Ran, r.RetryAfter)
+	}
+	// Output:
+	// wait_too_long no 5s
+	// internal maybe 0s
+}
