planner: Learn load times, and tell an estimate only once one came true

Nobody called placement.Planner.Loaded: estimates stayed at the first guess of 1 GiB a second for ever. On `bergamotreel dev`, the entry VM that plans a unit refused each request for it as "expected in 27.9s" while the load took 2 s; the other entry VMs, which are not told estimates, served it.

The planner now watches loads from the log's grant to the engine's word, tells the policy, and passes an estimate on to admission only if the newest one for the same tier was at most half as long again as the load that followed. What was kept of engines that are gone is forgotten.

Ruled out: several planners (one VM refused, the one that plans), a stale status (the estimate is the size over the default rate).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -64,7 +64,8 @@
 	policy   *placement.Planner
 	lastUsed map[string]time.Time
 	// ready is since when a unit is ready on an engine.
-	ready map[holding]time.Time
+	ready   map[holding]time.Time
+	loading loads
 }
 
 type holding struct{ engine, unit string }
@@ -76,6 +77,7 @@
 		wake:     make(chan struct{}, 1),
 		lastUsed: make(map[string]time.Time),
 		ready:    make(map[holding]time.Time),
+		loading:  newLoads(),
 	}
 }
 
@@ -145,6 +147,8 @@
 type decided struct {
 	placement.Decision
 	keeper state.Revision
+	// tier is where the engine would load from.
+	tier placement.Tier
 }
 
 // plan makes one plan and remembers the keepers that it rests on.
@@ -156,6 +160,10 @@
 	loads := p.loads(engines)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	seen := make(map[string]fleet.Engine, len(engines))
+	for _, e := range engines {
+		seen[e.VM.Address] = e
+	}
 	var out []decided
 	p.config.Control.View(func(s *state.State) {
 		v := p.view(now, s, engines, loads, demand)
@@ -164,11 +172,12 @@
 			if e == nil {
 				continue
 			}
-			out = append(out, decided{Decision: decision, keeper: e.Keeper})
+			out = append(out, decided{Decision: decision, keeper: e.Keeper, tier: tierOf(seen[decision.Engine], checkpoint(s, decision))})
 		}
 	})
 	for _, d := range out {
-		if d.ExpectReady > 0 {
+		key := holding{engine: d.Engine, unit: d.Unit}
+		if d.ExpectReady > 0 && p.loading.expect(key, d.tier, d.ExpectReady) {
 			p.config.Expect(d.Unit, now.Add(d.ExpectReady))
 		}
 	}
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"time"
 
 	"bergamotreel/contract"
@@ -22,6 +23,7 @@
 		Budget: func(customer string) int64 { return budget(s, customer) },
 		Lookup: func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) },
 	}
+	p.forget(engines)
 	for _, e := range engines {
 		v.Engines = append(v.Engines, p.engine(now, s, e, loads[e.VM.Address]))
 	}
@@ -120,8 +122,13 @@
 	key := holding{engine: e.VM.Address, unit: right.Unit}
 	if !h.Ready {
 		delete(p.ready, key)
+		p.loading.watch(key, now, h, tierOf(e, right.Checkpoint))
 		return h
 	}
+	// Its own units only: of the others the policy does not know the size.
+	if load, ended := p.loading.end(key, now); ended && p.config.Mine(right.Unit) {
+		p.policy.Loaded(right.Unit, load.tier, load.took)
+	}
 	if p.ready[key].IsZero() {
 		p.ready[key] = now
 	}
@@ -134,6 +141,29 @@
 	return h
 }
 
+// forget drops what is known of engines that are gone.
+func (p *Planner) forget(engines []fleet.Engine) {
+	there := make(map[string]bool, len(engines))
+	for _, e := range engines {
+		there[e.VM.Address] = true
+	}
+	gone := func(key holding) bool { return !there[key.engine] }
+	maps.DeleteFunc(p.ready, func(key holding, _ time.Time) bool { return gone(key) })
+	p.loading.forget(gone)
+}
+
+func checkpoint(s *state.State, d placement.Decision) string {
+	unit, _ := lookup(s, d.Customer, d.Unit)
+	return unit.Checkpoint
+}
+
+func tierOf(e fleet.Engine, checkpoint string) placement.Tier {
+	if tier, ok := e.Status.Cached[checkpoint]; ok {
+		return placement.Tier(tier)
+	}
+	return placement.TierRemote
+}
+
 func cached(tiers map[string]engine.Tier) map[string]placement.Tier {
 	out := make(map[string]placement.Tier, len(tiers))
 	for checkpoint, tier := range tiers {
