node, entryvm: Expectations of a unit's planner travel with its digests

Only the VM that plans a unit knew when it should be ready, so only its callers were refused in time; those at all other entry VMs waited in vain. A digest carries them now. Each is taken once: told again after the unit is ready, it would have its callers refused. It ends when the planner drops it: the unit is ready, has no right, or the time has passed.

Ruled out: a message of its own, which a lost connection would lose.

--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -37,6 +37,9 @@
 	Used []Use
 	// Refused counts refusals here since the start, by customer and code.
 	Refused []Refused
+	// Expected are the units that this VM, as their planner, expects to be ready
+	// soon; one is told until it is ready or given up.
+	Expected []Expected
 	// Age is how long other VMs held the digest before they sent it on, 0 from
 	// its maker. All durations in the digest are as of its making.
 	Age time.Duration
@@ -53,6 +56,15 @@
 	Ago time.Duration
 }
 
+// Expected is when a unit that is being loaded should be ready.
+type Expected struct {
+	Unit string
+	// In is how long after the sending.
+	In time.Duration
+	// Number differs for each expectation of one start of a VM.
+	Number uint64
+}
+
 // Refused counts refusals of one customer with one code.
 type Refused struct {
 	Customer, Code string
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -32,6 +32,7 @@
 		VM: n.config.VM, Address: n.config.PeersAddress, Domain: n.config.Domain, Region: n.config.Region,
 		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
 		Used: n.uses.lately(now), Refused: n.refused.due(now, n.config.Heartbeat),
+		Expected: n.expected.telling(now, n.outlook),
 	}
 	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
 		d.InFlight = r.InFlight()
@@ -78,6 +79,7 @@
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
 	for _, d := range digests {
 		n.peerRefused.saw(now, d)
+		n.takeExpected(n.expected.heard(now, d))
 		n.roster.saw(now.Add(-d.Age), d.VM, d.Address)
 		for _, use := range d.Used {
 			n.planner.Used(use.Unit, now.Add(-use.Ago))
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -117,7 +117,3 @@
 	})
 	return sick
 }
-
-func (n *Node) expect(unit string, at time.Time) {
-	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) { a.Expect(unit, at, true) })
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,7 @@
 	roster  *roster
 	// peerRefused are the refusals of the other entry VMs.
 	peerRefused *peerRefusals
+	expected    *expectations
 
 	mu       sync.Mutex
 	stopping bool
@@ -110,7 +111,7 @@
 	setDefault(&config.HeardFor, defaultHeardFor)
 	setDefault(&config.Claims, defaultClaims)
 	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM),
-		peerRefused: newPeerRefusals(),
+		peerRefused: newPeerRefusals(), expected: newExpectations(),
 	}
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
