keeper: tests of failures; unloads prove only their own withdrawal, endings need no one VM

Causes, each with a test that fails without the change (taken out on a scratch copy, a trial): - An unload that was answered while a right was standby counted for a later withdrawal too: on an engine that checks tokens a load under way in between came back after Gone, one replica too many. - A stopped worker broke off its order, so a graceful stop left it in doubt, the session open and the engine without a keeper for a term. Now the order's answer is waited for; with one in doubt the session is ended, not settled. - Only the chosen VM ended sessions, also if it kept no engine (its clock of the log never ran) or was cut off from the log: a dead keeper was never replaced. - A unit of another checkpoint than granted stayed loaded. - The copy of a right shared the list that the fold changes in place (go test -race of the new tests). Also: doubts outlive the worker, a refusal is no doubt, a VM on an empty stream is ready at once, not after one read's wait. Ruled out: settling by the lease's clock; a new worker without its predecessor's doubts.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,6 +19,11 @@
 const (
 	// dutyTick is how often sessions and engines are looked after.
 	dutyTick = 500 * time.Millisecond
+	// settleGrace is what others leave the chosen VM for ending what it should:
+	// several of its duty ticks and an append.
+	settleGrace = 3 * time.Second
+	// endPause is the pause before ending the own session is tried again.
+	endPause = 200 * time.Millisecond
 	// closeTimeout bounds giving the session back at a graceful shutdown.
 	closeTimeout = 3 * time.Second
 )
@@ -44,7 +50,9 @@
 	// fold holds: these are counted already, so no record is needed for safety.
 	Stranded func() map[string]bool
 	// Settles tells whether this VM is the one that ends and settles the session
-	// of another. Two that do so cost appends, never safety.
+	// of another. Two that do so cost appends, never safety; so where the chosen
+	// one does not (it may be cut off from the log), all others do after
+	// settleGrace.
 	Settles func(vm string) bool
 	// DomainOf is an engine's failure domain.
 	DomainOf func(engine string) string
@@ -69,6 +77,10 @@
 	renewals uint64
 	// ending are own ended sessions, with when their last order has died out.
 	ending map[state.SessionID]time.Time
+	// doubts are the doubtfulUntil of each engine's newest worker that ended.
+	doubts map[string]map[string]time.Time
+	// found is when each ending that is due now was first found due.
+	found map[ending]time.Time
 	// stranded holds until when a unit stays loaded by a standby right.
 	stranded map[string]time.Time
 	// stopping is set by a graceful shutdown: no new session, no new engine.
@@ -85,6 +97,7 @@
 		workers:    make(map[string]*worker),
 		running:    make(map[state.SessionID]int),
 		ending:     make(map[state.SessionID]time.Time),
+		doubts:     make(map[string]map[string]time.Time),
 		stranded:   make(map[string]time.Time),
 	}
 }
@@ -157,14 +170,42 @@
 	}
 	k.mu.Unlock()
 	k.group.Wait()
-	if session == 0 || k.doubt(session) {
-		// An order without an answer may still arrive. The session then lapses,
-		// and its VM's departure settles it.
+	if session == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
-	_, _ = k.config.Control.Propose(ctx, state.Proposal{SessionClose: &state.SessionClose{Session: session}})
+	if !k.doubt(session) {
+		_, _ = k.config.Control.Propose(ctx, state.Proposal{SessionClose: &state.SessionClose{Session: session}})
+		return
+	}
+	k.endOwn(ctx, session)
+}
+
+// endOwn ends the session without settling it: an order without an answer may
+// still arrive, but another VM can take the engines over at once. The VM's
+// departure settles it. A renewal under way may land first.
+func (k *Keeper) endOwn(ctx context.Context, session state.SessionID) {
+	for ctx.Err() == nil {
+		var renewal state.Revision
+		k.config.Control.View(func(s *state.State) {
+			if known := s.Sessions[session]; known != nil && !known.Ended {
+				renewal = known.LastRenewal
+			}
+		})
+		if renewal == 0 {
+			return
+		}
+		if _, ended := k.propose(ctx, state.Proposal{
+			SessionExpire: &state.SessionExpire{Session: session, LastRenewal: renewal},
+		}); ended {
+			return
+		}
+		select {
+		case <-time.After(endPause):
+		case <-ctx.Done():
+		}
+	}
 }
 
 // doubt tells whether an order of the session may still arrive.
@@ -217,7 +258,11 @@
 	if w, running := k.workers[address]; running && w.session == session {
 		return
 	}
-	w := newWorker(k, address, session)
+	doubts := maps.Clone(k.doubts[address])
+	if doubts == nil {
+		doubts = make(map[string]time.Time)
+	}
+	w := newWorker(k, address, session, doubts)
 	workerCtx, stop := context.WithCancel(ctx)
 	w.stop = stop
 	k.workers[address] = w
@@ -228,9 +273,13 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.running[session]--
+		if k.running[session] == 0 {
+			delete(k.running, session)
+		}
 		if k.workers[address] == w {
 			delete(k.workers, address)
 		}
+		k.doubts[address] = w.doubtfulUntil
 		if lastDoubt.After(k.ending[session]) {
 			k.ending[session] = lastDoubt
 		}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,286 @@
+package keeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/state"
+)
+
+// The keeper's process dies. Another VM takes its engine after the session's
+// term and goes on with the model that is loaded there: no second load. A
+// withdrawn right is freed at once where the engine checks tokens; where not,
+// only once the dead VM has been off the list for a message's lifetime.
+func TestTakeoverOfADeadKeeper(t *testing.T) {
+	onBoth(t, func(b *bed, checks bool) {
+		b.grant("e", "m")
+		time.Sleep(5 * time.Second)
+		b.vms["a"].stop()
+		b.until(15*time.Second, "takeover", func() bool { return b.keeperOf("e") == "b" })
+		b.mustHold("e", "m:ready")
+		b.withdraw("m")
+		if checks {
+			if took := b.untilGone("m"); took > 3*time.Second {
+				b.Errorf("freed after %v", took)
+			}
+			return
+		}
+		time.Sleep(20 * time.Second)
+		if b.agreed("e").Rights["m"] == nil {
+			b.Error("freed while the former keeper may still send")
+		}
+		b.leave("a")
+		if took := b.untilGone("m"); took < timing.MessageLifetime {
+			b.Errorf("freed %v after the VM left the list", took)
+		}
+	})
+}
+
+// An engine restarts empty, dies at the end of a load, or its load fails: what
+// is wanted there is loaded again.
+func TestLoadsAgain(t *testing.T) {
+	for name, fault := range map[string]func(*engineserver.Engine){
+		"restart":  func(e *engineserver.Engine) { time.Sleep(5 * time.Second); e.Restart() },
+		"dies":     func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{DieWhileLoading: true}) },
+		"failure":  func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{FailLoads: []string{"m"}}) },
+		"unsent":   func(e *engineserver.Engine) { e.Crash() },
+		"thaw":     func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{Frozen: true}) },
+		"no reply": func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{LoseOrderAnswers: 2}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			onBoth(t, func(b *bed, _ bool) {
+				e := b.engines.Engine("e")
+				b.grant("e", "m")
+				fault(e)
+				time.Sleep(10 * time.Second)
+				e.SetFaults(engineserver.Faults{})
+				e.Start()
+				time.Sleep(15 * time.Second)
+				b.mustHold("e", "m:ready")
+			})
+		})
+	}
+}
+
+// A load order is on its way for longer than its keeper waits, and arrives after
+// the right was withdrawn and unloaded. An engine that checks tokens refuses it;
+// on one that ignores them the right stays counted until the order cannot arrive
+// any more. Naive twin: free the right once the engine shows no unit.
+func TestLateLoadAfterItsWithdrawal(t *testing.T) {
+	for name, naive := range map[string]bool{"keeper": false, "naive twin": true} {
+		t.Run(name, func(t *testing.T) {
+			onBoth(t, func(b *bed, checks bool) {
+				b.expected = naive
+				b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 8000})
+				b.grant("e", "m")
+				time.Sleep(5200 * time.Millisecond)
+				b.withdraw("m")
+				if naive {
+					time.Sleep(500 * time.Millisecond)
+					e := b.agreed("e")
+					if e.Rights["m"] != nil && b.holds("e") == "" {
+						b.propose("a", state.Proposal{Gone: &state.Gone{
+							Engine: "e", Keeper: e.Keeper, Unit: "m", Right: e.Rights["m"].Granted,
+						}})
+					}
+				}
+				took := b.untilGone("m")
+				if !naive && !checks && took < timing.MessageLifetime-time.Second {
+					b.Errorf("freed %v after the withdrawal", took)
+				}
+				time.Sleep(20 * time.Second)
+				if !naive {
+					b.mustHold("e", "")
+				}
+			})
+		})
+	}
+}
+
+// A standby right was unloaded and is wanted again; that load is under way when
+// the right is withdrawn. The earlier unload's answer proves nothing of the load
+// after it: an engine that checks tokens needs one at the withdrawal's.
+func TestUnloadFromBeforeTheWithdrawalProvesNothing(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		b.grant("e", "m")
+		time.Sleep(5 * time.Second)
+		b.want("m", false)
+		time.Sleep(2 * time.Second)
+		b.mustHold("e", "")
+		b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 8000})
+		b.want("m", true)
+		time.Sleep(5200 * time.Millisecond)
+		b.withdraw("m")
+		b.untilGone("m")
+		time.Sleep(10 * time.Second)
+		b.mustHold("e", "")
+	})
+}
+
+// The naive twin gives all orders the token of its own keeper's grant: its late
+// load is obeyed behind its own unload, though the engine checks tokens.
+func TestNaiveTwinWithOneTokenFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		e := b.engine("e", true)
+		for _, action := range []engine.Action{engine.ActionUnload, engine.ActionLoad} {
+			order := engine.Order{Token: 7, Action: action, Unit: "m", Checkpoint: "m:v1", Bytes: gigabyte}
+			if _, err := e.Order(b.ctx, order); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.mustHold("e", "m:loading")
+	})
+}
+
+// The right is withdrawn while the load runs: the load is broken off and the
+// right freed, also where the load does not come to an end.
+func TestWithdrawWhileLoading(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		b.engines.Engine("e").SetFaults(engineserver.Faults{StallLoads: []string{"m"}})
+		b.grant("e", "m")
+		time.Sleep(5 * time.Second)
+		b.mustHold("e", "m:loading")
+		b.withdraw("m")
+		if took := b.untilGone("m"); took > 3*time.Second {
+			b.Errorf("freed after %v", took)
+		}
+		b.mustHold("e", "")
+	})
+}
+
+// An engine holds a unit that nobody has a right to, and another one of an older
+// checkpoint than granted: both are unloaded, the granted one is loaded.
+func TestUnloadsWhatNobodyGranted(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		e := b.engines.Engine("e")
+		high := engine.Token(b.agreed("e").Keeper)
+		for _, unit := range []string{"stray", "m"} {
+			order := engine.Order{Token: high, Action: engine.ActionLoad, Unit: unit, Checkpoint: "m:v0", Bytes: gigabyte}
+			if unit == "m" {
+				b.grant("e", "m")
+			}
+			if _, err := e.Order(b.ctx, order); err != nil {
+				b.Log(unit, err)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		b.mustHold("e", "m:ready")
+		if status, _ := e.Status(b.ctx); status.Units[0].Checkpoint != "m:v1" {
+			b.Errorf("holds checkpoint %s", status.Units[0].Checkpoint)
+		}
+	})
+}
+
+// A session is ended by another VM while an order of it is under way. Its owner
+// must not call it settled before that order has died out: Gone would then free
+// what the order may still load.
+func TestSessionLostWhileAnOrderIsUnderWay(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 14000})
+		b.grant("e", "m")
+		time.Sleep(100 * time.Millisecond)
+		b.vms["a"].keeps = nil
+		var lost state.Session
+		b.vms["b"].control.View(func(s *state.State) { lost = *s.Sessions[s.Engines["e"].KeeperSession] })
+		b.propose("b", state.Proposal{SessionExpire: &state.SessionExpire{
+			Session: lost.ID, LastRenewal: lost.LastRenewal,
+		}})
+		b.until(5*time.Second, "takeover", func() bool { return b.keeperOf("e") == "b" })
+		b.withdraw("m")
+		b.untilGone("m")
+		time.Sleep(20 * time.Second)
+		b.mustHold("e", "")
+	})
+}
+
+// A VM stops in good order: its engine has another keeper at once, without
+// waiting for the session's term. With a load order still without an answer the
+// engine changes hands just as fast, but the session is not settled.
+func TestStopGivesEnginesBack(t *testing.T) {
+	for name, delayMS := range map[string]int64{"idle": 0, "order under way": 1000, "order in doubt": 8000} {
+		doubt := delayMS > orderTimeout.Milliseconds()
+		t.Run(name, func(t *testing.T) {
+			onBoth(t, func(b *bed, _ bool) {
+				if delayMS > 0 {
+					b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: delayMS})
+					b.grant("e", "m")
+					time.Sleep(100 * time.Millisecond)
+				}
+				b.vms["a"].keeper.Stop(b.ctx)
+				took := b.until(time.Minute, "takeover", func() bool { return b.keeperOf("e") == "b" })
+				if took > 2*time.Second {
+					b.Errorf("taken over after %v", took)
+				}
+				unsettled := 0
+				b.vms["b"].control.View(func(s *state.State) { unsettled = len(s.Sessions) - 1 })
+				if (unsettled > 0) != doubt {
+					b.Errorf("%d sessions unsettled", unsettled)
+				}
+			})
+		})
+	}
+}
+
+// One engine hangs and answers nothing: the others of the same keeper are served.
+func TestStuckEngineStopsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.engine("e", true).SetFaults(engineserver.Faults{Frozen: true})
+		b.engine("f", true)
+		b.start("b", "e", "f")
+		time.Sleep(3 * time.Second)
+		b.publish()
+		b.grant("f", "m")
+		time.Sleep(5 * time.Second)
+		b.mustHold("f", "m:ready")
+	})
+}
+
+// The keeper dies. The VM that is chosen to end its session keeps no engine, or
+// is cut off from the log: the engine must change hands all the same.
+func TestTakeoverWhoeverIsChosenToEndTheSession(t *testing.T) {
+	for name, cut := range map[string]bool{"keeps no engine": false, "cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			onBoth(t, func(b *bed, _ bool) {
+				c := b.start("c")
+				b.chosen = "c"
+				time.Sleep(3 * time.Second)
+				if cut {
+					c.view.Cut()
+				}
+				b.vms["a"].stop()
+				limit := timing.Term + 2*time.Second
+				if cut {
+					limit += settleGrace
+				}
+				b.until(limit, "takeover", func() bool { return b.keeperOf("e") == "b" })
+			})
+		})
+	}
+}
+
+// The keeper is cut off from the log and does not learn that another VM took its
+// engine over; both send orders by what they know. An engine that checks tokens
+// obeys the newer one alone. On one that ignores them the old keeper loads again
+// what the new one unloads: it stays counted until the old one has heard.
+func TestTwoKeepersAtOnce(t *testing.T) {
+	onBoth(t, func(b *bed, checks bool) {
+		b.grant("e", "m")
+		time.Sleep(5 * time.Second)
+		b.vms["a"].view.Cut()
+		b.until(20*time.Second, "takeover", func() bool { return b.keeperOf("e") == "b" })
+		b.withdraw("m")
+		time.Sleep(20 * time.Second)
+		if counted := b.agreed("e").Rights["m"] != nil; counted == checks {
+			b.Errorf("right counted: %v", counted)
+		}
+		b.vms["a"].view.Heal()
+		b.untilGone("m")
+		time.Sleep(20 * time.Second)
+		b.mustHold("e", "")
+	})
+}
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -25,6 +25,8 @@
 	order engine.Order
 	// right is the revision of the right that the step is for, 0 without one.
 	right state.Revision
+	// withdrawn is the revision of its withdrawal, 0 while it stands.
+	withdrawn state.Revision
 }
 
 // picture is all that the next step is decided from: what the fold says, what
@@ -39,8 +41,9 @@
 type memory struct {
 	// fenced is the token that the engine was last fenced with.
 	fenced engine.Token
-	// unloaded holds the rights whose unload order was answered before the
-	// newest status was asked for.
+	// unloaded holds the withdrawals whose unload order was answered before the
+	// newest status was asked for. An unload from before the withdrawal proves
+	// nothing: a load that came after it may still arrive.
 	unloaded map[state.Revision]bool
 	// doubtful are units of which a load order has no answer and may still
 	// arrive at an engine.
@@ -95,7 +98,7 @@
 func unloads(p picture, held map[string]engine.Unit, now engine.Token) []step {
 	var steps []step
 	for _, unit := range sortedUnits(held) {
-		if p.agreed.Rights[unit.Unit] == nil && !p.memory.resting[unit.Unit] {
+		if unknown(unit, p.agreed.Rights[unit.Unit]) && !p.memory.resting[unit.Unit] {
 			steps = append(steps, step{kind: stepUnload, order: unloadOrder(unit.Unit, unit.Base, now)})
 		}
 	}
@@ -111,15 +114,28 @@
 	return steps
 }
 
+// unknown tells whether no right allows what the engine holds. A unit of another
+// checkpoint is a late order's, from a former right of that name: served, it
+// would put an older contract in force again.
+func unknown(unit engine.Unit, right *state.Right) bool {
+	if right == nil {
+		return true
+	}
+	return right.Withdrawn == 0 && right.Checkpoint != unit.Checkpoint && unit.Phase != engine.PhaseUnloading
+}
+
 // withdrawal takes a withdrawn right one step on. The unload order is sent even
 // where the engine does not show the unit: its answer proves that the engine
 // has seen a token above every earlier load order, so none of them can bring
 // the unit back after Gone. It is sent again where the unit is back: on an
 // engine that ignores tokens a former keeper's late order loads it.
 func withdrawal(p picture, right *state.Right, unit engine.Unit, present bool, now engine.Token) []step {
-	unload := step{kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now), right: right.Granted}
+	unload := step{
+		kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now),
+		right: right.Granted, withdrawn: right.Withdrawn,
+	}
 	switch {
-	case !p.memory.unloaded[right.Granted], present && unit.Phase != engine.PhaseUnloading:
+	case !p.memory.unloaded[right.Withdrawn], present && unit.Phase != engine.PhaseUnloading:
 		if p.memory.resting[right.Unit] {
 			return nil
 		}
--- /dev/null
+++ b/internal/keeper/reconcile_test.go
@@ -0,0 +1,86 @@
+package keeper
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"bergamotreel/engine"
+	"bergamotreel/state"
+)
+
+// What a keeper does next follows from the fold, the engine's answer and its own
+// memory alone. The engine is kept since 10; the model m is granted at 20, the
+// adapter x on it at 21.
+func TestNextSteps(t *testing.T) {
+	type rights = map[string]*state.Right
+	base := func(change ...func(*state.Right)) *state.Right {
+		r := &state.Right{Unit: "m", Checkpoint: "m:v1", Granted: 20, Wanted: true, OrderedBy: []state.SessionID{1}}
+		for _, c := range change {
+			c(r)
+		}
+		return r
+	}
+	adapter := &state.Right{Unit: "x", Base: "m", Checkpoint: "x:v1", Granted: 21, Wanted: true}
+	withdrawn := func(r *state.Right) { r.Withdrawn, r.Wanted = 30, false }
+	standby := func(r *state.Right) { r.Wanted = false }
+	former := func(r *state.Right) { r.OrderedBy = append(r.OrderedBy, 2) }
+	unit := func(name, base, checkpoint string, phase engine.Phase) engine.Unit {
+		return engine.Unit{Unit: name, Base: base, Checkpoint: checkpoint, Phase: phase}
+	}
+	m := func(phase engine.Phase) engine.Unit { return unit("m", "", "m:v1", phase) }
+	unloaded := func(p *picture) { p.memory.unloaded = map[state.Revision]bool{30: true} }
+	resting := func(p *picture) { p.memory.resting = map[string]bool{"m": true} }
+	doubtful := func(p *picture) { p.memory.doubtful = map[string]bool{"m": true} }
+	ignores := func(p *picture) { p.status.ChecksTokens, p.agreed.ChecksTokens = false, false }
+	type list = []func(*picture)
+	for name, c := range map[string]struct {
+		rights rights
+		units  []engine.Unit
+		set    list
+		want   string
+	}{
+		"not fenced":           {rights{"m": base()}, nil, list{func(p *picture) { p.memory.fenced = 9 }}, "fence@20"},
+		"restarted":            {rights{"m": base()}, nil, list{func(p *picture) { p.status.Incarnation = "i2" }}, "meet"},
+		"wanted":               {rights{"m": base()}, nil, nil, "load m@20"},
+		"resting":              {rights{"m": base()}, nil, list{resting}, ""},
+		"loading":              {rights{"m": base()}, []engine.Unit{m(engine.PhaseLoading)}, nil, ""},
+		"adapter waits":        {rights{"m": base(), "x": adapter}, nil, nil, "load m@21"},
+		"adapter after base":   {rights{"m": base(), "x": adapter}, []engine.Unit{m(engine.PhaseReady)}, nil, "load x@21"},
+		"standby":              {rights{"m": base(standby)}, []engine.Unit{m(engine.PhaseReady)}, nil, "unload m@20"},
+		"standby, log away":    {rights{"m": base(standby)}, nil, list{func(p *picture) { p.memory.stranded = map[string]bool{"m": true} }}, "load m@20"},
+		"stray units":          {nil, []engine.Unit{m(engine.PhaseReady), unit("x", "m", "", engine.PhaseReady)}, nil, "unload x@10 unload m@10"},
+		"older checkpoint":     {rights{"m": base()}, []engine.Unit{unit("m", "", "m:v0", engine.PhaseReady)}, nil, "unload m@20"},
+		"withdrawn":            {rights{"m": base(withdrawn)}, []engine.Unit{m(engine.PhaseReady)}, nil, "unload m@30"},
+		"withdrawn, not shown": {rights{"m": base(withdrawn)}, nil, nil, "unload m@30"},
+		"unloading":            {rights{"m": base(withdrawn)}, []engine.Unit{m(engine.PhaseUnloading)}, list{unloaded}, ""},
+		"brought back":         {rights{"m": base(withdrawn)}, []engine.Unit{m(engine.PhaseLoading)}, list{unloaded}, "unload m@30"},
+		"gone":                 {rights{"m": base(withdrawn)}, nil, list{unloaded, doubtful}, "gone m"},
+		"gone, ignores":        {rights{"m": base(withdrawn)}, nil, list{unloaded, ignores}, "gone m"},
+		"doubt, ignores":       {rights{"m": base(withdrawn)}, nil, list{unloaded, ignores, doubtful}, ""},
+		"former keeper":        {rights{"m": base(withdrawn, former)}, nil, list{unloaded}, "gone m"},
+		"former, ignores":      {rights{"m": base(withdrawn, former)}, nil, list{unloaded, ignores}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := picture{
+				agreed: state.Engine{Keeper: 10, KeeperSession: 1, Incarnation: "i1", ChecksTokens: true, Rights: c.rights},
+				status: engine.Status{Incarnation: "i1", ChecksTokens: true, Units: c.units},
+				memory: memory{fenced: 10},
+			}
+			for _, set := range c.set {
+				set(&p)
+			}
+			var got []string
+			for _, s := range nextSteps(p) {
+				text := strings.TrimSpace(fmt.Sprintf("%s %s", s.kind, s.order.Unit))
+				if s.order.Token != 0 {
+					text += fmt.Sprint("@", s.order.Token)
+				}
+				got = append(got, text)
+			}
+			if strings.Join(got, " ") != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/keeper/session.go
+++ b/internal/keeper/session.go
@@ -25,11 +25,14 @@
 	k.renewSession(ctx, session)
 }
 
+// openSession opens a session on each VM, also on one without an engine to keep:
+// only who renews a session of its own knows that renewals can land, and so
+// whether another VM's is overdue.
 func (k *Keeper) openSession(ctx context.Context) {
 	k.mu.Lock()
 	stopping := k.stopping
 	k.mu.Unlock()
-	if stopping || len(k.config.Keeps()) == 0 {
+	if stopping {
 		return
 	}
 	holder := lease.NewHolder(k.config.Lease)
@@ -122,10 +125,21 @@
 	var out []state.Proposal
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	found := make(map[ending]time.Time)
+	// mine tells whether this VM should end now what belongs to the other one.
+	mine := func(what ending, vm string) bool {
+		since, known := k.found[what]
+		if !known {
+			since = now
+		}
+		found[what] = since
+		return k.config.Settles(vm) || now.Sub(since) >= settleGrace
+	}
 	k.config.Control.View(func(s *state.State) {
 		k.observer.Follow(now, s.Sessions)
 		for _, expire := range k.observer.Expired(now) {
-			if expire.Session != k.session && k.config.Settles(s.Sessions[expire.Session].VM) {
+			what := ending{kind: "expire", session: expire.Session}
+			if expire.Session != k.session && mine(what, s.Sessions[expire.Session].VM) {
 				out = append(out, state.Proposal{SessionExpire: &expire})
 			}
 		}
@@ -133,20 +147,29 @@
 			out = append(out, state.Proposal{SessionExpire: &expire})
 		}
 		for _, settle := range k.departures.Settleable(now, s.Sessions) {
-			if vm := s.Sessions[settle.Session].VM; vm == k.config.VM || k.config.Settles(vm) {
+			vm := s.Sessions[settle.Session].VM
+			if vm == k.config.VM || mine(ending{kind: "settle", session: settle.Session}, vm) {
 				out = append(out, state.Proposal{SessionSettle: &settle})
 			}
 		}
 		for _, remove := range k.departures.Removable(s.Engines) {
-			if k.config.Settles(remove.Engine) {
+			if mine(ending{kind: "remove", engine: remove.Engine}, remove.Engine) {
 				out = append(out, state.Proposal{EngineRemove: &remove})
 			}
 		}
 		out = append(out, k.ownSettles(now, s)...)
 	})
+	k.found = found
 	return out
 }
 
+// ending is one thing that is to end: a session or an engine.
+type ending struct {
+	kind    string
+	session state.SessionID
+	engine  string
+}
+
 // ownSettles are the own ended sessions that can send no order any more: their
 // workers have stopped and their last order without an answer has died out.
 func (k *Keeper) ownSettles(now time.Time, s *state.State) []state.Proposal {
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,13 +43,14 @@
 	incarnation   string
 }
 
-func newWorker(k *Keeper, address string, session state.SessionID) *worker {
+// newWorker takes over what an earlier worker of the engine left in doubt.
+func newWorker(k *Keeper, address string, session state.SessionID, doubts map[string]time.Time) *worker {
 	return &worker{
 		keeper: k, address: address, session: session,
 		wake:          make(chan struct{}, 1),
 		logger:        k.config.Logger.With(zap.String("engine", address)),
 		unloaded:      make(map[state.Revision]bool),
-		doubtfulUntil: make(map[string]time.Time),
+		doubtfulUntil: doubts,
 		restUntil:     make(map[string]time.Time),
 	}
 }
@@ -101,6 +103,8 @@
 		copied.Rights = make(map[string]*state.Right, len(e.Rights))
 		for unit, right := range e.Rights {
 			r := *right
+			// The fold changes this list in place.
+			r.OrderedBy = slices.Clone(right.OrderedBy)
 			copied.Rights[unit] = &r
 		}
 	})
@@ -139,9 +143,9 @@
 
 func (w *worker) remembered(agreed state.Engine) memory {
 	now := time.Now()
-	for right := range w.unloaded {
-		if !stillThere(agreed, right) {
-			delete(w.unloaded, right)
+	for withdrawal := range w.unloaded {
+		if !stillThere(agreed, withdrawal) {
+			delete(w.unloaded, withdrawal)
 		}
 	}
 	return memory{
@@ -151,9 +155,9 @@
 	}
 }
 
-func stillThere(agreed state.Engine, right state.Revision) bool {
+func stillThere(agreed state.Engine, withdrawal state.Revision) bool {
 	for _, r := range agreed.Rights {
-		if r.Granted == right {
+		if r.Withdrawn == withdrawal {
 			return true
 		}
 	}
@@ -184,9 +188,11 @@
 	}
 }
 
-// order sends one order and remembers what its answer proves.
+// order sends one order and remembers what its answer proves. A worker that is
+// stopped meanwhile waits for the answer: without it nobody could tell whether
+// the order still arrives, and the session could not be closed.
 func (w *worker) order(ctx context.Context, s step) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	status, err := w.keeper.config.Engines.Order(ctx, w.address, s.order)
 	if err != nil {
@@ -201,8 +207,8 @@
 		w.fenced = s.order.Token
 	case stepUnload:
 		w.restUntil[s.order.Unit] = time.Now().Add(workerTick)
-		if s.right != 0 {
-			w.unloaded[s.right] = true
+		if s.withdrawn != 0 {
+			w.unloaded[s.withdrawn] = true
 		}
 	case stepLoad:
 		w.restUntil[s.order.Unit] = time.Now().Add(restAfterFailure)
@@ -213,15 +219,24 @@
 func (w *worker) orderFailed(s step, err error) {
 	now := time.Now()
 	w.restUntil[s.order.Unit] = now.Add(restAfterFailure)
-	notSent := errors.Is(err, engine.ErrNotSent)
-	refused := errors.Is(err, engine.ErrStaleToken) || errors.Is(err, engine.ErrNoMemory)
-	if s.kind == stepLoad && !notSent && !refused {
+	if s.kind == stepLoad && mayArrive(err) {
 		w.doubtfulUntil[s.order.Unit] = now.Add(w.keeper.config.MessageLifetime)
 	}
 	w.logger.Warn("order failed", zap.String("action", string(s.order.Action)),
 		zap.String("unit", s.order.Unit), zap.Error(err))
 }
 
+// definite are the errors that prove that an order did nothing and never will.
+var definite = []error{
+	engine.ErrNotSent, engine.ErrStaleToken, engine.ErrNoMemory,
+	engine.ErrNotLoaded, engine.ErrInUse, engine.ErrBadRequest,
+}
+
+// mayArrive tells whether the order that failed so may still take effect.
+func mayArrive(err error) bool {
+	return !slices.ContainsFunc(definite, func(no error) bool { return errors.Is(err, no) })
+}
+
 func (w *worker) meet(ctx context.Context, status engine.Status) bool {
 	agreed, mine := w.agreed()
 	if !mine {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -182,7 +182,11 @@
 func (r *Replica) read(ctx context.Context, from platformlog.Offset) (platformlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
 	defer cancel()
-	batch, err := r.config.Log.Read(ctx, r.config.Stream, from, readMax, readWait)
+	wait := readWait
+	if _, _, reachedAt := r.Position(); reachedAt.IsZero() {
+		wait = 0 // an empty stream must not hold up the start
+	}
+	batch, err := r.config.Log.Read(ctx, r.config.Stream, from, readMax, wait)
 	if err == nil || errors.Is(err, platformlog.ErrTrimmed) {
 		r.reached(batch)
 	}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -37,6 +37,15 @@
 	newest, metAt time.Time
 	// wroteAt is when this VM last wrote one, by its own clock.
 	wroteAt time.Time
+	// written counts those that this VM appended whole since its start.
+	written uint64
+}
+
+// SnapshotsWritten counts the snapshots that this VM wrote since its start.
+func (r *Replica) SnapshotsWritten() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.snapshots.written
 }
 
 func (w *snapshotWatch) saw(record platformlog.Record) {
@@ -142,6 +151,11 @@
 			return
 		}
 	}
+	if len(records) > 0 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.snapshots.written++
+	}
 }
 
 func (r *Replica) appendPart(ctx context.Context, data []byte) error {
