--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -108,6 +108,16 @@
 // Ready is closed once the table is there.
 func (c *Claimer) Ready() <-chan struct{} { return c.replica.Ready() }
 
+// SnapshotsWritten counts the snapshots that this VM wrote since its start.
+func (c *Claimer) SnapshotsWritten() uint64 { return c.replica.SnapshotsWritten() }
+
+// Skipped counts records of the stream that no VM could read.
+func (c *Claimer) Skipped() uint64 {
+	var skipped uint64
+	c.replica.View(func() { skipped = c.fold.table.Skipped() })
+	return skipped
+}
+
 // Drain waits until the answers under way are recorded, at a graceful shutdown.
 func (c *Claimer) Drain() { c.recording.Wait() }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -152,6 +152,9 @@
 	c.named[id] = others
 }
 
+// SnapshotsWritten counts the snapshots that this VM wrote since its start.
+func (c *Control) SnapshotsWritten() uint64 { return c.replica.SnapshotsWritten() }
+
 // Lags tells whether a peer that has folded up to the offset knows more.
 func (c *Control) Lags(applied uint64) bool { return c.replica.Lags(platformlog.Offset(applied)) }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -68,6 +68,8 @@
 	gauge("control_end_offset", func(s node.Stats) float64 { return float64(s.End) })
 	gauge("control_lag_records", func(s node.Stats) float64 { return float64(s.Lag) })
 	gauge("control_skipped_records", func(s node.Stats) float64 { return float64(s.Skipped) })
+	gauge("claims_skipped_records", func(s node.Stats) float64 { return float64(s.SkippedClaims) })
+	gauge("snapshots_written", func(s node.Stats) float64 { return float64(s.SnapshotsWritten) })
 	gauge("log_reachable", func(s node.Stats) float64 { return truth(s.LogReachable) })
 	gauge("ready", func(s node.Stats) float64 { return truth(s.Ready) })
 	gauge("live_vms", func(s node.Stats) float64 { return float64(s.LiveVMs) })
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -16,6 +16,11 @@
 	Applied, End, Lag uint64
 	// Skipped counts control records that no VM could read.
 	Skipped uint64
+	// SkippedClaims counts records of the stream of claims likewise.
+	SkippedClaims uint64
+	// SnapshotsWritten counts those that this VM wrote since its start, of both
+	// streams.
+	SnapshotsWritten uint64
 	// LogReachable and Ready are as in the operators' status.
 	LogReachable, Ready bool
 	// LiveVMs are the entry VMs that are heard, ListedVMs those on the VM list;
@@ -43,6 +48,7 @@
 		Applied: position.Applied, End: position.End, Lag: position.Lag,
 		LogReachable: position.Reachable, Ready: n.Ready() == nil,
 		LiveVMs: len(n.gossip.Live()) + 1, ListedVMs: len(n.fleet.VMs(vmlist.KindEntry)),
+		SkippedClaims: n.claims.Skipped(), SnapshotsWritten: n.control.SnapshotsWritten() + n.claims.SnapshotsWritten(),
 		Open: n.serving.Open(), Refusals: n.refused.byCode(),
 	}
 	n.readEngines(&stats, n.fleet.Engines())
