state, keeper: an order's token never falls; what proves Gone is read before the engine is asked

The token of an order was the highest revision among the rights still there, so it fell once a withdrawn right was gone; an engine that checks tokens then refused the keeper's next loads until another grant, for example after its restart. 2. A load order without an answer could arrive just after the engine's status and stop being doubtful just before the doubts were read: Gone would then free a loaded unit on an engine that ignores tokens. 3. An unload answered by an engine before it began to check tokens guarded nothing. Ruled out: taking the token from the engine's HighestToken (a paused former keeper would lift its own). Change: Engine.Newest in the fold, raised by take, grant, want and withdraw, is the token; doubts are read before asking; a checking engine must say in the same answer that it has seen the withdrawal's token. Tests: TestNextSteps "token stays up", "unload unseen"; the fold's invariants hold Newest above all rights. The table's fixture now sets Newest and HighestToken as fold and engine do; its expectations are unchanged.

--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -59,16 +59,10 @@
 	return right.Withdrawn == 0 && (right.Wanted || p.memory.stranded[right.Unit])
 }
 
-// token is the fencing token for any order now: the newest revision that this
-// keeper's orders to the engine rest on. So an order that arrives late, behind
-// one that was decided after it, is refused by an engine that checks tokens.
-func token(e *state.Engine) engine.Token {
-	newest := e.Keeper
-	for _, right := range e.Rights {
-		newest = max(newest, right.Granted, right.Withdrawn)
-	}
-	return engine.Token(newest)
-}
+// token is the fencing token for any order now. Orders go out one at a time, and
+// a later one never has a lower token: so an order that arrives late, behind one
+// that was decided after it, is refused by an engine that checks tokens.
+func token(e *state.Engine) engine.Token { return engine.Token(max(e.Keeper, e.Newest)) }
 
 // nextSteps decides what to do, in the order in which to do it.
 func nextSteps(p picture) []step {
@@ -135,7 +129,7 @@
 		right: right.Granted, withdrawn: right.Withdrawn,
 	}
 	switch {
-	case !p.memory.unloaded[right.Withdrawn], present && unit.Phase != engine.PhaseUnloading:
+	case !p.unloadProved(right), present && unit.Phase != engine.PhaseUnloading:
 		if p.memory.resting[right.Unit] {
 			return nil
 		}
@@ -146,6 +140,14 @@
 	return []step{{kind: stepGone, order: engine.Order{Unit: right.Unit}, right: right.Granted}}
 }
 
+// unloadProved tells whether an unload order of this withdrawal was answered and
+// still guards against earlier loads: an engine that checks tokens must say in
+// the same answer that it has seen this token, or it did not check at the time.
+func (p picture) unloadProved(right *state.Right) bool {
+	guarded := !p.status.ChecksTokens || p.status.HighestToken >= engine.Token(right.Withdrawn)
+	return guarded && p.memory.unloaded[right.Withdrawn]
+}
+
 // mayComeBack tells whether a load order could still bring the unit back on an
 // engine that ignores tokens: one of this keeper without an answer, or one of a
 // former keeper. The former's settling must have been folded before the engine
--- a/internal/keeper/reconcile_test.go
+++ b/internal/keeper/reconcile_test.go
@@ -60,13 +60,18 @@
 		"doubt, ignores":       {rights{"m": base(withdrawn)}, nil, list{unloaded, ignores, doubtful}, ""},
 		"former keeper":        {rights{"m": base(withdrawn, former)}, nil, list{unloaded}, "gone m"},
 		"former, ignores":      {rights{"m": base(withdrawn, former)}, nil, list{unloaded, ignores}, ""},
+		"token stays up":       {rights{"m": base()}, nil, list{func(p *picture) { p.agreed.Newest = 40 }}, "load m@40"},
+		"unload unseen":        {rights{"m": base(withdrawn)}, nil, list{unloaded, func(p *picture) { p.status.HighestToken = 29 }}, "unload m@30"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := picture{
 				agreed: state.Engine{Keeper: 10, KeeperSession: 1, Incarnation: "i1", ChecksTokens: true, Rights: c.rights},
-				status: engine.Status{Incarnation: "i1", ChecksTokens: true, Units: c.units},
+				status: engine.Status{Incarnation: "i1", ChecksTokens: true, HighestToken: 30, Units: c.units},
 				memory: memory{fenced: 10},
 			}
+			for _, right := range c.rights {
+				p.agreed.Newest = max(p.agreed.Newest, right.Granted, right.Withdrawn)
+			}
 			for _, set := range c.set {
 				set(&p)
 			}
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -114,6 +114,10 @@
 // round asks the engine and takes the next steps. It tells whether something
 // was done, so that the next round should follow at once.
 func (w *worker) round(ctx context.Context, agreed state.Engine) bool {
+	// What is doubtful is read before the engine is asked: a load order may arrive
+	// just after the engine's answer and be too old to arrive just before a later
+	// reading, and Gone would free a unit that is loaded.
+	remembered := w.remembered(agreed)
 	status, err := w.ask(ctx)
 	if err != nil {
 		return false
@@ -124,7 +128,7 @@
 		clear(w.unloaded)
 	}
 	done := false
-	for _, s := range nextSteps(picture{agreed: agreed, status: status, memory: w.remembered(agreed)}) {
+	for _, s := range nextSteps(picture{agreed: agreed, status: status, memory: remembered}) {
 		if ctx.Err() != nil {
 			return false
 		}
--- a/state/apply.go
+++ b/state/apply.go
@@ -85,7 +85,7 @@
 	case p.Grant != nil:
 		return s.grant(rev, p.Grant)
 	case p.Want != nil:
-		return s.want(p.Want)
+		return s.want(rev, p.Want)
 	case p.Withdraw != nil:
 		return s.withdraw(rev, p.Withdraw)
 	default:
--- a/state/helper_test.go
+++ b/state/helper_test.go
@@ -64,6 +64,9 @@
 	for name, e := range s.Engines {
 		used := int64(0)
 		for unit, right := range e.Rights {
+			if e.Newest < max(e.Keeper, right.Granted, right.Withdrawn) {
+				return fmt.Sprintf("%s: order token %d is below that of %s", name, e.Newest, unit)
+			}
 			used += right.Bytes
 			byCustomer[right.Customer] += right.Bytes
 			if base := e.Rights[right.Base]; right.Base != "" && (base == nil || base.Withdrawn != 0 && right.Withdrawn == 0) {
--- a/state/keeper.go
+++ b/state/keeper.go
@@ -24,6 +24,7 @@
 	}
 	s.Engines[engine.Name] = engine
 	engine.Keeper, engine.KeeperSession = rev, session.ID
+	engine.Newest = rev
 	engine.Formers = slices.DeleteFunc(engine.Formers, func(id SessionID) bool { return id == session.ID })
 	s.index.keep(session.ID, engine.Name)
 	// The new keeper may send a load for each right that stands here, and an
--- a/state/right.go
+++ b/state/right.go
@@ -37,6 +37,7 @@
 	if unit.bytes > engine.MemoryBytes-engine.used {
 		return limit("engine's memory")
 	}
+	engine.Newest = rev
 	s.addRight(engine, &Right{
 		Unit: g.Unit, Customer: g.Customer, Base: unit.base, Checkpoint: unit.checkpoint, Bytes: unit.bytes,
 		Granted: rev, Wanted: g.Wanted, OrderedBy: []SessionID{engine.KeeperSession},
@@ -44,12 +45,13 @@
 	return applied
 }
 
-func (s *State) want(w *Want) result {
+func (s *State) want(rev Revision, w *Want) result {
 	right, why := s.standing(w.Engine, w.Keeper, w.Unit, w.Right)
 	if right == nil {
 		return why
 	}
 	right.Wanted = w.Wanted
+	s.Engines[w.Engine].Newest = rev
 	return applied
 }
 
@@ -66,6 +68,7 @@
 		}
 	}
 	right.Withdrawn, right.Wanted = rev, false
+	s.Engines[w.Engine].Newest = rev
 	return applied
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -75,6 +75,11 @@
 	// refuse their late orders, so nothing new is granted meanwhile.
 	Distrusted []SessionID `cbor:"10,keyasint,omitempty"`
 
+	// Newest is the revision of the newest KeeperTake, Grant, Want or Withdraw
+	// here: the fencing token of the next order. It never goes down, unlike the
+	// highest among Rights, which falls once a withdrawn right is gone.
+	Newest Revision `cbor:"11,keyasint,omitempty"`
+
 	// used is the memory of Rights.
 	used int64
 }
