node: forget a router's picture of an engine that left or restarted

Cause: serving.Forget was called by tests only (report of the serving tests); after an engine restart the router went on with the old slots and prefixes. Ruled out: time alone (the slow-engine memory outlives a restart).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,7 @@
 	})
 	n.fleet = fleet.New(fleet.Config{
 		Lister: config.Peers.VMList, Engine: config.Peers.Engines, Log: config.Logger,
+		Gone: func(address string) { n.serving.Forget(address) },
 	}, n.fleetChanged, n.listed)
 	n.gossip = gossip.New(gossip.Config{
 		VM: config.VM, Domain: config.Domain, Region: config.Region, Peer: config.Peers.EntryVMs,
