engine: many streams on one unencrypted HTTP/2 connection, where engines say so

Cause: with a connection a stream, each token costs the daemon two reads of its own (data, then "would block"), 6.4 of 28 us in the profile, and two goroutines and 8 KB of buffers a stream. Over HTTP/2 one read brings the tokens of up to 250 streams (net/http opens more connections beyond the server's limit).

How the engine says so: X-Streams-Over: h2c in its answers over HTTP/1.1, as net/http can't find out on http:// URLs. It is learnt from any answer, not from the status, which may come from another entry VM. A failure over HTTP/2 puts the address back to HTTP/1.1.

"Never sent twice" and "not sent is true" on shared connections: sendonce's counting conn is not used there (poisoning it would break all other streams), so everything after a connection came about is "may have left". Tests speak frames: a connection that breaks, GOAWAY and REFUSED_STREAM, which net/http may repeat on, each sent once; nothing sent on a connection that came after giving up. The engine stand-in's tests run over HTTP/2 as a third way.

Daemon: one line to use it. Failed on the way: a test context made outside the synctest bubble hung my first version of a test for minutes.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -80,7 +80,10 @@
 		return err
 	}
 	fmt.Printf("listening on %s\n", listener.Addr())
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, Protocols: &protocols}
 	context.AfterFunc(ctx, func() {
 		grace, cancel := context.WithTimeout(context.Background(), stopGrace)
 		defer cancel()
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 
 	"bergamotreel/internal/sendonce"
 )
@@ -20,6 +21,10 @@
 	HeaderPriority = "X-Priority"
 	// HeaderUnit carries the model or adapter that answers.
 	HeaderUnit = "X-Unit"
+	// HeaderStreamsOver is in an engine's answers over HTTP/1.1; with
+	// StreamsOverHTTP2 the engine takes streams over unencrypted HTTP/2 as well.
+	HeaderStreamsOver = "X-Streams-Over"
+	StreamsOverHTTP2  = "h2c"
 )
 
 // The codes of an engine's refusals, in the body's field "code".
@@ -69,6 +74,10 @@
 // HTTPClient is a Client over HTTP. It is safe for concurrent use.
 type HTTPClient struct {
 	http *http.Client
+	// multiplexed is nil where all streams go over http.
+	multiplexed *http.Client
+	// speakers holds the addresses whose newest answer said StreamsOverHTTP2.
+	speakers sync.Map
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -82,6 +91,14 @@
 	return &HTTPClient{http: httpClient}
 }
 
+// WithMultiplexed returns a client that reads the streams of engines that say
+// StreamsOverHTTP2 through multiplexed, a client from
+// sendonce.NewMultiplexedClient: one read of the connection then brings the
+// tokens of many streams, and a stream needs no connection of its own.
+func (c *HTTPClient) WithMultiplexed(multiplexed *http.Client) *HTTPClient {
+	return &HTTPClient{http: c.http, multiplexed: multiplexed}
+}
+
 // Status implements Client.
 func (c *HTTPClient) Status(ctx context.Context, address string) (Status, error) {
 	var status Status
@@ -164,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.send(request)
+	response, err := c.send(c.http, request)
 	if err != nil {
 		return nil, err
 	}
@@ -173,8 +190,9 @@
 }
 
 // send sends once and turns every answer but 200 into an error.
-func (c *HTTPClient) send(request *http.Request) (*http.Response, error) {
-	response, sent, err := sendonce.Do(c.http, request)
+func (c *HTTPClient) send(through *http.Client, request *http.Request) (*http.Response, error) {
+	response, sent, err := sendonce.Do(through, request)
+	c.learn(through, request, response)
 	if err != nil && !sent {
 		return nil, notSent(err)
 	}
--- /dev/null
+++ b/engine/protocol_test.go
@@ -0,0 +1,57 @@
+package engine_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"bergamotreel/engine"
+)
+
+// roundTrip is a transport that counts.
+type roundTrip struct {
+	answering
+	header string
+	fails  bool
+	calls  int
+}
+
+func (r *roundTrip) RoundTrip(request *http.Request) (*http.Response, error) {
+	r.calls++
+	if r.fails {
+		return nil, errors.New("no HTTP/2 here")
+	}
+	answer, err := r.answering.RoundTrip(request)
+	answer.Header.Set(engine.HeaderStreamsOver, r.header)
+	return answer, err
+}
+
+// The caller sees no failure that lasts: streams go over HTTP/2 only while the
+// engine at the address says that it speaks it.
+// The engine speaks it; another one that does not takes its address.
+func TestStreamsFollowWhatTheEngineSpeaks(t *testing.T) {
+	ok := answering{http.StatusOK, "r", event(1, "[DONE]")}
+	single := &roundTrip{answering: ok, header: engine.StreamsOverHTTP2}
+	multiplexed := &roundTrip{answering: ok}
+	client := engine.NewClient(&http.Client{Transport: single}).WithMultiplexed(&http.Client{Transport: multiplexed})
+	generate := func(address string, wantSingle, wantMultiplexed int) {
+		t.Helper()
+		single.calls, multiplexed.calls = 0, 0
+		if stream, err := client.Generate(t.Context(), address, engine.Request{ID: "r"}); err == nil {
+			stream.Close()
+		}
+		if single.calls != wantSingle || multiplexed.calls != wantMultiplexed {
+			t.Errorf("%d calls over HTTP/1.1, %d over HTTP/2", single.calls, multiplexed.calls)
+		}
+	}
+	generate("e1", 1, 0) // nothing known; the answer tells
+	generate("e1", 0, 1)
+	generate("e2", 1, 0)
+	multiplexed.fails = true
+	single.header = ""
+	generate("e1", 0, 1) // fails, and is the last
+	generate("e1", 1, 0)
+	generate("e1", 1, 0)
+	generate("e2", 0, 1)
+	generate("e2", 1, 0)
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -34,7 +34,7 @@
 	request = request.WithContext(ctx)
 	request.Header.Set(HeaderRequestID, id)
 	request.Header.Set("Accept", "text/event-stream")
-	response, err := c.send(request)
+	response, err := c.send(c.streamsThrough(request), request)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,7 +118,7 @@
 		Log:         platformlog.NewClient(p.LogURL, http).Named(d.settings.VM.ID),
 		VMList:      vmlist.NewClient(p.VMListURL, http),
 		WeightStore: weightstore.NewClient(p.WeightStoreURL, http),
-		Engines:     engine.NewClient(once),
+		Engines:     engine.NewClient(once).WithMultiplexed(sendonce.NewMultiplexedClient()),
 		Services:    service.NewClient(once),
 		EntryVMs:    d.peers,
 	}
--- /dev/null
+++ b/internal/sendonce/multiplexed_test.go
@@ -0,0 +1,180 @@
+package sendonce
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The frames of HTTP/2 (RFC 9113, 6) that the test's server needs.
+const (
+	frameHeaders  = 1
+	frameReset    = 3
+	frameSettings = 4
+	frameGoAway   = 7
+	flagEnd       = 1
+	flagHeaders   = 4
+	refusedStream = 7
+	status200     = "\x88"
+	prefaceBytes  = 24
+	headerBytes   = 9
+)
+
+func frame(kind, flags byte, stream uint32, payload string) []byte {
+	b := []byte{0, 0, byte(len(payload)), kind, flags}
+	return append(binary.BigEndian.AppendUint32(b, stream), payload...)
+}
+
+func number(n uint32) string { return string(binary.BigEndian.AppendUint32(nil, n)) }
+
+// multiplexedServer answers the first request of its first connection and gives
+// the answer below to the second one; every later connection it serves well.
+type multiplexedServer struct {
+	second                func(c net.Conn, out chan<- []byte)
+	connections, requests atomic.Int32
+}
+
+func (s *multiplexedServer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go s.serve(far, s.connections.Add(1) == 1)
+	return near, nil
+}
+
+func (s *multiplexedServer) serve(c net.Conn, fails bool) {
+	defer c.Close()
+	// Written by another goroutine: a pipe's two ends may else wait for each other.
+	out := make(chan []byte, 8)
+	defer close(out)
+	go func() {
+		for b := range out {
+			_, _ = c.Write(b)
+		}
+	}()
+	_, _ = io.CopyN(io.Discard, c, prefaceBytes)
+	settled := false
+	for n := 0; ; {
+		var head [headerBytes]byte
+		if _, err := io.ReadFull(c, head[:]); err != nil {
+			return
+		}
+		length := int64(head[0])<<16 | int64(head[1])<<8 | int64(head[2])
+		_, _ = io.CopyN(io.Discard, c, length)
+		if !settled {
+			settled = true
+			out <- append(frame(frameSettings, 0, 0, ""), frame(frameSettings, flagEnd, 0, "")...)
+		}
+		if head[3] != frameHeaders {
+			continue
+		}
+		n++
+		s.requests.Add(1)
+		if fails && n == 2 {
+			s.second(c, out)
+			continue
+		}
+		out <- frame(frameHeaders, flagHeaders|flagEnd, binary.BigEndian.Uint32(head[5:]), status200)
+	}
+}
+
+// The caller sees one failed call, and the backend server was sent it once.
+// Its connection was used before. The server breaks it, or says in HTTP/2's own
+// words that it did nothing, which a server that did something says as easily;
+// net/http may repeat on such words what has no body or one that can be rewound.
+func TestFailureOnMultiplexedConnectionIsNotRepeated(t *testing.T) {
+	for name, second := range map[string]func(net.Conn, chan<- []byte){
+		"broken":  func(c net.Conn, _ chan<- []byte) { c.Close() },
+		"go away": func(_ net.Conn, out chan<- []byte) { out <- frame(frameGoAway, 0, 0, number(1)+number(0)) },
+		"refused": func(_ net.Conn, out chan<- []byte) { out <- frame(frameReset, 0, 3, number(refusedStream)) },
+	} {
+		for _, method := range []string{"GET", "HEAD", "POST", "PUT", "DELETE"} {
+			for _, body := range []string{"", `{"slot":"7"}`} {
+				synctest.Test(t, func(t *testing.T) {
+					s := multiplexedServer{second: second}
+					client := NewMultiplexedClientDialing(s.dial)
+					defer client.CloseIdleConnections()
+					first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
+					if err != nil {
+						t.Fatal(err)
+					}
+					first.Body.Close()
+					synctest.Wait()
+					_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
+					if err == nil || !sent {
+						t.Errorf("%s, %s %q: sent %v, error %v", name, method, body, sent, err)
+					}
+					if n := s.requests.Load(); n != 2 {
+						t.Errorf("%s, %s %q: %d requests came instead of 2", name, method, body, n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// The caller sees "not run" only where no connection came about: on one that
+// others share nobody knows whose bytes left.
+func TestSentIsTrueOnMultiplexedConnections(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	broken := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		far.Close()
+		return near, nil
+	}
+	mute := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return near, nil
+	}
+	for name, c := range map[string]struct {
+		dial Dial
+		over bool
+		sent bool
+	}{
+		"refused connection":  {refused, false, false},
+		"context over before": {mute, true, false},
+		"broken before use":   {broken, false, false},
+		"no answer":           {mute, false, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.over {
+				cancel()
+			}
+			_, sent, err := Do(NewMultiplexedClientDialing(c.dial), newTestRequest(t, ctx, "POST", "{}", ""))
+			if err == nil || sent != c.sent {
+				t.Errorf("%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
+			}
+		})
+	}
+}
+
+// The caller was told "not run" and nothing may run after that.
+// The call is given up while its connection is being made, which goes on for
+// the sake of others.
+func TestNothingIsSentOnConnectionThatCameLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s multiplexedServer
+		client := NewMultiplexedClientDialing(func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(time.Second)
+			return s.dial(context.Background(), "", "")
+		})
+		defer client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
+		defer cancel()
+		_, sent, err := Do(client, newTestRequest(t, ctx, "POST", "{}", ""))
+		if err == nil || sent {
+			t.Errorf("sent %v, error %v", sent, err)
+		}
+		time.Sleep(2 * time.Second)
+		if s.connections.Load() != 1 || s.requests.Load() != 0 {
+			t.Errorf("%d connections, %d requests came", s.connections.Load(), s.requests.Load())
+		}
+	})
+}
--- a/internal/standin/engineserver/engineserver_test.go
+++ b/internal/standin/engineserver/engineserver_test.go
@@ -49,6 +49,7 @@
 		})
 	})
 	onHTTP(t, test)
+	onHTTP2(t, test)
 }
 
 func onHTTP(t *testing.T, test func(b bed)) {
@@ -75,6 +76,35 @@
 	})
 }
 
+// onHTTP2 runs a test whose streams go over HTTP/2 once the engine has said that
+// it speaks it.
+func onHTTP2(t *testing.T, test func(b bed)) {
+	t.Run("http2", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			listeners := map[string]pipeListener{}
+			dial := func(_ context.Context, _, address string) (net.Conn, error) {
+				near, far := net.Pipe()
+				listeners[strings.TrimSuffix(address, ":80")] <- far
+				return near, nil
+			}
+			single, multiplexed := sendonce.NewClientDialing(dial), sendonce.NewMultiplexedClientDialing(dial)
+			t.Cleanup(single.CloseIdleConnections)
+			t.Cleanup(multiplexed.CloseIdleConnections)
+			var protocols http.Protocols
+			protocols.SetHTTP1(true)
+			protocols.SetUnencryptedHTTP2(true)
+			test(bed{t, engine.NewClient(single).WithMultiplexed(multiplexed), func(address string, options engineserver.Options) *engineserver.Engine {
+				e := newEngine(t, options)
+				listeners[address] = make(pipeListener)
+				server := &http.Server{Handler: e.Handler(), Protocols: &protocols}
+				go server.Serve(listeners[address])
+				t.Cleanup(func() { server.Close() })
+				return e
+			}, nil})
+		})
+	})
+}
+
 func newEngine(t *testing.T, options engineserver.Options) *engineserver.Engine {
 	options.TokenTime = token
 	options.DiskBytesPerSecond = unitBytes / loadTime.Seconds()
--- a/internal/standin/engineserver/http.go
+++ b/internal/standin/engineserver/http.go
@@ -42,7 +42,18 @@
 	mux.HandleFunc("GET /admin/records", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Records(), nil) })
 	mux.HandleFunc("POST /admin/restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart(); reply(w, nil, nil) })
 	mux.HandleFunc("POST /admin/draining", e.serveDraining)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if takesHTTP2(r) {
+			w.Header().Set(engine.HeaderStreamsOver, engine.StreamsOverHTTP2)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// takesHTTP2 tells whether the server of the request takes unencrypted HTTP/2.
+func takesHTTP2(r *http.Request) bool {
+	server, ok := r.Context().Value(http.ServerContextKey).(*http.Server)
+	return ok && server.Protocols != nil && server.Protocols.UnencryptedHTTP2()
 }
 
 func (e *Engine) serveStatus(w http.ResponseWriter, r *http.Request) {
