gossip, digest: Fleets above 18 VMs exchange digests by groups and relays

Everyone talked to everyone: at the size to design for, a VM would have sent and heard thousands of digests a heartbeat. The topology of internal/digest decides now whom a VM talks to, and relays send sums. Each VM is counted once: by its digest within its group, in a sum else. What a relay puts together may lack cells whose relays take another VM for theirs, so of its own sum and one that it was told the one that speaks for most VMs counts. A sum of what lies beyond a cell goes down only; two VMs can't keep a dead one's news fresh.

Found by the test of 60 VMs with six dead: a dead VM stayed a cell's second relay beside a live first one, and all who talk to second relays missed the cell.

Which VMs are there is told by Present: those heard, and of those not heard directly the VM list's.

Left at large fleets: an alive claimer of another group counts as gone (its repeats are told "maybe" instead of waiting), expectations and refusal counts reach the own group only, and relays are above 24 KB/s by the topology's model.

go test -race -count=3 ./internal/gossip: passes.

--- a/internal/digest/topology.go
+++ b/internal/digest/topology.go
@@ -124,11 +124,11 @@
 	for _, key := range slices.SortedFunc(maps.Keys(byDomain), compareDomains) {
 		groups := t.groups(key, byDomain[key], round)
 		f.groups[key] = groups
-		domain := t.join("domain/"+key.region+"/"+key.domain, groups, round)
+		domain := t.join(domainName(key.region, key.domain), groups, round)
 		f.domains[key.region] = append(f.domains[key.region], domain)
 	}
 	for _, region := range slices.Sorted(maps.Keys(f.domains)) {
-		f.regions = append(f.regions, t.join("region/"+region, f.domains[region], round))
+		f.regions = append(f.regions, t.join(regionName(region), f.domains[region], round))
 	}
 	return f
 }
@@ -137,6 +137,35 @@
 	return cmp.Or(strings.Compare(a.region, b.region), strings.Compare(a.domain, b.domain))
 }
 
+// Place is where a VM stands in a fleet that is cut into cells.
+type Place struct {
+	// Group, Domain and Region name the cells that hold it.
+	Group, Domain, Region string
+	// Members are those of its group, itself included.
+	Members []Member
+	// Mesh is whether they all exchange digests with each other; else they do
+	// with Relays only.
+	Mesh   bool
+	Relays []Member
+}
+
+// Flat tells whether everyone talks to everyone; there are no cells then.
+func (f *Fleet) Flat() bool { return f.flat != nil }
+
+// Place returns where self, one of the members, stands. The fleet must not be
+// flat.
+func (f *Fleet) Place(self Member) Place {
+	groups := f.groups[domainKey{self.Region, self.Domain}]
+	own := groups[groupOf(self, len(groups))]
+	return Place{
+		Group: own.name, Domain: domainName(self.Region, self.Domain), Region: regionName(self.Region),
+		Members: own.members, Mesh: len(own.members) <= f.topology.MeshBound, Relays: own.relays,
+	}
+}
+
+func domainName(region, domain string) string { return "domain/" + region + "/" + domain }
+func regionName(region string) string         { return "region/" + region }
+
 // Targets returns whom self, one of the members, exchanges digests with.
 func (f *Fleet) Targets(self Member) []Target {
 	if f.flat != nil {
@@ -247,13 +276,19 @@
 }
 
 // speakers picks the members that speak for a cell, by rank: live ones first,
-// then by the hash of cell and VM. With none live it draws anew each round.
+// then by the hash of cell and VM. With none live it draws anew each round. A dead
+// one never speaks beside a live one: all who talk to its rank only would miss
+// the cell; see relay.
 func speakers(cell string, members []Member, count int, round uint64) []Member {
-	if !slices.ContainsFunc(members, func(m Member) bool { return m.Live }) {
+	anyLive := slices.ContainsFunc(members, func(m Member) bool { return m.Live })
+	if !anyLive {
 		cell += "#" + strconv.FormatUint(round, 10)
 	}
 	best := make([]candidate, 0, count+1)
 	for _, m := range members {
+		if anyLive && !m.Live {
+			continue
+		}
 		c := candidate{m, rendezvous.Sum(cell, m.VM)}
 		at, _ := slices.BinarySearchFunc(best, c, compareCandidates)
 		if at < count {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	VM, Domain, Region string
 	Peer               entryvm.Peer
 	Logger             *zap.Logger
+	// Topology says who talks to whom; the zero value is digest.DefaultTopology.
+	Topology digest.Topology
 	// Every is the time between two exchanges with a peer, HeardFor how long a
 	// VM counts as live after its newest digest.
 	Every, HeardFor time.Duration
@@ -47,6 +50,8 @@
 	// connect, an exchange comes every second heartbeat, well within the timeout.
 	beginAfter  = 1
 	answerAfter = 3
+	// restPeriod is how many heartbeats pass between two sums of the rest.
+	restPeriod = 2
 )
 
 // Gossip is the duty. Its methods may be called from any goroutine.
@@ -65,7 +70,19 @@
 	view   *view
 	wanted map[string]wanted
 	// told is what each VM was last given.
-	told map[string]told
+	told map[toldKey]told
+	// fleet is who is there, nil before the first heartbeat.
+	fleet *fleet
+	// failed are the VMs whose newest exchange failed.
+	failed map[string]bool
+	round  uint64
+}
+
+// toldKey is a VM and how far away it is: a relay is given sums, and beside them
+// its own group's digests.
+type toldKey struct {
+	vm    string
+	level digest.Level
 }
 
 // told is the newest own digest that a VM was given.
@@ -79,12 +96,16 @@
 
 // New makes a gossip; Run must be started for it to work.
 func New(config Config) *Gossip {
+	if config.Topology == (digest.Topology{}) {
+		config.Topology = digest.DefaultTopology
+	}
 	return &Gossip{
 		config: config,
 		tell:   make(chan struct{}, 1),
 		table:  digest.NewTable(config.VM, config.HeardFor),
 		wanted: make(map[string]wanted),
-		told:   make(map[string]told),
+		told:   make(map[toldKey]told),
+		failed: make(map[string]bool),
 	}
 }
 
@@ -92,7 +113,7 @@
 func (g *Gossip) Tell() {
 	g.mu.Lock()
 	g.ownAt = time.Time{}
-	g.told = make(map[string]told)
+	clear(g.told)
 	g.mu.Unlock()
 	select {
 	case g.tell <- struct{}{}:
@@ -108,8 +129,8 @@
 	defer group.Wait()
 	for {
 		own := g.ownDigest()
-		for vm, address := range g.due(time.Now()) {
-			group.Go(func() { g.exchange(ctx, vm, address, own) })
+		for _, target := range g.due(time.Now()) {
+			group.Go(func() { g.exchange(ctx, target, own) })
 		}
 		select {
 		case <-ticker.C:
@@ -143,81 +164,119 @@
 	return d
 }
 
-// due are the peers to begin an exchange with now, by VM, with their addresses.
-func (g *Gossip) due(now time.Time) map[string]string {
-	peers := g.peers(now)
+// due are the targets to begin an exchange with now.
+func (g *Gossip) due(now time.Time) []digest.Target {
+	f := g.look(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for vm := range g.told {
-		if _, known := peers[vm]; !known {
-			delete(g.told, vm)
-		}
-	}
-	maps.DeleteFunc(peers, func(vm, _ string) bool {
+	targets := f.cut.Targets(f.self)
+	g.forgetOthers(f.members)
+	return slices.DeleteFunc(targets, func(t digest.Target) bool {
 		halves := time.Duration(beginAfter)
-		if vm < g.config.VM {
+		// Where members talk to relays only, the relays don't begin.
+		begins := !f.cut.Flat() && t.Level == digest.LevelGroup && !f.place.Mesh
+		if t.Member.VM < g.config.VM && !begins {
 			halves = answerAfter
 		}
-		return now.Sub(g.told[vm].at) < halves*g.config.Every/2
+		return now.Sub(g.told[toldKey{t.Member.VM, t.Level}].at) < halves*t.Level.Period(g.config.Every)/2
 	})
-	return peers
 }
 
-// peers are the other entry VMs, listed or heard, with their addresses.
-func (g *Gossip) peers(now time.Time) map[string]string {
-	peers := make(map[string]string)
+// forgetOthers forgets the VMs that are gone. Call with mu held.
+func (g *Gossip) forgetOthers(members []digest.Member) {
+	there := names(members)
+	maps.DeleteFunc(g.told, func(key toldKey, _ told) bool { return !there[key.vm] })
+	maps.DeleteFunc(g.failed, func(vm string, _ bool) bool { return !there[vm] })
+}
+
+// look finds out who is there: the other entry VMs, listed or heard. One that this
+// VM does not hear and could reach when it last tried counts as live.
+func (g *Gossip) look(now time.Time) *fleet {
+	v := g.seen(now)
+	known := make(map[string]digest.Member)
+	var present []Peer
+	g.mu.Lock()
 	for _, vm := range g.config.Listed() {
-		peers[vm.ID] = vm.Address
+		if vm.ID != g.config.VM && !vm.Leaving {
+			present = append(present, Peer{vm.ID, vm.Address, vm.Domain})
+		}
+		known[vm.ID] = digest.Member{VM: vm.ID, Address: vm.Address, Domain: vm.Domain, Region: vm.Region, Live: !g.failed[vm.ID]}
 	}
-	for _, d := range g.seen(now).live {
-		peers[d.VM] = d.Address
+	g.mu.Unlock()
+	for _, d := range v.live {
+		known[d.VM] = digest.Member{VM: d.VM, Address: d.Address, Domain: d.Domain, Region: d.Region, Live: true}
 	}
-	delete(peers, g.config.VM)
-	return peers
+	self := digest.Member{VM: g.config.VM, Domain: g.config.Domain, Region: g.config.Region, Live: true}
+	known[self.VM] = self
+	members := slices.SortedFunc(maps.Values(known), func(a, b digest.Member) int { return strings.Compare(a.VM, b.VM) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.round++
+	g.fleet = newFleet(self, members, g.config.Topology, g.round)
+	g.fleet.listed = present
+	g.view = nil
+	return g.fleet
 }
 
-func (g *Gossip) exchange(ctx context.Context, vm, address string, own entryvm.Digest) {
+func (g *Gossip) exchange(ctx context.Context, to digest.Target, own entryvm.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, g.config.HeardFor)
 	defer cancel()
-	theirs, err := g.config.Peer.Exchange(ctx, address, []entryvm.Digest{own})
+	theirs, err := g.config.Peer.Exchange(ctx, to.Member.Address, g.contents(own, to.Level, to.Member.VM))
+	g.mu.Lock()
+	delete(g.failed, to.Member.VM)
+	if err != nil {
+		g.failed[to.Member.VM] = true
+	}
+	g.mu.Unlock()
 	if err != nil {
-		g.config.Logger.Debug("no exchange", zap.String("peer", address), zap.Error(err))
+		g.config.Logger.Debug("no exchange", zap.String("peer", to.Member.Address), zap.Error(err))
 		return
 	}
 	g.take(theirs)
-	g.note(vm, own.Sequence)
+	g.note(toldKey{to.Member.VM, to.Level}, own.Sequence)
+}
+
+// contents are what to give to a peer.
+func (g *Gossip) contents(own entryvm.Digest, level digest.Level, to string) []entryvm.Digest {
+	now := time.Now()
+	v := g.seen(now)
+	if v.fleet == nil || v.fleet.cut.Flat() {
+		return []entryvm.Digest{own}
+	}
+	withRest := now.UnixNano()/int64(g.config.Every)%restPeriod == 0
+	return v.fleet.contents(own, v.knowledge, level, to, withRest)
 }
 
 // Exchange takes a peer's digests and returns what it has not got: this VM's
-// own digest, unless it was given that one already.
+// own digest or sums, unless it was given those already.
 func (g *Gossip) Exchange(digests []entryvm.Digest) []entryvm.Digest {
 	g.take(digests)
 	own := g.ownDigest()
-	from := slices.IndexFunc(digests, func(d entryvm.Digest) bool { return d.Cell == "" && d.Age == 0 })
+	from := slices.IndexFunc(digests, func(d entryvm.Digest) bool { return d.Age == 0 })
 	if from < 0 {
 		return []entryvm.Digest{own}
 	}
-	vm, incarnation := digests[from].VM, digests[from].Incarnation
+	key, incarnation := toldKey{digests[from].VM, levelOf(digests)}, digests[from].Incarnation
 	g.mu.Lock()
-	known := g.told[vm]
+	known := g.told[key]
 	g.mu.Unlock()
 	if known.incarnation == incarnation && known.sequence >= own.Sequence {
 		return nil
 	}
-	g.note(vm, own.Sequence)
-	return []entryvm.Digest{own}
+	g.note(key, own.Sequence)
+	return g.contents(own, key.level, key.vm)
 }
 
 // note keeps that a VM was given the own digest of the sequence.
-func (g *Gossip) note(vm string, sequence uint64) {
+func (g *Gossip) note(to toldKey, sequence uint64) {
 	now := time.Now()
-	incarnation := g.seen(now).incarnations[vm]
+	incarnation := g.seen(now).incarnations[to.vm]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if known := g.told[vm]; known.sequence > sequence && known.incarnation == incarnation {
+	if known := g.told[to]; known.sequence > sequence && known.incarnation == incarnation {
 		return
 	}
-	g.told[vm] = told{sequence: sequence, at: now, incarnation: incarnation}
+	g.told[to] = told{sequence: sequence, at: now, incarnation: incarnation}
 }
 
 func (g *Gossip) take(digests []entryvm.Digest) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/digest"
 	"bergamotreel/internal/gossip"
 	"bergamotreel/vmlist"
 )
@@ -186,6 +187,72 @@
 	})
 }
 
+// A fleet of 60 entry VMs in three failure domains and two regions does not talk
+// everyone to everyone. Still each VM knows what runs on an engine from all
+// others, each counted once, also after VMs have died, be they relays.
+func TestLargeFleetKnowsTheWhole(t *testing.T) {
+	for name, topology := range map[string]digest.Topology{
+		"mesh groups": digest.DefaultTopology, "relayed groups": {FlatBound: 18, MeshBound: 2, Relays: 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			const n = 60
+			ctx, stop := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			r := &ring{gossips: make(map[string]*gossip.Gossip)}
+			dying := map[string]bool{"v0": true, "v1": true, "v2": true, "v3": true, "v4": true, "v5": true}
+			var died atomic.Bool
+			r.cut = func(from, to string) bool { return died.Load() && (dying[from] || dying[to]) }
+			for i := range n {
+				vm := vmlist.VM{ID: fmt.Sprint("v", i), Address: fmt.Sprint("v", i), Domain: fmt.Sprint("d", i%3), Region: fmt.Sprint("r", i%3/2)}
+				r.list = append(r.list, vm)
+				r.gossips[vm.ID] = gossip.New(gossip.Config{
+					VM: vm.ID, Domain: vm.Domain, Region: vm.Region, Peer: link{r, vm.ID}, Logger: zap.NewNop(),
+					Topology: topology, Every: every, HeardFor: heardFor, Listed: func() []vmlist.VM { return r.list },
+					Self: func() entryvm.Digest {
+						return entryvm.Digest{
+							VM: vm.ID, Address: vm.Address, Domain: vm.Domain, Region: vm.Region, Incarnation: vm.ID,
+							InFlight: map[string]int{"e": 1}, Demand: []entryvm.Demand{{Unit: "u", Waiting: 1}},
+						}
+					},
+					Heard: func(time.Time, []entryvm.Digest) {},
+				})
+			}
+			r.run(ctx, &group)
+			check := func(what string, want int) {
+				t.Helper()
+				for _, vm := range r.list {
+					g := r.gossips[vm.ID]
+					_, vms := g.Usage()
+					waiting := 0
+					for _, d := range g.Demand(time.Now()) {
+						waiting += d.Waiting
+					}
+					if !(died.Load() && dying[vm.ID]) && (g.InFlight("e") != want || vms != want || waiting != want || len(g.Present()) < want) {
+						t.Errorf("%s, %s: %s knows %d in flight, %d VMs, %d waiting, %d present, want %d",
+							name, what, vm.ID, g.InFlight("e"), vms, waiting, len(g.Present()), want)
+					}
+				}
+			}
+			time.Sleep(4 * heardFor)
+			check("all live", n-1)
+			r.mu.Lock()
+			before := r.carried
+			r.mu.Unlock()
+			time.Sleep(10 * every)
+			r.mu.Lock()
+			if carried := (r.carried - before) / 10; carried > n*(n-1)/4 {
+				t.Errorf("%s: %d digests a heartbeat, not much less than %d", name, carried, n*(n-1))
+			}
+			r.mu.Unlock()
+			died.Store(true)
+			time.Sleep(8 * heardFor)
+			check("six dead", n-1-len(dying))
+			stop()
+			group.Wait()
+		})
+	}
+}
+
 // counted counts the bytes of the connections that it accepts, both ways.
 type counted struct {
 	net.Listener
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -78,8 +79,10 @@
 // heard takes in the digests of others.
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
 	for _, d := range digests {
-		n.peerRefused.saw(now, d)
-		n.takeExpected(n.expected.heard(now, d))
+		if d.Cell == "" {
+			n.peerRefused.saw(now, d)
+			n.takeExpected(n.expected.heard(now, d))
+		}
 		n.roster.saw(now.Add(-d.Age), d.VM, d.Address)
 		for _, use := range d.Used {
 			n.planner.Used(use.Unit, now.Add(-use.Ago))
@@ -150,7 +153,7 @@
 func (n *Node) peerAhead() (string, bool) {
 	var most uint64
 	address := ""
-	for _, d := range n.gossip.Live() {
+	for _, d := range slices.Concat(n.gossip.Live(), n.gossip.Far()) {
 		if d.Applied > most {
 			most, address = d.Applied, d.Address
 		}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -12,16 +12,14 @@
 // snapshotDuty is the key by which the writer of snapshots is chosen.
 const snapshotDuty = "duty/snapshots"
 
-// liveVMs are the entry VMs that are heard and not leaving, this one included.
+// liveVMs are the entry VMs that are there and not leaving, this one included.
 func (n *Node) liveVMs() []string {
 	var live []string
 	if !n.isStopping() {
 		live = append(live, n.config.VM)
 	}
-	for _, d := range n.gossip.Live() {
-		if !d.Leaving {
-			live = append(live, d.VM)
-		}
+	for _, p := range n.gossip.Present() {
+		live = append(live, p.VM)
 	}
 	slices.Sort(live)
 	return live
@@ -46,10 +44,8 @@
 	}
 	live := n.liveVMs()
 	domains := map[string][]string{n.config.Domain: {n.config.VM}}
-	for _, d := range n.gossip.Live() {
-		if !d.Leaving {
-			domains[d.Domain] = append(domains[d.Domain], d.VM)
-		}
+	for _, p := range n.gossip.Present() {
+		domains[p.Domain] = append(domains[p.Domain], p.VM)
 	}
 	var mine []string
 	for _, e := range n.fleet.Engines() {
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -47,7 +47,7 @@
 	stats := Stats{
 		Applied: position.Applied, End: position.End, Lag: position.Lag,
 		LogReachable: position.Reachable, Ready: n.Ready() == nil,
-		LiveVMs: len(n.gossip.Live()) + 1, ListedVMs: len(n.fleet.VMs(vmlist.KindEntry)),
+		LiveVMs: n.gossip.VMs() + 1, ListedVMs: len(n.fleet.VMs(vmlist.KindEntry)),
 		SkippedClaims: n.claims.Skipped(), SnapshotsWritten: n.control.SnapshotsWritten() + n.claims.SnapshotsWritten(),
 		Open: n.serving.Open(), Refusals: n.refused.byCode(),
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -49,11 +49,15 @@
 		ID: o.config.VM, Domain: o.config.Domain, Region: o.config.Region,
 		Applied: applied, HeardAt: now, Leaving: o.isStopping(), Newest: newest,
 	}}
+	present := make(map[string]bool)
+	for _, p := range o.gossip.Present() {
+		present[p.VM] = true
+	}
 	listed := make(map[string]vmlist.VM)
 	for _, vm := range o.fleet.VMs(vmlist.KindEntry) {
 		listed[vm.ID] = vm
 		if vm.ID != o.config.VM {
-			byID[vm.ID] = operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: true, Leaving: vm.Leaving}
+			byID[vm.ID] = operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: !present[vm.ID], Leaving: vm.Leaving}
 		}
 	}
 	for _, heard := range o.gossip.All() {
