node, control: figures of recovery in virtual time; tests of proposals across VMs

Why: the takeover of a keeper, a change in force everywhere, the end of a cut and the load on the log had no figures.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/commit"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/state"
+)
+
+// run starts the controls of two VMs on one log.
+func run(t *testing.T, config logserver.Config, test func(t *testing.T, log *logserver.Store, a, b *Control)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		log := logserver.New(config)
+		start := func(name string) *Control {
+			c := New(Config{
+				Log: log.View(name), Logger: zap.NewNop(), Incarnation: name,
+				WritesSnapshots: func() bool { return name == "a" }, SnapshotMaxAge: 10 * time.Second,
+			})
+			for _, duty := range []func(context.Context){c.Follow, c.Commit, c.WriteSnapshots} {
+				running.Go(func() { duty(ctx) })
+			}
+			return c
+		}
+		test(t, log, start("a"), start("b"))
+		cancel()
+		running.Wait()
+	})
+}
+
+func open(vm string) state.Proposal {
+	return state.Proposal{SessionOpen: &state.SessionOpen{VM: vm, Incarnation: vm, Domain: "d"}}
+}
+
+// An operator's change lands and its answer is lost; it is proposed again at
+// another VM, after a snapshot that the first one wrote. The operator is told
+// what became of it at first, and it has no effect twice.
+func TestProposalAgainAtAnotherVM(t *testing.T) {
+	run(t, logserver.Config{MaxAge: time.Minute}, func(t *testing.T, log *logserver.Store, a, b *Control) {
+		id := state.ProposalID{Proposer: "change/1", Sequence: 1}
+		log.View("a").Faults().Set(faults.Settings{LoseProbability: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := a.ProposeAs(ctx, id, open("x")); !errors.Is(err, commit.ErrUnknown) {
+			t.Errorf("answer lost: %v", err)
+		}
+		log.View("a").Heal()
+		time.Sleep(5 * time.Minute)
+		again, err := b.ProposeAs(t.Context(), id, open("x"))
+		if err != nil || again.Verdict != state.VerdictApplied || !again.Repeated {
+			t.Errorf("again: %+v, %v", again, err)
+		}
+		b.View(func(s *state.State) {
+			if len(s.Sessions) != 1 {
+				t.Errorf("%d sessions", len(s.Sessions))
+			}
+		})
+	})
+}
+
+// A VM is cut off from the log while its proposal is on the way there. It learns
+// what that came to through a peer, as soon as the peer has read it.
+func TestOutcomeThroughAPeer(t *testing.T) {
+	run(t, logserver.Config{}, func(t *testing.T, log *logserver.Store, a, b *Control) {
+		time.Sleep(time.Second)
+		log.View("a").Faults().Set(faults.Settings{SlowMS: 500})
+		outcomes := make(chan state.Outcome, 1)
+		go func() {
+			outcome, _ := a.Propose(t.Context(), open("a"))
+			outcomes <- outcome
+		}()
+		time.Sleep(100 * time.Millisecond)
+		log.View("a").Cut()
+		time.Sleep(time.Second)
+		records, err := b.Since(1)
+		if err != nil || len(records.Records) != 1 || !a.Lags(1) {
+			t.Errorf("peer knows %d records, %v", len(records.Records), err)
+		}
+		a.Offer(records)
+		select {
+		case outcome := <-outcomes:
+			if outcome.Verdict != state.VerdictApplied {
+				t.Errorf("outcome %+v", outcome)
+			}
+		case <-time.After(time.Minute):
+			t.Error("no outcome")
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/figures_test.go
@@ -0,0 +1,386 @@
+package node_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/contract"
+	"bergamotreel/engine"
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/standin/faults"
+	"bergamotreel/lease"
+	"bergamotreel/platformlog"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+// The figures of docs/measures/recovery.md, in virtual time. Without the flags
+// these tests run once each and check only that what is timed happens.
+var (
+	figureSeeds   = flag.Int("figures.seeds", 1, "seeds of the tests of figures")
+	figureMinutes = flag.Int("figures.minutes", 1, "virtual minutes of TestFiguresAppends")
+)
+
+// daemonTiming is the lease that the daemon's default settings give.
+var daemonTiming = lease.Config{
+	Term: 10 * time.Second, Margin: 10 * time.Second / 6, RenewEvery: 2500 * time.Millisecond,
+	MessageLifetime: 2 * time.Minute,
+}
+
+// quantiles are the times of one case.
+type quantiles []time.Duration
+
+func (q quantiles) print(t *testing.T, what string) {
+	if len(q) == 0 {
+		t.Errorf("%s: nothing happened", what)
+		return
+	}
+	slices.Sort(q)
+	at := func(share float64) time.Duration { return q[int(share*float64(len(q)-1))].Round(time.Millisecond) }
+	t.Logf("%-44s n=%d p50=%v p99=%v max=%v", what, len(q), at(0.5), at(0.99), at(1))
+}
+
+// eachSeed runs a system with the daemon's lease for each seed and joins what
+// the runs timed.
+func eachSeed(t *testing.T, checks bool, run func(*system, *rand.Rand) quantiles) quantiles {
+	short := timing
+	timing = daemonTiming
+	defer func() { timing = short }()
+	var all quantiles
+	for seed := range *figureSeeds {
+		synctest.Test(t, func(t *testing.T) {
+			all = append(all, run(newSystem(t, checks), rand.New(rand.NewSource(int64(seed))))...)
+		})
+	}
+	return all
+}
+
+// The keeper of an engine dies, or stops in good order. Timed until the engine
+// has the first order of another one.
+func TestFiguresTakeover(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		for _, planned := range []bool{false, true} {
+			eachSeed(t, checks, func(s *system, rng *rand.Rand) quantiles {
+				return quantiles{s.timeTakeover(rng, planned)}
+			}).print(t, fmt.Sprintf("takeover, checks tokens %v, planned %v", checks, planned))
+		}
+	}
+}
+
+func (s *system) timeTakeover(rng *rand.Rand, planned bool) time.Duration {
+	var mu sync.Mutex
+	fencedBy, at := map[string]string{}, map[string]time.Time{}
+	s.hold = func(vm, address string, order engine.Order) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if order.Action == engine.ActionFence {
+			fencedBy[address], at[address] = vm, time.Now()
+		}
+		return false
+	}
+	s.ready()
+	time.Sleep(10*time.Second + time.Duration(rng.Int63n(int64(5*time.Second))))
+	address := []string{"engine-a1", "engine-a2", "engine-b1", "engine-b2"}[rng.Intn(4)]
+	mu.Lock()
+	keeper := fencedBy[address]
+	mu.Unlock()
+	begun := time.Now()
+	if n := s.nodes[keeper]; planned {
+		n.Leave()
+		n.Stop(s.ctx)
+	} else {
+		n.kill()
+	}
+	for time.Since(begun) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+		mu.Lock()
+		other, when := fencedBy[address], at[address]
+		mu.Unlock()
+		if other != keeper {
+			return when.Sub(begun)
+		}
+	}
+	s.t.Errorf("%s of %s: no takeover", address, keeper)
+	return time.Minute
+}
+
+// The keeper of an engine dies and leaves the VM list, and at that moment the
+// contract drops the model that is loaded there. Timed until the model's place
+// and memory are free again.
+func TestFiguresFree(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		eachSeed(t, checks, func(s *system, rng *rand.Rand) quantiles {
+			return quantiles{s.timeFree(rng)}
+		}).print(t, fmt.Sprintf("right free after the death, checks tokens %v", checks))
+	}
+}
+
+func (s *system) timeFree(rng *rand.Rand) time.Duration {
+	loads := make(chan [2]string, 16)
+	s.hold = func(vm, address string, order engine.Order) bool {
+		if order.Action == engine.ActionLoad {
+			loads <- [2]string{vm, address}
+		}
+		return false
+	}
+	s.ready()
+	base := s.publish("v-a1", "first", text(1), 0).Revision
+	s.ask("v-a1", "clerk", "hello", 4)
+	load := <-loads
+	time.Sleep(time.Duration(rng.Int63n(int64(5 * time.Second))))
+	at := "v-a1"
+	if load[0] == at {
+		at = "v-b1"
+	}
+	s.nodes[load[0]].kill()
+	s.list.Remove(load[0])
+	begun, from := time.Now(), s.logEnd("control")
+	s.publish(at, "without", strings.ReplaceAll(text(1), `"clerk"`, `"other"`), base)
+	for time.Since(begun) < 10*time.Minute {
+		time.Sleep(time.Second)
+		if gone, found := s.goneSince(from, load[1]); found {
+			return gone.Sub(begun)
+		}
+	}
+	s.t.Errorf("%v: not freed", load)
+	return 10 * time.Minute
+}
+
+// goneSince finds when a right of the engine was freed.
+func (s *system) goneSince(from platformlog.Offset, address string) (time.Time, bool) {
+	batch, err := s.log.Read(s.ctx, "control", from, 4096, 0)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, r := range batch.Records {
+		record, _ := state.Decode(r.Data)
+		for _, p := range record.Proposals {
+			if p.Gone != nil && p.Gone.Engine == address {
+				return r.Time, true
+			}
+		}
+	}
+	return time.Time{}, false
+}
+
+// grow makes the system one of 9 entry VMs in 3 failure domains.
+func (s *system) grow() {
+	for _, name := range []string{"v-a3", "v-b3", "v-c1", "v-c2", "v-c3"} {
+		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEntry, Address: name, Domain: name[2:3]})
+		s.start(name, name)
+	}
+	s.ready()
+}
+
+// A change is published at one entry VM. Timed until it is in force on all nine.
+func TestFiguresPublish(t *testing.T) {
+	for name, disturb := range map[string]func(*system){
+		"all reach the log":              func(*system) {},
+		"3 of 9 cut from the log":        func(s *system) { s.cutFromLog("v-a1", "v-b1", "v-c1") },
+		"8 of 9 cut from the log":        func(s *system) { s.cutFromLog("v-a1", "v-a2", "v-a3", "v-b1", "v-b2", "v-b3", "v-c1", "v-c2") },
+		"each call to the log takes 1 s": func(s *system) { s.log.Faults().Set(faults.Settings{SlowMS: 1000}) },
+	} {
+		eachSeed(t, true, func(s *system, rng *rand.Rand) quantiles {
+			s.grow()
+			base := s.publish("v-c3", "first", text(1), 0).Revision
+			disturb(s)
+			time.Sleep(5 * time.Second)
+			var times quantiles
+			for i := range 5 {
+				time.Sleep(time.Duration(rng.Int63n(int64(3 * time.Second))))
+				begun := time.Now()
+				base = s.publish("v-c3", fmt.Sprint("c", i), text(2+i), base).Revision
+				times = append(times, s.inForce(begun, base, "v-a1", "v-a2", "v-a3", "v-b1", "v-b2", "v-b3", "v-c1", "v-c2", "v-c3"))
+			}
+			return times
+		}).print(t, "in force on 9, "+name)
+	}
+}
+
+func (s *system) cutFromLog(names ...string) {
+	for _, name := range names {
+		s.nodes[name].view.Cut()
+	}
+}
+
+// inForce waits until the version is in force on the VMs.
+func (s *system) inForce(begun time.Time, version state.Revision, names ...string) time.Duration {
+	for time.Since(begun) < 2*time.Minute {
+		if !slices.ContainsFunc(names, func(name string) bool {
+			got, err := s.nodes[name].Operators().Contract(s.ctx, "trinidad")
+			return err != nil || got.Version < version
+		}) {
+			return time.Since(begun)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Errorf("version %d is not in force on all of %v", version, names)
+	return 2 * time.Minute
+}
+
+// VMs are cut off from the log and from their peers for a minute, in which a
+// change is published. Timed from the end of the cut until they have it.
+func TestFiguresCutEnd(t *testing.T) {
+	for name, cut := range map[string][]string{"one VM": {"v-a1"}, "a domain's three": {"v-a1", "v-a2", "v-a3"}} {
+		for _, logToo := range []bool{true, false} {
+			eachSeed(t, true, func(s *system, rng *rand.Rand) quantiles {
+				s.grow()
+				base := s.publish("v-c3", "first", text(1), 0).Revision
+				time.Sleep(time.Second)
+				s.cutFromLog(cut...)
+				for _, vm := range cut {
+					s.mesh.separate(vm, true)
+				}
+				time.Sleep(time.Duration(rng.Int63n(int64(10 * time.Second))))
+				version := s.publish("v-c3", "second", text(2), base).Revision
+				time.Sleep(50 * time.Second)
+				begun := time.Now()
+				for _, vm := range cut {
+					s.mesh.separate(vm, false)
+					if logToo {
+						s.nodes[vm].view.Heal()
+					}
+				}
+				return quantiles{s.inForce(begun, version, cut...)}
+			}).print(t, fmt.Sprintf("after a cut of %s, log heals %v", name, logToo))
+		}
+	}
+}
+
+const (
+	todaysModels, todaysAdapters, todaysEngines = 55, 110, 24
+	// wakesAnHour is 12% of the units.
+	wakesAnHour    = (todaysModels + todaysAdapters) * 12 / 100
+	bookingsSecond = 2
+)
+
+// The sizes of today in steady state. Counted are the appends by stream and the
+// proposals and claims in them by kind.
+func TestFiguresAppends(t *testing.T) {
+	short := timing
+	timing = daemonTiming
+	defer func() { timing = short }()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, true)
+		for i := range todaysEngines - 4 {
+			name := fmt.Sprint("abc"[i%3:i%3+1], 3+i/3)
+			e := engineserver.New(engineserver.Options{
+				Name: name, MemoryBytes: 80 * gigabyte, Slots: 8, TokenTime: 10 * time.Millisecond,
+				Fetcher: s.store, ChecksTokens: true, DiskBytesPerSecond: 64 * gigabyte,
+			})
+			t.Cleanup(e.Close)
+			s.engines.Put("engine-"+name, e)
+			s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEngine, Address: "engine-" + name, Domain: name[:1]})
+		}
+		s.grow()
+		s.publish("v-c3", "first", todaysText(), 0)
+		time.Sleep(30 * time.Second)
+		begins := map[string]platformlog.Offset{"control": s.logEnd("control"), "claims": s.logEnd("claims")}
+		s.steadyLoad(time.Duration(*figureMinutes) * time.Minute)
+		for stream, begin := range begins {
+			s.printAppends(stream, begin+1, time.Duration(*figureMinutes)*time.Minute)
+		}
+	})
+}
+
+func todaysText() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[customer]\nname = trinidad\nmemory = 1000GB\nrequests_per_second = 1000\nburst = 1000\nmax_queued = 1000\n"+
+		"[key \"desk\"]\nsha256 = %s\n[service \"booking\"]\nmax_wait = 5s\nonce = POST /book\n", contract.HashKey("desk-key"))
+	for i := range todaysModels {
+		fmt.Fprintf(&b, "[model \"m%d\"]\ncheckpoint = m%d:v1\nmemory = 16GB\nmax_replicas = 2\nmax_wait = 30s\n", i, i)
+	}
+	for i := range todaysAdapters {
+		fmt.Fprintf(&b, "[adapter \"x%d\"]\nbase = m%d\ncheckpoint = x%d:v1\nmemory = 1GB\nmax_replicas = 2\nmax_wait = 30s\n", i, i%todaysModels, i)
+	}
+	return b.String()
+}
+
+func (s *system) steadyLoad(d time.Duration) {
+	rng := rand.New(rand.NewSource(1))
+	vms := []string{"v-a1", "v-a2", "v-a3", "v-b1", "v-b2", "v-b3", "v-c1", "v-c2", "v-c3"}
+	var requests sync.WaitGroup
+	begun, nextWake := time.Now(), time.Now()
+	for i := 0; time.Since(begun) < d; i++ {
+		at, key := vms[rng.Intn(len(vms))], fmt.Sprint("figure", i)
+		requests.Go(func() {
+			if _, err := s.book(at, key); err != nil {
+				s.t.Errorf("booking: %v", err)
+			}
+		})
+		if !time.Now().Before(nextWake) {
+			nextWake = nextWake.Add(time.Hour / wakesAnHour)
+			unit := fmt.Sprint("m", rng.Intn(todaysModels))
+			if rng.Intn(3) > 0 {
+				unit = fmt.Sprint("x", rng.Intn(todaysAdapters))
+			}
+			requests.Go(func() {
+				if a := s.ask(at, unit, key, 16); a.err != nil {
+					s.t.Errorf("%s: %v", unit, a.err)
+				}
+			})
+		}
+		time.Sleep(time.Second / bookingsSecond)
+	}
+	requests.Wait()
+}
+
+func (s *system) logEnd(stream string) platformlog.Offset {
+	batch, err := s.log.Read(s.ctx, stream, 1, 1, 0)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return batch.End
+}
+
+func (s *system) printAppends(stream string, from platformlog.Offset, d time.Duration) {
+	counts, appends := map[string]int{}, 0
+	for end := s.logEnd(stream); from <= end; {
+		batch, err := s.log.Read(s.ctx, stream, from, 4096, 0)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		from, appends = batch.Next, appends+len(batch.Records)
+		for _, record := range batch.Records {
+			countKinds(counts, stream, record.Data)
+		}
+	}
+	s.t.Logf("%s: %.2f appends a second", stream, float64(appends)/d.Seconds())
+	for kind, n := range counts {
+		s.t.Logf("%s %s: %d, %.3f a second", stream, kind, n, float64(n)/d.Seconds())
+	}
+}
+
+// countKinds counts what a record holds by the names of the pointers that are set.
+func countKinds(counts map[string]int, stream string, data []byte) {
+	count := func(item any) {
+		v := reflect.ValueOf(item)
+		for i := range v.NumField() {
+			if f := v.Field(i); f.Kind() == reflect.Pointer && !f.IsNil() {
+				counts[v.Type().Field(i).Name]++
+			}
+		}
+	}
+	if stream == "claims" {
+		record, _ := idempotency.Decode(data)
+		count(record)
+		for _, entry := range record.Entries {
+			count(entry)
+		}
+		return
+	}
+	record, _ := state.Decode(data)
+	count(record)
+	for _, p := range record.Proposals {
+		count(p)
+	}
+}
