--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -262,6 +262,7 @@
 		time.Sleep(time.Second)
 		s.engines.Engine(leaving).SetDraining(true)
 		s.list.Faults().Set(faults.Settings{Outage: true})
+		s.log.Faults().Set(faults.Settings{Outage: true})
 		time.Sleep(4 * time.Second)
 		before := s.sentTo(leaving)
 		for i := range 20 {
