node: the leaving engine has a partner that is loaded before the outage

Now two replicas are kept loaded, and streams run on both. Conclusion: as strict as before, and the outage is in.

--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -247,19 +247,32 @@
 	return got.Version
 }
 
+// pairText keeps two replicas of a model loaded.
+func pairText() string {
+	return text(1) + "[model \"pair\"]\ncheckpoint = pair:v1\nmemory = 10GB\nmin_replicas = 2\nmax_replicas = 2\nmax_wait = 20s\n"
+}
+
 // An engine is told to leave: it says so itself, while the VM list still trails.
 // Requests that run on it are answered whole; after a few seconds nothing new
-// reaches it, and callers are served by another engine. The log is down and the
+// reaches it, and callers are served by the other replica. The log is down and the
 // VM list out of reach meanwhile.
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
-	inSystem(t, true, text(2), func(s *system) {
-		if a := s.ask("v-a1", "clerk", "warm", 4); a.err != nil {
-			s.t.Fatal(a.err)
+	inSystem(t, true, pairText(), func(s *system) {
+		time.Sleep(10 * time.Second)
+		leaving := s.holder("pair")
+		var running sync.WaitGroup
+		for i := range 8 {
+			running.Go(func() {
+				prompt := fmt.Sprint("long", i)
+				if a := s.ask(allVMs[i%4], "pair", prompt, 400); !a.whole("pair", prompt, 400) {
+					s.errorf("the running stream %d: %q, %v", i, a.text, a.err)
+				}
+			})
 		}
-		leaving := s.holder("clerk")
-		long := make(chan answer)
-		go func() { long <- s.ask("v-a1", "clerk", "long", 400) }()
 		time.Sleep(time.Second)
+		if s.sentTo(leaving) == 0 {
+			s.t.Fatal("nothing runs on the engine that leaves")
+		}
 		s.engines.Engine(leaving).SetDraining(true)
 		s.list.Faults().Set(faults.Settings{Outage: true})
 		s.log.Faults().Set(faults.Settings{Outage: true})
@@ -267,16 +280,14 @@
 		before := s.sentTo(leaving)
 		for i := range 20 {
 			prompt := fmt.Sprint("new", i)
-			if a := s.ask(allVMs[i%4], "clerk", prompt, 4); !a.whole("clerk", prompt, 4) {
+			if a := s.ask(allVMs[i%4], "pair", prompt, 4); !a.whole("pair", prompt, 4) {
 				s.errorf("request %d: %q, %v", i, a.text, a.err)
 			}
 		}
 		if after := s.sentTo(leaving); after != before {
 			s.errorf("the leaving engine got %d new requests", after-before)
 		}
-		if a := <-long; !a.whole("clerk", "long", 400) {
-			s.errorf("the running stream: %q, %v", a.text, a.err)
-		}
+		running.Wait()
 	}, listOnly)
 }
 
