placement: Preload by timer and usual hour, stage what is only remote

Cause: a 28 GB checkpoint that no engine has takes 31 s from the store, more than the 30 s a clerk waits: no policy on demand can serve its first request. - stage: while the store is idle, load such a unit once and let it go; the engine then has it cached - preload: before a timer's call and at the hours a unit wakes up, where cold start times chance is more than the idle share - the choice of engine counts the idle share for the time the unit is kept; standby rights go to the smallest engine.

--- a/internal/replay/loads.go
+++ b/internal/replay/loads.go
@@ -20,6 +20,7 @@
 	case placement.Want:
 		if r := e.holds(u); r != nil && !r.withdrawn && !r.wanted {
 			r.wanted = true
+			s.m.decided(s.measuring())
 			s.startLoad(r)
 		}
 	case placement.Unwant:
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotreel/admission"
+	"bergamotreel/routing"
 )
 
 type ticket = *admission.Ticket
@@ -58,10 +59,6 @@
 		r.owners&at.bit() != 0 && s.reaches(at.domain, r.engine.domain)
 }
 
-// surplusReserve is the slots of an engine that customers above their fair
-// share leave free.
-const surplusReserve = EngineSlots / 8
-
 // dispatch sends waiting requests of the pool to engines with free slots. The
 // routers take turns.
 func (s *sim) dispatch(pool string) {
@@ -85,7 +82,7 @@
 	}
 	var target *replica
 	r := at.queue.next(s.time(), pool, func(r *request, surplus bool) bool {
-		target = s.pickReplica(r.unit, at, surplus)
+		target = s.pickReplica(r, at, surplus)
 		return target != nil
 	})
 	if r == nil {
@@ -97,27 +94,50 @@
 }
 
 // pickReplica is the least busy ready replica with a free slot, the router's
-// own domain first.
-func (s *sim) pickReplica(u *unit, at *router, surplus bool) *replica {
+// own domain first. A customer above its fair share leaves the reserve free, by
+// the daemon's own rule. Nothing is sent that cannot have its first token in
+// time.
+func (s *sim) pickReplica(r *request, at *router, surplus bool) *replica {
+	if s.now+TimeToFirstToken > r.deadline && r.firstToken == 0 {
+		return nil
+	}
 	var best *replica
-	for _, r := range s.replicas[u.id] {
-		free := r.engine.slots - r.engine.running
-		if !s.mayServe(r, at) || free <= 0 || surplus && free <= surplusReserve {
+	free, slots := 0, 0
+	for _, candidate := range s.replicas[r.unit.id] {
+		if !s.mayServe(candidate, at) {
+			continue
+		}
+		slots += candidate.engine.slots
+		spare := candidate.engine.slots - candidate.engine.running
+		if spare <= 0 {
 			continue
 		}
-		if best == nil || s.preferred(r, best, at) {
-			best = r
+		free += spare
+		if best == nil || s.preferred(candidate, best, at) {
+			best = candidate
 		}
 	}
+	if surplus && free <= routing.Reserve(slots) {
+		return nil
+	}
 	return best
 }
 
+// otherDomainLoad is how much busier, as a part of its slots, an engine in the
+// router's domain may be than one outside it; as in package routing.
+const otherDomainLoad = 0.4
+
 func (s *sim) preferred(a, b *replica, at *router) bool {
-	nearA, nearB := a.engine.domain == at.domain, b.engine.domain == at.domain
-	if nearA != nearB {
-		return nearA
+	return s.load(a, at) < s.load(b, at)
+}
+
+// load is how busy a replica's engine is, with the other domains' handicap.
+func (s *sim) load(r *replica, at *router) float64 {
+	load := float64(r.engine.running) / float64(r.engine.slots)
+	if r.engine.domain != at.domain {
+		load += otherDomainLoad
 	}
-	return a.engine.running < b.engine.running
+	return load
 }
 
 func (s *sim) send(r *request, target *replica) {
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -181,6 +181,17 @@
 	return best
 }
 
+// bestTier is the fastest tier the checkpoint has on a usable engine.
+func (f *Fleet) bestTier(checkpoint string) Tier {
+	best := TierRemote
+	for fe, tier := range f.cached[checkpoint] {
+		if fe.usable() && tierRank[tier] < tierRank[best] {
+			best = tier
+		}
+	}
+	return best
+}
+
 var tierRank = map[Tier]int{TierMemory: 0, TierDisk: 1, TierRemote: 2}
 
 // tier is where the engine would load the checkpoint from.
--- a/placement/history.go
+++ b/placement/history.go
@@ -55,14 +55,24 @@
 	// out at keepAt, and again once the history or the price has moved on.
 	keep   time.Duration
 	keepAt time.Time
+	// clock and rhythm foresee wake-ups; a preload is held until holdUntil.
+	clock     clock
+	rhythm    rhythm
+	holdUntil time.Time
+	// woke is the newest wake-up.
+	woke time.Time
 }
 
 // arrive notes an arrival and returns the gap since the one before, 0 for none.
 func (h *history) arrive(at time.Time) time.Duration {
-	if h.last.IsZero() || !at.After(h.last) {
-		if at.After(h.last) {
-			h.last = at
-		}
+	if !at.After(h.last) {
+		return 0
+	}
+	if h.last.IsZero() || at.Sub(h.last) >= wakeGap {
+		h.wake(at)
+	}
+	if h.last.IsZero() {
+		h.last = at
 		return 0
 	}
 	gap := at.Sub(h.last)
@@ -71,6 +81,14 @@
 	return gap
 }
 
+func (h *history) wake(at time.Time) {
+	h.clock.wake(at)
+	if !h.woke.IsZero() {
+		h.rhythm.add(at.Sub(h.woke))
+	}
+	h.woke = at
+}
+
 // priorGaps is how many gaps the habits of all units count for in the history
 // of one: a unit seen three times is judged mostly by the others.
 const priorGaps = 4
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -136,6 +136,8 @@
 	r.serveDemand()
 	r.scaleUp()
 	r.holdContract()
+	r.preload()
+	r.stage()
 	r.scaleDown()
 	r.letGo()
 	return r.out
--- a/placement/start.go
+++ b/placement/start.go
@@ -200,6 +200,26 @@
 	return best, found
 }
 
+// holdCost is what the share of the engine costs while the unit is kept, in
+// seconds of cold start: the same bytes are a smaller part of a larger engine.
+// Rights that are held for good go to the smallest engine that fits instead:
+// there they take no hole that a large model needs.
+func (r *round) holdCost(fe *fleetEngine, u Unit) float64 {
+	share := float64(u.Bytes) / float64(max(fe.MemoryBytes, 1))
+	if u.StandbyPerDomain > 0 {
+		return forGood.Seconds() * (1 - share)
+	}
+	held := r.p.cfg.MaxKeep
+	if u.MinReplicas == 0 {
+		held = r.keepTime(u, fe)
+	}
+	return r.p.cfg.idleCost(share) * held.Seconds() / (r.p.cfg.ColdStartWeight * coldCostPerSecond)
+}
+
+// forGood weighs the size of the engine for rights that are held for good: a
+// minute of a slower first load is nothing to them.
+const forGood = time.Minute
+
 // carriesAdapters tells whether the engine has a base of adapters.
 func (r *round) carriesAdapters(fe *fleetEngine) bool {
 	for i := range fe.Holdings {
@@ -238,7 +258,7 @@
 	if fe.Slots > 0 {
 		ready += time.Duration(float64(busyEngine) * float64(fe.streams) / float64(fe.Slots))
 	}
-	c.cost = ready.Seconds()
+	c.cost = ready.Seconds() + r.holdCost(fe, u)
 	if u.Base == "" && (r.carries[u.Name] || r.carriesAdapters(fe)) && free-u.Bytes < adapterRoom(fe) {
 		c.cost += noAdapterRoom.Seconds()
 	}
--- a/placement/upkeep.go
+++ b/placement/upkeep.go
@@ -214,7 +214,7 @@
 			if !h.Ready || !r.standing(at) || !h.Wanted || h.Streams > 0 || at.engine.adapters[u.Name] > 0 || r.adapterComing(at.engine, u.Name) {
 				continue
 			}
-			if r.idleFor(h) < r.keepTime(u, at.engine) || r.waits[u.Name] != nil {
+			if r.idleFor(h) < r.keepTime(u, at.engine) || r.waits[u.Name] != nil || r.held(u.Name) {
 				continue
 			}
 			if wanted < 0 {
@@ -229,6 +229,12 @@
 	}
 }
 
+// held tells whether a preload still waits for its wake-up.
+func (r *round) held(unit string) bool {
+	h := r.p.histories[unit]
+	return h != nil && r.v.Now.Before(h.holdUntil)
+}
+
 func (r *round) keepTime(u Unit, fe *fleetEngine) time.Duration {
 	return r.p.keepTime(u, fe.MemoryBytes, r.fleet.tierAfterUnload(u.Checkpoint), r.v.Now)
 }
