--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -65,9 +65,6 @@
 }
 
 func (m *metrics) note(r *request, took time.Duration) {
-	if took > 8*time.Second {
-		m.slow = append(m.slow, r)
-	}
 	if r.cold {
 		m.cold = append(m.cold, took.Seconds())
 	}
