planner: Tell no estimate above the quickest of the newest loads

Loads that an outage held up counted as slow and as "came true": after the outage requests were refused as "expected in 24.9s" for loads of 2 s (the lead's TestOutageDuringBursts failed so). A load counts from the engine's word that it loads now, anew after the engine's restart; and what is told to admission is never more than the quickest of the tier's eight newest loads on any engine would take for the unit's bytes, and nothing before three were seen. An estimate that is too short costs a wait, one that is too long a request.

Ruled out: judging the policy's estimate by the one load that followed it, as before: a slow load makes any estimate look right.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -147,8 +147,9 @@
 type decided struct {
 	placement.Decision
 	keeper state.Revision
-	// tier is where the engine would load from.
-	tier placement.Tier
+	// ready is the time until the unit is ready, if tell.
+	ready time.Duration
+	tell  bool
 }
 
 // plan makes one plan and remembers the keepers that it rests on.
@@ -172,13 +173,15 @@
 			if e == nil {
 				continue
 			}
-			out = append(out, decided{Decision: decision, keeper: e.Keeper, tier: tierOf(seen[decision.Engine], checkpoint(s, decision))})
+			unit, _ := lookup(s, decision.Customer, decision.Unit)
+			tier := tierOf(seen[decision.Engine], unit.Checkpoint)
+			ready, tell := p.loading.tell(tier, unit.Bytes, decision.ExpectReady)
+			out = append(out, decided{Decision: decision, keeper: e.Keeper, ready: ready, tell: tell && ready > 0})
 		}
 	})
 	for _, d := range out {
-		key := holding{engine: d.Engine, unit: d.Unit}
-		if d.ExpectReady > 0 && p.loading.expect(key, d.tier, d.ExpectReady) {
-			p.config.Expect(d.Unit, now.Add(d.ExpectReady))
+		if d.tell {
+			p.config.Expect(d.Unit, now.Add(d.ready))
 		}
 	}
 	return out
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -122,11 +122,14 @@
 	key := holding{engine: e.VM.Address, unit: right.Unit}
 	if !h.Ready {
 		delete(p.ready, key)
-		p.loading.watch(key, now, h, tierOf(e, right.Checkpoint))
+		p.loading.watch(key, now, h, sight{
+			tier: tierOf(e, right.Checkpoint), incarnation: e.Status.Incarnation,
+			loading: phaseOf(e, right.Unit) == engine.PhaseLoading,
+		})
 		return h
 	}
 	// Its own units only: of the others the policy does not know the size.
-	if load, ended := p.loading.end(key, now); ended && p.config.Mine(right.Unit) {
+	if load, ended := p.loading.end(key, now, right.Bytes); ended && p.config.Mine(right.Unit) {
 		p.policy.Loaded(right.Unit, load.tier, load.took)
 	}
 	if p.ready[key].IsZero() {
@@ -152,9 +155,13 @@
 	p.loading.forget(gone)
 }
 
-func checkpoint(s *state.State, d placement.Decision) string {
-	unit, _ := lookup(s, d.Customer, d.Unit)
-	return unit.Checkpoint
+func phaseOf(e fleet.Engine, unit string) engine.Phase {
+	for _, u := range e.Status.Units {
+		if u.Unit == unit {
+			return u.Phase
+		}
+	}
+	return ""
 }
 
 func tierOf(e fleet.Engine, checkpoint string) placement.Tier {
