keeper: give an engine back once another VM should keep it

Cause (read in review): nothing ever proposed KeeperGiveBack. After a failure domain's entry VMs had all been replaced, its engines stayed with keepers of other domains for good; cut off later, the domain could have loaded nothing. Change: after 10 s in which another VM should keep the engine, the worker ends its order, and the engine is given back, settled unless an order is in doubt. Ruled out: at once (a VM that is unheard for a moment would cost two changes).

--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -55,6 +55,19 @@
 	stop    context.CancelFunc
 }
 
+func (b *bed) keeps(v *vm) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return v.keeps
+}
+
+// sets changes what other goroutines read.
+func (b *bed) sets(change func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change()
+}
+
 var bothKinds = map[string]bool{"checks tokens": true, "ignores tokens": false}
 
 // onBoth runs the test with an engine "e" of each kind and VMs "a", its keeper,
@@ -112,7 +125,7 @@
 	v.keeper = New(Config{
 		VM: name, Incarnation: name, Domain: "d", Control: v.control, Engines: b.engines, Logger: zap.NewNop(),
 		Lease: timing, MessageLifetime: timing.MessageLifetime,
-		Keeps: func() []string { return v.keeps }, Stranded: func() map[string]bool { return nil },
+		Keeps: func() []string { return b.keeps(v) }, Stranded: func() map[string]bool { return nil },
 		Settles: func(string) bool {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- /dev/null
+++ b/internal/keeper/handover.go
@@ -0,0 +1,71 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bergamotreel/state"
+)
+
+// handOverAfter is how long another VM must have been the one to keep an engine
+// before it is given back: a VM that is unheard for a moment must not cost two
+// changes of keepers.
+const handOverAfter = 10 * time.Second
+
+// handOver returns the engines to give back now: another VM should keep them for
+// a while, and their workers have ended. Without it a keeper from another failure
+// domain, which stepped in once, would stay for good, and the engine's own domain
+// could load nothing there once it is cut off.
+func (k *Keeper) handOver(now time.Time, kept, should []string) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	surplus := make(map[string]time.Time)
+	var ready []string
+	for _, address := range kept {
+		if slices.Contains(should, address) {
+			continue
+		}
+		since, known := k.surplus[address]
+		if !known {
+			since = now
+		}
+		surplus[address] = since
+		if now.Sub(since) < handOverAfter {
+			continue
+		}
+		if w, running := k.workers[address]; running {
+			w.stop()
+			continue
+		}
+		ready = append(ready, address)
+	}
+	k.surplus = surplus
+	return ready
+}
+
+// handsOver tells whether no worker may start for the engine. Call with mu held.
+func (k *Keeper) handsOver(address string, now time.Time) bool {
+	since, known := k.surplus[address]
+	return known && now.Sub(since) >= handOverAfter
+}
+
+// giveBack frees the engine for its next keeper. Where an order may still arrive
+// there, that is not denied: the session then still holds up Gone.
+func (k *Keeper) giveBack(ctx context.Context, address string, session state.SessionID) {
+	var keeper state.Revision
+	k.config.Control.View(func(s *state.State) {
+		if e := s.Engines[address]; e != nil && e.KeeperSession == session {
+			keeper = e.Keeper
+		}
+	})
+	if keeper == 0 {
+		return
+	}
+	k.mu.Lock()
+	settled := len(running(k.doubts[address], time.Now())) == 0
+	k.mu.Unlock()
+	k.propose(ctx, state.Proposal{KeeperGiveBack: &state.KeeperGiveBack{
+		Engine: address, Keeper: keeper, Settled: settled,
+	}})
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -81,6 +81,9 @@
 	doubts map[string]map[string]time.Time
 	// found is when each ending that is due now was first found due.
 	found map[ending]time.Time
+	// surplus holds since when each engine that this VM keeps should have another
+	// keeper.
+	surplus map[string]time.Time
 	// stranded holds until when a unit stays loaded by a standby right.
 	stranded map[string]time.Time
 	// stopping is set by a graceful shutdown: no new session, no new engine.
@@ -222,11 +225,15 @@
 	if session == 0 {
 		return
 	}
-	for _, address := range k.config.Keeps() {
+	should := k.config.Keeps()
+	for _, address := range should {
 		k.takeEngine(ctx, address, session)
 	}
 	var kept []string
 	k.config.Control.View(func(s *state.State) { kept = s.KeptBy(session) })
+	for _, address := range k.handOver(time.Now(), kept, should) {
+		k.giveBack(ctx, address, session)
+	}
 	for _, address := range kept {
 		k.startWorker(ctx, address, session)
 	}
@@ -252,7 +259,7 @@
 func (k *Keeper) startWorker(ctx context.Context, address string, session state.SessionID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.stopping || k.session != session {
+	if k.stopping || k.session != session || k.handsOver(address, time.Now()) {
 		return
 	}
 	if w, running := k.workers[address]; running && w.session == session {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -10,6 +10,10 @@
 	"bergamotreel/state"
 )
 
+// lateMS is how late an order is that its keeper has given up: past orderTimeout,
+// and between two ticks of keepers and of the bed, so that it shows for a while.
+const lateMS = 8130
+
 // The keeper's process dies. Another VM takes its engine after the session's
 // term and goes on with the model that is loaded there: no second load. A
 // withdrawn right is freed at once where the engine checks tokens; where not,
@@ -74,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			onBoth(t, func(b *bed, checks bool) {
 				b.expected = naive
-				b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 8000})
+				b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: lateMS})
 				b.grant("e", "m")
 				time.Sleep(5200 * time.Millisecond)
 				b.withdraw("m")
@@ -110,7 +114,7 @@
 		b.want("m", false)
 		time.Sleep(2 * time.Second)
 		b.mustHold("e", "")
-		b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 8000})
+		b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: lateMS})
 		b.want("m", true)
 		time.Sleep(5200 * time.Millisecond)
 		b.withdraw("m")
@@ -183,7 +187,7 @@
 		b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: 14000})
 		b.grant("e", "m")
 		time.Sleep(100 * time.Millisecond)
-		b.vms["a"].keeps = nil
+		b.sets(func() { b.vms["a"].keeps = nil })
 		var lost state.Session
 		b.vms["b"].control.View(func(s *state.State) { lost = *s.Sessions[s.Engines["e"].KeeperSession] })
 		b.propose("b", state.Proposal{SessionExpire: &state.SessionExpire{
@@ -201,7 +205,7 @@
 // waiting for the session's term. With a load order still without an answer the
 // engine changes hands just as fast, but the session is not settled.
 func TestStopGivesEnginesBack(t *testing.T) {
-	for name, delayMS := range map[string]int64{"idle": 0, "order under way": 1000, "order in doubt": 8000} {
+	for name, delayMS := range map[string]int64{"idle": 0, "order under way": 1000, "order in doubt": lateMS} {
 		doubt := delayMS > orderTimeout.Milliseconds()
 		t.Run(name, func(t *testing.T) {
 			onBoth(t, func(b *bed, _ bool) {
@@ -247,7 +251,7 @@
 		t.Run(name, func(t *testing.T) {
 			onBoth(t, func(b *bed, _ bool) {
 				c := b.start("c")
-				b.chosen = "c"
+				b.sets(func() { b.chosen = "c" })
 				time.Sleep(3 * time.Second)
 				if cut {
 					c.view.Cut()
@@ -284,3 +288,28 @@
 		b.mustHold("e", "")
 	})
 }
+
+// Another VM should keep the engine from now on, because it is back in the
+// engine's failure domain. The engine changes hands without a new load, and the
+// former keeper, which goes on living, holds up nothing: its orders there were
+// answered.
+func TestHandsOverAnEngine(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		b.grant("e", "m")
+		time.Sleep(5 * time.Second)
+		b.sets(func() { b.vms["a"].keeps = nil })
+		took := b.until(time.Minute, "handed over", func() bool { return b.keeperOf("e") == "b" })
+		if took < handOverAfter {
+			b.Errorf("handed over after %v", took)
+		}
+		time.Sleep(5 * time.Second)
+		b.mustHold("e", "m:ready")
+		if loads := b.engines.Engine("e").Records().Loads["m"]; loads != 1 {
+			b.Errorf("%d loads", loads)
+		}
+		b.withdraw("m")
+		if took := b.untilGone("m"); took > 3*time.Second {
+			b.Errorf("freed after %v", took)
+		}
+	})
+}
--- a/internal/keeper/session.go
+++ b/internal/keeper/session.go
@@ -76,15 +76,6 @@
 	k.observer.Working(time.Now())
 }
 
-// Lapsed tells whether the session may look expired to others. A lapsed keeper
-// goes on loading by the rights that it has folded: they stay counted until its
-// session is settled, and with the log down nobody else can take over.
-func (k *Keeper) Lapsed() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.holder == nil || !k.holder.MayOrder(time.Now())
-}
-
 func (k *Keeper) ended(session state.SessionID) bool {
 	ended := false
 	k.config.Control.View(func(s *state.State) {
