--- /dev/null
+++ b/placement/behaviour_test.go
@@ -0,0 +1,259 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// lone is a planner with one free engine, and the view of it.
+func lone(cfg Config, units ...Unit) (*Planner, View) {
+	return NewPlanner(cfg), View{Now: start, Self: "a", Engines: []Engine{testEngine("e1", "a")}, Units: units}
+}
+
+func TestKeepFollowsHistoryAndWeight(t *testing.T) {
+	keep := func(weight float64, gap time.Duration) time.Duration {
+		p, v := lone(Config{ColdStartWeight: weight}, testUnit("m"))
+		for i := range 40 {
+			p.Used("m", start.Add(time.Duration(i-40)*gap))
+		}
+		v.Engines = []Engine{testEngine("e1", "a", ready("m", start.Add(-gap)))}
+		for v.Now = start.Add(-gap); v.Now.Before(start.Add(DefaultMaxKeep + gap)); v.Now = v.Now.Add(10 * time.Second) {
+			if len(p.Plan(v)) > 0 {
+				return v.Now.Sub(start.Add(-gap))
+			}
+		}
+		return 0
+	}
+	if got := keep(0.9, 5*time.Minute); got < 5*time.Minute || got > 15*time.Minute {
+		t.Errorf("a unit used every 5 minutes is kept for %v at a high weight", got)
+	}
+	if got := keep(0.05, 5*time.Minute); got > time.Minute {
+		t.Errorf("a unit used every 5 minutes is kept for %v at a low weight", got)
+	}
+	if got := keep(0.5, 30*time.Second); got < 30*time.Second || got > 3*time.Minute {
+		t.Errorf("a unit used every 30 seconds is kept for %v", got)
+	}
+}
+
+func TestPreload(t *testing.T) {
+	tests := []struct {
+		name   string
+		cfg    Config
+		used   func(p *Planner)
+		at     time.Duration // after start
+		reason string
+	}{
+		{"shortly before a timer's call", Config{ColdStartWeight: 0.9, Preload: true}, func(p *Planner) {
+			for i := range 8 {
+				p.Used("m", start.Add(time.Duration(i)*30*time.Minute))
+			}
+		}, 4*time.Hour - 5*time.Second, "timer"},
+		{"not long before it", Config{ColdStartWeight: 0.9, Preload: true}, func(p *Planner) {
+			for i := range 8 {
+				p.Used("m", start.Add(time.Duration(i)*30*time.Minute))
+			}
+		}, 4*time.Hour - 10*time.Minute, ""},
+		{"at the hour it wakes on other days", Config{ColdStartWeight: 0.95, Preload: true}, func(p *Planner) {
+			for i := range 4 {
+				p.Used("m", start.AddDate(0, 0, i-4).Add(5*time.Minute))
+			}
+		}, 0, "usual hour"},
+		{"not for one day's chance", Config{ColdStartWeight: 0.95, Preload: true}, func(p *Planner) {
+			p.Used("m", start.AddDate(0, 0, -1).Add(5*time.Minute))
+		}, 0, ""},
+		{"not where idle hours weigh more", Config{ColdStartWeight: 0.05, Preload: true}, func(p *Planner) {
+			for i := range 4 {
+				p.Used("m", start.AddDate(0, 0, i-4).Add(5*time.Minute))
+			}
+		}, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, v := lone(tt.cfg, testUnit("m"))
+			v.Engines[0].Cached = map[string]Tier{"m": TierDisk}
+			tt.used(p)
+			v.Now = start.Add(tt.at)
+			got := ""
+			for _, d := range p.Plan(v) {
+				got = d.Reason
+			}
+			if got != tt.reason {
+				t.Errorf("preloaded for %q, want %q", got, tt.reason)
+			}
+		})
+	}
+}
+
+func TestStagesWhatIsOnlyRemote(t *testing.T) {
+	p, v := lone(Config{Preload: true}, testUnit("m"), testUnit("n"))
+	if got := kinds(p.Plan(v)); got != "grant m on e1; " {
+		t.Fatalf("with an idle store: %q, want one load", got)
+	}
+	v.Engines[0].Cached = map[string]Tier{"m": TierMemory}
+	v.Store = Store{AtOnce: 4, Running: 1}
+	v.Now = v.Now.Add(time.Minute)
+	if got := kinds(p.Plan(v)); got != "" {
+		t.Errorf("with a busy store: %q, want nothing", got)
+	}
+}
+
+// What the caller sees: its model stays cold although other engines are free.
+// An engine takes the load and never reports it ready. The planner withdraws
+// the right first, so that the other load is not a replica too many, and keeps
+// off the engine for a while.
+func TestStalledLoadMoves(t *testing.T) {
+	p, v := lone(Config{}, testUnit("m"))
+	loading := Holding{Unit: "m", Customer: "shop", Bytes: 24 * gb, Wanted: true, Right: 7}
+	v.Engines = []Engine{testEngine("e1", "a", loading), testEngine("e2", "a")}
+	v.Demand = []Demand{waits("m", 1)}
+	for ; v.Now.Before(start.Add(10 * time.Second)); v.Now = v.Now.Add(time.Second) {
+		if got := kinds(p.Plan(v)); got != "" {
+			t.Fatalf("after %v: %q, too early", v.Now.Sub(start), got)
+		}
+	}
+	v.Now = start.Add(3 * time.Minute)
+	if got := kinds(p.Plan(v)); got != "withdraw m on e1; grant m on e2; " {
+		t.Errorf("after the stall: %q", got)
+	}
+}
+
+func TestStoreRateGoesToTheEarliestDeadline(t *testing.T) {
+	var units []Unit
+	p, v := lone(Config{}, units...)
+	v.Store = Store{AtOnce: 2, LoadsPerSecond: 4}
+	for i := range 6 {
+		name := fmt.Sprintf("m%d", i)
+		v.Engines = append(v.Engines, testEngine(fmt.Sprintf("x%d", i), "a"))
+		v.Units = append(v.Units, testUnit(name))
+		d := waits(name, 1)
+		d.Deadline = start.Add(time.Duration(30-i) * time.Second)
+		v.Demand = append(v.Demand, d)
+	}
+	got := ""
+	for _, d := range p.Plan(v) {
+		got += d.Unit + " "
+	}
+	if got != "m5 m4 " {
+		t.Errorf("granted %q, want the two earliest deadlines", got)
+	}
+}
+
+func TestScaleDownNeedsQuietAndKeepsOne(t *testing.T) {
+	p, v := lone(Config{}, testUnit("m"))
+	busy := ready("m", start)
+	busy.Streams = 3
+	idle := ready("m", start)
+	v.Engines = []Engine{testEngine("e1", "a", busy), testEngine("e2", "a", idle)}
+	var got string
+	for ; got == "" && v.Now.Before(start.Add(10*time.Minute)); v.Now = v.Now.Add(10 * time.Second) {
+		for i := range v.Engines {
+			v.Engines[i].Holdings[0].LastUsed = v.Now
+		}
+		got = kinds(p.Plan(v))
+	}
+	if got != "withdraw m on e2; " || v.Now.Before(start.Add(DefaultScaleDownAfter)) {
+		t.Errorf("after %v: %q, want the replica without streams, after the quiet time", v.Now.Sub(start), got)
+	}
+}
+
+// Whatever the view, one plan keeps the contract and the memory by itself: all
+// its decisions landing together break nothing, and nothing that runs or is
+// waited for is withdrawn to make room.
+func TestPlanKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawView(t)
+		p := NewPlanner(Config{ColdStartWeight: rapid.Float64Range(0.01, 1).Draw(t, "weight"), Preload: rapid.Bool().Draw(t, "preload")})
+		for range 3 {
+			v.Now = v.Now.Add(rapid.SampledFrom([]time.Duration{time.Millisecond, 5 * time.Second, time.Hour}).Draw(t, "step"))
+			checkLimits(t, v, p.Plan(v))
+		}
+	})
+}
+
+func drawView(t *rapid.T) View {
+	v := View{Now: start, Self: "a", Store: Store{AtOnce: 4, LoadsPerSecond: 4}}
+	for i := range 6 {
+		u := testUnit(fmt.Sprintf("m%d", i))
+		u.Bytes = gb * rapid.Int64Range(1, 60).Draw(t, "bytes")
+		u.MaxReplicas = rapid.IntRange(1, 3).Draw(t, "max")
+		u.MinReplicas = rapid.IntRange(0, u.MaxReplicas).Draw(t, "min")
+		u.StandbyPerDomain = rapid.IntRange(0, 1).Draw(t, "standby")
+		if i > 3 {
+			u.Base, u.Bytes, u.MinReplicas, u.StandbyPerDomain = "m0", gb, 0, 0
+		}
+		v.Units = append(v.Units, u)
+	}
+	replicas := make(map[string]int)
+	for i := range 4 {
+		e := testEngine(fmt.Sprintf("e%d", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"))
+		e.Leaving, e.Sick = rapid.IntRange(0, 5).Draw(t, "leaving") == 0, rapid.IntRange(0, 5).Draw(t, "sick") == 0
+		free, held := e.MemoryBytes, map[string]bool{"": true}
+		for _, u := range v.Units {
+			if !rapid.Bool().Draw(t, "held") || u.Bytes > free || replicas[u.Name] >= u.MaxReplicas || !held[u.Base] {
+				continue
+			}
+			replicas[u.Name]++
+			free -= u.Bytes
+			held[u.Name] = true
+			h := ready(u.Name, start.Add(-time.Duration(rapid.IntRange(0, 3600).Draw(t, "idle"))*time.Second))
+			h.Bytes, h.Base = u.Bytes, u.Base
+			h.Wanted = rapid.IntRange(0, 3).Draw(t, "wanted") > 0
+			h.Ready = h.Wanted && rapid.IntRange(0, 3).Draw(t, "ready") > 0
+			h.Withdrawn = u.Base == "" && !h.Ready && rapid.Bool().Draw(t, "withdrawn")
+			if h.Ready {
+				h.Streams = rapid.SampledFrom([]int{0, 0, 1, 16}).Draw(t, "streams")
+			}
+			e.Holdings = append(e.Holdings, h)
+		}
+		v.Engines = append(v.Engines, e)
+	}
+	for _, u := range v.Units {
+		if rapid.Bool().Draw(t, "waits") {
+			v.Demand = append(v.Demand, waits(u.Name, 3))
+		}
+	}
+	return v
+}
+
+func checkLimits(t *rapid.T, v View, decisions []Decision) {
+	units, free, replicas := make(map[string]Unit), make(map[string]int64), make(map[string]int)
+	for _, u := range v.Units {
+		units[u.Name] = u
+	}
+	engines := make(map[string]Engine)
+	for _, e := range v.Engines {
+		engines[e.Name], free[e.Name] = e, e.MemoryBytes
+		for _, h := range e.Holdings {
+			free[e.Name] -= h.Bytes
+			replicas[h.Unit]++
+		}
+	}
+	for _, d := range decisions {
+		e, u := engines[d.Engine], units[d.Unit]
+		switch {
+		case d.Kind == Grant:
+			free[d.Engine] -= u.Bytes
+			replicas[d.Unit]++
+			if free[d.Engine] < 0 || replicas[d.Unit] > u.MaxReplicas {
+				t.Fatalf("%+v: %d bytes free, %d replicas of %d", d, free[d.Engine], replicas[d.Unit], u.MaxReplicas)
+			}
+			if e.Leaving || e.Sick {
+				t.Fatalf("%+v on an engine that gets nothing new", d)
+			}
+		case d.Kind == Withdraw && d.Reason[:4] == "room":
+			for _, h := range e.Holdings {
+				if h.Unit == d.Unit && h.Streams > 0 {
+					t.Fatalf("%+v cuts %d streams", d, h.Streams)
+				}
+			}
+			for _, waiting := range v.Demand {
+				if waiting.Unit == d.Unit {
+					t.Fatalf("%+v although requests wait for it", d)
+				}
+			}
+		}
+	}
+}
