node: Leave engines of another domain to its listed entry VMs at the start

An entry VM that had not heard a failure domain's entry VMs yet took that domain's engines, seen as engine-a1 kept by v-b2 in a failing run of TestCutOffDomainServesWhatItCan. Once the domain was cut off, nobody in it could load by its standby rights. For two heartbeat timeouts after its start a VM now leaves the engines of domains with listed entry VMs alone.

Ruled out: believing the VM list for ever, which would leave the engines of a domain whose entry VMs have died without a keeper while the list trails.

--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -47,9 +47,13 @@
 	for _, p := range n.gossip.Present() {
 		domains[p.Domain] = append(domains[p.Domain], p.VM)
 	}
+	awaited := n.awaitedDomains()
 	var mine []string
 	for _, e := range n.fleet.Engines() {
 		eligible := domains[e.VM.Domain]
+		if len(eligible) == 0 && awaited[e.VM.Domain] {
+			continue
+		}
 		if len(eligible) == 0 {
 			eligible = live
 		}
@@ -60,6 +64,27 @@
 	return mine
 }
 
+// settleTimeouts is for how many heartbeat timeouts after the start an entry VM
+// waits to hear others before it takes engines of their failure domain.
+const settleTimeouts = 2
+
+// awaitedDomains are the failure domains whose listed entry VMs may not have been
+// heard yet. Failure: an entry VM that started a moment before those of another
+// domain took that domain's engines, and kept them; once the domain was cut off,
+// nobody in it could load by the rights that had been granted ahead for that.
+func (n *Node) awaitedDomains() map[string]bool {
+	awaited := make(map[string]bool)
+	if time.Since(n.started) >= settleTimeouts*n.config.HeardFor {
+		return awaited
+	}
+	for _, vm := range n.fleet.VMs(vmlist.KindEntry) {
+		if !vm.Leaving {
+			awaited[vm.Domain] = true
+		}
+	}
+	return awaited
+}
+
 func (n *Node) domainOf(engine string) string {
 	e, _ := n.fleet.Engine(engine)
 	return e.VM.Domain
--- a/internal/node/roster_test.go
+++ b/internal/node/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bergamotreel/internal/standin/faults"
@@ -32,3 +33,31 @@
 		}
 	})
 }
+
+// The entry VMs of one failure domain start a little before those of the other,
+// which neither reach the log nor are heard yet. Each engine must be kept in its
+// own domain all the same: a domain that is cut off later loads only by its own
+// keepers.
+func TestEarlyStarterLeavesOtherDomainsEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, true)
+		for _, late := range []bool{true, false} {
+			for _, vm := range []string{"v-a1", "v-a2"} {
+				s.mesh.separate(vm, late)
+				s.nodes[vm].view.Faults().Set(faults.Settings{Outage: late})
+			}
+			time.Sleep(4 * time.Second)
+		}
+		s.ready()
+		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		if err != nil || len(report.Engines) != 4 {
+			t.Fatalf("%d engines, %v", len(report.Engines), err)
+		}
+		for _, e := range report.Engines {
+			domain := e.Name[len("engine-"):][:1]
+			if len(e.Keeper) < 3 || e.Keeper[2:3] != domain || e.Domain != domain {
+				t.Errorf("%s in domain %q is kept by %q", e.Name, e.Domain, e.Keeper)
+			}
+		}
+	})
+}
