--- /dev/null
+++ b/internal/sendonce/shared_test.go
@@ -0,0 +1,98 @@
+package sendonce
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+)
+
+// pipes listens for the far ends of pipes.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// endless sends a line for each that the test asks for on path /asked, and as
+// many as the client takes on every other path.
+func endless(ask <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			if r.URL.Path == "/asked" {
+				select {
+				case <-ask:
+				case <-r.Context().Done():
+					return
+				}
+			}
+			_, _ = io.WriteString(w, strings.Repeat("x", 100)+"\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+}
+
+// The caller that reads gets its tokens while others of the same engine don't
+// read, or leave.
+// All share one connection. A stream that is not read fills its buffer here; if
+// that stopped the connection, one slow caller would stop all.
+func TestSlowAndLeavingStreamsStopNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener, ask, dials := make(pipes), make(chan struct{}), 0
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		server := &http.Server{Handler: endless(ask), Protocols: &protocols}
+		go server.Serve(listener)
+		defer server.Close()
+		client := NewMultiplexedClientDialing(func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			listener <- far
+			return near, nil
+		})
+		defer client.CloseIdleConnections()
+		open := func(path string) (io.Reader, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(t.Context())
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://engine"+path, Body(nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer, _, err := Do(client, request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return answer.Body, cancel
+		}
+		go func() { ask <- struct{}{} }()
+		read, stop := open("/asked")
+		defer stop()
+		lines := bufio.NewScanner(read)
+		lines.Scan()
+		for range 20 {
+			_, leave := open("/slow")
+			synctest.Wait() // its buffer is full
+			ask <- struct{}{}
+			if !lines.Scan() {
+				t.Fatal(lines.Err())
+			}
+			defer leave()
+		}
+		_, leave := open("/leaving")
+		leave()
+		ask <- struct{}{}
+		if !lines.Scan() || dials != 1 {
+			t.Fatalf("error %v, %d connections", lines.Err(), dials)
+		}
+	})
+}
