keeper: send nothing once a give-back is proposed; hand nothing over while the log is away

Cause: two faults of the new hand-over. (1) The spec's GIVE_LANDS_LATE: the answer of a settled give-back was lost, the engine became ours to keep again, orders went out, and then the record landed that says none will. Ruled out: settling later (the next keeper would wait a message lifetime each time). Change: an engine whose give-back is not known to be unstored gets no worker until the record has landed; without the log nothing is handed over.

--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -15,6 +15,7 @@
 
 	"bergamotreel/contract"
 	"bergamotreel/engine"
+	"bergamotreel/internal/commit"
 	"bergamotreel/internal/control"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/logserver"
@@ -43,6 +44,9 @@
 	listed  []string
 	chosen  string
 	changes uint64
+	// giveBackLate delays give-backs; givenBack is whether one was proposed so.
+	giveBackLate time.Duration
+	givenBack    bool
 	// naive has broken what the safeguards hold: a twin is expected to.
 	expected, broken bool
 }
@@ -123,7 +127,7 @@
 		WritesSnapshots: func() bool { return false }, Changed: func() { v.keeper.Wake() },
 	})
 	v.keeper = New(Config{
-		VM: name, Incarnation: name, Domain: "d", Control: v.control, Engines: b.engines, Logger: zap.NewNop(),
+		VM: name, Incarnation: name, Domain: "d", Control: lateGiveBacks{v.control, b}, Engines: b.engines, Logger: zap.NewNop(),
 		Lease: timing, MessageLifetime: timing.MessageLifetime,
 		Keeps: func() []string { return b.keeps(v) }, Stranded: func() map[string]bool { return nil },
 		Settles: func(string) bool {
@@ -146,6 +150,30 @@
 	return v
 }
 
+// lateGiveBacks lands give-backs b.giveBackLate after they were proposed, and
+// their answer is lost meanwhile.
+type lateGiveBacks struct {
+	Control
+	bed *bed
+}
+
+func (c lateGiveBacks) Propose(ctx context.Context, p state.Proposal) (state.Outcome, error) {
+	c.bed.mu.Lock()
+	late := c.bed.giveBackLate
+	if p.KeeperGiveBack != nil && late > 0 {
+		c.bed.givenBack = true
+	}
+	c.bed.mu.Unlock()
+	if p.KeeperGiveBack == nil || late == 0 {
+		return c.Control.Propose(ctx, p)
+	}
+	c.bed.running.Go(func() {
+		time.Sleep(late)
+		_, _ = c.Control.Propose(c.bed.ctx, p)
+	})
+	return state.Outcome{}, commit.ErrUnknown
+}
+
 // leave takes a VM from the VM list.
 func (b *bed) leave(name string) {
 	b.mu.Lock()
--- a/internal/keeper/handover.go
+++ b/internal/keeper/handover.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
+	"bergamotreel/internal/commit"
 	"bergamotreel/state"
 )
 
@@ -17,12 +19,24 @@
 // a while, and their workers have ended. Without it a keeper from another failure
 // domain, which stepped in once, would stay for good, and the engine's own domain
 // could load nothing there once it is cut off.
+//
+// While the log is out of reach nothing can change hands. A worker that ended for
+// it would leave the engine to nobody, in a cut just when its domain needs it.
 func (k *Keeper) handOver(now time.Time, kept, should []string) []string {
+	cutOff := k.config.Stranded() != nil
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.forgetGiven(kept)
+	if cutOff {
+		should = kept
+	}
 	surplus := make(map[string]time.Time)
 	var ready []string
 	for _, address := range kept {
+		if k.given[address] {
+			ready = append(ready, address)
+			continue
+		}
 		if slices.Contains(should, address) {
 			continue
 		}
@@ -47,7 +61,7 @@
 // handsOver tells whether no worker may start for the engine. Call with mu held.
 func (k *Keeper) handsOver(address string, now time.Time) bool {
 	since, known := k.surplus[address]
-	return known && now.Sub(since) >= handOverAfter
+	return k.given[address] || known && now.Sub(since) >= handOverAfter
 }
 
 // giveBack frees the engine for its next keeper. Where an order may still arrive
@@ -62,10 +76,32 @@
 	if keeper == 0 {
 		return
 	}
+	// The proposal says that nothing more is sent under this keeper. Its answer
+	// can be lost and it can land much later: an order sent meanwhile would then
+	// count as settled, and its unit could be loaded without a right. So from here
+	// on nothing is sent there until it has landed.
 	k.mu.Lock()
+	k.given[address] = true
 	settled := len(running(k.doubts[address], time.Now())) == 0
 	k.mu.Unlock()
-	k.propose(ctx, state.Proposal{KeeperGiveBack: &state.KeeperGiveBack{
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := k.config.Control.Propose(ctx, state.Proposal{KeeperGiveBack: &state.KeeperGiveBack{
 		Engine: address, Keeper: keeper, Settled: settled,
 	}})
+	if err == nil || errors.Is(err, commit.ErrNotStored) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.given, address)
+	}
+}
+
+// forgetGiven drops the engines that this session no longer keeps. Call with mu
+// held.
+func (k *Keeper) forgetGiven(kept []string) {
+	for address := range k.given {
+		if !slices.Contains(kept, address) {
+			delete(k.given, address)
+		}
+	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -77,6 +77,8 @@
 	renewals uint64
 	// ending are own ended sessions, with when their last order has died out.
 	ending map[state.SessionID]time.Time
+	// given are engines whose give-back was proposed and is not known to have landed.
+	given map[string]bool
 	// doubts are the doubtfulUntil of each engine's newest worker that ended.
 	doubts map[string]map[string]time.Time
 	// found is when each ending that is due now was first found due.
@@ -100,6 +102,7 @@
 		workers:    make(map[string]*worker),
 		running:    make(map[state.SessionID]int),
 		ending:     make(map[state.SessionID]time.Time),
+		given:      make(map[string]bool),
 		doubts:     make(map[string]map[string]time.Time),
 		stranded:   make(map[string]time.Time),
 	}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -313,3 +313,34 @@
 		}
 	})
 }
+
+// A keeper proposes to give an engine back, settled; the answer is lost and
+// the record lands late. Meanwhile the engine is its to keep
+// again, and a model is granted there. No order may go out under the old keeper:
+// the record says that none will, and on its word a unit that a late order
+// brought back would be freed.
+func TestNothingIsSentOnceAGiveBackIsProposed(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		b.sets(func() { b.vms["a"].keeps, b.giveBackLate = nil, 3*time.Second })
+		b.until(time.Minute, "proposed", func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.givenBack
+		})
+		b.sets(func() { b.vms["a"].keeps = []string{"e"} })
+		before := b.agreed("e").Keeper
+		b.propose("b", state.Proposal{Grant: &state.Grant{
+			Engine: "e", Keeper: before, Customer: "trinidad", Unit: "n", Wanted: true,
+		}})
+		for standing := true; standing; time.Sleep(10 * time.Millisecond) {
+			loads := b.engines.Engine("e").Records().Loads["n"]
+			e := b.agreed("e")
+			standing = e.Keeper == before && e.KeeperSession != 0
+			if standing && loads != 0 {
+				b.Fatal("an order went out after the give-back was proposed")
+			}
+		}
+		b.sets(func() { b.giveBackLate = 0 })
+		b.until(time.Minute, "loaded by the next keeper", func() bool { return b.holds("e") == "n:ready" })
+	})
+}
