state: late-order schedules use the fold's own order token

Cause: since the token is Engine.Newest; the world still recomputed the highest among the rights, which falls.

--- a/state/world_test.go
+++ b/state/world_test.go
@@ -307,7 +307,7 @@
 		Engine: known.Name, Keeper: known.Keeper, Customer: "hire", Unit: unit, Wanted: true}})
 }
 
-// order decides one order for a right, with the highest token folded. It leaves
+// order decides one order for a right, with the newest token folded. It leaves
 // the VM at some later time, or never.
 func (v *vm) order(w *world, e *fakeEngine, known *state.Engine) {
 	vouched := v.vouched[known.Keeper] || v.vouched[known.KeeperSession]
@@ -321,13 +321,9 @@
 			right = r
 		}
 	}
-	token := known.Keeper
-	for _, r := range known.Rights {
-		token = max(token, r.Granted, r.Withdrawn)
-	}
 	others := slices.ContainsFunc(right.OrderedBy, func(id state.SessionID) bool { return id != known.KeeperSession })
 	w.flying = append(w.flying, order{
-		by: v, session: known.KeeperSession, engine: e, token: token,
+		by: v, session: known.KeeperSession, engine: e, token: known.Newest,
 		load: right.Withdrawn == 0, unit: right.Unit, base: right.Base, paused: w.rand.IntN(4) == 0,
 		proves: known.ChecksTokens || !others || w.twin.answerBeforeSettling,
 	})
