--- a/internal/replica/peers_test.go
+++ b/internal/replica/peers_test.go
@@ -51,7 +51,7 @@
 		cut.view.Cut()
 		peer.view.Cut()
 		b.say("two")
-		b.outage(time.Hour)
+		b.outage(12 * time.Minute)
 		peer.view.Heal()
 		b.say("three")
 		time.Sleep(time.Second)
@@ -69,9 +69,9 @@
 	run(t, logserver.Config{MaxAge: time.Minute}, func(b *bed) {
 		a := b.start("a", false)
 		b.say("one two")
-		behind, _ := a.fold.Snapshot("a")
+		behind := a.snapshot("a")
 		b.say("three four")
-		b.outage(time.Hour)
+		b.outage(12 * time.Minute)
 		fresh := b.start("new", false)
 		time.Sleep(time.Second)
 		var data [][]byte
@@ -120,11 +120,11 @@
 // log, and with VMs that are all replaced before a snapshot is due by their own
 // clocks. A VM that starts later must find a state each time.
 func TestSnapshotBeforeRetentionEnds(t *testing.T) {
-	const retention = 8 * time.Minute
+	const retention = 3 * time.Minute
 	for name, rate := range map[string]time.Duration{"low": 30 * time.Second, "high": 50 * time.Millisecond, "none": time.Hour} {
 		for _, fault := range []string{"", "two write", "chosen cut off", "replaced"} {
 			t.Run(name+" "+fault, func(t *testing.T) {
-				run(t, logserver.Config{MaxAge: retention, MaxRecords: 20000}, func(b *bed) {
+				run(t, logserver.Config{MaxAge: retention, MaxRecords: 2000}, func(b *bed) {
 					chosen := b.start("a", true)
 					b.start("b", fault == "two write")
 					b.say("one")
@@ -189,7 +189,7 @@
 		b.say("one")
 		skips.read(b.log)
 		b.say("two")
-		b.outage(time.Hour)
+		b.outage(12 * time.Minute)
 		b.say("three")
 		skips.read(b.log)
 		if skips.fold.text != "one three " {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/pause"
 	"bergamotreel/platformlog"
 )
 
@@ -174,7 +175,7 @@
 		case errors.Is(err, platformlog.ErrTrimmed):
 			r.skipTrimmed(batch)
 		default:
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -360,12 +361,3 @@
 	r.lostAt = time.Now()
 	r.from = r.config.Fold.Applied() + 1
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -105,7 +105,7 @@
 	v := &vm{fold: &words{}, view: b.log.View(name)}
 	v.Replica = New(Config{
 		Log: v.view, Stream: "s", Fold: v.fold, Logger: zap.NewNop(), Writer: name,
-		SnapshotMaxAge: time.Minute, WritesSnapshots: func() bool { return writes },
+		SnapshotMaxAge: time.Minute, SnapshotEvery: 500, WritesSnapshots: func() bool { return writes },
 	})
 	ctx, stop := context.WithCancel(b.ctx)
 	v.stop = stop
@@ -132,6 +132,12 @@
 	return text
 }
 
+// snapshot is what the VM would write now.
+func (v *vm) snapshot(writer string) (parts []chunks.Chunk) {
+	v.View(func() { parts, _ = v.fold.Snapshot(writer) })
+	return parts
+}
+
 func (v *vm) isReady() bool {
 	select {
 	case <-v.Ready():
@@ -200,10 +206,10 @@
 					b.want("one two three", "a", "new")
 					return
 				}
-				parts, _ := b.replicas["a"].fold.Snapshot("a")
+				parts := b.replicas["a"].snapshot("a")
 				b.say("four five six seven eight nine ten eleven")
 				if name != "too old" {
-					parts, _ = b.replicas["a"].fold.Snapshot("a")
+					parts = b.replicas["a"].snapshot("a")
 				}
 				for _, part := range spoil(parts) {
 					data, _ := json.Marshal(part)
@@ -229,9 +235,9 @@
 	run(t, logserver.Config{MaxRecords: 40}, func(b *bed) {
 		a := b.start("a", false)
 		b.say("one two")
-		old, _ := a.fold.Snapshot("old")
+		old := a.snapshot("old")
 		b.say("three four")
-		fresh, _ := a.fold.Snapshot("fresh")
+		fresh := a.snapshot("fresh")
 		for _, parts := range [][]chunks.Chunk{fresh, old} {
 			for _, part := range parts {
 				data, _ := json.Marshal(part)
@@ -292,7 +298,7 @@
 		b.replicas["b"].view.Cut()
 		b.replicas["c"].view.Cut()
 		b.say("three")
-		b.outage(time.Hour)
+		b.outage(12 * time.Minute)
 		for _, name := range []string{"a", "b", "c"} {
 			b.replicas[name].view.Heal()
 		}
@@ -323,7 +329,7 @@
 				b.say("one")
 				lost.view.Cut()
 				b.say("two three")
-				b.outage(time.Hour)
+				b.outage(12 * time.Minute)
 				lost.view.Heal()
 				for i := range 40 {
 					b.say(fmt.Sprint("w", i))
@@ -351,7 +357,7 @@
 				lost.view.Cut()
 				b.say("two")
 				knew.view.Cut()
-				b.outage(time.Hour)
+				b.outage(12 * time.Minute)
 				lost.view.Heal()
 				for i := range int(late.Seconds()) {
 					b.say(fmt.Sprint("w", i))
--- a/internal/replica/rulings_test.go
+++ b/internal/replica/rulings_test.go
@@ -52,7 +52,7 @@
 			b.catchUp(names[rng.IntN(len(names))], names[rng.IntN(len(names))])
 		case 6:
 			if step%4 == 0 {
-				b.outage(time.Duration(rng.IntN(300)) * time.Second)
+				b.outage(time.Duration(rng.IntN(160)) * time.Second)
 			}
 		case 7:
 			if step%8 == 0 {
@@ -222,7 +222,7 @@
 		s.write("two")
 		bid := s.put("x", words{1, "one "}, true, 0)
 		time.Sleep(time.Second)
-		parts, _ := ruler.fold.Snapshot("ruler")
+		parts := ruler.snapshot("ruler")
 		snapshot, _ := ruler.encode(parts)
 		jumped.Offer(nil, snapshot)
 		ruling := s.put("x", words{1, "one "}, true, bid)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/pause"
 	"bergamotreel/platformlog"
 )
 
@@ -67,16 +68,9 @@
 
 // WriteSnapshots appends a snapshot whenever one is due, until ctx ends.
 func (r *Replica) WriteSnapshots(ctx context.Context) {
-	ticker := time.NewTicker(snapshotCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pause.Every(ctx, snapshotCheck, func(ctx context.Context) {
 		r.append(ctx, r.dueSnapshot(time.Now()))
-	}
+	})
 }
 
 // dueSnapshot encodes what this VM should append now, nil for nothing.
