pause: one way to wait within a context, in place of nine

Ruled out: a method on each type (the same lines again). Tests of the touched packages pass. Conclusion: internal/pause.

--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -8,6 +8,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"bergamotreel/internal/pause"
 )
 
 const (
@@ -67,7 +69,7 @@
 			return Error.Wrap(err)
 		}
 		if err != nil {
-			pause(ctx, acceptPause)
+			pause.For(ctx, acceptPause)
 			continue
 		}
 		if !s.add(conn) {
@@ -121,13 +123,3 @@
 		conn.Close()
 	}
 }
-
-// pause waits for the duration or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -17,6 +17,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/commit"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/replica"
 	"bergamotreel/platformlog"
 	"bergamotreel/refusal"
@@ -202,7 +203,7 @@
 		if !c.config.Alive(holder.ID.Claimer) {
 			return nil, false, unknownOutcome("the entry VM that took the first arrival is gone")
 		}
-		if !sleep(ctx, pollHolder) {
+		if !pause.For(ctx, pollHolder) {
 			return nil, false, unknownOutcome("the first arrival has no answer yet")
 		}
 		holder = c.holder(key)
@@ -287,7 +288,7 @@
 		defer cancel()
 		for {
 			err := c.batcher.Store(ctx, entry)
-			if err == nil || !sleep(ctx, storePause) {
+			if err == nil || !pause.For(ctx, storePause) {
 				return
 			}
 			if !errors.Is(err, commit.ErrNotStored) && ctx.Err() != nil {
@@ -296,14 +297,3 @@
 		}
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/commit/append.go
+++ b/internal/commit/append.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bergamotreel/internal/pause"
 	"bergamotreel/platformlog"
 )
 
@@ -18,7 +19,7 @@
 			return
 		}
 		b.store(ctx, b.wanted(batch))
-		if !sleep(ctx, b.config.MinInterval) {
+		if !pause.For(ctx, b.config.MinInterval) {
 			return
 		}
 	}
@@ -111,7 +112,7 @@
 			b.failAll(batch, ErrUnknown)
 			return
 		}
-		if !sleep(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			b.failAll(batch, ErrUnknown)
 			return
 		}
@@ -185,15 +186,3 @@
 	}
 	return out
 }
-
-// sleep waits for d or the end of ctx; it tells whether the time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/httpjson"
 	"bergamotreel/internal/node"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/settings"
 	"bergamotreel/internal/telemetry"
@@ -205,7 +206,7 @@
 	defer cancel()
 	d.node.Leave()
 	d.callers.Drain()
-	wait(ctx, balancerDelay)
+	pause.For(ctx, balancerDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.logger.Warn("requests cut off after the grace", zap.Int("open", d.node.Open()), zap.Error(err))
 		_ = d.callers.Close()
@@ -217,12 +218,3 @@
 	_ = d.metricsServer.Shutdown(stop)
 	d.logger.Info("stopped")
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 	"bergamotreel/vmlist"
 )
 
@@ -147,16 +148,7 @@
 }
 
 func (f *Fleet) pollList(ctx context.Context) {
-	ticker := time.NewTicker(f.config.ListEvery)
-	defer ticker.Stop()
-	for {
-		f.readList(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	pause.Every(ctx, f.config.ListEvery, f.readList)
 }
 
 // readList takes a new VM list. With the platform out of reach the old one
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 	"bergamotreel/lease"
 	"bergamotreel/state"
 )
@@ -144,26 +145,13 @@
 	}
 	var duties sync.WaitGroup
 	defer duties.Wait()
-	duties.Go(func() { every(ctx, k.holdSession) })
-	duties.Go(func() { every(ctx, k.takeEngines) })
-	duties.Go(func() { every(ctx, k.endOthers) })
-	duties.Go(func() { every(ctx, k.loadStranded) })
+	duties.Go(func() { pause.Every(ctx, dutyTick, k.holdSession) })
+	duties.Go(func() { pause.Every(ctx, dutyTick, k.takeEngines) })
+	duties.Go(func() { pause.Every(ctx, dutyTick, k.endOthers) })
+	duties.Go(func() { pause.Every(ctx, dutyTick, k.loadStranded) })
 	<-ctx.Done()
 }
 
-func every(ctx context.Context, duty func(context.Context)) {
-	ticker := time.NewTicker(dutyTick)
-	defer ticker.Stop()
-	for {
-		duty(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Stop ends the duty at a graceful shutdown: workers finish their order, then
 // the session is closed, which gives the engines back and settles it.
 func (k *Keeper) Stop(ctx context.Context) {
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/admission"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/placement"
 	"bergamotreel/routing"
 )
@@ -135,18 +136,11 @@
 // more: a VM cut off from the log still gets an accepted configuration within a
 // heartbeat and this tick.
 func (n *Node) catchUp(ctx context.Context) {
-	ticker := time.NewTicker(catchUpEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pause.Every(ctx, catchUpEvery, func(ctx context.Context) {
 		if address, ok := n.peerAhead(); ok {
 			n.fetch(ctx, address)
 		}
-	}
+	})
 }
 
 // peerAhead is the live peer that has folded most, if that is more than here.
@@ -174,14 +168,7 @@
 
 // tellAdmission gives admission the usage of the other entry VMs.
 func (n *Node) tellAdmission(ctx context.Context) {
-	ticker := time.NewTicker(n.config.Heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pause.Every(ctx, n.config.Heartbeat, func(context.Context) {
 		usage, heard := n.peerUsage()
 		listed := len(n.otherVMs()) + 1
 		now := time.Now()
@@ -189,7 +176,7 @@
 			a.SetVMs(listed, heard)
 			a.SetPeers(now, usage)
 		})
-	}
+	})
 }
 
 func (n *Node) peerUsage() (map[string]admission.PeerUsage, int) {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bergamotreel/internal/pause"
 	"bergamotreel/placement"
 	"bergamotreel/weightstore"
 )
@@ -37,16 +38,7 @@
 }
 
 func (n *Node) watchStore(ctx context.Context) {
-	ticker := time.NewTicker(storeEvery)
-	defer ticker.Stop()
-	for {
-		n.store.ask(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	pause.Every(ctx, storeEvery, n.store.ask)
 }
 
 func (w *storeWatch) ask(ctx context.Context) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/pause"
 	"bergamotreel/placement"
 	"bergamotreel/state"
 )
@@ -120,7 +121,7 @@
 				p.propose(ctx, decision)
 			})
 		}
-		if !pause(ctx, planPause) {
+		if !pause.For(ctx, planPause) {
 			return
 		}
 		select {
@@ -132,17 +133,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // decided is a decision with the keeper it was made under.
 type decided struct {
 	placement.Decision
--- a/internal/serving/caches.go
+++ b/internal/serving/caches.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 )
 
 const (
@@ -45,16 +46,9 @@
 // readCaches is the duty that reads the cache events of the engines with own
 // streams in flight: those are the ones whose caches change by what goes on here.
 func (s *Server) readCaches(ctx context.Context) {
-	ticker := time.NewTicker(cachesEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pause.Every(ctx, cachesEvery, func(ctx context.Context) {
 		s.readRound(ctx, s.dueCaches(time.Now()))
-	}
+	})
 }
 
 func (s *Server) readRound(ctx context.Context, due []cacheQuestion) {
--- a/internal/serving/content.go
+++ b/internal/serving/content.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -47,15 +45,3 @@
 	}
 	return out
 }
-
-// sleep waits for d or the end of ctx; it tells whether the time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/serving/generate.go
+++ b/internal/serving/generate.go
@@ -10,6 +10,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
+	"bergamotreel/internal/pause"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
@@ -132,7 +133,7 @@
 		if !time.Now().Before(r.moveUntil) {
 			return refusal.New(refusal.CodeBackendFailed, comeBackSoon, "the stream broke and no other engine is ready: %v", cause)
 		}
-		if !sleep(ctx, movePause) {
+		if !pause.For(ctx, movePause) {
 			return ctx.Err()
 		}
 	}
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 )
 
 const (
@@ -98,7 +99,7 @@
 		if fruitless == maxResumes {
 			return nil, fruitless, errFruitless
 		}
-		if fruitless > 0 && !sleep(ctx, resumePause) {
+		if fruitless > 0 && !pause.For(ctx, resumePause) {
 			return nil, fruitless, ctx.Err()
 		}
 		fruitless++
--- a/internal/standin/engineserver/engine.go
+++ b/internal/standin/engineserver/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 )
 
 // Fetcher brings a checkpoint from the weight store.
@@ -297,7 +298,7 @@
 	arrived := make(chan outcome, 1)
 	started := e.start(e.closed, func(life context.Context) {
 		var result outcome
-		if !sleep(life, delay) {
+		if !pause.For(life, delay) {
 			result.err = errDown
 		} else if result.err = e.enter(life); result.err == nil {
 			result.value, result.err = effect()
@@ -317,21 +318,6 @@
 	}
 }
 
-// sleep waits; it tells whether the whole time went by.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func cloneMap[K comparable, V any](m map[K]V) map[K]V {
 	if len(m) == 0 {
 		return nil
--- a/internal/standin/engineserver/faults.go
+++ b/internal/standin/engineserver/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 )
 
 // Faults are the engine's fault switches. The zero value is a healthy engine.
@@ -96,12 +97,12 @@
 	if slow := e.Faults().Slow; slow > 0 {
 		d = time.Duration(float64(d) * slow)
 	}
-	return sleep(ctx, d) && e.enter(ctx) == nil
+	return pause.For(ctx, d) && e.enter(ctx) == nil
 }
 
 func (e *Engine) waitWhileStalled(ctx context.Context, unitName string) error {
 	for slices.Contains(e.Faults().StallLoads, unitName) {
-		if !sleep(ctx, pollTime) {
+		if !pause.For(ctx, pollTime) {
 			return ctx.Err()
 		}
 	}
@@ -112,7 +113,7 @@
 func (e *Engine) dieForAWhile() {
 	e.crash()
 	e.start(e.closed, func(ctx context.Context) {
-		if sleep(ctx, e.options.RestartAfter) {
+		if pause.For(ctx, e.options.RestartAfter) {
 			e.Start()
 		}
 	})
