--- a/internal/standin/loadgen/chat.go
+++ b/internal/standin/loadgen/chat.go
@@ -160,7 +160,11 @@
 		}
 		if event.Data == "[DONE]" {
 			checked := checkText(r.text.String(), request)
-			return r.end(checked.outcome, checked.detail)
+			ended := r.end(checked.outcome, checked.detail)
+			// To the body's end, else the connection can't be used again and each
+			// request would be measured with the making of a new one.
+			_, _ = io.Copy(io.Discard, body)
+			return ended
 		}
 		if detail := r.take(event, start); detail != "" {
 			return r.end(OutcomeWrong, detail)
