state: a publish reads only the changed sections

Ruled out: parsing outside the fold (verdicts must be the same on every VM). contract.With gives the same result and error as ParseSections on the merged sections (contract.TestWithEqualsParseSections).

--- a/state/publish.go
+++ b/state/publish.go
@@ -2,8 +2,6 @@
 
 import (
 	"maps"
-
-	"bergamotreel/contract"
 )
 
 // maxReason bounds the reason of an outcome, which every VM remembers.
@@ -25,7 +23,7 @@
 		return s.removeContract(rev, p, old)
 	}
 	sections := mergeSections(old.Sections, p.Sections)
-	parsed, err := contract.ParseSections(sections)
+	parsed, err := old.Contract.With(p.Sections)
 	if err != nil {
 		return invalid(shorten(err.Error()))
 	}
