--- a/internal/replica/peers_test.go
+++ b/internal/replica/peers_test.go
@@ -124,7 +124,7 @@
 	for name, rate := range map[string]time.Duration{"low": 30 * time.Second, "high": 50 * time.Millisecond, "none": time.Hour} {
 		for _, fault := range []string{"", "two write", "chosen cut off", "replaced"} {
 			t.Run(name+" "+fault, func(t *testing.T) {
-				run(t, logserver.Config{MaxAge: retention, MaxRecords: 2000}, func(b *bed) {
+				run(t, logserver.Config{MaxAge: retention, MaxRecords: 800}, func(b *bed) {
 					chosen := b.start("a", true)
 					b.start("b", fault == "two write")
 					b.say("one")
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -105,7 +105,7 @@
 	v := &vm{fold: &words{}, view: b.log.View(name)}
 	v.Replica = New(Config{
 		Log: v.view, Stream: "s", Fold: v.fold, Logger: zap.NewNop(), Writer: name,
-		SnapshotMaxAge: time.Minute, SnapshotEvery: 500, WritesSnapshots: func() bool { return writes },
+		SnapshotMaxAge: time.Minute, SnapshotEvery: 200, WritesSnapshots: func() bool { return writes },
 	})
 	ctx, stop := context.WithCancel(b.ctx)
 	v.stop = stop
