serving, node: refuse at once what no engine can load while the log is away; status says whose refusals it counts

Cause: found by running the documented commands: in a log outage, a request for a model that no engine has a right to load waited its whole longest wait (20 s) before "not run". Nothing could be granted, and that was known after seconds. Ruled out: admission.Expect with a far time (it would say that the model is being loaded, and when). Change: while the log does not answer, waiting requests for a unit without a heard engine that has a right to it are refused with no_capacity, ran no, come back in 5 s. The table REFUSED HERE of status is REFUSED: it sums over all entry VMs. Conclusion: as the design asks: cut off, a domain queues what it can serve and refuses the rest at once.

--- a/cmd/bergamotreel/status.go
+++ b/cmd/bergamotreel/status.go
@@ -247,7 +247,7 @@
 }
 
 func (p statusPage) printRefusals(report operator.StatusReport) error {
-	table := p.section("REFUSED HERE", "REASON", "COUNT")
+	table := p.section("REFUSED", "REASON", "COUNT")
 	for i, r := range report.Refusals {
 		if i == p.rows {
 			break
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -121,8 +121,7 @@
 // stranded are the units that requests wait for while the log is out of reach,
 // nil while it answers; see keeper.Config.
 func (n *Node) stranded() map[string]bool {
-	_, _, reachedAt := n.control.Position()
-	if time.Since(reachedAt) < logReachableFor {
+	if n.logAnswers() {
 		return nil
 	}
 	units := make(map[string]bool)
@@ -132,6 +131,12 @@
 	return units
 }
 
+// logAnswers tells whether the log has answered a read lately.
+func (n *Node) logAnswers() bool {
+	_, _, reachedAt := n.control.Position()
+	return time.Since(reachedAt) < logReachableFor
+}
+
 // catchUp follows the control stream through peers whenever one of them knows
 // more: a VM cut off from the log still gets an accepted configuration within a
 // heartbeat and this tick.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -7,6 +7,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/fleet"
+	"bergamotreel/refusal"
 	"bergamotreel/routing"
 	"bergamotreel/state"
 	"bergamotreel/vmlist"
@@ -20,6 +21,8 @@
 	// serviceSlots bounds the calls of one entry VM on one plain service's
 	// backend server, which has no load report.
 	serviceSlots = 256
+	// comeBackAfterOutage is when to come back for what the log is needed for.
+	comeBackAfterOutage = 5 * time.Second
 	// wantTimeout bounds telling a planner what waits here.
 	wantTimeout = time.Second
 )
@@ -71,6 +74,23 @@
 	return out
 }
 
+// Hopeless implements serving.Directory: without the log no engine can be given
+// the right to load a unit. What stands on an engine that is heard may still be
+// loaded there. Plain services need no right.
+func (n *Node) Hopeless(unit string) *refusal.Refusal {
+	if _, isService := cutService(unit); isService || n.logAnswers() {
+		return nil
+	}
+	now := time.Now()
+	for _, c := range n.Candidates(unit) {
+		if e, ok := n.fleet.Engine(c.Engine); ok && e.Reachable && now.Sub(e.SeenAt) < freshFor {
+			return nil
+		}
+	}
+	return refusal.New(refusal.CodeNoCapacity, comeBackAfterOutage,
+		"%s is not loaded, and nothing new can be loaded while the platform's log is out of reach", unit)
+}
+
 // Interest implements serving.Directory.
 func (n *Node) Interest(engine string) { n.fleet.Interest(engine) }
 
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -117,7 +117,8 @@
 
 // The platform's log goes down for ten minutes. A caller of a loaded model is
 // served as before. A booking is refused at once, and "not run" is true: no
-// claim could be recorded, so nothing was sent.
+// claim could be recorded, so nothing was sent. So is a request for a model that
+// no engine has a right to load: none can be granted now.
 func TestLogOutage(t *testing.T) {
 	inSystem(t, true, text(1), func(s *system) {
 		if a := s.ask("v-a1", "clerk", "before", 4); a.err != nil {
@@ -132,6 +133,12 @@
 			if refused.Ran != refusal.RanNo || refused.RetryAfter == 0 || time.Since(begun) > time.Second {
 				s.errorf("booking %d: %v after %v", i, refused, time.Since(begun))
 			}
+			begun = time.Now()
+			cold := s.ask("v-a2", "board", fmt.Sprint("cold", i), 4)
+			refused = refusal.From(cold.err)
+			if refused.Ran != refusal.RanNo || refused.RetryAfter == 0 || time.Since(begun) > time.Second {
+				s.errorf("model without a right: %v after %v", refused, time.Since(begun))
+			}
 			prompt := fmt.Sprint("during", i)
 			if a := s.ask("v-b2", "clerk", prompt, 4); !a.whole("clerk", prompt, 4) {
 				s.errorf("loaded model in the outage: %q, %v", a.text, a.err)
--- a/internal/serving/bed_test.go
+++ b/internal/serving/bed_test.go
@@ -97,6 +97,7 @@
 func (b *bed) Servers(string) []routing.Candidate { return b.servers }
 func (b *bed) Missing([]admission.Demand)         {}
 func (b *bed) Interest(string)                    {}
+func (b *bed) Hopeless(string) *refusal.Refusal   { return nil }
 
 // set changes what the directory says of the engines.
 func (b *bed) set(change func(a, b *routing.Candidate)) {
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -43,12 +43,33 @@
 	for _, expired := range s.config.Admission.Expire(now) {
 		s.assign(expired.Ticket, assignment{refused: expired.Refusal})
 	}
+	s.refuseHopeless(now)
 	for pool := range s.pools {
 		s.dispatchPool(now, pool, look)
 	}
 	return s.missing(now, look)
 }
 
+// refuseHopeless ends the waits for units that nobody can load now. Failure: with
+// the log out of reach no right can be granted, and a request for a model
+// without one would wait its longest wait for nothing, while its caller could
+// have gone elsewhere.
+func (s *Server) refuseHopeless(now time.Time) {
+	for unit := range s.units {
+		refused := s.config.Directory.Hopeless(unit)
+		if refused == nil {
+			continue
+		}
+		for ticket := range s.waiters {
+			if ticket.Unit == unit {
+				s.config.Admission.Leave(now, ticket)
+				own := *refused
+				s.assign(ticket, assignment{refused: &own})
+			}
+		}
+	}
+}
+
 // observe ends the expectation of a load that has ended: the unit is ready, or
 // the right to load it was withdrawn, as the planner does after a failure.
 // Failure: a unit that is ready early would go on being refused for as long as
--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -20,6 +20,7 @@
 func (f fixed) Servers(string) []routing.Candidate    { return f }
 func (fixed) Missing([]admission.Demand)              {}
 func (fixed) Interest(string)                         {}
+func (fixed) Hopeless(string) *refusal.Refusal        { return nil }
 func (fixed) Chunk(engine.Chunk) error                { return nil }
 
 // An end that no stand-in makes: a resume that meets a closed port at the moment
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -25,6 +25,9 @@
 	Servers(service string) []routing.Candidate
 	// Missing is called when requests wait for a unit that no candidate has ready.
 	Missing(demand []admission.Demand)
+	// Hopeless is the refusal for a unit that has no engine to answer and cannot
+	// get one now, nil for any other.
+	Hopeless(unit string) *refusal.Refusal
 	// Interest asks for fresh news of an engine.
 	Interest(engine string)
 }
