claims: an arrival that waits for its claim counts as held

Cause: the model's UNDER_WAY_UNSAID: with the log away for one entry VM, it asked the others about a key; one of them was waiting for its claim of that key to land and said "free". "Not run" was told, and then the booking ran by that claim. Ruled out: waiting for the other arrival (the answer must go out at once). Change: the arrivals under way at a VM are counted by key; Claimed says held for them, and so does the VM to itself.

--- /dev/null
+++ b/internal/claims/arrivals.go
@@ -0,0 +1,32 @@
+package claims
+
+import (
+	"sync"
+
+	"bergamotreel/idempotency"
+)
+
+// arrivals counts the arrivals of each key that are under way at this entry VM.
+// The zero value is ready.
+type arrivals struct {
+	mu    sync.Mutex
+	byKey map[idempotency.Key]int
+}
+
+func (a *arrivals) add(key idempotency.Key, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byKey == nil {
+		a.byKey = make(map[idempotency.Key]int)
+	}
+	a.byKey[key] += n
+	if a.byKey[key] == 0 {
+		delete(a.byKey, key)
+	}
+}
+
+func (a *arrivals) count(key idempotency.Key) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byKey[key]
+}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -63,12 +63,14 @@
 
 // Claimer claims calls. Its methods may be called from any goroutine.
 type Claimer struct {
-	config  Config
-	started time.Time
-	fold    *fold
-	reads   *readWatch
-	replica *replica.Replica
-	batcher *commit.Batcher[idempotency.Entry, idempotency.Result]
+	// underWay are the arrivals that wait for their claim or for another's answer.
+	underWay arrivals
+	config   Config
+	started  time.Time
+	fold     *fold
+	reads    *readWatch
+	replica  *replica.Replica
+	batcher  *commit.Batcher[idempotency.Entry, idempotency.Result]
 	// recording are answers on their way into the log.
 	recording sync.WaitGroup
 }
@@ -124,11 +126,13 @@
 
 // Claimed answers a peer that cannot reach the log.
 func (c *Claimer) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply {
+	key := idempotency.Key{Customer: query.Customer, Key: query.Key}
 	reply := entryvm.ClaimReply{Up: time.Since(c.started)}
 	c.replica.View(func() {
 		reply.Applied = c.fold.table.Applied()
-		reply.Held = c.fold.table.State(idempotency.Key{Customer: query.Customer, Key: query.Key}) != nil
+		reply.Held = c.fold.table.State(key) != nil
 	})
+	reply.Held = reply.Held || c.underWay.count(key) > 0
 	return reply
 }
 
@@ -142,6 +146,8 @@
 func (c *Claimer) begin(ctx context.Context, call caller.ServiceCall) (*claim, *service.Answer, error) {
 	key := idempotency.Key{Customer: call.Identity.Customer, Key: call.IdempotencyKey}
 	digest := idempotency.DigestOf(call.Method, call.Path, call.Body)
+	c.underWay.add(key, 1)
+	defer c.underWay.add(key, -1)
 	select {
 	case <-c.Ready():
 	default:
@@ -257,6 +263,8 @@
 //     not answer, so the call may have run.
 //   - It restarted, and says truly that it has folded nothing. Its process is
 //     younger than the moment: it can't speak for the one before (ClaimReply.Up).
+//   - Another arrival waits at a VM for its claim to land, and will be dispatched
+//     once it has. That VM says that the key is held, and so does this one.
 //   - All entry VMs restart during an outage, and none has folded anything. A
 //     table that never was complete gives no moment.
 func (c *Claimer) surelyNotRun(ctx context.Context, key idempotency.Key) bool {
@@ -273,7 +281,9 @@
 	})
 	since, complete := c.reads.completeAt(platformlog.Offset(applied))
 	query := entryvm.ClaimQuery{Customer: key.Customer, Key: key.Key}
-	return free && complete && c.config.NobodyAhead(ctx, query, applied, since)
+	// This arrival is one of those under way here.
+	alone := c.underWay.count(key) <= 1
+	return free && complete && alone && c.config.NobodyAhead(ctx, query, applied, since)
 }
 
 func (c *Claimer) release(key idempotency.Key, revision idempotency.Revision, id idempotency.ClaimID) {
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -143,6 +143,12 @@
 			a.die()
 			time.Sleep(10 * time.Second)
 		}, no},
+		"another arrival waits for its claim": {func(d *desk, a, b *vm) {
+			b.view.Cut()
+			a.view.Faults().Set(faults.Settings{SlowMS: 4000})
+			go a.book("key", "bike", succeed)
+			time.Sleep(100 * time.Millisecond)
+		}, maybe},
 		"ran before the outage": {func(_ *desk, a, _ *vm) { a.book("key", "bike", dieAfter) }, maybe},
 	}
 	for name, c := range cases {
