placement: Look beyond demand once a second

Cause: a planner looked at every replica of its units on each call; the VM that plans a model with 10,000 replicas would have spent over a tenth of a core. Demand is served on every call, upkeep at most once a second. Figures (go test -run xxx -bench PlanReplicas -benchtime 300ms -cpu 1 ./placement): a plan with upkeep 149 µs at 140 replicas, 906 µs at 1,000, 10.6 ms at 10,000.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -59,3 +59,20 @@
 		p.Plan(v)
 	}
 }
+
+// BenchmarkPlanReplicas is one plan by the VM that plans a model with many
+// replicas, upkeep included.
+func BenchmarkPlanReplicas(b *testing.B) {
+	for _, replicas := range []int{140, 1_000, 10_000} {
+		v := benchView(replicas, 4*replicas, 12)
+		v.Units = append(v.Units, Unit{Name: "base", Checkpoint: "base:1", Customer: "c", Bytes: 20 << 30, MaxReplicas: replicas})
+		v.Fleet, v.Engines = fleetOf(v), nil
+		b.Run(fmt.Sprint(replicas, "replicas"), func(b *testing.B) {
+			p := NewPlanner(Config{})
+			for b.Loop() {
+				v.Now = v.Now.Add(DefaultUpkeepEvery)
+				p.Plan(v)
+			}
+		})
+	}
+}
--- a/placement/config.go
+++ b/placement/config.go
@@ -24,6 +24,9 @@
 	// ProposalTerm is how long a decision is given to show in the View before
 	// it is proposed again.
 	ProposalTerm time.Duration
+	// UpkeepEvery is how often a plan looks beyond demand: at failed loads,
+	// leaving engines, contracts, scaling and idle replicas.
+	UpkeepEvery time.Duration
 	// ScaleUpWait is the wait of the oldest request from which a unit with a
 	// ready replica gets one more; a quarter of its longest wait if that is less.
 	ScaleUpWait time.Duration
@@ -58,6 +61,8 @@
 	DefaultAvoidAfterFailure = 2 * time.Minute
 	// DefaultProposalTerm is a few log round trips.
 	DefaultProposalTerm = 3 * time.Second
+	// DefaultUpkeepEvery is short against loads and drains, which take seconds.
+	DefaultUpkeepEvery = time.Second
 	// DefaultScaleUpWait leaves the rest of a first token's 0.82 s to the engine.
 	DefaultScaleUpWait = 500 * time.Millisecond
 	// DefaultTargetBusy: an adapter on two engines of 16 slots finds both full
@@ -81,6 +86,7 @@
 	c.LoadStallFloor = orDefault(c.LoadStallFloor, DefaultLoadStallFloor)
 	c.AvoidAfterFailure = orDefault(c.AvoidAfterFailure, DefaultAvoidAfterFailure)
 	c.ProposalTerm = orDefault(c.ProposalTerm, DefaultProposalTerm)
+	c.UpkeepEvery = orDefault(c.UpkeepEvery, DefaultUpkeepEvery)
 	c.ScaleUpWait = orDefault(c.ScaleUpWait, DefaultScaleUpWait)
 	c.TargetBusy = orDefault(c.TargetBusy, DefaultTargetBusy)
 	c.ScaleDownAfter = orDefault(c.ScaleDownAfter, DefaultScaleDownAfter)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -23,6 +23,8 @@
 	quiet map[string]time.Time
 	// moved is when an adapter was last moved to a less busy base.
 	moved map[string]time.Time
+	// upkeepAt is when a plan last looked at more than demand.
+	upkeepAt time.Time
 	// starts limits starts of loads from the weight store.
 	starts startLimit
 }
@@ -127,10 +129,18 @@
 	return h.keep
 }
 
-// Plan returns what to propose now, most urgent first.
+// Plan returns what to propose now, most urgent first. Demand is served on every
+// call; the rest, which looks at each replica of the planner's units, at most
+// every UpkeepEvery: a model may have a replica on thousands of engines.
 func (p *Planner) Plan(v View) []Decision {
 	r := newRound(p, v)
 	r.settlePending()
+	due := v.Now.Sub(p.upkeepAt) >= p.cfg.UpkeepEvery
+	if !due {
+		r.serveDemand()
+		return r.out
+	}
+	p.upkeepAt = v.Now
 	r.watchLoads()
 	r.drain()
 	r.serveDemand()
