gossip: all VMs cut a large fleet alike; status shows a change in force beyond the own group

Cause: above 18 entry VMs, contract publish always ended with exit code 3 and status showed VMs of other groups at offset 0. Two causes: (1) a VM took its region from its settings and the others' from the VM list; with a list without regions each thought itself alone in its region, all sums were for other cells, and nobody knew of anything beyond its group: demand, usage and in-flight counts of the others were missing too. (2) Sums carried no lowest Applied. Ruled out: the codec and the level periods (the sums crossed; they were for cells that nobody had). Change: a VM's place is what the VM list says, for itself too; a sum carries the lowest Applied of its VMs, and status takes that for VMs that it does not hear one by one.

--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -47,6 +47,9 @@
 	// internal/digest); VMs is then how many it adds up, else 0.
 	Cell string
 	VMs  int
+	// Lowest is the lowest Applied of the VMs that a sum adds up: what every one of
+	// them has folded. 0 where it is not a sum.
+	Lowest uint64
 }
 
 // Use is the newest request for a unit on one entry VM.
--- a/internal/digest/summary.go
+++ b/internal/digest/summary.go
@@ -18,6 +18,8 @@
 // left, customers with the most arrivals, engines with the most requests, units
 // used last. The result does not depend on the order of the digests but for
 // rounding.
+// The sum's Lowest tells how far all of them are: a change is in force in the
+// cell once that has passed it.
 func Summarise(maker entryvm.Digest, cell string, digests []entryvm.Digest, limit int) entryvm.Digest {
 	sum := entryvm.Digest{
 		VM: maker.VM, Address: maker.Address, Domain: maker.Domain, Region: maker.Region,
@@ -26,7 +28,10 @@
 	}
 	var parts sums
 	parts.init()
-	for _, d := range digests {
+	for i, d := range digests {
+		if i == 0 || lowest(d) < sum.Lowest {
+			sum.Lowest = lowest(d)
+		}
 		sum.VMs += max(d.VMs, 1)
 		parts.add(d)
 	}
@@ -63,6 +68,14 @@
 	refused  map[refusedKey]uint64
 }
 
+// lowest is what all the VMs that a digest speaks for have folded.
+func lowest(d entryvm.Digest) uint64 {
+	if d.Cell != "" {
+		return d.Lowest
+	}
+	return d.Applied
+}
+
 func (s *sums) init() {
 	s.inFlight = map[string]int{}
 	s.demand = map[demandKey]entryvm.Demand{}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -182,6 +182,17 @@
 	})
 }
 
+// place gives a VM the domain and region that the VM list has for it. All VMs must
+// cut the fleet alike. Failure: a list without regions beside settings with one
+// had each VM think itself alone in its region; the sums of all others were then
+// for other cells, and nobody knew of VMs beyond its own group.
+func place(listed map[string]digest.Member, own digest.Member) digest.Member {
+	if m, ok := listed[own.VM]; ok {
+		own.Domain, own.Region = m.Domain, m.Region
+	}
+	return own
+}
+
 // forgetOthers forgets the VMs that are gone. Call with mu held.
 func (g *Gossip) forgetOthers(members []digest.Member) {
 	there := names(members)
@@ -204,9 +215,9 @@
 	}
 	g.mu.Unlock()
 	for _, d := range v.live {
-		known[d.VM] = digest.Member{VM: d.VM, Address: d.Address, Domain: d.Domain, Region: d.Region, Live: true}
+		known[d.VM] = place(known, digest.Member{VM: d.VM, Address: d.Address, Domain: d.Domain, Region: d.Region, Live: true})
 	}
-	self := digest.Member{VM: g.config.VM, Domain: g.config.Domain, Region: g.config.Region, Live: true}
+	self := place(known, digest.Member{VM: g.config.VM, Domain: g.config.Domain, Region: g.config.Region, Live: true})
 	known[self.VM] = self
 	members := slices.SortedFunc(maps.Values(known), func(a, b digest.Member) int { return strings.Compare(a.VM, b.VM) })
 	g.mu.Lock()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -211,17 +211,30 @@
 					Self: func() entryvm.Digest {
 						return entryvm.Digest{
 							VM: vm.ID, Address: vm.Address, Domain: vm.Domain, Region: vm.Region, Incarnation: vm.ID,
-							InFlight: map[string]int{"e": 1}, Demand: []entryvm.Demand{{Unit: "u", Waiting: 1}},
+							Applied: uint64(100 + i), InFlight: map[string]int{"e": 1}, Demand: []entryvm.Demand{{Unit: "u", Waiting: 1}},
 						}
 					},
 					Heard: func(time.Time, []entryvm.Digest) {},
 				})
 			}
 			r.run(ctx, &group)
+			// lowest is what a VM knows that all have folded.
+			lowest := func(g *gossip.Gossip, own uint64) uint64 {
+				for _, d := range g.Live() {
+					own = min(own, d.Applied)
+				}
+				for _, sum := range g.Far() {
+					own = min(own, sum.Lowest)
+				}
+				return own
+			}
 			check := func(what string, want int) {
 				t.Helper()
-				for _, vm := range r.list {
+				for i, vm := range r.list {
 					g := r.gossips[vm.ID]
+					if got, all := lowest(g, uint64(100+i)), uint64(100+n-1-want); got != all && !(died.Load() && dying[vm.ID]) {
+						t.Errorf("%s, %s: %s knows that all are at %d, they are at %d", name, what, vm.ID, got, all)
+					}
 					_, vms := g.Usage()
 					waiting := 0
 					for _, d := range g.Demand(time.Now()) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -57,12 +57,15 @@
 	for _, vm := range o.fleet.VMs(vmlist.KindEntry) {
 		listed[vm.ID] = vm
 		if vm.ID != o.config.VM {
-			byID[vm.ID] = operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: !present[vm.ID], Leaving: vm.Leaving}
+			byID[vm.ID] = o.unheard(vm, present[vm.ID], newest)
 		}
 	}
 	for _, heard := range o.gossip.All() {
 		silent := now.Sub(heard.Made) >= o.config.HeardFor
 		vm, known := listed[heard.Digest.VM]
+		if silent && present[heard.Digest.VM] {
+			continue // heard of by sums since: a large fleet was cut into groups
+		}
 		if known || !silent {
 			byID[heard.Digest.VM] = describeVM(heard, newest, vm.Leaving, silent)
 		}
@@ -75,6 +78,25 @@
 	return out
 }
 
+// unheard describes a listed VM that sends this one no digest of its own. In a
+// large fleet it is added up in the sums of another group: what all VMs of those
+// have folded is the least that it has.
+func (o operators) unheard(vm vmlist.VM, present bool, newest state.Revision) operator.EntryVM {
+	out := operator.EntryVM{ID: vm.ID, Domain: vm.Domain, Region: vm.Region, Missing: !present, Leaving: vm.Leaving}
+	if !present {
+		return out
+	}
+	for i, sum := range o.gossip.Far() {
+		if i == 0 || sum.Lowest < out.Applied {
+			out.Applied = sum.Lowest
+		}
+	}
+	if out.InForce(newest) {
+		out.Newest = newest
+	}
+	return out
+}
+
 // describeVM tells of a VM what its digest says. One that has folded the newest
 // version known here has it in force.
 func describeVM(heard gossip.Heard, newest state.Revision, leaving, silent bool) operator.EntryVM {
