--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,9 +63,11 @@
 	Admission admission.Config
 	// RetryShare is admission.RetryBudget's Share.
 	RetryShare float64
-	Heartbeat  time.Duration
-	HeardFor   time.Duration
-	Claims     time.Duration
+	// Heartbeat is the time between two digests to a peer; HeardFor is how long a
+	// VM counts as live after its newest one.
+	Heartbeat, HeardFor time.Duration
+	// Claims is how long an idempotency key is remembered.
+	Claims time.Duration
 	// SnapshotMaxAge must be well under the log's retention.
 	SnapshotMaxAge time.Duration
 }
@@ -73,7 +75,7 @@
 const (
 	// defaultHeartbeat costs 9 VMs little and shows a cut within seconds.
 	defaultHeartbeat = 500 * time.Millisecond
-	// defaultHeardFor is six heartbeats: a lost datagram or a long pause of the
+	// defaultHeardFor is six heartbeats: a lost exchange or a long pause of the
 	// garbage collector must not look like a death.
 	defaultHeardFor = 3 * time.Second
 	// defaultClaims is how long an idempotency key is remembered.
