placement: Replace rights of an old checkpoint

Cause: a contract that names another checkpoint changed nothing for replicas in place: a new version was served only after the old one fell idle. The new one comes up beside the old where the contract allows one more replica, else the old goes first; one at a time.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -146,6 +146,7 @@
 	r.serveDemand()
 	r.scaleUp()
 	r.holdContract()
+	r.renew()
 	r.preload()
 	r.stage()
 	r.scaleDown()
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -45,6 +45,12 @@
 	}
 	cached := testEngine("e2", "b")
 	cached.Cached = map[string]Tier{"m": TierMemory}
+	aged, renewed := ready("m", start), ready("m", start)
+	aged.Checkpoint, renewed.Checkpoint = "m:1", "m:2"
+	newer := testUnit("m")
+	newer.Checkpoint = "m:2"
+	newerSingle := newer
+	newerSingle.MaxReplicas = 1
 	crowded := testEngine("e1", "a", ready("m", idle))
 	crowded.Running = crowded.Slots
 	leaving := testEngine("e1", "a", ready("m", start))
@@ -78,6 +84,12 @@
 			[]Unit{testUnit("m")}, nil, "grant m on e2; withdraw m on e1; "},
 		{"a leaving engine's only allowed replica is withdrawn first", []Engine{leaving, testEngine("e2", "a")},
 			[]Unit{single}, nil, "withdraw m on e1; "},
+		{"a new checkpoint comes up beside the old one", []Engine{testEngine("e1", "a", aged), testEngine("e2", "a")},
+			[]Unit{newer}, nil, "grant m on e2; "},
+		{"the old checkpoint goes once the new one is ready", []Engine{testEngine("e1", "a", aged), testEngine("e2", "a", renewed)},
+			[]Unit{newer}, nil, "withdraw m on e1; "},
+		{"the only allowed replica makes place for the new checkpoint", []Engine{testEngine("e1", "a", aged), testEngine("e2", "a")},
+			[]Unit{newerSingle}, nil, "withdraw m on e1; "},
 		{"a replica on a sick engine does not count as ready", []Engine{sick, testEngine("e2", "a")},
 			[]Unit{testUnit("m")}, []Demand{waits("m", 1)}, "grant m on e2; "},
 		{"a failed load is withdrawn and tried elsewhere", []Engine{failed, testEngine("e2", "a")},
--- a/placement/upkeep.go
+++ b/placement/upkeep.go
@@ -52,7 +52,7 @@
 			if at.holding.Wanted && ready+coming == 0 && r.stillNeeded(u, at) {
 				r.start(u, at.engine.Domain, "engine "+at.engine.Name+" leaves")
 			}
-			r.withdraw(at, "engine leaves")
+			r.withdrawWithAdapters(u, at, "engine leaves")
 		}
 	}
 }
@@ -220,13 +220,7 @@
 			return
 		}
 	}
-	for i := range at.engine.Holdings {
-		h := &at.engine.Holdings[i]
-		if h.Base == u.Name {
-			r.withdraw(place{at.engine, h}, "base goes")
-		}
-	}
-	r.withdraw(at, reason)
+	r.withdrawWithAdapters(u, at, reason)
 }
 
 // letGo gives replicas up that history no longer expects to be used.
