planner: a busy unit keeps no other loaded; a decision the fold turns down is made again at once

Cause (from the placement's author): the daemon gave every unit on an engine that engine's whole stream count as long as the unit had been used since it became ready; on a busy engine nothing was ever let go. And: two planners that chose one engine's last room cost the loser the term of 3 s in which a decision may still land (seen in dev: "contract's minimum limit engine's memory", granted 3.2 s later). Ruled out: counting streams by unit (engines do not report it); planning anew without a bound (a wrong picture would be proposed and refused many times a second). Change: streams count for units used in the last 40 s, and the engine's sum goes to Engine.Running; a refused decision is dropped from the policy's pending ones, once per place in 3 s.

--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
 	"bergamotreel/placement"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
 )
 
 // The policy's first estimate is a guess by the unit's size: 28 s for a load that
@@ -64,3 +68,49 @@
 		t.Error("a load on an engine that is gone has ended")
 	}
 }
+
+// Two models share an engine; one is busy all day, the other was used once in the
+// morning. The busy one's streams must not count as the idle one's, or it would
+// never be let go and cost its engine's memory for good.
+func TestBusyUnitKeepsNoOtherLoaded(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	p := New(Config{Mine: func() func(string) bool { return nil }})
+	p.mine = func(string) bool { return true }
+	p.lastUsed["busy"], p.lastUsed["idle"] = now.Add(-time.Second), now.Add(-time.Hour)
+	e := fleet.Engine{VM: vmlist.VM{Address: "e"}, Status: engine.Status{Units: []engine.Unit{
+		{Unit: "busy", Phase: engine.PhaseReady}, {Unit: "idle", Phase: engine.PhaseReady},
+	}}}
+	for _, unit := range []string{"busy", "idle"} {
+		p.ready[holding{"e", unit}] = now.Add(-2 * time.Hour)
+		h := p.holding(now, e, &state.Right{Unit: unit, Wanted: true}, 7)
+		if want := map[string]int{"busy": 7, "idle": 0}[unit]; h.Streams != want {
+			t.Errorf("%s: %d streams, want %d", unit, h.Streams, want)
+		}
+	}
+}
+
+// Two planners choose the last room of one engine; the fold turns one of them
+// down. Its requests must not wait out the term in which a decision may still
+// land. A place that is refused again and again waits it out, so that a wrong
+// picture does not eat the log's appends.
+func TestRefusedDecisionIsMadeAgainAtOnce(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	p := New(Config{Policy: placement.NewPlanner(placement.Config{})})
+	view := placement.View{
+		Now:     now,
+		Engines: []placement.Engine{{Name: "e", MemoryBytes: 10, Slots: 1, Reachable: true, Kept: true}},
+		Units:   []placement.Unit{{Name: "u", Customer: "c", Bytes: 1, MaxReplicas: 1, MaxWait: time.Minute}},
+		Demand:  []placement.Demand{{Unit: "u", Customer: "c", Waiting: 1, Deadline: now.Add(time.Minute)}},
+		Store:   placement.Store{AtOnce: 4, LoadsPerSecond: 4},
+	}
+	for i, want := range []int{1, 1, 0} {
+		view.Now = now.Add(time.Duration(i) * 10 * time.Millisecond)
+		decisions := p.policy.Plan(view)
+		if len(decisions) != want {
+			t.Fatalf("plan %d: %d decisions, want %d", i, len(decisions), want)
+		}
+		for _, d := range decisions {
+			p.decideAgain(view.Now, d)
+		}
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -70,6 +71,8 @@
 	// ready is since when a unit is ready on an engine.
 	ready   map[holding]time.Time
 	loading loads
+	// refused holds when the fold last turned down a decision for a place.
+	refused map[holding]time.Time
 	// mine tells whether this VM plans a unit, in the plan under way.
 	mine func(unit string) bool
 }
@@ -84,6 +87,7 @@
 		lastUsed: make(map[string]time.Time),
 		ready:    make(map[holding]time.Time),
 		loading:  newLoads(),
+		refused:  make(map[holding]time.Time),
 	}
 }
 
@@ -206,6 +210,29 @@
 	p.config.Logger.Info("decided", zap.String("kind", string(d.Kind)), zap.String("unit", d.Unit),
 		zap.String("engine", d.Engine), zap.String("reason", d.Reason),
 		zap.String("verdict", string(outcome.Verdict)), zap.String("why", outcome.Reason), zap.Error(err))
+	if err == nil && outcome.Verdict != state.VerdictApplied {
+		p.decideAgain(time.Now(), d.Decision)
+	}
+}
+
+// refusedOnce is how long after a refusal another one for the same place waits
+// out the policy's term. Without it, a plan that rests on a wrong picture would
+// be proposed and refused many times a second, at the cost of the log's appends.
+const refusedOnce = 3 * time.Second
+
+// decideAgain has the policy plan anew at once after the fold turned a decision
+// down, as when two planners chose the same engine's last room.
+func (p *Planner) decideAgain(now time.Time, d placement.Decision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.refused, func(_ holding, at time.Time) bool { return now.Sub(at) >= refusedOnce })
+	key := holding{engine: d.Engine, unit: d.Unit}
+	if _, lately := p.refused[key]; lately {
+		return
+	}
+	p.refused[key] = now
+	p.policy.Refused(d)
+	p.Wake()
 }
 
 func proposal(d decided) state.Proposal {
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -11,6 +11,10 @@
 	"bergamotreel/state"
 )
 
+// usedLately is how long after a request's arrival its stream counts as running:
+// beyond the usual answer of 400 tokens at 80 ms.
+const usedLately = 40 * time.Second
+
 // reachableFor is how old an engine's newest status may be for new grants.
 const reachableFor = 10 * time.Second
 
@@ -107,6 +111,7 @@
 	}
 	out.Kept = agreed.KeeperSession != 0
 	out.MemoryBytes = agreed.MemoryBytes
+	out.Running = load.streams
 	for _, right := range agreed.Rights {
 		out.Holdings = append(out.Holdings, p.holding(now, e, right, load.streams))
 	}
@@ -115,7 +120,7 @@
 
 func (p *Planner) holding(now time.Time, e fleet.Engine, right *state.Right, streams int) placement.Holding {
 	h := placement.Holding{
-		Unit: right.Unit, Customer: right.Customer, Checkpoint: right.Checkpoint, Bytes: right.Bytes,
+		Unit: right.Unit, Base: right.Base, Customer: right.Customer, Checkpoint: right.Checkpoint, Bytes: right.Bytes,
 		Wanted: right.Wanted, Ready: e.Holds(right.Unit), Withdrawn: right.Withdrawn != 0,
 		LastUsed: p.lastUsed[right.Unit], Right: uint64(right.Granted),
 	}
@@ -136,9 +141,11 @@
 		p.ready[key] = now
 	}
 	h.ReadySince = p.ready[key]
-	// What runs is known by engine only. It counts for the units that were used
-	// since they became ready; an unload waits for streams at the engine anyway.
-	if h.LastUsed.After(h.ReadySince) {
+	// What runs is known by engine only, so it counts for the units that were used
+	// lately. Counted for each unit used since it became ready, one busy unit would
+	// keep all others on its engine loaded for good. An unload waits at the engine
+	// for streams that are longer than that.
+	if now.Sub(h.LastUsed) < usedLately {
 		h.Streams = streams
 	}
 	return h
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// Refused notes that a decision came to nothing: what the plan rested on had
+// changed where it landed. The next plan may decide anew at once, and not only
+// after the ProposalTerm.
+func (p *Planner) Refused(d Decision) { delete(p.pending, placeKey{d.Engine, d.Unit}) }
+
 // Loaded notes how long a load from the tier took.
 func (p *Planner) Loaded(unit string, tier Tier, took time.Duration) {
 	u, ok := p.units[unit]
