devsystem: planned ports are none that outgoing connections get

Ruled out: trying again with other ports (all settings name each other's addresses); holding the listener until the owner takes it (the owner is another process that learns its address from its settings). Change: a plan takes a block of 64 ports between 20000 and 31999, below the ephemeral range, and holds a listener on the first one, so that two systems never share a block.

--- a/cmd/bergamotreel/processes_test.go
+++ b/cmd/bergamotreel/processes_test.go
@@ -77,6 +77,7 @@
 type processes struct {
 	t       *testing.T
 	dir     string
+	plan    *devsystem.Plan
 	entries []*exec.Cmd
 }
 
@@ -97,7 +98,10 @@
 // standin starts a stand-in and returns its address once it listens.
 func (p *processes) standin(verb string, args ...string) string {
 	p.t.Helper()
-	address := devsystem.FreePort()
+	address, err := p.plan.FreeAddress()
+	if err != nil {
+		p.t.Fatal(err)
+	}
 	p.start("standin", append([]string{verb, "--listen", address}, args...)...)
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", address)
@@ -114,7 +118,12 @@
 // startSystem starts one log, VM list, weight store and service, four engines
 // and four entry VMs in two failure domains.
 func (p *processes) startSystem() *devsystem.System {
-	plan := devsystem.NewPlan()
+	plan, err := devsystem.NewPlan()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = plan.Close() })
+	p.plan = plan
 	plan.LogURL = "http://" + p.standin("log")
 	plan.StoreURL = "http://" + p.standin("weightstore", "--bytes-per-second", "16e9")
 	for i, domain := range plan.Domains() {
--- a/internal/devsystem/devsystem.go
+++ b/internal/devsystem/devsystem.go
@@ -64,7 +64,11 @@
 
 // Start makes the system and runs it until ctx ends; Wait returns after that.
 func Start(ctx context.Context, logger *zap.Logger) (*System, error) {
-	s := &System{failed: make(chan error, 1), logger: logger, plan: NewPlan()}
+	plan, err := NewPlan()
+	if err != nil {
+		return nil, err
+	}
+	s := &System{failed: make(chan error, 1), logger: logger, plan: plan}
 	if err := s.startPlatform(ctx); err != nil {
 		return nil, err
 	}
@@ -81,6 +85,7 @@
 // Wait returns once all has stopped, with the first failure.
 func (s *System) Wait() error {
 	s.group.Wait()
+	_ = s.plan.Close()
 	select {
 	case err := <-s.failed:
 		return err
--- a/internal/devsystem/plan.go
+++ b/internal/devsystem/plan.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 
 	"bergamotreel/vmlist"
 )
@@ -31,10 +30,25 @@
 	// VMs is the VM list.
 	VMs     []vmlist.VM
 	Entries []Entry
+
+	ports *Ports
 }
 
-// NewPlan returns a plan without any VM.
-func NewPlan() *Plan { return &Plan{} }
+// NewPlan returns a plan without any VM, with ports of its own until Close.
+func NewPlan() (*Plan, error) {
+	ports, err := ReservePorts()
+	if err != nil {
+		return nil, err
+	}
+	return &Plan{ports: ports}, nil
+}
+
+// Close gives the plan's ports back.
+func (p *Plan) Close() error { return p.ports.Close() }
+
+// FreeAddress returns a loopback address of the plan's own that nothing listens
+// on, for a process that is started with it.
+func (p *Plan) FreeAddress() (string, error) { return p.ports.Next() }
 
 // Domains are the failure domains.
 func (p *Plan) Domains() []string { return []string{"domain-a", "domain-b"} }
@@ -45,11 +59,11 @@
 	p.VMs = append(p.VMs, vm)
 }
 
-// PickEntries picks free ports for the entry VMs and lists them.
+// PickEntries picks ports for the entry VMs and lists them.
 func (p *Plan) PickEntries() error {
 	for _, domain := range p.Domains() {
 		for i := range entriesPerDomain {
-			ports, err := freePorts(portsPerEntry)
+			ports, err := p.ports.takeAll(portsPerEntry)
 			if err != nil {
 				return err
 			}
@@ -97,28 +111,3 @@
 [metrics]
 address = %s
 `
-
-// FreePort returns a loopback address that nothing listens on, "" if there is
-// none.
-func FreePort() string {
-	ports, err := freePorts(1)
-	if err != nil {
-		return ""
-	}
-	return ports[0]
-}
-
-// freePorts returns loopback addresses that nothing listens on.
-func freePorts(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		// All stay open until the last is found, so that they differ.
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
-	}
-	return addresses, nil
-}
