state: a removal that lands after its engine came back has no effect

Cause: found by reading the fold for proposals without preconditions. EngineRemove named only the engine. An append whose answer is lost may land late; where the VM had come back meanwhile (kept, granted or loading again), the removal forgot rights by which the engine was holding replicas, and the next grant was one more than decided. Ruled out: the keeper's revision alone as precondition (the same keeper grants on); Newest alone (a restarted engine is loaded again by rights that stand, which changes only its incarnation). Change: EngineRemove carries Newest and Incarnation as its proposer saw them and lands only if both still hold. Records of the older form fold as conflicts for any engine that was ever kept; nothing is deployed yet.

--- a/lease/departure.go
+++ b/lease/departure.go
@@ -134,9 +134,11 @@
 // named as its VM.
 func (d *Departures) Removable(engines map[string]*state.Engine) []state.EngineRemove {
 	var removable []state.EngineRemove
-	for name := range engines {
+	for name, engine := range engines {
 		if d.Gone(name) {
-			removable = append(removable, state.EngineRemove{Engine: name})
+			removable = append(removable, state.EngineRemove{
+				Engine: name, Newest: engine.Newest, Incarnation: engine.Incarnation,
+			})
 		}
 	}
 	slices.SortFunc(removable, func(a, b state.EngineRemove) int { return cmp.Compare(a.Engine, b.Engine) })
--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -190,7 +190,7 @@
 		return state.Proposal{EngineMeet: &state.EngineMeet{Engine: d.name, Keeper: d.keeper, Incarnation: "1", MemoryBytes: memory, ChecksTokens: d.yes}}
 	}},
 	{1, func(d *drawing) state.Proposal {
-		return state.Proposal{EngineRemove: &state.EngineRemove{Engine: d.name}}
+		return state.Proposal{EngineRemove: &state.EngineRemove{Engine: d.name, Newest: d.stale(d.engine.Newest), Incarnation: d.engine.Incarnation}}
 	}},
 }
 
--- a/state/keeper.go
+++ b/state/keeper.go
@@ -80,11 +80,19 @@
 
 // engineRemove forgets an engine whose VM is gone, and with it the memory that
 // its rights stood for.
+//
+// The failure: the append's answer is lost and the record lands late; the VM is
+// back meanwhile and loads by rights granted since. The symptom is replicas that
+// nobody counts. Whatever lets the engine load again, a KeeperTake, a Grant or
+// the EngineMeet of a restarted engine, changes Newest or Incarnation.
 func (s *State) engineRemove(remove *EngineRemove) result {
 	engine := s.Engines[remove.Engine]
 	if engine == nil {
 		return conflict("unknown engine")
 	}
+	if engine.Newest != remove.Newest || engine.Incarnation != remove.Incarnation {
+		return conflict("engine changed since")
+	}
 	s.release(engine)
 	for _, right := range engine.Rights {
 		s.dropRight(engine, right)
--- a/state/precondition_test.go
+++ b/state/precondition_test.go
@@ -103,6 +103,45 @@
 	}
 }
 
+// TestLateRemovalOfAnEngineThatCameBack: a caller's model is loaded on one engine
+// more than its contract allows. An engine's VM leaves the list; its removal is
+// appended, and the record is held up. The VM comes back and is granted a right,
+// or restarts and loads again by the one that stands; then the removal lands. The
+// naive twin forgets the engine and its right, and the next grant is one too many.
+func TestLateRemovalOfAnEngineThatCameBack(t *testing.T) {
+	grant := func(c script, by, engine string, want state.Verdict) {
+		c.do(want, by, state.Proposal{Grant: &state.Grant{Engine: engine, Keeper: c.ours.Engines[engine].Keeper, Customer: "hire", Unit: "m1"}})
+	}
+	restart := func(c script) {
+		c.do(state.VerdictApplied, "p1", state.Proposal{EngineMeet: &state.EngineMeet{
+			Engine: "e1", Keeper: c.ours.Engines["e1"].Keeper, Incarnation: "2", MemoryBytes: 5 * gb}})
+	}
+	for name, changed := range map[string]struct{ before, after func(c script) }{
+		"granted": {func(script) {}, func(c script) { grant(c, "p1", "e1", state.VerdictApplied) }},
+		"restart": {func(c script) { grant(c, "p1", "e1", state.VerdictApplied) }, restart},
+	} {
+		for _, naive := range []bool{false, true} {
+			c := script{t, newMachine()}
+			changed.before(c)
+			seen := *c.ours.Engines["e1"]
+			changed.after(c)
+			if naive {
+				seen = *c.ours.Engines["e1"] // as if the record said nothing of what was seen
+			}
+			remove := state.Proposal{EngineRemove: &state.EngineRemove{Engine: "e1", Newest: seen.Newest, Incarnation: seen.Incarnation}}
+			if naive {
+				c.do(state.VerdictApplied, "p2", remove)
+				grant(c, "p2", "e2", state.VerdictApplied)
+				continue
+			}
+			if o := c.do(state.VerdictConflict, "p2", remove); o.Reason != "engine changed since" {
+				t.Errorf("%s: %s", name, o.Reason)
+			}
+			grant(c, "p2", "e2", state.VerdictLimit)
+		}
+	}
+}
+
 // TestRetryGetsTheFirstOutcome: the answer of an append is lost after it took
 // effect. The retry lands later, when its preconditions no longer hold; it is
 // answered as its first landing was, also after a snapshot.
--- a/state/record.go
+++ b/state/record.go
@@ -154,9 +154,13 @@
 }
 
 // EngineRemove forgets an engine and its rights: its VM has been gone from the
-// VM list for longer than a message can live. Any session may say so.
+// VM list for longer than a message can live. Any session may say so. It lands
+// only if Newest and Incarnation are still the engine's: a VM that came back
+// since has been kept, met or granted anew.
 type EngineRemove struct {
-	Engine string `json:"engine" cbor:"1,keyasint"`
+	Engine      string   `json:"engine" cbor:"1,keyasint"`
+	Newest      Revision `json:"newest" cbor:"2,keyasint"`
+	Incarnation string   `json:"inc,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Grant gives an engine the right to hold a replica of a unit (a model or an
--- a/state/reference_test.go
+++ b/state/reference_test.go
@@ -37,6 +37,8 @@
 	sent     map[state.Revision]bool
 	breach   map[state.Revision]bool
 	lastMeet string
+	// ordered is the newest revision by which an order may be sent.
+	ordered state.Revision
 }
 
 type refRight struct {
@@ -61,11 +63,29 @@
 	o := state.Outcome{ID: p.ID, Revision: rev, Verdict: state.VerdictConflict}
 	if r.accept(rev, p) {
 		o.Verdict = state.VerdictApplied
+		if engine := ordersBy(p); engine != "" {
+			r.engines[engine].ordered = rev
+		}
 	}
 	r.outcomes[p.ID] = o
 	return o
 }
 
+// ordersBy names the engine that may be sent orders at the proposal's revision.
+func ordersBy(p state.Proposal) string {
+	switch {
+	case p.KeeperTake != nil:
+		return p.KeeperTake.Engine
+	case p.Grant != nil:
+		return p.Grant.Engine
+	case p.Want != nil:
+		return p.Want.Engine
+	case p.Withdraw != nil:
+		return p.Withdraw.Engine
+	}
+	return ""
+}
+
 // accept makes the change of a proposal if its preconditions hold.
 func (r *reference) accept(rev state.Revision, p state.Proposal) bool {
 	switch {
@@ -102,12 +122,15 @@
 		}
 		return ok
 	case p.EngineRemove != nil:
-		_, ok := r.engines[p.EngineRemove.Engine]
+		e := r.engines[p.EngineRemove.Engine]
+		if e == nil || e.ordered != p.EngineRemove.Newest || e.lastMeet != p.EngineRemove.Incarnation {
+			return false
+		}
 		delete(r.engines, p.EngineRemove.Engine)
 		for _, right := range r.rights {
 			right.gone = right.gone || right.engine == p.EngineRemove.Engine
 		}
-		return ok
+		return true
 	}
 	return r.acceptKeeping(rev, p)
 }
