--- a/admission/lifecycle_test.go
+++ b/admission/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
 
 	"bergamotreel/contract"
--- a/contract/once_test.go
+++ b/contract/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
 )
 
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/iotest"
 
+	_ "bergamotreel/internal/fixedseed"
 	"github.com/google/go-cmp/cmp"
 	sse "github.com/tmaxmax/go-sse"
 	"pgregory.net/rapid"
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -7,6 +7,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/digest"
 
+	_ "bergamotreel/internal/fixedseed"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
