keeper: wake only the worker whose engine a record names

Wake woke every worker at each batch of control records, and a woken worker asks its engine. In a fleet of thousands, where the log carries hundreds of records a second, each engine would have been asked without a pause. A worker is woken now where the fold's word on its engine differs from that at the last call.

--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -44,6 +44,8 @@
 	listed  []string
 	chosen  string
 	changes uint64
+	// asked counts the keepers' questions to engines.
+	asked int
 	// giveBackLate delays give-backs; givenBack is whether one was proposed so.
 	giveBackLate time.Duration
 	givenBack    bool
@@ -135,7 +137,7 @@
 			defer b.mu.Unlock()
 			return b.chosen == name
 		},
-		DomainOf: func(string) string { return "d" }, Saw: func(string, engine.Status, error) {},
+		DomainOf: func(string) string { return "d" }, Saw: func(string, engine.Status, error) { b.sets(func() { b.asked++ }) },
 	})
 	ctx, stop := context.WithCancel(b.ctx)
 	v.stop = stop
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -116,18 +116,6 @@
 	k.departures.Saw(now, version, names)
 }
 
-// Wake has the engines looked at soon, after news in the fold.
-func (k *Keeper) Wake() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, w := range k.workers {
-		select {
-		case w.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // Session is the live session, 0 without one.
 func (k *Keeper) Session() state.SessionID {
 	k.mu.Lock()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -43,6 +43,28 @@
 	})
 }
 
+// Records of other engines, sessions and contracts come all the time: none of
+// them names this engine. Failure: each batch of records had every engine asked by
+// its keeper; in a large fleet that was without a pause. A grant is acted on at
+// once all the same.
+func TestNewsOfOthersWakesNoWorker(t *testing.T) {
+	onBoth(t, func(b *bed, _ bool) {
+		time.Sleep(5 * time.Second)
+		b.sets(func() { b.asked = 0 })
+		for range 40 {
+			_, _ = b.vms["b"].control.Propose(b.ctx, state.Proposal{EngineRemove: &state.EngineRemove{Engine: "other"}})
+			time.Sleep(250 * time.Millisecond)
+		}
+		b.sets(func() {
+			if b.asked > 6 {
+				b.Errorf("asked %d times within 10 s", b.asked)
+			}
+		})
+		b.grant("e", "m")
+		b.until(100*time.Millisecond, "load begun", func() bool { return b.holds("e") != "" })
+	})
+}
+
 // An engine restarts empty, dies at the end of a load, or its load fails: what
 // is wanted there is loaded again.
 func TestLoadsAgain(t *testing.T) {
--- a/internal/keeper/stranded.go
+++ b/internal/keeper/stranded.go
@@ -26,7 +26,7 @@
 	}
 	k.mu.Unlock()
 	if len(waiting) > 0 {
-		k.Wake()
+		k.wakeAll()
 	}
 }
 
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -34,6 +34,9 @@
 	address string
 	session state.SessionID
 	wake    chan struct{}
+	// woken is what the fold said of the engine at the last call of Keeper.Wake;
+	// guarded by the keeper's mu.
+	woken stamp
 	// pause is how long to wait for a wake-up before the next round.
 	pause  time.Duration
 	stop   context.CancelFunc
