fleet: an engine is asked by its keeper, who tells the others in its digests

Every entry VM asked every engine every 2 s: 9 x 24 questions each 2 s where nobody waits, and a factor 99 over the bytes allowed at 3,400 nodes.

The keeper's digest now carries a short report of each engine that it asked within the last two heartbeats: a hash of the status without load and token, the load, whether it drains, and how long ago. A VM that knows a status of that hash counts it as confirmed; another hash has it ask the engine itself. Units are never taken from another VM, so a late word, or one from before a restart, costs a question and changes nothing. Sending the status itself was ruled out: 0.5 to 5.6 KB to each VM in several digests, against one question of that size, and two VMs' words on one engine have no common order.

An engine without a fresh word (no keeper, dead or cut off) is asked again after 4 s, before it would get no work at 6 s. One found draining is told at once. Above 18 VMs reports stay in their group, draining ones go on in sums, and engines whose keeper is not heard are asked in turns, 4 a second together, those that hold what was asked for here first.

idle.sh takes its ports from BASE_PORT, so that two runs don't meet.

--- a/docs/measures/idle.sh
+++ b/docs/measures/idle.sh
@@ -2,9 +2,10 @@
 # Measures what one idle entry VM uses, in a fleet of processes on loopback:
 #   bash docs/measures/idle.sh VMS ENGINES SECONDS
 # It prints the mean and the most over the entry VMs: processor time, bytes read
-# and written (all sockets, without TCP's part), resident memory.
+# and written (all sockets, without TCP's part), resident memory. Ports are from
+# BASE_PORT + 1 (default 20000) to BASE_PORT + 4999: two runs need bases apart.
 set -euo pipefail
-vms=$1 engines=$2 seconds=$3
+vms=$1 engines=$2 seconds=$3 base=${BASE_PORT:-20000}
 cd "$(dirname "$0")/../.."
 dir=$(mktemp -d)
 go build -o "$dir/" ./cmd/bergamotreel ./cmd/standin
@@ -19,11 +20,11 @@
 	printf '{"vms":['
 	for ((i = 1; i <= engines; i++)); do
 		printf '%s{"id":"engine-%d","kind":"engine","address":"127.0.0.1:%d","domain":"d%d"}' \
-			"$comma" $i $((21000 + i)) $((i % 3))
+			"$comma" $i $((base + 1000 + i)) $((i % 3))
 		comma=,
 	done
 	for ((i = 1; i <= vms; i++)); do
-		printf ',{"id":"entry-%d","kind":"entry","address":"127.0.0.1:%d","domain":"d%d"}' $i $((24000 + i)) $((i % 3))
+		printf ',{"id":"entry-%d","kind":"entry","address":"127.0.0.1:%d","domain":"d%d"}' $i $((base + 4000 + i)) $((i % 3))
 	done
 	printf ']}'
 }
@@ -38,13 +39,13 @@
 		[vm]
 		id = entry-$1
 		domain = d$(($1 % 3))
-		callers_address = 127.0.0.1:$((22000 + $1))
-		operators_address = 127.0.0.1:$((23000 + $1))
-		peers_address = 127.0.0.1:$((24000 + $1))
+		callers_address = 127.0.0.1:$((base + 2000 + $1))
+		operators_address = 127.0.0.1:$((base + 3000 + $1))
+		peers_address = 127.0.0.1:$((base + 4000 + $1))
 		[platform]
-		log_url = http://127.0.0.1:20001
-		vmlist_url = http://127.0.0.1:20002
-		weightstore_url = http://127.0.0.1:20003
+		log_url = http://127.0.0.1:$((base + 1))
+		vmlist_url = http://127.0.0.1:$((base + 2))
+		weightstore_url = http://127.0.0.1:$((base + 3))
 		[peers]
 		secret_file = secret
 		[operators]
@@ -66,15 +67,15 @@
 list >vms.json
 printf token >token
 head -c 32 /dev/urandom | base64 >secret
-backend log --listen 127.0.0.1:20001
-backend vmlist --listen 127.0.0.1:20002 --file vms.json
-backend weightstore --listen 127.0.0.1:20003
+backend log --listen 127.0.0.1:$((base + 1))
+backend vmlist --listen 127.0.0.1:$((base + 2)) --file vms.json
+backend weightstore --listen 127.0.0.1:$((base + 3))
 for ((i = 1; i <= engines; i++)); do
-	backend engine --listen 127.0.0.1:$((21000 + i)) --weight-store http://127.0.0.1:20003 --checks-tokens
+	backend engine --listen 127.0.0.1:$((base + 1000 + i)) --weight-store http://127.0.0.1:$((base + 3)) --checks-tokens
 done
 for ((i = 1; i <= vms; i++)); do entry $i; done
 sleep 8
-./bergamotreel contract publish -yes -operators http://127.0.0.1:23001 -token-file token trinidad.ini | tail -1 || true # 3: not seen in force everywhere
+./bergamotreel contract publish -yes -operators http://127.0.0.1:$((base + 3001)) -token-file token trinidad.ini | tail -1 || true # 3: not seen in force everywhere
 sleep 12
 used >before
 sleep "$seconds"
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -40,6 +40,9 @@
 	// Expected are the units that this VM, as their planner, expects to be ready
 	// soon; one is told until it is ready or given up.
 	Expected []Expected
+	// Engines is what this VM learned from engines that it keeps, a bounded number,
+	// and of those that it found draining; in a sum the latter only.
+	Engines []EngineReport
 	// Age is how long other VMs held the digest before they sent it on, 0 from
 	// its maker. All durations in the digest are as of its making.
 	Age time.Duration
@@ -52,6 +55,21 @@
 	Lowest uint64
 }
 
+// EngineReport is an engine's status in short. It confirms what a VM knows, or has
+// it ask the engine; a VM never takes units of an engine from another VM.
+type EngineReport struct {
+	// Engine is its address.
+	Engine string
+	// Version is a hash of the status without load and token, 0 where the engine
+	// did not answer; see internal/fleet.
+	Version uint64
+	// Draining, Running and Queued are as in the status.
+	Draining        bool
+	Running, Queued int
+	// Ago is how long before the sending the engine said it.
+	Ago time.Duration
+}
+
 // Use is the newest request for a unit on one entry VM.
 type Use struct {
 	Unit string
--- a/internal/digest/summary.go
+++ b/internal/digest/summary.go
@@ -16,7 +16,7 @@
 // among the digests too. Each list keeps the limit entries that matter most, so
 // that a summary's size does not grow with the fleet: demand with the least time
 // left, customers with the most arrivals, engines with the most requests, units
-// used last. The result does not depend on the order of the digests but for
+// used last, engines found draining last. The result does not depend on the order of the digests but for
 // rounding.
 // The sum's Lowest tells how far all of them are: a change is in force in the
 // cell once that has passed it.
@@ -49,6 +49,9 @@
 	sum.Refused = first(parts.refusals(), limit, func(a, b entryvm.Refused) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), strings.Compare(a.Customer, b.Customer), strings.Compare(a.Code, b.Code))
 	})
+	sum.Engines = first(slices.Collect(maps.Values(parts.draining)), limit, func(a, b entryvm.EngineReport) int {
+		return cmp.Or(cmp.Compare(a.Ago, b.Ago), strings.Compare(a.Engine, b.Engine))
+	})
 	return sum
 }
 
@@ -66,6 +69,7 @@
 	used     map[string]time.Duration
 	failing  map[string]bool
 	refused  map[refusedKey]uint64
+	draining map[string]entryvm.EngineReport
 }
 
 // lowest is what all the VMs that a digest speaks for have folded.
@@ -83,6 +87,7 @@
 	s.used = map[string]time.Duration{}
 	s.failing = map[string]bool{}
 	s.refused = map[refusedKey]uint64{}
+	s.draining = map[string]entryvm.EngineReport{}
 }
 
 func (s *sums) add(d entryvm.Digest) {
@@ -108,11 +113,24 @@
 	for _, server := range d.Failing {
 		s.failing[server] = true
 	}
+	for _, one := range d.Engines {
+		s.addEngine(one, d.Age)
+	}
 	for _, one := range d.Refused {
 		s.refused[refusedKey{one.Customer, one.Code}] += one.Count
 	}
 }
 
+// addEngine adds the report of a draining engine that was told age ago. Others stay
+// in their group: with 3 engines a VM they would be most of a sum.
+func (s *sums) addEngine(one entryvm.EngineReport, age time.Duration) {
+	one.Ago += age
+	known, found := s.draining[one.Engine]
+	if one.Draining && (!found || one.Ago < known.Ago) {
+		s.draining[one.Engine] = one
+	}
+}
+
 // addDemand adds demand that was told age ago; its time has run on since.
 func (s *sums) addDemand(one entryvm.Demand, age time.Duration) {
 	one.Deadline -= age
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"reflect"
 	"sort"
 	"sync"
 	"time"
@@ -21,15 +20,19 @@
 type Engine struct {
 	VM     vmlist.VM
 	Status engine.Status
-	// SeenAt is when the newest status arrived, zero before the first.
+	// SeenAt is when the engine last said that its status is so, to this VM or to
+	// its keeper; zero before the first time.
 	SeenAt time.Time
-	// Reachable is whether the newest question was answered.
+	// Reachable is whether this VM's own newest question was answered.
 	Reachable bool
+	// ToldLeaving is whether another VM lately told that the engine drains, and
+	// the engine itself has not been heard since.
+	ToldLeaving bool
 }
 
-// Leaving tells whether the engine should get new work. Its own word counts
+// Leaving tells whether the engine gets no new work. Its own word counts
 // beside the VM list, because the list trails by seconds.
-func (e Engine) Leaving() bool { return e.VM.Leaving || e.Status.Draining }
+func (e Engine) Leaving() bool { return e.VM.Leaving || e.Status.Draining || e.ToldLeaving }
 
 // Holds tells whether the unit is ready on the engine.
 func (e Engine) Holds(unit string) bool {
@@ -53,6 +56,15 @@
 	IdleEvery time.Duration
 	// BusyEvery is the pause for an engine of Interest; default 200 ms.
 	BusyEvery time.Duration
+	// TrustFor is for how long the word of an engine's keeper stands in for asking
+	// it; default 4 s.
+	TrustFor time.Duration
+	// InTurns tells whether the fleet is too large for this VM to ask every engine
+	// whose keeper it doesn't hear; see turns. May be nil: never.
+	InTurns func() bool
+	// Drains is called for an engine that was found draining here first: the
+	// other VMs are to be told at once. May be nil.
+	Drains func()
 	// Timeout bounds one question; default 1 s.
 	Timeout time.Duration
 	// Gone is called for an engine that left the VM list or restarted: what was
@@ -63,6 +75,8 @@
 // Fleet polls and remembers. Its methods may be called from any goroutine.
 type Fleet struct {
 	config Config
+	// wake has Run look at once which questions are due.
+	wake chan struct{}
 
 	mu       sync.Mutex
 	list     vmlist.List
@@ -70,29 +84,37 @@
 	engines  map[string]*entry
 	changed  func(news bool)
 	onList   func(time.Time, vmlist.List)
+	// turns are the questions left to strangers, as of turnedAt.
+	turns    float64
+	turnedAt time.Time
 }
 
 // entry is one engine with its polling state.
 type entry struct {
 	Engine
-	next      time.Time
-	asking    bool
-	busyUntil time.Time
+	// version is the fingerprint of Status.
+	version uint64
+	// next is when to ask, askedAt when the newest question of this VM began.
+	next, askedAt time.Time
+	asking        bool
+	// busyUntil and usedUntil are how long Interest and Use last.
+	busyUntil, usedUntil time.Time
+	// keptAt is when this VM as the engine's keeper last asked it, answered whether
+	// it got an answer, and drainsAt when it was first seen to drain here.
+	keptAt, drainsAt time.Time
+	answered         bool
+	// told is the newest word of another VM, leavingAt the time of the newest that
+	// said that the engine drains.
+	told      Word
+	leavingAt time.Time
 }
 
 const (
 	defaultListEvery = time.Second
 	defaultIdleEvery = 2 * time.Second
 	defaultBusyEvery = 200 * time.Millisecond
+	defaultTrustFor  = 4 * time.Second
 	defaultTimeout   = time.Second
-	// tick is how often due questions are looked for.
-	tick = 50 * time.Millisecond
-	// interestFor is how long one call of Interest keeps an engine polled often.
-	interestFor = 3 * time.Second
-	// askers bounds the questions under way at once. It is above the number of
-	// engines that a deployment has: questions to engines that are cut off last
-	// until Timeout, and must not hold up those to the others.
-	askers = 1024
 )
 
 // New makes a fleet. changed is called after each answer of an engine or of the VM
@@ -102,6 +124,7 @@
 	setDefault(&config.ListEvery, defaultListEvery)
 	setDefault(&config.IdleEvery, defaultIdleEvery)
 	setDefault(&config.BusyEvery, defaultBusyEvery)
+	setDefault(&config.TrustFor, defaultTrustFor)
 	setDefault(&config.Timeout, defaultTimeout)
 	if changed == nil {
 		changed = func(bool) {}
@@ -112,7 +135,16 @@
 	if config.Gone == nil {
 		config.Gone = func(string) {}
 	}
-	return &Fleet{config: config, engines: make(map[string]*entry), changed: changed, onList: onList}
+	if config.Drains == nil {
+		config.Drains = func() {}
+	}
+	if config.InTurns == nil {
+		config.InTurns = func() bool { return false }
+	}
+	return &Fleet{
+		config: config, wake: make(chan struct{}, 1),
+		engines: make(map[string]*entry), changed: changed, onList: onList,
+	}
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
@@ -121,34 +153,6 @@
 	}
 }
 
-// Run polls until ctx ends.
-func (f *Fleet) Run(ctx context.Context) {
-	var group sync.WaitGroup
-	defer group.Wait()
-	group.Go(func() { f.pollList(ctx) })
-	slots := make(chan struct{}, askers)
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		for _, address := range f.due(time.Now()) {
-			select {
-			case slots <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			group.Go(func() {
-				defer func() { <-slots }()
-				f.ask(ctx, address)
-			})
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (f *Fleet) pollList(ctx context.Context) {
 	pause.Every(ctx, f.config.ListEvery, f.readList)
 }
@@ -173,6 +177,9 @@
 	for _, address := range gone {
 		f.config.Gone(address)
 	}
+	if news {
+		f.rouse()
+	}
 	f.onList(now, list)
 	f.changed(news)
 }
@@ -202,85 +209,6 @@
 	return gone
 }
 
-// due picks the engines to ask now and marks them.
-func (f *Fleet) due(now time.Time) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var due []string
-	for address, e := range f.engines {
-		if e.asking || now.Before(e.next) {
-			continue
-		}
-		e.asking = true
-		due = append(due, address)
-	}
-	sort.Strings(due)
-	return due
-}
-
-func (f *Fleet) ask(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
-	defer cancel()
-	status, err := f.config.Engine.Status(ctx, address)
-	f.Saw(address, status, err)
-}
-
-// Saw takes a status that was learned here or by another duty of this VM.
-func (f *Fleet) Saw(address string, status engine.Status, err error) {
-	now := time.Now()
-	f.mu.Lock()
-	e, ok := f.engines[address]
-	restarted, news := false, false
-	if ok {
-		e.asking = false
-		e.next = now.Add(f.pause(e, now))
-		news = e.Reachable != (err == nil)
-		e.Reachable = err == nil
-		if err == nil {
-			news = news || differs(e.Status, status)
-			restarted = !e.SeenAt.IsZero() && e.Status.Incarnation != status.Incarnation
-			e.Status = status
-			e.SeenAt = now
-		}
-	}
-	f.mu.Unlock()
-	if restarted {
-		f.config.Gone(address)
-	}
-	if ok {
-		f.changed(news)
-	}
-}
-
-// differs tells whether two answers say different things beside the load.
-func differs(a, b engine.Status) bool {
-	a.Load, b.Load = engine.Load{}, engine.Load{}
-	return !reflect.DeepEqual(a, b)
-}
-
-func (f *Fleet) pause(e *entry, now time.Time) time.Duration {
-	if now.Before(e.busyUntil) {
-		return f.config.BusyEvery
-	}
-	return f.config.IdleEvery
-}
-
-// Interest has the engine asked often for the next seconds: requests wait for
-// what it is loading, or run on it.
-func (f *Fleet) Interest(address string) {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e, ok := f.engines[address]
-	if !ok {
-		return
-	}
-	e.busyUntil = now.Add(interestFor)
-	if soon := now.Add(f.config.BusyEvery); soon.Before(e.next) {
-		e.next = soon
-	}
-}
-
 // Engine returns what is known of one engine.
 func (f *Fleet) Engine(address string) (Engine, bool) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/fleet/poll.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bergamotreel/engine"
+)
+
+const (
+	// tick is the least time between two looks for due questions, so that those
+	// that fall due together are asked at one wake-up.
+	tick = 50 * time.Millisecond
+	// longestPause bounds the time between two looks.
+	longestPause = time.Second
+	// interestFor is how long one call of Interest keeps an engine polled often.
+	interestFor = 3 * time.Second
+	// useFor is how long one call of Use counts.
+	useFor = time.Minute
+	// changedEvery is the least time between two questions to an engine of which
+	// others tell something new.
+	changedEvery = 500 * time.Millisecond
+	// askers bounds the questions under way at once. It is above the number of
+	// engines that a deployment has: questions to engines that are cut off last
+	// until Timeout, and must not hold up those to the others.
+	askers = 1024
+	// turns is how many questions a second go to engines whose keeper is not
+	// heard, all together, where Config.InTurns. At 1 KB with headers each takes a
+	// sixth of the 24 KB/s that a VM may spend on control.
+	turns = 4
+)
+
+// Run polls until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { f.pollList(ctx) })
+	slots := make(chan struct{}, askers)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		for _, address := range f.due(time.Now()) {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			group.Go(func() {
+				defer func() { <-slots }()
+				f.ask(ctx, address)
+			})
+		}
+		timer.Reset(f.untilNext(time.Now()))
+		select {
+		case <-timer.C:
+		case <-f.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// rouse has Run look again.
+func (f *Fleet) rouse() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// untilNext is the time until the next question is due.
+func (f *Fleet) untilNext(now time.Time) time.Duration {
+	stranger := now
+	if f.config.InTurns() {
+		stranger = now.Add(time.Second / turns)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := now.Add(longestPause)
+	for _, e := range f.engines {
+		at := e.next
+		if at.Before(stranger) && !now.Before(e.busyUntil) {
+			at = stranger
+		}
+		if !e.asking && at.Before(next) {
+			next = at
+		}
+	}
+	return max(next.Sub(now), tick)
+}
+
+// due picks the engines to ask now and marks them.
+func (f *Fleet) due(now time.Time) []string {
+	inTurns := f.config.InTurns()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var due, strangers []*entry
+	for _, e := range f.engines {
+		if now.Sub(e.leavingAt) > drainsFor {
+			e.ToldLeaving = false
+		}
+		switch {
+		case e.asking || now.Before(e.next):
+		case inTurns && !now.Before(e.busyUntil):
+			strangers = append(strangers, e)
+		default:
+			due = append(due, e)
+		}
+	}
+	due = append(due, f.inTurn(now, strangers)...)
+	addresses := make([]string, 0, len(due))
+	for _, e := range due {
+		e.asking, e.askedAt = true, now
+		addresses = append(addresses, e.VM.Address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// inTurn picks those of the strangers whose turn it is: first the ones that hold,
+// or may load, what was asked for here, then the ones not asked for longest. In a
+// large fleet their answers would fill the VM's network. Call with mu held.
+func (f *Fleet) inTurn(now time.Time, strangers []*entry) []*entry {
+	f.turns = min(f.turns+now.Sub(f.turnedAt).Seconds()*turns, turns)
+	f.turnedAt = now
+	slices.SortFunc(strangers, func(a, b *entry) int {
+		if aUsed, bUsed := now.Before(a.usedUntil), now.Before(b.usedUntil); aUsed != bUsed {
+			if aUsed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.askedAt.Compare(b.askedAt), strings.Compare(a.VM.Address, b.VM.Address))
+	})
+	n := min(int(f.turns), len(strangers))
+	f.turns -= float64(n)
+	return strangers[:n]
+}
+
+func (f *Fleet) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
+	defer cancel()
+	status, err := f.config.Engine.Status(ctx, address)
+	f.answer(address, status, err, func(e *entry) { e.asking = false })
+}
+
+// pause is the time to the next question after one has ended. Failure that the
+// slow pace answers: an engine without a keeper, one whose keeper died or is cut
+// off from here: nobody tells of it, and after freshFor it would get no work.
+func (f *Fleet) pause(e *entry, now time.Time) time.Duration {
+	if now.Before(e.busyUntil) {
+		return f.config.BusyEvery
+	}
+	if e.Reachable && f.toldLately(e, now) {
+		return f.config.TrustFor
+	}
+	return f.config.IdleEvery
+}
+
+// toldLately tells whether the engine's keeper, this VM or one that is heard,
+// speaks for it.
+func (f *Fleet) toldLately(e *entry, now time.Time) bool {
+	return now.Sub(e.keptAt) < f.config.TrustFor || now.Sub(e.told.At) < f.config.TrustFor
+}
+
+// Interest has the engine asked often for the next seconds: requests wait for
+// what it is loading, or run on it.
+func (f *Fleet) Interest(address string) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.engines[address]
+	if !ok {
+		return
+	}
+	e.busyUntil = now.Add(interestFor)
+	f.sooner(e, now.Add(f.config.BusyEvery))
+}
+
+// Use returns what is known of an engine that holds, or may load, what was asked
+// for here, and notes that.
+func (f *Fleet) Use(address string, now time.Time) (Engine, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.engines[address]
+	if !ok {
+		return Engine{}, false
+	}
+	e.usedUntil = now.Add(useFor)
+	return e.Engine, true
+}
+
+// sooner has the engine asked by then. Call with mu held.
+func (f *Fleet) sooner(e *entry, by time.Time) {
+	if by.Before(e.next) {
+		e.next = by
+		f.rouse()
+	}
+}
+
+// Saw takes what an engine answered to this VM as its keeper.
+func (f *Fleet) Saw(address string, status engine.Status, err error) {
+	f.answer(address, status, err, func(e *entry) {
+		e.keptAt, e.answered = time.Now(), err == nil
+		e.askedAt = e.keptAt
+	})
+}
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -116,6 +116,13 @@
 // VMs is how many other VMs this one hears, itself or in sums.
 func (g *Gossip) VMs() int { return g.seen(time.Now()).vms }
 
+// Large tells whether the fleet is cut into groups: this VM then hears the
+// digests of its own group only.
+func (g *Gossip) Large() bool {
+	f := g.seen(time.Now()).fleet
+	return f != nil && !f.cut.Flat()
+}
+
 // Far returns the sums of all VMs that this one does not hear itself; none in a
 // small fleet. They are shared.
 func (g *Gossip) Far() []entryvm.Digest { return g.seen(time.Now()).far }
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -16,9 +16,9 @@
 	// workerTick is how often a keeper compares an engine with the fold when
 	// nothing wakes it: a load's end or an engine's restart shows within it.
 	workerTick = 500 * time.Millisecond
-	// workerIdleTick is the same while all is as agreed: at twice a second, asking
+	// IdleTick is the same while all is as agreed: at twice a second, asking
 	// was a third of an idle entry VM's processor time.
-	workerIdleTick = 2 * time.Second
+	IdleTick = 2 * time.Second
 	// orderTimeout bounds one order; the engine answers once it has taken it.
 	orderTimeout = 5 * time.Second
 	// proposeTimeout bounds one proposal.
@@ -160,7 +160,7 @@
 	steps := nextSteps(picture{agreed: agreed, status: status, memory: remembered})
 	w.pause = workerTick
 	if settled(agreed, status, steps) && len(remembered.resting) == 0 {
-		w.pause = workerIdleTick
+		w.pause = IdleTick
 	}
 	for _, s := range steps {
 		if ctx.Err() != nil {
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/admission"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/fleet"
 	"bergamotreel/internal/pause"
 	"bergamotreel/placement"
 	"bergamotreel/routing"
@@ -18,6 +19,10 @@
 	// useTold is how long a use is told in the digests: several heartbeats, so
 	// that a lost one does no harm.
 	useTold = 3 * time.Second
+	// reportHeartbeats is in how many heartbeats an engine's answer to its keeper is
+	// told: twice, as one digest may be lost. Where both are, the others ask the
+	// engine themselves.
+	reportHeartbeats = 2
 	// fetchTimeout bounds asking a peer for control records.
 	fetchTimeout = 2 * time.Second
 	// catchUpEvery is how often this VM looks whether a peer knows more.
@@ -35,6 +40,7 @@
 		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
 		Used: n.uses.lately(now), Refused: n.refused.due(now, n.config.Heartbeat),
 		Expected: n.expected.telling(now, n.outlook),
+		Engines:  n.fleet.Reports(now, reportHeartbeats*n.config.Heartbeat),
 	}
 	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
 		d.InFlight = r.InFlight()
@@ -79,7 +85,11 @@
 
 // heard takes in the digests of others.
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
+	var words []fleet.Word
 	for _, d := range digests {
+		for _, report := range d.Engines {
+			words = append(words, fleet.Word{EngineReport: report, At: now.Add(-d.Age - report.Ago)})
+		}
 		if d.Cell == "" {
 			n.peerRefused.saw(now, d)
 			n.takeExpected(n.expected.heard(now, d))
@@ -92,6 +102,7 @@
 			n.planner.Wake()
 		}
 	}
+	n.fleet.Told(words)
 }
 
 // use notes a request here.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -18,6 +18,11 @@
 	// work: three questions of the slow kind were lost. An engine that died is
 	// noticed earlier, by the router's breaker.
 	freshFor = 6 * time.Second
+	// An engine is asked by this VM itself once its keeper's word is older than the
+	// keeper's pause and trustHeartbeats, but at the latest after maxTrust: well
+	// before the engine would get no new work.
+	trustHeartbeats = 4
+	maxTrust        = 5 * time.Second
 	// serviceSlots bounds the calls of one entry VM on one plain service's
 	// backend server, which has no load report.
 	serviceSlots = 256
@@ -43,7 +48,7 @@
 	now := time.Now()
 	out := make([]routing.Candidate, 0, len(held))
 	for _, address := range held {
-		if e, ok := n.fleet.Engine(address); ok {
+		if e, ok := n.fleet.Use(address, now); ok {
 			out = append(out, n.candidate(now, e, unit, base))
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,9 @@
 	})
 	n.fleet = fleet.New(fleet.Config{
 		Lister: config.Peers.VMList, Engine: config.Peers.Engines, Log: config.Logger,
-		Gone: func(address string) { n.serving.Forget(address) },
+		Gone:     func(address string) { n.serving.Forget(address) },
+		TrustFor: min(maxTrust, keeper.IdleTick+trustHeartbeats*config.Heartbeat),
+		InTurns:  func() bool { return n.gossip.Large() }, Drains: func() { n.gossip.Tell() },
 	}, n.fleetChanged, n.listed)
 	n.gossip = gossip.New(gossip.Config{
 		VM: config.VM, Domain: config.Domain, Region: config.Region, Peer: config.Peers.EntryVMs,
