rendezvous: Table, keys assigned by buckets, kept while nodes come and go

Cause: a choice for each key costs keys x nodes hashes after each change of the live VMs: 39,072 x 250 us = 9.8 s at 3,400 nodes. Weighed: a hash ring (uneven without many points a node, and a departure loads its neighbour); fewer buckets; all keys hashed again by a cheap mix (fast enough, 39,000 x a few ns, but each VM must then hold every key's owner to know it). Ownership follows from the set of nodes alone. One that comes costs a weighing a bucket, one that goes its own buckets x nodes.

--- /dev/null
+++ b/internal/rendezvous/table_test.go
@@ -0,0 +1,85 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/rendezvous"
+	"pgregory.net/rapid"
+)
+
+// VMs come and go, and two VMs see that in different steps. Once they see the
+// same VMs live they must agree on every unit's planner, or two would plan it
+// for good; and who plans after a planner's death is known before it.
+func TestTablesWithTheSameNodesAgree(t *testing.T) {
+	all := nodes(12)
+	rapid.Check(t, func(t *rapid.T) {
+		some := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, len(all), rapid.ID)
+		one := rendezvous.NewTable()
+		var last []string
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			last = some.Draw(t, "live")
+			one.Set(last)
+		}
+		other := rendezvous.NewTable()
+		other.Set(last)
+		without := rendezvous.NewTable()
+		dead := one.Owner(0)
+		for _, vm := range last {
+			if vm != dead {
+				without.Set(append([]string{vm}, owners(without)...))
+			}
+		}
+		for bucket := range rendezvous.Buckets {
+			if one.Owner(bucket) != other.Owner(bucket) {
+				t.Fatalf("bucket %d: %s and %s", bucket, one.Owner(bucket), other.Owner(bucket))
+			}
+			if one.Owner(bucket) == dead && bucket%64 == 0 && one.Next(bucket) != without.Owner(bucket) {
+				t.Fatalf("bucket %d: next is %s, became %s", bucket, one.Next(bucket), without.Owner(bucket))
+			}
+		}
+	})
+}
+
+// owners are the nodes of a table that have any bucket: all, if they are few.
+func owners(t *rendezvous.Table) []string {
+	seen := map[string]bool{}
+	var all []string
+	for bucket := range rendezvous.Buckets {
+		if owner := t.Owner(bucket); owner != "" && !seen[owner] {
+			seen[owner] = true
+			all = append(all, owner)
+		}
+	}
+	return all
+}
+
+// BenchmarkTable is one VM that goes and one that comes, with the time for each;
+// and the first Set of all of them, the share of 39,000 units that the busiest
+// VM has, and the bytes of it all.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{9, 486, 3400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := nodes(n)
+			table := rendezvous.NewTable()
+			begun := time.Now()
+			table.Set(all)
+			first := time.Since(begun)
+			units := map[string]int{}
+			busiest := 0
+			for i := range 39_000 {
+				vm := table.Pick(fmt.Sprintf("adapter-%05d", i))
+				units[vm]++
+				busiest = max(busiest, units[vm])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Set(all[1:])
+				table.Set(all)
+			}
+			b.ReportMetric(float64(first.Microseconds())/1000, "ms/first")
+			b.ReportMetric(float64(busiest)*float64(n)/39_000, "busiest/mean")
+		})
+	}
+}
