node, planner: who plans a unit comes from a table of buckets; contracts are copied only when one changed

Cause: after each change of the live VMs each plan asked for all units anew (0.13 ms of hash each at 3,400 VMs); the live VMs were collected and sorted for each plan and each missing unit. And after every batch of control records all contracts were copied into a map, though nearly all records change rights. Change: node.shares keeps the rendezvous.Table, and looks at it again only if the live VMs differ; routers that tell a planner of demand ask the same table. The planner is given a Share with a version. contractsSince looks at the newest version first. Two VMs of different releases choose planners differently while an upgrade runs: two then plan a unit, which costs appends, never safety. Existing test: TestBusyUnitKeepsNoOtherLoaded leaves out a function that New no longer takes; what it checks is the same.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -46,12 +46,18 @@
 	return found, found != nil
 }
 
-// contracts returns all contracts in force and the newest version among them.
-func (n *Node) contracts() (map[string]*contract.Contract, state.Revision) {
+// contractsSince returns all contracts in force and the newest version among
+// them, nothing if that is not newer than known: nearly all records change rights,
+// and a copy of thousands of contracts for each of them cost more than the fold.
+func (n *Node) contractsSince(known state.Revision) (map[string]*contract.Contract, state.Revision) {
 	var version state.Revision
-	all := make(map[string]*contract.Contract)
+	var all map[string]*contract.Contract
 	n.control.View(func(s *state.State) {
 		version = s.NewestVersion()
+		if version <= known {
+			return
+		}
+		all = make(map[string]*contract.Contract, len(s.Contracts))
 		for customer, published := range s.Contracts {
 			if published.Contract != nil {
 				all[customer] = published.Contract
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/state"
 )
 
 // BenchmarkIsChosen is the question whether this VM plans one unit, among so
@@ -33,11 +34,10 @@
 			}
 		})
 		b.Run(fmt.Sprint("planned/", vms), func(b *testing.B) {
-			choice := n.planned.choice(n.config.VM, n.liveVMs)
 			plan := func() {
-				mine := choice()
+				share := n.shares.share()
 				for _, unit := range units {
-					mine(unit)
+					share.Mine(unit)
 				}
 			}
 			plan()
@@ -48,3 +48,37 @@
 		})
 	}
 }
+
+// BenchmarkContracts is what each batch of control records costs that changes no
+// contract, with so many contracts in force.
+func BenchmarkContracts(b *testing.B) {
+	for _, customers := range []int{20, 200, 2_000} {
+		n := New(Config{VM: "vm", Incarnation: "i", Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1))})
+		var newest state.Revision
+		n.control.View(func(s *state.State) {
+			for i := range customers {
+				offset := uint64(i + 1)
+				data, err := state.Encode(state.Record{Proposals: []state.Proposal{{
+					ID: state.ProposalID{Proposer: "op", Sequence: offset},
+					Publish: &state.Publish{Customer: fmt.Sprint("c", i), ChangeID: "1",
+						Sections: map[string]string{"customer": fmt.Sprintf("name = c%d\nmemory = 1GB\n", i)}},
+				}}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.Apply(offset, data)
+			}
+			newest = s.NewestVersion()
+		})
+		b.Run(fmt.Sprint(customers, "/all"), func(b *testing.B) {
+			for b.Loop() {
+				n.contractsSince(newest - 1)
+			}
+		})
+		b.Run(fmt.Sprint(customers, "/none-new"), func(b *testing.B) {
+			for b.Loop() {
+				n.contractsSince(newest)
+			}
+		})
+	}
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -108,7 +108,7 @@
 		if _, isService := cutService(d.Unit); isService {
 			continue
 		}
-		if planner := n.chosen(d.Unit); planner != n.config.VM {
+		if planner := n.shares.planner(d.Unit); planner != n.config.VM {
 			elsewhere[planner] = append(elsewhere[planner], peerDemand(now, d))
 		}
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"bergamotreel/entryvm"
@@ -34,38 +33,6 @@
 
 func (n *Node) isChosen(key string) bool { return n.chosen(key) == n.config.VM }
 
-// choices remembers which units this VM is chosen to plan, for as long as the
-// same entry VMs are live.
-type choices struct {
-	mu    sync.Mutex
-	live  []string
-	units map[string]bool
-}
-
-// choice returns a function that gives what tells whether self is chosen for a
-// unit among the VMs that are live at its call.
-func (c *choices) choice(self string, liveVMs func() []string) func() func(unit string) bool {
-	return func() func(string) bool {
-		live := liveVMs()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.units == nil || !slices.Equal(c.live, live) {
-			c.live, c.units = live, make(map[string]bool)
-		}
-		units := c.units
-		return func(unit string) bool {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			mine, known := units[unit]
-			if !known {
-				mine = rendezvous.Pick(unit, live) == self
-				units[unit] = mine
-			}
-			return mine
-		}
-	}
-}
-
 func (n *Node) writesSnapshots() bool { return n.isChosen(snapshotDuty) }
 
 // keeps returns the engines that this VM should keep: each engine is kept in its
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 	serving *serving.Server
 	store   storeWatch
 	uses    *uses
-	planned choices
+	shares  *shares
 	refused *refusals
 	roster  *roster
 	// peerRefused are the refusals of the other entry VMs.
@@ -116,6 +116,7 @@
 	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM),
 		peerRefused: newPeerRefusals(), expected: newExpectations(),
 	}
+	n.shares = newShares(config.VM, func() []gossip.Peer { return n.gossip.Present() }, n.isStopping)
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
@@ -171,7 +172,7 @@
 func (n *Node) newPlanner() *planner.Planner {
 	return planner.New(planner.Config{
 		Domain: n.config.Domain, Control: n.control, Policy: placement.NewPlanner(n.config.Placement),
-		Logger: n.config.Logger, Engines: n.fleet.Engines, Demand: n.demand, Mine: n.planned.choice(n.config.VM, n.liveVMs),
+		Logger: n.config.Logger, Engines: n.fleet.Engines, Demand: n.demand, Share: n.shares.share,
 		Streams: n.streams, Sick: n.sick, Store: n.store.limits, Expect: n.expect,
 	})
 }
@@ -256,15 +257,18 @@
 	n.serving.Wake()
 }
 
-// refreshContracts gives admission the contracts in force after a change.
+// refreshContracts gives admission the contracts in force after a change. It is
+// called after each batch of records, one call at a time.
 func (n *Node) refreshContracts() {
-	contracts, version := n.contracts()
 	n.mu.Lock()
-	stale := version <= n.version
-	n.version = max(n.version, version)
+	known := n.version
 	n.mu.Unlock()
-	if stale {
+	contracts, version := n.contractsSince(known)
+	if contracts == nil {
 		return
 	}
+	n.mu.Lock()
+	n.version = version
+	n.mu.Unlock()
 	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) { a.SetContracts(contracts) })
 }
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -74,7 +74,7 @@
 // never be let go and cost its engine's memory for good.
 func TestBusyUnitKeepsNoOtherLoaded(t *testing.T) {
 	now := time.Unix(100_000, 0)
-	p := New(Config{Mine: func() func(string) bool { return nil }})
+	p := New(Config{})
 	p.mine = func(string) bool { return true }
 	p.lastUsed["busy"], p.lastUsed["idle"] = now.Add(-time.Second), now.Add(-time.Hour)
 	e := fleet.Engine{VM: vmlist.VM{Address: "e"}, Status: engine.Status{Units: []engine.Unit{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,10 +46,9 @@
 	Engines func() []fleet.Engine
 	// Demand is what waits at all live entry VMs, by unit.
 	Demand func() []placement.Demand
-	// Mine returns what tells whether this VM plans a unit, by the entry VMs that
-	// are live now. It is asked once a plan: the answer for each unit by itself
-	// cost a plan of 39,000 units seconds.
-	Mine func() func(unit string) bool
+	// Share is what this VM plans, by the entry VMs that are live now. It is asked
+	// once a plan.
+	Share func() Share
 	// Streams tells how many requests run on an engine, over all entry VMs.
 	Streams func(engine string) int
 	// Sick tells whether this VM's router keeps away from the engine.
@@ -60,6 +59,14 @@
 	Expect func(unit string, at time.Time)
 }
 
+// Share is which units this VM plans.
+type Share struct {
+	// Version changes whenever the units that Mine names may have changed.
+	Version uint64
+	// Mine tells whether this VM plans the unit.
+	Mine func(unit string) bool
+}
+
 // Planner is the duty. Its methods may be called from any goroutine.
 type Planner struct {
 	config Config
@@ -158,7 +165,7 @@
 	engines := p.config.Engines()
 	demand := p.config.Demand()
 	loads := p.loads(engines)
-	mine := p.config.Mine()
+	mine := p.config.Share().Mine
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mine = mine
