--- a/internal/claims/fold.go
+++ b/internal/claims/fold.go
@@ -3,6 +3,7 @@
 import (
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/replica"
 	"bergamotreel/platformlog"
 )
 
@@ -44,7 +45,8 @@
 	return nil
 }
 
-func (f *fold) Snapshot(writer string) ([]chunks.Chunk, error) {
+// Capture encodes at once, under the replica's lock.
+func (f *fold) Capture(writer string) replica.Encoder {
 	parts, err := f.table.Snapshot(writer)
-	return parts, Error.Wrap(err)
+	return func() ([]chunks.Chunk, error) { return parts, Error.Wrap(err) }
 }
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/replica"
 	"bergamotreel/platformlog"
 	"bergamotreel/state"
 )
@@ -44,7 +45,10 @@
 	return nil
 }
 
-func (f *fold) Snapshot(writer string) ([]chunks.Chunk, error) {
-	parts, err := f.state.Snapshot(writer)
-	return parts, Error.Wrap(err)
+func (f *fold) Capture(writer string) replica.Encoder {
+	image := f.state.Image()
+	return func() ([]chunks.Chunk, error) {
+		parts, err := image.Snapshot(writer)
+		return parts, Error.Wrap(err)
+	}
 }
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -9,15 +9,11 @@
 // are no longer held, it returns a snapshot instead, or nothing if its own state
 // may not be the agreed one.
 func (r *Replica) Since(from platformlog.Offset) ([]platformlog.Record, [][]byte, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if records, held := r.ring.from(from, readMax); held && len(records) > 0 {
+	records, encode := r.since(from)
+	if encode == nil {
 		return records, nil, nil
 	}
-	if !r.following || r.config.Fold.Applied() < from {
-		return nil, nil, nil
-	}
-	parts, err := r.config.Fold.Snapshot(r.config.Writer)
+	parts, err := encode()
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
@@ -25,6 +21,19 @@
 	return nil, snapshot, err
 }
 
+// since returns records, or the state captured for a snapshot.
+func (r *Replica) since(from platformlog.Offset) ([]platformlog.Record, Encoder) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if records, held := r.ring.from(from, readMax); held && len(records) > 0 {
+		return records, nil
+	}
+	if !r.following || r.config.Fold.Applied() < from {
+		return nil, nil
+	}
+	return nil, r.config.Fold.Capture(r.config.Writer)
+}
+
 // Lags tells whether a peer that has folded up to the offset knows more.
 func (r *Replica) Lags(applied platformlog.Offset) bool {
 	r.mu.RLock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,7 +22,8 @@
 var Error = errs.Class("replica")
 
 // Fold is a deterministic state that is folded from one stream. A Replica calls
-// it under its own lock, from one goroutine at a time.
+// it under its own lock: Apply and Restore alone, the rest, which only reads, from
+// several goroutines at a time.
 type Fold interface {
 	// Apply folds a record. Records at or below Applied have no effect.
 	Apply(platformlog.Record)
@@ -35,10 +36,15 @@
 	// Restore takes a complete snapshot as the state; on an error it keeps the
 	// state it has.
 	Restore([]chunks.Chunk) error
-	// Snapshot cuts the state into parts.
-	Snapshot(writer string) ([]chunks.Chunk, error)
+	// Capture copies the state and returns what cuts the copy into parts. That one
+	// is called without the lock: encoding takes long, and meanwhile the VM would
+	// answer nobody.
+	Capture(writer string) Encoder
 }
 
+// Encoder cuts a captured state into parts.
+type Encoder func() ([]chunks.Chunk, error)
+
 const (
 	// readMax bounds the records of one read.
 	readMax = 512
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -65,6 +65,11 @@
 	return nil
 }
 
+func (w *words) Capture(writer string) Encoder {
+	parts, err := w.Snapshot(writer)
+	return func() ([]chunks.Chunk, error) { return parts, err }
+}
+
 func (w *words) Snapshot(writer string) ([]chunks.Chunk, error) {
 	data, err := json.Marshal(wordsState{w.applied, w.text})
 	if err != nil {
@@ -74,6 +79,20 @@
 	return chunks.Split(data, writer, uint64(w.applied), len(data)/6+8)
 }
 
+// heldWords encodes a captured state once hold is closed.
+type heldWords struct {
+	*words
+	hold chan struct{}
+}
+
+func (h heldWords) Capture(writer string) Encoder {
+	encode := h.words.Capture(writer)
+	return func() ([]chunks.Chunk, error) {
+		<-h.hold
+		return encode()
+	}
+}
+
 // bed is a log and replicas on it, by name.
 type bed struct {
 	*testing.T
@@ -229,6 +248,27 @@
 	}
 }
 
+// A snapshot is due and the state takes long to encode. The VM folds and answers
+// meanwhile; with the lock held it would answer nobody, and this test would hang.
+func TestFollowsWhileItEncodes(t *testing.T) {
+	run(t, logserver.Config{MaxRecords: 40}, func(b *bed) {
+		a := b.start("a", true)
+		hold := make(chan struct{})
+		a.mu.Lock()
+		a.config.Fold = heldWords{a.fold, hold}
+		a.mu.Unlock()
+		b.say("one two")
+		time.Sleep(90 * time.Second)
+		b.say("three")
+		b.want("one two three", "a")
+		close(hold)
+		time.Sleep(time.Second)
+		if n := a.SnapshotsWritten(); n != 1 {
+			t.Errorf("%d snapshots written, want 1", n)
+		}
+	})
+}
+
 // Snapshots of several VMs land in any order. A VM that knows more is not taken
 // back by one that lands later; the naive rule, newest landed wins, would.
 func TestLateSnapshotTakesNobodyBack(t *testing.T) {
--- a/internal/replica/ruling.go
+++ b/internal/replica/ruling.go
@@ -160,7 +160,7 @@
 
 // nextClaim is the marked snapshot that this VM should append now, if any: a
 // bid, or the ruling that confirms it. Call with mu held.
-func (r *Replica) nextClaim(now time.Time, chosen bool) []chunks.Chunk {
+func (r *Replica) nextClaim(now time.Time, chosen bool) Encoder {
 	applied := r.config.Fold.Applied()
 	own, best := r.rulings.own, r.rulings.best
 	if applied == 0 {
@@ -191,15 +191,14 @@
 	return r.marked(0)
 }
 
-// marked are the parts of a bid, or of the ruling that confirms it.
-func (r *Replica) marked(confirms uint64) []chunks.Chunk {
-	parts, err := r.config.Fold.Snapshot(r.config.Writer)
-	if err != nil {
-		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
-		return nil
-	}
-	for i := range parts {
-		parts[i].Gap, parts[i].Confirms = true, confirms
+// marked makes the parts of a bid, or of the ruling that confirms it.
+func (r *Replica) marked(confirms uint64) Encoder {
+	encode := r.config.Fold.Capture(r.config.Writer)
+	return func() ([]chunks.Chunk, error) {
+		parts, err := encode()
+		for i := range parts {
+			parts[i].Gap, parts[i].Confirms = true, confirms
+		}
+		return parts, err
 	}
-	return parts
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -36,7 +36,7 @@
 	// it was met. Only the log's clock outlives this process: counted by its own
 	// clock, VMs that are replaced often would never find a snapshot due.
 	newest, metAt time.Time
-	// wroteAt is when this VM last wrote one, by its own clock.
+	// wroteAt is when this VM last captured or wrote one, by its own clock.
 	wroteAt time.Time
 	// written counts those that this VM appended whole since its start.
 	written uint64
@@ -73,19 +73,16 @@
 	})
 }
 
-// dueSnapshot encodes what this VM should append now, nil for nothing.
+// dueSnapshot encodes what this VM should append now, nil for nothing. What the
+// stream brings while it encodes is as if it came during the append.
 func (r *Replica) dueSnapshot(now time.Time) [][]byte {
-	chosen := r.config.WritesSnapshots()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var parts []chunks.Chunk
-	switch {
-	case !r.following:
-		parts = r.nextClaim(now, chosen)
-	case r.due(now, chosen):
-		parts = r.whole()
+	encode := r.captureDue(now)
+	if encode == nil {
+		return nil
 	}
-	if len(parts) == 0 {
+	parts, err := encode()
+	if err != nil {
+		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
 		return nil
 	}
 	records, err := r.encode(parts)
@@ -93,16 +90,25 @@
 		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
 		return nil
 	}
-	r.snapshots.wroteAt = now
 	return records
 }
 
-func (r *Replica) whole() []chunks.Chunk {
-	parts, err := r.config.Fold.Snapshot(r.config.Writer)
-	if err != nil {
-		r.config.Logger.Error("snapshot not encoded", zap.String("stream", r.config.Stream), zap.Error(err))
+// captureDue captures the state for what this VM should append now, if anything.
+func (r *Replica) captureDue(now time.Time) Encoder {
+	chosen := r.config.WritesSnapshots()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var encode Encoder
+	switch {
+	case !r.following:
+		encode = r.nextClaim(now, chosen)
+	case r.due(now, chosen):
+		encode = r.config.Fold.Capture(r.config.Writer)
+	}
+	if encode != nil {
+		r.snapshots.wroteAt = now
 	}
-	return parts
+	return encode
 }
 
 // due tells whether to write a whole snapshot now. An idle stream gets one too:
@@ -149,6 +155,8 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.snapshots.written++
+		// After a long encoding the next look comes before the parts are met.
+		r.snapshots.wroteAt = time.Now()
 	}
 }
 
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -202,6 +202,18 @@
 	}
 }
 
+// BenchmarkImage copies a state for a snapshot: how long its lock is held.
+func BenchmarkImage(b *testing.B) {
+	for _, f := range fleets {
+		m := f.build(b, true, true, true)
+		b.Run(f.String(), func(b *testing.B) {
+			for b.Loop() {
+				m.ours.Image()
+			}
+		})
+	}
+}
+
 func BenchmarkRestore(b *testing.B) {
 	for _, f := range fleets {
 		parts, err := f.build(b, true, true, true).ours.Snapshot("w")
--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -25,6 +25,9 @@
 	// held were proposed and have not landed; landed may land again.
 	held, landed []state.Proposal
 	records      [][]byte
+	// image is a copy taken earlier, when the state had the sum.
+	image    *state.Image
+	imageSum uint64
 	// applied counts by kind what was applied. Kinds that are rarely applied
 	// would show that the draws prove little.
 	applied map[string]int
@@ -281,6 +284,12 @@
 				m.rejoining.Apply(m.offset, cut)
 				m.records = append(m.records, cut)
 			},
+			"image": func(t *rapid.T) {
+				if m.image != nil && sum(t, restoredFrom(t, m.image.Snapshot)) != m.imageSum {
+					t.Fatal("an image changed with the state")
+				}
+				m.image, m.imageSum = m.ours.Image(), sum(t, m.ours)
+			},
 			"snapshot": func(t *rapid.T) {
 				if rapid.IntRange(0, 2).Draw(t, "take") == 1 {
 					m.rejoining = restored(t, m.rejoining)
--- a/state/helper_test.go
+++ b/state/helper_test.go
@@ -23,7 +23,12 @@
 // restored sends a state through a snapshot in the log.
 func restored(t fataler, s *state.State) *state.State {
 	t.Helper()
-	parts, err := s.Snapshot("w")
+	return restoredFrom(t, s.Snapshot)
+}
+
+func restoredFrom(t fataler, snapshot func(writer string) ([]state.SnapshotChunk, error)) *state.State {
+	t.Helper()
+	parts, err := snapshot("w")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -1,9 +1,6 @@
 package state
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotreel/contract"
@@ -25,25 +22,35 @@
 	Proposers map[string]*Proposer   `cbor:"6,keyasint"`
 }
 
-// Snapshot encodes the state just after Applied in chunks for the log.
+// Snapshot encodes the state just after Applied in chunks for the log. It takes
+// long for a large state; a reader that holds a lock takes an Image instead.
 func (s *State) Snapshot(writer string) ([]SnapshotChunk, error) {
-	data, err := s.encode()
-	if err != nil {
-		return nil, err
-	}
-	all, err := chunks.Split(data, writer, s.Applied, chunks.Size)
-	return all, Error.Wrap(err)
+	return s.encoded().snapshot(writer)
 }
 
 // Sum is the xxhash of the encoded state, as in the chunks of its snapshot. Two
 // VMs with the same Applied must have the same sum.
 func (s *State) Sum() (uint64, error) {
-	data, err := s.encode()
+	data, err := s.encoded().encode()
 	return xxhash.Sum64(data), err
 }
 
-func (s *State) encode() ([]byte, error) {
-	data, err := wire.Marshal(encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers})
+// encoded shares everything with the state.
+func (s *State) encoded() encoded {
+	return encoded{s.Applied, s.Skipped, s.Contracts, s.Sessions, s.Engines, s.Proposers}
+}
+
+func (e encoded) snapshot(writer string) ([]SnapshotChunk, error) {
+	data, err := e.encode()
+	if err != nil {
+		return nil, err
+	}
+	all, err := chunks.Split(data, writer, e.Applied, chunks.Size)
+	return all, Error.Wrap(err)
+}
+
+func (e encoded) encode() ([]byte, error) {
+	data, err := wire.Marshal(e)
 	return data, Error.Wrap(err)
 }
 
@@ -116,34 +123,11 @@
 
 // Clone returns a copy that shares nothing that Apply changes.
 func (s *State) Clone() *State {
+	image := s.Image().encoded
 	c := New()
-	c.Applied, c.Skipped = s.Applied, s.Skipped
-	maps.Copy(c.Contracts, s.Contracts)
-	for id, session := range s.Sessions {
-		copied := *session
-		c.Sessions[id] = &copied
-	}
-	for name, engine := range s.Engines {
-		c.Engines[name] = engine.clone()
-	}
-	for name, proposer := range s.Proposers {
-		copied := *proposer
-		copied.Recent = slices.Clone(proposer.Recent)
-		c.Proposers[name] = &copied
-	}
+	c.Applied, c.Skipped = image.Applied, image.Skipped
+	c.Contracts, c.Sessions = image.Contracts, image.Sessions
+	c.Engines, c.Proposers = image.Engines, image.Proposers
 	c.rebuildIndex()
 	return c
 }
-
-func (e *Engine) clone() *Engine {
-	copied := *e
-	copied.Formers = slices.Clone(e.Formers)
-	copied.Distrusted = slices.Clone(e.Distrusted)
-	copied.Rights = make(map[string]*Right, len(e.Rights))
-	for name, right := range e.Rights {
-		r := *right
-		r.OrderedBy = slices.Clone(right.OrderedBy)
-		copied.Rights[name] = &r
-	}
-	return &copied
-}
