idempotency, claims: a refusal that says "not run" closes its key for earlier arrivals

Cause: an arrival's append hangs; a later arrival of the same call is told "not run" and releases the key, and the caller books elsewhere. Then the first claim landed on the free key and was dispatched. The same for an arrival that waited for the claim that was released: it claimed anew. The model had the rule (REOPENED), the code had not.

A claim now names the first offset that its arrival had not seen folded, and the fold turns it away after a release at or above it. A release is remembered for 15 minutes of the log's time; an older arrival does not dispatch. What an arrival had seen is taken at the time when it came (marks), so that a freeze between receipt and claim doesn't count what was folded after the thaw as seen.

Ruled out: letting the "no" wait for other claims under way (nobody knows them all); a turned-away arrival that holds the key once more to say "no" itself (two more records for each, and callers that repeat at once would go on for ever).

Existing tests: the desk's bookings carry their time of arrival and may be given back; the storm checks the new property as well; the fold's reference knows the new precondition. None is weaker. An arrival that overlaps a refused one is now told "maybe" where it ran before.

--- a/idempotency/fold_test.go
+++ b/idempotency/fold_test.go
@@ -27,6 +27,8 @@
 	answer   *idempotency.Answer
 	free     bool
 	released []idempotency.ClaimID
+	// releasedAt is the offset of the newest release.
+	releasedAt uint64
 }
 
 // replay walks the history of one key up to a time. It returns who holds the key
@@ -42,12 +44,13 @@
 		case c != nil && c.Key == key:
 			last = holder.verdict(c, held)
 			if last == idempotency.VerdictApplied && !held {
-				holder = reference{claim: c, rev: f.rev, ends: f.at.Add(time.Duration(c.WindowMs) * time.Millisecond), released: holder.released}
+				holder = holder.takenBy(f, c)
 			}
 		case o != nil && o.Key == key && held && o.Claim == holder.rev && holder.answer == nil:
 			holder.answer, last = &o.Answer, idempotency.VerdictApplied
 		case r != nil && r.Key == key && held && r.Claim == holder.rev && r.ID == holder.claim.ID && holder.answer == nil:
 			holder.free, holder.released, last = true, append(slices.Clone(holder.released), r.ID), idempotency.VerdictApplied
+			holder.releasedAt, holder.ends = f.rev.Offset(), f.at.Add(idempotency.ReleasedFor)
 		}
 	}
 	if holder.claim != nil && !holder.ends.After(now) {
@@ -56,6 +59,16 @@
 	return holder, last
 }
 
+// takenBy is the key just after the claim, which takes over what is known of
+// releases for as long as that is needed.
+func (h reference) takenBy(f fact, c *idempotency.Claim) reference {
+	ends := f.at.Add(time.Duration(c.WindowMs) * time.Millisecond)
+	if ends.Before(h.ends) {
+		ends = h.ends
+	}
+	return reference{claim: c, rev: f.rev, ends: ends, released: h.released, releasedAt: h.releasedAt}
+}
+
 func (h reference) verdict(c *idempotency.Claim, held bool) idempotency.Verdict {
 	switch {
 	case c.WindowMs < idempotency.MinWindow.Milliseconds():
@@ -66,7 +79,7 @@
 		return idempotency.VerdictMismatch
 	case held:
 		return idempotency.VerdictTaken
-	case slices.Contains(h.released, c.ID):
+	case slices.Contains(h.released, c.ID), c.Since != 0 && h.releasedAt >= c.Since:
 		return idempotency.VerdictStale
 	}
 	return idempotency.VerdictApplied
@@ -118,6 +131,8 @@
 	return idempotency.Entry{Claim: &idempotency.Claim{
 		ID: id, Key: key, Digest: rapid.SampledFrom([]idempotency.Digest{"x", "y"}).Draw(t, "digest"),
 		WindowMs: window,
+		// Below, among or above what has landed; 0 is of older code.
+		Since: rapid.Uint64Range(0, table.Applied()+1).Draw(t, "since"),
 	}}
 }
 
@@ -132,7 +147,11 @@
 		var history []fact
 		now, offset := time.UnixMilli(1_000_000), uint64(0)
 		land := func(t *rapid.T, entries ...idempotency.Entry) {
-			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			pause := time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 39).Draw(t, "long pause") == 13 {
+				pause = idempotency.ReleasedFor
+			}
+			now = now.Add(pause)
 			offset++
 			data := encode(t, entries...)
 			rejoining.Apply(offset, now, data)
--- a/idempotency/record.go
+++ b/idempotency/record.go
@@ -32,6 +32,9 @@
 	return Revision(offset<<revisionIndexBits | uint64(index))
 }
 
+// Offset is the offset of the record.
+func (r Revision) Offset() uint64 { return uint64(r) >> revisionIndexBits }
+
 // Key names a request for all time of its window: the customer keeps the keys
 // of different customers apart.
 type Key struct {
@@ -103,6 +106,14 @@
 	// WindowMs is how long the key is remembered, in milliseconds of the log's
 	// time from the claim on.
 	WindowMs int64 `json:"w" cbor:"5,keyasint"`
+	// Since is the first offset that the claimer's VM had not folded when the
+	// request arrived there. The claim lands only if the key was not released at
+	// or after it. 0 in a record of older code: no such condition.
+	//
+	// Failure: an earlier arrival's append hangs; a later arrival of the same call
+	// is told "not run" and releases the key, and the caller books elsewhere. Then
+	// the first claim lands on the free key and books too.
+	Since uint64 `json:"s,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Window bounds of a claim. MaxWindow must be below the log's retention or the
@@ -112,6 +123,12 @@
 	MaxWindow = 7 * 24 * time.Hour
 )
 
+// ReleasedFor is how long a release is remembered, by the log's time: it turns
+// away claims that were made before it and land late. A claimer must not
+// dispatch a call that arrived longer ago than this; an append is repeated for
+// a minute at most, so that none comes near it.
+const ReleasedFor = 15 * time.Minute
+
 // Outcome stores the answer of a claimed call. It lands only if Claim holds the
 // key and has no outcome yet.
 type Outcome struct {
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -56,6 +56,8 @@
 	Released []ClaimID `cbor:"8,keyasint,omitempty"`
 	// Free is whether this claim was released too.
 	Free bool `cbor:"9,keyasint,omitempty"`
+	// ReleasedAt is the offset of the newest release of the key, 0 without one.
+	ReleasedAt uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // maxReleased bounds Holder.Released.
@@ -72,7 +74,8 @@
 	VerdictTaken Verdict = "taken"
 	// VerdictMismatch: another request holds the key.
 	VerdictMismatch Verdict = "mismatch"
-	// VerdictStale: an outcome or a release of a claim that doesn't hold the key.
+	// VerdictStale: an outcome or a release of a claim that doesn't hold the key,
+	// or a claim of before a release of the key.
 	VerdictStale Verdict = "stale"
 	// VerdictInvalid: malformed.
 	VerdictInvalid Verdict = "invalid"
@@ -149,8 +152,10 @@
 	t.nowMs = max(t.nowMs, logTime.UnixMilli())
 	for len(t.expiry) > 0 && t.expiry[0].atMs <= t.nowMs {
 		ended := heap.Pop(&t.expiry).(expiry)
-		// A released key may be held by a later claim.
-		if holder := t.holders[ended.key]; holder != nil && holder.Revision == ended.claim {
+		// A released key is remembered from its release on, and may be held by a
+		// later claim.
+		holder := t.holders[ended.key]
+		if holder != nil && holder.Revision == ended.claim && holder.ExpiresMs == ended.atMs {
 			delete(t.holders, ended.key)
 		}
 	}
@@ -174,7 +179,7 @@
 	switch holder := r.Holder; {
 	case !c.valid():
 		r.Verdict = VerdictInvalid
-	case holder == nil && slices.Contains(t.released(c.Key), c.ID):
+	case holder == nil && t.releasedSince(c):
 		r.Verdict = VerdictStale
 	case holder == nil:
 		r.Verdict = VerdictApplied
@@ -189,12 +194,15 @@
 	return r
 }
 
-// released returns the claims that held the key and were released.
-func (t *Table) released(key Key) []ClaimID {
-	if holder := t.holders[key]; holder != nil {
-		return holder.Released
+// releasedSince tells whether the claim was made before a release of its key
+// that its request had not seen, or was itself released.
+func (t *Table) releasedSince(c *Claim) bool {
+	last := t.holders[c.Key]
+	if last == nil {
+		return false
 	}
-	return nil
+	unseen := c.Since != 0 && last.ReleasedAt >= c.Since
+	return unseen || slices.Contains(last.Released, c.ID)
 }
 
 func (c *Claim) valid() bool {
@@ -203,17 +211,26 @@
 		c.WindowMs >= MinWindow.Milliseconds() && c.WindowMs <= MaxWindow.Milliseconds()
 }
 
+// hold gives the key to the claim. What is known of earlier releases is kept for
+// as long as they need, also with a shorter window.
 func (t *Table) hold(rev Revision, c *Claim) *Holder {
 	holder := &Holder{
 		Key: c.Key, ID: c.ID, Digest: c.Digest, VM: c.VM, Revision: rev,
 		ExpiresMs: t.nowMs + c.WindowMs,
-		Released:  t.released(c.Key),
+	}
+	if last := t.holders[c.Key]; last != nil {
+		holder.Released, holder.ReleasedAt = last.Released, last.ReleasedAt
+		holder.ExpiresMs = max(holder.ExpiresMs, last.ExpiresMs)
 	}
 	t.holders[c.Key] = holder
-	heap.Push(&t.expiry, expiry{holder.ExpiresMs, c.Key, rev})
+	t.expireLater(holder)
 	return holder
 }
 
+func (t *Table) expireLater(holder *Holder) {
+	heap.Push(&t.expiry, expiry{holder.ExpiresMs, holder.Key, holder.Revision})
+}
+
 func (t *Table) outcome(rev Revision, o *Outcome) Result {
 	r := Result{Key: o.Key, Revision: rev, Holder: t.State(o.Key)}
 	switch {
@@ -237,11 +254,14 @@
 		return r
 	}
 	r.Verdict = VerdictApplied
-	t.change(r.Holder, func(h *Holder) {
+	freed := t.change(r.Holder, func(h *Holder) {
 		h.Free = true
+		h.ReleasedAt = rev.Offset()
+		h.ExpiresMs = t.nowMs + ReleasedFor.Milliseconds()
 		h.Released = append(slices.Clone(h.Released), h.ID)
 		h.Released = h.Released[max(0, len(h.Released)-maxReleased):]
 	})
+	t.expireLater(freed)
 	r.Holder = nil
 	return r
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -153,33 +153,54 @@
 	default:
 		return nil, nil, c.refuseWithoutLog(ctx, key)
 	}
-	for {
-		holder := c.holder(key)
-		if holder == nil {
-			result, err := c.propose(ctx, key, digest)
-			if err != nil {
-				return nil, nil, c.refuseWithoutLog(ctx, key)
-			}
-			if result.Verdict == idempotency.VerdictApplied {
-				return &claim{claimer: c, key: key, revision: result.Holder.Revision, id: result.ID}, nil, nil
-			}
-			if result.Verdict == idempotency.VerdictInvalid {
-				return nil, nil, refusal.New(refusal.CodeBadRequest, 0, "Idempotency-Key is not usable")
-			}
-			continue
+	since := c.fold.marks.at(call.Arrived) + 1
+	holder := c.holder(key)
+	if holder == nil {
+		result, err := c.propose(ctx, key, digest, since)
+		if err != nil {
+			return nil, nil, c.refuseWithoutLog(ctx, key)
 		}
-		answer, again, err := c.awaitHolder(ctx, holder, key, digest)
-		if !again {
-			return nil, answer, err
+		switch result.Verdict {
+		case idempotency.VerdictApplied:
+			return c.won(call, key, result)
+		case idempotency.VerdictInvalid:
+			return nil, nil, refusal.New(refusal.CodeBadRequest, 0, "Idempotency-Key is not usable")
+		case idempotency.VerdictStale:
+			return nil, nil, turnedAway()
 		}
+		holder = result.Holder
 	}
+	answer, err := c.awaitHolder(ctx, holder, key, digest)
+	return nil, answer, err
 }
 
-func (c *Claimer) propose(ctx context.Context, key idempotency.Key, digest idempotency.Digest) (idempotency.Result, error) {
+// won turns a claim that holds its key into the right to dispatch, unless its
+// arrival is so old that a release which turns it away may be forgotten.
+func (c *Claimer) won(call caller.ServiceCall, key idempotency.Key, result idempotency.Result) (*claim, *service.Answer, error) {
+	won := &claim{claimer: c, key: key, revision: result.Holder.Revision, id: result.ID}
+	if time.Since(call.Arrived) >= idempotency.ReleasedFor {
+		won.NotRun()
+		return nil, nil, turnedAway()
+	}
+	return won, nil, nil
+}
+
+// turnedAway answers an arrival that came before another arrival of the same call
+// was told "not run". It must not run any more: the caller of both may have
+// booked elsewhere since. Neither is it sure that the call has not run: a later
+// arrival may hold the key by now.
+func turnedAway() error {
+	r := refusal.Maybe(refusal.CodeOutcomeUnknown,
+		"this arrival was not run; another one gave the call back: repeat it with the same Idempotency-Key")
+	r.RetryAfter = comeBack
+	return r
+}
+
+func (c *Claimer) propose(ctx context.Context, key idempotency.Key, digest idempotency.Digest, since uint64) (idempotency.Result, error) {
 	return c.batcher.Submit(ctx, func(sequence uint64) idempotency.Entry {
 		return idempotency.Entry{Claim: &idempotency.Claim{
 			ID:  idempotency.ClaimID{Claimer: c.config.Incarnation, Sequence: sequence},
-			Key: key, Digest: digest, VM: c.config.VM, WindowMs: c.config.Window.Milliseconds(),
+			Key: key, Digest: digest, VM: c.config.VM, WindowMs: c.config.Window.Milliseconds(), Since: since,
 		}}
 	}, c.abandoned)
 }
@@ -193,28 +214,37 @@
 	c.release(result.Key, result.Holder.Revision, result.ID)
 }
 
-// awaitHolder answers a repeat of a call that another arrival has claimed. It
-// returns again where the claim was given back.
+// awaitHolder answers a repeat of a call that another arrival has claimed.
 func (c *Claimer) awaitHolder(ctx context.Context, holder *idempotency.Holder, key idempotency.Key,
 	digest idempotency.Digest,
-) (answer *service.Answer, again bool, err error) {
+) (*service.Answer, error) {
+	var first *idempotency.Holder
 	for holder != nil {
+		first = holder
 		if holder.Digest != digest {
-			return nil, false, refusal.New(refusal.CodeKeyConflict, 0, "Idempotency-Key was used for another request")
+			return nil, refusal.New(refusal.CodeKeyConflict, 0, "Idempotency-Key was used for another request")
 		}
 		if holder.Answer != nil {
-			answer, err := stored(*holder.Answer)
-			return answer, false, err
+			return stored(*holder.Answer)
 		}
 		if !c.config.Alive(holder.ID.Claimer) {
-			return nil, false, unknownOutcome("the entry VM that took the first arrival is gone")
+			return nil, unknownOutcome("the entry VM that took the first arrival is gone")
 		}
 		if !pause.For(ctx, pollHolder) {
-			return nil, false, unknownOutcome("the first arrival has no answer yet")
+			return nil, unknownOutcome("the first arrival has no answer yet")
 		}
 		holder = c.holder(key)
 	}
-	return nil, true, nil
+	if c.expired(first) {
+		return nil, unknownOutcome("the first arrival's key is forgotten, and its answer with it")
+	}
+	return nil, turnedAway()
+}
+
+func (c *Claimer) expired(holder *idempotency.Holder) bool {
+	var now time.Time
+	c.replica.View(func() { now = c.fold.table.Now() })
+	return now.UnixMilli() >= holder.ExpiresMs
 }
 
 func unknownOutcome(why string) *refusal.Refusal {
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -111,6 +111,73 @@
 	})
 }
 
+// A caller's first try hangs: its claim is on the way to the log for 4 s. The
+// caller leaves it and tries at b, which can't reach the backend server, says "not
+// run" and gives the key back; so the caller books elsewhere. Then the first claim
+// lands on the free key. It must not run any more, nor an arrival that waited for
+// b's, nor one that came before and was only looked at after a freeze. A new try
+// runs once. The naive twin, whose claims don't say what their arrivals had seen,
+// runs the first try.
+func TestRefusedCallRunsOnlyWhenAskedAgain(t *testing.T) {
+	for name, naive := range map[string]bool{"ours": false, "twin": true} {
+		inDesk(t, 1, func(d *desk) {
+			d.forgetSeen = naive
+			a, b, c := d.start("a"), d.start("b"), d.start("c")
+			a.hang = 4 * time.Second
+			frozenAt := time.Now()
+			var hung answered
+			var group sync.WaitGroup
+			group.Go(func() { hung = a.book("key", "bike", succeed) })
+			time.Sleep(time.Second)
+			if refused := b.book("key", "bike", giveBack); refused.told == nil || refused.told.Ran != no {
+				t.Errorf("%s: refused: %v", name, refused)
+			}
+			group.Wait()
+			if naive {
+				d.wantRan("key", 1)
+				return
+			}
+			if frozen := c.bookFrom(frozenAt, "key", "bike", succeed); frozen.told == nil || frozen.told.Ran != maybe {
+				t.Errorf("frozen: %v", frozen)
+			}
+			if hung.told == nil || hung.told.Ran != maybe || d.times("key") != 0 {
+				t.Errorf("hung: %v, ran %d times", hung, d.times("key"))
+			}
+			if again := b.book("key", "bike", succeed); again.booked == "" {
+				t.Errorf("asked again: %v", again)
+			}
+			d.wantRan("key", 1)
+		})
+	}
+}
+
+// Two arrivals of a booking come to two entry VMs. The first has the claim and
+// gives it back after a second: its caller is told "not run". The second waited
+// for it and must not run then. Whoever asks again afterwards runs it, once.
+func TestWaitingArrivalDoesNotRunAfterRefusal(t *testing.T) {
+	inDesk(t, 1, func(d *desk) {
+		a, b := d.start("a"), d.start("b")
+		claim, _, err := a.Begin(a.ctx, booking(time.Now(), "key", "bike"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var waited answered
+		var group sync.WaitGroup
+		group.Go(func() { waited = b.book("key", "bike", succeed) })
+		time.Sleep(time.Second)
+		claim.NotRun()
+		group.Wait()
+		if waited.told == nil || waited.told.Ran != maybe || waited.told.RetryAfter == 0 {
+			t.Errorf("waited: %v", waited)
+		}
+		time.Sleep(waited.told.RetryAfter)
+		if again := b.book("key", "bike", succeed); again.booked == "" {
+			t.Errorf("asked again: %v", again)
+		}
+		d.wantRan("key", 1)
+	})
+}
+
 // The log is out of reach. A booking is refused at once with "not run" where
 // that is sure, and with "may have run" where an earlier arrival of it may have
 // been dispatched by somebody whom this VM cannot hear or who cannot know. Each
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,8 +13,10 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/entryvm"
+	"bergamotreel/idempotency"
 	"bergamotreel/internal/claims"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/platformlog"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -28,6 +31,41 @@
 	vms []*vm
 	// ran are the bookings that ran, by key.
 	ran map[string][]string
+	// forgetSeen makes the naive twin whose claims don't say which releases their
+	// arrivals had seen.
+	forgetSeen bool
+}
+
+// viewLog is the log as one VM reaches it.
+type viewLog struct {
+	platformlog.Log
+	vm *vm
+}
+
+// Append lands after the VM's hang; the naive twin's claims lose their Since.
+func (l viewLog) Append(ctx context.Context, stream string, data []byte) (platformlog.Offset, error) {
+	if l.vm.hang > 0 {
+		time.Sleep(l.vm.hang)
+		ctx = context.WithoutCancel(ctx)
+	}
+	if l.vm.desk.forgetSeen {
+		data = withoutSince(data)
+	}
+	return l.Log.Append(ctx, stream, data)
+}
+
+func withoutSince(data []byte) []byte {
+	record, err := idempotency.Decode(data)
+	for i := range record.Entries {
+		if c := record.Entries[i].Claim; c != nil {
+			c.Since = 0
+		}
+	}
+	naive, encodeErr := idempotency.Encode(record)
+	if err = errors.Join(err, encodeErr); err != nil {
+		panic(err)
+	}
+	return naive
 }
 
 // vm is one process of an entry VM.
@@ -42,6 +80,8 @@
 	// diedAt is zero while it lives; cut is whether peers can't reach it.
 	diedAt time.Time
 	cut    bool
+	// hang is how late its appends land.
+	hang time.Duration
 }
 
 func inDesk(t *testing.T, seed uint64, test func(d *desk)) {
@@ -60,7 +100,7 @@
 	v := &vm{desk: d, name: name, view: d.log.View(name)}
 	v.ctx, v.kill = context.WithCancel(d.t.Context())
 	v.Claimer = claims.New(claims.Config{
-		Log: v.view, Logger: zap.NewNop(), VM: name, Incarnation: name, Window: time.Hour,
+		Log: viewLog{v.view, v}, Logger: zap.NewNop(), VM: name, Incarnation: name, Window: time.Hour,
 		Alive: d.alive, NobodyAhead: v.nobodyAhead, WritesSnapshots: func() bool { return false },
 	})
 	v.duties.Go(func() { v.Follow(v.ctx) })
@@ -139,18 +179,28 @@
 	dieBefore attempt = func(v *vm, _ func()) bool { v.die(); return false }
 	// lose runs the booking, whose answer is lost.
 	lose attempt = func(_ *vm, run func()) bool { run(); return false }
+	// giveBack finds that the booking can't be sent.
+	giveBack attempt
 )
 
 const patience = 5 * time.Second
 
 func (v *vm) book(key, body string, how attempt) answered {
-	begun := time.Now()
+	return v.bookFrom(time.Now(), key, body, how)
+}
+
+func booking(arrived time.Time, key, body string) caller.ServiceCall {
+	return caller.ServiceCall{
+		Identity: caller.Identity{Customer: "hire"}, Once: true, IdempotencyKey: key, Arrived: arrived,
+		Call: service.Call{Method: "POST", Path: "/book", Body: []byte(body)},
+	}
+}
+
+// bookFrom is book for an arrival that came earlier and was not looked at since.
+func (v *vm) bookFrom(begun time.Time, key, body string, how attempt) answered {
 	ctx, cancel := context.WithTimeout(v.ctx, patience)
 	defer cancel()
-	claim, stored, err := v.Begin(ctx, caller.ServiceCall{
-		Identity: caller.Identity{Customer: "hire"}, Once: true, IdempotencyKey: key,
-		Call: service.Call{Method: "POST", Path: "/book", Body: []byte(body)},
-	})
+	claim, stored, err := v.Begin(ctx, booking(begun, key, body))
 	var a answered
 	switch {
 	case err != nil:
@@ -168,9 +218,15 @@
 type claim interface {
 	Done(service.Answer)
 	Unknown()
+	NotRun()
 }
 
 func (v *vm) dispatch(c claim, key string, how attempt) (a answered) {
+	if how == nil {
+		c.NotRun()
+		a.told = refusal.New(refusal.CodeBackendFailed, 0, "no backend server")
+		return a
+	}
 	ok := how(v, func() { a.dispatched = v.desk.run(key, v.name) })
 	if ok {
 		c.Done(service.Answer{Status: 201, Body: []byte(a.dispatched)})
--- a/internal/claims/fold.go
+++ b/internal/claims/fold.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"time"
+
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/replica"
@@ -13,10 +15,13 @@
 	table *idempotency.Table
 	// result is told what each entry came to.
 	result func(idempotency.Result)
+	marks  marks
 }
 
 func (f *fold) Apply(r platformlog.Record) {
-	for _, result := range f.table.Apply(uint64(r.Offset), r.Time, r.Data) {
+	results := f.table.Apply(uint64(r.Offset), r.Time, r.Data)
+	f.marks.folded(time.Now(), f.table.Applied())
+	for _, result := range results {
 		f.result(result)
 	}
 }
@@ -42,6 +47,7 @@
 		return Error.Wrap(err)
 	}
 	f.table = restored
+	f.marks.folded(time.Now(), f.table.Applied())
 	return nil
 }
 
--- a/internal/claims/storm_test.go
+++ b/internal/claims/storm_test.go
@@ -63,7 +63,7 @@
 	for i := range 60 {
 		at := random.Intn(len(vms))
 		v, key := vms[at], fmt.Sprint("key", random.Intn(6))
-		how := []attempt{succeed, succeed, succeed, lose}[random.Intn(4)]
+		how := []attempt{succeed, succeed, giveBack, lose}[random.Intn(4)]
 		group.Go(func() {
 			call := time.Since(begun)
 			a := book(v, key, how)
@@ -96,7 +96,7 @@
 
 // Callers repeat bookings anywhere while everything fails. All that they are told
 // fits one order in which each booking runs at most once, and "not run" is said
-// only before it ran.
+// only before it ran; and none that came before a "not run" was said runs after it.
 func TestStormIsLinearizable(t *testing.T) {
 	told := make(map[string]int)
 	for seed := range int64(40) {
@@ -105,6 +105,9 @@
 			if !porcupine.CheckOperations(bookings, history) {
 				t.Errorf("seed %d: not linearizable", seed)
 			}
+			if n := ranAfterNo(history); n > 0 {
+				t.Errorf("seed %d: %d ran although they came before a refusal", seed, n)
+			}
 			for _, op := range history {
 				told[kind(op.Output.(answered))]++
 			}
@@ -118,6 +121,36 @@
 	}
 }
 
+// ranAfterNo counts arrivals that ran although another one of their booking was
+// told "not run" after they had come.
+func ranAfterNo(history []porcupine.Operation) (n int) {
+	for _, refused := range history {
+		for _, ran := range history {
+			no := refused.Output.(answered).told
+			if no != nil && no.Ran == refusal.RanNo && ran.Output.(answered).dispatched != "" &&
+				ran.Input == refused.Input && ran.Call < refused.Return {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// The naive twin whose claims don't name what their arrivals had seen, in the
+// same storms.
+func TestNaiveTwinRunsWhatWasRefused(t *testing.T) {
+	ran := 0
+	for seed := range int64(40) {
+		inDesk(t, uint64(seed), func(d *desk) {
+			d.forgetSeen = true
+			ran += ranAfterNo(storm(d, seed, ours))
+		})
+	}
+	if ran == 0 {
+		t.Error("the twin keeps the promise")
+	}
+}
+
 func kind(a answered) string {
 	switch {
 	case a.dispatched != "":
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -28,6 +28,8 @@
  *   NO_IN_OUTAGE      "not run" is said where the log can't be read or written
  *   RELEASE_FIRST     the release lands before the caller is told "not run"
  *   REOPENED          a claim lands after a release that its attempt had not seen
+ *   SEEN_AT_CLAIM     an attempt that waited for another's claim, and sees it
+ *                     released, claims again as one that begins now
  *   UNDER_WAY_UNSAID  a peer that has the same call under way says "not claimed"
  *   ASK_PRESENT       only the processes that live now are asked, not those that
  *                     lived when this one last read the log to its end
@@ -196,6 +198,10 @@
 	/* Lost, or no verdict in time (the log is out of reach): the answer is "may
 	 * have run". The claim may still land and win; then it is released. */
 	:: d_step { ACTS(i, CLAIMING) && verdict[i] == LOST -> phase[i] = OVER }
+#ifdef SEEN_AT_CLAIM
+	:: d_step { ACTS(i, CLAIMING) && verdict[i] == LOST && holder == 0 ->
+		verdict[i] = NO_VERDICT; landed[i] = 0; seen[i] = releases }
+#endif
 #ifdef NO_IN_OUTAGE
 	:: d_step { ACTS(i, CLAIMING) && verdict[i] == NO_VERDICT -> say_not_run(i); phase[i] = OVER }
 #endif
