settings, contract check: a mistake names its line

Walked as an operator: a mistake named file, section and key, but in a contract of some hundred sections the line had to be searched for, a line without '=' came out in the words of the INI library, and a port that is taken as "caller: listen tcp ADDRESS: bind: ...". [metrics] address equal to another listener was found only by the failing bind and read as if another process had the port.

--- a/cmd/bergamotreel/contract.go
+++ b/cmd/bergamotreel/contract.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/strictini"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 )
@@ -91,7 +92,7 @@
 }
 
 // readContract reads a contract's file into its sections. Its error is one line
-// "file: [section] key: reason".
+// "file: line N: [section] key: reason".
 func readContract(path string) (map[string]string, *contract.Contract, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -99,19 +100,19 @@
 	}
 	sections, err := contract.Split(string(text))
 	if err != nil {
-		return nil, nil, contractError(path, err)
+		return nil, nil, contractError(path, string(text), err)
 	}
 	parsed, err := contract.ParseSections(sections)
 	if err != nil {
-		return nil, nil, contractError(path, err)
+		return nil, nil, contractError(path, string(text), err)
 	}
 	return sections, parsed, nil
 }
 
-func contractError(path string, err error) error {
+func contractError(path, text string, err error) error {
 	var problem *contract.Problem
 	if errors.As(err, &problem) {
-		return usageError("%s: %w", path, problem)
+		return usageError("%w", strictini.InFile(path, text, problem))
 	}
 	return usageError("%s: %w", path, err)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,7 +130,7 @@
 	limits := callerLimits(s.Limits)
 	certificate, err := certificate(s.TLS.CallersCert, s.TLS.CallersKey)
 	if err != nil {
-		return &settings.Problem{File: s.File, Section: "tls", Key: "callers_cert", Reason: err.Error()}
+		return s.Problem("tls", "callers_cert", "%v", err)
 	}
 	handler := caller.New(d.node, limits, caller.WithLogger(d.logger))
 	d.callers = caller.NewServer(handler, limits, certificate)
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -6,9 +6,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 
 	"bergamotreel/caller"
-	"bergamotreel/internal/settings"
 )
 
 // listen opens the ports, so that one that is taken shows before anything runs.
@@ -29,13 +29,13 @@
 		}
 		listener, err := caller.Listen(context.Background(), port.address)
 		if err != nil {
-			return &settings.Problem{File: s.File, Section: port.section, Key: port.key, Reason: err.Error()}
+			return s.Problem(port.section, port.key, "cannot listen on %s: %v", port.address, reasonOf(err))
 		}
 		*port.listener = listener
 	}
 	secure, err := certificate(s.TLS.OperatorsCert, s.TLS.OperatorsKey)
 	if err != nil {
-		return &settings.Problem{File: s.File, Section: "tls", Key: "operators_cert", Reason: err.Error()}
+		return s.Problem("tls", "operators_cert", "%v", err)
 	}
 	if secure != nil {
 		d.operatorsListener = tls.NewListener(d.operatorsListener, secure)
@@ -43,6 +43,15 @@
 	return nil
 }
 
+// reasonOf drops the address and the layers that the problem names already.
+func reasonOf(err error) error {
+	var system syscall.Errno
+	if errors.As(err, &system) {
+		return system
+	}
+	return err
+}
+
 func (d *Daemon) closeListeners() {
 	for _, l := range []net.Listener{d.callersListener, d.peersListener, d.operatorsListener, d.metricsListener} {
 		if l != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net/netip"
+	"strings"
 )
 
 // fillAdvertised takes the listening addresses where no others are given.
@@ -58,6 +59,9 @@
 		}
 		taken[pair.listening] = pair.key
 	}
+	if other, ok := taken[s.Metrics.Address]; ok && !strings.HasSuffix(s.Metrics.Address, ":0") {
+		return s.Problem("metrics", "address", "same as %s_address", other)
+	}
 	return nil
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,21 +13,21 @@
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, Error.Wrap(&Problem{File: path, Reason: reasonOf(err)})
+		return nil, Error.Wrap(&Problem{File: path, Problem: strictini.Problem{Reason: reasonOf(err)}})
 	}
 	return Parse(path, string(text))
 }
 
 // Parse reads and checks the text of a settings file; file is its name for
-// messages.
+// messages. Its error holds a *Problem.
 func Parse(file, text string) (*Settings, error) {
-	s := &Settings{File: file}
+	s := &Settings{File: file, source: text}
 	sections, err := strictini.Read(text)
 	if err != nil {
-		return nil, Error.Wrap(inFile(file, err))
+		return nil, Error.Wrap(s.inFile(err))
 	}
 	if err := checkKnown(sections); err != nil {
-		return nil, Error.Wrap(inFile(file, err))
+		return nil, Error.Wrap(s.inFile(err))
 	}
 	for _, f := range fields {
 		if err := f.read(s, sections); err != nil {
@@ -41,10 +41,11 @@
 	return s, nil
 }
 
-func inFile(file string, err error) error {
+// inFile says of a problem in which file it is.
+func (s *Settings) inFile(err error) error {
 	var problem *strictini.Problem
 	if errors.As(err, &problem) {
-		return &Problem{File: file, Section: problem.Section, Key: problem.Key, Reason: problem.Reason}
+		return strictini.InFile(s.File, s.source, problem)
 	}
 	return err
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,8 +18,9 @@
 // Settings are the settings of one entry VM. Load fills them; nothing changes
 // them afterwards.
 type Settings struct {
-	// File is where they were read from, for messages.
+	// File is where they were read from, and source its text, for messages.
 	File      string
+	source    string
 	VM        VM
 	Platform  Platform
 	Peers     Peers
--- a/internal/strictini/strictini.go
+++ b/internal/strictini/strictini.go
@@ -80,7 +80,7 @@
 	}
 	file, err := ini.LoadSources(loadOptions, []byte(text))
 	if err != nil {
-		return nil, &Problem{Reason: "not INI: " + oneLine(err.Error())}
+		return nil, notINI(text, err)
 	}
 	var sections []Section
 	seen := map[string]bool{}
@@ -167,6 +167,14 @@
 	return ""
 }
 
+// notINI names the line that the library can't read, where it can be told.
+func notINI(text string, err error) error {
+	if number := lineWithoutPair(text); number > 0 {
+		return &Problem{Reason: fmt.Sprintf("not INI: line %d is neither [section] nor key = value", number)}
+	}
+	return &Problem{Reason: "not INI: " + oneLine(err.Error())}
+}
+
 func oneLine(text string) string {
 	return strings.Join(strings.Fields(text), " ")
 }
