status, operator: what a newcomer was misled by

Walked with separate processes (docs/OPERATIONS.md): - an engine was killed: MODEL went on counting its replicas as LOADED. They are now in a column MISSING; - an entry VM stopped as planned showed as MISSING, like a dead one, until the VM list dropped it: now 'MISSING, was leaving'; - a log outage: 'contract publish' was silent for a minute, then said 'operator: unavailable'. It now says at once that it asks again and why; - status over https of a port without TLS said 'outcome unknown'. A question has no effect: an exchange that breaks off is ErrUnavailable, with what was answered; of a publish it stays ErrOutcomeUnknown (both tested); - a wrong token, a missing contract: one word. The entry VM now says which setting to look at and whose contract it was.

Golden files: new column and line in status, one line in publish_unknown, the counts of contract check without wrong plurals ('1 services'); the sample report gained an entry VM and two units, so that each column is non-zero somewhere.

--- a/cmd/bergamotreel/contract.go
+++ b/cmd/bergamotreel/contract.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s: contract of %s is fine: %d models, %d adapters, %d services, %d keys\n",
+	fmt.Fprintf(out, "%s: contract of %s is fine: models %d, adapters %d, services %d, keys %d\n",
 		c.file, parsed.Customer, len(parsed.Models), len(parsed.Adapters), len(parsed.Services), len(parsed.Keys))
 	return nil
 }
--- a/cmd/bergamotreel/publish.go
+++ b/cmd/bergamotreel/publish.go
@@ -131,7 +131,7 @@
 	request.ChangeID = cmp.Or(c.publish.change, rand.Text())
 	ctx, cancel := context.WithTimeout(ctx, publishFor)
 	defer cancel()
-	result, err := operator.PublishUntilKnown(ctx, op, request)
+	result, err := operator.PublishUntilKnown(ctx, &announcer{Operator: op, out: out}, request)
 	switch {
 	case errors.Is(err, operator.ErrOutcomeUnknown):
 		return 0, fmt.Errorf("%w\nthe change may be in force; the same command with -change %s asks again", err, request.ChangeID)
@@ -146,6 +146,26 @@
 	return result.Revision, nil
 }
 
+// announcer says why a publish takes long. Failure: the log is down, the publish
+// is repeated for a minute, and an operator who sees nothing breaks it off and
+// can't tell what came of it.
+type announcer struct {
+	operator.Operator
+	out  io.Writer
+	told bool
+}
+
+// Publish implements operator.Operator.
+func (a *announcer) Publish(ctx context.Context, request operator.PublishRequest) (operator.PublishResult, error) {
+	result, err := a.Operator.Publish(ctx, request)
+	again := errors.Is(err, operator.ErrUnavailable) || errors.Is(err, operator.ErrOutcomeUnknown)
+	if again && !a.told {
+		a.told = true
+		fmt.Fprintf(a.out, "no result yet (%v); asking again for up to %s\n", err, publishFor)
+	}
+	return result, err
+}
+
 var changeMarks = map[contract.ChangeKind]string{
 	contract.Added:   "+",
 	contract.Removed: "-",
--- a/cmd/bergamotreel/status.go
+++ b/cmd/bergamotreel/status.go
@@ -99,7 +99,11 @@
 	fmt.Fprintf(p.out, "log: %s, offset %d of %d, %d behind, %d records skipped\n", reachable, log.Applied, log.End, log.Lag, log.Skipped)
 	for _, missing := range report.VMs {
 		if missing.Missing {
-			fmt.Fprintf(p.out, "MISSING: %s in %s, last heard %s\n", missing.ID, missing.Domain, p.since(missing.HeardAt))
+			leaving := ""
+			if missing.Leaving {
+				leaving = ", was leaving"
+			}
+			fmt.Fprintf(p.out, "MISSING: %s in %s, last heard %s%s\n", missing.ID, missing.Domain, p.since(missing.HeardAt), leaving)
 		}
 	}
 }
@@ -133,6 +137,8 @@
 
 func nodeState(missing, leaving bool) string {
 	switch {
+	case missing && leaving:
+		return "MISSING, was leaving"
 	case missing:
 		return "MISSING"
 	case leaving:
@@ -160,8 +166,10 @@
 // unitLine sums a unit up over all engines.
 type unitLine struct {
 	name, customer string
-	phases         map[operator.Phase]int
-	waiting        operator.WaitingUnit
+	// phases counts replicas on engines that answer, missing those on others.
+	phases  map[operator.Phase]int
+	missing int
+	waiting operator.WaitingUnit
 }
 
 // unitLines sums the units up: those that are waited for first, by least time left.
@@ -177,7 +185,12 @@
 	}
 	for _, engine := range report.Engines {
 		for _, unit := range engine.Units {
-			at(unit.Name, unit.Customer).phases[unit.Phase]++
+			line := at(unit.Name, unit.Customer)
+			if engine.Missing {
+				line.missing++
+				continue
+			}
+			line.phases[unit.Phase]++
 		}
 	}
 	for _, waiting := range report.Waiting {
@@ -207,7 +220,7 @@
 
 func (p statusPage) printUnits(report operator.StatusReport) error {
 	lines := unitLines(report)
-	table := p.section("MODEL", "CUSTOMER", "LOADED", "LOADING", "UNLOADING", "STANDBY", "WAITING", "TIME LEFT")
+	table := p.section("MODEL", "CUSTOMER", "LOADED", "LOADING", "UNLOADING", "STANDBY", "MISSING", "WAITING", "TIME LEFT")
 	for i, line := range lines {
 		if i == p.rows {
 			break
@@ -219,7 +232,7 @@
 		table.row(line.name, line.customer,
 			line.phases[operator.PhaseLoaded], line.phases[operator.PhaseLoading],
 			line.phases[operator.PhaseUnloading], line.phases[operator.PhaseStandby],
-			line.waiting.Requests, left)
+			line.missing, line.waiting.Requests, left)
 	}
 	return p.end(table, len(lines))
 }
--- a/cmd/bergamotreel/status_test.go
+++ b/cmd/bergamotreel/status_test.go
@@ -28,6 +28,7 @@
 			{ID: "entry-b", Domain: "d1", Applied: 15, Newest: version(9), HeardAt: ago(250 * time.Millisecond)},
 			{ID: "entry-c", Domain: "d2", Missing: true, HeardAt: ago(42 * time.Second)},
 			{ID: "entry-d", Domain: "d2", Missing: true},
+			{ID: "entry-f", Domain: "d2", Missing: true, Leaving: true, HeardAt: ago(7 * time.Second)},
 			{ID: "entry-e", Domain: "d2", Applied: 16, HeardAt: ago(time.Second), Leaving: true},
 		},
 		Contracts: []operator.ContractSummary{
@@ -40,7 +41,8 @@
 				Units: []operator.Unit{unit("clerk-7b", operator.PhaseLoaded), unit("damage-13b", operator.PhaseLoading), unit("shop-12", operator.PhaseLoaded)}},
 			{Name: "10.0.2.2:9000", Domain: "d2", MemoryBytes: 80e9, UsedBytes: 16e9, Missing: true,
 				Units: []operator.Unit{unit("clerk-7b", operator.PhaseStandby), unit("season-34b", operator.PhaseUnloading)}},
-			{Name: "10.0.2.3:9000", Domain: "d2", Keeper: "entry-e", Token: version(5), MemoryBytes: 80e9, Leaving: true},
+			{Name: "10.0.2.3:9000", Domain: "d2", Keeper: "entry-e", Token: version(5), MemoryBytes: 80e9, Leaving: true,
+				Units: []operator.Unit{unit("shop-47", operator.PhaseStandby), unit("season-34b", operator.PhaseUnloading)}},
 		},
 		Waiting: []operator.WaitingUnit{
 			{Name: "damage-13b", Customer: "trinidad", Requests: 3, TimeLeft: 12500 * time.Millisecond},
--- a/operator/client.go
+++ b/operator/client.go
@@ -77,36 +77,47 @@
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := c.http.Do(request)
 	if err != nil {
-		return Error.Wrap(fmt.Errorf("%w: %v", kindOf(err), err))
+		return Error.Wrap(fmt.Errorf("%w: %v", kindOf(method, err), err))
 	}
 	defer answer.Body.Close()
-	return Error.Wrap(decode(answer, out))
+	return Error.Wrap(decode(answer, unclear(method), out))
+}
+
+// unclear is the kind of an exchange that broke off: a question has no effect, so
+// only a publish can be in doubt.
+func unclear(method string) error {
+	if method == http.MethodGet {
+		return ErrUnavailable
+	}
+	return ErrOutcomeUnknown
 }
 
 // kindOf tells whether a failed exchange can have had an effect: not if there
 // was never a connection.
-func kindOf(err error) error {
+func kindOf(method string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrUnavailable
 	}
-	return ErrOutcomeUnknown
+	return unclear(method)
 }
 
-func decode(answer *http.Response, out any) error {
+// decode reads an answer into out. An answer that can't be read is of the kind
+// unclear.
+func decode(answer *http.Response, unclear error, out any) error {
 	content, err := io.ReadAll(io.LimitReader(answer.Body, httpjson.MaxBody))
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
+		return fmt.Errorf("%w: %v", unclear, err)
 	}
 	if answer.StatusCode != http.StatusOK {
 		var body errorBody
 		if json.Unmarshal(content, &body) != nil || body.Code == "" {
-			return fmt.Errorf("%w: status %s", ErrOutcomeUnknown, answer.Status)
+			return fmt.Errorf("%w: status %s: %.100q", unclear, answer.Status, content)
 		}
 		return fromWire(body)
 	}
 	if err := json.Unmarshal(content, out); err != nil {
-		return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
+		return fmt.Errorf("%w: %v", unclear, err)
 	}
 	return nil
 }
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -42,10 +42,14 @@
 		return operator.Contracts(ctx)
 	}))
 	mux.HandleFunc("GET "+pathContracts+"/{customer}", ask(func(ctx context.Context, r *http.Request) (any, error) {
-		return operator.Contract(ctx, r.PathValue("customer"))
+		customer := r.PathValue("customer")
+		contract, err := operator.Contract(ctx, customer)
+		return contract, ofCustomer(customer, err)
 	}))
 	mux.HandleFunc("GET "+pathContracts+"/{customer}/history", ask(func(ctx context.Context, r *http.Request) (any, error) {
-		return operator.History(ctx, r.PathValue("customer"))
+		customer := r.PathValue("customer")
+		entries, err := operator.History(ctx, customer)
+		return entries, ofCustomer(customer, err)
 	}))
 	mux.HandleFunc("GET "+pathStatus, ask(func(ctx context.Context, _ *http.Request) (any, error) {
 		return operator.Status(ctx)
@@ -56,6 +60,14 @@
 	return h.authorize(mux)
 }
 
+// ofCustomer says whose contract was not found.
+func ofCustomer(customer string, err error) error {
+	if errors.Is(err, ErrNotFound) {
+		return fmt.Errorf("%w: no contract of %q", err, customer)
+	}
+	return err
+}
+
 // authorize lets a request through only with a known token.
 func (h *handler) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -159,5 +171,5 @@
 		return
 	}
 	known := toWire(err)
-	httpjson.Reply(w, known.status, errorBody{Code: known.code, Error: err.Error()})
+	httpjson.Reply(w, known.status, errorBody{Code: known.code, Error: known.text(err)})
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -125,6 +125,37 @@
 	}
 }
 
+// An error without details leaves an operator at night with one word.
+func TestErrorsSayWhatToLookAt(t *testing.T) {
+	for kind, want := range map[error]string{
+		ErrNotFound:       `no contract of "trinidad"`,
+		ErrUnavailable:    "can't reach the platform's log",
+		ErrOutcomeUnknown: "log didn't answer",
+		ErrUnauthorized:   "token_sha256",
+	} {
+		client, _ := newDirect(&fake{err: kind})
+		if _, err := client.History(t.Context(), "trinidad"); !errors.Is(err, kind) || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %v: %s", err, kind, want)
+		}
+	}
+}
+
+// A question whose answer is lost changed nothing, so nothing is "unknown"; the
+// same answer leaves a publish in doubt.
+func TestOnlyPublishIsInDoubt(t *testing.T) {
+	answers := map[string]string{"no JSON": "Client sent an HTTP request to an HTTPS server.", "no code": "{}"}
+	for name, text := range answers {
+		client, transport := newDirect(&fake{})
+		transport.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, text, http.StatusBadRequest) })
+		if _, err := client.Status(t.Context()); !errors.Is(err, ErrUnavailable) || !strings.Contains(err.Error(), text) {
+			t.Errorf("%s: status: %v", name, err)
+		}
+		if _, err := client.Publish(t.Context(), change("c1")); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("%s: publish: %v", name, err)
+		}
+	}
+}
+
 func TestOnlyTokensGetIn(t *testing.T) {
 	handlers := map[string]http.Handler{
 		"with hashes": NewHandler(&fake{}, contract.HashKey(token)),
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 )
 
 // Paths of the HTTP API.
@@ -34,14 +35,25 @@
 	err    error
 	code   string
 	status int
+	// hint tells people more where the error itself has no details.
+	hint string
 }
 
 var wireErrors = []wireError{
-	{ErrBadRequest, "bad_request", http.StatusBadRequest},
-	{ErrUnauthorized, "unauthorized", http.StatusUnauthorized},
-	{ErrNotFound, "not_found", http.StatusNotFound},
-	{ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
-	{ErrOutcomeUnknown, "outcome_unknown", http.StatusGatewayTimeout},
+	{ErrBadRequest, "bad_request", http.StatusBadRequest, ""},
+	{ErrUnauthorized, "unauthorized", http.StatusUnauthorized, "the token's hash is not in [operators] token_sha256 of this entry VM's settings"},
+	{ErrNotFound, "not_found", http.StatusNotFound, ""},
+	{ErrUnavailable, "unavailable", http.StatusServiceUnavailable, "this entry VM has no state yet, or can't reach the platform's log"},
+	{ErrOutcomeUnknown, "outcome_unknown", http.StatusGatewayTimeout, "the platform's log didn't answer in time"},
+}
+
+// text is what people are told of err.
+func (w wireError) text(err error) string {
+	bare := strings.HasSuffix(err.Error(), w.err.Error())
+	if !bare || w.hint == "" {
+		return err.Error()
+	}
+	return err.Error() + ": " + w.hint
 }
 
 // toWire finds the code and the status of an error. An unknown one counts as
