--- a/internal/rendezvous/table_test.go
+++ b/internal/rendezvous/table_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	_ "bergamotreel/internal/fixedseed"
 	"bergamotreel/internal/rendezvous"
 	"pgregory.net/rapid"
 )
