node: at its start an entry VM leaves engines to all listed entry VMs; test bed without races

An entry VM that had not heard the others of its own failure domain yet took their engines too. After handOverAfter (10 s) they changed hands and had no keeper until the next duty tick, which is just when the test looked. So not the test alone was at fault: at a start engines were taken 5 to 12 times instead of 4. The rule that left another domain's engines to its listed entry VMs now holds for those of the own domain too, and is less code. Cost: the engines of an entry VM that is listed but dead wait 6 s after the start of a VM of its domain, if that VM is the only other one.

All VMs are listed before the first one starts.

Changed test: TestEarlyStarterLeavesOthersEngines (was ...OtherDomainsEngines) also keeps one of the early VMs unheard, looks after 20 s more, and requires that each engine is taken just once: stricter.

--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -130,7 +130,7 @@
 }
 
 func (s *system) checkBooking(at, key string) {
-	begun, gate := time.Now(), s.nodes[at].gate
+	begun, gate := time.Now(), s.node(at).gate
 	frozen := gate.frozenTime()
 	_, err := s.book(at, key)
 	if took := time.Since(begun) - gate.frozenTime() + frozen; took > 8*time.Second {
@@ -151,7 +151,7 @@
 	restarts := 0
 	for ctx.Err() == nil {
 		vm := allVMs[rng.Intn(len(allVMs))]
-		n := s.nodes[vm]
+		n := s.node(vm)
 		e := s.engines.Engine("engine-" + []string{"a1", "a2", "b1", "b2"}[rng.Intn(4)])
 		pause := time.Duration(rng.Intn(5000)) * time.Millisecond
 		switch rng.Intn(17) {
@@ -205,7 +205,7 @@
 // changeContract publishes another number of the clerk's replicas, whatever
 // comes of it.
 func (s *system) changeContract(vm, change string, clerks int) {
-	n := s.nodes[vm]
+	n := s.node(vm)
 	ctx, cancel := context.WithTimeout(n.alive, 5*time.Second)
 	defer cancel()
 	sections, err := contract.Split(chaosText(clerks))
@@ -231,7 +231,8 @@
 	s.store.Faults().Set(faults.Settings{})
 	s.log.Faults().Set(faults.Settings{})
 	s.booking.SetFaults(serviceserver.Faults{})
-	for vm, n := range s.nodes {
+	for _, vm := range allVMs {
+		n := s.node(vm)
 		n.gate.open()
 		n.view.Heal()
 		s.mesh.separate(vm, false)
@@ -246,7 +247,7 @@
 	newest := make(map[*entry]state.Revision)
 	for ctx.Err() == nil {
 		for _, vm := range allVMs {
-			n := s.nodes[vm]
+			n := s.node(vm)
 			got, err := n.Operators().Contract(ctx, "trinidad")
 			if err != nil {
 				got.Version = 0
--- a/internal/node/figures_test.go
+++ b/internal/node/figures_test.go
@@ -79,14 +79,14 @@
 func (s *system) timeTakeover(rng *rand.Rand, planned bool) time.Duration {
 	var mu sync.Mutex
 	fencedBy, at := map[string]string{}, map[string]time.Time{}
-	s.hold = func(vm, address string, order engine.Order) bool {
+	s.setHold(func(vm, address string, order engine.Order) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		if order.Action == engine.ActionFence {
 			fencedBy[address], at[address] = vm, time.Now()
 		}
 		return false
-	}
+	})
 	s.ready()
 	time.Sleep(10*time.Second + time.Duration(rng.Int63n(int64(5*time.Second))))
 	address := []string{"engine-a1", "engine-a2", "engine-b1", "engine-b2"}[rng.Intn(4)]
@@ -94,7 +94,7 @@
 	keeper := fencedBy[address]
 	mu.Unlock()
 	begun := time.Now()
-	if n := s.nodes[keeper]; planned {
+	if n := s.node(keeper); planned {
 		n.Leave()
 		n.Stop(s.ctx)
 	} else {
@@ -126,12 +126,12 @@
 
 func (s *system) timeFree(rng *rand.Rand) time.Duration {
 	loads := make(chan [2]string, 16)
-	s.hold = func(vm, address string, order engine.Order) bool {
+	s.setHold(func(vm, address string, order engine.Order) bool {
 		if order.Action == engine.ActionLoad {
 			loads <- [2]string{vm, address}
 		}
 		return false
-	}
+	})
 	s.ready()
 	base := s.publish("v-a1", "first", text(1), 0).Revision
 	s.ask("v-a1", "clerk", "hello", 4)
@@ -141,7 +141,7 @@
 	if load[0] == at {
 		at = "v-b1"
 	}
-	s.nodes[load[0]].kill()
+	s.node(load[0]).kill()
 	s.list.Remove(load[0])
 	begun, from := time.Now(), s.logEnd("control")
 	s.publish(at, "without", strings.ReplaceAll(text(1), `"clerk"`, `"other"`), base)
@@ -208,7 +208,7 @@
 
 func (s *system) cutFromLog(names ...string) {
 	for _, name := range names {
-		s.nodes[name].view.Cut()
+		s.node(name).view.Cut()
 	}
 }
 
@@ -216,7 +216,7 @@
 func (s *system) inForce(begun time.Time, version state.Revision, names ...string) time.Duration {
 	for time.Since(begun) < 2*time.Minute {
 		if !slices.ContainsFunc(names, func(name string) bool {
-			got, err := s.nodes[name].Operators().Contract(s.ctx, "trinidad")
+			got, err := s.node(name).Operators().Contract(s.ctx, "trinidad")
 			return err != nil || got.Version < version
 		}) {
 			return time.Since(begun)
@@ -247,7 +247,7 @@
 				for _, vm := range cut {
 					s.mesh.separate(vm, false)
 					if logToo {
-						s.nodes[vm].view.Heal()
+						s.node(vm).view.Heal()
 					}
 				}
 				return quantiles{s.inForce(begun, version, cut...)}
@@ -343,21 +343,28 @@
 }
 
 func (s *system) printAppends(stream string, from platformlog.Offset, d time.Duration) {
-	counts, appends := map[string]int{}, 0
+	counts := s.countRecords(stream, from)
+	s.t.Logf("%s: %.2f appends a second", stream, float64(counts["appends"])/d.Seconds())
+	for kind, n := range counts {
+		s.t.Logf("%s %s: %d, %.3f a second", stream, kind, n, float64(n)/d.Seconds())
+	}
+}
+
+// countRecords counts the appends to a stream and what they hold, by kind.
+func (s *system) countRecords(stream string, from platformlog.Offset) map[string]int {
+	counts := make(map[string]int)
 	for end := s.logEnd(stream); from <= end; {
 		batch, err := s.log.Read(s.ctx, stream, from, 4096, 0)
 		if err != nil {
 			s.t.Fatal(err)
 		}
-		from, appends = batch.Next, appends+len(batch.Records)
+		from = batch.Next
+		counts["appends"] += len(batch.Records)
 		for _, record := range batch.Records {
 			countKinds(counts, stream, record.Data)
 		}
 	}
-	s.t.Logf("%s: %.2f appends a second", stream, float64(appends)/d.Seconds())
-	for kind, n := range counts {
-		s.t.Logf("%s %s: %d, %.3f a second", stream, kind, n, float64(n)/d.Seconds())
-	}
+	return counts
 }
 
 // countKinds counts what a record holds by the names of the pointers that are set.
--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -25,7 +25,7 @@
 		s.ready()
 		published := s.publish("v-a1", "c1", text(1), 0)
 		time.Sleep(8 * time.Second)
-		report, err := s.nodes["v-a1"].Operators().Status(s.ctx)
+		report, err := s.node("v-a1").Operators().Status(s.ctx)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -42,18 +42,10 @@
 	if n.isStopping() {
 		return nil
 	}
-	live := n.liveVMs()
-	domains := map[string][]string{n.config.Domain: {n.config.VM}}
-	for _, p := range n.gossip.Present() {
-		domains[p.Domain] = append(domains[p.Domain], p.VM)
-	}
-	awaited := n.awaitedDomains()
+	live, domains := n.liveVMs(), n.keepersByDomain()
 	var mine []string
 	for _, e := range n.fleet.Engines() {
 		eligible := domains[e.VM.Domain]
-		if len(eligible) == 0 && awaited[e.VM.Domain] {
-			continue
-		}
 		if len(eligible) == 0 {
 			eligible = live
 		}
@@ -64,25 +56,35 @@
 	return mine
 }
 
+// keepersByDomain are the entry VMs of each failure domain that should keep its
+// engines: those that are there, and those that may not have been heard yet.
+func (n *Node) keepersByDomain() map[string][]string {
+	domains := map[string][]string{n.config.Domain: {n.config.VM}}
+	for _, p := range n.gossip.Present() {
+		domains[p.Domain] = append(domains[p.Domain], p.VM)
+	}
+	for _, vm := range n.awaited() {
+		if !slices.Contains(domains[vm.Domain], vm.ID) {
+			domains[vm.Domain] = append(domains[vm.Domain], vm.ID)
+		}
+	}
+	return domains
+}
+
 // settleTimeouts is for how many heartbeat timeouts after the start an entry VM
-// waits to hear others before it takes engines of their failure domain.
+// waits to hear the others before it takes engines that are theirs.
 const settleTimeouts = 2
 
-// awaitedDomains are the failure domains whose listed entry VMs may not have been
-// heard yet. Failure: an entry VM that started a moment before those of another
-// domain took that domain's engines, and kept them; once the domain was cut off,
-// nobody in it could load by the rights that had been granted ahead for that.
-func (n *Node) awaitedDomains() map[string]bool {
-	awaited := make(map[string]bool)
+// awaited are the listed entry VMs that may not have been heard yet. Failure: an
+// entry VM that started a moment before the others took their engines. Those of
+// its own failure domain changed hands again handOverAfter later, and had no
+// keeper for a moment. Those of another domain it kept; once that domain was cut
+// off, nobody in it could load by the rights that had been granted ahead for that.
+func (n *Node) awaited() []vmlist.VM {
 	if time.Since(n.started) >= settleTimeouts*n.config.HeardFor {
-		return awaited
-	}
-	for _, vm := range n.fleet.VMs(vmlist.KindEntry) {
-		if !vm.Leaving {
-			awaited[vm.Domain] = true
-		}
+		return nil
 	}
-	return awaited
+	return slices.DeleteFunc(n.fleet.VMs(vmlist.KindEntry), func(vm vmlist.VM) bool { return vm.Leaving })
 }
 
 func (n *Node) domainOf(engine string) string {
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -38,10 +38,10 @@
 		}
 		s.ask("v-b1", "nosuch", "p", 4)
 		s.list.MarkLeaving("v-a2")
-		s.nodes["v-b2"].kill()
+		s.node("v-b2").kill()
 		s.list.Remove("v-b2")
 		time.Sleep(10 * time.Second)
-		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		report, err := s.node("v-b1").Operators().Status(s.ctx)
 		if err != nil || len(report.VMs) != 3 {
 			s.t.Fatalf("%d VMs, %v", len(report.VMs), err)
 		}
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -82,13 +82,13 @@
 	inSystem(t, false, text(1), func(s *system) {
 		var once sync.Once
 		held := make(chan [2]string, 1)
-		s.hold = func(vm, address string, order engine.Order) bool {
+		s.setHold(func(vm, address string, order engine.Order) bool {
 			isFirst := false
 			if order.Action == engine.ActionLoad {
 				once.Do(func() { isFirst = true; held <- [2]string{vm, address} })
 			}
 			return isFirst
-		}
+		})
 		go s.ask("v-a1", "clerk", "first", 4)
 		frozen := <-held
 		vm, engineAddress := frozen[0], frozen[1]
@@ -103,7 +103,7 @@
 		for range 3 {
 			s.ask(other, "clerk", fmt.Sprint("moved", time.Now().Unix()), 4)
 		}
-		s.nodes[vm].gate.open()
+		s.node(vm).gate.open()
 		time.Sleep(30 * time.Second)
 		if a := s.ask(other, "clerk", "last", 4); !a.whole("clerk", "last", 4) {
 			s.errorf("after the thaw: %q, %v", a.text, a.err)
@@ -168,7 +168,7 @@
 	inSystem(t, true, standbyText(), func(s *system) {
 		time.Sleep(5 * time.Second)
 		for _, vm := range []string{"v-a1", "v-a2"} {
-			s.nodes[vm].view.Cut()
+			s.node(vm).view.Cut()
 		}
 		s.mesh.part("v-a", true)
 		time.Sleep(10 * time.Second)
@@ -184,7 +184,7 @@
 		}
 		s.mesh.part("v-a", false)
 		for _, vm := range []string{"v-a1", "v-a2"} {
-			s.nodes[vm].view.Heal()
+			s.node(vm).view.Heal()
 		}
 		time.Sleep(20 * time.Second)
 		if n := s.mostReplicas("standby"); n > 2 {
@@ -203,7 +203,7 @@
 func TestRacingOperators(t *testing.T) {
 	inSystem(t, true, text(1), func(s *system) {
 		base := s.version("v-a1")
-		s.nodes["v-b1"].view.Faults().Set(faults.Settings{LoseAnswers: 1})
+		s.node("v-b1").view.Faults().Set(faults.Settings{LoseAnswers: 1})
 		results := make([]operator.PublishResult, 2)
 		var group sync.WaitGroup
 		for i, vm := range []string{"v-a1", "v-b1"} {
@@ -229,9 +229,9 @@
 // is restarted. It is in force on all of them within 4 s, and no VM goes back.
 func TestChangeIsInForceEverywhereWithinSeconds(t *testing.T) {
 	inSystem(t, true, text(1), func(s *system) {
-		s.nodes["v-b2"].view.Cut()
-		s.nodes["v-a2"].kill()
-		<-s.nodes["v-a2"].done
+		s.node("v-b2").view.Cut()
+		s.node("v-a2").kill()
+		<-s.node("v-a2").done
 		ctx, stop := context.WithCancel(s.ctx)
 		defer stop()
 		accepted := s.publish("v-a1", "c2", text(3), s.version("v-a1"))
@@ -247,7 +247,7 @@
 }
 
 func (s *system) version(vm string) state.Revision {
-	got, err := s.nodes[vm].Operators().Contract(s.ctx, "trinidad")
+	got, err := s.node(vm).Operators().Contract(s.ctx, "trinidad")
 	if err != nil {
 		return 0
 	}
@@ -333,10 +333,10 @@
 		check("clerk", "streaming", 300)
 		check("board", "waiting for a load", 4)
 		time.Sleep(100 * time.Millisecond)
-		n := s.nodes["v-a1"]
+		n := s.node("v-a1")
 		s.stop(n, &group)
 		time.Sleep(3 * time.Second)
-		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		report, err := s.node("v-b1").Operators().Status(s.ctx)
 		if err != nil {
 			s.t.Fatal(err)
 		}
@@ -373,7 +373,7 @@
 		}
 		failures := []func(){
 			func() { s.log.Faults().Set(faults.Settings{Outage: true}) },
-			func() { s.nodes["v-b2"].gate.freeze() },
+			func() { s.node("v-b2").gate.freeze() },
 			func() { s.mesh.separate("v-a2", true) },
 			func() {
 				s.engines.Engine(s.holder("clerk")).SetFaults(engineserver.Faults{DropStreamsAfter: 40})
@@ -390,10 +390,10 @@
 			time.Sleep(200 * time.Millisecond)
 			failures[i]()
 			failures[i+1]()
-			s.stop(s.nodes[vm], &group)
+			s.stop(s.node(vm), &group)
 			s.heal()
 			s.start(vm, fmt.Sprint(vm, "-again"))
-			for s.nodes[vm].Ready() != nil {
+			for s.node(vm).Ready() != nil {
 				time.Sleep(50 * time.Millisecond)
 			}
 			time.Sleep(3 * time.Second)
@@ -444,8 +444,8 @@
 			vm := allVMs[i%4]
 			go func() { _, _ = s.book(vm, key) }()
 			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
-			s.nodes[vm].kill()
-			<-s.nodes[vm].done
+			s.node(vm).kill()
+			<-s.node(vm).done
 			_, err := s.book(allVMs[(i+1)%4], key)
 			ran := s.bookings(key)
 			if ran > 1 {
@@ -458,7 +458,7 @@
 				s.errorf("%s: told %v, but it ran", key, err)
 			}
 			s.start(vm, fmt.Sprint(vm, "-after-", i))
-			for s.nodes[vm].Ready() != nil {
+			for s.node(vm).Ready() != nil {
 				time.Sleep(50 * time.Millisecond)
 			}
 		}
--- a/internal/node/replicas_test.go
+++ b/internal/node/replicas_test.go
@@ -54,15 +54,15 @@
 				s.ready()
 				s.publish("v-a1", "c1", text(1), 0)
 				time.Sleep(time.Second)
-				s.nodes["v-a2"].gate.freeze()
-				s.nodes["v-b2"].gate.freeze()
+				s.node("v-a2").gate.freeze()
+				s.node("v-b2").gate.freeze()
 				a := s.ask("v-a1", "clerk", "hello", 8)
 				if !a.whole("clerk", "hello", 8) {
 					t.Errorf("answer %q, %v", a.text, a.err)
 				}
 				time.Sleep(20 * time.Second)
-				s.nodes["v-a2"].gate.open()
-				s.nodes["v-b2"].gate.open()
+				s.node("v-a2").gate.open()
+				s.node("v-b2").gate.open()
 				time.Sleep(20 * time.Second)
 				if n := s.mostReplicas("clerk"); n > 1 {
 					t.Errorf("%d replicas at one time, 1 was decided", n)
--- a/internal/node/roster_test.go
+++ b/internal/node/roster_test.go
@@ -17,13 +17,13 @@
 	inSystem(t, true, text(1), func(s *system) {
 		time.Sleep(20 * time.Second)
 		for _, vm := range []string{"v-a1", "v-a2", "v-b1"} {
-			s.nodes[vm].view.Cut()
+			s.node(vm).view.Cut()
 		}
 		if _, err := s.book("v-b2", "key"); err != nil {
 			s.t.Fatal(err)
 		}
-		s.nodes["v-b2"].kill()
-		<-s.nodes["v-b2"].done
+		s.node("v-b2").kill()
+		<-s.node("v-b2").done
 		s.log.Faults().Set(faults.Settings{Outage: true})
 		s.list.Remove("v-b2")
 		time.Sleep(30 * time.Second)
@@ -35,21 +35,24 @@
 }
 
 // The entry VMs of one failure domain start a little before those of the other,
-// which neither reach the log nor are heard yet. Each engine must be kept in its
-// own domain all the same: a domain that is cut off later loads only by its own
-// keepers.
-func TestEarlyStarterLeavesOtherDomainsEngines(t *testing.T) {
+// which neither reach the log nor are heard yet; one of the early two is not heard
+// either. Each engine must be kept in its own domain all the same: a domain that is
+// cut off later loads only by its own keepers. And each must be taken once, by its
+// own keeper: changing hands it would have none for a moment.
+func TestEarlyStarterLeavesOthersEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, true)
 		for _, late := range []bool{true, false} {
+			s.mesh.separate("v-b2", late)
 			for _, vm := range []string{"v-a1", "v-a2"} {
 				s.mesh.separate(vm, late)
-				s.nodes[vm].view.Faults().Set(faults.Settings{Outage: late})
+				s.node(vm).view.Faults().Set(faults.Settings{Outage: late})
 			}
 			time.Sleep(4 * time.Second)
 		}
 		s.ready()
-		report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+		time.Sleep(20 * time.Second)
+		report, err := s.node("v-b1").Operators().Status(s.ctx)
 		if err != nil || len(report.Engines) != 4 {
 			t.Fatalf("%d engines, %v", len(report.Engines), err)
 		}
@@ -59,5 +62,8 @@
 				t.Errorf("%s in domain %q is kept by %q", e.Name, e.Domain, e.Keeper)
 			}
 		}
+		if taken := s.countRecords("control", 1)["KeeperTake"]; taken != 4 {
+			t.Errorf("the four engines were taken %d times", taken)
+		}
 	})
 }
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,11 +49,12 @@
 	services *serviceserver.Fleet
 	booking  *serviceserver.Service
 	mesh     *mesh
-	nodes    map[string]*entry
-	// hold names orders at whose sending the entry VM freezes.
+
+	mu    sync.Mutex
+	nodes map[string]*entry
+	// hold is what setHold set.
 	hold func(vm, address string, order engine.Order) bool
 	// replicas is the most engines that held each unit at one time.
-	mu       sync.Mutex
 	replicas map[string]int
 	// sent counts the requests for tokens sent to each engine.
 	sent map[string]int
@@ -88,7 +91,7 @@
 	}
 	t.Cleanup(func() {
 		cancel()
-		for _, n := range s.nodes {
+		for _, n := range s.all() {
 			n.gate.open()
 			n.kill()
 			<-n.done
@@ -109,8 +112,10 @@
 	}
 	s.services.Put("booking-1", s.booking)
 	s.list.Put(vmlist.VM{ID: "booking-1", Kind: vmlist.KindService, Address: "booking-1", Domain: "a", Service: "booking"})
-	for _, name := range []string{"v-a1", "v-a2", "v-b1", "v-b2"} {
+	for _, name := range allVMs {
 		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEntry, Address: name, Domain: name[2:3]})
+	}
+	for _, name := range allVMs {
 		s.start(name, name)
 	}
 	s.watching.Go(s.watchReplicas)
@@ -123,18 +128,20 @@
 	e := &entry{view: s.log.View(incarnation), gate: newGate(), alive: ctx, kill: cancel, done: make(chan struct{})}
 	e.Node = node.New(node.Config{
 		VM: name, Domain: name[2:3], Region: "r", PeersAddress: name, Incarnation: incarnation,
-		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.nodes)) + 1)), Lease: timing,
+		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.all())) + 1)), Lease: timing,
 		Peers: node.Peers{
 			Log: gatedLog{e.view, e.gate}, VMList: s.list, WeightStore: s.store,
 			Engines: gatedEngines{
 				Client: s.engines, gate: e.gate, system: s,
-				hold:  func(address string, order engine.Order) bool { return s.hold(name, address, order) },
+				hold:  func(address string, order engine.Order) bool { return s.holds(name, address, order) },
 				apart: func(address string) bool { return s.mesh.engineApart(name, address) },
 			}, Services: gatedServices{s.services, e.gate},
 			EntryVMs: link{system: s, mesh: s.mesh, from: name, gate: e.gate},
 		},
 	})
+	s.mu.Lock()
 	s.nodes[name] = e
+	s.mu.Unlock()
 	s.mesh.join(name, e)
 	go func() {
 		defer close(e.done)
@@ -143,9 +150,37 @@
 	return e
 }
 
+// node is the newest start of an entry VM.
+func (s *system) node(name string) *entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[name]
+}
+
+// all are the newest starts of all entry VMs.
+func (s *system) all() []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.nodes))
+}
+
+// setHold names the orders at whose sending the entry VM freezes.
+func (s *system) setHold(hold func(vm, address string, order engine.Order) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = hold
+}
+
+func (s *system) holds(vm, address string, order engine.Order) bool {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	return hold(vm, address, order)
+}
+
 // ready waits until the entry VMs take requests and engines are kept.
 func (s *system) ready() {
-	for _, n := range s.nodes {
+	for _, n := range s.all() {
 		for n.Ready() != nil {
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -188,7 +223,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	result, err := s.nodes[at].Operators().Publish(s.ctx, operator.PublishRequest{
+	result, err := s.node(at).Operators().Publish(s.ctx, operator.PublishRequest{
 		ChangeID: change, Customer: "trinidad", Base: base, Sections: sections,
 	})
 	if err != nil {
@@ -240,7 +275,7 @@
 func (s *system) ask(at, model, prompt string, tokens int) answer {
 	begun := time.Now()
 	sink := &collector{}
-	n := s.nodes[at]
+	n := s.node(at)
 	frozen := n.gate.frozenTime()
 	err := n.Generate(n.alive, caller.Generation{
 		Identity: caller.Identity{Customer: "trinidad"},
@@ -259,7 +294,7 @@
 
 // book sends one booking.
 func (s *system) book(at, key string) (service.Answer, error) {
-	n := s.nodes[at]
+	n := s.node(at)
 	return n.Call(n.alive, caller.ServiceCall{
 		Identity: caller.Identity{Customer: "trinidad"}, Once: s.twin != noClaims, IdempotencyKey: key, Arrived: time.Now(),
 		Service: contract.Service{Name: "booking", MaxWait: 5 * time.Second},
