fleet, node: tests of told engines: keeper dead, cut off, old words, leaving in an outage

An engine that leaves while log and VM list are down gets nothing new after 3.2 s, with its keeper well, dead or cut off.

The word that an engine drains is taken also where an earlier word, delayed on its way, looks younger.

--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -143,7 +143,9 @@
 	f.mu.Lock()
 	for _, word := range words {
 		e, ok := f.engines[word.Engine]
-		if !ok || !word.At.After(e.told.At) {
+		// A word that was delayed looks younger than it is, and may hide the next
+		// one; not so the news that an engine drains.
+		if !ok || !word.At.After(e.told.At) && !word.Draining {
 			continue
 		}
 		leaving := e.Leaving()
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -21,7 +21,7 @@
 	// An engine is asked by this VM itself once its keeper's word is older than the
 	// keeper's pause and trustHeartbeats, but at the latest after maxTrust: well
 	// before the engine would get no new work.
-	trustHeartbeats = 4
+	trustHeartbeats = 2
 	maxTrust        = 5 * time.Second
 	// serviceSlots bounds the calls of one entry VM on one plain service's
 	// backend server, which has no load report.
--- /dev/null
+++ b/internal/node/told_test.go
@@ -0,0 +1,60 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/standin/faults"
+)
+
+// keeperOf is who keeps an engine, as an entry VM tells operators.
+func (s *system) keeperOf(address string) string {
+	report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, e := range report.Engines {
+		if e.Name == address {
+			return e.Keeper
+		}
+	}
+	return ""
+}
+
+// An engine is told to leave while the log and the VM list are down, so that only
+// its own word says so. Its keeper tells the others; where the keeper has died
+// or is cut off from them at the same moment, they ask the engine again
+// themselves. After a few seconds nobody sends it new work.
+func TestLeavingEngineWhoseKeeperIsAway(t *testing.T) {
+	for name, fail := range map[string]func(s *system, keeper string){
+		"well": func(*system, string) {},
+		"dead": func(s *system, keeper string) { s.nodes[keeper].kill() },
+		"cut":  func(s *system, keeper string) { s.mesh.separate(keeper, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSystem(t, true, pairText(), func(s *system) {
+				time.Sleep(20 * time.Second)
+				leaving := s.holder("pair")
+				keeper := s.keeperOf(leaving)
+				s.list.Faults().Set(faults.Settings{Outage: true})
+				s.log.Faults().Set(faults.Settings{Outage: true})
+				s.engines.Engine(leaving).SetDraining(true)
+				fail(s, keeper)
+				time.Sleep(3200 * time.Millisecond)
+				for i := range 20 {
+					at, prompt := allVMs[i%4], fmt.Sprint("new", i)
+					if at == keeper {
+						continue
+					}
+					if a := s.ask(at, "pair", prompt, 4); !a.whole("pair", prompt, 4) {
+						s.errorf("request %d: %q, %v", i, a.text, a.err)
+					}
+				}
+				if n := s.sentTo(leaving); n > 0 {
+					s.errorf("the leaving engine got %d new requests", n)
+				}
+			}, listOnly)
+		})
+	}
+}
