--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/replica"
+	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/platformlog"
+	"bergamotreel/state"
+)
+
+const (
+	// startRecords are in the log at a start, and every startEvery a snapshot.
+	startRecords, startEvery = 60_000, 5_000
+	startSessions            = 340
+)
+
+// BenchmarkStart has a new VM fold the stream from the log alone: by the oldest
+// whole snapshot kept, and by the newest.
+func BenchmarkStart(b *testing.B) {
+	log := filledLog(b)
+	for name, span := range map[string]int{"oldest": 2 * startRecords, "newest": 0} {
+		b.Run(name, func(b *testing.B) {
+			records := 0
+			for b.Loop() {
+				counted := &countingLog{Log: log}
+				start(b, counted, span)
+				records = counted.records
+			}
+			b.ReportMetric(float64(records), "records/start")
+		})
+	}
+}
+
+// start follows the log to its end.
+func start(b *testing.B, log platformlog.Log, span int) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	f := &fold{state: state.New(), outcome: func(state.Outcome) {}}
+	done := make(chan struct{})
+	var r *replica.Replica
+	r = replica.New(replica.Config{
+		Log: log, Stream: Stream, Fold: f, Logger: zap.NewNop(), Writer: "w", StartSpan: span,
+		WritesSnapshots: func() bool { return false },
+		Changed: func() {
+			if applied, end, _ := r.Position(); applied == end {
+				close(done)
+			}
+		},
+	})
+	go r.Run(ctx)
+	<-done
+}
+
+func filledLog(b *testing.B) *logserver.Store {
+	log := logserver.New(logserver.Config{MaxRecords: startRecords})
+	s := state.New()
+	write := func(record state.Record) state.Revision {
+		data, err := state.Encode(record)
+		if err != nil {
+			b.Fatal(err)
+		}
+		offset, err := log.Append(b.Context(), Stream, data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Apply(uint64(offset), data)
+		return state.MakeRevision(uint64(offset), 0)
+	}
+	propose := func(by int, p state.Proposal) state.Revision {
+		p.ID = state.ProposalID{Proposer: fmt.Sprint("vm-", by), Sequence: s.Applied + 1}
+		return write(state.Record{Proposals: []state.Proposal{p}})
+	}
+	var sessions []state.SessionID
+	for i := range startSessions {
+		sessions = append(sessions, propose(i, open(fmt.Sprint("vm-", i))))
+	}
+	for i := range startRecords + 2*startEvery {
+		propose(i%startSessions, state.Proposal{SessionRenew: &state.SessionRenew{Session: sessions[i%startSessions]}})
+		if i%startEvery == 0 {
+			parts, err := s.Snapshot("w")
+			if err != nil {
+				b.Fatal(err)
+			}
+			for _, part := range parts {
+				write(state.Record{Snapshot: &part})
+			}
+		}
+	}
+	return log
+}
+
+// countingLog counts the records read.
+type countingLog struct {
+	platformlog.Log
+	records int
+}
+
+func (l *countingLog) Read(ctx context.Context, stream string, from platformlog.Offset, max int, wait time.Duration) (platformlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, stream, from, max, wait)
+	l.records += len(batch.Records)
+	return batch, err
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -80,6 +80,9 @@
 	// SnapshotMaxAge is the longest time between snapshots by the log's clock;
 	// it must be well under the log's retention. Default 1 hour.
 	SnapshotMaxAge time.Duration
+	// StartSpan is how many records before the stream's end the first look for a
+	// snapshot begins; it defaults to startSnapshots times SnapshotEvery.
+	StartSpan int
 	// WritesSnapshots tells whether this VM is the one to write them now. Two
 	// that write at once cost appends, never safety. Where the chosen one does
 	// not (it may be cut off from the log), all others do a little later.
@@ -135,6 +138,7 @@
 	end       platformlog.Offset
 	reachedAt time.Time
 
+	start     startWatch
 	snapshots snapshotWatch
 	rulings   rulingWatch
 }
@@ -147,6 +151,9 @@
 	if config.SnapshotMaxAge == 0 {
 		config.SnapshotMaxAge = defaultSnapshotMaxAge
 	}
+	if config.StartSpan == 0 {
+		config.StartSpan = startSnapshots * config.SnapshotEvery
+	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
@@ -177,9 +184,14 @@
 		batch, err := r.read(ctx, r.nextOffset())
 		switch {
 		case err == nil:
+			if r.skipAhead(batch) {
+				break
+			}
 			r.take(batch)
+			r.lookBack(batch)
 		case errors.Is(err, platformlog.ErrTrimmed):
 			r.skipTrimmed(batch)
+			r.skipAhead(batch)
 		default:
 			pause.For(ctx, retryPause)
 		}
@@ -189,11 +201,12 @@
 func (r *Replica) read(ctx context.Context, from platformlog.Offset) (platformlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
 	defer cancel()
-	wait := readWait
+	wait, most := readWait, readMax
 	if _, _, reachedAt := r.Position(); reachedAt.IsZero() {
 		wait = 0 // an empty stream must not hold up the start
+		most = 1 // it tells where the stream ends
 	}
-	batch, err := r.config.Log.Read(ctx, r.config.Stream, from, readMax, wait)
+	batch, err := r.config.Log.Read(ctx, r.config.Stream, from, most, wait)
 	if err == nil || errors.Is(err, platformlog.ErrTrimmed) {
 		r.reached(batch)
 	}
@@ -227,7 +240,7 @@
 // take folds a batch from the log.
 func (r *Replica) take(batch platformlog.Batch) {
 	r.mu.Lock()
-	if !r.following && len(r.pending) == 0 && batch.Earliest <= 1 && r.config.Fold.Applied() == 0 {
+	if !r.following && r.next() <= 1 && batch.Earliest <= 1 && r.config.Fold.Applied() == 0 {
 		// The whole stream is still there: it needs no snapshot.
 		r.follow()
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -124,7 +124,7 @@
 	v := &vm{fold: &words{}, view: b.log.View(name)}
 	v.Replica = New(Config{
 		Log: v.view, Stream: "s", Fold: v.fold, Logger: zap.NewNop(), Writer: name,
-		SnapshotMaxAge: time.Minute, SnapshotEvery: 200, WritesSnapshots: func() bool { return writes },
+		SnapshotMaxAge: time.Minute, SnapshotEvery: 200, StartSpan: 16, WritesSnapshots: func() bool { return writes },
 	})
 	ctx, stop := context.WithCancel(b.ctx)
 	v.stop = stop
@@ -248,6 +248,50 @@
 	}
 }
 
+// A stream holds records that an old snapshot has and many after it. A new VM
+// takes the newest whole snapshot and reads little; one torn in the span is no
+// snapshot, so it looks further back, to the stream's begin if there is none.
+func TestStartFromTheNewestSnapshot(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, new, torn bool
+		reads          platformlog.Offset
+	}{
+		"newest": {old: true, new: true, reads: 17},
+		"old":    {old: true, reads: 65},
+		"torn":   {old: true, new: true, torn: true, reads: 65},
+		"none":   {reads: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, logserver.Config{}, func(b *bed) {
+				a := b.start("a", false)
+				put := func(write bool, from int) {
+					for _, part := range a.snapshot("a")[from:] {
+						if data, _ := json.Marshal(part); write {
+							b.say(string(data))
+						}
+					}
+				}
+				b.say(strings.Repeat("x ", 200))
+				put(c.old, 0)
+				b.say(strings.Repeat("y ", 30))
+				if c.torn {
+					put(c.new, 1)
+				} else {
+					put(c.new, 0)
+				}
+				b.say("z z z")
+				end := b.replicas["a"].next()
+				fresh := b.start("new", false)
+				time.Sleep(time.Second)
+				b.want(a.words(), "a", "new")
+				if c.reads != 0 && fresh.start.first != end-1-(c.reads-1) {
+					t.Errorf("began %d records before the end, want %d", end-fresh.start.first, c.reads)
+				}
+			})
+		})
+	}
+}
+
 // A snapshot is due and the state takes long to encode. The VM folds and answers
 // meanwhile; with the lock held it would answer nobody, and this test would hang.
 func TestFollowsWhileItEncodes(t *testing.T) {
