--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -27,7 +27,9 @@
 const (
 	// DefaultDialTimeout bounds connecting to a peer in another region.
 	DefaultDialTimeout = time.Second
-	// callTimeout bounds a call whose context has no deadline.
+	// callTimeout bounds a call whose context has no earlier deadline. A peer in
+	// another region answers within 300 ms, so 10 s leave room for a snapshot on a
+	// slow link.
 	callTimeout = 10 * time.Second
 )
 
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// appendTimeout bounds an append whose context has no deadline: a log that
-	// is slower is treated as one that lost the answer.
+	// appendTimeout bounds an append whose context has no earlier deadline: a log
+	// that is slower is treated as one that lost the answer.
 	appendTimeout = 5 * time.Second
 	// readGrace is what a read may take beyond its own wait.
 	readGrace = 5 * time.Second
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -7,13 +7,8 @@
 	"time"
 
 	"bergamotreel/internal/httpjson"
-
-	"github.com/zeebo/errs"
 )
 
-// ErrUnavailable says that the list did not answer.
-var ErrUnavailable = errs.New("VM list unavailable")
-
 // listTimeout bounds one call; the list is asked again soon anyway.
 const listTimeout = 5 * time.Second
 
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -12,6 +12,9 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("vmlist")
 
+// ErrUnavailable says that the list did not answer.
+var ErrUnavailable = errs.New("VM list unavailable")
+
 // Kind says what runs on a VM.
 type Kind string
 
@@ -47,5 +50,8 @@
 
 // Lister is what the rest of the system uses of the VM list.
 type Lister interface {
+	// List returns the newest list that the platform gives. It fails with
+	// ErrUnavailable; asking again is harmless. The caller must not take a failure
+	// for an empty list: it would take all VMs for gone.
 	List(ctx context.Context) (List, error)
 }
--- a/weightstore/client.go
+++ b/weightstore/client.go
@@ -8,13 +8,8 @@
 	"time"
 
 	"bergamotreel/internal/httpjson"
-
-	"github.com/zeebo/errs"
 )
 
-// ErrUnavailable says that the store did not answer.
-var ErrUnavailable = errs.New("weight store unavailable")
-
 // askTimeout bounds a question; a fetch is bounded by its caller only.
 const askTimeout = 5 * time.Second
 
--- a/weightstore/weightstore.go
+++ b/weightstore/weightstore.go
@@ -12,8 +12,12 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("weightstore")
 
-// ErrNotFound says that the store has no such checkpoint.
-var ErrNotFound = errs.New("checkpoint not found")
+var (
+	// ErrNotFound says that the store has no such checkpoint.
+	ErrNotFound = errs.New("checkpoint not found")
+	// ErrUnavailable says that the store did not answer.
+	ErrUnavailable = errs.New("weight store unavailable")
+)
 
 // Checkpoint describes one stored checkpoint.
 type Checkpoint struct {
@@ -36,6 +40,9 @@
 
 // Store is what the rest of the system uses of the weight store.
 type Store interface {
+	// Checkpoint returns the size of a checkpoint. It fails with ErrNotFound or
+	// ErrUnavailable.
 	Checkpoint(ctx context.Context, name string) (Checkpoint, error)
+	// Status returns the store's limits and its load. It fails with ErrUnavailable.
 	Status(ctx context.Context) (Status, error)
 }
