--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -9,10 +9,11 @@
 	"crypto/x509"
 	"errors"
 	"math/big"
-	"net"
 	"sync"
 	"testing"
 	"time"
+
+	"bergamotreel/internal/pipenet"
 )
 
 var fleetSecret = []byte("0123456789abcdef0123456789abcdef")
@@ -45,47 +46,8 @@
 	return ClaimReply{Applied: uint64(query.Shard), Held: true}
 }
 
-// pipes is a network of one address in memory, so that time is virtual.
-type pipes struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func newPipes() *pipes {
-	return &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case conn := <-p.conns:
-		return conn, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error {
-	p.once.Do(func() { close(p.done) })
-	return nil
-}
-
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	ours, theirs := net.Pipe()
-	select {
-	case p.conns <- theirs:
-		return ours, nil
-	case <-p.done:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // start serves the handler and returns how to stop it.
-func start(t *testing.T, p *pipes, handler Handler, config *tls.Config) (stop func()) {
+func start(t *testing.T, p *pipenet.Listener, handler Handler, config *tls.Config) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() { ended <- Serve(ctx, p, fleetSecret, handler, config) }()
@@ -97,12 +59,12 @@
 	}
 }
 
-func newTestClient(t *testing.T, p *pipes, secret []byte, config *tls.Config) *Client {
+func newTestClient(t *testing.T, p *pipenet.Listener, secret []byte, config *tls.Config) *Client {
 	client, err := NewClient(secret, 0, config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	client.dialTCP = p.dial
+	client.dialTCP = p.DialContext
 	return client
 }
 
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bergamotreel/internal/pipenet"
 )
 
 func TestMessagesOverTCP(t *testing.T) {
@@ -81,19 +83,19 @@
 	cases := map[string]struct {
 		secret   []byte
 		config   *tls.Config
-		stranger func(network *pipes, ours net.Conn)
+		stranger func(network *pipenet.Listener, ours net.Conn)
 	}{
 		"caller with another secret": {secret: otherSecret},
-		"callee with another secret": {fleetSecret, nil, func(_ *pipes, conn net.Conn) {
+		"callee with another secret": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) {
 			_ = shakeAsServer(conn, otherSecret)
 		}},
-		"callee reflects the proof": {fleetSecret, nil, func(_ *pipes, conn net.Conn) { _, _ = io.Copy(conn, conn) }},
-		"callee stays silent":       {fleetSecret, nil, func(_ *pipes, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }},
-		"callee speaks HTTP": {fleetSecret, nil, func(_ *pipes, conn net.Conn) {
+		"callee reflects the proof": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(conn, conn) }},
+		"callee stays silent":       {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }},
+		"callee speaks HTTP": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
 		}},
-		"relay between TLS sessions": {fleetSecret, config, func(network *pipes, conn net.Conn) {
-			onward, err := network.dial(context.Background(), "", "")
+		"relay between TLS sessions": {fleetSecret, config, func(network *pipenet.Listener, conn net.Conn) {
+			onward, err := network.DialContext(context.Background(), "", "")
 			if err != nil {
 				return
 			}
@@ -103,7 +105,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				network, handler := newPipes(), &recorder{}
+				network, handler := pipenet.Listen(), &recorder{}
 				stop := start(t, network, handler, c.config)
 				defer stop()
 				client := newTestClient(t, network, c.secret, c.config)
@@ -160,7 +162,7 @@
 // restarts. The caller notices none of it: its call goes over a fresh connection.
 func TestCallsReconnect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network, handler := newPipes(), &recorder{}
+		network, handler := pipenet.Listen(), &recorder{}
 		client := newTestClient(t, network, fleetSecret, nil)
 		exchange := func(when string) {
 			t.Helper()
@@ -170,7 +172,7 @@
 		}
 		var line *breakable
 		client.dialTCP = func(ctx context.Context, _, _ string) (net.Conn, error) {
-			conn, err := network.dial(ctx, "", "")
+			conn, err := network.DialContext(ctx, "", "")
 			line = &breakable{Conn: conn}
 			return line, err
 		}
@@ -181,8 +183,8 @@
 		time.Sleep(2 * idleTimeout)
 		exchange("after the idle timeout")
 		stop()
-		restarted := newPipes()
-		client.dialTCP = restarted.dial
+		restarted := pipenet.Listen()
+		client.dialTCP = restarted.DialContext
 		stop = start(t, restarted, handler, nil)
 		exchange("after the restart")
 		stop()
@@ -202,13 +204,13 @@
 // with its own deadline, and the next one is not caught in the same connection.
 func TestDeadlineLeavesSilentPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newPipes()
+		network := pipenet.Listen()
 		stop := start(t, network, &recorder{}, nil)
 		defer stop()
 		client := newTestClient(t, network, fleetSecret, nil)
 		defer client.Close()
 		client.dialTCP = func(context.Context, string, string) (net.Conn, error) {
-			client.dialTCP = network.dial
+			client.dialTCP = network.DialContext
 			ours, theirs := net.Pipe()
 			go func() {
 				_ = shakeAsServer(theirs, fleetSecret)
@@ -232,8 +234,8 @@
 }
 
 // dialRaw connects past the client and sends a hello.
-func dialRaw(t *testing.T, network *pipes) net.Conn {
-	conn, err := network.dial(t.Context(), "", "")
+func dialRaw(t *testing.T, network *pipenet.Listener) net.Conn {
+	conn, err := network.DialContext(t.Context(), "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -256,7 +258,7 @@
 // must not even get our proof, at which it could try secrets.
 func TestServerProvesNothingToStrangers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newPipes()
+		network := pipenet.Listen()
 		stop := start(t, network, &recorder{}, nil)
 		defer stop()
 		conn := dialRaw(t, network)
@@ -277,7 +279,7 @@
 // receiver must not allocate it, the sender must say so.
 func TestMessagesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newPipes()
+		network := pipenet.Listen()
 		handler := &recorder{records: Records{Snapshot: [][]byte{make([]byte, MaxMessageBytes)}}}
 		stop := start(t, network, handler, nil)
 		defer stop()
@@ -320,7 +322,7 @@
 	if _, err := NewClient([]byte("short"), 0, nil); err == nil {
 		t.Error("client took a short secret")
 	}
-	if err := Serve(t.Context(), newPipes(), []byte("short"), &recorder{}, nil); err == nil {
+	if err := Serve(t.Context(), pipenet.Listen(), []byte("short"), &recorder{}, nil); err == nil {
 		t.Error("server took a short secret")
 	}
 }
--- a/internal/sendonce/multiplexed_test.go
+++ b/internal/sendonce/multiplexed_test.go
@@ -92,28 +92,16 @@
 		"go away": func(_ net.Conn, out chan<- []byte) { out <- frame(frameGoAway, 0, 0, number(1)+number(0)) },
 		"refused": func(_ net.Conn, out chan<- []byte) { out <- frame(frameReset, 0, 3, number(refusedStream)) },
 	} {
-		for _, method := range []string{"GET", "HEAD", "POST", "PUT", "DELETE"} {
-			for _, body := range []string{"", `{"slot":"7"}`} {
-				synctest.Test(t, func(t *testing.T) {
-					s := multiplexedServer{second: second}
-					client := NewMultiplexedClientDialing(s.dial)
-					defer client.CloseIdleConnections()
-					first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
-					if err != nil {
-						t.Fatal(err)
-					}
-					first.Body.Close()
-					synctest.Wait()
-					_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
-					if err == nil || !sent {
-						t.Errorf("%s, %s %q: sent %v, error %v", name, method, body, sent, err)
-					}
-					if n := s.requests.Load(); n != 2 {
-						t.Errorf("%s, %s %q: %d requests came instead of 2", name, method, body, n)
-					}
-				})
+		t.Run(name, func(t *testing.T) {
+			for _, method := range []string{"GET", "HEAD", "POST", "PUT", "DELETE"} {
+				for _, body := range []string{"", `{"slot":"7"}`} {
+					synctest.Test(t, func(t *testing.T) {
+						s := multiplexedServer{second: second}
+						wantSecondNotRepeated(t, NewMultiplexedClientDialing(s.dial), method, body, &s.requests)
+					})
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -54,6 +54,26 @@
 	return request
 }
 
+// wantSecondNotRepeated makes two calls over one connection, of which the first
+// is answered and the second fails: it counts as sent, and was sent once.
+func wantSecondNotRepeated(t *testing.T, client *http.Client, method, body string, requests *atomic.Int32) {
+	t.Helper()
+	defer client.CloseIdleConnections()
+	first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Body.Close()
+	synctest.Wait()
+	_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
+	if err == nil || !sent {
+		t.Errorf("%s %q: sent %v, error %v", method, body, sent, err)
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("%s %q: %d requests came instead of 2", method, body, n)
+	}
+}
+
 // The caller sees one failed call, and the backend server ran it once.
 // The connection was used before; the backend server runs the second call and
 // dies before it answers. net/http takes that for a stale connection and
@@ -63,21 +83,7 @@
 		for _, body := range []string{"", `{"slot":"7"}`} {
 			synctest.Test(t, func(t *testing.T) {
 				var s server
-				client := NewClientDialing(s.dial)
-				defer client.CloseIdleConnections()
-				first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
-				if err != nil {
-					t.Fatal(err)
-				}
-				first.Body.Close()
-				synctest.Wait()
-				_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
-				if err == nil || !sent {
-					t.Errorf("%s %q: sent %v, error %v", method, body, sent, err)
-				}
-				if n := s.requests.Load(); n != 2 {
-					t.Errorf("%s %q: %d requests ran instead of 2", method, body, n)
-				}
+				wantSecondNotRepeated(t, NewClientDialing(s.dial), method, body, &s.requests)
 			})
 		}
 	}
--- a/internal/sendonce/shared_test.go
+++ b/internal/sendonce/shared_test.go
@@ -9,21 +9,9 @@
 	"strings"
 	"testing"
 	"testing/synctest"
-)
-
-// pipes listens for the far ends of pipes.
-type pipes chan net.Conn
 
-func (p pipes) Accept() (net.Conn, error) {
-	c, ok := <-p
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (p pipes) Close() error   { close(p); return nil }
-func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+	"bergamotreel/internal/pipenet"
+)
 
 // endless sends a line for each that the test asks for on path /asked, and as
 // many as the client takes on every other path.
@@ -49,17 +37,15 @@
 // that stopped the connection, one slow caller would stop all.
 func TestSlowAndLeavingStreamsStopNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		listener, ask, dials := make(pipes), make(chan struct{}), 0
+		network, ask, dials := pipenet.Listen(), make(chan struct{}), 0
 		var protocols http.Protocols
 		protocols.SetUnencryptedHTTP2(true)
 		server := &http.Server{Handler: endless(ask), Protocols: &protocols}
-		go server.Serve(listener)
+		go server.Serve(network)
 		defer server.Close()
-		client := NewMultiplexedClientDialing(func(context.Context, string, string) (net.Conn, error) {
+		client := NewMultiplexedClientDialing(func(ctx context.Context, _, _ string) (net.Conn, error) {
 			dials++
-			near, far := net.Pipe()
-			listener <- far
-			return near, nil
+			return network.DialContext(ctx, "", "")
 		})
 		defer client.CloseIdleConnections()
 		open := func(path string) (io.Reader, context.CancelFunc) {
--- a/internal/standin/engineserver/engineserver_test.go
+++ b/internal/standin/engineserver/engineserver_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/standin/engineserver"
 )
@@ -48,59 +49,38 @@
 			}, nil})
 		})
 	})
-	onHTTP(t, test)
-	onHTTP2(t, test)
+	onHTTP(t, "http", false, test)
+	onHTTP(t, "http2", true, test)
 }
 
-func onHTTP(t *testing.T, test func(b bed)) {
-	t.Run("http", func(t *testing.T) {
+// onHTTP runs a test over HTTP/1.1; with http2 its streams go over HTTP/2 once the
+// engine has said that it speaks it.
+func onHTTP(t *testing.T, name string, http2 bool, test func(b bed)) {
+	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			listeners := map[string]pipeListener{}
-			dials := 0
-			client := sendonce.NewClientDialing(func(_ context.Context, _, address string) (net.Conn, error) {
+			listeners, dials := map[string]*pipenet.Listener{}, 0
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 				dials++
-				near, far := net.Pipe()
-				listeners[strings.TrimSuffix(address, ":80")] <- far
-				return near, nil
-			})
-			t.Cleanup(client.CloseIdleConnections)
-			test(bed{t, engine.NewClient(client), func(address string, options engineserver.Options) *engineserver.Engine {
-				e := newEngine(t, options)
-				listeners[address] = make(pipeListener)
-				server := &http.Server{Handler: e.Handler()}
-				go server.Serve(listeners[address])
-				t.Cleanup(func() { server.Close() })
-				return e
-			}, &dials})
-		})
-	})
-}
-
-// onHTTP2 runs a test whose streams go over HTTP/2 once the engine has said that
-// it speaks it.
-func onHTTP2(t *testing.T, test func(b bed)) {
-	t.Run("http2", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			listeners := map[string]pipeListener{}
-			dial := func(_ context.Context, _, address string) (net.Conn, error) {
-				near, far := net.Pipe()
-				listeners[strings.TrimSuffix(address, ":80")] <- far
-				return near, nil
+				return listeners[strings.TrimSuffix(address, ":80")].DialContext(ctx, network, address)
 			}
 			single, multiplexed := sendonce.NewClientDialing(dial), sendonce.NewMultiplexedClientDialing(dial)
 			t.Cleanup(single.CloseIdleConnections)
 			t.Cleanup(multiplexed.CloseIdleConnections)
+			client := engine.NewClient(single)
+			if http2 {
+				client = client.WithMultiplexed(multiplexed)
+			}
 			var protocols http.Protocols
 			protocols.SetHTTP1(true)
-			protocols.SetUnencryptedHTTP2(true)
-			test(bed{t, engine.NewClient(single).WithMultiplexed(multiplexed), func(address string, options engineserver.Options) *engineserver.Engine {
+			protocols.SetUnencryptedHTTP2(http2)
+			test(bed{t, client, func(address string, options engineserver.Options) *engineserver.Engine {
 				e := newEngine(t, options)
-				listeners[address] = make(pipeListener)
+				listeners[address] = pipenet.Listen()
 				server := &http.Server{Handler: e.Handler(), Protocols: &protocols}
 				go server.Serve(listeners[address])
 				t.Cleanup(func() { server.Close() })
 				return e
-			}, nil})
+			}, &dials})
 		})
 	})
 }
@@ -113,20 +93,6 @@
 	return e
 }
 
-// pipeListener hands out the far ends of pipes.
-type pipeListener chan net.Conn
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	c, ok := <-l
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l pipeListener) Close() error   { close(l); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // check fails the test unless err is want; nil wants no error.
 func (b bed) check(err, want error) {
 	b.Helper()
@@ -143,14 +109,36 @@
 	return engine.Order{Token: at, Action: engine.ActionUnload, Unit: unit}
 }
 
+// order sends an order that must end with want; nil: it is taken.
+func (b bed) order(address string, order engine.Order, want error) engine.Status {
+	b.Helper()
+	status, err := b.Order(b.Context(), address, order)
+	b.check(err, want)
+	return status
+}
+
 // load loads a unit and waits for it.
 func (b bed) load(address, unit string) {
 	b.Helper()
-	_, err := b.Order(b.Context(), address, loadOrder(1, unit))
-	b.check(err, nil)
+	b.order(address, loadOrder(1, unit), nil)
 	time.Sleep(2 * loadTime)
 }
 
+// loaded starts an engine "a" that has loaded unit "m".
+func (b bed) loaded(options engineserver.Options) *engineserver.Engine {
+	b.Helper()
+	e := b.start("a", options)
+	b.load("a", "m")
+	return e
+}
+
+// refuse sends a request that must fail with want.
+func (b bed) refuse(address string, r engine.Request, want error) {
+	b.Helper()
+	_, err := b.Generate(b.Context(), address, r)
+	b.check(err, want)
+}
+
 func (b bed) status(address string) engine.Status {
 	b.Helper()
 	status, err := b.Status(b.Context(), address)
--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -12,10 +12,8 @@
 func TestUnitLoadsAnswersAndUnloads(t *testing.T) {
 	onBoth(t, func(b bed) {
 		e := b.start("a", engineserver.Options{})
-		_, err := b.Generate(b.Context(), "a", request("r0", "m", "hello", 3))
-		b.check(err, engine.ErrNotLoaded)
-		status, err := b.Order(b.Context(), "a", loadOrder(1, "m"))
-		b.check(err, nil)
+		b.refuse("a", request("r0", "m", "hello", 3), engine.ErrNotLoaded)
+		status := b.order("a", loadOrder(1, "m"), nil)
 		if len(status.Units) != 1 || status.Units[0].Phase != engine.PhaseLoading {
 			b.Errorf("after the order: %v", status.Units)
 		}
@@ -23,11 +21,9 @@
 		b.wantPhases("a", "m ready")
 		r := request("r1", "m", "hello", 5)
 		stream := b.generate("a", r)
-		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
-		b.check(err, nil)
+		b.order("a", unloadOrder(2, "m"), nil)
 		b.wantPhases("a", "m unloading")
-		_, err = b.Generate(b.Context(), "a", request("r2", "m", "hello", 3))
-		b.check(err, engine.ErrNotLoaded)
+		b.refuse("a", request("r2", "m", "hello", 3), engine.ErrNotLoaded)
 		b.wantWhole(stream, r)
 		b.wantPhases("a", "")
 		if tier := b.status("a").Cached["m.ckpt"]; tier != engine.TierMemory {
@@ -47,16 +43,12 @@
 		e := b.start("a", engineserver.Options{MemoryBytes: 2*unitBytes + 1})
 		b.load("a", "m1")
 		stream := b.generate("a", request("r", "m1", "hello", 300))
-		_, err := b.Order(b.Context(), "a", unloadOrder(2, "m1"))
-		b.check(err, nil)
-		_, err = b.Order(b.Context(), "a", loadOrder(3, "m2"))
-		b.check(err, nil)
+		b.order("a", unloadOrder(2, "m1"), nil)
+		b.order("a", loadOrder(3, "m2"), nil)
 		b.wantPhases("a", "m1 unloading, m2 loading")
-		_, err = b.Order(b.Context(), "a", loadOrder(4, "m3"))
-		b.check(err, engine.ErrNoMemory)
+		b.order("a", loadOrder(4, "m3"), engine.ErrNoMemory)
 		_, _, _ = read(stream)
-		_, err = b.Order(b.Context(), "a", loadOrder(4, "m3"))
-		b.check(err, nil)
+		b.order("a", loadOrder(4, "m3"), nil)
 		if records := e.Records(); records.Overcommits != 1 || records.MaxMemory != 2*unitBytes {
 			b.Errorf("%+v", records)
 		}
@@ -68,17 +60,12 @@
 		b.start("a", engineserver.Options{})
 		adapter := loadOrder(1, "lora")
 		adapter.Base = "m"
-		_, err := b.Order(b.Context(), "a", adapter)
-		b.check(err, engine.ErrNotLoaded)
+		b.order("a", adapter, engine.ErrNotLoaded)
 		b.load("a", "m")
-		_, err = b.Order(b.Context(), "a", adapter)
-		b.check(err, nil)
-		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
-		b.check(err, engine.ErrInUse)
-		_, err = b.Order(b.Context(), "a", unloadOrder(2, "lora"))
-		b.check(err, nil)
-		_, err = b.Order(b.Context(), "a", unloadOrder(2, "m"))
-		b.check(err, nil)
+		b.order("a", adapter, nil)
+		b.order("a", unloadOrder(2, "m"), engine.ErrInUse)
+		b.order("a", unloadOrder(2, "lora"), nil)
+		b.order("a", unloadOrder(2, "m"), nil)
 		b.wantPhases("a", "")
 	})
 }
@@ -96,8 +83,7 @@
 			defer cancel()
 			_, err := b.Order(impatient, "a", loadOrder(5, "m"))
 			b.check(err, engine.ErrOutcomeUnknown)
-			_, err = b.Order(b.Context(), "a", engine.Order{Token: 6, Action: engine.ActionFence})
-			b.check(err, nil)
+			b.order("a", engine.Order{Token: 6, Action: engine.ActionFence}, nil)
 			b.wantPhases("a", "")
 			time.Sleep(time.Minute)
 			want := map[bool]string{true: "", false: "m ready"}[checks]
@@ -106,8 +92,7 @@
 			if late.Order.Unit != "m" || (late.Refused != "") != checks {
 				b.Errorf("late order: %+v", late)
 			}
-			_, err = b.Order(b.Context(), "a", loadOrder(4, "m2"))
-			b.check(err, map[bool]error{true: engine.ErrStaleToken}[checks])
+			b.order("a", loadOrder(4, "m2"), map[bool]error{true: engine.ErrStaleToken}[checks])
 		})
 	}
 }
@@ -118,8 +103,7 @@
 	onBoth(t, func(b bed) {
 		e := b.start("a", engineserver.Options{})
 		e.SetFaults(engineserver.Faults{LoseOrderAnswers: 1})
-		_, err := b.Order(b.Context(), "a", loadOrder(1, "m"))
-		b.check(err, engine.ErrOutcomeUnknown)
+		b.order("a", loadOrder(1, "m"), engine.ErrOutcomeUnknown)
 		b.wantPhases("a", "m loading")
 		b.load("a", "m")
 		b.wantPhases("a", "m ready")
@@ -157,9 +141,8 @@
 			before := b.status("a").Incarnation
 			stream := b.generate("a", request("r", "m1", "hello", 1000))
 			e.SetFaults(engineserver.Faults{DieWhileLoading: true})
-			_, err := b.Order(b.Context(), "a", loadOrder(9, "m2"))
-			b.check(err, nil)
-			_, _, err = read(stream)
+			b.order("a", loadOrder(9, "m2"), nil)
+			_, _, err := read(stream)
 			b.check(err, engine.ErrBrokenStream)
 			time.Sleep(time.Minute)
 			after := b.status("a")
--- a/internal/standin/engineserver/streams_test.go
+++ b/internal/standin/engineserver/streams_test.go
@@ -17,16 +17,13 @@
 // the same identity must not get that stream.
 func TestSameRequestRunsOnce(t *testing.T) {
 	onBoth(t, func(b bed) {
-		e := b.start("a", engineserver.Options{})
-		b.load("a", "m")
+		e := b.loaded(engineserver.Options{})
 		e.SetFaults(engineserver.Faults{LoseStreamAnswers: 1})
 		r := request("r", "m", "hello", 8)
-		_, err := b.Generate(b.Context(), "a", r)
-		b.check(err, engine.ErrOutcomeUnknown)
+		b.refuse("a", r, engine.ErrOutcomeUnknown)
 		b.wantWhole(b.generate("a", r), r)
 		b.wantWhole(b.generate("a", r), r)
-		_, err = b.Generate(b.Context(), "a", request("r", "m", "bye", 8))
-		b.check(err, engine.ErrIDConflict)
+		b.refuse("a", request("r", "m", "bye", 8), engine.ErrIDConflict)
 		if ran := e.Records().Ran["r"]; ran != 1 {
 			b.Errorf("ran %d times", ran)
 		}
@@ -38,8 +35,7 @@
 func TestBrokenStreamIsResumed(t *testing.T) {
 	for _, inGoodOrder := range []bool{false, true} {
 		onBoth(t, func(b bed) {
-			e := b.start("a", engineserver.Options{})
-			b.load("a", "m")
+			e := b.loaded(engineserver.Options{})
 			e.SetFaults(engineserver.Faults{DropStreamsAfter: 3, EndStreamsEarly: inGoodOrder})
 			r := request("r", "m", "hello", 8)
 			text, chunks, err := read(b.generate("a", r))
@@ -66,8 +62,7 @@
 // another stream into this one.
 func TestCrossedChunkIsNoticed(t *testing.T) {
 	onBoth(t, func(b bed) {
-		e := b.start("a", engineserver.Options{})
-		b.load("a", "m")
+		e := b.loaded(engineserver.Options{})
 		e.SetFaults(engineserver.Faults{CrossChunk: 2})
 		_, chunks, err := read(b.generate("a", request("r", "m", "hello", 8)))
 		b.check(err, engine.ErrBrokenStream)
@@ -79,8 +74,7 @@
 
 func TestCancelFreesTheSlot(t *testing.T) {
 	onBoth(t, func(b bed) {
-		b.start("a", engineserver.Options{Slots: 1})
-		b.load("a", "m")
+		b.loaded(engineserver.Options{Slots: 1})
 		long := b.generate("a", request("long", "m", "hello", 100000))
 		r := request("next", "m", "hello", 2)
 		waiting := b.generate("a", r)
@@ -94,16 +88,14 @@
 
 func TestQueueHonoursPriorityAndItsBound(t *testing.T) {
 	onBoth(t, func(b bed) {
-		e := b.start("a", engineserver.Options{Slots: 1, QueueLimit: 2})
-		b.load("a", "m")
+		e := b.loaded(engineserver.Options{Slots: 1, QueueLimit: 2})
 		first := b.generate("a", request("first", "m", "hello", 3))
 		defer first.Close()
 		synctest.Wait()
 		low, high := request("low", "m", "hello", 3), request("high", "m", "hello", 3)
 		high.Priority = 1
 		lowStream, highStream := b.generate("a", low), b.generate("a", high)
-		_, err := b.Generate(b.Context(), "a", request("over", "m", "hello", 3))
-		b.check(err, engine.ErrBusy)
+		b.refuse("a", request("over", "m", "hello", 3), engine.ErrBusy)
 		begun := time.Now()
 		b.wantWhole(highStream, high)
 		if took := time.Since(begun); took != 6*token {
@@ -111,15 +103,13 @@
 		}
 		b.wantWhole(lowStream, low)
 		e.SetDraining(true)
-		_, err = b.Generate(b.Context(), "a", request("late", "m", "hello", 3))
-		b.check(err, engine.ErrBusy)
+		b.refuse("a", request("late", "m", "hello", 3), engine.ErrBusy)
 	})
 }
 
 func TestBatchShares(t *testing.T) {
 	onBoth(t, func(b bed) {
-		b.start("a", engineserver.Options{Slots: 2, TokenTimePerRequest: token / 2, LoadLag: 100 * time.Millisecond})
-		b.load("a", "m")
+		b.loaded(engineserver.Options{Slots: 2, TokenTimePerRequest: token / 2, LoadLag: 100 * time.Millisecond})
 		begun := time.Now()
 		one, two := request("one", "m", "hello", 10), request("two", "m", "hello", 10)
 		first, second := b.generate("a", one), b.generate("a", two)
@@ -142,10 +132,9 @@
 // second request with it still answers sooner.
 func TestPrefixCache(t *testing.T) {
 	onBoth(t, func(b bed) {
-		b.start("a", engineserver.Options{
+		b.loaded(engineserver.Options{
 			PrefillTime: time.Millisecond, CachePrefixes: 4, CacheLag: time.Second, CacheGap: 2,
 		})
-		b.load("a", "m")
 		prompt := strings.Repeat("bring back the tenor pan. ", 40)
 		var took [2]time.Duration
 		for i, id := range []string{"r1", "r2"} {
@@ -178,11 +167,9 @@
 		decode := b.start("d", engineserver.Options{})
 		b.load("p", "m")
 		b.load("d", "m")
-		_, err := b.Order(b.Context(), "d", engine.Order{Token: 1, Action: engine.ActionRole, Role: engine.RoleDecode})
-		b.check(err, nil)
+		b.order("d", engine.Order{Token: 1, Action: engine.ActionRole, Role: engine.RoleDecode}, nil)
 		r := request("r", "m", "hello", 8)
-		_, err = b.Generate(b.Context(), "d", r)
-		b.check(err, engine.ErrWrongRole)
+		b.refuse("d", r, engine.ErrWrongRole)
 		text, chunks, err := read(b.generate("p", r))
 		b.check(err, engine.ErrBrokenStream)
 		for range 2 { // the second time as after a lost answer
@@ -225,9 +212,8 @@
 // The caller waits for no new connection: one that carried a whole answer is
 // used for the next.
 func TestConnectionServesTheNextStream(t *testing.T) {
-	onHTTP(t, func(b bed) {
-		b.start("a", engineserver.Options{})
-		b.load("a", "m")
+	onHTTP(t, "http", false, func(b bed) {
+		b.loaded(engineserver.Options{})
 		for _, id := range []string{"r1", "r2", "r3"} {
 			r := request(id, "m", "hello", 3)
 			b.wantWhole(b.generate("a", r), r)
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/standin/serviceserver"
 	"bergamotreel/service"
@@ -38,32 +39,15 @@
 
 // overPipes returns a client whose every connection leads to the handler.
 func overPipes(t *testing.T, handler http.Handler) service.Client {
-	listener := make(pipeListener)
+	network := pipenet.Listen()
 	server := &http.Server{Handler: handler}
-	go server.Serve(listener)
+	go server.Serve(network)
 	t.Cleanup(func() { server.Close() })
-	client := sendonce.NewClientDialing(func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		listener <- far
-		return near, nil
-	})
+	client := sendonce.NewClientDialing(network.DialContext)
 	t.Cleanup(client.CloseIdleConnections)
 	return service.NewClient(client)
 }
 
-// pipeListener hands out the far ends of pipes.
-type pipeListener chan net.Conn
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	if c, ok := <-l; ok {
-		return c, nil
-	}
-	return nil, net.ErrClosed
-}
-
-func (l pipeListener) Close() error   { close(l); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 func book(id string) service.Call {
 	return service.Call{
 		RequestID: id, Method: http.MethodPost, Path: "/book?shop=arima",
