--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -13,8 +13,8 @@
 func TestOperatorsBeforeState(t *testing.T) {
 	inSystem(t, true, text(1), func(s *system) {
 		s.log.View("late").Cut()
-		late := s.start("late", "late")
 		s.mesh.separate("late", true)
+		late := s.start("late", "late")
 		time.Sleep(5 * time.Second)
 		o := late.Operators()
 		_, contracts := o.Contracts(s.ctx)
