node: choose the engines to keep only when entry VMs or engines change

keeps hashed all engines over their domain's entry VMs at each tick of the keeper, twice a second. It remembers the answer now with what it rests on: the number of the engines' listing, who is present, which domains are awaited after a start.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,9 +81,11 @@
 	mu       sync.Mutex
 	list     vmlist.List
 	listedAt time.Time
-	engines  map[string]*entry
-	changed  func(news bool)
-	onList   func(time.Time, vmlist.List)
+	// listing grows whenever an engine is listed, dropped or listed otherwise.
+	listing uint64
+	engines map[string]*entry
+	changed func(news bool)
+	onList  func(time.Time, vmlist.List)
 	// turns are the questions left to strangers, as of turnedAt.
 	turns    float64
 	turnedAt time.Time
@@ -198,11 +200,15 @@
 			e = &entry{}
 			f.engines[vm.Address] = e
 		}
-		e.VM = vm
+		if e.VM != vm {
+			e.VM = vm
+			f.listing++
+		}
 	}
 	for address := range f.engines {
 		if !listed[address] {
 			delete(f.engines, address)
+			f.listing++
 			gone = append(gone, address)
 		}
 	}
@@ -232,6 +238,14 @@
 	return out
 }
 
+// Listing is a number that grows whenever the VM list has other engines than
+// before, or says something else of one.
+func (f *Fleet) Listing() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listing
+}
+
 // VMs returns the listed VMs of a kind.
 func (f *Fleet) VMs(kind vmlist.Kind) []vmlist.VM {
 	f.mu.Lock()
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -9,9 +10,21 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/standin/vmlistserver"
 	"bergamotreel/state"
+	"bergamotreel/vmlist"
 )
 
+// heardVMs are digests of all of so many entry VMs but the first.
+func heardVMs(vms int) []entryvm.Digest {
+	var heard []entryvm.Digest
+	for i := 1; i < vms; i++ {
+		heard = append(heard, entryvm.Digest{VM: fmt.Sprintf("vm-%05d", i), Incarnation: "i", Sequence: 1})
+	}
+	return heard
+}
+
 // BenchmarkIsChosen is the question whether this VM plans one unit, among so
 // many live entry VMs; "planned" is how the planner asks it in each plan for all
 // its units, 1,000 here, after the first one since a VM came or went.
@@ -23,11 +36,7 @@
 	for _, vms := range []int{9, 486, 3400} {
 		n := New(Config{VM: "vm-00000", Incarnation: "i", Logger: zap.NewNop(),
 			Rand: rand.New(rand.NewSource(1)), HeardFor: time.Hour})
-		var heard []entryvm.Digest
-		for i := 1; i < vms; i++ {
-			heard = append(heard, entryvm.Digest{VM: fmt.Sprintf("vm-%05d", i), Incarnation: "i", Sequence: 1})
-		}
-		n.gossip.Exchange(heard)
+		n.gossip.Exchange(heardVMs(vms))
 		b.Run(fmt.Sprint(vms), func(b *testing.B) {
 			for b.Loop() {
 				n.isChosen("adapter-00001")
@@ -82,3 +91,33 @@
 		})
 	}
 }
+
+// BenchmarkKeeps is the keeper's question which engines to keep, twice a second,
+// among so many live entry VMs of one domain with three engines each: the first
+// time after a VM came or went, and again.
+func BenchmarkKeeps(b *testing.B) {
+	for _, vms := range []int{9, 486, 3400} {
+		var engines []vmlist.VM
+		for i := range 3 * vms {
+			name := fmt.Sprintf("engine-%05d", i)
+			engines = append(engines, vmlist.VM{ID: name, Kind: vmlist.KindEngine, Address: name})
+		}
+		n := New(Config{VM: "vm-00000", Incarnation: "i", Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
+			HeardFor: time.Hour, Peers: Peers{VMList: vmlistserver.New(0, engines...), Engines: engineserver.NewFleet()}})
+		n.gossip.Exchange(heardVMs(vms))
+		ctx, stop := context.WithCancel(b.Context())
+		go n.fleet.Run(ctx)
+		for n.fleet.ListedAt().IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+		for _, again := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/again=%v", vms, again), func(b *testing.B) {
+				for b.Loop() {
+					n.kept.known = n.kept.known && again
+					n.keeps()
+				}
+			})
+		}
+	}
+}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -35,42 +35,6 @@
 
 func (n *Node) writesSnapshots() bool { return n.isChosen(snapshotDuty) }
 
-// keeps returns the engines that this VM should keep: each engine is kept in its
-// own failure domain where an entry VM lives there, so that a cut-off domain
-// can go on loading.
-func (n *Node) keeps() []string {
-	if n.isStopping() {
-		return nil
-	}
-	live, domains := n.liveVMs(), n.keepersByDomain()
-	var mine []string
-	for _, e := range n.fleet.Engines() {
-		eligible := domains[e.VM.Domain]
-		if len(eligible) == 0 {
-			eligible = live
-		}
-		if rendezvous.Pick(e.VM.Address, eligible) == n.config.VM {
-			mine = append(mine, e.VM.Address)
-		}
-	}
-	return mine
-}
-
-// keepersByDomain are the entry VMs of each failure domain that should keep its
-// engines: those that are there, and those that may not have been heard yet.
-func (n *Node) keepersByDomain() map[string][]string {
-	domains := map[string][]string{n.config.Domain: {n.config.VM}}
-	for _, p := range n.gossip.Present() {
-		domains[p.Domain] = append(domains[p.Domain], p.VM)
-	}
-	for _, vm := range n.awaited() {
-		if !slices.Contains(domains[vm.Domain], vm.ID) {
-			domains[vm.Domain] = append(domains[vm.Domain], vm.ID)
-		}
-	}
-	return domains
-}
-
 // settleTimeouts is for how many heartbeat timeouts after the start an entry VM
 // waits to hear the others before it takes engines that are theirs.
 const settleTimeouts = 2
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	store   storeWatch
 	uses    *uses
 	shares  *shares
+	kept    keepIndex
 	refused *refusals
 	roster  *roster
 	// peerRefused are the refusals of the other entry VMs.
