state: ChangesSince tells a reader which engines and contracts changed

Cause: the planner looked at all engines and contracts for each plan, as nothing said which of them a record had changed. Weighed: a version on each engine (all must be looked at to find the new ones); a callback (who calls back while the fold holds its lock); a ring of the newest 2,048 changes, read by a cursor. The ring it is: readers only read, any number of them, and one that is too far behind, or meets a restored state, is told to read all.

--- a/state/index.go
+++ b/state/index.go
@@ -33,6 +33,7 @@
 	// forgotten; remembered counts those that were not.
 	landed     []landing
 	remembered int
+	journal    *journal
 }
 
 // unit is what all contracts that name a model or an adapter agree on.
@@ -66,6 +67,7 @@
 	s.index = index{
 		units: map[string]*unit{}, keys: map[string]string{}, holdings: map[string][]Holding{},
 		customerBytes: map[string]int64{}, keeping: map[SessionID]map[string]struct{}{}, live: map[string]int{},
+		journal: &journal{},
 	}
 	for _, published := range s.Contracts {
 		s.index.addContract(published.Contract)
--- a/state/keeper.go
+++ b/state/keeper.go
@@ -25,6 +25,7 @@
 	s.Engines[engine.Name] = engine
 	engine.Keeper, engine.KeeperSession = rev, session.ID
 	engine.Newest = rev
+	s.engineChanged(engine.Name)
 	engine.Formers = slices.DeleteFunc(engine.Formers, func(id SessionID) bool { return id == session.ID })
 	s.index.keep(session.ID, engine.Name)
 	// The new keeper may send a load for each right that stands here, and an
@@ -75,6 +76,7 @@
 	}
 	engine.Incarnation, engine.Domain = meet.Incarnation, meet.Domain
 	engine.MemoryBytes, engine.ChecksTokens = meet.MemoryBytes, meet.ChecksTokens
+	s.engineChanged(engine.Name)
 	return applied
 }
 
@@ -98,6 +100,7 @@
 		s.dropRight(engine, right)
 	}
 	delete(s.Engines, engine.Name)
+	s.engineChanged(engine.Name)
 	return applied
 }
 
@@ -121,6 +124,7 @@
 	s.index.unkeep(engine.KeeperSession, engine.Name)
 	engine.Formers = append(engine.Formers, engine.KeeperSession)
 	engine.KeeperSession = 0
+	s.engineChanged(engine.Name)
 }
 
 // forgive notes that no order of the session can reach the engine any more.
--- a/state/publish.go
+++ b/state/publish.go
@@ -52,6 +52,7 @@
 
 func (s *State) putContract(customer string, published *Published) {
 	s.Contracts[customer] = published
+	s.contractChanged(customer)
 	s.index.newest = max(s.index.newest, published.Version)
 }
 
--- a/state/right.go
+++ b/state/right.go
@@ -52,6 +52,7 @@
 	}
 	right.Wanted = w.Wanted
 	s.Engines[w.Engine].Newest = rev
+	s.engineChanged(w.Engine)
 	return applied
 }
 
@@ -69,6 +70,7 @@
 	}
 	right.Withdrawn, right.Wanted = rev, false
 	s.Engines[w.Engine].Newest = rev
+	s.engineChanged(w.Engine)
 	return applied
 }
 
@@ -136,9 +138,11 @@
 func (s *State) addRight(engine *Engine, right *Right) {
 	engine.Rights[right.Unit] = right
 	s.index.add(engine, right)
+	s.engineChanged(engine.Name)
 }
 
 func (s *State) dropRight(engine *Engine, right *Right) {
 	delete(engine.Rights, right.Unit)
 	s.index.drop(engine, right)
+	s.engineChanged(engine.Name)
 }
