placement, fleet, routing, gossip, contract: what a kept picture of all engines needs

placement.Fleet keeps the places of a unit in the order of the engines' names: ties between them were decided by the order in which engines were set, so that a kept fleet and one made anew planned differently. Touch notes the use of an engine without indexing it again. fleet.Changes names the engines with news.

--- a/contract/lookup.go
+++ b/contract/lookup.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
+	"slices"
 	"time"
 )
 
@@ -60,16 +62,26 @@
 	return -1
 }
 
+// EachUnit yields all models and then all adapters of the contract, without a copy
+// of them all.
+func (c *Contract) EachUnit() iter.Seq[Unit] {
+	return func(yield func(Unit) bool) {
+		for i := range c.Models {
+			if !yield(c.modelUnit(&c.Models[i])) {
+				return
+			}
+		}
+		for i := range c.Adapters {
+			if !yield(c.adapterUnit(&c.Adapters[i])) {
+				return
+			}
+		}
+	}
+}
+
 // Units returns all models and then all adapters of the contract.
 func (c *Contract) Units() []Unit {
-	units := make([]Unit, 0, len(c.Models)+len(c.Adapters))
-	for i := range c.Models {
-		units = append(units, c.modelUnit(&c.Models[i]))
-	}
-	for i := range c.Adapters {
-		units = append(units, c.adapterUnit(&c.Adapters[i]))
-	}
-	return units
+	return slices.AppendSeq(make([]Unit, 0, len(c.Models)+len(c.Adapters)), c.EachUnit())
 }
 
 func (c *Contract) modelUnit(m *Model) Unit {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -84,6 +86,8 @@
 	// listing grows whenever an engine is listed, dropped or listed otherwise.
 	listing uint64
 	engines map[string]*entry
+	// news names the engines of which there is news since Changes was last asked.
+	news    map[string]struct{}
 	changed func(news bool)
 	onList  func(time.Time, vmlist.List)
 	// turns are the questions left to strangers, as of turnedAt.
@@ -145,7 +149,7 @@
 	}
 	return &Fleet{
 		config: config, wake: make(chan struct{}, 1),
-		engines: make(map[string]*entry), changed: changed, onList: onList,
+		engines: make(map[string]*entry), news: make(map[string]struct{}), changed: changed, onList: onList,
 	}
 }
 
@@ -203,12 +207,14 @@
 		if e.VM != vm {
 			e.VM = vm
 			f.listing++
+			f.news[vm.Address] = struct{}{}
 		}
 	}
 	for address := range f.engines {
 		if !listed[address] {
 			delete(f.engines, address)
 			f.listing++
+			f.news[address] = struct{}{}
 			gone = append(gone, address)
 		}
 	}
@@ -226,6 +232,31 @@
 	return e.Engine, true
 }
 
+// silentLong is after what silence an engine that is heard again is news: who
+// counts an engine out by SeenAt, after at least that long, looks at it again.
+const silentLong = 5 * time.Second
+
+// note has an engine named in Changes if it is news. Call with mu held.
+func (f *Fleet) note(now time.Time, e *entry, before Engine, news bool) {
+	if news || e.SeenAt.After(before.SeenAt) && now.Sub(before.SeenAt) >= silentLong {
+		f.news[e.VM.Address] = struct{}{}
+	}
+}
+
+// Changes returns the engines that came, left, were heard again after a silence
+// or said anything new beside their load since it was last asked. It has one
+// reader, the planner.
+func (f *Fleet) Changes() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.news) == 0 {
+		return nil
+	}
+	out := slices.Collect(maps.Keys(f.news))
+	clear(f.news)
+	return out
+}
+
 // Engines returns all engines, ordered by address.
 func (f *Fleet) Engines() []Engine {
 	f.mu.Lock()
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -100,8 +100,9 @@
 	defer f.mu.Unlock()
 	var due, strangers []*entry
 	for _, e := range f.engines {
-		if now.Sub(e.leavingAt) > drainsFor {
+		if e.ToldLeaving && now.Sub(e.leavingAt) > drainsFor {
 			e.ToldLeaving = false
+			f.news[e.VM.Address] = struct{}{}
 		}
 		switch {
 		case e.asking || now.Before(e.next):
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -66,6 +66,7 @@
 	}
 	drains := e.Status.Draining && !before.Leaving()
 	news := before.Reachable != e.Reachable || before.ToldLeaving != e.ToldLeaving || differs(before.Status, e.Status)
+	f.note(now, e, before, news)
 	restarted := !before.SeenAt.IsZero() && before.Status.Incarnation != e.Status.Incarnation
 	f.mu.Unlock()
 	if restarted {
@@ -148,9 +149,11 @@
 		if !ok || !word.At.After(e.told.At) && !word.Draining {
 			continue
 		}
-		leaving := e.Leaving()
+		before := e.Engine
 		confirmed = f.hear(e, now, word) || confirmed
-		news = news || leaving != e.Leaving()
+		turned := before.Leaving() != e.Leaving()
+		news = news || turned
+		f.note(now, e, before, turned)
 	}
 	f.mu.Unlock()
 	if news || confirmed {
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -105,6 +105,10 @@
 // InFlight counts the running requests of the other live VMs on an engine.
 func (g *Gossip) InFlight(engine string) int { return g.seen(time.Now()).inFlight[engine] }
 
+// AllInFlight is InFlight of all engines that have any. The map is shared: readers
+// must not change it.
+func (g *Gossip) AllInFlight() map[string]int { return g.seen(time.Now()).inFlight }
+
 // VMs is how many other VMs this one hears, itself or in sums.
 func (g *Gossip) VMs() int { return g.seen(time.Now()).vms }
 
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
+	"strings"
 )
 
 // Fleet is the engines with the indices that a plan needs. Its owner sets an
@@ -108,12 +110,11 @@
 }
 
 func (f *Fleet) index(fe *fleetEngine) {
-	fe.free, fe.leaving, fe.streams = fe.MemoryBytes, 0, 0
+	fe.free, fe.leaving = fe.MemoryBytes, 0
 	fe.adapters = nil
 	for i := range fe.Holdings {
 		h := &fe.Holdings[i]
 		fe.free -= h.Bytes
-		fe.streams += h.Streams
 		if h.Withdrawn {
 			fe.leaving += h.Bytes
 		} else if h.Base != "" {
@@ -122,10 +123,58 @@
 			}
 			fe.adapters[h.Base]++
 		}
-		f.byUnit[h.Unit] = append(f.byUnit[h.Unit], place{fe, h})
+		f.addPlace(place{fe, h})
 	}
+	fe.countStreams()
+}
+
+// addPlace keeps the places of a unit in the order of the engines' names, so that
+// ties between them are decided alike however the fleet came about.
+func (f *Fleet) addPlace(at place) {
+	places := f.byUnit[at.holding.Unit]
+	i, _ := findPlace(places, at.engine.Name)
+	f.byUnit[at.holding.Unit] = slices.Insert(places, i, at)
+}
+
+func findPlace(places []place, engine string) (int, bool) {
+	return slices.BinarySearchFunc(places, engine, func(at place, name string) int {
+		return strings.Compare(at.engine.Name, name)
+	})
+}
+
+func (fe *fleetEngine) countStreams() {
+	fe.streams = fe.Running
 	if fe.Running > 0 {
-		fe.streams = fe.Running
+		return
+	}
+	for i := range fe.Holdings {
+		fe.streams += fe.Holdings[i].Streams
+	}
+}
+
+// Engine returns what is known of an engine. Its slices and maps are the fleet's.
+func (f *Fleet) Engine(name string) (Engine, bool) {
+	fe := f.engines[name]
+	if fe == nil {
+		return Engine{}, false
+	}
+	return fe.Engine, true
+}
+
+// Touch has change note the use of an engine: it may set Running, and Streams and
+// LastUsed of the holdings, nothing else. It costs less than Set.
+func (f *Fleet) Touch(name string, change func(*Engine)) {
+	if fe := f.engines[name]; fe != nil {
+		change(&fe.Engine)
+		fe.countStreams()
+	}
+}
+
+// TouchHolders is Touch for all engines with a right for the unit.
+func (f *Fleet) TouchHolders(unit string, change func(*Engine)) {
+	for _, at := range f.byUnit[unit] {
+		change(&at.engine.Engine)
+		at.engine.countStreams()
 	}
 }
 
@@ -144,12 +193,8 @@
 	for i := range fe.Holdings {
 		unit := fe.Holdings[i].Unit
 		places := f.byUnit[unit]
-		for j := range places {
-			if places[j].engine == fe {
-				places[j] = places[len(places)-1]
-				places = places[:len(places)-1]
-				break
-			}
+		if j, found := findPlace(places, fe.Name); found {
+			places = slices.Delete(places, j, j+1)
 		}
 		if len(places) == 0 {
 			delete(f.byUnit, unit)
--- a/routing/router.go
+++ b/routing/router.go
@@ -219,6 +219,21 @@
 	return BreakerClosed
 }
 
+// Sick are the engines that get nothing now.
+func (r *Router) Sick(now time.Time) map[string]bool {
+	var sick map[string]bool
+	for name, e := range r.engines {
+		if e.breaker.state(now) != BreakerOpen {
+			continue
+		}
+		if sick == nil {
+			sick = make(map[string]bool)
+		}
+		sick[name] = true
+	}
+	return sick
+}
+
 // Forget drops what is known of an engine that has left or restarted; its cached
 // prefixes are gone then. Requests in flight there are forgotten too. Call it,
 // as the router keeps all engines it has met.
