planner: the view of a plan is kept and takes in what changed

Change: a picture, kept from plan to plan: a placement.Fleet that takes in the engines that the fleet's and the state's changes name, those in use (at most every 200 ms), and those that time alone changes (a queue by time); the own units by customer, looked at anew only when this VM's share changes. Each engine is also read anew once a minute: a change that nobody told would else stand for good, as decisions that the fold turns down while callers wait. What is known of a right (since when it is ready, its load) is dropped with the right; it was kept until the engine left. Existing test: TestEstimateThatIsToldIsNotTooLong calls forget with the load's key, not with a function; same check.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -128,17 +128,18 @@
 	_ = n.config.Peers.EntryVMs.Want(ctx, address, n.config.VM, wanted)
 }
 
-// streams counts the requests on an engine over all entry VMs.
-func (n *Node) streams(engine string) int {
-	own := 0
-	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) { own = r.InFlight()[engine] })
-	return own + n.gossip.InFlight(engine)
+// running counts the requests on each engine over all entry VMs.
+func (n *Node) running() map[string]int {
+	var all map[string]int
+	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) { all = r.InFlight() })
+	for engine, count := range n.gossip.AllInFlight() {
+		all[engine] += count
+	}
+	return all
 }
 
-func (n *Node) sick(engine string) bool {
-	sick := false
-	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) {
-		sick = r.Breaker(time.Now(), engine) == routing.BreakerOpen
-	})
+func (n *Node) sick() map[string]bool {
+	var sick map[string]bool
+	n.serving.Decide(func(_ *admission.Controller, r *routing.Router) { sick = r.Sick(time.Now()) })
 	return sick
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,8 +173,8 @@
 func (n *Node) newPlanner() *planner.Planner {
 	return planner.New(planner.Config{
 		Domain: n.config.Domain, Control: n.control, Policy: placement.NewPlanner(n.config.Placement),
-		Logger: n.config.Logger, Engines: n.fleet.Engines, Demand: n.demand, Share: n.shares.share,
-		Streams: n.streams, Sick: n.sick, Store: n.store.limits, Expect: n.expect,
+		Logger: n.config.Logger, Changes: n.fleet.Changes, Engine: n.fleet.Engine, Demand: n.demand, Share: n.shares.share,
+		Running: n.running, Sick: n.sick, Store: n.store.limits, Expect: n.expect,
 	})
 }
 
--- /dev/null
+++ b/internal/planner/kept_test.go
@@ -0,0 +1,370 @@
+package planner
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	gocmp "github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/placement"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+// world is what two planners look at: the fold, engines that the real fleet of a
+// VM polls, and what else a plan rests on. Everything in it changes at random.
+type world struct {
+	rng    *rand.Rand
+	state  *state.State
+	offset uint64
+	fleet  *fleet.Fleet
+
+	mu       sync.Mutex
+	list     vmlist.List
+	statuses map[string]engine.Status
+	silent   map[string]bool
+
+	live    *rendezvous.Table
+	version uint64
+	running map[string]int
+	sick    map[string]bool
+	demand  []placement.Demand
+}
+
+const (
+	worldEngines   = 6
+	worldCustomers = 3
+	worldUnits     = 8
+)
+
+var errSilent = errors.New("no answer")
+
+// silentEngines is an engine.Client of which only Status is asked.
+type silentEngines struct {
+	engine.Client
+	w *world
+}
+
+func (c silentEngines) Status(_ context.Context, address string) (engine.Status, error) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.w.silent[address] {
+		return engine.Status{}, errSilent
+	}
+	return c.w.statuses[address], nil
+}
+
+func (w *world) List(context.Context) (vmlist.List, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return vmlist.List{Version: w.list.Version, VMs: slices.Clone(w.list.VMs)}, nil
+}
+
+func (w *world) View(read func(*state.State)) { read(w.state) }
+
+func (w *world) Propose(context.Context, state.Proposal) (state.Outcome, error) {
+	return state.Outcome{}, nil
+}
+
+// fold lands a proposal of the one process that keeps all engines.
+func (w *world) fold(p state.Proposal) state.Outcome {
+	w.offset++
+	p.ID = state.ProposalID{Proposer: "vm", Sequence: w.offset}
+	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
+	if err != nil {
+		panic(err)
+	}
+	return w.state.Apply(w.offset, data)[0]
+}
+
+func (w *world) share() Share {
+	return Share{Version: w.version, Mine: func(unit string) bool { return w.live.Pick(unit) == "vm-0" }}
+}
+
+func (w *world) planner() *Planner {
+	return New(Config{
+		Domain: "d0", Control: w, Policy: placement.NewPlanner(placement.Config{Preload: true}), Logger: zap.NewNop(),
+		Changes: w.fleet.Changes, Engine: w.fleet.Engine, Share: w.share,
+		Demand:  func() []placement.Demand { return w.demand },
+		Running: func() map[string]int { return w.running }, Sick: func() map[string]bool { return w.sick },
+		Store:  func() placement.Store { return placement.Store{AtOnce: 4, LoadsPerSecond: 4} },
+		Expect: func(string, time.Time) {},
+	})
+}
+
+func engineAt(i int) string { return fmt.Sprint("10.0.0.", i) }
+func unitAt(i int) string   { return fmt.Sprint("unit-", i) }
+func customerAt(i int) string {
+	return fmt.Sprint("c", i)
+}
+
+// text is a customer's contract; the last units are adapters of the first.
+func (w *world) text(customer int) map[string]string {
+	sections := map[string]string{"customer": "name = " + customerAt(customer) + "\nmemory = 200GB\n"}
+	for i := range worldUnits {
+		if i > 0 && w.rng.Intn(4) == 0 {
+			sections[fmt.Sprintf("model %q", unitAt(i))], sections[fmt.Sprintf("adapter %q", unitAt(i))] = "", ""
+			continue
+		}
+		body := fmt.Sprintf("checkpoint = k%d\nmemory = 8GB\nmax_replicas = %d\nmax_wait = 20s\n", i, 1+w.rng.Intn(4))
+		if i >= worldUnits-3 {
+			sections[fmt.Sprintf("adapter %q", unitAt(i))] = "base = unit-0\n" + body
+			continue
+		}
+		sections[fmt.Sprintf("model %q", unitAt(i))] = body + fmt.Sprintf("standby_per_domain = %d\n", w.rng.Intn(2))
+	}
+	return sections
+}
+
+func (w *world) publish() {
+	customer := w.rng.Intn(worldCustomers)
+	name := customerAt(customer)
+	remove := w.rng.Intn(8) == 0
+	p := state.Publish{ChangeID: fmt.Sprint(w.offset), Customer: name, Base: w.state.ConfigVersion(name), Remove: remove}
+	if !remove {
+		p.Sections = w.text(customer)
+	}
+	w.fold(state.Proposal{Publish: &p})
+}
+
+// change makes one random change of the fold.
+func (w *world) change() {
+	at, unit := engineAt(w.rng.Intn(worldEngines)), unitAt(w.rng.Intn(worldUnits))
+	e := w.state.Engines[at]
+	if e == nil || e.KeeperSession == 0 {
+		w.take(at, e)
+		return
+	}
+	var right state.Revision
+	if r := e.Rights[unit]; r != nil {
+		right = r.Granted
+	}
+	switch w.rng.Intn(9) {
+	case 0:
+		w.publish()
+	case 1:
+		w.fold(state.Proposal{KeeperGiveBack: &state.KeeperGiveBack{Engine: at, Keeper: e.Keeper}})
+	case 2:
+		w.fold(state.Proposal{EngineRemove: &state.EngineRemove{Engine: at}})
+	case 3, 4:
+		w.fold(state.Proposal{Grant: &state.Grant{Engine: at, Keeper: e.Keeper, Unit: unit,
+			Customer: customerAt(w.rng.Intn(worldCustomers)), Wanted: w.rng.Intn(2) == 0}})
+	case 5:
+		w.fold(state.Proposal{Want: &state.Want{Engine: at, Keeper: e.Keeper, Unit: unit, Right: right, Wanted: w.rng.Intn(2) == 0}})
+	case 6:
+		w.fold(state.Proposal{Withdraw: &state.Withdraw{Engine: at, Keeper: e.Keeper, Unit: unit, Right: right}})
+	case 7:
+		w.fold(state.Proposal{Gone: &state.Gone{Engine: at, Keeper: e.Keeper, Unit: unit, Right: right}})
+	case 8:
+		if w.rng.Intn(20) == 0 {
+			w.restore()
+		}
+	}
+}
+
+func (w *world) take(at string, e *state.Engine) {
+	var previous state.Revision
+	if e != nil {
+		previous = e.Keeper
+	}
+	session := w.fold(state.Proposal{SessionOpen: &state.SessionOpen{VM: "vm", Incarnation: "vm"}}).Revision
+	keeper := w.fold(state.Proposal{KeeperTake: &state.KeeperTake{Engine: at, Session: session, Previous: previous}}).Revision
+	if w.rng.Intn(4) == 0 {
+		return
+	}
+	w.fold(state.Proposal{EngineMeet: &state.EngineMeet{Engine: at, Keeper: keeper, Incarnation: "1", Domain: "d0",
+		MemoryBytes: int64(16+8*w.rng.Intn(3)) << 30, ChecksTokens: true}})
+}
+
+func (w *world) restore() {
+	parts, err := w.state.Snapshot("vm")
+	if err != nil {
+		panic(err)
+	}
+	if w.state, err = state.Restore(parts); err != nil {
+		panic(err)
+	}
+}
+
+// stir changes the engines, the VM list and the load at random.
+func (w *world) stir() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	address := engineAt(w.rng.Intn(worldEngines))
+	switch w.rng.Intn(8) {
+	case 0:
+		w.list.Version++
+		w.list.VMs = nil
+		for i := range worldEngines {
+			if w.rng.Intn(6) > 0 {
+				w.list.VMs = append(w.list.VMs, vmlist.VM{Kind: vmlist.KindEngine, Address: engineAt(i),
+					Domain: fmt.Sprint("d", i%2), Leaving: w.rng.Intn(8) == 0})
+			}
+		}
+	case 1:
+		w.silent[address] = w.rng.Intn(2) == 0
+	case 2:
+		var live []string
+		for i := range 4 {
+			if w.rng.Intn(3) > 0 {
+				live = append(live, fmt.Sprint("vm-", i))
+			}
+		}
+		w.live.Set(live)
+		w.version++
+	default:
+		status := engine.Status{Incarnation: fmt.Sprint(w.rng.Intn(2)), Slots: 4, Cached: map[string]engine.Tier{},
+			Load: engine.Load{Running: w.rng.Intn(9)}}
+		for i := range worldUnits {
+			if phases := []engine.Phase{engine.PhaseLoading, engine.PhaseReady}; w.rng.Intn(3) > 0 {
+				status.Units = append(status.Units, engine.Unit{Unit: unitAt(i), Phase: phases[w.rng.Intn(2)]})
+			}
+			if w.rng.Intn(3) == 0 {
+				status.Cached[fmt.Sprint("k", i)] = engine.TierDisk
+			}
+		}
+		w.statuses[address] = status
+	}
+}
+
+// load changes what waits and runs.
+func (w *world) load(now time.Time) {
+	w.running, w.sick, w.demand = map[string]int{}, map[string]bool{}, nil
+	for i := range worldEngines {
+		if w.rng.Intn(2) == 0 {
+			w.running[engineAt(i)] = 1 + w.rng.Intn(4)
+		}
+		if w.rng.Intn(12) == 0 {
+			w.sick[engineAt(i)] = true
+		}
+	}
+	for range w.rng.Intn(3) {
+		w.demand = append(w.demand, placement.Demand{Unit: unitAt(w.rng.Intn(worldUnits)), Waiting: 1 + w.rng.Intn(3),
+			Customer: customerAt(w.rng.Intn(worldCustomers)), Deadline: now.Add(time.Duration(w.rng.Intn(20)) * time.Second)})
+	}
+}
+
+// fullView makes the snapshot anew from everything there is, as each plan did
+// before the picture was kept.
+func (p *Planner) fullView(s *state.State, engines []fleet.Engine, n news) placement.View {
+	v := p.view(state.New(), n)
+	v.Fleet, v.Units, v.Store.Running = nil, nil, 0
+	v.Budget = func(customer string) int64 { return budget(s, customer) }
+	v.Lookup = func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) }
+	held := make(map[holding]bool)
+	for _, e := range engines {
+		made := p.engine(n.now, s, e, n.running[e.VM.Address], n.sick[e.VM.Address])
+		for _, h := range made.Holdings {
+			held[holding{made.Name, h.Unit}] = true
+			if h.Wanted && !h.Ready && !h.Withdrawn {
+				v.Store.Running++
+			}
+		}
+		v.Engines = append(v.Engines, made)
+	}
+	for key := range p.ready {
+		if !held[key] {
+			delete(p.ready, key)
+		}
+	}
+	for key := range p.loading.running {
+		if !held[key] {
+			delete(p.loading.running, key)
+		}
+	}
+	for i := range worldCustomers {
+		if published := s.Contracts[customerAt(i)]; published != nil && published.Contract != nil {
+			for _, unit := range published.Contract.Units() {
+				if n.share.Mine(unit.Name) {
+					v.Units = append(v.Units, planned(unit))
+				}
+			}
+		}
+	}
+	return v
+}
+
+// The planner keeps its picture from plan to plan and takes in what it is told
+// has changed. If some change were not told, it would go on deciding by what was:
+// loads on an engine that is full or gone, refused by the fold while callers
+// wait. So random worlds are planned twice, from the picture and from scratch.
+func TestKeptPictureIsTheFullOne(t *testing.T) {
+	for seed := range int64(8) {
+		synctest.Test(t, func(t *testing.T) { comparePictures(t, seed) })
+	}
+}
+
+func comparePictures(t *testing.T, seed int64) {
+	w := &world{
+		rng: rand.New(rand.NewSource(seed)), state: state.New(), live: rendezvous.NewTable(),
+		statuses: make(map[string]engine.Status), silent: make(map[string]bool),
+	}
+	w.fleet = fleet.New(fleet.Config{Lister: w, Engine: silentEngines{w: w}, Log: zap.NewNop()}, nil, nil)
+	kept, full := w.planner(), w.planner()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); w.fleet.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	decisions := 0
+	for step := range 300 {
+		for range w.rng.Intn(5) {
+			w.change()
+		}
+		w.stir()
+		time.Sleep(useEvery + time.Duration(w.rng.Intn(4000))*time.Millisecond)
+		synctest.Wait()
+		now := time.Now()
+		w.load(now)
+		for range w.rng.Intn(3) {
+			unit, at := unitAt(w.rng.Intn(worldUnits)), now.Add(-time.Duration(w.rng.Intn(90))*time.Second)
+			kept.Used(unit, at)
+			full.Used(unit, at)
+		}
+		n := kept.look(now)
+		kept.mine, full.mine = n.share.Mine, n.share.Mine
+		keptView, fullView := kept.view(w.state, n), full.fullView(w.state, w.fleet.Engines(), n)
+		checkViews(t, seed, step, keptView, fullView)
+		got, want := kept.policy.Plan(keptView), full.policy.Plan(fullView)
+		if diff := gocmp.Diff(want, got); diff != "" {
+			t.Fatalf("seed %d, step %d: decisions: %s", seed, step, diff)
+		}
+		decisions += len(got)
+		for _, d := range got {
+			if e := w.state.Engines[d.Engine]; w.rng.Intn(4) > 0 {
+				w.fold(proposal(decided{Decision: d, keeper: e.Keeper}))
+			}
+		}
+	}
+	if decisions < 20 {
+		t.Errorf("seed %d: only %d decisions were compared", seed, decisions)
+	}
+}
+
+func checkViews(t *testing.T, seed int64, step int, kept, full placement.View) {
+	t.Helper()
+	var engines []placement.Engine
+	for i := range worldEngines {
+		if e, ok := kept.Fleet.Engine(engineAt(i)); ok {
+			engines = append(engines, e)
+		}
+	}
+	slices.SortFunc(engines, func(a, b placement.Engine) int { return cmp.Compare(a.Name, b.Name) })
+	diff := gocmp.Diff(full.Engines, engines, cmpopts.EquateEmpty()) + gocmp.Diff(full.Units, kept.Units, cmpopts.EquateEmpty()) +
+		gocmp.Diff(full.Store, kept.Store) + gocmp.Diff(full.Demand, kept.Demand)
+	if diff != "" || kept.Fleet.Len() != len(engines) {
+		t.Fatalf("seed %d, step %d: %d engines, %s", seed, step, kept.Fleet.Len(), diff)
+	}
+}
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -94,6 +93,5 @@
 	return min(estimate, quickest), true
 }
 
-func (l *loads) forget(gone func(holding) bool) {
-	maps.DeleteFunc(l.running, func(key holding, _ load) bool { return gone(key) })
-}
+// forget drops a load whose right or engine is gone.
+func (l *loads) forget(key holding) { delete(l.running, key) }
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -63,7 +63,7 @@
 	check("the policy knows better", placement.TierRemote, guess)
 
 	l.watch(key, now, wanted, sight{placement.TierDisk, "1", true})
-	l.forget(func(holding) bool { return true })
+	l.forget(key)
 	if _, ok := l.end(key, now, bytes); ok {
 		t.Error("a load on an engine that is gone has ended")
 	}
--- /dev/null
+++ b/internal/planner/picture.go
@@ -0,0 +1,239 @@
+package planner
+
+import (
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+
+	"bergamotreel/internal/fleet"
+	"bergamotreel/placement"
+	"bergamotreel/state"
+)
+
+const (
+	// useEvery bounds how often the use of all engines is looked at: each look
+	// costs what there are engines in use, and plans are made up to 50 times a
+	// second. News from other VMs comes at most this often.
+	useEvery = 200 * time.Millisecond
+	// auditEvery is in which time each engine is looked at anew at least once.
+	auditEvery = time.Minute
+)
+
+// picture is what the planner keeps of all engines and of its own units from one
+// plan to the next, so that a plan costs what changed. One goroutine owns it.
+//
+// Failure: an engine that changes without being named by the fleet's or the
+// state's changes would stay as it was in the picture. The symptom is a decision
+// that the fold turns down again and again, while its requests wait. So each
+// engine is read anew once in auditEvery, whatever was heard of it.
+type picture struct {
+	fleet   *placement.Fleet
+	engines map[string]*seenEngine
+	// dirty are the engines to be made anew in the fleet.
+	dirty map[string]struct{}
+	// audit are the engines that are still to be looked at in this round of the
+	// audit, which began at auditAt.
+	audit   []string
+	auditAt time.Time
+	due     recheckQueue
+	// cursor is how far the state's changes have been read.
+	cursor state.Cursor
+	units  ownUnits
+	// running and sick are as in the fleet; both were read at usedAt.
+	running map[string]int
+	sick    map[string]bool
+	usedAt  time.Time
+	// loading counts the loads that take from the weight store now, as agreed in
+	// the log: so each planner sees those of the others before an engine reports
+	// them.
+	loading int
+}
+
+// seenEngine is an engine as last read from the fleet of this VM.
+type seenEngine struct {
+	fleet.Engine
+	// recheck is when time alone changes something about it, zero for never.
+	recheck time.Time
+}
+
+// news is what was asked of others before a plan.
+type news struct {
+	now    time.Time
+	demand []placement.Demand
+	share  Share
+	// aged are engines whose use time may have changed.
+	aged []string
+	// useRead is whether running and sick were read.
+	useRead bool
+	running map[string]int
+	sick    map[string]bool
+}
+
+func newPicture() *picture {
+	return &picture{
+		fleet: placement.NewFleet(), engines: make(map[string]*seenEngine), dirty: make(map[string]struct{}),
+	}
+}
+
+// look asks others what is new. It takes their locks, so it is called with none.
+func (p *Planner) look(now time.Time) news {
+	v := p.picture
+	for _, address := range p.config.Changes() {
+		v.read(address, p.config.Engine)
+		v.dirty[address] = struct{}{}
+	}
+	for _, address := range v.nextAudit(now) {
+		v.read(address, p.config.Engine)
+		v.dirty[address] = struct{}{}
+	}
+	n := news{now: now, demand: p.config.Demand(), share: p.config.Share()}
+	for _, address := range v.takeDue(now) {
+		v.read(address, p.config.Engine)
+		if v.turned(now, address) {
+			v.dirty[address] = struct{}{}
+		} else {
+			n.aged = append(n.aged, address)
+		}
+	}
+	if now.Sub(v.usedAt) >= useEvery {
+		v.usedAt = now
+		n.useRead, n.running, n.sick = true, p.config.Running(), p.config.Sick()
+	}
+	return n
+}
+
+// read takes an engine as the fleet of this VM has it.
+func (v *picture) read(address string, engine func(string) (fleet.Engine, bool)) {
+	e, there := engine(address)
+	if !there {
+		delete(v.engines, address)
+		v.dirty[address] = struct{}{}
+		return
+	}
+	known := v.engines[address]
+	if known == nil {
+		known = &seenEngine{}
+		v.engines[address] = known
+	}
+	known.Engine = e
+}
+
+// nextAudit are the engines whose turn it is to be looked at.
+func (v *picture) nextAudit(now time.Time) []string {
+	if len(v.audit) == 0 {
+		v.audit = slices.Collect(maps.Keys(v.engines))
+		v.auditAt = now
+		return nil
+	}
+	share := now.Sub(v.auditAt).Seconds() / auditEvery.Seconds()
+	n := min(len(v.audit), int(share*float64(len(v.engines))))
+	if n == 0 {
+		return nil
+	}
+	next := v.audit[:n]
+	v.audit, v.auditAt = v.audit[n:], now
+	return next
+}
+
+// turned tells whether the engine has been silent for so long that it counts as
+// out of reach, or has been heard again since.
+func (v *picture) turned(now time.Time, address string) bool {
+	known := v.engines[address]
+	kept, _ := v.fleet.Engine(address)
+	return known != nil && kept.Reachable != reachable(now, known.Engine)
+}
+
+// recheckAt has the engine looked at again at a time, if not before.
+func (v *picture) recheckAt(e *seenEngine, at time.Time) {
+	if !e.recheck.IsZero() && !at.Before(e.recheck) {
+		return
+	}
+	e.recheck = at
+	heap.Push(&v.due, recheck{at: at, address: e.VM.Address})
+}
+
+// takeDue takes the engines that are to be looked at again by now.
+func (v *picture) takeDue(now time.Time) []string {
+	var due []string
+	for len(v.due) > 0 && !now.Before(v.due[0].at) {
+		next := heap.Pop(&v.due).(recheck)
+		known := v.engines[next.address]
+		if known == nil || !known.recheck.Equal(next.at) {
+			continue // an earlier time was set since
+		}
+		known.recheck = time.Time{}
+		due = append(due, next.address)
+	}
+	return due
+}
+
+// recheck is an engine to be looked at again at a time.
+type recheck struct {
+	at      time.Time
+	address string
+}
+
+// recheckQueue is a heap of them, the earliest first.
+type recheckQueue []recheck
+
+func (q recheckQueue) Len() int           { return len(q) }
+func (q recheckQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q recheckQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *recheckQueue) Push(x any)        { *q = append(*q, x.(recheck)) }
+func (q *recheckQueue) Pop() any {
+	last := len(*q) - 1
+	x := (*q)[last]
+	*q = (*q)[:last]
+	return x
+}
+
+// ownUnits are the units that this VM plans, kept by customer.
+type ownUnits struct {
+	version uint64
+	byOwner map[string][]placement.Unit
+	// all is the list of them, sorted by customer; nil after a change.
+	all []placement.Unit
+}
+
+// refresh takes in the customers whose contract changed. All units are looked at
+// anew only when this VM's share of them changed, which is a few times a day
+// among thousands of VMs: each that comes or goes takes from or gives to a few.
+func (u *ownUnits) refresh(s *state.State, changes state.Changes, share Share) {
+	if changes.All || share.Version != u.version || u.byOwner == nil {
+		u.version, u.byOwner, u.all = share.Version, make(map[string][]placement.Unit), nil
+		for customer := range s.Contracts {
+			u.take(s, customer, share)
+		}
+		return
+	}
+	for _, customer := range changes.Customers {
+		u.take(s, customer, share)
+	}
+}
+
+func (u *ownUnits) take(s *state.State, customer string, share Share) {
+	var own []placement.Unit
+	if published := s.Contracts[customer]; published != nil && published.Contract != nil {
+		for unit := range published.Contract.EachUnit() {
+			if share.Mine(unit.Name) {
+				own = append(own, planned(unit))
+			}
+		}
+	}
+	u.all = nil
+	if len(own) == 0 {
+		delete(u.byOwner, customer)
+		return
+	}
+	u.byOwner[customer] = own
+}
+
+func (u *ownUnits) list() []placement.Unit {
+	if u.all == nil {
+		for _, customer := range slices.Sorted(maps.Keys(u.byOwner)) {
+			u.all = append(u.all, u.byOwner[customer]...)
+		}
+	}
+	return u.all
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -42,17 +42,20 @@
 	Control Control
 	Policy  *placement.Planner
 	Logger  *zap.Logger
-	// Engines are the engines as last seen.
-	Engines func() []fleet.Engine
+	// Changes are the engines of which there is news since it was last asked, at
+	// first all; Engine is one as last seen, false if it is gone.
+	Changes func() []string
+	Engine  func(address string) (fleet.Engine, bool)
 	// Demand is what waits at all live entry VMs, by unit.
 	Demand func() []placement.Demand
 	// Share is what this VM plans, by the entry VMs that are live now. It is asked
 	// once a plan.
 	Share func() Share
-	// Streams tells how many requests run on an engine, over all entry VMs.
-	Streams func(engine string) int
-	// Sick tells whether this VM's router keeps away from the engine.
-	Sick func(engine string) bool
+	// Running is how many requests run on each engine that has any, over all entry
+	// VMs. The planner keeps the map.
+	Running func() map[string]int
+	// Sick are the engines that this VM's router keeps away from.
+	Sick func() map[string]bool
 	// Store is how busy the weight store can be.
 	Store func() placement.Store
 	// Expect is told when a unit that requests wait for should be ready.
@@ -82,6 +85,11 @@
 	refused map[holding]time.Time
 	// mine tells whether this VM plans a unit, in the plan under way.
 	mine func(unit string) bool
+	// used are the units used since the picture was last told, with whether the
+	// next plan must know.
+	used map[string]bool
+	// picture belongs to the goroutine that plans.
+	picture *picture
 }
 
 type holding struct{ engine, unit string }
@@ -95,6 +103,8 @@
 		ready:    make(map[holding]time.Time),
 		loading:  newLoads(),
 		refused:  make(map[holding]time.Time),
+		used:     make(map[string]bool),
+		picture:  newPicture(),
 	}
 }
 
@@ -114,6 +124,7 @@
 	if !at.After(p.lastUsed[unit]) {
 		return
 	}
+	p.used[unit] = p.used[unit] || at.Sub(p.lastUsed[unit]) >= useEvery
 	p.lastUsed[unit] = at
 	p.policy.Used(unit, at)
 }
@@ -162,29 +173,16 @@
 func (p *Planner) plan(now time.Time) []decided {
 	// Everything that takes another lock is asked before the fold is read: the
 	// queue holds its lock while it reads the fold.
-	engines := p.config.Engines()
-	demand := p.config.Demand()
-	loads := p.loads(engines)
-	mine := p.config.Share().Mine
+	n := p.look(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mine = mine
-	seen := make(map[string]fleet.Engine, len(engines))
-	for _, e := range engines {
-		seen[e.VM.Address] = e
-	}
+	p.mine = n.share.Mine
 	var out []decided
 	p.config.Control.View(func(s *state.State) {
-		v := p.view(now, s, engines, loads, demand)
-		for _, decision := range p.policy.Plan(v) {
-			e := s.Engines[decision.Engine]
-			if e == nil {
-				continue
+		for _, decision := range p.policy.Plan(p.view(s, n)) {
+			if e := s.Engines[decision.Engine]; e != nil {
+				out = append(out, p.decided(s, e.Keeper, decision))
 			}
-			unit, _ := lookup(s, decision.Customer, decision.Unit)
-			tier := tierOf(seen[decision.Engine], unit.Checkpoint)
-			ready, tell := p.loading.tell(tier, unit.Bytes, decision.ExpectReady)
-			out = append(out, decided{Decision: decision, keeper: e.Keeper, ready: ready, tell: tell && ready > 0})
 		}
 	})
 	for _, d := range out {
@@ -195,18 +193,15 @@
 	return out
 }
 
-// engineLoad is what this entry VM's requests tell of an engine.
-type engineLoad struct {
-	streams int
-	sick    bool
-}
-
-func (p *Planner) loads(engines []fleet.Engine) map[string]engineLoad {
-	out := make(map[string]engineLoad, len(engines))
-	for _, e := range engines {
-		address := e.VM.Address
-		out[address] = engineLoad{streams: p.config.Streams(address), sick: p.config.Sick(address)}
+func (p *Planner) decided(s *state.State, keeper state.Revision, d placement.Decision) decided {
+	out := decided{Decision: d, keeper: keeper}
+	known := p.picture.engines[d.Engine]
+	unit, ok := lookup(s, d.Customer, d.Unit)
+	if known == nil || !ok {
+		return out
 	}
+	ready, tell := p.loading.tell(tierOf(known.Engine, unit.Checkpoint), unit.Bytes, d.ExpectReady)
+	out.ready, out.tell = ready, tell && ready > 0
 	return out
 }
 
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"bergamotreel/contract"
@@ -18,36 +19,24 @@
 // reachableFor is how old an engine's newest status may be for new grants.
 const reachableFor = 10 * time.Second
 
-// view builds the snapshot that a plan is made over.
-func (p *Planner) view(now time.Time, s *state.State, engines []fleet.Engine, loads map[string]engineLoad,
-	demand []placement.Demand,
-) placement.View {
+// view brings the picture up to date and makes of it the snapshot that a plan is
+// made over.
+func (p *Planner) view(s *state.State, n news) placement.View {
+	p.update(s, n)
 	v := placement.View{
-		Now: now, Self: p.config.Domain, Store: p.config.Store(),
+		Now: n.now, Self: p.config.Domain, Store: p.config.Store(),
+		Fleet:  p.picture.fleet,
+		Units:  p.picture.units.list(),
 		Budget: func(customer string) int64 { return budget(s, customer) },
 		Lookup: func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) },
 	}
-	p.forget(engines)
-	for _, e := range engines {
-		v.Engines = append(v.Engines, p.engine(now, s, e, loads[e.VM.Address]))
-	}
-	for _, published := range s.Contracts {
-		if published.Contract == nil {
-			continue
-		}
-		for _, unit := range published.Contract.Units() {
-			if p.mine(unit.Name) {
-				v.Units = append(v.Units, planned(unit))
-			}
-		}
-	}
-	v.Store.Running = loading(v.Engines)
+	v.Store.Running = p.picture.loading
 	byUnit := make(map[string]placement.Demand)
-	for _, d := range demand {
+	for _, d := range n.demand {
 		if known, ok := byUnit[d.Unit]; !ok || d.Deadline.Before(known.Deadline) {
 			byUnit[d.Unit] = d
 		}
-		if p.mine(d.Unit) {
+		if n.share.Mine(d.Unit) {
 			v.Demand = append(v.Demand, d)
 		}
 	}
@@ -58,6 +47,148 @@
 	return v
 }
 
+// update takes all changes into the picture.
+func (p *Planner) update(s *state.State, n news) {
+	v := p.picture
+	changes, cursor := s.ChangesSince(v.cursor)
+	v.cursor = cursor
+	v.units.refresh(s, changes, n.share)
+	for _, address := range changes.Engines {
+		v.dirty[address] = struct{}{}
+	}
+	if changes.All {
+		for address := range v.engines {
+			v.dirty[address] = struct{}{}
+		}
+	}
+	if n.useRead {
+		p.takeUse(n)
+	}
+	p.takeUsed(n)
+	for _, address := range n.aged {
+		p.touch(n.now, address)
+	}
+	// In order, as the load times seen are learned in that order.
+	for _, address := range slices.Sorted(maps.Keys(v.dirty)) {
+		p.remake(n.now, s, address)
+	}
+	clear(v.dirty)
+}
+
+// takeUse takes in which engines are busy or sick.
+func (p *Planner) takeUse(n news) {
+	v := p.picture
+	before, sickBefore := v.running, v.sick
+	v.running, v.sick = n.running, n.sick
+	for address, running := range n.running {
+		if before[address] != running {
+			p.touch(n.now, address)
+		}
+	}
+	for address := range before {
+		if n.running[address] == 0 {
+			p.touch(n.now, address)
+		}
+	}
+	for address := range n.sick {
+		if !sickBefore[address] {
+			v.dirty[address] = struct{}{}
+		}
+	}
+	for address := range sickBefore {
+		if !n.sick[address] {
+			v.dirty[address] = struct{}{}
+		}
+	}
+}
+
+// takeUsed takes in which units were used since the last plan. A unit in steady
+// use is looked at every useEvery only: hundreds of engines may hold it.
+func (p *Planner) takeUsed(n news) {
+	for unit, atOnce := range p.used {
+		if !atOnce && !n.useRead {
+			continue
+		}
+		delete(p.used, unit)
+		p.picture.fleet.TouchHolders(unit, func(e *placement.Engine) { p.noteUse(n.now, e) })
+	}
+}
+
+// touch notes the use of an engine.
+func (p *Planner) touch(now time.Time, address string) {
+	p.picture.fleet.Touch(address, func(e *placement.Engine) { p.noteUse(now, e) })
+}
+
+func (p *Planner) noteUse(now time.Time, e *placement.Engine) {
+	known := p.picture.engines[e.Name]
+	if known == nil {
+		return
+	}
+	e.Running = p.picture.running[e.Name]
+	for i := range e.Holdings {
+		p.noteHoldingUse(now, &e.Holdings[i], e.Running)
+	}
+	p.schedule(known, e)
+}
+
+// noteHoldingUse sets when a unit was used, and how many requests run on it.
+//
+// What runs is known by engine only, so it counts for the units that were used
+// lately. Counted for each unit used since it became ready, one busy unit would
+// keep all others on its engine loaded for good. An unload waits at the engine
+// for streams that are longer than that.
+func (p *Planner) noteHoldingUse(now time.Time, h *placement.Holding, running int) {
+	h.LastUsed, h.Streams = p.lastUsed[h.Unit], 0
+	if h.Ready && now.Sub(h.LastUsed) < usedLately {
+		h.Streams = running
+	}
+}
+
+// schedule has the engine looked at again when time alone changes it: when it has
+// not been heard for long (each plan looks from then on whether it has), and when
+// requests no longer count as running.
+func (p *Planner) schedule(known *seenEngine, e *placement.Engine) {
+	if known.Reachable {
+		p.picture.recheckAt(known, known.SeenAt.Add(reachableFor))
+	}
+	for i := range e.Holdings {
+		if h := &e.Holdings[i]; h.Streams > 0 {
+			p.picture.recheckAt(known, h.LastUsed.Add(usedLately))
+		}
+	}
+}
+
+// remake makes an engine of the picture anew.
+func (p *Planner) remake(now time.Time, s *state.State, address string) {
+	v := p.picture
+	before, _ := v.fleet.Engine(address)
+	known := v.engines[address]
+	if known == nil {
+		v.loading -= loading(before)
+		v.fleet.Remove(address)
+		p.forget(address, before, nil)
+		return
+	}
+	e := p.engine(now, s, known.Engine, v.running[address], v.sick[address])
+	p.forget(address, before, e.Holdings)
+	v.fleet.Set(e)
+	v.loading += loading(e) - loading(before)
+	p.schedule(known, &e)
+}
+
+// forget drops what is known of the rights that an engine no longer has.
+func (p *Planner) forget(address string, before placement.Engine, holdings []placement.Holding) {
+	for i := range before.Holdings {
+		unit := before.Holdings[i].Unit
+		if slices.ContainsFunc(holdings, func(h placement.Holding) bool { return h.Unit == unit }) {
+			continue
+		}
+		key := holding{engine: address, unit: unit}
+		delete(p.ready, key)
+		p.loading.forget(key)
+	}
+}
+
 func budget(s *state.State, customer string) int64 {
 	published := s.Contracts[customer]
 	if published == nil || published.Contract == nil {
@@ -83,37 +214,41 @@
 	}
 }
 
-// loading counts the loads that take from the weight store now, as agreed in the
-// log: so each planner sees those of the others before an engine reports them.
-func loading(engines []placement.Engine) int {
+func reachable(now time.Time, e fleet.Engine) bool {
+	return e.Reachable && now.Sub(e.SeenAt) < reachableFor
+}
+
+// loading counts the engine's loads from the weight store.
+func loading(e placement.Engine) int {
 	n := 0
-	for _, e := range engines {
-		for _, h := range e.Holdings {
-			if h.Wanted && !h.Ready && !h.Withdrawn {
-				n++
-			}
+	for i := range e.Holdings {
+		if h := &e.Holdings[i]; h.Wanted && !h.Ready && !h.Withdrawn {
+			n++
 		}
 	}
 	return n
 }
 
-func (p *Planner) engine(now time.Time, s *state.State, e fleet.Engine, load engineLoad) placement.Engine {
+// engine is an engine as the policy sees it. Its holdings are sorted, so that
+// equal engines make equal plans.
+func (p *Planner) engine(now time.Time, s *state.State, e fleet.Engine, running int, sick bool) placement.Engine {
 	agreed := s.Engines[e.VM.Address]
 	out := placement.Engine{
 		Name: e.VM.Address, Domain: e.VM.Domain, Slots: e.Status.Slots,
 		Leaving:   e.Leaving(),
-		Reachable: e.Reachable && now.Sub(e.SeenAt) < reachableFor,
-		Sick:      load.sick,
+		Reachable: reachable(now, e),
+		Sick:      sick,
 		Cached:    cached(e.Status.Cached),
+		Running:   running,
 	}
 	if agreed == nil {
 		return out
 	}
 	out.Kept = agreed.KeeperSession != 0
 	out.MemoryBytes = agreed.MemoryBytes
-	out.Running = load.streams
-	for _, right := range agreed.Rights {
-		out.Holdings = append(out.Holdings, p.holding(now, e, right, load.streams))
+	out.Holdings = make([]placement.Holding, 0, len(agreed.Rights))
+	for _, unit := range slices.Sorted(maps.Keys(agreed.Rights)) {
+		out.Holdings = append(out.Holdings, p.holding(now, e, agreed.Rights[unit], running))
 	}
 	return out
 }
@@ -141,27 +276,10 @@
 		p.ready[key] = now
 	}
 	h.ReadySince = p.ready[key]
-	// What runs is known by engine only, so it counts for the units that were used
-	// lately. Counted for each unit used since it became ready, one busy unit would
-	// keep all others on its engine loaded for good. An unload waits at the engine
-	// for streams that are longer than that.
-	if now.Sub(h.LastUsed) < usedLately {
-		h.Streams = streams
-	}
+	p.noteHoldingUse(now, &h, streams)
 	return h
 }
 
-// forget drops what is known of engines that are gone.
-func (p *Planner) forget(engines []fleet.Engine) {
-	there := make(map[string]bool, len(engines))
-	for _, e := range engines {
-		there[e.VM.Address] = true
-	}
-	gone := func(key holding) bool { return !there[key.engine] }
-	maps.DeleteFunc(p.ready, func(key holding, _ time.Time) bool { return gone(key) })
-	p.loading.forget(gone)
-}
-
 func phaseOf(e fleet.Engine, unit string) engine.Phase {
 	for _, u := range e.Status.Units {
 		if u.Unit == unit {
