planner: use is looked at with one lookup an engine; benchmark of a plan with a second's news

Change: what is known of an engine holds its count and its times itself; an engine that falls due is made anew only if it is out of reach now or is again; use is read each 500 ms, the heartbeat; the audit takes 5 minutes.

--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,154 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/state"
+	"bergamotreel/vmlist"
+)
+
+// benchSizes are today's size, a step between, and the size to design for.
+var benchSizes = []struct{ vms, engines, units int }{{9, 40, 165}, {340, 1_000, 3_900}, {3_400, 10_000, 39_000}}
+
+const benchUnitsEach = 100
+
+// benchWorld folds contracts of 100 adapters on one of 72 models, and engines
+// with that model and one adapter each; all are ready, and those of one domain of
+// seven are busy, which is what a VM hears of.
+func benchWorld(b *testing.B, vms, engines, units int) (*world, *Planner) {
+	w := &world{rng: rand.New(rand.NewSource(1)), state: state.New(), live: rendezvous.NewTable(), running: map[string]int{}}
+	for customer := 0; customer*benchUnitsEach < units; customer++ {
+		base := baseOf(customer)
+		sections := map[string]string{"customer": "name = " + customerAt(customer) + "\nmemory = 1000000GB\n",
+			fmt.Sprintf("model %q", base): "checkpoint = " + base + "\nmemory = 20GB\nmax_replicas = 10000\nmax_wait = 20s\n"}
+		for i := customer * benchUnitsEach; i < min(units, (customer+1)*benchUnitsEach); i++ {
+			sections[fmt.Sprintf("adapter %q", unitAt(i))] = fmt.Sprintf(
+				"base = %s\ncheckpoint = k%d\nmemory = 200MB\nmax_replicas = 100\nmax_wait = 20s\n", base, i)
+		}
+		w.fold(state.Proposal{Publish: &state.Publish{ChangeID: "1", Customer: customerAt(customer), Sections: sections}})
+	}
+	session := w.fold(state.Proposal{SessionOpen: &state.SessionOpen{VM: "vm", Incarnation: "vm"}}).Revision
+	seen := make(map[string]fleet.Engine, engines)
+	var all, changes []string
+	for i := range engines {
+		at, unit := benchEngine(i), i*benchUnitsEach%units+i/benchUnitsEach%benchUnitsEach
+		base, customer := baseOf(unit/benchUnitsEach), customerAt(unit/benchUnitsEach)
+		keeper := w.fold(state.Proposal{KeeperTake: &state.KeeperTake{Engine: at, Session: session}}).Revision
+		w.fold(state.Proposal{EngineMeet: &state.EngineMeet{Engine: at, Keeper: keeper, Incarnation: "1", MemoryBytes: 80 << 30}})
+		status := engine.Status{Slots: 16, Cached: map[string]engine.Tier{base: engine.TierDisk}}
+		for _, name := range []string{base, unitAt(unit)} {
+			if o := w.fold(state.Proposal{Grant: &state.Grant{Engine: at, Keeper: keeper, Customer: customer, Unit: name, Wanted: true}}); o.Verdict != state.VerdictApplied {
+				b.Fatal(o)
+			}
+			status.Units = append(status.Units, engine.Unit{Unit: name, Phase: engine.PhaseReady})
+		}
+		seen[at] = fleet.Engine{VM: vmlist.VM{Address: at}, Status: status, Reachable: true}
+		all = append(all, at)
+	}
+	live := make([]string, vms)
+	for i := range live {
+		live[i] = fmt.Sprint("vm-", i)
+	}
+	w.live.Set(live)
+	w.fleet = fleet.New(fleet.Config{}, nil, nil)
+	p := w.planner()
+	changes = all
+	p.config.Changes = func() []string { defer func() { changes = nil }(); return changes }
+	p.config.Engine = func(at string) (fleet.Engine, bool) {
+		e, ok := seen[at]
+		e.SeenAt = benchNow.Add(-time.Second)
+		return e, ok
+	}
+	return w, p
+}
+
+// baseOf is the model that a customer's adapters sit on, one of 72.
+func baseOf(customer int) string { return fmt.Sprint("base-", customer%72) }
+
+// benchNow is the time of the plan under way.
+var benchNow time.Time
+
+func benchEngine(i int) string { return fmt.Sprintf("10.120.%d.%d:7201", i/250, i%250) }
+
+// BenchmarkPlan is one plan, everything that it looks at included: the first one;
+// one in which nothing is new; one with a second's news of the size to design
+// for (20 rights or engines, 200 units used, other requests on the engines of a
+// domain, as far as there are so many) and its part of the audit; and
+// one after a VM came or went that this VM shares units with.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range benchSizes {
+		w, p := benchWorld(b, size.vms, size.engines, size.units)
+		benchNow = time.Unix(1_800_000_000, 0)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		begun := time.Now()
+		p.plan(benchNow)
+		first := time.Since(begun)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		name := fmt.Sprintf("%dengines", size.engines)
+		b.Run("quiet/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				benchNow = benchNow.Add(time.Millisecond)
+				p.plan(benchNow)
+			}
+			b.ReportMetric(float64(first.Microseconds())/1000, "ms/first")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size.engines), "B/engine")
+		})
+		b.Run("second/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			var used time.Duration
+			for b.Loop() {
+				benchNow = benchNow.Add(time.Second)
+				w.second(p, size.engines, size.units)
+				begun := processorTime()
+				p.plan(benchNow)
+				used += processorTime() - begun
+			}
+			b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/plan")
+		})
+		b.Run("share/"+name, func(b *testing.B) {
+			for b.Loop() {
+				benchNow = benchNow.Add(time.Millisecond)
+				w.version++
+				p.plan(benchNow)
+			}
+		})
+	}
+}
+
+// processorTime is what the process has used, the collector included: elapsed time
+// tells little on a busy machine.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// second makes a second's news.
+func (w *world) second(p *Planner, engines, units int) {
+	for range min(20, engines/2) {
+		p.picture.dirty[benchEngine(w.rng.Intn(engines))] = struct{}{}
+	}
+	for range min(200, units) {
+		p.Used(unitAt(w.rng.Intn(units)), benchNow)
+	}
+	w.running = make(map[string]int)
+	for i := range max(min(engines, 40), engines/7) {
+		if n := w.rng.Intn(8); n > 0 {
+			w.running[benchEngine(i)] = n
+		}
+	}
+}
--- a/internal/planner/picture.go
+++ b/internal/planner/picture.go
@@ -14,10 +14,11 @@
 const (
 	// useEvery bounds how often the use of all engines is looked at: each look
 	// costs what there are engines in use, and plans are made up to 50 times a
-	// second. News from other VMs comes at most this often.
-	useEvery = 200 * time.Millisecond
-	// auditEvery is in which time each engine is looked at anew at least once.
-	auditEvery = time.Minute
+	// second. It is a heartbeat: other VMs tell theirs no more often.
+	useEvery = 500 * time.Millisecond
+	// auditEvery is in which time each engine is looked at anew at least once: 33 a
+	// second of 10,000, which is under a tenth of what may be spent.
+	auditEvery = 5 * time.Minute
 )
 
 // picture is what the planner keeps of all engines and of its own units from one
@@ -26,7 +27,8 @@
 // Failure: an engine that changes without being named by the fleet's or the
 // state's changes would stay as it was in the picture. The symptom is a decision
 // that the fold turns down again and again, while its requests wait. So each
-// engine is read anew once in auditEvery, whatever was heard of it.
+// engine is read anew once in auditEvery, whatever was heard of it; until then
+// the fold still refuses what would overcommit the engine.
 type picture struct {
 	fleet   *placement.Fleet
 	engines map[string]*seenEngine
@@ -40,10 +42,13 @@
 	// cursor is how far the state's changes have been read.
 	cursor state.Cursor
 	units  ownUnits
-	// running and sick are as in the fleet; both were read at usedAt.
-	running map[string]int
-	sick    map[string]bool
-	usedAt  time.Time
+	// busy are the engines with running requests, sick those that the router keeps
+	// away from; both were read at usedAt.
+	busy   []*seenEngine
+	sick   map[string]bool
+	usedAt time.Time
+	// looks numbers the looks at use.
+	looks uint64
 	// loading counts the loads that take from the weight store now, as agreed in
 	// the log: so each planner sees those of the others before an engine reports
 	// them.
@@ -53,7 +58,16 @@
 // seenEngine is an engine as last read from the fleet of this VM.
 type seenEngine struct {
 	fleet.Engine
-	// recheck is when time alone changes something about it, zero for never.
+	// gone is whether it has left since, reachable as in the picture.
+	gone, reachable bool
+	// running is how many requests run on it, as of the look at use that is
+	// numbered look.
+	running int
+	look    uint64
+	// countUntil is until when the first of its holdings counts as in use, zero if
+	// none does.
+	countUntil time.Time
+	// recheck is when time alone may change something about it, zero for never.
 	recheck time.Time
 }
 
@@ -62,8 +76,8 @@
 	now    time.Time
 	demand []placement.Demand
 	share  Share
-	// aged are engines whose use time may have changed.
-	aged []string
+	// aged are engines with holdings that no longer count as in use.
+	aged []*seenEngine
 	// useRead is whether running and sick were read.
 	useRead bool
 	running map[string]int
@@ -88,12 +102,15 @@
 		v.dirty[address] = struct{}{}
 	}
 	n := news{now: now, demand: p.config.Demand(), share: p.config.Share()}
-	for _, address := range v.takeDue(now) {
-		v.read(address, p.config.Engine)
-		if v.turned(now, address) {
-			v.dirty[address] = struct{}{}
-		} else {
-			n.aged = append(n.aged, address)
+	for _, known := range v.takeDue(now) {
+		v.read(known.VM.Address, p.config.Engine)
+		if known.gone || known.reachable != reachable(now, known.Engine) {
+			v.dirty[known.VM.Address] = struct{}{}
+			continue
+		}
+		v.schedule(known)
+		if !known.countUntil.IsZero() && !now.Before(known.countUntil) {
+			n.aged = append(n.aged, known)
 		}
 	}
 	if now.Sub(v.usedAt) >= useEvery {
@@ -107,6 +124,9 @@
 func (v *picture) read(address string, engine func(string) (fleet.Engine, bool)) {
 	e, there := engine(address)
 	if !there {
+		if known := v.engines[address]; known != nil {
+			known.gone = true
+		}
 		delete(v.engines, address)
 		v.dirty[address] = struct{}{}
 		return
@@ -136,42 +156,39 @@
 	return next
 }
 
-// turned tells whether the engine has been silent for so long that it counts as
-// out of reach, or has been heard again since.
-func (v *picture) turned(now time.Time, address string) bool {
-	known := v.engines[address]
-	kept, _ := v.fleet.Engine(address)
-	return known != nil && kept.Reachable != reachable(now, known.Engine)
-}
-
-// recheckAt has the engine looked at again at a time, if not before.
-func (v *picture) recheckAt(e *seenEngine, at time.Time) {
-	if !e.recheck.IsZero() && !at.Before(e.recheck) {
+// schedule has the engine looked at again when time alone changes it: when it has
+// not been heard for long (each plan looks from then on whether it has), and when
+// requests no longer count as running.
+func (v *picture) schedule(e *seenEngine) {
+	at := e.countUntil
+	if silent := e.SeenAt.Add(reachableFor); e.Reachable && (at.IsZero() || silent.Before(at)) {
+		at = silent
+	}
+	if at.IsZero() || !e.recheck.IsZero() && !at.Before(e.recheck) {
 		return
 	}
 	e.recheck = at
-	heap.Push(&v.due, recheck{at: at, address: e.VM.Address})
+	heap.Push(&v.due, recheck{at: at, engine: e})
 }
 
 // takeDue takes the engines that are to be looked at again by now.
-func (v *picture) takeDue(now time.Time) []string {
-	var due []string
+func (v *picture) takeDue(now time.Time) []*seenEngine {
+	var due []*seenEngine
 	for len(v.due) > 0 && !now.Before(v.due[0].at) {
 		next := heap.Pop(&v.due).(recheck)
-		known := v.engines[next.address]
-		if known == nil || !known.recheck.Equal(next.at) {
-			continue // an earlier time was set since
+		if next.engine.gone || !next.engine.recheck.Equal(next.at) {
+			continue // gone, or an earlier time was set since
 		}
-		known.recheck = time.Time{}
-		due = append(due, next.address)
+		next.engine.recheck = time.Time{}
+		due = append(due, next.engine)
 	}
 	return due
 }
 
 // recheck is an engine to be looked at again at a time.
 type recheck struct {
-	at      time.Time
-	address string
+	at     time.Time
+	engine *seenEngine
 }
 
 // recheckQueue is a heap of them, the earliest first.
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -65,8 +65,8 @@
 		p.takeUse(n)
 	}
 	p.takeUsed(n)
-	for _, address := range n.aged {
-		p.touch(n.now, address)
+	for _, known := range n.aged {
+		p.touch(n.now, known)
 	}
 	// In order, as the load times seen are learned in that order.
 	for _, address := range slices.Sorted(maps.Keys(v.dirty)) {
@@ -78,28 +78,39 @@
 // takeUse takes in which engines are busy or sick.
 func (p *Planner) takeUse(n news) {
 	v := p.picture
-	before, sickBefore := v.running, v.sick
-	v.running, v.sick = n.running, n.sick
+	v.looks++
+	before := v.busy
+	v.busy = make([]*seenEngine, 0, len(n.running))
 	for address, running := range n.running {
-		if before[address] != running {
-			p.touch(n.now, address)
+		if known := v.engines[address]; known != nil {
+			known.look = v.looks
+			v.busy = append(v.busy, known)
+			p.setRunning(n.now, known, running)
 		}
 	}
-	for address := range before {
-		if n.running[address] == 0 {
-			p.touch(n.now, address)
+	for _, known := range before {
+		if known.look != v.looks {
+			p.setRunning(n.now, known, 0)
 		}
 	}
 	for address := range n.sick {
-		if !sickBefore[address] {
+		if !v.sick[address] {
 			v.dirty[address] = struct{}{}
 		}
 	}
-	for address := range sickBefore {
+	for address := range v.sick {
 		if !n.sick[address] {
 			v.dirty[address] = struct{}{}
 		}
 	}
+	v.sick = n.sick
+}
+
+func (p *Planner) setRunning(now time.Time, known *seenEngine, running int) {
+	if known.running != running {
+		known.running = running
+		p.touch(now, known)
+	}
 }
 
 // takeUsed takes in which units were used since the last plan. A unit in steady
@@ -110,52 +121,56 @@
 			continue
 		}
 		delete(p.used, unit)
-		p.picture.fleet.TouchHolders(unit, func(e *placement.Engine) { p.noteUse(n.now, e) })
+		at := p.lastUsed[unit]
+		p.picture.fleet.TouchHolders(unit, func(e *placement.Engine) {
+			for i := range e.Holdings {
+				if h := &e.Holdings[i]; h.Unit == unit {
+					h.LastUsed = at
+				}
+			}
+			p.noteUse(n.now, p.picture.engines[e.Name], e)
+		})
 	}
 }
 
-// touch notes the use of an engine.
-func (p *Planner) touch(now time.Time, address string) {
-	p.picture.fleet.Touch(address, func(e *placement.Engine) { p.noteUse(now, e) })
+// touch notes how an engine is used now.
+func (p *Planner) touch(now time.Time, known *seenEngine) {
+	p.picture.fleet.Touch(known.VM.Address, func(e *placement.Engine) { p.noteUse(now, known, e) })
 }
 
-func (p *Planner) noteUse(now time.Time, e *placement.Engine) {
-	known := p.picture.engines[e.Name]
+func (p *Planner) noteUse(now time.Time, known *seenEngine, e *placement.Engine) {
 	if known == nil {
-		return
+		return // about to be removed
 	}
-	e.Running = p.picture.running[e.Name]
+	e.Running = known.running
 	for i := range e.Holdings {
-		p.noteHoldingUse(now, &e.Holdings[i], e.Running)
+		countStreams(now, &e.Holdings[i], known.running)
 	}
-	p.schedule(known, e)
+	p.schedule(known, e.Holdings)
 }
 
-// noteHoldingUse sets when a unit was used, and how many requests run on it.
+// countStreams sets how many requests run on a holding.
 //
 // What runs is known by engine only, so it counts for the units that were used
 // lately. Counted for each unit used since it became ready, one busy unit would
 // keep all others on its engine loaded for good. An unload waits at the engine
 // for streams that are longer than that.
-func (p *Planner) noteHoldingUse(now time.Time, h *placement.Holding, running int) {
-	h.LastUsed, h.Streams = p.lastUsed[h.Unit], 0
+func countStreams(now time.Time, h *placement.Holding, running int) {
+	h.Streams = 0
 	if h.Ready && now.Sub(h.LastUsed) < usedLately {
 		h.Streams = running
 	}
 }
 
-// schedule has the engine looked at again when time alone changes it: when it has
-// not been heard for long (each plan looks from then on whether it has), and when
-// requests no longer count as running.
-func (p *Planner) schedule(known *seenEngine, e *placement.Engine) {
-	if known.Reachable {
-		p.picture.recheckAt(known, known.SeenAt.Add(reachableFor))
-	}
-	for i := range e.Holdings {
-		if h := &e.Holdings[i]; h.Streams > 0 {
-			p.picture.recheckAt(known, h.LastUsed.Add(usedLately))
+func (p *Planner) schedule(known *seenEngine, holdings []placement.Holding) {
+	known.countUntil = time.Time{}
+	for i := range holdings {
+		until := holdings[i].LastUsed.Add(usedLately)
+		if holdings[i].Streams > 0 && (known.countUntil.IsZero() || until.Before(known.countUntil)) {
+			known.countUntil = until
 		}
 	}
+	p.picture.schedule(known)
 }
 
 // remake makes an engine of the picture anew.
@@ -169,11 +184,12 @@
 		p.forget(address, before, nil)
 		return
 	}
-	e := p.engine(now, s, known.Engine, v.running[address], v.sick[address])
+	e := p.engine(now, s, known.Engine, known.running, v.sick[address])
+	known.reachable = e.Reachable
 	p.forget(address, before, e.Holdings)
 	v.fleet.Set(e)
 	v.loading += loading(e) - loading(before)
-	p.schedule(known, &e)
+	p.schedule(known, e.Holdings)
 }
 
 // forget drops what is known of the rights that an engine no longer has.
@@ -276,7 +292,7 @@
 		p.ready[key] = now
 	}
 	h.ReadySince = p.ready[key]
-	p.noteHoldingUse(now, &h, streams)
+	countStreams(now, &h, streams)
 	return h
 }
 
