--- /dev/null
+++ b/idempotency/answer.go
@@ -0,0 +1,103 @@
+package idempotency
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+)
+
+// Answer is the stored answer of a call.
+type Answer struct {
+	// Status is the HTTP status, 0 when the call may have run and its answer was
+	// lost.
+	Status int `cbor:"1,keyasint,omitempty"`
+	// Header holds the few headers that a repeated answer needs, by name.
+	Header map[string]string `cbor:"2,keyasint,omitempty"`
+	Body   []byte            `cbor:"3,keyasint,omitempty"`
+	// BodySHA256 stands for a body above MaxBodyBytes, in hex.
+	BodySHA256 string `cbor:"4,keyasint,omitempty"`
+}
+
+// MaxBodyBytes bounds a stored body: an answer above it is known only by its
+// hash, and a repeat is told that the call ran.
+const MaxBodyBytes = 64 << 10
+
+// Unknown tells whether the answer was lost after the call was sent.
+func (a Answer) Unknown() bool { return a.Status == 0 }
+
+// MakeAnswer makes the stored form of an answer.
+func MakeAnswer(status int, header map[string]string, body []byte) Answer {
+	a := Answer{Status: status, Header: header, Body: body}
+	if len(body) > MaxBodyBytes {
+		sum := sha256.Sum256(body)
+		a.Body, a.BodySHA256 = nil, hex.EncodeToString(sum[:])
+	}
+	return a
+}
+
+// bare tells whether the status says all.
+func (a Answer) bare() bool { return len(a.Header) == 0 && len(a.Body) == 0 && a.BodySHA256 == "" }
+
+// words are frequent header names and values, written as their index. New ones
+// go to the end: a record of today must read the same for ever. There is room
+// for maxWords, so that the lengths of other texts don't move.
+var words = []string{
+	"Content-Type", "Location", "application/json", "application/json; charset=utf-8", "text/plain; charset=utf-8",
+}
+
+const maxWords = 64
+
+// appendAnswer appends the answer's encoding, which tells its own end.
+func appendAnswer(data []byte, a Answer) []byte {
+	data = appendUint(data, uint64(a.Status))
+	data = appendUint(data, uint64(len(a.Header)))
+	for _, name := range slices.Sorted(maps.Keys(a.Header)) {
+		data = appendWord(data, name)
+		data = appendWord(data, a.Header[name])
+	}
+	data = appendText(data, a.Body)
+	return appendText(data, a.BodySHA256)
+}
+
+func appendWord(data []byte, text string) []byte {
+	if i := slices.Index(words, text); i >= 0 {
+		return appendUint(data, uint64(i))
+	}
+	data = appendUint(data, uint64(len(text)+maxWords))
+	return append(data, text...)
+}
+
+// answer reads what appendAnswer wrote. Its body shares the reader's bytes.
+func (r *reader) answer() Answer {
+	a := Answer{Status: int(r.uint())}
+	headers := r.uint()
+	if headers > uint64(len(r.data)) {
+		r.bad = true
+		return a
+	}
+	if headers > 0 {
+		a.Header = make(map[string]string, headers)
+	}
+	for range headers {
+		name := r.word()
+		a.Header[name] = r.word()
+	}
+	if body := r.text(); len(body) > 0 {
+		a.Body = body
+	}
+	a.BodySHA256 = string(r.text())
+	return a
+}
+
+func (r *reader) word() string {
+	n := r.uint()
+	if n < maxWords {
+		if n >= uint64(len(words)) {
+			r.bad = true
+			return ""
+		}
+		return words[n]
+	}
+	return string(r.take(n - maxWords))
+}
--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -12,26 +12,32 @@
 // heldClaims are the sizes: claims of one window on one shard.
 var heldClaims = []int{1_000, 10_000, 100_000}
 
-// pair is a claim and its outcome as two records, each alone.
-func pair(b *testing.B, i int) (claim, outcome []byte) {
-	key := idempotency.Key{Customer: "customer-017", Key: fmt.Sprintf("0f8fad5b-d9cb-469f-a165-%012d", i)}
-	digest := idempotency.DigestOf("POST", "/services/booking/book", []byte(key.Key))
+// booked is a usual answer.
+const booked = `{"booking":"B-2041","shop":"san-fernando"}`
+
+// pair is a claim and its outcome as two records, each alone. Without a body the
+// answer is a status.
+func pair(b *testing.B, i int, body string) (claim, outcome []byte) {
+	name := fmt.Sprintf("0f8fad5b-d9cb-469f-a165-%012d", i)
+	key := idempotency.KeyOf("customer-017", name)
+	digest := idempotency.DigestOf("POST", "/services/booking/book", []byte(name))
 	claim = encode(b, idempotency.Entry{Claim: &idempotency.Claim{
-		ID: idempotency.ClaimID{Claimer: "entry-vm-0017-3f9a2b7c1d", Sequence: uint64(i + 1)}, Key: key, Digest: digest,
-		VM: "entry-vm-0017", WindowMs: time.Hour.Milliseconds()}})
+		ID: idempotency.ClaimID{Claimer: "entry-vm-0017-3f9a2b7c1d", Sequence: uint64(i + 1)}, Key: key, Digest: digest, WindowMs: 24 * time.Hour.Milliseconds(), Since: uint64(2*i + 1)}})
+	answer := idempotency.MakeAnswer(201, nil, nil)
+	if body != "" {
+		answer = idempotency.MakeAnswer(201, map[string]string{"Content-Type": "application/json"}, []byte(body))
+	}
 	outcome = encode(b, idempotency.Entry{Outcome: &idempotency.Outcome{Key: key, Claim: idempotency.MakeRevision(uint64(2*i+1), 0),
-		Answer: idempotency.MakeAnswer(201, map[string]string{"Content-Type": "application/json"}, []byte(`{"booking":"B-2041","shop":"san-fernando"}`))}})
+		Answer: answer}})
 	return claim, outcome
 }
 
-// fill folds the pairs from one number to another.
-func fill(b *testing.B, table *idempotency.Table, from, to int) (bytes int) {
-	for i := from; i < to; i++ {
-		claim, outcome := pair(b, i)
-		bytes += len(claim) + len(outcome)
+// fill folds the first n pairs.
+func fill(b *testing.B, table *idempotency.Table, n int, body string) {
+	for i := range n {
+		claim, outcome := pair(b, i, body)
 		land(b, table, i, claim, outcome)
 	}
-	return bytes
 }
 
 func land(b *testing.B, table *idempotency.Table, i int, claim, outcome []byte) {
@@ -47,11 +53,11 @@
 	for _, n := range heldClaims {
 		b.Run(fmt.Sprint(n, "held"), func(b *testing.B) {
 			table := idempotency.NewTable()
-			fill(b, table, 0, n)
+			fill(b, table, n, booked)
 			bytes, i := 0, n
 			for b.Loop() {
 				b.StopTimer()
-				claim, outcome := pair(b, i)
+				claim, outcome := pair(b, i, booked)
 				bytes += len(claim) + len(outcome)
 				b.StartTimer()
 				land(b, table, i, claim, outcome)
@@ -62,33 +68,38 @@
 	}
 }
 
-// BenchmarkMemory gives the heap and the snapshot that a held claim takes.
+// BenchmarkMemory gives the heap and the snapshot that a held claim takes, with
+// the usual answer and with a status alone.
 func BenchmarkMemory(b *testing.B) {
-	for _, n := range heldClaims {
-		b.Run(fmt.Sprint(n, "held"), func(b *testing.B) {
-			var heap, snapshot float64
-			for b.Loop() {
-				var before, after runtime.MemStats
-				// Twice: a sync.Pool keeps what it holds for one collection.
-				runtime.GC()
-				runtime.GC()
-				runtime.ReadMemStats(&before)
-				table := idempotency.NewTable()
-				fill(b, table, 0, n)
-				runtime.GC()
-				runtime.GC()
-				runtime.ReadMemStats(&after)
-				heap, snapshot = float64(after.HeapAlloc)-float64(before.HeapAlloc), 0
-				parts, err := table.Snapshot("w")
-				if err != nil {
-					b.Fatal(err)
-				}
-				for _, part := range parts {
-					snapshot += float64(len(part.Data))
-				}
-			}
-			b.ReportMetric(heap/float64(n), "B/claim")
-			b.ReportMetric(snapshot/float64(n), "snapshotB/claim")
-		})
+	for name, body := range map[string]string{"": booked, "bare": ""} {
+		for _, n := range heldClaims {
+			b.Run(fmt.Sprint(n, "held", name), func(b *testing.B) { memory(b, n, body) })
+		}
+	}
+}
+
+func memory(b *testing.B, n int, body string) {
+	var heap, snapshot float64
+	for b.Loop() {
+		var before, after runtime.MemStats
+		// Twice: a sync.Pool keeps what it holds for one collection.
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := idempotency.NewTable()
+		fill(b, table, n, body)
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		heap, snapshot = float64(after.HeapAlloc)-float64(before.HeapAlloc), 0
+		parts, err := table.Snapshot("w")
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, part := range parts {
+			snapshot += float64(len(part.Data))
+		}
 	}
+	b.ReportMetric(heap/float64(n), "B/claim")
+	b.ReportMetric(snapshot/float64(n), "snapshotB/claim")
 }
--- a/idempotency/booking_test.go
+++ b/idempotency/booking_test.go
@@ -106,14 +106,14 @@
 		}
 		return
 	}
-	if c.table.State(idempotency.Key{Customer: "hire", Key: key}) != nil {
+	if c.table.State(idempotency.KeyOf("hire", key)) != nil {
 		return
 	}
 	c.sequence++
 	c.waiting[c.sequence] = key
 	answered := d.append(idempotency.Entry{Claim: &idempotency.Claim{
-		ID: idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}, Key: idempotency.Key{Customer: "hire", Key: key},
-		Digest: "d", WindowMs: time.Hour.Milliseconds()}})
+		ID: idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}, Key: idempotency.KeyOf("hire", key),
+		Digest: 7, WindowMs: time.Hour.Milliseconds()}})
 	if answered && d.policy == onAppend {
 		d.ran[key]++
 	}
@@ -204,7 +204,7 @@
 	}
 	claim := func(sequence uint64) idempotency.Entry {
 		return idempotency.Entry{Claim: &idempotency.Claim{ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence},
-			Key: keys[0], Digest: "d", WindowMs: 5000}}
+			Key: keys[0], Digest: 7, WindowMs: 5000}}
 	}
 	first := apply(1, claim(1))
 	apply(2, idempotency.Entry{Release: &idempotency.Release{Key: keys[0], Claim: first.Revision, ID: first.ID}})
--- /dev/null
+++ b/idempotency/bytes.go
@@ -0,0 +1,139 @@
+package idempotency
+
+import "encoding/binary"
+
+// appendUint appends a number in as few bytes as it needs.
+func appendUint(data []byte, n uint64) []byte { return binary.AppendUvarint(data, n) }
+
+// appendInt is appendUint for a number that may be below zero.
+func appendInt(data []byte, n int64) []byte { return binary.AppendVarint(data, n) }
+
+// appendText appends a text after its length.
+func appendText[T string | []byte](data []byte, text T) []byte {
+	data = appendUint(data, uint64(len(text)))
+	return append(data, text...)
+}
+
+// reader takes an encoding apart. What is cut off or malformed sets bad; all
+// that is read after that is zero or empty.
+type reader struct {
+	data []byte
+	bad  bool
+}
+
+// take returns the next n bytes.
+func (r *reader) take(n uint64) []byte {
+	if r.bad || n > uint64(len(r.data)) {
+		r.bad, r.data = true, nil
+		return nil
+	}
+	taken := r.data[:n:n]
+	r.data = r.data[n:]
+	return taken
+}
+
+func (r *reader) uint() uint64 {
+	n, length := binary.Uvarint(r.data)
+	return n * r.skip(length)
+}
+
+func (r *reader) int() int64 {
+	n, length := binary.Varint(r.data)
+	return n * int64(r.skip(length))
+}
+
+// skip passes over a number that was read; it returns 0 if there was none.
+func (r *reader) skip(length int) uint64 {
+	if length <= 0 {
+		r.bad, r.data = true, nil
+		return 0
+	}
+	r.data = r.data[length:]
+	return 1
+}
+
+func (r *reader) text() []byte { return r.take(r.uint()) }
+
+func (r *reader) byte() byte {
+	if b := r.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (r *reader) key() (key Key) {
+	copy(key[:], r.take(keyBytes))
+	return key
+}
+
+func (r *reader) digest() Digest {
+	if b := r.take(8); b != nil {
+		return Digest(binary.BigEndian.Uint64(b))
+	}
+	return 0
+}
+
+// nameList numbers names in the order in which they are met.
+type nameList struct {
+	names []string
+	index map[string]uint64
+}
+
+func (l *nameList) number(name string) uint64 {
+	n, known := l.index[name]
+	if !known {
+		n = uint64(len(l.names))
+		if l.index == nil {
+			l.index = make(map[string]uint64)
+		}
+		l.index[name] = n
+		l.names = append(l.names, name)
+	}
+	return n
+}
+
+func (l *nameList) append(data []byte) []byte {
+	data = appendUint(data, uint64(len(l.names)))
+	for _, name := range l.names {
+		data = appendText(data, name)
+	}
+	return data
+}
+
+// names reads what nameList wrote.
+func (r *reader) names() []string {
+	count := r.uint()
+	if count > uint64(len(r.data)) {
+		r.bad = true
+		return nil
+	}
+	all := make([]string, count)
+	for i := range all {
+		all[i] = string(r.text())
+	}
+	return all
+}
+
+// id reads a claim's identity, whose claimer is given by its number.
+func (r *reader) id(names []string) ClaimID {
+	n := r.uint()
+	if n >= uint64(len(names)) {
+		r.bad = true
+		return ClaimID{}
+	}
+	return ClaimID{Claimer: names[n], Sequence: r.uint()}
+}
+
+// revision reads what appendRevision wrote.
+func (r *reader) revision() Revision {
+	offset, index := r.uint(), r.uint()
+	if offset > maxOffset || index >= MaxEntries {
+		r.bad = true
+		return 0
+	}
+	return MakeRevision(offset, int(index))
+}
+
+func appendRevision(data []byte, rev Revision) []byte {
+	return appendUint(appendUint(data, rev.Offset()), rev.index())
+}
--- a/idempotency/codec.go
+++ b/idempotency/codec.go
@@ -1,8 +1,11 @@
 package idempotency
 
 import (
+	"encoding/binary"
+
 	"github.com/zeebo/errs"
 
+	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/wire"
 )
 
@@ -10,31 +13,110 @@
 var Error = errs.Class("idempotency")
 
 // Format is the version of the encoding that this code writes, and the newest
-// that it reads; see state.Format.
-const Format = 1
+// that it reads; see state.Format. It is a record's first byte. Format 1 was
+// CBOR, whose first byte is never this one; see legacy.go.
+const Format = 2
+
+// The kinds of a record's entries, each before its fields:
+//
+//	claim:   key, digest, claimer's number, sequence, window in ms, since
+//	outcome: key, claim's offset and index, answer
+//	release: key, claim's offset and index, claimer's number, sequence
+//	part:    a chunks.Chunk in CBOR, up to the record's end
+//
+// Before the first stand the claimers' names, so that a record of many claims of
+// one process names it once. Numbers are variable-length, keys 16 bytes, digests
+// 8 bytes.
+const (
+	kindClaim = iota + 1
+	kindOutcome
+	kindRelease
+	kindPart
+)
 
 // Encode encodes a record for the log.
 func Encode(r Record) ([]byte, error) {
 	if len(r.Entries) > MaxEntries {
 		return nil, Error.New("%d entries in a record, at most %d", len(r.Entries), MaxEntries)
 	}
-	r.Format = Format
-	data, err := wire.Marshal(r)
-	return data, Error.Wrap(err)
+	var claimers nameList
+	var entries []byte
+	for i := range r.Entries {
+		var err error
+		if entries, err = appendEntry(entries, &r.Entries[i], &claimers); err != nil {
+			return nil, err
+		}
+	}
+	data := append(claimers.append([]byte{Format}), entries...)
+	if r.Snapshot == nil {
+		return data, nil
+	}
+	part, err := wire.Marshal(r.Snapshot)
+	return append(append(data, kindPart), part...), Error.Wrap(err)
+}
+
+func appendEntry(data []byte, e *Entry, claimers *nameList) ([]byte, error) {
+	switch {
+	case e.Claim != nil && e.Outcome == nil && e.Release == nil:
+		return appendClaim(append(data, kindClaim), e.Claim, claimers), nil
+	case e.Outcome != nil && e.Claim == nil && e.Release == nil:
+		data = append(append(data, kindOutcome), e.Outcome.Key[:]...)
+		return appendAnswer(appendRevision(data, e.Outcome.Claim), e.Outcome.Answer), nil
+	case e.Release != nil && e.Claim == nil && e.Outcome == nil:
+		data = append(append(data, kindRelease), e.Release.Key[:]...)
+		return appendID(appendRevision(data, e.Release.Claim), e.Release.ID, claimers), nil
+	}
+	return nil, Error.New("an entry must be one of claim, outcome and release")
+}
+
+func appendClaim(data []byte, c *Claim, claimers *nameList) []byte {
+	data = append(data, c.Key[:]...)
+	data = binary.BigEndian.AppendUint64(data, uint64(c.Digest))
+	data = appendID(data, c.ID, claimers)
+	return appendUint(appendInt(data, c.WindowMs), c.Since)
+}
+
+func appendID(data []byte, id ClaimID, claimers *nameList) []byte {
+	return appendUint(appendUint(data, claimers.number(id.Claimer)), id.Sequence)
 }
 
 // Decode decodes a record of the log. It fails on what is corrupt, truncated or
 // of a newer format; every VM fails on the same records.
 func Decode(data []byte) (Record, error) {
-	var r Record
-	if err := wire.UnmarshalRecord(data, &r); err != nil {
-		return Record{}, Error.Wrap(err)
+	if len(data) == 0 || data[0] != Format {
+		return decodeLegacy(data)
 	}
-	if r.Format < 1 || r.Format > Format {
-		return Record{}, Error.New("format %d, this code reads up to %d", r.Format, Format)
+	r := &reader{data: data[1:]}
+	claimers := r.names()
+	var record Record
+	for !r.bad && len(r.data) > 0 {
+		kind := r.byte()
+		if kind == kindPart {
+			record.Snapshot = new(chunks.Chunk)
+			return record, Error.Wrap(wire.UnmarshalRecord(r.data, record.Snapshot))
+		}
+		record.Entries = append(record.Entries, r.entry(kind, claimers))
+		if len(record.Entries) > MaxEntries {
+			return Record{}, Error.New("more than %d entries", MaxEntries)
+		}
 	}
-	if len(r.Entries) > MaxEntries {
-		return Record{}, Error.New("%d entries, at most %d", len(r.Entries), MaxEntries)
+	if r.bad {
+		return Record{}, Error.New("malformed record of %d bytes", len(data))
+	}
+	return record, nil
+}
+
+func (r *reader) entry(kind byte, claimers []string) Entry {
+	switch kind {
+	case kindClaim:
+		return Entry{Claim: &Claim{
+			Key: r.key(), Digest: r.digest(), ID: r.id(claimers), WindowMs: r.int(), Since: r.uint(),
+		}}
+	case kindOutcome:
+		return Entry{Outcome: &Outcome{Key: r.key(), Claim: r.revision(), Answer: r.answer()}}
+	case kindRelease:
+		return Entry{Release: &Release{Key: r.key(), Claim: r.revision(), ID: r.id(claimers)}}
 	}
-	return r, nil
+	r.bad = true
+	return Entry{}
 }
--- a/idempotency/example_test.go
+++ b/idempotency/example_test.go
@@ -11,7 +11,7 @@
 // the first claim in the stream may dispatch.
 func ExampleTable_Apply() {
 	table := idempotency.NewTable()
-	key := idempotency.Key{Customer: "trinidad", Key: "pickup-2041"}
+	key := idempotency.KeyOf("trinidad", "pickup-2041")
 	digest := idempotency.DigestOf("POST", "/book", []byte(`{"slot":"tue-10"}`))
 	land := func(offset uint64, entry idempotency.Entry) idempotency.Result {
 		data, err := idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{entry}})
@@ -23,9 +23,9 @@
 	}
 	claim := func(offset uint64, vm string) {
 		result := land(offset, idempotency.Entry{Claim: &idempotency.Claim{
-			ID: idempotency.ClaimID{Claimer: vm, Sequence: 1}, Key: key, Digest: digest, VM: vm, WindowMs: time.Hour.Milliseconds(),
+			ID: idempotency.ClaimID{Claimer: vm, Sequence: 1}, Key: key, Digest: digest, WindowMs: time.Hour.Milliseconds(),
 		}})
-		fmt.Println(vm, result.Verdict, "holder", result.Holder.VM)
+		fmt.Println(vm, result.Verdict, "holder", result.Holder.ID.Claimer)
 	}
 	claim(1, "entry-1")
 	claim(2, "entry-4")
--- a/idempotency/fold_test.go
+++ b/idempotency/fold_test.go
@@ -86,7 +86,11 @@
 }
 
 func encode(t interface{ Fatal(...any) }, entries ...idempotency.Entry) []byte {
-	data, err := idempotency.Encode(idempotency.Record{Entries: entries})
+	return encodeRecord(t, idempotency.Record{Entries: entries})
+}
+
+func encodeRecord(t interface{ Fatal(...any) }, record idempotency.Record) []byte {
+	data, err := idempotency.Encode(record)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,19 +110,25 @@
 	return back
 }
 
-var keys = []idempotency.Key{{Customer: "hire", Key: "a"}, {Customer: "hire", Key: "b"}, {Customer: "debt", Key: "a"}}
+var keys = []idempotency.Key{idempotency.KeyOf("hire", "a"), idempotency.KeyOf("hire", "b"), idempotency.KeyOf("debt", "a")}
+
+var answers = []idempotency.Answer{
+	{}, idempotency.MakeAnswer(204, nil, nil), idempotency.MakeAnswer(200, nil, []byte("booked")),
+	idempotency.MakeAnswer(201, map[string]string{"Content-Type": "application/json", "Location": "/b/1"}, []byte("{}")),
+	idempotency.MakeAnswer(200, nil, make([]byte, idempotency.MaxBodyBytes+1)),
+}
 
 // draw makes an entry that often names what really holds the key.
 func draw(t *rapid.T, table *idempotency.Table) idempotency.Entry {
 	key := rapid.SampledFrom(keys).Draw(t, "key")
-	id := idempotency.ClaimID{Claimer: "vm", Sequence: rapid.Uint64Range(1, 6).Draw(t, "id")}
+	id := idempotency.ClaimID{Claimer: rapid.SampledFrom([]string{"vm", "other"}).Draw(t, "claimer"), Sequence: rapid.Uint64Range(1, 6).Draw(t, "id")}
 	rev := idempotency.Revision(0)
 	if holder := table.State(key); holder != nil && rapid.IntRange(0, 9).Draw(t, "stale") != 4 {
 		id, rev = holder.ID, holder.Revision
 	}
 	switch rapid.SampledFrom([]string{"claim", "outcome", "release", "retry"}).Draw(t, "kind") {
 	case "outcome":
-		return idempotency.Entry{Outcome: &idempotency.Outcome{Key: key, Claim: rev, Answer: idempotency.MakeAnswer(200, nil, []byte("booked"))}}
+		return idempotency.Entry{Outcome: &idempotency.Outcome{Key: key, Claim: rev, Answer: rapid.SampledFrom(answers).Draw(t, "answer")}}
 	case "release":
 		return idempotency.Entry{Release: &idempotency.Release{Key: key, Claim: rev, ID: id}}
 	case "claim":
@@ -129,7 +139,7 @@
 		window = 999
 	}
 	return idempotency.Entry{Claim: &idempotency.Claim{
-		ID: id, Key: key, Digest: rapid.SampledFrom([]idempotency.Digest{"x", "y"}).Draw(t, "digest"),
+		ID: id, Key: key, Digest: rapid.SampledFrom([]idempotency.Digest{1, 2}).Draw(t, "digest"),
 		WindowMs: window,
 		// Below, among or above what has landed; 0 is of older code.
 		Since: rapid.Uint64Range(0, table.Applied()+1).Draw(t, "since"),
@@ -207,12 +217,12 @@
 	if h.claim == nil || h.free {
 		return "free"
 	}
-	return fmt.Sprint(h.claim.ID, h.claim.Digest, h.rev, h.ends.UnixMilli(), h.answer != nil)
+	return fmt.Sprint(h.claim.ID, h.claim.Digest, h.rev, h.ends.UnixMilli(), h.answer)
 }
 
 func describe(h *idempotency.Holder) string {
 	if h == nil {
 		return "free"
 	}
-	return fmt.Sprint(h.ID, h.Digest, h.Revision, h.ExpiresMs, h.Answer != nil)
+	return fmt.Sprint(h.ID, h.Digest, h.Revision, h.ExpiresMs, h.Answer)
 }
--- a/idempotency/fuzz_test.go
+++ b/idempotency/fuzz_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/wire"
@@ -14,7 +17,7 @@
 func seeded(t interface{ Fatal(...any) }) (*idempotency.Table, [][]byte) {
 	claim := func(key idempotency.Key, sequence uint64) idempotency.Entry {
 		return idempotency.Entry{Claim: &idempotency.Claim{
-			ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence}, Key: key, Digest: "d", WindowMs: 60_000}}
+			ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence}, Key: key, Digest: 7, WindowMs: 60_000}}
 	}
 	records := [][]byte{
 		encode(t, claim(keys[0], 1), claim(keys[1], 2), claim(keys[2], 3)),
@@ -36,14 +39,22 @@
 		f.Add(data, int64(5))
 		f.Add(data[:len(data)/2], int64(100_000))
 	}
-	newer, err := wire.Marshal(idempotency.Record{Format: 99})
+	newer, err := wire.Marshal(map[int]int{1: 99})
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(newer, int64(0))
+	for _, data := range [][]byte{newer, {idempotency.Format + 1}, fromBase64(f, legacyClaims), fromBase64(f, legacyOutcomes)} {
+		f.Add(data, int64(0))
+	}
 	f.Fuzz(func(t *testing.T, data []byte, ms int64) {
 		one, other := table.Clone(), restored(t, table)
-		_, unreadable := idempotency.Decode(data)
+		record, unreadable := idempotency.Decode(data)
+		if unreadable == nil && data[0] == idempotency.Format {
+			again, err := idempotency.Decode(encodeRecord(t, record))
+			if diff := cmp.Diff(record, again, cmpopts.EquateEmpty()); err != nil || diff != "" {
+				t.Fatal(err, diff)
+			}
+		}
 		one.Apply(table.Applied()+1, time.UnixMilli(ms), data)
 		other.Apply(table.Applied()+1, time.UnixMilli(ms), data)
 		if sum(t, one) != sum(t, other) || sum(t, one) != sum(t, restored(t, one)) {
@@ -68,6 +79,7 @@
 		f.Fatal(err)
 	}
 	f.Add(encoded)
+	f.Add(fromBase64(f, legacyTable))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		parts, err := chunks.Split(encoded, "w", 1, chunks.Size)
 		if err != nil {
--- /dev/null
+++ b/idempotency/legacy_test.go
@@ -0,0 +1,84 @@
+package idempotency_test
+
+import (
+	"encoding/base64"
+	"testing"
+	"time"
+
+	"bergamotreel/idempotency"
+	"bergamotreel/internal/chunks"
+)
+
+// What format 1 wrote of legacyEntries: two records, the table just after them,
+// and a record that holds that table's snapshot (by the code of commit a2a537b).
+const (
+	legacyClaims   = "ogEBAoOhAaUBogFkdm0tMQIBAqIBZGhpcmUCYWEDeCtnNkJSSENSU0VDWldXQ3BDTXRfVXNHNHY1YnVNYWFMREFiV081NGUwbGNvBGJ2bQUaADbugKEBpQGiAWR2bS0xAgICogFkaGlyZQJhYgN4K1VMTm1JOHc5TVZ6N05MVGx0OHBiblVxdUJvS3ptUEEwaFh6d0c2U0ZQNmMEYnZtBRoANu6AoQGmAaIBZHZtLTECAwKiAWRkZWJ0AmFhA3grZzZCUkhDUlNFQ1pXV0NwQ010X1VzRzR2NWJ1TWFhTERBYldPNTRlMGxjbwRidm0FGgA27oAGAQ=="
+	legacyOutcomes = "ogEBAoKhAqMBogFkaGlyZQJhYQIZEAADowEYyQKhbENvbnRlbnQtVHlwZXBhcHBsaWNhdGlvbi9qc29uA1F7ImJvb2tpbmciOiJCLTEifaEDowGiAWRoaXJlAmFiAhkQAQOiAWR2bS0xAgI="
+	legacyTable    = "pAECAgADAgSDpwGiAWRoaXJlAmFhAqIBZHZtLTECAQN4K2c2QlJIQ1JTRUNaV1dDcENNdF9Vc0c0djVidU1hYUxEQWJXTzU0ZTBsY28EYnZtBRkQAAYaADbugQejARjJAqFsQ29udGVudC1UeXBlcGFwcGxpY2F0aW9uL2pzb24DUXsiYm9va2luZyI6IkItMSJ9qQGiAWRoaXJlAmFiAqIBZHZtLTECAgN4K1VMTm1JOHc5TVZ6N05MVGx0OHBiblVxdUJvS3ptUEEwaFh6d0c2U0ZQNmMEYnZtBRkQAQYaAA27ogiBogFkdm0tMQICCfUKAqYBogFkZGVidAJhYQKiAWR2bS0xAgMDeCtnNkJSSENSU0VDWldXQ3BDTXRfVXNHNHY1YnVNYWFMREFiV081NGUwbGNvBGJ2bQUZEAIGGgA27oE="
+	legacySnapshot = "ogEBA6YBYXcCAgMABAEGG7+TapJlIAVtB1jyWsLIxMTAzMTSvJxxEWNKRmZRKlNiItMixpSyXF1DJkbmCu10M6cgD+egYFfnqPBw5wJn35L40GJ3kzLTpFLfxEQfF8ekcH9Tk1SDnOR8lqSyXFZJAQY2KQazd43sixklTjItzHHOzytJzSvRDaksSC1ILCjIyUxOLMnMz9PPKs7PYw6sVkrKz8/OzEtXslJy0jVUql2JcEkS3CVMzBXaoT5+uZ4W5Za+YVXmfj4hOSUWBUl5oYWlTvneVbkBjgYZEVXl7mbBbgFmyVCXMLJJMfDuXsTRCDeG8ysX0zKQBSmpSSXIXmUmy6tMEK8CAgAA//8="
+)
+
+func fromBase64(t interface{ Fatal(...any) }, text string) []byte {
+	data, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// legacyEntries are the entries of the two records.
+func legacyEntries() (claims, outcomes []idempotency.Entry) {
+	for i, key := range []string{"a", "b", "a"} {
+		claims = append(claims, idempotency.Entry{Claim: &idempotency.Claim{
+			ID: idempotency.ClaimID{Claimer: "vm-1", Sequence: uint64(i + 1)}, Key: keys[i],
+			Digest: idempotency.DigestOf("POST", "/book", []byte(key)), WindowMs: time.Hour.Milliseconds(), Since: uint64(i / 2),
+		}})
+	}
+	answer := idempotency.MakeAnswer(201, map[string]string{"Content-Type": "application/json"}, []byte(`{"booking":"B-1"}`))
+	outcomes = []idempotency.Entry{
+		{Outcome: &idempotency.Outcome{Key: keys[0], Claim: idempotency.MakeRevision(1, 0), Answer: answer}},
+		{Release: &idempotency.Release{Key: keys[1], Claim: idempotency.MakeRevision(1, 1), ID: claims[1].Claim.ID}},
+	}
+	return claims, outcomes
+}
+
+// A fleet is upgraded while bookings of the older code are in the log: as
+// records, as a snapshot, or as a claim of the older and an outcome of the newer
+// form. A repeat must find them under its own key: all ways give the same table.
+func TestOlderFormStillFolds(t *testing.T) {
+	claims, outcomes := legacyEntries()
+	olderClaims, olderOutcomes := fromBase64(t, legacyClaims), fromBase64(t, legacyOutcomes)
+	newerClaims, newerOutcomes := encode(t, claims...), encode(t, outcomes...)
+	if len(newerClaims) > len(olderClaims)/2 || len(newerOutcomes) > len(olderOutcomes) {
+		t.Errorf("%d and %d B, were %d and %d B", len(newerClaims), len(newerOutcomes), len(olderClaims), len(olderOutcomes))
+	}
+	want := folded(t, newerClaims, newerOutcomes)
+	snapshot, err := idempotency.Decode(fromBase64(t, legacySnapshot))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fromSnapshot, err := idempotency.Restore([]chunks.Chunk{*snapshot.Snapshot})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, table := range map[string]*idempotency.Table{
+		"older": folded(t, olderClaims, olderOutcomes), "older, newer": folded(t, olderClaims, newerOutcomes),
+		"newer, older": folded(t, newerClaims, olderOutcomes), "snapshot": fromSnapshot,
+	} {
+		if sum(t, table) != sum(t, want) || table.State(keys[0]).Answer.Status != 201 || table.State(keys[1]) != nil {
+			t.Errorf("%s: another table", name)
+		}
+	}
+}
+
+func folded(t interface{ Fatal(...any) }, records ...[]byte) *idempotency.Table {
+	table := idempotency.NewTable()
+	for i, data := range records {
+		for _, result := range table.Apply(uint64(i+1), time.UnixMilli(int64(i+1)), data) {
+			if result.Verdict != idempotency.VerdictApplied {
+				t.Fatal(result)
+			}
+		}
+	}
+	return table
+}
--- a/idempotency/linear_test.go
+++ b/idempotency/linear_test.go
@@ -92,7 +92,7 @@
 func (c *claimer) claim(key idempotency.Key) claimOp {
 	c.sequence++
 	id := idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}
-	r := c.land(idempotency.Entry{Claim: &idempotency.Claim{ID: id, Key: key, Digest: "d", WindowMs: time.Hour.Milliseconds()}}, id)
+	r := c.land(idempotency.Entry{Claim: &idempotency.Claim{ID: id, Key: key, Digest: 7, WindowMs: time.Hour.Milliseconds()}}, id)
 	return claimOp{key: key, done: r.Verdict == idempotency.VerdictApplied, holder: r.Holder.Revision}
 }
 
--- a/idempotency/snapshot.go
+++ b/idempotency/snapshot.go
@@ -1,43 +1,91 @@
 package idempotency
 
 import (
-	"cmp"
-	"container/heap"
-	"slices"
+	"encoding/binary"
 
 	"bergamotreel/internal/chunks"
-	"bergamotreel/internal/wire"
 )
 
 // Collector finds the newest complete snapshot among the records of a stream.
 type Collector = chunks.Collector
 
-// encoded is the canonical form of a table: equal tables encode to equal bytes.
-type encoded struct {
-	Applied uint64    `cbor:"1,keyasint"`
-	Skipped uint64    `cbor:"2,keyasint"`
-	NowMs   int64     `cbor:"3,keyasint"`
-	Holders []*Holder `cbor:"4,keyasint"`
-}
-
 // Snapshot encodes the table just after Applied in chunks for the log.
 func (t *Table) Snapshot(writer string) ([]chunks.Chunk, error) {
-	data, err := t.encode()
-	if err != nil {
-		return nil, err
-	}
-	all, err := chunks.Split(data, writer, t.applied, chunks.Size)
+	all, err := chunks.Split(t.encode(), writer, t.applied, chunks.Size)
 	return all, Error.Wrap(err)
 }
 
-func (t *Table) encode() ([]byte, error) {
-	e := encoded{Applied: t.applied, Skipped: t.skipped, NowMs: t.nowMs}
-	for _, holder := range t.holders {
-		e.Holders = append(e.Holders, holder)
+// What a row of a snapshot has beside its claim.
+const (
+	rowAnswer = 1 << iota
+	rowRelease
+	rowFree
+)
+
+// encode returns the canonical form of the table: equal tables encode to equal
+// bytes. After the format stand the counters, the claimers' names in the order
+// of their first claim, and the rows in the order of their claims; revisions and
+// ends are written as the difference to the row before.
+func (t *Table) encode() []byte {
+	var claimers nameList
+	var rows []byte
+	var before Holder
+	live := t.held.all(t.nowMs)
+	for _, s := range live {
+		row := t.held.row(s)
+		rows = appendRow(rows, row, before, &claimers)
+		before = row.Holder
 	}
-	slices.SortFunc(e.Holders, func(a, b *Holder) int { return cmp.Compare(a.Revision, b.Revision) })
-	data, err := wire.Marshal(e)
-	return data, Error.Wrap(err)
+	data := appendUint(appendUint([]byte{Format}, t.applied), t.skipped)
+	data = claimers.append(appendInt(data, t.nowMs))
+	return append(appendUint(data, uint64(len(live))), rows...)
+}
+
+func appendRow(data []byte, r row, before Holder, claimers *nameList) []byte {
+	has := byte(0)
+	if r.Answer != nil {
+		has |= rowAnswer
+	}
+	if r.release != nil {
+		has |= rowRelease
+		if r.release.free {
+			has |= rowFree
+		}
+	}
+	data = append(append(data, has), r.Key[:]...)
+	data = binary.BigEndian.AppendUint64(data, uint64(r.Digest))
+	data = appendUint(data, uint64(r.Revision-before.Revision))
+	data = appendInt(data, r.ExpiresMs-before.ExpiresMs)
+	data = appendID(data, r.ID, claimers)
+	if r.Answer != nil {
+		data = appendAnswer(data, *r.Answer)
+	}
+	if r.release != nil {
+		data = appendUint(appendUint(data, r.release.at), uint64(len(r.release.ids)))
+		for _, id := range r.release.ids {
+			data = appendID(data, id, claimers)
+		}
+	}
+	return data
+}
+
+func (r *reader) row(before Holder, claimers []string) (row row) {
+	has := r.byte()
+	row.Key, row.Digest = r.key(), r.digest()
+	row.Revision = before.Revision + Revision(r.uint())
+	row.ExpiresMs = before.ExpiresMs + r.int()
+	row.ID = r.id(claimers)
+	if has&rowAnswer != 0 {
+		a := r.answer()
+		row.Answer = &a
+	}
+	if has&rowRelease != 0 {
+		row.release = &release{free: has&rowFree != 0, at: r.uint()}
+		for n := r.uint(); n > 0 && !r.bad; n-- {
+			row.release.ids = append(row.release.ids, r.id(claimers))
+		}
+	}
+	return row
 }
 
 // Restore makes the table of a complete snapshot.
@@ -46,29 +94,28 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	var e encoded
-	if err := wire.UnmarshalSnapshot(data, &e); err != nil {
-		return nil, Error.Wrap(err)
+	if len(data) == 0 || data[0] != Format {
+		return restoreLegacy(data)
 	}
+	r := &reader{data: data[1:]}
 	t := NewTable()
-	t.applied, t.skipped, t.nowMs = e.Applied, e.Skipped, e.NowMs
-	for _, holder := range e.Holders {
-		if holder == nil {
-			return nil, Error.New("snapshot with an empty entry")
-		}
-		t.holders[holder.Key] = holder
-		heap.Push(&t.expiry, expiry{holder.ExpiresMs, holder.Key, holder.Revision})
+	t.applied, t.skipped, t.nowMs = r.uint(), r.uint(), r.int()
+	claimers := r.names()
+	var before Holder
+	for rows := r.uint(); rows > 0 && !r.bad; rows-- {
+		row := r.row(before, claimers)
+		t.held.put(row)
+		before = row.Holder
+	}
+	if r.bad || len(r.data) > 0 {
+		return nil, Error.New("malformed snapshot of %d bytes", len(data))
 	}
 	return t, nil
 }
 
 // Clone returns a copy that shares nothing that Apply changes.
 func (t *Table) Clone() *Table {
-	c := NewTable()
-	c.applied, c.skipped, c.nowMs = t.applied, t.skipped, t.nowMs
-	for key, holder := range t.holders {
-		c.holders[key] = holder
-	}
-	c.expiry = slices.Clone(t.expiry)
-	return c
+	c := *t
+	c.held = t.held.clone()
+	return &c
 }
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -1,7 +1,7 @@
 package idempotency
 
 import (
-	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,54 +13,24 @@
 	applied uint64
 	skipped uint64
 	// nowMs is the log's time of the newest record, in Unix milliseconds.
-	nowMs   int64
-	holders map[Key]*Holder
-	expiry  expiryHeap
-}
-
-// expiry is when the window of one claim ends.
-type expiry struct {
-	atMs  int64
-	key   Key
-	claim Revision
-}
-
-// expiryHeap is a heap.Interface with the earliest end first.
-type expiryHeap []expiry
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].atMs < h[j].atMs }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiry)) }
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	x := (*h)[last]
-	*h = (*h)[:last]
-	return x
+	nowMs int64
+	held  held
 }
 
 // Holder is the claim that holds a key, and its outcome.
 type Holder struct {
-	Key      Key      `cbor:"1,keyasint"`
-	ID       ClaimID  `cbor:"2,keyasint"`
-	Digest   Digest   `cbor:"3,keyasint"`
-	VM       string   `cbor:"4,keyasint,omitempty"`
-	Revision Revision `cbor:"5,keyasint"`
+	Key      Key
+	ID       ClaimID
+	Digest   Digest
+	Revision Revision
 	// ExpiresMs is when the key is free again, by the log's time in Unix
 	// milliseconds.
-	ExpiresMs int64 `cbor:"6,keyasint"`
+	ExpiresMs int64
 	// Answer is nil until the Outcome.
-	Answer *Answer `cbor:"7,keyasint,omitempty"`
-	// Released are claims that held the key before, newest last. A late
-	// duplicate of one must not take the key again: nobody would answer it.
-	Released []ClaimID `cbor:"8,keyasint,omitempty"`
-	// Free is whether this claim was released too.
-	Free bool `cbor:"9,keyasint,omitempty"`
-	// ReleasedAt is the offset of the newest release of the key, 0 without one.
-	ReleasedAt uint64 `cbor:"10,keyasint,omitempty"`
+	Answer *Answer
 }
 
-// maxReleased bounds Holder.Released.
+// maxReleased bounds the released claims that are remembered of one key.
 const maxReleased = 16
 
 // Verdict says what an entry came to.
@@ -89,8 +59,8 @@
 	ID ClaimID
 	// Revision is the entry's place.
 	Revision Revision
-	// Holder is who holds the key after the entry, nil when it is free. It must
-	// not be changed.
+	// Holder is who holds the key after the entry, nil when it is free. The bytes
+	// of its answer must not be changed.
 	Holder *Holder
 	// Repeated marks a second landing of the claim that holds the key. It gives
 	// no second right to dispatch.
@@ -99,7 +69,7 @@
 
 // NewTable returns the table before the first record.
 func NewTable() *Table {
-	return &Table{holders: map[Key]*Holder{}}
+	return &Table{held: newHeld()}
 }
 
 // Applied is the offset of the last folded record.
@@ -111,16 +81,14 @@
 // Now is the log's time of the newest record.
 func (t *Table) Now() time.Time { return time.UnixMilli(t.nowMs) }
 
-// Len is the number of keys that are held.
-func (t *Table) Len() int { return len(t.holders) }
-
-// State returns who holds a key; nil means that it is free. The result must not
-// be changed.
+// State returns who holds a key; nil means that it is free. The bytes of the
+// answer must not be changed.
 func (t *Table) State(key Key) *Holder {
-	if holder := t.holders[key]; holder != nil && !holder.Free {
-		return holder
+	last, known := t.held.find(key, t.nowMs)
+	if !known || last.free() {
+		return nil
 	}
-	return nil
+	return &last.Holder
 }
 
 // maxOffset is the highest offset that a revision can hold.
@@ -150,15 +118,15 @@
 // should a record say so, the time stands still.
 func (t *Table) expire(logTime time.Time) {
 	t.nowMs = max(t.nowMs, logTime.UnixMilli())
-	for len(t.expiry) > 0 && t.expiry[0].atMs <= t.nowMs {
-		ended := heap.Pop(&t.expiry).(expiry)
-		// A released key is remembered from its release on, and may be held by a
-		// later claim.
-		holder := t.holders[ended.key]
-		if holder != nil && holder.Revision == ended.claim && holder.ExpiresMs == ended.atMs {
-			delete(t.holders, ended.key)
-		}
+	t.held.sweep(t.nowMs)
+}
+
+// after is the log's time so many milliseconds from now.
+func (t *Table) after(ms int64) int64 {
+	if t.nowMs > math.MaxInt64-ms {
+		return math.MaxInt64
 	}
+	return t.nowMs + ms
 }
 
 func (t *Table) fold(rev Revision, e *Entry) Result {
@@ -175,15 +143,19 @@
 
 // claim gives the key to the first claim in offset order.
 func (t *Table) claim(rev Revision, c *Claim) Result {
-	r := Result{Key: c.Key, ID: c.ID, Revision: rev, Holder: t.State(c.Key)}
+	r := Result{Key: c.Key, ID: c.ID, Revision: rev}
+	last, known := t.held.find(c.Key, t.nowMs)
+	if known && !last.free() {
+		r.Holder = &last.Holder
+	}
 	switch holder := r.Holder; {
 	case !c.valid():
 		r.Verdict = VerdictInvalid
-	case holder == nil && t.releasedSince(c):
+	case holder == nil && last.turnsAway(c):
 		r.Verdict = VerdictStale
 	case holder == nil:
 		r.Verdict = VerdictApplied
-		r.Holder = t.hold(rev, c)
+		r.Holder = t.hold(rev, c, last)
 	case holder.ID == c.ID:
 		r.Verdict, r.Repeated = VerdictApplied, true
 	case holder.Digest != c.Digest:
@@ -194,41 +166,28 @@
 	return r
 }
 
-// releasedSince tells whether the claim was made before a release of its key
-// that its request had not seen, or was itself released.
-func (t *Table) releasedSince(c *Claim) bool {
-	last := t.holders[c.Key]
-	if last == nil {
+func (r row) free() bool { return r.release != nil && r.release.free }
+
+// turnsAway tells whether the claim was made before a release of its key that
+// its request had not seen, or was itself released.
+func (r row) turnsAway(c *Claim) bool {
+	if r.release == nil {
 		return false
 	}
-	unseen := c.Since != 0 && last.ReleasedAt >= c.Since
-	return unseen || slices.Contains(last.Released, c.ID)
-}
-
-func (c *Claim) valid() bool {
-	return c.Key.Customer != "" && c.Key.Key != "" && len(c.Key.Key) <= MaxKeyBytes &&
-		c.ID.Claimer != "" && c.Digest != "" &&
-		c.WindowMs >= MinWindow.Milliseconds() && c.WindowMs <= MaxWindow.Milliseconds()
+	unseen := c.Since != 0 && r.release.at >= c.Since
+	return unseen || slices.Contains(r.release.ids, c.ID)
 }
 
 // hold gives the key to the claim. What is known of earlier releases is kept for
 // as long as they need, also with a shorter window.
-func (t *Table) hold(rev Revision, c *Claim) *Holder {
-	holder := &Holder{
-		Key: c.Key, ID: c.ID, Digest: c.Digest, VM: c.VM, Revision: rev,
-		ExpiresMs: t.nowMs + c.WindowMs,
-	}
-	if last := t.holders[c.Key]; last != nil {
-		holder.Released, holder.ReleasedAt = last.Released, last.ReleasedAt
-		holder.ExpiresMs = max(holder.ExpiresMs, last.ExpiresMs)
+func (t *Table) hold(rev Revision, c *Claim, last row) *Holder {
+	taken := row{Holder: Holder{Key: c.Key, ID: c.ID, Digest: c.Digest, Revision: rev, ExpiresMs: t.after(c.WindowMs)}}
+	if last.release != nil {
+		taken.ExpiresMs = max(taken.ExpiresMs, last.ExpiresMs)
+		taken.release = &release{at: last.release.at, ids: last.release.ids}
 	}
-	t.holders[c.Key] = holder
-	t.expireLater(holder)
-	return holder
-}
-
-func (t *Table) expireLater(holder *Holder) {
-	heap.Push(&t.expiry, expiry{holder.ExpiresMs, holder.Key, holder.Revision})
+	t.held.put(taken)
+	return &taken.Holder
 }
 
 func (t *Table) outcome(rev Revision, o *Outcome) Result {
@@ -240,7 +199,8 @@
 		r.Verdict = VerdictStale
 	default:
 		r.Verdict = VerdictApplied
-		r.Holder = t.change(r.Holder, func(h *Holder) { h.Answer = &o.Answer })
+		r.Holder.Answer = &o.Answer
+		t.held.setAnswer(o.Key, &o.Answer)
 	}
 	return r
 }
@@ -248,28 +208,28 @@
 // release frees the key by its claimer's word alone: another process can't know
 // whether the call was dispatched.
 func (t *Table) release(rev Revision, rel *Release) Result {
-	r := Result{Key: rel.Key, ID: rel.ID, Revision: rev, Holder: t.State(rel.Key)}
+	r := Result{Key: rel.Key, ID: rel.ID, Revision: rev}
+	last, known := t.held.find(rel.Key, t.nowMs)
+	if known && !last.free() {
+		r.Holder = &last.Holder
+	}
 	if r.Holder == nil || r.Holder.Revision != rel.Claim || r.Holder.ID != rel.ID || r.Holder.Answer != nil {
 		r.Verdict = VerdictStale
 		return r
 	}
-	r.Verdict = VerdictApplied
-	freed := t.change(r.Holder, func(h *Holder) {
-		h.Free = true
-		h.ReleasedAt = rev.Offset()
-		h.ExpiresMs = t.nowMs + ReleasedFor.Milliseconds()
-		h.Released = append(slices.Clone(h.Released), h.ID)
-		h.Released = h.Released[max(0, len(h.Released)-maxReleased):]
-	})
-	t.expireLater(freed)
-	r.Holder = nil
+	r.Verdict, r.Holder = VerdictApplied, nil
+	t.free(rev, last)
 	return r
 }
 
-// change puts a changed copy in a holder's place: readers may hold the old one.
-func (t *Table) change(old *Holder, by func(*Holder)) *Holder {
-	changed := *old
-	by(&changed)
-	t.holders[old.Key] = &changed
-	return &changed
+// free notes the release. The rows that readers hold stay as they are.
+func (t *Table) free(rev Revision, last row) {
+	freed := &release{free: true, at: rev.Offset()}
+	if last.release != nil {
+		freed.ids = slices.Clone(last.release.ids)
+	}
+	freed.ids = append(freed.ids, last.ID)
+	freed.ids = freed.ids[max(0, len(freed.ids)-maxReleased):]
+	last.release, last.ExpiresMs = freed, t.after(ReleasedFor.Milliseconds())
+	t.held.put(last)
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -46,8 +46,8 @@
 type Config struct {
 	Log    platformlog.Log
 	Logger *zap.Logger
-	// VM and Incarnation name this entry VM and this start of its process.
-	VM, Incarnation string
+	// Incarnation names this start of the process of this entry VM.
+	Incarnation string
 	// Window is how long a key is remembered.
 	Window time.Duration
 	// Alive tells whether the process that claimed may still answer.
@@ -126,7 +126,7 @@
 
 // Claimed answers a peer that cannot reach the log.
 func (c *Claimer) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply {
-	key := idempotency.Key{Customer: query.Customer, Key: query.Key}
+	key := idempotency.KeyOf(query.Customer, query.Key)
 	reply := entryvm.ClaimReply{Up: time.Since(c.started)}
 	c.replica.View(func() {
 		reply.Applied = c.fold.table.Applied()
@@ -144,21 +144,22 @@
 
 // Begin claims the call; see serving.Claims.
 func (c *Claimer) begin(ctx context.Context, call caller.ServiceCall) (*claim, *service.Answer, error) {
-	key := idempotency.Key{Customer: call.Identity.Customer, Key: call.IdempotencyKey}
+	query := entryvm.ClaimQuery{Customer: call.Identity.Customer, Key: call.IdempotencyKey}
+	key := idempotency.KeyOf(query.Customer, query.Key)
 	digest := idempotency.DigestOf(call.Method, call.Path, call.Body)
 	c.underWay.add(key, 1)
 	defer c.underWay.add(key, -1)
 	select {
 	case <-c.Ready():
 	default:
-		return nil, nil, c.refuseWithoutLog(ctx, key)
+		return nil, nil, c.refuseWithoutLog(ctx, query)
 	}
 	since := c.fold.marks.at(call.Arrived) + 1
 	holder := c.holder(key)
 	if holder == nil {
 		result, err := c.propose(ctx, key, digest, since)
 		if err != nil {
-			return nil, nil, c.refuseWithoutLog(ctx, key)
+			return nil, nil, c.refuseWithoutLog(ctx, query)
 		}
 		switch result.Verdict {
 		case idempotency.VerdictApplied:
@@ -200,7 +201,7 @@
 	return c.batcher.Submit(ctx, func(sequence uint64) idempotency.Entry {
 		return idempotency.Entry{Claim: &idempotency.Claim{
 			ID:  idempotency.ClaimID{Claimer: c.config.Incarnation, Sequence: sequence},
-			Key: key, Digest: digest, VM: c.config.VM, WindowMs: c.config.Window.Milliseconds(), Since: since,
+			Key: key, Digest: digest, WindowMs: c.config.Window.Milliseconds(), Since: since,
 		}}
 	}, c.abandoned)
 }
@@ -267,8 +268,8 @@
 }
 
 // refuseWithoutLog answers at once while no claim can be recorded.
-func (c *Claimer) refuseWithoutLog(ctx context.Context, key idempotency.Key) error {
-	if c.surelyNotRun(ctx, key) {
+func (c *Claimer) refuseWithoutLog(ctx context.Context, query entryvm.ClaimQuery) error {
+	if c.surelyNotRun(ctx, query) {
 		return refusal.New(refusal.CodeLogUnavailable, comeBack, "the platform's log is out of reach")
 	}
 	r := refusal.Maybe(refusal.CodeLogUnavailable,
@@ -297,7 +298,8 @@
 //     once it has. That VM says that the key is held, and so does this one.
 //   - All entry VMs restart during an outage, and none has folded anything. A
 //     table that never was complete gives no moment.
-func (c *Claimer) surelyNotRun(ctx context.Context, key idempotency.Key) bool {
+func (c *Claimer) surelyNotRun(ctx context.Context, query entryvm.ClaimQuery) bool {
+	key := idempotency.KeyOf(query.Customer, query.Key)
 	select {
 	case <-c.Ready():
 	default:
@@ -310,7 +312,6 @@
 		free = c.fold.table.State(key) == nil
 	})
 	since, complete := c.reads.completeAt(platformlog.Offset(applied))
-	query := entryvm.ClaimQuery{Customer: key.Customer, Key: key.Key}
 	// This arrival is one of those under way here.
 	alone := c.underWay.count(key) <= 1
 	return free && complete && alone && c.config.NobodyAhead(ctx, query, applied, since)
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -100,7 +100,7 @@
 	v := &vm{desk: d, name: name, view: d.log.View(name)}
 	v.ctx, v.kill = context.WithCancel(d.t.Context())
 	v.Claimer = claims.New(claims.Config{
-		Log: viewLog{v.view, v}, Logger: zap.NewNop(), VM: name, Incarnation: name, Window: time.Hour,
+		Log: viewLog{v.view, v}, Logger: zap.NewNop(), Incarnation: name, Window: time.Hour,
 		Alive: d.alive, NobodyAhead: v.nobodyAhead, WritesSnapshots: func() bool { return false },
 	})
 	v.duties.Go(func() { v.Follow(v.ctx) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,7 +123,7 @@
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
 	})
 	n.claims = claims.New(claims.Config{
-		Log: config.Peers.Log, Logger: config.Logger, VM: config.VM, Incarnation: config.Incarnation,
+		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
 		Window: config.Claims, Alive: n.incarnationAlive, NobodyAhead: n.nobodyAhead,
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge,
 	})
