--- a/cmd/bergamotreel/processes_test.go
+++ b/cmd/bergamotreel/processes_test.go
@@ -16,6 +16,7 @@
 	"net/http"
 
 	"bergamotreel/internal/devsystem"
+	"bergamotreel/internal/httpjson"
 	"bergamotreel/vmlist"
 )
 
@@ -148,24 +149,23 @@
 	if err := plan.PickEntries(); err != nil {
 		p.t.Fatal(err)
 	}
-	plan.ListURL = "http://" + p.standin("vmlist", "--file", p.writeList(plan.VMs))
+	list, err := json.Marshal(vmlist.List{VMs: plan.VMs})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	plan.ListURL = "http://" + p.standin("vmlist", "--file", p.write("vms.json", list))
 	for i, text := range plan.Settings() {
-		file := filepath.Join(p.dir, fmt.Sprintf("entry-%d.ini", i))
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			p.t.Fatal(err)
-		}
+		file := p.write(fmt.Sprintf("entry-%d.ini", i), []byte(text))
 		p.entries = append(p.entries, p.start("bergamotreel", "serve", "--config", file))
 	}
 	return &devsystem.System{Entries: plan.Entries, Ran: func() int { return bookings(p.t, booking) }}
 }
 
-func (p *processes) writeList(vms []vmlist.VM) string {
-	file := filepath.Join(p.dir, "vms.json")
-	data, err := json.Marshal(vmlist.List{VMs: vms})
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	if err := os.WriteFile(file, data, 0o600); err != nil {
+// write writes a file for a process to read and returns its path.
+func (p *processes) write(name string, content []byte) string {
+	p.t.Helper()
+	file := filepath.Join(p.dir, name)
+	if err := os.WriteFile(file, content, 0o600); err != nil {
 		p.t.Fatal(err)
 	}
 	return file
@@ -173,16 +173,11 @@
 
 // bookings counts how often the service stand-in really ran POST /book.
 func bookings(t *testing.T, address string) int {
-	answer, err := http.Get("http://" + address + "/admin/calls")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = answer.Body.Close() }()
 	var calls []struct {
 		Method, Path string
 		Times        int
 	}
-	if err := json.NewDecoder(answer.Body).Decode(&calls); err != nil {
+	if err := httpjson.Call(t.Context(), http.DefaultClient, http.MethodGet, "http://"+address+"/admin/calls", &calls); err != nil {
 		t.Fatal(err)
 	}
 	total := 0
