planner: the differential test's removals name what was seen, so that they land

Cause: EngineRemove has preconditions since; without them each removal of this test was a conflict and its mark untested.

--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -158,7 +158,7 @@
 	case 1:
 		w.fold(state.Proposal{KeeperGiveBack: &state.KeeperGiveBack{Engine: at, Keeper: e.Keeper}})
 	case 2:
-		w.fold(state.Proposal{EngineRemove: &state.EngineRemove{Engine: at}})
+		w.fold(state.Proposal{EngineRemove: &state.EngineRemove{Engine: at, Newest: e.Newest, Incarnation: e.Incarnation}})
 	case 3, 4:
 		w.fold(state.Proposal{Grant: &state.Grant{Engine: at, Keeper: e.Keeper, Unit: unit,
 			Customer: customerAt(w.rng.Intn(worldCustomers)), Wanted: w.rng.Intn(2) == 0}})
