serving: a free engine is assigned on arrival, the first token goes out before it is noted

Where others wait the duty chooses as before. The router's note of a first token follows its sending, an end wakes the duty only if something waits, and a token no longer moves its stream's timer: the guard notes the time and its timer looks when it fires.

internal_test.go: the benchmark no longer calls the duty; its scaffolding is shared with the two new tests.

--- a/internal/serving/call.go
+++ b/internal/serving/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"bergamotreel/admission"
 	"bergamotreel/caller"
@@ -89,7 +90,7 @@
 		answer, callErr := s.config.Services.Do(ctx, p.backend, call.Call)
 		v := judgeCall(callErr)
 		if callErr == nil {
-			p.answer()
+			p.answer(time.Now())
 			return answer, v, nil
 		}
 		if errors.Is(ctx.Err(), context.Canceled) || (ctx.Err() != nil && !v.ran) {
--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -1,9 +1,11 @@
 package serving
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bergamotreel/admission"
@@ -43,12 +45,79 @@
 	for b.Loop() {
 		chunk.Position++
 		r.sums = r.sums[:0] // an answer's hashes, not a benchmark's
-		if err := r.deliver(chunk); err != nil {
+		if err := r.deliver(time.Time{}, chunk); err != nil {
 			b.Fatal(err)
 		}
 	}
 }
 
+// alone is a server without its duties, and a request to it.
+func alone(directory fixed) (*Server, admission.Request, routing.Query) {
+	controller := admission.New(admission.Config{})
+	controller.SetContracts(map[string]*contract.Contract{"c": {RequestsPerSecond: 1e9, Burst: 1e9, MaxQueued: 9}})
+	router := routing.New(routing.Config{}, rand.New(rand.NewSource(1)))
+	s := New(Config{Domain: "a", Directory: directory, Admission: controller, Router: router})
+	request := admission.Request{Customer: "c", Unit: "m", Pool: "m", Deadline: time.Now().Add(time.Hour)}
+	return s, request, routing.Query{Unit: "m", Pool: "m", Domain: "a"}
+}
+
+// The first token of a request that meets a free engine does not wait until the
+// queue's duty runs. Where another one waits, the newcomer waits as well, and
+// the duty chooses.
+func TestFreeEngineIsAssignedAtOnce(t *testing.T) {
+	s, request, query := alone(fixed{{Engine: "a", Slots: 1, Ready: true}})
+	ask := func(assigned int) *place {
+		t.Helper()
+		p, w, refused := s.arrive(request, query, s.find("m"))
+		if refused != nil || len(w.assign) != assigned {
+			t.Fatalf("%v, %d assignments, want %d", refused, len(w.assign), assigned)
+		}
+		if assigned > 0 && p.wait(t.Context(), w) != nil {
+			t.Fatal("no place")
+		}
+		return p
+	}
+	first := ask(1)
+	ask(0)
+	first.end(t.Context(), nil, judge(nil))
+	ask(0) // behind the second
+	if s.dispatch(time.Now()); len(s.waiters) != 1 {
+		t.Errorf("%d wait", len(s.waiters))
+	}
+}
+
+// A guard ends an attempt, and says why, when the first token or a later one is
+// late; a token that comes in time, or the stop, keeps it from that.
+func TestGuardEndsSilence(t *testing.T) {
+	for name, c := range map[string]struct {
+		tokens []time.Duration
+		stop   time.Duration
+		end    time.Duration
+		reason error
+	}{
+		"no token":          {nil, time.Minute, 20 * time.Second, errLate},
+		"silence":           {[]time.Duration{1, 2, 8}, time.Minute, 18 * time.Second, errStalled},
+		"late, then silent": {[]time.Duration{19}, time.Minute, 29 * time.Second, errStalled},
+		"stopped":           {[]time.Duration{1, 10, 19}, 21 * time.Second, 21 * time.Second, nil},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			start := time.Now()
+			g := startGuard(20*time.Second, 10*time.Second, cancel, errLate)
+			for _, at := range c.tokens {
+				time.Sleep(at*time.Second - time.Since(start))
+				g.heard(time.Now())
+			}
+			time.AfterFunc(c.stop-time.Since(start), func() { g.stop(); cancel(nil) })
+			<-ctx.Done()
+			if cause := context.Cause(ctx); time.Since(start) != c.end || c.reason != nil && cause != c.reason {
+				t.Errorf("%s: %v after %v", name, cause, time.Since(start))
+			}
+		})
+	}
+}
+
 // BenchmarkDispatch is one request's arrival, dispatch, first token and end.
 func BenchmarkDispatch(b *testing.B) {
 	for _, candidates := range []int{24, 500} {
@@ -59,21 +128,16 @@
 					Engine: fmt.Sprint(i), Domain: string(rune('a' + i%3)), Slots: 16, Ready: true,
 				})
 			}
-			controller := admission.New(admission.Config{})
-			controller.SetContracts(map[string]*contract.Contract{"c": {RequestsPerSecond: 1e9, Burst: 1e9}})
-			router := routing.New(routing.Config{}, rand.New(rand.NewSource(1)))
-			s := New(Config{Domain: "a", Directory: directory, Admission: controller, Router: router})
-			request := admission.Request{Customer: "c", Unit: "m", Pool: "m", Deadline: time.Now().Add(time.Hour)}
+			s, request, query := alone(directory)
 			for b.Loop() {
-				p, w, refused := s.arrive(request, routing.Query{Unit: "m", Pool: "m", Domain: "a"}, s.find("m"))
+				p, w, refused := s.arrive(request, query, s.find("m"))
 				if refused != nil {
 					b.Fatal(refused)
 				}
-				s.dispatch(time.Now())
 				if err := p.wait(b.Context(), w); err != nil {
 					b.Fatal(err)
 				}
-				p.answer()
+				p.answer(time.Now())
 				p.end(b.Context(), nil, judge(nil))
 			}
 		})
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -57,9 +57,22 @@
 	}
 	s.running++
 	s.budget.Sent(now)
-	query.Exclude = make(map[string]bool)
 	p := &place{server: s, ticket: ticket, query: query}
-	return p, s.register(p, time.Time{}), nil
+	w := s.register(p, time.Time{})
+	s.assignAtOnce(now, w, known)
+	return p, w, nil
+}
+
+// assignAtOnce gives a request that waits alone in its pool a backend server
+// without the queue's duty, which would have to be woken first: some 40 µs
+// before the first token. Where others wait, no place is free as a rule, and
+// the duty looks once for many arrivals. Call with mu held.
+func (s *Server) assignAtOnce(now time.Time, w *waiter, known []routing.Candidate) {
+	if s.stopped || s.pools[w.query.Pool] > 1 {
+		return
+	}
+	look := &lookup{server: s, now: now, units: map[string][]routing.Candidate{w.query.Unit: known}}
+	s.dispatchPool(now, w.query.Pool, look)
 }
 
 // register puts the place into the queue. Call with mu held.
@@ -77,6 +90,11 @@
 
 // wait returns once the request has a backend server, or fails with a refusal.
 func (p *place) wait(ctx context.Context, w *waiter) error {
+	select {
+	case a := <-w.assign:
+		return p.take(a)
+	default:
+	}
 	p.server.Wake()
 	select {
 	case a := <-w.assign:
@@ -134,11 +152,19 @@
 	result.FirstToken = p.firstToken
 	p.server.finished(now, p.backend, p.start, result)
 	if v.avoid {
-		p.query.Exclude[p.backend] = true
+		p.avoid(p.backend)
 	}
 	p.backend = ""
 }
 
+// avoid keeps the request away from a backend server.
+func (p *place) avoid(backend string) {
+	if p.query.Exclude == nil {
+		p.query.Exclude = make(map[string]bool)
+	}
+	p.query.Exclude[backend] = true
+}
+
 // move ends a broken attempt and picks another backend server at once: the
 // request has been admitted and part of its answer delivered.
 func (p *place) move(v verdict) bool {
@@ -155,10 +181,10 @@
 	return true
 }
 
-// answer notes the first token of the current attempt, or a service's answer.
-func (p *place) answer() {
+// answer notes the first token of the current attempt, or a service's answer,
+// which came at the time now.
+func (p *place) answer(now time.Time) {
 	s := p.server
-	now := time.Now()
 	p.firstToken = max(now.Sub(p.begun), 1) // zero would mean none
 	if p.answered == 0 {
 		p.answered = max(now.Sub(p.dispatched), 1)
@@ -196,7 +222,10 @@
 			OK: err == nil, FirstToken: p.answered, Served: now.Sub(p.dispatched),
 		})
 	}
-	s.Wake()
+	// Nothing waits as a rule, and waking the duty would cost more than the rest.
+	if len(s.waiters)+len(s.missingAt) > 0 {
+		s.Wake()
+	}
 }
 
 // honest makes a refusal tell what is known of all attempts. Failure: a first
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := r.guard(cancel)
-	defer guard.Stop()
+	defer guard.stop()
 	stream, err := r.open(ctx)
 	if err == nil {
 		err = r.follow(ctx, stream, guard)
@@ -72,7 +72,7 @@
 }
 
 // follow reads the stream to its end and resumes it where it breaks.
-func (r *relay) follow(ctx context.Context, stream engine.Stream, guard *time.Timer) error {
+func (r *relay) follow(ctx context.Context, stream engine.Stream, guard *guard) error {
 	position, fruitless := uint64(0), 0
 	for {
 		before := position
@@ -118,11 +118,12 @@
 }
 
 // guard ends the attempt when its first token is late or it falls silent.
-func (r *relay) guard(cancel context.CancelCauseFunc) *time.Timer {
+func (r *relay) guard(cancel context.CancelCauseFunc) *guard {
+	silence := r.server.config.StallTimeout
 	if r.delivered == 0 {
-		return time.AfterFunc(time.Until(r.deadline), func() { cancel(errLate) })
+		return startGuard(time.Until(r.deadline), silence, cancel, errLate)
 	}
-	return time.AfterFunc(r.server.config.StallTimeout, func() { cancel(errStalled) })
+	return startGuard(silence, silence, cancel, errStalled)
 }
 
 // guarded adds the guard's reason to the error that it caused.
@@ -135,7 +136,7 @@
 }
 
 // pump hands chunks on until the stream ends; it returns the last position read.
-func (r *relay) pump(stream engine.Stream, position uint64, guard *time.Timer) (uint64, error) {
+func (r *relay) pump(stream engine.Stream, position uint64, guard *guard) (uint64, error) {
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -145,8 +146,9 @@
 			return position, err
 		}
 		position = chunk.Position
-		guard.Reset(r.server.config.StallTimeout)
-		if err := r.deliver(chunk); err != nil {
+		now := time.Now()
+		guard.heard(now)
+		if err := r.deliver(now, chunk); err != nil {
 			return position, err
 		}
 	}
@@ -161,13 +163,20 @@
 	return nil
 }
 
-// deliver hands a new chunk to the sink. A chunk that was delivered before, by
-// the engine the stream moved from, must say the same again: otherwise the
-// caller would get two halves of different answers.
-func (r *relay) deliver(chunk engine.Chunk) error {
+// deliver takes a chunk that came at the time now. What is to be noted of a
+// first one is noted once the caller has it.
+func (r *relay) deliver(now time.Time, chunk engine.Chunk) error {
+	err := r.handOn(chunk)
 	if r.place.firstToken == 0 {
-		r.place.answer()
+		r.place.answer(now)
 	}
+	return err
+}
+
+// handOn gives a new chunk to the sink. A chunk that was delivered before, by
+// the engine the stream moved from, must say the same again: otherwise the
+// caller would get two halves of different answers.
+func (r *relay) handOn(chunk engine.Chunk) error {
 	sum := contentSum(chunk.Data)
 	if chunk.Position <= r.delivered {
 		if r.sums[chunk.Position-1] != sum {
