planner: an engine that is silent waits for news of it, not for the next plan

Cause: in a fleet where engines are asked in turns most of 10,000 are silent for over 10 s at one VM; each plan looked at all of them again. The differential test asks engines rarely in half of its worlds, and tells words of other VMs: with that news, the news of a told leaving, or that of its end left out it fails.

--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/engine"
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/fleet"
 	"bergamotreel/internal/rendezvous"
 	"bergamotreel/placement"
@@ -225,6 +226,8 @@
 		}
 		w.live.Set(live)
 		w.version++
+	case 3:
+		w.fleet.Told([]fleet.Word{{At: time.Now(), EngineReport: entryvm.EngineReport{Engine: address, Draining: w.rng.Intn(2) == 0}}})
 	default:
 		status := engine.Status{Incarnation: fmt.Sprint(w.rng.Intn(2)), Slots: 4, Cached: map[string]engine.Tier{},
 			Load: engine.Load{Running: w.rng.Intn(9)}}
@@ -312,7 +315,9 @@
 		rng: rand.New(rand.NewSource(seed)), state: state.New(), live: rendezvous.NewTable(),
 		statuses: make(map[string]engine.Status), silent: make(map[string]bool),
 	}
-	w.fleet = fleet.New(fleet.Config{Lister: w, Engine: silentEngines{w: w}, Log: zap.NewNop()}, nil, nil)
+	// In half of the worlds engines are asked so rarely that they count as silent.
+	every := time.Duration(2+12*(seed%2)) * time.Second
+	w.fleet = fleet.New(fleet.Config{Lister: w, Engine: silentEngines{w: w}, IdleEvery: every, Log: zap.NewNop()}, nil, nil)
 	kept, full := w.planner(), w.planner()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/planner/picture.go
+++ b/internal/planner/picture.go
@@ -157,11 +157,11 @@
 }
 
 // schedule has the engine looked at again when time alone changes it: when it has
-// not been heard for long (each plan looks from then on whether it has), and when
-// requests no longer count as running.
+// not been heard for long (that it is heard again is news), and when requests no
+// longer count as running.
 func (v *picture) schedule(e *seenEngine) {
 	at := e.countUntil
-	if silent := e.SeenAt.Add(reachableFor); e.Reachable && (at.IsZero() || silent.Before(at)) {
+	if silent := e.SeenAt.Add(reachableFor); e.reachable && (at.IsZero() || silent.Before(at)) {
 		at = silent
 	}
 	if at.IsZero() || !e.recheck.IsZero() && !at.Before(e.recheck) {
