placement, replay: a plan looks at placed units alone; bystanders' requests are compared one by one

Cause: a plan walked over all units six times a second, most of which have no right anywhere, and built an index of them that few plans ask for. Now upkeep walks over units that have a right, and the index is built on first use.

standin replay takes -p (part of a policy's name) and -x (no faults) for trials.

--- a/cmd/standin/replay.go
+++ b/cmd/standin/replay.go
@@ -16,6 +16,7 @@
 func newReplayVerb() verb {
 	deployment, out := "trinidad", "docs/measures"
 	seed, workers := uint64(1), 4
+	parts, noFaults := []string(nil), false
 	return verb{
 		name: "replay",
 		help: "compare placement policies over a deployment's day in virtual time",
@@ -24,18 +25,22 @@
 			sub.String(&out, "o", "out", "directory for NAME-SEED.md, .json and .svg")
 			sub.UInt64(&seed, "s", "seed", "seed of the day and of all choices")
 			sub.Int(&workers, "n", "workers", "runs at a time")
+			sub.StringSlice(&parts, "p", "policy", "part of the name of a policy to run, may be repeated; all without it")
+			sub.Bool(&noFaults, "x", "no-faults", "leave the days with a fault out")
+		},
+		run: func(ctx context.Context) error {
+			return runReplay(ctx, deployment, out, seed, workers, replay.Selection{Policies: parts, NoFaults: noFaults})
 		},
-		run: func(ctx context.Context) error { return runReplay(ctx, deployment, out, seed, workers) },
 	}
 }
 
-func runReplay(ctx context.Context, name, out string, seed uint64, workers int) error {
+func runReplay(ctx context.Context, name, out string, seed uint64, workers int, selected replay.Selection) error {
 	deployments := map[string]replay.Deployment{"trinidad": replay.Trinidad(), "kathmandu": replay.Kathmandu()}
 	d, ok := deployments[name]
 	if !ok {
 		return fmt.Errorf("no deployment %q", name)
 	}
-	report, err := replay.Compare(ctx, d, seed, workers)
+	report, err := replay.Compare(ctx, d, seed, workers, selected)
 	if err != nil {
 		return err
 	}
--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -9,10 +11,24 @@
 // faultPolicies are run under each fault.
 var faultPolicies = []string{"fixed 10 min", "least recently used", "each router on its own", "ours, weight 0.5", "ours, weight 0.9"}
 
-// Compare runs every policy of one deployment at one seed, workers runs at a
-// time. Each run is its own, so the outcome does not depend on workers.
-func Compare(ctx context.Context, d Deployment, seed uint64, workers int) (*Report, error) {
-	policies := Policies()
+// Selection narrows a comparison; the zero value is all of it.
+type Selection struct {
+	// Policies are parts of the names of those to run.
+	Policies []string
+	// NoFaults leaves the days with a fault out.
+	NoFaults bool
+}
+
+func (s Selection) policies() []Policy {
+	return slices.DeleteFunc(Policies(), func(p Policy) bool {
+		return len(s.Policies) > 0 && !slices.ContainsFunc(s.Policies, func(part string) bool { return strings.Contains(p.Name, part) })
+	})
+}
+
+// Compare runs the selected policies of one deployment at one seed, workers runs
+// at a time. Each run is its own, so the outcome does not depend on workers.
+func Compare(ctx context.Context, d Deployment, seed uint64, workers int, selected Selection) (*Report, error) {
+	policies := selected.policies()
 	plain := make([]Row, len(policies))
 	report := &Report{Deployment: d.Name, Seed: seed}
 	group, ctx := errgroup.WithContext(ctx)
@@ -37,7 +53,7 @@
 	var faulty []Options
 	for _, fault := range Faults {
 		for _, p := range policies {
-			if fault != FaultNone && chosen(p) {
+			if fault != FaultNone && chosen(p) && !selected.NoFaults {
 				faulty = append(faulty, Options{Policy: p, Fault: fault})
 			}
 		}
--- a/internal/replay/loads.go
+++ b/internal/replay/loads.go
@@ -29,6 +29,7 @@
 		}
 	case placement.Withdraw:
 		if r := e.holds(u); r != nil && r.right == p.Right {
+			s.noteGone(u, p.Reason)
 			s.withdraw(r)
 		}
 	}
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -27,10 +27,12 @@
 	// window, bystanders those of all of them.
 	byCustomer map[string][]float64
 	bystanders []float64
+	outcomes   map[requestKey]outcome
 }
 
 func newMetrics() *metrics {
-	return &metrics{loads: make(map[placement.Tier]int), byCustomer: make(map[string][]float64)}
+	return &metrics{loads: make(map[placement.Tier]int), byCustomer: make(map[string][]float64),
+		outcomes: make(map[requestKey]outcome)}
 }
 
 func (m *metrics) decided(measuring bool) {
@@ -77,6 +79,7 @@
 	if r.unit.office > 0 && clock >= BurstFrom && clock < BurstFrom+BurstFor {
 		m.byCustomer[r.unit.customer] = append(m.byCustomer[r.unit.customer], took.Seconds())
 		m.bystanders = append(m.bystanders, took.Seconds())
+		m.outcomes[requestKey{r.unit.id, r.at}] = outcome{took.Seconds(), r.met}
 	}
 }
 
@@ -127,13 +130,14 @@
 	// AllP99 that of all together.
 	CustomerP99 map[string]float64 `json:"-"`
 	AllP99      float64            `json:"-"`
+	outcomes    map[requestKey]outcome
 }
 
 func (m *metrics) result(opt Options) *Result {
 	r := &Result{Policy: opt.Policy.Name, Fault: opt.Fault, Seed: opt.Seed, Requests: m.requests,
 		Cold: percentiles(m.cold), WakeUp: percentiles(m.wake), Broken: m.broken, Overdue: m.overdue, Late: m.late,
 		IdleHours: m.idleHours, ContractHours: m.contractHours, Remote: m.loads[placement.TierRemote], Decided: m.decisions,
-		Conflicts: m.conflicts, OverLimit: m.overLimit, CustomerP99: make(map[string]float64)}
+		Conflicts: m.conflicts, OverLimit: m.overLimit, CustomerP99: make(map[string]float64), outcomes: m.outcomes}
 	for _, n := range m.loads {
 		r.Loads += n
 	}
@@ -158,11 +162,15 @@
 	Noise float64
 	// AllBeside and AllAlone are of all bystanders' requests together.
 	AllBeside, AllAlone float64
+	// Slower are the requests that were slower beside the burst than alone, by
+	// what they met there, Faster those that were slower alone.
+	Slower, Faster []Slower
 }
 
 // worstBystander compares all offices but the bursting one.
 func worstBystander(beside, alone *Result) Bystander {
-	worst := Bystander{AllBeside: beside.AllP99, AllAlone: alone.AllP99}
+	worst := Bystander{AllBeside: beside.AllP99, AllAlone: alone.AllP99,
+		Slower: pair(beside, alone), Faster: pair(alone, beside)}
 	for customer, p99 := range beside.CustomerP99 {
 		before := alone.CustomerP99[customer]
 		if before == 0 {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -44,6 +44,10 @@
 	for _, result := range r.Faulty {
 		writeRow(&b, result, "– | –")
 	}
+	b.WriteString("\nBystanders' requests that were slower beside the burst than alone, and the other way round, by what they met:\n\n")
+	for _, row := range r.Plain {
+		fmt.Fprintf(&b, "- %s: slower %s faster %s\n", row.Policy, writeSlower(row.Bystander.Slower), writeSlower(row.Bystander.Faster))
+	}
 	b.WriteString("\n| Goal | Against | Measured | Met |\n|---|---|---|---|\n")
 	for _, v := range r.Verdicts {
 		met := "no"
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -14,6 +14,7 @@
 	s.nextID++
 	r := &request{arrival: a, id: s.nextID, deadline: a.at + a.unit.maxWait}
 	r.cold = !s.hasReady(a.unit, s.routers[a.router])
+	r.met = s.whatItMeets(a.unit, !r.cold)
 	s.decider.used(a.unit, s.time())
 	if s.measuring() {
 		s.m.requests++
@@ -33,6 +34,9 @@
 	s.waiting[r.unit.pool()]++
 	s.dispatch(r.unit.pool())
 	if r.replica == nil && !r.ended {
+		if !r.cold {
+			r.met = s.whatHolds(r)
+		}
 		s.at(r.deadline, func() { s.expire(s.routers[r.router]) })
 		s.kick()
 	}
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -38,6 +38,7 @@
 	attempt int
 	// cold is whether it found no ready replica.
 	cold       bool
+	met        string        // see whatItMeets
 	firstToken time.Duration // 0 until known
 	ended      bool
 }
@@ -75,6 +76,8 @@
 	turn     int
 	nextID   int
 	running  map[int]*request // by id
+	// goneFor is why each unit lost its newest replica to go, by unit id.
+	goneFor []string
 	// live are the routers on each side; membership counts their changes.
 	live       [2][]*router
 	membership int
@@ -127,6 +130,7 @@
 	}
 	s.trace = makeTrace(d, s.units, opt.Seed, opt.Days, fair)
 	s.replicas = make([][]*replica, len(s.units))
+	s.goneFor = make([]string, len(s.units))
 	for _, u := range s.units {
 		s.byName[u.name] = u
 		if u.base == nil {
--- a/placement/foresee.go
+++ b/placement/foresee.go
@@ -82,6 +82,21 @@
 	return min(n, c.days) / (c.days + 1)
 }
 
+// wakesSoon tells whether chance may be over zero now or one bin later, which is
+// beyond the time of any load: a cheap first look at units that sleep.
+func (c *clock) wakesSoon(now time.Time) bool {
+	if c.bins == nil {
+		return false
+	}
+	c.turn(now)
+	for i := range lookAhead + 1 {
+		if c.bins[int16((binOf(now)+i)%binsPerDay)] > 0 {
+			return c.days >= minDays
+		}
+	}
+	return false
+}
+
 const (
 	// regularGaps is how many gaps of one length make a timer.
 	regularGaps = 4
@@ -164,6 +179,9 @@
 
 // foresee tells whether a preload pays now, and until when it is held.
 func (r *round) foresee(u Unit, h *history) (time.Time, string, bool) {
+	if h.rhythm.regular < regularGaps && !h.clock.wakesSoon(r.v.Now) {
+		return time.Time{}, "", false
+	}
 	load := r.p.loads.expect(u, r.fleet.tierAfterUnload(u.Checkpoint))
 	cold := r.p.cfg.coldCost(load)
 	idle := r.p.cfg.idleCost(float64(u.Bytes) / float64(r.largestEngine()))
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -146,6 +146,7 @@
 		return r.out
 	}
 	p.upkeepAt = v.Now
+	r.findPlaced()
 	r.watchLoads()
 	r.drain()
 	r.serveDemand()
--- a/placement/renew.go
+++ b/placement/renew.go
@@ -6,7 +6,7 @@
 // allows one more, only after its replacement is ready, so that none of the
 // unit's requests has to wait.
 func (r *round) renew() {
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		stale, ready, coming := r.versions(u)
 		if len(stale) == 0 {
 			continue
--- a/placement/round.go
+++ b/placement/round.go
@@ -23,26 +23,55 @@
 	demand []unitDemand
 	// waits finds demand by unit.
 	waits map[string]*unitDemand
+	// placed are the View's units that have a right anywhere: upkeep looks at
+	// these alone, as most units sleep.
+	placed []Unit
 }
 
-func newRound(p *Planner, v View) *round {
-	r := &round{p: p, v: v, fleet: v.Fleet,
-		units:   make(map[string][]Unit, len(v.Units)),
-		budget:  make(map[string]int64),
-		carries: make(map[string]bool),
+// findPlaced lists the units that have a right.
+func (r *round) findPlaced() {
+	for _, u := range r.v.Units {
+		if len(r.fleet.byUnit[u.Name]) > 0 {
+			r.placed = append(r.placed, u)
+			r.p.units[u.Name] = u
+		}
 	}
+}
+
+func newRound(p *Planner, v View) *round {
+	r := &round{p: p, v: v, fleet: v.Fleet, budget: make(map[string]int64)}
 	if r.fleet == nil {
 		r.fleet = fleetOf(v)
 	}
-	for _, u := range v.Units {
+	r.demand, r.waits = gather(v.Demand)
+	return r
+}
+
+// index fills units and carries on first use: most plans ask for neither.
+func (r *round) index() {
+	if r.units != nil {
+		return
+	}
+	r.units = make(map[string][]Unit, len(r.v.Units))
+	r.carries = make(map[string]bool)
+	for _, u := range r.v.Units {
 		r.units[u.Name] = append(r.units[u.Name], u)
-		p.units[u.Name] = u
 		if u.Base != "" {
 			r.carries[u.Base] = true
 		}
 	}
-	r.demand, r.waits = gather(v.Demand)
-	return r
+}
+
+// own are the View's units of that name, one for each customer that has it.
+func (r *round) own(name string) []Unit {
+	r.index()
+	return r.units[name]
+}
+
+// carrier tells whether one of the View's adapters sits on the model.
+func (r *round) carrier(name string) bool {
+	r.index()
+	return r.carries[name]
 }
 
 // settlePending drops decisions that show in the View by now, or that have had
@@ -90,6 +119,9 @@
 		return false
 	}
 	r.p.pending[k] = pending{kind: d.Kind, at: r.v.Now, bytes: u.Bytes, base: u.Base, customer: d.Customer, wanted: d.Wanted, remote: remote}
+	if d.Wanted {
+		r.p.units[u.Name] = u
+	}
 	r.out = append(r.out, d)
 	return true
 }
@@ -162,7 +194,7 @@
 
 // unit finds a customer's unit among the planner's own and then all others.
 func (r *round) unit(name, customer string) (Unit, bool) {
-	for _, u := range r.units[name] {
+	for _, u := range r.own(name) {
 		if u.Customer == customer {
 			return u, true
 		}
--- a/placement/scale.go
+++ b/placement/scale.go
@@ -18,7 +18,7 @@
 // scaleUp adds a replica before requests wait: with random arrivals the wait
 // rises steeply once most slots are in use, and a load takes seconds.
 func (r *round) scaleUp() {
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		if u.Base != "" || u.MaxReplicas < 2 {
 			continue
 		}
@@ -72,7 +72,7 @@
 // scaleDown gives one replica up once fewer have been enough for a while. The
 // router stops sending to it, and the engine lets its streams end.
 func (r *round) scaleDown() {
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		if u.Base != "" {
 			// An adapter costs next to nothing; its idle time decides.
 			continue
--- a/placement/start.go
+++ b/placement/start.go
@@ -150,7 +150,7 @@
 	if base, ok := r.unit(u.Base, u.Customer); ok {
 		return base, true
 	}
-	for _, base := range r.units[u.Base] {
+	for _, base := range r.own(u.Base) {
 		return base, true
 	}
 	for _, at := range r.fleet.byUnit[u.Base] {
@@ -181,7 +181,7 @@
 // without would serve no adapter: it is taken only where nothing serves yet.
 func (r *round) choose(u Unit, domain string) (candidate, bool) {
 	r.setPatience(u)
-	if !r.carries[u.Name] {
+	if !r.carrier(u.Name) {
 		return r.chooseWith(u, domain, false)
 	}
 	best, found := r.chooseWith(u, domain, true)
@@ -240,7 +240,7 @@
 // carriesAdapters tells whether the engine has a base of adapters.
 func (r *round) carriesAdapters(fe *fleetEngine) bool {
 	for i := range fe.Holdings {
-		if r.carries[fe.Holdings[i].Unit] {
+		if r.carrier(fe.Holdings[i].Unit) {
 			return true
 		}
 	}
--- a/placement/upkeep.go
+++ b/placement/upkeep.go
@@ -9,7 +9,7 @@
 // so the load tried elsewhere is never a replica too many.
 func (r *round) watchLoads() {
 	seen := make(map[placeKey]bool)
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		for _, at := range r.fleet.byUnit[u.Name] {
 			h := at.holding
 			if h.Customer != u.Customer || h.Ready || !r.standing(at) || !h.Wanted {
@@ -43,7 +43,7 @@
 // drain moves the units off leaving engines: the replacement first where the
 // contract allows one more replica, else the withdrawal first.
 func (r *round) drain() {
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		for _, at := range r.holdingsOf(u) {
 			if !at.engine.Leaving || at.holding.Withdrawn {
 				continue
@@ -73,7 +73,9 @@
 			out = append(out, at)
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].engine.Name < out[b].engine.Name })
+	if len(out) > 1 {
+		sort.Slice(out, func(a, b int) bool { return out[a].engine.Name < out[b].engine.Name })
+	}
 	return out
 }
 
@@ -225,7 +227,7 @@
 
 // letGo gives replicas up that history no longer expects to be used.
 func (r *round) letGo() {
-	for _, u := range r.v.Units {
+	for _, u := range r.placed {
 		wanted := -1
 		for _, at := range r.holdingsOf(u) {
 			h := at.holding
