loadgen, OPERATIONS: a caller without a connection is not one that was cut off

Rolling upgrade by hand: the load generator counted 'connection refused' of the VM that was down as a broken connection, so that its 52 could not be told from cut off requests. Now 'no connection' and 'broken connection' are two outcomes.

A conflict names the command that says what changed (golden file).

--- a/cmd/bergamotreel/publish.go
+++ b/cmd/bergamotreel/publish.go
@@ -138,7 +138,7 @@
 	case err != nil:
 		return 0, fmt.Errorf("not published: %w", err)
 	case result.Verdict == state.VerdictConflict:
-		return 0, fmt.Errorf("conflict: %s; version %s is no longer the newest. Look at what changed and publish again", result.Reason, formatVersion(request.Base))
+		return 0, fmt.Errorf("conflict: %s; version %s is no longer the newest. \"bergamotreel contract history %s\" says what changed; then publish again", result.Reason, formatVersion(request.Base), request.Customer)
 	case result.Verdict != state.VerdictApplied:
 		return 0, fmt.Errorf("refused (%s): %s", result.Verdict, result.Reason)
 	}
--- a/internal/standin/loadgen/chat.go
+++ b/internal/standin/loadgen/chat.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,7 +28,11 @@
 	OutcomeCut = "CUT"
 	// OutcomeSilent is a request that got no answer within the timeout.
 	OutcomeSilent = "SILENT"
-	// OutcomeBroken is a connection that failed before an answer.
+	// OutcomeNoConnection is an entry VM that took no connection, as between its
+	// stop and its next start; a balancer would have asked another one.
+	OutcomeNoConnection = "no connection"
+	// OutcomeBroken is a connection that failed before an answer: the request was
+	// cut off.
 	OutcomeBroken = "broken connection"
 	// OutcomeNotSent is a request over the limit of those under way here.
 	OutcomeNotSent = "not sent"
@@ -71,7 +76,7 @@
 	start := time.Now()
 	answer, err := g.post(ctx, target, request)
 	if err != nil {
-		return result{outcome: brokenOutcome(ctx), detail: err.Error()}
+		return result{outcome: brokenOutcome(ctx, err), detail: err.Error()}
 	}
 	defer answer.Body.Close()
 	r := readAnswer(ctx, answer, request, start)
@@ -80,10 +85,14 @@
 	return r
 }
 
-func brokenOutcome(ctx context.Context) string {
+func brokenOutcome(ctx context.Context, err error) string {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return OutcomeSilent
 	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return OutcomeNoConnection
+	}
 	return OutcomeBroken
 }
 
@@ -108,7 +117,7 @@
 	data, err := io.ReadAll(answer.Body)
 	switch {
 	case err != nil:
-		return result{outcome: brokenOutcome(ctx), detail: err.Error()}
+		return result{outcome: brokenOutcome(ctx, err), detail: err.Error()}
 	case answer.StatusCode/100 != 2:
 		return refused(data, answer.StatusCode)
 	case request.key != "":
--- a/internal/standin/loadgen/compare.go
+++ b/internal/standin/loadgen/compare.go
@@ -128,7 +128,7 @@
 	start := time.Now()
 	answer, err := g.client.Do(r)
 	if err != nil {
-		return result{outcome: brokenOutcome(ctx), detail: err.Error()}
+		return result{outcome: brokenOutcome(ctx, err), detail: err.Error()}
 	}
 	defer answer.Body.Close()
 	ended := readAnswer(ctx, answer, request, start)
--- a/internal/standin/loadgen/loadgen_test.go
+++ b/internal/standin/loadgen/loadgen_test.go
@@ -32,10 +32,11 @@
 		answer func(w http.ResponseWriter, words []string)
 		broken bool
 	}{
-		"stream: " + OutcomeOK:     {func(w http.ResponseWriter, words []string) { stream(w, words); io.WriteString(w, done) }, false},
-		"stream: " + OutcomeCut:    {func(w http.ResponseWriter, words []string) { stream(w, words) }, true},
-		"stream: " + OutcomeWrong:  {func(w http.ResponseWriter, words []string) { stream(w, words[1:]); io.WriteString(w, done) }, true},
-		"stream: " + OutcomeBroken: {func(http.ResponseWriter, []string) { panic(http.ErrAbortHandler) }, false},
+		"stream: " + OutcomeOK:           {func(w http.ResponseWriter, words []string) { stream(w, words); io.WriteString(w, done) }, false},
+		"stream: " + OutcomeCut:          {func(w http.ResponseWriter, words []string) { stream(w, words) }, true},
+		"stream: " + OutcomeWrong:        {func(w http.ResponseWriter, words []string) { stream(w, words[1:]); io.WriteString(w, done) }, true},
+		"stream: " + OutcomeNoConnection: {nil, false},
+		"stream: " + OutcomeBroken:       {func(http.ResponseWriter, []string) { panic(http.ErrAbortHandler) }, false},
 		"stream: refused rate_limited ran=no": {func(w http.ResponseWriter, words []string) {
 			w.WriteHeader(http.StatusTooManyRequests)
 			io.WriteString(w, refusal)
@@ -50,6 +51,9 @@
 			body, _ := io.ReadAll(r.Body)
 			test.answer(w, strings.Fields(engineserver.ExpectedText(body)))
 		}))
+		if test.answer == nil {
+			server.Close() // nobody listens
+		}
 		report, err := Run(t.Context(), Settings{
 			Targets: []string{server.Listener.Addr().String()}, Models: []string{"clerk"}, Rate: 1000, Requests: 5,
 			Duration: time.Minute, StreamShare: 1, Tokens: 4, PromptBytes: 100, Timeout: time.Minute,
