cmd, verbs: both programs parse their verbs in one place

cmd/bergamotreel and cmd/standin had the same loop over verbs, flags and exit codes, and they differed where nobody meant them to: standin printed to the process's own output and gave exit code 1 for a wrong argument. internal/verbs has the loop once; standin's verbs write to the writer that they are given, and a wrong argument is exit code 2 for both. The tests of the command line changed only in the names of types; golden files are as before.

--- a/cmd/bergamotreel/connection.go
+++ b/cmd/bergamotreel/connection.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"bergamotreel/internal/httpjson"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 )
 
@@ -45,7 +46,7 @@
 func (c *connection) client() (operator.Operator, error) {
 	parsed, err := url.Parse(c.url)
 	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
-		return nil, usageError("-operators %q: want http://IP:port or https://IP:port", c.url)
+		return nil, verbs.UsageError("-operators %q: want http://IP:port or https://IP:port", c.url)
 	}
 	token, err := c.readToken()
 	if err != nil {
@@ -61,15 +62,15 @@
 func (c *connection) readToken() (string, error) {
 	switch {
 	case c.token != "" && c.tokenFile != "":
-		return "", usageError("give -token or -token-file, not both")
+		return "", verbs.UsageError("give -token or -token-file, not both")
 	case c.token != "":
 		return c.token, nil
 	case c.tokenFile == "":
-		return "", usageError("-token-file is missing")
+		return "", verbs.UsageError("-token-file is missing")
 	}
 	content, err := os.ReadFile(c.tokenFile)
 	if err != nil {
-		return "", usageError("-token-file: %w", err)
+		return "", verbs.UsageError("-token-file: %w", err)
 	}
 	return strings.TrimSpace(string(content)), nil
 }
@@ -85,11 +86,11 @@
 	}
 	pem, err := os.ReadFile(c.caFile)
 	if err != nil {
-		return nil, usageError("-ca: %w", err)
+		return nil, verbs.UsageError("-ca: %w", err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, usageError("-ca: %s holds no certificate", c.caFile)
+		return nil, verbs.UsageError("-ca: %s holds no certificate", c.caFile)
 	}
 	client.Transport.(*http.Transport).TLSClientConfig = &tls.Config{RootCAs: pool}
 	return client, nil
--- a/cmd/bergamotreel/contract.go
+++ b/cmd/bergamotreel/contract.go
@@ -14,6 +14,7 @@
 
 	"bergamotreel/contract"
 	"bergamotreel/internal/strictini"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 )
@@ -37,13 +38,13 @@
 }
 
 // contractVerb checks, publishes and shows contracts.
-func contractVerb() verb {
+func contractVerb() verbs.Verb {
 	c := newContractCommand()
-	return verb{
-		name:   "contract",
-		help:   "check, publish and show contracts",
-		attach: c.attach,
-		run:    c.run,
+	return verbs.Verb{
+		Name:   "contract",
+		Help:   "check, publish and show contracts",
+		Attach: c.attach,
+		Run:    c.run,
 	}
 }
 
@@ -88,7 +89,7 @@
 			return step.run(ctx, out)
 		}
 	}
-	return usageError("want check, publish, remove, show or history")
+	return verbs.UsageError("want check, publish, remove, show or history")
 }
 
 // readContract reads a contract's file into its sections. Its error is one line
@@ -96,7 +97,7 @@
 func readContract(path string) (map[string]string, *contract.Contract, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, usageError("%w", err)
+		return nil, nil, verbs.UsageError("%w", err)
 	}
 	sections, err := contract.Split(string(text))
 	if err != nil {
@@ -112,9 +113,9 @@
 func contractError(path, text string, err error) error {
 	var problem *contract.Problem
 	if errors.As(err, &problem) {
-		return usageError("%w", strictini.InFile(path, text, problem))
+		return verbs.UsageError("%w", strictini.InFile(path, text, problem))
 	}
-	return usageError("%s: %w", path, err)
+	return verbs.UsageError("%s: %w", path, err)
 }
 
 func (c *contractCommand) runCheck(_ context.Context, out io.Writer) error {
--- a/cmd/bergamotreel/dev.go
+++ b/cmd/bergamotreel/dev.go
@@ -9,23 +9,24 @@
 
 	"bergamotreel/internal/devsystem"
 	"bergamotreel/internal/telemetry"
+	"bergamotreel/internal/verbs"
 )
 
 // devVerb runs a whole small system on loopback.
-func devVerb() verb {
+func devVerb() verbs.Verb {
 	check := false
 	level := "error"
-	return verb{
-		name: "dev",
-		help: "run a whole small system on loopback, with stand-ins for all that is outside",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "dev",
+		Help: "run a whole small system on loopback, with stand-ins for all that is outside",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.Bool(&check, "k", "check", "send real requests, exit 0 only if all answers are right")
 			sub.String(&level, "l", "log-level", "debug, info, warn or error")
 		},
-		run: func(ctx context.Context, out io.Writer) error {
+		Run: func(ctx context.Context, out io.Writer) error {
 			logger, err := telemetry.NewLogger(level)
 			if err != nil {
-				return usageError("%v", err)
+				return verbs.UsageError("%v", err)
 			}
 			ctx, stop := context.WithCancel(ctx)
 			defer stop()
--- a/cmd/bergamotreel/main.go
+++ b/cmd/bergamotreel/main.go
@@ -4,58 +4,36 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/integrii/flaggy"
+	"bergamotreel/internal/settings"
+	"bergamotreel/internal/verbs"
 )
 
-// verbs are the constructors of all subcommands.
-var verbs = []func() verb{
-	serveVerb,
-	devVerb,
-	contractVerb,
-	statusVerb,
-	versionVerb,
+// exitNotEverywhere is the exit code for a change that was accepted, but isn't in
+// force on every entry VM yet.
+const exitNotEverywhere = 3
+
+var program = verbs.Program{
+	Name: "bergamotreel", Description: "serves rarely used language models",
+	Verbs:    []func() verbs.Verb{serveVerb, devVerb, contractVerb, statusVerb, versionVerb},
+	ExitCode: exitCode,
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(program.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-// run parses the arguments, runs one verb and returns the exit code.
-func run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	parser := flaggy.NewParser("bergamotreel")
-	parser.Description = "serves rarely used language models"
-	parser.DisableShowVersionWithVersion()
-	used := make(map[*flaggy.Subcommand]verb)
-	for _, construct := range verbs {
-		v := construct()
-		sub := flaggy.NewSubcommand(v.name)
-		sub.Description = v.help
-		v.attach(sub)
-		parser.AttachSubcommand(sub, 1)
-		used[sub] = v
-	}
-	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, "bergamotreel:", err)
-		return exitUsage
-	}
-	for sub, v := range used {
-		if !sub.Used {
-			continue
-		}
-		err := v.run(ctx, out)
-		if err != nil {
-			fmt.Fprintf(errOut, "bergamotreel %s: %v\n", v.name, err)
-		}
-		return exitCode(err)
+// exitCode returns the process's exit code after an error, 0 without one.
+func exitCode(err error) int {
+	var problem *settings.Problem
+	if errors.As(err, &problem) {
+		return settings.ExitCode
 	}
-	parser.ShowHelp()
-	return exitUsage
+	return verbs.ExitCode(err)
 }
--- a/cmd/bergamotreel/publish.go
+++ b/cmd/bergamotreel/publish.go
@@ -14,6 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 )
@@ -215,14 +216,18 @@
 		}
 		select {
 		case <-ctx.Done():
-			return &exitError{exitNotEverywhere, fmt.Errorf("stopped waiting for version %s; not in force yet on: %s", formatVersion(version), behind)}
+			return notEverywhere("stopped waiting for version %s; not in force yet on: %s", formatVersion(version), behind)
 		case <-deadline.Done():
-			return &exitError{exitNotEverywhere, fmt.Errorf("version %s is not in force after %s on: %s", formatVersion(version), wait, behind)}
+			return notEverywhere("version %s is not in force after %s on: %s", formatVersion(version), wait, behind)
 		case <-time.After(pollPause):
 		}
 	}
 }
 
+func notEverywhere(format string, args ...any) error {
+	return &verbs.ExitError{Code: exitNotEverywhere, Err: fmt.Errorf(format, args...)}
+}
+
 // vmsBehind names the entry VMs that lack the version, and counts all of them.
 // A leaving VM takes no new requests, so it doesn't count.
 func vmsBehind(report operator.StatusReport, version state.Revision) (behind []string, total int) {
--- a/cmd/bergamotreel/serve.go
+++ b/cmd/bergamotreel/serve.go
@@ -9,20 +9,21 @@
 	"bergamotreel/internal/daemon"
 	"bergamotreel/internal/settings"
 	"bergamotreel/internal/telemetry"
+	"bergamotreel/internal/verbs"
 )
 
 // serveVerb runs one entry VM.
-func serveVerb() verb {
+func serveVerb() verbs.Verb {
 	config := ""
-	return verb{
-		name: "serve",
-		help: "run an entry VM until SIGTERM, then shut down gracefully",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "serve",
+		Help: "run an entry VM until SIGTERM, then shut down gracefully",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&config, "c", "config", "settings file (INI)")
 		},
-		run: func(ctx context.Context, _ io.Writer) error {
+		Run: func(ctx context.Context, _ io.Writer) error {
 			if config == "" {
-				return usageError("name the settings file with -config")
+				return verbs.UsageError("name the settings file with -config")
 			}
 			s, err := settings.Load(config)
 			if err != nil {
--- a/cmd/bergamotreel/status.go
+++ b/cmd/bergamotreel/status.go
@@ -13,6 +13,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 )
 
@@ -27,13 +28,13 @@
 }
 
 // statusVerb answers what an operator asks first.
-func statusVerb() verb {
+func statusVerb() verbs.Verb {
 	s := &statusCommand{connection: newConnection()}
-	return verb{
-		name:   "status",
-		help:   "which contracts are in force where, what is loaded, refused, missing and behind",
-		attach: s.attach,
-		run:    s.run,
+	return verbs.Verb{
+		Name:   "status",
+		Help:   "which contracts are in force where, what is loaded, refused, missing and behind",
+		Attach: s.attach,
+		Run:    s.run,
 	}
 }
 
--- a/cmd/bergamotreel/status_test.go
+++ b/cmd/bergamotreel/status_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 )
 
@@ -58,7 +59,7 @@
 		s := &statusCommand{connection: newConnection()}
 		op := &fakeOperator{status: func(int) (operator.StatusReport, error) { return report, nil }}
 		s.connection.open = func() (operator.Operator, error) { return op, nil }
-		printed = runVerb(verb{name: "status", attach: s.attach, run: s.run}, args)
+		printed = runVerb(verbs.Verb{Name: "status", Attach: s.attach, Run: s.run}, args)
 	})
 	return printed
 }
--- a/cmd/bergamotreel/verbs_test.go
+++ b/cmd/bergamotreel/verbs_test.go
@@ -17,6 +17,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 )
@@ -91,19 +92,19 @@
 	c := newContractCommand()
 	c.connection.open = func() (operator.Operator, error) { return op, nil }
 	c.answers = strings.NewReader(answers)
-	return runVerb(verb{name: "contract", attach: c.attach, run: c.run}, args)
+	return runVerb(verbs.Verb{Name: "contract", Attach: c.attach, Run: c.run}, args)
 }
 
-func runVerb(v verb, args []string) string {
+func runVerb(v verbs.Verb, args []string) string {
 	parser := flaggy.NewParser("bergamotreel")
-	sub := flaggy.NewSubcommand(v.name)
-	v.attach(sub)
+	sub := flaggy.NewSubcommand(v.Name)
+	v.Attach(sub)
 	parser.AttachSubcommand(sub, 1)
-	if err := parser.ParseArgs(append([]string{v.name}, args...)); err != nil {
+	if err := parser.ParseArgs(append([]string{v.Name}, args...)); err != nil {
 		return err.Error()
 	}
 	var out bytes.Buffer
-	err := v.run(context.Background(), &out)
+	err := v.Run(context.Background(), &out)
 	if err != nil {
 		fmt.Fprintf(&out, "error: %v\n", err)
 	}
@@ -278,8 +279,8 @@
 		{connection{url: defaultOperatorsURL, token: "t", caFile: "contract.go"}, "-ca: contract.go holds no certificate"},
 	} {
 		_, err := test.c.client()
-		var exit *exitError
-		if !errors.As(err, &exit) || exit.code != exitUsage || err.Error() != test.want {
+		var exit *verbs.ExitError
+		if !errors.As(err, &exit) || exit.Code != verbs.ExitUsage || err.Error() != test.want {
 			t.Errorf("got %v, want %s", err, test.want)
 		}
 	}
--- a/cmd/bergamotreel/version.go
+++ b/cmd/bergamotreel/version.go
@@ -7,15 +7,17 @@
 	"runtime/debug"
 
 	"github.com/integrii/flaggy"
+
+	"bergamotreel/internal/verbs"
 )
 
 // versionVerb prints which build this is.
-func versionVerb() verb {
-	return verb{
-		name:   "version",
-		help:   "print the version of this program",
-		attach: func(*flaggy.Subcommand) {},
-		run: func(_ context.Context, out io.Writer) error {
+func versionVerb() verbs.Verb {
+	return verbs.Verb{
+		Name:   "version",
+		Help:   "print the version of this program",
+		Attach: func(*flaggy.Subcommand) {},
+		Run: func(_ context.Context, out io.Writer) error {
 			_, err := fmt.Fprintln(out, versionLine())
 			return err
 		},
--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"bergamotreel/engine"
 	"bergamotreel/internal/httpjson"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/weightstore"
 
 	"github.com/integrii/flaggy"
 )
 
 // newEngineVerb is the stand-in of a model engine.
-func newEngineVerb() verb {
+func newEngineVerb() verbs.Verb {
 	listen := "127.0.0.1:7201"
 	store := ""
 	role := string(engine.RoleBoth)
@@ -23,10 +25,10 @@
 		TokenTime: 20 * time.Millisecond, TokenTimePerRequest: time.Millisecond,
 		PrefillTime: 100 * time.Microsecond,
 	}
-	return verb{
-		name: "engine",
-		help: "a model engine",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "engine",
+		Help: "a model engine",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&listen, "l", "listen", "IP:port to listen on")
 			sub.String(&store, "w", "weight-store", "base URL of the weight store (empty: checkpoints come at once)")
 			sub.Int64(&options.MemoryBytes, "m", "memory-bytes", "engine memory")
@@ -39,7 +41,7 @@
 			sub.Duration(&options.PrefillTime, "p", "prefill-time", "time for a prompt token that is not cached")
 			sub.Float64(&options.DiskBytesPerSecond, "d", "disk-bytes-per-second", "speed of loads from disk (0: 4 GiB/s)")
 		},
-		run: func(ctx context.Context) error {
+		Run: func(ctx context.Context, out io.Writer) error {
 			// A restarted process must differ from its predecessor.
 			options.Name = fmt.Sprintf("%s-%d", listen, time.Now().UnixNano())
 			options.Role = engine.Role(role)
@@ -48,7 +50,7 @@
 			}
 			e := engineserver.New(options)
 			defer e.Close()
-			return serveHTTP(ctx, listen, e.Handler())
+			return serveHTTP(ctx, out, listen, e.Handler())
 		},
 	}
 }
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"os"
+	"io"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"bergamotreel/internal/standin/loadgen"
+	"bergamotreel/internal/verbs"
 )
 
 // errBroken ends a run that saw an outcome that must never be.
@@ -26,7 +27,7 @@
 }
 
 // newLoadVerb is the stand-in of the callers.
-func newLoadVerb() verb {
+func newLoadVerb() verbs.Verb {
 	f := &loadFlags{
 		targets: "127.0.0.1:7001", workers: 1, hold: 30 * time.Second,
 		settings: loadgen.Settings{
@@ -34,7 +35,7 @@
 			RepeatShare: 0.5, Tokens: 16, PromptBytes: 1024, Timeout: 2 * time.Minute, Seed: 1,
 		},
 	}
-	return verb{name: "load", help: "callers: sends requests and checks the answers", attach: f.attach, run: f.run}
+	return verbs.Verb{Name: "load", Help: "callers: sends requests and checks the answers", Attach: f.attach, Run: f.run}
 }
 
 func (f *loadFlags) attach(sub *flaggy.Subcommand) {
@@ -64,7 +65,7 @@
 	sub.Bool(&f.json, "j", "json", "print JSON")
 }
 
-func (f *loadFlags) run(ctx context.Context) error {
+func (f *loadFlags) run(ctx context.Context, out io.Writer) error {
 	f.settings.Targets = loadgen.List(f.targets)
 	f.settings.Models = loadgen.List(f.models)
 	f.settings.ServiceAdmin = loadgen.List(f.serviceAdmins)
@@ -74,19 +75,19 @@
 		if err != nil {
 			return err
 		}
-		return f.print(comparison)
+		return f.print(out, comparison)
 	case f.streams > 0:
 		held, err := loadgen.Hold(ctx, f.settings, f.streams, f.hold, f.metrics)
 		if err != nil {
 			return err
 		}
-		return f.print(held)
+		return f.print(out, held)
 	}
 	report, err := loadgen.Run(ctx, f.settings)
 	if err != nil {
 		return err
 	}
-	if err := f.print(report); err != nil {
+	if err := f.print(out, report); err != nil {
 		return err
 	}
 	if report.Broken() {
@@ -96,11 +97,11 @@
 }
 
 // print writes a result as JSON or as a table.
-func (f *loadFlags) print(result loadgen.Result) error {
+func (f *loadFlags) print(out io.Writer, result loadgen.Result) error {
 	if !f.json {
-		return result.WriteTable(os.Stdout)
+		return result.WriteTable(out)
 	}
-	encoder := json.NewEncoder(os.Stdout)
+	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(result)
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,59 +15,20 @@
 	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
+	"bergamotreel/internal/verbs"
 )
 
-// verb is one subcommand. Its file has a constructor that main lists in verbs.
-type verb struct {
-	name, help string
-	// attach adds the verb's flags.
-	attach func(*flaggy.Subcommand)
-	// run does the work until it is done or ctx ends.
-	run func(ctx context.Context) error
-}
-
-// verbs are the constructors of all subcommands.
-var verbs = []func() verb{
-	newLogVerb,
-	newVMListVerb,
-	newWeightStoreVerb,
-	newEngineVerb,
-	newServiceVerb,
-	newLoadVerb,
-	newReplayVerb,
+var program = verbs.Program{
+	Name: "standin", Description: "stand-ins for what bergamotreel talks to",
+	Verbs: []func() verbs.Verb{
+		newLogVerb, newVMListVerb, newWeightStoreVerb, newEngineVerb, newServiceVerb, newLoadVerb, newReplayVerb,
+	},
 }
 
 func main() {
-	flaggy.SetName("standin")
-	flaggy.SetDescription("stand-ins for what bergamotreel talks to")
-	used := map[*flaggy.Subcommand]verb{}
-	for _, construct := range verbs {
-		v := construct()
-		sub := flaggy.NewSubcommand(v.name)
-		sub.Description = v.help
-		v.attach(sub)
-		flaggy.AttachSubcommand(sub, 1)
-		used[sub] = v
-	}
-	flaggy.Parse()
-	for sub, v := range used {
-		if sub.Used {
-			os.Exit(run(v))
-		}
-	}
-	flaggy.ShowHelpAndExit("name a stand-in")
-}
-
-// run runs a verb until SIGINT or SIGTERM and returns the exit status.
-func run(v verb) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := v.run(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "standin %s: %v\n", v.name, err)
-		return 1
-	}
-	return 0
+	os.Exit(program.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // stopGrace is how long running calls get after the signal to stop.
@@ -74,12 +36,12 @@
 
 // serveHTTP serves handler on the address until ctx ends. It prints the address
 // it listens on, so that port 0 can be asked for.
-func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+func serveHTTP(ctx context.Context, out io.Writer, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("listening on %s\n", listener.Addr())
+	fmt.Fprintf(out, "listening on %s\n", listener.Addr())
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/cmd/standin/replay.go
+++ b/cmd/standin/replay.go
@@ -4,23 +4,25 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
 	"github.com/integrii/flaggy"
 
 	"bergamotreel/internal/replay"
+	"bergamotreel/internal/verbs"
 )
 
 // newReplayVerb compares policies over a deployment's day in virtual time.
-func newReplayVerb() verb {
+func newReplayVerb() verbs.Verb {
 	deployment, out := "trinidad", "docs/measures"
 	seed, workers := uint64(1), 4
 	parts, noFaults := []string(nil), false
-	return verb{
-		name: "replay",
-		help: "compare placement policies over a deployment's day in virtual time",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "replay",
+		Help: "compare placement policies over a deployment's day in virtual time",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&deployment, "d", "deployment", "trinidad or kathmandu")
 			sub.String(&out, "o", "out", "directory for NAME-SEED.md, .json and .svg")
 			sub.UInt64(&seed, "s", "seed", "seed of the day and of all choices")
@@ -28,13 +30,14 @@
 			sub.StringSlice(&parts, "p", "policy", "part of the name of a policy to run, may be repeated; all without it")
 			sub.Bool(&noFaults, "x", "no-faults", "leave the days with a fault out")
 		},
-		run: func(ctx context.Context) error {
-			return runReplay(ctx, deployment, out, seed, workers, replay.Selection{Policies: parts, NoFaults: noFaults})
+		Run: func(ctx context.Context, table io.Writer) error {
+			selected := replay.Selection{Policies: parts, NoFaults: noFaults}
+			return runReplay(ctx, table, deployment, out, seed, workers, selected)
 		},
 	}
 }
 
-func runReplay(ctx context.Context, name, out string, seed uint64, workers int, selected replay.Selection) error {
+func runReplay(ctx context.Context, table io.Writer, name, out string, seed uint64, workers int, selected replay.Selection) error {
 	deployments := map[string]replay.Deployment{"trinidad": replay.Trinidad(), "kathmandu": replay.Kathmandu()}
 	d, ok := deployments[name]
 	if !ok {
@@ -48,7 +51,7 @@
 	if err := writeReport(report, base); err != nil {
 		return err
 	}
-	return report.Markdown(os.Stdout)
+	return report.Markdown(table)
 }
 
 // writeReport writes the report as JSON, as a table and as a plot.
--- a/cmd/standin/service.go
+++ b/cmd/standin/service.go
@@ -2,25 +2,27 @@
 
 import (
 	"context"
+	"io"
 
 	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/internal/verbs"
 
 	"github.com/integrii/flaggy"
 )
 
 // newServiceVerb is the stand-in of a plain service.
-func newServiceVerb() verb {
+func newServiceVerb() verbs.Verb {
 	listen := "127.0.0.1:7301"
-	return verb{
-		name: "service",
-		help: "a plain service, with bookings",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "service",
+		Help: "a plain service, with bookings",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&listen, "l", "listen", "IP:port to listen on")
 		},
-		run: func(ctx context.Context) error {
+		Run: func(ctx context.Context, out io.Writer) error {
 			s := serviceserver.New()
 			defer s.Close()
-			return serveHTTP(ctx, listen, s.Handler())
+			return serveHTTP(ctx, out, listen, s.Handler())
 		},
 	}
 }
--- a/cmd/standin/vmlist.go
+++ b/cmd/standin/vmlist.go
@@ -3,34 +3,36 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"time"
 
 	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/internal/verbs"
 	"bergamotreel/vmlist"
 
 	"github.com/integrii/flaggy"
 )
 
 // newVMListVerb is the stand-in of the platform's VM list.
-func newVMListVerb() verb {
+func newVMListVerb() verbs.Verb {
 	listen := "127.0.0.1:7102"
 	file := ""
 	lag := time.Duration(0)
-	return verb{
-		name: "vmlist",
-		help: "the platform's list of VMs",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "vmlist",
+		Help: "the platform's list of VMs",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&listen, "l", "listen", "IP:port to listen on")
 			sub.String(&file, "f", "file", "JSON file with the list to start from: {\"vms\":[...]}")
 			sub.Duration(&lag, "g", "lag", "by how much answers trail changes")
 		},
-		run: func(ctx context.Context) error {
+		Run: func(ctx context.Context, out io.Writer) error {
 			list, err := readVMs(file)
 			if err != nil {
 				return err
 			}
-			return serveHTTP(ctx, listen, vmlistserver.Handler(vmlistserver.New(lag, list.VMs...)))
+			return serveHTTP(ctx, out, listen, vmlistserver.Handler(vmlistserver.New(lag, list.VMs...)))
 		},
 	}
 }
--- a/cmd/standin/weightstore.go
+++ b/cmd/standin/weightstore.go
@@ -3,25 +3,27 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 
 	"bergamotreel/internal/standin/weightserver"
+	"bergamotreel/internal/verbs"
 
 	"github.com/integrii/flaggy"
 )
 
 // newWeightStoreVerb is the stand-in of the platform's weight store.
-func newWeightStoreVerb() verb {
+func newWeightStoreVerb() verbs.Verb {
 	listen := "127.0.0.1:7103"
 	file := ""
 	// The rates are today's in both deployments; a 7 GB checkpoint takes 7 s.
 	config := weightserver.Config{
 		DefaultBytes: 1 << 30, BytesPerSecond: 1e9, AtOnce: 4, LoadsPerSecond: 4,
 	}
-	return verb{
-		name: "weightstore",
-		help: "the platform's store of checkpoints",
-		attach: func(sub *flaggy.Subcommand) {
+	return verbs.Verb{
+		Name: "weightstore",
+		Help: "the platform's store of checkpoints",
+		Attach: func(sub *flaggy.Subcommand) {
 			sub.String(&listen, "l", "listen", "IP:port to listen on")
 			sub.String(&file, "f", "file", "JSON file with sizes: {\"checkpoint\":bytes}")
 			sub.Int64(&config.DefaultBytes, "d", "default-bytes", "size of checkpoints not in the file (0: they don't exist)")
@@ -29,11 +31,11 @@
 			sub.Int(&config.AtOnce, "n", "at-once", "loads that run at full speed together (0: all)")
 			sub.Float64(&config.LoadsPerSecond, "s", "loads-per-second", "starts of loads a second (0: no limit)")
 		},
-		run: func(ctx context.Context) error {
+		Run: func(ctx context.Context, out io.Writer) error {
 			if err := readSizes(file, &config.Checkpoints); err != nil {
 				return err
 			}
-			return serveHTTP(ctx, listen, weightserver.Handler(weightserver.New(config)))
+			return serveHTTP(ctx, out, listen, weightserver.Handler(weightserver.New(config)))
 		},
 	}
 }
--- /dev/null
+++ b/internal/verbs/verbs.go
@@ -0,0 +1,107 @@
+// Package verbs is the command line of a program with subcommands: each verb is
+// a value, and Run parses the arguments, runs one verb and gives the process's
+// exit code. It writes only to the writers that it is given.
+package verbs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of the process; programs may have more of their own.
+const (
+	ExitFailed = 1
+	// ExitUsage is for what only the caller can mend: arguments and settings.
+	ExitUsage = 2
+)
+
+// Verb is one subcommand.
+type Verb struct {
+	Name, Help string
+	// Attach adds the verb's flags and its own subcommands.
+	Attach func(*flaggy.Subcommand)
+	// Run does the work until it is done or ctx ends. What it prints goes to out.
+	Run func(ctx context.Context, out io.Writer) error
+}
+
+// Program is a command with verbs.
+type Program struct {
+	Name, Description string
+	// Verbs are constructors, so that each run has flags of its own.
+	Verbs []func() Verb
+	// ExitCode gives the exit code of a verb's error; nil stands for ExitCode.
+	ExitCode func(error) int
+}
+
+// ExitError is an error with an exit code of its own.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap gives the error without its code.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// UsageError makes an error that only the caller can mend.
+func UsageError(format string, args ...any) error {
+	return &ExitError{ExitUsage, fmt.Errorf(format, args...)}
+}
+
+// ExitCode returns the exit code after an error: that of an ExitError, else
+// ExitFailed, and 0 without an error.
+func ExitCode(err error) int {
+	var exit *ExitError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &exit):
+		return exit.Code
+	}
+	return ExitFailed
+}
+
+// Run parses the arguments (without the program's name), runs one verb and
+// returns the exit code.
+func (p Program) Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	parser := flaggy.NewParser(p.Name)
+	parser.Description = p.Description
+	parser.DisableShowVersionWithVersion()
+	used := make(map[*flaggy.Subcommand]Verb)
+	for _, construct := range p.Verbs {
+		v := construct()
+		sub := flaggy.NewSubcommand(v.Name)
+		sub.Description = v.Help
+		v.Attach(sub)
+		parser.AttachSubcommand(sub, 1)
+		used[sub] = v
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", p.Name, err)
+		return ExitUsage
+	}
+	for sub, v := range used {
+		if sub.Used {
+			return p.run(ctx, v, out, errOut)
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+func (p Program) run(ctx context.Context, v Verb, out, errOut io.Writer) int {
+	err := v.Run(ctx, out)
+	if err != nil {
+		fmt.Fprintf(errOut, "%s %s: %v\n", p.Name, v.Name, err)
+	}
+	if p.ExitCode != nil {
+		return p.ExitCode(err)
+	}
+	return ExitCode(err)
+}
