fleet, node: strangers are asked at a rate for the fleet's size, the planned units' holders first

Above 18 entry VMs an engine whose keeper is not heard was asked in turns, 4 a second together. A fleet of 30 VMs and 100 engines then had each asked every 20 s: operators saw them MISSING after 6 s, planners took them for out of reach after 10. Holders of the units that a VM plans, and of those asked for here, go before the others; twelve turns are saved up for them, so that the holders of a unit asked for the first time are asked at once. status calls an engine of a large fleet missing when its newest question failed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,9 +61,10 @@
 	// TrustFor is for how long the word of an engine's keeper stands in for asking
 	// it; default 4 s.
 	TrustFor time.Duration
-	// InTurns tells whether the fleet is too large for this VM to ask every engine
-	// whose keeper it doesn't hear; see turns. May be nil: never.
-	InTurns func() bool
+	// Turns bounds the questions a second to engines whose keeper this VM doesn't
+	// hear, in a fleet too large to ask them all each time; 0 is no bound. May be
+	// nil: never one.
+	Turns func() float64
 	// Drains is called for an engine that was found draining here first: the
 	// other VMs are to be told at once. May be nil.
 	Drains func()
@@ -90,7 +91,7 @@
 	news    map[string]struct{}
 	changed func(news bool)
 	onList  func(time.Time, vmlist.List)
-	// turns are the questions left to strangers, as of turnedAt.
+	// turns are the questions left to strangers as of turnedAt; see inTurn.
 	turns    float64
 	turnedAt time.Time
 }
@@ -144,8 +145,8 @@
 	if config.Drains == nil {
 		config.Drains = func() {}
 	}
-	if config.InTurns == nil {
-		config.InTurns = func() bool { return false }
+	if config.Turns == nil {
+		config.Turns = func() float64 { return 0 }
 	}
 	return &Fleet{
 		config: config, wake: make(chan struct{}, 1),
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -28,10 +28,11 @@
 	// engines that a deployment has: questions to engines that are cut off last
 	// until Timeout, and must not hold up those to the others.
 	askers = 1024
-	// turns is how many questions a second go to engines whose keeper is not
-	// heard, all together, where Config.InTurns. At 1 KB with headers each takes a
-	// sixth of the 24 KB/s that a VM may spend on control.
-	turns = 4
+	// turnsAtOnce is how many questions to strangers may be saved up, and
+	// turnsForUse how many of them are for engines of Use only: the holders of a
+	// unit that is asked for the first time are asked at once.
+	turnsAtOnce = 16
+	turnsForUse = 12
 )
 
 // Run polls until ctx ends.
@@ -75,8 +76,8 @@
 // untilNext is the time until the next question is due.
 func (f *Fleet) untilNext(now time.Time) time.Duration {
 	stranger := now
-	if f.config.InTurns() {
-		stranger = now.Add(time.Second / turns)
+	if rate := f.config.Turns(); rate > 0 {
+		stranger = now.Add(time.Duration(float64(time.Second) / rate))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,7 +96,7 @@
 
 // due picks the engines to ask now and marks them.
 func (f *Fleet) due(now time.Time) []string {
-	inTurns := f.config.InTurns()
+	rate := f.config.Turns()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var due, strangers []*entry
@@ -106,13 +107,13 @@
 		}
 		switch {
 		case e.asking || now.Before(e.next):
-		case inTurns && !now.Before(e.busyUntil):
+		case rate > 0 && !now.Before(e.busyUntil):
 			strangers = append(strangers, e)
 		default:
 			due = append(due, e)
 		}
 	}
-	due = append(due, f.inTurn(now, strangers)...)
+	due = append(due, f.inTurn(now, rate, strangers)...)
 	addresses := make([]string, 0, len(due))
 	for _, e := range due {
 		e.asking, e.askedAt = true, now
@@ -124,21 +125,31 @@
 
 // inTurn picks those of the strangers whose turn it is: first the ones that hold,
 // or may load, what was asked for here, then the ones not asked for longest. In a
-// large fleet their answers would fill the VM's network. Call with mu held.
-func (f *Fleet) inTurn(now time.Time, strangers []*entry) []*entry {
-	f.turns = min(f.turns+now.Sub(f.turnedAt).Seconds()*turns, turns)
+// large fleet the answers of all would fill the VM's network. Call with mu held.
+func (f *Fleet) inTurn(now time.Time, rate float64, strangers []*entry) []*entry {
+	f.turns = min(f.turns+now.Sub(f.turnedAt).Seconds()*rate, turnsAtOnce)
 	f.turnedAt = now
+	isUsed := func(e *entry) bool { return now.Before(e.usedUntil) }
 	slices.SortFunc(strangers, func(a, b *entry) int {
-		if aUsed, bUsed := now.Before(a.usedUntil), now.Before(b.usedUntil); aUsed != bUsed {
-			if aUsed {
+		if isUsed(a) != isUsed(b) {
+			if isUsed(a) {
 				return -1
 			}
 			return 1
 		}
 		return cmp.Or(a.askedAt.Compare(b.askedAt), strings.Compare(a.VM.Address, b.VM.Address))
 	})
-	n := min(int(f.turns), len(strangers))
-	f.turns -= float64(n)
+	n := 0
+	for ; n < len(strangers); n++ {
+		kept := 0.0
+		if !isUsed(strangers[n]) {
+			kept = turnsForUse
+		}
+		if f.turns < kept+1 {
+			break
+		}
+		f.turns--
+	}
 	return strangers[:n]
 }
 
@@ -191,7 +202,14 @@
 	if !ok {
 		return Engine{}, false
 	}
+	first := !now.Before(e.usedUntil)
 	e.usedUntil = now.Add(useFor)
+	if now.Sub(e.SeenAt) > f.config.TrustFor {
+		f.sooner(e, e.askedAt.Add(changedEvery))
+		if first {
+			f.rouse() // it may be due already, waiting for its turn
+		}
+	}
 	return e.Engine, true
 }
 
--- a/internal/fleet/told_test.go
+++ b/internal/fleet/told_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bergamotreel/engine"
 	"bergamotreel/internal/fleet"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/vmlist"
 )
 
 // counted counts the questions; cut ones fail.
@@ -153,3 +157,42 @@
 		}
 	})
 }
+
+// idleEngines answer all alike.
+type idleEngines struct{ engine.Client }
+
+func (idleEngines) Status(context.Context, string) (engine.Status, error) {
+	return engine.Status{Incarnation: "i"}, nil
+}
+
+// A VM of a large fleet hears the keepers of few engines. Asking all the others
+// each 2 s would fill its network, so they are asked in turns. A request comes for
+// what one of them holds: it is asked at once and then before the others, or the
+// request would wait for its turn.
+func TestStrangersAreAskedInTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var vms []vmlist.VM
+		for i := range 500 {
+			vms = append(vms, vm(fmt.Sprint("e", i)))
+		}
+		asked := &atomic.Int64{}
+		f := fleet.New(fleet.Config{
+			Lister: vmlistserver.New(0, vms...), Engine: counted{idleEngines{}, asked, &atomic.Bool{}}, Log: zap.NewNop(),
+			Turns: func() float64 { return 4 },
+		}, nil, nil)
+		go f.Run(t.Context())
+		time.Sleep(time.Minute)
+		if n := asked.Load(); n < 200 || n > 4*60+16 {
+			t.Errorf("%d questions in a minute", n)
+		}
+		for range 100 {
+			if e, _ := f.Use("e499", time.Now()); e.SeenAt.IsZero() {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if e, _ := f.Engine("e499"); time.Since(e.SeenAt) > 5*time.Second {
+				t.Fatalf("an engine of use last seen %v ago", time.Since(e.SeenAt))
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,7 +131,7 @@
 		Lister: config.Peers.VMList, Engine: config.Peers.Engines, Log: config.Logger,
 		Gone:     func(address string) { n.serving.Forget(address) },
 		TrustFor: min(maxTrust, keeper.IdleTick+trustHeartbeats*config.Heartbeat),
-		InTurns:  func() bool { return n.gossip.Large() }, Drains: func() { n.gossip.Tell() },
+		Turns:    n.strangerTurns, Drains: func() { n.gossip.Tell() },
 	}, n.fleetChanged, n.listed)
 	n.gossip = gossip.New(gossip.Config{
 		VM: config.VM, Domain: config.Domain, Region: config.Region, Peer: config.Peers.EntryVMs,
@@ -186,7 +186,7 @@
 		n.control.Follow, n.control.Commit, n.control.WriteSnapshots,
 		n.claims.Follow, n.claims.Commit, n.claims.WriteSnapshots,
 		n.fleet.Run, n.gossip.Run, n.keeper.Run, n.planner.Run, n.serving.Run,
-		n.catchUp, n.tellAdmission, n.watchStore,
+		n.catchUp, n.tellAdmission, n.watchStore, n.watchPlanned,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -157,19 +157,23 @@
 	})
 	out := make([]operator.Engine, 0, len(byName))
 	for name, described := range byName {
-		out = append(out, reached(described, seen[name], now))
+		out = append(out, o.reached(described, seen[name], now))
 	}
 	for name, e := range seen {
 		if _, known := byName[name]; !known {
-			out = append(out, reached(operator.Engine{Name: name, Domain: e.VM.Domain}, e, now))
+			out = append(out, o.reached(operator.Engine{Name: name, Domain: e.VM.Domain}, e, now))
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
-func reached(described operator.Engine, e fleet.Engine, now time.Time) operator.Engine {
+func (o operators) reached(described operator.Engine, e fleet.Engine, now time.Time) operator.Engine {
 	described.Missing = now.Sub(e.SeenAt) > freshFor
+	if o.gossip.Large() {
+		// Most engines are asked in turns only.
+		described.Missing = !e.Reachable && !e.SeenAt.IsZero()
+	}
 	described.Leaving = e.Leaving()
 	return described
 }
