--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,9 @@
 	peerRefused *peerRefusals
 	expected    *expectations
 
+	// agreed is how far controlChanged has read the changes of the state.
+	agreed state.Cursor
+
 	mu       sync.Mutex
 	stopping bool
 	// version is the newest contract version that admission knows.
@@ -242,9 +245,17 @@
 // Open tells how many requests wait or run.
 func (n *Node) Open() int { return n.serving.Open() }
 
+// controlChanged takes a batch of folded records, one call at a time. Planner and
+// queue are left alone by those that change no engine and no contract: most
+// records of an idle fleet are renewals of sessions.
 func (n *Node) controlChanged() {
 	n.refreshContracts()
 	n.keeper.Wake()
+	var changes state.Changes
+	n.control.View(func(s *state.State) { changes, n.agreed = s.ChangesSince(n.agreed) })
+	if !changes.All && len(changes.Engines)+len(changes.Customers) == 0 {
+		return
+	}
 	n.planner.Wake()
 	n.serving.Wake()
 }
