replica, entryvm, node: a group follows the control stream through its readers

Above 18 VMs the group's two relays (the first one in a group of up to 8) read control, and the others ask one of them for records; the answer waits up to a second for news. A member reads the log itself for 5 s once a question fails (1.5 s where the reader hangs) or the log's newest answer is over 3 s old at the reader: it is cut off, has no state yet, or follows this VM in a circle. The age is passed on, so a circle finds out. What a member gets is what the log holds, and Offer takes it as before, so only lateness is at stake.

A reader that dies, hangs or is cut off from the log alone at the moment of a publish: in force on the other 26 of 27 within 4 s.

Weighed: news by digests alone (each decision folded up to 0.75 s later), the reader pushes (needs a list of followers). Claims are read by all as before.

--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -14,10 +14,10 @@
 // mute is a peer that answers with nothing.
 type mute struct{}
 
-func (mute) Exchange([]entryvm.Digest) []entryvm.Digest            { return nil }
-func (mute) Want(string, []entryvm.Demand)                         {}
-func (mute) Records(uint64) (entryvm.Records, error)               { return entryvm.Records{}, nil }
-func (mute) Claimed(entryvm.ClaimQuery) (reply entryvm.ClaimReply) { return reply }
+func (mute) Exchange([]entryvm.Digest) []entryvm.Digest             { return nil }
+func (mute) Want(string, []entryvm.Demand)                          {}
+func (mute) Records(uint64, time.Duration) (entryvm.Records, error) { return entryvm.Records{}, nil }
+func (mute) Claimed(entryvm.ClaimQuery) (reply entryvm.ClaimReply)  { return reply }
 
 // BenchmarkExchange is one message with so many digests over the loopback, each
 // with 8 entries of everything; cpu-ns/op is the processor time of both ends,
--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -103,14 +103,21 @@
 	return err
 }
 
-// Records implements Peer.
-func (c *Client) Records(ctx context.Context, address string, from uint64) (Records, error) {
+// Records implements Peer. One that waits makes no span: it runs all the time.
+func (c *Client) Records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error) {
+	if wait > 0 {
+		return c.records(ctx, address, from, wait)
+	}
 	ctx, span := telemetry.Hop(ctx, "entryvm", "records")
-	reply, err := call[Records](ctx, c, lineKey{address, true}, methodRecords, &RecordsArgs{from})
+	reply, err := c.records(ctx, address, from, 0)
 	telemetry.EndHop(span, err)
 	return reply, err
 }
 
+func (c *Client) records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error) {
+	return call[Records](ctx, c, lineKey{address, true}, methodRecords, &RecordsArgs{from, wait})
+}
+
 // Claimed implements Peer.
 func (c *Client) Claimed(ctx context.Context, address string, query ClaimQuery) (ClaimReply, error) {
 	ctx, span := telemetry.Hop(ctx, "entryvm", "claimed")
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -126,6 +126,9 @@
 	// Snapshot is set instead when the records asked for are no longer held: the
 	// log records that carry a snapshot of the sender's state.
 	Snapshot [][]byte
+	// ReachedAgo is how long ago the log last answered the sender, or whoever reads
+	// it for the sender.
+	ReachedAgo time.Duration
 }
 
 // ClaimQuery asks about one idempotency key.
@@ -154,8 +157,9 @@
 	Exchange(ctx context.Context, address string, digests []Digest) ([]Digest, error)
 	// Want tells a peer at once that requests wait for a unit.
 	Want(ctx context.Context, address string, from string, demand []Demand) error
-	// Records asks for control records from the given offset on.
-	Records(ctx context.Context, address string, from uint64) (Records, error)
+	// Records asks for control records from the given offset on. With none there the
+	// answer waits up to wait, a second at most.
+	Records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error)
 	// Claimed asks what a peer knows of a claim, while the log is out of reach.
 	Claimed(ctx context.Context, address string, query ClaimQuery) (ClaimReply, error)
 }
@@ -164,6 +168,6 @@
 type Handler interface {
 	Exchange(digests []Digest) []Digest
 	Want(from string, demand []Demand)
-	Records(from uint64) (Records, error)
+	Records(from uint64, wait time.Duration) (Records, error)
 	Claimed(query ClaimQuery) ClaimReply
 }
--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -35,7 +35,7 @@
 
 func (r *recorder) Want(_ string, demand []Demand) { r.wanted = demand }
 
-func (r *recorder) Records(from uint64) (Records, error) {
+func (r *recorder) Records(from uint64, _ time.Duration) (Records, error) {
 	if from == 0 {
 		return Records{}, errors.New("no such offset")
 	}
--- a/entryvm/messages.go
+++ b/entryvm/messages.go
@@ -1,5 +1,7 @@
 package entryvm
 
+import "time"
+
 // The arguments and replies of the net/rpc methods Peer.Exchange, Peer.Want,
 // Peer.Records and Peer.Claimed. They are exported for net/rpc only.
 
@@ -23,6 +25,8 @@
 type RecordsArgs struct {
 	// From is the first offset wanted.
 	From uint64
+	// Wait is how long the answer may wait for the first of them.
+	Wait time.Duration
 }
 
 // names of the methods.
@@ -53,7 +57,7 @@
 // Records answers Peer.Records. It cuts the records where the message would get
 // too long; the caller asks on from there.
 func (s *service) Records(args *RecordsArgs, reply *Records) error {
-	records, err := s.handler.Records(args.From)
+	records, err := s.handler.Records(args.From, args.Wait)
 	if err != nil {
 		return err
 	}
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -61,11 +61,11 @@
 	if diff := cmp.Diff(demand, handler.wanted); diff != "" {
 		t.Error(diff)
 	}
-	records, err := peer.Records(t.Context(), address, 7)
+	records, err := peer.Records(t.Context(), address, 7, 0)
 	if diff := cmp.Diff(handler.records, records); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
-	if _, err := peer.Records(t.Context(), address, 0); !errors.Is(err, ErrRefused) {
+	if _, err := peer.Records(t.Context(), address, 0, 0); !errors.Is(err, ErrRefused) {
 		t.Errorf("an error of the peer: %v", err)
 	}
 	reply, err := peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4})
@@ -285,7 +285,7 @@
 		defer stop()
 		client := newTestClient(t, network, fleetSecret, nil)
 		defer client.Close()
-		if _, err := client.Records(t.Context(), "vm", 1); !errors.Is(err, ErrRefused) {
+		if _, err := client.Records(t.Context(), "vm", 1, 0); !errors.Is(err, ErrRefused) {
 			t.Errorf("snapshot beyond the bound: %v", err)
 		}
 		conn := dialRaw(t, network)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,9 @@
 	WritesSnapshots func() bool
 	SnapshotEvery   int
 	SnapshotMaxAge  time.Duration
+	// Reader asks the VM that reads the stream for this one, and tells whether there
+	// is one; nil: this VM reads it.
+	Reader func(ctx context.Context, from uint64, wait time.Duration) (entryvm.Records, bool, error)
 	// Changed is called after news in the state.
 	Changed func()
 }
@@ -55,8 +58,13 @@
 func New(config Config) *Control {
 	c := &Control{config: config, named: make(map[state.ProposalID][]chan state.Outcome)}
 	c.fold = &fold{state: state.New(), outcome: c.resolve}
+	var reader replica.Reader
+	if config.Reader != nil {
+		reader = c.askReader
+	}
 	c.replica = replica.New(replica.Config{
-		Log: config.Log, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
+		Reader: reader,
+		Log:    config.Log, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
 		SnapshotEvery: config.SnapshotEvery, SnapshotMaxAge: config.SnapshotMaxAge,
 		WritesSnapshots: config.WritesSnapshots, Changed: config.Changed,
 	})
@@ -158,13 +166,19 @@
 // Lags tells whether a peer that has folded up to the offset knows more.
 func (c *Control) Lags(applied uint64) bool { return c.replica.Lags(platformlog.Offset(applied)) }
 
+// Await waits until a record at the offset or after it is at hand, or for the
+// time, of which a second counts at most.
+func (c *Control) Await(from uint64, wait time.Duration) {
+	c.replica.Await(platformlog.Offset(from), wait)
+}
+
 // Since returns control records for a peer that lags.
 func (c *Control) Since(from uint64) (entryvm.Records, error) {
 	records, snapshot, err := c.replica.Since(platformlog.Offset(from))
 	if err != nil {
 		return entryvm.Records{}, Error.Wrap(err)
 	}
-	out := entryvm.Records{Snapshot: snapshot}
+	out := entryvm.Records{Snapshot: snapshot, ReachedAgo: c.replica.ReachedAgo()}
 	for _, r := range records {
 		out.Records = append(out.Records, entryvm.Record{Offset: uint64(r.Offset), Time: r.Time, Data: r.Data})
 	}
@@ -173,9 +187,20 @@
 
 // Offer takes what a peer sent for Since(Applied+1).
 func (c *Control) Offer(from entryvm.Records) {
-	records := make([]platformlog.Record, len(from.Records))
-	for i, r := range from.Records {
+	c.replica.Offer(logRecords(from.Records), from.Snapshot)
+}
+
+func (c *Control) askReader(ctx context.Context, from platformlog.Offset, wait time.Duration) (replica.Relayed, bool, error) {
+	got, asked, err := c.config.Reader(ctx, uint64(from), wait)
+	return replica.Relayed{
+		Records: logRecords(got.Records), Snapshot: got.Snapshot, ReachedAgo: got.ReachedAgo,
+	}, asked, err
+}
+
+func logRecords(from []entryvm.Record) []platformlog.Record {
+	records := make([]platformlog.Record, len(from))
+	for i, r := range from {
 		records[i] = platformlog.Record{Offset: platformlog.Offset(r.Offset), Time: r.Time, Data: r.Data}
 	}
-	c.replica.Offer(records, from.Snapshot)
+	return records
 }
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -80,7 +80,10 @@
 }
 
 // Records implements entryvm.Handler.
-func (n *Node) Records(from uint64) (entryvm.Records, error) { return n.control.Since(from) }
+func (n *Node) Records(from uint64, wait time.Duration) (entryvm.Records, error) {
+	n.control.Await(from, wait)
+	return n.control.Since(from)
+}
 
 // Claimed implements entryvm.Handler.
 func (n *Node) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply { return n.claims.Claimed(query) }
@@ -177,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	applied, _, _ := n.control.Position()
-	records, err := n.config.Peers.EntryVMs.Records(ctx, address, applied+1)
+	records, err := n.config.Peers.EntryVMs.Records(ctx, address, applied+1, 0)
 	if err != nil {
 		return
 	}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotreel/engine"
@@ -88,6 +89,8 @@
 type gatedLog struct {
 	platformlog.Log
 	gate *gate
+	// reading counts the reads of the control stream that are under way.
+	reading *atomic.Int32
 }
 
 func (l gatedLog) Append(ctx context.Context, stream string, data []byte) (platformlog.Offset, error) {
@@ -95,6 +98,10 @@
 }
 
 func (l gatedLog) Read(ctx context.Context, stream string, from platformlog.Offset, max int, wait time.Duration) (platformlog.Batch, error) {
+	if stream == "control" {
+		l.reading.Add(1)
+		defer l.reading.Add(-1)
+	}
 	batch, err := l.Log.Read(l.gate.pass(ctx), stream, from, max, wait)
 	l.gate.pass(ctx)
 	return batch, err
@@ -253,7 +260,7 @@
 	return err
 }
 
-func (l link) Records(ctx context.Context, address string, from uint64) (entryvm.Records, error) {
+func (l link) Records(ctx context.Context, address string, from uint64, wait time.Duration) (entryvm.Records, error) {
 	if l.system.twin == noPeers {
 		return entryvm.Records{}, errCut
 	}
@@ -261,7 +268,11 @@
 	if err != nil {
 		return entryvm.Records{}, err
 	}
-	return e.Records(from)
+	records, err := e.Records(from, wait)
+	if _, cut := l.to(ctx, address); cut != nil || ctx.Err() != nil {
+		return entryvm.Records{}, errCut
+	}
+	return records, err
 }
 
 func (l link) Claimed(ctx context.Context, address string, query entryvm.ClaimQuery) (entryvm.ClaimReply, error) {
--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -66,6 +66,21 @@
 	})
 }
 
+// busiestRelay is the VM that renewed for most others.
+func (s *system) busiestRelay() string {
+	most := map[string]int{}
+	s.controlProposals(1, func(p state.Proposal) {
+		if p.SessionsRenew != nil {
+			most[p.ID.Proposer] = max(most[p.ID.Proposer], len(p.SessionsRenew.Renewals))
+		}
+	})
+	relay := slices.MaxFunc(slices.Sorted(maps.Keys(most)), func(a, b string) int { return most[a] - most[b] })
+	if most[relay] < 2 {
+		s.t.Fatalf("no relay renewed for others: %v", most)
+	}
+	return relay
+}
+
 // In a fleet of 27 each VM's session is renewed by its group's relay. The relay
 // dies, is cut from the log alone, or its appends' answers are lost and it repeats
 // them. A dead one's place is taken; where the others still hear it, each member
@@ -84,16 +99,7 @@
 				s := newSystem(t, true)
 				s.growTo(27, "a", "b", "c")
 				time.Sleep(10 * time.Second)
-				most := map[string]int{}
-				s.controlProposals(1, func(p state.Proposal) {
-					if p.SessionsRenew != nil {
-						most[p.ID.Proposer] = max(most[p.ID.Proposer], len(p.SessionsRenew.Renewals))
-					}
-				})
-				relay := slices.MaxFunc(slices.Sorted(maps.Keys(most)), func(a, b string) int { return most[a] - most[b] })
-				if most[relay] < 2 {
-					t.Fatalf("no relay renewed for others: %v", most)
-				}
+				relay := s.busiestRelay()
 				begun := s.logEnd("control")
 				disturb(s, relay)
 				time.Sleep(30 * time.Second)
@@ -137,7 +143,8 @@
 	s.t.Logf("%d sessions live, %d own renewals", live, own)
 }
 
-// What an idle fleet of so many entry VMs in three domains costs the log.
+// What an idle fleet of so many entry VMs in three domains costs the log, and when a
+// change is in force on all of them.
 func TestFiguresFleet(t *testing.T) {
 	short := timing
 	timing = daemonTiming
@@ -145,12 +152,61 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, true)
 		s.growTo(*figureVMs, "a", "b", "c")
+		base := s.publish("v-a1", "first", text(1), 0).Revision
 		time.Sleep(20 * time.Second)
-		begun := s.logEnd("control")
-		time.Sleep(30 * time.Second)
+		begun, bytes, reading := s.logEnd("control"), 0, 0
+		const looks = 300
+		for range looks {
+			time.Sleep(30 * time.Second / looks)
+			reading += int(s.reading.Load())
+		}
 		s.printAppends("control", begun+1, 30*time.Second)
-		bytes := 0
 		s.controlRecords(begun+1, func(r platformlog.Record) { bytes += len(r.Data) })
-		t.Logf("%d B/s in records", bytes/30)
+		t.Logf("%d B/s in records, %.1f reads under way", bytes/30, float64(reading)/looks)
+		var times quantiles
+		for i := range 10 {
+			time.Sleep(time.Duration(i) * 130 * time.Millisecond)
+			at := time.Now()
+			base = s.publish("v-a1", fmt.Sprint("c", i), text(2+i), base).Revision
+			times = append(times, s.inForce(at, base, slices.Sorted(maps.Keys(s.nodes))...))
+		}
+		times.print(t, "in force on all")
 	})
 }
+
+// In a fleet of 27 most VMs follow the control stream through their group's reader.
+// The reader dies, hangs, or is cut off from the log alone and has nothing to tell. A
+// change is published elsewhere at that moment: it must be in force on all VMs that
+// are left within 4 s, by other groups' digests or the members' own reading.
+func TestFollowingSurvivesItsReader(t *testing.T) {
+	for name, disturb := range map[string]func(s *system, reader string){
+		"dies":             func(s *system, reader string) { s.nodes[reader].kill() },
+		"hangs":            func(s *system, reader string) { s.nodes[reader].gate.freeze() },
+		"cut from the log": func(s *system, reader string) { s.cutFromLog(reader) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t, true)
+				s.growTo(27, "a", "b", "c")
+				time.Sleep(10 * time.Second)
+				if reading := int(s.reading.Load()); reading >= len(s.nodes)*2/3 {
+					t.Errorf("%d of %d VMs read the log", reading, len(s.nodes))
+				}
+				reader := s.busiestRelay()
+				publisher := "v-a1"
+				if reader[2] == publisher[2] {
+					publisher = "v-b1"
+				}
+				disturb(s, reader)
+				published := s.publish(publisher, "c1", text(1), 0)
+				time.Sleep(4 * time.Second)
+				for vm, n := range s.nodes {
+					got, err := n.Operators().Contract(s.ctx, "trinidad")
+					if vm != reader && (err != nil || got.Version < published.Revision) {
+						t.Errorf("%s has version %d (%v), published is %d", vm, got.Version, err, published.Revision)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,7 @@
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
+		Reader: n.askReader,
 	})
 	n.claims = claims.New(claims.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +59,8 @@
 	replicas map[string]int
 	// sent counts the requests for tokens sent to each engine.
 	sent map[string]int
+	// reading counts the VMs that read the control stream now.
+	reading atomic.Int32
 	// twin is the naive version that runs, breaches the promises it broke.
 	twin     twin
 	breaches []string
@@ -130,7 +133,7 @@
 		VM: name, Domain: name[2:3], Region: "r", PeersAddress: name, Incarnation: incarnation,
 		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.all())) + 1)), Lease: timing,
 		Peers: node.Peers{
-			Log: gatedLog{e.view, e.gate}, VMList: s.list, WeightStore: s.store,
+			Log: gatedLog{e.view, e.gate, &s.reading}, VMList: s.list, WeightStore: s.store,
 			Engines: gatedEngines{
 				Client: s.engines, gate: e.gate, system: s,
 				hold:  func(address string, order engine.Order) bool { return s.holds(name, address, order) },
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,6 +87,8 @@
 	// that write at once cost appends, never safety. Where the chosen one does
 	// not (it may be cut off from the log), all others do a little later.
 	WritesSnapshots func() bool
+	// Reader asks the VM that reads the log for this one; nil: this VM reads it.
+	Reader Reader
 	// Changed is called after each batch of folded records, without the lock,
 	// one call at a time: a slow call must not overwrite what a later one did.
 	Changed func()
@@ -115,7 +117,12 @@
 	// changing makes calls of Changed one at a time.
 	changing sync.Mutex
 
+	// aloneUntil is until when this VM reads the log itself; only Run uses it.
+	aloneUntil time.Time
+
 	mu sync.RWMutex
+	// news is closed at the next change of the fold.
+	news chan struct{}
 	// following is whether the fold is the agreed state just after Applied and
 	// the next record needed may still be had. Else records expired unread (or
 	// this process is new), and a whole snapshot or a ruling is waited for.
@@ -157,7 +164,7 @@
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
-	return &Replica{config: config, ready: make(chan struct{}), lostAt: time.Now(), from: 1}
+	return &Replica{config: config, ready: make(chan struct{}), news: make(chan struct{}), lostAt: time.Now(), from: 1}
 }
 
 // Ready is closed once the fold has a state.
@@ -181,6 +188,9 @@
 // Run follows the log until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if r.followReader(ctx) {
+			continue
+		}
 		batch, err := r.read(ctx, r.nextOffset())
 		switch {
 		case err == nil:
@@ -252,6 +262,10 @@
 }
 
 func (r *Replica) changed() {
+	r.mu.Lock()
+	close(r.news)
+	r.news = make(chan struct{})
+	r.mu.Unlock()
 	r.changing.Lock()
 	defer r.changing.Unlock()
 	r.config.Changed()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -100,6 +100,8 @@
 	ctx      context.Context
 	replicas map[string]*vm
 	running  sync.WaitGroup
+	// readers are through whom VMs follow, by name.
+	readers map[string]Reader
 }
 
 type vm struct {
@@ -125,6 +127,7 @@
 	v.Replica = New(Config{
 		Log: v.view, Stream: "s", Fold: v.fold, Logger: zap.NewNop(), Writer: name,
 		SnapshotMaxAge: time.Minute, SnapshotEvery: 200, StartSpan: 16, WritesSnapshots: func() bool { return writes },
+		Reader: b.readers[name],
 	})
 	ctx, stop := context.WithCancel(b.ctx)
 	v.stop = stop
