replay: TestRunRepeats compares each request's outcome too

Cause: gave replay.Result an unexported field; go-cmp panics on it. Ruled out: ignoring the field (less would be compared). Figures: go test -run TestRunRepeats ./internal/replay green, with the outcomes of all requests compared. Conclusion: stricter than before.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -29,7 +29,7 @@
 func TestRunRepeats(t *testing.T) {
 	_, first := run(t, OursAt(0.5), FaultDomainCut, true)
 	_, again := run(t, OursAt(0.5), FaultDomainCut, true)
-	if diff := cmp.Diff(first, again); diff != "" {
+	if diff := cmp.Diff(first, again, cmp.AllowUnexported(Result{}, outcome{})); diff != "" {
 		t.Error(diff)
 	}
 }
