claims, entryvm, node: claims over shards, each held by two VMs of a failure domain

Cause: every entry VM read and held every claim, and each appended its own: at 3,400 nodes and 690 bookings a second 1,380 appends a second of 300, and 8.8 GB.

With `[policy] claim_shards` above 1 the keys are spread over that many streams. Two VMs of each domain follow one, by rendezvous over the VM list; the VM that has a call asks a holder (Peer.Claim), the same first one for all callers, which joins their claims in a record every 250 ms at most. The asker alone dispatches, and outcome or release go to a holder (Peer.Settle). With 1, the default, the path is today's: one stream, no call to a peer.

The promises: all holders are given one claim by the asker's identity, so that a holder that dies, is cut, slow, or whose answer is lost leaves it to the next; a holder releases nothing by itself; an asker that gave up never dispatches and only then says "release"; the claim names what the asker knew folded when the call came; without the log "may have run" is said.

TestHolderReleasesByItsAskersWordOnly: the twin books twice.

Found on the way: a holder's question of 300 ms took the proposal with it when it waited behind a slow append, and the claim then counted as under way for ever. A proposal for another VM now goes on by itself (TestHolderFails "slow log").

Ruled out: the nearest holder first (14 holders of a shard each append for themselves); a claim of its own for each holder asked; the holder's view as what the arrival had seen. The number of shards can't be changed in a running fleet (OPERATIONS); no fleet of processes ran with shards, and a forwarded call's bytes and time are not measured.

Existing tests: the settings' sample has three lines more, so two line numbers in TestMistakes; the large fleet of the node tests is made by a function of its own; entryvm's and node's fakes have the two new methods. Nothing is weaker.

--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -18,6 +18,8 @@
 func (mute) Want(string, []entryvm.Demand)                          {}
 func (mute) Records(uint64, time.Duration) (entryvm.Records, error) { return entryvm.Records{}, nil }
 func (mute) Claimed(entryvm.ClaimQuery) (reply entryvm.ClaimReply)  { return reply }
+func (mute) Claim(entryvm.ClaimCall) (result entryvm.ClaimResult)   { return result }
+func (mute) Settle(entryvm.ClaimCall) (stored bool)                 { return stored }
 
 // BenchmarkExchange is one message with so many digests over the loopback, each
 // with 8 entries of everything; cpu-ns/op is the processor time of both ends,
--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -126,6 +126,22 @@
 	return reply, err
 }
 
+// Claim implements Peer.
+func (c *Client) Claim(ctx context.Context, address string, claim ClaimCall) (ClaimResult, error) {
+	ctx, span := telemetry.Hop(ctx, "entryvm", "claim")
+	reply, err := call[ClaimResult](ctx, c, lineKey{address: address}, methodClaim, &claim)
+	telemetry.EndHop(span, err)
+	return reply, err
+}
+
+// Settle implements Peer.
+func (c *Client) Settle(ctx context.Context, address string, settle ClaimCall) (bool, error) {
+	ctx, span := telemetry.Hop(ctx, "entryvm", "settle")
+	reply, err := call[SettleReply](ctx, c, lineKey{address: address}, methodSettle, &settle)
+	telemetry.EndHop(span, err)
+	return reply.Stored, err
+}
+
 // Close closes all connections; later calls fail.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -150,6 +150,50 @@
 	Up time.Duration
 }
 
+// ClaimCall gives a holder of a shard of claims one entry for the shard's stream.
+type ClaimCall struct {
+	// Shard is which of Shards streams it is for. A peer that counts another
+	// number of them holds none of these.
+	Shard, Shards int
+	// Record is an idempotency.Record with one entry.
+	Record []byte
+}
+
+// ClaimState is what a holder knows of a claim.
+type ClaimState int
+
+const (
+	// ClaimElsewhere: the peer doesn't hold the shard, or can't reach the log. It
+	// has not proposed the claim in this call.
+	ClaimElsewhere ClaimState = iota
+	// ClaimWon: the claim holds its key.
+	ClaimWon
+	// ClaimPending: the claim, or the outcome of the claim that holds the key, is
+	// under way. Ask again with the same claim.
+	ClaimPending
+	// ClaimAnswered: the call has run; its answer is there.
+	ClaimAnswered
+	// ClaimTurnedAway: the claim was made before a release that it had not seen.
+	ClaimTurnedAway
+	// ClaimConflict: the key was used for another request.
+	ClaimConflict
+	// ClaimUnknown: the process that holds the key is gone.
+	ClaimUnknown
+	// ClaimInvalid: the claim is malformed.
+	ClaimInvalid
+)
+
+// ClaimResult is a holder's answer to a claim.
+type ClaimResult struct {
+	State ClaimState
+	// Revision is the claim's place if it won.
+	Revision uint64
+	// Answer is an idempotency.Record with the outcome of an answered call.
+	Answer []byte
+	// Applied is the newest offset of the stream that the holder has folded.
+	Applied uint64
+}
+
 // Peer talks to other entry VMs by their address.
 type Peer interface {
 	// Exchange sends the digests that the receiver should know and returns what
@@ -162,6 +206,12 @@
 	Records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error)
 	// Claimed asks what a peer knows of a claim, while the log is out of reach.
 	Claimed(ctx context.Context, address string, query ClaimQuery) (ClaimReply, error)
+	// Claim has a holder claim a key for the sender; the same claim may be given to
+	// several holders, and again. The holder waits a little for what it comes to.
+	Claim(ctx context.Context, address string, call ClaimCall) (ClaimResult, error)
+	// Settle has a holder store an outcome, or release a claim; it tells whether
+	// that is in the log.
+	Settle(ctx context.Context, address string, call ClaimCall) (stored bool, err error)
 }
 
 // Handler is what this entry VM does with the messages of its peers.
@@ -170,4 +220,6 @@
 	Want(from string, demand []Demand)
 	Records(from uint64, wait time.Duration) (Records, error)
 	Claimed(query ClaimQuery) ClaimReply
+	Claim(call ClaimCall) ClaimResult
+	Settle(call ClaimCall) (stored bool)
 }
--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -46,6 +46,12 @@
 	return ClaimReply{Applied: uint64(query.Shard), Held: true}
 }
 
+func (r *recorder) Claim(call ClaimCall) ClaimResult {
+	return ClaimResult{State: ClaimPending, Answer: call.Record, Applied: uint64(call.Shard)}
+}
+
+func (r *recorder) Settle(call ClaimCall) bool { return call.Shards == 4 }
+
 // start serves the handler and returns how to stop it.
 func start(t *testing.T, p *pipenet.Listener, handler Handler, config *tls.Config) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/entryvm/messages.go
+++ b/entryvm/messages.go
@@ -3,7 +3,7 @@
 import "time"
 
 // The arguments and replies of the net/rpc methods Peer.Exchange, Peer.Want,
-// Peer.Records and Peer.Claimed. They are exported for net/rpc only.
+// Peer.Records, Peer.Claimed, Peer.Claim and Peer.Settle. They are exported for net/rpc only.
 
 // ExchangeArgs carries the digests of the caller.
 type ExchangeArgs struct{ Digests []Digest }
@@ -29,6 +29,9 @@
 	Wait time.Duration
 }
 
+// SettleReply tells whether the entry is in the log.
+type SettleReply struct{ Stored bool }
+
 // names of the methods.
 const (
 	serviceName     = "Peer"
@@ -36,6 +39,8 @@
 	methodWant      = serviceName + ".Want"
 	methodRecords   = serviceName + ".Records"
 	methodClaimed   = serviceName + ".Claimed"
+	methodClaim     = serviceName + ".Claim"
+	methodSettle    = serviceName + ".Settle"
 	maxRecordsBytes = 4 << 20
 )
 
@@ -75,6 +80,18 @@
 	return nil
 }
 
+// Claim answers Peer.Claim.
+func (s *service) Claim(args *ClaimCall, reply *ClaimResult) error {
+	*reply = s.handler.Claim(*args)
+	return nil
+}
+
+// Settle answers Peer.Settle.
+func (s *service) Settle(args *ClaimCall, reply *SettleReply) error {
+	reply.Stored = s.handler.Settle(*args)
+	return nil
+}
+
 // total is the length of all parts, in bytes.
 func total(parts [][]byte) int {
 	sum := 0
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -68,6 +68,14 @@
 	if _, err := peer.Records(t.Context(), address, 0, 0); !errors.Is(err, ErrRefused) {
 		t.Errorf("an error of the peer: %v", err)
 	}
+	claim := ClaimCall{Shard: 3, Shards: 4, Record: []byte("claim")}
+	if result, err := peer.Claim(t.Context(), address, claim); err != nil || result.State != ClaimPending ||
+		string(result.Answer) != "claim" || result.Applied != 3 {
+		t.Errorf("claim: %+v, %v", result, err)
+	}
+	if stored, err := peer.Settle(t.Context(), address, claim); err != nil || !stored {
+		t.Errorf("settle: %t, %v", stored, err)
+	}
 	reply, err := peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4})
 	if reply != (ClaimReply{Applied: 4, Held: true}) || err != nil {
 		t.Error(reply, err)
--- a/idempotency/legacy_test.go
+++ b/idempotency/legacy_test.go
@@ -10,7 +10,7 @@
 )
 
 // What format 1 wrote of legacyEntries: two records, the table just after them,
-// and a record that holds that table's snapshot (by the code of commit a2a537b).
+// and a record that holds that table's snapshot (by the code of commit 2f66962).
 const (
 	legacyClaims   = "ogEBAoOhAaUBogFkdm0tMQIBAqIBZGhpcmUCYWEDeCtnNkJSSENSU0VDWldXQ3BDTXRfVXNHNHY1YnVNYWFMREFiV081NGUwbGNvBGJ2bQUaADbugKEBpQGiAWR2bS0xAgICogFkaGlyZQJhYgN4K1VMTm1JOHc5TVZ6N05MVGx0OHBiblVxdUJvS3ptUEEwaFh6d0c2U0ZQNmMEYnZtBRoANu6AoQGmAaIBZHZtLTECAwKiAWRkZWJ0AmFhA3grZzZCUkhDUlNFQ1pXV0NwQ010X1VzRzR2NWJ1TWFhTERBYldPNTRlMGxjbwRidm0FGgA27oAGAQ=="
 	legacyOutcomes = "ogEBAoKhAqMBogFkaGlyZQJhYQIZEAADowEYyQKhbENvbnRlbnQtVHlwZXBhcHBsaWNhdGlvbi9qc29uA1F7ImJvb2tpbmciOiJCLTEifaEDowGiAWRoaXJlAmFiAhkQAQOiAWR2bS0xAgI="
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -30,23 +30,32 @@
 }
 
 // Done implements serving.Claim.
-func (c *claim) Done(answer service.Answer) {
+func (c *claim) Done(answer service.Answer) { c.record(keptAnswer(answer)) }
+
+// keptAnswer is what is kept of an answer for repeats.
+func keptAnswer(answer service.Answer) idempotency.Answer {
 	header := make(map[string]string)
 	for _, name := range keptHeaders {
 		if value := answer.Header.Get(name); value != "" {
 			header[name] = value
 		}
 	}
-	c.record(idempotency.MakeAnswer(answer.Status, header, answer.Body))
+	return idempotency.MakeAnswer(answer.Status, header, answer.Body)
 }
 
 // NotRun implements serving.Claim.
-func (c *claim) NotRun() { c.claimer.release(c.key, c.revision, c.id) }
+func (c *claim) NotRun() {
+	c.end(idempotency.Entry{Release: &idempotency.Release{Key: c.key, Claim: c.revision, ID: c.id}})
+}
 
 // Unknown implements serving.Claim: repeats are told at once that the call may
 // have run, without waiting for an answer that will not come.
 func (c *claim) Unknown() { c.record(idempotency.Answer{}) }
 
 func (c *claim) record(answer idempotency.Answer) {
-	c.claimer.store(idempotency.Entry{Outcome: &idempotency.Outcome{Key: c.key, Claim: c.revision, Answer: answer}})
+	c.end(idempotency.Entry{Outcome: &idempotency.Outcome{Key: c.key, Claim: c.revision, Answer: answer}})
+}
+
+func (c *claim) end(entry idempotency.Entry) {
+	c.claimer.store(entry, func() { c.claimer.open.Add(-1) })
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -48,6 +49,11 @@
 	Logger *zap.Logger
 	// Incarnation names this start of the process of this entry VM.
 	Incarnation string
+	// MinInterval is commit.Config's.
+	MinInterval time.Duration
+	// Stream defaults to Stream. Claimers of one process must have one IDs.
+	Stream string
+	IDs    *IDs
 	// Window is how long a key is remembered.
 	Window time.Duration
 	// Alive tells whether the process that claimed may still answer.
@@ -71,20 +77,31 @@
 	reads    *readWatch
 	replica  *replica.Replica
 	batcher  *commit.Batcher[idempotency.Entry, idempotency.Result]
+	flights  flights
+	forwards forwards
 	// recording are answers on their way into the log.
 	recording sync.WaitGroup
+	// open counts the claims won here whose end is not recorded yet.
+	open atomic.Int64
 }
 
 // New makes a claimer; Follow and Commit must be started for it to work.
 func New(config Config) *Claimer {
+	if config.Stream == "" {
+		config.Stream = Stream
+	}
+	if config.IDs == nil {
+		config.IDs = new(IDs)
+	}
 	c := &Claimer{config: config, started: time.Now(), reads: &readWatch{Log: config.Log}}
 	c.fold = &fold{table: idempotency.NewTable(), result: c.resolve}
 	c.replica = replica.New(replica.Config{
-		Log: c.reads, Stream: Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
+		Log: c.reads, Stream: config.Stream, Fold: c.fold, Logger: config.Logger, Writer: config.Incarnation,
 		SnapshotMaxAge: config.SnapshotMaxAge, WritesSnapshots: config.WritesSnapshots,
 	})
 	c.batcher = commit.New[idempotency.Entry, idempotency.Result](commit.Config[idempotency.Entry]{
-		Log: config.Log, Stream: Stream, Encode: encode, Max: idempotency.MaxEntries,
+		Log: config.Log, Stream: config.Stream, Encode: encode, Max: idempotency.MaxEntries,
+		MinInterval: config.MinInterval,
 	})
 	return c
 }
@@ -94,11 +111,31 @@
 }
 
 func (c *Claimer) resolve(r idempotency.Result) {
-	if r.ID.Claimer == c.config.Incarnation && r.ID.Sequence != 0 {
-		c.batcher.Resolve(r.ID.Sequence, r)
+	if sequence, ours := c.flights.land(r.ID); ours {
+		c.batcher.Resolve(sequence, r)
+	}
+	if c.flights.wasGivenUp(r.ID) {
+		c.abandoned(idempotency.Entry{}, r)
 	}
 }
 
+// Run does Follow, Commit and WriteSnapshots until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	for _, duty := range []func(context.Context){c.Follow, c.Commit, c.WriteSnapshots} {
+		duties.Go(func() { duty(ctx) })
+	}
+}
+
+// Claim answers a VM whose claims are over shards: this one's are not.
+func (c *Claimer) Claim(entryvm.ClaimCall) entryvm.ClaimResult {
+	return entryvm.ClaimResult{State: entryvm.ClaimElsewhere}
+}
+
+// Settle answers such a VM.
+func (c *Claimer) Settle(entryvm.ClaimCall) (stored bool) { return false }
+
 // Follow reads the stream until ctx ends.
 func (c *Claimer) Follow(ctx context.Context) { c.replica.Run(ctx) }
 
@@ -157,7 +194,10 @@
 	since := c.fold.marks.at(call.Arrived) + 1
 	holder := c.holder(key)
 	if holder == nil {
-		result, err := c.propose(ctx, key, digest, since)
+		result, err := c.propose(ctx, &idempotency.Claim{
+			ID: c.config.IDs.next(c.config.Incarnation), Key: key, Digest: digest,
+			WindowMs: c.config.Window.Milliseconds(), Since: since,
+		}, c.abandoned)
 		if err != nil {
 			return nil, nil, c.refuseWithoutLog(ctx, query)
 		}
@@ -175,11 +215,17 @@
 	return nil, answer, err
 }
 
-// won turns a claim that holds its key into the right to dispatch, unless its
-// arrival is so old that a release which turns it away may be forgotten.
+// tooOld tells whether a release that turns the arrival away, or its own claim,
+// may be forgotten by now.
+func (c *Config) tooOld(call caller.ServiceCall) bool {
+	return time.Since(call.Arrived) >= min(idempotency.ReleasedFor, c.Window)
+}
+
+// won turns a claim that holds its key into the right to dispatch.
 func (c *Claimer) won(call caller.ServiceCall, key idempotency.Key, result idempotency.Result) (*claim, *service.Answer, error) {
+	c.open.Add(1)
 	won := &claim{claimer: c, key: key, revision: result.Holder.Revision, id: result.ID}
-	if time.Since(call.Arrived) >= idempotency.ReleasedFor {
+	if c.config.tooOld(call) {
 		won.NotRun()
 		return nil, nil, turnedAway()
 	}
@@ -197,13 +243,17 @@
 	return r
 }
 
-func (c *Claimer) propose(ctx context.Context, key idempotency.Key, digest idempotency.Digest, since uint64) (idempotency.Result, error) {
-	return c.batcher.Submit(ctx, func(sequence uint64) idempotency.Entry {
-		return idempotency.Entry{Claim: &idempotency.Claim{
-			ID:  idempotency.ClaimID{Claimer: c.config.Incarnation, Sequence: sequence},
-			Key: key, Digest: digest, WindowMs: c.config.Window.Milliseconds(), Since: since,
-		}}
-	}, c.abandoned)
+func (c *Claimer) propose(ctx context.Context, claim *idempotency.Claim,
+	abandoned func(idempotency.Entry, idempotency.Result),
+) (idempotency.Result, error) {
+	result, err := c.batcher.Submit(ctx, func(sequence uint64) idempotency.Entry {
+		c.flights.start(claim.ID, sequence)
+		return idempotency.Entry{Claim: claim}
+	}, abandoned)
+	if errors.Is(err, commit.ErrNotStored) {
+		c.flights.land(claim.ID)
+	}
+	return result, err
 }
 
 // abandoned gives back a claim that landed after its request had its answer:
@@ -267,64 +317,15 @@
 	return &service.Answer{Status: a.Status, Header: header, Body: a.Body}, nil
 }
 
-// refuseWithoutLog answers at once while no claim can be recorded.
-func (c *Claimer) refuseWithoutLog(ctx context.Context, query entryvm.ClaimQuery) error {
-	if c.surelyNotRun(ctx, query) {
-		return refusal.New(refusal.CodeLogUnavailable, comeBack, "the platform's log is out of reach")
-	}
-	r := refusal.Maybe(refusal.CodeLogUnavailable,
-		"this arrival was not run; an earlier one may have been: repeat it with the same Idempotency-Key")
-	r.RetryAfter = comeBack
-	return r
-}
-
-// surelyNotRun tells whether no arrival of the call was dispatched so far. "Not
-// run" must hold for the call, not only for this arrival: an earlier one may
-// have been claimed and dispatched by another entry VM, and a caller who is told
-// "not run" may book elsewhere.
-//
-// A VM dispatches only by a claim that it has folded. This VM's table was
-// complete at some moment, since when it may have missed records. Whoever has
-// dispatched by one of those was an entry VM after that moment. So if this table
-// has no claim of the key, and each VM that was there since then says that it
-// has folded no further than this one and knows no claim, the call has not run.
-// Failures that the parts of the rule answer:
-//   - A VM cut off later than this one claimed, dispatched and died; its caller
-//     comes here, and the VM list has dropped it. It was there since: it does
-//     not answer, so the call may have run.
-//   - It restarted, and says truly that it has folded nothing. Its process is
-//     younger than the moment: it can't speak for the one before (ClaimReply.Up).
-//   - Another arrival waits at a VM for its claim to land, and will be dispatched
-//     once it has. That VM says that the key is held, and so does this one.
-//   - All entry VMs restart during an outage, and none has folded anything. A
-//     table that never was complete gives no moment.
-func (c *Claimer) surelyNotRun(ctx context.Context, query entryvm.ClaimQuery) bool {
-	key := idempotency.KeyOf(query.Customer, query.Key)
-	select {
-	case <-c.Ready():
-	default:
-		return false
-	}
-	var applied uint64
-	free := false
-	c.replica.View(func() {
-		applied = c.fold.table.Applied()
-		free = c.fold.table.State(key) == nil
-	})
-	since, complete := c.reads.completeAt(platformlog.Offset(applied))
-	// This arrival is one of those under way here.
-	alone := c.underWay.count(key) <= 1
-	return free && complete && alone && c.config.NobodyAhead(ctx, query, applied, since)
-}
-
 func (c *Claimer) release(key idempotency.Key, revision idempotency.Revision, id idempotency.ClaimID) {
-	c.store(idempotency.Entry{Release: &idempotency.Release{Key: key, Claim: revision, ID: id}})
+	c.store(idempotency.Entry{Release: &idempotency.Release{Key: key, Claim: revision, ID: id}}, func() {})
 }
 
 // store records an entry in the background, again and again for a while: each
-// of them has no effect the second time.
-func (c *Claimer) store(entry idempotency.Entry) {
+// of them has no effect the second time. Then it calls done.
+func (c *Claimer) store(entry idempotency.Entry, done func()) {
 	c.recording.Go(func() {
+		defer done()
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		for {
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/claims"
+	"bergamotreel/internal/serving"
 	"bergamotreel/internal/standin/logserver"
 	"bergamotreel/platformlog"
 	"bergamotreel/refusal"
@@ -34,6 +36,13 @@
 	// forgetSeen makes the naive twin whose claims don't say which releases their
 	// arrivals had seen.
 	forgetSeen bool
+	// shards is the number of streams; 0 is one that all VMs hold.
+	shards int
+	// loseReplies is the share of holders' answers that are lost, and hasty makes
+	// the naive twin whose holders release a claim when its asker has no answer.
+	loseReplies float64
+	hasty       bool
+	random      *rand.Rand
 }
 
 // viewLog is the log as one VM reaches it.
@@ -71,22 +80,27 @@
 // vm is one process of an entry VM.
 type vm struct {
 	*claims.Claimer
-	desk   *desk
-	name   string
-	view   *logserver.View
-	ctx    context.Context
-	kill   context.CancelFunc
-	duties sync.WaitGroup
+	sharded *claims.Shards
+	desk    *desk
+	name    string
+	view    *logserver.View
+	ctx     context.Context
+	kill    context.CancelFunc
+	duties  sync.WaitGroup
 	// diedAt is zero while it lives; cut is whether peers can't reach it.
 	diedAt time.Time
 	cut    bool
 	// hang is how late its appends land.
 	hang time.Duration
+	// slow is how late it answers peers; silent is whether its answers are lost.
+	slow   time.Duration
+	silent bool
 }
 
 func inDesk(t *testing.T, seed uint64, test func(d *desk)) {
 	synctest.Test(t, func(t *testing.T) {
-		d := &desk{t: t, log: logserver.New(logserver.Config{Seed: seed}), ran: make(map[string][]string)}
+		d := &desk{t: t, log: logserver.New(logserver.Config{Seed: seed}), ran: make(map[string][]string),
+			random: rand.New(rand.NewSource(int64(seed)))}
 		test(d)
 		for _, v := range d.vms {
 			v.die()
@@ -99,12 +113,17 @@
 func (d *desk) start(name string) *vm {
 	v := &vm{desk: d, name: name, view: d.log.View(name)}
 	v.ctx, v.kill = context.WithCancel(d.t.Context())
-	v.Claimer = claims.New(claims.Config{
+	config := claims.Config{
 		Log: viewLog{v.view, v}, Logger: zap.NewNop(), Incarnation: name, Window: time.Hour,
 		Alive: d.alive, NobodyAhead: v.nobodyAhead, WritesSnapshots: func() bool { return false },
-	})
-	v.duties.Go(func() { v.Follow(v.ctx) })
-	v.duties.Go(func() { v.Commit(v.ctx) })
+	}
+	if d.shards > 0 {
+		v.startShards(config)
+	} else {
+		v.Claimer = claims.New(config)
+		v.duties.Go(func() { v.Follow(v.ctx) })
+		v.duties.Go(func() { v.Commit(v.ctx) })
+	}
 	d.mu.Lock()
 	d.vms = append(d.vms, v)
 	d.mu.Unlock()
@@ -113,6 +132,13 @@
 	return v
 }
 
+func (v *vm) begin(ctx context.Context, call caller.ServiceCall) (serving.Claim, *service.Answer, error) {
+	if v.sharded != nil {
+		return v.sharded.Begin(ctx, call)
+	}
+	return v.Begin(ctx, call)
+}
+
 func (v *vm) die() {
 	v.kill()
 	v.duties.Wait()
@@ -200,7 +226,7 @@
 func (v *vm) bookFrom(begun time.Time, key, body string, how attempt) answered {
 	ctx, cancel := context.WithTimeout(v.ctx, patience)
 	defer cancel()
-	claim, stored, err := v.Begin(ctx, booking(begun, key, body))
+	claim, stored, err := v.begin(ctx, booking(begun, key, body))
 	var a answered
 	switch {
 	case err != nil:
@@ -214,14 +240,7 @@
 	return a
 }
 
-// claim is a serving.Claim.
-type claim interface {
-	Done(service.Answer)
-	Unknown()
-	NotRun()
-}
-
-func (v *vm) dispatch(c claim, key string, how attempt) (a answered) {
+func (v *vm) dispatch(c serving.Claim, key string, how attempt) (a answered) {
 	if how == nil {
 		c.NotRun()
 		a.told = refusal.New(refusal.CodeBackendFailed, 0, "no backend server")
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -39,7 +39,7 @@
 		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
 		Heartbeat: s.Policy.Heartbeat,
 		HeardFor:  heartbeatsMissed * s.Policy.Heartbeat,
-		Claims:    s.Policy.ClaimWindow,
+		Claims:    s.Policy.ClaimWindow, ClaimShards: s.Policy.ClaimShards,
 
 		SnapshotMaxAge: s.Platform.LogRetention / snapshotsKept,
 	}
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -88,6 +88,12 @@
 // Claimed implements entryvm.Handler.
 func (n *Node) Claimed(query entryvm.ClaimQuery) entryvm.ClaimReply { return n.claims.Claimed(query) }
 
+// Claim implements entryvm.Handler.
+func (n *Node) Claim(call entryvm.ClaimCall) entryvm.ClaimResult { return n.claims.Claim(call) }
+
+// Settle implements entryvm.Handler.
+func (n *Node) Settle(call entryvm.ClaimCall) (stored bool) { return n.claims.Settle(call) }
+
 // heard takes in the digests of others.
 func (n *Node) heard(now time.Time, digests []entryvm.Digest) {
 	var words []fleet.Word
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -282,3 +282,20 @@
 	}
 	return e.Claimed(query), nil
 }
+
+func (l link) Claim(ctx context.Context, address string, call entryvm.ClaimCall) (entryvm.ClaimResult, error) {
+	e, err := l.to(ctx, address)
+	if err != nil {
+		return entryvm.ClaimResult{}, err
+	}
+	l.system.claimCalls.Add(1)
+	return e.Claim(call), nil
+}
+
+func (l link) Settle(ctx context.Context, address string, call entryvm.ClaimCall) (bool, error) {
+	e, err := l.to(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	return e.Settle(call), nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,6 @@
 	"bergamotreel/admission"
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/claims"
 	"bergamotreel/internal/control"
 	"bergamotreel/internal/fleet"
 	"bergamotreel/internal/gossip"
@@ -68,6 +67,9 @@
 	Heartbeat, HeardFor time.Duration
 	// Claims is how long an idempotency key is remembered.
 	Claims time.Duration
+	// ClaimShards is the number of streams that claims are spread over, the same on
+	// all VMs for all time. 0 and 1 mean one that every VM holds.
+	ClaimShards int
 	// SnapshotMaxAge must be well under the log's retention.
 	SnapshotMaxAge time.Duration
 }
@@ -87,7 +89,8 @@
 	config  Config
 	started time.Time
 	control *control.Control
-	claims  *claims.Claimer
+	claims  claimDuty
+	holders holders
 	fleet   *fleet.Fleet
 	gossip  *gossip.Gossip
 	keeper  *keeper.Keeper
@@ -126,11 +129,6 @@
 		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge, Changed: n.controlChanged,
 		Reader: n.askReader,
 	})
-	n.claims = claims.New(claims.Config{
-		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
-		Window: config.Claims, Alive: n.incarnationAlive, NobodyAhead: n.nobodyAhead,
-		WritesSnapshots: n.writesSnapshots, SnapshotMaxAge: config.SnapshotMaxAge,
-	})
 	n.fleet = fleet.New(fleet.Config{
 		Lister: config.Peers.VMList, Engine: config.Peers.Engines, Log: config.Logger,
 		Gone:     func(address string) { n.serving.Forget(address) },
@@ -142,6 +140,11 @@
 		Every: config.Heartbeat, HeardFor: config.HeardFor, Logger: config.Logger,
 		Self: n.digest, Listed: func() []vmlist.VM { return n.fleet.VMs(vmlist.KindEntry) }, Heard: n.heard,
 	})
+	n.holders = holders{
+		self:   vmlist.VM{ID: config.VM, Kind: vmlist.KindEntry, Address: config.PeersAddress, Domain: config.Domain, Region: config.Region},
+		listed: func() []vmlist.VM { return n.fleet.VMs(vmlist.KindEntry) }, listedAt: n.fleet.ListedAt,
+	}
+	n.claims = n.newClaims()
 	n.serving = n.newServing()
 	n.keeper = n.newKeeper()
 	n.planner = n.newPlanner()
@@ -188,7 +191,7 @@
 	defer duties.Wait()
 	for _, duty := range []func(context.Context){
 		n.control.Follow, n.control.Commit, n.control.WriteSnapshots,
-		n.claims.Follow, n.claims.Commit, n.claims.WriteSnapshots,
+		n.claims.Run,
 		n.fleet.Run, n.gossip.Run, n.keeper.Run, n.planner.Run, n.serving.Run,
 		n.catchUp, n.tellAdmission, n.watchStore, n.watchPlanned,
 	} {
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -61,6 +61,10 @@
 	sent map[string]int
 	// reading counts the VMs that read the control stream now.
 	reading atomic.Int32
+	// claimShards is node.Config's.
+	claimShards int
+	// claimCalls counts the questions to holders of shards.
+	claimCalls atomic.Int64
 	// twin is the naive version that runs, breaches the promises it broke.
 	twin     twin
 	breaches []string
@@ -82,7 +86,7 @@
 
 // newSystem makes engines a1, a2, b1, b2 and entry VMs v-a1, v-a2, v-b1, v-b2 in
 // two failure domains.
-func newSystem(t *testing.T, checksTokens bool) *system {
+func newSystem(t *testing.T, checksTokens bool, set ...func(*system)) *system {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &system{
 		t: t, ctx: ctx, log: logserver.New(logserver.Config{}), list: vmlistserver.New(0),
@@ -113,6 +117,9 @@
 		s.engines.Put("engine-"+name, e)
 		s.list.Put(vmlist.VM{ID: name, Kind: vmlist.KindEngine, Address: "engine-" + name, Domain: name[:1]})
 	}
+	for _, set := range set {
+		set(s)
+	}
 	s.services.Put("booking-1", s.booking)
 	s.list.Put(vmlist.VM{ID: "booking-1", Kind: vmlist.KindService, Address: "booking-1", Domain: "a", Service: "booking"})
 	for _, name := range allVMs {
@@ -130,7 +137,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	e := &entry{view: s.log.View(incarnation), gate: newGate(), alive: ctx, kill: cancel, done: make(chan struct{})}
 	e.Node = node.New(node.Config{
-		VM: name, Domain: name[2:3], Region: "r", PeersAddress: name, Incarnation: incarnation,
+		VM: name, Domain: name[2:3], Region: "r", PeersAddress: name, Incarnation: incarnation, ClaimShards: s.claimShards,
 		Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(int64(len(s.all())) + 1)), Lease: timing,
 		Peers: node.Peers{
 			Log: gatedLog{e.view, e.gate, &s.reading}, VMList: s.list, WeightStore: s.store,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,6 +118,8 @@
 	MessageLifetime time.Duration
 	// ClaimWindow is how long an idempotency key is remembered.
 	ClaimWindow time.Duration
+	// ClaimShards is the number of streams that claims are spread over.
+	ClaimShards int
 	// RetryBudget is the share of the traffic that may be retries.
 	RetryBudget float64
 	// ShutdownGrace bounds a graceful shutdown.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxClaimShards is enough for 10,000 appends a second at 40 for each stream's
+// writers together; each holder has work for each of its shards.
+const maxClaimShards = 256
+
 // fields are all keys, in the order of the sample.
 var fields = []field{
 	{
@@ -188,6 +192,11 @@
 		help: "how long an idempotency key is remembered; keep it below the log's retention",
 		set:  duration(time.Minute, 7*24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.ClaimWindow }),
 	},
+	{
+		section: "policy", key: "claim_shards", byDefault: "1",
+		help: "streams of claims, each held by two entry VMs of a failure domain; 1 is held by all. The same on all entry VMs for all time",
+		set:  number(1, maxClaimShards, func(s *Settings) *int { return &s.Policy.ClaimShards }),
+	},
 	{
 		section: "policy", key: "retry_budget", byDefault: "0.1",
 		help: "share of the traffic that may be retries, beside three in ten seconds that are always allowed; more would let an overload feed itself",
