entryvm: calls of a connection are served beside each other again

Cause: served the calls of a connection one after the other, because no handler waited for anything. A member's heartbeat on the same connection would have waited behind them, and the member counted as dead after 3 s. Ruled out: a second connection for calls that wait (one more for each pair of VMs, for 0.07% of a core).

--- a/entryvm/codec.go
+++ b/entryvm/codec.go
@@ -182,28 +182,17 @@
 	return err
 }
 
-// serverCodec is the answering side's rpc.ServerCodec, for one goroutine.
-type serverCodec struct {
-	*framed
-	// broken is set once reading or writing has failed.
-	broken bool
-}
+// serverCodec is the answering side's rpc.ServerCodec.
+type serverCodec struct{ *framed }
 
 // ReadRequestHeader implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.check(c.next(r)) }
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.next(r) }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestBody(body any) error { return c.check(c.body(body)) }
+func (c *serverCodec) ReadRequestBody(body any) error { return c.body(body) }
 
 // WriteResponse implements rpc.ServerCodec.
-func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return c.check(c.send(r, body))
-}
-
-func (c *serverCodec) check(err error) error {
-	c.broken = c.broken || err != nil
-	return err
-}
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.send(r, body) }
 
 var (
 	_ rpc.ClientCodec = (*clientCodec)(nil)
--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -92,13 +92,7 @@
 	if err := shakeAsServer(secure, s.secret); err != nil {
 		return
 	}
-	codec := &serverCodec{framed: newFramed(secure, conn, idleTimeout)}
-	// One call after the other: a goroutine for each was a tenth of what an idle
-	// entry VM does, all day, and no handler waits for anything. An error may be a
-	// call of an unknown method, which has been answered.
-	for !codec.broken {
-		_ = s.dispatcher.ServeRequest(codec)
-	}
+	s.dispatcher.ServeCodec(&serverCodec{newFramed(secure, conn, idleTimeout)})
 }
 
 // add registers a connection, unless there are too many or the server closes.
