status: without the log the lag is 'at least'

Seen by hand: an entry VM started during a log outage, with its state from another one, said 'offset 1126 of 0, 0 behind'. Nobody knows then how far behind it is.

--- a/cmd/bergamotreel/status.go
+++ b/cmd/bergamotreel/status.go
@@ -92,12 +92,7 @@
 		ready = "NOT READY: " + vm.NotReady
 	}
 	fmt.Fprintf(p.out, "%s in %s, region %s: %s, up %s, %s\n", vm.ID, vm.Domain, vm.Region, ready, p.ago(vm.StartedAt), vm.Version)
-	log := report.Log
-	reachable := "reachable"
-	if !log.Reachable {
-		reachable = "OUT OF REACH, last answer " + p.since(log.ReachedAt)
-	}
-	fmt.Fprintf(p.out, "log: %s, offset %d of %d, %d behind, %d records skipped\n", reachable, log.Applied, log.End, log.Lag, log.Skipped)
+	fmt.Fprintf(p.out, "log: %s, %d records skipped\n", p.describeLog(report.Log), report.Log.Skipped)
 	for _, missing := range report.VMs {
 		if missing.Missing {
 			leaving := ""
@@ -109,6 +104,17 @@
 	}
 }
 
+// describeLog tells how far this VM has read. Without the log nobody knows what
+// it has by now: the lag is then the least there can be, and what came through
+// another entry VM can be newer than the log's newest answer.
+func (p statusPage) describeLog(log operator.LogPosition) string {
+	if log.Reachable {
+		return fmt.Sprintf("reachable, offset %d of %d, %d behind", log.Applied, log.End, log.Lag)
+	}
+	return fmt.Sprintf("OUT OF REACH, last answer %s, offset %d, newest known %d, at least %d behind",
+		p.since(log.ReachedAt), log.Applied, max(log.Applied, log.End), log.Lag)
+}
+
 // ago is the time since t, in whole seconds.
 func (p statusPage) ago(t time.Time) string {
 	return p.now.Sub(t).Truncate(time.Second).String()
--- a/cmd/bergamotreel/status_test.go
+++ b/cmd/bergamotreel/status_test.go
@@ -67,7 +67,7 @@
 func TestStatus(t *testing.T) {
 	lost := operator.StatusReport{
 		VM:  operator.Self{ID: "entry-a", Domain: "d1", Region: "main", Version: "v0.1.0", StartedAt: bubbleStart, NotReady: "no state yet"},
-		Log: operator.LogPosition{},
+		Log: operator.LogPosition{Applied: 9}, // from another entry VM
 	}
 	many := operator.StatusReport{VM: sampleReport().VM, Log: sampleReport().Log}
 	for i := range maxRows + 2 {
