entryvm: an entry VM with another fleet secret shows in log and metrics

Tried by hand: one entry VM with another [peers] secret. It is ready and serves; everybody is MISSING for everybody, and no line in any log says why. The callee now counts and logs who takes part in the handshake and can't prove itself, at most once a minute; what only connects, as a port check, is neither.

TestStrangersAreKeptOut: each case also says whether it shows in the log.

--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -53,10 +53,10 @@
 func (r *recorder) Settle(call ClaimCall) bool { return call.Shards == 4 }
 
 // start serves the handler and returns how to stop it.
-func start(t *testing.T, p *pipenet.Listener, handler Handler, config *tls.Config) (stop func()) {
+func start(t *testing.T, p *pipenet.Listener, handler Handler, config *tls.Config, options ...Option) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
-	go func() { ended <- Serve(ctx, p, fleetSecret, handler, config) }()
+	go func() { ended <- Serve(ctx, p, fleetSecret, handler, config, options...) }()
 	return func() {
 		cancel()
 		if err := <-ended; err != nil {
--- a/entryvm/handshake.go
+++ b/entryvm/handshake.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // The handshake on a fresh connection, before net/rpc starts:
@@ -42,6 +44,10 @@
 	roleServer = "server"
 )
 
+// errStranger says that the other side took part in the handshake and doesn't know
+// the secret.
+var errStranger = errs.New("the other side does not know the fleet secret")
+
 func checkSecret(secret []byte) error {
 	if len(secret) < MinSecretBytes {
 		return Error.New("fleet secret of %d bytes is shorter than %d", len(secret), MinSecretBytes)
@@ -168,7 +174,7 @@
 		return err
 	}
 	if !hmac.Equal(got, s.proof(role)) {
-		return fmt.Errorf("the %s does not know the fleet secret", role)
+		return fmt.Errorf("%w: %s", errStranger, role)
 	}
 	return nil
 }
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"bergamotreel/internal/pipenet"
 )
@@ -92,29 +94,32 @@
 		secret   []byte
 		config   *tls.Config
 		stranger func(network *pipenet.Listener, ours net.Conn)
+		// proves is whether it answers the server's challenge, with a wrong proof.
+		proves bool
 	}{
-		"caller with another secret": {secret: otherSecret},
+		"caller with another secret": {secret: otherSecret, proves: true},
 		"callee with another secret": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) {
 			_ = shakeAsServer(conn, otherSecret)
-		}},
-		"callee reflects the proof": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(conn, conn) }},
-		"callee stays silent":       {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }},
+		}, false},
+		"callee reflects the proof": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(conn, conn) }, false},
+		"callee stays silent":       {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }, false},
 		"callee speaks HTTP": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n")
-		}},
+		}, false},
 		"relay between TLS sessions": {fleetSecret, config, func(network *pipenet.Listener, conn net.Conn) {
 			onward, err := network.DialContext(context.Background(), "", "")
 			if err != nil {
 				return
 			}
 			relay(tls.Server(conn, config), tls.Client(onward, config))
-		}},
+		}, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				network, handler := pipenet.Listen(), &recorder{}
-				stop := start(t, network, handler, c.config)
+				core, logged := observer.New(zap.WarnLevel)
+				stop := start(t, network, handler, c.config, WithLogger(zap.New(core)))
 				defer stop()
 				client := newTestClient(t, network, c.secret, c.config)
 				defer client.Close()
@@ -135,6 +140,11 @@
 				if len(handler.got) != 0 {
 					t.Error("the message arrived")
 				}
+				// A fleet with two secrets must say so somewhere, and not at each call.
+				_, _ = client.Exchange(t.Context(), "vm", nil)
+				if want := map[bool]int{true: 1}[c.proves]; logged.Len() != want {
+					t.Errorf("%d strangers logged, want %d", logged.Len(), want)
+				}
 			})
 		})
 	}
--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -9,6 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
 	"bergamotreel/internal/pause"
 )
 
@@ -19,12 +23,29 @@
 	// acceptPause is the pause after a failed accept, for instance for want of
 	// file descriptors.
 	acceptPause = 100 * time.Millisecond
+	// strangersLogged is the least time between two log lines on strangers: an
+	// entry VM with another secret calls several times a second.
+	strangersLogged = time.Minute
 )
 
+// strangersTotal counts the connections whose other side did not prove that it
+// knows the fleet secret.
+var strangersTotal = metrics.NewCounter(`bergamotreel_entryvm_strangers_total`)
+
+// Option changes a server.
+type Option func(*server)
+
+// WithLogger sets where strangers are logged; the default logs nothing. Failure:
+// one VM of a fleet has another secret; it serves, and nobody hears it. Without
+// the line all that shows is that it is missing everywhere.
+func WithLogger(logger *zap.Logger) Option {
+	return func(s *server) { s.logger = logger }
+}
+
 // Serve answers peers on the listener until ctx ends; then it closes all
 // connections and returns when their calls have ended. A peer must know the
 // fleet secret. A tlsConfig of nil means TCP without TLS.
-func Serve(ctx context.Context, listener net.Listener, secret []byte, handler Handler, tlsConfig *tls.Config) error {
+func Serve(ctx context.Context, listener net.Listener, secret []byte, handler Handler, tlsConfig *tls.Config, options ...Option) error {
 	if err := checkSecret(secret); err != nil {
 		return err
 	}
@@ -37,6 +58,11 @@
 		dispatcher: dispatcher,
 		tlsConfig:  tlsConfig,
 		conns:      map[net.Conn]struct{}{},
+		logger:     zap.NewNop(),
+		strangers:  rate.Sometimes{Interval: strangersLogged},
+	}
+	for _, option := range options {
+		option(s)
 	}
 	defer s.calls.Wait()
 	stop := context.AfterFunc(ctx, func() { s.close(listener) })
@@ -50,6 +76,9 @@
 	dispatcher *rpc.Server
 	tlsConfig  *tls.Config
 	calls      sync.WaitGroup
+	logger     *zap.Logger
+	// strangers bounds the log lines on them.
+	strangers rate.Sometimes
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -89,12 +118,27 @@
 	if s.tlsConfig != nil {
 		secure = tls.Server(conn, s.tlsConfig)
 	}
-	if err := shakeAsServer(secure, s.secret); err != nil {
+	if err := s.shake(secure); err != nil {
 		return
 	}
 	s.dispatcher.ServeCodec(&serverCodec{newFramed(secure, conn, idleTimeout)})
 }
 
+// shake does the handshake, and counts and logs a side that took part in it and
+// failed. What only connects, as a check of the port does, is no stranger.
+func (s *server) shake(conn net.Conn) error {
+	err := shakeAsServer(conn, s.secret)
+	if !errors.Is(err, errStranger) {
+		return err
+	}
+	strangersTotal.Inc()
+	s.strangers.Do(func() {
+		s.logger.Warn("refused on peers_address: an entry VM with another [peers] secret, or a stranger",
+			zap.Stringer("from", conn.RemoteAddr()))
+	})
+	return err
+}
+
 // add registers a connection, unless there are too many or the server closes.
 func (s *server) add(conn net.Conn) bool {
 	s.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -180,7 +180,7 @@
 	group.Go(func() { d.node.Run(duties) })
 	serve(func() error { return d.callers.Serve(d.callersListener) })
 	serve(func() error {
-		return entryvm.Serve(duties, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil)
+		return entryvm.Serve(duties, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil, entryvm.WithLogger(d.logger))
 	})
 	serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
 	if d.metricsListener != nil {
