--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// platformURL is a base URL by IP number: with a name, a failure of the name
+// service would be one of the log, for every VM that connects anew.
+func platformURL(at func(*Settings) *string) func(*Settings, string) error {
+	set := baseURL(at)
+	return func(s *Settings, value string) error {
+		if err := set(s, value); err != nil {
+			return err
+		}
+		parsed, err := url.Parse(value)
+		if err != nil {
+			return err
+		}
+		if _, err := netip.ParseAddr(parsed.Hostname()); err != nil {
+			return fmt.Errorf("bad URL %q: want an IP number, no names are looked up", value)
+		}
+		return nil
+	}
+}
+
 func duration(least, most time.Duration, at func(*Settings) *time.Duration) func(*Settings, string) error {
 	return func(s *Settings, value string) (err error) {
 		*at(s), err = strictini.Duration(value, least, most)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,6 +64,7 @@
 		{"bad advertise", ";peers_advertise =", "peers_advertise = [::]:1", `[vm] peers_advertise: bad address "[::]:1"`},
 		{"one address twice", "10.0.1.7:8082", "10.0.1.7:8081", `[vm] peers_address: same as operators_address`},
 		{"bad URL", "http://10.0.0.2:9001", "10.0.0.2:9001", `[platform] log_url: bad URL "10.0.0.2:9001"`},
+		{"URL by name", "http://10.0.0.2:9001", "http://log:9001", `[platform] log_url: bad URL "http://log:9001": want an IP number`},
 		{"no domain", "domain = port-of-spain-a", "", `[vm] domain: missing`},
 		{"bad id", "id = entry-1", "id = entry 1", `[vm] id: bad name "entry 1"`},
 		{"sample's secret", own, sampleSecret, `[peers] secret: still the sample's secret`},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -59,7 +59,7 @@
 	{
 		section: "platform", key: "log_url", required: true, example: "http://10.0.0.2:9001",
 		help: "base URL of the platform's log",
-		set:  baseURL(func(s *Settings) *string { return &s.Platform.LogURL }),
+		set:  platformURL(func(s *Settings) *string { return &s.Platform.LogURL }),
 	},
 	{
 		section: "platform", key: "log_retention", byDefault: "24h",
@@ -69,12 +69,12 @@
 	{
 		section: "platform", key: "vmlist_url", required: true, example: "http://10.0.0.2:9002",
 		help: "base URL of the platform's VM list",
-		set:  baseURL(func(s *Settings) *string { return &s.Platform.VMListURL }),
+		set:  platformURL(func(s *Settings) *string { return &s.Platform.VMListURL }),
 	},
 	{
 		section: "platform", key: "weightstore_url", required: true, example: "http://10.0.0.2:9003",
 		help: "base URL of the weight store",
-		set:  baseURL(func(s *Settings) *string { return &s.Platform.WeightStoreURL }),
+		set:  platformURL(func(s *Settings) *string { return &s.Platform.WeightStoreURL }),
 	},
 	{
 		section: "peers", key: "secret", required: true, secret: true, example: sampleSecret,
