placement, planner, entryvm, node: a unit's history goes with its planning to another VM

Cause: a VM that begins to plan a unit knew nothing of its habits. At up to 18 VMs each hears all uses, but only since its own start: in a roll-out every planner has just started, lets idle replicas go after the 10 s minimum, and each caller of a unit in steady use waits for a load.

--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -16,6 +16,7 @@
 
 func (mute) Exchange([]entryvm.Digest) []entryvm.Digest             { return nil }
 func (mute) Want(string, []entryvm.Demand)                          {}
+func (mute) Histories([]entryvm.UnitHistory)                        {}
 func (mute) Records(uint64, time.Duration) (entryvm.Records, error) { return entryvm.Records{}, nil }
 func (mute) Claimed(entryvm.ClaimQuery) (reply entryvm.ClaimReply)  { return reply }
 func (mute) Claim(entryvm.ClaimCall) (result entryvm.ClaimResult)   { return result }
--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -103,6 +103,14 @@
 	return err
 }
 
+// Histories implements Peer.
+func (c *Client) Histories(ctx context.Context, address string, histories []UnitHistory) error {
+	ctx, span := telemetry.Hop(ctx, "entryvm", "histories")
+	_, err := call[WantReply](ctx, c, lineKey{address: address}, methodHistories, &HistoriesArgs{histories})
+	telemetry.EndHop(span, err)
+	return err
+}
+
 // Records implements Peer. One that waits makes no span: it runs all the time.
 func (c *Client) Records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error) {
 	if wait > 0 {
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -131,6 +131,20 @@
 	ReachedAgo time.Duration
 }
 
+// UnitHistory is what a planner has learned of one unit; see placement.History,
+// which has the same fields. Its ages are as of the sending.
+type UnitHistory struct {
+	Unit                      string
+	LastAgo, WokeAgo, HoldFor time.Duration
+	Gaps                      []float32
+	Mean, Deviation           float64
+	Regular                   int
+	Bins                      map[int16]float64
+	Days                      float64
+	Day                       int64
+	LoadTimes                 map[string]time.Duration
+}
+
 // ClaimQuery asks about one idempotency key.
 type ClaimQuery struct {
 	Customer, Key string
@@ -201,6 +215,9 @@
 	Exchange(ctx context.Context, address string, digests []Digest) ([]Digest, error)
 	// Want tells a peer at once that requests wait for a unit.
 	Want(ctx context.Context, address string, from string, demand []Demand) error
+	// Histories tells what was learned of units that the peer plans, or will plan
+	// once the sender is gone.
+	Histories(ctx context.Context, address string, histories []UnitHistory) error
 	// Records asks for control records from the given offset on. With none there the
 	// answer waits up to wait, a second at most.
 	Records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error)
@@ -218,6 +235,7 @@
 type Handler interface {
 	Exchange(digests []Digest) []Digest
 	Want(from string, demand []Demand)
+	Histories(histories []UnitHistory)
 	Records(from uint64, wait time.Duration) (Records, error)
 	Claimed(query ClaimQuery) ClaimReply
 	Claim(call ClaimCall) ClaimResult
--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -20,10 +20,11 @@
 
 // recorder is a Handler that keeps what it got.
 type recorder struct {
-	mu      sync.Mutex
-	got     [][]Digest
-	wanted  []Demand
-	records Records
+	mu        sync.Mutex
+	got       [][]Digest
+	wanted    []Demand
+	histories []UnitHistory
+	records   Records
 }
 
 func (r *recorder) Exchange(digests []Digest) []Digest {
@@ -35,6 +36,8 @@
 
 func (r *recorder) Want(_ string, demand []Demand) { r.wanted = demand }
 
+func (r *recorder) Histories(histories []UnitHistory) { r.histories = histories }
+
 func (r *recorder) Records(from uint64, _ time.Duration) (Records, error) {
 	if from == 0 {
 		return Records{}, errors.New("no such offset")
--- a/entryvm/messages.go
+++ b/entryvm/messages.go
@@ -3,7 +3,8 @@
 import "time"
 
 // The arguments and replies of the net/rpc methods Peer.Exchange, Peer.Want,
-// Peer.Records, Peer.Claimed, Peer.Claim and Peer.Settle. They are exported for net/rpc only.
+// Peer.Histories, Peer.Records, Peer.Claimed, Peer.Claim and Peer.Settle. They
+// are exported for net/rpc only.
 
 // ExchangeArgs carries the digests of the caller.
 type ExchangeArgs struct{ Digests []Digest }
@@ -18,9 +19,12 @@
 	Demand []Demand
 }
 
-// WantReply is empty.
+// WantReply is the empty reply of Want and Histories.
 type WantReply struct{}
 
+// HistoriesArgs carries what was learned of units.
+type HistoriesArgs struct{ Histories []UnitHistory }
+
 // RecordsArgs asks for control records.
 type RecordsArgs struct {
 	// From is the first offset wanted.
@@ -37,6 +41,7 @@
 	serviceName     = "Peer"
 	methodExchange  = serviceName + ".Exchange"
 	methodWant      = serviceName + ".Want"
+	methodHistories = serviceName + ".Histories"
 	methodRecords   = serviceName + ".Records"
 	methodClaimed   = serviceName + ".Claimed"
 	methodClaim     = serviceName + ".Claim"
@@ -59,6 +64,12 @@
 	return nil
 }
 
+// Histories answers Peer.Histories.
+func (s *service) Histories(args *HistoriesArgs, _ *WantReply) error {
+	s.handler.Histories(args.Histories)
+	return nil
+}
+
 // Records answers Peer.Records. It cuts the records where the message would get
 // too long; the caller asks on from there.
 func (s *service) Records(args *RecordsArgs, reply *Records) error {
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -63,6 +63,13 @@
 	if diff := cmp.Diff(demand, handler.wanted); diff != "" {
 		t.Error(diff)
 	}
+	histories := []UnitHistory{{Unit: "m", LastAgo: time.Second, Gaps: []float32{0, 2}, Bins: map[int16]float64{7: 1}}}
+	if err := peer.Histories(t.Context(), address, histories); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(histories, handler.histories); diff != "" {
+		t.Error(diff)
+	}
 	records, err := peer.Records(t.Context(), address, 7, 0)
 	if diff := cmp.Diff(handler.records, records); diff != "" || err != nil {
 		t.Error(diff, err)
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -260,6 +260,14 @@
 	return err
 }
 
+func (l link) Histories(ctx context.Context, address string, histories []entryvm.UnitHistory) error {
+	e, err := l.to(ctx, address)
+	if err == nil {
+		e.Histories(histories)
+	}
+	return err
+}
+
 func (l link) Records(ctx context.Context, address string, from uint64, wait time.Duration) (entryvm.Records, error) {
 	if l.system.twin == noPeers {
 		return entryvm.Records{}, errCut
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -100,6 +101,9 @@
 	uses    *uses
 	shares  *shares
 	kept    keepIndex
+	// parcels are the histories to be told, untold counts those not sent yet.
+	parcels chan parcel
+	untold  atomic.Int64
 	refused *refusals
 	roster  *roster
 	// peerRefused are the refusals of the other entry VMs.
@@ -123,6 +127,7 @@
 	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM),
 		peerRefused: newPeerRefusals(), expected: newExpectations(),
 	}
+	n.parcels = make(chan parcel, parcelsQueued)
 	n.shares = newShares(config.VM, func() []gossip.Peer { return n.gossip.Present() }, n.isStopping)
 	n.control = control.New(control.Config{
 		Log: config.Peers.Log, Logger: config.Logger, Incarnation: config.Incarnation,
@@ -181,7 +186,7 @@
 	return planner.New(planner.Config{
 		Domain: n.config.Domain, Control: n.control, Policy: placement.NewPlanner(n.config.Placement),
 		Logger: n.config.Logger, Changes: n.fleet.Changes, Engine: n.fleet.Engine, Demand: n.demand, Share: n.shares.share,
-		Running: n.running, Sick: n.sick, Store: n.store.limits, Expect: n.expect,
+		Running: n.running, Sick: n.sick, Store: n.store.limits, Expect: n.expect, HandOver: n.handOver,
 	})
 }
 
@@ -193,7 +198,7 @@
 		n.control.Follow, n.control.Commit, n.control.WriteSnapshots,
 		n.claims.Run,
 		n.fleet.Run, n.gossip.Run, n.keeper.Run, n.planner.Run, n.serving.Run,
-		n.catchUp, n.tellAdmission, n.watchStore, n.watchPlanned,
+		n.catchUp, n.tellHistories, n.tellAdmission, n.watchStore, n.watchPlanned,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
@@ -231,6 +236,7 @@
 	n.stopping = true
 	n.mu.Unlock()
 	n.gossip.Tell()
+	n.planner.HandOver(time.Now())
 }
 
 // Stop ends the duties of a shutdown that need the log: engines are given back
@@ -238,6 +244,7 @@
 func (n *Node) Stop(ctx context.Context) {
 	n.keeper.Stop(ctx)
 	n.claims.Drain()
+	n.flushHistories(ctx)
 }
 
 func (n *Node) isStopping() bool {
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -27,6 +27,8 @@
 	// own are the buckets of this VM; version grows whenever they change.
 	own     []int
 	version uint64
+	// changes counts the changes of the live VMs.
+	changes uint64
 }
 
 func newShares(self string, others func() []gossip.Peer, leaving func() bool) *shares {
@@ -38,7 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh()
-	return planner.Share{Version: s.version, Mine: s.mine}
+	return planner.Share{Version: s.version, Live: s.changes, Mine: s.mine, Planner: s.now, Next: s.next}
 }
 
 // mine tells whether this VM plans the unit, by the newest refresh.
@@ -48,6 +50,20 @@
 	return s.table.Pick(unit) == s.self
 }
 
+// now is the VM that plans the unit, next the one that will once that is gone, by
+// the newest refresh.
+func (s *shares) now(unit string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Pick(unit)
+}
+
+func (s *shares) next(unit string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Next(rendezvous.Bucket(unit))
+}
+
 // planner is the VM that plans the unit.
 func (s *shares) planner(unit string) string {
 	s.mu.Lock()
@@ -71,6 +87,7 @@
 		live = append(live, other.VM)
 	}
 	s.table.Set(live)
+	s.changes++
 	own := s.table.Owned(s.self)
 	if !slices.Equal(own, s.own) {
 		s.own = own
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -81,8 +81,8 @@
 // BenchmarkPlan is one plan, everything that it looks at included: the first one;
 // one in which nothing is new; one with a second's news of the size to design
 // for (20 rights or engines, 200 units used, other requests on the engines of a
-// domain, as far as there are so many) and its part of the audit; and
-// one after a VM came or went that this VM shares units with.
+// domain, as far as there are so many) and its part of the audit; one
+// after a VM came or went elsewhere; and one after this VM's own share changed.
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range benchSizes {
 		w, p := benchWorld(b, size.vms, size.engines, size.units)
@@ -117,6 +117,13 @@
 			}
 			b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/plan")
 		})
+		b.Run("vm/"+name, func(b *testing.B) {
+			for b.Loop() {
+				benchNow = benchNow.Add(time.Millisecond)
+				w.changes++
+				p.plan(benchNow)
+			}
+		})
 		b.Run("share/"+name, func(b *testing.B) {
 			for b.Loop() {
 				benchNow = benchNow.Add(time.Millisecond)
--- /dev/null
+++ b/internal/planner/handover.go
@@ -0,0 +1,97 @@
+package planner
+
+import (
+	"time"
+
+	"bergamotreel/placement"
+)
+
+// shadowEvery is how often the history of a unit that was used since is told to
+// the VM that plans it once this one is gone. What was learned in between is
+// lost with a VM that dies; a planned stop hands over all.
+const shadowEvery = 5 * time.Minute
+
+// handover is who has been told what this VM has learned of its units.
+//
+// Failure: planning moves to a VM that knows no history, with each VM that comes,
+// goes or restarts. The symptom is that replicas in steady use are let go after
+// the shortest keep time, and are loaded again with each request, until enough
+// was learned anew. So a unit's history goes to its new planner when it moves,
+// and ahead of that to the VM that would be its planner next.
+type handover struct {
+	// live is Share.Live of the newest round, at its time.
+	live uint64
+	at   time.Time
+	// own are the units planned here, with whom their history was told.
+	own map[string]shadow
+}
+
+// shadow is the VM that was last told a unit's history, and when.
+type shadow struct {
+	vm string
+	at time.Time
+}
+
+// HandOver tells other VMs what they should know of the units that this one plans
+// or has planned until now. It is called when the live VMs may have changed.
+func (p *Planner) HandOver(now time.Time) {
+	share := p.config.Share()
+	p.mu.Lock()
+	told := p.handOver(now, share)
+	p.mu.Unlock()
+	p.tell(told)
+}
+
+func (p *Planner) tell(told map[string][]placement.History) {
+	for vm, histories := range told {
+		p.config.HandOver(vm, histories)
+	}
+}
+
+// handOver collects what to tell, by VM. Call with mu held.
+func (p *Planner) handOver(now time.Time, share Share) map[string][]placement.History {
+	h := &p.handover
+	if share.Live == h.live && now.Sub(h.at) < shadowEvery {
+		return nil
+	}
+	h.live, h.at = share.Live, now
+	told := make(map[string][]placement.History)
+	add := func(vm, unit string) bool {
+		history, known := p.policy.History(unit, now)
+		if known && vm != "" {
+			told[vm] = append(told[vm], history)
+		}
+		return known
+	}
+	before := h.own
+	h.own = make(map[string]shadow)
+	for unit := range before {
+		if !share.Mine(unit) {
+			add(share.Planner(unit), unit)
+		}
+	}
+	for _, u := range p.picture.units.list() {
+		if !share.Mine(u.Name) {
+			continue
+		}
+		next, last := share.Next(u.Name), before[u.Name]
+		if (next != last.vm || p.lastUsed[u.Name].After(last.at)) && add(next, u.Name) {
+			last = shadow{vm: next, at: now}
+		}
+		h.own[u.Name] = last
+	}
+	return told
+}
+
+// Learn takes what another VM has learned of units.
+func (p *Planner) Learn(now time.Time, histories []placement.History) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range histories {
+		p.policy.Learn(h, now)
+		if at := now.Add(-h.LastAgo); at.After(p.lastUsed[h.Unit]) {
+			p.lastUsed[h.Unit] = at
+			p.used[h.Unit] = true
+		}
+	}
+}
--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -40,6 +40,7 @@
 
 	live    *rendezvous.Table
 	version uint64
+	changes uint64
 	running map[string]int
 	sick    map[string]bool
 	demand  []placement.Demand
@@ -92,7 +93,8 @@
 }
 
 func (w *world) share() Share {
-	return Share{Version: w.version, Mine: func(unit string) bool { return w.live.Pick(unit) == "vm-0" }}
+	return Share{Version: w.version, Live: w.changes, Mine: func(unit string) bool { return w.live.Pick(unit) == "vm-0" },
+		Planner: w.live.Pick, Next: func(unit string) string { return w.live.Next(rendezvous.Bucket(unit)) }}
 }
 
 func (w *world) planner() *Planner {
@@ -102,7 +104,7 @@
 		Demand:  func() []placement.Demand { return w.demand },
 		Running: func() map[string]int { return w.running }, Sick: func() map[string]bool { return w.sick },
 		Store:  func() placement.Store { return placement.Store{AtOnce: 4, LoadsPerSecond: 4} },
-		Expect: func(string, time.Time) {},
+		Expect: func(string, time.Time) {}, HandOver: func(string, []placement.History) {},
 	})
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,6 +58,8 @@
 	Sick func() map[string]bool
 	// Store is how busy the weight store can be.
 	Store func() placement.Store
+	// HandOver tells another VM what was learned of units, without waiting.
+	HandOver func(vm string, histories []placement.History)
 	// Expect is told when a unit that requests wait for should be ready.
 	Expect func(unit string, at time.Time)
 }
@@ -66,8 +68,12 @@
 type Share struct {
 	// Version changes whenever the units that Mine names may have changed.
 	Version uint64
-	// Mine tells whether this VM plans the unit.
-	Mine func(unit string) bool
+	// Live changes whenever an entry VM comes or goes.
+	Live uint64
+	// Mine tells whether this VM plans the unit, Planner which VM does, and Next
+	// which one will once that is gone; "" if there is none.
+	Mine          func(unit string) bool
+	Planner, Next func(unit string) string
 }
 
 // Planner is the duty. Its methods may be called from any goroutine.
@@ -87,7 +93,8 @@
 	mine func(unit string) bool
 	// used are the units used since the picture was last told, with whether the
 	// next plan must know.
-	used map[string]bool
+	used     map[string]bool
+	handover handover
 	// picture belongs to the goroutine that plans.
 	picture *picture
 }
@@ -176,6 +183,7 @@
 	n := p.look(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer func() { p.tell(p.handOver(now, n.share)) }()
 	p.mine = n.share.Mine
 	var out []decided
 	p.config.Control.View(func(s *state.State) {
