engine, serving, caller: a token's buffers are used again, tokens that came together go out together

A chunk's data and position took two allocations a token; the reader keeps the data of its three newest events instead (Check looks at two), and says whether another whole event is in its buffer already. Then the chunk may wait in the sink for that one, so that a reader that fell behind writes once for both; a chunk waits for none that is not here, and what is held goes out before a resume, an end or a refusal.

events_test.go: also checks that pending events need no read and that data stays as long as promised; Chunk.Data may now be written over by the next Next.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -49,6 +49,16 @@
 	Chunk(engine.Chunk) error
 }
 
+// HoldingSink is what a Sink may offer besides, for chunks that are there
+// together: they reach the caller in one write.
+type HoldingSink interface {
+	// Hold is Chunk, but the chunk may stay here until the next Chunk or Release.
+	// The Backend holds a chunk only while it has the next one, too.
+	Hold(engine.Chunk) error
+	// Release sends what is held.
+	Release() error
+}
+
 // ColdMarker is what a Sink may offer besides: the Backend calls Cold before
 // the first chunk when the request had to wait for a load.
 type ColdMarker interface {
--- a/caller/observe_test.go
+++ b/caller/observe_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -15,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"bergamotreel/caller"
+	"bergamotreel/engine"
 	"bergamotreel/refusal"
 )
 
@@ -51,3 +54,40 @@
 		}
 	}
 }
+
+// Chunks that are held reach the caller whole, in order and before whatever
+// follows them, and not too many are held.
+func TestHeldChunks(t *testing.T) {
+	var w *httptest.ResponseRecorder
+	begun, held := 0, uint64(0)
+	h := caller.New(&fakeBackend{generate: func(_ context.Context, _ caller.Generation, sink caller.Sink) error {
+		holder := sink.(caller.HoldingSink)
+		hold := func() {
+			held++
+			if err := holder.Hold(engine.Chunk{Position: held, Data: []byte(benchmarkChunk)}); err != nil {
+				t.Error(err)
+			}
+		}
+		hold()
+		hold()
+		begun = w.Body.Len()
+		if err := holder.Release(); err != nil || strings.Count(w.Body.String(), "id: ") != 2 {
+			t.Errorf("released %q, %v", w.Body, err)
+		}
+		for sent := w.Body.Len(); w.Body.Len() == sent && held < 100; {
+			hold()
+		}
+		hold()
+		return sink.Chunk(engine.Chunk{Position: held, Data: []byte("{}")}) // not the next one
+	}}, caller.Limits{})
+	w = httptest.NewRecorder()
+	defer func() {
+		ids := regexp.MustCompile(`(?m)^id: (\d+)$`).FindAllStringSubmatch(w.Body.String(), -1)
+		last := fmt.Sprint(held)
+		if recover() == nil || begun > 0 || held > 30 || len(ids) != int(held) || ids[held-1][1] != last ||
+			!regexp.MustCompile(`event: error\ndata: .*\n\n$`).MatchString(w.Body.String()) {
+			t.Errorf("%d bytes sent at once, %d held, then %q", begun, held, w.Body)
+		}
+	}()
+	h.ServeHTTP(w, request("POST", chat, "key-rental", goodStream))
+}
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -10,6 +10,10 @@
 	"bergamotreel/refusal"
 )
 
+// maxHeldEvents is how many bytes of events wait for one write at most; some ten
+// tokens, far below net/http's own buffers.
+const maxHeldEvents = 2 << 10
+
 // headerCold tells the caller that its request waited for a load.
 const headerCold = "X-Bergamotreel-Cold"
 
@@ -69,7 +73,8 @@
 	timeout time.Duration
 	// deadline is the write deadline in force.
 	deadline time.Time
-	buffer   []byte
+	// buffer holds the events not sent yet.
+	buffer []byte
 	// sent is set once the header went out; from there on the status is fixed.
 	sent bool
 	// writeFailed is set once the caller could not be written to.
@@ -82,22 +87,42 @@
 
 // Chunk implements Sink.
 func (s *streamSink) Chunk(c engine.Chunk) error {
+	if err := s.Hold(c); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+// Hold implements HoldingSink. What is held is bounded: beyond maxHeldEvents it
+// is sent.
+func (s *streamSink) Hold(c engine.Chunk) error {
 	if err := s.step(c); err != nil {
 		return err
 	}
-	s.buffer = appendEvent(s.buffer[:0], c)
+	s.buffer = appendEvent(s.buffer, c)
+	if len(s.buffer) < maxHeldEvents {
+		return nil
+	}
+	return s.flush()
+}
+
+// Release implements HoldingSink.
+func (s *streamSink) Release() error {
+	if len(s.buffer) == 0 {
+		return nil
+	}
 	return s.flush()
 }
 
 // finish sends the mark of a whole answer.
 func (s *streamSink) finish() error {
-	s.buffer = append(s.buffer[:0], "data: [DONE]\n\n"...)
+	s.buffer = append(s.buffer, "data: [DONE]\n\n"...)
 	return s.flush()
 }
 
 // fail tells the caller that the answer is cut.
 func (s *streamSink) fail(r *refusal.Refusal) {
-	s.buffer = append(s.buffer[:0], "event: error\ndata: "...)
+	s.buffer = append(s.buffer, "event: error\ndata: "...)
 	s.buffer = append(s.buffer, encodeRefusal(r)...)
 	s.buffer = append(s.buffer, "\n\n"...)
 	_ = s.flush()
@@ -109,6 +134,7 @@
 	}
 	s.extendDeadline()
 	_, err := s.w.Write(s.buffer)
+	s.buffer = s.buffer[:0]
 	if err == nil {
 		err = s.control.Flush()
 	}
--- a/engine/check.go
+++ b/engine/check.go
@@ -30,7 +30,8 @@
 	return &Check{id: id, prefix: append(prefix, ','), next: from}
 }
 
-// Take checks one chunk. The check keeps data, so it must not change later.
+// Take checks one chunk. The check keeps data, which must not change until two
+// more chunks were taken.
 func (c *Check) Take(position uint64, data []byte) error {
 	if position != c.next {
 		return brokenStream(fmt.Errorf("position %d instead of %d", position, c.next))
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -155,7 +155,8 @@
 type Chunk struct {
 	// Position counts the chunks of a stream from 1 without gaps.
 	Position uint64
-	// Data is one OpenAI-style chunk object as JSON.
+	// Data is one OpenAI-style chunk object as JSON. The stream's next Next may
+	// write over it.
 	Data []byte
 }
 
@@ -171,6 +172,12 @@
 	Close() error
 }
 
+// Pending is what a Stream may offer besides: whether Next will return without
+// waiting for the engine.
+type Pending interface {
+	Pending() bool
+}
+
 // CacheEvent says that an engine has, or no longer has, a prefix cached. Events
 // come late and with gaps in Sequence.
 type CacheEvent struct {
--- a/engine/events.go
+++ b/engine/events.go
@@ -18,14 +18,23 @@
 
 // event is one server-sent event.
 type event struct {
-	// id is that of the newest event that had one, as the standard wants.
-	id string
+	// id is that of the newest event that had one, as the standard wants; good
+	// until the next event.
+	id []byte
 	// name is empty for the usual kind.
 	name string
-	// data is a copy that nobody changes.
+	// data is good until dataBuffers more events were read.
 	data []byte
 }
 
+// dataBuffers is how many events' data a reader keeps: the newest one and the
+// two that Check looks at when the stream ends.
+const dataBuffers = 3
+
+// maxKeptData is the largest buffer used again, in bytes: one long chunk must not
+// keep its memory for as long as the stream is open.
+const maxKeptData = 4 << 10
+
 // eventReader reads server-sent events (WHATWG HTML, 9.2) from a body. It does
 // once a token what go-sse's Read does; that one's scanner, strings and
 // coroutine took three times the time and 10 KB more a stream.
@@ -36,7 +45,10 @@
 	start, end int
 	// afterCR is set after a line that ended in CR: an LF belongs to it.
 	afterCR bool
-	id      string
+	id      []byte
+	// data are the buffers of the newest events' data, data[newest] the last.
+	data   [dataBuffers][]byte
+	newest int
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -48,6 +60,7 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	some := false
+	r.newest = (r.newest + 1) % dataBuffers
 	for {
 		line, err := r.line()
 		if err != nil {
@@ -65,6 +78,9 @@
 		// engine that sends one is broken, and that must show.
 		if some {
 			e.id = r.id
+			if cap(e.data) <= maxKeptData {
+				r.data[r.newest] = e.data // it may have grown
+			}
 			return e, nil
 		}
 	}
@@ -76,9 +92,9 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "data":
-		return true, e.add(value)
+		return true, r.add(e, value)
 	case "id":
-		r.id = string(value)
+		r.id = append(r.id[:0], value...)
 	case "event":
 		e.name = string(value)
 	default:
@@ -88,20 +104,39 @@
 }
 
 // add adds a data line; all but the first follow a line break.
-func (e *event) add(value []byte) error {
+func (r *eventReader) add(e *event, value []byte) error {
 	if len(e.data)+len(value) > MaxChunk {
 		return errLargeEvent
 	}
-	if e.data != nil {
+	if e.data == nil {
+		e.data = r.emptyData(len(value))
+	} else {
 		e.data = append(e.data, '\n')
 	}
 	e.data = append(e.data, value...)
-	if e.data == nil {
-		e.data = []byte{}
-	}
 	return nil
 }
 
+// emptyData is the oldest data's buffer, or one of the size wanted. A stream's
+// chunks differ little in size.
+func (r *eventReader) emptyData(size int) []byte {
+	if buffer := r.data[r.newest]; buffer != nil {
+		return buffer[:0]
+	}
+	return make([]byte, 0, size+size/8)
+}
+
+// pending tells whether next will return an event without reading the body. It
+// looks at the usual form only: else a comment, or a line that is not whole,
+// would be taken for an event, and whoever holds a chunk back for it would wait.
+func (r *eventReader) pending() bool {
+	rest := r.buffer[r.start:r.end]
+	return bytes.HasPrefix(rest, usualStart) && bytes.Contains(rest, usualEnd)
+}
+
+// usualStart and usualEnd are the bounds of an event in its usual form.
+var usualStart, usualEnd = []byte("id: "), []byte("\n\n")
+
 // line returns the next line without its end (LF, CR or both). It is good until
 // the next call.
 func (r *eventReader) line() ([]byte, error) {
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -21,6 +21,17 @@
 	"\n", "\r", "\r\n", "\n\n", "data: ", "id: ", strings.Repeat("long ", 300),
 }
 
+// countingReader counts the reads.
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	c.n++
+	return c.Reader.Read(p)
+}
+
 // go-sse, which reads any engine's events right, must read the same.
 func TestEventsAreThoseOfGoSSE(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -35,13 +46,28 @@
 		if rapid.Bool().Draw(t, "byte by byte") {
 			source = iotest.OneByteReader(source)
 		}
-		reader := newEventReader(source)
-		e, err := reader.next()
-		for ; err == nil; e, err = reader.next() {
-			got = append(got, sse.Event{LastEventID: e.id, Type: e.name, Data: string(e.data)})
-		}
-		if err != io.EOF {
-			t.Fatal(err)
+		reads := &countingReader{Reader: source}
+		reader := newEventReader(reads)
+		var kept [][]byte
+		for {
+			pending, before := reader.pending(), reads.n
+			e, err := reader.next()
+			if pending && (err != nil || reads.n != before) {
+				t.Fatalf("%q: an event that was pending was read for, %v", body, err)
+			}
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, sse.Event{LastEventID: string(e.id), Type: e.name, Data: string(e.data)})
+			kept = append(kept, e.data)
+			for i := max(0, len(kept)-dataBuffers); i < len(kept); i++ {
+				if string(kept[i]) != got[i].Data {
+					t.Fatalf("%q: the data of event %d changed at event %d", body, i, len(kept)-1)
+				}
+			}
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Fatalf("%q: %s", body, diff)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -20,6 +20,8 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
+var _ Pending = (*httpStream)(nil)
+
 // httpStream reads one stream from an HTTP body.
 type httpStream struct {
 	body   io.ReadCloser
@@ -69,6 +71,9 @@
 	return chunk, err
 }
 
+// Pending implements Pending.
+func (s *httpStream) Pending() bool { return s.ended == nil && s.events.pending() }
+
 func (s *httpStream) read() (Chunk, error) {
 	e, err := s.events.next()
 	if err == io.EOF {
@@ -80,7 +85,7 @@
 	if e.name != "" {
 		return Chunk{}, brokenStream(fmt.Errorf("event %q: %s", e.name, e.data))
 	}
-	position, err := strconv.ParseUint(e.id, 10, 64)
+	position, err := strconv.ParseUint(string(e.id), 10, 64)
 	if err != nil {
 		return Chunk{}, brokenStream(err)
 	}
--- a/internal/serving/generate.go
+++ b/internal/serving/generate.go
@@ -44,6 +44,7 @@
 	}
 	g.Body = withSeed(g.Body, g.ID)
 	r := &relay{server: s, place: p, generation: g, sink: sink, deadline: request.Deadline}
+	r.holder, _ = sink.(caller.HoldingSink)
 	err := r.run(ctx, w)
 	p.end(ctx, err, r.verdict)
 	return p.honest(err)
--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +48,7 @@
 	for b.Loop() {
 		chunk.Position++
 		r.sums = r.sums[:0] // an answer's hashes, not a benchmark's
-		if err := r.deliver(time.Time{}, chunk); err != nil {
+		if err := r.deliver(time.Time{}, chunk, false); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -86,6 +89,68 @@
 	}
 }
 
+// batches is a stream whose chunks come in batches, and a sink that tells which
+// chunks it sent together.
+type batches struct {
+	sizes       []int
+	came, held  int
+	sent        []int
+	end, failed error
+}
+
+func (b *batches) Next() (engine.Chunk, error) {
+	for len(b.sizes) > 0 && b.sizes[0] == 0 {
+		b.sizes = b.sizes[1:]
+	}
+	if len(b.sizes) == 0 {
+		return engine.Chunk{}, b.end
+	}
+	b.sizes[0]--
+	b.came++
+	return engine.Chunk{Position: uint64(b.came)}, nil
+}
+func (b *batches) Close() error               { return nil }
+func (b *batches) Pending() bool              { return b.sizes[0] > 0 }
+func (b *batches) Hold(engine.Chunk) error    { b.held++; return nil }
+func (b *batches) Chunk(c engine.Chunk) error { b.held++; return b.Release() }
+func (b *batches) Release() error {
+	if b.held > 0 {
+		b.sent = append(b.sent, b.held)
+	}
+	b.held = 0
+	return b.failed
+}
+
+// The caller gets tokens that came together in one write, and none waits for a
+// token that has not come.
+// The engine's tokens come as 1, 3 and 2; or the stream breaks behind the second
+// of what looked like three, and a resume may take seconds.
+func TestTokensThatCameTogetherGoTogether(t *testing.T) {
+	for _, c := range []struct {
+		batches
+		want []int
+	}{
+		{batches{sizes: []int{1, 3, 2}, end: io.EOF}, []int{1, 3, 2}},
+		{batches{sizes: []int{1, 0, 2}, end: engine.ErrBrokenStream}, []int{1, 2}},
+		{batches{sizes: []int{1}, end: io.EOF, failed: errStalled}, []int{1}},
+	} {
+		b := &c.batches
+		r := &relay{place: &place{firstToken: 1}, sink: b, holder: b}
+		g := startGuard(time.Minute, time.Minute, nil, errLate)
+		_, err := r.pump(b, 0, g)
+		g.stop()
+		if b.failed != nil != isSinkError(err) || !slices.Equal(b.sent, c.want) {
+			t.Errorf("sent %v, want %v: %v", b.sent, c.want, err)
+		}
+	}
+	// Next fails although the stream said that it had a chunk.
+	b := &batches{held: 1, end: engine.ErrBrokenStream}
+	r := &relay{sink: b, holder: b}
+	if _, err := r.pump(b, 0, nil); !errors.Is(err, engine.ErrBrokenStream) || len(b.sent) != 1 {
+		t.Errorf("sent %v, %v", b.sent, err)
+	}
+}
+
 // A guard ends an attempt, and says why, when the first token or a later one is
 // late; a token that comes in time, or the stop, keeps it from that.
 func TestGuardEndsSilence(t *testing.T) {
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -27,7 +27,9 @@
 	place      *place
 	generation caller.Generation
 	sink       caller.Sink
-	deadline   time.Time
+	// holder is the sink if it can hold chunks, else nil.
+	holder   caller.HoldingSink
+	deadline time.Time
 
 	// delivered is the position of the last chunk given to the sink, and sums
 	// the hash of each, for comparing when another engine repeats them.
@@ -137,23 +139,36 @@
 
 // pump hands chunks on until the stream ends; it returns the last position read.
 func (r *relay) pump(stream engine.Stream, position uint64, guard *guard) (uint64, error) {
+	pending, _ := stream.(engine.Pending)
 	for {
 		chunk, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return position, r.whole(position)
-		}
 		if err != nil {
-			return position, err
+			return position, r.ended(position, err)
 		}
 		position = chunk.Position
 		now := time.Now()
 		guard.heard(now)
-		if err := r.deliver(now, chunk); err != nil {
+		more := pending != nil && pending.Pending()
+		if err := r.deliver(now, chunk, more); err != nil {
 			return position, err
 		}
 	}
 }
 
+// ended reads how the stream ended. What the sink holds goes out first: a resume
+// may take long.
+func (r *relay) ended(position uint64, err error) error {
+	if r.holder != nil {
+		if failed := r.holder.Release(); failed != nil {
+			return sinkError{failed}
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return r.whole(position)
+	}
+	return err
+}
+
 // whole checks an answer's end: an engine moved to may say less than the caller
 // has already.
 func (r *relay) whole(position uint64) error {
@@ -163,10 +178,11 @@
 	return nil
 }
 
-// deliver takes a chunk that came at the time now. What is to be noted of a
-// first one is noted once the caller has it.
-func (r *relay) deliver(now time.Time, chunk engine.Chunk) error {
-	err := r.handOn(chunk)
+// deliver takes a chunk that came at the time now; more says that the next one
+// is here, too. What is to be noted of a first one is noted once the caller has
+// it.
+func (r *relay) deliver(now time.Time, chunk engine.Chunk, more bool) error {
+	err := r.handOn(chunk, more)
 	if r.place.firstToken == 0 {
 		r.place.answer(now)
 	}
@@ -176,7 +192,7 @@
 // handOn gives a new chunk to the sink. A chunk that was delivered before, by
 // the engine the stream moved from, must say the same again: otherwise the
 // caller would get two halves of different answers.
-func (r *relay) handOn(chunk engine.Chunk) error {
+func (r *relay) handOn(chunk engine.Chunk, more bool) error {
 	sum := contentSum(chunk.Data)
 	if chunk.Position <= r.delivered {
 		if r.sums[chunk.Position-1] != sum {
@@ -184,10 +200,19 @@
 		}
 		return nil
 	}
-	if err := r.sink.Chunk(chunk); err != nil {
+	if err := r.give(chunk, more); err != nil {
 		return sinkError{err}
 	}
 	r.delivered = chunk.Position
 	r.sums = append(r.sums, sum)
 	return nil
 }
+
+// give lets chunks that are here together go out together, where the sink can;
+// none waits for one that is not here.
+func (r *relay) give(chunk engine.Chunk, more bool) error {
+	if more && r.holder != nil {
+		return r.holder.Hold(chunk)
+	}
+	return r.sink.Chunk(chunk)
+}
