--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -265,7 +265,10 @@
 // fullView makes the snapshot anew from everything there is, as each plan did
 // before the picture was kept.
 func (p *Planner) fullView(s *state.State, engines []fleet.Engine, n news) placement.View {
+	before := p.picture.fleet
+	p.picture.fleet = placement.NewFleet()
 	v := p.view(state.New(), n)
+	p.picture.fleet = before
 	v.Fleet, v.Units, v.Store.Running = nil, nil, 0
 	v.Budget = func(customer string) int64 { return budget(s, customer) }
 	v.Lookup = func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) }
@@ -280,10 +283,9 @@
 		}
 		v.Engines = append(v.Engines, made)
 	}
-	for key := range p.ready {
-		if !held[key] {
-			delete(p.ready, key)
-		}
+	p.picture.fleet = placement.NewFleet() // for since when units are ready
+	for _, e := range v.Engines {
+		p.picture.fleet.Set(e)
 	}
 	for key := range p.loading.running {
 		if !held[key] {
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -81,7 +81,6 @@
 		{Unit: "busy", Phase: engine.PhaseReady}, {Unit: "idle", Phase: engine.PhaseReady},
 	}}}
 	for _, unit := range []string{"busy", "idle"} {
-		p.ready[holding{"e", unit}] = now.Add(-2 * time.Hour)
 		h := p.holding(now, e, &state.Right{Unit: unit, Wanted: true}, 7)
 		if want := map[string]int{"busy": 7, "idle": 0}[unit]; h.Streams != want {
 			t.Errorf("%s: %d streams, want %d", unit, h.Streams, want)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,9 +84,7 @@
 	mu       sync.Mutex
 	policy   *placement.Planner
 	lastUsed map[string]time.Time
-	// ready is since when a unit is ready on an engine.
-	ready   map[holding]time.Time
-	loading loads
+	loading  loads
 	// refused holds when the fold last turned down a decision for a place.
 	refused map[holding]time.Time
 	// mine tells whether this VM plans a unit, in the plan under way.
@@ -107,7 +105,6 @@
 		config: config, policy: config.Policy,
 		wake:     make(chan struct{}, 1),
 		lastUsed: make(map[string]time.Time),
-		ready:    make(map[holding]time.Time),
 		loading:  newLoads(),
 		refused:  make(map[holding]time.Time),
 		used:     make(map[string]bool),
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -192,6 +192,17 @@
 	p.schedule(known, e.Holdings)
 }
 
+// readySince is since when a unit is ready on an engine, by the picture so far.
+func (p *Planner) readySince(now time.Time, key holding) time.Time {
+	before, _ := p.picture.fleet.Engine(key.engine)
+	for i := range before.Holdings {
+		if h := &before.Holdings[i]; h.Unit == key.unit && h.Ready {
+			return h.ReadySince
+		}
+	}
+	return now
+}
+
 // forget drops what is known of the rights that an engine no longer has.
 func (p *Planner) forget(address string, before placement.Engine, holdings []placement.Holding) {
 	for i := range before.Holdings {
@@ -200,7 +211,6 @@
 			continue
 		}
 		key := holding{engine: address, unit: unit}
-		delete(p.ready, key)
 		p.loading.forget(key)
 	}
 }
@@ -277,7 +287,6 @@
 	}
 	key := holding{engine: e.VM.Address, unit: right.Unit}
 	if !h.Ready {
-		delete(p.ready, key)
 		p.loading.watch(key, now, h, sight{
 			tier: tierOf(e, right.Checkpoint), incarnation: e.Status.Incarnation,
 			loading: phaseOf(e, right.Unit) == engine.PhaseLoading,
@@ -288,10 +297,7 @@
 	if load, ended := p.loading.end(key, now, right.Bytes); ended && p.mine(right.Unit) {
 		p.policy.Loaded(right.Unit, load.tier, load.took)
 	}
-	if p.ready[key].IsZero() {
-		p.ready[key] = now
-	}
-	h.ReadySince = p.ready[key]
+	h.ReadySince = p.readySince(now, key)
 	countStreams(now, &h, streams)
 	return h
 }
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -16,6 +16,8 @@
 	order  []*fleetEngine
 	byUnit map[string][]place
 	cached map[string]map[*fleetEngine]Tier
+	// adapterCounts are the shared counts of adapters.
+	adapterCounts map[adapterCount]map[string]int
 }
 
 // fleetEngine is an engine with the sums over its holdings.
@@ -24,7 +26,8 @@
 	// free is memory that no right takes; leaving is what withdrawn rights take.
 	free, leaving int64
 	streams       int
-	// adapters counts standing rights by their base.
+	// adapters counts standing rights by their base. It may be shared with other
+	// engines.
 	adapters map[string]int
 }
 
@@ -40,6 +43,8 @@
 		engines: make(map[string]*fleetEngine),
 		byUnit:  make(map[string][]place),
 		cached:  make(map[string]map[*fleetEngine]Tier),
+
+		adapterCounts: make(map[adapterCount]map[string]int),
 	}
 }
 
@@ -118,16 +123,37 @@
 		if h.Withdrawn {
 			fe.leaving += h.Bytes
 		} else if h.Base != "" {
-			if fe.adapters == nil {
-				fe.adapters = make(map[string]int)
-			}
-			fe.adapters[h.Base]++
+			fe.adapters = f.oneMore(fe.adapters, h.Base)
 		}
 		f.addPlace(place{fe, h})
 	}
 	fe.countStreams()
 }
 
+// adapterCount is so many adapters on one base.
+type adapterCount struct {
+	base string
+	n    int
+}
+
+// oneMore counts one more adapter. Nearly all engines have one base of adapters;
+// those with as many of the same share one map, as one each took a seventh of the
+// memory that an engine takes here.
+func (f *Fleet) oneMore(counts map[string]int, base string) map[string]int {
+	if len(counts) > 1 || len(counts) == 1 && counts[base] == 0 {
+		own := maps.Clone(counts)
+		own[base]++
+		return own
+	}
+	key := adapterCount{base, counts[base] + 1}
+	shared := f.adapterCounts[key]
+	if shared == nil {
+		shared = map[string]int{key.base: key.n}
+		f.adapterCounts[key] = shared
+	}
+	return shared
+}
+
 // addPlace keeps the places of a unit in the order of the engines' names, so that
 // ties between them are decided alike however the fleet came about.
 func (f *Fleet) addPlace(at place) {
