admission, routing, replay: the reserve is kept on each engine, and from those over their contract

The reserve of slots had no effect in the replay, as its contracts named no units and admission finds a customer's pools there: a fault of the replay. With the units named, it did harm: of 22 offices with equal rates, half were above the even share at any time and waited behind the reserve, with nobody bursting (bystanders' p99 alone 3.8 s in place of 0.3). Now a customer is over its fair share only when it is by more than three standard deviations of independent arrivals, or when its requests are held for its contract's rate. The reserve is kept on each engine in proportion: an adapter has one or two engines, and found both full while the pool's reserve was elsewhere. Ruled out: four slots on each engine (2 more slots of the burster's, no better in Trinidad).

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -226,9 +226,16 @@
 
 // surplus tells whether a customer uses more than its fair share of a pool, by
 // its traffic at all entry VMs. What runs from here would say little: a burst may
-// be alone on its VM, and a bystander the largest on another.
+// be alone on its VM, and a bystander the largest on another. A customer whose
+// requests are held here is over its contract's rate: what it may still send
+// waits behind the others' requests as well.
 func (c *Controller) surplus(poolName string, f *flow) bool {
-	return overFair(c.customers[f.customer].rate, f.weight, c.rates[poolName])
+	known := c.customers[f.customer]
+	all := c.rates[poolName]
+	if len(known.held) > 0 && all.weight > f.weight {
+		return true
+	}
+	return overFair(known.rate, f.weight, all)
 }
 
 // Requeue puts back a ticket whose attempt ended before anything ran. It keeps
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -24,6 +25,10 @@
 	costMost = 10
 	// surplusMargin keeps rounding from marking a customer that is alone.
 	surplusMargin = 1.001
+	// surplusChance is how many standard deviations of independent arrivals over
+	// surplusWindow a customer must be above its fair share: of 22 equals, one is
+	// over by three every 16 looks.
+	surplusChance = 3
 	// surplusPeak is the part of the highest use from which a customer counts as
 	// one of those that fill the pool.
 	surplusPeak = 0.5
@@ -190,11 +195,18 @@
 }
 
 // overFair tells whether a customer uses more than its fair share: above the
-// even share by weight, and not far below the one that uses most. The second
-// spares customers that happen to send some requests more than usual beside a
-// burst, which alone fills the pool.
+// even share by weight by more than chance, and not far below the one that uses
+// most. Without the first, half of a pool of equals counted as over at any time,
+// and waited behind the reserve with nobody bursting. The second spares customers
+// that happen to send some requests more than usual beside a burst, which alone
+// fills the pool.
 func overFair(used, weight float64, all usage) bool {
-	return used*all.weight > surplusMargin*all.sum*weight && used > surplusPeak*all.peak*weight
+	if all.weight <= 0 {
+		return false
+	}
+	fair := all.sum * weight / all.weight
+	chance := surplusChance * math.Sqrt(fair/(2*surplusWindow.Seconds()))
+	return used > surplusMargin*fair+chance && used > surplusPeak*all.peak*weight
 }
 
 // serve hands t out and charges its customer. A flow that was passed over, as
--- a/internal/replay/requests.go
+++ b/internal/replay/requests.go
@@ -105,25 +105,25 @@
 	if s.now+TimeToFirstToken > r.deadline && r.firstToken == 0 {
 		return nil
 	}
+	slots := 0
+	for _, candidate := range s.replicas[r.unit.id] {
+		if s.mayServe(candidate, at) {
+			slots += candidate.engine.slots
+		}
+	}
 	var best *replica
-	free, slots := 0, 0
 	for _, candidate := range s.replicas[r.unit.id] {
 		if !s.mayServe(candidate, at) {
 			continue
 		}
-		slots += candidate.engine.slots
-		spare := candidate.engine.slots - candidate.engine.running
-		if spare <= 0 {
-			continue
+		reserve := 0
+		if surplus {
+			reserve = routing.ReserveOn(candidate.engine.slots, slots)
 		}
-		free += spare
-		if best == nil || s.preferred(candidate, best, at) {
+		if candidate.engine.slots-candidate.engine.running > reserve && (best == nil || s.preferred(candidate, best, at)) {
 			best = candidate
 		}
 	}
-	if surplus && free <= routing.Reserve(slots) {
-		return nil
-	}
 	return best
 }
 
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -192,9 +192,11 @@
 	out := make(map[string]*contract.Contract)
 	for _, u := range s.units {
 		if out[u.customer] != nil {
+			addUnit(out[u.customer], u)
 			continue
 		}
 		c := &contract.Contract{Customer: u.customer, Weight: 1, MaxQueued: ContractQueue}
+		addUnit(c, u)
 		if u.office >= 0 && officeRate > 0 {
 			c.RequestsPerSecond, c.Burst = officeRate, ContractBurst
 		}
@@ -207,6 +209,16 @@
 	return out
 }
 
+// addUnit names the unit in the contract: admission judges fair shares pool by
+// pool, and finds a customer's pools there.
+func addUnit(c *contract.Contract, u *unit) {
+	if u.base != nil {
+		c.Adapters = append(c.Adapters, contract.Adapter{Name: u.name, Base: u.base.name})
+		return
+	}
+	c.Models = append(c.Models, contract.Model{Name: u.name})
+}
+
 // schedule starts the run's own clocks.
 func (s *sim) schedule() {
 	s.arriveNext(0)
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -82,6 +82,16 @@
 	return int(min(max(reserveFew, reserveShare*float64(slots)), reserveMost*float64(slots)))
 }
 
+// ReserveOn is an engine's part of the reserve of a pool. It is kept on each
+// engine: an adapter has one or two, and finds both full where a burst's own
+// adapters sit beside it, however many slots the rest of the pool has free.
+func ReserveOn(engineSlots, poolSlots int) int {
+	if poolSlots <= 0 {
+		return 0
+	}
+	return (Reserve(poolSlots)*engineSlots + poolSlots - 1) / poolSlots
+}
+
 // look collects the candidates that can take the request; false if there are
 // none, or only the reserve is left.
 //
@@ -98,16 +108,26 @@
 	if !q.Surplus {
 		return true
 	}
-	free, slots := 0, 0
-	for _, v := range r.views {
-		free += v.free
-	}
+	return r.keepReserve(q, candidates)
+}
+
+// keepReserve drops the engines on which only the reserve is left; false if no
+// other is.
+func (r *Router) keepReserve(q Query, candidates []Candidate) bool {
+	slots := 0
 	for i := range candidates {
 		if usable(q, &candidates[i]) {
 			slots += candidates[i].Slots
 		}
 	}
-	return free > Reserve(slots)
+	kept := r.views[:0]
+	for _, v := range r.views {
+		if v.free > ReserveOn(v.candidate.Slots, slots) {
+			kept = append(kept, v)
+		}
+	}
+	r.views = kept
+	return len(kept) > 0
 }
 
 func usable(q Query, c *Candidate) bool {
