placement, admission, routing, replay: tests of the reserve, widening and staging

Each fails without its mechanism: equals count as surplus, a surplus request takes an engine's last slots beside an idle one, an adapter stays on a busy base, copies out of reach count as copies, contracts of the replay name no units.

--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -89,3 +89,25 @@
 		t.Errorf("of 100 the weights 3, 1 and 1 got %v", counts)
 	}
 }
+
+// What a caller sees: with nobody bursting, half of the offices' requests wait
+// while slots are free. Equals send a request more or less by chance, and whoever
+// is above the even share just then would wait behind the reserve. So a customer
+// counts as over it only beyond chance, or while its contract's rate holds it.
+func TestSurplusIsMoreThanChance(t *testing.T) {
+	equals := usage{sum: 22 * 0.25, weight: 22, peak: 0.6}
+	for rate, want := range map[float64]bool{0.26: false, 0.6: false, 0.8: true, 2.5: true} {
+		if got := overFair(rate, 1, equals); got != want {
+			t.Errorf("%.2f/s beside equals of 0.25/s: surplus %t", rate, got)
+		}
+	}
+	s := newSim(1, 0, 1, contract.Contract{Customer: "held", MaxQueued: 9, RequestsPerSecond: 0.1, Burst: 1}, contract.Contract{Customer: "other", MaxQueued: 9})
+	c := s.vms[0]
+	for range 2 {
+		s.arrive(source{0, "held", 0})
+	}
+	c.rates["m"] = usage{sum: 0.1, weight: 2, peak: 0.1}
+	if first := c.Next(s.now, "m", nil); first == nil || !first.Surplus {
+		t.Errorf("a customer over its contract's rate: %+v, want surplus", first)
+	}
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// Admission finds a customer's pools in its contract: with no units named there
+// nobody was ever above a fair share, and the reserve had no effect.
+func TestContractsNameAllUnits(t *testing.T) {
+	s := newSim(Options{Deployment: small(), Seed: 1, Policy: OursAt(0.5), Days: 1})
+	named := 0
+	for _, c := range s.contracts(1) {
+		named += len(c.Units())
+	}
+	if named != len(s.units) {
+		t.Errorf("%d units named in contracts, %d there are", named, len(s.units))
+	}
+}
+
 func TestStoreSharesItsBandwidth(t *testing.T) {
 	s := newSim(Options{Deployment: small(), Seed: 1, Policy: Policy{Keep: time.Hour}, Days: 1})
 	e := s.engines[0]
--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -102,6 +102,70 @@
 	}
 }
 
+// What the caller sees: at opening time a model that is "cached" takes 19 s. Its
+// copies are on an engine whose memory is promised to others, and on the one that
+// is taken just then. Two copies where the model could run, one in memory, are
+// made while nothing waits; a replica loaded for that alone goes at once.
+func TestStagesCopiesInReach(t *testing.T) {
+	held := testUnit("held")
+	held.MinReplicas, held.Bytes = 1, 60*gb
+	holding := ready("held", start)
+	holding.Bytes = held.Bytes
+	crowded, disk, empty := testEngine("e1", "a", holding), testEngine("e2", "a"), testEngine("e3", "b")
+	inMemory, onDisk := map[string]Tier{"m": TierMemory}, map[string]Tier{"m": TierDisk}
+	for _, tt := range []struct {
+		name       string
+		e1, e2, e3 map[string]Tier
+		weight     float64
+		want       string
+	}{
+		{"a copy out of reach", inMemory, nil, nil, 0.5, "grant m on e3; "},
+		{"one copy in reach", nil, onDisk, nil, 0.5, "grant m on e3; "},
+		{"none in memory", nil, onDisk, onDisk, 0.5, "grant m on e2; "},
+		{"enough", nil, onDisk, inMemory, 0.5, ""},
+		{"idle hours weigh more", nil, onDisk, nil, 0.01, ""},
+	} {
+		p, v := lone(Config{Preload: true, ColdStartWeight: tt.weight}, testUnit("m"), held)
+		crowded.Cached, disk.Cached, empty.Cached = tt.e1, tt.e2, tt.e3
+		v.Engines = []Engine{crowded, disk, empty}
+		if got := kinds(p.Plan(v)); got != tt.want {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+		if tt.want == "" {
+			continue
+		}
+		v.Now = v.Now.Add(DefaultMinKeep + time.Minute)
+		v.Engines = []Engine{crowded, testEngine("e2", "a", ready("m", start.Add(time.Minute)))}
+		if got := kinds(p.Plan(v)); got != "withdraw m on e2; " {
+			t.Errorf("%s, once ready: %q, want it let go", tt.name, got)
+		}
+	}
+}
+
+// What the caller sees: it waits for a slot while the next engine is idle. Its
+// adapter has one replica, whose base is busy with a burst of other adapters. It
+// gets its second replica before the engine is full, and nothing is evicted.
+func TestAdapterWidensFromBusyBase(t *testing.T) {
+	adapter := testUnit("a1")
+	adapter.Base, adapter.Bytes = "m", gb
+	on := ready("a1", start)
+	on.Base, on.Bytes = "m", gb
+	for running, want := range map[int]string{4: "", 12: "grant a1 on e2; "} {
+		p, v := lone(Config{}, adapter)
+		first, second := testEngine("e1", "a", ready("m", start), on), testEngine("e2", "b", ready("m", start))
+		first.Running = running
+		v.Engines = []Engine{first, second}
+		if got := kinds(p.Plan(v)); got != want {
+			t.Errorf("with %d of 16 slots in use: %q, want %q", running, got, want)
+		}
+		second.Holdings = append(second.Holdings, Holding{Unit: "x", Customer: "other", Bytes: 56 * gb, Wanted: true, Ready: true})
+		p, v.Engines = NewPlanner(Config{}), []Engine{first, second}
+		if got := kinds(p.Plan(v)); got != "" {
+			t.Errorf("with no memory left there: %q, want nothing", got)
+		}
+	}
+}
+
 func TestStandbyIsWarmedWhileNothingWaits(t *testing.T) {
 	u := testUnit("m")
 	u.StandbyPerDomain = 1
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -241,6 +241,13 @@
 	if !r.Available(start, query, list) {
 		t.Errorf("7 slots of 40 are free, reserve %d, and surplus use gets none", Reserve(40))
 	}
+	// An adapter's second engine is idle: its first must still keep its part.
+	list[0].PeersInFlight, list[1].PeersInFlight = 6, 0
+	for range 20 {
+		if got, _ := r.Pick(start, query, list[:2]); got.Engine != list[1].Engine {
+			t.Fatalf("surplus use takes the last slots of %s beside an idle engine", got.Engine)
+		}
+	}
 }
 
 // Whatever the candidates look like, Pick returns a usable one with a free slot,
