--- a/cmd/standin/replay.go
+++ b/cmd/standin/replay.go
@@ -18,7 +18,7 @@
 func newReplayVerb() verbs.Verb {
 	deployment, out := "trinidad", "docs/measures"
 	seed, workers := uint64(1), 4
-	parts, noFaults, noise := []string(nil), false, false
+	selected := replay.Selection{}
 	return verbs.Verb{
 		Name: "replay",
 		Help: "compare placement policies over a deployment's day in virtual time",
@@ -27,12 +27,12 @@
 			sub.String(&out, "o", "out", "directory for NAME-SEED.md, .json and .svg")
 			sub.UInt64(&seed, "s", "seed", "seed of the day and of all choices")
 			sub.Int(&workers, "n", "workers", "runs at a time")
-			sub.StringSlice(&parts, "p", "policy", "part of the name of a policy to run, may be repeated; all without it")
-			sub.Bool(&noFaults, "x", "no-faults", "leave the days with a fault out")
-			sub.Bool(&noise, "r", "noise", "redraw one office's requests without a burst, too")
+			sub.StringSlice(&selected.Policies, "p", "policy", "part of the name of a policy to run, may be repeated; all without it")
+			sub.Bool(&selected.NoFaults, "x", "no-faults", "leave the days with a fault out")
+			sub.Bool(&selected.OnlyFaults, "f", "only-faults", "run only the days with a fault")
+			sub.Bool(&selected.Noise, "r", "noise", "redraw one office's requests without a burst, too")
 		},
 		Run: func(ctx context.Context, table io.Writer) error {
-			selected := replay.Selection{Policies: parts, NoFaults: noFaults, Noise: noise}
 			return runReplay(ctx, table, deployment, out, seed, workers, selected)
 		},
 	}
--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -17,6 +17,8 @@
 	Policies []string
 	// NoFaults leaves the days with a fault out.
 	NoFaults bool
+	// OnlyFaults runs nothing but the days with a fault.
+	OnlyFaults bool
 	// Noise adds the runs that redraw one office's usual requests.
 	Noise bool
 }
@@ -30,7 +32,11 @@
 // Compare runs the selected policies of one deployment at one seed, workers runs
 // at a time. Each run is its own, so the outcome does not depend on workers.
 func Compare(ctx context.Context, d Deployment, seed uint64, workers int, selected Selection) (*Report, error) {
-	policies := selected.policies()
+	chosen := selected.policies()
+	policies := chosen
+	if selected.OnlyFaults {
+		policies = nil
+	}
 	plain := make([]Row, len(policies))
 	report := &Report{Deployment: d.Name, Seed: seed}
 	group, ctx := errgroup.WithContext(ctx)
@@ -56,8 +62,8 @@
 	}
 	var faulty []Options
 	for _, fault := range Faults {
-		for _, p := range policies {
-			if fault != FaultNone && chosen(p) && !selected.NoFaults {
+		for _, p := range chosen {
+			if fault != FaultNone && underFaults(p) && !selected.NoFaults {
 				faulty = append(faulty, Options{Policy: p, Fault: fault})
 			}
 		}
@@ -80,7 +86,7 @@
 	return report, nil
 }
 
-func chosen(p Policy) bool {
+func underFaults(p Policy) bool {
 	for _, name := range faultPolicies {
 		if p.Name == name {
 			return true
