settings, OPERATIONS: the claims' window may be longer than the log's retention

The line numbers of mistakes are now tested on a text of their own (strictini.TestLine): two rows of TestMistakes hung on the length of the sample.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -84,11 +84,10 @@
 		{"keep-alive", ";keep_alive_max = 2h", "keep_alive_max = 5s", `[policy] keep_alive_min: 20s is more than keep_alive_max (5s)`},
 		{"session term", ";session_term = 10s", "session_term = 1s\nheartbeat = 500ms", `[policy] session_term: 1s is less than 3 heartbeats (500ms)`},
 		{"not INI", "[log]", "[log", `s.ini: line`},
-		{"no key", "[log]", "hello\n[log]", `s.ini: not INI: line 114 is neither [section] nor key = value`},
+		{"no key", "[vm]", "hello\n[vm]", `s.ini: not INI: line 1 is neither [section] nor key = value`},
 		{"metrics' address", ";address =", "address = 10.0.1.7:8081", `[metrics] address: same as operators_address`},
 		{"line of a key", "domain = port-of-spain-a", "domain =", `s.ini: line 5: [vm] domain: missing`},
 		{"line of a section", "callers_address = 10.0.1.7:8080", "", `s.ini: line 1: [vm] callers_address: missing`},
-		{"second header", "[operators]", "[log]", `s.ini: line 114: [log]: stands twice`},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -189,7 +189,7 @@
 	},
 	{
 		section: "policy", key: "claim_window", byDefault: "24h",
-		help: "how long an idempotency key is remembered; keep it below the log's retention",
+		help: "how long an idempotency key is remembered; snapshots hold the keys, so it may be longer than the log's retention",
 		set:  duration(time.Minute, 7*24*time.Hour, func(s *Settings) *time.Duration { return &s.Policy.ClaimWindow }),
 	},
 	{
--- /dev/null
+++ b/internal/strictini/lines_test.go
@@ -0,0 +1,17 @@
+package strictini
+
+import "testing"
+
+// A mistake names the line that has to be mended: the second one where something
+// stands twice, the section's where a key is missing.
+func TestLine(t *testing.T) {
+	const text = "; first\n[vm]\n id = a\n[log]\nlevel = info\n[vm]\nid = b\n"
+	for _, c := range []struct {
+		section, key string
+		want         int
+	}{{"log", "level", 5}, {"log", "levl", 4}, {"log", "", 4}, {"vm", "id", 7}, {"vm", "", 6}, {"tls", "id", 0}, {"", "", 0}} {
+		if got := Line(text, c.section, c.key); got != c.want {
+			t.Errorf("[%s] %s: line %d, want %d", c.section, c.key, got, c.want)
+		}
+	}
+}
