--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -6,6 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -343,6 +346,30 @@
 	}
 }
 
+// The page that others read names each message and the fields of its argument.
+func TestPageNamesMessages(t *testing.T) {
+	page, err := os.ReadFile("../docs/interfaces/entryvm.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	messages := reflect.TypeFor[*service]()
+	for i := range messages.NumMethod() {
+		method := messages.Method(i)
+		_, row, _ := strings.Cut(string(page), "| `"+serviceName+"."+method.Name+"` |")
+		row, _, found := strings.Cut(row, "\n")
+		if !found {
+			t.Errorf("the page doesn't name %s", method.Name)
+		}
+		arguments := method.Type.In(1).Elem()
+		for j := range arguments.NumField() {
+			field := arguments.Field(j).Name
+			if !strings.Contains(row, "`"+field+"`") && !strings.Contains(row, "the same") {
+				t.Errorf("the page doesn't name %s of %s", field, method.Name)
+			}
+		}
+	}
+}
+
 func TestShortSecretsAreRefused(t *testing.T) {
 	if _, err := NewClient([]byte("short"), 0, nil); err == nil {
 		t.Error("client took a short secret")
