--- a/entryvm/handshake.go
+++ b/entryvm/handshake.go
@@ -44,9 +44,9 @@
 	roleServer = "server"
 )
 
-// errStranger says that the other side took part in the handshake and doesn't know
-// the secret.
-var errStranger = errs.New("the other side does not know the fleet secret")
+// errUnauthenticated says that the other side took part in the handshake and
+// doesn't know the secret.
+var errUnauthenticated = errs.New("the other side does not know the fleet secret")
 
 func checkSecret(secret []byte) error {
 	if len(secret) < MinSecretBytes {
@@ -174,7 +174,7 @@
 		return err
 	}
 	if !hmac.Equal(got, s.proof(role)) {
-		return fmt.Errorf("%w: %s", errStranger, role)
+		return fmt.Errorf("%w: %s", errUnauthenticated, role)
 	}
 	return nil
 }
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -153,7 +153,7 @@
 				// A fleet with two secrets must say so somewhere, and not at each call.
 				_, _ = client.Exchange(t.Context(), "vm", nil)
 				if want := map[bool]int{true: 1}[c.proves]; logged.Len() != want {
-					t.Errorf("%d strangers logged, want %d", logged.Len(), want)
+					t.Errorf("%d unauthenticated peers logged, want %d", logged.Len(), want)
 				}
 			})
 		})
--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -23,21 +23,21 @@
 	// acceptPause is the pause after a failed accept, for instance for want of
 	// file descriptors.
 	acceptPause = 100 * time.Millisecond
-	// strangersLogged is the least time between two log lines on strangers: an
+	// unauthenticatedLogged is the least time between two log lines on them: an
 	// entry VM with another secret calls several times a second.
-	strangersLogged = time.Minute
+	unauthenticatedLogged = time.Minute
 )
 
-// strangersTotal counts the connections whose other side did not prove that it
-// knows the fleet secret.
-var strangersTotal = metrics.NewCounter(`bergamotreel_entryvm_strangers_total`)
+// unauthenticatedTotal counts the connections whose other side did not prove
+// that it knows the fleet secret.
+var unauthenticatedTotal = metrics.NewCounter(`bergamotreel_entryvm_unauthenticated_total`)
 
 // Option changes a server.
 type Option func(*server)
 
-// WithLogger sets where strangers are logged; the default logs nothing. Failure:
-// one VM of a fleet has another secret; it serves, and nobody hears it. Without
-// the line all that shows is that it is missing everywhere.
+// WithLogger sets where unauthenticated peers are logged; the default logs
+// nothing. Failure: one VM of a fleet has another secret; it serves, and nobody
+// hears it. Without the line all that shows is that it is missing everywhere.
 func WithLogger(logger *zap.Logger) Option {
 	return func(s *server) { s.logger = logger }
 }
@@ -54,12 +54,12 @@
 		return Error.Wrap(err)
 	}
 	s := &server{
-		secret:     secret,
-		dispatcher: dispatcher,
-		tlsConfig:  tlsConfig,
-		conns:      map[net.Conn]struct{}{},
-		logger:     zap.NewNop(),
-		strangers:  rate.Sometimes{Interval: strangersLogged},
+		secret:          secret,
+		dispatcher:      dispatcher,
+		tlsConfig:       tlsConfig,
+		conns:           map[net.Conn]struct{}{},
+		logger:          zap.NewNop(),
+		unauthenticated: rate.Sometimes{Interval: unauthenticatedLogged},
 	}
 	for _, option := range options {
 		option(s)
@@ -77,8 +77,8 @@
 	tlsConfig  *tls.Config
 	calls      sync.WaitGroup
 	logger     *zap.Logger
-	// strangers bounds the log lines on them.
-	strangers rate.Sometimes
+	// unauthenticated bounds the log lines on unauthenticated peers.
+	unauthenticated rate.Sometimes
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -125,14 +125,14 @@
 }
 
 // shake does the handshake, and counts and logs a side that took part in it and
-// failed. What only connects, as a check of the port does, is no stranger.
+// failed. What only connects, as a check of the port does, counts as neither.
 func (s *server) shake(conn net.Conn) error {
 	err := shakeAsServer(conn, s.secret)
-	if !errors.Is(err, errStranger) {
+	if !errors.Is(err, errUnauthenticated) {
 		return err
 	}
-	strangersTotal.Inc()
-	s.strangers.Do(func() {
+	unauthenticatedTotal.Inc()
+	s.unauthenticated.Do(func() {
 		s.logger.Warn("refused on peers_address: an entry VM with another [peers] secret, or a stranger",
 			zap.Stringer("from", conn.RemoteAddr()))
 	})
