--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,10 +17,12 @@
 	"bergamotreel/internal/settings"
 )
 
-func sample(t *testing.T) *settings.Settings {
-	text := strings.Replace(settings.Sample(), "secret = replace-by-32-or-more-random-characters",
-		"secret = "+strings.Repeat("x", settings.MinSecretLength), 1)
-	s, err := settings.Parse("sample.ini", text)
+// sample reads the sample with a secret of its own and more pairs of old and new
+// text.
+func sample(t *testing.T, replaced ...string) *settings.Settings {
+	t.Helper()
+	replaced = append(replaced, "replace-by-32-or-more-random-characters", strings.Repeat("x", settings.MinSecretLength))
+	s, err := settings.Parse("sample.ini", strings.NewReplacer(replaced...).Replace(settings.Sample()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"crypto/x509"
+	"encoding/pem"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/contract"
+)
+
+// An operator names a certificate for callers and one for operators. Were one of
+// both ports to stay plain, keys, tokens and prompts would go over the network in
+// clear, and nobody would see it.
+func TestTLSOnBothPorts(t *testing.T) {
+	authority := httptest.NewTLSServer(nil)
+	defer authority.Close()
+	pair := authority.TLS.Certificates[0]
+	private, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certFile, keyFile := writePEM(t, "CERTIFICATE", pair.Certificate[0]), writePEM(t, "PRIVATE KEY", private)
+	s := sample(t,
+		strings.Repeat("0", 64), contract.HashKey("token"),
+		"10.0.1.7:8080", "127.0.0.1:0", "10.0.1.7:8081", "127.0.0.1:0", "10.0.1.7:8082", "127.0.0.1:0",
+		";callers_cert =", "callers_cert = "+certFile, ";callers_key =", "callers_key = "+keyFile,
+		";operators_cert =", "operators_cert = "+certFile, ";operators_key =", "operators_key = "+keyFile)
+	d, err := New(s, "v", zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.closeListeners()
+	go d.callers.Serve(d.callersListener)
+	go serveHTTP(d.operatorsServer, d.operatorsListener)
+	callers, operators := d.callersListener.Addr().String(), d.operatorsListener.Addr().String()
+	for _, c := range []struct {
+		url, token string
+		want       int
+	}{
+		{"https://" + callers + "/healthz", "", http.StatusOK},
+		{"http://" + callers + "/healthz", "", http.StatusBadRequest},
+		{"https://" + operators + "/healthz", "", http.StatusOK},
+		{"https://" + operators + "/v1/status", "", http.StatusUnauthorized},
+		{"https://" + operators + "/v1/status", "token", http.StatusOK},
+		{"http://" + operators + "/v1/status", "token", http.StatusBadRequest},
+	} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+c.token)
+		answer, err := authority.Client().Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode != c.want {
+			t.Errorf("%s with token %q: status %d, want %d", c.url, c.token, answer.StatusCode, c.want)
+		}
+	}
+}
+
+func writePEM(t *testing.T, kind string, content []byte) string {
+	file := filepath.Join(t.TempDir(), "pem")
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
