entryvm, claims: what a forwarded booking costs; old claims in flight are looked for once a minute

Claims in flight were looked through for old ones at each new one from 4,096 on: in an outage with unknown outcomes the work would grow with their number. Now it is once a minute.

The two benchmarks of entryvm share how they serve and connect; Exchange measures what it did.

--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,20 +27,8 @@
 // with 8 entries of everything; cpu-ns/op is the processor time of both ends,
 // with the kernel's part.
 func BenchmarkExchange(b *testing.B) {
-	secret := []byte("a fleet secret of 32 or more bytes")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(b.Context())
-	served := make(chan error)
-	go func() { served <- entryvm.Serve(ctx, listener, secret, mute{}, nil) }()
-	defer func() { stop(); <-served }()
-	client, err := entryvm.NewClient(secret, time.Second, nil)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = client.Close() }()
+	listener := serve(b)
+	client := connect(b)
 	for _, n := range []int{1, 8, 30} {
 		digests := make([]entryvm.Digest, n)
 		for i := range digests {
@@ -57,6 +46,100 @@
 	}
 }
 
+// BenchmarkClaim is what a booking at a VM that doesn't hold its shard adds: a
+// claim and a settling at a holder that answers at once, with outcomes of so many
+// bytes; "connecting" has a new connection for each. B/op on the wire are of the
+// messages, both ways, without TCP's part.
+func BenchmarkClaim(b *testing.B) {
+	listener := serve(b)
+	address := listener.Addr().String()
+	claim := entryvm.ClaimCall{Shard: 17, Shards: 64, Record: make([]byte, 63)}
+	book := func(b *testing.B, client *entryvm.Client, outcome int) {
+		if _, err := client.Claim(b.Context(), address, claim); err != nil {
+			b.Fatal(err)
+		}
+		settle := entryvm.ClaimCall{Shard: 17, Shards: 64, Record: make([]byte, outcome)}
+		if _, err := client.Settle(b.Context(), address, settle); err != nil {
+			b.Fatal(err)
+		}
+	}
+	run := func(name string, call func(b *testing.B)) {
+		b.Run(name, func(b *testing.B) {
+			begun, bytes := processorTime(b), listener.bytes.Load()
+			for b.Loop() {
+				call(b)
+			}
+			b.ReportMetric(float64(processorTime(b)-begun)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(listener.bytes.Load()-bytes)/float64(b.N), "wireB/op")
+		})
+	}
+	client := connect(b)
+	for _, outcome := range []int{32, 72, 4096} {
+		run(fmt.Sprint(outcome, "B"), func(b *testing.B) { book(b, client, outcome) })
+	}
+	run("connecting", func(b *testing.B) {
+		client := connect(b)
+		book(b, client, 72)
+		_ = client.Close()
+	})
+}
+
+var benchSecret = []byte("a fleet secret of 32 or more bytes")
+
+// serve serves mute until the benchmark ends.
+func serve(b *testing.B) *countingListener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := &countingListener{Listener: inner}
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error)
+	go func() { served <- entryvm.Serve(ctx, listener, benchSecret, mute{}, nil) }()
+	b.Cleanup(func() { stop(); <-served })
+	return listener
+}
+
+func connect(b *testing.B) *entryvm.Client {
+	client, err := entryvm.NewClient(benchSecret, time.Second, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{conn, &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 func busyDigest(i int) entryvm.Digest {
 	d := entryvm.Digest{VM: fmt.Sprintf("vm-%05d", i), Address: "10.120.130.140:7000", Domain: "d1", Region: "r1",
 		Incarnation: "0123456789abcdef", Sequence: 1000, Applied: 1 << 30, InFlight: map[string]int{}}
--- a/internal/claims/flights.go
+++ b/internal/claims/flights.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +22,8 @@
 	// flightFor is how long a claim is remembered that may still land: well over
 	// the time for which an append is repeated and the longest life of a message.
 	flightFor = 10 * time.Minute
-	// flightsKept is from how many on old ones are looked for.
-	flightsKept = 4096
+	// pruneEvery is how often those that are older are looked for.
+	pruneEvery = time.Minute
 )
 
 // flights are the claims that this VM has proposed and not met in the stream yet,
@@ -32,6 +33,8 @@
 	mu      sync.Mutex
 	byID    map[idempotency.ClaimID]flight
 	givenUp map[idempotency.ClaimID]time.Time
+	// prunedAt is when old ones were last looked for.
+	prunedAt time.Time
 }
 
 type flight struct {
@@ -46,16 +49,20 @@
 	if f.byID == nil {
 		f.byID = make(map[idempotency.ClaimID]flight)
 	}
-	if len(f.byID) >= flightsKept {
-		for old, flight := range f.byID {
-			if time.Since(flight.since) >= flightFor {
-				delete(f.byID, old)
-			}
-		}
-	}
+	f.prune(time.Now())
 	f.byID[id] = flight{sequence, time.Now()}
 }
 
+// prune forgets what will not land any more. Call with mu held.
+func (f *flights) prune(now time.Time) {
+	if now.Sub(f.prunedAt) < pruneEvery {
+		return
+	}
+	f.prunedAt = now
+	maps.DeleteFunc(f.byID, func(_ idempotency.ClaimID, flight flight) bool { return now.Sub(flight.since) >= flightFor })
+	maps.DeleteFunc(f.givenUp, func(_ idempotency.ClaimID, at time.Time) bool { return now.Sub(at) >= flightFor })
+}
+
 // land forgets a claim that was met, or that is not in the log and never will be.
 func (f *flights) land(id idempotency.ClaimID) (sequence uint64, underWay bool) {
 	f.mu.Lock()
@@ -72,13 +79,7 @@
 	if f.givenUp == nil {
 		f.givenUp = make(map[idempotency.ClaimID]time.Time)
 	}
-	if len(f.givenUp) >= flightsKept {
-		for old, at := range f.givenUp {
-			if time.Since(at) >= flightFor {
-				delete(f.givenUp, old)
-			}
-		}
-	}
+	f.prune(time.Now())
 	f.givenUp[id] = time.Now()
 }
 
--- a/internal/claims/remote.go
+++ b/internal/claims/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"bergamotreel/caller"
@@ -119,6 +120,13 @@
 	return append(others, failed...)
 }
 
+// forgetFailures drops those that don't count any more: VMs are replaced all day.
+func (s *Shards) forgetFailures(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= avoidFor })
+}
+
 func (s *Shards) noteFailure(holder Holder, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/claims/shards.go
+++ b/internal/claims/shards.go
@@ -93,6 +93,7 @@
 		for shard := range s.config.Count {
 			s.holdOrLeave(ctx, shard, time.Now())
 		}
+		s.forgetFailures(time.Now())
 		if !pause.For(ctx, holdTick) {
 			break
 		}
