node: an engine that leaves while its own word is lost, or that dies, gets no new work after 6 s

Promise 7 had no test of a lost answer or of two failures at once. The script of a leaving engine now runs under three failures, each beside an outage of the log and of the VM list: none other; the engine's status and the answer to a request are lost; it dies. Tried and not taken: a cut of the engine's failure domain; routers prefer their own domain, so the naive version sends nothing there either and the script would prove nothing. The first case is the test as it was (4 s, twin "VM list only").

--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -122,9 +122,10 @@
 func (c gatedEngines) Status(ctx context.Context, address string) (engine.Status, error) {
 	ctx = c.gate.pass(ctx)
 	if c.apart(address) {
-		return engine.Status{}, errApart
+		return c.system.word(address, engine.Status{}, errApart)
 	}
-	return c.heard(c.Client.Status(ctx, address))
+	status, err := c.heard(c.Client.Status(ctx, address))
+	return c.system.word(address, status, err)
 }
 
 // heard is what a version of the system makes of an engine's word.
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -25,6 +25,8 @@
 	noPeers twin = "no peers"
 	// listOnly believes the VM list alone, not the engine's own word.
 	listOnly twin = "VM list only"
+	// oldWord believes what an engine said last, however long ago.
+	oldWord twin = "old word"
 	// noShutdown ends the process at the signal to stop.
 	noShutdown twin = "no graceful shutdown"
 	// noClaims sends a call that may not be repeated without a claim in the log.
@@ -284,40 +286,56 @@
 // An engine is told to leave: it says so itself, while the VM list still trails.
 // Requests that run on it are answered whole; after a few seconds nothing new
 // reaches it, and callers are served by the other replica. The log is down and the
-// VM list out of reach meanwhile.
+// VM list out of reach meanwhile. Where the engine's own word is lost, or it dies,
+// what it said before counts for leaveLimit only.
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
-	inSystem(t, true, pairText(), func(s *system) {
-		time.Sleep(10 * time.Second)
-		leaving := s.holder("pair")
-		var running sync.WaitGroup
-		for i := range 8 {
-			running.Go(func() {
-				prompt := fmt.Sprint("long", i)
-				if a := s.ask(allVMs[i%4], "pair", prompt, 400); !a.whole("pair", prompt, 400) {
-					s.errorf("the running stream %d: %q, %v", i, a.text, a.err)
-				}
-			})
-		}
-		time.Sleep(time.Second)
-		if s.sentTo(leaving) == 0 {
-			s.t.Fatal("nothing runs on the engine that leaves")
-		}
-		s.engines.Engine(leaving).SetDraining(true)
-		s.list.Faults().Set(faults.Settings{Outage: true})
-		s.log.Faults().Set(faults.Settings{Outage: true})
-		time.Sleep(4 * time.Second)
-		before := s.sentTo(leaving)
-		for i := range 20 {
-			prompt := fmt.Sprint("new", i)
-			if a := s.ask(allVMs[i%4], "pair", prompt, 4); !a.whole("pair", prompt, 4) {
-				s.errorf("request %d: %q, %v", i, a.text, a.err)
+	for _, failure := range []struct {
+		cause func(s *system, leaving string)
+		known time.Duration
+		naive twin
+	}{
+		{func(*system, string) {}, 4 * time.Second, listOnly},
+		{(*system).loseWord, leaveLimit, oldWord},
+		{func(s *system, leaving string) { s.engines.Engine(leaving).Crash() }, leaveLimit, oldWord},
+	} {
+		inSystem(t, true, pairText(), func(s *system) { s.leaveAmid(failure.cause, failure.known) }, failure.naive)
+	}
+}
+
+// leaveAmid has an engine leave amid failures and checks that it gets no new work
+// once this must be known.
+func (s *system) leaveAmid(cause func(s *system, leaving string), known time.Duration) {
+	time.Sleep(10 * time.Second)
+	leaving := s.holder("pair")
+	var running sync.WaitGroup
+	for i := range 8 {
+		running.Go(func() {
+			prompt := fmt.Sprint("long", i)
+			if a := s.ask(allVMs[i%4], "pair", prompt, 400); !a.whole("pair", prompt, 400) {
+				s.errorf("the running stream %d: %q, %v", i, a.text, a.err)
 			}
+		})
+	}
+	time.Sleep(time.Second)
+	if s.sentTo(leaving) == 0 {
+		s.t.Fatal("nothing runs on the engine that leaves")
+	}
+	s.engines.Engine(leaving).SetDraining(true)
+	s.list.Faults().Set(faults.Settings{Outage: true})
+	s.log.Faults().Set(faults.Settings{Outage: true})
+	cause(s, leaving)
+	time.Sleep(known + time.Millisecond)
+	before := s.sentTo(leaving)
+	for i := range 20 {
+		prompt := fmt.Sprint("new", i)
+		if a := s.ask(allVMs[i%4], "pair", prompt, 4); !a.whole("pair", prompt, 4) {
+			s.errorf("request %d: %q, %v", i, a.text, a.err)
 		}
-		if after := s.sentTo(leaving); after != before {
-			s.errorf("the leaving engine got %d new requests", after-before)
-		}
-		running.Wait()
-	}, listOnly)
+	}
+	if after := s.sentTo(leaving); after != before {
+		s.errorf("the leaving engine got %d new requests", after-before)
+	}
+	running.Wait()
 }
 
 // holder is an engine that has the unit ready.
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -70,6 +70,9 @@
 	claimCalls atomic.Int64
 	// leaving is since when an engine says itself that it leaves.
 	leaving map[string]time.Time
+	// words is what each engine said last, lost whose word is lost.
+	words map[string]engine.Status
+	lost  map[string]bool
 	// twin is the naive version that runs, breaches the promises it broke.
 	twin     twin
 	breaches []string
@@ -111,7 +114,8 @@
 		}),
 		engines: engineserver.NewFleet(), services: serviceserver.NewFleet(), booking: serviceserver.New(),
 		mesh: newMesh(), hold: func(string, string, engine.Order) bool { return false }, nodes: make(map[string]*entry), replicas: make(map[string]int), ends: make(map[string]int), sent: make(map[string]int),
-		leaving: make(map[string]time.Time), twin: append(version, ours)[0], claimShards: claimShards,
+		leaving: make(map[string]time.Time), words: make(map[string]engine.Status), lost: make(map[string]bool), twin: append(version, ours)[0],
+		claimShards: claimShards,
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -424,6 +428,30 @@
 	}
 }
 
+// loseWord loses all that an engine says of itself from now on, and the answer to
+// the next request that is sent there.
+func (s *system) loseWord(address string) {
+	s.engines.Engine(address).SetFaults(engineserver.Faults{LoseStreamAnswers: 1})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost[address] = true
+}
+
+// word is what an entry VM takes for an engine's word.
+func (s *system) word(address string, status engine.Status, err error) (engine.Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost[address] {
+		err = engine.ErrOutcomeUnknown
+	}
+	if err == nil {
+		s.words[address] = status
+	} else if s.twin == oldWord {
+		return s.words[address], nil
+	}
+	return status, err
+}
+
 // watchReplicas notes how many engines hold each unit at one time.
 func (s *system) watchReplicas() {
 	for s.ctx.Err() == nil {
