--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -55,6 +55,7 @@
 		return nil
 	}
 	h.live, h.at = share.Live, now
+	p.forgetUnits(now, share)
 	told := make(map[string][]placement.History)
 	add := func(vm, unit string) bool {
 		history, known := p.policy.History(unit, now)
@@ -89,6 +90,7 @@
 	defer p.mu.Unlock()
 	for _, h := range histories {
 		p.policy.Learn(h, now)
+		p.taught[h.Unit] = true
 		if at := now.Add(-h.LastAgo); at.After(p.lastUsed[h.Unit]) {
 			p.lastUsed[h.Unit] = at
 			p.used[h.Unit] = true
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,3 +114,32 @@
 		}
 	}
 }
+
+// A VM hears of uses of ever more units all day. It must not remember all of them
+// for good, but must keep what it plans, what engines hold, what another planner
+// trusted it with, and what was used last.
+func TestUnitsUsedLongAgoAreForgotten(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	p := New(Config{Policy: placement.NewPlanner(placement.Config{})})
+	p.picture.fleet.Set(placement.Engine{Name: "e", Holdings: []placement.Holding{{Unit: "held"}}})
+	p.Learn(now, []placement.History{{Unit: "taught", LastAgo: time.Hour}})
+	share := Share{Mine: func(unit string) bool { return unit == "mine" }}
+	p.Used("mine", now)
+	p.Used("held", now)
+	for i := range 3 * unitsRemembered {
+		now = now.Add(time.Second)
+		p.Used(fmt.Sprint("other-", i), now)
+	}
+	p.forgetUnits(now, share)
+	if n := len(p.lastUsed); n != unitsRemembered*3/4 {
+		t.Errorf("%d units remembered", n)
+	}
+	for _, unit := range []string{"mine", "held", "taught", fmt.Sprint("other-", 3*unitsRemembered-1)} {
+		if _, known := p.policy.History(unit, now); !known {
+			t.Errorf("%s forgotten", unit)
+		}
+	}
+	if _, known := p.policy.History("other-0", now); known {
+		t.Error("other-0 remembered")
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -93,6 +93,8 @@
 	// next plan must know.
 	used     map[string]bool
 	handover handover
+	// taught are the units of which another planner told the history.
+	taught map[string]bool
 	// picture belongs to the goroutine that plans.
 	picture *picture
 }
@@ -109,6 +111,7 @@
 		refused:  make(map[holding]time.Time),
 		used:     make(map[string]bool),
 		picture:  newPicture(),
+		taught:   make(map[string]bool),
 	}
 }
 
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -187,6 +187,9 @@
 	return fe.Engine, true
 }
 
+// Held tells whether an engine has a right for the unit, withdrawn or not.
+func (f *Fleet) Held(unit string) bool { return len(f.byUnit[unit]) > 0 }
+
 // Touch has change note the use of an engine: it may set Running, and Streams and
 // LastUsed of the holdings, nothing else. It costs less than Set.
 func (f *Fleet) Touch(name string, change func(*Engine)) {
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -95,6 +95,14 @@
 	return true
 }
 
+// Forget drops what was learned of a unit.
+func (p *Planner) Forget(unit string) {
+	delete(p.histories, unit)
+	for _, tier := range []Tier{TierMemory, TierDisk, TierRemote} {
+		delete(p.loads.seen, loadKey{unit, tier})
+	}
+}
+
 // sound tells whether the history can be one: a broken one must not have indices
 // run over or a unit kept for ever.
 func (h History) sound() bool {
