--- a/state/record.go
+++ b/state/record.go
@@ -103,17 +103,15 @@
 // wrongly only has the others wait longer for an expiry.
 type SessionsRenew struct {
 	// Renewals are at most MaxRenewals.
-	Renewals []Renewal `json:"renewals" cbor:"1,keyasint"`
+	Renewals Renewals `json:"renewals" cbor:"1,keyasint"`
 }
 
 // MaxRenewals bounds the renewals of one SessionsRenew: many times the VMs of a
 // group that one relay speaks for.
 const MaxRenewals = 4096
 
-// Renewal is one session's asking to be renewed. It is encoded as an array of two
-// numbers, since every VM reads one for each session every few seconds.
+// Renewal is one session's asking to be renewed.
 type Renewal struct {
-	_       struct{}  `cbor:",toarray"`
 	Session SessionID `json:"session"`
 	// Number is the owner's count of its askings. One that is not above the
 	// session's newest has no effect, so a record that lands late or twice has none.
