--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -67,7 +67,7 @@
 	sink := &collector{begun: begun}
 	n := s.node(at)
 	n.open.Add(1)
-	defer n.open.Done()
+	defer n.open.Add(-1)
 	frozen := n.gate.frozenTime()
 	if s.twin == ownLoads {
 		s.loadOnOwn("engine-"+at[len("v-"):], model)
@@ -95,7 +95,7 @@
 func (s *system) book(at, key string) (service.Answer, error) {
 	n := s.node(at)
 	n.open.Add(1)
-	defer n.open.Done()
+	defer n.open.Add(-1)
 	answer, err := n.Call(n.alive, caller.ServiceCall{
 		Identity: caller.Identity{Customer: "trinidad"}, Once: s.twin != noClaims, IdempotencyKey: key, Arrived: time.Now(),
 		Service: contract.Service{Name: "booking", MaxWait: 5 * time.Second},
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -126,12 +126,19 @@
 			s.errorf("a leaving entry VM says that it is ready")
 		}
 		time.Sleep(balancerDelay)
-		n.open.Wait()
+		n.waitOpen()
 		n.Stop(s.ctx)
 	}
 	n.kill()
 	<-n.done
-	n.open.Wait()
+	n.waitOpen()
+}
+
+// waitOpen waits until all callers have their final answers.
+func (n *entry) waitOpen() {
+	for n.open.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // An entry VM is stopped while two other things fail: the log is out, a keeper is
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -87,7 +87,7 @@
 	done  chan struct{}
 	// open are its callers that have no final answer yet; leaving is set by a
 	// planned stop, which must not cut them off.
-	open    sync.WaitGroup
+	open    atomic.Int32
 	leaving atomic.Bool
 	// trap has it freeze at its next load order, in TestChaos.
 	trap atomic.Bool
