--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -87,7 +87,7 @@
 // proposes its own renewal in time. No session ends but that of the VM itself.
 func TestCollectedRenewalsSurviveTheirRelay(t *testing.T) {
 	for name, disturb := range map[string]func(s *system, relay string){
-		"dies":             func(s *system, relay string) { s.nodes[relay].kill() },
+		"dies":             func(s *system, relay string) { s.node(relay).kill() },
 		"cut from the log": func(s *system, relay string) { s.cutFromLog(relay) },
 		"twice":            func(s *system, _ string) { s.log.Faults().Set(faults.Settings{LoseProbability: 0.4}) },
 	} {
@@ -180,8 +180,8 @@
 // are left within 4 s, by other groups' digests or the members' own reading.
 func TestFollowingSurvivesItsReader(t *testing.T) {
 	for name, disturb := range map[string]func(s *system, reader string){
-		"dies":             func(s *system, reader string) { s.nodes[reader].kill() },
-		"hangs":            func(s *system, reader string) { s.nodes[reader].gate.freeze() },
+		"dies":             func(s *system, reader string) { s.node(reader).kill() },
+		"hangs":            func(s *system, reader string) { s.node(reader).gate.freeze() },
 		"cut from the log": func(s *system, reader string) { s.cutFromLog(reader) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -10,7 +10,7 @@
 
 // keeperOf is who keeps an engine, as an entry VM tells operators.
 func (s *system) keeperOf(address string) string {
-	report, err := s.nodes["v-b1"].Operators().Status(s.ctx)
+	report, err := s.node("v-b1").Operators().Status(s.ctx)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -29,7 +29,7 @@
 func TestLeavingEngineWhoseKeeperIsAway(t *testing.T) {
 	for name, fail := range map[string]func(s *system, keeper string){
 		"well": func(*system, string) {},
-		"dead": func(s *system, keeper string) { s.nodes[keeper].kill() },
+		"dead": func(s *system, keeper string) { s.node(keeper).kill() },
 		"cut":  func(s *system, keeper string) { s.mesh.separate(keeper, true) },
 	} {
 		t.Run(name, func(t *testing.T) {
