caller, daemon: streams that share a connection to their engine take no second file

The bound on callers' connections, half of the open files less 512, counted a connection to the backend for each of them: 9,744 with 20,000 files, while most streams to engines over HTTP/2 need none. Now three quarters of the shared streams count one file; the last quarter stays reserved, as streams whose shared connection breaks are taken up one by one. Where streams end and the bound falls below what is open, the next requests are refused and their connections closed, so that no accepted request meets the last file.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // overflowShare is the part of Limits.Connections that is accepted on top, only
@@ -19,16 +20,7 @@
 // them with a refusal; any beyond these are closed at once.
 type limitListener struct {
 	net.Listener
-	open     chan struct{}
-	overflow chan struct{}
-}
-
-func newLimitListener(listener net.Listener, connections int) *limitListener {
-	return &limitListener{
-		Listener: listener,
-		open:     make(chan struct{}, connections),
-		overflow: make(chan struct{}, connections/overflowShare+1),
-	}
+	bound *connectionBound
 }
 
 // Accept implements net.Listener.
@@ -38,14 +30,13 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case l.open <- struct{}{}:
-			return newLimitedConn(conn, l.open, false), nil
-		default:
-		}
-		select {
-		case l.overflow <- struct{}{}:
-			return newLimitedConn(conn, l.overflow, true), nil
+		// Only this goroutine adds.
+		allowed := l.bound.allowed()
+		switch {
+		case l.bound.open.Load() < allowed:
+			return newLimitedConn(conn, &l.bound.open, false), nil
+		case l.bound.over.Load() < allowed/overflowShare+1:
+			return newLimitedConn(conn, &l.bound.over, true), nil
 		default:
 			_ = conn.Close()
 		}
@@ -59,8 +50,9 @@
 	over     bool
 }
 
-func newLimitedConn(conn net.Conn, places chan struct{}, over bool) *limitedConn {
-	return &limitedConn{Conn: conn, over: over, giveBack: sync.OnceFunc(func() { <-places })}
+func newLimitedConn(conn net.Conn, count *atomic.Int64, over bool) *limitedConn {
+	count.Add(1)
+	return &limitedConn{Conn: conn, over: over, giveBack: sync.OnceFunc(func() { count.Add(-1) })}
 }
 
 // Close implements net.Conn.
--- a/caller/server.go
+++ b/caller/server.go
@@ -29,6 +29,7 @@
 	http    *http.Server
 	handler http.Handler
 	limits  Limits
+	bound   *connectionBound
 	// leaving is set by Drain.
 	leaving atomic.Bool
 }
@@ -36,7 +37,7 @@
 // NewServer makes a server. With a tlsConfig it speaks TLS, and HTTP/2 besides.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
 	s := &Server{handler: handler, limits: limits.withDefaults()}
-	s.limits.Connections = connectionsWithinFiles(s.limits.Connections)
+	s.bound = newConnectionBound(s.limits)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
 		TLSConfig:      tlsConfig,
@@ -57,8 +58,7 @@
 
 // Serve accepts connections until Shutdown or Close; it then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	listener = newLimitListener(listener, s.limits.Connections)
-	err := s.serveOn(listener)
+	err := s.serveOn(&limitListener{Listener: listener, bound: s.bound})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -91,7 +91,7 @@
 func (s *Server) Close() error { return Error.Wrap(s.http.Close()) }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	over := overLimit(r.Context())
+	over := overLimit(r.Context()) || s.bound.exceeded()
 	leaving := s.leaving.Load()
 	if over || leaving {
 		w.Header().Set("Connection", "close")
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -45,12 +45,13 @@
 	}
 }
 
-// callerLimits turns settings into the limits of the callers' port.
-func callerLimits(l settings.Limits) caller.Limits {
+// callerLimits turns settings into the limits of the callers' port; shared counts
+// the streams that share a connection to their engine.
+func callerLimits(l settings.Limits, shared func() int) caller.Limits {
 	return caller.Limits{
 		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeldBytes: l.HeldBytes, AnswerBytes: l.AnswerBytes,
 		ReadTimeout: l.ReadTimeout, WriteTimeout: l.WriteTimeout, IdleTimeout: l.IdleTimeout,
-		Connections: l.Connections,
+		Connections: l.Connections, Shared: shared,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 	logger   *zap.Logger
 	node     *node.Node
 	peers    *entryvm.Client
+	engines  *engine.HTTPClient
 	callers  *caller.Server
 	stopped  chan struct{}
 
@@ -117,13 +118,14 @@
 	// Calls that must not be repeated go through a client that never does, and
 	// that knows whether a byte of a call was sent.
 	once := sendonce.NewClient()
+	d.engines = engine.NewClient(once).WithMultiplexed(sendonce.NewMultiplexedClient(), ownStreams)
 	http := httpjson.DefaultClient()
 	p := d.settings.Platform
 	return node.Peers{
 		Log:         platformlog.NewClient(p.LogURL, http).Named(d.settings.VM.ID),
 		VMList:      vmlist.NewClient(p.VMListURL, http),
 		WeightStore: weightstore.NewClient(p.WeightStoreURL, http),
-		Engines:     engine.NewClient(once).WithMultiplexed(sendonce.NewMultiplexedClient(), ownStreams),
+		Engines:     d.engines,
 		Services:    service.NewClient(once),
 		EntryVMs:    d.peers,
 	}
@@ -131,7 +133,7 @@
 
 func (d *Daemon) serveCallers() error {
 	s := d.settings
-	limits := callerLimits(s.Limits)
+	limits := callerLimits(s.Limits, d.engines.Shared)
 	certificate, err := certificate(s.TLS.CallersCert, s.TLS.CallersKey)
 	if err != nil {
 		return s.Problem("tls", "callers_cert", "%v", err)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -32,7 +32,7 @@
 // A limit that the settings name but the port never gets would be believed and
 // not be there.
 func TestEachLimitReachesThePort(t *testing.T) {
-	limits := reflect.ValueOf(callerLimits(sample(t).Limits))
+	limits := reflect.ValueOf(callerLimits(sample(t).Limits, func() int { return 0 }))
 	for i := range limits.NumField() {
 		if limits.Field(i).IsZero() {
 			t.Errorf("caller.Limits.%s is not set", limits.Type().Field(i).Name)
