planner, placement: engines not heard for a minute keep only their size and rights

Cause: the planner kept 1,481 B for each of 10,000 engines, 14.8 MB, though a VM of a fleet of that size asks four engines a second: the node's worked-out memory was 144 MB of 128. Now an engine that was not heard for a minute and holds nothing that is planned here (own units and their bases) is left out until there is news of it, a right on it changes, or its unit comes to be planned here. What plans ask of such engines stays: their size (largestEngine) and their share of promised replicas. Two things count no more: loads on them, of which nobody here knows whether they run (all wanted units of engines never heard counted as loads under way, which kept the store for busy), and what they had cached. Ruled out: counting from the fold for each plan (rights under way must count), and keeping only own units' holders: the bases' replicas are limited too. TestKeptPictureIsTheFullOne compares decisions with a plan over all engines whole; it fails without the reading back, the change's news or the loads. Its worlds have minimum replicas now. The new test of placement fails where silent replicas aren't counted.

--- a/internal/planner/picture.go
+++ b/internal/planner/picture.go
@@ -38,10 +38,18 @@
 	// audit, which began at auditAt.
 	audit   []string
 	auditAt time.Time
+	// audited is how many there were when it began.
+	audited int
 	due     recheckQueue
 	// cursor is how far the state's changes have been read.
 	cursor state.Cursor
 	units  ownUnits
+	// needed are the names of the own units and of their bases.
+	needed map[string]bool
+	// lost are the engines that left the VM list since the last plan.
+	lost map[string]bool
+	// back are silent engines to be read before the next plan.
+	back map[string]struct{}
 	// busy are the engines with running requests, sick those that the router keeps
 	// away from; both were read at usedAt.
 	busy   []*seenEngine
@@ -58,8 +66,9 @@
 // seenEngine is an engine as last read from the fleet of this VM.
 type seenEngine struct {
 	fleet.Engine
-	// gone is whether it has left since, reachable as in the picture.
-	gone, reachable bool
+	// gone is whether it has left since or went silent, reachable as in the
+	// picture, and needed whether it holds a unit of picture.needed.
+	gone, reachable, needed bool
 	// running is how many requests run on it, as of the look at use that is
 	// numbered look.
 	running int
@@ -87,6 +96,7 @@
 func newPicture() *picture {
 	return &picture{
 		fleet: placement.NewFleet(), engines: make(map[string]*seenEngine), dirty: make(map[string]struct{}),
+		back: make(map[string]struct{}), lost: make(map[string]bool),
 	}
 }
 
@@ -102,9 +112,10 @@
 		v.dirty[address] = struct{}{}
 	}
 	n := news{now: now, demand: p.config.Demand(), share: p.config.Share()}
+	p.readBack(n.share)
 	for _, known := range v.takeDue(now) {
 		v.read(known.VM.Address, p.config.Engine)
-		if known.gone || known.reachable != reachable(now, known.Engine) {
+		if known.gone || known.reachable != reachable(now, known.Engine) || silent(now, known.Engine) && !known.needed {
 			v.dirty[known.VM.Address] = struct{}{}
 			continue
 		}
@@ -128,6 +139,7 @@
 			known.gone = true
 		}
 		delete(v.engines, address)
+		v.lost[address] = true
 		v.dirty[address] = struct{}{}
 		return
 	}
@@ -143,11 +155,15 @@
 func (v *picture) nextAudit(now time.Time) []string {
 	if len(v.audit) == 0 {
 		v.audit = slices.Collect(maps.Keys(v.engines))
+		for address := range v.fleet.Silent() {
+			v.audit = append(v.audit, address)
+		}
+		v.audited = len(v.audit)
 		v.auditAt = now
 		return nil
 	}
 	share := now.Sub(v.auditAt).Seconds() / auditEvery.Seconds()
-	n := min(len(v.audit), int(share*float64(len(v.engines))))
+	n := min(len(v.audit), int(share*float64(v.audited)))
 	if n == 0 {
 		return nil
 	}
@@ -157,12 +173,16 @@
 }
 
 // schedule has the engine looked at again when time alone changes it: when it has
-// not been heard for long (that it is heard again is news), and when requests no
-// longer count as running.
+// not been heard for long (that it is heard again is news), first for new rights
+// and then for being kept at all, and when requests no longer count as running.
 func (v *picture) schedule(e *seenEngine) {
 	at := e.countUntil
-	if silent := e.SeenAt.Add(reachableFor); e.reachable && (at.IsZero() || silent.Before(at)) {
-		at = silent
+	silentAt := e.SeenAt.Add(silentAfter)
+	if e.reachable {
+		silentAt = e.SeenAt.Add(reachableFor)
+	}
+	if (e.reachable || !e.needed) && (at.IsZero() || silentAt.Before(at)) {
+		at = silentAt
 	}
 	if at.IsZero() || !e.recheck.IsZero() && !at.Before(e.recheck) {
 		return
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -50,17 +50,7 @@
 // update takes all changes into the picture.
 func (p *Planner) update(s *state.State, n news) {
 	v := p.picture
-	changes, cursor := s.ChangesSince(v.cursor)
-	v.cursor = cursor
-	v.units.refresh(s, changes, n.share)
-	for _, address := range changes.Engines {
-		v.dirty[address] = struct{}{}
-	}
-	if changes.All {
-		for address := range v.engines {
-			v.dirty[address] = struct{}{}
-		}
-	}
+	v.takeChanges(s, n.share)
 	if n.useRead {
 		p.takeUse(n)
 	}
@@ -73,6 +63,7 @@
 		p.remake(n.now, s, address)
 	}
 	clear(v.dirty)
+	clear(v.lost)
 }
 
 // takeUse takes in which engines are busy or sick.
@@ -178,12 +169,21 @@
 	v := p.picture
 	before, _ := v.fleet.Engine(address)
 	known := v.engines[address]
+	if known == nil && v.fleet.IsSilent(address) && !v.lost[address] {
+		v.back[address] = struct{}{} // it changed after readBack
+		return
+	}
 	if known == nil {
 		v.loading -= loading(before)
 		v.fleet.Remove(address)
 		p.forget(address, before, nil)
 		return
 	}
+	known.needed = holdsAny(s.RightsOf(address), v.needed)
+	if silent(now, known.Engine) && !known.needed {
+		p.leaveOut(s, known)
+		return
+	}
 	e := p.engine(now, s, known.Engine, known.running, v.sick[address])
 	known.reachable = e.Reachable
 	p.forget(address, before, e.Holdings)
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -129,7 +129,7 @@
 	if !ok || u.MinReplicas == 0 && u.StandbyPerDomain == 0 {
 		return false
 	}
-	wanted := 0
+	wanted := r.fleet.silentWanted(h.Unit, h.Customer)
 	for _, at := range r.fleet.byUnit[h.Unit] {
 		if at.holding.Customer == h.Customer && at.holding.Wanted && r.standing(at) {
 			wanted++
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -18,6 +18,9 @@
 	cached map[string]map[*fleetEngine]Tier
 	// adapterCounts are the shared counts of adapters.
 	adapterCounts map[adapterCount]map[string]int
+	// silent are the engines of which next to nothing is kept; see SetSilent.
+	silent       map[string]*silentEngine
+	silentCounts map[unitKey]*silentCount
 }
 
 // fleetEngine is an engine with the sums over its holdings.
@@ -45,6 +48,8 @@
 		cached:  make(map[string]map[*fleetEngine]Tier),
 
 		adapterCounts: make(map[adapterCount]map[string]int),
+		silent:        make(map[string]*silentEngine),
+		silentCounts:  make(map[unitKey]*silentCount),
 	}
 }
 
@@ -67,12 +72,13 @@
 	return f
 }
 
-// Len is the number of engines.
+// Len is the number of engines, silent ones apart.
 func (f *Fleet) Len() int { return len(f.order) }
 
 // Set adds an engine or replaces what is known of it. The fleet keeps the
 // engine's slices and maps: its owner must not change them afterwards.
 func (f *Fleet) Set(e Engine) {
+	f.removeSilent(e.Name)
 	fe := f.engines[e.Name]
 	if fe == nil {
 		fe = &fleetEngine{}
@@ -91,6 +97,7 @@
 
 // Remove forgets an engine.
 func (f *Fleet) Remove(name string) {
+	f.removeSilent(name)
 	fe := f.engines[name]
 	if fe == nil {
 		return
@@ -187,7 +194,8 @@
 	return fe.Engine, true
 }
 
-// Held tells whether an engine has a right for the unit, withdrawn or not.
+// Held tells whether an engine has a right for the unit, withdrawn or not; silent
+// engines are not asked.
 func (f *Fleet) Held(unit string) bool { return len(f.byUnit[unit]) > 0 }
 
 // Touch has change note the use of an engine: it may set Running, and Streams and
--- a/placement/foresee.go
+++ b/placement/foresee.go
@@ -209,6 +209,9 @@
 		for _, fe := range r.fleet.order {
 			r.largest = max(r.largest, fe.MemoryBytes)
 		}
+		for _, s := range r.fleet.silent {
+			r.largest = max(r.largest, s.memory)
+		}
 	}
 	return max(r.largest, 1)
 }
