contract, settings, strictini: all mistakes of a file at once

Cause: contract check and serve named the first mistake only, so that an operator mended a file with one try for each. Now each mistake is a line, the first 20 in the order of the file, exit code 2 as before; one mistake reads as it did. What no single section or key shows is looked for once all can be read, as a model with a mistake would seem missing to its adapters. The fold's errors don't change: ParseSections still returns the first one, as VMs of two releases must fold alike.

--- a/cmd/bergamotreel/contract.go
+++ b/cmd/bergamotreel/contract.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -92,8 +91,8 @@
 	return verbs.UsageError("want check, publish, remove, show or history")
 }
 
-// readContract reads a contract's file into its sections. Its error is one line
-// "file: line N: [section] key: reason".
+// readContract reads a contract's file into its sections. Its error has a line
+// "file: line N: [section] key: reason" for each mistake.
 func readContract(path string) (map[string]string, *contract.Contract, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -111,9 +110,8 @@
 }
 
 func contractError(path, text string, err error) error {
-	var problem *contract.Problem
-	if errors.As(err, &problem) {
-		return verbs.UsageError("%w", strictini.InFile(path, text, problem))
+	if problems := strictini.AllInFile(path, text, contract.Problems(text)); len(problems) > 0 {
+		return verbs.UsageError("%w", problems.Err())
 	}
 	return verbs.UsageError("%s: %w", path, err)
 }
--- a/cmd/bergamotreel/verbs_test.go
+++ b/cmd/bergamotreel/verbs_test.go
@@ -230,6 +230,19 @@
 		t.Fatal(err)
 	}
 	printed := runContract(nil, "", "check", path) + runContract(nil, "", "check", bad) + runContract(nil, "", "check", "nowhere.ini") + runContract(nil, "")
+	for _, text := range []string{
+		"[customer]\nname = a b\nmemory = 1\nmemroy = 9GB\n\n[model \"m\"]\nmemory = 1GB\n[modle \"n\"]\n[model \"m\"]\n",
+		"[customer]\nname = c\nmemory = 9GB\n" + strings.Repeat("what = 1\n", 2) + strings.Repeat("[x]\n", 3) +
+			"[key \"1\"]\n[key \"2\"]\n[key \"3\"]\n[key \"4\"]\n[key \"5\"]\n[key \"6\"]\n" + strings.Repeat("[adapter \"a\"]\n", 2) + "[model \"a b\"]\n[model]\n" +
+			"[model \"1\"]\n[model \"2\"]\n[model \"3\"]\n",
+		"[customer]\nname = c\nmemory = 9GB\n[adapter \"a\"]\nbase = m\ncheckpoint = a\nmemory = 1GB\n" +
+			"[model \"n\"]\ncheckpoint = n\nmemory = 10GB\nmin_replicas = 9\n",
+	} {
+		if err := os.WriteFile(bad, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		printed += runContract(nil, "", "check", bad)
+	}
 	goldie.New(t).Assert(t, "check", []byte(strings.ReplaceAll(printed, bad, "bad.ini")))
 }
 
--- a/contract/fields.go
+++ b/contract/fields.go
@@ -17,15 +17,17 @@
 	set      func(target *T, value string) error
 }
 
-// setFields reads the section's keys into target, in the order of the fields.
-func setFields[T any](section strictini.Section, fields []field[T], target *T) error {
+// setFields reads the section's keys into target, in the order of the fields, and
+// returns all mistakes.
+func setFields[T any](section strictini.Section, fields []field[T], target *T) []*Problem {
+	var problems []*Problem
 	known := map[string]bool{}
 	for _, f := range fields {
 		known[f.key] = true
 	}
 	for _, key := range section.Keys {
 		if !known[key.Name] {
-			return &Problem{Section: section.Name, Key: key.Name, Reason: "unknown key"}
+			problems = append(problems, &Problem{Section: section.Name, Key: key.Name, Reason: "unknown key"})
 		}
 	}
 	for _, f := range fields {
@@ -34,13 +36,14 @@
 			continue
 		}
 		if value == "" {
-			return &Problem{Section: section.Name, Key: f.key, Reason: "missing"}
+			problems = append(problems, &Problem{Section: section.Name, Key: f.key, Reason: "missing"})
+			continue
 		}
 		if err := f.set(target, value); err != nil {
-			return &Problem{Section: section.Name, Key: f.key, Reason: err.Error()}
+			problems = append(problems, &Problem{Section: section.Name, Key: f.key, Reason: err.Error()})
 		}
 	}
-	return nil
+	return problems
 }
 
 func intField[T any](key string, least, most int, at func(*T) *int) field[T] {
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -53,12 +53,28 @@
 	if err := c.addSections(sections); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if err := c.check(); err != nil {
-		return nil, Error.Wrap(err)
+	if problems := c.check(); len(problems) > 0 {
+		return nil, Error.Wrap(problems[0])
 	}
 	return c, nil
 }
 
+// Problems returns all mistakes in a contract's text, in the order of the text;
+// none exactly where Parse takes it. What no single section shows is looked for
+// once all sections can be read: a model with a mistake would seem missing to its
+// adapters.
+func Problems(text string) []*Problem {
+	sections, problems := strictini.ReadAll(text)
+	c := defaultContract()
+	for _, section := range sections {
+		problems = append(problems, c.addSection(section)...)
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	return c.check()
+}
+
 // addSections reads sections into the contract, sorted by name.
 func (c *Contract) addSections(sections map[string]string) error {
 	for _, name := range slices.Sorted(maps.Keys(sections)) {
@@ -66,8 +82,8 @@
 		if err != nil {
 			return err
 		}
-		if err := c.addSection(section); err != nil {
-			return err
+		if problems := c.addSection(section); len(problems) > 0 {
+			return problems[0]
 		}
 	}
 	return nil
@@ -97,11 +113,11 @@
 	return err
 }
 
-// addSection reads one section into the contract.
-func (c *Contract) addSection(section strictini.Section) error {
-	kind, name, err := splitSectionName(section.Name)
-	if err != nil {
-		return err
+// addSection reads one section into the contract and returns its mistakes.
+func (c *Contract) addSection(section strictini.Section) []*Problem {
+	kind, name, reason := splitSectionName(section.Name)
+	if reason != "" {
+		return []*Problem{{Section: section.Name, Reason: reason}}
 	}
 	switch kind {
 	case SectionCustomer:
@@ -115,37 +131,36 @@
 	case SectionService:
 		return appendParsed(section, serviceFields, defaultService(name), &c.Services)
 	}
-	return &Problem{Section: section.Name, Reason: "unknown section"}
+	return []*Problem{{Section: section.Name, Reason: "unknown section"}}
 }
 
-func appendParsed[T any](section strictini.Section, fields []field[T], item T, items *[]T) error {
-	if err := setFields(section, fields, &item); err != nil {
-		return err
-	}
+func appendParsed[T any](section strictini.Section, fields []field[T], item T, items *[]T) []*Problem {
+	problems := setFields(section, fields, &item)
 	*items = append(*items, item)
-	return nil
+	return problems
 }
 
-// splitSectionName splits `model "clerk-7b"` into its kind and its name.
-func splitSectionName(section string) (kind, name string, err error) {
+// splitSectionName splits `model "clerk-7b"` into its kind and its name, or returns
+// what is wrong with it.
+func splitSectionName(section string) (kind, name, reason string) {
 	kind, quoted, hasName := strings.Cut(section, " ")
 	if kind == SectionCustomer {
 		if hasName {
-			return "", "", &Problem{Section: section, Reason: "the customer's section has no name in quotes; its name is a key"}
+			return "", "", "the customer's section has no name in quotes; its name is a key"
 		}
-		return kind, "", nil
+		return kind, "", ""
 	}
 	if !slices.Contains([]string{SectionKey, SectionModel, SectionAdapter, SectionService}, kind) {
-		return "", "", &Problem{Section: section, Reason: "unknown section"}
+		return "", "", "unknown section"
 	}
 	if len(quoted) < 2 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
-		return "", "", &Problem{Section: section, Reason: fmt.Sprintf("want a name in quotes, as %s", SectionName(kind, "NAME"))}
+		return "", "", "want a name in quotes, as " + SectionName(kind, "NAME")
 	}
 	name = quoted[1 : len(quoted)-1]
 	if reason := checkName(name); reason != "" {
-		return "", "", &Problem{Section: section, Reason: reason}
+		return "", "", reason
 	}
-	return kind, name, nil
+	return kind, name, ""
 }
 
 // checkName returns what is wrong with a name, or nothing. Names stand in URLs,
--- a/contract/sections.go
+++ b/contract/sections.go
@@ -20,9 +20,9 @@
 	}
 	texts := make(map[string]string, len(sections))
 	for _, section := range sections {
-		kind, _, err := splitSectionName(section.Name)
-		if err != nil {
-			return nil, Error.Wrap(err)
+		kind, _, reason := splitSectionName(section.Name)
+		if reason != "" {
+			return nil, Error.Wrap(&Problem{Section: section.Name, Reason: reason})
 		}
 		if err := checkKeys(section, kind); err != nil {
 			return nil, Error.Wrap(err)
--- a/contract/with.go
+++ b/contract/with.go
@@ -24,8 +24,8 @@
 	next.Models = merge(c.Models, changed, added.Models, SectionModel, func(m *Model) string { return m.Name })
 	next.Adapters = merge(c.Adapters, changed, added.Adapters, SectionAdapter, func(a *Adapter) string { return a.Name })
 	next.Services = merge(c.Services, changed, added.Services, SectionService, func(s *Service) string { return s.Name })
-	if err := next.check(); err != nil {
-		return nil, Error.Wrap(err)
+	if problems := next.check(); len(problems) > 0 {
+		return nil, Error.Wrap(problems[0])
 	}
 	return &next, nil
 }
@@ -75,7 +75,7 @@
 	names := map[string]bool{}
 	for section := range changed {
 		if strings.HasPrefix(section, kind+" ") {
-			if _, name, err := splitSectionName(section); err == nil {
+			if _, name, reason := splitSectionName(section); reason == "" {
 				names[name] = true
 			}
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/tls"
 	"net/netip"
+	"slices"
 	"strings"
+
+	"bergamotreel/internal/strictini"
 )
 
 // fillAdvertised takes the listening addresses where no others are given.
@@ -31,67 +34,61 @@
 }
 
 // Check finds mistakes that no single key shows, and certificates that can't be
-// used. Its error holds a *Problem.
+// used. Its error holds a *Problem for each.
 func (s *Settings) Check() error {
-	if err := s.checkAddresses(); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := s.checkPolicy(); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := s.checkCertificate("callers", s.TLS.CallersCert, s.TLS.CallersKey); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(s.checkCertificate("operators", s.TLS.OperatorsCert, s.TLS.OperatorsKey))
+	problems := strictini.FileProblems(slices.Concat(s.checkAddresses(), s.checkPolicy(),
+		s.checkCertificate("callers", s.TLS.CallersCert, s.TLS.CallersKey),
+		s.checkCertificate("operators", s.TLS.OperatorsCert, s.TLS.OperatorsKey)))
+	return Error.Wrap(problems.Err())
 }
 
 // checkAddresses finds two listeners on one address, and an advertised address
 // that nobody can connect to.
-func (s *Settings) checkAddresses() error {
+func (s *Settings) checkAddresses() (problems []*Problem) {
 	taken := map[string]string{}
 	for _, pair := range s.addressPairs() {
 		parsed, err := netip.ParseAddrPort(*pair.advertised)
 		if err != nil || parsed.Addr().IsUnspecified() {
-			return s.Problem("vm", pair.key+"_advertise", "missing: others cannot connect to %s", pair.listening)
+			problems = append(problems, s.Problem("vm", pair.key+"_advertise", "missing: others cannot connect to %s", pair.listening))
 		}
 		if other, ok := taken[pair.listening]; ok && parsed.Port() != 0 {
-			return s.Problem("vm", pair.key+"_address", "same as %s_address", other)
+			problems = append(problems, s.Problem("vm", pair.key+"_address", "same as %s_address", other))
 		}
 		taken[pair.listening] = pair.key
 	}
 	if other, ok := taken[s.Metrics.Address]; ok && !strings.HasSuffix(s.Metrics.Address, ":0") {
-		return s.Problem("metrics", "address", "same as %s_address", other)
+		problems = append(problems, s.Problem("metrics", "address", "same as %s_address", other))
 	}
-	return nil
+	return problems
 }
 
-func (s *Settings) checkPolicy() error {
+func (s *Settings) checkPolicy() (problems []*Problem) {
 	p := s.Policy
 	if p.KeepAliveMin > p.KeepAliveMax {
-		return s.Problem("policy", "keep_alive_min", "%s is more than keep_alive_max (%s)", p.KeepAliveMin, p.KeepAliveMax)
+		problems = append(problems, s.Problem("policy", "keep_alive_min", "%s is more than keep_alive_max (%s)", p.KeepAliveMin, p.KeepAliveMax))
 	}
 	// A session that outlives only one digest would end with each lost one.
 	if p.SessionTerm < minHeartbeatsInTerm*p.Heartbeat {
-		return s.Problem("policy", "session_term", "%s is less than %d heartbeats (%s)", p.SessionTerm, minHeartbeatsInTerm, p.Heartbeat)
+		problems = append(problems, s.Problem("policy", "session_term", "%s is less than %d heartbeats (%s)", p.SessionTerm, minHeartbeatsInTerm, p.Heartbeat))
 	}
-	return nil
+	return problems
 }
 
 // minHeartbeatsInTerm lets a session survive two lost renewals.
 const minHeartbeatsInTerm = 3
 
-func (s *Settings) checkCertificate(who, cert, key string) error {
+func (s *Settings) checkCertificate(who, cert, key string) []*Problem {
 	if cert == "" && key == "" {
 		return nil
 	}
 	if cert == "" {
-		return s.Problem("tls", who+"_cert", "missing: there is a key")
+		return []*Problem{s.Problem("tls", who+"_cert", "missing: there is a key")}
 	}
 	if key == "" {
-		return s.Problem("tls", who+"_key", "missing: there is a certificate")
+		return []*Problem{s.Problem("tls", who+"_key", "missing: there is a certificate")}
 	}
 	if _, err := tls.LoadX509KeyPair(cert, key); err != nil {
-		return s.Problem("tls", who+"_cert", "%v", err)
+		return []*Problem{s.Problem("tls", who+"_cert", "%v", err)}
 	}
 	return nil
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,7 +9,8 @@
 	"bergamotreel/internal/strictini"
 )
 
-// Load reads and checks a settings file. Its error holds a *Problem.
+// Load reads and checks a settings file. Its error holds a *Problem for each
+// mistake.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -19,21 +20,23 @@
 }
 
 // Parse reads and checks the text of a settings file; file is its name for
-// messages. Its error holds a *Problem.
+// messages. Its error holds a *Problem for each mistake; what no single key shows
+// is looked for once all keys can be read.
 func Parse(file, text string) (*Settings, error) {
 	s := &Settings{File: file, source: text}
-	sections, err := strictini.Read(text)
-	if err != nil {
-		return nil, Error.Wrap(s.inFile(err))
-	}
-	if err := checkKnown(sections); err != nil {
-		return nil, Error.Wrap(s.inFile(err))
+	sections, mistakes := strictini.ReadAll(text)
+	if sections == nil && mistakes != nil {
+		return nil, Error.Wrap(strictini.AllInFile(file, text, mistakes).Err())
 	}
+	problems := strictini.AllInFile(file, text, append(mistakes, checkKnown(sections)...))
 	for _, f := range fields {
-		if err := f.read(s, sections); err != nil {
-			return nil, Error.Wrap(err)
+		if problem := f.read(s, sections); problem != nil {
+			problems = append(problems, problem)
 		}
 	}
+	if err := problems.Err(); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	s.fillAdvertised()
 	if err := s.Check(); err != nil {
 		return nil, err
@@ -41,17 +44,8 @@
 	return s, nil
 }
 
-// inFile says of a problem in which file it is.
-func (s *Settings) inFile(err error) error {
-	var problem *strictini.Problem
-	if errors.As(err, &problem) {
-		return strictini.InFile(s.File, s.source, problem)
-	}
-	return err
-}
-
 // checkKnown finds sections and keys that the table of fields doesn't have.
-func checkKnown(sections []strictini.Section) error {
+func checkKnown(sections []strictini.Section) (problems []*strictini.Problem) {
 	known := map[string]map[string]bool{}
 	for _, f := range fields {
 		if known[f.section] == nil {
@@ -64,19 +58,20 @@
 	}
 	for _, section := range sections {
 		if known[section.Name] == nil {
-			return &strictini.Problem{Section: section.Name, Reason: "unknown section"}
+			problems = append(problems, &strictini.Problem{Section: section.Name, Reason: "unknown section"})
+			continue
 		}
 		for _, key := range section.Keys {
 			if !known[section.Name][key.Name] {
-				return &strictini.Problem{Section: section.Name, Key: key.Name, Reason: "unknown key"}
+				problems = append(problems, &strictini.Problem{Section: section.Name, Key: key.Name, Reason: "unknown key"})
 			}
 		}
 	}
-	return nil
+	return problems
 }
 
 // read sets the field from the sections or from its default.
-func (f field) read(s *Settings, sections []strictini.Section) error {
+func (f field) read(s *Settings, sections []strictini.Section) *Problem {
 	value, key, err := f.find(sections)
 	if err != nil {
 		return s.Problem(f.section, key, "%v", err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// All mistakes are said at once: an operator who mends a new VM's settings one
+// restart for each would be minutes without it.
+func TestAllMistakes(t *testing.T) {
+	text := strings.NewReplacer("[log]", "[logs]", "domain = port-of-spain-a", "", ";queue = 4096", "queue = 0\nqueeu = 1").Replace(usable())
+	_, read := Parse("s.ini", text)
+	_, checked := Parse("s.ini", strings.NewReplacer(";callers_key =", "callers_key = k.pem", ";keep_alive_max = 2h", "keep_alive_max = 5s").Replace(usable()))
+	goldie.New(t).Assert(t, "mistakes", []byte(read.Error()+"\n"+checked.Error()+"\n"))
+}
+
 func TestLoadMissingFile(t *testing.T) {
 	_, err := Load("/nowhere/s.ini")
 	var problem *Problem
--- a/internal/strictini/lines.go
+++ b/internal/strictini/lines.go
@@ -1,7 +1,9 @@
 package strictini
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -26,6 +28,62 @@
 	return &FileProblem{File: file, Line: Line(text, problem.Section, problem.Key), Problem: *problem}
 }
 
+// maxShown bounds how many mistakes are printed: a file of the wrong kind has one
+// on each line, and the first ones tell as much.
+const maxShown = 20
+
+// FileProblems are the mistakes in a file, in the order of its lines.
+type FileProblems []*FileProblem
+
+// AllInFile gives problems their places in the file with the given text.
+func AllInFile(file, text string, problems []*Problem) FileProblems {
+	var all FileProblems
+	for _, problem := range problems {
+		all = append(all, InFile(file, text, problem))
+	}
+	all.sort()
+	// A section that stands ten times is one mistake.
+	return slices.CompactFunc(all, func(a, b *FileProblem) bool { return *a == *b })
+}
+
+func (p FileProblems) sort() {
+	slices.SortStableFunc(p, func(a, b *FileProblem) int { return cmp.Compare(a.Line, b.Line) })
+}
+
+// Err is nil without problems, a *FileProblem for one, else all in order.
+func (p FileProblems) Err() error {
+	switch len(p) {
+	case 0:
+		return nil
+	case 1:
+		return p[0]
+	}
+	p.sort()
+	return p
+}
+
+// Error implements error: how many there are, then a line for each of the first
+// twenty.
+func (p FileProblems) Error() string {
+	lines := []string{fmt.Sprintf("%d mistakes", len(p))}
+	for _, problem := range p[:min(len(p), maxShown)] {
+		lines = append(lines, problem.Error())
+	}
+	if more := len(p) - maxShown; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap has errors.As find the first *FileProblem.
+func (p FileProblems) Unwrap() []error {
+	var all []error
+	for _, problem := range p {
+		all = append(all, problem)
+	}
+	return all
+}
+
 // Line returns the number of the line, from 1, where a key stands: the last one
 // where it stands twice. Where the section has no such key, or key is empty, it
 // returns the line of the section's header, and 0 where there is none either.
--- a/internal/strictini/strictini.go
+++ b/internal/strictini/strictini.go
@@ -73,69 +73,80 @@
 }
 
 // Read splits a text into its sections, in the order of the text. Its error is
-// a *Problem.
+// the first *Problem.
 func Read(text string) ([]Section, error) {
-	if err := checkText(text); err != nil {
-		return nil, err
+	sections, problems := ReadAll(text)
+	if len(problems) > 0 {
+		return nil, problems[0]
+	}
+	return sections, nil
+}
+
+// ReadAll is Read with all mistakes. The sections beside them are what can be
+// read: none of a text that is no INI, the first where two have one name.
+func ReadAll(text string) ([]Section, []*Problem) {
+	if problems := checkText(text); len(problems) > 0 {
+		return nil, problems
 	}
 	file, err := ini.LoadSources(loadOptions, []byte(text))
 	if err != nil {
-		return nil, notINI(text, err)
+		return nil, []*Problem{notINI(text, err)}
 	}
 	var sections []Section
+	var problems []*Problem
 	seen := map[string]bool{}
 	for _, raw := range file.Sections() {
-		section, err := readSection(raw)
-		if err != nil {
-			return nil, err
-		}
-		if section.Name == ini.DefaultSection {
-			if len(section.Keys) > 0 {
-				return nil, &Problem{Key: section.Keys[0].Name, Reason: "stands before the first section"}
+		section, mistakes := readSection(raw)
+		problems = append(problems, mistakes...)
+		switch {
+		case section.Name == ini.DefaultSection:
+			for _, key := range section.Keys {
+				problems = append(problems, &Problem{Key: key.Name, Reason: "stands before the first section"})
 			}
-			continue
+		case seen[section.Name]:
+			problems = append(problems, &Problem{Section: section.Name, Reason: "stands twice"})
+		default:
+			seen[section.Name] = true
+			sections = append(sections, section)
 		}
-		if seen[section.Name] {
-			return nil, &Problem{Section: section.Name, Reason: "stands twice"}
-		}
-		seen[section.Name] = true
-		sections = append(sections, section)
 	}
-	return sections, nil
+	return sections, problems
 }
 
-func readSection(raw *ini.Section) (Section, error) {
+// readSection keeps the first of two equal keys.
+func readSection(raw *ini.Section) (Section, []*Problem) {
 	section := Section{Name: raw.Name()}
+	var problems []*Problem
 	for _, key := range raw.Keys() {
 		values := key.ValueWithShadows()
-		if len(values) > 1 {
-			return Section{}, &Problem{section.Name, key.Name(), "stands twice"}
-		}
 		value := key.Value()
-		if strings.ContainsAny(value, "\r\n") {
-			return Section{}, &Problem{section.Name, key.Name(), "goes over several lines"}
+		if len(values) > 1 {
+			problems = append(problems, &Problem{section.Name, key.Name(), "stands twice"})
+		} else if strings.ContainsAny(value, "\r\n") {
+			problems = append(problems, &Problem{section.Name, key.Name(), "goes over several lines"})
 		}
 		section.Keys = append(section.Keys, Key{Name: key.Name(), Value: value})
 	}
-	return section, nil
+	return section, problems
 }
 
 // checkText refuses what the library would take in a surprising way.
-func checkText(text string) error {
+func checkText(text string) []*Problem {
 	if len(text) > MaxTextBytes {
-		return &Problem{Reason: fmt.Sprintf("longer than %d bytes", MaxTextBytes)}
+		return []*Problem{{Reason: fmt.Sprintf("longer than %d bytes", MaxTextBytes)}}
 	}
 	if !utf8.ValidString(text) {
-		return &Problem{Reason: "not UTF-8"}
+		return []*Problem{{Reason: "not UTF-8"}}
 	}
+	var problems []*Problem
 	number := 0
 	for line := range strings.Lines(text) {
 		number++
 		if err := checkLine(line); err != "" {
-			return &Problem{Reason: fmt.Sprintf("line %d: %s", number, err)}
+			problems = append(problems, &Problem{Reason: fmt.Sprintf("line %d: %s", number, err)})
 		}
 	}
-	return nil
+	return problems
 }
 
 func checkLine(line string) string {
@@ -168,7 +179,7 @@
 }
 
 // notINI names the line that the library can't read, where it can be told.
-func notINI(text string, err error) error {
+func notINI(text string, err error) *Problem {
 	if number := lineWithoutPair(text); number > 0 {
 		return &Problem{Reason: fmt.Sprintf("not INI: line %d is neither [section] nor key = value", number)}
 	}
