operator, planner, node: since when a unit is in its phase; the log's end without the log

Cause: status showed a load but not for how long, so that one which hangs looked like one just begun. A VM started without the log showed end 0 beside an applied offset of more. Unit.since is when the answering VM first saw the right in its stage; the planner notes it where it looks at rights anyway. The table MODEL has LOADING FOR, the oldest load. Log.end is the newest offset of the log's answers, of the own fold and of the digests heard. TestLogOutage starts a VM in the outage and fails without the change (end 0, applied 29); the stages are followed in TestKeptPictureIsTheFullOne's worlds.

--- a/cmd/bergamotreel/status.go
+++ b/cmd/bergamotreel/status.go
@@ -176,6 +176,8 @@
 	// phases counts replicas on engines that answer, missing those on others.
 	phases  map[operator.Phase]int
 	missing int
+	// loading is since when its oldest load there is under way, zero if not known.
+	loading time.Time
 	waiting operator.WaitingUnit
 }
 
@@ -198,6 +200,9 @@
 				continue
 			}
 			line.phases[unit.Phase]++
+			if unit.Phase == operator.PhaseLoading && !unit.Since.IsZero() && (line.loading.IsZero() || unit.Since.Before(line.loading)) {
+				line.loading = unit.Since
+			}
 		}
 	}
 	for _, waiting := range report.Waiting {
@@ -227,17 +232,20 @@
 
 func (p statusPage) printUnits(report operator.StatusReport) error {
 	lines := unitLines(report)
-	table := p.section("MODEL", "CUSTOMER", "LOADED", "LOADING", "UNLOADING", "STANDBY", "MISSING", "WAITING", "TIME LEFT")
+	table := p.section("MODEL", "CUSTOMER", "LOADED", "LOADING", "LOADING FOR", "UNLOADING", "STANDBY", "MISSING", "WAITING", "TIME LEFT")
 	for i, line := range lines {
 		if i == p.rows {
 			break
 		}
-		left := "-"
+		left, loading := "-", "-"
+		if !line.loading.IsZero() {
+			loading = p.ago(line.loading)
+		}
 		if line.waiting.Requests > 0 {
 			left = line.waiting.TimeLeft.Truncate(time.Millisecond).String()
 		}
 		table.row(line.name, line.customer,
-			line.phases[operator.PhaseLoaded], line.phases[operator.PhaseLoading],
+			line.phases[operator.PhaseLoaded], line.phases[operator.PhaseLoading], loading,
 			line.phases[operator.PhaseUnloading], line.phases[operator.PhaseStandby],
 			line.missing, line.waiting.Requests, left)
 	}
--- a/cmd/bergamotreel/status_test.go
+++ b/cmd/bergamotreel/status_test.go
@@ -19,7 +19,11 @@
 func sampleReport() operator.StatusReport {
 	ago := func(d time.Duration) time.Time { return bubbleStart.Add(-d) }
 	unit := func(name string, phase operator.Phase) operator.Unit {
-		return operator.Unit{Name: name, Customer: "trinidad", Phase: phase, Bytes: 16e9}
+		u := operator.Unit{Name: name, Customer: "trinidad", Phase: phase, Bytes: 16e9}
+		if phase == operator.PhaseLoading {
+			u.Since = ago(95 * time.Second)
+		}
+		return u
 	}
 	return operator.StatusReport{
 		VM:  operator.Self{ID: "entry-a", Domain: "d1", Region: "main", Incarnation: "1f", Version: "v0.1.0", StartedAt: ago(26 * time.Hour), Ready: true},
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -97,6 +97,14 @@
 				s.errorf("loaded model in the outage: %q, %v", a.text, a.err)
 			}
 		}
+		// An operator must not read of an empty log at a VM that starts meanwhile.
+		s.node("v-a2").kill()
+		<-s.node("v-a2").done
+		late := s.start("v-a2", "late")
+		time.Sleep(5 * time.Second)
+		if got := late.Stats(); got.Applied == 0 || got.End < got.Applied || got.LogReachable {
+			s.errorf("started without the log: %+v", got)
+		}
 		s.log.Faults().Set(faults.Settings{})
 		time.Sleep(5 * time.Second)
 		if _, err := s.book("v-b1", "key0"); err != nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/fleet"
 	"bergamotreel/internal/gossip"
+	"bergamotreel/internal/planner"
 	"bergamotreel/operator"
 	"bergamotreel/state"
 	"bergamotreel/vmlist"
@@ -30,6 +31,11 @@
 
 func (o operators) logPosition(now time.Time) operator.LogPosition {
 	applied, end, reachedAt := o.control.Position()
+	// Without the log from the start on, the others still tell what they have read.
+	end = max(end, applied)
+	for _, heard := range o.gossip.All() {
+		end = max(end, heard.Digest.Applied)
+	}
 	position := operator.LogPosition{
 		Applied: applied, End: end, ReachedAt: reachedAt,
 		Reachable: !reachedAt.IsZero() && now.Sub(reachedAt) < logReachableFor,
@@ -157,6 +163,10 @@
 	})
 	out := make([]operator.Engine, 0, len(byName))
 	for name, described := range byName {
+		for i := range described.Units {
+			unit := &described.Units[i]
+			unit.Since = o.planner.Since(name, unit.Name, stages[unit.Phase])
+		}
 		out = append(out, o.reached(described, seen[name], now))
 	}
 	for name, e := range seen {
@@ -199,6 +209,12 @@
 	return out
 }
 
+// stages are the planner's, which sees them change.
+var stages = map[operator.Phase]planner.Stage{
+	operator.PhaseStandby: planner.StageStandby, operator.PhaseLoading: planner.StageLoading,
+	operator.PhaseLoaded: planner.StageLoaded, operator.PhaseUnloading: planner.StageUnloading,
+}
+
 func phaseOf(right *state.Right, reported engine.Phase) operator.Phase {
 	switch {
 	case right.Withdrawn != 0:
--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -338,6 +338,7 @@
 	go func() { defer close(done); w.fleet.Run(ctx) }()
 	defer func() { cancel(); <-done }()
 	decisions, leftOut := 0, 0
+	var stages map[holding]stageSince
 	for step := range 300 {
 		for range w.rng.Intn(5) {
 			w.change()
@@ -358,6 +359,7 @@
 		fullView, out := full.fullView(w.state, w.fleet.Engines(), n)
 		leftOut += len(out)
 		checkViews(t, seed, step, keptView, fullView, out)
+		stages = checkStages(t, now, kept, keptView.Fleet, stages)
 		got, want := kept.policy.Plan(keptView), full.policy.Plan(fullView)
 		if diff := gocmp.Diff(want, got); diff != "" {
 			t.Fatalf("seed %d, step %d: decisions: %s", seed, step, diff)
@@ -374,6 +376,27 @@
 	}
 }
 
+// checkStages follows the stages of the rights of all engines that are kept.
+func checkStages(t *testing.T, now time.Time, kept *Planner, f *placement.Fleet, before map[holding]stageSince) map[holding]stageSince {
+	after := make(map[holding]stageSince)
+	for i := range worldEngines {
+		e, _ := f.Engine(engineAt(i))
+		for _, h := range e.Holdings {
+			key, stage := holding{e.Name, h.Unit}, stageOf(&h)
+			if after[key] = before[key]; before[key].at.IsZero() || before[key].stage != stage {
+				after[key] = stageSince{stage, now}
+			}
+			if got := kept.Since(e.Name, h.Unit, stage); !got.Equal(after[key].at) {
+				t.Errorf("%v in stage %d since %v, want %v", key, stage, got, after[key].at)
+			}
+		}
+	}
+	if len(kept.stages) != len(after) {
+		t.Errorf("%d stages kept of %d rights", len(kept.stages), len(after))
+	}
+	return after
+}
+
 func checkViews(t *testing.T, seed int64, step int, kept, full placement.View, out map[string]bool) {
 	t.Helper()
 	full.Engines = slices.DeleteFunc(slices.Clone(full.Engines), func(e placement.Engine) bool { return out[e.Name] })
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,8 @@
 	handover handover
 	// taught are the units of which another planner told the history.
 	taught map[string]bool
+	// stages are those of the rights on the engines of the picture.
+	stages map[holding]stageSince
 	// picture belongs to the goroutine that plans.
 	picture *picture
 }
@@ -112,6 +114,7 @@
 		used:     make(map[string]bool),
 		picture:  newPicture(),
 		taught:   make(map[string]bool),
+		stages:   make(map[holding]stageSince),
 	}
 }
 
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -188,6 +188,7 @@
 	known.reachable = e.Reachable
 	p.forget(address, before, e.Holdings)
 	v.fleet.Set(e)
+	p.noteStages(now, &e)
 	v.loading += loading(e) - loading(before)
 	p.schedule(known, e.Holdings)
 }
@@ -212,6 +213,7 @@
 		}
 		key := holding{engine: address, unit: unit}
 		p.loading.forget(key)
+		delete(p.stages, key)
 	}
 }
 
--- a/operator/report.go
+++ b/operator/report.go
@@ -42,7 +42,8 @@
 type LogPosition struct {
 	// Applied is the offset of the newest record folded.
 	Applied uint64 `json:"applied"`
-	// End is the newest offset that the log is known to have.
+	// End is the newest offset that the log is known to have: from the log itself,
+	// or as other entry VMs have folded it.
 	End uint64 `json:"end"`
 	// Lag is how many records are missing here: End - Applied, at least 0.
 	Lag uint64 `json:"lag"`
@@ -111,7 +112,10 @@
 	Name     string `json:"name"`
 	Customer string `json:"customer"`
 	Phase    Phase  `json:"phase"`
-	Bytes    int64  `json:"bytes"`
+	// Since is when the entry VM that answers first saw it in its phase, as early
+	// as the VM's start; zero where it doesn't watch the engine.
+	Since time.Time `json:"since,omitzero"`
+	Bytes int64     `json:"bytes"`
 }
 
 // WaitingUnit is the demand for a unit.
