--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,87 @@
+// Package testkit is what the tests and benchmarks of several packages share. Only
+// test files import it. It holds no case and no assertion of theirs.
+package testkit
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Fataler is *testing.T, *testing.B, *testing.F or *rapid.T.
+type Fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// OK ends the test at an error.
+func OK(t Fataler, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Value returns the value of a call without the error, which ends the test:
+//
+//	data := testkit.Value(state.Encode(record))(t)
+func Value[V any](value V, err error) func(Fataler) V {
+	return func(t Fataler) V {
+		t.Helper()
+		OK(t, err)
+		return value
+	}
+}
+
+// Must is Value for goroutines and stand-ins, which have no test to end: it panics.
+func Must[V any](value V, err error) V {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// ProcessorTime is what this process has used so far, the collector and the
+// kernel's part included: elapsed time tells little on a busy machine.
+func ProcessorTime() time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		panic(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// HeapBytes is what the heap grows by through the value that make returns.
+func HeapBytes[V any](make func() V) float64 {
+	before := liveBytes()
+	value := make()
+	after := liveBytes()
+	runtime.KeepAlive(value)
+	return float64(after) - float64(before)
+}
+
+// liveBytes collects twice: a sync.Pool keeps what it holds for one collection.
+func liveBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// PartitionBy splits a history into those of each key, which porcupine checks one
+// by one.
+func PartitionBy[K comparable](key func(porcupine.Operation) K) func([]porcupine.Operation) [][]porcupine.Operation {
+	return func(history []porcupine.Operation) (all [][]porcupine.Operation) {
+		parts := make(map[K][]porcupine.Operation)
+		for _, op := range history {
+			parts[key(op)] = append(parts[key(op)], op)
+		}
+		for _, part := range parts {
+			all = append(all, part)
+		}
+		return all
+	}
+}
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -83,13 +83,10 @@
 }
 
 // fold lands one proposal without the reference.
-func (m *machine) fold(t fataler, p state.Proposal) state.Outcome {
-	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
-	if err != nil {
-		t.Fatal(err)
-	}
+func (m *machine) fold(t testkit.Fataler, p state.Proposal) state.Outcome {
+	t.Helper()
 	m.offset++
-	return m.ours.Apply(m.offset, data)[0]
+	return m.ours.Apply(m.offset, record(t, p))[0]
 }
 
 // BenchmarkApply folds one record: a renewal; a right from Grant to Gone (four
@@ -140,11 +137,7 @@
 		b.StopTimer()
 		var all [][]byte
 		for _, p := range make() {
-			data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
-			if err != nil {
-				b.Fatal(err)
-			}
-			all = append(all, data)
+			all = append(all, record(b, p))
 		}
 		b.StartTimer()
 		for _, data := range all {
@@ -179,64 +172,47 @@
 }
 
 func (f fleet) heap(b *testing.B, vms, contracts, engines bool) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.GC() // twice: a sync.Pool keeps what it holds for one collection
-	runtime.ReadMemStats(&before)
-	m := f.build(b, vms, contracts, engines)
-	runtime.GC()
-	runtime.GC() // twice: a sync.Pool keeps what it holds for one collection
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(m)
-	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	return testkit.HeapBytes(func() *machine { return f.build(b, vms, contracts, engines) })
 }
 
-// BenchmarkSnapshot writes a snapshot, and BenchmarkRestore reads one.
-func BenchmarkSnapshot(b *testing.B) {
+// ofEachSize measures something of a whole state of each size.
+func ofEachSize(b *testing.B, measure func(*testing.B, *state.State)) {
 	for _, f := range fleets {
 		m := f.build(b, true, true, true)
-		b.Run(f.String(), func(b *testing.B) {
-			size, parts := 0, 0
-			for b.Loop() {
-				all, err := m.ours.Snapshot("w")
-				if err != nil {
-					b.Fatal(err)
-				}
-				size, parts = 0, len(all)
-				for _, part := range all {
-					size += len(part.Data)
-				}
-			}
-			b.ReportMetric(float64(size), "B/snapshot")
-			b.ReportMetric(float64(parts), "records/snapshot")
-		})
+		b.Run(f.String(), func(b *testing.B) { measure(b, m.ours) })
 	}
 }
 
+// BenchmarkSnapshot writes a snapshot, and BenchmarkRestore reads one.
+func BenchmarkSnapshot(b *testing.B) {
+	ofEachSize(b, func(b *testing.B, s *state.State) {
+		size, parts := 0, 0
+		for b.Loop() {
+			all := testkit.Value(s.Snapshot("w"))(b)
+			size, parts = 0, len(all)
+			for _, part := range all {
+				size += len(part.Data)
+			}
+		}
+		b.ReportMetric(float64(size), "B/snapshot")
+		b.ReportMetric(float64(parts), "records/snapshot")
+	})
+}
+
 // BenchmarkImage copies a state for a snapshot: how long its lock is held.
 func BenchmarkImage(b *testing.B) {
-	for _, f := range fleets {
-		m := f.build(b, true, true, true)
-		b.Run(f.String(), func(b *testing.B) {
-			for b.Loop() {
-				m.ours.Image()
-			}
-		})
-	}
+	ofEachSize(b, func(b *testing.B, s *state.State) {
+		for b.Loop() {
+			s.Image()
+		}
+	})
 }
 
 func BenchmarkRestore(b *testing.B) {
-	for _, f := range fleets {
-		parts, err := f.build(b, true, true, true).ours.Snapshot("w")
-		if err != nil {
-			b.Fatal(err)
+	ofEachSize(b, func(b *testing.B, s *state.State) {
+		parts := testkit.Value(s.Snapshot("w"))(b)
+		for b.Loop() {
+			testkit.Value(state.Restore(parts))(b)
 		}
-		b.Run(f.String(), func(b *testing.B) {
-			for b.Loop() {
-				if _, err := state.Restore(parts); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	})
 }
--- a/state/fuzz_test.go
+++ b/state/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/internal/wire"
 	"bergamotreel/state"
 )
@@ -16,18 +17,9 @@
 		f.Add(data)
 		f.Add(data[:len(data)/2])
 	}
-	keeper := m.ours.Engines["e1"].Keeper
-	grant := m.identify("p1", state.Proposal{Grant: &state.Grant{Engine: "e1", Keeper: keeper, Customer: "hire", Unit: "m1"}})
-	granted, err := state.Encode(state.Record{Proposals: []state.Proposal{grant, grant}})
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(granted)
-	newer, err := wire.Marshal(state.Record{Format: 99})
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(newer)
+	granted := m.identify("p1", grant(m.ours, "e1"))
+	f.Add(record(f, granted, granted))
+	f.Add(testkit.Value(wire.Marshal(state.Record{Format: 99}))(f))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		one, other := m.ours.Clone(), restored(t, m.ours)
 		before := view(one)
@@ -53,20 +45,11 @@
 // state that folds on.
 func FuzzRestore(f *testing.F) {
 	m := newMachine()
-	parts, err := m.ours.Snapshot("w")
-	if err != nil {
-		f.Fatal(err)
-	}
-	encoded, err := chunks.Join(parts)
-	if err != nil {
-		f.Fatal(err)
-	}
+	parts := testkit.Value(m.ours.Snapshot("w"))(f)
+	encoded := testkit.Value(chunks.Join(parts))(f)
 	f.Add(encoded)
 	f.Fuzz(func(t *testing.T, encoded []byte) {
-		parts, err := chunks.Split(encoded, "w", 1, chunks.Size)
-		if err != nil {
-			t.Fatal(err)
-		}
+		parts := testkit.Value(chunks.Split(encoded, "w", 1, chunks.Size))(t)
 		s, err := state.Restore(parts)
 		if err != nil {
 			return
--- a/state/helper_test.go
+++ b/state/helper_test.go
@@ -5,15 +5,21 @@
 	"maps"
 	"slices"
 
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
 const gb = int64(1) << 30
 
-// fataler is *testing.T, *testing.B or *rapid.T.
-type fataler interface {
-	Helper()
-	Fatal(args ...any)
+// record is proposals as the log holds them.
+func record(t testkit.Fataler, proposals ...state.Proposal) []byte {
+	t.Helper()
+	return testkit.Value(state.Encode(state.Record{Proposals: proposals}))(t)
+}
+
+// grant asks for the model m1 of the customer hire on an engine.
+func grant(s *state.State, engine string) state.Proposal {
+	return state.Proposal{Grant: &state.Grant{Engine: engine, Keeper: s.Engines[engine].Keeper, Customer: "hire", Unit: "m1"}}
 }
 
 func sortedSessions(s *state.State) []state.SessionID {
@@ -21,44 +27,27 @@
 }
 
 // restored sends a state through a snapshot in the log.
-func restored(t fataler, s *state.State) *state.State {
+func restored(t testkit.Fataler, s *state.State) *state.State {
 	t.Helper()
 	return restoredFrom(t, s.Snapshot)
 }
 
-func restoredFrom(t fataler, snapshot func(writer string) ([]state.SnapshotChunk, error)) *state.State {
+func restoredFrom(t testkit.Fataler, snapshot func(writer string) ([]state.SnapshotChunk, error)) *state.State {
 	t.Helper()
-	parts, err := snapshot("w")
-	if err != nil {
-		t.Fatal(err)
-	}
+	parts := testkit.Value(snapshot("w"))(t)
 	var collector state.Collector
 	for _, part := range slices.Backward(parts) {
-		data, err := state.Encode(state.Record{Snapshot: &part})
-		if err != nil {
-			t.Fatal(err)
-		}
-		record, err := state.Decode(data)
-		if err != nil {
-			t.Fatal(err)
-		}
+		data := testkit.Value(state.Encode(state.Record{Snapshot: &part}))(t)
+		record := testkit.Value(state.Decode(data))(t)
 		collector.Add(*record.Snapshot)
 	}
-	back, err := state.Restore(collector.Newest())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return back
+	return testkit.Value(state.Restore(collector.Newest()))(t)
 }
 
 // sum is the same for equal states only.
-func sum(t fataler, s *state.State) uint64 {
+func sum(t testkit.Fataler, s *state.State) uint64 {
 	t.Helper()
-	sum, err := s.Sum()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return sum
+	return testkit.Value(s.Sum())(t)
 }
 
 // invariants recomputes what State promises and returns the first breach.
--- a/state/linear_test.go
+++ b/state/linear_test.go
@@ -14,6 +14,7 @@
 
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 	"bergamotreel/state"
 )
@@ -85,10 +86,7 @@
 	base := o.view.ConfigVersion("hire")
 	p := publish("hire", base, sections("hire", 5+int(o.sequence), 1, 2))
 	p.ID = state.ProposalID{Proposer: o.name, Sequence: o.sequence}
-	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
-	if err != nil {
-		panic(err)
-	}
+	data := testkit.Must(state.Encode(state.Record{Proposals: []state.Proposal{p}}))
 	for {
 		offset, err := o.log.Append(ctx, "control", data)
 		if err == nil && o.blind {
--- a/state/precondition_test.go
+++ b/state/precondition_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"bergamotreel/internal/testkit"
 	"bergamotreel/internal/wire"
 	"bergamotreel/state"
 )
@@ -25,12 +26,7 @@
 // again lands a proposal as it is.
 func (c script) again(want state.Verdict, p state.Proposal) state.Outcome {
 	c.t.Helper()
-	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	c.offset++
-	o := c.ours.Apply(c.offset, data)[0]
+	o := c.fold(c.t, p)
 	if o.Verdict != want {
 		c.t.Fatalf("verdict %s (%s), want %s", o.Verdict, o.Reason, want)
 	}
@@ -94,11 +90,8 @@
 
 	c := script{t, newMachine()}
 	c.do(state.VerdictApplied, "op", publish("hire", c.ours.ConfigVersion("hire"), sections("hire", 8, 1, 2)))
-	grant := func(engine string) state.Proposal {
-		return state.Proposal{Grant: &state.Grant{Engine: engine, Keeper: c.ours.Engines[engine].Keeper, Customer: "hire", Unit: "m1"}}
-	}
-	c.do(state.VerdictApplied, "p1", grant("e1"))
-	if o := c.do(state.VerdictLimit, "p2", grant("e2")); o.Reason != "contract's replicas" {
+	c.do(state.VerdictApplied, "p1", grant(c.ours, "e1"))
+	if o := c.do(state.VerdictLimit, "p2", grant(c.ours, "e2")); o.Reason != "contract's replicas" {
 		t.Fatal(o.Reason)
 	}
 }
@@ -109,16 +102,14 @@
 // or restarts and loads again by the one that stands; then the removal lands. The
 // naive twin forgets the engine and its right, and the next grant is one too many.
 func TestLateRemovalOfAnEngineThatCameBack(t *testing.T) {
-	grant := func(c script, by, engine string, want state.Verdict) {
-		c.do(want, by, state.Proposal{Grant: &state.Grant{Engine: engine, Keeper: c.ours.Engines[engine].Keeper, Customer: "hire", Unit: "m1"}})
-	}
+	granted := func(c script) { c.do(state.VerdictApplied, "p1", grant(c.ours, "e1")) }
 	restart := func(c script) {
 		c.do(state.VerdictApplied, "p1", state.Proposal{EngineMeet: &state.EngineMeet{
 			Engine: "e1", Keeper: c.ours.Engines["e1"].Keeper, Incarnation: "2", MemoryBytes: 5 * gb}})
 	}
 	for name, changed := range map[string]struct{ before, after func(c script) }{
-		"granted": {func(script) {}, func(c script) { grant(c, "p1", "e1", state.VerdictApplied) }},
-		"restart": {func(c script) { grant(c, "p1", "e1", state.VerdictApplied) }, restart},
+		"granted": {func(script) {}, granted},
+		"restart": {granted, restart},
 	} {
 		for _, naive := range []bool{false, true} {
 			c := script{t, newMachine()}
@@ -131,13 +122,13 @@
 			remove := state.Proposal{EngineRemove: &state.EngineRemove{Engine: "e1", Newest: seen.Newest, Incarnation: seen.Incarnation}}
 			if naive {
 				c.do(state.VerdictApplied, "p2", remove)
-				grant(c, "p2", "e2", state.VerdictApplied)
+				c.do(state.VerdictApplied, "p2", grant(c.ours, "e2"))
 				continue
 			}
 			if o := c.do(state.VerdictConflict, "p2", remove); o.Reason != "engine changed since" {
 				t.Errorf("%s: %s", name, o.Reason)
 			}
-			grant(c, "p2", "e2", state.VerdictLimit)
+			c.do(state.VerdictLimit, "p2", grant(c.ours, "e2"))
 		}
 	}
 }
@@ -193,10 +184,7 @@
 func TestUnreadableRecords(t *testing.T) {
 	c := script{t, newMachine()}
 	before := view(c.ours)
-	newer, err := wire.Marshal(state.Record{Format: state.Format + 1})
-	if err != nil {
-		t.Fatal(err)
-	}
+	newer := testkit.Value(wire.Marshal(state.Record{Format: state.Format + 1}))(t)
 	c.offset++
 	c.ours.Apply(c.offset, newer)
 	c.do(state.VerdictInvalid, "p1", state.Proposal{})
--- a/state/world_test.go
+++ b/state/world_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -120,10 +121,7 @@
 }
 
 func (w *world) append(p state.Proposal) {
-	data, err := state.Encode(state.Record{Proposals: []state.Proposal{p}})
-	if err != nil {
-		panic(err)
-	}
+	data := testkit.Must(state.Encode(state.Record{Proposals: []state.Proposal{p}}))
 	w.log = append(w.log, data)
 }
 
