--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
 	"bergamotreel/idempotency"
+	"bergamotreel/internal/testkit"
 )
 
 // heldClaims are the sizes: claims of one window on one shard.
@@ -81,21 +81,13 @@
 func memory(b *testing.B, n int, body string) {
 	var heap, snapshot float64
 	for b.Loop() {
-		var before, after runtime.MemStats
-		// Twice: a sync.Pool keeps what it holds for one collection.
-		runtime.GC()
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		table := idempotency.NewTable()
-		fill(b, table, n, body)
-		runtime.GC()
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		heap, snapshot = float64(after.HeapAlloc)-float64(before.HeapAlloc), 0
-		parts, err := table.Snapshot("w")
-		if err != nil {
-			b.Fatal(err)
-		}
+		var table *idempotency.Table
+		heap, snapshot = testkit.HeapBytes(func() *idempotency.Table {
+			table = idempotency.NewTable()
+			fill(b, table, n, body)
+			return table
+		}), 0
+		parts := testkit.Value(table.Snapshot("w"))(b)
 		for _, part := range parts {
 			snapshot += float64(len(part.Data))
 		}
--- a/idempotency/booking_test.go
+++ b/idempotency/booking_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotreel/idempotency"
+	"bergamotreel/internal/testkit"
 )
 
 var worlds = flag.Int("worlds", 2000, "schedules of TestBookingsRunOnce")
@@ -57,10 +58,7 @@
 }
 
 func (d *desk) append(e idempotency.Entry) (answered bool) {
-	data, err := idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{e}})
-	if err != nil {
-		panic(err)
-	}
+	data := testkit.Must(idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{e}}))
 	fate := d.rand.IntN(6)
 	if fate > 0 {
 		d.log = append(d.log, data)
@@ -111,9 +109,7 @@
 	}
 	c.sequence++
 	c.waiting[c.sequence] = key
-	answered := d.append(idempotency.Entry{Claim: &idempotency.Claim{
-		ID: idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}, Key: idempotency.KeyOf("hire", key),
-		Digest: 7, WindowMs: time.Hour.Milliseconds()}})
+	answered := d.append(claimOf(c.name, c.sequence, idempotency.KeyOf("hire", key)))
 	if answered && d.policy == onAppend {
 		d.ran[key]++
 	}
@@ -202,10 +198,7 @@
 	apply := func(offset uint64, e idempotency.Entry) idempotency.Result {
 		return table.Apply(offset, time.UnixMilli(1), encode(t, e))[0]
 	}
-	claim := func(sequence uint64) idempotency.Entry {
-		return idempotency.Entry{Claim: &idempotency.Claim{ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence},
-			Key: keys[0], Digest: 7, WindowMs: 5000}}
-	}
+	claim := func(sequence uint64) idempotency.Entry { return claimOf("vm", sequence, keys[0]) }
 	first := apply(1, claim(1))
 	apply(2, idempotency.Entry{Release: &idempotency.Release{Key: keys[0], Claim: first.Revision, ID: first.ID}})
 	if late := apply(3, claim(1)); late.Verdict != idempotency.VerdictStale || table.State(keys[0]) != nil {
--- a/idempotency/fold_test.go
+++ b/idempotency/fold_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"bergamotreel/idempotency"
+	"bergamotreel/internal/testkit"
 )
 
 // fact is one entry of the whole history, which the reference never forgets.
@@ -85,29 +86,25 @@
 	return idempotency.VerdictApplied
 }
 
-func encode(t interface{ Fatal(...any) }, entries ...idempotency.Entry) []byte {
+// claimOf is a claim of the digest 7 for an hour.
+func claimOf(claimer string, sequence uint64, key idempotency.Key) idempotency.Entry {
+	return idempotency.Entry{Claim: &idempotency.Claim{
+		ID: idempotency.ClaimID{Claimer: claimer, Sequence: sequence}, Key: key, Digest: 7, WindowMs: time.Hour.Milliseconds(),
+	}}
+}
+
+func encode(t testkit.Fataler, entries ...idempotency.Entry) []byte {
 	return encodeRecord(t, idempotency.Record{Entries: entries})
 }
 
-func encodeRecord(t interface{ Fatal(...any) }, record idempotency.Record) []byte {
-	data, err := idempotency.Encode(record)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
+func encodeRecord(t testkit.Fataler, record idempotency.Record) []byte {
+	return testkit.Value(idempotency.Encode(record))(t)
 }
 
 // restored sends a table through a snapshot.
-func restored(t interface{ Fatal(...any) }, table *idempotency.Table) *idempotency.Table {
-	parts, err := table.Snapshot("w")
-	if err != nil {
-		t.Fatal(err)
-	}
-	back, err := idempotency.Restore(parts)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return back
+func restored(t testkit.Fataler, table *idempotency.Table) *idempotency.Table {
+	parts := testkit.Value(table.Snapshot("w"))(t)
+	return testkit.Value(idempotency.Restore(parts))(t)
 }
 
 var keys = []idempotency.Key{idempotency.KeyOf("hire", "a"), idempotency.KeyOf("hire", "b"), idempotency.KeyOf("debt", "a")}
@@ -205,11 +202,8 @@
 	}
 }
 
-func sum(t interface{ Fatal(...any) }, table *idempotency.Table) uint64 {
-	parts, err := table.Snapshot("w")
-	if err != nil {
-		t.Fatal(err)
-	}
+func sum(t testkit.Fataler, table *idempotency.Table) uint64 {
+	parts := testkit.Value(table.Snapshot("w"))(t)
 	return parts[0].Sum
 }
 
--- a/idempotency/fuzz_test.go
+++ b/idempotency/fuzz_test.go
@@ -9,12 +9,13 @@
 
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/internal/wire"
 )
 
 // seeded returns a table with a claim, an outcome and a released claim, and the
 // records that made it.
-func seeded(t interface{ Fatal(...any) }) (*idempotency.Table, [][]byte) {
+func seeded(t testkit.Fataler) (*idempotency.Table, [][]byte) {
 	claim := func(key idempotency.Key, sequence uint64) idempotency.Entry {
 		return idempotency.Entry{Claim: &idempotency.Claim{
 			ID: idempotency.ClaimID{Claimer: "vm", Sequence: sequence}, Key: key, Digest: 7, WindowMs: 60_000}}
@@ -39,10 +40,7 @@
 		f.Add(data, int64(5))
 		f.Add(data[:len(data)/2], int64(100_000))
 	}
-	newer, err := wire.Marshal(map[int]int{1: 99})
-	if err != nil {
-		f.Fatal(err)
-	}
+	newer := testkit.Value(wire.Marshal(map[int]int{1: 99}))(f)
 	for _, data := range [][]byte{newer, {idempotency.Format + 1}, fromBase64(f, legacyClaims), fromBase64(f, legacyOutcomes)} {
 		f.Add(data, int64(0))
 	}
@@ -70,21 +68,12 @@
 // table that folds on.
 func FuzzRestore(f *testing.F) {
 	table, records := seeded(f)
-	parts, err := table.Snapshot("w")
-	if err != nil {
-		f.Fatal(err)
-	}
-	encoded, err := chunks.Join(parts)
-	if err != nil {
-		f.Fatal(err)
-	}
+	parts := testkit.Value(table.Snapshot("w"))(f)
+	encoded := testkit.Value(chunks.Join(parts))(f)
 	f.Add(encoded)
 	f.Add(fromBase64(f, legacyTable))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
-		parts, err := chunks.Split(encoded, "w", 1, chunks.Size)
-		if err != nil {
-			t.Fatal(err)
-		}
+		parts := testkit.Value(chunks.Split(encoded, "w", 1, chunks.Size))(t)
 		table, err := idempotency.Restore(parts)
 		if err != nil {
 			return
--- a/idempotency/legacy_test.go
+++ b/idempotency/legacy_test.go
@@ -7,6 +7,7 @@
 
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/chunks"
+	"bergamotreel/internal/testkit"
 )
 
 // What format 1 wrote of legacyEntries: two records, the table just after them,
@@ -18,12 +19,8 @@
 	legacySnapshot = "ogEBA6YBYXcCAgMABAEGG7+TapJlIAVtB1jyWsLIxMTAzMTSvJxxEWNKRmZRKlNiItMixpSyXF1DJkbmCu10M6cgD+egYFfnqPBw5wJn35L40GJ3kzLTpFLfxEQfF8ekcH9Tk1SDnOR8lqSyXFZJAQY2KQazd43sixklTjItzHHOzytJzSvRDaksSC1ILCjIyUxOLMnMz9PPKs7PYw6sVkrKz8/OzEtXslJy0jVUql2JcEkS3CVMzBXaoT5+uZ4W5Za+YVXmfj4hOSUWBUl5oYWlTvneVbkBjgYZEVXl7mbBbgFmyVCXMLJJMfDuXsTRCDeG8ysX0zKQBSmpSSXIXmUmy6tMEK8CAgAA//8="
 )
 
-func fromBase64(t interface{ Fatal(...any) }, text string) []byte {
-	data, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
+func fromBase64(t testkit.Fataler, text string) []byte {
+	return testkit.Value(base64.StdEncoding.DecodeString(text))(t)
 }
 
 // legacyEntries are the entries of the two records.
@@ -53,14 +50,8 @@
 		t.Errorf("%d and %d B, were %d and %d B", len(newerClaims), len(newerOutcomes), len(olderClaims), len(olderOutcomes))
 	}
 	want := folded(t, newerClaims, newerOutcomes)
-	snapshot, err := idempotency.Decode(fromBase64(t, legacySnapshot))
-	if err != nil {
-		t.Fatal(err)
-	}
-	fromSnapshot, err := idempotency.Restore([]chunks.Chunk{*snapshot.Snapshot})
-	if err != nil {
-		t.Fatal(err)
-	}
+	snapshot := testkit.Value(idempotency.Decode(fromBase64(t, legacySnapshot)))(t)
+	fromSnapshot := testkit.Value(idempotency.Restore([]chunks.Chunk{*snapshot.Snapshot}))(t)
 	for name, table := range map[string]*idempotency.Table{
 		"older": folded(t, olderClaims, olderOutcomes), "older, newer": folded(t, olderClaims, newerOutcomes),
 		"newer, older": folded(t, newerClaims, olderOutcomes), "snapshot": fromSnapshot,
@@ -71,7 +62,7 @@
 	}
 }
 
-func folded(t interface{ Fatal(...any) }, records ...[]byte) *idempotency.Table {
+func folded(t testkit.Fataler, records ...[]byte) *idempotency.Table {
 	table := idempotency.NewTable()
 	for i, data := range records {
 		for _, result := range table.Apply(uint64(i+1), time.UnixMilli(int64(i+1)), data) {
--- a/idempotency/linear_test.go
+++ b/idempotency/linear_test.go
@@ -14,6 +14,7 @@
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -28,19 +29,8 @@
 
 // claimModel is a lock for each key: 0 is free, else the holding claim.
 var claimModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		parts := map[idempotency.Key][]porcupine.Operation{}
-		for _, op := range history {
-			key := op.Output.(claimOp).key
-			parts[key] = append(parts[key], op)
-		}
-		var all [][]porcupine.Operation
-		for _, part := range parts {
-			all = append(all, part)
-		}
-		return all
-	},
-	Init: func() any { return idempotency.Revision(0) },
+	Partition: testkit.PartitionBy(func(op porcupine.Operation) idempotency.Key { return op.Output.(claimOp).key }),
+	Init:      func() any { return idempotency.Revision(0) },
 	Step: func(now, _, output any) (bool, any) {
 		op := output.(claimOp)
 		switch {
@@ -65,10 +55,7 @@
 
 // land appends the entry until its result is folded.
 func (c *claimer) land(e idempotency.Entry, id idempotency.ClaimID) idempotency.Result {
-	data, err := idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{e}})
-	if err != nil {
-		panic(err)
-	}
+	data := testkit.Must(idempotency.Encode(idempotency.Record{Entries: []idempotency.Entry{e}}))
 	delete(c.results, id)
 	for {
 		_, _ = c.log.Append(context.Background(), "claims", data)
@@ -92,7 +79,7 @@
 func (c *claimer) claim(key idempotency.Key) claimOp {
 	c.sequence++
 	id := idempotency.ClaimID{Claimer: c.name, Sequence: c.sequence}
-	r := c.land(idempotency.Entry{Claim: &idempotency.Claim{ID: id, Key: key, Digest: 7, WindowMs: time.Hour.Milliseconds()}}, id)
+	r := c.land(claimOf(c.name, c.sequence, key), id)
 	return claimOp{key: key, done: r.Verdict == idempotency.VerdictApplied, holder: r.Holder.Revision}
 }
 
