--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -95,6 +95,11 @@
 	}
 }
 
+// onBothIn is onBoth for one of several cases of a test.
+func onBothIn(t *testing.T, name string, test func(b *bed, checks bool)) {
+	t.Run(name, func(t *testing.T) { onBoth(t, test) })
+}
+
 func newBed(t *testing.T) *bed {
 	ctx, cancel := context.WithCancel(t.Context())
 	b := &bed{
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -7,6 +7,7 @@
 
 	"bergamotreel/engine"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -76,17 +77,15 @@
 		"thaw":     func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{Frozen: true}) },
 		"no reply": func(e *engineserver.Engine) { e.SetFaults(engineserver.Faults{LoseOrderAnswers: 2}) },
 	} {
-		t.Run(name, func(t *testing.T) {
-			onBoth(t, func(b *bed, _ bool) {
-				e := b.engines.Engine("e")
-				b.grant("e", "m")
-				fault(e)
-				time.Sleep(10 * time.Second)
-				e.SetFaults(engineserver.Faults{})
-				e.Start()
-				time.Sleep(15 * time.Second)
-				b.mustHold("e", "m:ready")
-			})
+		onBothIn(t, name, func(b *bed, _ bool) {
+			e := b.engines.Engine("e")
+			b.grant("e", "m")
+			fault(e)
+			time.Sleep(10 * time.Second)
+			e.SetFaults(engineserver.Faults{})
+			e.Start()
+			time.Sleep(15 * time.Second)
+			b.mustHold("e", "m:ready")
 		})
 	}
 }
@@ -97,31 +96,29 @@
 // any more. Naive twin: free the right once the engine shows no unit.
 func TestLateLoadAfterItsWithdrawal(t *testing.T) {
 	for name, naive := range map[string]bool{"keeper": false, "naive twin": true} {
-		t.Run(name, func(t *testing.T) {
-			onBoth(t, func(b *bed, checks bool) {
-				b.expected = naive
-				b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: lateMS})
-				b.grant("e", "m")
-				time.Sleep(5200 * time.Millisecond)
-				b.withdraw("m")
-				if naive {
-					time.Sleep(500 * time.Millisecond)
-					e := b.agreed("e")
-					if e.Rights["m"] != nil && b.holds("e") == "" {
-						b.propose("a", state.Proposal{Gone: &state.Gone{
-							Engine: "e", Keeper: e.Keeper, Unit: "m", Right: e.Rights["m"].Granted,
-						}})
-					}
-				}
-				took := b.untilGone("m")
-				if !naive && !checks && took < timing.MessageLifetime-time.Second {
-					b.Errorf("freed %v after the withdrawal", took)
+		onBothIn(t, name, func(b *bed, checks bool) {
+			b.expected = naive
+			b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: lateMS})
+			b.grant("e", "m")
+			time.Sleep(5200 * time.Millisecond)
+			b.withdraw("m")
+			if naive {
+				time.Sleep(500 * time.Millisecond)
+				e := b.agreed("e")
+				if e.Rights["m"] != nil && b.holds("e") == "" {
+					b.propose("a", state.Proposal{Gone: &state.Gone{
+						Engine: "e", Keeper: e.Keeper, Unit: "m", Right: e.Rights["m"].Granted,
+					}})
 				}
-				time.Sleep(20 * time.Second)
-				if !naive {
-					b.mustHold("e", "")
-				}
-			})
+			}
+			took := b.untilGone("m")
+			if !naive && !checks && took < timing.MessageLifetime-time.Second {
+				b.Errorf("freed %v after the withdrawal", took)
+			}
+			time.Sleep(20 * time.Second)
+			if !naive {
+				b.mustHold("e", "")
+			}
 		})
 	}
 }
@@ -154,9 +151,7 @@
 		e := b.engine("e", true)
 		for _, action := range []engine.Action{engine.ActionUnload, engine.ActionLoad} {
 			order := engine.Order{Token: 7, Action: action, Unit: "m", Checkpoint: "m:v1", Bytes: gigabyte}
-			if _, err := e.Order(b.ctx, order); err != nil {
-				t.Fatal(err)
-			}
+			testkit.Value(e.Order(b.ctx, order))(t)
 		}
 		b.mustHold("e", "m:loading")
 	})
@@ -229,24 +224,22 @@
 func TestStopGivesEnginesBack(t *testing.T) {
 	for name, delayMS := range map[string]int64{"idle": 0, "order under way": 1000, "order in doubt": lateMS} {
 		doubt := delayMS > orderTimeout.Milliseconds()
-		t.Run(name, func(t *testing.T) {
-			onBoth(t, func(b *bed, _ bool) {
-				if delayMS > 0 {
-					b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: delayMS})
-					b.grant("e", "m")
-					time.Sleep(100 * time.Millisecond)
-				}
-				b.vms["a"].keeper.Stop(b.ctx)
-				took := b.until(time.Minute, "takeover", func() bool { return b.keeperOf("e") == "b" })
-				if took > 2*time.Second {
-					b.Errorf("taken over after %v", took)
-				}
-				unsettled := 0
-				b.vms["b"].control.View(func(s *state.State) { unsettled = len(s.Sessions) - 1 })
-				if (unsettled > 0) != doubt {
-					b.Errorf("%d sessions unsettled", unsettled)
-				}
-			})
+		onBothIn(t, name, func(b *bed, _ bool) {
+			if delayMS > 0 {
+				b.engines.Engine("e").SetFaults(engineserver.Faults{DelayOrders: 1, DelayOrdersMS: delayMS})
+				b.grant("e", "m")
+				time.Sleep(100 * time.Millisecond)
+			}
+			b.vms["a"].keeper.Stop(b.ctx)
+			took := b.until(time.Minute, "takeover", func() bool { return b.keeperOf("e") == "b" })
+			if took > 2*time.Second {
+				b.Errorf("taken over after %v", took)
+			}
+			unsettled := 0
+			b.vms["b"].control.View(func(s *state.State) { unsettled = len(s.Sessions) - 1 })
+			if (unsettled > 0) != doubt {
+				b.Errorf("%d sessions unsettled", unsettled)
+			}
 		})
 	}
 }
@@ -270,21 +263,19 @@
 // is cut off from the log: the engine must change hands all the same.
 func TestTakeoverWhoeverIsChosenToEndTheSession(t *testing.T) {
 	for name, cut := range map[string]bool{"keeps no engine": false, "cut off": true} {
-		t.Run(name, func(t *testing.T) {
-			onBoth(t, func(b *bed, _ bool) {
-				c := b.start("c")
-				b.sets(func() { b.chosen = "c" })
-				time.Sleep(3 * time.Second)
-				if cut {
-					c.view.Cut()
-				}
-				b.vms["a"].stop()
-				limit := timing.Term + 2*time.Second
-				if cut {
-					limit += settleGrace
-				}
-				b.until(limit, "takeover", func() bool { return b.keeperOf("e") == "b" })
-			})
+		onBothIn(t, name, func(b *bed, _ bool) {
+			c := b.start("c")
+			b.sets(func() { b.chosen = "c" })
+			time.Sleep(3 * time.Second)
+			if cut {
+				c.view.Cut()
+			}
+			b.vms["a"].stop()
+			limit := timing.Term + 2*time.Second
+			if cut {
+				limit += settleGrace
+			}
+			b.until(limit, "takeover", func() bool { return b.keeperOf("e") == "b" })
 		})
 	}
 }
@@ -351,9 +342,7 @@
 		})
 		b.sets(func() { b.vms["a"].keeps = []string{"e"} })
 		before := b.agreed("e").Keeper
-		b.propose("b", state.Proposal{Grant: &state.Grant{
-			Engine: "e", Keeper: before, Customer: "trinidad", Unit: "n", Wanted: true,
-		}})
+		b.grant("e", "n")
 		for standing := true; standing; time.Sleep(10 * time.Millisecond) {
 			loads := b.engines.Engine("e").Records().Loads["n"]
 			e := b.agreed("e")
