--- a/internal/replica/peers_test.go
+++ b/internal/replica/peers_test.go
@@ -20,24 +20,22 @@
 // on there without a repeat or a hole.
 func TestFollowsThroughAPeer(t *testing.T) {
 	for _, records := range []int{5, ringRecords + 10} {
-		t.Run(fmt.Sprint(records), func(t *testing.T) {
-			run(t, logserver.Config{}, func(b *bed) {
-				b.start("a", false)
-				cut := b.start("cut", false)
-				b.say("one")
-				cut.view.Cut()
-				b.say(strings.Repeat("x ", records))
-				for range 3 {
-					b.catchUp("a", "cut")
-				}
-				b.want(b.replicas["a"].words(), "cut")
-				b.say("two")
+		runCase(t, fmt.Sprint(records), logserver.Config{}, func(b *bed) {
+			b.start("a", false)
+			cut := b.start("cut", false)
+			b.say("one")
+			cut.view.Cut()
+			b.say(strings.Repeat("x ", records))
+			for range 3 {
 				b.catchUp("a", "cut")
-				b.say("three")
-				cut.view.Heal()
-				time.Sleep(time.Second)
-				b.want("one "+strings.Repeat("x ", records)+"two three", "a", "cut")
-			})
+			}
+			b.want(b.replicas["a"].words(), "cut")
+			b.say("two")
+			b.catchUp("a", "cut")
+			b.say("three")
+			cut.view.Heal()
+			time.Sleep(time.Second)
+			b.want("one "+strings.Repeat("x ", records)+"two three", "a", "cut")
 		})
 	}
 }
@@ -123,33 +121,31 @@
 	const retention = 3 * time.Minute
 	for name, rate := range map[string]time.Duration{"low": 30 * time.Second, "high": 50 * time.Millisecond, "none": time.Hour} {
 		for _, fault := range []string{"", "two write", "chosen cut off", "replaced"} {
-			t.Run(name+" "+fault, func(t *testing.T) {
-				run(t, logserver.Config{MaxAge: retention, MaxRecords: 800}, func(b *bed) {
-					chosen := b.start("a", true)
-					b.start("b", fault == "two write")
-					b.say("one")
-					if fault == "chosen cut off" {
-						chosen.view.Cut()
-					}
-					for begun, i := time.Now(), 1; time.Since(begun) < 2*retention; i++ {
-						time.Sleep(min(rate, 30*time.Second))
-						if rate < retention {
-							b.say("x")
-						}
-						if fault == "replaced" && time.Since(begun) > time.Duration(i)*40*time.Second {
-							b.replicas["b"].stop()
-							b.start("b", true)
-							time.Sleep(time.Second)
-							b.replicas["a"].stop()
-							b.start("a", false)
-						}
+			runCase(t, name+" "+fault, logserver.Config{MaxAge: retention, MaxRecords: 800}, func(b *bed) {
+				chosen := b.start("a", true)
+				b.start("b", fault == "two write")
+				b.say("one")
+				if fault == "chosen cut off" {
+					chosen.view.Cut()
+				}
+				for begun, i := time.Now(), 1; time.Since(begun) < 2*retention; i++ {
+					time.Sleep(min(rate, 30*time.Second))
+					if rate < retention {
+						b.say("x")
 					}
-					b.start("new", false)
-					time.Sleep(5 * time.Second)
-					if got := b.replicas["new"].words(); !strings.HasPrefix(got, "one") {
-						t.Errorf("new VM knows %.40q", got)
+					if fault == "replaced" && time.Since(begun) > time.Duration(i)*40*time.Second {
+						b.replicas["b"].stop()
+						b.start("b", true)
+						time.Sleep(time.Second)
+						b.replicas["a"].stop()
+						b.start("a", false)
 					}
-				})
+				}
+				b.start("new", false)
+				time.Sleep(5 * time.Second)
+				if got := b.replicas["new"].words(); !strings.HasPrefix(got, "one") {
+					b.Errorf("new VM knows %.40q", got)
+				}
 			})
 		}
 	}
@@ -199,10 +195,7 @@
 		old := words{applied: 1, text: "one "}
 		parts, _ := old.Snapshot("old")
 		lands.fold = words{applied: 3, text: "one two three "}
-		for _, part := range parts {
-			data, _ := json.Marshal(part)
-			b.say(string(data))
-		}
+		b.land(parts)
 		lands.read(b.log)
 		if lands.fold.text != "one " {
 			t.Errorf("the twin that takes the newest landed holds: %q", lands.fold.text)
--- a/internal/replica/relayed_test.go
+++ b/internal/replica/relayed_test.go
@@ -56,27 +56,25 @@
 			back.Store(&member)
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			run(t, logserver.Config{}, func(b *bed) {
-				var reader, back atomic.Pointer[Reader]
-				b.readers = map[string]Reader{"member": following(&reader), "reader": following(&back)}
-				b.start("reader", false)
-				good := b.through("reader")
-				reader.Store(&good)
-				b.say("one")
-				member := b.start("member", false)
-				time.Sleep(time.Second)
-				if spoil == nil {
-					member.view.Cut()
-				} else {
-					spoil(b, &reader, &back)
-				}
-				b.say("two")
-				if spoil != nil {
-					time.Sleep(5 * time.Second)
-				}
-				b.want("one two", "member")
-			})
+		runCase(t, name, logserver.Config{}, func(b *bed) {
+			var reader, back atomic.Pointer[Reader]
+			b.readers = map[string]Reader{"member": following(&reader), "reader": following(&back)}
+			b.start("reader", false)
+			good := b.through("reader")
+			reader.Store(&good)
+			b.say("one")
+			member := b.start("member", false)
+			time.Sleep(time.Second)
+			if spoil == nil {
+				member.view.Cut()
+			} else {
+				spoil(b, &reader, &back)
+			}
+			b.say("two")
+			if spoil != nil {
+				time.Sleep(5 * time.Second)
+			}
+			b.want("one two", "member")
 		})
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -15,6 +15,7 @@
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -121,6 +122,11 @@
 	})
 }
 
+// runCase runs one of several cases of a test.
+func runCase(t *testing.T, name string, config logserver.Config, test func(b *bed)) {
+	t.Run(name, func(t *testing.T) { run(t, config, test) })
+}
+
 // start runs a replica; writes tells whether it is the chosen one.
 func (b *bed) start(name string, writes bool) *vm {
 	v := &vm{fold: &words{}, view: b.log.View(name)}
@@ -141,13 +147,19 @@
 func (b *bed) say(text string) {
 	b.Helper()
 	for _, word := range strings.Fields(text) {
-		if _, err := b.log.Append(b.ctx, "s", []byte(word)); err != nil {
-			b.Fatal(err)
-		}
+		testkit.Value(b.log.Append(b.ctx, "s", []byte(word)))(b)
 	}
 	time.Sleep(10 * time.Millisecond)
 }
 
+// land appends parts of a snapshot.
+func (b *bed) land(parts []chunks.Chunk) {
+	b.Helper()
+	for _, part := range parts {
+		b.say(string(testkit.Value(json.Marshal(part))(b)))
+	}
+}
+
 // words is what a VM knows.
 func (v *vm) words() (text string) {
 	v.View(func() { text = strings.TrimSpace(v.fold.text) })
@@ -192,9 +204,7 @@
 	asks, asked := b.replicas[to], b.replicas[from]
 	applied, _, _ := asks.Position()
 	records, snapshot, err := asked.Since(applied + 1)
-	if err != nil {
-		b.Fatal(err)
-	}
+	testkit.OK(b, err)
 	asks.Offer(records, snapshot)
 }
 
@@ -218,35 +228,30 @@
 	for name, spoil := range map[string]func([]chunks.Chunk) []chunks.Chunk{
 		"from nothing": nil, "torn": tear, "corrupt": corrupt, "too old": older,
 	} {
-		t.Run(name, func(t *testing.T) {
-			run(t, logserver.Config{MaxRecords: 12}, func(b *bed) {
-				b.start("a", false)
-				b.say("one two three")
-				if spoil == nil {
-					b.start("new", false)
-					time.Sleep(time.Second)
-					b.want("one two three", "a", "new")
-					return
-				}
-				parts := b.replicas["a"].snapshot("a")
-				b.say("four five six seven eight nine ten eleven")
-				if name != "too old" {
-					parts = b.replicas["a"].snapshot("a")
-				}
-				for _, part := range spoil(parts) {
-					data, _ := json.Marshal(part)
-					b.say(string(data))
-				}
-				b.say("x x x x x x x x")
-				fresh := b.start("new", false)
+		runCase(t, name, logserver.Config{MaxRecords: 12}, func(b *bed) {
+			b.start("a", false)
+			b.say("one two three")
+			if spoil == nil {
+				b.start("new", false)
 				time.Sleep(time.Second)
-				if fresh.isReady() {
-					t.Errorf("new VM took a %s snapshot: %q", name, fresh.words())
-				}
-				// The other one writes a whole one when its time has come.
-				time.Sleep(2 * time.Minute)
-				b.want(b.replicas["a"].words(), "new")
-			})
+				b.want("one two three", "a", "new")
+				return
+			}
+			parts := b.replicas["a"].snapshot("a")
+			b.say("four five six seven eight nine ten eleven")
+			if name != "too old" {
+				parts = b.replicas["a"].snapshot("a")
+			}
+			b.land(spoil(parts))
+			b.say("x x x x x x x x")
+			fresh := b.start("new", false)
+			time.Sleep(time.Second)
+			if fresh.isReady() {
+				b.Errorf("new VM took a %s snapshot: %q", name, fresh.words())
+			}
+			// The other one writes a whole one when its time has come.
+			time.Sleep(2 * time.Minute)
+			b.want(b.replicas["a"].words(), "new")
 		})
 	}
 }
@@ -264,33 +269,29 @@
 		"torn":   {old: true, new: true, torn: true, reads: 65},
 		"none":   {reads: 0},
 	} {
-		t.Run(name, func(t *testing.T) {
-			run(t, logserver.Config{}, func(b *bed) {
-				a := b.start("a", false)
-				put := func(write bool, from int) {
-					for _, part := range a.snapshot("a")[from:] {
-						if data, _ := json.Marshal(part); write {
-							b.say(string(data))
-						}
-					}
-				}
-				b.say(strings.Repeat("x ", 200))
-				put(c.old, 0)
-				b.say(strings.Repeat("y ", 30))
-				if c.torn {
-					put(c.new, 1)
-				} else {
-					put(c.new, 0)
+		runCase(t, name, logserver.Config{}, func(b *bed) {
+			a := b.start("a", false)
+			put := func(write bool, from int) {
+				if write {
+					b.land(a.snapshot("a")[from:])
 				}
-				b.say("z z z")
-				end := b.replicas["a"].next()
-				fresh := b.start("new", false)
-				time.Sleep(time.Second)
-				b.want(a.words(), "a", "new")
-				if c.reads != 0 && fresh.start.first != end-1-(c.reads-1) {
-					t.Errorf("began %d records before the end, want %d", end-fresh.start.first, c.reads)
-				}
-			})
+			}
+			b.say(strings.Repeat("x ", 200))
+			put(c.old, 0)
+			b.say(strings.Repeat("y ", 30))
+			if c.torn {
+				put(c.new, 1)
+			} else {
+				put(c.new, 0)
+			}
+			b.say("z z z")
+			end := b.replicas["a"].next()
+			fresh := b.start("new", false)
+			time.Sleep(time.Second)
+			b.want(a.words(), "a", "new")
+			if c.reads != 0 && fresh.start.first != end-1-(c.reads-1) {
+				b.Errorf("began %d records before the end, want %d", end-fresh.start.first, c.reads)
+			}
 		})
 	}
 }
@@ -325,12 +326,8 @@
 		old := a.snapshot("old")
 		b.say("three four")
 		fresh := a.snapshot("fresh")
-		for _, parts := range [][]chunks.Chunk{fresh, old} {
-			for _, part := range parts {
-				data, _ := json.Marshal(part)
-				b.say(string(data))
-			}
-		}
+		b.land(fresh)
+		b.land(old)
 		b.start("new", false)
 		time.Sleep(time.Second)
 		b.want("one two three four", "a", "new")
@@ -342,30 +339,28 @@
 // from a peer, or waits for a snapshot and takes that.
 func TestOutageLongerThanTheRetention(t *testing.T) {
 	for _, peers := range []bool{true, false} {
-		t.Run(fmt.Sprintf("peers=%v", peers), func(t *testing.T) {
-			run(t, logserver.Config{MaxAge: time.Minute}, func(b *bed) {
-				b.start("a", true)
-				b.start("b", false)
-				lagging := b.start("lagging", false)
-				b.say("one")
-				lagging.view.Cut()
-				b.say("two three")
-				b.outage(5 * time.Minute)
-				lagging.view.Heal()
-				b.say("four")
+		runCase(t, fmt.Sprintf("peers=%v", peers), logserver.Config{MaxAge: time.Minute}, func(b *bed) {
+			b.start("a", true)
+			b.start("b", false)
+			lagging := b.start("lagging", false)
+			b.say("one")
+			lagging.view.Cut()
+			b.say("two three")
+			b.outage(5 * time.Minute)
+			lagging.view.Heal()
+			b.say("four")
+			time.Sleep(time.Second)
+			if peers {
+				b.catchUp("b", "lagging")
 				time.Sleep(time.Second)
-				if peers {
-					b.catchUp("b", "lagging")
-					time.Sleep(time.Second)
-				} else {
-					if lagging.words() != "one" || lagging.follows() {
-						t.Errorf("lagging folded across the hole: %q", lagging.words())
-					}
-					time.Sleep(time.Minute)
+			} else {
+				if lagging.words() != "one" || lagging.follows() {
+					b.Errorf("lagging folded across the hole: %q", lagging.words())
 				}
-				b.say("five")
-				b.want("one two three four five", "a", "b", "lagging")
-			})
+				time.Sleep(time.Minute)
+			}
+			b.say("five")
+			b.want("one two three four five", "a", "b", "lagging")
 		})
 	}
 }
@@ -409,24 +404,22 @@
 // lands.
 func TestVMThatKnowsMoreAnswersABid(t *testing.T) {
 	for _, chosen := range []string{"knows", "lost"} {
-		t.Run("chosen "+chosen, func(t *testing.T) {
-			run(t, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
-				lost := b.start("lost", chosen == "lost")
-				b.start("knows", chosen == "knows")
-				b.say("one")
-				lost.view.Cut()
-				b.say("two three")
-				b.outage(12 * time.Minute)
-				lost.view.Heal()
-				for i := range 40 {
-					b.say(fmt.Sprint("w", i))
-					time.Sleep(time.Second)
-					if got := b.replicas["knows"].words(); !strings.HasPrefix(got, "one two three w0") {
-						t.Fatalf("went back to %q", got)
-					}
+		runCase(t, "chosen "+chosen, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
+			lost := b.start("lost", chosen == "lost")
+			b.start("knows", chosen == "knows")
+			b.say("one")
+			lost.view.Cut()
+			b.say("two three")
+			b.outage(12 * time.Minute)
+			lost.view.Heal()
+			for i := range 40 {
+				b.say(fmt.Sprint("w", i))
+				time.Sleep(time.Second)
+				if got := b.replicas["knows"].words(); !strings.HasPrefix(got, "one two three w0") {
+					b.Fatalf("went back to %q", got)
 				}
-				b.want(b.replicas["knows"].words(), "lost", "knows")
-			})
+			}
+			b.want(b.replicas["knows"].words(), "lost", "knows")
 		})
 	}
 }
@@ -436,28 +429,26 @@
 // that it goes on by a state of its own.
 func TestVMThatKnewMoreComesBackAfterTheRuling(t *testing.T) {
 	for _, late := range []time.Duration{time.Minute, 30 * time.Minute} {
-		t.Run(late.String(), func(t *testing.T) {
-			run(t, logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
-				lost := b.start("lost", true)
-				knew := b.start("knew", false)
-				b.say("one")
-				lost.view.Cut()
-				b.say("two")
-				knew.view.Cut()
-				b.outage(12 * time.Minute)
-				lost.view.Heal()
-				for i := range int(late.Seconds()) {
-					b.say(fmt.Sprint("w", i))
-					time.Sleep(time.Second)
-				}
-				knew.view.Heal()
-				time.Sleep(2 * time.Minute)
-				b.say("end")
-				b.want(lost.words(), "lost", "knew")
-				if !strings.HasPrefix(lost.words(), "one w") {
-					t.Errorf("no ruling: %q", lost.words())
-				}
-			})
+		runCase(t, late.String(), logserver.Config{MaxAge: 10 * time.Minute}, func(b *bed) {
+			lost := b.start("lost", true)
+			knew := b.start("knew", false)
+			b.say("one")
+			lost.view.Cut()
+			b.say("two")
+			knew.view.Cut()
+			b.outage(12 * time.Minute)
+			lost.view.Heal()
+			for i := range int(late.Seconds()) {
+				b.say(fmt.Sprint("w", i))
+				time.Sleep(time.Second)
+			}
+			knew.view.Heal()
+			time.Sleep(2 * time.Minute)
+			b.say("end")
+			b.want(lost.words(), "lost", "knew")
+			if !strings.HasPrefix(lost.words(), "one w") {
+				b.Errorf("no ruling: %q", lost.words())
+			}
 		})
 	}
 }
--- a/internal/replica/rulings_test.go
+++ b/internal/replica/rulings_test.go
@@ -14,6 +14,7 @@
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -110,10 +111,7 @@
 // last part.
 func (s *script) put(writer string, state words, gap bool, confirms platformlog.Offset) platformlog.Offset {
 	s.Helper()
-	parts, err := state.Snapshot(writer)
-	if err != nil {
-		s.Fatal(err)
-	}
+	parts := testkit.Value(state.Snapshot(writer))(s)
 	for i := range parts {
 		parts[i].Gap, parts[i].Confirms = gap, uint64(confirms)
 		s.part(parts[i])
@@ -122,18 +120,11 @@
 }
 
 func (s *script) part(part chunks.Chunk) {
-	data, err := json.Marshal(part)
-	if err != nil {
-		s.Fatal(err)
-	}
-	s.write(string(data))
+	s.write(string(testkit.Value(json.Marshal(part))(s)))
 }
 
 func (s *script) write(text string) platformlog.Offset {
-	var err error
-	if s.offset, err = s.log.Append(s.ctx, "s", []byte(text)); err != nil {
-		s.Fatal(err)
-	}
+	s.offset = testkit.Value(s.log.Append(s.ctx, "s", []byte(text)))(s)
 	return s.offset
 }
 
@@ -192,19 +183,17 @@
 			s.put("x", one, true, bid)
 		}, "one two end"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			run(t, logserver.Config{}, func(b *bed) {
-				s := &script{bed: b}
-				v := s.reader("a")
-				s.write("one")
-				s.write("two")
-				c.script(s)
-				s.write("end")
-				time.Sleep(time.Second)
-				if got := strings.Join(strings.Fields(v.words()), " "); got != c.want || !v.follows() {
-					t.Errorf("knows %q (following: %v), want %q", got, v.follows(), c.want)
-				}
-			})
+		runCase(t, name, logserver.Config{}, func(b *bed) {
+			s := &script{bed: b}
+			v := s.reader("a")
+			s.write("one")
+			s.write("two")
+			c.script(s)
+			s.write("end")
+			time.Sleep(time.Second)
+			if got := strings.Join(strings.Fields(v.words()), " "); got != c.want || !v.follows() {
+				b.Errorf("knows %q (following: %v), want %q", got, v.follows(), c.want)
+			}
 		})
 	}
 }
