claims: one check of bookings at the same moment, one of storms

TestFirstClaimWins and TestBookingOverShardsRunsOnce sent the same bookings, and the two storms checked the same: each pair now runs one check. The first of each gains by it: another body with a key is refused over one stream too, and storms over shards say apart what was not linearizable and what ran after a refusal. wantBooked and wantRefused stand for what seven tests spelled out.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
@@ -20,24 +21,7 @@
 // repeats it later, also at a VM that has started since.
 func TestFirstClaimWins(t *testing.T) {
 	inDesk(t, 1, func(d *desk) {
-		a, b := d.start("a"), d.start("b")
-		for i := range 20 {
-			key := fmt.Sprint("key", i)
-			var got [2]answered
-			var group sync.WaitGroup
-			for i, v := range []*vm{a, b} {
-				group.Go(func() { got[i] = v.book(key, "bike", succeed) })
-			}
-			group.Wait()
-			if got[0].booked == "" || got[0].booked != got[1].booked {
-				t.Errorf("%s: %v and %v", key, got[0], got[1])
-			}
-			d.wantRan(key, 1)
-		}
-		a.die()
-		if again := d.start("c").book("key7", "bike", succeed); d.times("key7") != 1 || again.booked != d.ran["key7"][0] {
-			t.Errorf("repeated at a new VM: %v", again)
-		}
+		d.wantOneBookingEach([]*vm{d.start("a"), d.start("b")})
 	})
 }
 
@@ -104,9 +88,7 @@
 		a.view.Heal()
 		d.wantRan("key", 0)
 		time.Sleep(30 * time.Second)
-		if again := b.book("key", "bike", succeed); again.booked == "" {
-			t.Errorf("repeated: %v", again)
-		}
+		d.wantBooked("repeated", b.book("key", "bike", succeed))
 		d.wantRan("key", 1)
 	})
 }
@@ -129,23 +111,16 @@
 			var group sync.WaitGroup
 			group.Go(func() { hung = a.book("key", "bike", succeed) })
 			time.Sleep(time.Second)
-			if refused := b.book("key", "bike", giveBack); refused.told == nil || refused.told.Ran != no {
-				t.Errorf("%s: refused: %v", name, refused)
-			}
+			d.wantRefused(name+": refused", b.book("key", "bike", giveBack), no)
 			group.Wait()
 			if naive {
 				d.wantRan("key", 1)
 				return
 			}
-			if frozen := c.bookFrom(frozenAt, "key", "bike", succeed); frozen.told == nil || frozen.told.Ran != maybe {
-				t.Errorf("frozen: %v", frozen)
-			}
-			if hung.told == nil || hung.told.Ran != maybe || d.times("key") != 0 {
-				t.Errorf("hung: %v, ran %d times", hung, d.times("key"))
-			}
-			if again := b.book("key", "bike", succeed); again.booked == "" {
-				t.Errorf("asked again: %v", again)
-			}
+			d.wantRefused("frozen", c.bookFrom(frozenAt, "key", "bike", succeed), maybe)
+			d.wantRefused("hung", hung, maybe)
+			d.wantRan("key", 0)
+			d.wantBooked("asked again", b.book("key", "bike", succeed))
 			d.wantRan("key", 1)
 		})
 	}
@@ -158,9 +133,7 @@
 	inDesk(t, 1, func(d *desk) {
 		a, b := d.start("a"), d.start("b")
 		claim, _, err := a.Begin(a.ctx, booking(time.Now(), "key", "bike"))
-		if err != nil {
-			t.Fatal(err)
-		}
+		testkit.OK(t, err)
 		var waited answered
 		var group sync.WaitGroup
 		group.Go(func() { waited = b.book("key", "bike", succeed) })
@@ -171,9 +144,7 @@
 			t.Errorf("waited: %v", waited)
 		}
 		time.Sleep(waited.told.RetryAfter)
-		if again := b.book("key", "bike", succeed); again.booked == "" {
-			t.Errorf("asked again: %v", again)
-		}
+		d.wantBooked("asked again", b.book("key", "bike", succeed))
 		d.wantRan("key", 1)
 	})
 }
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -289,3 +289,49 @@
 		d.t.Errorf("%s: %v, want %s, ran %s, at once", what, a, code, ran)
 	}
 }
+
+// wantBooked fails the test unless the caller was told a booking.
+func (d *desk) wantBooked(what string, a answered) {
+	d.t.Helper()
+	if a.booked == "" {
+		d.t.Errorf("%s: %v", what, a)
+	}
+}
+
+// wantRefused fails the test unless the caller was told so of what ran.
+func (d *desk) wantRefused(what string, a answered, ran refusal.Ran) {
+	d.t.Helper()
+	if a.told == nil || a.told.Ran != ran {
+		d.t.Errorf("%s: %v, want ran %s", what, a, ran)
+	}
+}
+
+// wantOneBookingEach sends bookings to all VMs at the same moment: each runs once,
+// all are told its number, and another booking with its key is refused. One VM
+// dies; a new one tells whoever repeats a booking the same.
+func (d *desk) wantOneBookingEach(vms []*vm) {
+	for i := range 20 {
+		key := fmt.Sprint("key", i)
+		got := make([]answered, len(vms))
+		var group sync.WaitGroup
+		for i, v := range vms {
+			group.Go(func() { got[i] = v.book(key, "bike", succeed) })
+		}
+		group.Wait()
+		for _, a := range got {
+			if a.booked == "" || a.booked != got[0].booked {
+				d.t.Errorf("%s: %v and %v", key, got[0], a)
+			}
+		}
+		d.wantRan(key, 1)
+		if conflict := vms[i%len(vms)].book(key, "boat", succeed); conflict.told == nil || conflict.told.Code != refusal.CodeKeyConflict {
+			d.t.Errorf("%s: another body: %v", key, conflict)
+		}
+	}
+	vms[0].die()
+	again := d.start("new").book("key7", "bike", succeed)
+	d.wantRan("key7", 1)
+	if again.booked != d.ran["key7"][0] {
+		d.t.Errorf("repeated at a new VM: %v", again)
+	}
+}
--- a/internal/claims/shards_test.go
+++ b/internal/claims/shards_test.go
@@ -9,12 +9,11 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"bergamotreel/entryvm"
 	"bergamotreel/idempotency"
 	"bergamotreel/internal/claims"
 	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
@@ -94,15 +93,10 @@
 }
 
 func released(call entryvm.ClaimCall) entryvm.ClaimCall {
-	record, err := idempotency.Decode(call.Record)
-	if err != nil {
-		panic(err)
-	}
+	record := testkit.Must(idempotency.Decode(call.Record))
 	claim := record.Entries[0].Claim
 	record.Entries[0] = idempotency.Entry{Release: &idempotency.Release{Key: claim.Key, ID: claim.ID}}
-	if call.Record, err = idempotency.Encode(record); err != nil {
-		panic(err)
-	}
+	call.Record = testkit.Must(idempotency.Encode(record))
 	return call
 }
 
@@ -151,28 +145,7 @@
 // whoever repeats it later, and another booking with the key is refused.
 func TestBookingOverShardsRunsOnce(t *testing.T) {
 	inShards(t, 1, func(d *desk, vms []*vm) {
-		for i := range 20 {
-			key := fmt.Sprint("key", i)
-			got := make([]answered, len(vms))
-			var group sync.WaitGroup
-			for i, v := range vms {
-				group.Go(func() { got[i] = v.book(key, "bike", succeed) })
-			}
-			group.Wait()
-			for _, a := range got {
-				if a.booked == "" || a.booked != got[0].booked {
-					t.Errorf("%s: %v and %v", key, got[0], a)
-				}
-			}
-			d.wantRan(key, 1)
-			if conflict := vms[i%4].book(key, "boat", succeed); conflict.told == nil || conflict.told.Code != refusal.CodeKeyConflict {
-				t.Errorf("%s: another body: %v", key, conflict)
-			}
-		}
-		vms[0].die()
-		if again := d.start("e").book("key7", "bike", succeed); again.booked != d.ran["key7"][0] {
-			t.Errorf("repeated at a new VM: %v", again)
-		}
+		d.wantOneBookingEach(vms)
 	})
 }
 
@@ -237,12 +210,8 @@
 		d.wantRan("key", 0)
 		first.hang, second.hang = 0, 0
 		// The asker has heard nothing of the stream since that release.
-		if early := asker.book("key", "bike", succeed); early.told == nil || early.told.Ran != maybe {
-			t.Errorf("asked before the release was known: %v", early)
-		}
-		if again := asker.book("key", "bike", succeed); again.booked == "" {
-			t.Errorf("asked again: %v", again)
-		}
+		d.wantRefused("asked before the release was known", asker.book("key", "bike", succeed), maybe)
+		d.wantBooked("asked again", asker.book("key", "bike", succeed))
 		d.wantRan("key", 1)
 	})
 }
@@ -267,12 +236,9 @@
 				d.wantRan("key", 1)
 				return
 			}
-			if thawed.told == nil || thawed.told.Ran != maybe || d.times("key") != 0 {
-				t.Errorf("after the thaw: %v, ran %d times", thawed, d.times("key"))
-			}
-			if again := asker.book("key", "bike", succeed); again.booked == "" {
-				t.Errorf("asked again: %v", again)
-			}
+			d.wantRefused("after the thaw", thawed, maybe)
+			d.wantRan("key", 0)
+			d.wantBooked("asked again", asker.book("key", "bike", succeed))
 			d.wantRan("key", 1)
 		})
 	}
@@ -312,25 +278,7 @@
 
 // The storms, over shards and with lost answers of holders.
 func TestStormOverShards(t *testing.T) {
-	told := make(map[string]int)
-	for seed := range int64(40) {
-		inDesk(t, uint64(seed), func(d *desk) {
-			d.shards, d.loseReplies = 3, 0.2
-			history := storm(d, seed, ours)
-			if !porcupine.CheckOperations(bookings, history) || ranAfterNo(history) > 0 {
-				t.Errorf("seed %d: not linearizable, or ran after a refusal", seed)
-			}
-			for _, op := range history {
-				told[kind(op.Output.(answered))]++
-			}
-		})
-	}
-	t.Log(told)
-	for _, want := range []string{"ran", "repeated", "no", "maybe"} {
-		if told[want] < 20 {
-			t.Errorf("%q was met %d times only", want, told[want])
-		}
-	}
+	checkStorms(t, func(d *desk) { d.shards, d.loseReplies = 3, 0.2 })
 }
 
 // Twelve entry VMs are sent 60 bookings a second. Each for itself appends nearly
@@ -372,11 +320,7 @@
 		streams = append(streams, fmt.Sprintf("%s-%d-%d", claims.Stream, d.shards, shard))
 	}
 	for _, stream := range streams {
-		batch, err := d.log.View("count").Read(d.t.Context(), stream, 1, 1, 0)
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		records += uint64(batch.End)
+		records += uint64(testkit.Value(d.log.View("count").Read(d.t.Context(), stream, 1, 1, 0))(d.t).End)
 	}
 	return records
 }
--- a/internal/claims/storm_test.go
+++ b/internal/claims/storm_test.go
@@ -11,24 +11,15 @@
 	"github.com/anishathalye/porcupine"
 
 	"bergamotreel/internal/standin/faults"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
 // bookings is the model of one booking: it runs once, and all who are told its
 // number are told the same one. The state is that number, empty before.
 var bookings = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := make(map[string][]porcupine.Operation)
-		for _, op := range history {
-			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
-		}
-		var parts [][]porcupine.Operation
-		for _, part := range byKey {
-			parts = append(parts, part)
-		}
-		return parts
-	},
-	Init: func() any { return "" },
+	Partition: testkit.PartitionBy(func(op porcupine.Operation) string { return op.Input.(string) }),
+	Init:      func() any { return "" },
 	Step: func(state, _, output any) (bool, any) {
 		a := output.(answered)
 		switch {
@@ -98,9 +89,15 @@
 // fits one order in which each booking runs at most once, and "not run" is said
 // only before it ran; and none that came before a "not run" was said runs after it.
 func TestStormIsLinearizable(t *testing.T) {
+	checkStorms(t, func(*desk) {})
+}
+
+// checkStorms checks 40 storms, and that callers met all kinds of answers.
+func checkStorms(t *testing.T, prepare func(*desk)) {
 	told := make(map[string]int)
 	for seed := range int64(40) {
 		inDesk(t, uint64(seed), func(d *desk) {
+			prepare(d)
 			history := storm(d, seed, ours)
 			if !porcupine.CheckOperations(bookings, history) {
 				t.Errorf("seed %d: not linearizable", seed)
