--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -14,6 +14,7 @@
 	"bergamotreel/internal/commit"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -72,9 +73,7 @@
 		from = batch.Next
 		for _, r := range batch.Records {
 			var all []proposal
-			if err := json.Unmarshal(r.Data, &all); err != nil {
-				panic(err)
-			}
+			testkit.Must(0, json.Unmarshal(r.Data, &all))
 			d.take(all, seen)
 			for _, p := range all {
 				d.Resolve(p.Sequence, r.Offset)
@@ -129,9 +128,7 @@
 		var group sync.WaitGroup
 		for i := range 50 {
 			group.Go(func() {
-				if _, err := d.submit(fmt.Sprint(i), time.Second); err != nil {
-					t.Error(err)
-				}
+				testkit.WantError(t, "proposal", testkit.Err(d.submit(fmt.Sprint(i), time.Second)), nil)
 			})
 		}
 		group.Wait()
@@ -176,9 +173,7 @@
 			d.log.Faults().Set(faults.Settings{LoseProbability: 0.5})
 			for i := range 20 {
 				name := fmt.Sprint(i)
-				if _, err := d.submit(name, 10*time.Second); err != nil {
-					t.Errorf("%s: %v", name, err)
-				}
+				testkit.WantError(t, name, testkit.Err(d.submit(name, 10*time.Second)), nil)
 				if d.count(name) != 1 {
 					t.Errorf("%s counts %d times", name, d.count(name))
 				}
@@ -227,13 +222,9 @@
 		d.log.Faults().Set(faults.Settings{Outage: true})
 		told("down")
 		d.log.Faults().Set(faults.Settings{SlowMS: 30_000})
-		if _, err := d.submit("first", 1500*time.Millisecond); !errors.Is(err, commit.ErrUnknown) {
-			t.Errorf("first: %v", err)
-		}
+		testkit.WantError(t, "first", testkit.Err(d.submit("first", 1500*time.Millisecond)), commit.ErrUnknown)
 		told("hung")
-		if err := d.Store(d.ctx, proposal{Name: "stored"}); !errors.Is(err, commit.ErrNotStored) {
-			t.Errorf("stored: %v", err)
-		}
+		testkit.WantError(t, "stored", d.Store(d.ctx, proposal{Name: "stored"}), commit.ErrNotStored)
 		d.log.Faults().Set(faults.Settings{})
 		time.Sleep(2 * time.Minute)
 		if d.count("down")+d.count("hung")+d.count("stored") > 0 {
@@ -256,9 +247,7 @@
 		var group sync.WaitGroup
 		group.Go(func() { _, _ = d.submit("ahead", time.Minute) })
 		time.Sleep(100 * time.Millisecond)
-		if _, err := d.submit("left", 100*time.Millisecond); !errors.Is(err, commit.ErrUnknown) {
-			t.Error(err)
-		}
+		testkit.WantError(t, "left", testkit.Err(d.submit("left", 100*time.Millisecond)), commit.ErrUnknown)
 		group.Wait()
 		time.Sleep(5 * time.Second)
 		if d.count("ahead") != 1 || d.count("left") != 0 {
@@ -272,15 +261,11 @@
 func TestStoreKnows(t *testing.T) {
 	inDesk(t, 1, func(t *testing.T, d *desk) {
 		d.log.Faults().Set(faults.Settings{LoseAnswers: 2})
-		if err := d.Store(d.ctx, proposal{Name: "a"}); err != nil {
-			t.Error(err)
-		}
+		testkit.WantError(t, "a", d.Store(d.ctx, proposal{Name: "a"}), nil)
 		if batch, err := d.log.Read(d.ctx, stream, 1, 9, 0); err != nil || len(batch.Records) != 3 {
 			t.Errorf("%d records, %v", len(batch.Records), err)
 		}
 		d.log.Faults().Set(faults.Settings{Outage: true})
-		if err := d.Store(d.ctx, proposal{Name: "b"}); !errors.Is(err, commit.ErrNotStored) {
-			t.Error(err)
-		}
+		testkit.WantError(t, "b", d.Store(d.ctx, proposal{Name: "b"}), commit.ErrNotStored)
 	})
 }
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -10,6 +10,7 @@
 
 	"bergamotreel/internal/replica"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 	"bergamotreel/state"
 )
@@ -61,14 +62,8 @@
 	log := logserver.New(logserver.Config{MaxRecords: startRecords})
 	s := state.New()
 	write := func(record state.Record) state.Revision {
-		data, err := state.Encode(record)
-		if err != nil {
-			b.Fatal(err)
-		}
-		offset, err := log.Append(b.Context(), Stream, data)
-		if err != nil {
-			b.Fatal(err)
-		}
+		data := testkit.Value(state.Encode(record))(b)
+		offset := testkit.Value(log.Append(b.Context(), Stream, data))(b)
 		s.Apply(uint64(offset), data)
 		return state.MakeRevision(uint64(offset), 0)
 	}
@@ -83,10 +78,7 @@
 	for i := range startRecords + 2*startEvery {
 		propose(i%startSessions, state.Proposal{SessionRenew: &state.SessionRenew{Session: sessions[i%startSessions]}})
 		if i%startEvery == 0 {
-			parts, err := s.Snapshot("w")
-			if err != nil {
-				b.Fatal(err)
-			}
+			parts := testkit.Value(s.Snapshot("w"))(b)
 			for _, part := range parts {
 				write(state.Record{Snapshot: &part})
 			}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +12,7 @@
 	"bergamotreel/internal/commit"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -51,9 +51,7 @@
 		log.View("a").Faults().Set(faults.Settings{LoseProbability: 1})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, err := a.ProposeAs(ctx, id, open("x")); !errors.Is(err, commit.ErrUnknown) {
-			t.Errorf("answer lost: %v", err)
-		}
+		testkit.WantError(t, "answer lost", testkit.Err(a.ProposeAs(ctx, id, open("x"))), commit.ErrUnknown)
 		log.View("a").Heal()
 		time.Sleep(5 * time.Minute)
 		again, err := b.ProposeAs(t.Context(), id, open("x"))
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -1,13 +1,17 @@
 // Package testkit is what the tests and benchmarks of several packages share. Only
-// test files import it. It holds no case and no assertion of theirs.
+// test files import it. It holds no case of theirs.
 package testkit
 
 import (
+	"errors"
+	"fmt"
 	"runtime"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/google/go-cmp/cmp"
 )
 
 // Fataler is *testing.T, *testing.B, *testing.F or *rapid.T.
@@ -85,3 +89,35 @@
 		return all
 	}
 }
+
+// Reporter is *testing.T, *testing.B, *testing.F or *rapid.T.
+type Reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
+
+// NoDiff reports a difference between two values.
+func NoDiff(t Reporter, want, got any, options ...cmp.Option) {
+	t.Helper()
+	if diff := cmp.Diff(want, got, options...); diff != "" {
+		t.Errorf("%s", diff)
+	}
+}
+
+// WantError reports an error that is not the wanted one; nil wants none.
+func WantError(t Reporter, what string, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Errorf("%s: got %v, want %v", what, err, want)
+	}
+}
+
+// Err is the error of a call that also returns a value.
+func Err(_ any, err error) error { return err }
+
+// EachSize runs a benchmark for each size.
+func EachSize(b *testing.B, sizes []int, measure func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { measure(b, n) })
+	}
+}
