--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/testkit"
 )
 
 // mute is a peer that answers with nothing.
@@ -35,13 +35,11 @@
 			digests[i] = busyDigest(i)
 		}
 		b.Run(fmt.Sprint(n, "digests"), func(b *testing.B) {
-			begun := processorTime(b)
+			begun := testkit.ProcessorTime()
 			for b.Loop() {
-				if _, err := client.Exchange(b.Context(), listener.Addr().String(), digests); err != nil {
-					b.Fatal(err)
-				}
+				testkit.Value(client.Exchange(b.Context(), listener.Addr().String(), digests))(b)
 			}
-			b.ReportMetric(float64(processorTime(b)-begun)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(testkit.ProcessorTime()-begun)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
@@ -55,22 +53,18 @@
 	address := listener.Addr().String()
 	claim := entryvm.ClaimCall{Shard: 17, Shards: 64, Record: make([]byte, 63)}
 	book := func(b *testing.B, client *entryvm.Client, outcome int) {
-		if _, err := client.Claim(b.Context(), address, claim); err != nil {
-			b.Fatal(err)
-		}
+		testkit.Value(client.Claim(b.Context(), address, claim))(b)
 		settle := entryvm.ClaimCall{Shard: 17, Shards: 64, Record: make([]byte, outcome)}
-		if _, err := client.Settle(b.Context(), address, settle); err != nil {
-			b.Fatal(err)
-		}
+		testkit.Value(client.Settle(b.Context(), address, settle))(b)
 	}
 	run := func(name string, call func(b *testing.B)) {
 		b.Run(name, func(b *testing.B) {
-			begun, bytes := processorTime(b), listener.bytes.Load()
+			begun, bytes := testkit.ProcessorTime(), listener.Bytes.Load()
 			for b.Loop() {
 				call(b)
 			}
-			b.ReportMetric(float64(processorTime(b)-begun)/float64(b.N), "cpu-ns/op")
-			b.ReportMetric(float64(listener.bytes.Load()-bytes)/float64(b.N), "wireB/op")
+			b.ReportMetric(float64(testkit.ProcessorTime()-begun)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(listener.Bytes.Load()-bytes)/float64(b.N), "wireB/op")
 		})
 	}
 	client := connect(b)
@@ -87,12 +81,9 @@
 var benchSecret = []byte("a fleet secret of 32 or more bytes")
 
 // serve serves mute until the benchmark ends.
-func serve(b *testing.B) *countingListener {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	listener := &countingListener{Listener: inner}
+func serve(b *testing.B) testkit.CountingListener {
+	inner := testkit.Value(net.Listen("tcp", "127.0.0.1:0"))(b)
+	listener := testkit.CountingListener{Listener: inner, Bytes: &atomic.Int64{}}
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error)
 	go func() { served <- entryvm.Serve(ctx, listener, benchSecret, mute{}, nil) }()
@@ -101,45 +92,11 @@
 }
 
 func connect(b *testing.B) *entryvm.Client {
-	client, err := entryvm.NewClient(benchSecret, time.Second, nil)
-	if err != nil {
-		b.Fatal(err)
-	}
+	client := testkit.Value(entryvm.NewClient(benchSecret, time.Second, nil))(b)
 	b.Cleanup(func() { _ = client.Close() })
 	return client
 }
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countingConn{conn, &l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 func busyDigest(i int) entryvm.Digest {
 	d := entryvm.Digest{VM: fmt.Sprintf("vm-%05d", i), Address: "10.120.130.140:7000", Domain: "d1", Region: "r1",
 		Incarnation: "0123456789abcdef", Sequence: 1000, Applied: 1 << 30, InFlight: map[string]int{}}
@@ -151,12 +108,3 @@
 	}
 	return d
 }
-
-// processorTime is what this process has used so far.
-func processorTime(b *testing.B) time.Duration {
-	var used syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
-}
--- a/entryvm/fakes_test.go
+++ b/entryvm/fakes_test.go
@@ -9,11 +9,13 @@
 	"crypto/x509"
 	"errors"
 	"math/big"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"bergamotreel/internal/pipenet"
+	"bergamotreel/internal/testkit"
 )
 
 var fleetSecret = []byte("0123456789abcdef0123456789abcdef")
@@ -56,23 +58,18 @@
 func (r *recorder) Settle(call ClaimCall) bool { return call.Shards == 4 }
 
 // start serves the handler and returns how to stop it.
-func start(t *testing.T, p *pipenet.Listener, handler Handler, config *tls.Config, options ...Option) (stop func()) {
+func start(t *testing.T, listener net.Listener, handler Handler, config *tls.Config, options ...Option) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
-	go func() { ended <- Serve(ctx, p, fleetSecret, handler, config, options...) }()
+	go func() { ended <- Serve(ctx, listener, fleetSecret, handler, config, options...) }()
 	return func() {
 		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
+		testkit.WantError(t, "served", <-ended, nil)
 	}
 }
 
 func newTestClient(t *testing.T, p *pipenet.Listener, secret []byte, config *tls.Config) *Client {
-	client, err := NewClient(secret, 0, config)
-	if err != nil {
-		t.Fatal(err)
-	}
+	client := testkit.Value(NewClient(secret, 0, config))(t)
 	client.dialTCP = p.DialContext
 	return client
 }
@@ -80,15 +77,9 @@
 // selfSigned is a TLS configuration that trusts every certificate: the secret
 // alone must keep strangers out.
 func selfSigned(t *testing.T) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
+	key := testkit.Value(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))(t)
 	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	if err != nil {
-		t.Fatal(err)
-	}
+	certificate := testkit.Value(x509.CreateCertificate(rand.Reader, template, template, key.Public(), key))(t)
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		InsecureSkipVerify: true,
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -14,37 +14,26 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"bergamotreel/internal/pipenet"
+	"bergamotreel/internal/testkit"
 )
 
 func TestMessagesOverTCP(t *testing.T) {
 	for name, config := range map[string]*tls.Config{"plain": nil, "TLS": selfSigned(t)} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
+			listener := testkit.Value(net.Listen("tcp", "127.0.0.1:0"))(t)
 			handler := &recorder{records: Records{
 				Records:  []Record{{Offset: 7, Time: time.UnixMilli(5).UTC(), Data: []byte("r")}},
 				Snapshot: [][]byte{[]byte("s")},
 			}}
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error)
-			go func() { ended <- Serve(ctx, listener, fleetSecret, handler, config) }()
-			client, err := NewClient(fleetSecret, 0, config)
-			if err != nil {
-				t.Fatal(err)
-			}
+			stop := start(t, listener, handler, config)
+			client := testkit.Value(NewClient(fleetSecret, 0, config))(t)
 			checkMessages(t, client, listener.Addr().String(), handler)
 			client.Close()
-			cancel()
-			if err := <-ended; err != nil {
-				t.Error(err)
-			}
+			stop()
 		})
 	}
 }
@@ -52,34 +41,16 @@
 // checkMessages sends one of each message.
 func checkMessages(t *testing.T, peer Peer, address string, handler *recorder) {
 	sent := []Digest{{VM: "a", Sequence: 3, InFlight: map[string]int{"e": 1}, Used: []Use{{"m", time.Second}}}}
-	replied, err := peer.Exchange(t.Context(), address, sent)
-	if diff := cmp.Diff([]Digest{{VM: "callee"}}, replied); diff != "" || err != nil {
-		t.Error(diff, err)
-	}
-	if diff := cmp.Diff([][]Digest{sent}, handler.got); diff != "" {
-		t.Error(diff)
-	}
+	testkit.NoDiff(t, []Digest{{VM: "callee"}}, testkit.Value(peer.Exchange(t.Context(), address, sent))(t))
+	testkit.NoDiff(t, [][]Digest{sent}, handler.got)
 	demand := []Demand{{Unit: "m", Customer: "c", Waiting: 2, Deadline: time.Second, Priority: 1}}
-	if err := peer.Want(t.Context(), address, "a", demand); err != nil {
-		t.Error(err)
-	}
-	if diff := cmp.Diff(demand, handler.wanted); diff != "" {
-		t.Error(diff)
-	}
+	testkit.OK(t, peer.Want(t.Context(), address, "a", demand))
+	testkit.NoDiff(t, demand, handler.wanted)
 	histories := []UnitHistory{{Unit: "m", LastAgo: time.Second, Gaps: []float32{0, 2}, Bins: map[int16]float64{7: 1}}}
-	if err := peer.Histories(t.Context(), address, histories); err != nil {
-		t.Error(err)
-	}
-	if diff := cmp.Diff(histories, handler.histories); diff != "" {
-		t.Error(diff)
-	}
-	records, err := peer.Records(t.Context(), address, 7, 0)
-	if diff := cmp.Diff(handler.records, records); diff != "" || err != nil {
-		t.Error(diff, err)
-	}
-	if _, err := peer.Records(t.Context(), address, 0, 0); !errors.Is(err, ErrRefused) {
-		t.Errorf("an error of the peer: %v", err)
-	}
+	testkit.OK(t, peer.Histories(t.Context(), address, histories))
+	testkit.NoDiff(t, histories, handler.histories)
+	testkit.NoDiff(t, handler.records, testkit.Value(peer.Records(t.Context(), address, 7, 0))(t))
+	testkit.WantError(t, "an error of the peer", testkit.Err(peer.Records(t.Context(), address, 0, 0)), ErrRefused)
 	claim := ClaimCall{Shard: 3, Shards: 4, Record: []byte("claim")}
 	if result, err := peer.Claim(t.Context(), address, claim); err != nil || result.State != ClaimPending ||
 		string(result.Answer) != "claim" || result.Applied != 3 {
@@ -88,10 +59,8 @@
 	if stored, err := peer.Settle(t.Context(), address, claim); err != nil || !stored {
 		t.Errorf("settle: %t, %v", stored, err)
 	}
-	reply, err := peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4})
-	if reply != (ClaimReply{Applied: 4, Held: true}) || err != nil {
-		t.Error(reply, err)
-	}
+	reply := testkit.Value(peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4}))(t)
+	testkit.NoDiff(t, ClaimReply{Applied: 4, Held: true}, reply)
 }
 
 // Somebody who does not know the fleet secret calls a VM, or answers in place of
@@ -143,10 +112,7 @@
 						return ours, nil
 					}
 				}
-				_, err := client.Exchange(t.Context(), "vm", []Digest{{VM: "a"}})
-				if !errors.Is(err, ErrUnreachable) {
-					t.Errorf("got %v", err)
-				}
+				testkit.WantError(t, name, testkit.Err(client.Exchange(t.Context(), "vm", []Digest{{VM: "a"}})), ErrUnreachable)
 				if len(handler.got) != 0 {
 					t.Error("the message arrived")
 				}
@@ -194,9 +160,7 @@
 		client := newTestClient(t, network, fleetSecret, nil)
 		exchange := func(when string) {
 			t.Helper()
-			if _, err := client.Exchange(t.Context(), "vm", nil); err != nil {
-				t.Errorf("%s: %v", when, err)
-			}
+			testkit.WantError(t, when, testkit.Err(client.Exchange(t.Context(), "vm", nil)), nil)
 		}
 		var line *breakable
 		client.dialTCP = func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -216,10 +180,7 @@
 		stop = start(t, restarted, handler, nil)
 		exchange("after the restart")
 		stop()
-		_, err := client.Exchange(t.Context(), "vm", nil)
-		if !errors.Is(err, ErrUnreachable) {
-			t.Errorf("after the end: %v", err)
-		}
+		testkit.WantError(t, "after the end", testkit.Err(client.Exchange(t.Context(), "vm", nil)), ErrUnreachable)
 		synctest.Wait()
 		if len(client.conns) != 0 {
 			t.Errorf("%d connections are still held", len(client.conns))
@@ -263,10 +224,7 @@
 
 // dialRaw connects past the client and sends a hello.
 func dialRaw(t *testing.T, network *pipenet.Listener) net.Conn {
-	conn, err := network.DialContext(t.Context(), "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := testkit.Value(network.DialContext(t.Context(), "", ""))(t)
 	return conn
 }
 
@@ -290,15 +248,9 @@
 		stop := start(t, network, &recorder{}, nil)
 		defer stop()
 		conn := dialRaw(t, network)
-		if _, err := sendHello(conn); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := readHello(conn); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := conn.Write(make([]byte, 32)); err != nil {
-			t.Fatal(err)
-		}
+		testkit.Value(sendHello(conn))(t)
+		testkit.Value(readHello(conn))(t)
+		testkit.Value(conn.Write(make([]byte, 32)))(t)
 		wantClosed(t, conn)
 	})
 }
@@ -313,16 +265,10 @@
 		defer stop()
 		client := newTestClient(t, network, fleetSecret, nil)
 		defer client.Close()
-		if _, err := client.Records(t.Context(), "vm", 1, 0); !errors.Is(err, ErrRefused) {
-			t.Errorf("snapshot beyond the bound: %v", err)
-		}
+		testkit.WantError(t, "snapshot beyond the bound", testkit.Err(client.Records(t.Context(), "vm", 1, 0)), ErrRefused)
 		conn := dialRaw(t, network)
-		if err := shakeAsClient(conn, fleetSecret); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := conn.Write([]byte{0xff, 0xff, 0xff, 0xff}); err != nil {
-			t.Fatal(err)
-		}
+		testkit.OK(t, shakeAsClient(conn, fleetSecret))
+		testkit.Value(conn.Write([]byte{0xff, 0xff, 0xff, 0xff}))(t)
 		wantClosed(t, conn)
 	})
 }
@@ -348,10 +294,7 @@
 
 // The page that others read names each message and the fields of its argument.
 func TestPageNamesMessages(t *testing.T) {
-	page, err := os.ReadFile("../docs/interfaces/entryvm.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	page := testkit.Value(os.ReadFile("../docs/interfaces/entryvm.md"))(t)
 	messages := reflect.TypeFor[*service]()
 	for i := range messages.NumMethod() {
 		method := messages.Method(i)
