gossip: a ring of tests starts and ends in one place

Three tests started and awaited the same goroutines by hand, two counted digests under the lock; the counting listener is testkit's.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/digest"
 	"bergamotreel/internal/gossip"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/vmlist"
 )
 
@@ -71,12 +72,28 @@
 	})
 }
 
-// run starts all VMs, a little apart from each other as in life.
-func (r *ring) run(ctx context.Context, group *sync.WaitGroup) {
+// run starts all VMs, a little apart from each other as in life, and ends them.
+func (r *ring) run(t *testing.T, test func()) {
+	ctx, stop := context.WithCancel(t.Context())
+	var group sync.WaitGroup
 	for _, vm := range r.list {
 		group.Go(func() { r.gossips[vm.ID].Run(ctx) })
 		time.Sleep(every / 20)
 	}
+	test()
+	stop()
+	group.Wait()
+}
+
+// digestsIn counts the digests exchanged within a time.
+func (r *ring) digestsIn(span time.Duration) int {
+	r.mu.Lock()
+	before := r.carried
+	r.mu.Unlock()
+	time.Sleep(span)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.carried - before
 }
 
 // heard counts the live VMs that each VM hears, in the order of the list.
@@ -93,20 +110,14 @@
 // went twice.
 func TestOneDigestEachWayAHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		var group sync.WaitGroup
 		r := newRing(5)
-		r.run(ctx, &group)
-		time.Sleep(2 * every)
-		r.mu.Lock()
-		r.carried = 0
-		r.mu.Unlock()
-		time.Sleep(20 * every)
-		stop()
-		group.Wait()
-		if want := 20 * 5 * 4; r.carried > want*11/10 || r.carried < want*9/10 {
-			t.Errorf("%d digests, want about %d", r.carried, want)
-		}
+		r.run(t, func() {
+			time.Sleep(2 * every)
+			got, want := r.digestsIn(20*every), 20*5*4
+			if got > want*11/10 || got < want*9/10 {
+				t.Errorf("%d digests, want about %d", got, want)
+			}
+		})
 		if got := r.heard(); got != "44444" {
 			t.Errorf("heard %s", got)
 		}
@@ -117,27 +128,24 @@
 // the exchange is on the wrong side. Then a VM is cut off altogether and dies.
 func TestOneWayCutAndDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		var group sync.WaitGroup
 		r := newRing(3)
 		var dead atomic.Bool
 		r.cut = func(from, to string) bool {
 			return (from == "v0" && to != "v0") || (dead.Load() && (from == "v2" || to == "v2"))
 		}
-		r.run(ctx, &group)
-		for range 40 {
-			time.Sleep(every)
-			if got := r.heard(); got != "222" {
-				t.Fatalf("cut one way: heard %s", got)
+		r.run(t, func() {
+			for range 40 {
+				time.Sleep(every)
+				if got := r.heard(); got != "222" {
+					t.Fatalf("cut one way: heard %s", got)
+				}
 			}
-		}
-		dead.Store(true)
-		time.Sleep(heardFor)
-		if got := r.heard(); got != "110" {
-			t.Errorf("v2 cut off: heard %s", got)
-		}
-		stop()
-		group.Wait()
+			dead.Store(true)
+			time.Sleep(heardFor)
+			if got := r.heard(); got != "110" {
+				t.Errorf("v2 cut off: heard %s", got)
+			}
+		})
 	})
 }
 
@@ -196,8 +204,6 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			const n = 60
-			ctx, stop := context.WithCancel(t.Context())
-			var group sync.WaitGroup
 			r := &ring{gossips: make(map[string]*gossip.Gossip)}
 			dying := map[string]bool{"v0": true, "v1": true, "v2": true, "v3": true, "v4": true, "v5": true}
 			var died atomic.Bool
@@ -217,7 +223,6 @@
 					Heard: func(time.Time, []entryvm.Digest) {},
 				})
 			}
-			r.run(ctx, &group)
 			// lowest is what a VM knows that all have folded.
 			lowest := func(g *gossip.Gossip, own uint64) uint64 {
 				for _, d := range g.Live() {
@@ -246,57 +251,20 @@
 					}
 				}
 			}
-			time.Sleep(4 * heardFor)
-			check("all live", n-1)
-			r.mu.Lock()
-			before := r.carried
-			r.mu.Unlock()
-			time.Sleep(10 * every)
-			r.mu.Lock()
-			if carried := (r.carried - before) / 10; carried > n*(n-1)/4 {
-				t.Errorf("%s: %d digests a heartbeat, not much less than %d", name, carried, n*(n-1))
-			}
-			r.mu.Unlock()
-			died.Store(true)
-			time.Sleep(8 * heardFor)
-			check("six dead", n-1-len(dying))
-			stop()
-			group.Wait()
+			r.run(t, func() {
+				time.Sleep(4 * heardFor)
+				check("all live", n-1)
+				if carried := r.digestsIn(10*every) / 10; carried > n*(n-1)/4 {
+					t.Errorf("%s: %d digests a heartbeat, not much less than %d", name, carried, n*(n-1))
+				}
+				died.Store(true)
+				time.Sleep(8 * heardFor)
+				check("six dead", n-1-len(dying))
+			})
 		})
 	}
 }
 
-// counted counts the bytes of the connections that it accepts, both ways.
-type counted struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (l counted) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{conn, l.bytes}, nil
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // handler is a gossip as its peers reach it.
 type handler struct {
 	entryvm.Handler
@@ -320,18 +288,12 @@
 	var list []vmlist.VM
 	var listeners []net.Listener
 	for i := range vms {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		listeners = append(listeners, counted{listener, &bytes})
+		listener := testkit.Value(net.Listen("tcp", "127.0.0.1:0"))(b)
+		listeners = append(listeners, testkit.CountingListener{Listener: listener, Bytes: &bytes})
 		list = append(list, vmlist.VM{ID: fmt.Sprintf("vm-%05d", i), Address: listener.Addr().String()})
 	}
 	for i, vm := range list {
-		client, err := entryvm.NewClient(secret, time.Second, nil)
-		if err != nil {
-			b.Fatal(err)
-		}
+		client := testkit.Value(entryvm.NewClient(secret, time.Second, nil))(b)
 		defer client.Close()
 		g := gossip.New(gossip.Config{
 			VM: vm.ID, Peer: client, Logger: zap.NewNop(), Every: every, HeardFor: heardFor,
