--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -60,9 +61,7 @@
 			}))
 			defer server.Close()
 			_, err := platformlog.NewClient(server.URL, nil).Append(t.Context(), "control", []byte("x"))
-			if !errors.Is(err, c.want) {
-				t.Errorf("got %v, want %v", err, c.want)
-			}
+			testkit.WantError(t, name, err, c.want)
 			if got := calls.Load(); got != 1 {
 				t.Errorf("sent %d times, want once", got)
 			}
@@ -116,9 +115,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			_, err := platformlog.NewClient(c.url, c.client).Append(c.ctx, "control", []byte("x"))
-			if !errors.Is(err, c.want) {
-				t.Errorf("got %v, want %v", err, c.want)
-			}
+			testkit.WantError(t, name, err, c.want)
 		})
 	}
 }
@@ -199,9 +196,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.answer(w) }))
 			defer server.Close()
 			batch, err := platformlog.NewClient(server.URL, nil).Read(t.Context(), "control", 1, 10, 0)
-			if !errors.Is(err, c.want) {
-				t.Errorf("got %v, want %v", err, c.want)
-			}
+			testkit.WantError(t, name, err, c.want)
 			if errors.Is(err, platformlog.ErrTrimmed) && (batch.Earliest != 7 || batch.End != 9) {
 				t.Errorf("got %+v, want earliest 7 and end 9", batch)
 			}
