--- a/idempotency/linear_test.go
+++ b/idempotency/linear_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,31 +95,24 @@
 // twice and after their claimer asked again. All answers fit one order in which
 // a key has one holder at a time.
 func TestClaimsAreLinearizable(t *testing.T) {
-	won := 0
+	var won atomic.Int64
 	for seed := range uint64(100) {
 		synctest.Test(t, func(t *testing.T) {
 			store := logserver.New(logserver.Config{Seed: seed})
 			store.Faults().Set(faults.Settings{SlowMS: 1, LoseProbability: 0.3})
-			var mu sync.Mutex
-			var history []porcupine.Operation
+			history := testkit.NewHistory()
 			var vms sync.WaitGroup
-			start := time.Now()
 			for client := range 4 {
 				vms.Go(func() {
 					random := rand.New(rand.NewPCG(seed, uint64(client)))
 					c := &claimer{name: fmt.Sprint("vm", client), log: store.View(fmt.Sprint(client)),
 						table: idempotency.NewTable(), results: map[idempotency.ClaimID]idempotency.Result{}}
-					note := func(op func() claimOp) claimOp {
+					note := func(op func() claimOp) (answer claimOp) {
 						time.Sleep(time.Duration(random.IntN(3000)) * time.Microsecond)
-						call := time.Since(start)
-						answer := op()
-						mu.Lock()
-						defer mu.Unlock()
+						history.Note(client, nil, func() any { answer = op(); return answer })
 						if answer.done {
-							won++
+							won.Add(1)
 						}
-						history = append(history, porcupine.Operation{ClientId: client, Output: answer,
-							Call: int64(call), Return: int64(time.Since(start))})
 						return answer
 					}
 					for range 6 {
@@ -130,13 +124,13 @@
 				})
 			}
 			vms.Wait()
-			if !porcupine.CheckOperations(claimModel, history) {
+			if !porcupine.CheckOperations(claimModel, history.Operations()) {
 				t.Errorf("seed %d: not linearizable", seed)
 			}
 		})
 	}
-	t.Logf("%d of 2400 claims won", won)
-	if won < 200 || won > 2200 {
-		t.Errorf("%d of 2400 claims won, the histories prove little", won)
+	t.Logf("%d of 2400 claims won", won.Load())
+	if won.Load() < 200 || won.Load() > 2200 {
+		t.Errorf("%d of 2400 claims won, the histories prove little", won.Load())
 	}
 }
--- a/internal/claims/storm_test.go
+++ b/internal/claims/storm_test.go
@@ -47,23 +47,13 @@
 	random := rand.New(rand.NewSource(seed))
 	names := []string{"a", "b", "c"}
 	vms := []*vm{d.start("a"), d.start("b"), d.start("c")}
-	begun := time.Now()
-	var mu sync.Mutex
-	var history []porcupine.Operation
+	history := testkit.NewHistory()
 	var group sync.WaitGroup
 	for i := range 60 {
 		at := random.Intn(len(vms))
 		v, key := vms[at], fmt.Sprint("key", random.Intn(6))
 		how := []attempt{succeed, succeed, giveBack, lose}[random.Intn(4)]
-		group.Go(func() {
-			call := time.Since(begun)
-			a := book(v, key, how)
-			mu.Lock()
-			defer mu.Unlock()
-			history = append(history, porcupine.Operation{
-				ClientId: i, Input: key, Output: a, Call: int64(call), Return: int64(time.Since(begun)),
-			})
-		})
+		group.Go(func() { history.Note(i, key, func() any { return book(v, key, how) }) })
 		time.Sleep(time.Duration(random.Intn(300)) * time.Millisecond)
 		switch random.Intn(8) {
 		case 0:
@@ -82,7 +72,7 @@
 		}
 	}
 	group.Wait()
-	return history
+	return history.Operations()
 }
 
 // Callers repeat bookings anywhere while everything fails. All that they are told
--- a/state/linear_test.go
+++ b/state/linear_test.go
@@ -107,9 +107,7 @@
 func configHistory(seed uint64, blind bool) []porcupine.Operation {
 	store := logserver.New(logserver.Config{Seed: seed})
 	store.Faults().Set(faults.Settings{SlowMS: 1, LoseProbability: 0.4})
-	start := time.Now()
-	var mu sync.Mutex
-	var history []porcupine.Operation
+	history := testkit.NewHistory()
 	var clients sync.WaitGroup
 	for client := range 4 {
 		clients.Go(func() {
@@ -118,23 +116,18 @@
 				blind: blind, outcomes: map[uint64]state.Outcome{}}
 			for range 6 {
 				time.Sleep(time.Duration(random.IntN(4000)) * time.Microsecond)
-				call := time.Since(start)
-				var op configOp
-				if random.IntN(2) == 0 {
-					op = o.publish(context.Background())
-				} else {
+				history.Note(client, nil, func() any {
+					if random.IntN(2) == 0 {
+						return o.publish(context.Background())
+					}
 					o.sync(context.Background())
-					op.version = o.view.ConfigVersion("hire")
-				}
-				mu.Lock()
-				history = append(history, porcupine.Operation{ClientId: client, Output: op,
-					Call: int64(call), Return: int64(time.Since(start))})
-				mu.Unlock()
+					return configOp{version: o.view.ConfigVersion("hire")}
+				})
 			}
 		})
 	}
 	clients.Wait()
-	return history
+	return history.Operations()
 }
 
 // TestConfigurationIsLinearizable: operators publish and read one contract at
