--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -113,14 +113,10 @@
 					}
 				}
 				testkit.WantError(t, name, testkit.Err(client.Exchange(t.Context(), "vm", []Digest{{VM: "a"}})), ErrUnreachable)
-				if len(handler.got) != 0 {
-					t.Error("the message arrived")
-				}
+				testkit.Equal(t, "messages that arrived", len(handler.got), 0)
 				// A fleet with two secrets must say so somewhere, and not at each call.
 				_, _ = client.Exchange(t.Context(), "vm", nil)
-				if want := map[bool]int{true: 1}[c.proves]; logged.Len() != want {
-					t.Errorf("%d unauthenticated peers logged, want %d", logged.Len(), want)
-				}
+				testkit.Equal(t, "unauthenticated peers logged", logged.Len(), map[bool]int{true: 1}[c.proves])
 			})
 		})
 	}
@@ -182,9 +178,7 @@
 		stop()
 		testkit.WantError(t, "after the end", testkit.Err(client.Exchange(t.Context(), "vm", nil)), ErrUnreachable)
 		synctest.Wait()
-		if len(client.conns) != 0 {
-			t.Errorf("%d connections are still held", len(client.conns))
-		}
+		testkit.Equal(t, "connections still held", len(client.conns), 0)
 		client.Close()
 	})
 }
@@ -215,9 +209,7 @@
 			if !errors.Is(err, want) || errors.Is(err, ErrUnreachable) != (want != nil) {
 				t.Errorf("got %v, want %v", err, want)
 			}
-			if took := time.Since(begin); took != 300*time.Millisecond {
-				t.Errorf("took %v", took)
-			}
+			testkit.Equal(t, "took", time.Since(begin), 300*time.Millisecond)
 		}
 	})
 }
@@ -235,9 +227,7 @@
 	if n, err := conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
 		t.Errorf("read %d bytes, %v", n, err)
 	}
-	if took := time.Since(begin); took != 0 {
-		t.Errorf("closed after %v", took)
-	}
+	testkit.Equal(t, "closed after", time.Since(begin), 0)
 }
 
 // A stranger calls who can't prove itself and does not care whether we can: it
@@ -286,9 +276,7 @@
 		"one":  {[]Record{huge, half}, 1},
 	}
 	for name, c := range cases {
-		if got := len(cut(c.records)); got != c.want {
-			t.Errorf("%s: %d records, want %d", name, got, c.want)
-		}
+		testkit.Equal(t, name+": records", len(cut(c.records)), c.want)
 	}
 }
 
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -18,6 +18,7 @@
 	"bergamotreel/internal/claims"
 	"bergamotreel/internal/serving"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
@@ -277,9 +278,7 @@
 // wantRan fails the test unless the booking ran so often.
 func (d *desk) wantRan(key string, times int) {
 	d.t.Helper()
-	if n := d.times(key); n != times {
-		d.t.Errorf("%s ran %d times, want %d", key, n, times)
-	}
+	testkit.Equal(d.t, key+" ran", d.times(key), times)
 }
 
 // wantTold fails the test unless the arrival was refused so, at once.
@@ -331,7 +330,5 @@
 	vms[0].die()
 	again := d.start("new").book("key7", "bike", succeed)
 	d.wantRan("key7", 1)
-	if again.booked != d.ran["key7"][0] {
-		d.t.Errorf("repeated at a new VM: %v", again)
-	}
+	testkit.Equal(d.t, "repeated at a new VM", again.booked, d.ran["key7"][0])
 }
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -159,9 +159,7 @@
 		group.Wait()
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if len(d.landed) != len(names)-1 {
-			t.Errorf("%d landed", len(d.landed))
-		}
+		testkit.Equal(t, "landed", len(d.landed), len(names)-1)
 	})
 }
 
@@ -174,9 +172,7 @@
 			for i := range 20 {
 				name := fmt.Sprint(i)
 				testkit.WantError(t, name, testkit.Err(d.submit(name, 10*time.Second)), nil)
-				if d.count(name) != 1 {
-					t.Errorf("%s counts %d times", name, d.count(name))
-				}
+				testkit.Equal(t, name+" counts", d.count(name), 1)
 			}
 		})
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -59,9 +59,7 @@
 			t.Errorf("again: %+v, %v", again, err)
 		}
 		b.View(func(s *state.State) {
-			if len(s.Sessions) != 1 {
-				t.Errorf("%d sessions", len(s.Sessions))
-			}
+			testkit.Equal(t, "sessions", len(s.Sessions), 1)
 		})
 	})
 }
@@ -87,9 +85,7 @@
 		a.Offer(records)
 		select {
 		case outcome := <-outcomes:
-			if outcome.Verdict != state.VerdictApplied {
-				t.Errorf("outcome %+v", outcome)
-			}
+			testkit.Equal(t, "verdict", outcome.Verdict, state.VerdictApplied)
 		case <-time.After(time.Minute):
 			t.Error("no outcome")
 		}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -1,6 +1,7 @@
 package digest_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,14 +65,10 @@
 		last.Age += time.Duration(held) * time.Millisecond
 		table := digest.NewTable("self", timeout)
 		table.Merge(after(now), []entryvm.Digest{last})
-		if got := names(table.Live(after(2999))); len(got) != 1 {
-			t.Errorf("held %v: dead before its time", last.Age)
-		}
+		testkit.Equal(t, fmt.Sprintf("held %v: live before its time", last.Age), len(table.Live(after(2999))), 1)
 		for _, again := range []int{3100, 3200} {
 			table.Merge(after(again), []entryvm.Digest{last})
-			if got := names(table.Live(after(again))); len(got) != 0 {
-				t.Errorf("held %v: still live", last.Age)
-			}
+			testkit.Equal(t, fmt.Sprintf("held %v: live after it", last.Age), len(table.Live(after(again))), 0)
 		}
 	}
 }
@@ -82,9 +79,7 @@
 	table := digest.NewTable("self", timeout)
 	table.Merge(after(1000), []entryvm.Digest{{VM: "a", Sequence: 1}})
 	table.Merge(after(1100), []entryvm.Digest{{VM: "a", Sequence: 1, Age: 1100 * time.Millisecond}})
-	if got := names(table.Live(after(3000))); len(got) != 0 {
-		t.Errorf("live: %v", got)
-	}
+	testkit.Equal(t, "live", len(table.Live(after(3000))), 0)
 }
 
 // A VM restarts; a late digest of its former start arrives after the first of the
@@ -121,13 +116,9 @@
 	check("for new work", table.ForNewWork(after(3000)), "b")
 	check("sums, one of each cell", table.Sums(after(3000)), "b", "a")
 	check("nobody", table.Live(after(5000)))
-	if got := len(table.All()); got != 3 {
-		t.Errorf("remembers %d VMs", got)
-	}
+	testkit.Equal(t, "VMs remembered", len(table.All()), 3)
 	table.Merge(after(100_000), nil)
-	if got := len(table.All()); got != 0 {
-		t.Errorf("remembers %d VMs for ever", got)
-	}
+	testkit.Equal(t, "VMs remembered for ever", len(table.All()), 0)
 }
 
 // drawDigest draws a digest over few names, so that they meet.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -118,9 +118,7 @@
 				t.Errorf("%d digests, want about %d", got, want)
 			}
 		})
-		if got := r.heard(); got != "44444" {
-			t.Errorf("heard %s", got)
-		}
+		testkit.Equal(t, "heard", r.heard(), "44444")
 	})
 }
 
@@ -142,9 +140,7 @@
 			}
 			dead.Store(true)
 			time.Sleep(heardFor)
-			if got := r.heard(); got != "110" {
-				t.Errorf("v2 cut off: heard %s", got)
-			}
+			testkit.Equal(t, "v2 cut off: heard", r.heard(), "110")
 		})
 	})
 }
@@ -164,17 +160,13 @@
 			t.Errorf("given the digest %d and %d times", first, again)
 		}
 		time.Sleep(every / 10)
-		if got := say("new", 1, 0, 5); got != 1 {
-			t.Errorf("the new start was given %d digests", got)
-		}
+		testkit.Equal(t, "digests given to the new start", say("new", 1, 0, 5), 1)
 		say("old", 502, every/10+1, 3)
 		if live := g.Live(); len(live) != 1 || live[0].Incarnation != "new" || g.InFlight("e") != 5 {
 			t.Errorf("live %+v, %d in flight", live, g.InFlight("e"))
 		}
 		time.Sleep(heardFor)
-		if g.InFlight("e") != 0 {
-			t.Error("a silent VM's requests still count")
-		}
+		testkit.Equal(t, "a silent VM's requests that still count", g.InFlight("e"), 0)
 	})
 }
 
--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -19,6 +19,7 @@
 	"bergamotreel/internal/control"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/lease"
 	"bergamotreel/state"
 )
@@ -110,9 +111,7 @@
 	t.Cleanup(func() {
 		cancel()
 		b.running.Wait()
-		if b.broken != b.expected {
-			t.Errorf("an engine held a unit without a right: %v, expected %v", b.broken, b.expected)
-		}
+		testkit.Equal(t, "an engine held a unit without a right", b.broken, b.expected)
 	})
 	return b
 }
@@ -315,9 +314,7 @@
 
 func (b *bed) mustHold(address, want string) {
 	b.Helper()
-	if got := b.holds(address); got != want {
-		b.Errorf("%s holds %q, want %q", address, got, want)
-	}
+	testkit.Equal(b, address+" holds", b.holds(address), want)
 }
 
 // until waits for something and returns how long it took.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,9 +238,7 @@
 			}
 			unsettled := 0
 			b.vms["b"].control.View(func(s *state.State) { unsettled = len(s.Sessions) - 1 })
-			if (unsettled > 0) != doubt {
-				b.Errorf("%d sessions unsettled", unsettled)
-			}
+			testkit.Equal(b, fmt.Sprint(unsettled, " sessions unsettled"), unsettled > 0, doubt)
 		})
 	}
 }
@@ -292,9 +291,7 @@
 		b.until(20*time.Second, "takeover", func() bool { return b.keeperOf("e") == "b" })
 		b.withdraw("m")
 		time.Sleep(20 * time.Second)
-		if counted := b.agreed("e").Rights["m"] != nil; counted == checks {
-			b.Errorf("right counted: %v", counted)
-		}
+		testkit.Equal(b, "right counted", b.agreed("e").Rights["m"] != nil, !checks)
 		b.vms["a"].view.Heal()
 		b.untilGone("m")
 		time.Sleep(20 * time.Second)
@@ -317,9 +314,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		b.mustHold("e", "m:ready")
-		if loads := b.engines.Engine("e").Records().Loads["m"]; loads != 1 {
-			b.Errorf("%d loads", loads)
-		}
+		testkit.Equal(b, "loads", b.engines.Engine("e").Records().Loads["m"], 1)
 		b.withdraw("m")
 		if took := b.untilGone("m"); took > 3*time.Second {
 			b.Errorf("freed after %v", took)
--- a/internal/keeper/reconcile_test.go
+++ b/internal/keeper/reconcile_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -86,9 +87,7 @@
 				}
 				got = append(got, text)
 			}
-			if strings.Join(got, " ") != c.want {
-				t.Errorf("got %q, want %q", got, c.want)
-			}
+			testkit.Equal(t, "steps", strings.Join(got, " "), c.want)
 		})
 	}
 }
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -7,6 +7,7 @@
 
 	"bergamotreel/engine"
 	"bergamotreel/internal/fleet"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/placement"
 	"bergamotreel/state"
 	"bergamotreel/vmlist"
@@ -38,9 +39,8 @@
 	}
 	check := func(what string, tier placement.Tier, want time.Duration) {
 		t.Helper()
-		if got, _ := l.tell(tier, bytes, guess); got.Round(time.Millisecond) != want {
-			t.Errorf("%s: told %v, want %v", what, got, want)
-		}
+		got, _ := l.tell(tier, bytes, guess)
+		testkit.Equal(t, what+": told", got.Round(time.Millisecond), want)
 	}
 	check("a guess", placement.TierRemote, 0)
 	for range loadsWanted {
@@ -83,9 +83,7 @@
 	}}}
 	for _, unit := range []string{"busy", "idle"} {
 		h := p.holding(now, e, &state.Right{Unit: unit, Wanted: true}, 7)
-		if want := map[string]int{"busy": 7, "idle": 0}[unit]; h.Streams != want {
-			t.Errorf("%s: %d streams, want %d", unit, h.Streams, want)
-		}
+		testkit.Equal(t, unit+"'s streams", h.Streams, map[string]int{"busy": 7, "idle": 0}[unit])
 	}
 }
 
@@ -131,9 +129,7 @@
 		p.Used(fmt.Sprint("other-", i), now)
 	}
 	p.forgetUnits(now, share)
-	if n := len(p.lastUsed); n != unitsRemembered*3/4 {
-		t.Errorf("%d units remembered", n)
-	}
+	testkit.Equal(t, "units remembered", len(p.lastUsed), unitsRemembered*3/4)
 	for _, unit := range []string{"mine", "held", "taught", fmt.Sprint("other-", 3*unitsRemembered-1)} {
 		if _, known := p.policy.History(unit, now); !known {
 			t.Errorf("%s forgotten", unit)
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -40,9 +40,7 @@
 			t.Errorf("uneven: %v", taken)
 		}
 	}
-	if got := rendezvous.Pick("x", nil); got != "" {
-		t.Errorf("picked %q of nobody", got)
-	}
+	testkit.Equal(t, "picked of nobody", rendezvous.Pick("x", nil), "")
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/internal/replica/peers_test.go
+++ b/internal/replica/peers_test.go
@@ -12,6 +12,7 @@
 	"bergamotreel/internal/chunks"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -80,9 +81,7 @@
 		fresh.Offer(nil, data)
 		b.say("five")
 		time.Sleep(time.Second)
-		if got := fresh.words(); got != "one two" {
-			t.Errorf("knows %q", got)
-		}
+		testkit.Equal(t, "knows", fresh.words(), "one two")
 		b.catchUp("a", "new")
 		b.want(a.words(), "new")
 	})
@@ -188,17 +187,13 @@
 		b.outage(12 * time.Minute)
 		b.say("three")
 		skips.read(b.log)
-		if skips.fold.text != "one three " {
-			t.Errorf("the twin that skips the gap holds: %q", skips.fold.text)
-		}
+		testkit.Equal(t, "the twin that skips the gap holds", skips.fold.text, "one three ")
 		lands := &naive{newestLands: true, from: 4}
 		old := words{applied: 1, text: "one "}
 		parts, _ := old.Snapshot("old")
 		lands.fold = words{applied: 3, text: "one two three "}
 		b.land(parts)
 		lands.read(b.log)
-		if lands.fold.text != "one " {
-			t.Errorf("the twin that takes the newest landed holds: %q", lands.fold.text)
-		}
+		testkit.Equal(t, "the twin that takes the newest landed holds", lands.fold.text, "one ")
 	})
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -311,9 +311,7 @@
 		b.want("one two three", "a")
 		close(hold)
 		time.Sleep(time.Second)
-		if n := a.SnapshotsWritten(); n != 1 {
-			t.Errorf("%d snapshots written, want 1", n)
-		}
+		testkit.Equal(t, "snapshots written", a.SnapshotsWritten(), 1)
 	})
 }
 
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -121,3 +121,11 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) { measure(b, n) })
 	}
 }
+
+// Equal reports a value that is not the wanted one.
+func Equal[V comparable](t Reporter, what string, got, want V) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got \"%v\", want \"%v\"", what, got, want)
+	}
+}
--- a/platformlog/client_test.go
+++ b/platformlog/client_test.go
@@ -62,9 +62,7 @@
 			defer server.Close()
 			_, err := platformlog.NewClient(server.URL, nil).Append(t.Context(), "control", []byte("x"))
 			testkit.WantError(t, name, err, c.want)
-			if got := calls.Load(); got != 1 {
-				t.Errorf("sent %d times, want once", got)
-			}
+			testkit.Equal(t, "sent", calls.Load(), 1)
 		})
 	}
 }
--- a/state/precondition_test.go
+++ b/state/precondition_test.go
@@ -125,9 +125,7 @@
 				c.do(state.VerdictApplied, "p2", grant(c.ours, "e2"))
 				continue
 			}
-			if o := c.do(state.VerdictConflict, "p2", remove); o.Reason != "engine changed since" {
-				t.Errorf("%s: %s", name, o.Reason)
-			}
+			testkit.Equal(t, name, c.do(state.VerdictConflict, "p2", remove).Reason, "engine changed since")
 			c.do(state.VerdictLimit, "p2", grant(c.ours, "e2"))
 		}
 	}
