expect: the few checks that nearly every test makes

A third of the lines of many tests were if, report, brace around one condition. The package holds these as calls: an error that ends the test, the value of a call that must not fail, a condition with what was seen instead, deep equality and the kind of an error.

A check that never failed would take its assertion out of every test unseen, so each has a row in the package's own test.

--- /dev/null
+++ b/internal/expect/expect_test.go
@@ -0,0 +1,46 @@
+package expect
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+)
+
+// recorder is a T that notes what is reported to it.
+type recorder struct{ got string }
+
+func (*recorder) Helper()             {}
+func (r *recorder) Error(args ...any) { r.got = "error: " + fmt.Sprint(args...) }
+func (r *recorder) Fatal(args ...any) { r.got = "fatal: " + fmt.Sprint(args...) }
+
+// A check that never failed would take its assertion out of every test unseen.
+func TestChecksReport(t *testing.T) {
+	broken := errors.New("broken")
+	number := func(err error) (int, error) { return 7, err }
+	for name, c := range map[string]struct {
+		check func(t T, err error)
+		want  string
+	}{
+		"OK":      {func(t T, err error) { OK(t, err) }, "fatal: broken"},
+		"Value":   {func(t T, err error) { Value(number(err))(t) }, "fatal: broken"},
+		"That":    {func(t T, err error) { That(t, err == nil, "got %v", err) }, "error: got broken"},
+		"Must":    {func(t T, err error) { Must(t, err == nil, "got %v", err) }, "fatal: got broken"},
+		"NoError": {func(t T, err error) { NoError(t, err) }, "error: broken"},
+		"ErrorIs": {func(t T, err error) { ErrorIs(t, ErrorOf(number(err)), nil, "x") }, "error: x: broken instead of <nil>"},
+		"other":   {func(t T, err error) { ErrorIs(t, errors.Join(io.EOF, err), io.EOF, "x"); That(t, err == nil, "") }, "error: "},
+	} {
+		var fails, holds recorder
+		c.check(&fails, broken)
+		c.check(&holds, nil)
+		if fails.got != c.want || holds.got != "" {
+			t.Errorf("%s: reports %q and %q, want %q and nothing", name, fails.got, holds.got, c.want)
+		}
+	}
+	var differs, same recorder
+	Same(&differs, []int{1}, []int{2})
+	Same(&same, []int{1}, []int{1})
+	if differs.got == "" || same.got != "" || Value(number(nil))(&same) != 7 {
+		t.Errorf("Same reports %q and %q", differs.got, same.got)
+	}
+}
