--- a/contract/bench_test.go
+++ b/contract/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"bergamotreel/internal/expect"
 )
 
 // manySections is a contract with the given number of adapters on one model.
@@ -45,9 +47,7 @@
 func BenchmarkFindUnit(b *testing.B) {
 	for _, adapters := range []int{100, 39_000} {
 		c, err := ParseSections(manySections(adapters))
-		if err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, err)
 		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
 			for b.Loop() {
 				if _, ok := c.FindUnit("shop-7"); !ok {
--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -9,34 +9,25 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bergamotreel/internal/expect"
 )
 
 func example(t testing.TB, name string) string {
 	t.Helper()
-	text, err := os.ReadFile("../docs/examples/" + name + ".ini")
-	if err != nil {
-		t.Fatal(err)
-	}
+	text := expect.Value(os.ReadFile("../docs/examples/" + name + ".ini"))(t)
 	return string(text)
 }
 
 func TestExamples(t *testing.T) {
 	for _, name := range []string{"trinidad", "kathmandu"} {
-		c, err := Parse(example(t, name))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if c.Customer != name {
-			t.Errorf("customer %q, want %q", c.Customer, name)
-		}
+		c := expect.Value(Parse(example(t, name)))(t)
+		expect.That(t, c.Customer == name, "customer %q, want %q", c.Customer, name)
 	}
 }
 
 func TestExampleValues(t *testing.T) {
-	c, err := Parse(example(t, "trinidad"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := expect.Value(Parse(example(t, "trinidad")))(t)
 	if key, ok := c.Owns(HashKey("trinidad-overnight-key")); !ok || key.Name != "overnight" || key.Priority != -50 {
 		t.Errorf("overnight key: %+v, %t", key, ok)
 	}
@@ -75,10 +66,7 @@
 `
 
 func TestDefaults(t *testing.T) {
-	c, err := Parse(small)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := expect.Value(Parse(small))(t)
 	want := &Contract{
 		Customer: "c", MemoryBytes: 100e9, Weight: DefaultWeight, RequestsPerSecond: DefaultRequestsPerSecond,
 		Burst: DefaultBurst, MaxQueued: DefaultMaxQueued,
@@ -87,9 +75,7 @@
 		Adapters: []Adapter{{Name: "a", Base: "m", Checkpoint: "a:1", MemoryBytes: 1e9, MaxReplicas: 1, MaxWait: DefaultModelMaxWait}},
 		Services: []Service{{Name: "s", MaxWait: DefaultServiceMaxWait}},
 	}
-	if diff := cmp.Diff(want, c); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, want, c)
 }
 
 func TestMistakes(t *testing.T) {
@@ -147,12 +133,8 @@
 			text := strings.Replace(small, test.old, test.new, 1)
 			_, err := Parse(text)
 			var problem *Problem
-			if !errors.As(err, &problem) {
-				t.Fatalf("got %v, want a *Problem", err)
-			}
-			if !Error.Has(err) || !strings.Contains(err.Error(), test.want) {
-				t.Errorf("got  %v\nwant %s", err, test.want)
-			}
+			expect.Must(t, errors.As(err, &problem), "got %v, want a *Problem", err)
+			expect.That(t, Error.Has(err) && strings.Contains(err.Error(), test.want), "got  %v\nwant %s", err, test.want)
 		})
 	}
 }
--- a/contract/sections_test.go
+++ b/contract/sections_test.go
@@ -9,42 +9,33 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/sebdah/goldie/v2"
+
+	"bergamotreel/internal/expect"
 )
 
 func TestSplitIsCanonical(t *testing.T) {
 	one, err := Split("; first\n[service \"s\"]\n[model \"m\"]\nmemory=1GB ; small\n  checkpoint   =   m:1\n")
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	other, err := Split("[model \"m\"]\r\ncheckpoint = m:1\r\nmemory = 1GB\r\n[service \"s\"]\r\n; nothing\r\n")
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	want := map[string]string{
 		`model "m"`:   "checkpoint = m:1\nmemory = 1GB\n",
 		`service "s"`: emptySection,
 	}
-	if diff := cmp.Diff(want, one) + cmp.Diff(want, other); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, want, one)
+	expect.Same(t, want, other)
 }
 
 func TestJoinExamples(t *testing.T) {
 	for _, name := range []string{"trinidad", "kathmandu"} {
-		sections, err := Split(example(t, name))
-		if err != nil {
-			t.Fatal(err)
-		}
+		sections := expect.Value(Split(example(t, name)))(t)
 		goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, name, []byte(Join(sections)))
 	}
 }
 
 // The page that operators read names each key.
 func TestPageNamesKeys(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations/contracts.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	page := expect.Value(os.ReadFile("../docs/operations/contracts.md"))(t)
 	for kind, keys := range keyOrder {
 		_, reference, found := strings.Cut(string(page), "\n### `["+kind)
 		reference, _, _ = strings.Cut(reference, "\n###")
@@ -57,10 +48,7 @@
 }
 
 func TestDiff(t *testing.T) {
-	old, err := Split(small)
-	if err != nil {
-		t.Fatal(err)
-	}
+	old := expect.Value(Split(small))(t)
 	new := maps.Clone(old)
 	delete(new, `service "s"`)
 	new[`model "n"`] = "checkpoint = n:1\nmemory = 1GB\n"
@@ -72,19 +60,14 @@
 		{`model "n"`, Added, []KeyChange{{"checkpoint", Added, "", "n:1"}, {"memory", Added, "", "1GB"}}},
 		{`service "s"`, Removed, nil},
 	}
-	if diff := cmp.Diff(want, Diff(old, new)); diff != "" {
-		t.Error(diff)
-	}
-	if changes := Diff(old, maps.Clone(old)); len(changes) != 0 {
-		t.Errorf("no difference, but %+v", changes)
-	}
+	expect.Same(t, want, Diff(old, new))
+	changes := Diff(old, maps.Clone(old))
+	expect.That(t, len(changes) == 0, "no difference, but %+v", changes)
 	wantChanged := maps.Clone(new)
 	delete(wantChanged, `adapter "a"`)
 	delete(wantChanged, `key "k"`)
 	wantChanged[`service "s"`] = ""
-	if diff := cmp.Diff(wantChanged, ChangedSections(old, new)); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, wantChanged, ChangedSections(old, new))
 }
 
 // Section names and texts come from the log as an operator's program wrote them.
@@ -122,9 +105,7 @@
 			return
 		}
 		sections, err := Split(text)
-		if err != nil {
-			t.Fatal(err)
-		}
+		expect.OK(t, err)
 		joined := Join(sections)
 		again, err := Split(joined)
 		if err != nil || !maps.Equal(sections, again) || Join(again) != joined {
