lease: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/lease"
 	"bergamotreel/state"
 )
@@ -32,15 +33,10 @@
 	for s := 1.0; s <= 13; s++ {
 		observer.Working(at(s))
 	}
-	if got := observer.Expired(at(12.2)); !slices.Equal(got, []state.SessionExpire{{Session: session, LastRenewal: 70}}) {
-		t.Fatalf("expired: %v", got)
-	}
-	if holder.MayOrder(at(12.2)) {
-		t.Error("the holder orders after others ended its session")
-	}
-	if !naive.MayOrder(at(12.2)) {
-		t.Error("the naive twin stopped in time")
-	}
+	got := observer.Expired(at(12.2))
+	expect.Must(t, slices.Equal(got, []state.SessionExpire{{Session: session, LastRenewal: 70}}), "expired: %v", got)
+	expect.That(t, !holder.MayOrder(at(12.2)), "the holder orders after others ended its session")
+	expect.That(t, naive.MayOrder(at(12.2)), "the naive twin stopped in time")
 }
 
 // TestNobodyTakesOverFromALiveHolder draws renewals that are slow, lost or never
@@ -80,16 +76,12 @@
 			for _, expire := range observer.Expired(at(now)) {
 				if expire.LastRenewal == state.Revision(newest) {
 					ended++
-					if holder.MayOrder(at(now)) {
-						t.Fatalf("seed %d: ended at %v s while the holder may order", seed, now)
-					}
+					expect.Must(t, !holder.MayOrder(at(now)), "seed %d: ended at %v s while the holder may order", seed, now)
 				}
 			}
 		}
 	}
-	if ended < 2000 {
-		t.Errorf("only %d times was a session ended", ended)
-	}
+	expect.That(t, ended >= 2000, "only %d times was a session ended", ended)
 }
 
 // TestCollectedRenewals: a VM asks its relay every second, and folds what the relay
@@ -105,9 +97,7 @@
 	for number := range uint64(5) {
 		holder.Asked(at(float64(number)), number)
 	}
-	if holder.OwnRenewDue(at(5.9)) || !holder.OwnRenewDue(at(6)) {
-		t.Error("the own renewal is not due 6 s after the opening")
-	}
+	expect.That(t, !holder.OwnRenewDue(at(5.9)) && holder.OwnRenewDue(at(6)), "the own renewal is not due 6 s after the opening")
 	for _, c := range []struct {
 		number uint64
 		until  float64
@@ -118,9 +108,8 @@
 		}
 	}
 	for _, config := range []lease.Config{lease.Default, {Term: 10 * time.Second, Margin: 10 * time.Second / 6, RenewEvery: 2500 * time.Millisecond}} {
-		if left := config.Term - config.Margin - config.OwnRenewAfter(); left < config.RenewEvery {
-			t.Errorf("%v left for own renewals every %v", left, config.RenewEvery)
-		}
+		left := config.Term - config.Margin - config.OwnRenewAfter()
+		expect.That(t, left >= config.RenewEvery, "%v left for own renewals every %v", left, config.RenewEvery)
 	}
 }
 
@@ -151,23 +140,17 @@
 // and when the answer to an older renewal comes last.
 func TestHolderStates(t *testing.T) {
 	holder := lease.NewHolder(lease.Default)
-	if holder.MayOrder(at(0)) || !holder.RenewDue(at(0)) {
-		t.Error("a holder that sent nothing")
-	}
+	expect.That(t, !holder.MayOrder(at(0)) && holder.RenewDue(at(0)), "a holder that sent nothing")
 	holder.SentRenewal(at(0), 1)
 	holder.SentRenewal(at(3), 2)
-	if holder.MayOrder(at(4)) || holder.RenewDue(at(4)) {
-		t.Error("a holder without an answer")
-	}
+	expect.That(t, !holder.MayOrder(at(4)) && !holder.RenewDue(at(4)), "a holder without an answer")
 	holder.Confirmed(2)
 	holder.Confirmed(1)
 	if !holder.MayOrder(at(12.9)) || holder.MayOrder(at(13)) || !holder.RenewDue(at(6)) {
 		t.Error("an older answer moved the term")
 	}
 	holder.Lost()
-	if holder.MayOrder(at(5)) || holder.RenewDue(at(50)) || !holder.IsLost() {
-		t.Error("a lost session lives on")
-	}
+	expect.That(t, !holder.MayOrder(at(5)) && !holder.RenewDue(at(50)) && holder.IsLost(), "a lost session lives on")
 }
 
 // TestGoneOnlyByFreshLists walks through what a VM list that lags, fails or
