admission: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 	"bergamotreel/refusal"
 )
 
@@ -26,9 +27,7 @@
 func arrive(t *testing.T, c *Controller, now time.Time, r Request) *Ticket {
 	t.Helper()
 	ticket, refused := c.Arrive(now, r)
-	if refused != nil {
-		t.Fatal(refused)
-	}
+	expect.Must(t, refused == nil, "%v", refused)
 	return ticket
 }
 
@@ -126,13 +125,10 @@
 	short := arrive(t, c, epoch, request(epoch, 5*time.Second))
 	arrive(t, c, epoch, request(epoch, time.Minute))
 	c.Expect("m", epoch.Add(20*time.Second), true)
-	if at, ok := c.NextExpiry(); !ok || at.After(epoch) {
-		t.Errorf("next expiry at %s, want at once", at)
-	}
+	at, ok := c.NextExpiry()
+	expect.That(t, ok && !at.After(epoch), "next expiry at %s, want at once", at)
 	expired := c.Expire(epoch)
-	if len(expired) != 1 || expired[0].Ticket != short {
-		t.Fatalf("expired %v", expired)
-	}
+	expect.Must(t, len(expired) == 1 && expired[0].Ticket == short, "expired %v", expired)
 	checkRefusal(t, expired[0].Refusal, refusal.CodeWaitTooLong, 20*time.Second, 20*time.Second)
 	c.Expect("m", time.Time{}, false)
 	arrive(t, c, epoch, request(epoch, 5*time.Second))
@@ -148,15 +144,12 @@
 	}
 	arrive(t, c, epoch, request(epoch, 10*time.Second))
 	at, ok := c.NextExpiry()
-	if want := epoch.Add(9 * time.Second); !ok || !at.Equal(want) {
-		t.Fatalf("next expiry at %s, want %s", at, want)
-	}
-	if early := c.Expire(at.Add(-time.Millisecond)); len(early) != 0 {
-		t.Errorf("expired early: %v", early)
-	}
-	if due := c.Expire(at); len(due) != 1 {
-		t.Errorf("%d expired when due", len(due))
-	}
+	want := epoch.Add(9 * time.Second)
+	expect.Must(t, ok && at.Equal(want), "next expiry at %s, want %s", at, want)
+	early := c.Expire(at.Add(-time.Millisecond))
+	expect.That(t, len(early) == 0, "expired early: %v", early)
+	due := c.Expire(at)
+	expect.That(t, len(due) == 1, "%d expired when due", len(due))
 }
 
 // One customer fills the queue of the whole VM. The other's requests still get
@@ -176,9 +169,7 @@
 			}
 		}
 	}
-	if taken["shop"] != 20 || taken["other"] != 5 {
-		t.Errorf("taken %v, want 20 and 5", taken)
-	}
+	expect.That(t, taken["shop"] == 20 && taken["other"] == 5, "taken %v, want 20 and 5", taken)
 }
 
 // A contract ends while its requests wait: they get an answer at once.
@@ -187,13 +178,9 @@
 	arrive(t, c, epoch, request(epoch, time.Minute))
 	c.SetContracts(nil)
 	expired := c.Expire(epoch)
-	if len(expired) != 1 {
-		t.Fatalf("expired %v", expired)
-	}
+	expect.Must(t, len(expired) == 1, "expired %v", expired)
 	checkRefusal(t, expired[0].Refusal, refusal.CodeUnknownKey, 0, 0)
-	if len(c.customers) != 0 {
-		t.Error("the customer is still remembered")
-	}
+	expect.That(t, len(c.customers) == 0, "the customer is still remembered")
 }
 
 // Within a customer, priority goes first, then the earliest deadline; a ticket
@@ -214,9 +201,7 @@
 	for t := c.Next(epoch, "m", nil); t != nil; t = c.Next(epoch, "m", nil) {
 		order += t.ID
 	}
-	if order != "2130" {
-		t.Errorf("order %s, want 2130", order)
-	}
+	expect.That(t, order == "2130", "order %s, want 2130", order)
 }
 
 // A unit that is not loaded holds up neither other units of its customer nor
@@ -231,12 +216,8 @@
 	arrive(t, c, epoch, request(epoch, 20*time.Second))
 	asked := 0
 	got := c.Next(epoch, "m", func(t *Ticket) bool { asked++; return t.Unit == "m" })
-	if got == nil || got.Unit != "m" {
-		t.Errorf("got %v", got)
-	}
-	if asked != fitsPerUnit+1 {
-		t.Errorf("asked %d times", asked)
-	}
+	expect.That(t, got != nil && got.Unit == "m", "got %v", got)
+	expect.That(t, asked == fitsPerUnit+1, "asked %d times", asked)
 }
 
 // Retries stay a tenth of the traffic however much fails.
@@ -250,9 +231,7 @@
 			retried++
 		}
 	}
-	if retried < 500 || retried > 700 {
-		t.Errorf("%d retries of 6000 requests", retried)
-	}
+	expect.That(t, retried >= 500 && retried <= 700, "%d retries of 6000 requests", retried)
 }
 
 // The operator's share of retries counts, and 0 of it leaves only the floor.
@@ -266,8 +245,6 @@
 				retried++
 			}
 		}
-		if retried > most || (share > 0 && retried < 300) {
-			t.Errorf("share %v: %d retries of 1000 requests", share, retried)
-		}
+		expect.That(t, retried <= most && (share <= 0 || retried >= 300), "share %v: %d retries of 1000 requests", share, retried)
 	}
 }
--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 )
 
 // runBurst has five bystanders, who together take a good third of 64 slots, and
@@ -57,9 +58,7 @@
 		if first > most || total > most {
 			t.Errorf("%d VMs: first token %.3f, whole answer %.3f times the p99 alone, want at most %.1f", vms, first, total, most)
 		}
-		if naiveFirst < 2 {
-			t.Errorf("the naive twin is not hurt (%.2f): the model shows nothing", naiveFirst)
-		}
+		expect.That(t, naiveFirst >= 2, "the naive twin is not hurt (%.2f): the model shows nothing", naiveFirst)
 	}
 }
 
@@ -76,18 +75,14 @@
 	for range 200 {
 		counts[s.vms[0].Next(s.now, "m", nil).Customer]++
 	}
-	if counts["big"] < 148 || counts["big"] > 152 {
-		t.Errorf("of 200 the weights 3 and 1 got %v", counts)
-	}
+	expect.That(t, counts["big"] >= 148 && counts["big"] <= 152, "of 200 the weights 3 and 1 got %v", counts)
 	// One that asks anew as soon as it is served has no claim to every turn.
 	clear(counts)
 	for range 100 {
 		s.arrive(source{0, "again", 0})
 		counts[s.vms[0].Next(s.now, "m", nil).Customer]++
 	}
-	if counts["again"] < 15 || counts["again"] > 25 {
-		t.Errorf("of 100 the weights 3, 1 and 1 got %v", counts)
-	}
+	expect.That(t, counts["again"] >= 15 && counts["again"] <= 25, "of 100 the weights 3, 1 and 1 got %v", counts)
 }
 
 // What a caller sees: with nobody bursting, half of the offices' requests wait
@@ -97,9 +92,8 @@
 func TestSurplusIsMoreThanChance(t *testing.T) {
 	equals := usage{sum: 22 * 0.25, weight: 22, peak: 0.6}
 	for rate, want := range map[float64]bool{0.26: false, 0.6: false, 0.8: true, 2.5: true} {
-		if got := overFair(rate, 1, equals); got != want {
-			t.Errorf("%.2f/s beside equals of 0.25/s: surplus %t", rate, got)
-		}
+		got := overFair(rate, 1, equals)
+		expect.That(t, got == want, "%.2f/s beside equals of 0.25/s: surplus %t", rate, got)
 	}
 	s := newSim(1, 0, 1, contract.Contract{Customer: "held", MaxQueued: 9, RequestsPerSecond: 0.1, Burst: 1}, contract.Contract{Customer: "other", MaxQueued: 9})
 	c := s.vms[0]
@@ -107,7 +101,6 @@
 		s.arrive(source{0, "held", 0})
 	}
 	c.rates["m"] = usage{sum: 0.1, weight: 2, peak: 0.1}
-	if first := c.Next(s.now, "m", nil); first == nil || !first.Surplus {
-		t.Errorf("a customer over its contract's rate: %+v, want surplus", first)
-	}
+	first := c.Next(s.now, "m", nil)
+	expect.That(t, first != nil && first.Surplus, "a customer over its contract's rate: %+v, want surplus", first)
 }
--- a/admission/lifecycle_test.go
+++ b/admission/lifecycle_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 )
 
 // lifecycle drives a controller by any calls and checks what must always hold.
@@ -24,9 +25,7 @@
 
 func (l *lifecycle) end(ticket *Ticket) {
 	i := slices.Index(l.open, ticket)
-	if i < 0 || !ticket.Ended() {
-		l.t.Fatalf("%s ended twice, or not", ticket.ID)
-	}
+	expect.Must(l.t, i >= 0 && ticket.Ended(), "%s ended twice, or not", ticket.ID)
 	l.open = slices.Delete(l.open, i, i+1)
 }
 
@@ -83,9 +82,7 @@
 
 func (l *lifecycle) expire() {
 	for _, e := range l.c.Expire(l.now) {
-		if e.Refusal == nil {
-			l.t.Fatalf("%s refused without an answer", e.Ticket.ID)
-		}
+		expect.Must(l.t, e.Refusal != nil, "%s refused without an answer", e.Ticket.ID)
 		l.end(e.Ticket)
 	}
 }
@@ -146,8 +143,6 @@
 		}
 		l.now = l.now.Add(time.Hour)
 		l.expire()
-		if len(l.open) > 0 {
-			t.Fatalf("%d have no end", len(l.open))
-		}
+		expect.Must(t, len(l.open) == 0, "%d have no end", len(l.open))
 	})
 }
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 )
 
 func newFleet(vms int, limit float64, burst int, seed int64) *sim {
@@ -80,9 +81,8 @@
 			s.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths"))*100*time.Millisecond, sources...)
 		}
 		bound := float64(burst+vms) + limit*shareShift.Seconds()
-		if excess := worstExcess(s.admitted, limit); excess > bound {
-			t.Fatalf("admitted %.1f more than the limit, bound %.1f", excess, bound)
-		}
+		excess := worstExcess(s.admitted, limit)
+		expect.Must(t, excess <= bound, "admitted %.1f more than the limit, bound %.1f", excess, bound)
 	})
 }
 
@@ -95,9 +95,7 @@
 		s.arrive(source{0, "shop", 0})
 	}
 	s.run(3 * time.Second)
-	if len(s.admitted) != 40 {
-		t.Errorf("%d of 40 went on within 3 s", len(s.admitted))
-	}
+	expect.That(t, len(s.admitted) == 40, "%d of 40 went on within 3 s", len(s.admitted))
 }
 
 // The VMs can't reach each other, and each sees a silent fleet. If each took the
@@ -113,7 +111,6 @@
 	s.run(DefaultPeersStale, even(9, 180)...)
 	s.admitted, s.start = nil, s.now
 	s.run(60*time.Second, even(9, 180)...)
-	if got := float64(len(s.admitted)); got > 20*60+40+9 || got < 0.9*20*60 {
-		t.Errorf("cut-off VMs admitted %.0f in a minute, limit 1200", got)
-	}
+	got := float64(len(s.admitted))
+	expect.That(t, got <= 20*60+40+9 && got >= 0.9*20*60, "cut-off VMs admitted %.0f in a minute, limit 1200", got)
 }
