routing: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/routing/herd_test.go
+++ b/routing/herd_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"bergamotreel/internal/expect"
 )
 
 const (
@@ -136,8 +138,6 @@
 		if mean(ours.ratios) > 1.4 || ours.over*10 > naive.over {
 			t.Errorf("load %.0f%%: the fullest engine has %.2f times the mean, %d sent to full ones", 100*part, mean(ours.ratios), ours.over)
 		}
-		if mean(naive.ratios) < 2 {
-			t.Errorf("load %.0f%%: the naive twin does not herd: the model shows nothing", 100*part)
-		}
+		expect.That(t, mean(naive.ratios) >= 2, "load %.0f%%: the naive twin does not herd: the model shows nothing", 100*part)
 	}
 }
--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"bergamotreel/internal/expect"
 )
 
 const (
@@ -86,9 +88,7 @@
 		return list[rng.Intn(len(list))].Engine
 	})
 	t.Logf("blocks found cached: ours %.0f%%, random %.0f%%", 100*ours, 100*random)
-	if ours < 2*random {
-		t.Errorf("ours finds %.2f of the blocks cached, random %.2f", ours, random)
-	}
+	expect.That(t, ours >= 2*random, "ours finds %.2f of the blocks cached, random %.2f", ours, random)
 }
 
 // Prefixes of whole blocks are equal exactly where unit and bytes are.
@@ -100,9 +100,8 @@
 	if len(one) != 3 || one[0] != two[0] || one[1] == two[1] || one[2] == two[2] || one[0] == adapter[0] {
 		t.Errorf("got %x, %x and %x", one, two, adapter)
 	}
-	if got := len(Prefixes("m", make([]byte, 100*PrefixBlock))); got != MaxPrefixes {
-		t.Errorf("got %d hashes of a long prompt", got)
-	}
+	got := len(Prefixes("m", make([]byte, 100*PrefixBlock)))
+	expect.That(t, got == MaxPrefixes, "got %d hashes of a long prompt", got)
 }
 
 // An engine's events correct what the router remembers: another router's prompt
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -8,6 +8,8 @@
 
 	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
+
+	"bergamotreel/internal/expect"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -62,9 +64,8 @@
 	c := Candidate{Engine: "e", Slots: 16, Ready: true, LoadKnown: true, Running: 5, Queued: 1, LoadAt: report}
 	check := func(step string, want int) {
 		t.Helper()
-		if got := r.Free(now, c); got != want {
-			t.Errorf("%s: %d free, want %d", step, got, want)
-		}
+		got := r.Free(now, c)
+		expect.That(t, got == want, "%s: %d free, want %d", step, got, want)
 	}
 	check("as reported", 10)
 	r.Started(now, "e", "m", nil)
@@ -124,9 +125,8 @@
 	for _, c := range list {
 		fail(r, start, c.Engine, 5)
 	}
-	if _, ok := r.Pick(start, testQuery, list); !ok {
-		t.Error("no engine picked with all breakers open")
-	}
+	_, ok := r.Pick(start, testQuery, list)
+	expect.That(t, ok, "no engine picked with all breakers open")
 }
 
 // One engine of six brings its first token ten times later than the others. It
@@ -154,12 +154,8 @@
 			well += picks(r, now, list, 20, evenly)["e0"]
 		}
 	}
-	if sick > 10 {
-		t.Errorf("%d of 1000 requests went to the slow engine", sick)
-	}
-	if well < 100 {
-		t.Errorf("only %d of 1200 went to the engine that is quick again", well)
-	}
+	expect.That(t, sick <= 10, "%d of 1000 requests went to the slow engine", sick)
+	expect.That(t, well >= 100, "only %d of 1200 went to the engine that is quick again", well)
 }
 
 // Half of the pool slows down under load. Ejecting all of those would only load
@@ -177,9 +173,7 @@
 			open++
 		}
 	}
-	if open > 2 {
-		t.Errorf("%d of 6 engines are ejected", open)
-	}
+	expect.That(t, open <= 2, "%d of 6 engines are ejected", open)
 }
 
 // An engine takes requests and never answers. They fail only at their longest
@@ -200,9 +194,7 @@
 		r.FirstToken(now, choice.Engine, "m", 300*time.Millisecond)
 		r.Finished(now, choice.Engine, Result{OK: true, FirstToken: 300 * time.Millisecond})
 	}
-	if sent > 6 {
-		t.Errorf("%d requests went to the silent engine", sent)
-	}
+	expect.That(t, sent <= 6, "%d requests went to the silent engine", sent)
 }
 
 // Requests stay in the own failure domain while it has room.
@@ -231,22 +223,15 @@
 	}
 	query := testQuery
 	query.Surplus = true
-	if r.Available(start, query, list) {
-		t.Errorf("5 slots of 40 are free, reserve %d, and surplus use takes one", Reserve(40))
-	}
-	if !r.Available(start, testQuery, list) {
-		t.Error("the reserve is kept from all")
-	}
+	expect.That(t, !r.Available(start, query, list), "5 slots of 40 are free, reserve %d, and surplus use takes one", Reserve(40))
+	expect.That(t, r.Available(start, testQuery, list), "the reserve is kept from all")
 	list[0].PeersInFlight = 5
-	if !r.Available(start, query, list) {
-		t.Errorf("7 slots of 40 are free, reserve %d, and surplus use gets none", Reserve(40))
-	}
+	expect.That(t, r.Available(start, query, list), "7 slots of 40 are free, reserve %d, and surplus use gets none", Reserve(40))
 	// An adapter's second engine is idle: its first must still keep its part.
 	list[0].PeersInFlight, list[1].PeersInFlight = 6, 0
 	for range 20 {
-		if got, _ := r.Pick(start, query, list[:2]); got.Engine != list[1].Engine {
-			t.Fatalf("surplus use takes the last slots of %s beside an idle engine", got.Engine)
-		}
+		got, _ := r.Pick(start, query, list[:2])
+		expect.Must(t, got.Engine == list[1].Engine, "surplus use takes the last slots of %s beside an idle engine", got.Engine)
 	}
 }
 
@@ -272,13 +257,9 @@
 			}
 		}
 		choice, ok := r.Pick(start, query, list)
-		if !ok && some > 0 {
-			t.Fatalf("%d engines have room, none picked", some)
-		}
+		expect.Must(t, ok || some <= 0, "%d engines have room, none picked", some)
 		for _, c := range list {
-			if c.Engine == choice.Engine && (!usable(query, &c) || c.PeersInFlight >= c.Slots) {
-				t.Fatalf("picked %+v", c)
-			}
+			expect.Must(t, c.Engine != choice.Engine || usable(query, &c) && c.PeersInFlight < c.Slots, "picked %+v", c)
 		}
 	})
 }
