placement: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -7,6 +7,8 @@
 
 	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
+
+	"bergamotreel/internal/expect"
 )
 
 // lone is a planner with one free engine, and the view of it.
@@ -82,9 +84,7 @@
 			for _, d := range p.Plan(v) {
 				got = d.Reason
 			}
-			if got != tt.reason {
-				t.Errorf("preloaded for %q, want %q", got, tt.reason)
-			}
+			expect.That(t, got == tt.reason, "preloaded for %q, want %q", got, tt.reason)
 		})
 	}
 }
@@ -217,9 +217,7 @@
 	for _, d := range p.Plan(v) {
 		got += d.Unit + " "
 	}
-	if got != "m5 m4 " {
-		t.Errorf("granted %q, want the two earliest deadlines", got)
-	}
+	expect.That(t, got == "m5 m4 ", "granted %q, want the two earliest deadlines", got)
 }
 
 func TestScaleDownNeedsQuietAndKeepsOne(t *testing.T) {
@@ -321,19 +319,13 @@
 			if free[d.Engine] < 0 || replicas[d.Unit] > u.MaxReplicas {
 				t.Fatalf("%+v: %d bytes free, %d replicas of %d", d, free[d.Engine], replicas[d.Unit], u.MaxReplicas)
 			}
-			if e.Leaving || e.Sick {
-				t.Fatalf("%+v on an engine that gets nothing new", d)
-			}
+			expect.Must(t, !e.Leaving && !e.Sick, "%+v on an engine that gets nothing new", d)
 		case d.Kind == Withdraw && d.Reason[:4] == "room":
 			for _, h := range e.Holdings {
-				if h.Unit == d.Unit && h.Streams > 0 {
-					t.Fatalf("%+v cuts %d streams", d, h.Streams)
-				}
+				expect.Must(t, h.Unit != d.Unit || h.Streams <= 0, "%+v cuts %d streams", d, h.Streams)
 			}
 			for _, waiting := range v.Demand {
-				if waiting.Unit == d.Unit {
-					t.Fatalf("%+v although requests wait for it", d)
-				}
+				expect.Must(t, waiting.Unit != d.Unit, "%+v although requests wait for it", d)
 			}
 		}
 	}
