caller: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -18,6 +18,7 @@
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -134,9 +135,8 @@
 				Ran     refusal.Ran
 			}
 		}
-		if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
-			t.Errorf("%s: %v in %s", name, err, w.Body)
-		}
+		err := json.Unmarshal(w.Body.Bytes(), &body)
+		expect.That(t, err == nil, "%s: %v in %s", name, err, w.Body)
 		got := body.Error
 		if w.Code != test.status || got.Code != test.code || got.Ran != refusal.RanNo || !strings.Contains(got.Message, test.message) {
 			t.Errorf("%s: got %d %+v", name, w.Code, got)
@@ -158,9 +158,7 @@
 		w := answerOf(h, request("POST", chat, "key-rental", strings.Replace(goodChat, "clerk", model, 1)))
 		return fmt.Sprint(w.Code, strings.ReplaceAll(w.Body.String(), model, "MODEL"))
 	}
-	if diff := cmp.Diff(ask("nothing"), ask("counsel")); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, ask("nothing"), ask("counsel"))
 }
 
 func TestRetryAfterIsRoundedUp(t *testing.T) {
@@ -198,9 +196,8 @@
 	h := caller.New(&fakeBackend{}, caller.Limits{})
 	const want = `{"object":"list","data":[{"id":"clerk","object":"model","created":0,"owned_by":"rental"},` +
 		`{"id":"clerk-arima","object":"model","created":0,"owned_by":"rental"}]}`
-	if got := answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String(); got != want {
-		t.Errorf("got %s", got)
-	}
+	got := answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String()
+	expect.That(t, got == want, "got %s", got)
 }
 
 func TestWholeAnswers(t *testing.T) {
@@ -227,9 +224,8 @@
 	for name, test := range tests {
 		h := caller.New(&fakeBackend{generate: chunks(nil, test.chunks...)}, caller.Limits{})
 		w := answerOf(h, request("POST", test.path, "key-rental", test.body))
-		if diff := cmp.Diff(test.want, w.Body.String()); diff != "" || w.Code != 200 {
-			t.Errorf("%s: %d %s", name, w.Code, diff)
-		}
+		diff := cmp.Diff(test.want, w.Body.String())
+		expect.That(t, diff == "" && w.Code == 200, "%s: %d %s", name, w.Code, diff)
 	}
 }
 
@@ -252,9 +248,7 @@
 	}}, caller.Limits{})
 	w := answerOf(h, request("POST", chat, "key-rental", goodStream))
 	want := []string{`1  {"a":1}`, "2  {\n\"b\":2}", "2  [DONE]"}
-	if diff := cmp.Diff(want, readEvents(w.Body)); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, want, readEvents(w.Body))
 	if w.Header().Get("Content-Type") != "text/event-stream" || w.Header().Get("X-Bergamotreel-Cold") != "true" {
 		t.Errorf("header %v", w.Header())
 	}
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -18,6 +18,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -56,17 +57,12 @@
 		r := request("POST", server.URL+chat, "key-rental", goodStream)
 		r.RequestURI = ""
 		answer, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
+		expect.OK(t, err)
 		body, err := io.ReadAll(answer.Body)
-		if !errors.Is(err, io.ErrUnexpectedEOF) {
-			t.Errorf("%s: the body ended with %v", name, err)
-		}
+		expect.That(t, errors.Is(err, io.ErrUnexpectedEOF), "%s: the body ended with %v", name, err)
 		got := readEvents(strings.NewReader(string(body)))
-		if diff := cmp.Diff([]string{"1  {}", "2  {}", "2 error " + test.want}, got); diff != "" {
-			t.Errorf("%s: %s", name, diff)
-		}
+		diff := cmp.Diff([]string{"1  {}", "2  {}", "2 error " + test.want}, got)
+		expect.That(t, diff == "", "%s: %s", name, diff)
 		answer.Body.Close()
 		server.Close()
 	}
@@ -91,9 +87,7 @@
 	for name, test := range tests {
 		h := caller.New(&fakeBackend{generate: test.generate}, caller.Limits{AnswerBytes: 100})
 		w := answerOf(h, request("POST", chat, "key-rental", goodChat))
-		if w.Code != test.status || !strings.Contains(w.Body.String(), `"ran":"maybe"`) {
-			t.Errorf("%s: %d %s", name, w.Code, w.Body)
-		}
+		expect.That(t, w.Code == test.status && strings.Contains(w.Body.String(), `"ran":"maybe"`), "%s: %d %s", name, w.Code, w.Body)
 	}
 }
 
@@ -108,27 +102,20 @@
 	handler := caller.New(&fakeBackend{generate: chunks(lost, "{}")}, caller.Limits{})
 	server := caller.NewServer(handler, caller.Limits{}, &tls.Config{Certificates: certified.TLS.Certificates})
 	listener, err := caller.Listen(t.Context(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	ended := make(chan error)
 	go func() { ended <- server.Serve(listener) }()
 	r := request("POST", "https://"+listener.Addr().String()+chat, "key-rental", goodStream)
 	r.RequestURI = ""
 	answer, err := certified.Client().Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	body, err := io.ReadAll(answer.Body)
 	got := readEvents(strings.NewReader(string(body)))
-	if diff := cmp.Diff([]string{"1  {}", "1 error " + cutAnswer}, got); diff != "" || err == nil || answer.ProtoMajor != 2 {
-		t.Errorf("HTTP/%d ended with %v; %s", answer.ProtoMajor, err, diff)
-	}
+	diff := cmp.Diff([]string{"1  {}", "1 error " + cutAnswer}, got)
+	expect.That(t, diff == "" && err != nil && answer.ProtoMajor == 2, "HTTP/%d ended with %v; %s", answer.ProtoMajor, err, diff)
 	answer.Body.Close()
 	_ = server.Close()
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	expect.NoError(t, <-ended)
 }
 
 // A caller asks for an answer in one piece and does not read it. Its memory must
@@ -140,9 +127,8 @@
 		start := time.Now()
 		send(conn, request("POST", chat, "key-rental", goodChat))
 		time.Sleep(time.Minute)
-		if rest, _ := io.ReadAll(conn); strings.HasSuffix(string(rest), "}") {
-			t.Errorf("still held after %v: %d bytes", time.Since(start), len(rest))
-		}
+		rest, _ := io.ReadAll(conn)
+		expect.That(t, !strings.HasSuffix(string(rest), "}"), "still held after %v: %d bytes", time.Since(start), len(rest))
 	})
 }
 
@@ -156,9 +142,8 @@
 		request("GET", "/v1/models/new", "key-rental", ""), request("GET", "/services/new/x", "key-rental", ""),
 		request("POST", chat, "key-rental", strings.Replace(goodChat, "clerk", "new", 1)),
 	} {
-		if w := answerOf(h, r); w.Code != 503 || w.Header().Get("Retry-After") != "1" {
-			t.Errorf("%s: %d %s", r.URL, w.Code, w.Body)
-		}
+		w := answerOf(h, r)
+		expect.That(t, w.Code == 503 && w.Header().Get("Retry-After") == "1", "%s: %d %s", r.URL, w.Code, w.Body)
 	}
 }
 
@@ -179,9 +164,8 @@
 	for range 2 { // what a request held is free after it
 		inner = nil
 		outer := answerOf(h, request("POST", chat, "key-rental", goodChat)).Code
-		if diff := cmp.Diff([]int{0, 429, 200}, inner); diff != "" || outer != 200 {
-			t.Error(outer, diff)
-		}
+		diff := cmp.Diff([]int{0, 429, 200}, inner)
+		expect.That(t, diff == "" && outer == 200, "%v %v", outer, diff)
 	}
 }
 
@@ -211,12 +195,8 @@
 		ended := make(chan error)
 		go func() { ended <- server.Serve(network) }()
 		do(t, server, network)
-		if err := server.Shutdown(t.Context()); err != nil {
-			t.Error(err)
-		}
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
+		expect.NoError(t, server.Shutdown(t.Context()))
+		expect.NoError(t, <-ended)
 	})
 }
 
@@ -237,9 +217,8 @@
 			}
 		}()
 		_, _ = io.ReadAll(conn)
-		if took := time.Since(start); took != 5*time.Second {
-			t.Errorf("ended after %v", took)
-		}
+		took := time.Since(start)
+		expect.That(t, took == 5*time.Second, "ended after %v", took)
 		<-gaveUp
 	})
 }
@@ -260,9 +239,7 @@
 		send(conn, request("POST", chat, "key-rental", goodStream))
 		<-started
 		conn.Close()
-		if err := <-stopped; !errors.Is(err, context.Canceled) {
-			t.Error(err)
-		}
+		expect.ErrorIs(t, <-stopped, context.Canceled, "the shutdown")
 	})
 }
 
@@ -284,9 +261,8 @@
 		start := time.Now()
 		send(conn, request("POST", chat, "key-rental", goodStream))
 		err := <-done
-		if took := time.Since(start); took < time.Second || took > 2*time.Second {
-			t.Errorf("ended after %v with %v", took, err)
-		}
+		took := time.Since(start)
+		expect.That(t, took >= time.Second && took <= 2*time.Second, "ended after %v with %v", took, err)
 	})
 }
 
@@ -321,12 +297,8 @@
 		}
 		close(release)
 		answer, err := http.ReadResponse(bufio.NewReader(busy), nil)
-		if err != nil || answer.StatusCode != 200 || !answer.Close {
-			t.Errorf("running request: %v %v", answer, err)
-		}
-		if err := <-stopped; err != nil {
-			t.Error(err)
-		}
+		expect.That(t, err == nil && answer.StatusCode == 200 && answer.Close, "running request: %v %v", answer, err)
+		expect.NoError(t, <-stopped)
 	})
 }
 
@@ -342,8 +314,6 @@
 		}
 		send(over, request("GET", "/v1/models", "key-rental", ""))
 		answer, err := http.ReadResponse(bufio.NewReader(over), nil)
-		if err != nil || answer.StatusCode != 503 || answer.Header.Get("Retry-After") != "1" {
-			t.Errorf("over: %v %v", answer, err)
-		}
+		expect.That(t, err == nil && answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v %v", answer, err)
 	})
 }
--- a/caller/observe_test.go
+++ b/caller/observe_test.go
@@ -18,6 +18,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/refusal"
 )
 
@@ -44,14 +45,10 @@
 	}
 	told := fmt.Sprint(lines.All()[0].ContextMap(), span.Attributes())
 	for _, want := range []string{w.Header().Get("X-Request-Id"), "desk-7", "rental", "queue_full"} {
-		if strings.Count(told, want) < 2 {
-			t.Errorf("%q is not in both of %s", want, told)
-		}
+		expect.That(t, strings.Count(told, want) >= 2, "%q is not in both of %s", want, told)
 	}
 	for _, secret := range []string{"key-rental", `"hi"`} {
-		if strings.Contains(told, secret) {
-			t.Errorf("%q is in %s", secret, told)
-		}
+		expect.That(t, !strings.Contains(told, secret), "%q is in %s", secret, told)
 	}
 }
 
@@ -64,9 +61,7 @@
 		holder := sink.(caller.HoldingSink)
 		hold := func() {
 			held++
-			if err := holder.Hold(engine.Chunk{Position: held, Data: []byte(benchmarkChunk)}); err != nil {
-				t.Error(err)
-			}
+			expect.NoError(t, holder.Hold(engine.Chunk{Position: held, Data: []byte(benchmarkChunk)}))
 		}
 		hold()
 		hold()
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -16,6 +16,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/service"
 )
 
@@ -38,12 +39,8 @@
 		RequestID: w.Header().Get("X-Request-Id"), Method: "POST", Path: "/book/a%2Fb?day=1",
 		Header: http.Header{"Accept": {"text/plain"}, "Idempotency-Key": {"k 1"}}, Body: []byte("pan"),
 	}
-	if diff := cmp.Diff(want, got.Call); diff != "" {
-		t.Error(diff)
-	}
-	if !got.Once || got.IdempotencyKey != "k 1" || got.Service.Name != "booking" {
-		t.Errorf("got %+v", got)
-	}
+	expect.Same(t, want, got.Call)
+	expect.That(t, got.Once && got.IdempotencyKey == "k 1" && got.Service.Name == "booking", "got %+v", got)
 	id := w.Header().Get("X-Request-Id")
 	if w.Code != 201 || w.Body.String() != "booked" || w.Header().Get("X-Hop") != "" || w.Header().Get("Location") == "" || len(id) < 20 {
 		t.Errorf("answer %d %v %s", w.Code, w.Header(), w.Body)
@@ -62,9 +59,7 @@
 		r := request("POST", "/services/booking"+path, "key-rental", "")
 		w := answerOf(h, r)
 		// A redirect has run nothing; the caller sends its POST again as one.
-		if w.Code != http.StatusTemporaryRedirect && (w.Code != 200 || !got.Once) {
-			t.Errorf("%s: %d, once %v", path, w.Code, got.Once)
-		}
+		expect.That(t, w.Code == http.StatusTemporaryRedirect || w.Code == 200 && got.Once, "%s: %d, once %v", path, w.Code, got.Once)
 	}
 }
 
@@ -82,19 +77,14 @@
 		}}, caller.Limits{})
 		w := answerOf(h, request("POST", chat, "key-rental", string(body)))
 		if got == nil {
-			if w.Code/100 != 4 {
-				t.Fatalf("refused with %d", w.Code)
-			}
+			expect.Must(t, w.Code/100 == 4, "refused with %d", w.Code)
 			return
 		}
 		var before, after map[string]json.RawMessage
-		if json.Unmarshal(body, &before) != nil || json.Unmarshal(got, &after) != nil {
-			t.Fatalf("%q became %q", body, got)
-		}
+		expect.Must(t, json.Unmarshal(body, &before) == nil && json.Unmarshal(got, &after) == nil, "%q became %q", body, got)
 		before["stream"] = json.RawMessage("true")
-		if diff := cmp.Diff(before, after); diff != "" {
-			t.Fatal(diff)
-		}
+		diff := cmp.Diff(before, after)
+		expect.Must(t, diff == "", "%v", diff)
 	})
 }
 
@@ -140,9 +130,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		b.Fatal(err)
-	}
+	expect.OK(b, err)
 	defer answer.Body.Close()
 	buffer := make([]byte, 64<<10)
 	for err == nil {
@@ -174,24 +162,18 @@
 	}}, caller.Limits{})
 	server := caller.NewServer(handler, caller.Limits{}, nil)
 	listener, err := caller.Listen(b.Context(), "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
+	expect.OK(b, err)
 	go func() { _ = server.Serve(listener) }()
 	r := request("POST", chat, "key-rental", strings.Replace(goodStream, "hi", strings.Repeat("steelpan", 512), 1))
 	var sent bytes.Buffer
-	if err := r.Write(&sent); err != nil {
-		b.Fatal(err)
-	}
+	expect.OK(b, r.Write(&sent))
 	before := memory()
 	conns := make([]net.Conn, 0, b.N)
 	header := make([]byte, 1)
 	b.ResetTimer()
 	for range b.N {
 		conn, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, err)
 		conns = append(conns, conn)
 		if _, err := conn.Write(sent.Bytes()); err != nil {
 			b.Fatal(err)
