engine: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/sendonce"
 )
 
@@ -37,9 +38,7 @@
 	b.ReportAllocs()
 	for done := 0; done < b.N; {
 		stream, err := client.Generate(context.Background(), "engine", engine.Request{ID: "r1", Path: "/v1/completions"})
-		if err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, err)
 		for range min(chunks, b.N-done) {
 			if _, err := stream.Next(); err != nil {
 				b.Fatal(err)
@@ -67,9 +66,7 @@
 	client := engine.NewClient(sendonce.NewClient())
 	address := strings.TrimPrefix(server.URL, "http://")
 	stream, err := client.Generate(b.Context(), address, engine.Request{ID: "r1", Path: "/v1/completions"})
-	if err != nil {
-		b.Fatal(err)
-	}
+	expect.OK(b, err)
 	defer stream.Close()
 	begun := processorTime()
 	for b.Loop() {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 )
 
 // answering answers every request with the same status and body.
@@ -74,15 +75,10 @@
 		for err == nil {
 			_, err = stream.Next()
 		}
-		if c.whole && err != io.EOF {
-			t.Errorf("%s: %v", name, err)
-		}
-		if !c.whole && !errors.Is(err, engine.ErrBrokenStream) {
-			t.Errorf("%s: %v instead of a broken stream", name, err)
-		}
-		if _, again := stream.Next(); again != err {
-			t.Errorf("%s: %v after the end", name, again)
-		}
+		expect.That(t, !c.whole || err == io.EOF, "%s: %v", name, err)
+		expect.That(t, c.whole || errors.Is(err, engine.ErrBrokenStream), "%s: %v instead of a broken stream", name, err)
+		_, again := stream.Next()
+		expect.That(t, again == err, "%s: %v after the end", name, again)
 		stream.Close()
 	}
 }
@@ -126,14 +122,10 @@
 // The engine, or something in between, answers with the wrong stream.
 func TestAnswerOfAnotherRequestIsNotTaken(t *testing.T) {
 	client := clientOf(answering{http.StatusOK, "other", ""})
-	if _, err := client.Resume(t.Context(), "e", "r", 1); !errors.Is(err, engine.ErrOutcomeUnknown) {
-		t.Error(err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(client.Resume(t.Context(), "e", "r", 1)), engine.ErrOutcomeUnknown, "another's answer")
 }
 
 func TestOrderAnsweredWithRubbishHasUnknownOutcome(t *testing.T) {
 	client := clientOf(answering{http.StatusOK, "", "{"})
-	if _, err := client.Order(t.Context(), "e", engine.Order{}); !errors.Is(err, engine.ErrOutcomeUnknown) {
-		t.Error(err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(client.Order(t.Context(), "e", engine.Order{})), engine.ErrOutcomeUnknown, "rubbish")
 }
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -11,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	sse "github.com/tmaxmax/go-sse"
 	"pgregory.net/rapid"
+
+	"bergamotreel/internal/expect"
 )
 
 // bodyParts are the parts of generated bodies: lines of all kinds, their ends,
@@ -52,26 +54,19 @@
 		for {
 			pending, before := reader.pending(), reads.n
 			e, err := reader.next()
-			if pending && (err != nil || reads.n != before) {
-				t.Fatalf("%q: an event that was pending was read for, %v", body, err)
-			}
+			expect.Must(t, !pending || err == nil && reads.n == before, "%q: an event that was pending was read for, %v", body, err)
 			if err == io.EOF {
 				break
 			}
-			if err != nil {
-				t.Fatal(err)
-			}
+			expect.OK(t, err)
 			got = append(got, sse.Event{LastEventID: string(e.id), Type: e.name, Data: string(e.data)})
 			kept = append(kept, e.data)
 			for i := max(0, len(kept)-dataBuffers); i < len(kept); i++ {
-				if string(kept[i]) != got[i].Data {
-					t.Fatalf("%q: the data of event %d changed at event %d", body, i, len(kept)-1)
-				}
+				expect.Must(t, string(kept[i]) == got[i].Data, "%q: the data of event %d changed at event %d", body, i, len(kept)-1)
 			}
 		}
-		if diff := cmp.Diff(want, got); diff != "" {
-			t.Fatalf("%q: %s", body, diff)
-		}
+		diff := cmp.Diff(want, got)
+		expect.Must(t, diff == "", "%q: %s", body, diff)
 	})
 }
 
@@ -79,8 +74,7 @@
 func TestEndlessEventIsRefused(t *testing.T) {
 	for _, part := range []string{"data: x", "data: x\n"} {
 		body := strings.NewReader(strings.Repeat(part, MaxChunk))
-		if _, err := newEventReader(body).next(); !errors.Is(err, errLargeEvent) {
-			t.Errorf("%q: %v", part, err)
-		}
+		_, err := newEventReader(body).next()
+		expect.That(t, errors.Is(err, errLargeEvent), "%q: %v", part, err)
 	}
 }
--- a/engine/status_bench_test.go
+++ b/engine/status_bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 )
 
 // BenchmarkStatus is the processor time to read one engine's status, without the
@@ -23,9 +24,7 @@
 			status.Cached["other-"+name] = engine.TierDisk
 		}
 		body, err := json.Marshal(status)
-		if err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, err)
 		b.Run(fmt.Sprint(units, "units"), func(b *testing.B) {
 			client := engine.NewClient(&http.Client{Transport: cannedTransport(body)})
 			b.ReportAllocs()
