internal/serving: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/serving/bed_test.go
+++ b/internal/serving/bed_test.go
@@ -20,6 +20,7 @@
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/serving"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/serviceserver"
@@ -67,9 +68,7 @@
 		t.Cleanup(e.Close)
 		b.Put(name, e)
 		order := engine.Order{Token: 1, Action: engine.ActionLoad, Unit: "m", Checkpoint: "c", Bytes: 1}
-		if _, err := b.Order(t.Context(), name, order); err != nil {
-			t.Fatal(err)
-		}
+		expect.Value(b.Order(t.Context(), name, order))(t)
 		b.candidates = append(b.candidates, routing.Candidate{Engine: name, Domain: name, Slots: 8, Ready: true})
 	}
 	controller := admission.New(admission.Config{})
@@ -272,8 +271,6 @@
 		b := newBed(t)
 		b.relayer = naive{b, twin.skips}
 		run(b)
-		if len(b.problems) == 0 {
-			t.Error("the naive twin stands this too")
-		}
+		expect.That(t, len(b.problems) != 0, "the naive twin stands this too")
 	})
 }
--- a/internal/serving/content_test.go
+++ b/internal/serving/content_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strings"
 	"testing"
+
+	"bergamotreel/internal/expect"
 )
 
 // The engine must get the caller's own seed, however its name is spelt, and one
@@ -20,20 +22,13 @@
 		`{"se\u0065d":null}`: true,
 	} {
 		var before, after map[string]json.RawMessage
-		if err := json.Unmarshal([]byte(body), &before); err != nil {
-			t.Fatal(err)
-		}
+		expect.OK(t, json.Unmarshal([]byte(body), &before))
 		got := withSeed([]byte(body), "id")
-		if err := json.Unmarshal(got, &after); err != nil {
-			t.Fatalf("%s became %s: %v", body, got, err)
-		}
-		if own && string(got) != body || !own && len(after) != len(before)+1 {
-			t.Errorf("%s became %s", body, got)
-		}
+		err := json.Unmarshal(got, &after)
+		expect.Must(t, err == nil, "%s became %s: %v", body, got, err)
+		expect.That(t, (!own || string(got) == body) && (own || len(after) == len(before)+1), "%s became %s", body, got)
 		for name, value := range before {
-			if string(after[name]) != string(value) {
-				t.Errorf("%s: %s became %s", body, name, after[name])
-			}
+			expect.That(t, string(after[name]) == string(value), "%s: %s became %s", body, name, after[name])
 		}
 	}
 	for _, body := range []string{`null`, `[1]`, `{`} {
--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -14,6 +14,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
@@ -48,9 +49,7 @@
 	for b.Loop() {
 		chunk.Position++
 		r.sums = r.sums[:0] // an answer's hashes, not a benchmark's
-		if err := r.deliver(time.Time{}, chunk, false); err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, r.deliver(time.Time{}, chunk, false))
 	}
 }
 
@@ -72,12 +71,8 @@
 	ask := func(assigned int) *place {
 		t.Helper()
 		p, w, refused := s.arrive(request, query, s.find("m"))
-		if refused != nil || len(w.assign) != assigned {
-			t.Fatalf("%v, %d assignments, want %d", refused, len(w.assign), assigned)
-		}
-		if assigned > 0 && p.wait(t.Context(), w) != nil {
-			t.Fatal("no place")
-		}
+		expect.Must(t, refused == nil && len(w.assign) == assigned, "%v, %d assignments, want %d", refused, len(w.assign), assigned)
+		expect.Must(t, assigned <= 0 || p.wait(t.Context(), w) == nil, "no place")
 		return p
 	}
 	first := ask(1)
@@ -199,9 +194,7 @@
 				if refused != nil {
 					b.Fatal(refused)
 				}
-				if err := p.wait(b.Context(), w); err != nil {
-					b.Fatal(err)
-				}
+				expect.OK(b, p.wait(b.Context(), w))
 				p.answer(time.Now())
 				p.end(b.Context(), nil, judge(nil))
 			}
