internal/sendonce: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/sendonce/multiplexed_test.go
+++ b/internal/sendonce/multiplexed_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"bergamotreel/internal/expect"
 )
 
 // The frames of HTTP/2 (RFC 9113, 6) that the test's server needs.
@@ -136,9 +138,7 @@
 				cancel()
 			}
 			_, sent, err := Do(NewMultiplexedClientDialing(c.dial), newTestRequest(t, ctx, "POST", "{}", ""))
-			if err == nil || sent != c.sent {
-				t.Errorf("%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
-			}
+			expect.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
 		})
 	}
 }
@@ -157,9 +157,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
 		defer cancel()
 		_, sent, err := Do(client, newTestRequest(t, ctx, "POST", "{}", ""))
-		if err == nil || sent {
-			t.Errorf("sent %v, error %v", sent, err)
-		}
+		expect.That(t, err != nil && !sent, "sent %v, error %v", sent, err)
 		time.Sleep(2 * time.Second)
 		if s.connections.Load() != 1 || s.requests.Load() != 0 {
 			t.Errorf("%d connections, %d requests came", s.connections.Load(), s.requests.Load())
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+
+	"bergamotreel/internal/expect"
 )
 
 // server answers the first request of its first connection, reads the second
@@ -43,10 +45,7 @@
 
 func newTestRequest(t *testing.T, ctx context.Context, method, body, key string) *http.Request {
 	t.Helper()
-	request, err := http.NewRequestWithContext(ctx, method, "http://backend/book", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	request := expect.Value(http.NewRequestWithContext(ctx, method, "http://backend/book", nil))(t)
 	request.Body, request.ContentLength = Body([]byte(body)), int64(len(body))
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
@@ -60,18 +59,13 @@
 	t.Helper()
 	defer client.CloseIdleConnections()
 	first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	first.Body.Close()
 	synctest.Wait()
 	_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
-	if err == nil || !sent {
-		t.Errorf("%s %q: sent %v, error %v", method, body, sent, err)
-	}
-	if n := requests.Load(); n != 2 {
-		t.Errorf("%s %q: %d requests came instead of 2", method, body, n)
-	}
+	expect.That(t, err != nil && sent, "%s %q: sent %v, error %v", method, body, sent, err)
+	n := requests.Load()
+	expect.That(t, n == 2, "%s %q: %d requests came instead of 2", method, body, n)
 }
 
 // The caller sees one failed call, and the backend server ran it once.
@@ -126,9 +120,7 @@
 		"uncounted writes":    {uncounted, t.Context(), true},
 	} {
 		_, sent, err := Do(c.client, newTestRequest(t, c.ctx, "POST", "{}", ""))
-		if err == nil || sent != c.sent {
-			t.Errorf("%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
-		}
+		expect.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
 	}
 }
 
@@ -140,18 +132,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		idle := &conn{Conn: near}
-		if idle.sentSince(0) {
-			t.Error("an unused connection says sent")
-		}
-		if _, err := idle.Write([]byte("x")); !errors.Is(err, errPoisoned) {
-			t.Errorf("late write: %v", err)
-		}
+		expect.That(t, !idle.sentSince(0), "an unused connection says sent")
+		expect.ErrorIs(t, expect.ErrorOf(idle.Write([]byte("x"))), errPoisoned, "late write")
 		busy := &conn{Conn: near}
 		go busy.Write([]byte("x")) // blocks: nobody reads
 		synctest.Wait()
-		if !busy.sentSince(0) {
-			t.Error("a write under way does not count as sent")
-		}
+		expect.That(t, busy.sentSince(0), "a write under way does not count as sent")
 		far.Close()
 		near.Close()
 	})
--- a/internal/sendonce/shared_test.go
+++ b/internal/sendonce/shared_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"testing/synctest"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/pipenet"
 )
 
@@ -51,13 +52,9 @@
 		open := func(path string) (io.Reader, context.CancelFunc) {
 			ctx, cancel := context.WithCancel(t.Context())
 			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://engine"+path, Body(nil))
-			if err != nil {
-				t.Fatal(err)
-			}
+			expect.OK(t, err)
 			answer, _, err := Do(client, request)
-			if err != nil {
-				t.Fatal(err)
-			}
+			expect.OK(t, err)
 			return answer.Body, cancel
 		}
 		go func() { ask <- struct{}{} }()
@@ -69,16 +66,12 @@
 			_, leave := open("/slow")
 			synctest.Wait() // its buffer is full
 			ask <- struct{}{}
-			if !lines.Scan() {
-				t.Fatal(lines.Err())
-			}
+			expect.Must(t, lines.Scan(), "%v", lines.Err())
 			defer leave()
 		}
 		_, leave := open("/leaving")
 		leave()
 		ask <- struct{}{}
-		if !lines.Scan() || dials != 1 {
-			t.Fatalf("error %v, %d connections", lines.Err(), dials)
-		}
+		expect.Must(t, lines.Scan() && dials == 1, "error %v, %d connections", lines.Err(), dials)
 	})
 }
