internal/standin: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
 )
 
@@ -14,9 +15,7 @@
 		e := b.start("a", engineserver.Options{})
 		b.refuse("a", request("r0", "m", "hello", 3), engine.ErrNotLoaded)
 		status := b.order("a", loadOrder(1, "m"), nil)
-		if len(status.Units) != 1 || status.Units[0].Phase != engine.PhaseLoading {
-			b.Errorf("after the order: %v", status.Units)
-		}
+		expect.That(b, len(status.Units) == 1 && status.Units[0].Phase == engine.PhaseLoading, "after the order: %v", status.Units)
 		time.Sleep(loadTime + token)
 		b.wantPhases("a", "m ready")
 		r := request("r1", "m", "hello", 5)
@@ -26,12 +25,10 @@
 		b.refuse("a", request("r2", "m", "hello", 3), engine.ErrNotLoaded)
 		b.wantWhole(stream, r)
 		b.wantPhases("a", "")
-		if tier := b.status("a").Cached["m.ckpt"]; tier != engine.TierMemory {
-			b.Errorf("unloaded checkpoint is in tier %q", tier)
-		}
-		if ran := e.Records().Ran; ran["r1"] != 1 || len(ran) != 1 {
-			b.Errorf("ran %v", ran)
-		}
+		tier := b.status("a").Cached["m.ckpt"]
+		expect.That(b, tier == engine.TierMemory, "unloaded checkpoint is in tier %q", tier)
+		ran := e.Records().Ran
+		expect.That(b, ran["r1"] == 1 && len(ran) == 1, "ran %v", ran)
 	})
 }
 
@@ -49,9 +46,8 @@
 		b.order("a", loadOrder(4, "m3"), engine.ErrNoMemory)
 		_, _, _ = read(stream)
 		b.order("a", loadOrder(4, "m3"), nil)
-		if records := e.Records(); records.Overcommits != 1 || records.MaxMemory != 2*unitBytes {
-			b.Errorf("%+v", records)
-		}
+		records := e.Records()
+		expect.That(b, records.Overcommits == 1 && records.MaxMemory == 2*unitBytes, "%+v", records)
 	})
 }
 
@@ -89,9 +85,7 @@
 			want := map[bool]string{true: "", false: "m ready"}[checks]
 			b.wantPhases("a", want)
 			late := e.Records().Orders[1]
-			if late.Order.Unit != "m" || (late.Refused != "") != checks {
-				b.Errorf("late order: %+v", late)
-			}
+			expect.That(b, late.Order.Unit == "m" && (late.Refused != "") == checks, "late order: %+v", late)
 			b.order("a", loadOrder(4, "m2"), map[bool]error{true: engine.ErrStaleToken}[checks])
 		})
 	}
@@ -107,9 +101,8 @@
 		b.wantPhases("a", "m loading")
 		b.load("a", "m")
 		b.wantPhases("a", "m ready")
-		if loads := e.Records().Loads["m"]; loads != 1 {
-			b.Errorf("%d loads", loads)
-		}
+		loads := e.Records().Loads["m"]
+		expect.That(b, loads == 1, "%d loads", loads)
 	})
 }
 
@@ -146,12 +139,9 @@
 			b.check(err, engine.ErrBrokenStream)
 			time.Sleep(time.Minute)
 			after := b.status("a")
-			if after.Incarnation == before || len(after.Units) > 0 {
-				b.Errorf("after the restart: %+v", after)
-			}
-			if kept := after.HighestToken == 9; kept != checks {
-				b.Errorf("highest token after the restart: %d", after.HighestToken)
-			}
+			expect.That(b, after.Incarnation != before && len(after.Units) == 0, "after the restart: %+v", after)
+			kept := after.HighestToken == 9
+			expect.That(b, kept == checks, "highest token after the restart: %d", after.HighestToken)
 			_, err = b.Resume(b.Context(), "a", "r", 1)
 			b.check(err, engine.ErrUnknownStream)
 		})
@@ -166,9 +156,8 @@
 		b.load("a", "m")
 		b.load("a", "m2")
 		b.wantPhases("a", "m2 loading")
-		if status := b.status("a"); status.Failed["m"] == "" {
-			b.Errorf("%+v", status)
-		}
+		status := b.status("a")
+		expect.That(b, status.Failed["m"] != "", "%+v", status)
 		e.SetFaults(engineserver.Faults{})
 		b.load("a", "m")
 		b.wantPhases("a", "m ready, m2 ready")
--- a/internal/standin/engineserver/streams_test.go
+++ b/internal/standin/engineserver/streams_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/routing"
 )
@@ -24,9 +25,8 @@
 		b.wantWhole(b.generate("a", r), r)
 		b.wantWhole(b.generate("a", r), r)
 		b.refuse("a", request("r", "m", "bye", 8), engine.ErrIDConflict)
-		if ran := e.Records().Ran["r"]; ran != 1 {
-			b.Errorf("ran %d times", ran)
-		}
+		ran := e.Records().Ran["r"]
+		expect.That(b, ran == 1, "ran %d times", ran)
 	})
 }
 
@@ -40,16 +40,12 @@
 			r := request("r", "m", "hello", 8)
 			text, chunks, err := read(b.generate("a", r))
 			b.check(err, engine.ErrBrokenStream)
-			if chunks != 3 {
-				b.Fatalf("%d chunks before the break", chunks)
-			}
+			expect.Must(b, chunks == 3, "%d chunks before the break", chunks)
 			e.SetFaults(engineserver.Faults{})
 			stream, err := b.Resume(b.Context(), "a", "r", chunks+1)
 			b.check(err, nil)
 			rest, _, _ := read(stream)
-			if text+rest != engineserver.ExpectedText(r.Body) {
-				b.Errorf("%q + %q", text, rest)
-			}
+			expect.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
 			time.Sleep(time.Minute)
 			b.generate("a", request("r2", "m", "hello", 1)).Close()
 			_, err = b.Resume(b.Context(), "a", "r", 1)
@@ -66,9 +62,7 @@
 		e.SetFaults(engineserver.Faults{CrossChunk: 2})
 		_, chunks, err := read(b.generate("a", request("r", "m", "hello", 8)))
 		b.check(err, engine.ErrBrokenStream)
-		if chunks != 1 {
-			b.Errorf("%d chunks passed on", chunks)
-		}
+		expect.That(b, chunks == 1, "%d chunks passed on", chunks)
 	})
 }
 
@@ -98,9 +92,8 @@
 		b.refuse("a", request("over", "m", "hello", 3), engine.ErrBusy)
 		begun := time.Now()
 		b.wantWhole(highStream, high)
-		if took := time.Since(begun); took != 6*token {
-			b.Errorf("the higher priority took %v", took)
-		}
+		took := time.Since(begun)
+		expect.That(b, took == 6*token, "the higher priority took %v", took)
 		b.wantWhole(lowStream, low)
 		e.SetDraining(true)
 		b.refuse("a", request("late", "m", "hello", 3), engine.ErrBusy)
@@ -122,9 +115,8 @@
 		}
 		b.wantWhole(first, one)
 		b.wantWhole(second, two)
-		if took := time.Since(begun); took < 14*token || took > 16*token {
-			b.Errorf("two in a batch took %v", took)
-		}
+		took := time.Since(begun)
+		expect.That(b, took >= 14*token && took <= 16*token, "two in a batch took %v", took)
 	})
 }
 
@@ -143,9 +135,7 @@
 			b.wantWhole(b.generate("a", r), r)
 			took[i] = time.Since(begun)
 		}
-		if took[1] >= took[0]/2 {
-			b.Errorf("took %v without and %v with the cache", took[0], took[1])
-		}
+		expect.That(b, took[1] < took[0]/2, "took %v without and %v with the cache", took[0], took[1])
 		events, err := b.CacheEvents(b.Context(), "a", 0)
 		b.check(err, nil)
 		time.Sleep(time.Second)
@@ -180,9 +170,7 @@
 		stream, err := b.Resume(b.Context(), "d", "r", chunks+1)
 		b.check(err, nil)
 		rest, _, _ := read(stream)
-		if text+rest != engineserver.ExpectedText(r.Body) {
-			b.Errorf("%q + %q", text, rest)
-		}
+		expect.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
 		if prefill.Records().Ran["r"] != 1 || decode.Records().Ran["r"] != 0 {
 			b.Errorf("ran %v and %v", prefill.Records().Ran, decode.Records().Ran)
 		}
@@ -218,8 +206,6 @@
 			r := request(id, "m", "hello", 3)
 			b.wantWhole(b.generate("a", r), r)
 		}
-		if *b.dials != 1 {
-			b.Errorf("%d connections", *b.dials)
-		}
+		expect.That(b, *b.dials == 1, "%d connections", *b.dials)
 	})
 }
--- a/internal/standin/loadgen/loadgen_test.go
+++ b/internal/standin/loadgen/loadgen_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
 )
 
@@ -59,13 +60,10 @@
 			Duration: time.Minute, StreamShare: 1, Tokens: 4, PromptBytes: 100, Timeout: time.Minute,
 		})
 		server.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
+		expect.OK(t, err)
 		counted := map[string]int{strings.TrimSuffix(want, " (late)"): 5}
-		if diff := cmp.Diff(counted, report.Outcomes); diff != "" || report.Broken() != test.broken {
-			t.Errorf("%s: broken %v, %s", want, report.Broken(), diff)
-		}
+		diff := cmp.Diff(counted, report.Outcomes)
+		expect.That(t, diff == "" && report.Broken() == test.broken, "%s: broken %v, %s", want, report.Broken(), diff)
 	}
 }
 
@@ -83,9 +81,8 @@
 		Service: "booking", ServiceShare: 1, RepeatShare: 1, Rate: 1000, Requests: 1, Duration: time.Minute, Timeout: time.Minute,
 	})
 	want := map[string]int{"booking: " + OutcomeOK: 1, "booking: " + OutcomeWrong: 1}
-	if diff := cmp.Diff(want, report.Outcomes); diff != "" || err != nil || !report.Broken() {
-		t.Error(err, diff)
-	}
+	diff := cmp.Diff(want, report.Outcomes)
+	expect.That(t, diff == "" && err == nil && report.Broken(), "%v %v", err, diff)
 }
 
 func TestPlanIsTheSameForOneSeed(t *testing.T) {
@@ -102,19 +99,14 @@
 		return requests
 	}
 	first := all()
-	if diff := cmp.Diff(first, all()); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, first, all())
 	// Four bursts of 20 in 5 s and some 50 single ones.
-	if len(first) < 100 || len(first) > 180 {
-		t.Errorf("%d requests", len(first))
-	}
+	expect.That(t, len(first) >= 100 && len(first) <= 180, "%d requests", len(first))
 }
 
 func TestOnlyLoopback(t *testing.T) {
 	for address, ok := range map[string]bool{"127.0.0.1:1": true, "[::1]:1": true, "10.0.0.1:1": false, "localhost:1": false, "": false} {
-		if err := checkLoopback([]string{address}); (err == nil) != ok {
-			t.Errorf("%q: %v", address, err)
-		}
+		err := checkLoopback([]string{address})
+		expect.That(t, (err == nil) == ok, "%q: %v", address, err)
 	}
 }
--- a/internal/standin/logserver/store_test.go
+++ b/internal/standin/logserver/store_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
 	"bergamotreel/platformlog"
@@ -18,9 +19,7 @@
 func mustAppend(t *testing.T, log platformlog.Log, data ...string) {
 	t.Helper()
 	for _, d := range data {
-		if _, err := log.Append(t.Context(), "s", []byte(d)); err != nil {
-			t.Fatal(err)
-		}
+		expect.Value(log.Append(t.Context(), "s", []byte(d)))(t)
 	}
 }
 
@@ -37,9 +36,7 @@
 	if errors.Is(err, platformlog.ErrTrimmed) {
 		got += " trimmed"
 	}
-	if got != want {
-		t.Errorf("read from %d:\n got %s\nwant %s", from, got, want)
-	}
+	expect.That(t, got == want, "read from %d:\n got %s\nwant %s", from, got, want)
 }
 
 // The store and the client over HTTP must be the same log to their user.
@@ -108,9 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logserver.New(logserver.Config{AppendsPerSecond: 10, Burst: 2})
 		mustAppend(t, log, "a", "b")
-		if _, err := log.Append(t.Context(), "s", nil); !errors.Is(err, platformlog.ErrUnavailable) {
-			t.Errorf("beyond the rate: %v", err)
-		}
+		expect.ErrorIs(t, expect.ErrorOf(log.Append(t.Context(), "s", nil)), platformlog.ErrUnavailable, "beyond the rate")
 		time.Sleep(100 * time.Millisecond)
 		mustAppend(t, log, "c")
 		check(t, log, 1, 10, "1:a 2:b 3:c next 4 earliest 1 end 3")
@@ -123,14 +118,10 @@
 	log := logserver.New(logserver.Config{})
 	one, two := log.View("one"), log.View("two")
 	one.Cut()
-	if _, err := one.Append(t.Context(), "s", []byte("a")); !errors.Is(err, platformlog.ErrUnavailable) {
-		t.Errorf("cut off: %v", err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(one.Append(t.Context(), "s", []byte("a"))), platformlog.ErrUnavailable, "cut off")
 	mustAppend(t, two, "b")
 	one.Faults().Set(faults.Settings{LoseAnswers: 1})
-	if _, err := one.Append(t.Context(), "s", []byte("c")); !errors.Is(err, platformlog.ErrUnknown) {
-		t.Errorf("answer lost: %v", err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(one.Append(t.Context(), "s", []byte("c"))), platformlog.ErrUnknown, "answer lost")
 	mustAppend(t, one, "d")
 	check(t, two, 1, 10, "1:b 2:c 3:d next 4 earliest 1 end 3")
 }
@@ -144,9 +135,7 @@
 		slow.Faults().Set(faults.Settings{SlowMS: 3000})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, err := slow.Append(ctx, "s", []byte("late")); !errors.Is(err, platformlog.ErrUnknown) {
-			t.Errorf("gave up: %v", err)
-		}
+		expect.ErrorIs(t, expect.ErrorOf(slow.Append(ctx, "s", []byte("late"))), platformlog.ErrUnknown, "gave up")
 		mustAppend(t, log, "soon")
 		check(t, log, 1, 10, "1:soon next 2 earliest 1 end 1")
 		time.Sleep(3 * time.Second)
@@ -167,7 +156,5 @@
 		return pattern
 	}
 	first, again, other := draw(7), draw(7), draw(8)
-	if first != again || first == other {
-		t.Errorf("the draws don't follow the seed: %s / %s / %s", first, again, other)
-	}
+	expect.That(t, first == again && first != other, "the draws don't follow the seed: %s / %s / %s", first, again, other)
 }
--- a/internal/standin/vmlistserver/registry_test.go
+++ b/internal/standin/vmlistserver/registry_test.go
@@ -1,7 +1,6 @@
 package vmlistserver_test
 
 import (
-	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,22 +8,16 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/vmlistserver"
 	"bergamotreel/vmlist"
-
-	"github.com/google/go-cmp/cmp"
 )
 
 func wantList(t *testing.T, lister vmlist.Lister, version uint64, vms ...vmlist.VM) {
 	t.Helper()
-	got, err := lister.List(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(vmlist.List{Version: version, VMs: vms}, got); diff != "" {
-		t.Error(diff)
-	}
+	got := expect.Value(lister.List(t.Context()))(t)
+	expect.Same(t, vmlist.List{Version: version, VMs: vms}, got)
 }
 
 // A VM leaves and goes; the list goes on naming it as live for its whole lag.
@@ -44,9 +37,7 @@
 		time.Sleep(10 * time.Second)
 		wantList(t, registry, 3, a)
 		registry.Faults().Set(faults.Settings{Outage: true})
-		if _, err := registry.List(t.Context()); !errors.Is(err, vmlist.ErrUnavailable) {
-			t.Errorf("outage: %v", err)
-		}
+		expect.ErrorIs(t, expect.ErrorOf(registry.List(t.Context())), vmlist.ErrUnavailable, "outage")
 	})
 }
 
@@ -55,10 +46,7 @@
 	defer server.Close()
 	admin := func(method, path, body string) int {
 		request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
-		answer, err := http.DefaultClient.Do(request)
-		if err != nil {
-			t.Fatal(err)
-		}
+		answer := expect.Value(http.DefaultClient.Do(request))(t)
 		answer.Body.Close()
 		return answer.StatusCode
 	}
@@ -71,11 +59,8 @@
 	wantList(t, client, 3, vm)
 	wantList(t, client, 3, vm) // 304
 	admin("DELETE", "/admin/vms/e1", "")
-	if got := admin("DELETE", "/admin/vms/e1", ""); got != http.StatusNotFound {
-		t.Errorf("second delete: status %d", got)
-	}
+	got := admin("DELETE", "/admin/vms/e1", "")
+	expect.That(t, got == http.StatusNotFound, "second delete: status %d", got)
 	admin("POST", "/admin/faults", `{"outage":true}`)
-	if _, err := client.List(t.Context()); !errors.Is(err, vmlist.ErrUnavailable) {
-		t.Errorf("outage: %v", err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(client.List(t.Context())), vmlist.ErrUnavailable, "outage")
 }
--- a/internal/standin/weightserver/store_test.go
+++ b/internal/standin/weightserver/store_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/weightserver"
 	"bergamotreel/weightstore"
@@ -33,9 +34,7 @@
 	var all sync.WaitGroup
 	for i := range n {
 		all.Go(func() {
-			if err := store.Fetch(t.Context(), "m"); err != nil {
-				t.Error(err)
-			}
+			expect.NoError(t, store.Fetch(t.Context(), "m"))
 			took[i] = time.Since(start).Round(time.Millisecond).Seconds()
 		})
 	}
@@ -59,9 +58,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := weightserver.New(today())
 				store.Faults().Set(c.fault)
-				if diff := cmp.Diff(c.want, fetchAll(t, store, c.loads)); diff != "" {
-					t.Error(diff)
-				}
+				expect.Same(t, c.want, fetchAll(t, store, c.loads))
 			})
 		})
 	}
@@ -75,14 +72,10 @@
 		time.AfterFunc(5*time.Second, func() {
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			if err := store.Fetch(ctx, "m"); !errors.Is(err, weightstore.ErrUnavailable) {
-				t.Errorf("given up: %v", err)
-			}
+			expect.ErrorIs(t, store.Fetch(ctx, "m"), weightstore.ErrUnavailable, "given up")
 		})
 		// 5 s at full speed, 5 s at 4/5, the last 1 s at full speed.
-		if diff := cmp.Diff([]float64{11, 11, 11, 11}, fetchAll(t, store, 4)); diff != "" {
-			t.Error(diff)
-		}
+		expect.Same(t, []float64{11, 11, 11, 11}, fetchAll(t, store, 4))
 	})
 }
 
@@ -94,14 +87,11 @@
 		time.AfterFunc(100*time.Millisecond, func() {
 			status, err := store.Status(t.Context())
 			want := weightstore.Status{LoadsPerSecond: 4, AtOnce: 4, Running: 1, Waiting: 2}
-			if err != nil || status != want {
-				t.Errorf("got %+v, %v", status, err)
-			}
+			expect.That(t, err == nil && status == want, "got %+v, %v", status, err)
 		})
 		took := fetchAll(t, store, 3)
-		if diff := cmp.Diff(30.75, took[0]+took[1]+took[2]); diff != "" {
-			t.Errorf("starts at 0, 0.25 and 0.5 s: %s", diff)
-		}
+		diff := cmp.Diff(30.75, took[0]+took[1]+took[2])
+		expect.That(t, diff == "", "starts at 0, 0.25 and 0.5 s: %s", diff)
 	})
 }
 
@@ -117,9 +107,7 @@
 			t.Errorf("got %v after %v", err, time.Since(start))
 		}
 		store.Faults().Set(faults.Settings{})
-		if diff := cmp.Diff([]float64{10}, fetchAll(t, store, 1)); diff != "" {
-			t.Error(diff)
-		}
+		expect.Same(t, []float64{10}, fetchAll(t, store, 1))
 	})
 }
 
@@ -129,20 +117,14 @@
 	defer server.Close()
 	client := weightstore.NewClient(server.URL, nil)
 	got, err := client.Checkpoint(t.Context(), "org/m")
-	if err != nil || got != (weightstore.Checkpoint{Name: "org/m", Bytes: 5}) {
-		t.Errorf("checkpoint: %+v, %v", got, err)
-	}
+	expect.That(t, err == nil && got == (weightstore.Checkpoint{Name: "org/m", Bytes: 5}), "checkpoint: %+v, %v", got, err)
 	if status, err := client.Status(t.Context()); err != nil || status.AtOnce != 4 {
 		t.Errorf("status: %+v, %v", status, err)
 	}
 	if err := client.Fetch(t.Context(), "org/m"); err != nil {
 		t.Errorf("fetch: %v", err)
 	}
-	if _, err := client.Checkpoint(t.Context(), "none"); !errors.Is(err, weightstore.ErrNotFound) {
-		t.Errorf("unknown checkpoint: %v", err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(client.Checkpoint(t.Context(), "none")), weightstore.ErrNotFound, "unknown checkpoint")
 	store.Faults().Set(faults.Settings{Outage: true})
-	if err := client.Fetch(t.Context(), "org/m"); !errors.Is(err, weightstore.ErrUnavailable) {
-		t.Errorf("outage: %v", err)
-	}
+	expect.ErrorIs(t, client.Fetch(t.Context(), "org/m"), weightstore.ErrUnavailable, "outage")
 }
