--- a/service/client_test.go
+++ b/service/client_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/standin/serviceserver"
@@ -74,21 +75,16 @@
 	} {
 		onBoth(t, func(t *testing.T, client service.Client, s *serviceserver.Service) {
 			// The connection has been used before, as most are.
-			if _, err := client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/cuatro"}); err != nil {
-				t.Fatal(err)
-			}
+			expect.Value(client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/cuatro"}))(t)
 			s.SetFaults(c.faults)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			answer, err := client.Do(ctx, "booking", book("r1"))
-			if !errors.Is(err, c.want) || answer.Status != c.status {
-				t.Errorf("%s: answer %d, %v", name, answer.Status, err)
-			}
+			expect.That(t, errors.Is(err, c.want) && answer.Status == c.status, "%s: answer %d, %v", name, answer.Status, err)
 			s.SetFaults(serviceserver.Faults{})
 			time.Sleep(time.Minute)
-			if n := len(s.Bookings()); n != c.bookings {
-				t.Errorf("%s: %d bookings", name, n)
-			}
+			n := len(s.Bookings())
+			expect.That(t, n == c.bookings, "%s: %d bookings", name, n)
 		})
 	}
 }
@@ -96,23 +92,17 @@
 func TestCallsAreCountedByIdentity(t *testing.T) {
 	onBoth(t, func(t *testing.T, client service.Client, s *serviceserver.Service) {
 		for _, call := range []service.Call{book("r1"), book("r2"), book("r2")} {
-			if _, err := client.Do(t.Context(), "booking", call); err != nil {
-				t.Fatal(err)
-			}
+			expect.Value(client.Do(t.Context(), "booking", call))(t)
 		}
 		for _, ran := range s.Calls() {
 			want := serviceserver.Ran{
 				Method: http.MethodPost, Path: "/book?shop=arima", IdempotencyKey: "key-" + ran.RequestID,
 				RequestID: ran.RequestID, Times: map[string]int{"r1": 1, "r2": 2}[ran.RequestID],
 			}
-			if ran != want {
-				t.Errorf("%+v instead of %+v", ran, want)
-			}
+			expect.That(t, ran == want, "%+v instead of %+v", ran, want)
 		}
 		stock, err := client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/tenor%20pan"})
-		if err != nil || string(stock.Body) != `{"free":97,"item":"tenor pan"}` {
-			t.Errorf("%s, %v", stock.Body, err)
-		}
+		expect.That(t, err == nil && string(stock.Body) == `{"free":97,"item":"tenor pan"}`, "%s, %v", stock.Body, err)
 	})
 }
 
@@ -122,9 +112,7 @@
 	fleet.Put("booking", serviceserver.New())
 	fleet.Cut("booking", true)
 	for _, client := range []service.Client{fleet, service.NewClient(sendonce.NewClientDialing(refuse))} {
-		if _, err := client.Do(t.Context(), "booking", book("r1")); !errors.Is(err, service.ErrNotSent) {
-			t.Error(err)
-		}
+		expect.ErrorIs(t, expect.ErrorOf(client.Do(t.Context(), "booking", book("r1"))), service.ErrNotSent, "unreachable")
 	}
 }
 
@@ -143,18 +131,14 @@
 		call := service.Call{RequestID: "r1", Method: "PUT", Path: "/x", Body: []byte("body")}
 		call.Header = http.Header{"Te": {"trailers"}, "Connection": {"close, x-hop"}, "X-Hop": {"1"}, "X-Mine": {"1"}, service.HeaderRequestID: {"forged"}}
 		answer, err := client.Do(t.Context(), "booking", call)
-		if err != nil || answer.Status != http.StatusTeapot || string(answer.Body) != "body" {
-			t.Fatalf("%+v, %v", answer, err)
-		}
+		expect.Must(t, err == nil && answer.Status == http.StatusTeapot && string(answer.Body) == "body", "%+v, %v", answer, err)
 		if answer.Header.Get("Keep-Alive") != "" || answer.Header.Get("X-Kept") != "yes" {
 			t.Errorf("answer's header %v", answer.Header)
 		}
 		if seen.Get("Te") != "" || seen.Get("X-Hop") != "" || seen.Get("X-Mine") != "1" || seen.Get(service.HeaderRequestID) != "r1" {
 			t.Errorf("call's header %v", seen)
 		}
-		if call.Header.Get(service.HeaderRequestID) != "forged" {
-			t.Error("the caller's header was changed")
-		}
+		expect.That(t, call.Header.Get(service.HeaderRequestID) == "forged", "the caller's header was changed")
 		for _, path := range []string{"@elsewhere/", "x", ":99/", "/a\nb"} {
 			call.Path = path
 			if _, err := client.Do(t.Context(), "booking", call); !errors.Is(err, service.ErrNotSent) {
