operator: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 	"bergamotreel/state"
 )
 
@@ -95,21 +96,14 @@
 	client, _ := newDirect(&fake{})
 	ctx := t.Context()
 	contracts, err := client.Contracts(ctx)
-	if diff := cmp.Diff([]ContractSummary{{Customer: "trinidad", Version: 4096}}, contracts); diff != "" || err != nil {
-		t.Error(diff, err)
-	}
+	diff := cmp.Diff([]ContractSummary{{Customer: "trinidad", Version: 4096}}, contracts)
+	expect.That(t, diff == "" && err == nil, "%v %v", diff, err)
 	inForce, err := client.Contract(ctx, "a/../b")
-	if err != nil || inForce.Customer != "a/../b" {
-		t.Error(inForce, err)
-	}
+	expect.That(t, err == nil && inForce.Customer == "a/../b", "%v %v", inForce, err)
 	history, err := client.History(ctx, "trinidad")
-	if err != nil || len(history) != 1 || history[0].ChangeID != "trinidad" {
-		t.Error(history, err)
-	}
+	expect.That(t, err == nil && len(history) == 1 && history[0].ChangeID == "trinidad", "%v %v", history, err)
 	report, err := client.Status(ctx)
-	if err != nil || report.VM.ID != "entry-1" {
-		t.Error(report, err)
-	}
+	expect.That(t, err == nil && report.VM.ID == "entry-1", "%v %v", report, err)
 }
 
 func TestErrorsKeepTheirKind(t *testing.T) {
@@ -134,9 +128,8 @@
 		ErrUnauthorized:   "token_sha256",
 	} {
 		client, _ := newDirect(&fake{err: kind})
-		if _, err := client.History(t.Context(), "trinidad"); !errors.Is(err, kind) || !strings.Contains(err.Error(), want) {
-			t.Errorf("got %v, want %v: %s", err, kind, want)
-		}
+		_, err := client.History(t.Context(), "trinidad")
+		expect.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), want), "got %v, want %v: %s", err, kind, want)
 	}
 }
 
@@ -186,9 +179,7 @@
 			if want == http.StatusOK && path == "/nowhere" {
 				want = http.StatusNotFound
 			}
-			if recorder.Code != want {
-				t.Errorf("%s, %q, %s: %d, want %d", test.handler, test.header, path, recorder.Code, want)
-			}
+			expect.That(t, recorder.Code == want, "%s, %q, %s: %d, want %d", test.handler, test.header, path, recorder.Code, want)
 		}
 	}
 }
