cmd: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/cmd/bergamotreel/verbs_test.go
+++ b/cmd/bergamotreel/verbs_test.go
@@ -17,6 +17,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 	"bergamotreel/state"
@@ -80,9 +81,7 @@
 	t.Helper()
 	path := "../../docs/examples/trinidad.ini"
 	sections, _, err := readContract(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	return path, sections
 }
 
@@ -194,19 +193,13 @@
 	}}
 	op.status = func(int) (operator.StatusReport, error) { return fleet(17) }
 	runContract(op, "", "publish", path, "-yes")
-	if len(op.published) != 1 {
-		t.Fatalf("%d publishes", len(op.published))
-	}
+	expect.Must(t, len(op.published) == 1, "%d publishes", len(op.published))
 	r := op.published[0]
-	if _, whole := r.Sections["customer"]; whole || r.Base != version(9) || r.ChangeID == "" {
-		t.Errorf("%+v", r)
-	}
-	if text, ok := r.Sections[`model "gone"`]; !ok || text != "" {
-		t.Errorf("removed section: %q, %t", text, ok)
-	}
-	if len(r.Sections) != len(sections) {
-		t.Errorf("%d sections, want %d", len(r.Sections), len(sections))
-	}
+	_, whole := r.Sections["customer"]
+	expect.That(t, !whole && r.Base == version(9) && r.ChangeID != "", "%+v", r)
+	text, ok := r.Sections[`model "gone"`]
+	expect.That(t, ok && text == "", "removed section: %q, %t", text, ok)
+	expect.That(t, len(r.Sections) == len(sections), "%d sections, want %d", len(r.Sections), len(sections))
 }
 
 func TestContractRemove(t *testing.T) {
@@ -217,18 +210,14 @@
 	}}
 	op.status = func(int) (operator.StatusReport, error) { return fleet(17) }
 	printed := runContract(op, "y\n", "remove", "trinidad") + runContract(op, "", "remove", "old") + runContract(op, "", "remove", "nobody")
-	if len(op.published) != 1 || !op.published[0].Remove || op.published[0].Base != version(9) {
-		t.Errorf("%+v", op.published)
-	}
+	expect.That(t, len(op.published) == 1 && op.published[0].Remove && op.published[0].Base == version(9), "%+v", op.published)
 	goldie.New(t).Assert(t, "remove", []byte(withoutChange(op, printed)))
 }
 
 func TestContractCheck(t *testing.T) {
 	path, _ := example(t)
 	bad := filepath.Join(t.TempDir(), "bad.ini")
-	if err := os.WriteFile(bad, []byte("[customer]\nname = trinidad\nmemory = 1\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, os.WriteFile(bad, []byte("[customer]\nname = trinidad\nmemory = 1\n"), 0o600))
 	printed := runContract(nil, "", "check", path) + runContract(nil, "", "check", bad) + runContract(nil, "", "check", "nowhere.ini") + runContract(nil, "")
 	for _, text := range []string{
 		"[customer]\nname = a b\nmemory = 1\nmemroy = 9GB\n\n[model \"m\"]\nmemory = 1GB\n[modle \"n\"]\n[model \"m\"]\n",
@@ -266,9 +255,7 @@
 	op := &fakeOperator{inForce: map[string]operator.ContractInForce{"trinidad": {Customer: "trinidad", Version: version(9), Sections: sections}}}
 	shown := strings.TrimSuffix(runContract(op, "", "show", "trinidad"), "exit code 0\n")
 	again, err := contract.Split(shown)
-	if err != nil || len(contract.Diff(sections, again)) != 0 {
-		t.Errorf("%v, %+v", err, contract.Diff(sections, again))
-	}
+	expect.That(t, err == nil && len(contract.Diff(sections, again)) == 0, "%v, %+v", err, contract.Diff(sections, again))
 }
 
 func TestVersion(t *testing.T) {
