internal/daemon: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bergamotreel/caller"
+	"bergamotreel/internal/expect"
 	"bergamotreel/internal/node"
 	"bergamotreel/internal/settings"
 )
@@ -22,10 +23,7 @@
 func sample(t *testing.T, replaced ...string) *settings.Settings {
 	t.Helper()
 	replaced = append(replaced, "replace-by-32-or-more-random-characters", strings.Repeat("x", settings.MinSecretLength))
-	s, err := settings.Parse("sample.ini", strings.NewReplacer(replaced...).Replace(settings.Sample()))
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := expect.Value(settings.Parse("sample.ini", strings.NewReplacer(replaced...).Replace(settings.Sample())))(t)
 	return s
 }
 
@@ -34,22 +32,18 @@
 func TestEachLimitReachesThePort(t *testing.T) {
 	limits := reflect.ValueOf(callerLimits(sample(t).Limits, func() int { return 0 }))
 	for i := range limits.NumField() {
-		if limits.Field(i).IsZero() {
-			t.Errorf("caller.Limits.%s is not set", limits.Type().Field(i).Name)
-		}
-	}
-	if got := limits.Interface().(caller.Limits).HeldBytes; got != 128<<20 {
-		t.Errorf("held bytes %d", got)
+		expect.That(t, !limits.Field(i).IsZero(), "caller.Limits.%s is not set", limits.Type().Field(i).Name)
 	}
+	got := limits.Interface().(caller.Limits).HeldBytes
+	expect.That(t, got == 128<<20, "held bytes %d", got)
 }
 
 func TestRetryBudgetReachesTheNode(t *testing.T) {
 	s := sample(t)
 	for budget, want := range map[float64]float64{0: -1, 0.25: 0.25} {
 		s.Policy.RetryBudget = budget
-		if got := nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare; got != want {
-			t.Errorf("retry_budget %v: share %v", budget, got)
-		}
+		got := nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare
+		expect.That(t, got == want, "retry_budget %v: share %v", budget, got)
 	}
 }
 
@@ -63,18 +57,13 @@
 	for path, want := range map[string]string{"/metrics": "telemetry", "/readyz": "telemetry", "/status": "operators"} {
 		answer := httptest.NewRecorder()
 		both.ServeHTTP(answer, httptest.NewRequest("GET", path, nil))
-		if answer.Body.String() != want {
-			t.Errorf("%s is served by %s", path, answer.Body)
-		}
+		expect.That(t, answer.Body.String() == want, "%s is served by %s", path, answer.Body)
 	}
 }
 
 // An operator who meets a metric must find what it means, and the other way round.
 func TestPageNamesEachMetric(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations/metrics.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	page := expect.Value(os.ReadFile("../../docs/operations/metrics.md"))(t)
 	var text bytes.Buffer
 	stats := node.Stats{Lag: 7, Refusals: map[string]uint64{"slow": 3}}
 	gauges(func() node.Stats { return stats }).WritePrometheus(&text)
@@ -82,21 +71,15 @@
 	writeRefusals(answer, stats.Refusals)
 	text.WriteString(answer.Body.String())
 	text.WriteString(callersMetrics())
-	if !strings.Contains(text.String(), "bergamotreel_control_lag_records 7") {
-		t.Errorf("got %s", text.String())
-	}
+	expect.That(t, strings.Contains(text.String(), "bergamotreel_control_lag_records 7"), "got %s", text.String())
 	name := regexp.MustCompile(`bergamotreel_[a-z_]+`)
 	served := make(map[string]bool)
 	for _, metric := range name.FindAllString(text.String(), -1) {
 		served[metric] = true
-		if !strings.Contains(string(page), "`"+metric+"`") {
-			t.Errorf("the page doesn't name %s", metric)
-		}
+		expect.That(t, strings.Contains(string(page), "`"+metric+"`"), "the page doesn't name %s", metric)
 	}
 	for _, metric := range name.FindAllString(string(page), -1) {
-		if !served[metric] {
-			t.Errorf("the page names %s, which is not served", metric)
-		}
+		expect.That(t, served[metric], "the page names %s, which is not served", metric)
 	}
 }
 
