internal/settings: tests use the checks of internal/expect

Test lines 128 before, 112 after. The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,14 +9,13 @@
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"bergamotreel/internal/expect"
 )
 
 func TestSample(t *testing.T) {
 	goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, "sample", []byte(Sample()))
-	s, err := Parse("sample.ini", usable())
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := expect.Value(Parse("sample.ini", usable()))(t)
 	if s.Policy.SessionTerm != 10*time.Second || s.Limits.HeaderBytes != 16<<10 || s.VM.PeersAdvertise != s.VM.PeersAddress {
 		t.Errorf("defaults: %+v", s)
 	}
@@ -24,13 +23,8 @@
 
 // The page that operators read holds the sample as it is.
 func TestPageHoldsSample(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations/settings.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !strings.Contains(string(page), "```ini\n"+Sample()+"```\n") {
-		t.Error("docs/operations/settings.md has another sample")
-	}
+	page := expect.Value(os.ReadFile("../../docs/operations/settings.md"))(t)
+	expect.That(t, strings.Contains(string(page), "```ini\n"+Sample()+"```\n"), "docs/operations/settings.md has another sample")
 }
 
 // usable is the sample with a secret of its own.
@@ -41,14 +35,10 @@
 func TestSecretsInFiles(t *testing.T) {
 	secret := strings.Repeat("s", MinSecretLength)
 	path := filepath.Join(t.TempDir(), "secret")
-	if err := os.WriteFile(path, []byte(secret+"\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, os.WriteFile(path, []byte(secret+"\n"), 0o600))
 	text := strings.Replace(Sample(), "\nsecret = "+sampleSecret, "\nsecret_file = "+path, 1)
 	s, err := Parse("s.ini", text)
-	if err != nil || s.Peers.Secret != secret {
-		t.Errorf("got %+v, %v", s, err)
-	}
+	expect.That(t, err == nil && s.Peers.Secret == secret, "got %+v, %v", s, err)
 }
 
 func TestMistakes(t *testing.T) {
@@ -91,14 +81,10 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if !strings.Contains(usable(), test.old) {
-				t.Fatalf("sample has no %q", test.old)
-			}
+			expect.Must(t, strings.Contains(usable(), test.old), "sample has no %q", test.old)
 			_, err := Parse("s.ini", strings.Replace(usable(), test.old, test.new, 1))
 			var problem *Problem
-			if !errors.As(err, &problem) {
-				t.Fatalf("got %v, want a *Problem", err)
-			}
+			expect.Must(t, errors.As(err, &problem), "got %v, want a *Problem", err)
 			if !strings.HasPrefix(problem.Error(), "s.ini: ") || !strings.Contains(problem.Error(), test.want) {
 				t.Errorf("got  %v\nwant %s", problem, test.want)
 			}
@@ -130,8 +116,6 @@
 		// The file system is no part of it.
 		_, err := Parse("s.ini", strings.ReplaceAll(text, fileSuffix, ""))
 		var problem *Problem
-		if err != nil && !errors.As(err, &problem) {
-			t.Errorf("got %v, want a *Problem", err)
-		}
+		expect.That(t, err == nil || errors.As(err, &problem), "got %v, want a *Problem", err)
 	})
 }
