internal/telemetry: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -11,6 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"bergamotreel/internal/expect"
 )
 
 // A collector receives the spans of a hop once tracing is shut down; without an
@@ -22,23 +24,16 @@
 	}))
 	defer collector.Close()
 	shutdown, err := SetupTracing(t.Context(), TraceSettings{Endpoint: collector.URL, Service: "entry", SampleRatio: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
+	expect.OK(t, err)
 	_, span := Hop(t.Context(), "engine", "generate")
 	EndHop(span, errors.New("lost"))
-	if err := shutdown(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	if path := <-uploads; path != "/v1/traces" {
-		t.Errorf("upload to %q", path)
-	}
+	expect.OK(t, shutdown(t.Context()))
+	path := <-uploads
+	expect.That(t, path == "/v1/traces", "upload to %q", path)
 }
 
 func TestTraceparentIsHandedOnWithoutCollector(t *testing.T) {
-	if _, err := SetupTracing(t.Context(), TraceSettings{}); err != nil {
-		t.Fatal(err)
-	}
+	expect.Value(SetupTracing(t.Context(), TraceSettings{}))(t)
 	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 	propagator := otel.GetTextMapPropagator()
 	ctx := propagator.Extract(context.Background(), propagation.MapCarrier{"traceparent": parent})
@@ -46,16 +41,13 @@
 	defer span.End()
 	out := propagation.MapCarrier{}
 	propagator.Inject(ctx, out)
-	if out["traceparent"] != parent {
-		t.Errorf("handed on %q, want %q", out["traceparent"], parent)
-	}
+	expect.That(t, out["traceparent"] == parent, "handed on %q, want %q", out["traceparent"], parent)
 }
 
 func TestLogLevels(t *testing.T) {
 	for level, ok := range map[string]bool{"debug": true, "info": true, "warn": true, "error": true, "loud": false} {
-		if _, err := NewLogger(level); (err == nil) != ok {
-			t.Errorf("level %q: %v", level, err)
-		}
+		_, err := NewLogger(level)
+		expect.That(t, (err == nil) == ok, "level %q: %v", level, err)
 	}
 }
 
@@ -64,7 +56,5 @@
 	counter.Set(1) // the counter outlives one run of the test in the same process
 	answer := httptest.NewRecorder()
 	MetricsHandler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	if !strings.Contains(answer.Body.String(), "bergamotreel_telemetry_test_total 1") {
-		t.Error("the counter is not on the page")
-	}
+	expect.That(t, strings.Contains(answer.Body.String(), "bergamotreel_telemetry_test_total 1"), "the counter is not on the page")
 }
