internal/archtest: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -13,6 +13,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"bergamotreel/internal/expect"
 )
 
 const module = "bergamotreel"
@@ -62,9 +64,7 @@
 	for _, p := range listPackages(t) {
 		delete(unchecked, p.ImportPath)
 		for _, imported := range p.Imports {
-			if strings.HasPrefix(imported, module+"/cmd/") {
-				t.Errorf("%s imports %s", p.ImportPath, imported)
-			}
+			expect.That(t, !strings.HasPrefix(imported, module+"/cmd/"), "%s imports %s", p.ImportPath, imported)
 		}
 		if p.is(decisionPackages...) {
 			checkDecisionPackage(t, p)
@@ -89,9 +89,7 @@
 
 func checkDecisionPackage(t *testing.T, p goPackage) {
 	for _, imported := range p.Imports {
-		if slices.Contains(ioPackages, imported) {
-			t.Errorf("%s imports %s", p.ImportPath, imported)
-		}
+		expect.That(t, !slices.Contains(ioPackages, imported), "%s imports %s", p.ImportPath, imported)
 	}
 	for _, dep := range p.Deps {
 		if strings.HasPrefix(dep, module+"/") && (goPackage{ImportPath: dep}).is(peerPackages...) {
@@ -105,10 +103,7 @@
 
 func checkCalls(t *testing.T, path string) {
 	fileSet := token.NewFileSet()
-	file, err := parser.ParseFile(fileSet, path, nil, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	file := expect.Value(parser.ParseFile(fileSet, path, nil, 0))(t)
 	imported := map[string]string{}
 	for _, spec := range file.Imports {
 		importPath := strings.Trim(spec.Path.Value, `"`)
@@ -143,10 +138,7 @@
 
 func listPackages(t *testing.T) []goPackage {
 	command := exec.Command("go", "list", "-json=ImportPath,Dir,GoFiles,Imports,Deps,TestImports,XTestImports", module+"/...")
-	output, err := command.Output()
-	if err != nil {
-		t.Fatal(err)
-	}
+	output := expect.Value(command.Output())(t)
 	var packages []goPackage
 	decoder := json.NewDecoder(strings.NewReader(string(output)))
 	for {
