--- a/vmlist/bench_test.go
+++ b/vmlist/bench_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"testing"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/vmlist"
 )
 
@@ -31,9 +32,7 @@
 				Address: fmt.Sprintf("10.120.%d.%d:7201", i/250, i%250), Domain: "domain-1", Region: "region-1"})
 		}
 		body, err := json.Marshal(list)
-		if err != nil {
-			b.Fatal(err)
-		}
+		expect.OK(b, err)
 		newClient := func() *vmlist.Client {
 			return vmlist.NewClient("http://127.0.0.1:1", &http.Client{Transport: cannedTransport(body)})
 		}
