internal/replay: tests use the checks of internal/expect

The same conditions, turned round by De Morgan's rules, with the same messages; names of tests and subtests and the number of assertions are unchanged.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bergamotreel/internal/expect"
 	"bergamotreel/placement"
 )
 
@@ -29,9 +30,7 @@
 func TestRunRepeats(t *testing.T) {
 	_, first := run(t, OursAt(0.5), FaultDomainCut, true)
 	_, again := run(t, OursAt(0.5), FaultDomainCut, true)
-	if diff := cmp.Diff(first, again, cmp.AllowUnexported(Result{}, outcome{})); diff != "" {
-		t.Error(diff)
-	}
+	expect.Same(t, first, again, cmp.AllowUnexported(Result{}, outcome{}))
 }
 
 // Whatever fails, each request has one end within its longest wait, and loads
@@ -55,9 +54,7 @@
 func (s *sim) checkMemory(t *testing.T) {
 	t.Helper()
 	for _, e := range s.engines {
-		if e.free() < 0 {
-			t.Errorf("%s overcommitted by %d bytes", e.name, -e.free())
-		}
+		expect.That(t, e.free() >= 0, "%s overcommitted by %d bytes", e.name, -e.free())
 	}
 }
 
@@ -66,9 +63,7 @@
 // itself. The same day under one planner for each unit has none.
 func TestEachRouterOnItsOwnExceedsTheContract(t *testing.T) {
 	_, naive := run(t, Policy{Name: "each", Keep: 10 * time.Minute, EachRouter: true}, FaultNone, false)
-	if naive.OverLimit == 0 {
-		t.Error("routers on their own stayed within the contract: the twin proves nothing")
-	}
+	expect.That(t, naive.OverLimit != 0, "routers on their own stayed within the contract: the twin proves nothing")
 }
 
 // What a bystander sees: its first tokens come as late as the bursting office's
@@ -91,9 +86,7 @@
 	for _, c := range s.contracts(1) {
 		named += len(c.Units())
 	}
-	if named != len(s.units) {
-		t.Errorf("%d units named in contracts, %d there are", named, len(s.units))
-	}
+	expect.That(t, named == len(s.units), "%d units named in contracts, %d there are", named, len(s.units))
 }
 
 func TestStoreSharesItsBandwidth(t *testing.T) {
@@ -104,9 +97,7 @@
 		r := &replica{unit: u, engine: e, wanted: true}
 		e.ram, e.disk = newCache(1), newCache(1)
 		s.startLoad(r)
-		if r.tier != placement.TierRemote {
-			t.Fatalf("tier %s", r.tier)
-		}
+		expect.Must(t, r.tier == placement.TierRemote, "tier %s", r.tier)
 	}
 	for len(s.store.active)+len(s.store.waiting) > 0 && s.step(time.Minute) {
 	}
