expect: Equal, for two values that compare

It names what was looked at and says both values, where each test spelt out its own if, name and message. A row of the package's test takes it in.

--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// Equal fails the test, and goes on, unless both are the same. The format says
+// what was looked at.
+func Equal[V comparable](t T, got, want V, format string, args ...any) {
+	if got != want {
+		t.Helper()
+		t.Error(fmt.Sprintf(format, args...) + fmt.Sprintf(": got %v, want %v", got, want))
+	}
+}
+
 // Same fails the test, and goes on, unless the values are deeply equal; it says
 // where they differ.
 func Same(t T, want, got any, options ...cmp.Option) {
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -27,6 +27,7 @@
 		"That":    {func(t T, err error) { That(t, err == nil, "got %v", err) }, "error: got broken"},
 		"Must":    {func(t T, err error) { Must(t, err == nil, "got %v", err) }, "fatal: got broken"},
 		"NoError": {func(t T, err error) { NoError(t, err) }, "error: broken"},
+		"Equal":   {func(t T, err error) { Equal(t, err, nil, "after %d", 7) }, "error: after 7: got broken, want <nil>"},
 		"ErrorIs": {func(t T, err error) { ErrorIs(t, ErrorOf(number(err)), nil, "x") }, "error: x: broken instead of <nil>"},
 		"other":   {func(t T, err error) { ErrorIs(t, errors.Join(io.EOF, err), io.EOF, "x"); That(t, err == nil, "") }, "error: "},
 	} {
