--- a/contract/sections_test.go
+++ b/contract/sections_test.go
@@ -40,9 +40,8 @@
 		_, reference, found := strings.Cut(string(page), "\n### `["+kind)
 		reference, _, _ = strings.Cut(reference, "\n###")
 		for _, key := range keys {
-			if !found || !strings.Contains(reference, "\n| `"+key+"` |") {
-				t.Errorf("docs/operations/contracts.md doesn't name %s of [%s]", key, kind)
-			}
+			expect.That(t, found && strings.Contains(reference, "\n| `"+key+"` |"),
+				"docs/operations/contracts.md doesn't name %s of [%s]", key, kind)
 		}
 	}
 }
@@ -79,9 +78,8 @@
 	} {
 		_, err := ParseSections(map[string]string{name: text})
 		var problem *Problem
-		if !errors.As(err, &problem) || problem.Section == "" && name != "" {
-			t.Errorf("%q: got %v, want a problem with its section", name, err)
-		}
+		expect.That(t, errors.As(err, &problem) && (problem.Section != "" || name == ""),
+			"%q: got %v, want a problem with its section", name, err)
 	}
 }
 
@@ -99,9 +97,8 @@
 		}
 		if err != nil {
 			var problem *Problem
-			if !errors.As(err, &problem) || strings.ContainsAny(problem.Error(), "\n") {
-				t.Errorf("got %q, want a *Problem on one line", err)
-			}
+			expect.That(t, errors.As(err, &problem) && !strings.ContainsAny(problem.Error(), "\n"),
+				"got %q, want a *Problem on one line", err)
 			return
 		}
 		sections, err := Split(text)
@@ -125,8 +122,7 @@
 		sections := map[string]string{name: text, otherName: otherText}
 		c, err := ParseSections(sections)
 		again, errAgain := ParseSections(maps.Clone(sections))
-		if !cmp.Equal(c, again) || (err == nil) != (errAgain == nil) || err != nil && err.Error() != errAgain.Error() {
-			t.Errorf("two results: %v, %v", err, errAgain)
-		}
+		expect.That(t, cmp.Equal(c, again) && (err == nil) == (errAgain == nil) && (err == nil || err.Error() == errAgain.Error()),
+			"two results: %v, %v", err, errAgain)
 	})
 }
