lease: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -103,9 +103,8 @@
 		until  float64
 	}{{2, 12}, {1, 12}, {4, 14}, {2, 14}, {9, 14}} {
 		holder.Collected(c.number)
-		if !holder.MayOrder(at(c.until-0.1)) || holder.MayOrder(at(c.until)) {
-			t.Errorf("after renewal %d it may not order until %v s", c.number, c.until)
-		}
+		expect.That(t, holder.MayOrder(at(c.until-0.1)) && !holder.MayOrder(at(c.until)),
+			"after renewal %d it may not order until %v s", c.number, c.until)
 	}
 	for _, config := range []lease.Config{lease.Default, {Term: 10 * time.Second, Margin: 10 * time.Second / 6, RenewEvery: 2500 * time.Millisecond}} {
 		left := config.Term - config.Margin - config.OwnRenewAfter()
@@ -121,19 +120,16 @@
 	observer.Working(at(0))
 	observer.Saw(at(0), session, 70)
 	observer.Working(at(3600))
-	if got := observer.Expired(at(3600)); got != nil {
-		t.Fatalf("expired by the outage: %v", got)
-	}
+	got := observer.Expired(at(3600))
+	expect.Must(t, got == nil, "expired by the outage: %v", got)
 	for s := 3600.0; s <= 3612; s++ {
 		observer.Working(at(s))
 	}
-	if got := observer.Expired(at(3612)); len(got) != 1 {
-		t.Fatalf("a silent session lives on: %v", got)
-	}
+	got = observer.Expired(at(3612))
+	expect.Must(t, len(got) == 1, "a silent session lives on: %v", got)
 	observer.Follow(at(3612), map[state.SessionID]*state.Session{session: {ID: session, Ended: true}})
-	if got := observer.Expired(at(9999)); got != nil {
-		t.Fatalf("an ended session is called expired again: %v", got)
-	}
+	got = observer.Expired(at(9999))
+	expect.Must(t, got == nil, "an ended session is called expired again: %v", got)
 }
 
 // TestHolderStates: before the opening is confirmed, after the session was lost
@@ -146,9 +142,8 @@
 	expect.That(t, !holder.MayOrder(at(4)) && !holder.RenewDue(at(4)), "a holder without an answer")
 	holder.Confirmed(2)
 	holder.Confirmed(1)
-	if !holder.MayOrder(at(12.9)) || holder.MayOrder(at(13)) || !holder.RenewDue(at(6)) {
-		t.Error("an older answer moved the term")
-	}
+	expect.That(t, holder.MayOrder(at(12.9)) && !holder.MayOrder(at(13)) && holder.RenewDue(at(6)),
+		"an older answer moved the term")
 	holder.Lost()
 	expect.That(t, !holder.MayOrder(at(5)) && !holder.RenewDue(at(50)) && holder.IsLost(), "a lost session lives on")
 }
@@ -184,9 +179,7 @@
 			departures.Saw(at(l.at), l.version, l.vms)
 			departures.Gone("vm")
 		}
-		if got := departures.Gone("vm"); got != c.gone {
-			t.Errorf("%s: gone %v", name, got)
-		}
+		expect.Equal(t, departures.Gone("vm"), c.gone, "%s: gone", name)
 		engines := map[string]*state.Engine{"vm": {Name: "vm"}}
 		if got := len(departures.Removable(engines)); (got == 1) != c.gone {
 			t.Errorf("%s: %d engines removable", name, got)
@@ -206,26 +199,21 @@
 		3: {ID: 3, VM: "other", Incarnation: "1", Ended: true},
 		9: {ID: 9, VM: "me", Incarnation: "3"},
 	}
-	if got := departures.Abandoned(sessions); got != nil {
-		t.Fatalf("abandoned before an own session: %v", got)
-	}
+	abandoned := departures.Abandoned(sessions)
+	expect.Must(t, abandoned == nil, "abandoned before an own session: %v", abandoned)
 	sessions[4] = &state.Session{ID: 4, VM: "me", Incarnation: "2"}
-	if got := departures.Abandoned(sessions); !slices.Equal(got, []state.SessionExpire{{Session: 1, LastRenewal: 5}}) {
-		t.Fatalf("abandoned: %v", got)
-	}
-	if got := departures.Settleable(at(29), sessions); got != nil {
-		t.Fatalf("settled while messages live: %v", got)
-	}
-	if got := departures.Settleable(at(30), sessions); !slices.Equal(got, []state.SessionSettle{{Session: 2}}) {
-		t.Fatalf("settleable: %v", got)
-	}
+	abandoned = departures.Abandoned(sessions)
+	expect.Must(t, slices.Equal(abandoned, []state.SessionExpire{{Session: 1, LastRenewal: 5}}), "abandoned: %v", abandoned)
+	settled := departures.Settleable(at(29), sessions)
+	expect.Must(t, settled == nil, "settled while messages live: %v", settled)
+	settled = departures.Settleable(at(30), sessions)
+	expect.Must(t, slices.Equal(settled, []state.SessionSettle{{Session: 2}}), "settleable: %v", settled)
 }
 
 // TestConfigCheck: a term that two lost renewals end, or none at all, is refused.
 func TestConfigCheck(t *testing.T) {
 	tight := lease.Default
 	tight.Term = 7 * time.Second
-	if lease.Default.Check() != nil || tight.Check() == nil || (lease.Config{}).Check() == nil {
-		t.Error("wrong verdict on a timing")
-	}
+	expect.That(t, lease.Default.Check() == nil && tight.Check() != nil && (lease.Config{}).Check() != nil,
+		"wrong verdict on a timing")
 }
