admission: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both. A try to turn the check of a dispatched ticket in lifecycle_test.go failed at once, as its message reads a ticket that may be nil: it stays an if.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -37,9 +37,8 @@
 		t.Errorf("not refused, want %s", code)
 		return
 	}
-	if got.Code != code || got.Ran != refusal.RanNo || got.RetryAfter < least || got.RetryAfter > most {
-		t.Errorf("refused with %v after %s, want %s after %s to %s", got, got.RetryAfter, code, least, most)
-	}
+	expect.That(t, got.Code == code && got.Ran == refusal.RanNo && got.RetryAfter >= least && got.RetryAfter <= most,
+		"refused with %v after %s, want %s after %s to %s", got, got.RetryAfter, code, least, most)
 }
 
 // Each refusal names its cause and a time to come back that follows from the
--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -55,9 +55,8 @@
 		naiveFirst := p99(naive.waits) / p99(alone.waits)
 		t.Logf("%d VMs: bystanders' p99 beside a burst ÷ alone: first token %.3f, whole answer %.3f; first come, first served %.1f",
 			vms, first, total, naiveFirst)
-		if first > most || total > most {
-			t.Errorf("%d VMs: first token %.3f, whole answer %.3f times the p99 alone, want at most %.1f", vms, first, total, most)
-		}
+		expect.That(t, first <= most && total <= most,
+			"%d VMs: first token %.3f, whole answer %.3f times the p99 alone, want at most %.1f", vms, first, total, most)
 		expect.That(t, naiveFirst >= 2, "the naive twin is not hurt (%.2f): the model shows nothing", naiveFirst)
 	}
 }
@@ -92,8 +91,7 @@
 func TestSurplusIsMoreThanChance(t *testing.T) {
 	equals := usage{sum: 22 * 0.25, weight: 22, peak: 0.6}
 	for rate, want := range map[float64]bool{0.26: false, 0.6: false, 0.8: true, 2.5: true} {
-		got := overFair(rate, 1, equals)
-		expect.That(t, got == want, "%.2f/s beside equals of 0.25/s: surplus %t", rate, got)
+		expect.Equal(t, overFair(rate, 1, equals), want, "surplus at %.2f/s beside equals of 0.25/s", rate)
 	}
 	s := newSim(1, 0, 1, contract.Contract{Customer: "held", MaxQueued: 9, RequestsPerSecond: 0.1, Burst: 1}, contract.Contract{Customer: "other", MaxQueued: 9})
 	c := s.vms[0]
--- a/admission/lifecycle_test.go
+++ b/admission/lifecycle_test.go
@@ -103,9 +103,8 @@
 	for _, d := range l.c.Demand(l.now) {
 		demand += d.Waiting
 	}
-	if waits != l.c.waiting || waits != listed || waits != demand || len(l.open)-waits != running {
-		l.t.Fatalf("%d of %d wait, counted %d, listed %d, demand %d, running %d", waits, len(l.open), l.c.waiting, listed, demand, running)
-	}
+	expect.Must(l.t, waits == l.c.waiting && waits == listed && waits == demand && len(l.open)-waits == running,
+		"%d of %d wait, counted %d, listed %d, demand %d, running %d", waits, len(l.open), l.c.waiting, listed, demand, running)
 }
 
 // Requests arrive, are dispatched, put back, finished, left and refused in any
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -59,9 +59,8 @@
 			}
 			excess, share := worstExcess(s.admitted, limit), float64(len(s.admitted))/limit/busy
 			t.Logf("most above the limit %.1f, bound %.1f; admitted %.2f of the limit", excess, bound, share)
-			if excess > bound || share < 0.95 {
-				t.Errorf("admitted %.1f more than the limit, bound %.1f; %.2f of the limit", excess, bound, share)
-			}
+			expect.That(t, excess <= bound && share >= 0.95,
+				"admitted %.1f more than the limit, bound %.1f; %.2f of the limit", excess, bound, share)
 		})
 	}
 }
