routing: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -97,11 +97,9 @@
 	other := bytes.Clone(text)
 	other[PrefixBlock] = 'b'
 	one, two, adapter := Prefixes("m", text), Prefixes("m", other), Prefixes("n", text)
-	if len(one) != 3 || one[0] != two[0] || one[1] == two[1] || one[2] == two[2] || one[0] == adapter[0] {
-		t.Errorf("got %x, %x and %x", one, two, adapter)
-	}
-	got := len(Prefixes("m", make([]byte, 100*PrefixBlock)))
-	expect.That(t, got == MaxPrefixes, "got %d hashes of a long prompt", got)
+	expect.That(t, len(one) == 3 && one[0] == two[0] && one[1] != two[1] && one[2] != two[2] && one[0] != adapter[0],
+		"got %x, %x and %x", one, two, adapter)
+	expect.Equal(t, len(Prefixes("m", make([]byte, 100*PrefixBlock))), MaxPrefixes, "hashes of a long prompt")
 }
 
 // An engine's events correct what the router remembers: another router's prompt
@@ -117,9 +115,7 @@
 	}
 	r := New(Config{Prefixes: 16}, rand.New(rand.NewSource(1)))
 	r.CacheEvent("e5", "m", prompt[7], false)
-	if got := reason(r); got != "prefix e5" {
-		t.Errorf("after the event: %s", got)
-	}
+	expect.Equal(t, reason(r), "prefix e5", "after the event")
 	r.CacheEvent("e5", "m", prompt[7], true)
 	if got := reason(r); got[:6] == "prefix" {
 		t.Errorf("after the eviction: %s", got)
@@ -132,7 +128,5 @@
 	for i := range 1000 {
 		r.CacheEvent("e1", "m", uint64(i), false)
 	}
-	if got := len(r.prefixes.entries); got != 16 {
-		t.Errorf("remembers %d prefixes, bound 16", got)
-	}
+	expect.Equal(t, len(r.prefixes.entries), 16, "remembered prefixes, over the bound")
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -64,8 +64,7 @@
 	c := Candidate{Engine: "e", Slots: 16, Ready: true, LoadKnown: true, Running: 5, Queued: 1, LoadAt: report}
 	check := func(step string, want int) {
 		t.Helper()
-		got := r.Free(now, c)
-		expect.That(t, got == want, "%s: %d free, want %d", step, got, want)
+		expect.Equal(t, r.Free(now, c), want, "%s: free slots", step)
 	}
 	check("as reported", 10)
 	r.Started(now, "e", "m", nil)
@@ -92,30 +91,20 @@
 		list[i].PeersInFlight = 4 // e0 would draw all
 	}
 	fail(r, start, "e0", failuresInRow)
-	if got := picks(r, start, list, 100, evenly)["e0"]; got != 0 {
-		t.Errorf("the failing engine got %d requests", got)
-	}
-	if got := r.Free(start, list[0]); got != 0 {
-		t.Errorf("%d slots free behind an open breaker", got)
-	}
+	expect.Equal(t, picks(r, start, list, 100, evenly)["e0"], 0, "requests to the failing engine")
+	expect.Equal(t, r.Free(start, list[0]), 0, "slots free behind an open breaker")
 	now := start.Add(2 * openFirst)
 	if got := r.Breaker(now, "e0"); got != BreakerHalfOpen {
 		t.Fatalf("breaker is %s", got)
 	}
 	r.Started(now, "e0", "m", nil)
-	if got := picks(r, now, list, 100, evenly)["e0"]; got != 0 {
-		t.Errorf("%d requests beside the probe", got)
-	}
+	expect.Equal(t, picks(r, now, list, 100, evenly)["e0"], 0, "requests beside the probe")
 	r.Finished(now, "e0", Result{Failed: true})
-	if got := r.Breaker(now.Add(openFirst), "e0"); got != BreakerOpen {
-		t.Errorf("after a failed probe the breaker is %s", got)
-	}
+	expect.Equal(t, r.Breaker(now.Add(openFirst), "e0"), BreakerOpen, "the breaker after a failed probe")
 	now = now.Add(4 * openFirst)
 	r.Started(now, "e0", "m", nil)
 	r.Finished(now, "e0", Result{OK: true, FirstToken: time.Second})
-	if got := r.Breaker(now, "e0"); got != BreakerClosed {
-		t.Errorf("after a probe that worked the breaker is %s", got)
-	}
+	expect.Equal(t, r.Breaker(now, "e0"), BreakerClosed, "the breaker after a probe that worked")
 }
 
 // All engines fail: more likely the network or the requests are at fault. With
@@ -204,9 +193,7 @@
 		list[i].Domain = "b"
 	}
 	other := func(counts map[string]int) int { return counts["e0"] + counts["e1"] + counts["e2"] + counts["e3"] }
-	if got := other(picks(r, start, list, 100, evenly)); got != 0 {
-		t.Errorf("%d of 100 left an idle domain", got)
-	}
+	expect.Equal(t, other(picks(r, start, list, 100, evenly)), 0, "of 100, those that left an idle domain")
 	for i := 4; i < 8; i++ {
 		list[i].PeersInFlight = 6
 	}
