placement: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -97,9 +97,7 @@
 	v.Engines[0].Cached = map[string]Tier{"m": TierMemory}
 	v.Store = Store{AtOnce: 4, Running: 1}
 	v.Now = v.Now.Add(time.Minute)
-	if got := kinds(p.Plan(v)); got != "" {
-		t.Errorf("with a busy store: %q, want nothing", got)
-	}
+	expect.Equal(t, kinds(p.Plan(v)), "", "with a busy store")
 }
 
 // What the caller sees: at opening time a model that is "cached" takes 19 s. Its
@@ -128,17 +126,13 @@
 		p, v := lone(Config{Preload: true, ColdStartWeight: tt.weight}, testUnit("m"), held)
 		crowded.Cached, disk.Cached, empty.Cached = tt.e1, tt.e2, tt.e3
 		v.Engines = []Engine{crowded, disk, empty}
-		if got := kinds(p.Plan(v)); got != tt.want {
-			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
-		}
+		expect.Equal(t, kinds(p.Plan(v)), tt.want, "%s", tt.name)
 		if tt.want == "" {
 			continue
 		}
 		v.Now = v.Now.Add(DefaultMinKeep + time.Minute)
 		v.Engines = []Engine{crowded, testEngine("e2", "a", ready("m", start.Add(time.Minute)))}
-		if got := kinds(p.Plan(v)); got != "withdraw m on e2; " {
-			t.Errorf("%s, once ready: %q, want it let go", tt.name, got)
-		}
+		expect.Equal(t, kinds(p.Plan(v)), "withdraw m on e2; ", "%s, once ready", tt.name)
 	}
 }
 
@@ -155,14 +149,10 @@
 		first, second := testEngine("e1", "a", ready("m", start), on), testEngine("e2", "b", ready("m", start))
 		first.Running = running
 		v.Engines = []Engine{first, second}
-		if got := kinds(p.Plan(v)); got != want {
-			t.Errorf("with %d of 16 slots in use: %q, want %q", running, got, want)
-		}
+		expect.Equal(t, kinds(p.Plan(v)), want, "with %d of 16 slots in use", running)
 		second.Holdings = append(second.Holdings, Holding{Unit: "x", Customer: "other", Bytes: 56 * gb, Wanted: true, Ready: true})
 		p, v.Engines = NewPlanner(Config{}), []Engine{first, second}
-		if got := kinds(p.Plan(v)); got != "" {
-			t.Errorf("with no memory left there: %q, want nothing", got)
-		}
+		expect.Equal(t, kinds(p.Plan(v)), "", "with no memory left there")
 	}
 }
 
@@ -171,14 +161,10 @@
 	u.StandbyPerDomain = 1
 	p, v := lone(Config{Preload: true}, u)
 	v.Engines = []Engine{testEngine("e1", "a", Holding{Unit: "m", Customer: "shop", Bytes: u.Bytes, Right: 7})}
-	if got := kinds(p.Plan(v)); got != "want m on e1; " {
-		t.Errorf("with nothing waiting: %q", got)
-	}
+	expect.Equal(t, kinds(p.Plan(v)), "want m on e1; ", "with nothing waiting")
 	v.Engines = []Engine{testEngine("e1", "a", ready("m", start))}
 	v.Now = start.Add(24 * time.Hour)
-	if got := kinds(p.Plan(v)); got != "" {
-		t.Errorf("a warm standby after an idle day: %q, want it kept", got)
-	}
+	expect.Equal(t, kinds(p.Plan(v)), "", "a warm standby after an idle day")
 }
 
 // What the caller sees: its model stays cold although other engines are free.
@@ -196,9 +182,7 @@
 		}
 	}
 	v.Now = start.Add(3 * time.Minute)
-	if got := kinds(p.Plan(v)); got != "withdraw m on e1; grant m on e2; " {
-		t.Errorf("after the stall: %q", got)
-	}
+	expect.Equal(t, kinds(p.Plan(v)), "withdraw m on e1; grant m on e2; ", "after the stall")
 }
 
 func TestStoreRateGoesToTheEarliestDeadline(t *testing.T) {
@@ -233,9 +217,8 @@
 		}
 		got = kinds(p.Plan(v))
 	}
-	if got != "withdraw m on e2; " || v.Now.Before(start.Add(DefaultScaleDownAfter)) {
-		t.Errorf("after %v: %q, want the replica without streams, after the quiet time", v.Now.Sub(start), got)
-	}
+	expect.That(t, got == "withdraw m on e2; " && !v.Now.Before(start.Add(DefaultScaleDownAfter)),
+		"after %v: %q, want the replica without streams, after the quiet time", v.Now.Sub(start), got)
 }
 
 // Whatever the view, one plan keeps the contract and the memory by itself: all
@@ -316,9 +299,8 @@
 		case d.Kind == Grant:
 			free[d.Engine] -= u.Bytes
 			replicas[d.Unit]++
-			if free[d.Engine] < 0 || replicas[d.Unit] > u.MaxReplicas {
-				t.Fatalf("%+v: %d bytes free, %d replicas of %d", d, free[d.Engine], replicas[d.Unit], u.MaxReplicas)
-			}
+			expect.Must(t, free[d.Engine] >= 0 && replicas[d.Unit] <= u.MaxReplicas,
+				"%+v: %d bytes free, %d replicas of %d", d, free[d.Engine], replicas[d.Unit], u.MaxReplicas)
 			expect.Must(t, !e.Leaving && !e.Sick, "%+v on an engine that gets nothing new", d)
 		case d.Kind == Withdraw && d.Reason[:4] == "room":
 			for _, h := range e.Holdings {
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -31,9 +31,8 @@
 		again, _ := next.History("timer", at)
 		diff := cmp.Diff(told, again)
 		expect.That(t, diff == "", "not what was told: %s", diff)
-		if next.all != first.all || !next.KeepUntil("timer", at).Equal(first.KeepUntil("timer", at)) {
-			t.Error("keeps or values it differently")
-		}
+		expect.That(t, next.all == first.all && next.KeepUntil("timer", at).Equal(first.KeepUntil("timer", at)),
+			"keeps or values it differently")
 	}
 	from, to, ok := first.histories["timer"].rhythm.next(at)
 	nextFrom, nextTo, nextOK := next.histories["timer"].rhythm.next(at)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bergamotreel/internal/expect"
 )
 
 const gb = int64(1) << 30
@@ -115,13 +117,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			p := NewPlanner(Config{})
 			v := View{Now: start, Self: "a", Engines: tt.engines, Units: tt.units, Demand: tt.demand}
-			if got := kinds(p.Plan(v)); got != tt.want {
-				t.Errorf("first plan: %q, want %q", got, tt.want)
-			}
+			expect.Equal(t, kinds(p.Plan(v)), tt.want, "first plan")
 			v.Now = start.Add(time.Millisecond)
-			if got := kinds(p.Plan(v)); got != "" {
-				t.Errorf("the same view again: %q, want nothing new", got)
-			}
+			expect.Equal(t, kinds(p.Plan(v)), "", "the same view again")
 		})
 	}
 }
