caller: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -138,9 +138,8 @@
 		err := json.Unmarshal(w.Body.Bytes(), &body)
 		expect.That(t, err == nil, "%s: %v in %s", name, err, w.Body)
 		got := body.Error
-		if w.Code != test.status || got.Code != test.code || got.Ran != refusal.RanNo || !strings.Contains(got.Message, test.message) {
-			t.Errorf("%s: got %d %+v", name, w.Code, got)
-		}
+		expect.That(t, w.Code == test.status && got.Code == test.code && got.Ran == refusal.RanNo && strings.Contains(got.Message, test.message),
+			"%s: got %d %+v", name, w.Code, got)
 	}
 }
 
@@ -165,9 +164,8 @@
 	h := caller.New(&fakeBackend{generate: chunks(refusal.New(refusal.CodeRateLimited, 1200*time.Millisecond, "slow down"))}, caller.Limits{})
 	w := answerOf(h, request("POST", chat, "key-rental", goodChat))
 	const want = `{"error":{"code":"rate_limited","message":"slow down","ran":"no","retry_after_ms":1200}}`
-	if w.Code != 429 || w.Header().Get("Retry-After") != "2" || w.Body.String() != want {
-		t.Errorf("got %d, Retry-After %q, %s", w.Code, w.Header().Get("Retry-After"), w.Body)
-	}
+	expect.That(t, w.Code == 429 && w.Header().Get("Retry-After") == "2" && w.Body.String() == want,
+		"got %d, Retry-After %q, %s", w.Code, w.Header().Get("Retry-After"), w.Body)
 }
 
 func TestGenerationForTheBackend(t *testing.T) {
@@ -183,12 +181,10 @@
 	}
 	for sent, want := range bodies {
 		w := answerOf(h, request("POST", chat, "key-rental", sent))
-		if string(got.Body) != want || got.Unit != "clerk" || got.Priority != 13 || got.Path != chat {
-			t.Errorf("sent %s, the backend got %+v with %s", sent, got, got.Body)
-		}
-		if got.ID == "" || got.ID != w.Header().Get("X-Request-Id") {
-			t.Errorf("request ID %q, returned %q", got.ID, w.Header().Get("X-Request-Id"))
-		}
+		expect.That(t, string(got.Body) == want && got.Unit == "clerk" && got.Priority == 13 && got.Path == chat,
+			"sent %s, the backend got %+v with %s", sent, got, got.Body)
+		expect.That(t, got.ID != "" && got.ID == w.Header().Get("X-Request-Id"),
+			"request ID %q, returned %q", got.ID, w.Header().Get("X-Request-Id"))
 	}
 }
 
@@ -196,8 +192,7 @@
 	h := caller.New(&fakeBackend{}, caller.Limits{})
 	const want = `{"object":"list","data":[{"id":"clerk","object":"model","created":0,"owned_by":"rental"},` +
 		`{"id":"clerk-arima","object":"model","created":0,"owned_by":"rental"}]}`
-	got := answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String()
-	expect.That(t, got == want, "got %s", got)
+	expect.Equal(t, answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String(), want, "the list of models")
 }
 
 func TestWholeAnswers(t *testing.T) {
@@ -249,7 +244,6 @@
 	w := answerOf(h, request("POST", chat, "key-rental", goodStream))
 	want := []string{`1  {"a":1}`, "2  {\n\"b\":2}", "2  [DONE]"}
 	expect.Same(t, want, readEvents(w.Body))
-	if w.Header().Get("Content-Type") != "text/event-stream" || w.Header().Get("X-Bergamotreel-Cold") != "true" {
-		t.Errorf("header %v", w.Header())
-	}
+	expect.That(t, w.Header().Get("Content-Type") == "text/event-stream" && w.Header().Get("X-Bergamotreel-Cold") == "true",
+		"header %v", w.Header())
 }
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -202,6 +202,10 @@
 
 func send(conn net.Conn, r *http.Request) { go func() { _ = r.Write(conn) }() }
 
+func answerOn(t *testing.T, conn net.Conn) *http.Response {
+	return expect.Value(http.ReadResponse(bufio.NewReader(conn), nil))(t)
+}
+
 // A caller sends a byte of its header each second and never ends (slow loris).
 // Nothing is refused by size, so connections would pile up; the read timeout
 // has to end this one.
@@ -217,8 +221,7 @@
 			}
 		}()
 		_, _ = io.ReadAll(conn)
-		took := time.Since(start)
-		expect.That(t, took == 5*time.Second, "ended after %v", took)
+		expect.Equal(t, time.Since(start), 5*time.Second, "time to its end")
 		<-gaveUp
 	})
 }
@@ -239,7 +242,7 @@
 		send(conn, request("POST", chat, "key-rental", goodStream))
 		<-started
 		conn.Close()
-		expect.ErrorIs(t, <-stopped, context.Canceled, "the shutdown")
+		expect.ErrorIs(t, <-stopped, context.Canceled, "Generate's context")
 	})
 }
 
@@ -280,24 +283,19 @@
 		}
 		busy, idle, probe := network.dial(), network.dial(), network.dial()
 		send(idle, request("GET", "/readyz", "", ""))
-		if ready, err := http.ReadResponse(bufio.NewReader(idle), nil); err != nil || ready.StatusCode != 200 {
-			t.Errorf("before: %v %v", ready, err)
-		}
+		expect.Equal(t, answerOn(t, idle).StatusCode, 200, "before")
 		send(busy, request("POST", "/services/booking/book", "key-rental", ""))
 		<-started
 		server.Drain()
 		send(probe, request("GET", "/readyz", "", ""))
-		if ready, err := http.ReadResponse(bufio.NewReader(probe), nil); err != nil || ready.StatusCode != 503 || !ready.Close {
-			t.Errorf("draining: %v %v", ready, err)
-		}
+		ready := answerOn(t, probe)
+		expect.That(t, ready.StatusCode == 503 && ready.Close, "draining: %v", ready)
 		stopped := make(chan error)
 		go func() { stopped <- server.Shutdown(t.Context()) }()
-		if rest, err := io.ReadAll(idle); len(rest) != 0 || err != nil {
-			t.Errorf("idle connection: %q %v", rest, err)
-		}
+		expect.Equal(t, string(expect.Value(io.ReadAll(idle))(t)), "", "idle connection")
 		close(release)
-		answer, err := http.ReadResponse(bufio.NewReader(busy), nil)
-		expect.That(t, err == nil && answer.StatusCode == 200 && answer.Close, "running request: %v %v", answer, err)
+		answer := answerOn(t, busy)
+		expect.That(t, answer.StatusCode == 200 && answer.Close, "running request: %v", answer)
 		expect.NoError(t, <-stopped)
 	})
 }
@@ -309,11 +307,9 @@
 	serving(t, &fakeBackend{}, limits, func(t *testing.T, _ *caller.Server, network memoryNet) {
 		first, over, beyond := network.dial(), network.dial(), network.dial()
 		defer first.Close()
-		if rest, err := io.ReadAll(beyond); len(rest) != 0 || err != nil {
-			t.Errorf("beyond: %q %v", rest, err)
-		}
+		expect.Equal(t, string(expect.Value(io.ReadAll(beyond))(t)), "", "beyond")
 		send(over, request("GET", "/v1/models", "key-rental", ""))
-		answer, err := http.ReadResponse(bufio.NewReader(over), nil)
-		expect.That(t, err == nil && answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v %v", answer, err)
+		answer := answerOn(t, over)
+		expect.That(t, answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v", answer)
 	})
 }
--- a/caller/observe_test.go
+++ b/caller/observe_test.go
@@ -40,9 +40,8 @@
 	w := answerOf(h, r)
 
 	span := spans.Ended()[0]
-	if span.Parent().SpanID().String() != "b7ad6b7169203331" || span.SpanContext().SpanID() != inBackend.SpanID() {
-		t.Errorf("parent %v, in the backend %v", span.Parent(), inBackend)
-	}
+	expect.That(t, span.Parent().SpanID().String() == "b7ad6b7169203331" && span.SpanContext().SpanID() == inBackend.SpanID(),
+		"parent %v, in the backend %v", span.Parent(), inBackend)
 	told := fmt.Sprint(lines.All()[0].ContextMap(), span.Attributes())
 	for _, want := range []string{w.Header().Get("X-Request-Id"), "desk-7", "rental", "queue_full"} {
 		expect.That(t, strings.Count(told, want) >= 2, "%q is not in both of %s", want, told)
@@ -66,9 +65,8 @@
 		hold()
 		hold()
 		begun = w.Body.Len()
-		if err := holder.Release(); err != nil || strings.Count(w.Body.String(), "id: ") != 2 {
-			t.Errorf("released %q, %v", w.Body, err)
-		}
+		err := holder.Release()
+		expect.That(t, err == nil && strings.Count(w.Body.String(), "id: ") == 2, "released %q, %v", w.Body, err)
 		for sent := w.Body.Len(); w.Body.Len() == sent && held < 100; {
 			hold()
 		}
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -12,8 +12,6 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"bergamotreel/caller"
 	"bergamotreel/engine"
 	"bergamotreel/internal/expect"
@@ -83,8 +81,7 @@
 		var before, after map[string]json.RawMessage
 		expect.Must(t, json.Unmarshal(body, &before) == nil && json.Unmarshal(got, &after) == nil, "%q became %q", body, got)
 		before["stream"] = json.RawMessage("true")
-		diff := cmp.Diff(before, after)
-		expect.Must(t, diff == "", "%v", diff)
+		expect.Same(t, before, after)
 	})
 }
 
