--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -109,12 +109,9 @@
 		{307, ``, engine.ErrOutcomeUnknown},
 	} {
 		client := clientOf(answering{c.status, "r", c.body})
-		if _, err := client.Generate(t.Context(), "e", engine.Request{ID: "r"}); !errors.Is(err, c.want) {
-			t.Errorf("Generate, %d %s: %v", c.status, c.body, err)
-		}
-		if _, err := client.Order(t.Context(), "e", engine.Order{}); !errors.Is(err, c.want) {
-			t.Errorf("Order, %d %s: %v", c.status, c.body, err)
-		}
+		name := fmt.Sprint(c.status, " ", c.body)
+		expect.ErrorIs(t, expect.ErrorOf(client.Generate(t.Context(), "e", engine.Request{ID: "r"})), c.want, name+": Generate")
+		expect.ErrorIs(t, expect.ErrorOf(client.Order(t.Context(), "e", engine.Order{})), c.want, name+": Order")
 	}
 }
 
--- a/engine/protocol_test.go
+++ b/engine/protocol_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/expect"
 )
 
 // roundTrip is a transport that counts.
@@ -40,9 +41,8 @@
 		if stream, err := client.Generate(t.Context(), address, engine.Request{ID: "r"}); err == nil {
 			stream.Close()
 		}
-		if single.calls != wantSingle || multiplexed.calls != wantMultiplexed {
-			t.Errorf("%d calls over HTTP/1.1, %d over HTTP/2", single.calls, multiplexed.calls)
-		}
+		expect.That(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed,
+			"%d calls over HTTP/1.1, %d over HTTP/2", single.calls, multiplexed.calls)
 	}
 	generate("e1", 1, 0) // nothing known; the answer tells
 	generate("e1", 0, 1)
@@ -67,9 +67,8 @@
 	generate := func(wantSingle, wantMultiplexed, wantShared int) engine.Stream {
 		t.Helper()
 		stream, _ := client.Generate(t.Context(), "e", engine.Request{ID: "r"})
-		if single.calls != wantSingle || multiplexed.calls != wantMultiplexed || client.Shared() != wantShared {
-			t.Fatalf("%d calls over HTTP/1.1, %d over HTTP/2, %d shared", single.calls, multiplexed.calls, client.Shared())
-		}
+		expect.Must(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed && client.Shared() == wantShared,
+			"%d calls over HTTP/1.1, %d over HTTP/2, %d shared", single.calls, multiplexed.calls, client.Shared())
 		return stream
 	}
 	first := generate(1, 0, 0)
