--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -134,9 +134,8 @@
 		g := startGuard(time.Minute, time.Minute, nil, errLate)
 		_, err := r.pump(b, 0, g)
 		g.stop()
-		if b.failed != nil != isSinkError(err) || !slices.Equal(b.sent, c.want) {
-			t.Errorf("sent %v, want %v: %v", b.sent, c.want, err)
-		}
+		expect.That(t, b.failed != nil == isSinkError(err) && slices.Equal(b.sent, c.want),
+			"sent %v, want %v: %v", b.sent, c.want, err)
 	}
 	// Next fails although the stream said that it had a chunk.
 	b := &batches{held: 1, end: engine.ErrBrokenStream}
