internal/sendonce: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/internal/sendonce/multiplexed_test.go
+++ b/internal/sendonce/multiplexed_test.go
@@ -159,8 +159,7 @@
 		_, sent, err := Do(client, newTestRequest(t, ctx, "POST", "{}", ""))
 		expect.That(t, err != nil && !sent, "sent %v, error %v", sent, err)
 		time.Sleep(2 * time.Second)
-		if s.connections.Load() != 1 || s.requests.Load() != 0 {
-			t.Errorf("%d connections, %d requests came", s.connections.Load(), s.requests.Load())
-		}
+		expect.That(t, s.connections.Load() == 1 && s.requests.Load() == 0,
+			"%d connections, %d requests came", s.connections.Load(), s.requests.Load())
 	})
 }
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -64,8 +64,7 @@
 	synctest.Wait()
 	_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
 	expect.That(t, err != nil && sent, "%s %q: sent %v, error %v", method, body, sent, err)
-	n := requests.Load()
-	expect.That(t, n == 2, "%s %q: %d requests came instead of 2", method, body, n)
+	expect.Equal(t, requests.Load(), 2, "%s %q: requests that came", method, body)
 }
 
 // The caller sees one failed call, and the backend server ran it once.
@@ -152,9 +151,8 @@
 			return &http.Response{StatusCode: status, Header: header, Body: http.NoBody, Request: r}, nil
 		})}
 		answer, _, err := Do(client, newTestRequest(t, t.Context(), "GET", "", ""))
-		if err != nil || answer.StatusCode != status || calls != 1 {
-			t.Errorf("%d: answer %v, error %v, %d calls", status, answer, err, calls)
-		}
+		expect.That(t, err == nil && answer.StatusCode == status && calls == 1,
+			"%d: answer %v, error %v, %d calls", status, answer, err, calls)
 	}
 }
 
