internal/standin: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -25,8 +25,7 @@
 		b.refuse("a", request("r2", "m", "hello", 3), engine.ErrNotLoaded)
 		b.wantWhole(stream, r)
 		b.wantPhases("a", "")
-		tier := b.status("a").Cached["m.ckpt"]
-		expect.That(b, tier == engine.TierMemory, "unloaded checkpoint is in tier %q", tier)
+		expect.Equal(b, b.status("a").Cached["m.ckpt"], engine.TierMemory, "tier of the unloaded checkpoint")
 		ran := e.Records().Ran
 		expect.That(b, ran["r1"] == 1 && len(ran) == 1, "ran %v", ran)
 	})
@@ -101,8 +100,7 @@
 		b.wantPhases("a", "m loading")
 		b.load("a", "m")
 		b.wantPhases("a", "m ready")
-		loads := e.Records().Loads["m"]
-		expect.That(b, loads == 1, "%d loads", loads)
+		expect.Equal(b, e.Records().Loads["m"], 1, "loads")
 	})
 }
 
@@ -140,8 +138,7 @@
 			time.Sleep(time.Minute)
 			after := b.status("a")
 			expect.That(b, after.Incarnation != before && len(after.Units) == 0, "after the restart: %+v", after)
-			kept := after.HighestToken == 9
-			expect.That(b, kept == checks, "highest token after the restart: %d", after.HighestToken)
+			expect.Equal(b, after.HighestToken == 9, checks, "token %d kept over the restart", after.HighestToken)
 			_, err = b.Resume(b.Context(), "a", "r", 1)
 			b.check(err, engine.ErrUnknownStream)
 		})
--- a/internal/standin/engineserver/streams_test.go
+++ b/internal/standin/engineserver/streams_test.go
@@ -25,8 +25,7 @@
 		b.wantWhole(b.generate("a", r), r)
 		b.wantWhole(b.generate("a", r), r)
 		b.refuse("a", request("r", "m", "bye", 8), engine.ErrIDConflict)
-		ran := e.Records().Ran["r"]
-		expect.That(b, ran == 1, "ran %d times", ran)
+		expect.Equal(b, e.Records().Ran["r"], 1, "times that it ran")
 	})
 }
 
@@ -92,8 +91,7 @@
 		b.refuse("a", request("over", "m", "hello", 3), engine.ErrBusy)
 		begun := time.Now()
 		b.wantWhole(highStream, high)
-		took := time.Since(begun)
-		expect.That(b, took == 6*token, "the higher priority took %v", took)
+		expect.Equal(b, time.Since(begun), 6*token, "the time of the higher priority")
 		b.wantWhole(lowStream, low)
 		e.SetDraining(true)
 		b.refuse("a", request("late", "m", "hello", 3), engine.ErrBusy)
@@ -106,13 +104,9 @@
 		begun := time.Now()
 		one, two := request("one", "m", "hello", 10), request("two", "m", "hello", 10)
 		first, second := b.generate("a", one), b.generate("a", two)
-		if load := b.status("a").Load; load.Running != 0 {
-			b.Errorf("the load report does not lag: %+v", load)
-		}
+		expect.Equal(b, b.status("a").Load.Running, 0, "running by the load report, which must lag")
 		time.Sleep(120 * time.Millisecond)
-		if load := b.status("a").Load; load.Running != 2 {
-			b.Errorf("load report: %+v", load)
-		}
+		expect.Equal(b, b.status("a").Load.Running, 2, "running by the load report")
 		b.wantWhole(first, one)
 		b.wantWhole(second, two)
 		took := time.Since(begun)
@@ -143,9 +137,8 @@
 		b.check(err, nil)
 		messages, _, _ := strings.Cut(string(request("r", "m", prompt, 1).Body), `,"max_tokens"`)
 		hashes := routing.Prefixes("m", []byte(strings.TrimPrefix(messages, `{"messages":`)))
-		if len(events) != 0 || len(later) != 2 || later[1].Prefix != hashes[2] {
-			b.Errorf("events %v, a second later %v, hashes %v", events, later, hashes)
-		}
+		expect.That(b, len(events) == 0 && len(later) == 2 && later[1].Prefix == hashes[2],
+			"events %v, a second later %v, hashes %v", events, later, hashes)
 	})
 }
 
@@ -171,9 +164,8 @@
 		b.check(err, nil)
 		rest, _, _ := read(stream)
 		expect.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
-		if prefill.Records().Ran["r"] != 1 || decode.Records().Ran["r"] != 0 {
-			b.Errorf("ran %v and %v", prefill.Records().Ran, decode.Records().Ran)
-		}
+		expect.That(b, prefill.Records().Ran["r"] == 1 && decode.Records().Ran["r"] == 0,
+			"ran %v and %v", prefill.Records().Ran, decode.Records().Ran)
 	})
 }
 
--- a/internal/standin/logserver/store_test.go
+++ b/internal/standin/logserver/store_test.go
@@ -59,9 +59,8 @@
 			check(t, log, 2, 10, "2:b 3:c 4:d next 5 earliest 2 end 4")
 			check(t, log, 1, 10, "next 1 earliest 2 end 4 trimmed")
 			_, err := log.Append(t.Context(), "s", make([]byte, logserver.MaxRecordBytes+1))
-			if !errors.Is(err, platformlog.ErrTooLarge) || !errors.Is(err, platformlog.ErrUnavailable) {
-				t.Errorf("too large a record: got %v", err)
-			}
+			expect.That(t, errors.Is(err, platformlog.ErrTooLarge) && errors.Is(err, platformlog.ErrUnavailable),
+				"too large a record: got %v", err)
 		})
 	}
 }
@@ -86,18 +85,15 @@
 		start := time.Now()
 		time.AfterFunc(2*time.Second, func() { mustAppend(t, log, "a") })
 		batch, err := log.Read(t.Context(), "s", 1, 10, 5*time.Second)
-		if err != nil || len(batch.Records) != 1 || time.Since(start) != 2*time.Second {
-			t.Errorf("woken: %v, %v after %v", batch, err, time.Since(start))
-		}
+		expect.That(t, err == nil && len(batch.Records) == 1 && time.Since(start) == 2*time.Second,
+			"woken: %v, %v after %v", batch, err, time.Since(start))
 		batch, err = log.Read(t.Context(), "s", 2, 10, 5*time.Second)
-		if err != nil || len(batch.Records) != 0 || time.Since(start) != 7*time.Second {
-			t.Errorf("not woken: %v, %v after %v", batch, err, time.Since(start))
-		}
+		expect.That(t, err == nil && len(batch.Records) == 0 && time.Since(start) == 7*time.Second,
+			"not woken: %v, %v after %v", batch, err, time.Since(start))
 		time.AfterFunc(time.Second, func() { log.Faults().Set(faults.Settings{Outage: true}) })
 		_, err = log.Read(t.Context(), "s", 2, 10, 5*time.Second)
-		if !errors.Is(err, platformlog.ErrUnavailable) || time.Since(start) != 8*time.Second {
-			t.Errorf("outage while waiting: %v after %v", err, time.Since(start))
-		}
+		expect.That(t, errors.Is(err, platformlog.ErrUnavailable) && time.Since(start) == 8*time.Second,
+			"outage while waiting: %v after %v", err, time.Since(start))
 	})
 }
 
--- a/internal/standin/vmlistserver/registry_test.go
+++ b/internal/standin/vmlistserver/registry_test.go
@@ -59,8 +59,7 @@
 	wantList(t, client, 3, vm)
 	wantList(t, client, 3, vm) // 304
 	admin("DELETE", "/admin/vms/e1", "")
-	got := admin("DELETE", "/admin/vms/e1", "")
-	expect.That(t, got == http.StatusNotFound, "second delete: status %d", got)
+	expect.Equal(t, admin("DELETE", "/admin/vms/e1", ""), http.StatusNotFound, "status of the second delete")
 	admin("POST", "/admin/faults", `{"outage":true}`)
 	expect.ErrorIs(t, expect.ErrorOf(client.List(t.Context())), vmlist.ErrUnavailable, "outage")
 }
--- a/internal/standin/weightserver/store_test.go
+++ b/internal/standin/weightserver/store_test.go
@@ -103,9 +103,8 @@
 		start := time.Now()
 		time.AfterFunc(3*time.Second, func() { store.Faults().Set(faults.Settings{Outage: true}) })
 		err := store.Fetch(t.Context(), "m")
-		if !errors.Is(err, weightstore.ErrUnavailable) || time.Since(start) != 3*time.Second {
-			t.Errorf("got %v after %v", err, time.Since(start))
-		}
+		expect.That(t, errors.Is(err, weightstore.ErrUnavailable) && time.Since(start) == 3*time.Second,
+			"got %v after %v", err, time.Since(start))
 		store.Faults().Set(faults.Settings{})
 		expect.Same(t, []float64{10}, fetchAll(t, store, 1))
 	})
@@ -118,12 +117,8 @@
 	client := weightstore.NewClient(server.URL, nil)
 	got, err := client.Checkpoint(t.Context(), "org/m")
 	expect.That(t, err == nil && got == (weightstore.Checkpoint{Name: "org/m", Bytes: 5}), "checkpoint: %+v, %v", got, err)
-	if status, err := client.Status(t.Context()); err != nil || status.AtOnce != 4 {
-		t.Errorf("status: %+v, %v", status, err)
-	}
-	if err := client.Fetch(t.Context(), "org/m"); err != nil {
-		t.Errorf("fetch: %v", err)
-	}
+	expect.Equal(t, expect.Value(client.Status(t.Context()))(t).AtOnce, 4, "the status' AtOnce")
+	expect.NoError(t, client.Fetch(t.Context(), "org/m"))
 	expect.ErrorIs(t, expect.ErrorOf(client.Checkpoint(t.Context(), "none")), weightstore.ErrNotFound, "unknown checkpoint")
 	store.Faults().Set(faults.Settings{Outage: true})
 	expect.ErrorIs(t, client.Fetch(t.Context(), "org/m"), weightstore.ErrUnavailable, "outage")
