service: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/service/client_test.go
+++ b/service/client_test.go
@@ -83,8 +83,7 @@
 			expect.That(t, errors.Is(err, c.want) && answer.Status == c.status, "%s: answer %d, %v", name, answer.Status, err)
 			s.SetFaults(serviceserver.Faults{})
 			time.Sleep(time.Minute)
-			n := len(s.Bookings())
-			expect.That(t, n == c.bookings, "%s: %d bookings", name, n)
+			expect.Equal(t, len(s.Bookings()), c.bookings, "%s: bookings", name)
 		})
 	}
 }
@@ -132,18 +131,14 @@
 		call.Header = http.Header{"Te": {"trailers"}, "Connection": {"close, x-hop"}, "X-Hop": {"1"}, "X-Mine": {"1"}, service.HeaderRequestID: {"forged"}}
 		answer, err := client.Do(t.Context(), "booking", call)
 		expect.Must(t, err == nil && answer.Status == http.StatusTeapot && string(answer.Body) == "body", "%+v, %v", answer, err)
-		if answer.Header.Get("Keep-Alive") != "" || answer.Header.Get("X-Kept") != "yes" {
-			t.Errorf("answer's header %v", answer.Header)
-		}
-		if seen.Get("Te") != "" || seen.Get("X-Hop") != "" || seen.Get("X-Mine") != "1" || seen.Get(service.HeaderRequestID) != "r1" {
-			t.Errorf("call's header %v", seen)
-		}
+		expect.That(t, answer.Header.Get("Keep-Alive") == "" && answer.Header.Get("X-Kept") == "yes",
+			"answer's header %v", answer.Header)
+		expect.That(t, seen.Get("Te") == "" && seen.Get("X-Hop") == "" && seen.Get("X-Mine") == "1" && seen.Get(service.HeaderRequestID) == "r1",
+			"call's header %v", seen)
 		expect.That(t, call.Header.Get(service.HeaderRequestID) == "forged", "the caller's header was changed")
 		for _, path := range []string{"@elsewhere/", "x", ":99/", "/a\nb"} {
 			call.Path = path
-			if _, err := client.Do(t.Context(), "booking", call); !errors.Is(err, service.ErrNotSent) {
-				t.Errorf("path %q: %v", path, err)
-			}
+			expect.ErrorIs(t, expect.ErrorOf(client.Do(t.Context(), "booking", call)), service.ErrNotSent, path)
 		}
 	})
 }
