--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -109,14 +109,11 @@
 func TestErrorsKeepTheirKind(t *testing.T) {
 	for _, kind := range []error{ErrBadRequest, ErrNotFound, ErrUnavailable, ErrOutcomeUnknown} {
 		client, _ := newDirect(&fake{err: fmt.Errorf("%w: some detail", kind)})
-		if _, err := client.Status(t.Context()); !errors.Is(err, kind) || !strings.Contains(err.Error(), "some detail") {
-			t.Errorf("got %v, want %v", err, kind)
-		}
+		_, err := client.Status(t.Context())
+		expect.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), "some detail"), "got %v, want %v", err, kind)
 	}
 	client, _ := newDirect(&fake{err: errors.New("not one of ours")})
-	if _, err := client.Status(t.Context()); !errors.Is(err, ErrOutcomeUnknown) {
-		t.Errorf("got %v", err)
-	}
+	expect.ErrorIs(t, expect.ErrorOf(client.Status(t.Context())), ErrOutcomeUnknown, "an error that is not ours")
 }
 
 // An error without details leaves an operator at night with one word.
@@ -140,12 +137,9 @@
 	for name, text := range answers {
 		client, transport := newDirect(&fake{})
 		transport.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, text, http.StatusBadRequest) })
-		if _, err := client.Status(t.Context()); !errors.Is(err, ErrUnavailable) || !strings.Contains(err.Error(), text) {
-			t.Errorf("%s: status: %v", name, err)
-		}
-		if _, err := client.Publish(t.Context(), change("c1")); !errors.Is(err, ErrOutcomeUnknown) {
-			t.Errorf("%s: publish: %v", name, err)
-		}
+		_, err := client.Status(t.Context())
+		expect.That(t, errors.Is(err, ErrUnavailable) && strings.Contains(err.Error(), text), "%s: status: %v", name, err)
+		expect.ErrorIs(t, expect.ErrorOf(client.Publish(t.Context(), change("c1"))), ErrOutcomeUnknown, name+": publish")
 	}
 }
 
@@ -203,9 +197,8 @@
 		r.Header.Set("Authorization", "Bearer "+token)
 		recorder := httptest.NewRecorder()
 		NewHandler(f, contract.HashKey(token)).ServeHTTP(recorder, r)
-		if recorder.Code != http.StatusBadRequest || f.landings != 0 {
-			t.Errorf("%s: status %d, %d landings: %s", name, recorder.Code, f.landings, recorder.Body)
-		}
+		expect.That(t, recorder.Code == http.StatusBadRequest && f.landings == 0,
+			"%s: status %d, %d landings: %s", name, recorder.Code, f.landings, recorder.Body)
 	}
 }
 
@@ -229,9 +222,8 @@
 		}
 		result, err := PublishUntilKnown(t.Context(), client, change("c1"))
 		want := PublishResult{Verdict: state.VerdictApplied, Revision: state.MakeRevision(1, 0)}
-		if err != nil || result != want || f.landings != 1 || transport.count != 3 {
-			t.Errorf("%+v, %v, %d landings, %d requests", result, err, f.landings, transport.count)
-		}
+		expect.That(t, err == nil && result == want && f.landings == 1 && transport.count == 3,
+			"%+v, %v, %d landings, %d requests", result, err, f.landings, transport.count)
 	})
 }
 
@@ -256,9 +248,8 @@
 			if firstReaches {
 				want = ErrOutcomeUnknown
 			}
-			if !errors.Is(err, want) || errors.Is(err, ErrUnavailable) == firstReaches {
-				t.Errorf("%s: got %v, want %v", name, err, want)
-			}
+			expect.That(t, errors.Is(err, want) && errors.Is(err, ErrUnavailable) != firstReaches,
+				"%s: got %v, want %v", name, err, want)
 		})
 	}
 }
