cmd: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/cmd/bergamotreel/verbs_test.go
+++ b/cmd/bergamotreel/verbs_test.go
@@ -262,9 +262,7 @@
 	info := &debug.BuildInfo{GoVersion: "go1.26.0", Main: debug.Module{Version: "v1.2.3"}, Settings: []debug.BuildSetting{
 		{Key: "vcs.revision", Value: "0123abc"}, {Key: "vcs.modified", Value: "true"},
 	}}
-	if got, want := describeBuild(info), "bergamotreel v1.2.3, commit 0123abc (changed), go1.26.0"; got != want {
-		t.Errorf("got %q, want %q", got, want)
-	}
+	expect.Equal(t, describeBuild(info), "bergamotreel v1.2.3, commit 0123abc (changed), go1.26.0", "the build")
 }
 
 func TestConnectionFlags(t *testing.T) {
@@ -280,8 +278,7 @@
 	} {
 		_, err := test.c.client()
 		var exit *verbs.ExitError
-		if !errors.As(err, &exit) || exit.Code != verbs.ExitUsage || err.Error() != test.want {
-			t.Errorf("got %v, want %s", err, test.want)
-		}
+		expect.That(t, errors.As(err, &exit) && exit.Code == verbs.ExitUsage && err.Error() == test.want,
+			"got %v, want %s", err, test.want)
 	}
 }
