internal/daemon: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both. TestHeapFloor stands in daemon_test.go.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -34,16 +34,14 @@
 	for i := range limits.NumField() {
 		expect.That(t, !limits.Field(i).IsZero(), "caller.Limits.%s is not set", limits.Type().Field(i).Name)
 	}
-	got := limits.Interface().(caller.Limits).HeldBytes
-	expect.That(t, got == 128<<20, "held bytes %d", got)
+	expect.Equal(t, limits.Interface().(caller.Limits).HeldBytes, 128<<20, "held bytes")
 }
 
 func TestRetryBudgetReachesTheNode(t *testing.T) {
 	s := sample(t)
 	for budget, want := range map[float64]float64{0: -1, 0.25: 0.25} {
 		s.Policy.RetryBudget = budget
-		got := nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare
-		expect.That(t, got == want, "retry_budget %v: share %v", budget, got)
+		expect.Equal(t, nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare, want, "share for retry_budget %v", budget)
 	}
 }
 
@@ -96,3 +94,12 @@
 	handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/v1/models", nil))
 	return strings.Join(metrics.ListMetricNames(), "\n")
 }
+
+// A small heap grows to the floor, whatever the percentage; a large one by Go's
+// default, so that it never takes more memory than without the floor.
+func TestHeapFloor(t *testing.T) {
+	for _, live := range []uint64{0, 1 << 20, 4 << 20, heapFloor/2 - 1, heapFloor / 2, 100 << 20} {
+		target := live + live*uint64(gcPercent(live))/100
+		expect.That(t, target <= max(heapFloor, 2*live) && (live == 0 || target >= heapFloor*99/100), "%d live bytes grow to %d", live, target)
+	}
+}
