--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -16,9 +16,8 @@
 func TestSample(t *testing.T) {
 	goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, "sample", []byte(Sample()))
 	s := expect.Value(Parse("sample.ini", usable()))(t)
-	if s.Policy.SessionTerm != 10*time.Second || s.Limits.HeaderBytes != 16<<10 || s.VM.PeersAdvertise != s.VM.PeersAddress {
-		t.Errorf("defaults: %+v", s)
-	}
+	expect.That(t, s.Policy.SessionTerm == 10*time.Second && s.Limits.HeaderBytes == 16<<10 && s.VM.PeersAdvertise == s.VM.PeersAddress,
+		"defaults: %+v", s)
 }
 
 // The page that operators read holds the sample as it is.
@@ -85,9 +84,8 @@
 			_, err := Parse("s.ini", strings.Replace(usable(), test.old, test.new, 1))
 			var problem *Problem
 			expect.Must(t, errors.As(err, &problem), "got %v, want a *Problem", err)
-			if !strings.HasPrefix(problem.Error(), "s.ini: ") || !strings.Contains(problem.Error(), test.want) {
-				t.Errorf("got  %v\nwant %s", problem, test.want)
-			}
+			expect.That(t, strings.HasPrefix(problem.Error(), "s.ini: ") && strings.Contains(problem.Error(), test.want),
+				"got  %v\nwant %s", problem, test.want)
 		})
 	}
 }
@@ -104,9 +102,8 @@
 func TestLoadMissingFile(t *testing.T) {
 	_, err := Load("/nowhere/s.ini")
 	var problem *Problem
-	if !errors.As(err, &problem) || problem.Error() != "/nowhere/s.ini: cannot read: no such file or directory" {
-		t.Errorf("got %v", err)
-	}
+	expect.That(t, errors.As(err, &problem) && problem.Error() == "/nowhere/s.ini: cannot read: no such file or directory",
+		"got %v", err)
 }
 
 // FuzzParse: whatever the text, an answer or a Problem, never a crash.
