internal/telemetry: tests say what they want in one call

Conditions, cases and names of tests and subtests are the same; where the value and the wanted one compare, expect.Equal says both.

--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -28,8 +28,7 @@
 	_, span := Hop(t.Context(), "engine", "generate")
 	EndHop(span, errors.New("lost"))
 	expect.OK(t, shutdown(t.Context()))
-	path := <-uploads
-	expect.That(t, path == "/v1/traces", "upload to %q", path)
+	expect.Equal(t, <-uploads, "/v1/traces", "path of the upload")
 }
 
 func TestTraceparentIsHandedOnWithoutCollector(t *testing.T) {
