--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -81,9 +81,8 @@
 func TestDrawsAreSeeded(t *testing.T) {
 	for _, p := range listPackages(t) {
 		imports := slices.Concat(p.TestImports, p.XTestImports)
-		if slices.Contains(imports, "pgregory.net/rapid") && !slices.Contains(imports, module+"/internal/fixedseed") {
-			t.Errorf("the tests of %s draw without a fixed seed", p.ImportPath)
-		}
+		expect.That(t, !slices.Contains(imports, "pgregory.net/rapid") || slices.Contains(imports, module+"/internal/fixedseed"),
+			"the tests of %s draw without a fixed seed", p.ImportPath)
 	}
 }
 
@@ -92,9 +91,8 @@
 		expect.That(t, !slices.Contains(ioPackages, imported), "%s imports %s", p.ImportPath, imported)
 	}
 	for _, dep := range p.Deps {
-		if strings.HasPrefix(dep, module+"/") && (goPackage{ImportPath: dep}).is(peerPackages...) {
-			t.Errorf("%s depends on the peer package %s", p.ImportPath, dep)
-		}
+		expect.That(t, !strings.HasPrefix(dep, module+"/") || !(goPackage{ImportPath: dep}).is(peerPackages...),
+			"%s depends on the peer package %s", p.ImportPath, dep)
 	}
 	for _, file := range p.GoFiles {
 		checkCalls(t, filepath.Join(p.Dir, file))
