--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -40,12 +40,10 @@
 		t.Run(string(fault), func(t *testing.T) {
 			s, r := run(t, OursAt(0.5), fault, false)
 			ends := s.m.inTime + s.m.late + s.m.refused
-			if ends != r.Requests || r.Overdue > 0 || r.Late > 0 {
-				t.Errorf("%d requests, %d ends, %d overdue, %d late", r.Requests, ends, r.Overdue, r.Late)
-			}
-			if r.Loads != r.Decided || r.OverLimit > 0 {
-				t.Errorf("%d loads for %d decided, %d over the contract", r.Loads, r.Decided, r.OverLimit)
-			}
+			expect.That(t, ends == r.Requests && r.Overdue <= 0 && r.Late <= 0,
+				"%d requests, %d ends, %d overdue, %d late", r.Requests, ends, r.Overdue, r.Late)
+			expect.That(t, r.Loads == r.Decided && r.OverLimit <= 0,
+				"%d loads for %d decided, %d over the contract", r.Loads, r.Decided, r.OverLimit)
 			s.checkMemory(t)
 		})
 	}
@@ -73,9 +71,8 @@
 	fifo.FIFO = true
 	_, unfair := run(t, fifo, FaultNone, true)
 	_, fair := run(t, OursAt(0.5), FaultNone, true)
-	if unfair.AllP99 <= fair.AllP99 {
-		t.Errorf("bystanders' p99 %.2f s without fairness, %.2f s with it", unfair.AllP99, fair.AllP99)
-	}
+	expect.That(t, unfair.AllP99 > fair.AllP99,
+		"bystanders' p99 %.2f s without fairness, %.2f s with it", unfair.AllP99, fair.AllP99)
 }
 
 // Admission finds a customer's pools in its contract: with no units named there
@@ -101,7 +98,6 @@
 	}
 	for len(s.store.active)+len(s.store.waiting) > 0 && s.step(time.Minute) {
 	}
-	if s.now < 16*time.Second || s.now > 18*time.Second {
-		t.Errorf("eight loads of 8 GB took %v, want 16 s and their starts", s.now)
-	}
+	expect.That(t, s.now >= 16*time.Second && s.now <= 18*time.Second,
+		"eight loads of 8 GB took %v, want 16 s and their starts", s.now)
 }
