planner, serving: a long stream keeps its model loaded

Cause: seen by the tests of planned stops: an idle unload withdrew a model while a stream ran on it. Engines tell how much they run, not of which unit, so a unit counted as in use for 40 s after its last arrival only. The stream ended whole (the engine unloads after it), but the right was gone: the next caller waited for a load of a model that had been in use all the time. Ruled out: counting an engine's streams for all its units (one busy unit keeps all others loaded for good: TestBusyUnitKeepsNoOtherLoaded); telling a running request as an arrival (the history of gaps would be of heartbeats). Change: each entry VM tells in its digests the units with a request that has been running through it for 15 s (Digest.Busy), sums carry them; the planner counts the unit as in use for 40 s from the newest such word. Digests grow by the name of a unit for each long request's unit, nothing otherwise.

--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -38,6 +38,9 @@
 	// Used is which units had requests here lately; each use is told for a few
 	// digests in a row, since one may be lost.
 	Used []Use
+	// Busy are the units with a request that has been running through this VM for
+	// a while; one is told for as long as it runs.
+	Busy []string
 	// Refused counts refusals here since the start, by customer and code.
 	Refused []Refused
 	// Expected are the units that this VM, as their planner, expects to be ready
--- a/internal/digest/summary.go
+++ b/internal/digest/summary.go
@@ -45,6 +45,7 @@
 	sum.Used = first(parts.uses(), limit, func(a, b entryvm.Use) int {
 		return cmp.Or(cmp.Compare(a.Ago, b.Ago), strings.Compare(a.Unit, b.Unit))
 	})
+	sum.Busy = first(slices.Collect(maps.Keys(parts.busy)), limit, strings.Compare)
 	sum.Failing = first(slices.Collect(maps.Keys(parts.failing)), limit, strings.Compare)
 	sum.Refused = first(parts.refusals(), limit, func(a, b entryvm.Refused) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), strings.Compare(a.Customer, b.Customer), strings.Compare(a.Code, b.Code))
@@ -67,6 +68,7 @@
 	demand   map[demandKey]entryvm.Demand
 	usage    map[string]entryvm.Usage
 	used     map[string]time.Duration
+	busy     map[string]bool
 	failing  map[string]bool
 	refused  map[refusedKey]uint64
 	draining map[string]entryvm.EngineReport
@@ -85,6 +87,7 @@
 	s.demand = map[demandKey]entryvm.Demand{}
 	s.usage = map[string]entryvm.Usage{}
 	s.used = map[string]time.Duration{}
+	s.busy = map[string]bool{}
 	s.failing = map[string]bool{}
 	s.refused = map[refusedKey]uint64{}
 	s.draining = map[string]entryvm.EngineReport{}
@@ -110,6 +113,9 @@
 			s.used[one.Unit] = one.Ago + d.Age
 		}
 	}
+	for _, unit := range d.Busy {
+		s.busy[unit] = true
+	}
 	for _, server := range d.Failing {
 		s.failing[server] = true
 	}
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -19,6 +19,9 @@
 	// useTold is how long a use is told in the digests: several heartbeats, so
 	// that a lost one does no harm.
 	useTold = 3 * time.Second
+	// longRequest is after what time a request that runs is told again and again:
+	// well before its arrival counts no more for the planner (40 s).
+	longRequest = 15 * time.Second
 	// reportHeartbeats is in how many heartbeats an engine's answer to its keeper is
 	// told: twice, as one digest may be lost. Where both are, the others ask the
 	// engine themselves.
@@ -38,10 +41,11 @@
 	d := entryvm.Digest{
 		VM: n.config.VM, Address: n.config.PeersAddress, Domain: n.config.Domain, Region: n.config.Region,
 		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
-		Used: n.uses.lately(now), Refused: n.refused.due(now, n.config.Heartbeat),
+		Used: n.uses.lately(now), Busy: n.serving.Busy(now, longRequest), Refused: n.refused.due(now, n.config.Heartbeat),
 		Expected: n.expected.telling(now, n.outlook),
 		Engines:  n.fleet.Reports(now, reportHeartbeats*n.config.Heartbeat),
 	}
+	n.planner.Busy(d.Busy, now)
 	renewal := n.keeper.Renewal()
 	d.Session, d.Renewal = uint64(renewal.Session), renewal.Number
 	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
@@ -109,6 +113,7 @@
 		for _, use := range d.Used {
 			n.planner.Used(use.Unit, now.Add(-use.Ago))
 		}
+		n.planner.Busy(d.Busy, now.Add(-d.Age))
 		if len(d.Demand) > 0 {
 			n.planner.Wake()
 		}
--- a/internal/node/replicas_test.go
+++ b/internal/node/replicas_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bergamotreel/internal/testkit"
 )
 
 var allVMs = []string{"v-a1", "v-a2", "v-b1", "v-b2"}
@@ -65,3 +67,17 @@
 		})
 	}
 }
+
+// A night job streams a summary for two minutes, and nobody else asks for its
+// model meanwhile. The model is not idle; it must not be let go under the stream,
+// or the next caller waits for a load although the model was in use all the time.
+func TestLongStreamKeepsItsModel(t *testing.T) {
+	inSystem(t, true, text(1), func(s *system) {
+		const tokens = 12_000 // 10 ms each
+		if a := s.ask("v-a1", "clerk", "season", tokens); !a.whole("clerk", "season", tokens) {
+			s.errorf("the long stream: %d bytes, %v", len(a.text), a.err)
+		}
+		s.ask("v-b1", "clerk", "next", 4)
+		testkit.Equal(s.t, "loads", s.loads("clerk"), 1)
+	})
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,7 +84,9 @@
 	mu       sync.Mutex
 	policy   *placement.Planner
 	lastUsed map[string]time.Time
-	loading  loads
+	// busy is when a long request for a unit was last heard to run.
+	busy    map[string]time.Time
+	loading loads
 	// refused holds when the fold last turned down a decision for a place.
 	refused map[holding]time.Time
 	// mine tells whether this VM plans a unit, in the plan under way.
@@ -112,6 +114,7 @@
 		loading:  newLoads(),
 		refused:  make(map[holding]time.Time),
 		used:     make(map[string]bool),
+		busy:     make(map[string]time.Time),
 		picture:  newPicture(),
 		taught:   make(map[string]bool),
 		stages:   make(map[holding]stageSince),
@@ -139,6 +142,25 @@
 	p.policy.Used(unit, at)
 }
 
+// Busy notes that requests for these units, which came a while ago, still ran at
+// some entry VM at that time.
+func (p *Planner) Busy(units []string, at time.Time) {
+	if len(units) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, unit := range units {
+		if !at.After(p.busy[unit]) {
+			continue
+		}
+		p.busy[unit] = at
+		if _, noted := p.used[unit]; !noted {
+			p.used[unit] = false // looked at with the next reading of use
+		}
+	}
+}
+
 // Run plans until ctx ends.
 func (p *Planner) Run(ctx context.Context) {
 	ticker := time.NewTicker(planEvery)
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -13,7 +13,7 @@
 )
 
 // usedLately is how long after a request's arrival its stream counts as running:
-// beyond the usual answer of 400 tokens at 80 ms.
+// beyond the usual answer of 400 tokens at 80 ms. A longer one is told (Busy).
 const usedLately = 40 * time.Second
 
 // reachableFor is how old an engine's newest status may be for new grants.
@@ -107,6 +107,7 @@
 // takeUsed takes in which units were used since the last plan. A unit in steady
 // use is looked at every useEvery only: hundreds of engines may hold it.
 func (p *Planner) takeUsed(n news) {
+	maps.DeleteFunc(p.busy, func(_ string, at time.Time) bool { return n.now.Sub(at) >= usedLately })
 	for unit, atOnce := range p.used {
 		if !atOnce && !n.useRead {
 			continue
@@ -135,7 +136,7 @@
 	}
 	e.Running = known.running
 	for i := range e.Holdings {
-		countStreams(now, &e.Holdings[i], known.running)
+		p.countStreams(now, &e.Holdings[i], known.running)
 	}
 	p.schedule(known, e.Holdings)
 }
@@ -144,19 +145,27 @@
 //
 // What runs is known by engine only, so it counts for the units that were used
 // lately. Counted for each unit used since it became ready, one busy unit would
-// keep all others on its engine loaded for good. An unload waits at the engine
-// for streams that are longer than that.
-func countStreams(now time.Time, h *placement.Holding, running int) {
+// keep all others on its engine loaded for good.
+func (p *Planner) countStreams(now time.Time, h *placement.Holding, running int) {
 	h.Streams = 0
-	if h.Ready && now.Sub(h.LastUsed) < usedLately {
+	if h.Ready && now.Before(p.countsUntil(h)) {
 		h.Streams = running
 	}
 }
 
+// countsUntil is until when what runs on its engine counts for the holding.
+func (p *Planner) countsUntil(h *placement.Holding) time.Time {
+	at := h.LastUsed
+	if busy := p.busy[h.Unit]; busy.After(at) {
+		at = busy
+	}
+	return at.Add(usedLately)
+}
+
 func (p *Planner) schedule(known *seenEngine, holdings []placement.Holding) {
 	known.countUntil = time.Time{}
 	for i := range holdings {
-		until := holdings[i].LastUsed.Add(usedLately)
+		until := p.countsUntil(&holdings[i])
 		if holdings[i].Streams > 0 && (known.countUntil.IsZero() || until.Before(known.countUntil)) {
 			known.countUntil = until
 		}
@@ -300,7 +309,7 @@
 		p.policy.Loaded(right.Unit, load.tier, load.took)
 	}
 	h.ReadySince = p.readySince(now, key)
-	countStreams(now, &h, streams)
+	p.countStreams(now, &h, streams)
 	return h
 }
 
--- /dev/null
+++ b/internal/serving/busy.go
@@ -0,0 +1,47 @@
+package serving
+
+import (
+	"strings"
+	"time"
+)
+
+// unitRun is what runs of one unit through this VM.
+type unitRun struct {
+	// requests counts those on backend servers, newest is when the last one of
+	// them went there.
+	requests int
+	newest   time.Time
+}
+
+// Busy returns the units of engines with a request that runs through this VM where
+// the newest went to its engine longer than the given time ago. Engines tell how
+// much they run, not of which unit, and arrivals are told for a few seconds only:
+// without this a long stream's model looks idle to its planner.
+func (s *Server) Busy(now time.Time, longer time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var units []string
+	for unit, run := range s.onBackends {
+		if now.Sub(run.newest) >= longer && !strings.HasPrefix(unit, servicePoolPrefix) {
+			units = append(units, unit)
+		}
+	}
+	return units
+}
+
+// entered counts a request that goes to a backend server. Call with mu held.
+func (s *Server) entered(now time.Time, unit string) {
+	run := s.onBackends[unit]
+	s.onBackends[unit] = unitRun{requests: run.requests + 1, newest: now}
+}
+
+// left ends what entered began. Call with mu held.
+func (s *Server) left(unit string) {
+	run := s.onBackends[unit]
+	run.requests--
+	if run.requests == 0 {
+		delete(s.onBackends, unit)
+		return
+	}
+	s.onBackends[unit] = run
+}
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -125,6 +125,7 @@
 // started counts a request that goes to a backend server. Call with mu held.
 func (s *Server) started(now time.Time, backend string, query routing.Query) uint64 {
 	s.config.Router.Started(now, backend, query.Pool, query.Prefixes)
+	s.entered(now, query.Unit)
 	if _, isService := serviceOfPool(query.Pool); !isService {
 		s.cache(backend).streams++
 	}
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -151,6 +151,7 @@
 	result.Pool = p.query.Pool
 	result.FirstToken = p.firstToken
 	p.server.finished(now, p.backend, p.start, result)
+	p.server.left(p.query.Unit)
 	if v.avoid {
 		p.avoid(p.backend)
 	}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -81,8 +81,10 @@
 	// before must not be subtracted from what runs there since.
 	starts map[string]uint64
 	// caches is one entry for each engine that this VM sent a stream to.
-	caches  map[string]*cacheReader
-	running int
+	caches map[string]*cacheReader
+	// onBackends is what runs on backend servers, by unit.
+	onBackends map[string]unitRun
+	running    int
 	// stopped is set when Run has ended: nobody would end a wait any more.
 	stopped bool
 }
@@ -104,6 +106,8 @@
 		missingAt: make(map[string]time.Time),
 		starts:    make(map[string]uint64),
 		caches:    make(map[string]*cacheReader),
+
+		onBackends: make(map[string]unitRun),
 	}
 }
 
