--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -56,9 +56,7 @@
 		string(result.Answer) != "claim" || result.Applied != 3 {
 		t.Errorf("claim: %+v, %v", result, err)
 	}
-	if stored, err := peer.Settle(t.Context(), address, claim); err != nil || !stored {
-		t.Errorf("settle: %t, %v", stored, err)
-	}
+	testkit.Equal(t, "settled", testkit.Value(peer.Settle(t.Context(), address, claim))(t), true)
 	reply := testkit.Value(peer.Claimed(t.Context(), address, ClaimQuery{Customer: "c", Key: "k", Shard: 4}))(t)
 	testkit.NoDiff(t, ClaimReply{Applied: 4, Held: true}, reply)
 }
--- a/idempotency/booking_test.go
+++ b/idempotency/booking_test.go
@@ -162,9 +162,7 @@
 	total := 0
 	for seed := range uint64(*worlds) {
 		ran, twice := runDesk(seed, onFold)
-		if twice {
-			t.Fatalf("seed %d: a booking ran twice", seed)
-		}
+		testkit.Require(t, fmt.Sprint("seed ", seed, ": a booking ran twice"), twice, false)
 		total += ran
 	}
 	t.Logf("%d bookings ran in %d schedules", total, *worlds)
@@ -204,7 +202,5 @@
 	if late := apply(3, claim(1)); late.Verdict != idempotency.VerdictStale || table.State(keys[0]) != nil {
 		t.Fatalf("late duplicate: %+v", late)
 	}
-	if fresh := apply(4, claim(2)); fresh.Verdict != idempotency.VerdictApplied {
-		t.Fatalf("new claim: %+v", fresh)
-	}
+	testkit.Require(t, "new claim", apply(4, claim(2)).Verdict, idempotency.VerdictApplied)
 }
--- a/idempotency/fold_test.go
+++ b/idempotency/fold_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"bergamotreel/idempotency"
@@ -172,9 +171,7 @@
 			}
 			for _, key := range keys {
 				holder, _ := replay(history, key, now)
-				if diff := cmp.Diff(holder.String(), describe(table.State(key))); diff != "" {
-					t.Fatal(diff)
-				}
+				testkit.Require(t, "holder", describe(table.State(key)), holder.String())
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
--- a/idempotency/legacy_test.go
+++ b/idempotency/legacy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,9 +67,7 @@
 	table := idempotency.NewTable()
 	for i, data := range records {
 		for _, result := range table.Apply(uint64(i+1), time.UnixMilli(int64(i+1)), data) {
-			if result.Verdict != idempotency.VerdictApplied {
-				t.Fatal(result)
-			}
+			testkit.Require(t, fmt.Sprintf("%+v", result), result.Verdict, idempotency.VerdictApplied)
 		}
 	}
 	return table
--- a/internal/claims/desk_test.go
+++ b/internal/claims/desk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -65,17 +64,13 @@
 }
 
 func withoutSince(data []byte) []byte {
-	record, err := idempotency.Decode(data)
+	record := testkit.Must(idempotency.Decode(data))
 	for i := range record.Entries {
 		if c := record.Entries[i].Claim; c != nil {
 			c.Since = 0
 		}
 	}
-	naive, encodeErr := idempotency.Encode(record)
-	if err = errors.Join(err, encodeErr); err != nil {
-		panic(err)
-	}
-	return naive
+	return testkit.Must(idempotency.Encode(record))
 }
 
 // vm is one process of an entry VM.
--- a/internal/digest/bench_test.go
+++ b/internal/digest/bench_test.go
@@ -50,9 +50,7 @@
 	encoder := gob.NewEncoder(&out)
 	for range 2 {
 		out.Reset()
-		if err := encoder.Encode(&entryvm.ExchangeArgs{Digests: digests}); err != nil {
-			panic(err)
-		}
+		testkit.Must(0, encoder.Encode(&entryvm.ExchangeArgs{Digests: digests}))
 	}
 	return out.Len()
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -134,9 +134,7 @@
 		r.run(t, func() {
 			for range 40 {
 				time.Sleep(every)
-				if got := r.heard(); got != "222" {
-					t.Fatalf("cut one way: heard %s", got)
-				}
+				testkit.Require(t, "cut one way: heard", r.heard(), "222")
 			}
 			dead.Store(true)
 			time.Sleep(heardFor)
--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -241,7 +241,7 @@
 
 func (b *bed) publish() {
 	b.Helper()
-	sections, err := contract.Split(fmt.Sprintf(`
+	sections := testkit.Value(contract.Split(fmt.Sprintf(`
 [customer]
 name = trinidad
 memory = 80GB
@@ -260,10 +260,7 @@
 memory = 16GB
 max_replicas = 1
 max_wait = 20s
-`, contract.HashKey("k")))
-	if err != nil {
-		b.Fatal(err)
-	}
+`, contract.HashKey("k"))))(b)
 	b.propose("b", state.Proposal{Publish: &state.Publish{ChangeID: "c", Customer: "trinidad", Sections: sections}})
 }
 
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -47,9 +47,8 @@
 		w.fold(state.Proposal{EngineMeet: &state.EngineMeet{Engine: at, Keeper: keeper, Incarnation: "1", MemoryBytes: 80 << 30}})
 		status := engine.Status{Slots: 16, Cached: map[string]engine.Tier{base: engine.TierDisk}}
 		for _, name := range []string{base, unitAt(unit)} {
-			if o := w.fold(state.Proposal{Grant: &state.Grant{Engine: at, Keeper: keeper, Customer: customer, Unit: name, Wanted: true}}); o.Verdict != state.VerdictApplied {
-				b.Fatal(o)
-			}
+			o := w.fold(state.Proposal{Grant: &state.Grant{Engine: at, Keeper: keeper, Customer: customer, Unit: name, Wanted: true}})
+			testkit.Require(b, o.Reason, o.Verdict, state.VerdictApplied)
 			status.Units = append(status.Units, engine.Unit{Unit: name, Phase: engine.PhaseReady})
 		}
 		if seen[at] = (fleet.Engine{VM: vmlist.VM{Address: at}}); i < heard {
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -104,9 +104,7 @@
 	for i, want := range []int{1, 1, 0} {
 		view.Now = now.Add(time.Duration(i) * 10 * time.Millisecond)
 		decisions := p.policy.Plan(view)
-		if len(decisions) != want {
-			t.Fatalf("plan %d: %d decisions, want %d", i, len(decisions), want)
-		}
+		testkit.Require(t, fmt.Sprintf("plan %d: decisions", i), len(decisions), want)
 		for _, d := range decisions {
 			p.decideAgain(view.Now, d)
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -72,10 +72,7 @@
 }
 
 func (w *words) Snapshot(writer string) ([]chunks.Chunk, error) {
-	data, err := json.Marshal(wordsState{w.applied, w.text})
-	if err != nil {
-		return nil, err
-	}
+	data := testkit.Must(json.Marshal(wordsState{w.applied, w.text}))
 	// About three parts once it is compressed to a half.
 	return chunks.Split(data, writer, uint64(w.applied), len(data)/6+8)
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -129,3 +129,11 @@
 		t.Errorf("%s: got \"%v\", want \"%v\"", what, got, want)
 	}
 }
+
+// Require ends the test at a value that is not the wanted one.
+func Require[V comparable](t Fataler, what string, got, want V) {
+	t.Helper()
+	if got != want {
+		t.Fatal(fmt.Sprintf("%s: got \"%v\", want \"%v\"", what, got, want))
+	}
+}
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -57,9 +57,7 @@
 		for _, unit := range units[:1+adaptersHeld] {
 			o := fold(owner, state.Proposal{Grant: &state.Grant{Engine: engineName(i), Keeper: keeper,
 				Customer: customerName(customer), Unit: unit, Wanted: true}})
-			if o.Verdict != state.VerdictApplied {
-				b.Fatal(o)
-			}
+			testkit.Require(b, o.Reason, o.Verdict, state.VerdictApplied)
 		}
 	}
 	return m
--- a/state/fuzz_test.go
+++ b/state/fuzz_test.go
@@ -32,12 +32,8 @@
 		if unreadable != nil && (one.Skipped != m.ours.Skipped+1 || view(one) != before) {
 			t.Fatal("an unreadable record is not counted or changed the state")
 		}
-		if broken := invariants(one); broken != "" {
-			t.Fatal(broken)
-		}
-		if sum(t, restored(t, one)) != sum(t, one) {
-			t.Fatal("a snapshot loses state")
-		}
+		testkit.Require(t, "broken", invariants(one), "")
+		testkit.Require(t, "sum after a snapshot", sum(t, restored(t, one)), sum(t, one))
 	})
 }
 
--- a/state/precondition_test.go
+++ b/state/precondition_test.go
@@ -27,9 +27,7 @@
 func (c script) again(want state.Verdict, p state.Proposal) state.Outcome {
 	c.t.Helper()
 	o := c.fold(c.t, p)
-	if o.Verdict != want {
-		c.t.Fatalf("verdict %s (%s), want %s", o.Verdict, o.Reason, want)
-	}
+	testkit.Require(c.t, "verdict, "+o.Reason, o.Verdict, want)
 	return o
 }
 
@@ -84,16 +82,12 @@
 			loaded[engine] = true
 		}
 	}
-	if len(loaded) != 2 {
-		t.Fatal("the naive twin made no second replica")
-	}
+	testkit.Require(t, "replicas of the naive twin", len(loaded), 2)
 
 	c := script{t, newMachine()}
 	c.do(state.VerdictApplied, "op", publish("hire", c.ours.ConfigVersion("hire"), sections("hire", 8, 1, 2)))
 	c.do(state.VerdictApplied, "p1", grant(c.ours, "e1"))
-	if o := c.do(state.VerdictLimit, "p2", grant(c.ours, "e2")); o.Reason != "contract's replicas" {
-		t.Fatal(o.Reason)
-	}
+	testkit.Require(t, "reason", c.do(state.VerdictLimit, "p2", grant(c.ours, "e2")).Reason, "contract's replicas")
 }
 
 // TestLateRemovalOfAnEngineThatCameBack: a caller's model is loaded on one engine
@@ -160,9 +154,7 @@
 		}
 		c.land(ps...)
 	}
-	if o := c.again(state.VerdictConflict, late); o.Reason != state.ReasonForgotten {
-		t.Fatal(o.Reason)
-	}
+	testkit.Require(t, "reason", c.again(state.VerdictConflict, late).Reason, state.ReasonForgotten)
 	if n := len(c.ours.Proposers["op"].Recent); n > state.MaxProposals {
 		t.Fatalf("%d outcomes of one proposer remembered", n)
 	}
@@ -217,7 +209,5 @@
 	if owner, ok := c.ours.KeyOwner(strings.Repeat("b", 64)); !ok || owner != "hire" {
 		t.Fatal("key lost its owner")
 	}
-	if c.ours.NewestVersion() != c.ours.ConfigVersion("late") {
-		t.Fatal("the newest version is not the last publish")
-	}
+	testkit.Require(t, "newest version, of the last publish", c.ours.NewestVersion(), c.ours.ConfigVersion("late"))
 }
