--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
@@ -27,7 +27,7 @@
 func arrive(t *testing.T, c *Controller, now time.Time, r Request) *Ticket {
 	t.Helper()
 	ticket, refused := c.Arrive(now, r)
-	expect.Must(t, refused == nil, "%v", refused)
+	testkit.Need(t, refused == nil, "%v", refused)
 	return ticket
 }
 
@@ -37,7 +37,7 @@
 		t.Errorf("not refused, want %s", code)
 		return
 	}
-	expect.That(t, got.Code == code && got.Ran == refusal.RanNo && got.RetryAfter >= least && got.RetryAfter <= most,
+	testkit.That(t, got.Code == code && got.Ran == refusal.RanNo && got.RetryAfter >= least && got.RetryAfter <= most,
 		"refused with %v after %s, want %s after %s to %s", got, got.RetryAfter, code, least, most)
 }
 
@@ -125,9 +125,9 @@
 	arrive(t, c, epoch, request(epoch, time.Minute))
 	c.Expect("m", epoch.Add(20*time.Second), true)
 	at, ok := c.NextExpiry()
-	expect.That(t, ok && !at.After(epoch), "next expiry at %s, want at once", at)
+	testkit.That(t, ok && !at.After(epoch), "next expiry at %s, want at once", at)
 	expired := c.Expire(epoch)
-	expect.Must(t, len(expired) == 1 && expired[0].Ticket == short, "expired %v", expired)
+	testkit.Need(t, len(expired) == 1 && expired[0].Ticket == short, "expired %v", expired)
 	checkRefusal(t, expired[0].Refusal, refusal.CodeWaitTooLong, 20*time.Second, 20*time.Second)
 	c.Expect("m", time.Time{}, false)
 	arrive(t, c, epoch, request(epoch, 5*time.Second))
@@ -144,11 +144,11 @@
 	arrive(t, c, epoch, request(epoch, 10*time.Second))
 	at, ok := c.NextExpiry()
 	want := epoch.Add(9 * time.Second)
-	expect.Must(t, ok && at.Equal(want), "next expiry at %s, want %s", at, want)
+	testkit.Need(t, ok && at.Equal(want), "next expiry at %s, want %s", at, want)
 	early := c.Expire(at.Add(-time.Millisecond))
-	expect.That(t, len(early) == 0, "expired early: %v", early)
+	testkit.That(t, len(early) == 0, "expired early: %v", early)
 	due := c.Expire(at)
-	expect.That(t, len(due) == 1, "%d expired when due", len(due))
+	testkit.That(t, len(due) == 1, "%d expired when due", len(due))
 }
 
 // One customer fills the queue of the whole VM. The other's requests still get
@@ -168,7 +168,7 @@
 			}
 		}
 	}
-	expect.That(t, taken["shop"] == 20 && taken["other"] == 5, "taken %v, want 20 and 5", taken)
+	testkit.That(t, taken["shop"] == 20 && taken["other"] == 5, "taken %v, want 20 and 5", taken)
 }
 
 // A contract ends while its requests wait: they get an answer at once.
@@ -177,9 +177,9 @@
 	arrive(t, c, epoch, request(epoch, time.Minute))
 	c.SetContracts(nil)
 	expired := c.Expire(epoch)
-	expect.Must(t, len(expired) == 1, "expired %v", expired)
+	testkit.Need(t, len(expired) == 1, "expired %v", expired)
 	checkRefusal(t, expired[0].Refusal, refusal.CodeUnknownKey, 0, 0)
-	expect.That(t, len(c.customers) == 0, "the customer is still remembered")
+	testkit.That(t, len(c.customers) == 0, "the customer is still remembered")
 }
 
 // Within a customer, priority goes first, then the earliest deadline; a ticket
@@ -200,7 +200,7 @@
 	for t := c.Next(epoch, "m", nil); t != nil; t = c.Next(epoch, "m", nil) {
 		order += t.ID
 	}
-	expect.That(t, order == "2130", "order %s, want 2130", order)
+	testkit.That(t, order == "2130", "order %s, want 2130", order)
 }
 
 // A unit that is not loaded holds up neither other units of its customer nor
@@ -215,8 +215,8 @@
 	arrive(t, c, epoch, request(epoch, 20*time.Second))
 	asked := 0
 	got := c.Next(epoch, "m", func(t *Ticket) bool { asked++; return t.Unit == "m" })
-	expect.That(t, got != nil && got.Unit == "m", "got %v", got)
-	expect.That(t, asked == fitsPerUnit+1, "asked %d times", asked)
+	testkit.That(t, got != nil && got.Unit == "m", "got %v", got)
+	testkit.That(t, asked == fitsPerUnit+1, "asked %d times", asked)
 }
 
 // Retries stay a tenth of the traffic however much fails.
@@ -230,7 +230,7 @@
 			retried++
 		}
 	}
-	expect.That(t, retried >= 500 && retried <= 700, "%d retries of 6000 requests", retried)
+	testkit.That(t, retried >= 500 && retried <= 700, "%d retries of 6000 requests", retried)
 }
 
 // The operator's share of retries counts, and 0 of it leaves only the floor.
@@ -244,6 +244,6 @@
 				retried++
 			}
 		}
-		expect.That(t, retried <= most && (share <= 0 || retried >= 300), "share %v: %d retries of 1000 requests", share, retried)
+		testkit.That(t, retried <= most && (share <= 0 || retried >= 300), "share %v: %d retries of 1000 requests", share, retried)
 	}
 }
--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // runBurst has five bystanders, who together take a good third of 64 slots, and
@@ -55,9 +55,9 @@
 		naiveFirst := p99(naive.waits) / p99(alone.waits)
 		t.Logf("%d VMs: bystanders' p99 beside a burst ÷ alone: first token %.3f, whole answer %.3f; first come, first served %.1f",
 			vms, first, total, naiveFirst)
-		expect.That(t, first <= most && total <= most,
+		testkit.That(t, first <= most && total <= most,
 			"%d VMs: first token %.3f, whole answer %.3f times the p99 alone, want at most %.1f", vms, first, total, most)
-		expect.That(t, naiveFirst >= 2, "the naive twin is not hurt (%.2f): the model shows nothing", naiveFirst)
+		testkit.That(t, naiveFirst >= 2, "the naive twin is not hurt (%.2f): the model shows nothing", naiveFirst)
 	}
 }
 
@@ -74,14 +74,14 @@
 	for range 200 {
 		counts[s.vms[0].Next(s.now, "m", nil).Customer]++
 	}
-	expect.That(t, counts["big"] >= 148 && counts["big"] <= 152, "of 200 the weights 3 and 1 got %v", counts)
+	testkit.That(t, counts["big"] >= 148 && counts["big"] <= 152, "of 200 the weights 3 and 1 got %v", counts)
 	// One that asks anew as soon as it is served has no claim to every turn.
 	clear(counts)
 	for range 100 {
 		s.arrive(source{0, "again", 0})
 		counts[s.vms[0].Next(s.now, "m", nil).Customer]++
 	}
-	expect.That(t, counts["again"] >= 15 && counts["again"] <= 25, "of 100 the weights 3, 1 and 1 got %v", counts)
+	testkit.That(t, counts["again"] >= 15 && counts["again"] <= 25, "of 100 the weights 3, 1 and 1 got %v", counts)
 }
 
 // What a caller sees: with nobody bursting, half of the offices' requests wait
@@ -91,7 +91,7 @@
 func TestSurplusIsMoreThanChance(t *testing.T) {
 	equals := usage{sum: 22 * 0.25, weight: 22, peak: 0.6}
 	for rate, want := range map[float64]bool{0.26: false, 0.6: false, 0.8: true, 2.5: true} {
-		expect.Equal(t, fmt.Sprintf("surplus at %.2f/s beside equals of 0.25/s", rate), overFair(rate, 1, equals), want)
+		testkit.Equal(t, fmt.Sprintf("surplus at %.2f/s beside equals of 0.25/s", rate), overFair(rate, 1, equals), want)
 	}
 	s := newSim(1, 0, 1, contract.Contract{Customer: "held", MaxQueued: 9, RequestsPerSecond: 0.1, Burst: 1}, contract.Contract{Customer: "other", MaxQueued: 9})
 	c := s.vms[0]
@@ -100,5 +100,5 @@
 	}
 	c.rates["m"] = usage{sum: 0.1, weight: 2, peak: 0.1}
 	first := c.Next(s.now, "m", nil)
-	expect.That(t, first != nil && first.Surplus, "a customer over its contract's rate: %+v, want surplus", first)
+	testkit.That(t, first != nil && first.Surplus, "a customer over its contract's rate: %+v, want surplus", first)
 }
--- a/admission/lifecycle_test.go
+++ b/admission/lifecycle_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // lifecycle drives a controller by any calls and checks what must always hold.
@@ -25,7 +25,7 @@
 
 func (l *lifecycle) end(ticket *Ticket) {
 	i := slices.Index(l.open, ticket)
-	expect.Must(l.t, i >= 0 && ticket.Ended(), "%s ended twice, or not", ticket.ID)
+	testkit.Need(l.t, i >= 0 && ticket.Ended(), "%s ended twice, or not", ticket.ID)
 	l.open = slices.Delete(l.open, i, i+1)
 }
 
@@ -82,7 +82,7 @@
 
 func (l *lifecycle) expire() {
 	for _, e := range l.c.Expire(l.now) {
-		expect.Must(l.t, e.Refusal != nil, "%s refused without an answer", e.Ticket.ID)
+		testkit.Need(l.t, e.Refusal != nil, "%s refused without an answer", e.Ticket.ID)
 		l.end(e.Ticket)
 	}
 }
@@ -103,7 +103,7 @@
 	for _, d := range l.c.Demand(l.now) {
 		demand += d.Waiting
 	}
-	expect.Must(l.t, waits == l.c.waiting && waits == listed && waits == demand && len(l.open)-waits == running,
+	testkit.Need(l.t, waits == l.c.waiting && waits == listed && waits == demand && len(l.open)-waits == running,
 		"%d of %d wait, counted %d, listed %d, demand %d, running %d", waits, len(l.open), l.c.waiting, listed, demand, running)
 }
 
@@ -142,6 +142,6 @@
 		}
 		l.now = l.now.Add(time.Hour)
 		l.expire()
-		expect.Must(t, len(l.open) == 0, "%d have no end", len(l.open))
+		testkit.Need(t, len(l.open) == 0, "%d have no end", len(l.open))
 	})
 }
--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 func newFleet(vms int, limit float64, burst int, seed int64) *sim {
@@ -59,7 +59,7 @@
 			}
 			excess, share := worstExcess(s.admitted, limit), float64(len(s.admitted))/limit/busy
 			t.Logf("most above the limit %.1f, bound %.1f; admitted %.2f of the limit", excess, bound, share)
-			expect.That(t, excess <= bound && share >= 0.95,
+			testkit.That(t, excess <= bound && share >= 0.95,
 				"admitted %.1f more than the limit, bound %.1f; %.2f of the limit", excess, bound, share)
 		})
 	}
@@ -81,7 +81,7 @@
 		}
 		bound := float64(burst+vms) + limit*shareShift.Seconds()
 		excess := worstExcess(s.admitted, limit)
-		expect.Must(t, excess <= bound, "admitted %.1f more than the limit, bound %.1f", excess, bound)
+		testkit.Need(t, excess <= bound, "admitted %.1f more than the limit, bound %.1f", excess, bound)
 	})
 }
 
@@ -94,7 +94,7 @@
 		s.arrive(source{0, "shop", 0})
 	}
 	s.run(3 * time.Second)
-	expect.That(t, len(s.admitted) == 40, "%d of 40 went on within 3 s", len(s.admitted))
+	testkit.That(t, len(s.admitted) == 40, "%d of 40 went on within 3 s", len(s.admitted))
 }
 
 // The VMs can't reach each other, and each sees a silent fleet. If each took the
@@ -111,5 +111,5 @@
 	s.admitted, s.start = nil, s.now
 	s.run(60*time.Second, even(9, 180)...)
 	got := float64(len(s.admitted))
-	expect.That(t, got <= 20*60+40+9 && got >= 0.9*20*60, "cut-off VMs admitted %.0f in a minute, limit 1200", got)
+	testkit.That(t, got <= 20*60+40+9 && got >= 0.9*20*60, "cut-off VMs admitted %.0f in a minute, limit 1200", got)
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -18,7 +18,7 @@
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -136,9 +136,9 @@
 			}
 		}
 		err := json.Unmarshal(w.Body.Bytes(), &body)
-		expect.That(t, err == nil, "%s: %v in %s", name, err, w.Body)
+		testkit.That(t, err == nil, "%s: %v in %s", name, err, w.Body)
 		got := body.Error
-		expect.That(t, w.Code == test.status && got.Code == test.code && got.Ran == refusal.RanNo && strings.Contains(got.Message, test.message),
+		testkit.That(t, w.Code == test.status && got.Code == test.code && got.Ran == refusal.RanNo && strings.Contains(got.Message, test.message),
 			"%s: got %d %+v", name, w.Code, got)
 	}
 }
@@ -157,14 +157,14 @@
 		w := answerOf(h, request("POST", chat, "key-rental", strings.Replace(goodChat, "clerk", model, 1)))
 		return fmt.Sprint(w.Code, strings.ReplaceAll(w.Body.String(), model, "MODEL"))
 	}
-	expect.NoDiff(t, ask("nothing"), ask("counsel"))
+	testkit.NoDiff(t, ask("nothing"), ask("counsel"))
 }
 
 func TestRetryAfterIsRoundedUp(t *testing.T) {
 	h := caller.New(&fakeBackend{generate: chunks(refusal.New(refusal.CodeRateLimited, 1200*time.Millisecond, "slow down"))}, caller.Limits{})
 	w := answerOf(h, request("POST", chat, "key-rental", goodChat))
 	const want = `{"error":{"code":"rate_limited","message":"slow down","ran":"no","retry_after_ms":1200}}`
-	expect.That(t, w.Code == 429 && w.Header().Get("Retry-After") == "2" && w.Body.String() == want,
+	testkit.That(t, w.Code == 429 && w.Header().Get("Retry-After") == "2" && w.Body.String() == want,
 		"got %d, Retry-After %q, %s", w.Code, w.Header().Get("Retry-After"), w.Body)
 }
 
@@ -181,9 +181,9 @@
 	}
 	for sent, want := range bodies {
 		w := answerOf(h, request("POST", chat, "key-rental", sent))
-		expect.That(t, string(got.Body) == want && got.Unit == "clerk" && got.Priority == 13 && got.Path == chat,
+		testkit.That(t, string(got.Body) == want && got.Unit == "clerk" && got.Priority == 13 && got.Path == chat,
 			"sent %s, the backend got %+v with %s", sent, got, got.Body)
-		expect.That(t, got.ID != "" && got.ID == w.Header().Get("X-Request-Id"),
+		testkit.That(t, got.ID != "" && got.ID == w.Header().Get("X-Request-Id"),
 			"request ID %q, returned %q", got.ID, w.Header().Get("X-Request-Id"))
 	}
 }
@@ -192,7 +192,7 @@
 	h := caller.New(&fakeBackend{}, caller.Limits{})
 	const want = `{"object":"list","data":[{"id":"clerk","object":"model","created":0,"owned_by":"rental"},` +
 		`{"id":"clerk-arima","object":"model","created":0,"owned_by":"rental"}]}`
-	expect.Equal(t, "the list of models", answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String(), want)
+	testkit.Equal(t, "the list of models", answerOf(h, request("GET", "/v1/models", "key-rental", "")).Body.String(), want)
 }
 
 func TestWholeAnswers(t *testing.T) {
@@ -220,7 +220,7 @@
 		h := caller.New(&fakeBackend{generate: chunks(nil, test.chunks...)}, caller.Limits{})
 		w := answerOf(h, request("POST", test.path, "key-rental", test.body))
 		diff := cmp.Diff(test.want, w.Body.String())
-		expect.That(t, diff == "" && w.Code == 200, "%s: %d %s", name, w.Code, diff)
+		testkit.That(t, diff == "" && w.Code == 200, "%s: %d %s", name, w.Code, diff)
 	}
 }
 
@@ -243,7 +243,7 @@
 	}}, caller.Limits{})
 	w := answerOf(h, request("POST", chat, "key-rental", goodStream))
 	want := []string{`1  {"a":1}`, "2  {\n\"b\":2}", "2  [DONE]"}
-	expect.NoDiff(t, want, readEvents(w.Body))
-	expect.That(t, w.Header().Get("Content-Type") == "text/event-stream" && w.Header().Get("X-Bergamotreel-Cold") == "true",
+	testkit.NoDiff(t, want, readEvents(w.Body))
+	testkit.That(t, w.Header().Get("Content-Type") == "text/event-stream" && w.Header().Get("X-Bergamotreel-Cold") == "true",
 		"header %v", w.Header())
 }
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -18,7 +18,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -57,12 +57,12 @@
 		r := request("POST", server.URL+chat, "key-rental", goodStream)
 		r.RequestURI = ""
 		answer, err := http.DefaultClient.Do(r)
-		expect.OK(t, err)
+		testkit.OK(t, err)
 		body, err := io.ReadAll(answer.Body)
-		expect.That(t, errors.Is(err, io.ErrUnexpectedEOF), "%s: the body ended with %v", name, err)
+		testkit.That(t, errors.Is(err, io.ErrUnexpectedEOF), "%s: the body ended with %v", name, err)
 		got := readEvents(strings.NewReader(string(body)))
 		diff := cmp.Diff([]string{"1  {}", "2  {}", "2 error " + test.want}, got)
-		expect.That(t, diff == "", "%s: %s", name, diff)
+		testkit.That(t, diff == "", "%s: %s", name, diff)
 		answer.Body.Close()
 		server.Close()
 	}
@@ -87,7 +87,7 @@
 	for name, test := range tests {
 		h := caller.New(&fakeBackend{generate: test.generate}, caller.Limits{AnswerBytes: 100})
 		w := answerOf(h, request("POST", chat, "key-rental", goodChat))
-		expect.That(t, w.Code == test.status && strings.Contains(w.Body.String(), `"ran":"maybe"`), "%s: %d %s", name, w.Code, w.Body)
+		testkit.That(t, w.Code == test.status && strings.Contains(w.Body.String(), `"ran":"maybe"`), "%s: %d %s", name, w.Code, w.Body)
 	}
 }
 
@@ -102,20 +102,20 @@
 	handler := caller.New(&fakeBackend{generate: chunks(lost, "{}")}, caller.Limits{})
 	server := caller.NewServer(handler, caller.Limits{}, &tls.Config{Certificates: certified.TLS.Certificates})
 	listener, err := caller.Listen(t.Context(), "127.0.0.1:0")
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	ended := make(chan error)
 	go func() { ended <- server.Serve(listener) }()
 	r := request("POST", "https://"+listener.Addr().String()+chat, "key-rental", goodStream)
 	r.RequestURI = ""
 	answer, err := certified.Client().Do(r)
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	body, err := io.ReadAll(answer.Body)
 	got := readEvents(strings.NewReader(string(body)))
 	diff := cmp.Diff([]string{"1  {}", "1 error " + cutAnswer}, got)
-	expect.That(t, diff == "" && err != nil && answer.ProtoMajor == 2, "HTTP/%d ended with %v; %s", answer.ProtoMajor, err, diff)
+	testkit.That(t, diff == "" && err != nil && answer.ProtoMajor == 2, "HTTP/%d ended with %v; %s", answer.ProtoMajor, err, diff)
 	answer.Body.Close()
 	_ = server.Close()
-	expect.NoError(t, <-ended)
+	testkit.NoError(t, <-ended)
 }
 
 // A caller asks for an answer in one piece and does not read it. Its memory must
@@ -128,7 +128,7 @@
 		send(conn, request("POST", chat, "key-rental", goodChat))
 		time.Sleep(time.Minute)
 		rest, _ := io.ReadAll(conn)
-		expect.That(t, !strings.HasSuffix(string(rest), "}"), "still held after %v: %d bytes", time.Since(start), len(rest))
+		testkit.That(t, !strings.HasSuffix(string(rest), "}"), "still held after %v: %d bytes", time.Since(start), len(rest))
 	})
 }
 
@@ -143,7 +143,7 @@
 		request("POST", chat, "key-rental", strings.Replace(goodChat, "clerk", "new", 1)),
 	} {
 		w := answerOf(h, r)
-		expect.That(t, w.Code == 503 && w.Header().Get("Retry-After") == "1", "%s: %d %s", r.URL, w.Code, w.Body)
+		testkit.That(t, w.Code == 503 && w.Header().Get("Retry-After") == "1", "%s: %d %s", r.URL, w.Code, w.Body)
 	}
 }
 
@@ -165,7 +165,7 @@
 		inner = nil
 		outer := answerOf(h, request("POST", chat, "key-rental", goodChat)).Code
 		diff := cmp.Diff([]int{0, 429, 200}, inner)
-		expect.That(t, diff == "" && outer == 200, "%v %v", outer, diff)
+		testkit.That(t, diff == "" && outer == 200, "%v %v", outer, diff)
 	}
 }
 
@@ -195,15 +195,15 @@
 		ended := make(chan error)
 		go func() { ended <- server.Serve(network) }()
 		do(t, server, network)
-		expect.NoError(t, server.Shutdown(t.Context()))
-		expect.NoError(t, <-ended)
+		testkit.NoError(t, server.Shutdown(t.Context()))
+		testkit.NoError(t, <-ended)
 	})
 }
 
 func send(conn net.Conn, r *http.Request) { go func() { _ = r.Write(conn) }() }
 
 func answerOn(t *testing.T, conn net.Conn) *http.Response {
-	return expect.Value(http.ReadResponse(bufio.NewReader(conn), nil))(t)
+	return testkit.Value(http.ReadResponse(bufio.NewReader(conn), nil))(t)
 }
 
 // A caller sends a byte of its header each second and never ends (slow loris).
@@ -221,7 +221,7 @@
 			}
 		}()
 		_, _ = io.ReadAll(conn)
-		expect.Equal(t, "time to its end", time.Since(start), 5*time.Second)
+		testkit.Equal(t, "time to its end", time.Since(start), 5*time.Second)
 		<-gaveUp
 	})
 }
@@ -242,7 +242,7 @@
 		send(conn, request("POST", chat, "key-rental", goodStream))
 		<-started
 		conn.Close()
-		expect.WantError(t, "Generate's context", <-stopped, context.Canceled)
+		testkit.WantError(t, "Generate's context", <-stopped, context.Canceled)
 	})
 }
 
@@ -265,7 +265,7 @@
 		send(conn, request("POST", chat, "key-rental", goodStream))
 		err := <-done
 		took := time.Since(start)
-		expect.That(t, took >= time.Second && took <= 2*time.Second, "ended after %v with %v", took, err)
+		testkit.That(t, took >= time.Second && took <= 2*time.Second, "ended after %v with %v", took, err)
 	})
 }
 
@@ -283,20 +283,20 @@
 		}
 		busy, idle, probe := network.dial(), network.dial(), network.dial()
 		send(idle, request("GET", "/readyz", "", ""))
-		expect.Equal(t, "before", answerOn(t, idle).StatusCode, 200)
+		testkit.Equal(t, "before", answerOn(t, idle).StatusCode, 200)
 		send(busy, request("POST", "/services/booking/book", "key-rental", ""))
 		<-started
 		server.Drain()
 		send(probe, request("GET", "/readyz", "", ""))
 		ready := answerOn(t, probe)
-		expect.That(t, ready.StatusCode == 503 && ready.Close, "draining: %v", ready)
+		testkit.That(t, ready.StatusCode == 503 && ready.Close, "draining: %v", ready)
 		stopped := make(chan error)
 		go func() { stopped <- server.Shutdown(t.Context()) }()
-		expect.Equal(t, "idle connection", string(expect.Value(io.ReadAll(idle))(t)), "")
+		testkit.Equal(t, "idle connection", string(testkit.Value(io.ReadAll(idle))(t)), "")
 		close(release)
 		answer := answerOn(t, busy)
-		expect.That(t, answer.StatusCode == 200 && answer.Close, "running request: %v", answer)
-		expect.NoError(t, <-stopped)
+		testkit.That(t, answer.StatusCode == 200 && answer.Close, "running request: %v", answer)
+		testkit.NoError(t, <-stopped)
 	})
 }
 
@@ -307,9 +307,9 @@
 	serving(t, &fakeBackend{}, limits, func(t *testing.T, _ *caller.Server, network memoryNet) {
 		first, over, beyond := network.dial(), network.dial(), network.dial()
 		defer first.Close()
-		expect.Equal(t, "beyond", string(expect.Value(io.ReadAll(beyond))(t)), "")
+		testkit.Equal(t, "beyond", string(testkit.Value(io.ReadAll(beyond))(t)), "")
 		send(over, request("GET", "/v1/models", "key-rental", ""))
 		answer := answerOn(t, over)
-		expect.That(t, answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v", answer)
+		testkit.That(t, answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v", answer)
 	})
 }
--- a/caller/observe_test.go
+++ b/caller/observe_test.go
@@ -18,7 +18,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
@@ -40,14 +40,14 @@
 	w := answerOf(h, r)
 
 	span := spans.Ended()[0]
-	expect.That(t, span.Parent().SpanID().String() == "b7ad6b7169203331" && span.SpanContext().SpanID() == inBackend.SpanID(),
+	testkit.That(t, span.Parent().SpanID().String() == "b7ad6b7169203331" && span.SpanContext().SpanID() == inBackend.SpanID(),
 		"parent %v, in the backend %v", span.Parent(), inBackend)
 	told := fmt.Sprint(lines.All()[0].ContextMap(), span.Attributes())
 	for _, want := range []string{w.Header().Get("X-Request-Id"), "desk-7", "rental", "queue_full"} {
-		expect.That(t, strings.Count(told, want) >= 2, "%q is not in both of %s", want, told)
+		testkit.That(t, strings.Count(told, want) >= 2, "%q is not in both of %s", want, told)
 	}
 	for _, secret := range []string{"key-rental", `"hi"`} {
-		expect.That(t, !strings.Contains(told, secret), "%q is in %s", secret, told)
+		testkit.That(t, !strings.Contains(told, secret), "%q is in %s", secret, told)
 	}
 }
 
@@ -60,13 +60,13 @@
 		holder := sink.(caller.HoldingSink)
 		hold := func() {
 			held++
-			expect.NoError(t, holder.Hold(engine.Chunk{Position: held, Data: []byte(benchmarkChunk)}))
+			testkit.NoError(t, holder.Hold(engine.Chunk{Position: held, Data: []byte(benchmarkChunk)}))
 		}
 		hold()
 		hold()
 		begun = w.Body.Len()
 		err := holder.Release()
-		expect.That(t, err == nil && strings.Count(w.Body.String(), "id: ") == 2, "released %q, %v", w.Body, err)
+		testkit.That(t, err == nil && strings.Count(w.Body.String(), "id: ") == 2, "released %q, %v", w.Body, err)
 		for sent := w.Body.Len(); w.Body.Len() == sent && held < 100; {
 			hold()
 		}
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -14,7 +14,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/service"
 )
 
@@ -37,8 +37,8 @@
 		RequestID: w.Header().Get("X-Request-Id"), Method: "POST", Path: "/book/a%2Fb?day=1",
 		Header: http.Header{"Accept": {"text/plain"}, "Idempotency-Key": {"k 1"}}, Body: []byte("pan"),
 	}
-	expect.NoDiff(t, want, got.Call)
-	expect.That(t, got.Once && got.IdempotencyKey == "k 1" && got.Service.Name == "booking", "got %+v", got)
+	testkit.NoDiff(t, want, got.Call)
+	testkit.That(t, got.Once && got.IdempotencyKey == "k 1" && got.Service.Name == "booking", "got %+v", got)
 	id := w.Header().Get("X-Request-Id")
 	if w.Code != 201 || w.Body.String() != "booked" || w.Header().Get("X-Hop") != "" || w.Header().Get("Location") == "" || len(id) < 20 {
 		t.Errorf("answer %d %v %s", w.Code, w.Header(), w.Body)
@@ -57,7 +57,7 @@
 		r := request("POST", "/services/booking"+path, "key-rental", "")
 		w := answerOf(h, r)
 		// A redirect has run nothing; the caller sends its POST again as one.
-		expect.That(t, w.Code == http.StatusTemporaryRedirect || w.Code == 200 && got.Once, "%s: %d, once %v", path, w.Code, got.Once)
+		testkit.That(t, w.Code == http.StatusTemporaryRedirect || w.Code == 200 && got.Once, "%s: %d, once %v", path, w.Code, got.Once)
 	}
 }
 
@@ -75,13 +75,13 @@
 		}}, caller.Limits{})
 		w := answerOf(h, request("POST", chat, "key-rental", string(body)))
 		if got == nil {
-			expect.Must(t, w.Code/100 == 4, "refused with %d", w.Code)
+			testkit.Need(t, w.Code/100 == 4, "refused with %d", w.Code)
 			return
 		}
 		var before, after map[string]json.RawMessage
-		expect.Must(t, json.Unmarshal(body, &before) == nil && json.Unmarshal(got, &after) == nil, "%q became %q", body, got)
+		testkit.Need(t, json.Unmarshal(body, &before) == nil && json.Unmarshal(got, &after) == nil, "%q became %q", body, got)
 		before["stream"] = json.RawMessage("true")
-		expect.NoDiff(t, before, after)
+		testkit.NoDiff(t, before, after)
 	})
 }
 
@@ -127,7 +127,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	answer, err := http.DefaultClient.Do(r)
-	expect.OK(b, err)
+	testkit.OK(b, err)
 	defer answer.Body.Close()
 	buffer := make([]byte, 64<<10)
 	for err == nil {
@@ -159,18 +159,18 @@
 	}}, caller.Limits{})
 	server := caller.NewServer(handler, caller.Limits{}, nil)
 	listener, err := caller.Listen(b.Context(), "127.0.0.1:0")
-	expect.OK(b, err)
+	testkit.OK(b, err)
 	go func() { _ = server.Serve(listener) }()
 	r := request("POST", chat, "key-rental", strings.Replace(goodStream, "hi", strings.Repeat("steelpan", 512), 1))
 	var sent bytes.Buffer
-	expect.OK(b, r.Write(&sent))
+	testkit.OK(b, r.Write(&sent))
 	before := memory()
 	conns := make([]net.Conn, 0, b.N)
 	header := make([]byte, 1)
 	b.ResetTimer()
 	for range b.N {
 		conn, err := net.Dial("tcp", listener.Addr().String())
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		conns = append(conns, conn)
 		if _, err := conn.Write(sent.Bytes()); err != nil {
 			b.Fatal(err)
--- a/cmd/bergamotreel/processes_test.go
+++ b/cmd/bergamotreel/processes_test.go
@@ -16,8 +16,8 @@
 	"net/http"
 
 	"bergamotreel/internal/devsystem"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/httpjson"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/vmlist"
 )
 
@@ -38,12 +38,12 @@
 	system := p.startSystem()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	expect.OK(t, system.Publish(ctx))
-	expect.OK(t, system.Check(ctx, testWriter{t}))
+	testkit.OK(t, system.Publish(ctx))
+	testkit.OK(t, system.Check(ctx, testWriter{t}))
 
 	killed, stopped := p.entries[1], p.entries[3]
-	expect.OK(t, killed.Process.Kill())
-	expect.OK(t, stopped.Process.Signal(syscall.SIGTERM))
+	testkit.OK(t, killed.Process.Kill())
+	testkit.OK(t, stopped.Process.Signal(syscall.SIGTERM))
 	if err := stopped.Wait(); err != nil {
 		t.Errorf("asked to stop, the entry VM exits with %v", err)
 	}
@@ -63,7 +63,7 @@
 func build(t *testing.T, binary, pkg string) {
 	t.Helper()
 	out, err := exec.Command("go", "build", "-o", binary, pkg).CombinedOutput()
-	expect.Must(t, err == nil, "%v: %s", err, out)
+	testkit.Need(t, err == nil, "%v: %s", err, out)
 }
 
 // processes starts processes and ends them with the test.
@@ -78,7 +78,7 @@
 	p.t.Helper()
 	command := exec.Command(filepath.Join(p.dir, binary), args...)
 	command.Stderr = os.Stderr
-	expect.OK(p.t, command.Start())
+	testkit.OK(p.t, command.Start())
 	p.t.Cleanup(func() {
 		_ = command.Process.Kill()
 		_ = command.Wait()
@@ -89,7 +89,7 @@
 // standin starts a stand-in and returns its address once it listens.
 func (p *processes) standin(verb string, args ...string) string {
 	p.t.Helper()
-	address := expect.Value(p.plan.FreeAddress())(p.t)
+	address := testkit.Value(p.plan.FreeAddress())(p.t)
 	p.start("standin", append([]string{verb, "--listen", address}, args...)...)
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", address)
@@ -97,7 +97,7 @@
 			_ = conn.Close()
 			return address
 		}
-		expect.Must(p.t, time.Since(begun) <= patience, "%s does not listen", verb)
+		testkit.Need(p.t, time.Since(begun) <= patience, "%s does not listen", verb)
 	}
 }
 
@@ -105,7 +105,7 @@
 // and four entry VMs in two failure domains.
 func (p *processes) startSystem() *devsystem.System {
 	plan, err := devsystem.NewPlan()
-	expect.OK(p.t, err)
+	testkit.OK(p.t, err)
 	p.t.Cleanup(func() { _ = plan.Close() })
 	p.plan = plan
 	plan.LogURL = "http://" + p.standin("log")
@@ -129,9 +129,9 @@
 	plan.AddBackend(vmlist.VM{
 		ID: "booking-1", Kind: vmlist.KindService, Domain: plan.Domains()[0], Service: "booking", Address: booking,
 	})
-	expect.OK(p.t, plan.PickEntries())
+	testkit.OK(p.t, plan.PickEntries())
 	list, err := json.Marshal(vmlist.List{VMs: plan.VMs})
-	expect.OK(p.t, err)
+	testkit.OK(p.t, err)
 	plan.ListURL = "http://" + p.standin("vmlist", "--file", p.write("vms.json", list))
 	for i, text := range plan.Settings() {
 		file := p.write(fmt.Sprintf("entry-%d.ini", i), []byte(text))
@@ -144,7 +144,7 @@
 func (p *processes) write(name string, content []byte) string {
 	p.t.Helper()
 	file := filepath.Join(p.dir, name)
-	expect.OK(p.t, os.WriteFile(file, content, 0o600))
+	testkit.OK(p.t, os.WriteFile(file, content, 0o600))
 	return file
 }
 
@@ -154,7 +154,7 @@
 		Method, Path string
 		Times        int
 	}
-	expect.OK(t, httpjson.Call(t.Context(), http.DefaultClient, http.MethodGet, "http://"+address+"/admin/calls", &calls))
+	testkit.OK(t, httpjson.Call(t.Context(), http.DefaultClient, http.MethodGet, "http://"+address+"/admin/calls", &calls))
 	total := 0
 	for _, call := range calls {
 		if call.Method == http.MethodPost && call.Path == "/book" {
--- a/cmd/bergamotreel/verbs_test.go
+++ b/cmd/bergamotreel/verbs_test.go
@@ -17,7 +17,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/internal/verbs"
 	"bergamotreel/operator"
 	"bergamotreel/state"
@@ -81,7 +81,7 @@
 	t.Helper()
 	path := "../../docs/examples/trinidad.ini"
 	sections, _, err := readContract(path)
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	return path, sections
 }
 
@@ -193,13 +193,13 @@
 	}}
 	op.status = func(int) (operator.StatusReport, error) { return fleet(17) }
 	runContract(op, "", "publish", path, "-yes")
-	expect.Must(t, len(op.published) == 1, "%d publishes", len(op.published))
+	testkit.Need(t, len(op.published) == 1, "%d publishes", len(op.published))
 	r := op.published[0]
 	_, whole := r.Sections["customer"]
-	expect.That(t, !whole && r.Base == version(9) && r.ChangeID != "", "%+v", r)
+	testkit.That(t, !whole && r.Base == version(9) && r.ChangeID != "", "%+v", r)
 	text, ok := r.Sections[`model "gone"`]
-	expect.That(t, ok && text == "", "removed section: %q, %t", text, ok)
-	expect.That(t, len(r.Sections) == len(sections), "%d sections, want %d", len(r.Sections), len(sections))
+	testkit.That(t, ok && text == "", "removed section: %q, %t", text, ok)
+	testkit.That(t, len(r.Sections) == len(sections), "%d sections, want %d", len(r.Sections), len(sections))
 }
 
 func TestContractRemove(t *testing.T) {
@@ -210,14 +210,14 @@
 	}}
 	op.status = func(int) (operator.StatusReport, error) { return fleet(17) }
 	printed := runContract(op, "y\n", "remove", "trinidad") + runContract(op, "", "remove", "old") + runContract(op, "", "remove", "nobody")
-	expect.That(t, len(op.published) == 1 && op.published[0].Remove && op.published[0].Base == version(9), "%+v", op.published)
+	testkit.That(t, len(op.published) == 1 && op.published[0].Remove && op.published[0].Base == version(9), "%+v", op.published)
 	goldie.New(t).Assert(t, "remove", []byte(withoutChange(op, printed)))
 }
 
 func TestContractCheck(t *testing.T) {
 	path, _ := example(t)
 	bad := filepath.Join(t.TempDir(), "bad.ini")
-	expect.OK(t, os.WriteFile(bad, []byte("[customer]\nname = trinidad\nmemory = 1\n"), 0o600))
+	testkit.OK(t, os.WriteFile(bad, []byte("[customer]\nname = trinidad\nmemory = 1\n"), 0o600))
 	printed := runContract(nil, "", "check", path) + runContract(nil, "", "check", bad) + runContract(nil, "", "check", "nowhere.ini") + runContract(nil, "")
 	for _, text := range []string{
 		"[customer]\nname = a b\nmemory = 1\nmemroy = 9GB\n\n[model \"m\"]\nmemory = 1GB\n[modle \"n\"]\n[model \"m\"]\n",
@@ -255,14 +255,14 @@
 	op := &fakeOperator{inForce: map[string]operator.ContractInForce{"trinidad": {Customer: "trinidad", Version: version(9), Sections: sections}}}
 	shown := strings.TrimSuffix(runContract(op, "", "show", "trinidad"), "exit code 0\n")
 	again, err := contract.Split(shown)
-	expect.That(t, err == nil && len(contract.Diff(sections, again)) == 0, "%v, %+v", err, contract.Diff(sections, again))
+	testkit.That(t, err == nil && len(contract.Diff(sections, again)) == 0, "%v, %+v", err, contract.Diff(sections, again))
 }
 
 func TestVersion(t *testing.T) {
 	info := &debug.BuildInfo{GoVersion: "go1.26.0", Main: debug.Module{Version: "v1.2.3"}, Settings: []debug.BuildSetting{
 		{Key: "vcs.revision", Value: "0123abc"}, {Key: "vcs.modified", Value: "true"},
 	}}
-	expect.Equal(t, "the build", describeBuild(info), "bergamotreel v1.2.3, commit 0123abc (changed), go1.26.0")
+	testkit.Equal(t, "the build", describeBuild(info), "bergamotreel v1.2.3, commit 0123abc (changed), go1.26.0")
 }
 
 func TestConnectionFlags(t *testing.T) {
@@ -278,7 +278,7 @@
 	} {
 		_, err := test.c.client()
 		var exit *verbs.ExitError
-		expect.That(t, errors.As(err, &exit) && exit.Code == verbs.ExitUsage && err.Error() == test.want,
+		testkit.That(t, errors.As(err, &exit) && exit.Code == verbs.ExitUsage && err.Error() == test.want,
 			"got %v, want %s", err, test.want)
 	}
 }
--- a/contract/bench_test.go
+++ b/contract/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // manySections is a contract with the given number of adapters on one model.
@@ -47,7 +47,7 @@
 func BenchmarkFindUnit(b *testing.B) {
 	for _, adapters := range []int{100, 39_000} {
 		c, err := ParseSections(manySections(adapters))
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
 			for b.Loop() {
 				if _, ok := c.FindUnit("shop-7"); !ok {
--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -10,24 +10,24 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 func example(t testing.TB, name string) string {
 	t.Helper()
-	text := expect.Value(os.ReadFile("../docs/examples/" + name + ".ini"))(t)
+	text := testkit.Value(os.ReadFile("../docs/examples/" + name + ".ini"))(t)
 	return string(text)
 }
 
 func TestExamples(t *testing.T) {
 	for _, name := range []string{"trinidad", "kathmandu"} {
-		c := expect.Value(Parse(example(t, name)))(t)
-		expect.That(t, c.Customer == name, "customer %q, want %q", c.Customer, name)
+		c := testkit.Value(Parse(example(t, name)))(t)
+		testkit.That(t, c.Customer == name, "customer %q, want %q", c.Customer, name)
 	}
 }
 
 func TestExampleValues(t *testing.T) {
-	c := expect.Value(Parse(example(t, "trinidad")))(t)
+	c := testkit.Value(Parse(example(t, "trinidad")))(t)
 	if key, ok := c.Owns(HashKey("trinidad-overnight-key")); !ok || key.Name != "overnight" || key.Priority != -50 {
 		t.Errorf("overnight key: %+v, %t", key, ok)
 	}
@@ -66,7 +66,7 @@
 `
 
 func TestDefaults(t *testing.T) {
-	c := expect.Value(Parse(small))(t)
+	c := testkit.Value(Parse(small))(t)
 	want := &Contract{
 		Customer: "c", MemoryBytes: 100e9, Weight: DefaultWeight, RequestsPerSecond: DefaultRequestsPerSecond,
 		Burst: DefaultBurst, MaxQueued: DefaultMaxQueued,
@@ -75,7 +75,7 @@
 		Adapters: []Adapter{{Name: "a", Base: "m", Checkpoint: "a:1", MemoryBytes: 1e9, MaxReplicas: 1, MaxWait: DefaultModelMaxWait}},
 		Services: []Service{{Name: "s", MaxWait: DefaultServiceMaxWait}},
 	}
-	expect.NoDiff(t, want, c)
+	testkit.NoDiff(t, want, c)
 }
 
 func TestMistakes(t *testing.T) {
@@ -133,8 +133,8 @@
 			text := strings.Replace(small, test.old, test.new, 1)
 			_, err := Parse(text)
 			var problem *Problem
-			expect.Must(t, errors.As(err, &problem), "got %v, want a *Problem", err)
-			expect.That(t, Error.Has(err) && strings.Contains(err.Error(), test.want), "got  %v\nwant %s", err, test.want)
+			testkit.Need(t, errors.As(err, &problem), "got %v, want a *Problem", err)
+			testkit.That(t, Error.Has(err) && strings.Contains(err.Error(), test.want), "got  %v\nwant %s", err, test.want)
 		})
 	}
 }
--- a/contract/sections_test.go
+++ b/contract/sections_test.go
@@ -10,44 +10,44 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sebdah/goldie/v2"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 func TestSplitIsCanonical(t *testing.T) {
 	one, err := Split("; first\n[service \"s\"]\n[model \"m\"]\nmemory=1GB ; small\n  checkpoint   =   m:1\n")
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	other, err := Split("[model \"m\"]\r\ncheckpoint = m:1\r\nmemory = 1GB\r\n[service \"s\"]\r\n; nothing\r\n")
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	want := map[string]string{
 		`model "m"`:   "checkpoint = m:1\nmemory = 1GB\n",
 		`service "s"`: emptySection,
 	}
-	expect.NoDiff(t, want, one)
-	expect.NoDiff(t, want, other)
+	testkit.NoDiff(t, want, one)
+	testkit.NoDiff(t, want, other)
 }
 
 func TestJoinExamples(t *testing.T) {
 	for _, name := range []string{"trinidad", "kathmandu"} {
-		sections := expect.Value(Split(example(t, name)))(t)
+		sections := testkit.Value(Split(example(t, name)))(t)
 		goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, name, []byte(Join(sections)))
 	}
 }
 
 // The page that operators read names each key.
 func TestPageNamesKeys(t *testing.T) {
-	page := expect.Value(os.ReadFile("../docs/operations/contracts.md"))(t)
+	page := testkit.Value(os.ReadFile("../docs/operations/contracts.md"))(t)
 	for kind, keys := range keyOrder {
 		_, reference, found := strings.Cut(string(page), "\n### `["+kind)
 		reference, _, _ = strings.Cut(reference, "\n###")
 		for _, key := range keys {
-			expect.That(t, found && strings.Contains(reference, "\n| `"+key+"` |"),
+			testkit.That(t, found && strings.Contains(reference, "\n| `"+key+"` |"),
 				"docs/operations/contracts.md doesn't name %s of [%s]", key, kind)
 		}
 	}
 }
 
 func TestDiff(t *testing.T) {
-	old := expect.Value(Split(small))(t)
+	old := testkit.Value(Split(small))(t)
 	new := maps.Clone(old)
 	delete(new, `service "s"`)
 	new[`model "n"`] = "checkpoint = n:1\nmemory = 1GB\n"
@@ -59,14 +59,14 @@
 		{`model "n"`, Added, []KeyChange{{"checkpoint", Added, "", "n:1"}, {"memory", Added, "", "1GB"}}},
 		{`service "s"`, Removed, nil},
 	}
-	expect.NoDiff(t, want, Diff(old, new))
+	testkit.NoDiff(t, want, Diff(old, new))
 	changes := Diff(old, maps.Clone(old))
-	expect.That(t, len(changes) == 0, "no difference, but %+v", changes)
+	testkit.That(t, len(changes) == 0, "no difference, but %+v", changes)
 	wantChanged := maps.Clone(new)
 	delete(wantChanged, `adapter "a"`)
 	delete(wantChanged, `key "k"`)
 	wantChanged[`service "s"`] = ""
-	expect.NoDiff(t, wantChanged, ChangedSections(old, new))
+	testkit.NoDiff(t, wantChanged, ChangedSections(old, new))
 }
 
 // Section names and texts come from the log as an operator's program wrote them.
@@ -78,7 +78,7 @@
 	} {
 		_, err := ParseSections(map[string]string{name: text})
 		var problem *Problem
-		expect.That(t, errors.As(err, &problem) && (problem.Section != "" || name == ""),
+		testkit.That(t, errors.As(err, &problem) && (problem.Section != "" || name == ""),
 			"%q: got %v, want a problem with its section", name, err)
 	}
 }
@@ -97,12 +97,12 @@
 		}
 		if err != nil {
 			var problem *Problem
-			expect.That(t, errors.As(err, &problem) && !strings.ContainsAny(problem.Error(), "\n"),
+			testkit.That(t, errors.As(err, &problem) && !strings.ContainsAny(problem.Error(), "\n"),
 				"got %q, want a *Problem on one line", err)
 			return
 		}
 		sections, err := Split(text)
-		expect.OK(t, err)
+		testkit.OK(t, err)
 		joined := Join(sections)
 		again, err := Split(joined)
 		if err != nil || !maps.Equal(sections, again) || Join(again) != joined {
@@ -122,7 +122,7 @@
 		sections := map[string]string{name: text, otherName: otherText}
 		c, err := ParseSections(sections)
 		again, errAgain := ParseSections(maps.Clone(sections))
-		expect.That(t, cmp.Equal(c, again) && (err == nil) == (errAgain == nil) && (err == nil || err.Error() == errAgain.Error()),
+		testkit.That(t, cmp.Equal(c, again) && (err == nil) == (errAgain == nil) && (err == nil || err.Error() == errAgain.Error()),
 			"two results: %v, %v", err, errAgain)
 	})
 }
--- a/contract/with_test.go
+++ b/contract/with_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // choices are texts of sections, good and bad ones, and "" for a removal.
@@ -51,9 +51,9 @@
 
 			want, wantErr := ParseSections(merged)
 			got, err := c.With(changed)
-			expect.Must(t, fmt.Sprint(err) == fmt.Sprint(wantErr), "With: %v\nParseSections: %v", err, wantErr)
+			testkit.Need(t, fmt.Sprint(err) == fmt.Sprint(wantErr), "With: %v\nParseSections: %v", err, wantErr)
 			diff := cmp.Diff(want, got)
-			expect.Must(t, diff == "", "%v", diff)
+			testkit.Need(t, diff == "", "%v", diff)
 			if err == nil {
 				sections, c = merged, got
 			}
@@ -74,7 +74,7 @@
 	changed := map[string]string{`adapter "shop-7"`: "base = m\ncheckpoint = shop-7:2\nmemory = 200MB\n"}
 	for _, adapters := range []int{100, 1000, 10_000, 39_000} {
 		c, err := ParseSections(manySections(adapters))
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/sendonce"
+	"bergamotreel/internal/testkit"
 )
 
 // cannedTransport answers every request with the same body.
@@ -39,7 +39,7 @@
 	b.ReportAllocs()
 	for done := 0; done < b.N; {
 		stream, err := client.Generate(context.Background(), "engine", engine.Request{ID: "r1", Path: "/v1/completions"})
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		for range min(chunks, b.N-done) {
 			if _, err := stream.Next(); err != nil {
 				b.Fatal(err)
@@ -67,7 +67,7 @@
 	client := engine.NewClient(sendonce.NewClient())
 	address := strings.TrimPrefix(server.URL, "http://")
 	stream, err := client.Generate(b.Context(), address, engine.Request{ID: "r1", Path: "/v1/completions"})
-	expect.OK(b, err)
+	testkit.OK(b, err)
 	defer stream.Close()
 	begun := processorTime()
 	for b.Loop() {
@@ -91,7 +91,7 @@
 			status.Cached["other-"+name] = engine.TierDisk
 		}
 		body, err := json.Marshal(status)
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		b.Run(fmt.Sprint(units, "units"), func(b *testing.B) {
 			client := engine.NewClient(&http.Client{Transport: cannedTransport(body)})
 			b.ReportAllocs()
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // answering answers every request with the same status and body.
@@ -75,10 +75,10 @@
 		for err == nil {
 			_, err = stream.Next()
 		}
-		expect.That(t, !c.whole || err == io.EOF, "%s: %v", name, err)
-		expect.That(t, c.whole || errors.Is(err, engine.ErrBrokenStream), "%s: %v instead of a broken stream", name, err)
+		testkit.That(t, !c.whole || err == io.EOF, "%s: %v", name, err)
+		testkit.That(t, c.whole || errors.Is(err, engine.ErrBrokenStream), "%s: %v instead of a broken stream", name, err)
 		_, again := stream.Next()
-		expect.That(t, again == err, "%s: %v after the end", name, again)
+		testkit.That(t, again == err, "%s: %v after the end", name, again)
 		stream.Close()
 	}
 }
@@ -110,8 +110,8 @@
 	} {
 		client := clientOf(answering{c.status, "r", c.body})
 		name := fmt.Sprint(c.status, " ", c.body)
-		expect.WantError(t, name+": Generate", expect.Err(client.Generate(t.Context(), "e", engine.Request{ID: "r"})), c.want)
-		expect.WantError(t, name+": Order", expect.Err(client.Order(t.Context(), "e", engine.Order{})), c.want)
+		testkit.WantError(t, name+": Generate", testkit.Err(client.Generate(t.Context(), "e", engine.Request{ID: "r"})), c.want)
+		testkit.WantError(t, name+": Order", testkit.Err(client.Order(t.Context(), "e", engine.Order{})), c.want)
 	}
 }
 
@@ -119,10 +119,10 @@
 // The engine, or something in between, answers with the wrong stream.
 func TestAnswerOfAnotherRequestIsNotTaken(t *testing.T) {
 	client := clientOf(answering{http.StatusOK, "other", ""})
-	expect.WantError(t, "another's answer", expect.Err(client.Resume(t.Context(), "e", "r", 1)), engine.ErrOutcomeUnknown)
+	testkit.WantError(t, "another's answer", testkit.Err(client.Resume(t.Context(), "e", "r", 1)), engine.ErrOutcomeUnknown)
 }
 
 func TestOrderAnsweredWithRubbishHasUnknownOutcome(t *testing.T) {
 	client := clientOf(answering{http.StatusOK, "", "{"})
-	expect.WantError(t, "rubbish", expect.Err(client.Order(t.Context(), "e", engine.Order{})), engine.ErrOutcomeUnknown)
+	testkit.WantError(t, "rubbish", testkit.Err(client.Order(t.Context(), "e", engine.Order{})), engine.ErrOutcomeUnknown)
 }
--- a/engine/events_test.go
+++ b/engine/events_test.go
@@ -12,7 +12,7 @@
 	sse "github.com/tmaxmax/go-sse"
 	"pgregory.net/rapid"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // bodyParts are the parts of generated bodies: lines of all kinds, their ends,
@@ -54,19 +54,19 @@
 		for {
 			pending, before := reader.pending(), reads.n
 			e, err := reader.next()
-			expect.Must(t, !pending || err == nil && reads.n == before, "%q: an event that was pending was read for, %v", body, err)
+			testkit.Need(t, !pending || err == nil && reads.n == before, "%q: an event that was pending was read for, %v", body, err)
 			if err == io.EOF {
 				break
 			}
-			expect.OK(t, err)
+			testkit.OK(t, err)
 			got = append(got, sse.Event{LastEventID: string(e.id), Type: e.name, Data: string(e.data)})
 			kept = append(kept, e.data)
 			for i := max(0, len(kept)-dataBuffers); i < len(kept); i++ {
-				expect.Must(t, string(kept[i]) == got[i].Data, "%q: the data of event %d changed at event %d", body, i, len(kept)-1)
+				testkit.Need(t, string(kept[i]) == got[i].Data, "%q: the data of event %d changed at event %d", body, i, len(kept)-1)
 			}
 		}
 		diff := cmp.Diff(want, got)
-		expect.Must(t, diff == "", "%q: %s", body, diff)
+		testkit.Need(t, diff == "", "%q: %s", body, diff)
 	})
 }
 
@@ -75,6 +75,6 @@
 	for _, part := range []string{"data: x", "data: x\n"} {
 		body := strings.NewReader(strings.Repeat(part, MaxChunk))
 		_, err := newEventReader(body).next()
-		expect.That(t, errors.Is(err, errLargeEvent), "%q: %v", part, err)
+		testkit.That(t, errors.Is(err, errLargeEvent), "%q: %v", part, err)
 	}
 }
--- a/engine/protocol_test.go
+++ b/engine/protocol_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // roundTrip is a transport that counts.
@@ -41,7 +41,7 @@
 		if stream, err := client.Generate(t.Context(), address, engine.Request{ID: "r"}); err == nil {
 			stream.Close()
 		}
-		expect.That(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed,
+		testkit.That(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed,
 			"%d calls over HTTP/1.1, %d over HTTP/2", single.calls, multiplexed.calls)
 	}
 	generate("e1", 1, 0) // nothing known; the answer tells
@@ -67,7 +67,7 @@
 	generate := func(wantSingle, wantMultiplexed, wantShared int) engine.Stream {
 		t.Helper()
 		stream, _ := client.Generate(t.Context(), "e", engine.Request{ID: "r"})
-		expect.Must(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed && client.Shared() == wantShared,
+		testkit.Need(t, single.calls == wantSingle && multiplexed.calls == wantMultiplexed && client.Shared() == wantShared,
 			"%d calls over HTTP/1.1, %d over HTTP/2, %d shared", single.calls, multiplexed.calls, client.Shared())
 		return stream
 	}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -14,7 +14,7 @@
 	"strings"
 	"testing"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 const module = "bergamotreel"
@@ -64,7 +64,7 @@
 	for _, p := range listPackages(t) {
 		delete(unchecked, p.ImportPath)
 		for _, imported := range p.Imports {
-			expect.That(t, !strings.HasPrefix(imported, module+"/cmd/"), "%s imports %s", p.ImportPath, imported)
+			testkit.That(t, !strings.HasPrefix(imported, module+"/cmd/"), "%s imports %s", p.ImportPath, imported)
 		}
 		if p.is(decisionPackages...) {
 			checkDecisionPackage(t, p)
@@ -81,17 +81,17 @@
 func TestDrawsAreSeeded(t *testing.T) {
 	for _, p := range listPackages(t) {
 		imports := slices.Concat(p.TestImports, p.XTestImports)
-		expect.That(t, !slices.Contains(imports, "pgregory.net/rapid") || slices.Contains(imports, module+"/internal/fixedseed"),
+		testkit.That(t, !slices.Contains(imports, "pgregory.net/rapid") || slices.Contains(imports, module+"/internal/fixedseed"),
 			"the tests of %s draw without a fixed seed", p.ImportPath)
 	}
 }
 
 func checkDecisionPackage(t *testing.T, p goPackage) {
 	for _, imported := range p.Imports {
-		expect.That(t, !slices.Contains(ioPackages, imported), "%s imports %s", p.ImportPath, imported)
+		testkit.That(t, !slices.Contains(ioPackages, imported), "%s imports %s", p.ImportPath, imported)
 	}
 	for _, dep := range p.Deps {
-		expect.That(t, !strings.HasPrefix(dep, module+"/") || !(goPackage{ImportPath: dep}).is(peerPackages...),
+		testkit.That(t, !strings.HasPrefix(dep, module+"/") || !(goPackage{ImportPath: dep}).is(peerPackages...),
 			"%s depends on the peer package %s", p.ImportPath, dep)
 	}
 	for _, file := range p.GoFiles {
@@ -101,7 +101,7 @@
 
 func checkCalls(t *testing.T, path string) {
 	fileSet := token.NewFileSet()
-	file := expect.Value(parser.ParseFile(fileSet, path, nil, 0))(t)
+	file := testkit.Value(parser.ParseFile(fileSet, path, nil, 0))(t)
 	imported := map[string]string{}
 	for _, spec := range file.Imports {
 		importPath := strings.Trim(spec.Path.Value, `"`)
@@ -136,7 +136,7 @@
 
 func listPackages(t *testing.T) []goPackage {
 	command := exec.Command("go", "list", "-json=ImportPath,Dir,GoFiles,Imports,Deps,TestImports,XTestImports", module+"/...")
-	output := expect.Value(command.Output())(t)
+	output := testkit.Value(command.Output())(t)
 	var packages []goPackage
 	decoder := json.NewDecoder(strings.NewReader(string(output)))
 	for {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,9 +14,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bergamotreel/caller"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/node"
 	"bergamotreel/internal/settings"
+	"bergamotreel/internal/testkit"
 )
 
 // sample reads the sample with a secret of its own and more pairs of old and new
@@ -24,7 +24,7 @@
 func sample(t *testing.T, replaced ...string) *settings.Settings {
 	t.Helper()
 	replaced = append(replaced, "replace-by-32-or-more-random-characters", strings.Repeat("x", settings.MinSecretLength))
-	s := expect.Value(settings.Parse("sample.ini", strings.NewReplacer(replaced...).Replace(settings.Sample())))(t)
+	s := testkit.Value(settings.Parse("sample.ini", strings.NewReplacer(replaced...).Replace(settings.Sample())))(t)
 	return s
 }
 
@@ -33,16 +33,16 @@
 func TestEachLimitReachesThePort(t *testing.T) {
 	limits := reflect.ValueOf(callerLimits(sample(t).Limits, func() int { return 0 }))
 	for i := range limits.NumField() {
-		expect.That(t, !limits.Field(i).IsZero(), "caller.Limits.%s is not set", limits.Type().Field(i).Name)
+		testkit.That(t, !limits.Field(i).IsZero(), "caller.Limits.%s is not set", limits.Type().Field(i).Name)
 	}
-	expect.Equal(t, "held bytes", limits.Interface().(caller.Limits).HeldBytes, 128<<20)
+	testkit.Equal(t, "held bytes", limits.Interface().(caller.Limits).HeldBytes, 128<<20)
 }
 
 func TestRetryBudgetReachesTheNode(t *testing.T) {
 	s := sample(t)
 	for budget, want := range map[float64]float64{0: -1, 0.25: 0.25} {
 		s.Policy.RetryBudget = budget
-		expect.Equal(t, fmt.Sprintf("share for retry_budget %v", budget), nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare, want)
+		testkit.Equal(t, fmt.Sprintf("share for retry_budget %v", budget), nodeConfig(s, "i", "v", nil, node.Peers{}, nil).RetryShare, want)
 	}
 }
 
@@ -56,13 +56,13 @@
 	for path, want := range map[string]string{"/metrics": "telemetry", "/readyz": "telemetry", "/status": "operators"} {
 		answer := httptest.NewRecorder()
 		both.ServeHTTP(answer, httptest.NewRequest("GET", path, nil))
-		expect.That(t, answer.Body.String() == want, "%s is served by %s", path, answer.Body)
+		testkit.That(t, answer.Body.String() == want, "%s is served by %s", path, answer.Body)
 	}
 }
 
 // An operator who meets a metric must find what it means, and the other way round.
 func TestPageNamesEachMetric(t *testing.T) {
-	page := expect.Value(os.ReadFile("../../docs/operations/metrics.md"))(t)
+	page := testkit.Value(os.ReadFile("../../docs/operations/metrics.md"))(t)
 	var text bytes.Buffer
 	stats := node.Stats{Lag: 7, Refusals: map[string]uint64{"slow": 3}}
 	gauges(func() node.Stats { return stats }).WritePrometheus(&text)
@@ -70,15 +70,15 @@
 	writeRefusals(answer, stats.Refusals)
 	text.WriteString(answer.Body.String())
 	text.WriteString(callersMetrics())
-	expect.That(t, strings.Contains(text.String(), "bergamotreel_control_lag_records 7"), "got %s", text.String())
+	testkit.That(t, strings.Contains(text.String(), "bergamotreel_control_lag_records 7"), "got %s", text.String())
 	name := regexp.MustCompile(`bergamotreel_[a-z_]+`)
 	served := make(map[string]bool)
 	for _, metric := range name.FindAllString(text.String(), -1) {
 		served[metric] = true
-		expect.That(t, strings.Contains(string(page), "`"+metric+"`"), "the page doesn't name %s", metric)
+		testkit.That(t, strings.Contains(string(page), "`"+metric+"`"), "the page doesn't name %s", metric)
 	}
 	for _, metric := range name.FindAllString(string(page), -1) {
-		expect.That(t, served[metric], "the page names %s, which is not served", metric)
+		testkit.That(t, served[metric], "the page names %s, which is not served", metric)
 	}
 }
 
@@ -101,6 +101,6 @@
 func TestHeapFloor(t *testing.T) {
 	for _, live := range []uint64{0, 1 << 20, 4 << 20, heapFloor/2 - 1, heapFloor / 2, 100 << 20} {
 		target := live + live*uint64(gcPercent(live))/100
-		expect.That(t, target <= max(heapFloor, 2*live) && (live == 0 || target >= heapFloor*99/100), "%d live bytes grow to %d", live, target)
+		testkit.That(t, target <= max(heapFloor, 2*live) && (live == 0 || target >= heapFloor*99/100), "%d live bytes grow to %d", live, target)
 	}
 }
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // An operator names a certificate for callers and one for operators. Were one of
@@ -24,7 +24,7 @@
 	defer authority.Close()
 	pair := authority.TLS.Certificates[0]
 	private, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	certFile, keyFile := writePEM(t, "CERTIFICATE", pair.Certificate[0]), writePEM(t, "PRIVATE KEY", private)
 	s := sample(t,
 		strings.Repeat("0", 64), contract.HashKey("token"),
@@ -32,7 +32,7 @@
 		";callers_cert =", "callers_cert = "+certFile, ";callers_key =", "callers_key = "+keyFile,
 		";operators_cert =", "operators_cert = "+certFile, ";operators_key =", "operators_key = "+keyFile)
 	d, err := New(s, "v", zap.NewNop())
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	defer d.closeListeners()
 	go d.callers.Serve(d.callersListener)
 	go serveHTTP(d.operatorsServer, d.operatorsListener)
@@ -49,17 +49,17 @@
 		{"http://" + operators + "/v1/status", "token", http.StatusBadRequest},
 	} {
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.url, nil)
-		expect.OK(t, err)
+		testkit.OK(t, err)
 		request.Header.Set("Authorization", "Bearer "+c.token)
 		answer, err := authority.Client().Do(request)
-		expect.OK(t, err)
+		testkit.OK(t, err)
 		answer.Body.Close()
-		expect.That(t, answer.StatusCode == c.want, "%s with token %q: status %d, want %d", c.url, c.token, answer.StatusCode, c.want)
+		testkit.That(t, answer.StatusCode == c.want, "%s with token %q: status %d, want %d", c.url, c.token, answer.StatusCode, c.want)
 	}
 }
 
 func writePEM(t *testing.T, kind string, content []byte) string {
 	file := filepath.Join(t.TempDir(), "pem")
-	expect.OK(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content}), 0o600))
+	testkit.OK(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content}), 0o600))
 	return file
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/placement"
 )
 
@@ -30,7 +30,7 @@
 func TestRunRepeats(t *testing.T) {
 	_, first := run(t, OursAt(0.5), FaultDomainCut, true)
 	_, again := run(t, OursAt(0.5), FaultDomainCut, true)
-	expect.NoDiff(t, first, again, cmp.AllowUnexported(Result{}, outcome{}))
+	testkit.NoDiff(t, first, again, cmp.AllowUnexported(Result{}, outcome{}))
 }
 
 // Whatever fails, each request has one end within its longest wait, and loads
@@ -40,9 +40,9 @@
 		t.Run(string(fault), func(t *testing.T) {
 			s, r := run(t, OursAt(0.5), fault, false)
 			ends := s.m.inTime + s.m.late + s.m.refused
-			expect.That(t, ends == r.Requests && r.Overdue <= 0 && r.Late <= 0,
+			testkit.That(t, ends == r.Requests && r.Overdue <= 0 && r.Late <= 0,
 				"%d requests, %d ends, %d overdue, %d late", r.Requests, ends, r.Overdue, r.Late)
-			expect.That(t, r.Loads == r.Decided && r.OverLimit <= 0,
+			testkit.That(t, r.Loads == r.Decided && r.OverLimit <= 0,
 				"%d loads for %d decided, %d over the contract", r.Loads, r.Decided, r.OverLimit)
 			s.checkMemory(t)
 		})
@@ -52,7 +52,7 @@
 func (s *sim) checkMemory(t *testing.T) {
 	t.Helper()
 	for _, e := range s.engines {
-		expect.That(t, e.free() >= 0, "%s overcommitted by %d bytes", e.name, -e.free())
+		testkit.That(t, e.free() >= 0, "%s overcommitted by %d bytes", e.name, -e.free())
 	}
 }
 
@@ -61,7 +61,7 @@
 // itself. The same day under one planner for each unit has none.
 func TestEachRouterOnItsOwnExceedsTheContract(t *testing.T) {
 	_, naive := run(t, Policy{Name: "each", Keep: 10 * time.Minute, EachRouter: true}, FaultNone, false)
-	expect.That(t, naive.OverLimit != 0, "routers on their own stayed within the contract: the twin proves nothing")
+	testkit.That(t, naive.OverLimit != 0, "routers on their own stayed within the contract: the twin proves nothing")
 }
 
 // What a bystander sees: its first tokens come as late as the bursting office's
@@ -71,7 +71,7 @@
 	fifo.FIFO = true
 	_, unfair := run(t, fifo, FaultNone, true)
 	_, fair := run(t, OursAt(0.5), FaultNone, true)
-	expect.That(t, unfair.AllP99 > fair.AllP99,
+	testkit.That(t, unfair.AllP99 > fair.AllP99,
 		"bystanders' p99 %.2f s without fairness, %.2f s with it", unfair.AllP99, fair.AllP99)
 }
 
@@ -83,7 +83,7 @@
 	for _, c := range s.contracts(1) {
 		named += len(c.Units())
 	}
-	expect.That(t, named == len(s.units), "%d units named in contracts, %d there are", named, len(s.units))
+	testkit.That(t, named == len(s.units), "%d units named in contracts, %d there are", named, len(s.units))
 }
 
 func TestStoreSharesItsBandwidth(t *testing.T) {
@@ -94,10 +94,10 @@
 		r := &replica{unit: u, engine: e, wanted: true}
 		e.ram, e.disk = newCache(1), newCache(1)
 		s.startLoad(r)
-		expect.Must(t, r.tier == placement.TierRemote, "tier %s", r.tier)
+		testkit.Need(t, r.tier == placement.TierRemote, "tier %s", r.tier)
 	}
 	for len(s.store.active)+len(s.store.waiting) > 0 && s.step(time.Minute) {
 	}
-	expect.That(t, s.now >= 16*time.Second && s.now <= 18*time.Second,
+	testkit.That(t, s.now >= 16*time.Second && s.now <= 18*time.Second,
 		"eight loads of 8 GB took %v, want 16 s and their starts", s.now)
 }
--- a/internal/sendonce/multiplexed_test.go
+++ b/internal/sendonce/multiplexed_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // The frames of HTTP/2 (RFC 9113, 6) that the test's server needs.
@@ -138,7 +138,7 @@
 				cancel()
 			}
 			_, sent, err := Do(NewMultiplexedClientDialing(c.dial), newTestRequest(t, ctx, "POST", "{}", ""))
-			expect.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
+			testkit.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
 		})
 	}
 }
@@ -157,9 +157,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
 		defer cancel()
 		_, sent, err := Do(client, newTestRequest(t, ctx, "POST", "{}", ""))
-		expect.That(t, err != nil && !sent, "sent %v, error %v", sent, err)
+		testkit.That(t, err != nil && !sent, "sent %v, error %v", sent, err)
 		time.Sleep(2 * time.Second)
-		expect.That(t, s.connections.Load() == 1 && s.requests.Load() == 0,
+		testkit.That(t, s.connections.Load() == 1 && s.requests.Load() == 0,
 			"%d connections, %d requests came", s.connections.Load(), s.requests.Load())
 	})
 }
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"testing/synctest"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // server answers the first request of its first connection, reads the second
@@ -46,7 +46,7 @@
 
 func newTestRequest(t *testing.T, ctx context.Context, method, body, key string) *http.Request {
 	t.Helper()
-	request := expect.Value(http.NewRequestWithContext(ctx, method, "http://backend/book", nil))(t)
+	request := testkit.Value(http.NewRequestWithContext(ctx, method, "http://backend/book", nil))(t)
 	request.Body, request.ContentLength = Body([]byte(body)), int64(len(body))
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
@@ -60,12 +60,12 @@
 	t.Helper()
 	defer client.CloseIdleConnections()
 	first, _, err := Do(client, newTestRequest(t, t.Context(), method, body, "k1"))
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	first.Body.Close()
 	synctest.Wait()
 	_, sent, err := Do(client, newTestRequest(t, t.Context(), method, body, "k2"))
-	expect.That(t, err != nil && sent, "%s %q: sent %v, error %v", method, body, sent, err)
-	expect.Equal(t, fmt.Sprintf("%s %q: requests that came", method, body), requests.Load(), 2)
+	testkit.That(t, err != nil && sent, "%s %q: sent %v, error %v", method, body, sent, err)
+	testkit.Equal(t, fmt.Sprintf("%s %q: requests that came", method, body), requests.Load(), 2)
 }
 
 // The caller sees one failed call, and the backend server ran it once.
@@ -120,7 +120,7 @@
 		"uncounted writes":    {uncounted, t.Context(), true},
 	} {
 		_, sent, err := Do(c.client, newTestRequest(t, c.ctx, "POST", "{}", ""))
-		expect.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
+		testkit.That(t, err != nil && sent == c.sent, "%s: sent %v instead of %v, error %v", name, sent, c.sent, err)
 	}
 }
 
@@ -132,12 +132,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		idle := &conn{Conn: near}
-		expect.That(t, !idle.sentSince(0), "an unused connection says sent")
-		expect.WantError(t, "late write", expect.Err(idle.Write([]byte("x"))), errPoisoned)
+		testkit.That(t, !idle.sentSince(0), "an unused connection says sent")
+		testkit.WantError(t, "late write", testkit.Err(idle.Write([]byte("x"))), errPoisoned)
 		busy := &conn{Conn: near}
 		go busy.Write([]byte("x")) // blocks: nobody reads
 		synctest.Wait()
-		expect.That(t, busy.sentSince(0), "a write under way does not count as sent")
+		testkit.That(t, busy.sentSince(0), "a write under way does not count as sent")
 		far.Close()
 		near.Close()
 	})
@@ -152,7 +152,7 @@
 			return &http.Response{StatusCode: status, Header: header, Body: http.NoBody, Request: r}, nil
 		})}
 		answer, _, err := Do(client, newTestRequest(t, t.Context(), "GET", "", ""))
-		expect.That(t, err == nil && answer.StatusCode == status && calls == 1,
+		testkit.That(t, err == nil && answer.StatusCode == status && calls == 1,
 			"%d: answer %v, error %v, %d calls", status, answer, err, calls)
 	}
 }
--- a/internal/sendonce/shared_test.go
+++ b/internal/sendonce/shared_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"testing/synctest"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/pipenet"
+	"bergamotreel/internal/testkit"
 )
 
 // endless sends a line for each that the test asks for on path /asked, and as
@@ -52,9 +52,9 @@
 		open := func(path string) (io.Reader, context.CancelFunc) {
 			ctx, cancel := context.WithCancel(t.Context())
 			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://engine"+path, Body(nil))
-			expect.OK(t, err)
+			testkit.OK(t, err)
 			answer, _, err := Do(client, request)
-			expect.OK(t, err)
+			testkit.OK(t, err)
 			return answer.Body, cancel
 		}
 		go func() { ask <- struct{}{} }()
@@ -66,12 +66,12 @@
 			_, leave := open("/slow")
 			synctest.Wait() // its buffer is full
 			ask <- struct{}{}
-			expect.Must(t, lines.Scan(), "%v", lines.Err())
+			testkit.Need(t, lines.Scan(), "%v", lines.Err())
 			defer leave()
 		}
 		_, leave := open("/leaving")
 		leave()
 		ask <- struct{}{}
-		expect.Must(t, lines.Scan() && dials == 1, "error %v, %d connections", lines.Err(), dials)
+		testkit.Need(t, lines.Scan() && dials == 1, "error %v, %d connections", lines.Err(), dials)
 	})
 }
--- a/internal/serving/bed_test.go
+++ b/internal/serving/bed_test.go
@@ -20,10 +20,10 @@
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/serving"
 	"bergamotreel/internal/standin/engineserver"
 	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 	"bergamotreel/service"
@@ -68,7 +68,7 @@
 		t.Cleanup(e.Close)
 		b.Put(name, e)
 		order := engine.Order{Token: 1, Action: engine.ActionLoad, Unit: "m", Checkpoint: "c", Bytes: 1}
-		expect.Value(b.Order(t.Context(), name, order))(t)
+		testkit.Value(b.Order(t.Context(), name, order))(t)
 		b.candidates = append(b.candidates, routing.Candidate{Engine: name, Domain: name, Slots: 8, Ready: true})
 	}
 	controller := admission.New(admission.Config{})
@@ -271,6 +271,6 @@
 		b := newBed(t)
 		b.relayer = naive{b, twin.skips}
 		run(b)
-		expect.That(t, len(b.problems) != 0, "the naive twin stands this too")
+		testkit.That(t, len(b.problems) != 0, "the naive twin stands this too")
 	})
 }
--- a/internal/serving/content_test.go
+++ b/internal/serving/content_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // The engine must get the caller's own seed, however its name is spelt, and one
@@ -22,13 +22,13 @@
 		`{"se\u0065d":null}`: true,
 	} {
 		var before, after map[string]json.RawMessage
-		expect.OK(t, json.Unmarshal([]byte(body), &before))
+		testkit.OK(t, json.Unmarshal([]byte(body), &before))
 		got := withSeed([]byte(body), "id")
 		err := json.Unmarshal(got, &after)
-		expect.Must(t, err == nil, "%s became %s: %v", body, got, err)
-		expect.That(t, (!own || string(got) == body) && (own || len(after) == len(before)+1), "%s became %s", body, got)
+		testkit.Need(t, err == nil, "%s became %s: %v", body, got, err)
+		testkit.That(t, (!own || string(got) == body) && (own || len(after) == len(before)+1), "%s became %s", body, got)
 		for name, value := range before {
-			expect.That(t, string(after[name]) == string(value), "%s: %s became %s", body, name, after[name])
+			testkit.That(t, string(after[name]) == string(value), "%s: %s became %s", body, name, after[name])
 		}
 	}
 	for _, body := range []string{`null`, `[1]`, `{`} {
--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -14,7 +14,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
@@ -49,7 +49,7 @@
 	for b.Loop() {
 		chunk.Position++
 		r.sums = r.sums[:0] // an answer's hashes, not a benchmark's
-		expect.OK(b, r.deliver(time.Time{}, chunk, false))
+		testkit.OK(b, r.deliver(time.Time{}, chunk, false))
 	}
 }
 
@@ -71,8 +71,8 @@
 	ask := func(assigned int) *place {
 		t.Helper()
 		p, w, refused := s.arrive(request, query, s.find("m"))
-		expect.Must(t, refused == nil && len(w.assign) == assigned, "%v, %d assignments, want %d", refused, len(w.assign), assigned)
-		expect.Must(t, assigned <= 0 || p.wait(t.Context(), w) == nil, "no place")
+		testkit.Need(t, refused == nil && len(w.assign) == assigned, "%v, %d assignments, want %d", refused, len(w.assign), assigned)
+		testkit.Need(t, assigned <= 0 || p.wait(t.Context(), w) == nil, "no place")
 		return p
 	}
 	first := ask(1)
@@ -134,7 +134,7 @@
 		g := startGuard(time.Minute, time.Minute, nil, errLate)
 		_, err := r.pump(b, 0, g)
 		g.stop()
-		expect.That(t, b.failed != nil == isSinkError(err) && slices.Equal(b.sent, c.want),
+		testkit.That(t, b.failed != nil == isSinkError(err) && slices.Equal(b.sent, c.want),
 			"sent %v, want %v: %v", b.sent, c.want, err)
 	}
 	// Next fails although the stream said that it had a chunk.
@@ -193,7 +193,7 @@
 				if refused != nil {
 					b.Fatal(refused)
 				}
-				expect.OK(b, p.wait(b.Context(), w))
+				testkit.OK(b, p.wait(b.Context(), w))
 				p.answer(time.Now())
 				p.end(b.Context(), nil, judge(nil))
 			}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -10,20 +10,20 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 func TestSample(t *testing.T) {
 	goldie.New(t, goldie.WithNameSuffix(".ini")).Assert(t, "sample", []byte(Sample()))
-	s := expect.Value(Parse("sample.ini", usable()))(t)
-	expect.That(t, s.Policy.SessionTerm == 10*time.Second && s.Limits.HeaderBytes == 16<<10 && s.VM.PeersAdvertise == s.VM.PeersAddress,
+	s := testkit.Value(Parse("sample.ini", usable()))(t)
+	testkit.That(t, s.Policy.SessionTerm == 10*time.Second && s.Limits.HeaderBytes == 16<<10 && s.VM.PeersAdvertise == s.VM.PeersAddress,
 		"defaults: %+v", s)
 }
 
 // The page that operators read holds the sample as it is.
 func TestPageHoldsSample(t *testing.T) {
-	page := expect.Value(os.ReadFile("../../docs/operations/settings.md"))(t)
-	expect.That(t, strings.Contains(string(page), "```ini\n"+Sample()+"```\n"), "docs/operations/settings.md has another sample")
+	page := testkit.Value(os.ReadFile("../../docs/operations/settings.md"))(t)
+	testkit.That(t, strings.Contains(string(page), "```ini\n"+Sample()+"```\n"), "docs/operations/settings.md has another sample")
 }
 
 // usable is the sample with a secret of its own.
@@ -34,10 +34,10 @@
 func TestSecretsInFiles(t *testing.T) {
 	secret := strings.Repeat("s", MinSecretLength)
 	path := filepath.Join(t.TempDir(), "secret")
-	expect.OK(t, os.WriteFile(path, []byte(secret+"\n"), 0o600))
+	testkit.OK(t, os.WriteFile(path, []byte(secret+"\n"), 0o600))
 	text := strings.Replace(Sample(), "\nsecret = "+sampleSecret, "\nsecret_file = "+path, 1)
 	s, err := Parse("s.ini", text)
-	expect.That(t, err == nil && s.Peers.Secret == secret, "got %+v, %v", s, err)
+	testkit.That(t, err == nil && s.Peers.Secret == secret, "got %+v, %v", s, err)
 }
 
 func TestMistakes(t *testing.T) {
@@ -80,11 +80,11 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			expect.Must(t, strings.Contains(usable(), test.old), "sample has no %q", test.old)
+			testkit.Need(t, strings.Contains(usable(), test.old), "sample has no %q", test.old)
 			_, err := Parse("s.ini", strings.Replace(usable(), test.old, test.new, 1))
 			var problem *Problem
-			expect.Must(t, errors.As(err, &problem), "got %v, want a *Problem", err)
-			expect.That(t, strings.HasPrefix(problem.Error(), "s.ini: ") && strings.Contains(problem.Error(), test.want),
+			testkit.Need(t, errors.As(err, &problem), "got %v, want a *Problem", err)
+			testkit.That(t, strings.HasPrefix(problem.Error(), "s.ini: ") && strings.Contains(problem.Error(), test.want),
 				"got  %v\nwant %s", problem, test.want)
 		})
 	}
@@ -102,7 +102,7 @@
 func TestLoadMissingFile(t *testing.T) {
 	_, err := Load("/nowhere/s.ini")
 	var problem *Problem
-	expect.That(t, errors.As(err, &problem) && problem.Error() == "/nowhere/s.ini: cannot read: no such file or directory",
+	testkit.That(t, errors.As(err, &problem) && problem.Error() == "/nowhere/s.ini: cannot read: no such file or directory",
 		"got %v", err)
 }
 
@@ -113,6 +113,6 @@
 		// The file system is no part of it.
 		_, err := Parse("s.ini", strings.ReplaceAll(text, fileSuffix, ""))
 		var problem *Problem
-		expect.That(t, err == nil || errors.As(err, &problem), "got %v, want a *Problem", err)
+		testkit.That(t, err == nil || errors.As(err, &problem), "got %v, want a *Problem", err)
 	})
 }
--- a/internal/standin/engineserver/engineserver_test.go
+++ b/internal/standin/engineserver/engineserver_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/testkit"
 )
 
 const (
@@ -97,7 +97,7 @@
 // check fails the test unless err is want; nil wants no error.
 func (b bed) check(err, want error) {
 	b.Helper()
-	expect.Must(b, errors.Is(err, want), "got %v, want %v", err, want)
+	testkit.Need(b, errors.Is(err, want), "got %v, want %v", err, want)
 }
 
 func loadOrder(at engine.Token, unit string) engine.Order {
@@ -158,7 +158,7 @@
 func (b bed) wantPhases(address, want string) {
 	b.Helper()
 	got := b.phases(address)
-	expect.Must(b, got == want, "%s holds %q instead of %q", address, got, want)
+	testkit.Need(b, got == want, "%s holds %q instead of %q", address, got, want)
 }
 
 func request(id, unit, prompt string, tokens int) engine.Request {
@@ -197,5 +197,5 @@
 func (b bed) wantWhole(stream engine.Stream, r engine.Request) {
 	b.Helper()
 	text, _, err := read(stream)
-	expect.Must(b, err == io.EOF && text == engineserver.ExpectedText(r.Body), "got %q, %v", text, err)
+	testkit.Need(b, err == io.EOF && text == engineserver.ExpectedText(r.Body), "got %q, %v", text, err)
 }
--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/testkit"
 )
 
 func TestUnitLoadsAnswersAndUnloads(t *testing.T) {
@@ -16,7 +16,7 @@
 		e := b.start("a", engineserver.Options{})
 		b.refuse("a", request("r0", "m", "hello", 3), engine.ErrNotLoaded)
 		status := b.order("a", loadOrder(1, "m"), nil)
-		expect.That(b, len(status.Units) == 1 && status.Units[0].Phase == engine.PhaseLoading, "after the order: %v", status.Units)
+		testkit.That(b, len(status.Units) == 1 && status.Units[0].Phase == engine.PhaseLoading, "after the order: %v", status.Units)
 		time.Sleep(loadTime + token)
 		b.wantPhases("a", "m ready")
 		r := request("r1", "m", "hello", 5)
@@ -26,9 +26,9 @@
 		b.refuse("a", request("r2", "m", "hello", 3), engine.ErrNotLoaded)
 		b.wantWhole(stream, r)
 		b.wantPhases("a", "")
-		expect.Equal(b, "tier of the unloaded checkpoint", b.status("a").Cached["m.ckpt"], engine.TierMemory)
+		testkit.Equal(b, "tier of the unloaded checkpoint", b.status("a").Cached["m.ckpt"], engine.TierMemory)
 		ran := e.Records().Ran
-		expect.That(b, ran["r1"] == 1 && len(ran) == 1, "ran %v", ran)
+		testkit.That(b, ran["r1"] == 1 && len(ran) == 1, "ran %v", ran)
 	})
 }
 
@@ -47,7 +47,7 @@
 		_, _, _ = read(stream)
 		b.order("a", loadOrder(4, "m3"), nil)
 		records := e.Records()
-		expect.That(b, records.Overcommits == 1 && records.MaxMemory == 2*unitBytes, "%+v", records)
+		testkit.That(b, records.Overcommits == 1 && records.MaxMemory == 2*unitBytes, "%+v", records)
 	})
 }
 
@@ -85,7 +85,7 @@
 			want := map[bool]string{true: "", false: "m ready"}[checks]
 			b.wantPhases("a", want)
 			late := e.Records().Orders[1]
-			expect.That(b, late.Order.Unit == "m" && (late.Refused != "") == checks, "late order: %+v", late)
+			testkit.That(b, late.Order.Unit == "m" && (late.Refused != "") == checks, "late order: %+v", late)
 			b.order("a", loadOrder(4, "m2"), map[bool]error{true: engine.ErrStaleToken}[checks])
 		})
 	}
@@ -101,7 +101,7 @@
 		b.wantPhases("a", "m loading")
 		b.load("a", "m")
 		b.wantPhases("a", "m ready")
-		expect.Equal(b, "loads", e.Records().Loads["m"], 1)
+		testkit.Equal(b, "loads", e.Records().Loads["m"], 1)
 	})
 }
 
@@ -138,8 +138,8 @@
 			b.check(err, engine.ErrBrokenStream)
 			time.Sleep(time.Minute)
 			after := b.status("a")
-			expect.That(b, after.Incarnation != before && len(after.Units) == 0, "after the restart: %+v", after)
-			expect.Equal(b, fmt.Sprintf("token %d kept over the restart", after.HighestToken), after.HighestToken == 9, checks)
+			testkit.That(b, after.Incarnation != before && len(after.Units) == 0, "after the restart: %+v", after)
+			testkit.Equal(b, fmt.Sprintf("token %d kept over the restart", after.HighestToken), after.HighestToken == 9, checks)
 			_, err = b.Resume(b.Context(), "a", "r", 1)
 			b.check(err, engine.ErrUnknownStream)
 		})
@@ -155,7 +155,7 @@
 		b.load("a", "m2")
 		b.wantPhases("a", "m2 loading")
 		status := b.status("a")
-		expect.That(b, status.Failed["m"] != "", "%+v", status)
+		testkit.That(b, status.Failed["m"] != "", "%+v", status)
 		e.SetFaults(engineserver.Faults{})
 		b.load("a", "m")
 		b.wantPhases("a", "m ready, m2 ready")
--- a/internal/standin/engineserver/streams_test.go
+++ b/internal/standin/engineserver/streams_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"bergamotreel/engine"
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/routing"
 )
 
@@ -25,7 +25,7 @@
 		b.wantWhole(b.generate("a", r), r)
 		b.wantWhole(b.generate("a", r), r)
 		b.refuse("a", request("r", "m", "bye", 8), engine.ErrIDConflict)
-		expect.Equal(b, "times that it ran", e.Records().Ran["r"], 1)
+		testkit.Equal(b, "times that it ran", e.Records().Ran["r"], 1)
 	})
 }
 
@@ -39,12 +39,12 @@
 			r := request("r", "m", "hello", 8)
 			text, chunks, err := read(b.generate("a", r))
 			b.check(err, engine.ErrBrokenStream)
-			expect.Must(b, chunks == 3, "%d chunks before the break", chunks)
+			testkit.Need(b, chunks == 3, "%d chunks before the break", chunks)
 			e.SetFaults(engineserver.Faults{})
 			stream, err := b.Resume(b.Context(), "a", "r", chunks+1)
 			b.check(err, nil)
 			rest, _, _ := read(stream)
-			expect.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
+			testkit.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
 			time.Sleep(time.Minute)
 			b.generate("a", request("r2", "m", "hello", 1)).Close()
 			_, err = b.Resume(b.Context(), "a", "r", 1)
@@ -61,7 +61,7 @@
 		e.SetFaults(engineserver.Faults{CrossChunk: 2})
 		_, chunks, err := read(b.generate("a", request("r", "m", "hello", 8)))
 		b.check(err, engine.ErrBrokenStream)
-		expect.That(b, chunks == 1, "%d chunks passed on", chunks)
+		testkit.That(b, chunks == 1, "%d chunks passed on", chunks)
 	})
 }
 
@@ -91,7 +91,7 @@
 		b.refuse("a", request("over", "m", "hello", 3), engine.ErrBusy)
 		begun := time.Now()
 		b.wantWhole(highStream, high)
-		expect.Equal(b, "the time of the higher priority", time.Since(begun), 6*token)
+		testkit.Equal(b, "the time of the higher priority", time.Since(begun), 6*token)
 		b.wantWhole(lowStream, low)
 		e.SetDraining(true)
 		b.refuse("a", request("late", "m", "hello", 3), engine.ErrBusy)
@@ -104,13 +104,13 @@
 		begun := time.Now()
 		one, two := request("one", "m", "hello", 10), request("two", "m", "hello", 10)
 		first, second := b.generate("a", one), b.generate("a", two)
-		expect.Equal(b, "running by the load report, which must lag", b.status("a").Load.Running, 0)
+		testkit.Equal(b, "running by the load report, which must lag", b.status("a").Load.Running, 0)
 		time.Sleep(120 * time.Millisecond)
-		expect.Equal(b, "running by the load report", b.status("a").Load.Running, 2)
+		testkit.Equal(b, "running by the load report", b.status("a").Load.Running, 2)
 		b.wantWhole(first, one)
 		b.wantWhole(second, two)
 		took := time.Since(begun)
-		expect.That(b, took >= 14*token && took <= 16*token, "two in a batch took %v", took)
+		testkit.That(b, took >= 14*token && took <= 16*token, "two in a batch took %v", took)
 	})
 }
 
@@ -129,7 +129,7 @@
 			b.wantWhole(b.generate("a", r), r)
 			took[i] = time.Since(begun)
 		}
-		expect.That(b, took[1] < took[0]/2, "took %v without and %v with the cache", took[0], took[1])
+		testkit.That(b, took[1] < took[0]/2, "took %v without and %v with the cache", took[0], took[1])
 		events, err := b.CacheEvents(b.Context(), "a", 0)
 		b.check(err, nil)
 		time.Sleep(time.Second)
@@ -137,7 +137,7 @@
 		b.check(err, nil)
 		messages, _, _ := strings.Cut(string(request("r", "m", prompt, 1).Body), `,"max_tokens"`)
 		hashes := routing.Prefixes("m", []byte(strings.TrimPrefix(messages, `{"messages":`)))
-		expect.That(b, len(events) == 0 && len(later) == 2 && later[1].Prefix == hashes[2],
+		testkit.That(b, len(events) == 0 && len(later) == 2 && later[1].Prefix == hashes[2],
 			"events %v, a second later %v, hashes %v", events, later, hashes)
 	})
 }
@@ -163,8 +163,8 @@
 		stream, err := b.Resume(b.Context(), "d", "r", chunks+1)
 		b.check(err, nil)
 		rest, _, _ := read(stream)
-		expect.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
-		expect.That(b, prefill.Records().Ran["r"] == 1 && decode.Records().Ran["r"] == 0,
+		testkit.That(b, text+rest == engineserver.ExpectedText(r.Body), "%q + %q", text, rest)
+		testkit.That(b, prefill.Records().Ran["r"] == 1 && decode.Records().Ran["r"] == 0,
 			"ran %v and %v", prefill.Records().Ran, decode.Records().Ran)
 	})
 }
@@ -198,6 +198,6 @@
 			r := request(id, "m", "hello", 3)
 			b.wantWhole(b.generate("a", r), r)
 		}
-		expect.That(b, *b.dials == 1, "%d connections", *b.dials)
+		testkit.That(b, *b.dials == 1, "%d connections", *b.dials)
 	})
 }
--- a/internal/standin/loadgen/loadgen_test.go
+++ b/internal/standin/loadgen/loadgen_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/engineserver"
+	"bergamotreel/internal/testkit"
 )
 
 // stream writes the words of an answer as events, numbered from 1 up.
@@ -60,10 +60,10 @@
 			Duration: time.Minute, StreamShare: 1, Tokens: 4, PromptBytes: 100, Timeout: time.Minute,
 		})
 		server.Close()
-		expect.OK(t, err)
+		testkit.OK(t, err)
 		counted := map[string]int{strings.TrimSuffix(want, " (late)"): 5}
 		diff := cmp.Diff(counted, report.Outcomes)
-		expect.That(t, diff == "" && report.Broken() == test.broken, "%s: broken %v, %s", want, report.Broken(), diff)
+		testkit.That(t, diff == "" && report.Broken() == test.broken, "%s: broken %v, %s", want, report.Broken(), diff)
 	}
 }
 
@@ -82,7 +82,7 @@
 	})
 	want := map[string]int{"booking: " + OutcomeOK: 1, "booking: " + OutcomeWrong: 1}
 	diff := cmp.Diff(want, report.Outcomes)
-	expect.That(t, diff == "" && err == nil && report.Broken(), "%v %v", err, diff)
+	testkit.That(t, diff == "" && err == nil && report.Broken(), "%v %v", err, diff)
 }
 
 func TestPlanIsTheSameForOneSeed(t *testing.T) {
@@ -99,14 +99,14 @@
 		return requests
 	}
 	first := all()
-	expect.NoDiff(t, first, all())
+	testkit.NoDiff(t, first, all())
 	// Four bursts of 20 in 5 s and some 50 single ones.
-	expect.That(t, len(first) >= 100 && len(first) <= 180, "%d requests", len(first))
+	testkit.That(t, len(first) >= 100 && len(first) <= 180, "%d requests", len(first))
 }
 
 func TestOnlyLoopback(t *testing.T) {
 	for address, ok := range map[string]bool{"127.0.0.1:1": true, "[::1]:1": true, "10.0.0.1:1": false, "localhost:1": false, "": false} {
 		err := checkLoopback([]string{address})
-		expect.That(t, (err == nil) == ok, "%q: %v", address, err)
+		testkit.That(t, (err == nil) == ok, "%q: %v", address, err)
 	}
 }
--- a/internal/standin/logserver/store_test.go
+++ b/internal/standin/logserver/store_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/logserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/platformlog"
 )
 
@@ -19,7 +19,7 @@
 func mustAppend(t *testing.T, log platformlog.Log, data ...string) {
 	t.Helper()
 	for _, d := range data {
-		expect.Value(log.Append(t.Context(), "s", []byte(d)))(t)
+		testkit.Value(log.Append(t.Context(), "s", []byte(d)))(t)
 	}
 }
 
@@ -36,7 +36,7 @@
 	if errors.Is(err, platformlog.ErrTrimmed) {
 		got += " trimmed"
 	}
-	expect.That(t, got == want, "read from %d:\n got %s\nwant %s", from, got, want)
+	testkit.That(t, got == want, "read from %d:\n got %s\nwant %s", from, got, want)
 }
 
 // The store and the client over HTTP must be the same log to their user.
@@ -59,7 +59,7 @@
 			check(t, log, 2, 10, "2:b 3:c 4:d next 5 earliest 2 end 4")
 			check(t, log, 1, 10, "next 1 earliest 2 end 4 trimmed")
 			_, err := log.Append(t.Context(), "s", make([]byte, logserver.MaxRecordBytes+1))
-			expect.That(t, errors.Is(err, platformlog.ErrTooLarge) && errors.Is(err, platformlog.ErrUnavailable),
+			testkit.That(t, errors.Is(err, platformlog.ErrTooLarge) && errors.Is(err, platformlog.ErrUnavailable),
 				"too large a record: got %v", err)
 		})
 	}
@@ -85,14 +85,14 @@
 		start := time.Now()
 		time.AfterFunc(2*time.Second, func() { mustAppend(t, log, "a") })
 		batch, err := log.Read(t.Context(), "s", 1, 10, 5*time.Second)
-		expect.That(t, err == nil && len(batch.Records) == 1 && time.Since(start) == 2*time.Second,
+		testkit.That(t, err == nil && len(batch.Records) == 1 && time.Since(start) == 2*time.Second,
 			"woken: %v, %v after %v", batch, err, time.Since(start))
 		batch, err = log.Read(t.Context(), "s", 2, 10, 5*time.Second)
-		expect.That(t, err == nil && len(batch.Records) == 0 && time.Since(start) == 7*time.Second,
+		testkit.That(t, err == nil && len(batch.Records) == 0 && time.Since(start) == 7*time.Second,
 			"not woken: %v, %v after %v", batch, err, time.Since(start))
 		time.AfterFunc(time.Second, func() { log.Faults().Set(faults.Settings{Outage: true}) })
 		_, err = log.Read(t.Context(), "s", 2, 10, 5*time.Second)
-		expect.That(t, errors.Is(err, platformlog.ErrUnavailable) && time.Since(start) == 8*time.Second,
+		testkit.That(t, errors.Is(err, platformlog.ErrUnavailable) && time.Since(start) == 8*time.Second,
 			"outage while waiting: %v after %v", err, time.Since(start))
 	})
 }
@@ -101,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logserver.New(logserver.Config{AppendsPerSecond: 10, Burst: 2})
 		mustAppend(t, log, "a", "b")
-		expect.WantError(t, "beyond the rate", expect.Err(log.Append(t.Context(), "s", nil)), platformlog.ErrUnavailable)
+		testkit.WantError(t, "beyond the rate", testkit.Err(log.Append(t.Context(), "s", nil)), platformlog.ErrUnavailable)
 		time.Sleep(100 * time.Millisecond)
 		mustAppend(t, log, "c")
 		check(t, log, 1, 10, "1:a 2:b 3:c next 4 earliest 1 end 3")
@@ -114,10 +114,10 @@
 	log := logserver.New(logserver.Config{})
 	one, two := log.View("one"), log.View("two")
 	one.Cut()
-	expect.WantError(t, "cut off", expect.Err(one.Append(t.Context(), "s", []byte("a"))), platformlog.ErrUnavailable)
+	testkit.WantError(t, "cut off", testkit.Err(one.Append(t.Context(), "s", []byte("a"))), platformlog.ErrUnavailable)
 	mustAppend(t, two, "b")
 	one.Faults().Set(faults.Settings{LoseAnswers: 1})
-	expect.WantError(t, "answer lost", expect.Err(one.Append(t.Context(), "s", []byte("c"))), platformlog.ErrUnknown)
+	testkit.WantError(t, "answer lost", testkit.Err(one.Append(t.Context(), "s", []byte("c"))), platformlog.ErrUnknown)
 	mustAppend(t, one, "d")
 	check(t, two, 1, 10, "1:b 2:c 3:d next 4 earliest 1 end 3")
 }
@@ -131,7 +131,7 @@
 		slow.Faults().Set(faults.Settings{SlowMS: 3000})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		expect.WantError(t, "gave up", expect.Err(slow.Append(ctx, "s", []byte("late"))), platformlog.ErrUnknown)
+		testkit.WantError(t, "gave up", testkit.Err(slow.Append(ctx, "s", []byte("late"))), platformlog.ErrUnknown)
 		mustAppend(t, log, "soon")
 		check(t, log, 1, 10, "1:soon next 2 earliest 1 end 1")
 		time.Sleep(3 * time.Second)
@@ -152,5 +152,5 @@
 		return pattern
 	}
 	first, again, other := draw(7), draw(7), draw(8)
-	expect.That(t, first == again && first != other, "the draws don't follow the seed: %s / %s / %s", first, again, other)
+	testkit.That(t, first == again && first != other, "the draws don't follow the seed: %s / %s / %s", first, again, other)
 }
--- a/internal/standin/vmlistserver/registry_test.go
+++ b/internal/standin/vmlistserver/registry_test.go
@@ -8,16 +8,16 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/vmlistserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/vmlist"
 )
 
 func wantList(t *testing.T, lister vmlist.Lister, version uint64, vms ...vmlist.VM) {
 	t.Helper()
-	got := expect.Value(lister.List(t.Context()))(t)
-	expect.NoDiff(t, vmlist.List{Version: version, VMs: vms}, got)
+	got := testkit.Value(lister.List(t.Context()))(t)
+	testkit.NoDiff(t, vmlist.List{Version: version, VMs: vms}, got)
 }
 
 // A VM leaves and goes; the list goes on naming it as live for its whole lag.
@@ -37,7 +37,7 @@
 		time.Sleep(10 * time.Second)
 		wantList(t, registry, 3, a)
 		registry.Faults().Set(faults.Settings{Outage: true})
-		expect.WantError(t, "outage", expect.Err(registry.List(t.Context())), vmlist.ErrUnavailable)
+		testkit.WantError(t, "outage", testkit.Err(registry.List(t.Context())), vmlist.ErrUnavailable)
 	})
 }
 
@@ -46,7 +46,7 @@
 	defer server.Close()
 	admin := func(method, path, body string) int {
 		request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
-		answer := expect.Value(http.DefaultClient.Do(request))(t)
+		answer := testkit.Value(http.DefaultClient.Do(request))(t)
 		answer.Body.Close()
 		return answer.StatusCode
 	}
@@ -59,7 +59,7 @@
 	wantList(t, client, 3, vm)
 	wantList(t, client, 3, vm) // 304
 	admin("DELETE", "/admin/vms/e1", "")
-	expect.Equal(t, "status of the second delete", admin("DELETE", "/admin/vms/e1", ""), http.StatusNotFound)
+	testkit.Equal(t, "status of the second delete", admin("DELETE", "/admin/vms/e1", ""), http.StatusNotFound)
 	admin("POST", "/admin/faults", `{"outage":true}`)
-	expect.WantError(t, "outage", expect.Err(client.List(t.Context())), vmlist.ErrUnavailable)
+	testkit.WantError(t, "outage", testkit.Err(client.List(t.Context())), vmlist.ErrUnavailable)
 }
--- a/internal/standin/weightserver/store_test.go
+++ b/internal/standin/weightserver/store_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/standin/faults"
 	"bergamotreel/internal/standin/weightserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/weightstore"
 
 	"github.com/google/go-cmp/cmp"
@@ -34,7 +34,7 @@
 	var all sync.WaitGroup
 	for i := range n {
 		all.Go(func() {
-			expect.NoError(t, store.Fetch(t.Context(), "m"))
+			testkit.NoError(t, store.Fetch(t.Context(), "m"))
 			took[i] = time.Since(start).Round(time.Millisecond).Seconds()
 		})
 	}
@@ -58,7 +58,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := weightserver.New(today())
 				store.Faults().Set(c.fault)
-				expect.NoDiff(t, c.want, fetchAll(t, store, c.loads))
+				testkit.NoDiff(t, c.want, fetchAll(t, store, c.loads))
 			})
 		})
 	}
@@ -72,10 +72,10 @@
 		time.AfterFunc(5*time.Second, func() {
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			expect.WantError(t, "given up", store.Fetch(ctx, "m"), weightstore.ErrUnavailable)
+			testkit.WantError(t, "given up", store.Fetch(ctx, "m"), weightstore.ErrUnavailable)
 		})
 		// 5 s at full speed, 5 s at 4/5, the last 1 s at full speed.
-		expect.NoDiff(t, []float64{11, 11, 11, 11}, fetchAll(t, store, 4))
+		testkit.NoDiff(t, []float64{11, 11, 11, 11}, fetchAll(t, store, 4))
 	})
 }
 
@@ -87,11 +87,11 @@
 		time.AfterFunc(100*time.Millisecond, func() {
 			status, err := store.Status(t.Context())
 			want := weightstore.Status{LoadsPerSecond: 4, AtOnce: 4, Running: 1, Waiting: 2}
-			expect.That(t, err == nil && status == want, "got %+v, %v", status, err)
+			testkit.That(t, err == nil && status == want, "got %+v, %v", status, err)
 		})
 		took := fetchAll(t, store, 3)
 		diff := cmp.Diff(30.75, took[0]+took[1]+took[2])
-		expect.That(t, diff == "", "starts at 0, 0.25 and 0.5 s: %s", diff)
+		testkit.That(t, diff == "", "starts at 0, 0.25 and 0.5 s: %s", diff)
 	})
 }
 
@@ -103,10 +103,10 @@
 		start := time.Now()
 		time.AfterFunc(3*time.Second, func() { store.Faults().Set(faults.Settings{Outage: true}) })
 		err := store.Fetch(t.Context(), "m")
-		expect.That(t, errors.Is(err, weightstore.ErrUnavailable) && time.Since(start) == 3*time.Second,
+		testkit.That(t, errors.Is(err, weightstore.ErrUnavailable) && time.Since(start) == 3*time.Second,
 			"got %v after %v", err, time.Since(start))
 		store.Faults().Set(faults.Settings{})
-		expect.NoDiff(t, []float64{10}, fetchAll(t, store, 1))
+		testkit.NoDiff(t, []float64{10}, fetchAll(t, store, 1))
 	})
 }
 
@@ -116,10 +116,10 @@
 	defer server.Close()
 	client := weightstore.NewClient(server.URL, nil)
 	got, err := client.Checkpoint(t.Context(), "org/m")
-	expect.That(t, err == nil && got == (weightstore.Checkpoint{Name: "org/m", Bytes: 5}), "checkpoint: %+v, %v", got, err)
-	expect.Equal(t, "the status' AtOnce", expect.Value(client.Status(t.Context()))(t).AtOnce, 4)
-	expect.NoError(t, client.Fetch(t.Context(), "org/m"))
-	expect.WantError(t, "unknown checkpoint", expect.Err(client.Checkpoint(t.Context(), "none")), weightstore.ErrNotFound)
+	testkit.That(t, err == nil && got == (weightstore.Checkpoint{Name: "org/m", Bytes: 5}), "checkpoint: %+v, %v", got, err)
+	testkit.Equal(t, "the status' AtOnce", testkit.Value(client.Status(t.Context()))(t).AtOnce, 4)
+	testkit.NoError(t, client.Fetch(t.Context(), "org/m"))
+	testkit.WantError(t, "unknown checkpoint", testkit.Err(client.Checkpoint(t.Context(), "none")), weightstore.ErrNotFound)
 	store.Faults().Set(faults.Settings{Outage: true})
-	expect.WantError(t, "outage", client.Fetch(t.Context(), "org/m"), weightstore.ErrUnavailable)
+	testkit.WantError(t, "outage", client.Fetch(t.Context(), "org/m"), weightstore.ErrUnavailable)
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -12,7 +12,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // A collector receives the spans of a hop once tracing is shut down; without an
@@ -24,15 +24,15 @@
 	}))
 	defer collector.Close()
 	shutdown, err := SetupTracing(t.Context(), TraceSettings{Endpoint: collector.URL, Service: "entry", SampleRatio: 1})
-	expect.OK(t, err)
+	testkit.OK(t, err)
 	_, span := Hop(t.Context(), "engine", "generate")
 	EndHop(span, errors.New("lost"))
-	expect.OK(t, shutdown(t.Context()))
-	expect.Equal(t, "path of the upload", <-uploads, "/v1/traces")
+	testkit.OK(t, shutdown(t.Context()))
+	testkit.Equal(t, "path of the upload", <-uploads, "/v1/traces")
 }
 
 func TestTraceparentIsHandedOnWithoutCollector(t *testing.T) {
-	expect.Value(SetupTracing(t.Context(), TraceSettings{}))(t)
+	testkit.Value(SetupTracing(t.Context(), TraceSettings{}))(t)
 	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 	propagator := otel.GetTextMapPropagator()
 	ctx := propagator.Extract(context.Background(), propagation.MapCarrier{"traceparent": parent})
@@ -40,13 +40,13 @@
 	defer span.End()
 	out := propagation.MapCarrier{}
 	propagator.Inject(ctx, out)
-	expect.That(t, out["traceparent"] == parent, "handed on %q, want %q", out["traceparent"], parent)
+	testkit.That(t, out["traceparent"] == parent, "handed on %q, want %q", out["traceparent"], parent)
 }
 
 func TestLogLevels(t *testing.T) {
 	for level, ok := range map[string]bool{"debug": true, "info": true, "warn": true, "error": true, "loud": false} {
 		_, err := NewLogger(level)
-		expect.That(t, (err == nil) == ok, "level %q: %v", level, err)
+		testkit.That(t, (err == nil) == ok, "level %q: %v", level, err)
 	}
 }
 
@@ -55,5 +55,5 @@
 	counter.Set(1) // the counter outlives one run of the test in the same process
 	answer := httptest.NewRecorder()
 	MetricsHandler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	expect.That(t, strings.Contains(answer.Body.String(), "bergamotreel_telemetry_test_total 1"), "the counter is not on the page")
+	testkit.That(t, strings.Contains(answer.Body.String(), "bergamotreel_telemetry_test_total 1"), "the counter is not on the page")
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -20,10 +20,11 @@
 	Fatal(args ...any)
 }
 
-// OK ends the test at an error.
+// OK ends the test at an error. It costs nothing without one, so that it may stand
+// in the loop of a benchmark: Helper is called only on the way out.
 func OK(t Fataler, err error) {
-	t.Helper()
 	if err != nil {
+		t.Helper()
 		t.Fatal(err)
 	}
 }
@@ -33,8 +34,10 @@
 //	data := testkit.Value(state.Encode(record))(t)
 func Value[V any](value V, err error) func(Fataler) V {
 	return func(t Fataler) V {
-		t.Helper()
-		OK(t, err)
+		if err != nil {
+			t.Helper()
+			t.Fatal(err)
+		}
 		return value
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/lease"
 	"bergamotreel/state"
 )
@@ -34,9 +34,9 @@
 		observer.Working(at(s))
 	}
 	got := observer.Expired(at(12.2))
-	expect.Must(t, slices.Equal(got, []state.SessionExpire{{Session: session, LastRenewal: 70}}), "expired: %v", got)
-	expect.That(t, !holder.MayOrder(at(12.2)), "the holder orders after others ended its session")
-	expect.That(t, naive.MayOrder(at(12.2)), "the naive twin stopped in time")
+	testkit.Need(t, slices.Equal(got, []state.SessionExpire{{Session: session, LastRenewal: 70}}), "expired: %v", got)
+	testkit.That(t, !holder.MayOrder(at(12.2)), "the holder orders after others ended its session")
+	testkit.That(t, naive.MayOrder(at(12.2)), "the naive twin stopped in time")
 }
 
 // TestNobodyTakesOverFromALiveHolder draws renewals that are slow, lost or never
@@ -76,12 +76,12 @@
 			for _, expire := range observer.Expired(at(now)) {
 				if expire.LastRenewal == state.Revision(newest) {
 					ended++
-					expect.Must(t, !holder.MayOrder(at(now)), "seed %d: ended at %v s while the holder may order", seed, now)
+					testkit.Need(t, !holder.MayOrder(at(now)), "seed %d: ended at %v s while the holder may order", seed, now)
 				}
 			}
 		}
 	}
-	expect.That(t, ended >= 2000, "only %d times was a session ended", ended)
+	testkit.That(t, ended >= 2000, "only %d times was a session ended", ended)
 }
 
 // TestCollectedRenewals: a VM asks its relay every second, and folds what the relay
@@ -97,18 +97,18 @@
 	for number := range uint64(5) {
 		holder.Asked(at(float64(number)), number)
 	}
-	expect.That(t, !holder.OwnRenewDue(at(5.9)) && holder.OwnRenewDue(at(6)), "the own renewal is not due 6 s after the opening")
+	testkit.That(t, !holder.OwnRenewDue(at(5.9)) && holder.OwnRenewDue(at(6)), "the own renewal is not due 6 s after the opening")
 	for _, c := range []struct {
 		number uint64
 		until  float64
 	}{{2, 12}, {1, 12}, {4, 14}, {2, 14}, {9, 14}} {
 		holder.Collected(c.number)
-		expect.That(t, holder.MayOrder(at(c.until-0.1)) && !holder.MayOrder(at(c.until)),
+		testkit.That(t, holder.MayOrder(at(c.until-0.1)) && !holder.MayOrder(at(c.until)),
 			"after renewal %d it may not order until %v s", c.number, c.until)
 	}
 	for _, config := range []lease.Config{lease.Default, {Term: 10 * time.Second, Margin: 10 * time.Second / 6, RenewEvery: 2500 * time.Millisecond}} {
 		left := config.Term - config.Margin - config.OwnRenewAfter()
-		expect.That(t, left >= config.RenewEvery, "%v left for own renewals every %v", left, config.RenewEvery)
+		testkit.That(t, left >= config.RenewEvery, "%v left for own renewals every %v", left, config.RenewEvery)
 	}
 }
 
@@ -121,31 +121,31 @@
 	observer.Saw(at(0), session, 70)
 	observer.Working(at(3600))
 	got := observer.Expired(at(3600))
-	expect.Must(t, got == nil, "expired by the outage: %v", got)
+	testkit.Need(t, got == nil, "expired by the outage: %v", got)
 	for s := 3600.0; s <= 3612; s++ {
 		observer.Working(at(s))
 	}
 	got = observer.Expired(at(3612))
-	expect.Must(t, len(got) == 1, "a silent session lives on: %v", got)
+	testkit.Need(t, len(got) == 1, "a silent session lives on: %v", got)
 	observer.Follow(at(3612), map[state.SessionID]*state.Session{session: {ID: session, Ended: true}})
 	got = observer.Expired(at(9999))
-	expect.Must(t, got == nil, "an ended session is called expired again: %v", got)
+	testkit.Need(t, got == nil, "an ended session is called expired again: %v", got)
 }
 
 // TestHolderStates: before the opening is confirmed, after the session was lost
 // and when the answer to an older renewal comes last.
 func TestHolderStates(t *testing.T) {
 	holder := lease.NewHolder(lease.Default)
-	expect.That(t, !holder.MayOrder(at(0)) && holder.RenewDue(at(0)), "a holder that sent nothing")
+	testkit.That(t, !holder.MayOrder(at(0)) && holder.RenewDue(at(0)), "a holder that sent nothing")
 	holder.SentRenewal(at(0), 1)
 	holder.SentRenewal(at(3), 2)
-	expect.That(t, !holder.MayOrder(at(4)) && !holder.RenewDue(at(4)), "a holder without an answer")
+	testkit.That(t, !holder.MayOrder(at(4)) && !holder.RenewDue(at(4)), "a holder without an answer")
 	holder.Confirmed(2)
 	holder.Confirmed(1)
-	expect.That(t, holder.MayOrder(at(12.9)) && !holder.MayOrder(at(13)) && holder.RenewDue(at(6)),
+	testkit.That(t, holder.MayOrder(at(12.9)) && !holder.MayOrder(at(13)) && holder.RenewDue(at(6)),
 		"an older answer moved the term")
 	holder.Lost()
-	expect.That(t, !holder.MayOrder(at(5)) && !holder.RenewDue(at(50)) && holder.IsLost(), "a lost session lives on")
+	testkit.That(t, !holder.MayOrder(at(5)) && !holder.RenewDue(at(50)) && holder.IsLost(), "a lost session lives on")
 }
 
 // TestGoneOnlyByFreshLists walks through what a VM list that lags, fails or
@@ -179,7 +179,7 @@
 			departures.Saw(at(l.at), l.version, l.vms)
 			departures.Gone("vm")
 		}
-		expect.Equal(t, name+": gone", departures.Gone("vm"), c.gone)
+		testkit.Equal(t, name+": gone", departures.Gone("vm"), c.gone)
 		engines := map[string]*state.Engine{"vm": {Name: "vm"}}
 		if got := len(departures.Removable(engines)); (got == 1) != c.gone {
 			t.Errorf("%s: %d engines removable", name, got)
@@ -200,20 +200,20 @@
 		9: {ID: 9, VM: "me", Incarnation: "3"},
 	}
 	abandoned := departures.Abandoned(sessions)
-	expect.Must(t, abandoned == nil, "abandoned before an own session: %v", abandoned)
+	testkit.Need(t, abandoned == nil, "abandoned before an own session: %v", abandoned)
 	sessions[4] = &state.Session{ID: 4, VM: "me", Incarnation: "2"}
 	abandoned = departures.Abandoned(sessions)
-	expect.Must(t, slices.Equal(abandoned, []state.SessionExpire{{Session: 1, LastRenewal: 5}}), "abandoned: %v", abandoned)
+	testkit.Need(t, slices.Equal(abandoned, []state.SessionExpire{{Session: 1, LastRenewal: 5}}), "abandoned: %v", abandoned)
 	settled := departures.Settleable(at(29), sessions)
-	expect.Must(t, settled == nil, "settled while messages live: %v", settled)
+	testkit.Need(t, settled == nil, "settled while messages live: %v", settled)
 	settled = departures.Settleable(at(30), sessions)
-	expect.Must(t, slices.Equal(settled, []state.SessionSettle{{Session: 2}}), "settleable: %v", settled)
+	testkit.Need(t, slices.Equal(settled, []state.SessionSettle{{Session: 2}}), "settleable: %v", settled)
 }
 
 // TestConfigCheck: a term that two lost renewals end, or none at all, is refused.
 func TestConfigCheck(t *testing.T) {
 	tight := lease.Default
 	tight.Term = 7 * time.Second
-	expect.That(t, lease.Default.Check() == nil && tight.Check() != nil && (lease.Config{}).Check() != nil,
+	testkit.That(t, lease.Default.Check() == nil && tight.Check() != nil && (lease.Config{}).Check() != nil,
 		"wrong verdict on a timing")
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -15,7 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bergamotreel/contract"
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/state"
 )
 
@@ -97,23 +97,23 @@
 	ctx := t.Context()
 	contracts, err := client.Contracts(ctx)
 	diff := cmp.Diff([]ContractSummary{{Customer: "trinidad", Version: 4096}}, contracts)
-	expect.That(t, diff == "" && err == nil, "%v %v", diff, err)
+	testkit.That(t, diff == "" && err == nil, "%v %v", diff, err)
 	inForce, err := client.Contract(ctx, "a/../b")
-	expect.That(t, err == nil && inForce.Customer == "a/../b", "%v %v", inForce, err)
+	testkit.That(t, err == nil && inForce.Customer == "a/../b", "%v %v", inForce, err)
 	history, err := client.History(ctx, "trinidad")
-	expect.That(t, err == nil && len(history) == 1 && history[0].ChangeID == "trinidad", "%v %v", history, err)
+	testkit.That(t, err == nil && len(history) == 1 && history[0].ChangeID == "trinidad", "%v %v", history, err)
 	report, err := client.Status(ctx)
-	expect.That(t, err == nil && report.VM.ID == "entry-1", "%v %v", report, err)
+	testkit.That(t, err == nil && report.VM.ID == "entry-1", "%v %v", report, err)
 }
 
 func TestErrorsKeepTheirKind(t *testing.T) {
 	for _, kind := range []error{ErrBadRequest, ErrNotFound, ErrUnavailable, ErrOutcomeUnknown} {
 		client, _ := newDirect(&fake{err: fmt.Errorf("%w: some detail", kind)})
 		_, err := client.Status(t.Context())
-		expect.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), "some detail"), "got %v, want %v", err, kind)
+		testkit.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), "some detail"), "got %v, want %v", err, kind)
 	}
 	client, _ := newDirect(&fake{err: errors.New("not one of ours")})
-	expect.WantError(t, "an error that is not ours", expect.Err(client.Status(t.Context())), ErrOutcomeUnknown)
+	testkit.WantError(t, "an error that is not ours", testkit.Err(client.Status(t.Context())), ErrOutcomeUnknown)
 }
 
 // An error without details leaves an operator at night with one word.
@@ -126,7 +126,7 @@
 	} {
 		client, _ := newDirect(&fake{err: kind})
 		_, err := client.History(t.Context(), "trinidad")
-		expect.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), want), "got %v, want %v: %s", err, kind, want)
+		testkit.That(t, errors.Is(err, kind) && strings.Contains(err.Error(), want), "got %v, want %v: %s", err, kind, want)
 	}
 }
 
@@ -138,8 +138,8 @@
 		client, transport := newDirect(&fake{})
 		transport.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, text, http.StatusBadRequest) })
 		_, err := client.Status(t.Context())
-		expect.That(t, errors.Is(err, ErrUnavailable) && strings.Contains(err.Error(), text), "%s: status: %v", name, err)
-		expect.WantError(t, name+": publish", expect.Err(client.Publish(t.Context(), change("c1"))), ErrOutcomeUnknown)
+		testkit.That(t, errors.Is(err, ErrUnavailable) && strings.Contains(err.Error(), text), "%s: status: %v", name, err)
+		testkit.WantError(t, name+": publish", testkit.Err(client.Publish(t.Context(), change("c1"))), ErrOutcomeUnknown)
 	}
 }
 
@@ -173,7 +173,7 @@
 			if want == http.StatusOK && path == "/nowhere" {
 				want = http.StatusNotFound
 			}
-			expect.That(t, recorder.Code == want, "%s, %q, %s: %d, want %d", test.handler, test.header, path, recorder.Code, want)
+			testkit.That(t, recorder.Code == want, "%s, %q, %s: %d, want %d", test.handler, test.header, path, recorder.Code, want)
 		}
 	}
 }
@@ -197,7 +197,7 @@
 		r.Header.Set("Authorization", "Bearer "+token)
 		recorder := httptest.NewRecorder()
 		NewHandler(f, contract.HashKey(token)).ServeHTTP(recorder, r)
-		expect.That(t, recorder.Code == http.StatusBadRequest && f.landings == 0,
+		testkit.That(t, recorder.Code == http.StatusBadRequest && f.landings == 0,
 			"%s: status %d, %d landings: %s", name, recorder.Code, f.landings, recorder.Body)
 	}
 }
@@ -222,7 +222,7 @@
 		}
 		result, err := PublishUntilKnown(t.Context(), client, change("c1"))
 		want := PublishResult{Verdict: state.VerdictApplied, Revision: state.MakeRevision(1, 0)}
-		expect.That(t, err == nil && result == want && f.landings == 1 && transport.count == 3,
+		testkit.That(t, err == nil && result == want && f.landings == 1 && transport.count == 3,
 			"%+v, %v, %d landings, %d requests", result, err, f.landings, transport.count)
 	})
 }
@@ -248,7 +248,7 @@
 			if firstReaches {
 				want = ErrOutcomeUnknown
 			}
-			expect.That(t, errors.Is(err, want) && errors.Is(err, ErrUnavailable) != firstReaches,
+			testkit.That(t, errors.Is(err, want) && errors.Is(err, ErrUnavailable) != firstReaches,
 				"%s: got %v, want %v", name, err, want)
 		})
 	}
--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -8,7 +8,7 @@
 	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // lone is a planner with one free engine, and the view of it.
@@ -84,7 +84,7 @@
 			for _, d := range p.Plan(v) {
 				got = d.Reason
 			}
-			expect.That(t, got == tt.reason, "preloaded for %q, want %q", got, tt.reason)
+			testkit.That(t, got == tt.reason, "preloaded for %q, want %q", got, tt.reason)
 		})
 	}
 }
@@ -97,7 +97,7 @@
 	v.Engines[0].Cached = map[string]Tier{"m": TierMemory}
 	v.Store = Store{AtOnce: 4, Running: 1}
 	v.Now = v.Now.Add(time.Minute)
-	expect.Equal(t, "with a busy store", kinds(p.Plan(v)), "")
+	testkit.Equal(t, "with a busy store", kinds(p.Plan(v)), "")
 }
 
 // What the caller sees: at opening time a model that is "cached" takes 19 s. Its
@@ -126,13 +126,13 @@
 		p, v := lone(Config{Preload: true, ColdStartWeight: tt.weight}, testUnit("m"), held)
 		crowded.Cached, disk.Cached, empty.Cached = tt.e1, tt.e2, tt.e3
 		v.Engines = []Engine{crowded, disk, empty}
-		expect.Equal(t, tt.name, kinds(p.Plan(v)), tt.want)
+		testkit.Equal(t, tt.name, kinds(p.Plan(v)), tt.want)
 		if tt.want == "" {
 			continue
 		}
 		v.Now = v.Now.Add(DefaultMinKeep + time.Minute)
 		v.Engines = []Engine{crowded, testEngine("e2", "a", ready("m", start.Add(time.Minute)))}
-		expect.Equal(t, tt.name+", once ready", kinds(p.Plan(v)), "withdraw m on e2; ")
+		testkit.Equal(t, tt.name+", once ready", kinds(p.Plan(v)), "withdraw m on e2; ")
 	}
 }
 
@@ -149,10 +149,10 @@
 		first, second := testEngine("e1", "a", ready("m", start), on), testEngine("e2", "b", ready("m", start))
 		first.Running = running
 		v.Engines = []Engine{first, second}
-		expect.Equal(t, fmt.Sprintf("with %d of 16 slots in use", running), kinds(p.Plan(v)), want)
+		testkit.Equal(t, fmt.Sprintf("with %d of 16 slots in use", running), kinds(p.Plan(v)), want)
 		second.Holdings = append(second.Holdings, Holding{Unit: "x", Customer: "other", Bytes: 56 * gb, Wanted: true, Ready: true})
 		p, v.Engines = NewPlanner(Config{}), []Engine{first, second}
-		expect.Equal(t, "with no memory left there", kinds(p.Plan(v)), "")
+		testkit.Equal(t, "with no memory left there", kinds(p.Plan(v)), "")
 	}
 }
 
@@ -161,10 +161,10 @@
 	u.StandbyPerDomain = 1
 	p, v := lone(Config{Preload: true}, u)
 	v.Engines = []Engine{testEngine("e1", "a", Holding{Unit: "m", Customer: "shop", Bytes: u.Bytes, Right: 7})}
-	expect.Equal(t, "with nothing waiting", kinds(p.Plan(v)), "want m on e1; ")
+	testkit.Equal(t, "with nothing waiting", kinds(p.Plan(v)), "want m on e1; ")
 	v.Engines = []Engine{testEngine("e1", "a", ready("m", start))}
 	v.Now = start.Add(24 * time.Hour)
-	expect.Equal(t, "a warm standby after an idle day", kinds(p.Plan(v)), "")
+	testkit.Equal(t, "a warm standby after an idle day", kinds(p.Plan(v)), "")
 }
 
 // What the caller sees: its model stays cold although other engines are free.
@@ -182,7 +182,7 @@
 		}
 	}
 	v.Now = start.Add(3 * time.Minute)
-	expect.Equal(t, "after the stall", kinds(p.Plan(v)), "withdraw m on e1; grant m on e2; ")
+	testkit.Equal(t, "after the stall", kinds(p.Plan(v)), "withdraw m on e1; grant m on e2; ")
 }
 
 func TestStoreRateGoesToTheEarliestDeadline(t *testing.T) {
@@ -201,7 +201,7 @@
 	for _, d := range p.Plan(v) {
 		got += d.Unit + " "
 	}
-	expect.That(t, got == "m5 m4 ", "granted %q, want the two earliest deadlines", got)
+	testkit.That(t, got == "m5 m4 ", "granted %q, want the two earliest deadlines", got)
 }
 
 func TestScaleDownNeedsQuietAndKeepsOne(t *testing.T) {
@@ -217,7 +217,7 @@
 		}
 		got = kinds(p.Plan(v))
 	}
-	expect.That(t, got == "withdraw m on e2; " && !v.Now.Before(start.Add(DefaultScaleDownAfter)),
+	testkit.That(t, got == "withdraw m on e2; " && !v.Now.Before(start.Add(DefaultScaleDownAfter)),
 		"after %v: %q, want the replica without streams, after the quiet time", v.Now.Sub(start), got)
 }
 
@@ -299,15 +299,15 @@
 		case d.Kind == Grant:
 			free[d.Engine] -= u.Bytes
 			replicas[d.Unit]++
-			expect.Must(t, free[d.Engine] >= 0 && replicas[d.Unit] <= u.MaxReplicas,
+			testkit.Need(t, free[d.Engine] >= 0 && replicas[d.Unit] <= u.MaxReplicas,
 				"%+v: %d bytes free, %d replicas of %d", d, free[d.Engine], replicas[d.Unit], u.MaxReplicas)
-			expect.Must(t, !e.Leaving && !e.Sick, "%+v on an engine that gets nothing new", d)
+			testkit.Need(t, !e.Leaving && !e.Sick, "%+v on an engine that gets nothing new", d)
 		case d.Kind == Withdraw && d.Reason[:4] == "room":
 			for _, h := range e.Holdings {
-				expect.Must(t, h.Unit != d.Unit || h.Streams <= 0, "%+v cuts %d streams", d, h.Streams)
+				testkit.Need(t, h.Unit != d.Unit || h.Streams <= 0, "%+v cuts %d streams", d, h.Streams)
 			}
 			for _, waiting := range v.Demand {
-				expect.Must(t, waiting.Unit != d.Unit, "%+v although requests wait for it", d)
+				testkit.Need(t, waiting.Unit != d.Unit, "%+v although requests wait for it", d)
 			}
 		}
 	}
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 // A planner goes while a timer calls every 10 minutes, and another one takes over
@@ -27,21 +27,21 @@
 	first.Loaded("timer", TierDisk, 3*time.Second)
 	told, _ := first.History("timer", at)
 	for i, want := range []bool{true, false} {
-		expect.That(t, next.Learn(told, at) == want, "told the %d. time: not %v", i+1, want)
+		testkit.That(t, next.Learn(told, at) == want, "told the %d. time: not %v", i+1, want)
 		again, _ := next.History("timer", at)
 		diff := cmp.Diff(told, again)
-		expect.That(t, diff == "", "not what was told: %s", diff)
-		expect.That(t, next.all == first.all && next.KeepUntil("timer", at).Equal(first.KeepUntil("timer", at)),
+		testkit.That(t, diff == "", "not what was told: %s", diff)
+		testkit.That(t, next.all == first.all && next.KeepUntil("timer", at).Equal(first.KeepUntil("timer", at)),
 			"keeps or values it differently")
 	}
 	from, to, ok := first.histories["timer"].rhythm.next(at)
 	nextFrom, nextTo, nextOK := next.histories["timer"].rhythm.next(at)
-	expect.That(t, ok && ok == nextOK && from.Equal(nextFrom) && to.Equal(nextTo), "foresees another call")
+	testkit.That(t, ok && ok == nextOK && from.Equal(nextFrom) && to.Equal(nextTo), "foresees another call")
 	for _, broken := range []History{
 		{}, {Unit: "x", Gaps: make([]float32, gapBuckets+1)}, {Unit: "x", Gaps: []float32{float32(math.NaN())}},
 		{Unit: "x", Bins: map[int16]float64{int16(binsPerDay): 1}}, {Unit: "x", LastAgo: -1}, {Unit: "x", Mean: math.NaN()},
 		{Unit: "x", LoadTimes: map[string]time.Duration{"disk": 0}},
 	} {
-		expect.That(t, !next.Learn(broken, at) && next.histories["x"] == nil, "took %+v", broken)
+		testkit.That(t, !next.Learn(broken, at) && next.histories["x"] == nil, "took %+v", broken)
 	}
 }
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 const gb = int64(1) << 30
@@ -117,9 +117,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			p := NewPlanner(Config{})
 			v := View{Now: start, Self: "a", Engines: tt.engines, Units: tt.units, Demand: tt.demand}
-			expect.Equal(t, "first plan", kinds(p.Plan(v)), tt.want)
+			testkit.Equal(t, "first plan", kinds(p.Plan(v)), tt.want)
 			v.Now = start.Add(time.Millisecond)
-			expect.Equal(t, "the same view again", kinds(p.Plan(v)), "")
+			testkit.Equal(t, "the same view again", kinds(p.Plan(v)), "")
 		})
 	}
 }
--- a/routing/herd_test.go
+++ b/routing/herd_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 const (
@@ -135,8 +135,8 @@
 		ours, naive := runHerd(part, pickOurs), runHerd(part, pickLeastReported)
 		t.Logf("load %.0f%%: max ÷ mean ours %.2f, least reported %.2f; sent to full engines ours %d of %d, least reported %d of %d",
 			100*part, mean(ours.ratios), mean(naive.ratios), ours.over, ours.sent, naive.over, naive.sent)
-		expect.That(t, mean(ours.ratios) <= 1.4 && ours.over*10 <= naive.over,
+		testkit.That(t, mean(ours.ratios) <= 1.4 && ours.over*10 <= naive.over,
 			"load %.0f%%: the fullest engine has %.2f times the mean, %d sent to full ones", 100*part, mean(ours.ratios), ours.over)
-		expect.That(t, mean(naive.ratios) >= 2, "load %.0f%%: the naive twin does not herd: the model shows nothing", 100*part)
+		testkit.That(t, mean(naive.ratios) >= 2, "load %.0f%%: the naive twin does not herd: the model shows nothing", 100*part)
 	}
 }
--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 const (
@@ -88,7 +88,7 @@
 		return list[rng.Intn(len(list))].Engine
 	})
 	t.Logf("blocks found cached: ours %.0f%%, random %.0f%%", 100*ours, 100*random)
-	expect.That(t, ours >= 2*random, "ours finds %.2f of the blocks cached, random %.2f", ours, random)
+	testkit.That(t, ours >= 2*random, "ours finds %.2f of the blocks cached, random %.2f", ours, random)
 }
 
 // Prefixes of whole blocks are equal exactly where unit and bytes are.
@@ -97,9 +97,9 @@
 	other := bytes.Clone(text)
 	other[PrefixBlock] = 'b'
 	one, two, adapter := Prefixes("m", text), Prefixes("m", other), Prefixes("n", text)
-	expect.That(t, len(one) == 3 && one[0] == two[0] && one[1] != two[1] && one[2] != two[2] && one[0] != adapter[0],
+	testkit.That(t, len(one) == 3 && one[0] == two[0] && one[1] != two[1] && one[2] != two[2] && one[0] != adapter[0],
 		"got %x, %x and %x", one, two, adapter)
-	expect.Equal(t, "hashes of a long prompt", len(Prefixes("m", make([]byte, 100*PrefixBlock))), MaxPrefixes)
+	testkit.Equal(t, "hashes of a long prompt", len(Prefixes("m", make([]byte, 100*PrefixBlock))), MaxPrefixes)
 }
 
 // An engine's events correct what the router remembers: another router's prompt
@@ -115,7 +115,7 @@
 	}
 	r := New(Config{Prefixes: 16}, rand.New(rand.NewSource(1)))
 	r.CacheEvent("e5", "m", prompt[7], false)
-	expect.Equal(t, "after the event", reason(r), "prefix e5")
+	testkit.Equal(t, "after the event", reason(r), "prefix e5")
 	r.CacheEvent("e5", "m", prompt[7], true)
 	if got := reason(r); got[:6] == "prefix" {
 		t.Errorf("after the eviction: %s", got)
@@ -128,5 +128,5 @@
 	for i := range 1000 {
 		r.CacheEvent("e1", "m", uint64(i), false)
 	}
-	expect.Equal(t, "remembered prefixes, over the bound", len(r.prefixes.entries), 16)
+	testkit.Equal(t, "remembered prefixes, over the bound", len(r.prefixes.entries), 16)
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -9,7 +9,7 @@
 	_ "bergamotreel/internal/fixedseed"
 	"pgregory.net/rapid"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -64,7 +64,7 @@
 	c := Candidate{Engine: "e", Slots: 16, Ready: true, LoadKnown: true, Running: 5, Queued: 1, LoadAt: report}
 	check := func(step string, want int) {
 		t.Helper()
-		expect.Equal(t, step+": free slots", r.Free(now, c), want)
+		testkit.Equal(t, step+": free slots", r.Free(now, c), want)
 	}
 	check("as reported", 10)
 	r.Started(now, "e", "m", nil)
@@ -91,20 +91,20 @@
 		list[i].PeersInFlight = 4 // e0 would draw all
 	}
 	fail(r, start, "e0", failuresInRow)
-	expect.Equal(t, "requests to the failing engine", picks(r, start, list, 100, evenly)["e0"], 0)
-	expect.Equal(t, "slots free behind an open breaker", r.Free(start, list[0]), 0)
+	testkit.Equal(t, "requests to the failing engine", picks(r, start, list, 100, evenly)["e0"], 0)
+	testkit.Equal(t, "slots free behind an open breaker", r.Free(start, list[0]), 0)
 	now := start.Add(2 * openFirst)
 	if got := r.Breaker(now, "e0"); got != BreakerHalfOpen {
 		t.Fatalf("breaker is %s", got)
 	}
 	r.Started(now, "e0", "m", nil)
-	expect.Equal(t, "requests beside the probe", picks(r, now, list, 100, evenly)["e0"], 0)
+	testkit.Equal(t, "requests beside the probe", picks(r, now, list, 100, evenly)["e0"], 0)
 	r.Finished(now, "e0", Result{Failed: true})
-	expect.Equal(t, "the breaker after a failed probe", r.Breaker(now.Add(openFirst), "e0"), BreakerOpen)
+	testkit.Equal(t, "the breaker after a failed probe", r.Breaker(now.Add(openFirst), "e0"), BreakerOpen)
 	now = now.Add(4 * openFirst)
 	r.Started(now, "e0", "m", nil)
 	r.Finished(now, "e0", Result{OK: true, FirstToken: time.Second})
-	expect.Equal(t, "the breaker after a probe that worked", r.Breaker(now, "e0"), BreakerClosed)
+	testkit.Equal(t, "the breaker after a probe that worked", r.Breaker(now, "e0"), BreakerClosed)
 }
 
 // All engines fail: more likely the network or the requests are at fault. With
@@ -115,7 +115,7 @@
 		fail(r, start, c.Engine, 5)
 	}
 	_, ok := r.Pick(start, testQuery, list)
-	expect.That(t, ok, "no engine picked with all breakers open")
+	testkit.That(t, ok, "no engine picked with all breakers open")
 }
 
 // One engine of six brings its first token ten times later than the others. It
@@ -143,8 +143,8 @@
 			well += picks(r, now, list, 20, evenly)["e0"]
 		}
 	}
-	expect.That(t, sick <= 10, "%d of 1000 requests went to the slow engine", sick)
-	expect.That(t, well >= 100, "only %d of 1200 went to the engine that is quick again", well)
+	testkit.That(t, sick <= 10, "%d of 1000 requests went to the slow engine", sick)
+	testkit.That(t, well >= 100, "only %d of 1200 went to the engine that is quick again", well)
 }
 
 // Half of the pool slows down under load. Ejecting all of those would only load
@@ -162,7 +162,7 @@
 			open++
 		}
 	}
-	expect.That(t, open <= 2, "%d of 6 engines are ejected", open)
+	testkit.That(t, open <= 2, "%d of 6 engines are ejected", open)
 }
 
 // An engine takes requests and never answers. They fail only at their longest
@@ -183,7 +183,7 @@
 		r.FirstToken(now, choice.Engine, "m", 300*time.Millisecond)
 		r.Finished(now, choice.Engine, Result{OK: true, FirstToken: 300 * time.Millisecond})
 	}
-	expect.That(t, sent <= 6, "%d requests went to the silent engine", sent)
+	testkit.That(t, sent <= 6, "%d requests went to the silent engine", sent)
 }
 
 // Requests stay in the own failure domain while it has room.
@@ -193,7 +193,7 @@
 		list[i].Domain = "b"
 	}
 	other := func(counts map[string]int) int { return counts["e0"] + counts["e1"] + counts["e2"] + counts["e3"] }
-	expect.Equal(t, "of 100, those that left an idle domain", other(picks(r, start, list, 100, evenly)), 0)
+	testkit.Equal(t, "of 100, those that left an idle domain", other(picks(r, start, list, 100, evenly)), 0)
 	for i := 4; i < 8; i++ {
 		list[i].PeersInFlight = 6
 	}
@@ -210,15 +210,15 @@
 	}
 	query := testQuery
 	query.Surplus = true
-	expect.That(t, !r.Available(start, query, list), "5 slots of 40 are free, reserve %d, and surplus use takes one", Reserve(40))
-	expect.That(t, r.Available(start, testQuery, list), "the reserve is kept from all")
+	testkit.That(t, !r.Available(start, query, list), "5 slots of 40 are free, reserve %d, and surplus use takes one", Reserve(40))
+	testkit.That(t, r.Available(start, testQuery, list), "the reserve is kept from all")
 	list[0].PeersInFlight = 5
-	expect.That(t, r.Available(start, query, list), "7 slots of 40 are free, reserve %d, and surplus use gets none", Reserve(40))
+	testkit.That(t, r.Available(start, query, list), "7 slots of 40 are free, reserve %d, and surplus use gets none", Reserve(40))
 	// An adapter's second engine is idle: its first must still keep its part.
 	list[0].PeersInFlight, list[1].PeersInFlight = 6, 0
 	for range 20 {
 		got, _ := r.Pick(start, query, list[:2])
-		expect.Must(t, got.Engine == list[1].Engine, "surplus use takes the last slots of %s beside an idle engine", got.Engine)
+		testkit.Need(t, got.Engine == list[1].Engine, "surplus use takes the last slots of %s beside an idle engine", got.Engine)
 	}
 }
 
@@ -244,9 +244,9 @@
 			}
 		}
 		choice, ok := r.Pick(start, query, list)
-		expect.Must(t, ok || some <= 0, "%d engines have room, none picked", some)
+		testkit.Need(t, ok || some <= 0, "%d engines have room, none picked", some)
 		for _, c := range list {
-			expect.Must(t, c.Engine != choice.Engine || usable(query, &c) && c.PeersInFlight < c.Slots, "picked %+v", c)
+			testkit.Need(t, c.Engine != choice.Engine || usable(query, &c) && c.PeersInFlight < c.Slots, "picked %+v", c)
 		}
 	})
 }
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -10,10 +10,10 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotreel/internal/expect"
 	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/standin/serviceserver"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/service"
 )
 
@@ -75,15 +75,15 @@
 	} {
 		onBoth(t, func(t *testing.T, client service.Client, s *serviceserver.Service) {
 			// The connection has been used before, as most are.
-			expect.Value(client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/cuatro"}))(t)
+			testkit.Value(client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/cuatro"}))(t)
 			s.SetFaults(c.faults)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			answer, err := client.Do(ctx, "booking", book("r1"))
-			expect.That(t, errors.Is(err, c.want) && answer.Status == c.status, "%s: answer %d, %v", name, answer.Status, err)
+			testkit.That(t, errors.Is(err, c.want) && answer.Status == c.status, "%s: answer %d, %v", name, answer.Status, err)
 			s.SetFaults(serviceserver.Faults{})
 			time.Sleep(time.Minute)
-			expect.Equal(t, name+": bookings", len(s.Bookings()), c.bookings)
+			testkit.Equal(t, name+": bookings", len(s.Bookings()), c.bookings)
 		})
 	}
 }
@@ -91,17 +91,17 @@
 func TestCallsAreCountedByIdentity(t *testing.T) {
 	onBoth(t, func(t *testing.T, client service.Client, s *serviceserver.Service) {
 		for _, call := range []service.Call{book("r1"), book("r2"), book("r2")} {
-			expect.Value(client.Do(t.Context(), "booking", call))(t)
+			testkit.Value(client.Do(t.Context(), "booking", call))(t)
 		}
 		for _, ran := range s.Calls() {
 			want := serviceserver.Ran{
 				Method: http.MethodPost, Path: "/book?shop=arima", IdempotencyKey: "key-" + ran.RequestID,
 				RequestID: ran.RequestID, Times: map[string]int{"r1": 1, "r2": 2}[ran.RequestID],
 			}
-			expect.That(t, ran == want, "%+v instead of %+v", ran, want)
+			testkit.That(t, ran == want, "%+v instead of %+v", ran, want)
 		}
 		stock, err := client.Do(t.Context(), "booking", service.Call{Method: "GET", Path: "/stock/tenor%20pan"})
-		expect.That(t, err == nil && string(stock.Body) == `{"free":97,"item":"tenor pan"}`, "%s, %v", stock.Body, err)
+		testkit.That(t, err == nil && string(stock.Body) == `{"free":97,"item":"tenor pan"}`, "%s, %v", stock.Body, err)
 	})
 }
 
@@ -111,7 +111,7 @@
 	fleet.Put("booking", serviceserver.New())
 	fleet.Cut("booking", true)
 	for _, client := range []service.Client{fleet, service.NewClient(sendonce.NewClientDialing(refuse))} {
-		expect.WantError(t, "unreachable", expect.Err(client.Do(t.Context(), "booking", book("r1"))), service.ErrNotSent)
+		testkit.WantError(t, "unreachable", testkit.Err(client.Do(t.Context(), "booking", book("r1"))), service.ErrNotSent)
 	}
 }
 
@@ -130,15 +130,15 @@
 		call := service.Call{RequestID: "r1", Method: "PUT", Path: "/x", Body: []byte("body")}
 		call.Header = http.Header{"Te": {"trailers"}, "Connection": {"close, x-hop"}, "X-Hop": {"1"}, "X-Mine": {"1"}, service.HeaderRequestID: {"forged"}}
 		answer, err := client.Do(t.Context(), "booking", call)
-		expect.Must(t, err == nil && answer.Status == http.StatusTeapot && string(answer.Body) == "body", "%+v, %v", answer, err)
-		expect.That(t, answer.Header.Get("Keep-Alive") == "" && answer.Header.Get("X-Kept") == "yes",
+		testkit.Need(t, err == nil && answer.Status == http.StatusTeapot && string(answer.Body) == "body", "%+v, %v", answer, err)
+		testkit.That(t, answer.Header.Get("Keep-Alive") == "" && answer.Header.Get("X-Kept") == "yes",
 			"answer's header %v", answer.Header)
-		expect.That(t, seen.Get("Te") == "" && seen.Get("X-Hop") == "" && seen.Get("X-Mine") == "1" && seen.Get(service.HeaderRequestID) == "r1",
+		testkit.That(t, seen.Get("Te") == "" && seen.Get("X-Hop") == "" && seen.Get("X-Mine") == "1" && seen.Get(service.HeaderRequestID) == "r1",
 			"call's header %v", seen)
-		expect.That(t, call.Header.Get(service.HeaderRequestID) == "forged", "the caller's header was changed")
+		testkit.That(t, call.Header.Get(service.HeaderRequestID) == "forged", "the caller's header was changed")
 		for _, path := range []string{"@elsewhere/", "x", ":99/", "/a\nb"} {
 			call.Path = path
-			expect.WantError(t, path, expect.Err(client.Do(t.Context(), "booking", call)), service.ErrNotSent)
+			testkit.WantError(t, path, testkit.Err(client.Do(t.Context(), "booking", call)), service.ErrNotSent)
 		}
 	})
 }
--- a/vmlist/bench_test.go
+++ b/vmlist/bench_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"testing"
 
-	"bergamotreel/internal/expect"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/vmlist"
 )
 
@@ -32,7 +32,7 @@
 				Address: fmt.Sprintf("10.120.%d.%d:7201", i/250, i%250), Domain: "domain-1", Region: "region-1"})
 		}
 		body, err := json.Marshal(list)
-		expect.OK(b, err)
+		testkit.OK(b, err)
 		newClient := func() *vmlist.Client {
 			return vmlist.NewClient("http://127.0.0.1:1", &http.Client{Transport: cannedTransport(body)})
 		}
