--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -28,25 +28,21 @@
 
 func TestExampleValues(t *testing.T) {
 	c := testkit.Value(Parse(example(t, "trinidad")))(t)
-	if key, ok := c.Owns(HashKey("trinidad-overnight-key")); !ok || key.Name != "overnight" || key.Priority != -50 {
-		t.Errorf("overnight key: %+v, %t", key, ok)
-	}
+	key, ok := c.Owns(HashKey("trinidad-overnight-key"))
+	testkit.That(t, ok && key.Name == "overnight" && key.Priority == -50, "overnight key: %+v, %t", key, ok)
 	want := Unit{
 		Name: "shop-12", Base: "clerk-7b", Checkpoint: "shop-12:v5", MemoryBytes: 200e6,
 		MaxReplicas: 2, MaxWait: 8 * time.Second, Priority: 20, Customer: "trinidad",
 	}
-	if unit, ok := c.FindUnit("shop-12"); !ok || unit != want {
-		t.Errorf("unit: %s", cmp.Diff(want, unit))
-	}
+	unit, ok := c.FindUnit("shop-12")
+	testkit.That(t, ok && unit == want, "unit: %t %s", ok, cmp.Diff(want, unit))
 	slices.Reverse(c.Adapters)
 	for _, name := range []string{"shop-12", "shop-47", "clerk-7b", "season-34b"} {
-		if unit, ok := c.FindUnit(name); !ok || unit.Name != name {
-			t.Errorf("unsorted contract: %s: %+v, %t", name, unit, ok)
-		}
-	}
-	if s, ok := c.FindService("booking"); !ok || len(s.Once) != 3 {
-		t.Errorf("service: %+v, %t", s, ok)
+		unit, ok := c.FindUnit(name)
+		testkit.That(t, ok && unit.Name == name, "unsorted contract: %s: %+v, %t", name, unit, ok)
 	}
+	s, ok := c.FindService("booking")
+	testkit.That(t, ok && len(s.Once) == 3, "service: %+v, %t", s, ok)
 }
 
 // small is the smallest contract with one section of each kind.
--- a/contract/sections_test.go
+++ b/contract/sections_test.go
@@ -92,9 +92,8 @@
 	f.Add("[customer]\nname = \"\"\"a\nb\"\"\"\nmemory = `1GB\n`\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		c, err := Parse(text)
-		if problems := Problems(text); (err == nil) != (len(problems) == 0) {
-			t.Errorf("%v, but problems %v", err, problems)
-		}
+		problems := Problems(text)
+		testkit.That(t, (err == nil) == (len(problems) == 0), "%v, but problems %v", err, problems)
 		if err != nil {
 			var problem *Problem
 			testkit.That(t, errors.As(err, &problem) && !strings.ContainsAny(problem.Error(), "\n"),
