--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -181,9 +181,8 @@
 		}
 		testkit.Equal(t, name+": gone", departures.Gone("vm"), c.gone)
 		engines := map[string]*state.Engine{"vm": {Name: "vm"}}
-		if got := len(departures.Removable(engines)); (got == 1) != c.gone {
-			t.Errorf("%s: %d engines removable", name, got)
-		}
+		got := len(departures.Removable(engines))
+		testkit.That(t, (got == 1) == c.gone, "%s: %d engines removable", name, got)
 	}
 }
 
