--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/testkit"
 )
 
 // benchSizes are one entry VM's view: today's larger deployment, a step between, and the planned
@@ -35,9 +36,8 @@
 		return Request{Customer: k.Customer, Unit: k.Adapters[i/customers%units].Name, Pool: "m", Arrived: epoch, Deadline: epoch.Add(time.Minute)}
 	}
 	for i := range waiting {
-		if _, refused := c.Arrive(epoch, next(i)); refused != nil {
-			b.Fatal(refused)
-		}
+		_, refused := c.Arrive(epoch, next(i))
+		testkit.Need(b, refused == nil, "%v", refused)
 	}
 	b.ReportAllocs()
 	return c, next
@@ -75,9 +75,7 @@
 				for i := 0; b.Loop(); i++ {
 					run(c, next(i))
 				}
-				if c.waiting != size.waiting {
-					b.Fatalf("%d wait, want %d", c.waiting, size.waiting)
-				}
+				testkit.Need(b, c.waiting == size.waiting, "%d wait, want %d", c.waiting, size.waiting)
 			})
 		}
 	}
@@ -97,9 +95,7 @@
 			c.SetContracts(contracts)
 			for i := range customers / 2 {
 				t, refused := c.Arrive(epoch, Request{Customer: fmt.Sprint("shop", i), Unit: "m", Pool: "m", Deadline: epoch.Add(1e9)})
-				if refused != nil {
-					b.Fatal(refused)
-				}
+				testkit.Need(b, refused == nil, "%v", refused)
 				c.Leave(epoch, t)
 			}
 			b.ReportAllocs()
