--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -117,14 +117,12 @@
 	r.CacheEvent("e5", "m", prompt[7], false)
 	testkit.Equal(t, "after the event", reason(r), "prefix e5")
 	r.CacheEvent("e5", "m", prompt[7], true)
-	if got := reason(r); got[:6] == "prefix" {
-		t.Errorf("after the eviction: %s", got)
-	}
+	got := reason(r)
+	testkit.That(t, got[:6] != "prefix", "after the eviction: %s", got)
 	r.CacheEvent("e5", "m", prompt[7], false)
 	r.Forget("e5")
-	if got := reason(r); got[:6] == "prefix" {
-		t.Errorf("after the restart: %s", got)
-	}
+	got = reason(r)
+	testkit.That(t, got[:6] != "prefix", "after the restart: %s", got)
 	for i := range 1000 {
 		r.CacheEvent("e1", "m", uint64(i), false)
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -94,9 +94,8 @@
 	testkit.Equal(t, "requests to the failing engine", picks(r, start, list, 100, evenly)["e0"], 0)
 	testkit.Equal(t, "slots free behind an open breaker", r.Free(start, list[0]), 0)
 	now := start.Add(2 * openFirst)
-	if got := r.Breaker(now, "e0"); got != BreakerHalfOpen {
-		t.Fatalf("breaker is %s", got)
-	}
+	got := r.Breaker(now, "e0")
+	testkit.Need(t, got == BreakerHalfOpen, "breaker is %s", got)
 	r.Started(now, "e0", "m", nil)
 	testkit.Equal(t, "requests beside the probe", picks(r, now, list, 100, evenly)["e0"], 0)
 	r.Finished(now, "e0", Result{Failed: true})
@@ -197,9 +196,8 @@
 	for i := 4; i < 8; i++ {
 		list[i].PeersInFlight = 6
 	}
-	if got := other(picks(r, start, list, 100, evenly)); got < 80 {
-		t.Errorf("only %d of 100 left an overloaded domain", got)
-	}
+	got := other(picks(r, start, list, 100, evenly))
+	testkit.That(t, got >= 80, "only %d of 100 left an overloaded domain", got)
 }
 
 // A customer above its fair share leaves the reserve to the others.
