--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -30,15 +30,12 @@
 		}
 		return 0
 	}
-	if got := keep(0.9, 5*time.Minute); got < 5*time.Minute || got > 15*time.Minute {
-		t.Errorf("a unit used every 5 minutes is kept for %v at a high weight", got)
-	}
-	if got := keep(0.05, 5*time.Minute); got > time.Minute {
-		t.Errorf("a unit used every 5 minutes is kept for %v at a low weight", got)
-	}
-	if got := keep(0.5, 30*time.Second); got < 30*time.Second || got > 3*time.Minute {
-		t.Errorf("a unit used every 30 seconds is kept for %v", got)
-	}
+	got := keep(0.9, 5*time.Minute)
+	testkit.That(t, got >= 5*time.Minute && got <= 15*time.Minute, "a unit used every 5 minutes is kept for %v at a high weight", got)
+	got = keep(0.05, 5*time.Minute)
+	testkit.That(t, got <= time.Minute, "a unit used every 5 minutes is kept for %v at a low weight", got)
+	got = keep(0.5, 30*time.Second)
+	testkit.That(t, got >= 30*time.Second && got <= 3*time.Minute, "a unit used every 30 seconds is kept for %v", got)
 }
 
 func TestPreload(t *testing.T) {
@@ -91,9 +88,8 @@
 
 func TestStagesWhatIsOnlyRemote(t *testing.T) {
 	p, v := lone(Config{Preload: true}, testUnit("m"), testUnit("n"))
-	if got := kinds(p.Plan(v)); got != "grant m on e1; " {
-		t.Fatalf("with an idle store: %q, want one load", got)
-	}
+	got := kinds(p.Plan(v))
+	testkit.Need(t, got == "grant m on e1; ", "with an idle store: %q, want one load", got)
 	v.Engines[0].Cached = map[string]Tier{"m": TierMemory}
 	v.Store = Store{AtOnce: 4, Running: 1}
 	v.Now = v.Now.Add(time.Minute)
@@ -177,9 +173,8 @@
 	v.Engines = []Engine{testEngine("e1", "a", loading), testEngine("e2", "a")}
 	v.Demand = []Demand{waits("m", 1)}
 	for ; v.Now.Before(start.Add(10 * time.Second)); v.Now = v.Now.Add(time.Second) {
-		if got := kinds(p.Plan(v)); got != "" {
-			t.Fatalf("after %v: %q, too early", v.Now.Sub(start), got)
-		}
+		got := kinds(p.Plan(v))
+		testkit.Need(t, got == "", "after %v: %q, too early", v.Now.Sub(start), got)
 	}
 	v.Now = start.Add(3 * time.Minute)
 	testkit.Equal(t, "after the stall", kinds(p.Plan(v)), "withdraw m on e1; grant m on e2; ")
