--- a/internal/serving/internal_test.go
+++ b/internal/serving/internal_test.go
@@ -33,12 +33,10 @@
 // that the wait ends, and an engine moved to that ends before what was delivered.
 // Neither is "not sent", nor a whole answer.
 func TestEndsOfBrokenStreams(t *testing.T) {
-	if v := judge(broken(engine.ErrNotSent)); !v.ran || v.result.NotRun {
-		t.Errorf("a resume that was not sent: %+v", v)
-	}
-	if v := judge((&relay{delivered: 5}).whole(3)); v.final == nil || v.final.Ran != refusal.RanMaybe {
-		t.Errorf("a shorter answer: %+v", v)
-	}
+	v := judge(broken(engine.ErrNotSent))
+	testkit.That(t, v.ran && !v.result.NotRun, "a resume that was not sent: %+v", v)
+	v = judge((&relay{delivered: 5}).whole(3))
+	testkit.That(t, v.final != nil && v.final.Ran == refusal.RanMaybe, "a shorter answer: %+v", v)
 }
 
 // BenchmarkDeliver is the cost of one chunk on its way through serving.
@@ -79,9 +77,8 @@
 	ask(0)
 	first.end(t.Context(), nil, judge(nil))
 	ask(0) // behind the second
-	if s.dispatch(time.Now()); len(s.waiters) != 1 {
-		t.Errorf("%d wait", len(s.waiters))
-	}
+	s.dispatch(time.Now())
+	testkit.Equal(t, "those that wait", len(s.waiters), 1)
 }
 
 // batches is a stream whose chunks come in batches, and a sink that tells which
@@ -140,9 +137,8 @@
 	// Next fails although the stream said that it had a chunk.
 	b := &batches{held: 1, end: engine.ErrBrokenStream}
 	r := &relay{sink: b, holder: b}
-	if _, err := r.pump(b, 0, nil); !errors.Is(err, engine.ErrBrokenStream) || len(b.sent) != 1 {
-		t.Errorf("sent %v, %v", b.sent, err)
-	}
+	_, err := r.pump(b, 0, nil)
+	testkit.That(t, errors.Is(err, engine.ErrBrokenStream) && len(b.sent) == 1, "sent %v, %v", b.sent, err)
 }
 
 // A guard ends an attempt, and says why, when the first token or a later one is
