node, keeper, daemon: of two processes with one [vm] id one gives way

Cause: each takes the other for a predecessor and expires its session, every two seconds and for good; status shows one VM. A rival is another incarnation that opened two sessions beside this process's own (one may be the last word of a process that died). The log orders the first sessions, so at most one sees an older rival. Safety goes by session and token as before. Ruled out: stopping by the address alone: with an address that fits neither both would stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -192,6 +192,8 @@
 	select {
 	case <-ctx.Done():
 		err = nil
+	case <-d.node.Superseded():
+		err = d.settings.Problem("vm", "id", "another process runs with this id")
 	case err = <-failed:
 	}
 	d.shutdown()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -75,6 +75,7 @@
 	gauge("live_vms", func(s node.Stats) float64 { return float64(s.LiveVMs) })
 	gauge("listed_vms", func(s node.Stats) float64 { return float64(s.ListedVMs) })
 	gauge("session_held", func(s node.Stats) float64 { return truth(s.SessionHeld) })
+	gauge("vm_id_contested", func(s node.Stats) float64 { return truth(s.Contested) })
 	gauge("engines_kept", func(s node.Stats) float64 { return float64(s.EnginesKept) })
 	gauge("engines_listed", func(s node.Stats) float64 { return float64(s.EnginesListed) })
 	gauge("engines_without_keeper", func(s node.Stats) float64 { return float64(s.EnginesUnkept) })
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,6 +100,10 @@
 	surplus map[string]time.Time
 	// stranded holds until when a unit stays loaded by a standby right.
 	stranded map[string]time.Time
+	// first is the first session of this process, rivals those that others hold
+	// under its name, by incarnation.
+	first  state.SessionID
+	rivals map[string]*rival
 	// stopping is set by a graceful shutdown: no new session, no new engine.
 	stopping bool
 	group    sync.WaitGroup
@@ -123,6 +127,7 @@
 		given:      make(map[string]bool),
 		doubts:     make(map[string]map[string]time.Time),
 		stranded:   make(map[string]time.Time),
+		rivals:     make(map[string]*rival),
 	}
 }
 
--- /dev/null
+++ b/internal/keeper/rival.go
@@ -0,0 +1,86 @@
+package keeper
+
+import (
+	"time"
+
+	"bergamotreel/state"
+)
+
+const (
+	// rivalSessions is how many sessions another process with this VM's name must
+	// have opened beside this one's before it counts as a rival: a single one may be
+	// the last word of a process that died as this one started.
+	rivalSessions = 2
+	// rivalFor is how long after its newest session a rival counts as there: two
+	// processes end each other's sessions every two seconds or so.
+	rivalFor = 30 * time.Second
+)
+
+// Rival is another process that runs under this VM's name.
+type Rival struct {
+	Incarnation string
+	// Since is when its first session beside this process's was seen.
+	Since time.Time
+	// Older tells whether it had a session before this process had one. Of two
+	// processes at most one sees an older rival, as the log orders their sessions.
+	Older bool
+}
+
+// rival is what was seen of the sessions of one other incarnation.
+type rival struct {
+	Rival
+	newest state.SessionID
+	count  int
+	seenAt time.Time
+}
+
+// watchRivals looks for sessions that others open under this VM's name. Call with
+// mu held.
+//
+// Failure: two processes with one name take each other for a predecessor and expire
+// each other's sessions for good (departures.Abandoned): their engines change the
+// keeper every two seconds. Safety doesn't rest on what is done about it, as every
+// right and order goes by session and fencing token, not by name.
+func (k *Keeper) watchRivals(now time.Time) {
+	if k.first == 0 {
+		return
+	}
+	k.config.Control.View(func(s *state.State) {
+		for id, session := range s.Sessions {
+			if session.VM == k.config.VM && session.Incarnation != k.config.Incarnation {
+				k.sawRival(now, id, session.Incarnation)
+			}
+		}
+	})
+}
+
+func (k *Keeper) sawRival(now time.Time, id state.SessionID, incarnation string) {
+	r := k.rivals[incarnation]
+	if r == nil {
+		r = &rival{Rival: Rival{Incarnation: incarnation}}
+		k.rivals[incarnation] = r
+	}
+	if id < k.first {
+		r.Older = true
+	}
+	if id < k.first || id <= r.newest {
+		return
+	}
+	if r.count == 0 {
+		r.Since = now
+	}
+	r.newest, r.seenAt = id, now
+	r.count++
+}
+
+// Rival is the process that now runs under this VM's name too, false without one.
+func (k *Keeper) Rival(now time.Time) (Rival, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.rivals {
+		if r.count >= rivalSessions && now.Sub(r.seenAt) < rivalFor {
+			return r.Rival, true
+		}
+	}
+	return Rival{}, false
+}
--- a/internal/keeper/session.go
+++ b/internal/keeper/session.go
@@ -13,6 +13,9 @@
 // holdSession opens a session where there is none, renews it, and notices its
 // end.
 func (k *Keeper) holdSession(ctx context.Context) {
+	k.mu.Lock()
+	k.watchRivals(time.Now())
+	k.mu.Unlock()
 	session := k.Session()
 	if session == 0 {
 		k.openSession(ctx)
@@ -50,6 +53,9 @@
 		return
 	}
 	k.session, k.holder, k.renewals = outcome.Revision, holder, 0
+	if k.first == 0 {
+		k.first = outcome.Revision
+	}
 	k.asked, k.confirmed, k.askedAt = 0, 0, time.Time{}
 	k.observer.Working(time.Now())
 	k.config.Logger.Info("session opened", zap.Uint64("session", uint64(outcome.Revision)))
@@ -141,6 +147,9 @@
 			}
 		}
 		for _, expire := range k.departures.Abandoned(s.Sessions) {
+			if k.stopping {
+				break // it may be a rival's; see Rival
+			}
 			out = append(out, state.Proposal{SessionExpire: &expire})
 		}
 		for _, settle := range k.departures.Settleable(now, s.Sessions) {
--- a/internal/node/digests.go
+++ b/internal/node/digests.go
@@ -40,7 +40,7 @@
 	applied, _, _ := n.control.Position()
 	d := entryvm.Digest{
 		VM: n.config.VM, Address: n.config.PeersAddress, Domain: n.config.Domain, Region: n.config.Region,
-		Incarnation: n.config.Incarnation, Leaving: n.isStopping(), Applied: applied,
+		Incarnation: n.config.Incarnation, Leaving: n.isStopping() && !n.isConceded(), Applied: applied,
 		Used: n.uses.lately(now), Busy: n.serving.Busy(now, longRequest), Refused: n.refused.due(now, n.config.Heartbeat),
 		Expected: n.expected.telling(now, n.outlook),
 		Engines:  n.fleet.Reports(now, reportHeartbeats*n.config.Heartbeat),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,9 @@
 
 	mu       sync.Mutex
 	stopping bool
+	// superseded is closed, by conceded, once this process gives way to a rival.
+	superseded chan struct{}
+	conceded   sync.Once
 	// version is the newest contract version that admission knows.
 	version state.Revision
 }
@@ -125,7 +128,7 @@
 	setDefault(&config.HeardFor, defaultHeardFor)
 	setDefault(&config.Claims, defaultClaims)
 	n := &Node{config: config, started: time.Now(), uses: newUses(), refused: newRefusals(), roster: newRoster(config.VM),
-		peerRefused: newPeerRefusals(), expected: newExpectations(),
+		peerRefused: newPeerRefusals(), expected: newExpectations(), superseded: make(chan struct{}),
 	}
 	n.parcels = make(chan parcel, parcelsQueued)
 	n.shares = newShares(config.VM, func() []gossip.Peer { return n.gossip.Present() }, n.isStopping)
@@ -198,7 +201,7 @@
 		n.control.Follow, n.control.Commit, n.control.WriteSnapshots,
 		n.claims.Run,
 		n.fleet.Run, n.gossip.Run, n.keeper.Run, n.planner.Run, n.serving.Run,
-		n.catchUp, n.tellHistories, n.tellAdmission, n.watchStore, n.watchPlanned,
+		n.catchUp, n.tellHistories, n.tellAdmission, n.watchStore, n.watchPlanned, n.watchRival,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -30,6 +30,8 @@
 	// engines it keeps.
 	SessionHeld bool
 	EnginesKept int
+	// Contested is whether another process runs under this VM's name.
+	Contested bool
 	// EnginesListed are the engines on the VM list, EnginesUnkept those of them
 	// that nobody keeps.
 	EnginesListed, EnginesUnkept int
@@ -51,6 +53,7 @@
 		SkippedClaims: n.claims.Skipped(), SnapshotsWritten: n.control.SnapshotsWritten() + n.claims.SnapshotsWritten(),
 		Open: n.serving.Open(), Refusals: n.refused.byCode(),
 	}
+	_, stats.Contested = n.keeper.Rival(now)
 	n.readEngines(&stats, n.fleet.Engines())
 	n.serving.Decide(func(a *admission.Controller, r *routing.Router) {
 		for _, demand := range a.Demand(now) {
