planner, digest, engine: standard words; what only tests used

The planner's kept view of engines is a cache, by the field's word (file, type, tests and pages); engine.CacheEvent cites routing.Prefixes, which exists. digest.Table.ForNewWork goes with its assertion: nothing asked it.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -183,7 +183,7 @@
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
 	Unit     string `json:"unit"`
-	// Prefix is the hash of a prompt prefix, as in routing.PrefixHash.
+	// Prefix is the hash of a prompt prefix, as in routing.Prefixes.
 	Prefix  uint64 `json:"prefix"`
 	Evicted bool   `json:"evicted,omitempty"`
 }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -113,7 +113,6 @@
 	}
 	check("live at first", table.Live(after(2000)), "b", "leaving", "silent")
 	check("live", table.Live(after(3000)), "b", "leaving")
-	check("for new work", table.ForNewWork(after(3000)), "b")
 	check("sums, one of each cell", table.Sums(after(3000)), "b", "a")
 	check("nobody", table.Live(after(5000)))
 	testkit.Equal(t, "VMs remembered", len(table.All()), 3)
--- a/internal/digest/table.go
+++ b/internal/digest/table.go
@@ -97,16 +97,10 @@
 
 // Live returns the newest own digest of each VM that is live, sorted by VM and
 // with its present Age. Leaving VMs are among them: they still hold requests.
-// Use ForNewWork for choosing.
 func (t *Table) Live(now time.Time) []entryvm.Digest {
 	return t.live(now, func(d entryvm.Digest) bool { return d.Cell == "" })
 }
 
-// ForNewWork returns what Live does, without leaving VMs.
-func (t *Table) ForNewWork(now time.Time) []entryvm.Digest {
-	return t.live(now, func(d entryvm.Digest) bool { return d.Cell == "" && !d.Leaving })
-}
-
 // Sums returns one live sum of each cell, sorted by cell: several VMs sum up the
 // same cell, and adding two of them would count it twice. The one that speaks
 // for most VMs is taken.
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -141,7 +141,7 @@
 // second makes a second's news.
 func (w *world) second(p *Planner, engines, units int) {
 	for range min(20, engines/2) {
-		p.picture.dirty[benchEngine(w.rng.Intn(engines))] = struct{}{}
+		p.cache.dirty[benchEngine(w.rng.Intn(engines))] = struct{}{}
 	}
 	for range min(200, units) {
 		p.Used(unitAt(w.rng.Intn(units)), benchNow)
--- a/internal/planner/picture.go
+++ b/internal/planner/cache.go
@@ -21,15 +21,15 @@
 	auditEvery = 5 * time.Minute
 )
 
-// picture is what the planner keeps of all engines and of its own units from one
+// cache is what the planner keeps of all engines and of its own units from one
 // plan to the next, so that a plan costs what changed. One goroutine owns it.
 //
 // Failure: an engine that changes without being named by the fleet's or the
-// state's changes would stay as it was in the picture. The symptom is a decision
+// state's changes would stay as it was in the cache. The symptom is a decision
 // that the fold turns down again and again, while its requests wait. So each
 // engine is read anew once in auditEvery, whatever was heard of it; until then
 // the fold still refuses what would overcommit the engine.
-type picture struct {
+type cache struct {
 	fleet   *placement.Fleet
 	engines map[string]*seenEngine
 	// dirty are the engines to be made anew in the fleet.
@@ -67,7 +67,7 @@
 type seenEngine struct {
 	fleet.Engine
 	// gone is whether it has left since or went silent, reachable as in the
-	// picture, and needed whether it holds a unit of picture.needed.
+	// cache, and needed whether it holds a unit of cache.needed.
 	gone, reachable, needed bool
 	// running is how many requests run on it, as of the look at use that is
 	// numbered look.
@@ -93,8 +93,8 @@
 	sick    map[string]bool
 }
 
-func newPicture() *picture {
-	return &picture{
+func newCache() *cache {
+	return &cache{
 		fleet: placement.NewFleet(), engines: make(map[string]*seenEngine), dirty: make(map[string]struct{}),
 		back: make(map[string]struct{}), lost: make(map[string]bool),
 	}
@@ -102,7 +102,7 @@
 
 // look asks others what is new. It takes their locks, so it is called with none.
 func (p *Planner) look(now time.Time) news {
-	v := p.picture
+	v := p.cache
 	for _, address := range p.config.Changes() {
 		v.read(address, p.config.Engine)
 		v.dirty[address] = struct{}{}
@@ -132,7 +132,7 @@
 }
 
 // read takes an engine as the fleet of this VM has it.
-func (v *picture) read(address string, engine func(string) (fleet.Engine, bool)) {
+func (v *cache) read(address string, engine func(string) (fleet.Engine, bool)) {
 	e, there := engine(address)
 	if !there {
 		if known := v.engines[address]; known != nil {
@@ -152,7 +152,7 @@
 }
 
 // nextAudit are the engines whose turn it is to be looked at.
-func (v *picture) nextAudit(now time.Time) []string {
+func (v *cache) nextAudit(now time.Time) []string {
 	if len(v.audit) == 0 {
 		v.audit = slices.Collect(maps.Keys(v.engines))
 		for address := range v.fleet.Silent() {
@@ -175,7 +175,7 @@
 // schedule has the engine looked at again when time alone changes it: when it has
 // not been heard for long (that it is heard again is news), first for new rights
 // and then for being kept at all, and when requests no longer count as running.
-func (v *picture) schedule(e *seenEngine) {
+func (v *cache) schedule(e *seenEngine) {
 	at := e.countUntil
 	silentAt := e.SeenAt.Add(silentAfter)
 	if e.reachable {
@@ -192,7 +192,7 @@
 }
 
 // takeDue takes the engines that are to be looked at again by now.
-func (v *picture) takeDue(now time.Time) []*seenEngine {
+func (v *cache) takeDue(now time.Time) []*seenEngine {
 	var due []*seenEngine
 	for len(v.due) > 0 && !now.Before(v.due[0].at) {
 		next := heap.Pop(&v.due).(recheck)
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -71,7 +71,7 @@
 			add(share.Planner(unit), unit)
 		}
 	}
-	for _, u := range p.picture.units.list() {
+	for _, u := range p.cache.units.list() {
 		if !share.Mine(u.Name) {
 			continue
 		}
--- a/internal/planner/kept_test.go
+++ b/internal/planner/kept_test.go
@@ -256,12 +256,12 @@
 }
 
 // fullView makes the snapshot anew from everything there is, as each plan did
-// before the picture was kept, and tells which engines may be left out of it.
+// before the cache was kept, and tells which engines may be left out of it.
 func (p *Planner) fullView(s *state.State, engines []fleet.Engine, n news) (placement.View, map[string]bool) {
-	before := p.picture.fleet
-	p.picture.fleet = placement.NewFleet()
+	before := p.cache.fleet
+	p.cache.fleet = placement.NewFleet()
 	v := p.view(state.New(), n)
-	p.picture.fleet = before
+	p.cache.fleet = before
 	v.Fleet, v.Units, v.Store.Running = nil, nil, 0
 	v.Budget = func(customer string) int64 { return budget(s, customer) }
 	v.Lookup = func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) }
@@ -293,10 +293,10 @@
 		}
 		v.Engines = append(v.Engines, made)
 	}
-	p.picture.fleet = placement.NewFleet() // for since when units are ready
+	p.cache.fleet = placement.NewFleet() // for since when units are ready
 	for _, e := range v.Engines {
 		if !out[e.Name] {
-			p.picture.fleet.Set(e)
+			p.cache.fleet.Set(e)
 		}
 	}
 	for key := range p.loading.running {
@@ -307,17 +307,17 @@
 	return v, out
 }
 
-// The planner keeps its picture from plan to plan and takes in what it is told
+// The planner keeps its cache from plan to plan and takes in what it is told
 // has changed. If some change were not told, it would go on deciding by what was:
 // loads on an engine that is full or gone, refused by the fold while callers
-// wait. So random worlds are planned twice, from the picture and from scratch.
-func TestKeptPictureIsTheFullOne(t *testing.T) {
+// wait. So random worlds are planned twice, from the cache and from scratch.
+func TestCacheIsTheFullView(t *testing.T) {
 	for seed := range int64(8) {
-		synctest.Test(t, func(t *testing.T) { comparePictures(t, seed) })
+		synctest.Test(t, func(t *testing.T) { compareWithFullView(t, seed) })
 	}
 }
 
-func comparePictures(t *testing.T, seed int64) {
+func compareWithFullView(t *testing.T, seed int64) {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), state: state.New(), live: rendezvous.NewTable(),
 		statuses: make(map[string]engine.Status), silent: make(map[string]bool),
--- a/internal/planner/loads_test.go
+++ b/internal/planner/loads_test.go
@@ -90,7 +90,7 @@
 // Two planners choose the last room of one engine; the fold turns one of them
 // down. Its requests must not wait out the term in which a decision may still
 // land. A place that is refused again and again waits it out, so that a wrong
-// picture does not eat the log's appends.
+// cache does not eat the log's appends.
 func TestRefusedDecisionIsMadeAgainAtOnce(t *testing.T) {
 	now := time.Unix(100_000, 0)
 	p := New(Config{Policy: placement.NewPlanner(placement.Config{})})
@@ -117,7 +117,7 @@
 func TestUnitsUsedLongAgoAreForgotten(t *testing.T) {
 	now := time.Unix(100_000, 0)
 	p := New(Config{Policy: placement.NewPlanner(placement.Config{})})
-	p.picture.fleet.Set(placement.Engine{Name: "e", Holdings: []placement.Holding{{Unit: "held"}}})
+	p.cache.fleet.Set(placement.Engine{Name: "e", Holdings: []placement.Holding{{Unit: "held"}}})
 	p.Learn(now, []placement.History{{Unit: "taught", LastAgo: time.Hour}})
 	share := Share{Mine: func(unit string) bool { return unit == "mine" }}
 	p.Used("mine", now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,16 +91,16 @@
 	refused map[holding]time.Time
 	// mine tells whether this VM plans a unit, in the plan under way.
 	mine func(unit string) bool
-	// used are the units used since the picture was last told, with whether the
+	// used are the units used since the cache was last told, with whether the
 	// next plan must know.
 	used     map[string]bool
 	handover handover
 	// taught are the units of which another planner told the history.
 	taught map[string]bool
-	// stages are those of the rights on the engines of the picture.
+	// stages are those of the rights on the engines of the cache.
 	stages map[holding]stageSince
-	// picture belongs to the goroutine that plans.
-	picture *picture
+	// cache belongs to the goroutine that plans.
+	cache *cache
 }
 
 type holding struct{ engine, unit string }
@@ -115,7 +115,7 @@
 		refused:  make(map[holding]time.Time),
 		used:     make(map[string]bool),
 		busy:     make(map[string]time.Time),
-		picture:  newPicture(),
+		cache:    newCache(),
 		taught:   make(map[string]bool),
 		stages:   make(map[holding]stageSince),
 	}
@@ -228,7 +228,7 @@
 
 func (p *Planner) decided(s *state.State, keeper state.Revision, d placement.Decision) decided {
 	out := decided{Decision: d, keeper: keeper}
-	known := p.picture.engines[d.Engine]
+	known := p.cache.engines[d.Engine]
 	unit, ok := lookup(s, d.Customer, d.Unit)
 	if known == nil || !ok {
 		return out
@@ -251,7 +251,7 @@
 }
 
 // refusedOnce is how long after a refusal another one for the same place waits
-// out the policy's term. Without it, a plan that rests on a wrong picture would
+// out the policy's term. Without it, a plan that rests on a stale cache would
 // be proposed and refused many times a second, at the cost of the log's appends.
 const refusedOnce = 3 * time.Second
 
--- a/internal/planner/silent.go
+++ b/internal/planner/silent.go
@@ -21,7 +21,7 @@
 // leaveOut keeps of an engine only what the policy asks of silent ones. Its loads
 // count no more: nobody here knows whether they run.
 func (p *Planner) leaveOut(s *state.State, known *seenEngine) {
-	v, address := p.picture, known.VM.Address
+	v, address := p.cache, known.VM.Address
 	before, _ := v.fleet.Engine(address)
 	v.loading -= loading(before)
 	p.forget(address, before, nil)
@@ -43,7 +43,7 @@
 // rights changed, and those with a unit that is now planned here. It is done ahead
 // of the plan, as the fleet's lock is not taken under the fold's.
 func (p *Planner) readBack(share Share) {
-	v := p.picture
+	v := p.cache
 	p.mu.Lock()
 	p.config.Control.View(func(s *state.State) { v.takeChanges(s, share) })
 	p.mu.Unlock()
@@ -55,7 +55,7 @@
 }
 
 // takeChanges takes in which contracts and rights changed in the fold.
-func (v *picture) takeChanges(s *state.State, share Share) {
+func (v *cache) takeChanges(s *state.State, share Share) {
 	changes, cursor := s.ChangesSince(v.cursor)
 	v.cursor = cursor
 	for _, address := range changes.Engines {
@@ -75,7 +75,7 @@
 	}
 }
 
-func (v *picture) changed(address string) {
+func (v *cache) changed(address string) {
 	v.dirty[address] = struct{}{}
 	if v.fleet.IsSilent(address) {
 		v.back[address] = struct{}{}
@@ -84,7 +84,7 @@
 
 // takeNeeded looks for the engines that hold what is planned here now, after the
 // own units changed.
-func (v *picture) takeNeeded() {
+func (v *cache) takeNeeded() {
 	needed := make(map[string]bool)
 	for _, u := range v.units.list() {
 		needed[u.Name] = true
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -19,18 +19,18 @@
 // reachableFor is how old an engine's newest status may be for new grants.
 const reachableFor = 10 * time.Second
 
-// view brings the picture up to date and makes of it the snapshot that a plan is
+// view brings the cache up to date and makes of it the snapshot that a plan is
 // made over.
 func (p *Planner) view(s *state.State, n news) placement.View {
 	p.update(s, n)
 	v := placement.View{
 		Now: n.now, Self: p.config.Domain, Store: p.config.Store(),
-		Fleet:  p.picture.fleet,
-		Units:  p.picture.units.list(),
+		Fleet:  p.cache.fleet,
+		Units:  p.cache.units.list(),
 		Budget: func(customer string) int64 { return budget(s, customer) },
 		Lookup: func(customer, unit string) (placement.Unit, bool) { return lookup(s, customer, unit) },
 	}
-	v.Store.Running = p.picture.loading
+	v.Store.Running = p.cache.loading
 	byUnit := make(map[string]placement.Demand)
 	for _, d := range n.demand {
 		if known, ok := byUnit[d.Unit]; !ok || d.Deadline.Before(known.Deadline) {
@@ -47,9 +47,9 @@
 	return v
 }
 
-// update takes all changes into the picture.
+// update takes all changes into the cache.
 func (p *Planner) update(s *state.State, n news) {
-	v := p.picture
+	v := p.cache
 	v.takeChanges(s, n.share)
 	if n.useRead {
 		p.takeUse(n)
@@ -68,7 +68,7 @@
 
 // takeUse takes in which engines are busy or sick.
 func (p *Planner) takeUse(n news) {
-	v := p.picture
+	v := p.cache
 	v.looks++
 	before := v.busy
 	v.busy = make([]*seenEngine, 0, len(n.running))
@@ -114,20 +114,20 @@
 		}
 		delete(p.used, unit)
 		at := p.lastUsed[unit]
-		p.picture.fleet.TouchHolders(unit, func(e *placement.Engine) {
+		p.cache.fleet.TouchHolders(unit, func(e *placement.Engine) {
 			for i := range e.Holdings {
 				if h := &e.Holdings[i]; h.Unit == unit {
 					h.LastUsed = at
 				}
 			}
-			p.noteUse(n.now, p.picture.engines[e.Name], e)
+			p.noteUse(n.now, p.cache.engines[e.Name], e)
 		})
 	}
 }
 
 // touch notes how an engine is used now.
 func (p *Planner) touch(now time.Time, known *seenEngine) {
-	p.picture.fleet.Touch(known.VM.Address, func(e *placement.Engine) { p.noteUse(now, known, e) })
+	p.cache.fleet.Touch(known.VM.Address, func(e *placement.Engine) { p.noteUse(now, known, e) })
 }
 
 func (p *Planner) noteUse(now time.Time, known *seenEngine, e *placement.Engine) {
@@ -170,12 +170,12 @@
 			known.countUntil = until
 		}
 	}
-	p.picture.schedule(known)
+	p.cache.schedule(known)
 }
 
-// remake makes an engine of the picture anew.
+// remake makes an engine of the cache anew.
 func (p *Planner) remake(now time.Time, s *state.State, address string) {
-	v := p.picture
+	v := p.cache
 	before, _ := v.fleet.Engine(address)
 	known := v.engines[address]
 	if known == nil && v.fleet.IsSilent(address) && !v.lost[address] {
@@ -202,9 +202,9 @@
 	p.schedule(known, e.Holdings)
 }
 
-// readySince is since when a unit is ready on an engine, by the picture so far.
+// readySince is since when a unit is ready on an engine, by the cache so far.
 func (p *Planner) readySince(now time.Time, key holding) time.Time {
-	before, _ := p.picture.fleet.Engine(key.engine)
+	before, _ := p.cache.fleet.Engine(key.engine)
 	for i := range before.Holdings {
 		if h := &before.Holdings[i]; h.Unit == key.unit && h.Ready {
 			return h.ReadySince
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,5 +1,5 @@
 // Package rendezvous picks one of several nodes for a key by rendezvous
-// hashing: VMs with the same picture of who is live pick the same one, and a
+// hashing: VMs with the same view of who is live pick the same one, and a
 // node's departure moves only the keys that it had.
 package rendezvous
 
