--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,4 +1,4 @@
-// Package fleet keeps an entry VM's picture of the other VMs: the platform's VM
+// Package fleet keeps what an entry VM knows of the other VMs: the platform's VM
 // list, which lags, and what the engines say of themselves when asked.
 package fleet
 
@@ -91,7 +91,8 @@
 	news    map[string]struct{}
 	changed func(news bool)
 	onList  func(time.Time, vmlist.List)
-	// turns are the questions left to strangers as of turnedAt; see inTurn.
+	// turns are the questions left to engines kept by other VMs as of turnedAt; see
+	// inTurn.
 	turns    float64
 	turnedAt time.Time
 }
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -28,9 +28,9 @@
 	// engines that a deployment has: questions to engines that are cut off last
 	// until Timeout, and must not hold up those to the others.
 	askers = 1024
-	// turnsAtOnce is how many questions to strangers may be saved up, and
-	// turnsForUse how many of them are for engines of Use only: the holders of a
-	// unit that is asked for the first time are asked at once.
+	// turnsAtOnce is how many questions to engines kept by other VMs may be saved
+	// up, and turnsForUse how many of them are for engines of Use only: the holders
+	// of a unit that is asked for the first time are asked at once.
 	turnsAtOnce = 16
 	turnsForUse = 12
 )
@@ -75,17 +75,17 @@
 
 // untilNext is the time until the next question is due.
 func (f *Fleet) untilNext(now time.Time) time.Duration {
-	stranger := now
+	nextTurn := now
 	if rate := f.config.Turns(); rate > 0 {
-		stranger = now.Add(time.Duration(float64(time.Second) / rate))
+		nextTurn = now.Add(time.Duration(float64(time.Second) / rate))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := now.Add(longestPause)
 	for _, e := range f.engines {
 		at := e.next
-		if at.Before(stranger) && !now.Before(e.busyUntil) {
-			at = stranger
+		if at.Before(nextTurn) && !now.Before(e.busyUntil) {
+			at = nextTurn
 		}
 		if !e.asking && at.Before(next) {
 			next = at
@@ -99,7 +99,7 @@
 	rate := f.config.Turns()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var due, strangers []*entry
+	var due, others []*entry
 	for _, e := range f.engines {
 		if e.ToldLeaving && now.Sub(e.leavingAt) > drainsFor {
 			e.ToldLeaving = false
@@ -108,12 +108,12 @@
 		switch {
 		case e.asking || now.Before(e.next):
 		case rate > 0 && !now.Before(e.busyUntil):
-			strangers = append(strangers, e)
+			others = append(others, e)
 		default:
 			due = append(due, e)
 		}
 	}
-	due = append(due, f.inTurn(now, rate, strangers)...)
+	due = append(due, f.inTurn(now, rate, others)...)
 	addresses := make([]string, 0, len(due))
 	for _, e := range due {
 		e.asking, e.askedAt = true, now
@@ -123,14 +123,15 @@
 	return addresses
 }
 
-// inTurn picks those of the strangers whose turn it is: first the ones that hold,
-// or may load, what was asked for here, then the ones not asked for longest. In a
-// large fleet the answers of all would fill the VM's network. Call with mu held.
-func (f *Fleet) inTurn(now time.Time, rate float64, strangers []*entry) []*entry {
+// inTurn picks those of the engines kept by other VMs whose turn it is: first the
+// ones that hold, or may load, what was asked for here, then the ones not asked for
+// longest. In a large fleet the answers of all would fill the VM's network. Call
+// with mu held.
+func (f *Fleet) inTurn(now time.Time, rate float64, others []*entry) []*entry {
 	f.turns = min(f.turns+now.Sub(f.turnedAt).Seconds()*rate, turnsAtOnce)
 	f.turnedAt = now
 	isUsed := func(e *entry) bool { return now.Before(e.usedUntil) }
-	slices.SortFunc(strangers, func(a, b *entry) int {
+	slices.SortFunc(others, func(a, b *entry) int {
 		if isUsed(a) != isUsed(b) {
 			if isUsed(a) {
 				return -1
@@ -140,9 +141,9 @@
 		return cmp.Or(a.askedAt.Compare(b.askedAt), strings.Compare(a.VM.Address, b.VM.Address))
 	})
 	n := 0
-	for ; n < len(strangers); n++ {
+	for ; n < len(others); n++ {
 		kept := 0.0
-		if !isUsed(strangers[n]) {
+		if !isUsed(others[n]) {
 			kept = turnsForUse
 		}
 		if f.turns < kept+1 {
@@ -150,7 +151,7 @@
 		}
 		f.turns--
 	}
-	return strangers[:n]
+	return others[:n]
 }
 
 func (f *Fleet) ask(ctx context.Context, address string) {
--- a/internal/fleet/told_test.go
+++ b/internal/fleet/told_test.go
@@ -168,7 +168,7 @@
 // each 2 s would fill its network, so they are asked in turns. A request comes for
 // what one of them holds: it is asked at once and then before the others, or the
 // request would wait for its turn.
-func TestStrangersAreAskedInTurns(t *testing.T) {
+func TestEnginesKeptByOthersAreAskedInTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var vms []vmlist.VM
 		for i := range 500 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,7 @@
 		Lister: config.Peers.VMList, Engine: config.Peers.Engines, Log: config.Logger,
 		Gone:     func(address string) { n.serving.Forget(address) },
 		TrustFor: min(maxTrust, keeper.IdleTick+trustHeartbeats*config.Heartbeat),
-		Turns:    n.strangerTurns, Drains: func() { n.gossip.Tell() },
+		Turns:    n.askTurns, Drains: func() { n.gossip.Tell() },
 	}, n.fleetChanged, n.listed)
 	n.gossip = gossip.New(gossip.Config{
 		VM: config.VM, Domain: config.Domain, Region: config.Region, Peer: config.Peers.EntryVMs,
--- a/internal/node/strangers.go
+++ b/internal/node/turns.go
@@ -23,8 +23,8 @@
 	plannedEvery = 20 * time.Second
 )
 
-// strangerTurns implements fleet.Config.Turns.
-func (n *Node) strangerTurns() float64 {
+// askTurns implements fleet.Config.Turns.
+func (n *Node) askTurns() float64 {
 	switch {
 	case !n.gossip.Large():
 		return 0
@@ -35,9 +35,9 @@
 	}
 }
 
-// watchPlanned has the holders of the units that this VM plans asked before other
-// strangers. Failure: a planner that doesn't hear from an engine for 10 s takes it
-// for out of reach, and its units for not loaded.
+// watchPlanned has the holders of the units that this VM plans asked before the
+// rest of the engines kept by other VMs. Failure: a planner that doesn't hear from
+// an engine for 10 s takes it for out of reach, and its units for not loaded.
 func (n *Node) watchPlanned(ctx context.Context) {
 	pause.Every(ctx, plannedEvery, func(context.Context) {
 		if !n.gossip.Large() {
