--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -29,9 +29,9 @@
 	withdrawn state.Revision
 }
 
-// picture is all that the next step is decided from: what the fold says, what
+// observation is all that the next step is decided from: what the fold says, what
 // the engine says, and what this keeper remembers of its own orders.
-type picture struct {
+type observation struct {
 	agreed state.Engine
 	status engine.Status
 	memory memory
@@ -55,7 +55,7 @@
 }
 
 // wants tells whether the unit of a standing right should be loaded.
-func (p picture) wants(right *state.Right) bool {
+func (p observation) wants(right *state.Right) bool {
 	return right.Withdrawn == 0 && (right.Wanted || p.memory.stranded[right.Unit])
 }
 
@@ -65,7 +65,7 @@
 func token(e *state.Engine) engine.Token { return engine.Token(max(e.Keeper, e.Newest)) }
 
 // nextSteps decides what to do, in the order in which to do it.
-func nextSteps(p picture) []step {
+func nextSteps(p observation) []step {
 	now := token(&p.agreed)
 	if p.memory.fenced < engine.Token(p.agreed.Keeper) {
 		return []step{{kind: stepFence, order: engine.Order{Token: now, Action: engine.ActionFence}}}
@@ -101,7 +101,7 @@
 
 // unloads are the steps that free memory: units without a right, standby rights
 // that are loaded, and withdrawn rights on their way to Gone. Adapters go first.
-func unloads(p picture, held map[string]engine.Unit, now engine.Token) []step {
+func unloads(p observation, held map[string]engine.Unit, now engine.Token) []step {
 	var steps []step
 	for _, unit := range sortedUnits(held) {
 		if unknown(unit, p.agreed.Rights[unit.Unit]) && !p.memory.resting[unit.Unit] {
@@ -135,7 +135,7 @@
 // has seen a token above every earlier load order, so none of them can bring
 // the unit back after Gone. It is sent again where the unit is back: on an
 // engine that ignores tokens a former keeper's late order loads it.
-func withdrawal(p picture, right *state.Right, unit engine.Unit, present bool, now engine.Token) []step {
+func withdrawal(p observation, right *state.Right, unit engine.Unit, present bool, now engine.Token) []step {
 	unload := step{
 		kind: stepUnload, order: unloadOrder(right.Unit, right.Base, now),
 		right: right.Granted, withdrawn: right.Withdrawn,
@@ -155,7 +155,7 @@
 // unloadProved tells whether an unload order of this withdrawal was answered and
 // still guards against earlier loads: an engine that checks tokens must say in
 // the same answer that it has seen this token, or it did not check at the time.
-func (p picture) unloadProved(right *state.Right) bool {
+func (p observation) unloadProved(right *state.Right) bool {
 	guarded := !p.status.ChecksTokens || p.status.HighestToken >= engine.Token(right.Withdrawn)
 	return guarded && p.memory.unloaded[right.Withdrawn]
 }
@@ -165,7 +165,7 @@
 // former keeper. The former's settling must have been folded before the engine
 // was asked: otherwise its last order may have arrived after the engine's answer
 // and before the settling, and Gone would free a unit that is loaded.
-func mayComeBack(p picture, right *state.Right) bool {
+func mayComeBack(p observation, right *state.Right) bool {
 	if p.memory.doubtful[right.Unit] {
 		return true
 	}
@@ -173,7 +173,7 @@
 }
 
 // loads are the wanted rights that the engine does not hold. Bases go first.
-func loads(p picture, held map[string]engine.Unit, now engine.Token) []step {
+func loads(p observation, held map[string]engine.Unit, now engine.Token) []step {
 	var steps []step
 	for _, right := range sortedRights(p.agreed.Rights) {
 		if !p.wants(right) || p.memory.resting[right.Unit] {
--- a/internal/keeper/worker.go
+++ b/internal/keeper/worker.go
@@ -157,7 +157,7 @@
 		clear(w.unloaded)
 	}
 	done := false
-	steps := nextSteps(picture{agreed: agreed, status: status, memory: remembered})
+	steps := nextSteps(observation{agreed: agreed, status: status, memory: remembered})
 	w.pause = workerTick
 	if settled(agreed, status, steps) && len(remembered.resting) == 0 {
 		w.pause = IdleTick
