--- a/internal/serving/busy.go
+++ b/internal/serving/busy.go
@@ -1,9 +1,6 @@
 package serving
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 // unitRun is what runs of one unit through this VM.
 type unitRun struct {
@@ -22,7 +19,7 @@
 	defer s.mu.Unlock()
 	var units []string
 	for unit, run := range s.onBackends {
-		if now.Sub(run.newest) >= longer && !strings.HasPrefix(unit, servicePoolPrefix) {
+		if _, isService := serviceOfPool(unit); !isService && now.Sub(run.newest) >= longer {
 			units = append(units, unit)
 		}
 	}
