--- /dev/null
+++ b/caller/relay.go
@@ -0,0 +1,267 @@
+package caller
+
+import (
+	"bergamotreel/internal/telemetry"
+	"context"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/contract"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+)
+
+// RelayHead is what a request that is passed on unchanged says of itself.
+type RelayHead struct {
+	// ID identifies the request on every hop; each attempt of a caller has its own.
+	ID string
+	// Patience is how long the caller waits from now on, 0 if it does not say.
+	Patience time.Duration
+	// Model and Adapter are empty for a request to a plain service.
+	Model, Adapter string
+	// Prefixes are the hashes of the prompt's prefixes, shortest first.
+	Prefixes []uint64
+}
+
+// Dialect reads what the platform's callers say in headers of its own.
+type Dialect interface {
+	// Read reads the head. An error is told to the caller as a bad request.
+	Read(r *http.Request) (RelayHead, error)
+	// Strip removes from the header what callers may not set.
+	Strip(header http.Header)
+	// RetryAfter writes the time after which to come back.
+	RetryAfter(d time.Duration) string
+}
+
+// RelayRequest is one request that is to be passed on unchanged.
+type RelayRequest struct {
+	RelayHead
+	Customer string
+	Route    *contract.Route
+	// Service is the one of the route's targets that the request goes to.
+	Service string
+	service.Forward
+	Arrived time.Time
+	// GiveUp is when the request must have its final answer, BeginBy when the
+	// answer must have begun: a stream's caller leaves earlier if it hears nothing.
+	GiveUp, BeginBy time.Time
+}
+
+// RelayAnswer takes the answer of a RelayRequest: its head, then its body as it
+// comes.
+type RelayAnswer interface {
+	// Begin sends the head; length is the body's, -1 if it isn't known.
+	Begin(status int, header http.Header, length int64)
+	// Write sends a piece of the body at once. An error means that the caller left.
+	Write(piece []byte) error
+	// Begun tells whether the head was sent, so that no other answer can follow.
+	Begun() bool
+}
+
+// RelayBackend is what an entry VM does with requests that it passes on.
+type RelayBackend interface {
+	// FindRoute returns the route for host and path, or fails with a refusal.
+	FindRoute(host, path string) (*contract.Route, string, error)
+	// Relay delivers the whole answer or fails: with a *refusal.Refusal before the
+	// answer began, with any error after. It stops when ctx ends.
+	Relay(ctx context.Context, r RelayRequest, answer RelayAnswer) error
+}
+
+// relayEnds counts the ends of relayed requests, relaySeconds measures them.
+const (
+	relayEnds    = "bergamotreel_relay_requests_total"
+	relaySeconds = "bergamotreel_relay_seconds"
+)
+
+// The usual end is counted from the start, so that a quiet VM shows it as 0.
+var (
+	relaysOK     = metrics.GetOrCreateCounter(relayEnds + `{code="` + codeOK + `"}`)
+	relaysOKTook = metrics.GetOrCreateHistogram(relaySeconds + `{code="` + codeOK + `"}`)
+)
+
+// defaultPatience bounds a request whose caller and route name no time.
+const defaultPatience = 30 * time.Second
+
+// answerReserve is how long before a route's timeout the last answer is on its
+// way, so that it arrives in time over a loaded link.
+const answerReserve = 20 * time.Millisecond
+
+// beginReserve is how long before its caller leaves a request that still waits is
+// refused: the refusal tells when to come back, a caller that left learns nothing.
+const beginReserve = 100 * time.Millisecond
+
+// RelayHandler serves callers whose requests are passed on unchanged. It is an
+// http.Handler without a mux: that would redirect paths that it finds unclean,
+// where they belong to the backend server.
+type RelayHandler struct {
+	backend RelayBackend
+	dialect Dialect
+	limits  Limits
+	log     *zap.Logger
+	held    *heldBytes
+}
+
+// NewRelay makes a handler.
+func NewRelay(backend RelayBackend, dialect Dialect, limits Limits, log *zap.Logger) *RelayHandler {
+	limits = limits.withDefaults()
+	return &RelayHandler{backend: backend, dialect: dialect, limits: limits, log: log, held: newHeldBytes(limits.HeldBytes)}
+}
+
+// ServeHTTP implements http.Handler. An answer that can't be finished breaks the
+// connection, so that no part of an answer looks whole.
+func (h *RelayHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	x := &relayExchange{answer: relayAnswer{w: w, limits: h.limits}, arrived: arrived}
+	err := h.relay(x, r)
+	h.record(x, r, err)
+	if err == nil {
+		return
+	}
+	if x.answer.begun || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.refuse(w, refusal.From(err))
+}
+
+// relayExchange is one request on its way.
+type relayExchange struct {
+	answer   relayAnswer
+	request  RelayRequest
+	arrived  time.Time
+	bodySize int64
+}
+
+func (h *RelayHandler) relay(x *relayExchange, r *http.Request) error {
+	head, err := h.dialect.Read(r)
+	if err != nil {
+		return refusal.New(refusal.CodeBadRequest, 0, "%v", err)
+	}
+	x.request.RelayHead = head
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, customer, err := h.backend.FindRoute(r.Host, path)
+	if err != nil {
+		return err
+	}
+	body, err := h.readBody(x, r, customer)
+	if err != nil {
+		return err
+	}
+	defer h.held.giveBack(customer, x.bodySize)
+	h.fill(x, r, route, customer, body)
+	return h.backend.Relay(r.Context(), x.request, &x.answer)
+}
+
+// fill completes the request that is passed on.
+func (h *RelayHandler) fill(x *relayExchange, r *http.Request, route *contract.Route, customer string, body []byte) {
+	q := &x.request
+	q.Route = route
+	q.Service = route.Target(draw(q.ID))
+	q.Customer = customer
+	q.Arrived = x.arrived
+	q.GiveUp = giveUp(x.arrived, q.Patience, route.Timeout)
+	q.BeginBy = q.GiveUp
+	if route.Silence > 0 && q.GiveUp.Sub(x.arrived) > route.Silence-beginReserve {
+		q.BeginBy = x.arrived.Add(route.Silence - beginReserve)
+	}
+	h.dialect.Strip(r.Header)
+	service.StripHop(r.Header)
+	q.Forward = service.Forward{
+		RequestID: q.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Deadline: q.GiveUp,
+	}
+}
+
+// giveUp is when the request must have its final answer: the caller is gone by
+// then, or the operator wants it kept no longer.
+func giveUp(arrived time.Time, patience, timeout time.Duration) time.Time {
+	allowed := defaultPatience
+	if patience > 0 {
+		allowed = patience
+	}
+	if timeout > 0 {
+		allowed = min(allowed, max(timeout-answerReserve, timeout/2))
+	}
+	return arrived.Add(allowed)
+}
+
+// draw turns an identity into a number from 0 up to 1, the same on every VM.
+func draw(id string) float64 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id))
+	return float64(hash.Sum32()) / (1 << 32)
+}
+
+// readBody reads the whole body, bounded for itself and with all others held.
+func (h *RelayHandler) readBody(x *relayExchange, r *http.Request, customer string) ([]byte, error) {
+	if r.ContentLength > h.limits.BodyBytes {
+		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
+	}
+	body, err := readAll(http.MaxBytesReader(x.answer.w, r.Body, h.limits.BodyBytes), r.ContentLength)
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
+	}
+	if err != nil {
+		return nil, refusal.New(refusal.CodeBadRequest, 0, "body: could not be read whole")
+	}
+	if err := h.held.take(customer, int64(len(body))); err != nil {
+		return nil, err
+	}
+	x.bodySize = int64(len(body))
+	// The bound on reading ends with the body. Left in place it would fire while
+	// net/http watches for the caller's leaving, and look like that.
+	_ = http.NewResponseController(x.answer.w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// record writes the request's last line and counts it.
+func (h *RelayHandler) record(x *relayExchange, r *http.Request, err error) {
+	code := codeOK
+	switch {
+	case err == nil:
+	case r.Context().Err() != nil:
+		code = codeCallerLeft
+	case x.answer.begun:
+		code = "broken_off"
+	default:
+		code = string(refusal.From(err).Code)
+	}
+	took := time.Since(x.arrived)
+	route := ""
+	if x.request.Route != nil {
+		route = x.request.Route.Name
+	}
+	ended, seconds := relaysOK, relaysOKTook
+	if code != codeOK {
+		ended = metrics.GetOrCreateCounter(relayEnds + `{code="` + code + `"}`)
+		seconds = metrics.GetOrCreateHistogram(relaySeconds + `{code="` + code + `"}`)
+	}
+	ended.Inc()
+	seconds.Update(took.Seconds())
+	fields := []zap.Field{
+		zap.String("request", x.request.ID), zap.String("route", route), zap.String("service", x.request.Service),
+		zap.String("code", code), zap.Int("status", x.answer.status), zap.Duration("took", took),
+	}
+	if err != nil {
+		fields = append(fields, telemetry.Reason(err), zap.String("host", r.Host), zap.String("uri", r.RequestURI))
+	}
+	h.log.Info("request ended", fields...)
+}
+
+// refuse sends a refusal in JSON, with the time after which to come back.
+func (h *RelayHandler) refuse(w http.ResponseWriter, r *refusal.Refusal) {
+	if r.Code == refusal.CodeBadRequest || r.Code == refusal.CodeTooLarge {
+		// What else is on the connection can't be told from the bad request's rest.
+		w.Header().Set("Connection", "close")
+	}
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", h.dialect.RetryAfter(r.RetryAfter))
+	}
+	writeBody(w, r.Status(), encodeRefusal(r))
+}
--- /dev/null
+++ b/cmd/bergamotreel/hosted.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/daemon"
+	"bergamotreel/internal/hosted"
+	"bergamotreel/internal/settings"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/platform"
+)
+
+// serveHosted runs one entry VM on the hosting platform.
+func serveHosted(ctx context.Context, s *settings.Settings) error {
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
+	if err != nil {
+		return s.Problem("log", "level", "%v", err)
+	}
+	output := telemetry.NewAsyncWriter(os.Stdout)
+	defer func() { _ = output.Close() }()
+	logger := telemetry.NewAsyncLogger(level, output)
+	clients := daemon.HostedPeers{
+		Peers: hosted.Peers{
+			Registry: platform.NewRegistry(s.Platform.Registry, s.Platform.Customer, logger),
+			Engines:  platform.NewEngines(),
+			Backends: platform.NewForwarder(),
+		},
+		Dialect: platform.Dialect{},
+	}
+	d, err := daemon.NewHosted(s, versionLine(), clients, logger, level)
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return d.Run(ctx, reload)
+}
+
+// explain tells what a process with these settings would run.
+func explain(out io.Writer, s *settings.Settings) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s: no mistake found\n", s.File)
+	fmt.Fprintf(&text, "entry VM %s in failure domain %s, region %s\n", s.VM.ID, s.VM.Domain, s.VM.Region)
+	fmt.Fprintf(&text, "callers on %s, other entry VMs on %s\n", s.VM.CallersAddress, s.VM.PeersAddress)
+	if s.Platform.Kind == settings.PlatformHosted {
+		fmt.Fprintf(&text, "platform: hosted, registry at %s, readiness on %s, %d shards a domain, seeds %s\n",
+			s.Platform.Registry, s.VM.ReadyAddress, s.Platform.Shards, strings.Join(s.Peers.Seeds, ", "))
+	} else {
+		fmt.Fprintf(&text, "platform: log %s, VM list %s, weight store %s; operators on %s\n",
+			s.Platform.LogURL, s.Platform.VMListURL, s.Platform.WeightStoreURL, s.VM.OperatorsAddress)
+	}
+	if s.Metrics.Address != "" {
+		fmt.Fprintf(&text, "metrics on %s\n", s.Metrics.Address)
+	}
+	_, err := io.WriteString(out, text.String())
+	return err
+}
--- a/cmd/bergamotreel/serve.go
+++ b/cmd/bergamotreel/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/integrii/flaggy"
 
@@ -12,23 +13,36 @@
 	"bergamotreel/internal/verbs"
 )
 
+// configVariable names the settings file where -config is not given.
+const configVariable = "BERGAMOTREEL_CONFIG"
+
 // serveVerb runs one entry VM.
 func serveVerb() verbs.Verb {
-	config := ""
+	config, check := "", false
 	return verbs.Verb{
 		Name: "serve",
 		Help: "run an entry VM until SIGTERM, then shut down gracefully",
 		Attach: func(sub *flaggy.Subcommand) {
-			sub.String(&config, "c", "config", "settings file (INI)")
+			sub.String(&config, "c", "config", "settings file (INI); default: the one named in "+configVariable)
+			sub.Bool(&check, "k", "check", "check the settings and tell what would run, without running it")
 		},
-		Run: func(ctx context.Context, _ io.Writer) error {
+		Run: func(ctx context.Context, out io.Writer) error {
+			if config == "" {
+				config = os.Getenv(configVariable)
+			}
 			if config == "" {
-				return verbs.UsageError("name the settings file with -config")
+				return verbs.UsageError("name the settings file with -config, or in " + configVariable)
 			}
 			s, err := settings.Load(config)
 			if err != nil {
 				return err
 			}
+			if check {
+				return explain(out, s)
+			}
+			if s.Platform.Kind == settings.PlatformHosted {
+				return serveHosted(ctx, s)
+			}
 			logger, err := telemetry.NewLogger(s.Log.Level)
 			if err != nil {
 				return err
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -33,6 +33,11 @@
 	Models   []Model
 	Adapters []Adapter
 	Services []Service
+	// Routes pass requests on unchanged; Pools describe the model engines behind
+	// their services. Only a platform's own configuration has them: the contract
+	// language has no keys for them yet.
+	Routes []Route
+	Pools  []EnginePool
 }
 
 // Key is an API key, kept as a hash only.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -40,6 +40,13 @@
 	// ErrBadRequest says that the engine could not read the request; it did
 	// nothing.
 	ErrBadRequest = errs.New("bad request")
+	// ErrOrderConflict says that another order is being carried out, or that the
+	// engine has accepted another number of orders than Order.After says; it did
+	// nothing.
+	ErrOrderConflict = errs.New("order conflicts with another one")
+	// ErrOtherIncarnation says that another start of the engine, or another backend
+	// server, answers at the address; it did nothing.
+	ErrOtherIncarnation = errs.New("another incarnation of the engine")
 	// ErrOutcomeUnknown says that the answer was lost after bytes were sent.
 	ErrOutcomeUnknown = errs.New("outcome unknown")
 )
@@ -79,6 +86,14 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	Bytes      int64  `json:"bytes,omitempty"`
 	Role       Role   `json:"role,omitempty"`
+	// Incarnation is the start of the engine that the order is for; any other one
+	// refuses it. Empty: any. Holder names who gives the order.
+	Incarnation string `json:"incarnation,omitempty"`
+	Holder      string `json:"holder,omitempty"`
+	// After is how many orders the engine must have accepted when this one is
+	// carried out, nil for any number: an order that is carried out late, behind
+	// a newer one, is refused.
+	After *uint64 `json:"after,omitempty"`
 }
 
 // Phase is how far a unit on an engine is.
@@ -135,6 +150,10 @@
 	Slots int `json:"slots"`
 	// Draining engines take no new request.
 	Draining bool `json:"draining,omitempty"`
+	// Orders counts the orders accepted since the start, Ordering is whether one is
+	// being carried out. Only engines that check Order.After tell them.
+	Orders   uint64 `json:"orders,omitempty"`
+	Ordering bool   `json:"ordering,omitempty"`
 }
 
 // Request is one request for tokens.
@@ -188,13 +207,18 @@
 	Evicted bool   `json:"evicted,omitempty"`
 }
 
-// Client talks to engines by their address.
-type Client interface {
+// Manager gives engines orders by their address, and asks what they hold.
+type Manager interface {
 	Status(ctx context.Context, address string) (Status, error)
 	// Order returns once the engine has taken the order (a load goes on after
 	// that and shows in Status). It fails with ErrNotSent, ErrStaleToken,
 	// ErrNoMemory or ErrOutcomeUnknown: the order may then still take effect.
 	Order(ctx context.Context, address string, order Order) (Status, error)
+}
+
+// Client talks to engines by their address.
+type Client interface {
+	Manager
 	// Generate starts a stream. It fails with ErrNotSent, ErrNotLoaded, ErrBusy
 	// (nothing ran) or ErrOutcomeUnknown.
 	Generate(ctx context.Context, address string, request Request) (Stream, error)
--- /dev/null
+++ b/entryvm/coordination.go
@@ -0,0 +1,210 @@
+package entryvm
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+)
+
+// coordinationName is the net/rpc service of entry VMs whose platform keeps
+// configuration, backend servers and leases for them.
+const coordinationName = "Coordination"
+
+// Report is what such an entry VM tells the others of itself, a few times a second.
+type Report struct {
+	// VM, Address and Domain say who speaks; Address is IP:port of net/rpc.
+	VM, Address, Domain string
+	// Incarnation changes with each start; Sequence grows with each report of it.
+	Incarnation string
+	Sequence    uint64
+	// Leaving is set from the start of a graceful shutdown.
+	Leaving bool
+	// Keeps are the shards of the VM's domain to whose engines it may give orders.
+	Keeps []int
+	// Running is what runs on backend servers through this VM.
+	Running []Running
+	// Waiting is what waits here for a model or an adapter.
+	Waiting []Waiting
+	// Rates are the requests for each model here, a second.
+	Rates []ModelRate
+	// Failing are the backend servers that this VM finds failing.
+	Failing []string
+	// Engines is news of the engines that this VM keeps.
+	Engines []EngineNews
+	// Configuration is the version in force here.
+	Configuration uint64
+	// Members are the entry VMs that this one hears: so that two which both know a
+	// third meet each other.
+	Members []Member
+}
+
+// Member is an entry VM and its address.
+type Member struct{ VM, Address, Domain string }
+
+// Running counts requests for one unit on one backend server.
+type Running struct {
+	Backend, Unit string
+	Count         int
+}
+
+// Waiting counts requests that wait for a unit.
+type Waiting struct {
+	Unit  string
+	Count int
+	// Oldest is for how long the first of them has waited, at sending.
+	Oldest time.Duration
+}
+
+// ModelRate is the requests a second for the model of a service.
+type ModelRate struct {
+	Service, Model string
+	Rate           float32
+}
+
+// EngineNews is what the keeper of an engine knows of it.
+type EngineNews struct {
+	// ID names the start of the engine.
+	ID string
+	// Orders counts the orders that the engine has accepted.
+	Orders uint64
+	// Version grows with each change of the news at one keeper.
+	Version uint64
+	// Swapping is whether models are being loaded or unloaded.
+	Swapping bool
+	// Models are those that take requests, with their adapters.
+	Models []EngineModel
+}
+
+// EngineModel is a model that takes requests on an engine.
+type EngineModel struct {
+	Model    string
+	Adapters []string
+}
+
+// SwapArgs asks an engine's keeper to change what it holds.
+type SwapArgs struct {
+	Engine string
+	Unload []string
+	Load   string
+	// Takes is how long the load should take.
+	Takes time.Duration
+	// Reason tells why, for the keeper's log.
+	Reason string
+}
+
+// SwapReply tells whether the keeper has begun.
+type SwapReply struct {
+	Begun  bool
+	Reason string
+}
+
+// AdapterArgs asks an engine's keeper to load an adapter on a model it holds.
+type AdapterArgs struct {
+	Engine, Model, Adapter string
+}
+
+// AdapterReply tells whether the adapter is loaded, and what the engine holds.
+type AdapterReply struct {
+	Loaded bool
+	Reason string
+	News   EngineNews
+}
+
+// ReleaseArgs asks a former owner of a shard to stop its orders.
+type ReleaseArgs struct {
+	Group      string
+	Index      int
+	Generation uint64
+}
+
+// ReleaseReply tells how long ago the last order was, negative where one is under
+// way. Released is false where the VM asked holds the shard under a newer generation.
+type ReleaseReply struct {
+	Released  bool
+	LastOrder time.Duration
+}
+
+// KnowledgeReply is what a VM that can't reach the registry needs to start.
+type KnowledgeReply struct {
+	// Configuration is the newest one's source, nil where none is known.
+	Configuration []byte
+	// Backends is the list of backend servers, encoded with encoding/gob.
+	Backends []byte
+}
+
+// None is a message without content.
+type None struct{}
+
+// Coordinator is what such an entry VM does with the messages of the others.
+type Coordinator interface {
+	Report(Report) Report
+	Swap(SwapArgs) SwapReply
+	Adapter(AdapterArgs) AdapterReply
+	Release(ReleaseArgs) ReleaseReply
+	Knowledge() KnowledgeReply
+}
+
+// coordination is the net/rpc service over a Coordinator.
+type coordination struct{ coordinator Coordinator }
+
+// Report exchanges reports.
+func (c *coordination) Report(args *Report, reply *Report) error {
+	*reply = c.coordinator.Report(*args)
+	return nil
+}
+
+// Swap asks for a swap.
+func (c *coordination) Swap(args *SwapArgs, reply *SwapReply) error {
+	*reply = c.coordinator.Swap(*args)
+	return nil
+}
+
+// Adapter asks for an adapter.
+func (c *coordination) Adapter(args *AdapterArgs, reply *AdapterReply) error {
+	*reply = c.coordinator.Adapter(*args)
+	return nil
+}
+
+// Release asks for a shard.
+func (c *coordination) Release(args *ReleaseArgs, reply *ReleaseReply) error {
+	*reply = c.coordinator.Release(*args)
+	return nil
+}
+
+// Knowledge asks for what is known.
+func (c *coordination) Knowledge(_ *None, reply *KnowledgeReply) error {
+	*reply = c.coordinator.Knowledge()
+	return nil
+}
+
+// ServeCoordination answers the other entry VMs on the listener until ctx ends, as
+// Serve does.
+func ServeCoordination(ctx context.Context, listener net.Listener, secret []byte, coordinator Coordinator, tlsConfig *tls.Config, options ...Option) error {
+	return serve(ctx, listener, secret, coordinationName, &coordination{coordinator}, tlsConfig, options...)
+}
+
+// Report sends a report and returns the other's.
+func (c *Client) Report(ctx context.Context, address string, report Report) (Report, error) {
+	return call[Report](ctx, c, lineKey{address: address}, coordinationName+".Report", &report)
+}
+
+// Swap asks the keeper of an engine for a swap.
+func (c *Client) Swap(ctx context.Context, address string, swap SwapArgs) (SwapReply, error) {
+	return call[SwapReply](ctx, c, lineKey{address: address}, coordinationName+".Swap", &swap)
+}
+
+// Adapter asks the keeper of an engine for an adapter.
+func (c *Client) Adapter(ctx context.Context, address string, adapter AdapterArgs) (AdapterReply, error) {
+	return call[AdapterReply](ctx, c, lineKey{address: address}, coordinationName+".Adapter", &adapter)
+}
+
+// Release asks a former owner of a shard to stop its orders.
+func (c *Client) Release(ctx context.Context, address string, release ReleaseArgs) (ReleaseReply, error) {
+	return call[ReleaseReply](ctx, c, lineKey{address: address}, coordinationName+".Release", &release)
+}
+
+// Knowledge asks a VM for what it knows.
+func (c *Client) Knowledge(ctx context.Context, address string) (KnowledgeReply, error) {
+	return call[KnowledgeReply](ctx, c, lineKey{address: address, bulk: true}, coordinationName+".Knowledge", &None{})
+}
--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -46,11 +46,16 @@
 // connections and returns when their calls have ended. A peer must know the
 // fleet secret. A tlsConfig of nil means TCP without TLS.
 func Serve(ctx context.Context, listener net.Listener, secret []byte, handler Handler, tlsConfig *tls.Config, options ...Option) error {
+	return serve(ctx, listener, secret, serviceName, &service{handler}, tlsConfig, options...)
+}
+
+// serve answers calls of one net/rpc service.
+func serve(ctx context.Context, listener net.Listener, secret []byte, name string, receiver any, tlsConfig *tls.Config, options ...Option) error {
 	if err := checkSecret(secret); err != nil {
 		return err
 	}
 	dispatcher := rpc.NewServer()
-	if err := dispatcher.RegisterName(serviceName, &service{handler}); err != nil {
+	if err := dispatcher.RegisterName(name, receiver); err != nil {
 		return Error.Wrap(err)
 	}
 	s := &server{
--- /dev/null
+++ b/internal/hosted/backends.go
@@ -0,0 +1,264 @@
+package hosted
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/registry"
+)
+
+const (
+	// returnTime is how long after the registry's return an entry that lapsed
+	// meanwhile may take to be back: its backend server lives, and could not renew.
+	returnTime = 2200 * time.Millisecond
+	// newsFor is how long a keeper's word on an engine stands beside the
+	// registry's: far beyond a swap. A keeper that is gone says nothing more.
+	newsFor = 15 * time.Second
+	// lackingFor is how long a backend server that turned a unit away is not asked
+	// for it again: the news of what it holds is there by then.
+	lackingFor = 400 * time.Millisecond
+)
+
+// backendTable is what this VM knows of the backend servers: the registry's list,
+// with the newer word of the engines' keepers. It is safe for concurrent use.
+type backendTable struct {
+	logger *zap.Logger
+
+	mu      sync.Mutex
+	entries map[string]*backend
+	listed  bool
+	// returnedAt is when the registry answered again after an outage.
+	returnedAt time.Time
+}
+
+// backend is one start of a backend server.
+type backend struct {
+	registry.Backend
+	// removeAt is when it is dropped unless it is back, zero while it is listed.
+	removeAt time.Time
+	news     entryvm.EngineNews
+	newsFrom string
+	newsAt   time.Time
+	lacking  map[string]time.Time
+	// models are those that take requests, with their adapters, and since when.
+	models map[string]heldModel
+}
+
+// heldModel is a model that takes requests on an engine.
+type heldModel struct {
+	since    time.Time
+	adapters map[string]bool
+}
+
+func newBackendTable(logger *zap.Logger) *backendTable {
+	return &backendTable{logger: logger, entries: make(map[string]*backend)}
+}
+
+// replace takes a whole list.
+func (t *backendTable) replace(now time.Time, list []registry.Backend) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = true
+	there := make(map[string]bool, len(list))
+	for _, b := range list {
+		there[b.ID] = true
+		t.put(now, b)
+	}
+	for id := range t.entries {
+		if !there[id] {
+			t.remove(now, id)
+		}
+	}
+}
+
+// change takes changes in order.
+func (t *backendTable) change(now time.Time, changes []registry.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range changes {
+		if c.Backend == nil {
+			t.remove(now, c.ID)
+			continue
+		}
+		t.put(now, *c.Backend)
+	}
+}
+
+func (t *backendTable) put(now time.Time, b registry.Backend) {
+	known := t.entries[b.ID]
+	if known == nil {
+		known = &backend{lacking: make(map[string]time.Time)}
+		t.entries[b.ID] = known
+		t.logger.Info("backend server listed", zap.String("backend", b.ID), zap.String("service", b.Service),
+			zap.String("address", b.Address), zap.String("domain", b.Domain), zap.Bool("leaving", b.Leaving))
+	} else if known.Leaving != b.Leaving {
+		t.logger.Info("backend server leaving", zap.String("backend", b.ID), zap.Bool("leaving", b.Leaving),
+			zap.Duration("leaves_in", b.LeavesIn))
+	}
+	known.Backend = b
+	known.removeAt = time.Time{}
+	known.merge(now)
+}
+
+// remove drops an entry. Failure: the registry was away, entries of living backend
+// servers lapsed meanwhile, and every VM would take the whole fleet for gone. So
+// soon after an outage an entry stays until its server had time to be back.
+func (t *backendTable) remove(now time.Time, id string) {
+	known := t.entries[id]
+	if known == nil || !known.removeAt.IsZero() {
+		return
+	}
+	until := t.returnedAt.Add(returnTime)
+	if t.returnedAt.IsZero() || !now.Before(until) {
+		delete(t.entries, id)
+		t.logger.Info("backend server gone", zap.String("backend", id), zap.String("service", known.Service))
+		return
+	}
+	known.removeAt = until
+	t.logger.Info("backend server doubtful", zap.String("backend", id), zap.Duration("gone_in", until.Sub(now)))
+}
+
+// returned notes the end of an outage of the registry.
+func (t *backendTable) returned(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.returnedAt = now
+}
+
+// sweep drops what was not back in time.
+func (t *backendTable) sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, b := range t.entries {
+		if !b.removeAt.IsZero() && !now.Before(b.removeAt) {
+			delete(t.entries, id)
+			t.logger.Info("backend server gone", zap.String("backend", id), zap.String("service", b.Service))
+		}
+		if b.newsAt.IsZero() || now.Sub(b.newsAt) <= newsFor {
+			continue
+		}
+		b.newsAt = time.Time{}
+		b.news = entryvm.EngineNews{}
+		b.merge(now)
+	}
+}
+
+// tell takes a keeper's word on an engine; it tells whether anything changed.
+func (t *backendTable) tell(now time.Time, keeper string, news entryvm.EngineNews) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.entries[news.ID]
+	if known == nil {
+		return false
+	}
+	if known.newsFrom == keeper && known.news.Version >= news.Version && !known.newsAt.IsZero() {
+		known.newsAt = now
+		return false
+	}
+	if known.newsFrom != keeper && !known.newsAt.IsZero() && known.news.Orders > news.Orders {
+		return false // a former keeper's
+	}
+	known.news, known.newsFrom, known.newsAt = news, keeper, now
+	known.merge(now)
+	return true
+}
+
+// merge works out what takes requests on the engine. The registry's entry and the
+// keeper's word both count the engine's orders: the higher count is the newer one.
+// At the same count the keeper knows more: which models are about to go, and the
+// adapters, for which the entry doesn't change.
+func (b *backend) merge(now time.Time) {
+	models := make(map[string]heldModel)
+	add := func(model string, adapters []string) {
+		held := heldModel{since: now, adapters: make(map[string]bool, len(adapters))}
+		if before, ok := b.models[model]; ok {
+			held.since = before.since
+		}
+		for _, adapter := range adapters {
+			held.adapters[adapter] = true
+		}
+		models[model] = held
+	}
+	if !b.newsAt.IsZero() && b.news.Orders >= b.Orders {
+		for _, m := range b.news.Models {
+			add(m.Model, m.Adapters)
+		}
+	} else {
+		for _, m := range b.Models {
+			add(m.Model, m.Adapters)
+		}
+	}
+	b.models = models
+}
+
+// swapping tells whether a keeper is changing what the engine holds.
+func (b *backend) swapping() bool { return !b.newsAt.IsZero() && b.news.Swapping }
+
+// lacks notes that a backend server turned a unit away.
+func (t *backendTable) lacks(now time.Time, id, unit string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.entries[id]; b != nil {
+		b.lacking[unit] = now.Add(lackingFor)
+	}
+}
+
+// loaded notes an adapter that this VM had loaded, before its keeper's news comes.
+func (t *backendTable) loaded(id, model, adapter string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.entries[id]
+	if b == nil {
+		return
+	}
+	if held, ok := b.models[model]; ok {
+		held.adapters[adapter] = true
+	}
+	clear(b.lacking)
+}
+
+// get returns a copy of an entry.
+func (t *backendTable) get(id string) (backend, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.entries[id]
+	if b == nil {
+		return backend{}, false
+	}
+	return *b, true
+}
+
+// each calls f with every entry of the service, or of all for an empty name; f
+// must not keep it.
+func (t *backendTable) each(service string, f func(*backend)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if b := t.entries[id]; service == "" || b.Service == service {
+			f(b)
+		}
+	}
+}
+
+// known tells whether a list was read.
+func (t *backendTable) known() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed
+}
+
+// list returns what the registry says of all backend servers.
+func (t *backendTable) list() []registry.Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []registry.Backend
+	for _, b := range t.entries {
+		out = append(out, b.Backend)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hosted/coordinator.go
@@ -0,0 +1,56 @@
+package hosted
+
+import (
+	"bergamotreel/internal/telemetry"
+	"bytes"
+	"context"
+	"encoding/gob"
+	"time"
+
+	"bergamotreel/entryvm"
+)
+
+// Report implements entryvm.Coordinator.
+func (n *Node) Report(report entryvm.Report) entryvm.Report {
+	now := time.Now()
+	n.members.heard(now, report, "")
+	return n.members.report(now)
+}
+
+// Swap implements entryvm.Coordinator.
+func (n *Node) Swap(args entryvm.SwapArgs) entryvm.SwapReply {
+	// A swap outlives the call that begins it.
+	if err := n.keeper.swap(context.Background(), args); err != nil {
+		return entryvm.SwapReply{Reason: err.Error()}
+	}
+	return entryvm.SwapReply{Begun: true}
+}
+
+// Adapter implements entryvm.Coordinator.
+func (n *Node) Adapter(args entryvm.AdapterArgs) entryvm.AdapterReply {
+	ctx, cancel := context.WithTimeout(context.Background(), adapterTimeout)
+	defer cancel()
+	news, err := n.keeper.adapter(ctx, args)
+	if err != nil {
+		return entryvm.AdapterReply{Reason: err.Error()}
+	}
+	return entryvm.AdapterReply{Loaded: true, News: news}
+}
+
+// Knowledge implements entryvm.Coordinator.
+func (n *Node) Knowledge() entryvm.KnowledgeReply {
+	var reply entryvm.KnowledgeReply
+	if current := n.inForce.Load(); current != nil {
+		reply.Configuration = current.Source
+	}
+	if !n.backends.known() {
+		return reply
+	}
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(n.backends.list()); err != nil {
+		n.config.Logger.Error("list of backend servers can't be encoded", telemetry.Reason(err))
+		return reply
+	}
+	reply.Backends = encoded.Bytes()
+	return reply
+}
--- /dev/null
+++ b/internal/hosted/directory.go
@@ -0,0 +1,169 @@
+package hosted
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/admission"
+	"bergamotreel/contract"
+	"bergamotreel/internal/serving"
+	"bergamotreel/refusal"
+	"bergamotreel/routing"
+	"bergamotreel/service"
+)
+
+const (
+	// plainSlots stands in for a plain service's backend server that does not say
+	// how much it runs at once.
+	plainSlots = 8
+)
+
+// unitName is a unit's name in admission and routing.
+func unitName(service, model, adapter string) string {
+	return serving.ModelUnit{Service: service, Model: model, Adapter: adapter}.String()
+}
+
+// engineRoom is what an engine's models may take: its memory less what its adapters
+// take when all their places are used.
+func engineRoom(pool *contract.EnginePool) int64 {
+	var largest int64
+	for i := range pool.Models {
+		if pool.Models[i].Adapters > 0 {
+			largest = max(largest, pool.Models[i].AdapterBytes)
+		}
+	}
+	return pool.MemoryBytes - largest*int64(pool.AdapterPlaces)
+}
+
+// Candidates implements serving.Directory: the engines that hold the model.
+func (n *Node) Candidates(unit string) []routing.Candidate {
+	wanted, ok := serving.ParseModelUnit(unit)
+	if !ok {
+		return nil
+	}
+	now := time.Now()
+	var out []routing.Candidate
+	n.backends.each(wanted.Service, func(b *backend) {
+		held, ok := b.models[wanted.Model]
+		if !ok {
+			return
+		}
+		ready := wanted.Adapter == "" || held.adapters[wanted.Adapter]
+		if until, lacks := b.lacking[unit]; lacks && now.Before(until) {
+			ready = false
+		}
+		out = append(out, routing.Candidate{
+			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.Leaving,
+		})
+	})
+	n.addInFlight(now, out)
+	return out
+}
+
+// Servers implements serving.Directory.
+func (n *Node) Servers(service string) []routing.Candidate {
+	now := time.Now()
+	var out []routing.Candidate
+	n.backends.each(service, func(b *backend) {
+		slots := b.Slots
+		if slots <= 0 {
+			slots = plainSlots
+		}
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.Leaving})
+	})
+	n.addInFlight(now, out)
+	return out
+}
+
+func (n *Node) addInFlight(now time.Time, candidates []routing.Candidate) {
+	for i := range candidates {
+		candidates[i].PeersInFlight = n.members.inFlight(now, candidates[i].Engine)
+	}
+}
+
+// Target implements serving.ForwardDirectory.
+func (n *Node) Target(backend string) (service.Target, bool) {
+	b, ok := n.backends.get(backend)
+	if !ok {
+		return service.Target{}, false
+	}
+	return service.Target{ID: b.ID, Address: b.Address}, true
+}
+
+// Lacking implements serving.ForwardDirectory.
+func (n *Node) Lacking(backend, unit string) {
+	n.backends.lacks(time.Now(), backend, unit)
+	n.config.Logger.Info("backend server lacks a unit", zap.String("backend", backend), zap.String("unit", unit))
+}
+
+// Hopeless implements serving.Directory: a model that the configuration does not
+// name can't be loaded anywhere.
+func (n *Node) Hopeless(unit string) *refusal.Refusal {
+	wanted, ok := serving.ParseModelUnit(unit)
+	if !ok {
+		return nil
+	}
+	pool := n.pool(wanted.Service)
+	if pool == nil {
+		return nil // a plain service, or a configuration that is about to come
+	}
+	if _, ok := pool.Model(wanted.Model); ok {
+		return nil
+	}
+	return refusal.New(refusal.CodeNoCapacity, 0, "no engine can hold %s", unit)
+}
+
+// Interest implements serving.Directory. Nothing is asked: keepers tell what changes.
+func (n *Node) Interest(string) {}
+
+// Missing implements serving.Directory: adapters are asked for at the keepers of the
+// engines that hold their model, everything else is the planner's.
+func (n *Node) Missing(waiting []admission.Demand) {
+	models := false
+	for _, d := range waiting {
+		wanted, ok := serving.ParseModelUnit(d.Unit)
+		if !ok {
+			continue
+		}
+		if wanted.Adapter != "" && n.adapters.ask(wanted) {
+			continue
+		}
+		models = true
+	}
+	if !models {
+		return
+	}
+	if n.members.plans(time.Now()) {
+		n.planner.wakeUp()
+		return
+	}
+	n.members.tell()
+}
+
+// failing are the backend servers that get nothing from this VM now.
+func (n *Node) failing(now time.Time) []string {
+	var out []string
+	n.serving.Decide(func(_ *admission.Controller, router *routing.Router) {
+		for name := range router.Sick(now) {
+			out = append(out, name)
+		}
+	})
+	return out
+}
+
+// runningUnits counts what runs on an engine through any VM, by unit.
+func (n *Node) runningUnits(now time.Time, engine string) map[string]int {
+	out := make(map[string]int)
+	for key, count := range n.members.units(now) {
+		if key.backend == engine {
+			out[key.unit] += count
+		}
+	}
+	for _, run := range n.serving.Runs() {
+		if run.Backend == engine {
+			out[run.Unit] += run.Count
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hosted/follow.go
@@ -0,0 +1,239 @@
+package hosted
+
+import (
+	"bergamotreel/internal/telemetry"
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/internal/pause"
+	"bergamotreel/registry"
+)
+
+const (
+	// awaitFor is how long one read waits for news. A connection that has gone
+	// silent shows after it, so it bounds how late a configuration can come then.
+	awaitFor = 4 * time.Second
+	// retryRead is the pause after a read that failed.
+	retryRead = 150 * time.Millisecond
+	// gather is the pause after news of backend servers: each swap changes an entry,
+	// and all VMs would make a call for each. Keepers tell of swaps at once, and a
+	// leaving backend server may get new work for some two seconds.
+	gather = 800 * time.Millisecond
+	// outageAfter is how long the registry must not answer for entries to have
+	// lapsed meanwhile, and for other VMs to be asked instead.
+	outageAfter = 700 * time.Millisecond
+	// learnEvery is how often a VM that misses something asks another one.
+	learnEvery = 200 * time.Millisecond
+	// learnTimeout bounds one such question.
+	learnTimeout = time.Second
+	// sweepEvery is how often what has run out is looked for.
+	sweepEvery = 200 * time.Millisecond
+)
+
+var untranslatedTotal = metrics.NewCounter(`bergamotreel_configurations_untranslated_total`)
+
+// reachability follows whether an outside system answers, with a log line for
+// each change.
+type reachability struct {
+	name   string
+	logger *zap.Logger
+
+	mu sync.Mutex
+	// failingSince is zero while it answers, answered whether it ever did.
+	failingSince time.Time
+	answered     bool
+}
+
+// ok notes an answer; it tells how long none had come before.
+func (r *reachability) ok(now time.Time) (outage time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failingSince.IsZero() {
+		outage = now.Sub(r.failingSince)
+		r.logger.Info("dependency regained", zap.String("dependency", r.name), zap.Duration("after", outage))
+	}
+	r.failingSince = time.Time{}
+	r.answered = true
+	return outage
+}
+
+// failed notes a call without an answer.
+func (r *reachability) failed(now time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failingSince.IsZero() {
+		return
+	}
+	r.failingSince = now
+	r.logger.Warn("dependency lost", zap.String("dependency", r.name), telemetry.Reason(err))
+}
+
+// failingFor is how long it has not answered, 0 while it does.
+func (r *reachability) failingFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.failingSince)
+}
+
+// followConfiguration is the duty that keeps the newest configuration in force.
+func (n *Node) followConfiguration(ctx context.Context) {
+	var cursor registry.Cursor
+	known := false
+	for ctx.Err() == nil {
+		var next *registry.Configuration
+		var err error
+		if known {
+			next, cursor, err = n.config.Peers.Registry.AwaitConfiguration(ctx, cursor, awaitFor)
+		} else {
+			next, cursor, err = n.config.Peers.Registry.Configuration(ctx)
+		}
+		switch {
+		case errors.Is(err, registry.ErrHistoryLost):
+			n.config.Logger.Info("history of the configuration lost, reading the newest")
+			known = false
+			continue
+		case errors.Is(err, registry.ErrUnavailable):
+			n.lost(ctx, err)
+			continue
+		case err != nil:
+			// A version that can't be translated: the one before stays in force.
+			untranslatedTotal.Inc()
+			n.config.Logger.Error("configuration can't be used", telemetry.Reason(err))
+		}
+		known = true
+		n.answered()
+		if next != nil {
+			n.apply(next, "registry")
+		}
+	}
+}
+
+// followBackends is the duty that keeps the list of backend servers.
+func (n *Node) followBackends(ctx context.Context) {
+	var cursor registry.Cursor
+	known := false
+	for ctx.Err() == nil {
+		if !known {
+			list, err := n.config.Peers.Registry.Backends(ctx)
+			if err != nil {
+				n.lost(ctx, err)
+				continue
+			}
+			n.answered()
+			n.backends.replace(time.Now(), list.List)
+			cursor, known = list.Next, true
+			n.backendsChanged()
+			continue
+		}
+		changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, awaitFor)
+		if errors.Is(err, registry.ErrHistoryLost) {
+			n.config.Logger.Info("history of backend servers lost, reading the whole list")
+			known = false
+			continue
+		}
+		if err != nil {
+			n.lost(ctx, err)
+			continue
+		}
+		n.answered()
+		cursor = changes.Next
+		if len(changes.List) > 0 {
+			n.backends.change(time.Now(), changes.List)
+			n.backendsChanged()
+			pause.For(ctx, gather)
+		}
+	}
+}
+
+func (n *Node) backendsChanged() {
+	n.serving.Wake()
+	n.planner.wakeUp()
+}
+
+// answered notes that the registry answers.
+func (n *Node) answered() {
+	now := time.Now()
+	if outage := n.registry.ok(now); outage >= outageAfter {
+		n.backends.returned(now)
+	}
+}
+
+// lost notes that it doesn't, and waits before the next try.
+func (n *Node) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.registry.failed(time.Now(), err)
+	pause.For(ctx, retryRead)
+}
+
+// sweep is the duty that drops what has run out.
+func (n *Node) sweep(ctx context.Context) {
+	pause.Every(ctx, sweepEvery, func(context.Context) {
+		now := time.Now()
+		n.backends.sweep(now)
+		n.keeper.sweep()
+	})
+}
+
+// learnFromPeers is the duty that asks other entry VMs while the registry does not
+// answer: for what a VM needs that started during an outage, and for a newer
+// configuration that another one read.
+func (n *Node) learnFromPeers(ctx context.Context) {
+	pause.Every(ctx, learnEvery, func(ctx context.Context) {
+		if n.registry.failingFor(time.Now()) < outageAfter {
+			return
+		}
+		for _, address := range n.members.wiser(n.version(), n.Ready() != nil) {
+			if n.learn(ctx, address) {
+				return
+			}
+		}
+	})
+}
+
+// version is that of the configuration in force, 0 before the first.
+func (n *Node) version() uint64 {
+	if current := n.inForce.Load(); current != nil {
+		return current.Version
+	}
+	return 0
+}
+
+func (n *Node) learn(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address)
+	if err != nil {
+		return false
+	}
+	if !n.backends.known() && len(reply.Backends) > 0 {
+		var list []registry.Backend
+		if err := gob.NewDecoder(bytes.NewReader(reply.Backends)).Decode(&list); err != nil {
+			n.config.Logger.Error("list of backend servers from a peer can't be read", zap.String("peer", address), telemetry.Reason(err))
+			return false
+		}
+		n.backends.replace(time.Now(), list)
+		n.backendsChanged()
+	}
+	if len(reply.Configuration) == 0 {
+		return false
+	}
+	configuration, err := n.config.Peers.Registry.Parse(reply.Configuration)
+	if err != nil {
+		n.config.Logger.Error("configuration from a peer can't be used", zap.String("peer", address), telemetry.Reason(err))
+		return false
+	}
+	n.apply(configuration, "peer "+address)
+	return true
+}
--- /dev/null
+++ b/internal/hosted/keeper.go
@@ -0,0 +1,472 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/telemetry"
+)
+
+const (
+	// orderTimeout bounds one order; an engine answers within milliseconds.
+	orderTimeout = time.Second
+	// retireNotice is how long the other VMs get to hear that a model is about to
+	// go, before it is unloaded: their requests would be turned away.
+	retireNotice = 25 * time.Millisecond
+	// conflictPause is the pause after an order that met another one.
+	conflictPause = 60 * time.Millisecond
+	// conflictsMost is how often an order is tried again before the engine is asked
+	// for what it holds.
+	conflictsMost = 12
+	// conflictSteps times conflictPause is the longest pause.
+	conflictSteps = 3
+	// statusLag is how old an engine's status may be.
+	statusLag = 150 * time.Millisecond
+	// statusPause is the time between two questions while a load runs longer than
+	// it should.
+	statusPause = 150 * time.Millisecond
+	// loadSlack times a load's expected time, and loadExtra more, is how long it may
+	// take: a store that many engines load from is slow.
+	loadSlack = 6
+	loadExtra = 4 * time.Second
+	// unloadMost bounds an unload, which waits for its model's requests.
+	unloadMost = 12 * time.Second
+	// adapterTime is what the load of an adapter takes at most, as a rule.
+	adapterTime = 16 * time.Millisecond
+	// adapterYoung is how long an adapter that was asked for is not given up: the
+	// request that it was loaded for may be on its way.
+	adapterYoung = 250 * time.Millisecond
+)
+
+var (
+	errNotKeeper = errors.New("this VM may not give orders to the engine")
+	errSwapping  = errors.New("a swap is under way")
+	errGone      = errors.New("the engine is gone")
+	errNoRoom    = errors.New("no room on the engine")
+	errLate      = errors.New("not done in time")
+
+	swapSeconds = metrics.NewHistogram(`bergamotreel_swap_seconds`)
+	ordersAccepted = metrics.NewCounter(`bergamotreel_orders_total{outcome="accepted"}`)
+	ordersFailed   = metrics.NewCounter(`bergamotreel_orders_total{outcome="failed"}`)
+)
+
+// keeper gives orders to the engines of the shards that this VM owns. It is safe
+// for concurrent use.
+type keeper struct {
+	node *Node
+
+	mu      sync.Mutex
+	engines map[string]*keptEngine
+}
+
+// keptEngine is what a keeper knows of one start of an engine.
+type keptEngine struct {
+	id string
+	// ordering is held while an order is decided and sent: orders go out one at a
+	// time, each with the number of those before it.
+	ordering sync.Mutex
+
+	mu sync.Mutex
+	// known is whether orders and models are as the engine last said or did.
+	known  bool
+	orders uint64
+	models map[string]*keptModel
+	// swapping is whether a swap is under way.
+	swapping bool
+	version  uint64
+	// untold is how many more reports carry the news.
+	untold int
+}
+
+// keptModel is a model on a kept engine.
+type keptModel struct {
+	// retiring models take no new requests.
+	retiring bool
+	adapters map[string]*keptAdapter
+}
+
+// keptAdapter is an adapter on a kept engine.
+type keptAdapter struct {
+	readyAt, usedAt time.Time
+}
+
+func newKeeper(n *Node) *keeper { return &keeper{node: n, engines: make(map[string]*keptEngine)} }
+
+// engine returns the state of an engine that this VM keeps.
+func (k *keeper) engine(id string) *keptEngine {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := k.engines[id]
+	if e == nil {
+		e = &keptEngine{id: id, models: make(map[string]*keptModel)}
+		k.engines[id] = e
+	}
+	return e
+}
+
+// sweep drops engines that are gone or kept by another VM: what is remembered of
+// them is old when they come back.
+func (k *keeper) sweep() {
+	active := k.node.activeShards()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, e := range k.engines {
+		_, listed := k.node.backends.get(id)
+		if listed && slices.Contains(active, k.node.shardOf(id)) {
+			continue
+		}
+		e.mu.Lock()
+		idle := !e.swapping
+		e.mu.Unlock()
+		if idle {
+			delete(k.engines, id)
+		}
+	}
+}
+
+// news returns what the other VMs should know of the kept engines: what changed
+// lately, or all.
+func (k *keeper) news(all bool) []entryvm.EngineNews {
+	k.mu.Lock()
+	kept := slices.Collect(maps.Values(k.engines))
+	k.mu.Unlock()
+	var out []entryvm.EngineNews
+	for _, e := range kept {
+		if news, ok := e.tell(all); ok {
+			out = append(out, news)
+		}
+	}
+	return out
+}
+
+// tell returns the engine's news if it is to be told.
+func (e *keptEngine) tell(all bool) (entryvm.EngineNews, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known || (e.untold == 0 && !all) {
+		return entryvm.EngineNews{}, false
+	}
+	e.untold = max(0, e.untold-1)
+	return e.newsLocked(), true
+}
+
+func (e *keptEngine) newsLocked() entryvm.EngineNews {
+	now := time.Now()
+	news := entryvm.EngineNews{ID: e.id, Orders: e.orders, Version: e.version, Swapping: e.swapping}
+	for name, m := range e.models {
+		if m.retiring {
+			continue
+		}
+		told := entryvm.EngineModel{Model: name}
+		for adapter, loaded := range m.adapters {
+			if !now.Before(loaded.readyAt) {
+				told.Adapters = append(told.Adapters, adapter)
+			}
+		}
+		news.Models = append(news.Models, told)
+	}
+	return news
+}
+
+// changed spreads news of an engine; call it with e.mu held. urgent news goes out
+// at once.
+func (k *keeper) changed(e *keptEngine, urgent bool) {
+	e.version++
+	// Each peer takes a report of its own.
+	e.untold = newsRepeat * max(1, k.node.config.peersHint())
+	k.node.backends.tell(time.Now(), k.node.config.VM, e.newsLocked())
+	if urgent {
+		go k.node.members.tell()
+	}
+	k.node.serving.Wake()
+}
+
+// peersHint is a fleet's usual number of peers, for news that each must get.
+func (c Config) peersHint() int { return fullMesh }
+
+// address returns where a listed engine is.
+func (k *keeper) address(id string) (string, error) {
+	b, ok := k.node.backends.get(id)
+	if !ok || !b.IsEngine {
+		return "", errGone
+	}
+	return b.Address, nil
+}
+
+// refresh asks the engine what it holds. A status lags: one that counts fewer
+// orders than are known to be accepted is asked for again.
+func (k *keeper) refresh(ctx context.Context, e *keptEngine) error {
+	deadline := time.Now().Add(orderTimeout)
+	for {
+		address, err := k.address(e.id)
+		if err != nil {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if k.take(e, status) {
+			return nil
+		}
+		if time.Now().After(deadline) || !sleep(ctx, statusLag) {
+			return errLate
+		}
+	}
+}
+
+// take sets what is known of an engine to its status, unless that is older or from
+// the middle of an order. Failure: a status lags; one from before the end of a load
+// has the same count of orders and lacks the model, and the next load overfills the
+// engine. Once no order is under way the count tells that all of them are in it.
+func (k *keeper) take(e *keptEngine, status engine.Status) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if status.Orders < e.orders || status.Ordering {
+		return false
+	}
+	e.orders = status.Orders
+	now := time.Now()
+	models := make(map[string]*keptModel)
+	for _, unit := range status.Units {
+		if unit.Base == "" {
+			models[unit.Unit] = &keptModel{adapters: make(map[string]*keptAdapter)}
+		}
+	}
+	for _, unit := range status.Units {
+		m := models[unit.Base]
+		if unit.Base == "" || m == nil {
+			continue
+		}
+		loaded := &keptAdapter{readyAt: now}
+		if unit.Phase == engine.PhaseLoading {
+			loaded.readyAt = now.Add(adapterTime)
+		}
+		if before := e.models[unit.Base]; before != nil && before.adapters[unit.Unit] != nil {
+			loaded.usedAt = before.adapters[unit.Unit].usedAt
+		}
+		m.adapters[unit.Unit] = loaded
+	}
+	for name, m := range models {
+		if before := e.models[name]; before != nil {
+			m.retiring = before.retiring
+		}
+	}
+	e.models = models
+	e.known = true
+	k.changed(e, false)
+	return true
+}
+
+// send sends one order under the lock e.ordering. The engine carries it out only
+// after just the orders that are known, so that one which is carried out late,
+// behind a newer one, is refused and overfills nothing.
+func (k *keeper) send(ctx context.Context, e *keptEngine, order engine.Order) error {
+	address, err := k.address(e.id)
+	if err != nil {
+		return err
+	}
+	token, end, ok := k.node.beginOrder(e.id)
+	if !ok {
+		return errNotKeeper
+	}
+	defer end()
+	e.mu.Lock()
+	after := e.orders
+	e.mu.Unlock()
+	order.Token = engine.Token(token)
+	order.Holder = k.node.config.VM
+	order.Incarnation = e.id
+	order.After = &after
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	status, err := k.node.config.Peers.Engines.Order(callCtx, address, order)
+	k.logOrder(e, order, err)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case err == nil:
+		e.orders = max(e.orders, status.Orders)
+		// The registry's entry may count the order before the next news does, and
+		// would bring back a model that is about to go.
+		k.changed(e, false)
+	case errors.Is(err, engine.ErrNotSent):
+	case errors.Is(err, engine.ErrOrderConflict) && e.swapping:
+		// The swap's own order is still being carried out.
+	default:
+		e.known = false
+	}
+	return err
+}
+
+func (k *keeper) logOrder(e *keptEngine, order engine.Order, err error) {
+	outcome, total := "accepted", ordersAccepted
+	if err != nil {
+		outcome, total = "failed", ordersFailed
+	}
+	total.Inc()
+	k.node.config.Logger.Info("order", zap.String("engine", e.id), zap.String("action", string(order.Action)),
+		zap.String("unit", order.Unit), zap.String("base", order.Base), zap.Uint64("token", uint64(order.Token)),
+		zap.Uint64("after", *order.After), zap.String("outcome", outcome), telemetry.Reason(err))
+}
+
+// sendPatiently is send, tried again where it meets an order that is being carried
+// out. It fails with engine.ErrOrderConflict where the engine has to be asked.
+func (k *keeper) sendPatiently(ctx context.Context, e *keptEngine, order engine.Order, until time.Time) error {
+	conflicts := 0
+	for {
+		e.ordering.Lock()
+		err := k.ready(ctx, e)
+		if err == nil {
+			err = k.send(ctx, e, order)
+		}
+		e.ordering.Unlock()
+		if !errors.Is(err, engine.ErrOrderConflict) || time.Now().After(until) {
+			return err
+		}
+		conflicts++
+		if conflicts%conflictsMost == 0 {
+			// Not this swap's order: an older one that was carried out late.
+			e.mu.Lock()
+			e.known = false
+			e.mu.Unlock()
+		}
+		if !sleep(ctx, conflictPause*time.Duration(min(conflicts, conflictSteps))) {
+			return err
+		}
+	}
+}
+
+// ready asks the engine unless it is known what it holds.
+func (k *keeper) ready(ctx context.Context, e *keptEngine) error {
+	e.mu.Lock()
+	known := e.known
+	e.mu.Unlock()
+	if known {
+		return nil
+	}
+	return k.refresh(ctx, e)
+}
+
+// adapter loads an adapter on a model that the engine holds, if need be in place of
+// the one that was not asked for the longest.
+func (k *keeper) adapter(ctx context.Context, args entryvm.AdapterArgs) (entryvm.EngineNews, error) {
+	e := k.engine(args.Engine)
+	readyAt, err := k.orderAdapter(ctx, e, args)
+	if err != nil {
+		return entryvm.EngineNews{}, err
+	}
+	if !sleep(ctx, time.Until(readyAt)) {
+		return entryvm.EngineNews{}, ctx.Err()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k.changed(e, false)
+	return e.newsLocked(), nil
+}
+
+func (k *keeper) orderAdapter(ctx context.Context, e *keptEngine, args entryvm.AdapterArgs) (readyAt time.Time, err error) {
+	e.ordering.Lock()
+	defer e.ordering.Unlock()
+	if err := k.ready(ctx, e); err != nil {
+		return readyAt, err
+	}
+	now := time.Now()
+	loaded, victim, err := k.placeFor(now, e, args)
+	if err != nil || loaded != nil {
+		if loaded != nil {
+			readyAt = loaded.readyAt
+		}
+		return readyAt, err
+	}
+	if victim.adapter != "" {
+		err := k.send(ctx, e, engine.Order{Action: engine.ActionUnload, Unit: victim.adapter, Base: victim.model})
+		if err != nil {
+			return readyAt, err
+		}
+		e.mu.Lock()
+		delete(e.models[victim.model].adapters, victim.adapter)
+		e.mu.Unlock()
+	}
+	if err := k.send(ctx, e, engine.Order{Action: engine.ActionLoad, Unit: args.Adapter, Base: args.Model}); err != nil {
+		return readyAt, err
+	}
+	readyAt = time.Now().Add(adapterTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m := e.models[args.Model]; m != nil {
+		m.adapters[args.Adapter] = &keptAdapter{readyAt: readyAt, usedAt: now}
+	}
+	return readyAt, nil
+}
+
+// adapterName is an adapter of a model.
+type adapterName struct{ model, adapter string }
+
+// placeFor finds the adapter, or which one gives way to it; no victim where there
+// is a free place.
+func (k *keeper) placeFor(now time.Time, e *keptEngine, args entryvm.AdapterArgs) (*keptAdapter, adapterName, error) {
+	b, ok := k.node.backends.get(e.id)
+	if !ok {
+		return nil, adapterName{}, errGone
+	}
+	pool := k.node.pool(b.Service)
+	if pool == nil {
+		return nil, adapterName{}, errGone
+	}
+	running := k.node.runningUnits(now, e.id)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.models[args.Model]
+	if m == nil || m.retiring {
+		return nil, adapterName{}, engine.ErrNotLoaded
+	}
+	if loaded := m.adapters[args.Adapter]; loaded != nil {
+		loaded.usedAt = now
+		return loaded, adapterName{}, nil
+	}
+	if e.swapping {
+		return nil, adapterName{}, errSwapping // the engine carries out one order at a time
+	}
+	victim, count := e.oldestAdapter(now, b.Service, running)
+	if count < pool.AdapterPlaces {
+		return nil, adapterName{}, nil
+	}
+	if victim.adapter == "" {
+		return nil, adapterName{}, errNoRoom
+	}
+	return nil, victim, nil
+}
+
+// oldestAdapter returns the adapter that was not used for the longest, and how many
+// there are. Call with e.mu held.
+func (e *keptEngine) oldestAdapter(now time.Time, service string, running map[string]int) (victim adapterName, count int) {
+	var oldest time.Time
+	for model, m := range e.models {
+		for adapter, loaded := range m.adapters {
+			count++
+			if running[unitName(service, model, adapter)] > 0 {
+				loaded.usedAt = now
+				continue
+			}
+			if now.Sub(loaded.usedAt) < adapterYoung {
+				continue
+			}
+			if victim.adapter == "" || loaded.usedAt.Before(oldest) {
+				victim, oldest = adapterName{model, adapter}, loaded.usedAt
+			}
+		}
+	}
+	return victim, count
+}
--- /dev/null
+++ b/internal/hosted/members.go
@@ -0,0 +1,401 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/rendezvous"
+)
+
+const (
+	// heardFor is how long a VM counts as live after its newest report: several
+	// reports, so that one lost is no death.
+	heardFor = 1500 * time.Millisecond
+	// forgetAfter is how long an address that never answers is tried.
+	forgetAfter = 20 * time.Second
+	// reportTimeout bounds an exchange of reports.
+	reportTimeout = 700 * time.Millisecond
+	// tellGap is the least time between two exchanges with one VM, however much
+	// there is to tell: news of many requests goes out together.
+	tellGap = 12 * time.Millisecond
+	// fullMesh is the number of VMs up to which each exchanges with each other at
+	// the configured pace; beyond it the pace falls, so that a VM's cost does not
+	// grow with the fleet.
+	fullMesh = 12
+	// newsRepeat is how many reports carry a change of an engine: one may be lost.
+	newsRepeat = 4
+	// newsEvery is the number of reports after which all engines are told again.
+	newsEvery = 12
+)
+
+// members is what this VM knows of the other entry VMs. It is safe for concurrent
+// use.
+type members struct {
+	node *Node
+	// wake asks the duty to look for new addresses.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	sequence uint64
+	peers    map[string]*member // by address
+	// running sums up what runs through the other live VMs, by backend server and
+	// by backend server and unit; it is renewed after each report.
+	stale      bool
+	summedAt   time.Time
+	onBackends map[string]int
+	onUnits    map[runKey]int
+}
+
+// runKey is a unit on a backend server.
+type runKey struct{ backend, unit string }
+
+// member is another entry VM, or an address at which one should be.
+type member struct {
+	address string
+	// report is the newest, heardAt when it came; zero before the first.
+	report  entryvm.Report
+	heardAt time.Time
+	// addedAt is when the address was learned.
+	addedAt time.Time
+	tell    chan struct{}
+	stop    context.CancelFunc
+}
+
+func newMembers(n *Node) *members {
+	return &members{node: n, wake: make(chan struct{}, 1), peers: make(map[string]*member),
+		onBackends: make(map[string]int), onUnits: make(map[runKey]int)}
+}
+
+// run is the duty that exchanges reports with each known VM.
+func (m *members) run(ctx context.Context) {
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
+	m.learn(m.node.config.Seeds)
+	timer := time.NewTicker(m.node.config.Report)
+	defer timer.Stop()
+	for {
+		for _, p := range m.idle() {
+			peerCtx, stop := context.WithCancel(ctx)
+			p.stop = stop
+			exchanges.Go(func() { m.exchange(peerCtx, p) })
+		}
+		m.forget()
+		select {
+		case <-timer.C:
+		case <-m.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// learn takes addresses at which entry VMs may be.
+func (m *members) learn(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	added := false
+	for _, address := range addresses {
+		if address == "" || address == m.node.config.Address || m.peers[address] != nil {
+			continue
+		}
+		m.peers[address] = &member{address: address, addedAt: time.Now(), tell: make(chan struct{}, 1)}
+		added = true
+	}
+	if added {
+		wake(m.wake)
+	}
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// idle returns the peers without an exchange.
+func (m *members) idle() []*member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*member
+	for _, p := range m.peers {
+		if p.stop == nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// forget drops addresses that have not answered for long.
+func (m *members) forget() {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, p := range m.peers {
+		last := p.heardAt
+		if last.IsZero() {
+			last = p.addedAt
+		}
+		if now.Sub(last) > forgetAfter && p.stop != nil && !slices.Contains(m.node.config.Seeds, address) {
+			p.stop()
+			delete(m.peers, address)
+		}
+	}
+}
+
+// exchange is the duty of one peer.
+func (m *members) exchange(ctx context.Context, p *member) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-p.tell:
+		case <-ctx.Done():
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		reply, err := m.node.config.Peers.EntryVMs.Report(callCtx, p.address, m.report(time.Now()))
+		cancel()
+		if err == nil {
+			m.heard(time.Now(), reply, p.address)
+		}
+		if !sleep(ctx, tellGap) {
+			return
+		}
+		timer.Reset(m.pace())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// pace is the time between two reports to a peer. Of two VMs each begins exchanges
+// with the other, so news is half as old.
+func (m *members) pace() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pace := m.node.config.Report
+	if len(m.peers) > fullMesh {
+		pace = pace * time.Duration(len(m.peers)) / fullMesh
+	}
+	return pace
+}
+
+// tell has all peers told at once.
+func (m *members) tell() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		wake(p.tell)
+	}
+}
+
+// heard takes a report; address is where it came from, if this VM asked for it.
+func (m *members) heard(now time.Time, report entryvm.Report, address string) {
+	if report.VM == m.node.config.VM || report.Address == "" {
+		return
+	}
+	addresses := []string{report.Address}
+	for _, other := range report.Members {
+		addresses = append(addresses, other.Address)
+	}
+	m.learn(addresses)
+	if !m.take(now, report) {
+		return
+	}
+	changed := false
+	for _, news := range report.Engines {
+		changed = m.node.backends.tell(now, report.VM, news) || changed
+	}
+	if changed {
+		m.node.serving.Wake()
+	}
+	if changed || len(report.Waiting) > 0 {
+		m.node.planner.wakeUp()
+	}
+}
+
+// take stores a report unless a newer one is there.
+func (m *members) take(now time.Time, report entryvm.Report) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[report.Address]
+	if p == nil {
+		return false
+	}
+	if p.report.Incarnation == report.Incarnation && p.report.Sequence >= report.Sequence {
+		return false
+	}
+	if p.heardAt.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.heardAt) > heardFor {
+		m.node.config.Logger.Info("entry VM heard", zap.String("peer", report.VM), zap.String("address", report.Address),
+			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.heardAt)))
+	}
+	p.report = report
+	p.heardAt = now
+	m.stale = true
+	return true
+}
+
+func silentFor(now, heardAt time.Time) time.Duration {
+	if heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(heardAt)
+}
+
+// live calls f with the newest report of each live peer, under the lock.
+func (m *members) live(now time.Time, f func(*entryvm.Report)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.eachLive(now, f)
+}
+
+func (m *members) eachLive(now time.Time, f func(*entryvm.Report)) {
+	for _, p := range m.peers {
+		if !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() {
+			f(&p.report)
+		}
+	}
+}
+
+// heardFor grows with the pace of reports in a large fleet. Call with mu held.
+func (m *members) heardFor() time.Duration {
+	if len(m.peers) > fullMesh {
+		return heardFor * time.Duration(len(m.peers)) / fullMesh
+	}
+	return heardFor
+}
+
+// count is the number of live entry VMs, this one included.
+func (m *members) count(now time.Time) int {
+	live := 1
+	m.live(now, func(*entryvm.Report) { live++ })
+	return live
+}
+
+// sum renews the sums over the other VMs. Call with mu held.
+func (m *members) sum(now time.Time) {
+	if !m.stale && now.Sub(m.summedAt) < m.node.config.Report {
+		return
+	}
+	m.stale, m.summedAt = false, now
+	clear(m.onBackends)
+	clear(m.onUnits)
+	m.eachLive(now, func(r *entryvm.Report) {
+		for _, running := range r.Running {
+			m.onBackends[running.Backend] += running.Count
+			m.onUnits[runKey{running.Backend, running.Unit}] += running.Count
+		}
+	})
+}
+
+// inFlight is how many requests the other VMs run on a backend server.
+func (m *members) inFlight(now time.Time, backend string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sum(now)
+	return m.onBackends[backend]
+}
+
+// units returns how many requests the other VMs run, by backend server and unit.
+func (m *members) units(now time.Time) map[runKey]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sum(now)
+	out := make(map[runKey]int, len(m.onUnits))
+	for key, count := range m.onUnits {
+		out[key] = count
+	}
+	return out
+}
+
+// keeperOf returns the VM that gives orders to a shard's engines and its address;
+// false if no live one does.
+func (m *members) keeperOf(now time.Time, domain string, shard int) (vm, address string, ok bool) {
+	m.live(now, func(r *entryvm.Report) {
+		if r.Domain == domain && slices.Contains(r.Keeps, shard) {
+			vm, address, ok = r.VM, r.Address, true
+		}
+	})
+	return vm, address, ok
+}
+
+// plans tells whether this VM plans for all: the live one with the lowest hash that
+// is not leaving. Two that both think so cost a swap too many, never safety: each
+// swap is checked by its engine's keeper.
+func (m *members) plans(now time.Time) bool {
+	names := []string{m.node.config.VM}
+	m.live(now, func(r *entryvm.Report) {
+		if !r.Leaving {
+			names = append(names, r.VM)
+		}
+	})
+	return rendezvous.Pick(plannerKey, names) == m.node.config.VM
+}
+
+// plannerKey is what the planner is drawn for.
+const plannerKey = "planner"
+
+// wiser returns the addresses of VMs that know more: a newer configuration, or,
+// where this VM lacks its start, any at all.
+func (m *members) wiser(version uint64, lacking bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*member
+	for _, p := range m.peers {
+		if lacking || (!p.heardAt.IsZero() && p.report.Configuration > version) {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.report.Configuration, a.report.Configuration), cmp.Compare(a.address, b.address))
+	})
+	addresses := make([]string, 0, len(out))
+	for _, p := range out {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
+// report makes this VM's next report.
+func (m *members) report(now time.Time) entryvm.Report {
+	n := m.node
+	m.mu.Lock()
+	m.sequence++
+	sequence := m.sequence
+	var others []entryvm.Member
+	m.eachLive(now, func(r *entryvm.Report) {
+		if sequence%newsEvery == 0 {
+			others = append(others, entryvm.Member{VM: r.VM, Address: r.Address, Domain: r.Domain})
+		}
+	})
+	m.mu.Unlock()
+	r := entryvm.Report{
+		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
+		Sequence: sequence, Leaving: n.stopping.Load(), Keeps: n.activeShards(), Rates: n.demand.report(now),
+		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), Members: others,
+	}
+	for _, run := range n.serving.Runs() {
+		r.Running = append(r.Running, entryvm.Running{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
+	}
+	for _, wait := range n.serving.Waits(now) {
+		r.Waiting = append(r.Waiting, entryvm.Waiting{Unit: wait.Unit, Count: wait.Count, Oldest: wait.Oldest})
+	}
+	r.Failing = n.failing(now)
+	return r
+}
--- /dev/null
+++ b/internal/hosted/node.go
@@ -0,0 +1,225 @@
+// Package hosted joins the parts of an entry VM whose platform keeps the
+// configuration, the list of backend servers and the leases (package registry).
+// Package node is its sibling for a platform that offers a log only, and folds all
+// of that itself. Both share the decisions: admission, routing, placement, lease.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"bergamotreel/admission"
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/engine"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/boottime"
+	"bergamotreel/internal/serving"
+	"bergamotreel/lease"
+	"bergamotreel/placement/residency"
+	"bergamotreel/refusal"
+	"bergamotreel/registry"
+	"bergamotreel/routing"
+	"bergamotreel/service"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("hosted")
+
+// Peers are the outside systems, each behind its interface.
+type Peers struct {
+	Registry registry.Registry
+	Engines  engine.Manager
+	Backends service.Forwarder
+	EntryVMs EntryVMs
+}
+
+// EntryVMs reaches the other entry VMs by their address.
+type EntryVMs interface {
+	Report(ctx context.Context, address string, report entryvm.Report) (entryvm.Report, error)
+	Swap(ctx context.Context, address string, swap entryvm.SwapArgs) (entryvm.SwapReply, error)
+	Adapter(ctx context.Context, address string, adapter entryvm.AdapterArgs) (entryvm.AdapterReply, error)
+	Release(ctx context.Context, address string, release entryvm.ReleaseArgs) (entryvm.ReleaseReply, error)
+	Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error)
+}
+
+// Config is what an entry VM needs.
+type Config struct {
+	// VM is the platform's name of this VM, Address where it serves the others.
+	VM, Address, Domain string
+	// Incarnation is unique to this start of the process.
+	Incarnation string
+	// Seeds are addresses of some entry VMs; any may be gone.
+	Seeds []string
+	// FirstStart is whether the whole system starts for the first time, so that
+	// nobody can have given orders before.
+	FirstStart bool
+	// Shards is how many shards the engines of a failure domain are spread over.
+	Shards int
+	Peers  Peers
+	Logger *zap.Logger
+	// Rand draws the router's choices.
+	Rand       *rand.Rand
+	Admission  admission.Config
+	RetryShare float64
+	// Lease holds the times of the leases on shards.
+	Lease lease.ShardConfig
+	// Report is the time between two reports to another VM.
+	Report time.Duration
+}
+
+// Node is one entry VM. Its methods may be called from any goroutine.
+type Node struct {
+	config   Config
+	started  time.Duration
+	backends *backendTable
+	members  *members
+	keeper   *keeper
+	planner  *planner
+	serving  *serving.Server
+	demand   *demand
+	adapters *adapterAsks
+	registry reachability
+
+	// inForce is the newest configuration, nil before the first.
+	inForce  atomic.Pointer[inForce]
+	applying sync.Mutex
+
+	shardsMu sync.Mutex
+	shards   *lease.Shards
+
+	stopping atomic.Bool
+}
+
+// inForce is a configuration with what is looked up in it at each request.
+type inForce struct {
+	*registry.Configuration
+	routes *contract.RouteTable
+}
+
+// New makes an entry VM; Run must be started for it to work.
+func New(config Config) *Node {
+	n := &Node{config: config, started: boottime.Now(), shards: lease.NewShards(config.Lease)}
+	n.registry = reachability{name: "registry", logger: config.Logger}
+	n.backends = newBackendTable(config.Logger)
+	n.demand = newDemand()
+	n.adapters = newAdapterAsks(n)
+	n.members = newMembers(n)
+	n.keeper = newKeeper(n)
+	n.planner = newPlanner(n, residency.New(residency.Config{}))
+	n.serving = serving.New(serving.Config{
+		Domain: config.Domain, Directory: n, Forwards: n, Forwarder: config.Peers.Backends,
+		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
+		Logger: config.Logger, RetryShare: config.RetryShare,
+	})
+	return n
+}
+
+// Run does all duties until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	for _, duty := range []func(context.Context){
+		n.followConfiguration, n.followBackends, n.learnFromPeers, n.sweep,
+		n.members.run, n.holdShards, n.planner.run, n.serving.Run,
+	} {
+		duties.Go(func() { duty(ctx) })
+	}
+}
+
+var (
+	errStopping        = errors.New("this entry VM is stopping")
+	errNoConfiguration = errors.New("no configuration has been read yet")
+	errNoBackends      = errors.New("the list of backend servers has not been read yet")
+)
+
+// Ready tells whether new requests are taken, and if not, why.
+func (n *Node) Ready() error {
+	switch {
+	case n.stopping.Load():
+		return errStopping
+	case n.inForce.Load() == nil:
+		return errNoConfiguration
+	case !n.backends.known():
+		return errNoBackends
+	}
+	return nil
+}
+
+// Learn takes addresses at which other entry VMs may be.
+func (n *Node) Learn(addresses []string) { n.members.learn(addresses) }
+
+// Open tells how many requests wait or run.
+func (n *Node) Open() int { return n.serving.Open() }
+
+// Leave begins a graceful shutdown: peers and the balancer are told, orders end,
+// and what is open goes on.
+func (n *Node) Leave(ctx context.Context) {
+	n.stopping.Store(true)
+	n.members.tell()
+	n.leaveShards(ctx)
+}
+
+// comeBackUnready is when to come back to an entry VM that has just started.
+const comeBackUnready = 300 * time.Millisecond
+
+// FindRoute implements caller.RelayBackend.
+func (n *Node) FindRoute(host, path string) (*contract.Route, string, error) {
+	current := n.inForce.Load()
+	if current == nil || !n.backends.known() {
+		return nil, "", refusal.New(refusal.CodeNotReady, comeBackUnready, "%v", n.Ready())
+	}
+	route := current.routes.Find(host, path)
+	if route == nil {
+		return nil, "", refusal.New(refusal.CodeNotFound, 0, "no route in configuration %d", current.Version)
+	}
+	return route, current.Contract.Customer, nil
+}
+
+// Relay implements caller.RelayBackend.
+func (n *Node) Relay(ctx context.Context, r caller.RelayRequest, answer caller.RelayAnswer) error {
+	if r.Model != "" {
+		n.demand.arrived(r.Arrived, modelKey{r.Service, r.Model})
+	}
+	return n.serving.Forward(ctx, r, answer)
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (n *Node) apply(c *registry.Configuration, from string) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if current := n.inForce.Load(); current != nil && current.Version >= c.Version {
+		return
+	}
+	n.inForce.Store(&inForce{Configuration: c, routes: contract.NewRouteTable(c.Contract.Routes)})
+	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) {
+		a.SetContracts(map[string]*contract.Contract{c.Contract.Customer: c.Contract})
+	})
+	n.config.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("from", from),
+		zap.Int("routes", len(c.Contract.Routes)), zap.Int("pools", len(c.Contract.Pools)))
+	n.serving.Wake()
+	n.planner.wakeUp()
+}
+
+// pool returns the engine pool of a service, nil for a plain service.
+func (n *Node) pool(service string) *contract.EnginePool {
+	current := n.inForce.Load()
+	if current == nil {
+		return nil
+	}
+	return current.Contract.FindPool(service)
+}
+
+var (
+	_ caller.RelayBackend      = (*Node)(nil)
+	_ serving.ForwardDirectory = (*Node)(nil)
+	_ entryvm.Coordinator      = (*Node)(nil)
+	_ EntryVMs                 = (*entryvm.Client)(nil)
+)
--- /dev/null
+++ b/internal/hosted/planner.go
@@ -0,0 +1,348 @@
+package hosted
+
+import (
+	"bergamotreel/internal/telemetry"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/contract"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/boottime"
+	"bergamotreel/internal/serving"
+	"bergamotreel/placement/residency"
+)
+
+const (
+	// planEvery is how often the planner looks without news, planGap the least time
+	// between two looks: requests that arrive together are planned for together.
+	planEvery = 250 * time.Millisecond
+	planGap   = 20 * time.Millisecond
+	// swapTimeout bounds asking a keeper to begin a swap.
+	swapTimeout = 400 * time.Millisecond
+	// swapLinger is how long a swap that its keeper has begun counts as under way
+	// without the keeper's news of it.
+	swapLinger = 600 * time.Millisecond
+	// refusedPause is how long an engine gets no further swap after its keeper
+	// refused one.
+	refusedPause = 300 * time.Millisecond
+	// planAfter is how long a VM waits after its start before it plans: until then
+	// it has not heard what others run.
+	planAfter = 1200 * time.Millisecond
+	// storeRateShare of the weight store's rate is what one planner uses, so that two
+	// that both plan for a moment keep to the rate together.
+	storeRateShare = 0.5
+	// storeBurst is how many loads from the store may begin at once.
+	storeBurst = 4
+)
+
+// planner is the duty of the VM that decides for all which engines hold what. Its
+// decisions are in package residency; this gathers what they need and hands the
+// swaps to the engines' keepers.
+type planner struct {
+	node   *Node
+	policy *residency.Planner
+	wake   chan struct{}
+
+	mu sync.Mutex
+	// pending are the swaps that keepers have begun, by engine.
+	pending map[string]pendingSwap
+	// restUntil is when an engine may get a swap again.
+	restUntil map[string]time.Time
+	// tokens is what may still be loaded from the store now, filledAt when that was
+	// worked out.
+	tokens   float64
+	filledAt time.Time
+	planning bool
+}
+
+// pendingSwap is a swap under way; until then it counts as such without news.
+type pendingSwap struct {
+	residency.Swap
+	until time.Time
+}
+
+func newPlanner(n *Node, policy *residency.Planner) *planner {
+	return &planner{node: n, policy: policy, wake: make(chan struct{}, 1),
+		pending: make(map[string]pendingSwap), restUntil: make(map[string]time.Time)}
+}
+
+func (p *planner) wakeUp() { wake(p.wake) }
+
+// run is the duty.
+func (p *planner) run(ctx context.Context) {
+	timer := time.NewTimer(planEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		p.plan(ctx)
+		if !sleep(ctx, planGap) {
+			return
+		}
+		timer.Reset(planEvery)
+	}
+}
+
+// plan makes one round, if this VM is the one that plans.
+func (p *planner) plan(ctx context.Context) {
+	n := p.node
+	now := time.Now()
+	current := n.inForce.Load()
+	leads := current != nil && !n.stopping.Load() && boottime.Now()-n.started > planAfter && n.members.plans(now)
+	if leads != p.planning {
+		p.planning = leads
+		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
+		// What a former planner took from the store's rate isn't known.
+		p.tokens, p.filledAt = 0, now
+	}
+	if !leads {
+		return
+	}
+	for i := range current.Contract.Pools {
+		p.planPool(ctx, now, &current.Contract.Pools[i])
+	}
+}
+
+func (p *planner) planPool(ctx context.Context, now time.Time, pool *contract.EnginePool) {
+	engines := p.engines(now, pool)
+	models := p.models(now, pool, engines)
+	for _, swap := range p.policy.Plan(now, engines, models, p.underWay(now)) {
+		if swap.Source == residency.SourceStore && swap.Load != "" && !p.takeToken(now, pool) {
+			continue
+		}
+		p.begin(now, swap)
+		go p.hand(ctx, pool, swap)
+	}
+}
+
+// takeToken keeps loads from the store to a share of its rate.
+func (p *planner) takeToken(now time.Time, pool *contract.EnginePool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tokens = min(storeBurst, p.tokens+now.Sub(p.filledAt).Seconds()*pool.LoadsPerSecond*storeRateShare)
+	p.filledAt = now
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+func (p *planner) begin(now time.Time, swap residency.Swap) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending[swap.Engine] = pendingSwap{Swap: swap, until: now.Add(swapLinger)}
+}
+
+// hand gives a swap to the engine's keeper.
+func (p *planner) hand(ctx context.Context, pool *contract.EnginePool, swap residency.Swap) {
+	n := p.node
+	args := entryvm.SwapArgs{Engine: swap.Engine, Unload: swap.Unload, Load: swap.Load, Takes: swap.Takes, Reason: swap.Reason}
+	reply, err := p.ask(ctx, args)
+	n.config.Logger.Info("swap planned", zap.String("service", pool.Service), zap.String("engine", swap.Engine),
+		zap.Strings("unload", swap.Unload), zap.String("load", swap.Load), zap.Stringer("source", swap.Source),
+		zap.Duration("takes", swap.Takes), zap.String("purpose", swap.Reason), zap.Bool("begun", reply.Begun),
+		zap.String("refused", reply.Reason), telemetry.Reason(err))
+	if err == nil && reply.Begun {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, swap.Engine)
+	p.restUntil[swap.Engine] = time.Now().Add(refusedPause)
+}
+
+func (p *planner) ask(ctx context.Context, args entryvm.SwapArgs) (entryvm.SwapReply, error) {
+	n := p.node
+	b, ok := n.backends.get(args.Engine)
+	if !ok {
+		return entryvm.SwapReply{}, errGone
+	}
+	if n.keeper.keeps(b.ID) && b.Domain == n.config.Domain {
+		return n.Swap(args), nil
+	}
+	_, address, ok := n.members.keeperOf(time.Now(), b.Domain, n.shardOf(b.ID))
+	if !ok {
+		return entryvm.SwapReply{}, errNotKeeper
+	}
+	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
+	defer cancel()
+	return n.config.Peers.EntryVMs.Swap(ctx, address, args)
+}
+
+// underWay returns the swaps that count as begun.
+func (p *planner) underWay(now time.Time) []residency.Swap {
+	n := p.node
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []residency.Swap
+	for engine, swap := range p.pending {
+		b, ok := n.backends.get(engine)
+		switch {
+		case !ok:
+			delete(p.pending, engine)
+		case b.swapping(), now.Before(swap.until):
+			out = append(out, swap.Swap)
+		default:
+			delete(p.pending, engine)
+		}
+	}
+	return out
+}
+
+// engines gathers what the policy needs of the pool's engines.
+func (p *planner) engines(now time.Time, pool *contract.EnginePool) []residency.Engine {
+	n := p.node
+	running := p.running(now)
+	failing := p.failing(now)
+	active := n.activeShards()
+	var all []backend
+	n.backends.each(pool.Service, func(b *backend) { all = append(all, *b) })
+	room := engineRoom(pool)
+	out := make([]residency.Engine, 0, len(all))
+	for i := range all {
+		b := &all[i]
+		e := residency.Engine{
+			ID: b.ID, Domain: b.Domain, Room: room, Slots: b.Slots, Serving: !b.Leaving && !failing[b.ID],
+			InMemory: set(b.InMemory), OnDisk: set(b.OnDisk),
+		}
+		for name, held := range b.models {
+			count := running[runKey{b.ID, name}]
+			e.Models = append(e.Models, residency.Held{Name: name, Ready: true, Running: count, Since: held.since})
+			e.Running += count
+		}
+		e.Models = append(e.Models, unready(b)...)
+		e.Orderable = e.Serving && !b.swapping() && p.rested(now, b.ID) && p.kept(now, b, active)
+		out = append(out, e)
+	}
+	return out
+}
+
+// unready are the models that the registry lists and that take no requests now.
+func unready(b *backend) []residency.Held {
+	if b.news.Orders > b.Orders {
+		return nil
+	}
+	var out []residency.Held
+	for _, m := range b.Models {
+		if _, ready := b.models[m.Model]; !ready {
+			out = append(out, residency.Held{Name: m.Model})
+		}
+	}
+	return out
+}
+
+func (p *planner) rested(now time.Time, engine string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, resting := p.restUntil[engine]
+	if resting && !now.Before(until) {
+		delete(p.restUntil, engine)
+		return true
+	}
+	return !resting
+}
+
+// kept tells whether a VM that answers may give the engine orders.
+func (p *planner) kept(now time.Time, b *backend, active []int) bool {
+	shard := p.node.shardOf(b.ID)
+	if b.Domain == p.node.config.Domain && slices.Contains(active, shard) {
+		return true
+	}
+	_, _, ok := p.node.members.keeperOf(now, b.Domain, shard)
+	return ok
+}
+
+// failing are the backend servers that any VM finds failing.
+func (p *planner) failing(now time.Time) map[string]bool {
+	out := set(p.node.failing(now))
+	p.node.members.live(now, func(r *entryvm.Report) {
+		for _, id := range r.Failing {
+			out[id] = true
+		}
+	})
+	return out
+}
+
+// running counts what runs through any VM, by engine and model.
+func (p *planner) running(now time.Time) map[runKey]int {
+	out := make(map[runKey]int)
+	add := func(backend, unit string, count int) {
+		if u, ok := serving.ParseModelUnit(unit); ok {
+			out[runKey{backend, u.Model}] += count
+		}
+	}
+	for key, count := range p.node.members.units(now) {
+		add(key.backend, key.unit, count)
+	}
+	for _, run := range p.node.serving.Runs() {
+		add(run.Backend, run.Unit, run.Count)
+	}
+	return out
+}
+
+// models gathers the demand for the pool's models over all VMs.
+func (p *planner) models(now time.Time, pool *contract.EnginePool, engines []residency.Engine) []residency.Model {
+	out := make([]residency.Model, len(pool.Models))
+	at := make(map[string]*residency.Model, len(pool.Models))
+	for i := range pool.Models {
+		m := &pool.Models[i]
+		out[i] = residency.Model{
+			Name: m.Name, Bytes: m.MemoryBytes, Worth: 1,
+			FromMemory: m.FromMemory, FromDisk: m.FromDisk, FromStore: m.FromStore,
+		}
+		at[m.Name] = &out[i]
+	}
+	p.addWaiting(now, pool.Service, at)
+	rates := p.node.demand.report(now)
+	p.node.members.live(now, func(r *entryvm.Report) { rates = append(rates, r.Rates...) })
+	for _, rate := range rates {
+		if m := at[rate.Model]; m != nil && rate.Service == pool.Service {
+			m.Rate += float64(rate.Rate)
+		}
+	}
+	for i := range engines {
+		for _, held := range engines[i].Models {
+			if m := at[held.Name]; m != nil {
+				m.Running += held.Running
+			}
+		}
+	}
+	return out
+}
+
+func (p *planner) addWaiting(now time.Time, service string, at map[string]*residency.Model) {
+	add := func(unit string, count int, oldest time.Duration) {
+		u, ok := serving.ParseModelUnit(unit)
+		if !ok || u.Service != service || at[u.Model] == nil {
+			return
+		}
+		m := at[u.Model]
+		m.Waiting += count
+		m.Oldest = max(m.Oldest, oldest)
+	}
+	for _, wait := range p.node.serving.Waits(now) {
+		add(wait.Unit, wait.Count, wait.Oldest)
+	}
+	p.node.members.live(now, func(r *entryvm.Report) {
+		for _, wait := range r.Waiting {
+			add(wait.Unit, wait.Count, wait.Oldest)
+		}
+	})
+}
+
+func set(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hosted/shards.go
@@ -0,0 +1,207 @@
+package hosted
+
+import (
+	"bergamotreel/internal/telemetry"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/boottime"
+	"bergamotreel/internal/pause"
+	"bergamotreel/registry"
+)
+
+const (
+	// joinEvery is the time between two joins: several may be lost within the
+	// membership's life and within the time that one of them is acted on.
+	joinEvery = 500 * time.Millisecond
+	// membershipTTL is how long a member may be silent: a process that is restarted
+	// at once finds its shards unchanged, and so need not wait for anybody.
+	membershipTTL = 2500 * time.Millisecond
+	// joinTimeout bounds a join, and each call that records an owner.
+	joinTimeout = time.Second
+	// releaseTimeout bounds asking a former owner.
+	releaseTimeout = 400 * time.Millisecond
+	// leaveTimeout bounds leaving the group at a graceful shutdown.
+	leaveTimeout = time.Second
+	// firstStartSettles is how long after the first start of the whole system the
+	// shards are shared out: all VMs join within it, and none gives an order before.
+	firstStartSettles = 900 * time.Millisecond
+)
+
+// shardOf is the shard of an engine.
+func (n *Node) shardOf(engine string) int {
+	return int(xxhash.Sum64String(engine) % uint64(max(n.config.Shards, 1)))
+}
+
+// holdShards is the duty that keeps this VM a member of its domain's group, and
+// takes over the shards that it is assigned.
+func (n *Node) holdShards(ctx context.Context) {
+	for ctx.Err() == nil && !n.stopping.Load() {
+		n.join(ctx)
+		pause.For(ctx, joinEvery)
+	}
+}
+
+// join renews the membership once.
+func (n *Node) join(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	assignment, err := n.config.Peers.Registry.Join(callCtx, registry.JoinRequest{
+		Group: n.config.Domain, Member: n.config.VM, TTL: membershipTTL, Generation: n.generation(),
+	})
+	if err != nil {
+		n.config.Logger.Debug("group not joined", telemetry.Reason(err))
+		return
+	}
+	wanting := n.joined(sent, assignment)
+	if len(wanting) == 0 || n.settling() {
+		return
+	}
+	if err := n.takeOver(callCtx, assignment.Generation, wanting); err != nil {
+		n.config.Logger.Warn("shards not taken over", zap.Ints("shards", wanting),
+			zap.Uint64("generation", assignment.Generation), telemetry.Reason(err))
+	}
+}
+
+// settling tells whether the whole system is just starting for the first time. The
+// members that join one after the other would take shards from each other.
+func (n *Node) settling() bool {
+	return n.config.FirstStart && boottime.Now()-n.started < firstStartSettles
+}
+
+func (n *Node) generation() uint64 {
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	return n.shards.Generation()
+}
+
+func (n *Node) joined(sent time.Duration, assignment registry.Assignment) []int {
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	if gained := n.shards.Joined(sent, assignment.Generation, assignment.Shards); len(gained) > 0 {
+		n.config.Logger.Info("shards assigned", zap.Ints("shards", gained), zap.Uint64("generation", assignment.Generation))
+	}
+	return n.shards.Wanting()
+}
+
+// takeOver records this VM as the owner of the shards, asks their former owners to
+// stop, and notes when the first order may go out.
+func (n *Node) takeOver(ctx context.Context, generation uint64, shards []int) error {
+	owners, at, err := n.config.Peers.Registry.Owners(ctx, n.config.Domain)
+	if err != nil {
+		return err
+	}
+	former := make(map[int]registry.Ownership, len(owners))
+	for _, o := range owners {
+		former[o.Index] = o
+		n.members.learn([]string{o.Address})
+	}
+	mine := make([]registry.Ownership, 0, len(shards))
+	for _, shard := range shards {
+		if former[shard].Generation > generation {
+			return errors.New("a newer owner is recorded")
+		}
+		mine = append(mine, registry.Ownership{Index: shard, VM: n.config.VM, Address: n.config.Address, Generation: generation})
+	}
+	if err := n.config.Peers.Registry.Own(ctx, n.config.Domain, mine, at); err != nil {
+		return err
+	}
+	// From here on a predecessor that can't be asked must stop by its own clock.
+	for _, shard := range shards {
+		go n.begin(shard, generation, former[shard], boottime.Now())
+	}
+	return nil
+}
+
+// begin finds out when the first order to a shard may go out.
+func (n *Node) begin(shard int, generation uint64, former registry.Ownership, ownedAt time.Duration) {
+	wait, reason := n.waitFor(shard, generation, former)
+	n.shardsMu.Lock()
+	n.shards.Owned(ownedAt, shard, generation, wait)
+	n.shardsMu.Unlock()
+	n.config.Logger.Info("shard owned", zap.Int("shard", shard), zap.Uint64("generation", generation),
+		zap.String("former", former.VM), zap.Duration("orders_in", wait), zap.String("reason", reason))
+	pauseThen(wait, func() {
+		n.members.tell()
+		n.planner.wakeUp()
+	})
+}
+
+func pauseThen(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
+// waitFor is how long after the recording the first order may go out.
+func (n *Node) waitFor(shard int, generation uint64, former registry.Ownership) (time.Duration, string) {
+	switch former.VM {
+	case "":
+		return 0, "never owned"
+	case n.config.VM:
+		return 0, "owned by this VM before"
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	reply, err := n.config.Peers.EntryVMs.Release(ctx, former.Address, entryvm.ReleaseArgs{
+		Group: n.config.Domain, Index: shard, Generation: generation,
+	})
+	if err != nil || !reply.Released {
+		return n.config.Lease.WaitForLost(), "former owner does not answer"
+	}
+	return n.config.Lease.WaitAfter(reply.LastOrder), "released by the former owner"
+}
+
+// Release implements entryvm.Coordinator.
+func (n *Node) Release(args entryvm.ReleaseArgs) entryvm.ReleaseReply {
+	if args.Group != n.config.Domain {
+		return entryvm.ReleaseReply{}
+	}
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	ago, ok := n.shards.Release(boottime.Now(), args.Index, args.Generation, n.started)
+	n.config.Logger.Info("shard released", zap.Int("shard", args.Index), zap.Uint64("to_generation", args.Generation),
+		zap.Bool("released", ok), zap.Duration("last_order", ago))
+	return entryvm.ReleaseReply{Released: ok, LastOrder: ago}
+}
+
+// activeShards are those to whose engines orders may go out now.
+func (n *Node) activeShards() []int {
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	return n.shards.Active(boottime.Now())
+}
+
+// beginOrder asks for the right to send an order to an engine; end must be called
+// once it was answered or can't arrive any more.
+func (n *Node) beginOrder(engine string) (token uint64, end func(), ok bool) {
+	shard := n.shardOf(engine)
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	now := boottime.Now()
+	token, ok = n.shards.MayOrder(now, shard)
+	if !ok {
+		return 0, nil, false
+	}
+	n.shards.Sending(now, shard)
+	return token, func() {
+		n.shardsMu.Lock()
+		defer n.shardsMu.Unlock()
+		n.shards.Answered(boottime.Now(), shard)
+	}, true
+}
+
+// leaveShards ends all orders and the membership, so that another VM takes the
+// shards over at once. The former owner can still be asked: it goes on serving.
+func (n *Node) leaveShards(ctx context.Context) {
+	n.shardsMu.Lock()
+	n.shards.StopAll()
+	n.shardsMu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.config.Peers.Registry.Leave(ctx, n.config.Domain, n.config.VM); err != nil {
+		n.config.Logger.Warn("group not left", telemetry.Reason(err))
+	}
+}
--- /dev/null
+++ b/internal/hosted/swap.go
@@ -0,0 +1,221 @@
+package hosted
+
+import (
+	"bergamotreel/internal/telemetry"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/engine"
+	"bergamotreel/entryvm"
+)
+
+// swap changes what an engine holds. It returns once it is clear whether it has
+// begun; the rest goes on beside.
+func (k *keeper) swap(ctx context.Context, args entryvm.SwapArgs) error {
+	e := k.engine(args.Engine)
+	e.ordering.Lock()
+	err := k.beginSwap(ctx, e, args)
+	e.ordering.Unlock()
+	if err != nil {
+		return err
+	}
+	go k.runSwap(ctx, e, args)
+	return nil
+}
+
+// beginSwap marks the models that go, so that no VM sends them new requests.
+func (k *keeper) beginSwap(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) error {
+	if !k.keeps(e.id) {
+		return errNotKeeper
+	}
+	if err := k.ready(ctx, e); err != nil {
+		return err
+	}
+	b, ok := k.node.backends.get(e.id)
+	if !ok {
+		return errGone
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.swapping {
+		return errSwapping
+	}
+	if !k.fits(b.Service, e, args) {
+		return errNoRoom
+	}
+	e.swapping = true
+	for _, name := range args.Unload {
+		if m := e.models[name]; m != nil {
+			m.retiring = true
+		}
+	}
+	k.changed(e, true)
+	return nil
+}
+
+// keeps tells whether orders may go out to the engine now.
+func (k *keeper) keeps(id string) bool {
+	return slices.Contains(k.node.activeShards(), k.node.shardOf(id))
+}
+
+// fits tells whether the model has room once the others are gone: an engine that is
+// ordered to load more than it holds crashes, and with it all that it runs. The
+// planner's view may be older than the keeper's. Call with e.mu held.
+func (k *keeper) fits(service string, e *keptEngine, args entryvm.SwapArgs) bool {
+	if args.Load == "" {
+		return true
+	}
+	pool := k.node.pool(service)
+	if pool == nil {
+		return false
+	}
+	loading, ok := pool.Model(args.Load)
+	if !ok || e.models[args.Load] != nil {
+		return false
+	}
+	room := engineRoom(pool) - loading.MemoryBytes
+	for name := range e.models {
+		if slices.Contains(args.Unload, name) {
+			continue
+		}
+		held, ok := pool.Model(name)
+		if !ok {
+			return false // of unknown size
+		}
+		room -= held.MemoryBytes
+	}
+	return room >= 0
+}
+
+// runSwap unloads, loads, and tells when it is done.
+func (k *keeper) runSwap(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) {
+	begun := time.Now()
+	err := k.swapSteps(ctx, e, args)
+	e.mu.Lock()
+	e.swapping = false
+	for _, m := range e.models {
+		m.retiring = false
+	}
+	if err != nil {
+		e.known = false
+	}
+	k.changed(e, true)
+	e.mu.Unlock()
+	swapSeconds.UpdateDuration(begun)
+	k.node.config.Logger.Info("swap ended", zap.String("engine", e.id), zap.Strings("unload", args.Unload),
+		zap.String("load", args.Load), zap.String("purpose", args.Reason), zap.Duration("expected", args.Takes),
+		zap.Duration("took", time.Since(begun)), telemetry.Reason(err))
+	if err != nil {
+		k.settle(ctx, e)
+	}
+	k.node.planner.wakeUp()
+}
+
+// settle asks an engine what became of a swap that failed.
+func (k *keeper) settle(ctx context.Context, e *keptEngine) {
+	e.ordering.Lock()
+	defer e.ordering.Unlock()
+	if err := k.ready(ctx, e); err != nil {
+		k.node.config.Logger.Warn("engine does not tell what it holds", zap.String("engine", e.id), telemetry.Reason(err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k.changed(e, true)
+}
+
+func (k *keeper) swapSteps(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) error {
+	if len(args.Unload) > 0 {
+		if !sleep(ctx, retireNotice) {
+			return ctx.Err()
+		}
+	}
+	until := time.Now().Add(unloadMost)
+	for _, name := range args.Unload {
+		err := k.sendPatiently(ctx, e, engine.Order{Action: engine.ActionUnload, Unit: name}, until)
+		if err != nil && !errors.Is(err, engine.ErrNotLoaded) {
+			return err
+		}
+		e.mu.Lock()
+		delete(e.models, name)
+		e.mu.Unlock()
+	}
+	if args.Load == "" {
+		return nil
+	}
+	// While the unloads are carried out the engine answers that it is busy.
+	load := engine.Order{Action: engine.ActionLoad, Unit: args.Load}
+	if err := k.sendPatiently(ctx, e, load, until); err != nil {
+		return err
+	}
+	return k.awaitLoad(ctx, e, args)
+}
+
+// awaitLoad waits until the engine says that it holds the model.
+func (k *keeper) awaitLoad(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) error {
+	deadline := time.Now().Add(loadSlack*args.Takes + loadExtra)
+	if !sleep(ctx, args.Takes) {
+		return ctx.Err()
+	}
+	for {
+		if k.listed(e, args.Load) {
+			k.hold(e, args.Load)
+			return nil
+		}
+		address, err := k.address(e.id)
+		if err != nil {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
+		cancel()
+		if err == nil && holdsReady(status, args.Load) {
+			k.hold(e, args.Load)
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errLate
+		}
+		if !sleep(ctx, statusPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// listed tells whether the registry says that the engine holds the model.
+func (k *keeper) listed(e *keptEngine, model string) bool {
+	b, ok := k.node.backends.get(e.id)
+	e.mu.Lock()
+	orders := e.orders
+	e.mu.Unlock()
+	if !ok || b.Orders < orders {
+		return false
+	}
+	for _, m := range b.Models {
+		if m.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keeper) hold(e *keptEngine, model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.models[model] == nil {
+		e.models[model] = &keptModel{adapters: make(map[string]*keptAdapter)}
+	}
+}
+
+func holdsReady(status engine.Status, model string) bool {
+	for _, unit := range status.Units {
+		if unit.Unit == model && unit.Base == "" && unit.Phase == engine.PhaseReady {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/serving/busy.go
+++ b/internal/serving/busy.go
@@ -42,3 +42,50 @@
 	}
 	s.onBackends[unit] = run
 }
+
+// Run counts this VM's requests for a unit on a backend server.
+type Run struct {
+	Backend, Unit string
+	Count         int
+}
+
+// Runs returns what runs on backend servers through this VM.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Run, 0, len(s.runs))
+	for key, count := range s.runs {
+		out = append(out, Run{Backend: key.backend, Unit: key.unit, Count: count})
+	}
+	return out
+}
+
+// runKey is a unit on a backend server.
+type runKey struct{ backend, unit string }
+
+// Wait counts this VM's requests that wait for a unit.
+type Wait struct {
+	Unit  string
+	Count int
+	// Oldest is for how long the first of them has been here.
+	Oldest time.Duration
+}
+
+// Waits returns what waits on this VM.
+func (s *Server) Waits(now time.Time) []Wait {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byUnit := make(map[string]Wait, len(s.units))
+	for ticket, w := range s.waiters {
+		wait := byUnit[w.query.Unit]
+		wait.Unit = w.query.Unit
+		wait.Count++
+		wait.Oldest = max(wait.Oldest, now.Sub(ticket.Arrived))
+		byUnit[w.query.Unit] = wait
+	}
+	out := make([]Wait, 0, len(byUnit))
+	for _, wait := range byUnit {
+		out = append(out, wait)
+	}
+	return out
+}
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -126,7 +126,8 @@
 func (s *Server) started(now time.Time, backend string, query routing.Query) uint64 {
 	s.config.Router.Started(now, backend, query.Pool, query.Prefixes)
 	s.entered(now, query.Unit)
-	if _, isService := serviceOfPool(query.Pool); !isService {
+	s.runs[runKey{backend, query.Unit}]++
+	if s.readsCaches(query.Pool) {
 		s.cache(backend).streams++
 	}
 	return s.starts[backend]
@@ -139,11 +140,17 @@
 		return
 	}
 	s.config.Router.Finished(now, backend, result)
-	if _, isService := serviceOfPool(result.Pool); !isService {
+	if s.readsCaches(result.Pool) {
 		s.cache(backend).streams--
 	}
 }
 
+// readsCaches tells whether the engines of a pool are asked for cache events.
+func (s *Server) readsCaches(pool string) bool {
+	_, isService := serviceOfPool(pool)
+	return !isService && s.config.Engines != nil
+}
+
 // assign ends the wait of a ticket. Call with mu held.
 func (s *Server) assign(ticket *admission.Ticket, a assignment) {
 	w, ok := s.waiters[ticket]
@@ -160,8 +167,8 @@
 	decrement(s.units, w.query.Unit)
 }
 
-// decrement keeps no zeros, so that ranging over counts meets only what waits.
-func decrement(counts map[string]int, name string) {
+// decrement keeps no zeros, so that ranging over counts meets only what is there.
+func decrement[Key comparable](counts map[Key]int, name Key) {
 	counts[name]--
 	if counts[name] == 0 {
 		delete(counts, name)
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -152,6 +152,7 @@
 	result.FirstToken = p.firstToken
 	p.server.finished(now, p.backend, p.start, result)
 	p.server.left(p.query.Unit)
+	decrement(p.server.runs, runKey{p.backend, p.query.Unit})
 	if v.avoid {
 		p.avoid(p.backend)
 	}
--- a/internal/serving/relay.go
+++ b/internal/serving/relay.go
@@ -131,7 +131,7 @@
 // guarded adds the guard's reason to the error that it caused.
 func guarded(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
-	if err != nil && (errors.Is(cause, errLate) || errors.Is(cause, errStalled)) {
+	if err != nil && (errors.Is(cause, errLate) || errors.Is(cause, errStalled) || errors.Is(cause, errImpatient)) {
 		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -47,6 +47,10 @@
 	StallTimeout time.Duration
 	// RetryShare is admission.RetryBudget's Share.
 	RetryShare float64
+	// Forwarder and Forwards are for requests that are passed on unchanged; a
+	// server without them has none. Engines is nil in one that has only these.
+	Forwarder service.Forwarder
+	Forwards  ForwardDirectory
 }
 
 const (
@@ -68,8 +72,10 @@
 	wake      chan struct{}
 	abandoned chan abandonment
 
-	mu      sync.Mutex
-	budget  admission.RetryBudget
+	mu     sync.Mutex
+	budget admission.RetryBudget
+	// budgets are those of forwarded requests, by service.
+	budgets map[string]*admission.RetryBudget
 	waiters map[*admission.Ticket]*waiter
 	// pools and units count the waiters of each pool and unit.
 	pools, units map[string]int
@@ -84,7 +90,9 @@
 	caches map[string]*cacheReader
 	// onBackends is what runs on backend servers, by unit.
 	onBackends map[string]unitRun
-	running    int
+	// runs is the same by backend server and unit.
+	runs    map[runKey]int
+	running int
 	// stopped is set when Run has ended: nobody would end a wait any more.
 	stopped bool
 }
@@ -97,6 +105,7 @@
 	return &Server{
 		config:    config,
 		budget:    admission.RetryBudget{Share: config.RetryShare},
+		budgets:   make(map[string]*admission.RetryBudget),
 		wake:      make(chan struct{}, 1),
 		abandoned: make(chan abandonment, maxAbandoned),
 		waiters:   make(map[*admission.Ticket]*waiter),
@@ -108,6 +117,7 @@
 		caches:    make(map[string]*cacheReader),
 
 		onBackends: make(map[string]unitRun),
+		runs:       make(map[runKey]int),
 	}
 }
 
@@ -147,7 +157,9 @@
 func (s *Server) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	defer duties.Wait()
-	duties.Go(func() { s.readCaches(ctx) })
+	if s.config.Engines != nil {
+		duties.Go(func() { s.readCaches(ctx) })
+	}
 	for range cancellers {
 		duties.Go(func() { s.cancelAbandoned(ctx) })
 	}
--- /dev/null
+++ b/internal/serving/unit.go
@@ -0,0 +1,39 @@
+package serving
+
+import "strings"
+
+// modelUnitPrefix marks the units of engine pools. A plain service's pool begins
+// with servicePoolPrefix, so the two never meet.
+const modelUnitPrefix = "model/"
+
+// ModelUnit is a model, or an adapter on it, that a service's engines can hold.
+type ModelUnit struct {
+	Service, Model string
+	// Adapter is empty for the model itself.
+	Adapter string
+}
+
+// String is the unit's name in admission and routing.
+func (u ModelUnit) String() string {
+	if u.Adapter == "" {
+		return u.Pool()
+	}
+	return u.Pool() + "/" + u.Adapter
+}
+
+// Pool is the name of the unit's pool: a model and its adapters share engines.
+func (u ModelUnit) Pool() string { return modelUnitPrefix + u.Service + "/" + u.Model }
+
+// ParseModelUnit undoes String; false for a plain service's pool.
+func ParseModelUnit(name string) (ModelUnit, bool) {
+	rest, ok := strings.CutPrefix(name, modelUnitPrefix)
+	if !ok {
+		return ModelUnit{}, false
+	}
+	service, rest, ok := strings.Cut(rest, "/")
+	if !ok {
+		return ModelUnit{}, false
+	}
+	model, adapter, _ := strings.Cut(rest, "/")
+	return ModelUnit{Service: service, Model: model, Adapter: adapter}, true
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -46,7 +46,13 @@
 // that nobody can connect to.
 func (s *Settings) checkAddresses() (problems []*Problem) {
 	taken := map[string]string{}
+	if s.Platform.Kind == PlatformHosted && s.VM.ReadyAddress == "" {
+		problems = append(problems, s.Problem("vm", "ready_address", "missing: kind = hosted needs it"))
+	}
 	for _, pair := range s.addressPairs() {
+		if pair.listening == "" {
+			continue // not served on this platform
+		}
 		parsed, err := netip.ParseAddrPort(*pair.advertised)
 		if err != nil || parsed.Addr().IsUnspecified() {
 			problems = append(problems, s.Problem("vm", pair.key+"_advertise", "missing: others cannot connect to %s", pair.listening))
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -25,6 +25,9 @@
 	// example stands in the sample where there is no default.
 	example  string
 	required bool
+	// logOnly keys are required only where the platform offers a log, hostedOnly
+	// keys only where it hosts.
+	logOnly, hostedOnly bool
 	// secret keys may also be given by a file's path in KEY_file.
 	secret bool
 	// help says what it is and why the default is what it is.
@@ -36,6 +39,18 @@
 // hex are 128 bits.
 const MinSecretLength = 32
 
+// requiredIn tells whether the key must be given on such a platform.
+func (f field) requiredIn(kind PlatformKind) bool {
+	switch {
+	case f.logOnly:
+		return f.required && kind == PlatformLog
+	case f.hostedOnly:
+		return f.required && kind == PlatformHosted
+	default:
+		return f.required
+	}
+}
+
 // The functions below make setters by type.
 
 func text(at func(*Settings) *string) func(*Settings, string) error {
@@ -66,6 +81,20 @@
 	}
 }
 
+// addresses reads a list of addresses.
+func addresses(at func(*Settings) *[]string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		for one := range strings.SplitSeq(value, ",") {
+			one = strings.TrimSpace(one)
+			if _, err := netip.ParseAddrPort(one); err != nil {
+				return fmt.Errorf("bad address %q: want IP:port with commas between them", one)
+			}
+			*at(s) = append(*at(s), one)
+		}
+		return nil
+	}
+}
+
 // reachable reads an address that others are to connect to.
 func reachable(at func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, value string) error {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"bergamotreel/internal/strictini"
@@ -29,7 +30,7 @@
 		return nil, Error.Wrap(strictini.AllInFile(file, text, mistakes).Err())
 	}
 	problems := strictini.AllInFile(file, text, append(mistakes, checkKnown(sections)...))
-	for _, f := range fields {
+	for _, f := range kindFirst() {
 		if problem := f.read(s, sections); problem != nil {
 			problems = append(problems, problem)
 		}
@@ -44,6 +45,23 @@
 	return s, nil
 }
 
+// kindFirst are all fields, but first the one that decides which of the others are
+// required.
+func kindFirst() []field {
+	return slices.SortedStableFunc(slices.Values(fields), func(a, b field) int {
+		switch {
+		case isKind(a) == isKind(b):
+			return 0
+		case isKind(a):
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
+func isKind(f field) bool { return f.section == "platform" && f.key == "kind" }
+
 // checkKnown finds sections and keys that the table of fields doesn't have.
 func checkKnown(sections []strictini.Section) (problems []*strictini.Problem) {
 	known := map[string]map[string]bool{}
@@ -79,7 +97,7 @@
 	if value == "" {
 		value = f.byDefault
 	}
-	if value == "" && f.required {
+	if value == "" && f.requiredIn(s.Platform.Kind) {
 		return s.Problem(f.section, key, "missing")
 	}
 	if value == "" {
--- a/internal/settings/sample.go
+++ b/internal/settings/sample.go
@@ -29,7 +29,7 @@
 
 func (f field) sampleLine() string {
 	switch {
-	case f.required:
+	case f.requiredIn(PlatformLog):
 		return fmt.Sprintf("%s = %s\n", f.key, f.example)
 	case f.byDefault != "":
 		return fmt.Sprintf(";%s = %s\n", f.key, f.byDefault)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,11 +50,34 @@
 	CallersAdvertise   string
 	OperatorsAdvertise string
 	PeersAdvertise     string
+	// ReadyAddress is where a hosting platform's balancer asks for readiness.
+	ReadyAddress string
+	// FirstStart is whether the whole system starts for the first time.
+	FirstStart bool
 }
 
-// Platform gives the base URLs of the platform's services.
+// PlatformKind is what a platform offers.
+type PlatformKind string
+
+const (
+	// PlatformLog offers a log, a VM list and a weight store.
+	PlatformLog PlatformKind = "log"
+	// PlatformHosted keeps configuration, backend servers and leases in a registry.
+	PlatformHosted PlatformKind = "hosted"
+)
+
+// Platform tells where the platform's services are.
 type Platform struct {
-	LogURL string
+	Kind PlatformKind
+	// Registry is IP:port, Customer the contract's customer that the platform's
+	// configuration is for, Shards how many shards a domain's engines are spread
+	// over; for PlatformHosted.
+	Registry string
+	Customer string
+	Shards   int
+	// OrderQuiet is the least time between two VMs' orders to one engine.
+	OrderQuiet time.Duration
+	LogURL     string
 	// LogRetention is the least time that the log keeps a record.
 	LogRetention   time.Duration
 	VMListURL      string
@@ -65,6 +88,8 @@
 type Peers struct {
 	// Secret is shared by the whole fleet.
 	Secret string
+	// Seeds are addresses of entry VMs, of which any may be gone.
+	Seeds []string
 }
 
 // Operators holds what operators need to get in.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -32,7 +32,7 @@
 		set:  address(func(s *Settings) *string { return &s.VM.CallersAddress }),
 	},
 	{
-		section: "vm", key: "operators_address", required: true, example: "10.0.1.7:8081",
+		section: "vm", key: "operators_address", required: true, logOnly: true, example: "10.0.1.7:8081",
 		help: "IP:port that operators are served on",
 		set:  address(func(s *Settings) *string { return &s.VM.OperatorsAddress }),
 	},
@@ -57,7 +57,44 @@
 		set:  reachable(func(s *Settings) *string { return &s.VM.PeersAdvertise }),
 	},
 	{
-		section: "platform", key: "log_url", required: true, example: "http://10.0.0.2:9001",
+		section: "vm", key: "ready_address",
+		help: "IP:port where a hosting platform's balancer asks for /ready; needed for kind = hosted",
+		set:  address(func(s *Settings) *string { return &s.VM.ReadyAddress }),
+	},
+	{
+		section: "vm", key: "first_start", byDefault: "false",
+		help: "whether the whole system starts for the first time, so that nobody can have given orders to engines before",
+		set:  boolean(func(s *Settings) *bool { return &s.VM.FirstStart }),
+	},
+	{
+		section: "platform", key: "kind", byDefault: string(PlatformLog),
+		help: "log: a log, a VM list and a weight store; hosted: a registry that keeps configuration, backend servers and leases",
+		set: oneOf([]string{string(PlatformLog), string(PlatformHosted)}, func(s *Settings) *string {
+			return (*string)(&s.Platform.Kind)
+		}),
+	},
+	{
+		section: "platform", key: "registry", required: true, hostedOnly: true,
+		help: "IP:port of the registry of a hosting platform",
+		set:  address(func(s *Settings) *string { return &s.Platform.Registry }),
+	},
+	{
+		section: "platform", key: "customer", byDefault: "customer",
+		help: "the customer whose contract a hosting platform's configuration is",
+		set:  name(func(s *Settings) *string { return &s.Platform.Customer }),
+	},
+	{
+		section: "platform", key: "shards", byDefault: "12",
+		help: "shards that the engines of a failure domain are spread over, each ordered by one entry VM; as many as the registry shares out",
+		set:  number(1, 4096, func(s *Settings) *int { return &s.Platform.Shards }),
+	},
+	{
+		section: "platform", key: "order_quiet", byDefault: "3s",
+		help: "least time between the last order of one entry VM to an engine and the first of the next, on a hosting platform",
+		set:  duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.OrderQuiet }),
+	},
+	{
+		section: "platform", key: "log_url", required: true, logOnly: true, example: "http://10.0.0.2:9001",
 		help: "base URL of the platform's log",
 		set:  platformURL(func(s *Settings) *string { return &s.Platform.LogURL }),
 	},
@@ -67,12 +104,12 @@
 		set:  duration(10*time.Minute, 10*365*24*time.Hour, func(s *Settings) *time.Duration { return &s.Platform.LogRetention }),
 	},
 	{
-		section: "platform", key: "vmlist_url", required: true, example: "http://10.0.0.2:9002",
+		section: "platform", key: "vmlist_url", required: true, logOnly: true, example: "http://10.0.0.2:9002",
 		help: "base URL of the platform's VM list",
 		set:  platformURL(func(s *Settings) *string { return &s.Platform.VMListURL }),
 	},
 	{
-		section: "platform", key: "weightstore_url", required: true, example: "http://10.0.0.2:9003",
+		section: "platform", key: "weightstore_url", required: true, logOnly: true, example: "http://10.0.0.2:9003",
 		help: "base URL of the weight store",
 		set:  platformURL(func(s *Settings) *string { return &s.Platform.WeightStoreURL }),
 	},
@@ -82,7 +119,12 @@
 		set:  setSecret,
 	},
 	{
-		section: "operators", key: "token_sha256", required: true, secret: true,
+		section: "peers", key: "seeds",
+		help: "peers_address of some entry VMs, commas between them; any may be gone. For kind = hosted: elsewhere the VM list names them",
+		set:  addresses(func(s *Settings) *[]string { return &s.Peers.Seeds }),
+	},
+	{
+		section: "operators", key: "token_sha256", required: true, logOnly: true, secret: true,
 		example: strings.Repeat("0", hashLength),
 		help:    "hashes of the operators' tokens (printf %s TOKEN | sha256sum), commas between them; two while a token is replaced",
 		set:     setTokenHashes,
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,100 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// queuedLines bounds the lines that wait for the output: a few seconds of a busy
+	// VM's, some 300 bytes each.
+	queuedLines = 4096
+	// flushWithin bounds how long the last lines of a process are waited for.
+	flushWithin = 300 * time.Millisecond
+)
+
+// droppedTotal counts the lines that the output was too slow for.
+var droppedTotal = metrics.NewCounter(`bergamotreel_log_lines_dropped_total`)
+
+// AsyncWriter hands lines to a slow output without ever blocking their writer.
+// Failure: what reads the logs stops, the pipe fills, and every request that logs a
+// decision hangs in a write. Lines that find the queue full are dropped and counted.
+type AsyncWriter struct {
+	lines chan []byte
+	// unwritten counts the lines taken and not written yet.
+	unwritten atomic.Int64
+	done      chan struct{}
+	close     sync.Once
+}
+
+// NewAsyncWriter starts writing to out. Close must be called at the end.
+func NewAsyncWriter(out io.Writer) *AsyncWriter {
+	w := &AsyncWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// run writes what is queued, several lines at a time.
+func (w *AsyncWriter) run(out io.Writer) {
+	var batch []byte
+	for {
+		select {
+		case line := <-w.lines:
+			batch = append(batch[:0], line...)
+		case <-w.done:
+			return
+		}
+		count := int64(1)
+		for len(w.lines) > 0 {
+			batch = append(batch, <-w.lines...)
+			count++
+		}
+		// There is nowhere to tell that the output of the log failed.
+		_, _ = out.Write(batch)
+		w.unwritten.Add(-count)
+	}
+}
+
+// Write implements zapcore.WriteSyncer. It keeps no reference to p.
+func (w *AsyncWriter) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	w.unwritten.Add(1)
+	select {
+	case w.lines <- line:
+	default:
+		w.unwritten.Add(-1)
+		droppedTotal.Inc()
+	}
+	return len(p), nil
+}
+
+// Sync implements zapcore.WriteSyncer: it waits a moment for what is queued.
+func (w *AsyncWriter) Sync() error {
+	deadline := time.Now().Add(flushWithin)
+	for w.unwritten.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// Close ends the writing after Sync.
+func (w *AsyncWriter) Close() error {
+	err := w.Sync()
+	w.close.Do(func() { close(w.done) })
+	return err
+}
+
+// NewAsyncLogger makes a logger that writes JSON lines to w, from the level on,
+// which may be changed later.
+func NewAsyncLogger(level zap.AtomicLevel, w *AsyncWriter) *zap.Logger {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), w, level))
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -30,3 +30,12 @@
 	log, err := config.Build()
 	return log, Error.Wrap(err)
 }
+
+// Reason is the field of an error, in one line: zap.Error adds the stack of errors
+// that carry one, some ten lines each, which would fill the logs of a bad day.
+func Reason(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("reason", err.Error())
+}
--- /dev/null
+++ b/lease/shards.go
@@ -0,0 +1,200 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// ShardConfig holds the times of Shards.
+type ShardConfig struct {
+	// Hold is how long after the sending of an answered join the member may act on
+	// it. It bridges an outage of the registry; a successor of a member that can't
+	// be asked waits it out.
+	Hold time.Duration
+	// Quiet is the least time between the last order of one VM to an engine and
+	// the first of the next.
+	Quiet time.Duration
+	// InFlight is the longest time from the sending of an order to its arrival.
+	InFlight time.Duration
+}
+
+// Shards decides which shards' engines this entry VM may give orders to now. A
+// registry shares a group's shards out between its members, and may take one away
+// without a word; orders carry no token that an engine would check. So a member
+// orders only while its last join is fresh, and a successor starts only when its
+// predecessor said that it has stopped, or must have stopped by its own clock.
+//
+// All times are readings of one clock of this VM that goes on while the VM is
+// suspended. Failure: on a clock that stands still meanwhile, a VM that slept for
+// a minute would take its assignment for fresh and give orders beside its
+// successor. Shards is not safe for concurrent use.
+type Shards struct {
+	config ShardConfig
+	// generation is the newest that a join brought.
+	generation uint64
+	// joinedAt is when the newest answered join was sent.
+	joinedAt time.Duration
+	joined   bool
+	held     map[int]*shard
+}
+
+// shard is one that the registry has assigned to this VM, or had.
+type shard struct {
+	// assigned is the generation since which it is assigned without a break.
+	assigned uint64
+	// token is the generation under which its ownership was recorded, 0 before.
+	token uint64
+	// startAt is when the first order may go out, known once owned.
+	startAt time.Duration
+	// orderedAt is when the newest order was sent or answered, ordered whether
+	// there was one; open counts those without an answer.
+	orderedAt time.Duration
+	ordered   bool
+	open      int
+	// stopped is set once it was given up, or lost.
+	stopped bool
+}
+
+// NewShards makes the state of a process that holds nothing.
+func NewShards(config ShardConfig) *Shards {
+	return &Shards{config: config, held: make(map[int]*shard)}
+}
+
+// Generation is the newest that a join brought, 0 before the first.
+func (s *Shards) Generation() uint64 { return s.generation }
+
+// Joined takes the answer to a join that was sent at the given time. It returns
+// the shards that are new here: their ownership must be recorded under the
+// generation before anything is ordered.
+func (s *Shards) Joined(sent time.Duration, generation uint64, indexes []int) (gained []int) {
+	if generation < s.generation {
+		return nil // an answer that was overtaken
+	}
+	s.generation = generation
+	s.joined = true
+	s.joinedAt = max(s.joinedAt, sent)
+	for index, held := range s.held {
+		if !slices.Contains(indexes, index) {
+			held.stopped = true
+		}
+	}
+	for _, index := range indexes {
+		if held := s.held[index]; held != nil && !held.stopped {
+			continue
+		}
+		next := &shard{assigned: generation}
+		if before := s.held[index]; before != nil {
+			next.ordered, next.orderedAt, next.open = before.ordered, before.orderedAt, before.open
+		}
+		s.held[index] = next
+		gained = append(gained, index)
+	}
+	slices.Sort(gained)
+	return gained
+}
+
+// Wanting returns the shards that are assigned and not owned yet.
+func (s *Shards) Wanting() []int {
+	var wanting []int
+	for index, held := range s.held {
+		if !held.stopped && held.token == 0 {
+			wanting = append(wanting, index)
+		}
+	}
+	slices.Sort(wanting)
+	return wanting
+}
+
+// Owned notes that the ownership was recorded under the generation, and that the
+// first order may go out after the given wait.
+func (s *Shards) Owned(now time.Duration, index int, generation uint64, wait time.Duration) {
+	held := s.held[index]
+	if held == nil || held.stopped || generation < held.assigned {
+		return
+	}
+	held.token = generation
+	held.startAt = now + wait
+}
+
+// WaitForLost is how long to wait for a predecessor that can't be asked: it may
+// act on a join of just before the ownership was recorded.
+func (c ShardConfig) WaitForLost() time.Duration { return c.Hold + c.InFlight + c.Quiet }
+
+// WaitAfter is how long to wait for a predecessor whose last order was so long ago.
+func (c ShardConfig) WaitAfter(ago time.Duration) time.Duration { return max(0, c.Quiet-ago) }
+
+// MayOrder tells whether an order may go out now, and with which fencing token.
+func (s *Shards) MayOrder(now time.Duration, index int) (token uint64, ok bool) {
+	held := s.held[index]
+	if held == nil || held.stopped || held.token == 0 || now < held.startAt || !s.Fresh(now) {
+		return 0, false
+	}
+	return held.token, true
+}
+
+// Fresh tells whether the newest join is recent enough to act on.
+func (s *Shards) Fresh(now time.Duration) bool {
+	return s.joined && now-s.joinedAt < s.config.Hold
+}
+
+// Sending notes an order that is being sent; Answered must follow.
+func (s *Shards) Sending(now time.Duration, index int) {
+	if held := s.held[index]; held != nil {
+		held.open++
+		held.note(now)
+	}
+}
+
+// Answered ends what Sending began: the order was answered, or can't arrive any more.
+func (s *Shards) Answered(now time.Duration, index int) {
+	if held := s.held[index]; held != nil {
+		held.open--
+		held.note(now)
+	}
+}
+
+func (h *shard) note(now time.Duration) {
+	h.ordered = true
+	h.orderedAt = max(h.orderedAt, now)
+}
+
+// Release stops all orders to a shard for a successor that holds it under the
+// generation, and tells how long ago the last one was: negative where one is
+// under way. False says that this VM holds it under a newer generation.
+func (s *Shards) Release(now time.Duration, index int, generation uint64, started time.Duration) (ago time.Duration, ok bool) {
+	held := s.held[index]
+	if held == nil {
+		return now - started, true
+	}
+	if !held.stopped && held.assigned >= generation {
+		return 0, false
+	}
+	held.stopped = true
+	switch {
+	case held.open > 0:
+		return -s.config.InFlight, true
+	case held.ordered:
+		return now - held.orderedAt, true
+	default:
+		return now - started, true
+	}
+}
+
+// StopAll stops all orders, at a graceful shutdown.
+func (s *Shards) StopAll() {
+	for _, held := range s.held {
+		held.stopped = true
+	}
+}
+
+// Active returns the shards to which orders may go out now.
+func (s *Shards) Active(now time.Duration) []int {
+	var active []int
+	for index := range s.held {
+		if _, ok := s.MayOrder(now, index); ok {
+			active = append(active, index)
+		}
+	}
+	slices.Sort(active)
+	return active
+}
--- /dev/null
+++ b/placement/residency/residency.go
@@ -0,0 +1,414 @@
+// Package residency plans which models the engines of a pool hold where all of
+// them nearly fit: rare models with a place each, busy ones with more, and swaps
+// where a model that is asked for has none. It does no I/O; time is passed in.
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Source is where an engine finds the weights of a model that it loads.
+type Source int
+
+const (
+	// SourceMemory and SourceDisk are the engine's own copies, SourceStore is the
+	// weight store that all engines share.
+	SourceMemory Source = iota
+	SourceDisk
+	SourceStore
+)
+
+// String names the source for logs.
+func (s Source) String() string {
+	return [...]string{"memory", "disk", "store"}[s]
+}
+
+// Held is a model on an engine.
+type Held struct {
+	Name string
+	// Ready is whether it takes requests; else it is being loaded or unloaded.
+	Ready bool
+	// Running counts the requests for it that run there.
+	Running int
+	// Since is when this VM first saw it there.
+	Since time.Time
+}
+
+// Engine is an engine as the planner sees it.
+type Engine struct {
+	ID, Domain string
+	// Room is what its models may take together, in bytes.
+	Room   int64
+	Slots  int
+	Models []Held
+	// InMemory and OnDisk are the models of which the engine has copies.
+	InMemory, OnDisk map[string]bool
+	// Orderable is whether it can be given orders now: it is healthy, stays, has a
+	// keeper that answers, and no order is under way.
+	Orderable bool
+	// Serving is whether it takes requests at all.
+	Serving bool
+	// Running counts all requests that run there.
+	Running int
+}
+
+// Model is a model that could be loaded, with the demand for it.
+type Model struct {
+	Name  string
+	Bytes int64
+	// FromMemory, FromDisk and FromStore are how long a load takes.
+	FromMemory, FromDisk, FromStore time.Duration
+	// Waiting counts the requests that wait for it, Oldest is for how long the
+	// first of them has waited.
+	Waiting int
+	Oldest  time.Duration
+	// Running counts the requests for it that run on any engine.
+	Running int
+	// Rate is the requests for it, a second, smoothed.
+	Rate float64
+	// Worth weighs a request for it against those for other models, 1 for most.
+	Worth float64
+}
+
+// Swap is a change of what an engine holds: unload some models, load another.
+type Swap struct {
+	Engine string
+	Unload []string
+	Load   string
+	Source Source
+	// Takes is how long the load should take.
+	Takes time.Duration
+	// Reason tells why, for logs.
+	Reason string
+}
+
+// Config holds the policy. The zero value of a field takes its default.
+type Config struct {
+	// StoreLoads bounds the loads from the weight store that run at once.
+	StoreLoads int
+}
+
+const (
+	// defaultStoreLoads is how many loads the store serves at full speed; more at
+	// once only take longer each.
+	defaultStoreLoads = 4
+	// unloadTime is what an unload of an idle model takes, with the news of it.
+	unloadTime = 150 * time.Millisecond
+	// drainTime is what the requests that run on a model take to end.
+	drainTime = 1500 * time.Millisecond
+	// youngFor is how long a loaded model is not given up again: those who waited
+	// for it have not all been served before. Without it two models with waiting
+	// requests would take turns on one engine and serve nobody.
+	youngFor = 2 * time.Second
+	// evictHorizon turns a model's rate into what its absence costs: each request
+	// within it would wait for a load.
+	evictHorizon = 6 * time.Second
+	// busyShare of the slots of a model's engines in use makes another replica
+	// worth a place: above it, first tokens wait for others' prompts.
+	busyShare = 0.6
+	// spareRate is the rate above which a model keeps two replicas: losing its only
+	// engine would leave all its requests without one for a load's time.
+	spareRate = 4.0
+	// fillAtOnce bounds the engines that load ahead of demand at the same time: the
+	// others stay free for what is waited for.
+	fillAtOnce = 4
+	// starving is the wait after which a model may take the place of one that has
+	// requests running.
+	starving = 400 * time.Millisecond
+)
+
+// Planner plans which models engines hold. It answers two load patterns: many
+// rare models that are each asked for every few seconds and fit together only
+// just, and few busy models that change. Every model should have one place, a busy
+// one more, and what must give way is what is asked for least.
+//
+// It is not safe for concurrent use and keeps nothing between calls.
+type Planner struct{ config Config }
+
+// New makes a planner.
+func New(config Config) *Planner {
+	if config.StoreLoads <= 0 {
+		config.StoreLoads = defaultStoreLoads
+	}
+	return &Planner{config: config}
+}
+
+// Plan returns the swaps to begin now. loading are the swaps that are under way
+// already.
+func (r *Planner) Plan(now time.Time, engines []Engine, models []Model, loading []Swap) []Swap {
+	next := newRound(now, r.config, engines, models, loading)
+	next.dropStrangers()
+	next.serveWaiting()
+	next.spread()
+	next.fill()
+	return next.swaps
+}
+
+// round is one call of Plan.
+type round struct {
+	now     time.Time
+	config  Config
+	engines []Engine
+	models  map[string]*Model
+	// order is the models by how urgently they are wanted.
+	order []*Model
+	// ready and coming count each model's replicas.
+	ready, coming map[string]int
+	storeLoads    int
+	// begun counts the swaps under way and planned.
+	begun int
+	// taken are the engines that got a swap in this round.
+	taken map[string]bool
+	swaps []Swap
+}
+
+func newRound(now time.Time, config Config, engines []Engine, models []Model, loading []Swap) *round {
+	r := &round{
+		now: now, config: config, engines: engines, models: make(map[string]*Model, len(models)),
+		ready: make(map[string]int), coming: make(map[string]int), taken: make(map[string]bool),
+	}
+	for i := range models {
+		r.models[models[i].Name] = &models[i]
+		r.order = append(r.order, &models[i])
+	}
+	for i := range engines {
+		for _, m := range engines[i].Models {
+			if m.Ready && engines[i].Serving {
+				r.ready[m.Name]++
+			}
+		}
+	}
+	for _, swap := range loading {
+		r.note(swap)
+	}
+	slices.SortFunc(r.order, func(a, b *Model) int {
+		return cmp.Or(cmp.Compare(b.urgency(), a.urgency()), cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
+	})
+	return r
+}
+
+// urgency is what the wait for a model costs: the requests that wait, and more
+// for each further moment of the first one's wait.
+func (m *Model) urgency() float64 {
+	return float64(m.Waiting) * m.Worth * (1 + m.Oldest.Seconds())
+}
+
+func (r *round) note(swap Swap) {
+	r.coming[swap.Load]++
+	r.taken[swap.Engine] = true
+	r.begun++
+	if swap.Source == SourceStore {
+		r.storeLoads++
+	}
+}
+
+// dropStrangers unloads models that the configuration no longer names. Their size
+// isn't known, and an engine that is ordered to load more than fits crashes.
+func (r *round) dropStrangers() {
+	for i := range r.engines {
+		e := &r.engines[i]
+		if !e.Orderable || r.taken[e.ID] {
+			continue
+		}
+		swap := Swap{Engine: e.ID, Reason: "not configured"}
+		for _, held := range e.Models {
+			if r.models[held.Name] == nil && held.Running == 0 {
+				swap.Unload = append(swap.Unload, held.Name)
+			}
+		}
+		if len(swap.Unload) > 0 {
+			r.taken[e.ID] = true
+			r.swaps = append(r.swaps, swap)
+		}
+	}
+}
+
+// serveWaiting finds a place for each model that requests wait for and no engine
+// has or is getting.
+func (r *round) serveWaiting() {
+	for _, m := range r.order {
+		if m.Waiting > 0 && r.ready[m.Name]+r.coming[m.Name] == 0 {
+			r.place(m, "waited for", m.Oldest > starving, r.config.StoreLoads)
+		}
+	}
+}
+
+// spread gives busy models further replicas.
+func (r *round) spread() {
+	for _, m := range r.order {
+		have := r.ready[m.Name] + r.coming[m.Name]
+		if have > 0 && have < r.wanted(m) && r.coming[m.Name] == 0 {
+			r.place(m, "busy", false, r.config.StoreLoads)
+		}
+	}
+}
+
+// fill loads models that have no place at all ahead of demand, where this costs
+// nobody one: from a copy at hand, or from the store while nobody else needs it.
+func (r *round) fill() {
+	for _, m := range r.order {
+		if r.begun >= fillAtOnce {
+			return
+		}
+		if r.ready[m.Name]+r.coming[m.Name] == 0 {
+			r.place(m, "ahead of demand", false, r.config.StoreLoads-1)
+		}
+	}
+}
+
+// wanted is how many replicas a model's load deserves.
+func (r *round) wanted(m *Model) int {
+	slots := 0
+	for i := range r.engines {
+		slots = max(slots, r.engines[i].Slots)
+	}
+	wanted := 1
+	if slots > 0 {
+		wanted += int(float64(m.Running+m.Waiting) / (busyShare * float64(slots)))
+	}
+	if m.Rate >= spareRate {
+		wanted = max(wanted, 2)
+	}
+	return wanted
+}
+
+// option is a way to give a model a place.
+type option struct {
+	swap Swap
+	cost time.Duration
+}
+
+// place plans the cheapest way to load the model, if there is one. Where force is
+// set, what gives way may have requests running.
+func (r *round) place(m *Model, reason string, force bool, storeLoads int) {
+	best := option{cost: -1}
+	for i := range r.engines {
+		e := &r.engines[i]
+		if !e.Orderable || r.taken[e.ID] || holds(e, m.Name) {
+			continue
+		}
+		o, ok := r.option(e, m, force)
+		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= storeLoads) {
+			continue
+		}
+		if best.cost < 0 || o.cost < best.cost {
+			best = o
+		}
+	}
+	if best.cost < 0 || (reason != "waited for" && best.cost > r.gain(m, best.swap)) {
+		return
+	}
+	best.swap.Reason = reason
+	r.note(best.swap)
+	for _, name := range best.swap.Unload {
+		r.ready[name]--
+	}
+	r.swaps = append(r.swaps, best.swap)
+}
+
+// gain is what a replica that nobody waits for yet is worth: the waits that it
+// saves within the horizon, and its own load.
+func (r *round) gain(m *Model, swap Swap) time.Duration {
+	saved := m.Rate * evictHorizon.Seconds() * m.Worth
+	return swap.Takes + time.Duration(saved*float64(swap.Takes))
+}
+
+func holds(e *Engine, model string) bool {
+	return slices.ContainsFunc(e.Models, func(m Held) bool { return m.Name == model })
+}
+
+// option works out what loading the model on the engine costs: its load's time,
+// and what is lost with the models that give way.
+func (r *round) option(e *Engine, m *Model, force bool) (option, bool) {
+	source, takes := sourceOf(e, m)
+	o := option{swap: Swap{Engine: e.ID, Load: m.Name, Source: source, Takes: takes}, cost: takes}
+	free := e.Room
+	for _, held := range e.Models {
+		known := r.models[held.Name]
+		if known == nil {
+			return o, false // of unknown size; dropStrangers sees to it
+		}
+		free -= known.Bytes
+	}
+	victims := r.victims(e, force)
+	for free < m.Bytes {
+		if len(victims) == 0 {
+			return o, false
+		}
+		v := victims[0]
+		victims = victims[1:]
+		free += r.models[v.name].Bytes
+		o.cost += v.cost
+		o.swap.Unload = append(o.swap.Unload, v.name)
+	}
+	// An engine with much running shares its batch with what comes.
+	if e.Slots > 0 {
+		o.cost += time.Duration(float64(e.Running) / float64(e.Slots) * float64(time.Second))
+	}
+	return o, true
+}
+
+func sourceOf(e *Engine, m *Model) (Source, time.Duration) {
+	switch {
+	case e.InMemory[m.Name]:
+		return SourceMemory, m.FromMemory
+	case e.OnDisk[m.Name]:
+		return SourceDisk, m.FromDisk
+	default:
+		return SourceStore, m.FromStore
+	}
+}
+
+// victim is a model that could give way, with what that costs.
+type victim struct {
+	name string
+	cost time.Duration
+}
+
+// victims are the engine's models that could give way, cheapest first.
+func (r *round) victims(e *Engine, force bool) []victim {
+	var out []victim
+	for _, held := range e.Models {
+		if cost, ok := r.evictCost(e, held, force); ok {
+			out = append(out, victim{held.Name, cost})
+		}
+	}
+	slices.SortFunc(out, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+// evictCost is what it costs to take a model off an engine; false if it must stay.
+func (r *round) evictCost(e *Engine, held Held, force bool) (time.Duration, bool) {
+	if !held.Ready || r.now.Sub(held.Since) < youngFor {
+		return 0, false
+	}
+	m := r.models[held.Name]
+	if m == nil {
+		return 0, false
+	}
+	others := r.ready[held.Name] - 1
+	if m.Waiting > 0 && others < 1 {
+		return 0, false
+	}
+	cost := unloadTime
+	if held.Running > 0 {
+		if !force && others < 1 {
+			return 0, false
+		}
+		cost += drainTime
+	}
+	if others >= 1 && others >= r.wanted(m) {
+		return cost, true
+	}
+	if others >= 1 {
+		// Without it the model's other engines would be overfull, and busy models
+		// would take each other's places in turn.
+		return 0, false
+	}
+	back := min(m.FromDisk, m.FromStore)
+	return cost + time.Duration(m.Rate*m.Worth*evictHorizon.Seconds()*float64(back)), true
+}
--- a/service/client.go
+++ b/service/client.go
@@ -77,22 +77,28 @@
 	return request, nil
 }
 
-// endToEnd copies the header without the fields of one hop: the well-known ones
-// and those that the field Connection names.
+// endToEnd copies the header without the fields of one hop.
 func endToEnd(header http.Header) http.Header {
 	kept := header.Clone()
 	if kept == nil {
 		kept = http.Header{}
 	}
+	StripHop(kept)
+	return kept
+}
+
+// StripHop removes the fields of one hop from a header: the well-known ones and
+// those that the field Connection names.
+func StripHop(header http.Header) {
+	// The list is read before the field itself goes.
 	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			kept.Del(strings.TrimSpace(name))
+			header.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		kept.Del(name)
+		header.Del(name)
 	}
-	return kept
 }
 
 func notSent(err error) error {
--- /dev/null
+++ b/service/forward.go
@@ -0,0 +1,64 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrNotRun says that the backend server got the request and confirmed that it
+// did not run it and will not.
+var ErrNotRun = errs.New("not run by the backend server")
+
+// ErrWrongServer comes together with ErrNotRun: another backend server, or a
+// later start of the same, answers at the address; or it lacks what was asked for.
+var ErrWrongServer = errs.New("not the backend server that was meant")
+
+// Target is the backend server that a request is sent to.
+type Target struct {
+	// ID names one start of the backend server; any other refuses the request.
+	ID, Address string
+}
+
+// Forward is a request that is passed on unchanged.
+type Forward struct {
+	// RequestID identifies the request on every hop.
+	RequestID string
+	Method    string
+	// URI is path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the backend server may stop working.
+	Deadline time.Time
+	// Urgency orders requests within a model engine, 0 first; -1 for none.
+	Urgency int
+	// ResumeAfter is the id of the last event that the caller has of a broken
+	// stream, empty for a request from its start.
+	ResumeAfter string
+}
+
+// Forwarded is the head of an answer and its body to come.
+type Forwarded struct {
+	Status int
+	// Header is without those that concern one connection only.
+	Header http.Header
+	// Length is the body's, -1 where it is not known before its end.
+	Length int64
+	// Body ends with io.EOF only after the whole answer. Any other error means
+	// that the answer was cut off. It must be closed.
+	Body io.ReadCloser
+}
+
+// Forwarder passes requests on to backend servers.
+type Forwarder interface {
+	// Forward sends the request once, never again, and returns when the answer's
+	// head is there. It fails with ErrNotSent, ErrNotRun or ErrOutcomeUnknown. The
+	// end of ctx breaks off the request at the backend server, also while the body
+	// is read.
+	Forward(ctx context.Context, target Target, request Forward) (*Forwarded, error)
+}
