--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -22,7 +22,7 @@
 // decisionPackages decide without I/O. peerPackages talk to somebody.
 var (
 	decisionPackages = []string{"contract", "state", "placement", "admission", "routing", "lease", "idempotency"}
-	peerPackages     = []string{"caller", "engine", "service", "weightstore", "platformlog", "vmlist", "operator", "entryvm"}
+	peerPackages     = []string{"caller", "engine", "service", "weightstore", "platformlog", "vmlist", "operator", "entryvm", "registry"}
 )
 
 // forbiddenCalls would make a decision differ from run to run: they read the
