--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -14,6 +14,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/caller"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/boottime"
 	"bergamotreel/internal/hosted"
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/settings"
@@ -82,7 +83,7 @@
 		Peers: clients.Peers, Logger: h.logger, Rand: random,
 		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
 		Lease:  lease.ShardConfig{Hold: leaseHold, Quiet: s.Platform.OrderQuiet + quietMargin, InFlight: orderInFlight},
-		Report: hostedReport,
+		Report: hostedReport, Boot: boottime.Now,
 	})
 	limits := callerLimits(s.Limits, nil)
 	h.callers = caller.NewServer(caller.NewRelay(h.node, clients.Dialect, limits, h.logger), limits, nil)
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -16,9 +16,9 @@
 	// returnTime is how long after the registry's return an entry that lapsed
 	// meanwhile may take to be back: its backend server lives, and could not renew.
 	returnTime = 2200 * time.Millisecond
-	// newsFor is how long a keeper's word on an engine stands beside the
-	// registry's: far beyond a swap. A keeper that is gone says nothing more.
-	newsFor = 15 * time.Second
+	// newsFor is how long a keeper's word on an engine goes before the registry's:
+	// twice the time in which a keeper repeats it. One that is gone says nothing more.
+	newsFor = 6 * time.Second
 	// lackingFor is how long a backend server that turned a unit away is not asked
 	// for it again: the news of what it holds is there by then.
 	lackingFor = 400 * time.Millisecond
@@ -168,10 +168,9 @@
 	return true
 }
 
-// merge works out what takes requests on the engine. The registry's entry and the
-// keeper's word both count the engine's orders: the higher count is the newer one.
-// At the same count the keeper knows more: which models are about to go, and the
-// adapters, for which the entry doesn't change.
+// merge works out what takes requests on the engine. Its keeper gave the orders and
+// knows at once what the registry's entry says seconds later: which models are about
+// to go, which have come, and the adapters, for which the entry doesn't change.
 func (b *backend) merge(now time.Time) {
 	models := make(map[string]heldModel)
 	add := func(model string, adapters []string) {
@@ -184,7 +183,7 @@
 		}
 		models[model] = held
 	}
-	if !b.newsAt.IsZero() && b.news.Orders >= b.Orders {
+	if !b.newsAt.IsZero() {
 		for _, m := range b.news.Models {
 			add(m.Model, m.Adapters)
 		}
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -17,13 +17,17 @@
 )
 
 const (
+	// retryGrowth is the part of an outage that the pause grows by.
+	retryGrowth = 4
 	// awaitFor is how long one read waits for news. It bounds how late a change can
 	// be in force: a connection that has gone silent shows after it, and a read that
 	// begins while a record is being appended was seen to be answered only at its
 	// end. Two seconds are allowed.
 	awaitFor = 1200 * time.Millisecond
-	// retryRead is the pause after a read that failed.
+	// retryRead is the pause after a read that failed; it grows by itself up to
+	// retryMost, as each try of an outage is a call that is paid for.
 	retryRead = 150 * time.Millisecond
+	retryMost = 500 * time.Millisecond
 	// gather is the pause after news of backend servers: each swap changes an entry,
 	// and all VMs would make a call for each. Keepers tell of swaps at once, and a
 	// leaving backend server may get new work for some two seconds.
@@ -175,8 +179,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	n.registry.failed(time.Now(), err)
-	pause.For(ctx, retryRead)
+	now := time.Now()
+	n.registry.failed(now, err)
+	pause.For(ctx, min(retryRead+n.registry.failingFor(now)/retryGrowth, retryMost))
 }
 
 // sweep is the duty that drops what has run out.
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -298,9 +298,6 @@
 	switch {
 	case err == nil:
 		e.orders = max(e.orders, status.Orders)
-		// The registry's entry may count the order before the next news does, and
-		// would bring back a model that is about to go.
-		k.changed(e, false)
 	case errors.Is(err, engine.ErrNotSent):
 	case errors.Is(err, engine.ErrOrderConflict) && e.swapping:
 		// The swap's own order is still being carried out.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -20,7 +20,6 @@
 	"bergamotreel/contract"
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/boottime"
 	"bergamotreel/internal/serving"
 	"bergamotreel/lease"
 	"bergamotreel/placement/residency"
@@ -73,6 +72,8 @@
 	Lease lease.ShardConfig
 	// Report is the time between two reports to another VM.
 	Report time.Duration
+	// Boot reads a clock that goes on while the machine is suspended.
+	Boot func() time.Duration
 }
 
 // Node is one entry VM. Its methods may be called from any goroutine.
@@ -106,7 +107,7 @@
 
 // New makes an entry VM; Run must be started for it to work.
 func New(config Config) *Node {
-	n := &Node{config: config, started: boottime.Now(), shards: lease.NewShards(config.Lease)}
+	n := &Node{config: config, started: config.Boot(), shards: lease.NewShards(config.Lease)}
 	n.registry = reachability{name: "registry", logger: config.Logger}
 	n.backends = newBackendTable(config.Logger)
 	n.demand = newDemand()
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -11,7 +11,6 @@
 
 	"bergamotreel/contract"
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/boottime"
 	"bergamotreel/internal/serving"
 	"bergamotreel/placement/residency"
 )
@@ -96,7 +95,7 @@
 	n := p.node
 	now := time.Now()
 	current := n.inForce.Load()
-	leads := current != nil && !n.stopping.Load() && boottime.Now()-n.started > planAfter && n.members.plans(now)
+	leads := current != nil && !n.stopping.Load() && n.config.Boot()-n.started > planAfter && n.members.plans(now)
 	if leads != p.planning {
 		p.planning = leads
 		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
@@ -219,27 +218,12 @@
 			e.Models = append(e.Models, residency.Held{Name: name, Ready: true, Running: count, Since: held.since})
 			e.Running += count
 		}
-		e.Models = append(e.Models, unready(b)...)
 		e.Orderable = e.Serving && !b.swapping() && p.rested(now, b.ID) && p.kept(now, b, active)
 		out = append(out, e)
 	}
 	return out
 }
 
-// unready are the models that the registry lists and that take no requests now.
-func unready(b *backend) []residency.Held {
-	if b.news.Orders > b.Orders {
-		return nil
-	}
-	var out []residency.Held
-	for _, m := range b.Models {
-		if _, ready := b.models[m.Model]; !ready {
-			out = append(out, residency.Held{Name: m.Model})
-		}
-	}
-	return out
-}
-
 func (p *planner) rested(now time.Time, engine string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/boottime"
 	"bergamotreel/internal/pause"
 	"bergamotreel/registry"
 )
@@ -18,7 +17,7 @@
 const (
 	// joinEvery is the time between two joins: several may be lost within the
 	// membership's life and within the time that one of them is acted on.
-	joinEvery = 500 * time.Millisecond
+	joinEvery = 700 * time.Millisecond
 	// membershipTTL is how long a member may be silent: a process that is restarted
 	// at once finds its shards unchanged, and so need not wait for anybody.
 	membershipTTL = 2500 * time.Millisecond
@@ -51,7 +50,7 @@
 func (n *Node) join(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	sent := boottime.Now()
+	sent := n.config.Boot()
 	assignment, err := n.config.Peers.Registry.Join(callCtx, registry.JoinRequest{
 		Group: n.config.Domain, Member: n.config.VM, TTL: membershipTTL, Generation: n.generation(),
 	})
@@ -70,7 +69,7 @@
 // settling tells whether the whole system is just starting for the first time. The
 // members that join one after the other would take shards from each other.
 func (n *Node) settling() bool {
-	return n.config.FirstStart && boottime.Now()-n.started < firstStartSettles
+	return n.config.FirstStart && n.config.Boot()-n.started < firstStartSettles
 }
 
 func (n *Node) generation() uint64 {
@@ -86,7 +85,7 @@
 	if gained := n.shards.Joined(sent, assignment.Generation, assignment.Shards); len(gained) > 0 {
 		n.config.Logger.Info("shards assigned", zap.Ints("shards", gained), zap.Uint64("generation", assignment.Generation))
 	}
-	return len(n.shards.Wanting())+len(n.shards.Doubtful())+len(n.shards.Settled(boottime.Now())) > 0
+	return len(n.shards.Wanting())+len(n.shards.Doubtful())+len(n.shards.Settled(n.config.Boot())) > 0
 }
 
 // updateOwnership confirms what is owned, records this VM as the owner of what it was
@@ -121,7 +120,7 @@
 	}
 	n.noteSettled(settled)
 	// From here on a predecessor that can't be asked must stop by its own clock.
-	ownedAt := boottime.Now()
+	ownedAt := n.config.Boot()
 	for _, shard := range wanting {
 		go n.begin(shard, generation, recorded[shard], ownedAt)
 	}
@@ -153,7 +152,7 @@
 		}
 		n.shards.Confirm(shard, mine)
 	}
-	for _, shard := range n.shards.Settled(boottime.Now()) {
+	for _, shard := range n.shards.Settled(n.config.Boot()) {
 		switch {
 		case recorded[shard].VM != n.config.VM || recorded[shard].Generation != n.shards.Token(shard):
 		case recorded[shard].Settled:
@@ -215,7 +214,7 @@
 	}
 	n.shardsMu.Lock()
 	defer n.shardsMu.Unlock()
-	ago, ok := n.shards.Release(boottime.Now(), args.Index, args.Generation, args.Settled, n.started)
+	ago, ok := n.shards.Release(n.config.Boot(), args.Index, args.Generation, args.Settled, n.started)
 	n.config.Logger.Info("shard released", zap.Int("shard", args.Index), zap.Uint64("to_generation", args.Generation),
 		zap.Bool("released", ok), zap.Duration("last_order", ago))
 	return entryvm.ReleaseReply{Released: ok, LastOrder: ago}
@@ -225,7 +224,7 @@
 func (n *Node) activeShards() []int {
 	n.shardsMu.Lock()
 	defer n.shardsMu.Unlock()
-	return n.shards.Active(boottime.Now())
+	return n.shards.Active(n.config.Boot())
 }
 
 // beginOrder asks for the right to send an order to an engine; end must be called
@@ -234,7 +233,7 @@
 	shard := n.shardOf(engine)
 	n.shardsMu.Lock()
 	defer n.shardsMu.Unlock()
-	now := boottime.Now()
+	now := n.config.Boot()
 	token, ok = n.shards.MayOrder(now, shard)
 	if !ok {
 		return 0, nil, false
@@ -243,7 +242,7 @@
 	return token, func() {
 		n.shardsMu.Lock()
 		defer n.shardsMu.Unlock()
-		n.shards.Answered(boottime.Now(), shard)
+		n.shards.Answered(n.config.Boot(), shard)
 	}, true
 }
 
--- a/internal/hosted/swap.go
+++ b/internal/hosted/swap.go
@@ -4,6 +4,8 @@
 	"bergamotreel/internal/telemetry"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,7 +47,7 @@
 		return errSwapping
 	}
 	if !k.fits(b.Service, e, args) {
-		return errNoRoom
+		return fmt.Errorf("%w beside %v after %d orders", errNoRoom, slices.Sorted(maps.Keys(e.models)), e.orders)
 	}
 	e.swapping = true
 	for _, name := range args.Unload {
@@ -162,10 +164,6 @@
 		return ctx.Err()
 	}
 	for {
-		if k.listed(e, args.Load) {
-			k.hold(e, args.Load)
-			return nil
-		}
 		address, err := k.address(e.id)
 		if err != nil {
 			return err
@@ -186,23 +184,6 @@
 	}
 }
 
-// listed tells whether the registry says that the engine holds the model.
-func (k *keeper) listed(e *keptEngine, model string) bool {
-	b, ok := k.node.backends.get(e.id)
-	e.mu.Lock()
-	orders := e.orders
-	e.mu.Unlock()
-	if !ok || b.Orders < orders {
-		return false
-	}
-	for _, m := range b.Models {
-		if m.Model == model {
-			return true
-		}
-	}
-	return false
-}
-
 func (k *keeper) hold(e *keptEngine, model string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/lease/shards_test.go
+++ b/lease/shards_test.go
@@ -16,7 +16,6 @@
 	// frozenUntil is when a frozen VM goes on; it notices nothing.
 	frozenUntil time.Duration
 	started     time.Duration
-	sent        []time.Duration
 }
 
 // shardWorld is a registry that assigns one shard at will and keeps its owner's
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -51,12 +51,10 @@
 	Leaving bool
 	// LeavesIn is how long a leaving one goes on at least, 0 where that is unknown.
 	LeavesIn time.Duration
-	// IsEngine is whether it is a model engine; what follows is of engines only.
+	// IsEngine is whether it is a model engine; what follows is of engines only, and
+	// as old as the last change of the entry.
 	IsEngine bool
-	// Orders counts the orders that the engine has accepted since its start, as
-	// of its last change.
-	Orders uint64
-	Models []Held
+	Models   []Held
 	// InMemory and OnDisk are the models whose weights the engine has copies of.
 	InMemory, OnDisk []string
 }
