--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -232,13 +232,13 @@
 	}
 }
 
-// down are the backend servers that are taken for dead, until one of them answers.
-func (t *backendTable) down() []string {
+// down are the backend servers that are taken for dead now.
+func (t *backendTable) down(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for id, b := range t.entries {
-		if b.downFor > 0 {
+		if now.Before(b.downUntil) {
 			out = append(out, id)
 		}
 	}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -153,10 +153,10 @@
 	n.members.tell()
 }
 
-// failing are the backend servers that get nothing from this VM now, and those that
-// have not answered since they refused a connection.
+// failing are the backend servers that get nothing from this VM now: those that refused
+// a connection, and those whose answers fail.
 func (n *Node) failing(now time.Time) []string {
-	out := n.backends.down()
+	out := n.backends.down(now)
 	n.serving.Decide(func(_ *admission.Controller, router *routing.Router) {
 		for name := range router.Sick(now) {
 			out = append(out, name)
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -325,3 +325,32 @@
 		testkit.Equal(w, "version", a.version(), 7)
 	})
 }
+
+// A failure domain was cut off; its VMs found the engines of all others dead, and say so
+// when they are heard again. The planner must not give all these engines up. What a VM
+// of the engine's own domain says counts, and what half of the VMs say.
+func TestReportsOfACutOffDomain(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a := w.boot("a", true)
+		time.Sleep(time.Second)
+		for _, id := range []string{"e1", "e2", "e3"} {
+			domain := map[string]string{"e1": "d", "e2": "d", "e3": "far"}[id]
+			a.backends.change(time.Now(), []registry.Change{{ID: id, Backend: &registry.Backend{ID: id, Service: testService, Domain: domain, IsEngine: true}}})
+		}
+		hear := func(vm, domain string, failing ...string) {
+			a.members.learn([]string{vm})
+			a.members.take(time.Now(), entryvm.Report{VM: vm, Address: vm, Domain: domain, Incarnation: "1", Sequence: 1, Failing: failing})
+		}
+		hear("far-1", "far", "e1", "e2", "e3")
+		hear("near-1", "d")
+		hear("near-2", "d")
+		hear("near-3", "d")
+		failing := a.planner.failing(time.Now())
+		testkit.That(w, !failing["e1"] && !failing["e2"] && failing["e3"], "failing: %v", failing)
+		hear("far-2", "far", "e2")
+		hear("far-3", "far", "e2")
+		hear("far-4", "far", "e2")
+		failing = a.planner.failing(time.Now())
+		testkit.That(w, !failing["e1"] && failing["e2"], "failing: %v", failing)
+	})
+}
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -287,14 +287,32 @@
 	return ok
 }
 
-// failing are the backend servers that any VM finds failing.
+// failing are the engines that should get no model: those that this VM finds failing,
+// those that a VM of their own failure domain does, and those that half of the VMs do.
+// Failure: a domain was cut off, and its VMs find the engines of all others dead. When
+// it is back their reports would have the planner give all these engines up.
 func (p *planner) failing(now time.Time) map[string]bool {
 	out := set(p.node.failing(now))
+	reports := make(map[string]int)
+	live := 1
+	var near []string
 	p.node.members.live(now, func(r *entryvm.Report) {
+		live++
 		for _, id := range r.Failing {
-			out[id] = true
+			reports[id]++
+			if b, ok := p.node.backends.get(id); ok && b.Domain == r.Domain {
+				near = append(near, id)
+			}
 		}
 	})
+	for _, id := range near {
+		out[id] = true
+	}
+	for id, count := range reports {
+		if 2*count >= live {
+			out[id] = true
+		}
+	}
 	return out
 }
 
