hosted: orders without an answer are sent again at once; dead engines are probed

(b) a backend server that had refused connections was tried again with requests, each of which waited out the connection's time behind a cut; now a connection is tried beside them.

--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// adapterTimeout bounds one ask for an adapter: ten times what a load takes.
-	adapterTimeout = 300 * time.Millisecond
+	// adapterTimeout bounds one ask for an adapter: a load takes some 20 ms, and an
+	// order that gets no answer is sent a few times.
+	adapterTimeout = 700 * time.Millisecond
 	// adapterTries is how many engines are asked one after the other.
 	adapterTries = 3
 	// crowded is the share of an engine's slots in use from which an adapter is
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -22,12 +22,14 @@
 	// lackingFor is how long a backend server that turned a unit away is not asked
 	// for it again: the news of what it holds is there by then.
 	lackingFor = 400 * time.Millisecond
-	// downFirst is how long a backend server that accepts no connection gets nothing;
-	// it doubles up to downMost. Failure: a crashed engine is listed for seconds, and
-	// requests for the models that it held are sent there again and again, while the
-	// planner takes these for loaded.
-	downFirst = time.Second
-	downMost  = 4 * time.Second
+	// downFirst is after how long a backend server that accepts no connection is tried
+	// again; it doubles up to downMost. Failure: a crashed engine is listed for
+	// seconds, and requests for the models that it held are sent there again and again,
+	// while the planner takes these for loaded.
+	downFirst = 400 * time.Millisecond
+	downMost  = 1600 * time.Millisecond
+	// probeMost bounds one try.
+	probeMost = 600 * time.Millisecond
 )
 
 // backendTable is what this VM knows of the backend servers: the registry's list,
@@ -51,10 +53,10 @@
 	newsFrom string
 	newsAt   time.Time
 	lacking  map[string]time.Time
-	// downUntil is until when it is taken for dead: it refused connections. downFor
-	// is how long that was the last time, 0 while it answers.
-	downUntil time.Time
-	downFor   time.Duration
+	// downFor is set while it is taken for dead, as it accepted no connection;
+	// probeAt is when it is tried again, and downFor how long that was put off.
+	probeAt time.Time
+	downFor time.Duration
 	// models are those that take requests, with their adapters, and since when.
 	models map[string]heldModel
 }
@@ -213,13 +215,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.entries[id]
-	if b == nil || now.Before(b.downUntil) {
+	if b == nil || b.downFor > 0 {
 		return
 	}
-	b.downFor = min(max(2*b.downFor, downFirst), downMost)
-	b.downUntil = now.Add(b.downFor)
-	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address),
-		zap.Duration("tried_again_in", b.downFor))
+	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address))
+	b.downFor = downFirst
+	b.probeAt = now.Add(b.downFor)
+}
+
+// failedAgain puts off the next try.
+func (t *backendTable) failedAgain(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.entries[id]; b != nil && b.downFor > 0 {
+		b.downFor = min(2*b.downFor, downMost)
+		b.probeAt = now.Add(b.downFor)
+	}
 }
 
 // reached notes that a backend server answered.
@@ -227,18 +238,34 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b := t.entries[id]; b != nil && b.downFor > 0 {
-		b.downFor, b.downUntil = 0, time.Time{}
+		b.downFor, b.probeAt = 0, time.Time{}
 		t.logger.Info("backend server reachable again", zap.String("backend", id))
 	}
 }
 
-// down are the backend servers that are taken for dead now.
-func (t *backendTable) down(now time.Time) []string {
+// down are the backend servers that are taken for dead.
+func (t *backendTable) down() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, b := range t.entries {
+		if b.downFor > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// toProbe are those that are to be tried again now. Until one accepts a connection no
+// request is sent there: each would wait out the time of a connection that isn't
+// answered.
+func (t *backendTable) toProbe(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for id, b := range t.entries {
-		if now.Before(b.downUntil) {
+		if b.downFor > 0 && !now.Before(b.probeAt) {
+			b.probeAt = now.Add(probeMost)
 			out = append(out, id)
 		}
 	}
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -423,6 +423,16 @@
 	return &service.Forwarded{Status: http.StatusOK, Length: 0, Body: http.NoBody}, nil
 }
 
+// Probe is service.Forwarder's.
+func (w *world) Probe(_ context.Context, target service.Target) error {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	if w.engines.all[target.Address] == nil {
+		return service.ErrNotSent
+	}
+	return nil
+}
+
 // wire is how one VM reaches the others.
 type wire struct {
 	world *world
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -1,12 +1,14 @@
 package hosted
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
 	"bergamotreel/contract"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/serving"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
@@ -17,6 +19,8 @@
 	// plainSlots stands in for a plain service's backend server that does not say
 	// how much it runs at once.
 	plainSlots = 8
+	// probeEvery is how often backend servers that are due to be tried are looked for.
+	probeEvery = 100 * time.Millisecond
 )
 
 // unitName is a unit's name in admission and routing.
@@ -46,7 +50,7 @@
 	var out []routing.Candidate
 	n.backends.each(wanted.Service, func(b *backend) {
 		held, ok := b.models[wanted.Model]
-		if !ok || now.Before(b.downUntil) {
+		if !ok || b.downFor > 0 {
 			return
 		}
 		ready := wanted.Adapter == "" || held.adapters[wanted.Adapter]
@@ -66,7 +70,7 @@
 	now := time.Now()
 	var out []routing.Candidate
 	n.backends.each(service, func(b *backend) {
-		if now.Before(b.downUntil) {
+		if b.downFor > 0 {
 			return
 		}
 		slots := b.Slots
@@ -106,6 +110,30 @@
 	n.planner.wakeUp()
 }
 
+// probe is the duty that tries backend servers again that were taken for dead.
+func (n *Node) probe(ctx context.Context) {
+	pause.Every(ctx, probeEvery, func(ctx context.Context) {
+		for _, id := range n.backends.toProbe(time.Now()) {
+			go n.probeOne(ctx, id)
+		}
+	})
+}
+
+func (n *Node) probeOne(ctx context.Context, id string) {
+	target, ok := n.Target(id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeMost)
+	defer cancel()
+	if err := n.config.Peers.Backends.Probe(ctx, target); err != nil {
+		n.backends.failedAgain(time.Now(), id)
+		return
+	}
+	n.backends.reached(id)
+	n.backendsChanged()
+}
+
 // Reached implements serving.ForwardDirectory.
 func (n *Node) Reached(backend string) { n.backends.reached(backend) }
 
@@ -156,7 +184,7 @@
 // failing are the backend servers that get nothing from this VM now: those that refused
 // a connection, and those whose answers fail.
 func (n *Node) failing(now time.Time) []string {
-	out := n.backends.down(now)
+	out := n.backends.down()
 	n.serving.Decide(func(_ *admission.Controller, router *routing.Router) {
 		for name := range router.Sick(now) {
 			out = append(out, name)
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -17,8 +17,13 @@
 )
 
 const (
-	// orderTimeout bounds one order; an engine answers within milliseconds.
-	orderTimeout = time.Second
+	// statusTimeout bounds asking an engine what it holds.
+	statusTimeout = time.Second
+	// orderTimeout bounds one sending of an order: an engine answers within some
+	// milliseconds. orderTries is how often an order that gets no answer is sent: it
+	// names the number of orders before it, so only one of them is carried out.
+	orderTimeout = 150 * time.Millisecond
+	orderTries   = 4
 	// retireNotice is how long the other VMs get to hear that a model is about to
 	// go, before it is unloaded: their requests would be turned away.
 	retireNotice = 25 * time.Millisecond
@@ -205,13 +210,13 @@
 // refresh asks the engine what it holds. A status lags: one that counts fewer
 // orders than are known to be accepted is asked for again.
 func (k *keeper) refresh(ctx context.Context, e *keptEngine) error {
-	deadline := time.Now().Add(orderTimeout)
+	deadline := time.Now().Add(statusTimeout)
 	for {
 		address, err := k.address(e.id)
 		if err != nil {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
 		cancel()
 		if err != nil {
@@ -289,10 +294,7 @@
 	order.Holder = k.node.config.VM
 	order.Incarnation = e.id
 	order.After = &after
-	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
-	defer cancel()
-	status, err := k.node.config.Peers.Engines.Order(callCtx, address, order)
-	k.logOrder(e, order, err)
+	status, err := k.sendTries(ctx, e, address, order)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -307,6 +309,21 @@
 	return err
 }
 
+// sendTries sends an order until it is answered. Failure: some engines leave an order
+// unanswered and carry it out seconds later; whoever waits for the model or the adapter
+// would wait as long.
+func (k *keeper) sendTries(ctx context.Context, e *keptEngine, address string, order engine.Order) (status engine.Status, err error) {
+	for try := 0; ; try++ {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+		status, err = k.node.config.Peers.Engines.Order(callCtx, address, order)
+		cancel()
+		k.logOrder(e, order, err)
+		if !errors.Is(err, engine.ErrOutcomeUnknown) || try+1 == orderTries || !k.keeps(e.id) {
+			return status, err
+		}
+	}
+}
+
 func (k *keeper) logOrder(e *keptEngine, order engine.Order, err error) {
 	outcome, total := "accepted", ordersAccepted
 	if err != nil {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -128,7 +128,7 @@
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	for _, duty := range []func(context.Context){
-		n.followConfiguration, n.followBackends, n.learnFromPeers, n.sweep,
+		n.followConfiguration, n.followBackends, n.learnFromPeers, n.sweep, n.probe,
 		n.members.run, n.holdShards, n.planner.run, n.serving.Run,
 	} {
 		duties.Go(func() { duty(ctx) })
--- a/internal/hosted/swap.go
+++ b/internal/hosted/swap.go
@@ -168,7 +168,7 @@
 		if err != nil {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
 		cancel()
 		if err == nil && holdsReady(status, args.Load) {
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -97,6 +97,9 @@
 	return b.script(ctx, number, s)
 }
 
+// Probe is service.Forwarder's.
+func (b *forwardBed) Probe(context.Context, service.Target) error { return nil }
+
 // received is a caller's end of an answer.
 type received struct {
 	status int
--- a/service/forward.go
+++ b/service/forward.go
@@ -61,4 +61,6 @@
 	// end of ctx breaks off the request at the backend server, also while the body
 	// is read.
 	Forward(ctx context.Context, target Target, request Forward) (*Forwarded, error)
+	// Probe tells whether a backend server accepts connections.
+	Probe(ctx context.Context, target Target) error
 }
