hosted: the registry is asked as rarely as the bounds allow; reports and planning for large fleets

Wait and pause follow from the bounds in the settings now.

Change: waits and pauses as shares of apply_within and drain_within; only the planner is told of what waits; rates go in every fifth report; sums and the index of backend servers are kept; the planner rests nine times as long as it looked, and loads ahead of demand are looked for four times a second; the heap stays under the VM's memory.

--- a/cmd/bergamotreel/hosted_test.go
+++ b/cmd/bergamotreel/hosted_test.go
@@ -253,7 +253,7 @@
 	fields := map[string]string{
 		"nodeName": "front-a-1", "zone": "a", "region": "r", "listen.front": "10.0.0.1:1", "listen.control": "10.0.0.1:2",
 		"listen.ready": "10.0.0.1:3", "bootstrap": "true", "platform.address": "10.0.0.9:9", "platform.parts": "12",
-		"bounds.leaseMs": "3000", "bounds.graceS": "8", "seeds": "10.0.0.1:2,10.0.0.2:2", "ip": "10.0.0.1", "internalPorts.0": "7380",
+		"bounds.leaseMs": "3000", "bounds.graceS": "8", "bounds.configApplyMs": "2000", "bounds.drainMs": "2000", "limits.memoryMb": "284", "seeds": "10.0.0.1:2,10.0.0.2:2", "ip": "10.0.0.1", "internalPorts.0": "7380",
 	}
 	for name, value := range fields {
 		template = strings.ReplaceAll(template, "{{"+name+"}}", value)
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -18,6 +18,9 @@
 	// Incarnation changes with each start; Sequence grows with each report of it.
 	Incarnation string
 	Sequence    uint64
+	// Full is whether Rates and Members are there: they change slowly and are the
+	// larger part of a report. In any other one the last ones still hold.
+	Full bool
 	// Leaving is set from the start of a graceful shutdown.
 	Leaving bool
 	// Keeps are the shards of the VM's domain to whose engines it may give orders.
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 	quietMargin = 200 * time.Millisecond
 	// hostedReport is the time between two reports to another VM.
 	hostedReport = 400 * time.Millisecond
+	// memoryUsed of memoryParts of the VM's memory are for Go's heap; the rest is for
+	// what it does not count, such as the kernel's buffers.
+	memoryUsed, memoryParts = 3, 4
 	// readyPath is where the platform's balancer asks.
 	readyPath = "/ready"
 )
@@ -85,6 +89,7 @@
 		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
 		Lease:  lease.ShardConfig{Hold: leaseHold, Quiet: s.Platform.OrderQuiet + quietMargin, InFlight: orderInFlight},
 		Report: hostedReport, Boot: boottime.Now,
+		ApplyWithin: s.Platform.ApplyWithin, DrainWithin: s.Platform.DrainWithin,
 	})
 	limits := callerLimits(s.Limits, nil)
 	h.callers = caller.NewServer(caller.NewRelay(h.node, clients.Dialect, limits, h.logger), limits, nil)
@@ -143,6 +148,9 @@
 // Run serves until ctx ends and then shuts down gracefully. Each value on reload has
 // the settings file read again.
 func (h *Hosted) Run(ctx context.Context, reload <-chan os.Signal) error {
+	// A process over its VM's memory is killed, with all its requests. Collecting more
+	// often costs processor time, which the VM has more of.
+	debug.SetMemoryLimit(h.settings.Limits.Memory / memoryParts * memoryUsed)
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer endDuties()
 	var group sync.WaitGroup
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -39,7 +39,9 @@
 
 	mu      sync.Mutex
 	entries map[string]*backend
-	listed  bool
+	// byService are the entries by service, sorted; nil where it has to be made anew.
+	byService map[string][]*backend
+	listed    bool
 	// returnedAt is when the registry answered again after an outage.
 	returnedAt time.Time
 }
@@ -106,6 +108,7 @@
 	if known == nil {
 		known = &backend{lacking: make(map[string]time.Time)}
 		t.entries[b.ID] = known
+		t.byService = nil
 		t.logger.Info("backend server listed", zap.String("backend", b.ID), zap.String("service", b.Service),
 			zap.String("address", b.Address), zap.String("domain", b.Domain), zap.Bool("leaving", b.Leaving))
 	} else if known.Leaving != b.Leaving {
@@ -127,7 +130,7 @@
 	}
 	until := t.returnedAt.Add(returnTime)
 	if t.returnedAt.IsZero() || !now.Before(until) {
-		delete(t.entries, id)
+		t.drop(id)
 		t.logger.Info("backend server gone", zap.String("backend", id), zap.String("service", known.Service))
 		return
 	}
@@ -135,6 +138,12 @@
 	t.logger.Info("backend server doubtful", zap.String("backend", id), zap.Duration("gone_in", until.Sub(now)))
 }
 
+// drop forgets an entry. Call with mu held.
+func (t *backendTable) drop(id string) {
+	delete(t.entries, id)
+	t.byService = nil
+}
+
 // returned notes the end of an outage of the registry.
 func (t *backendTable) returned(now time.Time) {
 	t.mu.Lock()
@@ -148,7 +157,7 @@
 	defer t.mu.Unlock()
 	for id, b := range t.entries {
 		if !b.removeAt.IsZero() && !now.Before(b.removeAt) {
-			delete(t.entries, id)
+			t.drop(id)
 			t.logger.Info("backend server gone", zap.String("backend", id), zap.String("service", b.Service))
 		}
 		if b.newsAt.IsZero() || now.Sub(b.newsAt) <= newsFor {
@@ -306,15 +315,24 @@
 	return *b, true
 }
 
-// each calls f with every entry of the service, or of all for an empty name; f
-// must not keep it.
+// each calls f with every entry of the service; f must not keep it.
 func (t *backendTable) each(service string, f func(*backend)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.byService == nil {
+		t.index()
+	}
+	for _, b := range t.byService[service] {
+		f(b)
+	}
+}
+
+// index sorts the entries: each request goes through those of its service.
+func (t *backendTable) index() {
+	t.byService = make(map[string][]*backend)
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		if b := t.entries[id]; service == "" || b.Service == service {
-			f(b)
-		}
+		b := t.entries[id]
+		t.byService[b.Service] = append(t.byService[b.Service], b)
 	}
 }
 
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -377,7 +377,7 @@
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:  Peers{Registry: w.registry, Engines: w.engines, Backends: w, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
-		Report: 100 * time.Millisecond, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
+		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	w.mu.Lock()
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -14,7 +14,7 @@
 func (n *Node) Report(report entryvm.Report) entryvm.Report {
 	now := time.Now()
 	n.members.heard(now, report, "")
-	return n.members.report(now)
+	return n.members.report(now, report.Full)
 }
 
 // Swap implements entryvm.Coordinator.
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -174,11 +174,12 @@
 	if !models {
 		return
 	}
-	if n.members.plans(time.Now()) {
+	now := time.Now()
+	if n.members.plans(now) {
 		n.planner.wakeUp()
 		return
 	}
-	n.members.tell()
+	n.members.tellPlanner(now)
 }
 
 // failing are the backend servers that get nothing from this VM now: those that refused
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -19,19 +19,19 @@
 const (
 	// retryGrowth is the part of an outage that the pause grows by.
 	retryGrowth = 4
-	// awaitFor is how long one read waits for news. It bounds how late a change can
-	// be in force: a connection that has gone silent shows after it, and a read that
-	// begins while a record is being appended was seen to be answered only at its
-	// end. Two seconds are allowed.
-	awaitFor = 1200 * time.Millisecond
+	// awaitShare of the time that is allowed for a change is how long one read waits for
+	// news. It bounds how late a change can be: a connection that has gone silent shows
+	// after it, and a read that begins while a record is being appended was seen to be
+	// answered only at its end.
+	awaitShare = 0.85
 	// retryRead is the pause after a read that failed; it grows by itself up to
 	// retryMost, as each try of an outage is a call that is paid for.
 	retryRead = 150 * time.Millisecond
 	retryMost = 500 * time.Millisecond
-	// gather is the pause after news of backend servers: each swap changes an entry,
-	// and all VMs would make a call for each. Keepers tell of swaps at once, and a
-	// leaving backend server may get new work for some two seconds.
-	gather = 500 * time.Millisecond
+	// gatherShare of the time that is allowed is the pause after news of backend
+	// servers: each swap changes an entry, and all VMs would make a call for each.
+	// Keepers tell of swaps at once. Calls of a quiet day fell by a half with it.
+	gatherShare = 0.45
 	// outageAfter is how long the registry must not answer for entries to have
 	// lapsed meanwhile, and for other VMs to be asked instead.
 	outageAfter = 700 * time.Millisecond
@@ -99,7 +99,7 @@
 		var next *registry.Configuration
 		var err error
 		if known {
-			next, cursor, err = n.config.Peers.Registry.AwaitConfiguration(ctx, cursor, awaitFor)
+			next, cursor, err = n.config.Peers.Registry.AwaitConfiguration(ctx, cursor, share(awaitShare, n.config.ApplyWithin))
 		} else {
 			next, cursor, err = n.config.Peers.Registry.Configuration(ctx)
 		}
@@ -141,7 +141,7 @@
 			n.backendsChanged()
 			continue
 		}
-		changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, awaitFor)
+		changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, share(awaitShare, n.config.DrainWithin))
 		if errors.Is(err, registry.ErrHistoryLost) {
 			n.config.Logger.Info("history of backend servers lost, reading the whole list")
 			known = false
@@ -156,11 +156,14 @@
 		if len(changes.List) > 0 {
 			n.backends.change(time.Now(), changes.List)
 			n.backendsChanged()
-			pause.For(ctx, gather)
+			pause.For(ctx, share(gatherShare, n.config.DrainWithin))
 		}
 	}
 }
 
+// share is a part of a duration.
+func share(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
+
 func (n *Node) backendsChanged() {
 	n.serving.Wake()
 	n.planner.wakeUp()
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -28,6 +28,11 @@
 	// the configured pace; beyond it the pace falls, so that a VM's cost does not
 	// grow with the fleet.
 	fullMesh = 12
+	// fullEvery is the number of reports to a peer of which one is full.
+	fullEvery = 5
+	// sumEvery is the least time between two sums over all reports: in a large fleet
+	// one comes every few milliseconds.
+	sumEvery = 40 * time.Millisecond
 	// newsRepeat is how many reports carry a change of an engine: one may be lost.
 	newsRepeat = 4
 	// newsEvery is the number of reports after which all engines are told again.
@@ -153,7 +158,7 @@
 func (m *members) exchange(ctx context.Context, p *member) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	for count := 0; ; count++ {
 		select {
 		case <-timer.C:
 		case <-p.tell:
@@ -161,7 +166,7 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		reply, err := m.node.config.Peers.EntryVMs.Report(callCtx, p.address, m.report(time.Now()))
+		reply, err := m.node.config.Peers.EntryVMs.Report(callCtx, p.address, m.report(time.Now(), count%fullEvery == 0))
 		cancel()
 		if err == nil {
 			m.heard(time.Now(), reply, p.address)
@@ -205,6 +210,18 @@
 	}
 }
 
+// tellPlanner has the VM that plans told at once.
+func (m *members) tellPlanner(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	planner := m.pickPlanner(now)
+	for _, p := range m.peers {
+		if p.report.VM == planner {
+			wake(p.tell)
+		}
+	}
+}
+
 // heard takes a report; address is where it came from, if this VM asked for it.
 func (m *members) heard(now time.Time, report entryvm.Report, address string) {
 	if report.VM == m.node.config.VM || report.Address == "" {
@@ -245,6 +262,9 @@
 		m.node.config.Logger.Info("entry VM heard", zap.String("peer", report.VM), zap.String("address", report.Address),
 			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.heardAt)))
 	}
+	if !report.Full && p.report.Incarnation == report.Incarnation {
+		report.Rates, report.Members = p.report.Rates, p.report.Members
+	}
 	p.report = report
 	p.heardAt = now
 	m.stale = true
@@ -290,7 +310,8 @@
 
 // sum renews the sums over the other VMs. Call with mu held.
 func (m *members) sum(now time.Time) {
-	if !m.stale && now.Sub(m.summedAt) < m.node.config.Report {
+	age := now.Sub(m.summedAt)
+	if age < sumEvery || (!m.stale && age < m.node.config.Report) {
 		return
 	}
 	m.stale, m.summedAt = false, now
@@ -339,13 +360,20 @@
 // is not leaving. Two that both think so cost a swap too many, never safety: each
 // swap is checked by its engine's keeper.
 func (m *members) plans(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pickPlanner(now) == m.node.config.VM
+}
+
+// pickPlanner returns the VM that plans. Call with mu held.
+func (m *members) pickPlanner(now time.Time) string {
 	names := []string{m.node.config.VM}
-	m.live(now, func(r *entryvm.Report) {
+	m.eachLive(now, func(r *entryvm.Report) {
 		if !r.Leaving {
 			names = append(names, r.VM)
 		}
 	})
-	return rendezvous.Pick(plannerKey, names) == m.node.config.VM
+	return rendezvous.Pick(plannerKey, names)
 }
 
 // plannerKey is what the planner is drawn for.
@@ -373,21 +401,21 @@
 }
 
 // report makes this VM's next report.
-func (m *members) report(now time.Time) entryvm.Report {
+func (m *members) report(now time.Time, full bool) entryvm.Report {
 	n := m.node
 	m.mu.Lock()
 	m.sequence++
 	sequence := m.sequence
 	var others []entryvm.Member
 	m.eachLive(now, func(r *entryvm.Report) {
-		if sequence%newsEvery == 0 {
+		if full {
 			others = append(others, entryvm.Member{VM: r.VM, Address: r.Address, Domain: r.Domain})
 		}
 	})
 	m.mu.Unlock()
 	r := entryvm.Report{
 		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
-		Sequence: sequence, Leaving: n.stopping.Load(), Keeps: n.activeShards(), Rates: n.demand.report(now),
+		Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
 		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), Members: others,
 	}
 	for _, run := range n.serving.Runs() {
@@ -396,6 +424,9 @@
 	for _, wait := range n.serving.Waits(now) {
 		r.Waiting = append(r.Waiting, entryvm.Waiting{Unit: wait.Unit, Count: wait.Count, Oldest: wait.Oldest})
 	}
+	if full {
+		r.Rates = n.demand.report(now)
+	}
 	r.Failing = n.failing(now)
 	return r
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -72,6 +72,9 @@
 	Lease lease.ShardConfig
 	// Report is the time between two reports to another VM.
 	Report time.Duration
+	// ApplyWithin is how soon a configuration must be in force, DrainWithin how soon a
+	// leaving backend server must get no new work.
+	ApplyWithin, DrainWithin time.Duration
 	// Boot reads a clock that goes on while the machine is suspended.
 	Boot func() time.Duration
 }
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -20,6 +20,11 @@
 	// between two looks: requests that arrive together are planned for together.
 	planEvery = 250 * time.Millisecond
 	planGap   = 20 * time.Millisecond
+	// planRest times what a look took is the pause after it: planning for a hundred
+	// engines must leave a small VM's processor to the requests.
+	planRest = 9
+	// aheadEvery is how often loads ahead of demand are looked for.
+	aheadEvery = 250 * time.Millisecond
 	// swapTimeout bounds asking a keeper to begin a swap.
 	swapTimeout = 400 * time.Millisecond
 	// swapLinger is how long a swap that its keeper has begun counts as under way
@@ -64,6 +69,8 @@
 	tokens   float64
 	filledAt time.Time
 	planning bool
+	// aheadAt is when loads ahead of demand were last looked for.
+	aheadAt time.Time
 	// toldAt is when the residency was last logged.
 	toldAt time.Time
 }
@@ -92,8 +99,9 @@
 		case <-ctx.Done():
 			return
 		}
+		begun := time.Now()
 		p.plan(ctx)
-		if !sleep(ctx, planGap) {
+		if !sleep(ctx, max(planGap, planRest*time.Since(begun))) {
 			return
 		}
 		timer.Reset(planEvery)
@@ -124,7 +132,7 @@
 	engines := p.engines(now, pool)
 	models := p.models(now, pool, engines)
 	p.tellResidency(now, pool, engines, models)
-	for _, swap := range p.policy.Plan(now, engines, models, p.underWay(now)) {
+	for _, swap := range p.policy.Plan(now, engines, models, p.underWay(now), p.looksAhead(now)) {
 		if swap.Source == residency.SourceStore && swap.Load != "" && !p.takeToken(now, pool) {
 			continue
 		}
@@ -133,6 +141,15 @@
 	}
 }
 
+// looksAhead tells whether loads ahead of demand are due to be looked for.
+func (p *planner) looksAhead(now time.Time) bool {
+	if now.Sub(p.aheadAt) < aheadEvery {
+		return false
+	}
+	p.aheadAt = now
+	return true
+}
+
 // tellResidency logs now and then how well the models fit: what waits is explained by
 // it.
 func (p *planner) tellResidency(now time.Time, pool *contract.EnginePool, engines []residency.Engine, models []residency.Model) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,7 +77,10 @@
 	Shards   int
 	// OrderQuiet is the least time between two VMs' orders to one engine.
 	OrderQuiet time.Duration
-	LogURL     string
+	// ApplyWithin is how soon a configuration must be in force, DrainWithin how soon a
+	// leaving backend server must get no new work.
+	ApplyWithin, DrainWithin time.Duration
+	LogURL                   string
 	// LogRetention is the least time that the log keeps a record.
 	LogRetention   time.Duration
 	VMListURL      string
@@ -121,6 +124,8 @@
 	WriteTimeout time.Duration
 	IdleTimeout  time.Duration
 	Connections  int
+	// Memory bounds the process's memory, 0 for no bound.
+	Memory int64
 	// Queue bounds the waiting requests of all customers.
 	Queue int
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -93,6 +93,16 @@
 		help: "least time between the last order of one entry VM to an engine and the first of the next, on a hosting platform",
 		set:  duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.OrderQuiet }),
 	},
+	{
+		section: "platform", key: "apply_within", byDefault: "2s",
+		help: "how soon a new configuration must be in force on a hosting platform; the registry is asked as rarely as that allows",
+		set:  duration(200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.ApplyWithin }),
+	},
+	{
+		section: "platform", key: "drain_within", byDefault: "2s",
+		help: "how soon a leaving backend server must get no new work, on a hosting platform",
+		set:  duration(200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.DrainWithin }),
+	},
 	{
 		section: "platform", key: "log_url", required: true, logOnly: true, example: "http://10.0.0.2:9001",
 		help: "base URL of the platform's log",
@@ -189,6 +199,11 @@
 		help: "open connections of callers; twice the 10,000 streams a VM is measured with",
 		set:  number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.Connections }),
 	},
+	{
+		section: "limits", key: "memory", byDefault: "1TiB",
+		help: "memory of this VM for the process, on a hosting platform; from three quarters of it on memory is given back sooner, at the cost of processor time",
+		set:  size(32<<20, 1<<50, func(s *Settings, bytes int64) { s.Limits.Memory = bytes }),
+	},
 	{
 		section: "limits", key: "queue", byDefault: "4096",
 		help: "waiting requests of all customers; some kB each, over a minute of work",
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -152,13 +152,16 @@
 }
 
 // Plan returns the swaps to begin now. loading are the swaps that are under way
-// already.
-func (r *Planner) Plan(now time.Time, engines []Engine, models []Model, loading []Swap) []Swap {
+// already; ahead is whether loads ahead of demand are looked for, which takes longer
+// than all else.
+func (r *Planner) Plan(now time.Time, engines []Engine, models []Model, loading []Swap, ahead bool) []Swap {
 	next := newRound(now, r.config, engines, models, loading)
 	next.dropStrangers()
 	next.serveWaiting()
 	next.spread()
-	next.fill()
+	if ahead {
+		next.fill()
+	}
 	return next.swaps
 }
 
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -34,7 +34,7 @@
 }
 
 func plan(engines []Engine, models []Model, under ...Swap) []Swap {
-	return New(Config{}).Plan(start, engines, models, under)
+	return New(Config{}).Plan(start, engines, models, under, true)
 }
 
 func wantOne(t *testing.T, got []Swap, engine, load string, unload ...string) {
