--- a/routing/breaker.go
+++ b/routing/breaker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand"
 	"time"
 )
@@ -125,3 +126,47 @@
 	}
 	return b.count >= failureLeast && float64(failures) >= failureShare*float64(b.count)
 }
+
+const (
+	// reliabilityWindow is the time constant over which an engine's failures count
+	// against it: longer than a breaker stays open at first.
+	reliabilityWindow = 5 * time.Second
+	// reliabilityLeast is the weight of results that says anything.
+	reliabilityLeast = 3
+)
+
+// reliability is the share of an engine's recent requests that failed. Failure: an
+// engine fails a third of its requests at once; that is too few to open its breaker, a
+// probe closes it again, and its quick failures make it look idle, so that it draws
+// more. A request that may run only once is lost with each of them.
+type reliability struct {
+	failed, all float64
+	at          time.Time
+}
+
+// note counts a result.
+func (r *reliability) note(now time.Time, failed bool) {
+	r.decay(now)
+	r.all++
+	if failed {
+		r.failed++
+	}
+}
+
+func (r *reliability) decay(now time.Time) {
+	if !r.at.IsZero() {
+		fade := math.Exp(-now.Sub(r.at).Seconds() / reliabilityWindow.Seconds())
+		r.failed *= fade
+		r.all *= fade
+	}
+	r.at = now
+}
+
+// failures is the share of failed requests, 0 where little is known.
+func (r *reliability) failures(now time.Time) float64 {
+	r.decay(now)
+	if r.all < reliabilityLeast {
+		return 0
+	}
+	return r.failed / r.all
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -23,6 +23,10 @@
 	// prefixWorth is how much busier an engine may be that has the whole prompt
 	// cached. A full hit saves the prefill, about what half a batch adds.
 	prefixWorth = 0.5
+	// failureCost is how much busier, as a part of its slots, an engine may be than one
+	// that fails all its requests: one that fails a third of them gets some only when
+	// the others are nearly full.
+	failureCost = 3
 	// choices is how many engines are drawn at random in each of both groups.
 	// Two: the better of two keeps the fullest engine near the mean, while with
 	// all compared, every router would take the same one by its late report.
@@ -267,6 +271,9 @@
 	if !v.own {
 		score += otherDomainCost
 	}
+	if v.state != nil {
+		score += failureCost * v.state.reliability.failures(now)
+	}
 	if v.blocks > 0 {
 		score -= prefixWorth * float64(v.blocks) / float64(len(q.Prefixes))
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -43,7 +43,9 @@
 	inFlight int
 	history  history
 	breaker  breaker
-	pool     string // of the newest request
+	// reliability counts failures that open no breaker.
+	reliability reliability
+	pool        string // of the newest request
 	// refusedAt is when the engine last took nothing.
 	refusedAt time.Time
 	// awaiting counts requests without a first token; silentSince is when the
@@ -176,6 +178,9 @@
 	if !told {
 		e.answered(now)
 	}
+	if result.Failed || result.OK {
+		e.reliability.note(now, result.Failed)
+	}
 	switch {
 	case result.Failed:
 		e.breaker.fail(now, r.rng)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -278,3 +278,55 @@
 		})
 	}
 }
+
+// One of three engines resets a third of its requests at once, its health is good. That
+// opens no breaker, and as it fails quickly it looks idle: without a memory of its
+// failures it drew a third of all requests. It must get few, and its share again once it
+// answers.
+func TestUnreliableEngineGetsFew(t *testing.T) {
+	r := testRouter()
+	now := start
+	list := testCandidates(3)
+	play := func(seconds int, failsEvery int) (toFirst, lost int) {
+		type open struct {
+			engine string
+			until  time.Time
+		}
+		var running []open
+		sent := 0
+		for range seconds * 100 {
+			now = now.Add(10 * time.Millisecond)
+			still := running[:0]
+			for _, o := range running {
+				if now.Before(o.until) {
+					still = append(still, o)
+					continue
+				}
+				r.Finished(now, o.engine, Result{OK: true, FirstToken: 30 * time.Millisecond})
+			}
+			running = still
+			choice, ok := r.Pick(now, testQuery, list)
+			if !ok {
+				continue
+			}
+			r.Started(now, choice.Engine, "m", nil)
+			if choice.Engine != "e0" {
+				running = append(running, open{choice.Engine, now.Add(100 * time.Millisecond)})
+				continue
+			}
+			sent++
+			if failsEvery > 0 && sent%failsEvery == 0 {
+				lost++
+				r.Finished(now, "e0", Result{Failed: true})
+				continue
+			}
+			running = append(running, open{"e0", now.Add(100 * time.Millisecond)})
+		}
+		return sent, lost
+	}
+	toFirst, lost := play(10, 3)
+	testkit.That(t, toFirst < 100 && lost < 35, "%d of 1000 requests to the unreliable engine, %d lost", toFirst, lost)
+	play(20, 0)
+	again, _ := play(10, 0)
+	testkit.That(t, again > 2*toFirst, "%d of 1000 requests to it once it answers, %d before", again, toFirst)
+}
