--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -260,8 +260,8 @@
 			e.Models = append(e.Models, residency.Held{Name: name, Ready: true, Running: count, Since: held.since})
 			e.Running += count
 		}
-		e.Orderable = e.Serving && p.rested(now, b.ID) && p.kept(now, b, active)
-		e.BusyFor = p.busyFor(now, b)
+		e.Orderable = e.Serving && p.kept(now, b, active)
+		e.BusyFor = max(p.busyFor(now, b), p.restFor(now, b.ID))
 		out = append(out, e)
 	}
 	return out
@@ -283,15 +283,18 @@
 	}
 }
 
-func (p *planner) rested(now time.Time, engine string) bool {
+// restFor is how long an engine still gets no swap after its keeper refused one.
+func (p *planner) restFor(now time.Time, engine string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	until, resting := p.restUntil[engine]
-	if resting && !now.Before(until) {
+	if !resting {
+		return 0
+	}
+	if !now.Before(until) {
 		delete(p.restUntil, engine)
-		return true
 	}
-	return !resting
+	return max(0, until.Sub(now))
 }
 
 // kept tells whether a VM that answers may give the engine orders.
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -330,6 +330,8 @@
 type option struct {
 	swap Swap
 	cost time.Duration
+	// later is whether the engine is busy now.
+	later bool
 }
 
 // place plans the cheapest way to load the model, if there is one that can begin now.
@@ -354,7 +356,7 @@
 			best = o
 		}
 	}
-	if best.cost < 0 || r.taken[best.swap.Engine] || (reason != reasonWaited && best.cost > r.gain(m, best.swap)) {
+	if best.cost < 0 || best.later || r.taken[best.swap.Engine] || (reason != reasonWaited && best.cost > r.gain(m, best.swap)) {
 		return false
 	}
 	best.swap.Reason = reason
@@ -406,6 +408,7 @@
 		o.swap.Unload = append(o.swap.Unload, v.name)
 	}
 	o.cost += e.BusyFor
+	o.later = e.BusyFor > 0
 	o.cost += r.waste(free - m.Bytes)
 	// An engine with much running shares its batch with what comes.
 	if e.Slots > 0 {
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -64,6 +64,9 @@
 	under := Swap{Engine: "b", Load: "m2"}
 	got := plan(engines, models, under)
 	testkit.That(t, len(got) == 0, "got %+v, want to wait", got)
+	// The same where the planner does not know of the swap, as a keeper refused another.
+	got = plan(engines, models)
+	testkit.That(t, len(got) == 0, "got %+v, want to wait for a keeper that refused", got)
 	engines[1].BusyFor = time.Minute
 	wantOne(t, plan(engines, models, under), "a", "rare", "m1")
 }
