--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -184,16 +184,13 @@
 	filling int
 	// taken are the engines that got a swap in this round.
 	taken map[string]bool
-	// queued is how long the models that will wait for a busy engine take there.
-	queued map[string]time.Duration
-	swaps  []Swap
+	swaps []Swap
 }
 
 func newRound(now time.Time, config Config, engines []Engine, models []Model, loading []Swap) *round {
 	r := &round{
 		now: now, config: config, engines: engines, models: make(map[string]*Model, len(models)),
 		ready: make(map[string]int), coming: make(map[string]int), taken: make(map[string]bool),
-		queued: make(map[string]time.Duration),
 	}
 	for i := range models {
 		r.models[models[i].Name] = &models[i]
@@ -341,10 +338,6 @@
 // An engine that has another order under way may be worth waiting for: one with a copy
 // on its disk is done before the store has delivered. Where force is set, what gives
 // way may have requests running.
-//
-// An engine that a model waits for is busy for that model's load too. Failure: after
-// a shift of the demand fifteen models each chose the engine that would be free next,
-// one got it, and the rest chose again; meanwhile idle engines loaded nothing.
 func (r *round) place(m *Model, reason string, force bool, storeLoads int) bool {
 	best := option{cost: -1}
 	for i := range r.engines {
@@ -363,9 +356,6 @@
 			best = o
 		}
 	}
-	if best.later && reason == reasonWaited {
-		r.queued[best.swap.Engine] += best.swap.Takes + unloadTime
-	}
 	if best.cost < 0 || best.later || r.taken[best.swap.Engine] || (reason != reasonWaited && best.cost > r.gain(m, best.swap)) {
 		return false
 	}
@@ -417,7 +407,7 @@
 		o.cost += v.cost
 		o.swap.Unload = append(o.swap.Unload, v.name)
 	}
-	o.cost += e.BusyFor + r.queued[e.ID]
+	o.cost += e.BusyFor
 	o.later = e.BusyFor > 0
 	o.cost += r.waste(free - m.Bytes)
 	// An engine with much running shares its batch with what comes.
