caller: final answers and refusals leave a moment before the caller does

Cause: the caller's own patience had no reserve. Ruled out: a slow VM (the log shows the refusal at the planned moment).

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -88,13 +88,17 @@
 // defaultPatience bounds a request whose caller and route name no time.
 const defaultPatience = 30 * time.Second
 
-// answerReserve is how long before a route's timeout the last answer is on its
-// way, so that it arrives in time over a loaded link.
+// answerReserve is how long before the caller leaves or the route's timeout the last
+// answer is on its way, so that it arrives in time over a loaded link.
 const answerReserve = 20 * time.Millisecond
 
 // beginReserve is how long before its caller leaves a request that still waits is
-// refused: the refusal tells when to come back, a caller that left learns nothing.
-const beginReserve = 100 * time.Millisecond
+// refused: the refusal tells when to come back, a caller that left learns nothing. It
+// is at most a part of beginShare of the whole wait.
+const (
+	beginReserve = 100 * time.Millisecond
+	beginShare   = 5
+)
 
 // RelayHandler serves callers whose requests are passed on unchanged. It is an
 // http.Handler without a mux: that would redirect paths that it finds unclean,
@@ -165,10 +169,7 @@
 	q.Customer = customer
 	q.Arrived = x.arrived
 	q.GiveUp = giveUp(x.arrived, q.Patience, route.Timeout)
-	q.BeginBy = q.GiveUp
-	if route.Silence > 0 && q.GiveUp.Sub(x.arrived) > route.Silence-beginReserve {
-		q.BeginBy = x.arrived.Add(route.Silence - beginReserve)
-	}
+	q.BeginBy = beginBy(x.arrived, q.GiveUp, route.Silence)
 	h.dialect.Strip(r.Header)
 	service.StripHop(r.Header)
 	q.Forward = service.Forward{
@@ -177,19 +178,30 @@
 	}
 }
 
-// giveUp is when the request must have its final answer: the caller is gone by
-// then, or the operator wants it kept no longer.
+// giveUp is when the request must have its final answer: just before the caller is
+// gone, or before the operator wants it kept no longer.
 func giveUp(arrived time.Time, patience, timeout time.Duration) time.Time {
 	allowed := defaultPatience
-	if patience > 0 {
-		allowed = patience
-	}
-	if timeout > 0 {
-		allowed = min(allowed, max(timeout-answerReserve, timeout/2))
+	for _, bound := range []time.Duration{patience, timeout} {
+		if bound > 0 {
+			allowed = min(allowed, max(bound-answerReserve, bound/2))
+		}
 	}
 	return arrived.Add(allowed)
 }
 
+// beginBy is until when the request may wait for its first attempt. One that began
+// later could not be answered before its caller has left. Failure: requests were
+// refused a moment before the caller left, and the refusals that had to cross a busy
+// link found nobody.
+func beginBy(arrived, giveUp time.Time, silence time.Duration) time.Time {
+	allowed := giveUp.Sub(arrived)
+	if silence > 0 {
+		allowed = min(allowed, silence)
+	}
+	return arrived.Add(allowed - min(beginReserve, allowed/beginShare))
+}
+
 // draw turns an identity into a number from 0 up to 1, the same on every VM.
 func draw(id string) float64 {
 	hash := fnv.New32a()
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -88,6 +88,25 @@
 	testkit.That(t, strings.HasPrefix(got, "HTTP/1.1 299 ") && strings.HasSuffix(got, "\r\n\r\nok") && strings.Contains(got, "X-Answer: 1\r\nX-Answer: 2") && !strings.Contains(got, "Keep-Alive"), "answer %q", got)
 }
 
+// The last answer, and the refusal of a request that waits, are on their way before
+// the caller leaves, whichever ends its patience.
+func TestRelayAnswersBeforeTheCallerLeaves(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	tests := []struct{ patience, timeout, silence, giveUp, begin time.Duration }{
+		{0, 0, 0, defaultPatience, defaultPatience - beginReserve},
+		{1300 * time.Millisecond, 12 * time.Second, 0, 1280 * time.Millisecond, 1180 * time.Millisecond},
+		{30 * time.Second, 2 * time.Second, 0, 1980 * time.Millisecond, 1880 * time.Millisecond},
+		{30 * time.Second, 25 * time.Second, 8 * time.Second, 24980 * time.Millisecond, 7900 * time.Millisecond},
+		{4 * time.Second, 25 * time.Second, 8 * time.Second, 3980 * time.Millisecond, 3880 * time.Millisecond},
+		{30 * time.Millisecond, 0, 0, 15 * time.Millisecond, 12 * time.Millisecond},
+	}
+	for _, test := range tests {
+		last := giveUp(arrived, test.patience, test.timeout)
+		testkit.Equal(t, "final answer", last.Sub(arrived), test.giveUp)
+		testkit.Equal(t, "begin", beginBy(arrived, last, test.silence).Sub(arrived), test.begin)
+	}
+}
+
 // A request that isn't in order is turned away with a clear status, nothing of it is
 // passed on, and its connection ends: what follows on it can't be told apart.
 func TestRelayBadRequests(t *testing.T) {
