--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -326,6 +326,26 @@
 	})
 }
 
+// A read that waits for news was begun while the change was being recorded, and is
+// answered only at the end of its wait. The change must be in force in time all the same.
+func TestConfigurationInForceAfterMissedNews(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1")
+		w.registry.configuration.Version = 7
+		a := w.boot("a", true)
+		for version := uint64(8); version < 30; version++ {
+			time.Sleep(time.Duration(version) * 97 * time.Millisecond)
+			next := testContract("m1")
+			next.Version = version
+			w.registry.mu.Lock()
+			w.registry.configuration = next
+			w.registry.mu.Unlock()
+			time.Sleep(a.config.ApplyWithin)
+			testkit.Equal(w, "version in force", a.version(), version)
+		}
+	})
+}
+
 // A failure domain was cut off; its VMs found the engines of all others dead, and say so
 // when they are heard again. The planner must not give all these engines up. What a VM
 // of the engine's own domain says counts, and what half of the VMs say.
