--- a/caller/relay.go
+++ b/caller/relay.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bergamotreel/internal/telemetry"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -102,26 +102,12 @@
 
 func (h *Hosted) listen() error {
 	s := h.settings
-	ports := []struct {
-		section, key, address string
-		listener              *net.Listener
-	}{
-		{"vm", "callers_address", s.VM.CallersAddress, &h.callersListener},
-		{"vm", "peers_address", s.VM.PeersAddress, &h.peersListener},
-		{"vm", "ready_address", s.VM.ReadyAddress, &h.readyListener},
-		{"metrics", "address", s.Metrics.Address, &h.metricsListener},
-	}
-	for _, port := range ports {
-		if port.address == "" {
-			continue
-		}
-		listener, err := caller.Listen(context.Background(), port.address)
-		if err != nil {
-			return s.Problem(port.section, port.key, "cannot listen on %s: %v", port.address, reasonOf(err))
-		}
-		*port.listener = listener
-	}
-	return nil
+	return openPorts(s,
+		port{"vm", "callers_address", s.VM.CallersAddress, &h.callersListener},
+		port{"vm", "peers_address", s.VM.PeersAddress, &h.peersListener},
+		port{"vm", "ready_address", s.VM.ReadyAddress, &h.readyListener},
+		port{"metrics", "address", s.Metrics.Address, &h.metricsListener},
+	)
 }
 
 func (h *Hosted) closeListeners() {
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,23 +9,22 @@
 	"syscall"
 
 	"bergamotreel/caller"
+	"bergamotreel/internal/settings"
 )
 
-// listen opens the ports, so that one that is taken shows before anything runs.
-func (d *Daemon) listen() error {
-	s := d.settings
-	ports := []struct {
-		section, key, address string
-		listener              *net.Listener
-	}{
-		{"vm", "callers_address", s.VM.CallersAddress, &d.callersListener},
-		{"vm", "peers_address", s.VM.PeersAddress, &d.peersListener},
-		{"vm", "operators_address", s.VM.OperatorsAddress, &d.operatorsListener},
-		{"metrics", "address", s.Metrics.Address, &d.metricsListener},
-	}
+// port is one that the daemon listens on, with where its address stands in the
+// settings.
+type port struct {
+	section, key, address string
+	listener              *net.Listener
+}
+
+// openPorts opens all ports that have an address, so that one that is taken shows
+// before anything runs.
+func openPorts(s *settings.Settings, ports ...port) error {
 	for _, port := range ports {
 		if port.address == "" {
-			continue // the operators' port serves the metrics too
+			continue // another port serves it too, or nobody asks for it
 		}
 		listener, err := caller.Listen(context.Background(), port.address)
 		if err != nil {
@@ -33,6 +32,19 @@
 		}
 		*port.listener = listener
 	}
+	return nil
+}
+
+func (d *Daemon) listen() error {
+	s := d.settings
+	if err := openPorts(s,
+		port{"vm", "callers_address", s.VM.CallersAddress, &d.callersListener},
+		port{"vm", "peers_address", s.VM.PeersAddress, &d.peersListener},
+		port{"vm", "operators_address", s.VM.OperatorsAddress, &d.operatorsListener},
+		port{"metrics", "address", s.Metrics.Address, &d.metricsListener},
+	); err != nil {
+		return err
+	}
 	secure, err := certificate(s.TLS.OperatorsCert, s.TLS.OperatorsKey)
 	if err != nil {
 		return s.Problem("tls", "operators_cert", "%v", err)
--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"cmp"
 	"context"
 	"slices"
@@ -13,6 +12,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/rendezvous"
 	"bergamotreel/internal/serving"
+	"bergamotreel/internal/telemetry"
 )
 
 const (
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -19,6 +19,7 @@
 	"bergamotreel/contract"
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/lease"
 	"bergamotreel/registry"
@@ -68,7 +69,7 @@
 }
 
 func (f *fakeRegistry) AwaitConfiguration(ctx context.Context, from registry.Cursor, wait time.Duration) (*registry.Configuration, registry.Cursor, error) {
-	if !sleep(ctx, wait) {
+	if !pause.For(ctx, wait) {
 		return nil, from, ctx.Err()
 	}
 	return f.Configuration(ctx)
@@ -98,7 +99,7 @@
 }
 
 func (f *fakeRegistry) AwaitBackends(ctx context.Context, from registry.Cursor, wait time.Duration) (registry.Changes, error) {
-	if !sleep(ctx, wait/10) {
+	if !pause.For(ctx, wait/10) {
 		return registry.Changes{Next: from}, ctx.Err()
 	}
 	end, err := f.call()
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -1,13 +1,13 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"bytes"
 	"context"
 	"encoding/gob"
 	"time"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/telemetry"
 )
 
 // Report implements entryvm.Coordinator.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"bytes"
 	"context"
 	"encoding/gob"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/internal/pause"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/registry"
 )
 
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -13,6 +13,7 @@
 
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
 )
 
@@ -207,25 +208,30 @@
 	return b.Address, nil
 }
 
+// status asks the engine once what it holds.
+func (k *keeper) status(ctx context.Context, e *keptEngine) (engine.Status, error) {
+	address, err := k.address(e.id)
+	if err != nil {
+		return engine.Status{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return k.node.config.Peers.Engines.Status(ctx, address)
+}
+
 // refresh asks the engine what it holds. A status lags: one that counts fewer
 // orders than are known to be accepted is asked for again.
 func (k *keeper) refresh(ctx context.Context, e *keptEngine) error {
 	deadline := time.Now().Add(statusTimeout)
 	for {
-		address, err := k.address(e.id)
-		if err != nil {
-			return err
-		}
-		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
-		cancel()
+		status, err := k.status(ctx, e)
 		if err != nil {
 			return err
 		}
 		if k.take(e, status) {
 			return nil
 		}
-		if time.Now().After(deadline) || !sleep(ctx, statusLag) {
+		if time.Now().After(deadline) || !pause.For(ctx, statusLag) {
 			return errLate
 		}
 	}
@@ -356,7 +362,7 @@
 			e.known = false
 			e.mu.Unlock()
 		}
-		if !sleep(ctx, conflictPause*time.Duration(min(conflicts, conflictSteps))) {
+		if !pause.For(ctx, conflictPause*time.Duration(min(conflicts, conflictSteps))) {
 			return err
 		}
 	}
@@ -381,7 +387,7 @@
 	if err != nil {
 		return entryvm.EngineNews{}, err
 	}
-	if !sleep(ctx, time.Until(readyAt)) {
+	if !pause.For(ctx, time.Until(readyAt)) {
 		return entryvm.EngineNews{}, ctx.Err()
 	}
 	e.mu.Lock()
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/rendezvous"
 )
 
@@ -171,24 +172,13 @@
 		if err == nil {
 			m.heard(time.Now(), reply, p.address)
 		}
-		if !sleep(ctx, tellGap) {
+		if !pause.For(ctx, tellGap) {
 			return
 		}
 		timer.Reset(m.pace())
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // pace is the time between two reports to a peer. Of two VMs each begins exchanges
 // with the other, so news is half as old.
 func (m *members) pace() time.Duration {
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"context"
 	"slices"
 	"sync"
@@ -11,7 +10,9 @@
 
 	"bergamotreel/contract"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/serving"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/placement/residency"
 )
 
@@ -101,7 +102,7 @@
 		}
 		begun := time.Now()
 		p.plan(ctx)
-		if !sleep(ctx, max(planGap, planRest*time.Since(begun))) {
+		if !pause.For(ctx, max(planGap, planRest*time.Since(begun))) {
 			return
 		}
 		timer.Reset(planEvery)
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"context"
 	"errors"
 	"time"
@@ -11,6 +10,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/registry"
 )
 
--- a/internal/hosted/swap.go
+++ b/internal/hosted/swap.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bergamotreel/internal/telemetry"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,8 @@
 
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
+	"bergamotreel/internal/telemetry"
 )
 
 // swap changes what an engine holds. It returns once it is clear whether it has
@@ -132,7 +133,7 @@
 
 func (k *keeper) swapSteps(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) error {
 	if len(args.Unload) > 0 {
-		if !sleep(ctx, retireNotice) {
+		if !pause.For(ctx, retireNotice) {
 			return ctx.Err()
 		}
 	}
@@ -160,17 +161,14 @@
 // awaitLoad waits until the engine says that it holds the model.
 func (k *keeper) awaitLoad(ctx context.Context, e *keptEngine, args entryvm.SwapArgs) error {
 	deadline := time.Now().Add(loadSlack*args.Takes + loadExtra)
-	if !sleep(ctx, args.Takes) {
+	if !pause.For(ctx, args.Takes) {
 		return ctx.Err()
 	}
 	for {
-		address, err := k.address(e.id)
-		if err != nil {
+		status, err := k.status(ctx, e)
+		if errors.Is(err, errGone) {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-		status, err := k.node.config.Peers.Engines.Status(callCtx, address)
-		cancel()
 		if err == nil && holdsReady(status, args.Load) {
 			k.hold(e, args.Load)
 			return nil
@@ -178,7 +176,7 @@
 		if time.Now().After(deadline) {
 			return errLate
 		}
-		if !sleep(ctx, statusPause) {
+		if !pause.For(ctx, statusPause) {
 			return ctx.Err()
 		}
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"bergamotreel/internal/telemetry"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +13,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 	"bergamotreel/service"
