--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -21,8 +21,8 @@
 	retryGrowth = 4
 	// awaitShare of the time that is allowed for a change is how long one read waits for
 	// news. It bounds how late a change can be: a connection that has gone silent shows
-	// after it, and a read that begins while a record is being appended was seen to be
-	// answered only at its end.
+	// after it, and a read that begins while a record is being appended may be answered
+	// only at its end.
 	awaitShare = 0.85
 	// retryRead is the pause after a read that failed; it grows by itself up to
 	// retryMost, as each try of an outage is a call that is paid for.
@@ -30,7 +30,7 @@
 	retryMost = 500 * time.Millisecond
 	// gatherShare of the time that is allowed is the pause after news of backend
 	// servers: each swap changes an entry, and all VMs would make a call for each.
-	// Keepers tell of swaps at once. Calls of a quiet day fell by a half with it.
+	// Keepers tell of swaps at once, so that nobody waits for this.
 	gatherShare = 0.45
 	// outageAfter is how long the registry must not answer for entries to have
 	// lapsed meanwhile, and for other VMs to be asked instead.
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -127,8 +127,7 @@
 	// ones, and what came to them is about to come again.
 	unknownReplicas = 3
 	// wasteCost is what it costs to leave room of a typical model's size unused: some
-	// model has no place for it, and now and then a request waits for that one. With
-	// it 51 of 56 models found a place where 40 did before.
+	// model has no place for it, and now and then a request waits for that one.
 	wasteCost = 600 * time.Millisecond
 	// starving is the wait after which a model may take the place of one that has
 	// requests running.
