hosted: an engine that does not answer gets no swap for longer each time

Ruled out: the store's rate (15 of 4 a second) and the planner's pace. Change: the keeper answers within the planner's patience and says that the engine is silent; such engines rest 2 s, doubling up to 8 s. The lock on an engine's orders is waited for no longer than that.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -100,6 +100,8 @@
 type SwapReply struct {
 	Begun  bool
 	Reason string
+	// Silent is whether the engine did not answer the keeper.
+	Silent bool
 }
 
 // AdapterArgs asks an engine's keeper to load an adapter on a model it holds.
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -192,6 +192,8 @@
 
 // fakeEngine is an engine in memory. Its status lags by lag.
 type fakeEngine struct {
+	// dark is whether it answers nothing.
+	dark        bool
 	id, address string
 	models      map[string]map[string]bool
 	orders      uint64
@@ -269,13 +271,19 @@
 	f.history[e.address] = append(f.history[e.address], timedStatus{time.Now(), status})
 }
 
-func (f *fakeEngines) Status(_ context.Context, address string) (engine.Status, error) {
+func (f *fakeEngines) Status(ctx context.Context, address string) (engine.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.all[address]
 	if e == nil {
 		return engine.Status{}, engine.ErrNotSent
 	}
+	if e.dark {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return engine.Status{}, ctx.Err()
+	}
 	f.settle(e)
 	history := f.history[address]
 	told := history[0].status
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"time"
 
 	"bergamotreel/entryvm"
@@ -21,7 +22,7 @@
 func (n *Node) Swap(args entryvm.SwapArgs) entryvm.SwapReply {
 	// A swap outlives the call that begins it.
 	if err := n.keeper.swap(context.Background(), args); err != nil {
-		return entryvm.SwapReply{Reason: err.Error()}
+		return entryvm.SwapReply{Reason: err.Error(), Silent: errors.Is(err, errSilent)}
 	}
 	return entryvm.SwapReply{Begun: true}
 }
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -20,6 +20,9 @@
 const (
 	// statusTimeout bounds asking an engine what it holds.
 	statusTimeout = time.Second
+	// readyWithin bounds what comes before a swap is begun, so that the planner hears
+	// of an engine that is silent while it still waits (swapTimeout).
+	readyWithin = 300 * time.Millisecond
 	// orderTimeout bounds one sending of an order: an engine answers within some
 	// milliseconds. orderTries is how often an order that gets no answer is sent: it
 	// names the number of orders before it, so only one of them is carried out.
@@ -57,6 +60,7 @@
 	errNotKeeper = errors.New("this VM may not give orders to the engine")
 	errSwapping  = errors.New("a swap is under way")
 	errGone      = errors.New("the engine is gone")
+	errSilent    = errors.New("the engine does not tell what it holds")
 	errNoRoom    = errors.New("no room on the engine")
 	errLate      = errors.New("not done in time")
 
@@ -79,7 +83,7 @@
 	id string
 	// ordering is held while an order is decided and sent: orders go out one at a
 	// time, each with the number of those before it.
-	ordering sync.Mutex
+	ordering turn
 
 	mu sync.Mutex
 	// known is whether orders and models are as the engine last said or did.
@@ -113,7 +117,7 @@
 	defer k.mu.Unlock()
 	e := k.engines[id]
 	if e == nil {
-		e = &keptEngine{id: id, models: make(map[string]*keptModel)}
+		e = &keptEngine{id: id, ordering: newTurn(), models: make(map[string]*keptModel)}
 		k.engines[id] = e
 	}
 	return e
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -66,6 +67,26 @@
 	})
 }
 
+// Engines that have gone dark are still listed, and empty: the cheapest places for
+// whatever has none. A model must get another place all the same, and soon.
+func TestDarkEnginesAreLeftAlone(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1", "m2", "rare")
+		w.registry.deal("a")
+		w.list(w.engines.add("e1", "m1", "m2"))
+		for i := range 8 {
+			e := w.engines.add(fmt.Sprint("dark", i))
+			e.dark = true
+			w.list(e)
+		}
+		w.boot("a", true)
+		b := w.boot("b", true)
+		time.Sleep(3 * time.Second)
+		took := testkit.Value(ask(b, "rare", 20*time.Second))(w)
+		testkit.That(w, took < 13*time.Second, "took %s", took)
+	})
+}
+
 // Each adapter that is asked for is loaded at once, and with all places taken the one
 // that was not used for longest gives way.
 func TestAdaptersTakeTurns(t *testing.T) {
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -40,6 +40,12 @@
 	// refusedPause is how long an engine gets no further swap after its keeper
 	// refused one.
 	refusedPause = 300 * time.Millisecond
+	// silentPause is the same after the engine or its keeper did not answer; it
+	// doubles with each time in a row up to silentMost. Failure: eight empty engines
+	// that had gone dark were the cheapest places for every model, and tries on them
+	// took up all loads from the store for half a minute.
+	silentPause = 2 * time.Second
+	silentMost  = 8 * time.Second
 	// planAfter is how long a VM waits after its start before it plans: until then
 	// it has not heard what others run.
 	planAfter = 1200 * time.Millisecond
@@ -63,8 +69,8 @@
 	mu sync.Mutex
 	// pending are the swaps that keepers have begun, by engine.
 	pending map[string]pendingSwap
-	// restUntil is when an engine may get a swap again.
-	restUntil map[string]time.Time
+	// rests are the engines whose keepers began no swap the last time.
+	rests map[string]rest
 	// tokens is what may still be loaded from the store now, filledAt when that was
 	// worked out.
 	tokens   float64
@@ -76,6 +82,14 @@
 	toldAt time.Time
 }
 
+// rest is how long an engine gets no swap.
+type rest struct {
+	until time.Time
+	// silent is how long the last pause was for an engine that did not answer, 0 if it
+	// did.
+	silent time.Duration
+}
+
 // pendingSwap is a swap under way; until then it counts as such without news.
 type pendingSwap struct {
 	residency.Swap
@@ -84,7 +98,7 @@
 
 func newPlanner(n *Node, policy *residency.Planner) *planner {
 	return &planner{node: n, policy: policy, wake: make(chan struct{}, 1),
-		pending: make(map[string]pendingSwap), restUntil: make(map[string]time.Time)}
+		pending: make(map[string]pendingSwap), rests: make(map[string]rest)}
 }
 
 func (p *planner) wakeUp() { wake(p.wake) }
@@ -193,13 +207,19 @@
 		zap.Strings("unload", swap.Unload), zap.String("load", swap.Load), zap.Stringer("source", swap.Source),
 		zap.Duration("takes", swap.Takes), zap.String("purpose", swap.Reason), zap.Bool("begun", reply.Begun),
 		zap.String("refused", reply.Reason), telemetry.Reason(err))
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err == nil && reply.Begun {
+		delete(p.rests, swap.Engine)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.pending, swap.Engine)
-	p.restUntil[swap.Engine] = time.Now().Add(refusedPause)
+	next := rest{until: time.Now().Add(refusedPause)}
+	if err != nil || reply.Silent {
+		next.silent = min(max(silentPause, 2*p.rests[swap.Engine].silent), silentMost)
+		next.until = time.Now().Add(next.silent)
+	}
+	p.rests[swap.Engine] = next
 }
 
 func (p *planner) ask(ctx context.Context, args entryvm.SwapArgs) (entryvm.SwapReply, error) {
@@ -237,6 +257,11 @@
 			delete(p.pending, engine)
 		}
 	}
+	for engine := range p.rests {
+		if _, ok := n.backends.get(engine); !ok {
+			delete(p.rests, engine)
+		}
+	}
 	return out
 }
 
@@ -288,14 +313,7 @@
 func (p *planner) restFor(now time.Time, engine string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	until, resting := p.restUntil[engine]
-	if !resting {
-		return 0
-	}
-	if !now.Before(until) {
-		delete(p.restUntil, engine)
-	}
-	return max(0, until.Sub(now))
+	return max(0, p.rests[engine].until.Sub(now))
 }
 
 // kept tells whether a VM that answers may give the engine orders.
--- a/internal/hosted/swap.go
+++ b/internal/hosted/swap.go
@@ -20,8 +20,12 @@
 // begun; the rest goes on beside.
 func (k *keeper) swap(ctx context.Context, args entryvm.SwapArgs) error {
 	e := k.engine(args.Engine)
-	e.ordering.Lock()
-	err := k.beginSwap(ctx, e, args)
+	beginCtx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if !e.ordering.lockWithin(beginCtx) {
+		return errSwapping // or something else is under way there
+	}
+	err := k.beginSwap(beginCtx, e, args)
 	e.ordering.Unlock()
 	if err != nil {
 		return err
@@ -36,7 +40,7 @@
 		return errNotKeeper
 	}
 	if err := k.ready(ctx, e); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errSilent, err)
 	}
 	b, ok := k.node.backends.get(e.id)
 	if !ok {
