hosted, daemon, platformtest: a bed split by job, two twins made one

Ruled out: passing randomness further out of routing: breaker.go and router.go get their *rand.Rand passed in and read no clock. Conclusion: no change of conduct.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	mathrand "math/rand"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -170,23 +169,15 @@
 	// The duties outlive ctx: a shutdown needs them until the last request ended.
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer endDuties()
-	var group sync.WaitGroup
-	failed := make(chan error, 4)
-	serve := func(run func() error) {
-		group.Go(func() {
-			if err := run(); err != nil {
-				failed <- err
-			}
-		})
-	}
+	group := newServers()
 	group.Go(func() { d.node.Run(duties) })
-	serve(func() error { return d.callers.Serve(d.callersListener) })
-	serve(func() error {
+	group.serve(func() error { return d.callers.Serve(d.callersListener) })
+	group.serve(func() error {
 		return entryvm.Serve(duties, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil, entryvm.WithLogger(d.logger))
 	})
-	serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
+	group.serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
 	if d.metricsListener != nil {
-		serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
+		group.serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
 	}
 	d.logger.Info("serving", zap.String("callers", d.settings.VM.CallersAddress))
 	select {
@@ -194,7 +185,7 @@
 		err = nil
 	case <-d.node.Superseded():
 		err = d.settings.Problem("vm", "id", "another process runs with this id")
-	case err = <-failed:
+	case err = <-group.failed:
 	}
 	d.shutdown()
 	endDuties()
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime/debug"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -139,30 +138,22 @@
 	debug.SetMemoryLimit(h.settings.Limits.Memory / memoryParts * memoryUsed)
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer endDuties()
-	var group sync.WaitGroup
-	failed := make(chan error, 4)
-	serve := func(run func() error) {
-		group.Go(func() {
-			if err := run(); err != nil {
-				failed <- err
-			}
-		})
-	}
+	group := newServers()
 	group.Go(func() { h.node.Run(duties) })
 	group.Go(func() { h.reloadOn(duties, reload) })
-	serve(func() error { return h.callers.Serve(h.callersListener) })
-	serve(func() error {
+	group.serve(func() error { return h.callers.Serve(h.callersListener) })
+	group.serve(func() error {
 		return entryvm.ServeCoordination(duties, h.peersListener, []byte(h.settings.Peers.Secret), h.node, nil, entryvm.WithLogger(h.logger))
 	})
-	serve(func() error { return serveHTTP(h.readyServer, h.readyListener) })
+	group.serve(func() error { return serveHTTP(h.readyServer, h.readyListener) })
 	if h.metricsListener != nil {
-		serve(func() error { return serveHTTP(h.metricsServer, h.metricsListener) })
+		group.serve(func() error { return serveHTTP(h.metricsServer, h.metricsListener) })
 	}
 	h.logger.Info("serving", zap.String("callers", h.settings.VM.CallersAddress))
 	var err error
 	select {
 	case <-ctx.Done():
-	case err = <-failed:
+	case err = <-group.failed:
 	}
 	h.shutdown()
 	endDuties()
--- /dev/null
+++ b/internal/hosted/registry_test.go
@@ -0,0 +1,177 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"bergamotreel/internal/pause"
+	"bergamotreel/registry"
+)
+
+// fakeRegistry is a registry in memory. One VM holds all shards of a group until a
+// test deals them anew.
+type fakeRegistry struct {
+	mu            sync.Mutex
+	configuration *registry.Configuration
+	versions      registry.Cursor
+	backends      map[string]registry.Backend
+	changes       []registry.Change
+	owners        map[string][]registry.Ownership
+	writes        map[string]registry.Cursor
+	generation    uint64
+	holder        map[int]string
+	// away has every call fail, history lost counts as of the next read.
+	away        bool
+	historyLost bool
+	// cutOff are the members whose joins get no answer.
+	cutOff map[string]bool
+}
+
+func newFakeRegistry() *fakeRegistry {
+	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
+		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), cutOff: make(map[string]bool)}
+}
+
+func (f *fakeRegistry) call() (func(), error) {
+	f.mu.Lock()
+	if f.away {
+		f.mu.Unlock()
+		return nil, registry.ErrUnavailable
+	}
+	return f.mu.Unlock, nil
+}
+
+func (f *fakeRegistry) Configuration(context.Context) (*registry.Configuration, registry.Cursor, error) {
+	end, err := f.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer end()
+	return f.configuration, f.versions, nil
+}
+
+func (f *fakeRegistry) AwaitConfiguration(ctx context.Context, from registry.Cursor, wait time.Duration) (*registry.Configuration, registry.Cursor, error) {
+	if !pause.For(ctx, wait) {
+		return nil, from, ctx.Err()
+	}
+	return f.Configuration(ctx)
+}
+
+func (f *fakeRegistry) Parse(source []byte) (*registry.Configuration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if string(source) != string(f.configuration.Source) {
+		return nil, errors.New("not this one")
+	}
+	return f.configuration, nil
+}
+
+func (f *fakeRegistry) Backends(context.Context) (registry.Backends, error) {
+	end, err := f.call()
+	if err != nil {
+		return registry.Backends{}, err
+	}
+	defer end()
+	f.historyLost = false
+	list := registry.Backends{Next: registry.Cursor(len(f.changes))}
+	for _, id := range slices.Sorted(maps.Keys(f.backends)) {
+		list.List = append(list.List, f.backends[id])
+	}
+	return list, nil
+}
+
+func (f *fakeRegistry) AwaitBackends(ctx context.Context, from registry.Cursor, wait time.Duration) (registry.Changes, error) {
+	if !pause.For(ctx, wait/10) {
+		return registry.Changes{Next: from}, ctx.Err()
+	}
+	end, err := f.call()
+	if err != nil {
+		return registry.Changes{Next: from}, err
+	}
+	defer end()
+	if f.historyLost {
+		return registry.Changes{Next: from}, registry.ErrHistoryLost
+	}
+	return registry.Changes{List: slices.Clone(f.changes[from:]), Next: registry.Cursor(len(f.changes))}, nil
+}
+
+// put lists a backend server, drop removes one.
+func (f *fakeRegistry) put(b registry.Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backends[b.ID] = b
+	f.changes = append(f.changes, registry.Change{ID: b.ID, Backend: &b})
+}
+
+func (f *fakeRegistry) drop(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.backends, id)
+	f.changes = append(f.changes, registry.Change{ID: id})
+}
+
+func (f *fakeRegistry) setAway(away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
+}
+
+// deal gives all shards to a VM.
+func (f *fakeRegistry) deal(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	for shard := range testShards {
+		f.holder[shard] = vm
+	}
+}
+
+func (f *fakeRegistry) Join(_ context.Context, r registry.JoinRequest) (registry.Assignment, error) {
+	end, err := f.call()
+	if err != nil {
+		return registry.Assignment{}, err
+	}
+	defer end()
+	if f.cutOff[r.Member] {
+		return registry.Assignment{}, registry.ErrUnavailable
+	}
+	assignment := registry.Assignment{Generation: f.generation}
+	for shard := range testShards {
+		if f.holder[shard] == r.Member {
+			assignment.Shards = append(assignment.Shards, shard)
+		}
+	}
+	return assignment, nil
+}
+
+func (f *fakeRegistry) Leave(context.Context, string, string) error { return nil }
+
+func (f *fakeRegistry) Owners(_ context.Context, group string) ([]registry.Ownership, registry.Cursor, error) {
+	end, err := f.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer end()
+	return slices.Clone(f.owners[group]), f.writes[group], nil
+}
+
+func (f *fakeRegistry) Own(_ context.Context, group string, owned []registry.Ownership, at registry.Cursor) error {
+	end, err := f.call()
+	if err != nil {
+		return err
+	}
+	defer end()
+	if f.writes[group] != at {
+		return registry.ErrConflict
+	}
+	for _, o := range owned {
+		f.owners[group] = slices.DeleteFunc(f.owners[group], func(old registry.Ownership) bool { return old.Index == o.Index })
+		f.owners[group] = append(f.owners[group], o)
+		f.writes[group]++
+	}
+	return nil
+}
