--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -34,6 +34,9 @@
 	// cut are the VMs that no other one reaches.
 	mu  sync.Mutex
 	cut map[string]bool
+	// releaseDelay is how long a VM stops between recording its ownership and asking
+	// the former owner.
+	releaseDelay time.Duration
 }
 
 const testService = "llm"
@@ -161,6 +164,7 @@
 	return reach(w, address, (*Node).Adapter, a)
 }
 func (w wire) Release(_ context.Context, address string, r entryvm.ReleaseArgs) (entryvm.ReleaseReply, error) {
+	time.Sleep(w.world.releaseDelay)
 	return reach(w, address, (*Node).Release, r)
 }
 func (w wire) Knowledge(_ context.Context, address string) (entryvm.KnowledgeReply, error) {
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -159,6 +159,30 @@
 	})
 }
 
+// A VM records itself as the owner of an engine and stops for half a second. The former
+// owner, which may act on its last join for four, goes on ordering until it is asked.
+// Its last order counts from its answer: counted from the record, the new owner's first
+// order came half a second too early.
+func TestOwnerSuspendedBeforeItAsks(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1", "m2", "m3")
+		w.registry.deal("a")
+		w.list(w.engines.add("e1", "m1", "m2"))
+		a, b := w.boot("a", true), w.boot("b", true)
+		time.Sleep(3 * time.Second)
+		w.releaseDelay = 500 * time.Millisecond
+		w.registry.mu.Lock()
+		w.registry.cutOff["a"] = true
+		w.registry.mu.Unlock()
+		w.registry.deal("b")
+		for i := range 40 {
+			_, _ = ask(a, fmt.Sprint("m1/a", i), 50*time.Millisecond)
+		}
+		_ = testkit.Value(ask(b, "m3", 20*time.Second))(w)
+		w.checkQuiet()
+	})
+}
+
 // An engine's status is from the middle of a load: it counts the order and lacks the
 // model. Taken as it is, the keeper would find room for another one.
 func TestStatusInTheMiddleOfAnOrder(t *testing.T) {
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -174,10 +174,11 @@
 
 // begin finds out when the first order to a shard may go out.
 func (n *Node) begin(shard int, generation uint64, former registry.Ownership, ownedAt time.Duration) {
-	wait, reason := n.waitFor(shard, generation, former)
+	from, wait, reason := n.waitFor(shard, generation, former, ownedAt)
 	n.shardsMu.Lock()
-	n.shards.Owned(ownedAt, shard, generation, wait)
+	n.shards.Owned(from, shard, generation, wait)
 	n.shardsMu.Unlock()
+	wait = max(0, from+wait-n.config.Boot())
 	n.config.Logger.Info("shard owned", zap.Int("shard", shard), zap.Uint64("generation", generation),
 		zap.String("former", former.VM), zap.Duration("orders_in", wait), zap.String("reason", reason))
 	time.AfterFunc(wait, func() {
@@ -186,15 +187,18 @@
 	})
 }
 
-// waitFor is how long after the recording the first order may go out.
-func (n *Node) waitFor(shard int, generation uint64, former registry.Ownership) (time.Duration, string) {
+// waitFor is how long the first order waits, and from when on that counts: from the
+// recording, or from the former owner's answer. Failure: this VM is suspended between
+// the two, while the former owner goes on ordering until it is asked; from the
+// recording on, its newest order looks seconds older than it is.
+func (n *Node) waitFor(shard int, generation uint64, former registry.Ownership, ownedAt time.Duration) (from, wait time.Duration, reason string) {
 	switch {
 	case former.VM == "":
-		return 0, "never owned"
+		return ownedAt, 0, "never owned"
 	case former.VM == n.config.VM && former.Settled:
-		return 0, "owned by this VM before"
+		return ownedAt, 0, "owned by this VM before"
 	case former.VM == n.config.VM:
-		return n.config.Lease.WaitForLost(), "an earlier process of this VM still waited"
+		return ownedAt, n.config.Lease.WaitForLost(), "an earlier process of this VM still waited"
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
@@ -202,9 +206,9 @@
 		Group: n.config.Domain, Index: shard, Generation: generation, Settled: former.Settled,
 	})
 	if err != nil || !reply.Released {
-		return n.config.Lease.WaitForLost(), "former owner does not tell"
+		return ownedAt, n.config.Lease.WaitForLost(), "former owner does not tell"
 	}
-	return n.config.Lease.WaitAfter(reply.LastOrder), "released by the former owner"
+	return n.config.Boot(), n.config.Lease.WaitAfter(reply.LastOrder), "released by the former owner"
 }
 
 // Release implements entryvm.Coordinator.
