--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -248,7 +248,7 @@
 	if p.report.Incarnation == report.Incarnation && p.report.Sequence >= report.Sequence {
 		return false
 	}
-	if p.heardAt.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.heardAt) > heardFor {
+	if p.heardAt.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.heardAt) > m.heardFor() {
 		m.node.config.Logger.Info("entry VM heard", zap.String("peer", report.VM), zap.String("address", report.Address),
 			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.heardAt)))
 	}
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -54,6 +54,8 @@
 	storeRateShare = 0.5
 	// residencyEvery is the time between two log lines on what is resident.
 	residencyEvery = 2 * time.Second
+	// shortagesTold is how many models with waiting requests are told of at a time.
+	shortagesTold = 5
 	// storeBurst is how many loads from the store may begin at once.
 	storeBurst = 4
 )
@@ -173,10 +175,17 @@
 	}
 	p.toldAt = now
 	s := residency.Summarize(engines, models)
+	under := p.underWay(now)
 	p.node.config.Logger.Info("residency", zap.String("service", pool.Service), zap.Int("models", s.Models),
 		zap.Int("resident", s.Resident), zap.Int("replicas", s.Replicas), zap.Int("asked_for_not_resident", s.Missing),
 		zap.Int("waiting", s.Waiting), zap.Int("running", s.Running), zap.Int("engines", s.Engines),
-		zap.Int("orderable", s.Orderable), zap.Int64("free_bytes", s.FreeBytes), zap.Int("swaps_under_way", len(p.underWay(now))))
+		zap.Int("orderable", s.Orderable), zap.Int64("free_bytes", s.FreeBytes), zap.Int("swaps_under_way", len(under)))
+	for _, short := range residency.Shortages(engines, models, under, shortagesTold) {
+		p.node.config.Logger.Info("model short", zap.String("service", pool.Service), zap.String("model", short.Model),
+			zap.Int("waiting", short.Waiting), zap.Duration("oldest", short.Oldest), zap.Float64("rate", short.Rate),
+			zap.Int("running", short.Running), zap.Int("replicas", short.Replicas), zap.Int("coming", short.Coming),
+			zap.Int("in_memory", short.InMemory), zap.Int("on_disk", short.OnDisk), zap.Int("engines_free", short.Free))
+	}
 }
 
 // takeToken keeps loads from the store to a share of its rate.
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -249,3 +249,21 @@
 		testkit.Need(t, there, "%+v unloads what isn't there", s)
 	}
 }
+
+// On-call asks why requests wait for a model: how many engines have it, get it or have a
+// copy of it, and how many of these could begin to load it now.
+func TestShortagesTellWhyAModelIsWaitedFor(t *testing.T) {
+	engines := []Engine{engine("a", "m1"), engine("b"), engine("c"), engine("d"), engine("e")}
+	engines[1].InMemory["m1"] = true
+	engines[2].OnDisk["m1"] = true
+	engines[2].BusyFor = time.Second
+	engines[3].OnDisk["m1"], engines[3].Serving = true, false
+	engines[4].OnDisk["m1"], engines[4].Orderable = true, false
+	models := []Model{model("m2", 10, nil), model("m1", 10, waiting), model("m3", 10, waiting)}
+	models[2].Waiting = 9
+	got := Shortages(engines, models, []Swap{{Engine: "c", Load: "m1"}}, 5)
+	testkit.Need(t, len(got) == 2 && got[0].Model == "m3", "got %+v, want m3 first, and none that nobody waits for", got)
+	want := Shortage{Model: "m1", Waiting: 3, Oldest: time.Second, Rate: 0.5, Replicas: 1, Coming: 1, InMemory: 1, OnDisk: 1, Free: 1}
+	testkit.Equal(t, "the second one", got[1], want)
+	testkit.Equal(t, "bounded", len(Shortages(engines, models, nil, 1)), 1)
+}
