residency: loads from the store are bounded by what it was found to serve at once

Ruled out: slow engines (loads from their disks took 1 s). The bound doubles while loads run at full speed, falls to what slow ones were served at, and other VMs learn it from the one that plans.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -37,6 +37,9 @@
 	Engines []EngineNews
 	// Configuration is the version in force here.
 	Configuration uint64
+	// StoreLoads is how many loads the weight store was found to serve at once, from
+	// the VM that plans; 0 from any other.
+	StoreLoads int
 	// Members are the entry VMs that this one hears: so that two which both know a
 	// third meet each other.
 	Members []Member
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -225,6 +225,7 @@
 	if !m.take(now, report) {
 		return
 	}
+	m.node.planner.learnStoreLoads(report.StoreLoads)
 	changed := false
 	for _, news := range report.Engines {
 		changed = m.node.backends.tell(now, report.VM, news) || changed
@@ -406,7 +407,8 @@
 	r := entryvm.Report{
 		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
 		Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
-		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), Members: others,
+		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), StoreLoads: n.planner.toldStoreLoads(),
+		Members: others,
 	}
 	for _, run := range n.serving.Runs() {
 		r.Running = append(r.Running, entryvm.Running{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -22,7 +22,6 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/serving"
 	"bergamotreel/lease"
-	"bergamotreel/placement/residency"
 	"bergamotreel/refusal"
 	"bergamotreel/registry"
 	"bergamotreel/routing"
@@ -117,7 +116,7 @@
 	n.adapters = newAdapterAsks(n)
 	n.members = newMembers(n)
 	n.keeper = newKeeper(n)
-	n.planner = newPlanner(n, residency.New(residency.Config{}))
+	n.planner = newPlanner(n)
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, Forwards: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -64,20 +64,21 @@
 // decisions are in package residency; this gathers what they need and hands the
 // swaps to the engines' keepers.
 type planner struct {
-	node   *Node
-	policy *residency.Planner
-	wake   chan struct{}
+	node *Node
+	wake chan struct{}
 
 	mu sync.Mutex
+	// store is what is known of how many loads the weight store serves at full speed.
+	store *residency.StoreLimit
 	// pending are the swaps that keepers have begun, by engine.
 	pending map[string]pendingSwap
 	// rests are the engines whose keepers began no swap the last time.
-	rests map[string]rest
+	rests    map[string]rest
+	planning bool
 	// tokens is what may still be loaded from the store now, filledAt when that was
 	// worked out.
 	tokens   float64
 	filledAt time.Time
-	planning bool
 	// aheadAt is when loads ahead of demand were last looked for.
 	aheadAt time.Time
 	// toldAt is when the residency was last logged.
@@ -98,8 +99,8 @@
 	begun, until time.Time
 }
 
-func newPlanner(n *Node, policy *residency.Planner) *planner {
-	return &planner{node: n, policy: policy, wake: make(chan struct{}, 1),
+func newPlanner(n *Node) *planner {
+	return &planner{node: n, wake: make(chan struct{}, 1), store: residency.NewStoreLimit(),
 		pending: make(map[string]pendingSwap), rests: make(map[string]rest)}
 }
 
@@ -132,7 +133,7 @@
 	current := n.inForce.Load()
 	leads := current != nil && !n.stopping.Load() && n.config.Boot()-n.started > planAfter && n.members.plans(now)
 	if leads != p.planning {
-		p.planning = leads
+		p.lead(leads)
 		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
 		// What a former planner took from the store's rate isn't known.
 		p.tokens, p.filledAt = 0, now
@@ -145,11 +146,21 @@
 	}
 }
 
+// lead notes whether this VM plans.
+func (p *planner) lead(leads bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planning = leads
+}
+
 func (p *planner) planPool(ctx context.Context, now time.Time, pool *contract.EnginePool) {
 	engines := p.engines(now, pool)
 	models := p.models(now, pool, engines)
 	p.tellResidency(now, pool, engines, models)
-	for _, swap := range p.policy.Plan(now, engines, models, p.underWay(now), p.looksAhead(now)) {
+	swaps := residency.Plan(residency.Situation{
+		Now: now, Engines: engines, Models: models, Loading: p.underWay(now), StoreLoads: p.storeLoads(), Ahead: p.looksAhead(now),
+	})
+	for _, swap := range swaps {
 		if swap.Source == residency.SourceStore && swap.Load != "" && !p.takeToken(now, pool) {
 			continue
 		}
@@ -205,6 +216,59 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending[swap.Engine] = pendingSwap{Swap: swap, begun: now, until: now.Add(swapLinger)}
+	if swap.Source == residency.SourceStore && swap.Load != "" {
+		p.store.Begin(now, swap.Engine, swap.Takes+unloadTime(swap))
+	}
+}
+
+// unloadTime is what the unloads before a swap's load should take.
+func unloadTime(swap residency.Swap) time.Duration {
+	return time.Duration(len(swap.Unload)) * residency.UnloadTime
+}
+
+// storeLoads is how many loads from the store should run at once.
+func (p *planner) storeLoads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.store.AtOnce()
+}
+
+// toldStoreLoads is what other VMs are told of the store: nothing, unless this one
+// plans and so sees its loads.
+func (p *planner) toldStoreLoads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.planning {
+		return 0
+	}
+	return p.store.Found()
+}
+
+// learnStoreLoads takes what the VM that plans has found out of the store, so that the
+// next one that plans need not begin anew.
+func (p *planner) learnStoreLoads(atOnce int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.planning {
+		p.store.Learn(atOnce)
+	}
+}
+
+// ended notes the end of a swap that was under way. Call with mu held.
+func (p *planner) ended(now time.Time, engine string, b *backend) {
+	swap := p.pending[engine].Swap
+	delete(p.pending, engine)
+	if swap.Source != residency.SourceStore || swap.Load == "" {
+		return
+	}
+	if _, loaded := b.models[swap.Load]; !loaded {
+		p.store.Abandon(now, engine)
+		return
+	}
+	if p.store.End(now, engine) {
+		p.node.config.Logger.Info("loads from the store bounded", zap.Int("at_once", p.store.AtOnce()),
+			zap.String("engine", engine), zap.String("model", swap.Load), zap.Duration("expected", swap.Takes))
+	}
 }
 
 // hand gives a swap to the engine's keeper.
@@ -223,6 +287,7 @@
 		return
 	}
 	delete(p.pending, swap.Engine)
+	p.store.Abandon(time.Now(), swap.Engine)
 	next := rest{until: time.Now().Add(refusedPause)}
 	if err != nil || reply.Silent {
 		next.silent = min(max(silentPause, 2*p.rests[swap.Engine].silent), silentMost)
@@ -260,10 +325,11 @@
 		switch {
 		case !ok:
 			delete(p.pending, engine)
+			p.store.Abandon(now, engine)
 		case b.swapping(), now.Before(swap.until):
 			out = append(out, swap.Swap)
 		default:
-			delete(p.pending, engine)
+			p.ended(now, engine, &b)
 		}
 	}
 	for engine := range p.rests {
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -86,18 +86,23 @@
 	Reason string
 }
 
-// Config holds the policy. The zero value of a field takes its default.
-type Config struct {
-	// StoreLoads bounds the loads from the weight store that run at once.
+// Situation is what a plan is made from.
+type Situation struct {
+	Now     time.Time
+	Engines []Engine
+	Models  []Model
+	// Loading are the swaps that are under way already.
+	Loading []Swap
+	// StoreLoads is how many loads from the weight store should run at once.
 	StoreLoads int
+	// Ahead is whether loads ahead of demand are looked for, which takes longer than
+	// all else.
+	Ahead bool
 }
 
 const (
-	// defaultStoreLoads is how many loads the store serves at full speed; more at
-	// once only take longer each.
-	defaultStoreLoads = 4
-	// unloadTime is what an unload of an idle model takes, with the news of it.
-	unloadTime = 150 * time.Millisecond
+	// UnloadTime is what an unload of an idle model takes, with the news of it.
+	UnloadTime = 150 * time.Millisecond
 	// drainTime is what the requests that run on a model take to end.
 	drainTime = 1500 * time.Millisecond
 	// youngFor is how long a loaded model is not given up again: those who waited
@@ -134,31 +139,16 @@
 	starving = 400 * time.Millisecond
 )
 
-// Planner plans which models engines hold. It answers two load patterns: many
-// rare models that are each asked for every few seconds and fit together only
-// just, and few busy models that change. Every model should have one place, a busy
-// one more, and what must give way is what is asked for least.
-//
-// It is not safe for concurrent use and keeps nothing between calls.
-type Planner struct{ config Config }
-
-// New makes a planner.
-func New(config Config) *Planner {
-	if config.StoreLoads <= 0 {
-		config.StoreLoads = defaultStoreLoads
-	}
-	return &Planner{config: config}
-}
-
-// Plan returns the swaps to begin now. loading are the swaps that are under way
-// already; ahead is whether loads ahead of demand are looked for, which takes longer
-// than all else.
-func (r *Planner) Plan(now time.Time, engines []Engine, models []Model, loading []Swap, ahead bool) []Swap {
-	next := newRound(now, r.config, engines, models, loading)
+// Plan returns the swaps to begin now. It answers two load patterns: many rare models
+// that are each asked for every few seconds and fit together only just, and few busy
+// models that change. Every model should have one place, a busy one more, and what must
+// give way is what is asked for least. Nothing is kept between calls.
+func Plan(s Situation) []Swap {
+	next := newRound(s)
 	next.dropStrangers()
 	next.serveWaiting()
 	next.spread()
-	if ahead {
+	if s.Ahead {
 		next.fill()
 	}
 	return next.swaps
@@ -166,10 +156,8 @@
 
 // round is one call of Plan.
 type round struct {
-	now     time.Time
-	config  Config
-	engines []Engine
-	models  map[string]*Model
+	Situation
+	models map[string]*Model
 	// order is the models by how urgently they are wanted.
 	order []*Model
 	// ready and coming count each model's replicas.
@@ -186,27 +174,28 @@
 	swaps []Swap
 }
 
-func newRound(now time.Time, config Config, engines []Engine, models []Model, loading []Swap) *round {
+func newRound(s Situation) *round {
 	r := &round{
-		now: now, config: config, engines: engines, models: make(map[string]*Model, len(models)),
+		Situation: s, models: make(map[string]*Model, len(s.Models)),
 		ready: make(map[string]int), coming: make(map[string]int), taken: make(map[string]bool),
 	}
-	for i := range models {
-		r.models[models[i].Name] = &models[i]
-		r.order = append(r.order, &models[i])
-		r.demand = r.demand || models[i].Rate > 0
-		if r.smallest == 0 || models[i].Bytes < r.smallest {
-			r.smallest = models[i].Bytes
+	for i := range s.Models {
+		m := &s.Models[i]
+		r.models[m.Name] = m
+		r.order = append(r.order, m)
+		r.demand = r.demand || m.Rate > 0
+		if r.smallest == 0 || m.Bytes < r.smallest {
+			r.smallest = m.Bytes
 		}
 	}
-	for i := range engines {
-		for _, m := range engines[i].Models {
-			if m.Ready && engines[i].Serving {
+	for i := range s.Engines {
+		for _, m := range s.Engines[i].Models {
+			if m.Ready && s.Engines[i].Serving {
 				r.ready[m.Name]++
 			}
 		}
 	}
-	for _, swap := range loading {
+	for _, swap := range s.Loading {
 		r.note(swap)
 	}
 	slices.SortFunc(r.order, func(a, b *Model) int {
@@ -235,8 +224,8 @@
 // dropStrangers unloads models that the configuration no longer names. Their size
 // isn't known, and an engine that is ordered to load more than fits crashes.
 func (r *round) dropStrangers() {
-	for i := range r.engines {
-		e := &r.engines[i]
+	for i := range r.Engines {
+		e := &r.Engines[i]
 		if !e.Orderable || e.BusyFor > 0 || r.taken[e.ID] {
 			continue
 		}
@@ -258,7 +247,7 @@
 func (r *round) serveWaiting() {
 	for _, m := range r.order {
 		if m.Waiting > 0 && r.ready[m.Name]+r.coming[m.Name] == 0 {
-			r.place(m, reasonWaited, m.Oldest > starving, r.config.StoreLoads)
+			r.place(m, reasonWaited, m.Oldest > starving, r.StoreLoads)
 		}
 	}
 }
@@ -270,7 +259,7 @@
 	}
 	for _, m := range r.order {
 		for r.ready[m.Name]+r.coming[m.Name] > 0 && r.ready[m.Name]+r.coming[m.Name] < r.wanted(m) && r.coming[m.Name] < spreadAtOnce {
-			if !r.place(m, reasonBusy, false, r.config.StoreLoads) {
+			if !r.place(m, reasonBusy, false, r.StoreLoads) {
 				break
 			}
 		}
@@ -282,14 +271,14 @@
 func (r *round) fill() {
 	most := fillAtOnce
 	if !r.waiting() {
-		most = len(r.engines)
+		most = len(r.Engines)
 	}
 	for _, m := range r.order {
 		if r.filling >= most {
 			return
 		}
 		if r.ready[m.Name]+r.coming[m.Name] == 0 {
-			r.place(m, reasonFill, false, r.config.StoreLoads-1)
+			r.place(m, reasonFill, false, r.StoreLoads-1)
 		}
 	}
 }
@@ -302,8 +291,8 @@
 // wanted is how many replicas a model's load deserves.
 func (r *round) wanted(m *Model) int {
 	slots := 0
-	for i := range r.engines {
-		slots = max(slots, r.engines[i].Slots)
+	for i := range r.Engines {
+		slots = max(slots, r.Engines[i].Slots)
 	}
 	wanted := 1
 	if !r.demand {
@@ -339,8 +328,8 @@
 // way may have requests running.
 func (r *round) place(m *Model, reason string, force bool, storeLoads int) bool {
 	best := option{cost: -1}
-	for i := range r.engines {
-		e := &r.engines[i]
+	for i := range r.Engines {
+		e := &r.Engines[i]
 		if !e.Orderable || holds(e, m.Name) {
 			continue
 		}
@@ -458,7 +447,7 @@
 
 // evictCost is what it costs to take a model off an engine; false if it must stay.
 func (r *round) evictCost(e *Engine, held Held, force bool) (time.Duration, bool) {
-	if !held.Ready || r.now.Sub(held.Since) < youngFor {
+	if !held.Ready || r.Now.Sub(held.Since) < youngFor {
 		return 0, false
 	}
 	m := r.models[held.Name]
@@ -469,7 +458,7 @@
 	if m.Waiting > 0 && others < 1 {
 		return 0, false
 	}
-	cost := unloadTime
+	cost := UnloadTime
 	if held.Running > 0 {
 		if !force && others < 1 {
 			return 0, false
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -13,6 +13,9 @@
 // start is far enough from the zero time for every model to be old.
 var start = time.Unix(1000, 0)
 
+// storeLoads is how many loads from the store may run at once.
+const storeLoads = 4
+
 // model is a model of the size whose copies are on disk somewhere.
 func model(name string, bytes int64, change func(*Model)) Model {
 	m := Model{Name: name, Bytes: bytes, Worth: 1, FromMemory: 600 * time.Millisecond, FromDisk: time.Second, FromStore: 6 * time.Second}
@@ -34,7 +37,7 @@
 }
 
 func plan(engines []Engine, models []Model, under ...Swap) []Swap {
-	return New(Config{}).Plan(start, engines, models, under, true)
+	return Plan(Situation{Now: start, Engines: engines, Models: models, Loading: under, StoreLoads: storeLoads, Ahead: true})
 }
 
 func wantOne(t *testing.T, got []Swap, engine, load string, unload ...string) {
@@ -168,9 +171,9 @@
 		engines = append(engines, engine(fmt.Sprint("e", i)))
 		models = append(models, model(fmt.Sprint("m", i), 80, waiting))
 	}
-	testkit.Equal(t, "loads from the store", len(plan(engines, models)), defaultStoreLoads)
+	testkit.Equal(t, "loads from the store", len(plan(engines, models)), storeLoads)
 	under := []Swap{{Engine: "x", Load: "x", Source: SourceStore}, {Engine: "y", Load: "y", Source: SourceStore}}
-	testkit.Equal(t, "beside two", len(plan(engines, models, under...)), defaultStoreLoads-2)
+	testkit.Equal(t, "beside two", len(plan(engines, models, under...)), storeLoads-2)
 }
 
 // Whatever the engines hold and whoever waits: a plan overfills no engine, changes none
