residency: a second replica of each model where there is room

Cause: 'model short' lines: models with one replica wait for seconds when it is lost or its engine is full, with 5 TB of room free and copies on three disks. From copies at hand only, in another failure domain first, never in place of another. Test: TestSparesWhereThereIsRoom.

--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -134,6 +134,9 @@
 	// wasteCost is what it costs to leave room of a typical model's size unused: some
 	// model has no place for it, and now and then a request waits for that one.
 	wasteCost = 600 * time.Millisecond
+	// sameDomainCost is what it costs to put a replica into a failure domain that has
+	// one: a cut of that domain takes both.
+	sameDomainCost = 300 * time.Millisecond
 	// starving is the wait after which a model may take the place of one that has
 	// requests running.
 	starving = 400 * time.Millisecond
@@ -165,6 +168,8 @@
 	storeLoads    int
 	// demand is whether any model is asked for.
 	demand bool
+	// domains are the failure domains with a replica of each model.
+	domains map[string]map[string]bool
 	// smallest is the size of the smallest model.
 	smallest int64
 	// filling counts the loads ahead of demand under way and planned.
@@ -178,6 +183,7 @@
 	r := &round{
 		Situation: s, models: make(map[string]*Model, len(s.Models)),
 		ready: make(map[string]int), coming: make(map[string]int), taken: make(map[string]bool),
+		domains: make(map[string]map[string]bool, len(s.Models)),
 	}
 	for i := range s.Models {
 		m := &s.Models[i]
@@ -192,6 +198,7 @@
 		for _, m := range s.Engines[i].Models {
 			if m.Ready && s.Engines[i].Serving {
 				r.ready[m.Name]++
+				r.inDomain(m.Name, s.Engines[i].Domain)
 			}
 		}
 	}
@@ -204,6 +211,13 @@
 	return r
 }
 
+func (r *round) inDomain(model, domain string) {
+	if r.domains[model] == nil {
+		r.domains[model] = make(map[string]bool)
+	}
+	r.domains[model][domain] = true
+}
+
 // urgency is what the wait for a model costs: the requests that wait, and more
 // for each further moment of the first one's wait.
 func (m *Model) urgency() float64 {
@@ -213,7 +227,7 @@
 func (r *round) note(swap Swap) {
 	r.coming[swap.Load]++
 	r.taken[swap.Engine] = true
-	if swap.Reason == reasonFill {
+	if swap.Reason == reasonFill || swap.Reason == reasonSpare {
 		r.filling++
 	}
 	if swap.Source == SourceStore {
@@ -247,7 +261,7 @@
 func (r *round) serveWaiting() {
 	for _, m := range r.order {
 		if m.Waiting > 0 && r.ready[m.Name]+r.coming[m.Name] == 0 {
-			r.place(m, reasonWaited, m.Oldest > starving, r.StoreLoads)
+			r.place(m, want{reason: reasonWaited, force: m.Oldest > starving, storeLoads: r.StoreLoads})
 		}
 	}
 }
@@ -259,26 +273,34 @@
 	}
 	for _, m := range r.order {
 		for r.ready[m.Name]+r.coming[m.Name] > 0 && r.ready[m.Name]+r.coming[m.Name] < r.wanted(m) && r.coming[m.Name] < spreadAtOnce {
-			if !r.place(m, reasonBusy, false, r.StoreLoads) {
+			if !r.place(m, want{reason: reasonBusy, storeLoads: r.StoreLoads}) {
 				break
 			}
 		}
 	}
 }
 
-// fill loads models that have no place at all ahead of demand, where this costs
-// nobody one: from a copy at hand, or from the store while nobody else needs it.
+// fill loads ahead of demand, where this costs nobody a place: models that have none,
+// from a copy at hand, or from the store while nobody else needs it; then a second
+// replica of each model, from copies at hand, while there is room. Load pattern: engines
+// crash or are cut off, or demand moves to models with one replica; from the store the
+// next one takes many seconds.
 func (r *round) fill() {
 	most := fillAtOnce
 	if !r.waiting() {
 		most = len(r.Engines)
 	}
-	for _, m := range r.order {
-		if r.filling >= most {
-			return
-		}
-		if r.ready[m.Name]+r.coming[m.Name] == 0 {
-			r.place(m, reasonFill, false, r.StoreLoads-1)
+	for _, w := range []want{
+		{reason: reasonFill, storeLoads: r.StoreLoads - 1},
+		{reason: reasonSpare, replicas: 1, roomOnly: true},
+	} {
+		for _, m := range r.order {
+			if r.filling >= most {
+				return
+			}
+			if r.ready[m.Name]+r.coming[m.Name] == w.replicas {
+				r.place(m, w)
+			}
 		}
 	}
 }
@@ -312,8 +334,21 @@
 	reasonWaited = "waited for"
 	reasonBusy   = "busy"
 	reasonFill   = "ahead of demand"
+	reasonSpare  = "spare"
 )
 
+// want is how much a place for a model is wanted.
+type want struct {
+	reason string
+	// replicas is how many the model has and is getting.
+	replicas int
+	// force is whether what gives way may have requests running, roomOnly whether
+	// nothing may give way.
+	force, roomOnly bool
+	// storeLoads is how many loads from the store may run, this one included.
+	storeLoads int
+}
+
 // option is a way to give a model a place.
 type option struct {
 	swap Swap
@@ -324,9 +359,8 @@
 
 // place plans the cheapest way to load the model, if there is one that can begin now.
 // An engine that has another order under way may be worth waiting for: one with a copy
-// on its disk is done before the store has delivered. Where force is set, what gives
-// way may have requests running.
-func (r *round) place(m *Model, reason string, force bool, storeLoads int) bool {
+// on its disk is done before the store has delivered.
+func (r *round) place(m *Model, w want) bool {
 	best := option{cost: -1}
 	for i := range r.Engines {
 		e := &r.Engines[i]
@@ -336,18 +370,21 @@
 		if r.taken[e.ID] && e.BusyFor == 0 {
 			continue // planned in this round; how long it takes shows in the next
 		}
-		o, ok := r.option(e, m, force)
-		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= storeLoads) {
+		if w.roomOnly && !r.hasRoom(e, m) {
+			continue
+		}
+		o, ok := r.option(e, m, w.force)
+		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= w.storeLoads) {
 			continue
 		}
 		if best.cost < 0 || o.cost < best.cost {
 			best = o
 		}
 	}
-	if best.cost < 0 || best.later || r.taken[best.swap.Engine] || (reason != reasonWaited && best.cost > r.gain(m, best.swap)) {
+	if best.cost < 0 || best.later || r.taken[best.swap.Engine] || (w.pays() && best.cost > r.gain(m, best.swap)) {
 		return false
 	}
-	best.swap.Reason = reason
+	best.swap.Reason = w.reason
 	r.note(best.swap)
 	for _, name := range best.swap.Unload {
 		r.ready[name]--
@@ -356,6 +393,10 @@
 	return true
 }
 
+// pays tells whether the place must gain more than it costs: one that is waited for, or
+// that takes only room which nobody uses, need not.
+func (w want) pays() bool { return w.reason != reasonWaited && !w.roomOnly }
+
 // gain is what a replica that nobody waits for yet is worth: the waits that it
 // saves within the horizon, and its own load.
 func (r *round) gain(m *Model, swap Swap) time.Duration {
@@ -367,6 +408,17 @@
 	return gain
 }
 
+// hasRoom tells whether the engine has room for the model beside all that it holds.
+func (r *round) hasRoom(e *Engine, m *Model) bool {
+	free := e.Room - m.Bytes
+	for _, held := range e.Models {
+		if known := r.models[held.Name]; known != nil {
+			free -= known.Bytes
+		}
+	}
+	return free >= 0
+}
+
 func holds(e *Engine, model string) bool {
 	return slices.ContainsFunc(e.Models, func(m Held) bool { return m.Name == model })
 }
@@ -398,6 +450,9 @@
 	o.cost += e.BusyFor
 	o.later = e.BusyFor > 0
 	o.cost += r.waste(free - m.Bytes)
+	if r.domains[m.Name][e.Domain] {
+		o.cost += sameDomainCost
+	}
 	// An engine with much running shares its batch with what comes.
 	if e.Slots > 0 {
 		o.cost += time.Duration(float64(e.Running) / float64(e.Slots) * float64(time.Second))
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -141,6 +141,31 @@
 	testkit.That(t, s.Resident >= 24, "%d of 30 models have a place, %d free", s.Resident, s.FreeBytes)
 }
 
+// Engines crash or a failure domain is cut off, and with them the only replica of many
+// models; the store takes 13 s for each. While there is room, each model has a second
+// replica in another domain, from copies at hand; nothing gives way to one, none comes
+// from the store, and a model without any place goes first.
+func TestSparesWhereThereIsRoom(t *testing.T) {
+	engines := []Engine{engine("a", "m1"), engine("b", "m2"), engine("c"), engine("d")}
+	for i, domain := range []string{"x", "y", "x", "y"} {
+		engines[i].Domain = domain
+	}
+	for _, e := range []int{0, 1, 2, 3} {
+		engines[e].OnDisk["m1"], engines[e].OnDisk["m3"] = true, true
+	}
+	models := []Model{model("m1", 80, nil), model("m2", 80, nil), model("m3", 80, nil)}
+	got := plan(engines, models)
+	testkit.Need(t, len(got) == 2 && got[0].Load == "m3" && got[0].Reason == reasonFill, "got %+v, want m3 first", got)
+	apply(engines, got[0])
+	apply(engines, got[1])
+	testkit.That(t, got[1].Load == "m1" && got[1].Reason == reasonSpare && len(got[1].Unload) == 0, "got %+v, want m1 as well", got[1])
+	testkit.That(t, len(plan(engines, models)) == 0, "more without room or copies")
+	engines = []Engine{engine("a", "m1"), engine("b"), engine("c")}
+	engines[0].Domain, engines[1].Domain, engines[2].Domain = "x", "x", "y"
+	engines[1].OnDisk["m1"], engines[2].OnDisk["m1"] = true, true
+	wantOne(t, plan(engines, []Model{model("m1", 80, nil)}), "c", "m1")
+}
+
 // apply carries a swap out.
 func apply(engines []Engine, s Swap) {
 	for i := range engines {
--- a/placement/residency/storelimit.go
+++ b/placement/residency/storelimit.go
@@ -41,7 +41,7 @@
 	steady  int
 	// found is whether any load has told of the store.
 	found bool
-	loads   map[string]*storeLoad // by engine
+	loads map[string]*storeLoad // by engine
 	// sampledAt is up to when the loads' company was counted.
 	sampledAt time.Time
 }
