residency, hosted: requests that can't wait for their model's load are refused at once, with the time to come back

Test: TestArrivals; admission refuses for a pool's base model too. Kept: a known answer is given at once.

--- a/admission/expire.go
+++ b/admission/expire.go
@@ -62,7 +62,7 @@
 // comeBack is when a request like t would be served: when its unit is ready, or
 // when the queue before it has gone.
 func (c *Controller) comeBack(now time.Time, t *Ticket) time.Duration {
-	if at, ok := c.expected[t.Unit]; ok && at.After(now) {
+	if at, ok := c.expectedAt(t.Unit, t.Pool); ok && at.After(now) {
 		return at.Sub(now)
 	}
 	if wait, ok := c.queueWait(now, t.Request); ok {
@@ -103,7 +103,7 @@
 	if known := c.customers[r.Customer]; known.contract == nil {
 		return refusal.New(refusal.CodeUnknownKey, 0, "the contract of customer %s has ended", r.Customer)
 	}
-	at, ok := c.expected[r.Unit]
+	at, ok := c.expectedAt(r.Unit, r.Pool)
 	if !ok {
 		return nil
 	}
@@ -249,6 +249,16 @@
 	return next, !next.IsZero()
 }
 
+// expectedAt is when a unit is expected to be ready: an adapter not before its pool's
+// base model.
+func (c *Controller) expectedAt(unit, pool string) (time.Time, bool) {
+	at, ok := c.expected[unit]
+	if base, loading := c.expected[pool]; loading && (!ok || base.After(at)) {
+		return base, true
+	}
+	return at, ok
+}
+
 // Expect tells when capacity for a unit is expected, as a load of it is under
 // way; known false forgets it, as the unit is ready or the load failed. The
 // next Expire refuses those who cannot wait so long. A time that has passed
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -37,14 +37,23 @@
 	Engines []EngineNews
 	// Configuration is the version in force here.
 	Configuration uint64
-	// StoreLoads is how many loads the weight store was found to serve at once, from
-	// the VM that plans; 0 from any other.
+	// Planning is whether this VM plans for all. Only then StoreLoads is how many loads
+	// the weight store was found to serve at once, 0 while that isn't known, and Coming
+	// are the models that requests wait for, as far as it can tell when they are there.
+	Planning   bool
 	StoreLoads int
+	Coming     []Arrival
 	// Members are the entry VMs that this one hears: so that two which both know a
 	// third meet each other.
 	Members []Member
 }
 
+// Arrival is when a model should have its first replica, from the sending on.
+type Arrival struct {
+	Service, Model string
+	In             time.Duration
+}
+
 // Member is an entry VM and its address.
 type Member struct{ VM, Address, Domain string }
 
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -315,6 +315,17 @@
 	return *b, true
 }
 
+// holds tells whether a backend server that takes requests holds the model.
+func (t *backendTable) holds(service, model string) bool {
+	held := false
+	t.each(service, func(b *backend) {
+		if _, ok := b.models[model]; ok && !b.Leaving && b.downFor == 0 {
+			held = true
+		}
+	})
+	return held
+}
+
 // each calls f with every entry of the service; f must not keep it.
 func (t *backendTable) each(service string, f func(*backend)) {
 	t.mu.Lock()
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -225,7 +225,10 @@
 	if !m.take(now, report) {
 		return
 	}
-	m.node.planner.learnStoreLoads(report.StoreLoads)
+	if report.Planning {
+		m.node.planner.learnStoreLoads(report.StoreLoads)
+		m.node.arrivals.replace(now, report.Coming)
+	}
 	changed := false
 	for _, news := range report.Engines {
 		changed = m.node.backends.tell(now, report.VM, news) || changed
@@ -407,9 +410,9 @@
 	r := entryvm.Report{
 		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
 		Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
-		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), StoreLoads: n.planner.toldStoreLoads(),
-		Members: others,
+		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), Members: others,
 	}
+	r.Planning, r.StoreLoads, r.Coming = n.planner.told(now)
 	for _, run := range n.serving.Runs() {
 		r.Running = append(r.Running, entryvm.Running{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -89,6 +89,7 @@
 	serving  *serving.Server
 	demand   *demand
 	adapters *adapterAsks
+	arrivals *arrivals
 	registry reachability
 
 	// inForce is the newest configuration, nil before the first.
@@ -114,6 +115,7 @@
 	n.backends = newBackendTable(config.Logger)
 	n.demand = newDemand()
 	n.adapters = newAdapterAsks(n)
+	n.arrivals = newArrivals(n)
 	n.members = newMembers(n)
 	n.keeper = newKeeper(n)
 	n.planner = newPlanner(n)
@@ -194,6 +196,7 @@
 func (n *Node) Relay(ctx context.Context, r caller.RelayRequest, answer caller.RelayAnswer) error {
 	if r.Model != "" {
 		n.demand.arrived(r.Arrived, modelKey{r.Service, r.Model})
+		n.arrivals.arrived(r.Service, r.Model)
 	}
 	return n.serving.Forward(ctx, r, answer)
 }
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -75,6 +75,9 @@
 	// rests are the engines whose keepers began no swap the last time.
 	rests    map[string]rest
 	planning bool
+	// coming is what was expected at foreseenAt.
+	coming     []entryvm.Arrival
+	foreseenAt time.Time
 	// tokens is what may still be loaded from the store now, filledAt when that was
 	// worked out.
 	tokens   float64
@@ -141,9 +144,19 @@
 	if !leads {
 		return
 	}
+	var coming []entryvm.Arrival
 	for i := range current.Contract.Pools {
-		p.planPool(ctx, now, &current.Contract.Pools[i])
+		coming = append(coming, p.planPool(ctx, now, &current.Contract.Pools[i])...)
 	}
+	p.foresee(now, coming)
+}
+
+// foresee takes what is expected of the models that requests wait for.
+func (p *planner) foresee(now time.Time, coming []entryvm.Arrival) {
+	p.mu.Lock()
+	p.coming, p.foreseenAt = coming, now
+	p.mu.Unlock()
+	p.node.arrivals.replace(now, coming)
 }
 
 // lead notes whether this VM plans.
@@ -153,13 +166,16 @@
 	p.planning = leads
 }
 
-func (p *planner) planPool(ctx context.Context, now time.Time, pool *contract.EnginePool) {
+// planPool begins the swaps of a pool, and returns when the models that requests wait for
+// should be there.
+func (p *planner) planPool(ctx context.Context, now time.Time, pool *contract.EnginePool) []entryvm.Arrival {
 	engines := p.engines(now, pool)
 	models := p.models(now, pool, engines)
 	p.tellResidency(now, pool, engines, models)
-	swaps := residency.Plan(residency.Situation{
+	situation := residency.Situation{
 		Now: now, Engines: engines, Models: models, Loading: p.underWay(now), StoreLoads: p.storeLoads(), Ahead: p.looksAhead(now),
-	})
+	}
+	swaps := residency.Plan(situation)
 	for _, swap := range swaps {
 		if swap.Source == residency.SourceStore && swap.Load != "" && !p.takeToken(now, pool) {
 			continue
@@ -167,6 +183,11 @@
 		p.begin(now, swap)
 		go p.hand(ctx, pool, swap)
 	}
+	var coming []entryvm.Arrival
+	for _, arrival := range residency.Arrivals(situation, swaps) {
+		coming = append(coming, entryvm.Arrival{Service: pool.Service, Model: arrival.Model, In: arrival.In})
+	}
+	return coming
 }
 
 // looksAhead tells whether loads ahead of demand are due to be looked for.
@@ -233,15 +254,18 @@
 	return p.store.AtOnce()
 }
 
-// toldStoreLoads is what other VMs are told of the store: nothing, unless this one
-// plans and so sees its loads.
-func (p *planner) toldStoreLoads() int {
+// told is what other VMs are told by the one that plans.
+func (p *planner) told(now time.Time) (planning bool, storeLoads int, coming []entryvm.Arrival) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.planning {
-		return 0
+		return false, 0, nil
+	}
+	for _, c := range p.coming {
+		c.In = max(0, c.In-now.Sub(p.foreseenAt))
+		coming = append(coming, c)
 	}
-	return p.store.Found()
+	return true, p.store.Found(), coming
 }
 
 // learnStoreLoads takes what the VM that plans has found out of the store, so that the
@@ -376,7 +400,7 @@
 	swap, pending := p.pending[b.ID]
 	switch {
 	case pending && (b.swapping() || now.Before(swap.until)):
-		return max(swap.begun.Add(swap.Takes+unloadAllowance).Sub(now), busyLeast)
+		return max(swap.begun.Add(p.lengthOf(swap)+unloadAllowance).Sub(now), busyLeast)
 	case b.swapping():
 		return busyUnknown // another planner's
 	default:
@@ -384,6 +408,16 @@
 	}
 }
 
+// lengthOf is how long a swap's load takes: longer from a store that more engines load
+// from than it serves at full speed. Call with mu held.
+func (p *planner) lengthOf(swap pendingSwap) time.Duration {
+	if swap.Source != residency.SourceStore || swap.Load == "" {
+		return swap.Takes
+	}
+	shared := max(1, float64(p.store.Running())/float64(p.store.AtOnce()))
+	return time.Duration(shared * float64(swap.Takes))
+}
+
 // restFor is how long an engine still gets no swap after its keeper refused one.
 func (p *planner) restFor(now time.Time, engine string) time.Duration {
 	p.mu.Lock()
--- /dev/null
+++ b/placement/residency/arrival_test.go
@@ -0,0 +1,42 @@
+package residency
+
+import (
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+)
+
+// Requests wait for five models without a replica. One is being loaded, one has a copy
+// on a disk, and three have to come from the store one after the other: the callers of
+// the last of these can be told at once that it takes a minute.
+func TestArrivals(t *testing.T) {
+	engines := []Engine{engine("a"), engine("b", "m0"), engine("c"), engine("d")}
+	engines[0].BusyFor = 4 * time.Second
+	engines[1].OnDisk["copied"] = true
+	under := []Swap{{Engine: "a", Load: "loading", Source: SourceStore, Takes: 6 * time.Second}}
+	models := []Model{model("m0", 80, waiting), model("loading", 80, waiting), model("copied", 80, waiting)}
+	for i, name := range []string{"first", "second", "third"} {
+		models = append(models, model(name, 80, func(m *Model) {
+			waiting(m)
+			m.Oldest -= time.Duration(i) * 100 * time.Millisecond
+			m.FromStore = 20 * time.Second
+		}))
+	}
+	s := Situation{Now: start, Engines: engines, Models: models, Loading: under, StoreLoads: 1}
+	got := make(map[string]time.Duration)
+	for _, a := range Arrivals(s, nil) {
+		got[a.Model] = a.In
+	}
+	testkit.Equal(t, "models foreseen", len(got), 4)
+	for name, want := range map[string]time.Duration{
+		"loading": 4 * time.Second, "first": 24 * time.Second, "second": 44 * time.Second, "third": 64 * time.Second,
+	} {
+		testkit.Equal(t, name, got[name], want)
+	}
+	s.StoreLoads = 4
+	planned := []Swap{{Engine: "c", Load: "first", Source: SourceStore, Takes: 20 * time.Second}}
+	for _, a := range Arrivals(s, planned) {
+		testkit.That(t, a.In <= 20*time.Second, "%s in %s, though the store serves four at once", a.Model, a.In)
+	}
+}
--- a/placement/residency/storelimit.go
+++ b/placement/residency/storelimit.go
@@ -70,6 +70,9 @@
 	return l.AtOnce()
 }
 
+// Running is how many loads from the store are under way.
+func (l *StoreLimit) Running() int { return len(l.loads) }
+
 // Learn takes what another VM found out, as when this one begins to plan.
 func (l *StoreLimit) Learn(atOnce int) {
 	if atOnce > 0 {
