residency: the most urgent model goes first, also to the store; a crowded-out model gets another place

Cause: a busy model with 200 waiting requests got no load in 16 s, as each of the store's turns went to a model without a place; rare models beside a busy one waited up to six seconds with engines idle that have a copy. Tests: TestStoreServesTheMostUrgentFirst, TestCrowdedOutModelGetsAnotherPlace.

--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -137,6 +137,9 @@
 	// sameDomainCost is what it costs to put a replica into a failure domain that has
 	// one: a cut of that domain takes both.
 	sameDomainCost = 300 * time.Millisecond
+	// crowdedShare of an engine's slots in use leaves none for a model that is asked for
+	// rarely: the next one that comes free is taken by the busy one beside it.
+	crowdedShare = 0.9
 	// starving is the wait after which a model may take the place of one that has
 	// requests running.
 	starving = 400 * time.Millisecond
@@ -149,8 +152,7 @@
 func Plan(s Situation) []Swap {
 	next := newRound(s)
 	next.dropStrangers()
-	next.serveWaiting()
-	next.spread()
+	next.serve()
 	if s.Ahead {
 		next.fill()
 	}
@@ -256,26 +258,56 @@
 	}
 }
 
-// serveWaiting finds a place for each model that requests wait for and no engine
-// has or is getting.
-func (r *round) serveWaiting() {
+// serve goes through the models, the most urgent first. Failure: with a first pass for
+// models without any place, these took all loads from the store for as long as there was
+// one of them; a busy model with 200 waiting requests got none in sixteen seconds.
+func (r *round) serve() {
 	for _, m := range r.order {
-		if m.Waiting > 0 && r.ready[m.Name]+r.coming[m.Name] == 0 {
-			r.place(m, want{reason: reasonWaited, force: m.Oldest > starving, storeLoads: r.StoreLoads})
+		r.serveWaiting(m)
+		r.spread(m)
+	}
+}
+
+// serveWaiting finds a place for a model that requests wait for and no engine has or is
+// getting, or another one where its engines are full of requests for others.
+func (r *round) serveWaiting(m *Model) {
+	switch {
+	case m.Waiting == 0 || r.coming[m.Name] > 0:
+	case r.ready[m.Name] == 0:
+		r.place(m, want{reason: reasonWaited, force: m.Oldest > starving, storeLoads: r.StoreLoads})
+	case m.Oldest > starving && r.crowdedOut(m):
+		r.place(m, want{reason: reasonCrowded, surplusOnly: true})
+	}
+}
+
+// crowdedOut tells whether all engines that hold the model are full, mostly with
+// requests for other models. Load pattern: a rare model sits beside a busy one, whose
+// requests take each slot that comes free; its few requests waited for up to six seconds
+// while engines with a copy of it were idle.
+func (r *round) crowdedOut(m *Model) bool {
+	own := 0
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		at := slices.IndexFunc(e.Models, func(held Held) bool { return held.Name == m.Name && held.Ready })
+		if at < 0 || !e.Serving {
+			continue
+		}
+		if float64(e.Running) < crowdedShare*float64(e.Slots) {
+			return false
 		}
+		own += e.Models[at].Running
 	}
+	return float64(own) < busyShare*float64(r.ready[m.Name]*r.mostSlots())
 }
 
-// spread gives busy models further replicas.
-func (r *round) spread() {
+// spread gives a busy model further replicas.
+func (r *round) spread(m *Model) {
 	if !r.demand {
 		return
 	}
-	for _, m := range r.order {
-		for r.ready[m.Name]+r.coming[m.Name] > 0 && r.ready[m.Name]+r.coming[m.Name] < r.wanted(m) && r.coming[m.Name] < spreadAtOnce {
-			if !r.place(m, want{reason: reasonBusy, storeLoads: r.StoreLoads}) {
-				break
-			}
+	for r.ready[m.Name]+r.coming[m.Name] > 0 && r.ready[m.Name]+r.coming[m.Name] < r.wanted(m) && r.coming[m.Name] < spreadAtOnce {
+		if !r.place(m, want{reason: reasonBusy, storeLoads: r.StoreLoads}) {
+			return
 		}
 	}
 }
@@ -312,10 +344,7 @@
 
 // wanted is how many replicas a model's load deserves.
 func (r *round) wanted(m *Model) int {
-	slots := 0
-	for i := range r.Engines {
-		slots = max(slots, r.Engines[i].Slots)
-	}
+	slots := r.mostSlots()
 	wanted := 1
 	if !r.demand {
 		wanted = unknownReplicas
@@ -329,12 +358,22 @@
 	return wanted
 }
 
+// mostSlots is how many requests the largest engine runs at once.
+func (r *round) mostSlots() int {
+	slots := 0
+	for i := range r.Engines {
+		slots = max(slots, r.Engines[i].Slots)
+	}
+	return slots
+}
+
 // Reasons of swaps.
 const (
-	reasonWaited = "waited for"
-	reasonBusy   = "busy"
-	reasonFill   = "ahead of demand"
-	reasonSpare  = "spare"
+	reasonWaited  = "waited for"
+	reasonCrowded = "crowded out"
+	reasonBusy    = "busy"
+	reasonFill    = "ahead of demand"
+	reasonSpare   = "spare"
 )
 
 // want is how much a place for a model is wanted.
@@ -342,9 +381,9 @@
 	reason string
 	// replicas is how many the model has and is getting.
 	replicas int
-	// force is whether what gives way may have requests running, roomOnly whether
-	// nothing may give way.
-	force, roomOnly bool
+	// force is whether what gives way may have requests running, surplusOnly whether it
+	// must have more replicas than it wants, roomOnly whether nothing may give way.
+	force, surplusOnly, roomOnly bool
 	// storeLoads is how many loads from the store may run, this one included.
 	storeLoads int
 }
@@ -373,7 +412,7 @@
 		if w.roomOnly && !r.hasRoom(e, m) {
 			continue
 		}
-		o, ok := r.option(e, m, w.force)
+		o, ok := r.option(e, m, w)
 		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= w.storeLoads) {
 			continue
 		}
@@ -394,8 +433,8 @@
 }
 
 // pays tells whether the place must gain more than it costs: one that is waited for, or
-// that takes only room which nobody uses, need not.
-func (w want) pays() bool { return w.reason != reasonWaited && !w.roomOnly }
+// that takes only room which nobody needs, need not.
+func (w want) pays() bool { return w.reason != reasonWaited && !w.surplusOnly && !w.roomOnly }
 
 // gain is what a replica that nobody waits for yet is worth: the waits that it
 // saves within the horizon, and its own load.
@@ -425,7 +464,7 @@
 
 // option works out what loading the model on the engine costs: its load's time,
 // and what is lost with the models that give way.
-func (r *round) option(e *Engine, m *Model, force bool) (option, bool) {
+func (r *round) option(e *Engine, m *Model, w want) (option, bool) {
 	source, takes := sourceOf(e, m)
 	o := option{swap: Swap{Engine: e.ID, Load: m.Name, Source: source, Takes: takes}, cost: takes}
 	free := e.Room
@@ -436,7 +475,7 @@
 		}
 		free -= known.Bytes
 	}
-	victims := r.victims(e, force)
+	victims := r.victims(e, w)
 	for free < m.Bytes {
 		if len(victims) == 0 {
 			return o, false
@@ -487,10 +526,10 @@
 }
 
 // victims are the engine's models that could give way, cheapest first.
-func (r *round) victims(e *Engine, force bool) []victim {
+func (r *round) victims(e *Engine, w want) []victim {
 	var out []victim
 	for _, held := range e.Models {
-		if cost, ok := r.evictCost(e, held, force); ok {
+		if cost, ok := r.evictCost(held, w); ok {
 			out = append(out, victim{held.Name, cost})
 		}
 	}
@@ -501,7 +540,7 @@
 }
 
 // evictCost is what it costs to take a model off an engine; false if it must stay.
-func (r *round) evictCost(e *Engine, held Held, force bool) (time.Duration, bool) {
+func (r *round) evictCost(held Held, w want) (time.Duration, bool) {
 	if !held.Ready || r.Now.Sub(held.Since) < youngFor {
 		return 0, false
 	}
@@ -515,7 +554,7 @@
 	}
 	cost := UnloadTime
 	if held.Running > 0 {
-		if !force && others < 1 {
+		if !w.force && others < 1 {
 			return 0, false
 		}
 		cost += drainTime
@@ -523,7 +562,7 @@
 	if others >= 1 && others >= r.wanted(m) {
 		return cost, true
 	}
-	if others >= 1 {
+	if others >= 1 || w.surplusOnly {
 		// Without it the model's other engines would be overfull, and busy models
 		// would take each other's places in turn.
 		return 0, false
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -74,6 +74,40 @@
 	wantOne(t, plan(engines, models, under), "a", "rare", "m1")
 }
 
+// A rare model shares its engine with a busy one, whose requests take every slot; its own
+// wait. An idle engine has a copy of it on its disk: it gets a second replica there, but
+// takes no other model's only place, and none while its engine has slots free.
+func TestCrowdedOutModelGetsAnotherPlace(t *testing.T) {
+	engines := []Engine{engine("a", "rare", "busy"), engine("b", "m1", "busy"), engine("c", "m2")}
+	engines[0].Running, engines[0].Models[1].Running = 31, 31
+	for i := range engines {
+		engines[i].OnDisk["rare"] = true
+	}
+	models := []Model{model("rare", 40, waiting), model("busy", 50, func(m *Model) { m.Rate, m.Running = 3, 31 }), model("m1", 50, nil), model("m2", 80, nil)}
+	got := plan(engines, models)
+	testkit.That(t, len(got) == 0, "got %+v, want nothing to give way", got)
+	engines = append(engines, engine("d", "m2"))
+	engines[3].OnDisk["rare"] = true
+	got = plan(engines, models)
+	testkit.Need(t, len(got) == 1 && got[0].Load == "rare" && slices.Equal(got[0].Unload, []string{"m2"}), "got %+v, want rare for a second m2", got)
+	engines[0].Running = 20
+	testkit.That(t, len(plan(engines, models)) == 0, "its engine has slots free")
+}
+
+// A busy model's requests pile up at its only engine; so do a few for models that nobody
+// has. All would have to come from the store, which serves one at a time: the next load
+// goes to where most wait for longest.
+func TestStoreServesTheMostUrgentFirst(t *testing.T) {
+	engines := []Engine{engine("a", "busy"), engine("b"), engine("c")}
+	engines[0].Running, engines[0].Models[0].Running = 32, 32
+	models := []Model{model("busy", 80, func(m *Model) { m.Rate, m.Running, m.Waiting, m.Oldest = 90, 32, 60, 2*time.Second })}
+	for i := range 3 {
+		models = append(models, model(fmt.Sprint("rare", i), 80, waiting))
+	}
+	got := Plan(Situation{Now: start, Engines: engines, Models: models, StoreLoads: 1})
+	testkit.Need(t, len(got) == 1 && got[0].Load == "busy", "got %+v, want a replica of busy", got)
+}
+
 // What gives way is asked for least, is not waited for, has nothing running and is not
 // one that has just come.
 func TestVictims(t *testing.T) {
