hosted: VMs that fail exchanges, and whole silent failure domains, stop counting as live at once

Cause: in a large fleet reports are rare and a VM counted as live for eight seconds after its last one; in a cut of six seconds nobody planned for the domain that was cut off. Test: TestEachSideOfACutPlans (fails before).

--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -34,6 +34,8 @@
 	// cut are the VMs that no other one reaches.
 	mu  sync.Mutex
 	cut map[string]bool
+	// domainsCut is whether VMs of two failure domains reach each other no more.
+	domainsCut bool
 	// releaseDelay is how long a VM stops between recording its ownership and asking
 	// the former owner.
 	releaseDelay time.Duration
@@ -65,9 +67,11 @@
 	})
 }
 
-func (w *world) boot(vm string, first bool) *Node {
+func (w *world) boot(vm string, first bool) *Node { return w.bootIn("d", vm, first) }
+
+func (w *world) bootIn(domain, vm string, first bool) *Node {
 	n := New(Config{
-		VM: vm, Address: vm, Domain: "d", Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
+		VM: vm, Address: vm, Domain: domain, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:  Peers{Registry: w.registry, Engines: w.engines, Backends: w, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
@@ -138,8 +142,11 @@
 func (w wire) to(address string) (*Node, error) {
 	w.world.mu.Lock()
 	defer w.world.mu.Unlock()
-	n := w.world.nodes[address]
-	if n == nil || w.world.cut[address] || w.world.cut[w.from] {
+	n, from := w.world.nodes[address], w.world.nodes[w.from]
+	if n == nil || from == nil || w.world.cut[address] || w.world.cut[w.from] {
+		return nil, errCut
+	}
+	if w.world.domainsCut && n.config.Domain != from.config.Domain {
 		return nil, errCut
 	}
 	return n, nil
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -18,6 +18,16 @@
 	// heardFor is how long a VM counts as live after its newest report: several
 	// reports, so that one lost is no death.
 	heardFor = 1500 * time.Millisecond
+	// failuresMost is how many exchanges in a row may fail before a VM counts as gone,
+	// domainFailuresMost how many with a failure domain's VMs while none of them is
+	// heard before all of them do. Failure: a domain is cut off, and in a large fleet
+	// reports are rare; for eight seconds its VMs took the planner for live, and nobody
+	// planned for the domain's engines.
+	failuresMost       = 2
+	domainFailuresMost = 3
+	// retryExchange is the pause after an exchange that failed, while that may still
+	// tell something.
+	retryExchange = 300 * time.Millisecond
 	// forgetAfter is how long an address that never answers is tried.
 	forgetAfter = 20 * time.Second
 	// reportTimeout bounds an exchange of reports.
@@ -50,6 +60,9 @@
 	mu       sync.Mutex
 	sequence uint64
 	peers    map[string]*member // by address
+	// silentDomains counts the exchanges that failed with a domain's VMs since one of
+	// them was heard.
+	silentDomains map[string]int
 	// running sums up what runs through the other live VMs, by backend server and
 	// by backend server and unit; it is renewed after each report.
 	stale      bool
@@ -67,6 +80,8 @@
 	// report is the newest, heardAt when it came; zero before the first.
 	report  entryvm.Report
 	heardAt time.Time
+	// failures counts the exchanges that failed since.
+	failures int
 	// addedAt is when the address was learned.
 	addedAt time.Time
 	tell    chan struct{}
@@ -75,7 +90,7 @@
 
 func newMembers(n *Node) *members {
 	return &members{node: n, wake: make(chan struct{}, 1), peers: make(map[string]*member),
-		onBackends: make(map[string]int), onUnits: make(map[runKey]int)}
+		silentDomains: make(map[string]int), onBackends: make(map[string]int), onUnits: make(map[runKey]int)}
 }
 
 // run is the duty that exchanges reports with each known VM.
@@ -171,23 +186,50 @@
 		cancel()
 		if err == nil {
 			m.heard(time.Now(), reply, p.address)
+		} else if ctx.Err() == nil {
+			m.failed(p)
 		}
 		if !pause.For(ctx, tellGap) {
 			return
 		}
-		timer.Reset(m.pace())
+		timer.Reset(m.pace(time.Now(), p))
+	}
+}
+
+// failed notes an exchange that failed. Where it was the last that the VM, or its whole
+// failure domain, may fail, it no longer counts as live.
+func (m *members) failed(p *member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.failures++
+	domain := p.report.Domain
+	if p.heardAt.IsZero() {
+		return
+	}
+	m.silentDomains[domain]++
+	if p.failures == failuresMost {
+		m.node.config.Logger.Info("entry VM silent", zap.String("peer", p.report.VM), zap.Int("failed_exchanges", p.failures))
+	}
+	if domain != m.node.config.Domain && m.silentDomains[domain] == domainFailuresMost {
+		m.node.config.Logger.Warn("failure domain silent", zap.String("domain", domain))
+		m.stale = true
+		m.node.planner.wakeUp()
 	}
 }
 
 // pace is the time between two reports to a peer. Of two VMs each begins exchanges
-// with the other, so news is half as old.
-func (m *members) pace() time.Duration {
+// with the other, so news is half as old. The VM that plans is told at the full pace,
+// however large the fleet: what waits is late there by the time between two reports.
+func (m *members) pace(now time.Time, p *member) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	pace := m.node.config.Report
-	if len(m.peers) > fullMesh {
+	if len(m.peers) > fullMesh && p.report.VM != m.pickPlanner(now) {
 		pace = pace * time.Duration(len(m.peers)) / fullMesh
 	}
+	if p.failures > 0 && p.failures < failuresMost {
+		pace = min(pace, retryExchange)
+	}
 	return pace
 }
 
@@ -261,6 +303,8 @@
 	}
 	p.report = report
 	p.heardAt = now
+	p.failures = 0
+	m.silentDomains[report.Domain] = 0
 	m.stale = true
 	return true
 }
@@ -281,12 +325,20 @@
 
 func (m *members) eachLive(now time.Time, f func(*entryvm.Report)) {
 	for _, p := range m.peers {
-		if !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() {
+		if m.isLive(now, p) {
 			f(&p.report)
 		}
 	}
 }
 
+// isLive tells whether a VM counts as live: heard lately, and not found silent since,
+// nor its whole failure domain. Call with mu held.
+func (m *members) isLive(now time.Time, p *member) bool {
+	domain := p.report.Domain
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() && p.failures < failuresMost &&
+		(domain == m.node.config.Domain || m.silentDomains[domain] < domainFailuresMost)
+}
+
 // heardFor grows with the pace of reports in a large fleet. Call with mu held.
 func (m *members) heardFor() time.Duration {
 	if len(m.peers) > fullMesh {
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -67,6 +67,36 @@
 	})
 }
 
+// A failure domain of a large fleet is cut off from the others. Reports between two VMs
+// are seconds apart there; still each side has a VM that plans within two seconds, or
+// the models that its engines lack would not be loaded until the cut is over.
+func TestEachSideOfACutPlans(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1")
+		const perDomain = 20
+		for i := range perDomain {
+			w.bootIn("d", []string{"a", "b"}[min(i, 1)]+strings.Repeat("x", max(0, i-1)), true)
+			w.bootIn("e", fmt.Sprint("e", i), true)
+		}
+		time.Sleep(12 * time.Second)
+		w.mu.Lock()
+		w.domainsCut = true
+		w.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		planning := make(map[string]int)
+		w.mu.Lock()
+		for _, n := range w.nodes {
+			n.planner.mu.Lock()
+			if n.planner.planning {
+				planning[n.config.Domain]++
+			}
+			n.planner.mu.Unlock()
+		}
+		w.mu.Unlock()
+		testkit.That(w, planning["d"] == 1 && planning["e"] == 1, "VMs that plan: %v, want one on each side", planning)
+	})
+}
+
 // Engines that have gone dark are still listed, and empty: the cheapest places for
 // whatever has none. A model must get another place all the same, and soon.
 func TestDarkEnginesAreLeftAlone(t *testing.T) {
