hosted: in a large failure domain one VM reads the registry, the others learn from it

Each VM knows up to when it knows all changes, from its own reads or from the reader's answers, and reads for itself before that is too long ago: the bounds on configuration and draining hold whoever dies. Among fewer than six nothing changes. Ruled out: longer waits (they already take 0.85 of the bound), fewer joins (a tenth of a call each).

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -37,6 +37,16 @@
 	Engines []EngineNews
 	// Configuration is the version in force here.
 	Configuration uint64
+	// BackendsCursor is up to where this VM knows the changes of the registry's list of
+	// backend servers, 0 while it knows no list.
+	BackendsCursor uint64
+	// Reads is whether this answer comes from the VM that reads the registry for the
+	// asker's failure domain. Only then the ages say how long ago it knew all changes,
+	// and Changes (gob) those between ChangesFrom and BackendsCursor.
+	Reads                         bool
+	ConfigurationAge, BackendsAge time.Duration
+	ChangesFrom                   uint64
+	Changes                       []byte
 	// Planning is whether this VM plans for all. Only then StoreLoads is how many loads
 	// the weight store was found to serve at once, 0 while that isn't known, and Coming
 	// are the models that requests wait for, as far as it can tell when they are there.
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -73,7 +73,7 @@
 	n := New(Config{
 		VM: vm, Address: vm, Domain: domain, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
-		Peers:  Peers{Registry: w.registry, Engines: w.engines, Backends: w, EntryVMs: wire{w, vm}},
+		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: w, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
 		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -15,7 +15,9 @@
 func (n *Node) Report(report entryvm.Report) entryvm.Report {
 	now := time.Now()
 	n.members.heard(now, report, "")
-	return n.members.report(now, report.Full)
+	answer := n.members.report(now, report.Full)
+	n.feedReport(report, &answer)
+	return answer
 }
 
 // Swap implements entryvm.Coordinator.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/gob"
-	"errors"
 	"sync"
 	"time"
 
@@ -19,19 +18,10 @@
 const (
 	// retryGrowth is the part of an outage that the pause grows by.
 	retryGrowth = 4
-	// awaitShare of the time that is allowed for a change is how long one read waits for
-	// news. It bounds how late a change can be: a connection that has gone silent shows
-	// after it, and a read that begins while a record is being appended may be answered
-	// only at its end.
-	awaitShare = 0.85
 	// retryRead is the pause after a read that failed; it grows by itself up to
 	// retryMost, as each try of an outage is a call that is paid for.
 	retryRead = 150 * time.Millisecond
 	retryMost = 500 * time.Millisecond
-	// gatherShare of the time that is allowed is the pause after news of backend
-	// servers: each swap changes an entry, and all VMs would make a call for each.
-	// Keepers tell of swaps at once, so that nobody waits for this.
-	gatherShare = 0.45
 	// outageAfter is how long the registry must not answer for entries to have
 	// lapsed meanwhile, and for other VMs to be asked instead.
 	outageAfter = 700 * time.Millisecond
@@ -91,76 +81,6 @@
 	return now.Sub(r.failingSince)
 }
 
-// followConfiguration is the duty that keeps the newest configuration in force.
-func (n *Node) followConfiguration(ctx context.Context) {
-	var cursor registry.Cursor
-	known := false
-	for ctx.Err() == nil {
-		var next *registry.Configuration
-		var err error
-		if known {
-			next, cursor, err = n.config.Peers.Registry.AwaitConfiguration(ctx, cursor, share(awaitShare, n.config.ApplyWithin))
-		} else {
-			next, cursor, err = n.config.Peers.Registry.Configuration(ctx)
-		}
-		switch {
-		case errors.Is(err, registry.ErrHistoryLost):
-			n.config.Logger.Info("history of the configuration lost, reading the newest")
-			known = false
-			continue
-		case errors.Is(err, registry.ErrUnavailable):
-			n.lost(ctx, err)
-			continue
-		case err != nil:
-			// A version that can't be translated: the one before stays in force.
-			untranslatedTotal.Inc()
-			n.config.Logger.Error("configuration can't be used", telemetry.Reason(err))
-		}
-		known = true
-		n.answered()
-		if next != nil {
-			n.apply(next, "registry")
-		}
-	}
-}
-
-// followBackends is the duty that keeps the list of backend servers.
-func (n *Node) followBackends(ctx context.Context) {
-	var cursor registry.Cursor
-	known := false
-	for ctx.Err() == nil {
-		if !known {
-			list, err := n.config.Peers.Registry.Backends(ctx)
-			if err != nil {
-				n.lost(ctx, err)
-				continue
-			}
-			n.answered()
-			n.backends.replace(time.Now(), list.List)
-			cursor, known = list.Next, true
-			n.backendsChanged()
-			continue
-		}
-		changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, share(awaitShare, n.config.DrainWithin))
-		if errors.Is(err, registry.ErrHistoryLost) {
-			n.config.Logger.Info("history of backend servers lost, reading the whole list")
-			known = false
-			continue
-		}
-		if err != nil {
-			n.lost(ctx, err)
-			continue
-		}
-		n.answered()
-		cursor = changes.Next
-		if len(changes.List) > 0 {
-			n.backends.change(time.Now(), changes.List)
-			n.backendsChanged()
-			pause.For(ctx, share(gatherShare, n.config.DrainWithin))
-		}
-	}
-}
-
 // share is a part of a duration.
 func share(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
 
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -181,11 +181,13 @@
 		case <-ctx.Done():
 			return
 		}
+		sent := m.node.config.Boot()
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		reply, err := m.node.config.Peers.EntryVMs.Report(callCtx, p.address, m.report(time.Now(), count%fullEvery == 0))
 		cancel()
 		if err == nil {
 			m.heard(time.Now(), reply, p.address)
+			m.node.takeFeed(ctx, sent, &reply)
 		} else if ctx.Err() == nil {
 			m.failed(p)
 		}
@@ -219,12 +221,13 @@
 
 // pace is the time between two reports to a peer. Of two VMs each begins exchanges
 // with the other, so news is half as old. The VM that plans is told at the full pace,
-// however large the fleet: what waits is late there by the time between two reports.
+// however large the fleet: what waits is late there by the time between two reports. So
+// is the one that reads the registry, whose answers bring the news.
 func (m *members) pace(now time.Time, p *member) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	pace := m.node.config.Report
-	if len(m.peers) > fullMesh && p.report.VM != m.pickPlanner(now) {
+	if len(m.peers) > fullMesh && p.report.VM != m.pickPlanner(now) && !m.readsFor(now, p) {
 		pace = pace * time.Duration(len(m.peers)) / fullMesh
 	}
 	if p.failures > 0 && p.failures < failuresMost {
@@ -233,6 +236,25 @@
 	return pace
 }
 
+// readsFor tells whether the peer reads the registry for this VM. Call with mu held.
+func (m *members) readsFor(now time.Time, p *member) bool {
+	return p.report.Domain == m.node.config.Domain && p.report.VM == m.pickReader(now)
+}
+
+// tellDomain has the VMs of the own domain told at once, if this one reads for them.
+func (m *members) tellDomain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pickReader(time.Now()) != m.node.config.VM {
+		return
+	}
+	for _, p := range m.peers {
+		if p.report.Domain == m.node.config.Domain {
+			wake(p.tell)
+		}
+	}
+}
+
 // tell has all peers told at once.
 func (m *members) tell() {
 	m.mu.Lock()
@@ -271,6 +293,7 @@
 		m.node.planner.learnStoreLoads(report.StoreLoads)
 		m.node.arrivals.replace(now, report.Coming)
 	}
+	m.fetchNews(now, &report)
 	changed := false
 	for _, news := range report.Engines {
 		changed = m.node.backends.tell(now, report.VM, news) || changed
@@ -283,6 +306,20 @@
 	}
 }
 
+// fetchNews asks the reader at once where its report says that it knows more.
+func (m *members) fetchNews(now time.Time, report *entryvm.Report) {
+	cursor, known := m.node.changes.position()
+	if report.Domain != m.node.config.Domain || !known ||
+		(report.BackendsCursor <= uint64(cursor) && report.Configuration <= m.node.version()) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[report.Address]; p != nil && m.readsFor(now, p) {
+		wake(p.tell)
+	}
+}
+
 // take stores a report unless a newer one is there.
 func (m *members) take(now time.Time, report entryvm.Report) bool {
 	m.mu.Lock()
@@ -464,6 +501,9 @@
 		Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
 		Engines: n.keeper.news(sequence%newsEvery == 0), Configuration: n.version(), Members: others,
 	}
+	if cursor, known := n.changes.position(); known {
+		r.BackendsCursor = uint64(cursor)
+	}
 	r.Planning, r.StoreLoads, r.Coming = n.planner.told(now)
 	for _, run := range n.serving.Runs() {
 		r.Running = append(r.Running, entryvm.Running{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -91,6 +91,8 @@
 	adapters *adapterAsks
 	arrivals *arrivals
 	registry reachability
+	// configurations and changes are what is known of the registry's topics.
+	configurations, changes feed
 
 	// inForce is the newest configuration, nil before the first.
 	inForce  atomic.Pointer[inForce]
@@ -112,6 +114,7 @@
 func New(config Config) *Node {
 	n := &Node{config: config, started: config.Boot(), shards: lease.NewShards(config.Lease)}
 	n.registry = reachability{name: "registry", logger: config.Logger}
+	n.configurations.bound, n.changes.bound = config.ApplyWithin, config.DrainWithin
 	n.backends = newBackendTable(config.Logger)
 	n.demand = newDemand()
 	n.adapters = newAdapterAsks(n)
--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -29,11 +29,46 @@
 	historyLost bool
 	// cutOff are the members whose joins get no answer.
 	cutOff map[string]bool
+	// unreachable are the VMs whose reads get no answer.
+	unreachable map[string]bool
+	// reads counts the reads of the configuration and of the list.
+	reads int
 }
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), cutOff: make(map[string]bool)}
+		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
+}
+
+// registryOf is the registry as one VM reaches it.
+type registryOf struct {
+	*fakeRegistry
+	vm string
+}
+
+func (r registryOf) silent(ctx context.Context, wait time.Duration) error {
+	r.mu.Lock()
+	silent := r.unreachable[r.vm]
+	r.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	pause.For(ctx, wait+time.Second)
+	return registry.ErrUnavailable
+}
+
+func (r registryOf) AwaitConfiguration(ctx context.Context, from registry.Cursor, wait time.Duration) (*registry.Configuration, registry.Cursor, error) {
+	if err := r.silent(ctx, wait); err != nil {
+		return nil, from, err
+	}
+	return r.fakeRegistry.AwaitConfiguration(ctx, from, wait)
+}
+
+func (r registryOf) AwaitBackends(ctx context.Context, from registry.Cursor, wait time.Duration) (registry.Changes, error) {
+	if err := r.silent(ctx, wait); err != nil {
+		return registry.Changes{Next: from}, err
+	}
+	return r.fakeRegistry.AwaitBackends(ctx, from, wait)
 }
 
 func (f *fakeRegistry) call() (func(), error) {
@@ -51,6 +86,7 @@
 		return nil, 0, err
 	}
 	defer end()
+	f.reads++
 	return f.configuration, f.versions, nil
 }
 
@@ -93,6 +129,7 @@
 		return registry.Changes{Next: from}, err
 	}
 	defer end()
+	f.reads++
 	if f.historyLost {
 		return registry.Changes{Next: from}, registry.ErrHistoryLost
 	}
