hosted: all engines of a failure domain that is cut off are given up at once

Cause: on the side that was cut off the planner took 40 engines beyond the cut for serving until a request had failed at each, and their models for loaded. A domain counts as cut off when its VMs are silent and two of its servers accept no connection. Test: TestModelsBehindACutAreLoadedHere.

--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -28,6 +28,10 @@
 	// while the planner takes these for loaded.
 	downFirst = 400 * time.Millisecond
 	downMost  = 1600 * time.Millisecond
+	// cutOffFrom is how many backend servers of a failure domain must accept no
+	// connection for the domain to count as cut off, once its entry VMs are silent. One
+	// may just have crashed.
+	cutOffFrom = 2
 	// probeMost bounds one try.
 	probeMost = 600 * time.Millisecond
 )
@@ -252,6 +256,19 @@
 	}
 }
 
+// downIn counts the backend servers of a failure domain that are taken for dead.
+func (t *backendTable) downIn(domain string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, b := range t.entries {
+		if b.Domain == domain && b.downFor > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // down are the backend servers that are taken for dead.
 func (t *backendTable) down() []string {
 	t.mu.Lock()
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -73,7 +73,7 @@
 	n := New(Config{
 		VM: vm, Address: vm, Domain: domain, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
-		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: w, EntryVMs: wire{w, vm}},
+		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: backendsOf{w, domain}, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
 		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
@@ -97,7 +97,7 @@
 
 // list lists an engine with what it holds.
 func (w *world) list(e *fakeEngine, onDisk ...string) {
-	b := registry.Backend{ID: e.id, Service: testService, Address: e.address, Domain: "d", Slots: 8, IsEngine: true, OnDisk: onDisk}
+	b := registry.Backend{ID: e.id, Service: testService, Address: e.address, Domain: e.domain, Slots: 8, IsEngine: true, OnDisk: onDisk}
 	for name := range e.models {
 		b.Models = append(b.Models, registry.Held{Model: name})
 	}
@@ -131,6 +131,35 @@
 	return nil
 }
 
+// backendsOf are the backend servers as the VMs of one failure domain reach them.
+type backendsOf struct {
+	*world
+	domain string
+}
+
+func (b backendsOf) reaches(target service.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines.mu.Lock()
+	defer b.engines.mu.Unlock()
+	e := b.engines.all[target.Address]
+	return !b.domainsCut || e == nil || e.domain == b.domain
+}
+
+func (b backendsOf) Forward(ctx context.Context, target service.Target, f service.Forward) (*service.Forwarded, error) {
+	if !b.reaches(target) {
+		return nil, service.ErrNotSent
+	}
+	return b.world.Forward(ctx, target, f)
+}
+
+func (b backendsOf) Probe(ctx context.Context, target service.Target) error {
+	if !b.reaches(target) {
+		return service.ErrNotSent
+	}
+	return b.world.Probe(ctx, target)
+}
+
 // wire is how one VM reaches the others.
 type wire struct {
 	world *world
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -40,6 +40,22 @@
 	return pool.MemoryBytes - largest*int64(pool.AdapterPlaces)
 }
 
+// cutOff returns a question: whether a failure domain is cut off from this VM, as
+// neither its entry VMs nor its backend servers can be reached. Failure: without it each
+// of its engines is found dead only by requests that fail there, and the planner takes
+// the models that they hold for loaded.
+func (n *Node) cutOff() func(domain string) bool {
+	known := make(map[string]bool)
+	return func(domain string) bool {
+		cut, asked := known[domain]
+		if !asked {
+			cut = n.members.silent(domain) && n.backends.downIn(domain) >= cutOffFrom
+			known[domain] = cut
+		}
+		return cut
+	}
+}
+
 // Candidates implements serving.Directory: the engines that hold the model.
 func (n *Node) Candidates(unit string) []routing.Candidate {
 	wanted, ok := serving.ParseModelUnit(unit)
@@ -61,8 +77,7 @@
 			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.Leaving,
 		})
 	})
-	n.addInFlight(now, out)
-	return out
+	return n.reachable(now, out)
 }
 
 // Servers implements serving.Directory.
@@ -79,14 +94,22 @@
 		}
 		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.Leaving})
 	})
-	n.addInFlight(now, out)
-	return out
+	return n.reachable(now, out)
 }
 
-func (n *Node) addInFlight(now time.Time, candidates []routing.Candidate) {
-	for i := range candidates {
-		candidates[i].PeersInFlight = n.members.inFlight(now, candidates[i].Engine)
+// reachable drops the candidates in failure domains that are cut off, and completes the
+// others by what runs on them through other VMs.
+func (n *Node) reachable(now time.Time, candidates []routing.Candidate) []routing.Candidate {
+	cut := n.cutOff()
+	kept := candidates[:0]
+	for _, c := range candidates {
+		if cut(c.Domain) {
+			continue
+		}
+		c.PeersInFlight = n.members.inFlight(now, c.Engine)
+		kept = append(kept, c)
 	}
+	return kept
 }
 
 // Target implements serving.ForwardDirectory.
--- a/internal/hosted/engines_test.go
+++ b/internal/hosted/engines_test.go
@@ -15,6 +15,7 @@
 	// dark is whether it answers nothing.
 	dark        bool
 	id, address string
+	domain      string
 	models      map[string]map[string]bool
 	orders      uint64
 	busyUntil   time.Time
@@ -59,7 +60,7 @@
 }
 
 func (f *fakeEngines) add(id string, models ...string) *fakeEngine {
-	e := &fakeEngine{id: id, address: "at-" + id, models: make(map[string]map[string]bool)}
+	e := &fakeEngine{domain: "d", id: id, address: "at-" + id, models: make(map[string]map[string]bool)}
 	for _, m := range models {
 		e.models[m] = make(map[string]bool)
 	}
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -372,8 +372,19 @@
 // nor its whole failure domain. Call with mu held.
 func (m *members) isLive(now time.Time, p *member) bool {
 	domain := p.report.Domain
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() && p.failures < failuresMost &&
-		(domain == m.node.config.Domain || m.silentDomains[domain] < domainFailuresMost)
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() && p.failures < failuresMost && !m.isSilent(domain)
+}
+
+// isSilent tells whether no VM of another failure domain answers. Call with mu held.
+func (m *members) isSilent(domain string) bool {
+	return domain != m.node.config.Domain && m.silentDomains[domain] >= domainFailuresMost
+}
+
+// silent is isSilent for all who don't hold mu.
+func (m *members) silent(domain string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isSilent(domain)
 }
 
 // heardFor grows with the pace of reports in a large fleet. Call with mu held.
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/registry"
+	"bergamotreel/routing"
 	"bergamotreel/service"
 )
 
@@ -97,6 +99,43 @@
 	})
 }
 
+// A failure domain is cut off from the others. The only engine with a model is on the
+// other side; so is one that two requests find dead. The model is loaded on this side at
+// once, although nobody tried the engine that has it, and goes back into use after the
+// cut.
+func TestModelsBehindACutAreLoadedHere(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1", "m2", "m3", "far")
+		w.registry.deal("a")
+		w.list(w.engines.add("e1", "m1"), "far")
+		for i, model := range []string{"m2", "m3", "far"} {
+			e := w.engines.add(fmt.Sprint("f", i), model)
+			e.domain = "e"
+			w.list(e)
+		}
+		a := w.bootIn("d", "a", true)
+		w.bootIn("e", "b", true)
+		w.bootIn("e", "c", true)
+		time.Sleep(4 * time.Second)
+		w.mu.Lock()
+		w.domainsCut = true
+		w.mu.Unlock()
+		for _, model := range []string{"m2", "m3"} {
+			_, _ = ask(a, model, 100*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		took := testkit.Value(ask(a, "far", 5*time.Second))(w)
+		testkit.That(w, took < 1500*time.Millisecond, "took %s", took)
+		w.mu.Lock()
+		w.domainsCut = false
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		got := a.Candidates(unitName(testService, "far", ""))
+		behind := slices.ContainsFunc(got, func(c routing.Candidate) bool { return c.Engine == "f2" })
+		testkit.That(w, behind, "got %+v, want the engine behind the cut as well", got)
+	})
+}
+
 // Engines that have gone dark are still listed, and empty: the cheapest places for
 // whatever has none. A model must get another place all the same, and soon.
 func TestDarkEnginesAreLeftAlone(t *testing.T) {
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -370,6 +370,7 @@
 	running := p.running(now)
 	failing := p.failing(now)
 	active := n.activeShards()
+	cut := n.cutOff()
 	var all []backend
 	n.backends.each(pool.Service, func(b *backend) { all = append(all, *b) })
 	room := engineRoom(pool)
@@ -377,7 +378,7 @@
 	for i := range all {
 		b := &all[i]
 		e := residency.Engine{
-			ID: b.ID, Domain: b.Domain, Room: room, Slots: b.Slots, Serving: !b.Leaving && !failing[b.ID],
+			ID: b.ID, Domain: b.Domain, Room: room, Slots: b.Slots, Serving: !b.Leaving && !failing[b.ID] && !cut(b.Domain),
 			InMemory: set(b.InMemory), OnDisk: set(b.OnDisk),
 		}
 		for name, held := range b.models {
