residency: a store that serves one load fills places while nobody waits; the limit knows how late an end is heard

Cause: TestModelsBehindACutAreLoadedHere: loads of half a second, heard of 0.2 s late, passed for a slow store, the bound fell to one, and one stays free for requests: nothing was loaded ahead of demand any more. Tests: TestStoreLimitKnowsItsLag, TestFillsFromASlowStoreWhenNobodyWaits.

--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -318,12 +318,13 @@
 // crash or are cut off, or demand moves to models with one replica; from the store the
 // next one takes many seconds.
 func (r *round) fill() {
-	most := fillAtOnce
+	// One load from the store stays free for requests that wait.
+	most, storeLoads := fillAtOnce, r.StoreLoads-1
 	if !r.waiting() {
-		most = len(r.Engines)
+		most, storeLoads = len(r.Engines), max(1, storeLoads)
 	}
 	for _, w := range []want{
-		{reason: reasonFill, storeLoads: r.StoreLoads - 1},
+		{reason: reasonFill, storeLoads: storeLoads},
 		{reason: reasonSpare, replicas: 1, roomOnly: true},
 	} {
 		for _, m := range r.order {
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -175,6 +175,22 @@
 	testkit.That(t, s.Resident >= 24, "%d of 30 models have a place, %d free", s.Resident, s.FreeBytes)
 }
 
+// The store serves one load at a time. While no request waits, that one fills places ahead
+// of demand; while one does, it stays free.
+func TestFillsFromASlowStoreWhenNobodyWaits(t *testing.T) {
+	engines := []Engine{engine("a"), engine("b")}
+	models := []Model{model("m1", 80, nil), model("m2", 80, nil)}
+	got := Plan(Situation{Now: start, Engines: engines, Models: models, StoreLoads: 1, Ahead: true})
+	testkit.That(t, len(got) == 1, "got %+v, want one load", got)
+	waiting(&models[1])
+	models[1].FromStore = 6 * time.Second
+	engines[0].Models = []Held{{Name: "m2", Ready: true, Running: 3}}
+	models[1].Running = 3
+	engines[1].BusyFor = time.Second
+	got = Plan(Situation{Now: start, Engines: engines, Models: append(models, model("m3", 80, waiting)), StoreLoads: 1, Ahead: true})
+	testkit.That(t, len(got) == 0, "got %+v, though m3 waits for the store", got)
+}
+
 // Engines crash or a failure domain is cut off, and with them the only replica of many
 // models; the store takes 13 s for each. While there is room, each model has a second
 // replica in another domain, from copies at hand; nothing gives way to one, none comes
--- a/placement/residency/storelimit.go
+++ b/placement/residency/storelimit.go
@@ -13,10 +13,10 @@
 	// storeLimitMost bounds the limit: each load takes an engine that could be
 	// swapping from its own disk meanwhile.
 	storeLimitMost = 16
-	// fullSpeed is how much longer than alone a load may take and still count as
-	// served at full speed: engines tell of its end up to a few hundred milliseconds
-	// late.
+	// fullSpeed times what it takes alone, and endLag more, is how long a load may take
+	// and still count as served at full speed: engines tell of its end that much late.
 	fullSpeed = 1.2
+	endLag    = 300 * time.Millisecond
 	// probeAfter is how many loads at full speed it takes, once the store was found to
 	// be slower, to try one more at once: at a store that serves one, each such try
 	// costs half a load.
@@ -110,7 +110,7 @@
 	company := load.company / took
 	stretch := took / load.alone.Seconds()
 	switch {
-	case stretch > fullSpeed:
+	case took > fullSpeed*load.alone.Seconds()+endLag.Seconds():
 		l.limit = min(l.limit, max(1, company/stretch))
 		l.bounded, l.steady = true, 0
 	case company <= l.limit-0.5: // fewer ran than the limit allows
--- a/placement/residency/storelimit_test.go
+++ b/placement/residency/storelimit_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Loads of half a second end a quarter of a second before anybody hears of it. That is no
+// slow store.
+func TestStoreLimitKnowsItsLag(t *testing.T) {
+	l := NewStoreLimit()
+	for i := range 4 {
+		at := start.Add(time.Duration(i) * time.Second)
+		l.Begin(at, "a", 500*time.Millisecond)
+		l.Begin(at, "b", 500*time.Millisecond)
+		l.End(at.Add(750*time.Millisecond), "a")
+		l.End(at.Add(750*time.Millisecond), "b")
+	}
+	testkit.That(t, l.AtOnce() > storeLimitStart, "limit %d after loads at full speed", l.AtOnce())
+}
+
 // A load fails with its engine: its length says nothing. What another VM found out
 // counts for one that begins to plan.
 func TestStoreLimitLearnsAndAbandons(t *testing.T) {
