--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -1,9 +1,7 @@
 package hosted
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +9,6 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
-	"bergamotreel/internal/rendezvous"
 )
 
 const (
@@ -153,23 +150,6 @@
 	return out
 }
 
-// forget drops addresses that have not answered for long.
-func (m *members) forget() {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address, p := range m.peers {
-		last := p.heardAt
-		if last.IsZero() {
-			last = p.addedAt
-		}
-		if now.Sub(last) > forgetAfter && p.stop != nil && !slices.Contains(m.node.config.Seeds, address) {
-			p.stop()
-			delete(m.peers, address)
-		}
-	}
-}
-
 // exchange is the duty of one peer.
 func (m *members) exchange(ctx context.Context, p *member) {
 	timer := time.NewTimer(0)
@@ -198,27 +178,6 @@
 	}
 }
 
-// failed notes an exchange that failed. Where it was the last that the VM, or its whole
-// failure domain, may fail, it no longer counts as live.
-func (m *members) failed(p *member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p.failures++
-	domain := p.report.Domain
-	if p.heardAt.IsZero() {
-		return
-	}
-	m.silentDomains[domain]++
-	if p.failures == failuresMost {
-		m.node.config.Logger.Info("entry VM silent", zap.String("peer", p.report.VM), zap.Int("failed_exchanges", p.failures))
-	}
-	if domain != m.node.config.Domain && m.silentDomains[domain] == domainFailuresMost {
-		m.node.config.Logger.Warn("failure domain silent", zap.String("domain", domain))
-		m.stale = true
-		m.node.planner.wakeUp()
-	}
-}
-
 // pace is the time between two reports to a peer. Of two VMs each begins exchanges
 // with the other, so news is half as old. The VM that plans is told at the full pace,
 // however large the fleet: what waits is late there by the time between two reports. So
@@ -353,55 +312,6 @@
 	return now.Sub(heardAt)
 }
 
-// live calls f with the newest report of each live peer, under the lock.
-func (m *members) live(now time.Time, f func(*entryvm.Report)) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.eachLive(now, f)
-}
-
-func (m *members) eachLive(now time.Time, f func(*entryvm.Report)) {
-	for _, p := range m.peers {
-		if m.isLive(now, p) {
-			f(&p.report)
-		}
-	}
-}
-
-// isLive tells whether a VM counts as live: heard lately, and not found silent since,
-// nor its whole failure domain. Call with mu held.
-func (m *members) isLive(now time.Time, p *member) bool {
-	domain := p.report.Domain
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor() && p.failures < failuresMost && !m.isSilent(domain)
-}
-
-// isSilent tells whether no VM of another failure domain answers. Call with mu held.
-func (m *members) isSilent(domain string) bool {
-	return domain != m.node.config.Domain && m.silentDomains[domain] >= domainFailuresMost
-}
-
-// silent is isSilent for all who don't hold mu.
-func (m *members) silent(domain string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.isSilent(domain)
-}
-
-// heardFor grows with the pace of reports in a large fleet. Call with mu held.
-func (m *members) heardFor() time.Duration {
-	if len(m.peers) > fullMesh {
-		return heardFor * time.Duration(len(m.peers)) / fullMesh
-	}
-	return heardFor
-}
-
-// count is the number of live entry VMs, this one included.
-func (m *members) count(now time.Time) int {
-	live := 1
-	m.live(now, func(*entryvm.Report) { live++ })
-	return live
-}
-
 // sum renews the sums over the other VMs. Call with mu held.
 func (m *members) sum(now time.Time) {
 	age := now.Sub(m.summedAt)
@@ -439,61 +349,9 @@
 	return out
 }
 
-// keeperOf returns the VM that gives orders to a shard's engines and its address;
-// false if no live one does.
-func (m *members) keeperOf(now time.Time, domain string, shard int) (vm, address string, ok bool) {
-	m.live(now, func(r *entryvm.Report) {
-		if r.Domain == domain && slices.Contains(r.Keeps, shard) {
-			vm, address, ok = r.VM, r.Address, true
-		}
-	})
-	return vm, address, ok
-}
-
-// plans tells whether this VM plans for all: the live one with the lowest hash that
-// is not leaving. Two that both think so cost a swap too many, never safety: each
-// swap is checked by its engine's keeper.
-func (m *members) plans(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.pickPlanner(now) == m.node.config.VM
-}
-
-// pickPlanner returns the VM that plans. Call with mu held.
-func (m *members) pickPlanner(now time.Time) string {
-	names := []string{m.node.config.VM}
-	m.eachLive(now, func(r *entryvm.Report) {
-		if !r.Leaving {
-			names = append(names, r.VM)
-		}
-	})
-	return rendezvous.Pick(plannerKey, names)
-}
-
 // plannerKey is what the planner is drawn for.
 const plannerKey = "planner"
 
-// wiser returns the addresses of VMs that know more: a newer configuration, or,
-// where this VM lacks its start, any at all.
-func (m *members) wiser(version uint64, lacking bool) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []*member
-	for _, p := range m.peers {
-		if lacking || (!p.heardAt.IsZero() && p.report.Configuration > version) {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(b.report.Configuration, a.report.Configuration), cmp.Compare(a.address, b.address))
-	})
-	addresses := make([]string, 0, len(out))
-	for _, p := range out {
-		addresses = append(addresses, p.address)
-	}
-	return addresses
-}
-
 // report makes this VM's next report.
 func (m *members) report(now time.Time, full bool) entryvm.Report {
 	n := m.node
--- /dev/null
+++ b/placement/residency/place.go
@@ -0,0 +1,165 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// option is a way to give a model a place.
+type option struct {
+	swap Swap
+	cost time.Duration
+	// later is whether the engine is busy now.
+	later bool
+}
+
+// want is how much a place for a model is wanted.
+type want struct {
+	reason string
+	// replicas is how many the model has and is getting.
+	replicas int
+	// force is whether what gives way may have requests running, surplusOnly whether it
+	// must have more replicas than it wants, roomOnly whether nothing may give way.
+	force, surplusOnly, roomOnly bool
+	// storeLoads is how many loads from the store may run, this one included.
+	storeLoads int
+}
+
+// pays tells whether the place must gain more than it costs: one that is waited for, or
+// that takes only room which nobody needs, need not.
+func (w want) pays() bool { return w.reason != reasonWaited && !w.surplusOnly && !w.roomOnly }
+
+// place plans the cheapest way to load the model, if there is one that can begin now.
+// An engine that has another order under way may be worth waiting for: one with a copy
+// on its disk is done before the store has delivered.
+func (r *round) place(m *Model, w want) bool {
+	best := option{cost: -1}
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		if !e.Orderable || holds(e, m.Name) {
+			continue
+		}
+		if r.taken[e.ID] && e.BusyFor == 0 {
+			continue // planned in this round; how long it takes shows in the next
+		}
+		if w.roomOnly && !r.hasRoom(e, m) {
+			continue
+		}
+		o, ok := r.option(e, m, w)
+		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= w.storeLoads) {
+			continue
+		}
+		if best.cost < 0 || o.cost < best.cost {
+			best = o
+		}
+	}
+	if best.cost < 0 || best.later || r.taken[best.swap.Engine] || (w.pays() && best.cost > r.gain(m, best.swap)) {
+		return false
+	}
+	best.swap.Reason = w.reason
+	r.note(best.swap)
+	for _, name := range best.swap.Unload {
+		r.ready[name]--
+	}
+	r.swaps = append(r.swaps, best.swap)
+	return true
+}
+
+// gain is what a replica that nobody waits for yet is worth: the waits that it
+// saves within the horizon, and its own load.
+func (r *round) gain(m *Model, swap Swap) time.Duration {
+	saved := m.Rate * evictHorizon.Seconds() * m.Worth
+	gain := swap.Takes + time.Duration(saved*float64(swap.Takes))
+	if r.ready[m.Name] == 0 {
+		gain += placeWorth
+	}
+	return gain
+}
+
+// hasRoom tells whether the engine has room for the model beside all that it holds.
+func (r *round) hasRoom(e *Engine, m *Model) bool {
+	free := e.Room - m.Bytes
+	for _, held := range e.Models {
+		if known := r.models[held.Name]; known != nil {
+			free -= known.Bytes
+		}
+	}
+	return free >= 0
+}
+
+func holds(e *Engine, model string) bool {
+	return slices.ContainsFunc(e.Models, func(m Held) bool { return m.Name == model })
+}
+
+// waste is the cost of room that is left over. Room for another model is none: it will
+// be filled.
+func (r *round) waste(left int64) time.Duration {
+	if r.smallest <= 0 || left >= r.smallest {
+		return 0
+	}
+	return time.Duration(float64(wasteCost) * float64(left) / float64(r.smallest))
+}
+
+func sourceOf(e *Engine, m *Model) (Source, time.Duration) {
+	switch {
+	case e.InMemory[m.Name]:
+		return SourceMemory, m.FromMemory
+	case e.OnDisk[m.Name]:
+		return SourceDisk, m.FromDisk
+	default:
+		return SourceStore, m.FromStore
+	}
+}
+
+// victim is a model that could give way, with what that costs.
+type victim struct {
+	name string
+	cost time.Duration
+}
+
+// victims are the engine's models that could give way, cheapest first.
+func (r *round) victims(e *Engine, w want) []victim {
+	var out []victim
+	for _, held := range e.Models {
+		if cost, ok := r.evictCost(held, w); ok {
+			out = append(out, victim{held.Name, cost})
+		}
+	}
+	slices.SortFunc(out, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+// evictCost is what it costs to take a model off an engine; false if it must stay.
+func (r *round) evictCost(held Held, w want) (time.Duration, bool) {
+	if !held.Ready || r.Now.Sub(held.Since) < youngFor {
+		return 0, false
+	}
+	m := r.models[held.Name]
+	if m == nil {
+		return 0, false
+	}
+	others := r.ready[held.Name] - 1
+	if m.Waiting > 0 && others < 1 {
+		return 0, false
+	}
+	cost := UnloadTime
+	if held.Running > 0 {
+		if !w.force && others < 1 {
+			return 0, false
+		}
+		cost += drainTime
+	}
+	if others >= 1 && others >= r.wanted(m) {
+		return cost, true
+	}
+	if others >= 1 || w.surplusOnly {
+		// Without it the model's other engines would be overfull, and busy models
+		// would take each other's places in turn.
+		return 0, false
+	}
+	back := min(m.FromDisk, m.FromStore)
+	return cost + placeWorth + time.Duration(m.Rate*m.Worth*evictHorizon.Seconds()*float64(back)), true
+}
