--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -36,6 +36,10 @@
 	// the configured pace; beyond it the pace falls, so that a VM's cost does not
 	// grow with the fleet.
 	fullMesh = 12
+	// plannerPace times the configured pace is the time between two reports to the VM
+	// that plans for a large fleet: at the full pace they would take half of a link of
+	// 10 Mbit/s there.
+	plannerPace = 2
 	// fullEvery is the number of reports to a peer of which one is full.
 	fullEvery = 5
 	// sumEvery is the least time between two sums over all reports: in a large fleet
@@ -179,15 +183,20 @@
 }
 
 // pace is the time between two reports to a peer. Of two VMs each begins exchanges
-// with the other, so news is half as old. The VM that plans is told at the full pace,
-// however large the fleet: what waits is late there by the time between two reports. So
-// is the one that reads the registry, whose answers bring the news.
+// with the other, so news is half as old. The VM that plans is told more often, however
+// large the fleet: what waits is late there by the time between two reports. The one that
+// reads the registry is asked at the full pace, as its answers bring the news.
 func (m *members) pace(now time.Time, p *member) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	pace := m.node.config.Report
-	if len(m.peers) > fullMesh && p.report.VM != m.pickPlanner(now) && !m.readsFor(now, p) {
-		pace = pace * time.Duration(len(m.peers)) / fullMesh
+	large := max(pace, pace*time.Duration(len(m.peers))/fullMesh)
+	switch {
+	case m.readsFor(now, p):
+	case p.report.VM == m.pickPlanner(now):
+		pace = min(large, plannerPace*pace)
+	default:
+		pace = large
 	}
 	if p.failures > 0 && p.failures < failuresMost {
 		pace = min(pace, retryExchange)
