--- a/routing/pick.go
+++ b/routing/pick.go
@@ -20,11 +20,6 @@
 	// the own failure domain may be than one outside it. The hop is half a
 	// millisecond; it is the domain's cut that makes the own one better.
 	otherDomainCost = 0.4
-	// nearlyFull is the load from which an engine costs more than its load, by fullCost
-	// for each further part: reports are late, so that it may be full by now, and a
-	// request that finds it so waits there while another replica has slots free.
-	nearlyFull = 0.7
-	fullCost   = 3
 	// prefixWorth is how much busier an engine may be that has the whole prompt
 	// cached. A full hit saves the prefill, about what half a batch adds.
 	prefixWorth = 0.5
@@ -272,7 +267,7 @@
 // better.
 func (r *Router) score(now time.Time, q Query, v *view) float64 {
 	load := 1 - float64(v.free-1)/float64(v.candidate.Slots)
-	score := load*r.latency[q.Pool].slowness(now, v.candidate.Engine) + fullCost*max(0, load-nearlyFull)
+	score := load * r.latency[q.Pool].slowness(now, v.candidate.Engine)
 	if !v.own {
 		score += otherDomainCost
 	}
