--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
@@ -56,6 +57,9 @@
 // would pass for fresh. It is safe for concurrent use.
 type feed struct {
 	bound time.Duration
+	// renewed measures the times between which all changes were known: a change is in
+	// force that much after its acceptance, at the latest.
+	renewed *metrics.Histogram
 
 	mu     sync.Mutex
 	known  bool
@@ -73,11 +77,22 @@
 	list     []registry.Change
 }
 
+var (
+	configurationsRenewed = metrics.NewHistogram(`bergamotreel_registry_renewed_seconds{topic="configuration"}`)
+	backendsRenewed       = metrics.NewHistogram(`bergamotreel_registry_renewed_seconds{topic="backends"}`)
+)
+
 // confirm notes that all changes up to then are known.
 func (f *feed) confirm(at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.at = max(f.at, at)
+	if at <= f.at {
+		return
+	}
+	if f.renewed != nil && f.at > 0 {
+		f.renewed.Update((at - f.at).Seconds())
+	}
+	f.at = at
 }
 
 // expire has this VM read for itself at once, as there is news.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -117,7 +117,8 @@
 func New(config Config) *Node {
 	n := &Node{config: config, started: config.Boot(), shards: lease.NewShards(config.Lease)}
 	n.registry = reachability{name: "registry", logger: config.Logger}
-	n.configurations.bound, n.changes.bound = config.ApplyWithin, config.DrainWithin
+	n.configurations.bound, n.configurations.renewed = config.ApplyWithin, configurationsRenewed
+	n.changes.bound, n.changes.renewed = config.DrainWithin, backendsRenewed
 	n.backends = newBackendTable(config.Logger)
 	n.demand = newDemand()
 	n.adapters = newAdapterAsks(n)
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
@@ -40,6 +41,9 @@
 	firstStartSettles = 900 * time.Millisecond
 )
 
+// takeoverSeconds measures the time from the record of a shard's owner to its first order.
+var takeoverSeconds = metrics.NewHistogram(`bergamotreel_shard_takeover_seconds`)
+
 // shardOf is the shard of an engine.
 func (n *Node) shardOf(engine string) int {
 	return int(xxhash.Sum64String(engine) % uint64(max(n.config.Shards, 1)))
@@ -203,6 +207,7 @@
 	n.shards.Owned(from, shard, generation, wait)
 	n.shardsMu.Unlock()
 	wait = max(0, from+wait-n.config.Boot())
+	takeoverSeconds.Update((n.config.Boot() + wait - ownedAt).Seconds())
 	n.config.Logger.Info("shard owned", zap.Int("shard", shard), zap.Uint64("generation", generation),
 		zap.String("former", former.VM), zap.Duration("orders_in", wait), zap.String("reason", reason))
 	time.AfterFunc(wait, func() {
