hosted: news of a keeper that forgot an engine, or restarted, is not taken for old

News is numbered by engine; a keeper that loses an engine for a moment (a doubtful shard, a lease that ran out) or restarts began anew at 1, other VMs took that for older than what they had, and each such report renewed the old word's age, so that it never ran out. Ruled out: late orders (each was accepted in 2 ms), the registry's entry (not asked while a keeper's word is fresh). Test: TestKeepersNewsAfterItForgot (both ways; fails before). Numbers now are by process, and name its incarnation.

--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -173,7 +173,8 @@
 	}
 }
 
-// tell takes a keeper's word on an engine; it tells whether anything changed.
+// tell takes a keeper's word on an engine; it tells whether anything changed. keeper names
+// the process that speaks.
 func (t *backendTable) tell(now time.Time, keeper string, news entryvm.EngineNews) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -182,7 +183,9 @@
 		return false
 	}
 	if known.newsFrom == keeper && known.news.Version >= news.Version && !known.newsAt.IsZero() {
-		known.newsAt = now
+		if known.news.Version == news.Version {
+			known.newsAt = now
+		}
 		return false
 	}
 	if known.newsFrom != keeper && !known.newsAt.IsZero() && known.news.Orders > news.Orders {
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -97,6 +97,13 @@
 	stop()
 }
 
+// cutFromGroup has a VM's joins answered no more, or again.
+func (w *world) cutFromGroup(vm string, cut bool) {
+	w.registry.mu.Lock()
+	defer w.registry.mu.Unlock()
+	w.registry.cutOff[vm] = cut
+}
+
 // list lists an engine with what it holds.
 func (w *world) list(e *fakeEngine, onDisk ...string) {
 	b := registry.Backend{ID: e.id, Service: testService, Address: e.address, Domain: e.domain, Slots: 8, IsEngine: true, OnDisk: onDisk}
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,6 +74,9 @@
 // for concurrent use.
 type keeper struct {
 	node *Node
+	// versions numbers the news of all engines. Failure: with a count for each engine, one
+	// that was forgotten and kept again began anew, and its news passed for old.
+	versions atomic.Uint64
 
 	mu      sync.Mutex
 	engines map[string]*keptEngine
@@ -187,13 +191,16 @@
 	return news
 }
 
+// origin names a process of a VM as the source of news: a later one numbers its news anew.
+func origin(vm, incarnation string) string { return vm + " " + incarnation }
+
 // changed spreads news of an engine; call it with e.mu held. urgent news goes out
 // at once.
 func (k *keeper) changed(e *keptEngine, urgent bool) {
-	e.version++
+	e.version = k.versions.Add(1)
 	// Each peer takes a report of its own.
 	e.untold = newsRepeat * max(1, k.node.config.peersHint())
-	k.node.backends.tell(time.Now(), k.node.config.VM, e.newsLocked())
+	k.node.backends.tell(time.Now(), origin(k.node.config.VM, k.node.config.Incarnation), e.newsLocked())
 	if urgent {
 		go k.node.members.tell()
 	}
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -276,7 +276,7 @@
 	m.fetchNews(now, &report)
 	changed := false
 	for _, news := range report.Engines {
-		changed = m.node.backends.tell(now, report.VM, news) || changed
+		changed = m.node.backends.tell(now, origin(report.VM, report.Incarnation), news) || changed
 	}
 	if changed {
 		m.node.serving.Wake()
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -450,6 +450,47 @@
 	holds("m1 m2")
 }
 
+// A VM loses its engines for a moment, or is killed and starts again, and forgets what it
+// knew of them; then it changes what one of them holds. The other VMs must believe it at
+// once: they took its news for older than what it had told before, kept that fresh by
+// each further report, and for tens of seconds sent requests where their model was gone.
+func TestKeepersNewsAfterItForgot(t *testing.T) {
+	for _, how := range []string{"loses its lease", "is killed"} {
+		t.Run(how, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				w.registry.configuration = testContract("m1", "m2", "m3", "m4")
+				w.registry.deal("a")
+				w.list(w.engines.add("e1", "m1", "m2"))
+				a, b := w.boot("a", true), w.boot("b", true)
+				time.Sleep(3 * time.Second)
+				for _, m := range []string{"m3", "m4", "m3", "m4", "m1"} {
+					_ = testkit.Value(ask(a, m, 5*time.Second))(w)
+					time.Sleep(2500 * time.Millisecond)
+				}
+				if how == "is killed" {
+					w.kill("a")
+					a = w.boot("a", false)
+					time.Sleep(3 * time.Second)
+				} else {
+					w.cutFromGroup("a", true)
+					time.Sleep(4500 * time.Millisecond)
+					w.cutFromGroup("a", false)
+					time.Sleep(2 * time.Second)
+				}
+				for _, m := range []string{"m2", "m3"} {
+					_ = testkit.Value(ask(a, m, 9*time.Second))(w)
+					time.Sleep(2500 * time.Millisecond)
+				}
+				engine := w.engines.all["at-e1"]
+				for _, m := range []string{"m1", "m2", "m3", "m4"} {
+					_, held := engine.models[m]
+					testkit.That(w, b.backends.holds(testService, m) == held, "%s is on the engine: %v; the other VM thinks %v", m, held, !held)
+				}
+			})
+		})
+	}
+}
+
 // A configuration never goes back, whoever brings an older one.
 func TestConfigurationNeverReverts(t *testing.T) {
 	inWorld(t, func(w *world) {
