residency: demand that was turned away counts for what is loaded next

Now a model without a replica counts the requests that came for it lately. Test: TestTurnedAwayDemandCounts.

--- a/placement/residency/arrival.go
+++ b/placement/residency/arrival.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Arrival is when a model that requests wait for should have its first replica.
+// Arrival is when a model that requests wait for, or were turned away, should have its
+// first replica.
 type Arrival struct {
 	Model string
 	In    time.Duration
@@ -39,7 +40,7 @@
 	queue := newStoreQueue(store, s.StoreLoads)
 	var out []Arrival
 	for _, m := range r.order {
-		if m.Waiting == 0 || r.ready[m.Name] > 0 {
+		if r.ready[m.Name] > 0 || (m.Waiting == 0 && r.turnedAway(m) < 1) {
 			continue
 		}
 		in, ok := coming[m.Name]
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -208,7 +208,7 @@
 		r.note(swap)
 	}
 	slices.SortFunc(r.order, func(a, b *Model) int {
-		return cmp.Or(cmp.Compare(b.urgency(), a.urgency()), cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(r.urgency(b), r.urgency(a)), cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
 	})
 	return r
 }
@@ -226,6 +226,19 @@
 	return float64(m.Waiting) * m.Worth * (1 + m.Oldest.Seconds())
 }
 
+// urgency counts the requests that were turned away as well.
+func (r *round) urgency(m *Model) float64 { return max(m.urgency(), r.turnedAway(m)*m.Worth) }
+
+// turnedAway is how many requests for a model that no engine has came lately. Failure:
+// those that can't wait for its load are refused at once, so that none of them waits; the
+// planner saw no demand for the model, and it was never loaded.
+func (r *round) turnedAway(m *Model) float64 {
+	if r.ready[m.Name]+r.coming[m.Name] > 0 {
+		return 0
+	}
+	return m.Rate * evictHorizon.Seconds()
+}
+
 func (r *round) note(swap Swap) {
 	r.coming[swap.Load]++
 	r.taken[swap.Engine] = true
@@ -268,11 +281,15 @@
 	}
 }
 
-// serveWaiting finds a place for a model that requests wait for and no engine has or is
-// getting, or another one where its engines are full of requests for others.
+// serveWaiting finds a place for a model that requests wait for, or were turned away, and
+// no engine has or is getting, or another one where its engines are full of requests for
+// others.
 func (r *round) serveWaiting(m *Model) {
 	switch {
-	case m.Waiting == 0 || r.coming[m.Name] > 0:
+	case r.coming[m.Name] > 0:
+	case m.Waiting == 0 && r.turnedAway(m) >= 1:
+		r.place(m, want{reason: reasonTurnedAway, storeLoads: r.StoreLoads})
+	case m.Waiting == 0:
 	case r.ready[m.Name] == 0:
 		r.place(m, want{reason: reasonWaited, force: m.Oldest > starving, storeLoads: r.StoreLoads})
 	case m.Oldest > starving && r.crowdedOut(m):
@@ -370,11 +387,12 @@
 
 // Reasons of swaps.
 const (
-	reasonWaited  = "waited for"
-	reasonCrowded = "crowded out"
-	reasonBusy    = "busy"
-	reasonFill    = "ahead of demand"
-	reasonSpare   = "spare"
+	reasonWaited     = "waited for"
+	reasonTurnedAway = "turned away"
+	reasonCrowded    = "crowded out"
+	reasonBusy       = "busy"
+	reasonFill       = "ahead of demand"
+	reasonSpare      = "spare"
 )
 
 // option works out what loading the model on the engine costs: its load's time,
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -191,6 +191,24 @@
 	testkit.That(t, len(got) == 0, "got %+v, though m3 waits for the store", got)
 }
 
+// The store brings a model only after its callers' longest wait, so that each of them is
+// refused at once and none waits. It must have its turn all the same: before one that is
+// asked for less, though that one's only request waits, and not in place of one whose
+// absence would cost as much.
+func TestTurnedAwayDemandCounts(t *testing.T) {
+	engines := []Engine{engine("a")}
+	asked := func(m *Model) { m.Rate = 2 }
+	models := []Model{model("away", 80, asked), model("waits", 80, func(m *Model) { m.Rate, m.Waiting = 0.1, 1 })}
+	got := Plan(Situation{Now: start, Engines: engines, Models: models, StoreLoads: 1})
+	testkit.Need(t, len(got) == 1 && got[0].Load == "away" && got[0].Reason == reasonTurnedAway, "got %+v", got)
+	engines = []Engine{engine("a", "held")}
+	models = []Model{model("away", 80, asked), model("held", 80, func(m *Model) { m.Rate, m.FromDisk = 3, m.FromStore })}
+	got = Plan(Situation{Now: start, Engines: engines, Models: models, StoreLoads: 1})
+	testkit.That(t, len(got) == 0, "got %+v, want no turns", got)
+	s := Situation{Now: start, Engines: []Engine{engine("a")}, Models: models[:1], StoreLoads: 1}
+	testkit.Equal(t, "foreseen", len(Arrivals(s, nil)), 1)
+}
+
 // Engines crash or a failure domain is cut off, and with them the only replica of many
 // models; the store takes 13 s for each. While there is room, each model has a second
 // replica in another domain, from copies at hand; nothing gives way to one, none comes
