--- a/placement/residency/arrival.go
+++ b/placement/residency/arrival.go
@@ -46,7 +46,7 @@
 		in, ok := coming[m.Name]
 		switch {
 		case ok:
-		case r.atHand(m):
+		case r.hasCopy(m):
 			continue
 		default:
 			in = queue.next(m.FromStore)
@@ -66,8 +66,8 @@
 	return swap.Takes
 }
 
-// atHand tells whether an engine that can be given orders has a copy of the model.
-func (r *round) atHand(m *Model) bool {
+// hasCopy tells whether an engine that can be given orders has a copy of the model.
+func (r *round) hasCopy(m *Model) bool {
 	return slices.ContainsFunc(r.Engines, func(e Engine) bool {
 		return e.Orderable && (e.InMemory[m.Name] || e.OnDisk[m.Name])
 	})
