keeper: a younger process with one VM's name knows the older one although it ended its session first

The younger process takes the older one for a predecessor and ends its session before it opens its own; where that session was gone by then, neither saw an older rival, and both went on for five minutes. Now sessions seen before the own first one are noted. Ruled out: the load of the machine (1 of 15 alone).

--- a/internal/keeper/rival.go
+++ b/internal/keeper/rival.go
@@ -29,9 +29,10 @@
 // rival is what was seen of the sessions of one other incarnation.
 type rival struct {
 	Rival
-	newest state.SessionID
-	count  int
-	seenAt time.Time
+	// lowest is its first session that was seen, newest the last one.
+	lowest, newest state.SessionID
+	count          int
+	seenAt         time.Time
 }
 
 // watchRivals looks for sessions that others open under this VM's name. Call with
@@ -41,10 +42,11 @@
 // each other's sessions for good (departures.Abandoned): their engines change the
 // keeper every two seconds. Safety doesn't rest on what is done about it, as every
 // right and order goes by session and fencing token, not by name.
+//
+// Sessions are noted before this process has one as well: a younger process ends the
+// older one's session before it opens its own, and saw no older one any more; then
+// neither gave way.
 func (k *Keeper) watchRivals(now time.Time) {
-	if k.first == 0 {
-		return
-	}
 	k.config.Control.View(func(s *state.State) {
 		for id, session := range s.Sessions {
 			if session.VM == k.config.VM && session.Incarnation != k.config.Incarnation {
@@ -60,9 +62,13 @@
 		r = &rival{Rival: Rival{Incarnation: incarnation}}
 		k.rivals[incarnation] = r
 	}
-	if id < k.first {
-		r.Older = true
+	if r.lowest == 0 || id < r.lowest {
+		r.lowest = id
+	}
+	if k.first == 0 {
+		return
 	}
+	r.Older = r.lowest < k.first
 	if id < k.first || id <= r.newest {
 		return
 	}
