--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -18,8 +18,8 @@
 )
 
 // In a large failure domain one VM reads the registry, and the others learn from it. With
-// each VM reading for itself the registry's calls grew with the fleet:
-// among 64 VMs 110 calls a second, which cost as much as a thirtieth of all requests.
+// each VM reading for itself the registry's calls grew with the fleet: among 64 VMs 110
+// calls a second, which cost as much as a thirtieth of all requests.
 //
 // What must be in force within a bound stays so whoever dies, stops or is cut off: each
 // VM knows up to when it knows all changes, from its own reads or from the reader's
@@ -240,6 +240,8 @@
 	}
 	now := n.config.Boot()
 	answer.ConfigurationAge, answer.BackendsAge = n.configurations.age(now), n.changes.age(now)
+	// After the age: a version that came in between must not pass for known by the asker.
+	answer.Configuration = n.version()
 	batch, ok := n.changes.since(registry.Cursor(asker.BackendsCursor))
 	if !ok {
 		return
