--- a/deploy/play-seeds.sh
+++ b/deploy/play-seeds.sh
@@ -1,15 +1,17 @@
 #!/usr/bin/env bash
 # Plays the days that once showed a fault (deploy/seeds.txt) and prints a line for each.
 #   deploy/play-seeds.sh BENCH SITES [JOBS]
-# BENCH is the users' bench, SITES the folder with the deployments' files, JOBS how many at a time (3).
+# BENCH is the users' bench, SITES the folder with the deployments' files (those of the grown ones
+# lie beside it), JOBS how many at a time (3).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bench=$1 sites=$2 jobs=${3:-3}
 
 play() {
-	local output seed=()
+	local output seed=() site="$sites/$1.toml"
+	[ -f "$site" ] || site="$sites/../grown/$1.toml"
 	[ "$3" = - ] || seed=(--seed "$3")
-	output=$("$bench" run "$sites/$1.toml" "$2" "${seed[@]}" --why "deploy/seeds.txt: $1 $2 $3" 2>&1) || true
+	output=$("$bench" run "$site" "$2" "${seed[@]}" --why "deploy/seeds.txt: $1 $2 $3" 2>&1) || true
 	printf '%-14s %-9s %-13s %s\n' "$1" "$2" "$3" "$(grep -m1 "^$2 " <<<"$output" | cut -c27- || true)"
 	grep -E '^[A-Z]+ at |^fault' <<<"$output" | head -3 || true
 }
