hosted: the comment on owners' tries says what was measured

Cause: the comment said that half of the engines had no keeper for ten seconds; the log of the run says 66 of 90 after six seconds and 31 after ten. Only the comment changes; go test ./internal/hosted passes.

--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -22,9 +22,9 @@
 	joinEvery = 700 * time.Millisecond
 	// ownTries is how often recording an ownership is tried in one join where another
 	// VM recorded its own meanwhile; the pause between two tries is up to ownPause, by
-	// chance. Failure: twenty VMs that start together joined in step for ever, one of
-	// them recorded itself each time, and half of the engines had no keeper for ten
-	// seconds.
+	// chance. Failure: twenty VMs that start together joined in step, and one of them
+	// recorded itself each time; of 90 engines 66 had no keeper after six seconds, 31
+	// after ten.
 	ownTries = 4
 	ownPause = 120 * time.Millisecond
 	// membershipTTL is how long a member may be silent: a process that is restarted
