--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -175,7 +175,7 @@
 	}
 	swaps := residency.Plan(situation)
 	for _, swap := range swaps {
-		if swap.Source == residency.SourceStore && swap.Load != "" && !p.takeToken(now, pool) {
+		if swap.FromStore() && !p.takeToken(now, pool) {
 			continue
 		}
 		p.begin(now, swap)
@@ -235,7 +235,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending[swap.Engine] = pendingSwap{Swap: swap, begun: now, until: now.Add(swapLinger)}
-	if swap.Source == residency.SourceStore && swap.Load != "" {
+	if swap.FromStore() {
 		p.store.Begin(now, swap.Engine, swap.Takes+unloadTime(swap))
 	}
 }
@@ -280,7 +280,7 @@
 func (p *planner) ended(now time.Time, engine string, b *backend) {
 	swap := p.pending[engine].Swap
 	delete(p.pending, engine)
-	if swap.Source != residency.SourceStore || swap.Load == "" {
+	if !swap.FromStore() {
 		return
 	}
 	if _, loaded := b.models[swap.Load]; !loaded {
--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -58,7 +58,7 @@
 // lengthOf is how long a swap's load takes: longer from a store that more engines load
 // from than it serves at full speed. Call with mu held.
 func (p *planner) lengthOf(swap pendingSwap) time.Duration {
-	if swap.Source != residency.SourceStore || swap.Load == "" {
+	if !swap.FromStore() {
 		return swap.Takes
 	}
 	shared := max(1, float64(p.store.Running())/float64(p.store.AtOnce()))
--- a/placement/residency/arrival.go
+++ b/placement/residency/arrival.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		left := r.left(swap)
-		if swap.Source == SourceStore {
+		if swap.FromStore() {
 			store = append(store, left)
 		}
 		if known, ok := coming[swap.Load]; !ok || left < known {
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		o, ok := r.option(e, m, w)
-		if !ok || (o.swap.Source == SourceStore && r.storeLoads >= w.storeLoads) {
+		if !ok || (o.swap.FromStore() && r.storeLoads >= w.storeLoads) {
 			continue
 		}
 		if best.cost < 0 || o.cost < best.cost {
@@ -77,15 +77,57 @@
 	return gain
 }
 
-// hasRoom tells whether the engine has room for the model beside all that it holds.
-func (r *round) hasRoom(e *Engine, m *Model) bool {
-	free := e.Room - m.Bytes
+// option works out what loading the model on the engine costs: its load's time,
+// and what is lost with the models that give way.
+func (r *round) option(e *Engine, m *Model, w want) (option, bool) {
+	source, takes := sourceOf(e, m)
+	o := option{swap: Swap{Engine: e.ID, Load: m.Name, Source: source, Takes: takes}, cost: takes}
+	free, known := r.free(e)
+	if !known {
+		return o, false
+	}
+	victims := r.victims(e, w)
+	for free < m.Bytes {
+		if len(victims) == 0 {
+			return o, false
+		}
+		v := victims[0]
+		victims = victims[1:]
+		free += r.models[v.name].Bytes
+		o.cost += v.cost
+		o.swap.Unload = append(o.swap.Unload, v.name)
+	}
+	o.cost += e.BusyFor
+	o.later = e.BusyFor > 0
+	o.cost += r.waste(free - m.Bytes)
+	if r.domains[m.Name][e.Domain] {
+		o.cost += sameDomainCost
+	}
+	// An engine with much running shares its batch with what comes.
+	if e.Slots > 0 {
+		o.cost += time.Duration(float64(e.Running) / float64(e.Slots) * float64(time.Second))
+	}
+	return o, true
+}
+
+// free is the engine's room beside all that it holds; false where that is of unknown
+// size, which dropStrangers sees to.
+func (r *round) free(e *Engine) (int64, bool) {
+	free := e.Room
 	for _, held := range e.Models {
-		if known := r.models[held.Name]; known != nil {
-			free -= known.Bytes
+		known := r.models[held.Name]
+		if known == nil {
+			return 0, false
 		}
+		free -= known.Bytes
 	}
-	return free >= 0
+	return free, true
+}
+
+// hasRoom tells whether the engine has room for the model beside all that it holds.
+func (r *round) hasRoom(e *Engine, m *Model) bool {
+	free, known := r.free(e)
+	return known && free >= m.Bytes
 }
 
 func holds(e *Engine, model string) bool {
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -86,6 +86,9 @@
 	Reason string
 }
 
+// FromStore tells whether it loads from the weight store; one that only unloads does not.
+func (s Swap) FromStore() bool { return s.Source == SourceStore && s.Load != "" }
+
 // Situation is what a plan is made from.
 type Situation struct {
 	Now     time.Time
@@ -245,7 +248,7 @@
 	if swap.Reason == reasonFill || swap.Reason == reasonSpare {
 		r.filling++
 	}
-	if swap.Source == SourceStore {
+	if swap.FromStore() {
 		r.storeLoads++
 	}
 }
@@ -394,40 +397,3 @@
 	reasonFill       = "ahead of demand"
 	reasonSpare      = "spare"
 )
-
-// option works out what loading the model on the engine costs: its load's time,
-// and what is lost with the models that give way.
-func (r *round) option(e *Engine, m *Model, w want) (option, bool) {
-	source, takes := sourceOf(e, m)
-	o := option{swap: Swap{Engine: e.ID, Load: m.Name, Source: source, Takes: takes}, cost: takes}
-	free := e.Room
-	for _, held := range e.Models {
-		known := r.models[held.Name]
-		if known == nil {
-			return o, false // of unknown size; dropStrangers sees to it
-		}
-		free -= known.Bytes
-	}
-	victims := r.victims(e, w)
-	for free < m.Bytes {
-		if len(victims) == 0 {
-			return o, false
-		}
-		v := victims[0]
-		victims = victims[1:]
-		free += r.models[v.name].Bytes
-		o.cost += v.cost
-		o.swap.Unload = append(o.swap.Unload, v.name)
-	}
-	o.cost += e.BusyFor
-	o.later = e.BusyFor > 0
-	o.cost += r.waste(free - m.Bytes)
-	if r.domains[m.Name][e.Domain] {
-		o.cost += sameDomainCost
-	}
-	// An engine with much running shares its batch with what comes.
-	if e.Slots > 0 {
-		o.cost += time.Duration(float64(e.Running) / float64(e.Slots) * float64(time.Second))
-	}
-	return o, true
-}
