--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +15,6 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/registry"
-	"bergamotreel/routing"
 	"bergamotreel/service"
 )
 
@@ -69,75 +67,6 @@
 	})
 }
 
-// A failure domain of a large fleet is cut off from the others. Reports between two VMs
-// are seconds apart there; still each side has a VM that plans within two seconds, or
-// the models that its engines lack would not be loaded until the cut is over.
-func TestEachSideOfACutPlans(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1")
-		const perDomain = 20
-		for i := range perDomain {
-			w.bootIn("d", []string{"a", "b"}[min(i, 1)]+strings.Repeat("x", max(0, i-1)), true)
-			w.bootIn("e", fmt.Sprint("e", i), true)
-		}
-		time.Sleep(12 * time.Second)
-		w.mu.Lock()
-		w.domainsCut = true
-		w.mu.Unlock()
-		time.Sleep(2 * time.Second)
-		planning := make(map[string]int)
-		w.mu.Lock()
-		for _, n := range w.nodes {
-			n.planner.mu.Lock()
-			if n.planner.planning {
-				planning[n.config.Domain]++
-			}
-			n.planner.mu.Unlock()
-		}
-		w.mu.Unlock()
-		testkit.That(w, planning["d"] == 1 && planning["e"] == 1, "VMs that plan: %v, want one on each side", planning)
-	})
-}
-
-// A failure domain is cut off from the others. The only engine with a model is on the
-// other side; so is one that two requests find dead. The model is loaded on this side at
-// once, although nobody tried the engine that has it, and goes back into use after the
-// cut.
-func TestModelsBehindACutAreLoadedHere(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1", "m2", "m3", "far")
-		w.registry.deal("a")
-		for _, id := range []string{"e1", "e2", "e3"} {
-			w.list(w.engines.add(id, "m1"))
-		}
-		for i, model := range []string{"m2", "m3", "far"} {
-			e := w.engines.add(fmt.Sprint("f", i), model)
-			e.domain = "e"
-			w.list(e)
-		}
-		a := w.bootIn("d", "a", true)
-		w.bootIn("e", "b", true)
-		w.bootIn("e", "c", true)
-		time.Sleep(4 * time.Second)
-		w.mu.Lock()
-		w.domainsCut = true
-		w.mu.Unlock()
-		for _, model := range []string{"m2", "m3"} {
-			_, _ = ask(a, model, 100*time.Millisecond)
-		}
-		time.Sleep(2 * time.Second)
-		took := testkit.Value(ask(a, "far", 5*time.Second))(w)
-		testkit.That(w, took < fakeLoadTime, "took %s", took)
-		w.mu.Lock()
-		w.domainsCut = false
-		w.mu.Unlock()
-		time.Sleep(3 * time.Second)
-		got := a.Candidates(unitName(testService, "far", ""))
-		behind := slices.ContainsFunc(got, func(c routing.Candidate) bool { return c.Engine == "f2" })
-		testkit.That(w, behind, "got %+v, want the engine behind the cut as well", got)
-	})
-}
-
 // Engines that have gone dark are still listed, and empty: the cheapest places for
 // whatever has none. A model must get another place all the same, and soon.
 func TestDarkEnginesAreLeftAlone(t *testing.T) {
@@ -178,82 +107,6 @@
 	})
 }
 
-// The registry takes the shards away from a VM without a word while both others' words
-// reach it; then it deals them back, twice. No two VMs order an engine in turns, and
-// requests for rare models are served all the time.
-func TestShardsDealtAnew(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1", "m2", "m3")
-		w.registry.deal("a")
-		w.list(w.engines.add("e1", "m1", "m2"))
-		a, b := w.boot("a", true), w.boot("b", true)
-		time.Sleep(3 * time.Second)
-		for round, vm := range []string{"b", "a", "b", "b", "a"} {
-			w.registry.deal(vm)
-			time.Sleep(700 * time.Millisecond)
-			w.registry.deal(vm)
-			for _, m := range []string{"m1", "m2", "m3"} {
-				_, err := ask([]*Node{a, b}[round%2], m, 9*time.Second)
-				testkit.OK(w, err)
-			}
-		}
-		w.checkQuiet()
-	})
-}
-
-// The owner of an engine is cut off from the other VMs and from the registry, and goes
-// on giving orders for as long as its last join counts. Its successor can't ask it, and
-// waits until it must have stopped.
-func TestOwnerCutOffWithOrders(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1", "m2", "m3")
-		w.registry.deal("a")
-		w.list(w.engines.add("e1", "m1", "m2"))
-		a, b := w.boot("a", true), w.boot("b", true)
-		time.Sleep(3 * time.Second)
-		w.mu.Lock()
-		w.cut["a"] = true
-		w.mu.Unlock()
-		w.registry.mu.Lock()
-		w.registry.cutOff["a"] = true
-		w.registry.mu.Unlock()
-		w.registry.deal("b")
-		go func() {
-			for i := range 20 {
-				_, _ = ask(a, []string{"m3", "m1", "m2"}[i%3], time.Second)
-			}
-		}()
-		took := testkit.Value(ask(b, "m3", 20*time.Second))(w)
-		testkit.That(w, took < 12*time.Second, "taken over after %s", took)
-		time.Sleep(6 * time.Second)
-		w.checkQuiet()
-	})
-}
-
-// A VM records itself as the owner of an engine and stops for half a second. The former
-// owner, which may act on its last join for four, goes on ordering until it is asked.
-// Its last order counts from its answer: counted from the record, the new owner's first
-// order came half a second too early.
-func TestOwnerSuspendedBeforeItAsks(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1", "m2", "m3")
-		w.registry.deal("a")
-		w.list(w.engines.add("e1", "m1", "m2"))
-		a, b := w.boot("a", true), w.boot("b", true)
-		time.Sleep(3 * time.Second)
-		w.releaseDelay = 500 * time.Millisecond
-		w.registry.mu.Lock()
-		w.registry.cutOff["a"] = true
-		w.registry.mu.Unlock()
-		w.registry.deal("b")
-		for i := range 40 {
-			_, _ = ask(a, fmt.Sprint("m1/a", i), 50*time.Millisecond)
-		}
-		_ = testkit.Value(ask(b, "m3", 20*time.Second))(w)
-		w.checkQuiet()
-	})
-}
-
 // An engine's status is from the middle of a load: it counts the order and lacks the
 // model. Taken as it is, the keeper would find room for another one.
 func TestStatusInTheMiddleOfAnOrder(t *testing.T) {
@@ -274,47 +127,6 @@
 	})
 }
 
-// Four VMs start together, and each has to record that it owns a shard; a record fails if
-// another one was made since the last were read. Engines get no orders before, so all
-// must get through soon, and not by trying in step.
-func TestOwnersStartTogether(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1")
-		w.registry.latency = 8 * time.Millisecond
-		vms := []string{"a", "b", "c", "d"}
-		for shard, vm := range vms {
-			w.registry.holder[shard] = vm
-		}
-		for _, vm := range vms {
-			w.boot(vm, true)
-		}
-		time.Sleep(2300 * time.Millisecond)
-		w.each(func(vm string, n *Node) {
-			testkit.That(w, len(n.activeShards()) == 1, "%s owns %v", vm, n.activeShards())
-		})
-		testkit.That(w, w.registry.conflicts <= 3, "%d records failed", w.registry.conflicts)
-	})
-}
-
-// A VM is killed and starts again at once: the shards are its own still, and it need
-// not wait for itself.
-func TestOwnerRestarts(t *testing.T) {
-	inWorld(t, func(w *world) {
-		w.registry.configuration = testContract("m1", "m2", "m3")
-		w.registry.deal("a")
-		w.list(w.engines.add("e1", "m1", "m2"))
-		w.boot("a", true)
-		w.boot("b", true)
-		time.Sleep(6 * time.Second)
-		w.kill("a")
-		a := w.boot("a", false)
-		time.Sleep(200 * time.Millisecond)
-		took := testkit.Value(ask(a, "m3", 8*time.Second))(w)
-		testkit.That(w, took < 4*time.Second, "took %s", took)
-		w.checkQuiet()
-	})
-}
-
 // Orders get no answer and are carried out seconds later, behind newer ones. An engine
 // that loads what fits by now and what was ordered then crashes: the late ones must be
 // refused.
@@ -524,32 +336,3 @@
 		}
 	})
 }
-
-// A failure domain was cut off; its VMs found the engines of all others dead, and say so
-// when they are heard again. The planner must not give all these engines up. What a VM
-// of the engine's own domain says counts, and what half of the VMs say.
-func TestReportsOfACutOffDomain(t *testing.T) {
-	inWorld(t, func(w *world) {
-		a := w.boot("a", true)
-		time.Sleep(time.Second)
-		for _, id := range []string{"e1", "e2", "e3"} {
-			domain := map[string]string{"e1": "d", "e2": "d", "e3": "far"}[id]
-			a.backends.change(time.Now(), []registry.Change{{ID: id, Backend: &registry.Backend{ID: id, Service: testService, Domain: domain, IsEngine: true}}})
-		}
-		hear := func(vm, domain string, failing ...string) {
-			a.members.learn([]string{vm})
-			a.members.take(time.Now(), entryvm.Report{VM: vm, Address: vm, Domain: domain, Incarnation: "1", Sequence: 1, Failing: failing})
-		}
-		hear("far-1", "far", "e1", "e2", "e3")
-		hear("near-1", "d")
-		hear("near-2", "d")
-		hear("near-3", "d")
-		failing := a.planner.failing(time.Now())
-		testkit.That(w, !failing["e1"] && !failing["e2"] && failing["e3"], "failing: %v", failing)
-		hear("far-2", "far", "e2")
-		hear("far-3", "far", "e2")
-		hear("far-4", "far", "e2")
-		failing = a.planner.failing(time.Now())
-		testkit.That(w, !failing["e1"] && failing["e2"], "failing: %v", failing)
-	})
-}
