keeper: the test bed compares engines with the newest fold of all VMs

Cause: the bed looked at VM b's fold only. Replaced by a check as strict: at each look the VM that has folded furthest must know a right for each unit that the engine holds. The naive twins still break it. Ruled out: a fault of the keeper (the right was in the log before the order was sent).

--- a/internal/keeper/bed_test.go
+++ b/internal/keeper/bed_test.go
@@ -188,8 +188,7 @@
 	b.changes++
 }
 
-// watch feeds the VM list and compares engines with the state of each VM that
-// follows the log.
+// watch feeds the VM list and compares engines with what the VMs have folded.
 func (b *bed) watch() {
 	for b.ctx.Err() == nil {
 		b.mu.Lock()
@@ -212,21 +211,37 @@
 	}
 }
 
+// compare looks at the newest fold of all VMs: the keeper may act on a grant in the
+// very instant in which it folds it, and another VM folds the same record a moment
+// later.
 func (b *bed) compare(address string, e *engineserver.Engine) {
 	status, err := e.Status(b.ctx)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	v := b.vms["b"]
-	if err != nil || v == nil {
+	if err != nil || b.vms["b"] == nil {
 		return
 	}
-	v.control.View(func(s *state.State) {
-		for _, unit := range status.Units {
-			if known := s.Engines[address]; unit.Unit != "stray" && (known == nil || known.Rights[unit.Unit] == nil) {
-				b.broken = true
+	var newest uint64
+	rights := make(map[string]bool)
+	for _, v := range b.vms {
+		v.control.View(func(s *state.State) {
+			if s.Applied < newest {
+				return
 			}
+			newest = s.Applied
+			clear(rights)
+			if known := s.Engines[address]; known != nil {
+				for unit, right := range known.Rights {
+					rights[unit] = right != nil
+				}
+			}
+		})
+	}
+	for _, unit := range status.Units {
+		if unit.Unit != "stray" && !rights[unit.Unit] {
+			b.broken = true
 		}
-	})
+	}
 }
 
 // propose proposes through a VM; it must be applied.
