residency: the store's loads go to models without a place or copy first

Change: a further replica comes from the store only where no engine that could load it sooner has a copy, and more wait for it than ask for a model without any place until the store delivers that one. Ahead of demand nothing comes from the store that a copy brings.

--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		o, ok := r.option(e, m, w)
-		if !ok || (o.swap.FromStore() && r.storeLoads >= w.storeLoads) {
+		if !ok || (o.swap.FromStore() && !r.mayFetch(m, w)) {
 			continue
 		}
 		if best.cost < 0 || o.cost < best.cost {
@@ -66,6 +66,58 @@
 	return true
 }
 
+// mayFetch tells whether the model may be loaded from the store for that reason.
+func (r *round) mayFetch(m *Model, w want) bool {
+	switch {
+	case r.storeLoads >= w.storeLoads:
+		return false
+	case w.reason == reasonWaited, w.reason == reasonTurnedAway:
+		return true
+	case r.copyElsewhere(m):
+		return false
+	default:
+		return w.reason != reasonBusy || float64(m.Waiting) >= r.unplaced()
+	}
+}
+
+// copyElsewhere tells whether an engine that can be given orders has a copy of the model
+// and could load it sooner than the store delivers. Load pattern: the places of those
+// engines are all in use, and one without a copy has room; it was kept for 13 s by a load
+// from the store that a copy brings in one second a moment later.
+func (r *round) copyElsewhere(m *Model) bool {
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		if !e.Orderable || holds(e, m.Name) {
+			continue
+		}
+		if source, takes := sourceOf(e, m); source != SourceStore && e.BusyFor+takes < m.FromStore {
+			return true
+		}
+	}
+	return false
+}
+
+// unplaced is the largest number of requests that a model without any place or copy is
+// asked for by the time at which the store delivers it. Load pattern: a store that serves
+// two loads at once, 13 s each; four of them went to further replicas of two busy models,
+// while two models that only the store had turned each of their 84 requests away for half
+// a minute. A busy model comes first where more wait for it than that.
+func (r *round) unplaced() float64 {
+	if r.unplacedMost >= 0 {
+		return r.unplacedMost
+	}
+	r.unplacedMost = 0
+	for _, m := range r.order {
+		if r.ready[m.Name]+r.coming[m.Name] > 0 || r.copyElsewhere(m) {
+			continue
+		}
+		if m.Waiting > 0 || r.turnedAway(m) >= 1 {
+			r.unplacedMost = max(r.unplacedMost, float64(m.Waiting)+m.Rate*m.FromStore.Seconds())
+		}
+	}
+	return r.unplacedMost
+}
+
 // gain is what a replica that nobody waits for yet is worth: the waits that it
 // saves within the horizon, and its own load.
 func (r *round) gain(m *Model, swap Swap) time.Duration {
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -179,6 +179,8 @@
 	smallest int64
 	// filling counts the loads ahead of demand under way and planned.
 	filling int
+	// unplacedMost is what unplaced worked out, negative before.
+	unplacedMost float64
 	// taken are the engines that got a swap in this round.
 	taken map[string]bool
 	swaps []Swap
@@ -188,7 +190,7 @@
 	r := &round{
 		Situation: s, models: make(map[string]*Model, len(s.Models)),
 		ready: make(map[string]int), coming: make(map[string]int), taken: make(map[string]bool),
-		domains: make(map[string]map[string]bool, len(s.Models)),
+		domains: make(map[string]map[string]bool, len(s.Models)), unplacedMost: -1,
 	}
 	for i := range s.Models {
 		m := &s.Models[i]
