hosted: a relay asks for all views only while it is new or alone

Cause: what a relay knew of its own domain was forgotten at each draw of duties, so that it took itself for alone five times a second and was sent the tables of all domains.

--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -106,7 +106,9 @@
 	// large is whether the fleet exchanges through relays; relays are then each failure
 	// domain's, the one that leads first, and probes the addresses to try in domains
 	// without a live VM.
+	// alone is whether this VM knows no other live one in its domain.
 	large  bool
+	alone  bool
 	relays map[string][]string
 	probes map[string]bool
 	// own is the view of the own domain that a relay tells, nil before the first, and wisest
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -83,6 +83,7 @@
 			able[r.Domain] = append(able[r.Domain], volunteer{r.VM, r.Capacity})
 		}
 	})
+	d.alone = len(able[m.node.config.Domain]) <= 1
 	d.relays = make(map[string][]string, len(able))
 	for domain, volunteers := range able {
 		d.relays[domain] = rank(readerKey, volunteers, relaysPerDomain)
@@ -212,6 +213,8 @@
 	plan   *entryvm.PlanNews
 	planAt time.Time
 	wisest entryvm.VMVersion
+	// ownVersion is of the view of the own domain that this VM told last as a relay.
+	ownVersion uint64
 }
 
 func newRelayed() relayed {
@@ -241,6 +244,7 @@
 		}
 	}
 	d.own = m.ownView(now, own)
+	m.relayed.ownVersion = d.own.version
 	return d.own
 }
 
@@ -285,13 +289,12 @@
 	case m.relaySince.IsZero():
 		m.relaySince = now
 	}
-	alone := m.drawn.own == nil || len(m.drawn.own.vms) == 1
-	if relay && (alone || now.Sub(m.relaySince) < relayLearns || (full && to.Domain == own.Domain)) {
+	if relay && (m.duties(now).alone || now.Sub(m.relaySince) < relayLearns || (full && to.Domain == own.Domain)) {
 		return nil
 	}
 	var out []entryvm.DomainVersion
-	if view := m.drawn.own; relay && view != nil {
-		out = append(out, entryvm.DomainVersion{Domain: own.Domain, Version: view.version})
+	if relay {
+		out = append(out, entryvm.DomainVersion{Domain: own.Domain, Version: m.relayed.ownVersion})
 	}
 	for domain, view := range m.relayed.views {
 		if len(view.vms) > 0 && !(relay && domain == own.Domain) {
