--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -148,24 +148,24 @@
 	}
 }
 
-// begun is an exchange to begin.
-type begun struct {
+// newExchange is a peer with which exchanges are to begin, until ctx ends.
+type newExchange struct {
 	*member
 	ctx context.Context
 }
 
 // choose ends the exchanges that are no longer wanted, and returns those to begin.
-func (m *members) choose(ctx context.Context, now time.Time) []begun {
+func (m *members) choose(ctx context.Context, now time.Time) []newExchange {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.relayed.news.sweep(now)
 	d := m.duties(now)
-	var out []begun
+	var out []newExchange
 	for _, p := range m.peers {
 		wanted := m.exchangesWith(p, d)
 		switch {
 		case wanted && p.stop == nil:
-			b := begun{member: p}
+			b := newExchange{member: p}
 			b.ctx, p.stop = context.WithCancel(ctx)
 			out = append(out, b)
 		case wanted:
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -14,10 +14,12 @@
 
 // domainView is what this VM knows of the VMs of a failure domain through relays.
 type domainView struct {
-	version uint64
+	// vms are the live ones, version a hash over them; both are empty for a silent domain.
 	vms     []entryvm.VMView
-	silent  bool
-	// load is known to relays of other domains only.
+	version uint64
+	// silent is whether none of its VMs answers the relay that told.
+	silent bool
+	// load, as of loadAt, is known to relays of other domains only.
 	load   entryvm.Load
 	loadAt time.Time
 }
@@ -35,6 +37,7 @@
 	// plan is the newest word of the VM that plans, and when it came.
 	plan   *entryvm.PlanNews
 	planAt time.Time
+	// wisest is the VM with the newest configuration heard of.
 	wisest entryvm.VMVersion
 	// ownVersion is of the view of the own domain that this VM told last as a relay.
 	ownVersion uint64
@@ -78,7 +81,7 @@
 	}
 }
 
-// viewVersion is a hash over VMs.
+// viewVersion is a hash over VMs: one that knows it needs the list no more.
 func viewVersion(vms []entryvm.VMView) uint64 {
 	hash := xxhash.New()
 	var text []byte
@@ -99,10 +102,10 @@
 }
 
 // viewsKnown are the versions of the views that this VM has, none where it asks for all of
-// them: as a new relay, while it knows no other VM of its domain, and those in every full
-// report. Failure: a VM
-// that started knew one other in its domain, and drew itself as the lead; that one, which
-// knew all, took it for the lead as well and told it of nobody. Call with mu held.
+// them: as a new relay, while it knows no other VM of its domain, and of those that it knows
+// in every full report. Failure: a VM that started knew one other in its domain, and drew
+// itself as the lead; that one, which knew all, took it for the lead as well and told it of
+// nobody. Call with mu held.
 func (m *members) viewsKnown(now time.Time, full bool, to *entryvm.Report) []entryvm.DomainVersion {
 	own := m.node.config
 	relay := m.duties(now).isRelay(m)
