--- /dev/null
+++ b/internal/hosted/heard.go
@@ -0,0 +1,163 @@
+package hosted
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+)
+
+// heard takes a report; address is where it came from, if this VM asked for it.
+func (m *members) heard(now time.Time, report entryvm.Report, address string) {
+	if report.VM == m.node.config.VM || report.Address == "" {
+		return
+	}
+	var addresses []string
+	for _, other := range report.Members {
+		addresses = append(addresses, other.Address)
+	}
+	if !m.take(now, report) {
+		// A newer one came in between. What it answers still counts: only answers tell what
+		// runs elsewhere, one after the other.
+		if report.Overview != nil {
+			m.takeSums(now, &report)
+		}
+		return
+	}
+	m.learn(addresses)
+	if report.Planning {
+		m.takePlan(now, &entryvm.PlanNews{VM: report.VM, StoreLoads: report.StoreLoads, Coming: report.Coming})
+	}
+	m.fetchNews(now, &report)
+	for _, id := range report.Lacking {
+		m.node.keeper.doubt(now, id)
+	}
+	changed := m.takeNews(now, origin(report.VM, report.Incarnation), report.Engines, report.Domain == m.node.config.Domain)
+	if report.Overview != nil {
+		changed = m.takeRelayed(now, &report) || changed
+	}
+	if changed {
+		m.node.serving.Wake()
+	}
+	if changed || len(report.Waiting) > 0 || waitsIn(report.Overview) {
+		m.node.planner.wakeUp()
+		m.passOn(now, changed)
+	}
+}
+
+// waitsIn tells whether requests wait in another domain.
+func waitsIn(o *entryvm.Overview) bool {
+	return o != nil && slices.ContainsFunc(o.Domains, func(v entryvm.DomainView) bool {
+		return v.Load != nil && len(v.Load.Waiting) > 0
+	})
+}
+
+// takePlan takes the newest word of the VM that plans.
+func (m *members) takePlan(now time.Time, plan *entryvm.PlanNews) {
+	m.mu.Lock()
+	m.relayed.plan, m.relayed.planAt = plan, now
+	m.mu.Unlock()
+	m.node.planner.learnStoreLoads(plan.StoreLoads)
+	m.node.arrivals.replace(now, plan.Coming)
+}
+
+// takeNews takes a keeper's news of engines, and keeps it to be passed on. near is whether
+// it comes from a VM of the own domain. It tells whether anything changed.
+func (m *members) takeNews(now time.Time, keeper string, list []entryvm.EngineNews, near bool) (changed bool) {
+	for _, news := range list {
+		newer := m.node.backends.tell(now, keeper, news)
+		changed = changed || newer
+		m.mu.Lock()
+		m.relayed.news.put(now, keeper, news, near, newer)
+		m.mu.Unlock()
+	}
+	return changed
+}
+
+// takeRelayed takes what a relay tells; it tells whether news of engines changed anything.
+func (m *members) takeRelayed(now time.Time, report *entryvm.Report) (changed bool) {
+	if plan := m.takeOverview(now, report); plan != nil {
+		m.takePlan(now, plan)
+	}
+	for _, id := range report.Overview.Lacking {
+		m.node.keeper.doubt(now, id)
+	}
+	for _, relayed := range report.Overview.News {
+		changed = m.takeNews(now, relayed.Keeper, []entryvm.EngineNews{relayed.News}, false) || changed
+	}
+	return changed
+}
+
+// passOn has a relay tell at once: the VMs that hear of engines from it, or else the one
+// that plans, as requests wait.
+func (m *members) passOn(now time.Time, news bool) {
+	m.mu.Lock()
+	d := m.duties(now)
+	relay := d.large && d.isRelay(m)
+	m.mu.Unlock()
+	switch {
+	case !relay:
+	case news:
+		m.tell()
+	default:
+		m.tellPlanner(now)
+	}
+}
+
+// fetchNews asks the reader at once where its report says that it knows more.
+func (m *members) fetchNews(now time.Time, report *entryvm.Report) {
+	cursor, known := m.node.changes.position()
+	if report.Domain != m.node.config.Domain || !known ||
+		(report.BackendsCursor <= uint64(cursor) && report.Configuration <= m.node.version()) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[report.Address]; p != nil && m.readsFor(now, p) {
+		wake(p.tell)
+	}
+}
+
+// take stores a report unless a newer one is there.
+func (m *members) take(now time.Time, report entryvm.Report) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[report.Address]
+	if p == nil {
+		p = newMember(report.Address, now)
+		m.peers[report.Address] = p
+		wake(m.wake)
+	}
+	if p.report.Incarnation == report.Incarnation && p.report.Sequence >= report.Sequence {
+		return false
+	}
+	if p.heardAt.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.heardAt) > m.heardFor(p) {
+		m.node.config.Logger.Info("entry VM heard", zap.String("peer", report.VM), zap.String("address", report.Address),
+			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.heardAt)))
+	}
+	if !report.Full && p.report.Incarnation == report.Incarnation {
+		report.Rates, report.Members = p.report.Rates, p.report.Members
+	}
+	before := &p.report
+	if !m.isLive(now, p) || before.Incarnation != report.Incarnation || before.Leaving != report.Leaving ||
+		!slices.Equal(before.Keeps, report.Keeps) {
+		m.redraw()
+	}
+	// What it says of others is taken by itself, and would be kept here a hundred times.
+	report.Overview, report.Changes = nil, nil
+	p.report = report
+	p.heardAt, p.reportedAt = now, now
+	p.failures = 0
+	m.silentDomains[report.Domain] = 0
+	m.sums.stale = true
+	return true
+}
+
+func silentFor(now, heardAt time.Time) time.Duration {
+	if heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(heardAt)
+}
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -47,12 +47,15 @@
 // died, and the whole domain counted as cut off until the next one was heard. Call with mu
 // held.
 func (m *members) failuresOfASilentDomain() int {
-	if len(m.peers) > fullMesh {
+	if m.large() {
 		return relaysPerDomain*failuresMost + 1
 	}
 	return domainFailuresMost
 }
 
+// large tells whether the fleet exchanges through relays. Call with mu held.
+func (m *members) large() bool { return len(m.peers) > fullMesh }
+
 // silent is isSilent for all who don't hold mu.
 func (m *members) silent(domain string) bool {
 	m.mu.Lock()
@@ -65,7 +68,7 @@
 	switch {
 	case p.liveFor > 0:
 		return p.liveFor
-	case len(m.peers) > fullMesh:
+	case m.large():
 		return relayedFor
 	default:
 		return heardFor
@@ -106,11 +109,11 @@
 	// large is whether the fleet exchanges through relays; relays are then each failure
 	// domain's, the one that leads first, and probes the addresses to try in domains
 	// without a live VM.
-	// alone is whether this VM knows no other live one in its domain.
 	large  bool
-	alone  bool
 	relays map[string][]string
 	probes map[string]bool
+	// alone is whether this VM knows no other live one in its domain.
+	alone bool
 	// own is the view of the own domain that a relay tells, nil before the first, and wisest
 	// the VM with the newest configuration.
 	own    *domainView
@@ -132,7 +135,7 @@
 func (m *members) duties(now time.Time) *drawn {
 	stopping := m.node.stopping.Load()
 	if age := now.Sub(m.drawn.at); age < 0 || age >= m.drawn.every() || m.drawn.stopping != stopping {
-		d := drawn{at: now, stopping: stopping, large: len(m.peers) > fullMesh}
+		d := drawn{at: now, stopping: stopping, large: m.large()}
 		if d.large {
 			m.drawRelays(now, &d)
 			d.wisest = m.drawWisest()
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -7,9 +7,9 @@
 )
 
 // overview is what this VM tells another one, nil where that is nothing. The report holds
-// what this VM says of itself; rates are this VM's own. Sums are told in answers only: two
+// what this VM says of itself. Sums are told in answers only: two
 // reports may overtake each other, and the older one is dropped.
-func (m *members) overview(now time.Time, own, to *entryvm.Report, rates []entryvm.ModelRate, answers bool) *entryvm.Overview {
+func (m *members) overview(now time.Time, own, to *entryvm.Report, answers bool) *entryvm.Overview {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.duties(now)
@@ -39,10 +39,12 @@
 		o.Plan = m.planNews(now)
 		return o
 	}
-	load := m.domainLoad(now, own, rates)
-	switch plans := to.VM == d.planner; {
-	case !due && !plans:
+	plans := to.VM == d.planner
+	if !due && !plans {
 		return o
+	}
+	load := m.domainLoad(now, own)
+	switch {
 	case !due:
 		load = &entryvm.Load{Partial: true, Waiting: load.Waiting}
 	case !plans:
--- /dev/null
+++ b/internal/hosted/report.go
@@ -0,0 +1,91 @@
+package hosted
+
+import (
+	"time"
+
+	"bergamotreel/entryvm"
+)
+
+// lastReport is the newest report of a peer, without what it said of others.
+func (m *members) lastReport(p *member) entryvm.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p.report
+}
+
+// report makes this VM's next report, for the VM whose last one is given; answers tells
+// whether it answers that one.
+func (m *members) report(now time.Time, full bool, to entryvm.Report, answers bool) entryvm.Report {
+	n := m.node
+	m.mu.Lock()
+	m.sequence++
+	sequence := m.sequence
+	large, relay := m.duties(now).large, m.duties(now).isRelay(m)
+	var others []entryvm.Member
+	var knows []entryvm.DomainVersion
+	if large {
+		knows = m.viewsKnown(now, full, &to)
+	} else if full {
+		others = m.liveMembers(now)
+	}
+	seen := m.relayed.seen[to.VM]
+	m.mu.Unlock()
+	r := entryvm.Report{
+		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
+		Capacity: n.config.Capacity, Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
+		Configuration: n.version(), Members: others, Knows: knows, Seen: seen,
+	}
+	r.Engines = n.keeper.news(sequence%m.newsPace(large) == 0)
+	if large && relay {
+		// They go out with those of others, once to each.
+		m.logNews(now, r.Engines)
+		r.Engines = nil
+	}
+	if cursor, known := n.changes.position(); known {
+		r.BackendsCursor = uint64(cursor)
+	}
+	r.Planning, r.StoreLoads, r.Coming = n.planner.told(now)
+	for _, run := range n.serving.Runs() {
+		r.Running = append(r.Running, entryvm.Running{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
+	}
+	for _, wait := range n.serving.Waits(now) {
+		r.Waiting = append(r.Waiting, entryvm.Waiting{Unit: wait.Unit, Count: wait.Count, Oldest: wait.Oldest})
+	}
+	if full {
+		r.Rates = n.demand.report(now)
+	}
+	r.Failing = n.failing(now)
+	r.Lacking = n.backends.lackingNow(now)
+	r.Overview = m.overview(now, &r, &to, answers)
+	if large && relay && to.Domain != n.config.Domain {
+		// A relay of another domain takes them from the sum over this one.
+		r.Running, r.Waiting, r.Rates = nil, nil, nil
+	}
+	return r
+}
+
+// liveMembers are the live VMs. Call with mu held.
+func (m *members) liveMembers(now time.Time) []entryvm.Member {
+	var out []entryvm.Member
+	m.eachLive(now, func(r *entryvm.Report) {
+		out = append(out, entryvm.Member{VM: r.VM, Address: r.Address, Domain: r.Domain})
+	})
+	return out
+}
+
+// newsPace is the number of reports after which all kept engines are told again.
+func (m *members) newsPace(large bool) uint64 {
+	if large {
+		return relayedNewsEvery
+	}
+	return newsEvery
+}
+
+// logNews keeps news of the engines that this relay keeps itself, to be passed on.
+func (m *members) logNews(now time.Time, list []entryvm.EngineNews) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, news := range list {
+		m.relayed.news.put(now, m.node.origin(), news, true, true)
+	}
+}
--- a/internal/hosted/sums.go
+++ b/internal/hosted/sums.go
@@ -83,11 +83,11 @@
 func (m *members) loads(now time.Time, f func(domain string, l *entryvm.Load)) {
 	large := m.duties(now).large
 	own := m.node.config.Domain
-	for _, p := range m.peers {
-		if m.isLive(now, p) && (!large || p.report.Domain == own) {
-			f(p.report.Domain, loadOf(&p.report))
+	m.eachLive(now, func(r *entryvm.Report) {
+		if !large || r.Domain == own {
+			f(r.Domain, loadOf(r))
 		}
-	}
+	})
 	if !large {
 		return
 	}
@@ -109,16 +109,14 @@
 
 // domainLoad sums up the own domain for relays of others: what its VMs reported, and what
 // this VM is about to say of itself. Call with mu held.
-func (m *members) domainLoad(now time.Time, own *entryvm.Report, rates []entryvm.ModelRate) *entryvm.Load {
+func (m *members) domainLoad(now time.Time, own *entryvm.Report) *entryvm.Load {
 	total := newLoadSum()
-	mine := loadOf(own)
-	mine.Rates = rates
-	total.add(mine)
-	for _, p := range m.peers {
-		if p.report.Domain == own.Domain && m.isLive(now, p) {
-			total.add(loadOf(&p.report))
+	total.add(loadOf(own))
+	m.eachLive(now, func(r *entryvm.Report) {
+		if r.Domain == own.Domain {
+			total.add(loadOf(r))
 		}
-	}
+	})
 	return total.load(own.Full)
 }
 
