hosted: a read that comes back early tells no more than when it began

Cause: a read that waits for news and finds none was taken to have waited for all of its wait. The registry of the test answers after a tenth of it; the reader then told its domain that all changes were known up to 630 ms ahead of time, and the others read for themselves that much too late. Ruled out: the relays and the splits of members.go (this is nine VMs, a full mesh); a lost wake-up (the versions came in time, by reads of their own). New unit test.

--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -232,9 +232,12 @@
 	}
 }
 
-// readAt is up to when a read that found nothing told all: it waited at the registry.
-func readAt(begun, wait time.Duration, news bool) time.Duration {
-	if news {
+// readAt is up to when a read told all. One that found nothing waited at the registry, but
+// only if it took that long. Failure: a read of 700 ms came back with nothing after 70 ms,
+// just before the reader lost the registry; its domain took changes for known up to 630 ms
+// after that, and heard of a leaving backend server later than the bound.
+func readAt(begun, ended, wait time.Duration, news bool) time.Duration {
+	if news || ended-begun < wait {
 		return begun
 	}
 	return begun + wait
@@ -339,7 +342,7 @@
 		n.members.tellDomain()
 	}
 	news = next != nil || err != nil || !known
-	f.confirm(readAt(begun, wait, news))
+	f.confirm(readAt(begun, n.config.Boot(), wait, news))
 	return news
 }
 
@@ -390,7 +393,7 @@
 	if !f.extend(changeBatch{from: cursor, to: changes.Next, list: changes.List}, n.applyChanges) {
 		return false // the reader's word was newer
 	}
-	f.confirm(readAt(begun, wait, news))
+	f.confirm(readAt(begun, n.config.Boot(), wait, news))
 	if news {
 		n.backendsChanged()
 		n.members.tellDomain()
--- a/internal/hosted/feed_test.go
+++ b/internal/hosted/feed_test.go
@@ -127,3 +127,23 @@
 	_, ok = f.since(9)
 	testkit.That(t, !ok, "changes after a cursor of the future were told")
 }
+
+// A VM relies on a read that waited for news and found none: nothing changed until its end.
+// One that comes back early with nothing, as from a registry that restarts, tells no more
+// than when it began. Taken for a whole wait, it hid changes until after their bound.
+func TestReadTellsNoMoreThanItWaited(t *testing.T) {
+	const begun, wait = 10 * time.Second, 700 * time.Millisecond
+	for _, read := range []struct {
+		name string
+		took time.Duration
+		news bool
+		want time.Duration
+	}{
+		{"waited in vain", wait + 4*time.Millisecond, false, begun + wait},
+		{"early and empty", 70 * time.Millisecond, false, begun},
+		{"with news", 70 * time.Millisecond, true, begun},
+		{"with news at its end", wait + 4*time.Millisecond, true, begun},
+	} {
+		testkit.Equal(t, read.name, readAt(begun, begun+read.took, wait, read.news), read.want)
+	}
+}
