hosted: the gap after an exchange of reports is part of its pace

Cause: after each exchange a VM of a large fleet waited for the least gap (100 ms to its relay, 50 between relays) and only then for the whole pace, so a period was pace and gap together, and the bound adds up paces. Ruled out: the standby relay (its pace of three is in the bound), lost sums.

--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -209,10 +209,13 @@
 		} else if ctx.Err() == nil {
 			m.failed(p)
 		}
-		if !pause.For(ctx, m.gap(time.Now(), p)) {
+		// The gap is part of the pace. Failure: on top of it, what runs elsewhere was up to
+		// half as old again at its reader as the paces on its way add up to.
+		gap := m.gap(time.Now(), p)
+		if !pause.For(ctx, gap) {
 			return
 		}
-		timer.Reset(m.pace(time.Now(), p))
+		timer.Reset(max(0, m.pace(time.Now(), p)-gap))
 	}
 }
 
