--- a/caller/relay.go
+++ b/caller/relay.go
@@ -260,12 +260,32 @@
 		zap.String("request", x.request.ID), zap.String("route", route), zap.String("service", x.request.Service),
 		zap.String("code", code), zap.Int("status", x.answer.status), zap.Duration("took", took),
 	}
+	fields = append(fields, x.expectations()...)
 	if err != nil {
-		fields = append(fields, telemetry.Reason(err), zap.String("host", r.Host), zap.String("uri", r.RequestURI))
+		fields = append(fields, telemetry.Reason(err), zap.Duration("retry_after", refusal.From(err).RetryAfter),
+			zap.String("host", r.Host), zap.String("uri", r.RequestURI))
 	}
 	h.log.Info("request ended", fields...)
 }
 
+// expectations are the fields that tell what the request asked for and by when, and when
+// its answer began: what a day's logs are judged by afterwards.
+func (x *relayExchange) expectations() []zap.Field {
+	if x.request.Route == nil {
+		return nil
+	}
+	fields := []zap.Field{
+		zap.Duration("target", x.request.Route.TargetLatency), zap.Duration("allowed", x.request.GiveUp.Sub(x.arrived)),
+	}
+	if x.request.Model != "" {
+		fields = append(fields, zap.String("model", x.request.Model), zap.String("adapter", x.request.Adapter))
+	}
+	if x.answer.begun {
+		fields = append(fields, zap.Duration("first", x.answer.begunAt.Sub(x.arrived)))
+	}
+	return fields
+}
+
 // refuse sends a refusal in JSON, with the time after which to come back.
 func (h *RelayHandler) refuse(w http.ResponseWriter, r *refusal.Refusal) {
 	if r.Code == refusal.CodeBadRequest || r.Code == refusal.CodeTooLarge {
--- a/caller/relayanswer.go
+++ b/caller/relayanswer.go
@@ -14,7 +14,9 @@
 	w      http.ResponseWriter
 	limits Limits
 	begun  bool
-	status int
+	// begunAt is when the head was sent.
+	begunAt time.Time
+	status  int
 	// left is how much of a body of known length is to come, -1 if unknown.
 	left int64
 	// deadline is the write deadline in force.
@@ -24,6 +26,7 @@
 // Begin implements RelayAnswer.
 func (a *relayAnswer) Begin(status int, header http.Header, length int64) {
 	a.begun = true
+	a.begunAt = time.Now()
 	a.status = status
 	a.left = length
 	out := a.w.Header()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,7 +21,7 @@
 var program = verbs.Program{
 	Name: "standin", Description: "stand-ins for what bergamotreel talks to",
 	Verbs: []func() verbs.Verb{
-		newLogVerb, newVMListVerb, newWeightStoreVerb, newEngineVerb, newServiceVerb, newLoadVerb, newReplayVerb,
+		newLogVerb, newVMListVerb, newWeightStoreVerb, newEngineVerb, newServiceVerb, newLoadVerb, newReplayVerb, newHindsightVerb,
 	},
 }
 
--- /dev/null
+++ b/internal/daylog/read_test.go
@@ -0,0 +1,109 @@
+package daylog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+)
+
+const begin = "2026-03-04T21:00:00Z"
+
+// logged builds log lines at seconds after the day's begin.
+type logged struct{ lines []string }
+
+func (l *logged) add(vm string, at float64, message, fields string) {
+	start, _ := time.Parse(time.RFC3339, begin)
+	ts := start.Add(time.Duration(at * float64(time.Second))).Format(time.RFC3339Nano)
+	l.lines = append(l.lines, fmt.Sprintf(`  %.4f %s {"level":"info","ts":%q,"msg":%q,"vm":%q,%s}`, at, vm, ts, message, vm, fields))
+}
+
+func (l *logged) read() (*Day, error) {
+	days, err := Read(strings.NewReader(strings.Join(l.lines, "\n")))
+	return days["llm"], err
+}
+
+// smallDay is a day of one engine and two models, with requests of two callers: one is
+// refused and comes back, the other is answered at once.
+func smallDay() *logged {
+	l := &logged{}
+	l.add("a", 0, "backend server listed", `"backend":"e1","service":"llm","domain":"d"`)
+	l.add("b", 0.1, "backend server listed", `"backend":"e1","service":"llm","domain":"d"`)
+	l.add("a", 0.5, "planning", `"by_this_vm":true`)
+	l.add("a", 0.5, "pool planned for", `"service":"llm","room":100,"models":2`)
+	l.add("a", 0.5, "models planned for", `"service":"llm","models":[{"name":"m1","bytes":60,"from_memory_ns":100000000,"from_disk_ns":2000000000,"from_store_ns":9000000000}]`)
+	l.add("a", 0.5, "models planned for", `"service":"llm","models":[{"name":"m2","bytes":60,"from_memory_ns":100000000,"from_disk_ns":2000000000,"from_store_ns":9000000000}]`)
+	l.add("a", 0.6, "engine learned", `"engine":"e1","service":"llm","models":["m1"],"in_memory":[],"on_disk":["m1","m2"]`)
+	l.add("a", 1.2, "not sent", `"request":"r1","ready_at_arrival":false`)
+	l.add("a", 1.2, "request ended", `"request":"r1","route":"r","service":"llm","model":"m2","code":"wait_too_long","took":"200ms","target":"500ms","allowed":"10s","retry_after":"2s"`)
+	l.add("a", 1.3, "swap planned", `"service":"llm","engine":"e1","load":"m2","unload":["m1"],"source":"disk","takes":"2s","begun":true,"purpose":"turned away"`)
+	l.add("b", 4, "attempt", `"request":"r2","ready_at_arrival":true,"waited":"1ms"`)
+	l.add("b", 4, "request ended", `"request":"r2","route":"r","service":"llm","model":"m2","code":"ok","took":"800ms","target":"500ms","allowed":"7.81s","first":"90ms"`)
+	l.add("b", 5, "attempt", `"request":"r3","ready_at_arrival":true,"waited":"1ms"`)
+	l.add("b", 5, "request ended", `"request":"r3","route":"r","service":"llm","model":"m1","code":"ok","took":"700ms","target":"500ms","allowed":"10s","first":"80ms"`)
+	return l
+}
+
+func TestReadDay(t *testing.T) {
+	d, err := smallDay().read()
+	testkit.Need(t, err == nil, "%v", err)
+	testkit.Equal(t, "requests", len(d.Requests), 3)
+	first, returned, other := d.Requests[0], d.Requests[1], d.Requests[2]
+	testkit.Equal(t, "the first try", first.ID, "r1")
+	testkit.That(t, first.ReturnedAs == 1 && returned.Back && !other.Back, "who came back: %+v", d.Requests)
+	testkit.That(t, returned.InTime() && returned.First == 90*time.Millisecond && returned.ReadyAtArrival, "got %+v", returned)
+	e := d.Engines["e1"]
+	testkit.That(t, e.Learned && e.Until == d.Length && len(e.OnDisk) == 2, "got %+v", e)
+	testkit.That(t, len(d.Swaps) == 1 && d.Swaps[0].Begun && d.Swaps[0].Load == "m2", "got %+v", d.Swaps)
+	testkit.Equal(t, "models", len(d.Models), 2)
+}
+
+// A bound that was worked out around a hole would be believed. Whatever is missing is named.
+func TestReadTellsWhatIsMissing(t *testing.T) {
+	without := func(part string) func(*logged) {
+		return func(l *logged) {
+			kept := l.lines[:0]
+			for _, line := range l.lines {
+				if !strings.Contains(line, part) {
+					kept = append(kept, line)
+				}
+			}
+			l.lines = kept
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		spoil func(*logged)
+		want  string
+	}{
+		{"no lines", func(l *logged) { l.lines = []string{"nothing"} }, "no log lines"},
+		{"no planner", without("planned for"), "the VM that planned"},
+		{"half of the models", without(`"name":"m2"`), "2 models planned for"},
+		{"no requests", without("request ended"), "request ended"},
+		{"no engines", func(l *logged) { without("server listed")(l); without("engine learned")(l) }, "backend server listed"},
+		{"ends are missing", without(`"request ended","vm":"b"`), "lines are missing"},
+		{"dropped lines", func(l *logged) { l.add("b", 6, "log lines dropped", `"lines":7`) }, "7 log lines were dropped"},
+		{"a clock goes back", func(l *logged) { l.add("b", 2, "attempt", `"request":"r4"`) }, "the clock of b went back by 3s"},
+		{"cut lines", func(l *logged) {
+			l.lines = append(l.lines, `x {"level":"info","ts":`, `x {"level":"in`, `x {"level":"info","msg`)
+		}, "break off"},
+		{"an engine nobody asked", func(l *logged) {
+			l.add("a", 5, "backend server listed", `"backend":"e2","service":"llm","domain":"d"`)
+			l.add("a", 30, "residency", `"service":"llm"`)
+		}, "engine e2 was listed for 25s"},
+	} {
+		l := smallDay()
+		c.spoil(l)
+		_, err := l.read()
+		testkit.That(t, err != nil && strings.Contains(err.Error(), c.want), "%s: got %v", c.name, err)
+	}
+}
+
+// Lines of a collector that are broken in any way end in an error or a day, never in a panic.
+func FuzzRead(f *testing.F) {
+	f.Add(strings.Join(smallDay().lines, "\n"))
+	f.Add(`{"ts":"2026-03-04T21:00:00Z","msg":"pool planned for","models":-1}`)
+	f.Fuzz(func(t *testing.T, text string) { _, _ = Read(strings.NewReader(text)) })
+}
--- /dev/null
+++ b/internal/hindsight/hindsight_test.go
@@ -0,0 +1,166 @@
+package hindsight
+
+import (
+	"maps"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/daylog"
+	"bergamotreel/internal/testkit"
+)
+
+// plainValue is 1 in time and 0.3 late.
+func plainValue(time.Duration, time.Duration) Worth { return Worth{InTime: 1, Late: 0.3} }
+
+// aDay is a day of engines with room for one model each, with all models on all disks.
+func aDay(engines int, models ...string) *daylog.Day {
+	d := &daylog.Day{Service: "llm", Room: 10, Length: 20 * time.Second, Models: make(map[string]daylog.Model), Engines: make(map[string]*daylog.Engine), StoreAtOnce: 1}
+	for _, name := range models {
+		d.Models[name] = daylog.Model{Name: name, Bytes: 10, FromMemory: time.Second, FromDisk: 2 * time.Second, FromStore: 8 * time.Second}
+	}
+	for i := range engines {
+		id := string(rune('a' + i))
+		d.Engines[id] = &daylog.Engine{ID: id, Until: d.Length, Models: models[i : i+1], OnDisk: models, Learned: true}
+	}
+	return d
+}
+
+// asks adds a request that was refused, as no engine had its model.
+func asks(d *daylog.Day, model string, at, target, allowed time.Duration) {
+	d.Requests = append(d.Requests, daylog.Request{Model: model, Arrived: at, Target: target, Allowed: allowed, Code: "wait_too_long", Ended: at})
+}
+
+var thorough = Settings{Seed: 1, Rounds: 4000}
+
+// One engine has m1, and m2 is asked for at 5 s with 4 s of patience: known beforehand, it
+// can be there in time. Both worked out by hand.
+func TestJudgeByHand(t *testing.T) {
+	d := aDay(1, "m1", "m2")
+	asks(d, "m2", 5*time.Second, 500*time.Millisecond, 4*time.Second)
+	j := Judge(d, plainValue, thorough)
+	testkit.Equal(t, "ours", j.Ours, 0.0)
+	testkit.Equal(t, "answering: late, as the load takes 2 s", j.Answering, 0.3)
+	testkit.Equal(t, "reachable", j.Reachable, 1.0)
+	testkit.Equal(t, "bound", j.Bound, 1.0)
+	testkit.That(t, len(j.Moments) == 1 && j.Moments[0].Plan == "nothing" && j.Moments[0].Lost == 0.3, "got %+v", j.Moments)
+}
+
+// Two models take turns on one engine: m1 at 4 and 5 s, m2 at 4.2 s and 4.8 s, each request
+// within half a second. Whoever is there, the other's requests are lost or late: a swap takes
+// 2 s and more, so the best is both of one model in time and both of the other one late.
+func TestOneEngineServesOneOfTwoModels(t *testing.T) {
+	d := aDay(1, "m1", "m2")
+	const target, allowed = 500 * time.Millisecond, 5 * time.Second
+	asks(d, "m1", 4*time.Second, target, allowed)
+	asks(d, "m2", 4200*time.Millisecond, target, allowed)
+	asks(d, "m2", 4800*time.Millisecond, target, allowed)
+	asks(d, "m1", 5*time.Second, target, allowed)
+	j := Judge(d, plainValue, thorough)
+	testkit.That(t, math.Abs(j.Reachable-2.6) < 1e-9, "reachable %v", j.Reachable)
+	testkit.That(t, j.Bound >= j.Reachable && j.Bound < 4, "bound %v", j.Bound)
+}
+
+// The store serves one load at a time, and two models that only it has are asked for at once:
+// one of them is in time.
+func TestTheStoreServesOneAtATime(t *testing.T) {
+	d := aDay(2, "m1", "m2")
+	for _, name := range []string{"m3", "m4"} {
+		d.Models[name] = daylog.Model{Name: name, Bytes: 10, FromMemory: time.Second, FromDisk: 2 * time.Second, FromStore: 8 * time.Second}
+		asks(d, name, 9*time.Second, 500*time.Millisecond, 3*time.Second)
+	}
+	j := Judge(d, plainValue, thorough)
+	testkit.Equal(t, "reachable", j.Reachable, 1.0)
+	testkit.That(t, j.Bound >= 1 && j.Bound < 1.5, "bound %v", j.Bound)
+}
+
+// What a request got that found its model is not the placement's, and a caller that was
+// refused and came back wants one thing.
+func TestWhatIsNotThePlacements(t *testing.T) {
+	d := aDay(1, "m1")
+	d.Requests = []daylog.Request{
+		{Model: "m1", Arrived: time.Second, Target: time.Second, Allowed: 5 * time.Second, Code: "backend_failed", ReadyAtArrival: true, Sent: true},
+		{Model: "m1", Arrived: 2 * time.Second, Target: time.Second, Allowed: 5 * time.Second, Code: "wait_too_long", ReturnedAs: 2},
+		{Model: "m1", Arrived: 4 * time.Second, Target: time.Second, Allowed: 3 * time.Second, Code: "ok", First: 100 * time.Millisecond, Back: true},
+	}
+	j := Judge(d, plainValue, thorough)
+	testkit.Equal(t, "callers", j.Requests, 2)
+	testkit.Equal(t, "owed", j.Owed, 1.0)
+	testkit.Equal(t, "ours", j.Ours, 0.3)
+}
+
+// On small random days the bound holds, and the search comes near the best of all schedules
+// of up to two loads an engine at whole and half seconds.
+func TestSearchAndBoundAgainstBruteForce(t *testing.T) {
+	for seed := range int64(12) {
+		rng := rand.New(rand.NewSource(seed))
+		d := aDay(1, "m1", "m2", "m3")
+		d.Length = 10 * time.Second
+		d.Engines["a"].Until = d.Length
+		for range 6 {
+			at := time.Duration(rng.Intn(18)) * 500 * time.Millisecond
+			asks(d, []string{"m1", "m2", "m3"}[rng.Intn(3)], at, time.Duration(1+rng.Intn(4))*time.Second, 6*time.Second)
+		}
+		p := newProblem(d, plainValue)
+		best := bruteForce(p, 2)
+		s := p.search(seed, 30000, true)
+		bound := p.bound(s.total)
+		testkit.That(t, bound >= best-1e-6 && bound >= s.total-1e-6, "seed %d: bound %v, best %v, found %v", seed, bound, best, s.total)
+		testkit.That(t, s.total >= best-1e-6, "seed %d: found %v of %v", seed, s.total, best)
+	}
+}
+
+// bruteForce tries all lists of up to so many wishes of the only engine.
+func bruteForce(p *problem, most int) float64 {
+	s := &schedule{problem: p, foresight: true, plans: make([]plan, 1), earned: make([]float64, len(p.models)), ready: make([][]stay, len(p.models))}
+	best := 0.0
+	var extend func(wishes []wish)
+	extend = func(wishes []wish) {
+		s.plans[0] = s.carryOut(0, wishes)
+		total := 0.0
+		for m := range p.models {
+			s.ready[m] = s.staysOf(m)
+			total += s.worthOf(m)
+		}
+		best = max(best, total)
+		if len(wishes) == most {
+			return
+		}
+		from := time.Duration(0)
+		if len(wishes) > 0 {
+			from = wishes[len(wishes)-1].at
+		}
+		for at := from; at < p.length; at += 250 * time.Millisecond {
+			for m := range p.models {
+				extend(append(wishes[:len(wishes):len(wishes)], wish{at, m}))
+			}
+		}
+	}
+	extend(nil)
+	return best
+}
+
+func TestLossesNameTheCause(t *testing.T) {
+	d := aDay(1, "m1", "m2")
+	const target, allowed = 500 * time.Millisecond, 5 * time.Second
+	request := func(r daylog.Request) { // at the same time, to fall into one window
+		r.Target, r.Allowed, r.Route, r.Model = target, allowed, "r", "m1"
+		d.Requests = append(d.Requests, r)
+	}
+	request(daylog.Request{Code: "ok", First: 100 * time.Millisecond, ReadyAtArrival: true})
+	request(daylog.Request{Code: "ok", First: 900 * time.Millisecond, ReadyAtArrival: true, Sent: true})
+	request(daylog.Request{Code: "ok", First: 900 * time.Millisecond, Waited: 800 * time.Millisecond, ReadyAtArrival: true, Sent: true})
+	request(daylog.Request{Code: "ok", First: 2 * time.Second, Waited: 1900 * time.Millisecond, Sent: true})
+	request(daylog.Request{Code: "wait_too_long"})
+	request(daylog.Request{Code: "wait_too_long", ReadyAtArrival: true})
+	request(daylog.Request{Code: "no_capacity", ReturnedAs: 7})
+	request(daylog.Request{Code: "ok", Arrived: time.Second, Back: true})
+	got := make(map[Cause]float64)
+	for _, l := range Losses(d, plainValue) {
+		testkit.Equal(t, "requests of "+string(l.Cause), l.Requests, 1)
+		got[l.Cause] = math.Round(10*l.Worth) / 10
+	}
+	want := map[Cause]float64{CauseSlow: 0.7, CauseWaited: 0.7, CauseSwap: 0.7, CauseNoPlace: 1, CauseRefused: 1, CauseReturned: 0.7}
+	testkit.That(t, maps.Equal(got, want), "causes: got %v, want %v", got, want)
+}
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -82,8 +82,10 @@
 	filledAt time.Time
 	// aheadAt is when loads ahead of demand were last looked for.
 	aheadAt time.Time
-	// toldAt is when the residency was last logged.
-	toldAt time.Time
+	// toldAt is when the residency was last logged, toldVersion the configuration whose
+	// pools were.
+	toldAt      time.Time
+	toldVersion uint64
 }
 
 // rest is how long an engine gets no swap.
@@ -138,10 +140,12 @@
 		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
 		// What a former planner took from the store's rate isn't known.
 		p.tokens, p.filledAt = 0, now
+		p.toldVersion = 0
 	}
 	if !leads {
 		return
 	}
+	p.tellPools(current)
 	var coming []entryvm.Arrival
 	for i := range current.Contract.Pools {
 		coming = append(coming, p.planPool(ctx, now, &current.Contract.Pools[i])...)
--- /dev/null
+++ b/internal/hosted/plannerlog.go
@@ -0,0 +1,50 @@
+package hosted
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/contract"
+)
+
+// modelsALine bounds the models of one log line, some 130 bytes each, so that it stays below
+// what one write of the log holds.
+const modelsALine = 25
+
+// loggedModel is a model as the planner's log names it, once for each configuration.
+type loggedModel struct {
+	Name       string        `json:"name"`
+	Bytes      int64         `json:"bytes"`
+	FromMemory time.Duration `json:"from_memory_ns"`
+	FromDisk   time.Duration `json:"from_disk_ns"`
+	FromStore  time.Duration `json:"from_store_ns"`
+}
+
+// tellPools logs what the planner goes by, once for each configuration: without the sizes
+// and load times nobody can tell afterwards what a better plan could have served.
+func (p *planner) tellPools(current *inForce) {
+	if p.toldVersion == current.Version {
+		return
+	}
+	p.toldVersion = current.Version
+	for i := range current.Contract.Pools {
+		pool := &current.Contract.Pools[i]
+		p.node.config.Logger.Info("pool planned for", zap.String("service", pool.Service), zap.Uint64("version", current.Version),
+			zap.Int64("room", engineRoom(pool)), zap.Int("slots", pool.Slots), zap.Float64("loads_per_second", pool.LoadsPerSecond),
+			zap.Int("models", len(pool.Models)))
+		for part := range slices.Chunk(loggedModels(pool), modelsALine) {
+			p.node.config.Logger.Info("models planned for", zap.String("service", pool.Service), zap.Any("models", part))
+		}
+	}
+}
+
+func loggedModels(pool *contract.EnginePool) []loggedModel {
+	out := make([]loggedModel, 0, len(pool.Models))
+	for i := range pool.Models {
+		m := &pool.Models[i]
+		out = append(out, loggedModel{m.Name, m.MemoryBytes, m.FromMemory, m.FromDisk, m.FromStore})
+	}
+	return out
+}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -62,6 +62,7 @@
 	s.countForward(r)
 	p, w, refused := s.arrive(request, query, known)
 	if refused != nil {
+		s.logNotSent(r.ID, request.Unit, anyReady(known), refused)
 		return refused
 	}
 	f := &forwarding{server: s, place: p, request: r, answer: answer, resume: r.ResumeAfter, arrivedReady: anyReady(known)}
@@ -101,6 +102,9 @@
 // run goes on until the answer is whole or given up.
 func (f *forwarding) run(ctx context.Context, w *waiter) error {
 	err := f.place.wait(ctx, w)
+	if err != nil {
+		f.server.logNotSent(f.request.ID, f.place.query.Unit, f.arrivedReady, err)
+	}
 	for err == nil {
 		err = f.attempt(ctx)
 		f.logAttempt(err)
@@ -374,6 +378,13 @@
 		zap.String("outcome", outcome), zap.Bool("may_have_run", f.verdict.ran), telemetry.Reason(err))
 }
 
+// logNotSent tells of a request that was passed on to no backend server, and whether one had
+// its unit when it came: else placement is where to look for the cause.
+func (s *Server) logNotSent(id, unit string, arrivedReady bool, err error) {
+	s.config.Logger.Info("not sent", zap.String("request", id), zap.String("unit", unit),
+		zap.Bool("ready_at_arrival", arrivedReady), telemetry.Reason(err))
+}
+
 // forwards is the directory of a server that forwards.
 func (s *Server) forwards() ForwardDirectory { return s.config.Forwards }
 
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"encoding/json"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,10 @@
 	// batchLines bounds the lines of one write. Failure: lines went on being gathered for
 	// as long as others came, so that a busy process held any number beside the queue.
 	batchLines = 256
+	// batchBytes bounds a write beside its first line. Failure: what gathered the output cut
+	// writes at 8 KB, and two thirds of the lines that a VM wrote at its start were missing.
+	// A pipe takes this much whole, whoever else writes to it.
+	batchBytes = 4096
 	// flushWithin bounds how long the last lines of a process are waited for.
 	flushWithin = 300 * time.Millisecond
 )
@@ -30,10 +35,13 @@
 // decision hangs in a write. Lines that find the queue full are dropped and counted.
 type AsyncWriter struct {
 	lines chan []byte
-	// unwritten counts the lines taken and not written yet.
-	unwritten atomic.Int64
-	done      chan struct{}
-	close     sync.Once
+	// next is a line that did not fit into the last write. It belongs to run.
+	next []byte
+	// unwritten counts the lines taken and not written yet, untold those dropped that no
+	// line tells of yet.
+	unwritten, untold atomic.Int64
+	done              chan struct{}
+	close             sync.Once
 }
 
 // NewAsyncWriter starts writing to out. Close must be called at the end.
@@ -47,24 +55,60 @@
 func (w *AsyncWriter) run(out io.Writer) {
 	var batch []byte
 	for {
-		var count int64
-		select {
-		case line := <-w.lines:
-			batch, count = w.gather(append(batch[:0], line...))
-		case <-w.done:
+		line, ok := w.take()
+		if !ok {
 			return
 		}
+		var count int64
+		batch, count = w.gather(append(batch[:0], line...))
+		if dropped := w.untold.Swap(0); dropped > 0 {
+			batch = append(batch, droppedLine(time.Now(), dropped)...)
+		}
 		// There is nowhere to tell that the output of the log failed.
 		_, _ = out.Write(batch)
 		w.unwritten.Add(-count)
 	}
 }
 
+// take returns the next line, false once the writer is closed.
+func (w *AsyncWriter) take() ([]byte, bool) {
+	if line := w.next; line != nil {
+		w.next = nil
+		return line, true
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.done:
+		return nil, false
+	}
+}
+
+// droppedLine tells of lines that are missing where it stands. It is made here and not by a
+// logger: its own line would have to wait behind the queue that was full.
+func droppedLine(now time.Time, lines int64) []byte {
+	line, err := json.Marshal(struct {
+		Level   string    `json:"level"`
+		Time    time.Time `json:"ts"`
+		Message string    `json:"msg"`
+		Lines   int64     `json:"lines"`
+	}{"warn", now, "log lines dropped", lines})
+	if err != nil {
+		return nil // the counter has it
+	}
+	return append(line, '\n')
+}
+
 // gather adds what is queued to a batch of one line, and counts the batch's lines.
 func (w *AsyncWriter) gather(batch []byte) ([]byte, int64) {
 	count := int64(1)
 	for count < batchLines && len(w.lines) > 0 {
-		batch = append(batch, <-w.lines...)
+		line := <-w.lines
+		if len(batch)+len(line) > batchBytes {
+			w.next = line
+			break
+		}
+		batch = append(batch, line...)
 		count++
 	}
 	return batch, count
@@ -78,6 +122,7 @@
 	case w.lines <- line:
 	default:
 		w.unwritten.Add(-1)
+		w.untold.Add(1)
 		droppedTotal.Inc()
 	}
 	return len(p), nil
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -53,6 +54,8 @@
 	}
 	testkit.OK(t, w.Close())
 	testkit.Equal(t, "lines written", strings.Count(out.text.String(), "line\n"), 1+2*queuedLines-int(dropped))
+	testkit.That(t, strings.Contains(out.text.String(), fmt.Sprintf(`"msg":"log lines dropped","lines":%d}`, dropped)),
+		"no line tells how many are missing")
 }
 
 // Lines come as fast as they are taken from the queue. One write takes a bounded number.
@@ -80,3 +83,35 @@
 	testkit.Need(t, len(lines) == 2, "got %q", lines)
 	testkit.That(t, strings.Contains(lines[0], `"request":"7","reason":"why"}`), "got %s", lines[0])
 }
+
+// What gathers the output of a process cuts long writes. Lines that come in a burst are
+// written in pieces that a pipe takes whole, in order, and none is lost.
+func TestAsyncWriterKeepsWritesShort(t *testing.T) {
+	out := &writes{}
+	w := NewAsyncWriter(out)
+	const lines = 100
+	var want strings.Builder
+	for i := range lines {
+		line := fmt.Sprintf("%d %s\n", i, strings.Repeat("x", 300))
+		want.WriteString(line)
+		_, _ = w.Write([]byte(line))
+	}
+	testkit.Need(t, w.Close() == nil, "not closed")
+	testkit.Equal(t, "lines written", strings.Join(out.all, ""), want.String())
+	for _, piece := range out.all {
+		testkit.That(t, len(piece) <= batchBytes, "a write of %d bytes", len(piece))
+	}
+}
+
+// writes keeps each write.
+type writes struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.all = append(w.all, string(p))
+	return len(p), nil
+}
