--- a/internal/daylog/read.go
+++ b/internal/daylog/read.go
@@ -218,7 +218,7 @@
 		var line swapLine
 		line, err = parse[swapLine](text)
 		r.swaps = append(r.swaps, line)
-	case "engine learned", "backend server listed", "backend server gone":
+	case "engine planned for", "backend server listed", "backend server gone":
 		var line engineLine
 		line, err = parse[engineLine](text)
 		r.engine(message, &line)
@@ -249,7 +249,7 @@
 	}
 	e.service, e.domain = cmp.Or(e.service, line.Service), cmp.Or(e.domain, line.Domain)
 	switch message {
-	case "engine learned":
+	case "engine planned for":
 		if e.learned == nil || line.Time.Before(e.learned.Time) {
 			e.learned = line
 		}
@@ -362,7 +362,7 @@
 			e.Learned, e.LearnedAt = true, seen.learned.Time.Sub(d.Begin)
 			e.Models, e.InMemory, e.OnDisk = seen.learned.Models, seen.learned.InMemory, seen.learned.OnDisk
 		} else if e.Until-e.From > learnedWithin {
-			return Error.New("engine %s was listed for %v and no line \"engine learned\" tells what it held", id, e.Until-e.From)
+			return Error.New("engine %s was listed for %v and no line \"engine planned for\" tells what it held", id, e.Until-e.From)
 		}
 		d.Engines[id] = e
 	}
--- a/internal/daylog/read_test.go
+++ b/internal/daylog/read_test.go
@@ -35,7 +35,7 @@
 	l.add("a", 0.5, "pool planned for", `"service":"llm","room":100,"models":2`)
 	l.add("a", 0.5, "models planned for", `"service":"llm","models":[{"name":"m1","bytes":60,"from_memory_ns":100000000,"from_disk_ns":2000000000,"from_store_ns":9000000000}]`)
 	l.add("a", 0.5, "models planned for", `"service":"llm","models":[{"name":"m2","bytes":60,"from_memory_ns":100000000,"from_disk_ns":2000000000,"from_store_ns":9000000000}]`)
-	l.add("a", 0.6, "engine learned", `"engine":"e1","service":"llm","models":["m1"],"in_memory":[],"on_disk":["m1","m2"]`)
+	l.add("a", 0.6, "engine planned for", `"engine":"e1","service":"llm","models":["m1"],"in_memory":[],"on_disk":["m1","m2"]`)
 	l.add("a", 1.2, "not sent", `"request":"r1","ready_at_arrival":false`)
 	l.add("a", 1.2, "request ended", `"request":"r1","route":"r","service":"llm","model":"m2","code":"wait_too_long","took":"200ms","target":"500ms","allowed":"10s","retry_after":"2s"`)
 	l.add("a", 1.3, "swap planned", `"service":"llm","engine":"e1","load":"m2","unload":["m1"],"source":"disk","takes":"2s","begun":true,"purpose":"turned away"`)
@@ -82,7 +82,7 @@
 		{"no planner", without("planned for"), "the VM that planned"},
 		{"half of the models", without(`"name":"m2"`), "2 models planned for"},
 		{"no requests", without("request ended"), "request ended"},
-		{"no engines", func(l *logged) { without("server listed")(l); without("engine learned")(l) }, "backend server listed"},
+		{"no engines", func(l *logged) { without("server listed")(l); without("engine planned for")(l) }, "backend server listed"},
 		{"ends are missing", without(`"request ended","vm":"b"`), "lines are missing"},
 		{"dropped lines", func(l *logged) { l.add("b", 6, "log lines dropped", `"lines":7`) }, "7 log lines were dropped"},
 		{"a clock goes back", func(l *logged) { l.add("b", 2, "attempt", `"request":"r4"`) }, "the clock of b went back by 3s"},
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"go.uber.org/zap"
 
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
@@ -345,11 +344,6 @@
 		}
 	}
 	e.models = models
-	if !e.known {
-		k.node.config.Logger.Info("engine learned", zap.String("engine", e.id), zap.String("service", b.Service),
-			zap.Strings("models", slices.Sorted(maps.Keys(models))), zap.Strings("in_memory", b.InMemory), zap.Strings("on_disk", b.OnDisk),
-			zap.Uint64("orders", e.orders), zap.Int64("started", e.started))
-	}
 	e.known = true
 	e.forgetLate(now)
 	k.reserve(now, e)
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -83,9 +83,10 @@
 	// aheadAt is when loads ahead of demand were last looked for.
 	aheadAt time.Time
 	// toldAt is when the residency was last logged, toldVersion the configuration whose
-	// pools were.
+	// pools were, toldEngines the engines that were.
 	toldAt      time.Time
 	toldVersion uint64
+	toldEngines map[string]bool
 }
 
 // rest is how long an engine gets no swap.
@@ -104,7 +105,7 @@
 
 func newPlanner(n *Node) *planner {
 	return &planner{node: n, wake: make(chan struct{}, 1), store: residency.NewStoreLimit(),
-		pending: make(map[string]pendingSwap), rests: make(map[string]rest)}
+		pending: make(map[string]pendingSwap), rests: make(map[string]rest), toldEngines: make(map[string]bool)}
 }
 
 func (p *planner) wakeUp() { wake(p.wake) }
@@ -141,6 +142,7 @@
 		// What a former planner took from the store's rate isn't known.
 		p.tokens, p.filledAt = 0, now
 		p.toldVersion = 0
+		clear(p.toldEngines)
 	}
 	if !leads {
 		return
@@ -173,6 +175,7 @@
 func (p *planner) planPool(ctx context.Context, now time.Time, pool *contract.EnginePool) []entryvm.Arrival {
 	engines := p.engines(now, pool)
 	models := p.models(now, pool, engines)
+	p.tellEngines(pool, engines)
 	p.tellResidency(now, pool, engines, models)
 	situation := residency.Situation{
 		Now: now, Engines: engines, Models: models, Loading: p.underWay(now), StoreLoads: p.storeLoads(), Ahead: p.looksAhead(now),
@@ -304,6 +307,7 @@
 	defer p.mu.Unlock()
 	delete(p.pending, engine)
 	delete(p.rests, engine)
+	delete(p.toldEngines, engine)
 	p.store.Abandon(time.Now(), engine)
 }
 
--- a/internal/hosted/plannerlog.go
+++ b/internal/hosted/plannerlog.go
@@ -1,12 +1,14 @@
 package hosted
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bergamotreel/contract"
+	"bergamotreel/placement/residency"
 )
 
 // modelsALine bounds the models of one log line, some 130 bytes each, so that it stays below
@@ -40,6 +42,27 @@
 	}
 }
 
+// tellEngines logs what each engine holds and has copies of, once for each start that this VM
+// plans for.
+func (p *planner) tellEngines(pool *contract.EnginePool, engines []residency.Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range engines {
+		e := &engines[i]
+		if p.toldEngines[e.ID] {
+			continue
+		}
+		p.toldEngines[e.ID] = true
+		held := make([]string, 0, len(e.Models))
+		for _, m := range e.Models {
+			held = append(held, m.Name)
+		}
+		slices.Sort(held)
+		p.node.config.Logger.Info("engine planned for", zap.String("service", pool.Service), zap.String("engine", e.ID), zap.Strings("models", held),
+			zap.Strings("in_memory", slices.Sorted(maps.Keys(e.InMemory))), zap.Strings("on_disk", slices.Sorted(maps.Keys(e.OnDisk))))
+	}
+}
+
 func loggedModels(pool *contract.EnginePool) []loggedModel {
 	out := make([]loggedModel, 0, len(pool.Models))
 	for i := range pool.Models {
