hosted: few VMs of a large fleet's failure domain share its shards out

Change: in a fleet of more than 13 VMs the six largest of a domain stand for its group (up to eight stay); a process that starts again waits for word of another VM first. Small fleets as before. The fake registry shares shards out.

--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -22,6 +22,9 @@
 		e.domain = fmt.Sprint("d", i)
 		w.list(e, "rare")
 	}
+	for i := range fleetDomains {
+		w.registry.share(fmt.Sprint("d", i))
+	}
 	for i := range vms {
 		vm := fmt.Sprint("v", i)
 		switch i {
@@ -30,23 +33,9 @@
 		}
 		w.bootIn(fmt.Sprint("d", i%fleetDomains), vm, true)
 	}
-	for i := range fleetDomains {
-		w.registry.dealIn(fmt.Sprint("d", i), w.firstOf(fmt.Sprint("d", i)))
-	}
 	time.Sleep(12 * time.Second)
 }
 
-// firstOf is the first VM of a failure domain by name.
-func (w *world) firstOf(domain string) string {
-	first := ""
-	w.each(func(vm string, n *Node) {
-		if n.config.Domain == domain && (first == "" || vm < first) {
-			first = vm
-		}
-	})
-	return first
-}
-
 // count is the number of VMs for which something holds.
 func (w *world) count(holds func(*Node) bool) int {
 	count := 0
@@ -241,3 +230,76 @@
 		close(release)
 	})
 }
+
+// Each VM of a large fleet is restarted in turn, as by a new version. Few VMs of a failure
+// domain share its shards out, so that most restarts change hands of nothing, and joins don't
+// grow with the fleet: with all of 120 in it they made 171 joins a second, and each restart
+// had shards dealt anew whose engines then got no orders.
+func TestFewVMsOfALargeFleetKeepEngines(t *testing.T) {
+	inWorld(t, func(w *world) {
+		const vms = 120
+		w.bootFleet(vms)
+		for i := range fleetDomains {
+			members := w.registry.membersOf(fmt.Sprint("d", i))
+			testkit.That(w, members >= keepersPerDomain/2 && members <= keepersLeave, "%d members in domain %d", members, i)
+		}
+		w.registry.mu.Lock()
+		joins, generation := w.registry.joins, w.registry.generation
+		w.registry.mu.Unlock()
+		const restarts, pace = 40, 300 * time.Millisecond
+		for i := range restarts {
+			vm := fmt.Sprint("v", 2+i)
+			w.kill(vm)
+			time.Sleep(pace)
+			w.bootIn(fmt.Sprint("d", (2+i)%fleetDomains), vm, false)
+		}
+		w.registry.mu.Lock()
+		joins, generation = w.registry.joins-joins, w.registry.generation-generation
+		w.registry.mu.Unlock()
+		most := fleetDomains * keepersLeave * int(restarts*pace/joinEvery)
+		testkit.That(w, joins <= most, "%d joins, of at most %d", joins, most)
+		testkit.That(w, generation < restarts/2, "%d deals in %d restarts", generation, restarts)
+		time.Sleep(3 * time.Second)
+		took := w.until(10*time.Second, "VMs that know all", vms, func(n *Node) bool { return n.members.count(time.Now()) == vms })
+		w.Log("known to all after", took, "joins", joins, "deals", generation)
+		_, err := ask(w.nodes["v7"], "rare", 10*time.Second)
+		testkit.NoError(w, err)
+		w.checkQuiet()
+	})
+}
+
+// All VMs that keep a failure domain's engines die at once. Others take their place: a model
+// that only this domain's engine could load is there a few seconds later.
+func TestAllKeepersOfADomainDie(t *testing.T) {
+	inWorld(t, func(w *world) {
+		const vms = 100
+		w.bootFleet(vms)
+		w.registry.mu.Lock()
+		var keepers []string
+		for vm := range w.registry.shared["d1"] {
+			keepers = append(keepers, vm)
+		}
+		w.registry.mu.Unlock()
+		for _, vm := range keepers {
+			w.kill(vm)
+		}
+		begun := time.Now()
+		others := func() int {
+			w.registry.mu.Lock()
+			defer w.registry.mu.Unlock()
+			count := 0
+			for vm := range w.registry.shared["d1"] {
+				if !slices.Contains(keepers, vm) {
+					count++
+				}
+			}
+			return count
+		}
+		for others() < keepersPerDomain/2 && time.Since(begun) < 15*time.Second {
+			time.Sleep(50 * time.Millisecond)
+		}
+		took := time.Since(begun)
+		w.Log(len(keepers), "keepers died, others in their place after", took)
+		testkit.That(w, took < relayedFor+membershipTTL, "others took their place after %v", took)
+	})
+}
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -112,6 +112,8 @@
 	large  bool
 	relays map[string][]string
 	probes map[string]bool
+	// keepers are the own domain's VMs that may be in its group, the first ones first.
+	keepers []string
 	// alone is whether this VM knows no other live one in its domain.
 	alone bool
 	// own is the view of the own domain that a relay tells, nil before the first, and wisest
--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -26,6 +26,10 @@
 	holder        map[int]string
 	// holderIn holds all shards of a group.
 	holderIn map[string]string
+	// shared are the groups whose shards are shared out among the members, with when each of
+	// these joined last; joins counts all joins.
+	shared map[string]map[string]time.Time
+	joins  int
 	// away has every call fail, history lost counts as of the next read.
 	away        bool
 	historyLost bool
@@ -42,7 +46,7 @@
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), holderIn: make(map[string]string), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
+		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), holderIn: make(map[string]string), shared: make(map[string]map[string]time.Time), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
 }
 
 // registryOf is the registry as one VM reaches it.
@@ -189,6 +193,10 @@
 	if f.cutOff[r.Member] {
 		return registry.Assignment{}, registry.ErrUnavailable
 	}
+	f.joins++
+	if f.shared[r.Group] != nil {
+		return f.joinShared(r), nil
+	}
 	assignment := registry.Assignment{Generation: f.generation}
 	for shard := range testShards {
 		if f.holder[shard] == r.Member || (r.Group != "" && f.holderIn[r.Group] == r.Member) {
@@ -198,6 +206,46 @@
 	return assignment, nil
 }
 
+// share has a group's shards shared out among its members.
+func (f *fakeRegistry) share(group string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shared[group] = make(map[string]time.Time)
+}
+
+// joinShared joins a group whose shards are shared out. Call with mu held.
+func (f *fakeRegistry) joinShared(r registry.JoinRequest) registry.Assignment {
+	members := f.shared[r.Group]
+	before := len(members)
+	maps.DeleteFunc(members, func(_ string, at time.Time) bool { return time.Since(at) > r.TTL })
+	_, known := members[r.Member]
+	members[r.Member] = time.Now()
+	if !known || len(members) != before {
+		f.generation++
+	}
+	assignment := registry.Assignment{Generation: f.generation}
+	sorted := slices.Sorted(maps.Keys(members))
+	for shard := range testShards {
+		if sorted[shard%len(sorted)] == r.Member {
+			assignment.Shards = append(assignment.Shards, shard)
+		}
+	}
+	return assignment
+}
+
+// membersOf counts a group's members.
+func (f *fakeRegistry) membersOf(group string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	live := 0
+	for _, at := range f.shared[group] {
+		if time.Since(at) < membershipTTL {
+			live++
+		}
+	}
+	return live
+}
+
 func (f *fakeRegistry) Leave(context.Context, string, string) error { return nil }
 
 func (f *fakeRegistry) Owners(_ context.Context, group string) ([]registry.Ownership, registry.Cursor, error) {
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -30,6 +30,10 @@
 	// membershipTTL is how long a member may be silent: a process that is restarted
 	// at once finds its shards unchanged, and so need not wait for anybody.
 	membershipTTL = 2500 * time.Millisecond
+	// othersWithin bounds how long a process that starts again waits for word of another VM
+	// before it joins, looking every othersPoll.
+	othersWithin = 500 * time.Millisecond
+	othersPoll   = 10 * time.Millisecond
 	// joinTimeout bounds a join, and each call that records an owner.
 	joinTimeout = time.Second
 	// settleGather is how long shards that settle together are gathered, for one record.
@@ -58,13 +62,26 @@
 func (n *Node) holdShards(ctx context.Context) {
 	// The first join is made at once, those after it out of step with the other VMs.
 	offset := n.jitter(0, joinEvery)
-	for ctx.Err() == nil && !n.stopping.Load() {
-		n.join(ctx)
+	n.awaitOthers(ctx)
+	for member := false; ctx.Err() == nil && !n.stopping.Load(); {
+		if member = n.members.standsAsKeeper(time.Now(), member); member {
+			n.join(ctx)
+		}
 		n.settleUntil(ctx, time.Now().Add(joinEvery+offset))
 		offset = 0
 	}
 }
 
+// awaitOthers waits a moment until another VM is heard, unless the whole system starts:
+// before, this VM can't tell whether it is one of many.
+func (n *Node) awaitOthers(ctx context.Context) {
+	if n.config.FirstStart {
+		return
+	}
+	for n.config.Boot()-n.started < othersWithin && n.members.unheard(time.Now()) && pause.For(ctx, othersPoll) {
+	}
+}
+
 // settleUntil waits for the next join, and records at once whose former owners are settled.
 // Failure: a VM that took shards over was killed 0.2 s later, before its next join; nothing
 // told its next process that nobody else could give orders, and a third of all engines got
