--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -121,6 +121,11 @@
 	ReservedBytes int64 `cbor:"6,keyasint,omitempty"`
 	// Models are those that take requests, with their adapters.
 	Models []EngineModel `cbor:"7,keyasint,omitempty"`
+	// Loading is the model that is being loaded, empty for none, LoadingFor how long that
+	// should still take, and FromStore whether the weight store delivers it.
+	Loading    string        `cbor:"8,keyasint,omitempty"`
+	LoadingFor time.Duration `cbor:"9,keyasint,omitempty"`
+	FromStore  bool          `cbor:"10,keyasint,omitempty"`
 }
 
 // EngineModel is a model that takes requests on an engine.
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -52,6 +52,8 @@
 	news     entryvm.EngineNews
 	newsFrom string
 	newsAt   time.Time
+	// loadedAt is when the model that is being loaded should be there, by the news.
+	loadedAt time.Time
 	lacking  map[string]time.Time
 	// downFor is set while it is taken for dead, as it accepted no connection;
 	// probeAt is when it is tried again, and downFor how long that was put off.
@@ -209,6 +211,7 @@
 		return false // a former keeper's
 	}
 	known.news, known.newsFrom, known.newsAt = news, keeper, now
+	known.loadedAt = now.Add(news.LoadingFor)
 	t.started(now, known, news.Started)
 	known.merge(now)
 	return true
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -92,8 +92,11 @@
 	doubtedAt time.Time
 	// reservedBytes is the room that late may take.
 	reservedBytes int64
-	// swapping is whether a swap is under way.
+	// swapping is whether a swap is under way, swap what it is and loadedAt when it should
+	// be done.
 	swapping bool
+	swap     entryvm.SwapArgs
+	loadedAt time.Time
 	version  uint64
 	// untold is how many more reports carry the news.
 	untold int
@@ -230,6 +233,9 @@
 	news := entryvm.EngineNews{
 		ID: e.id, Started: e.started, Orders: e.orders, Version: e.version, Swapping: e.swapping, ReservedBytes: e.reservedBytes,
 	}
+	if e.swapping {
+		news.Loading, news.LoadingFor, news.FromStore = e.swap.Load, max(0, e.loadedAt.Sub(now)), !e.swap.Copied
+	}
 	for name, m := range e.models {
 		if m.retiring {
 			continue
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -178,7 +178,7 @@
 	p.tellEngines(pool, engines)
 	p.tellResidency(now, pool, engines, models)
 	situation := residency.Situation{
-		Now: now, Engines: engines, Models: models, Loading: p.underWay(now), StoreLoads: p.storeLoads(), Ahead: p.looksAhead(now),
+		Now: now, Engines: engines, Models: models, Loading: p.underWay(now, pool.Service), StoreLoads: p.storeLoads(), Ahead: p.looksAhead(now),
 	}
 	swaps := residency.Plan(situation)
 	for _, swap := range swaps {
@@ -212,7 +212,7 @@
 	}
 	p.toldAt = now
 	s := residency.Summarize(engines, models)
-	under := p.underWay(now)
+	under := p.underWay(now, pool.Service)
 	p.node.config.Logger.Info("residency", zap.String("service", pool.Service), zap.Int("models", s.Models),
 		zap.Int("resident", s.Resident), zap.Int("replicas", s.Replicas), zap.Int("asked_for_not_resident", s.Missing),
 		zap.Int("waiting", s.Waiting), zap.Int("running", s.Running), zap.Int("engines", s.Engines),
@@ -363,8 +363,8 @@
 	return n.config.Peers.EntryVMs.Swap(ctx, address, args)
 }
 
-// underWay returns the swaps that count as begun.
-func (p *planner) underWay(now time.Time) []residency.Swap {
+// underWay returns the swaps of a service's engines that count as begun.
+func (p *planner) underWay(now time.Time, service string) []residency.Swap {
 	n := p.node
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -386,5 +386,24 @@
 			delete(p.rests, engine)
 		}
 	}
+	return append(out, p.begunByOthers(service)...)
+}
+
+// begunByOthers are the swaps under way that this VM did not plan. Failure: the VM that
+// planned stopped, or was cut off; the next one took none of its swaps for under way, so
+// that models which were coming were loaded a second time, from a store that serves one.
+// Call with mu held.
+func (p *planner) begunByOthers(service string) []residency.Swap {
+	var out []residency.Swap
+	p.node.backends.each(service, func(b *backend) {
+		if _, own := p.pending[b.ID]; own || !b.swapping() || b.news.Loading == "" {
+			return
+		}
+		swap := residency.Swap{Engine: b.ID, Load: b.news.Loading, Source: residency.SourceDisk, Takes: b.news.LoadingFor}
+		if b.news.FromStore {
+			swap.Source = residency.SourceStore
+		}
+		out = append(out, swap)
+	})
 	return out
 }
--- /dev/null
+++ b/internal/hosted/plannerchange_test.go
@@ -0,0 +1,71 @@
+package hosted
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotreel/engine"
+	"bergamotreel/internal/testkit"
+)
+
+// A model that a caller waits for is being loaded, which takes six seconds, when the VM that
+// planned it is killed. The next planner hears that a swap is under way there; if it did not
+// hear of which model, it would load it once more, on an engine that others need.
+func TestNextPlannerKnowsWhatIsBeingLoaded(t *testing.T) {
+	inWorld(t, func(w *world) {
+		const loadTime = 6 * time.Second
+		w.registry.configuration = testContract("m1", "m2", "m3", "m4", "rare")
+		models := w.registry.configuration.Contract.Pools[0].Models
+		for i := range models {
+			models[i].FromDisk, models[i].FromStore, models[i].FromMemory = loadTime, loadTime, loadTime
+		}
+		var engines []*fakeEngine
+		for id, held := range map[string][2]string{"e1": {"m1", "m2"}, "e2": {"m3", "m4"}} {
+			e := w.engines.add(id, held[0], held[1])
+			e.slow = loadTime - fakeLoadTime
+			w.list(e, "rare")
+			engines = append(engines, e)
+		}
+		w.registry.deal("a")
+		for _, vm := range []string{"a", "b", "c"} {
+			w.boot(vm, true)
+		}
+		time.Sleep(3 * time.Second)
+		planner, keeper := w.planner(), "a"
+		if planner == keeper {
+			keeper = "b"
+			w.registry.deal(keeper)
+			time.Sleep(8 * time.Second)
+		}
+		loads := func() (count int) {
+			w.engines.mu.Lock()
+			defer w.engines.mu.Unlock()
+			for _, e := range engines {
+				if slices.ContainsFunc(e.sent, func(s sentOrder) bool { return s.order.Action == engine.ActionLoad && s.order.Unit == "rare" }) {
+					count++
+				}
+			}
+			return count
+		}
+		go func() { _, _ = ask(w.nodes[keeper], "rare", 12*time.Second) }()
+		for limit := time.Now().Add(5 * time.Second); loads() == 0; time.Sleep(10 * time.Millisecond) {
+			testkit.Need(w, time.Now().Before(limit), "nothing is loaded")
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.kill(planner)
+		time.Sleep(loadTime)
+		testkit.Equal(w, "engines that were ordered to load the model", loads(), 1)
+		testkit.That(w, w.nodes[keeper].backends.holds(testService, "rare"), "it is not there")
+	})
+}
+
+// planner is the VM that plans.
+func (w *world) planner() (vm string) {
+	w.each(func(name string, n *Node) {
+		if n.members.plans(time.Now()) {
+			vm = name
+		}
+	})
+	return vm
+}
--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -48,8 +48,10 @@
 	switch {
 	case pending && (b.swapping() || now.Before(swap.until)):
 		return max(swap.begun.Add(p.lengthOf(swap)+unloadAllowance).Sub(now), busyLeast)
+	case b.swapping() && b.news.Loading != "":
+		return max(b.loadedAt.Sub(now), busyLeast) // another planner's
 	case b.swapping():
-		return busyUnknown // another planner's
+		return busyUnknown
 	default:
 		return 0
 	}
--- a/internal/hosted/swap.go
+++ b/internal/hosted/swap.go
@@ -14,6 +14,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
+	"bergamotreel/placement/residency"
 )
 
 // swap changes what an engine holds. It returns once it is clear whether it has
@@ -60,7 +61,8 @@
 		k.changed(e, false)
 		return 0, fmt.Errorf("%w beside %v after %d orders, %d bytes reserved", errNoRoom, slices.Sorted(maps.Keys(e.models)), e.orders, e.reservedBytes)
 	}
-	e.swapping = true
+	e.swapping, e.swap = true, args
+	e.loadedAt = time.Now().Add(args.Takes + time.Duration(len(args.Unload))*residency.UnloadTime)
 	for _, name := range args.Unload {
 		if m := e.models[name]; m != nil {
 			m.retiring = true
