routing: where news of others' requests is old, engines are drawn by free places

In small fleets none were late up to a full batch. Cause: all 195 VMs choose by the same sums, half a second old: the emptiest engine gets all, and places that came free stay free for as long. Change: engines are drawn by free places, with what should have ended counted on. Small fleets choose as before.

--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -101,12 +101,13 @@
 // others by what runs on them through other VMs.
 func (n *Node) reachable(now time.Time, candidates []routing.Candidate) []routing.Candidate {
 	cut := n.cutOff()
+	age := n.members.inFlightAge(now)
 	kept := candidates[:0]
 	for _, c := range candidates {
 		if cut(c.Domain) {
 			continue
 		}
-		c.PeersInFlight = n.members.inFlight(now, c.Engine)
+		c.PeersInFlight, c.PeersAge = n.members.inFlight(now, c.Engine), age
 		kept = append(kept, c)
 	}
 	return kept
--- a/internal/hosted/sums.go
+++ b/internal/hosted/sums.go
@@ -62,6 +62,22 @@
 	return m.sums.onBackends[backend]
 }
 
+// inFlightAge is how old inFlight is in a large fleet, 0 in a small one: the time since the
+// relay told, and what it had to go by, which took a report to it.
+func (m *members) inFlightAge(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.duties(now)
+	switch {
+	case !d.large:
+		return 0
+	case d.isRelay(m):
+		return m.node.config.Report
+	default:
+		return m.node.config.Report + min(now.Sub(m.relayed.othersAt), relayedFor)
+	}
+}
+
 // units returns how many requests the other VMs run, by backend server and unit. In a
 // large fleet a VM that is no relay knows it for the engines that it keeps.
 func (m *members) units(now time.Time) map[runKey]int {
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -150,6 +150,9 @@
 	result := v.result
 	result.Pool = p.query.Pool
 	result.FirstToken = p.firstToken
+	if result.OK {
+		result.Took = now.Sub(p.begun)
+	}
 	p.server.finished(now, p.backend, p.start, result)
 	p.server.left(p.query.Unit)
 	decrement(p.server.runs, runKey{p.backend, p.query.Unit})
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -52,6 +52,9 @@
 		return Choice{}, false
 	}
 	r.markHolders(q)
+	if drawn := r.spread(now, q); drawn >= 0 {
+		return choice(&r.views[drawn]), true
+	}
 	best, bestScore := -1, 0.0
 	consider := func(i int) {
 		if i < 0 {
@@ -153,7 +156,7 @@
 			continue
 		}
 		trusted++
-		if free := r.freeSlots(now, e, c); free > 0 {
+		if free := r.freeSlots(now, q.Pool, e, c); free > 0 {
 			r.views = append(r.views, view{candidate: c, state: e, free: free, own: c.Domain == q.Domain})
 		}
 	}
@@ -188,7 +191,7 @@
 	if !r.trusts(now, e) {
 		return 0
 	}
-	free := r.freeSlots(now, e, &c)
+	free := r.freeSlots(now, "", e, &c)
 	if e != nil && e.breaker.open {
 		free = min(free, 1)
 	}
@@ -198,7 +201,7 @@
 // freeSlots takes the report, late as it is, and adds what this VM has started
 // less what it has seen end since. It is at least what this VM and, by their
 // digests, the others have in flight.
-func (r *Router) freeSlots(now time.Time, e *engineState, c *Candidate) int {
+func (r *Router) freeSlots(now time.Time, pool string, e *engineState, c *Candidate) int {
 	own := 0
 	if e != nil {
 		own = e.inFlight
@@ -214,7 +217,7 @@
 		}
 		busy = max(busy, c.Running+c.Queued+since)
 	}
-	return max(0, c.Slots-busy)
+	return max(0, c.Slots+r.turnover(pool, c)-busy)
 }
 
 // markHolders notes how much of the prompt each view's engine has cached.
--- a/routing/router.go
+++ b/routing/router.go
@@ -27,7 +27,9 @@
 	engines  map[string]*engineState
 	latency  map[string]*poolLatency // by pool
 	prefixes *prefixMemory
-	lastID   engineID
+	// service is how long a request of a pool takes, in the mean.
+	service map[string]time.Duration
+	lastID  engineID
 	// tokensTold is whether FirstToken is called at all; without it, an engine's
 	// silence can't be told from long answers.
 	tokensTold bool
@@ -61,7 +63,7 @@
 	}
 	return &Router{
 		cfg: cfg, rng: rng, engines: map[string]*engineState{},
-		latency: map[string]*poolLatency{}, prefixes: newPrefixMemory(cfg.Prefixes),
+		latency: map[string]*poolLatency{}, service: map[string]time.Duration{}, prefixes: newPrefixMemory(cfg.Prefixes),
 	}
 }
 
@@ -174,6 +176,7 @@
 	if pool == "" {
 		pool = e.pool
 	}
+	r.observeService(pool, result.Took)
 	told := result.FirstToken > 0 && r.tokensTold
 	if !told {
 		e.answered(now)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -36,6 +36,9 @@
 	LoadAt time.Time
 	// PeersInFlight is how many requests other entry VMs say they run there.
 	PeersInFlight int
+	// PeersAge is how old PeersInFlight is where many entry VMs choose by the same news, 0
+	// where they are few or it is as good as new.
+	PeersAge time.Duration
 }
 
 // roleDecode is the role of engines that take no new prompt.
@@ -72,4 +75,6 @@
 	Pool string
 	// FirstToken is the time from dispatch to the first token; 0 if none came.
 	FirstToken time.Duration
+	// Took is the time from dispatch to the end of the whole answer; 0 if that did not come.
+	Took time.Duration
 }
