--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -17,11 +17,11 @@
 
 const (
 	// retryGrowth is the part of an outage that the pause grows by.
-	retryGrowth = 2
+	retryGrowth = 4
 	// retryRead is the pause after a read that failed; it grows by itself up to
 	// retryMost, as each try of an outage is a call that is paid for.
 	retryRead = 150 * time.Millisecond
-	retryMost = 1500 * time.Millisecond
+	retryMost = 500 * time.Millisecond
 	// outageAfter is how long the registry must not answer for entries to have
 	// lapsed meanwhile, and for other VMs to be asked instead.
 	outageAfter = 700 * time.Millisecond
