--- a/internal/daylog/daylog.go
+++ b/internal/daylog/daylog.go
@@ -38,6 +38,22 @@
 	Overlaps time.Duration
 }
 
+// EachCaller calls f with the first and the last try of each caller, the same one for a
+// caller that did not come back.
+func (d *Day) EachCaller(f func(first, last *Request)) {
+	for i := range d.Requests {
+		first := &d.Requests[i]
+		if first.Back {
+			continue
+		}
+		last := first
+		for last.ReturnedAs > 0 {
+			last = &d.Requests[last.ReturnedAs]
+		}
+		f(first, last)
+	}
+}
+
 // Model is a model that can be loaded.
 type Model struct {
 	Name                            string
--- a/internal/hindsight/causes.go
+++ b/internal/hindsight/causes.go
@@ -48,18 +48,10 @@
 		cause Cause
 	}
 	lost := make(map[key]*Loss)
-	for i := range d.Requests {
-		first := &d.Requests[i]
-		if first.Back {
-			continue
-		}
-		last := first
-		for last.ReturnedAs > 0 {
-			last = &d.Requests[last.ReturnedAs]
-		}
+	d.EachCaller(func(first, last *daylog.Request) {
 		cause, full := causeOf(first, last)
 		if cause == "" {
-			continue
+			return
 		}
 		worth := value(first.Target, first.Allowed)
 		at := key{first.Route, first.Arrived / LossSpan * LossSpan, cause}
@@ -71,7 +63,7 @@
 		if !full {
 			lost[at].Worth -= worth.Late
 		}
-	}
+	})
 	out := make([]Loss, 0, len(lost))
 	for _, l := range lost {
 		out = append(out, *l)
--- a/internal/hindsight/problem.go
+++ b/internal/hindsight/problem.go
@@ -118,17 +118,9 @@
 	return list[len(list)/2]
 }
 
-// addDemands joins requests with their returns.
+// addDemands takes what each caller wanted, and what came of it.
 func (p *problem) addDemands(d *daylog.Day, index map[string]int, value Value) {
-	for i := range d.Requests {
-		first := &d.Requests[i]
-		if first.Back {
-			continue
-		}
-		last := first
-		for last.ReturnedAs > 0 {
-			last = &d.Requests[last.ReturnedAs]
-		}
+	d.EachCaller(func(first, last *daylog.Request) {
 		w := value(first.Target, first.Allowed)
 		wanted := demand{model: index[first.Model], arrived: first.Arrived, inTime: first.Arrived + max(0, first.Target-p.answer),
 			last: first.Arrived + max(0, first.Allowed-p.answer), worth: w}
@@ -144,7 +136,7 @@
 		}
 		m := &p.models[wanted.model]
 		m.demands = append(m.demands, wanted)
-	}
+	})
 }
 
 // ours is what was earned.
--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -24,8 +24,6 @@
 	writes        map[string]registry.Cursor
 	generation    uint64
 	holder        map[int]string
-	// holderIn holds all shards of a group.
-	holderIn map[string]string
 	// shared are the groups whose shards are shared out among the members, with when each of
 	// these joined last; joins counts all joins.
 	shared map[string]map[string]time.Time
@@ -46,7 +44,7 @@
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), holderIn: make(map[string]string), shared: make(map[string]map[string]time.Time), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
+		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), shared: make(map[string]map[string]time.Time), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
 }
 
 // registryOf is the registry as one VM reaches it.
@@ -176,14 +174,6 @@
 	}
 }
 
-// dealIn gives all shards of a failure domain to one of its VMs.
-func (f *fakeRegistry) dealIn(domain, vm string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.generation++
-	f.holderIn[domain] = vm
-}
-
 func (f *fakeRegistry) Join(_ context.Context, r registry.JoinRequest) (registry.Assignment, error) {
 	end, err := f.call()
 	if err != nil {
@@ -199,7 +189,7 @@
 	}
 	assignment := registry.Assignment{Generation: f.generation}
 	for shard := range testShards {
-		if f.holder[shard] == r.Member || (r.Group != "" && f.holderIn[r.Group] == r.Member) {
+		if f.holder[shard] == r.Member {
 			assignment.Shards = append(assignment.Shards, shard)
 		}
 	}
