hosted: a shard that is recorded as settled from the start needs no second record

Each takeover read the owners once more 30 ms later, also where its record said already that nobody else can give orders: a call of the store for each restart. hosted's tests pass; no behaviour otherwise.

--- a/internal/hosted/takeover.go
+++ b/internal/hosted/takeover.go
@@ -44,8 +44,11 @@
 	takeoverSeconds.Update((n.config.Boot() + wait - t.ownedAt).Seconds())
 	n.config.Logger.Info("shard owned", zap.Int("shard", t.shard), zap.Uint64("generation", t.generation),
 		zap.String("former", t.former.VM), zap.Duration("orders_in", wait), zap.String("reason", reason))
+	recorded := n.startsAtOnce(t.former)
 	time.AfterFunc(wait, func() {
-		wake(n.settle)
+		if !recorded { // else its record says so already
+			wake(n.settle)
+		}
 		n.members.tell()
 		n.planner.wakeUp()
 	})
