hosted: the planner's table of told engines is cleared under its lock

Read in the diff: cleared by the planner's duty while another one may drop an engine from it, which Go ends the process for. hosted's tests were run before it only; the race detector does not run here (ThreadSanitizer ends with a failed check of its own before the first test), so no run shows the race.

--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -141,8 +141,6 @@
 		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
 		// What a former planner took from the store's rate isn't known.
 		p.tokens, p.filledAt = 0, now
-		p.toldVersion = 0
-		clear(p.toldEngines)
 	}
 	if !leads {
 		return
@@ -168,6 +166,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.planning = leads
+	p.toldVersion = 0
+	clear(p.toldEngines)
 }
 
 // planPool begins the swaps of a pool, and returns when the models that requests wait for
