--- a/internal/hindsight/bound.go
+++ b/internal/hindsight/bound.go
@@ -9,19 +9,19 @@
 // a price a step, and every model then decides for itself when to be resident, by dynamic
 // programming. Whatever the prices, the sum of what the models earn at them and of what the
 // priced things would fetch is no less than any schedule's worth; prices are moved where more
-// or less is asked for than there is. A linear program over models and steps has 50,000
-// columns for a day of a hundred models, which the dense simplex of the registry's numerical
-// library does not hold.
+// or less is asked for than there is. A linear program over models and steps has tens of
+// thousands of columns for a day of a hundred models; the usual library's simplex is dense.
 //
 // All is rounded in the schedule's favour: a model is there from the beginning of the step in
 // which its load ends, any engine may hold what another one has copies of, a model that
 // was resident once comes back from memory, and engines run any number of requests.
 
 const (
-	// boundStep is the length of a step: a third of the shortest load.
+	// boundStep is the length of a step: short against loads from a disk or the store, which
+	// take one to twenty seconds.
 	boundStep = 500 * time.Millisecond
-	// boundRounds is how often prices are moved; in most days the last hundred rounds
-	// change the bound by less than a thousandth.
+	// boundRounds is how often prices are moved. More only tightens the bound, which holds
+	// after any number of them.
 	boundRounds = 240
 	// stepShrink times the step of the prices follows a round without a better bound in so
 	// many rounds.
