--- a/routing/spread_test.go
+++ b/routing/spread_test.go
@@ -166,14 +166,14 @@
 
 // 195 entry VMs send a rising model's requests to its five to seven engines, by news of half
 // a second ago. Taken for the newest, it has all of them fill the same engine, and hold
-// requests back from those where places have come free. Drawn by free places, with what should have ended
-// counted on, fewer are late than by the better of two, and than at random.
+// requests back from those where places have come free. Drawn by free places, with what
+// should have ended counted on, fewer are late than by the better of two, and than at random.
 func TestManyRoutersSpreadByOldNews(t *testing.T) {
 	for _, load := range []struct {
 		engines int
 		part    float64
-		// crowded is whether the engines are too few for a while, so that whoever sends at
-		// once to any of them does no worse.
+		// crowded is whether the engines are too few for a while: then requests wait
+		// wherever they are sent, and random is as good.
 		crowded bool
 	}{{5, 0.75, false}, {7, 0.85, false}, {5, 0.95, true}} {
 		t.Run(fmt.Sprint(load.engines, " ", load.part), func(t *testing.T) {
