routing: small fleets weigh no engine for a draw that they don't make

Read in the diff: each choice worked out every candidate's weight before it looked whether news is old at all, and worked it out twice where it is. Now the question comes first and a view keeps its weight. The draws are the same: one random number for each choice by old news, none otherwise. routing's tests pass.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -40,6 +40,7 @@
 	free      int
 	own       bool
 	blocks    int
+	weight    float64 // of a draw
 }
 
 // Pick chooses an engine with a free slot; false if there is none.
@@ -52,8 +53,8 @@
 		return Choice{}, false
 	}
 	r.markHolders(q)
-	if drawn := r.spread(now, q); drawn >= 0 {
-		return choice(&r.views[drawn]), true
+	if r.newsIsOld() {
+		return choice(r.spread(now, q)), true
 	}
 	best, bestScore := -1, 0.0
 	consider := func(i int) {
--- a/routing/spread.go
+++ b/routing/spread.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Many entry VMs that choose by news of half a second ago all see the same engine as the
 // least busy, and fill it together; and they hold requests back from full engines whose
@@ -48,24 +51,26 @@
 	return int(min(turnoverMost, c.PeersAge.Seconds()/service.Seconds()) * float64(c.Slots))
 }
 
-// spread draws one of the views by their free slots; -1 where news is as good as new.
-func (r *Router) spread(now time.Time, q Query) int {
-	old := false
+// newsIsOld tells whether the news of any view is.
+func (r *Router) newsIsOld() bool {
+	return slices.ContainsFunc(r.views, func(v view) bool { return v.candidate.PeersAge > 0 })
+}
+
+// spread draws one of the views by their free slots.
+func (r *Router) spread(now time.Time, q Query) *view {
 	total := 0.0
 	for i := range r.views {
-		old = old || r.views[i].candidate.PeersAge > 0
-		total += r.weight(now, q, &r.views[i])
-	}
-	if !old {
-		return -1
+		v := &r.views[i]
+		v.weight = r.weight(now, q, v)
+		total += v.weight
 	}
 	at := r.rng.Float64() * total
 	for i := range r.views {
-		if at -= r.weight(now, q, &r.views[i]); at < 0 {
-			return i
+		if at -= r.views[i].weight; at < 0 {
+			return &r.views[i]
 		}
 	}
-	return len(r.views) - 1
+	return &r.views[len(r.views)-1]
 }
 
 // weight is how likely a view is drawn.
