--- a/internal/daylog/read.go
+++ b/internal/daylog/read.go
@@ -192,50 +192,48 @@
 	return line, err
 }
 
-func (r *reader) take(message string, text []byte) (err error) {
+// gather adds a line of a known kind to those before it.
+func gather[Line any](list *[]Line, text []byte) error {
+	line, err := parse[Line](text)
+	*list = append(*list, line)
+	return err
+}
+
+func (r *reader) take(message string, text []byte) error {
 	switch message {
 	case "pool planned for":
-		var line poolLine
-		if line, err = parse[poolLine](text); err == nil {
-			r.pools[line.Service] = line
-		}
+		line, err := parse[poolLine](text)
+		r.pools[line.Service] = line
+		return err
 	case "models planned for":
-		var line modelsLine
-		line, err = parse[modelsLine](text)
-		r.models = append(r.models, line)
+		return gather(&r.models, text)
 	case "request ended":
-		var line endLine
-		line, err = parse[endLine](text)
-		r.ends = append(r.ends, line)
+		return gather(&r.ends, text)
+	case "swap planned":
+		return gather(&r.swaps, text)
+	case "planning":
+		return gather(&r.planning, text)
 	case "attempt", "not sent":
-		var line attemptLine
-		line, err = parse[attemptLine](text)
+		line, err := parse[attemptLine](text)
 		line.sent = message == "attempt"
 		if before, ok := r.attempts[line.Request]; !ok || line.Time.Before(before.Time) {
 			r.attempts[line.Request] = line
 		}
-	case "swap planned":
-		var line swapLine
-		line, err = parse[swapLine](text)
-		r.swaps = append(r.swaps, line)
+		return err
 	case "engine planned for", "backend server listed", "backend server gone":
-		var line engineLine
-		line, err = parse[engineLine](text)
+		line, err := parse[engineLine](text)
 		r.engine(message, &line)
-	case "planning":
-		var line planningLine
-		line, err = parse[planningLine](text)
-		r.planning = append(r.planning, line)
+		return err
 	case "loads from the store bounded":
-		var line boundedLine
-		line, err = parse[boundedLine](text)
+		line, err := parse[boundedLine](text)
 		r.atOnce = max(r.atOnce, line.AtOnce)
+		return err
 	case "log lines dropped":
-		var line droppedLine
-		line, err = parse[droppedLine](text)
+		line, err := parse[droppedLine](text)
 		r.dropped += line.Lines
+		return err
 	}
-	return err
+	return nil
 }
 
 // engine takes what a VM tells of an engine. The first word of its listing and the last of
--- a/internal/hindsight/bound.go
+++ b/internal/hindsight/bound.go
@@ -46,6 +46,18 @@
 	price          prices
 	// sums are the prices summed up to each step.
 	sums prices
+	// asked are the models that anybody asks for.
+	asked []askedModel
+}
+
+// askedModel is a model with all of it that does not depend on prices.
+type askedModel struct {
+	size     float64
+	resident bool
+	// first is how it comes if it was nowhere resident, again how it comes back.
+	first, again load
+	// arrivals are the requests for it, by step.
+	arrivals [][]demand
 }
 
 // bound is an upper bound of the worth of any placement; reached is the worth of a known
@@ -83,9 +95,25 @@
 	for k := range r.capacity.store {
 		r.capacity.store[k] = float64(p.storeAtOnce)
 	}
+	for i := range p.models {
+		if len(p.models[i].demands) > 0 {
+			r.asked = append(r.asked, r.newAsked(i))
+		}
+	}
 	return r
 }
 
+func (r *relaxation) newAsked(model int) askedModel {
+	m := &r.models[model]
+	a := askedModel{size: float64(m.Bytes) / r.typical, resident: r.isResident(model),
+		first: r.firstLoad(model), again: r.later(model), arrivals: make([][]demand, r.steps)}
+	for _, d := range m.demands {
+		k := min(int(d.arrived/boundStep), r.steps-1)
+		a.arrivals[k] = append(a.arrivals[k], d)
+	}
+	return a
+}
+
 // round has each model decide at the prices, and returns the bound that follows.
 func (r *relaxation) round() float64 {
 	value := 0.0
@@ -97,10 +125,8 @@
 			s.used[k] = 0
 		}
 	}
-	for i := range r.models {
-		if len(r.models[i].demands) > 0 {
-			value += r.decide(i)
-		}
+	for i := range r.asked {
+		value += r.decide(&r.asked[i])
 	}
 	return value
 }
@@ -184,15 +210,7 @@
 
 // decide finds when a model should be resident at the prices, adds what it uses, and
 // returns what it earns less what it pays.
-func (r *relaxation) decide(index int) float64 {
-	m := &r.models[index]
-	size := float64(m.Bytes) / r.typical
-	arrivals := make([][]demand, r.steps)
-	for _, d := range m.demands {
-		k := min(int(d.arrived/boundStep), r.steps-1)
-		arrivals[k] = append(arrivals[k], d)
-	}
-	again := r.later(index)
+func (r *relaxation) decide(m *askedModel) float64 {
 	value := make([]float64, r.steps+1)
 	choices := make([]choice, r.steps+1)
 	// missed is what the requests that come while it is away earn, by the step at which it
@@ -200,29 +218,28 @@
 	missed := make([]float64, r.steps+1)
 	for k := r.steps - 1; k >= 0; k-- {
 		here := 0.0
-		for _, d := range arrivals[k] {
+		for _, d := range m.arrivals[k] {
 			here += d.worth.InTime
 			for c := k + 1; c <= min(r.steps, int(d.last/boundStep)); c++ {
 				missed[c] += earned(&d, time.Duration(c)*boundStep)
 			}
 		}
-		value[k], choices[k] = here-size*r.price.room[k]+value[k+1], choice{stays}
-		r.consider(k, again, size, missed, value, choices)
+		value[k], choices[k] = here-m.size*r.price.room[k]+value[k+1], choice{stays}
+		r.consider(k, m, missed, value, choices)
 	}
-	if r.isResident(index) {
-		r.use(0, size, again, choices)
+	if m.resident {
+		r.use(0, m, choices)
 		return value[0]
 	}
-	first := r.firstLoad(index)
 	best, back := 0.0, goes
-	for c := max(1, first.steps); c < r.steps; c++ {
-		if v := missed[c] - r.cost(first, size, c) + value[c]; v > best {
+	for c := max(1, m.first.steps); c < r.steps; c++ {
+		if v := missed[c] - r.cost(m.first, m.size, c) + value[c]; v > best {
 			best, back = v, c
 		}
 	}
 	if back != goes {
-		r.useLoad(first, size, back)
-		r.use(back, size, again, choices)
+		r.useLoad(m.first, m.size, back)
+		r.use(back, m, choices)
 	}
 	return best
 }
@@ -240,12 +257,12 @@
 }
 
 // consider weighs going at step k, for good or until some later step.
-func (r *relaxation) consider(k int, again load, size float64, missed, value []float64, choices []choice) {
+func (r *relaxation) consider(k int, m *askedModel, missed, value []float64, choices []choice) {
 	if value[k] < 0 {
 		value[k], choices[k] = 0, choice{goes}
 	}
-	for c := k + max(1, again.steps); c < r.steps; c++ {
-		if v := missed[c] - r.cost(again, size, c) + value[c]; v > value[k] {
+	for c := k + max(1, m.again.steps); c < r.steps; c++ {
+		if v := missed[c] - r.cost(m.again, m.size, c) + value[c]; v > value[k] {
 			value[k], choices[k] = v, choice{c}
 		}
 	}
@@ -263,16 +280,16 @@
 }
 
 // use adds what the choices from a step on use.
-func (r *relaxation) use(k int, size float64, again load, choices []choice) {
+func (r *relaxation) use(k int, m *askedModel, choices []choice) {
 	for k < r.steps {
 		switch back := choices[k].back; back {
 		case goes:
 			return
 		case stays:
-			r.used.room[k] += size
+			r.used.room[k] += m.size
 			k++
 		default:
-			r.useLoad(again, size, back)
+			r.useLoad(m.again, m.size, back)
 			k = back
 		}
 	}
