contract, hosted, platform: workspaces with API keys; 401, 503 where a key may be new

The key goes no further than the entry VM; the workspace's name goes to the backend server whatever the caller sent. A workspace's priority goes before its route's. A key that no workspace has is refused with 401, or 503 where the configuration known here is old: the key may be newer. refuse_unsure_after refuses known keys as well then.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -27,6 +27,11 @@
 	Model, Adapter string
 	// Prefixes are the hashes of the prompt's prefixes, shortest first.
 	Prefixes []uint64
+	// Key is the caller's API key, empty for none.
+	Key string
+	// Tokens are those of the prompt and the most to generate, where Counted.
+	Tokens  int64
+	Counted bool
 }
 
 // Dialect reads what the platform's callers say in headers of its own.
@@ -42,8 +47,7 @@
 // RelayRequest is one request that is to be passed on unchanged.
 type RelayRequest struct {
 	RelayHead
-	Customer string
-	Route    *contract.Route
+	Grant
 	// Service is the one of the route's targets that the request goes to.
 	Service string
 	service.Forward
@@ -53,6 +57,30 @@
 	GiveUp, BeginBy time.Time
 }
 
+// Grant is what a request may use by the configuration in force.
+type Grant struct {
+	Customer string
+	Route    *contract.Route
+	// Workspace is the one that holds the caller's key, nil on routes without keys.
+	Workspace *contract.Workspace
+}
+
+// Priority orders the request among waiting ones; higher goes first.
+func (g *Grant) Priority() int {
+	if g.Workspace != nil && g.Workspace.HasPriority {
+		return g.Workspace.Priority
+	}
+	return g.Route.Priority
+}
+
+// WorkspaceName is the workspace's name, empty for none.
+func (g *Grant) WorkspaceName() string {
+	if g.Workspace == nil {
+		return ""
+	}
+	return g.Workspace.Name
+}
+
 // RelayAnswer takes the answer of a RelayRequest: its head, then its body as it
 // comes.
 type RelayAnswer interface {
@@ -66,8 +94,9 @@
 
 // RelayBackend is what an entry VM does with requests that it passes on.
 type RelayBackend interface {
-	// FindRoute returns the route for host and path, or fails with a refusal.
-	FindRoute(host, path string) (*contract.Route, string, error)
+	// Authorize returns what a caller with the API key may use at host and path, or
+	// fails with a refusal.
+	Authorize(host, path, key string) (Grant, error)
 	// Relay delivers the whole answer or fails: with a *refusal.Refusal before the
 	// answer began, with any error after. It stops when ctx ends.
 	Relay(ctx context.Context, r RelayRequest, answer RelayAnswer) error
@@ -148,25 +177,26 @@
 	}
 	x.request.RelayHead = head
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, customer, err := h.backend.FindRoute(r.Host, path)
+	grant, err := h.backend.Authorize(r.Host, path, head.Key)
+	x.request.Key = "" // nothing further on needs it
 	if err != nil {
 		return err
 	}
-	body, err := h.readBody(x, r, customer)
+	body, err := h.readBody(x, r, grant.Customer)
 	if err != nil {
 		return err
 	}
-	defer h.held.giveBack(customer, x.bodySize)
-	h.fill(x, r, route, customer, body)
+	defer h.held.giveBack(grant.Customer, x.bodySize)
+	h.fill(x, r, grant, body)
 	return h.backend.Relay(r.Context(), x.request, &x.answer)
 }
 
 // fill completes the request that is passed on.
-func (h *RelayHandler) fill(x *relayExchange, r *http.Request, route *contract.Route, customer string, body []byte) {
+func (h *RelayHandler) fill(x *relayExchange, r *http.Request, grant Grant, body []byte) {
 	q := &x.request
-	q.Route = route
+	q.Grant = grant
+	route := grant.Route
 	q.Service = route.Target(draw(q.ID))
-	q.Customer = customer
 	q.Arrived = x.arrived
 	q.GiveUp = giveUp(x.arrived, q.Patience, route.Timeout)
 	q.BeginBy = beginBy(x.arrived, q.GiveUp, route.Silence)
@@ -174,7 +204,7 @@
 	service.StripHop(r.Header)
 	q.Forward = service.Forward{
 		RequestID: q.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
-		Deadline: q.GiveUp,
+		Deadline: q.GiveUp, Workspace: grant.WorkspaceName(),
 	}
 }
 
@@ -258,7 +288,7 @@
 	seconds.Update(took.Seconds())
 	fields := []zap.Field{
 		zap.String("request", x.request.ID), zap.String("route", route), zap.String("service", x.request.Service),
-		zap.String("code", code), zap.Int("status", x.answer.status), zap.Duration("took", took),
+		zap.String("workspace", x.request.WorkspaceName()), zap.String("code", code), zap.Int("status", x.answer.status), zap.Duration("took", took),
 	}
 	fields = append(fields, x.expectations()...)
 	if err != nil {
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -39,11 +39,12 @@
 	got   []RelayRequest
 }
 
-func (b *relayBackend) FindRoute(host, path string) (*contract.Route, string, error) {
+func (b *relayBackend) Authorize(host, path, key string) (Grant, error) {
 	if host != "h.example" || !strings.HasPrefix(path, "/a") {
-		return nil, "", refusal.New(refusal.CodeNotFound, 0, "no route")
+		return Grant{}, refusal.New(refusal.CodeNotFound, 0, "no route")
 	}
-	return &contract.Route{Name: "r", Targets: []contract.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Silence: time.Second}, "c", nil
+	route := &contract.Route{Name: "r", Targets: []contract.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Silence: time.Second}
+	return Grant{Customer: "c", Route: route}, nil
 }
 
 func (b *relayBackend) Relay(ctx context.Context, r RelayRequest, answer RelayAnswer) error {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -38,6 +38,9 @@
 	// language has no keys for them yet.
 	Routes []Route
 	Pools  []EnginePool
+	// Workspaces hold the API keys that requests on routes need, nil where routes
+	// need none; an empty list lets nobody in.
+	Workspaces []Workspace
 }
 
 // Key is an API key, kept as a hash only.
--- a/contract/route.go
+++ b/contract/route.go
@@ -46,6 +46,8 @@
 	Silence time.Duration
 	// Priority orders waiting requests; higher goes first.
 	Priority int
+	// Public routes need no API key.
+	Public bool
 	// MaxAttempts bounds the backend servers that one request may run on.
 	MaxAttempts int
 }
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -50,6 +50,8 @@
 	// releaseDelay is how long a VM stops between recording its ownership and asking
 	// the former owner.
 	releaseDelay time.Duration
+	// refuseUnsureAfter is for the VMs that boot from now on.
+	refuseUnsureAfter time.Duration
 }
 
 const testService = "llm"
@@ -87,7 +89,7 @@
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: backendsOf{w, domain}, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
-		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
+		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, RefuseUnsureAfter: w.refuseUnsureAfter, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	w.mu.Lock()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -21,8 +21,8 @@
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/serving"
+	"bergamotreel/internal/telemetry"
 	"bergamotreel/lease"
-	"bergamotreel/refusal"
 	"bergamotreel/registry"
 	"bergamotreel/routing"
 	"bergamotreel/service"
@@ -77,6 +77,9 @@
 	// ApplyWithin is how soon a configuration must be in force, DrainWithin how soon a
 	// leaving backend server must get no new work.
 	ApplyWithin, DrainWithin time.Duration
+	// RefuseUnsureAfter is the age of the newest known configuration from which requests
+	// with API keys are refused, as their keys may be gone; 0 to go on by what is known.
+	RefuseUnsureAfter time.Duration
 	// Boot reads a clock that goes on while the machine is suspended.
 	Boot func() time.Duration
 }
@@ -112,7 +115,8 @@
 // inForce is a configuration with what is looked up in it at each request.
 type inForce struct {
 	*registry.Configuration
-	routes *contract.RouteTable
+	routes     *contract.RouteTable
+	workspaces *contract.Workspaces
 }
 
 // New makes an entry VM; Run must be started for it to work.
@@ -188,19 +192,6 @@
 // comeBackUnready is when to come back to an entry VM that has just started.
 const comeBackUnready = 300 * time.Millisecond
 
-// FindRoute implements caller.RelayBackend.
-func (n *Node) FindRoute(host, path string) (*contract.Route, string, error) {
-	current := n.inForce.Load()
-	if current == nil || !n.backends.known() {
-		return nil, "", refusal.New(refusal.CodeNotReady, comeBackUnready, "%v", n.Ready())
-	}
-	route := current.routes.Find(host, path)
-	if route == nil {
-		return nil, "", refusal.New(refusal.CodeNotFound, 0, "no route in configuration %d", current.Version)
-	}
-	return route, current.Contract.Customer, nil
-}
-
 // Relay implements caller.RelayBackend.
 func (n *Node) Relay(ctx context.Context, r caller.RelayRequest, answer caller.RelayAnswer) error {
 	if r.Model != "" {
@@ -217,12 +208,22 @@
 	if current := n.inForce.Load(); current != nil && current.Version >= c.Version {
 		return
 	}
-	n.inForce.Store(&inForce{Configuration: c, routes: contract.NewRouteTable(c.Contract.Routes)})
+	next := &inForce{Configuration: c, routes: contract.NewRouteTable(c.Contract.Routes)}
+	if c.Contract.Workspaces != nil {
+		workspaces, err := contract.NewWorkspaces(c.Contract.Workspaces)
+		if err != nil {
+			n.config.Logger.Error("configuration not used", zap.Uint64("version", c.Version), telemetry.Reason(err))
+			return
+		}
+		next.workspaces = workspaces
+	}
+	n.inForce.Store(next)
 	n.serving.Decide(func(a *admission.Controller, _ *routing.Router) {
 		a.SetContracts(map[string]*contract.Contract{c.Contract.Customer: c.Contract})
 	})
 	n.config.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("from", from),
-		zap.Int("routes", len(c.Contract.Routes)), zap.Int("pools", len(c.Contract.Pools)))
+		zap.Int("routes", len(c.Contract.Routes)), zap.Int("pools", len(c.Contract.Pools)),
+		zap.Int("workspaces", len(c.Contract.Workspaces)))
 	n.serving.Wake()
 	n.planner.wakeUp()
 }
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -28,15 +28,20 @@
 // ask sends a request for a model, or MODEL/ADAPTER, and returns how long its answer
 // took, or the error.
 func ask(n *Node, unit string, patience time.Duration) (time.Duration, error) {
+	return askAs(n, "", unit, patience)
+}
+
+// askAs is ask with an API key.
+func askAs(n *Node, key, unit string, patience time.Duration) (time.Duration, error) {
 	begun := time.Now()
-	route, customer, err := n.FindRoute("h", "/x")
+	grant, err := n.Authorize("h", "/x", key)
 	if err != nil {
 		return 0, err
 	}
 	model, adapter, _ := strings.Cut(unit, "/")
 	var got received
 	err = n.Relay(context.Background(), caller.RelayRequest{
-		RelayHead: caller.RelayHead{ID: "id", Model: model, Adapter: adapter}, Customer: customer, Route: route, Service: testService,
+		RelayHead: caller.RelayHead{ID: "id", Model: model, Adapter: adapter}, Grant: grant, Service: testService,
 		Forward: service.Forward{RequestID: "id", Header: http.Header{"Model": {unit}}},
 		Arrived: begun, GiveUp: begun.Add(patience), BeginBy: begun.Add(patience),
 	}, &got)
@@ -167,7 +172,7 @@
 		time.Sleep(2 * time.Second)
 		w.registry.setAway(true)
 		b := w.boot("b", false)
-		_, _, err := b.FindRoute("h", "/x")
+		_, err := b.Authorize("h", "/x", "")
 		testkit.That(w, err != nil && b.Ready() != nil, "ready before it knows anything")
 		time.Sleep(2 * time.Second)
 		testkit.OK(w, b.Ready())
--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -143,6 +143,14 @@
 	return registry.Changes{List: slices.Clone(f.changes[from:]), Next: registry.Cursor(len(f.changes))}, nil
 }
 
+// configure puts another configuration in the operator's place.
+func (f *fakeRegistry) configure(c *registry.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configuration = c
+	f.versions++
+}
+
 // put lists a backend server, drop removes one.
 func (f *fakeRegistry) put(b registry.Backend) {
 	f.mu.Lock()
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -78,7 +78,7 @@
 		unit, pool = held.String(), held.Pool()
 	}
 	request := admission.Request{
-		ID: r.ID, Customer: r.Customer, Unit: unit, Pool: pool, Priority: r.Route.Priority,
+		ID: r.ID, Customer: r.Customer, Unit: unit, Pool: pool, Priority: r.Priority(),
 		Arrived: r.Arrived, Deadline: r.BeginBy, Cost: 1,
 	}
 	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes}
@@ -223,7 +223,7 @@
 	out.ResumeAfter = f.resume
 	out.Urgency = -1
 	if f.request.Model != "" {
-		out.Urgency = max(0, -f.request.Route.Priority)
+		out.Urgency = max(0, -f.request.Priority())
 	}
 	return out
 }
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -125,7 +125,7 @@
 	now := time.Now()
 	giveUp := now.Add(r.Timeout)
 	return b.server.Forward(ctx, caller.RelayRequest{
-		RelayHead: caller.RelayHead{ID: "id", Model: model}, Customer: "c", Route: r, Service: "s",
+		RelayHead: caller.RelayHead{ID: "id", Model: model}, Grant: caller.Grant{Customer: "c", Route: r}, Service: "s",
 		Forward: service.Forward{RequestID: "id", Method: "POST"}, Arrived: now, GiveUp: giveUp, BeginBy: giveUp,
 	}, answer)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,7 +80,10 @@
 	// ApplyWithin is how soon a configuration must be in force, DrainWithin how soon a
 	// leaving backend server must get no new work.
 	ApplyWithin, DrainWithin time.Duration
-	LogURL                   string
+	// RefuseUnsureAfter is the age of the newest known configuration from which requests
+	// with API keys are refused, 0 for never.
+	RefuseUnsureAfter time.Duration
+	LogURL            string
 	// LogRetention is the least time that the log keeps a record.
 	LogRetention   time.Duration
 	VMListURL      string
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -103,6 +103,11 @@
 		help: "how soon a leaving backend server must get no new work, on a hosting platform",
 		set:  duration(200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.DrainWithin }),
 	},
+	{
+		section: "platform", key: "refuse_unsure_after", byDefault: "0s",
+		help: "age of the newest known configuration from which requests with API keys are refused, as a key may have been taken away since; 0s: serve by what is known",
+		set:  duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Platform.RefuseUnsureAfter }),
+	},
 	{
 		section: "platform", key: "log_url", required: true, logOnly: true, example: "http://10.0.0.2:9001",
 		help: "base URL of the platform's log",
