--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -29,10 +29,10 @@
 	forwardTimeout = 80 * time.Millisecond
 	// suspectFor is how long a VM is not asked after it did not answer.
 	suspectFor = time.Second
-	// creditWaitMost bounds the wait for credit, as quotaWaitShare of the request's
-	// target latency does.
-	creditWaitMost = 100 * time.Millisecond
-	creditWaitPart = 3
+	// creditWait is how long a request may wait for credit. It is the same for all: at a
+	// workspace over its quota the debt stays where the longest wait ends, and whoever
+	// waits for less would get nothing.
+	creditWait = 50 * time.Millisecond
 	// comeBackLeast is the least time after which a refused caller should come back.
 	comeBackLeast = 100 * time.Millisecond
 	// aheadReserve is the part of a bucket's burst that is not given out ahead of use.
@@ -110,15 +110,13 @@
 	at        time.Time
 }
 
-// admit charges a request to its workspace's quota, or refuses it. It may wait for as
-// long as leaves most of the request's target latency.
+// admit charges a request to its workspace's quota, or refuses it.
 func (q *quotas) admit(ctx context.Context, r *caller.RelayRequest) (creditUse, error) {
 	if r.Workspace == nil || !r.Workspace.Quota.Limited() {
 		return creditUse{}, nil
 	}
 	now := time.Now()
 	use := creditUse{workspace: r.Workspace.Name, cost: r.Workspace.Quota.Cost(r.Tokens, r.Counted), at: now}
-	longest := min(creditWaitMost, r.Route.TargetLatency/creditWaitPart)
 	q.mu.Lock()
 	wallet := q.wallet(use.workspace)
 	if wallet.Spend(now, use.cost) {
@@ -126,12 +124,12 @@
 		q.usage.admitted(use)
 		return use, nil
 	}
-	if wait, blocked := wallet.Blocked(now, longest); blocked {
+	if wait, blocked := wallet.Blocked(now, creditWait); blocked {
 		wallet.Refuse(now, use.cost, wait)
 		q.mu.Unlock()
 		return creditUse{}, q.refuse(r, use, wait, "its holder has none")
 	}
-	args := entryvm.LeaseArgs{Workspace: use.workspace, Need: use.cost, MaxWait: longest, Ahead: wallet.Ahead(now), Refused: wallet.TakeRefused()}
+	args := entryvm.LeaseArgs{Workspace: use.workspace, Need: use.cost, MaxWait: creditWait, Ahead: wallet.Ahead(now), Refused: wallet.TakeRefused()}
 	q.mu.Unlock()
 	return q.spend(ctx, r, use, args)
 }
--- /dev/null
+++ b/spec/quota.pml
@@ -0,0 +1,100 @@
+/*
+ * Two holders divide a workspace's quota by demand (admission/quota, Division). Each
+ * announces its demand under growing numbers; announcements and acknowledgements may be
+ * lost, late, repeated and overtaken. A holder's part of the limit is u / (u + o): u is
+ * its own demand as far as it may count it, o the other's as it counts that. The parts
+ * add up to the limit or less if and only if u0 * u1 <= o0 * o1.
+ *
+ * -DNEWEST: own demand counts as announced last, acknowledged or not.
+ * -DACKED_ONLY: it counts as acknowledged last, whatever was announced since.
+ * -DOVERTAKEN: an announcement is taken that a newer one has overtaken.
+ */
+#ifndef ANNOUNCEMENTS
+#define ANNOUNCEMENTS 4
+#endif
+#define MOST 3
+
+typedef holder {
+	byte demand[ANNOUNCEMENTS + 1]; /* by number; 0 is "none yet" */
+	bool sent[ANNOUNCEMENTS + 1];   /* is on its way, and stays so: it may come twice */
+	bool returns[ANNOUNCEMENTS + 1]; /* its acknowledgement is on its way */
+	byte newest;
+	byte acknowledged;
+	byte received; /* number of the other's announcement that counts here */
+}
+
+holder holders[2];
+
+inline usable(i, out) {
+	out = holders[i].demand[holders[i].acknowledged];
+#ifdef NEWEST
+	out = holders[i].demand[holders[i].newest];
+#else
+#ifndef ACKED_ONLY
+	for (n : 0 .. ANNOUNCEMENTS) {
+		if
+		:: n > holders[i].acknowledged && n <= holders[i].newest && holders[i].demand[n] < out -> out = holders[i].demand[n]
+		:: else
+		fi
+	}
+#endif
+#endif
+}
+
+inline check() {
+	usable(0, u0);
+	usable(1, u1);
+	o0 = holders[1].demand[holders[0].received];
+	o1 = holders[0].demand[holders[1].received];
+	assert(u0 * u1 <= o0 * o1);
+	u0 = 0; u1 = 0; o0 = 0; o1 = 0; n = 0
+}
+
+active proctype network() {
+	byte i, k, n, value, u0, u1, o0, o1;
+	do
+	:: atomic {
+		select(i : 0 .. 1);
+		if
+		:: holders[i].newest < ANNOUNCEMENTS ->
+			select(value : 0 .. MOST);
+			holders[i].newest++;
+			holders[i].demand[holders[i].newest] = value;
+			holders[i].sent[holders[i].newest] = true
+		:: else
+		fi;
+		value = 0; i = 0;
+		check()
+	}
+	:: atomic {
+		select(i : 0 .. 1);
+		select(k : 1 .. ANNOUNCEMENTS);
+		if
+		:: holders[i].sent[k] ->
+			if
+#ifdef OVERTAKEN
+			:: true
+#else
+			:: k >= holders[1 - i].received
+#endif
+				-> holders[1 - i].received = k
+			:: k < holders[1 - i].received
+			fi;
+			holders[i].returns[k] = true
+		:: else
+		fi;
+		i = 0; k = 0;
+		check()
+	}
+	:: atomic {
+		select(i : 0 .. 1);
+		select(k : 1 .. ANNOUNCEMENTS);
+		if
+		:: holders[i].returns[k] && k > holders[i].acknowledged -> holders[i].acknowledged = k
+		:: else
+		fi;
+		i = 0; k = 0;
+		check()
+	}
+	od
+}
