--- a/internal/hindsight/causes.go
+++ b/internal/hindsight/causes.go
@@ -24,6 +24,8 @@
 	CauseLeft       Cause = "its caller left"
 	CauseUnready    Cause = "its entry VM was starting or stopping"
 	CauseUnanswered Cause = "no answer in time"
+	CauseQuota      Cause = "refused, over its workspace's quota"
+	CauseKey        Cause = "refused, its key was in no workspace"
 )
 
 // LossSpan is the length of a window of losses.
@@ -98,6 +100,10 @@
 		return CauseLeft, true
 	case "not_ready", "shutting_down":
 		return CauseUnready, true
+	case "rate_limited":
+		return CauseQuota, true
+	case "unknown_key":
+		return CauseKey, true
 	case "outcome_unknown":
 		return CauseUnanswered, true
 	case "wait_too_long", "no_capacity":
--- a/internal/hindsight/hindsight_test.go
+++ b/internal/hindsight/hindsight_test.go
@@ -157,12 +157,14 @@
 	request(daylog.Request{Code: "wait_too_long", ReadyAtArrival: true})
 	request(daylog.Request{Code: "no_capacity", ReturnedAs: 7})
 	request(daylog.Request{Code: "ok", Arrived: time.Second, Back: true})
+	request(daylog.Request{Code: "rate_limited"})
+	request(daylog.Request{Code: "unknown_key"})
 	got := make(map[Cause]float64)
 	for _, l := range Losses(d, plainValue) {
 		testkit.Equal(t, "requests of "+string(l.Cause), l.Requests, 1)
 		got[l.Cause] = math.Round(10*l.Worth) / 10
 	}
-	want := map[Cause]float64{CauseSlow: 0.7, CauseWaited: 0.7, CauseSwap: 0.7, CauseNoPlace: 1, CauseRefused: 1, CauseReturned: 0.7}
+	want := map[Cause]float64{CauseSlow: 0.7, CauseWaited: 0.7, CauseSwap: 0.7, CauseNoPlace: 1, CauseRefused: 1, CauseReturned: 0.7, CauseQuota: 1, CauseKey: 1}
 	testkit.That(t, maps.Equal(got, want), "causes: got %v, want %v", got, want)
 }
 
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -33,6 +33,10 @@
 	// workspace over its quota the debt stays where the longest wait ends, and whoever
 	// waits for less would get nothing.
 	creditWait = 50 * time.Millisecond
+	// creditWaitStarting is the same for startingFor after this VM's start: the buckets
+	// may have started with it, empty.
+	creditWaitStarting = 200 * time.Millisecond
+	startingFor        = 2 * time.Second
 	// comeBackLeast is the least time after which a refused caller should come back.
 	comeBackLeast = 100 * time.Millisecond
 	// aheadReserve is the part of a bucket's burst that is not given out ahead of use.
@@ -119,21 +123,30 @@
 	use := creditUse{workspace: r.Workspace.Name, cost: r.Workspace.Quota.Cost(r.Tokens, r.Counted), at: now}
 	q.mu.Lock()
 	wallet := q.wallet(use.workspace)
+	longest := q.creditWait()
 	if wallet.Spend(now, use.cost) {
 		q.mu.Unlock()
 		q.usage.admitted(use)
 		return use, nil
 	}
-	if wait, blocked := wallet.Blocked(now, creditWait); blocked {
+	if wait, blocked := wallet.Blocked(now, longest); blocked {
 		wallet.Refuse(now, use.cost, wait)
 		q.mu.Unlock()
 		return creditUse{}, q.refuse(r, use, wait, "its holder has none")
 	}
-	args := entryvm.LeaseArgs{Workspace: use.workspace, Need: use.cost, MaxWait: creditWait, Ahead: wallet.Ahead(now), Refused: wallet.TakeRefused()}
+	args := entryvm.LeaseArgs{Workspace: use.workspace, Need: use.cost, MaxWait: longest, Ahead: wallet.Ahead(now), Refused: wallet.TakeRefused()}
 	q.mu.Unlock()
 	return q.spend(ctx, r, use, args)
 }
 
+// creditWait is how long a request may wait for credit now.
+func (q *quotas) creditWait() time.Duration {
+	if q.node.config.Boot()-q.node.started < startingFor {
+		return creditWaitStarting
+	}
+	return creditWait
+}
+
 // spend asks for a request's credit and waits until it may be used.
 func (q *quotas) spend(ctx context.Context, r *caller.RelayRequest, use creditUse, args entryvm.LeaseArgs) (creditUse, error) {
 	reply, from, ok := q.lease(ctx, args)
