hosted: relays renew unchanged news by a sum for each keeper

Now a relay sends what changed since the position that the asker has, and for each keeper a hash over its engines and versions with its age. Who adds up to the same goes on by the news it has; who does not asks that relay for that keeper's.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -68,6 +68,10 @@
 	// Knows and Seen are what this VM has of the overviews of the one that it speaks to.
 	Knows []DomainVersion `cbor:"28,keyasint,omitempty"`
 	Seen  NewsSeen        `cbor:"29,keyasint,omitempty"`
+	// AllEngines is whether Engines names all engines that this VM keeps.
+	AllEngines bool `cbor:"30,keyasint,omitempty"`
+	// Resend are the keepers whose news this VM does not have whole.
+	Resend []string `cbor:"31,keyasint,omitempty"`
 }
 
 // Arrival is when a model should have its first replica, from the sending on.
--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -1,5 +1,7 @@
 package entryvm
 
+import "time"
+
 // In a large fleet a VM does not exchange reports with each other one. In each failure
 // domain a few VMs are relays: the others of the domain report to them, relays of
 // different domains report to each other, and each VM hears of the rest of the fleet from
@@ -25,6 +27,8 @@
 	// position after it, for the next question.
 	News     []RelayedNews `cbor:"5,keyasint,omitempty"`
 	NewsNext uint64        `cbor:"6,keyasint,omitempty"`
+	// Renewed are the keepers whose news still holds, unchanged.
+	Renewed []NewsRenewal `cbor:"10,keyasint,omitempty"`
 	// Plan is the newest word of the VM that plans, nil where none is known.
 	Plan *PlanNews `cbor:"7,keyasint,omitempty"`
 	// Wisest is the VM with the newest configuration known here.
@@ -94,6 +98,16 @@
 	News   EngineNews `cbor:"2,keyasint,omitempty"`
 }
 
+// NewsRenewal tells that all that a keeper last said of its engines still holds.
+type NewsRenewal struct {
+	Keeper string `cbor:"1,keyasint,omitempty"`
+	// Sum is a hash over the engines and the versions of their news. Who has another one
+	// lacks some of it.
+	Sum uint64 `cbor:"2,keyasint,omitempty"`
+	// Age is how long before the sending the keeper said so.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // PlanNews is what the VM that plans tells.
 type PlanNews struct {
 	VM         string    `cbor:"1,keyasint,omitempty"`
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -52,6 +52,8 @@
 	news     entryvm.EngineNews
 	newsFrom string
 	newsAt   time.Time
+	// newsSum is its part of the sum over its keeper's news.
+	newsSum uint64
 	// loadedAt is when the model that is being loaded should be there, by the news.
 	loadedAt time.Time
 	lacking  map[string]time.Time
@@ -189,32 +191,61 @@
 	}
 }
 
-// tell takes a keeper's word on an engine; it tells whether anything changed. keeper names
-// the process that speaks.
-func (t *backendTable) tell(now time.Time, keeper string, news entryvm.EngineNews) bool {
+// tell takes a keeper's word on an engine; it tells whether anything changed, and whether
+// the engine goes by that word now. keeper names the process that speaks.
+func (t *backendTable) tell(now time.Time, keeper string, news entryvm.EngineNews) (changed, holds bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.entries[news.ID]
 	if known == nil {
-		return false
+		return false, false
 	}
 	if known.newsFrom == keeper && known.news.Version >= news.Version {
-		if known.news.Version == news.Version && !known.newsAt.IsZero() {
+		holds = known.news.Version == news.Version && !known.newsAt.IsZero()
+		if holds {
 			known.newsAt = now
 		}
-		return false
+		return false, holds
 	}
 	if news.Started != 0 && news.Started < known.Started {
-		return false // of a start that has ended, by the entry
+		return false, false // of a start that has ended, by the entry
 	}
 	if known.newsFrom != keeper && !known.newsAt.IsZero() && known.news.Started == news.Started && known.news.Orders > news.Orders {
-		return false // a former keeper's
+		return false, false // a former keeper's
 	}
 	known.news, known.newsFrom, known.newsAt = news, keeper, now
+	known.newsSum = newsSum(news.ID, news.Version)
 	known.loadedAt = now.Add(news.LoadingFor)
 	t.started(now, known, news.Started)
 	known.merge(now)
-	return true
+	return true, true
+}
+
+// renewNews notes that all that some keepers last said still holds. It returns those
+// of whose news another part is known here.
+func (t *backendTable) renewNews(now time.Time, renewals []entryvm.NewsRenewal) (lacking []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]uint64, len(renewals))
+	for _, b := range t.entries {
+		if !b.newsAt.IsZero() {
+			sums[b.newsFrom] += b.newsSum
+		}
+	}
+	at := make(map[string]time.Time, len(renewals))
+	for _, r := range renewals {
+		if sums[r.Keeper] == r.Sum {
+			at[r.Keeper] = now.Add(-r.Age)
+		} else {
+			lacking = append(lacking, r.Keeper)
+		}
+	}
+	for _, b := range t.entries {
+		if renewed := at[b.newsFrom]; !b.newsAt.IsZero() && b.newsAt.Before(renewed) {
+			b.newsAt = renewed
+		}
+	}
+	return lacking
 }
 
 // merge works out what takes requests on the engine. Its keeper gave the orders and
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -47,6 +47,8 @@
 	hold chan struct{}
 	// reports counts the reports to each VM.
 	reports map[string]int
+	// relayedNews counts the news of engines that relays told.
+	relayedNews int
 	// releaseDelay is how long a VM stops between recording its ownership and asking
 	// the former owner.
 	releaseDelay time.Duration
@@ -256,7 +258,20 @@
 	delay := w.world.reportDelay
 	w.world.mu.Unlock()
 	time.Sleep(delay)
-	return reach(w, address, (*Node).Report, r)
+	reply, err := reach(w, address, (*Node).Report, r)
+	w.world.countNews(&r, &reply)
+	return reply, err
+}
+
+// countNews counts the news of engines that relays tell.
+func (w *world) countNews(reports ...*entryvm.Report) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range reports {
+		if r.Overview != nil {
+			w.relayedNews += len(r.Overview.News)
+		}
+	}
 }
 func (w wire) Swap(_ context.Context, address string, s entryvm.SwapArgs) (entryvm.SwapReply, error) {
 	reply, err := reach(w, address, (*Node).Swap, s)
--- a/internal/hosted/heard.go
+++ b/internal/hosted/heard.go
@@ -34,7 +34,13 @@
 	for _, id := range report.Lacking {
 		m.node.keeper.doubt(now, id)
 	}
-	changed := m.takeNews(now, origin(report.VM, report.Incarnation), report.Engines, report.Domain == m.node.config.Domain)
+	keeper, near := origin(report.VM, report.Incarnation), report.Domain == m.node.config.Domain
+	changed := m.takeNews(now, keeper, report.Engines, near)
+	if report.AllEngines {
+		m.mu.Lock()
+		m.relayed.news.complete(now, keeper)
+		m.mu.Unlock()
+	}
 	if report.Overview != nil {
 		changed = m.takeRelayed(now, &report) || changed
 	}
@@ -67,10 +73,13 @@
 // it comes from a VM of the own domain. It tells whether anything changed.
 func (m *members) takeNews(now time.Time, keeper string, list []entryvm.EngineNews, near bool) (changed bool) {
 	for _, news := range list {
-		newer := m.node.backends.tell(now, keeper, news)
+		newer, holds := m.node.backends.tell(now, keeper, news)
 		changed = changed || newer
+		if !holds {
+			continue
+		}
 		m.mu.Lock()
-		m.relayed.news.put(now, keeper, news, near, newer)
+		m.relayed.news.put(now, keeper, news, near)
 		m.mu.Unlock()
 	}
 	return changed
@@ -87,9 +96,48 @@
 	for _, relayed := range report.Overview.News {
 		changed = m.takeNews(now, relayed.Keeper, []entryvm.EngineNews{relayed.News}, false) || changed
 	}
+	m.takeRenewals(now, report.VM, report.Overview.Renewed)
 	return changed
 }
 
+// takeRenewals takes a relay's word that keepers' news still holds. What this VM lacks of
+// it, as it did not know an engine yet, it asks that relay for with its next report.
+func (m *members) takeRenewals(now time.Time, relay string, list []entryvm.NewsRenewal) {
+	list = slices.DeleteFunc(list, func(r entryvm.NewsRenewal) bool { return r.Keeper == m.node.origin() || r.Age > newsFor })
+	if len(list) == 0 {
+		return
+	}
+	lacking := m.node.backends.renewNews(now, list)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range list {
+		if !slices.Contains(lacking, r.Keeper) {
+			m.relayed.news.renew(now.Add(-r.Age), r.Keeper)
+			delete(m.relayed.resendAt, resendKey{relay, r.Keeper})
+			continue
+		}
+		if _, asked := m.relayed.resendAt[resendKey{relay, r.Keeper}]; !asked {
+			m.relayed.resendAt[resendKey{relay, r.Keeper}] = now
+		}
+	}
+}
+
+// resend returns the keepers whose news to ask a relay for now. Call with mu held.
+func (m *members) resend(now time.Time, relay string) []string {
+	var out []string
+	for key, at := range m.relayed.resendAt {
+		switch {
+		case now.Sub(at) > newsFor:
+			delete(m.relayed.resendAt, key) // the relay tells of it no more
+		case key.relay == relay && !now.Before(at):
+			out = append(out, key.keeper)
+			m.relayed.resendAt[key] = now.Add(newsRefresh)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // passOn has a relay tell at once: the VMs that hear of engines from it, or else the one
 // that plans, as requests wait.
 func (m *members) passOn(now time.Time, news bool) {
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -30,7 +30,8 @@
 	if to.Seen.Incarnation == own.Incarnation {
 		from = to.Seen.Next
 	}
-	o.News, o.NewsNext = m.relayed.news.since(from, !near)
+	o.News, o.NewsNext = m.relayed.news.since(from, !near, to.Resend)
+	o.Renewed = m.relayed.news.renewals(now, !near)
 	if near {
 		if due {
 			o.Sums = true
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -308,3 +308,32 @@
 	})
 	return slices.Index(b.vms, name)
 }
+
+// Guards against a large fleet whose VMs refuse calm workspaces long after all of them
+// were killed: each knows few others at first.
+func TestQuotaAfterALargeFleetWasKilled(t *testing.T) {
+	limits, usual := make(map[string]float64), make(map[string]float64)
+	for i := range 16 {
+		name := fmt.Sprint("w", i)
+		limits[name], usual[name] = 4_500, 2_500
+	}
+	inQuotaBed(t, 300, limits, func(b *quotaBed) {
+		for _, vm := range b.vms {
+			b.kill(vm)
+		}
+		for i := range b.vms {
+			b.bootQuotaVM(i)
+		}
+		for second := range 8 {
+			asked, refused := 0.0, 0.0
+			b.drive(time.Second, usual, b.any)
+			b.open.Wait()
+			for name := range limits {
+				asked, refused = asked+b.asked[name], refused+b.refused[name]
+				b.asked[name], b.refused[name] = 0, 0
+			}
+			b.Logf("second %d: asked %.0f, refused %.3f", second, asked, refused/asked)
+			testkit.That(b, second < 2 || refused/asked < 0.02, "%.3f refused in second %d", refused/asked, second)
+		}
+	})
+}
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -46,8 +46,8 @@
 	unwantedFor = 3 * time.Second
 	// probeTurn is how long the same VMs of a silent domain are tried.
 	probeTurn = 2 * time.Second
-	// newsRefresh is the least time after which news that is repeated unchanged is passed
-	// on again: a keeper's word holds for newsFor.
+	// newsRefresh is the least time between two questions for a keeper's news that is not
+	// whole here: a keeper's word holds for newsFor.
 	newsRefresh = 2 * time.Second
 	// relayedNewsEvery is newsEvery in a large fleet. It is odd, so that the relays of a
 	// domain take turns at it.
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -29,17 +29,22 @@
 		others = m.liveMembers(now)
 	}
 	seen := m.relayed.seen[to.VM]
+	var resend []string
+	if large && !answers {
+		resend = m.resend(now, to.VM) // nobody answers an answer
+	}
 	m.mu.Unlock()
 	r := entryvm.Report{
 		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
 		Capacity: n.config.Capacity, Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
-		Configuration: n.version(), Members: others, Knows: knows, Seen: seen,
+		Configuration: n.version(), Members: others, Knows: knows, Seen: seen, Resend: resend,
 	}
-	r.Engines = n.keeper.news(sequence%m.newsPace(large) == 0)
+	r.AllEngines = sequence%m.newsPace(large) == 0
+	r.Engines = n.keeper.news(r.AllEngines)
 	if large && relay {
 		// They go out with those of others, once to each.
-		m.logNews(now, r.Engines)
-		r.Engines = nil
+		m.logNews(now, r.Engines, r.AllEngines)
+		r.Engines, r.AllEngines = nil, false
 	}
 	if cursor, known := n.changes.position(); known {
 		r.BackendsCursor = uint64(cursor)
@@ -82,10 +87,13 @@
 }
 
 // logNews keeps news of the engines that this relay keeps itself, to be passed on.
-func (m *members) logNews(now time.Time, list []entryvm.EngineNews) {
+func (m *members) logNews(now time.Time, list []entryvm.EngineNews, all bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, news := range list {
-		m.relayed.news.put(now, m.node.origin(), news, true, true)
+		m.relayed.news.put(now, m.node.origin(), news, true)
+	}
+	if all {
+		m.relayed.news.complete(now, m.node.origin())
 	}
 }
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -34,6 +34,8 @@
 	// news is what a relay passes on, seen what this VM has of each relay's news.
 	news newsLog
 	seen map[string]entryvm.NewsSeen
+	// resendAt is when to ask a relay for a keeper's news that is not whole here.
+	resendAt map[resendKey]time.Time
 	// plan is the newest word of the VM that plans, and when it came.
 	plan   *entryvm.PlanNews
 	planAt time.Time
@@ -43,8 +45,12 @@
 	ownVersion uint64
 }
 
+// resendKey is a keeper's news as a relay tells it.
+type resendKey struct{ relay, keeper string }
+
 func newRelayed() relayed {
-	return relayed{views: make(map[string]*domainView), seen: make(map[string]entryvm.NewsSeen), news: newNewsLog()}
+	return relayed{views: make(map[string]*domainView), seen: make(map[string]entryvm.NewsSeen),
+		resendAt: make(map[resendKey]time.Time), news: newNewsLog()}
 }
 
 // ownView is the own domain as this relay hears it, itself included. Call with mu held.
