--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -12,7 +12,7 @@
 #ifndef ANNOUNCEMENTS
 #define ANNOUNCEMENTS 4
 #endif
-#define MOST 3
+#define MOST 2
 
 typedef holder {
 	byte demand[ANNOUNCEMENTS + 1]; /* by number; 0 is "none yet" */
