hosted, entryvm: news in parts, credit on connections of its own

Cause: a call that runs out of time closes its connection, with the calls beside it; a request's question for credit does so after 0.7 s, and a new VM's dump of all news began anew each time. Now questions for credit have connections of their own, and news comes in parts of 1,000 engines, each of which counts.

--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -52,14 +52,24 @@
 	closed bool
 }
 
-// lineKey names a connection. Records have one of their own: behind a snapshot
-// that takes seconds, the digests would time out and their caller would close
-// the connection, so that no snapshot ever came through a slow link.
+// lineKey names a connection. A call that runs out of time closes its connection, with
+// all other calls on it: those that take long and those that may not wait have
+// connections of their own.
 type lineKey struct {
 	address string
-	bulk    bool
+	lane    lane
 }
 
+type lane uint8
+
+const (
+	laneReports lane = iota
+	// laneBulk is for what may take seconds on a slow link.
+	laneBulk
+	// laneQuota is for what requests wait for.
+	laneQuota
+)
+
 // line is the place of one connection.
 type line struct {
 	// turn is held while a caller looks at conn or dials.
@@ -131,7 +141,7 @@
 }
 
 func (c *Client) records(ctx context.Context, address string, from uint64, wait time.Duration) (Records, error) {
-	return call[Records](ctx, c, lineKey{address, true}, methodRecords, &RecordsArgs{from, wait})
+	return call[Records](ctx, c, lineKey{address, laneBulk}, methodRecords, &RecordsArgs{from, wait})
 }
 
 // Claimed implements Peer.
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -278,5 +278,5 @@
 
 // Knowledge asks a VM for what it knows.
 func (c *Client) Knowledge(ctx context.Context, address string) (KnowledgeReply, error) {
-	return call[KnowledgeReply](ctx, c, lineKey{address: address, bulk: true}, coordinationName+".Knowledge", &None{})
+	return call[KnowledgeReply](ctx, c, lineKey{address, laneBulk}, coordinationName+".Knowledge", &None{})
 }
--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -27,6 +27,8 @@
 	// position after it, for the next question.
 	News     []RelayedNews `cbor:"5,keyasint,omitempty"`
 	NewsNext uint64        `cbor:"6,keyasint,omitempty"`
+	// MoreNews is whether there is more after NewsNext.
+	MoreNews bool `cbor:"11,keyasint,omitempty"`
 	// Renewed are the keepers whose news still holds, unchanged.
 	Renewed []NewsRenewal `cbor:"10,keyasint,omitempty"`
 	// Plan is the newest word of the VM that plans, nil where none is known.
--- a/entryvm/quota.go
+++ b/entryvm/quota.go
@@ -79,15 +79,15 @@
 
 // Lease asks a failure domain's holder for credit.
 func (c *Client) Lease(ctx context.Context, address string, lease LeaseArgs) (LeaseReply, error) {
-	return call[LeaseReply](ctx, c, lineKey{address: address}, coordinationName+".Lease", &lease)
+	return call[LeaseReply](ctx, c, lineKey{address, laneQuota}, coordinationName+".Lease", &lease)
 }
 
 // Lend asks another failure domain's holder for credit.
 func (c *Client) Lend(ctx context.Context, address string, lend LendArgs) (LendReply, error) {
-	return call[LendReply](ctx, c, lineKey{address: address}, coordinationName+".Lend", &lend)
+	return call[LendReply](ctx, c, lineKey{address, laneQuota}, coordinationName+".Lend", &lend)
 }
 
 // Demand tells another failure domain's holder the demand here and returns that there.
 func (c *Client) Demand(ctx context.Context, address string, report DemandReport) (DemandReport, error) {
-	return call[DemandReport](ctx, c, lineKey{address: address}, coordinationName+".Demand", &report)
+	return call[DemandReport](ctx, c, lineKey{address, laneQuota}, coordinationName+".Demand", &report)
 }
--- a/internal/hosted/heard.go
+++ b/internal/hosted/heard.go
@@ -44,6 +44,9 @@
 	if report.Overview != nil {
 		changed = m.takeRelayed(now, &report) || changed
 	}
+	if report.Overview != nil && report.Overview.MoreNews {
+		m.askAgain(address)
+	}
 	if changed {
 		m.node.serving.Wake()
 	}
@@ -53,6 +56,15 @@
 	}
 }
 
+// askAgain has the next report to a peer go out at once.
+func (m *members) askAgain(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[address]; p != nil {
+		wake(p.tell)
+	}
+}
+
 // waitsIn tells whether requests wait in another domain.
 func waitsIn(o *entryvm.Overview) bool {
 	return o != nil && slices.ContainsFunc(o.Domains, func(v entryvm.DomainView) bool {
--- a/internal/hosted/newslog.go
+++ b/internal/hosted/newslog.go
@@ -75,17 +75,38 @@
 	}
 }
 
-// since returns the news from a position on and all news of some keepers, as far as it
-// holds, and the next position.
-func (l *newsLog) since(position uint64, nearOnly bool, keepers []string) ([]entryvm.RelayedNews, uint64) {
-	var out []entryvm.RelayedNews
+// since returns the news from a position on, up to newsMost of it, and the position after
+// that; more is whether there is more.
+func (l *newsLog) since(position uint64, nearOnly bool) (out []entryvm.RelayedNews, next uint64, more bool) {
+	var found []*loggedNews
 	for _, known := range l.entries {
-		wanted := known.position >= position || slices.Contains(keepers, known.Keeper)
-		if wanted && (known.near || !nearOnly) {
+		if known.position >= position && (known.near || !nearOnly) {
+			found = append(found, known)
+		}
+	}
+	next = l.next
+	if len(found) > newsMost {
+		slices.SortFunc(found, func(a, b *loggedNews) int { return cmp.Compare(a.position, b.position) })
+		next, more = found[newsMost].position, true
+		found = found[:newsMost]
+	}
+	for _, known := range found {
+		out = append(out, known.RelayedNews)
+	}
+	return out, next, more
+}
+
+// of returns all news of some keepers.
+func (l *newsLog) of(keepers []string, nearOnly bool) (out []entryvm.RelayedNews) {
+	if len(keepers) == 0 {
+		return nil
+	}
+	for _, known := range l.entries {
+		if slices.Contains(keepers, known.Keeper) && (known.near || !nearOnly) {
 			out = append(out, known.RelayedNews)
 		}
 	}
-	return out, l.next
+	return out
 }
 
 // renewals tells of each keeper that lately named all its engines.
--- a/internal/hosted/newslog_test.go
+++ b/internal/hosted/newslog_test.go
@@ -110,14 +110,14 @@
 	say("e1", 1)
 	say("e2", 1)
 	l.complete(now, "k")
-	_, next := l.since(0, false, nil)
+	_, next, _ := l.since(0, false)
 	first := l.renewals(now, true)
 	now = now.Add(3 * time.Second)
 	say("e1", 1)
 	l.complete(now, "k")
-	list, _ := l.since(next, false, nil)
+	list, _, _ := l.since(next, false)
 	testkit.That(t, len(list) == 0, "told again: %v", list)
-	list, _ = l.since(next, false, []string{"k"})
+	list = l.of([]string{"k"}, false)
 	testkit.That(t, len(list) == 1 && list[0].News.ID == "e1", "asked for again: %v", list)
 	second := l.renewals(now, true)
 	testkit.That(t, len(second) == 1 && second[0].Sum != first[0].Sum && second[0].Age == 0, "renewals %v, %v", first, second)
@@ -127,3 +127,25 @@
 	l.sweep(now.Add(newsFor + time.Second))
 	testkit.That(t, len(l.renewals(now, false)) == 0, "renewed after its time")
 }
+
+// Guards against a dump of all news that is too large for a slow link and begins anew each
+// time: it comes in parts, each of which counts.
+func TestNewsComesInParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newNewsLog()
+	const engines = 2*newsMost + 7
+	for i := range engines {
+		l.put(now, "k", entryvm.EngineNews{ID: fmt.Sprint("e", i), Version: 1}, true)
+	}
+	got, parts := make(map[string]bool), 0
+	for position, more := uint64(0), true; more; parts++ {
+		var list []entryvm.RelayedNews
+		list, position, more = l.since(position, false)
+		testkit.That(t, len(list) <= newsMost, "%d in one part", len(list))
+		for _, news := range list {
+			testkit.That(t, !got[news.News.ID], "%s came twice", news.News.ID)
+			got[news.News.ID] = true
+		}
+	}
+	testkit.That(t, len(got) == engines && parts == 3, "%d of %d in %d parts", len(got), engines, parts)
+}
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -30,8 +30,11 @@
 	if to.Seen.Incarnation == own.Incarnation {
 		from = to.Seen.Next
 	}
-	o.News, o.NewsNext = m.relayed.news.since(from, !near, to.Resend)
-	o.Renewed = m.relayed.news.renewals(now, !near)
+	o.News, o.NewsNext, o.MoreNews = m.relayed.news.since(from, !near)
+	if !o.MoreNews { // else sums would differ for what is to come
+		o.News = append(o.News, m.relayed.news.of(to.Resend, !near)...)
+		o.Renewed = m.relayed.news.renewals(now, !near)
+	}
 	if near {
 		if due {
 			o.Sums = true
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -49,6 +49,9 @@
 	// newsRefresh is the least time between two questions for a keeper's news that is not
 	// whole here: a keeper's word holds for newsFor.
 	newsRefresh = 2 * time.Second
+	// newsMost is how much news of engines one report carries: on a slow link the rest of
+	// what a new VM lacks would be lost with a report that takes too long.
+	newsMost = 1000
 	// relayedNewsEvery is newsEvery in a large fleet. It is odd, so that the relays of a
 	// domain take turns at it.
 	relayedNewsEvery = 7
