hosted: views of failure domains travel as differences; renewals at most every 0.7 s

A list went out whole at each change, and while a fleet starts it changes several times a second: 100 VMs x 100 entries x each change.

--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -46,6 +46,11 @@
 	// version.
 	Version uint64   `cbor:"3,keyasint,omitempty"`
 	VMs     []VMView `cbor:"4,keyasint,omitempty"`
+	// Base is the version that the asker has and VMs and Gone change into Version: VMs are
+	// those that are new or differ, Gone the addresses of those that are there no more. 0
+	// where VMs is the whole list.
+	Base uint64   `cbor:"6,keyasint,omitempty"`
+	Gone []string `cbor:"7,keyasint,omitempty"`
 	// Load is what runs and waits at the domain's VMs, for relays of other domains only.
 	Load *Load `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -81,6 +81,8 @@
 	liveFor time.Duration
 	// loadToldAt is when it was told last what runs at others.
 	loadToldAt time.Time
+	// renewedAt is when it was told last which news holds.
+	renewedAt time.Time
 	// unwantedAt is since when no exchange with it is wanted, zero while one is.
 	unwantedAt time.Time
 	// failures counts the exchanges that failed since.
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -33,7 +33,9 @@
 	o.News, o.NewsNext, o.MoreNews = m.relayed.news.since(from, !near)
 	if !o.MoreNews { // else sums would differ for what is to come
 		o.News = append(o.News, m.relayed.news.of(to.Resend, !near)...)
-		o.Renewed = m.relayed.news.renewals(now, !near)
+		if m.renewalDue(now, to) {
+			o.Renewed = m.relayed.news.renewals(now, !near)
+		}
 	}
 	if near {
 		if due {
@@ -62,6 +64,20 @@
 	return o
 }
 
+// renewalDue tells whether it is time to tell a VM again that news holds, and notes that it
+// is told. Call with mu held.
+func (m *members) renewalDue(now time.Time, to *entryvm.Report) bool {
+	p := m.peers[to.Address]
+	if p == nil {
+		return true
+	}
+	if now.Sub(p.renewedAt) < renewalGap {
+		return false
+	}
+	p.renewedAt = now
+	return true
+}
+
 // loadDue tells whether it is time to tell a VM again what runs, and notes that it is told.
 // Load pattern: each swap and each request that begins to wait makes relays exchange up to
 // twenty times a second. With the sums in each of these messages 195 VMs sent 1.70 GB
@@ -110,8 +126,12 @@
 	}
 	add := func(domain string, view *domainView, silent bool) {
 		told := entryvm.DomainView{Domain: domain, Version: view.version, Silent: silent}
-		if !silent && knows[domain] != view.version {
+		if known := knows[domain]; !silent && known != view.version {
 			told.VMs = view.vms
+			if base, kept := view.history.since(known); kept {
+				told.Base = known
+				told.VMs, told.Gone = diffViews(base, view.vms)
+			}
 		}
 		if silent || len(view.vms) > 0 {
 			o.Domains = append(o.Domains, told)
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -49,6 +49,9 @@
 	// newsRefresh is the least time between two questions for a keeper's news that is not
 	// whole here: a keeper's word holds for newsFor.
 	newsRefresh = 2 * time.Second
+	// renewalGap is the least time between two renewals to one VM. Through two relays and
+	// after the longest pause of a keeper news is still renewed before it runs out.
+	renewalGap = 700 * time.Millisecond
 	// newsMost is how much news of engines one report carries: on a slow link the rest of
 	// what a new VM lacks would be lost with a report that takes too long.
 	newsMost = 1000
--- /dev/null
+++ b/internal/hosted/viewdiff_test.go
@@ -0,0 +1,61 @@
+package hosted
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/testkit"
+)
+
+// randomView changes some VMs of a list: they come, go, start again, take other shards.
+func randomView(random *rand.Rand, from []entryvm.VMView) []entryvm.VMView {
+	byAddress := make(map[string]entryvm.VMView)
+	for _, v := range from {
+		byAddress[v.Address] = v
+	}
+	for range random.Intn(5) {
+		address := fmt.Sprint("10.0.0.", random.Intn(30))
+		v, known := byAddress[address]
+		switch {
+		case !known:
+			byAddress[address] = entryvm.VMView{VM: address, Address: address, Domain: "d", Incarnation: "1", Capacity: 7}
+		case random.Intn(3) == 0:
+			delete(byAddress, address)
+		case random.Intn(2) == 0:
+			v.Incarnation += "x"
+			byAddress[address] = v
+		default:
+			v.Keeps, v.Leaving = []int{random.Intn(9)}, random.Intn(2) == 0
+			byAddress[address] = v
+		}
+	}
+	var out []entryvm.VMView
+	for _, v := range byAddress {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, compareViews)
+	return out
+}
+
+// Guards against a view that a difference turns into another one than the sender has.
+func TestPatchedViewIsTheSendersView(t *testing.T) {
+	random := rand.New(rand.NewSource(3))
+	var history viewHistory
+	var view []entryvm.VMView
+	for range 2000 {
+		view = randomView(random, view)
+		history.keep(viewVersion(view), view)
+		at := random.Intn(len(history))
+		changed, gone := diffViews(history[at].vms, view)
+		patched := patchView(history[at].vms, changed, gone)
+		testkit.Need(t, viewVersion(patched) == viewVersion(view), "patched %v, want %v", patched, view)
+		testkit.Need(t, len(history) <= keptViews, "%d versions kept", len(history))
+	}
+	_, kept := history.since(history[0].version)
+	testkit.That(t, kept, "the oldest kept version is not found")
+	_, kept = history.since(12345)
+	testkit.That(t, !kept, "an unknown version is found")
+}
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -19,6 +18,8 @@
 	version uint64
 	// silent is whether none of its VMs answers the relay that told.
 	silent bool
+	// history are its last versions.
+	history viewHistory
 	// load, as of loadAt, is known to relays of other domains only.
 	load   entryvm.Load
 	loadAt time.Time
@@ -43,6 +44,8 @@
 	wisest entryvm.VMVersion
 	// ownVersion is of the view of the own domain that this VM told last as a relay.
 	ownVersion uint64
+	// ownHistory are the last versions of that view.
+	ownHistory viewHistory
 }
 
 // resendKey is a keeper's news as a relay tells it.
@@ -61,7 +64,7 @@
 			view.vms = append(view.vms, viewOf(r))
 		}
 	})
-	slices.SortFunc(view.vms, func(a, b entryvm.VMView) int { return cmp.Compare(a.Address, b.Address) })
+	slices.SortFunc(view.vms, compareViews)
 	view.version = viewVersion(view.vms)
 	return view
 }
@@ -76,6 +79,8 @@
 		}
 	}
 	d.own = m.ownView(now, own)
+	m.relayed.ownHistory.keep(d.own.version, d.own.vms)
+	d.own.history = m.relayed.ownHistory
 	m.relayed.ownVersion = d.own.version
 	return d.own
 }
@@ -239,11 +244,16 @@
 		m.redraw()
 		m.expire(now, view.vms)
 		view.vms, view.version = nil, 0
-	case len(told.VMs) > 0:
-		m.redraw()
-		m.expire(now, view.vms)
-		m.meet(now, told.VMs)
-		view.vms, view.version = told.VMs, told.Version
+	case told.Base != 0 && told.Base == view.version:
+		patched := patchView(view.vms, told.VMs, told.Gone)
+		if viewVersion(patched) != told.Version {
+			m.node.config.Logger.Warn("view of a failure domain can't be patched", zap.String("domain", told.Domain))
+			view.version = 0 // its next report asks for the whole
+			break
+		}
+		m.replaceView(now, view, patched, told.Version)
+	case told.Base == 0 && len(told.VMs) > 0:
+		m.replaceView(now, view, told.VMs, told.Version)
 	}
 	if view.version != told.Version {
 		return // of a version that this VM lacks: its next report says so
@@ -255,6 +265,15 @@
 	}
 }
 
+// replaceView takes another list for a failure domain's. Call with mu held.
+func (m *members) replaceView(now time.Time, view *domainView, vms []entryvm.VMView, version uint64) {
+	m.redraw()
+	m.expire(now, view.vms)
+	m.meet(now, vms)
+	view.vms, view.version = vms, version
+	view.history.keep(version, vms)
+}
+
 // meet learns VMs that a relay names, without taking them for live. Call with mu held.
 func (m *members) meet(now time.Time, vms []entryvm.VMView) {
 	for i := range vms {
