--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -16,8 +16,10 @@
 	if !d.large || to.VM == "" {
 		return nil
 	}
-	if to.Domain == own.Domain && d.relaysFor(to.Domain, to.VM) && len(to.Knows) > 0 {
-		return nil // it hears all this VM could tell it
+	if to.Domain == own.Domain && d.relaysFor(to.Domain, to.VM) && len(to.Knows) > 0 && !to.Full {
+		// It hears all this VM could tell it, but where two VMs take each other for the
+		// lead: views that differ are told with full reports.
+		return nil
 	}
 	o := &entryvm.Overview{Relay: d.isRelay(m), Wisest: d.wisestVM(own)}
 	m.addViews(now, o, own, to)
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -24,7 +24,7 @@
 	var others []entryvm.Member
 	var knows []entryvm.DomainVersion
 	if large {
-		knows = m.viewsKnown(now, full, &to)
+		knows = m.viewsKnown(now)
 	} else if full {
 		others = m.liveMembers(now)
 	}
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -113,11 +113,8 @@
 }
 
 // viewsKnown are the versions of the views that this VM has, none where it asks for all of
-// them: as a new relay, while it knows no other VM of its domain, and of those that it knows
-// in every full report. Failure: a VM that started knew one other in its domain, and drew
-// itself as the lead; that one, which knew all, took it for the lead as well and told it of
-// nobody. Call with mu held.
-func (m *members) viewsKnown(now time.Time, full bool, to *entryvm.Report) []entryvm.DomainVersion {
+// them: as a new relay, and while it knows no other VM of its domain. Call with mu held.
+func (m *members) viewsKnown(now time.Time) []entryvm.DomainVersion {
 	own := m.node.config
 	relay := m.duties(now).isRelay(m)
 	switch {
@@ -126,7 +123,7 @@
 	case m.relaySince.IsZero():
 		m.relaySince = now
 	}
-	if relay && (m.duties(now).alone || now.Sub(m.relaySince) < relayLearns || (full && to.Domain == own.Domain)) {
+	if relay && (m.duties(now).alone || now.Sub(m.relaySince) < relayLearns) {
 		return nil
 	}
 	var out []entryvm.DomainVersion
