hosted: quota allocators: names, and two faults read in the diff

Read in the diff: a workspace that is removed while credit for it is borrowed would have ended the process; without quotas the duty drew allocators five times a second for nothing.

--- a/admission/quota/bucket.go
+++ b/admission/quota/bucket.go
@@ -1,10 +1,10 @@
 // Package quota divides the quotas of workspaces among entry VMs. It does no I/O and
 // reads no clock.
 //
-// In each failure domain one entry VM, the holder, hands out credit from a Bucket for
-// each workspace; the others keep what they were given in a Wallet. Holders divide a
+// In each failure domain one entry VM, the allocator, hands out credit from a Bucket for
+// each workspace; the others keep what they were given in a Wallet. Allocators divide a
 // workspace's rate between the domains by demand (Division). What callers may rely on:
-// whatever is lost, late or cut off, buckets of holders that hear each other are filled
+// whatever is lost, late or cut off, buckets of allocators that hear each other are filled
 // at no more than the quota's rate together, and one that hears nobody takes its
 // domain's even part. Units are those of the quota, rates are a second.
 //
@@ -69,7 +69,7 @@
 	return spare
 }
 
-// Lend gives credit to another holder that has none.
+// Lend gives credit to another allocator that has none.
 func (b *Bucket) Lend(now time.Time, need float64) float64 {
 	b.fill(now)
 	lent := math.Max(0, math.Min(need, b.level))
@@ -77,7 +77,7 @@
 	return lent
 }
 
-// Borrow adds what another holder lent.
+// Borrow adds what another allocator lent.
 func (b *Bucket) Borrow(now time.Time, credit float64) {
 	b.fill(now)
 	b.level += credit
--- a/admission/quota/division.go
+++ b/admission/quota/division.go
@@ -10,18 +10,18 @@
 	// idleShare is the part of a limit that is split evenly among the domains in touch
 	// and not by demand: one whose demand begins has a little until others know of it.
 	idleShare = 0.06
-	// staleAfter is how long a holder counts as in touch after its last message.
+	// staleAfter is how long an allocator counts as in touch after its last message.
 	staleAfter = time.Second
-	// keptAnnouncements bounds what is kept of own announcements; a holder that
+	// keptAnnouncements bounds what is kept of own announcements; an allocator that
 	// acknowledged none of them is out of touch.
 	keptAnnouncements = 64
 )
 
-// Division is what a failure domain's holder knows of the demand in all domains.
+// Division is what a failure domain's allocator knows of the demand in all domains.
 //
-// Holders announce their demand to each other. A holder counts the others' by their
+// Allocators announce their demand to each other. An allocator counts the others' by their
 // newest announcement and its own by the least it has announced since the oldest that
-// some other one in touch has not acknowledged. So no holder counts its own demand for
+// some other one in touch has not acknowledged. So no allocator counts its own demand for
 // more than the others do, and the parts add up to the limit or less, whatever is late
 // or lost. The even part of a domain that is out of touch is left to it: it may be cut
 // off and serving.
@@ -41,7 +41,7 @@
 	demand   map[string]float64
 }
 
-// peer is a holder of another domain.
+// peer is an allocator of another domain.
 type peer struct {
 	domain string
 	// sequence and demand are of the newest announcement, received at the time at.
@@ -57,7 +57,7 @@
 	return &Division{domain: domain, domains: max(domains, 1), usable: map[string]float64{}, peers: map[string]*peer{}}
 }
 
-// Announce notes what is now announced to the holders of the other domains.
+// Announce notes what is now announced to the allocators of the other domains.
 func (d *Division) Announce(now time.Time, demand map[string]float64) (sequence uint64) {
 	d.sequence++
 	d.sent = append(d.sent, announcement{d.sequence, maps.Clone(demand)})
@@ -74,7 +74,7 @@
 	return newest.sequence, newest.demand
 }
 
-// Acknowledge notes that a holder has got an announcement.
+// Acknowledge notes that an allocator has got an announcement.
 func (d *Division) Acknowledge(now time.Time, vm string, sequence uint64) {
 	if p := d.peers[vm]; p != nil && sequence > p.acked && sequence <= d.sequence {
 		p.acked = sequence
@@ -82,7 +82,7 @@
 	}
 }
 
-// Receive takes a holder's announcement, unless a newer one has overtaken it.
+// Receive takes an allocator's announcement, unless a newer one has overtaken it.
 func (d *Division) Receive(now time.Time, vm, domain string, sequence uint64, demand map[string]float64) {
 	if domain == d.domain || (d.peers[vm] != nil && sequence < d.peers[vm].sequence) {
 		return
@@ -96,7 +96,7 @@
 	d.settle(now)
 }
 
-// settle drops holders that are out of touch and finds what counts as own demand.
+// settle drops allocators that are out of touch and finds what counts as own demand.
 func (d *Division) settle(now time.Time) {
 	floor := d.sequence
 	for vm, p := range d.peers {
@@ -114,7 +114,7 @@
 	}
 	clear(d.usable)
 	if len(d.sent) == 0 || d.sent[0].sequence > floor {
-		return // what some holder counts by is not known any more
+		return // what some allocator counts by is not known any more
 	}
 	maps.Copy(d.usable, d.sent[0].demand)
 	for _, later := range d.sent[1:] {
@@ -149,8 +149,8 @@
 // Even is the part of a domain where all have the same.
 func (d *Division) Even(now time.Time) float64 { return 1 / float64(max(d.domains, d.InTouch(now)+1)) }
 
-// Hears tells whether a holder of another domain is in touch.
-func (d *Division) Hears(now time.Time, domain string) bool {
+// Reachable tells whether an allocator of another domain is in touch.
+func (d *Division) Reachable(now time.Time, domain string) bool {
 	for _, p := range d.peers {
 		if p.domain == domain && now.Sub(p.at) <= staleAfter {
 			return true
--- a/admission/quota/quota_test.go
+++ b/admission/quota/quota_test.go
@@ -50,8 +50,8 @@
 	testkit.That(t, !w.Spend(at(1.5), 40), "spent too late")
 }
 
-// holders are the holders of some failure domains, each with a bucket.
-type holders struct {
+// allocators are the allocators of some failure domains, each with a bucket.
+type allocators struct {
 	random    *rand.Rand
 	limit     float64
 	divisions []*quota.Division
@@ -69,8 +69,8 @@
 	ack      bool
 }
 
-func newHolders(seed int64, domains int, limit float64) *holders {
-	h := &holders{random: rand.New(rand.NewSource(seed)), limit: limit, cut: func(int, int) bool { return false }}
+func newAllocators(seed int64, domains int, limit float64) *allocators {
+	h := &allocators{random: rand.New(rand.NewSource(seed)), limit: limit, cut: func(int, int) bool { return false }}
 	for i := range domains {
 		h.divisions = append(h.divisions, quota.NewDivision(fmt.Sprint("d", i), domains))
 		h.buckets = append(h.buckets, &quota.Bucket{})
@@ -78,15 +78,15 @@
 	return h
 }
 
-func (h *holders) shares(now time.Time) (sum float64) {
+func (h *allocators) shares(now time.Time) (sum float64) {
 	for _, d := range h.divisions {
 		sum += d.Share(now, "w", h.limit)
 	}
 	return sum
 }
 
-// allInTouch tells whether each holder hears each other one.
-func (h *holders) allInTouch(now time.Time) bool {
+// allInTouch tells whether each allocator hears each other one.
+func (h *allocators) allInTouch(now time.Time) bool {
 	for _, d := range h.divisions {
 		if d.InTouch(now) < len(h.divisions)-1 {
 			return false
@@ -95,8 +95,8 @@
 	return true
 }
 
-// announce sends every holder's demand to the others, late by up to a second.
-func (h *holders) announce(now time.Time, demand []float64) {
+// announce sends every allocator's demand to the others, late by up to a second.
+func (h *allocators) announce(now time.Time, demand []float64) {
 	for from, d := range h.divisions {
 		told := map[string]float64{"w": demand[from]}
 		sequence := d.Announce(now, told)
@@ -108,12 +108,12 @@
 	}
 }
 
-func (h *holders) late() time.Duration {
+func (h *allocators) late() time.Duration {
 	return time.Duration(h.random.Int63n(int64(300 * time.Millisecond)))
 }
 
 // deliver hands out what has arrived, in any order.
-func (h *holders) deliver(now time.Time) {
+func (h *allocators) deliver(now time.Time) {
 	var left []message
 	for _, m := range h.inFlight {
 		switch {
@@ -136,7 +136,7 @@
 func TestPartsNeverExceedTheLimit(t *testing.T) {
 	for seed := range int64(40) {
 		const domains, limit = 3, 1000.0
-		h := newHolders(seed, domains, limit)
+		h := newAllocators(seed, domains, limit)
 		demand := make([]float64, domains)
 		for tick := range 1000 {
 			now := at(float64(tick) * 0.02)
@@ -158,7 +158,7 @@
 
 // Guards against a domain without demand that keeps its part from one with all of it.
 func TestPartGoesWhereTheDemandIs(t *testing.T) {
-	h := newHolders(1, 3, 1000)
+	h := newAllocators(1, 3, 1000)
 	for tick := range 200 {
 		now := at(float64(tick) * 0.02)
 		if tick%10 == 0 {
@@ -172,7 +172,7 @@
 
 // Guards against both sides of a cut taking the whole limit.
 func TestCutDomainKeepsItsEvenPart(t *testing.T) {
-	h := newHolders(1, 3, 1000)
+	h := newAllocators(1, 3, 1000)
 	demand := []float64{5000, 5000, 10}
 	for tick := range 400 {
 		now := at(float64(tick) * 0.02)
@@ -194,8 +194,8 @@
 	testkit.That(t, share > 0.33 && share < 0.34, "the domain that is cut off has %v", share)
 }
 
-// Guards against a holder that has just started and takes all, as it knows of nobody.
-func TestHolderThatHasHeardNobody(t *testing.T) {
+// Guards against an allocator that has just started and takes all, as it knows of nobody.
+func TestAllocatorThatKnowsNobody(t *testing.T) {
 	d := quota.NewDivision("d0", 3)
 	d.Announce(at(0), map[string]float64{"w": 1e6})
 	testkit.That(t, d.Share(at(0), "w", 1000) < 0.34, "takes %v", d.Share(at(0), "w", 1000))
--- a/admission/quota/wallet.go
+++ b/admission/quota/wallet.go
@@ -9,7 +9,7 @@
 
 const (
 	// creditFor is how long credit holds that was granted ahead of use. It bounds what
-	// all VMs together may still spend when their holder's bucket is empty.
+	// all VMs together may still spend when their allocator's bucket is empty.
 	creditFor = time.Second
 	// aheadFor is the span of its usual spending that a VM asks for ahead.
 	aheadFor = 500 * time.Millisecond
@@ -17,14 +17,14 @@
 	demandWindow = time.Second
 )
 
-// Wallet is a workspace's credit at an entry VM that is not the holder.
+// Wallet is a workspace's credit at an entry VM that is not the allocator.
 type Wallet struct {
 	credit  float64
 	expires time.Time
 	spent   meter.Meter
-	// refused is the cost of what was refused here since the holder was asked last.
+	// refused is the cost of what was refused here since the allocator was asked last.
 	refused float64
-	// freeAt is when the holder's debt is paid off, as far as it is known here.
+	// freeAt is when the allocator's debt is paid off, as far as it is known here.
 	freeAt time.Time
 }
 
@@ -58,20 +58,20 @@
 	return w.spent.Rate(now, demandWindow) * aheadFor.Seconds()
 }
 
-// Blocked tells how long the holder's debt lasts, where it is too long for a request
+// Blocked tells how long the allocator's debt lasts, where it is too long for a request
 // that can wait for longest, so that asking is of no use.
 func (w *Wallet) Blocked(now time.Time, longest time.Duration) (time.Duration, bool) {
 	wait := w.freeAt.Sub(now)
 	return wait, wait > longest
 }
 
-// Refuse notes a refusal by the holder, or one that spared it the question.
+// Refuse notes a refusal by the allocator, or one that spared it the question.
 func (w *Wallet) Refuse(now time.Time, cost float64, wait time.Duration) {
 	w.refused += cost
 	w.freeAt = now.Add(wait)
 }
 
-// TakeRefused returns what was refused here without the holder's knowledge.
+// TakeRefused returns what was refused here without the allocator's knowledge.
 func (w *Wallet) TakeRefused() float64 {
 	refused := w.refused
 	w.refused = 0
--- a/entryvm/quota.go
+++ b/entryvm/quota.go
@@ -16,7 +16,7 @@
 	Ahead float64 `cbor:"4,keyasint,omitempty"`
 	// Refused is the cost of requests refused since the last question without one.
 	Refused float64 `cbor:"5,keyasint,omitempty"`
-	// Forwarded is whether a third VM asks, through one that is not the holder.
+	// Forwarded is whether a third VM asks, through one that is not the allocator.
 	Forwarded bool `cbor:"6,keyasint,omitempty"`
 }
 
@@ -29,7 +29,7 @@
 	Unknown bool `cbor:"3,keyasint,omitempty"`
 }
 
-// LendArgs asks another failure domain's holder for credit that it does not need now.
+// LendArgs asks another failure domain's allocator for credit that it does not need now.
 type LendArgs struct {
 	Workspace string  `cbor:"1,keyasint,omitempty"`
 	Need      float64 `cbor:"2,keyasint,omitempty"`
@@ -46,7 +46,7 @@
 	PerSecond float32 `cbor:"2,keyasint,omitempty"`
 }
 
-// DemandReport is what the holders of two failure domains tell each other. The reply
+// DemandReport is what the allocators of two failure domains tell each other. The reply
 // acknowledges the question and tells the other's demand.
 type DemandReport struct {
 	VM     string `cbor:"1,keyasint,omitempty"`
@@ -77,17 +77,17 @@
 	return nil
 }
 
-// Lease asks a failure domain's holder for credit.
+// Lease asks a failure domain's allocator for credit.
 func (c *Client) Lease(ctx context.Context, address string, lease LeaseArgs) (LeaseReply, error) {
 	return call[LeaseReply](ctx, c, lineKey{address, laneQuota}, coordinationName+".Lease", &lease)
 }
 
-// Lend asks another failure domain's holder for credit.
+// Lend asks another failure domain's allocator for credit.
 func (c *Client) Lend(ctx context.Context, address string, lend LendArgs) (LendReply, error) {
 	return call[LendReply](ctx, c, lineKey{address, laneQuota}, coordinationName+".Lend", &lend)
 }
 
-// Demand tells another failure domain's holder the demand here and returns that there.
+// Demand tells another failure domain's allocator the demand here and returns that there.
 func (c *Client) Demand(ctx context.Context, address string, report DemandReport) (DemandReport, error) {
 	return call[DemandReport](ctx, c, lineKey{address, laneQuota}, coordinationName+".Demand", &report)
 }
--- a/internal/hosted/newslog.go
+++ b/internal/hosted/newslog.go
@@ -16,8 +16,8 @@
 type newsLog struct {
 	next    uint64
 	entries map[string]*loggedNews
-	// toldAt is when each keeper last named all its engines.
-	toldAt map[string]time.Time
+	// completeAt is when each keeper last named all its engines.
+	completeAt map[string]time.Time
 	// sums are those of renewals, of all entries and of the near ones; nil where they have
 	// to be made anew.
 	sums, nearSums map[string]uint64
@@ -34,7 +34,7 @@
 }
 
 func newNewsLog() newsLog {
-	return newsLog{next: 1, entries: make(map[string]*loggedNews), toldAt: make(map[string]time.Time)}
+	return newsLog{next: 1, entries: make(map[string]*loggedNews), completeAt: make(map[string]time.Time)}
 }
 
 // put takes news that holds by the backend table's judgement.
@@ -53,7 +53,7 @@
 
 // complete notes that a keeper has just named all its engines: it keeps no others.
 func (l *newsLog) complete(now time.Time, keeper string) {
-	l.toldAt[keeper] = now
+	l.completeAt[keeper] = now
 	for id, known := range l.entries {
 		if known.Keeper == keeper && known.at.Before(now) {
 			delete(l.entries, id)
@@ -64,10 +64,10 @@
 
 // renew notes that all news of a keeper held at a time.
 func (l *newsLog) renew(at time.Time, keeper string) {
-	if at.Before(l.toldAt[keeper]) {
+	if at.Before(l.completeAt[keeper]) {
 		return
 	}
-	l.toldAt[keeper] = at
+	l.completeAt[keeper] = at
 	for _, known := range l.entries {
 		if known.Keeper == keeper && known.at.Before(at) {
 			known.at = at
@@ -120,7 +120,7 @@
 	}
 	var out []entryvm.NewsRenewal
 	for keeper, sum := range sums {
-		if at, known := l.toldAt[keeper]; known {
+		if at, known := l.completeAt[keeper]; known {
 			out = append(out, entryvm.NewsRenewal{Keeper: keeper, Sum: sum, Age: now.Sub(at)})
 		}
 	}
@@ -153,9 +153,9 @@
 			l.sums = nil
 		}
 	}
-	for keeper, at := range l.toldAt {
+	for keeper, at := range l.completeAt {
 		if now.Sub(at) > newsFor {
-			delete(l.toldAt, keeper)
+			delete(l.completeAt, keeper)
 		}
 	}
 }
--- a/internal/hosted/newslog_test.go
+++ b/internal/hosted/newslog_test.go
@@ -9,17 +9,17 @@
 	"bergamotreel/internal/testkit"
 )
 
-// toldOf is of how many engines a VM goes by the keepers' news.
-func toldOf(n *Node) int {
+// newsCount is the number of engines for which a VM goes by their keepers' news.
+func newsCount(n *Node) int {
 	n.backends.mu.Lock()
 	defer n.backends.mu.Unlock()
-	told := 0
+	count := 0
 	for _, b := range n.backends.entries {
 		if !b.newsAt.IsZero() {
-			told++
+			count++
 		}
 	}
-	return told
+	return count
 }
 
 // bootWithNews boots a large fleet with news of an engine or more, and returns of how many.
@@ -28,9 +28,9 @@
 	_, err := ask(w.nodes["v7"], "rare", 10*time.Second)
 	testkit.OK(w, err)
 	time.Sleep(4 * time.Second)
-	engines := toldOf(w.nodes["v7"])
+	engines := newsCount(w.nodes["v7"])
 	testkit.Need(w, engines > 0, "no news of any engine")
-	w.until(5*time.Second, "have the news", vms, func(n *Node) bool { return toldOf(n) == engines })
+	w.until(5*time.Second, "have the news", vms, func(n *Node) bool { return newsCount(n) == engines })
 	return engines
 }
 
@@ -45,7 +45,7 @@
 		w.mu.Unlock()
 		for range 40 {
 			time.Sleep(500 * time.Millisecond)
-			testkit.Need(w, w.count(func(n *Node) bool { return toldOf(n) == engines }) == vms, "news ran out")
+			testkit.Need(w, w.count(func(n *Node) bool { return newsCount(n) == engines }) == vms, "news ran out")
 		}
 		w.mu.Lock()
 		sent := w.relayedNews - before
@@ -59,11 +59,11 @@
 	w.Helper()
 	agreed := 0
 	for begun := time.Now(); agreed < 2; time.Sleep(500 * time.Millisecond) {
-		told := make(map[int]int)
-		w.each(func(_ string, n *Node) { told[toldOf(n)]++ })
-		testkit.Need(w, time.Since(begun) < 9*time.Second, "%s: VMs by the engines that they were told of: %v", what, told)
+		counts := make(map[int]int)
+		w.each(func(_ string, n *Node) { counts[newsCount(n)]++ })
+		testkit.Need(w, time.Since(begun) < 9*time.Second, "%s: VMs by their number of engines with news: %v", what, counts)
 		agreed++
-		if len(told) > 1 || told[0] > 0 {
+		if len(counts) > 1 || counts[0] > 0 {
 			agreed = 0
 		}
 	}
--- a/internal/hosted/quotaholder.go
+++ b/internal/hosted/quotaallocator.go
@@ -17,32 +17,32 @@
 type leaseBucket struct {
 	quota.Bucket
 	demand meter.Meter
-	// borrowAt is from when on other holders may be asked for credit again.
+	// borrowAt is from when on other allocators may be asked for credit again.
 	borrowAt time.Time
 }
 
-// Lease implements entryvm.Coordinator: the holder hands out credit, any other VM asks
+// Lease implements entryvm.Coordinator: the allocator hands out credit, any other VM asks
 // it, and stands in for one that it can't reach.
 func (n *Node) Lease(args entryvm.LeaseArgs) entryvm.LeaseReply {
 	q := n.quotas
-	holders := q.draw(time.Now()).own
-	if args.Forwarded || len(holders) == 0 || holders[0].address == n.config.Address || q.suspected(holders[0].address) {
-		return q.handOrBorrow(args)
+	allocators := q.draw(time.Now()).own
+	if args.Forwarded || len(allocators) == 0 || allocators[0].address == n.config.Address || q.suspected(allocators[0].address) {
+		return q.grantOrBorrow(args)
 	}
 	forwarded := args
 	forwarded.Forwarded = true
-	reply, err := q.ask(context.Background(), holders[0].address, forwarded, forwardTimeout)
+	reply, err := q.ask(context.Background(), allocators[0].address, forwarded, forwardTimeout)
 	if err != nil {
-		return q.handOrBorrow(args)
+		return q.grantOrBorrow(args)
 	}
 	return reply
 }
 
-// handOrBorrow hands out credit, and borrows some of other domains' holders where this
+// grantOrBorrow hands out credit, and borrows some of other domains' allocators where this
 // one has none.
-func (q *quotas) handOrBorrow(args entryvm.LeaseArgs) entryvm.LeaseReply {
+func (q *quotas) grantOrBorrow(args entryvm.LeaseArgs) entryvm.LeaseReply {
 	now := time.Now()
-	reply := q.hand(now, args)
+	reply := q.grant(now, args)
 	if reply.Credit > 0 || reply.Unknown {
 		return reply
 	}
@@ -52,11 +52,11 @@
 	}
 	again := args
 	again.Refused = -args.Need // it is counted already
-	return q.hand(time.Now(), again)
+	return q.grant(time.Now(), again)
 }
 
-// lenders are the holders to ask for credit, none where they had none lately.
-func (q *quotas) lenders(now time.Time, workspace string) []holder {
+// lenders are the allocators to ask for credit, none where they had none lately.
+func (q *quotas) lenders(now time.Time, workspace string) []allocator {
 	draw := q.draw(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -68,16 +68,20 @@
 	if q.division.InTouch(now) == 0 {
 		return draw.others // this VM has just begun to hand out
 	}
-	return slices.DeleteFunc(slices.Clone(draw.others), func(h holder) bool { return !q.division.Hears(now, h.domain) })
+	return slices.DeleteFunc(slices.Clone(draw.others), func(h allocator) bool { return !q.division.Reachable(now, h.domain) })
 }
 
-// borrow asks all of the holders at once for a cost and what will be needed soon; it
+// borrow asks all of the allocators at once for a cost and what will be needed soon; it
 // tells whether any lent something.
-func (q *quotas) borrow(lenders []holder, args entryvm.LeaseArgs) bool {
+func (q *quotas) borrow(lenders []allocator, args entryvm.LeaseArgs) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
 	defer cancel()
 	q.mu.Lock()
 	bucket := q.buckets[args.Workspace]
+	if bucket == nil { // the workspace has just been removed
+		q.mu.Unlock()
+		return false
+	}
 	now := time.Now()
 	need := args.Need - min(bucket.Level(now), 0) + args.Ahead
 	q.mu.Unlock()
@@ -123,8 +127,8 @@
 	return entryvm.LendReply{Credit: bucket.Lend(now, args.Need)}
 }
 
-// hand hands out credit of this VM's bucket.
-func (q *quotas) hand(now time.Time, args entryvm.LeaseArgs) entryvm.LeaseReply {
+// grant grants credit of this VM's bucket.
+func (q *quotas) grant(now time.Time, args entryvm.LeaseArgs) entryvm.LeaseReply {
 	limit, known := q.quotaOf(args.Workspace)
 	if !known {
 		return entryvm.LeaseReply{Unknown: true}
@@ -137,7 +141,7 @@
 		q.buckets[args.Workspace] = bucket
 	}
 	q.refill(now, args.Workspace, bucket, limit)
-	q.handedAt = now
+	q.grantedAt = now
 	bucket.demand.Add(now, args.Need+args.Refused, demandWindow)
 	wait, ok := bucket.Take(now, args.Need, args.MaxWait)
 	if !ok {
@@ -150,41 +154,45 @@
 func (q *quotas) refill(now time.Time, workspace string, bucket *leaseBucket, limit contract.Quota) {
 	part := q.division.Share(now, workspace, limit.PerSecond)
 	// Bursts are divided evenly: a burst that followed demand would cut credit off where
-	// demand pauses, and holders lend it anyway.
+	// demand pauses, and allocators lend it anyway.
 	burst := q.division.Even(now) * (limit.Burst + slackUsed*q.node.config.QuotaSlack)
 	bucket.Set(now, part*limit.PerSecond, burst)
 }
 
 // run is the duty that keeps buckets filled and exchanges demand with other domains'
-// holders while this VM holds its own domain's.
+// allocators while this VM holds its own domain's.
 func (q *quotas) run(ctx context.Context) {
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
 	pause.Every(ctx, demandEvery, func(ctx context.Context) {
 		now := time.Now()
+		if !q.limited() {
+			q.forget(now)
+			return
+		}
 		draw := q.draw(now)
-		if !q.limited() || !draw.holds(q.node.config.Address) {
+		if !draw.holds(q.node.config.Address) {
 			q.forget(now)
 			return
 		}
 		report := q.announce(now)
-		for _, holder := range draw.others {
-			exchanges.Go(func() { q.exchange(ctx, holder.address, report) })
+		for _, allocator := range draw.others {
+			exchanges.Go(func() { q.exchange(ctx, allocator.address, report) })
 		}
 	})
 }
 
-// forget drops the buckets of a VM that is no holder and was not asked for a while: its
+// forget drops the buckets of a VM that is no allocator and was not asked for a while: its
 // credit would come on top of the next one's.
 func (q *quotas) forget(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Sub(q.handedAt) > fallbackIdle {
+	if now.Sub(q.grantedAt) > fallbackIdle {
 		clear(q.buckets)
 	}
 }
 
-// exchange tells a holder the demand here, and takes its.
+// exchange tells an allocator the demand here, and takes its.
 func (q *quotas) exchange(ctx context.Context, address string, report entryvm.DemandReport) {
 	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
 	defer cancel()
--- a/internal/hosted/quotadraw.go
+++ b/internal/hosted/quotadraw.go
@@ -8,51 +8,53 @@
 	"bergamotreel/entryvm"
 )
 
-// holder is a VM that hands out credit.
-type holder struct{ vm, address, domain string }
+// allocator is a VM that hands out credit.
+type allocator struct{ vm, address, domain string }
 
-// holderDraw are the holders as of some moment.
-type holderDraw struct {
+// allocatorDraw are the allocators as of some moment.
+type allocatorDraw struct {
 	at time.Time
 	// own are those of the own domain in the order in which they are asked, others the
 	// first one of each other domain; vms is how many live VMs the own domain has.
-	own, others []holder
+	own, others []allocator
 	vms         int
 }
 
-// holds tells whether the VM at the address is its domain's holder.
-func (d *holderDraw) holds(address string) bool { return len(d.own) > 0 && d.own[0].address == address }
+// holds tells whether the VM at the address is its domain's allocator.
+func (d *allocatorDraw) holds(address string) bool {
+	return len(d.own) > 0 && d.own[0].address == address
+}
 
-// holderKey is what a failure domain's holder of quotas is drawn for.
-const holderKey = "quotas"
+// allocatorKey is what a failure domain's allocator of quotas is drawn for.
+const allocatorKey = "quotas"
 
-// draw returns the holders among the live VMs.
-func (q *quotas) draw(now time.Time) holderDraw {
+// draw returns the allocators among the live VMs.
+func (q *quotas) draw(now time.Time) allocatorDraw {
 	q.mu.Lock()
-	d := q.holders
+	d := q.allocators
 	q.mu.Unlock()
-	if age := now.Sub(d.at); age >= 0 && age < drawHoldersEvery {
+	if age := now.Sub(d.at); age >= 0 && age < drawAllocatorsEvery {
 		return d
 	}
-	d = q.node.members.drawHolders(now)
+	d = q.node.members.drawAllocators(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(d.own) > 0 && (len(q.holders.own) == 0 || d.own[0] != q.holders.own[0]) {
-		q.node.config.Logger.Info("holder of quotas drawn", zap.String("holder", d.own[0].vm), zap.Int("vms", d.vms))
+	if len(d.own) > 0 && (len(q.allocators.own) == 0 || d.own[0] != q.allocators.own[0]) {
+		q.node.config.Logger.Info("quota allocator chosen", zap.String("allocator", d.own[0].vm), zap.Int("vms", d.vms))
 	}
-	q.holders = d
+	q.allocators = d
 	return d
 }
 
-// drawHolders draws the VMs that hand out credit in each failure domain.
-func (m *members) drawHolders(now time.Time) holderDraw {
+// drawAllocators draws the VMs that hand out credit in each failure domain.
+func (m *members) drawAllocators(now time.Time) allocatorDraw {
 	own := m.node.config
 	able := make(map[string][]volunteer)
 	addresses := map[string]string{own.VM: own.Address}
 	if !m.node.stopping.Load() {
 		able[own.Domain] = append(able[own.Domain], volunteer{own.VM, own.Capacity})
 	}
-	d := holderDraw{at: now, vms: 1}
+	d := allocatorDraw{at: now, vms: 1}
 	m.live(now, func(r *entryvm.Report) {
 		if r.Domain == own.Domain {
 			d.vms++
@@ -64,12 +66,12 @@
 	})
 	for domain, volunteers := range able {
 		if domain != own.Domain {
-			first := rank(holderKey, volunteers, 1)[0]
-			d.others = append(d.others, holder{first, addresses[first], domain})
+			first := rank(allocatorKey, volunteers, 1)[0]
+			d.others = append(d.others, allocator{first, addresses[first], domain})
 			continue
 		}
-		for _, vm := range rank(holderKey, volunteers, holdersPerDomain) {
-			d.own = append(d.own, holder{vm, addresses[vm], domain})
+		for _, vm := range rank(allocatorKey, volunteers, allocatorsPerDomain) {
+			d.own = append(d.own, allocator{vm, addresses[vm], domain})
 		}
 	}
 	return d
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -15,15 +15,15 @@
 	"bergamotreel/refusal"
 )
 
-// In each failure domain one VM, the holder, hands out credit for the quotas of
+// In each failure domain one VM, the allocator, hands out credit for the quotas of
 // workspaces; the others ask it (package quota has the decisions). The one drawn next
-// stands in where it can't reach the holder itself. A VM that reaches neither goes by
+// stands in where it can't reach the allocator itself. A VM that reaches neither goes by
 // its even part of its domain's.
 
 const (
-	// holdersPerDomain is how many VMs of a failure domain are asked for credit in turn.
-	holdersPerDomain = 2
-	// leaseTimeout is how long a request waits for the holder's answer, forwardTimeout
+	// allocatorsPerDomain is how many VMs of a failure domain are asked for credit in turn.
+	allocatorsPerDomain = 2
+	// leaseTimeout is how long a request waits for the allocator's answer, forwardTimeout
 	// how long the VM that stands in does.
 	leaseTimeout   = 150 * time.Millisecond
 	forwardTimeout = 80 * time.Millisecond
@@ -46,17 +46,17 @@
 	// slackUsed is the part of the slack that adds to bursts; the rest is for requests that
 	// cost more than what is left, one in each domain.
 	slackUsed = 0.4
-	// demandEvery is the time between two exchanges of demand with a holder.
+	// demandEvery is the time between two exchanges of demand with an allocator.
 	demandEvery = 200 * time.Millisecond
-	// borrowPause is how long other domains' holders are not asked for a workspace's
+	// borrowPause is how long other domains' allocators are not asked for a workspace's
 	// credit after they had none, lendTimeout bounds the question.
 	borrowPause = 200 * time.Millisecond
 	lendTimeout = 60 * time.Millisecond
 	// demandTimeout bounds an exchange of demand.
 	demandTimeout = 400 * time.Millisecond
-	// drawHoldersEvery is the least time between two draws of the holders.
-	drawHoldersEvery = 200 * time.Millisecond
-	// demandWindow is the time constant of the demand that a holder tells.
+	// drawAllocatorsEvery is the least time between two draws of the allocators.
+	drawAllocatorsEvery = 200 * time.Millisecond
+	// demandWindow is the time constant of the demand that an allocator tells.
 	demandWindow = time.Second
 	// fallbackIdle is the pause after which even parts are gathered anew, from nothing.
 	fallbackIdle = 2 * time.Second
@@ -75,11 +75,11 @@
 	// fallbackAt is when an even part was used last.
 	fallbackAt time.Time
 	division   *quota.Division
-	// handedAt is when credit was handed out last.
-	handedAt time.Time
+	// grantedAt is when credit was handed out last.
+	grantedAt time.Time
 	// suspects are the VMs that did not answer, by address, until when.
-	suspects map[string]time.Time
-	holders  holderDraw
+	suspects   map[string]time.Time
+	allocators allocatorDraw
 }
 
 func newQuotas(n *Node) *quotas {
@@ -132,7 +132,7 @@
 	if wait, blocked := wallet.Blocked(now, longest); blocked {
 		wallet.Refuse(now, use.cost, wait)
 		q.mu.Unlock()
-		return creditUse{}, q.refuse(r, use, wait, "its holder has none")
+		return creditUse{}, q.refuse(r, use, wait, "its allocator has none")
 	}
 	args := entryvm.LeaseArgs{Workspace: use.workspace, Need: use.cost, MaxWait: longest, Ahead: wallet.Ahead(now), Refused: wallet.TakeRefused()}
 	q.mu.Unlock()
@@ -152,9 +152,9 @@
 	reply, from, ok := q.lease(ctx, args)
 	now := time.Now()
 	if !ok {
-		wait, covered := q.takeEven(now, use)
+		wait, covered := q.spendEvenPart(now, use)
 		if !covered {
-			return creditUse{}, q.refuse(r, use, wait, "no holder answers")
+			return creditUse{}, q.refuse(r, use, wait, "no allocator answers")
 		}
 		q.usage.admitted(use)
 		return use, nil
@@ -207,24 +207,24 @@
 	return w
 }
 
-// leaseResult is what a holder answered.
+// leaseResult is what an allocator answered.
 type leaseResult struct {
 	reply entryvm.LeaseReply
 	err   error
 }
 
-// lease asks the domain's holders in turn; ok is false where none answers.
+// lease asks the domain's allocators in turn; ok is false where none answers.
 func (q *quotas) lease(ctx context.Context, args entryvm.LeaseArgs) (reply entryvm.LeaseReply, from string, ok bool) {
-	for _, holder := range q.draw(time.Now()).own {
-		if holder.address == q.node.config.Address {
-			return q.handOrBorrow(args), holder.vm, true
+	for _, allocator := range q.draw(time.Now()).own {
+		if allocator.address == q.node.config.Address {
+			return q.grantOrBorrow(args), allocator.vm, true
 		}
-		if q.suspected(holder.address) {
+		if q.suspected(allocator.address) {
 			continue
 		}
-		reply, err := q.ask(ctx, holder.address, args, leaseTimeout)
+		reply, err := q.ask(ctx, allocator.address, args, leaseTimeout)
 		if err == nil && !reply.Unknown {
-			return reply, holder.vm, true
+			return reply, allocator.vm, true
 		}
 		if ctx.Err() != nil {
 			return entryvm.LeaseReply{}, "", false
@@ -271,7 +271,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.suspects[address] = time.Now().Add(suspectFor)
-	q.node.config.Logger.Info("holder of quotas does not answer", zap.String("address", address))
+	q.node.config.Logger.Info("quota allocator does not answer", zap.String("address", address))
 }
 
 func (q *quotas) suspected(address string) bool {
@@ -285,8 +285,8 @@
 	return known
 }
 
-// takeEven charges a request to this VM's even part of its domain's.
-func (q *quotas) takeEven(now time.Time, use creditUse) (time.Duration, bool) {
+// spendEvenPart charges a request to this VM's even part of its domain's.
+func (q *quotas) spendEvenPart(now time.Time, use creditUse) (time.Duration, bool) {
 	limit, known := q.quotaOf(use.workspace)
 	if !known {
 		return 0, true
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -230,13 +230,13 @@
 
 // Guards against a burst that comes back with each restart of the VMs that hand out
 // credit, and against a pause in service until others are drawn.
-func TestQuotaWhileHoldersDie(t *testing.T) {
+func TestQuotaWhileAllocatorsDie(t *testing.T) {
 	inQuotaBed(t, 15, map[string]float64{"hot": 20_000, "calm": 20_000}, func(b *quotaBed) {
 		done := make(chan struct{})
 		b.open.Go(func() {
 			for round := range 9 {
 				time.Sleep(2 * time.Second)
-				i := b.holderOf(fmt.Sprint("d", round%quotaDomains))
+				i := b.allocatorOf(fmt.Sprint("d", round%quotaDomains))
 				b.kill(b.vms[i])
 				time.Sleep(500 * time.Millisecond)
 				b.bootQuotaVM(i)
@@ -270,7 +270,7 @@
 	})
 }
 
-// Guards against a lower quota that binds only where its holder was asked, and a raised
+// Guards against a lower quota that binds only where its allocator was asked, and a raised
 // one that stays unused.
 func TestQuotaChangesInUse(t *testing.T) {
 	inQuotaBed(t, 15, map[string]float64{"hot": 20_000}, func(b *quotaBed) {
@@ -297,9 +297,9 @@
 	})
 }
 
-// holderOf is the index of the VM that hands out credit in a failure domain, by the view
+// allocatorOf is the index of the VM that hands out credit in a failure domain, by the view
 // of one of its VMs.
-func (b *quotaBed) holderOf(domain string) int {
+func (b *quotaBed) allocatorOf(domain string) int {
 	name := ""
 	b.each(func(_ string, n *Node) {
 		if d := n.quotas.draw(time.Now()); n.config.Domain == domain && len(d.own) > 0 {
--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -1,7 +1,7 @@
 /*
- * Two holders divide a workspace's quota by demand (admission/quota, Division). Each
+ * Two allocators divide a workspace's quota by demand (admission/quota, Division). Each
  * announces its demand under growing numbers; announcements and acknowledgements may be
- * lost, late, repeated and overtaken. A holder's part of the limit is u / (u + o): u is
+ * lost, late, repeated and overtaken. An allocator's part of the limit is u / (u + o): u is
  * its own demand as far as it may count it, o the other's as it counts that. The parts
  * add up to the limit or less if and only if u0 * u1 <= o0 * o1.
  *
@@ -14,7 +14,7 @@
 #endif
 #define MOST 2
 
-typedef holder {
+typedef allocator {
 	byte demand[ANNOUNCEMENTS + 1]; /* by number; 0 is "none yet" */
 	bool sent[ANNOUNCEMENTS + 1];   /* is on its way, and stays so: it may come twice */
 	bool returns[ANNOUNCEMENTS + 1]; /* its acknowledgement is on its way */
@@ -23,17 +23,17 @@
 	byte received; /* number of the other's announcement that counts here */
 }
 
-holder holders[2];
+allocator allocators[2];
 
 inline usable(i, out) {
-	out = holders[i].demand[holders[i].acknowledged];
+	out = allocators[i].demand[allocators[i].acknowledged];
 #ifdef NEWEST
-	out = holders[i].demand[holders[i].newest];
+	out = allocators[i].demand[allocators[i].newest];
 #else
 #ifndef ACKED_ONLY
 	for (n : 0 .. ANNOUNCEMENTS) {
 		if
-		:: n > holders[i].acknowledged && n <= holders[i].newest && holders[i].demand[n] < out -> out = holders[i].demand[n]
+		:: n > allocators[i].acknowledged && n <= allocators[i].newest && allocators[i].demand[n] < out -> out = allocators[i].demand[n]
 		:: else
 		fi
 	}
@@ -44,8 +44,8 @@
 inline check() {
 	usable(0, u0);
 	usable(1, u1);
-	o0 = holders[1].demand[holders[0].received];
-	o1 = holders[0].demand[holders[1].received];
+	o0 = allocators[1].demand[allocators[0].received];
+	o1 = allocators[0].demand[allocators[1].received];
 	assert(u0 * u1 <= o0 * o1);
 	u0 = 0; u1 = 0; o0 = 0; o1 = 0; n = 0
 }
@@ -56,11 +56,11 @@
 	:: atomic {
 		select(i : 0 .. 1);
 		if
-		:: holders[i].newest < ANNOUNCEMENTS ->
+		:: allocators[i].newest < ANNOUNCEMENTS ->
 			select(value : 0 .. MOST);
-			holders[i].newest++;
-			holders[i].demand[holders[i].newest] = value;
-			holders[i].sent[holders[i].newest] = true
+			allocators[i].newest++;
+			allocators[i].demand[allocators[i].newest] = value;
+			allocators[i].sent[allocators[i].newest] = true
 		:: else
 		fi;
 		value = 0; i = 0;
@@ -70,17 +70,17 @@
 		select(i : 0 .. 1);
 		select(k : 1 .. ANNOUNCEMENTS);
 		if
-		:: holders[i].sent[k] ->
+		:: allocators[i].sent[k] ->
 			if
 #ifdef OVERTAKEN
 			:: true
 #else
-			:: k >= holders[1 - i].received
+			:: k >= allocators[1 - i].received
 #endif
-				-> holders[1 - i].received = k
-			:: k < holders[1 - i].received
+				-> allocators[1 - i].received = k
+			:: k < allocators[1 - i].received
 			fi;
-			holders[i].returns[k] = true
+			allocators[i].returns[k] = true
 		:: else
 		fi;
 		i = 0; k = 0;
@@ -90,7 +90,7 @@
 		select(i : 0 .. 1);
 		select(k : 1 .. ANNOUNCEMENTS);
 		if
-		:: holders[i].returns[k] && k > holders[i].acknowledged -> holders[i].acknowledged = k
+		:: allocators[i].returns[k] && k > allocators[i].acknowledged -> allocators[i].acknowledged = k
 		:: else
 		fi;
 		i = 0; k = 0;
