hosted: an allocator hands out by the part of its domain that it reaches

Cause, read in the diff: a cut through the middle of every failure domain leaves an allocator of each domain on both sides, and each side took the whole quota.

Also: a caller that leaves while it waits for credit gives it back; wallets of workspaces without requests are dropped.

--- a/admission/quota/division.go
+++ b/admission/quota/division.go
@@ -23,55 +23,69 @@
 // newest announcement and its own by the least it has announced since the oldest that
 // some other one in touch has not acknowledged. So no allocator counts its own demand for
 // more than the others do, and the parts add up to the limit or less, whatever is late
-// or lost. The even part of a domain that is out of touch is left to it: it may be cut
-// off and serving.
+// or lost. The even part of a domain that is out of touch is left to it, and the part of
+// VMs that its allocator does not reach: they may be cut off and serving.
 type Division struct {
 	domain  string
 	domains int
 	// sequence is of the newest announcement, sent the demand of those that may count,
 	// oldest first.
 	sequence uint64
-	sent     []announcement
+	sent     []numbered
 	usable   map[string]float64
+	present  float64
 	peers    map[string]*peer // by VM
 }
 
-type announcement struct {
+// Announcement is what an allocator tells the others of its failure domain.
+type Announcement struct {
+	// Demand is what requests cost a second, by workspace.
+	Demand map[string]float64
+	// Present is the part of the domain's VMs that the allocator reaches, from 0 to 1. The
+	// others may be cut off, with an allocator of their own.
+	Present float64
+}
+
+type numbered struct {
+	Announcement
 	sequence uint64
-	demand   map[string]float64
 }
 
 // peer is an allocator of another domain.
 type peer struct {
 	domain string
-	// sequence and demand are of the newest announcement, received at the time at.
-	at       time.Time
-	sequence uint64
-	demand   map[string]float64
+	// numbered is the newest announcement, received at the time at.
+	numbered
+	at time.Time
 	// acked is the newest own announcement that it has.
 	acked uint64
 }
 
 // NewDivision begins the division of a failure domain, of so many in all.
 func NewDivision(domain string, domains int) *Division {
-	return &Division{domain: domain, domains: max(domains, 1), usable: map[string]float64{}, peers: map[string]*peer{}}
+	return &Division{domain: domain, domains: max(domains, 1), present: 1, usable: map[string]float64{}, peers: map[string]*peer{}}
 }
 
 // Announce notes what is now announced to the allocators of the other domains.
-func (d *Division) Announce(now time.Time, demand map[string]float64) (sequence uint64) {
+func (d *Division) Announce(now time.Time, newest Announcement) (sequence uint64, announced Announcement) {
 	d.sequence++
-	d.sent = append(d.sent, announcement{d.sequence, maps.Clone(demand)})
+	newest.Demand = maps.Clone(newest.Demand)
+	d.present = newest.Present
+	d.sent = append(d.sent, numbered{newest, d.sequence})
 	d.settle(now)
-	return d.sequence
+	return d.sequence, newest
 }
 
+// SetPresent is for an allocator that announces nothing: one that stands in.
+func (d *Division) SetPresent(present float64) { d.present = present }
+
 // Newest is the newest announcement, with sequence 0 before the first.
-func (d *Division) Newest() (sequence uint64, demand map[string]float64) {
+func (d *Division) Newest() (sequence uint64, newest Announcement) {
 	if len(d.sent) == 0 {
-		return 0, nil
+		return 0, Announcement{}
 	}
-	newest := d.sent[len(d.sent)-1]
-	return newest.sequence, newest.demand
+	last := d.sent[len(d.sent)-1]
+	return last.sequence, last.Announcement
 }
 
 // Acknowledge notes that an allocator has got an announcement.
@@ -83,7 +97,7 @@
 }
 
 // Receive takes an allocator's announcement, unless a newer one has overtaken it.
-func (d *Division) Receive(now time.Time, vm, domain string, sequence uint64, demand map[string]float64) {
+func (d *Division) Receive(now time.Time, vm, domain string, sequence uint64, newest Announcement) {
 	if domain == d.domain || (d.peers[vm] != nil && sequence < d.peers[vm].sequence) {
 		return
 	}
@@ -92,7 +106,7 @@
 		p = &peer{}
 		d.peers[vm] = p
 	}
-	p.domain, p.at, p.sequence, p.demand = domain, now, sequence, demand
+	p.domain, p.at, p.numbered = domain, now, numbered{newest, sequence}
 	d.settle(now)
 }
 
@@ -116,32 +130,36 @@
 	if len(d.sent) == 0 || d.sent[0].sequence > floor {
 		return // what some allocator counts by is not known any more
 	}
-	maps.Copy(d.usable, d.sent[0].demand)
+	maps.Copy(d.usable, d.sent[0].Demand)
 	for _, later := range d.sent[1:] {
 		for workspace, least := range d.usable {
-			d.usable[workspace] = math.Min(least, later.demand[workspace])
+			d.usable[workspace] = math.Min(least, later.Demand[workspace])
 		}
 	}
 }
 
 // Share is the part of a workspace's limit that this domain may hand out, from 0 to 1.
 func (d *Division) Share(now time.Time, workspace string, limit float64) float64 {
-	inTouch := map[string]bool{}
+	present := map[string]float64{d.domain: d.present}
 	others := 0.0
 	for _, p := range d.peers {
 		if now.Sub(p.at) > staleAfter {
 			d.settle(now)
 			return d.Share(now, workspace, limit)
 		}
-		inTouch[p.domain] = true
-		others += p.demand[workspace]
+		present[p.domain] = math.Max(present[p.domain], p.Present)
+		others += p.Demand[workspace]
 	}
-	heard := float64(len(inTouch) + 1)
-	known := heard / math.Max(float64(d.domains), heard)
-	own := d.usable[workspace]
+	known := 0.0
+	for _, part := range present {
+		known += part
+	}
+	heard := float64(len(present))
+	known /= math.Max(float64(d.domains), heard)
 	if len(d.peers) == 0 {
 		return known
 	}
+	own := d.usable[workspace]
 	idle := idleShare * limit * known / heard
 	return known * (own + idle) / (own + others + heard*idle)
 }
--- a/admission/quota/quota_test.go
+++ b/admission/quota/quota_test.go
@@ -99,7 +99,7 @@
 func (h *allocators) announce(now time.Time, demand []float64) {
 	for from, d := range h.divisions {
 		told := map[string]float64{"w": demand[from]}
-		sequence := d.Announce(now, told)
+		sequence, _ := d.Announce(now, quota.Announcement{Demand: told, Present: 1})
 		for to := range h.divisions {
 			if to != from && !h.cut(from, to) && h.random.Float64() < 0.9 {
 				h.inFlight = append(h.inFlight, message{now.Add(h.late()), from, to, sequence, told, false})
@@ -122,7 +122,7 @@
 		case m.ack:
 			h.divisions[m.to].Acknowledge(now, fmt.Sprint("v", m.from), m.sequence)
 		default:
-			h.divisions[m.to].Receive(now, fmt.Sprint("v", m.from), fmt.Sprint("d", m.from), m.sequence, m.demand)
+			h.divisions[m.to].Receive(now, fmt.Sprint("v", m.from), fmt.Sprint("d", m.from), m.sequence, quota.Announcement{Demand: m.demand, Present: 1})
 			if !h.cut(m.to, m.from) {
 				left = append(left, message{now.Add(h.late()), m.to, m.from, m.sequence, nil, true})
 			}
@@ -197,10 +197,10 @@
 // Guards against an allocator that has just started and takes all, as it knows of nobody.
 func TestAllocatorThatKnowsNobody(t *testing.T) {
 	d := quota.NewDivision("d0", 3)
-	d.Announce(at(0), map[string]float64{"w": 1e6})
+	d.Announce(at(0), quota.Announcement{Demand: map[string]float64{"w": 1e6}, Present: 1})
 	testkit.That(t, d.Share(at(0), "w", 1000) < 0.34, "takes %v", d.Share(at(0), "w", 1000))
-	d.Receive(at(0), "v1", "d1", 1, map[string]float64{"w": 10})
-	d.Receive(at(0), "v2", "d2", 1, map[string]float64{"w": 10})
+	d.Receive(at(0), "v1", "d1", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, Present: 1})
+	d.Receive(at(0), "v2", "d2", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, Present: 1})
 	testkit.That(t, d.Share(at(0), "w", 1000) < 0.7, "takes %v before anybody knows of its demand", d.Share(at(0), "w", 1000))
 }
 
@@ -210,9 +210,9 @@
 	for i := range 16 {
 		demand[fmt.Sprint("w", i)] = float64(i)
 	}
-	sequence := d.Announce(at(0), demand)
+	sequence, _ := d.Announce(at(0), quota.Announcement{Demand: demand, Present: 1})
 	for i := 1; i < 7; i++ {
-		d.Receive(at(0), fmt.Sprint("v", i), fmt.Sprint("d", i), 1, demand)
+		d.Receive(at(0), fmt.Sprint("v", i), fmt.Sprint("d", i), 1, quota.Announcement{Demand: demand, Present: 1})
 		d.Acknowledge(at(0), fmt.Sprint("v", i), sequence)
 	}
 	b.ReportAllocs()
--- a/entryvm/quota.go
+++ b/entryvm/quota.go
@@ -57,6 +57,8 @@
 	// Incarnation changes with each start of the VM.
 	Incarnation string            `cbor:"4,keyasint,omitempty"`
 	Demand      []WorkspaceDemand `cbor:"5,keyasint,omitempty"`
+	// Present is the part of the domain's VMs that the speaker reaches, from 0 to 1.
+	Present float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Lease answers a question for credit.
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -37,6 +37,8 @@
 	cut map[string]bool
 	// domainsCut is whether VMs of two failure domains reach each other no more.
 	domainsCut bool
+	// side, where set, tells on which side of a cut through all domains a VM is.
+	side func(vm string) int
 	// reportDelay is how long a report is on its way, and swapsRefused how many swaps a
 	// keeper did not begin.
 	reportDelay  time.Duration
@@ -237,6 +239,9 @@
 	if n == nil || from == nil || w.world.cut[address] || w.world.cut[w.from] {
 		return nil, errCut
 	}
+	if side := w.world.side; side != nil && side(address) != side(w.from) {
+		return nil, errCut
+	}
 	if w.world.domainsCut && n.config.Domain != from.config.Domain {
 		return nil, errCut
 	}
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -152,6 +153,7 @@
 
 // refill brings a bucket to its part of the limit. Call with mu held.
 func (q *quotas) refill(now time.Time, workspace string, bucket *leaseBucket, limit contract.Quota) {
+	q.division.SetPresent(q.allocators.present())
 	part := q.division.Share(now, workspace, limit.PerSecond)
 	// Bursts are divided evenly: a burst that followed demand would cut credit off where
 	// demand pauses, and allocators lend it anyway.
@@ -166,6 +168,7 @@
 	defer exchanges.Wait()
 	pause.Every(ctx, demandEvery, func(ctx context.Context) {
 		now := time.Now()
+		q.prune(now)
 		if !q.limited() {
 			q.forget(now)
 			return
@@ -175,13 +178,20 @@
 			q.forget(now)
 			return
 		}
-		report := q.announce(now)
+		report := q.announce(now, draw.present())
 		for _, allocator := range draw.others {
 			exchanges.Go(func() { q.exchange(ctx, allocator.address, report) })
 		}
 	})
 }
 
+// prune drops the wallets of workspaces without requests.
+func (q *quotas) prune(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.wallets, func(_ string, w *quota.Wallet) bool { return w.Idle(now) })
+}
+
 // forget drops the buckets of a VM that is no allocator and was not asked for a while: its
 // credit would come on top of the next one's.
 func (q *quotas) forget(now time.Time) {
@@ -203,12 +213,12 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.division.Receive(now, reply.VM+reply.Incarnation, reply.Domain, reply.Sequence, demandOf(reply.Demand))
+	q.division.Receive(now, reply.VM+reply.Incarnation, reply.Domain, reply.Sequence, announcementOf(&reply))
 	q.division.Acknowledge(now, reply.VM+reply.Incarnation, report.Sequence)
 }
 
 // announce refills the buckets and makes the report of the demand in this domain.
-func (q *quotas) announce(now time.Time) entryvm.DemandReport {
+func (q *quotas) announce(now time.Time, present float64) entryvm.DemandReport {
 	current := q.node.inForce.Load()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -233,24 +243,24 @@
 			delete(q.buckets, name)
 		}
 	}
-	return q.report(q.division.Announce(now, demand), demand)
+	return q.report(q.division.Announce(now, quota.Announcement{Demand: demand, Present: present}))
 }
 
-func (q *quotas) report(sequence uint64, demand map[string]float64) entryvm.DemandReport {
+func (q *quotas) report(sequence uint64, newest quota.Announcement) entryvm.DemandReport {
 	own := q.node.config
-	report := entryvm.DemandReport{VM: own.VM, Domain: own.Domain, Incarnation: own.Incarnation, Sequence: sequence}
-	for workspace, rate := range demand {
+	report := entryvm.DemandReport{VM: own.VM, Domain: own.Domain, Incarnation: own.Incarnation, Sequence: sequence, Present: newest.Present}
+	for workspace, rate := range newest.Demand {
 		report.Demand = append(report.Demand, entryvm.WorkspaceDemand{Workspace: workspace, PerSecond: float32(rate)})
 	}
 	return report
 }
 
-func demandOf(list []entryvm.WorkspaceDemand) map[string]float64 {
-	demand := make(map[string]float64, len(list))
-	for _, d := range list {
+func announcementOf(report *entryvm.DemandReport) quota.Announcement {
+	demand := make(map[string]float64, len(report.Demand))
+	for _, d := range report.Demand {
 		demand[d.Workspace] = float64(d.PerSecond)
 	}
-	return demand
+	return quota.Announcement{Demand: demand, Present: report.Present}
 }
 
 // Demand implements entryvm.Coordinator.
@@ -259,7 +269,7 @@
 	now := time.Now()
 	draw := q.draw(now)
 	q.mu.Lock()
-	q.division.Receive(now, report.VM+report.Incarnation, report.Domain, report.Sequence, demandOf(report.Demand))
+	q.division.Receive(now, report.VM+report.Incarnation, report.Domain, report.Sequence, announcementOf(&report))
 	q.mu.Unlock()
 	if !draw.holds(n.config.Address) || !q.limited() {
 		return entryvm.DemandReport{VM: n.config.VM, Domain: n.config.Domain, Incarnation: n.config.Incarnation}
--- a/internal/hosted/quotadraw.go
+++ b/internal/hosted/quotadraw.go
@@ -15,11 +15,16 @@
 type allocatorDraw struct {
 	at time.Time
 	// own are those of the own domain in the order in which they are asked, others the
-	// first one of each other domain; vms is how many live VMs the own domain has.
+	// first one of each other domain.
 	own, others []allocator
-	vms         int
+	// live and known are how many VMs the own domain has, and how many it had lately: the
+	// others may be cut off and serving.
+	live, known int
 }
 
+// present is the part of the own domain's VMs that this one reaches.
+func (d *allocatorDraw) present() float64 { return float64(d.live) / float64(max(d.known, d.live, 1)) }
+
 // holds tells whether the VM at the address is its domain's allocator.
 func (d *allocatorDraw) holds(address string) bool {
 	return len(d.own) > 0 && d.own[0].address == address
@@ -40,7 +45,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(d.own) > 0 && (len(q.allocators.own) == 0 || d.own[0] != q.allocators.own[0]) {
-		q.node.config.Logger.Info("quota allocator chosen", zap.String("allocator", d.own[0].vm), zap.Int("vms", d.vms))
+		q.node.config.Logger.Info("quota allocator chosen", zap.String("allocator", d.own[0].vm), zap.Int("live", d.live), zap.Int("known", d.known))
 	}
 	q.allocators = d
 	return d
@@ -54,10 +59,10 @@
 	if !m.node.stopping.Load() {
 		able[own.Domain] = append(able[own.Domain], volunteer{own.VM, own.Capacity})
 	}
-	d := allocatorDraw{at: now, vms: 1}
+	d := allocatorDraw{at: now, live: 1, known: 1 + m.knownInDomain()}
 	m.live(now, func(r *entryvm.Report) {
 		if r.Domain == own.Domain {
-			d.vms++
+			d.live++
 		}
 		if !r.Leaving {
 			able[r.Domain] = append(able[r.Domain], volunteer{r.VM, r.Capacity})
@@ -76,3 +81,16 @@
 	}
 	return d
 }
+
+// knownInDomain is how many other VMs of the own domain were heard of and not forgotten
+// since, but for those that stop.
+func (m *members) knownInDomain() (known int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.report.VM != "" && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
+			known++
+		}
+	}
+	return known
+}
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -168,7 +168,8 @@
 	q.deposit(now, use.workspace, reply.Credit-use.cost)
 	q.usage.admitted(use)
 	if reply.Wait > 0 && !pause.For(ctx, reply.Wait) {
-		return use, ctx.Err()
+		q.giveBack(use)
+		return creditUse{}, ctx.Err()
 	}
 	return use, nil
 }
@@ -291,7 +292,8 @@
 	if !known {
 		return 0, true
 	}
-	part := 1 / float64(q.domains()*q.draw(now).vms)
+	draw := q.draw(now)
+	part := 1 / float64(q.domains()*max(draw.known, draw.live))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if now.Sub(q.fallbackAt) > fallbackIdle {
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -228,6 +228,32 @@
 	})
 }
 
+// Guards against two parts of a fleet that are cut off from each other through the middle
+// of each failure domain, so that each has an allocator of each domain.
+func TestQuotaWhileDomainsAreSplit(t *testing.T) {
+	inQuotaBed(t, 30, map[string]float64{"hot": 20_000, "calm": 20_000}, func(b *quotaBed) {
+		few := make(map[string]bool)
+		for i, vm := range b.vms {
+			few[vm] = i >= 18
+		}
+		time.AfterFunc(4*time.Second, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.side = func(vm string) int {
+				if few[vm] {
+					return 1
+				}
+				return 0
+			}
+		})
+		b.drive(18*time.Second, map[string]float64{"hot": 80_000, "calm": 11_000}, b.any)
+		b.open.Wait()
+		b.checkWindows("hot", 20_000)
+		b.checkWindows("calm", 20_000)
+		b.checkRefused("calm", 0.02)
+	})
+}
+
 // Guards against a burst that comes back with each restart of the VMs that hand out
 // credit, and against a pause in service until others are drawn.
 func TestQuotaWhileAllocatorsDie(t *testing.T) {
