--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -60,12 +60,13 @@
 	lane    lane
 }
 
+// lane is one of the connections to a peer; the zero one is for reports and what else
+// has none of its own.
 type lane uint8
 
 const (
-	laneReports lane = iota
 	// laneBulk is for what may take seconds on a slow link.
-	laneBulk
+	laneBulk lane = iota + 1
 	// laneQuota is for what requests wait for.
 	laneQuota
 )
