settings: the slack of quotas may be a fraction; the template's test knows sections

The test renders sections as the deploy page says, with workspaces and without, and holds what they must make. It also showed by reading that a slack of 7,500.5 would have kept the daemon from starting: a platform's bounds may be fractions.

--- a/cmd/bergamotreel/hosted_test.go
+++ b/cmd/bergamotreel/hosted_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -52,15 +53,47 @@
 		"listen.ready": "10.0.0.1:3", "bootstrap": "true", "platform.address": "10.0.0.9:9", "platform.parts": "12",
 		"bounds.leaseMs": "3000", "bounds.graceS": "8", "bounds.configApplyMs": "2000", "bounds.drainMs": "2000", "limits.memoryMb": "284", "seeds": "10.0.0.1:2,10.0.0.2:2", "ip": "10.0.0.1", "internalPorts.0": "7380",
 	}
-	for name, value := range fields {
-		template = strings.ReplaceAll(template, "{{"+name+"}}", value)
+	for what, sections := range map[string]map[string][]string{
+		"without workspaces": {"zones": {"a", "b"}},
+		"with workspaces":    {"zones": {"a", "b", "c"}, "bounds.strictRevoke": {"true"}, "bounds.revokeMs": {"5000"}, "bounds.quotaSlack": {"7500.5"}},
+	} {
+		filled := fillSections(template, sections)
+		for name, value := range fields {
+			filled = strings.ReplaceAll(filled, "{{"+name+"}}", value)
+		}
+		testkit.That(t, !strings.Contains(filled, "{{"), "%s: fields that this test doesn't know: %s", what, filled)
+		file := filepath.Join(t.TempDir(), "s.ini")
+		testkit.OK(t, os.WriteFile(file, []byte(filled), 0o600))
+		var out, errs strings.Builder
+		code := program.Run(context.Background(), []string{"serve", "-config", file, "-check"}, &out, &errs)
+		testkit.That(t, code == 0, "%s: code %d: %s", what, code, errs.String())
+		_, strict := sections["bounds.strictRevoke"]
+		testkit.That(t, strict == strings.Contains(filled, "refuse_unsure_after = 5000ms"), "%s: %s", what, filled)
+		testkit.That(t, strict == strings.Contains(filled, "quota_slack = 7500.5"), "%s: %s", what, filled)
+		testkit.That(t, strings.Contains(filled, "domains = "+strings.Join(sections["zones"], ",")+"\n"), "%s: %s", what, filled)
 	}
-	testkit.That(t, !strings.Contains(template, "{{"), "fields that this test doesn't know: %s", template)
-	file := filepath.Join(t.TempDir(), "s.ini")
-	testkit.OK(t, os.WriteFile(file, []byte(template), 0o600))
-	var out, errs strings.Builder
-	code := program.Run(context.Background(), []string{"serve", "-config", file, "-check"}, &out, &errs)
-	testkit.That(t, code == 0, "code %d: %s", code, errs.String())
 	system := string(testkit.Value(os.ReadFile("../../deploy/system.toml"))(t))
 	testkit.That(t, strings.Contains(system, `template = "deploy/settings.ini.tmpl"`), "the deploy file names another template")
 }
+
+// fillSections renders the platform's sections: once for each entry of a list or table,
+// not at all where there is none, with the entry's key and a comma except after the last.
+func fillSections(template string, entries map[string][]string) string {
+	section := regexp.MustCompile(`(?s)\{\{#([A-Za-z.]+)\}\}(.*?)\{\{/([A-Za-z.]+)\}\}`)
+	return section.ReplaceAllStringFunc(template, func(whole string) string {
+		parts := section.FindStringSubmatch(whole)
+		var out strings.Builder
+		for i, entry := range entries[parts[1]] {
+			comma := ","
+			if i == len(entries[parts[1]])-1 {
+				comma = ""
+			}
+			body := strings.NewReplacer("{{@}}", entry, "{{,}}", comma).Replace(parts[2])
+			for name, values := range entries {
+				body = strings.ReplaceAll(body, "{{"+name+"}}", values[0])
+			}
+			out.WriteString(body)
+		}
+		return out.String()
+	})
+}
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -89,7 +89,7 @@
 		Lease:  lease.ShardConfig{Hold: leaseHold, Quiet: s.Platform.OrderQuiet + quietMargin, InFlight: orderInFlight},
 		Report: hostedReport, Boot: boottime.Now,
 		ApplyWithin: s.Platform.ApplyWithin, DrainWithin: s.Platform.DrainWithin,
-		RefuseUnsureAfter: s.Platform.RefuseUnsureAfter, QuotaSlack: float64(s.Policy.QuotaSlack),
+		RefuseUnsureAfter: s.Platform.RefuseUnsureAfter, QuotaSlack: s.Policy.QuotaSlack,
 	})
 	limits := callerLimits(s.Limits, nil)
 	h.callers = caller.NewServer(caller.NewRelay(h.node, clients.Dialect, limits, h.logger), limits, nil)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -156,7 +156,7 @@
 	// ClaimShards is the number of streams that claims are spread over.
 	ClaimShards int
 	// QuotaSlack is how many units beyond its quota a workspace may use for a short time.
-	QuotaSlack int
+	QuotaSlack float64
 	// RetryBudget is the share of the traffic that may be retries.
 	RetryBudget float64
 	// ShutdownGrace bounds a graceful shutdown.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -272,7 +272,7 @@
 	{
 		section: "policy", key: "quota_slack", byDefault: "0",
 		help: "units beyond its quota that a workspace may use for a short time: quotas that are small beside a single request are refused less often below them",
-		set:  number(0, 1_000_000_000, func(s *Settings) *int { return &s.Policy.QuotaSlack }),
+		set:  share(0, 1e12, func(s *Settings) *float64 { return &s.Policy.QuotaSlack }),
 	},
 	{
 		section: "policy", key: "shutdown_grace", byDefault: "15m",
