--- a/internal/hosted/quotadraw.go
+++ b/internal/hosted/quotadraw.go
@@ -82,13 +82,14 @@
 	return d
 }
 
-// knownInDomain is how many other VMs of the own domain were heard of and not forgotten
-// since, but for those that stop.
+// knownInDomain is how many other VMs of the own domain were live here and not forgotten
+// since, but for those that stop. A VM that has just started is told of others before it
+// hears them: they do not count yet.
 func (m *members) knownInDomain() (known int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.report.VM != "" && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
+		if !p.heardAt.IsZero() && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
 			known++
 		}
 	}
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -13,6 +13,7 @@
 	"bergamotreel/admission/quota"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/registry"
 )
@@ -363,3 +364,18 @@
 		}
 	})
 }
+
+// Guards against a VM that has just started and hands out next to nothing, as it was told
+// of VMs that it has not heard yet.
+func TestVMsOnlyToldOfAreNotMissing(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1")
+		a := w.boot("a", true)
+		time.Sleep(time.Second)
+		a.members.mu.Lock()
+		a.members.meet(time.Now(), []entryvm.VMView{{VM: "x", Address: "x", Domain: "d"}, {VM: "y", Address: "y", Domain: "d"}})
+		a.members.mu.Unlock()
+		draw := a.members.drawAllocators(time.Now())
+		testkit.Equal(w, "part of the domain that is present", draw.present(), 1.0)
+	})
+}
