--- a/admission/quota/division.go
+++ b/admission/quota/division.go
@@ -154,14 +154,14 @@
 	for _, part := range present {
 		known += part
 	}
-	heard := float64(len(present))
-	known /= math.Max(float64(d.domains), heard)
+	inTouch := float64(len(present))
+	known /= math.Max(float64(d.domains), inTouch)
 	if len(d.peers) == 0 {
 		return known
 	}
 	own := d.usable[workspace]
-	idle := idleShare * limit * known / heard
-	return known * (own + idle) / (own + others + heard*idle)
+	idle := idleShare * limit * known / inTouch
+	return known * (own + idle) / (own + others + inTouch*idle)
 }
 
 // Even is the part of a domain where all have the same.
--- a/admission/quota/quota_test.go
+++ b/admission/quota/quota_test.go
@@ -98,11 +98,11 @@
 // announce sends every allocator's demand to the others, late by up to a second.
 func (h *allocators) announce(now time.Time, demand []float64) {
 	for from, d := range h.divisions {
-		told := map[string]float64{"w": demand[from]}
-		sequence, _ := d.Announce(now, quota.Announcement{Demand: told, Present: 1})
+		announced := map[string]float64{"w": demand[from]}
+		sequence, _ := d.Announce(now, quota.Announcement{Demand: announced, Present: 1})
 		for to := range h.divisions {
 			if to != from && !h.cut(from, to) && h.random.Float64() < 0.9 {
-				h.inFlight = append(h.inFlight, message{now.Add(h.late()), from, to, sequence, told, false})
+				h.inFlight = append(h.inFlight, message{now.Add(h.late()), from, to, sequence, announced, false})
 			}
 		}
 	}
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -367,7 +367,7 @@
 
 // Guards against a VM that has just started and hands out next to nothing, as it was told
 // of VMs that it has not heard yet.
-func TestVMsOnlyToldOfAreNotMissing(t *testing.T) {
+func TestVMsOnlyNamedAreNotMissing(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.registry.configuration = testContract("m1")
 		a := w.boot("a", true)
