serving, hosted: broken runs and ended backend servers are logged with request fingerprints

An attempt whose connection broke now logs a hash of its content (workspace, method, host, URI, body; without a body the caller's address), the last line of a failed request its caller.

No decision depends on any of it yet.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -51,7 +52,9 @@
 	// Service is the one of the route's targets that the request goes to.
 	Service string
 	service.Forward
-	Arrived time.Time
+	// CallerHost is the caller's address without its port.
+	CallerHost string
+	Arrived    time.Time
 	// GiveUp is when the request must have its final answer, BeginBy when the
 	// answer must have begun: a stream's caller leaves earlier if it hears nothing.
 	GiveUp, BeginBy time.Time
@@ -197,6 +200,7 @@
 	q.Grant = grant
 	route := grant.Route
 	q.Service = route.Target(draw(q.ID))
+	q.CallerHost, _, _ = net.SplitHostPort(r.RemoteAddr)
 	q.Arrived = x.arrived
 	q.GiveUp = giveUp(x.arrived, q.Patience, route.Timeout)
 	q.BeginBy = beginBy(x.arrived, q.GiveUp, route.Silence)
@@ -293,7 +297,7 @@
 	fields = append(fields, x.expectations()...)
 	if err != nil {
 		fields = append(fields, telemetry.Reason(err), zap.Duration("retry_after", refusal.From(err).RetryAfter),
-			zap.String("host", r.Host), zap.String("uri", r.RequestURI))
+			zap.String("host", r.Host), zap.String("uri", r.RequestURI), zap.String("caller", x.request.CallerHost))
 	}
 	h.log.Info("request ended", fields...)
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -106,6 +106,7 @@
 	adapters *adapterAsks
 	quotas   *quotas
 	arrivals *arrivals
+	crashes  *crashes
 	registry reachability
 	// configurations and changes are what is known of the registry's topics.
 	configurations, changes feed
@@ -141,6 +142,7 @@
 	n.demand = newDemand()
 	n.adapters = newAdapterAsks(n)
 	n.arrivals = newArrivals(n)
+	n.crashes = newCrashes(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
 	n.keeper = newKeeper(n)
@@ -159,7 +161,7 @@
 	defer duties.Wait()
 	for _, duty := range []func(context.Context){
 		n.followConfiguration, n.followBackends, n.learnFromPeers, n.sweep, n.probe,
-		n.members.run, n.quotas.run, n.holdShards, n.planner.run, n.serving.Run,
+		n.crashes.run, n.members.run, n.quotas.run, n.holdShards, n.planner.run, n.serving.Run,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/admission/quarantine"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/internal/telemetry"
@@ -50,6 +51,8 @@
 	// that it answered.
 	Unreachable(backend string)
 	Reached(backend string)
+	// Broken tells that the connection to a backend server ended while it ran a request.
+	Broken(backend string, request quarantine.Fingerprint)
 }
 
 // Forward passes an opaque request on to a backend server, and its answer back.
@@ -95,6 +98,8 @@
 	runs int
 	// resume is the last event that the caller has, empty before the first.
 	resume string
+	// fingerprint is for contentHash.
+	fingerprint *quarantine.Fingerprint
 	// arrivedReady is whether a backend server was ready for it at its arrival.
 	arrivedReady bool
 }
@@ -204,9 +209,31 @@
 	}
 	err = guarded(ctx, err)
 	f.judge(err)
+	if f.brokenOff(ctx, err) {
+		f.server.forwards().Broken(f.place.backend, f.contentHash())
+	}
 	return err
 }
 
+// brokenOff tells whether the backend server or its connection ended while it may have
+// run the request.
+func (f *forwarding) brokenOff(ctx context.Context, err error) bool {
+	return err != nil && f.verdict.ran && ctx.Err() == nil && !isSinkError(err) && !errors.Is(err, errServerFailed)
+}
+
+// contentHash is the request's fingerprint, worked out once.
+func (f *forwarding) contentHash() quarantine.Fingerprint {
+	if f.fingerprint == nil {
+		r := &f.request
+		content := quarantine.Content{
+			Workspace: r.WorkspaceName(), Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.CallerHost, Body: r.Body,
+		}
+		hash := content.Fingerprint()
+		f.fingerprint = &hash
+	}
+	return *f.fingerprint
+}
+
 // guard ends the attempt of a request that can be repeated, where the backend
 // server is silent for too long; any other one waits to its end.
 func (f *forwarding) guard(cancel context.CancelCauseFunc) *guard {
@@ -369,13 +396,18 @@
 	if err != nil {
 		outcome = "failed"
 	}
-	f.server.config.Logger.Info("attempt",
+	fields := []zap.Field{
 		zap.String("request", f.request.ID), zap.String("unit", f.place.query.Unit),
 		zap.String("backend", f.place.backend), zap.Int("try", f.place.ticket.Attempts),
 		zap.Bool("ready_at_arrival", f.arrivedReady),
 		zap.Duration("waited", f.place.begun.Sub(f.request.Arrived)), zap.Duration("first", f.place.firstToken),
 		zap.Duration("ran", time.Since(f.place.begun)),
-		zap.String("outcome", outcome), zap.Bool("may_have_run", f.verdict.ran), telemetry.Reason(err))
+		zap.String("outcome", outcome), zap.Bool("may_have_run", f.verdict.ran), telemetry.Reason(err),
+	}
+	if f.fingerprint != nil {
+		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint))
+	}
+	f.server.config.Logger.Info("attempt", fields...)
 }
 
 // logNotSent tells of a request that was passed on to no backend server, and whether one had
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/admission/quarantine"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/internal/serving"
@@ -45,6 +46,7 @@
 	sent     []sending
 	ready    bool
 	lacking  []string
+	broken   []quarantine.Fingerprint
 	down     []string
 	missing  int
 	slots    int
@@ -83,8 +85,13 @@
 func (b *forwardBed) Target(name string) (service.Target, bool) {
 	return service.Target{ID: name, Address: name}, true
 }
-func (b *forwardBed) Unreachable(name string)      { b.down = append(b.down, name) }
-func (b *forwardBed) Reached(string)               {}
+func (b *forwardBed) Unreachable(name string) { b.down = append(b.down, name) }
+func (b *forwardBed) Reached(string)          {}
+
+// Broken notes the requests whose connections broke.
+func (b *forwardBed) Broken(_ string, request quarantine.Fingerprint) {
+	b.broken = append(b.broken, request)
+}
 func (b *forwardBed) Lacking(backend, unit string) { b.lacking = append(b.lacking, backend+" "+unit) }
 
 // Forward is service.Forwarder's.
@@ -367,3 +374,30 @@
 		testkit.That(t, !ok, "%s read as a model's unit", name)
 	}
 }
+
+// Guards against an end of a backend server that nobody connects with what it ran, and
+// against failures that it survived being taken for one.
+func TestBrokenRunsAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer func() (*service.Forwarded, error)
+		broken int
+	}{
+		"cut off":          {func() (*service.Forwarded, error) { return cut("x"), nil }, 1},
+		"no answer":        {func() (*service.Forwarded, error) { return nil, service.ErrOutcomeUnknown }, 1},
+		"own failure":      {func() (*service.Forwarded, error) { return whole(500, "x"), nil }, 0},
+		"turned away":      {func() (*service.Forwarded, error) { return nil, service.ErrNotRun }, 0},
+		"answered":         {func() (*service.Forwarded, error) { return whole(200, "x"), nil }, 0},
+		"connection fails": {func() (*service.Forwarded, error) { return nil, service.ErrNotSent }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newForwardBed(t)
+				b.script = func(context.Context, int, sending) (*service.Forwarded, error) { return c.answer() }
+				once := route(contract.RepeatNever)
+				_ = b.forward(context.Background(), once, "m", &received{})
+				testkit.That(t, len(b.broken) == c.broken, "%d broken runs reported, want %d", len(b.broken), c.broken)
+				b.stop()
+			})
+		})
+	}
+}
--- a/service/forward.go
+++ b/service/forward.go
@@ -17,6 +17,10 @@
 // later start of the same, answers at the address; or it lacks what was asked for.
 var ErrWrongServer = errs.New("not the backend server that was meant")
 
+// ErrRefused comes together with ErrNotSent: the backend server's machine answered that
+// nothing accepts connections at its address, so its process has ended.
+var ErrRefused = errs.New("connection refused")
+
 // Target is the backend server that a request is sent to.
 type Target struct {
 	// ID names one start of the backend server; any other refuses the request.
@@ -63,6 +67,6 @@
 	// end of ctx breaks off the request at the backend server, also while the body
 	// is read.
 	Forward(ctx context.Context, target Target, request Forward) (*Forwarded, error)
-	// Probe tells whether a backend server accepts connections.
+	// Probe tells whether a backend server accepts connections. It fails with ErrNotSent.
 	Probe(ctx context.Context, target Target) error
 }
