--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -58,6 +58,8 @@
 	refuseUnsureAfter time.Duration
 	domains           int
 	quotaSlack        float64
+	// forwarder, where set, answers in place of the engines.
+	forwarder service.Forwarder
 }
 
 const testService = "llm"
@@ -90,10 +92,14 @@
 func (w *world) boot(vm string, first bool) *Node { return w.bootIn("d", vm, first) }
 
 func (w *world) bootIn(domain, vm string, first bool) *Node {
+	forwarder := w.forwarder
+	if forwarder == nil {
+		forwarder = backendsOf{w, domain}
+	}
 	n := New(Config{
 		VM: vm, Address: vm, Domain: domain, Domains: w.domains, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
-		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: backendsOf{w, domain}, EntryVMs: wire{w, vm}},
+		Peers:  Peers{Registry: registryOf{w.registry, vm}, Engines: w.engines, Backends: forwarder, EntryVMs: wire{w, vm}},
 		Lease:  lease.ShardConfig{Hold: 4 * time.Second, Quiet: 3 * time.Second, InFlight: time.Second},
 		Report: 100 * time.Millisecond, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, RefuseUnsureAfter: w.refuseUnsureAfter, QuotaSlack: w.quotaSlack, Boot: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
