hosted, serving: requests that crash what runs them are quarantined

Class: a poison request with no memory of failures across requests and VMs; retry limits bound one request ID, and health checks blame the engines.

Ruled out: our own retries (each request ID broke on one engine at the most), engines that end for another reason (one URI is common to all 11 ends in the logs, no other one comes more than twice).

Now a request that was running as three starts of backend servers ended, and was never answered, is refused (503, not run, Retry-After: when it may be tried again) for ten minutes after the last end, at arrival and again before each sending. An end counts where connections are refused afterwards, not where one was reset. VMs exchange the evidence with their reports, numbered and acknowledged; a VM that starts gets all. Any successful answer clears.

TestCrashingRequestIsKeptFromEngines failed before (9 sendings later than 3 s after the third end where 3 are allowed, 15 and 17 engines ended), passes now: 0, with 3 and 5 engines ended on 8 and 30 VMs, no other request refused.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -72,6 +72,21 @@
 	AllEngines bool `cbor:"30,keyasint,omitempty"`
 	// Resend are the keepers whose news this VM does not have whole.
 	Resend []string `cbor:"31,keyasint,omitempty"`
+	// Suspects are requests that ran on backend servers as these ended: those that the VM
+	// which the report goes to had not acknowledged. SuspectsNext is the speaker's version
+	// up to which they go, SuspectsSeen what it has of the other one's.
+	Suspects     []Suspect `cbor:"32,keyasint,omitempty"`
+	SuspectsNext uint64    `cbor:"33,keyasint,omitempty"`
+	SuspectsSeen NewsSeen  `cbor:"34,keyasint,omitempty"`
+}
+
+// Suspect is a request that may crash the backend servers that run it; the fields are
+// those of quarantine.Suspect.
+type Suspect struct {
+	Request  uint64        `cbor:"1,keyasint,omitempty"`
+	Backends []string      `cbor:"2,keyasint,omitempty"`
+	Cleared  bool          `cbor:"3,keyasint,omitempty"`
+	Age      time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Arrival is when a model should have its first replica, from the sending on.
--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -257,3 +257,45 @@
 		})
 	}
 }
+
+// Guards against a VM that starts later and sends on what all others refuse.
+func TestRestartedVMLearnsOfCrashes(t *testing.T) {
+	inCrashBed(t, 8, 18, func(b *crashBed) {
+		for i := range 3 {
+			b.sendAt(time.Duration(i)*time.Second, b.vms[i])
+		}
+		b.open.Wait()
+		time.Sleep(time.Second)
+		b.kill(b.vms[5])
+		b.bootVM(5)
+		b.sendAt(2*time.Second, b.vms[5])
+		b.open.Wait()
+		testkit.Equal(t, "sendings to engines", len(b.reached), 3)
+	})
+}
+
+// Guards against refusing a request that is popular, and so is running whenever an engine
+// ends for another reason.
+func TestPopularRequestOutlivesItsEngines(t *testing.T) {
+	inCrashBed(t, 8, 18, func(b *crashBed) {
+		failed := 0
+		for i := range 400 {
+			b.open.Go(func() {
+				if err := b.send(b.vms[i%8], "/popular"); err != nil {
+					b.counting.Lock()
+					failed++
+					b.counting.Unlock()
+				}
+			})
+			if i%40 == 20 {
+				b.counting.Lock()
+				e := b.engines[fmt.Sprint("at-e", 1+i/40)]
+				b.counting.Unlock()
+				b.end(e)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		b.open.Wait()
+		testkit.That(t, failed < 20, "%d of 400 requests failed", failed)
+	})
+}
--- a/internal/hosted/heard.go
+++ b/internal/hosted/heard.go
@@ -14,6 +14,8 @@
 	if report.VM == m.node.config.VM || report.Address == "" {
 		return
 	}
+	m.node.crashes.merge(now, &report)
+	report.Suspects = nil
 	var addresses []string
 	for _, other := range report.Members {
 		addresses = append(addresses, other.Address)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -150,7 +150,7 @@
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, Forwards: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
-		Logger: config.Logger, RetryShare: config.RetryShare,
+		Logger: config.Logger, RetryShare: config.RetryShare, Quarantine: n.crashes,
 	})
 	return n
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -51,8 +51,6 @@
 	// that it answered.
 	Unreachable(backend string)
 	Reached(backend string)
-	// Broken tells that the connection to a backend server ended while it ran a request.
-	Broken(backend string, request quarantine.Fingerprint)
 }
 
 // Forward passes an opaque request on to a backend server, and its answer back.
@@ -62,13 +60,18 @@
 	defer cancel()
 	request, query := s.describeForward(r)
 	known := s.find(request.Unit)
+	f := &forwarding{server: s, request: r, answer: answer, resume: r.ResumeAfter, arrivedReady: anyReady(known)}
+	if refused := f.quarantined(); refused != nil {
+		s.logNotSent(r.ID, request.Unit, f.arrivedReady, refused)
+		return refused
+	}
 	s.countForward(r)
 	p, w, refused := s.arrive(request, query, known)
 	if refused != nil {
-		s.logNotSent(r.ID, request.Unit, anyReady(known), refused)
+		s.logNotSent(r.ID, request.Unit, f.arrivedReady, refused)
 		return refused
 	}
-	f := &forwarding{server: s, place: p, request: r, answer: answer, resume: r.ResumeAfter, arrivedReady: anyReady(known)}
+	f.place = p
 	err := f.run(ctx, w)
 	p.end(ctx, err, f.verdict)
 	return p.honest(err)
@@ -111,6 +114,11 @@
 		f.server.logNotSent(f.request.ID, f.place.query.Unit, f.arrivedReady, err)
 	}
 	for err == nil {
+		// Again, as it may have waited.
+		if refused := f.quarantined(); refused != nil {
+			f.verdict = verdict{result: routing.Result{NotRun: true}}
+			return refused
+		}
 		err = f.attempt(ctx)
 		f.logAttempt(err)
 		if err == nil {
@@ -209,31 +217,10 @@
 	}
 	err = guarded(ctx, err)
 	f.judge(err)
-	if f.brokenOff(ctx, err) {
-		f.server.forwards().Broken(f.place.backend, f.contentHash())
-	}
+	f.reportRun(ctx, head, err)
 	return err
 }
 
-// brokenOff tells whether the backend server or its connection ended while it may have
-// run the request.
-func (f *forwarding) brokenOff(ctx context.Context, err error) bool {
-	return err != nil && f.verdict.ran && ctx.Err() == nil && !isSinkError(err) && !errors.Is(err, errServerFailed)
-}
-
-// contentHash is the request's fingerprint, worked out once.
-func (f *forwarding) contentHash() quarantine.Fingerprint {
-	if f.fingerprint == nil {
-		r := &f.request
-		content := quarantine.Content{
-			Workspace: r.WorkspaceName(), Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.CallerHost, Body: r.Body,
-		}
-		hash := content.Fingerprint()
-		f.fingerprint = &hash
-	}
-	return *f.fingerprint
-}
-
 // guard ends the attempt of a request that can be repeated, where the backend
 // server is silent for too long; any other one waits to its end.
 func (f *forwarding) guard(cancel context.CancelCauseFunc) *guard {
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -42,15 +42,20 @@
 	// script answers a sending; its number counts from 1.
 	script func(ctx context.Context, number int, s sending) (*service.Forwarded, error)
 
-	mu       sync.Mutex
-	sent     []sending
-	ready    bool
-	lacking  []string
-	broken   []quarantine.Fingerprint
-	down     []string
-	missing  int
-	slots    int
-	backends []string
+	mu      sync.Mutex
+	sent    []sending
+	ready   bool
+	lacking []string
+	broken  []quarantine.Fingerprint
+	// suspects is whether requests are looked up in the quarantine, which refuses from the
+	// quarantineFrom-th sending on, 0 for never; cleared counts the answers told to it.
+	suspects       bool
+	quarantineFrom int
+	cleared        int
+	down           []string
+	missing        int
+	slots          int
+	backends       []string
 }
 
 func newForwardBed(t *testing.T) *forwardBed {
@@ -59,7 +64,7 @@
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	b.server = serving.New(serving.Config{
 		Domain: "a", Directory: b, Forwards: b, Forwarder: b, Admission: controller,
-		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: zap.NewNop(), RetryShare: 0.1,
+		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: zap.NewNop(), RetryShare: 0.1, Quarantine: b,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -88,10 +93,18 @@
 func (b *forwardBed) Unreachable(name string) { b.down = append(b.down, name) }
 func (b *forwardBed) Reached(string)          {}
 
-// Broken notes the requests whose connections broke.
+// Broken is serving.Quarantine's, as the next three are.
 func (b *forwardBed) Broken(_ string, request quarantine.Fingerprint) {
 	b.broken = append(b.broken, request)
 }
+func (b *forwardBed) Suspects() bool                  { return b.suspects }
+func (b *forwardBed) Answered(quarantine.Fingerprint) { b.cleared++ }
+func (b *forwardBed) Refusal(quarantine.Fingerprint) *refusal.Refusal {
+	if b.quarantineFrom == 0 || len(b.sent) < b.quarantineFrom-1 {
+		return nil
+	}
+	return refusal.New(refusal.CodeQuarantined, time.Minute, "it crashes what runs it")
+}
 func (b *forwardBed) Lacking(backend, unit string) { b.lacking = append(b.lacking, backend+" "+unit) }
 
 // Forward is service.Forwarder's.
@@ -401,3 +414,34 @@
 		})
 	}
 }
+
+// Guards against a repetition that is sent on as it waited while the request was found to
+// crash what runs it, and against a "not run" for one that has run.
+func TestQuarantinedWhileItWaited(t *testing.T) {
+	for sendings, ran := range map[int]refusal.Ran{0: refusal.RanNo, 1: refusal.RanMaybe} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardBed(t)
+			b.suspects, b.quarantineFrom = true, sendings+1
+			b.script = func(context.Context, int, sending) (*service.Forwarded, error) { return nil, service.ErrOutcomeUnknown }
+			err := b.forward(context.Background(), route(contract.RepeatSafe), "m", &received{})
+			wantRefusal(t, err, refusal.CodeQuarantined, ran)
+			testkit.Equal(t, "sendings", len(b.sent), sendings)
+			testkit.Equal(t, "open requests", b.server.Open(), 0)
+			b.stop()
+		})
+	}
+}
+
+// Guards against a failure that passes for an answer and clears the request.
+func TestOnlySuccessClears(t *testing.T) {
+	for status, cleared := range map[int]int{200: 1, 404: 0, 500: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardBed(t)
+			b.suspects = true
+			b.script = func(context.Context, int, sending) (*service.Forwarded, error) { return whole(status, "x"), nil }
+			_ = b.forward(context.Background(), route(contract.RepeatNever), "m", &received{})
+			testkit.Equal(t, fmt.Sprint("cleared by ", status), b.cleared, cleared)
+			b.stop()
+		})
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -51,6 +51,8 @@
 	// server without them has none. Engines is nil in one that has only these.
 	Forwarder service.Forwarder
 	Forwards  ForwardDirectory
+	// Quarantine may be nil: then no forwarded request is refused for what it did before.
+	Quarantine Quarantine
 }
 
 const (
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -36,6 +36,7 @@
 	CodeQueueFull      Code = "queue_full"      // 429: the contract's queue
 	CodeWaitTooLong    Code = "wait_too_long"   // 503: cannot make its longest wait
 	CodeNoCapacity     Code = "no_capacity"     // 503: no replica can be had
+	CodeQuarantined    Code = "quarantined"     // 503: it crashes what runs it
 	CodeLogUnavailable Code = "log_unavailable" // 503: no claim can be recorded
 	CodeShuttingDown   Code = "shutting_down"   // 503: this entry VM is stopping
 	CodeNotReady       Code = "not_ready"       // 503: this entry VM has no state yet
@@ -49,7 +50,7 @@
 	CodeNotFound: http.StatusNotFound, CodeKeyConflict: http.StatusConflict,
 	CodeTooLarge: http.StatusRequestEntityTooLarge, CodeRateLimited: http.StatusTooManyRequests,
 	CodeQueueFull: http.StatusTooManyRequests, CodeWaitTooLong: http.StatusServiceUnavailable,
-	CodeNoCapacity: http.StatusServiceUnavailable, CodeLogUnavailable: http.StatusServiceUnavailable,
+	CodeNoCapacity: http.StatusServiceUnavailable, CodeQuarantined: http.StatusServiceUnavailable, CodeLogUnavailable: http.StatusServiceUnavailable,
 	CodeShuttingDown: http.StatusServiceUnavailable, CodeNotReady: http.StatusServiceUnavailable,
 	CodeBackendFailed: http.StatusBadGateway, CodeOutcomeUnknown: http.StatusGatewayTimeout,
 	CodeInternal: http.StatusInternalServerError,
