hosted, platform: quarantined requests outlive the fleet

The VM that leads now records verdicts in the registry (one append for new ones, one read when a VM begins to lead) and tells the others with its reports. Damaged records hide no others; outdated ones are dropped.

TestQuarantineOutlivesAllVMs failed before: 6 sendings to engines where 3 are allowed. Ruled out as another way: recording each end of a backend server, a paid call each.

--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -54,6 +54,8 @@
 	table   *quarantine.Table
 	// seen is up to which version this VM has each other one's suspects.
 	seen map[string]entryvm.NewsSeen
+	// recorded are the requests whose record in the registry is known to this VM.
+	recorded map[quarantine.Fingerprint]bool
 }
 
 var (
@@ -66,7 +68,7 @@
 
 func newCrashes(n *Node) *crashes {
 	return &crashes{node: n, broken: make(chan brokenRun, brokenMost), running: make(map[string][]quarantine.Fingerprint),
-		table: quarantine.NewTable(quarantine.Config{}), seen: make(map[string]entryvm.NewsSeen)}
+		table: quarantine.NewTable(quarantine.Config{}), seen: make(map[string]entryvm.NewsSeen), recorded: make(map[quarantine.Fingerprint]bool)}
 }
 
 // Suspects implements serving.Quarantine.
--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -299,3 +299,27 @@
 		testkit.That(t, failed < 20, "%d of 400 requests failed", failed)
 	})
 }
+
+// Guards against a fleet that has forgotten, after all its VMs were killed, what crashed
+// its engines before.
+func TestQuarantineOutlivesAllVMs(t *testing.T) {
+	inCrashBed(t, 8, 18, func(b *crashBed) {
+		for i := range 3 {
+			b.sendAt(time.Duration(i)*time.Second, b.vms[i])
+		}
+		b.open.Wait()
+		time.Sleep(5 * time.Second)
+		for _, vm := range b.vms {
+			b.kill(vm)
+		}
+		time.Sleep(time.Second)
+		for i := range b.vms {
+			b.bootVM(i)
+		}
+		for i := range 6 {
+			b.sendAt(4*time.Second+time.Duration(i)*700*time.Millisecond, b.vms[i])
+		}
+		b.open.Wait()
+		testkit.Equal(t, "sendings to engines", len(b.reached), 3)
+	})
+}
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -130,12 +130,17 @@
 	}
 }
 
+// leadsFleet tells whether this VM has the duties that one does for all.
+func (n *Node) leadsFleet(now time.Time) bool {
+	return !n.stopping.Load() && n.config.Boot()-n.started > planAfter && n.members.plans(now)
+}
+
 // plan makes one round, if this VM is the one that plans.
 func (p *planner) plan(ctx context.Context) {
 	n := p.node
 	now := time.Now()
 	current := n.inForce.Load()
-	leads := current != nil && !n.stopping.Load() && n.config.Boot()-n.started > planAfter && n.members.plans(now)
+	leads := current != nil && n.leadsFleet(now)
 	if leads != p.planning {
 		p.lead(leads)
 		n.config.Logger.Info("planning", zap.Bool("by_this_vm", leads), zap.Int("live_vms", n.members.count(now)))
--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -38,13 +38,14 @@
 	conflicts int
 	// unreachable are the VMs whose reads get no answer.
 	unreachable map[string]bool
+	quarantined map[uint64]registry.Quarantined
 	// reads counts the reads of the configuration and of the list.
 	reads int
 }
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), shared: make(map[string]map[string]time.Time), cutOff: make(map[string]bool), unreachable: make(map[string]bool)}
+		writes: make(map[string]registry.Cursor), generation: 1, holder: make(map[int]string), shared: make(map[string]map[string]time.Time), cutOff: make(map[string]bool), unreachable: make(map[string]bool), quarantined: make(map[uint64]registry.Quarantined)}
 }
 
 // registryOf is the registry as one VM reaches it.
@@ -275,6 +276,30 @@
 	return nil
 }
 
+func (f *fakeRegistry) Quarantined(context.Context) ([]registry.Quarantined, error) {
+	end, err := f.call()
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	return slices.Collect(maps.Values(f.quarantined)), nil
+}
+
+func (f *fakeRegistry) Quarantine(_ context.Context, add []registry.Quarantined, drop []uint64) error {
+	end, err := f.call()
+	if err != nil {
+		return err
+	}
+	defer end()
+	for _, q := range add {
+		f.quarantined[q.Request] = q
+	}
+	for _, request := range drop {
+		delete(f.quarantined, request)
+	}
+	return nil
+}
+
 // spoil makes a backend server's record unreadable.
 func (f *fakeRegistry) spoil(id string) {
 	f.mu.Lock()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -157,6 +157,15 @@
 	Unknown bool
 }
 
+// Quarantined is the record of a request that is refused as it crashes backend servers.
+type Quarantined struct {
+	// Request is its fingerprint, Backends the starts of backend servers that ended.
+	Request  uint64
+	Backends []string
+	// At is when the last of them ended, by the writer's clock.
+	At time.Time
+}
+
 // Registry is what the rest of the system uses of the platform's registry. All
 // methods fail with ErrUnavailable beside the errors that they name.
 type Registry interface {
@@ -186,4 +195,9 @@
 	// Own records ownerships, all or none, provided that nothing was recorded
 	// since the cursor was read; else it fails with ErrConflict.
 	Own(ctx context.Context, group string, owned []Ownership, at Cursor) error
+
+	// Quarantined returns the newest record of each quarantined request.
+	Quarantined(ctx context.Context) ([]Quarantined, error)
+	// Quarantine records requests, and drops the records of others.
+	Quarantine(ctx context.Context, add []Quarantined, drop []uint64) error
 }
--- a/registry/unreadable.go
+++ b/registry/unreadable.go
@@ -8,4 +8,5 @@
 	UnreadableConfigurations = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="configuration"}`)
 	UnreadableBackends       = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="backends"}`)
 	UnreadableOwners         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="owners"}`)
+	UnreadableQuarantine     = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="quarantine"}`)
 )
