serving, hosted, platform: limits that backend servers name are logged

A failure or a refusal without a limit lifts none.

Tests: TestLimitOfABackendServer, TestWhichAnswersTellOfLimits. No decision depends on it yet.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -107,6 +107,7 @@
 	quotas   *quotas
 	arrivals *arrivals
 	crashes  *crashes
+	limits   *limits
 	registry reachability
 	// configurations and changes are what is known of the registry's topics.
 	configurations, changes feed
@@ -143,6 +144,7 @@
 	n.adapters = newAdapterAsks(n)
 	n.arrivals = newArrivals(n)
 	n.crashes = newCrashes(n)
+	n.limits = newLimits(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
 	n.keeper = newKeeper(n)
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -51,6 +51,8 @@
 	// that it answered.
 	Unreachable(backend string)
 	Reached(backend string)
+	// Limited tells what an answer of a backend server said of further requests.
+	Limited(backend string, limit service.Limit)
 }
 
 // Forward passes an opaque request on to a backend server, and its answer back.
@@ -101,6 +103,8 @@
 	runs int
 	// resume is the last event that the caller has, empty before the first.
 	resume string
+	// limit is what the newest attempt's answer named.
+	limit service.Limit
 	// fingerprint is for contentHash.
 	fingerprint *quarantine.Fingerprint
 	// arrivedReady is whether a backend server was ready for it at its arrival.
@@ -207,6 +211,7 @@
 	guard := f.guard(cancel)
 	defer guard.stop()
 	head, err := f.server.config.Forwarder.Forward(ctx, target, f.outgoing())
+	f.noteLimit(head, err)
 	if err == nil {
 		f.runs++
 		f.server.forwards().Reached(f.place.backend)
@@ -221,6 +226,19 @@
 	return err
 }
 
+// noteLimit tells the directory of a limit that the answer names, or that it names none.
+// Refusals and failures need not name one.
+func (f *forwarding) noteLimit(head *service.Forwarded, err error) {
+	f.limit = service.Limit{}
+	if head == nil {
+		return
+	}
+	f.limit = head.Limit
+	if head.Limit.Named || (err == nil && head.Status < http.StatusMultipleChoices) {
+		f.server.forwards().Limited(f.place.backend, head.Limit)
+	}
+}
+
 // guard ends the attempt of a request that can be repeated, where the backend
 // server is silent for too long; any other one waits to its end.
 func (f *forwarding) guard(cancel context.CancelCauseFunc) *guard {
@@ -391,6 +409,9 @@
 		zap.Duration("ran", time.Since(f.place.begun)),
 		zap.String("outcome", outcome), zap.Bool("may_have_run", f.verdict.ran), telemetry.Reason(err),
 	}
+	if f.limit.Named {
+		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
+	}
 	if f.fingerprint != nil {
 		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint))
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,7 @@
 	ready   bool
 	lacking []string
 	broken  []quarantine.Fingerprint
+	limits  []service.Limit
 	// suspects is whether requests are looked up in the quarantine, which refuses from the
 	// quarantineFrom-th sending on, 0 for never; cleared counts the answers told to it.
 	suspects       bool
@@ -93,6 +95,9 @@
 func (b *forwardBed) Unreachable(name string) { b.down = append(b.down, name) }
 func (b *forwardBed) Reached(string)          {}
 
+// Limited notes what answers said of further requests.
+func (b *forwardBed) Limited(_ string, limit service.Limit) { b.limits = append(b.limits, limit) }
+
 // Broken is serving.Quarantine's, as the next three are.
 func (b *forwardBed) Broken(_ string, request quarantine.Fingerprint) {
 	b.broken = append(b.broken, request)
@@ -445,3 +450,38 @@
 		})
 	}
 }
+
+// Guards against a limit that a failure without one lifts, and against one that is
+// overlooked as it came with a refusal.
+func TestWhichAnswersTellOfLimits(t *testing.T) {
+	named := service.Limit{Named: true, PerSecond: 4}
+	with := func(f *service.Forwarded, limit service.Limit) *service.Forwarded { f.Limit = limit; return f }
+	for name, c := range map[string]struct {
+		answer *service.Forwarded
+		err    error
+		want   []service.Limit
+	}{
+		"answer":                  {with(whole(200, "x"), named), nil, []service.Limit{named}},
+		"answer without":          {whole(200, "x"), nil, []service.Limit{{}}},
+		"failure":                 {with(whole(500, "x"), named), nil, []service.Limit{named}},
+		"failure without":         {whole(500, "x"), nil, nil},
+		"turned away":             {&service.Forwarded{Limit: named}, service.ErrNotRun, []service.Limit{named}},
+		"turned away without one": {&service.Forwarded{}, service.ErrNotRun, nil},
+		"no answer":               {nil, service.ErrOutcomeUnknown, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newForwardBed(t)
+				b.script = func(_ context.Context, number int, _ sending) (*service.Forwarded, error) {
+					if number > 1 {
+						return nil, service.ErrOutcomeUnknown
+					}
+					return c.answer, c.err
+				}
+				_ = b.forward(context.Background(), route(contract.RepeatNever), "m", &received{})
+				testkit.That(t, slices.Equal(b.limits, c.want), "told %v, want %v", b.limits, c.want)
+				b.stop()
+			})
+		})
+	}
+}
--- a/service/forward.go
+++ b/service/forward.go
@@ -48,6 +48,15 @@
 	ResumeAfter string
 }
 
+// Limit is what a backend server in need says of the requests that it takes from all
+// entry VMs together.
+type Limit struct {
+	// Named is whether it says anything.
+	Named bool
+	// PerSecond is the most requests a second, turned away or not.
+	PerSecond float64
+}
+
 // Forwarded is the head of an answer and its body to come.
 type Forwarded struct {
 	Status int
@@ -58,12 +67,15 @@
 	// Body ends with io.EOF only after the whole answer. Any other error means
 	// that the answer was cut off. It must be closed.
 	Body io.ReadCloser
+	// Limit is what the answer says of further requests.
+	Limit Limit
 }
 
 // Forwarder passes requests on to backend servers.
 type Forwarder interface {
 	// Forward sends the request once, never again, and returns when the answer's
-	// head is there. It fails with ErrNotSent, ErrNotRun or ErrOutcomeUnknown. The
+	// head is there. It fails with ErrNotSent, ErrNotRun or ErrOutcomeUnknown; with
+	// ErrNotRun comes a Forwarded without a body, for its Limit. The
 	// end of ctx breaks off the request at the backend server, also while the body
 	// is read.
 	Forward(ctx context.Context, target Target, request Forward) (*Forwarded, error)
