hosted: a failing test of limits that VMs must keep to together

They also hold that such an engine gets a share of what it takes, and its even part once the limit is lifted.

--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -58,8 +58,8 @@
 	refuseUnsureAfter time.Duration
 	domains           int
 	quotaSlack        float64
-	// forwarder, where set, answers in place of the engines.
-	forwarder service.Forwarder
+	// forwarderOf, where set, gives a VM's way to backend servers in place of the engines.
+	forwarderOf func(vm string) service.Forwarder
 }
 
 const testService = "llm"
@@ -92,9 +92,9 @@
 func (w *world) boot(vm string, first bool) *Node { return w.bootIn("d", vm, first) }
 
 func (w *world) bootIn(domain, vm string, first bool) *Node {
-	forwarder := w.forwarder
-	if forwarder == nil {
-		forwarder = backendsOf{w, domain}
+	var forwarder service.Forwarder = backendsOf{w, domain}
+	if w.forwarderOf != nil {
+		forwarder = w.forwarderOf(vm)
 	}
 	n := New(Config{
 		VM: vm, Address: vm, Domain: domain, Domains: w.domains, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
--- /dev/null
+++ b/internal/hosted/enginebed_test.go
@@ -0,0 +1,223 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+)
+
+const (
+	// crashingURI is of the request that ends whatever runs it, crashAfter after its start;
+	// the engine is replaced crashRestart later.
+	crashingURI  = "/crash"
+	crashAfter   = 80 * time.Millisecond
+	crashRestart = 3 * time.Second
+	// runTime is what every other request takes.
+	runTime = 300 * time.Millisecond
+)
+
+// engineBed is a fleet with engines that all hold one model. They run what they get, may
+// end under a request, and may name a limit.
+type engineBed struct {
+	*world
+	random *rand.Rand
+	vms    []string
+	open   sync.WaitGroup
+
+	counting sync.Mutex
+	engines  map[string]*servingEngine // by address
+	started  int
+	// ends are when engines ended, reached when the crashing request was sent to one.
+	ends, reached []time.Time
+	// answered, broken and refused count the other requests.
+	answered, broken, refused int
+	// arrivals are the requests that reached engines, in order.
+	arrivals []arrival
+}
+
+// arrival is a request that reached an engine.
+type arrival struct {
+	engine, vm string
+	at         time.Time
+}
+
+// servingEngine is one start of an engine.
+type servingEngine struct {
+	id, domain string
+	ended      chan struct{}
+	over       bool
+	// limit is what its answers name, unless it is none.
+	limit service.Limit
+}
+
+func inEngineBed(t *testing.T, vms, engines int, run func(*engineBed)) {
+	inWorld(t, func(w *world) {
+		b := &engineBed{world: w, random: rand.New(rand.NewSource(3)), engines: make(map[string]*servingEngine)}
+		w.forwarderOf = func(vm string) service.Forwarder { return engineBedOf{b, vm} }
+		w.registry.configuration = testContract("m1")
+		w.registry.configuration.Contract.Routes[0].Repeat = contract.RepeatNever
+		w.registry.configuration.Contract.Routes[0].Stream = true
+		for i := range quotaDomains {
+			w.registry.share(fmt.Sprint("d", i))
+		}
+		for i := range engines {
+			b.startEngine(fmt.Sprint("d", i%quotaDomains))
+		}
+		for i := range vms {
+			b.vms = append(b.vms, b.bootVM(i))
+		}
+		time.Sleep(8 * time.Second)
+		run(b)
+		b.open.Wait()
+	})
+}
+
+func (b *engineBed) bootVM(i int) string {
+	vm := fmt.Sprint("v", i)
+	if i < 2 {
+		vm = []string{"a", "b"}[i]
+	}
+	b.bootIn(fmt.Sprint("d", i%quotaDomains), vm, false)
+	return vm
+}
+
+// startEngine starts an engine under a new ID.
+func (b *engineBed) startEngine(domain string) {
+	b.counting.Lock()
+	b.started++
+	e := b.world.engines.add(fmt.Sprint("e", b.started), "m1")
+	e.domain = domain
+	b.engines[e.address] = &servingEngine{id: e.id, domain: domain, ended: make(chan struct{})}
+	b.counting.Unlock()
+	b.list(e)
+}
+
+// end ends an engine's process with all that runs there.
+func (b *engineBed) end(e *servingEngine) {
+	b.counting.Lock()
+	defer b.counting.Unlock()
+	if e.over {
+		return
+	}
+	e.over = true
+	close(e.ended)
+	b.ends = append(b.ends, time.Now())
+	time.AfterFunc(crashRestart, func() {
+		b.registry.drop(e.id)
+		b.startEngine(e.domain)
+	})
+}
+
+// up returns the engine at an address, or that its process has ended.
+func (b *engineBed) up(address string) (*servingEngine, error) {
+	b.counting.Lock()
+	defer b.counting.Unlock()
+	e := b.engines[address]
+	if e == nil || e.over {
+		return nil, fmt.Errorf("%w: %w", service.ErrNotSent, service.ErrRefused)
+	}
+	return e, nil
+}
+
+// engineBedOf is the engines as one VM reaches them.
+type engineBedOf struct {
+	*engineBed
+	vm string
+}
+
+// Forward implements service.Forwarder.
+func (b engineBedOf) Forward(_ context.Context, target service.Target, f service.Forward) (*service.Forwarded, error) {
+	e, err := b.up(target.Address)
+	if err != nil {
+		return nil, err
+	}
+	if f.URI == crashingURI {
+		b.counting.Lock()
+		b.reached = append(b.reached, time.Now())
+		b.counting.Unlock()
+		time.AfterFunc(crashAfter, func() { b.end(e) })
+	}
+	b.counting.Lock()
+	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now()})
+	limit := e.limit
+	b.counting.Unlock()
+	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit}, nil
+}
+
+// Probe implements service.Forwarder.
+func (b *engineBed) Probe(_ context.Context, target service.Target) error {
+	_, err := b.up(target.Address)
+	return err
+}
+
+// servedBody is an answer that ends with its engine or once it is done.
+type servedBody struct {
+	engine *servingEngine
+	done   time.Time
+}
+
+func (c *servedBody) Read([]byte) (int, error) {
+	select {
+	case <-c.engine.ended:
+		return 0, io.ErrUnexpectedEOF
+	case <-time.After(time.Until(c.done)):
+		return 0, io.EOF
+	}
+}
+
+func (c *servedBody) Close() error { return nil }
+
+// send has a VM serve a request, and returns how it ended.
+func (b *engineBed) send(vm, uri string) error {
+	b.mu.Lock()
+	n := b.nodes[vm]
+	b.mu.Unlock()
+	if n == nil {
+		return nil
+	}
+	grant, err := n.Authorize("h", uri, "")
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	return n.Relay(context.Background(), caller.RelayRequest{
+		RelayHead: caller.RelayHead{ID: "id", Model: "m1"}, Grant: grant, Service: testService,
+		Forward: service.Forward{RequestID: "id", Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{}},
+		Arrived: now, GiveUp: now.Add(4 * time.Second), BeginBy: now.Add(4 * time.Second),
+	}, &received{})
+}
+
+// serveOthers sends requests of other callers for a while, each to a VM at random, with a
+// pause between two.
+func (b *engineBed) serveOthers(span, pause time.Duration) {
+	begun := time.Now()
+	for i := 0; time.Since(begun) < span; i++ {
+		vm, uri := b.vms[b.random.Intn(len(b.vms))], fmt.Sprint("/other/", i)
+		b.open.Go(func() {
+			err := b.send(vm, uri)
+			b.counting.Lock()
+			defer b.counting.Unlock()
+			var refused *refusal.Refusal
+			switch {
+			case err == nil:
+				b.answered++
+			case errors.As(err, &refused) && refused.Ran == refusal.RanNo:
+				b.refused++
+			default:
+				b.broken++
+			}
+		})
+		time.Sleep(pause)
+	}
+}
--- /dev/null
+++ b/internal/hosted/limits_test.go
@@ -0,0 +1,105 @@
+package hosted
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+	"bergamotreel/service"
+)
+
+const (
+	// limitSpread is how long VMs have to keep to a limit together, limitWindow the span in
+	// which an engine may get limitOver times what the limit allows and limitExtra requests
+	// more, by the hosting platform's rules.
+	limitSpread = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitExtra  = 5
+)
+
+// setLimit has an engine's answers name a limit, or none.
+func (b *engineBed) setLimit(id string, limit service.Limit) {
+	b.counting.Lock()
+	defer b.counting.Unlock()
+	b.engines["at-"+id].limit = limit
+}
+
+// arrivalsAt are the times at which requests reached an engine within a span.
+func (b *engineBed) arrivalsAt(id string, from, to time.Time) []time.Time {
+	b.counting.Lock()
+	defer b.counting.Unlock()
+	var out []time.Time
+	for _, a := range b.arrivals {
+		if a.engine == id && !a.at.Before(from) && a.at.Before(to) {
+			out = append(out, a.at)
+		}
+	}
+	return out
+}
+
+// checkLimit holds that an engine got no more than its limit allows in any window, and that
+// it got some of it.
+func (b *engineBed) checkLimit(id string, perSecond float64, from, to time.Time, leastShare float64) {
+	b.Helper()
+	times := b.arrivalsAt(id, from, to)
+	allowed := int(limitOver*perSecond*limitWindow.Seconds() + limitExtra)
+	first, most := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	rate := float64(len(times)) / to.Sub(from).Seconds()
+	b.Logf("%s: limit %.1f a second, got %.2f; at most %d in %s, %d allowed", id, perSecond, rate, most, limitWindow, allowed)
+	testkit.That(b, most <= allowed, "%s got %d requests in %s, %d are allowed", id, most, limitWindow, allowed)
+	testkit.That(b, rate >= leastShare*perSecond, "%s got %.2f requests a second of %.1f", id, rate, perSecond)
+}
+
+// Guards against VMs that together send a backend server in need several times what it has
+// said that it takes, and against one that gets nothing any more.
+func TestVMsKeepToALimitTogether(t *testing.T) {
+	for name, c := range map[string]struct {
+		vms, engines int
+		pause        time.Duration
+		limits       map[string]float64
+		leastShare   float64
+	}{
+		"one of six":           {8, 6, 15 * time.Millisecond, map[string]float64{"e1": 1}, 0},
+		"two of six":           {8, 6, 15 * time.Millisecond, map[string]float64{"e1": 4.1, "e4": 5.3}, 0.3},
+		"the only one":         {8, 1, 60 * time.Millisecond, map[string]float64{"e1": 4.1}, 0.6},
+		"all of three":         {8, 3, 30 * time.Millisecond, map[string]float64{"e1": 4.1, "e2": 1, "e3": 7.4}, 0.6},
+		"in a large fleet":     {30, 6, 15 * time.Millisecond, map[string]float64{"e1": 1, "e2": 7.4}, 0},
+		"only in a large one":  {30, 1, 60 * time.Millisecond, map[string]float64{"e1": 4.1}, 0.6},
+		"nothing, for a while": {8, 2, 30 * time.Millisecond, map[string]float64{"e1": 0}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inEngineBed(t, c.vms, c.engines, func(b *engineBed) {
+				b.serveOthers(2*time.Second, c.pause)
+				for id, perSecond := range c.limits {
+					b.setLimit(id, service.Limit{Named: true, PerSecond: perSecond})
+				}
+				from := time.Now().Add(limitSpread)
+				b.serveOthers(25*time.Second, c.pause)
+				to := time.Now()
+				for id, perSecond := range c.limits {
+					b.checkLimit(id, perSecond, from, to, c.leastShare)
+					b.setLimit(id, service.Limit{})
+				}
+				b.serveOthers(6*time.Second, c.pause)
+				from = time.Now()
+				b.serveOthers(3*time.Second, c.pause)
+				b.open.Wait()
+				for i := range c.engines {
+					id := fmt.Sprint("e", i+1)
+					even := 3 * time.Second.Seconds() / c.pause.Seconds() / float64(c.engines)
+					got := float64(len(b.arrivalsAt(id, from, time.Now())))
+					testkit.That(t, got > even/2, "%s got %.0f requests after its limit was lifted, %.0f would be even", id, got, even)
+				}
+				b.Logf("%d answered, %d refused, %d broken", b.answered, b.refused, b.broken)
+			})
+		})
+	}
+}
