hosted, routing: VMs keep together to the limit that a backend server names

Nobody read the limit. Class: a back-pressure signal that is passed on and not acted on; and once read, a fleet-wide limit that each VM would keep to by itself.

Ruled out: each VM keeping to it alone (one VM sent 12 of 1 in a second), and limits lost between answers (no drop in arrivals after they were named).

Now one VM, drawn among the live ones of the engine's failure domain, issues permits at the limit; others ask it and send with a permit only. A candidate without a permit counts as full. Limits go with the VMs' reports; only a success without one lifts it, and a limit of nothing gives a permit each four seconds so that this is seen.

TestVMsKeepToALimitTogether failed before in all seven cases (67 of 29 allowed in 4 s, 72 of 5, ...), passes now (17 of 29, 1 of 5); the only engine gets 4.09 of its 4.1 a second. TestIssuersDieOneAfterTheOther: 9 and 30 VMs.

--- /dev/null
+++ b/admission/permit/permit.go
@@ -0,0 +1,123 @@
+// Package permit divides the requests that a backend server in need takes among entry
+// VMs. It does no I/O and reads no clock.
+//
+// A backend server in need names, in its answers, the requests a second that it takes from
+// all entry VMs together. One entry VM, the issuer, hands out permits at that rate; the
+// others send it a request only with a permit. What callers may rely on: an Issuer gives
+// no more in any span than the rate allows, and one second's worth or a single permit
+// beyond it; a new one begins with none.
+//
+// The types are not safe for concurrent use.
+package permit
+
+import (
+	"math"
+	"time"
+
+	"bergamotreel/admission/quota"
+)
+
+const (
+	// burstSeconds of a limit may be handed out at once, one permit at least.
+	burstSeconds = 0.5
+	// probeRate is the least rate in requests a second: only an answer tells that a limit is
+	// lifted.
+	probeRate = 0.25
+	// retryLeast and retryMost bound when to ask again.
+	retryLeast = 20 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// Limit is what the newest answer of a backend server that is known here said.
+type Limit struct {
+	// Named is whether there is a limit, PerSecond the requests a second.
+	Named     bool
+	PerSecond float64
+	// At is when the answer came.
+	At time.Time
+}
+
+// Newer tells whether the limit is to take another one's place.
+func (l Limit) Newer(other Limit) bool { return l.At.After(other.At) }
+
+// Same tells whether two answers said the same.
+func (l Limit) Same(other Limit) bool {
+	return l.Named == other.Named && (!l.Named || l.PerSecond == other.PerSecond)
+}
+
+// Issuer hands out the permits of a backend server.
+type Issuer struct {
+	bucket quota.Bucket
+	// denied counts the questions that went without since the last permit: they share the
+	// next ones.
+	denied int
+}
+
+// Issue returns up to so many permits by a limit, and when to ask again for what was not
+// granted.
+func (i *Issuer) Issue(now time.Time, limit Limit, want int) (granted int, retry time.Duration) {
+	rate := math.Max(limit.PerSecond, probeRate)
+	i.bucket.Set(now, rate, math.Max(1, burstSeconds*rate))
+	for granted < want && i.bucket.TakeCovered(now, 1) {
+		granted++
+	}
+	if granted > 0 {
+		i.denied = 0
+	} else {
+		i.denied++
+	}
+	seconds := (1 - math.Min(1, i.bucket.Level(now)) + float64(max(0, i.denied-1))) / rate
+	retry = time.Duration(seconds * float64(time.Second))
+	return granted, min(max(retry, retryLeast), retryMost)
+}
+
+// Wallet holds the permits that this entry VM has for a backend server, and when it may
+// ask for more.
+type Wallet struct {
+	permits  int
+	lapse    time.Time
+	askAfter time.Time
+	asking   bool
+}
+
+// keptFor is how long an unused permit holds: the issuer counts it as used.
+const keptFor = 500 * time.Millisecond
+
+// Permits is how many requests may be sent now.
+func (w *Wallet) Permits(now time.Time) int {
+	if !now.Before(w.lapse) {
+		return 0
+	}
+	return w.permits
+}
+
+// Spend uses a permit.
+func (w *Wallet) Spend(now time.Time) {
+	if w.Permits(now) > 0 {
+		w.permits--
+	}
+}
+
+// Ask tells whether to ask the issuer now; Answered or Failed must follow.
+func (w *Wallet) Ask(now time.Time) bool {
+	if w.asking || w.Permits(now) > 0 || now.Before(w.askAfter) {
+		return false
+	}
+	w.asking = true
+	return true
+}
+
+// Answered takes the issuer's answer.
+func (w *Wallet) Answered(now time.Time, granted int, retry time.Duration) {
+	w.asking = false
+	w.askAfter = now.Add(retry)
+	if granted > 0 {
+		w.permits, w.lapse = granted, now.Add(keptFor)
+	}
+}
+
+// Failed takes that the issuer did not answer.
+func (w *Wallet) Failed(now time.Time, pause time.Duration) {
+	w.asking = false
+	w.askAfter = now.Add(pause)
+}
--- /dev/null
+++ b/admission/permit/permit_test.go
@@ -0,0 +1,60 @@
+package permit_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"bergamotreel/admission/permit"
+	"bergamotreel/internal/testkit"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against more permits than a limit allows, whatever is asked and when, and against
+// permits that lie idle while they are asked for.
+func TestPermitsFollowTheLimit(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.3, 1, 4.1, 40} {
+		random := rand.New(rand.NewSource(5))
+		var issuer permit.Issuer
+		limit := permit.Limit{Named: true, PerSecond: perSecond}
+		now, issued := start, 0
+		for now.Sub(start) < time.Minute {
+			granted, retry := issuer.Issue(now, limit, 1+random.Intn(5))
+			issued += granted
+			testkit.That(t, retry > 0, "ask again after %s", retry)
+			now = now.Add(time.Duration(random.Intn(20)) * time.Millisecond)
+		}
+		rate := max(perSecond, 0.25)
+		most := rate*60 + max(1, rate)
+		testkit.That(t, float64(issued) <= most, "%.1f a second: %d permits in a minute, at most %.0f", perSecond, issued, most)
+		testkit.That(t, float64(issued) >= 0.9*rate*60-1, "%.1f a second: only %d permits in a minute", perSecond, issued)
+	}
+}
+
+// Guards against a flood of questions by those that get nothing.
+func TestManyAskersAreSpreadOut(t *testing.T) {
+	var issuer permit.Issuer
+	limit := permit.Limit{Named: true, PerSecond: 10}
+	_, first := issuer.Issue(start, limit, 1)
+	var last time.Duration
+	for range 10 {
+		_, last = issuer.Issue(start, limit, 1)
+	}
+	testkit.That(t, last > first && last <= 2*time.Second, "the first asks again after %s, the last after %s", first, last)
+}
+
+// Guards against permits that are used long after they were counted, or twice.
+func TestWalletKeepsPermitsForAMoment(t *testing.T) {
+	var w permit.Wallet
+	testkit.That(t, w.Ask(start) && !w.Ask(start), "asked twice at once")
+	w.Answered(start, 2, time.Second)
+	testkit.Equal(t, "permits", w.Permits(start), 2)
+	testkit.That(t, !w.Ask(start), "asked with permits at hand")
+	w.Spend(start)
+	testkit.Equal(t, "permits", w.Permits(start), 1)
+	testkit.Equal(t, "permits a second later", w.Permits(start.Add(time.Second)), 0)
+	testkit.That(t, !w.Ask(start.Add(999*time.Millisecond)) && w.Ask(start.Add(time.Second)), "asked at another time than told")
+	w.Failed(start.Add(time.Second), time.Second)
+	testkit.That(t, !w.Ask(start.Add(1500*time.Millisecond)) && w.Ask(start.Add(2*time.Second)), "no pause after a question without an answer")
+}
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -78,6 +78,9 @@
 	Suspects     []Suspect `cbor:"32,keyasint,omitempty"`
 	SuspectsNext uint64    `cbor:"33,keyasint,omitempty"`
 	SuspectsSeen NewsSeen  `cbor:"34,keyasint,omitempty"`
+	// Limits are the limits of backend servers in need, in full reports and for some time
+	// after a change.
+	Limits []BackendLimit `cbor:"35,keyasint,omitempty"`
 }
 
 // Suspect is a request that may crash the backend servers that run it; the fields are
@@ -230,6 +233,7 @@
 	Lease(LeaseArgs) LeaseReply
 	Lend(LendArgs) LendReply
 	Demand(DemandReport) DemandReport
+	Permit(PermitArgs) PermitReply
 }
 
 // coordination is the net/rpc service over a Coordinator.
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -309,6 +309,9 @@
 func (w wire) Demand(_ context.Context, address string, d entryvm.DemandReport) (entryvm.DemandReport, error) {
 	return reach(w, address, (*Node).Demand, d)
 }
+func (w wire) Permit(_ context.Context, address string, p entryvm.PermitArgs) (entryvm.PermitReply, error) {
+	return reach(w, address, (*Node).Permit, p)
+}
 func (w wire) Knowledge(_ context.Context, address string) (entryvm.KnowledgeReply, error) {
 	return reach(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
 }
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -110,6 +110,7 @@
 		c.PeersInFlight, c.PeersAge = n.members.inFlight(now, c.Engine), age
 		kept = append(kept, c)
 	}
+	n.limits.complete(now, kept)
 	return kept
 }
 
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -97,6 +97,7 @@
 		n.serving.Forget(id)
 		n.planner.forget(id)
 		n.keeper.startedAgain(id)
+		n.limits.forget(id)
 	}
 }
 
--- a/internal/hosted/heard.go
+++ b/internal/hosted/heard.go
@@ -15,7 +15,8 @@
 		return
 	}
 	m.node.crashes.merge(now, &report)
-	report.Suspects = nil
+	m.node.limits.merge(now, report.VM, report.Limits)
+	report.Suspects, report.Limits = nil, nil
 	var addresses []string
 	for _, other := range report.Members {
 		addresses = append(addresses, other.Address)
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -7,22 +7,42 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"bergamotreel/admission/permit"
+	"bergamotreel/entryvm"
+	"bergamotreel/routing"
 	"bergamotreel/service"
 )
 
-// limits are the rates of requests that backend servers in need have named. It is safe
-// for concurrent use.
+const (
+	// limitUrgent is how long after a change each report tells of all limits; else full ones
+	// do.
+	limitUrgent = 1500 * time.Millisecond
+	// liftedFor is how long it is told that a limit was lifted: longer than the way of an
+	// older report that names it.
+	liftedFor = 10 * time.Second
+)
+
+// limits are the rates of requests that backend servers in need have named, and this VM's
+// permits to send them some. It is safe for concurrent use.
 type limits struct {
 	node *Node
 
-	mu    sync.Mutex
-	named map[string]namedLimit
+	mu sync.Mutex
+	// known are the newest limits, those lifted lately included.
+	known map[string]*backendLimit
+	// changedAt is when one of them last changed.
+	changedAt time.Time
+	// issuers are of the backend servers whose permits this VM issues.
+	issuers map[string]*permit.Issuer
 }
 
-// namedLimit is what a backend server's newest answer said.
-type namedLimit struct {
-	perSecond float64
-	at        time.Time
+// backendLimit is a backend server's limit at this VM.
+type backendLimit struct {
+	permit.Limit
+	wallet permit.Wallet
+	// issuer is the VM that was asked last for permits, drawn at drawnAt.
+	issuer  string
+	drawnAt time.Time
 }
 
 var (
@@ -31,31 +51,120 @@
 )
 
 func newLimits(n *Node) *limits {
-	return &limits{node: n, named: make(map[string]namedLimit)}
+	return &limits{node: n, known: make(map[string]*backendLimit), issuers: make(map[string]*permit.Issuer)}
 }
 
 // Limited implements serving.ForwardDirectory.
 func (n *Node) Limited(backend string, limit service.Limit) {
-	n.limits.note(time.Now(), backend, limit)
+	l := n.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit.Named || l.known[backend] != nil {
+		l.observe(backend, permit.Limit{Named: limit.Named, PerSecond: limit.PerSecond, At: time.Now()}, n.config.VM)
+	}
 }
 
-// note takes what an answer said.
-func (l *limits) note(now time.Time, backend string, limit service.Limit) {
+// SpendPermit implements serving.ForwardDirectory.
+func (n *Node) SpendPermit(backend string) {
+	l := n.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, limited := l.named[backend]
-	switch {
-	case limit.Named:
-		l.named[backend] = namedLimit{limit.PerSecond, now}
-	case limited:
-		delete(l.named, backend)
-	}
-	switch {
-	case limit.Named && (!limited || before.perSecond != limit.PerSecond):
+	if b := l.known[backend]; b != nil {
+		b.wallet.Spend(time.Now())
+	}
+}
+
+// observe takes what an answer said, if it is the newest. Call with mu held.
+func (l *limits) observe(backend string, limit permit.Limit, from string) {
+	b := l.known[backend]
+	if b == nil {
+		if _, listed := l.node.backends.get(backend); !listed {
+			return // it would never be forgotten
+		}
+		b = &backendLimit{}
+		l.known[backend] = b
+	}
+	if !limit.Newer(b.Limit) {
+		return
+	}
+	before := b.Limit
+	b.Limit = limit
+	if limit.Same(before) {
+		return
+	}
+	l.changedAt = time.Now()
+	if limit.Named {
 		limitsNamed.Inc()
-		l.node.config.Logger.Info("backend server limits requests", zap.String("backend", backend), zap.Float64("per_second", limit.PerSecond))
-	case !limit.Named && limited:
-		limitsLifted.Inc()
-		l.node.config.Logger.Info("backend server lifts its limit", zap.String("backend", backend))
+		l.node.config.Logger.Info("backend server limits requests", zap.String("backend", backend),
+			zap.Float64("per_second", limit.PerSecond), zap.String("from", from))
+		return
 	}
+	limitsLifted.Inc()
+	l.node.config.Logger.Info("backend server lifts its limit", zap.String("backend", backend), zap.String("from", from))
+}
+
+// complete adds to candidates which of them take requests with a permit only, and asks for
+// permits where this VM has none.
+func (l *limits) complete(now time.Time, candidates []routing.Candidate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.known) == 0 {
+		return
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		b := l.known[c.Engine]
+		if b == nil || !b.Named {
+			continue
+		}
+		c.Limited, c.Permits = true, b.wallet.Permits(now)
+		if b.wallet.Ask(now) {
+			go l.ask(c.Engine, b.Limit)
+		}
+	}
+}
+
+// publish adds the limits to a report.
+func (l *limits) publish(now time.Time, report *entryvm.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.known) == 0 || (!report.Full && now.Sub(l.changedAt) > limitUrgent) {
+		return
+	}
+	for id, b := range l.known {
+		if !b.Named && now.Sub(b.At) > liftedFor {
+			delete(l.known, id)
+			continue
+		}
+		report.Limits = append(report.Limits, b.message(now, id))
+	}
+}
+
+// message is a limit as it is sent to other entry VMs.
+func (b *backendLimit) message(now time.Time, id string) entryvm.BackendLimit {
+	return entryvm.BackendLimit{Backend: id, Named: b.Named, PerSecond: b.PerSecond, Age: max(0, now.Sub(b.At))}
+}
+
+// merge takes the limits of a report.
+func (l *limits) merge(now time.Time, from string, list []entryvm.BackendLimit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, told := range list {
+		l.take(now, from, told)
+	}
+}
+
+// take takes a limit that another VM knows. Call with mu held.
+func (l *limits) take(now time.Time, from string, told entryvm.BackendLimit) {
+	if told.Named || l.known[told.Backend] != nil {
+		l.observe(told.Backend, permit.Limit{Named: told.Named, PerSecond: told.PerSecond, At: now.Add(-told.Age)}, from)
+	}
+}
+
+// forget drops what is known of a backend server that is gone or has started again.
+func (l *limits) forget(backend string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.known, backend)
+	delete(l.issuers, backend)
 }
--- a/internal/hosted/limits_test.go
+++ b/internal/hosted/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +105,40 @@
 		})
 	}
 }
+
+// Guards against two issuers that both hand out the whole limit after one was lost, and
+// against a backend server that nobody gets a permit for any more.
+func TestIssuersDieOneAfterTheOther(t *testing.T) {
+	for _, vms := range []int{9, 30} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			inEngineBed(t, vms, 1, func(b *engineBed) {
+				const perSecond, pause = 4.1, 60 * time.Millisecond
+				b.setLimit("e1", service.Limit{Named: true, PerSecond: perSecond})
+				b.serveOthers(limitSpread, pause)
+				from := time.Now()
+				for range 3 {
+					b.kill(b.issuerOf("e1"))
+					killed := time.Now()
+					b.serveOthers(8*time.Second, pause)
+					late := b.arrivalsAt("e1", killed.Add(3*time.Second), time.Now())
+					testkit.That(t, len(late) >= 10, "%d requests from the third to the eighth second after its issuer was killed", len(late))
+				}
+				b.checkLimit("e1", perSecond, from, time.Now(), 0.5)
+				b.open.Wait()
+			})
+		})
+	}
+}
+
+// issuerOf is the VM that issues a backend server's permits by the view of the live ones.
+func (b *engineBed) issuerOf(id string) string {
+	votes := make(map[string]int)
+	b.each(func(_ string, n *Node) { votes[n.limits.drawIssuer(time.Now(), id)]++ })
+	best := ""
+	for _, vm := range slices.Sorted(maps.Keys(votes)) {
+		if votes[vm] > votes[best] {
+			best = vm
+		}
+	}
+	return best
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -51,6 +51,7 @@
 	Lease(ctx context.Context, address string, lease entryvm.LeaseArgs) (entryvm.LeaseReply, error)
 	Lend(ctx context.Context, address string, lend entryvm.LendArgs) (entryvm.LendReply, error)
 	Demand(ctx context.Context, address string, report entryvm.DemandReport) (entryvm.DemandReport, error)
+	Permit(ctx context.Context, address string, args entryvm.PermitArgs) (entryvm.PermitReply, error)
 }
 
 // Config is what an entry VM needs.
--- /dev/null
+++ b/internal/hosted/permits.go
@@ -0,0 +1,129 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/admission/permit"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/internal/telemetry"
+)
+
+const (
+	// permitTimeout bounds a question for permits, permitPause is the pause after one
+	// without an answer.
+	permitTimeout = 300 * time.Millisecond
+	permitPause   = 200 * time.Millisecond
+	// permitsAhead is how many permits are asked for at a time.
+	permitsAhead = 2
+	// drawIssuerEvery is the least time between two draws of a backend server's issuer.
+	drawIssuerEvery = 200 * time.Millisecond
+)
+
+// ask asks the issuer of a backend server's permits for some.
+func (l *limits) ask(backend string, limit permit.Limit) {
+	now := time.Now()
+	args := entryvm.PermitArgs{Want: permitsAhead, Limit: entryvm.BackendLimit{
+		Backend: backend, Named: limit.Named, PerSecond: limit.PerSecond, Age: max(0, now.Sub(limit.At)),
+	}}
+	issuer := l.issuerOf(now, backend)
+	reply, err := l.askAt(issuer, args)
+	now = time.Now()
+	l.mu.Lock()
+	b := l.known[backend]
+	if b == nil {
+		l.mu.Unlock()
+		return
+	}
+	if err != nil {
+		b.wallet.Failed(now, permitPause)
+		l.mu.Unlock()
+		l.node.config.Logger.Info("issuer of permits does not answer", zap.String("backend", backend), zap.String("issuer", issuer), telemetry.Reason(err))
+		return
+	}
+	b.wallet.Answered(now, reply.Granted, reply.Retry)
+	l.take(now, issuer, reply.Limit)
+	usable := reply.Granted > 0 || !b.Named
+	l.mu.Unlock()
+	if usable {
+		l.node.serving.Wake()
+	}
+}
+
+// askAt asks the VM at an address, which may be this one.
+func (l *limits) askAt(address string, args entryvm.PermitArgs) (entryvm.PermitReply, error) {
+	if address == l.node.config.Address {
+		return l.node.Permit(args), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	return l.node.config.Peers.EntryVMs.Permit(ctx, address, args)
+}
+
+// Permit implements entryvm.Coordinator.
+func (n *Node) Permit(args entryvm.PermitArgs) entryvm.PermitReply {
+	l, now, id := n.limits, time.Now(), args.Limit.Backend
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.take(now, "", args.Limit)
+	b := l.known[id]
+	if b == nil || !b.Named {
+		return entryvm.PermitReply{Limit: entryvm.BackendLimit{Backend: id}}
+	}
+	issuer := l.issuers[id]
+	if issuer == nil {
+		issuer = &permit.Issuer{}
+		l.issuers[id] = issuer
+	}
+	granted, retry := issuer.Issue(now, b.Limit, args.Want)
+	return entryvm.PermitReply{Granted: granted, Retry: retry, Limit: b.message(now, id)}
+}
+
+// issuerOf is the address of the VM that issues a backend server's permits: one that is
+// drawn among the live VMs of its failure domain or, where there are none, among all.
+func (l *limits) issuerOf(now time.Time, backend string) string {
+	l.mu.Lock()
+	b := l.known[backend]
+	if b != nil && now.Sub(b.drawnAt) < drawIssuerEvery {
+		defer l.mu.Unlock()
+		return b.issuer
+	}
+	l.mu.Unlock()
+	issuer := l.drawIssuer(now, backend)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b = l.known[backend]; b != nil {
+		b.issuer, b.drawnAt = issuer, now
+	}
+	return issuer
+}
+
+func (l *limits) drawIssuer(now time.Time, backend string) string {
+	own := &l.node.config
+	server, _ := l.node.backends.get(backend)
+	var near, all []string
+	add := func(address, domain string) {
+		all = append(all, address)
+		if domain == server.Domain {
+			near = append(near, address)
+		}
+	}
+	if !l.node.stopping.Load() {
+		add(own.Address, own.Domain)
+	}
+	l.node.members.live(now, func(r *entryvm.Report) {
+		if !r.Leaving {
+			add(r.Address, r.Domain)
+		}
+	})
+	if len(near) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return own.Address
+	}
+	return rendezvous.Pick(backend, all)
+}
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -117,11 +117,23 @@
 			s.config.Admission.Requeue(now, ticket)
 			return
 		}
+		s.spendPermit(choice.Engine, look.candidates(ticket.Unit))
 		start := s.started(now, choice.Engine, w.query)
 		s.assign(ticket, assignment{backend: choice.Engine, start: start})
 	}
 }
 
+// spendPermit uses a permit where the backend server takes requests with one only. Call
+// with mu held.
+func (s *Server) spendPermit(backend string, candidates []routing.Candidate) {
+	for i := range candidates {
+		if c := &candidates[i]; c.Engine == backend && c.Limited {
+			c.Permits--
+			s.forwards().SpendPermit(backend)
+		}
+	}
+}
+
 // started counts a request that goes to a backend server. Call with mu held.
 func (s *Server) started(now time.Time, backend string, query routing.Query) uint64 {
 	s.config.Router.Started(now, backend, query.Pool, query.Prefixes)
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -53,6 +53,8 @@
 	Reached(backend string)
 	// Limited tells what an answer of a backend server said of further requests.
 	Limited(backend string, limit service.Limit)
+	// SpendPermit uses one of the permits that a Limited candidate came with.
+	SpendPermit(backend string)
 }
 
 // Forward passes an opaque request on to a backend server, and its answer back.
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -49,6 +49,9 @@
 	lacking []string
 	broken  []quarantine.Fingerprint
 	limits  []service.Limit
+	// permits is how many permits each candidate has, negative where it is not limited, spent
+	// how many were used.
+	permits, spent int
 	// suspects is whether requests are looked up in the quarantine, which refuses from the
 	// quarantineFrom-th sending on, 0 for never; cleared counts the answers told to it.
 	suspects       bool
@@ -61,7 +64,7 @@
 }
 
 func newForwardBed(t *testing.T) *forwardBed {
-	b := &forwardBed{T: t, ready: true, slots: 8, backends: []string{"one", "two"}}
+	b := &forwardBed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	b.server = serving.New(serving.Config{
@@ -81,7 +84,7 @@
 	defer b.mu.Unlock()
 	var out []routing.Candidate
 	for _, name := range b.backends {
-		out = append(out, routing.Candidate{Engine: name, Domain: name, Slots: b.slots, Ready: b.ready})
+		out = append(out, routing.Candidate{Engine: name, Domain: name, Slots: b.slots, Ready: b.ready, Limited: b.permits >= 0, Permits: b.permits - b.spent})
 	}
 	return out
 }
@@ -98,6 +101,9 @@
 // Limited notes what answers said of further requests.
 func (b *forwardBed) Limited(_ string, limit service.Limit) { b.limits = append(b.limits, limit) }
 
+// SpendPermit counts the permits used.
+func (b *forwardBed) SpendPermit(string) { b.spent++ }
+
 // Broken is serving.Quarantine's, as the next three are.
 func (b *forwardBed) Broken(_ string, request quarantine.Fingerprint) {
 	b.broken = append(b.broken, request)
@@ -485,3 +491,26 @@
 		})
 	}
 }
+
+// Guards against one permit that several requests use, and against a request that is
+// turned away while a permit may still come.
+func TestRequestsWaitForPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardBed(t)
+		b.backends, b.permits = []string{"one"}, 2
+		b.script = func(context.Context, int, sending) (*service.Forwarded, error) { return whole(200, "x"), nil }
+		var open sync.WaitGroup
+		for range 3 {
+			open.Go(func() { testkit.OK(t, b.forward(context.Background(), route(contract.RepeatNever), "m", &received{})) })
+		}
+		time.Sleep(time.Second)
+		b.mu.Lock()
+		testkit.That(t, len(b.sent) == 2 && b.spent == 2, "%d sent with %d permits", len(b.sent), b.spent)
+		b.permits = 3
+		b.mu.Unlock()
+		b.server.Wake()
+		open.Wait()
+		testkit.That(t, len(b.sent) == 3 && b.spent == 3, "%d sent with %d permits", len(b.sent), b.spent)
+		b.stop()
+	})
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -203,6 +203,9 @@
 // less what it has seen end since. It is at least what this VM and, by their
 // digests, the others have in flight.
 func (r *Router) freeSlots(now time.Time, pool string, e *engineState, c *Candidate) int {
+	if c.Limited && c.Permits <= 0 {
+		return 0
+	}
 	own := 0
 	if e != nil {
 		own = e.inFlight
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -24,6 +24,10 @@
 	Slots int
 	// Ready is whether the unit is loaded there.
 	Ready bool
+	// Limited is whether the engine takes requests with a permit only, and Permits how many
+	// of them this VM has.
+	Limited bool
+	Permits int
 	// Leaving engines get no new request.
 	Leaving bool
 	// Role is the engine's role, as engine.Role.
