hosted, permit: one answer without the limit no longer lifts it

One success without it lifted it for all VMs at once.

Found on the way: two arrivals at one moment could use the same permit (their candidates were read before the lock); the permit is now spent under the lock or the request goes back to its queue (TestRequestsWaitForPermits failed once in a run of all tests).

The issuer now hears of successful answers with and without the limit and goes by the share that named it: lifted once a run without it is less likely than one in a thousand. A VM with a permit weighs that engine in each choice, in a large fleet takes it; permits hold for a second.

The check on the end of a limit allowed 6 s for any limit; it now allows ten answers at the limit's rate and 4 s: with a limit of nothing 6 s held one answer, and one answer must not lift a limit. What it checks then is unchanged.

--- a/admission/permit/permit.go
+++ b/admission/permit/permit.go
@@ -23,6 +23,11 @@
 	// probeRate is the least rate in requests a second: only an answer tells that a limit is
 	// lifted.
 	probeRate = 0.25
+	// liftDoubt is how likely at most a run of answers without the limit may be while it
+	// still holds, for the limit to be taken for lifted.
+	liftDoubt = 1e-3
+	// countsMost bounds the answers that the share of those with the limit is taken from.
+	countsMost = 64
 	// retryLeast and retryMost bound when to ask again.
 	retryLeast = 20 * time.Millisecond
 	retryMost  = 2 * time.Second
@@ -45,9 +50,38 @@
 	return l.Named == other.Named && (!l.Named || l.PerSecond == other.PerSecond)
 }
 
-// Issuer hands out the permits of a backend server.
+// Answers counts successful answers of a backend server that has named a limit.
+type Answers struct {
+	// Named had the limit and Plain had not; Run of the Plain ones came after the last with
+	// the limit.
+	Named, Plain, Run int
+}
+
+// Add counts one more.
+func (a *Answers) Add(named bool) {
+	if named {
+		a.Named, a.Run = a.Named+1, 0
+		return
+	}
+	a.Plain, a.Run = a.Plain+1, a.Run+1
+}
+
+// Append counts later answers.
+func (a *Answers) Append(later Answers) {
+	if later.Named > 0 {
+		a.Run = later.Run
+	} else {
+		a.Run += later.Run
+	}
+	a.Named += later.Named
+	a.Plain += later.Plain
+}
+
+// Issuer hands out the permits of a backend server, and finds out when its limit is
+// lifted. Not every answer need name a limit that holds, so it goes by how many did.
 type Issuer struct {
-	bucket quota.Bucket
+	bucket  quota.Bucket
+	answers Answers
 	// denied counts the questions that went without since the last permit: they share the
 	// next ones.
 	denied int
@@ -56,6 +90,9 @@
 // Issue returns up to so many permits by a limit, and when to ask again for what was not
 // granted.
 func (i *Issuer) Issue(now time.Time, limit Limit, want int) (granted int, retry time.Duration) {
+	if want <= 0 {
+		return 0, retryLeast
+	}
 	rate := math.Max(limit.PerSecond, probeRate)
 	i.bucket.Set(now, rate, math.Max(1, burstSeconds*rate))
 	for granted < want && i.bucket.TakeCovered(now, 1) {
@@ -71,6 +108,20 @@
 	return granted, min(max(retry, retryLeast), retryMost)
 }
 
+// Observe counts answers that an entry VM got, and tells whether the limit is lifted.
+func (i *Issuer) Observe(answers Answers) (lifted bool) {
+	a := &i.answers
+	a.Append(answers)
+	if a.Named > countsMost {
+		a.Named, a.Plain = a.Named/2, a.Run+(a.Plain-a.Run)/2
+	}
+	// The limit was named once at least; two more answers without it are assumed, as few
+	// tell little of the share.
+	named, plain := math.Max(1, float64(a.Named)), float64(a.Plain-a.Run)
+	share := named / (named + plain + 2)
+	return math.Pow(1-share, float64(a.Run)) <= liftDoubt
+}
+
 // Wallet holds the permits that this entry VM has for a backend server, and when it may
 // ask for more.
 type Wallet struct {
@@ -81,7 +132,7 @@
 }
 
 // keptFor is how long an unused permit holds: the issuer counts it as used.
-const keptFor = 500 * time.Millisecond
+const keptFor = time.Second
 
 // Permits is how many requests may be sent now.
 func (w *Wallet) Permits(now time.Time) int {
@@ -91,11 +142,13 @@
 	return w.permits
 }
 
-// Spend uses a permit.
-func (w *Wallet) Spend(now time.Time) {
-	if w.Permits(now) > 0 {
-		w.permits--
+// Spend uses a permit, false if there is none.
+func (w *Wallet) Spend(now time.Time) bool {
+	if w.Permits(now) <= 0 {
+		return false
 	}
+	w.permits--
+	return true
 }
 
 // Ask tells whether to ask the issuer now; Answered or Failed must follow.
--- a/admission/permit/permit_test.go
+++ b/admission/permit/permit_test.go
@@ -51,10 +51,62 @@
 	w.Answered(start, 2, time.Second)
 	testkit.Equal(t, "permits", w.Permits(start), 2)
 	testkit.That(t, !w.Ask(start), "asked with permits at hand")
-	w.Spend(start)
+	testkit.That(t, w.Spend(start), "no permit to spend")
 	testkit.Equal(t, "permits", w.Permits(start), 1)
+	testkit.That(t, !w.Spend(start.Add(time.Second)), "a lapsed permit was spent")
 	testkit.Equal(t, "permits a second later", w.Permits(start.Add(time.Second)), 0)
 	testkit.That(t, !w.Ask(start.Add(999*time.Millisecond)) && w.Ask(start.Add(time.Second)), "asked at another time than told")
 	w.Failed(start.Add(time.Second), time.Second)
 	testkit.That(t, !w.Ask(start.Add(1500*time.Millisecond)) && w.Ask(start.Add(2*time.Second)), "no pause after a question without an answer")
 }
+
+// Guards against a limit that one answer lifts though few name it, and against one that
+// holds for long after all answers had named it.
+func TestLiftIsToldByTheShareOfAnswers(t *testing.T) {
+	for _, c := range []struct {
+		share    float64
+		liftedBy int
+	}{{1, 4}, {0.8, 8}, {0.5, 20}, {0.3, 40}} {
+		random := rand.New(rand.NewSource(9))
+		var issuer permit.Issuer
+		var answers permit.Answers
+		wrong := 0
+		issuer.Observe(permit.Answers{Named: 1})
+		for range 400 {
+			answers.Add(random.Float64() < c.share)
+			if random.Intn(3) > 0 {
+				continue // several answers go in one message
+			}
+			if issuer.Observe(answers) {
+				wrong++
+				issuer = permit.Issuer{}
+			}
+			answers = permit.Answers{}
+		}
+		testkit.That(t, wrong <= 2, "%.1f of the answers named it: taken for lifted %d times", c.share, wrong)
+		after := 0
+		for lifted := false; !lifted && after < 100; after++ {
+			lifted = issuer.Observe(permit.Answers{Plain: 1, Run: 1})
+		}
+		testkit.That(t, after <= c.liftedBy, "%.1f of the answers named it: lifted after %d without", c.share, after)
+	}
+}
+
+// Guards against counts that depend on how many messages they came in.
+func TestAnswersAppend(t *testing.T) {
+	random := rand.New(rand.NewSource(11))
+	for range 200 {
+		var whole, appended, part permit.Answers
+		for range random.Intn(20) {
+			named := random.Intn(2) == 0
+			whole.Add(named)
+			part.Add(named)
+			if random.Intn(3) == 0 {
+				appended.Append(part)
+				part = permit.Answers{}
+			}
+		}
+		appended.Append(part)
+		testkit.Equal(t, "appended", appended, whole)
+	}
+}
--- a/entryvm/permit.go
+++ b/entryvm/permit.go
@@ -20,6 +20,10 @@
 type PermitArgs struct {
 	Limit BackendLimit `cbor:"1,keyasint,omitempty"`
 	Want  int          `cbor:"2,keyasint,omitempty"`
+	// Named, Plain and Run count the answers since the last question, as permit.Answers.
+	Named int `cbor:"3,keyasint,omitempty"`
+	Plain int `cbor:"4,keyasint,omitempty"`
+	Run   int `cbor:"5,keyasint,omitempty"`
 }
 
 // PermitReply grants permits.
--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -36,8 +36,10 @@
 	open   sync.WaitGroup
 
 	counting sync.Mutex
-	engines  map[string]*servingEngine // by address
-	started  int
+	// draws are the engines' own, so that they don't disturb which VMs get the requests.
+	draws   *rand.Rand
+	engines map[string]*servingEngine // by address
+	started int
 	// ends are when engines ended, reached when the crashing request was sent to one.
 	ends, reached []time.Time
 	// answered, broken and refused count the other requests.
@@ -57,13 +59,14 @@
 	id, domain string
 	ended      chan struct{}
 	over       bool
-	// limit is what its answers name, unless it is none.
-	limit service.Limit
+	// limit is what its answers name, in namedShare of them.
+	limit      service.Limit
+	namedShare float64
 }
 
 func inEngineBed(t *testing.T, vms, engines int, run func(*engineBed)) {
 	inWorld(t, func(w *world) {
-		b := &engineBed{world: w, random: rand.New(rand.NewSource(3)), engines: make(map[string]*servingEngine)}
+		b := &engineBed{world: w, random: rand.New(rand.NewSource(3)), draws: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine)}
 		w.forwarderOf = func(vm string) service.Forwarder { return engineBedOf{b, vm} }
 		w.registry.configuration = testContract("m1")
 		w.registry.configuration.Contract.Routes[0].Repeat = contract.RepeatNever
@@ -113,10 +116,11 @@
 	e.over = true
 	close(e.ended)
 	b.ends = append(b.ends, time.Now())
-	time.AfterFunc(crashRestart, func() {
+	go func() {
+		time.Sleep(crashRestart)
 		b.registry.drop(e.id)
 		b.startEngine(e.domain)
-	})
+	}()
 }
 
 // up returns the engine at an address, or that its process has ended.
@@ -146,11 +150,17 @@
 		b.counting.Lock()
 		b.reached = append(b.reached, time.Now())
 		b.counting.Unlock()
-		time.AfterFunc(crashAfter, func() { b.end(e) })
+		go func() {
+			time.Sleep(crashAfter)
+			b.end(e)
+		}()
 	}
 	b.counting.Lock()
 	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now()})
 	limit := e.limit
+	if b.draws.Float64() >= e.namedShare {
+		limit = service.Limit{}
+	}
 	b.counting.Unlock()
 	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit}, nil
 }
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -40,7 +40,10 @@
 type backendLimit struct {
 	permit.Limit
 	wallet permit.Wallet
-	// issuer is the VM that was asked last for permits, drawn at drawnAt.
+	// answers are those that the issuer does not know of, toldAt is when it was last told.
+	answers permit.Answers
+	toldAt  time.Time
+	// issuer is the VM that issues the permits, as drawn at drawnAt.
 	issuer  string
 	drawnAt time.Time
 }
@@ -56,22 +59,30 @@
 
 // Limited implements serving.ForwardDirectory.
 func (n *Node) Limited(backend string, limit service.Limit) {
-	l := n.limits
+	l, now := n.limits, time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if limit.Named || l.known[backend] != nil {
-		l.observe(backend, permit.Limit{Named: limit.Named, PerSecond: limit.PerSecond, At: time.Now()}, n.config.VM)
+	if limit.Named {
+		l.observe(backend, permit.Limit{Named: true, PerSecond: limit.PerSecond, At: now}, n.config.VM)
+	}
+	b := l.known[backend]
+	if b == nil || !b.Named {
+		return
+	}
+	b.answers.Add(limit.Named)
+	if limit.Named && now.Sub(b.toldAt) >= tellIssuerEvery {
+		b.toldAt = now
+		go l.ask(backend, 0)
 	}
 }
 
 // SpendPermit implements serving.ForwardDirectory.
-func (n *Node) SpendPermit(backend string) {
+func (n *Node) SpendPermit(backend string) bool {
 	l := n.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.known[backend]; b != nil {
-		b.wallet.Spend(time.Now())
-	}
+	b := l.known[backend]
+	return b == nil || !b.Named || b.wallet.Spend(time.Now())
 }
 
 // observe takes what an answer said, if it is the newest. Call with mu held.
@@ -119,7 +130,7 @@
 		}
 		c.Limited, c.Permits = true, b.wallet.Permits(now)
 		if b.wallet.Ask(now) {
-			go l.ask(c.Engine, b.Limit)
+			go l.ask(c.Engine, permitsAhead)
 		}
 	}
 }
--- a/internal/hosted/limits_test.go
+++ b/internal/hosted/limits_test.go
@@ -21,11 +21,12 @@
 	limitExtra  = 5
 )
 
-// setLimit has an engine's answers name a limit, or none.
-func (b *engineBed) setLimit(id string, limit service.Limit) {
+// setLimit has a share of an engine's answers name a limit.
+func (b *engineBed) setLimit(id string, limit service.Limit, share float64) {
 	b.counting.Lock()
 	defer b.counting.Unlock()
-	b.engines["at-"+id].limit = limit
+	e := b.engines["at-"+id]
+	e.limit, e.namedShare = limit, share
 }
 
 // arrivalsAt are the times at which requests reached an engine within a span.
@@ -81,16 +82,17 @@
 			inEngineBed(t, c.vms, c.engines, func(b *engineBed) {
 				b.serveOthers(2*time.Second, c.pause)
 				for id, perSecond := range c.limits {
-					b.setLimit(id, service.Limit{Named: true, PerSecond: perSecond})
+					b.setLimit(id, service.Limit{Named: true, PerSecond: perSecond}, 1)
 				}
 				from := time.Now().Add(limitSpread)
 				b.serveOthers(25*time.Second, c.pause)
 				to := time.Now()
 				for id, perSecond := range c.limits {
 					b.checkLimit(id, perSecond, from, to, c.leastShare)
-					b.setLimit(id, service.Limit{})
+					b.setLimit(id, service.Limit{}, 0)
 				}
-				b.serveOthers(6*time.Second, c.pause)
+				lowest := slices.Min(slices.Collect(maps.Values(c.limits)))
+				b.serveOthers(limitLift(lowest), c.pause)
 				from = time.Now()
 				b.serveOthers(3*time.Second, c.pause)
 				b.open.Wait()
@@ -106,6 +108,33 @@
 	}
 }
 
+// limitLift is how long after its end a limit may still be felt: ten answers at its rate
+// tell, or at that of a limit of nothing, one in four seconds.
+func limitLift(perSecond float64) time.Duration {
+	return 4*time.Second + time.Duration(10/max(perSecond, 0.25)*float64(time.Second))
+}
+
+// Guards against one answer without the limit that lifts it for all VMs.
+func TestFewAnswersNameTheLimit(t *testing.T) {
+	for _, share := range []float64{0.3, 0.5, 0.8} {
+		t.Run(fmt.Sprint(share, " of them"), func(t *testing.T) {
+			inEngineBed(t, 8, 6, func(b *engineBed) {
+				named := map[string]float64{"e1": 4.1, "e4": 5.9}
+				for id, perSecond := range named {
+					b.setLimit(id, service.Limit{Named: true, PerSecond: perSecond}, share)
+				}
+				b.serveOthers(limitSpread, 12*time.Millisecond)
+				from := time.Now()
+				b.serveOthers(40*time.Second, 12*time.Millisecond)
+				for id, perSecond := range named {
+					b.checkLimit(id, perSecond, from, time.Now(), 0.3)
+				}
+				b.open.Wait()
+			})
+		})
+	}
+}
+
 // Guards against two issuers that both hand out the whole limit after one was lost, and
 // against a backend server that nobody gets a permit for any more.
 func TestIssuersDieOneAfterTheOther(t *testing.T) {
@@ -113,7 +142,7 @@
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			inEngineBed(t, vms, 1, func(b *engineBed) {
 				const perSecond, pause = 4.1, 60 * time.Millisecond
-				b.setLimit("e1", service.Limit{Named: true, PerSecond: perSecond})
+				b.setLimit("e1", service.Limit{Named: true, PerSecond: perSecond}, 1)
 				b.serveOthers(limitSpread, pause)
 				from := time.Now()
 				for range 3 {
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -19,40 +19,58 @@
 	permitPause   = 200 * time.Millisecond
 	// permitsAhead is how many permits are asked for at a time.
 	permitsAhead = 2
+	// tellIssuerEvery is the least time between two messages that only tell the issuer of
+	// answers with the limit.
+	tellIssuerEvery = 250 * time.Millisecond
 	// drawIssuerEvery is the least time between two draws of a backend server's issuer.
 	drawIssuerEvery = 200 * time.Millisecond
 )
 
-// ask asks the issuer of a backend server's permits for some.
-func (l *limits) ask(backend string, limit permit.Limit) {
-	now := time.Now()
-	args := entryvm.PermitArgs{Want: permitsAhead, Limit: entryvm.BackendLimit{
-		Backend: backend, Named: limit.Named, PerSecond: limit.PerSecond, Age: max(0, now.Sub(limit.At)),
-	}}
-	issuer := l.issuerOf(now, backend)
-	reply, err := l.askAt(issuer, args)
-	now = time.Now()
+// ask tells the issuer of a backend server's permits what its answers said, and asks for
+// some permits, or for none.
+func (l *limits) ask(backend string, want int) {
+	issuer := l.issuerOf(time.Now(), backend)
 	l.mu.Lock()
 	b := l.known[backend]
 	if b == nil {
 		l.mu.Unlock()
 		return
 	}
+	answers := b.answers
+	b.answers, b.toldAt = permit.Answers{}, time.Now()
+	args := entryvm.PermitArgs{
+		Want: want, Limit: b.message(time.Now(), backend), Named: answers.Named, Plain: answers.Plain, Run: answers.Run,
+	}
+	l.mu.Unlock()
+	reply, err := l.askAt(issuer, args)
 	if err != nil {
-		b.wallet.Failed(now, permitPause)
-		l.mu.Unlock()
 		l.node.config.Logger.Info("issuer of permits does not answer", zap.String("backend", backend), zap.String("issuer", issuer), telemetry.Reason(err))
-		return
 	}
-	b.wallet.Answered(now, reply.Granted, reply.Retry)
-	l.take(now, issuer, reply.Limit)
-	usable := reply.Granted > 0 || !b.Named
-	l.mu.Unlock()
-	if usable {
+	if l.answered(b, backend, issuer, want, reply, answers, err) {
 		l.node.serving.Wake()
 	}
 }
 
+// answered takes the issuer's answer; it tells whether requests may be sent now.
+func (l *limits) answered(b *backendLimit, backend, issuer string, want int, reply entryvm.PermitReply, told permit.Answers, err error) bool {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		told.Append(b.answers)
+		b.answers = told
+		if want > 0 {
+			b.wallet.Failed(now, permitPause)
+		}
+		return false
+	}
+	if want > 0 {
+		b.wallet.Answered(now, reply.Granted, reply.Retry)
+	}
+	l.take(now, issuer, reply.Limit)
+	return reply.Granted > 0 || !b.Named
+}
+
 // askAt asks the VM at an address, which may be this one.
 func (l *limits) askAt(address string, args entryvm.PermitArgs) (entryvm.PermitReply, error) {
 	if address == l.node.config.Address {
@@ -70,14 +88,23 @@
 	defer l.mu.Unlock()
 	l.take(now, "", args.Limit)
 	b := l.known[id]
-	if b == nil || !b.Named {
-		return entryvm.PermitReply{Limit: entryvm.BackendLimit{Backend: id}}
+	if b == nil {
+		return entryvm.PermitReply{Retry: permitPause, Limit: args.Limit} // not listed here yet
+	}
+	if !b.Named {
+		delete(l.issuers, id)
+		return entryvm.PermitReply{Limit: b.message(now, id)}
 	}
 	issuer := l.issuers[id]
 	if issuer == nil {
 		issuer = &permit.Issuer{}
 		l.issuers[id] = issuer
 	}
+	if issuer.Observe(permit.Answers{Named: args.Named, Plain: args.Plain, Run: args.Run}) {
+		l.observe(id, permit.Limit{At: now}, n.config.VM)
+		delete(l.issuers, id)
+		return entryvm.PermitReply{Limit: b.message(now, id)}
+	}
 	granted, retry := issuer.Issue(now, b.Limit, args.Want)
 	return entryvm.PermitReply{Granted: granted, Retry: retry, Limit: b.message(now, id)}
 }
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -117,21 +117,30 @@
 			s.config.Admission.Requeue(now, ticket)
 			return
 		}
-		s.spendPermit(choice.Engine, look.candidates(ticket.Unit))
+		if !s.spendPermit(choice.Engine, look.candidates(ticket.Unit)) {
+			s.config.Admission.Requeue(now, ticket)
+			continue
+		}
 		start := s.started(now, choice.Engine, w.query)
 		s.assign(ticket, assignment{backend: choice.Engine, start: start})
 	}
 }
 
-// spendPermit uses a permit where the backend server takes requests with one only. Call
-// with mu held.
-func (s *Server) spendPermit(backend string, candidates []routing.Candidate) {
+// spendPermit uses a permit where the backend server takes requests with one only; false
+// means that there is none any more, which the candidates then tell. Call with mu held.
+func (s *Server) spendPermit(backend string, candidates []routing.Candidate) bool {
 	for i := range candidates {
-		if c := &candidates[i]; c.Engine == backend && c.Limited {
-			c.Permits--
-			s.forwards().SpendPermit(backend)
+		c := &candidates[i]
+		if c.Engine != backend || !c.Limited {
+			continue
 		}
+		if !s.forwards().SpendPermit(backend) {
+			c.Permits = 0
+			return false
+		}
+		c.Permits--
 	}
+	return true
 }
 
 // started counts a request that goes to a backend server. Call with mu held.
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -53,8 +53,9 @@
 	Reached(backend string)
 	// Limited tells what an answer of a backend server said of further requests.
 	Limited(backend string, limit service.Limit)
-	// SpendPermit uses one of the permits that a Limited candidate came with.
-	SpendPermit(backend string)
+	// SpendPermit uses one of the permits that a Limited candidate came with, false if they
+	// were used meanwhile or have lapsed.
+	SpendPermit(backend string) bool
 }
 
 // Forward passes an opaque request on to a backend server, and its answer back.
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -99,18 +99,38 @@
 func (b *forwardBed) Reached(string)          {}
 
 // Limited notes what answers said of further requests.
-func (b *forwardBed) Limited(_ string, limit service.Limit) { b.limits = append(b.limits, limit) }
+func (b *forwardBed) Limited(_ string, limit service.Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = append(b.limits, limit)
+}
 
 // SpendPermit counts the permits used.
-func (b *forwardBed) SpendPermit(string) { b.spent++ }
+func (b *forwardBed) SpendPermit(string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.spent >= b.permits {
+		return false
+	}
+	b.spent++
+	return true
+}
 
 // Broken is serving.Quarantine's, as the next three are.
 func (b *forwardBed) Broken(_ string, request quarantine.Fingerprint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.broken = append(b.broken, request)
 }
-func (b *forwardBed) Suspects() bool                  { return b.suspects }
-func (b *forwardBed) Answered(quarantine.Fingerprint) { b.cleared++ }
+func (b *forwardBed) Suspects() bool { return b.suspects }
+func (b *forwardBed) Answered(quarantine.Fingerprint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cleared++
+}
 func (b *forwardBed) Refusal(quarantine.Fingerprint) *refusal.Refusal {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.quarantineFrom == 0 || len(b.sent) < b.quarantineFrom-1 {
 		return nil
 	}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -46,14 +46,17 @@
 // Pick chooses an engine with a free slot; false if there is none.
 //
 // It weighs two engines drawn from the own failure domain, two from the others
-// and those known to have the prompt's prefix, by load, slowness, domain and
-// cached part.
+// those known to have the prompt's prefix and those it has a permit for, by load,
+// slowness, domain and cached part.
 func (r *Router) Pick(now time.Time, q Query, candidates []Candidate) (Choice, bool) {
 	if !r.look(now, q, candidates) {
 		return Choice{}, false
 	}
 	r.markHolders(q)
 	if r.newsIsOld() {
+		if v := r.permitted(); v != nil {
+			return choice(v), true
+		}
 		return choice(r.spread(now, q)), true
 	}
 	best, bestScore := -1, 0.0
@@ -72,13 +75,24 @@
 		consider(other[i])
 	}
 	for i := range r.views {
-		if r.views[i].blocks > 0 {
-			consider(i)
+		if r.views[i].blocks > 0 || r.views[i].candidate.Limited {
+			consider(i) // a permit lapses unless it is used
 		}
 	}
 	return choice(&r.views[best]), true
 }
 
+// permitted is a view that this VM has a permit for, nil if there is none. In a large fleet
+// permits are few and lapse before a draw would find them.
+func (r *Router) permitted() *view {
+	for i := range r.views {
+		if r.views[i].candidate.Limited {
+			return &r.views[i]
+		}
+	}
+	return nil
+}
+
 // Available tells whether Pick would find an engine.
 func (r *Router) Available(now time.Time, q Query, candidates []Candidate) bool {
 	return r.look(now, q, candidates)
