registry, platform: cursors and generations carry the registry's epoch

The store may come back from a copy some seconds old, and gives offsets and generations out again. Read in the tree: a cursor was read on where other records stand now; joins of a lower generation looked overtaken, so that a VM would give no orders any more; tokens fell below what engines have seen; a conditional append at an offset given out again passed for the old one.

The adapter reads the era of each answer. Cursors and generations, and so fencing tokens, have it in their high bits (40 bits below, under 2^53 for JSON) and grow over it. A cursor of another epoch counts as lost history; an append is not sent in another epoch than its cursor's, and one answered in another counts as unanswered; a join sends no generation of another. An era that falls or can't be read fails its call and is counted; the last one stays. Without the header all stays as it was: epoch 0.

Ruled out: a floor for tokens from engines and peers (engines don't tell their highest token; a fleet that was killed has no peers).

--- a/internal/hosted/registry_test.go
+++ b/internal/hosted/registry_test.go
@@ -39,6 +39,8 @@
 	// unreachable are the VMs whose reads get no answer.
 	unreachable map[string]bool
 	quarantined map[uint64]registry.Quarantined
+	// epoch counts the restores.
+	epoch uint64
 	// reads counts the reads of the configuration and of the list.
 	reads int
 }
@@ -95,7 +97,7 @@
 	}
 	defer end()
 	f.reads++
-	return f.configuration, f.versions, nil
+	return f.configuration, registry.Cursor(registry.InEpoch(f.epoch, uint64(f.versions))), nil
 }
 
 func (f *fakeRegistry) AwaitConfiguration(ctx context.Context, from registry.Cursor, wait time.Duration) (*registry.Configuration, registry.Cursor, error) {
@@ -121,7 +123,7 @@
 	}
 	defer end()
 	f.historyLost = false
-	list := registry.Backends{Next: registry.Cursor(len(f.changes))}
+	list := registry.Backends{Next: registry.Cursor(registry.InEpoch(f.epoch, uint64(len(f.changes))))}
 	for _, id := range slices.Sorted(maps.Keys(f.backends)) {
 		list.List = append(list.List, f.backends[id])
 	}
@@ -138,10 +140,11 @@
 	}
 	defer end()
 	f.reads++
-	if f.historyLost {
+	if f.historyLost || registry.Epoch(uint64(from)) != f.epoch {
 		return registry.Changes{Next: from}, registry.ErrHistoryLost
 	}
-	return registry.Changes{List: slices.Clone(f.changes[from:]), Next: registry.Cursor(len(f.changes))}, nil
+	list := slices.Clone(f.changes[registry.NumberInEpoch(uint64(from)):])
+	return registry.Changes{List: list, Next: from + registry.Cursor(len(list))}, nil
 }
 
 // configure puts another configuration in the operator's place.
@@ -196,7 +199,7 @@
 	if f.shared[r.Group] != nil {
 		return f.joinShared(r), nil
 	}
-	assignment := registry.Assignment{Generation: f.generation}
+	assignment := registry.Assignment{Generation: registry.InEpoch(f.epoch, f.generation)}
 	for shard := range testShards {
 		if f.holder[shard] == r.Member {
 			assignment.Shards = append(assignment.Shards, shard)
@@ -222,7 +225,7 @@
 	if !known || len(members) != before {
 		f.generation++
 	}
-	assignment := registry.Assignment{Generation: f.generation}
+	assignment := registry.Assignment{Generation: registry.InEpoch(f.epoch, f.generation)}
 	sorted := slices.Sorted(maps.Keys(members))
 	for shard := range testShards {
 		if sorted[shard%len(sorted)] == r.Member {
@@ -254,7 +257,7 @@
 		return nil, 0, err
 	}
 	defer end()
-	return slices.Clone(f.owners[group]), f.writes[group], nil
+	return slices.Clone(f.owners[group]), registry.Cursor(registry.InEpoch(f.epoch, uint64(f.writes[group]))), nil
 }
 
 func (f *fakeRegistry) Own(_ context.Context, group string, owned []registry.Ownership, at registry.Cursor) error {
@@ -264,7 +267,7 @@
 		return err
 	}
 	defer end()
-	if f.writes[group] != at {
+	if registry.InEpoch(f.epoch, uint64(f.writes[group])) != uint64(at) {
 		f.conflicts++
 		return registry.ErrConflict
 	}
@@ -300,6 +303,46 @@
 	return nil
 }
 
+// Epoch implements registry.Registry.
+func (f *fakeRegistry) Epoch() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.epoch
+}
+
+// registryCopy is what a registry held at some moment.
+type registryCopy struct {
+	configuration *registry.Configuration
+	versions      registry.Cursor
+	backends      map[string]registry.Backend
+	changes       []registry.Change
+	owners        map[string][]registry.Ownership
+	writes        map[string]registry.Cursor
+	generation    uint64
+	holder        map[int]string
+	quarantined   map[uint64]registry.Quarantined
+}
+
+func (f *fakeRegistry) copy() registryCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := registryCopy{configuration: f.configuration, versions: f.versions, backends: maps.Clone(f.backends), changes: slices.Clone(f.changes),
+		owners: make(map[string][]registry.Ownership), writes: maps.Clone(f.writes), generation: f.generation, holder: maps.Clone(f.holder), quarantined: maps.Clone(f.quarantined)}
+	for group, list := range f.owners {
+		c.owners[group] = slices.Clone(list)
+	}
+	return c
+}
+
+// restore has the registry come back from a copy, once, in a new epoch.
+func (f *fakeRegistry) restore(c registryCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configuration, f.versions, f.backends, f.changes, f.owners = c.configuration, c.versions, c.backends, c.changes, c.owners
+	f.writes, f.generation, f.holder, f.quarantined = c.writes, c.generation, c.holder, c.quarantined
+	f.epoch++
+}
+
 // spoil makes a backend server's record unreadable.
 func (f *fakeRegistry) spoil(id string) {
 	f.mu.Lock()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,14 +19,14 @@
 	// ErrUnavailable says that the registry did not answer or turned the call
 	// away. A read is harmless to repeat; what a write came to is unknown.
 	ErrUnavailable = errs.New("registry unavailable")
-	// ErrHistoryLost says that changes after the given cursor are no longer kept:
-	// read the whole list again.
+	// ErrHistoryLost says that changes after the given cursor are no longer kept, or
+	// that the cursor is of an earlier epoch: read the whole list again.
 	ErrHistoryLost = errs.New("history of the registry lost")
 	// ErrConflict says that another writer came first; nothing was written.
 	ErrConflict = errs.New("changed meanwhile")
 )
 
-// Cursor is a place in a list's history of changes.
+// Cursor is a place in a list's history of changes, with its epoch.
 type Cursor uint64
 
 // Held is a model that an engine has loaded, with its adapters.
@@ -125,7 +125,7 @@
 
 // Assignment is what a member of a group has got.
 type Assignment struct {
-	// Generation grows with each change of the group.
+	// Generation grows with each change of the group. It has its epoch: see InEpoch.
 	Generation uint64
 	// Shards are the indexes assigned to the member.
 	Shards []int
@@ -169,6 +169,9 @@
 // Registry is what the rest of the system uses of the platform's registry. All
 // methods fail with ErrUnavailable beside the errors that they name.
 type Registry interface {
+	// Epoch is the newest epoch that an answer told, 0 where the registry tells none.
+	Epoch() uint64
+
 	// Configuration returns the newest configuration, nil where there is none yet,
 	// and where its changes begin. A source that can't be translated comes with
 	// an error that is none of this package's, beside the newest one that can be.
--- a/registry/unreadable.go
+++ b/registry/unreadable.go
@@ -8,5 +8,6 @@
 	UnreadableConfigurations = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="configuration"}`)
 	UnreadableBackends       = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="backends"}`)
 	UnreadableOwners         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="owners"}`)
+	UnreadableEpochs         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="epoch"}`)
 	UnreadableQuarantine     = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="quarantine"}`)
 )
