hosted, lease: a registry that comes back older reverts nothing

Now: an owner's record of an earlier epoch, or none, is not trusted. All other VMs of the domain are asked to stop; if all tell, the quiet time after the newest order is waited, else the longest hold. Who held a shard without a break goes on once that is recorded again, under a higher token. A VM that hears from its reader of a newer epoch reads by itself at once. Verdicts on requests are read and recorded anew.

Tried first: asking the VM whose report names the shard.

--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -40,8 +40,10 @@
 	// former are the starts of those dropped lately: one that is listed again may be
 	// another start, to which orders of before are still on their way.
 	former map[string]formerStart
-	// returnedAt is when the registry answered again after an outage.
+	// returnedAt is when the registry answered again after an outage, olderUntil until when
+	// its entries may be older than what is known here.
 	returnedAt time.Time
+	olderUntil time.Time
 }
 
 // backend is a backend server with what is known of its newest start.
@@ -114,6 +116,14 @@
 
 func (t *backendTable) put(now time.Time, b registry.Backend) {
 	known := t.entries[b.ID]
+	if now.Before(t.olderUntil) {
+		if known == nil && t.leftBefore(b) {
+			return
+		}
+		if known != nil && known.Leaving && known.Started == b.Started {
+			b.Leaving, b.LeavesIn = true, known.LeavesIn
+		}
+	}
 	if known == nil {
 		former := t.former[b.ID]
 		known = &backend{lacking: make(map[string]time.Time), start: former.start, restartedAt: former.restartedAt, Backend: b}
@@ -172,6 +182,22 @@
 	t.returnedAt = now
 }
 
+// restored notes that the registry came back from an older copy: entries that are missing
+// are not removed until their writers had time to write them again, and starts that were
+// seen to leave do not come back.
+func (t *backendTable) restored(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.returnedAt, t.olderUntil = now, now.Add(returnTime)
+}
+
+// leftBefore tells whether an entry is of a start that was dropped lately. Call with mu
+// held.
+func (t *backendTable) leftBefore(b registry.Backend) bool {
+	former, known := t.former[b.ID]
+	return known && former.start == b.Started
+}
+
 // sweep drops what was not back in time.
 func (t *backendTable) sweep(now time.Time) {
 	t.mu.Lock()
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -64,6 +64,9 @@
 	mu     sync.Mutex
 	known  bool
 	cursor registry.Cursor
+	// epoch is the newest that the whole was read in, read whether it ever was.
+	epoch uint64
+	read  bool
 	// at is up to when all changes are known.
 	at time.Duration
 	// recent are the newest changes, oldest first.
@@ -119,6 +122,13 @@
 	return f.cursor, f.known
 }
 
+// newest is the cursor, whether it is to be read on from or not.
+func (f *feed) newest() registry.Cursor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cursor
+}
+
 // restart sets the position after the whole was read, or forgets it.
 func (f *feed) restart(cursor registry.Cursor, known bool) {
 	f.mu.Lock()
@@ -127,6 +137,16 @@
 	f.recent, f.count = nil, 0
 }
 
+// newEpoch notes the epoch in which the whole was read; it tells whether it was read in an
+// earlier one before.
+func (f *feed) newEpoch(cursor registry.Cursor) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	epoch, before, read := registry.Epoch(uint64(cursor)), f.epoch, f.read
+	f.epoch, f.read = epoch, true
+	return read && epoch > before
+}
+
 // extend applies changes that were read between two cursors, unless the position has
 // moved on meanwhile: older changes after newer ones would undo them.
 func (f *feed) extend(batch changeBatch, apply func([]registry.Change)) bool {
@@ -288,6 +308,9 @@
 			return
 		}
 	}
+	if registry.Epoch(answer.BackendsCursor) > registry.Epoch(uint64(n.changes.newest())) {
+		n.changes.expire() // its changes don't continue what is known here
+	}
 	if !n.changes.extend(batch, n.applyChanges) {
 		return
 	}
@@ -372,6 +395,11 @@
 			return false
 		}
 		n.answered()
+		if f.newEpoch(list.Next) {
+			n.config.Logger.Warn("list of backend servers read anew, as the registry came back without its newest records",
+				zap.Uint64("epoch", registry.Epoch(uint64(list.Next))), zap.Int("listed", len(list.List)))
+			n.backends.restored(time.Now())
+		}
 		n.backends.replace(time.Now(), list.List)
 		f.restart(list.Next, true)
 		f.confirm(begun)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -119,6 +119,8 @@
 
 	shardsMu sync.Mutex
 	shards   *lease.Shards
+	// firstEpoch is the registry's at this VM's first join.
+	firstEpoch uint64
 	// settle has holdShards record the shards whose former owners are settled.
 	settle chan struct{}
 
--- a/internal/hosted/quarantinerecords.go
+++ b/internal/hosted/quarantinerecords.go
@@ -21,13 +21,16 @@
 // keepRecords is the duty that keeps quarantined requests in the registry, so that they
 // outlive the fleet. The VM that leads reads the records once and tells the others.
 func (c *crashes) keepRecords(ctx context.Context) {
-	read := false
+	read, epoch := false, uint64(0)
 	pause.Every(ctx, recordEvery, func(ctx context.Context) {
 		if !c.node.leadsFleet(time.Now()) {
 			read = false // another VM may record meanwhile
 			return
 		}
 		err := error(nil)
+		if now := c.node.config.Peers.Registry.Epoch(); now != epoch {
+			read, epoch = false, now // records may be gone
+		}
 		if !read {
 			err = c.readRecords(ctx)
 			read = err == nil
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -157,10 +157,18 @@
 func (n *Node) joined(sent time.Duration, assignment registry.Assignment) bool {
 	n.shardsMu.Lock()
 	defer n.shardsMu.Unlock()
+	if n.shards.Generation() == 0 {
+		n.firstEpoch = registry.Epoch(assignment.Generation)
+	}
+	if before := n.shards.Generation(); before != 0 && registry.Epoch(before) < registry.Epoch(assignment.Generation) {
+		n.shards.Restored(sent)
+		n.config.Logger.Warn("registry came back without its newest records", zap.Uint64("epoch", registry.Epoch(assignment.Generation)),
+			zap.Ints("shards_to_record", n.shards.Unrecorded()))
+	}
 	if gained := n.shards.Joined(sent, assignment.Generation, assignment.Shards); len(gained) > 0 {
 		n.config.Logger.Info("shards assigned", zap.Ints("shards", gained), zap.Uint64("generation", assignment.Generation))
 	}
-	return len(n.shards.Wanting())+len(n.shards.Doubtful())+len(n.shards.Settled(n.config.Boot())) > 0
+	return len(n.shards.Wanting())+len(n.shards.Doubtful())+len(n.shards.Unrecorded())+len(n.shards.Settled(n.config.Boot())) > 0
 }
 
 // updateOwnership confirms what is owned, records this VM as the owner of what it was
@@ -176,9 +184,15 @@
 		recorded[o.Index] = o
 		n.members.learn([]string{o.Address})
 	}
-	wanting, settled := n.confirm(recorded)
+	wanting, settled, unrecorded := n.confirm(recorded)
 	var records []registry.Ownership
+	for _, shard := range unrecorded {
+		records = append(records, n.ownership(shard, generation, false))
+	}
 	for _, shard := range wanting {
+		if n.outdated(recorded[shard], generation) {
+			recorded[shard] = registry.Ownership{Index: shard, Unknown: true, Generation: recorded[shard].Generation}
+		}
 		if recorded[shard].Generation > generation {
 			return errNewerOwner
 		}
@@ -196,6 +210,7 @@
 		return err
 	}
 	n.noteSettled(settled)
+	n.noteRecordedAgain(unrecorded, generation)
 	// From here on a predecessor that can't be asked must stop by its own clock.
 	ownedAt := n.config.Boot()
 	for _, shard := range wanting {
@@ -233,7 +248,7 @@
 
 // confirm compares what this VM owns with the records. It returns what it has to
 // record: the shards to take over, and those that are settled by now.
-func (n *Node) confirm(recorded map[int]registry.Ownership) (wanting, settled []int) {
+func (n *Node) confirm(recorded map[int]registry.Ownership) (wanting, settled, unrecorded []int) {
 	n.shardsMu.Lock()
 	defer n.shardsMu.Unlock()
 	for _, shard := range n.shards.Doubtful() {
@@ -252,7 +267,30 @@
 			settled = append(settled, shard)
 		}
 	}
-	return n.shards.Wanting(), settled
+	return n.shards.Wanting(), settled, n.shards.Unrecorded()
+}
+
+// outdated tells whether a record of a shard's owner may be older than the last owner's, as
+// it is of an earlier epoch or missing.
+func (n *Node) outdated(record registry.Ownership, generation uint64) bool {
+	epoch := registry.Epoch(generation)
+	return registry.Epoch(record.Generation) != epoch && !n.settledFromTheStart(epoch)
+}
+
+// settledFromTheStart tells whether the whole system has started within the epoch, so that
+// there is no owner of before.
+func (n *Node) settledFromTheStart(epoch uint64) bool {
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	return n.config.FirstStart && epoch == n.firstEpoch
+}
+
+func (n *Node) noteRecordedAgain(shards []int, generation uint64) {
+	n.shardsMu.Lock()
+	defer n.shardsMu.Unlock()
+	for _, shard := range shards {
+		n.shards.RecordedAgain(shard, generation)
+	}
 }
 
 func (n *Node) noteSettled(shards []int) {
--- a/lease/shards.go
+++ b/lease/shards.go
@@ -57,6 +57,8 @@
 	stopped bool
 	// doubtful is whether the group changed since its owner's record was last seen.
 	doubtful bool
+	// unrecorded is whether the registry came back without the record of its ownership.
+	unrecorded bool
 }
 
 // NewShards makes the state of a process that holds nothing.
@@ -102,6 +104,45 @@
 	return gained
 }
 
+// Restored notes that the registry came back without its newest records, as the answer to a
+// join tells that was sent at the given time; Joined follows. A shard that this VM has held
+// without a break is nobody else's: whoever was assigned it since had to wait for that hold.
+// It goes on once its ownership is recorded again. Any other one is taken over anew.
+func (s *Shards) Restored(sent time.Duration) {
+	unbroken := s.joined && sent-s.joinedAt < s.config.Hold
+	for index, held := range s.held {
+		switch {
+		case held.stopped:
+		case unbroken && held.token != 0:
+			held.unrecorded, held.settled = true, false
+		default:
+			s.held[index] = held.renewed(s.generation)
+		}
+	}
+}
+
+// Unrecorded returns the shards whose ownership is to be recorded again.
+func (s *Shards) Unrecorded() []int {
+	var unrecorded []int
+	for index, held := range s.held {
+		if !held.stopped && held.unrecorded {
+			unrecorded = append(unrecorded, index)
+		}
+	}
+	slices.Sort(unrecorded)
+	return unrecorded
+}
+
+// RecordedAgain notes that a shard's ownership was recorded again, under a generation.
+func (s *Shards) RecordedAgain(index int, generation uint64) {
+	held := s.held[index]
+	if held == nil || held.stopped || !held.unrecorded {
+		return
+	}
+	held.token, held.assigned, held.unrecorded = generation, generation, false
+	held.doubtful = generation != s.generation
+}
+
 // Wanting returns the shards that are assigned and not owned yet.
 func (s *Shards) Wanting() []int {
 	var wanting []int
@@ -121,7 +162,7 @@
 func (s *Shards) Doubtful() []int {
 	var doubtful []int
 	for index, held := range s.held {
-		if !held.stopped && held.token != 0 && held.doubtful {
+		if !held.stopped && held.token != 0 && held.doubtful && !held.unrecorded {
 			doubtful = append(doubtful, index)
 		}
 	}
@@ -171,7 +212,7 @@
 // MayOrder tells whether an order may go out now, and with which fencing token.
 func (s *Shards) MayOrder(now time.Duration, index int) (token uint64, ok bool) {
 	held := s.held[index]
-	if held == nil || held.stopped || held.doubtful || held.token == 0 || now < held.startAt || !s.Fresh(now) {
+	if held == nil || held.stopped || held.doubtful || held.unrecorded || held.token == 0 || now < held.startAt || !s.Fresh(now) {
 		return 0, false
 	}
 	return held.token, true
@@ -241,7 +282,7 @@
 func (s *Shards) Settled(now time.Duration) []int {
 	var settled []int
 	for index, held := range s.held {
-		if !held.stopped && held.token != 0 && now >= held.startAt && !held.settled {
+		if !held.stopped && held.token != 0 && now >= held.startAt && !held.settled && !held.unrecorded {
 			settled = append(settled, index)
 		}
 	}
--- a/lease/shards_test.go
+++ b/lease/shards_test.go
@@ -189,3 +189,50 @@
 	_, ok = s.Release(2*time.Second, 0, 2, true, 0)
 	testkit.That(t, ok, "a stopped shard is released again")
 }
+
+// Guards against two owners of one shard after the registry came back without the record
+// of it: who held it without a break goes on once that is recorded again, under a higher
+// token; who did not takes it over anew.
+func TestShardsAfterTheRegistryWasRestored(t *testing.T) {
+	config := shardTimes
+	const before, after = 7, 1<<40 | 3
+	for name, c := range map[string]struct {
+		sent     time.Duration
+		unbroken bool
+	}{
+		"within its hold": {3 * time.Second, true},
+		"after its hold":  {4 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewShards(config)
+			s.Joined(0, before, []int{1})
+			s.Owned(0, 1, before, 0)
+			_, ok := s.MayOrder(time.Second, 1)
+			testkit.That(t, ok, "the owner may not order")
+			s.Restored(c.sent)
+			gained := s.Joined(c.sent, after, []int{1})
+			testkit.That(t, len(gained) == 0, "gained %v, it was assigned before", gained)
+			_, ok = s.MayOrder(c.sent, 1)
+			testkit.That(t, !ok, "orders without a record")
+			testkit.That(t, (len(s.Unrecorded()) == 1) == c.unbroken && (len(s.Wanting()) == 0) == c.unbroken,
+				"to record again %v, to take over %v", s.Unrecorded(), s.Wanting())
+			testkit.That(t, len(s.Settled(c.sent)) == 0, "settled without a record")
+			s.RecordedAgain(1, after)
+			token, ok := s.MayOrder(c.sent, 1)
+			testkit.That(t, ok == c.unbroken && (token == after) == c.unbroken, "orders %v under %d", ok, token)
+		})
+	}
+}
+
+// Guards against a shard that the older copy gives to another VM and that its last owner
+// goes on with.
+func TestRestoredRegistryMovesAShard(t *testing.T) {
+	s := NewShards(shardTimes)
+	s.Joined(0, 7, []int{1})
+	s.Owned(0, 1, 7, 0)
+	s.Restored(time.Second)
+	s.Joined(time.Second, 1<<40|3, nil)
+	s.RecordedAgain(1, 1<<40|3)
+	_, ok := s.MayOrder(time.Second, 1)
+	testkit.That(t, !ok && len(s.Unrecorded()) == 0, "orders %v, to record again %v", ok, s.Unrecorded())
+}
