hosted, permit: names in the field's terms, one way to boot spread VMs

A limit that changes drops the answers counted under the one before: they would have been evidence on another limit. No other behaviour changed; tests keep their checks.

--- a/admission/permit/permit_test.go
+++ b/admission/permit/permit_test.go
@@ -55,14 +55,14 @@
 	testkit.Equal(t, "permits", w.Permits(start), 1)
 	testkit.That(t, !w.Spend(start.Add(time.Second)), "a lapsed permit was spent")
 	testkit.Equal(t, "permits a second later", w.Permits(start.Add(time.Second)), 0)
-	testkit.That(t, !w.Ask(start.Add(999*time.Millisecond)) && w.Ask(start.Add(time.Second)), "asked at another time than told")
+	testkit.That(t, !w.Ask(start.Add(999*time.Millisecond)) && w.Ask(start.Add(time.Second)), "asked at another time than the issuer said")
 	w.Failed(start.Add(time.Second), time.Second)
 	testkit.That(t, !w.Ask(start.Add(1500*time.Millisecond)) && w.Ask(start.Add(2*time.Second)), "no pause after a question without an answer")
 }
 
 // Guards against a limit that one answer lifts though few name it, and against one that
 // holds for long after all answers had named it.
-func TestLiftIsToldByTheShareOfAnswers(t *testing.T) {
+func TestLimitLiftFollowsTheShareOfAnswers(t *testing.T) {
 	for _, c := range []struct {
 		share    float64
 		liftedBy int
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -91,6 +91,27 @@
 
 func (w *world) boot(vm string, first bool) *Node { return w.bootIn("d", vm, first) }
 
+// spreadDomains are the failure domains that bootSpread spreads VMs over.
+const spreadDomains = 3
+
+// shareSpread has the shards of the spread failure domains shared out among their VMs.
+func (w *world) shareSpread() {
+	for i := range spreadDomains {
+		w.registry.share(fmt.Sprint("d", i))
+	}
+}
+
+// bootSpread starts or restarts one of the VMs that are spread over failure domains; the
+// first two are the seeds.
+func (w *world) bootSpread(i int) string {
+	vm := fmt.Sprint("v", i)
+	if i < 2 {
+		vm = []string{"a", "b"}[i]
+	}
+	w.bootIn(fmt.Sprint("d", i%spreadDomains), vm, false)
+	return vm
+}
+
 func (w *world) bootIn(domain, vm string, first bool) *Node {
 	var forwarder service.Forwarder = backendsOf{w, domain}
 	if w.forwarderOf != nil {
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// brokenMost bounds the broken connections that wait to be looked into.
+	// brokenMost bounds the broken connections that wait to be investigated.
 	brokenMost = 1024
 	// crashGather is how long after the first broken connection further ones are waited for
 	// before the backend server is probed.
@@ -49,7 +49,7 @@
 	active atomic.Bool
 
 	mu sync.Mutex
-	// running are the requests that broke at each backend server that is looked into.
+	// running are the requests that broke at each backend server that is investigated.
 	running map[string][]quarantine.Fingerprint
 	table   *quarantine.Table
 	// seen is up to which version this VM has each other one's suspects.
@@ -60,7 +60,7 @@
 
 var (
 	crashesSeen    = metrics.NewCounter("bergamotreel_backend_crashes_total")
-	crashesUnseen  = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
+	brokenDropped  = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
 	quarantinedNew = metrics.NewCounter("bergamotreel_requests_quarantined_total")
 )
 
@@ -79,7 +79,7 @@
 	select {
 	case c.broken <- brokenRun{backend, request}:
 	default:
-		crashesUnseen.Inc()
+		brokenDropped.Inc()
 	}
 }
 
@@ -103,17 +103,17 @@
 	return refusal.New(refusal.CodeQuarantined, left, "backend servers ended each time that they ran this request, %s", request)
 }
 
-// run is the duty that looks into broken connections.
+// run is the duty that investigates broken connections.
 func (c *crashes) run(ctx context.Context) {
-	var lookups sync.WaitGroup
-	defer lookups.Wait()
+	var investigations sync.WaitGroup
+	defer investigations.Wait()
 	sweep := time.NewTicker(suspectsSweep)
 	defer sweep.Stop()
 	for {
 		select {
 		case run := <-c.broken:
 			if c.add(run) {
-				lookups.Go(func() { c.lookInto(ctx, run.backend) })
+				investigations.Go(func() { c.investigate(ctx, run.backend) })
 			}
 		case <-sweep.C:
 			c.expire()
@@ -139,8 +139,8 @@
 	return !known
 }
 
-// take returns the requests that broke at a backend server, and forgets them.
-func (c *crashes) take(backend string) []quarantine.Fingerprint {
+// pop returns the requests that broke at a backend server, and forgets them.
+func (c *crashes) pop(backend string) []quarantine.Fingerprint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	requests := c.running[backend]
@@ -148,8 +148,8 @@
 	return requests
 }
 
-// lookInto finds out whether a backend server's process has ended.
-func (c *crashes) lookInto(ctx context.Context, id string) {
+// investigate finds out whether a backend server's process has ended.
+func (c *crashes) investigate(ctx context.Context, id string) {
 	b, _ := c.node.backends.get(id)
 	ended := false
 	for range crashProbes {
@@ -162,7 +162,7 @@
 			break
 		}
 	}
-	requests := c.take(id)
+	requests := c.pop(id)
 	if !ended {
 		return
 	}
--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -77,7 +77,7 @@
 		b.open.Wait()
 		time.Sleep(time.Second)
 		b.kill(b.vms[5])
-		b.bootVM(5)
+		b.bootSpread(5)
 		b.sendAt(2*time.Second, b.vms[5])
 		b.open.Wait()
 		testkit.Equal(t, "sendings to engines", len(b.reached), 3)
@@ -124,7 +124,7 @@
 		}
 		time.Sleep(time.Second)
 		for i := range b.vms {
-			b.bootVM(i)
+			b.bootSpread(i)
 		}
 		for i := range 6 {
 			b.sendAt(4*time.Second+time.Duration(i)*700*time.Millisecond, b.vms[i])
--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -71,14 +71,12 @@
 		w.registry.configuration = testContract("m1")
 		w.registry.configuration.Contract.Routes[0].Repeat = contract.RepeatNever
 		w.registry.configuration.Contract.Routes[0].Stream = true
-		for i := range quotaDomains {
-			w.registry.share(fmt.Sprint("d", i))
-		}
+		w.shareSpread()
 		for i := range engines {
-			b.startEngine(fmt.Sprint("d", i%quotaDomains))
+			b.startEngine(fmt.Sprint("d", i%spreadDomains))
 		}
 		for i := range vms {
-			b.vms = append(b.vms, b.bootVM(i))
+			b.vms = append(b.vms, b.bootSpread(i))
 		}
 		time.Sleep(8 * time.Second)
 		run(b)
@@ -86,15 +84,6 @@
 	})
 }
 
-func (b *engineBed) bootVM(i int) string {
-	vm := fmt.Sprint("v", i)
-	if i < 2 {
-		vm = []string{"a", "b"}[i]
-	}
-	b.bootIn(fmt.Sprint("d", i%quotaDomains), vm, false)
-	return vm
-}
-
 // startEngine starts an engine under a new ID.
 func (b *engineBed) startEngine(domain string) {
 	b.counting.Lock()
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -17,8 +17,8 @@
 	// limitUrgent is how long after a change each report tells of all limits; else full ones
 	// do.
 	limitUrgent = 1500 * time.Millisecond
-	// liftedFor is how long it is told that a limit was lifted: longer than the way of an
-	// older report that names it.
+	// liftedFor is how long reports carry a lifted limit: longer than the way of an older
+	// report that names it.
 	liftedFor = 10 * time.Second
 )
 
@@ -40,9 +40,9 @@
 type backendLimit struct {
 	permit.Limit
 	wallet permit.Wallet
-	// answers are those that the issuer does not know of, toldAt is when it was last told.
-	answers permit.Answers
-	toldAt  time.Time
+	// answers are those that the issuer does not know of, notifiedAt is when it last heard from this VM.
+	answers    permit.Answers
+	notifiedAt time.Time
 	// issuer is the VM that issues the permits, as drawn at drawnAt.
 	issuer  string
 	drawnAt time.Time
@@ -70,8 +70,8 @@
 		return
 	}
 	b.answers.Add(limit.Named)
-	if limit.Named && now.Sub(b.toldAt) >= tellIssuerEvery {
-		b.toldAt = now
+	if limit.Named && now.Sub(b.notifiedAt) >= notifyIssuerEvery {
+		b.notifiedAt = now
 		go l.ask(backend, 0)
 	}
 }
@@ -104,6 +104,7 @@
 		return
 	}
 	l.changedAt = time.Now()
+	b.answers = permit.Answers{} // they are of the limit before
 	if limit.Named {
 		limitsNamed.Inc()
 		l.node.config.Logger.Info("backend server limits requests", zap.String("backend", backend),
@@ -160,15 +161,15 @@
 func (l *limits) merge(now time.Time, from string, list []entryvm.BackendLimit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, told := range list {
-		l.take(now, from, told)
+	for _, limit := range list {
+		l.apply(now, from, limit)
 	}
 }
 
-// take takes a limit that another VM knows. Call with mu held.
-func (l *limits) take(now time.Time, from string, told entryvm.BackendLimit) {
-	if told.Named || l.known[told.Backend] != nil {
-		l.observe(told.Backend, permit.Limit{Named: told.Named, PerSecond: told.PerSecond, At: now.Add(-told.Age)}, from)
+// apply takes over a limit that another VM knows. Call with mu held.
+func (l *limits) apply(now time.Time, from string, limit entryvm.BackendLimit) {
+	if limit.Named || l.known[limit.Backend] != nil {
+		l.observe(limit.Backend, permit.Limit{Named: limit.Named, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}, from)
 	}
 }
 
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -19,15 +19,15 @@
 	permitPause   = 200 * time.Millisecond
 	// permitsAhead is how many permits are asked for at a time.
 	permitsAhead = 2
-	// tellIssuerEvery is the least time between two messages that only tell the issuer of
-	// answers with the limit.
-	tellIssuerEvery = 250 * time.Millisecond
+	// notifyIssuerEvery is the least time between two messages that only report answers with
+	// the limit to the issuer.
+	notifyIssuerEvery = 250 * time.Millisecond
 	// drawIssuerEvery is the least time between two draws of a backend server's issuer.
 	drawIssuerEvery = 200 * time.Millisecond
 )
 
-// ask tells the issuer of a backend server's permits what its answers said, and asks for
-// some permits, or for none.
+// ask reports to the issuer of a backend server's permits what its answers said, and asks
+// for so many permits, which may be none.
 func (l *limits) ask(backend string, want int) {
 	issuer := l.issuerOf(time.Now(), backend)
 	l.mu.Lock()
@@ -37,7 +37,7 @@
 		return
 	}
 	answers := b.answers
-	b.answers, b.toldAt = permit.Answers{}, time.Now()
+	b.answers, b.notifiedAt = permit.Answers{}, time.Now()
 	args := entryvm.PermitArgs{
 		Want: want, Limit: b.message(time.Now(), backend), Named: answers.Named, Plain: answers.Plain, Run: answers.Run,
 	}
@@ -52,13 +52,13 @@
 }
 
 // answered takes the issuer's answer; it tells whether requests may be sent now.
-func (l *limits) answered(b *backendLimit, backend, issuer string, want int, reply entryvm.PermitReply, told permit.Answers, err error) bool {
+func (l *limits) answered(b *backendLimit, backend, issuer string, want int, reply entryvm.PermitReply, reported permit.Answers, err error) bool {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		told.Append(b.answers)
-		b.answers = told
+		reported.Append(b.answers)
+		b.answers = reported
 		if want > 0 {
 			b.wallet.Failed(now, permitPause)
 		}
@@ -67,7 +67,7 @@
 	if want > 0 {
 		b.wallet.Answered(now, reply.Granted, reply.Retry)
 	}
-	l.take(now, issuer, reply.Limit)
+	l.apply(now, issuer, reply.Limit)
 	return reply.Granted > 0 || !b.Named
 }
 
@@ -86,7 +86,7 @@
 	l, now, id := n.limits, time.Now(), args.Limit.Backend
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.take(now, "", args.Limit)
+	l.apply(now, "", args.Limit)
 	b := l.known[id]
 	if b == nil {
 		return entryvm.PermitReply{Retry: permitPause, Limit: args.Limit} // not listed here yet
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -41,7 +41,6 @@
 }
 
 const (
-	quotaDomains = 3
 	// quotaOver and quotaSlack are how far above its quota a workspace may get in
 	// quotaWindow, by the hosting platform's rules.
 	quotaOver   = 0.1
@@ -54,16 +53,14 @@
 
 func inQuotaBed(t *testing.T, vms int, limits map[string]float64, run func(*quotaBed)) {
 	inWorld(t, func(w *world) {
-		w.domains, w.quotaSlack = quotaDomains, quotaSlack
+		w.domains, w.quotaSlack = spreadDomains, quotaSlack
 		b := &quotaBed{world: w, route: &contract.Route{Name: "r", TargetLatency: 300 * time.Millisecond}, random: rand.New(rand.NewSource(7)),
 			admitted: map[string][]charge{}, refused: map[string]float64{}, asked: map[string]float64{},
 			central: map[string]*quota.Bucket{}, centralRefused: map[string]float64{}}
 		w.registry.configuration = quotaConfiguration(1, limits)
-		for i := range quotaDomains {
-			w.registry.share(fmt.Sprint("d", i))
-		}
+		w.shareSpread()
 		for i := range vms {
-			b.vms = append(b.vms, b.bootQuotaVM(i))
+			b.vms = append(b.vms, b.bootSpread(i))
 		}
 		time.Sleep(12 * time.Second)
 		run(b)
@@ -71,16 +68,6 @@
 	})
 }
 
-// bootQuotaVM starts or restarts one of the VMs; the first two are the seeds.
-func (b *quotaBed) bootQuotaVM(i int) string {
-	vm := fmt.Sprint("v", i)
-	if i < 2 {
-		vm = []string{"a", "b"}[i]
-	}
-	b.bootIn(fmt.Sprint("d", i%quotaDomains), vm, false)
-	return vm
-}
-
 func quotaConfiguration(version uint64, limits map[string]float64) *registry.Configuration {
 	c := withWorkspaces(version, nil, unlimited)
 	for name, rate := range limits {
@@ -264,10 +251,10 @@
 		b.open.Go(func() {
 			for round := range 9 {
 				time.Sleep(2 * time.Second)
-				i := b.allocatorOf(fmt.Sprint("d", round%quotaDomains))
+				i := b.allocatorOf(fmt.Sprint("d", round%spreadDomains))
 				b.kill(b.vms[i])
 				time.Sleep(500 * time.Millisecond)
-				b.bootQuotaVM(i)
+				b.bootSpread(i)
 			}
 			close(done)
 		})
@@ -289,7 +276,7 @@
 				b.kill(vm)
 			}
 			for i := range b.vms {
-				b.bootQuotaVM(i)
+				b.bootSpread(i)
 			}
 		}
 		b.drive(8*time.Second, map[string]float64{"hot": 80_000}, b.any)
@@ -350,7 +337,7 @@
 			b.kill(vm)
 		}
 		for i := range b.vms {
-			b.bootQuotaVM(i)
+			b.bootSpread(i)
 		}
 		for second := range 8 {
 			asked, refused := 0.0, 0.0
--- a/internal/hosted/restored_test.go
+++ b/internal/hosted/restored_test.go
@@ -155,7 +155,7 @@
 		}
 		time.Sleep(time.Second)
 		for i := range b.vms {
-			b.bootVM(i)
+			b.bootSpread(i)
 		}
 		b.sendAt(5*time.Second, b.vms[4])
 		b.open.Wait()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -169,7 +169,7 @@
 // Registry is what the rest of the system uses of the platform's registry. All
 // methods fail with ErrUnavailable beside the errors that they name.
 type Registry interface {
-	// Epoch is the newest epoch that an answer told, 0 where the registry tells none.
+	// Epoch is the newest epoch that an answer carried, 0 where the registry gives none.
 	Epoch() uint64
 
 	// Configuration returns the newest configuration, nil where there is none yet,
