hosted, entryvm: reports are received, applied and forwarded

A rename only, by the compiler's word; log lines and fields on the wire (numbered) are unchanged. Still to do: told/word in the planner's and quota's files, comments that narrate.

--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -33,8 +33,8 @@
 	Renewed []NewsRenewal `cbor:"10,keyasint,omitempty"`
 	// Plan is the newest word of the VM that plans, nil where none is known.
 	Plan *PlanNews `cbor:"7,keyasint,omitempty"`
-	// Wisest is the VM with the newest configuration known here.
-	Wisest VMVersion `cbor:"8,keyasint,omitempty"`
+	// NewestConfig is the VM with the newest configuration known here.
+	NewestConfig VMVersion `cbor:"8,keyasint,omitempty"`
 }
 
 // DomainView is what a relay knows of the VMs of a failure domain.
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -217,9 +217,9 @@
 	}
 }
 
-// tell takes a keeper's word on an engine; it tells whether anything changed, and whether
+// applyNews applies a keeper's news of an engine; it returns whether anything changed, and whether
 // the engine goes by that word now. keeper names the process that speaks.
-func (t *backendTable) tell(now time.Time, keeper string, news entryvm.EngineNews) (changed, holds bool) {
+func (t *backendTable) applyNews(now time.Time, keeper string, news entryvm.EngineNews) (changed, holds bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.entries[news.ID]
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -14,7 +14,7 @@
 // Report implements entryvm.Coordinator.
 func (n *Node) Report(report entryvm.Report) entryvm.Report {
 	now := time.Now()
-	n.members.heard(now, report, "")
+	n.members.receive(now, report, "")
 	answer := n.members.report(now, report.Full, report, true)
 	n.feedReport(report, &answer)
 	return answer
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -206,7 +206,7 @@
 		n.planner.wakeUp()
 		return
 	}
-	n.members.tellPlanner(now)
+	n.members.notifyPlanner(now)
 }
 
 // failing are the backend servers that get nothing from this VM now: those that refused
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -288,10 +288,10 @@
 	answer.ChangesFrom, answer.BackendsCursor = uint64(batch.from), uint64(batch.to)
 }
 
-// takeFeed takes what the reader answered to a report that was sent at the given time.
+// applyFeed applies what the reader answered to a report that was sent at the given time.
 // Only an answer tells how old its word is: a report that came by itself may have waited
 // in this VM's socket while it was suspended.
-func (n *Node) takeFeed(sent time.Duration, answer *entryvm.Report) {
+func (n *Node) applyFeed(sent time.Duration, answer *entryvm.Report) {
 	if !answer.Reads || answer.Domain != n.config.Domain {
 		return
 	}
@@ -362,7 +362,7 @@
 	f.restart(cursor, true)
 	if next != nil {
 		n.apply(next, "registry")
-		n.members.tellDomain()
+		n.members.notifyDomain()
 	}
 	news = next != nil || err != nil || !known
 	f.confirm(readAt(begun, n.config.Boot(), wait, news))
@@ -424,7 +424,7 @@
 	f.confirm(readAt(begun, n.config.Boot(), wait, news))
 	if news {
 		n.backendsChanged()
-		n.members.tellDomain()
+		n.members.notifyDomain()
 	}
 	return news
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -182,7 +182,7 @@
 		}
 		w.kill(victim)
 		took := w.until(10*time.Second, "known", vms-1, func(n *Node) bool { return n.members.count(time.Now()) == vms-1 })
-		testkit.That(w, took < heardFor+time.Second, "took %v", took)
+		testkit.That(w, took < seenFor+time.Second, "took %v", took)
 	})
 }
 
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -187,7 +187,7 @@
 		go k.settle(context.Background(), e)
 	}
 	if e.known {
-		k.node.backends.tell(now, k.node.origin(), e.newsLocked())
+		k.node.backends.applyNews(now, k.node.origin(), e.newsLocked())
 	}
 }
 
@@ -199,15 +199,15 @@
 	k.mu.Unlock()
 	var out []entryvm.EngineNews
 	for _, e := range kept {
-		if news, ok := e.tell(all); ok {
+		if news, ok := e.newsToPublish(all); ok {
 			out = append(out, news)
 		}
 	}
 	return out
 }
 
-// tell returns the engine's news if it is to be told.
-func (e *keptEngine) tell(all bool) (entryvm.EngineNews, bool) {
+// newsToPublish returns the engine's news if it is to be published.
+func (e *keptEngine) newsToPublish(all bool) (entryvm.EngineNews, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.known || (e.untold == 0 && !all) {
@@ -263,9 +263,9 @@
 	e.version = k.versions.Add(1)
 	// Each peer takes a report of its own.
 	e.untold = newsRepeat * max(1, k.node.config.peersHint())
-	k.node.backends.tell(time.Now(), k.node.origin(), e.newsLocked())
+	k.node.backends.applyNews(time.Now(), k.node.origin(), e.newsLocked())
 	if urgent {
-		go k.node.members.tell()
+		go k.node.members.notifyAll()
 	}
 	k.node.serving.Wake()
 }
--- a/internal/hosted/keepers.go
+++ b/internal/hosted/keepers.go
@@ -41,8 +41,8 @@
 	return slices.Contains(drawn, m.node.config.VM)
 }
 
-// unheard tells whether there are addresses of other VMs, and none of them was heard.
-func (m *members) unheard(now time.Time) bool {
+// nobodySeen tells whether there are addresses of other VMs, and none of them was heard.
+func (m *members) nobodySeen(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.peers) == 0 {
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -29,7 +29,7 @@
 // nor its whole failure domain. Call with mu held.
 func (m *members) isLive(now time.Time, p *member) bool {
 	domain := p.report.Domain
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < m.heardFor(p) && p.failures < failuresMost && !m.isSilent(domain)
+	return !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < m.seenFor(p) && p.failures < failuresMost && !m.isSilent(domain)
 }
 
 // isSilent tells whether no VM of another failure domain answers this one, or the relay
@@ -63,15 +63,15 @@
 	return m.isSilent(domain)
 }
 
-// heardFor is how long a VM counts as live without a word. Call with mu held.
-func (m *members) heardFor(p *member) time.Duration {
+// seenFor is how long a VM counts as live without a word. Call with mu held.
+func (m *members) seenFor(p *member) time.Duration {
 	switch {
 	case p.liveFor > 0:
 		return p.liveFor
 	case m.large():
 		return relayedFor
 	default:
-		return heardFor
+		return seenFor
 	}
 }
 
@@ -128,10 +128,10 @@
 	keepers []string
 	// alone is whether this VM knows no other live one in its domain.
 	alone bool
-	// own is the view of the own domain that a relay tells, nil before the first, and wisest
+	// own is the view of the own domain that a relay tells, nil before the first, and newestConfig
 	// the VM with the newest configuration.
-	own    *domainView
-	wisest entryvm.VMVersion
+	own          *domainView
+	newestConfig entryvm.VMVersion
 }
 
 // every is the least time until the next draw.
@@ -152,7 +152,7 @@
 		d := drawn{at: now, stopping: stopping, large: m.large()}
 		if d.large {
 			m.drawRelays(now, &d)
-			d.wisest = m.drawWisest()
+			d.newestConfig = m.drawNewestConfig()
 		}
 		d.planner, d.reader = m.drawPlanner(now, &d), m.drawReader(now, &d)
 		m.drawn = d
@@ -205,14 +205,14 @@
 	return vm, address, ok
 }
 
-// wiser returns the addresses of VMs that know more: a newer configuration, or,
+// withNewerConfig returns the addresses of VMs that know more: a newer configuration, or,
 // where this VM lacks its start, any at all.
-func (m *members) wiser(version uint64, lacking bool) []string {
+func (m *members) withNewerConfig(version uint64, lacking bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []*member
 	for _, p := range m.peers {
-		if lacking || (!p.heardAt.IsZero() && p.report.Configuration > version) {
+		if lacking || (!p.lastSeen.IsZero() && p.report.Configuration > version) {
 			out = append(out, p)
 		}
 	}
@@ -220,8 +220,8 @@
 		return cmp.Or(cmp.Compare(b.report.Configuration, a.report.Configuration), cmp.Compare(a.address, b.address))
 	})
 	addresses := make([]string, 0, len(out)+1)
-	if wisest := m.relayed.wisest; wisest.Configuration > version && wisest.Address != m.node.config.Address {
-		addresses = append(addresses, wisest.Address)
+	if newestConfig := m.relayed.newestConfig; newestConfig.Configuration > version && newestConfig.Address != m.node.config.Address {
+		addresses = append(addresses, newestConfig.Address)
 	}
 	for _, p := range out {
 		addresses = append(addresses, p.address)
@@ -236,7 +236,7 @@
 	defer m.mu.Unlock()
 	p.failures++
 	domain := p.report.Domain
-	if p.heardAt.IsZero() {
+	if p.lastSeen.IsZero() {
 		return
 	}
 	m.silentDomains[domain]++
@@ -259,7 +259,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for address, p := range m.peers {
-		last := p.heardAt
+		last := p.lastSeen
 		if last.IsZero() {
 			last = p.addedAt
 		}
--- a/internal/hosted/liveness_test.go
+++ b/internal/hosted/liveness_test.go
@@ -51,7 +51,7 @@
 		})
 		before := w.reportsTo(planner)
 		for range 40 {
-			w.each(func(_ string, n *Node) { n.members.tellPlanner(time.Now()) })
+			w.each(func(_ string, n *Node) { n.members.notifyPlanner(time.Now()) })
 			time.Sleep(25 * time.Millisecond)
 		}
 		// One second, at a configured pace of 100 ms.
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// heardFor is how long a VM counts as live after its newest report: several
+	// seenFor is how long a VM counts as live after its newest report: several
 	// reports, so that one lost is no death.
-	heardFor = 1500 * time.Millisecond
+	seenFor = 1500 * time.Millisecond
 	// failuresMost is how many exchanges in a row may fail before a VM counts as gone,
 	// domainFailuresMost how many with a failure domain's VMs while none of them is
 	// heard before all of them do. Failure: a domain is cut off, and in a large fleet
@@ -27,9 +27,9 @@
 	forgetAfter = 20 * time.Second
 	// reportTimeout bounds an exchange of reports.
 	reportTimeout = 700 * time.Millisecond
-	// tellGap is the least time between two exchanges with one VM, however much
+	// reportGap is the least time between two exchanges with one VM, however much
 	// there is to tell: news of many requests goes out together.
-	tellGap = 12 * time.Millisecond
+	reportGap = 12 * time.Millisecond
 	// fullMesh is the number of other VMs up to which each exchanges with each; beyond it
 	// the fleet is large and exchanges through relays, so that a VM's cost does not grow
 	// with the fleet.
@@ -71,16 +71,16 @@
 // member is another entry VM, or an address at which one should be.
 type member struct {
 	address string
-	// report is the newest, heardAt when it came; zero before the first.
-	report  entryvm.Report
-	heardAt time.Time
-	// reportedAt is when its own last report came; heardAt is later where a relay named it
+	// report is the newest, lastSeen when it came; zero before the first.
+	report   entryvm.Report
+	lastSeen time.Time
+	// reportedAt is when its own last report came; lastSeen is later where a relay named it
 	// since.
 	reportedAt time.Time
 	// liveFor is how long it counts as live without a word, 0 for the usual time.
 	liveFor time.Duration
-	// loadToldAt is when it was told last what runs at others.
-	loadToldAt time.Time
+	// loadSentAt is when it was told last what runs at others.
+	loadSentAt time.Time
 	// renewedAt is when it was told last which news holds.
 	renewedAt time.Time
 	// unwantedAt is since when no exchange with it is wanted, zero while one is.
@@ -89,7 +89,7 @@
 	failures int
 	// addedAt is when the address was learned.
 	addedAt time.Time
-	tell    chan struct{}
+	notify  chan struct{}
 	stop    context.CancelFunc
 }
 
@@ -99,7 +99,7 @@
 }
 
 func newMember(address string, now time.Time) *member {
-	return &member{address: address, addedAt: now, tell: make(chan struct{}, 1)}
+	return &member{address: address, addedAt: now, notify: make(chan struct{}, 1)}
 }
 
 // run is the duty that exchanges reports with each known VM.
@@ -184,7 +184,7 @@
 // hears it again. Call with mu held.
 func (m *members) end(now time.Time, p *member) {
 	if p.failures >= failuresMost {
-		p.heardAt = now.Add(-relayedFor)
+		p.lastSeen = now.Add(-relayedFor)
 	}
 	p.stop()
 	p.stop, p.unwantedAt, p.failures = nil, time.Time{}, 0
@@ -197,7 +197,7 @@
 	for count := 0; ; count++ {
 		select {
 		case <-timer.C:
-		case <-p.tell:
+		case <-p.notify:
 		case <-ctx.Done():
 			return
 		}
@@ -206,8 +206,8 @@
 		reply, err := m.node.config.Peers.EntryVMs.Report(callCtx, p.address, m.report(time.Now(), count%fullEvery == 0, m.lastReport(p), false))
 		cancel()
 		if err == nil {
-			m.heard(time.Now(), reply, p.address)
-			m.node.takeFeed(sent, &reply)
+			m.receive(time.Now(), reply, p.address)
+			m.node.applyFeed(sent, &reply)
 		} else if ctx.Err() == nil {
 			m.failed(p)
 		}
@@ -246,7 +246,7 @@
 	d := m.duties(now)
 	switch {
 	case !d.large:
-		return tellGap
+		return reportGap
 	case p.report.Domain == m.node.config.Domain:
 		return memberGap
 	default:
@@ -259,8 +259,8 @@
 	return p.report.Domain == m.node.config.Domain && p.report.VM == m.pickReader(now)
 }
 
-// tellDomain has the VMs of the own domain told at once, if this one reads for them.
-func (m *members) tellDomain() {
+// notifyDomain has reports go to the VMs of the own domain at once, if this one reads for them.
+func (m *members) notifyDomain() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pickReader(time.Now()) != m.node.config.VM {
@@ -268,25 +268,25 @@
 	}
 	for _, p := range m.peers {
 		if p.report.Domain == m.node.config.Domain {
-			wake(p.tell)
+			wake(p.notify)
 		}
 	}
 }
 
-// tell has all peers told at once.
-func (m *members) tell() {
+// notifyAll has reports go to all peers at once.
+func (m *members) notifyAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.duties(time.Now())
 	for _, p := range m.peers {
-		if m.toldAtOnce(p, d) {
-			wake(p.tell)
+		if m.notifiedAtOnce(p, d) {
+			wake(p.notify)
 		}
 	}
 }
 
-// tellPlanner has the VM that plans told at once, or the relay on the way to it.
-func (m *members) tellPlanner(now time.Time) {
+// notifyPlanner has a report go to the VM that plans at once, or the relay on the way to it.
+func (m *members) notifyPlanner(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.duties(now)
@@ -296,7 +296,7 @@
 	}
 	for _, p := range m.peers {
 		if p.report.VM == to {
-			wake(p.tell)
+			wake(p.notify)
 		}
 	}
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -201,7 +201,7 @@
 // and what is open goes on.
 func (n *Node) Leave(ctx context.Context) {
 	n.stopping.Store(true)
-	n.members.tell()
+	n.members.notifyAll()
 	n.leaveShards(ctx)
 }
 
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -21,7 +21,7 @@
 		// lead: views that differ are told with full reports.
 		return nil
 	}
-	o := &entryvm.Overview{Relay: d.isRelay(m), Wisest: d.wisestVM(own)}
+	o := &entryvm.Overview{Relay: d.isRelay(m), NewestConfig: d.newestConfigVM(own)}
 	m.addViews(now, o, own, to)
 	if !o.Relay {
 		return o
@@ -94,10 +94,10 @@
 	if !d.leads(to.Domain, to.VM) && to.Domain != m.node.config.Domain {
 		pace *= standbyPace
 	}
-	if now.Sub(p.loadToldAt) < pace-relayGap {
+	if now.Sub(p.loadSentAt) < pace-relayGap {
 		return false
 	}
-	p.loadToldAt = now
+	p.loadSentAt = now
 	return true
 }
 
@@ -154,24 +154,24 @@
 	}
 }
 
-// drawWisest is the other VM with the newest configuration known. Call with mu held.
-func (m *members) drawWisest() entryvm.VMVersion {
-	wisest := m.relayed.wisest
+// drawNewestConfig is the other VM with the newest configuration known. Call with mu held.
+func (m *members) drawNewestConfig() entryvm.VMVersion {
+	newestConfig := m.relayed.newestConfig
 	for _, p := range m.peers {
-		if p.report.Configuration > wisest.Configuration {
-			wisest = entryvm.VMVersion{Address: p.address, Configuration: p.report.Configuration}
+		if p.report.Configuration > newestConfig.Configuration {
+			newestConfig = entryvm.VMVersion{Address: p.address, Configuration: p.report.Configuration}
 		}
 	}
-	m.relayed.wisest = wisest
-	return wisest
+	m.relayed.newestConfig = newestConfig
+	return newestConfig
 }
 
-// wisestVM is drawWisest's, or this VM.
-func (d *drawn) wisestVM(own *entryvm.Report) entryvm.VMVersion {
-	if own.Configuration >= d.wisest.Configuration {
+// newestConfigVM is drawNewestConfig's, or this VM.
+func (d *drawn) newestConfigVM(own *entryvm.Report) entryvm.VMVersion {
+	if own.Configuration >= d.newestConfig.Configuration {
 		return entryvm.VMVersion{Address: own.Address, Configuration: own.Configuration}
 	}
-	return d.wisest
+	return d.newestConfig
 }
 
 // planNews is the newest word of the VM that plans, where that is another one. Call with
--- a/internal/hosted/planner.go
+++ b/internal/hosted/planner.go
@@ -307,7 +307,7 @@
 	// planner took the engine for free: of 3,342 swaps that it planned there in a minute
 	// 1,778 met the one under way, while the models that they were for had other places.
 	if err == nil && reply.News != nil {
-		n.backends.tell(time.Now(), reply.Keeper, *reply.News)
+		n.backends.applyNews(time.Now(), reply.Keeper, *reply.News)
 	}
 	n.config.Logger.Info("swap planned", zap.String("service", pool.Service), zap.String("engine", swap.Engine),
 		zap.Strings("unload", swap.Unload), zap.String("load", swap.Load), zap.Stringer("source", swap.Source),
--- a/internal/hosted/quotadraw.go
+++ b/internal/hosted/quotadraw.go
@@ -89,7 +89,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if !p.heardAt.IsZero() && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
+		if !p.lastSeen.IsZero() && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
 			known++
 		}
 	}
--- a/internal/hosted/heard.go
+++ b/internal/hosted/receive.go
@@ -9,8 +9,8 @@
 	"bergamotreel/entryvm"
 )
 
-// heard takes a report; address is where it came from, if this VM asked for it.
-func (m *members) heard(now time.Time, report entryvm.Report, address string) {
+// receive applies a report; address is where it came from, if this VM asked for it.
+func (m *members) receive(now time.Time, report entryvm.Report, address string) {
 	if report.VM == m.node.config.VM || report.Address == "" {
 		return
 	}
@@ -25,27 +25,27 @@
 		// A newer one came in between. What it answers still counts: only answers tell what
 		// runs elsewhere, one after the other.
 		if report.Overview != nil {
-			m.takeSums(now, &report)
+			m.applySums(now, &report)
 		}
 		return
 	}
 	m.learn(addresses)
 	if report.Planning {
-		m.takePlan(now, &entryvm.PlanNews{VM: report.VM, StoreLoads: report.StoreLoads, Coming: report.Coming})
+		m.applyPlan(now, &entryvm.PlanNews{VM: report.VM, StoreLoads: report.StoreLoads, Coming: report.Coming})
 	}
 	m.fetchNews(now, &report)
 	for _, id := range report.Lacking {
 		m.node.keeper.doubt(now, id)
 	}
 	keeper, near := origin(report.VM, report.Incarnation), report.Domain == m.node.config.Domain
-	changed := m.takeNews(now, keeper, report.Engines, near)
+	changed := m.applyNews(now, keeper, report.Engines, near)
 	if report.AllEngines {
 		m.mu.Lock()
 		m.relayed.news.complete(now, keeper)
 		m.mu.Unlock()
 	}
 	if report.Overview != nil {
-		changed = m.takeRelayed(now, &report) || changed
+		changed = m.applyRelayed(now, &report) || changed
 	}
 	if report.Overview != nil && report.Overview.MoreNews {
 		m.askAgain(address)
@@ -55,7 +55,7 @@
 	}
 	if changed || len(report.Waiting) > 0 || waitsIn(report.Overview) {
 		m.node.planner.wakeUp()
-		m.passOn(now, changed)
+		m.forwardNews(now, changed)
 	}
 }
 
@@ -64,7 +64,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[address]; p != nil {
-		wake(p.tell)
+		wake(p.notify)
 	}
 }
 
@@ -75,8 +75,8 @@
 	})
 }
 
-// takePlan takes the newest word of the VM that plans.
-func (m *members) takePlan(now time.Time, plan *entryvm.PlanNews) {
+// applyPlan applies the newest report of the VM that plans.
+func (m *members) applyPlan(now time.Time, plan *entryvm.PlanNews) {
 	m.mu.Lock()
 	m.relayed.plan, m.relayed.planAt = plan, now
 	m.mu.Unlock()
@@ -84,11 +84,11 @@
 	m.node.arrivals.replace(now, plan.Coming)
 }
 
-// takeNews takes a keeper's news of engines, and keeps it to be passed on. near is whether
+// applyNews takes a keeper's news of engines, and keeps it to be passed on. near is whether
 // it comes from a VM of the own domain. It tells whether anything changed.
-func (m *members) takeNews(now time.Time, keeper string, list []entryvm.EngineNews, near bool) (changed bool) {
+func (m *members) applyNews(now time.Time, keeper string, list []entryvm.EngineNews, near bool) (changed bool) {
 	for _, news := range list {
-		newer, holds := m.node.backends.tell(now, keeper, news)
+		newer, holds := m.node.backends.applyNews(now, keeper, news)
 		changed = changed || newer
 		if !holds {
 			continue
@@ -100,24 +100,24 @@
 	return changed
 }
 
-// takeRelayed takes what a relay tells; it tells whether news of engines changed anything.
-func (m *members) takeRelayed(now time.Time, report *entryvm.Report) (changed bool) {
-	if plan := m.takeOverview(now, report); plan != nil {
-		m.takePlan(now, plan)
+// applyRelayed applies what a relay reports; it returns whether news of engines changed anything.
+func (m *members) applyRelayed(now time.Time, report *entryvm.Report) (changed bool) {
+	if plan := m.applyOverview(now, report); plan != nil {
+		m.applyPlan(now, plan)
 	}
 	for _, id := range report.Overview.Lacking {
 		m.node.keeper.doubt(now, id)
 	}
 	for _, relayed := range report.Overview.News {
-		changed = m.takeNews(now, relayed.Keeper, []entryvm.EngineNews{relayed.News}, false) || changed
+		changed = m.applyNews(now, relayed.Keeper, []entryvm.EngineNews{relayed.News}, false) || changed
 	}
-	m.takeRenewals(now, report.VM, report.Overview.Renewed)
+	m.applyRenewals(now, report.VM, report.Overview.Renewed)
 	return changed
 }
 
-// takeRenewals takes a relay's word that keepers' news still holds. What this VM lacks of
+// applyRenewals applies a relay's report that keepers' news still holds. What this VM lacks of
 // it, as it did not know an engine yet, it asks that relay for with its next report.
-func (m *members) takeRenewals(now time.Time, relay string, list []entryvm.NewsRenewal) {
+func (m *members) applyRenewals(now time.Time, relay string, list []entryvm.NewsRenewal) {
 	list = slices.DeleteFunc(list, func(r entryvm.NewsRenewal) bool { return r.Keeper == m.node.origin() || r.Age > newsFor })
 	if len(list) == 0 {
 		return
@@ -153,9 +153,9 @@
 	return out
 }
 
-// passOn has a relay tell at once: the VMs that hear of engines from it, or else the one
+// forwardNews has a relay report at once: to the VMs that learn of engines from it, or else the one
 // that plans, as requests wait.
-func (m *members) passOn(now time.Time, news bool) {
+func (m *members) forwardNews(now time.Time, news bool) {
 	m.mu.Lock()
 	d := m.duties(now)
 	relay := d.large && d.isRelay(m)
@@ -163,9 +163,9 @@
 	switch {
 	case !relay:
 	case news:
-		m.tell()
+		m.notifyAll()
 	default:
-		m.tellPlanner(now)
+		m.notifyPlanner(now)
 	}
 }
 
@@ -179,7 +179,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[report.Address]; p != nil && m.readsFor(now, p) {
-		wake(p.tell)
+		wake(p.notify)
 	}
 }
 
@@ -196,9 +196,9 @@
 	if p.report.Incarnation == report.Incarnation && p.report.Sequence >= report.Sequence {
 		return false
 	}
-	if p.heardAt.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.heardAt) > m.heardFor(p) {
+	if p.lastSeen.IsZero() || p.report.Incarnation != report.Incarnation || now.Sub(p.lastSeen) > m.seenFor(p) {
 		m.node.config.Logger.Info("entry VM heard", zap.String("peer", report.VM), zap.String("address", report.Address),
-			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.heardAt)))
+			zap.String("incarnation", report.Incarnation), zap.Duration("silent_for", silentFor(now, p.lastSeen)))
 	}
 	if !report.Full && p.report.Incarnation == report.Incarnation {
 		report.Rates, report.Members = p.report.Rates, p.report.Members
@@ -211,16 +211,16 @@
 	// What it says of others is taken by itself, and would be kept here a hundred times.
 	report.Overview, report.Changes = nil, nil
 	p.report = report
-	p.heardAt, p.reportedAt = now, now
+	p.lastSeen, p.reportedAt = now, now
 	p.failures = 0
 	m.silentDomains[report.Domain] = 0
 	m.sums.stale = true
 	return true
 }
 
-func silentFor(now, heardAt time.Time) time.Duration {
-	if heardAt.IsZero() {
+func silentFor(now, lastSeen time.Time) time.Duration {
+	if lastSeen.IsZero() {
 		return 0
 	}
-	return now.Sub(heardAt)
+	return now.Sub(lastSeen)
 }
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -159,7 +159,7 @@
 	case !d.large:
 		p.liveFor = 0
 	case domain == own.Domain && d.leads(domain, own.VM), p.stop != nil && d.leads(domain, vm):
-		p.liveFor = heardFor
+		p.liveFor = seenFor
 	default:
 		p.liveFor = relayedFor
 	}
@@ -181,9 +181,9 @@
 	return time.Duration(times) * m.node.config.Report
 }
 
-// toldAtOnce tells whether a peer gets news at once. A relay that stands by tells nobody:
+// notifiedAtOnce tells whether a peer gets news at once. A relay that stands by notifies nobody:
 // the one that leads does. Call with mu held.
-func (m *members) toldAtOnce(p *member, d *drawn) bool {
+func (m *members) notifiedAtOnce(p *member, d *drawn) bool {
 	if !d.large {
 		return true
 	}
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -39,7 +39,7 @@
 		Capacity: n.config.Capacity, Sequence: sequence, Full: full, Leaving: n.stopping.Load(), Keeps: n.activeShards(),
 		Configuration: n.version(), Members: others, Knows: knows, Seen: seen, Resend: resend,
 	}
-	r.AllEngines = sequence%m.newsPace(large) == 0
+	r.AllEngines = sequence%m.newsInterval(large) == 0
 	r.Engines = n.keeper.news(r.AllEngines)
 	if large && relay {
 		// They go out with those of others, once to each.
@@ -80,8 +80,8 @@
 	return out
 }
 
-// newsPace is the number of reports after which all kept engines are told again.
-func (m *members) newsPace(large bool) uint64 {
+// newsInterval is the number of reports after which all kept engines are reported again.
+func (m *members) newsInterval(large bool) uint64 {
 	if large {
 		return relayedNewsEvery
 	}
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -78,7 +78,7 @@
 	if n.config.FirstStart {
 		return
 	}
-	for n.config.Boot()-n.started < othersWithin && n.members.unheard(time.Now()) && pause.For(ctx, othersPoll) {
+	for n.config.Boot()-n.started < othersWithin && n.members.nobodySeen(time.Now()) && pause.For(ctx, othersPoll) {
 	}
 }
 
--- a/internal/hosted/starts_test.go
+++ b/internal/hosted/starts_test.go
@@ -272,7 +272,7 @@
 		table.change(now, []registry.Change{{ID: "e", Backend: &b}})
 	}
 	tell := func(version uint64, started int64, model string) {
-		table.tell(now, "a", entryvm.EngineNews{ID: "e", Version: version, Started: started, Orders: version, Models: []entryvm.EngineModel{{Model: model}}})
+		table.applyNews(now, "a", entryvm.EngineNews{ID: "e", Version: version, Started: started, Orders: version, Models: []entryvm.EngineModel{{Model: model}}})
 	}
 	holds := func(why, want string) {
 		t.Helper()
--- a/internal/hosted/takeover.go
+++ b/internal/hosted/takeover.go
@@ -49,7 +49,7 @@
 		if !recorded { // else its record says so already
 			wake(n.settle)
 		}
-		n.members.tell()
+		n.members.notifyAll()
 		n.planner.wakeUp()
 	})
 }
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -40,8 +40,8 @@
 	// plan is the newest word of the VM that plans, and when it came.
 	plan   *entryvm.PlanNews
 	planAt time.Time
-	// wisest is the VM with the newest configuration heard of.
-	wisest entryvm.VMVersion
+	// newestConfig is the VM with the newest configuration heard of.
+	newestConfig entryvm.VMVersion
 	// ownVersion is of the view of the own domain that this VM told last as a relay.
 	ownVersion uint64
 	// ownHistory are the last versions of that view.
@@ -154,23 +154,23 @@
 	}
 }
 
-// takeOverview takes what a relay tells of other VMs. It returns the newest word of the VM
+// applyOverview applies what a relay reports of other VMs. It returns the newest word of the VM
 // that plans, nil where there is none or the relay is not the one that this VM goes by.
-func (m *members) takeOverview(now time.Time, report *entryvm.Report) (plan *entryvm.PlanNews) {
+func (m *members) applyOverview(now time.Time, report *entryvm.Report) (plan *entryvm.PlanNews) {
 	o := report.Overview
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.duties(now)
 	for i := range o.Domains {
 		if view := &o.Domains[i]; m.trusts(d, report, view.Domain) {
-			m.takeView(now, view)
-			m.takeLoad(now, view)
+			m.applyView(now, view)
+			m.applyLoad(now, view)
 		} else {
 			m.meet(now, view.VMs)
 		}
 	}
-	if m.relayed.wisest.Configuration < o.Wisest.Configuration {
-		m.relayed.wisest = o.Wisest
+	if m.relayed.newestConfig.Configuration < o.NewestConfig.Configuration {
+		m.relayed.newestConfig = o.NewestConfig
 	}
 	if !o.Relay {
 		return nil
@@ -179,27 +179,27 @@
 	if d.isRelay(m) || !d.leads(m.node.config.Domain, report.VM) {
 		return nil
 	}
-	m.takeInFlight(now, o)
+	m.applyInFlight(now, o)
 	return o.Plan
 }
 
-// takeSums takes what an overtaken answer tells of what runs elsewhere.
-func (m *members) takeSums(now time.Time, report *entryvm.Report) {
+// applySums applies what an overtaken answer reports of what runs elsewhere.
+func (m *members) applySums(now time.Time, report *entryvm.Report) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.duties(now)
 	for i := range report.Overview.Domains {
 		if view := &report.Overview.Domains[i]; m.trusts(d, report, view.Domain) {
-			m.takeLoad(now, view)
+			m.applyLoad(now, view)
 		}
 	}
 	if !d.isRelay(m) && d.leads(m.node.config.Domain, report.VM) {
-		m.takeInFlight(now, report.Overview)
+		m.applyInFlight(now, report.Overview)
 	}
 }
 
-// takeInFlight takes what runs through all others. Call with mu held.
-func (m *members) takeInFlight(now time.Time, o *entryvm.Overview) {
+// applyInFlight applies what runs through all others. Call with mu held.
+func (m *members) applyInFlight(now time.Time, o *entryvm.Overview) {
 	if !o.Sums {
 		return
 	}
@@ -207,8 +207,8 @@
 	m.sums.stale = true
 }
 
-// takeLoad takes what runs and waits in another failure domain. Call with mu held.
-func (m *members) takeLoad(now time.Time, told *entryvm.DomainView) {
+// applyLoad applies what runs and waits in another failure domain. Call with mu held.
+func (m *members) applyLoad(now time.Time, told *entryvm.DomainView) {
 	view := m.relayed.views[told.Domain]
 	if told.Load == nil || view == nil {
 		return
@@ -225,8 +225,8 @@
 	}
 }
 
-// takeView takes a relay's word on a failure domain. Call with mu held.
-func (m *members) takeView(now time.Time, told *entryvm.DomainView) {
+// applyView applies a relay's view of a failure domain. Call with mu held.
+func (m *members) applyView(now time.Time, told *entryvm.DomainView) {
 	view := m.relayed.views[told.Domain]
 	if view == nil {
 		view = &domainView{}
@@ -257,7 +257,7 @@
 	}
 	for i := range view.vms {
 		if p := m.peers[view.vms[i].Address]; p != nil {
-			p.heardAt = now
+			p.lastSeen = now
 		}
 	}
 }
@@ -284,7 +284,7 @@
 			m.peers[v.Address] = p
 			wake(m.wake)
 		}
-		if !p.reportedAt.IsZero() && now.Sub(p.reportedAt) < heardFor {
+		if !p.reportedAt.IsZero() && now.Sub(p.reportedAt) < seenFor {
 			continue // its own word is newer
 		}
 		if p.report.Incarnation != v.Incarnation {
@@ -299,8 +299,8 @@
 func (m *members) expire(now time.Time, vms []entryvm.VMView) {
 	for i := range vms {
 		p := m.peers[vms[i].Address]
-		if p != nil && now.Sub(p.reportedAt) >= heardFor {
-			p.heardAt = now.Add(-relayedFor)
+		if p != nil && now.Sub(p.reportedAt) >= seenFor {
+			p.lastSeen = now.Add(-relayedFor)
 		}
 	}
 }
