hosted: after a restore a shard's new owner waits the longest hold

Read in the diff: the new owner asked all VMs of its failure domain that it knew, and waited only the quiet time where all told. It does not know all: a VM that has just started knows few, and one that was cut off for 20 s is forgotten while its own joins may go on; the record that would have named it is the one that is lost.

The longest hold is waited for now.

--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -82,18 +82,6 @@
 	return live
 }
 
-// ofDomain are the other VMs of the own failure domain that are not forgotten, live or not.
-func (m *members) ofDomain() (others []entryvm.Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if r := &p.report; r.VM != "" && r.Domain == m.node.config.Domain {
-			others = append(others, entryvm.Member{VM: r.VM, Address: p.address, Domain: r.Domain})
-		}
-	}
-	return others
-}
-
 // plans tells whether this VM plans for all: the live one with the lowest hash that
 // is not leaving. Two that both think so cost a swap too many, never safety: each
 // swap is checked by its engine's keeper.
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -191,7 +191,7 @@
 	}
 	for _, shard := range wanting {
 		if n.outdated(recorded[shard], generation) {
-			recorded[shard] = registry.Ownership{Index: shard, Unknown: true, Generation: recorded[shard].Generation}
+			recorded[shard] = registry.Ownership{Index: shard, Unknown: true}
 		}
 		if recorded[shard].Generation > generation {
 			return errNewerOwner
--- a/internal/hosted/takeover.go
+++ b/internal/hosted/takeover.go
@@ -63,13 +63,8 @@
 func (n *Node) waitFor(t takeover) (from, wait time.Duration, reason string, told bool) {
 	former := t.former
 	switch {
-	case former.Unknown && n.outdated(former, t.generation):
-		if ago, ok := n.askDomain(t); ok {
-			return n.config.Boot(), n.config.Lease.WaitAfter(ago), "released by all of the failure domain", true
-		}
-		return t.ownedAt, n.config.Lease.WaitForLost(), "the owner's record is lost, and not all of the failure domain tell", false
 	case former.Unknown:
-		return t.ownedAt, n.config.Lease.WaitForLost(), "the former owner's record can't be read", false
+		return t.ownedAt, n.config.Lease.WaitForLost(), "the former owner's record can't be read, or is lost", false
 	case former.VM == "":
 		return t.ownedAt, 0, "never owned", true
 	case former.VM == n.config.VM && former.Settled:
@@ -86,29 +81,6 @@
 	return n.config.Boot(), n.config.Lease.WaitAfter(ago), reasonReleased, true
 }
 
-// askDomain asks all other VMs of the failure domain to stop orders to a shard, and how long
-// ago the newest one was; false where any does not tell.
-func (n *Node) askDomain(t takeover) (ago time.Duration, ok bool) {
-	type answer struct {
-		ago time.Duration
-		ok  bool
-	}
-	others := n.members.ofDomain()
-	answers := make(chan answer, len(others))
-	for _, other := range others {
-		go func() {
-			ago, ok := n.askFormer(t, registry.FormerOwner{VM: other.VM, Address: other.Address, Settled: true})
-			answers <- answer{ago, ok}
-		}()
-	}
-	ago, ok = n.config.Boot()-n.started, true
-	for range others {
-		a := <-answers
-		ago, ok = min(ago, a.ago), ok && a.ok
-	}
-	return ago, ok
-}
-
 // askFormer asks a former owner to stop, and how long ago its last order was.
 func (n *Node) askFormer(t takeover, ask registry.FormerOwner) (ago time.Duration, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
