--- a/internal/hosted/restored_test.go
+++ b/internal/hosted/restored_test.go
@@ -20,6 +20,14 @@
 	})
 }
 
+// inEpoch counts the VMs that have read the list of backend servers in an epoch.
+func (w *world) inEpoch(epoch uint64) int {
+	return w.count(func(n *Node) bool {
+		cursor, known := n.changes.position()
+		return known && registry.Epoch(uint64(cursor)) == epoch
+	})
+}
+
 // Guards against a registry that came back from an older copy and takes the VMs back with
 // it: what had come is lost, what had left gets requests again, an older configuration is
 // in force.
@@ -42,8 +50,12 @@
 				time.Sleep(400 * time.Millisecond)
 				b.registry.restore(older)
 				b.registry.setAway(false)
-				restored := time.Now()
+				restored, known := time.Now(), time.Duration(0)
 				for time.Since(restored) < 2*time.Second {
+					if known == 0 && b.inEpoch(1) == vms {
+						known = time.Since(restored)
+						b.Logf("all VMs in the new epoch after %s", known)
+					}
 					if time.Since(restored) > time.Second { // its writers write again
 						b.registry.put(leaving.Backend)
 						b.registry.drop("e2")
@@ -60,10 +72,7 @@
 				time.Sleep(10 * time.Second)
 				testkit.Equal(t, "VMs that use the new one in the end", b.knows("e5"), vms)
 				testkit.Equal(t, "VMs that use what is gone in the end", b.knows("e2"), 0)
-				testkit.Equal(t, "VMs in the new epoch", b.count(func(n *Node) bool {
-					cursor, _ := n.changes.position()
-					return registry.Epoch(uint64(cursor)) == 1
-				}), vms)
+				testkit.Equal(t, "VMs in the new epoch", b.inEpoch(1), vms)
 			})
 		})
 	}
