hosted: one way to try a connection, to read a feed's cursor, to restart a bed

Found by reading the whole change again: feed.newest was position without its second value; crashes.probe and probeOne bounded the same call; two tests killed and started all VMs by the same lines. No behaviour changed, no assertion touched.

--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -150,13 +150,16 @@
 
 // investigate finds out whether a backend server's process has ended.
 func (c *crashes) investigate(ctx context.Context, id string) {
-	b, _ := c.node.backends.get(id)
+	b, listed := c.node.backends.get(id)
 	ended := false
 	for range crashProbes {
 		if !pause.For(ctx, crashGather) {
 			return
 		}
-		err := c.probe(ctx, service.Target{ID: id, Address: b.Address})
+		if !listed {
+			break // its address is not known
+		}
+		err := c.node.tryConnect(ctx, service.Target{ID: id, Address: b.Address})
 		ended = errors.Is(err, service.ErrRefused)
 		if err == nil || ended {
 			break
@@ -172,16 +175,6 @@
 	c.crashed(id, b.Started, requests)
 }
 
-// probe tells whether a backend server accepts connections.
-func (c *crashes) probe(ctx context.Context, target service.Target) error {
-	if target.Address == "" {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeMost)
-	defer cancel()
-	return c.node.config.Peers.Backends.Probe(ctx, target)
-}
-
 // crashed notes the end of one start of a backend server.
 func (c *crashes) crashed(id string, started int64, requests []quarantine.Fingerprint) {
 	start := id + "@" + strconv.FormatInt(started, 10)
--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -119,13 +119,7 @@
 		}
 		b.open.Wait()
 		time.Sleep(5 * time.Second)
-		for _, vm := range b.vms {
-			b.kill(vm)
-		}
-		time.Sleep(time.Second)
-		for i := range b.vms {
-			b.bootSpread(i)
-		}
+		b.restartAll()
 		for i := range 6 {
 			b.sendAt(4*time.Second+time.Duration(i)*700*time.Millisecond, b.vms[i])
 		}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -151,9 +151,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeMost)
-	defer cancel()
-	if err := n.config.Peers.Backends.Probe(ctx, target); err != nil {
+	if err := n.tryConnect(ctx, target); err != nil {
 		n.backends.failedAgain(time.Now(), id)
 		return
 	}
@@ -161,6 +159,13 @@
 	n.backendsChanged()
 }
 
+// tryConnect tells whether a backend server accepts connections.
+func (n *Node) tryConnect(ctx context.Context, target service.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, probeMost)
+	defer cancel()
+	return n.config.Peers.Backends.Probe(ctx, target)
+}
+
 // Reached implements serving.ForwardDirectory.
 func (n *Node) Reached(backend string) { n.backends.reached(backend) }
 
--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -84,6 +84,17 @@
 	})
 }
 
+// restartAll kills all VMs at once and starts them again a second later.
+func (b *engineBed) restartAll() {
+	for _, vm := range b.vms {
+		b.kill(vm)
+	}
+	time.Sleep(time.Second)
+	for i := range b.vms {
+		b.bootSpread(i)
+	}
+}
+
 // startEngine starts an engine under a new ID.
 func (b *engineBed) startEngine(domain string) {
 	b.counting.Lock()
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -122,13 +122,6 @@
 	return f.cursor, f.known
 }
 
-// newest is the cursor, whether it is to be read on from or not.
-func (f *feed) newest() registry.Cursor {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cursor
-}
-
 // restart sets the position after the whole was read, or forgets it.
 func (f *feed) restart(cursor registry.Cursor, known bool) {
 	f.mu.Lock()
@@ -308,7 +301,8 @@
 			return
 		}
 	}
-	if registry.Epoch(answer.BackendsCursor) > registry.Epoch(uint64(n.changes.newest())) {
+	cursor, _ := n.changes.position()
+	if registry.Epoch(answer.BackendsCursor) > registry.Epoch(uint64(cursor)) {
 		n.changes.expire() // its changes don't continue what is known here
 	}
 	if !n.changes.extend(batch, n.applyChanges) {
--- a/internal/hosted/restored_test.go
+++ b/internal/hosted/restored_test.go
@@ -161,13 +161,7 @@
 		time.Sleep(4 * time.Second)
 		b.registry.restore(older)
 		time.Sleep(4 * time.Second)
-		for _, vm := range b.vms {
-			b.kill(vm)
-		}
-		time.Sleep(time.Second)
-		for i := range b.vms {
-			b.bootSpread(i)
-		}
+		b.restartAll()
 		b.sendAt(5*time.Second, b.vms[4])
 		b.open.Wait()
 		testkit.Equal(t, "sendings to engines", len(b.reached), 3)
