hosted, platform: reads of the configuration that break off are logged

What callers saw: requests handled by an old configuration at one VM, 4 s after a newer one was acknowledged. The logs told the first failed read of an outage only, without what had come of it, so reads that never end could not be told from a VM that knows of no newer version.

No decision changed.

--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -345,6 +345,10 @@
 		f.restart(0, false)
 		return true
 	case errors.Is(err, registry.ErrUnavailable):
+		if newest := n.members.newestConfiguration(); newest > n.version() && ctx.Err() == nil {
+			n.config.Logger.Warn("newer configuration can't be read", zap.Uint64("version", n.version()),
+				zap.Uint64("newest", newest), zap.Duration("took", n.config.Boot()-begun), telemetry.Reason(err))
+		}
 		n.lost(ctx, err)
 		return false
 	case err != nil:
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -217,6 +217,17 @@
 	return addresses
 }
 
+// newestConfiguration is the newest version that another VM reported.
+func (m *members) newestConfiguration() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := m.relayed.newestConfig.Configuration
+	for _, p := range m.peers {
+		newest = max(newest, p.report.Configuration)
+	}
+	return newest
+}
+
 // failed notes an exchange that failed. Where it was the last that the VM, or its whole
 // failure domain, may fail, it no longer counts as live.
 func (m *members) failed(p *member) {
