entryvm, hosted: a VM that learns from another one waits while the answer comes (CONFIG)

The cause of the late configuration, elsewhere: while the registry is away, VMs learn a newer configuration from each other, and gave each one a second for all of it. All ask the same VM first; over its 10 Mbit/s none of nine gets 1 MB in that time, and each begins anew. The sender had 5 s for a whole message as well.

Now such an answer may take as long as the call (10 s) while it comes, and fails a second after the last byte; messages are sent in pieces of 64 KB with 5 s each.

--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
 
 	"github.com/zeebo/errs"
@@ -22,6 +23,8 @@
 	ErrUnreachable = errs.New("peer unreachable")
 	// ErrRefused says that the peer answered with an error.
 	ErrRefused = errs.New("peer refused")
+	// errStalled says that an answer did not go on.
+	errStalled = errs.New("answer stalled")
 )
 
 const (
@@ -31,6 +34,8 @@
 	// another region answers within 300 ms, so 10 s leave room for a snapshot on a
 	// slow link.
 	callTimeout = 10 * time.Second
+	// knowledgeStall is how long the answer of a VM that tells all it knows may pause.
+	knowledgeStall = time.Second
 	// idleAfter is how long a connection stays open without a call. In a fleet of 200 VMs
 	// each one asks some keeper for an adapter now and then; kept for ever, that is a
 	// connection between any two VMs, 25 KB at either end.
@@ -69,8 +74,18 @@
 	laneBulk lane = iota + 1
 	// laneQuota is for what requests wait for.
 	laneQuota
+	// laneKnowledge is for large answers that come without a break.
+	laneKnowledge
 )
 
+// stall is how long an answer may pause, 0 for as long as its call may take.
+func (l lane) stall() time.Duration {
+	if l == laneKnowledge {
+		return knowledgeStall
+	}
+	return 0
+}
+
 // line is the place of one connection.
 type line struct {
 	// turn is held while a caller looks at conn or dials.
@@ -86,6 +101,22 @@
 	// way.
 	idle  *time.Timer
 	calls atomic.Int32
+	// received counts the bytes that came; stall is how long none may come during a call, 0
+	// for no bound.
+	received *countedConn
+	stall    time.Duration
+}
+
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 // NewClient returns a client that proves itself by the fleet secret. A
@@ -218,7 +249,7 @@
 	if conn := l.conn.Load(); conn != nil && !conn.dead.Load() {
 		return conn, true, nil
 	}
-	conn, err = c.dial(ctx, key.address)
+	conn, err = c.dial(ctx, key)
 	if err != nil {
 		return nil, false, err
 	}
@@ -245,8 +276,8 @@
 }
 
 // dial connects and does the handshake.
-func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
-	raw, err := c.dialTCP(ctx, "tcp", address)
+func (c *Client) dial(ctx context.Context, key lineKey) (*connection, error) {
+	raw, err := c.dialTCP(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
@@ -263,18 +294,20 @@
 		raw.Close()
 		return nil, fmt.Errorf("handshake: %w", err)
 	}
-	return c.adopt(newFramed(secure, raw, 0))
+	return c.adopt(secure, raw, key.lane.stall())
 }
 
 // adopt starts net/rpc on a connection after its handshake.
-func (c *Client) adopt(f *framed) (*connection, error) {
+func (c *Client) adopt(secure, raw net.Conn, stall time.Duration) (*connection, error) {
+	counted := &countedConn{Conn: secure}
+	f := newFramed(counted, raw, 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		f.Close()
 		return nil, net.ErrClosed
 	}
-	conn := &connection{}
+	conn := &connection{received: counted, stall: stall}
 	c.conns[conn] = struct{}{}
 	conn.rpc = rpc.NewClientWithCodec(&clientCodec{f, func() { c.forget(conn) }})
 	conn.idle = time.AfterFunc(idleAfter, conn.endIdle)
@@ -328,7 +361,29 @@
 			c.end()
 		}
 		return ctx.Err()
+	case <-c.stalled(ctx):
+		c.end()
+		return errStalled
+	}
+}
+
+// stalled is closed once nothing has come on the connection for its stall time, before ctx
+// ends; it is nil without one.
+func (c *connection) stalled(ctx context.Context) <-chan struct{} {
+	if c.stall == 0 {
+		return nil
 	}
+	out := make(chan struct{})
+	go func() {
+		for received := int64(-1); received != c.received.read.Load(); {
+			received = c.received.read.Load()
+			if !pause.For(ctx, c.stall) {
+				return
+			}
+		}
+		close(out)
+	}()
+	return out
 }
 
 func wrap(class, cause error) error {
--- a/entryvm/codec.go
+++ b/entryvm/codec.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +20,10 @@
 	// MaxMessageBytes bounds one message either way, so that a broken peer
 	// can't make us allocate without bound. The largest is a snapshot.
 	MaxMessageBytes = 32 << 20
-	// writeTimeout bounds the sending of one message: a paused peer's full
-	// receive buffer must not hold the sender.
+	// writeTimeout bounds the sending of each piece of writePiece bytes: a paused peer's
+	// full receive buffer must not hold the sender, and a small link takes its time.
 	writeTimeout = 5 * time.Second
+	writePiece   = 64 << 10
 	// idleTimeout is after how long without a call a server closes a connection.
 	idleTimeout = 2 * time.Minute
 	// keepBuffer is the largest buffer that is kept for the next message: a snapshot
@@ -100,11 +102,15 @@
 		return fmt.Errorf("%w: %d bytes to send", errTooLarge, sent)
 	}
 	binary.BigEndian.PutUint32(out.Bytes(), uint32(sent))
-	if err := f.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for piece := range slices.Chunk(out.Bytes(), writePiece) {
+		if err := f.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := f.conn.Write(piece); err != nil {
+			return err
+		}
 	}
-	_, err := f.conn.Write(out.Bytes())
-	return err
+	return nil
 }
 
 // next waits for a frame and decodes its first value.
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -295,7 +295,8 @@
 	return call[ReleaseReply](ctx, c, lineKey{address: address}, coordinationName+".Release", &release)
 }
 
-// Knowledge asks a VM for what it knows.
+// Knowledge asks a VM for what it knows. It fails once nothing has come for a second, however
+// long the whole takes.
 func (c *Client) Knowledge(ctx context.Context, address string) (KnowledgeReply, error) {
-	return call[KnowledgeReply](ctx, c, lineKey{address, laneBulk}, coordinationName+".Knowledge", &None{})
+	return call[KnowledgeReply](ctx, c, lineKey{address, laneKnowledge}, coordinationName+".Knowledge", &None{})
 }
--- a/internal/hosted/bed_test.go
+++ b/internal/hosted/bed_test.go
@@ -17,6 +17,7 @@
 
 	"bergamotreel/contract"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/lease"
 	"bergamotreel/registry"
@@ -58,6 +59,10 @@
 	refuseUnsureAfter time.Duration
 	domains           int
 	quotaSlack        float64
+	// uplink is what each VM can send of knowledge in a second, in bytes, 0 for no bound; all
+	// that ask it share that. asking counts them.
+	uplink int
+	asking map[string]int
 	// forwarderOf, where set, gives a VM's way to backend servers in place of the engines.
 	forwarderOf func(vm string) service.Forwarder
 }
@@ -333,8 +338,39 @@
 func (w wire) Permit(_ context.Context, address string, p entryvm.PermitArgs) (entryvm.PermitReply, error) {
 	return reach(w, address, (*Node).Permit, p)
 }
-func (w wire) Knowledge(_ context.Context, address string) (entryvm.KnowledgeReply, error) {
-	return reach(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
+func (w wire) Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error) {
+	reply, err := reach(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
+	if err == nil {
+		err = w.world.transmit(ctx, address, len(reply.Configuration)+len(reply.Backends))
+	}
+	return reply, err
+}
+
+// transmit takes as long as a VM's uplink does for so many bytes, beside those of others.
+func (w *world) transmit(ctx context.Context, from string, bytes int) error {
+	if w.uplink == 0 {
+		return nil
+	}
+	w.ask(from, 1)
+	defer w.ask(from, -1)
+	const step = 10 * time.Millisecond
+	for sent := 0.0; sent < float64(bytes); sent += float64(w.uplink) * step.Seconds() / float64(w.ask(from, 0)) {
+		if !pause.For(ctx, step) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// ask changes how many ask a VM for its knowledge; it returns the number.
+func (w *world) ask(vm string, change int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.asking == nil {
+		w.asking = make(map[string]int)
+	}
+	w.asking[vm] += change
+	return w.asking[vm]
 }
 
 // checkQuiet holds that no two VMs gave orders to an engine within the quiet time, and
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -27,8 +27,6 @@
 	outageAfter = 700 * time.Millisecond
 	// learnEvery is how often a VM that misses something asks another one.
 	learnEvery = 200 * time.Millisecond
-	// learnTimeout bounds one such question.
-	learnTimeout = time.Second
 	// sweepEvery is how often what has run out is looked for.
 	sweepEvery = 200 * time.Millisecond
 )
@@ -154,8 +152,6 @@
 }
 
 func (n *Node) learn(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
 	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address)
 	if err != nil {
 		return false
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -180,6 +180,34 @@
 	})
 }
 
+// Guards against VMs that all ask the same one for a large configuration, over a small link,
+// and give up and begin anew before it has come.
+func TestLargeConfigurationFromPeers(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1")
+		w.registry.deal("a")
+		w.list(w.engines.add("e1", "m1"))
+		w.uplink = 1_250_000
+		vms := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+		for _, vm := range vms {
+			w.boot(vm, true)
+		}
+		time.Sleep(3 * time.Second)
+		w.registry.mu.Lock()
+		for _, vm := range vms[1:] {
+			w.registry.unreachable[vm] = true
+		}
+		next := *w.registry.configuration
+		next.Version, next.Source = 2, make([]byte, 1_000_000)
+		w.registry.configuration = &next
+		w.registry.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		w.each(func(vm string, n *Node) {
+			testkit.That(w, n.version() == 2, "%s has version %d in force", vm, n.version())
+		})
+	})
+}
+
 // While the registry is away all entries lapse; the servers live, and are back two
 // seconds after its return. Nobody may take the fleet for gone meanwhile. What is not
 // back by then is gone, and what lapses later is gone at once.
