serving, platform: an attempt's line says whether its backend server told that it leaves (DRAIN)

second1's logs can't tell which answers said so. backend_leaving stands on the line of each attempt whose answer did, the refused ones included; no decision changed.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -106,8 +106,10 @@
 	runs int
 	// resume is the last event that the caller has, empty before the first.
 	resume string
-	// limit is what the newest attempt's answer named.
-	limit service.Limit
+	// limit is what the newest attempt's answer named, leaving whether it said that the
+	// backend server leaves.
+	limit   service.Limit
+	leaving bool
 	// fingerprint is for contentHash.
 	fingerprint *quarantine.Fingerprint
 	// arrivedReady is whether a backend server was ready for it at its arrival.
@@ -214,7 +216,7 @@
 	guard := f.guard(cancel)
 	defer guard.stop()
 	head, err := f.server.config.Forwarder.Forward(ctx, target, f.outgoing())
-	f.noteLimit(head, err)
+	f.noteSignals(head, err)
 	if err == nil {
 		f.runs++
 		f.server.forwards().Reached(f.place.backend)
@@ -229,14 +231,14 @@
 	return err
 }
 
-// noteLimit tells the directory of a limit that the answer names, or that it names none.
-// Refusals and failures need not name one.
-func (f *forwarding) noteLimit(head *service.Forwarded, err error) {
-	f.limit = service.Limit{}
+// noteSignals tells the directory what the answer says of its backend server: a limit, or
+// that it names none; refusals and failures need not name one.
+func (f *forwarding) noteSignals(head *service.Forwarded, err error) {
+	f.limit, f.leaving = service.Limit{}, false
 	if head == nil {
 		return
 	}
-	f.limit = head.Limit
+	f.limit, f.leaving = head.Limit, head.Leaving
 	if head.Limit.Named || (err == nil && head.Status < http.StatusMultipleChoices) {
 		f.server.forwards().Limited(f.place.backend, head.Limit)
 	}
@@ -415,6 +417,9 @@
 	if f.limit.Named {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
+	if f.leaving {
+		fields = append(fields, zap.Bool("backend_leaving", true))
+	}
 	if f.fingerprint != nil {
 		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint))
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -69,13 +69,15 @@
 	Body io.ReadCloser
 	// Limit is what the answer says of further requests.
 	Limit Limit
+	// Leaving is whether the answer says that the backend server is about to end.
+	Leaving bool
 }
 
 // Forwarder passes requests on to backend servers.
 type Forwarder interface {
 	// Forward sends the request once, never again, and returns when the answer's
 	// head is there. It fails with ErrNotSent, ErrNotRun or ErrOutcomeUnknown; with
-	// ErrNotRun comes a Forwarded without a body, for its Limit. The
+	// ErrNotRun comes a Forwarded without a body, for what else the answer says. The
 	// end of ctx breaks off the request at the backend server, also while the body
 	// is read.
 	Forward(ctx context.Context, target Target, request Forward) (*Forwarded, error)
