hosted: a failing test of a backend server that says in its answers that it leaves (DRAIN)

Eight or thirty VMs in virtual time; an engine says so while the registry is away, or has an old entry.

--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -52,6 +52,8 @@
 type arrival struct {
 	engine, vm string
 	at         time.Time
+	// leaving is whether the answer said that the engine leaves.
+	leaving bool
 }
 
 // servingEngine is one start of an engine.
@@ -62,6 +64,8 @@
 	// limit is what its answers name, in namedShare of them.
 	limit      service.Limit
 	namedShare float64
+	// leaving has its answers say that it leaves.
+	leaving bool
 }
 
 func inEngineBed(t *testing.T, vms, engines int, run func(*engineBed)) {
@@ -156,13 +160,13 @@
 		}()
 	}
 	b.counting.Lock()
-	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now()})
-	limit := e.limit
+	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving})
+	limit, leaving := e.limit, e.leaving
 	if b.draws.Float64() >= e.namedShare {
 		limit = service.Limit{}
 	}
 	b.counting.Unlock()
-	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit}, nil
+	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving}, nil
 }
 
 // Probe implements service.Forwarder.
