hosted, serving, platform: a backend server that says in its answers that it leaves gets nothing new (DRAIN)

Cause: leaving was known from the registry's entry only, and the registry was away for 12 s. Nobody read the answers (hypothesis 1: no VM paused, no line of ours before 20 s).

Now such an answer, also a refusal, and an engine's own status take the server out at once at the VM that got it; reports carry it to the others and the planner, which finds its models another place. It holds for that start of the server: an older entry of the registry, lapsed or written again, does not bring it back, a new start does.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -81,6 +81,16 @@
 	// Limits are the limits of backend servers in need, in full reports and for some time
 	// after a change.
 	Limits []BackendLimit `cbor:"35,keyasint,omitempty"`
+	// LeavingBackends are the backend servers that said in an answer that they leave, as
+	// often as Limits.
+	LeavingBackends []LeavingBackend `cbor:"36,keyasint,omitempty"`
+}
+
+// LeavingBackend is a backend server that said that it leaves.
+type LeavingBackend struct {
+	Backend string `cbor:"1,keyasint"`
+	// Started is the start that said so, 0 where that is unknown.
+	Started int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Suspect is a request that may crash the backend servers that run it; the fields are
--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -75,7 +75,7 @@
 	var engines []*backend
 	a.node.backends.each(wanted.Service, func(b *backend) {
 		held, ok := b.models[wanted.Model]
-		if !ok || b.Leaving || b.swapping() || held.adapters[wanted.Adapter] {
+		if !ok || b.leaves() || b.swapping() || held.adapters[wanted.Adapter] {
 			return
 		}
 		copied := *b
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -40,6 +40,8 @@
 	// former are the starts of those dropped lately: one that is listed again may be
 	// another start, to which orders of before are still on their way.
 	former map[string]formerStart
+	// leavingAt is when the last one was found to leave by what it said.
+	leavingAt time.Time
 	// returnedAt is when the registry answered again after an outage, olderUntil until when
 	// its entries may be older than what is known here.
 	returnedAt time.Time
@@ -59,6 +61,9 @@
 	// loadedAt is when the model that is being loaded should be there, by the news.
 	loadedAt time.Time
 	lacking  map[string]time.Time
+	// saidLeaving is whether an answer of this start said that it leaves. The entry may be
+	// older, or not be accepted for long.
+	saidLeaving bool
 	// downFor is set while it is taken for dead, as it accepted no connection;
 	// probeAt is when it is tried again, and downFor how long that was put off.
 	probeAt time.Time
@@ -127,6 +132,7 @@
 	if known == nil {
 		former := t.former[b.ID]
 		known = &backend{lacking: make(map[string]time.Time), start: former.start, restartedAt: former.restartedAt, Backend: b}
+		known.saidLeaving = former.saidLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
 		t.started(now, known, b.Started)
@@ -169,7 +175,7 @@
 // drop forgets an entry. Call with mu held.
 func (t *backendTable) drop(now time.Time, id string) {
 	before := t.entries[id]
-	t.former[id] = formerStart{start: before.start, restartedAt: before.restartedAt, droppedAt: now}
+	t.former[id] = formerStart{start: before.start, saidLeaving: before.saidLeaving, restartedAt: before.restartedAt, droppedAt: now}
 	delete(t.entries, id)
 	t.byService = nil
 	t.ended[id] = true
@@ -342,7 +348,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range t.of(service) {
-		if _, ok := b.models[model]; ok && !b.Leaving && b.downFor == 0 {
+		if _, ok := b.models[model]; ok && !b.leaves() && b.downFor == 0 {
 			return true
 		}
 	}
@@ -388,7 +394,9 @@
 	defer t.mu.Unlock()
 	var out []registry.Backend
 	for _, b := range t.entries {
-		out = append(out, b.Backend)
+		entry := b.Backend
+		entry.Leaving = b.leaves()
+		out = append(out, entry)
 	}
 	return out
 }
--- a/internal/hosted/backendstarts.go
+++ b/internal/hosted/backendstarts.go
@@ -11,6 +11,7 @@
 // formerStart is the start of a backend server that was dropped.
 type formerStart struct {
 	start                  int64
+	saidLeaving            bool
 	restartedAt, droppedAt time.Time
 }
 
@@ -42,6 +43,7 @@
 		zap.Int64("started", start), zap.Int64("before", before))
 	t.ended[b.ID] = true
 	b.restartedAt = now
+	b.saidLeaving = false
 	b.downFor, b.probeAt = 0, time.Time{}
 	b.models = nil
 	clear(b.lacking)
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -74,7 +74,7 @@
 			ready = false
 		}
 		out = append(out, routing.Candidate{
-			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.Leaving,
+			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.leaves(),
 		})
 	})
 	return n.reachable(now, out)
@@ -92,7 +92,7 @@
 		if slots <= 0 {
 			slots = plainSlots
 		}
-		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.Leaving})
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.leaves()})
 	})
 	return n.reachable(now, out)
 }
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -290,7 +290,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	return k.node.config.Peers.Engines.Status(ctx, address)
+	status, err := k.node.config.Peers.Engines.Status(ctx, address)
+	if err == nil && status.Draining {
+		k.node.mergeLeaving(time.Now(), k.node.config.VM, []entryvm.LeavingBackend{{Backend: e.id, Started: status.Started}})
+	}
+	return status, err
 }
 
 // refresh asks the engine what it holds. A status lags: one that counts fewer
--- /dev/null
+++ b/internal/hosted/leaving.go
@@ -0,0 +1,65 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+)
+
+var leavingSaid = metrics.NewCounter("bergamotreel_backend_leaving_said_total")
+
+// leaves tells whether the backend server takes no new requests: by its entry, or by what it
+// said itself.
+func (b *backend) leaves() bool { return b.Leaving || b.saidLeaving }
+
+// Leaving implements serving.ForwardDirectory.
+func (n *Node) Leaving(backend string) {
+	if n.backends.sayLeaving(time.Now(), entryvm.LeavingBackend{Backend: backend}, n.config.VM) {
+		n.backendsChanged()
+	}
+}
+
+// mergeLeaving takes over what another VM knows of backend servers that leave.
+func (n *Node) mergeLeaving(now time.Time, from string, list []entryvm.LeavingBackend) {
+	changed := false
+	for _, leaving := range list {
+		changed = n.backends.sayLeaving(now, leaving, from) || changed
+	}
+	if changed {
+		n.backendsChanged()
+	}
+}
+
+// sayLeaving notes that a backend server said that it leaves; it returns whether that is
+// news. It holds until another start of it is known.
+func (t *backendTable) sayLeaving(now time.Time, leaving entryvm.LeavingBackend, from string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.entries[leaving.Backend]
+	if b == nil || b.saidLeaving || (leaving.Started != 0 && b.start != 0 && leaving.Started != b.start) {
+		return false
+	}
+	b.saidLeaving = true
+	t.leavingAt = now
+	leavingSaid.Inc()
+	t.logger.Info("backend server says that it leaves", zap.String("backend", leaving.Backend), zap.Bool("listed_leaving", b.Leaving),
+		zap.String("from", from))
+	return true
+}
+
+// publishLeaving adds to a report which backend servers said that they leave.
+func (t *backendTable) publishLeaving(now time.Time, report *entryvm.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leavingAt.IsZero() || (!report.Full && now.Sub(t.leavingAt) > signalUrgent) {
+		return
+	}
+	for id, b := range t.entries {
+		if b.saidLeaving {
+			report.LeavingBackends = append(report.LeavingBackends, entryvm.LeavingBackend{Backend: id, Started: b.start})
+		}
+	}
+}
--- a/internal/hosted/leaving_test.go
+++ b/internal/hosted/leaving_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/testkit"
+	"bergamotreel/registry"
 )
 
 // leavingSpread is how long a VM may go on after an answer said that a backend server leaves.
@@ -65,3 +69,31 @@
 		})
 	}
 }
+
+// Guards against a backend server that gets nothing any more after it started again, and
+// against one whose older entry, lapsed and written again, brings it back.
+func TestLeavingBelongsToAStart(t *testing.T) {
+	table := newBackendTable(zap.NewNop())
+	now := time.Now()
+	list := func(started int64) {
+		table.change(now, []registry.Change{{ID: "e", Backend: &registry.Backend{ID: "e", Service: "s", Started: started}}})
+	}
+	leaves := func(why string, want bool) {
+		t.Helper()
+		b, _ := table.get("e")
+		testkit.Equal(t, why, b.leaves(), want)
+	}
+	list(firstStart)
+	testkit.That(t, !table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart + 10}, "b"), "another start's word counts")
+	testkit.That(t, table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e"}, "a"), "its own word does not count")
+	leaves("it said so", true)
+	list(firstStart)
+	leaves("its older entry", true)
+	table.change(now, []registry.Change{{ID: "e"}})
+	list(firstStart)
+	leaves("its older entry is back", true)
+	list(firstStart + 20)
+	leaves("it started again", false)
+	testkit.That(t, !table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart}, "b"), "a former start's word counts")
+	leaves("another VM's late report", false)
+}
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// limitUrgent is how long after a change each report tells of all limits; else full ones
-	// do.
-	limitUrgent = 1500 * time.Millisecond
+	// signalUrgent is how long after a change each report carries what backend servers said
+	// of themselves; else full ones do.
+	signalUrgent = 1500 * time.Millisecond
 	// liftedFor is how long reports carry a lifted limit: longer than the way of an older
 	// report that names it.
 	liftedFor = 10 * time.Second
@@ -140,7 +140,7 @@
 func (l *limits) publish(now time.Time, report *entryvm.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.known) == 0 || (!report.Full && now.Sub(l.changedAt) > limitUrgent) {
+	if len(l.known) == 0 || (!report.Full && now.Sub(l.changedAt) > signalUrgent) {
 		return
 	}
 	for id, b := range l.known {
--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -24,7 +24,7 @@
 	for i := range all {
 		b := &all[i]
 		e := residency.Engine{
-			ID: b.ID, Domain: b.Domain, Room: room - b.reservedBytes(), Slots: b.Slots, Serving: !b.Leaving && !failing[b.ID] && !cut(b.Domain),
+			ID: b.ID, Domain: b.Domain, Room: room - b.reservedBytes(), Slots: b.Slots, Serving: !b.leaves() && !failing[b.ID] && !cut(b.Domain),
 			InMemory: set(b.InMemory), OnDisk: set(b.OnDisk),
 		}
 		for name, held := range b.models {
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -16,7 +16,8 @@
 	}
 	m.node.crashes.merge(now, &report)
 	m.node.limits.merge(now, report.VM, report.Limits)
-	report.Suspects, report.Limits = nil, nil
+	m.node.mergeLeaving(now, report.VM, report.LeavingBackends)
+	report.Suspects, report.Limits, report.LeavingBackends = nil, nil, nil
 	var addresses []string
 	for _, other := range report.Members {
 		addresses = append(addresses, other.Address)
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -65,6 +65,7 @@
 	r.Overview = m.overview(now, &r, &to, answers)
 	n.crashes.publish(now, &r, &to)
 	n.limits.publish(now, &r)
+	n.backends.publishLeaving(now, &r)
 	if large && relay && to.Domain != n.config.Domain {
 		// A relay of another domain takes them from the sum over this one.
 		r.Running, r.Waiting, r.Rates = nil, nil, nil
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -51,6 +51,8 @@
 	// that it answered.
 	Unreachable(backend string)
 	Reached(backend string)
+	// Leaving tells that a backend server said that it leaves.
+	Leaving(backend string)
 	// Limited tells what an answer of a backend server said of further requests.
 	Limited(backend string, limit service.Limit)
 	// SpendPermit uses one of the permits that a Limited candidate came with, false if they
@@ -239,6 +241,9 @@
 		return
 	}
 	f.limit, f.leaving = head.Limit, head.Leaving
+	if head.Leaving && f.place.sameStart() {
+		f.server.forwards().Leaving(f.place.backend)
+	}
 	if head.Limit.Named || (err == nil && head.Status < http.StatusMultipleChoices) {
 		f.server.forwards().Limited(f.place.backend, head.Limit)
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -98,6 +98,8 @@
 func (b *forwardBed) Reached(string)          {}
 
 // Limited notes what answers said of further requests.
+func (b *forwardBed) Leaving(string) {}
+
 func (b *forwardBed) Limited(_ string, limit service.Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -201,6 +201,13 @@
 	}
 }
 
+// sameStart tells whether the attempt's backend server is not known to have ended since.
+func (p *place) sameStart() bool {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	return p.server.starts[p.backend] == p.start
+}
+
 // mayRetry asks the retry budget.
 func (p *place) mayRetry() bool {
 	p.server.mu.Lock()
