serving, platform: an attempt's line says what rest its backend server asked for (BUDGET)

second2's logs can't tell what a 503 asked for, or whether anybody read it. backend_rest stands on the line of each attempt that was turned away with a time; no decision changed.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -109,9 +109,10 @@
 	// resume is the last event that the caller has, empty before the first.
 	resume string
 	// limit is what the newest attempt's answer named, leaving whether it said that the
-	// backend server leaves.
+	// backend server leaves, rest what it asked for.
 	limit   service.Limit
 	leaving bool
+	rest    time.Duration
 	// fingerprint is for contentHash.
 	fingerprint *quarantine.Fingerprint
 	// arrivedReady is whether a backend server was ready for it at its arrival.
@@ -236,11 +237,11 @@
 // noteSignals tells the directory what the answer says of its backend server: a limit, or
 // that it names none; refusals and failures need not name one.
 func (f *forwarding) noteSignals(head *service.Forwarded, err error) {
-	f.limit, f.leaving = service.Limit{}, false
+	f.limit, f.leaving, f.rest = service.Limit{}, false, 0
 	if head == nil {
 		return
 	}
-	f.limit, f.leaving = head.Limit, head.Leaving
+	f.limit, f.leaving, f.rest = head.Limit, head.Leaving, head.Rest
 	if head.Leaving && f.place.sameStart() {
 		f.server.forwards().Leaving(f.place.backend)
 	}
@@ -422,6 +423,9 @@
 	if f.limit.Named {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
+	if f.rest > 0 {
+		fields = append(fields, zap.Duration("backend_rest", f.rest))
+	}
 	if f.leaving {
 		fields = append(fields, zap.Bool("backend_leaving", true))
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -71,6 +71,9 @@
 	Limit Limit
 	// Leaving is whether the answer says that the backend server is about to end.
 	Leaving bool
+	// Rest is how long the backend server, which turned the request away, wants none from
+	// this entry VM; 0 where it doesn't say.
+	Rest time.Duration
 }
 
 // Forwarder passes requests on to backend servers.
