--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -54,6 +54,8 @@
 	at         time.Time
 	// leaving is whether the answer said that the engine leaves.
 	leaving bool
+	// rest is what the engine, which turned it away, asked for.
+	rest time.Duration
 }
 
 // servingEngine is one start of an engine.
@@ -66,6 +68,10 @@
 	namedShare float64
 	// leaving has its answers say that it leaves.
 	leaving bool
+	// rest, where set, has it turn requests away and ask for so long a rest; restsFor, where
+	// set, only those of some VMs.
+	rest     time.Duration
+	restsFor func(vm string) bool
 }
 
 func inEngineBed(t *testing.T, vms, engines int, run func(*engineBed)) {
@@ -160,12 +166,19 @@
 		}()
 	}
 	b.counting.Lock()
-	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving})
+	rest := e.rest
+	if e.restsFor != nil && !e.restsFor(b.vm) {
+		rest = 0
+	}
+	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving, rest})
 	limit, leaving := e.limit, e.leaving
 	if b.draws.Float64() >= e.namedShare {
 		limit = service.Limit{}
 	}
 	b.counting.Unlock()
+	if rest > 0 {
+		return &service.Forwarded{Rest: rest}, service.ErrNotRun
+	}
 	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving}, nil
 }
 
