registry: the counter of answers that broke off belongs to the peer package (CONFIG)

internal/daemon.TestPageNamesEachMetric failed since the counter came: the daemon serves the metrics of the packages it imports, and platform/ is not one of them.

--- a/registry/unreadable.go
+++ b/registry/unreadable.go
@@ -11,3 +11,6 @@
 	UnreadableEpochs         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="epoch"}`)
 	UnreadableQuarantine     = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="quarantine"}`)
 )
+
+// BrokenOffAnswers counts the answers of the registry that began and did not come whole in time.
+var BrokenOffAnswers = metrics.NewCounter(`bergamotreel_registry_answers_broken_off_total`)
