routing, serving: a backend server that asks for rest gets none of this VM's requests meanwhile (BUDGET)

What callers saw: season-digests sent six to eleven times in 2.3 s to the one engine that held their model and turned all of them away, then refused; over a tenth of the class for nine seconds.

Cause: nobody read the time of rest on a 503 (hypothesis 1: sendings 0.2 to 0.4 s apart, whatever was asked). A request that was not run waits 0.2 s and goes to the same server where that is all there is.

Now the router gives such a server nothing until its rest is over, and then one request at a time until one is served. It counts as sick meanwhile, so the planner finds its models another place. Where all that have the unit rest, requests that can't wait so long are refused at once, with the end of the first rest as the time to come back.

--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -38,7 +38,7 @@
 	look := &lookup{server: s, now: now, units: make(map[string][]routing.Candidate)}
 	// Before Expire, which would refuse for a load that has ended.
 	for unit := range s.units {
-		s.observe(unit, look.candidates(unit))
+		s.observe(now, unit, look.candidates(unit))
 	}
 	for _, expired := range s.config.Admission.Expire(now) {
 		s.assign(expired.Ticket, assignment{refused: expired.Refusal})
@@ -76,9 +76,13 @@
 // its load was expected to take. An expectation that was told between a failed
 // load's end and the next right may be dropped too; requests then wait for the
 // load instead of being refused early, which is the milder side.
-func (s *Server) observe(unit string, candidates []routing.Candidate) {
+//
+// Where all that have the unit rest, it is expected at the end of the first rest.
+func (s *Server) observe(now time.Time, unit string, candidates []routing.Candidate) {
 	ready := anyReady(candidates)
-	if ready || (s.loading[unit] && len(candidates) == 0) {
+	if until, resting := s.config.Router.Resting(now, routing.Query{Unit: unit}, candidates); resting {
+		s.config.Admission.Expect(unit, until, true)
+	} else if ready || (s.loading[unit] && len(candidates) == 0) {
 		s.config.Admission.Expect(unit, time.Time{}, false)
 	}
 	if ready || len(candidates) == 0 {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -245,6 +245,9 @@
 	if head.Leaving && f.place.sameStart() {
 		f.server.forwards().Leaving(f.place.backend)
 	}
+	if head.Rest > 0 {
+		f.place.rest(time.Now().Add(head.Rest))
+	}
 	if head.Limit.Named || (err == nil && head.Status < http.StatusMultipleChoices) {
 		f.server.forwards().Limited(f.place.backend, head.Limit)
 	}
--- a/internal/serving/queue.go
+++ b/internal/serving/queue.go
@@ -6,11 +6,15 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/admission"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
 
+var restsAsked = metrics.NewCounter("bergamotreel_backend_rests_asked_total")
+
 // servicePoolPrefix marks the pools of plain services; model names can't hold
 // a slash, so the two never meet.
 const servicePoolPrefix = "service/"
@@ -50,7 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// Before Arrive, which would refuse for a load that has ended.
-	s.observe(request.Unit, known)
+	s.observe(now, request.Unit, known)
 	ticket, refused := s.config.Admission.Arrive(now, request)
 	if refused != nil {
 		return nil, nil, refused
@@ -201,6 +205,16 @@
 	}
 }
 
+// rest has the attempt's backend server get nothing from this VM until then.
+func (p *place) rest(until time.Time) {
+	restsAsked.Inc()
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	if p.server.starts[p.backend] == p.start {
+		p.server.config.Router.Rest(p.backend, until)
+	}
+}
+
 // sameStart tells whether the attempt's backend server is not known to have ended since.
 func (p *place) sameStart() bool {
 	p.server.mu.Lock()
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -223,6 +223,9 @@
 	own := 0
 	if e != nil {
 		own = e.inFlight
+		if e.rest.asked(now) || e.rest.probing {
+			return 0
+		}
 		if now.Sub(e.refusedAt) < busyPause && !c.LoadAt.After(e.refusedAt) {
 			return 0
 		}
@@ -235,7 +238,11 @@
 		}
 		busy = max(busy, c.Running+c.Queued+since)
 	}
-	return max(0, c.Slots+r.turnover(pool, c)-busy)
+	free := max(0, c.Slots+r.turnover(pool, c)-busy)
+	if e != nil && e.rest.recovering {
+		free = min(free, 1)
+	}
+	return free
 }
 
 // markHolders notes how much of the prompt each view's engine has cached.
--- a/routing/router.go
+++ b/routing/router.go
@@ -54,6 +54,7 @@
 	// newest of them or the first request after a pause began.
 	awaiting    int
 	silentSince time.Time
+	rest        rest
 }
 
 // New makes a router that draws from rng.
@@ -94,6 +95,7 @@
 	e.inFlight++
 	e.history.record(now, e.inFlight)
 	e.breaker.started(now)
+	e.rest.started()
 	if e.awaiting == 0 {
 		e.silentSince = now
 	}
@@ -113,6 +115,7 @@
 	}
 	r.tokensTold = true
 	e.answered(now)
+	e.rest.served()
 	r.observe(now, e, engine, pool, took)
 }
 
@@ -172,6 +175,7 @@
 	}
 	e.inFlight = max(0, e.inFlight-1)
 	e.history.record(now, e.inFlight)
+	e.rest.finished(result.OK)
 	pool := result.Pool
 	if pool == "" {
 		pool = e.pool
@@ -231,7 +235,7 @@
 func (r *Router) Sick(now time.Time) map[string]bool {
 	var sick map[string]bool
 	for name, e := range r.engines {
-		if e.breaker.state(now) != BreakerOpen {
+		if e.breaker.state(now) != BreakerOpen && !e.rest.asked(now) {
 			continue
 		}
 		if sick == nil {
