hosted, permit, entryvm: what is known of a limit has a version, and no echo takes a lift's place

What callers would see: a backend server that has lifted its limit gets few requests for long, or one that lowered it too many.

Cause: what VMs tell each other of a limit has an age, and the way of the message is not in it. What a VM told comes back to it by way of another looking newer than what it has learned since, and goes round from there.

Now an observation has its origin and a version; what of an origin is known already changes nothing. Between two origins the age decides as before, the message's way included: that is once, and not in a circle.

Evidence: TestEchoOfALimit (three VMs, reports that take 0.6 s): the VM that lifted a limit was limited again, on the code before; not after.

--- a/admission/permit/permit.go
+++ b/admission/permit/permit.go
@@ -40,6 +40,10 @@
 	PerSecond float64
 	// At is when the answer came.
 	At time.Time
+	// Origin is the process that got the answer, Version counts what it has observed of
+	// limits: together they name an observation on all VMs.
+	Origin  string
+	Version uint64
 }
 
 // Newer tells whether the limit is to take another one's place.
--- a/entryvm/permit.go
+++ b/entryvm/permit.go
@@ -14,6 +14,9 @@
 	PerSecond float64 `cbor:"3,keyasint,omitempty"`
 	// Age is how long ago the answer came.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Origin is the process that observed it, Version counts what it has observed.
+	Origin  string `cbor:"5,keyasint,omitempty"`
+	Version uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // PermitArgs asks the VM that issues the permits for a backend server for some.
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -34,12 +34,17 @@
 	changedAt time.Time
 	// issuers are of the backend servers whose permits this VM issues.
 	issuers map[string]*permit.Issuer
+	// version counts what this VM has observed.
+	version uint64
 }
 
 // backendLimit is a backend server's limit at this VM.
 type backendLimit struct {
 	permit.Limit
 	wallet permit.Wallet
+	// seen is the newest version of each origin: what goes round among VMs comes again, and
+	// by its age alone it would look newer each time.
+	seen map[string]uint64
 	// answers are those that the issuer does not know of, notifiedAt is when it last heard from this VM.
 	answers    permit.Answers
 	notifiedAt time.Time
@@ -63,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if limit.Named {
-		l.observe(backend, permit.Limit{Named: true, PerSecond: limit.PerSecond, At: now}, n.config.VM)
+		l.observe(backend, l.own(permit.Limit{Named: true, PerSecond: limit.PerSecond}), n.config.VM)
 	}
 	b := l.known[backend]
 	if b == nil || !b.Named {
@@ -85,6 +90,13 @@
 	return b == nil || !b.Named || b.wallet.Spend(time.Now())
 }
 
+// own is a limit as this VM has observed it now. Call with mu held.
+func (l *limits) own(limit permit.Limit) permit.Limit {
+	l.version++
+	limit.At, limit.Origin, limit.Version = time.Now(), l.node.origin(), l.version
+	return limit
+}
+
 // observe takes what an answer said, if it is the newest. Call with mu held.
 func (l *limits) observe(backend string, limit permit.Limit, from string) {
 	b := l.known[backend]
@@ -92,9 +104,13 @@
 		if _, listed := l.node.backends.get(backend); !listed {
 			return // it would never be forgotten
 		}
-		b = &backendLimit{}
+		b = &backendLimit{seen: make(map[string]uint64)}
 		l.known[backend] = b
 	}
+	if limit.Version <= b.seen[limit.Origin] {
+		return
+	}
+	b.seen[limit.Origin] = limit.Version
 	if !limit.Newer(b.Limit) {
 		return
 	}
@@ -154,7 +170,8 @@
 
 // message is a limit as it is sent to other entry VMs.
 func (b *backendLimit) message(now time.Time, id string) entryvm.BackendLimit {
-	return entryvm.BackendLimit{Backend: id, Named: b.Named, PerSecond: b.PerSecond, Age: max(0, now.Sub(b.At))}
+	return entryvm.BackendLimit{Backend: id, Named: b.Named, PerSecond: b.PerSecond, Age: max(0, now.Sub(b.At)),
+		Origin: b.Origin, Version: b.Version}
 }
 
 // merge takes the limits of a report.
@@ -169,7 +186,8 @@
 // apply takes over a limit that another VM knows. Call with mu held.
 func (l *limits) apply(now time.Time, from string, limit entryvm.BackendLimit) {
 	if limit.Named || l.known[limit.Backend] != nil {
-		l.observe(limit.Backend, permit.Limit{Named: limit.Named, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}, from)
+		l.observe(limit.Backend, permit.Limit{Named: limit.Named, PerSecond: limit.PerSecond, At: now.Add(-limit.Age),
+			Origin: limit.Origin, Version: limit.Version}, from)
 	}
 }
 
--- a/internal/hosted/limits_test.go
+++ b/internal/hosted/limits_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bergamotreel/admission/permit"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/service"
 )
@@ -171,3 +172,41 @@
 	}
 	return best
 }
+
+// Guards against an echo of a limit that takes the place of its lift: on its way from VM to
+// VM a message does not age, so what went round looks newer than what it is told of.
+func TestEchoOfALimit(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.registry.configuration = testContract("m1")
+		w.registry.deal("a")
+		w.list(w.engines.add("e1", "m1"))
+		vms := []string{"a", "b", "c"}
+		for _, vm := range vms {
+			w.boot(vm, true)
+		}
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.reportDelay = 600 * time.Millisecond
+		w.mu.Unlock()
+		a := w.nodes["a"]
+		limited := func(n *Node) bool {
+			n.limits.mu.Lock()
+			defer n.limits.mu.Unlock()
+			b := n.limits.known["e1"]
+			return b != nil && b.Named
+		}
+		a.Limited("e1", service.Limit{Named: true, PerSecond: 4})
+		time.Sleep(800 * time.Millisecond)
+		testkit.That(t, limited(w.nodes["b"]), "b does not know of the limit")
+		a.limits.mu.Lock()
+		a.limits.observe("e1", a.limits.own(permit.Limit{}), "a")
+		a.limits.mu.Unlock()
+		for range 40 {
+			time.Sleep(250 * time.Millisecond)
+			testkit.That(t, !limited(a), "a is limited again")
+		}
+		for _, vm := range vms {
+			testkit.That(t, !limited(w.nodes[vm]), "%s is limited still", vm)
+		}
+	})
+}
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -101,7 +101,7 @@
 		l.issuers[id] = issuer
 	}
 	if issuer.Observe(permit.Answers{Named: args.Named, Plain: args.Plain, Run: args.Run}) {
-		l.observe(id, permit.Limit{At: now}, n.config.VM)
+		l.observe(id, l.own(permit.Limit{}), n.config.VM)
 		delete(l.issuers, id)
 		return entryvm.PermitReply{Limit: b.message(now, id)}
 	}
