--- a/internal/hosted/enginebed_test.go
+++ b/internal/hosted/enginebed_test.go
@@ -13,6 +13,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/contract"
+	"bergamotreel/internal/judge"
 	"bergamotreel/refusal"
 	"bergamotreel/service"
 )
@@ -46,6 +47,18 @@
 	answered, broken, refused int
 	// arrivals are the requests that reached engines, in order.
 	arrivals []arrival
+	// history is what judges see, sentAt when the requests in it were sent.
+	history judge.History
+	sentAt  map[string]time.Time
+	// boots counts the starts of each VM, killed are those that were ended.
+	boots  map[string]int
+	killed map[vmStart]bool
+}
+
+// vmStart is one start of a VM.
+type vmStart struct {
+	vm    string
+	start int
 }
 
 // arrival is a request that reached an engine.
@@ -72,12 +85,18 @@
 	// set, only those of some VMs.
 	rest     time.Duration
 	restsFor func(vm string) bool
+	// losesShare is the share of its answers that are lost.
+	losesShare float64
 }
 
 func inEngineBed(t *testing.T, vms, engines int, run func(*engineBed)) {
 	inWorld(t, func(w *world) {
 		b := &engineBed{world: w, random: rand.New(rand.NewSource(3)), draws: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine)}
-		w.forwarderOf = func(vm string) service.Forwarder { return engineBedOf{b, vm} }
+		b.sentAt, b.boots, b.killed = make(map[string]time.Time), make(map[string]int), make(map[vmStart]bool)
+		w.forwarderOf = func(vm string) service.Forwarder {
+			b.boots[vm]++
+			return engineBedOf{b, vmStart{vm, b.boots[vm]}}
+		}
 		w.registry.configuration = testContract("m1")
 		w.registry.configuration.Contract.Routes[0].Repeat = contract.RepeatNever
 		w.registry.configuration.Contract.Routes[0].Stream = true
@@ -147,7 +166,7 @@
 // engineBedOf is the engines as one VM reaches them.
 type engineBedOf struct {
 	*engineBed
-	vm string
+	vmStart
 }
 
 // Forward implements service.Forwarder.
@@ -156,6 +175,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if b.cutFrom(e) {
+		return nil, service.ErrNotSent
+	}
 	if f.URI == crashingURI {
 		b.counting.Lock()
 		b.reached = append(b.reached, time.Now())
@@ -171,13 +193,17 @@
 		rest = 0
 	}
 	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving, rest})
-	limit, leaving := e.limit, e.leaving
+	b.noteArrival(e, b.vmStart, f.RequestID, rest)
+	limit, leaving, lost := e.limit, e.leaving, b.draws.Float64() < e.losesShare
 	if b.draws.Float64() >= e.namedShare {
 		limit = service.Limit{}
 	}
 	b.counting.Unlock()
 	if rest > 0 {
-		return &service.Forwarded{Rest: rest}, service.ErrNotRun
+		return &service.Forwarded{Rest: rest, Leaving: leaving}, service.ErrNotRun
+	}
+	if lost {
+		return nil, service.ErrOutcomeUnknown
 	}
 	return &service.Forwarded{Status: http.StatusOK, Length: -1, Body: &servedBody{e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving}, nil
 }
@@ -205,8 +231,30 @@
 
 func (c *servedBody) Close() error { return nil }
 
+// cutFrom tells whether an engine is in another failure domain while these are cut off from
+// each other.
+func (b engineBedOf) cutFrom(e *servingEngine) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.nodes[b.vm]
+	return b.domainsCut && n != nil && n.config.Domain != e.domain
+}
+
+// noteArrival adds a request to the history. Call with counting held.
+func (b *engineBed) noteArrival(e *servingEngine, from vmStart, request string, rest time.Duration) {
+	sent, known := b.sentAt[request]
+	if !known || b.killed[from] {
+		return
+	}
+	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.id, VM: from.vm, Incarnation: from.start,
+		Sent: sent, At: time.Now(), Ran: rest == 0, Leaving: e.leaving, Rest: rest})
+}
+
 // send has a VM serve a request, and returns how it ended.
-func (b *engineBed) send(vm, uri string) error {
+func (b *engineBed) send(vm, uri string) error { return b.sendAs(vm, "id", uri) }
+
+// sendAs is send with the request's ID.
+func (b *engineBed) sendAs(vm, id, uri string) error {
 	b.mu.Lock()
 	n := b.nodes[vm]
 	b.mu.Unlock()
@@ -219,8 +267,8 @@
 	}
 	now := time.Now()
 	return n.Relay(context.Background(), caller.RelayRequest{
-		RelayHead: caller.RelayHead{ID: "id", Model: "m1"}, Grant: grant, Service: testService,
-		Forward: service.Forward{RequestID: "id", Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{}},
+		RelayHead: caller.RelayHead{ID: id, Model: "m1"}, Grant: grant, Service: testService,
+		Forward: service.Forward{RequestID: id, Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{}},
 		Arrived: now, GiveUp: now.Add(4 * time.Second), BeginBy: now.Add(4 * time.Second),
 	}, &received{})
 }
