--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -40,8 +40,8 @@
 	// former are the starts of those dropped lately: one that is listed again may be
 	// another start, to which orders of before are still on their way.
 	former map[string]formerStart
-	// leavingAt is when the last one was found to leave by what it said.
-	leavingAt time.Time
+	// leavingChangedAt is when the last one was found to leave by what it said.
+	leavingChangedAt time.Time
 	// returnedAt is when the registry answered again after an outage, olderUntil until when
 	// its entries may be older than what is known here.
 	returnedAt time.Time
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -401,12 +401,12 @@
 func (d *day) judged(begun time.Time, engines int) []judge.Broken {
 	h := &d.history
 	var broken []judge.Broken
-	broken = append(broken, judge.Once(h)...)
-	broken = append(broken, judge.Honest(h)...)
-	broken = append(broken, judge.Said(h, leavingSpread)...)
-	broken = append(broken, judge.Listed(h, leavingSpread, dayCalm)...)
+	broken = append(broken, judge.AtMostOnce(h)...)
+	broken = append(broken, judge.HonestRefusals(h)...)
+	broken = append(broken, judge.DrainByAnswer(h, leavingSpread)...)
+	broken = append(broken, judge.DrainByEntry(h, leavingSpread, dayCalm)...)
 	broken = append(broken, judge.Rest(h, restGrace, restExtra)...)
-	return append(broken, judge.Recovered(h, begun.Add(dayRecovers), dayServed*d.servable(engines))...)
+	return append(broken, judge.Recovery(h, begun.Add(dayRecovers), dayServed*d.servable(engines))...)
 }
 
 // Guards against promises that are broken where troubles of several kinds overlap:
--- a/internal/hosted/leaving.go
+++ b/internal/hosted/leaving.go
@@ -17,7 +17,7 @@
 
 // Leaving implements serving.ForwardDirectory.
 func (n *Node) Leaving(backend string) {
-	if n.backends.sayLeaving(time.Now(), entryvm.LeavingBackend{Backend: backend}, n.config.VM) {
+	if n.backends.markLeaving(time.Now(), entryvm.LeavingBackend{Backend: backend}, n.config.VM) {
 		n.backendsChanged()
 	}
 }
@@ -26,16 +26,16 @@
 func (n *Node) mergeLeaving(now time.Time, from string, list []entryvm.LeavingBackend) {
 	changed := false
 	for _, leaving := range list {
-		changed = n.backends.sayLeaving(now, leaving, from) || changed
+		changed = n.backends.markLeaving(now, leaving, from) || changed
 	}
 	if changed {
 		n.backendsChanged()
 	}
 }
 
-// sayLeaving notes that a backend server said that it leaves; it returns whether that is
+// markLeaving notes that a backend server said that it leaves; it returns whether that is
 // news. It holds until another start of it is known.
-func (t *backendTable) sayLeaving(now time.Time, leaving entryvm.LeavingBackend, from string) bool {
+func (t *backendTable) markLeaving(now time.Time, leaving entryvm.LeavingBackend, from string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.entries[leaving.Backend]
@@ -43,7 +43,7 @@
 		return false
 	}
 	b.saidLeaving = true
-	t.leavingAt = now
+	t.leavingChangedAt = now
 	leavingSaid.Inc()
 	t.logger.Info("backend server says that it leaves", zap.String("backend", leaving.Backend), zap.Bool("listed_leaving", b.Leaving),
 		zap.String("from", from))
@@ -54,7 +54,7 @@
 func (t *backendTable) publishLeaving(now time.Time, report *entryvm.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leavingAt.IsZero() || (!report.Full && now.Sub(t.leavingAt) > signalUrgent) {
+	if t.leavingChangedAt.IsZero() || (!report.Full && now.Sub(t.leavingChangedAt) > signalUrgent) {
 		return
 	}
 	for id, b := range t.entries {
--- a/internal/hosted/leaving_test.go
+++ b/internal/hosted/leaving_test.go
@@ -84,8 +84,8 @@
 		testkit.Equal(t, why, b.leaves(), want)
 	}
 	list(firstStart)
-	testkit.That(t, !table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart + 10}, "b"), "another start's word counts")
-	testkit.That(t, table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e"}, "a"), "its own word does not count")
+	testkit.That(t, !table.markLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart + 10}, "b"), "another start's word counts")
+	testkit.That(t, table.markLeaving(now, entryvm.LeavingBackend{Backend: "e"}, "a"), "its own word does not count")
 	leaves("it said so", true)
 	list(firstStart)
 	leaves("its older entry", true)
@@ -94,6 +94,6 @@
 	leaves("its older entry is back", true)
 	list(firstStart + 20)
 	leaves("it started again", false)
-	testkit.That(t, !table.sayLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart}, "b"), "a former start's word counts")
+	testkit.That(t, !table.markLeaving(now, entryvm.LeavingBackend{Backend: "e", Started: firstStart}, "b"), "a former start's word counts")
 	leaves("another VM's late report", false)
 }
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -69,12 +69,12 @@
 
 // Promises that are judged.
 const (
-	AtMostOnce     = "at most once"
-	HonestRefusals = "honest refusals"
-	LeavingSaid    = "leaving said in answers"
-	LeavingListed  = "leaving listed"
-	RestKept       = "rest kept"
-	Recovers       = "recovers"
+	atMostOnce     = "at most once"
+	honestRefusals = "honest refusals"
+	drainByAnswer  = "drain by answer"
+	drainByEntry   = "drain by entry"
+	restKept       = "rest kept"
+	recovers       = "recovers"
 )
 
 // process is one start of an entry VM.
@@ -85,8 +85,8 @@
 
 func (a *Arrival) process() process { return process{a.VM, a.Incarnation} }
 
-// Once finds requests that may run once and ran twice.
-func Once(h *History) (broken []Broken) {
+// AtMostOnce finds requests that may run once and ran twice.
+func AtMostOnce(h *History) (broken []Broken) {
 	ran := make(map[string]*Arrival)
 	for i := range h.Arrivals {
 		a := &h.Arrivals[i]
@@ -94,7 +94,7 @@
 			continue
 		}
 		if first := ran[a.Request]; first != nil {
-			broken = append(broken, Broken{AtMostOnce, a.At, fmt.Sprintf("%s ran at %s and, sent by %s, at %s", a.Request, first.Backend, a.VM, a.Backend)})
+			broken = append(broken, Broken{atMostOnce, a.At, fmt.Sprintf("%s ran at %s and, sent by %s, at %s", a.Request, first.Backend, a.VM, a.Backend)})
 			continue
 		}
 		ran[a.Request] = a
@@ -102,8 +102,8 @@
 	return broken
 }
 
-// Honest finds refusals that say "not run" of requests that ran.
-func Honest(h *History) (broken []Broken) {
+// HonestRefusals finds refusals that say "not run" of requests that ran.
+func HonestRefusals(h *History) (broken []Broken) {
 	ran := make(map[string]*Arrival)
 	for i := range h.Arrivals {
 		if a := &h.Arrivals[i]; a.Ran {
@@ -112,27 +112,27 @@
 	}
 	for _, e := range h.Endings {
 		if a := ran[e.Request]; e.NotRun && a != nil {
-			broken = append(broken, Broken{HonestRefusals, a.At, fmt.Sprintf("%s ran at %s and its caller was told that it did not", e.Request, a.Backend)})
+			broken = append(broken, Broken{honestRefusals, a.At, fmt.Sprintf("%s ran at %s and its caller was told that it did not", e.Request, a.Backend)})
 		}
 	}
 	return broken
 }
 
-// Said finds requests that callers sent later than bound after an entry VM was told in an
+// DrainByAnswer finds requests that callers sent later than bound after an entry VM was told in an
 // answer that a backend server leaves, and that reached it all the same. Only a restart of
 // the VM excuses that.
-func Said(h *History, bound time.Duration) (broken []Broken) {
-	type told struct {
+func DrainByAnswer(h *History, bound time.Duration) (broken []Broken) {
+	type path struct {
 		process
 		backend string
 	}
-	first := make(map[told]time.Time)
+	first := make(map[path]time.Time)
 	for i := range h.Arrivals {
 		a := &h.Arrivals[i]
-		key := told{a.process(), a.Backend}
+		key := path{a.process(), a.Backend}
 		at, known := first[key]
 		if known && a.Sent.Sub(at) > bound {
-			broken = append(broken, Broken{LeavingSaid, a.At, fmt.Sprintf("%s reached %s from %s %s after that was told", a.Request, a.Backend, a.VM, a.At.Sub(at))})
+			broken = append(broken, Broken{drainByAnswer, a.At, fmt.Sprintf("%s reached %s from %s %s after that was told", a.Request, a.Backend, a.VM, a.At.Sub(at))})
 		}
 		if !known && a.Leaving {
 			first[key] = a.At
@@ -141,9 +141,9 @@
 	return broken
 }
 
-// Listed finds requests that reach a backend server later than bound after the registry took
+// DrainByEntry finds requests that reach a backend server later than bound after the registry took
 // its leaving, from VMs that nothing disrupted since calm before that.
-func Listed(h *History, bound, calm time.Duration) (broken []Broken) {
+func DrainByEntry(h *History, bound, calm time.Duration) (broken []Broken) {
 	left := make(map[string]time.Time)
 	for _, l := range h.Leavings {
 		if _, known := left[l.Backend]; !known {
@@ -156,7 +156,7 @@
 		if !leaves || a.Sent.Sub(at) <= bound || h.disrupted(a.VM, at.Add(-calm), a.At, true) {
 			continue
 		}
-		broken = append(broken, Broken{LeavingListed, a.At, fmt.Sprintf("%s reached %s from %s %s after its leaving was accepted", a.Request, a.Backend, a.VM, a.At.Sub(at))})
+		broken = append(broken, Broken{drainByEntry, a.At, fmt.Sprintf("%s reached %s from %s %s after its leaving was accepted", a.Request, a.Backend, a.VM, a.At.Sub(at))})
 	}
 	return broken
 }
@@ -177,15 +177,15 @@
 			}
 		}
 		if count > extra && !h.disrupted(asked.VM, asked.At, end, false) {
-			broken = append(broken, Broken{RestKept, asked.At, fmt.Sprintf("%s asked %s for %s of rest and got %d requests in it", asked.Backend, asked.VM, asked.Rest, count)})
+			broken = append(broken, Broken{restKept, asked.At, fmt.Sprintf("%s asked %s for %s of rest and got %d requests in it", asked.Backend, asked.VM, asked.Rest, count)})
 		}
 	}
 	return broken
 }
 
-// Recovered finds that less than the least share of the requests sent from a time on was
+// Recovery finds that less than the least share of the requests sent from a time on was
 // answered.
-func Recovered(h *History, from time.Time, least float64) (broken []Broken) {
+func Recovery(h *History, from time.Time, least float64) (broken []Broken) {
 	sent, answered := 0, 0
 	for _, e := range h.Endings {
 		if e.Sent.Before(from) {
@@ -197,7 +197,7 @@
 		}
 	}
 	if float64(answered) < least*float64(sent) {
-		broken = append(broken, Broken{Recovers, from, fmt.Sprintf("%d of %d requests were answered", answered, sent)})
+		broken = append(broken, Broken{recovers, from, fmt.Sprintf("%d of %d requests were answered", answered, sent)})
 	}
 	return broken
 }
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -41,12 +41,12 @@
 
 // Guards against a judge that finds nothing, and against one that blames what is allowed.
 func TestJudges(t *testing.T) {
-	once := func(h *judge.History) []judge.Broken { return judge.Once(h) }
-	honest := func(h *judge.History) []judge.Broken { return judge.Honest(h) }
-	said := func(h *judge.History) []judge.Broken { return judge.Said(h, 2*time.Second) }
-	listed := func(h *judge.History) []judge.Broken { return judge.Listed(h, 2*time.Second, 3*time.Second) }
+	once := func(h *judge.History) []judge.Broken { return judge.AtMostOnce(h) }
+	honest := func(h *judge.History) []judge.Broken { return judge.HonestRefusals(h) }
+	said := func(h *judge.History) []judge.Broken { return judge.DrainByAnswer(h, 2*time.Second) }
+	listed := func(h *judge.History) []judge.Broken { return judge.DrainByEntry(h, 2*time.Second, 3*time.Second) }
 	rest := func(h *judge.History) []judge.Broken { return judge.Rest(h, 500*time.Millisecond, 2) }
-	recovered := func(h *judge.History) []judge.Broken { return judge.Recovered(h, at(10), 0.5) }
+	recovered := func(h *judge.History) []judge.Broken { return judge.Recovery(h, at(10), 0.5) }
 	three := []judge.Arrival{rests(1), turnedAway("p", 1.6), turnedAway("q", 2), turnedAway("r", 3.9)}
 	left := []judge.Leaving{{Backend: "b", At: at(5)}}
 	for _, c := range []struct {
--- a/routing/rest.go
+++ b/routing/rest.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		e := r.engines[c.Engine]
-		if e == nil || !e.rest.asked(now) {
+		if e == nil || !e.rest.ongoing(now) {
 			return time.Time{}, false
 		}
 		if !all || e.rest.until.Before(until) {
@@ -39,7 +39,7 @@
 	return until, all
 }
 
-func (s *rest) asked(now time.Time) bool { return now.Before(s.until) }
+func (s *rest) ongoing(now time.Time) bool { return now.Before(s.until) }
 
 func (s *rest) started() { s.probing = s.recovering }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -235,7 +235,7 @@
 func (r *Router) Sick(now time.Time) map[string]bool {
 	var sick map[string]bool
 	for name, e := range r.engines {
-		if e.breaker.state(now) != BreakerOpen && !e.rest.asked(now) {
+		if e.breaker.state(now) != BreakerOpen && !e.rest.ongoing(now) {
 			continue
 		}
 		if sick == nil {
