--- a/routing/pick.go
+++ b/routing/pick.go
@@ -223,7 +223,7 @@
 	own := 0
 	if e != nil {
 		own = e.inFlight
-		if e.rest.ongoing(now) || e.rest.probing {
+		if e.rest.closed(now) {
 			return 0
 		}
 		if now.Sub(e.refusedAt) < busyPause && !c.LoadAt.After(e.refusedAt) {
--- a/routing/rest.go
+++ b/routing/rest.go
@@ -7,17 +7,22 @@
 // engine that is not well yet.
 type rest struct {
 	until time.Time
-	// recovering is whether no request was served since; probing is whether one is on its way.
-	recovering, probing bool
+	// recovering is whether no request was served since.
+	recovering bool
+	// probedUntil is until when one that is on its way keeps back the next, zero without one.
+	probedUntil time.Time
 }
 
+// probeTime is how long a request without an answer keeps back the next one.
+const probeTime = time.Second
+
 // Rest tells that an engine, which turned a request away, wants no more of them until then.
 func (r *Router) Rest(engine string, until time.Time) {
 	e := r.state(engine)
 	if until.After(e.rest.until) {
 		e.rest.until = until
 	}
-	e.rest.recovering, e.rest.probing = true, false
+	e.rest.recovering, e.rest.probedUntil = true, time.Time{}
 }
 
 // Resting returns when the first of the engines that are ready for the query ends its rest;
@@ -41,12 +46,19 @@
 
 func (s *rest) ongoing(now time.Time) bool { return now.Before(s.until) }
 
-func (s *rest) started() { s.probing = s.recovering }
+// closed tells whether the engine gets no request now.
+func (s *rest) closed(now time.Time) bool { return s.ongoing(now) || now.Before(s.probedUntil) }
+
+func (s *rest) started(now time.Time) {
+	if s.recovering {
+		s.probedUntil = now.Add(probeTime)
+	}
+}
 
 // served notes that the engine serves: what was sent before the rest tells nothing.
 func (s *rest) served() {
-	if s.probing {
-		s.recovering, s.probing = false, false
+	if !s.probedUntil.IsZero() {
+		s.recovering, s.probedUntil = false, time.Time{}
 	}
 }
 
@@ -54,5 +66,5 @@
 	if ok {
 		s.served()
 	}
-	s.probing = false
+	s.probedUntil = time.Time{}
 }
--- a/routing/rest_test.go
+++ b/routing/rest_test.go
@@ -34,6 +34,8 @@
 	picks("after it", true)
 	start()
 	picks("while one is on its way", false)
+	now = now.Add(1500 * time.Millisecond)
+	picks("while one gets no answer for long", true)
 	r.Finished(now, "e", routing.Result{NotRun: true})
 	now = now.Add(time.Second)
 	picks("after that was turned away without a time", true)
--- a/routing/router.go
+++ b/routing/router.go
@@ -95,7 +95,7 @@
 	e.inFlight++
 	e.history.record(now, e.inFlight)
 	e.breaker.started(now)
-	e.rest.started()
+	e.rest.started(now)
 	if e.awaiting == 0 {
 		e.silentSince = now
 	}
