--- a/routing/pick.go
+++ b/routing/pick.go
@@ -238,11 +238,7 @@
 		}
 		busy = max(busy, c.Running+c.Queued+since)
 	}
-	free := max(0, c.Slots+r.turnover(pool, c)-busy)
-	if e != nil && e.rest.recovering {
-		free = min(free, 1)
-	}
-	return free
+	return max(0, c.Slots+r.turnover(pool, c)-busy)
 }
 
 // markHolders notes how much of the prompt each view's engine has cached.
--- a/routing/rest_test.go
+++ b/routing/rest_test.go
@@ -61,3 +61,23 @@
 	_, resting = r.Resting(now, routing.Query{}, nil)
 	testkit.That(t, !resting, "nobody has the unit")
 }
+
+// Guards against an engine that gets nothing after its rest, as others look less busy.
+func TestEngineIsTriedAfterItsRest(t *testing.T) {
+	r := routing.New(routing.Config{}, rand.New(rand.NewSource(1)))
+	now := time.Unix(1000, 0)
+	candidates := []routing.Candidate{{Engine: "a", Slots: 8, Ready: true}, {Engine: "b", Slots: 8, Ready: true}}
+	r.Rest("a", now.Add(time.Second))
+	now = now.Add(2 * time.Second)
+	for i := range 50 {
+		choice, ok := r.Pick(now, routing.Query{Unit: "u", Pool: "u"}, candidates)
+		testkit.Need(t, ok, "no engine for request %d", i)
+		if choice.Engine == "a" {
+			return
+		}
+		r.Started(now, choice.Engine, "u", nil)
+		now = now.Add(100 * time.Millisecond)
+		r.Finished(now, choice.Engine, routing.Result{OK: true})
+	}
+	t.Error("none of 50 requests went to the engine that had rested")
+}
