hosted: one way to find the newest configuration, one condition for reports of signals

newestConfiguration repeated drawNewestConfig's loop; limits and leaving repeated when a report carries them. Reports looked through all backend servers once any had ever left; now only while one does. No behaviour changed; the tests of internal/hosted pass.

--- a/internal/hosted/leaving.go
+++ b/internal/hosted/leaving.go
@@ -54,7 +54,7 @@
 func (t *backendTable) publishLeaving(now time.Time, report *entryvm.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leavingChangedAt.IsZero() || (!report.Full && now.Sub(t.leavingChangedAt) > signalUrgent) {
+	if t.leavingChangedAt.IsZero() || !signalsDue(now, t.leavingChangedAt, report) {
 		return
 	}
 	for id, b := range t.entries {
@@ -62,4 +62,7 @@
 			report.LeavingBackends = append(report.LeavingBackends, entryvm.LeavingBackend{Backend: id, Started: b.start})
 		}
 	}
+	if len(report.LeavingBackends) == 0 {
+		t.leavingChangedAt = time.Time{}
+	}
 }
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -152,11 +152,17 @@
 	}
 }
 
+// signalsDue tells whether a report carries signals of backend servers that last changed
+// then.
+func signalsDue(now, changedAt time.Time, report *entryvm.Report) bool {
+	return report.Full || now.Sub(changedAt) <= signalUrgent
+}
+
 // publish adds the limits to a report.
 func (l *limits) publish(now time.Time, report *entryvm.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.known) == 0 || (!report.Full && now.Sub(l.changedAt) > signalUrgent) {
+	if len(l.known) == 0 || !signalsDue(now, l.changedAt, report) {
 		return
 	}
 	for id, b := range l.known {
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -221,11 +221,7 @@
 func (m *members) newestConfiguration() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	newest := m.relayed.newestConfig.Configuration
-	for _, p := range m.peers {
-		newest = max(newest, p.report.Configuration)
-	}
-	return newest
+	return m.newestConfig().Configuration
 }
 
 // failed notes an exchange that failed. Where it was the last that the VM, or its whole
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -156,13 +156,19 @@
 
 // drawNewestConfig is the other VM with the newest configuration known. Call with mu held.
 func (m *members) drawNewestConfig() entryvm.VMVersion {
+	m.relayed.newestConfig = m.newestConfig()
+	return m.relayed.newestConfig
+}
+
+// newestConfig is the VM with the newest configuration that a relay or a peer reported. Call
+// with mu held.
+func (m *members) newestConfig() entryvm.VMVersion {
 	newestConfig := m.relayed.newestConfig
 	for _, p := range m.peers {
 		if p.report.Configuration > newestConfig.Configuration {
 			newestConfig = entryvm.VMVersion{Address: p.address, Configuration: p.report.Configuration}
 		}
 	}
-	m.relayed.newestConfig = newestConfig
 	return newestConfig
 }
 
