caller: count the open connections by state at a shutdown

The log line "shutdown grace expired" named the open requests only, which are 0 where the shutdown waits for connections without a request. Each connection now records the state that net/http reports and whether its last read returned data, so the log and bergamotreel_caller_connections_cut_off_total tell unused, idle, reading and answering connections apart.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,7 +19,8 @@
 // refusal. All further connections are closed at once.
 type limitListener struct {
 	net.Listener
-	limiter *connectionLimiter
+	limiter     *connectionLimiter
+	connections *connections
 }
 
 // Accept implements net.Listener.
@@ -35,31 +35,25 @@
 		allowed := l.limiter.maxOpen()
 		switch {
 		case l.limiter.open.Load() < allowed:
-			return newLimitedConn(conn, &l.limiter.open, false), nil
+			return l.track(conn, &l.limiter.open, false), nil
 		case l.limiter.overflow.Load() < allowed/overflowDivisor+1:
-			return newLimitedConn(conn, &l.limiter.overflow, true), nil
+			return l.track(conn, &l.limiter.overflow, true), nil
 		default:
 			_ = conn.Close()
 		}
 	}
 }
 
-// limitedConn decrements its connection count when it is closed.
-type limitedConn struct {
-	net.Conn
-	release   func()
-	overLimit bool
-}
-
-func newLimitedConn(conn net.Conn, count *atomic.Int64, overLimit bool) *limitedConn {
+// track counts conn until it is closed.
+func (l *limitListener) track(conn net.Conn, count *atomic.Int64, overLimit bool) *limitedConn {
+	limited := &limitedConn{Conn: conn, overLimit: overLimit}
+	limited.release = sync.OnceFunc(func() {
+		count.Add(-1)
+		l.connections.remove(limited)
+	})
 	count.Add(1)
-	return &limitedConn{Conn: conn, overLimit: overLimit, release: sync.OnceFunc(func() { count.Add(-1) })}
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
+	l.connections.add(limited)
+	return limited
 }
 
 type overLimitKey struct{}
@@ -67,10 +61,7 @@
 // markOverLimit stores in the context of a connection's requests whether the
 // connection is over the limit.
 func markOverLimit(ctx context.Context, conn net.Conn) context.Context {
-	if secure, ok := conn.(*tls.Conn); ok {
-		conn = secure.NetConn()
-	}
-	limited, ok := conn.(*limitedConn)
+	limited, ok := unwrapConn(conn)
 	return context.WithValue(ctx, overLimitKey{}, ok && limited.overLimit)
 }
 
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -39,3 +39,18 @@
 	}
 	m.firstTokenWarm.Update(wait.Seconds())
 }
+
+// cutOffTotal counts the open connections that Server.Close closed, by their state.
+var cutOffTotal = struct{ new, idle, reading, answering *metrics.Counter }{
+	metrics.NewCounter(`bergamotreel_caller_connections_cut_off_total{state="new"}`),
+	metrics.NewCounter(`bergamotreel_caller_connections_cut_off_total{state="idle"}`),
+	metrics.NewCounter(`bergamotreel_caller_connections_cut_off_total{state="reading"}`),
+	metrics.NewCounter(`bergamotreel_caller_connections_cut_off_total{state="answering"}`),
+}
+
+func countCutOff(counts ConnectionCounts) {
+	cutOffTotal.new.Add(counts.New)
+	cutOffTotal.idle.Add(counts.Idle)
+	cutOffTotal.reading.Add(counts.Reading)
+	cutOffTotal.answering.Add(counts.Answering)
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -31,6 +31,8 @@
 	handler http.Handler
 	limits  Limits
 	limiter *connectionLimiter
+	// connections are the open ones.
+	connections *connections
 	// draining is set by Drain.
 	draining atomic.Bool
 }
@@ -38,7 +40,7 @@
 // NewServer returns a server. If tlsConfig is not nil, it serves TLS with HTTP/1.1
 // and HTTP/2.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
-	s := &Server{handler: handler, limits: limits.withDefaults()}
+	s := &Server{handler: handler, limits: limits.withDefaults(), connections: newConnections()}
 	s.limiter = newConnectionLimiter(s.limits)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
@@ -47,6 +49,7 @@
 		ReadTimeout:    s.limits.ReadTimeout,
 		IdleTimeout:    s.limits.IdleTimeout,
 		ConnContext:    markOverLimit,
+		ConnState:      trackState,
 	}
 	return s
 }
@@ -60,7 +63,7 @@
 
 // Serve accepts connections until Shutdown or Close, after which it returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.serveListener(&limitListener{Listener: listener, limiter: s.limiter})
+	err := s.serveListener(&limitListener{Listener: listener, limiter: s.limiter, connections: s.connections})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -91,7 +94,13 @@
 }
 
 // Close closes all connections, including those with running requests.
-func (s *Server) Close() error { return Error.Wrap(s.http.Close()) }
+func (s *Server) Close() error {
+	countCutOff(s.OpenConnections())
+	return Error.Wrap(s.http.Close())
+}
+
+// OpenConnections counts the open connections by their state.
+func (s *Server) OpenConnections() ConnectionCounts { return s.connections.count() }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	overLimit := isOverLimit(r.Context()) || s.limiter.isExceeded()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,10 +209,7 @@
 	d.node.Leave()
 	d.callers.Drain()
 	pause.For(ctx, balancerDelay)
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.logger.Warn("shutdown grace expired, closing open requests", zap.Int("open", d.node.OpenRequests()), zap.Error(err))
-		_ = d.callers.Close()
-	}
+	shutDownCallers(ctx, d.callers, d.node.OpenRequests, d.logger)
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
 	d.node.Stop(stop)
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -176,10 +176,7 @@
 	h.node.BeginShutdown(ctx)
 	pause.For(ctx, hostedBalancerDelay-time.Since(start))
 	h.node.RefuseWaiting()
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.logger.Warn("shutdown grace expired, closing open requests", zap.Int("open", h.node.OpenRequests()), telemetry.Reason(err))
-		_ = h.callers.Close()
-	}
+	shutDownCallers(ctx, h.callers, h.node.OpenRequests, h.logger)
 	h.logger.Info("stopped", zap.Duration("took", time.Since(start)))
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -1,6 +1,14 @@
 package daemon
 
-import "sync"
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/caller"
+	"bergamotreel/internal/telemetry"
+)
 
 // servers runs the daemon's servers concurrently. The first failure ends the daemon.
 type servers struct {
@@ -19,3 +27,16 @@
 		}
 	})
 }
+
+// shutDownCallers waits for the callers' open requests until ctx ends, and then closes
+// the connections that remain.
+func shutDownCallers(ctx context.Context, callers *caller.Server, openRequests func() int, logger *zap.Logger) {
+	logger.Info("closing idle connections", zap.Int("open", openRequests()), zap.Object("connections", callers.OpenConnections()))
+	err := callers.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	logger.Warn("shutdown grace expired, closing open requests", zap.Int("open", openRequests()),
+		zap.Object("connections", callers.OpenConnections()), telemetry.Reason(err))
+	_ = callers.Close()
+}
