serving: log and count attempts that this VM ends for silence

The attempt line didn't tell whether a failed attempt was ended by the backend server or by this VM's stall guard, how long the server had been silent, what had been delivered by then, or whether the VM was stopping. The counter bergamotreel_relay_silent_attempts_total tells what became of the requests.

No decision changes. The line `request ended` is unchanged: it has the same request ID, and the reason there stays the one that the caller was given.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -114,6 +114,10 @@
 	// lastEventID is the id of the last event that the caller received, empty before
 	// the first.
 	lastEventID string
+	// lastReceived is when the current attempt last received data, zero before the first;
+	// pieces counts the pieces of data that it received.
+	lastReceived time.Time
+	pieces       int
 	// limit, leaving and cooldown are what the answer of the last attempt said: a
 	// limit on further requests, whether the backend server is leaving, and for how
 	// long it wants no requests.
@@ -143,7 +147,11 @@
 		if err == nil {
 			return nil
 		}
+		endedForSilence := isEndedForSilence(err)
 		err = f.handleFailure(ctx, err)
+		if endedForSilence {
+			f.countSilentAttempt(ctx, err)
+		}
 	}
 	return f.finalError(ctx, err)
 }
@@ -217,6 +225,7 @@
 // attempt sends the request to the assigned backend server and forwards the answer.
 // It sets f.outcome.
 func (f *forwarding) attempt(ctx context.Context) error {
+	f.lastReceived, f.pieces = time.Time{}, 0
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
 	if !ok {
 		f.outcome = attemptOutcome{excludeBackend: true}
@@ -414,6 +423,8 @@
 // data.
 func (f *forwarding) recordProgress(guard *stallGuard) {
 	now := time.Now()
+	f.lastReceived = now
+	f.pieces++
 	guard.recordProgress(now)
 	if f.pending.timeToFirstToken == 0 {
 		f.pending.recordFirstToken(now)
@@ -434,6 +445,9 @@
 		zap.Duration("ran", time.Since(f.pending.attemptStart)),
 		zap.String("outcome", outcome), zap.Bool("may_have_run", f.outcome.mayHaveRun), telemetry.Reason(err),
 	}
+	if err != nil {
+		fields = append(fields, f.silenceFields(err)...)
+	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -64,12 +64,16 @@
 }
 
 func newForwardTestbed(t *testing.T) *forwardTestbed {
+	return newForwardTestbedWithLog(t, zap.NewNop())
+}
+
+func newForwardTestbedWithLog(t *testing.T, log *zap.Logger) *forwardTestbed {
 	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	b.server = serving.New(serving.Config{
 		Domain: "a", Directory: b, ForwardDirectory: b, Forwarder: b, Admission: controller,
-		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: zap.NewNop(), RetryShare: 0.1, Quarantine: b,
+		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: log, RetryShare: 0.1, Quarantine: b,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -344,7 +348,6 @@
 // third event of a stream: the caller has two complete events, and the stream continues
 // after them on another engine.
 func TestForwardResumesStream(t *testing.T) {
-	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id) }
 	synctest.Test(t, func(t *testing.T) {
 		b := newForwardTestbed(t)
 		b.respond = func(_ context.Context, number int, s sentRequest) (*service.ForwardResponse, error) {
--- /dev/null
+++ b/internal/serving/silence.go
@@ -0,0 +1,62 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// silentAttemptsTotal counts the attempts that this VM ended because the backend server
+// was silent, by what became of the request.
+const silentAttemptsTotal = "bergamotreel_relay_silent_attempts_total"
+
+var (
+	silentContinued  = metrics.NewCounter(silentAttemptsTotal + `{outcome="continued"}`)
+	silentCut        = metrics.NewCounter(silentAttemptsTotal + `{outcome="cut"}`)
+	silentRefused    = metrics.NewCounter(silentAttemptsTotal + `{outcome="refused"}`)
+	silentCallerLeft = metrics.NewCounter(silentAttemptsTotal + `{outcome="caller_left"}`)
+)
+
+// isEndedForSilence reports whether the error is that of an attempt that the stall guard
+// ended, and not the backend server.
+func isEndedForSilence(err error) bool {
+	return errors.Is(err, errHeadTimeout) || errors.Is(err, errStalled)
+}
+
+// countSilentAttempt counts an attempt that ended for silence. The error is what ends the
+// request, nil if it continues on another backend server.
+func (f *forwarding) countSilentAttempt(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		silentContinued.Inc()
+	case errors.Is(ctx.Err(), context.Canceled):
+		silentCallerLeft.Inc()
+	case f.answer.HasBegun():
+		silentCut.Inc()
+	default:
+		silentRefused.Inc()
+	}
+}
+
+// silenceFields returns the log fields that tell a failure of the backend server from an
+// attempt that this VM ended because of its silence.
+func (f *forwarding) silenceFields(err error) []zap.Field {
+	since := f.pending.attemptStart
+	if !f.lastReceived.IsZero() {
+		since = f.lastReceived
+	}
+	return []zap.Field{
+		zap.Bool("ended_for_silence", isEndedForSilence(err)), zap.Duration("silent_for", time.Since(since)),
+		zap.Int("pieces", f.pieces), zap.String("last_event", f.lastEventID), zap.Bool("stopping", f.server.isStopping()),
+	}
+}
+
+// isStopping reports whether this VM refuses requests instead of queueing them.
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
