caller: a route's timeout may exceed 30 s

What callers saw: on a route with a timeout of 35 s, a request whose caller also waits 35 s (Bergamotreel-Deadline-Ms: 35000) was cut 30 s after its arrival with its backend server sound: a stream broke off, any other request got 504. Its line `request ended` says `allowed 30s`.

Cause: maxRequestTime (30 s) is documented as the limit where neither the caller nor the route sets a timeout, but computeAnswerDeadline took the least of all three.

Now the route's timeout bounds the request, and the caller's timeout shortens it. maxRequestTime takes the place of the route's timeout where the route sets none, so that a caller alone can't ask for weeks: 14 days give 35 s on a route with 35 s and 30 s on a route without a timeout. All rows of the test that were there keep their results.

Evidence: TestRelayDeadlinesPrecedeCallerTimeout with the new rows, before the fix, first lines of seven: final answer: got "30s", want "34.98s" begin: got "29.9s", want "34.88s" After it: passed.

Ruled out by reading that anything else assumes at most 30 s: the deadline passed to backend servers and the context of Forward come from AnswerDeadline; the stall guard of a last attempt ends an hour after it; the backend client has no timeout of its own and http.Server no WriteTimeout; the read deadline is lifted once the body is read; the callers' write timeout is renewed at each write; permits, quota credit, cooldowns and engine updates live for seconds already and are renewed or spent at the start of an attempt; the quarantine keeps suspects for 10 minutes; LongRunningUnits is used by the log platform only, whose requests don't pass here. routing.maxLatencyAge (30 s) is the age of a latency sample, not the life of a request.

A stream on a stopping VM is still bounded by shutdown_grace (7.2 s in deploy/).

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -123,8 +123,8 @@
 	relaysOKSeconds = metrics.GetOrCreateHistogram(relaySeconds + `{code="` + codeOK + `"}`)
 )
 
-// maxRequestTime is the maximum time until a request must be answered. It is the only
-// limit if neither the caller nor the route sets a timeout.
+// maxRequestTime is the maximum time until a request must be answered if its route sets
+// no timeout. It bounds the timeout that its caller sets, however long that is.
 const maxRequestTime = 30 * time.Second
 
 // answerMargin is how long before the caller's or the route's timeout the final answer
@@ -223,14 +223,20 @@
 // before the caller's timeout and the route's timeout, whichever is earlier.
 func computeAnswerDeadline(arrived time.Time, callerTimeout, routeTimeout time.Duration) time.Time {
 	allowed := maxRequestTime
-	for _, bound := range []time.Duration{callerTimeout, routeTimeout} {
-		if bound > 0 {
-			allowed = min(allowed, max(bound-answerMargin, bound/2))
-		}
+	if routeTimeout > 0 {
+		allowed = subtractAnswerMargin(routeTimeout)
+	}
+	if callerTimeout > 0 {
+		allowed = min(allowed, subtractAnswerMargin(callerTimeout))
 	}
 	return arrived.Add(allowed)
 }
 
+// subtractAnswerMargin returns the timeout less answerMargin, but at least half of it.
+func subtractAnswerMargin(timeout time.Duration) time.Duration {
+	return max(timeout-answerMargin, timeout/2)
+}
+
 // computeBeginDeadline returns the time until which the request may wait for its first
 // attempt; an attempt that begins later can't answer before the caller disconnects. The
 // deadline is refusalMargin earlier than that, because a refusal sent only a moment
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -100,6 +100,11 @@
 		{30 * time.Second, 25 * time.Second, 8 * time.Second, 24980 * time.Millisecond, 7900 * time.Millisecond},
 		{4 * time.Second, 25 * time.Second, 8 * time.Second, 3980 * time.Millisecond, 3880 * time.Millisecond},
 		{30 * time.Millisecond, 0, 0, 15 * time.Millisecond, 12 * time.Millisecond},
+		{35 * time.Second, 35 * time.Second, 0, 34980 * time.Millisecond, 34880 * time.Millisecond},
+		{35 * time.Second, 40 * time.Second, 8 * time.Second, 34980 * time.Millisecond, 7900 * time.Millisecond},
+		{0, 35 * time.Second, 0, 34980 * time.Millisecond, 34880 * time.Millisecond},
+		{14 * 24 * time.Hour, 35 * time.Second, 0, 34980 * time.Millisecond, 34880 * time.Millisecond},
+		{14 * 24 * time.Hour, 0, 0, maxRequestTime, maxRequestTime - refusalMargin},
 	}
 	for _, test := range tests {
 		last := computeAnswerDeadline(arrived, test.callerTimeout, test.routeTimeout)
