caller: an answer may end long after its last piece

What callers saw: a complete stream whose backend server sends the last event, pauses and only then ends the answer (or its connection, which ends an answer without a length) broke off before the last chunk of the HTTP body, and the connection was closed.

Cause: answerWriter moves the write deadline (write_timeout, 10 s) only when it writes, and only if less than half of it is left, so the deadline may be 5 s ahead after the last event. When Relay has returned, net/http writes the end of the body under that old deadline; if it has passed, the write fails.

Ruled out (trials over TCP with the real server): a pause between two events doesn't break an answer, because each write renews the deadline first and a deadline that passes without a write leaves no error behind; the next request on the connection isn't affected either, since net/http lifts the write deadline after each answer.

It works because the deadline is renewed right before net/http writes the end.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -164,6 +164,7 @@
 	err := h.relay(x, r)
 	h.record(x, r, err)
 	if err == nil {
+		x.answer.extendDeadline() // net/http sends the end of the answer next
 		return
 	}
 	if x.answer.begun || r.Context().Err() != nil {
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -191,3 +191,22 @@
 	conn.Close()
 	<-disconnected
 }
+
+// A backend server that ends its answer long after its last piece must not lose the end:
+// the write deadline of that piece has passed by then, and the caller would take the
+// answer for a broken one.
+func TestRelayAnswerEndsAfterPause(t *testing.T) {
+	const writeTimeout = 40 * time.Millisecond
+	b := &relayBackend{relay: func(_ context.Context, _ RelayRequest, answer AnswerWriter) error {
+		answer.WriteHead(200, http.Header{}, -1)
+		err := answer.Write([]byte("all"))
+		time.Sleep(3 * writeTimeout)
+		return err
+	}}
+	conn := testkit.Value(net.Dial("tcp", startRelayServer(t, b, Limits{WriteTimeout: writeTimeout})))(t)
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h.example\r\nX-Id: 7\r\n\r\n")
+	answer := testkit.Value(http.ReadResponse(bufio.NewReader(conn), nil))(t)
+	body, err := io.ReadAll(answer.Body)
+	testkit.That(t, string(body) == "all" && err == nil, "%q, %v", body, err)
+}
