caller: a stream's [DONE] or error event may come long after its last chunk

What callers saw (the product's own interface): a stream that its engine ended, or that failed, more than one to two write timeouts (10 to 20 s) after its last chunk had neither [DONE] nor the error event; the connection was closed.

Cause: streamSink computed the write deadline from the time of the last chunk, also for the event that follows it later, so the deadline had passed already.

Chunks keep the time that advance has read, which saves a reading of the clock for each token.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -311,3 +311,23 @@
 		testkit.That(t, answer.StatusCode == 503 && answer.Header.Get("Retry-After") == "1", "over: %v", answer)
 	})
 }
+
+// The backend ends or fails a stream long after its last chunk. The caller must still get
+// [DONE] or the error event: the write deadline of that chunk has passed by then.
+func TestStreamEndsAfterPause(t *testing.T) {
+	lost := refusal.NewMaybeRan(refusal.CodeOutcomeUnknown, "engine lost")
+	for want, err := range map[string]error{"1  [DONE]": nil, "1 error " + engineLostEvent: lost} {
+		backend := &fakeBackend{}
+		runServer(t, backend, caller.Limits{WriteTimeout: time.Second}, func(t *testing.T, _ *caller.Server, network memoryNet) {
+			backend.generate = func(ctx context.Context, g caller.Generation, sink caller.Sink) error {
+				_ = chunks(nil, "{}")(ctx, g, sink)
+				time.Sleep(3 * time.Second)
+				return err
+			}
+			conn := network.dial()
+			defer conn.Close()
+			send(conn, request("POST", chat, "key-rental", goodStream))
+			testkit.NoDiff(t, []string{"1  {}", want}, readEvents(readAnswer(t, conn).Body))
+		})
+	}
+}
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -90,7 +90,7 @@
 	if err := s.BufferChunk(c); err != nil {
 		return err
 	}
-	return s.writeBuffer()
+	return s.writeBuffer(s.lastChunkAt)
 }
 
 // BufferChunk implements BufferingSink. It writes the buffer when that reaches
@@ -103,7 +103,7 @@
 	if len(s.buffer) < maxBufferedBytes {
 		return nil
 	}
-	return s.writeBuffer()
+	return s.writeBuffer(s.lastChunkAt)
 }
 
 // Flush implements BufferingSink.
@@ -111,13 +111,13 @@
 	if len(s.buffer) == 0 {
 		return nil
 	}
-	return s.writeBuffer()
+	return s.writeBuffer(s.lastChunkAt)
 }
 
 // writeDone sends the event that marks a complete answer.
 func (s *streamSink) writeDone() error {
 	s.buffer = append(s.buffer, "data: [DONE]\n\n"...)
-	return s.writeBuffer()
+	return s.writeBuffer(time.Now())
 }
 
 // writeError sends the refusal as an error event that ends the answer.
@@ -125,14 +125,14 @@
 	s.buffer = append(s.buffer, "event: error\ndata: "...)
 	s.buffer = append(s.buffer, encodeRefusal(r)...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	_ = s.writeBuffer()
+	_ = s.writeBuffer(time.Now())
 }
 
-func (s *streamSink) writeBuffer() error {
+func (s *streamSink) writeBuffer(now time.Time) error {
 	if !s.headerSent {
 		s.writeHeader()
 	}
-	s.extendDeadline()
+	s.extendDeadline(now)
 	_, err := s.w.Write(s.buffer)
 	s.buffer = s.buffer[:0]
 	if err == nil {
@@ -158,11 +158,11 @@
 // Without it a caller that stops reading would occupy its engine's slot
 // indefinitely. Moving it for each token would cost more than the other work for the
 // token.
-func (s *streamSink) extendDeadline() {
-	if s.deadline.Sub(s.lastChunkAt) > s.timeout {
+func (s *streamSink) extendDeadline(now time.Time) {
+	if s.deadline.Sub(now) > s.timeout {
 		return
 	}
-	s.deadline = s.lastChunkAt.Add(2 * s.timeout)
+	s.deadline = now.Add(2 * s.timeout)
 	// The error is ignored: writers of tests don't support deadlines.
 	_ = s.controller.SetWriteDeadline(s.deadline)
 }
