cmd/bergamotreel: the loss of the log's reader doesn't end the process

What callers saw: the entry VM's process ended by SIGPIPE with all requests open, at the first line that it logged after the reader of its standard output had closed the pipe (a log collector that ends or restarts).

Cause: Go ends a process at a write to a broken pipe on standard output or standard error unless it handles or ignores SIGPIPE; the daemon did neither. AsyncWriter ignores the error of such a write, but never gets it.

serve ignores SIGPIPE; the other verbs still end when their output's reader has left. Sockets aren't concerned: Go returns the error of a write to them.

--- a/cmd/bergamotreel/serve.go
+++ b/cmd/bergamotreel/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -28,6 +30,8 @@
 			sub.Bool(&check, "k", "check", "check the settings and tell what would run, without running it")
 		},
 		Run: func(ctx context.Context, out io.Writer) error {
+			// The loss of the log's reader must not end the process.
+			signal.Ignore(syscall.SIGPIPE)
 			if config == "" {
 				config = os.Getenv(configVariable)
 			}
