caller: a stream that may be resumed declares no length

What callers saw: a resumable stream whose first backend server declared a length (Content-Length) and broke off, and that a second one continued to its end, ended as broken after the first server's events. If the first part alone had the declared length, the stream looked complete without the rest.

Cause: deliverEvents passes length -1, because the length of one attempt isn't that of the resumed stream, but WriteHead copies the backend server's header with its Content-Length all the same; net/http then rejects the bytes beyond it.

Answers of known length aren't concerned, their length is set as before. One without a length already came without the header.

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -38,6 +38,8 @@
 	}
 	if length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	} else {
+		out.Del("Content-Length") // may be in the backend server's header
 	}
 	if out.Get("Content-Type") == "" {
 		out["Content-Type"] = nil // keeps net/http from guessing one
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -210,3 +210,16 @@
 	body, err := io.ReadAll(answer.Body)
 	testkit.That(t, string(body) == "all" && err == nil, "%q, %v", body, err)
 }
+
+// A stream that a second backend server resumes has another length than the first one
+// declared. If the caller got that length, the stream would look complete too early.
+func TestRelayUnknownLengthIsNotDeclared(t *testing.T) {
+	b := &relayBackend{relay: func(_ context.Context, _ RelayRequest, answer AnswerWriter) error {
+		answer.WriteHead(200, http.Header{"Content-Length": {"5"}}, -1)
+		return errors.Join(answer.Write([]byte("first")), answer.Write([]byte("resumed")))
+	}}
+	got := exchangeRaw(t, startRelayServer(t, b, Limits{}), "GET /a HTTP/1.1\r\n"+commonHeaders+"\r\n")
+	answer := testkit.Value(http.ReadResponse(bufio.NewReader(strings.NewReader(got)), nil))(t)
+	body, err := io.ReadAll(answer.Body)
+	testkit.That(t, string(body) == "firstresumed" && err == nil, "%q, %v", body, err)
+}
