caller: a slow caller may need longer than the write timeout for one piece

What callers saw: a caller that reads steadily at 5 KB/s got 51,633 of 65,536 bytes of a safe answer, then its connection was closed. The limit is meant for callers that don't read (Limits.WriteTimeout).

Cause: a safe answer of up to 64 KiB is written in one call, and the write deadline (10 s, set before the call) holds for all its bytes, however many have been taken.

Evidence: TestRelaySlowCaller (connection without buffers, virtual time), before: received bytes: got "51633", want "65536" sent within 10s Now 16 KiB at most are written under one deadline, as the copying of longer answers already does: 30 of 30 passed. The test also holds the caller that stops reading to the write timeout; that case passed before and after.

How far this matters outside the test depends on the buffers between: over TCP on one machine the kernel took the 64 KiB at once, so nothing was cut there. It needs a peer with small windows and a link that many answers share.

A caller below 16 KiB in 5 to 10 s (1.6 to 3.2 KB/s) is still cut off.

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -3,12 +3,17 @@
 import (
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"bergamotreel/service"
 )
 
+// maxWriteSize bounds the bytes written under one write deadline, so that a caller behind
+// a slow link can read a long piece.
+const maxWriteSize = 16 << 10
+
 // answerWriter implements AnswerWriter over net/http.
 type answerWriter struct {
 	w      http.ResponseWriter
@@ -50,9 +55,11 @@
 
 // Write implements AnswerWriter.
 func (a *answerWriter) Write(piece []byte) error {
-	a.extendDeadline()
-	if _, err := a.w.Write(piece); err != nil {
-		return Error.Wrap(err)
+	for part := range slices.Chunk(piece, maxWriteSize) {
+		a.extendDeadline()
+		if _, err := a.w.Write(part); err != nil {
+			return Error.Wrap(err)
+		}
 	}
 	if a.remaining >= 0 {
 		a.remaining -= int64(len(piece))
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -11,11 +11,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
@@ -223,3 +225,42 @@
 	body, err := io.ReadAll(answer.Body)
 	testkit.That(t, string(body) == "firstresumed" && err == nil, "%q, %v", body, err)
 }
+
+// A caller behind a slow link reads steadily, but needs longer than the write timeout for
+// one long piece. It must get the whole answer; one that stops reading must not hold the
+// request for longer than the write timeout.
+func TestRelaySlowCaller(t *testing.T) {
+	const answerBytes, readBytes, readInterval = 64 << 10, 512, 100 * time.Millisecond
+	for _, stopsReading := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ended := make(chan time.Time, 1)
+			b := &relayBackend{relay: func(_ context.Context, _ RelayRequest, answer AnswerWriter) error {
+				answer.WriteHead(200, http.Header{}, answerBytes)
+				defer func() { ended <- time.Now() }()
+				return answer.Write(make([]byte, answerBytes))
+			}}
+			listener := pipenet.Listen()
+			server := &http.Server{Handler: NewRelayHandler(b, plainDialect{}, Limits{}, zap.NewNop())}
+			go func() { _ = server.Serve(listener) }()
+			conn := testkit.Value(listener.DialContext(t.Context(), "", ""))(t)
+			go func() { _, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h.example\r\nX-Id: 7\r\n\r\n") }()
+			answer := testkit.Value(http.ReadResponse(bufio.NewReaderSize(conn, readBytes), nil))(t)
+			begun, received := time.Now(), int64(0)
+			for err := error(nil); err == nil && !stopsReading; time.Sleep(readInterval) {
+				var n int64
+				n, err = io.CopyN(io.Discard, answer.Body, readBytes)
+				received += n
+			}
+			held := (<-ended).Sub(begun)
+			conn.Close()
+			if stopsReading {
+				testkit.That(t, held <= defaultWriteTimeout, "held for %s", held)
+			} else {
+				testkit.Equal(t, "received bytes", received, answerBytes)
+				testkit.That(t, held > defaultWriteTimeout, "sent within %s", held)
+			}
+			testkit.NoError(t, server.Close())
+			synctest.Wait()
+		})
+	}
+}
