serving: end a silent attempt only once its replacement is reserved

What callers saw: streams cut and repeatable requests refused although the backend server was sound and only paused: `shutting_down` on a VM that was stopping, `wait_too_long` with seconds of their time left, `backend_failed` when many paused at once.

Cause: the stall guard (2 s without data within a stream, 3 x the target latency before the first) cancelled the attempt, and only then handleFailure looked for an attempt left, the retry budget, a free backend server, the quarantine and whether the VM was stopping. Each of these could say no. Two more ways of the same fault: an answer of a safe route that had begun, and so can't be repeated, was ended for a pause as well; and the time in which a caller read slowly counted as silence of its engine.

Fix: before it ends an attempt, the guard reserves what the request needs to go on: under the server's lock, in one step, it checks that the VM isn't stopping, takes a unit of the retry budget, picks another backend server (neither the current one nor one that failed the request, if there is any other), uses its permit and counts the request there. The last allowed attempt has no guard, as before; the quarantine and whether the answer can be continued at all are checked first. If anything is missing, nothing is taken, the attempt goes on and the guard looks again after 250 ms; data that arrives meanwhile resets it. The request then moves to the reserved server without queueing; its admission ticket stays running, like in tryMove of generations.

The guard's lock is held while it reserves, and the server's lock only taken inside it, never the other way round. Between beginDelivery and endDelivery of a piece the guard doesn't act, so it reads the event id and the begun answer without a race, and a slow caller isn't silence. A piece that arrives after the guard has decided is dropped and comes from the replacement; an answer that is complete by then counts, and the reserved server is released with a result that says nothing of its health. The unit of the budget stays spent (too few repeats, never too many).

Weighed against no guard within a stream at all, the simpler way: that loses streams on an engine that hangs but still acknowledges TCP segments, which no timeout of the connection finds (TestSilentStreamMovesToFreeServer). With the replacement reserved first, the guard ends nothing that can't go on, at the cost of a retry interval; so it is kept. What remains: a replacement that fails after the move ends as any failed attempt does.

`try` in the line `attempt` counts attempts, as a move has no dispatch. The counter bergamotreel_relay_silent_attempts_total has the outcome `kept`, the line `kept_silent`.

--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -34,15 +34,20 @@
 
 // AllowRetry reports whether another attempt may be made now, and counts it if so.
 func (b *RetryBudget) AllowRetry(now time.Time) bool {
+	if !b.CanRetry(now) {
+		return false
+	}
+	b.retries.Add(now, 1, retryWindow)
+	return true
+}
+
+// CanRetry reports whether another attempt may be made now, without counting it.
+func (b *RetryBudget) CanRetry(now time.Time) bool {
 	share := max(b.Share, 0)
 	if b.Share == 0 {
 		share = DefaultRetryShare
 	}
 	b.requests.Decay(now, retryWindow)
 	b.retries.Decay(now, retryWindow)
-	if b.retries.Count+1 > share*b.requests.Count+minRetries {
-		return false
-	}
-	b.retries.Add(now, 1, retryWindow)
-	return true
+	return b.retries.Count+1 <= share*b.requests.Count+minRetries
 }
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -162,8 +162,16 @@
 	return s.incarnations[backend]
 }
 
-// recordFinish reverts recordStart. It ignores attempts on a previous incarnation
-// of the engine, whose load was dropped as a whole. Call with mu held.
+// recordEnd reverts recordStart. Call with mu held.
+func (s *Server) recordEnd(now time.Time, backend string, incarnation uint64, unit string, result routing.Result) {
+	s.recordFinish(now, backend, incarnation, result)
+	s.recordUnitEnd(unit)
+	decrement(s.runningCounts, backendUnit{backend, unit})
+}
+
+// recordFinish records the end of an attempt in the router. It ignores attempts on a
+// previous incarnation of the engine, whose load was dropped as a whole. Call with mu
+// held.
 func (s *Server) recordFinish(now time.Time, backend string, incarnation uint64, result routing.Result) {
 	if s.incarnations[backend] != incarnation {
 		return
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -28,13 +28,13 @@
 	copyBufferSize = 16 << 10
 	// A repeatable request waits headTimeoutFactor times the route's target latency,
 	// but at least minHeadTimeout, for the beginning of its answer before it is tried
-	// elsewhere. An answer that late is more likely to come sooner from another backend
-	// server.
+	// elsewhere, if another backend server is free. An answer that late is more likely to
+	// come sooner from there.
 	headTimeoutFactor = 3
 	minHeadTimeout    = 500 * time.Millisecond
-	// resumableStallTimeout is the longest pause in a stream that can be resumed
-	// elsewhere: far longer than the time between two events, and short enough for
-	// callers to wait.
+	// resumableStallTimeout is how long a stream may pause before it is resumed on
+	// another backend server, if one is free: far longer than the time between two
+	// events, and short enough for callers to wait.
 	resumableStallTimeout = 2 * time.Second
 )
 
@@ -42,6 +42,9 @@
 // backend server may serve sooner.
 var errHeadTimeout = errors.New("no answer within the route's patience")
 
+// errReplaced ends an attempt whose request continues on another backend server.
+var errReplaced = errors.New("continued elsewhere")
+
 // ForwardDirectory is a Directory for forwarded requests: it also knows the addresses
 // of backend servers and records what attempts show of their state.
 type ForwardDirectory interface {
@@ -85,6 +88,7 @@
 	}
 	f.pending = p
 	err := f.run(ctx, w)
+	f.releaseReplacement()
 	p.finish(ctx, err, f.outcome)
 	return p.correctRan(err)
 }
@@ -109,8 +113,8 @@
 	request caller.RelayRequest
 	answer  caller.AnswerWriter
 	outcome attemptOutcome
-	// attemptsRun counts the attempts that may have run.
-	attemptsRun int
+	// attempts counts the attempts, attemptsRun those that may have run.
+	attempts, attemptsRun int
 	// lastEventID is the id of the last event that the caller received, empty before
 	// the first.
 	lastEventID string
@@ -118,12 +122,18 @@
 	// pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
+	// keptSilent is whether the last attempt was silent for too long and went on, as
+	// nothing could replace it.
+	keptSilent bool
 	// limit, leaving and cooldown are what the answer of the last attempt said: a
 	// limit on further requests, whether the backend server is leaving, and for how
 	// long it wants no requests.
 	limit    service.Limit
 	leaving  bool
 	cooldown time.Duration
+	// replacement is what the stall guard reserved to continue the request elsewhere, nil
+	// for nothing. While an attempt runs, it belongs to the guard.
+	replacement *reservation
 	// fingerprint caches the result of requestFingerprint.
 	fingerprint *quarantine.Fingerprint
 	// readyAtArrival is whether a backend server was ready for the request when it arrived.
@@ -144,6 +154,9 @@
 		}
 		err = f.attempt(ctx)
 		f.logAttempt(err)
+		if f.keptSilent {
+			silentKept.Inc()
+		}
 		if err == nil {
 			return nil
 		}
@@ -185,6 +198,10 @@
 		return ctx.Err()
 	case isTerminalError(cause):
 		return cause
+	case f.replacement != nil:
+		f.pending.moveTo(f.replacement, f.outcome)
+		f.replacement = nil
+		return nil
 	case !f.outcome.mayHaveRun && errors.Is(cause, service.ErrNotSent):
 		return f.pending.requeue(ctx, f.outcome)
 	case f.outcome.mayHaveRun && !f.canRepeat():
@@ -199,10 +216,13 @@
 // canRepeat reports whether a request that may have run may be sent once more.
 func (f *forwarding) canRepeat() bool {
 	route := f.request.Route
-	if !route.IsRepeatable() || f.attemptsRun >= route.MaxAttempts {
-		return false
-	}
-	return !f.answer.HasBegun() || (route.Repeat == contract.RepeatResume && f.lastEventID != "")
+	return route.IsRepeatable() && f.attemptsRun < route.MaxAttempts && f.canContinueAnswer()
+}
+
+// canContinueAnswer reports whether another attempt could continue what the caller has of
+// the answer.
+func (f *forwarding) canContinueAnswer() bool {
+	return !f.answer.HasBegun() || (f.request.Route.Repeat == contract.RepeatResume && f.lastEventID != "")
 }
 
 func (f *forwarding) brokenAnswerError(cause error) error {
@@ -225,7 +245,8 @@
 // attempt sends the request to the assigned backend server and forwards the answer.
 // It sets f.outcome.
 func (f *forwarding) attempt(ctx context.Context) error {
-	f.lastReceived, f.pieces = time.Time{}, 0
+	f.attempts++
+	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
 	if !ok {
 		f.outcome = attemptOutcome{excludeBackend: true}
@@ -245,6 +266,8 @@
 	} else if errors.Is(err, service.ErrOutcomeUnknown) {
 		f.attemptsRun++
 	}
+	guard.stop()
+	f.keptSilent = guard.spared && !guard.ended
 	err = withGuardCause(ctx, err)
 	f.classifyAttempt(err)
 	f.reportToQuarantine(ctx, head, err)
@@ -272,14 +295,15 @@
 }
 
 // startStallGuard starts a guard that ends the attempt if the backend server is silent
-// for too long and the request can be repeated. Any other attempt isn't ended by it.
+// for too long and another one has been reserved for the request.
 func (f *forwarding) startStallGuard(cancel context.CancelCauseFunc) *stallGuard {
 	route := f.request.Route
+	guard := &stallGuard{stallTimeout: resumableStallTimeout, cancel: cancel, reason: errHeadTimeout, secureReplacement: f.secureReplacement}
+	guard.start(max(headTimeoutFactor*route.TargetLatency, minHeadTimeout))
 	if !route.IsRepeatable() || f.attemptsRun+1 >= route.MaxAttempts {
-		return newStallGuard(time.Until(f.request.AnswerDeadline)+time.Hour, time.Hour, cancel, errHeadTimeout)
+		guard.stop()
 	}
-	wait := max(headTimeoutFactor*route.TargetLatency, minHeadTimeout)
-	return newStallGuard(wait, resumableStallTimeout, cancel, errHeadTimeout)
+	return guard
 }
 
 func (f *forwarding) backendRequest() service.ForwardRequest {
@@ -345,7 +369,7 @@
 	if n, err := head.Body.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
 		return errors.Join(errors.New("answer without its end"), err)
 	}
-	f.recordProgress(guard)
+	f.acceptPiece(guard, body, io.EOF)
 	f.beginAnswer(head)
 	if len(body) == 0 {
 		return nil
@@ -361,12 +385,15 @@
 	defer copyBuffers.Put(buffer)
 	for {
 		n, err := head.Body.Read(buffer[:])
+		if !f.acceptPiece(guard, buffer[:n], err) {
+			return errReplaced
+		}
 		if n > 0 {
-			f.recordProgress(guard)
 			f.beginAnswer(head)
 			if err := f.writeAnswer(buffer[:n]); err != nil {
 				return err
 			}
+			guard.endDelivery(time.Now())
 		}
 		if errors.Is(err, io.EOF) {
 			f.beginAnswer(head)
@@ -384,8 +411,10 @@
 	events := newEventReader(head.Body)
 	for {
 		whole, err := events.next()
+		if !f.acceptPiece(guard, whole, err) {
+			return errReplaced
+		}
 		if len(whole) > 0 {
-			f.recordProgress(guard)
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
 				return err
@@ -393,6 +422,7 @@
 			if events.lastID != "" {
 				f.lastEventID = events.lastID
 			}
+			guard.endDelivery(time.Now())
 		}
 		if errors.Is(err, io.EOF) {
 			f.beginAnswer(head)
@@ -419,13 +449,27 @@
 	return nil
 }
 
+// acceptPiece records that a piece of the answer arrived, with the error that followed
+// it. It returns false if the piece must be dropped, as the request continues elsewhere;
+// the end of the answer is accepted all the same.
+func (f *forwarding) acceptPiece(guard *stallGuard, piece []byte, err error) bool {
+	now := time.Now()
+	if errors.Is(err, io.EOF) {
+		guard.stop()
+	} else if len(piece) > 0 && !guard.beginDelivery(now) {
+		return false
+	}
+	if len(piece) > 0 {
+		f.recordProgress(now)
+	}
+	return true
+}
+
 // recordProgress records that data of the answer arrived, and the time to its first
 // data.
-func (f *forwarding) recordProgress(guard *stallGuard) {
-	now := time.Now()
+func (f *forwarding) recordProgress(now time.Time) {
 	f.lastReceived = now
 	f.pieces++
-	guard.recordProgress(now)
 	if f.pending.timeToFirstToken == 0 {
 		f.pending.recordFirstToken(now)
 	}
@@ -439,7 +483,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("request", f.request.ID), zap.String("unit", f.pending.query.Unit),
-		zap.String("backend", f.pending.backend), zap.Int("try", f.pending.ticket.Attempts),
+		zap.String("backend", f.pending.backend), zap.Int("try", f.attempts),
 		zap.Bool("ready_at_arrival", f.readyAtArrival),
 		zap.Duration("waited", f.pending.attemptStart.Sub(f.request.Arrived)), zap.Duration("first", f.pending.timeToFirstToken),
 		zap.Duration("ran", time.Since(f.pending.attemptStart)),
@@ -448,6 +492,9 @@
 	if err != nil {
 		fields = append(fields, f.silenceFields(err)...)
 	}
+	if f.keptSilent {
+		fields = append(fields, zap.Bool("kept_silent", true))
+	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -167,6 +167,8 @@
 	begun    bool
 	body     strings.Builder
 	writeErr error
+	// writeTime is how long each Write takes.
+	writeTime time.Duration
 }
 
 func (r *answerRecorder) WriteHead(status int, _ http.Header, _ int64) {
@@ -174,6 +176,7 @@
 }
 func (r *answerRecorder) HasBegun() bool { return r.begun }
 func (r *answerRecorder) Write(piece []byte) error {
+	time.Sleep(r.writeTime)
 	r.body.Write(piece)
 	return r.writeErr
 }
@@ -187,9 +190,13 @@
 func (b *forwardTestbed) forward(ctx context.Context, r *contract.Route, model string, answer *answerRecorder) error {
 	now := time.Now()
 	deadline := now.Add(r.Timeout)
+	begin := deadline
+	if r.Silence > 0 {
+		begin = now.Add(r.Silence)
+	}
 	return b.server.Forward(ctx, caller.RelayRequest{
 		RelayHead: caller.RelayHead{ID: "id", Model: model}, Grant: caller.Grant{Customer: "c", Route: r}, Service: "s",
-		ForwardRequest: service.ForwardRequest{RequestID: "id", Method: "POST"}, Arrived: now, AnswerDeadline: deadline, BeginDeadline: deadline,
+		ForwardRequest: service.ForwardRequest{RequestID: "id", Method: "POST"}, Arrived: now, AnswerDeadline: deadline, BeginDeadline: begin,
 	}, answer)
 }
 
--- a/internal/serving/lifecycle.go
+++ b/internal/serving/lifecycle.go
@@ -159,9 +159,7 @@
 	if result.OK {
 		result.ServiceTime = now.Sub(p.attemptStart)
 	}
-	p.server.recordFinish(now, p.backend, p.incarnation, result)
-	p.server.recordUnitEnd(p.query.Unit)
-	decrement(p.server.runningCounts, backendUnit{p.backend, p.query.Unit})
+	p.server.recordEnd(now, p.backend, p.incarnation, p.query.Unit, result)
 	if outcome.excludeBackend {
 		p.exclude(p.backend)
 	}
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -9,8 +9,9 @@
 	"go.uber.org/zap"
 )
 
-// silentAttemptsTotal counts the attempts that this VM ended because the backend server
-// was silent, by what became of the request.
+// silentAttemptsTotal counts the attempts whose backend server was silent for too long, by
+// what became of the request: those that this VM ended, and those kept, which nothing
+// could replace.
 const silentAttemptsTotal = "bergamotreel_relay_silent_attempts_total"
 
 var (
@@ -18,6 +19,7 @@
 	silentCut        = metrics.NewCounter(silentAttemptsTotal + `{outcome="cut"}`)
 	silentRefused    = metrics.NewCounter(silentAttemptsTotal + `{outcome="refused"}`)
 	silentCallerLeft = metrics.NewCounter(silentAttemptsTotal + `{outcome="caller_left"}`)
+	silentKept       = metrics.NewCounter(silentAttemptsTotal + `{outcome="kept"}`)
 )
 
 // isEndedForSilence reports whether the error is that of an attempt that the stall guard
@@ -54,6 +56,26 @@
 	}
 }
 
+// secureReplacement reserves another backend server for a request whose attempt is
+// silent, and a unit of the retry budget. It returns false if the request can't continue
+// elsewhere now. The stall guard calls it.
+func (f *forwarding) secureReplacement() bool {
+	if !f.canContinueAnswer() || f.quarantineRefusal() != nil {
+		return false
+	}
+	f.replacement = f.pending.reserveReplacement(f.request.Service)
+	return f.replacement != nil
+}
+
+// releaseReplacement releases a reservation that isn't needed, because the attempt or the
+// request ended meanwhile.
+func (f *forwarding) releaseReplacement() {
+	if f.replacement != nil {
+		f.pending.release(f.replacement)
+		f.replacement = nil
+	}
+}
+
 // isStopping reports whether this VM refuses requests instead of queueing them.
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
--- a/internal/serving/stallguard.go
+++ b/internal/serving/stallguard.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// replacementRetryInterval is the time between two searches for a backend server that
+// can take over a silent attempt.
+const replacementRetryInterval = 250 * time.Millisecond
+
 // stallGuard ends an attempt that is silent for too long. The arrival of data only
 // records its time, because resetting a timer for each token would cost more. When
 // the timer fires, it checks that time and is reset to the remaining duration if
@@ -13,6 +17,9 @@
 type stallGuard struct {
 	stallTimeout time.Duration
 	cancel       context.CancelCauseFunc
+	// secureReplacement, if set, reserves what the request needs to continue elsewhere.
+	// While it returns false, the attempt goes on. It is called with mu held.
+	secureReplacement func() bool
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -20,7 +27,12 @@
 	reason error
 	// lastReceived is when data was last received, zero before the first.
 	lastReceived time.Time
-	stopped      bool
+	// delivering is whether the receiver is busy with data, and not waiting for more.
+	delivering bool
+	// spared is whether the attempt was silent for too long and had no replacement.
+	spared bool
+	// stopped is whether this guard no longer ends the attempt, ended whether it has.
+	stopped, ended bool
 }
 
 // newStallGuard starts a guard that cancels the attempt with firstReason if no data
@@ -28,10 +40,14 @@
 // stallTimeout after the last.
 func newStallGuard(firstTimeout, stallTimeout time.Duration, cancel context.CancelCauseFunc, firstReason error) *stallGuard {
 	g := &stallGuard{stallTimeout: stallTimeout, cancel: cancel, reason: firstReason}
+	g.start(firstTimeout)
+	return g
+}
+
+func (g *stallGuard) start(firstTimeout time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timer = time.AfterFunc(firstTimeout, g.handleTimer)
-	return g
 }
 
 // recordProgress records the arrival of data. The first arrival resets the timer, as
@@ -39,6 +55,10 @@
 func (g *stallGuard) recordProgress(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordProgressLocked(now)
+}
+
+func (g *stallGuard) recordProgressLocked(now time.Time) {
 	first := g.lastReceived.IsZero()
 	g.lastReceived = now
 	if first && !g.stopped {
@@ -47,16 +67,48 @@
 	}
 }
 
+// beginDelivery records the arrival of data. Until endDelivery, the time doesn't count as
+// silence. It returns false if the guard has ended the attempt: the request continues
+// elsewhere, and the data must be dropped.
+func (g *stallGuard) beginDelivery(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return false
+	}
+	g.delivering = true
+	g.recordProgressLocked(now)
+	return true
+}
+
+// endDelivery records that the receiver waits for data again.
+func (g *stallGuard) endDelivery(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delivering = false
+	g.lastReceived = now
+}
+
 func (g *stallGuard) handleTimer() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.stopped {
 		return
 	}
+	if g.delivering {
+		g.timer.Reset(g.stallTimeout)
+		return
+	}
 	if left := g.stallTimeout - time.Since(g.lastReceived); !g.lastReceived.IsZero() && left > 0 {
 		g.timer.Reset(left)
 		return
 	}
+	if g.secureReplacement != nil && !g.secureReplacement() {
+		g.spared = true
+		g.timer.Reset(replacementRetryInterval)
+		return
+	}
+	g.stopped, g.ended = true, true
 	g.cancel(g.reason)
 }
 
