serving: a stream whose engine dies late waits as long as its caller does

What callers saw: a stream that can be resumed was cut as soon as its engine died, if that was later than the begin deadline after its arrival (Silence less the margin, 1.9 s where Silence is 2 s), although another engine was free at once.

Cause: a request that is put back into the queue keeps the deadline of its first attempt. Admission refuses it before it looks for a backend server.

Fix: when a stream with delivered events is put back, its ticket's deadline becomes the caller's patience since the last delivered event, bounded by the answer deadline: RelayRequest.ContinueDeadline, by the same computeBeginDeadline that gives the deadline of the first attempt. Controller.SetDeadline changes it only while the ticket runs, when it is neither in the deadline heap nor in a queue, both of which are ordered by it; the random test of tickets now sets deadlines and checks the heap's order (without that condition it fails: "the deadlines are out of order").

Not chosen: no deadline at all for such a stream. It would hold its place in the queue for a caller that, by the protocol, has given up by then.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -243,8 +243,8 @@
 	return exceedsFairShare(cust.admittedRate, f.weight, total)
 }
 
-// Requeue puts back a ticket whose attempt ended before anything ran. The ticket
-// keeps its priority, deadline and arrival order, and its customer is not charged
+// Requeue puts back a ticket whose attempt ended. The ticket keeps its priority,
+// deadline and arrival order, and its customer is not charged
 // for the attempt. Queue limits don't apply, as the ticket was accepted already.
 func (c *Controller) Requeue(now time.Time, t *Ticket) {
 	c.lastNow = now
@@ -262,6 +262,14 @@
 	}
 }
 
+// SetDeadline changes the deadline of a running ticket, for its next wait. It does nothing
+// to any other ticket: the order of waiting tickets depends on their deadlines.
+func (c *Controller) SetDeadline(t *Ticket, deadline time.Time) {
+	if t.phase == phaseRunning {
+		t.Deadline = deadline
+	}
+}
+
 // Finish ends a dispatched ticket.
 func (c *Controller) Finish(now time.Time, t *Ticket, o Outcome) {
 	c.lastNow = now
--- a/admission/lifecycle_test.go
+++ b/admission/lifecycle_test.go
@@ -71,6 +71,7 @@
 	}
 	ticket := l.open[l.drawUpTo(len(l.open)-1)]
 	if action == 0 {
+		l.c.SetDeadline(ticket, l.now.Add(time.Duration(l.drawUpTo(60))*100*time.Millisecond))
 		l.c.Requeue(l.now, ticket)
 	}
 	if action == 1 || !ticket.isWaiting() {
@@ -97,6 +98,9 @@
 	}
 	for _, p := range l.c.pools {
 		inDeadlines += len(p.deadlines)
+		for i := range p.deadlines {
+			testkit.Need(l.t, !p.deadlines.Less(i, max(0, i-1)/2), "the deadlines are out of order")
+		}
 		for _, f := range p.flows {
 			running += f.runningCount
 		}
@@ -109,7 +113,7 @@
 }
 
 // Requests are submitted, dispatched, requeued, finished, canceled and refused in any
-// order, while contracts and ready times change. Each accepted one must end exactly
+// order, while contracts, deadlines and ready times change. Each accepted one must end exactly
 // once; otherwise a caller waits forever or receives two answers. After enough time
 // none may be left.
 func TestEachTicketEndsExactlyOnce(t *testing.T) {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -63,6 +63,12 @@
 	AnswerDeadline, BeginDeadline time.Time
 }
 
+// ContinueDeadline returns the time until which a stream may wait to be continued after
+// its caller received an event at the given time.
+func (r *RelayRequest) ContinueDeadline(received time.Time) time.Time {
+	return computeBeginDeadline(received, r.AnswerDeadline, r.Route.Silence)
+}
+
 // Grant is what a request may use under the current configuration.
 type Grant struct {
 	Customer string
@@ -238,16 +244,17 @@
 	return max(timeout-answerMargin, timeout/2)
 }
 
-// computeBeginDeadline returns the time until which the request may wait for its first
-// attempt; an attempt that begins later can't answer before the caller disconnects. The
-// deadline is refusalMargin earlier than that, because a refusal sent only a moment
-// before the caller disconnects doesn't reach it in time over a busy link.
-func computeBeginDeadline(arrived, answerDeadline time.Time, silence time.Duration) time.Time {
-	allowed := answerDeadline.Sub(arrived)
+// computeBeginDeadline returns the time until which the request may wait for an attempt,
+// if its caller has waited since the given time, its arrival or its last event; an attempt
+// that begins later can't answer before the caller disconnects. The deadline is
+// refusalMargin earlier than that, because a refusal sent only a moment before the caller
+// disconnects doesn't reach it in time over a busy link.
+func computeBeginDeadline(since, answerDeadline time.Time, silence time.Duration) time.Time {
+	allowed := answerDeadline.Sub(since)
 	if silence > 0 {
 		allowed = min(allowed, silence)
 	}
-	return arrived.Add(allowed - min(refusalMargin, allowed/refusalMarginDivisor))
+	return since.Add(allowed - min(refusalMargin, allowed/refusalMarginDivisor))
 }
 
 // hashFraction maps a request ID to a number in [0, 1), the same on every VM.
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -122,6 +122,8 @@
 	// pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
+	// lastDelivered is when the caller received its last event, zero before the first.
+	lastDelivered time.Time
 	// keptSilent is whether the last attempt was silent for too long and went on, as
 	// nothing could replace it.
 	keptSilent bool
@@ -203,16 +205,25 @@
 		f.replacement = nil
 		return nil
 	case !f.outcome.mayHaveRun && errors.Is(cause, service.ErrNotSent):
-		return f.pending.requeue(ctx, f.outcome)
+		return f.requeue(ctx)
 	case f.outcome.mayHaveRun && !f.canRepeat():
 		return f.brokenAnswerError(cause)
 	case !f.pending.allowServiceRetry(f.request.Service):
 		return f.overBudgetError(cause)
 	default:
-		return f.pending.requeue(ctx, f.outcome)
+		return f.requeue(ctx)
 	}
 }
 
+// requeue waits for a backend server for another attempt. A caller that has received
+// events waits for the next one as long as it did for the first.
+func (f *forwarding) requeue(ctx context.Context) error {
+	if !f.lastDelivered.IsZero() {
+		f.pending.setDeadline(f.request.ContinueDeadline(f.lastDelivered))
+	}
+	return f.pending.requeue(ctx, f.outcome)
+}
+
 // canRepeat reports whether a request that may have run may be sent once more.
 func (f *forwarding) canRepeat() bool {
 	route := f.request.Route
@@ -422,7 +433,8 @@
 			if events.lastID != "" {
 				f.lastEventID = events.lastID
 			}
-			guard.endDelivery(time.Now())
+			f.lastDelivered = time.Now()
+			guard.endDelivery(f.lastDelivered)
 		}
 		if errors.Is(err, io.EOF) {
 			f.beginAnswer(head)
--- a/internal/serving/lifecycle.go
+++ b/internal/serving/lifecycle.go
@@ -148,6 +148,13 @@
 	return p.waitForBackend(ctx, w)
 }
 
+// setDeadline changes the time until which the request may wait when it is requeued.
+func (p *pendingRequest) setDeadline(deadline time.Time) {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	p.server.config.Admission.SetDeadline(p.ticket, deadline)
+}
+
 // endAttempt ends the current attempt, if there is one. Call with mu held.
 func (p *pendingRequest) endAttempt(now time.Time, outcome attemptOutcome) {
 	if p.backend == "" {
--- a/internal/serving/silence_test.go
+++ b/internal/serving/silence_test.go
@@ -210,11 +210,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newForwardTestbed(t)
 		b.backends = []string{"one"}
-		time.AfterFunc(4*time.Second, func() {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			b.backends = append(b.backends, "two")
-		})
+		time.AfterFunc(4*time.Second, func() { b.setBackends("one", "two") })
 		b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
 			if number == 1 {
 				return pausingAnswer(ctx, event(1), time.Minute, ""), nil
@@ -248,3 +244,65 @@
 		})
 	}
 }
+
+// Guards against a stream that isn't resumed because its engine dies later than the stream
+// had to begin: its caller waits as long as it did at first, from its last event on, and no
+// longer.
+func TestStreamOfDeadEngineIsResumedLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		readyAt, end time.Duration
+		whole        bool
+	}{
+		"another server is free":       {900 * time.Millisecond, time.Second, true},
+		"free while the caller waits":  {1200 * time.Millisecond, 1200 * time.Millisecond, true},
+		"free after the caller's wait": {2 * time.Second, 1700 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newForwardTestbed(t)
+				b.setBackends("one")
+				time.AfterFunc(850*time.Millisecond, func() { b.setBackends() })
+				time.AfterFunc(c.readyAt, func() { b.setBackends("two") })
+				b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
+					if number > 1 {
+						return pausingAnswer(ctx, event(3), 0, ""), nil
+					}
+					return dyingAnswer(event(1), 800*time.Millisecond, event(2), 200*time.Millisecond), nil
+				}
+				r := route(contract.RepeatResume)
+				r.Timeout, r.Silence = 20*time.Second, time.Second
+				var got answerRecorder
+				start := time.Now()
+				err := b.forward(t.Context(), r, "m", &got)
+				testkit.That(t, (err == nil) == c.whole, "%v after %q", err, got.body.String())
+				testkit.That(t, !c.whole || got.body.String() == event(1)+event(2)+event(3), "got %q", got.body.String())
+				took := time.Since(start)
+				testkit.That(t, took >= c.end && took < c.end+idlePoll, "took %s, want %s", took, c.end)
+				b.stop()
+			})
+		})
+	}
+}
+
+// idlePoll is the longest time until a server notices that a candidate is ready.
+const idlePoll = 250 * time.Millisecond
+
+// setBackends sets the backend servers.
+func (b *forwardTestbed) setBackends(names ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.backends = names
+}
+
+// dyingAnswer returns a stream of two pieces that breaks off, with the pauses after each.
+func dyingAnswer(first string, pause time.Duration, second string, end time.Duration) *service.ForwardResponse {
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(writer, first)
+		time.Sleep(pause)
+		_, _ = io.WriteString(writer, second)
+		time.Sleep(end)
+		_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+	}()
+	return &service.ForwardResponse{Status: 200, Length: -1, Body: reader}
+}
