--- a/internal/serving/silence_test.go
+++ b/internal/serving/silence_test.go
@@ -86,18 +86,23 @@
 // backend servers pause after they have received it.
 var silentCases = map[string]struct {
 	requests, maxSent int
-	silence           time.Duration
-	prepare           func(b *forwardTestbed)
+	prepare           func(b *forwardTestbed, r *contract.Route)
 }{
-	"no other server": {1, 1, 0, func(b *forwardTestbed) { b.backends = []string{"one"} }},
-	"the VM stops": {1, 1, 0, func(b *forwardTestbed) {
+	"no other server": {1, 1, func(b *forwardTestbed, _ *contract.Route) { b.setBackends("one") }},
+	"the VM stops": {1, 1, func(b *forwardTestbed, _ *contract.Route) {
 		time.AfterFunc(500*time.Millisecond, b.server.RefuseWaiting)
 	}},
-	"other server busy":                        {2, 2, 0, func(b *forwardTestbed) { b.slots = 1 }},
-	"other server busy, begin deadline passed": {2, 2, 800 * time.Millisecond, func(b *forwardTestbed) { b.slots = 1 }},
-	"no permit":             {1, 1, 0, func(b *forwardTestbed) { b.permits = 1 }},
-	"quarantined meanwhile": {1, 1, 0, func(b *forwardTestbed) { b.suspects, b.quarantineFrom = true, 2 }},
-	"budget spent":          {40, 40 + 7, 0, func(b *forwardTestbed) { b.slots = 100 }},
+	"other server busy": {2, 2, func(b *forwardTestbed, _ *contract.Route) { b.slots = 1 }},
+	"other server busy, begin deadline passed": {2, 2, func(b *forwardTestbed, r *contract.Route) {
+		b.slots = 1
+		r.Silence = 800 * time.Millisecond
+	}},
+	"no attempt left": {1, 1, func(_ *forwardTestbed, r *contract.Route) { r.MaxAttempts = 1 }},
+	"no permit":       {1, 1, func(b *forwardTestbed, _ *contract.Route) { b.permits = 1 }},
+	"quarantined meanwhile": {1, 1, func(b *forwardTestbed, _ *contract.Route) {
+		b.suspects, b.quarantineFrom = true, 2
+	}},
+	"budget spent": {40, 40 + 7, func(b *forwardTestbed, _ *contract.Route) { b.slots = 100 }},
 }
 
 // Guards against streams that are cut because their engine pauses, when they can't be
@@ -114,9 +119,9 @@
 						}
 						return pausingAnswer(ctx, event(1), pause, event(2)+event(3)), nil
 					}
-					c.prepare(b)
 					r := route(contract.RepeatResume)
-					r.Timeout, r.Silence = 20*time.Second, c.silence
+					r.Timeout = 20 * time.Second
+					c.prepare(b, r)
 					b.forwardAll(c.requests, r, event(1)+event(2)+event(3))
 					testkit.That(t, len(b.sent) <= c.maxSent, "%d requests were sent", len(b.sent))
 					b.stop()
@@ -143,9 +148,9 @@
 					}
 					return completeAnswer(200, "whole"), nil
 				}
-				c.prepare(b)
 				r := route(contract.RepeatSafe)
-				r.Timeout, r.Silence = 20*time.Second, c.silence
+				r.Timeout = 20 * time.Second
+				c.prepare(b, r)
 				b.forwardAll(c.requests, r, "whole")
 				testkit.That(t, len(b.sent) <= c.maxSent, "%d requests were sent", len(b.sent))
 				b.stop()
@@ -226,6 +231,47 @@
 	})
 }
 
+// Guards against a stream that stays with a hung engine because the only other one broke it
+// before.
+func TestSilentStreamMovesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardTestbed(t)
+		b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
+			switch number {
+			case 1:
+				return cutOffAnswer(event(1)), nil
+			case 2:
+				return pausingAnswer(ctx, event(2), time.Minute, ""), nil
+			default:
+				return pausingAnswer(ctx, event(3), 0, ""), nil
+			}
+		}
+		r := route(contract.RepeatResume)
+		r.MaxAttempts = 3
+		b.forwardAll(1, r, event(1)+event(2)+event(3))
+		testkit.That(t, len(b.sent) == 3 && b.sent[2].target == b.sent[0].target, "sent %+v", b.sent)
+		b.stop()
+	})
+}
+
+// Guards against an answer that begins in the very moment in which its attempt is ended: it
+// could neither be completed nor repeated.
+func TestAnswerBeginsAsRequestMoves(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardTestbed(t)
+			b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
+				if number == 1 {
+					return pausingAnswer(ctx, "", 900*time.Millisecond, "whole"), nil
+				}
+				return completeAnswer(200, "whole"), nil
+			}
+			b.forwardAll(1, route(contract.RepeatSafe), "whole")
+			b.stop()
+		})
+	}
+}
+
 // Guards against lost or repeated events, and servers that stay reserved, when data or the
 // end of the stream arrives in the very moment of the move.
 func TestDataArrivesAsStreamMoves(t *testing.T) {
