serving: a safe HEAD request is answered

What callers saw: HEAD on a safe route got 502 each time, after it had run on two backend servers.

Cause: an answer of a safe route with a declared length is read whole first, and the answer to HEAD declares the length of a body that it doesn't have.

Evidence: TestForwardAnswersHead, before the fix: forward_test.go:466: backend_failed (ran: maybe): EOF After it go test ./internal/serving passes.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -363,13 +363,20 @@
 		return errServerFailed // a failure can't continue a resumed stream
 	case f.request.Route.Repeat == contract.RepeatResume && !failed:
 		return f.deliverEvents(head, guard)
-	case f.request.Route.Repeat == contract.RepeatSafe && head.Length >= 0 && head.Length <= maxBufferedAnswer:
+	case f.canBuffer(head):
 		return f.deliverBuffered(head, guard)
 	default:
 		return f.deliverUnbuffered(head, guard)
 	}
 }
 
+// canBuffer reports whether the whole answer is read before any of it is forwarded. The
+// length of an answer to HEAD is not that of its body, which is empty.
+func (f *forwarding) canBuffer(head *service.ForwardResponse) bool {
+	return f.request.Route.Repeat == contract.RepeatSafe && f.request.Method != http.MethodHead &&
+		head.Length >= 0 && head.Length <= maxBufferedAnswer
+}
+
 // deliverBuffered reads the answer to its end before it forwards anything.
 func (f *forwarding) deliverBuffered(head *service.ForwardResponse, guard *stallGuard) error {
 	body := make([]byte, head.Length)
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -61,6 +61,8 @@
 	missingReports    int
 	slots             int
 	backends          []string
+	// method is that of the requests.
+	method string
 }
 
 func newForwardTestbed(t *testing.T) *forwardTestbed {
@@ -68,7 +70,7 @@
 }
 
 func newForwardTestbedWithLog(t *testing.T, log *zap.Logger) *forwardTestbed {
-	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}}
+	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	b.server = serving.New(serving.Config{
@@ -196,7 +198,7 @@
 	}
 	return b.server.Forward(ctx, caller.RelayRequest{
 		RelayHead: caller.RelayHead{ID: "id", Model: model}, Grant: caller.Grant{Customer: "c", Route: r}, Service: "s",
-		ForwardRequest: service.ForwardRequest{RequestID: "id", Method: "POST"}, Arrived: now, AnswerDeadline: deadline, BeginDeadline: begin,
+		ForwardRequest: service.ForwardRequest{RequestID: "id", Method: b.method}, Arrived: now, AnswerDeadline: deadline, BeginDeadline: begin,
 	}, answer)
 }
 
@@ -450,3 +452,19 @@
 		testkit.That(t, !ok, "%s read as a model's unit", name)
 	}
 }
+
+// Guards against a safe HEAD request that fails on each backend server: its answer declares
+// a length and has no body.
+func TestForwardAnswersHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardTestbed(t)
+		b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+			return &service.ForwardResponse{Status: 200, Length: 2, Body: http.NoBody}, nil
+		}
+		b.method = http.MethodHead
+		var got answerRecorder
+		testkit.OK(t, b.forward(t.Context(), route(contract.RepeatSafe), "", &got))
+		testkit.That(t, got.status == 200 && len(b.sent) == 1, "status %d after %d sent requests", got.status, len(b.sent))
+		b.stop()
+	})
+}
