caller: a shutdown answers each request of which it has read a byte

What callers saw: a connection closed without an answer 2.5 s after a SIGTERM, when the callers' port calls Shutdown; the request is in no log. The shutdown then lasted until its grace ended, with "shutdown grace expired" and open 0.

Cause: http.Server.Shutdown. Once it has begun, conn.serve closes a connection on which it has just read a whole request; closeIdleConns closes a connection in StateIdle although its goroutine may have read the next request; and it waits 5 to 6 s for a connection on which no request has begun (StateNew).

Fix: over plain HTTP/1.1 Server.Shutdown no longer uses http.Server.Shutdown. It closes the listener and sets a past read deadline on each connection of which nothing was read since it was accepted or last answered. The pending Read then tries once more for lastReadTimeout, as a Read with an expired deadline fails even if the request is already in the socket; without data net/http closes the connection itself. Deciding this under the connection's lock, in Read and in the ConnState hook, leaves no moment in which a request was read and its connection counts as idle. As soon as data has arrived, net/http's own deadline is in force again. New connections that the listener still accepts are treated alike. Serve's return is awaited before the open connections are, so that none is missed.

As net/http no longer knows of the shutdown, drainingWriter adds Connection: close to each head that is sent after Drain. It hides net/http's writer from MaxBytesReader, hence limitBody; TestTooLargeBodyIsRefusedBeforeItsEnd took 10 s instead of 0 without it.

TLS keeps http.Server.Shutdown, which alone can send GOAWAY over HTTP/2, so HTTP/1.1 over TLS still has the fault. Tracking bytes below TLS can't tell a handshake's last message from a request.

Rejected: closing idle connections by a past deadline alone, without the last read; it loses the requests that are in the socket or arrive just then. Also a longer wait before http.Server.Shutdown, which makes the loss rarer and keeps the wait for unused connections; and SetKeepAlivesEnabled(false), which closes idle connections in the same way.

--- a/caller/body.go
+++ b/caller/body.go
@@ -18,7 +18,7 @@
 	if err := h.reserveBody(x); err != nil {
 		return nil, err
 	}
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.BodyBytes), x.r.ContentLength)
+	body, err := readAll(limitBody(x.w, x.r, h.limits.BodyBytes), x.r.ContentLength)
 	var limitErr *http.MaxBytesError
 	if errors.As(err, &limitErr) {
 		return nil, h.tooLarge()
@@ -63,3 +63,12 @@
 	h.held.release(x.identity.Customer, x.reservedBytes-n)
 	x.reservedBytes = n
 }
+
+// limitBody is http.MaxBytesReader for a server's writer. MaxBytesReader needs net/http's
+// own writer to have a body that is too large refused before its end.
+func limitBody(w http.ResponseWriter, r *http.Request, maxBytes int64) io.ReadCloser {
+	if draining, ok := w.(*drainingWriter); ok {
+		w = draining.ResponseWriter
+	}
+	return http.MaxBytesReader(w, r.Body, maxBytes)
+}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -2,9 +2,12 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"time"
 
 	"go.uber.org/zap/zapcore"
 )
@@ -31,26 +34,72 @@
 	return nil
 }
 
+// lastReadTimeout is how long a shutdown still reads from a connection that waits for a
+// request. A request that is on its way then is answered instead of cut off.
+const lastReadTimeout = 500 * time.Millisecond
+
+// pastDeadline ends a pending Read at once.
+var pastDeadline = time.Unix(1, 0)
+
 // connections is the set of a server's open connections.
 type connections struct {
-	mu   sync.Mutex
-	open map[*limitedConn]struct{}
+	mu       sync.Mutex
+	open     map[*limitedConn]struct{}
+	stopping bool
+	// sealed is set once no more connections are added, and then empty is closed when
+	// the last one is removed.
+	sealed     bool
+	empty      chan struct{}
+	closeEmpty func()
 }
 
 func newConnections() *connections {
-	return &connections{open: make(map[*limitedConn]struct{})}
+	c := &connections{open: make(map[*limitedConn]struct{}), empty: make(chan struct{})}
+	c.closeEmpty = sync.OnceFunc(func() { close(c.empty) })
+	return c
 }
 
 func (c *connections) add(conn *limitedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = struct{}{}
+	if c.stopping {
+		conn.stop()
+	}
 }
 
 func (c *connections) remove(conn *limitedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, conn)
+	c.closeEmptyIfDone()
+}
+
+// stop lets each connection end once it waits for a request, including those that are
+// added later.
+func (c *connections) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	for conn := range c.open {
+		conn.stop()
+	}
+}
+
+// seal returns a channel that is closed once no connection is open. No connection may be
+// added after seal.
+func (c *connections) seal() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	c.closeEmptyIfDone()
+	return c.empty
+}
+
+func (c *connections) closeEmptyIfDone() {
+	if c.sealed && len(c.open) == 0 {
+		c.closeEmpty()
+	}
 }
 
 func (c *connections) count() ConnectionCounts {
@@ -63,7 +112,9 @@
 	return counts
 }
 
-// limitedConn is a caller's connection with its state.
+// limitedConn is a caller's connection with its state. After stop it ends itself as soon
+// as it waits for a request: the pending Read fails, and net/http closes the connection.
+// A connection from which any byte of a request was read is left to net/http.
 type limitedConn struct {
 	net.Conn
 	release   func()
@@ -75,15 +126,46 @@
 	// net/http reads ahead by one byte, so at StateIdle received reports whether the
 	// next request has begun to arrive.
 	received bool
+	stopping bool
+	// readDeadline is the one that net/http has set. It isn't in force while the
+	// connection is stopping and waits for a request.
+	readDeadline time.Time
 }
 
 // Read implements net.Conn.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+	}
+	c.endRead(n)
+	return n, err
+}
+
+// beginLastRead reports whether to read once more before the connection ends. A Read with
+// an expired deadline fails even if data is there.
+func (c *limitedConn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping && c.isWaiting() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
+}
+
+// endRead restores net/http's deadline if data arrived, since stop may have replaced it.
+func (c *limitedConn) endRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = n > 0
-	return n, err
+	if c.received && c.stopping {
+		_ = c.applyReadDeadline()
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.applyReadDeadline()
 }
 
 // Close implements net.Conn.
@@ -96,6 +178,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
+	if c.stopping {
+		_ = c.applyReadDeadline()
+	}
+}
+
+// stop ends the connection once it waits for a request and none arrives within
+// lastReadTimeout.
+func (c *limitedConn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	_ = c.applyReadDeadline()
+}
+
+// isWaiting reports whether no byte of a next request was read. The caller holds c.mu.
+func (c *limitedConn) isWaiting() bool { return c.state != http.StateActive && !c.received }
+
+// applyReadDeadline sets the deadline that is in force. The caller holds c.mu.
+func (c *limitedConn) applyReadDeadline() error {
+	if c.stopping && c.isWaiting() {
+		return c.Conn.SetReadDeadline(pastDeadline)
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 func (c *limitedConn) addTo(counts *ConnectionCounts) {
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -224,6 +224,22 @@
 	})
 }
 
+// A caller sends more than the limit in a body without a length, and then stalls. The refusal
+// must not wait for the remainder of the body, which net/http would read otherwise.
+func TestTooLargeBodyIsRefusedBeforeItsEnd(t *testing.T) {
+	runServer(t, &fakeBackend{}, caller.Limits{BodyBytes: 4}, func(t *testing.T, _ *caller.Server, network memoryNet) {
+		conn := network.dial()
+		start := time.Now()
+		go func() {
+			_, _ = io.WriteString(conn, "POST /services/booking/book HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-rental\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n")
+		}()
+		answer := readAnswer(t, conn)
+		testkit.That(t, answer.StatusCode == 413 && answer.Close, "%v", answer)
+		testkit.Equal(t, "time to the answer", time.Since(start), 0)
+	})
+}
+
 // The caller disconnects before the first token. Generate's context must end, or the
 // engine would keep generating for nobody.
 func TestCallerDisconnectCancelsGenerate(t *testing.T) {
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -21,8 +21,16 @@
 	net.Listener
 	limiter     *connectionLimiter
 	connections *connections
+	close       func() error
 }
 
+func newLimitListener(listener net.Listener, limiter *connectionLimiter, connections *connections) *limitListener {
+	return &limitListener{Listener: listener, limiter: limiter, connections: connections, close: sync.OnceValue(listener.Close)}
+}
+
+// Close implements net.Listener. It may be called several times.
+func (l *limitListener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l *limitListener) Accept() (net.Conn, error) {
 	for {
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -270,7 +270,7 @@
 	if r.ContentLength > h.limits.BodyBytes {
 		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
 	}
-	body, err := readAll(http.MaxBytesReader(x.answer.w, r.Body, h.limits.BodyBytes), r.ContentLength)
+	body, err := readAll(limitBody(x.answer.w, r, h.limits.BodyBytes), r.ContentLength)
 	var limitErr *http.MaxBytesError
 	if errors.As(err, &limitErr) {
 		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 // Server serves an http.Handler over TCP within its Limits.
 type Server struct {
 	http    *http.Server
+	tls     bool
 	handler http.Handler
 	limits  Limits
 	limiter *connectionLimiter
@@ -35,12 +37,20 @@
 	connections *connections
 	// draining is set by Drain.
 	draining atomic.Bool
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	listeners []*limitListener
+	// accepting counts the running calls of Serve.
+	accepting sync.WaitGroup
+	// stopping is set by Shutdown over plain HTTP/1.1.
+	stopping bool
 }
 
 // NewServer returns a server. If tlsConfig is not nil, it serves TLS with HTTP/1.1
 // and HTTP/2.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
-	s := &Server{handler: handler, limits: limits.withDefaults(), connections: newConnections()}
+	s := &Server{tls: tlsConfig != nil, handler: handler, limits: limits.withDefaults(), connections: newConnections()}
 	s.limiter = newConnectionLimiter(s.limits)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
@@ -63,34 +73,100 @@
 
 // Serve accepts connections until Shutdown or Close, after which it returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.serveListener(&limitListener{Listener: listener, limiter: s.limiter, connections: s.connections})
-	if errors.Is(err, http.ErrServerClosed) {
+	limited := newLimitListener(listener, s.limiter, s.connections)
+	if !s.beginAccepting(limited) {
+		return Error.Wrap(limited.Close())
+	}
+	defer s.accepting.Done()
+	err := s.serveListener(limited)
+	if errors.Is(err, http.ErrServerClosed) || s.isStopping() {
 		return nil
 	}
 	return Error.Wrap(err)
 }
 
 func (s *Server) serveListener(listener net.Listener) error {
-	if s.http.TLSConfig != nil {
+	if s.tls {
 		return s.http.ServeTLS(listener, "", "")
 	}
 	return s.http.Serve(listener)
 }
 
+// beginAccepting registers a listener. It returns false after Shutdown.
+func (s *Server) beginAccepting(listener *limitListener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.listeners = append(s.listeners, listener)
+	s.accepting.Add(1)
+	return true
+}
+
+// stopAccepting closes the listeners and waits until none of them adds a connection.
+func (s *Server) stopAccepting() error {
+	s.mu.Lock()
+	s.stopping = true
+	listeners := s.listeners
+	s.mu.Unlock()
+	var err error
+	for _, listener := range listeners {
+		err = errors.Join(err, listener.Close())
+	}
+	s.accepting.Wait()
+	return err
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // Drain starts a planned shutdown: /readyz answers 503, so that the load balancer
-// sends no more requests, and each answer closes its connection. Requests are
-// still served.
+// sends no more requests, and each answer whose head is not yet sent closes its
+// connection. Requests are still served.
 //
 // Closing idle connections at once would reset a connection on which a caller is
 // just sending a request, and the caller could not know whether the request ran.
 // So call Drain, wait until the load balancer has reacted, then call Shutdown.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown calls Drain, accepts no new connections, closes idle keep-alive
-// connections and waits for running requests until ctx ends.
+// Shutdown calls Drain, accepts no new connections, closes the connections that wait
+// for a request and waits for the others until ctx ends. If ctx ends first, it returns
+// ctx's error, and the remaining connections stay open until Close.
+//
+// Over plain HTTP/1.1 a connection that waits for a request is closed if none begins
+// within lastReadTimeout, and a request of which any byte was read gets its answer. Over
+// TLS it relies on http.Server.Shutdown, which ends HTTP/2 connections with GOAWAY, but
+// over HTTP/1.1 closes a connection on which a request is just arriving.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	return Error.Wrap(s.http.Shutdown(ctx))
+	if s.tls {
+		return Error.Wrap(s.http.Shutdown(ctx))
+	}
+	s.connections.stop()
+	err := s.stopAccepting()
+	if waitErr := waitUntil(ctx, s.connections.seal()); waitErr != nil {
+		return Error.Wrap(waitErr)
+	}
+	return Error.Wrap(errors.Join(err, s.http.Close()))
+}
+
+// waitUntil waits for done until ctx ends.
+func waitUntil(ctx context.Context, done <-chan struct{}) error {
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	select {
+	case <-done:
+		return nil
+	default:
+		return ctx.Err()
+	}
 }
 
 // Close closes all connections, including those with running requests.
@@ -108,6 +184,7 @@
 	if overLimit || draining {
 		w.Header().Set("Connection", "close")
 	}
+	w = &drainingWriter{ResponseWriter: w, draining: &s.draining}
 	switch {
 	case overLimit && r.URL.Path != pathHealthz:
 		overLimitTotal.Inc()
@@ -118,3 +195,21 @@
 		s.handler.ServeHTTP(w, r)
 	}
 }
+
+// drainingWriter makes an answer close its connection if Drain was called before the
+// answer's head is sent.
+type drainingWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *drainingWriter) WriteHeader(status int) {
+	if w.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap serves http.ResponseController.
+func (w *drainingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
