daemon: the end of a shutdown answers requests that have no answer yet

What callers saw: a request that its backend server still held without an answer when the shutdown grace ended (shutdown_grace, 7.2 s in deploy/) had its connection closed unanswered. The users' rule excuses that only while the backend server is at work on the request in the last sixth of the grace, not while the request waits in its queue.

Cause: Hosted.shutdown closed all connections at once when the grace had expired.

Now the requests in flight are cancelled first. One whose answer has not begun gets 504 outcome_unknown, ran maybe; it may have run, so it can't be promised otherwise. Connections are closed when all answers are written, after 200 ms at the latest. A stream that has begun is broken off as before.

TestRelayEndRequests holds the handler to both cases.

A request that only waits at this VM is refused earlier, by RefuseWaiting. The daemon of the log platform still closes such connections when its grace (15 minutes) ends.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -154,14 +154,23 @@
 	limits  Limits
 	log     *zap.Logger
 	held    *heldBytes
+	// ended is done once EndRequests has been called.
+	ended       context.Context
+	endRequests context.CancelFunc
 }
 
 // NewRelayHandler returns a RelayHandler.
 func NewRelayHandler(backend RelayBackend, dialect Dialect, limits Limits, log *zap.Logger) *RelayHandler {
 	limits = limits.withDefaults()
-	return &RelayHandler{backend: backend, dialect: dialect, limits: limits, log: log, held: newHeldBytes(limits.HeldBytes)}
+	h := &RelayHandler{backend: backend, dialect: dialect, limits: limits, log: log, held: newHeldBytes(limits.HeldBytes)}
+	h.ended, h.endRequests = context.WithCancel(context.Background())
+	return h
 }
 
+// EndRequests ends all requests in flight, at the end of a shutdown. Those whose answer has
+// not begun are answered that they may have run, because a closed connection says less.
+func (h *RelayHandler) EndRequests() { h.endRequests() }
+
 // ServeHTTP implements http.Handler. It aborts the connection if an answer can't be
 // completed, so that a partial answer doesn't look complete.
 func (h *RelayHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -205,7 +214,20 @@
 	}
 	defer h.held.release(grant.Customer, x.bodySize)
 	h.completeRequest(x, r, grant, body)
-	return h.backend.Relay(r.Context(), x.request, &x.answer)
+	return h.forward(x, r)
+}
+
+// forward calls the backend. It ends the request when EndRequests is called.
+func (h *RelayHandler) forward(x *relayExchange, r *http.Request) error {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := context.AfterFunc(h.ended, cancel)
+	defer stop()
+	err := h.backend.Relay(ctx, x.request, &x.answer)
+	if errors.Is(err, context.Canceled) && h.ended.Err() != nil {
+		return refusal.NewMaybeRan(refusal.CodeOutcomeUnknown, "this entry VM stops before the answer")
+	}
+	return err
 }
 
 // completeRequest sets the remaining fields of x.request.
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -264,3 +264,31 @@
 		})
 	}
 }
+
+// A shutdown ends before its requests do. A request whose answer has not begun must get an
+// answer, which says that it may have run, instead of a closed connection; one whose answer
+// has begun must look broken.
+func TestRelayEndRequests(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		running := make(chan struct{})
+		b := &relayBackend{relay: func(ctx context.Context, _ RelayRequest, answer AnswerWriter) error {
+			if begun {
+				answer.WriteHead(200, http.Header{}, -1)
+				_ = answer.Write([]byte("part"))
+			}
+			close(running)
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		handler := NewRelayHandler(b, plainDialect{}, Limits{}, zap.NewNop())
+		server := httptest.NewServer(handler)
+		go func() { <-running; handler.EndRequests() }()
+		got := exchangeRaw(t, server.Listener.Addr().String(), "GET /a HTTP/1.1\r\n"+commonHeaders+"\r\n")
+		if begun {
+			testkit.That(t, strings.HasPrefix(got, "HTTP/1.1 200") && strings.HasSuffix(got, "4\r\npart\r\n"), "got %q", got)
+		} else {
+			testkit.That(t, strings.HasPrefix(got, "HTTP/1.1 504") && strings.Contains(got, `"ran":"maybe"`), "got %q", got)
+		}
+		server.Close()
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,7 +209,7 @@
 	d.node.Leave()
 	d.callers.Drain()
 	pause.For(ctx, balancerDelay)
-	shutDownCallers(ctx, d.callers, d.node.OpenRequests, d.logger)
+	shutDownCallers(ctx, d.callers, func() {}, d.node.OpenRequests, d.logger)
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
 	d.node.Stop(stop)
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -59,6 +59,7 @@
 	node     *hosted.Node
 	peers    *entryvm.Client
 	callers  *caller.Server
+	relay    *caller.RelayHandler
 
 	callersListener, peersListener, readyListener, metricsListener net.Listener
 	readyServer, metricsServer                                     *http.Server
@@ -92,7 +93,8 @@
 		MaxConfigurationAge: s.Platform.MaxConfigurationAge, QuotaSlack: s.Policy.QuotaSlack,
 	})
 	limits := callerLimits(s.Limits, nil)
-	h.callers = caller.NewServer(caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger), limits, nil)
+	h.relay = caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger)
+	h.callers = caller.NewServer(h.relay, limits, nil)
 	h.readyServer = &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	h.metricsServer = &http.Server{Handler: telemetry.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	h.logger.Info("starting", zap.String("version", version), zap.String("incarnation", incarnation),
@@ -176,7 +178,7 @@
 	h.node.BeginShutdown(ctx)
 	pause.For(ctx, hostedBalancerDelay-time.Since(start))
 	h.node.RefuseWaiting()
-	shutDownCallers(ctx, h.callers, h.node.OpenRequests, h.logger)
+	shutDownCallers(ctx, h.callers, h.relay.EndRequests, h.node.OpenRequests, h.logger)
 	h.logger.Info("stopped", zap.Duration("took", time.Since(start)))
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -28,15 +29,24 @@
 	})
 }
 
-// shutDownCallers waits for the callers' open requests until ctx ends, and then closes
-// the connections that remain.
-func shutDownCallers(ctx context.Context, callers *caller.Server, openRequests func() int, logger *zap.Logger) {
+// finalAnswersTimeout bounds the time to answer the requests that are open when the
+// shutdown grace expires.
+const finalAnswersTimeout = 200 * time.Millisecond
+
+// shutDownCallers waits for the callers' open requests until ctx ends. Then it calls
+// endRequests and closes the connections that are open after finalAnswersTimeout.
+func shutDownCallers(ctx context.Context, callers *caller.Server, endRequests func(), openRequests func() int, logger *zap.Logger) {
 	logger.Info("closing idle connections", zap.Int("open", openRequests()), zap.Object("connections", callers.OpenConnections()))
 	err := callers.Shutdown(ctx)
 	if err == nil {
 		return
 	}
-	logger.Warn("shutdown grace expired, closing open requests", zap.Int("open", openRequests()),
+	logger.Warn("shutdown grace expired, ending open requests", zap.Int("open", openRequests()),
 		zap.Object("connections", callers.OpenConnections()), telemetry.Reason(err))
-	_ = callers.Close()
+	endRequests()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswersTimeout)
+	defer cancel()
+	if callers.Shutdown(ctx) != nil {
+		_ = callers.Close()
+	}
 }
