serving: a request moved for silence may go back when its new server doesn't run it

What callers saw: a stream was cut, or a repeatable request refused, although its first backend server was only silent and would have answered, when the server it was moved to said that it didn't run it (503 with Not-Run, or 421).

Cause: reserveReplacement counts a slot as this VM knows it; other VMs may fill it before the request arrives. The first server stays excluded for the rest of the request, so each further attempt goes to the full one, until the retry budget is spent.

Evidence, without the change of forward.go (go test ./internal/serving -run MovesToFullServer): TestStreamMovesToFullServer: not run by the backend server after "id: 1\ndata: part 1\n\n" TestLateRequestMovesToFullServer: backend_failed (ran: maybe): the retry budget is spent: not run by the backend server after ""

Fix: if the first attempt after a move didn't run, the server that the request was moved away from is no longer excluded. The attempt still takes a unit of the retry budget, and the number of servers that run the request doesn't grow.

Not fixed: a VM that stops between the move and the refusal queues nothing any more and ends the request with shutting_down.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -136,6 +136,9 @@
 	// replacement is what the stall guard reserved to continue the request elsewhere, nil
 	// for nothing. While an attempt runs, it belongs to the guard.
 	replacement *reservation
+	// movedFrom is the backend server that the stall guard moved the request away from,
+	// empty unless the current attempt is the first one after the move.
+	movedFrom string
 	// fingerprint caches the result of requestFingerprint.
 	fingerprint *quarantine.Fingerprint
 	// readyAtArrival is whether a backend server was ready for the request when it arrived.
@@ -201,6 +204,7 @@
 	case isTerminalError(cause):
 		return cause
 	case f.replacement != nil:
+		f.movedFrom = f.pending.backend
 		f.pending.moveTo(f.replacement, f.outcome)
 		f.replacement = nil
 		return nil
@@ -221,6 +225,11 @@
 	if !f.lastDelivered.IsZero() {
 		f.pending.setDeadline(f.request.ContinueDeadline(f.lastDelivered))
 	}
+	if f.movedFrom != "" && !f.outcome.mayHaveRun {
+		// The reserved server had no slot after all; the silent one may still be sound.
+		delete(f.pending.query.Exclude, f.movedFrom)
+	}
+	f.movedFrom = ""
 	return f.pending.requeue(ctx, f.outcome)
 }
 
