serving: a slow caller isn't taken for a silent engine in generations either

What callers saw: a stream that blocks in a write for longer than the stall timeout (10 s; the write deadline is 10 to 20 s ahead) is ended and repeated on another engine, or ends with backend_failed if there is none, although its engine has sent all the while.

Cause: readChunks recorded the arrival of a chunk and then delivered it. The time of the delivery counted as the engine's silence.

Fix: readChunks uses beginDelivery and endDelivery like forwarded streams. recordProgress of the guard had no other user and is merged into beginDelivery; the guard's table test calls the pair, with the same cases and times.

--- a/internal/serving/generating.go
+++ b/internal/serving/generating.go
@@ -149,11 +149,14 @@
 		}
 		position = chunk.Position
 		now := time.Now()
-		guard.recordProgress(now)
+		if !guard.beginDelivery(now) {
+			return position, errStalled
+		}
 		more := pending != nil && pending.HasPending()
 		if err := g.deliver(now, chunk, more); err != nil {
 			return position, err
 		}
+		guard.endDelivery(time.Now())
 	}
 }
 
--- a/internal/serving/serving_internal_test.go
+++ b/internal/serving/serving_internal_test.go
@@ -163,7 +163,8 @@
 			g := newStallGuard(20*time.Second, 10*time.Second, cancel, errLate)
 			for _, at := range c.tokens {
 				time.Sleep(at*time.Second - time.Since(start))
-				g.recordProgress(time.Now())
+				g.beginDelivery(time.Now())
+				g.endDelivery(time.Now())
 			}
 			time.AfterFunc(c.stop-time.Since(start), func() { g.stop(); cancel(nil) })
 			<-ctx.Done()
--- a/internal/serving/stallguard.go
+++ b/internal/serving/stallguard.go
@@ -50,23 +50,6 @@
 	g.timer = time.AfterFunc(firstTimeout, g.handleTimer)
 }
 
-// recordProgress records the arrival of data. The first arrival resets the timer, as
-// firstTimeout may be longer than stallTimeout.
-func (g *stallGuard) recordProgress(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.recordProgressLocked(now)
-}
-
-func (g *stallGuard) recordProgressLocked(now time.Time) {
-	first := g.lastReceived.IsZero()
-	g.lastReceived = now
-	if first && !g.stopped {
-		g.reason = errStalled
-		g.timer.Reset(g.stallTimeout)
-	}
-}
-
 // beginDelivery records the arrival of data. Until endDelivery, the time doesn't count as
 // silence. It returns false if the guard has ended the attempt: the request continues
 // elsewhere, and the data must be dropped.
@@ -77,7 +60,13 @@
 		return false
 	}
 	g.delivering = true
-	g.recordProgressLocked(now)
+	first := g.lastReceived.IsZero()
+	g.lastReceived = now
+	if first && !g.stopped {
+		// firstTimeout may be longer than stallTimeout.
+		g.reason = errStalled
+		g.timer.Reset(g.stallTimeout)
+	}
 	return true
 }
 
