serving: the silence in the attempt line leaves out the caller's slow reading

What operators saw: silent_for of an attempt that was ended for silence includes the time in which the caller read the last piece, so it is longer than the engine's silence and than the guard's limit.

Cause: forwarding.lastReceived was set when a piece arrived, the guard's when it had been delivered.

Evidence, before the fix, with 5 s for one write and then no data: TestAttemptLineLeavesOutSlowCaller: silent for 7s

Fix: both are set by the same call after the delivery.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -118,8 +118,8 @@
 	// lastEventID is the id of the last event that the caller received, empty before
 	// the first.
 	lastEventID string
-	// lastReceived is when the current attempt last received data, zero before the first;
-	// pieces counts the pieces of data that it received.
+	// lastReceived is when the current attempt last received data, or was ready for more
+	// after it; zero before the first. pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
 	// lastDelivered is when the caller received its last event, zero before the first.
@@ -420,7 +420,7 @@
 			if err := f.writeAnswer(buffer[:n]); err != nil {
 				return err
 			}
-			guard.endDelivery(time.Now())
+			f.endPiece(guard)
 		}
 		if errors.Is(err, io.EOF) {
 			f.beginAnswer(head)
@@ -449,8 +449,8 @@
 			if events.lastID != "" {
 				f.lastEventID = events.lastID
 			}
-			f.lastDelivered = time.Now()
-			guard.endDelivery(f.lastDelivered)
+			f.endPiece(guard)
+			f.lastDelivered = f.lastReceived
 		}
 		if errors.Is(err, io.EOF) {
 			f.beginAnswer(head)
@@ -493,6 +493,13 @@
 	return true
 }
 
+// endPiece records that a piece was delivered: from now on, the backend server is
+// silent until the next one.
+func (f *forwarding) endPiece(guard *stallGuard) {
+	f.lastReceived = time.Now()
+	guard.endDelivery(f.lastReceived)
+}
+
 // recordProgress records that data of the answer arrived, and the time to its first
 // data.
 func (f *forwarding) recordProgress(now time.Time) {
--- a/internal/serving/silence_test.go
+++ b/internal/serving/silence_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// Guards against a log line that counts the time in which the caller read slowly as silence
+// of its backend server.
+func TestAttemptLineLeavesOutSlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		b := newForwardTestbedWithLog(t, zap.New(core))
+		b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
+			if number == 1 {
+				return pausingAnswer(ctx, event(1), time.Minute, ""), nil
+			}
+			return pausingAnswer(ctx, event(2), 0, ""), nil
+		}
+		r := route(contract.RepeatResume)
+		r.Timeout = 30 * time.Second
+		testkit.OK(t, b.forward(t.Context(), r, "m", &answerRecorder{writeTime: 5 * time.Second}))
+		attempts := logs.FilterMessage("attempt").All()
+		testkit.Need(t, len(attempts) == 2, "%d attempts, want 2", len(attempts))
+		got := attempts[0].ContextMap()["silent_for"].(time.Duration)
+		testkit.That(t, got >= 2*time.Second && got < 5*time.Second, "silent for %s", got)
+		b.stop()
+	})
+}
+
 // forwardAll forwards streams of events at once, checks that each is whole, and that
 // nothing counts as running afterwards.
 func (b *forwardTestbed) forwardAll(count int, r *contract.Route, want string) {
