serving: stall guards are made in one way

newStallGuard takes the optional search for a replacement, so that forwarded requests no longer build the guard from its fields; spared and keptSilent, one fact with two names, are keptSilent. No behaviour changes; go test -race -count=2 ./internal/serving passes but for the known red test.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -287,7 +287,7 @@
 		f.attemptsRun++
 	}
 	guard.stop()
-	f.keptSilent = guard.spared && !guard.ended
+	f.keptSilent = guard.keptSilent && !guard.ended
 	err = withGuardCause(ctx, err)
 	f.classifyAttempt(err)
 	f.reportToQuarantine(ctx, head, err)
@@ -318,10 +318,10 @@
 // for too long and another one has been reserved for the request.
 func (f *forwarding) startStallGuard(cancel context.CancelCauseFunc) *stallGuard {
 	route := f.request.Route
-	guard := &stallGuard{stallTimeout: resumableStallTimeout, cancel: cancel, reason: errHeadTimeout, secureReplacement: f.secureReplacement}
-	guard.start(max(headTimeoutFactor*route.TargetLatency, minHeadTimeout))
+	headTimeout := max(headTimeoutFactor*route.TargetLatency, minHeadTimeout)
+	guard := newStallGuard(headTimeout, resumableStallTimeout, cancel, errHeadTimeout, f.secureReplacement)
 	if !route.IsRepeatable() || f.attemptsRun+1 >= route.MaxAttempts {
-		guard.stop()
+		guard.stop() // no further attempt is allowed
 	}
 	return guard
 }
--- a/internal/serving/generating.go
+++ b/internal/serving/generating.go
@@ -125,9 +125,9 @@
 func (g *generating) startStallGuard(cancel context.CancelCauseFunc) *stallGuard {
 	stallTimeout := g.server.config.StallTimeout
 	if g.delivered == 0 {
-		return newStallGuard(time.Until(g.deadline), stallTimeout, cancel, errLate)
+		return newStallGuard(time.Until(g.deadline), stallTimeout, cancel, errLate, nil)
 	}
-	return newStallGuard(stallTimeout, stallTimeout, cancel, errStalled)
+	return newStallGuard(stallTimeout, stallTimeout, cancel, errStalled, nil)
 }
 
 // withGuardCause adds the guard's reason to an error that the guard caused.
--- a/internal/serving/serving_internal_test.go
+++ b/internal/serving/serving_internal_test.go
@@ -128,7 +128,7 @@
 	} {
 		b := &c.batchStream
 		state := &generating{pending: &pendingRequest{timeToFirstToken: 1}, sink: b, bufferingSink: b}
-		g := newStallGuard(time.Minute, time.Minute, nil, errLate)
+		g := newStallGuard(time.Minute, time.Minute, nil, errLate, nil)
 		_, err := state.readChunks(b, 0, g)
 		g.stop()
 		testkit.That(t, b.flushErr != nil == isTerminalError(err) && slices.Equal(b.writes, c.want),
@@ -160,7 +160,7 @@
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
 			start := time.Now()
-			g := newStallGuard(20*time.Second, 10*time.Second, cancel, errLate)
+			g := newStallGuard(20*time.Second, 10*time.Second, cancel, errLate, nil)
 			for _, at := range c.tokens {
 				time.Sleep(at*time.Second - time.Since(start))
 				g.beginDelivery(time.Now())
--- a/internal/serving/stallguard.go
+++ b/internal/serving/stallguard.go
@@ -29,25 +29,22 @@
 	lastReceived time.Time
 	// delivering is whether the receiver is busy with data, and not waiting for more.
 	delivering bool
-	// spared is whether the attempt was silent for too long and had no replacement.
-	spared bool
+	// keptSilent is whether the attempt was silent for too long and went on, as nothing
+	// could replace it.
+	keptSilent bool
 	// stopped is whether this guard no longer ends the attempt, ended whether it has.
 	stopped, ended bool
 }
 
 // newStallGuard starts a guard that cancels the attempt with firstReason if no data
 // arrives within firstTimeout, and with errStalled if no data follows within
-// stallTimeout after the last.
-func newStallGuard(firstTimeout, stallTimeout time.Duration, cancel context.CancelCauseFunc, firstReason error) *stallGuard {
-	g := &stallGuard{stallTimeout: stallTimeout, cancel: cancel, reason: firstReason}
-	g.start(firstTimeout)
-	return g
-}
-
-func (g *stallGuard) start(firstTimeout time.Duration) {
+// stallTimeout after the last. secureReplacement may be nil.
+func newStallGuard(firstTimeout, stallTimeout time.Duration, cancel context.CancelCauseFunc, firstReason error, secureReplacement func() bool) *stallGuard {
+	g := &stallGuard{stallTimeout: stallTimeout, cancel: cancel, reason: firstReason, secureReplacement: secureReplacement}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timer = time.AfterFunc(firstTimeout, g.handleTimer)
+	return g
 }
 
 // beginDelivery records the arrival of data. Until endDelivery, the time doesn't count as
@@ -93,7 +90,7 @@
 		return
 	}
 	if g.secureReplacement != nil && !g.secureReplacement() {
-		g.spared = true
+		g.keptSilent = true
 		g.timer.Reset(replacementRetryInterval)
 		return
 	}
