--- a/caller/connection.go
+++ b/caller/connection.go
@@ -114,7 +114,8 @@
 
 // limitedConn is a caller's connection with its state. After stop it ends itself as soon
 // as it waits for a request: the pending Read fails, and net/http closes the connection.
-// A connection from which any byte of a request was read is left to net/http.
+// A connection from which any byte of a request was read is left to net/http, unless that
+// byte came before the answer to the previous request was complete.
 type limitedConn struct {
 	net.Conn
 	release   func()
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -46,7 +46,7 @@
 	endRequests()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswersTimeout)
 	defer cancel()
-	if callers.Shutdown(ctx) != nil {
+	if callers.Shutdown(ctx) != nil { // waits for the connections left by the first call
 		_ = callers.Close()
 	}
 }
