hosted: a VM that starts selects quota allocators every 10 ms

Cause, by a trace of all grants: a VM that knows no others takes itself for the allocator, with a third of the quota, and went by that selection for 200 ms, long after it had their reports ("v3 since 170 ms live 1 known 1"). Each such VM puts its own bucket into debt; the debt goes with the bucket.

During startupPeriod allocators are now selected again after 10 ms.

--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -36,12 +36,16 @@
 const allocatorKey = "quotas"
 
 // currentAllocators returns the allocators among the live VMs. It selects them again after
-// allocatorSelectionInterval.
+// allocatorSelectionInterval, and sooner just after this VM's start.
 func (q *quotas) currentAllocators(now time.Time) allocatorSelection {
 	q.mu.Lock()
 	s := q.allocators
 	q.mu.Unlock()
-	if age := now.Sub(s.selectedAt); age >= 0 && age < allocatorSelectionInterval {
+	interval := allocatorSelectionInterval
+	if q.isStarting() {
+		interval = startupSelectionInterval
+	}
+	if age := now.Sub(s.selectedAt); age >= 0 && age < interval {
 		return s
 	}
 	s = q.node.members.selectAllocators(now)
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -57,6 +57,10 @@
 	demandTimeout = 400 * time.Millisecond
 	// allocatorSelectionInterval is the minimum time between two selections of the allocators.
 	allocatorSelectionInterval = 200 * time.Millisecond
+	// startupSelectionInterval is the same during startupPeriod after this VM's start. A VM
+	// that knows no others yet takes itself for the allocator, and grants from a bucket of
+	// its own until it selects again.
+	startupSelectionInterval = 10 * time.Millisecond
 	// demandWindow is the time constant of the demand that an allocator reports.
 	demandWindow = time.Second
 	// quotaIdleTTL is how long the buckets of even shares are kept after the last use of
@@ -143,9 +147,14 @@
 	return q.leaseAndSpend(ctx, r, charge, args)
 }
 
+// isStarting reports whether this VM has started within startupPeriod.
+func (q *quotas) isStarting() bool {
+	return q.node.config.BootClock()-q.node.startedAt < startupPeriod
+}
+
 // currentMaxCreditWait returns how long a request may wait for credit now.
 func (q *quotas) currentMaxCreditWait() time.Duration {
-	if q.node.config.BootClock()-q.node.startedAt < startupPeriod {
+	if q.isStarting() {
 		return maxStartupCreditWait
 	}
 	return maxCreditWait
