quota: a restarted allocator replaces its former process

Cause: a DemandView knew allocators by VM and incarnation, and counted a restarted one twice until its former process counted as unreachable, a second after its last message. The former process acknowledges nothing any more, and an allocator counts only what all others acknowledged of its own demand: so all allocators counted their own as 0 and the others' in full.

A new process of a VM now replaces the former one, whose late messages are ignored. The former one has ended, so it grants nothing, and the new one has acknowledged nothing, so own demand still doesn't count before it does.

--- a/admission/quota/demandview.go
+++ b/admission/quota/demandview.go
@@ -36,9 +36,15 @@
 	sent              []numberedAnnouncement
 	ownDemand         map[string]float64
 	reachableFraction float64
-	peers             map[string]*peer // by VM
+	peers             map[Process]*peer
+	// replaced are the processes that have been replaced by a newer one of their VM, with
+	// the time when that became known.
+	replaced map[Process]time.Time
 }
 
+// Process identifies one process of an entry VM. Incarnation changes with each start.
+type Process struct{ VM, Incarnation string }
+
 // Announcement is what an allocator reports to the others about its failure domain.
 type Announcement struct {
 	// Demand is the cost of requests per second, by workspace.
@@ -65,7 +71,7 @@
 
 // NewDemandView returns the view of a failure domain, given the number of all domains.
 func NewDemandView(domain string, domains int) *DemandView {
-	return &DemandView{domain: domain, domains: max(domains, 1), reachableFraction: 1, ownDemand: map[string]float64{}, peers: map[string]*peer{}}
+	return &DemandView{domain: domain, domains: max(domains, 1), reachableFraction: 1, ownDemand: map[string]float64{}, peers: map[Process]*peer{}, replaced: map[Process]time.Time{}}
 }
 
 // Announce records an announcement that is sent to the allocators of other domains,
@@ -93,33 +99,50 @@
 }
 
 // Acknowledge records that an allocator has received an announcement.
-func (v *DemandView) Acknowledge(now time.Time, vm string, sequence uint64) {
-	if p := v.peers[vm]; p != nil && sequence > p.acked && sequence <= v.sequence {
+func (v *DemandView) Acknowledge(now time.Time, by Process, sequence uint64) {
+	if p := v.peers[by]; p != nil && sequence > p.acked && sequence <= v.sequence {
 		p.acked = sequence
 		v.updateOwnDemand(now)
 	}
 }
 
-// Receive applies another allocator's announcement unless a newer one was received.
-func (v *DemandView) Receive(now time.Time, vm, domain string, sequence uint64, announcement Announcement) {
-	if domain == v.domain || (v.peers[vm] != nil && sequence < v.peers[vm].sequence) {
+// Receive applies another allocator's announcement unless a newer one of it, or one of a
+// newer process of its VM, was received.
+func (v *DemandView) Receive(now time.Time, from Process, domain string, sequence uint64, announcement Announcement) {
+	if _, replaced := v.replaced[from]; replaced || domain == v.domain {
+		return
+	}
+	p := v.peers[from]
+	if p != nil && sequence < p.sequence {
 		return
 	}
-	p := v.peers[vm]
 	if p == nil {
+		v.dropFormerProcesses(now, from.VM)
 		p = &peer{}
-		v.peers[vm] = p
+		v.peers[from] = p
 	}
 	p.domain, p.receivedAt, p.numberedAnnouncement = domain, now, numberedAnnouncement{announcement, sequence}
 	v.updateOwnDemand(now)
 }
 
+// dropFormerProcesses drops the processes of a VM of which a newer one is known. They have
+// ended, so they neither grant credit nor acknowledge announcements any more.
+func (v *DemandView) dropFormerProcesses(now time.Time, vm string) {
+	for process := range v.peers {
+		if process.VM == vm {
+			delete(v.peers, process)
+			v.replaced[process] = now
+		}
+	}
+}
+
 // updateOwnDemand drops unreachable allocators and recomputes the usable own demand.
 func (v *DemandView) updateOwnDemand(now time.Time) {
+	maps.DeleteFunc(v.replaced, func(_ Process, replacedAt time.Time) bool { return now.Sub(replacedAt) > peerTTL })
 	oldestAcked := v.sequence
-	for vm, p := range v.peers {
+	for process, p := range v.peers {
 		if now.Sub(p.receivedAt) > peerTTL {
-			delete(v.peers, vm)
+			delete(v.peers, process)
 			continue
 		}
 		oldestAcked = min(oldestAcked, p.acked)
--- a/admission/quota/quota_test.go
+++ b/admission/quota/quota_test.go
@@ -69,6 +69,11 @@
 	ack      bool
 }
 
+// processIn returns the first process of a failure domain's allocator.
+func processIn(domain int) quota.Process {
+	return quota.Process{VM: fmt.Sprint("v", domain), Incarnation: "1"}
+}
+
 func newAllocators(seed int64, domains int, limit float64) *allocators {
 	a := &allocators{random: rand.New(rand.NewSource(seed)), limit: limit, isPartitioned: func(int, int) bool { return false }}
 	for i := range domains {
@@ -121,9 +126,9 @@
 		case m.arrives.After(now):
 			undelivered = append(undelivered, m)
 		case m.ack:
-			a.views[m.to].Acknowledge(now, fmt.Sprint("v", m.from), m.sequence)
+			a.views[m.to].Acknowledge(now, processIn(m.from), m.sequence)
 		default:
-			a.views[m.to].Receive(now, fmt.Sprint("v", m.from), fmt.Sprint("d", m.from), m.sequence, quota.Announcement{Demand: m.demand, ReachableFraction: 1})
+			a.views[m.to].Receive(now, processIn(m.from), fmt.Sprint("d", m.from), m.sequence, quota.Announcement{Demand: m.demand, ReachableFraction: 1})
 			if !a.isPartitioned(m.to, m.from) {
 				undelivered = append(undelivered, message{now.Add(a.randomDelay()), m.to, m.from, m.sequence, nil, true})
 			}
@@ -202,11 +207,27 @@
 	v := quota.NewDemandView("d0", 3)
 	v.Announce(at(0), quota.Announcement{Demand: map[string]float64{"w": 1e6}, ReachableFraction: 1})
 	testkit.That(t, v.Share(at(0), "w", 1000) < 0.34, "takes %v", v.Share(at(0), "w", 1000))
-	v.Receive(at(0), "v1", "d1", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, ReachableFraction: 1})
-	v.Receive(at(0), "v2", "d2", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, ReachableFraction: 1})
+	v.Receive(at(0), processIn(1), "d1", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, ReachableFraction: 1})
+	v.Receive(at(0), processIn(2), "d2", 1, quota.Announcement{Demand: map[string]float64{"w": 10}, ReachableFraction: 1})
 	testkit.That(t, v.Share(at(0), "w", 1000) < 0.7, "takes %v before any other allocator knows of its demand", v.Share(at(0), "w", 1000))
 }
 
+// Guards against a restarted allocator whose former process, which acknowledges nothing any
+// more, keeps the other allocators from counting their own demand.
+func TestRestartedAllocatorReplacesItsFormerProcess(t *testing.T) {
+	v := quota.NewDemandView("d0", 2)
+	idle, demand := quota.Announcement{ReachableFraction: 1}, quota.Announcement{Demand: map[string]float64{"w": 900}, ReachableFraction: 1}
+	former, restarted := quota.Process{VM: "v1", Incarnation: "1"}, quota.Process{VM: "v1", Incarnation: "2"}
+	v.Receive(at(0), former, "d1", 7, idle)
+	v.Receive(at(0.1), restarted, "d1", 1, idle)
+	sequence, _ := v.Announce(at(0.1), demand)
+	testkit.That(t, v.Share(at(0.1), "w", 1000) <= 0.5, "takes %v before the restarted allocator knows of its demand", v.Share(at(0.1), "w", 1000))
+	v.Acknowledge(at(0.2), restarted, sequence)
+	testkit.That(t, v.Share(at(0.2), "w", 1000) > 0.9, "takes %v with all of the demand", v.Share(at(0.2), "w", 1000))
+	v.Receive(at(0.3), former, "d1", 8, demand)
+	testkit.That(t, v.Share(at(0.3), "w", 1000) > 0.9, "takes %v after a late announcement of the former process", v.Share(at(0.3), "w", 1000))
+}
+
 func BenchmarkShare(b *testing.B) {
 	v := quota.NewDemandView("d0", 7)
 	demand := map[string]float64{}
@@ -215,8 +236,8 @@
 	}
 	sequence, _ := v.Announce(at(0), quota.Announcement{Demand: demand, ReachableFraction: 1})
 	for i := 1; i < 7; i++ {
-		v.Receive(at(0), fmt.Sprint("v", i), fmt.Sprint("d", i), 1, quota.Announcement{Demand: demand, ReachableFraction: 1})
-		v.Acknowledge(at(0), fmt.Sprint("v", i), sequence)
+		v.Receive(at(0), processIn(i), fmt.Sprint("d", i), 1, quota.Announcement{Demand: demand, ReachableFraction: 1})
+		v.Acknowledge(at(0), processIn(i), sequence)
 	}
 	b.ReportAllocs()
 	for range b.N {
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -216,8 +216,8 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.demandView.Receive(now, reply.VM+reply.Incarnation, reply.Domain, reply.Sequence, toAnnouncement(&reply))
-	q.demandView.Acknowledge(now, reply.VM+reply.Incarnation, report.Sequence)
+	q.demandView.Receive(now, toProcess(&reply), reply.Domain, reply.Sequence, toAnnouncement(&reply))
+	q.demandView.Acknowledge(now, toProcess(&reply), report.Sequence)
 }
 
 // announceDemand updates the buckets and returns the report of the demand in this domain.
@@ -258,6 +258,10 @@
 	return report
 }
 
+func toProcess(report *entryvm.DemandReport) quota.Process {
+	return quota.Process{VM: report.VM, Incarnation: report.Incarnation}
+}
+
 func toAnnouncement(report *entryvm.DemandReport) quota.Announcement {
 	demand := make(map[string]float64, len(report.Demand))
 	for _, d := range report.Demand {
@@ -273,7 +277,7 @@
 	now := time.Now()
 	selection := q.currentAllocators(now)
 	q.mu.Lock()
-	q.demandView.Receive(now, report.VM+report.Incarnation, report.Domain, report.Sequence, toAnnouncement(&report))
+	q.demandView.Receive(now, toProcess(&report), report.Domain, report.Sequence, toAnnouncement(&report))
 	q.mu.Unlock()
 	if !selection.isAllocator(n.config.Address) || !q.hasQuotas() {
 		return entryvm.DemandReport{VM: n.config.VM, Domain: n.config.Domain, Incarnation: n.config.Incarnation}
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -364,6 +364,40 @@
 	})
 }
 
+// sumShares returns the sum of the shares of a workspace's limit that allocators may grant.
+func (b *quotaCluster) sumShares(workspace string, limit float64) (sum float64) {
+	now := time.Now()
+	b.eachNode(func(_ string, n *Node) {
+		if selection := n.quotas.currentAllocators(now); !selection.isAllocator(n.config.Address) {
+			return
+		}
+		n.quotas.mu.Lock()
+		defer n.quotas.mu.Unlock()
+		sum += n.quotas.demandView.Share(now, workspace, limit)
+	})
+	return sum
+}
+
+// Guards against allocators that grant only a part of a quota for a second after one of them
+// is restarted, because they wait for acknowledgements from its killed process. Events of the
+// same instant run in random order, so each round plays another one.
+func TestWholeQuotaIsGrantedSoonAfterAnAllocatorRestarted(t *testing.T) {
+	const rounds, limit = 5, 20_000.0
+	for _, downtime := range []time.Duration{0} {
+		for range rounds {
+			withQuotaCluster(t, 6, map[string]float64{"w": limit}, func(b *quotaCluster) {
+				restarted := b.allocatorIndex("d0")
+				b.kill(b.vms[restarted])
+				time.Sleep(downtime)
+				b.bootSpread(restarted)
+				b.sendRequests(700*time.Millisecond, map[string]float64{"w": 15_000}, func(time.Duration) string { return b.vms[1] })
+				share := b.sumShares("w", limit)
+				testkit.That(b, share > 0.95, "allocators grant %.3f of the quota after a restart that took %s", share, downtime)
+			})
+		}
+	}
+}
+
 // Guards against a VM that has just started and grants almost no credit because it counts
 // VMs that it knows only by name, without a report from them, as unreachable.
 func TestVMsWithoutReportsAreNotUnreachable(t *testing.T) {
