hosted: a VM's first request prefetches no credit

Seen in a trace of the fleet of 300: w3's requests, each at another VM, take more from the buckets than they cost (424 tokens are asked at 13.996 s, and the fleet's credit falls by 636).

Cause: the use of the last second, half of which a VM prefetches where the bucket is over half full, included the request at hand. A VM with a request a minute prefetched half of its cost each time, and the credit expired.

The use before the request counts now. TestSingleRequestPrefetchesNothing fails without this.

--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -134,6 +134,7 @@
 	charge := creditCharge{workspace: r.Workspace.Name, cost: r.Workspace.Quota.Cost(r.Tokens, r.HasTokens), chargedAt: now}
 	q.mu.Lock()
 	credit := q.localCredit(charge.workspace)
+	prefetch := credit.PrefetchAmount(now)
 	maxWait := q.currentMaxCreditWait()
 	if credit.TrySpend(now, charge.cost) {
 		q.mu.Unlock()
@@ -145,7 +146,7 @@
 		q.mu.Unlock()
 		return creditCharge{}, q.newQuotaRefusal(r, charge, wait, "its allocator has none")
 	}
-	args := entryvm.LeaseArgs{Workspace: charge.workspace, Need: charge.cost, MaxWait: maxWait, Prefetch: credit.PrefetchAmount(now), Refused: credit.DrainRefused()}
+	args := entryvm.LeaseArgs{Workspace: charge.workspace, Need: charge.cost, MaxWait: maxWait, Prefetch: prefetch, Refused: credit.DrainRefused()}
 	q.mu.Unlock()
 	return q.leaseAndSpend(ctx, r, charge, args)
 }
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -399,6 +399,21 @@
 	}
 }
 
+// Guards against credit that a VM with few requests prefetches at each of them and doesn't
+// use before it expires.
+func TestSingleRequestPrefetchesNothing(t *testing.T) {
+	withQuotaCluster(t, 6, map[string]float64{"w": 20_000}, func(b *quotaCluster) {
+		allocator := b.allocatorIndex("d0")
+		other := b.vms[(allocator+spreadDomainCount)%len(b.vms)]
+		b.sendRequest(other, "w")
+		b.inFlight.Wait()
+		q := b.nodes[other].quotas
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		testkit.That(b, !q.localCredit("w").TrySpend(time.Now(), 1), "a single request prefetched credit")
+	})
+}
+
 // Guards against a VM that has just started and grants almost no credit because it counts
 // VMs that it knows only by name, without a report from them, as unreachable.
 func TestVMsWithoutReportsAreNotUnreachable(t *testing.T) {
