quota: an allocator in debt borrows what full buckets would lose

Seen in a trace of the fleet of 300 (w3): d1's bucket is full, 2,500 tokens, from 14.8 to 15.6 s, while d0's falls to -627 at 15.1 and to -1,906 at 15.4 s, and d0 refuses at 15.9 s. By d1's share of the rate that loses some 1,000 tokens.

Cause: bursts are divided evenly, and an allocator borrows only for a request that it would refuse. Until then the others' buckets stay full and lose what they are filled with.

At each announcement an allocator now asks the others for what a bucket owes; they lend what they have above half of their burst.

--- a/admission/quota/bucket.go
+++ b/admission/quota/bucket.go
@@ -72,10 +72,11 @@
 	return spare
 }
 
-// Lend takes and returns up to need, for an allocator that has no credit.
-func (b *Bucket) Lend(now time.Time, need float64) float64 {
+// Lend takes and returns up to need, for an allocator that has no credit. It leaves the
+// fraction reserve of the burst.
+func (b *Bucket) Lend(now time.Time, need, reserve float64) float64 {
 	b.refill(now)
-	lent := math.Max(0, math.Min(need, b.level))
+	lent := math.Max(0, math.Min(need, b.level-reserve*b.burst))
 	b.level -= lent
 	return lent
 }
--- a/admission/quota/quota_test.go
+++ b/admission/quota/quota_test.go
@@ -50,6 +50,15 @@
 	testkit.That(t, !c.TrySpend(at(1.5), 40), "spent too late")
 }
 
+// Guards against a lender that gives away the credit that its own domain needs next.
+func TestLenderKeepsItsReserve(t *testing.T) {
+	var b quota.Bucket
+	b.SetRate(at(0), 100, 1000)
+	testkit.Equal(t, "lent of a full bucket", b.Lend(at(10), 5000, 0.5), 500.0)
+	testkit.Equal(t, "lent of the reserve", b.Lend(at(10), 5000, 0.5), 0.0)
+	testkit.Equal(t, "lent without a reserve", b.Lend(at(10), 300, 0), 300.0)
+}
+
 // allocators simulates the allocators of several failure domains, each with a bucket.
 type allocators struct {
 	random   *rand.Rand
--- a/entryvm/quota.go
+++ b/entryvm/quota.go
@@ -36,6 +36,8 @@
 type LendArgs struct {
 	Workspace string  `cbor:"1,keyasint,omitempty"`
 	Need      float64 `cbor:"2,keyasint,omitempty"`
+	// Reserve is the fraction of its burst that the lender keeps.
+	Reserve float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // LendReply is the lent credit, 0 for none.
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -89,27 +89,58 @@
 	now := time.Now()
 	need := args.Need - min(bucket.Level(now), 0) + args.Prefetch
 	q.mu.Unlock()
+	borrowed := q.collectLoans(ctx, lenders, entryvm.LendArgs{Workspace: args.Workspace, Need: need})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	bucket.Borrow(time.Now(), borrowed)
+	if borrowed > 0 {
+		bucket.nextBorrowAt = time.Time{}
+	}
+	return borrowed > 0
+}
+
+// collectLoans asks all lenders at once and returns the sum of what they lent.
+func (q *quotas) collectLoans(ctx context.Context, lenders []allocator, args entryvm.LendArgs) (borrowed float64) {
 	credit := make(chan float64, len(lenders))
 	for _, lender := range lenders {
 		go func() {
-			reply, err := q.node.config.Peers.EntryVMs.Lend(ctx, lender.address, entryvm.LendArgs{Workspace: args.Workspace, Need: need})
+			reply, err := q.node.config.Peers.EntryVMs.Lend(ctx, lender.address, args)
 			if err != nil {
 				reply.Credit = 0 // credit that may have been lent is lost
 			}
 			credit <- reply.Credit
 		}()
 	}
-	borrowed := 0.0
 	for range lenders {
 		borrowed += <-credit
 	}
+	return borrowed
+}
+
+// coverDebt borrows what a workspace's bucket owes, from allocators whose buckets are well
+// filled. Their credit would be lost once their buckets are full.
+func (q *quotas) coverDebt(ctx context.Context, workspace string, debt float64, lenders []allocator) {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	borrowed := q.collectLoans(ctx, lenders, entryvm.LendArgs{Workspace: workspace, Need: debt, Reserve: prefetchReserve})
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	bucket.Borrow(time.Now(), borrowed)
-	if borrowed > 0 {
-		bucket.nextBorrowAt = time.Time{}
+	if bucket := q.buckets[workspace]; bucket != nil {
+		bucket.Borrow(time.Now(), borrowed)
 	}
-	return borrowed > 0
+}
+
+// debts returns the debt of each workspace's bucket that is in debt.
+func (q *quotas) debts(now time.Time) map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	debts := make(map[string]float64)
+	for workspace, bucket := range q.buckets {
+		if level := bucket.Level(now); level < 0 {
+			debts[workspace] = -level
+		}
+	}
+	return debts
 }
 
 // Lend implements entryvm.Coordinator: an allocator lends credit to that of another domain.
@@ -128,7 +159,7 @@
 		return entryvm.LendReply{}
 	}
 	q.updateBucket(now, args.Workspace, bucket, limit)
-	return entryvm.LendReply{Credit: bucket.Lend(now, args.Need)}
+	return entryvm.LendReply{Credit: bucket.Lend(now, args.Need, args.Reserve)}
 }
 
 // grant grants credit from this VM's bucket.
@@ -191,6 +222,9 @@
 		for _, allocator := range selection.otherDomains {
 			exchanges.Go(func() { q.exchangeDemand(ctx, allocator.address, report) })
 		}
+		for workspace, debt := range q.debts(now) {
+			exchanges.Go(func() { q.coverDebt(ctx, workspace, debt, selection.otherDomains) })
+		}
 	})
 }
 
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -399,6 +399,29 @@
 	}
 }
 
+// allocatorNode returns the node that is a failure domain's allocator.
+func (b *quotaCluster) allocatorNode(domain string) *Node {
+	vm := b.vms[b.allocatorIndex(domain)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.nodes[vm]
+}
+
+// Guards against an allocator that stays in debt, and refuses requests, while the full
+// buckets of other domains lose what they are filled with.
+func TestDebtIsCoveredFromFullBuckets(t *testing.T) {
+	const limit = 6_000.0
+	withQuotaCluster(t, 6, map[string]float64{"w": limit}, func(b *quotaCluster) {
+		q := b.allocatorNode("d0").quotas
+		reply := q.grant(time.Now(), entryvm.LeaseArgs{Workspace: "w", Need: limit})
+		testkit.That(b, reply.Credit == limit, "%.0f granted", reply.Credit)
+		time.Sleep(2 * demandInterval)
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		testkit.That(b, q.buckets["w"].Level(time.Now()) >= 0, "the bucket's level is %.0f", q.buckets["w"].Level(time.Now()))
+	})
+}
+
 // Guards against credit that a VM with few requests prefetches at each of them and doesn't
 // use before it expires.
 func TestSingleRequestPrefetchesNothing(t *testing.T) {
