hosted: buckets follow each change of the demand view

Seen in a trace of the fleet of 300 (w3): the fleet's credit rises by 505 tokens from 13.6 to 13.8 s, where the quota gives 900.

Cause: a bucket's rate was set at its allocator's announcements and at requests and loans. Between two announcements a domain that was asked for a loan went down to its new share, while the one whose demand grew, and was acknowledged, went up only at its next announcement.

The rates are now set when a demand or an acknowledgement arrives, too; the shares add up to at most the limit at any time.

--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -196,6 +196,15 @@
 	bucket.SetRate(now, share*limit.PerSecond, burst)
 }
 
+// updateBuckets updates all buckets after a change of the demand view. Call with mu held.
+func (q *quotas) updateBuckets(now time.Time) {
+	for workspace, bucket := range q.buckets {
+		if limit, known := q.lookupQuota(workspace); known {
+			q.updateBucket(now, workspace, bucket, limit)
+		}
+	}
+}
+
 // run updates the buckets and exchanges demand with the allocators of other domains while
 // this VM is its own domain's allocator.
 func (q *quotas) run(ctx context.Context) {
@@ -259,6 +268,7 @@
 	defer q.mu.Unlock()
 	q.demandView.Receive(now, toProcess(&reply), reply.Domain, reply.Sequence, toAnnouncement(&reply))
 	q.demandView.Acknowledge(now, toProcess(&reply), report.Sequence)
+	q.updateBuckets(now)
 }
 
 // withdrawDemand returns the report that tells the other domains' allocators that this VM is
@@ -348,6 +358,7 @@
 	} else {
 		q.demandView.Receive(now, toProcess(&report), report.Domain, report.Sequence, toAnnouncement(&report))
 	}
+	q.updateBuckets(now)
 	q.mu.Unlock()
 	if !selection.isAllocator(n.config.Address) || !q.hasQuotas() {
 		return entryvm.DemandReport{VM: n.config.VM, Domain: n.config.Domain, Incarnation: n.config.Incarnation}
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -422,6 +422,38 @@
 	})
 }
 
+// Guards against a domain whose demand grows, and that waits for its next announcement to use
+// the part of a quota that the others no longer use because of it.
+func TestRateFollowsDemandBetweenAnnouncements(t *testing.T) {
+	const limit = 6_000.0
+	withQuotaCluster(t, 6, map[string]float64{"w": limit}, func(b *quotaCluster) {
+		var allocators []*quotas
+		for i := range spreadDomainCount {
+			q := b.allocatorNode(fmt.Sprint("d", i)).quotas
+			q.grant(time.Now(), entryvm.LeaseArgs{Workspace: "w", Need: 4 * limit})
+			allocators = append(allocators, q)
+		}
+		time.Sleep(demandInterval)
+		allocators[0].grant(time.Now(), entryvm.LeaseArgs{Workspace: "w", Need: 1, Refused: 20 * limit})
+		time.Sleep(demandInterval + 20*time.Millisecond)
+		sumLevels := func() (sum float64) {
+			for i, q := range allocators {
+				if i > 0 {
+					q.grant(time.Now(), entryvm.LeaseArgs{Workspace: "w"}) // refused, updates the bucket
+				}
+				q.mu.Lock()
+				sum += q.buckets["w"].Level(time.Now())
+				q.mu.Unlock()
+			}
+			return sum
+		}
+		before := sumLevels()
+		time.Sleep(demandInterval / 2)
+		rate := (sumLevels() - before) / (demandInterval / 2).Seconds()
+		testkit.That(b, rate > 0.95*limit && rate < 1.01*limit, "buckets are filled at %.0f of %.0f a second", rate, limit)
+	})
+}
+
 // Guards against credit that a VM with few requests prefetches at each of them and doesn't
 // use before it expires.
 func TestSingleRequestPrefetchesNothing(t *testing.T) {
