caller: a shutdown reads from a waiting connection for 0.1 s more, not 0.5 s

What callers saw: requests refused with shutting_down on connections that were kept open after the VM no longer took requests; each costs a retry.

Cause: lastReadTimeout is there for requests that are on their way when the shutdown begins. Within 0.5 s callers also begin new ones.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -36,7 +36,7 @@
 
 // lastReadTimeout is how long a shutdown still reads from a connection that waits for a
 // request. A request that is on its way then is answered instead of cut off.
-const lastReadTimeout = 500 * time.Millisecond
+const lastReadTimeout = 100 * time.Millisecond
 
 // pastDeadline ends a pending Read at once.
 var pastDeadline = time.Unix(1, 0)
