serving: delivery of an answer has a file of its own

What passes an answer on to the caller (deliver and below, with its two constants) moves to deliver.go; attempts, failures and their logs stay.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,11 +19,6 @@
 )
 
 const (
-	// maxBufferedAnswer bounds the answers that are read completely before any byte
-	// is forwarded, so that the request can be repeated if the answer is cut off.
-	maxBufferedAnswer = 64 << 10
-	// copyBufferSize is the size of the buffer through which an answer is copied.
-	copyBufferSize = 16 << 10
 	// A repeatable request waits headTimeoutFactor times the route's target latency,
 	// but at least minHeadTimeout, for the beginning of its answer before it is tried
 	// elsewhere, if another backend server is free. An answer that late is more likely to
@@ -359,157 +352,6 @@
 	}
 }
 
-// errServerFailed reports that the backend server answered with a 5xx status.
-var errServerFailed = errors.New("the backend server failed")
-
-// deliver forwards the answer to the caller.
-func (f *forwarding) deliver(head *service.ForwardResponse, guard *stallGuard) error {
-	failed := head.Status >= http.StatusInternalServerError
-	switch {
-	case failed && f.canRepeat():
-		return errServerFailed
-	case failed && f.answer.HasBegun():
-		return errServerFailed // a failure can't continue a resumed stream
-	case f.request.Route.Repeat == contract.RepeatResume && !failed:
-		return f.deliverEvents(head, guard)
-	case f.canBuffer(head):
-		return f.deliverBuffered(head, guard)
-	default:
-		return f.deliverUnbuffered(head, guard)
-	}
-}
-
-// canBuffer reports whether the whole answer is read before any of it is forwarded. The
-// length of an answer to HEAD is not that of its body, which is empty.
-func (f *forwarding) canBuffer(head *service.ForwardResponse) bool {
-	return f.request.Route.Repeat == contract.RepeatSafe && f.request.Method != http.MethodHead &&
-		head.Length >= 0 && head.Length <= maxBufferedAnswer
-}
-
-// deliverBuffered reads the answer to its end before it forwards anything.
-func (f *forwarding) deliverBuffered(head *service.ForwardResponse, guard *stallGuard) error {
-	body := make([]byte, head.Length)
-	if _, err := io.ReadFull(head.Body, body); err != nil {
-		return err
-	}
-	// The body must end here: further bytes wouldn't belong to this answer.
-	if n, err := head.Body.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
-		return errors.Join(errors.New("answer without its end"), err)
-	}
-	f.acceptPiece(guard, body, io.EOF)
-	f.beginAnswer(head)
-	if len(body) == 0 {
-		return nil
-	}
-	return f.writeAnswer(body)
-}
-
-var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
-
-// deliverUnbuffered forwards the answer as it arrives.
-func (f *forwarding) deliverUnbuffered(head *service.ForwardResponse, guard *stallGuard) error {
-	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
-	defer copyBuffers.Put(buffer)
-	for {
-		n, err := head.Body.Read(buffer[:])
-		if !f.acceptPiece(guard, buffer[:n], err) {
-			return errReplaced
-		}
-		if n > 0 {
-			f.beginAnswer(head)
-			if err := f.writeAnswer(buffer[:n]); err != nil {
-				return err
-			}
-			f.endPiece(guard)
-		}
-		if errors.Is(err, io.EOF) {
-			f.beginAnswer(head)
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// deliverEvents forwards complete events and stores the id of the last one.
-func (f *forwarding) deliverEvents(head *service.ForwardResponse, guard *stallGuard) error {
-	head.Length = -1 // the length of one attempt's answer isn't that of the resumed stream
-	events := newEventReader(head.Body)
-	for {
-		whole, err := events.next()
-		if !f.acceptPiece(guard, whole, err) {
-			return errReplaced
-		}
-		if len(whole) > 0 {
-			f.beginAnswer(head)
-			if err := f.writeAnswer(whole); err != nil {
-				return err
-			}
-			if events.lastID != "" {
-				f.lastEventID = events.lastID
-			}
-			f.endPiece(guard)
-			f.lastDelivered = f.lastReceived
-		}
-		if errors.Is(err, io.EOF) {
-			f.beginAnswer(head)
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// beginAnswer sends the head of the first attempt that returns data; a resumed
-// stream keeps that head.
-func (f *forwarding) beginAnswer(head *service.ForwardResponse) {
-	if !f.answer.HasBegun() {
-		f.answer.WriteHead(head.Status, head.Header, head.Length)
-	}
-}
-
-func (f *forwarding) writeAnswer(data []byte) error {
-	if err := f.answer.Write(data); err != nil {
-		return terminalError{err}
-	}
-	return nil
-}
-
-// acceptPiece records that a piece of the answer arrived, with the error that followed
-// it. It returns false if the piece must be dropped, as the request continues elsewhere;
-// the end of the answer is accepted all the same.
-func (f *forwarding) acceptPiece(guard *stallGuard, piece []byte, err error) bool {
-	now := time.Now()
-	if errors.Is(err, io.EOF) {
-		guard.stop()
-	} else if len(piece) > 0 && !guard.beginDelivery(now) {
-		return false
-	}
-	if len(piece) > 0 {
-		f.recordProgress(now)
-	}
-	return true
-}
-
-// endPiece records that a piece was delivered: from now on, the backend server is
-// silent until the next one.
-func (f *forwarding) endPiece(guard *stallGuard) {
-	f.lastReceived = time.Now()
-	guard.endDelivery(f.lastReceived)
-}
-
-// recordProgress records that data of the answer arrived, and the time to its first
-// data.
-func (f *forwarding) recordProgress(now time.Time) {
-	f.lastReceived = now
-	f.pieces++
-	if f.pending.timeToFirstToken == 0 {
-		f.pending.recordFirstToken(now)
-	}
-}
-
 // logAttempt logs the outcome of an attempt and the data that led to it.
 func (f *forwarding) logAttempt(err error) {
 	outcome := "answered"
