hosted, serving: logs tell a model that nobody holds from lost paths

A refusal of an unsent request said that its model is being loaded, also when it was loaded on backend servers that this VM alone could not reach. The line now has the number of these backend servers; the line of an unreachable one has how many of all are. No decision changed.

--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -34,10 +34,22 @@
 	if b == nil || b.probeBackoff > 0 {
 		return
 	}
-	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address))
 	b.probeBackoff = minProbeBackoff
 	b.probeAt = now.Add(b.probeBackoff)
 	t.hasUnreachable = true
+	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address),
+		zap.Int("unreachable", t.countUnreachableLocked()), zap.Int("listed", len(t.entries)))
+}
+
+// countUnreachableLocked counts the unreachable backend servers. Call with mu held.
+func (t *backendTable) countUnreachableLocked() int {
+	count := 0
+	for _, b := range t.entries {
+		if b.probeBackoff > 0 {
+			count++
+		}
+	}
+	return count
 }
 
 // extendProbeBackoff doubles the delay before the next probe.
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -173,6 +173,18 @@
 // MarkReachable implements serving.ForwardDirectory.
 func (n *Node) MarkReachable(backend string) { n.backends.markReachable(backend) }
 
+// CountUnreachable implements serving.ForwardDirectory.
+func (n *Node) CountUnreachable(unit string) int {
+	service, model := serving.ServiceOfUnit(unit)
+	count := 0
+	n.backends.each(service, func(b *backend) {
+		if _, holds := b.loadedModels[model]; b.probeBackoff > 0 && (model == "" || holds) {
+			count++
+		}
+	})
+	return count
+}
+
 // UnavailableRefusal implements serving.Directory: a model that the configuration doesn't contain
 // can't be loaded on any engine.
 func (n *Node) UnavailableRefusal(unit string) *refusal.Refusal {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -56,6 +56,9 @@
 	// RecordLimit records the limit on further requests in an answer of a backend
 	// server, also that there is none.
 	RecordLimit(backend string, limit service.Limit)
+	// CountUnreachable returns how many backend servers hold the unit and can't be reached
+	// from this VM.
+	CountUnreachable(unit string) int
 	// TryUsePermit uses one of the permits of a candidate with PermitRequired. It
 	// returns false if they have been used meanwhile or have expired.
 	TryUsePermit(backend string) bool
@@ -388,10 +391,12 @@
 }
 
 // logNotSent logs a request that was sent to no backend server, and whether one was
-// ready for its unit when it arrived: if not, the cause lies in placement.
+// ready for its unit when it arrived. If not, the cause lies in placement, or in this VM's
+// paths if backend servers hold the unit and are unreachable.
 func (s *Server) logNotSent(id, unit string, readyAtArrival bool, err error) {
 	s.config.Logger.Info("not sent", zap.String("request", id), zap.String("unit", unit),
-		zap.Bool("ready_at_arrival", readyAtArrival), telemetry.Reason(err))
+		zap.Bool("ready_at_arrival", readyAtArrival), zap.Int("unreachable", s.forwardDirectory().CountUnreachable(unit)),
+		telemetry.Reason(err))
 }
 
 // forwardDirectory returns the directory for forwarded requests.
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -106,6 +106,8 @@
 }
 func (b *forwardTestbed) MarkReachable(string) {}
 
+func (b *forwardTestbed) CountUnreachable(string) int { return 0 }
+
 func (b *forwardTestbed) MarkLeaving(string) {}
 
 // RecordLimit records the limits that answers contained.
--- a/internal/serving/modelunit.go
+++ b/internal/serving/modelunit.go
@@ -38,3 +38,13 @@
 	model, adapter, _ := strings.Cut(rest, "/")
 	return ModelUnit{Service: service, Model: model, Adapter: adapter}, true
 }
+
+// ServiceOfUnit returns the service of a unit or of a plain service's pool, and the unit's
+// model, empty for a plain service.
+func ServiceOfUnit(name string) (service, model string) {
+	if unit, ok := ParseModelUnit(name); ok {
+		return unit.Service, unit.Model
+	}
+	service, _ = parseServicePool(name)
+	return service, ""
+}
