hosted: failing test of VMs without paths to the backend servers

Six cases in virtual time: connections hang, are refused, open connections lose what is sent on them, all but one VM, a single engine, a large fleet; the bound is the users'.

--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -52,6 +52,8 @@
 	// were sent.
 	history judge.History
 	sentAt  map[string]time.Time
+	// lostPaths are the VMs that have lost their paths to engines.
+	lostPaths map[string]*lostPath
 	// vmStarts counts the starts of each VM, killedInstances are the instances that were
 	// killed.
 	vmStarts        map[string]int
@@ -95,6 +97,7 @@
 func withEngineCluster(t *testing.T, vms, engines int, run func(*engineCluster)) {
 	withTestCluster(t, func(w *testCluster) {
 		b := &engineCluster{testCluster: w, random: rand.New(rand.NewSource(3)), engineRandom: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine)}
+		b.lostPaths = make(map[string]*lostPath)
 		b.sentAt, b.vmStarts, b.killedInstances = make(map[string]time.Time), make(map[string]int), make(map[vmInstance]bool)
 		w.forwarderOf = func(vm string) service.Forwarder {
 			b.vmStarts[vm]++
@@ -182,6 +185,9 @@
 	if b.isPartitionedFrom(e) {
 		return nil, service.ErrNotSent
 	}
+	if err := b.tryPath(b.vm, e.id, false); err != nil {
+		return nil, err
+	}
 	if f.URI == crashingURI {
 		b.statsMu.Lock()
 		b.crashSentAt = append(b.crashSentAt, time.Now())
@@ -213,9 +219,12 @@
 }
 
 // Probe implements service.Forwarder.
-func (b *engineCluster) Probe(_ context.Context, target service.Target) error {
-	_, err := b.liveEngine(target.Address)
-	return err
+func (b vmEngineCluster) Probe(_ context.Context, target service.Target) error {
+	e, err := b.liveEngine(target.Address)
+	if err != nil {
+		return err
+	}
+	return b.tryPath(b.vm, e.id, true)
 }
 
 // answerBody is the body of an answer. It breaks off if the engine ends before endsAt.
--- /dev/null
+++ b/internal/hosted/lostpaths_test.go
@@ -0,0 +1,170 @@
+package hosted
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+	"bergamotreel/service"
+)
+
+const (
+	// maxPathLossDelay is the time within which VMs must cope with the loss of their paths to
+	// the backend servers. From then on, at least minPathLossShare of the share that other VMs
+	// serve must be served there, or at most maxPathLossFailures plus one in
+	// failuresPerRequests may fail, by the hosting platform's rules.
+	maxPathLossDelay    = 3 * time.Second
+	minPathLossShare    = 2.0 / 3
+	maxPathLossFailures = 10
+	failuresPerRequests = 50
+	// fakeDialTimeout is how long a connection attempt over a lost path takes, and
+	// fakeLossDelay how long a request on an open connection is unacknowledged before it counts
+	// as lost.
+	fakeDialTimeout = 500 * time.Millisecond
+	fakeLossDelay   = time.Second
+)
+
+// pathLoss is how VMs lose their paths to the backend servers.
+type pathLoss struct {
+	// refused is whether connections are refused at once instead of hanging.
+	refused bool
+	// keptRequests is how many requests a VM sends to each engine on open connections, which
+	// are lost, before it has to make a new connection.
+	keptRequests int
+}
+
+// fail returns the error of a request, or of a connection attempt if isProbe, over a lost
+// path.
+func (l *pathLoss) fail(isProbe bool, sentBefore int) error {
+	if !isProbe && sentBefore < l.keptRequests {
+		time.Sleep(fakeLossDelay)
+		return service.ErrOutcomeUnknown
+	}
+	if l.refused {
+		return fmt.Errorf("%w: %w", service.ErrNotSent, service.ErrConnectionRefused)
+	}
+	time.Sleep(fakeDialTimeout)
+	return service.ErrNotSent
+}
+
+// losePaths makes VMs lose their paths to all engines, or to those that affects returns true
+// for if it is set.
+func (b *engineCluster) losePaths(vms []string, loss pathLoss, affects func(engine string) bool) {
+	b.statsMu.Lock()
+	defer b.statsMu.Unlock()
+	for _, vm := range vms {
+		b.lostPaths[vm] = &lostPath{pathLoss: loss, affects: affects, sent: make(map[string]int)}
+	}
+}
+
+// restorePaths ends what losePaths began.
+func (b *engineCluster) restorePaths() {
+	b.statsMu.Lock()
+	defer b.statsMu.Unlock()
+	clear(b.lostPaths)
+}
+
+// lostPath is the state of a VM without paths to engines.
+type lostPath struct {
+	pathLoss
+	affects func(engine string) bool
+	// sent counts the requests by engine.
+	sent map[string]int
+}
+
+// tryPath returns the error of a request or a connection attempt if the VM has no path to
+// the engine.
+func (b *engineCluster) tryPath(vm, engine string, isProbe bool) error {
+	b.statsMu.Lock()
+	lost := b.lostPaths[vm]
+	if lost == nil || (lost.affects != nil && !lost.affects(engine)) {
+		b.statsMu.Unlock()
+		return nil
+	}
+	sentBefore := lost.sent[engine]
+	if !isProbe {
+		lost.sent[engine]++
+	}
+	b.statsMu.Unlock()
+	return lost.fail(isProbe, sentBefore)
+}
+
+// servedShares counts the requests that some VMs got and those that they answered.
+type servedShares struct {
+	served, sent int
+}
+
+func (s servedShares) share() float64 { return float64(s.served) / float64(max(s.sent, 1)) }
+
+// sendAndCompare sends requests to all VMs for a time span and returns how many were served
+// by the VMs in cut and by the others.
+func (b *engineCluster) sendAndCompare(span, pause time.Duration, cut []string) (atCut, atOthers servedShares) {
+	isCut := toSet(cut)
+	startedAt := time.Now()
+	for i := 0; time.Since(startedAt) < span; i++ {
+		vm, uri := b.vms[b.random.Intn(len(b.vms))], fmt.Sprint("/other/", i)
+		b.inFlight.Go(func() {
+			err := b.send(vm, uri)
+			b.statsMu.Lock()
+			defer b.statsMu.Unlock()
+			shares := &atOthers
+			if isCut[vm] {
+				shares = &atCut
+			}
+			shares.sent++
+			if err == nil {
+				shares.served++
+			}
+		})
+		time.Sleep(pause)
+	}
+	b.inFlight.Wait()
+	return atCut, atOthers
+}
+
+// checkServedWithoutPaths checks that VMs that have lost their paths serve about as many of
+// their requests as the others.
+func (b *engineCluster) checkServedWithoutPaths(atCut, atOthers servedShares) {
+	b.Helper()
+	b.Logf("VMs without paths served %d of %d, the others %d of %d", atCut.served, atCut.sent, atOthers.served, atOthers.sent)
+	failed := atCut.sent - atCut.served
+	allowed := maxPathLossFailures + atCut.sent/failuresPerRequests
+	testkit.That(b, atCut.share() >= minPathLossShare*atOthers.share() || failed <= allowed,
+		"VMs without paths to the engines served %d of %d requests, the others %d of %d", atCut.served, atCut.sent, atOthers.served, atOthers.sent)
+}
+
+// Guards against VMs that serve nothing once they have lost their paths to all backend
+// servers, although other VMs still reach these and have time to spare.
+func TestVMsWithoutPathsToBackendsServe(t *testing.T) {
+	for name, c := range map[string]struct {
+		vms, engines, cut int
+		loss              pathLoss
+	}{
+		"connections hang":               {8, 6, 5, pathLoss{}},
+		"connections are refused":        {8, 6, 5, pathLoss{refused: true}},
+		"open connections lose requests": {8, 6, 5, pathLoss{keptRequests: 2}},
+		"all but one VM":                 {8, 6, 7, pathLoss{}},
+		"single engine":                  {8, 1, 5, pathLoss{}},
+		"large fleet":                    {30, 6, 12, pathLoss{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withEngineCluster(t, c.vms, c.engines, func(b *engineCluster) {
+				pause := 50 * time.Millisecond
+				if c.engines == 1 {
+					pause = 100 * time.Millisecond
+				}
+				b.sendOtherRequests(2*time.Second, pause)
+				cut := b.vms[len(b.vms)-c.cut:]
+				b.losePaths(cut, c.loss, nil)
+				b.sendOtherRequests(maxPathLossDelay, pause)
+				atCut, atOthers := b.sendAndCompare(9*time.Second, pause, cut)
+				b.checkServedWithoutPaths(atCut, atOthers)
+				b.restorePaths()
+				b.sendOtherRequests(maxPathLossDelay, pause)
+				atCut, _ = b.sendAndCompare(3*time.Second, pause, cut)
+				testkit.That(b, atCut.served == atCut.sent, "%d of %d requests served once the paths were back", atCut.served, atCut.sent)
+			})
+		})
+	}
+}
