entryvm: a VM opens connections to backend servers for others

Nothing uses it yet.

Weighed: passing the whole request on (the other VM queues, retries and counts it: deadline, attempts, budget, quota and refusals would exist twice and have to agree), or only its connection (taken: at most once, deadlines, budgets, quotas and the end of a caller stay the matter of one VM, and the gateway forwards bytes).

A tunnel uses the VMs' port and handshake, with a purpose and proofs of its own.

--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bergamotreel/internal/pause"
+	"bergamotreel/internal/tcpdial"
 	"bergamotreel/internal/telemetry"
 
 	"github.com/zeebo/errs"
@@ -48,9 +49,12 @@
 // the sender after its call has been abandoned, so arguments must not be modified after they
 // were passed to a call.
 type Client struct {
-	secret    []byte
-	dialTCP   func(ctx context.Context, network, address string) (net.Conn, error)
-	tlsConfig *tls.Config
+	secret  []byte
+	dialTCP dialFunc
+	// dialTunnel connects tunnels, on which the silence of a gateway must be noticed within
+	// seconds.
+	dialTunnel dialFunc
+	tlsConfig  *tls.Config
 
 	mu     sync.Mutex
 	slots  map[connKey]*connSlot
@@ -58,6 +62,9 @@
 	closed bool
 }
 
+// dialFunc makes a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // connKey identifies a connection. A call that times out closes its connection and so fails
 // all other calls on it. Therefore slow calls and latency-critical calls have connections of
 // their own.
@@ -133,11 +140,12 @@
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		secret:    secret,
-		dialTCP:   dialer.DialContext,
-		tlsConfig: tlsConfig,
-		slots:     map[connKey]*connSlot{},
-		conns:     map[*connection]struct{}{},
+		secret:     secret,
+		dialTCP:    dialer.DialContext,
+		dialTunnel: tcpdial.Dialer.DialContext,
+		tlsConfig:  tlsConfig,
+		slots:      map[connKey]*connSlot{},
+		conns:      map[*connection]struct{}{},
 	}, nil
 }
 
@@ -279,26 +287,36 @@
 	return s
 }
 
-// dial connects and performs the handshake.
+// dial connects and starts net/rpc.
 func (c *Client) dial(ctx context.Context, key connKey) (*connection, error) {
-	raw, err := c.dialTCP(ctx, "tcp", key.address)
+	secure, raw, err := c.dialPeer(ctx, c.dialTCP, key.address, purposeCalls)
 	if err != nil {
 		return nil, err
 	}
-	secure := raw
+	return c.startRPC(secure, raw, key.class.stallTimeout())
+}
+
+// dialPeer connects and performs the handshake. It returns the connection and the one below
+// TLS.
+func (c *Client) dialPeer(ctx context.Context, dial dialFunc, address string, p purpose) (secure, raw net.Conn, err error) {
+	raw, err = dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	secure = raw
 	if c.tlsConfig != nil {
 		secure = tls.Client(raw, c.tlsConfig)
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	err = clientHandshake(secure, c.secret)
+	err = clientHandshake(secure, c.secret, p)
 	if !stop() {
 		err = ctx.Err()
 	}
 	if err != nil {
 		raw.Close()
-		return nil, fmt.Errorf("handshake: %w", err)
+		return nil, nil, fmt.Errorf("handshake: %w", err)
 	}
-	return c.startRPC(secure, raw, key.class.stallTimeout())
+	return secure, raw, nil
 }
 
 // startRPC starts net/rpc on a connection that has completed the handshake.
--- a/entryvm/handshake.go
+++ b/entryvm/handshake.go
@@ -25,10 +25,13 @@
 // TLS session: a proof relayed between two TLS sessions fails, so the certificates need no
 // certificate authority. Without TLS the handshake rejects peers that don't know the secret,
 // but doesn't protect the bytes after it from an attacker who can modify packets in transit.
+//
+// The client's magic states the purpose of the connection; the roles in the proofs differ by
+// purpose, so that nobody on the way can change it.
 const (
-	magic      = "BRPEER01"
+	magicBytes = 8
 	nonceBytes = 32
-	helloBytes = len(magic) + nonceBytes
+	helloBytes = magicBytes + nonceBytes
 	// MinSecretBytes is the minimum length of the fleet secret. A server run by an attacker
 	// receives our proof and can test candidate secrets against it offline.
 	MinSecretBytes = 32
@@ -37,10 +40,17 @@
 	handshakeTimeout = 2 * time.Second
 )
 
-// roleClient and roleServer distinguish the proofs of the two sides.
-const (
-	roleClient = "client"
-	roleServer = "server"
+// purpose is what a connection is for.
+type purpose struct {
+	// magic begins the hellos of both sides.
+	magic string
+	// clientRole and serverRole distinguish the proofs of the two sides.
+	clientRole, serverRole string
+}
+
+var (
+	purposeCalls  = purpose{magic: "BRPEER01", clientRole: "client", serverRole: "server"}
+	purposeTunnel = purpose{magic: "BRTUNL01", clientRole: "tunnel client", serverRole: "tunnel server"}
 )
 
 // errUnauthenticated reports that the other side completed the handshake with a proof that
@@ -56,43 +66,48 @@
 
 // clientHandshake proves to the server that this side knows the secret, and verifies the
 // server's proof.
-func clientHandshake(conn net.Conn, secret []byte) error {
+func clientHandshake(conn net.Conn, secret []byte, p purpose) error {
 	return withHandshakeTimeout(conn, func() error {
-		clientNonce, err := sendHello(conn)
+		clientNonce, err := sendHello(conn, p)
 		if err != nil {
 			return err
 		}
-		serverNonce, err := readHello(conn)
+		serverPurpose, serverNonce, err := readHello(conn)
 		if err != nil {
 			return err
 		}
+		if serverPurpose != p {
+			return fmt.Errorf("hello for another purpose: %q", serverPurpose.magic)
+		}
 		session := session{secret: secret, client: clientNonce, server: serverNonce, binding: binding(conn)}
-		if _, err := conn.Write(session.proof(roleClient)); err != nil {
+		if _, err := conn.Write(session.proof(p.clientRole)); err != nil {
 			return err
 		}
-		return session.verifyProof(conn, roleServer)
+		return session.verifyProof(conn, p.serverRole)
 	})
 }
 
-// serverHandshake is the server's side of the handshake. It sends its proof only after the
-// client's proof has been verified.
-func serverHandshake(conn net.Conn, secret []byte) error {
-	return withHandshakeTimeout(conn, func() error {
-		clientNonce, err := readHello(conn)
+// serverHandshake is the server's side of the handshake, and returns what the connection is
+// for. It sends its proof only after the client's proof has been verified.
+func serverHandshake(conn net.Conn, secret []byte) (p purpose, err error) {
+	err = withHandshakeTimeout(conn, func() error {
+		var clientNonce []byte
+		p, clientNonce, err = readHello(conn)
 		if err != nil {
 			return err
 		}
-		serverNonce, err := sendHello(conn)
+		serverNonce, err := sendHello(conn, p)
 		if err != nil {
 			return err
 		}
 		session := session{secret: secret, client: clientNonce, server: serverNonce, binding: binding(conn)}
-		if err := session.verifyProof(conn, roleClient); err != nil {
+		if err := session.verifyProof(conn, p.clientRole); err != nil {
 			return err
 		}
-		_, err = conn.Write(session.proof(roleServer))
+		_, err = conn.Write(session.proof(p.serverRole))
 		return err
 	})
+	return p, err
 }
 
 // withHandshakeTimeout runs one side's handshake, including TLS, within handshakeTimeout.
@@ -112,10 +127,10 @@
 }
 
 // sendHello sends a fresh nonce and returns it.
-func sendHello(conn net.Conn) ([]byte, error) {
+func sendHello(conn net.Conn, p purpose) ([]byte, error) {
 	hello := make([]byte, helloBytes)
-	copy(hello, magic)
-	nonce := hello[len(magic):]
+	copy(hello, p.magic)
+	nonce := hello[magicBytes:]
 	if _, err := rand.Read(nonce); err != nil {
 		return nil, err
 	}
@@ -123,16 +138,18 @@
 	return nonce, err
 }
 
-// readHello returns the other side's nonce.
-func readHello(conn net.Conn) ([]byte, error) {
+// readHello returns what the connection is for, and the other side's nonce.
+func readHello(conn net.Conn) (purpose, []byte, error) {
 	hello := make([]byte, helloBytes)
 	if _, err := io.ReadFull(conn, hello); err != nil {
-		return nil, err
+		return purpose{}, nil, err
 	}
-	if string(hello[:len(magic)]) != magic {
-		return nil, fmt.Errorf("not an entry VM's hello: %q", hello[:len(magic)])
+	for _, p := range []purpose{purposeCalls, purposeTunnel} {
+		if string(hello[:magicBytes]) == p.magic {
+			return p, hello[magicBytes:], nil
+		}
 	}
-	return hello[len(magic):], nil
+	return purpose{}, nil, fmt.Errorf("not an entry VM's hello: %q", hello[:magicBytes])
 }
 
 // binding returns keying material of the TLS session, nil without TLS.
--- a/entryvm/rpc_test.go
+++ b/entryvm/rpc_test.go
@@ -76,7 +76,7 @@
 	}{
 		"caller with another secret": {secret: otherSecret, sendsProof: true},
 		"callee with another secret": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) {
-			_ = serverHandshake(conn, otherSecret)
+			_, _ = serverHandshake(conn, otherSecret)
 		}, false},
 		"callee reflects the proof": {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(conn, conn) }, false},
 		"callee stays silent":       {fleetSecret, nil, func(_ *pipenet.Listener, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }, false},
@@ -195,7 +195,7 @@
 			client.dialTCP = network.DialContext
 			ours, theirs := net.Pipe()
 			go func() {
-				_ = serverHandshake(theirs, fleetSecret)
+				_, _ = serverHandshake(theirs, fleetSecret)
 				_, _ = io.Copy(io.Discard, theirs)
 			}()
 			return ours, nil
@@ -238,8 +238,9 @@
 		stop := startServer(t, network, &recorder{}, nil)
 		defer stop()
 		conn := dialRaw(t, network)
-		testkit.Value(sendHello(conn))(t)
-		testkit.Value(readHello(conn))(t)
+		testkit.Value(sendHello(conn, purposeCalls))(t)
+		_, _, err := readHello(conn)
+		testkit.OK(t, err)
 		testkit.Value(conn.Write(make([]byte, 32)))(t)
 		wantClosed(t, conn)
 	})
@@ -257,7 +258,7 @@
 		defer client.Close()
 		testkit.WantError(t, "snapshot beyond the bound", testkit.Err(client.Records(t.Context(), "vm", 1, 0)), ErrRefused)
 		conn := dialRaw(t, network)
-		testkit.OK(t, clientHandshake(conn, fleetSecret))
+		testkit.OK(t, clientHandshake(conn, fleetSecret, purposeCalls))
 		testkit.Value(conn.Write([]byte{0xff, 0xff, 0xff, 0xff}))(t)
 		wantClosed(t, conn)
 	})
--- a/entryvm/server.go
+++ b/entryvm/server.go
@@ -82,6 +82,8 @@
 	tlsConfig  *tls.Config
 	calls      sync.WaitGroup
 	logger     *zap.Logger
+	// backendDialer connects tunnels to backend servers, nil if there are none.
+	backendDialer BackendDialer
 	// unauthenticatedLog limits the rate of log lines on unauthenticated peers.
 	unauthenticatedLog rate.Sometimes
 
@@ -112,18 +114,23 @@
 		}
 		s.calls.Go(func() {
 			defer s.removeConn(conn)
-			s.serveConn(conn)
+			s.serveConn(ctx, conn)
 		})
 	}
 }
 
 // serveConn serves a connection until it ends.
-func (s *server) serveConn(conn net.Conn) {
+func (s *server) serveConn(ctx context.Context, conn net.Conn) {
 	secure := conn
 	if s.tlsConfig != nil {
 		secure = tls.Server(conn, s.tlsConfig)
 	}
-	if err := s.handshake(secure); err != nil {
+	p, err := s.handshake(secure)
+	if err != nil {
+		return
+	}
+	if p == purposeTunnel {
+		s.serveTunnel(ctx, secure, conn)
 		return
 	}
 	s.dispatcher.ServeCodec(&serverCodec{newFrameConn(secure, conn, serverIdleTimeout)})
@@ -131,17 +138,17 @@
 
 // handshake performs the handshake, and counts and logs a peer that sent a wrong proof. A
 // peer that only connects, such as a port check, is neither counted nor logged.
-func (s *server) handshake(conn net.Conn) error {
-	err := serverHandshake(conn, s.secret)
+func (s *server) handshake(conn net.Conn) (purpose, error) {
+	p, err := serverHandshake(conn, s.secret)
 	if !errors.Is(err, errUnauthenticated) {
-		return err
+		return p, err
 	}
 	unauthenticatedTotal.Inc()
 	s.unauthenticatedLog.Do(func() {
 		s.logger.Warn("refused on peers_address: an entry VM with another [peers] secret, or a stranger",
 			zap.Stringer("from", conn.RemoteAddr()))
 	})
-	return err
+	return p, err
 }
 
 // addConn registers a connection. It returns false if there are too many or the server is
--- /dev/null
+++ b/internal/tcpdial/tcpdial.go
@@ -0,0 +1,44 @@
+// Package tcpdial makes TCP connections that detect a silent peer within seconds.
+package tcpdial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// Timeout bounds connecting. Machines of one region answer within milliseconds; one that
+	// has lost power doesn't answer at all.
+	Timeout = 500 * time.Millisecond
+	// unackedTimeout bounds how long sent bytes may stay unacknowledged and how long the
+	// keep-alive probes of an idle connection may go unanswered in total. Without it a
+	// connection to a peer behind a network partition hangs for many minutes.
+	unackedTimeout = time.Second
+	// Keep-alive probes start after keepAliveIdle and repeat at keepAliveInterval. The
+	// connection fails after keepAliveCount unanswered probes.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// KeepAlive makes a connection fail within about 3 s of its peer's silence.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
+// Dialer connects with limits on how long the peer may be silent.
+var Dialer = net.Dialer{
+	Timeout:         Timeout,
+	KeepAliveConfig: KeepAlive,
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return sockErr
+	},
+}
