hosted: a VM without paths of its own reaches backend servers through others

Cause: a VM's own network path was taken for the state of the backend server. An engine that accepted no connection of this VM counted as gone, and a VM without any path had no place to send a request but its own queue, although other VMs reached all engines. Class: a fault of the observer taken for a fault of the observed. Ruled out: planning as the main cause (the other VMs served 99%), load (1 to 8% of 40% of a core).

Now three other VMs are asked, and the connection is made through one that reaches the backend server. Two engines of a service that answer others but not this VM, with no direct answer in between, show that all paths are lost. An engine is reported as failing only if no gateway reaches it, so cut VMs no longer make the planner give up engines.

--- a/cmd/bergamotreel/hosted.go
+++ b/cmd/bergamotreel/hosted.go
@@ -16,6 +16,7 @@
 	"bergamotreel/internal/settings"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/platform"
+	"bergamotreel/service"
 )
 
 // serveHosted runs one entry VM on the hosting platform.
@@ -31,9 +32,9 @@
 		Peers: hosted.Peers{
 			Registry: platform.NewRegistry(s.Platform.Registry, s.Platform.Customer, logger),
 			Engines:  platform.NewEngines(),
-			Backends: platform.NewForwarder(),
 		},
-		Dialect: platform.Dialect{},
+		NewBackends: func(gateways service.GatewayDialer) daemon.Backends { return platform.NewForwarder(gateways) },
+		Dialect:     platform.Dialect{},
 	}
 	d, err := daemon.NewHosted(s, versionLine(), clients, logger, level)
 	if err != nil {
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -93,6 +93,9 @@
 	// LeavingBackends are the backend servers that announced in an answer that they are
 	// leaving. They are sent as often as Limits.
 	LeavingBackends []LeavingBackend `cbor:"36,keyasint,omitempty"`
+	// LostPaths is whether the VM has lost its paths to the backend servers of a service, so
+	// that it is no gateway to them.
+	LostPaths bool `cbor:"37,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -64,10 +64,11 @@
 	Address     string `cbor:"2,keyasint,omitempty"`
 	Domain      string `cbor:"3,keyasint,omitempty"`
 	Incarnation string `cbor:"4,keyasint,omitempty"`
-	// Capacity, Leaving and KeptShards are as in Report.
+	// Capacity, Leaving, KeptShards and LostPaths are as in Report.
 	Capacity   int64 `cbor:"5,keyasint,omitempty"`
 	Leaving    bool  `cbor:"6,keyasint,omitempty"`
 	KeptShards []int `cbor:"7,keyasint,omitempty"`
+	LostPaths  bool  `cbor:"8,keyasint,omitempty"`
 }
 
 // VMVersion names a VM and the configuration version in force there.
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -20,6 +20,7 @@
 	"bergamotreel/internal/settings"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/lease"
+	"bergamotreel/service"
 )
 
 const (
@@ -47,8 +48,18 @@
 
 // HostedPeers holds the clients of a hosting platform and the dialect of its callers.
 type HostedPeers struct {
+	// Peers has all clients but EntryVMs and those of the backend servers.
 	hosted.Peers
-	Dialect caller.Dialect
+	// NewBackends returns the client of the backend servers. It connects through gateways with
+	// the dialer.
+	NewBackends func(service.GatewayDialer) Backends
+	Dialect     caller.Dialect
+}
+
+// Backends is the client of the backend servers.
+type Backends interface {
+	service.Forwarder
+	service.Connector
 }
 
 // Hosted is one entry VM on a hosting platform, with its listening ports.
@@ -81,7 +92,8 @@
 		h.closeListeners()
 		return nil, err
 	}
-	clients.EntryVMs = peers
+	backends := clients.NewBackends(peers)
+	clients.EntryVMs, clients.Backends, clients.Connector = peers, backends, backends
 	h.node = hosted.New(hosted.Config{
 		VM: s.VM.ID, Address: s.VM.PeersAdvertise, Domain: s.VM.Domain, Domains: len(s.Peers.Domains), Incarnation: incarnation,
 		Capacity: s.Limits.Memory, Seeds: s.Peers.Seeds, FirstStart: s.VM.FirstStart, Shards: s.Platform.Shards,
@@ -146,7 +158,8 @@
 	group.Go(func() { h.reloadOn(workCtx, reload) })
 	group.serve(func() error { return h.callers.Serve(h.callersListener) })
 	group.serve(func() error {
-		return entryvm.ServeCoordination(workCtx, h.peersListener, []byte(h.settings.Peers.Secret), h.node, nil, entryvm.WithLogger(h.logger))
+		return entryvm.ServeCoordination(workCtx, h.peersListener, []byte(h.settings.Peers.Secret), h.node, nil,
+			entryvm.WithLogger(h.logger), entryvm.WithTunnels(h.node))
 	})
 	group.serve(func() error { return serveHTTP(h.readyServer, h.readyListener) })
 	if h.metricsListener != nil {
@@ -179,6 +192,7 @@
 	pause.For(ctx, hostedBalancerDelay-time.Since(start))
 	h.node.RefuseWaiting()
 	shutDownCallers(ctx, h.callers, h.relay.EndRequests, h.node.OpenRequests, h.logger)
+	h.node.WaitForTunnels(ctx)
 	h.logger.Info("stopped", zap.Duration("took", time.Since(start)))
 }
 
--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -22,26 +22,102 @@
 	// unreachable for the domain to count as partitioned, once its entry VMs are unreachable
 	// too. A single one may just have crashed.
 	minUnreachableForPartition = 2
+	// maxProbesPerInterval is how many probes begin in one probeInterval. A VM that has lost
+	// its paths would otherwise probe all backend servers of a large fleet at once.
+	maxProbesPerInterval = 32
 	// probeTimeout limits one probe; no other probe of the server begins meanwhile.
 	probeTimeout = 600 * time.Millisecond
 )
 
-// markUnreachable records that a connection to a backend server could not be established.
-func (t *backendTable) markUnreachable(now time.Time, id string) {
+// isUnreachable reports whether no path to the backend server is known.
+func (b *backend) isUnreachable() bool { return b.probeBackoff > 0 && !b.indirect }
+
+// isIndirect reports whether the backend server is reached through gateways only.
+func (b *backend) isIndirect() bool { return b.probeBackoff > 0 && b.indirect }
+
+// markUnreachable records that a direct connection to a backend server could not be
+// established. It reports whether that was not known.
+func (t *backendTable) markUnreachable(now time.Time, id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.entries[id]
 	if b == nil || b.probeBackoff > 0 {
-		return
+		return false
 	}
 	b.probeBackoff = minProbeBackoff
 	b.probeAt = now.Add(b.probeBackoff)
+	b.indirect, b.pathsChecked = false, false
 	t.hasUnreachable = true
 	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address),
 		zap.Int("unreachable", t.countUnreachableLocked()), zap.Int("listed", len(t.entries)))
+	return true
+}
+
+// setIndirect records whether gateways reach a backend server that is marked unreachable. It
+// reports whether that changed, and false for unreachable if the server isn't marked any more.
+func (t *backendTable) setIndirect(id string, indirect bool) (changed, unreachable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.entries[id]
+	if b == nil || b.probeBackoff == 0 {
+		return false, false
+	}
+	changed = b.indirect != indirect || !b.pathsChecked
+	b.indirect, b.pathsChecked = indirect, true
+	return changed, true
+}
+
+// assumeIndirect marks all other backend servers of a service as reached through gateways only,
+// and has them probed at once. It returns their IDs.
+func (t *backendTable) assumeIndirect(now time.Time, service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for _, b := range t.entriesOf(service) {
+		if b.isIndirect() {
+			continue
+		}
+		b.probeBackoff = minProbeBackoff
+		b.probeAt = now
+		b.indirect, b.pathsChecked = true, true
+		ids = append(ids, b.ID)
+	}
+	t.hasUnreachable = t.hasUnreachable || len(ids) > 0
+	return ids
 }
 
-// countUnreachableLocked counts the unreachable backend servers. Call with mu held.
+// probeSoon makes the probes of a service's unreachable backend servers due.
+func (t *backendTable) probeSoon(now time.Time, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.entriesOf(service) {
+		if b.probeBackoff > 0 {
+			b.probeAt = now
+		}
+	}
+}
+
+// countService counts the backend servers of a service.
+func (t *backendTable) countService(service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entriesOf(service))
+}
+
+// findByAddress returns a copy of the entry with an address.
+func (t *backendTable) findByAddress(address string) (backend, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.entries {
+		if b.Address == address {
+			return *b, true
+		}
+	}
+	return backend{}, false
+}
+
+// countUnreachableLocked counts the backend servers that are marked unreachable. Call with mu
+// held.
 func (t *backendTable) countUnreachableLocked() int {
 	count := 0
 	for _, b := range t.entries {
@@ -68,6 +144,7 @@
 	defer t.mu.Unlock()
 	if b := t.entries[id]; b != nil && b.probeBackoff > 0 {
 		b.probeBackoff, b.probeAt = 0, time.Time{}
+		b.indirect, b.pathsChecked = false, false
 		t.logger.Info("backend server reachable again", zap.String("backend", id))
 	}
 }
@@ -78,14 +155,15 @@
 	defer t.mu.Unlock()
 	count := 0
 	for _, b := range t.entries {
-		if b.Domain == domain && b.probeBackoff > 0 {
+		if b.Domain == domain && b.isUnreachable() {
 			count++
 		}
 	}
 	return count
 }
 
-// unreachableIDs returns the IDs of the unreachable backend servers.
+// unreachableIDs returns the IDs of the backend servers that neither this VM nor the gateways
+// that it asked reach. Others may just have lost their path to this VM.
 func (t *backendTable) unreachableIDs() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,12 +171,16 @@
 		return nil
 	}
 	var out []string
+	t.hasUnreachable = false
 	for id, b := range t.entries {
-		if b.probeBackoff > 0 {
+		if b.probeBackoff == 0 {
+			continue
+		}
+		t.hasUnreachable = true
+		if b.pathsChecked && !b.indirect {
 			out = append(out, id)
 		}
 	}
-	t.hasUnreachable = len(out) > 0
 	return out
 }
 
@@ -109,6 +191,9 @@
 	defer t.mu.Unlock()
 	var out []string
 	for id, b := range t.entries {
+		if len(out) == maxProbesPerInterval {
+			break
+		}
 		if b.probeBackoff > 0 && !now.Before(b.probeAt) {
 			b.probeAt = now.Add(probeTimeout)
 			out = append(out, id)
--- /dev/null
+++ b/internal/hosted/backendpaths.go
@@ -0,0 +1,323 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/admission"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/routing"
+	"bergamotreel/routing/pathloss"
+	"bergamotreel/service"
+)
+
+const (
+	// gatewaysPerCheck is how many gateways are asked at once whether they reach a backend
+	// server that has become unreachable; most of them may have lost their paths too.
+	// gatewaysPerRecheck is the same after each failed probe of it.
+	gatewaysPerCheck   = 3
+	gatewaysPerRecheck = 1
+	// gatewayFailureTTL is how long a gateway that failed ranks behind the others.
+	gatewayFailureTTL = time.Second
+	// maxPendingPathChecks bounds the checks that wait to begin. Later ones are left to the
+	// probes of unreachable backend servers.
+	maxPendingPathChecks = 256
+)
+
+var (
+	pathLossesTotal      = metrics.NewCounter(`bergamotreel_backend_path_losses_total`)
+	indirectPathsTotal   = metrics.NewCounter(`bergamotreel_indirect_paths_total`)
+	gatewayFailuresTotal = metrics.NewCounter(`bergamotreel_gateway_failures_total`)
+)
+
+// backendPaths finds paths to the backend servers that this VM doesn't reach directly, through
+// other entry VMs that do. It is safe for concurrent use.
+type backendPaths struct {
+	node *Node
+	// checks holds the backend servers to check.
+	checks chan string
+	// hasRecords is whether any monitor has records. It avoids locking at each answer.
+	hasRecords atomic.Bool
+
+	mu sync.Mutex
+	// monitors follow the direct paths, by service.
+	monitors map[string]*pathloss.Monitor
+	// checking holds the backend servers that are being checked.
+	checking map[string]bool
+	// gatewayFailedAt is when gateways last failed, by address.
+	gatewayFailedAt map[string]time.Time
+}
+
+func newBackendPaths(n *Node) *backendPaths {
+	return &backendPaths{node: n, checks: make(chan string, maxPendingPathChecks), monitors: make(map[string]*pathloss.Monitor),
+		checking: make(map[string]bool), gatewayFailedAt: make(map[string]time.Time)}
+}
+
+// run checks backend servers that have become unreachable until ctx ends.
+func (p *backendPaths) run(ctx context.Context) {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	for {
+		select {
+		case id := <-p.checks:
+			checks.Go(func() { p.check(ctx, id, gatewaysPerCheck) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// requestCheck has run check a backend server.
+func (p *backendPaths) requestCheck(id string) {
+	select {
+	case p.checks <- id:
+	default:
+	}
+}
+
+// check finds out whether gateways reach a backend server that this VM doesn't reach, and
+// records the result. It asks as many gateways as given.
+func (p *backendPaths) check(ctx context.Context, id string, gateways int) {
+	b, listed := p.node.backends.get(id)
+	if !listed || !p.beginCheck(id) {
+		return
+	}
+	defer p.endCheck(id)
+	gateway, reached := p.findGateway(ctx, service.Target{ID: id, Address: b.Address}, gateways)
+	if ctx.Err() != nil {
+		return
+	}
+	changed, unreachable := p.node.backends.setIndirect(id, reached)
+	if !unreachable {
+		return // it has been reached directly meanwhile
+	}
+	if reached {
+		p.recordLostPath(b.Service, id)
+	}
+	if changed {
+		p.recordChange(id, gateway, reached)
+	}
+}
+
+func (p *backendPaths) beginCheck(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.checking[id] {
+		return false
+	}
+	p.checking[id] = true
+	return true
+}
+
+func (p *backendPaths) endCheck(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.checking, id)
+}
+
+// recordChange logs the result of a check and wakes what depends on it.
+func (p *backendPaths) recordChange(id, gateway string, reached bool) {
+	if reached {
+		indirectPathsTotal.Inc()
+		p.forgiveFailures(id)
+		p.node.config.Logger.Info("backend server reached through a gateway", zap.String("backend", id), zap.String("gateway", gateway))
+	} else {
+		p.node.config.Logger.Info("backend server reached through no gateway", zap.String("backend", id))
+	}
+	p.node.handleBackendChanges()
+}
+
+// forgiveFailures drops what the router counts against backend servers: the path failed, not
+// they.
+func (p *backendPaths) forgiveFailures(ids ...string) {
+	p.node.serving.WithLockedState(func(_ *admission.Controller, router *routing.Router) {
+		for _, id := range ids {
+			router.ForgiveFailures(id)
+		}
+	})
+}
+
+// findGateway asks gateways concurrently whether they reach the target, and returns the first
+// that does.
+func (p *backendPaths) findGateway(ctx context.Context, target service.Target, count int) (gateway string, found bool) {
+	gateways := p.rankGateways(time.Now(), target.ID)
+	gateways = gateways[:min(count, len(gateways))]
+	type result struct {
+		gateway string
+		err     error
+	}
+	results := make(chan result, len(gateways))
+	for _, address := range gateways {
+		go func() {
+			via := target
+			via.Gateway = address
+			err := p.node.config.Peers.Backends.Probe(ctx, via)
+			p.recordGatewayResult(time.Now(), address, err)
+			results <- result{address, err}
+		}()
+	}
+	for range gateways {
+		if r := <-results; r.err == nil {
+			return r.gateway, true
+		}
+	}
+	return "", false
+}
+
+// rankGateways returns the addresses of the live VMs that may reach a backend server, the
+// preferred one first. Each VM spreads its backend servers over all gateways.
+func (p *backendPaths) rankGateways(now time.Time, id string) []string {
+	type ranked struct {
+		address string
+		failed  bool
+		weight  uint64
+	}
+	key := p.node.config.VM + "/" + id
+	var gateways []ranked
+	p.node.members.eachLive(now, func(r *entryvm.Report) {
+		if !r.Leaving && !r.LostPaths && r.Address != "" {
+			gateways = append(gateways, ranked{address: r.Address, weight: rendezvous.Weight(key, r.VM)})
+		}
+	})
+	p.mu.Lock()
+	for i := range gateways {
+		failedAt, failed := p.gatewayFailedAt[gateways[i].address]
+		gateways[i].failed = failed && now.Sub(failedAt) < gatewayFailureTTL
+	}
+	p.mu.Unlock()
+	slices.SortFunc(gateways, func(a, b ranked) int {
+		if a.failed != b.failed {
+			if a.failed {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.address, b.address))
+	})
+	out := make([]string, len(gateways))
+	for i := range gateways {
+		out[i] = gateways[i].address
+	}
+	return out
+}
+
+// pickGateway returns the gateway for a connection to a backend server, or empty if there is
+// none.
+func (p *backendPaths) pickGateway(now time.Time, id string) string {
+	gateways := p.rankGateways(now, id)
+	if len(gateways) == 0 {
+		return ""
+	}
+	return gateways[0]
+}
+
+// recordGatewayResult records whether a gateway connected to a backend server. One that didn't
+// may have lost its paths too.
+func (p *backendPaths) recordGatewayResult(now time.Time, address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		delete(p.gatewayFailedAt, address)
+		return
+	}
+	gatewayFailuresTotal.Inc()
+	for other, failedAt := range p.gatewayFailedAt {
+		if now.Sub(failedAt) >= gatewayFailureTTL {
+			delete(p.gatewayFailedAt, other)
+		}
+	}
+	p.gatewayFailedAt[address] = now
+}
+
+// markUnreachable records that a connection to a target could not be established. If it was
+// direct, a gateway is looked for; otherwise another one.
+func (p *backendPaths) markUnreachable(now time.Time, target service.Target, cause error) {
+	if target.Gateway == "" {
+		if p.node.backends.markUnreachable(now, target.ID) {
+			p.requestCheck(target.ID)
+		}
+		return
+	}
+	p.recordGatewayResult(now, target.Gateway, cause)
+	p.node.config.Logger.Info("gateway failed", zap.String("gateway", target.Gateway), zap.String("backend", target.ID), telemetry.Reason(cause))
+	if errors.Is(cause, entryvm.ErrBackendUnreachable) {
+		p.requestCheck(target.ID)
+	}
+}
+
+// recordDirectAnswer records that a backend server answered this VM directly.
+func (p *backendPaths) recordDirectAnswer(id string) {
+	if !p.hasRecords.Load() {
+		return
+	}
+	b, listed := p.node.backends.get(id)
+	if !listed {
+		return
+	}
+	p.mu.Lock()
+	monitor := p.monitors[b.Service]
+	wasLost := monitor != nil && monitor.RecordDirectAnswer()
+	p.updateHasRecords()
+	p.mu.Unlock()
+	if wasLost {
+		p.node.config.Logger.Warn("paths to backend servers are back", zap.String("service", b.Service))
+		p.node.backends.probeSoon(time.Now(), b.Service)
+	}
+}
+
+// recordLostPath records that gateways reach a backend server which this VM doesn't reach. Once
+// the paths to the whole service count as lost, its other backend servers are reached through
+// gateways too, unless a probe of their own succeeds.
+func (p *backendPaths) recordLostPath(serviceName, id string) {
+	p.mu.Lock()
+	monitor := p.monitors[serviceName]
+	if monitor == nil {
+		monitor = &pathloss.Monitor{}
+		p.monitors[serviceName] = monitor
+	}
+	nowLost := monitor.RecordLostPath(id, p.node.backends.countService(serviceName))
+	p.updateHasRecords()
+	p.mu.Unlock()
+	if !nowLost {
+		return
+	}
+	others := p.node.backends.assumeIndirect(time.Now(), serviceName)
+	pathLossesTotal.Inc()
+	p.forgiveFailures(others...)
+	p.node.config.Logger.Warn("paths to backend servers lost", zap.String("service", serviceName), zap.Int("assumed", len(others)))
+	p.node.members.notifyAll()
+}
+
+// updateHasRecords updates hasRecords. Call with mu held.
+func (p *backendPaths) updateHasRecords() {
+	has := false
+	for _, monitor := range p.monitors {
+		has = has || monitor.HasRecords()
+	}
+	p.hasRecords.Store(has)
+}
+
+// areLost reports whether this VM has lost its paths to the backend servers of any service.
+func (p *backendPaths) areLost() bool {
+	if !p.hasRecords.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, monitor := range p.monitors {
+		if monitor.IsLost() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -81,6 +81,9 @@
 	// no connection: it is the delay before the next probe, which is due at probeAt.
 	probeAt      time.Time
 	probeBackoff time.Duration
+	// indirect is whether gateways reach the server while it is marked unreachable, and
+	// pathsChecked whether that is known.
+	indirect, pathsChecked bool
 	// loadedModels are the models that accept requests.
 	loadedModels map[string]loadedModel
 	// start identifies the newest known instance by the time it started, 0 if the server
@@ -366,7 +369,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range t.entriesOf(service) {
-		if _, ok := b.loadedModels[model]; ok && !b.isLeaving() && b.probeBackoff == 0 {
+		if _, ok := b.loadedModels[model]; ok && !b.isLeaving() && !b.isUnreachable() {
 			return true
 		}
 	}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -68,7 +68,7 @@
 	var out []routing.Candidate
 	n.backends.each(wanted.Service, func(b *backend) {
 		loaded, ok := b.loadedModels[wanted.Model]
-		if !ok || b.probeBackoff > 0 {
+		if !ok || b.isUnreachable() {
 			return
 		}
 		ready := wanted.Adapter == "" || loaded.adapters[wanted.Adapter]
@@ -77,6 +77,7 @@
 		}
 		out = append(out, routing.Candidate{
 			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
+			Indirect: b.isIndirect(),
 		})
 	})
 	return n.filterReachable(now, out)
@@ -87,14 +88,14 @@
 	now := time.Now()
 	var out []routing.Candidate
 	n.backends.each(service, func(b *backend) {
-		if b.probeBackoff > 0 {
+		if b.isUnreachable() {
 			return
 		}
 		slots := b.Slots
 		if slots <= 0 {
 			slots = defaultPlainSlots
 		}
-		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.isLeaving()})
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
 	})
 	return n.filterReachable(now, out)
 }
@@ -123,7 +124,11 @@
 	if !ok {
 		return service.Target{}, false
 	}
-	return service.Target{ID: b.ID, Address: b.Address}, true
+	target := service.Target{ID: b.ID, Address: b.Address}
+	if b.isIndirect() {
+		target.Gateway = n.paths.pickGateway(time.Now(), b.ID)
+	}
+	return target, true
 }
 
 // RecordUnitNotHeld implements serving.ForwardDirectory.
@@ -135,9 +140,8 @@
 }
 
 // MarkUnreachable implements serving.ForwardDirectory.
-func (n *Node) MarkUnreachable(backend string) {
-	n.backends.markUnreachable(time.Now(), backend)
-	n.planner.wakeUp()
+func (n *Node) MarkUnreachable(target service.Target, cause error) {
+	n.paths.markUnreachable(time.Now(), target, cause)
 }
 
 // probeUnreachable periodically probes unreachable backend servers until ctx ends.
@@ -151,14 +155,18 @@
 
 // probeBackend probes one backend server and records the result.
 func (n *Node) probeBackend(ctx context.Context, id string) {
-	target, ok := n.Target(id)
+	b, ok := n.backends.get(id)
 	if !ok {
 		return
 	}
-	if err := n.tryConnect(ctx, target); err != nil {
+	if err := n.tryConnect(ctx, service.Target{ID: id, Address: b.Address}); err != nil {
 		n.backends.extendProbeBackoff(time.Now(), id)
+		if !b.isIndirect() {
+			n.paths.check(ctx, id, gatewaysPerRecheck)
+		}
 		return
 	}
+	n.paths.recordDirectAnswer(id)
 	n.backends.markReachable(id)
 	n.handleBackendChanges()
 }
@@ -171,14 +179,20 @@
 }
 
 // MarkReachable implements serving.ForwardDirectory.
-func (n *Node) MarkReachable(backend string) { n.backends.markReachable(backend) }
+func (n *Node) MarkReachable(target service.Target) {
+	if target.Gateway != "" {
+		return
+	}
+	n.paths.recordDirectAnswer(target.ID)
+	n.backends.markReachable(target.ID)
+}
 
 // CountUnreachable implements serving.ForwardDirectory.
 func (n *Node) CountUnreachable(unit string) int {
 	service, model := serving.ServiceOfUnit(unit)
 	count := 0
 	n.backends.each(service, func(b *backend) {
-		if _, holds := b.loadedModels[model]; b.probeBackoff > 0 && (model == "" || holds) {
+		if _, holds := b.loadedModels[model]; b.isUnreachable() && (model == "" || holds) {
 			count++
 		}
 	})
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -185,7 +185,7 @@
 	if b.isPartitionedFrom(e) {
 		return nil, service.ErrNotSent
 	}
-	if err := b.tryPath(b.vm, e.id, false); err != nil {
+	if err := b.tryPathTo(target, e.id, false); err != nil {
 		return nil, err
 	}
 	if f.URI == crashingURI {
@@ -224,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	return b.tryPath(b.vm, e.id, true)
+	return b.tryPathTo(target, e.id, true)
 }
 
 // answerBody is the body of an answer. It breaks off if the engine ends before endsAt.
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/service"
 )
@@ -90,6 +91,29 @@
 	return lost.fail(isProbe, sentBefore)
 }
 
+// tryPathTo is tryPath for a target that may be reached through another VM.
+func (b vmEngineCluster) tryPathTo(target service.Target, engine string, isProbe bool) error {
+	if target.Gateway == "" {
+		return b.tryPath(b.vm, engine, isProbe)
+	}
+	b.mu.Lock()
+	process := b.nodes[b.vm]
+	b.mu.Unlock()
+	gateway, err := peerClient{b.testCluster, b.vm, process}.lookupNode(target.Gateway)
+	if err != nil {
+		return fmt.Errorf("%w: %w", service.ErrNotSent, err)
+	}
+	time.Sleep(time.Millisecond)
+	if err := gateway.beginTunnel(target.Address); err != nil {
+		return fmt.Errorf("%w: %w", service.ErrNotSent, err)
+	}
+	defer gateway.tunnels.Add(-1)
+	if b.tryPath(target.Gateway, engine, true) != nil {
+		return fmt.Errorf("%w: %w", service.ErrNotSent, entryvm.ErrBackendUnreachable)
+	}
+	return nil
+}
+
 // servedShares counts the requests that some VMs got and those that they answered.
 type servedShares struct {
 	served, sent int
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -38,7 +38,9 @@
 	Registry registry.Registry
 	Engines  engine.Manager
 	Backends service.Forwarder
-	EntryVMs EntryVMs
+	// Connector connects to backend servers for other entry VMs.
+	Connector service.Connector
+	EntryVMs  EntryVMs
 }
 
 // EntryVMs calls other entry VMs by address.
@@ -114,6 +116,7 @@
 	readyEstimates  *readyEstimates
 	crashes         *crashDetector
 	limits          *backendLimits
+	paths           *backendPaths
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
@@ -131,6 +134,8 @@
 	settleSignal chan struct{}
 
 	stopping atomic.Bool
+	// tunnels counts the tunnels that this VM has open for others.
+	tunnels atomic.Int32
 }
 
 // activeConfiguration is a configuration with the indexes that each request looks up.
@@ -154,6 +159,7 @@
 	n.readyEstimates = newReadyEstimates(n)
 	n.crashes = newCrashDetector(n)
 	n.limits = newBackendLimits(n)
+	n.paths = newBackendPaths(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
 	n.keeper = newKeeper(n)
@@ -172,7 +178,7 @@
 	defer tasks.Wait()
 	for _, task := range []func(context.Context){
 		n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
-		n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.maintainShards, n.planner.run, n.serving.Run,
+		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
@@ -281,5 +287,6 @@
 	_ caller.RelayBackend      = (*Node)(nil)
 	_ serving.ForwardDirectory = (*Node)(nil)
 	_ entryvm.Coordinator      = (*Node)(nil)
+	_ entryvm.BackendDialer    = (*Node)(nil)
 	_ EntryVMs                 = (*entryvm.Client)(nil)
 )
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -42,6 +42,7 @@
 	}
 	r.AllEngines = allEngines
 	r.Engines = n.keeper.updatesToReport(r.AllEngines)
+	r.LostPaths = n.paths.areLost()
 	if large && relay {
 		// They are sent with the updates of other keepers, once to each VM.
 		m.addOwnUpdatesToLog(now, r.Engines, r.AllEngines)
--- a/internal/hosted/viewdiff.go
+++ b/internal/hosted/viewdiff.go
@@ -76,7 +76,7 @@
 
 func equalViews(a, b *entryvm.VMView) bool {
 	return a.VM == b.VM && a.Domain == b.Domain && a.Incarnation == b.Incarnation && a.Capacity == b.Capacity &&
-		a.Leaving == b.Leaving && slices.Equal(a.KeptShards, b.KeptShards)
+		a.Leaving == b.Leaving && a.LostPaths == b.LostPaths && slices.Equal(a.KeptShards, b.KeptShards)
 }
 
 // patchView applies the changes that diffViews returned to the list from.
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -82,7 +82,7 @@
 	r := m.currentRoles(now)
 	if r.ownView != nil {
 		at := slices.IndexFunc(r.ownView.vms, func(v entryvm.VMView) bool { return v.VM == own.VM })
-		if published := r.ownView.vms[at]; published.Leaving == own.Leaving && slices.Equal(published.KeptShards, own.KeptShards) {
+		if published := r.ownView.vms[at]; published.Leaving == own.Leaving && published.LostPaths == own.LostPaths && slices.Equal(published.KeptShards, own.KeptShards) {
 			return r.ownView
 		}
 	}
@@ -96,7 +96,7 @@
 func viewOf(r *entryvm.Report) entryvm.VMView {
 	return entryvm.VMView{
 		VM: r.VM, Address: r.Address, Domain: r.Domain, Incarnation: r.Incarnation, Capacity: r.Capacity,
-		Leaving: r.Leaving, KeptShards: r.KeptShards,
+		Leaving: r.Leaving, KeptShards: r.KeptShards, LostPaths: r.LostPaths,
 	}
 }
 
@@ -112,7 +112,7 @@
 			text = append(append(text, field...), 0)
 		}
 		text = strconv.AppendInt(text, v.Capacity, 10)
-		text = strconv.AppendBool(text, v.Leaving)
+		text = strconv.AppendBool(strconv.AppendBool(text, v.Leaving), v.LostPaths)
 		for _, shard := range v.KeptShards {
 			text = append(strconv.AppendInt(text, int64(shard), 10), 0)
 		}
@@ -303,7 +303,7 @@
 			p.report, p.failures = entryvm.Report{}, 0
 		}
 		p.report.VM, p.report.Address, p.report.Domain, p.report.Incarnation = v.VM, v.Address, v.Domain, v.Incarnation
-		p.report.Capacity, p.report.Leaving, p.report.KeptShards = v.Capacity, v.Leaving, v.KeptShards
+		p.report.Capacity, p.report.Leaving, p.report.KeptShards, p.report.LostPaths = v.Capacity, v.Leaving, v.KeptShards, v.LostPaths
 	}
 }
 
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -45,6 +45,12 @@
 // NewClientWithDial returns a client like NewClient that makes its connections
 // with dial.
 func NewClientWithDial(dial DialFunc) *http.Client {
+	return NewClientWithIdleTimeout(dial, idleTimeout)
+}
+
+// NewClientWithIdleTimeout returns a client like NewClientWithDial that closes
+// connections which have been unused for idle.
+func NewClientWithIdleTimeout(dial DialFunc, idle time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			inner, err := dial(ctx, network, address)
@@ -54,7 +60,7 @@
 			return &countingConn{Conn: inner}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     idle,
 		// Answers are forwarded unchanged.
 		DisableCompression: true,
 	}}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -47,10 +47,10 @@
 	// RecordUnitNotHeld records that a backend server rejected a request because it
 	// doesn't hold the unit.
 	RecordUnitNotHeld(backend, unit string)
-	// MarkUnreachable records that no connection to a backend server could be
-	// established, MarkReachable that it answered.
-	MarkUnreachable(backend string)
-	MarkReachable(backend string)
+	// MarkUnreachable records that no connection to a target could be established, and
+	// why; MarkReachable that it answered.
+	MarkUnreachable(target service.Target, cause error)
+	MarkReachable(target service.Target)
 	// MarkLeaving records that a backend server announced that it is leaving.
 	MarkLeaving(backend string)
 	// RecordLimit records the limit on further requests in an answer of a backend
@@ -109,6 +109,8 @@
 	request caller.RelayRequest
 	answer  caller.AnswerWriter
 	outcome attemptOutcome
+	// target is where the current attempt is sent.
+	target service.Target
 	// attempts counts the attempts, attemptsRun those that may have run.
 	attempts, attemptsRun int
 	// lastEventID is the id of the last event that the caller received, empty before
@@ -268,6 +270,7 @@
 		f.outcome = attemptOutcome{excludeBackend: true}
 		return service.ErrNotSent
 	}
+	f.target = target
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := f.startStallGuard(cancel)
@@ -276,7 +279,7 @@
 	f.recordBackendSignals(head, err)
 	if err == nil {
 		f.attemptsRun++
-		f.server.forwardDirectory().MarkReachable(f.pending.backend)
+		f.server.forwardDirectory().MarkReachable(target)
 		err = f.deliver(head, guard)
 		_ = head.Body.Close()
 	} else if errors.Is(err, service.ErrOutcomeUnknown) {
@@ -342,7 +345,7 @@
 		f.outcome = attemptOutcome{mayHaveRun: true}
 	case errors.Is(err, service.ErrNotSent):
 		if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
-			f.server.forwardDirectory().MarkUnreachable(f.pending.backend)
+			f.server.forwardDirectory().MarkUnreachable(f.target, err)
 		}
 		f.outcome = attemptOutcome{routerResult: routing.Result{Failed: true, NotRun: true}, excludeBackend: true}
 	case errors.Is(err, service.ErrWrongServer):
@@ -375,6 +378,9 @@
 	if f.keptSilent {
 		fields = append(fields, zap.Bool("kept_silent", true))
 	}
+	if f.target.Gateway != "" {
+		fields = append(fields, zap.String("gateway", f.target.Gateway))
+	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -101,10 +101,10 @@
 func (b *forwardTestbed) Target(name string) (service.Target, bool) {
 	return service.Target{ID: name, Address: name}, true
 }
-func (b *forwardTestbed) MarkUnreachable(name string) {
-	b.markedUnreachable = append(b.markedUnreachable, name)
+func (b *forwardTestbed) MarkUnreachable(target service.Target, _ error) {
+	b.markedUnreachable = append(b.markedUnreachable, target.ID)
 }
-func (b *forwardTestbed) MarkReachable(string) {}
+func (b *forwardTestbed) MarkReachable(service.Target) {}
 
 func (b *forwardTestbed) CountUnreachable(string) int { return 0 }
 
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -23,6 +23,9 @@
 	// share of its slots. The extra network hop takes only half a millisecond; the
 	// reason for the cost is that the other domain may be partitioned.
 	otherDomainCost = 0.4
+	// indirectCost is the cost of an engine that is reached through another entry VM, which
+	// has to forward each byte beside its own load.
+	indirectCost = 0.4
 	// prefixBonus is by how large a share of its slots an engine with the whole
 	// prompt cached may be busier than others. A full hit saves the prefill, about
 	// the delay that half a batch adds.
@@ -311,6 +314,9 @@
 	if !v.sameDomain {
 		cost += otherDomainCost
 	}
+	if v.candidate.Indirect {
+		cost += indirectCost
+	}
 	if v.engine != nil {
 		cost += failureCost * v.engine.failureRate.value(now)
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -253,6 +253,14 @@
 	return unavailable
 }
 
+// ForgiveFailures closes the breaker of an engine and drops its failures, which turned out to
+// be those of the path to it.
+func (r *Router) ForgiveFailures(engine string) {
+	if e := r.engines[engine]; e != nil {
+		e.breaker, e.failureRate = breaker{}, failureRate{}
+	}
+}
+
 // Forget drops all state of an engine that has left or restarted, including its
 // cached prefixes and its requests in flight. The caller must call it: the router
 // otherwise keeps every engine it has seen.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,8 @@
 	// the engine's clock differs, the time of receipt may be used instead; the
 	// error then makes the engine look less busy.
 	LoadReportedAt time.Time
+	// Indirect is whether the engine is reached through another entry VM only.
+	Indirect bool
 	// PeersInFlight is how many requests other entry VMs report in flight on the
 	// engine.
 	PeersInFlight int
--- a/service/forward.go
+++ b/service/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -27,6 +28,9 @@
 	// ID identifies one start of the backend server; any other start refuses the
 	// request.
 	ID, Address string
+	// Gateway is the address of the entry VM through which the backend server is reached,
+	// empty for a direct connection.
+	Gateway string
 }
 
 // ForwardRequest is a caller's request that is forwarded unchanged.
@@ -81,6 +85,18 @@
 	Cooldown time.Duration
 }
 
+// GatewayDialer connects to backend servers through other entry VMs.
+type GatewayDialer interface {
+	// DialBackend connects to the backend server at address through the entry VM at gateway.
+	DialBackend(ctx context.Context, gateway, address string) (net.Conn, error)
+}
+
+// Connector connects to backend servers directly, for other entry VMs.
+type Connector interface {
+	// Connect fails with ErrNotSent.
+	Connect(ctx context.Context, target Target) (net.Conn, error)
+}
+
 // Forwarder forwards requests to backend servers.
 type Forwarder interface {
 	// Forward sends the request once, without retries, and returns after receiving
