hosted: lost paths are no crashes of backend servers

Same cause elsewhere: where a network resets and refuses a VM's connections, each backend server's address refuses them as if its process had ended. Five VMs with such paths took a request that had lost its connections on three engines for one that crashes them, and the whole fleet refused it for ten minutes.

A backend server has ended only if no gateway reaches it either, and a VM whose paths are lost doesn't judge. TestLostPathsAreNoCrashes fails before (eight VMs of eight refuse the request, quarantined) and passes after; the tests of crashing requests pass unchanged.

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -174,6 +174,16 @@
 	return "", false
 }
 
+// isReachable reports whether a backend server that this VM doesn't reach may be reached by
+// others: a gateway does, or this VM has no paths to any of the service, so that it can't tell.
+func (p *backendPaths) isReachable(ctx context.Context, b *backend) bool {
+	if p.areLostTo(b.Service) {
+		return true
+	}
+	_, reached := p.findGateway(ctx, service.Target{ID: b.ID, Address: b.Address}, gatewaysPerCheck)
+	return reached || p.areLostTo(b.Service)
+}
+
 // rankGateways returns the addresses of the live VMs that may reach a backend server, the
 // preferred one first. Each VM spreads its backend servers over all gateways.
 func (p *backendPaths) rankGateways(now time.Time, id string) []string {
@@ -307,6 +317,14 @@
 	p.hasRecords.Store(has)
 }
 
+// areLostTo reports whether this VM has lost its paths to the backend servers of a service.
+func (p *backendPaths) areLostTo(serviceName string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	monitor := p.monitors[serviceName]
+	return monitor != nil && monitor.IsLost()
+}
+
 // areLost reports whether this VM has lost its paths to the backend servers of any service.
 func (p *backendPaths) areLost() bool {
 	if !p.hasRecords.Load() {
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -153,7 +153,8 @@
 }
 
 // investigate determines whether a backend server's process has ended: it has if the server's
-// address refuses connections.
+// address refuses the connections of this VM, and no other VM reaches it. A network may also
+// refuse connections of a VM whose paths are lost.
 func (c *crashDetector) investigate(ctx context.Context, id string) {
 	b, listed := c.node.backends.get(id)
 	ended := false
@@ -170,6 +171,7 @@
 			break
 		}
 	}
+	ended = ended && !c.node.paths.isReachable(ctx, &b)
 	requests := c.removeInterrupted(id)
 	if !ended {
 		return
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -192,3 +192,27 @@
 		})
 	}
 }
+
+// Guards against the quarantine of a request that lost its connections several times: where a
+// VM's paths are reset, the backend servers' addresses refuse its connections as if their
+// processes had ended.
+func TestLostPathsAreNoCrashes(t *testing.T) {
+	withEngineCluster(t, 8, 6, func(b *engineCluster) {
+		const uri = "/repeated"
+		b.sendOtherRequests(2*time.Second, 50*time.Millisecond)
+		cut := b.vms[3:]
+		b.losePaths(cut, pathLoss{refused: true, keptRequests: 1}, nil)
+		for range 4 {
+			for _, vm := range cut {
+				b.inFlight.Go(func() { _ = b.send(vm, uri) })
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		b.restorePaths()
+		time.Sleep(3 * time.Second)
+		for _, vm := range b.vms {
+			testkit.NoError(t, b.send(vm, uri))
+		}
+	})
+}
