hosted: permits for room on backend servers that crash if they reject

Cause: nothing read the signal, and each VM decides by counts of the others' requests that are a tenth to half a second old, so all see the same free slot. Class: a signal of the backend server that nobody acts on, as with the rate limit and the cooldown.

One VM per backend server now divides its slots by permits while the signal holds.

--- a/admission/permit/permit.go
+++ b/admission/permit/permit.go
@@ -12,6 +12,7 @@
 package permit
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -133,6 +134,8 @@
 // Holder holds the permits of this entry VM for a backend server, and determines when to
 // request more.
 type Holder struct {
+	// TTL is how long an unused permit is valid; 0 means permitTTL.
+	TTL            time.Duration
 	permits        int
 	expires        time.Time
 	retryAt        time.Time
@@ -174,7 +177,7 @@
 	h.requestPending = false
 	h.retryAt = now.Add(retryAfter)
 	if granted > 0 {
-		h.permits, h.expires = granted, now.Add(permitTTL)
+		h.permits, h.expires = granted, now.Add(cmp.Or(h.TTL, permitTTL))
 	}
 }
 
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -96,6 +96,9 @@
 	// LostPaths is whether the VM has lost its paths to the backend servers of a service, so
 	// that it is no gateway to them.
 	LostPaths bool `cbor:"37,keyasint,omitempty"`
+	// Fragile are the backend servers that crash if they reject many requests. They are sent as
+	// often as Limits.
+	Fragile []FragileBackend `cbor:"38,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
@@ -260,6 +263,7 @@
 	Lend(LendArgs) LendReply
 	Demand(DemandReport) DemandReport
 	Permit(PermitArgs) PermitReply
+	Room(RoomArgs) RoomReply
 }
 
 // coordination is the net/rpc receiver that calls a Coordinator.
--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -29,6 +29,14 @@
 	probeTimeout = 600 * time.Millisecond
 )
 
+// countSlots returns how many requests the backend server runs at once.
+func (b *backend) countSlots() int {
+	if b.Slots <= 0 {
+		return defaultPlainSlots
+	}
+	return b.Slots
+}
+
 // isUnreachable reports whether no path to the backend server is known.
 func (b *backend) isUnreachable() bool { return b.probeBackoff > 0 && !b.indirect }
 
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -363,6 +363,9 @@
 func (w peerClient) Permit(_ context.Context, address string, p entryvm.PermitArgs) (entryvm.PermitReply, error) {
 	return callNode(w, address, (*Node).Permit, p)
 }
+func (w peerClient) Room(_ context.Context, address string, r entryvm.RoomArgs) (entryvm.RoomReply, error) {
+	return callNode(w, address, (*Node).Room, r)
+}
 func (w peerClient) Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error) {
 	reply, err := callNode(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
 	if err == nil {
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -91,11 +91,7 @@
 		if b.isUnreachable() {
 			return
 		}
-		slots := b.Slots
-		if slots <= 0 {
-			slots = defaultPlainSlots
-		}
-		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: slots, Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
 	})
 	return n.filterReachable(now, out)
 }
@@ -115,6 +111,7 @@
 		kept = append(kept, c)
 	}
 	n.limits.addPermits(now, kept)
+	n.rooms.addPermits(now, kept)
 	return kept
 }
 
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -52,6 +52,10 @@
 	// were sent.
 	history judge.History
 	sentAt  map[string]time.Time
+	// rejections counts the requests that engines rejected for want of room. newEngineRoom, if
+	// set, bounds the room of engines that start later.
+	rejections    int
+	newEngineRoom func() *engineRoom
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
 	// vmStarts counts the starts of each VM, killedInstances are the instances that were
@@ -92,6 +96,8 @@
 	rejectsVM  func(vm string) bool
 	// lostShare is the share of its answers that are lost.
 	lostShare float64
+	// room, if set, bounds the requests that the engine runs.
+	room *engineRoom
 }
 
 func withEngineCluster(t *testing.T, vms, engines int, run func(*engineCluster)) {
@@ -136,7 +142,11 @@
 	b.startedEngines++
 	e := b.testCluster.engines.add(fmt.Sprint("e", b.startedEngines), "m1")
 	e.domain = domain
-	b.engines[e.address] = &servingEngine{id: e.id, domain: domain, ended: make(chan struct{})}
+	serving := &servingEngine{id: e.id, domain: domain, ended: make(chan struct{})}
+	if b.newEngineRoom != nil {
+		serving.room = b.newEngineRoom()
+	}
+	b.engines[e.address] = serving
 	b.statsMu.Unlock()
 	b.listEngine(e)
 }
@@ -209,13 +219,17 @@
 		limit = service.Limit{}
 	}
 	b.statsMu.Unlock()
+	if !b.enterRoom(e) {
+		return &service.ForwardResponse{MaxRejections: b.maxRejections(e)}, service.ErrNotRun
+	}
 	if retryAfter > 0 {
 		return &service.ForwardResponse{Cooldown: retryAfter, Leaving: leaving}, service.ErrNotRun
 	}
 	if lost {
 		return nil, service.ErrOutcomeUnknown
 	}
-	return &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving}, nil
+	return &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving,
+		MaxRejections: b.maxRejections(e)}, nil
 }
 
 // Probe implements service.Forwarder.
@@ -229,8 +243,9 @@
 
 // answerBody is the body of an answer. It breaks off if the engine ends before endsAt.
 type answerBody struct {
-	engine *servingEngine
-	endsAt time.Time
+	cluster *engineCluster
+	engine  *servingEngine
+	endsAt  time.Time
 }
 
 func (c *answerBody) Read([]byte) (int, error) {
@@ -242,7 +257,10 @@
 	}
 }
 
-func (c *answerBody) Close() error { return nil }
+func (c *answerBody) Close() error {
+	c.cluster.leaveRoom(c.engine)
+	return nil
+}
 
 // isPartitionedFrom reports whether an engine is in another failure domain while the domains
 // are partitioned from each other.
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -102,6 +102,7 @@
 		n.planner.dropEngine(id)
 		n.keeper.handleRestart(id)
 		n.limits.forget(id)
+		n.rooms.forget(id)
 	}
 }
 
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -86,11 +86,17 @@
 
 // TryUsePermit implements serving.ForwardDirectory.
 func (n *Node) TryUsePermit(backend string) bool {
-	l := n.limits
+	now := time.Now()
+	return n.limits.tryUse(now, backend) && n.rooms.tryUse(now, backend)
+}
+
+// tryUse uses a permit for a backend server if it has a limit. It returns false if there is
+// none.
+func (l *backendLimits) tryUse(now time.Time, backend string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.byBackend[backend]
-	return b == nil || !b.Limited || b.permits.TryUse(time.Now())
+	return b == nil || !b.Limited || b.permits.TryUse(now)
 }
 
 // newLocalLimit returns limit as an observation made by this VM now. Call with mu held.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -54,6 +54,7 @@
 	Lend(ctx context.Context, address string, lend entryvm.LendArgs) (entryvm.LendReply, error)
 	Demand(ctx context.Context, address string, report entryvm.DemandReport) (entryvm.DemandReport, error)
 	Permit(ctx context.Context, address string, args entryvm.PermitArgs) (entryvm.PermitReply, error)
+	Room(ctx context.Context, address string, args entryvm.RoomArgs) (entryvm.RoomReply, error)
 }
 
 // Config holds the settings and dependencies of a Node.
@@ -116,6 +117,7 @@
 	readyEstimates  *readyEstimates
 	crashes         *crashDetector
 	limits          *backendLimits
+	rooms           *backendRooms
 	paths           *backendPaths
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
@@ -159,6 +161,7 @@
 	n.readyEstimates = newReadyEstimates(n)
 	n.crashes = newCrashDetector(n)
 	n.limits = newBackendLimits(n)
+	n.rooms = newBackendRooms(n)
 	n.paths = newBackendPaths(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -52,7 +52,9 @@
 		r.BackendsCursor = uint64(cursor)
 	}
 	r.Planning, r.StoreLoads, r.ReadyEstimates = n.planner.planStatus(now)
-	for _, run := range n.serving.RunningRequests() {
+	running := n.serving.RunningRequests()
+	n.rooms.recordRunning(running)
+	for _, run := range running {
 		r.Running = append(r.Running, entryvm.RunningCount{Backend: run.Backend, Unit: run.Unit, Count: run.Count})
 	}
 	for _, wait := range n.serving.WaitingRequests(now) {
@@ -66,6 +68,7 @@
 	r.Overview = m.buildOverview(now, &r, &to, isAnswer)
 	n.crashes.publish(now, &r, &to)
 	n.limits.publish(now, &r)
+	n.rooms.publish(now, &r)
 	n.backends.publishLeaving(now, &r)
 	if large && relay && to.Domain != n.config.Domain {
 		// A relay of another domain takes these from the domain's Load.
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -59,6 +59,12 @@
 	// CountUnreachable returns how many backend servers hold the unit and can't be reached
 	// from this VM.
 	CountUnreachable(unit string) int
+	// RecordMaxRejections records how many requests a backend server can reject within a
+	// second before it crashes, 0 for no bound; rejected is whether it rejected the request.
+	RecordMaxRejections(backend string, maxRejections int, rejected bool)
+	// RecordAbandoned records that an attempt ended without its whole answer, so that the
+	// backend server may still work on the request.
+	RecordAbandoned(backend string)
 	// TryUsePermit uses one of the permits of a candidate with PermitRequired. It
 	// returns false if they have been used meanwhile or have expired.
 	TryUsePermit(backend string) bool
@@ -131,6 +137,9 @@
 	limit    service.Limit
 	leaving  bool
 	cooldown time.Duration
+	// maxRejections is the bound on rejections that the answer of the last attempt named, 0 for
+	// none.
+	maxRejections int
 	// replacement is what the stall guard reserved to continue the request elsewhere, nil
 	// for nothing. While an attempt runs, it belongs to the guard.
 	replacement *reservation
@@ -289,25 +298,29 @@
 	f.keptSilent = guard.keptSilent && !guard.ended
 	err = withGuardCause(ctx, err)
 	f.classifyAttempt(err)
+	if err != nil && f.outcome.mayHaveRun {
+		f.server.forwardDirectory().RecordAbandoned(f.pending.backend)
+	}
 	f.reportToQuarantine(ctx, head, err)
 	return err
 }
 
 // recordBackendSignals passes what the answer says of its backend server to the
-// directory and the router: that it is leaving, a cooldown, and a limit. A successful
-// answer without a limit lifts the limit; refusals and failures without one don't.
+// directory and the router: that it is leaving, a cooldown, a limit, and a bound on its
+// rejections. A successful answer without a limit lifts the limit; refusals and failures without one don't.
 func (f *forwarding) recordBackendSignals(head *service.ForwardResponse, err error) {
-	f.limit, f.leaving, f.cooldown = service.Limit{}, false, 0
+	f.limit, f.leaving, f.cooldown, f.maxRejections = service.Limit{}, false, 0, 0
 	if head == nil {
 		return
 	}
-	f.limit, f.leaving, f.cooldown = head.Limit, head.Leaving, head.Cooldown
+	f.limit, f.leaving, f.cooldown, f.maxRejections = head.Limit, head.Leaving, head.Cooldown, head.MaxRejections
 	if head.Leaving && f.pending.isCurrentIncarnation() {
 		f.server.forwardDirectory().MarkLeaving(f.pending.backend)
 	}
 	if head.Cooldown > 0 {
 		f.pending.startCooldown(time.Now().Add(head.Cooldown))
 	}
+	f.server.forwardDirectory().RecordMaxRejections(f.pending.backend, head.MaxRejections, err != nil)
 	if head.Limit.Limited || (err == nil && head.Status < http.StatusMultipleChoices) {
 		f.server.forwardDirectory().RecordLimit(f.pending.backend, head.Limit)
 	}
@@ -387,6 +400,9 @@
 	if f.cooldown > 0 {
 		fields = append(fields, zap.Duration("backend_rest", f.cooldown))
 	}
+	if f.maxRejections > 0 {
+		fields = append(fields, zap.Int("backend_max_rejections", f.maxRejections))
+	}
 	if f.leaving {
 		fields = append(fields, zap.Bool("backend_leaving", true))
 	}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -108,6 +108,10 @@
 
 func (b *forwardTestbed) CountUnreachable(string) int { return 0 }
 
+func (b *forwardTestbed) RecordMaxRejections(string, int, bool) {}
+
+func (b *forwardTestbed) RecordAbandoned(string) {}
+
 func (b *forwardTestbed) MarkLeaving(string) {}
 
 // RecordLimit records the limits that answers contained.
--- a/routing/router.go
+++ b/routing/router.go
@@ -217,6 +217,14 @@
 	return counts
 }
 
+// InFlightOn returns the number of this entry VM's requests in flight on an engine.
+func (r *Router) InFlightOn(engine string) int {
+	if e := r.engines[engine]; e != nil {
+		return e.inFlight
+	}
+	return 0
+}
+
 // ApplyCacheEvent applies an engine's event that it has cached or evicted a
 // prefix. The prefix hash already covers the unit.
 func (r *Router) ApplyCacheEvent(engine, unit string, prefix uint64, evicted bool) {
--- a/service/forward.go
+++ b/service/forward.go
@@ -80,6 +80,9 @@
 	// Leaving reports whether the answer announces that the backend server is about
 	// to end.
 	Leaving bool
+	// MaxRejections is how many requests the backend server can reject for want of room within
+	// a second. Beyond that it crashes. 0 means that the answer names no bound.
+	MaxRejections int
 	// Cooldown is how long this entry VM should send no requests to the backend
 	// server, which rejected this one; 0 if the answer doesn't say.
 	Cooldown time.Duration
