tcpdial: connections outlast a pause of a second or so of a sound peer

A connection on which a sound backend server paused was given up after 1 s: sent bytes by TCP_USER_TIMEOUT, idle connections by the first keep-alive probe that was due after it, whatever their count. Requests on it were lost. Now 2.5 s, and three probes.

A dead idle connection is closed 3 s after its last byte (2 s before).

--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -13,18 +13,19 @@
 	// Timeout bounds connecting. Machines of one region answer within milliseconds; one that
 	// has lost power doesn't answer at all.
 	Timeout = 500 * time.Millisecond
-	// unackedTimeout bounds how long sent bytes may stay unacknowledged and how long the
-	// keep-alive probes of an idle connection may go unanswered in total. Without it a
-	// connection to a peer behind a network partition hangs for many minutes.
-	unackedTimeout = time.Second
+	// unackedTimeout bounds how long sent bytes may stay unacknowledged, and an idle connection
+	// fails at the first keep-alive probe that is due so long after the last received byte.
+	// Without it a connection to a peer behind a network partition hangs for many minutes. A
+	// sound peer may pause for a second or so.
+	unackedTimeout = 2500 * time.Millisecond
 	// Keep-alive probes start after keepAliveIdle and repeat at keepAliveInterval. The
 	// connection fails after keepAliveCount unanswered probes.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 )
 
-// KeepAlive makes a connection fail within about 3 s of its peer's silence.
+// KeepAlive makes a connection fail about 3 s after its peer's last byte.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
 // Dialer connects with limits on how long the peer may be silent.
