hosted: a VM without paths hands its engines over

Orders don't go through a gateway: their holder is one VM.

It now leaves the group while its paths to a pool's engines are lost, and joins again once they have been back for 2 s; in a large fleet it isn't drawn as a keeper. TestVMsWithoutPathsHandEnginesOver failed before (VMs with paths kept 4 of 9 engines, small fleet).

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -29,6 +29,8 @@
 	gatewaysPerRecheck = 1
 	// gatewayFailureTTL is how long a gateway that failed ranks behind the others.
 	gatewayFailureTTL = time.Second
+	// minPathsAge is how long paths must have been back before this VM keeps engines again.
+	minPathsAge = 2 * time.Second
 	// maxPendingPathChecks bounds the checks that wait to begin. Later ones are left to the
 	// probes of unreachable backend servers.
 	maxPendingPathChecks = 256
@@ -56,6 +58,8 @@
 	checking map[string]bool
 	// gatewayFailedAt is when gateways last failed, by address.
 	gatewayFailedAt map[string]time.Time
+	// lostAt is when this VM last had no paths to the engines of a pool, zero for never.
+	lostAt time.Time
 }
 
 func newBackendPaths(n *Node) *backendPaths {
@@ -325,6 +329,19 @@
 	return monitor != nil && monitor.IsLost()
 }
 
+// canOrder reports whether this VM has paths to the engines that it may have to order, and has
+// had them for minPathsAge: engines change hands slowly.
+func (p *backendPaths) canOrder(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for serviceName, monitor := range p.monitors {
+		if monitor.IsLost() && p.node.findPool(serviceName) != nil {
+			p.lostAt = now
+		}
+	}
+	return p.lostAt.IsZero() || now.Sub(p.lostAt) >= minPathsAge
+}
+
 // areLost reports whether this VM has lost its paths to the backend servers of any service.
 func (p *backendPaths) areLost() bool {
 	if !p.hasRecords.Load() {
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -66,6 +66,8 @@
 	// bound. The VMs that download it at the same time share the rate; downloads counts them.
 	uplinkBytesPerSecond int
 	downloads            map[string]int
+	// canOrder, if set, returns whether a VM reaches engines to order them.
+	canOrder func(vm string) bool
 	// forwarderOf, if set, returns the forwarder that a VM uses instead of the fake engines.
 	forwarderOf func(vm string) service.Forwarder
 }
@@ -131,7 +133,7 @@
 	n := New(Config{
 		VM: vm, Address: vm, Domain: domain, Domains: w.domains, Incarnation: fmt.Sprint(vm, time.Since(w.start)), FirstStart: first, Shards: testShards,
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
-		Peers:          Peers{Registry: vmRegistry{w.registry, vm}, Engines: w.engines, Backends: forwarder, EntryVMs: client},
+		Peers:          Peers{Registry: vmRegistry{w.registry, vm}, Engines: vmEngines{w, vm}, Backends: forwarder, EntryVMs: client},
 		Lease:          lease.ShardConfig{JoinTTL: 4 * time.Second, MinHandoverGap: 3 * time.Second, MaxOrderDelay: time.Second},
 		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
--- a/internal/hosted/fakeengines_test.go
+++ b/internal/hosted/fakeengines_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/pause"
 )
 
 // fakeEngine is an in-memory engine.
@@ -188,3 +189,32 @@
 	}
 	return engine.Status{AcceptedOrders: e.orders}, nil
 }
+
+// vmEngines manages the engines on behalf of a VM.
+type vmEngines struct {
+	cluster *testCluster
+	vm      string
+}
+
+// reach returns an error if the VM doesn't reach the engines.
+func (v vmEngines) reach(ctx context.Context) error {
+	if v.cluster.canOrder == nil || v.cluster.canOrder(v.vm) {
+		return nil
+	}
+	pause.For(ctx, fakeDialTimeout)
+	return engine.ErrNotSent
+}
+
+func (v vmEngines) Status(ctx context.Context, address string) (engine.Status, error) {
+	if err := v.reach(ctx); err != nil {
+		return engine.Status{}, err
+	}
+	return v.cluster.engines.Status(ctx, address)
+}
+
+func (v vmEngines) Order(ctx context.Context, address string, order engine.Order) (engine.Status, error) {
+	if err := v.reach(ctx); err != nil {
+		return engine.Status{}, err
+	}
+	return v.cluster.engines.Order(ctx, address, order)
+}
--- a/internal/hosted/fakeregistry_test.go
+++ b/internal/hosted/fakeregistry_test.go
@@ -249,7 +249,15 @@
 	return live
 }
 
-func (f *fakeRegistry) Leave(context.Context, string, string) error { return nil }
+func (f *fakeRegistry) Leave(_ context.Context, group, member string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, known := f.sharedGroups[group][member]; known {
+		delete(f.sharedGroups[group], member)
+		f.generation++
+	}
+	return nil
+}
 
 func (f *fakeRegistry) Owners(_ context.Context, group string) ([]registry.Ownership, registry.Cursor, error) {
 	time.Sleep(f.latency)
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -164,20 +164,18 @@
 	for name, c := range map[string]struct {
 		vms, engines, cut int
 		loss              pathLoss
+		pause             time.Duration
 	}{
-		"connections hang":               {8, 6, 5, pathLoss{}},
-		"connections are refused":        {8, 6, 5, pathLoss{refused: true}},
-		"open connections lose requests": {8, 6, 5, pathLoss{keptRequests: 2}},
-		"all but one VM":                 {8, 6, 7, pathLoss{}},
-		"single engine":                  {8, 1, 5, pathLoss{}},
-		"large fleet":                    {30, 6, 12, pathLoss{}},
+		"connections hang":               {8, 6, 5, pathLoss{}, 50 * time.Millisecond},
+		"connections are refused":        {8, 6, 5, pathLoss{refused: true}, 50 * time.Millisecond},
+		"open connections lose requests": {8, 6, 5, pathLoss{keptRequests: 2}, 50 * time.Millisecond},
+		"all but one VM":                 {8, 6, 7, pathLoss{}, 50 * time.Millisecond},
+		"single engine":                  {8, 1, 5, pathLoss{}, 100 * time.Millisecond},
+		"large fleet":                    {30, 6, 12, pathLoss{}, 50 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withEngineCluster(t, c.vms, c.engines, func(b *engineCluster) {
-				pause := 50 * time.Millisecond
-				if c.engines == 1 {
-					pause = 100 * time.Millisecond
-				}
+				pause := c.pause
 				b.sendOtherRequests(2*time.Second, pause)
 				cut := b.vms[len(b.vms)-c.cut:]
 				b.losePaths(cut, c.loss, nil)
@@ -216,3 +214,51 @@
 		}
 	})
 }
+
+// Guards against engines that get no orders while the VM that keeps them has lost its paths,
+// although other VMs of their failure domain reach them.
+func TestVMsWithoutPathsHandEnginesOver(t *testing.T) {
+	for name, c := range map[string]struct{ vms, cut int }{
+		"one VM of two in each domain":     {6, 3},
+		"half of each domain, large fleet": {36, 18},
+	} {
+		t.Run(name, func(t *testing.T) { checkEnginesHandedOver(t, c.vms, c.cut) })
+	}
+}
+
+// checkEnginesHandedOver runs a fleet in which the first VMs of each failure domain lose their
+// paths.
+func checkEnginesHandedOver(t *testing.T, vms, cutCount int) {
+	withEngineCluster(t, vms, 9, func(b *engineCluster) {
+		cut := b.vms[:cutCount]
+		isCut := toSet(cut)
+		b.canOrder = func(vm string) bool {
+			b.statsMu.Lock()
+			defer b.statsMu.Unlock()
+			return b.lostPaths[vm] == nil
+		}
+		kept := func(by func(vm string) bool) map[string]bool {
+			engines := make(map[string]bool)
+			b.eachNode(func(vm string, n *Node) {
+				for i := range b.startedEngines {
+					id := fmt.Sprint("e", i+1)
+					if e, _ := n.backends.get(id); by(vm) && e.Domain == n.config.Domain && n.keeper.canSendOrdersTo(id) {
+						engines[id] = true
+					}
+				}
+			})
+			return engines
+		}
+		b.sendOtherRequests(2*time.Second, 30*time.Millisecond)
+		testkit.That(b, len(kept(func(vm string) bool { return isCut[vm] })) > 0, "the cut VMs keep no engine")
+		b.losePaths(cut, pathLoss{}, nil)
+		b.sendOtherRequests(8*time.Second, 30*time.Millisecond)
+		got := kept(func(vm string) bool { return !isCut[vm] })
+		testkit.That(b, len(got) == b.startedEngines, "VMs with paths keep %v of %d engines", got, b.startedEngines)
+		b.restorePaths()
+		b.sendOtherRequests(10*time.Second, 30*time.Millisecond)
+		testkit.That(b, len(kept(func(vm string) bool { return isCut[vm] })) > 0, "VMs whose paths are back keep no engine")
+		testkit.Equal(b, "kept engines", len(kept(func(string) bool { return true })), b.startedEngines)
+		b.checkHandoverGap()
+	})
+}
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -82,20 +82,28 @@
 // probe in the other domains. Call with mu held.
 func (m *members) selectRelays(now time.Time, r *roles) {
 	candidatesByDomain := make(map[string][]roleCandidate)
+	var keepers []roleCandidate
+	own := m.node.config.Domain
+	add := func(domain string, candidate roleCandidate, lostPaths bool) {
+		candidatesByDomain[domain] = append(candidatesByDomain[domain], candidate)
+		if domain == own && !lostPaths {
+			keepers = append(keepers, candidate)
+		}
+	}
 	if !r.stopping {
-		candidatesByDomain[m.node.config.Domain] = []roleCandidate{{m.node.config.VM, m.node.config.Capacity}}
+		add(own, roleCandidate{m.node.config.VM, m.node.config.Capacity}, m.node.paths.areLost())
 	}
 	m.eachLiveLocked(now, func(report *entryvm.Report) {
 		if !report.Leaving {
-			candidatesByDomain[report.Domain] = append(candidatesByDomain[report.Domain], roleCandidate{report.VM, report.Capacity})
+			add(report.Domain, roleCandidate{report.VM, report.Capacity}, report.LostPaths)
 		}
 	})
-	r.aloneInDomain = len(candidatesByDomain[m.node.config.Domain]) <= 1
+	r.aloneInDomain = len(candidatesByDomain[own]) <= 1
 	r.relays = make(map[string][]string, len(candidatesByDomain))
 	for domain, candidates := range candidatesByDomain {
 		r.relays[domain] = selectTop(relayKey, candidates, relaysPerDomain)
 	}
-	r.keepers = selectTop(keeperKey, candidatesByDomain[m.node.config.Domain], maxKeepersPerDomain)
+	r.keepers = selectTop(keeperKey, keepers, maxKeepersPerDomain)
 	r.probes = make(map[string]bool)
 	rotation := strconv.FormatInt(now.UnixNano()/int64(probeRotationInterval), 10)
 	silent := make(map[string][]roleCandidate)
--- a/internal/hosted/shards.go
+++ b/internal/hosted/shards.go
@@ -64,8 +64,14 @@
 	offset := n.jitter(0, joinInterval)
 	n.waitForPeer(ctx)
 	for member := false; ctx.Err() == nil && !n.stopping.Load(); {
-		if member = n.members.shouldJoinAsKeeper(time.Now(), member); member {
+		wasMember, hasPaths := member, n.paths.canOrder(time.Now())
+		member = hasPaths && n.members.shouldJoinAsKeeper(time.Now(), wasMember)
+		switch {
+		case member:
 			n.join(ctx)
+		case wasMember && !hasPaths:
+			n.config.Logger.Info("engines handed over, as the paths to them are lost")
+			n.leaveShards(ctx)
 		}
 		n.recordSettledUntil(ctx, time.Now().Add(joinInterval+offset))
 		offset = 0
@@ -344,7 +350,7 @@
 	}, true
 }
 
-// leaveShards stops all orders and ends the membership, so that another VM takes the
+// leaveShards stops all orders for now and ends the membership, so that another VM takes the
 // shards over at once. This VM still serves and answers release requests.
 func (n *Node) leaveShards(ctx context.Context) {
 	n.shardsMu.Lock()
