hosted: a VM notices lost paths by the common silence of its backend servers

A VM found out only when it needed a new connection that its paths were lost; until then each request on an open connection was lost, and for 2.5 s more it counted as one in flight there, so that the slots of small services looked full to all VMs.

If three attempts on two backend servers are in flight and nothing has come from any for 0.4 s, four paths are verified; once a service's paths are lost, two paths of each other service are. Requests in flight on a backend server whose connections hang no longer count as its load (open ones of one that refuses connections still do).

TestVMsWithoutPathsToBackendsServe/open_connections_lose_many_requests failed before (0 of 676 served).

--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -44,8 +44,8 @@
 func (b *backend) isIndirect() bool { return b.probeBackoff > 0 && b.indirect }
 
 // markUnreachable records that a direct connection to a backend server could not be
-// established. It reports whether that was not known.
-func (t *backendTable) markUnreachable(now time.Time, id string) bool {
+// established; refused is whether it was refused. It reports whether that was not known.
+func (t *backendTable) markUnreachable(now time.Time, id string, refused bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.entries[id]
@@ -54,7 +54,7 @@
 	}
 	b.probeBackoff = minProbeBackoff
 	b.probeAt = now.Add(b.probeBackoff)
-	b.indirect, b.pathsChecked = false, false
+	b.indirect, b.pathsChecked, b.refused = false, false, refused
 	t.hasUnreachable = true
 	t.logger.Info("backend server unreachable", zap.String("backend", id), zap.String("address", b.Address),
 		zap.Int("unreachable", t.countUnreachableLocked()), zap.Int("listed", len(t.entries)))
@@ -76,8 +76,9 @@
 }
 
 // assumeIndirect marks all other backend servers of a service as reached through gateways only,
-// and has them probed at once. It returns their IDs.
-func (t *backendTable) assumeIndirect(now time.Time, service string) []string {
+// and has them probed at once. It returns their IDs. refused is whether the connections that
+// showed it were refused.
+func (t *backendTable) assumeIndirect(now time.Time, service string, refused bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
@@ -87,7 +88,7 @@
 		}
 		b.probeBackoff = minProbeBackoff
 		b.probeAt = now
-		b.indirect, b.pathsChecked = true, true
+		b.indirect, b.pathsChecked, b.refused = true, true, refused
 		ids = append(ids, b.ID)
 	}
 	t.hasUnreachable = t.hasUnreachable || len(ids) > 0
@@ -105,6 +106,26 @@
 	}
 }
 
+// sampleOtherServices returns two reachable backend servers of each service but the given one:
+// their paths may be lost too.
+func (t *backendTable) sampleOtherServices(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entriesOf(service) // builds the index
+	var sample []string
+	for other, entries := range t.byService {
+		if other == service {
+			continue
+		}
+		for _, b := range entries[:min(len(entries), 2)] {
+			if b.probeBackoff == 0 {
+				sample = append(sample, b.ID)
+			}
+		}
+	}
+	return sample
+}
+
 // countService counts the backend servers of a service.
 func (t *backendTable) countService(service string) int {
 	t.mu.Lock()
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -29,6 +29,13 @@
 	gatewaysPerRecheck = 1
 	// gatewayFailureTTL is how long a gateway that failed ranks behind the others.
 	gatewayFailureTTL = time.Second
+	// maxCommonSilence is how long all backend servers with requests in flight may send nothing
+	// until the paths to some of them are verified, again after suspectInterval at the earliest.
+	maxCommonSilence = 400 * time.Millisecond
+	suspectInterval  = time.Second
+	// maxSuspects is how many backend servers are verified then: enough to tell lost paths from
+	// the silence of a few.
+	maxSuspects = 4
 	// minPathsAge is how long paths must have been back before this VM keeps engines again.
 	minPathsAge = 2 * time.Second
 	// maxPendingPathChecks bounds the checks that wait to begin. Later ones are left to the
@@ -46,8 +53,8 @@
 // other entry VMs that do. It is safe for concurrent use.
 type backendPaths struct {
 	node *Node
-	// checks holds the backend servers to check.
-	checks chan string
+	// checks holds the backend servers to check, suspects those to verify first.
+	checks, suspects chan string
 	// hasRecords is whether any monitor has records. It avoids locking at each answer.
 	hasRecords atomic.Bool
 
@@ -58,12 +65,14 @@
 	checking map[string]bool
 	// gatewayFailedAt is when gateways last failed, by address.
 	gatewayFailedAt map[string]time.Time
+	// suspectedAt is when backend servers were last verified because all were silent.
+	suspectedAt time.Time
 	// lostAt is when this VM last had no paths to the engines of a pool, zero for never.
 	lostAt time.Time
 }
 
 func newBackendPaths(n *Node) *backendPaths {
-	return &backendPaths{node: n, checks: make(chan string, maxPendingPathChecks), monitors: make(map[string]*pathloss.Monitor),
+	return &backendPaths{node: n, checks: make(chan string, maxPendingPathChecks), suspects: make(chan string, maxPendingPathChecks), monitors: make(map[string]*pathloss.Monitor),
 		checking: make(map[string]bool), gatewayFailedAt: make(map[string]time.Time)}
 }
 
@@ -75,12 +84,57 @@
 		select {
 		case id := <-p.checks:
 			checks.Go(func() { p.check(ctx, id, gatewaysPerCheck) })
+		case id := <-p.suspects:
+			checks.Go(func() { p.verify(ctx, id) })
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// suspect has the paths to some of the backend servers verified, of which none sends anything.
+func (p *backendPaths) suspect(now time.Time, silent []string) {
+	if len(silent) == 0 {
+		return
+	}
+	p.mu.Lock()
+	due := now.Sub(p.suspectedAt) >= suspectInterval
+	if due {
+		p.suspectedAt = now
+	}
+	p.mu.Unlock()
+	if due {
+		p.requestVerification(silent)
+	}
+}
+
+// requestVerification has run verify the paths to some of the backend servers.
+func (p *backendPaths) requestVerification(ids []string) {
+	for _, id := range ids[:min(len(ids), maxSuspects)] {
+		select {
+		case p.suspects <- id:
+		default:
+		}
+	}
+}
+
+// verify tries a direct connection to a backend server that counts as reachable, and looks for a
+// gateway if there is none.
+func (p *backendPaths) verify(ctx context.Context, id string) {
+	b, listed := p.node.backends.get(id)
+	if !listed || b.probeBackoff > 0 {
+		return
+	}
+	err := p.node.tryConnect(ctx, service.Target{ID: id, Address: b.Address})
+	if err == nil {
+		p.recordDirectAnswer(id)
+		return
+	}
+	if ctx.Err() == nil && p.node.backends.markUnreachable(time.Now(), id, errors.Is(err, service.ErrConnectionRefused)) {
+		p.check(ctx, id, gatewaysPerCheck)
+	}
+}
+
 // requestCheck has run check a backend server.
 func (p *backendPaths) requestCheck(id string) {
 	select {
@@ -106,10 +160,10 @@
 		return // it has been reached directly meanwhile
 	}
 	if reached {
-		p.recordLostPath(b.Service, id)
+		p.recordLostPath(&b)
 	}
 	if changed {
-		p.recordChange(id, gateway, reached)
+		p.recordChange(&b, gateway, reached)
 	}
 }
 
@@ -130,20 +184,26 @@
 }
 
 // recordChange logs the result of a check and wakes what depends on it.
-func (p *backendPaths) recordChange(id, gateway string, reached bool) {
+func (p *backendPaths) recordChange(b *backend, gateway string, reached bool) {
 	if reached {
 		indirectPathsTotal.Inc()
-		p.forgiveFailures(id)
-		p.node.config.Logger.Info("backend server reached through a gateway", zap.String("backend", id), zap.String("gateway", gateway))
+		p.forgiveFailures(b.refused, b.ID)
+		p.node.config.Logger.Info("backend server reached through a gateway", zap.String("backend", b.ID), zap.String("gateway", gateway))
 	} else {
-		p.node.config.Logger.Info("backend server reached through no gateway", zap.String("backend", id))
+		p.node.config.Logger.Info("backend server reached through no gateway", zap.String("backend", b.ID))
 	}
 	p.node.handleBackendChanges()
 }
 
 // forgiveFailures drops what the router counts against backend servers: the path failed, not
-// they.
-func (p *backendPaths) forgiveFailures(ids ...string) {
+// they. Unless connections were refused, open ones are dead too, and so are the requests on
+// them.
+func (p *backendPaths) forgiveFailures(refused bool, ids ...string) {
+	if !refused {
+		for _, id := range ids {
+			p.node.serving.DropInFlight(id)
+		}
+	}
 	p.node.serving.WithLockedState(func(_ *admission.Controller, router *routing.Router) {
 		for _, id := range ids {
 			router.ForgiveFailures(id)
@@ -257,7 +317,7 @@
 // direct, a gateway is looked for; otherwise another one.
 func (p *backendPaths) markUnreachable(now time.Time, target service.Target, cause error) {
 	if target.Gateway == "" {
-		if p.node.backends.markUnreachable(now, target.ID) {
+		if p.node.backends.markUnreachable(now, target.ID, errors.Is(cause, service.ErrConnectionRefused)) {
 			p.requestCheck(target.ID)
 		}
 		return
@@ -292,24 +352,26 @@
 // recordLostPath records that gateways reach a backend server which this VM doesn't reach. Once
 // the paths to the whole service count as lost, its other backend servers are reached through
 // gateways too, unless a probe of their own succeeds.
-func (p *backendPaths) recordLostPath(serviceName, id string) {
+func (p *backendPaths) recordLostPath(b *backend) {
+	serviceName := b.Service
 	p.mu.Lock()
 	monitor := p.monitors[serviceName]
 	if monitor == nil {
 		monitor = &pathloss.Monitor{}
 		p.monitors[serviceName] = monitor
 	}
-	nowLost := monitor.RecordLostPath(id, p.node.backends.countService(serviceName))
+	nowLost := monitor.RecordLostPath(b.ID, p.node.backends.countService(serviceName))
 	p.updateHasRecords()
 	p.mu.Unlock()
 	if !nowLost {
 		return
 	}
-	others := p.node.backends.assumeIndirect(time.Now(), serviceName)
+	others := p.node.backends.assumeIndirect(time.Now(), serviceName, b.refused)
 	pathLossesTotal.Inc()
-	p.forgiveFailures(others...)
+	p.forgiveFailures(b.refused, others...)
 	p.node.config.Logger.Warn("paths to backend servers lost", zap.String("service", serviceName), zap.Int("assumed", len(others)))
 	p.node.members.notifyAll()
+	p.requestVerification(p.node.backends.sampleOtherServices(serviceName))
 }
 
 // updateHasRecords updates hasRecords. Call with mu held.
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -84,6 +84,9 @@
 	// indirect is whether gateways reach the server while it is marked unreachable, and
 	// pathsChecked whether that is known.
 	indirect, pathsChecked bool
+	// refused is whether the server's address refused the connection, so that open ones may
+	// still work.
+	refused bool
 	// loadedModels are the models that accept requests.
 	loadedModels map[string]loadedModel
 	// start identifies the newest known instance by the time it started, 0 if the server
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -141,9 +141,11 @@
 	n.paths.markUnreachable(time.Now(), target, cause)
 }
 
-// probeUnreachable periodically probes unreachable backend servers until ctx ends.
+// probeUnreachable periodically probes unreachable backend servers, and has those verified that
+// are all silent, until ctx ends.
 func (n *Node) probeUnreachable(ctx context.Context) {
 	pause.Every(ctx, probeInterval, func(ctx context.Context) {
+		n.paths.suspect(time.Now(), n.serving.UnheardBackends(time.Now(), maxCommonSilence))
 		for _, id := range n.backends.dueProbes(time.Now()) {
 			go n.probeBackend(ctx, id)
 		}
--- a/internal/serving/counts.go
+++ b/internal/serving/counts.go
@@ -52,19 +52,26 @@
 }
 
 // RunningRequests returns the number of this VM's requests in flight by backend
-// server and unit.
+// server and unit, without those that Forget or DropInFlight dropped.
 func (s *Server) RunningRequests() []RunningCount {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]RunningCount, 0, len(s.runningCounts))
 	for key, count := range s.runningCounts {
+		if key.incarnation != s.incarnations[key.backend] {
+			continue
+		}
 		out = append(out, RunningCount{Backend: key.backend, Unit: key.unit, Count: count})
 	}
 	return out
 }
 
-// backendUnit identifies a unit on a backend server.
-type backendUnit struct{ backend, unit string }
+// runKey identifies a unit on a backend server. Attempts from before the newest call of Forget or
+// DropInFlight have an older incarnation.
+type runKey struct {
+	backend, unit string
+	incarnation   uint64
+}
 
 // WaitingCount is the number of this VM's requests that wait for a unit.
 type WaitingCount struct {
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -153,9 +153,12 @@
 // recordStart counts a request that is sent to a backend server, and returns the
 // incarnation of that server. Call with mu held.
 func (s *Server) recordStart(now time.Time, backend string, query routing.Query) uint64 {
+	if len(s.runningCounts) == 0 {
+		s.recordHeard(now)
+	}
 	s.config.Router.RecordStart(now, backend, query.Pool, query.Prefixes)
 	s.recordUnitStart(now, query.Unit)
-	s.runningCounts[backendUnit{backend, query.Unit}]++
+	s.runningCounts[runKey{backend, query.Unit, s.incarnations[backend]}]++
 	if s.readsCacheEvents(query.Pool) {
 		s.cacheCursorFor(backend).activeStreams++
 	}
@@ -166,7 +169,7 @@
 func (s *Server) recordEnd(now time.Time, backend string, incarnation uint64, unit string, result routing.Result) {
 	s.recordFinish(now, backend, incarnation, result)
 	s.recordUnitEnd(unit)
-	decrement(s.runningCounts, backendUnit{backend, unit})
+	decrement(s.runningCounts, runKey{backend, unit, incarnation})
 }
 
 // recordFinish records the end of an attempt in the router. It ignores attempts on a
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -286,6 +286,9 @@
 	defer guard.stop()
 	head, err := f.server.config.Forwarder.Forward(ctx, target, f.backendRequest())
 	f.recordBackendSignals(head, err)
+	if head != nil {
+		f.server.recordHeard(time.Now())
+	}
 	if err == nil {
 		f.attemptsRun++
 		f.server.forwardDirectory().MarkReachable(target)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,8 +74,11 @@
 // Server holds the queue of one entry VM. Its methods may be called from any
 // goroutine.
 type Server struct {
-	config    Config
-	wake      chan struct{}
+	config Config
+	wake   chan struct{}
+	// heardAt is when a backend server last sent something, or the first attempt after a time
+	// without any began, in Unix nanoseconds.
+	heardAt   atomic.Int64
 	abandoned chan abandonedRequest
 
 	mu     sync.Mutex
@@ -88,15 +92,15 @@
 	loadingUnits map[string]bool
 	// missingReportedAt is when each unit was last reported as missing.
 	missingReportedAt map[string]time.Time
-	// incarnations counts the calls of Forget for each engine: the end of an attempt
-	// from before such a call must not reduce the load recorded since.
+	// incarnations counts the calls of Forget and DropInFlight for each engine: the end of
+	// an attempt from before such a call must not reduce the load recorded since.
 	incarnations map[string]uint64
 	// cacheCursors has an entry for each engine that this VM sent a stream to.
 	cacheCursors map[string]*cacheCursor
 	// activeUnits are the requests in flight on backend servers, by unit.
 	activeUnits map[string]unitActivity
 	// runningCounts is the number of these requests by backend server and unit.
-	runningCounts map[backendUnit]int
+	runningCounts map[runKey]int
 	openRequests  int
 	// stopped is set by RefuseWaiting, also at the end of Run: from then on, requests
 	// are refused instead of queued, as nothing would end their wait.
@@ -123,7 +127,7 @@
 		cacheCursors:      make(map[string]*cacheCursor),
 
 		activeUnits:   make(map[string]unitActivity),
-		runningCounts: make(map[backendUnit]int),
+		runningCounts: make(map[runKey]int),
 	}
 }
 
@@ -154,6 +158,16 @@
 	delete(s.cacheCursors, engine)
 }
 
+// DropInFlight no longer counts this VM's requests in flight on a backend server as its load.
+// Their connections are dead, so they end only when these are given up, while the backend server
+// has finished most of them.
+func (s *Server) DropInFlight(backend string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config.Router.DropInFlight(time.Now(), backend)
+	s.incarnations[backend]++
+}
+
 // OpenRequests returns the number of requests that wait or are in flight.
 func (s *Server) OpenRequests() int {
 	s.mu.Lock()
--- a/routing/router.go
+++ b/routing/router.go
@@ -269,6 +269,15 @@
 	}
 }
 
+// DropInFlight ends the counting of the requests in flight on an engine; RecordFinish must not
+// be called for them.
+func (r *Router) DropInFlight(now time.Time, engine string) {
+	if e := r.engines[engine]; e != nil {
+		e.inFlight, e.awaitingFirstToken = 0, 0
+		e.inFlightHistory.record(now, 0)
+	}
+}
+
 // Forget drops all state of an engine that has left or restarted, including its
 // cached prefixes and its requests in flight. The caller must call it: the router
 // otherwise keeps every engine it has seen.
