--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -66,6 +66,9 @@
 	{"failure domains are partitioned from each other", (*day).partitionDomains},
 	{"a VM is partitioned from the others", (*day).partitionVM},
 	{"a configuration is published", (*day).publishConfiguration},
+	{"VMs lose their paths to the engines", (*day).losePathsOfSome},
+	{"engines are fragile", (*day).enginesFragile},
+	{"an engine pauses", (*day).enginePauses},
 }
 
 // disrupt records a disruption of a VM's network paths, or of those of all VMs if vm is
@@ -331,6 +334,60 @@
 	d.registry.setConfiguration(&next)
 }
 
+// losePathsOfSome makes some VMs lose their paths to all engines, in one of several ways.
+func (d *day) losePathsOfSome(duration time.Duration) {
+	vms := d.randomVMs(0.5)
+	if len(vms) == 0 || len(vms) == len(d.vms) {
+		return
+	}
+	loss := pathLoss{refused: d.random.Intn(2) == 0, keptRequests: d.random.Intn(4)}
+	from := time.Now()
+	d.losePaths(vms, loss, nil)
+	duration += maxPathLossDelay
+	time.Sleep(duration)
+	d.restorePathsOf(vms)
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	d.history.PathLosses = append(d.history.PathLosses, judge.PathLoss{VMs: toSet(vms), From: from, To: from.Add(duration)})
+}
+
+// enginesFragile makes all engines fragile for some time.
+func (d *day) enginesFragile(duration time.Duration) {
+	d.statsMu.Lock()
+	crashesBefore := len(d.roomCrashes)
+	d.statsMu.Unlock()
+	from, engines := time.Now(), d.countEngines()
+	d.setFragile(2 + d.random.Intn(4))
+	time.Sleep(fragileNotice + duration)
+	d.setFragile(0)
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	d.history.Fragile = append(d.history.Fragile, judge.FragilePeriod{Backends: engines, From: from, To: time.Now(), Crashes: d.roomCrashes[crashesBefore:]})
+}
+
+func (d *day) countEngines() int {
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	count := 0
+	for _, e := range d.engines {
+		if !e.hasEnded {
+			count++
+		}
+	}
+	return count
+}
+
+// enginePauses makes a sound engine send nothing for a second or so.
+func (d *day) enginePauses(time.Duration) {
+	e := d.randomEngine()
+	if e == nil {
+		return
+	}
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	e.pausedUntil = time.Now().Add(time.Second + time.Duration(d.random.Int63n(int64(500*time.Millisecond))))
+}
+
 // run starts random faults while it sends requests, and waits until all have ended.
 func (d *day) run() {
 	for range 2 + d.random.Intn(7) {
@@ -372,7 +429,7 @@
 	defer d.statsMu.Unlock()
 	var refused *refusal.Refusal
 	killed := d.killedInstances[start]
-	d.history.Outcomes = append(d.history.Outcomes, judge.Outcome{Request: id, Sent: sent, Answered: !killed && err == nil,
+	d.history.Outcomes = append(d.history.Outcomes, judge.Outcome{Request: id, VM: vm, Sent: sent, Answered: !killed && err == nil,
 		NotRun: !killed && errors.As(err, &refused) && refused.Ran == refusal.RanNo})
 }
 
@@ -395,8 +452,8 @@
 			cooldowns++
 		}
 	}
-	return fmt.Sprintf("%d requests: %d answered, %d not run; %d answers said leaving, %d cooldowns, %d leave notices",
-		len(d.history.Outcomes), answered, refused, leaving, cooldowns, len(d.history.LeaveNotices))
+	return fmt.Sprintf("%d requests: %d answered, %d not run; %d answers said leaving, %d cooldowns, %d leave notices, %d path losses, %d fragile periods",
+		len(d.history.Outcomes), answered, refused, leaving, cooldowns, len(d.history.LeaveNotices), len(d.history.PathLosses), len(d.history.Fragile))
 }
 
 // violations returns the guarantees that the day violated.
@@ -408,6 +465,8 @@
 	violations = append(violations, judge.CheckDrainByAnswer(h, maxLeavingPropagation)...)
 	violations = append(violations, judge.CheckDrainByRegistry(h, maxLeavingPropagation, minCalmBefore)...)
 	violations = append(violations, judge.CheckRetryAfter(h, cooldownGrace, maxCooldownRequests)...)
+	violations = append(violations, judge.CheckServedWithoutPaths(h, maxPathLossDelay, minPathLossShare, allowedPathLossFailures)...)
+	violations = append(violations, judge.CheckRoom(h, allowedFragileCrashes, minCalmBefore)...)
 	return append(violations, judge.CheckRecovery(h, startedAt.Add(recoveryDeadline), minServedShare*d.servableShare(engines))...)
 }
 
@@ -415,27 +474,38 @@
 // -days.seeds and -days.from select the days.
 func TestRandomDays(t *testing.T) {
 	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			random := rand.New(rand.NewSource(seed))
-			vms, engines := 2+random.Intn(9), 1+random.Intn(6)
-			if random.Intn(6) == 0 {
-				vms = maxFullMeshPeers + 2 + random.Intn(12) // reports go through relays
-			}
-			withEngineCluster(t, vms, engines, func(b *engineCluster) {
-				d := &day{engineCluster: b, random: random}
-				startedAt := time.Now()
-				d.run()
-				violations := d.violations(startedAt, engines)
-				t.Log(d.summary())
-				if len(violations) == 0 {
-					return
-				}
-				t.Errorf("%d VMs, %d engines; %s", vms, engines, strings.Join(d.faultLog, "; "))
-				for _, v := range violations[:min(len(violations), 5)] {
-					t.Errorf("%s after %s (of %d)", v, v.At.Sub(startedAt), len(violations))
-				}
-			})
-		})
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playDay(t, seed) })
 	}
 }
+
+// Guards against VMs that get less than their share of a single engine that is overloaded: the
+// others use each slot again as it becomes free.
+func TestRandomDaysOfOverloadedEngine(t *testing.T) {
+	for _, seed := range []int64{147, 288, 415} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playDay(t, seed) })
+	}
+}
+
+// playDay plays and checks the random day of a seed.
+func playDay(t *testing.T, seed int64) {
+	t.Parallel()
+	random := rand.New(rand.NewSource(seed))
+	vms, engines := 2+random.Intn(9), 1+random.Intn(6)
+	if random.Intn(6) == 0 {
+		vms = maxFullMeshPeers + 2 + random.Intn(12) // reports go through relays
+	}
+	withEngineCluster(t, vms, engines, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: random}
+		startedAt := time.Now()
+		d.run()
+		violations := d.violations(startedAt, engines)
+		t.Log(d.summary())
+		if len(violations) == 0 {
+			return
+		}
+		t.Errorf("%d VMs, %d engines; %s", vms, engines, strings.Join(d.faultLog, "; "))
+		for _, v := range violations[:min(len(violations), 5)] {
+			t.Errorf("%s after %s (of %d)", v, v.At.Sub(startedAt), len(violations))
+		}
+	})
+}
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -55,6 +55,7 @@
 	// rejections counts the requests that engines rejected for want of room. newEngineRoom, if
 	// set, bounds the room of engines that start later.
 	rejections    int
+	roomCrashes   []time.Time
 	newEngineRoom func() *engineRoom
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
@@ -96,6 +97,8 @@
 	rejectsVM  func(vm string) bool
 	// lostShare is the share of its answers that are lost.
 	lostShare float64
+	// pausedUntil is until when the engine sends nothing.
+	pausedUntil time.Time
 	// room, if set, bounds the requests that the engine runs.
 	room *engineRoom
 }
@@ -198,6 +201,7 @@
 	if err := b.tryPathTo(target, e.id, false); err != nil {
 		return nil, err
 	}
+	b.waitForPause(e)
 	if f.URI == crashingURI {
 		b.statsMu.Lock()
 		b.crashSentAt = append(b.crashSentAt, time.Now())
@@ -207,25 +211,28 @@
 			b.endEngine(e)
 		}()
 	}
+	hasRoom := b.enterRoom(e)
 	b.statsMu.Lock()
 	retryAfter := e.retryAfter
 	if e.rejectsVM != nil && !e.rejectsVM(b.vm) {
 		retryAfter = 0
 	}
 	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving, retryAfter})
-	b.recordArrival(e, b.vmInstance, f.RequestID, retryAfter)
+	b.recordArrival(e, b.vmInstance, f.RequestID, retryAfter, hasRoom && retryAfter == 0)
 	limit, leaving, lost := e.limit, e.leaving, b.engineRandom.Float64() < e.lostShare
 	if b.engineRandom.Float64() >= e.limitShare {
 		limit = service.Limit{}
 	}
 	b.statsMu.Unlock()
-	if !b.enterRoom(e) {
-		return &service.ForwardResponse{MaxRejections: b.maxRejections(e)}, service.ErrNotRun
+	if !hasRoom {
+		return &service.ForwardResponse{MaxRejections: b.maxRejections(e), Leaving: leaving}, service.ErrNotRun
 	}
 	if retryAfter > 0 {
+		b.leaveRoom(e)
 		return &service.ForwardResponse{Cooldown: retryAfter, Leaving: leaving}, service.ErrNotRun
 	}
 	if lost {
+		time.AfterFunc(runTime, func() { b.leaveRoom(e) })
 		return nil, service.ErrOutcomeUnknown
 	}
 	return &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving,
@@ -249,6 +256,7 @@
 }
 
 func (c *answerBody) Read([]byte) (int, error) {
+	defer c.cluster.waitForPause(c.engine)
 	select {
 	case <-c.engine.ended:
 		return 0, io.ErrUnexpectedEOF
@@ -257,6 +265,16 @@
 	}
 }
 
+// waitForPause waits while an engine pauses.
+func (b *engineCluster) waitForPause(e *servingEngine) {
+	b.statsMu.Lock()
+	left := time.Until(e.pausedUntil)
+	b.statsMu.Unlock()
+	if left > 0 {
+		time.Sleep(left)
+	}
+}
+
 func (c *answerBody) Close() error {
 	c.cluster.leaveRoom(c.engine)
 	return nil
@@ -272,13 +290,13 @@
 }
 
 // recordArrival adds a request to the history. Call with statsMu held.
-func (b *engineCluster) recordArrival(e *servingEngine, from vmInstance, request string, retryAfter time.Duration) {
+func (b *engineCluster) recordArrival(e *servingEngine, from vmInstance, request string, retryAfter time.Duration, ran bool) {
 	sent, known := b.sentAt[request]
 	if !known || b.killedInstances[from] {
 		return
 	}
 	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.id, VM: from.vm, Incarnation: from.start,
-		Sent: sent, At: time.Now(), Ran: retryAfter == 0, Leaving: e.leaving, RetryAfter: retryAfter})
+		Sent: sent, At: time.Now(), Ran: ran, Leaving: e.leaving, RetryAfter: retryAfter})
 }
 
 // send has a VM serve a request, and returns its error.
--- a/internal/hosted/fragile_test.go
+++ b/internal/hosted/fragile_test.go
@@ -17,6 +17,9 @@
 	normalQueue = 4
 )
 
+// allowedFragileCrashes returns how many of a number of fragile engines may crash.
+func allowedFragileCrashes(engines int) int { return maxFragileCrashes + engines/10 }
+
 // engineRoom bounds the requests on an engine.
 type engineRoom struct {
 	running int
@@ -65,6 +68,9 @@
 	}
 	crashes := r.maxRejections > 0 && now.Sub(r.saidAt) >= fragileNotice && len(r.rejectedAt) > r.maxRejections
 	b.rejections++
+	if crashes {
+		b.roomCrashes = append(b.roomCrashes, now)
+	}
 	b.statsMu.Unlock()
 	if crashes {
 		b.endEngine(e)
@@ -127,7 +133,7 @@
 				}
 				slots := float64(c.engines*engineSlots) / runTime.Seconds()
 				b.Logf("%d crashes, %d rejections; %.0f served a second, %.0f have room, %.0f asked", crashes, b.rejections, served, slots, 1/c.pause.Seconds())
-				allowed := maxFragileCrashes + c.engines/10
+				allowed := allowedFragileCrashes(c.engines)
 				testkit.That(t, crashes <= allowed, "%d crashes of fragile engines, %d are allowed", crashes, allowed)
 				possible := min(slots, 1/c.pause.Seconds())
 				testkit.That(t, served >= possible/2, "%.0f requests served a second where %.0f are possible", served, possible)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -30,7 +30,8 @@
 
 // Outcome is the final result of a request at its caller.
 type Outcome struct {
-	Request string
+	// Request identifies the request, VM the entry VM that it was sent to.
+	Request, VM string
 	// Sent is when the caller sent the request.
 	Sent time.Time
 	// Answered reports whether the caller received the whole answer, NotRun whether the
@@ -54,12 +55,29 @@
 	Registry bool
 }
 
+// PathLoss is a period in which entry VMs had no path to any backend server, while callers, the
+// registry and the other entry VMs reached them.
+type PathLoss struct {
+	VMs      map[string]bool
+	From, To time.Time
+}
+
+// FragilePeriod is a period in which backend servers said that they crash if they reject many
+// requests. Crashes are the times at which some did.
+type FragilePeriod struct {
+	Backends int
+	From, To time.Time
+	Crashes  []time.Time
+}
+
 // History holds the observations of a run, each kind in order of time.
 type History struct {
 	Arrivals     []Arrival
 	Outcomes     []Outcome
 	LeaveNotices []LeaveNotice
 	Disruptions  []Disruption
+	PathLosses   []PathLoss
+	Fragile      []FragilePeriod
 }
 
 // Violation is one violation of a guarantee.
@@ -79,6 +97,8 @@
 	drainByRegistry = "drain by entry"
 	retryAfterKept  = "rest kept"
 	recovery        = "recovers"
+	servedElsewhere = "served without paths"
+	roomKept        = "room kept"
 )
 
 // process identifies one instance of an entry VM.
@@ -209,6 +229,66 @@
 	return violations
 }
 
+// CheckServedWithoutPaths finds path losses in which, from settle after their beginning, the VMs
+// without paths answered less than minShare of the share that the others answered, by one request
+// at least, and more than failures of their requests failed. A disruption of any VM excuses the whole period.
+func CheckServedWithoutPaths(h *History, settle time.Duration, minShare float64, failures func(sent int) int) (violations []Violation) {
+	for _, loss := range h.PathLosses {
+		if h.isAnyDisrupted(loss.From, loss.To) {
+			continue
+		}
+		var sent, answered [2]int // of the VMs with paths, of those without
+		for _, o := range h.Outcomes {
+			if o.Sent.Before(loss.From.Add(settle)) || !o.Sent.Before(loss.To) {
+				continue
+			}
+			side := 0
+			if loss.VMs[o.VM] {
+				side = 1
+			}
+			sent[side]++
+			if o.Answered {
+				answered[side]++
+			}
+		}
+		if sent[0] == 0 || sent[1]-answered[1] <= failures(sent[1]) {
+			continue
+		}
+		due := minShare * float64(answered[0]) / float64(sent[0]) * float64(sent[1])
+		if answered[1] < int(due) {
+			violations = append(violations, Violation{servedElsewhere, loss.From, fmt.Sprintf("VMs without paths answered %d of %d requests, the others %d of %d", answered[1], sent[1], answered[0], sent[0])})
+		}
+	}
+	return violations
+}
+
+// CheckRoom finds periods in which more fragile backend servers than allowed crashed. A
+// disruption of any VM excuses the crashes until settle after it.
+func CheckRoom(h *History, allowed func(backends int) int, settle time.Duration) (violations []Violation) {
+	for _, p := range h.Fragile {
+		crashes := 0
+		for _, at := range p.Crashes {
+			if !h.isAnyDisrupted(at.Add(-settle), at) {
+				crashes++
+			}
+		}
+		if crashes > allowed(p.Backends) {
+			violations = append(violations, Violation{roomKept, p.From, fmt.Sprintf("%d crashes of %d fragile backend servers", crashes, p.Backends)})
+		}
+	}
+	return violations
+}
+
+// isAnyDisrupted reports whether a disruption of any VM overlaps the period.
+func (h *History) isAnyDisrupted(from, to time.Time) bool {
+	for _, d := range h.Disruptions {
+		if !d.Registry && d.From.Before(to) && d.To.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // isDisrupted reports whether a disruption of the VM overlaps the period. Disruptions of the
 // registry count only if registry is set.
 func (h *History) isDisrupted(vm string, from, to time.Time, registry bool) bool {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -49,6 +49,17 @@
 	}
 	retryAfter := func(h *judge.History) []judge.Violation { return judge.CheckRetryAfter(h, 500*time.Millisecond, 2) }
 	recovery := func(h *judge.History) []judge.Violation { return judge.CheckRecovery(h, atSecond(10), 0.5) }
+	servedWithoutPaths := func(h *judge.History) []judge.Violation {
+		return judge.CheckServedWithoutPaths(h, 3*time.Second, 0.6, func(int) int { return 1 })
+	}
+	room := func(h *judge.History) []judge.Violation {
+		return judge.CheckRoom(h, func(int) int { return 1 }, time.Second)
+	}
+	outcomes := func(seconds float64, answered bool) []judge.Outcome {
+		return []judge.Outcome{{VM: "w", Sent: atSecond(seconds), Answered: true}, {VM: "v", Sent: atSecond(seconds), Answered: answered}, {VM: "v", Sent: atSecond(seconds)}}
+	}
+	losses := []judge.PathLoss{{VMs: map[string]bool{"v": true}, From: atSecond(1), To: atSecond(9)}}
+	fragile := []judge.FragilePeriod{{Backends: 3, From: atSecond(1), To: atSecond(9), Crashes: []time.Time{atSecond(5), atSecond(6)}}}
 	retries := []judge.Arrival{retryAfterArrival(1), refusedArrival("p", 1.6), refusedArrival("q", 2), refusedArrival("r", 3.9)}
 	notices := []judge.LeaveNotice{{Backend: "b", At: atSecond(5)}}
 	for _, c := range []struct {
@@ -78,6 +89,13 @@
 		{"a disruption of the VM excuses them", retryAfter, 0, judge.History{Arrivals: retries, Disruptions: []judge.Disruption{{VM: "v", From: atSecond(0), To: atSecond(9)}}}},
 		{"a disruption of another VM doesn't excuse them", retryAfter, 1, judge.History{Arrivals: retries, Disruptions: []judge.Disruption{{VM: "w", From: atSecond(0), To: atSecond(9)}}}},
 		{"too few requests answered", recovery, 1, judge.History{Outcomes: []judge.Outcome{{Sent: atSecond(11)}, {Sent: atSecond(12)}, {Sent: atSecond(13), Answered: true}}}},
+		{"nothing answered without paths", servedWithoutPaths, 1, judge.History{PathLosses: losses, Outcomes: outcomes(5, false)}},
+		{"answered without paths", servedWithoutPaths, 0, judge.History{PathLosses: losses, Outcomes: outcomes(5, true)}},
+		{"nothing answered just after the paths were lost", servedWithoutPaths, 0, judge.History{PathLosses: losses, Outcomes: outcomes(3, false)}},
+		{"nothing answered while another VM is disrupted too", servedWithoutPaths, 0, judge.History{PathLosses: losses, Outcomes: outcomes(5, false),
+			Disruptions: []judge.Disruption{{VM: "w", From: atSecond(4), To: atSecond(5)}}}},
+		{"too many crashes for want of room", room, 1, judge.History{Fragile: fragile}},
+		{"a crash after a VM was disrupted", room, 0, judge.History{Fragile: fragile, Disruptions: []judge.Disruption{{VM: "w", From: atSecond(4), To: atSecond(4.5)}}}},
 		{"enough requests answered", recovery, 0, judge.History{Outcomes: []judge.Outcome{{Sent: atSecond(1)}, {Sent: atSecond(2)}, {Sent: atSecond(13), Answered: true}}}},
 	} {
 		testkit.Equal(t, c.name, len(c.check(&c.h)), c.want)
