hosted: backend servers listed while paths are lost are reached through gateways

An engine that started after a VM had lost its paths to the service counted as reached directly: each VM lost 0.5 s and an attempt on each of them.

--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -86,15 +86,32 @@
 		if b.isIndirect() {
 			continue
 		}
-		b.probeBackoff = minProbeBackoff
-		b.probeAt = now
-		b.indirect, b.pathsChecked, b.refused = true, true, refused
+		b.assumeIndirect(now, refused)
 		ids = append(ids, b.ID)
 	}
 	t.hasUnreachable = t.hasUnreachable || len(ids) > 0
 	return ids
 }
 
+// assumeNewIndirect does the same for the backend servers that count as reached directly.
+func (t *backendTable) assumeNewIndirect(now time.Time, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.entriesOf(service) {
+		if b.probeBackoff == 0 {
+			b.assumeIndirect(now, true)
+			t.hasUnreachable = true
+		}
+	}
+}
+
+// assumeIndirect marks the backend server as reached through gateways only.
+func (b *backend) assumeIndirect(now time.Time, refused bool) {
+	b.probeBackoff = minProbeBackoff
+	b.probeAt = now
+	b.indirect, b.pathsChecked, b.refused = true, true, refused
+}
+
 // probeSoon makes the probes of a service's unreachable backend servers due.
 func (t *backendTable) probeSoon(now time.Time, service string) {
 	t.mu.Lock()
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -374,6 +374,21 @@
 	p.requestVerification(p.node.backends.sampleOtherServices(serviceName))
 }
 
+// includeNewBackends has backend servers that were listed after the paths to their service were
+// lost reached through gateways too.
+func (p *backendPaths) includeNewBackends(now time.Time) {
+	if !p.hasRecords.Load() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for serviceName, monitor := range p.monitors {
+		if monitor.IsLost() {
+			p.node.backends.assumeNewIndirect(now, serviceName)
+		}
+	}
+}
+
 // updateHasRecords updates hasRecords. Call with mu held.
 func (p *backendPaths) updateHasRecords() {
 	has := false
