routing: a VM without requests in flight gets a slot of overloaded engines

Cause: each VM counts the others' requests from reports, and the VM on which one ends uses the slot again before others learn that it was free; who has none in flight gets none as long as the overload lasts.

A VM without a request in flight on any candidate may use one slot of an engine with at least as many slots as there are VMs.

--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -102,12 +102,14 @@
 func (n *Node) filterReachable(now time.Time, candidates []routing.Candidate) []routing.Candidate {
 	isPartitioned := n.newPartitionCheck()
 	age := n.members.inFlightAge(now)
+	vms := n.members.liveCount(now)
 	kept := candidates[:0]
 	for _, c := range candidates {
 		if isPartitioned(c.Domain) {
 			continue
 		}
 		c.PeersInFlight, c.PeersInFlightAge = n.members.inFlight(now, c.Engine), age
+		c.HasShare = c.Slots >= vms
 		kept = append(kept, c)
 	}
 	n.limits.addPermits(now, kept)
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -183,6 +183,7 @@
 		"connections are refused":             {8, 6, 5, pathLoss{refused: true}, 50 * time.Millisecond, false},
 		"open connections lose requests":      {8, 6, 5, pathLoss{keptRequests: 2}, 50 * time.Millisecond, false},
 		"open connections lose many requests": {8, 6, 5, pathLoss{keptRequests: 50}, 8 * time.Millisecond, false},
+		"overloaded engine":                   {6, 1, 2, pathLoss{}, 5 * time.Millisecond, true},
 		"all but one VM":                      {8, 6, 7, pathLoss{}, 50 * time.Millisecond, false},
 		"single engine":                       {8, 1, 5, pathLoss{}, 100 * time.Millisecond, false},
 		"large fleet":                         {30, 6, 12, pathLoss{}, 50 * time.Millisecond, false},
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -136,6 +136,9 @@
 	if trusted == 0 {
 		r.collectEligible(now, q, candidates, true)
 	}
+	if len(r.eligible) == 0 {
+		r.collectShare(now, q, candidates)
+	}
 	if len(r.eligible) == 0 {
 		return false
 	}
@@ -191,6 +194,35 @@
 	return trusted
 }
 
+// collectShare fills r.eligible with the usable candidates of which this VM has a share, unless
+// it has a request in flight on any candidate. Where requests wait on all VMs, a VM learns of a
+// slot that becomes free on another one only after that one has used it again, and would get
+// none for as long as the overload lasts.
+func (r *Router) collectShare(now time.Time, q Query, candidates []Candidate) {
+	for i := range candidates {
+		if e := r.engines[candidates[i].Engine]; e != nil && e.inFlight > 0 {
+			return
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		e := r.engines[c.Engine]
+		if !c.HasShare || c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) {
+			continue
+		}
+		r.eligible = append(r.eligible, eligibleEngine{candidate: c, engine: e, freeSlots: 1, sameDomain: c.Domain == q.Domain})
+	}
+}
+
+// isResting reports whether an engine gets no requests because it asked for a cooldown or has
+// just rejected one.
+func (r *Router) isResting(now time.Time, e *engineState, c *Candidate) bool {
+	if e == nil {
+		return false
+	}
+	return e.cooldown.isBlocked(now) || (now.Sub(e.refusedAt) < busyBackoff && !c.LoadReportedAt.After(e.refusedAt))
+}
+
 // isTrusted reports whether an engine may get a request: its breaker admits one,
 // and it is not silent.
 func (r *Router) isTrusted(now time.Time, e *engineState) bool {
@@ -238,10 +270,7 @@
 	own := 0
 	if e != nil {
 		own = e.inFlight
-		if e.cooldown.isBlocked(now) {
-			return 0
-		}
-		if now.Sub(e.refusedAt) < busyBackoff && !c.LoadReportedAt.After(e.refusedAt) {
+		if r.isResting(now, e, c) {
 			return 0
 		}
 	}
