--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		c.PeersInFlight, c.PeersInFlightAge = n.members.inFlight(now, c.Engine), age
-		c.HasShare = c.Slots >= vms
+		c.Sharers = vms
 		kept = append(kept, c)
 	}
 	n.limits.addPermits(now, kept)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -243,8 +243,11 @@
 				continue
 			}
 			side := 0
-			if loss.VMs[o.VM] {
+			switch {
+			case loss.VMs[o.VM]:
 				side = 1
+			case h.hasLostPaths(o.VM, loss.From, loss.To):
+				continue // in another loss that overlaps
 			}
 			sent[side]++
 			if o.Answered {
@@ -262,6 +265,16 @@
 	return violations
 }
 
+// hasLostPaths reports whether a VM had no path to the backend servers at some time in the period.
+func (h *History) hasLostPaths(vm string, from, to time.Time) bool {
+	for _, loss := range h.PathLosses {
+		if loss.VMs[vm] && loss.From.Before(to) && loss.To.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckRoom finds periods in which more fragile backend servers than allowed crashed. A
 // disruption of any VM excuses the crashes until settle after it.
 func CheckRoom(h *History, allowed func(backends int) int, settle time.Duration) (violations []Violation) {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -94,6 +94,8 @@
 		{"nothing answered just after the paths were lost", servedWithoutPaths, 0, judge.History{PathLosses: losses, Outcomes: outcomes(3, false)}},
 		{"nothing answered while another VM is disrupted too", servedWithoutPaths, 0, judge.History{PathLosses: losses, Outcomes: outcomes(5, false),
 			Disruptions: []judge.Disruption{{VM: "w", From: atSecond(4), To: atSecond(5)}}}},
+		{"nothing answered while all VMs are without paths", servedWithoutPaths, 0, judge.History{Outcomes: outcomes(5, false),
+			PathLosses: append([]judge.PathLoss{{VMs: map[string]bool{"w": true}, From: atSecond(2), To: atSecond(8)}}, losses...)}},
 		{"too many crashes for want of room", room, 1, judge.History{Fragile: fragile}},
 		{"a crash after a VM was disrupted", room, 0, judge.History{Fragile: fragile, Disruptions: []judge.Disruption{{VM: "w", From: atSecond(4), To: atSecond(4.5)}}}},
 		{"enough requests answered", recovery, 0, judge.History{Outcomes: []judge.Outcome{{Sent: atSecond(1)}, {Sent: atSecond(2)}, {Sent: atSecond(13), Answered: true}}}},
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -194,20 +194,27 @@
 	return trusted
 }
 
-// collectShare fills r.eligible with the usable candidates of which this VM has a share, unless
-// it has a request in flight on any candidate. Where requests wait on all VMs, a VM learns of a
-// slot that becomes free on another one only after that one has used it again, and would get
-// none for as long as the overload lasts.
+// collectShare fills r.eligible with the usable candidates on which this VM has fewer requests in
+// flight than its share, if it has fewer than its share of all of them. Where requests wait on
+// all VMs, a VM learns of a slot that becomes free on another one only after that one has used it
+// again, and would get none for as long as the overload lasts.
 func (r *Router) collectShare(now time.Time, q Query, candidates []Candidate) {
+	inFlight, slots, sharers := 0, 0, 0
 	for i := range candidates {
-		if e := r.engines[candidates[i].Engine]; e != nil && e.inFlight > 0 {
-			return
+		c := &candidates[i]
+		inFlight += r.InFlightOn(c.Engine)
+		if isUsable(q, c) {
+			slots += c.Slots
 		}
+		sharers = max(sharers, c.Sharers)
+	}
+	if sharers == 0 || inFlight >= slots/sharers {
+		return
 	}
 	for i := range candidates {
 		c := &candidates[i]
 		e := r.engines[c.Engine]
-		if !c.HasShare || c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) {
+		if c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) || r.InFlightOn(c.Engine)*sharers >= c.Slots {
 			continue
 		}
 		r.eligible = append(r.eligible, eligibleEngine{candidate: c, engine: e, freeSlots: 1, sameDomain: c.Domain == q.Domain})
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,9 +47,9 @@
 	// PeersInFlight is how many requests other entry VMs report in flight on the
 	// engine.
 	PeersInFlight int
-	// HasShare is whether this VM may use one slot although other entry VMs use all of them, if
-	// it has no request in flight on any candidate.
-	HasShare bool
+	// Sharers is how many entry VMs use the engine, 0 if unknown. A VM with fewer requests in
+	// flight than its share of all candidates may use its share although others use all slots.
+	Sharers int
 	// PeersInFlightAge is the age of PeersInFlight if many entry VMs choose by the same
 	// counts. It is 0 if there are few entry VMs or the count is recent.
 	PeersInFlightAge time.Duration
