hosted: issuers of permits are selected in one place

Rate limits and room selected and cached the issuer of a backend server's permits in the same way, twice (duplicates). No behaviour changed: the tests of limits, permits and fragile engines pass.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -51,9 +51,6 @@
 	// this VM last reported to it.
 	unreportedAnswers permit.AnswerCounts
 	notifiedAt        time.Time
-	// issuer is the VM that issues the permits, as selected at selectedAt.
-	issuer     string
-	selectedAt time.Time
 }
 
 var (
--- a/internal/hosted/limits_test.go
+++ b/internal/hosted/limits_test.go
@@ -164,7 +164,7 @@
 // issuerOf returns the VM that most live VMs consider the issuer of a backend server's permits.
 func (b *engineCluster) issuerOf(id string) string {
 	votes := make(map[string]int)
-	b.eachNode(func(_ string, n *Node) { votes[n.limits.selectIssuer(time.Now(), id)]++ })
+	b.eachNode(func(_ string, n *Node) { votes[n.issuers.selectIssuer(time.Now(), id)]++ })
 	winner := ""
 	for _, vm := range slices.Sorted(maps.Keys(votes)) {
 		if votes[vm] > votes[winner] {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -118,6 +118,7 @@
 	crashes         *crashDetector
 	limits          *backendLimits
 	rooms           *backendRooms
+	issuers         *permitIssuers
 	paths           *backendPaths
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
@@ -162,6 +163,7 @@
 	n.crashes = newCrashDetector(n)
 	n.limits = newBackendLimits(n)
 	n.rooms = newBackendRooms(n)
+	n.issuers = newPermitIssuers(n)
 	n.paths = newBackendPaths(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -8,7 +8,6 @@
 
 	"bergamotreel/admission/permit"
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/rendezvous"
 	"bergamotreel/internal/telemetry"
 )
 
@@ -22,15 +21,12 @@
 	// issuerNotifyInterval is the minimum time between two messages to the issuer that only
 	// report answers with the limit.
 	issuerNotifyInterval = 250 * time.Millisecond
-	// issuerSelectionInterval is the minimum time between two selections of a backend
-	// server's issuer.
-	issuerSelectionInterval = 200 * time.Millisecond
 )
 
 // requestPermits reports to the issuer of a backend server's permits what the server's
 // answers said about its limit, and requests want permits, which may be 0.
 func (l *backendLimits) requestPermits(backend string, want int) {
-	issuer := l.issuerOf(time.Now(), backend)
+	issuer := l.node.issuers.get(time.Now(), backend)
 	l.mu.Lock()
 	b := l.byBackend[backend]
 	if b == nil {
@@ -110,49 +106,3 @@
 	granted, retry := issuer.Issue(now, b.Limit, args.Requested)
 	return entryvm.PermitReply{Granted: granted, Retry: retry, Limit: b.toMessage(now, id)}
 }
-
-// issuerOf returns the address of the VM that issues a backend server's permits. It is selected
-// among the live VMs of the server's failure domain or, if there are none, among all.
-func (l *backendLimits) issuerOf(now time.Time, backend string) string {
-	l.mu.Lock()
-	b := l.byBackend[backend]
-	if b != nil && now.Sub(b.selectedAt) < issuerSelectionInterval {
-		defer l.mu.Unlock()
-		return b.issuer
-	}
-	l.mu.Unlock()
-	issuer := l.selectIssuer(now, backend)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b = l.byBackend[backend]; b != nil {
-		b.issuer, b.selectedAt = issuer, now
-	}
-	return issuer
-}
-
-func (l *backendLimits) selectIssuer(now time.Time, backend string) string {
-	own := &l.node.config
-	server, _ := l.node.backends.get(backend)
-	var sameDomain, all []string
-	add := func(address, domain string) {
-		all = append(all, address)
-		if domain == server.Domain {
-			sameDomain = append(sameDomain, address)
-		}
-	}
-	if !l.node.stopping.Load() {
-		add(own.Address, own.Domain)
-	}
-	l.node.members.eachLive(now, func(r *entryvm.Report) {
-		if !r.Leaving {
-			add(r.Address, r.Domain)
-		}
-	})
-	if len(sameDomain) > 0 {
-		all = sameDomain
-	}
-	if len(all) == 0 {
-		return own.Address
-	}
-	return rendezvous.Pick(backend, all)
-}
--- a/internal/hosted/rooms.go
+++ b/internal/hosted/rooms.go
@@ -59,9 +59,7 @@
 	// doesn't know of yet.
 	reportRejection bool
 	// abandoned holds the times at which requests were abandoned.
-	abandoned  []time.Time
-	issuer     string
-	selectedAt time.Time
+	abandoned []time.Time
 }
 
 var fragileBackendsTotal = metrics.NewCounter("bergamotreel_fragile_backends_total")
@@ -255,7 +253,7 @@
 
 // buildRequest returns the message to the issuer and the issuer's address.
 func (r *backendRooms) buildRequest(now time.Time, backend string, want int) (args entryvm.RoomArgs, issuer string, ok bool) {
-	issuer = r.issuerOf(now, backend)
+	issuer = r.node.issuers.get(now, backend)
 	r.node.serving.WithLockedState(func(_ *admission.Controller, router *routing.Router) {
 		inFlight := router.InFlightOn(backend)
 		r.mu.Lock()
@@ -313,24 +311,6 @@
 	return entryvm.RoomReply{Granted: granted, Retry: retry}
 }
 
-// issuerOf returns the address of the VM that divides a backend server's room.
-func (r *backendRooms) issuerOf(now time.Time, backend string) string {
-	r.mu.Lock()
-	b := r.byBackend[backend]
-	if b != nil && now.Sub(b.selectedAt) < issuerSelectionInterval {
-		defer r.mu.Unlock()
-		return b.issuer
-	}
-	r.mu.Unlock()
-	issuer := r.node.limits.selectIssuer(now, backend)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if b = r.byBackend[backend]; b != nil {
-		b.issuer, b.selectedAt = issuer, now
-	}
-	return issuer
-}
-
 // publish adds the fragile backend servers to a report, and those that recently were.
 func (r *backendRooms) publish(now time.Time, report *entryvm.Report) {
 	r.mu.Lock()
