hosted: gateways have a file of their own, and one is picked without sorting

A VM without paths ranked all VMs for each request; in a fleet of 3,400 that is a sort of 3,400. No behaviour changed (tests of lost paths pass).

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -1,10 +1,8 @@
 package hosted
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 
 	"bergamotreel/admission"
 	"bergamotreel/entryvm"
-	"bergamotreel/internal/rendezvous"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/routing"
 	"bergamotreel/routing/pathloss"
@@ -27,8 +24,6 @@
 	// gatewaysPerRecheck is the same after each failed probe of it.
 	gatewaysPerCheck   = 3
 	gatewaysPerRecheck = 1
-	// gatewayFailureTTL is how long a gateway that failed ranks behind the others.
-	gatewayFailureTTL = time.Second
 	// maxCommonSilence is how long all backend servers with requests in flight may send nothing
 	// until the paths to some of them are verified, again after suspectInterval at the earliest.
 	maxCommonSilence = 400 * time.Millisecond
@@ -211,33 +206,6 @@
 	})
 }
 
-// findGateway asks gateways concurrently whether they reach the target, and returns the first
-// that does.
-func (p *backendPaths) findGateway(ctx context.Context, target service.Target, count int) (gateway string, found bool) {
-	gateways := p.rankGateways(time.Now(), target.ID)
-	gateways = gateways[:min(count, len(gateways))]
-	type result struct {
-		gateway string
-		err     error
-	}
-	results := make(chan result, len(gateways))
-	for _, address := range gateways {
-		go func() {
-			via := target
-			via.Gateway = address
-			err := p.node.config.Peers.Backends.Probe(ctx, via)
-			p.recordGatewayResult(time.Now(), address, err)
-			results <- result{address, err}
-		}()
-	}
-	for range gateways {
-		if r := <-results; r.err == nil {
-			return r.gateway, true
-		}
-	}
-	return "", false
-}
-
 // isReachable reports whether a backend server that this VM doesn't reach may be reached by
 // others: a gateway does, or this VM has no paths to any of the service, so that it can't tell.
 func (p *backendPaths) isReachable(ctx context.Context, b *backend) bool {
@@ -248,71 +216,6 @@
 	return reached || p.areLostTo(b.Service)
 }
 
-// rankGateways returns the addresses of the live VMs that may reach a backend server, the
-// preferred one first. Each VM spreads its backend servers over all gateways.
-func (p *backendPaths) rankGateways(now time.Time, id string) []string {
-	type ranked struct {
-		address string
-		failed  bool
-		weight  uint64
-	}
-	key := p.node.config.VM + "/" + id
-	var gateways []ranked
-	p.node.members.eachLive(now, func(r *entryvm.Report) {
-		if !r.Leaving && !r.LostPaths && r.Address != "" {
-			gateways = append(gateways, ranked{address: r.Address, weight: rendezvous.Weight(key, r.VM)})
-		}
-	})
-	p.mu.Lock()
-	for i := range gateways {
-		failedAt, failed := p.gatewayFailedAt[gateways[i].address]
-		gateways[i].failed = failed && now.Sub(failedAt) < gatewayFailureTTL
-	}
-	p.mu.Unlock()
-	slices.SortFunc(gateways, func(a, b ranked) int {
-		if a.failed != b.failed {
-			if a.failed {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.address, b.address))
-	})
-	out := make([]string, len(gateways))
-	for i := range gateways {
-		out[i] = gateways[i].address
-	}
-	return out
-}
-
-// pickGateway returns the gateway for a connection to a backend server, or empty if there is
-// none.
-func (p *backendPaths) pickGateway(now time.Time, id string) string {
-	gateways := p.rankGateways(now, id)
-	if len(gateways) == 0 {
-		return ""
-	}
-	return gateways[0]
-}
-
-// recordGatewayResult records whether a gateway connected to a backend server. One that didn't
-// may have lost its paths too.
-func (p *backendPaths) recordGatewayResult(now time.Time, address string, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err == nil {
-		delete(p.gatewayFailedAt, address)
-		return
-	}
-	gatewayFailuresTotal.Inc()
-	for other, failedAt := range p.gatewayFailedAt {
-		if now.Sub(failedAt) >= gatewayFailureTTL {
-			delete(p.gatewayFailedAt, other)
-		}
-	}
-	p.gatewayFailedAt[address] = now
-}
-
 // markUnreachable records that a connection to a target could not be established. If it was
 // direct, a gateway is looked for; otherwise another one.
 func (p *backendPaths) markUnreachable(now time.Time, target service.Target, cause error) {
