hosted: lost paths end with their service

A VM that had lost its paths to a service whose backend servers were then all removed counted as without paths for ever: no gateway for others, no keeper in a large fleet. Found by reading the change. TestLostPathsEndWithTheirService failed before.

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -277,19 +277,23 @@
 	p.requestVerification(p.node.backends.sampleOtherServices(serviceName))
 }
 
-// includeNewBackends has backend servers that were listed after the paths to their service were
-// lost reached through gateways too.
-func (p *backendPaths) includeNewBackends(now time.Time) {
+// handleListChange has backend servers that were listed after the paths to their service were
+// lost reached through gateways too, and drops the state of services without any.
+func (p *backendPaths) handleListChange(now time.Time) {
 	if !p.hasRecords.Load() {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for serviceName, monitor := range p.monitors {
-		if monitor.IsLost() {
+		switch {
+		case p.node.backends.countService(serviceName) == 0:
+			delete(p.monitors, serviceName)
+		case monitor.IsLost():
 			p.node.backends.assumeNewIndirect(now, serviceName)
 		}
 	}
+	p.updateHasRecords()
 }
 
 // updateHasRecords updates hasRecords. Call with mu held.
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -90,7 +90,7 @@
 // servers.
 func (n *Node) handleBackendChanges() {
 	n.forgetEndedInstances()
-	n.paths.includeNewBackends(time.Now())
+	n.paths.handleListChange(time.Now())
 	n.serving.Wake()
 	n.planner.wakeUp()
 }
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -281,3 +281,20 @@
 		b.checkHandoverGap()
 	})
 }
+
+// Guards against a VM that counts as without paths for ever, and so as no gateway and no keeper,
+// because the service to which it lost them has no backend servers any more that could show it
+// otherwise.
+func TestLostPathsEndWithTheirService(t *testing.T) {
+	withEngineCluster(t, 3, 2, func(b *engineCluster) {
+		b.losePaths(b.vms[:1], pathLoss{}, nil)
+		b.sendOtherRequests(3*time.Second, 20*time.Millisecond)
+		n := b.nodes[b.vms[0]]
+		testkit.That(b, n.paths.areLost(), "the paths don't count as lost")
+		for i := range b.startedEngines {
+			b.registry.drop(fmt.Sprint("e", i+1))
+		}
+		time.Sleep(3 * time.Second)
+		testkit.That(b, !n.paths.areLost(), "the paths to nothing count as lost")
+	})
+}
