serving: an answer for another server is no rejection for want of room

While a backend server is fragile, an answer 421 (another start, unit not loaded) paused its permits for half a second. Found by reading the change.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -60,7 +60,8 @@
 	// from this VM.
 	CountUnreachable(unit string) int
 	// RecordMaxRejections records how many requests a backend server can reject within a
-	// second before it crashes, 0 for no bound; rejected is whether it rejected the request.
+	// second before it crashes, 0 for no bound; rejected is whether it had no room for the
+	// request.
 	RecordMaxRejections(backend string, maxRejections int, rejected bool)
 	// RecordAbandoned records that an attempt ended without its whole answer, so that the
 	// backend server may still work on the request.
@@ -323,12 +324,18 @@
 	if head.Cooldown > 0 {
 		f.pending.startCooldown(time.Now().Add(head.Cooldown))
 	}
-	f.server.forwardDirectory().RecordMaxRejections(f.pending.backend, head.MaxRejections, err != nil)
+	f.server.forwardDirectory().RecordMaxRejections(f.pending.backend, head.MaxRejections, isRejection(err))
 	if head.Limit.Limited || (err == nil && head.Status < http.StatusMultipleChoices) {
 		f.server.forwardDirectory().RecordLimit(f.pending.backend, head.Limit)
 	}
 }
 
+// isRejection reports whether a backend server rejected the request although it is the one that
+// was meant and holds what the request needs.
+func isRejection(err error) bool {
+	return errors.Is(err, service.ErrNotRun) && !errors.Is(err, service.ErrWrongServer)
+}
+
 // startStallGuard starts a guard that ends the attempt if the backend server is silent
 // for too long and another one has been reserved for the request.
 func (f *forwarding) startStallGuard(cancel context.CancelCauseFunc) *stallGuard {
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -55,6 +55,7 @@
 	// quarantineFrom-th sent request and all later ones, none if it is 0; successes counts
 	// the successful answers reported to the quarantine.
 	suspects          bool
+	rejections        int
 	quarantineFrom    int
 	successes         int
 	markedUnreachable []string
@@ -108,7 +109,14 @@
 
 func (b *forwardTestbed) CountUnreachable(string) int { return 0 }
 
-func (b *forwardTestbed) RecordMaxRejections(string, int, bool) {}
+// RecordMaxRejections counts the rejections for want of room.
+func (b *forwardTestbed) RecordMaxRejections(_ string, _ int, rejected bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rejected {
+		b.rejections++
+	}
+}
 
 func (b *forwardTestbed) RecordAbandoned(string) {}
 
