known red: room of few fragile engines in a large fleet

TestFragileEnginesSurviveLoad failed once in about 20 runs: with 30 VMs and 2 engines 26 of 53 possible requests a second were served, the bound is half (28 usually; no crash). Traced: the issuer grants by the greater of what VMs say they hold and of the reported requests in flight, which have partly ended. Not mended: VMs would have to renew what they hold, so that the reports count for a new issuer only.

--- a/internal/hosted/fragile_test.go
+++ b/internal/hosted/fragile_test.go
@@ -105,43 +105,55 @@
 // Guards against VMs that together send fragile engines more requests than these have room for,
 // until they crash.
 func TestFragileEnginesSurviveLoad(t *testing.T) {
-	for name, c := range map[string]struct {
-		vms, engines, maxRejections int
-		pause                       time.Duration
-	}{
+	for name, c := range map[string]fragileCase{
 		"as much as fits":           {8, 6, 3, 7 * time.Millisecond},
 		"more than fits":            {8, 6, 3, 4 * time.Millisecond},
 		"more than fits, one alone": {8, 1, 5, 25 * time.Millisecond},
 		"large fleet":               {30, 6, 5, 4 * time.Millisecond},
-		"large fleet, few engines":  {30, 2, 5, 12 * time.Millisecond},
 	} {
-		t.Run(name, func(t *testing.T) {
-			withEngineCluster(t, c.vms, c.engines, func(b *engineCluster) {
-				b.setFragile(0)
-				b.sendOtherRequests(2*time.Second, c.pause)
-				b.Logf("%d rejections before", b.rejections)
-				b.setFragile(c.maxRejections)
-				servedBefore := b.answered
-				b.sendOtherRequests(12*time.Second, c.pause)
-				crashes := len(b.endedAt)
-				served := float64(b.answered-servedBefore) / 12
-				b.setFragile(0)
-				b.sendOtherRequests(3*time.Second, c.pause)
-				b.inFlight.Wait()
-				for _, vm := range b.vms {
-					testkit.That(t, !b.nodes[vm].rooms.hasFragile(), "%s still takes engines for fragile", vm)
-				}
-				slots := float64(c.engines*engineSlots) / runTime.Seconds()
-				b.Logf("%d crashes, %d rejections; %.0f served a second, %.0f have room, %.0f asked", crashes, b.rejections, served, slots, 1/c.pause.Seconds())
-				allowed := allowedFragileCrashes(c.engines)
-				testkit.That(t, crashes <= allowed, "%d crashes of fragile engines, %d are allowed", crashes, allowed)
-				possible := min(slots, 1/c.pause.Seconds())
-				testkit.That(t, served >= possible/2, "%.0f requests served a second where %.0f are possible", served, possible)
-			})
-		})
+		t.Run(name, func(t *testing.T) { checkFragileEngines(t, c) })
 	}
 }
 
+// Guards against room that stays empty on few engines of a large fleet: the issuer goes by reported
+// requests in flight that have ended.
+func TestFewFragileEnginesOfLargeFleet(t *testing.T) {
+	checkFragileEngines(t, fragileCase{30, 2, 5, 12 * time.Millisecond})
+}
+
+// fragileCase is a fleet with fragile engines, and the time between two requests.
+type fragileCase struct {
+	vms, engines, maxRejections int
+	pause                       time.Duration
+}
+
+// checkFragileEngines checks that few fragile engines crash and that at least half of what they
+// have room for is served.
+func checkFragileEngines(t *testing.T, c fragileCase) {
+	withEngineCluster(t, c.vms, c.engines, func(b *engineCluster) {
+		b.setFragile(0)
+		b.sendOtherRequests(2*time.Second, c.pause)
+		b.Logf("%d rejections before", b.rejections)
+		b.setFragile(c.maxRejections)
+		servedBefore := b.answered
+		b.sendOtherRequests(12*time.Second, c.pause)
+		crashes := len(b.endedAt)
+		served := float64(b.answered-servedBefore) / 12
+		b.setFragile(0)
+		b.sendOtherRequests(3*time.Second, c.pause)
+		b.inFlight.Wait()
+		for _, vm := range b.vms {
+			testkit.That(t, !b.nodes[vm].rooms.hasFragile(), "%s still takes engines for fragile", vm)
+		}
+		slots := float64(c.engines*engineSlots) / runTime.Seconds()
+		b.Logf("%d crashes, %d rejections; %.0f served a second, %.0f have room, %.0f asked", crashes, b.rejections, served, slots, 1/c.pause.Seconds())
+		allowed := allowedFragileCrashes(c.engines)
+		testkit.That(t, crashes <= allowed, "%d crashes of fragile engines, %d are allowed", crashes, allowed)
+		possible := min(slots, 1/c.pause.Seconds())
+		testkit.That(t, served >= possible/2, "%.0f requests served a second where %.0f are possible", served, possible)
+	})
+}
+
 // hasFragile reports whether any backend server counts as fragile.
 func (r *backendRooms) hasFragile() bool {
 	r.mu.Lock()
