--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -147,7 +147,7 @@
 // are all silent, until ctx ends.
 func (n *Node) probeUnreachable(ctx context.Context) {
 	pause.Every(ctx, probeInterval, func(ctx context.Context) {
-		n.paths.suspect(time.Now(), n.serving.UnheardBackends(time.Now(), maxCommonSilence))
+		n.paths.suspect(time.Now(), n.serving.SilentBackends(time.Now(), maxCommonSilence))
 		for _, id := range n.backends.dueProbes(time.Now()) {
 			go n.probeBackend(ctx, id)
 		}
--- a/internal/serving/unheard.go
+++ b/internal/serving/commonsilence.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// minUnheardAttempts is how many attempts must be in flight, on two backend servers at least,
+// minSilentAttempts is how many attempts must be in flight, on two backend servers at least,
 // until their common silence is worth noticing: a single backend server may just be slow.
-const minUnheardAttempts = 3
+const minSilentAttempts = 3
 
-// recordHeard records that a backend server sent something.
-func (s *Server) recordHeard(now time.Time) { s.heardAt.Store(now.UnixNano()) }
+// recordReceived records that a backend server sent something.
+func (s *Server) recordReceived(now time.Time) { s.receivedAt.Store(now.UnixNano()) }
 
-// UnheardBackends returns the backend servers with attempts in flight if no backend server has
+// SilentBackends returns the backend servers with attempts in flight if no backend server has
 // sent anything for minSilence. Then the paths of this VM may be lost, and the attempts would
 // notice only when their connections are given up.
-func (s *Server) UnheardBackends(now time.Time, minSilence time.Duration) []string {
-	if now.UnixNano()-s.heardAt.Load() < int64(minSilence) {
+func (s *Server) SilentBackends(now time.Time, minSilence time.Duration) []string {
+	if now.UnixNano()-s.receivedAt.Load() < int64(minSilence) {
 		return nil
 	}
 	s.mu.Lock()
@@ -31,7 +31,7 @@
 			backends = append(backends, key.backend)
 		}
 	}
-	if attempts < minUnheardAttempts || len(backends) < 2 {
+	if attempts < minSilentAttempts || len(backends) < 2 {
 		return nil
 	}
 	return backends
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -163,7 +163,7 @@
 // recordProgress records that data of the answer arrived, and the time to its first
 // data.
 func (f *forwarding) recordProgress(now time.Time) {
-	f.server.recordHeard(now)
+	f.server.recordReceived(now)
 	f.lastReceived = now
 	f.pieces++
 	if f.pending.timeToFirstToken == 0 {
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -154,7 +154,7 @@
 // incarnation of that server. Call with mu held.
 func (s *Server) recordStart(now time.Time, backend string, query routing.Query) uint64 {
 	if len(s.runningCounts) == 0 {
-		s.recordHeard(now)
+		s.recordReceived(now)
 	}
 	s.config.Router.RecordStart(now, backend, query.Pool, query.Prefixes)
 	s.recordUnitStart(now, query.Unit)
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -288,7 +288,7 @@
 	head, err := f.server.config.Forwarder.Forward(ctx, target, f.backendRequest())
 	f.recordBackendSignals(head, err)
 	if head != nil {
-		f.server.recordHeard(time.Now())
+		f.server.recordReceived(time.Now())
 	}
 	if err == nil {
 		f.attemptsRun++
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -76,10 +76,10 @@
 type Server struct {
 	config Config
 	wake   chan struct{}
-	// heardAt is when a backend server last sent something, or the first attempt after a time
+	// receivedAt is when a backend server last sent something, or the first attempt after a time
 	// without any began, in Unix nanoseconds.
-	heardAt   atomic.Int64
-	abandoned chan abandonedRequest
+	receivedAt atomic.Int64
+	abandoned  chan abandonedRequest
 
 	mu     sync.Mutex
 	budget admission.RetryBudget
