hosted: requests don't count live VMs or scan for unreachable servers

Each request's candidates counted all live VMs (3,400 entries at full size) for the share of overloaded engines, and each unsent request scanned its service's backend servers for its log line. The number of live VMs now comes with the cached roles, and the scan is left out while no backend server is marked unreachable. Found by reading the change again; tests of fleets and lost paths pass.

--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -143,6 +143,13 @@
 	return sample
 }
 
+// hasMarkedUnreachable reports whether any backend server may be marked unreachable.
+func (t *backendTable) hasMarkedUnreachable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasUnreachable
+}
+
 // countService counts the backend servers of a service.
 func (t *backendTable) countService(service string) int {
 	t.mu.Lock()
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -102,7 +102,7 @@
 func (n *Node) filterReachable(now time.Time, candidates []routing.Candidate) []routing.Candidate {
 	isPartitioned := n.newPartitionCheck()
 	age := n.members.inFlightAge(now)
-	vms := n.members.liveCount(now)
+	vms := n.members.recentLiveCount(now)
 	kept := candidates[:0]
 	for _, c := range candidates {
 		if isPartitioned(c.Domain) {
@@ -190,6 +190,9 @@
 
 // CountUnreachable implements serving.ForwardDirectory.
 func (n *Node) CountUnreachable(unit string) int {
+	if !n.backends.hasMarkedUnreachable() {
+		return 0
+	}
 	service, model := serving.ServiceOfUnit(unit)
 	count := 0
 	n.backends.each(service, func(b *backend) {
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -84,6 +84,13 @@
 	return live
 }
 
+// recentLiveCount returns liveCount as of the last selection of roles, for use at each request.
+func (m *members) recentLiveCount(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentRoles(now).liveVMs
+}
+
 // isPlanner reports whether this VM plans for the whole fleet. If two VMs both act as the
 // planner, it costs superfluous swaps but never safety, because each swap is checked by its
 // engine's keeper.
@@ -108,6 +115,8 @@
 	at              time.Time
 	stopping        bool
 	planner, reader string
+	// liveVMs is the number of live entry VMs, including this one.
+	liveVMs int
 	// large is whether the fleet exchanges reports through relays. If so, relays are those
 	// of each failure domain, the lead relay first, and probes are the addresses to try in
 	// domains without a live VM.
@@ -148,6 +157,8 @@
 			r.newestConfig = m.refreshNewestConfig()
 		}
 		r.planner, r.reader = m.selectPlanner(now, &r), m.selectReader(now, &r)
+		r.liveVMs = 1
+		m.eachLiveLocked(now, func(*entryvm.Report) { r.liveVMs++ })
 		m.roles = r
 	}
 	return &m.roles
