--- a/internal/hosted/backendhealth.go
+++ b/internal/hosted/backendhealth.go
@@ -40,6 +40,9 @@
 // isUnreachable reports whether no path to the backend server is known.
 func (b *backend) isUnreachable() bool { return b.probeBackoff > 0 && !b.indirect }
 
+// isDirect reports whether the backend server counts as reached directly.
+func (b *backend) isDirect() bool { return b.probeBackoff == 0 }
+
 // isIndirect reports whether the backend server is reached through gateways only.
 func (b *backend) isIndirect() bool { return b.probeBackoff > 0 && b.indirect }
 
@@ -75,43 +78,25 @@
 	return changed, true
 }
 
-// assumeIndirect marks all other backend servers of a service as reached through gateways only,
-// and has them probed at once. It returns their IDs. refused is whether the connections that
-// showed it were refused.
-func (t *backendTable) assumeIndirect(now time.Time, service string, refused bool) []string {
+// assumeIndirect marks the backend servers of a service for which applies returns true as reached
+// through gateways only, and has them probed at once. It returns their IDs. refused is whether
+// the connections that showed it were refused.
+func (t *backendTable) assumeIndirect(now time.Time, service string, refused bool, applies func(*backend) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
 	for _, b := range t.entriesOf(service) {
-		if b.isIndirect() {
+		if !applies(b) {
 			continue
 		}
-		b.assumeIndirect(now, refused)
+		b.probeBackoff, b.probeAt = minProbeBackoff, now
+		b.indirect, b.pathsChecked, b.refused = true, true, refused
 		ids = append(ids, b.ID)
 	}
 	t.hasUnreachable = t.hasUnreachable || len(ids) > 0
 	return ids
 }
 
-// assumeNewIndirect does the same for the backend servers that count as reached directly.
-func (t *backendTable) assumeNewIndirect(now time.Time, service string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, b := range t.entriesOf(service) {
-		if b.probeBackoff == 0 {
-			b.assumeIndirect(now, true)
-			t.hasUnreachable = true
-		}
-	}
-}
-
-// assumeIndirect marks the backend server as reached through gateways only.
-func (b *backend) assumeIndirect(now time.Time, refused bool) {
-	b.probeBackoff = minProbeBackoff
-	b.probeAt = now
-	b.indirect, b.pathsChecked, b.refused = true, true, refused
-}
-
 // probeSoon makes the probes of a service's unreachable backend servers due.
 func (t *backendTable) probeSoon(now time.Time, service string) {
 	t.mu.Lock()
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -269,7 +269,7 @@
 	if !nowLost {
 		return
 	}
-	others := p.node.backends.assumeIndirect(time.Now(), serviceName, b.refused)
+	others := p.node.backends.assumeIndirect(time.Now(), serviceName, b.refused, func(other *backend) bool { return !other.isIndirect() })
 	pathLossesTotal.Inc()
 	p.forgiveFailures(b.refused, others...)
 	p.node.config.Logger.Warn("paths to backend servers lost", zap.String("service", serviceName), zap.Int("assumed", len(others)))
@@ -290,7 +290,7 @@
 		case p.node.backends.countService(serviceName) == 0:
 			delete(p.monitors, serviceName)
 		case monitor.IsLost():
-			p.node.backends.assumeNewIndirect(now, serviceName)
+			p.node.backends.assumeIndirect(now, serviceName, true, (*backend).isDirect)
 		}
 	}
 	p.updateHasRecords()
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -325,6 +325,22 @@
 // sendOtherRequests sends requests of other callers for a time span, each to a VM at random,
 // with a pause between two.
 func (b *engineCluster) sendOtherRequests(span, pause time.Duration) {
+	b.sendAtRandom(span, pause, func(_ string, err error) {
+		var refused *refusal.Refusal
+		switch {
+		case err == nil:
+			b.answered++
+		case errors.As(err, &refused) && refused.Ran == refusal.RanNo:
+			b.refused++
+		default:
+			b.failed++
+		}
+	})
+}
+
+// sendAtRandom sends requests like sendOtherRequests. It calls record with the VM and the error
+// of each while it holds statsMu.
+func (b *engineCluster) sendAtRandom(span, pause time.Duration, record func(vm string, err error)) {
 	startedAt := time.Now()
 	for i := 0; time.Since(startedAt) < span; i++ {
 		vm, uri := b.vms[b.random.Intn(len(b.vms))], fmt.Sprint("/other/", i)
@@ -332,15 +348,7 @@
 			err := b.send(vm, uri)
 			b.statsMu.Lock()
 			defer b.statsMu.Unlock()
-			var refused *refusal.Refusal
-			switch {
-			case err == nil:
-				b.answered++
-			case errors.As(err, &refused) && refused.Ran == refusal.RanNo:
-				b.refused++
-			default:
-				b.failed++
-			}
+			record(vm, err)
 		})
 		time.Sleep(pause)
 	}
--- a/internal/hosted/issuers.go
+++ b/internal/hosted/issuers.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -81,3 +82,14 @@
 	}
 	return rendezvous.Pick(backend, all)
 }
+
+// callIssuer calls the VM at an address, which may be this one: answer is its own method for such
+// a call, send that of a client of other VMs.
+func callIssuer[Args, Reply any](n *Node, address string, args Args, answer func(Args) Reply, send func(context.Context, string, Args) (Reply, error)) (Reply, error) {
+	if address == n.config.Address {
+		return answer(args), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	return send(ctx, address, args)
+}
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -13,15 +13,6 @@
 	"bergamotreel/service"
 )
 
-const (
-	// urgentSignalPeriod is how long after a change every report carries the signals of
-	// backend servers (limits, leaving). After that only full reports do.
-	urgentSignalPeriod = 1500 * time.Millisecond
-	// liftedLimitTTL is how long reports carry a lifted limit. It exceeds the time that an
-	// older report with the limit can be in transit.
-	liftedLimitTTL = 10 * time.Second
-)
-
 // backendLimits holds the request rate limits that overloaded backend servers have reported in
 // their responses, and this VM's permits to send requests to these servers. It is safe for
 // concurrent use.
@@ -42,11 +33,8 @@
 // backendLimit is the state of a backend server's limit on this VM.
 type backendLimit struct {
 	permit.Limit
-	permits permit.Holder
-	// seenVersions holds the newest version seen from each origin. VMs forward limits to each
-	// other, so a limit returns to where it was seen before, and by its age alone it would
-	// look newer each time.
-	seenVersions map[string]uint64
+	permits      permit.Holder
+	seenVersions seenVersions
 	// unreportedAnswers counts the answers not yet reported to the issuer, notifiedAt is when
 	// this VM last reported to it.
 	unreportedAnswers permit.AnswerCounts
@@ -111,14 +99,10 @@
 		if _, listed := l.node.backends.get(backend); !listed {
 			return // forget would never be called for it
 		}
-		b = &backendLimit{seenVersions: make(map[string]uint64)}
+		b = &backendLimit{seenVersions: make(seenVersions)}
 		l.byBackend[backend] = b
 	}
-	if limit.Version <= b.seenVersions[limit.Origin] {
-		return
-	}
-	b.seenVersions[limit.Origin] = limit.Version
-	if !limit.IsNewerThan(b.Limit) {
+	if !b.seenVersions.record(limit.Origin, limit.Version) || !limit.IsNewerThan(b.Limit) {
 		return
 	}
 	before := b.Limit
@@ -159,12 +143,6 @@
 	}
 }
 
-// isSignalReportDue reports whether a report must carry the signals of backend servers, which
-// last changed at changedAt.
-func isSignalReportDue(now, changedAt time.Time, report *entryvm.Report) bool {
-	return report.Full || now.Sub(changedAt) <= urgentSignalPeriod
-}
-
 // publish adds the limits to a report.
 func (l *backendLimits) publish(now time.Time, report *entryvm.Report) {
 	l.mu.Lock()
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -137,24 +137,16 @@
 // by the VMs in cut and by the others.
 func (b *engineCluster) sendAndCompare(span, pause time.Duration, cut []string) (atCut, atOthers servedShares) {
 	isCut := toSet(cut)
-	startedAt := time.Now()
-	for i := 0; time.Since(startedAt) < span; i++ {
-		vm, uri := b.vms[b.random.Intn(len(b.vms))], fmt.Sprint("/other/", i)
-		b.inFlight.Go(func() {
-			err := b.send(vm, uri)
-			b.statsMu.Lock()
-			defer b.statsMu.Unlock()
-			shares := &atOthers
-			if isCut[vm] {
-				shares = &atCut
-			}
-			shares.sent++
-			if err == nil {
-				shares.served++
-			}
-		})
-		time.Sleep(pause)
-	}
+	b.sendAtRandom(span, pause, func(vm string, err error) {
+		shares := &atOthers
+		if isCut[vm] {
+			shares = &atCut
+		}
+		shares.sent++
+		if err == nil {
+			shares.served++
+		}
+	})
 	b.inFlight.Wait()
 	return atCut, atOthers
 }
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,7 +38,7 @@
 		Requested: want, Limit: b.toMessage(time.Now(), backend), WithLimit: answers.WithLimit, WithoutLimit: answers.WithoutLimit, WithoutLimitRun: answers.WithoutLimitRun,
 	}
 	l.mu.Unlock()
-	reply, err := l.callIssuer(issuer, args)
+	reply, err := callIssuer(l.node, issuer, args, l.node.Permit, l.node.config.Peers.EntryVMs.Permit)
 	if err != nil {
 		l.node.config.Logger.Info("permit issuer does not answer", zap.String("backend", backend), zap.String("issuer", issuer), telemetry.Reason(err))
 	}
@@ -69,16 +68,6 @@
 	return reply.Granted > 0 || !b.Limited
 }
 
-// callIssuer calls the VM at an address, which may be this one.
-func (l *backendLimits) callIssuer(address string, args entryvm.PermitArgs) (entryvm.PermitReply, error) {
-	if address == l.node.config.Address {
-		return l.node.Permit(args), nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
-	defer cancel()
-	return l.node.config.Peers.EntryVMs.Permit(ctx, address, args)
-}
-
 // Permit implements entryvm.Coordinator: it issues permits for a limited backend server.
 func (n *Node) Permit(args entryvm.PermitArgs) entryvm.PermitReply {
 	l, now, id := n.limits, time.Now(), args.Limit.Backend
--- a/internal/hosted/rooms.go
+++ b/internal/hosted/rooms.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -48,10 +47,9 @@
 // backendRoom is the state of a backend server's room on this VM.
 type backendRoom struct {
 	entryvm.FragileBackend
-	service    string
-	receivedAt time.Time
-	// seenVersions holds the newest version seen from each origin.
-	seenVersions map[string]uint64
+	service      string
+	receivedAt   time.Time
+	seenVersions seenVersions
 	permits      permit.Holder
 	// ownInFlight is how many requests this VM had in flight there when it last reported.
 	ownInFlight int
@@ -102,14 +100,10 @@
 		if !ok {
 			return // forget would never be called for it
 		}
-		b = &backendRoom{service: listed.Service, seenVersions: make(map[string]uint64), permits: permit.Holder{TTL: permit.RoomPermitTTL}}
+		b = &backendRoom{service: listed.Service, seenVersions: make(seenVersions), permits: permit.Holder{TTL: permit.RoomPermitTTL}}
 		r.byBackend[f.Backend] = b
 	}
-	if f.Version <= b.seenVersions[f.Origin] {
-		return
-	}
-	b.seenVersions[f.Origin] = f.Version
-	if !receivedAt.After(b.receivedAt) {
+	if !b.seenVersions.record(f.Origin, f.Version) || !receivedAt.After(b.receivedAt) {
 		return
 	}
 	before := b.MaxRejections
@@ -230,7 +224,7 @@
 	if !ok {
 		return
 	}
-	reply, err := r.callIssuer(issuer, args)
+	reply, err := callIssuer(r.node, issuer, args, r.node.Room, r.node.config.Peers.EntryVMs.Room)
 	if err != nil {
 		r.node.config.Logger.Info("issuer of room does not answer", zap.String("backend", backend), zap.String("issuer", issuer), telemetry.Reason(err))
 	}
@@ -277,16 +271,6 @@
 	return message
 }
 
-// callIssuer calls the VM at an address, which may be this one.
-func (r *backendRooms) callIssuer(address string, args entryvm.RoomArgs) (entryvm.RoomReply, error) {
-	if address == r.node.config.Address {
-		return r.node.Room(args), nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
-	defer cancel()
-	return r.node.config.Peers.EntryVMs.Room(ctx, address, args)
-}
-
 // Room implements entryvm.Coordinator: it grants permits for room on a fragile backend server.
 func (n *Node) Room(args entryvm.RoomArgs) entryvm.RoomReply {
 	r, now, id := n.rooms, time.Now(), args.Fragile.Backend
