--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -32,6 +32,24 @@
 // RecordRequest counts the first attempt of a request.
 func (b *RetryBudget) RecordRequest(now time.Time) { b.requests.Add(now, 1, retryWindow) }
 
+// RetryUsage is the state of a retry budget.
+type RetryUsage struct {
+	// Requests and Retries are the counts of the recent past, Allowed is the number of retries
+	// that they allow.
+	Requests, Retries, Allowed float64
+}
+
+// Usage returns the state of the budget.
+func (b *RetryBudget) Usage(now time.Time) RetryUsage {
+	share := max(b.Share, 0)
+	if b.Share == 0 {
+		share = DefaultRetryShare
+	}
+	b.requests.Decay(now, retryWindow)
+	b.retries.Decay(now, retryWindow)
+	return RetryUsage{Requests: b.requests.Count, Retries: b.retries.Count, Allowed: share*b.requests.Count + minRetries}
+}
+
 // AllowRetry reports whether another attempt may be made now, and counts it if so.
 func (b *RetryBudget) AllowRetry(now time.Time) bool {
 	if !b.CanRetry(now) {
@@ -43,11 +61,6 @@
 
 // CanRetry reports whether another attempt may be made now, without counting it.
 func (b *RetryBudget) CanRetry(now time.Time) bool {
-	share := max(b.Share, 0)
-	if b.Share == 0 {
-		share = DefaultRetryShare
-	}
-	b.requests.Decay(now, retryWindow)
-	b.retries.Decay(now, retryWindow)
-	return b.retries.Count+1 <= share*b.requests.Count+minRetries
+	usage := b.Usage(now)
+	return usage.Retries+1 <= usage.Allowed
 }
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -12,8 +12,8 @@
 // Arrival is a request that reached a backend server.
 type Arrival struct {
 	// Request identifies one attempt of a caller, Backend one instance of a backend server: a
-	// restart makes a new one.
-	Request, Backend string
+	// restart makes a new one. Service is the service that the backend server belongs to.
+	Request, Backend, Service string
 	// VM is the entry VM that forwarded the request, Incarnation the number of its instance.
 	VM          string
 	Incarnation int
@@ -30,8 +30,9 @@
 
 // Outcome is the final result of a request at its caller.
 type Outcome struct {
-	// Request identifies the request, VM the entry VM that it was sent to.
-	Request, VM string
+	// Request identifies the request, VM the entry VM that it was sent to. Service is the
+	// service of its route.
+	Request, VM, Service string
 	// Sent is when the caller sent the request.
 	Sent time.Time
 	// Answered reports whether the caller received the whole answer, NotRun whether the
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -1,6 +1,7 @@
 package judge_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,12 @@
 	room := func(h *judge.History) []judge.Violation {
 		return judge.CheckRoom(h, func(int) int { return 1 }, time.Second)
 	}
+	retryBudget := func(h *judge.History) []judge.Violation {
+		return judge.CheckRetries(h, judge.RetryBound{Window: 10 * time.Second, Ratio: 0.5, Slack: 1})
+	}
+	twice := func(request string, seconds float64) []judge.Arrival {
+		return []judge.Arrival{refusedArrival(request, seconds), arrival(request, "c", "w", seconds+0.1)}
+	}
 	outcomes := func(seconds float64, answered bool) []judge.Outcome {
 		return []judge.Outcome{{VM: "w", Sent: atSecond(seconds), Answered: true}, {VM: "v", Sent: atSecond(seconds), Answered: answered}, {VM: "v", Sent: atSecond(seconds)}}
 	}
@@ -98,6 +105,16 @@
 			PathLosses: append([]judge.PathLoss{{VMs: map[string]bool{"w": true}, From: atSecond(2), To: atSecond(8)}}, losses...)}},
 		{"too many crashes for want of room", room, 1, judge.History{Fragile: fragile}},
 		{"a crash after a VM was disrupted", room, 0, judge.History{Fragile: fragile, Disruptions: []judge.Disruption{{VM: "w", From: atSecond(4), To: atSecond(4.5)}}}},
+		{"more retries than two requests and the slack allow", retryBudget, 1, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 19)),
+			Outcomes: []judge.Outcome{{Sent: atSecond(11)}, {Sent: atSecond(15)}}}},
+		{"the same for four requests", retryBudget, 0, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 19)),
+			Outcomes: []judge.Outcome{{Sent: atSecond(11)}, {Sent: atSecond(12)}, {Sent: atSecond(13)}, {Sent: atSecond(15)}}}},
+		{"the same for four requests of the window before", retryBudget, 0, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 19)),
+			Outcomes: []judge.Outcome{{Sent: atSecond(6)}, {Sent: atSecond(7)}, {Sent: atSecond(8)}, {Sent: atSecond(9)}}}},
+		{"the same for requests for another service", retryBudget, 1, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 19)),
+			Outcomes: []judge.Outcome{{Sent: atSecond(11), Service: "other"}, {Sent: atSecond(12), Service: "other"}, {Sent: atSecond(13), Service: "other"}, {Sent: atSecond(14), Service: "other"}}}},
+		{"the same retries in two windows", retryBudget, 0, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 22)),
+			Outcomes: []judge.Outcome{{Sent: atSecond(11)}, {Sent: atSecond(15)}}}},
 		{"enough requests answered", recovery, 0, judge.History{Outcomes: []judge.Outcome{{Sent: atSecond(1)}, {Sent: atSecond(2)}, {Sent: atSecond(13), Answered: true}}}},
 	} {
 		testkit.Equal(t, c.name, len(c.check(&c.h)), c.want)
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -149,6 +149,9 @@
 	movedFrom string
 	// fingerprint caches the result of requestFingerprint.
 	fingerprint *quarantine.Fingerprint
+	// retryUsage is the state of the retry budget after it allowed the current attempt, nil if
+	// the attempt needed no permission.
+	retryUsage *admission.RetryUsage
 	// readyAtArrival is whether a backend server was ready for the request when it arrived.
 	readyAtArrival bool
 }
@@ -173,6 +176,7 @@
 		if err == nil {
 			return nil
 		}
+		f.retryUsage = nil
 		endedForSilence := isEndedForSilence(err)
 		err = f.handleFailure(ctx, err)
 		if endedForSilence {
@@ -212,6 +216,7 @@
 	case isTerminalError(cause):
 		return cause
 	case f.replacement != nil:
+		f.retryUsage = &f.replacement.retryUsage
 		f.movedFrom = f.pending.backend
 		f.pending.moveTo(f.replacement, f.outcome)
 		f.replacement = nil
@@ -220,11 +225,13 @@
 		return f.requeue(ctx)
 	case f.outcome.mayHaveRun && !f.canRepeat():
 		return f.brokenAnswerError(cause)
-	case !f.pending.allowServiceRetry(f.request.Service):
+	}
+	usage, allowed := f.pending.allowServiceRetry(f.request.Service)
+	if !allowed {
 		return f.overBudgetError(cause)
-	default:
-		return f.requeue(ctx)
 	}
+	f.retryUsage = &usage
+	return f.requeue(ctx)
 }
 
 // requeue waits for a backend server for another attempt. A caller that has received
@@ -404,6 +411,9 @@
 	if f.target.Gateway != "" {
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
+	if f.retryUsage != nil {
+		fields = append(fields, zap.Float64("retries", f.retryUsage.Retries), zap.Float64("retries_allowed", f.retryUsage.Allowed))
+	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
@@ -433,31 +443,3 @@
 
 // forwardDirectory returns the directory for forwarded requests.
 func (s *Server) forwardDirectory() ForwardDirectory { return s.config.ForwardDirectory }
-
-// recordForward counts a request for the retry budget of its service.
-func (s *Server) recordForward(r caller.RelayRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.serviceBudget(r.Service).RecordRequest(r.Arrived)
-}
-
-// allowServiceRetry reports whether the retry budget of a service allows a retry, and
-// counts it if so.
-func (p *pendingRequest) allowServiceRetry(service string) bool {
-	s := p.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.serviceBudget(service).AllowRetry(time.Now())
-}
-
-// serviceBudget returns the retry budget of the service. Services don't share one:
-// otherwise the traffic of a large service would allow a flood of retries at a small
-// one. Call with mu held.
-func (s *Server) serviceBudget(service string) *admission.RetryBudget {
-	budget := s.serviceBudgets[service]
-	if budget == nil {
-		budget = &admission.RetryBudget{Share: s.config.RetryShare}
-		s.serviceBudgets[service] = budget
-	}
-	return budget
-}
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"bergamotreel/admission"
 	"bergamotreel/routing"
 )
 
@@ -11,6 +12,8 @@
 type reservation struct {
 	backend     string
 	incarnation uint64
+	// retryUsage is the state of the retry budget that allowed it.
+	retryUsage admission.RetryUsage
 }
 
 // reserveReplacement reserves another backend server while the current attempt runs, and
@@ -36,7 +39,8 @@
 			continue // the candidate's permits are now known to be used
 		}
 		budget.AllowRetry(now)
-		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query)}
+		countRetry(service, true)
+		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query), budget.Usage(now)}
 	}
 }
 
