serving: a generation whose engine pauses is not cut while no other engine can take it

The guard now asks whether another engine can take the stream and lets it go on otherwise, for 30 s at most, as this runtime has no deadline for the whole answer.

--- a/internal/serving/generating.go
+++ b/internal/serving/generating.go
@@ -20,6 +20,9 @@
 	// first follows at once, since a broken connection can often be replaced
 	// immediately; a connection that can't be opened needs time.
 	resumeInterval = 100 * time.Millisecond
+	// maxUnreplacedSilence is how long a stream may pause while no other engine can
+	// continue it.
+	maxUnreplacedSilence = 30 * time.Second
 )
 
 // generating is the state of a generation in progress.
@@ -120,14 +123,24 @@
 	return fmt.Errorf("%w: %v", engine.ErrBrokenStream, err)
 }
 
-// startStallGuard starts a guard that ends the attempt if its first token is late or
-// its stream stalls.
+// startStallGuard starts a guard that ends the attempt if its first token is late, or if
+// its stream stalls and another engine can continue it.
 func (g *generating) startStallGuard(cancel context.CancelCauseFunc) *stallGuard {
-	stallTimeout := g.server.config.StallTimeout
+	startedAt, stallTimeout := time.Now(), g.server.config.StallTimeout
+	firstTimeout, reason := stallTimeout, errStalled
 	if g.delivered == 0 {
-		return newStallGuard(time.Until(g.deadline), stallTimeout, cancel, errLate, nil)
+		firstTimeout, reason = time.Until(g.deadline), errLate
 	}
-	return newStallGuard(stallTimeout, stallTimeout, cancel, errStalled, nil)
+	var guard *stallGuard
+	secureReplacement := func() bool {
+		silentSince := startedAt
+		if guard.lastReceived.After(silentSince) {
+			silentSince = guard.lastReceived
+		}
+		return time.Since(silentSince) >= maxUnreplacedSilence || g.pending.canMove()
+	}
+	guard = newStallGuard(firstTimeout, stallTimeout, cancel, reason, secureReplacement)
+	return guard
 }
 
 // withGuardCause adds the guard's reason to an error that the guard caused.
--- a/internal/serving/lifecycle.go
+++ b/internal/serving/lifecycle.go
@@ -198,6 +198,15 @@
 	return true
 }
 
+// canMove reports whether another backend server could take the current attempt's request.
+func (p *pendingRequest) canMove() bool {
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := s.findCandidates(p.query.Unit)
+	return s.config.Router.CanPick(time.Now(), p.replacementQuery(candidates), candidates)
+}
+
 // recordFirstToken records that the first token of the current attempt, or the
 // answer of a service, arrived at the time now.
 func (p *pendingRequest) recordFirstToken(now time.Time) {
--- a/internal/serving/stallguard.go
+++ b/internal/serving/stallguard.go
@@ -18,7 +18,8 @@
 	stallTimeout time.Duration
 	cancel       context.CancelCauseFunc
 	// secureReplacement, if set, reserves what the request needs to continue elsewhere.
-	// While it returns false, the attempt goes on. It is called with mu held.
+	// While it returns false, the attempt goes on. It is called with mu held. An attempt that
+	// ends with errLate needs no replacement: the caller waits no longer.
 	secureReplacement func() bool
 
 	mu    sync.Mutex
@@ -89,7 +90,7 @@
 		g.timer.Reset(left)
 		return
 	}
-	if g.secureReplacement != nil && !g.secureReplacement() {
+	if g.reason != errLate && g.secureReplacement != nil && !g.secureReplacement() {
 		g.keptSilent = true
 		g.timer.Reset(replacementRetryInterval)
 		return
