--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -282,7 +282,7 @@
 	w.bed.mu.Lock()
 	defer w.bed.mu.Unlock()
 	n, from := w.bed.nodes[address], w.bed.nodes[w.from]
-	if n == nil || from != w.process || w.bed.isolated[address] || w.bed.isolated[w.from] {
+	if n == nil || from == nil || from != w.process || w.bed.isolated[address] || w.bed.isolated[w.from] {
 		return nil, errPartitioned
 	}
 	if side := w.bed.partitionOf; side != nil && side(address) != side(w.from) {
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -82,7 +82,7 @@
 	defer d.statsMu.Unlock()
 	var refused *refusal.Refusal
 	killed := d.killedInstances[start]
-	d.history.Outcomes = append(d.history.Outcomes, judge.Outcome{Request: id, VM: vm, Sent: sent, Answered: !killed && err == nil,
+	d.history.Outcomes = append(d.history.Outcomes, judge.Outcome{Request: id, VM: vm, Service: testService, Sent: sent, Answered: !killed && err == nil,
 		NotRun: !killed && errors.As(err, &refused) && refused.Ran == refusal.RanNo})
 }
 
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -295,7 +295,7 @@
 	if !known || b.killedInstances[from] {
 		return
 	}
-	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.id, VM: from.vm, Incarnation: from.start,
+	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.id, Service: testService, VM: from.vm, Incarnation: from.start,
 		Sent: sent, At: time.Now(), Ran: ran, Leaving: e.leaving, RetryAfter: retryAfter})
 }
 
--- /dev/null
+++ b/internal/hosted/retrybudget_test.go
@@ -0,0 +1,134 @@
+package hosted
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"bergamotreel/contract"
+	"bergamotreel/internal/judge"
+	"bergamotreel/internal/testkit"
+)
+
+const (
+	// retryWindow, retryRatio and retrySlack are the bound on retries that operators of the
+	// hosting platform state for a fleet.
+	retryWindow = 10 * time.Second
+	retryRatio  = 0.2
+	// failingAfter is how long the engines of a retryCase answer before all of them fail.
+	failingAfter = 12 * time.Second
+)
+
+func retrySlack(vms int) float64 { return float64(40 + 2*vms) }
+
+// retryCase is a fleet whose engines all fail from some time on, while requests may be repeated.
+type retryCase struct {
+	vms int
+	// pause is the time between two requests.
+	pause time.Duration
+	// disturb, if set, is called when the engines begin to fail.
+	disturb func(d *day)
+}
+
+// killInTurn kills half of the VMs every 1.2 s.
+func killInTurn(d *day) {
+	for i := range 9 {
+		var half []string
+		for j, vm := range d.vms {
+			if j%2 == i%2 {
+				half = append(half, vm)
+			}
+		}
+		d.inFlight.Go(func() { d.restart(half) })
+		time.Sleep(1200 * time.Millisecond)
+	}
+}
+
+// Guards against retries that all VMs together may not make, while each of them keeps to a
+// budget of its own.
+func TestFleetKeepsRetryBudget(t *testing.T) {
+	for name, c := range map[string]retryCase{
+		"many VMs":                     {64, 30 * time.Millisecond, nil},
+		"much traffic":                 {8, 10 * time.Millisecond, nil},
+		"VMs killed in turn":           {9, 33 * time.Millisecond, killInTurn},
+		"many VMs killed in turn":      {24, 20 * time.Millisecond, killInTurn},
+		"all VMs killed":               {24, 20 * time.Millisecond, func(d *day) { d.restart(d.vms) }},
+		"partitioned domains":          {24, 20 * time.Millisecond, func(d *day) { d.partitionDomains(20 * time.Second) }},
+		"partitioned and killed":       {24, 20 * time.Millisecond, func(d *day) { d.setDomainsPartitioned(true); killInTurn(d) }},
+		"VMs killed in turn, long ago": {24, 20 * time.Millisecond, func(d *day) { killInTurn(d); time.Sleep(15 * time.Second); killInTurn(d) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkFleetRetries(t, c)
+		})
+	}
+}
+
+// checkFleetRetries checks that a fleet keeps to its retry budget, and that it uses some of it.
+func checkFleetRetries(t *testing.T, c retryCase) {
+	withEngineCluster(t, c.vms, 2*spreadDomainCount, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: rand.New(rand.NewSource(1))}
+		d.allowRepeats()
+		stop := make(chan struct{})
+		d.inFlight.Go(func() { d.sendUntil(stop, c.pause) })
+		time.Sleep(failingAfter)
+		d.setAllFailing(true)
+		startedAt := time.Now()
+		if c.disturb != nil {
+			c.disturb(d)
+		}
+		time.Sleep(max(0, 25*time.Second-time.Since(startedAt)))
+		close(stop)
+		d.inFlight.Wait()
+		violations := judge.CheckRetries(&d.history, retryBound(c.vms))
+		testkit.That(t, len(violations) == 0, "%v", violations)
+		retries := len(d.history.Arrivals) - len(d.history.Outcomes)
+		testkit.That(t, retries > 0, "no retry of %d requests", len(d.history.Outcomes))
+	})
+}
+
+func retryBound(vms int) judge.RetryBound {
+	return judge.RetryBound{Window: retryWindow, Ratio: retryRatio, Slack: retrySlack(vms)}
+}
+
+// allowRepeats publishes a configuration under which requests may be repeated.
+func (d *day) allowRepeats() {
+	d.registry.mu.Lock()
+	next := *d.registry.configuration
+	d.registry.mu.Unlock()
+	changed := *next.Contract
+	changed.Routes = append([]contract.Route(nil), changed.Routes...)
+	changed.Routes[0].Repeat = contract.RepeatSafe
+	changed.Routes[0].Stream = false
+	next.Version++
+	next.Contract = &changed
+	d.registry.setConfiguration(&next)
+	time.Sleep(3 * time.Second)
+}
+
+// setAllFailing sets whether all engines lose their answers.
+func (d *day) setAllFailing(failing bool) {
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	for _, e := range d.engines {
+		e.lostShare = 0
+		if failing {
+			e.lostShare = 1
+		}
+	}
+}
+
+// sendUntil sends requests, each to a VM at random, with a pause between two.
+func (d *day) sendUntil(stop <-chan struct{}, pause time.Duration) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		vm, id := d.vms[d.engineCluster.random.Intn(len(d.vms))], fmt.Sprint("r", i)
+		d.inFlight.Go(func() { d.sendAndRecord(vm, id) })
+		time.Sleep(pause)
+	}
+}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -31,6 +31,7 @@
 type sentRequest struct {
 	target  string
 	forward service.ForwardRequest
+	at      time.Time
 }
 
 // forwardTestbed is a server with the backend servers one and two, which answer as a
@@ -45,6 +46,7 @@
 	mu           sync.Mutex
 	sent         []sentRequest
 	ready        bool
+	busyUnits    map[string]bool // no backend server is ready for these
 	unitsNotHeld []string
 	brokenRuns   []quarantine.Fingerprint
 	limits       []service.Limit
@@ -86,12 +88,12 @@
 	return b
 }
 
-func (b *forwardTestbed) Candidates(string) []routing.Candidate {
+func (b *forwardTestbed) Candidates(unit string) []routing.Candidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []routing.Candidate
 	for _, name := range b.backends {
-		out = append(out, routing.Candidate{Engine: name, Domain: name, Slots: b.slots, Ready: b.ready, PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
+		out = append(out, routing.Candidate{Engine: name, Domain: name, Slots: b.slots, Ready: b.ready && !b.busyUnits[unit], PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
 	}
 	return out
 }
@@ -167,7 +169,7 @@
 // Forward implements service.Forwarder.
 func (b *forwardTestbed) Forward(ctx context.Context, target service.Target, forward service.ForwardRequest) (*service.ForwardResponse, error) {
 	b.mu.Lock()
-	s := sentRequest{target.ID, forward}
+	s := sentRequest{target.ID, forward, time.Now()}
 	b.sent = append(b.sent, s)
 	number := len(b.sent)
 	b.mu.Unlock()
