admission, serving, hosted: all VMs together keep to the fleet's retry budget

What operators saw: a service that fails as a whole got more retries than they allow.

Class: a bound of the fleet that each process keeps for itself. Ruled out: arrivals that took no unit (271 of 271 and 284 of 284 had one).

The budget is a token bucket now. It starts empty, a request adds a share, time adds a part of the VM's slack, and the capacity follows the requests of the last window. So the sum over all processes in a window is bounded by the sum of their capacities at its begin plus what was added in it, whichever of them restart; a process that starts has nothing that its predecessor may have spent. The slack that operators state for the fleet is divided by failure domains and the VMs seen in one. The sides of a partition don't divide it again: a domain counts as large as it was, and domains are known by settings. retry_budget is the fleet's limit now, retry_slack and retry_window are new settings, filled in from the platform's.

--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -1,66 +1,112 @@
 package admission
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"bergamotreel/internal/meter"
 )
 
 const (
-	// DefaultRetryShare is the share of recent requests that may be retried. One
-	// retry per request would double the load of a pool that fails under its load.
+	// DefaultRetryShare is the share of the requests that may be retried. One retry per
+	// request would double the load of a pool that fails under its load.
 	DefaultRetryShare = 0.1
-	// minRetries is how many retries are allowed in addition to the share, so that a
-	// VM with little traffic can retry a single failure.
-	minRetries = 3
-	// retryWindow is the time constant of recent requests and retries.
-	retryWindow = 10 * time.Second
+	// DefaultRetryWindow is the default of RetryBudget.Window.
+	DefaultRetryWindow = 10 * time.Second
+	// retryBurstShare is the part of Share by which the requests of the last Window raise the
+	// capacity of a budget.
+	retryBurstShare = 0.5
+	// slackCapacityShare is the part of Slack that a budget holds at most; the rest is added
+	// over each Window.
+	slackCapacityShare = 2.0 / 3
 )
 
-// RetryBudget limits retries to a share of recent traffic. Without it, requests
-// that fail under overload return as more load, and the overload outlasts its
-// cause. The zero value is ready to use. It is not safe for concurrent use.
+// RetryBudget limits retries to a share of the traffic. Without it, requests that fail under
+// overload return as more load, and the overload outlasts its cause.
+//
+// It is a token bucket that starts empty. Each request adds Share of a token, each Window adds
+// a part of Slack, and each retry that is sent takes one token. The bucket holds at most the
+// rest of Slack + retryBurstShare x Share x the requests of the last Window. So the retries of
+// any Window are at most Share x its requests + retryBurstShare x Share x the requests of the
+// Window before it + Slack. This holds for the sum of many entry VMs too, however often their
+// processes restart, as long as their parts of Slack add up to that of the fleet. It answers
+// this load pattern: many VMs with little traffic each, for a service that fails as a whole,
+// while VMs restart in series.
+//
+// It reads no clock and is not safe for concurrent use.
 type RetryBudget struct {
-	// Share is the share of recent requests that may be retried. 0 selects
-	// DefaultRetryShare; a negative value allows only a few retries beside the
-	// traffic.
+	// Share is the number of retries that each request allows. 0 selects DefaultRetryShare;
+	// with a negative value, requests allow none.
 	Share float64
+	// Slack is the number of retries per Window that don't depend on the traffic. It may change
+	// at any time.
+	Slack float64
+	// Window is the span of the requests that a burst of retries is drawn from; 0 selects
+	// DefaultRetryWindow.
+	Window time.Duration
 
-	requests, retries meter.Meter
+	tokens     float64
+	refilledAt time.Time
+	requests   meter.Window
 }
 
-// RecordRequest counts the first attempt of a request.
-func (b *RetryBudget) RecordRequest(now time.Time) { b.requests.Add(now, 1, retryWindow) }
+// Start starts the budget of a process that has run since the given time.
+func (b *RetryBudget) Start(since time.Time) { b.refilledAt = since }
 
-// RetryUsage is the state of a retry budget.
-type RetryUsage struct {
-	// Requests and Retries are the counts of the recent past, Allowed is the number of retries
-	// that they allow.
-	Requests, Retries, Allowed float64
+// Fill fills the budget to its capacity, for a VM that never had another process.
+func (b *RetryBudget) Fill(now time.Time) {
+	b.tokens = math.Inf(1)
+	b.refill(now)
 }
 
-// Usage returns the state of the budget.
-func (b *RetryBudget) Usage(now time.Time) RetryUsage {
-	share := max(b.Share, 0)
-	if b.Share == 0 {
-		share = DefaultRetryShare
-	}
-	b.requests.Decay(now, retryWindow)
-	b.retries.Decay(now, retryWindow)
-	return RetryUsage{Requests: b.requests.Count, Retries: b.retries.Count, Allowed: share*b.requests.Count + minRetries}
+// RetryUsage is the state of a RetryBudget: its tokens, and how many it holds at most.
+type RetryUsage struct{ Left, Capacity float64 }
+
+// RecordRequest counts the first attempt of a request.
+func (b *RetryBudget) RecordRequest(now time.Time) {
+	b.refill(now)
+	b.tokens += b.share()
+	b.requests.Add(now, b.window())
 }
 
-// AllowRetry reports whether another attempt may be made now, and counts it if so.
+// AllowRetry reports whether a retry may be sent now, and counts it if so.
 func (b *RetryBudget) AllowRetry(now time.Time) bool {
 	if !b.CanRetry(now) {
 		return false
 	}
-	b.retries.Add(now, 1, retryWindow)
+	b.tokens--
 	return true
 }
 
-// CanRetry reports whether another attempt may be made now, without counting it.
-func (b *RetryBudget) CanRetry(now time.Time) bool {
-	usage := b.Usage(now)
-	return usage.Retries+1 <= usage.Allowed
+// CanRetry reports whether a retry may be sent now, without counting it.
+func (b *RetryBudget) CanRetry(now time.Time) bool { return b.Usage(now).Left >= 1 }
+
+// Usage returns the state of the budget.
+func (b *RetryBudget) Usage(now time.Time) RetryUsage {
+	capacity := b.refill(now)
+	return RetryUsage{Left: b.tokens, Capacity: capacity}
+}
+
+// refill adds the tokens of the time since the last call, drops those above the capacity, and
+// returns the capacity.
+func (b *RetryBudget) refill(now time.Time) (capacity float64) {
+	if age := now.Sub(b.refilledAt); age > 0 {
+		if !b.refilledAt.IsZero() {
+			b.tokens += (1 - slackCapacityShare) * b.Slack * age.Seconds() / b.window().Seconds()
+		}
+		b.refilledAt = now
+	}
+	capacity = slackCapacityShare*b.Slack + retryBurstShare*b.share()*float64(b.requests.Count(now, b.window()))
+	b.tokens = math.Min(b.tokens, capacity)
+	return capacity
 }
+
+func (b *RetryBudget) share() float64 {
+	if b.Share == 0 {
+		return DefaultRetryShare
+	}
+	return math.Max(b.Share, 0)
+}
+
+func (b *RetryBudget) window() time.Duration { return cmp.Or(b.Window, DefaultRetryWindow) }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -37,7 +37,7 @@
 		Incarnation: incarnation, Version: version, Peers: peers, Logger: logger, Rand: random,
 		Lease:     leaseConfig(s.Policy),
 		Placement: placementConfig(s.Policy),
-		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
+		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget), RetrySlack: s.Policy.RetrySlack, RetryWindow: s.Policy.RetryWindow,
 		HeartbeatInterval: s.Policy.HeartbeatInterval,
 		PeerTimeout:       maxMissedHeartbeats * s.Policy.HeartbeatInterval,
 		ClaimTTL:          s.Policy.ClaimTTL, ClaimShards: s.Policy.ClaimShards,
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -98,7 +98,7 @@
 		VM: s.VM.ID, Address: s.VM.PeersAdvertise, Domain: s.VM.Domain, Domains: len(s.Peers.Domains), Incarnation: incarnation,
 		Capacity: s.Limits.Memory, Seeds: s.Peers.Seeds, FirstStart: s.VM.FirstStart, Shards: s.Platform.Shards,
 		Peers: clients.Peers, Logger: h.logger, Rand: random,
-		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget),
+		Admission: admission.Config{MaxQueued: s.Limits.Queue}, RetryShare: retryShare(s.Policy.RetryBudget), RetrySlack: s.Policy.RetrySlack, RetryWindow: s.Policy.RetryWindow,
 		Lease:          lease.ShardConfig{JoinTTL: joinTTL, MinHandoverGap: s.Platform.MinHandoverGap + handoverGapMargin, MaxOrderDelay: maxOrderDelay},
 		ReportInterval: hostedReportInterval, BootClock: boottime.Now,
 		MaxApplyDelay: s.Platform.MaxApplyDelay, MaxDrainDelay: s.Platform.MaxDrainDelay,
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -58,10 +58,12 @@
 	// releaseDelay is how long a VM pauses between recording its ownership and calling the
 	// former owner.
 	releaseDelay time.Duration
-	// maxConfigurationAge, domains and quotaSlack are settings of the VMs that are booted next.
+	// maxConfigurationAge, domains, quotaSlack and the retry budget are settings of VMs booted next.
 	maxConfigurationAge time.Duration
 	domains             int
 	quotaSlack          float64
+	// retryShare and retrySlack are the VMs' retry budget.
+	retryShare, retrySlack float64
 	// uplinkBytesPerSecond is the rate at which each VM can send its knowledge, 0 for no
 	// bound. The VMs that download it at the same time share the rate; downloads counts them.
 	uplinkBytesPerSecond int
@@ -74,6 +76,9 @@
 
 const testService = "llm"
 
+// defaultFleetRetrySlack is the retry slack that operators state for a fleet of eight VMs.
+const defaultFleetRetrySlack = 56
+
 // testContract returns a configuration with a pool of the models, of which an engine holds
 // maxEngineModels.
 func testContract(models ...string) *registry.Configuration {
@@ -89,7 +94,7 @@
 // withTestCluster runs a test with a test cluster in virtual time, then kills the VMs.
 func withTestCluster(t *testing.T, run func(w *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &testCluster{T: t, registry: newFakeRegistry(), engines: newFakeEngines(), start: time.Now(),
+		w := &testCluster{T: t, retrySlack: defaultFleetRetrySlack, registry: newFakeRegistry(), engines: newFakeEngines(), start: time.Now(),
 			nodes: make(map[string]*Node), stops: make(map[string]context.CancelFunc), isolated: make(map[string]bool), reports: make(map[string]int)}
 		run(w)
 		for vm := range w.stops {
@@ -135,7 +140,7 @@
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:          Peers{Registry: vmRegistry{w.registry, vm}, Engines: vmEngines{w, vm}, Backends: forwarder, EntryVMs: client},
 		Lease:          lease.ShardConfig{JoinTTL: 4 * time.Second, MinHandoverGap: 3 * time.Second, MaxOrderDelay: time.Second},
-		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
+		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, RetryShare: w.retryShare, RetrySlack: w.retrySlack, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
 	client.process = n
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -104,7 +104,13 @@
 }
 
 func withEngineCluster(t *testing.T, vms, engines int, run func(*engineCluster)) {
+	withConfiguredEngineCluster(t, vms, engines, func(*testCluster) {}, run)
+}
+
+// withConfiguredEngineCluster is withEngineCluster with other settings of the VMs.
+func withConfiguredEngineCluster(t *testing.T, vms, engines int, configure func(*testCluster), run func(*engineCluster)) {
 	withTestCluster(t, func(w *testCluster) {
+		configure(w)
 		b := &engineCluster{testCluster: w, random: rand.New(rand.NewSource(3)), engineRandom: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine)}
 		b.lostPaths = make(map[string]*lostPath)
 		b.sentAt, b.vmStarts, b.killedInstances = make(map[string]time.Time), make(map[string]int), make(map[vmInstance]bool)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -79,9 +79,12 @@
 	Peers  Peers
 	Logger *zap.Logger
 	// Rand is the router's source of randomness.
-	Rand       *rand.Rand
-	Admission  admission.Config
-	RetryShare float64
+	Rand      *rand.Rand
+	Admission admission.Config
+	// RetryShare is the maximum share of the requests for a service that all VMs together may
+	// retry within RetryWindow, RetrySlack how many retries they may make beyond it.
+	RetryShare, RetrySlack float64
+	RetryWindow            time.Duration
 	// Lease configures the leases on shards.
 	Lease lease.ShardConfig
 	// ReportInterval is the interval between reports to another VM.
@@ -119,6 +122,7 @@
 	limits          *backendLimits
 	rooms           *backendRooms
 	issuers         *permitIssuers
+	retrySlack      *retrySlack
 	paths           *backendPaths
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
@@ -167,12 +171,13 @@
 	n.paths = newBackendPaths(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
+	n.retrySlack = newRetrySlack(n)
 	n.keeper = newKeeper(n)
 	n.planner = newPlanner(n)
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, ForwardDirectory: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
-		Logger: config.Logger, RetryShare: config.RetryShare, Quarantine: n.crashes,
+		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
 	})
 	return n
 }
@@ -183,7 +188,7 @@
 	defer tasks.Wait()
 	for _, task := range []func(context.Context){
 		n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
-		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.maintainShards, n.planner.run, n.serving.Run,
+		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.retrySlack.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// retryWindow, retryRatio and retrySlack are the bound on retries that operators of the
+	// retryWindow, retryRatio and fleetRetrySlack are the bound on retries that operators of the
 	// hosting platform state for a fleet.
 	retryWindow = 10 * time.Second
 	retryRatio  = 0.2
@@ -20,7 +20,7 @@
 	failingAfter = 12 * time.Second
 )
 
-func retrySlack(vms int) float64 { return float64(40 + 2*vms) }
+func fleetRetrySlack(vms int) float64 { return float64(40 + 2*vms) }
 
 // retryCase is a fleet whose engines all fail from some time on, while requests may be repeated.
 type retryCase struct {
@@ -67,7 +67,7 @@
 
 // checkFleetRetries checks that a fleet keeps to its retry budget, and that it uses some of it.
 func checkFleetRetries(t *testing.T, c retryCase) {
-	withEngineCluster(t, c.vms, 2*spreadDomainCount, func(b *engineCluster) {
+	withRetryCluster(t, c.vms, func(b *engineCluster) {
 		d := &day{engineCluster: b, random: rand.New(rand.NewSource(1))}
 		d.allowRepeats()
 		stop := make(chan struct{})
@@ -83,13 +83,21 @@
 		d.inFlight.Wait()
 		violations := judge.CheckRetries(&d.history, retryBound(c.vms))
 		testkit.That(t, len(violations) == 0, "%v", violations)
-		retries := len(d.history.Arrivals) - len(d.history.Outcomes)
+		retries := d.countRetries()
+		t.Logf("%d retries of %d requests", retries, len(d.history.Outcomes))
 		testkit.That(t, retries > 0, "no retry of %d requests", len(d.history.Outcomes))
 	})
 }
 
+// withRetryCluster runs a test with an engineCluster whose VMs know the retry bound.
+func withRetryCluster(t *testing.T, vms int, run func(*engineCluster)) {
+	withConfiguredEngineCluster(t, vms, 2*spreadDomainCount, func(w *testCluster) {
+		w.domains, w.retryShare, w.retrySlack = spreadDomainCount, retryRatio, fleetRetrySlack(vms)
+	}, run)
+}
+
 func retryBound(vms int) judge.RetryBound {
-	return judge.RetryBound{Window: retryWindow, Ratio: retryRatio, Slack: retrySlack(vms)}
+	return judge.RetryBound{Window: retryWindow, Ratio: retryRatio, Slack: fleetRetrySlack(vms)}
 }
 
 // allowRepeats publishes a configuration under which requests may be repeated.
@@ -107,6 +115,15 @@
 	time.Sleep(3 * time.Second)
 }
 
+// countRetries returns how many requests reached engines beyond the first arrival of each.
+func (d *day) countRetries() int {
+	requests := make(map[string]bool)
+	for _, a := range d.history.Arrivals {
+		requests[a.Request] = true
+	}
+	return len(d.history.Arrivals) - len(requests)
+}
+
 // setAllFailing sets whether all engines lose their answers.
 func (d *day) setAllFailing(failing bool) {
 	d.statsMu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,8 +62,12 @@
 	Lease     lease.Config
 	Placement placement.Config
 	Admission admission.Config
-	// RetryShare sets admission.RetryBudget.Share.
-	RetryShare float64
+	// RetryShare and RetryWindow set admission.RetryBudget's Share and Window.
+	RetryShare  float64
+	RetryWindow time.Duration
+	// RetrySlack is how many retries beyond RetryShare all entry VMs together may make within
+	// RetryWindow.
+	RetrySlack float64
 	// HeartbeatInterval is the time between two digests to a peer. A VM counts as
 	// live until PeerTimeout after its last digest.
 	HeartbeatInterval, PeerTimeout time.Duration
@@ -177,10 +181,15 @@
 		Engines: n.config.Peers.Engines, Services: n.config.Peers.Services, Claims: n.claims,
 		Admission: admission.New(n.config.Admission),
 		Router:    routing.New(routing.Config{}, n.config.Rand),
-		Logger:    n.config.Logger, RetryShare: n.config.RetryShare,
+		Logger:    n.config.Logger, RetryShare: n.config.RetryShare, RetryWindow: n.config.RetryWindow, RetrySlack: n.retrySlack,
 	})
 }
 
+// retrySlack returns this VM's part of the retries beyond RetryShare.
+func (n *Node) retrySlack() float64 {
+	return n.config.RetrySlack / float64(max(1, len(n.fleet.VMs(vmlist.KindEntry))))
+}
+
 func (n *Node) newKeeper() *keeper.Keeper {
 	return keeper.New(keeper.Config{
 		VM: n.config.VM, Incarnation: n.config.Incarnation, Domain: n.config.Domain,
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -412,7 +412,7 @@
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
 	if f.retryUsage != nil {
-		fields = append(fields, zap.Float64("retries", f.retryUsage.Retries), zap.Float64("retries_allowed", f.retryUsage.Allowed))
+		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity))
 	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
--- a/internal/serving/lifecycle.go
+++ b/internal/serving/lifecycle.go
@@ -250,6 +250,7 @@
 func (p *pendingRequest) allowRetry() bool {
 	p.server.mu.Lock()
 	defer p.server.mu.Unlock()
+	p.server.budget.Slack = p.server.config.retrySlack()
 	return p.server.budget.AllowRetry(time.Now())
 }
 
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -39,7 +39,7 @@
 			continue // the candidate's permits are now known to be used
 		}
 		budget.AllowRetry(now)
-		countRetry(service, true)
+		countRetry(true)
 		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query), budget.Usage(now)}
 	}
 }
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -9,6 +9,46 @@
 	"bergamotreel/caller"
 )
 
+// defaultRetrySlack is the retry slack of a single VM.
+const defaultRetrySlack = 3
+
+// retriesTotal counts the retries that the budgets of services allowed or refused.
+const retriesTotal = "bergamotreel_retries_total"
+
+var (
+	retriesAllowed = metrics.NewCounter(retriesTotal + `{outcome="allowed"}`)
+	retriesRefused = metrics.NewCounter(retriesTotal + `{outcome="refused"}`)
+)
+
+func newRetryBudget(config *Config, startedAt time.Time) *admission.RetryBudget {
+	budget := &admission.RetryBudget{Share: config.RetryShare, Window: config.RetryWindow, Slack: config.retrySlack()}
+	budget.Start(startedAt)
+	if config.RetrySlack == nil {
+		budget.Fill(startedAt)
+	}
+	return budget
+}
+
+func (c *Config) retrySlack() float64 {
+	if c.RetrySlack == nil {
+		return defaultRetrySlack
+	}
+	return c.RetrySlack()
+}
+
+// serviceBudget returns the retry budget of the service. Services don't share one:
+// otherwise the traffic of a large service would allow a flood of retries at a small
+// one. Call with mu held.
+func (s *Server) serviceBudget(service string) *admission.RetryBudget {
+	budget := s.serviceBudgets[service]
+	if budget == nil {
+		budget = newRetryBudget(&s.config, s.startedAt)
+		s.serviceBudgets[service] = budget
+	}
+	budget.Slack = s.config.retrySlack()
+	return budget
+}
+
 // recordForward counts a request for the retry budget of its service.
 func (s *Server) recordForward(r caller.RelayRequest) {
 	s.mu.Lock()
@@ -25,27 +65,15 @@
 	defer s.mu.Unlock()
 	budget := s.serviceBudget(service)
 	allowed := budget.AllowRetry(now)
-	countRetry(service, allowed)
+	countRetry(allowed)
 	return budget.Usage(now), allowed
 }
 
-// serviceBudget returns the retry budget of the service. Services don't share one:
-// otherwise the traffic of a large service would allow a flood of retries at a small
-// one. Call with mu held.
-func (s *Server) serviceBudget(service string) *admission.RetryBudget {
-	budget := s.serviceBudgets[service]
-	if budget == nil {
-		budget = &admission.RetryBudget{Share: s.config.RetryShare}
-		s.serviceBudgets[service] = budget
-	}
-	return budget
-}
-
 // countRetry counts a retry that the budget of its service allowed or refused.
-func countRetry(service string, allowed bool) {
-	outcome := "refused"
+func countRetry(allowed bool) {
 	if allowed {
-		outcome = "allowed"
+		retriesAllowed.Inc()
+		return
 	}
-	metrics.GetOrCreateCounter(`bergamotreel_retries_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
+	retriesRefused.Inc()
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -47,8 +47,13 @@
 	// StallTimeout is the longest silence within a stream before it moves to
 	// another engine; the default is 10 s, far more than the 80 ms between tokens.
 	StallTimeout time.Duration
-	// RetryShare is admission.RetryBudget's Share.
-	RetryShare float64
+	// RetryShare and RetryWindow are admission.RetryBudget's Share and Window.
+	RetryShare  float64
+	RetryWindow time.Duration
+	// RetrySlack returns this VM's part of the retries that all entry VMs together may make
+	// at a service beyond RetryShare. Without it, this VM counts as the only one, and this
+	// process as its first.
+	RetrySlack func() float64
 	// Forwarder and ForwardDirectory serve requests that are forwarded unchanged;
 	// both are nil in a server that doesn't forward. Engines is nil in a server that
 	// only forwards.
@@ -81,8 +86,10 @@
 	receivedAt atomic.Int64
 	abandoned  chan abandonedRequest
 
+	startedAt time.Time
+
 	mu     sync.Mutex
-	budget admission.RetryBudget
+	budget *admission.RetryBudget
 	// serviceBudgets are the retry budgets of forwarded requests, by service.
 	serviceBudgets map[string]*admission.RetryBudget
 	waiters        map[*admission.Ticket]*waiter
@@ -112,9 +119,11 @@
 	if config.StallTimeout == 0 {
 		config.StallTimeout = defaultStallTimeout
 	}
+	startedAt := time.Now()
 	return &Server{
 		config:            config,
-		budget:            admission.RetryBudget{Share: config.RetryShare},
+		startedAt:         startedAt,
+		budget:            newRetryBudget(&config, startedAt),
 		serviceBudgets:    make(map[string]*admission.RetryBudget),
 		wake:              make(chan struct{}, 1),
 		abandoned:         make(chan abandonedRequest, maxAbandoned),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,6 +161,9 @@
 	QuotaSlack float64
 	// RetryBudget is the maximum fraction of the traffic that may be retries.
 	RetryBudget float64
+	// RetrySlack is how many more retries all entry VMs together may make within RetryWindow.
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// ShutdownGrace bounds the duration of a graceful shutdown.
 	ShutdownGrace time.Duration
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -266,9 +266,19 @@
 	},
 	{
 		section: "policy", key: "retry_budget", defaultValue: "0.1",
-		help: "share of the traffic that may be retries, beside three in ten seconds that are always allowed; more would let an overload feed itself",
+		help: "share of the traffic that may be retries, beside retry_slack; more would let an overload feed itself",
 		set:  floatSetter(0, 1, func(s *Settings) *float64 { return &s.Policy.RetryBudget }),
 	},
+	{
+		section: "policy", key: "retry_slack", defaultValue: "30",
+		help: "retries that all entry VMs together may make within retry_window beyond retry_budget, so that a single failure at a VM with little traffic is retried",
+		set:  floatSetter(0, 1e9, func(s *Settings) *float64 { return &s.Policy.RetrySlack }),
+	},
+	{
+		section: "policy", key: "retry_window", defaultValue: "10s",
+		help: "the time span in which retry_budget and retry_slack hold",
+		set:  durationSetter(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Policy.RetryWindow }),
+	},
 	{
 		section: "policy", key: "quota_slack", defaultValue: "0",
 		help: "units beyond its quota that a workspace may use for a short time: quotas that are small beside a single request are refused less often below them",
