serving: a retry counts when it is sent, not when its request fails

A failed request reserves a retry, which holds the token back from others; the token is spent as the attempt begins, with the capacity of that moment. If the budget has shrunk below it meanwhile, the request ends as over budget. An attempt that was never sent makes its retry a reserved one again, and a reservation that isn't used is released, also that of a replacement which the stall guard no longer needs.

--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -34,6 +34,9 @@
 // this load pattern: many VMs with little traffic each, for a service that fails as a whole,
 // while VMs restart in series.
 //
+// A retry is reserved when its request fails and counts when it is sent: requests that wait for
+// a backend server in between would otherwise send the retries of several windows together.
+//
 // It reads no clock and is not safe for concurrent use.
 type RetryBudget struct {
 	// Share is the number of retries that each request allows. 0 selects DefaultRetryShare;
@@ -48,7 +51,9 @@
 
 	tokens     float64
 	refilledAt time.Time
-	requests   meter.Window
+	// reserved is how many of the tokens are reserved.
+	reserved int
+	requests meter.Window
 }
 
 // Start starts the budget of a process that has run since the given time.
@@ -60,7 +65,8 @@
 	b.refill(now)
 }
 
-// RetryUsage is the state of a RetryBudget: its tokens, and how many it holds at most.
+// RetryUsage is the state of a RetryBudget: the tokens that are not reserved, and how many it
+// holds at most.
 type RetryUsage struct{ Left, Capacity float64 }
 
 // RecordRequest counts the first attempt of a request.
@@ -70,22 +76,48 @@
 	b.requests.Add(now, b.window())
 }
 
-// AllowRetry reports whether a retry may be sent now, and counts it if so.
-func (b *RetryBudget) AllowRetry(now time.Time) bool {
-	if !b.CanRetry(now) {
+// Reserve reserves a retry. It returns false if the budget allows none now. The caller must
+// call Spend or Release afterwards.
+func (b *RetryBudget) Reserve(now time.Time) bool {
+	if !b.CanReserve(now) {
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// CanReserve reports whether Reserve would succeed.
+func (b *RetryBudget) CanReserve(now time.Time) bool { return b.Usage(now).Left >= 1 }
+
+// Spend counts a reserved retry as sent. It returns false if the budget has shrunk meanwhile;
+// then the retry must not be sent. The reservation ends in both cases.
+func (b *RetryBudget) Spend(now time.Time) bool {
+	b.refill(now)
+	b.Release()
+	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-// CanRetry reports whether a retry may be sent now, without counting it.
-func (b *RetryBudget) CanRetry(now time.Time) bool { return b.Usage(now).Left >= 1 }
+// Release ends a reservation without a retry.
+func (b *RetryBudget) Release() { b.reserved = max(0, b.reserved-1) }
+
+// Unspend makes a retry that was spent and has reached no backend server a reserved one again.
+func (b *RetryBudget) Unspend(now time.Time) {
+	b.tokens++
+	b.reserved++
+	b.refill(now)
+}
+
+// AllowRetry reports whether a retry may be sent now, and counts it if so.
+func (b *RetryBudget) AllowRetry(now time.Time) bool { return b.Reserve(now) && b.Spend(now) }
 
 // Usage returns the state of the budget.
 func (b *RetryBudget) Usage(now time.Time) RetryUsage {
 	capacity := b.refill(now)
-	return RetryUsage{Left: b.tokens, Capacity: capacity}
+	return RetryUsage{Left: b.tokens - float64(b.reserved), Capacity: capacity}
 }
 
 // refill adds the tokens of the time since the last call, drops those above the capacity, and
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -92,6 +92,7 @@
 	f.pending = p
 	err := f.run(ctx, w)
 	f.releaseReplacement()
+	f.releaseRetry()
 	p.finish(ctx, err, f.outcome)
 	return p.correctRan(err)
 }
@@ -149,9 +150,10 @@
 	movedFrom string
 	// fingerprint caches the result of requestFingerprint.
 	fingerprint *quarantine.Fingerprint
-	// retryUsage is the state of the retry budget after it allowed the current attempt, nil if
-	// the attempt needed no permission.
-	retryUsage *admission.RetryUsage
+	// retry is the state of the permission for the current or next attempt, retryUsage that
+	// of the budget when the permission was spent.
+	retry      retryState
+	retryUsage admission.RetryUsage
 	// readyAtArrival is whether a backend server was ready for the request when it arrived.
 	readyAtArrival bool
 }
@@ -168,6 +170,10 @@
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 			return refused
 		}
+		if !f.spendRetry() {
+			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
+			return f.overBudgetError(errRetryBudgetShrank)
+		}
 		err = f.attempt(ctx)
 		f.logAttempt(err)
 		if f.keptSilent {
@@ -176,7 +182,7 @@
 		if err == nil {
 			return nil
 		}
-		f.retryUsage = nil
+		f.recordAttemptEnd(f.outcome.mayHaveRun || !errors.Is(err, service.ErrNotSent))
 		endedForSilence := isEndedForSilence(err)
 		err = f.handleFailure(ctx, err)
 		if endedForSilence {
@@ -216,7 +222,7 @@
 	case isTerminalError(cause):
 		return cause
 	case f.replacement != nil:
-		f.retryUsage = &f.replacement.retryUsage
+		f.retry = retryReserved
 		f.movedFrom = f.pending.backend
 		f.pending.moveTo(f.replacement, f.outcome)
 		f.replacement = nil
@@ -225,13 +231,11 @@
 		return f.requeue(ctx)
 	case f.outcome.mayHaveRun && !f.canRepeat():
 		return f.brokenAnswerError(cause)
-	}
-	usage, allowed := f.pending.allowServiceRetry(f.request.Service)
-	if !allowed {
+	case !f.reserveRetry():
 		return f.overBudgetError(cause)
+	default:
+		return f.requeue(ctx)
 	}
-	f.retryUsage = &usage
-	return f.requeue(ctx)
 }
 
 // requeue waits for a backend server for another attempt. A caller that has received
@@ -411,7 +415,7 @@
 	if f.target.Gateway != "" {
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
-	if f.retryUsage != nil {
+	if f.retry == retrySpent {
 		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity))
 	}
 	if f.limit.Limited {
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -4,7 +4,6 @@
 	"maps"
 	"time"
 
-	"bergamotreel/admission"
 	"bergamotreel/routing"
 )
 
@@ -12,12 +11,10 @@
 type reservation struct {
 	backend     string
 	incarnation uint64
-	// retryUsage is the state of the retry budget that allowed it.
-	retryUsage admission.RetryUsage
 }
 
 // reserveReplacement reserves another backend server while the current attempt runs, and
-// takes a unit of the service's retry budget. It returns nil, and takes nothing, if there
+// a retry of the service's budget. It returns nil, and takes nothing, if there
 // is no free server, no budget, or this VM is stopping.
 func (p *pendingRequest) reserveReplacement(service string) *reservation {
 	s := p.server
@@ -25,7 +22,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	budget := s.serviceBudget(service)
-	if s.stopped || !budget.CanRetry(now) {
+	if s.stopped || !budget.CanReserve(now) {
 		return nil
 	}
 	candidates := s.findCandidates(p.query.Unit)
@@ -38,9 +35,9 @@
 		if !s.tryUsePermit(choice.Engine, candidates) {
 			continue // the candidate's permits are now known to be used
 		}
-		budget.AllowRetry(now)
+		budget.Reserve(now)
 		countRetry(true)
-		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query), budget.Usage(now)}
+		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query)}
 	}
 }
 
@@ -72,10 +69,11 @@
 	p.beginAttempt(now, r.backend, r.incarnation)
 }
 
-// release releases a reservation to which nothing was sent.
-func (p *pendingRequest) release(r *reservation) {
+// release releases a reservation to which nothing was sent, with its retry.
+func (p *pendingRequest) release(r *reservation, service string) {
 	s := p.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.serviceBudget(service).Release()
 	s.recordEnd(time.Now(), r.backend, r.incarnation, p.query.Unit, routing.Result{Pool: p.query.Pool})
 }
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,20 @@
 	retriesRefused = metrics.NewCounter(retriesTotal + `{outcome="refused"}`)
 )
 
+// errRetryBudgetShrank ends a request whose retry was allowed, waited for a backend server and
+// is no longer covered by the budget.
+var errRetryBudgetShrank = errors.New("waited for a backend server until the retry budget no longer covered it")
+
+// retryState is how far the permission for a retry has been used.
+type retryState int
+
+const (
+	// retryNotNeeded is the state of an attempt that is the first to reach a backend server.
+	retryNotNeeded retryState = iota
+	retryReserved
+	retrySpent
+)
+
 func newRetryBudget(config *Config, startedAt time.Time) *admission.RetryBudget {
 	budget := &admission.RetryBudget{Share: config.RetryShare, Window: config.RetryWindow, Slack: config.retrySlack()}
 	budget.Start(startedAt)
@@ -56,17 +71,64 @@
 	s.serviceBudget(r.Service).RecordRequest(r.Arrived)
 }
 
-// allowServiceRetry reports whether the retry budget of a service allows a retry, and
-// counts it if so. It also returns the state of the budget.
-func (p *pendingRequest) allowServiceRetry(service string) (admission.RetryUsage, bool) {
-	s := p.server
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	budget := s.serviceBudget(service)
-	allowed := budget.AllowRetry(now)
-	countRetry(allowed)
-	return budget.Usage(now), allowed
+// withRetryBudget calls a function with the retry budget of the request's service.
+func (f *forwarding) withRetryBudget(use func(*admission.RetryBudget)) {
+	f.server.mu.Lock()
+	defer f.server.mu.Unlock()
+	use(f.server.serviceBudget(f.request.Service))
+}
+
+// reserveRetry reserves a retry after a failed attempt, unless one is reserved already. It
+// returns false if the budget allows none.
+func (f *forwarding) reserveRetry() bool {
+	if f.retry == retryReserved {
+		return true
+	}
+	reserved := false
+	f.withRetryBudget(func(b *admission.RetryBudget) { reserved = b.Reserve(time.Now()) })
+	countRetry(reserved)
+	if reserved {
+		f.retry = retryReserved
+	}
+	return reserved
+}
+
+// spendRetry counts the reserved retry, if there is one, as sent. It returns false if the
+// budget no longer covers it.
+func (f *forwarding) spendRetry() (covered bool) {
+	if f.retry != retryReserved {
+		return true
+	}
+	f.retry = retryNotNeeded
+	f.withRetryBudget(func(b *admission.RetryBudget) {
+		covered = b.Spend(time.Now())
+		f.retryUsage = b.Usage(time.Now())
+	})
+	if covered {
+		f.retry = retrySpent
+	}
+	return covered
+}
+
+// recordAttemptEnd updates the retry's state after an attempt: one that reached no backend
+// server is reserved again.
+func (f *forwarding) recordAttemptEnd(sent bool) {
+	if f.retry != retrySpent {
+		return
+	}
+	f.retry = retryNotNeeded
+	if !sent {
+		f.withRetryBudget(func(b *admission.RetryBudget) { b.Unspend(time.Now()) })
+		f.retry = retryReserved
+	}
+}
+
+// releaseRetry releases a reserved retry that will not be sent.
+func (f *forwarding) releaseRetry() {
+	if f.retry == retryReserved {
+		f.withRetryBudget((*admission.RetryBudget).Release)
+		f.retry = retryNotNeeded
+	}
 }
 
 // countRetry counts a retry that the budget of its service allowed or refused.
--- /dev/null
+++ b/internal/serving/retries_test.go
@@ -0,0 +1,78 @@
+package serving_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotreel/caller"
+	"bergamotreel/contract"
+	"bergamotreel/internal/judge"
+	"bergamotreel/internal/testkit"
+	"bergamotreel/service"
+)
+
+// Guards against retries of several windows that reach backend servers in one: they were
+// allowed as they failed, waited for a backend server and are sent together.
+func TestWaitingRetriesAreNotSentTogether(t *testing.T) {
+	const (
+		batches, batchSize = 7, 1000
+		batchInterval      = 4 * time.Second
+		timeout            = 30 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardTestbed(t)
+		b.slots, b.busyUnits = batches*batchSize, make(map[string]bool)
+		var history judge.History
+		released := make(map[string]chan struct{})
+		b.respond = func(_ context.Context, _ int, s sentRequest) (*service.ForwardResponse, error) {
+			<-released[s.forward.URI]
+			return nil, service.ErrOutcomeUnknown
+		}
+		repeatable := route(contract.RepeatSafe)
+		repeatable.TargetLatency, repeatable.Timeout = timeout, timeout
+		var running sync.WaitGroup
+		for batch := range batches {
+			model := fmt.Sprint("m", batch)
+			released[model] = make(chan struct{})
+			for i := range batchSize {
+				now, id := time.Now(), fmt.Sprint(model, "-", i)
+				history.Outcomes = append(history.Outcomes, judge.Outcome{Request: id, Sent: now})
+				running.Go(func() {
+					_ = b.server.Forward(t.Context(), caller.RelayRequest{
+						RelayHead: caller.RelayHead{ID: id, Model: model}, Grant: caller.Grant{Customer: "c", Route: repeatable}, Service: "s",
+						ForwardRequest: service.ForwardRequest{RequestID: id, Method: b.method, URI: model},
+						Arrived:        now, AnswerDeadline: now.Add(timeout), BeginDeadline: now.Add(timeout),
+					}, &answerRecorder{})
+				})
+			}
+			synctest.Wait()
+			b.setBusy("model/s/"+model, true)
+			close(released[model])
+			time.Sleep(batchInterval)
+		}
+		for batch := range batches {
+			b.setBusy(fmt.Sprint("model/s/m", batch), false)
+		}
+		b.server.Wake()
+		running.Wait()
+		for _, s := range b.sent {
+			history.Arrivals = append(history.Arrivals, judge.Arrival{Request: s.forward.RequestID, At: s.at})
+		}
+		bound := judge.RetryBound{Window: 10 * time.Second, Ratio: 0.2, Slack: 42}
+		violations := judge.CheckRetries(&history, bound)
+		testkit.That(t, len(violations) == 0, "%v", violations)
+		testkit.That(t, len(history.Arrivals) > batches*batchSize, "no retry was sent")
+		b.stop()
+	})
+}
+
+// setBusy sets whether no backend server is ready for a unit.
+func (b *forwardTestbed) setBusy(unit string, busy bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busyUnits[unit] = busy
+}
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -57,7 +57,7 @@
 }
 
 // secureReplacement reserves another backend server for a request whose attempt is
-// silent, and a unit of the retry budget. It returns false if the request can't continue
+// silent, and a retry of the budget. It returns false if the request can't continue
 // elsewhere now. The stall guard calls it.
 func (f *forwarding) secureReplacement() bool {
 	if !f.canContinueAnswer() || f.quarantineRefusal() != nil {
@@ -71,7 +71,7 @@
 // request ended meanwhile.
 func (f *forwarding) releaseReplacement() {
 	if f.replacement != nil {
-		f.pending.release(f.replacement)
+		f.pending.release(f.replacement, f.request.Service)
 		f.replacement = nil
 	}
 }
