--- a/internal/hosted/dayfaults_test.go
+++ b/internal/hosted/dayfaults_test.go
@@ -37,6 +37,13 @@
 	{"an engine pauses", (*day).enginePauses},
 }
 
+// repeatableFaultKinds are further kinds for days in which requests may be repeated.
+var repeatableFaultKinds = []fault{
+	{"all engines fail", (*day).allEnginesFail},
+	{"all engines fail while VMs are killed in turn", (*day).allEnginesFailDuringKills},
+	{"all engines reject requests", (*day).allEnginesReject},
+}
+
 // disrupt records a disruption of a VM's network paths, or of those of all VMs if vm is
 // empty.
 func (d *day) disrupt(vm string, duration time.Duration, registry bool) {
@@ -353,3 +360,34 @@
 	defer d.statsMu.Unlock()
 	e.pausedUntil = time.Now().Add(time.Second + time.Duration(d.random.Int63n(int64(500*time.Millisecond))))
 }
+
+func (d *day) allEnginesFail(duration time.Duration) {
+	d.setAllFailing(true)
+	time.Sleep(duration)
+	d.setAllFailing(false)
+}
+
+func (d *day) allEnginesFailDuringKills(duration time.Duration) {
+	d.setAllFailing(true)
+	for endsAt := time.Now().Add(duration); time.Now().Before(endsAt); {
+		d.restart(d.randomVMs(0.5))
+		time.Sleep(500 * time.Millisecond)
+	}
+	d.setAllFailing(false)
+}
+
+// allEnginesReject makes all engines reject requests without a cooldown that others would
+// keep to.
+func (d *day) allEnginesReject(duration time.Duration) {
+	d.setAllRejecting(true)
+	time.Sleep(duration)
+	d.setAllRejecting(false)
+}
+
+func (d *day) setAllRejecting(rejecting bool) {
+	d.statsMu.Lock()
+	defer d.statsMu.Unlock()
+	for _, e := range d.engines {
+		e.rejecting = rejecting
+	}
+}
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +28,9 @@
 	recoveryDeadline = faultsEnd + 12*time.Second
 	minServedShare   = 0.5
 	engineSlots      = 8
+	// repeatableDayDivisor is how many times fewer days with repeatable requests are played: their
+	// fleets are larger.
+	repeatableDayDivisor = 4
 	// minCalmBefore is how long a VM must have been undisturbed for the bounds to apply.
 	minCalmBefore = 3 * time.Second
 )
@@ -35,6 +39,10 @@
 type day struct {
 	*engineCluster
 	random *rand.Rand
+	// kinds are the kinds of faults that are drawn.
+	kinds []fault
+	// repeatable is whether requests may be sent again after they may have run.
+	repeatable bool
 	// requestInterval is the time between two requests.
 	requestInterval time.Duration
 	// faultLog describes the selected faults.
@@ -44,7 +52,7 @@
 // run starts random faults while it sends requests, and waits until all have ended.
 func (d *day) run() {
 	for range 2 + d.random.Intn(7) {
-		kind := faultKinds[d.random.Intn(len(faultKinds))]
+		kind := d.kinds[d.random.Intn(len(d.kinds))]
 		duration := time.Duration(1+d.random.Intn(7)) * time.Second
 		at := time.Duration(d.random.Int63n(int64(faultsEnd - 8*time.Second)))
 		d.faultLog = append(d.faultLog, fmt.Sprintf("%s at %s for %s", kind.name, at, duration))
@@ -113,8 +121,12 @@
 func (d *day) violations(startedAt time.Time, engines int) []judge.Violation {
 	h := &d.history
 	var violations []judge.Violation
-	violations = append(violations, judge.CheckAtMostOnce(h)...)
-	violations = append(violations, judge.CheckHonestRefusals(h)...)
+	if d.repeatable {
+		violations = append(violations, judge.CheckRetries(h, retryBound(len(d.vms)))...)
+	} else {
+		violations = append(violations, judge.CheckAtMostOnce(h)...)
+		violations = append(violations, judge.CheckHonestRefusals(h)...)
+	}
 	violations = append(violations, judge.CheckDrainByAnswer(h, maxLeavingPropagation)...)
 	violations = append(violations, judge.CheckDrainByRegistry(h, maxLeavingPropagation, minCalmBefore)...)
 	violations = append(violations, judge.CheckRetryAfter(h, cooldownGrace, maxCooldownRequests)...)
@@ -131,6 +143,14 @@
 	}
 }
 
+// Guards against retries beyond the fleet's budget, and against the other violations, while
+// requests may be repeated and engines also fail all together.
+func TestRandomDaysOfRepeatableRequests(t *testing.T) {
+	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/repeatableDayDivisor); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playRepeatableDay(t, seed) })
+	}
+}
+
 // Guards against VMs that get less than their share of a single engine that is overloaded: the
 // others use each slot again as it becomes free.
 func TestRandomDaysOfOverloadedEngine(t *testing.T) {
@@ -148,17 +168,35 @@
 		vms = maxFullMeshPeers + 2 + random.Intn(12) // reports go through relays
 	}
 	withEngineCluster(t, vms, engines, func(b *engineCluster) {
-		d := &day{engineCluster: b, random: random}
-		startedAt := time.Now()
-		d.run()
-		violations := d.violations(startedAt, engines)
-		t.Log(d.summary())
-		if len(violations) == 0 {
-			return
-		}
-		t.Errorf("%d VMs, %d engines; %s", vms, engines, strings.Join(d.faultLog, "; "))
-		for _, v := range violations[:min(len(violations), 5)] {
-			t.Errorf("%s after %s (of %d)", v, v.At.Sub(startedAt), len(violations))
-		}
+		d := &day{engineCluster: b, random: random, kinds: faultKinds}
+		d.runAndCheck(engines)
+	})
+}
+
+// playRepeatableDay plays and checks the random day of a seed in which requests may be
+// repeated.
+func playRepeatableDay(t *testing.T, seed int64) {
+	t.Parallel()
+	random := rand.New(rand.NewSource(seed))
+	vms := 2 + random.Intn(40)
+	withRetryCluster(t, vms, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: random, repeatable: true, kinds: slices.Concat(faultKinds, repeatableFaultKinds)}
+		d.allowRepeats()
+		d.runAndCheck(retryClusterEngines)
 	})
 }
+
+// runAndCheck plays the day and checks it.
+func (d *day) runAndCheck(engines int) {
+	startedAt := time.Now()
+	d.run()
+	violations := d.violations(startedAt, engines)
+	d.Log(d.summary())
+	if len(violations) == 0 {
+		return
+	}
+	d.Errorf("%d VMs, %d engines; %s", len(d.vms), engines, strings.Join(d.faultLog, "; "))
+	for _, v := range violations[:min(len(violations), 5)] {
+		d.Errorf("%s after %s (of %d)", v, v.At.Sub(startedAt), len(violations))
+	}
+}
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -95,6 +95,8 @@
 	// rejectsVM, if set, restricts this to the VMs for which it returns true.
 	retryAfter time.Duration
 	rejectsVM  func(vm string) bool
+	// rejecting has the engine reject all requests.
+	rejecting bool
 	// lostShare is the share of its answers that are lost.
 	lostShare float64
 	// pausedUntil is until when the engine sends nothing.
@@ -220,11 +222,12 @@
 	hasRoom := b.enterRoom(e)
 	b.statsMu.Lock()
 	retryAfter := e.retryAfter
-	if e.rejectsVM != nil && !e.rejectsVM(b.vm) {
+	rejecting := e.rejecting
+	if rejecting || (e.rejectsVM != nil && !e.rejectsVM(b.vm)) {
 		retryAfter = 0
 	}
 	b.arrivals = append(b.arrivals, arrival{e.id, b.vm, time.Now(), e.leaving, retryAfter})
-	b.recordArrival(e, b.vmInstance, f.RequestID, retryAfter, hasRoom && retryAfter == 0)
+	b.recordArrival(e, b.vmInstance, f.RequestID, retryAfter, hasRoom && retryAfter == 0 && !rejecting)
 	limit, leaving, lost := e.limit, e.leaving, b.engineRandom.Float64() < e.lostShare
 	if b.engineRandom.Float64() >= e.limitShare {
 		limit = service.Limit{}
@@ -233,6 +236,10 @@
 	if !hasRoom {
 		return &service.ForwardResponse{MaxRejections: b.maxRejections(e), Leaving: leaving}, service.ErrNotRun
 	}
+	if rejecting {
+		b.leaveRoom(e)
+		return &service.ForwardResponse{Leaving: leaving}, service.ErrNotRun
+	}
 	if retryAfter > 0 {
 		b.leaveRoom(e)
 		return &service.ForwardResponse{Cooldown: retryAfter, Leaving: leaving}, service.ErrNotRun
--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -16,6 +16,8 @@
 	// hosting platform state for a fleet.
 	retryWindow = 10 * time.Second
 	retryRatio  = 0.2
+	// retryClusterEngines is the number of engines of a withRetryCluster.
+	retryClusterEngines = 2 * spreadDomainCount
 	// failingAfter is how long the engines of a retryCase answer before all of them fail.
 	failingAfter = 12 * time.Second
 )
@@ -91,7 +93,7 @@
 
 // withRetryCluster runs a test with an engineCluster whose VMs know the retry bound.
 func withRetryCluster(t *testing.T, vms int, run func(*engineCluster)) {
-	withConfiguredEngineCluster(t, vms, 2*spreadDomainCount, func(w *testCluster) {
+	withConfiguredEngineCluster(t, vms, retryClusterEngines, func(w *testCluster) {
 		w.domains, w.retryShare, w.retrySlack = spreadDomainCount, retryRatio, fleetRetrySlack(vms)
 	}, run)
 }
