hosted: the retry slack is divided by the failure domains seen, not only by those in the settings

A VM whose settings name no failure domains took its own for the only one, so that the parts of the slack added up to once the fleet's for each domain (0.75 x 3 for three). TestRetrySlackIsDividedOnce sums the parts of all VMs (9 and 30, with and without the setting; calm, partitioned for a minute, healed, all restarted).

--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -151,3 +151,32 @@
 		time.Sleep(pause)
 	}
 }
+
+// Guards against parts of the retry slack that add up to more than the fleet's, as VMs restart
+// or lose sight of each other.
+func TestRetrySlackIsDividedOnce(t *testing.T) {
+	for _, vms := range []int{9, 30} {
+		for _, knownDomains := range []int{0, spreadDomainCount} {
+			withConfiguredEngineCluster(t, vms, 1, func(w *testCluster) {
+				w.domains, w.retrySlack = knownDomains, fleetRetrySlack(vms)
+			}, func(b *engineCluster) {
+				check := func(when string) {
+					sum := 0.0
+					b.eachNode(func(_ string, n *Node) { sum += n.retrySlack.get() })
+					testkit.That(t, sum <= fleetRetrySlack(vms), "%d VMs, %s: the parts of %.0f add up to %.0f", vms, when, fleetRetrySlack(vms), sum)
+					testkit.That(t, sum >= fleetRetrySlack(vms)/2, "%d VMs, %s: the parts of %.0f add up to only %.0f", vms, when, fleetRetrySlack(vms), sum)
+				}
+				check("calm")
+				b.setDomainsPartitioned(true)
+				time.Sleep(time.Minute)
+				check("partitioned for a minute")
+				b.setDomainsPartitioned(false)
+				time.Sleep(10 * time.Second)
+				check("healed")
+				b.restartAll()
+				time.Sleep(8 * time.Second)
+				check("all restarted")
+			})
+		}
+	}
+}
--- a/internal/hosted/retryslack.go
+++ b/internal/hosted/retryslack.go
@@ -19,11 +19,11 @@
 	dividedRetrySlack = 0.75
 	// maxVMRetrySlack bounds the part of one VM, which may know few of the others.
 	maxVMRetrySlack = 10
-	// domainSizeTTL is how long a failure domain counts as large as it was. It exceeds
-	// network partitions, whose sides would otherwise divide the slack a second time each.
-	domainSizeTTL = 5 * time.Minute
-	// domainSizeInterval is the time between two counts of a failure domain's VMs.
-	domainSizeInterval = 500 * time.Millisecond
+	// fleetSizeTTL is how long the fleet counts as large as it was. It exceeds network
+	// partitions, whose sides would otherwise divide the slack a second time each.
+	fleetSizeTTL = 5 * time.Minute
+	// fleetSizeInterval is the time between two counts of the fleet.
+	fleetSizeInterval = 500 * time.Millisecond
 )
 
 // retrySlack is this VM's part of the retries that all VMs together may make at a service
@@ -32,51 +32,57 @@
 type retrySlack struct {
 	node *Node
 
-	mu     sync.Mutex
-	domain domainSize
+	mu sync.Mutex
+	// domains counts the failure domains, domainVMs the VMs of this VM's own.
+	domains, domainVMs recentMax
 }
 
-func newRetrySlack(n *Node) *retrySlack { return &retrySlack{node: n, domain: domainSize{vms: 1}} }
+func newRetrySlack(n *Node) *retrySlack { return &retrySlack{node: n} }
 
 // get returns the number of retries.
 func (r *retrySlack) get() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	domains := max(r.node.config.Domains, 1)
-	return math.Min(maxVMRetrySlack, dividedRetrySlack*r.node.config.RetrySlack/float64(domains*r.domain.vms))
+	parts := max(r.node.config.Domains, r.domains.count, 1) * max(r.domainVMs.count, 1)
+	return math.Min(maxVMRetrySlack, dividedRetrySlack*r.node.config.RetrySlack/float64(parts))
 }
 
-// run counts the VMs of this VM's failure domain until ctx ends.
+// run counts the fleet until ctx ends.
 func (r *retrySlack) run(ctx context.Context) {
-	pause.Every(ctx, domainSizeInterval, func(context.Context) {
-		vms := 1 + r.node.members.countSeenInDomain()
+	pause.Every(ctx, fleetSizeInterval, func(context.Context) {
+		domains, domainVMs := r.node.members.countSeen()
+		now := time.Now()
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.domain.update(time.Now(), vms)
+		r.domains.update(now, domains)
+		r.domainVMs.update(now, domainVMs)
 	})
 }
 
-// domainSize is the largest recent number of a failure domain's VMs.
-type domainSize struct {
-	vms    int
+// recentMax is the maximum of the counts of the last fleetSizeTTL or, if they have been lower
+// since, the newest of them.
+type recentMax struct {
+	count  int
 	seenAt time.Time
 }
 
-func (d *domainSize) update(now time.Time, vms int) {
-	if vms >= d.vms || now.Sub(d.seenAt) > domainSizeTTL {
-		d.vms, d.seenAt = vms, now
+func (m *recentMax) update(now time.Time, count int) {
+	if count >= m.count || now.Sub(m.seenAt) > fleetSizeTTL {
+		m.count, m.seenAt = count, now
 	}
 }
 
-// countSeenInDomain returns how many other VMs of this domain this VM has seen and not
-// forgotten since, whether they are live or not.
-func (m *members) countSeenInDomain() (seen int) {
+// countSeen returns how many failure domains, and how many VMs of its own, this VM has seen
+// and not forgotten since, whether they are live or not. Both include this VM.
+func (m *members) countSeen() (domains, domainVMs int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	own := m.node.config.Domain
+	vms := map[string]int{own: 1}
 	for _, p := range m.peers {
-		if !p.lastSeen.IsZero() && p.report.Domain == m.node.config.Domain {
-			seen++
+		if !p.lastSeen.IsZero() {
+			vms[p.report.Domain]++
 		}
 	}
-	return seen
+	return len(vms), vms[own]
 }
