--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -222,6 +222,7 @@
 	case isTerminalError(cause):
 		return cause
 	case f.replacement != nil:
+		f.releaseRetry() // the replacement has reserved another one
 		f.retry = retryReserved
 		f.movedFrom = f.pending.backend
 		f.pending.moveTo(f.replacement, f.outcome)
--- a/internal/serving/retries_test.go
+++ b/internal/serving/retries_test.go
@@ -76,3 +76,33 @@
 	defer b.mu.Unlock()
 	b.busyUnits[unit] = busy
 }
+
+// Guards against reserved retries that are never released, so that a budget shrinks for good: a
+// retry that can't be sent is replaced on another backend server.
+func TestReplacedRetriesAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardTestbed(t)
+		attempt := 0
+		b.respond = func(ctx context.Context, _ int, _ sentRequest) (*service.ForwardResponse, error) {
+			attempt++
+			switch attempt {
+			case 1:
+				return nil, service.ErrOutcomeUnknown
+			case 2:
+				<-ctx.Done()
+				return nil, service.ErrNotSent
+			default:
+				return completeAnswer(200, "whole"), nil
+			}
+		}
+		repeatable := route(contract.RepeatSafe)
+		repeatable.MaxAttempts = 4
+		for range 10 {
+			attempt = 0
+			testkit.OK(t, b.forward(t.Context(), repeatable, "", &answerRecorder{}))
+			testkit.Equal(t, "attempts", attempt, 3)
+			time.Sleep(time.Minute)
+		}
+		b.stop()
+	})
+}
