--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -117,6 +117,8 @@
 		b.lostPaths = make(map[string]*lostPath)
 		b.sentAt, b.vmStarts, b.killedInstances = make(map[string]time.Time), make(map[string]int), make(map[vmInstance]bool)
 		w.forwarderOf = func(vm string) service.Forwarder {
+			b.statsMu.Lock()
+			defer b.statsMu.Unlock()
 			b.vmStarts[vm]++
 			return vmEngineCluster{b, vmInstance{vm, b.vmStarts[vm]}}
 		}
