admission, hosted: retry budgets use the token bucket of quotas, counts of VMs one loop

The read-through found that RetryBudget wrote the refill and the capacity of quota.Bucket again, and countSeen the loop of countKnownInDomain. The budget holds a Bucket now (SetRate refills it, Borrow adds a request's share or a returned token), and both counts go through members.eachSeen. Same behaviour but for one detail: after a change of the slack, the time before it counts at the old rate. Tests of admission, serving and node pass, and of hosted those of retries, quotas, restarts and lost state.

--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"bergamotreel/admission/quota"
 	"bergamotreel/internal/meter"
 )
 
@@ -49,21 +50,17 @@
 	// DefaultRetryWindow.
 	Window time.Duration
 
-	tokens     float64
-	refilledAt time.Time
+	bucket quota.Bucket
 	// reserved is how many of the tokens are reserved.
 	reserved int
 	requests meter.Window
 }
 
 // Start starts the budget of a process that has run since the given time.
-func (b *RetryBudget) Start(since time.Time) { b.refilledAt = since }
+func (b *RetryBudget) Start(since time.Time) { b.refill(since) }
 
 // Fill fills the budget to its capacity, for a VM that never had another process.
-func (b *RetryBudget) Fill(now time.Time) {
-	b.tokens = math.Inf(1)
-	b.refill(now)
-}
+func (b *RetryBudget) Fill(now time.Time) { b.bucket.Borrow(now, b.refill(now)) }
 
 // RetryUsage is the state of a RetryBudget: the tokens that are not reserved, and how many it
 // holds at most.
@@ -72,7 +69,7 @@
 // RecordRequest counts the first attempt of a request.
 func (b *RetryBudget) RecordRequest(now time.Time) {
 	b.refill(now)
-	b.tokens += b.share()
+	b.bucket.Borrow(now, b.share())
 	b.requests.Add(now, b.window())
 }
 
@@ -94,10 +91,10 @@
 func (b *RetryBudget) Spend(now time.Time) bool {
 	b.refill(now)
 	b.Release()
-	if b.tokens < 1 {
+	if b.bucket.Level(now) < 1 {
 		return false
 	}
-	b.tokens--
+	b.bucket.Take(now, 1, 0)
 	return true
 }
 
@@ -106,7 +103,7 @@
 
 // Unspend makes a retry that was spent and has reached no backend server a reserved one again.
 func (b *RetryBudget) Unspend(now time.Time) {
-	b.tokens++
+	b.bucket.Borrow(now, 1)
 	b.reserved++
 	b.refill(now)
 }
@@ -117,20 +114,14 @@
 // Usage returns the state of the budget.
 func (b *RetryBudget) Usage(now time.Time) RetryUsage {
 	capacity := b.refill(now)
-	return RetryUsage{Left: b.tokens - float64(b.reserved), Capacity: capacity}
+	return RetryUsage{Left: b.bucket.Level(now) - float64(b.reserved), Capacity: capacity}
 }
 
 // refill adds the tokens of the time since the last call, drops those above the capacity, and
 // returns the capacity.
 func (b *RetryBudget) refill(now time.Time) (capacity float64) {
-	if age := now.Sub(b.refilledAt); age > 0 {
-		if !b.refilledAt.IsZero() {
-			b.tokens += (1 - slackCapacityShare) * b.Slack * age.Seconds() / b.window().Seconds()
-		}
-		b.refilledAt = now
-	}
 	capacity = slackCapacityShare*b.Slack + retryBurstShare*b.share()*float64(b.requests.Count(now, b.window()))
-	b.tokens = math.Min(b.tokens, capacity)
+	b.bucket.SetRate(now, (1-slackCapacityShare)*b.Slack/b.window().Seconds(), capacity)
 	return capacity
 }
 
--- a/internal/hosted/liveness.go
+++ b/internal/hosted/liveness.go
@@ -17,6 +17,18 @@
 	m.eachLiveLocked(now, f)
 }
 
+// eachSeen calls f with the newest report of each peer that this VM has seen and not forgotten
+// since, live or not, while it holds mu.
+func (m *members) eachSeen(f func(*entryvm.Report)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !p.lastSeen.IsZero() {
+			f(&p.report)
+		}
+	}
+}
+
 // eachLiveLocked is eachLive for callers that hold mu.
 func (m *members) eachLiveLocked(now time.Time, f func(*entryvm.Report)) {
 	for _, p := range m.peers {
--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -93,12 +93,10 @@
 // from and not forgotten since, without those that are leaving. A VM that has just started
 // knows VMs by name that it has no report from yet; they don't count.
 func (m *members) countKnownInDomain() (known int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if !p.lastSeen.IsZero() && p.report.Domain == m.node.config.Domain && !p.report.Leaving {
+	m.eachSeen(func(r *entryvm.Report) {
+		if r.Domain == m.node.config.Domain && !r.Leaving {
 			known++
 		}
-	}
+	})
 	return known
 }
--- a/internal/hosted/retryslack.go
+++ b/internal/hosted/retryslack.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
 )
 
@@ -75,14 +76,8 @@
 // countSeen returns how many failure domains, and how many VMs of its own, this VM has seen
 // and not forgotten since, whether they are live or not. Both include this VM.
 func (m *members) countSeen() (domains, domainVMs int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	own := m.node.config.Domain
 	vms := map[string]int{own: 1}
-	for _, p := range m.peers {
-		if !p.lastSeen.IsZero() {
-			vms[p.report.Domain]++
-		}
-	}
+	m.eachSeen(func(r *entryvm.Report) { vms[r.Domain]++ })
 	return len(vms), vms[own]
 }
