serving, platform: attempts log how their answer marks its end, and whether it ends within an event

No decision changes. Now: framing (length, chunked, until_close), inside_event, and bergamotreel_unframed_answers_total by how they ended. Ruled out as sources: the reasons in the logs, which exist for errors only; the pieces, which say nothing about an end.

--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/contract"
 	"bergamotreel/service"
 )
@@ -24,6 +27,7 @@
 
 // deliver forwards the answer to the caller.
 func (f *forwarding) deliver(head *service.ForwardResponse, guard *stallGuard) error {
+	f.framing, f.eventStream = framingName(head.Length), isEventStream(f.request.Route, head)
 	failed := head.Status >= http.StatusInternalServerError
 	switch {
 	case failed && f.canRepeat():
@@ -148,6 +152,7 @@
 		return false
 	}
 	if len(piece) > 0 {
+		f.boundary.advance(piece)
 		f.recordProgress(now)
 	}
 	return true
@@ -170,3 +175,57 @@
 		f.pending.recordFirstToken(now)
 	}
 }
+
+// isEventStream reports whether the answer's body is an event stream.
+func isEventStream(route *contract.Route, head *service.ForwardResponse) bool {
+	if head.Status >= http.StatusMultipleChoices {
+		return false
+	}
+	contentType := head.Header.Get("Content-Type")
+	if contentType == "" {
+		return route.Stream
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// unframedAnswersTotal counts the answers that ended with their connection, by what is known of
+// their end.
+const unframedAnswersTotal = "bergamotreel_unframed_answers_total"
+
+var (
+	unframedClosed      = metrics.NewCounter(unframedAnswersTotal + `{end="closed"}`)
+	unframedInsideEvent = metrics.NewCounter(unframedAnswersTotal + `{end="inside_event"}`)
+	unframedBroken      = metrics.NewCounter(unframedAnswersTotal + `{end="broken"}`)
+)
+
+// countUnframed counts the attempt's answer if it ended with its connection.
+func (f *forwarding) countUnframed(err error) {
+	switch {
+	case f.framing != framingUntilClose:
+	case f.endsInsideEvent():
+		unframedInsideEvent.Inc()
+	case err != nil:
+		unframedBroken.Inc()
+	default:
+		unframedClosed.Inc()
+	}
+}
+
+// endsInsideEvent reports whether what was received of the answer ends within an event.
+func (f *forwarding) endsInsideEvent() bool { return f.eventStream && f.boundary.isInside() }
+
+// framingUntilClose is the name of LengthUntilClose in logs.
+const framingUntilClose = "until_close"
+
+// framingName returns how the end of a body of this length is marked.
+func framingName(length int64) string {
+	switch length {
+	case service.LengthUntilClose:
+		return framingUntilClose
+	case service.LengthChunked:
+		return "chunked"
+	default:
+		return "length"
+	}
+}
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -108,3 +108,43 @@
 	line, _, _ := bytes.Cut(events[i+len(field):], []byte("\n"))
 	r.lastID = string(bytes.TrimSpace(line))
 }
+
+// eventBoundary tracks whether an event stream that is read in pieces is between two events.
+// Lines end with LF, CR or CRLF, and an empty line ends an event. Comments belong to no event.
+type eventBoundary struct {
+	// inLine is whether the current line has begun, inComment whether it is a comment.
+	inLine, inComment bool
+	// inEvent is whether a line of the current event has been seen.
+	inEvent bool
+	// afterCR is whether the last byte ended a line as CR: a following LF belongs to it.
+	afterCR bool
+}
+
+// advance processes the next piece of the stream.
+func (b *eventBoundary) advance(piece []byte) {
+	for _, c := range piece {
+		switch {
+		case c == '\n' && b.afterCR:
+			b.afterCR = false
+		case c == '\n' || c == '\r':
+			b.endLine()
+			b.afterCR = c == '\r'
+		default:
+			b.inComment = b.inComment || (!b.inLine && c == ':')
+			b.inLine, b.afterCR = true, false
+		}
+	}
+}
+
+func (b *eventBoundary) endLine() {
+	switch {
+	case !b.inLine:
+		b.inEvent = false
+	case !b.inComment:
+		b.inEvent = true
+	}
+	b.inLine, b.inComment = false, false
+}
+
+// isInside reports whether the stream has an unfinished event or line.
+func (b *eventBoundary) isInside() bool { return b.inLine || b.inEvent }
--- a/internal/serving/events_test.go
+++ b/internal/serving/events_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"testing/iotest"
 
@@ -57,3 +58,35 @@
 		testkit.That(t, len(part) == lastEventEnd(stream), "got %q of %q", part, stream)
 	})
 }
+
+// Guards against a stream that is cut off within an event and looks whole, and against a whole one
+// that looks cut off, however it is split into reads.
+func TestEventBoundary(t *testing.T) {
+	for _, test := range []struct {
+		stream string
+		inside bool
+	}{
+		{"", false},
+		{"data: x\n\n", false},
+		{"data: x\r\n\r\n", false},
+		{"data: x\r\r", false},
+		{"data: x\n\n\n", false},
+		{": comment\n", false},
+		{"data: x\n\n: comment\n", false},
+		{"d", true},
+		{"data: x", true},
+		{"data: x\n", true},
+		{"data: x\r\n", true},
+		{"data: x\n: comment\n", true},
+		{"data: x\n\nid: 2\ndata", true},
+		{": comm", true},
+	} {
+		for size := 1; size <= len(test.stream)+1; size++ {
+			var b eventBoundary
+			for piece := range slices.Chunk([]byte(test.stream), size) {
+				b.advance(piece)
+			}
+			testkit.That(t, b.isInside() == test.inside, "%q in pieces of %d: inside an event: %t", test.stream, size, b.isInside())
+		}
+	}
+}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -128,6 +128,12 @@
 	// after it; zero before the first. pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
+	// framing is how the current attempt's answer marks its end, empty before its head.
+	framing string
+	// eventStream is whether the current attempt's answer is an event stream, boundary where
+	// in it the received data ends.
+	eventStream bool
+	boundary    eventBoundary
 	// lastDelivered is when the caller received its last event, zero before the first.
 	lastDelivered time.Time
 	// keptSilent is whether the last attempt was silent for too long and went on, as
@@ -176,6 +182,7 @@
 		}
 		err = f.attempt(ctx)
 		f.logAttempt(err)
+		f.countUnframed(err)
 		if f.keptSilent {
 			silentKept.Inc()
 		}
@@ -287,6 +294,7 @@
 func (f *forwarding) attempt(ctx context.Context) error {
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
+	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
 	if !ok {
 		f.outcome = attemptOutcome{excludeBackend: true}
@@ -413,6 +421,12 @@
 	if f.keptSilent {
 		fields = append(fields, zap.Bool("kept_silent", true))
 	}
+	if f.framing != "" {
+		fields = append(fields, zap.String("framing", f.framing))
+	}
+	if f.endsInsideEvent() {
+		fields = append(fields, zap.Bool("inside_event", true))
+	}
 	if f.target.Gateway != "" {
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -65,15 +65,25 @@
 	PerSecond float64
 }
 
+// Values of ForwardResponse.Length for a body whose length is not known in advance.
+const (
+	// LengthChunked is that of a body whose sender marks its end.
+	LengthChunked int64 = -1
+	// LengthUntilClose is that of a body that ends with its connection (RFC 9112, 6.3). Its end
+	// doesn't show whether the sender had sent the whole answer.
+	LengthUntilClose int64 = -2
+)
+
 // ForwardResponse is the head of an answer and the reader of its body.
 type ForwardResponse struct {
 	Status int
 	// Header has no hop-by-hop fields.
 	Header http.Header
-	// Length is the length of the body, -1 if it is not known in advance.
+	// Length is the length of the body in bytes, LengthChunked or LengthUntilClose.
 	Length int64
-	// Body ends with io.EOF only after the whole answer. Any other error means
-	// that the answer was truncated. The caller must close Body.
+	// Body ends with io.EOF only after the whole answer or, with LengthUntilClose, when its
+	// connection was closed in good order. Any other error means that the answer was truncated.
+	// The caller must close Body.
 	Body io.ReadCloser
 	// Limit is the rate limit that the answer sets on further requests.
 	Limit Limit
