--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -20,6 +20,7 @@
 	"bergamotreel/internal/pipenet"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
+	"bergamotreel/service"
 )
 
 // plainDialect reads X-Id and X-Wait-Ms.
@@ -169,6 +170,38 @@
 	}
 }
 
+// Guards against an answer whose end nobody has marked and that a caller takes for complete, as
+// its chunks have an end, or for broken, as it is one that ended with its connection.
+func TestRelayAnswerUntilClose(t *testing.T) {
+	for _, test := range []struct {
+		protocol string
+		length   int64
+		broken   bool
+	}{
+		{"HTTP/1.1", service.LengthUntilClose, false},
+		{"HTTP/1.1", service.LengthUntilClose, true},
+		{"HTTP/1.0", service.LengthChunked, false},
+		{"HTTP/1.0", service.LengthChunked, true},
+		{"HTTP/1.0", service.LengthUntilClose, true},
+	} {
+		b := &relayBackend{relay: func(_ context.Context, _ RelayRequest, answer AnswerWriter) error {
+			answer.WriteHead(200, http.Header{}, test.length)
+			_ = answer.Write([]byte("part"))
+			if test.broken {
+				return errors.New("broken")
+			}
+			return nil
+		}}
+		conn := testkit.Value(net.Dial("tcp", startRelayServer(t, b, Limits{})))(t)
+		_, _ = io.WriteString(conn, "GET /a "+test.protocol+"\r\nHost: h.example\r\nX-Id: 7\r\n\r\n")
+		answer := testkit.Value(http.ReadResponse(bufio.NewReader(conn), nil))(t)
+		_, err := io.ReadAll(answer.Body)
+		testkit.That(t, answer.ContentLength < 0 && len(answer.TransferEncoding) == 0, "%+v: framed as %d %v", test, answer.ContentLength, answer.TransferEncoding)
+		testkit.That(t, (err != nil) == test.broken, "%+v: read error %v", test, err)
+		conn.Close()
+	}
+}
+
 // The pieces of a stream must reach the caller at once, and a disconnect of the caller
 // must cancel the request at once. The read timeout must not end the answer.
 func TestRelayStreamsAndDetectsDisconnect(t *testing.T) {
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -182,6 +182,7 @@
 // answerRecorder records the answer that a caller receives.
 type answerRecorder struct {
 	status   int
+	length   int64
 	begun    bool
 	body     strings.Builder
 	writeErr error
@@ -189,8 +190,8 @@
 	writeTime time.Duration
 }
 
-func (r *answerRecorder) WriteHead(status int, _ http.Header, _ int64) {
-	r.status, r.begun = status, true
+func (r *answerRecorder) WriteHead(status int, _ http.Header, length int64) {
+	r.status, r.length, r.begun = status, length, true
 }
 func (r *answerRecorder) HasBegun() bool { return r.begun }
 func (r *answerRecorder) Write(piece []byte) error {
