serving, caller: an answer that ends with its connection keeps that framing, and a cut-off one is broken off

Cause: an answer may have neither a length nor chunks and end with its connection (RFC 9112, 6.3 and 8); service.ForwardResponse knew only 'length unknown', so the end of the connection was taken for the end of the answer, and the caller's writer stated that end in chunks. Class: an end that nobody stated is passed on as a stated one.

Now - the framing is part of the head (service.LengthUntilClose), and the caller's answer has the same one: no chunks, ended by the connection; - until such an answer is complete, closing its connection resets it (SO_LINGER 0), also when the process is killed: closed in good order, it would look complete. The same for callers of HTTP/1.0, whose answers never have chunks; - a stream that ends inside an event, in any framing, or with its connection before its first event is cut off: resumed, or broken off. A framed stream that an unframed answer continues is not called complete.

Ruled out: a false end stated by the backend server and a break lost in the VM: framed answers that are cut off were and are broken off (existing tests). Weighed: breaking off every unframed answer (loses whole ones); resuming after the last event to learn of the end (a retry of the budget for each whole stream).

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -18,7 +18,12 @@
 type answerWriter struct {
 	w      http.ResponseWriter
 	limits Limits
-	begun  bool
+	// conn is the caller's connection, nil if it is shared by requests or isn't known.
+	conn *limitedConn
+	// supportsChunks is whether the caller's protocol can mark the end of a body whose length
+	// isn't known in advance.
+	supportsChunks bool
+	begun          bool
 	// begunAt is the time at which the head was sent.
 	begunAt time.Time
 	status  int
@@ -28,6 +33,14 @@
 	deadline time.Time
 }
 
+func newAnswerWriter(w http.ResponseWriter, r *http.Request, limits Limits) answerWriter {
+	a := answerWriter{w: w, limits: limits, supportsChunks: r.ProtoAtLeast(1, 1)}
+	if r.ProtoMajor == 1 {
+		a.conn = connectionOf(r.Context())
+	}
+	return a
+}
+
 // WriteHead implements AnswerWriter.
 func (a *answerWriter) WriteHead(status int, header http.Header, length int64) {
 	a.begun = true
@@ -41,11 +54,18 @@
 	if closing {
 		out.Set("Connection", "close")
 	}
-	if length >= 0 {
+	switch {
+	case length >= 0:
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
-	} else {
+	case length == service.LengthUntilClose:
+		out.Set("Transfer-Encoding", "identity") // makes net/http end the answer with the connection
+		fallthrough
+	default:
 		out.Del("Content-Length") // may be in the backend server's header
 	}
+	if length == service.LengthUntilClose || (length < 0 && !a.supportsChunks) {
+		a.conn.setResetOnClose(true)
+	}
 	if out.Get("Content-Type") == "" {
 		out["Content-Type"] = nil // keeps net/http from guessing one
 	}
@@ -70,6 +90,12 @@
 	return Error.Wrap(http.NewResponseController(a.w).Flush())
 }
 
+// complete prepares the end of the answer, which net/http sends next.
+func (a *answerWriter) complete() {
+	a.extendDeadline()
+	a.conn.setResetOnClose(false)
+}
+
 // HasBegun implements AnswerWriter.
 func (a *answerWriter) HasBegun() bool { return a.begun }
 
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -175,6 +175,22 @@
 	return c.Conn.Close()
 }
 
+// setResetOnClose sets whether closing the connection resets it, also if the process ends. An
+// answer that ends with its connection would look complete if the connection were closed in good
+// order within it. A nil connection is left alone.
+func (c *limitedConn) setResetOnClose(reset bool) {
+	if c == nil {
+		return
+	}
+	linger := -1 // the default of the system
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger) // fails only if the connection is closed
+	}
+}
+
 func (c *limitedConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -64,16 +64,22 @@
 	return limited
 }
 
-type overLimitKey struct{}
+type connectionKey struct{}
 
-// markOverLimit stores in the context of a connection's requests whether the
-// connection is over the limit.
-func markOverLimit(ctx context.Context, conn net.Conn) context.Context {
-	limited, ok := unwrapConn(conn)
-	return context.WithValue(ctx, overLimitKey{}, ok && limited.overLimit)
+// withConnection stores a connection in the context of its requests.
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	limited, _ := unwrapConn(conn)
+	return context.WithValue(ctx, connectionKey{}, limited)
 }
 
+// connectionOf returns the connection of a request, nil if a Server doesn't serve it.
+func connectionOf(ctx context.Context) *limitedConn {
+	conn, _ := ctx.Value(connectionKey{}).(*limitedConn)
+	return conn
+}
+
+// isOverLimit reports whether the request's connection is over the limit.
 func isOverLimit(ctx context.Context) bool {
-	over, _ := ctx.Value(overLimitKey{}).(bool)
-	return over
+	conn := connectionOf(ctx)
+	return conn != nil && conn.overLimit
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -96,7 +96,8 @@
 // AnswerWriter sends the answer of a RelayRequest to the caller: first its head, then
 // its body piece by piece.
 type AnswerWriter interface {
-	// WriteHead sends the head; length is the body's length, -1 if unknown.
+	// WriteHead sends the head; length is the body's length, as in service.ForwardResponse. The
+	// end of a body with service.LengthUntilClose is not marked for the caller either.
 	WriteHead(status int, header http.Header, length int64)
 	// Write sends a piece of the body at once. An error means that the caller
 	// disconnected.
@@ -145,7 +146,8 @@
 	refusalMarginDivisor = 5
 )
 
-// RelayHandler is an http.Handler that forwards requests unchanged. It uses no
+// RelayHandler is an http.Handler that forwards requests unchanged. Only a Server shows the
+// callers of HTTP/1 that an answer which ends with its connection was broken off. The handler uses no
 // http.ServeMux, which would redirect paths that are not in canonical form, although
 // the path is the backend server's to interpret.
 type RelayHandler struct {
@@ -175,11 +177,11 @@
 // completed, so that a partial answer doesn't look complete.
 func (h *RelayHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	x := &relayExchange{answer: answerWriter{w: w, limits: h.limits}, arrived: arrived}
+	x := &relayExchange{answer: newAnswerWriter(w, r, h.limits), arrived: arrived}
 	err := h.relay(x, r)
 	h.record(x, r, err)
 	if err == nil {
-		x.answer.extendDeadline() // net/http sends the end of the answer next
+		x.answer.complete()
 		return
 	}
 	if x.answer.begun || r.Context().Err() != nil {
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -57,9 +57,11 @@
 
 // startRelayServer serves a backend over TCP and returns the address.
 func startRelayServer(t *testing.T, b *relayBackend, limits Limits) string {
-	server := httptest.NewServer(NewRelayHandler(b, plainDialect{}, limits, zap.NewNop()))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	server := NewServer(NewRelayHandler(b, plainDialect{}, limits, zap.NewNop()), limits, nil)
+	listener := testkit.Value(Listen(t.Context(), "127.0.0.1:0"))(t)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
 }
 
 // exchangeRaw sends raw text over a new connection and returns everything received until
--- a/caller/server.go
+++ b/caller/server.go
@@ -58,7 +58,7 @@
 		MaxHeaderBytes: s.limits.HeaderBytes,
 		ReadTimeout:    s.limits.ReadTimeout,
 		IdleTimeout:    s.limits.IdleTimeout,
-		ConnContext:    markOverLimit,
+		ConnContext:    withConnection,
 		ConnState:      trackState,
 	}
 	return s
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -22,6 +22,16 @@
 	copyBufferSize = 16 << 10
 )
 
+var (
+	// errEventCutOff reports that an event stream ended within an event.
+	errEventCutOff = errors.New("the stream ended within an event")
+	// errEndUnknown reports that a stream which the caller receives with a marked end was
+	// continued by an answer without one.
+	errEndUnknown = errors.New("the stream ended with its connection, complete or not")
+	// errNoEvent reports that an event stream ended with its connection before its first event.
+	errNoEvent = errors.New("the stream ended without an event")
+)
+
 // errServerFailed reports that the backend server answered with a 5xx status.
 var errServerFailed = errors.New("the backend server failed")
 
@@ -87,8 +97,7 @@
 			f.endPiece(guard)
 		}
 		if errors.Is(err, io.EOF) {
-			f.beginAnswer(head)
-			return nil
+			return f.endAnswer(head)
 		}
 		if err != nil {
 			return err
@@ -98,13 +107,18 @@
 
 // deliverEvents forwards complete events and stores the id of the last one.
 func (f *forwarding) deliverEvents(head *service.ForwardResponse, guard *stallGuard) error {
-	head.Length = -1 // the length of one attempt's answer isn't that of the resumed stream
+	if head.Length >= 0 {
+		head.Length = service.LengthChunked // the length of one attempt's answer isn't that of the resumed stream
+	}
 	events := newEventReader(head.Body)
 	for {
 		whole, err := events.next()
 		if !f.acceptPiece(guard, whole, err) {
 			return errReplaced
 		}
+		if errors.Is(err, io.EOF) && f.endsInsideEvent() {
+			return errEventCutOff
+		}
 		if len(whole) > 0 {
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
@@ -117,8 +131,7 @@
 			f.lastDelivered = f.lastReceived
 		}
 		if errors.Is(err, io.EOF) {
-			f.beginAnswer(head)
-			return nil
+			return f.endAnswer(head)
 		}
 		if err != nil {
 			return err
@@ -126,10 +139,27 @@
 	}
 }
 
+// endAnswer checks the end of an answer that its backend server ended in good order, and sends
+// the head if the body is empty.
+func (f *forwarding) endAnswer(head *service.ForwardResponse) error {
+	switch {
+	case f.endsInsideEvent():
+		return errEventCutOff
+	case head.Length != service.LengthUntilClose:
+	case f.eventStream && f.pieces == 0:
+		return errNoEvent
+	case f.answer.HasBegun() && f.answerLength != service.LengthUntilClose:
+		return errEndUnknown
+	}
+	f.beginAnswer(head)
+	return nil
+}
+
 // beginAnswer sends the head of the first attempt that returns data; a resumed
 // stream keeps that head.
 func (f *forwarding) beginAnswer(head *service.ForwardResponse) {
 	if !f.answer.HasBegun() {
+		f.answerLength = head.Length
 		f.answer.WriteHead(head.Status, head.Header, head.Length)
 	}
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -134,6 +134,8 @@
 	// in it the received data ends.
 	eventStream bool
 	boundary    eventBoundary
+	// answerLength is the length that the caller's answer began with.
+	answerLength int64
 	// lastDelivered is when the caller received its last event, zero before the first.
 	lastDelivered time.Time
 	// keptSilent is whether the last attempt was silent for too long and went on, as
