serving: an answer that ended with its connection doesn't clear a request of crashing its backend server

A request that crashes what runs it may get an answer with neither length nor chunks whose connection the crash closes between two events: it counted as a success and cleared the suspect. It is no evidence now, for or against. The breaker goes on taking it for an answer: the backend server did answer, and a plain one that never frames its answers would not recover otherwise.

TestUnframedAnswerDoesNotClearSuspect: 1 success instead of 0 before, ok after.

--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -43,7 +43,8 @@
 	switch {
 	case q == nil:
 	case err == nil:
-		if q.HasSuspects() && head.Status < http.StatusMultipleChoices {
+		// An answer that ended with its connection may have been cut off.
+		if q.HasSuspects() && head.Status < http.StatusMultipleChoices && head.Length != service.LengthUntilClose {
 			q.RecordSuccess(f.requestFingerprint())
 		}
 	case f.outcome.mayHaveRun && ctx.Err() == nil && !isTerminalError(err) && !errors.Is(err, errServerFailed):
--- a/internal/serving/unframed_test.go
+++ b/internal/serving/unframed_test.go
@@ -21,6 +21,23 @@
 	}
 }
 
+// Guards against a request that crashes what runs it and is cleared of suspicion by an answer that
+// ended with its connection, as it does in a crash.
+func TestUnframedAnswerDoesNotClearSuspect(t *testing.T) {
+	for length, want := range map[int64]int{service.LengthUntilClose: 0, service.LengthChunked: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardTestbed(t)
+			b.suspects = true
+			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+				return streamAnswer(length, event(1)), nil
+			}
+			testkit.OK(t, b.forward(t.Context(), route(contract.RepeatNever), "m", &answerRecorder{}))
+			testkit.Equal(t, "successes", b.successes, want)
+			b.stop()
+		})
+	}
+}
+
 // Guards against an answer without a frame that was cut off and reaches its caller as complete: it
 // ends with its connection, which also ends when the backend server crashes. What is known to be cut off
 // is resumed or broken off; of the rest, the caller gets the same framing.
