service, engine: an answer that ended with its connection has an unknown outcome

The clients read such an answer to the end of its connection as a whole one: the half of a booking was kept under its idempotency key and returned to every later arrival, the half of an exported KV cache imported elsewhere. Ruled out by reading: streams (end with [DONE]), JSON bodies (half a value doesn't decode), records of the platform's log (each has its length; a read that ends between two continues at the next).

TestUnframedAnswerHasUnknownOutcome and TestUnframedExportHasUnknownOutcome: nil error before, ok after.

--- a/engine/client.go
+++ b/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,6 +44,9 @@
 	CodeBadRequest    = "bad_request"    // 400
 )
 
+// errUnframed reports that an answer ended with its connection, complete or not.
+var errUnframed = errors.New("answer with neither length nor chunks")
+
 // MaxBodyBytes bounds a JSON answer and an exported KV cache.
 const MaxBodyBytes = 256 << 20
 
@@ -204,6 +208,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if sendonce.IsUnframed(response) {
+		return nil, outcomeUnknown(errUnframed)
+	}
 	return readBody(response)
 }
 
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"bergamotreel/engine"
+	"bergamotreel/internal/sendonce"
 	"bergamotreel/internal/testkit"
 )
 
@@ -127,3 +129,16 @@
 	client := newClient(fixedResponse{http.StatusOK, "", "{"})
 	testkit.WantError(t, "malformed answer", testkit.Err(client.Order(t.Context(), "e", engine.Order{})), engine.ErrOutcomeUnknown)
 }
+
+// Guards against the half of a KV cache that is imported elsewhere as the whole: its engine ended
+// the export with the connection, as a crash does.
+func TestUnframedExportHasUnknownOutcome(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, _ = io.WriteString(w, "half")
+	}))
+	defer server.Close()
+	client := engine.NewClient(sendonce.NewClient())
+	_, err := client.ExportKV(t.Context(), server.Listener.Addr().String(), "r")
+	testkit.WantError(t, "export", err, engine.ErrOutcomeUnknown)
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -200,3 +200,10 @@
 	}
 	return answer, true, nil
 }
+
+// IsUnframed reports whether the body of an answer has neither a length nor chunks and ends with
+// its connection (RFC 9112, 6.3). Its end doesn't show whether the answer was complete.
+func IsUnframed(answer *http.Response) bool {
+	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 &&
+		answer.Request.Method != http.MethodHead
+}
--- a/service/client.go
+++ b/service/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// errUnframed reports that an answer ended with its connection, complete or not.
+var errUnframed = errors.New("answer with neither length nor chunks")
+
 // HTTPClient is a Client over HTTP. It is safe for concurrent use.
 type HTTPClient struct {
 	http *http.Client
@@ -58,6 +62,9 @@
 	if err != nil {
 		return Answer{}, outcomeUnknown(err)
 	}
+	if sendonce.IsUnframed(response) {
+		return Answer{}, outcomeUnknown(errUnframed)
+	}
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, outcomeUnknown(fmt.Errorf("answer over %d bytes", MaxAnswerBytes))
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// Guards against the half of an answer that is kept under its call's idempotency key as the whole:
+// its backend server ended it with the connection, as a crash does.
+func TestUnframedAnswerHasUnknownOutcome(t *testing.T) {
+	for name, transferEncoding := range map[string]string{"unframed": "identity", "framed": "chunked"} {
+		synctest.Test(t, func(t *testing.T) {
+			client := newPipeClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Transfer-Encoding", transferEncoding)
+				_, _ = io.WriteString(w, `{"slot":`)
+			}))
+			answer, err := client.Do(t.Context(), "booking", bookingCall("r1"))
+			testkit.That(t, errors.Is(err, service.ErrOutcomeUnknown) == (name == "unframed"), "%s: %q, %v", name, answer.Body, err)
+		})
+	}
+}
+
 func TestRequestIDReachesService(t *testing.T) {
 	testBothClients(t, func(t *testing.T, client service.Client, s *serviceserver.Service) {
 		for _, call := range []service.Call{bookingCall("r1"), bookingCall("r2"), bookingCall("r2")} {
