platform, serving: software versions of backend servers and streams taken up by callers are read and logged

No decision changes. Now: version on attempts and listed backend servers; resumed_request and resumed_after on ended requests.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -28,6 +28,10 @@
 	Model, Adapter string
 	// Prefixes are the hashes of the prompt's prefixes, shortest first.
 	Prefixes []uint64
+	// ResumedRequest is the ID of the request that brought the first event of the stream that
+	// this one goes on with, ResumedAfter the ID of the last event that the caller received of
+	// it. Both are empty for a new stream.
+	ResumedRequest, ResumedAfter string
 	// Key is the caller's API key, empty for none.
 	Key string
 	// Tokens is the number of tokens of the prompt plus the maximum number to
@@ -341,6 +345,9 @@
 		zap.String("request", x.request.ID), zap.String("route", route), zap.String("service", x.request.Service),
 		zap.String("workspace", x.request.WorkspaceName()), zap.String("code", code), zap.Int("status", x.answer.status), zap.Duration("took", took),
 	}
+	if x.request.ResumedAfter != "" {
+		fields = append(fields, zap.String("resumed_request", x.request.ResumedRequest), zap.String("resumed_after", x.request.ResumedAfter))
+	}
 	fields = append(fields, x.expectationFields()...)
 	if err != nil {
 		fields = append(fields, telemetry.Reason(err), zap.Duration("retry_after", refusal.FromError(err).RetryAfter),
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -158,7 +158,7 @@
 		t.byService = nil
 		t.recordInstance(now, known, b.Started)
 		t.logger.Info("backend server listed", zap.String("backend", b.ID), zap.String("service", b.Service),
-			zap.String("address", b.Address), zap.String("domain", b.Domain), zap.Bool("leaving", b.Leaving))
+			zap.String("address", b.Address), zap.String("domain", b.Domain), zap.String("version", b.Version), zap.Bool("leaving", b.Leaving))
 	} else if known.Leaving != b.Leaving {
 		t.logger.Info("backend server leaving", zap.String("backend", b.ID), zap.Bool("leaving", b.Leaving),
 			zap.Duration("leaves_in", b.LeavesIn))
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -123,7 +123,7 @@
 	if !ok {
 		return service.Target{}, false
 	}
-	target := service.Target{ID: b.ID, Address: b.Address}
+	target := service.Target{ID: b.ID, Address: b.Address, Version: b.Version}
 	if b.isIndirect() {
 		target.Gateway = n.paths.pickGateway(time.Now(), b.ID)
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -429,6 +429,9 @@
 	if f.endsInsideEvent() {
 		fields = append(fields, zap.Bool("inside_event", true))
 	}
+	if f.target.Version != "" {
+		fields = append(fields, zap.String("version", f.target.Version))
+	}
 	if f.target.Gateway != "" {
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,7 +53,9 @@
 	Address string
 	// Domain is the failure domain.
 	Domain string
-	Slots  int
+	// Version is the version of the backend server's software.
+	Version string
+	Slots   int
 	// Leaving is whether the backend server is shutting down and must get no new work.
 	Leaving bool
 	// LeavesIn is how long a leaving backend server will at least keep running, 0 if unknown.
--- a/service/forward.go
+++ b/service/forward.go
@@ -28,6 +28,8 @@
 	// ID identifies one start of the backend server; any other start refuses the
 	// request.
 	ID, Address string
+	// Version is the version of the backend server's software, empty if unknown.
+	Version string
 	// Gateway is the address of the entry VM through which the backend server is reached,
 	// empty for a direct connection.
 	Gateway string
