serving: within one answer, a stream goes on at the software version that began it only

Cause: the version in the registry's entries was dropped; everything that chooses a server knew units (model, adapter) only. Class: a choice by what a server holds that has to respect what it is.

The version of the server that sent the first event is bound to the stream; from then on its unit is one at that version, so every place that goes by units keeps to it: dispatch, early moves of silent streams, exclusions, estimates and what is reported as waiting. If no server of the version serves any more, the request ends at once, at the end of an event. Ruled out: a list that is late (each start has an ID of its own, and the server refuses another's). Before its first event a stream goes anywhere, as before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -270,6 +270,14 @@
 	}
 }
 
+// SetUnit changes the unit of a running ticket, for its next wait, to another one of its pool. It
+// does nothing to any other ticket: waiting tickets are counted by unit.
+func (c *Controller) SetUnit(t *Ticket, unit string) {
+	if t.phase == phaseRunning {
+		t.Unit = unit
+	}
+}
+
 // Finish ends a dispatched ticket.
 func (c *Controller) Finish(now time.Time, t *Ticket, o Outcome) {
 	c.lastNow = now
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -379,6 +379,16 @@
 	return false
 }
 
+// servesVersion reports whether a backend server of the software version accepts requests for the
+// service.
+func (t *backendTable) servesVersion(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.entriesOf(service), func(b *backend) bool {
+		return b.Version == version && !b.isLeaving() && !b.isUnreachable()
+	})
+}
+
 // each calls f with every entry of the service; f must not retain it.
 func (t *backendTable) each(service string, f func(*backend)) {
 	t.mu.Lock()
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -76,7 +76,7 @@
 			ready = false
 		}
 		out = append(out, routing.Candidate{
-			Engine: b.ID, Domain: b.Domain, Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
+			Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
 			Indirect: b.isIndirect(),
 		})
 	})
@@ -91,7 +91,7 @@
 		if b.isUnreachable() {
 			return
 		}
-		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
 	})
 	return n.filterReachable(now, out)
 }
@@ -204,8 +204,14 @@
 }
 
 // UnavailableRefusal implements serving.Directory: a model that the configuration doesn't contain
-// can't be loaded on any engine.
+// can't be loaded on any engine, and a stream can't go on if no backend server of its software
+// version serves.
 func (n *Node) UnavailableRefusal(unit string) *refusal.Refusal {
+	if service, _ := serving.ServiceOfUnit(unit); n.backends.hasList() {
+		if _, version := serving.SplitVersion(unit); version != "" && !n.backends.servesVersion(service, version) {
+			return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of version %s serves %s", version, service)
+		}
+	}
 	wanted, ok := serving.ParseModelUnit(unit)
 	if !ok {
 		return nil
@@ -264,15 +270,17 @@
 // countRunningUnits counts the requests that all VMs run on an engine, by unit.
 func (n *Node) countRunningUnits(now time.Time, engine string) map[string]int {
 	out := make(map[string]int)
-	for key, count := range n.members.unitsInFlight(now) {
-		if key.backend == engine {
-			out[key.unit] += count
+	add := func(backend, unit string, count int) {
+		if backend == engine {
+			unit, _ = serving.SplitVersion(unit)
+			out[unit] += count
 		}
 	}
+	for key, count := range n.members.unitsInFlight(now) {
+		add(key.backend, key.unit, count)
+	}
 	for _, run := range n.serving.RunningRequests() {
-		if run.Backend == engine {
-			out[run.Unit] += run.Count
-		}
+		add(run.Backend, run.Unit, run.Count)
 	}
 	return out
 }
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -120,6 +120,7 @@
 			return errEventCutOff
 		}
 		if len(whole) > 0 {
+			f.bindVersion()
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
 				return err
@@ -139,6 +140,14 @@
 	}
 }
 
+// bindVersion binds the stream to the software version of the backend server that sent its first
+// event.
+func (f *forwarding) bindVersion() {
+	if f.version == "" {
+		f.version = f.target.Version
+	}
+}
+
 // endAnswer checks the end of an answer that its backend server ended in good order, and sends
 // the head if the body is empty.
 func (f *forwarding) endAnswer(head *service.ForwardResponse) error {
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"bergamotreel/admission"
@@ -304,8 +305,19 @@
 	return true
 }
 
-// findCandidates returns the candidates for a unit or for the pool of a plain service.
+// findCandidates returns the candidates for a unit or for the pool of a plain service, at the
+// software version that the unit names.
 func (s *Server) findCandidates(unit string) []routing.Candidate {
+	unit, version := SplitVersion(unit)
+	candidates := s.findAllCandidates(unit)
+	if version == "" {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Version != version })
+}
+
+// findAllCandidates is findCandidates for all software versions.
+func (s *Server) findAllCandidates(unit string) []routing.Candidate {
 	if name, ok := parseServicePool(unit); ok {
 		return s.config.Directory.Servers(name)
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -134,6 +134,9 @@
 	// in it the received data ends.
 	eventStream bool
 	boundary    eventBoundary
+	// version is the software version at which the stream has to go on, empty while it may begin
+	// at any.
+	version string
 	// answerLength is the length that the caller's answer began with.
 	answerLength int64
 	// lastDelivered is when the caller received its last event, zero before the first.
@@ -259,7 +262,14 @@
 		delete(f.pending.query.Exclude, f.movedFrom)
 	}
 	f.movedFrom = ""
-	return f.pending.requeue(ctx, f.outcome)
+	return f.pending.requeueFor(ctx, f.outcome, f.unitToContinue())
+}
+
+// unitToContinue returns the unit that the next attempt needs. What backend servers of two software
+// versions write doesn't fit together, so a stream goes on at the version that began it.
+func (f *forwarding) unitToContinue() string {
+	unit, _ := SplitVersion(f.pending.query.Unit)
+	return VersionedUnit(unit, f.version)
 }
 
 // canRepeat reports whether a request that may have run may be sent once more.
@@ -394,7 +404,8 @@
 		}
 		f.outcome = attemptOutcome{routerResult: routing.Result{Failed: true, NotRun: true}, excludeBackend: true}
 	case errors.Is(err, service.ErrWrongServer):
-		f.server.forwardDirectory().RecordUnitNotHeld(f.pending.backend, f.pending.query.Unit)
+		unit, _ := SplitVersion(f.pending.query.Unit)
+		f.server.forwardDirectory().RecordUnitNotHeld(f.pending.backend, unit)
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}, excludeBackend: true}
 	case errors.Is(err, service.ErrNotRun):
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -64,6 +65,8 @@
 	missingReports    int
 	slots             int
 	backends          []string
+	// versions are the software versions of backend servers.
+	versions map[string]string
 	// method is that of the requests.
 	method string
 }
@@ -93,16 +96,25 @@
 	defer b.mu.Unlock()
 	var out []routing.Candidate
 	for _, name := range b.backends {
-		out = append(out, routing.Candidate{Engine: name, Domain: name, Slots: b.slots, Ready: b.ready && !b.busyUnits[unit], PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
+		out = append(out, routing.Candidate{Engine: name, Domain: name, Version: b.versions[name], Slots: b.slots, Ready: b.ready && !b.busyUnits[unit], PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
 	}
 	return out
 }
-func (b *forwardTestbed) Servers(string) []routing.Candidate         { return b.Candidates("") }
-func (b *forwardTestbed) ReportMissing([]admission.Demand)           { b.missingReports++ }
-func (b *forwardTestbed) RequestStatus(string)                       {}
-func (b *forwardTestbed) UnavailableRefusal(string) *refusal.Refusal { return nil }
+func (b *forwardTestbed) Servers(string) []routing.Candidate { return b.Candidates("") }
+func (b *forwardTestbed) ReportMissing([]admission.Demand)   { b.missingReports++ }
+func (b *forwardTestbed) RequestStatus(string)               {}
+
+// UnavailableRefusal refuses units at a software version that no backend server has.
+func (b *forwardTestbed) UnavailableRefusal(unit string) *refusal.Refusal {
+	_, version := serving.SplitVersion(unit)
+	if version == "" || slices.ContainsFunc(b.backends, func(name string) bool { return b.versions[name] == version }) {
+		return nil
+	}
+	return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of the version")
+}
+
 func (b *forwardTestbed) Target(name string) (service.Target, bool) {
-	return service.Target{ID: name, Address: name}, true
+	return service.Target{ID: name, Address: name, Version: b.versions[name]}, true
 }
 func (b *forwardTestbed) MarkUnreachable(target service.Target, _ error) {
 	b.markedUnreachable = append(b.markedUnreachable, target.ID)
--- a/internal/serving/lifecycle.go
+++ b/internal/serving/lifecycle.go
@@ -138,16 +138,28 @@
 // requeue ends an attempt that delivered nothing and waits for a backend server
 // again. The request keeps its position in the queue.
 func (p *pendingRequest) requeue(ctx context.Context, outcome attemptOutcome) error {
+	return p.requeueFor(ctx, outcome, p.query.Unit)
+}
+
+// requeueFor is requeue for a request that now needs another unit of its pool.
+func (p *pendingRequest) requeueFor(ctx context.Context, outcome attemptOutcome, unit string) error {
 	s := p.server
 	now := time.Now()
 	s.mu.Lock()
 	p.endAttempt(now, outcome)
+	p.setUnit(unit)
 	s.config.Admission.Requeue(now, p.ticket)
 	w := s.enqueue(p, now)
 	s.mu.Unlock()
 	return p.waitForBackend(ctx, w)
 }
 
+// setUnit changes the unit that the request needs, between two attempts. Call with mu held.
+func (p *pendingRequest) setUnit(unit string) {
+	p.query.Unit = unit
+	p.server.config.Admission.SetUnit(p.ticket, unit)
+}
+
 // setDeadline changes the time until which the request may wait when it is requeued.
 func (p *pendingRequest) setDeadline(deadline time.Time) {
 	p.server.mu.Lock()
--- a/internal/serving/modelunit.go
+++ b/internal/serving/modelunit.go
@@ -1,6 +1,9 @@
 package serving
 
-import "strings"
+import (
+	"net/url"
+	"strings"
+)
 
 // modelUnitPrefix marks the units of engine pools. A plain service's pool begins
 // with servicePoolPrefix, so the two never collide.
@@ -24,9 +27,37 @@
 // Pool returns the name of the unit's pool: a model and its adapters share engines.
 func (u ModelUnit) Pool() string { return modelUnitPrefix + u.Service + "/" + u.Model }
 
-// ParseModelUnit parses the result of String. It returns false for any other name,
-// such as the pool of a plain service.
+// versionSeparator separates the kind of a unit, before its first slash, from a software version.
+const versionSeparator = "@"
+
+// VersionedUnit returns the name of the unit at a software version: only backend servers of that
+// version can serve it. An empty version stands for any.
+func VersionedUnit(unit, version string) string {
+	if version == "" {
+		return unit
+	}
+	kind, rest, _ := strings.Cut(unit, "/")
+	return kind + versionSeparator + url.PathEscape(version) + "/" + rest
+}
+
+// SplitVersion parses the result of VersionedUnit.
+func SplitVersion(name string) (unit, version string) {
+	kind, rest, _ := strings.Cut(name, "/")
+	kind, escaped, versioned := strings.Cut(kind, versionSeparator)
+	if !versioned {
+		return name, ""
+	}
+	version, err := url.PathUnescape(escaped)
+	if err != nil {
+		return name, ""
+	}
+	return kind + "/" + rest, version
+}
+
+// ParseModelUnit parses the result of String, at any software version. It returns false for any
+// other name, such as the pool of a plain service.
 func ParseModelUnit(name string) (ModelUnit, bool) {
+	name, _ = SplitVersion(name)
 	rest, ok := strings.CutPrefix(name, modelUnitPrefix)
 	if !ok {
 		return ModelUnit{}, false
@@ -45,6 +76,7 @@
 	if unit, ok := ParseModelUnit(name); ok {
 		return unit.Service, unit.Model
 	}
+	name, _ = SplitVersion(name)
 	service, _ = parseServicePool(name)
 	return service, ""
 }
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -11,12 +11,14 @@
 type reservation struct {
 	backend     string
 	incarnation uint64
+	// unit is what the request needs there.
+	unit string
 }
 
-// reserveReplacement reserves another backend server while the current attempt runs, and
+// reserveReplacement reserves another backend server for the unit while the current attempt runs, and
 // a retry of the service's budget. It returns nil, and takes nothing, if there
 // is no free server, no budget, or this VM is stopping.
-func (p *pendingRequest) reserveReplacement(service string) *reservation {
+func (p *pendingRequest) reserveReplacement(service, unit string) *reservation {
 	s := p.server
 	now := time.Now()
 	s.mu.Lock()
@@ -25,8 +27,9 @@
 	if s.stopped || !budget.CanReserve(now) {
 		return nil
 	}
-	candidates := s.findCandidates(p.query.Unit)
+	candidates := s.findCandidates(unit)
 	query := p.replacementQuery(candidates)
+	query.Unit = unit
 	for {
 		choice, ok := s.config.Router.Pick(now, query, candidates)
 		if !ok {
@@ -37,7 +40,7 @@
 		}
 		budget.Reserve(now)
 		countRetry(true)
-		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query)}
+		return &reservation{choice.Engine, s.recordStart(now, choice.Engine, query), unit}
 	}
 }
 
@@ -66,6 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.endAttempt(now, outcome)
+	p.setUnit(r.unit)
 	p.beginAttempt(now, r.backend, r.incarnation)
 }
 
@@ -75,5 +79,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serviceBudget(service).Release()
-	s.recordEnd(time.Now(), r.backend, r.incarnation, p.query.Unit, routing.Result{Pool: p.query.Pool})
+	s.recordEnd(time.Now(), r.backend, r.incarnation, r.unit, routing.Result{Pool: p.query.Pool})
 }
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -63,7 +63,7 @@
 	if !f.canContinueAnswer() || f.quarantineRefusal() != nil {
 		return false
 	}
-	f.replacement = f.pending.reserveReplacement(f.request.Service)
+	f.replacement = f.pending.reserveReplacement(f.request.Service, f.unitToContinue())
 	return f.replacement != nil
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -23,6 +23,8 @@
 	// Engine is the engine's address.
 	Engine string
 	Domain string
+	// Version is the version of the engine's software.
+	Version string
 	// Slots is how many requests the engine runs at once.
 	Slots int
 	// Ready is whether the unit is loaded on the engine.
