entryvm: a call that is canceled during its handshake doesn't end the process

The function that closes the connection when the call is canceled ran after the return, which had set the named result it used to nil.

--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -299,24 +299,25 @@
 // dialPeer connects and performs the handshake. It returns the connection and the one below
 // TLS.
 func (c *Client) dialPeer(ctx context.Context, dial dialFunc, address string, p purpose) (secure, raw net.Conn, err error) {
-	raw, err = dial(ctx, "tcp", address)
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
-	secure = raw
+	secure = conn
 	if c.tlsConfig != nil {
-		secure = tls.Client(raw, c.tlsConfig)
+		secure = tls.Client(conn, c.tlsConfig)
 	}
-	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	// The function may run after the return, so it must not use the results.
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	err = clientHandshake(secure, c.secret, p)
 	if !stop() {
 		err = ctx.Err()
 	}
 	if err != nil {
-		raw.Close()
+		conn.Close()
 		return nil, nil, fmt.Errorf("handshake: %w", err)
 	}
-	return secure, raw, nil
+	return secure, conn, nil
 }
 
 // startRPC starts net/rpc on a connection that has completed the handshake.
