hosted: a stream that its caller takes up goes on at the software version that began it

Cause: a request with Last-Event-Id was sent to any server that holds its model, and Resumes was read nowhere; after a VM was killed nobody knew at which version its streams had begun.

- Each VM remembers the version of its resumable streams for a minute (routing/streamversion).
While a service has several versions, or had in the last minute, it sends them, in batches of 10 ms, to two VMs found by a hash of the stream: one in its failure domain, one in another; in a large fleet to relays.
Streams that began before a second version was listed are sent when it is.
Nobody knows and several versions serve: refused at once, not run.
- The key is a hash over workspace, service and request: nobody learns of another workspace's streams.
- It also goes to the service of a split route that began it.

Weighed: a hash that gives each request its version (moves with every release, and leaves engines idle); asking all VMs only (a killed VM answers nothing); telling before the first event goes out (a round trip for every stream; what is lost otherwise is 10 ms of streams of a killed VM, which are refused, not mixed).

Tests in virtual time: 4, 9 and 30 VMs, partition of the domains, a killed VM, a release, a restarted VM.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -241,7 +242,7 @@
 	q := &x.request
 	q.Grant = grant
 	route := grant.Route
-	q.Service = route.PickTarget(hashFraction(q.ID))
+	q.Service = route.PickTarget(hashFraction(cmp.Or(q.ResumedRequest, q.ID)))
 	q.CallerHost, _, _ = net.SplitHostPort(r.RemoteAddr)
 	q.Arrived = x.arrived
 	q.AnswerDeadline = computeAnswerDeadline(x.arrived, q.CallerTimeout, route.Timeout)
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -264,6 +264,8 @@
 	Demand(DemandReport) DemandReport
 	Permit(PermitArgs) PermitReply
 	Room(RoomArgs) RoomReply
+	StreamVersions(StreamVersionsArgs)
+	FindStream(FindStreamArgs) FindStreamReply
 }
 
 // coordination is the net/rpc receiver that calls a Coordinator.
--- /dev/null
+++ b/entryvm/stream.go
@@ -0,0 +1,59 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+)
+
+// StreamVersion is the software version at which a stream began.
+type StreamVersion struct {
+	// Key identifies the stream, see routing/streamversion.
+	Key     [16]byte `cbor:"1,keyasint"`
+	Service string   `cbor:"2,keyasint,omitempty"`
+	Version string   `cbor:"3,keyasint,omitempty"`
+	// Age is how long before the sending the stream began.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// StreamVersionsArgs carries versions of streams to a VM that keeps them for the others.
+type StreamVersionsArgs struct {
+	Streams []StreamVersion `cbor:"1,keyasint,omitempty"`
+}
+
+// FindStreamArgs asks for the software version at which a stream began.
+type FindStreamArgs struct {
+	Key     [16]byte `cbor:"1,keyasint"`
+	Service string   `cbor:"2,keyasint,omitempty"`
+}
+
+// FindStreamReply is the answer to FindStreamArgs.
+type FindStreamReply struct {
+	// Version is valid if Found is set.
+	Found   bool   `cbor:"1,keyasint,omitempty"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// Versions are all versions of the service that the VM remembers.
+	Versions []string `cbor:"3,keyasint,omitempty"`
+}
+
+// StreamVersions answers Coordination.StreamVersions.
+func (c *coordination) StreamVersions(args *StreamVersionsArgs, _ *Empty) error {
+	c.coordinator.StreamVersions(*args)
+	return nil
+}
+
+// FindStream answers Coordination.FindStream.
+func (c *coordination) FindStream(args *FindStreamArgs, reply *FindStreamReply) error {
+	*reply = c.coordinator.FindStream(*args)
+	return nil
+}
+
+// StreamVersions sends versions of streams to a VM that keeps them for the others.
+func (c *Client) StreamVersions(ctx context.Context, address string, args StreamVersionsArgs) error {
+	_, err := call[Empty](ctx, c, connKey{address: address}, coordinationServiceName+".StreamVersions", &args)
+	return err
+}
+
+// FindStream asks a VM for the software version at which a stream began.
+func (c *Client) FindStream(ctx context.Context, address string, args FindStreamArgs) (FindStreamReply, error) {
+	return call[FindStreamReply](ctx, c, connKey{address, classQuota}, coordinationServiceName+".FindStream", &args)
+}
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -10,6 +10,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/registry"
+	"bergamotreel/routing/streamversion"
 )
 
 const (
@@ -50,6 +51,8 @@
 	// registryStaleUntil its entries may be older than what this VM knows.
 	registryOutageEndedAt time.Time
 	registryStaleUntil    time.Time
+	// versionHistory holds the software versions of the listed backend servers.
+	versionHistory *streamversion.History
 }
 
 // backend is a backend server and the state of its newest known instance.
@@ -103,7 +106,8 @@
 }
 
 func newBackendTable(logger *zap.Logger) *backendTable {
-	return &backendTable{logger: logger, entries: make(map[string]*backend), endedInstances: make(map[string]bool), formerInstances: make(map[string]formerInstance)}
+	return &backendTable{logger: logger, entries: make(map[string]*backend), endedInstances: make(map[string]bool), formerInstances: make(map[string]formerInstance),
+		versionHistory: streamversion.NewHistory()}
 }
 
 // replace replaces the entries by a complete list from the registry.
@@ -121,6 +125,7 @@
 			t.remove(now, id)
 		}
 	}
+	t.versionHistory.Begin(now)
 }
 
 // applyChanges applies the registry's changes in order.
@@ -142,6 +147,7 @@
 // upsert adds or updates an entry. Call with mu held.
 func (t *backendTable) upsert(now time.Time, b registry.Backend) {
 	known := t.entries[b.ID]
+	isNew := known == nil
 	if now.Before(t.registryStaleUntil) {
 		if known == nil && t.isFormerInstance(b) {
 			return
@@ -167,6 +173,10 @@
 		t.byService = nil
 	}
 	restarted := known.Started != b.Started
+	if !isNew {
+		t.versionHistory.Remove(now, known.Service, known.Version)
+	}
+	t.versionHistory.Add(b.Service, b.Version)
 	known.Backend = b
 	known.removeAt = time.Time{}
 	if restarted {
@@ -198,6 +208,7 @@
 func (t *backendTable) drop(now time.Time, id string) {
 	before := t.entries[id]
 	t.formerInstances[id] = formerInstance{start: before.start, announcedLeaving: before.announcedLeaving, restartedAt: before.restartedAt, droppedAt: now}
+	t.versionHistory.Remove(now, before.Service, before.Version)
 	delete(t.entries, id)
 	t.byService = nil
 	t.endedInstances[id] = true
@@ -379,14 +390,37 @@
 	return false
 }
 
-// servesVersion reports whether a backend server of the software version accepts requests for the
-// service.
-func (t *backendTable) servesVersion(service, version string) bool {
+// servesOnlyOtherVersions reports whether backend servers accept requests for the service, but none of
+// the software version does.
+func (t *backendTable) servesOnlyOtherVersions(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	others := false
+	for _, b := range t.entriesOf(service) {
+		if b.isLeaving() || b.isUnreachable() {
+			continue
+		}
+		if b.Version == version {
+			return false
+		}
+		others = true
+	}
+	return others
+}
+
+// versions returns the software versions that a stream of the service may have begun at, and whether
+// this VM has known the list for long enough to know all of them.
+func (t *backendTable) versions(now time.Time, service string) (versions []string, complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.versionHistory.Versions(now, service), t.versionHistory.IsComplete(now)
+}
+
+// hasSeveralVersions reports whether a stream of the service may have begun at several versions.
+func (t *backendTable) hasSeveralVersions(now time.Time, service string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.entriesOf(service), func(b *backend) bool {
-		return b.Version == version && !b.isLeaving() && !b.isUnreachable()
-	})
+	return t.versionHistory.HasSeveral(now, service)
 }
 
 // each calls f with every entry of the service; f must not retain it.
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -373,6 +373,13 @@
 func (w peerClient) Room(_ context.Context, address string, r entryvm.RoomArgs) (entryvm.RoomReply, error) {
 	return callNode(w, address, (*Node).Room, r)
 }
+func (w peerClient) StreamVersions(_ context.Context, address string, a entryvm.StreamVersionsArgs) error {
+	_, err := callNode(w, address, func(n *Node, a entryvm.StreamVersionsArgs) entryvm.Empty { n.StreamVersions(a); return entryvm.Empty{} }, a)
+	return err
+}
+func (w peerClient) FindStream(_ context.Context, address string, a entryvm.FindStreamArgs) (entryvm.FindStreamReply, error) {
+	return callNode(w, address, (*Node).FindStream, a)
+}
 func (w peerClient) Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error) {
 	reply, err := callNode(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
 	if err == nil {
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -204,13 +204,12 @@
 }
 
 // UnavailableRefusal implements serving.Directory: a model that the configuration doesn't contain
-// can't be loaded on any engine, and a stream can't go on if no backend server of its software
-// version serves.
+// can't be loaded on any engine, and a stream can't go on if only backend servers of other software
+// versions serve.
 func (n *Node) UnavailableRefusal(unit string) *refusal.Refusal {
-	if service, _ := serving.ServiceOfUnit(unit); n.backends.hasList() {
-		if _, version := serving.SplitVersion(unit); version != "" && !n.backends.servesVersion(service, version) {
-			return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of version %s serves %s", version, service)
-		}
+	service, _ := serving.ServiceOfUnit(unit)
+	if _, version := serving.SplitVersion(unit); version != "" && n.backends.servesOnlyOtherVersions(service, version) {
+		return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of version %s serves %s", version, service)
 	}
 	wanted, ok := serving.ParseModelUnit(unit)
 	if !ok {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -55,6 +55,8 @@
 	Demand(ctx context.Context, address string, report entryvm.DemandReport) (entryvm.DemandReport, error)
 	Permit(ctx context.Context, address string, args entryvm.PermitArgs) (entryvm.PermitReply, error)
 	Room(ctx context.Context, address string, args entryvm.RoomArgs) (entryvm.RoomReply, error)
+	StreamVersions(ctx context.Context, address string, args entryvm.StreamVersionsArgs) error
+	FindStream(ctx context.Context, address string, args entryvm.FindStreamArgs) (entryvm.FindStreamReply, error)
 }
 
 // Config holds the settings and dependencies of a Node.
@@ -124,6 +126,7 @@
 	issuers         *permitIssuers
 	retrySlack      *retrySlack
 	paths           *backendPaths
+	streamVersions  *streamVersions
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
@@ -169,6 +172,7 @@
 	n.rooms = newBackendRooms(n)
 	n.issuers = newPermitIssuers(n)
 	n.paths = newBackendPaths(n)
+	n.streamVersions = newStreamVersions(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
 	n.retrySlack = newRetrySlack(n)
@@ -188,7 +192,7 @@
 	defer tasks.Wait()
 	for _, task := range []func(context.Context){
 		n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
-		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.retrySlack.run, n.maintainShards, n.planner.run, n.serving.Run,
+		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.retrySlack.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- /dev/null
+++ b/internal/hosted/streamversions.go
@@ -0,0 +1,311 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
+	"bergamotreel/internal/rendezvous"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/refusal"
+	"bergamotreel/routing/streamversion"
+)
+
+const (
+	// shareInterval is the time between two searches for streams to share that nothing wakes up,
+	// minShareGap the minimum time between two, so that streams which begin together are sent
+	// together.
+	shareInterval = 200 * time.Millisecond
+	minShareGap   = 10 * time.Millisecond
+	// shareTimeout bounds the call that sends versions of streams to a keeper, findStreamTimeout the
+	// one that asks for a version while a caller waits.
+	shareTimeout      = 500 * time.Millisecond
+	findStreamTimeout = 300 * time.Millisecond
+)
+
+// resumedStreamsTotal counts the streams that callers took up, by how their software version was
+// found.
+const resumedStreamsTotal = "bergamotreel_resumed_streams_total"
+
+var (
+	resumedRecorded   = metrics.NewCounter(resumedStreamsTotal + `{version="recorded"}`)
+	resumedOnlyOne    = metrics.NewCounter(resumedStreamsTotal + `{version="only_one"}`)
+	resumedUnknown    = metrics.NewCounter(resumedStreamsTotal + `{version="unknown"}`)
+	streamsShared     = metrics.NewCounter("bergamotreel_stream_versions_shared_total")
+	streamsShareFails = metrics.NewCounter("bergamotreel_stream_versions_share_failures_total")
+)
+
+// streamVersions finds the software version at which a stream began that its caller takes up, also if
+// another VM began it. While a service has several versions, each VM sends the versions of its
+// streams to two other VMs, which are found by a hash of the stream: one in its own failure domain, which
+// outlives a partition of the domains, and one in another, which outlives the domain. It is safe for
+// concurrent use.
+type streamVersions struct {
+	node *Node
+	wake chan struct{}
+
+	mu    sync.Mutex
+	table *streamversion.Table
+	// unshared are the streams that began at this VM and were not sent to others.
+	unshared map[streamversion.Key]streamversion.Record
+}
+
+func newStreamVersions(n *Node) *streamVersions {
+	return &streamVersions{node: n, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[streamversion.Key]streamversion.Record)}
+}
+
+// RecordStream implements serving.ForwardDirectory.
+func (n *Node) RecordStream(stream streamversion.Stream, version string) {
+	if stream.Request == "" || version == "" {
+		return
+	}
+	s, now := n.streamVersions, time.Now()
+	key, record := stream.Key(), streamversion.Record{Service: stream.Service, Version: version, BegunAt: now}
+	s.mu.Lock()
+	s.table.Add(now, key, record)
+	s.unshared[key] = record
+	s.mu.Unlock()
+	if n.backends.hasSeveralVersions(now, stream.Service) {
+		wake(s.wake)
+	}
+}
+
+// run shares the versions of streams until ctx ends.
+func (s *streamVersions) run(ctx context.Context) {
+	timer := time.NewTimer(shareInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		s.share(ctx)
+		if !pause.For(ctx, minShareGap) {
+			return
+		}
+		timer.Reset(shareInterval)
+	}
+}
+
+// share sends the streams that were not sent yet to their keepers, if their service has several
+// versions: then they may be taken up where more than one version serves. Those of other services are
+// sent once it has.
+func (s *streamVersions) share(ctx context.Context) {
+	now := time.Now()
+	due := s.takeUnshared(now)
+	if len(due) == 0 {
+		return
+	}
+	keepers := s.node.members.streamKeepers(now)
+	byKeeper := make(map[string][]entryvm.StreamVersion)
+	for key, record := range due {
+		update := entryvm.StreamVersion{Key: key, Service: record.Service, Version: record.Version, Age: now.Sub(record.BegunAt)}
+		for _, address := range pickStreamKeepers(key, s.node.config.Domain, keepers) {
+			byKeeper[address] = append(byKeeper[address], update)
+		}
+	}
+	for address, streams := range byKeeper {
+		go s.send(ctx, address, streams)
+	}
+}
+
+// takeUnshared removes and returns the streams that are due to be shared.
+func (s *streamVersions) takeUnshared(now time.Time) map[streamversion.Key]streamversion.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	several := make(map[string]bool)
+	due := make(map[streamversion.Key]streamversion.Record)
+	maps.DeleteFunc(s.unshared, func(key streamversion.Key, record streamversion.Record) bool {
+		if now.Sub(record.BegunAt) >= streamversion.TTL {
+			return true
+		}
+		if _, known := several[record.Service]; !known {
+			several[record.Service] = s.node.backends.hasSeveralVersions(now, record.Service)
+		}
+		if several[record.Service] {
+			due[key] = record
+		}
+		return several[record.Service]
+	})
+	return due
+}
+
+// send sends streams to a keeper. If that fails, they are shared again: another VM may keep them by
+// then.
+func (s *streamVersions) send(ctx context.Context, address string, streams []entryvm.StreamVersion) {
+	begun := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	err := s.node.config.Peers.EntryVMs.StreamVersions(callCtx, address, entryvm.StreamVersionsArgs{Streams: streams})
+	if err == nil {
+		streamsShared.Add(len(streams))
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	streamsShareFails.Add(len(streams))
+	s.node.config.Logger.Warn("versions of streams not shared", zap.String("address", address), zap.Int("streams", len(streams)), telemetry.Reason(err))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, update := range streams {
+		s.unshared[update.Key] = streamversion.Record{Service: update.Service, Version: update.Version, BegunAt: begun.Add(-update.Age)}
+	}
+}
+
+// streamKeeper is a VM that may keep versions of streams for others.
+type streamKeeper struct{ vm, domain, address string }
+
+// streamKeepers returns the VMs that may keep versions of streams: the live ones, in a large fleet only the
+// relays, to which all VMs are connected anyway.
+func (m *members) streamKeepers(now time.Time) []streamKeeper {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	roles := m.currentRoles(now)
+	var keepers []streamKeeper
+	m.eachLiveLocked(now, func(r *entryvm.Report) {
+		if !r.Leaving && r.Address != "" && (!roles.large || roles.isRelayOf(r.Domain, r.VM)) {
+			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
+		}
+	})
+	return keepers
+}
+
+// possibleStreamKeepers returns the VMs that other VMs may take for streamKeepers. In a small fleet
+// this includes those that aren't live here: after a partition, a VM is back before it counts as live.
+func (m *members) possibleStreamKeepers(now time.Time) []streamKeeper {
+	m.mu.Lock()
+	large := m.isLarge()
+	m.mu.Unlock()
+	if large {
+		return m.streamKeepers(now)
+	}
+	var keepers []streamKeeper
+	m.eachSeen(func(r *entryvm.Report) {
+		if r.Address != "" {
+			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
+		}
+	})
+	return keepers
+}
+
+// pickStreamKeepers returns the addresses of the keepers of a stream: one in the failure domain and
+// one in another, as far as there are any, otherwise two in the same.
+func pickStreamKeepers(key streamversion.Key, domain string, keepers []streamKeeper) []string {
+	ranked := slices.Clone(keepers)
+	slices.SortFunc(ranked, func(a, b streamKeeper) int {
+		return cmp.Or(cmp.Compare(rendezvous.Weight(string(key[:]), b.vm), rendezvous.Weight(string(key[:]), a.vm)), cmp.Compare(a.vm, b.vm))
+	})
+	if len(ranked) <= 2 {
+		return addressesOf(ranked)
+	}
+	second := slices.IndexFunc(ranked[1:], func(k streamKeeper) bool { return (k.domain == domain) != (ranked[0].domain == domain) })
+	return addressesOf([]streamKeeper{ranked[0], ranked[1+max(second, 0)]})
+}
+
+func addressesOf(keepers []streamKeeper) []string {
+	out := make([]string, len(keepers))
+	for i, k := range keepers {
+		out[i] = k.address
+	}
+	return out
+}
+
+// StreamVersions implements entryvm.Coordinator.
+func (n *Node) StreamVersions(args entryvm.StreamVersionsArgs) {
+	s, now := n.streamVersions, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, update := range args.Streams {
+		s.table.Add(now, update.Key, streamversion.Record{Service: update.Service, Version: update.Version, BegunAt: now.Add(-update.Age)})
+	}
+}
+
+// FindStream implements entryvm.Coordinator.
+func (n *Node) FindStream(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
+	now := time.Now()
+	version, found := n.streamVersions.find(now, args.Key)
+	versions, _ := n.backends.versions(now, args.Service)
+	return entryvm.FindStreamReply{Found: found, Version: version, Versions: versions}
+}
+
+func (s *streamVersions) find(now time.Time, key streamversion.Key) (version string, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Version(now, key)
+}
+
+// FindStreamVersion implements serving.ForwardDirectory. A stream of which nobody knows the version is
+// refused unless its service has had only one.
+func (n *Node) FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
+	s, now, key := n.streamVersions, time.Now(), stream.Key()
+	if version, found := s.find(now, key); found {
+		resumedRecorded.Inc()
+		return version, nil
+	}
+	versions, complete := n.backends.versions(now, stream.Service)
+	if !complete || (len(versions) > 1 && stream.Request != "") {
+		version, found, others := s.ask(ctx, key, stream.Service)
+		if found {
+			resumedRecorded.Inc()
+			s.keep(key, stream.Service, version)
+			return version, nil
+		}
+		versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(versions, others))))
+	}
+	switch len(versions) {
+	case 0:
+		return "", nil
+	case 1:
+		resumedOnlyOne.Inc()
+		return versions[0], nil
+	}
+	resumedUnknown.Inc()
+	return "", refusal.New(refusal.CodeNoCapacity, 0, "backend servers of several versions serve, and the one that began the stream is not known")
+}
+
+// keep records a version that another VM knew.
+func (s *streamVersions) keep(key streamversion.Key, service, version string) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Add(now, key, streamversion.Record{Service: service, Version: version, BegunAt: now})
+}
+
+// ask asks all possible keepers of a stream at once for its version, because VMs may differ in
+// who they think is live. It also returns the versions of the service that they remember.
+func (s *streamVersions) ask(ctx context.Context, key streamversion.Key, service string) (version string, found bool, versions []string) {
+	// Calls are not canceled once the answer is known: that would close connections that others use.
+	ctx = context.WithoutCancel(ctx)
+	keepers := s.node.members.possibleStreamKeepers(time.Now())
+	replies := make(chan entryvm.FindStreamReply, len(keepers))
+	for _, keeper := range keepers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
+			defer cancel()
+			reply, err := s.node.config.Peers.EntryVMs.FindStream(ctx, keeper.address, entryvm.FindStreamArgs{Key: key, Service: service})
+			if err != nil {
+				s.node.config.Logger.Debug("version of a stream not asked", zap.String("vm", keeper.vm), telemetry.Reason(err))
+			}
+			replies <- reply
+		}()
+	}
+	for range keepers {
+		reply := <-replies
+		if reply.Found {
+			return reply.Version, true, nil
+		}
+		versions = append(versions, reply.Versions...)
+	}
+	return "", false, versions
+}
--- /dev/null
+++ b/internal/hosted/streamversions_test.go
@@ -0,0 +1,133 @@
+package hosted
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+	"bergamotreel/registry"
+	"bergamotreel/routing/streamversion"
+)
+
+// listVersions lists one backend server of each version.
+func (w *testCluster) listVersions(versions ...string) {
+	for i, version := range versions {
+		w.registry.put(registry.Backend{ID: fmt.Sprint("i-", version), Service: testService, Address: fmt.Sprint("at-", version),
+			Domain: fmt.Sprint("d", i%spreadDomainCount), Slots: 8, Version: version})
+	}
+}
+
+// withVersionedFleet runs a test on VMs that have read the list of backend servers of the versions.
+func withVersionedFleet(t *testing.T, vms int, versions []string, run func(w *testCluster, vms []string)) {
+	withTestCluster(t, func(w *testCluster) {
+		w.registry.configuration = testContract("m1")
+		w.assignSpreadShards()
+		w.listVersions(versions...)
+		var names []string
+		for i := range vms {
+			names = append(names, w.bootSpread(i))
+		}
+		time.Sleep(8 * time.Second)
+		run(w, names)
+	})
+}
+
+// expectVersion checks what a VM finds out about a stream; an empty version stands for a refusal.
+func (w *testCluster) expectVersion(vm string, stream streamversion.Stream, want string) {
+	w.Helper()
+	w.mu.Lock()
+	n := w.nodes[vm]
+	w.mu.Unlock()
+	got, refused := n.FindStreamVersion(w.Context(), stream)
+	testkit.That(w, got == want && (refused != nil) == (want == ""), "%s: %+v is of version %q, %v; want %q", vm, stream, got, refused, want)
+}
+
+func testStream(request string) streamversion.Stream {
+	return streamversion.Stream{Workspace: "w", Service: testService, Request: request}
+}
+
+// Guards against a stream that goes on at another software version, or not at all, because the VM that
+// began it was killed, or one of the VMs that keep its version, or its failure domain is cut off; and against
+// versions that another workspace or service learns.
+func TestVersionOfStreamIsFoundAtOtherVMs(t *testing.T) {
+	for _, vms := range []int{4, 9, 30} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			withVersionedFleet(t, vms, []string{"v1", "v2"}, func(w *testCluster, names []string) {
+				const streams = 40
+				for i := range streams {
+					w.nodes[names[3]].RecordStream(testStream(fmt.Sprint(i)), []string{"v1", "v2"}[i%2])
+				}
+				time.Sleep(50 * time.Millisecond)
+				w.setDomainsPartitioned(true)
+				for i := range streams {
+					w.expectVersion(names[0], testStream(fmt.Sprint(i)), []string{"v1", "v2"}[i%2]) // of the same domain
+				}
+				w.setDomainsPartitioned(false)
+				w.kill(names[3])
+				for i := range streams {
+					w.expectVersion(names[1+i%2], testStream(fmt.Sprint(i)), []string{"v1", "v2"}[i%2])
+				}
+				w.expectVersion(names[1], testStream("unknown"), "")
+				w.expectVersion(names[1], testStream(""), "")
+				w.expectVersion(names[1], streamversion.Stream{Workspace: "other", Service: testService, Request: "0"}, "")
+			})
+		})
+	}
+}
+
+// Guards against refusing streams that began before a second software version was listed.
+func TestVersionOfStreamBegunBeforeARelease(t *testing.T) {
+	withVersionedFleet(t, 4, []string{"v1"}, func(w *testCluster, names []string) {
+		w.expectVersion(names[1], testStream(""), "v1") // one version needs no name
+		w.nodes[names[3]].RecordStream(testStream("1"), "v1")
+		time.Sleep(5 * time.Second)
+		w.listVersions("v2")
+		time.Sleep(3 * time.Second)
+		w.kill(names[3])
+		w.expectVersion(names[1], testStream("1"), "v1")
+		w.expectVersion(names[1], testStream("other"), "")
+		w.registry.drop("i-v1")
+		time.Sleep(streamversion.TTL + time.Second)
+		w.expectVersion(names[1], testStream("other"), "v2") // nothing of v1 can be taken up any more
+	})
+}
+
+// Guards against a VM that has just started and takes the versions that it sees for all that
+// streams have begun at.
+func TestRestartedVMAsksForFormerVersions(t *testing.T) {
+	withVersionedFleet(t, 4, []string{"v1", "v2"}, func(w *testCluster, names []string) {
+		w.registry.drop("i-v1")
+		time.Sleep(3 * time.Second)
+		w.kill(names[3])
+		time.Sleep(time.Second)
+		w.bootSpread(3)
+		time.Sleep(5 * time.Second)
+		w.expectVersion(names[3], testStream("unknown"), "")
+		time.Sleep(streamversion.TTL)
+		w.expectVersion(names[3], testStream("unknown"), "v2")
+	})
+}
+
+// Guards against both keepers of a stream in one failure domain, or in none of the VM's own.
+func TestStreamKeepersAreInTwoDomains(t *testing.T) {
+	var keepers []streamKeeper
+	domainOf := make(map[string]string)
+	for i := range 12 {
+		k := streamKeeper{fmt.Sprint("v", i), fmt.Sprint("d", i%3), fmt.Sprint("at-v", i)}
+		keepers, domainOf[k.address] = append(keepers, k), k.domain
+	}
+	used := make(map[string]bool)
+	for i := range 200 {
+		picked := pickStreamKeepers(testStream(fmt.Sprint(i)).Key(), "d1", keepers)
+		testkit.Need(t, len(picked) == 2, "%d keepers", len(picked))
+		testkit.That(t, (domainOf[picked[0]] == "d1") != (domainOf[picked[1]] == "d1"), "keepers %v", picked)
+		used[picked[0]], used[picked[1]] = true, true
+	}
+	testkit.Equal(t, "VMs that keep streams", len(used), len(keepers))
+	inOneDomain := slices.DeleteFunc(slices.Clone(keepers), func(k streamKeeper) bool { return k.domain != "d1" })
+	testkit.Equal(t, "keepers in one domain", len(pickStreamKeepers(testStream("1").Key(), "d1", inOneDomain)), 2)
+	testkit.Equal(t, "keepers of one", len(pickStreamKeepers(testStream("1").Key(), "d1", keepers[:1])), 1)
+	testkit.Equal(t, "keepers of none", len(pickStreamKeepers(testStream("1").Key(), "d1", nil)), 0)
+}
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bergamotreel/contract"
+	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
 )
 
@@ -143,9 +144,12 @@
 // bindVersion binds the stream to the software version of the backend server that sent its first
 // event.
 func (f *forwarding) bindVersion() {
-	if f.version == "" {
-		f.version = f.target.Version
+	if f.version != "" || f.target.Version == "" {
+		return
 	}
+	f.version = f.target.Version
+	stream := streamversion.Stream{Workspace: f.request.WorkspaceName(), Service: f.request.Service, Request: f.request.ID}
+	f.server.forwardDirectory().RecordStream(stream, f.version)
 }
 
 // endAnswer checks the end of an answer that its backend server ended in good order, and sends
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -15,6 +15,7 @@
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
+	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
 )
 
@@ -69,6 +70,11 @@
 	// TryUsePermit uses one of the permits of a candidate with PermitRequired. It
 	// returns false if they have been used meanwhile or have expired.
 	TryUsePermit(backend string) bool
+	// RecordStream records that a stream began at a software version.
+	RecordStream(stream streamversion.Stream, version string)
+	// FindStreamVersion returns the software version at which a stream that its caller takes up
+	// began, empty if it may go on at any, or a refusal.
+	FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal)
 }
 
 // Forward sends an opaque request to a backend server and returns its answer to the
@@ -77,8 +83,15 @@
 	ctx, cancel := context.WithDeadline(ctx, r.AnswerDeadline)
 	defer cancel()
 	request, query := s.describeForward(r)
+	version, refused := s.findVersion(ctx, &r)
+	if refused != nil {
+		s.logNotSent(r.ID, request.Unit, false, refused)
+		return refused
+	}
+	request.Unit = VersionedUnit(request.Unit, version)
+	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
-	f := &forwarding{server: s, request: r, answer: answer, lastEventID: r.ResumeAfter, readyAtArrival: hasReadyCandidate(known)}
+	f := &forwarding{server: s, request: r, answer: answer, lastEventID: r.ResumeAfter, version: version, readyAtArrival: hasReadyCandidate(known)}
 	if refused := f.quarantineRefusal(); refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
@@ -97,6 +110,16 @@
 	return p.correctRan(err)
 }
 
+// findVersion returns the software version at which the request has to run if its caller takes up a
+// stream with it, empty for any.
+func (s *Server) findVersion(ctx context.Context, r *caller.RelayRequest) (string, *refusal.Refusal) {
+	if !r.Route.Stream || r.ResumedAfter == "" {
+		return "", nil
+	}
+	stream := streamversion.Stream{Workspace: r.WorkspaceName(), Service: r.Service, Request: r.ResumedRequest}
+	return s.forwardDirectory().FindStreamVersion(ctx, stream)
+}
+
 func (s *Server) describeForward(r caller.RelayRequest) (admission.Request, routing.Query) {
 	unit, pool := servicePool(r.Service), servicePool(r.Service)
 	if r.Model != "" {
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -25,6 +25,7 @@
 	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
+	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
 )
 
@@ -66,7 +67,8 @@
 	slots             int
 	backends          []string
 	// versions are the software versions of backend servers.
-	versions map[string]string
+	versions     map[string]string
+	begunStreams map[streamversion.Stream]string
 	// method is that of the requests.
 	method string
 }
@@ -76,7 +78,7 @@
 }
 
 func newForwardTestbedWithLog(t *testing.T, log *zap.Logger) *forwardTestbed {
-	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost}
+	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost, begunStreams: make(map[streamversion.Stream]string)}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	b.server = serving.New(serving.Config{
@@ -143,6 +145,23 @@
 	b.limits = append(b.limits, limit)
 }
 
+// RecordStream records the versions at which streams began.
+func (b *forwardTestbed) RecordStream(stream streamversion.Stream, version string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begunStreams[stream] = version
+}
+
+// FindStreamVersion refuses streams that have not begun.
+func (b *forwardTestbed) FindStreamVersion(_ context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version, known := b.begunStreams[stream]; known {
+		return version, nil
+	}
+	return "", refusal.New(refusal.CodeNoCapacity, 0, "unknown stream")
+}
+
 // TryUsePermit counts the permits used.
 func (b *forwardTestbed) TryUsePermit(string) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/routing/streamversion/history.go
@@ -0,0 +1,69 @@
+package streamversion
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// History counts the listed backend servers of each service by their software version, and
+// remembers versions for TTL after the last one has gone. It is not safe for concurrent use.
+type History struct {
+	services map[string]map[string]*listing
+	// beganAt is when the first list was complete, zero before.
+	beganAt time.Time
+}
+
+// listing is the state of one version of a service.
+type listing struct {
+	servers int
+	goneAt  time.Time
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{services: make(map[string]map[string]*listing)} }
+
+// Begin records that the list is complete for the first time.
+func (h *History) Begin(now time.Time) {
+	if h.beganAt.IsZero() {
+		h.beganAt = now
+	}
+}
+
+// Add counts a listed backend server.
+func (h *History) Add(service, version string) {
+	versions := h.services[service]
+	if versions == nil {
+		versions = make(map[string]*listing)
+		h.services[service] = versions
+	}
+	if versions[version] == nil {
+		versions[version] = &listing{}
+	}
+	versions[version].servers++
+}
+
+// Remove reverts Add for a backend server that is no longer listed.
+func (h *History) Remove(now time.Time, service, version string) {
+	if l := h.services[service][version]; l != nil {
+		l.servers--
+		l.goneAt = now
+	}
+}
+
+// Versions returns the versions that a stream of the service may have begun at, sorted.
+func (h *History) Versions(now time.Time, service string) []string {
+	versions := h.services[service]
+	maps.DeleteFunc(versions, func(_ string, l *listing) bool { return l.servers == 0 && now.Sub(l.goneAt) >= TTL })
+	return slices.Sorted(maps.Keys(versions))
+}
+
+// HasSeveral reports whether a stream of the service may have begun at several versions.
+func (h *History) HasSeveral(now time.Time, service string) bool {
+	return len(h.services[service]) > 1 && len(h.Versions(now, service)) > 1
+}
+
+// IsComplete reports whether Versions has every version of the last TTL.
+func (h *History) IsComplete(now time.Time) bool {
+	return !h.beganAt.IsZero() && now.Sub(h.beganAt) >= TTL
+}
