placement, hosted: a model is placed at the software version that a stream waits for

Cause: demand was counted by model. Now waiting requests that can run at one version only are counted by it, and the model gets a replica there unless one is there or loading; while all engines have one version nothing changes.

TestWaitingAtAVersionGetsAReplicaThere: the plan alone.

--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -24,7 +24,7 @@
 	for i := range all {
 		b := &all[i]
 		e := residency.Engine{
-			ID: b.ID, Domain: b.Domain, CapacityBytes: capacity - b.reservedBytes(), Slots: b.Slots, Serving: !b.isLeaving() && !unavailable[b.ID] && !isPartitioned(b.Domain),
+			ID: b.ID, Domain: b.Domain, Version: b.Version, CapacityBytes: capacity - b.reservedBytes(), Slots: b.Slots, Serving: !b.isLeaving() && !unavailable[b.ID] && !isPartitioned(b.Domain),
 			InMemory: toSet(b.InMemory), OnDisk: toSet(b.OnDisk),
 		}
 		for name, model := range b.loadedModels {
@@ -144,7 +144,7 @@
 		}
 		byName[m.Name] = &out[i]
 	}
-	p.addWaiting(now, pool.Service, byName)
+	p.addWaiting(now, pool.Service, byName, haveSeveralVersions(engines))
 	rates := p.node.demand.modelRates(now)
 	p.node.members.eachLoad(now, func(_ string, l *entryvm.Load) { rates = append(rates, l.Rates...) })
 	for _, rate := range rates {
@@ -162,13 +162,34 @@
 	return out
 }
 
-func (p *planner) addWaiting(now time.Time, service string, byName map[string]*residency.Model) {
+// haveSeveralVersions reports whether the serving engines have several software versions.
+func haveSeveralVersions(engines []residency.Engine) bool {
+	version, known := "", false
+	for i := range engines {
+		if !engines[i].Serving {
+			continue
+		}
+		if known && engines[i].Version != version {
+			return true
+		}
+		version, known = engines[i].Version, true
+	}
+	return false
+}
+
+// addWaiting adds the waiting requests of all VMs to the models. While all engines have one software
+// version, requests that need a version are like all others.
+func (p *planner) addWaiting(now time.Time, service string, byName map[string]*residency.Model, severalVersions bool) {
 	add := func(unit string, count int, oldest time.Duration) {
 		u, ok := serving.ParseModelUnit(unit)
 		if !ok || u.Service != service || byName[u.Model] == nil {
 			return
 		}
 		m := byName[u.Model]
+		if _, version := serving.SplitVersion(unit); version != "" && severalVersions {
+			addVersionDemand(m, residency.VersionDemand{Version: version, Waiting: count, OldestWait: oldest})
+			return
+		}
 		m.Waiting += count
 		m.OldestWait = max(m.OldestWait, oldest)
 	}
@@ -182,6 +203,17 @@
 	})
 }
 
+func addVersionDemand(m *residency.Model, demand residency.VersionDemand) {
+	for i := range m.WaitingAt {
+		if known := &m.WaitingAt[i]; known.Version == demand.Version {
+			known.Waiting += demand.Waiting
+			known.OldestWait = max(known.OldestWait, demand.OldestWait)
+			return
+		}
+	}
+	m.WaitingAt = append(m.WaitingAt, demand)
+}
+
 func toSet(names []string) map[string]bool {
 	out := make(map[string]bool, len(names))
 	for _, name := range names {
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -17,6 +17,8 @@
 // placementRequest says why a replica of a model is planned and what it may cost.
 type placementRequest struct {
 	reason string
+	// version restricts the replica to engines of a software version, empty for any.
+	version string
 	// currentReplicas is the number of ready and loading replicas of the models that a
 	// preload applies to.
 	currentReplicas int
@@ -41,7 +43,7 @@
 	best := candidate{cost: -1}
 	for i := range r.Engines {
 		e := &r.Engines[i]
-		if !e.AcceptsSwaps || hasReplica(e, m.Name) {
+		if !e.AcceptsSwaps || hasReplica(e, m.Name) || (req.version != "" && e.Version != req.version) {
 			continue
 		}
 		if r.assignedEngines[e.ID] && e.BusyFor == 0 {
--- a/placement/residency/residency.go
+++ b/placement/residency/residency.go
@@ -41,6 +41,8 @@
 // Engine is the planner's view of an engine.
 type Engine struct {
 	ID, Domain string
+	// Version is the version of the engine's software.
+	Version string
 	// CapacityBytes is the memory for all of its models together.
 	CapacityBytes int64
 	// Slots is how many requests the engine runs at once.
@@ -70,6 +72,9 @@
 	// first of them has waited.
 	Waiting    int
 	OldestWait time.Duration
+	// WaitingAt holds the requests that can run at one software version only. They are not in
+	// Waiting.
+	WaitingAt []VersionDemand
 	// Running is the number of requests for the model that run on any engine.
 	Running int
 	// Rate is the smoothed number of requests for the model per second.
@@ -79,6 +84,13 @@
 	RequestWeight float64
 }
 
+// VersionDemand is the requests for a model that wait for an engine of a software version.
+type VersionDemand struct {
+	Version    string
+	Waiting    int
+	OldestWait time.Duration
+}
+
 // Swap changes which models an engine holds: it unloads some and loads another.
 type Swap struct {
 	Engine string
@@ -240,7 +252,12 @@
 // urgency returns the cost of the wait for the model: it grows with the number of waiting
 // requests and with the wait of the oldest one.
 func (m *Model) urgency() float64 {
-	return float64(m.Waiting) * m.RequestWeight * (1 + m.OldestWait.Seconds())
+	waiting, oldest := m.Waiting, m.OldestWait
+	for _, demand := range m.WaitingAt {
+		waiting += demand.Waiting
+		oldest = max(oldest, demand.OldestWait)
+	}
+	return float64(waiting) * m.RequestWeight * (1 + oldest.Seconds())
 }
 
 // urgency returns the model's urgency by its waiting or its refused requests, whichever is
@@ -297,11 +314,40 @@
 // waiting requests gets none in 16 s.
 func (r *round) serveDemand() {
 	for _, m := range r.byUrgency {
+		r.placeAtVersions(m)
 		r.placeRequested(m)
 		r.addReplicas(m)
 	}
 }
 
+// placeAtVersions plans a replica at each software version that requests wait for and that has none.
+// Such requests continue streams that engines of the version began; engines of other versions that hold the
+// model don't help them.
+func (r *round) placeAtVersions(m *Model) {
+	for _, demand := range m.WaitingAt {
+		if !r.hasReplicaAt(m.Name, demand.Version) {
+			r.placeModel(m, placementRequest{
+				reason: reasonWaiting, version: demand.Version, evictRunning: demand.OldestWait > starvationThreshold, maxStoreLoads: r.MaxStoreLoads,
+			})
+		}
+	}
+}
+
+// hasReplicaAt reports whether an engine of the software version holds or loads the model.
+func (r *round) hasReplicaAt(model, version string) bool {
+	for i := range r.Engines {
+		e := &r.Engines[i]
+		if e.Version != version || !e.Serving {
+			continue
+		}
+		loads := func(s Swap) bool { return s.Engine == e.ID && s.Load == model }
+		if hasReplica(e, model) || slices.ContainsFunc(r.InFlight, loads) || slices.ContainsFunc(r.swaps, loads) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeRequested plans a replica of a model that has waiting or refused requests and no
 // replica, ready or loading; or a further replica if the model's engines are full of
 // requests for other models.
--- a/placement/residency/residency_test.go
+++ b/placement/residency/residency_test.go
@@ -364,3 +364,26 @@
 	testkit.Equal(t, "second shortage", got[1], want)
 	testkit.Equal(t, "number of shortages with a limit of 1", len(FindShortages(engines, models, nil, 1)), 1)
 }
+
+// Guards against streams that can't go on because the engines of their software version don't hold
+// their model while one of another version does, and against loads where none is missing.
+func TestWaitingAtAVersionGetsAReplicaThere(t *testing.T) {
+	atV1 := func(m *Model) {
+		m.WaitingAt = []VersionDemand{{Version: "v1", Waiting: 2, OldestWait: time.Second}}
+	}
+	newEngines := func(heldAtV1 ...string) []Engine {
+		engines := []Engine{engine("a", "m1"), engine("b", heldAtV1...), engine("c", "rare"), engine("d")}
+		for i, version := range []string{"v1", "v1", "v2", "v2"} {
+			engines[i].Version = version
+		}
+		return engines
+	}
+	models := []Model{model("m1", 80, nil), model("m2", 80, nil), model("rare", 80, atV1)}
+	noPreload := func(engines []Engine, inFlight ...Swap) []Swap {
+		return Plan(PlanInput{Now: start, Engines: engines, Models: models, InFlight: inFlight, MaxStoreLoads: testStoreLoads})
+	}
+	requireSwap(t, noPreload(newEngines()), "b", "rare")
+	requireSwap(t, noPreload(newEngines("m2")), "a", "rare", "m1")
+	testkit.Equal(t, "loads of a model that is there", len(noPreload(newEngines("rare"))), 0)
+	testkit.Equal(t, "loads of a model that is loading there", len(noPreload(newEngines(), Swap{Engine: "b", Load: "rare"})), 0)
+}
