hosted: VMs that don't answer delay only streams whose software version is in doubt

A VM that has just started asks the others at which version a stream began, also in a service of one version, and waited half a second for those that aren't live here: just after VMs were killed, when most streams are taken up. It now waits for those only if several versions are known.

TestSilentVMsDelayOnlyUnknownStreams (new): 50 ms at most with one version, the timeout with two; the fake peers give no answer when they are cut off, as real ones.

--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -159,6 +159,13 @@
 	w.domainsPartitioned = partitioned
 }
 
+// setIsolated sets whether a VM is cut off from the other VMs.
+func (w *testCluster) setIsolated(vm string, isolated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isolated[vm] = isolated
+}
+
 // waitForAnswerGate waits until engines may answer or ctx ends.
 func (w *testCluster) waitForAnswerGate(ctx context.Context) {
 	w.mu.Lock()
@@ -377,9 +384,16 @@
 	_, err := callNode(w, address, func(n *Node, a entryvm.StreamVersionsArgs) entryvm.Empty { n.StreamVersions(a); return entryvm.Empty{} }, a)
 	return err
 }
-func (w peerClient) FindStream(_ context.Context, address string, a entryvm.FindStreamArgs) (entryvm.FindStreamReply, error) {
-	return callNode(w, address, (*Node).FindStream, a)
+
+// FindStream gets no answer from a VM that is cut off.
+func (w peerClient) FindStream(ctx context.Context, address string, a entryvm.FindStreamArgs) (entryvm.FindStreamReply, error) {
+	reply, err := callNode(w, address, (*Node).FindStream, a)
+	if errors.Is(err, errPartitioned) {
+		<-ctx.Done()
+	}
+	return reply, err
 }
+
 func (w peerClient) Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error) {
 	reply, err := callNode(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
 	if err == nil {
--- a/internal/hosted/dayfaults_test.go
+++ b/internal/hosted/dayfaults_test.go
@@ -293,12 +293,6 @@
 	d.setIsolated(vm, false)
 }
 
-func (d *day) setIsolated(vm string, isolated bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.isolated[vm] = isolated
-}
-
 func (d *day) publishConfiguration(time.Duration) {
 	d.registry.mu.Lock()
 	next := *d.registry.configuration
--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -255,13 +255,12 @@
 	}
 	versions, complete := n.backends.versions(now, stream.Service)
 	if !complete || (len(versions) > 1 && stream.Request != "") {
-		version, found, others := s.ask(ctx, key, stream.Service)
-		if found {
+		version, found := "", false
+		if version, found, versions = s.ask(ctx, key, stream.Service, versions); found {
 			resumedRecorded.Inc()
 			s.keep(key, stream.Service, version)
 			return version, nil
 		}
-		versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(versions, others))))
 	}
 	switch len(versions) {
 	case 0:
@@ -283,12 +282,21 @@
 }
 
 // ask asks all possible keepers of a stream at once for its version, because VMs may differ in
-// who they think is live. It also returns the versions of the service that they remember.
-func (s *streamVersions) ask(ctx context.Context, key streamversion.Key, service string) (version string, found bool, versions []string) {
+// who they think is live. It also returns the versions of the service that they and this VM remember. It
+// waits for VMs that aren't live here only if these are several.
+func (s *streamVersions) ask(ctx context.Context, key streamversion.Key, service string, known []string) (version string, found bool, versions []string) {
 	// Calls are not canceled once the answer is known: that would close connections that others use.
 	ctx = context.WithoutCancel(ctx)
 	keepers := s.node.members.possibleStreamKeepers(time.Now())
-	replies := make(chan entryvm.FindStreamReply, len(keepers))
+	live := make(map[string]bool)
+	for _, keeper := range s.node.members.streamKeepers(time.Now()) {
+		live[keeper.vm] = true
+	}
+	type vmReply struct {
+		entryvm.FindStreamReply
+		vm string
+	}
+	replies := make(chan vmReply, len(keepers))
 	for _, keeper := range keepers {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
@@ -297,15 +305,20 @@
 			if err != nil {
 				s.node.config.Logger.Debug("version of a stream not asked", zap.String("vm", keeper.vm), telemetry.Reason(err))
 			}
-			replies <- reply
+			replies <- vmReply{reply, keeper.vm}
 		}()
 	}
+	versions = known
 	for range keepers {
+		if len(live) == 0 && len(versions) <= 1 {
+			break
+		}
 		reply := <-replies
+		delete(live, reply.vm)
 		if reply.Found {
 			return reply.Version, true, nil
 		}
-		versions = append(versions, reply.Versions...)
+		versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(versions, reply.Versions))))
 	}
 	return "", false, versions
 }
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +132,19 @@
 	testkit.Equal(t, "keepers of one", len(pickStreamKeepers(testStream("1").Key(), "d1", keepers[:1])), 1)
 	testkit.Equal(t, "keepers of none", len(pickStreamKeepers(testStream("1").Key(), "d1", nil)), 0)
 }
+
+// Guards against callers that wait for VMs which don't answer although their service has one software
+// version, and against those that wait longer than the question may take.
+func TestSilentVMsDelayOnlyUnknownStreams(t *testing.T) {
+	for versions, maxWait := range map[string]time.Duration{"v1": 50 * time.Millisecond, "v1 v2": findStreamTimeout + 50*time.Millisecond} {
+		withVersionedFleet(t, 4, strings.Fields(versions), func(w *testCluster, names []string) {
+			w.setIsolated(names[2], true)
+			time.Sleep(3 * time.Second)
+			begun := time.Now()
+			want := map[bool]string{true: "v1"}[versions == "v1"]
+			w.expectVersion(names[1], testStream("unknown"), want)
+			testkit.That(t, time.Since(begun) <= maxWait, "%s: waited %s", versions, time.Since(begun))
+			w.setIsolated(names[2], false)
+		})
+	}
+}
