--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -199,7 +199,7 @@
 
 // listEngine puts an engine into the registry's list with the models that it holds.
 func (w *testCluster) listEngine(e *fakeEngine, onDisk ...string) {
-	b := registry.Backend{ID: e.id, Service: testService, Address: e.address, Domain: e.domain, Slots: 8, IsEngine: true, OnDisk: onDisk, Started: e.started}
+	b := registry.Backend{ID: e.id, Service: testService, Address: e.address, Domain: e.domain, Version: e.version, Slots: 8, IsEngine: true, OnDisk: onDisk, Started: e.started}
 	w.engines.mu.Lock()
 	defer w.engines.mu.Unlock()
 	for name := range e.models {
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -43,6 +43,8 @@
 	kinds []fault
 	// repeatable is whether requests may be sent again after they may have run.
 	repeatable bool
+	// streaming is whether requests are for streams that may be resumed.
+	streaming bool
 	// requestInterval is the time between two requests.
 	requestInterval time.Duration
 	// faultLog describes the selected faults.
@@ -80,6 +82,10 @@
 // sendAndRecord sends one request and records its outcome. The response of a VM that was
 // killed meanwhile doesn't reach the caller.
 func (d *day) sendAndRecord(vm, id string) {
+	if d.streaming {
+		d.sendStream(vm, id)
+		return
+	}
 	d.statsMu.Lock()
 	sent := time.Now()
 	d.sentAt[id] = sent
@@ -121,6 +127,8 @@
 func (d *day) violations(startedAt time.Time, engines int) []judge.Violation {
 	h := &d.history
 	var violations []judge.Violation
+	violations = append(violations, judge.CheckSoftwareVersions(h)...)
+	violations = append(violations, judge.CheckCompleteStreams(h)...)
 	if d.repeatable {
 		violations = append(violations, judge.CheckRetries(h, retryBound(len(d.vms)))...)
 	} else {
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -57,6 +57,9 @@
 	rejections    int
 	roomCrashes   []time.Time
 	newEngineRoom func() *engineRoom
+	// streaming has engines answer with event streams. They have two software versions in turns, and
+	// every third one sends answers that end with their connection.
+	streaming bool
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
 	// vmStarts counts the starts of each VM, killedInstances are the instances that were
@@ -84,8 +87,11 @@
 // servingEngine is one instance of an engine.
 type servingEngine struct {
 	id, domain string
-	ended      chan struct{}
-	hasEnded   bool
+	// version is that of its software. unframed has its answers end with their connection.
+	version  string
+	unframed bool
+	ended    chan struct{}
+	hasEnded bool
 	// limit is the limit that a share of its answers report, limitShare.
 	limit      service.Limit
 	limitShare float64
@@ -111,9 +117,18 @@
 
 // withConfiguredEngineCluster is withEngineCluster with other settings of the VMs.
 func withConfiguredEngineCluster(t *testing.T, vms, engines int, configure func(*testCluster), run func(*engineCluster)) {
+	startEngineCluster(t, vms, engines, false, configure, run)
+}
+
+// withStreamingEngineCluster is withConfiguredEngineCluster with engines that answer with event streams.
+func withStreamingEngineCluster(t *testing.T, vms, engines int, configure func(*testCluster), run func(*engineCluster)) {
+	startEngineCluster(t, vms, engines, true, configure, run)
+}
+
+func startEngineCluster(t *testing.T, vms, engines int, streaming bool, configure func(*testCluster), run func(*engineCluster)) {
 	withTestCluster(t, func(w *testCluster) {
 		configure(w)
-		b := &engineCluster{testCluster: w, random: rand.New(rand.NewSource(3)), engineRandom: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine)}
+		b := &engineCluster{testCluster: w, random: rand.New(rand.NewSource(3)), engineRandom: rand.New(rand.NewSource(4)), engines: make(map[string]*servingEngine), streaming: streaming}
 		b.lostPaths = make(map[string]*lostPath)
 		b.sentAt, b.vmStarts, b.killedInstances = make(map[string]time.Time), make(map[string]int), make(map[vmInstance]bool)
 		w.forwarderOf = func(vm string) service.Forwarder {
@@ -156,6 +171,10 @@
 	e := b.testCluster.engines.add(fmt.Sprint("e", b.startedEngines), "m1")
 	e.domain = domain
 	serving := &servingEngine{id: e.id, domain: domain, ended: make(chan struct{})}
+	if b.streaming {
+		e.version = fmt.Sprint("v", b.startedEngines%2)
+		serving.version, serving.unframed = e.version, b.startedEngines%3 == 0
+	}
 	if b.newEngineRoom != nil {
 		serving.room = b.newEngineRoom()
 	}
@@ -250,8 +269,12 @@
 		time.AfterFunc(runTime, func() { b.leaveRoom(e) })
 		return nil, service.ErrOutcomeUnknown
 	}
-	return &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, e, time.Now().Add(runTime)}, Limit: limit, Leaving: leaving,
-		MaxRejections: b.maxRejections(e)}, nil
+	answer := &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, e, time.Now().Add(runTime)}}
+	if b.streaming {
+		answer = b.streamAnswer(e, &f)
+	}
+	answer.Limit, answer.Leaving, answer.MaxRejections = limit, leaving, b.maxRejections(e)
+	return answer, nil
 }
 
 // Probe implements service.Forwarder.
--- a/internal/hosted/fakeengines_test.go
+++ b/internal/hosted/fakeengines_test.go
@@ -17,6 +17,7 @@
 	unresponsive  bool
 	id, address   string
 	domain        string
+	version       string
 	models        map[string]map[string]bool
 	orders        uint64
 	started       int64
--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -104,13 +104,17 @@
 
 // allowRepeats publishes a configuration under which requests may be repeated.
 func (d *day) allowRepeats() {
+	d.changeRoute(func(r *contract.Route) { r.Repeat, r.Stream = contract.RepeatSafe, false })
+}
+
+// changeRoute publishes a configuration with a change of the route.
+func (d *day) changeRoute(change func(*contract.Route)) {
 	d.registry.mu.Lock()
 	next := *d.registry.configuration
 	d.registry.mu.Unlock()
 	changed := *next.Contract
 	changed.Routes = append([]contract.Route(nil), changed.Routes...)
-	changed.Routes[0].Repeat = contract.RepeatSafe
-	changed.Routes[0].Stream = false
+	change(&changed.Routes[0])
 	next.Version++
 	next.Contract = &changed
 	d.registry.setConfiguration(&next)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -38,6 +38,11 @@
 	// Answered reports whether the caller received the whole answer, NotRun whether the
 	// response said that the request has not run and will not.
 	Answered, NotRun bool
+	// Versions are the software versions of the backend servers whose events the caller received, over
+	// all of its attempts.
+	Versions []string
+	// CutOff reports whether the caller was told that the answer is complete although it isn't.
+	CutOff bool
 }
 
 // LeaveNotice records that the registry accepted a backend server's notice that it leaves.
@@ -100,6 +105,8 @@
 	recovery        = "recovers"
 	servedElsewhere = "served without paths"
 	roomKept        = "room kept"
+	oneVersion      = "one software version"
+	completeStreams = "complete streams"
 )
 
 // process identifies one instance of an entry VM.
@@ -127,6 +134,27 @@
 	return violations
 }
 
+// CheckSoftwareVersions finds streams whose callers received events of several software versions.
+func CheckSoftwareVersions(h *History) (violations []Violation) {
+	for _, o := range h.Outcomes {
+		if len(o.Versions) > 1 {
+			violations = append(violations, Violation{oneVersion, o.Sent, fmt.Sprintf("%s has events of %v", o.Request, o.Versions)})
+		}
+	}
+	return violations
+}
+
+// CheckCompleteStreams finds streams that were cut off and whose callers were told that they are
+// complete.
+func CheckCompleteStreams(h *History) (violations []Violation) {
+	for _, o := range h.Outcomes {
+		if o.CutOff {
+			violations = append(violations, Violation{completeStreams, o.Sent, fmt.Sprintf("%s was cut off and looks complete", o.Request)})
+		}
+	}
+	return violations
+}
+
 // CheckHonestRefusals finds requests that ran although their callers were told that they had
 // not.
 func CheckHonestRefusals(h *History) (violations []Violation) {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -56,6 +56,8 @@
 	room := func(h *judge.History) []judge.Violation {
 		return judge.CheckRoom(h, func(int) int { return 1 }, time.Second)
 	}
+	oneVersion := func(h *judge.History) []judge.Violation { return judge.CheckSoftwareVersions(h) }
+	completeStreams := func(h *judge.History) []judge.Violation { return judge.CheckCompleteStreams(h) }
 	retryBudget := func(h *judge.History) []judge.Violation {
 		return judge.CheckRetries(h, judge.RetryBound{Window: 10 * time.Second, Ratio: 0.5, Slack: 1})
 	}
@@ -75,6 +77,10 @@
 		want  int
 		h     judge.History
 	}{
+		{"events of two versions", oneVersion, 1, judge.History{Outcomes: []judge.Outcome{{Request: "r", Versions: []string{"v1", "v2"}}}}},
+		{"events of one version", oneVersion, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r", Versions: []string{"v1"}}, {Request: "q", Versions: []string{"v2"}}}}},
+		{"cut off and complete to the caller", completeStreams, 1, judge.History{Outcomes: []judge.Outcome{{Request: "r", CutOff: true}}}},
+		{"broken off", completeStreams, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r"}}}},
 		{"ran twice", atMostOnce, 1, judge.History{Arrivals: []judge.Arrival{arrival("r", "b", "v", 1), arrival("r", "c", "v", 2)}}},
 		{"refused, then ran", atMostOnce, 0, judge.History{Arrivals: []judge.Arrival{refusedArrival("r", 1), arrival("r", "c", "v", 2)}}},
 		{"not run reported for a request that ran", honestRefusals, 1, judge.History{Arrivals: []judge.Arrival{arrival("r", "b", "v", 1)}, Outcomes: []judge.Outcome{{Request: "r", NotRun: true}}}},
