hosted: an adapter is loaded on an engine of the software version that its requests need

Found by reading the diff: a stream that waits for an adapter at one version had it loaded on whichever engine holds the model, and waited in vain. TestAdapterIsLoadedAtTheVersionThatRequestsNeed: 2 adapters at the other version before, none after.

--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -31,7 +31,8 @@
 	node *Node
 
 	mu sync.Mutex
-	// inFlight are the units whose load has been requested and has not ended.
+	// inFlight are the units, at a software version or at any, whose load has been requested and has
+	// not ended.
 	inFlight map[string]bool
 }
 
@@ -39,21 +40,25 @@
 	return &adapterLoader{node: n, inFlight: make(map[string]bool)}
 }
 
-// requestLoad begins to have the adapter loaded, unless that is in flight. It returns false
-// if no engine that can take the adapter holds its model, which must be loaded first.
-func (a *adapterLoader) requestLoad(wanted serving.ModelUnit) bool {
-	hosts := a.findHosts(wanted)
+// requestLoad begins to have the adapter loaded on an engine of a software version, empty for any,
+// unless that is in flight. It returns false if no engine that can take the adapter holds its model, which
+// must be loaded first.
+func (a *adapterLoader) requestLoad(wanted serving.ModelUnit, version string) bool {
+	hosts := a.findHosts(wanted, version)
 	if len(hosts) == 0 {
 		return false
 	}
-	unit := wanted.String()
+	unit := serving.VersionedUnit(wanted.String(), version)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.inFlight[unit] {
 		return true
 	}
 	a.inFlight[unit] = true
-	go a.tryHosts(wanted, hosts)
+	go func() {
+		defer a.finishLoad(unit)
+		a.tryHosts(wanted, hosts)
+	}()
 	return true
 }
 
@@ -68,13 +73,13 @@
 // findHosts returns the engines that could load the adapter, ordered by rendezvous hash, so
 // that all VMs ask the same engine first and each engine gets a part of the adapters that
 // fits its adapter slots. Crowded engines come last.
-func (a *adapterLoader) findHosts(wanted serving.ModelUnit) []adapterHost {
+func (a *adapterLoader) findHosts(wanted serving.ModelUnit, version string) []adapterHost {
 	now := time.Now()
 	unit := wanted.String()
 	var engines []*backend
 	a.node.backends.each(wanted.Service, func(b *backend) {
 		held, ok := b.loadedModels[wanted.Model]
-		if !ok || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
+		if !ok || (version != "" && b.Version != version) || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
 			return
 		}
 		copied := *b
@@ -120,7 +125,6 @@
 // tryHosts asks the keepers of the engines one after the other until one has loaded the
 // adapter.
 func (a *adapterLoader) tryHosts(wanted serving.ModelUnit, hosts []adapterHost) {
-	defer a.finishLoad(wanted.String())
 	for _, h := range hosts[:min(len(hosts), maxAdapterAttempts)] {
 		args := entryvm.AdapterArgs{Engine: h.engine, Model: wanted.Model, Adapter: wanted.Adapter}
 		reply, err := a.loadOn(h, args)
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -237,7 +237,8 @@
 		if !ok {
 			continue
 		}
-		if wanted.Adapter != "" && n.adapterRequests.requestLoad(wanted) {
+		_, version := serving.SplitVersion(d.Unit)
+		if wanted.Adapter != "" && n.adapterRequests.requestLoad(wanted, version) {
 			continue
 		}
 		needsPlanner = true
