serving, caller: only event streams are searched for their events' ends; pages name TLS beside HTTP/2

A plain answer's bytes were scanned for nothing. A broken answer that ends with its connection can't be shown to a caller over TLS either (the alert that closes TLS comes before the reset); no VM on the hosting platform serves TLS.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -151,8 +151,8 @@
 	refusalMarginDivisor = 5
 )
 
-// RelayHandler is an http.Handler that forwards requests unchanged. Only a Server shows the
-// callers of HTTP/1 that an answer which ends with its connection was broken off. The handler uses no
+// RelayHandler is an http.Handler that forwards requests unchanged. Only a Server without TLS shows
+// callers that an answer which ends with its connection was broken off. The handler uses no
 // http.ServeMux, which would redirect paths that are not in canonical form, although
 // the path is the backend server's to interpret.
 type RelayHandler struct {
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -195,7 +195,9 @@
 		return false
 	}
 	if len(piece) > 0 {
-		f.boundary.advance(piece)
+		if f.eventStream {
+			f.boundary.advance(piece)
+		}
 		f.recordProgress(now)
 	}
 	return true
