hosted: a VM whose list is outdated asks the others for a stream's software version

Found by asking when a VM can be sure by itself: one that the registry doesn't answer knows of one version, and let a stream that began at a new one go on at the old one. A request that names the one which began its stream is now always asked about, unless this VM knows it.

TestVersionOfStreamUnknownToAnOutdatedVM: v1 instead of v2 before; ok after, twice with the others of streamversions_test.go.

--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -254,7 +254,8 @@
 		return version, nil
 	}
 	versions, complete := n.backends.versions(now, stream.Service)
-	if !complete || (len(versions) > 1 && stream.Request != "") {
+	// A version may be unknown here: the VM has just started, or the registry doesn't answer it.
+	if !complete || stream.Request != "" {
 		version, found := "", false
 		if version, found, versions = s.ask(ctx, key, stream.Service, versions); found {
 			resumedRecorded.Inc()
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -148,3 +148,22 @@
 		})
 	}
 }
+
+// Guards against a VM that doesn't know a new software version yet, as the registry doesn't answer it, and
+// takes its only one for that of a stream that began elsewhere.
+func TestVersionOfStreamUnknownToAnOutdatedVM(t *testing.T) {
+	withVersionedFleet(t, 4, []string{"v1"}, func(w *testCluster, names []string) {
+		time.Sleep(streamversion.TTL)
+		w.registry.mu.Lock()
+		w.registry.partitionedReaders[names[1]] = true
+		w.registry.mu.Unlock()
+		time.Sleep(time.Second)
+		w.listVersions("v1", "v2")
+		time.Sleep(100 * time.Millisecond)
+		w.nodes[names[3]].RecordStream(testStream("1"), "v2")
+		time.Sleep(50 * time.Millisecond)
+		w.kill(names[3])
+		w.expectVersion(names[1], testStream("1"), "v2")
+		w.expectVersion(names[1], testStream("unknown"), "")
+	})
+}
