hosted, entryvm: versions of streams are sent in groups, with keys of 8 bytes

A record named its service and version by itself: 47 bytes alone, 883 for 20. Now 40 and 211 (both encoded). A key of 64 bits is enough: one that collides names a version at most.

--- a/entryvm/stream.go
+++ b/entryvm/stream.go
@@ -5,25 +5,27 @@
 	"time"
 )
 
-// StreamVersion is the software version at which a stream began.
-type StreamVersion struct {
-	// Key identifies the stream, see routing/streamversion.
-	Key     [16]byte `cbor:"1,keyasint"`
-	Service string   `cbor:"2,keyasint,omitempty"`
-	Version string   `cbor:"3,keyasint,omitempty"`
-	// Age is how long before the sending the stream began.
+// StreamKey identifies a stream, see routing/streamversion.
+type StreamKey [8]byte
+
+// StreamGroup is streams of a service that began at one software version.
+type StreamGroup struct {
+	Service string      `cbor:"1,keyasint,omitempty"`
+	Version string      `cbor:"2,keyasint,omitempty"`
+	Keys    []StreamKey `cbor:"3,keyasint,omitempty"`
+	// Age is how long before the sending the youngest of them began.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // StreamVersionsArgs carries versions of streams to a VM that keeps them for the others.
 type StreamVersionsArgs struct {
-	Streams []StreamVersion `cbor:"1,keyasint,omitempty"`
+	Groups []StreamGroup `cbor:"1,keyasint,omitempty"`
 }
 
 // FindStreamArgs asks for the software version at which a stream began.
 type FindStreamArgs struct {
-	Key     [16]byte `cbor:"1,keyasint"`
-	Service string   `cbor:"2,keyasint,omitempty"`
+	Key     StreamKey `cbor:"1,keyasint"`
+	Service string    `cbor:"2,keyasint,omitempty"`
 }
 
 // FindStreamReply is the answer to FindStreamArgs.
--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -107,11 +107,13 @@
 		return
 	}
 	keepers := s.node.members.streamKeepers(now)
-	byKeeper := make(map[string][]entryvm.StreamVersion)
+	byKeeper := make(map[string]map[streamversion.Key]streamversion.Record)
 	for key, record := range due {
-		update := entryvm.StreamVersion{Key: key, Service: record.Service, Version: record.Version, Age: now.Sub(record.BegunAt)}
 		for _, address := range pickStreamKeepers(key, s.node.config.Domain, keepers) {
-			byKeeper[address] = append(byKeeper[address], update)
+			if byKeeper[address] == nil {
+				byKeeper[address] = make(map[streamversion.Key]streamversion.Record)
+			}
+			byKeeper[address][key] = record
 		}
 	}
 	for address, streams := range byKeeper {
@@ -119,6 +121,27 @@
 	}
 }
 
+// groupStreams groups streams by their service and version.
+func groupStreams(now time.Time, streams map[streamversion.Key]streamversion.Record) []entryvm.StreamGroup {
+	type groupKey struct{ service, version string }
+	groups := make(map[groupKey]*entryvm.StreamGroup)
+	for key, record := range streams {
+		age := now.Sub(record.BegunAt)
+		group := groups[groupKey{record.Service, record.Version}]
+		if group == nil {
+			group = &entryvm.StreamGroup{Service: record.Service, Version: record.Version, Age: age}
+			groups[groupKey{record.Service, record.Version}] = group
+		}
+		group.Age = min(group.Age, age)
+		group.Keys = append(group.Keys, entryvm.StreamKey(key))
+	}
+	out := make([]entryvm.StreamGroup, 0, len(groups))
+	for _, group := range groups {
+		out = append(out, *group)
+	}
+	return out
+}
+
 // takeUnshared removes and returns the streams that are due to be shared.
 func (s *streamVersions) takeUnshared(now time.Time) map[streamversion.Key]streamversion.Record {
 	s.mu.Lock()
@@ -142,11 +165,10 @@
 
 // send sends streams to a keeper. If that fails, they are shared again: another VM may keep them by
 // then.
-func (s *streamVersions) send(ctx context.Context, address string, streams []entryvm.StreamVersion) {
-	begun := time.Now()
+func (s *streamVersions) send(ctx context.Context, address string, streams map[streamversion.Key]streamversion.Record) {
 	callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	err := s.node.config.Peers.EntryVMs.StreamVersions(callCtx, address, entryvm.StreamVersionsArgs{Streams: streams})
+	err := s.node.config.Peers.EntryVMs.StreamVersions(callCtx, address, entryvm.StreamVersionsArgs{Groups: groupStreams(time.Now(), streams)})
 	if err == nil {
 		streamsShared.Add(len(streams))
 		return
@@ -158,9 +180,7 @@
 	s.node.config.Logger.Warn("versions of streams not shared", zap.String("address", address), zap.Int("streams", len(streams)), telemetry.Reason(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, update := range streams {
-		s.unshared[update.Key] = streamversion.Record{Service: update.Service, Version: update.Version, BegunAt: begun.Add(-update.Age)}
-	}
+	maps.Copy(s.unshared, streams)
 }
 
 // streamKeeper is a VM that may keep versions of streams for others.
@@ -226,15 +246,17 @@
 	s, now := n.streamVersions, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, update := range args.Streams {
-		s.table.Add(now, update.Key, streamversion.Record{Service: update.Service, Version: update.Version, BegunAt: now.Add(-update.Age)})
+	for _, group := range args.Groups {
+		for _, key := range group.Keys {
+			s.table.Add(now, streamversion.Key(key), streamversion.Record{Service: group.Service, Version: group.Version, BegunAt: now.Add(-group.Age)})
+		}
 	}
 }
 
 // FindStream implements entryvm.Coordinator.
 func (n *Node) FindStream(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
 	now := time.Now()
-	version, found := n.streamVersions.find(now, args.Key)
+	version, found := n.streamVersions.find(now, streamversion.Key(args.Key))
 	versions, _ := n.backends.versions(now, args.Service)
 	return entryvm.FindStreamReply{Found: found, Version: version, Versions: versions}
 }
@@ -302,7 +324,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 			defer cancel()
-			reply, err := s.node.config.Peers.EntryVMs.FindStream(ctx, keeper.address, entryvm.FindStreamArgs{Key: key, Service: service})
+			reply, err := s.node.config.Peers.EntryVMs.FindStream(ctx, keeper.address, entryvm.FindStreamArgs{Key: entryvm.StreamKey(key), Service: service})
 			if err != nil {
 				s.node.config.Logger.Debug("version of a stream not asked", zap.String("vm", keeper.vm), telemetry.Reason(err))
 			}
--- a/routing/streamversion/table.go
+++ b/routing/streamversion/table.go
@@ -22,7 +22,7 @@
 type Stream struct{ Workspace, Service, Request string }
 
 // Key is a hash of a Stream.
-type Key [16]byte
+type Key [8]byte
 
 // Key returns the stream's key.
 func (s Stream) Key() Key {
@@ -32,7 +32,7 @@
 		_, _ = hash.Write([]byte{0})
 	}
 	_, _ = hash.Write([]byte(s.Request))
-	return Key(hash.Sum(nil))
+	return Key(hash.Sum(nil)[:len(Key{})])
 }
 
 // Record is the version at which a stream began.
