--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -75,7 +75,11 @@
 
 // servableShare returns the fraction of the requests that the engines have slots for.
 func (d *day) servableShare(engines int) float64 {
-	requestRate, slots := 1/d.requestInterval.Seconds(), float64(engines*engineSlots)/runTime.Seconds()
+	duration := runTime
+	if d.streaming {
+		duration = streamEvents * eventInterval
+	}
+	requestRate, slots := 1/d.requestInterval.Seconds(), float64(engines*engineSlots)/duration.Seconds()
 	return min(1, slots/requestRate)
 }
 
--- a/internal/hosted/streamdays_test.go
+++ b/internal/hosted/streamdays_test.go
@@ -196,10 +196,11 @@
 	configure := func(w *testCluster) {
 		w.domains, w.retryShare, w.retrySlack = spreadDomainCount, retryRatio, fleetRetrySlack(vms)
 	}
-	withStreamingEngineCluster(t, vms, 2+random.Intn(6), configure, func(b *engineCluster) {
+	engines := 2 + random.Intn(6)
+	withStreamingEngineCluster(t, vms, engines, configure, func(b *engineCluster) {
 		d := &day{engineCluster: b, random: random, repeatable: true, streaming: true, kinds: faultKinds}
 		d.allowResuming()
-		d.runAndCheck(retryClusterEngines)
+		d.runAndCheck(engines)
 	})
 }
 
