--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -13,7 +12,6 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
-	"bergamotreel/internal/rendezvous"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/refusal"
 	"bergamotreel/routing/streamversion"
@@ -183,64 +181,6 @@
 	maps.Copy(s.unshared, streams)
 }
 
-// streamKeeper is a VM that may keep versions of streams for others.
-type streamKeeper struct{ vm, domain, address string }
-
-// streamKeepers returns the VMs that may keep versions of streams: the live ones, in a large fleet only the
-// relays, to which all VMs are connected anyway.
-func (m *members) streamKeepers(now time.Time) []streamKeeper {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	roles := m.currentRoles(now)
-	var keepers []streamKeeper
-	m.eachLiveLocked(now, func(r *entryvm.Report) {
-		if !r.Leaving && r.Address != "" && (!roles.large || roles.isRelayOf(r.Domain, r.VM)) {
-			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
-		}
-	})
-	return keepers
-}
-
-// possibleStreamKeepers returns the VMs that other VMs may take for streamKeepers. In a small fleet
-// this includes those that aren't live here: after a partition, a VM is back before it counts as live.
-func (m *members) possibleStreamKeepers(now time.Time) []streamKeeper {
-	m.mu.Lock()
-	large := m.isLarge()
-	m.mu.Unlock()
-	if large {
-		return m.streamKeepers(now)
-	}
-	var keepers []streamKeeper
-	m.eachSeen(func(r *entryvm.Report) {
-		if r.Address != "" {
-			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
-		}
-	})
-	return keepers
-}
-
-// pickStreamKeepers returns the addresses of the keepers of a stream: one in the failure domain and
-// one in another, as far as there are any, otherwise two in the same.
-func pickStreamKeepers(key streamversion.Key, domain string, keepers []streamKeeper) []string {
-	ranked := slices.Clone(keepers)
-	slices.SortFunc(ranked, func(a, b streamKeeper) int {
-		return cmp.Or(cmp.Compare(rendezvous.Weight(string(key[:]), b.vm), rendezvous.Weight(string(key[:]), a.vm)), cmp.Compare(a.vm, b.vm))
-	})
-	if len(ranked) <= 2 {
-		return addressesOf(ranked)
-	}
-	second := slices.IndexFunc(ranked[1:], func(k streamKeeper) bool { return (k.domain == domain) != (ranked[0].domain == domain) })
-	return addressesOf([]streamKeeper{ranked[0], ranked[1+max(second, 0)]})
-}
-
-func addressesOf(keepers []streamKeeper) []string {
-	out := make([]string, len(keepers))
-	for i, k := range keepers {
-		out[i] = k.address
-	}
-	return out
-}
-
 // StreamVersions implements entryvm.Coordinator.
 func (n *Node) StreamVersions(args entryvm.StreamVersionsArgs) {
 	s, now := n.streamVersions, time.Now()
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -3,13 +3,10 @@
 import (
 	"errors"
 	"io"
-	"mime"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"bergamotreel/contract"
 	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
@@ -23,16 +20,6 @@
 	copyBufferSize = 16 << 10
 )
 
-var (
-	// errEventCutOff reports that an event stream ended within an event.
-	errEventCutOff = errors.New("the stream ended within an event")
-	// errEndUnknown reports that a stream which the caller receives with a marked end was
-	// continued by an answer without one.
-	errEndUnknown = errors.New("the stream ended with its connection, complete or not")
-	// errNoEvent reports that an event stream ended with its connection before its first event.
-	errNoEvent = errors.New("the stream ended without an event")
-)
-
 // errServerFailed reports that the backend server answered with a 5xx status.
 var errServerFailed = errors.New("the backend server failed")
 
@@ -152,22 +139,6 @@
 	f.server.forwardDirectory().RecordStream(stream, f.version)
 }
 
-// endAnswer checks the end of an answer that its backend server ended in good order, and sends
-// the head if the body is empty.
-func (f *forwarding) endAnswer(head *service.ForwardResponse) error {
-	switch {
-	case f.endsInsideEvent():
-		return errEventCutOff
-	case head.Length != service.LengthUntilClose:
-	case f.eventStream && f.pieces == 0:
-		return errNoEvent
-	case f.answer.HasBegun() && f.answerLength != service.LengthUntilClose:
-		return errEndUnknown
-	}
-	f.beginAnswer(head)
-	return nil
-}
-
 // beginAnswer sends the head of the first attempt that returns data; a resumed
 // stream keeps that head.
 func (f *forwarding) beginAnswer(head *service.ForwardResponse) {
@@ -220,57 +191,3 @@
 		f.pending.recordFirstToken(now)
 	}
 }
-
-// isEventStream reports whether the answer's body is an event stream.
-func isEventStream(route *contract.Route, head *service.ForwardResponse) bool {
-	if head.Status >= http.StatusMultipleChoices {
-		return false
-	}
-	contentType := head.Header.Get("Content-Type")
-	if contentType == "" {
-		return route.Stream
-	}
-	mediaType, _, err := mime.ParseMediaType(contentType)
-	return err == nil && mediaType == "text/event-stream"
-}
-
-// unframedAnswersTotal counts the answers that ended with their connection, by what is known of
-// their end.
-const unframedAnswersTotal = "bergamotreel_unframed_answers_total"
-
-var (
-	unframedClosed      = metrics.NewCounter(unframedAnswersTotal + `{end="closed"}`)
-	unframedInsideEvent = metrics.NewCounter(unframedAnswersTotal + `{end="inside_event"}`)
-	unframedBroken      = metrics.NewCounter(unframedAnswersTotal + `{end="broken"}`)
-)
-
-// countUnframed counts the attempt's answer if it ended with its connection.
-func (f *forwarding) countUnframed(err error) {
-	switch {
-	case f.framing != framingUntilClose:
-	case f.endsInsideEvent():
-		unframedInsideEvent.Inc()
-	case err != nil:
-		unframedBroken.Inc()
-	default:
-		unframedClosed.Inc()
-	}
-}
-
-// endsInsideEvent reports whether what was received of the answer ends within an event.
-func (f *forwarding) endsInsideEvent() bool { return f.eventStream && f.boundary.isInside() }
-
-// framingUntilClose is the name of LengthUntilClose in logs.
-const framingUntilClose = "until_close"
-
-// framingName returns how the end of a body of this length is marked.
-func framingName(length int64) string {
-	switch length {
-	case service.LengthUntilClose:
-		return framingUntilClose
-	case service.LengthChunked:
-		return "chunked"
-	default:
-		return "length"
-	}
-}
