hosted: streams that began while no other VM was live are shared later; their bookkeeping is bounded

Found by reading the diff: without keepers the streams that were due to be shared were dropped, and the list of those not shared yet had no bound and was searched whole five times a second, also in services of one version. TestStreamsBegunWithoutOtherVMsAreSharedLater fails without the return ('not known' instead of v2). Head of an answer: two conditions instead of a fallthrough.

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -54,15 +54,14 @@
 	if closing {
 		out.Set("Connection", "close")
 	}
-	switch {
-	case length >= 0:
+	if length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
-	case length == service.LengthUntilClose:
-		out.Set("Transfer-Encoding", "identity") // makes net/http end the answer with the connection
-		fallthrough
-	default:
+	} else {
 		out.Del("Content-Length") // may be in the backend server's header
 	}
+	if length == service.LengthUntilClose {
+		out.Set("Transfer-Encoding", "identity") // makes net/http end the answer with the connection
+	}
 	if length == service.LengthUntilClose || (length < 0 && !a.supportsChunks) {
 		a.conn.setResetOnClose(true)
 	}
--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -52,12 +52,17 @@
 
 	mu    sync.Mutex
 	table *streamversion.Table
-	// unshared are the streams that began at this VM and were not sent to others.
-	unshared map[streamversion.Key]streamversion.Record
+	// unshared are the streams that began at this VM and were not sent to others, by service.
+	unshared map[string]streamRecords
+	// expiredAt is when unshared was last searched for expired records.
+	expiredAt time.Time
 }
 
+// streamRecords are records of streams.
+type streamRecords map[streamversion.Key]streamversion.Record
+
 func newStreamVersions(n *Node) *streamVersions {
-	return &streamVersions{node: n, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[streamversion.Key]streamversion.Record)}
+	return &streamVersions{node: n, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[string]streamRecords)}
 }
 
 // RecordStream implements serving.ForwardDirectory.
@@ -68,14 +73,23 @@
 	s, now := n.streamVersions, time.Now()
 	key, record := stream.Key(), streamversion.Record{Service: stream.Service, Version: version, BegunAt: now}
 	s.mu.Lock()
-	s.table.Add(now, key, record)
-	s.unshared[key] = record
+	if s.table.Add(now, key, record) {
+		s.addUnshared(key, record)
+	}
 	s.mu.Unlock()
 	if n.backends.hasSeveralVersions(now, stream.Service) {
 		wake(s.wake)
 	}
 }
 
+// addUnshared adds a stream to be shared. Call with mu held.
+func (s *streamVersions) addUnshared(key streamversion.Key, record streamversion.Record) {
+	if s.unshared[record.Service] == nil {
+		s.unshared[record.Service] = make(streamRecords)
+	}
+	s.unshared[record.Service][key] = record
+}
+
 // run shares the versions of streams until ctx ends.
 func (s *streamVersions) run(ctx context.Context) {
 	timer := time.NewTimer(shareInterval)
@@ -100,16 +114,15 @@
 // sent once it has.
 func (s *streamVersions) share(ctx context.Context) {
 	now := time.Now()
-	due := s.takeUnshared(now)
-	if len(due) == 0 {
+	keepers := s.node.members.streamKeepers(now)
+	if len(keepers) == 0 {
 		return
 	}
-	keepers := s.node.members.streamKeepers(now)
-	byKeeper := make(map[string]map[streamversion.Key]streamversion.Record)
-	for key, record := range due {
+	byKeeper := make(map[string]streamRecords)
+	for key, record := range s.takeUnshared(now) {
 		for _, address := range pickStreamKeepers(key, s.node.config.Domain, keepers) {
 			if byKeeper[address] == nil {
-				byKeeper[address] = make(map[streamversion.Key]streamversion.Record)
+				byKeeper[address] = make(streamRecords)
 			}
 			byKeeper[address][key] = record
 		}
@@ -120,7 +133,7 @@
 }
 
 // groupStreams groups streams by their service and version.
-func groupStreams(now time.Time, streams map[streamversion.Key]streamversion.Record) []entryvm.StreamGroup {
+func groupStreams(now time.Time, streams streamRecords) []entryvm.StreamGroup {
 	type groupKey struct{ service, version string }
 	groups := make(map[groupKey]*entryvm.StreamGroup)
 	for key, record := range streams {
@@ -140,30 +153,29 @@
 	return out
 }
 
-// takeUnshared removes and returns the streams that are due to be shared.
-func (s *streamVersions) takeUnshared(now time.Time) map[streamversion.Key]streamversion.Record {
+// takeUnshared removes and returns the streams that are due to be shared, and drops expired ones.
+func (s *streamVersions) takeUnshared(now time.Time) streamRecords {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	several := make(map[string]bool)
-	due := make(map[streamversion.Key]streamversion.Record)
-	maps.DeleteFunc(s.unshared, func(key streamversion.Key, record streamversion.Record) bool {
-		if now.Sub(record.BegunAt) >= streamversion.TTL {
-			return true
-		}
-		if _, known := several[record.Service]; !known {
-			several[record.Service] = s.node.backends.hasSeveralVersions(now, record.Service)
+	due := make(streamRecords)
+	for service, records := range s.unshared {
+		if s.node.backends.hasSeveralVersions(now, service) {
+			maps.Copy(due, records)
+			delete(s.unshared, service)
 		}
-		if several[record.Service] {
-			due[key] = record
+	}
+	if now.Sub(s.expiredAt) >= streamversion.ExpireInterval {
+		s.expiredAt = now
+		for _, records := range s.unshared {
+			maps.DeleteFunc(records, func(_ streamversion.Key, r streamversion.Record) bool { return r.IsExpired(now) })
 		}
-		return several[record.Service]
-	})
+	}
 	return due
 }
 
 // send sends streams to a keeper. If that fails, they are shared again: another VM may keep them by
 // then.
-func (s *streamVersions) send(ctx context.Context, address string, streams map[streamversion.Key]streamversion.Record) {
+func (s *streamVersions) send(ctx context.Context, address string, streams streamRecords) {
 	callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	err := s.node.config.Peers.EntryVMs.StreamVersions(callCtx, address, entryvm.StreamVersionsArgs{Groups: groupStreams(time.Now(), streams)})
@@ -178,7 +190,9 @@
 	s.node.config.Logger.Warn("versions of streams not shared", zap.String("address", address), zap.Int("streams", len(streams)), telemetry.Reason(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.Copy(s.unshared, streams)
+	for key, record := range streams {
+		s.addUnshared(key, record)
+	}
 }
 
 // StreamVersions implements entryvm.Coordinator.
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -167,3 +167,18 @@
 		w.expectVersion(names[1], testStream("unknown"), "")
 	})
 }
+
+// Guards against versions of streams that are lost because no other VM was there to keep them when the
+// streams began.
+func TestStreamsBegunWithoutOtherVMsAreSharedLater(t *testing.T) {
+	withVersionedFleet(t, 4, []string{"v1", "v2"}, func(w *testCluster, names []string) {
+		w.setIsolated(names[3], true)
+		time.Sleep(5 * time.Second)
+		w.nodes[names[3]].RecordStream(testStream("1"), "v2")
+		time.Sleep(time.Second)
+		w.setIsolated(names[3], false)
+		time.Sleep(5 * time.Second)
+		w.kill(names[3])
+		w.expectVersion(names[1], testStream("1"), "v2")
+	})
+}
--- a/routing/streamversion/table.go
+++ b/routing/streamversion/table.go
@@ -41,6 +41,9 @@
 	BegunAt          time.Time
 }
 
+// IsExpired reports whether the stream can't be taken up any more.
+func (r *Record) IsExpired(now time.Time) bool { return now.Sub(r.BegunAt) >= TTL }
+
 // Table holds the records of streams for TTL. It is not safe for concurrent use.
 type Table struct {
 	records   map[Key]Record
@@ -50,32 +53,33 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: make(map[Key]Record)} }
 
-// Add adds the record of a stream unless there is one: the first event decides. It drops the record if
-// the table is full.
-func (t *Table) Add(now time.Time, key Key, record Record) {
+// Add adds the record of a stream unless there is one: the first event decides. It returns false if it
+// doesn't, also because the table is full.
+func (t *Table) Add(now time.Time, key Key, record Record) bool {
 	t.expire(now)
-	if _, known := t.records[key]; known || len(t.records) >= maxStreams || now.Sub(record.BegunAt) >= TTL {
-		return
+	if _, known := t.records[key]; known || len(t.records) >= maxStreams || record.IsExpired(now) {
+		return false
 	}
 	t.records[key] = record
+	return true
 }
 
 // Version returns the version at which a stream began, false if it isn't known.
 func (t *Table) Version(now time.Time, key Key) (string, bool) {
 	record, known := t.records[key]
-	return record.Version, known && now.Sub(record.BegunAt) < TTL
+	return record.Version, known && !record.IsExpired(now)
 }
 
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
-// expireInterval is the time between two searches for expired records.
-const expireInterval = TTL / 8
+// ExpireInterval is the time between two searches for expired records.
+const ExpireInterval = TTL / 8
 
 func (t *Table) expire(now time.Time) {
-	if now.Sub(t.expiredAt) < expireInterval {
+	if now.Sub(t.expiredAt) < ExpireInterval {
 		return
 	}
 	t.expiredAt = now
-	maps.DeleteFunc(t.records, func(_ Key, r Record) bool { return now.Sub(r.BegunAt) >= TTL })
+	maps.DeleteFunc(t.records, func(_ Key, r Record) bool { return r.IsExpired(now) })
 }
