--- a/engine/client.go
+++ b/engine/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,9 +43,6 @@
 	CodeBadRequest    = "bad_request"    // 400
 )
 
-// errUnframed reports that an answer ended with its connection, complete or not.
-var errUnframed = errors.New("answer with neither length nor chunks")
-
 // MaxBodyBytes bounds a JSON answer and an exported KV cache.
 const MaxBodyBytes = 256 << 20
 
@@ -209,7 +205,7 @@
 	}
 	defer response.Body.Close()
 	if sendonce.IsUnframed(response) {
-		return nil, outcomeUnknown(errUnframed)
+		return nil, outcomeUnknown(sendonce.ErrUnframed)
 	}
 	return readBody(response)
 }
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -201,6 +201,9 @@
 	return answer, true, nil
 }
 
+// ErrUnframed reports that an answer ended with its connection, complete or not.
+var ErrUnframed = errors.New("answer with neither length nor chunks")
+
 // IsUnframed reports whether the body of an answer has neither a length nor chunks and ends with
 // its connection (RFC 9112, 6.3). Its end doesn't show whether the answer was complete.
 func IsUnframed(answer *http.Response) bool {
--- a/service/client.go
+++ b/service/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,9 +24,6 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// errUnframed reports that an answer ended with its connection, complete or not.
-var errUnframed = errors.New("answer with neither length nor chunks")
-
 // HTTPClient is a Client over HTTP. It is safe for concurrent use.
 type HTTPClient struct {
 	http *http.Client
@@ -58,13 +54,13 @@
 		return Answer{}, outcomeUnknown(err)
 	}
 	defer response.Body.Close()
+	if sendonce.IsUnframed(response) {
+		return Answer{}, outcomeUnknown(sendonce.ErrUnframed)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, outcomeUnknown(err)
 	}
-	if sendonce.IsUnframed(response) {
-		return Answer{}, outcomeUnknown(errUnframed)
-	}
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, outcomeUnknown(fmt.Errorf("answer over %d bytes", MaxAnswerBytes))
 	}
