hosted: one search finds the VMs that keep streams, live or not

A question went over the members twice, once for all possible keepers and once for the live ones, and matched the two by name. Each possible keeper now says whether it is live; streamKeepers is the live part of that list. Behaviour as before; tests of streams' versions three times: ok (a test names the fields of the type it builds; its checks are the same).

--- a/internal/hosted/streamkeepers.go
+++ b/internal/hosted/streamkeepers.go
@@ -5,44 +5,40 @@
 	"slices"
 	"time"
 
-	"bergamotreel/entryvm"
 	"bergamotreel/internal/rendezvous"
 	"bergamotreel/routing/streamversion"
 )
 
-// streamKeeper is a VM that may keep versions of streams for others.
-type streamKeeper struct{ vm, domain, address string }
+// streamKeeper is a VM that may keep versions of streams for others. isLive is whether this VM would
+// choose it.
+type streamKeeper struct {
+	vm, domain, address string
+	isLive              bool
+}
 
 // streamKeepers returns the VMs that may keep versions of streams: the live ones, in a large fleet only the
 // relays, to which all VMs are connected anyway.
 func (m *members) streamKeepers(now time.Time) []streamKeeper {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	roles := m.currentRoles(now)
-	var keepers []streamKeeper
-	m.eachLiveLocked(now, func(r *entryvm.Report) {
-		if !r.Leaving && r.Address != "" && (!roles.large || roles.isRelayOf(r.Domain, r.VM)) {
-			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
-		}
-	})
-	return keepers
+	return slices.DeleteFunc(m.possibleStreamKeepers(now), func(k streamKeeper) bool { return !k.isLive })
 }
 
 // possibleStreamKeepers returns the VMs that other VMs may take for streamKeepers. In a small fleet
 // this includes those that aren't live here: after a partition, a VM is back before it counts as live.
 func (m *members) possibleStreamKeepers(now time.Time) []streamKeeper {
 	m.mu.Lock()
-	large := m.isLarge()
-	m.mu.Unlock()
-	if large {
-		return m.streamKeepers(now)
-	}
+	defer m.mu.Unlock()
+	roles := m.currentRoles(now)
 	var keepers []streamKeeper
-	m.eachSeen(func(r *entryvm.Report) {
-		if r.Address != "" {
-			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address})
+	for _, p := range m.peers {
+		r := &p.report
+		if p.lastSeen.IsZero() || r.Address == "" {
+			continue
 		}
-	})
+		isLive := m.isLive(now, p) && !r.Leaving && (!roles.large || roles.isRelayOf(r.Domain, r.VM))
+		if isLive || !roles.large {
+			keepers = append(keepers, streamKeeper{r.VM, r.Domain, r.Address, isLive})
+		}
+	}
 	return keepers
 }
 
--- a/internal/hosted/streamversions.go
+++ b/internal/hosted/streamversions.go
@@ -232,12 +232,13 @@
 	versions, complete := n.backends.versions(now, stream.Service)
 	// A version may be unknown here: the VM has just started, or the registry doesn't answer it.
 	if !complete || stream.Request != "" {
-		version, found := "", false
-		if version, found, versions = s.ask(ctx, key, stream.Service, versions); found {
+		version, found, known := s.ask(ctx, key, stream.Service, versions)
+		if found {
 			resumedRecorded.Inc()
 			s.keep(key, stream.Service, version)
 			return version, nil
 		}
+		versions = known
 	}
 	switch len(versions) {
 	case 0:
@@ -265,16 +266,16 @@
 	// Calls are not canceled once the answer is known: that would close connections that others use.
 	ctx = context.WithoutCancel(ctx)
 	keepers := s.node.members.possibleStreamKeepers(time.Now())
-	live := make(map[string]bool)
-	for _, keeper := range s.node.members.streamKeepers(time.Now()) {
-		live[keeper.vm] = true
-	}
-	type vmReply struct {
+	type keeperReply struct {
 		entryvm.FindStreamReply
-		vm string
+		isLive bool
 	}
-	replies := make(chan vmReply, len(keepers))
+	replies := make(chan keeperReply, len(keepers))
+	liveWithoutReply := 0
 	for _, keeper := range keepers {
+		if keeper.isLive {
+			liveWithoutReply++
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 			defer cancel()
@@ -282,16 +283,18 @@
 			if err != nil {
 				s.node.config.Logger.Debug("version of a stream not asked", zap.String("vm", keeper.vm), telemetry.Reason(err))
 			}
-			replies <- vmReply{reply, keeper.vm}
+			replies <- keeperReply{reply, keeper.isLive}
 		}()
 	}
 	versions = known
 	for range keepers {
-		if len(live) == 0 && len(versions) <= 1 {
+		if liveWithoutReply == 0 && len(versions) <= 1 {
 			break
 		}
 		reply := <-replies
-		delete(live, reply.vm)
+		if reply.isLive {
+			liveWithoutReply--
+		}
 		if reply.Found {
 			return reply.Version, true, nil
 		}
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -116,7 +116,7 @@
 	var keepers []streamKeeper
 	domainOf := make(map[string]string)
 	for i := range 12 {
-		k := streamKeeper{fmt.Sprint("v", i), fmt.Sprint("d", i%3), fmt.Sprint("at-v", i)}
+		k := streamKeeper{vm: fmt.Sprint("v", i), domain: fmt.Sprint("d", i%3), address: fmt.Sprint("at-v", i)}
 		keepers, domainOf[k.address] = append(keepers, k), k.domain
 	}
 	used := make(map[string]bool)
