serving, hosted: a parsed unit carries its software version

ParseModelUnit dropped the version, so three callers parsed the name a second time and passed the version beside the unit (the loader of adapters, what is missing, the planner's demand). ModelUnit has it now, and String is its inverse again; adapters.go is back to its shape but for the condition on the engine. UnavailableRefusal, which runs for each waiting unit at each dispatch, looks up the service only where there is a version. Engines are ranked for an adapter by the name without a version, as before.

TestVersionedUnitNames expects the version too, and the name back: stricter. internal/serving and the tests of streams and adapters of internal/hosted: ok.

--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -40,25 +40,21 @@
 	return &adapterLoader{node: n, inFlight: make(map[string]bool)}
 }
 
-// requestLoad begins to have the adapter loaded on an engine of a software version, empty for any,
-// unless that is in flight. It returns false if no engine that can take the adapter holds its model, which
-// must be loaded first.
-func (a *adapterLoader) requestLoad(wanted serving.ModelUnit, version string) bool {
-	hosts := a.findHosts(wanted, version)
+// requestLoad begins to have the adapter loaded, unless that is in flight. It returns false
+// if no engine that can take the adapter holds its model, which must be loaded first.
+func (a *adapterLoader) requestLoad(wanted serving.ModelUnit) bool {
+	hosts := a.findHosts(wanted)
 	if len(hosts) == 0 {
 		return false
 	}
-	unit := serving.VersionedUnit(wanted.String(), version)
+	unit := wanted.String()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.inFlight[unit] {
 		return true
 	}
 	a.inFlight[unit] = true
-	go func() {
-		defer a.finishLoad(unit)
-		a.tryHosts(wanted, hosts)
-	}()
+	go a.tryHosts(wanted, hosts)
 	return true
 }
 
@@ -73,13 +69,13 @@
 // findHosts returns the engines that could load the adapter, ordered by rendezvous hash, so
 // that all VMs ask the same engine first and each engine gets a part of the adapters that
 // fits its adapter slots. Crowded engines come last.
-func (a *adapterLoader) findHosts(wanted serving.ModelUnit, version string) []adapterHost {
+func (a *adapterLoader) findHosts(wanted serving.ModelUnit) []adapterHost {
 	now := time.Now()
-	unit := wanted.String()
+	unit := unitName(wanted.Service, wanted.Model, wanted.Adapter)
 	var engines []*backend
 	a.node.backends.each(wanted.Service, func(b *backend) {
 		held, ok := b.loadedModels[wanted.Model]
-		if !ok || (version != "" && b.Version != version) || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
+		if !ok || (wanted.Version != "" && b.Version != wanted.Version) || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
 			return
 		}
 		copied := *b
@@ -125,6 +121,7 @@
 // tryHosts asks the keepers of the engines one after the other until one has loaded the
 // adapter.
 func (a *adapterLoader) tryHosts(wanted serving.ModelUnit, hosts []adapterHost) {
+	defer a.finishLoad(wanted.String())
 	for _, h := range hosts[:min(len(hosts), maxAdapterAttempts)] {
 		args := entryvm.AdapterArgs{Engine: h.engine, Model: wanted.Model, Adapter: wanted.Adapter}
 		reply, err := a.loadOn(h, args)
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -207,9 +207,10 @@
 // can't be loaded on any engine, and a stream can't go on if only backend servers of other software
 // versions serve.
 func (n *Node) UnavailableRefusal(unit string) *refusal.Refusal {
-	service, _ := serving.ServiceOfUnit(unit)
-	if _, version := serving.SplitVersion(unit); version != "" && n.backends.servesOnlyOtherVersions(service, version) {
-		return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of version %s serves %s", version, service)
+	if _, version := serving.SplitVersion(unit); version != "" {
+		if service, _ := serving.ServiceOfUnit(unit); n.backends.servesOnlyOtherVersions(service, version) {
+			return refusal.New(refusal.CodeNoCapacity, 0, "no backend server of version %s serves %s", version, service)
+		}
 	}
 	wanted, ok := serving.ParseModelUnit(unit)
 	if !ok {
@@ -237,8 +238,7 @@
 		if !ok {
 			continue
 		}
-		_, version := serving.SplitVersion(d.Unit)
-		if wanted.Adapter != "" && n.adapterRequests.requestLoad(wanted, version) {
+		if wanted.Adapter != "" && n.adapterRequests.requestLoad(wanted) {
 			continue
 		}
 		needsPlanner = true
--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -186,8 +186,8 @@
 			return
 		}
 		m := byName[u.Model]
-		if _, version := serving.SplitVersion(unit); version != "" && severalVersions {
-			addVersionDemand(m, residency.VersionDemand{Version: version, Waiting: count, OldestWait: oldest})
+		if u.Version != "" && severalVersions {
+			addVersionDemand(m, residency.VersionDemand{Version: u.Version, Waiting: count, OldestWait: oldest})
 			return
 		}
 		m.Waiting += count
--- a/internal/serving/modelunit.go
+++ b/internal/serving/modelunit.go
@@ -14,17 +14,21 @@
 	Service, Model string
 	// Adapter is empty for the model itself.
 	Adapter string
+	// Version is the software version at which the unit is needed, empty for any.
+	Version string
 }
 
 // String returns the unit's name in admission and routing.
 func (u ModelUnit) String() string {
-	if u.Adapter == "" {
-		return u.Pool()
+	name := u.Pool()
+	if u.Adapter != "" {
+		name += "/" + u.Adapter
 	}
-	return u.Pool() + "/" + u.Adapter
+	return VersionedUnit(name, u.Version)
 }
 
-// Pool returns the name of the unit's pool: a model and its adapters share engines.
+// Pool returns the name of the unit's pool: a model and its adapters share engines, of all software
+// versions.
 func (u ModelUnit) Pool() string { return modelUnitPrefix + u.Service + "/" + u.Model }
 
 // versionSeparator separates the kind of a unit, before its first slash, from a software version.
@@ -54,10 +58,10 @@
 	return kind + "/" + rest, version
 }
 
-// ParseModelUnit parses the result of String, at any software version. It returns false for any
-// other name, such as the pool of a plain service.
+// ParseModelUnit parses the result of String. It returns false for any other name, such as the
+// pool of a plain service.
 func ParseModelUnit(name string) (ModelUnit, bool) {
-	name, _ = SplitVersion(name)
+	name, version := SplitVersion(name)
 	rest, ok := strings.CutPrefix(name, modelUnitPrefix)
 	if !ok {
 		return ModelUnit{}, false
@@ -67,7 +71,7 @@
 		return ModelUnit{}, false
 	}
 	model, adapter, _ := strings.Cut(rest, "/")
-	return ModelUnit{Service: service, Model: model, Adapter: adapter}, true
+	return ModelUnit{Service: service, Model: model, Adapter: adapter, Version: version}, true
 }
 
 // ServiceOfUnit returns the service of a unit or of a plain service's pool, and the unit's
--- a/internal/serving/versions_test.go
+++ b/internal/serving/versions_test.go
@@ -76,5 +76,6 @@
 		}
 	}
 	parsed, ok := serving.ParseModelUnit(serving.VersionedUnit("model/llm/m1/a1", "v1"))
-	testkit.That(t, ok && parsed == serving.ModelUnit{Service: "llm", Model: "m1", Adapter: "a1"}, "parsed %+v", parsed)
+	testkit.That(t, ok && parsed == serving.ModelUnit{Service: "llm", Model: "m1", Adapter: "a1", Version: "v1"}, "parsed %+v", parsed)
+	testkit.Equal(t, "name", parsed.String(), serving.VersionedUnit("model/llm/m1/a1", "v1"))
 }
