--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// disturbInSeveralWays kills some of the VMs four times, while the failure domains are partitioned
+// from each other and engines crash.
+func disturbInSeveralWays(d *day) {
+	d.inFlight.Go(func() { d.partitionDomains(6 * time.Second) })
+	for range 4 {
+		d.inFlight.Go(func() { d.restart(d.randomVMs(0.4)) })
+		d.engineCrashes(0)
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // Guards against retries that all VMs together may not make, while each of them keeps to a
 // budget of its own.
 func TestFleetKeepsRetryBudget(t *testing.T) {
@@ -58,6 +69,7 @@
 		"all VMs killed":               {24, 20 * time.Millisecond, func(d *day) { d.restart(d.vms) }},
 		"partitioned domains":          {24, 20 * time.Millisecond, func(d *day) { d.partitionDomains(20 * time.Second) }},
 		"partitioned and killed":       {24, 20 * time.Millisecond, func(d *day) { d.setDomainsPartitioned(true); killInTurn(d) }},
+		"several faults at once":       {63, 14 * time.Millisecond, disturbInSeveralWays},
 		"VMs killed in turn, long ago": {24, 20 * time.Millisecond, func(d *day) { killInTurn(d); time.Sleep(15 * time.Second); killInTurn(d) }},
 	} {
 		t.Run(name, func(t *testing.T) {
