--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -56,7 +56,7 @@
 		fields = append(fields, zap.Bool("backend_leaving", true))
 	}
 	if f.fingerprint != nil {
-		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint))
+		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint), zap.Strings("prompt_parts", f.request.PromptParts))
 	}
 	f.server.config.Logger.Info("attempt", fields...)
 }
