--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -60,6 +60,9 @@
 	// streaming has engines answer with event streams. They have two software versions in turns, and
 	// every third one sends answers that end with their connection.
 	streaming bool
+	// crashingParts are the parts of prompts that end the engines which run a request with them, by
+	// their IDs.
+	crashingParts map[string]*crashingPart
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
 	// vmStarts counts the starts of each VM, killedInstances are the instances that were
@@ -231,6 +234,7 @@
 		return nil, err
 	}
 	b.waitForPause(e)
+	b.runCrashingPart(e, b.vm, &f)
 	if f.URI == crashingURI {
 		b.statsMu.Lock()
 		b.crashSentAt = append(b.crashSentAt, time.Now())
@@ -341,7 +345,10 @@
 func (b *engineCluster) send(vm, uri string) error { return b.sendWithID(vm, "id", uri) }
 
 // sendWithID is send for a request with the given ID.
-func (b *engineCluster) sendWithID(vm, id, uri string) error {
+func (b *engineCluster) sendWithID(vm, id, uri string) error { return b.sendWithParts(vm, id, uri) }
+
+// sendWithParts is sendWithID for a request whose prompt has the given shared parts.
+func (b *engineCluster) sendWithParts(vm, id, uri string, parts ...string) error {
 	b.mu.Lock()
 	n := b.nodes[vm]
 	b.mu.Unlock()
@@ -354,8 +361,8 @@
 	}
 	now := time.Now()
 	return n.Relay(context.Background(), caller.RelayRequest{
-		RelayHead: caller.RelayHead{ID: id, Model: "m1"}, Grant: grant, Service: testService,
-		ForwardRequest: service.ForwardRequest{RequestID: id, Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{}},
+		RelayHead: caller.RelayHead{ID: id, Model: "m1", PromptParts: parts}, Grant: grant, Service: testService,
+		ForwardRequest: service.ForwardRequest{RequestID: id, Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{partsHeader: parts}},
 		Arrived:        now, AnswerDeadline: now.Add(4 * time.Second), BeginDeadline: now.Add(4 * time.Second),
 	}, &responseRecorder{})
 }
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -84,6 +84,8 @@
 	Disruptions  []Disruption
 	PathLosses   []PathLoss
 	Fragile      []FragilePeriod
+	// CrashingParts are the parts of prompts that end backend servers.
+	CrashingParts []CrashingPart
 }
 
 // Violation is one violation of a guarantee.
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -61,6 +61,19 @@
 	retryBudget := func(h *judge.History) []judge.Violation {
 		return judge.CheckRetries(h, judge.RetryBound{Window: 10 * time.Second, Ratio: 0.5, Slack: 1})
 	}
+	crashBound := judge.CrashBound{Crashes: 2, MaxLate: 1, Settle: time.Second, MinSoundShare: 0.5, MinSound: 2}
+	crashesEnd := func(h *judge.History) []judge.Violation { return judge.CheckCrashingParts(h, crashBound) }
+	soundServed := func(h *judge.History) []judge.Violation { return judge.CheckSoundRequests(h, crashBound) }
+	crashingPart := func(soundAnswered bool, arrivals ...float64) []judge.CrashingPart {
+		part := judge.CrashingPart{Sent: []time.Time{atSecond(2), atSecond(9)}, Crashes: []time.Time{atSecond(2), atSecond(3)}}
+		for _, at := range arrivals {
+			part.Arrivals = append(part.Arrivals, arrival("r", "b", "v", at))
+		}
+		for _, at := range []float64{0, 1, 6, 7} {
+			part.Sound = append(part.Sound, judge.Outcome{Sent: atSecond(at), Answered: at < 2 || soundAnswered})
+		}
+		return []judge.CrashingPart{part}
+	}
 	twice := func(request string, seconds float64) []judge.Arrival {
 		return []judge.Arrival{refusedArrival(request, seconds), arrival(request, "c", "w", seconds+0.1)}
 	}
@@ -121,6 +134,12 @@
 			Outcomes: []judge.Outcome{{Sent: atSecond(11), Service: "other"}, {Sent: atSecond(12), Service: "other"}, {Sent: atSecond(13), Service: "other"}, {Sent: atSecond(14), Service: "other"}}}},
 		{"the same retries in two windows", retryBudget, 0, judge.History{Arrivals: slices.Concat(twice("p", 11), twice("q", 15), twice("r", 22)),
 			Outcomes: []judge.Outcome{{Sent: atSecond(11)}, {Sent: atSecond(15)}}}},
+		{"two late arrivals of a crashing part", crashesEnd, 1, judge.History{CrashingParts: crashingPart(true, 2, 3, 4.1, 8)}},
+		{"one late arrival", crashesEnd, 0, judge.History{CrashingParts: crashingPart(true, 2, 3, 3.9, 8)}},
+		{"two late arrivals, one from a disrupted VM", crashesEnd, 0, judge.History{CrashingParts: crashingPart(true, 2, 3, 5, 8),
+			Disruptions: []judge.Disruption{{VM: "v", From: atSecond(7.5), To: atSecond(7.6)}}}},
+		{"sound requests refused", soundServed, 1, judge.History{CrashingParts: crashingPart(false)}},
+		{"sound requests answered", soundServed, 0, judge.History{CrashingParts: crashingPart(true)}},
 		{"enough requests answered", recovery, 0, judge.History{Outcomes: []judge.Outcome{{Sent: atSecond(1)}, {Sent: atSecond(2)}, {Sent: atSecond(13), Answered: true}}}},
 	} {
 		testkit.Equal(t, c.name, len(c.check(&c.h)), c.want)
