--- a/admission/quarantine/fingerprint.go
+++ b/admission/quarantine/fingerprint.go
@@ -8,13 +8,28 @@
 	"fmt"
 )
 
-// Fingerprint identifies a request by its content: a repetition has the same fingerprint
-// at any entry VM and under any request ID.
+// Fingerprint identifies a request by its content, or a part of prompts: a repetition has the
+// same fingerprint at any entry VM and under any request ID.
 type Fingerprint uint64
 
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// Subject is what may be at fault for a crash: a whole request, or a part of its prompt that
+// other requests share.
+type Subject struct {
+	Fingerprint Fingerprint
+	PromptPart  bool
+}
+
+// String returns the fingerprint, with a prefix for parts of prompts.
+func (s Subject) String() string {
+	if s.PromptPart {
+		return "part-" + s.Fingerprint.String()
+	}
+	return s.Fingerprint.String()
+}
+
 // Content is what a backend server sees of a request, without the parts that differ
 // between attempts.
 type Content struct {
@@ -23,23 +38,36 @@
 	// without a body; others are distinguished by their body, even if the address changes.
 	Caller string
 	Body   []byte
+	// PromptParts are the IDs of the prompt's parts that other requests may share.
+	PromptParts []string
 }
 
-// Fingerprint hashes the content. The hash is cryptographic, as callers could otherwise
-// craft a request that has the fingerprint of somebody else's.
-func (c *Content) Fingerprint() Fingerprint {
-	hash := sha256.New()
-	add := func(part []byte) {
-		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
-		_, _ = hash.Write(part)
+// Subjects returns the whole request first, then the parts of its prompt.
+func (c *Content) Subjects() []Subject {
+	subjects := make([]Subject, 0, 1+len(c.PromptParts))
+	subjects = append(subjects, Subject{Fingerprint: c.Fingerprint()})
+	for _, id := range c.PromptParts {
+		subjects = append(subjects, Subject{Fingerprint: hash("prompt part", c.Workspace, id), PromptPart: true})
 	}
-	for _, part := range []string{c.Workspace, c.Method, c.Host, c.URI} {
-		add([]byte(part))
+	return subjects
+}
+
+// Fingerprint hashes the content except for PromptParts.
+func (c *Content) Fingerprint() Fingerprint {
+	distinction := string(c.Body)
+	if len(c.Body) == 0 {
+		distinction = c.Caller
 	}
-	if len(c.Body) > 0 {
-		add(c.Body)
-	} else {
-		add([]byte(c.Caller))
+	return hash(c.Workspace, c.Method, c.Host, c.URI, distinction)
+}
+
+// hash returns the fingerprint of a list of texts. It is cryptographic, as callers could
+// otherwise craft a request that has the fingerprint of somebody else's.
+func hash(texts ...string) Fingerprint {
+	digest := sha256.New()
+	for _, text := range texts {
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
+		_, _ = digest.Write([]byte(text))
 	}
-	return Fingerprint(binary.BigEndian.Uint64(hash.Sum(nil)))
+	return Fingerprint(binary.BigEndian.Uint64(digest.Sum(nil)))
 }
--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -2,178 +2,399 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 // Config holds a Table's limits. Zero fields select the defaults.
 type Config struct {
-	// MinCrashes is how many backend servers must have crashed while they ran a request
+	// MinCrashes is how many backend servers must have crashed while they ran a subject
 	// before it is refused.
 	MinCrashes int
-	// SuspectTTL is how long a crash counts, and how long a request is refused after its
+	// MinCrashGap is the time between two crashes that count separately against a part of
+	// prompts. Backend servers that crash together run many parts in common.
+	MinCrashGap time.Duration
+	// SuspectTTL is how long a crash counts, and how long a subject is refused after its
 	// last crash.
 	SuspectTTL time.Duration
-	// MaxSuspects limits the number of remembered requests.
+	// TrialInterval is the time between two trials of a refused part of prompts,
+	// AmbiguousTrialInterval the one while another part explains the crashes as well.
+	TrialInterval, AmbiguousTrialInterval time.Duration
+	// MaxSuspects limits the number of remembered subjects.
 	MaxSuspects int
 }
 
 const (
-	defaultMinCrashes  = 3
-	defaultSuspectTTL  = 10 * time.Minute
-	defaultMaxSuspects = 4096
+	defaultMinCrashes             = 3
+	defaultMinCrashGap            = 500 * time.Millisecond
+	defaultSuspectTTL             = 10 * time.Minute
+	defaultTrialInterval          = 2 * time.Minute
+	defaultAmbiguousTrialInterval = time.Second
+	defaultMaxSuspects            = 4096
+	// maxCrashes limits the crashes that count against one subject, maxClearedCrashes those that are
+	// remembered as cleared: other VMs may still send them as if they weren't.
+	maxCrashes        = 16
+	maxClearedCrashes = 4
 )
 
-// Table records the requests that were running on backend servers when these crashed.
+// Table records the requests that were running on backend servers when these crashed, and the
+// parts of their prompts.
 //
-// Requests that merely ran beside the faulty one become suspects too, each with one
-// crash. The faulty request is distinguished by being present at several crashes and
-// never being answered. So a request is refused once MinCrashes different backend
-// servers have crashed while running it, and any successful answer clears it.
+// Subjects that merely ran beside the faulty one become suspects too, each with one crash.
+// The faulty one is distinguished by being present at several crashes and never being
+// answered. So a subject is refused once MinCrashes different backend servers have crashed
+// while running it, and any successful answer clears it.
+//
+// A request is cleared for good. A part of prompts is cleared of the crashes that are known: it
+// is common to many requests, of which some may be answered before the fault begins. A part is
+// not refused if another suspect explains its crashes better: one that was present at all of
+// them and at more, or a whole request that was present at the same ones. So a part that faulty
+// requests share with sound ones is not refused with them.
 //
 // Tables are merged between entry VMs. The result depends neither on the order nor on
 // the repetition of messages. A Table is not safe for concurrent use.
 type Table struct {
 	config   Config
-	suspects map[Fingerprint]*suspect
+	suspects map[Subject]*suspect
 	// version is incremented by each change.
 	version uint64
 }
 
-type suspect struct {
-	// backends are the sorted IDs of the backend server instances that crashed, at most
-	// Config.MinCrashes of them.
-	backends []string
-	// cleared is whether the request was ever answered successfully.
-	cleared bool
-	// lastEvidenceAt is the time of the newest crash or answer.
-	lastEvidenceAt time.Time
-	// changedVersion is the table's version at the last change of this entry.
-	changedVersion uint64
+// Crash is one instance of a backend server that crashed while it ran a subject.
+type Crash struct {
+	Backend string
+	// Age is the time since the crash.
+	Age time.Duration
+	// Cleared is whether the subject was answered successfully since.
+	Cleared bool
 }
 
 // Suspect is a Table's entry as it is sent to other entry VMs.
 type Suspect struct {
-	Request  Fingerprint
-	Backends []string
-	Cleared  bool
+	Subject Subject
+	Crashes []Crash
+	// Cleared is whether a request was ever answered successfully.
+	Cleared bool
 	// Age is the time since the newest crash or answer.
 	Age time.Duration
 }
 
+type suspect struct {
+	// crashes holds the crashes in order of time, counting how many of them count against the
+	// subject.
+	crashes  []crash
+	counting int
+	// cleared is whether a request was ever answered successfully.
+	cleared bool
+	// lastEvidenceAt is the time of the newest crash or answer, triedAt that of the last trial.
+	lastEvidenceAt, triedAt time.Time
+	// changedVersion is the table's version at the last change of this entry.
+	changedVersion uint64
+}
+
+type crash struct {
+	backend string
+	at      time.Time
+	cleared bool
+}
+
 // NewTable returns an empty table.
 func NewTable(config Config) *Table {
 	config.MinCrashes = cmp.Or(config.MinCrashes, defaultMinCrashes)
+	config.MinCrashGap = cmp.Or(config.MinCrashGap, defaultMinCrashGap)
 	config.SuspectTTL = cmp.Or(config.SuspectTTL, defaultSuspectTTL)
+	config.TrialInterval = cmp.Or(config.TrialInterval, defaultTrialInterval)
+	config.AmbiguousTrialInterval = cmp.Or(config.AmbiguousTrialInterval, defaultAmbiguousTrialInterval)
 	config.MaxSuspects = cmp.Or(config.MaxSuspects, defaultMaxSuspects)
-	return &Table{config: config, suspects: make(map[Fingerprint]*suspect)}
+	return &Table{config: config, suspects: make(map[Subject]*suspect)}
 }
 
-// Len returns how many requests are remembered.
+// Len returns how many subjects are remembered.
 func (t *Table) Len() int { return len(t.suspects) }
 
-// RecordCrash records that an instance of a backend server crashed while it ran the
-// requests. It returns the requests that are newly refused.
-func (t *Table) RecordCrash(now time.Time, backend string, running []Fingerprint) (refused []Fingerprint) {
-	for _, request := range running {
-		if t.merge(now, Suspect{Request: request, Backends: []string{backend}}) {
-			refused = append(refused, request)
+// RecordCrash records that an instance of a backend server crashed at the given time while it
+// ran the subjects. It returns the subjects that are newly refused.
+func (t *Table) RecordCrash(now, at time.Time, backend string, running []Subject) (refused []Subject) {
+	entries := make([]Suspect, 0, len(running))
+	age := max(0, now.Sub(at))
+	for _, subject := range running {
+		entries = append(entries, Suspect{Subject: subject, Crashes: []Crash{{Backend: backend, Age: age}}, Age: age})
+	}
+	return t.Merge(now, entries)
+}
+
+// RecordSuccess records that a request was answered successfully, given its subjects. It
+// returns those that had been suspects.
+func (t *Table) RecordSuccess(now time.Time, subjects []Subject) (cleared []Subject) {
+	for _, subject := range subjects {
+		s := t.suspects[subject]
+		if s == nil || s.cleared || (subject.PromptPart && s.counting == 0) {
+			continue
 		}
+		s.clear(subject)
+		t.recordChange(s, now)
+		cleared = append(cleared, subject)
 	}
-	return refused
+	return cleared
+}
+
+// Refusal says which subject of a request is refused, and when its next trial is due or its
+// refusal ends.
+type Refusal struct {
+	Subject   Subject
+	Remaining time.Duration
+}
+
+// RefusalOf returns the refusal of a request, given its subjects. It reports false if the
+// request may be sent.
+func (t *Table) RefusalOf(now time.Time, subjects []Subject) (Refusal, bool) {
+	refused := t.refusedOf(now, subjects)
+	if len(refused) == 0 {
+		return Refusal{}, false
+	}
+	return Refusal{refused[0], max(t.nextTrial(refused[0]).Sub(now), t.config.AmbiguousTrialInterval)}, true
 }
 
-// RecordSuccess records that a request was answered successfully. It reports whether the
-// request had been a suspect.
-func (t *Table) RecordSuccess(now time.Time, request Fingerprint) bool {
-	if s := t.suspects[request]; s == nil || s.cleared {
+// BeginTrial reports whether a refused request may be sent as a trial, and records that it is.
+// That may be once an interval, if only one part of its prompt is refused: an answer clears the
+// part, another crash confirms its refusal. Only one entry VM at a time may begin trials.
+func (t *Table) BeginTrial(now time.Time, subjects []Subject) bool {
+	refused := t.refusedOf(now, subjects)
+	if len(refused) != 1 || !refused[0].PromptPart || now.Before(t.nextTrial(refused[0])) {
 		return false
 	}
-	t.merge(now, Suspect{Request: request, Cleared: true})
+	t.suspects[refused[0]].triedAt = now
 	return true
 }
 
-// RefusedFor reports whether a request must be refused, and for how much longer.
-func (t *Table) RefusedFor(now time.Time, request Fingerprint) (remaining time.Duration, refused bool) {
-	s := t.suspects[request]
-	if s == nil || !t.isQuarantined(s) {
-		return 0, false
+// refusedOf returns those of the subjects that are refused, each once.
+func (t *Table) refusedOf(now time.Time, subjects []Subject) (refused []Subject) {
+	for _, subject := range subjects {
+		if t.isRefused(now, subject) && !slices.Contains(refused, subject) {
+			refused = append(refused, subject)
+		}
+	}
+	return refused
+}
+
+// nextTrial returns when the next trial of a refused subject is due, for a request when its
+// refusal ends.
+func (t *Table) nextTrial(subject Subject) time.Time {
+	s := t.suspects[subject]
+	if !subject.PromptPart {
+		return s.lastEvidenceAt.Add(t.config.SuspectTTL)
+	}
+	interval := t.config.TrialInterval
+	if t.isAmbiguous(s) {
+		interval = t.config.AmbiguousTrialInterval
+	}
+	if s.triedAt.After(s.lastEvidenceAt) {
+		return s.triedAt.Add(interval)
+	}
+	return s.lastEvidenceAt.Add(interval)
+}
+
+// isRefused reports whether requests with the subject must be refused.
+func (t *Table) isRefused(now time.Time, subject Subject) bool {
+	s := t.suspects[subject]
+	return s != nil && now.Sub(s.lastEvidenceAt) < t.config.SuspectTTL && t.isQuarantined(subject, s)
+}
+
+// isQuarantined is isRefused regardless of the time.
+func (t *Table) isQuarantined(subject Subject, s *suspect) bool {
+	if !t.hasEnoughCrashes(subject, s) {
+		return false
 	}
-	remaining = s.lastEvidenceAt.Add(t.config.SuspectTTL).Sub(now)
-	return remaining, remaining > 0
+	return !subject.PromptPart || !t.isExplained(s)
 }
 
-func (t *Table) isQuarantined(s *suspect) bool {
-	return !s.cleared && len(s.backends) >= t.config.MinCrashes
+// hasEnoughCrashes reports whether the crashes of a subject suffice to refuse it.
+func (t *Table) hasEnoughCrashes(subject Subject, s *suspect) bool {
+	if s.cleared || s.counting < t.config.MinCrashes {
+		return false
+	}
+	if !subject.PromptPart {
+		return true
+	}
+	separate, last := 0, time.Time{}
+	for _, c := range s.crashes {
+		if !c.cleared && (separate == 0 || c.at.Sub(last) >= t.config.MinCrashGap) {
+			separate, last = separate+1, c.at
+		}
+	}
+	return separate >= t.config.MinCrashes
 }
 
-// Merge applies entries of another entry VM's table. It returns the requests that are
+// isExplained reports whether another suspect explains the crashes of a part of prompts better
+// than the part.
+func (t *Table) isExplained(part *suspect) bool {
+	for subject, other := range t.suspects {
+		isBetter := other.counting > part.counting || (!subject.PromptPart && other.counting == part.counting)
+		if other != part && !other.cleared && isBetter && other.coversCrashesOf(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// isAmbiguous reports whether another part of prompts was present at just the same crashes.
+func (t *Table) isAmbiguous(part *suspect) bool {
+	for subject, other := range t.suspects {
+		if other != part && subject.PromptPart && other.counting == part.counting && other.coversCrashesOf(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// coversCrashesOf reports whether all crashes that count against another suspect count against this
+// one too.
+func (s *suspect) coversCrashesOf(other *suspect) bool {
+	for _, c := range other.crashes {
+		if i := s.findCrash(c.backend); !c.cleared && (i < 0 || s.crashes[i].cleared) {
+			return false
+		}
+	}
+	return true
+}
+
+// findCrash returns the index of a backend server instance's crash, negative if it is unknown.
+func (s *suspect) findCrash(backend string) int {
+	return slices.IndexFunc(s.crashes, func(c crash) bool { return c.backend == backend })
+}
+
+// Merge applies entries of another entry VM's table. It returns the subjects that are
 // newly refused.
-func (t *Table) Merge(now time.Time, entries []Suspect) (refused []Fingerprint) {
+func (t *Table) Merge(now time.Time, entries []Suspect) (refused []Subject) {
+	wasRefused := make(map[Subject]bool, len(entries))
+	for _, entry := range entries {
+		wasRefused[entry.Subject] = t.isRefused(now, entry.Subject)
+	}
 	for _, entry := range entries {
-		if t.merge(now, entry) {
-			refused = append(refused, entry.Request)
+		t.merge(now, entry)
+	}
+	for subject, before := range wasRefused {
+		if !before && t.isRefused(now, subject) {
+			refused = append(refused, subject)
 		}
 	}
+	slices.SortFunc(refused, compareSubjects)
 	return refused
 }
 
-// merge applies one entry and reports whether the request is newly refused.
-func (t *Table) merge(now time.Time, entry Suspect) bool {
+// merge applies one entry.
+func (t *Table) merge(now time.Time, entry Suspect) {
 	if entry.Age < 0 || entry.Age >= t.config.SuspectTTL {
-		return false
+		return
 	}
-	s := t.suspects[entry.Request]
+	s := t.suspects[entry.Subject]
 	if s == nil {
 		t.evictIfFull()
 		s = &suspect{}
-		t.suspects[entry.Request] = s
+		t.suspects[entry.Subject] = s
 	}
-	wasQuarantined := t.isQuarantined(s)
-	changed := entry.Cleared && !s.cleared
-	s.cleared = s.cleared || entry.Cleared
-	for _, backend := range entry.Backends {
-		changed = t.addBackend(s, backend) || changed
+	changed := false
+	for _, c := range entry.Crashes {
+		changed = s.addCrash(now, c) || changed
 	}
-	if !changed {
-		return false
+	if entry.Cleared && !s.cleared {
+		s.clear(entry.Subject)
+		changed = true
+	}
+	if changed {
+		t.recordChange(s, now.Add(-entry.Age))
 	}
-	if evidenceAt := now.Add(-entry.Age); evidenceAt.After(s.lastEvidenceAt) {
+}
+
+// recordChange records that an entry has changed and when its newest evidence came.
+func (t *Table) recordChange(s *suspect, evidenceAt time.Time) {
+	if evidenceAt.After(s.lastEvidenceAt) {
 		s.lastEvidenceAt = evidenceAt
 	}
 	t.version++
 	s.changedVersion = t.version
-	return t.isQuarantined(s) && !wasQuarantined
 }
 
-func (t *Table) addBackend(s *suspect, backend string) bool {
-	index, known := slices.BinarySearch(s.backends, backend)
-	if known || len(s.backends) >= t.config.MinCrashes {
-		return false
+// clear clears the subject: a request for good, a part of prompts of the known crashes.
+func (s *suspect) clear(subject Subject) {
+	s.cleared = !subject.PromptPart
+	for i := range s.crashes {
+		s.crashes[i].cleared = true
+	}
+	s.trim()
+}
+
+// addCrash adds a crash and reports whether that changes the entry. Of what several VMs say of one
+// crash, the earliest time counts and that it was cleared.
+func (s *suspect) addCrash(now time.Time, c Crash) bool {
+	added := crash{c.Backend, now.Add(-c.Age), c.Cleared}
+	if i := s.findCrash(c.Backend); i >= 0 {
+		known := s.crashes[i]
+		if (known.cleared || !c.Cleared) && !added.at.Before(known.at) {
+			return false
+		}
+		if known.at.Before(added.at) {
+			added.at = known.at
+		}
+		added.cleared = known.cleared || c.Cleared
+		s.crashes[i] = added
+		s.trim()
+		return added.cleared != known.cleared
+	}
+	s.crashes = append(s.crashes, added)
+	s.trim()
+	return s.findCrash(c.Backend) >= 0
+}
+
+// trim sorts the crashes by time, counts them and drops those beyond the limits: the oldest of the
+// cleared ones, and of the others the one that follows another most closely, so that those far
+// apart remain.
+func (s *suspect) trim() {
+	slices.SortFunc(s.crashes, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.backend, b.backend)) })
+	s.counting = 0
+	last, closest := -1, -1
+	gap := time.Duration(math.MaxInt64)
+	for i, c := range s.crashes {
+		if c.cleared {
+			continue
+		}
+		s.counting++
+		if last >= 0 && c.at.Sub(s.crashes[last].at) < gap {
+			closest, gap = i, c.at.Sub(s.crashes[last].at)
+		}
+		last = i
+	}
+	if s.counting > maxCrashes {
+		s.crashes = slices.Delete(s.crashes, closest, closest+1)
+		s.counting--
+	}
+	for len(s.crashes)-s.counting > maxClearedCrashes {
+		oldest := slices.IndexFunc(s.crashes, func(c crash) bool { return c.cleared })
+		s.crashes = slices.Delete(s.crashes, oldest, oldest+1)
 	}
-	s.backends = slices.Insert(s.backends, index, backend)
-	return true
 }
 
 // evictIfFull removes the least suspicious entry if the table is full: the oldest one,
-// preferring requests that are not quarantined.
+// preferring subjects whose crashes don't suffice to refuse them.
 func (t *Table) evictIfFull() {
 	if len(t.suspects) < t.config.MaxSuspects {
 		return
 	}
-	var victim Fingerprint
+	var victim Subject
 	var leastSuspicious *suspect
-	for request, s := range t.suspects {
-		if leastSuspicious == nil || t.evictsBefore(s, leastSuspicious) {
-			victim, leastSuspicious = request, s
+	for subject, s := range t.suspects {
+		if leastSuspicious == nil || t.evictsBefore(subject, s, victim, leastSuspicious) {
+			victim, leastSuspicious = subject, s
 		}
 	}
 	delete(t.suspects, victim)
 }
 
 // evictsBefore reports whether a must be evicted rather than b.
-func (t *Table) evictsBefore(a, b *suspect) bool {
-	if x, y := t.isQuarantined(a), t.isQuarantined(b); x != y {
+func (t *Table) evictsBefore(subjectA Subject, a *suspect, subjectB Subject, b *suspect) bool {
+	if x, y := t.hasEnoughCrashes(subjectA, a), t.hasEnoughCrashes(subjectB, b); x != y {
 		return y
 	}
 	return a.lastEvidenceAt.Before(b.lastEvidenceAt)
@@ -181,11 +402,7 @@
 
 // Expire removes entries older than Config.SuspectTTL.
 func (t *Table) Expire(now time.Time) {
-	for request, s := range t.suspects {
-		if now.Sub(s.lastEvidenceAt) >= t.config.SuspectTTL {
-			delete(t.suspects, request)
-		}
-	}
+	maps.DeleteFunc(t.suspects, func(_ Subject, s *suspect) bool { return now.Sub(s.lastEvidenceAt) >= t.config.SuspectTTL })
 }
 
 // ChangedSince returns up to maxEntries entries that changed after a version, oldest
@@ -194,13 +411,13 @@
 	if version >= t.version {
 		return nil, t.version
 	}
-	var changed []Fingerprint
-	for request, s := range t.suspects {
+	var changed []Subject
+	for subject, s := range t.suspects {
 		if s.changedVersion > version {
-			changed = append(changed, request)
+			changed = append(changed, subject)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Fingerprint) int {
+	slices.SortFunc(changed, func(a, b Subject) int {
 		return cmp.Compare(t.suspects[a].changedVersion, t.suspects[b].changedVersion)
 	})
 	next = t.version
@@ -208,25 +425,40 @@
 		changed = changed[:maxEntries]
 		next = t.suspects[changed[maxEntries-1]].changedVersion
 	}
-	for _, request := range changed {
-		entries = append(entries, t.entryFor(now, request))
+	for _, subject := range changed {
+		entries = append(entries, t.entryFor(now, subject))
 	}
 	return entries, next
 }
 
-// Quarantined returns the entries of requests that are refused now.
+// Quarantined returns the entries of subjects that are refused now.
 func (t *Table) Quarantined(now time.Time) []Suspect {
 	var entries []Suspect
-	for request := range t.suspects {
-		if _, refused := t.RefusedFor(now, request); refused {
-			entries = append(entries, t.entryFor(now, request))
+	for subject := range t.suspects {
+		if t.isRefused(now, subject) {
+			entries = append(entries, t.entryFor(now, subject))
 		}
 	}
-	slices.SortFunc(entries, func(a, b Suspect) int { return cmp.Compare(a.Request, b.Request) })
+	slices.SortFunc(entries, func(a, b Suspect) int { return compareSubjects(a.Subject, b.Subject) })
 	return entries
 }
 
-func (t *Table) entryFor(now time.Time, request Fingerprint) Suspect {
-	s := t.suspects[request]
-	return Suspect{Request: request, Backends: slices.Clone(s.backends), Cleared: s.cleared, Age: max(0, now.Sub(s.lastEvidenceAt))}
+func (t *Table) entryFor(now time.Time, subject Subject) Suspect {
+	s := t.suspects[subject]
+	entry := Suspect{Subject: subject, Cleared: s.cleared, Age: max(0, now.Sub(s.lastEvidenceAt))}
+	for _, c := range s.crashes {
+		entry.Crashes = append(entry.Crashes, Crash{c.backend, max(0, now.Sub(c.at)), c.cleared})
+	}
+	return entry
+}
+
+// compareSubjects orders whole requests before parts of prompts.
+func compareSubjects(a, b Subject) int {
+	if a.PromptPart != b.PromptPart {
+		if b.PromptPart {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Fingerprint, b.Fingerprint)
 }
--- a/admission/quarantine/table_test.go
+++ b/admission/quarantine/table_test.go
@@ -16,26 +16,40 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-const crashingRequest quarantine.Fingerprint = 1
+var crashingRequest = request(1)
 
-func isRefused(table *quarantine.Table, now time.Time, request quarantine.Fingerprint) bool {
-	_, refused := table.RefusedFor(now, request)
+func request(fingerprint quarantine.Fingerprint) quarantine.Subject {
+	return quarantine.Subject{Fingerprint: fingerprint}
+}
+
+func isRefused(table *quarantine.Table, now time.Time, subjects ...quarantine.Subject) bool {
+	_, refused := table.RefusalOf(now, subjects)
 	return refused
 }
 
+// recordCrash records a crash that is detected at once.
+func recordCrash(table *quarantine.Table, now time.Time, backend string, running ...quarantine.Subject) []quarantine.Subject {
+	return table.RecordCrash(now, now, backend, running)
+}
+
+// recordSuccess records an answer and reports whether it cleared anything.
+func recordSuccess(table *quarantine.Table, now time.Time, subjects ...quarantine.Subject) bool {
+	return len(table.RecordSuccess(now, subjects)) > 0
+}
+
 // Guards against refusing requests that only ran beside the faulty one.
 func TestOnlyTheCommonRequestIsRefused(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{})
-	var refused []quarantine.Fingerprint
+	var refused []quarantine.Subject
 	for crash := range 3 {
-		running := []quarantine.Fingerprint{crashingRequest}
+		running := []quarantine.Subject{crashingRequest}
 		for i := range 20 {
-			running = append(running, quarantine.Fingerprint(100+20*crash+i))
+			running = append(running, request(quarantine.Fingerprint(100+20*crash+i)))
 		}
-		refused = append(refused, table.RecordCrash(start, fmt.Sprint("e", crash), running)...)
+		refused = append(refused, recordCrash(table, start, fmt.Sprint("e", crash), running...)...)
 	}
-	testkit.That(t, slices.Equal(refused, []quarantine.Fingerprint{crashingRequest}), "refused: %v", refused)
-	testkit.That(t, isRefused(table, start, crashingRequest) && !isRefused(table, start, 100), "RefusedFor differs from what RecordCrash returned")
+	testkit.That(t, slices.Equal(refused, []quarantine.Subject{crashingRequest}), "refused: %v", refused)
+	testkit.That(t, isRefused(table, start, crashingRequest) && !isRefused(table, start, request(100)), "RefusalOf differs from what RecordCrash returned")
 }
 
 // Guards against counting one crash several times, as each VM whose requests were
@@ -43,7 +57,7 @@
 func TestOneCrashCountsOnce(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{})
 	for range 5 {
-		table.RecordCrash(start, "e1", []quarantine.Fingerprint{crashingRequest})
+		recordCrash(table, start, "e1", crashingRequest)
 	}
 	testkit.That(t, !isRefused(table, start, crashingRequest), "refused after one crash")
 }
@@ -51,16 +65,16 @@
 // Guards against refusing a popular request that is running whenever something crashes.
 func TestAnswerClearsSuspect(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{})
-	table.RecordCrash(start, "e1", []quarantine.Fingerprint{crashingRequest})
-	testkit.That(t, table.RecordSuccess(start, crashingRequest), "not cleared")
-	testkit.That(t, !table.RecordSuccess(start, 7), "cleared without suspicion")
+	recordCrash(table, start, "e1", crashingRequest)
+	testkit.That(t, recordSuccess(table, start, crashingRequest), "not cleared")
+	testkit.That(t, !recordSuccess(table, start, request(7)), "cleared without suspicion")
 	for crash := range 5 {
-		table.RecordCrash(start, fmt.Sprint("f", crash), []quarantine.Fingerprint{crashingRequest})
+		recordCrash(table, start, fmt.Sprint("f", crash), crashingRequest)
 	}
 	testkit.That(t, !isRefused(table, start, crashingRequest), "refused though it was answered")
 	other := quarantine.NewTable(quarantine.Config{})
 	for crash := range 3 {
-		other.RecordCrash(start, fmt.Sprint("g", crash), []quarantine.Fingerprint{crashingRequest})
+		recordCrash(other, start, fmt.Sprint("g", crash), crashingRequest)
 	}
 	entries, _ := table.ChangedSince(start, 0, 10)
 	other.Merge(start, entries)
@@ -72,11 +86,11 @@
 func TestRefusalEnds(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{SuspectTTL: time.Minute})
 	for crash := range 3 {
-		table.RecordCrash(start.Add(time.Duration(crash)*20*time.Second), fmt.Sprint("e", crash), []quarantine.Fingerprint{crashingRequest})
+		recordCrash(table, start.Add(time.Duration(crash)*20*time.Second), fmt.Sprint("e", crash), crashingRequest)
 	}
 	last := start.Add(40 * time.Second)
-	remaining, refused := table.RefusedFor(last.Add(10*time.Second), crashingRequest)
-	testkit.That(t, refused && remaining == 50*time.Second, "refused %v for %s", refused, remaining)
+	refusal, refused := table.RefusalOf(last.Add(10*time.Second), []quarantine.Subject{crashingRequest})
+	testkit.That(t, refused && refusal.Remaining == 50*time.Second, "refused %v for %s", refused, refusal.Remaining)
 	testkit.That(t, !isRefused(table, last.Add(time.Minute), crashingRequest), "refused for longer than it is remembered")
 	table.Expire(last.Add(time.Minute))
 	testkit.Equal(t, "suspects remembered", table.Len(), 0)
@@ -86,10 +100,10 @@
 func TestMemoryIsBounded(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{MaxSuspects: 100})
 	for crash := range 3 {
-		table.RecordCrash(start, fmt.Sprint("e", crash), []quarantine.Fingerprint{crashingRequest})
+		recordCrash(table, start, fmt.Sprint("e", crash), crashingRequest)
 	}
 	for i := range 1000 {
-		table.RecordCrash(start.Add(time.Duration(i)), fmt.Sprint("f", i), []quarantine.Fingerprint{quarantine.Fingerprint(1000 + i)})
+		recordCrash(table, start.Add(time.Duration(i)), fmt.Sprint("f", i), request(quarantine.Fingerprint(1000+i)))
 	}
 	testkit.Equal(t, "suspects remembered", table.Len(), 100)
 	testkit.That(t, isRefused(table, start, crashingRequest), "evicted for newer suspects")
@@ -115,9 +129,9 @@
 			backends map[int]bool
 			cleared  bool
 		}
-		facts := map[quarantine.Fingerprint]*fact{}
+		facts := map[quarantine.Subject]*fact{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			vm, request := random.Intn(3), quarantine.Fingerprint(random.Intn(4))
+			vm, request := random.Intn(3), request(quarantine.Fingerprint(random.Intn(4)))
 			f := facts[request]
 			if f == nil {
 				f = &fact{backends: map[int]bool{}}
@@ -125,10 +139,10 @@
 			}
 			switch backend := random.Intn(5); random.Intn(8) {
 			case 0:
-				f.cleared = tables[vm].RecordSuccess(start, request) || f.cleared
+				f.cleared = recordSuccess(tables[vm], start, request) || f.cleared
 			case 1, 2, 3:
 				f.backends[backend] = true
-				tables[vm].RecordCrash(start, fmt.Sprint("e", backend), []quarantine.Fingerprint{request})
+				recordCrash(tables[vm], start, fmt.Sprint("e", backend), request)
 			default:
 				exchange(vm, random.Intn(3), random.Intn(3) == 0, 1+random.Intn(3))
 			}
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -108,13 +108,20 @@
 	Started int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Suspect is a request that may crash the backend servers that run it. Its fields correspond
-// to those of quarantine.Suspect.
+// Suspect is a request, or a part of prompts, that may crash the backend servers that run it. Its
+// fields correspond to those of quarantine.Suspect.
 type Suspect struct {
-	Request  uint64        `cbor:"1,keyasint,omitempty"`
-	Backends []string      `cbor:"2,keyasint,omitempty"`
-	Cleared  bool          `cbor:"3,keyasint,omitempty"`
-	Age      time.Duration `cbor:"4,keyasint,omitempty"`
+	// Request is the fingerprint of the request or the part.
+	Request uint64 `cbor:"1,keyasint,omitempty"`
+	// Backends are the backend server instances whose crashes count, CrashAges the times since
+	// these. A VM of an older version sends no ages.
+	Backends   []string        `cbor:"2,keyasint,omitempty"`
+	Cleared    bool            `cbor:"3,keyasint,omitempty"`
+	Age        time.Duration   `cbor:"4,keyasint,omitempty"`
+	PromptPart bool            `cbor:"5,keyasint,omitempty"`
+	CrashAges  []time.Duration `cbor:"6,keyasint,omitempty"`
+	// ClearedBackends are those whose crashes don't count any more.
+	ClearedBackends []string `cbor:"7,keyasint,omitempty"`
 }
 
 // ReadyEstimate is when a model is expected to have its first ready replica, relative to the
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -36,12 +36,19 @@
 
 // interruptedRequest is a request whose connection broke while a backend server ran it.
 type interruptedRequest struct {
-	backend string
-	request quarantine.Fingerprint
+	backend  string
+	subjects []quarantine.Subject
+	at       time.Time
+}
+
+// interruption is what broke at a backend server, and when the first connection did.
+type interruption struct {
+	subjects []quarantine.Subject
+	at       time.Time
 }
 
 // crashDetector detects backend servers whose process ended while they ran requests, and
-// shares these requests (suspects) with the other entry VMs. A broken connection alone is
+// shares these requests and the parts of their prompts (suspects) with the other entry VMs. A broken connection alone is
 // no evidence of a crash: it may have been reset, or the network path may have failed.
 type crashDetector struct {
 	node        *Node
@@ -50,59 +57,81 @@
 	hasSuspects atomic.Bool
 
 	mu sync.Mutex
-	// interruptedByBackend holds the interrupted requests of each backend server under
-	// investigation.
-	interruptedByBackend map[string][]quarantine.Fingerprint
-	suspects             *quarantine.Table
+	// interruptions holds what broke at each backend server under investigation.
+	interruptions map[string]interruption
+	suspects      *quarantine.Table
 	// seenFromPeers holds, for each other VM, the version up to which this VM has its suspects.
 	seenFromPeers map[string]entryvm.PeerPosition
-	// recorded holds the requests that are known to be recorded in the registry.
-	recorded map[quarantine.Fingerprint]bool
+	// recorded holds the subjects that are known to be recorded in the registry.
+	recorded map[quarantine.Subject]bool
 }
 
 var (
 	crashesDetected            = metrics.NewCounter("bergamotreel_backend_crashes_total")
 	interruptedRequestsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
 	requestsQuarantined        = metrics.NewCounter("bergamotreel_requests_quarantined_total")
+	partsQuarantined           = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
+	quarantineTrials           = metrics.NewCounter("bergamotreel_quarantine_trials_total")
 )
 
 var _ serving.Quarantine = (*crashDetector)(nil)
 
 func newCrashDetector(n *Node) *crashDetector {
-	return &crashDetector{node: n, interrupted: make(chan interruptedRequest, maxInterruptedRequests), interruptedByBackend: make(map[string][]quarantine.Fingerprint),
-		suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Fingerprint]bool)}
+	return &crashDetector{node: n, interrupted: make(chan interruptedRequest, maxInterruptedRequests), interruptions: make(map[string]interruption),
+		suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
 func (c *crashDetector) HasSuspects() bool { return c.hasSuspects.Load() }
 
 // RecordConnectionLost implements serving.Quarantine.
-func (c *crashDetector) RecordConnectionLost(backend string, request quarantine.Fingerprint) {
+func (c *crashDetector) RecordConnectionLost(backend string, request []quarantine.Subject) {
 	select {
-	case c.interrupted <- interruptedRequest{backend, request}:
+	case c.interrupted <- interruptedRequest{backend, request, time.Now()}:
 	default:
 		interruptedRequestsDropped.Inc()
 	}
 }
 
 // RecordSuccess implements serving.Quarantine.
-func (c *crashDetector) RecordSuccess(request quarantine.Fingerprint) {
+func (c *crashDetector) RecordSuccess(request []quarantine.Subject) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.suspects.RecordSuccess(time.Now(), request) {
-		c.node.config.Logger.Info("request cleared of suspicion", zap.Stringer("fingerprint", request))
+	if cleared := c.suspects.RecordSuccess(time.Now(), request); len(cleared) > 0 {
+		c.node.config.Logger.Info("request cleared of suspicion", zap.Stringers("fingerprints", cleared))
 	}
 }
 
 // RefusalFor implements serving.Quarantine.
-func (c *crashDetector) RefusalFor(request quarantine.Fingerprint) *refusal.Refusal {
+func (c *crashDetector) RefusalFor(request []quarantine.Subject) *refusal.Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left, refused := c.suspects.RefusedFor(time.Now(), request)
-	if !refused {
+	refused, ok := c.suspects.RefusalOf(time.Now(), request)
+	switch {
+	case !ok:
 		return nil
+	case refused.Subject.PromptPart:
+		return refusal.New(refusal.CodeQuarantined, refused.Remaining, "backend servers ended each time that they ran a request with this part of its prompt, %s", refused.Subject)
+	default:
+		return refusal.New(refusal.CodeQuarantined, refused.Remaining, "backend servers ended each time that they ran this request, %s", refused.Subject)
 	}
-	return refusal.New(refusal.CodeQuarantined, left, "backend servers ended each time that they ran this request, %s", request)
+}
+
+// BeginTrial implements serving.Quarantine. Only the planner begins trials: each may end a backend
+// server.
+func (c *crashDetector) BeginTrial(request []quarantine.Subject) bool {
+	now := time.Now()
+	if !c.node.canActAsPlanner(now) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.suspects.BeginTrial(now, request) {
+		return false
+	}
+	quarantineTrials.Inc()
+	c.node.config.Logger.Warn("trial of a quarantined part of prompts", zap.Stringers("fingerprints", request))
+	return true
 }
 
 // run investigates interrupted requests until ctx ends.
@@ -138,18 +167,22 @@
 func (c *crashDetector) addInterrupted(run interruptedRequest) (first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	requests, known := c.interruptedByBackend[run.backend]
-	c.interruptedByBackend[run.backend] = append(requests, run.request)
+	broken, known := c.interruptions[run.backend]
+	if !known {
+		broken.at = run.at
+	}
+	broken.subjects = append(broken.subjects, run.subjects...)
+	c.interruptions[run.backend] = broken
 	return !known
 }
 
-// removeInterrupted removes and returns the interrupted requests of a backend server.
-func (c *crashDetector) removeInterrupted(backend string) []quarantine.Fingerprint {
+// removeInterruption removes and returns what broke at a backend server.
+func (c *crashDetector) removeInterruption(backend string) interruption {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	requests := c.interruptedByBackend[backend]
-	delete(c.interruptedByBackend, backend)
-	return requests
+	broken := c.interruptions[backend]
+	delete(c.interruptions, backend)
+	return broken
 }
 
 // investigate determines whether a backend server's process has ended: it has if the server's
@@ -172,32 +205,38 @@
 		}
 	}
 	ended = ended && !c.node.paths.isReachable(ctx, &b)
-	requests := c.removeInterrupted(id)
+	broken := c.removeInterruption(id)
 	if !ended {
 		return
 	}
 	crashesDetected.Inc()
 	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("backend", id),
-		zap.Stringers("fingerprints", requests))
-	c.recordCrash(id, b.Started, requests)
+		zap.Stringers("fingerprints", broken.subjects))
+	c.recordCrash(id, b.Started, broken)
 }
 
-// recordCrash records that an instance of a backend server ended while it ran the requests.
-func (c *crashDetector) recordCrash(id string, started int64, requests []quarantine.Fingerprint) {
+// recordCrash records that an instance of a backend server ended and what broke there.
+func (c *crashDetector) recordCrash(id string, started int64, broken interruption) {
 	start := id + "@" + strconv.FormatInt(started, 10)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.logQuarantined(c.suspects.RecordCrash(time.Now(), start, requests))
+	c.logQuarantined(c.suspects.RecordCrash(time.Now(), broken.at, start, broken.subjects))
 	c.hasSuspects.Store(true)
 }
 
-// logQuarantined logs and counts requests that are refused from now on.
-func (c *crashDetector) logQuarantined(requests []quarantine.Fingerprint) {
-	if len(requests) == 0 {
+// logQuarantined logs and counts the requests and parts of prompts that are refused from now on.
+func (c *crashDetector) logQuarantined(subjects []quarantine.Subject) {
+	if len(subjects) == 0 {
 		return
 	}
-	requestsQuarantined.Add(len(requests))
-	c.node.config.Logger.Warn("requests quarantined", zap.Stringers("fingerprints", requests))
+	for _, subject := range subjects {
+		if subject.PromptPart {
+			partsQuarantined.Inc()
+		} else {
+			requestsQuarantined.Inc()
+		}
+	}
+	c.node.config.Logger.Warn("requests quarantined", zap.Stringers("fingerprints", subjects))
 }
 
 // publish adds to a report the suspects that the receiving VM doesn't have yet; last is that
@@ -216,9 +255,7 @@
 	entries, next := c.suspects.ChangedSince(now, from, maxReportedSuspects)
 	report.SuspectsNext = next
 	for _, e := range entries {
-		report.Suspects = append(report.Suspects, entryvm.Suspect{
-			Request: uint64(e.Request), Backends: e.Backends, Cleared: e.Cleared, Age: e.Age,
-		})
+		report.Suspects = append(report.Suspects, encodeSuspect(e))
 	}
 }
 
@@ -230,9 +267,7 @@
 	}
 	entries := make([]quarantine.Suspect, 0, len(report.Suspects))
 	for _, s := range report.Suspects {
-		entries = append(entries, quarantine.Suspect{
-			Request: quarantine.Fingerprint(s.Request), Backends: s.Backends, Cleared: s.Cleared, Age: s.Age,
-		})
+		entries = append(entries, decodeSuspect(s))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,3 +278,30 @@
 	c.logQuarantined(c.suspects.Merge(now, entries))
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
+
+func encodeSuspect(s quarantine.Suspect) entryvm.Suspect {
+	encoded := entryvm.Suspect{Request: uint64(s.Subject.Fingerprint), PromptPart: s.Subject.PromptPart, Cleared: s.Cleared, Age: s.Age}
+	for _, crash := range s.Crashes {
+		if crash.Cleared {
+			encoded.ClearedBackends = append(encoded.ClearedBackends, crash.Backend)
+			continue
+		}
+		encoded.Backends, encoded.CrashAges = append(encoded.Backends, crash.Backend), append(encoded.CrashAges, crash.Age)
+	}
+	return encoded
+}
+
+func decodeSuspect(s entryvm.Suspect) quarantine.Suspect {
+	decoded := quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: quarantine.Fingerprint(s.Request), PromptPart: s.PromptPart}, Cleared: s.Cleared, Age: s.Age}
+	for i, backend := range s.Backends {
+		age := s.Age
+		if i < len(s.CrashAges) {
+			age = s.CrashAges[i]
+		}
+		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Backend: backend, Age: age})
+	}
+	for _, backend := range s.ClearedBackends {
+		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Backend: backend, Age: s.Age, Cleared: true})
+	}
+	return decoded
+}
--- a/internal/hosted/fakeregistry_test.go
+++ b/internal/hosted/fakeregistry_test.go
@@ -39,7 +39,7 @@
 	conflicts int
 	// partitionedReaders are the VMs whose reads get no answer.
 	partitionedReaders map[string]bool
-	quarantined        map[uint64]registry.Quarantined
+	quarantined        map[registry.QuarantineKey]registry.Quarantined
 	// epoch counts the restores.
 	epoch uint64
 	// reads counts the reads of the configuration and of the changes of the list.
@@ -48,7 +48,7 @@
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		ownerWrites: make(map[string]registry.Cursor), generation: 1, assignedVM: make(map[int]string), sharedGroups: make(map[string]map[string]time.Time), partitionedMembers: make(map[string]bool), partitionedReaders: make(map[string]bool), quarantined: make(map[uint64]registry.Quarantined)}
+		ownerWrites: make(map[string]registry.Cursor), generation: 1, assignedVM: make(map[int]string), sharedGroups: make(map[string]map[string]time.Time), partitionedMembers: make(map[string]bool), partitionedReaders: make(map[string]bool), quarantined: make(map[registry.QuarantineKey]registry.Quarantined)}
 }
 
 // vmRegistry is the registry as one VM reaches it.
@@ -297,14 +297,14 @@
 	return slices.Collect(maps.Values(f.quarantined)), nil
 }
 
-func (f *fakeRegistry) Quarantine(_ context.Context, add []registry.Quarantined, drop []uint64) error {
+func (f *fakeRegistry) Quarantine(_ context.Context, add []registry.Quarantined, drop []registry.QuarantineKey) error {
 	end, err := f.beginCall()
 	if err != nil {
 		return err
 	}
 	defer end()
 	for _, q := range add {
-		f.quarantined[q.Request] = q
+		f.quarantined[q.QuarantineKey] = q
 	}
 	for _, request := range drop {
 		delete(f.quarantined, request)
@@ -329,7 +329,7 @@
 	ownerWrites         map[string]registry.Cursor
 	generation          uint64
 	assignedVM          map[int]string
-	quarantined         map[uint64]registry.Quarantined
+	quarantined         map[registry.QuarantineKey]registry.Quarantined
 }
 
 func (f *fakeRegistry) snapshot() registrySnapshot {
--- a/internal/hosted/quarantinerecords.go
+++ b/internal/hosted/quarantinerecords.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,10 +56,9 @@
 	clear(c.recorded)
 	var entries []quarantine.Suspect
 	for _, r := range records {
-		c.recorded[quarantine.Fingerprint(r.Request)] = true
-		entries = append(entries, quarantine.Suspect{
-			Request: quarantine.Fingerprint(r.Request), Backends: r.Backends, Age: max(0, now.Sub(r.At)),
-		})
+		entry := decodeQuarantined(now, r)
+		c.recorded[entry.Subject] = true
+		entries = append(entries, entry)
 	}
 	c.logQuarantined(c.suspects.Merge(now, entries))
 	c.hasSuspects.Store(c.suspects.Len() > 0)
@@ -75,18 +73,18 @@
 	outdated := maps.Clone(c.recorded)
 	var add []registry.Quarantined
 	for _, e := range c.suspects.Quarantined(now) {
-		if !c.recorded[e.Request] {
-			add = append(add, registry.Quarantined{Request: uint64(e.Request), Backends: e.Backends, At: now.Add(-e.Age)})
+		if !c.recorded[e.Subject] {
+			add = append(add, encodeQuarantined(now, e))
 		}
-		delete(outdated, e.Request)
+		delete(outdated, e.Subject)
 	}
 	c.mu.Unlock()
 	if len(add)+len(outdated) == 0 {
 		return nil
 	}
-	var drop []uint64
-	for _, request := range slices.Sorted(maps.Keys(outdated)) {
-		drop = append(drop, uint64(request))
+	var drop []registry.QuarantineKey
+	for subject := range outdated {
+		drop = append(drop, quarantineKey(subject))
 	}
 	if err := c.node.config.Peers.Registry.Quarantine(ctx, add, drop); err != nil {
 		return err
@@ -94,11 +92,42 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range add {
-		c.recorded[quarantine.Fingerprint(r.Request)] = true
+		c.recorded[quarantineSubject(r.QuarantineKey)] = true
 	}
-	for request := range outdated {
-		delete(c.recorded, request)
+	for subject := range outdated {
+		delete(c.recorded, subject)
 	}
 	c.node.config.Logger.Info("quarantined requests recorded", zap.Int("added", len(add)), zap.Int("dropped", len(drop)))
 	return nil
 }
+
+func quarantineKey(subject quarantine.Subject) registry.QuarantineKey {
+	return registry.QuarantineKey{Request: uint64(subject.Fingerprint), PromptPart: subject.PromptPart}
+}
+
+func quarantineSubject(key registry.QuarantineKey) quarantine.Subject {
+	return quarantine.Subject{Fingerprint: quarantine.Fingerprint(key.Request), PromptPart: key.PromptPart}
+}
+
+// encodeQuarantined returns the record of a suspect with the crashes that count.
+func encodeQuarantined(now time.Time, s quarantine.Suspect) registry.Quarantined {
+	record := registry.Quarantined{QuarantineKey: quarantineKey(s.Subject), At: now.Add(-s.Age)}
+	for _, crash := range s.Crashes {
+		if !crash.Cleared {
+			record.Backends, record.EndedAt = append(record.Backends, crash.Backend), append(record.EndedAt, now.Add(-crash.Age))
+		}
+	}
+	return record
+}
+
+func decodeQuarantined(now time.Time, r registry.Quarantined) quarantine.Suspect {
+	suspect := quarantine.Suspect{Subject: quarantineSubject(r.QuarantineKey), Age: max(0, now.Sub(r.At))}
+	for i, backend := range r.Backends {
+		at := r.At
+		if i < len(r.EndedAt) {
+			at = r.EndedAt[i]
+		}
+		suspect.Crashes = append(suspect.Crashes, quarantine.Crash{Backend: backend, Age: max(0, now.Sub(at))})
+	}
+	return suspect
+}
--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -55,8 +55,8 @@
 	if f.leaving {
 		fields = append(fields, zap.Bool("backend_leaving", true))
 	}
-	if f.fingerprint != nil {
-		fields = append(fields, zap.Stringer("fingerprint", f.fingerprint), zap.Strings("prompt_parts", f.request.PromptParts))
+	if len(f.subjects) > 0 {
+		fields = append(fields, zap.Stringer("fingerprint", f.subjects[0]), zap.Stringers("part_fingerprints", f.subjects[1:]), zap.Strings("prompt_parts", f.request.PromptParts))
 	}
 	f.server.config.Logger.Info("attempt", fields...)
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -89,7 +89,7 @@
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
 	f := &forwarding{server: s, request: r, answer: answer, lastEventID: r.ResumeAfter, version: version, readyAtArrival: hasReadyCandidate(known)}
-	if refused := f.quarantineRefusal(); refused != nil {
+	if refused := f.quarantineRefusalOrTrial(); refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
 	}
@@ -179,8 +179,10 @@
 	// movedFrom is the backend server that the stall guard moved the request away from,
 	// empty unless the current attempt is the first one after the move.
 	movedFrom string
-	// fingerprint caches the result of requestFingerprint.
-	fingerprint *quarantine.Fingerprint
+	// subjects caches the result of quarantineSubjects.
+	subjects []quarantine.Subject
+	// isTrial is whether the next attempt is a trial of a refused request.
+	isTrial bool
 	// retry is the state of the permission for the current or next attempt, retryUsage that
 	// of the budget when the permission was spent.
 	retry      retryState
@@ -201,6 +203,7 @@
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 			return refused
 		}
+		f.isTrial = false
 		if !f.spendRetry() {
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 			return f.overBudgetError(errRetryBudgetShrank)
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -48,7 +48,7 @@
 	ready        bool
 	busyUnits    map[string]bool // no backend server is ready for these
 	unitsNotHeld []string
-	brokenRuns   []quarantine.Fingerprint
+	brokenRuns   [][]quarantine.Subject
 	limits       []service.Limit
 	// permits is how many permits were issued to each candidate, negative if it needs none;
 	// spent is how many were used.
@@ -56,9 +56,11 @@
 	// suspects is whether requests are looked up in the quarantine, which refuses the
 	// quarantineFrom-th sent request and all later ones, none if it is 0; successes counts
 	// the successful answers reported to the quarantine.
-	suspects          bool
-	rejections        int
-	quarantineFrom    int
+	suspects       bool
+	rejections     int
+	quarantineFrom int
+	// trials is how many refused requests are sent as trials.
+	trials            int
 	successes         int
 	markedUnreachable []string
 	missingReports    int
@@ -171,19 +173,19 @@
 	return true
 }
 
-// RecordConnectionLost implements serving.Quarantine, as do the next three methods.
-func (b *forwardTestbed) RecordConnectionLost(_ string, request quarantine.Fingerprint) {
+// RecordConnectionLost implements serving.Quarantine, as do the next four methods.
+func (b *forwardTestbed) RecordConnectionLost(_ string, request []quarantine.Subject) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.brokenRuns = append(b.brokenRuns, request)
 }
 func (b *forwardTestbed) HasSuspects() bool { return b.suspects }
-func (b *forwardTestbed) RecordSuccess(quarantine.Fingerprint) {
+func (b *forwardTestbed) RecordSuccess([]quarantine.Subject) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.successes++
 }
-func (b *forwardTestbed) RefusalFor(quarantine.Fingerprint) *refusal.Refusal {
+func (b *forwardTestbed) RefusalFor([]quarantine.Subject) *refusal.Refusal {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.quarantineFrom == 0 || len(b.sent) < b.quarantineFrom-1 {
@@ -191,6 +193,12 @@
 	}
 	return refusal.New(refusal.CodeQuarantined, time.Minute, "it crashes what runs it")
 }
+func (b *forwardTestbed) BeginTrial([]quarantine.Subject) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trials--
+	return b.trials >= 0
+}
 func (b *forwardTestbed) RecordUnitNotHeld(backend, unit string) {
 	b.unitsNotHeld = append(b.unitsNotHeld, backend+" "+unit)
 }
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -16,23 +16,38 @@
 	// HasSuspects reports whether any request is suspected; while there is none, requests
 	// are not looked up.
 	HasSuspects() bool
-	// RefusalFor returns the refusal of a request that must not be sent, nil for any other.
-	RefusalFor(request quarantine.Fingerprint) *refusal.Refusal
+	// RefusalFor returns the refusal of a request that must not be sent, nil for any other. A
+	// request is given by its subjects, the request itself first.
+	RefusalFor(request []quarantine.Subject) *refusal.Refusal
+	// BeginTrial reports whether a refused request may be sent all the same, once, to find out
+	// whether it is still at fault.
+	BeginTrial(request []quarantine.Subject) bool
 	// RecordConnectionLost records that the connection to a backend server ended while it
 	// ran a request.
-	RecordConnectionLost(backend string, request quarantine.Fingerprint)
+	RecordConnectionLost(backend string, request []quarantine.Subject)
 	// RecordSuccess records that a backend server answered a request completely and
 	// successfully.
-	RecordSuccess(request quarantine.Fingerprint)
+	RecordSuccess(request []quarantine.Subject)
 }
 
 // quarantineRefusal returns the refusal if the request must not be sent, nil otherwise.
 func (f *forwarding) quarantineRefusal() *refusal.Refusal {
 	q := f.server.config.Quarantine
-	if q == nil || !q.HasSuspects() {
+	if q == nil || f.isTrial || !q.HasSuspects() {
 		return nil
 	}
-	return q.RefusalFor(f.requestFingerprint())
+	return q.RefusalFor(f.quarantineSubjects())
+}
+
+// quarantineRefusalOrTrial is quarantineRefusal for a request that was not sent yet. It may
+// make the request a trial instead.
+func (f *forwarding) quarantineRefusalOrTrial() *refusal.Refusal {
+	refused := f.quarantineRefusal()
+	if refused != nil && f.server.config.Quarantine.BeginTrial(f.quarantineSubjects()) {
+		f.isTrial = true
+		return nil
+	}
+	return refused
 }
 
 // reportToQuarantine reports to the quarantine how an attempt ended. It doesn't report a
@@ -45,22 +60,23 @@
 	case err == nil:
 		// An answer that ended with its connection may have been cut off.
 		if q.HasSuspects() && head.Status < http.StatusMultipleChoices && head.Length != service.LengthUntilClose {
-			q.RecordSuccess(f.requestFingerprint())
+			q.RecordSuccess(f.quarantineSubjects())
 		}
 	case f.outcome.mayHaveRun && ctx.Err() == nil && !isTerminalError(err) && !errors.Is(err, errServerFailed):
-		q.RecordConnectionLost(f.pending.backend, f.requestFingerprint())
+		q.RecordConnectionLost(f.pending.backend, f.quarantineSubjects())
 	}
 }
 
-// requestFingerprint returns the fingerprint of the request and computes it only once.
-func (f *forwarding) requestFingerprint() quarantine.Fingerprint {
-	if f.fingerprint == nil {
+// quarantineSubjects returns what of the request may crash backend servers, and computes it only
+// once.
+func (f *forwarding) quarantineSubjects() []quarantine.Subject {
+	if f.subjects == nil {
 		r := &f.request
 		content := quarantine.Content{
 			Workspace: r.WorkspaceName(), Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.CallerHost, Body: r.Body,
+			PromptParts: r.PromptParts,
 		}
-		hash := content.Fingerprint()
-		f.fingerprint = &hash
+		f.subjects = content.Subjects()
 	}
-	return *f.fingerprint
+	return f.subjects
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -163,16 +163,25 @@
 	Unreadable bool
 }
 
-// Quarantined is the record of a request that is refused because it crashes backend servers.
+// Quarantined is the record of a request, or of a part of prompts, that is refused because it
+// crashes backend servers.
 type Quarantined struct {
-	// Request is the fingerprint of the request. Backends are the starts of backend servers
-	// that it ended.
-	Request  uint64
+	QuarantineKey
+	// Backends are the starts of backend servers that it ended, EndedAt when each of them ended,
+	// by the clock of the VM that wrote the record. A VM of an older version records only At.
 	Backends []string
-	// At is when the last of them ended, by the clock of the VM that wrote the record.
+	EndedAt  []time.Time
+	// At is when the last of them ended.
 	At time.Time
 }
 
+// QuarantineKey identifies a record of a quarantined request or part of prompts.
+type QuarantineKey struct {
+	// Request is the fingerprint of the request or the part.
+	Request    uint64
+	PromptPart bool
+}
+
 // Registry is the interface to the platform's registry. All methods may fail with
 // ErrUnavailable, in addition to the errors that they name.
 type Registry interface {
@@ -206,8 +215,8 @@
 	// the cursor was read. Otherwise it fails with ErrConflict.
 	RecordOwners(ctx context.Context, group string, owned []Ownership, at Cursor) error
 
-	// Quarantined returns the newest record of each quarantined request.
+	// Quarantined returns the newest record of each quarantined request and part of prompts.
 	Quarantined(ctx context.Context) ([]Quarantined, error)
-	// Quarantine adds records of requests and drops others.
-	Quarantine(ctx context.Context, add []Quarantined, drop []uint64) error
+	// Quarantine adds records and drops others.
+	Quarantine(ctx context.Context, add []Quarantined, drop []QuarantineKey) error
 }
