--- /dev/null
+++ b/admission/quarantine/parts_test.go
@@ -0,0 +1,162 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotreel/admission/quarantine"
+	"bergamotreel/internal/testkit"
+)
+
+var faulty, common, rare = part(1), part(2), part(3)
+
+func part(fingerprint quarantine.Fingerprint) quarantine.Subject {
+	return quarantine.Subject{Fingerprint: fingerprint, PromptPart: true}
+}
+
+func atSecond(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// recordCrashes records crashes of different backend servers a second apart, the first at the given
+// second.
+func recordCrashes(table *quarantine.Table, count int, second float64, running ...quarantine.Subject) {
+	for i := range count {
+		at := second + float64(i)
+		recordCrash(table, atSecond(at), fmt.Sprint("e", at), running...)
+	}
+}
+
+// Guards against the refusal of a part that sound requests share with those at fault, and of one
+// that ran beside them by chance.
+func TestPartExplainedByAnotherIsNotRefused(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	recordCrash(table, atSecond(0), "e", faulty, common)
+	table.RecordSuccess(atSecond(0.5), []quarantine.Subject{common})
+	recordCrashes(table, 3, 1, faulty, common, rare)
+	recordCrash(table, atSecond(4), "f", rare)
+	now := atSecond(4)
+	testkit.That(t, isRefused(table, now, faulty), "the part at fault is not refused")
+	testkit.That(t, !isRefused(table, now, common), "refused though another part was present at more crashes")
+	testkit.That(t, isRefused(table, now, rare), "a part that was present at a crash without the other is not refused")
+	testkit.Equal(t, "refused", fmt.Sprint(len(table.Quarantined(now))), "2")
+}
+
+// Guards against the refusal of all parts of one request that crashes backend servers: its
+// repetitions are refused, and others share its parts.
+func TestPartsOfCrashingRequestAreNotRefused(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	recordCrashes(table, 4, 0, crashingRequest, common, rare)
+	testkit.That(t, isRefused(table, atSecond(4), crashingRequest, common), "the request is not refused")
+	testkit.That(t, !isRefused(table, atSecond(4), request(9), common, rare), "another request with its parts is refused")
+}
+
+// Guards against the refusal of common parts when many backend servers crash together.
+func TestCrashesTogetherCountOnceForParts(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	for i := range 40 {
+		recordCrash(table, atSecond(float64(i)/100), fmt.Sprint("e", i), common)
+	}
+	testkit.That(t, !isRefused(table, atSecond(1), common), "refused after crashes within 0.4 s")
+	recordCrashes(table, 2, 1, common)
+	testkit.That(t, isRefused(table, atSecond(2), common), "later crashes are forgotten for the many at first")
+}
+
+// Guards against a part that is never refused because it was answered before it began to crash
+// backend servers, and against counting crashes from before an answer.
+func TestAnswerClearsPartOfKnownCrashes(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	recordCrashes(table, 2, 0, faulty)
+	testkit.That(t, recordSuccess(table, atSecond(2), faulty), "not cleared")
+	testkit.That(t, !recordSuccess(table, atSecond(2), faulty), "cleared twice")
+	recordCrashes(table, 2, 3, faulty)
+	testkit.That(t, !isRefused(table, atSecond(4), faulty), "refused after two crashes since its answer")
+	recordCrashes(table, 1, 5, faulty)
+	testkit.That(t, isRefused(table, atSecond(5), faulty), "not refused after three crashes since its answer")
+	testkit.That(t, recordSuccess(table, atSecond(6), faulty) && !isRefused(table, atSecond(6), faulty), "refused after an answer")
+}
+
+// Guards against a refusal that nothing can end, and against trials that end one backend server
+// after the other.
+func TestTrialsOfRefusedPart(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{TrialInterval: time.Minute})
+	recordCrashes(table, 3, 0, faulty)
+	subjects := []quarantine.Subject{request(9), faulty}
+	refusal, refused := table.RefusalOf(atSecond(12), subjects)
+	testkit.That(t, refused && refusal.Subject == faulty && refusal.Remaining == 50*time.Second, "got %+v", refusal)
+	testkit.That(t, !table.BeginTrial(atSecond(61), subjects), "a trial before the interval has passed")
+	testkit.That(t, table.BeginTrial(atSecond(62), subjects), "no trial after the interval")
+	testkit.That(t, isRefused(table, atSecond(62), faulty), "others are not refused during a trial")
+	testkit.That(t, !table.BeginTrial(atSecond(100), subjects), "a second trial within the interval")
+	recordCrash(table, atSecond(101), "trial", faulty)
+	testkit.That(t, !table.BeginTrial(atSecond(160), subjects) && table.BeginTrial(atSecond(161), subjects), "the interval doesn't count from the newest crash")
+	recordCrashes(table, 3, 0, crashingRequest)
+	testkit.That(t, !table.BeginTrial(atSecond(400), []quarantine.Subject{crashingRequest}), "a trial of a whole request")
+}
+
+// Guards against a common part that stays refused because it was present at just the crashes of the
+// part at fault: requests with only one of the two tell them apart.
+func TestAmbiguousPartsAreToldApart(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	recordCrashes(table, 3, 0, faulty, common)
+	testkit.That(t, isRefused(table, atSecond(3), common) && isRefused(table, atSecond(3), faulty), "not refused")
+	testkit.That(t, !table.BeginTrial(atSecond(4), []quarantine.Subject{request(9), common, faulty}), "a trial of both together")
+	testkit.That(t, table.BeginTrial(atSecond(4), []quarantine.Subject{request(9), common}), "no trial of one")
+	table.RecordSuccess(atSecond(5), []quarantine.Subject{request(9), common})
+	testkit.That(t, !isRefused(table, atSecond(5), common) && isRefused(table, atSecond(5), faulty), "not told apart")
+	testkit.That(t, !table.BeginTrial(atSecond(6), []quarantine.Subject{faulty}), "an early trial of the part at fault")
+}
+
+// Guards against VMs that refuse different parts, as messages on crashes and answers were lost,
+// repeated or reordered.
+func TestMergedTablesAgreeOnParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*quarantine.Table{quarantine.NewTable(quarantine.Config{}), quarantine.NewTable(quarantine.Config{}), quarantine.NewTable(quarantine.Config{})}
+		versions := map[[2]int]uint64{}
+		random := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		now := start
+		exchange := func(from, to, maxEntries int, lost bool) {
+			entries, next := tables[from].ChangedSince(now, versions[[2]int{from, to}], maxEntries)
+			if !lost {
+				random.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+				tables[to].Merge(now, entries)
+				versions[[2]int{from, to}] = next
+			}
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			vm, subject := random.Intn(3), part(quarantine.Fingerprint(random.Intn(3)))
+			switch random.Intn(6) {
+			case 0:
+				tables[vm].RecordSuccess(now, []quarantine.Subject{subject})
+			case 1, 2:
+				recordCrash(tables[vm], now, fmt.Sprint("e", i/2), subject)
+			default:
+				exchange(vm, random.Intn(3), 1+random.Intn(3), random.Intn(3) == 0)
+			}
+		}
+		for range 12 {
+			for from := range tables {
+				for to := range tables {
+					exchange(from, to, 3, false)
+				}
+			}
+		}
+		refusedBy := func(vm int) (refused []quarantine.Subject) {
+			for _, entry := range tables[vm].Quarantined(now) {
+				refused = append(refused, entry.Subject)
+			}
+			return refused
+		}
+		for vm := range tables {
+			if !slices.Equal(refusedBy(vm), refusedBy(0)) {
+				t.Fatalf("VM %d refuses %v, VM 0 %v", vm, refusedBy(vm), refusedBy(0))
+			}
+		}
+	})
+}
