--- a/internal/hosted/crashingparts_test.go
+++ b/internal/hosted/crashingparts_test.go
@@ -208,3 +208,44 @@
 	}
 	testkit.That(d, len(history.Crashes) > 0, "no engine ended")
 }
+
+// crashingPartDayDivisor is how many times fewer days with a crashing part are played.
+const crashingPartDayDivisor = 4
+
+// playCrashingPartDay plays and checks the random day of a seed on which engines crash under a part of
+// prompts, beside the other faults.
+func playCrashingPartDay(t *testing.T, seed int64) {
+	t.Parallel()
+	random := rand.New(rand.NewSource(seed))
+	vms, engines := 2+random.Intn(9), 4+random.Intn(12)
+	if random.Intn(6) == 0 {
+		vms = maxFullMeshPeers + 2 + random.Intn(12)
+	}
+	withEngineCluster(t, vms, engines, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: random, kinds: faultKinds}
+		part := d.addCrashingPart(crashingPartID)
+		every, firstParts := 4+random.Intn(40), 1+random.Intn(3)
+		from := time.Duration(random.Int63n(int64(10 * time.Second)))
+		d.faultLog = append(d.faultLog, fmt.Sprintf("a part of prompts crashes engines from %s on, in every %d. request", from, every))
+		d.inFlight.Go(func() {
+			guilty, sound := varied("first", crashingPartID, firstParts, 1), varied("first", "second", firstParts, 5)
+			startedAt := time.Now()
+			for i := 0; time.Since(startedAt) < faultsEnd; i++ {
+				if time.Since(startedAt) >= from && i%every == 0 {
+					d.sendCrashing(part, i, guilty(i/every))
+				} else {
+					d.sendSound(part, i, sound(i))
+				}
+				time.Sleep(partRequestInterval)
+			}
+		})
+		d.runAndCheck(engines)
+	})
+}
+
+// Guards against parts of prompts that go on crashing engines while faults of several kinds overlap.
+func TestRandomDaysOfCrashingParts(t *testing.T) {
+	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/crashingPartDayDivisor); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playCrashingPartDay(t, seed) })
+	}
+}
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -144,6 +144,10 @@
 	violations = append(violations, judge.CheckRetryAfter(h, cooldownGrace, maxCooldownRequests)...)
 	violations = append(violations, judge.CheckServedWithoutPaths(h, maxPathLossDelay, minPathLossShare, allowedPathLossFailures)...)
 	violations = append(violations, judge.CheckRoom(h, allowedFragileCrashes, minCalmBefore)...)
+	for _, part := range d.crashingParts {
+		h.CrashingParts = append(h.CrashingParts, part.history)
+	}
+	violations = append(violations, judge.CheckCrashingParts(h, crashBound)...)
 	return append(violations, judge.CheckRecovery(h, startedAt.Add(recoveryDeadline), minServedShare*d.servableShare(engines))...)
 }
 
