hosted, entryvm: entry VMs without paths learn from gateways that a backend server ended

Cause: a VM without paths can't tell by itself whether an address refuses connections or its own network does, so it dropped the evidence of each crash under requests that it had sent through gateways.

An address that doesn't answer a VM with paths is asked about too, at the last probe.

TestLostPathsAreNoCrashes passes: refusals of a VM's own network count as little as before.

--- a/entryvm/tunnel.go
+++ b/entryvm/tunnel.go
@@ -35,6 +35,9 @@
 var (
 	// ErrBackendUnreachable reports that the gateway couldn't connect to the backend server.
 	ErrBackendUnreachable = errs.New("backend server unreachable from the gateway")
+	// ErrBackendRefused reports that the backend server's address refused the gateway's
+	// connection. An error of this class is of ErrBackendUnreachable too.
+	ErrBackendRefused = errs.New("connection refused to the gateway")
 	// ErrTunnelRefused reports that the gateway opens no tunnel to the backend server, for a
 	// reason that says nothing about the backend server.
 	ErrTunnelRefused = errs.New("tunnel refused by the gateway")
@@ -52,15 +55,16 @@
 // TunnelReply reports whether the tunnel is open.
 type TunnelReply struct {
 	// Error is why it isn't, empty if it is. Unreachable is whether the gateway couldn't
-	// connect to the backend server.
+	// connect to the backend server, Refused whether its address refused the connection.
 	Error       string `cbor:"1,keyasint,omitempty"`
 	Unreachable bool   `cbor:"2,keyasint,omitempty"`
+	Refused     bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // BackendDialer connects to backend servers on behalf of other entry VMs.
 type BackendDialer interface {
 	// DialBackend connects to the backend server at an address. It fails with
-	// ErrBackendUnreachable or ErrTunnelRefused.
+	// ErrBackendUnreachable, also ErrBackendRefused, or ErrTunnelRefused.
 	DialBackend(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -70,7 +74,7 @@
 }
 
 // DialBackend connects to the backend server at an address through the entry VM at gateway. It
-// fails with ErrUnreachable, ErrTunnelRefused or ErrBackendUnreachable.
+// fails with ErrUnreachable, ErrTunnelRefused or ErrBackendUnreachable, also ErrBackendRefused.
 func (c *Client) DialBackend(ctx context.Context, gateway, address string) (net.Conn, error) {
 	secure, raw, err := c.dialPeer(ctx, c.dialTunnel, gateway, purposeTunnel)
 	if err != nil {
@@ -101,6 +105,8 @@
 	}
 	f.releaseFrame()
 	switch {
+	case reply.Refused:
+		return nil, wrapError(ErrBackendUnreachable, wrapError(ErrBackendRefused, errors.New(reply.Error)))
 	case reply.Unreachable:
 		return nil, wrapError(ErrBackendUnreachable, errors.New(reply.Error))
 	case reply.Error != "":
@@ -190,7 +196,7 @@
 	}
 	backend, err := s.backendDialer.DialBackend(ctx, address)
 	if err != nil {
-		return nil, TunnelReply{Error: err.Error(), Unreachable: errors.Is(err, ErrBackendUnreachable)}
+		return nil, TunnelReply{Error: err.Error(), Unreachable: errors.Is(err, ErrBackendUnreachable), Refused: errors.Is(err, ErrBackendRefused)}
 	}
 	return backend, TunnelReply{}
 }
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -146,7 +146,8 @@
 		return
 	}
 	defer p.endCheck(id)
-	gateway, reached := p.findGateway(ctx, service.Target{ID: id, Address: b.Address}, gateways)
+	gateway := p.askGateways(ctx, service.Target{ID: id, Address: b.Address}, gateways).gateway
+	reached := gateway != ""
 	if ctx.Err() != nil {
 		return
 	}
@@ -206,14 +207,41 @@
 	})
 }
 
-// isReachable reports whether a backend server that this VM doesn't reach may be reached by
-// others: a gateway does, or this VM has no paths to any of the service, so that it can't tell.
-func (p *backendPaths) isReachable(ctx context.Context, b *backend) bool {
-	if p.areLostTo(b.Service) {
-		return true
-	}
-	_, reached := p.findGateway(ctx, service.Target{ID: b.ID, Address: b.Address}, gatewaysPerCheck)
-	return reached || p.areLostTo(b.Service)
+// processState is what is known of a backend server's process.
+type processState int
+
+const (
+	processUnknown processState = iota
+	processRuns
+	processEnded
+)
+
+// probeProcess finds out whether a backend server's process has ended: its address refuses
+// connections, and no other VM reaches it. The network may also refuse connections of a VM whose
+// paths are lost, so such a VM relies on gateways alone; others ask them about an address that
+// doesn't answer only if that is asked for.
+func (p *backendPaths) probeProcess(ctx context.Context, b *backend, askAbout bool) processState {
+	target := service.Target{ID: b.ID, Address: b.Address}
+	refused := false
+	if !p.areLostTo(b.Service) {
+		err := p.node.tryConnect(ctx, target)
+		if err == nil {
+			return processRuns
+		}
+		refused = errors.Is(err, service.ErrConnectionRefused)
+		if !refused && !askAbout {
+			return processUnknown
+		}
+	}
+	answers := p.askGateways(ctx, target, gatewaysPerCheck)
+	switch {
+	case answers.gateway != "":
+		return processRuns
+	case answers.refused, refused && !p.areLostTo(b.Service):
+		return processEnded
+	default:
+		return processUnknown
+	}
 }
 
 // markUnreachable records that a connection to a target could not be established. If it was
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/serving"
 	"bergamotreel/refusal"
-	"bergamotreel/service"
 )
 
 const (
@@ -185,28 +183,22 @@
 	return broken
 }
 
-// investigate determines whether a backend server's process has ended: it has if the server's
-// address refuses the connections of this VM, and no other VM reaches it. A network may also
-// refuse connections of a VM whose paths are lost.
+// investigate determines whether a backend server's process has ended, and records what broke there
+// if it has.
 func (c *crashDetector) investigate(ctx context.Context, id string) {
 	b, listed := c.node.backends.get(id)
-	ended := false
-	for range maxCrashProbes {
+	state := processUnknown
+	for probe := 1; probe <= maxCrashProbes && state == processUnknown; probe++ {
 		if !pause.For(ctx, crashProbeDelay) {
 			return
 		}
 		if !listed {
 			break // its address is unknown
 		}
-		err := c.node.tryConnect(ctx, service.Target{ID: id, Address: b.Address})
-		ended = errors.Is(err, service.ErrConnectionRefused)
-		if err == nil || ended {
-			break
-		}
+		state = c.node.paths.probeProcess(ctx, &b, probe == maxCrashProbes)
 	}
-	ended = ended && !c.node.paths.isReachable(ctx, &b)
 	broken := c.removeInterruption(id)
-	if !ended {
+	if state != processEnded {
 		return
 	}
 	crashesDetected.Inc()
--- a/internal/hosted/crashingparts_test.go
+++ b/internal/hosted/crashingparts_test.go
@@ -96,6 +96,9 @@
 			time.Sleep(time.Second)
 			d.restart(d.vms[:3])
 		}},
+		"VMs without paths": {8, 18, 20, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
+			d.losePaths(d.vms[:7], pathLoss{}, nil)
+		}},
 		"all VMs killed": {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
 			time.Sleep(6 * time.Second)
 			d.restart(d.vms)
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -284,6 +284,9 @@
 // Probe implements service.Forwarder.
 func (b vmEngineCluster) Probe(_ context.Context, target service.Target) error {
 	e, err := b.liveEngine(target.Address)
+	if err != nil && target.Gateway != "" {
+		return b.refuseThrough(target, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/hosted/gateways.go
+++ b/internal/hosted/gateways.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -14,9 +15,17 @@
 // gatewayFailureTTL is how long a gateway that failed ranks behind the others.
 const gatewayFailureTTL = time.Second
 
-// findGateway asks gateways concurrently whether they reach the target, and returns the first
-// that does.
-func (p *backendPaths) findGateway(ctx context.Context, target service.Target, count int) (gateway string, found bool) {
+// gatewayAnswers is what gateways say of a backend server.
+type gatewayAnswers struct {
+	// gateway is one that reaches it, empty for none.
+	gateway string
+	// refused is whether its address refused the connection of one.
+	refused bool
+}
+
+// askGateways asks gateways concurrently whether they reach the target, until the first that
+// does.
+func (p *backendPaths) askGateways(ctx context.Context, target service.Target, count int) (answers gatewayAnswers) {
 	gateways := p.rankGateways(time.Now(), target.ID)
 	gateways = gateways[:min(count, len(gateways))]
 	type result struct {
@@ -34,11 +43,14 @@
 		}()
 	}
 	for range gateways {
-		if r := <-results; r.err == nil {
-			return r.gateway, true
+		r := <-results
+		if r.err == nil {
+			answers.gateway = r.gateway
+			return answers
 		}
+		answers.refused = answers.refused || errors.Is(r.err, entryvm.ErrBackendRefused)
 	}
-	return "", false
+	return answers
 }
 
 // rankedGateway is a VM that may reach a backend server.
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -126,6 +126,20 @@
 	return nil
 }
 
+// refuseThrough returns the error of a gateway whose connection to an engine is refused, or that has no
+// path to it.
+func (b vmEngineCluster) refuseThrough(target service.Target, refused error) error {
+	b.statsMu.Lock()
+	e := b.engines[target.Address]
+	b.statsMu.Unlock()
+	if e != nil {
+		if err := b.tryPathTo(target, e.id, true); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: %w", entryvm.ErrBackendRefused, refused)
+}
+
 // servedShares counts the requests that some VMs got and those that they answered.
 type servedShares struct {
 	served, sent int
--- a/internal/hosted/tunnels.go
+++ b/internal/hosted/tunnels.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -32,6 +33,9 @@
 	conn, err := n.config.Peers.Connector.Connect(ctx, service.Target{Address: address})
 	if err != nil {
 		n.tunnels.Add(-1)
+		if errors.Is(err, service.ErrConnectionRefused) {
+			err = fmt.Errorf("%w: %w", entryvm.ErrBackendRefused, err)
+		}
 		return nil, fmt.Errorf("%w: %w", entryvm.ErrBackendUnreachable, err)
 	}
 	return &tunneledConn{Conn: conn, end: sync.OnceFunc(func() { n.tunnels.Add(-1) })}, nil
@@ -46,6 +50,8 @@
 		return fmt.Errorf("%w: %w", entryvm.ErrTunnelRefused, errStopping)
 	case !listed:
 		return fmt.Errorf("%w: no backend server is listed at %s", entryvm.ErrTunnelRefused, address)
+	case b.probeBackoff > 0 && b.refused:
+		return fmt.Errorf("%w: %w: %s", entryvm.ErrBackendUnreachable, entryvm.ErrBackendRefused, b.ID)
 	case b.probeBackoff > 0:
 		return fmt.Errorf("%w: %s accepts no connection of this entry VM either", entryvm.ErrBackendUnreachable, b.ID)
 	}
