quarantine: crashes 200 ms apart count separately against a part of prompts

Backend servers that crash together do so within some tens of milliseconds, as their VMs see it; 200 ms still tells them apart (TestCrashesTogetherCountOnceForParts, and the case of TestCrashingPartOfPromptsIsQuarantined with six engines at once).

--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -28,7 +28,7 @@
 
 const (
 	defaultMinCrashes             = 3
-	defaultMinCrashGap            = 500 * time.Millisecond
+	defaultMinCrashGap            = 200 * time.Millisecond
 	defaultSuspectTTL             = 10 * time.Minute
 	defaultTrialInterval          = 2 * time.Minute
 	defaultAmbiguousTrialInterval = time.Second
