hosted tests: a gateway of the test bed tells of an ended engine as a real one does

Cause: through a gateway, the bed reported the refused connection of an ended engine as if the VM's own connection had been refused.

No bound changes.

--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -224,6 +224,9 @@
 // Forward implements service.Forwarder.
 func (b vmEngineCluster) Forward(_ context.Context, target service.Target, f service.ForwardRequest) (*service.ForwardResponse, error) {
 	e, err := b.liveEngine(target.Address)
+	if err != nil && target.Gateway != "" {
+		return nil, b.refuseThrough(target)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -285,7 +288,7 @@
 func (b vmEngineCluster) Probe(_ context.Context, target service.Target) error {
 	e, err := b.liveEngine(target.Address)
 	if err != nil && target.Gateway != "" {
-		return b.refuseThrough(target, err)
+		return b.refuseThrough(target)
 	}
 	if err != nil {
 		return err
--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -128,7 +128,7 @@
 
 // refuseThrough returns the error of a gateway whose connection to an engine is refused, or that has no
 // path to it.
-func (b vmEngineCluster) refuseThrough(target service.Target, refused error) error {
+func (b vmEngineCluster) refuseThrough(target service.Target) error {
 	b.statsMu.Lock()
 	e := b.engines[target.Address]
 	b.statsMu.Unlock()
@@ -137,7 +137,7 @@
 			return err
 		}
 	}
-	return fmt.Errorf("%w: %w", entryvm.ErrBackendRefused, refused)
+	return fmt.Errorf("%w: %w: %w", service.ErrNotSent, entryvm.ErrBackendUnreachable, entryvm.ErrBackendRefused)
 }
 
 // servedShares counts the requests that some VMs got and those that they answered.
