pathloss, hosted: lost paths to the last listed backend server count once the others have left the list

Cause: the paths count as lost after two lost ones, or one if only one backend server is listed. The ended engine was still listed when the path to its replacement was found lost, and nothing counted again when it left the list. So at the next replacement these VMs sent all that waited over their dead paths first, and the others took the slots meanwhile.

Now a change of the list counts again.

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -294,12 +294,17 @@
 	nowLost := monitor.RecordLostPath(b.ID, p.node.backends.countService(serviceName))
 	p.updateHasRecords()
 	p.mu.Unlock()
-	if !nowLost {
-		return
+	if nowLost {
+		p.beginLoss(serviceName, b.refused)
 	}
-	others := p.node.backends.assumeIndirect(time.Now(), serviceName, b.refused, func(other *backend) bool { return !other.isIndirect() })
+}
+
+// beginLoss has the backend servers of a service reached through gateways, as the paths to them
+// count as lost from now on.
+func (p *backendPaths) beginLoss(serviceName string, refused bool) {
+	others := p.node.backends.assumeIndirect(time.Now(), serviceName, refused, func(other *backend) bool { return !other.isIndirect() })
 	pathLossesTotal.Inc()
-	p.forgiveFailures(b.refused, others...)
+	p.forgiveFailures(refused, others...)
 	p.node.config.Logger.Warn("paths to backend servers lost", zap.String("service", serviceName), zap.Int("assumed", len(others)))
 	p.node.members.notifyAll()
 	p.requestVerification(p.node.backends.sampleOtherServices(serviceName))
@@ -311,17 +316,29 @@
 	if !p.hasRecords.Load() {
 		return
 	}
+	for _, serviceName := range p.recountLosses(now) {
+		p.beginLoss(serviceName, true)
+	}
+}
+
+// recountLosses applies a change of the list to the services' monitors. It returns the services to
+// which the paths count as lost from now on.
+func (p *backendPaths) recountLosses(now time.Time) (nowLost []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for serviceName, monitor := range p.monitors {
+		listed := p.node.backends.countService(serviceName)
 		switch {
-		case p.node.backends.countService(serviceName) == 0:
+		case listed == 0:
 			delete(p.monitors, serviceName)
 		case monitor.IsLost():
 			p.node.backends.assumeIndirect(now, serviceName, true, (*backend).isDirect)
+		case monitor.Recount(listed):
+			nowLost = append(nowLost, serviceName)
 		}
 	}
 	p.updateHasRecords()
+	return nowLost
 }
 
 // updateHasRecords updates hasRecords. Call with mu held.
--- a/routing/pathloss/pathloss.go
+++ b/routing/pathloss/pathloss.go
@@ -34,7 +34,14 @@
 		m.unanswered = make(map[string]bool)
 	}
 	m.unanswered[backend] = true
-	if m.lost || len(m.unanswered) < min(minLostBackends, listed) {
+	return m.Recount(listed)
+}
+
+// Recount takes into account how many backend servers the service has now: fewer lost paths count
+// for all once others have left the list. It reports whether the paths count as lost from now on
+// and didn't before.
+func (m *Monitor) Recount(listed int) (nowLost bool) {
+	if m.lost || len(m.unanswered) == 0 || len(m.unanswered) < min(minLostBackends, listed) {
 		return false
 	}
 	m.lost = true
--- a/routing/pathloss/pathloss_test.go
+++ b/routing/pathloss/pathloss_test.go
@@ -35,3 +35,13 @@
 	var m pathloss.Monitor
 	testkit.That(t, m.RecordLostPath("one", 1), "not lost")
 }
+
+// Guards against a lost path to the only backend server that is never recognized because an ended one
+// was still listed when it was found.
+func TestLostPathOfTheLastBackendListed(t *testing.T) {
+	var m pathloss.Monitor
+	testkit.That(t, !m.RecordLostPath("one", 2), "one lost path of two counts for all")
+	testkit.That(t, !m.Recount(2) && m.Recount(1) && m.IsLost(), "not lost once the other has left the list")
+	var calm pathloss.Monitor
+	testkit.That(t, !calm.Recount(1) && !calm.Recount(0), "lost without a record")
+}
