routing: slots left over as an overloaded engine is divided among VMs go to them by turns

Cause: each VM may use its share of overloaded engines, rounded down, 1 of 8/6. The two slots left over went to whoever used them last, as a VM learns of a slot that became free at another one only after that one has used it again.

Now each VM draws every second whether its share is rounded up, so that the shares add up to the slots on average.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -208,7 +208,7 @@
 		}
 		sharers = max(sharers, c.Sharers)
 	}
-	if sharers == 0 || inFlight >= slots/sharers {
+	if sharers == 0 || inFlight >= r.drawShare(now, slots, sharers) {
 		return
 	}
 	for i := range candidates {
@@ -221,6 +221,18 @@
 	}
 }
 
+// shareTurn is the time between two draws of the slots that are left over as the slots are divided.
+const shareTurn = time.Second
+
+// drawShare returns how many of the slots are this VM's share. The slots that are left over as they
+// are divided go to VMs by turns: otherwise a VM that uses them once keeps them.
+func (r *Router) drawShare(now time.Time, slots, sharers int) int {
+	if now.Sub(r.shareDrawnAt) >= shareTurn {
+		r.shareDrawnAt, r.shareDraw = now, r.rng.Float64()
+	}
+	return int(float64(slots)/float64(sharers) + r.shareDraw)
+}
+
 // isResting reports whether an engine gets no requests because it asked for a cooldown or has
 // just rejected one.
 func (r *Router) isResting(now time.Time, e *engineState, c *Candidate) bool {
--- a/routing/router.go
+++ b/routing/router.go
@@ -25,11 +25,15 @@
 
 // Router chooses engines for one entry VM. It is not safe for concurrent use.
 type Router struct {
-	cfg      Config
-	rng      *rand.Rand
-	engines  map[string]*engineState
-	latency  map[string]*poolLatency // by pool
-	prefixes *prefixIndex
+	cfg Config
+	rng *rand.Rand
+	// shareDraw decides whether this VM's share of overloaded engines is rounded up, shareDrawnAt
+	// is when it was drawn.
+	shareDraw    float64
+	shareDrawnAt time.Time
+	engines      map[string]*engineState
+	latency      map[string]*poolLatency // by pool
+	prefixes     *prefixIndex
 	// meanServiceTime is the moving average of the service time of requests, by pool.
 	meanServiceTime map[string]time.Duration
 	lastID          engineID
