--- a/internal/hosted/lostpaths_test.go
+++ b/internal/hosted/lostpaths_test.go
@@ -35,10 +35,10 @@
 	keptRequests int
 }
 
-// fail returns the error of a request, or of a connection attempt if isProbe, over a lost
-// path.
-func (l *pathLoss) fail(isProbe bool, sentBefore int) error {
-	if !isProbe && sentBefore < l.keptRequests {
+// fail returns the error of a request, or of a connection attempt if it needs a new connection, over
+// a lost path.
+func (l *pathLoss) fail(isNewConnection bool, sentBefore int) error {
+	if !isNewConnection && sentBefore < l.keptRequests {
 		time.Sleep(fakeLossDelay)
 		return service.ErrOutcomeUnknown
 	}
@@ -54,8 +54,12 @@
 func (b *engineCluster) losePaths(vms []string, loss pathLoss, affects func(engine string) bool) {
 	b.statsMu.Lock()
 	defer b.statsMu.Unlock()
+	connected := make(map[string]bool)
+	for _, e := range b.engines {
+		connected[e.id] = !e.hasEnded
+	}
 	for _, vm := range vms {
-		b.lostPaths[vm] = &lostPath{pathLoss: loss, affects: affects, sent: make(map[string]int)}
+		b.lostPaths[vm] = &lostPath{pathLoss: loss, affects: affects, connected: connected, sent: make(map[string]int)}
 	}
 }
 
@@ -82,6 +86,9 @@
 type lostPath struct {
 	pathLoss
 	affects func(engine string) bool
+	// connected are the engines that ran when the path was lost. The VM has no open connections to
+	// others.
+	connected map[string]bool
 	// sent counts the requests by engine.
 	sent map[string]int
 }
@@ -99,8 +106,9 @@
 	if !isProbe {
 		lost.sent[engine]++
 	}
+	isConnected := lost.connected[engine]
 	b.statsMu.Unlock()
-	return lost.fail(isProbe, sentBefore)
+	return lost.fail(isProbe || !isConnected, sentBefore)
 }
 
 // tryPathTo is tryPath for a target that may be reached through another VM.
