--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -33,10 +32,6 @@
 	defaultTrialInterval          = 2 * time.Minute
 	defaultAmbiguousTrialInterval = time.Second
 	defaultMaxSuspects            = 4096
-	// maxCrashes limits the crashes that count against one subject, maxClearedCrashes those that are
-	// remembered as cleared: other VMs may still send them as if they weren't.
-	maxCrashes        = 16
-	maxClearedCrashes = 4
 )
 
 // Table records the requests that were running on backend servers when these crashed, and the
@@ -81,25 +76,6 @@
 	Age time.Duration
 }
 
-type suspect struct {
-	// crashes holds the crashes in order of time, counting how many of them count against the
-	// subject.
-	crashes  []crash
-	counting int
-	// cleared is whether a request was ever answered successfully.
-	cleared bool
-	// lastEvidenceAt is the time of the newest crash or answer, triedAt that of the last trial.
-	lastEvidenceAt, triedAt time.Time
-	// changedVersion is the table's version at the last change of this entry.
-	changedVersion uint64
-}
-
-type crash struct {
-	backend string
-	at      time.Time
-	cleared bool
-}
-
 // NewTable returns an empty table.
 func NewTable(config Config) *Table {
 	config.MinCrashes = cmp.Or(config.MinCrashes, defaultMinCrashes)
@@ -249,22 +225,6 @@
 	return false
 }
 
-// coversCrashesOf reports whether all crashes that count against another suspect count against this
-// one too.
-func (s *suspect) coversCrashesOf(other *suspect) bool {
-	for _, c := range other.crashes {
-		if i := s.findCrash(c.backend); !c.cleared && (i < 0 || s.crashes[i].cleared) {
-			return false
-		}
-	}
-	return true
-}
-
-// findCrash returns the index of a backend server instance's crash, negative if it is unknown.
-func (s *suspect) findCrash(backend string) int {
-	return slices.IndexFunc(s.crashes, func(c crash) bool { return c.backend == backend })
-}
-
 // Merge applies entries of another entry VM's table. It returns the subjects that are
 // newly refused.
 func (t *Table) Merge(now time.Time, entries []Suspect) (refused []Subject) {
@@ -317,65 +277,6 @@
 	s.changedVersion = t.version
 }
 
-// clear clears the subject: a request for good, a part of prompts of the known crashes.
-func (s *suspect) clear(subject Subject) {
-	s.cleared = !subject.PromptPart
-	for i := range s.crashes {
-		s.crashes[i].cleared = true
-	}
-	s.trim()
-}
-
-// addCrash adds a crash and reports whether that changes the entry. Of what several VMs say of one
-// crash, the earliest time counts and that it was cleared.
-func (s *suspect) addCrash(now time.Time, c Crash) bool {
-	added := crash{c.Backend, now.Add(-c.Age), c.Cleared}
-	if i := s.findCrash(c.Backend); i >= 0 {
-		known := s.crashes[i]
-		if (known.cleared || !c.Cleared) && !added.at.Before(known.at) {
-			return false
-		}
-		if known.at.Before(added.at) {
-			added.at = known.at
-		}
-		added.cleared = known.cleared || c.Cleared
-		s.crashes[i] = added
-		s.trim()
-		return added.cleared != known.cleared
-	}
-	s.crashes = append(s.crashes, added)
-	s.trim()
-	return s.findCrash(c.Backend) >= 0
-}
-
-// trim sorts the crashes by time, counts them and drops those beyond the limits: the oldest of the
-// cleared ones, and of the others the one that follows another most closely, so that those far
-// apart remain.
-func (s *suspect) trim() {
-	slices.SortFunc(s.crashes, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.backend, b.backend)) })
-	s.counting = 0
-	last, closest := -1, -1
-	gap := time.Duration(math.MaxInt64)
-	for i, c := range s.crashes {
-		if c.cleared {
-			continue
-		}
-		s.counting++
-		if last >= 0 && c.at.Sub(s.crashes[last].at) < gap {
-			closest, gap = i, c.at.Sub(s.crashes[last].at)
-		}
-		last = i
-	}
-	if s.counting > maxCrashes {
-		s.crashes = slices.Delete(s.crashes, closest, closest+1)
-		s.counting--
-	}
-	for len(s.crashes)-s.counting > maxClearedCrashes {
-		oldest := slices.IndexFunc(s.crashes, func(c crash) bool { return c.cleared })
-		s.crashes = slices.Delete(s.crashes, oldest, oldest+1)
-	}
-}
-
 // evictIfFull removes the least suspicious entry if the table is full: the oldest one,
 // preferring subjects whose crashes don't suffice to refuse them.
 func (t *Table) evictIfFull() {
