quarantine, hosted: names and comments of the diff, read as a newcomer

Tests of admission/quarantine and those on crashes, quarantine and lost paths in internal/hosted pass.

--- a/admission/quarantine/parts_test.go
+++ b/admission/quarantine/parts_test.go
@@ -100,15 +100,15 @@
 }
 
 // Guards against a common part that stays refused because it was present at just the crashes of the
-// part at fault: requests with only one of the two tell them apart.
-func TestAmbiguousPartsAreToldApart(t *testing.T) {
+// part at fault: requests with only one of the two distinguish them.
+func TestAmbiguousPartsAreDistinguished(t *testing.T) {
 	table := quarantine.NewTable(quarantine.Config{})
 	recordCrashes(table, 3, 0, faulty, common)
 	testkit.That(t, isRefused(table, atSecond(3), common) && isRefused(table, atSecond(3), faulty), "not refused")
 	testkit.That(t, !table.BeginTrial(atSecond(4), []quarantine.Subject{request(9), common, faulty}), "a trial of both together")
 	testkit.That(t, table.BeginTrial(atSecond(4), []quarantine.Subject{request(9), common}), "no trial of one")
 	table.RecordSuccess(atSecond(5), []quarantine.Subject{request(9), common})
-	testkit.That(t, !isRefused(table, atSecond(5), common) && isRefused(table, atSecond(5), faulty), "not told apart")
+	testkit.That(t, !isRefused(table, atSecond(5), common) && isRefused(table, atSecond(5), faulty), "not distinguished")
 	testkit.That(t, !table.BeginTrial(atSecond(6), []quarantine.Subject{faulty}), "an early trial of the part at fault")
 }
 
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -218,9 +218,9 @@
 
 // probeProcess finds out whether a backend server's process has ended: its address refuses
 // connections, and no other VM reaches it. The network may also refuse connections of a VM whose
-// paths are lost, so such a VM relies on gateways alone; others ask them about an address that
-// doesn't answer only if that is asked for.
-func (p *backendPaths) probeProcess(ctx context.Context, b *backend, askAbout bool) processState {
+// paths are lost, so such a VM relies on gateways alone. Other VMs ask gateways about an address
+// that doesn't answer only if askIfSilent is set.
+func (p *backendPaths) probeProcess(ctx context.Context, b *backend, askIfSilent bool) processState {
 	target := service.Target{ID: b.ID, Address: b.Address}
 	refused := false
 	if !p.areLostTo(b.Service) {
@@ -229,7 +229,7 @@
 			return processRuns
 		}
 		refused = errors.Is(err, service.ErrConnectionRefused)
-		if !refused && !askAbout {
+		if !refused && !askIfSilent {
 			return processUnknown
 		}
 	}
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -46,8 +46,9 @@
 }
 
 // crashDetector detects backend servers whose process ended while they ran requests, and
-// shares these requests and the parts of their prompts (suspects) with the other entry VMs. A broken connection alone is
-// no evidence of a crash: it may have been reset, or the network path may have failed.
+// shares these requests and the parts of their prompts (suspects) with the other entry VMs. A
+// broken connection alone is no evidence of a crash: it may have been reset, or the network path
+// may have failed.
 type crashDetector struct {
 	node        *Node
 	interrupted chan interruptedRequest
--- a/internal/hosted/crashingparts_test.go
+++ b/internal/hosted/crashingparts_test.go
@@ -68,10 +68,10 @@
 	partCrashTime       = 20 * time.Second
 )
 
-// shared returns parts that are the same for all requests, varied ones of which each request has one
-// of several.
+// shared returns a function for requests that all have the same parts.
 func shared(parts ...string) func(int) []string { return func(int) []string { return parts } }
 
+// varied returns a function for requests that have one of several first and of several second parts.
 func varied(first, second string, firstCount, secondCount int) func(int) []string {
 	vary := func(part string, count, i int) string {
 		if count <= 1 {
