serving, quarantine tests: a trial is sent once; a part is refused before a small service is gone

TestTrialOfRefusedRequestIsSentOnce fails if a trial is refused before its attempt (0 sent) and if it goes on after it (2 sent); TestPartIsRefusedWhileBackendsAreLeft fails with the gap of 500 ms (all 7 backend servers end), the fault that mended without a test of its own.

--- a/admission/quarantine/parts_test.go
+++ b/admission/quarantine/parts_test.go
@@ -67,6 +67,18 @@
 	testkit.That(t, isRefused(table, atSecond(2), common), "later crashes are forgotten for the many at first")
 }
 
+// Guards against a part that ends all backend servers of a small service in a row before enough of
+// the crashes count separately.
+func TestPartIsRefusedWhileBackendsAreLeft(t *testing.T) {
+	const backends = 7
+	table := quarantine.NewTable(quarantine.Config{})
+	crashes := 0
+	for ; crashes < backends && !isRefused(table, atSecond(1), faulty); crashes++ {
+		recordCrash(table, atSecond(float64(crashes)/10), fmt.Sprint("e", crashes), faulty)
+	}
+	testkit.That(t, crashes < backends, "all %d backend servers have ended", backends)
+}
+
 // Guards against a part that is never refused because it was answered before it began to crash
 // backend servers, and against counting crashes from before an answer.
 func TestAnswerClearsPartOfKnownCrashes(t *testing.T) {
--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// Guards against a trial of a refused request that is refused all the same, and against one that
+// is repeated and so ends a second backend server.
+func TestTrialOfRefusedRequestIsSentOnce(t *testing.T) {
+	for trials, ran := range map[int]refusal.Ran{0: refusal.RanNo, 1: refusal.RanMaybe} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardTestbed(t)
+			b.suspects, b.quarantineFrom, b.trials = true, 1, trials
+			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+				return nil, service.ErrOutcomeUnknown
+			}
+			err := b.forward(context.Background(), route(contract.RepeatSafe), "m", &answerRecorder{})
+			wantRefusal(t, err, refusal.CodeQuarantined, ran)
+			testkit.Equal(t, "sent requests", len(b.sent), trials)
+			testkit.Equal(t, "open requests", b.server.OpenRequests(), 0)
+			b.stop()
+		})
+	}
+}
+
 // Guards against a failure that counts as a success and clears the request of suspicion.
 func TestOnlySuccessIsReportedToQuarantine(t *testing.T) {
 	for status, cleared := range map[int]int{200: 1, 404: 0, 500: 0} {
