quarantine: isRefused says by itself when a subject is refused

isQuarantined had isRefused as its only caller. Behaviour as before: the tests of admission/quarantine (merged tables on 20000 random histories), internal/serving, and those on crashes, quarantine and lost paths in internal/hosted pass unchanged.

--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -175,12 +175,7 @@
 // isRefused reports whether requests with the subject must be refused.
 func (t *Table) isRefused(now time.Time, subject Subject) bool {
 	s := t.suspects[subject]
-	return s != nil && now.Sub(s.lastEvidenceAt) < t.config.SuspectTTL && t.isQuarantined(subject, s)
-}
-
-// isQuarantined is isRefused regardless of the time.
-func (t *Table) isQuarantined(subject Subject, s *suspect) bool {
-	if !t.hasEnoughCrashes(subject, s) {
+	if s == nil || now.Sub(s.lastEvidenceAt) >= t.config.SuspectTTL || !t.hasEnoughCrashes(subject, s) {
 		return false
 	}
 	return !subject.PromptPart || !t.isExplained(s)
