quarantine: answers clear crashes for good, announced and mass ends are no evidence, trials come early

Now the time of the newest answer travels with a suspect and clears what came before it; ends that were announced, and those of three quarters of all servers within a second, are no evidence; a stream written for 500 ms clears the parts of its prompt; clearings are reported at once; trials come 0.3, 2.1 and 14.7 s after the last evidence.

--- a/admission/quarantine/suspect.go
+++ b/admission/quarantine/suspect.go
@@ -12,6 +12,10 @@
 	// remembered as cleared: other VMs may still send them as if they weren't.
 	maxCrashes        = 16
 	maxClearedCrashes = 4
+	// minAnswerGap is by how much another VM's newest answer must be newer than the known one to
+	// replace it. Its age grows by the transit time of each message, so that two VMs would
+	// otherwise go on to exchange one answer for ever.
+	minAnswerGap = 500 * time.Millisecond
 )
 
 // suspect is what a Table knows of one subject.
@@ -22,8 +26,13 @@
 	counting int
 	// cleared is whether a request was ever answered successfully.
 	cleared bool
+	// answeredAt is the time of the newest answer that cleared a part of prompts, zero for none.
+	// Crashes from before it don't count, also those that are no longer remembered.
+	answeredAt time.Time
 	// lastEvidenceAt is the time of the newest crash or answer, triedAt that of the last trial.
 	lastEvidenceAt, triedAt time.Time
+	// trials counts the trials since the newest answer.
+	trials int
 	// changedVersion is the table's version at the last change of this entry.
 	changedVersion uint64
 }
@@ -35,28 +44,52 @@
 	cleared bool
 }
 
-// clear clears the subject: a request for good, a part of prompts of the known crashes.
-func (s *suspect) clear(subject Subject) {
-	s.cleared = !subject.PromptPart
+// clear clears the subject after an answer: a request for good, a part of prompts of all crashes
+// up to the answer.
+func (s *suspect) clear(subject Subject, answeredAt time.Time) {
+	if !subject.PromptPart {
+		s.cleared = true
+	} else if answeredAt.After(s.answeredAt) {
+		s.answeredAt = answeredAt
+	}
 	for i := range s.crashes {
-		s.crashes[i].cleared = true
+		c := &s.crashes[i]
+		c.cleared = c.cleared || !subject.PromptPart || !c.at.After(answeredAt)
 	}
+	s.trials = 0
 	s.trim()
 }
 
+// mergeAnswer applies an answer of which another VM knows and reports whether that changes the
+// entry.
+func (s *suspect) mergeAnswer(subject Subject, answeredAt time.Time) bool {
+	isNewer := answeredAt.Sub(s.answeredAt) >= minAnswerGap
+	clearsAny := slices.ContainsFunc(s.crashes, func(c crash) bool { return !c.cleared && !c.at.After(answeredAt) })
+	if !isNewer && !clearsAny {
+		return false
+	}
+	known := s.answeredAt
+	s.clear(subject, answeredAt)
+	if !isNewer {
+		s.answeredAt = known
+	}
+	return true
+}
+
 // addCrash adds a crash and reports whether that changes the entry. Of what several VMs say of one
 // crash, the earliest time counts and that it was cleared.
 func (s *suspect) addCrash(now time.Time, c Crash) bool {
 	added := crash{c.Backend, now.Add(-c.Age), c.Cleared}
+	added.cleared = added.cleared || !added.at.After(s.answeredAt)
 	if i := s.findCrash(c.Backend); i >= 0 {
 		known := s.crashes[i]
-		if (known.cleared || !c.Cleared) && !added.at.Before(known.at) {
+		if (known.cleared || !added.cleared) && !added.at.Before(known.at) {
 			return false
 		}
 		if known.at.Before(added.at) {
 			added.at = known.at
 		}
-		added.cleared = known.cleared || c.Cleared
+		added.cleared = known.cleared || added.cleared
 		s.crashes[i] = added
 		s.trim()
 		return added.cleared != known.cleared
--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -18,9 +18,10 @@
 	// SuspectTTL is how long a crash counts, and how long a subject is refused after its
 	// last crash.
 	SuspectTTL time.Duration
-	// TrialInterval is the time between two trials of a refused part of prompts,
-	// AmbiguousTrialInterval the one while another part explains the crashes as well.
-	TrialInterval, AmbiguousTrialInterval time.Duration
+	// FirstTrialDelay is the time from a crash or a trial of a refused part of prompts to the next
+	// trial. It grows with each trial until one is answered, up to MaxTrialInterval.
+	// AmbiguousTrialInterval is the longest one while another part explains the crashes as well.
+	FirstTrialDelay, MaxTrialInterval, AmbiguousTrialInterval time.Duration
 	// MaxSuspects limits the number of remembered subjects.
 	MaxSuspects int
 }
@@ -29,9 +30,13 @@
 	defaultMinCrashes             = 3
 	defaultMinCrashGap            = 200 * time.Millisecond
 	defaultSuspectTTL             = 10 * time.Minute
-	defaultTrialInterval          = 2 * time.Minute
+	defaultFirstTrialDelay        = 300 * time.Millisecond
+	defaultMaxTrialInterval       = 2 * time.Minute
 	defaultAmbiguousTrialInterval = time.Second
 	defaultMaxSuspects            = 4096
+	// trialIntervalGrowth lets a part at fault crash two backend servers in its first seconds and
+	// then hardly any: a sound part is cleared by one of the first trials.
+	trialIntervalGrowth = 7
 )
 
 // Table records the requests that were running on backend servers when these crashed, and the
@@ -42,17 +47,19 @@
 // answered. So a subject is refused once MinCrashes different backend servers have crashed
 // while running it, and any successful answer clears it.
 //
-// A request is cleared for good. A part of prompts is cleared of the crashes that are known: it
-// is common to many requests, of which some may be answered before the fault begins. A part is
+// A request is cleared for good. A part of prompts is cleared of the crashes up to its newest
+// answer: it is common to many requests, of which some may be answered before the fault begins. A part is
 // not refused if another suspect explains its crashes better: one that was present at all of
 // them and at more, or a whole request that was present at the same ones. So a part that faulty
-// requests share with sound ones is not refused with them.
+// requests share with sound ones is not refused with them. Crashes of most backend servers at the
+// same time are no evidence against any part.
 //
 // Tables are merged between entry VMs. The result depends neither on the order nor on
 // the repetition of messages. A Table is not safe for concurrent use.
 type Table struct {
 	config   Config
 	suspects map[Subject]*suspect
+	massEnds massEnds
 	// version is incremented by each change.
 	version uint64
 }
@@ -72,6 +79,10 @@
 	Crashes []Crash
 	// Cleared is whether a request was ever answered successfully.
 	Cleared bool
+	// Answered is whether a part of prompts was answered since a crash, AnswerAge the time since the
+	// newest such answer.
+	Answered  bool
+	AnswerAge time.Duration
 	// Age is the time since the newest crash or answer.
 	Age time.Duration
 }
@@ -81,15 +92,20 @@
 	config.MinCrashes = cmp.Or(config.MinCrashes, defaultMinCrashes)
 	config.MinCrashGap = cmp.Or(config.MinCrashGap, defaultMinCrashGap)
 	config.SuspectTTL = cmp.Or(config.SuspectTTL, defaultSuspectTTL)
-	config.TrialInterval = cmp.Or(config.TrialInterval, defaultTrialInterval)
+	config.FirstTrialDelay = cmp.Or(config.FirstTrialDelay, defaultFirstTrialDelay)
+	config.MaxTrialInterval = cmp.Or(config.MaxTrialInterval, defaultMaxTrialInterval)
 	config.AmbiguousTrialInterval = cmp.Or(config.AmbiguousTrialInterval, defaultAmbiguousTrialInterval)
 	config.MaxSuspects = cmp.Or(config.MaxSuspects, defaultMaxSuspects)
-	return &Table{config: config, suspects: make(map[Subject]*suspect)}
+	return &Table{config: config, suspects: make(map[Subject]*suspect), massEnds: newMassEnds()}
 }
 
 // Len returns how many subjects are remembered.
 func (t *Table) Len() int { return len(t.suspects) }
 
+// SetBackends sets the number of backend servers that are listed now. Without it no crashes count as
+// those of most backend servers.
+func (t *Table) SetBackends(now time.Time, count int) { t.massEnds.setBackends(now, count) }
+
 // RecordCrash records that an instance of a backend server crashed at the given time while it
 // ran the subjects. It returns the subjects that are newly refused.
 func (t *Table) RecordCrash(now, at time.Time, backend string, running []Subject) (refused []Subject) {
@@ -109,13 +125,20 @@
 		if s == nil || s.cleared || (subject.PromptPart && s.counting == 0) {
 			continue
 		}
-		s.clear(subject)
+		s.clear(subject, now)
 		t.recordChange(s, now)
 		cleared = append(cleared, subject)
 	}
 	return cleared
 }
 
+// RecordProgress records that a backend server has written the answer to a request for so long that
+// the parts of its prompt can't be at fault, given the request's subjects. It returns the parts that
+// had been suspects. The request itself may still crash the server later.
+func (t *Table) RecordProgress(now time.Time, subjects []Subject) (cleared []Subject) {
+	return t.RecordSuccess(now, slices.DeleteFunc(slices.Clone(subjects), func(s Subject) bool { return !s.PromptPart }))
+}
+
 // Refusal says which subject of a request is refused, and when its next trial is due or its
 // refusal ends.
 type Refusal struct {
@@ -141,7 +164,9 @@
 	if len(refused) != 1 || !refused[0].PromptPart || now.Before(t.nextTrial(refused[0])) {
 		return false
 	}
-	t.suspects[refused[0]].triedAt = now
+	tried := t.suspects[refused[0]]
+	tried.triedAt = now
+	tried.trials++
 	return true
 }
 
@@ -162,9 +187,12 @@
 	if !subject.PromptPart {
 		return s.lastEvidenceAt.Add(t.config.SuspectTTL)
 	}
-	interval := t.config.TrialInterval
+	interval := t.config.FirstTrialDelay
+	for range s.trials {
+		interval = min(interval*trialIntervalGrowth, t.config.MaxTrialInterval)
+	}
 	if t.isAmbiguous(s) {
-		interval = t.config.AmbiguousTrialInterval
+		interval = min(interval, t.config.AmbiguousTrialInterval)
 	}
 	if s.triedAt.After(s.lastEvidenceAt) {
 		return s.triedAt.Add(interval)
@@ -191,7 +219,7 @@
 	}
 	separate, last := 0, time.Time{}
 	for _, c := range s.crashes {
-		if !c.cleared && (separate == 0 || c.at.Sub(last) >= t.config.MinCrashGap) {
+		if !c.cleared && !t.massEnds.contains(c.at) && (separate == 0 || c.at.Sub(last) >= t.config.MinCrashGap) {
 			separate, last = separate+1, c.at
 		}
 	}
@@ -253,11 +281,15 @@
 	changed := false
 	for _, c := range entry.Crashes {
 		changed = s.addCrash(now, c) || changed
+		t.massEnds.record(c.Backend, now.Add(-c.Age))
 	}
 	if entry.Cleared && !s.cleared {
-		s.clear(entry.Subject)
+		s.clear(entry.Subject, now)
 		changed = true
 	}
+	if entry.Answered {
+		changed = s.mergeAnswer(entry.Subject, now.Add(-entry.AnswerAge)) || changed
+	}
 	if changed {
 		t.recordChange(s, now.Add(-entry.Age))
 	}
@@ -298,6 +330,7 @@
 
 // Expire removes entries older than Config.SuspectTTL.
 func (t *Table) Expire(now time.Time) {
+	t.massEnds.expire(now.Add(-t.config.SuspectTTL))
 	maps.DeleteFunc(t.suspects, func(_ Subject, s *suspect) bool { return now.Sub(s.lastEvidenceAt) >= t.config.SuspectTTL })
 }
 
@@ -342,6 +375,9 @@
 func (t *Table) entryFor(now time.Time, subject Subject) Suspect {
 	s := t.suspects[subject]
 	entry := Suspect{Subject: subject, Cleared: s.cleared, Age: max(0, now.Sub(s.lastEvidenceAt))}
+	if !s.answeredAt.IsZero() {
+		entry.Answered, entry.AnswerAge = true, max(0, now.Sub(s.answeredAt))
+	}
 	for _, c := range s.crashes {
 		entry.Crashes = append(entry.Crashes, Crash{c.backend, max(0, now.Sub(c.at)), c.cleared})
 	}
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -122,6 +122,10 @@
 	CrashAges  []time.Duration `cbor:"6,keyasint,omitempty"`
 	// ClearedBackends are those whose crashes don't count any more.
 	ClearedBackends []string `cbor:"7,keyasint,omitempty"`
+	// Answered is whether a part of prompts was answered since a crash, AnswerAge the time since
+	// the newest such answer. A VM of an older version sends neither.
+	Answered  bool          `cbor:"8,keyasint,omitempty"`
+	AnswerAge time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // ReadyEstimate is when a model is expected to have its first ready replica, relative to the
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -450,6 +450,13 @@
 	}
 }
 
+// count returns the number of entries.
+func (t *backendTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
 // hasList reports whether a list has been read.
 func (t *backendTable) hasList() bool {
 	t.mu.Lock()
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -28,6 +28,9 @@
 	maxCrashProbes = 3
 	// maxReportedSuspects limits the suspects in one report; the next one carries the rest.
 	maxReportedSuspects = 256
+	// minClearanceInterval is the minimum time between two reports that are sent at once because
+	// something was cleared.
+	minClearanceInterval = 200 * time.Millisecond
 	// suspectSweepInterval is the interval between sweeps for expired suspects.
 	suspectSweepInterval = 10 * time.Second
 )
@@ -59,6 +62,8 @@
 	// interruptions holds what broke at each backend server under investigation.
 	interruptions map[string]interruption
 	suspects      *quarantine.Table
+	// clearanceNotifiedAt is when reports were last sent at once because something was cleared.
+	clearanceNotifiedAt time.Time
 	// seenFromPeers holds, for each other VM, the version up to which this VM has its suspects.
 	seenFromPeers map[string]entryvm.PeerPosition
 	// recorded holds the subjects that are known to be recorded in the registry.
@@ -67,6 +72,7 @@
 
 var (
 	crashesDetected            = metrics.NewCounter("bergamotreel_backend_crashes_total")
+	announcedEnds              = metrics.NewCounter("bergamotreel_backend_announced_ends_total")
 	interruptedRequestsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
 	requestsQuarantined        = metrics.NewCounter("bergamotreel_requests_quarantined_total")
 	partsQuarantined           = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
@@ -94,11 +100,31 @@
 
 // RecordSuccess implements serving.Quarantine.
 func (c *crashDetector) RecordSuccess(request []quarantine.Subject) {
+	c.recordEvidence(request, (*quarantine.Table).RecordSuccess)
+}
+
+// RecordProgress implements serving.Quarantine.
+func (c *crashDetector) RecordProgress(request []quarantine.Subject) {
+	c.recordEvidence(request, (*quarantine.Table).RecordProgress)
+}
+
+// recordEvidence records evidence that a request is sound. If that clears anything, it is reported
+// at once: otherwise the news of a crash could reach other VMs earlier than that of the answer.
+func (c *crashDetector) recordEvidence(request []quarantine.Subject, record func(*quarantine.Table, time.Time, []quarantine.Subject) []quarantine.Subject) {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if cleared := c.suspects.RecordSuccess(time.Now(), request); len(cleared) > 0 {
+	cleared := record(c.suspects, now, request)
+	notify := len(cleared) > 0 && now.Sub(c.clearanceNotifiedAt) >= minClearanceInterval
+	if notify {
+		c.clearanceNotifiedAt = now
+	}
+	c.mu.Unlock()
+	if len(cleared) > 0 {
 		c.node.config.Logger.Info("request cleared of suspicion", zap.Stringers("fingerprints", cleared))
 	}
+	if notify {
+		c.node.members.notifyAll()
+	}
 }
 
 // RefusalFor implements serving.Quarantine.
@@ -202,6 +228,10 @@
 	if state != processEnded {
 		return
 	}
+	if latest, _ := c.node.backends.get(id); latest.isLeaving() || b.isLeaving() {
+		announcedEnds.Inc()
+		return // it ended as announced, whatever it ran
+	}
 	crashesDetected.Inc()
 	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("backend", id),
 		zap.Stringers("fingerprints", broken.subjects))
@@ -213,6 +243,7 @@
 	start := id + "@" + strconv.FormatInt(started, 10)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.suspects.SetBackends(time.Now(), c.node.backends.count())
 	c.logQuarantined(c.suspects.RecordCrash(time.Now(), broken.at, start, broken.subjects))
 	c.hasSuspects.Store(true)
 }
@@ -268,12 +299,18 @@
 	if seen.Incarnation != report.Incarnation || seen.Next < report.SuspectsNext {
 		c.seenFromPeers[report.VM] = entryvm.PeerPosition{Incarnation: report.Incarnation, Next: report.SuspectsNext}
 	}
+	if len(entries) > 0 {
+		c.suspects.SetBackends(now, c.node.backends.count())
+	}
 	c.logQuarantined(c.suspects.Merge(now, entries))
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
 
 func encodeSuspect(s quarantine.Suspect) entryvm.Suspect {
-	encoded := entryvm.Suspect{Request: uint64(s.Subject.Fingerprint), PromptPart: s.Subject.PromptPart, Cleared: s.Cleared, Age: s.Age}
+	encoded := entryvm.Suspect{
+		Request: uint64(s.Subject.Fingerprint), PromptPart: s.Subject.PromptPart, Cleared: s.Cleared, Age: s.Age,
+		Answered: s.Answered, AnswerAge: s.AnswerAge,
+	}
 	for _, crash := range s.Crashes {
 		if crash.Cleared {
 			encoded.ClearedBackends = append(encoded.ClearedBackends, crash.Backend)
@@ -285,7 +322,10 @@
 }
 
 func decodeSuspect(s entryvm.Suspect) quarantine.Suspect {
-	decoded := quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: quarantine.Fingerprint(s.Request), PromptPart: s.PromptPart}, Cleared: s.Cleared, Age: s.Age}
+	decoded := quarantine.Suspect{
+		Subject: quarantine.Subject{Fingerprint: quarantine.Fingerprint(s.Request), PromptPart: s.PromptPart},
+		Cleared: s.Cleared, Age: s.Age, Answered: s.Answered, AnswerAge: s.AnswerAge,
+	}
 	for i, backend := range s.Backends {
 		age := s.Age
 		if i < len(s.CrashAges) {
--- a/internal/judge/crashingparts.go
+++ b/internal/judge/crashingparts.go
@@ -34,6 +34,7 @@
 const (
 	crashesEnd  = "crashes end"
 	soundServed = "sound requests served"
+	soundPassed = "sound requests pass the quarantine"
 )
 
 // CheckCrashingParts finds parts of prompts with which requests go on to reach backend servers
@@ -76,6 +77,29 @@
 	return violations
 }
 
+// quarantineSlice is the unit in which the time with refusals is counted.
+const quarantineSlice = 100 * time.Millisecond
+
+// CheckSoundRefusals finds sound requests that were refused as if they crashed backend servers, for
+// longer than maxTime in all. All outcomes of the history are those of sound requests.
+func CheckSoundRefusals(h *History, maxTime time.Duration) []Violation {
+	slices := make(map[time.Time]bool)
+	var last time.Time
+	refused := 0
+	for i := range h.Outcomes {
+		if o := &h.Outcomes[i]; o.Quarantined {
+			slices[o.Sent.Truncate(quarantineSlice)] = true
+			refused++
+			last = o.Sent
+		}
+	}
+	total := time.Duration(len(slices)) * quarantineSlice
+	if total <= maxTime {
+		return nil
+	}
+	return []Violation{{soundPassed, last, fmt.Sprintf("%d sound requests were refused over %s, %s are allowed", refused, total, maxTime)}}
+}
+
 // answeredCount counts requests and the answered ones among them.
 type answeredCount struct{ sent, answered int }
 
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -64,6 +64,15 @@
 	crashBound := judge.CrashBound{Crashes: 2, MaxLate: 1, Settle: time.Second, MinSoundShare: 0.5, MinSound: 2}
 	crashesEnd := func(h *judge.History) []judge.Violation { return judge.CheckCrashingParts(h, crashBound) }
 	soundServed := func(h *judge.History) []judge.Violation { return judge.CheckSoundRequests(h, crashBound) }
+	soundPassed := func(h *judge.History) []judge.Violation {
+		return judge.CheckSoundRefusals(h, 200*time.Millisecond)
+	}
+	quarantined := func(seconds ...float64) (outcomes []judge.Outcome) {
+		for _, at := range seconds {
+			outcomes = append(outcomes, judge.Outcome{Request: "r", Sent: atSecond(at), Quarantined: true})
+		}
+		return outcomes
+	}
 	crashingPart := func(soundAnswered bool, arrivals ...float64) []judge.CrashingPart {
 		part := judge.CrashingPart{Sent: []time.Time{atSecond(2), atSecond(9)}, Crashes: []time.Time{atSecond(2), atSecond(3)}}
 		for _, at := range arrivals {
@@ -94,6 +103,8 @@
 		{"events of one version", oneVersion, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r", Versions: []string{"v1"}}, {Request: "q", Versions: []string{"v2"}}}}},
 		{"cut off and complete to the caller", completeStreams, 1, judge.History{Outcomes: []judge.Outcome{{Request: "r", CutOff: true}}}},
 		{"broken off", completeStreams, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r"}}}},
+		{"sound requests refused for too long", soundPassed, 1, judge.History{Outcomes: quarantined(1, 1.2, 1.4)}},
+		{"sound requests refused briefly", soundPassed, 0, judge.History{Outcomes: quarantined(1, 1.02, 1.4)}},
 		{"ran twice", atMostOnce, 1, judge.History{Arrivals: []judge.Arrival{arrival("r", "b", "v", 1), arrival("r", "c", "v", 2)}}},
 		{"refused, then ran", atMostOnce, 0, judge.History{Arrivals: []judge.Arrival{refusedArrival("r", 1), arrival("r", "c", "v", 2)}}},
 		{"not run reported for a request that ran", honestRefusals, 1, judge.History{Arrivals: []judge.Arrival{arrival("r", "b", "v", 1)}, Outcomes: []judge.Outcome{{Request: "r", NotRun: true}}}},
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -187,6 +187,7 @@
 	f.server.recordReceived(now)
 	f.lastReceived = now
 	f.pieces++
+	f.reportProgress(now)
 	if f.pending.timeToFirstToken == 0 {
 		f.pending.recordFirstToken(now)
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -181,6 +181,8 @@
 	movedFrom string
 	// subjects caches the result of quarantineSubjects.
 	subjects []quarantine.Subject
+	// progressDue is when progress of the current attempt is next reported to the quarantine.
+	progressDue time.Time
 	// isTrial is whether the next attempt is a trial of a refused request.
 	isTrial bool
 	// retry is the state of the permission for the current or next attempt, retryUsage that
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"bergamotreel/admission/quarantine"
 	"bergamotreel/refusal"
@@ -28,6 +29,27 @@
 	// RecordSuccess records that a backend server answered a request completely and
 	// successfully.
 	RecordSuccess(request []quarantine.Subject)
+	// RecordProgress records that a backend server has written the answer to a request for
+	// soundAfter: a part of prompts that crashes servers does so as they begin to write.
+	RecordProgress(request []quarantine.Subject)
+}
+
+// soundAfter is how long a backend server must have written an answer before this shows that the
+// parts of the prompt are sound, and the interval at which it is reported again.
+const soundAfter = 500 * time.Millisecond
+
+// reportProgress reports the progress of a stream to the quarantine if it is due.
+func (f *forwarding) reportProgress(now time.Time) {
+	if f.pieces == 1 {
+		f.progressDue = now.Add(soundAfter)
+		return
+	}
+	q := f.server.config.Quarantine
+	if q == nil || now.Before(f.progressDue) || !q.HasSuspects() || len(f.request.PromptParts) == 0 {
+		return
+	}
+	f.progressDue = now.Add(soundAfter)
+	q.RecordProgress(f.quarantineSubjects())
 }
 
 // quarantineRefusal returns the refusal if the request must not be sent, nil otherwise.
--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"testing"
@@ -80,6 +81,30 @@
 	}
 }
 
+// Guards against the refusal of sound parts of prompts while long streams with them go on: these
+// show that the parts are sound before the first one ends. Short answers show nothing earlier.
+func TestProgressOfStreamsIsReportedToQuarantine(t *testing.T) {
+	for duration, reports := range map[time.Duration]int{300 * time.Millisecond: 0, 1800 * time.Millisecond: 3} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newForwardTestbed(t)
+			b.suspects = true
+			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+				reader, writer := io.Pipe()
+				go func() {
+					for began := time.Now(); time.Since(began) < duration; time.Sleep(50 * time.Millisecond) {
+						_, _ = writer.Write([]byte("data: x\n\n"))
+					}
+					_ = writer.Close()
+				}()
+				return &service.ForwardResponse{Status: 200, Length: service.LengthChunked, Body: reader}, nil
+			}
+			testkit.OK(t, b.forwardWithParts(context.Background(), route(contract.RepeatResume), "m", &answerRecorder{}, "shared"))
+			testkit.Equal(t, fmt.Sprint("reports in ", duration), b.progress, reports)
+			b.stop()
+		})
+	}
+}
+
 // Guards against a failure that counts as a success and clears the request of suspicion.
 func TestOnlySuccessIsReportedToQuarantine(t *testing.T) {
 	for status, cleared := range map[int]int{200: 1, 404: 0, 500: 0} {
