--- a/contract/route.go
+++ b/contract/route.go
@@ -42,6 +42,9 @@
 	// TargetLatency is the operator's target for the time to the response, or to the
 	// first event of a stream.
 	TargetLatency time.Duration
+	// TargetGap is the operator's target for the longest time between two events of a stream, 0
+	// for none.
+	TargetGap time.Duration
 	// Silence is the longest gap without an event that the caller of a stream
 	// tolerates, the time to the first event included; 0 means Timeout.
 	Silence time.Duration
@@ -63,6 +66,9 @@
 	MemoryBytes int64
 	// Slots is the number of requests that an engine runs concurrently.
 	Slots int
+	// MemoryTokens is an engine's memory for the tokens of running requests and cached prompts, 0
+	// if unknown.
+	MemoryTokens int64
 	// AdapterPlaces bounds the adapters loaded on an engine.
 	AdapterPlaces int
 	// LoadsPerSecond bounds the rate of loads from the weight store over all engines.
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -99,6 +99,8 @@
 	// Fragile are the backend servers that crash if they reject many requests. They are sent as
 	// often as Limits.
 	Fragile []FragileBackend `cbor:"38,keyasint,omitempty"`
+	// Signals are the sender's signals, nil if the last ones remain valid.
+	Signals *LoadSignals `cbor:"39,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
--- a/entryvm/overview.go
+++ b/entryvm/overview.go
@@ -32,6 +32,8 @@
 	UpdatesNext uint64          `cbor:"6,keyasint,omitempty"`
 	// MoreUpdates is whether there are further updates after UpdatesNext.
 	MoreUpdates bool `cbor:"11,keyasint,omitempty"`
+	// Signals are the sums of all VMs' signals. They are set with HasSums.
+	Signals *LoadSignals `cbor:"12,keyasint,omitempty"`
 	// Renewals confirm the keepers whose updates are unchanged and remain valid.
 	Renewals []UpdateRenewal `cbor:"10,keyasint,omitempty"`
 	// Plan is the newest status of the planning VM, nil if none is known.
@@ -95,7 +97,8 @@
 	Rates   []ModelRate    `cbor:"4,keyasint,omitempty"`
 	Failing []FailingCount `cbor:"5,keyasint,omitempty"`
 	// EnginesMissingUnits are as in Report.
-	EnginesMissingUnits []string `cbor:"6,keyasint,omitempty"`
+	EnginesMissingUnits []string     `cbor:"6,keyasint,omitempty"`
+	Signals             *LoadSignals `cbor:"8,keyasint,omitempty"`
 }
 
 // FailingCount counts the VMs that consider a backend server failing.
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -103,6 +103,10 @@
 		ReportInterval: hostedReportInterval, BootClock: boottime.Now,
 		MaxApplyDelay: s.Platform.MaxApplyDelay, MaxDrainDelay: s.Platform.MaxDrainDelay,
 		MaxConfigurationAge: s.Platform.MaxConfigurationAge, QuotaSlack: s.Policy.QuotaSlack,
+		Load: hosted.LoadPolicies{
+			EnginePace: s.Policy.EnginePace, FairWorkspaces: s.Policy.FairWorkspaces, DeadlineUrgency: s.Policy.DeadlineUrgency,
+			BackendQueues: s.Policy.BackendQueues, FleetAdmission: s.Policy.FleetAdmission,
+		},
 	})
 	limits := callerLimits(s.Limits, nil)
 	h.relay = caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger)
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -61,6 +61,7 @@
 	roles roles
 	// runningCounts counts the requests that the other live VMs have in flight.
 	runningCounts runningCounts
+	signals       fleetSignals
 	// relaySince is when this VM became a relay, zero while it is none.
 	relaySince time.Time
 	// relayed is what relays reported, in a large fleet.
@@ -84,6 +85,8 @@
 	liveTTL time.Duration
 	// loadSentAt is when it was last sent the loads of others.
 	loadSentAt time.Time
+	// signalsSentAt is when it was last sent this VM's signals.
+	signalsSentAt time.Time
 	// renewedAt is when it was last sent renewals of updates.
 	renewedAt time.Time
 	// unwantedAt is since when no exchange with it has been wanted, zero while one is.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -102,10 +102,27 @@
 	// QuotaSlack is the number of units by which a workspace may exceed its quota for a
 	// short time.
 	QuotaSlack float64
+	// Load switches on parts of the scheduling under load.
+	Load LoadPolicies
 	// BootClock reads a clock that keeps running while the machine is suspended.
 	BootClock func() time.Duration
 }
 
+// LoadPolicies are the parts of the scheduling under load that operators switch on.
+type LoadPolicies struct {
+	// EnginePace shares how fast engines write streams, and sends streams where their routes'
+	// target gap can be kept.
+	EnginePace bool
+	// FairWorkspaces shares pools fairly between workspaces over all VMs.
+	FairWorkspaces bool
+	// DeadlineUrgency orders requests by priority and by the time left until their target.
+	DeadlineUrgency bool
+	// BackendQueues lets plain services with fewer places than VMs queue requests themselves.
+	BackendQueues bool
+	// FleetAdmission refuses requests that the whole fleet can't serve in time.
+	FleetAdmission bool
+}
+
 // Node is one entry VM. It is safe for concurrent use.
 type Node struct {
 	config Config
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -43,6 +43,7 @@
 		if loadDue {
 			o.HasSums = true
 			o.InFlight, o.EnginesMissingUnits = m.inFlightForMember(now, own, to)
+			o.Signals = m.sumSignals(now)
 		}
 		o.Plan = m.currentPlan(now)
 		return o
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -211,6 +211,9 @@
 	if !report.Full && p.report.Incarnation == report.Incarnation {
 		report.Rates, report.Members = p.report.Rates, p.report.Members
 	}
+	if report.Signals == nil && p.report.Incarnation == report.Incarnation {
+		report.Signals = p.report.Signals
+	}
 	previous := &p.report
 	if !m.isLive(now, p) || previous.Incarnation != report.Incarnation || previous.Leaving != report.Leaving ||
 		!slices.Equal(previous.KeptShards, report.KeptShards) {
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -17,6 +17,7 @@
 // whether it answers that report.
 func (m *members) buildReport(now time.Time, full bool, to entryvm.Report, isAnswer bool) entryvm.Report {
 	n := m.node
+	m.updateSignals(now)
 	m.mu.Lock()
 	m.sequence++
 	sequence := m.sequence
@@ -34,13 +35,17 @@
 	if large && !isAnswer {
 		resend = m.dueResends(now, to.VM) // an answer gets no answer
 	}
+	var ownSignals *entryvm.LoadSignals
+	if m.takeSignalsTurn(now, to.Address) {
+		ownSignals = m.signals.own
+	}
 	m.mu.Unlock()
 	r := entryvm.Report{
 		VM: n.config.VM, Address: n.config.Address, Domain: n.config.Domain, Incarnation: n.config.Incarnation,
 		Capacity: n.config.Capacity, Sequence: sequence, Full: full, Leaving: n.stopping.Load(), KeptShards: n.activeShards(),
 		Configuration: n.configurationVersion(), Members: others, KnownViews: knownViews, UpdatesSeen: seen, ResendKeepers: resend,
 	}
-	r.AllEngines = allEngines
+	r.AllEngines, r.Signals = allEngines, ownSignals
 	r.Engines = n.keeper.updatesToReport(r.AllEngines)
 	r.LostPaths = n.paths.areLost()
 	if large && relay {
--- a/internal/hosted/runningcounts.go
+++ b/internal/hosted/runningcounts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/loadsignals"
 )
 
 // runningCountsInterval is the minimum time between two computations of runningCounts over
@@ -119,7 +120,7 @@
 
 // loadOf returns the load of a single VM.
 func loadOf(r *entryvm.Report) *entryvm.Load {
-	l := &entryvm.Load{VMs: 1, Running: r.Running, Waiting: r.Waiting, Rates: r.Rates, EnginesMissingUnits: r.EnginesMissingUnits}
+	l := &entryvm.Load{VMs: 1, Running: r.Running, Waiting: r.Waiting, Rates: r.Rates, EnginesMissingUnits: r.EnginesMissingUnits, Signals: r.Signals}
 	for _, id := range r.Failing {
 		l.Failing = append(l.Failing, entryvm.FailingCount{Backend: id, VMs: 1})
 	}
@@ -147,15 +148,17 @@
 	rates   map[modelKey]float32
 	failing map[string]int
 	lacking map[string]bool
+	signals *loadsignals.Sum
 }
 
 func newLoadSum() *loadSum {
 	return &loadSum{running: make(map[runKey]int), waiting: make(map[string]entryvm.WaitingCount), rates: make(map[modelKey]float32),
-		failing: make(map[string]int), lacking: make(map[string]bool)}
+		failing: make(map[string]int), lacking: make(map[string]bool), signals: loadsignals.NewSum()}
 }
 
 func (s *loadSum) add(l *entryvm.Load) {
 	s.vms += l.VMs
+	s.signals.Add(l.Signals)
 	for _, r := range l.Running {
 		s.running[runKey{r.Backend, r.Unit}] += r.Count
 	}
@@ -177,7 +180,7 @@
 // total returns the sum, sorted. Rates are included only on request, because they change
 // slowly and are the larger part.
 func (s *loadSum) total(rates bool) *entryvm.Load {
-	l := &entryvm.Load{VMs: s.vms, EnginesMissingUnits: slices.Sorted(maps.Keys(s.lacking)), Waiting: slices.Collect(maps.Values(s.waiting))}
+	l := &entryvm.Load{VMs: s.vms, Signals: s.signals.Total(), EnginesMissingUnits: slices.Sorted(maps.Keys(s.lacking)), Waiting: slices.Collect(maps.Values(s.waiting))}
 	for key, count := range s.running {
 		l.Running = append(l.Running, entryvm.RunningCount{Backend: key.backend, Unit: key.unit, Count: count})
 	}
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -215,6 +215,7 @@
 		return
 	}
 	m.relayed.inFlightElsewhere, m.relayed.inFlightElsewhereAt = o.InFlight, now
+	m.signals.relayed, m.signals.relayedAt = o.Signals, now
 	m.runningCounts.stale = true
 }
 
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -284,6 +284,31 @@
 		help: "units beyond its quota that a workspace may use for a short time: quotas that are small beside a single request are refused less often below them",
 		set:  floatSetter(0, 1e12, func(s *Settings) *float64 { return &s.Policy.QuotaSlack }),
 	},
+	{
+		section: "policy", key: "engine_pace", defaultValue: "false",
+		help: "share between entry VMs how fast engines write streams, and send streams where their routes' target gap can be kept; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.EnginePace }),
+	},
+	{
+		section: "policy", key: "fair_workspaces", defaultValue: "false",
+		help: "share a contended pool fairly between workspaces over all entry VMs, by the engine time that they use; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.FairWorkspaces }),
+	},
+	{
+		section: "policy", key: "deadline_urgency", defaultValue: "false",
+		help: "order requests by priority and by the time left until their route's target, at entry VMs and on engines; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.DeadlineUrgency }),
+	},
+	{
+		section: "policy", key: "backend_queues", defaultValue: "false",
+		help: "let plain services with fewer places than entry VMs queue requests themselves, as far as they accept it; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.BackendQueues }),
+	},
+	{
+		section: "policy", key: "fleet_admission", defaultValue: "false",
+		help: "refuse requests that the whole fleet can't serve in time, with retry times that spread their returns; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.FleetAdmission }),
+	},
 	{
 		section: "policy", key: "shutdown_grace", defaultValue: "15m",
 		help: "longest graceful shutdown; longer than any answer streams, so that none is cut off",
