--- a/admission/quarantine/massends.go
+++ b/admission/quarantine/massends.go
@@ -16,6 +16,9 @@
 	// at fault is refused before it has ended as many.
 	minMassEnds  = 12
 	minMassShare = 0.75
+	// maxFewBackends is up to how many backend servers the loss of all of them, whatever its cause,
+	// may look like crashes of a part that a tenth of the requests have.
+	maxFewBackends = 6
 	// backendCountTTL is how long a larger number of backend servers counts after some are gone.
 	backendCountTTL = time.Minute
 )
@@ -43,6 +46,14 @@
 	}
 }
 
+// extraCrashes returns how many more crashes than usual are needed against a part of prompts.
+func (m *massEnds) extraCrashes() int {
+	if m.backends > 0 && m.backends <= maxFewBackends {
+		return 1
+	}
+	return 0
+}
+
 // record records the end of a backend server instance.
 func (m *massEnds) record(backend string, at time.Time) {
 	if known, ok := m.endedAt[backend]; ok && !at.Before(known) {
--- a/admission/quarantine/parts_test.go
+++ b/admission/quarantine/parts_test.go
@@ -81,6 +81,17 @@
 	testkit.That(t, isRefused(table, atSecond(23), common), "not refused after three crashes apart from them")
 }
 
+// Guards against the refusal of a part that ran on each of three backend servers as all of them were
+// lost, one after the other.
+func TestLossOfFewBackendsIsNoEvidenceAgainstParts(t *testing.T) {
+	table := quarantine.NewTable(quarantine.Config{})
+	table.SetBackends(atSecond(0), 3)
+	recordCrashes(table, 3, 0, rare)
+	testkit.That(t, !isRefused(table, atSecond(3), rare), "refused after the loss of all three")
+	recordCrashes(table, 1, 6, rare)
+	testkit.That(t, isRefused(table, atSecond(6), rare), "not refused after the next one")
+}
+
 // Guards against a part that ends all backend servers of a small service in a row before enough of
 // the crashes count separately.
 func TestPartIsRefusedWhileBackendsAreLeft(t *testing.T) {
--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -223,7 +223,7 @@
 			separate, last = separate+1, c.at
 		}
 	}
-	return separate >= t.config.MinCrashes
+	return separate >= t.config.MinCrashes+t.massEnds.extraCrashes()
 }
 
 // isExplained reports whether another suspect explains the crashes of a part of prompts better
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -304,6 +305,26 @@
 	}
 	c.logQuarantined(c.suspects.Merge(now, entries))
 	c.hasSuspects.Store(c.suspects.Len() > 0)
+	c.markEnded(now, entries)
+}
+
+// maxEndNewsAge is how long ago a backend server may have ended for another VM's report of it to mark
+// it as unreachable here.
+const maxEndNewsAge = 2 * time.Second
+
+// markEnded marks the backend servers as unreachable that ended a moment ago. Without this, a VM takes
+// servers of which it has sent nothing to since for ready, and refuses requests for their crashes
+// instead of letting them wait for a server.
+func (c *crashDetector) markEnded(now time.Time, entries []quarantine.Suspect) {
+	for _, entry := range entries {
+		for _, crash := range entry.Crashes {
+			id, start, _ := strings.Cut(crash.Backend, "@")
+			b, listed := c.node.backends.get(id)
+			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && strconv.FormatInt(b.Started, 10) == start {
+				c.node.backends.markUnreachable(now, id, true)
+			}
+		}
+	}
 }
 
 func encodeSuspect(s quarantine.Suspect) entryvm.Suspect {
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -38,8 +38,8 @@
 	// Answered reports whether the caller received the whole answer, NotRun whether the
 	// response said that the request has not run and will not.
 	Answered, NotRun bool
-	// Quarantined reports whether it was refused as one that crashes backend servers.
-	Quarantined bool
+	// QuarantinedAt is when it was refused as one that crashes backend servers, zero if it was not.
+	QuarantinedAt time.Time
 	// Versions are the software versions of the backend servers whose events the caller received, over
 	// all of its attempts.
 	Versions []string
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -89,7 +89,8 @@
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
 	f := &forwarding{server: s, request: r, answer: answer, lastEventID: r.ResumeAfter, version: version, readyAtArrival: hasReadyCandidate(known)}
-	if refused := f.quarantineRefusalOrTrial(); refused != nil {
+	// Without a backend server to send it to, the request waits: by then it may have been cleared.
+	if refused := f.quarantineRefusalOrTrial(); refused != nil && f.readyAtArrival {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
 	}
@@ -201,7 +202,7 @@
 	}
 	for err == nil {
 		// Check again: the request may have waited.
-		if refused := f.quarantineRefusal(); refused != nil {
+		if refused := f.quarantineRefusalOrTrial(); refused != nil {
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 			return refused
 		}
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -61,11 +61,12 @@
 	return q.RefusalFor(f.quarantineSubjects())
 }
 
-// quarantineRefusalOrTrial is quarantineRefusal for a request that was not sent yet. It may
-// make the request a trial instead.
+// quarantineRefusalOrTrial is quarantineRefusal, but makes a request that was not sent yet a trial
+// instead if one is due and a backend server can run it now.
 func (f *forwarding) quarantineRefusalOrTrial() *refusal.Refusal {
 	refused := f.quarantineRefusal()
-	if refused != nil && f.server.config.Quarantine.BeginTrial(f.quarantineSubjects()) {
+	canRun := f.attempts == 0 && (f.readyAtArrival || f.pending != nil)
+	if refused != nil && canRun && f.server.config.Quarantine.BeginTrial(f.quarantineSubjects()) {
 		f.isTrial = true
 		return nil
 	}
