routing/backendqueue: small plain services queue requests at their backend servers

VMs learn of a free place up to a second late, so that places of a service with fewer places than VMs stay empty while requests wait. Loads travel in LoadSignals.Queues.

--- a/entryvm/loadsignals.go
+++ b/entryvm/loadsignals.go
@@ -10,6 +10,8 @@
 	Workspaces []WorkspaceUsage `cbor:"2,keyasint,omitempty"`
 	// Units are the requests that wait for and are sent to each unit.
 	Units []UnitLoad `cbor:"3,keyasint,omitempty"`
+	// Queues are the loads of small plain services and of their backend servers.
+	Queues []QueueLoad `cbor:"4,keyasint,omitempty"`
 }
 
 // EnginePace is how fast one start of an engine writes streams of a model. Its key is Backend, Started
@@ -44,3 +46,20 @@
 	Arrived    float32 `cbor:"4,keyasint,omitempty"`
 	Dispatched float32 `cbor:"5,keyasint,omitempty"`
 }
+
+// QueueLoad is the load of a small plain service or, with Backend, of one of its backend servers. Its key
+// is Service and Backend. Rates are in requests per second.
+type QueueLoad struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+	Backend string `cbor:"2,keyasint,omitempty"`
+	// Arrived, Sent and Rejected are the rates of requests that arrived, were answered and were
+	// rejected for want of room.
+	Arrived  float32 `cbor:"3,keyasint,omitempty"`
+	Sent     float32 `cbor:"4,keyasint,omitempty"`
+	Rejected float32 `cbor:"5,keyasint,omitempty"`
+	// Work is the number of slots in use, from the work time of the answered requests.
+	Work float32 `cbor:"6,keyasint,omitempty"`
+	// Length is the sum of the queue lengths that VMs assume, VMs their number.
+	Length float32 `cbor:"7,keyasint,omitempty"`
+	VMs    int     `cbor:"8,keyasint,omitempty"`
+}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -93,7 +93,9 @@
 		}
 		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
 	})
-	return n.filterReachable(now, out)
+	out = n.filterReachable(now, out)
+	n.backendQueues.prepare(now, service, out)
+	return out
 }
 
 // filterReachable drops the candidates in failure domains that are partitioned, and adds to the
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -104,6 +104,7 @@
 		n.keeper.handleRestart(id)
 		n.limits.forget(id)
 		n.rooms.forget(id)
+		n.backendQueues.forget(id)
 		n.issuers.forget(id)
 	}
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -144,6 +144,7 @@
 	retrySlack      *retrySlack
 	paths           *backendPaths
 	streamVersions  *streamVersions
+	backendQueues   *backendQueues // nil if not switched on
 	registry        reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
@@ -193,12 +194,14 @@
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
 	n.retrySlack = newRetrySlack(n)
+	n.backendQueues = newBackendQueues(n)
 	n.keeper = newKeeper(n)
 	n.planner = newPlanner(n)
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, ForwardDirectory: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
 		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
+		BackendQueues: n.backendQueues.forServing(),
 	})
 	return n
 }
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -14,8 +14,11 @@
 	paces      map[paceKey]entryvm.EnginePace
 	workspaces map[workspaceKey]entryvm.WorkspaceUsage
 	units      map[unitKey]entryvm.UnitLoad
+	queues     map[queueKey]entryvm.QueueLoad
 }
 
+type queueKey struct{ service, backend string }
+
 type paceKey struct {
 	backend string
 	started int64
@@ -31,7 +34,8 @@
 
 // NewSum returns an empty sum.
 func NewSum() *Sum {
-	return &Sum{paces: make(map[paceKey]entryvm.EnginePace), workspaces: make(map[workspaceKey]entryvm.WorkspaceUsage), units: make(map[unitKey]entryvm.UnitLoad)}
+	return &Sum{paces: make(map[paceKey]entryvm.EnginePace), workspaces: make(map[workspaceKey]entryvm.WorkspaceUsage), units: make(map[unitKey]entryvm.UnitLoad),
+		queues: make(map[queueKey]entryvm.QueueLoad)}
 }
 
 // Add adds the signals of one or several VMs; nil adds nothing.
@@ -57,6 +61,13 @@
 		u.Waiting, u.Arrived, u.Dispatched = known.Waiting+u.Waiting, known.Arrived+u.Arrived, known.Dispatched+u.Dispatched
 		s.units[key] = u
 	}
+	for _, q := range signals.Queues {
+		key := queueKey{q.Service, q.Backend}
+		known := s.queues[key]
+		q.Arrived, q.Sent, q.Rejected = known.Arrived+q.Arrived, known.Sent+q.Sent, known.Rejected+q.Rejected
+		q.Work, q.Length, q.VMs = known.Work+q.Work, known.Length+q.Length, known.VMs+q.VMs
+		s.queues[key] = q
+	}
 }
 
 // addCounts returns the sum of two lists of counts, of which one may be shorter.
@@ -73,7 +84,8 @@
 
 // Total returns the sum.
 func (s *Sum) Total() *entryvm.LoadSignals {
-	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units))}
+	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units)),
+		Queues: slices.Collect(maps.Values(s.queues))}
 	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
 		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
 	})
@@ -83,5 +95,8 @@
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
 		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
 	})
+	slices.SortFunc(total.Queues, func(a, b entryvm.QueueLoad) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
+	})
 	return total
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -94,6 +94,10 @@
 		return refused
 	}
 	s.recordForward(r)
+	if refused := s.queueRefusal(&r, query.Pool); refused != nil {
+		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
+		return refused
+	}
 	p, w, refused := s.admit(request, query, known)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -189,6 +193,8 @@
 	// of the budget when the permission was spent.
 	retry      retryState
 	retryUsage admission.RetryUsage
+	// queueRejections counts the rejections by backend servers whose own queues are used.
+	queueRejections int
 	// readyAtArrival is whether a backend server was ready for the request when it arrived.
 	readyAtArrival bool
 }
@@ -269,6 +275,8 @@
 		return f.requeue(ctx)
 	case f.outcome.mayHaveRun && !f.canRepeat():
 		return f.brokenAnswerError(cause)
+	case f.queueRejections >= maxQueueRejections:
+		return f.rejectedError(cause)
 	case !f.reserveRetry():
 		return f.overBudgetError(cause)
 	default:
@@ -359,6 +367,7 @@
 	f.keptSilent = guard.keptSilent && !guard.ended
 	err = withGuardCause(ctx, err)
 	f.classifyAttempt(err)
+	f.recordQueueResult(err)
 	if err != nil && f.outcome.mayHaveRun {
 		f.server.forwardDirectory().RecordAbandoned(f.pending.backend)
 	}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -61,6 +61,8 @@
 	ForwardDirectory ForwardDirectory
 	// Quarantine may be nil: then no forwarded request is refused for earlier crashes.
 	Quarantine Quarantine
+	// BackendQueues may be nil: then backend servers get no more requests than they have slots.
+	BackendQueues BackendQueues
 }
 
 const (
--- /dev/null
+++ b/routing/backendqueue/load_test.go
@@ -0,0 +1,296 @@
+package backendqueue_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"bergamotreel/internal/testkit"
+	"bergamotreel/routing"
+	"bergamotreel/routing/backendqueue"
+)
+
+const (
+	slots    = 6
+	work     = 30 * time.Millisecond
+	target   = 5 * work
+	patience = 2500 * time.Millisecond
+)
+
+// fleet is a fleet of VMs and three backend servers in virtual time. Sums and counts of other VMs
+// are half a second to a second old.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Time
+	events  eventHeap
+	vms     []*vm
+	servers [3]server
+	// deaf is how many VMs receive no reports.
+	deaf  int
+	total stats
+}
+
+type vm struct {
+	queues     *backendqueue.Queues
+	router     *routing.Router
+	waiting    []*request
+	own, peers [3]int
+}
+
+// server rejects requests beyond its slots and queue.
+type server struct {
+	gone           bool
+	queue, running int
+	waiting        []func()
+}
+
+type request struct {
+	arrived, deadline time.Time
+	returned          bool
+	rejections        int
+}
+
+// stats counts callers' requests, those answered in time and refused twice, requests sent to backend
+// servers and rejected by them, and arrivals that found a place empty while a request waited.
+type stats struct{ requests, inTime, refusedTwice, sent, rejected, idle float64 }
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func newFleet(vms, queue int, seed int64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0)}
+	for range vms {
+		f.vms = append(f.vms, &vm{queues: backendqueue.New(rand.New(rand.NewSource(f.rng.Int63()))), router: routing.New(routing.Config{}, rand.New(rand.NewSource(f.rng.Int63())))})
+	}
+	for b := range f.servers {
+		f.servers[b].queue = queue
+	}
+	f.after(0, f.exchange)
+	return f
+}
+
+func (f *fleet) after(d time.Duration, run func()) { heap.Push(&f.events, event{f.now.Add(d), run}) }
+
+// exchange sums up what the VMs measured; they receive it half a second later.
+func (f *fleet) exchange() {
+	sum, counts, own := map[[2]string]backendqueue.Load{}, [3]int{}, make([][3]int, len(f.vms))
+	for i, v := range f.vms {
+		for _, l := range v.queues.Report(f.now) {
+			s := sum[[2]string{l.Service, l.Backend}]
+			sum[[2]string{l.Service, l.Backend}] = backendqueue.Load{Service: l.Service, Backend: l.Backend, Arrived: s.Arrived + l.Arrived,
+				Sent: s.Sent + l.Sent, Rejected: s.Rejected + l.Rejected, Work: s.Work + l.Work, Length: s.Length + l.Length, VMs: s.VMs + l.VMs}
+		}
+		own[i] = v.own
+		for b := range counts {
+			counts[b] += v.own[b]
+		}
+	}
+	loads := []backendqueue.Load{}
+	for _, l := range sum {
+		loads = append(loads, l)
+	}
+	f.after(500*time.Millisecond, func() {
+		for i, v := range f.vms[f.deaf:] {
+			for b := range counts {
+				v.peers[b] = counts[b] - own[f.deaf+i][b]
+			}
+			v.queues.SetFleet(f.now, loads)
+			f.dispatch(v)
+		}
+	})
+	f.after(500*time.Millisecond, f.exchange)
+}
+
+func (f *fleet) candidates(v *vm) (out []routing.Candidate) {
+	for b := range f.servers {
+		if !f.servers[b].gone {
+			out = append(out, routing.Candidate{Engine: fmt.Sprint(b), Slots: slots, Ready: true, PeersInFlight: v.peers[b], PeersInFlightAge: 750 * time.Millisecond, Sharers: len(f.vms)})
+		}
+	}
+	v.queues.Prepare(f.now, "booking", out)
+	return out
+}
+
+func (f *fleet) arrive(v *vm, r *request) {
+	f.candidates(v)
+	retryAfter, ok := v.queues.Admit(f.now, backendqueue.Request{Service: "booking", Target: target, Deadline: r.deadline, Waiting: len(v.waiting)})
+	if !ok {
+		f.refuse(r, retryAfter)
+		return
+	}
+	v.waiting = append(v.waiting, r)
+	f.dispatch(v)
+}
+
+// refuse has a caller return once, at another VM.
+func (f *fleet) refuse(r *request, retryAfter time.Duration) {
+	if r.returned {
+		f.total.refusedTwice++
+		return
+	}
+	f.after(retryAfter, func() {
+		f.arrive(f.vms[f.rng.Intn(len(f.vms))], &request{arrived: f.now, deadline: r.deadline, returned: true})
+	})
+}
+
+func (f *fleet) dispatch(v *vm) {
+	for len(v.waiting) > 0 {
+		choice, ok := v.router.Pick(f.now, routing.Query{Pool: "p"}, f.candidates(v))
+		if !ok {
+			return
+		}
+		r := v.waiting[0]
+		v.waiting = v.waiting[1:]
+		f.send(v, r, int(choice.Engine[0]-'0'))
+	}
+}
+
+func (f *fleet) send(v *vm, r *request, b int) {
+	sentAt, name, s := f.now, fmt.Sprint(b), &f.servers[b]
+	v.router.RecordStart(f.now, name, "p", nil)
+	v.own[b]++
+	f.total.sent++
+	finish := func(rejected bool) {
+		v.own[b]--
+		v.router.RecordFinish(f.now, name, routing.Result{OK: !rejected, NotRun: rejected, Pool: "p"})
+		rest := v.queues.RecordResult(f.now, "booking", name, f.now.Sub(sentAt), rejected)
+		switch {
+		case !rejected && f.now.Sub(r.arrived) <= target:
+			f.total.inTime++
+		case rejected:
+			f.total.rejected++
+			if r.rejections++; r.rejections == 2 {
+				f.refuse(r, v.queues.RetryAfter(f.now, "booking", r.deadline.Sub(f.now)))
+			} else {
+				v.waiting = append([]*request{r}, v.waiting...)
+			}
+			f.after(rest, func() { f.dispatch(v) })
+		}
+		f.dispatch(v)
+	}
+	if s.running == slots && len(s.waiting) == s.queue {
+		f.after(2*time.Millisecond, func() { finish(true) })
+		return
+	}
+	f.serve(s, func() { finish(false) })
+}
+
+func (f *fleet) serve(s *server, done func()) {
+	if s.running == slots {
+		s.waiting = append(s.waiting, done)
+		return
+	}
+	s.running++
+	f.after(work, func() {
+		s.running--
+		if len(s.waiting) > 0 {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			f.serve(s, next)
+		}
+		f.after(time.Millisecond, done)
+	})
+}
+
+// isIdle reports whether a place is empty while a request waits.
+func (f *fleet) isIdle() bool {
+	empty, waiting := false, false
+	for b := range f.servers {
+		empty = empty || (!f.servers[b].gone && f.servers[b].running < slots)
+	}
+	for _, v := range f.vms {
+		waiting = waiting || len(v.waiting) > 0
+	}
+	return empty && waiting
+}
+
+// load lets requests arrive at a rate for a time, at VMs with uneven shares, and returns what
+// happened to them.
+func (f *fleet) load(perSecond float64, span time.Duration) stats {
+	f.total = stats{}
+	end := f.now.Add(span)
+	var next func()
+	next = func() {
+		if !f.now.Before(end) {
+			return
+		}
+		f.total.requests++
+		if f.isIdle() {
+			f.total.idle++
+		}
+		f.arrive(f.vms[int(math.Pow(f.rng.Float64(), 1.6)*float64(len(f.vms)))], &request{arrived: f.now, deadline: f.now.Add(patience)})
+		f.after(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+	for f.events[0].at.Before(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	return f.total
+}
+
+// add adds another fleet's stats.
+func (s *stats) add(o stats) {
+	s.requests, s.inTime, s.refusedTwice = s.requests+o.requests, s.inTime+o.inTime, s.refusedTwice+o.refusedTwice
+	s.sent, s.rejected, s.idle = s.sent+o.sent, s.rejected+o.rejected, s.idle+o.idle
+}
+
+// Guards against places that stay empty while requests wait at VMs that learn of them a second late,
+// and against VMs that fill the queues of backend servers until these reject requests. Queues of 4
+// are too short for the load: at 0.66 of the places in use they reject 1 in 100 random arrivals.
+func TestLoadOnFewPlaces(t *testing.T) {
+	for _, c := range []struct {
+		vms, queue                  int
+		inTime, nineTenths, rejects float64
+	}{
+		{8, 6, 0.9, 0.75, 0.01}, {8, 12, 0.95, 0.85, 0.01},
+		{62, 4, 0.75, 0.65, 0.0125}, {62, 6, 0.85, 0.75, 0.01}, {62, 12, 0.95, 0.85, 0.01},
+		{300, 6, 0.85, 0.7, 0.01}, {300, 12, 0.95, 0.85, 0.01},
+	} {
+		var left, after, busy, overload, back stats
+		for seed := range 4 {
+			f := newFleet(c.vms, c.queue, int64(seed))
+			f.load(155, 20*time.Second)
+			f.servers[1].gone, f.servers[2].gone = true, true
+			left.add(f.load(155, time.Second))
+			after.add(f.load(155, 30*time.Second))
+			busy.add(f.load(180, 20*time.Second))
+			f.load(400, 2*time.Second)
+			overload.add(f.load(400, 20*time.Second))
+			f.servers[1].gone, f.servers[2].gone = false, false
+			back.add(f.load(155, time.Second))
+		}
+		t.Logf("%d VMs, queue %d: in time %.3f in the first second, %.3f after, %.3f of 180/s, %.3f when back; rejected %.4f after, %.4f of 180/s, %.4f of 400/s; refused twice %.3f, %.3f, %.3f; in time of 400/s %.0f/s; idle %.4f",
+			c.vms, c.queue, left.inTime/left.requests, after.inTime/after.requests, busy.inTime/busy.requests, back.inTime/back.requests,
+			after.rejected/after.sent, busy.rejected/busy.sent, overload.rejected/overload.sent, after.refusedTwice/after.requests, busy.refusedTwice/busy.requests, overload.refusedTwice/overload.requests, overload.inTime/80, after.idle/after.requests)
+		for name, ok := range map[string]bool{
+			"in time in the first second":   left.inTime >= 0.75*left.requests && back.inTime >= 0.75*back.requests,
+			"in time":                       after.inTime >= c.inTime*after.requests,
+			"in time at nine tenths":        busy.inTime >= c.nineTenths*busy.requests,
+			"rejected":                      after.rejected < c.rejects*after.sent,
+			"rejected at nine tenths":       busy.rejected < c.rejects*busy.sent,
+			"rejected or late in overload":  overload.rejected < 0.01*overload.sent && overload.inTime >= 80*110,
+			"empty places and waiting ones": after.idle < 0.02*after.requests,
+		} {
+			testkit.That(t, ok, "%d VMs, queue of %d: %s", c.vms, c.queue, name)
+		}
+	}
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -204,7 +204,7 @@
 		c := &candidates[i]
 		inFlight += r.InFlightOn(c.Engine)
 		if isUsable(q, c) {
-			slots += c.Slots
+			slots += c.Slots + c.QueueLength
 		}
 		sharers = max(sharers, c.Sharers)
 	}
@@ -214,7 +214,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		e := r.engines[c.Engine]
-		if c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) || r.InFlightOn(c.Engine)*sharers >= c.Slots {
+		if c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) || r.InFlightOn(c.Engine)*sharers >= c.Slots+c.QueueLength {
 			continue
 		}
 		r.eligible = append(r.eligible, eligibleEngine{candidate: c, engine: e, freeSlots: 1, sameDomain: c.Domain == q.Domain})
@@ -239,7 +239,11 @@
 	if e == nil {
 		return false
 	}
-	return e.cooldown.isBlocked(now) || (now.Sub(e.refusedAt) < busyBackoff && !c.LoadReportedAt.After(e.refusedAt))
+	backoff := busyBackoff
+	if c.Queues {
+		backoff = c.RejectionRest
+	}
+	return e.cooldown.isBlocked(now) || (now.Sub(e.refusedAt) < backoff && !c.LoadReportedAt.After(e.refusedAt))
 }
 
 // isTrusted reports whether an engine may get a request: its breaker admits one,
@@ -294,6 +298,9 @@
 		}
 	}
 	busy := own + c.PeersInFlight
+	if c.Queues {
+		return countQueuePlaces(own, busy, c)
+	}
 	if c.LoadKnown {
 		changeSinceReport := 0
 		if e != nil {
@@ -304,6 +311,17 @@
 	return max(0, c.Slots+r.estimateCompleted(pool, c)-busy)
 }
 
+// countQueuePlaces returns the number of requests that may be sent to a backend server that queues
+// requests. A VM may always have one there: the counts of other VMs are too old to know that no
+// place is free.
+func countQueuePlaces(own, busy int, c *Candidate) int {
+	free := min(c.Slots+c.QueueLength-busy, c.OwnLimit-own)
+	if own == 0 {
+		free = max(free, 1)
+	}
+	return max(0, free)
+}
+
 // setCachedBlocks sets how many blocks of the prompt each eligible engine has
 // cached, beyond those that are common.
 func (r *Router) setCachedBlocks(q Query) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -55,6 +55,12 @@
 	// PeersInFlightAge is the age of PeersInFlight if many entry VMs choose by the same
 	// counts. It is 0 if there are few entry VMs or the count is recent.
 	PeersInFlightAge time.Duration
+	// Queues is whether the backend server takes QueueLength requests beyond Slots into its own
+	// queue, OwnLimit of all of them from this VM. PeersInFlight is then a mean, and a server that
+	// rejected a request gets no others for RejectionRest. See package routing/backendqueue.
+	Queues                bool
+	QueueLength, OwnLimit int
+	RejectionRest         time.Duration
 }
 
 // roleDecode is the role of engines that take no new prompts.
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -54,9 +54,9 @@
 	return int(min(maxCompletedShare, c.PeersInFlightAge.Seconds()/serviceTime.Seconds()) * float64(c.Slots))
 }
 
-// hasOutdatedCounts reports whether PeersInFlight is outdated for any eligible engine.
+// hasOutdatedCounts reports whether PeersInFlight is outdated or a mean for any eligible engine.
 func (r *Router) hasOutdatedCounts() bool {
-	return slices.ContainsFunc(r.eligible, func(v eligibleEngine) bool { return v.candidate.PeersInFlightAge > 0 })
+	return slices.ContainsFunc(r.eligible, func(v eligibleEngine) bool { return v.candidate.PeersInFlightAge > 0 || v.candidate.Queues })
 }
 
 // drawWeighted draws one of the eligible engines at random by their weights.
@@ -79,7 +79,7 @@
 // drawWeight returns the weight of an engine in the draw.
 func (r *Router) drawWeight(now time.Time, q Query, v *eligibleEngine) float64 {
 	weight := float64(v.freeSlots) / max(1, r.latency[q.Pool].slowness(now, v.candidate.Engine))
-	if v.sameDomain {
+	if v.sameDomain && !v.candidate.Queues { // queues are long if the load of failure domains differs
 		weight *= ownDomainWeight
 	}
 	if v.engine != nil {
