--- a/internal/hosted/backendqueues.go
+++ b/internal/hosted/backendqueues.go
@@ -59,7 +59,7 @@
 }
 
 // RecordResult implements serving.BackendQueues.
-func (q *backendQueues) RecordResult(now time.Time, service, backend string, answerTime time.Duration, rejected bool) time.Duration {
+func (q *backendQueues) RecordResult(now time.Time, service, backend string, answerTime time.Duration, rejected bool) backendqueue.Rejection {
 	if rejected {
 		backendQueueRejections.Inc()
 	}
--- a/internal/serving/backendqueues.go
+++ b/internal/serving/backendqueues.go
@@ -5,6 +5,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/refusal"
+	"bergamotreel/routing/backendqueue"
 )
 
 // BackendQueues lets the backend servers of small plain services queue requests.
@@ -13,9 +14,8 @@
 	// number of the service's requests that wait at this VM.
 	Admit(now time.Time, r *caller.RelayRequest, waiting int) *refusal.Refusal
 	// RecordResult records that a backend server gave its whole answer after the given time, or
-	// that it rejected the request for want of room. It returns how long it then gets no others,
-	// 0 if it may get some at once.
-	RecordResult(now time.Time, service, backend string, answerTime time.Duration, rejected bool) time.Duration
+	// that it rejected the request for want of room.
+	RecordResult(now time.Time, service, backend string, answerTime time.Duration, rejected bool) backendqueue.Rejection
 	// RejectedRefusal returns the refusal for a request that backend servers rejected too often.
 	RejectedRefusal(now time.Time, r *caller.RelayRequest) *refusal.Refusal
 }
@@ -45,12 +45,16 @@
 		return
 	}
 	now := time.Now()
-	rest := queues.RecordResult(now, f.request.Service, f.pending.backend, now.Sub(f.pending.attemptStart), rejected)
-	if rest > 0 {
-		f.queueRejections++
-		// Nothing else may wake the queue at the end of the rest.
-		time.AfterFunc(rest, f.server.Wake)
+	rejection := queues.RecordResult(now, f.request.Service, f.pending.backend, now.Sub(f.pending.attemptStart), rejected)
+	if rejection.Rest == 0 {
+		return
+	}
+	f.queueRejections++
+	if rejection.Overloaded {
+		f.queueRejections = maxQueueRejections
 	}
+	// Nothing else may wake the queue at the end of the rest.
+	time.AfterFunc(rejection.Rest, f.server.Wake)
 }
 
 // rejectedError ends a request that the queues of backend servers rejected too often.
--- a/routing/backendqueue/backendqueue.go
+++ b/routing/backendqueue/backendqueue.go
@@ -28,6 +28,9 @@
 	// rateWindow smooths the rates that VMs report. With reports that are up to a second old, all
 	// VMs follow a change within two seconds.
 	rateWindow = time.Second
+	// arrivalWindow smooths the rate of arrivals. It is shorter, as a jump of the demand fills the
+	// queues until all VMs know of it.
+	arrivalWindow = 500 * time.Millisecond
 	// peersWindow smooths the counts of other VMs' requests. A count that is a second old says
 	// nothing of a queue that changes within a few work times, but its mean does.
 	peersWindow = time.Second
@@ -40,15 +43,25 @@
 	maxReported = 512
 	// maxUpdateInterval bounds the time that one update of the lengths covers, for a VM that froze.
 	maxUpdateInterval = time.Second
+	// targetTTL is how long a target latency applies without a request that has it.
+	targetTTL = 10 * time.Second
+	// changeInterval is the minimum time between two reported changes of a service's share.
+	changeInterval = 2 * time.Second
 	// serviceTTL is how long a service without requests is kept.
 	serviceTTL = time.Minute
+	// excessSent times the allowed rate is the rate of sent requests beyond which rejections come from
+	// a jump of the demand and not from a wrong length. Below it, the rest is requests sent again.
+	excessSent = 1.1
 	// workQuantile is the quantile of the answer times that counts as the work time. Higher ones
 	// contain the time in the backend server's queue, and a growing queue would look like slower
 	// work. workStep is the relative change with each answer.
 	workQuantile = 0.25
 	workStep     = 0.05
+	// minAcceptedShare is the share of a VM's requests below which rejected ones are not sent again.
+	// A VM gets there with its second rejection in a second.
+	minAcceptedShare = 0.8
 	// minSamples keeps a single rejection from being taken for an overload.
-	minSamples = 4
+	minSamples = 2
 	// minRest is the shortest time for which a VM sends nothing to a backend server that rejected
 	// a request, maxRest the longest.
 	minRest = 5 * time.Millisecond
@@ -110,7 +123,9 @@
 	// queueing is whether the service is small, seen when it was last used.
 	queueing bool
 	seen     time.Time
+	// target is the shortest target latency of the requests of the last targetTTL.
 	target   time.Duration
+	targetAt time.Time
 
 	arrived, sent meter.Meter
 	// work is the work time in seconds, 0 if unknown.
@@ -122,7 +137,8 @@
 	credit  float64
 	returns returnSchedule
 	// reported is the last change that SetFleet returned.
-	reported Change
+	reported   Change
+	reportedAt time.Time
 }
 
 type backendState struct {
@@ -249,7 +265,7 @@
 // demand returns the rate of requests that arrive at all VMs and at this one. This VM's own part
 // is up to date.
 func (s *serviceState) demand(now time.Time) (all, own float64) {
-	own = s.arrived.Rate(now, rateWindow)
+	own = s.arrived.Rate(now, arrivalWindow)
 	return max(0, s.fleet.Arrived-s.own.Arrived) + own, own
 }
 
@@ -259,9 +275,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.service(now, r.Service)
-	s.arrived.Add(now, 1, rateWindow)
-	if r.Target > 0 && (s.target == 0 || r.Target < s.target) {
-		s.target = r.Target
+	s.arrived.Add(now, 1, arrivalWindow)
+	if r.Target > 0 && (s.target == 0 || r.Target <= s.target || now.Sub(s.targetAt) > targetTTL) {
+		s.target, s.targetAt = r.Target, now
 	}
 	capacity := s.capacity()
 	if !s.queueing || capacity == 0 {
@@ -319,32 +335,39 @@
 	return waiting > 0 && float64(waiting)/rate > left.Seconds()/2
 }
 
+// Rejection is what follows a rejection by a backend server whose queue is used.
+type Rejection struct {
+	// Rest is how long the backend server gets no requests from this VM, 0 if it may get some at once.
+	Rest time.Duration
+	// Overloaded is whether the rejected request should be refused: so many of this VM's requests were
+	// rejected that it would fill a queue again.
+	Overloaded bool
+}
+
 // RecordResult records that a backend server answered a request after the given time, or rejected
-// it for want of room. It returns how long the backend server gets no requests from this VM, 0 if
-// it may get some at once.
-func (q *Queues) RecordResult(now time.Time, name, backend string, answerTime time.Duration, rejected bool) time.Duration {
+// it for want of room. The result is zero unless the backend server's queue is used.
+func (q *Queues) RecordResult(now time.Time, name, backend string, answerTime time.Duration, rejected bool) Rejection {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.services[name]
 	if s == nil || s.backends[backend] == nil {
-		return 0
+		return Rejection{}
 	}
 	b := s.backends[backend]
 	b.sent.Add(now, 1, rateWindow)
+	b.recordAnswer(rejected)
 	if rejected {
 		b.rejected.Add(now, 1, rateWindow)
-		b.recordAnswer(true)
-		if s.queueing {
-			return q.rest(s, b)
+		if !s.queueing {
+			return Rejection{}
 		}
-		return 0
+		return Rejection{Rest: q.rest(s, b), Overloaded: s.acceptedShare(now) < minAcceptedShare}
 	}
-	b.recordAnswer(false)
 	s.sent.Add(now, 1, rateWindow)
 	if answerTime > 0 {
 		s.recordWork(answerTime.Seconds())
 	}
-	return 0
+	return Rejection{}
 }
 
 // recordWork moves the work time towards workQuantile of the answer times.
@@ -374,7 +397,7 @@
 			continue
 		}
 		sent := s.sent.Rate(now, rateWindow)
-		s.own = Load{Service: name, Arrived: s.arrived.Rate(now, rateWindow), Sent: sent, Work: sent * s.work}
+		s.own = Load{Service: name, Arrived: s.arrived.Rate(now, arrivalWindow), Sent: sent, Work: sent * s.work}
 		out = append(out, s.own)
 		for id, b := range s.backends {
 			if b.usable {
@@ -413,7 +436,11 @@
 		if !b.adopted && l.VMs > 1 {
 			b.length, b.adopted = min(sanitize(l.Length)/float64(l.VMs), longest), true
 		}
-		b.update(now, sanitize(l.Sent), sanitize(l.Rejected), elapsed, longest)
+		sent, rejected := sanitize(l.Sent), sanitize(l.Rejected)
+		if work := s.workTime(); work > 0 {
+			rejected = max(0, rejected-max(0, sent-excessSent*b.allowed()*float64(b.slots)/work))
+		}
+		b.update(now, sent, rejected, elapsed, longest)
 	}
 	return q.changes(now)
 }
@@ -426,8 +453,7 @@
 	return 0
 }
 
-// changes returns the services whose state differs from the last reported one. A share counts as
-// changed by a tenth.
+// changes returns the services whose state differs from the last reported one.
 func (q *Queues) changes(now time.Time) []Change {
 	var out []Change
 	for name, s := range q.services {
@@ -436,17 +462,26 @@
 		if s.queueing && c.Capacity > 0 && c.Demand > 0 {
 			c.Share = min(1, c.Capacity/c.Demand)
 		}
-		first := s.reported.Service == ""
-		if (first && !c.Queueing) || (!first && c.Queueing == s.reported.Queueing && math.Abs(c.Share-s.reported.Share) < 0.1 && (c.Share < 1 || s.reported.Share == 1)) {
+		if !s.isChange(now, c) {
 			continue
 		}
-		s.reported = c
+		s.reported, s.reportedAt = c, now
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
+// isChange reports whether c is worth a report after the last one. A share
+// counts as changed by a tenth, or when all requests are admitted again.
+func (s *serviceState) isChange(now time.Time, c Change) bool {
+	if c.Queueing != s.reported.Queueing {
+		return true
+	}
+	ended := c.Share == 1 && s.reported.Share < 1
+	return c.Queueing && now.Sub(s.reportedAt) >= changeInterval && (ended || math.Abs(c.Share-s.reported.Share) >= 0.1)
+}
+
 // Forget drops what is known of a backend server that is gone or has restarted.
 func (q *Queues) Forget(backend string) {
 	q.mu.Lock()
--- a/routing/backendqueue/length.go
+++ b/routing/backendqueue/length.go
@@ -8,10 +8,10 @@
 const (
 	// acceptedRejections is the share of the requests sent to a backend server that it may reject
 	// without a decrease of the assumed queue. Rejections come several at a time, before a decrease
-	// has an effect: with this share, between 0.5 and 1 in 100 requests are rejected.
-	acceptedRejections = 0.003
+	// has an effect: with this share, 3 to 8 in 1,000 requests are rejected.
+	acceptedRejections = 0.002
 	// growthPerSecond is the growth of the assumed queue while nothing is rejected, as a share of
-	// the backend server's slots. Twice as much gives half as many rejections again.
+	// the backend server's slots. A third less gives fewer rejections, and more refusals after them.
 	growthPerSecond = 1.0 / 8
 	// rejectionWindow smooths the rates by which the length is decided. A queue that is full once
 	// rejects several requests in a row, which say as much as one.
--- a/routing/backendqueue/returns.go
+++ b/routing/backendqueue/returns.go
@@ -1,6 +1,9 @@
 package backendqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// returningShare is the part of this VM's admitted rate that refused requests are expected to
@@ -15,23 +18,27 @@
 )
 
 // returnSchedule spreads the returns of refused requests: each gets the next free time.
-type returnSchedule struct{ last time.Time }
+type returnSchedule struct {
+	last time.Time
+	// full counts the requests for which no time was free.
+	full int
+}
 
 // next returns the delay after which a refused request should return, for a VM that admits the
-// given rate. Requests for which no time is free share the last one that is useful to them.
+// given rate. Requests for which no time is free are spread over the times that are useful to them.
 func (r *returnSchedule) next(now time.Time, left time.Duration, admitted float64) time.Duration {
 	longest := max(0, time.Duration(maxShareOfTimeLeft*float64(left)))
-	earliest := now.Add(min(minRetryAfter, longest))
-	at := earliest
+	shortest := min(minRetryAfter, longest)
+	step := longest
 	if admitted > 0 {
-		at = r.last.Add(min(longest, time.Duration(float64(time.Second)/(returningShare*admitted))))
-	}
-	if at.Before(earliest) {
-		at = earliest
+		step = min(longest, time.Duration(float64(time.Second)/(returningShare*admitted)))
 	}
-	if latest := now.Add(longest); at.After(latest) {
-		at = latest
+	delay := max(shortest, r.last.Add(step).Sub(now))
+	if delay > longest {
+		_, fraction := math.Modf(float64(r.full) * math.Phi)
+		r.full++
+		return max(time.Millisecond, shortest+time.Duration(fraction*float64(longest-shortest)))
 	}
-	r.last = at
-	return max(time.Millisecond, at.Sub(now))
+	r.last = now.Add(delay)
+	return max(time.Millisecond, delay)
 }
