--- a/internal/hosted/backendqueues_test.go
+++ b/internal/hosted/backendqueues_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,33 +25,26 @@
 	plainTarget  = 5 * plainWork
 )
 
-// plainServers is a service.Forwarder to the backend servers of a plain service, by address. Each
-// runs plainSlots requests at once and rejects those that find its queue full.
+// plainServers is a service.Forwarder to the backend servers of a plain service, by address. A request
+// takes a place, of which there are plainSlots + plainQueue, and then a slot; it is rejected without a place.
 type plainServers struct {
-	mu             sync.Mutex
-	inFlight       map[string]int
-	slots          map[string]chan struct{}
-	sent, rejected int
+	places, slots  map[string]chan bool
+	sent, rejected atomic.Int64
 }
 
-func (p *plainServers) Forward(ctx context.Context, target service.Target, _ service.ForwardRequest) (*service.ForwardResponse, error) {
+func (p *plainServers) Forward(_ context.Context, target service.Target, _ service.ForwardRequest) (*service.ForwardResponse, error) {
 	time.Sleep(time.Millisecond)
-	p.mu.Lock()
-	p.sent++
-	if p.inFlight[target.Address] == plainSlots+plainQueue {
-		p.rejected++
-		p.mu.Unlock()
+	p.sent.Add(1)
+	select {
+	case p.places[target.Address] <- true:
+	default:
+		p.rejected.Add(1)
 		return &service.ForwardResponse{}, service.ErrNotRun
 	}
-	p.inFlight[target.Address]++
-	slots := p.slots[target.Address]
-	p.mu.Unlock()
-	slots <- struct{}{}
+	p.slots[target.Address] <- true
 	time.Sleep(plainWork)
-	<-slots
-	p.mu.Lock()
-	p.inFlight[target.Address]--
-	p.mu.Unlock()
+	<-p.slots[target.Address]
+	<-p.places[target.Address]
 	return &service.ForwardResponse{Status: http.StatusOK, Body: http.NoBody}, nil
 }
 
@@ -61,20 +55,19 @@
 // of the VMs don't hear the other half, or all requests arrive at one VM.
 func TestQueuesOfFewBackendServers(t *testing.T) {
 	for name, c := range map[string]struct {
-		vms     int
-		oneVM   bool
-		disturb func(w *testCluster)
-		inTime  float64
+		vms, loaded int // loaded is how many VMs get the requests
+		disturb     func(w *testCluster)
+		inTime      float64
 	}{
-		"62 VMs":            {62, false, func(*testCluster) {}, 0.9},
-		"burst at one VM":   {24, true, func(*testCluster) {}, 0.85},
-		"relay ends":        {62, false, func(w *testCluster) { w.kill(w.leadRelay("d1")) }, 0.85},
-		"registry is away":  {24, false, func(w *testCluster) { w.registry.setUnavailable(true) }, 0.9},
-		"cut in two halves": {24, false, func(w *testCluster) { w.setDomainsPartitioned(true) }, 0.75},
+		"62 VMs":            {62, 62, func(*testCluster) {}, 0.9},
+		"burst at one VM":   {24, 1, func(*testCluster) {}, 0.85},
+		"relay ends":        {62, 62, func(w *testCluster) { w.kill(w.leadRelay("d1")) }, 0.85},
+		"registry is away":  {24, 24, func(w *testCluster) { w.registry.setUnavailable(true) }, 0.9},
+		"cut in two halves": {24, 24, func(w *testCluster) { w.setDomainsPartitioned(true) }, 0.75},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withTestCluster(t, func(w *testCluster) {
-				servers := &plainServers{inFlight: make(map[string]int), slots: make(map[string]chan struct{})}
+				servers := &plainServers{places: make(map[string]chan bool), slots: make(map[string]chan bool)}
 				w.load, w.retryShare, w.retrySlack = LoadPolicies{BackendQueues: true}, retryRatio, fleetRetrySlack(c.vms)
 				w.forwarderOf = func(string) service.Forwarder { return servers }
 				w.registry.configuration = testContract("m1")
@@ -87,7 +80,7 @@
 					w.registry.put(registry.Backend{ID: id, Service: plainService, Address: id, Domain: fmt.Sprint("d", i), Slots: plainSlots, Leaving: leaving})
 				}
 				for i := range 3 {
-					servers.slots[fmt.Sprint("p", i)] = make(chan struct{}, plainSlots)
+					servers.places[fmt.Sprint("p", i)], servers.slots[fmt.Sprint("p", i)] = make(chan bool, plainSlots+plainQueue), make(chan bool, plainSlots)
 					list(i, false)
 				}
 				var vms []string
@@ -96,18 +89,18 @@
 				}
 				time.Sleep(8 * time.Second)
 				load := &plainLoad{testCluster: w, vms: vms, random: rand.New(rand.NewSource(1))}
-				load.run(10*time.Second, false)
+				load.run(10*time.Second, len(vms))
 				list(1, true)
 				list(2, true)
 				time.Sleep(200 * time.Millisecond)
-				servers.mu.Lock()
-				servers.sent, servers.rejected, load.sent, load.inTime, load.refused = 0, 0, 0, 0, 0
-				servers.mu.Unlock()
+				sentBefore, rejectedBefore := servers.sent.Load(), servers.rejected.Load()
+				load.sent, load.inTime, load.refused = 0, 0, 0
 				c.disturb(w)
-				load.run(10*time.Second, c.oneVM)
-				t.Logf("%d of %d in time, %d refused; %d of %d rejected", load.inTime, load.sent, load.refused, servers.rejected, servers.sent)
+				load.run(10*time.Second, c.loaded)
+				sent, rejected := servers.sent.Load()-sentBefore, servers.rejected.Load()-rejectedBefore
+				t.Logf("%d of %d in time, %d refused; %d of %d rejected", load.inTime, load.sent, load.refused, rejected, sent)
 				testkit.That(t, float64(load.inTime) >= c.inTime*float64(load.sent), "%d of %d requests in time", load.inTime, load.sent)
-				testkit.That(t, servers.rejected*100 <= servers.sent, "%d of %d requests rejected by backend servers", servers.rejected, servers.sent)
+				testkit.That(t, rejected*100 <= sent, "%d of %d requests rejected by backend servers", rejected, sent)
 				w.registry.setUnavailable(false)
 			})
 		})
@@ -119,31 +112,26 @@
 	*testCluster
 	vms                   []string
 	random                *rand.Rand
-	countsMu              sync.Mutex
-	sent, inTime, refused int
+	sent, inTime, refused int // guarded by mu
 }
 
-// run sends 180 requests a second at random to VMs with uneven shares, or to one VM, and waits for them.
-func (l *plainLoad) run(span time.Duration, oneVM bool) {
+// run sends 180 requests a second at random to the last VMs, with uneven shares, and waits for them.
+func (l *plainLoad) run(span time.Duration, loaded int) {
 	var open sync.WaitGroup
 	defer open.Wait()
 	for end := time.Now().Add(span); time.Now().Before(end); {
-		vm := l.vms[min(l.random.Intn(len(l.vms)), l.random.Intn(len(l.vms)))]
-		if oneVM {
-			vm = l.vms[len(l.vms)-1]
+		vm := l.vms[len(l.vms)-1-min(l.random.Intn(loaded), l.random.Intn(loaded))]
+		l.mu.Lock()
+		n := l.nodes[vm]
+		l.mu.Unlock()
+		if n != nil { // otherwise its callers go elsewhere
+			open.Go(func() { l.send(n) })
 		}
-		open.Go(func() { l.send(vm) })
 		time.Sleep(time.Duration(l.random.ExpFloat64() / 180 * float64(time.Second)))
 	}
 }
 
-func (l *plainLoad) send(vm string) {
-	l.mu.Lock()
-	n := l.nodes[vm]
-	l.mu.Unlock()
-	if n == nil {
-		return // its callers went elsewhere
-	}
+func (l *plainLoad) send(n *Node) {
 	grant, err := n.Authorize("h", "/", "")
 	now := time.Now()
 	if err == nil {
@@ -152,13 +140,12 @@
 			Arrived: now, AnswerDeadline: now.Add(2500 * time.Millisecond), BeginDeadline: now.Add(2500 * time.Millisecond),
 		}, &responseRecorder{})
 	}
-	l.countsMu.Lock()
-	defer l.countsMu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.sent++
-	switch {
-	case err != nil:
+	if err != nil {
 		l.refused++
-	case time.Since(now) <= plainTarget:
+	} else if time.Since(now) <= plainTarget {
 		l.inTime++
 	}
 }
--- a/routing/backendqueue/backendqueue_test.go
+++ b/routing/backendqueue/backendqueue_test.go
@@ -104,8 +104,9 @@
 func TestVMsThatHearNobody(t *testing.T) {
 	f := newFleet(62, 12, 1)
 	f.servers[1].gone, f.servers[2].gone = true, true
-	f.load(155, 10*time.Second)
+	var before, s stats
+	f.load(&before, 155, 10*time.Second)
 	f.deaf = 20
-	s := f.load(155, 20*time.Second)
+	f.load(&s, 155, 20*time.Second)
 	testkit.That(t, s.inTime >= 0.9*s.requests && s.rejected < 0.01*s.sent, "%+v", s)
 }
--- a/routing/backendqueue/load_test.go
+++ b/routing/backendqueue/load_test.go
@@ -1,10 +1,11 @@
 package backendqueue_test
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,12 +26,12 @@
 type fleet struct {
 	rng     *rand.Rand
 	now     time.Time
-	events  eventHeap
+	events  []event
 	vms     []*vm
 	servers [3]server
 	// deaf is how many VMs receive no reports.
 	deaf  int
-	total stats
+	total *stats
 }
 
 type vm struct {
@@ -62,18 +63,6 @@
 	run func()
 }
 
-type eventHeap []event
-
-func (h eventHeap) Len() int           { return len(h) }
-func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func newFleet(vms, queue int, seed int64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0)}
 	for range vms {
@@ -86,7 +75,11 @@
 	return f
 }
 
-func (f *fleet) after(d time.Duration, run func()) { heap.Push(&f.events, event{f.now.Add(d), run}) }
+func (f *fleet) after(d time.Duration, run func()) {
+	e := event{f.now.Add(d), run}
+	i, _ := slices.BinarySearchFunc(f.events, e, func(a, b event) int { return cmp.Or(a.at.Compare(b.at), -1) })
+	f.events = slices.Insert(f.events, i, e)
+}
 
 // exchange sums up what the VMs measured; they receive it half a second later.
 func (f *fleet) exchange() {
@@ -221,10 +214,10 @@
 	return empty && waiting
 }
 
-// load lets requests arrive at a rate for a time, at VMs with uneven shares, and returns what
-// happened to them.
-func (f *fleet) load(perSecond float64, span time.Duration) stats {
-	f.total = stats{}
+// load lets requests arrive at a rate for a time, at VMs with uneven shares, and adds what
+// happens to total.
+func (f *fleet) load(total *stats, perSecond float64, span time.Duration) {
+	f.total = total
 	end := f.now.Add(span)
 	var next func()
 	next = func() {
@@ -240,17 +233,10 @@
 	}
 	next()
 	for f.events[0].at.Before(end) {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
+		e := f.events[0]
+		f.events, f.now = f.events[1:], e.at
 		e.run()
 	}
-	return f.total
-}
-
-// add adds another fleet's stats.
-func (s *stats) add(o stats) {
-	s.requests, s.inTime, s.refusedTwice = s.requests+o.requests, s.inTime+o.inTime, s.refusedTwice+o.refusedTwice
-	s.sent, s.rejected, s.idle = s.sent+o.sent, s.rejected+o.rejected, s.idle+o.idle
 }
 
 // Guards against places that stay empty while requests wait at VMs that learn of them a second late,
@@ -265,19 +251,19 @@
 		{62, 4, 0.75, 0.65}, {62, 6, 0.85, 0.75}, {62, 12, 0.95, 0.85},
 		{300, 6, 0.85, 0.75}, {300, 12, 0.95, 0.85},
 	} {
-		var left, after, busy, jump, overload, back stats
+		var left, after, busy, jump, overload, back, other stats
 		for seed := range 4 {
 			f := newFleet(c.vms, c.queue, int64(seed))
-			f.load(155, 20*time.Second)
+			f.load(&other, 155, 20*time.Second)
 			f.servers[1].gone, f.servers[2].gone = true, true
-			left.add(f.load(155, time.Second))
-			after.add(f.load(155, 30*time.Second))
-			busy.add(f.load(180, 20*time.Second))
-			jump.add(f.load(400, 2*time.Second))
-			overload.add(f.load(400, 20*time.Second))
-			f.load(155, 8*time.Second)
+			f.load(&left, 155, time.Second)
+			f.load(&after, 155, 30*time.Second)
+			f.load(&busy, 180, 20*time.Second)
+			f.load(&jump, 400, 2*time.Second)
+			f.load(&overload, 400, 20*time.Second)
+			f.load(&other, 155, 8*time.Second)
 			f.servers[1].gone, f.servers[2].gone = false, false
-			back.add(f.load(155, time.Second))
+			f.load(&back, 155, time.Second)
 		}
 		t.Logf("%d VMs, queue %d: in time %.3f in the first second, %.3f after, %.3f of 180/s, %.3f when back; rejected %.4f after, %.4f of 180/s, %.4f of 400/s (%.2f in its first two seconds); refused twice %.3f, %.3f, %.3f; in time of 400/s %.0f/s; idle %.4f",
 			c.vms, c.queue, left.inTime/left.requests, after.inTime/after.requests, busy.inTime/busy.requests, back.inTime/back.requests,
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -217,6 +217,9 @@
 		if c.PermitRequired || !isUsable(q, c) || !r.isTrusted(now, e) || r.isResting(now, e, c) || r.InFlightOn(c.Engine)*sharers >= c.Slots+c.QueueLength {
 			continue
 		}
+		if c.Queues && r.InFlightOn(c.Engine) >= c.OwnLimit {
+			continue
+		}
 		r.eligible = append(r.eligible, eligibleEngine{candidate: c, engine: e, freeSlots: 1, sameDomain: c.Domain == q.Domain})
 	}
 }
