--- a/routing/backendqueue/length.go
+++ b/routing/backendqueue/length.go
@@ -11,8 +11,9 @@
 	// has an effect: with this share, 3 to 8 in 1,000 requests are rejected.
 	acceptedRejections = 0.002
 	// growthPerSecond is the growth of the assumed queue while nothing is rejected, as a share of
-	// the backend server's slots. A third less gives fewer rejections, and more refusals after them.
-	growthPerSecond = 1.0 / 8
+	// the backend server's slots. A quarter less gives more refusals after a decrease, and no fewer
+	// rejections.
+	growthPerSecond = 1.0 / 6
 	// rejectionWindow smooths the rates by which the length is decided. A queue that is full once
 	// rejects several requests in a row, which say as much as one.
 	rejectionWindow = 5 * time.Second
