admission, hosted: fair shares between the workspaces of a customer

All callers of a hosted configuration are one customer, so the fair queue had a single flow, and a burst of one workspace delayed the requests of all others; OverFairShare never applied. With fair_workspaces, each workspace has a flow, VMs share the slot time that workspaces use, and one beyond its share by weight goes last, leaves the reserve free and gives up its place in a full queue. With the setting off flows are those of customers as before.

Passes: go test ./admission/... ./internal/loadsignals ./entryvm ./internal/serving ./internal/settings.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,6 +24,10 @@
 	// ID identifies the request on every hop.
 	ID       string
 	Customer string
+	// Workspace is the part of the customer that the request belongs to, empty for none. It and
+	// Service, the service that the request is for, are used with Config.FairWorkspaces only.
+	Workspace string
+	Service   string
 	// Unit is the model or adapter that serves the request.
 	Unit string
 	// Pool is the base model of Unit. A model and its adapters share engines.
@@ -60,6 +64,7 @@
 	OverFairShare bool
 
 	phase              phase
+	flow               *flow   // its flow from its first enqueueing on
 	sequence           uint64  // order of arrival on this entry VM
 	chargedVirtualTime float64 // virtual time charged to the customer for the running attempt
 	dispatchedAt       time.Time
@@ -127,6 +132,9 @@
 	// PeerUsageTTL is the age of the last SetPeerUsage above which this VM counts
 	// as partitioned from the other entry VMs.
 	PeerUsageTTL time.Duration
+	// FairWorkspaces gives each workspace of a customer a flow of its own and shares services
+	// fairly between workspaces (package fairshare). The customer's limits apply unchanged.
+	FairWorkspaces bool
 }
 
 const (
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotreel/admission/fairshare"
 	"bergamotreel/contract"
 	"bergamotreel/internal/meter"
 	"bergamotreel/refusal"
@@ -21,6 +22,9 @@
 	// poolUsage is each pool's usage over all entry VMs as of the last SetPeerUsage.
 	poolUsage map[string]poolUsage
 
+	// workspaces shares pools between workspaces, nil unless Config.FairWorkspaces is set.
+	workspaces *workspaceShares
+
 	fleet       fleet
 	peerUsageAt time.Time // time of the last SetPeerUsage
 	lastNow     time.Time // time of the last call
@@ -49,7 +53,7 @@
 // New returns a Controller without contracts that assumes a single entry VM until
 // SetVMs is called.
 func New(cfg Config) *Controller {
-	return &Controller{
+	c := &Controller{
 		cfg:               cfg.withDefaults(),
 		customers:         map[string]*customer{},
 		customersWithHeld: map[*customer]bool{},
@@ -58,6 +62,10 @@
 		poolUsage:         map[string]poolUsage{},
 		fleet:             fleet{liveVMs: 1},
 	}
+	if cfg.FairWorkspaces {
+		c.workspaces = &workspaceShares{meter: fairshare.NewMeter(), shares: fairshare.NewShares()}
+	}
+	return c
 }
 
 // SetContracts replaces the contracts. Waiting requests of a customer whose
@@ -132,11 +140,12 @@
 		r.Cost = 1
 	}
 	if refused := c.checkArrival(now, cust, r); refused != nil {
+		c.noteRefusal(now, &r, refused)
 		return nil, refused
 	}
 	c.sequence++
 	t := &Ticket{Request: r, sequence: c.sequence}
-	c.addWaiting(t)
+	c.addWaiting(now, t)
 	if len(cust.held) == 0 && cust.limit.tryTake(now) {
 		c.enqueue(now, cust, t)
 		return t, nil
@@ -148,14 +157,16 @@
 }
 
 // addWaiting counts a ticket as waiting.
-func (c *Controller) addWaiting(t *Ticket) {
+func (c *Controller) addWaiting(now time.Time, t *Ticket) {
+	c.recordWait(now, &t.Request, 1)
 	c.waitingCount++
 	c.customers[t.Customer].waitingCount++
 	c.poolFor(t.Pool).deadlines.add(t)
 }
 
 // removeWaiting reverts addWaiting.
-func (c *Controller) removeWaiting(t *Ticket) {
+func (c *Controller) removeWaiting(now time.Time, t *Ticket) {
+	c.recordWait(now, &t.Request, -1)
 	c.waitingCount--
 	c.customers[t.Customer].waitingCount--
 	c.pools[t.Pool].deadlines.remove(t)
@@ -196,7 +207,9 @@
 
 func (c *Controller) enqueue(now time.Time, cust *customer, t *Ticket) {
 	t.phase = phaseQueued
-	c.poolFor(t.Pool).addTicket(now, t, cust.weight())
+	p := c.poolFor(t.Pool)
+	key, weight := c.flowKeyOf(cust, p, &t.Request)
+	p.addTicket(now, t, key, weight)
 }
 
 // Next dispatches the next ticket of the pool for which fits returns true. It
@@ -214,11 +227,20 @@
 		return now.Before(t.Deadline) && (fits == nil || fits(t))
 	}
 	isOverFairShare := func(f *flow) bool { return c.isOverFairShare(poolName, f) }
-	t := p.pick(now, isOverFairShare, canDispatch)
+	var t *Ticket
+	if c.workspaces == nil {
+		t = p.pick(now, isOverFairShare, canDispatch)
+	} else {
+		t = p.pickFair(now, func(f *flow) bool { return c.isWorkspaceOver(now, &f.waiting[0].Request) || isOverFairShare(f) }, canDispatch)
+	}
 	if t == nil {
 		return nil
 	}
-	c.removeWaiting(t)
+	c.removeWaiting(now, t)
+	c.recordRun(now, &t.Request, 1)
+	if c.isWorkspaceOver(now, &t.Request) {
+		c.workspaces.stats.DispatchedOverShare++
+	}
 	t.phase = phaseRunning
 	t.Attempts++
 	t.dispatchedAt = now
@@ -235,12 +257,15 @@
 // exceeds its contract's rate, so its remaining requests also wait behind those of
 // other customers.
 func (c *Controller) isOverFairShare(poolName string, f *flow) bool {
-	cust := c.customers[f.customer]
-	total := c.poolUsage[poolName]
-	if len(cust.held) > 0 && total.weight > f.weight {
+	cust := c.customers[f.key.customer]
+	total, weight := c.poolUsage[poolName], f.weight
+	if c.workspaces != nil {
+		weight = cust.weight() // the flow is one of several
+	}
+	if len(cust.held) > 0 && total.weight > weight {
 		return true
 	}
-	return exceedsFairShare(cust.admittedRate, f.weight, total)
+	return exceedsFairShare(cust.admittedRate, weight, total)
 }
 
 // Requeue puts back a ticket whose attempt ended. The ticket keeps its priority,
@@ -253,8 +278,9 @@
 	}
 	cust := c.customers[t.Customer]
 	cust.runningCount--
+	c.recordRun(now, &t.Request, -1)
 	c.pools[t.Pool].releaseSlot(now, t, 0)
-	c.addWaiting(t)
+	c.addWaiting(now, t)
 	c.enqueue(now, cust, t)
 	c.recheckNeeded = c.recheckNeeded || cust.contract == nil
 	if _, loading := c.readyTimes[t.Unit]; loading {
@@ -309,10 +335,11 @@
 		p.removeTicket(t)
 	case phaseRunning:
 		cust.runningCount--
+		c.recordRun(now, &t.Request, -1)
 		p.releaseSlot(now, t, p.actualCost(t, serviceTime))
 	}
 	if t.isWaiting() {
-		c.removeWaiting(t)
+		c.removeWaiting(now, t)
 	}
 	t.phase = phaseEnded
 	c.deleteIfUnused(cust)
--- a/admission/expire.go
+++ b/admission/expire.go
@@ -45,6 +45,10 @@
 		c.recheckNeeded, c.checkedAt = false, now
 		expired = append(expired, c.expirePredictedLate(now)...)
 	}
+	expired = append(expired, c.takeDisplaced()...)
+	for _, e := range expired {
+		c.noteRefusal(now, &e.Ticket.Request, e.Refusal)
+	}
 	slices.SortFunc(expired, func(a, b Expired) int { return cmp.Compare(a.Ticket.sequence, b.Ticket.sequence) })
 	return expired
 }
@@ -153,10 +157,14 @@
 // false if too little is known.
 func (c *Controller) expectedQueueWait(now time.Time, r Request) (time.Duration, bool) {
 	p := c.pools[r.Pool]
-	if p == nil || p.flows[r.Customer] == nil {
+	if p == nil {
+		return 0, false
+	}
+	key, _ := c.flowKeyOf(c.customers[r.Customer], p, &r)
+	f := p.flows[key]
+	if f == nil {
 		return 0, false
 	}
-	f := p.flows[r.Customer]
 	rate := f.dispatchRates[r.Unit]
 	if rate == nil {
 		return 0, false
@@ -174,7 +182,11 @@
 // checkArrival returns a refusal if a new request exceeds the queue limits or the rate,
 // or will miss its deadline, and nil otherwise.
 func (c *Controller) checkArrival(now time.Time, cust *customer, r Request) *refusal.Refusal {
+	var displaced *Ticket
 	if c.isQueueFull(cust) {
+		displaced = c.findDisplaceable(now, &r)
+	}
+	if displaced == nil && c.isQueueFull(cust) {
 		return refusal.New(refusal.CodeQueueFull, c.queueDrainTime(now, cust), "%d requests of customer %s wait already",
 			cust.waitingCount, cust.name)
 	}
@@ -186,6 +198,9 @@
 		return refusal.New(refusal.CodeRateLimited, wait, "customer %s is over its rate of %g requests a second",
 			cust.name, cust.contract.RequestsPerSecond)
 	}
+	if displaced != nil {
+		c.displace(now, displaced)
+	}
 	return nil
 }
 
@@ -234,7 +249,7 @@
 // when a ticket reaches its latest dispatch time, or when the rate limit may allow a
 // held one. Every other call may change the result.
 func (c *Controller) NextExpiry() (time.Time, bool) {
-	if c.recheckNeeded && c.waitingCount > 0 {
+	if (c.recheckNeeded && c.waitingCount > 0) || (c.workspaces != nil && len(c.workspaces.displaced) > 0) {
 		return c.lastNow, true
 	}
 	var next time.Time
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// flow is one customer's requests in a pool.
+// flow is one customer's requests in a pool, or those of one of its workspaces.
 type flow struct {
-	customer      string
+	key           flowKey
 	weight        float64
 	waiting       ticketList
 	dispatchRates map[string]*dispatchRate // by unit, while any requests wait
@@ -80,7 +80,7 @@
 	if c := cmp.Compare(a.virtualStart, b.virtualStart); c != 0 {
 		return c
 	}
-	return strings.Compare(a.customer, b.customer)
+	return cmp.Or(strings.Compare(a.key.customer, b.key.customer), strings.Compare(a.key.workspace, b.key.workspace))
 }
 
 // pool holds the requests of one base model and shares its engines by start-time
@@ -88,7 +88,7 @@
 // request advances its customer's start time by cost ÷ weight. So a burst delays
 // only its own customer.
 type pool struct {
-	flows map[string]*flow
+	flows map[flowKey]*flow
 	// backlogged are the flows with waiting tickets, sorted by compareFlows.
 	backlogged []*flow
 	// virtualTime is the highest virtual start time that was dispatched.
@@ -112,7 +112,7 @@
 }
 
 func newPool() *pool {
-	return &pool{flows: map[string]*flow{}, fitFailures: map[fitFailureKey]int{}}
+	return &pool{flows: map[flowKey]*flow{}, fitFailures: map[fitFailureKey]int{}}
 }
 
 func (p *pool) insertBacklogged(f *flow) {
@@ -126,18 +126,19 @@
 	}
 }
 
-// flowFor returns the customer's flow. A new one starts at the current virtual time.
-func (p *pool) flowFor(customer string) *flow {
-	f := p.flows[customer]
+// flowFor returns a flow. A new one starts at the current virtual time.
+func (p *pool) flowFor(key flowKey) *flow {
+	f := p.flows[key]
 	if f == nil {
-		f = &flow{customer: customer, virtualStart: p.virtualTime, dispatchRates: map[string]*dispatchRate{}}
-		p.flows[customer] = f
+		f = &flow{key: key, virtualStart: p.virtualTime, dispatchRates: map[string]*dispatchRate{}}
+		p.flows[key] = f
 	}
 	return f
 }
 
-func (p *pool) addTicket(now time.Time, t *Ticket, weight float64) {
-	f := p.flowFor(t.Customer)
+func (p *pool) addTicket(now time.Time, t *Ticket, key flowKey, weight float64) {
+	f := p.flowFor(key)
+	t.flow = f
 	f.weight = weight
 	f.lastUsed = now
 	if len(f.waiting) == 0 {
@@ -155,7 +156,7 @@
 
 // removeTicket removes a waiting ticket that was not dispatched.
 func (p *pool) removeTicket(t *Ticket) {
-	f := p.flows[t.Customer]
+	f := t.flow
 	f.waiting.remove(t)
 	f.dispatchRates[t.Unit].waiting--
 	p.dropUnusedRate(f, t.Unit)
@@ -235,7 +236,7 @@
 // releaseSlot ends t's occupation of an engine and charges its customer the
 // difference between the attempt's actual and expected cost.
 func (p *pool) releaseSlot(now time.Time, t *Ticket, cost float64) {
-	f := p.flows[t.Customer]
+	f := t.flow
 	f.runningCount--
 	f.lastUsed = now
 	isBacklogged := len(f.waiting) > 0
--- a/entryvm/loadsignals.go
+++ b/entryvm/loadsignals.go
@@ -28,8 +28,8 @@
 type WorkspaceUsage struct {
 	Service   string `cbor:"1,keyasint,omitempty"`
 	Workspace string `cbor:"2,keyasint,omitempty"`
-	// Used is the slot time used, in seconds for each second.
-	Used float32 `cbor:"3,keyasint,omitempty"`
+	// Used is the smoothed slot time used, in milliseconds for each second.
+	Used int64 `cbor:"3,keyasint,omitempty"`
 	// Waiting is the number of its requests that wait.
 	Waiting int `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/admission/fairshare"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
@@ -176,6 +177,7 @@
 
 // New returns an entry VM that does nothing until Run is called.
 func New(config Config) *Node {
+	config.Admission.FairWorkspaces = config.Load.FairWorkspaces
 	n := &Node{config: config, startedAt: config.BootClock(), shards: lease.NewShards(config.Lease), settleSignal: make(chan struct{}, 1)}
 	n.registry = reachability{name: "registry", logger: config.Logger}
 	n.configurationFeed.maxDelay, n.configurationFeed.confirmIntervals = config.MaxApplyDelay, configurationConfirmIntervals
@@ -296,6 +298,7 @@
 	n.active.Store(next)
 	n.serving.WithLockedState(func(a *admission.Controller, _ *routing.Router) {
 		a.SetContracts(map[string]*contract.Contract{c.Contract.Customer: c.Contract})
+		a.SetWorkspaceWeights(fairshare.Weights(c.Contract.Workspaces))
 	})
 	n.config.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("from", from),
 		zap.Int("routes", len(c.Contract.Routes)), zap.Int("pools", len(c.Contract.Pools)),
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// maxWorkspaces limits the workspaces of a sum, as a list of a message must not grow without bound.
+const maxWorkspaces = 512
+
+// largestWorkspaces returns the workspaces, or those that use most if there are too many.
+func (s *Sum) largestWorkspaces() []entryvm.WorkspaceUsage {
+	list := slices.Collect(maps.Values(s.workspaces))
+	if len(list) <= maxWorkspaces {
+		return list
+	}
+	slices.SortFunc(list, func(a, b entryvm.WorkspaceUsage) int {
+		return cmp.Or(cmp.Compare(b.Used, a.Used), cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return list[:maxWorkspaces]
+}
+
 // addCounts returns the sum of two lists of counts, of which one may be shorter.
 func addCounts(a, b []uint32) []uint32 {
 	if len(a) < len(b) {
@@ -73,7 +88,7 @@
 
 // Total returns the sum.
 func (s *Sum) Total() *entryvm.LoadSignals {
-	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units))}
+	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: s.largestWorkspaces(), Units: slices.Collect(maps.Values(s.units))}
 	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
 		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
 	})
--- a/internal/loadsignals/loadsignals_test.go
+++ b/internal/loadsignals/loadsignals_test.go
@@ -14,17 +14,17 @@
 func TestSumAddsSignalsOfAllVMs(t *testing.T) {
 	first := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 1, Model: "m", Gaps: []uint32{1, 2}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 1.5, Waiting: 2}},
+		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 1500, Waiting: 2}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Priority: -1, Waiting: 3, Arrived: 2, Dispatched: 1}},
 	}
 	second := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 2, Model: "m", Gaps: []uint32{9}}, {Backend: "e", Started: 1, Model: "m", Gaps: []uint32{1, 1, 1}, FirstEvents: []uint32{4}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 0.5}, {Service: "s", Workspace: "v", Waiting: 1}},
+		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 500}, {Service: "s", Workspace: "v", Waiting: 1}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Waiting: 5}, {Unit: "u", Priority: -1, Waiting: 1, Dispatched: 2}},
 	}
 	want := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 1, Model: "m", Gaps: []uint32{2, 3, 1}, FirstEvents: []uint32{4}}, {Backend: "e", Started: 2, Model: "m", Gaps: []uint32{9}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "v", Waiting: 1}, {Service: "s", Workspace: "w", Used: 2, Waiting: 2}},
+		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "v", Waiting: 1}, {Service: "s", Workspace: "w", Used: 2000, Waiting: 2}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Priority: -1, Waiting: 4, Arrived: 2, Dispatched: 3}, {Unit: "u", Waiting: 5}},
 	}
 	for _, order := range [][]*entryvm.LoadSignals{{first, nil, second}, {second, first}} {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -124,7 +124,7 @@
 		unit, pool = modelUnit.String(), modelUnit.Pool()
 	}
 	request := admission.Request{
-		ID: r.ID, Customer: r.Customer, Unit: unit, Pool: pool, Priority: r.Priority(),
+		ID: r.ID, Customer: r.Customer, Workspace: r.WorkspaceName(), Service: r.Service, Unit: unit, Pool: pool, Priority: r.Priority(),
 		Arrived: r.Arrived, Deadline: r.BeginDeadline, Cost: 1,
 	}
 	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes}
