--- a/admission/workspaces_test.go
+++ b/admission/workspaces_test.go
@@ -10,6 +10,7 @@
 	"bergamotreel/admission/fairshare"
 	"bergamotreel/contract"
 	"bergamotreel/internal/testkit"
+	"bergamotreel/refusal"
 	"bergamotreel/routing"
 )
 
@@ -163,3 +164,76 @@
 		}
 	}
 }
+
+// newWorkspaceController returns a controller with room for three waiting requests, and a function that
+// submits a request of a workspace.
+func newWorkspaceController() (*Controller, func(workspace string, priority int) (*Ticket, *refusal.Refusal)) {
+	c := New(Config{FairWorkspaces: true})
+	c.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 3}})
+	c.SetWorkspaceWeights(map[string]float64{"hot": 1, "calm": 1, "other": 1})
+	return c, func(workspace string, priority int) (*Ticket, *refusal.Refusal) {
+		return c.Submit(epoch, Request{Customer: "c", Workspace: workspace, Service: "s", Unit: "m", Pool: "m", Priority: priority, Arrived: epoch, Deadline: epoch.Add(time.Minute)})
+	}
+}
+
+// Guards against a burst that fills a queue so that others are refused, before and after reports show it,
+// and against a displaced request that is never answered.
+func TestFullQueueRefusesWorkspaceBeyondItsShareFirst(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		c, submit := newWorkspaceController()
+		for range 3 {
+			submit("hot", 1)
+		}
+		if reported {
+			c.SetWorkspaceUsage(epoch, []fairshare.Usage{{Key: fairshare.Key{Service: "s", Workspace: "hot"}, Used: 90_000}, {Key: fairshare.Key{Service: "s", Workspace: "calm"}, Used: 10_000}})
+		}
+		_, refused := submit("calm", 0)
+		testkit.That(t, (refused == nil) == reported, "reported %v: a less urgent request: %v", reported, refused)
+		_, refused = submit("calm", 1)
+		testkit.That(t, refused == nil, "reported %v: %v", reported, refused)
+		_, refused = submit("hot", 1)
+		testkit.That(t, refused != nil && refused.Code == refusal.CodeQueueFull, "reported %v: the burst: %v", reported, refused)
+		at, due := c.NextExpiry()
+		testkit.That(t, due && at.Equal(epoch), "reported %v: Expire is due at %v, %v", reported, at, due)
+		want := c.TakeWorkspaceStats().Displaced
+		expired := c.Expire(epoch)
+		testkit.That(t, want > 0 && len(expired) == want, "reported %v: %d of %d displaced requests answered", reported, len(expired), want)
+		for _, e := range expired {
+			testkit.That(t, e.Ticket.Workspace == "hot" && e.Ticket.HasEnded() && e.Refusal.Ran == refusal.RanNo && e.Refusal.RetryAfter > 0, "got %+v", e.Refusal)
+		}
+	}
+}
+
+// Guards against a workspace beyond its share that goes before others, against less urgent requests that go
+// before another workspace's urgent ones, and against reserved slots for a workspace beyond its share.
+func TestWorkspacesGoByShareThenPriority(t *testing.T) {
+	c, submit := newWorkspaceController()
+	c.SetWorkspaceUsage(epoch, []fairshare.Usage{{Key: fairshare.Key{Service: "s", Workspace: "hot"}, Used: 90_000}, {Key: fairshare.Key{Service: "s", Workspace: "calm"}, Used: 10_000}})
+	submit("hot", 2)
+	submit("calm", 0)
+	submit("other", 1)
+	order := ""
+	for t := c.Next(epoch, "m", nil); t != nil; t = c.Next(epoch, "m", nil) {
+		order += fmt.Sprint(t.Workspace, t.OverFairShare, " ")
+	}
+	testkit.Equal(t, "order", order, "otherfalse calmfalse hottrue ")
+}
+
+// Guards against a flow that remains after its workspace's last key was revoked while its requests waited, and
+// against flows without bound.
+func TestFlowsOfWorkspacesAreBounded(t *testing.T) {
+	c, submit := newWorkspaceController()
+	ticket, _ := submit("calm", 0)
+	c.SetWorkspaceWeights(map[string]float64{"hot": 1})
+	c.ReportWorkspaces(epoch, 1)
+	testkit.That(t, c.Next(epoch, "m", nil) == ticket, "the waiting request is lost")
+	c.Finish(epoch, ticket, Outcome{OK: true})
+	testkit.That(t, len(c.ReportWorkspaces(epoch.Add(time.Minute), 1)) == 0 && len(c.pools) == 0, "state remains: %v", c.pools)
+	for i := range 3 * maxPoolFlows {
+		ticket, _ := submit(fmt.Sprint("w", i), 0)
+		c.Cancel(epoch, ticket)
+	}
+	testkit.That(t, len(c.pools["m"].flows) <= maxPoolFlows+1, "%d flows", len(c.pools["m"].flows))
+	c.ReportWorkspaces(epoch.Add(2*flowIdleTTL), 1)
+	testkit.That(t, len(c.pools) == 0, "idle flows remain")
+}
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -43,6 +43,8 @@
 	// partitionOf, if set, returns the partition of a VM; VMs of different partitions don't
 	// reach each other.
 	partitionOf func(vm string) int
+	// mute, if set, is a VM whose calls to other VMs fail, while theirs to it succeed.
+	mute string
 	// reportDelay is the time that a report takes to arrive, swapsRefused the number of swaps
 	// that a keeper did not begin.
 	reportDelay  time.Duration
@@ -64,6 +66,8 @@
 	quotaSlack          float64
 	// retryShare and retrySlack are the VMs' retry budget.
 	retryShare, retrySlack float64
+	// load are the load policies of VMs booted next.
+	load LoadPolicies
 	// uplinkBytesPerSecond is the rate at which each VM can send its knowledge, 0 for no
 	// bound. The VMs that download it at the same time share the rate; downloads counts them.
 	uplinkBytesPerSecond int
@@ -140,7 +144,7 @@
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:          Peers{Registry: vmRegistry{w.registry, vm}, Engines: vmEngines{w, vm}, Backends: forwarder, EntryVMs: client},
 		Lease:          lease.ShardConfig{JoinTTL: 4 * time.Second, MinHandoverGap: 3 * time.Second, MaxOrderDelay: time.Second},
-		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, RetryShare: w.retryShare, RetrySlack: w.retrySlack, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
+		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, RetryShare: w.retryShare, RetrySlack: w.retrySlack, Load: w.load, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
 	client.process = n
 	ctx, stop := context.WithCancel(context.Background())
@@ -294,7 +298,7 @@
 	w.bed.mu.Lock()
 	defer w.bed.mu.Unlock()
 	n, from := w.bed.nodes[address], w.bed.nodes[w.from]
-	if n == nil || from == nil || from != w.process || w.bed.isolated[address] || w.bed.isolated[w.from] {
+	if n == nil || from == nil || from != w.process || w.bed.isolated[address] || w.bed.isolated[w.from] || w.bed.mute == w.from {
 		return nil, errPartitioned
 	}
 	if side := w.bed.partitionOf; side != nil && side(address) != side(w.from) {
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -83,3 +83,16 @@
 	p.signalsSentAt = now
 	return true
 }
+
+// takeSumTurn is takeSignalsTurn for the sums that relays send.
+func (m *members) takeSumTurn(now time.Time, address string) bool {
+	p := m.peers[address]
+	if p == nil {
+		return true
+	}
+	if now.Sub(p.sumSentAt) < signalsInterval {
+		return false
+	}
+	p.sumSentAt = now
+	return true
+}
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -87,6 +87,8 @@
 	loadSentAt time.Time
 	// signalsSentAt is when it was last sent this VM's signals.
 	signalsSentAt time.Time
+	// sumSentAt is when it was last sent a sum of signals.
+	sumSentAt time.Time
 	// renewedAt is when it was last sent renewals of updates.
 	renewedAt time.Time
 	// unwantedAt is since when no exchange with it has been wanted, zero while one is.
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -43,7 +43,9 @@
 		if loadDue {
 			o.HasSums = true
 			o.InFlight, o.EnginesMissingUnits = m.inFlightForMember(now, own, to)
-			o.Signals = m.sumSignals(now)
+			if m.takeSumTurn(now, to.Address) {
+				o.Signals = m.sumSignals(now)
+			}
 		}
 		o.Plan = m.currentPlan(now)
 		return o
@@ -56,7 +58,10 @@
 	switch {
 	case !loadDue:
 		load = &entryvm.Load{Partial: true, Waiting: load.Waiting}
-	case !isPlanner:
+	case !m.takeSumTurn(now, to.Address):
+		load.Signals = nil
+	}
+	if loadDue && !isPlanner {
 		load.Running = m.sumByBackend(load.Running, to.Domain)
 	}
 	for i := range o.Domains {
--- a/internal/hosted/runningcounts.go
+++ b/internal/hosted/runningcounts.go
@@ -130,8 +130,9 @@
 // domainLoad sums the loads of this domain for relays of other domains: what its VMs
 // reported, and this VM's own report, which is about to be sent. Call with mu held.
 func (m *members) domainLoad(now time.Time, own *entryvm.Report) *entryvm.Load {
-	sum := newLoadSum()
-	sum.add(loadOf(own))
+	sum, ownLoad := newLoadSum(), loadOf(own)
+	ownLoad.Signals = m.signals.own // the report carries them only once per signalsInterval
+	sum.add(ownLoad)
 	m.eachLiveLocked(now, func(r *entryvm.Report) {
 		if r.Domain == own.Domain {
 			sum.add(loadOf(r))
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -215,7 +215,9 @@
 		return
 	}
 	m.relayed.inFlightElsewhere, m.relayed.inFlightElsewhereAt = o.InFlight, now
-	m.signals.relayed, m.signals.relayedAt = o.Signals, now
+	if o.Signals != nil {
+		m.signals.relayed, m.signals.relayedAt = o.Signals, now
+	}
 	m.runningCounts.stale = true
 }
 
@@ -231,8 +233,11 @@
 		view.load.Waiting = update.Load.Waiting
 		return
 	}
-	rates := view.load.Rates
+	rates, signals := view.load.Rates, view.load.Signals
 	view.load, view.loadAt = *update.Load, now
+	if update.Load.Signals == nil {
+		view.load.Signals = signals
+	}
 	if update.Load.Rates == nil {
 		view.load.Rates = rates
 	}
