entryvm, loadsignals: shorter messages of workspaces' usage

Usage is grouped by service, only relays get single VMs' signals in a large fleet, and sums hold the 64 largest. Passes: go test ./entryvm ./internal/loadsignals ./admission/fairshare, and TestBurstOfWorkspaceIsKnownToAllVMs of internal/hosted.

--- a/admission/fairshare/fairshare_test.go
+++ b/admission/fairshare/fairshare_test.go
@@ -32,7 +32,10 @@
 		"map[inf:1 nan:1 neg:1]": fairshare.Weights([]contract.Workspace{{Name: "nan", Quota: quota(contract.CountTokens, math.NaN())},
 			{Name: "inf", Quota: quota(contract.CountTokens, math.Inf(1))}, {Name: "neg", Quota: quota(contract.CountTokens, -1)}}),
 	} {
-		testkit.Equal(t, "weights", fmt.Sprintf("%.3g", weights), want)
+		for name, weight := range weights {
+			weights[name] = math.Round(100*weight) / 100
+		}
+		testkit.Equal(t, "weights", fmt.Sprint(weights), want)
 	}
 }
 
--- a/entryvm/loadsignals.go
+++ b/entryvm/loadsignals.go
@@ -6,8 +6,9 @@
 type LoadSignals struct {
 	// Paces are how fast engines write streams.
 	Paces []EnginePace `cbor:"1,keyasint,omitempty"`
-	// Workspaces are what workspaces use of the engines.
-	Workspaces []WorkspaceUsage `cbor:"2,keyasint,omitempty"`
+	// Workspaces are what workspaces use of the backend servers, by service: names of services would
+	// be a third of the message otherwise.
+	Workspaces []ServiceUsage `cbor:"2,keyasint,omitempty"`
 	// Units are the requests that wait for and are sent to each unit.
 	Units []UnitLoad `cbor:"3,keyasint,omitempty"`
 }
@@ -24,14 +25,22 @@
 	FirstEvents []uint32 `cbor:"5,keyasint,omitempty"`
 }
 
-// WorkspaceUsage is what a workspace uses of a service's engines. Its key is Service and Workspace.
+// ServiceUsage is what workspaces use of a service's backend servers, sorted by workspace. Its key is
+// Service.
+type ServiceUsage struct {
+	Service    string           `cbor:"1,keyasint,omitempty"`
+	Workspaces []WorkspaceUsage `cbor:"2,keyasint,omitempty"`
+}
+
+// WorkspaceUsage is what a workspace uses of a service. Its key is Workspace. It is encoded as an array,
+// so fields can't be added to it.
 type WorkspaceUsage struct {
-	Service   string `cbor:"1,keyasint,omitempty"`
-	Workspace string `cbor:"2,keyasint,omitempty"`
+	_         struct{} `cbor:",toarray"`
+	Workspace string
 	// Used is the smoothed slot time used, in milliseconds for each second.
-	Used int64 `cbor:"3,keyasint,omitempty"`
+	Used int64
 	// Waiting is the number of its requests that wait.
-	Waiting int `cbor:"4,keyasint,omitempty"`
+	Waiting int
 }
 
 // UnitLoad is the load of a unit by requests of one priority. Its key is Unit and Priority.
--- a/internal/hosted/fairworkspaces.go
+++ b/internal/hosted/fairworkspaces.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// maxReportedWorkspaces limits the workspaces in one VM's signals. At 24 bytes each they take
-	// 0.8 KB, of the 24 KB/s that a VM may spend on all signals.
+	// maxReportedWorkspaces limits the workspaces in one VM's signals, to about 0.5 KB.
 	maxReportedWorkspaces = 32
 	// maxLoggedShareChanges limits the log lines of one sum over all VMs.
 	maxLoggedShareChanges = 10
@@ -29,7 +28,7 @@
 
 // measureWorkspaces returns what workspaces use through this VM, nothing unless workspaces share
 // fairly.
-func (n *Node) measureWorkspaces(now time.Time) []entryvm.WorkspaceUsage {
+func (n *Node) measureWorkspaces(now time.Time) []entryvm.ServiceUsage {
 	if !n.config.Load.FairWorkspaces {
 		return nil
 	}
@@ -41,21 +40,27 @@
 	workspaceDispatches.Add(stats.DispatchedOverShare)
 	workspaceRefusals.Add(stats.RefusedOverShare)
 	workspaceDisplacement.Add(stats.Displaced)
-	out := make([]entryvm.WorkspaceUsage, 0, len(usage))
-	for _, u := range usage {
-		out = append(out, entryvm.WorkspaceUsage{Service: u.Service, Workspace: u.Workspace, Used: u.Used, Waiting: u.Waiting})
+	var out []entryvm.ServiceUsage
+	for _, u := range usage { // sorted by service
+		if len(out) == 0 || out[len(out)-1].Service != u.Service {
+			out = append(out, entryvm.ServiceUsage{Service: u.Service})
+		}
+		last := &out[len(out)-1]
+		last.Workspaces = append(last.Workspaces, entryvm.WorkspaceUsage{Workspace: u.Workspace, Used: u.Used, Waiting: u.Waiting})
 	}
 	return out
 }
 
 // applyWorkspaces uses what workspaces use over all VMs.
-func (n *Node) applyWorkspaces(now time.Time, fleet []entryvm.WorkspaceUsage) {
+func (n *Node) applyWorkspaces(now time.Time, fleet []entryvm.ServiceUsage) {
 	if !n.config.Load.FairWorkspaces {
 		return
 	}
-	usage := make([]fairshare.Usage, 0, len(fleet))
-	for _, w := range fleet {
-		usage = append(usage, fairshare.Usage{Key: fairshare.Key{Service: w.Service, Workspace: w.Workspace}, Used: w.Used, Waiting: w.Waiting})
+	var usage []fairshare.Usage
+	for _, s := range fleet {
+		for _, w := range s.Workspaces {
+			usage = append(usage, fairshare.Usage{Key: fairshare.Key{Service: s.Service, Workspace: w.Workspace}, Used: w.Used, Waiting: w.Waiting})
+		}
 	}
 	var changes []fairshare.Change
 	over := 0
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -36,7 +36,9 @@
 		resend = m.dueResends(now, to.VM) // an answer gets no answer
 	}
 	var ownSignals *entryvm.LoadSignals
-	if m.takeSignalsTurn(now, to.Address) {
+	// In a large fleet only the domain's relays use them; the others get sums.
+	used := !large || (to.Domain == n.config.Domain && m.currentRoles(now).isRelayOf(to.Domain, to.VM))
+	if used && m.takeSignalsTurn(now, to.Address) {
 		ownSignals = m.signals.own
 	}
 	m.mu.Unlock()
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -45,11 +45,13 @@
 		p.Gaps, p.FirstEvents = addCounts(known.Gaps, p.Gaps), addCounts(known.FirstEvents, p.FirstEvents)
 		s.paces[key] = p
 	}
-	for _, w := range signals.Workspaces {
-		key := workspaceKey{w.Service, w.Workspace}
-		known := s.workspaces[key]
-		w.Used, w.Waiting = known.Used+w.Used, known.Waiting+w.Waiting
-		s.workspaces[key] = w
+	for _, service := range signals.Workspaces {
+		for _, w := range service.Workspaces {
+			key := workspaceKey{service.Service, w.Workspace}
+			known := s.workspaces[key]
+			w.Used, w.Waiting = known.Used+w.Used, known.Waiting+w.Waiting
+			s.workspaces[key] = w
+		}
 	}
 	for _, u := range signals.Units {
 		key := unitKey{u.Unit, u.Priority}
@@ -59,19 +61,33 @@
 	}
 }
 
-// maxWorkspaces limits the workspaces of a sum, as a list of a message must not grow without bound.
-const maxWorkspaces = 512
+// maxWorkspaces limits the workspaces of a sum to those that use most. Relays send sums to each VM of
+// their domain; 64 workspaces take about 1 KB.
+const maxWorkspaces = 64
 
-// largestWorkspaces returns the workspaces, or those that use most if there are too many.
-func (s *Sum) largestWorkspaces() []entryvm.WorkspaceUsage {
-	list := slices.Collect(maps.Values(s.workspaces))
-	if len(list) <= maxWorkspaces {
-		return list
+// largestWorkspaces returns the workspaces by service, or those that use most if there are too many.
+func (s *Sum) largestWorkspaces() []entryvm.ServiceUsage {
+	keys := slices.Collect(maps.Keys(s.workspaces))
+	compareKeys := func(a, b workspaceKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.workspace, b.workspace))
 	}
-	slices.SortFunc(list, func(a, b entryvm.WorkspaceUsage) int {
-		return cmp.Or(cmp.Compare(b.Used, a.Used), cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
-	})
-	return list[:maxWorkspaces]
+	if len(keys) > maxWorkspaces {
+		slices.SortFunc(keys, func(a, b workspaceKey) int {
+			x, y := s.workspaces[a], s.workspaces[b]
+			return cmp.Or(cmp.Compare(y.Used, x.Used), cmp.Compare(y.Waiting, x.Waiting), compareKeys(a, b))
+		})
+		keys = keys[:maxWorkspaces]
+	}
+	slices.SortFunc(keys, compareKeys)
+	var list []entryvm.ServiceUsage
+	for _, key := range keys {
+		if len(list) == 0 || list[len(list)-1].Service != key.service {
+			list = append(list, entryvm.ServiceUsage{Service: key.service})
+		}
+		last := &list[len(list)-1]
+		last.Workspaces = append(last.Workspaces, s.workspaces[key])
+	}
+	return list
 }
 
 // addCounts returns the sum of two lists of counts, of which one may be shorter.
@@ -92,9 +108,6 @@
 	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
 		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
 	})
-	slices.SortFunc(total.Workspaces, func(a, b entryvm.WorkspaceUsage) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
-	})
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
 		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
 	})
--- a/internal/loadsignals/loadsignals_test.go
+++ b/internal/loadsignals/loadsignals_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strconv"
 	"testing"
 
 	"bergamotreel/entryvm"
@@ -14,17 +15,17 @@
 func TestSumAddsSignalsOfAllVMs(t *testing.T) {
 	first := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 1, Model: "m", Gaps: []uint32{1, 2}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 1500, Waiting: 2}},
+		Workspaces: []entryvm.ServiceUsage{{Service: "s", Workspaces: []entryvm.WorkspaceUsage{{Workspace: "w", Used: 1500, Waiting: 2}}}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Priority: -1, Waiting: 3, Arrived: 2, Dispatched: 1}},
 	}
 	second := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 2, Model: "m", Gaps: []uint32{9}}, {Backend: "e", Started: 1, Model: "m", Gaps: []uint32{1, 1, 1}, FirstEvents: []uint32{4}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "w", Used: 500}, {Service: "s", Workspace: "v", Waiting: 1}},
+		Workspaces: []entryvm.ServiceUsage{{Service: "r", Workspaces: []entryvm.WorkspaceUsage{{Workspace: "w", Used: 7}}}, {Service: "s", Workspaces: []entryvm.WorkspaceUsage{{Workspace: "w", Used: 500}, {Workspace: "v", Waiting: 1}}}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Waiting: 5}, {Unit: "u", Priority: -1, Waiting: 1, Dispatched: 2}},
 	}
 	want := &entryvm.LoadSignals{
 		Paces:      []entryvm.EnginePace{{Backend: "e", Started: 1, Model: "m", Gaps: []uint32{2, 3, 1}, FirstEvents: []uint32{4}}, {Backend: "e", Started: 2, Model: "m", Gaps: []uint32{9}}},
-		Workspaces: []entryvm.WorkspaceUsage{{Service: "s", Workspace: "v", Waiting: 1}, {Service: "s", Workspace: "w", Used: 2000, Waiting: 2}},
+		Workspaces: []entryvm.ServiceUsage{{Service: "r", Workspaces: []entryvm.WorkspaceUsage{{Workspace: "w", Used: 7}}}, {Service: "s", Workspaces: []entryvm.WorkspaceUsage{{Workspace: "v", Waiting: 1}, {Workspace: "w", Used: 2000, Waiting: 2}}}},
 		Units:      []entryvm.UnitLoad{{Unit: "u", Priority: -1, Waiting: 4, Arrived: 2, Dispatched: 3}, {Unit: "u", Waiting: 5}},
 	}
 	for _, order := range [][]*entryvm.LoadSignals{{first, nil, second}, {second, first}} {
@@ -36,3 +37,14 @@
 	}
 	testkit.That(t, slices.Equal(first.Paces[0].Gaps, []uint32{1, 2}), "the first VM's gaps changed to %v", first.Paces[0].Gaps)
 }
+
+// Guards against sums that grow with the number of workspaces, or leave out the largest ones.
+func TestSumKeepsLargestWorkspaces(t *testing.T) {
+	sum, service := loadsignals.NewSum(), entryvm.ServiceUsage{Service: "s"}
+	for i := range 500 {
+		service.Workspaces = append(service.Workspaces, entryvm.WorkspaceUsage{Workspace: strconv.Itoa(i), Used: int64(i)})
+	}
+	sum.Add(&entryvm.LoadSignals{Workspaces: []entryvm.ServiceUsage{service}})
+	list := sum.Total().Workspaces[0].Workspaces
+	testkit.That(t, len(list) == 64 && list[0].Workspace == "436" && list[63].Workspace == "499", "%d workspaces: %v", len(list), list)
+}
