--- a/admission/queue.go
+++ b/admission/queue.go
@@ -101,6 +101,9 @@
 	serviceTimeSamples int
 	// fitFailures counts the tickets for which fits returned false in one call of pick.
 	fitFailures map[fitFailureKey]int
+	// within, over and next are buffers of pickFair.
+	within, over []*flow
+	next         []int
 }
 
 // fitFailureKey groups tickets that did not fit. That a ticket of a customer over its fair
--- a/admission/workspaces.go
+++ b/admission/workspaces.go
@@ -153,7 +153,7 @@
 // as was the case when a customer's workspaces had one flow.
 func (p *pool) pickFair(now time.Time, isOverFairShare func(*flow) bool, fits func(*Ticket) bool) *Ticket {
 	clear(p.fitFailures)
-	var within, over []*flow
+	within, over := p.within[:0], p.over[:0]
 	for _, f := range p.backlogged {
 		if isOverFairShare(f) {
 			over = append(over, f)
@@ -161,6 +161,7 @@
 			within = append(within, f)
 		}
 	}
+	p.within, p.over = within, over
 	if t := p.pickByPriority(now, within, false, fits); t != nil {
 		return t
 	}
@@ -170,7 +171,9 @@
 // pickByPriority dispatches and returns the next ticket of the flows that fits. The flows are sorted
 // by compareFlows.
 func (p *pool) pickByPriority(now time.Time, flows []*flow, overFairShare bool, fits func(*Ticket) bool) *Ticket {
-	next := make([]int, len(flows)) // the first ticket of each flow that was not considered yet
+	// next holds the index of the first ticket of each flow that was not considered yet.
+	p.next = append(p.next[:0], make([]int, len(flows))...)
+	next := p.next
 	for {
 		priority, found := 0, false
 		for i, f := range flows {
--- a/admission/workspaces_test.go
+++ b/admission/workspaces_test.go
@@ -34,8 +34,8 @@
 	ends    map[time.Time][]func()
 	reports [][]fairshare.Usage // the newest report of each VM
 	sentAt  []time.Time
-	// arrived and inTime count the requests of other workspaces during the burst.
-	arrived, inTime int
+	// arrived, inTime and refused count the requests of other workspaces, the first two during the burst.
+	arrived, inTime, refused int
 }
 
 func (s *burstFleet) run() float64 {
@@ -75,7 +75,10 @@
 				if i > 0 && bursting {
 					s.arrived++
 				}
-				_, _ = s.nodes[vm].Submit(now, Request{Customer: "c", Workspace: workspaces[i].Name, Service: "s", Unit: "m", Pool: "m", Arrived: now, Deadline: now.Add(10 * time.Second)})
+				_, refused := s.nodes[vm].Submit(now, Request{Customer: "c", Workspace: workspaces[i].Name, Service: "s", Unit: "m", Pool: "m", Arrived: now, Deadline: now.Add(4 * time.Second)})
+				if refused != nil && i > 0 {
+					s.refused++
+				}
 			}
 		}
 		for _, vm := range s.random.Perm(s.vms) {
@@ -100,7 +103,11 @@
 }
 
 func (s *burstFleet) dispatch(now time.Time, c *Controller, meanService time.Duration) {
-	c.Expire(now)
+	for _, e := range c.Expire(now) {
+		if e.Ticket.Workspace != "w0" {
+			s.refused++
+		}
+	}
 	fits := func(t *Ticket) bool {
 		free := s.slots - s.busy
 		return free > 0 && (!t.OverFairShare || free > routing.PoolReserve(s.slots))
@@ -159,7 +166,8 @@
 		testkit.That(t, unfair < 0.9*without, "%d VMs: without fair shares %.3f in time, so the test can't detect unfairness", size.vms, unfair)
 		for name, fleet := range map[string]*burstFleet{"usual": &usual, "burst at one VM": &oneVM, "reports 2 s old": &old, "reports lost": &lossy, "VMs frozen": &freezing} {
 			share := fleet.run()
-			t.Logf("%d VMs, %s: %.3f in time, %.3f without a burst, %.3f without fair shares", size.vms, name, share, without, unfair)
+			t.Logf("%d VMs, %s: %.3f in time, %.3f without a burst, %.3f without fair shares, %d and %d refused", size.vms, name, share, without, unfair, fleet.refused, off.refused)
+			testkit.That(t, 1000*fleet.refused <= fleet.arrived, "%d VMs, %s: %d requests of other workspaces refused", size.vms, name, fleet.refused)
 			testkit.That(t, share >= 0.95*without, "%d VMs, %s: %.3f in time, want 0.95 of %.3f", size.vms, name, share, without)
 		}
 	}
