--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -25,7 +25,7 @@
 
 // measureSignals returns what this VM measures.
 func (n *Node) measureSignals(now time.Time) *entryvm.LoadSignals {
-	signals := &entryvm.LoadSignals{}
+	signals := &entryvm.LoadSignals{Workspaces: n.measureWorkspaces(now)}
 	n.backendQueues.report(now, signals)
 	return signals
 }
@@ -33,6 +33,7 @@
 // applySignals uses the signals of all VMs.
 func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {
 	n.backendQueues.setFleet(now, fleet)
+	n.applyWorkspaces(now, fleet.Workspaces)
 }
 
 // updateSignals measures this VM's signals and applies the sum over all VMs if either is due. It must
@@ -85,3 +86,16 @@
 	p.signalsSentAt = now
 	return true
 }
+
+// takeSumTurn is takeSignalsTurn for the sums that relays send.
+func (m *members) takeSumTurn(now time.Time, address string) bool {
+	p := m.peers[address]
+	if p == nil {
+		return true
+	}
+	if now.Sub(p.sumSentAt) < signalsInterval {
+		return false
+	}
+	p.sumSentAt = now
+	return true
+}
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -49,11 +49,13 @@
 		p.Gaps, p.FirstEvents = addCounts(known.Gaps, p.Gaps), addCounts(known.FirstEvents, p.FirstEvents)
 		s.paces[key] = p
 	}
-	for _, w := range signals.Workspaces {
-		key := workspaceKey{w.Service, w.Workspace}
-		known := s.workspaces[key]
-		w.Used, w.Waiting = known.Used+w.Used, known.Waiting+w.Waiting
-		s.workspaces[key] = w
+	for _, service := range signals.Workspaces {
+		for _, w := range service.Workspaces {
+			key := workspaceKey{service.Service, w.Workspace}
+			known := s.workspaces[key]
+			w.Used, w.Waiting = known.Used+w.Used, known.Waiting+w.Waiting
+			s.workspaces[key] = w
+		}
 	}
 	for _, u := range signals.Units {
 		key := unitKey{u.Unit, u.Priority}
@@ -70,6 +72,35 @@
 	}
 }
 
+// maxWorkspaces limits the workspaces of a sum to those that use most. Relays send sums to each VM of
+// their domain; 64 workspaces take about 1 KB.
+const maxWorkspaces = 64
+
+// largestWorkspaces returns the workspaces by service, or those that use most if there are too many.
+func (s *Sum) largestWorkspaces() []entryvm.ServiceUsage {
+	keys := slices.Collect(maps.Keys(s.workspaces))
+	compareKeys := func(a, b workspaceKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.workspace, b.workspace))
+	}
+	if len(keys) > maxWorkspaces {
+		slices.SortFunc(keys, func(a, b workspaceKey) int {
+			x, y := s.workspaces[a], s.workspaces[b]
+			return cmp.Or(cmp.Compare(y.Used, x.Used), cmp.Compare(y.Waiting, x.Waiting), compareKeys(a, b))
+		})
+		keys = keys[:maxWorkspaces]
+	}
+	slices.SortFunc(keys, compareKeys)
+	var list []entryvm.ServiceUsage
+	for _, key := range keys {
+		if len(list) == 0 || list[len(list)-1].Service != key.service {
+			list = append(list, entryvm.ServiceUsage{Service: key.service})
+		}
+		last := &list[len(list)-1]
+		last.Workspaces = append(last.Workspaces, s.workspaces[key])
+	}
+	return list
+}
+
 // addCounts returns the sum of two lists of counts, of which one may be shorter.
 func addCounts(a, b []uint32) []uint32 {
 	if len(a) < len(b) {
@@ -84,14 +115,11 @@
 
 // Total returns the sum.
 func (s *Sum) Total() *entryvm.LoadSignals {
-	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units)),
+	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: s.largestWorkspaces(), Units: slices.Collect(maps.Values(s.units)),
 		Queues: slices.Collect(maps.Values(s.queues))}
 	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
 		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
 	})
-	slices.SortFunc(total.Workspaces, func(a, b entryvm.WorkspaceUsage) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
-	})
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
 		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
 	})
