routing, hosted: engines' paces are shared and routing avoids late streams (engine_pace)

Routing knew only this VM's own first-token times, and nothing of gaps between events, so long streams went to slow engines as often as to others. VMs now count first events and gaps by engine start and model, sum the histograms over the fleet, and add the estimated probability of a missed target to the cost and the weight of an engine.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -38,9 +38,9 @@
 	// Key is the caller's API key, empty for none.
 	Key string
 	// Tokens is the number of tokens of the prompt plus the maximum number to
-	// generate. It is valid only if HasTokens is set.
-	Tokens    int64
-	HasTokens bool
+	// generate, OutputTokens that maximum. Both are valid only if HasTokens is set.
+	Tokens, OutputTokens int64
+	HasTokens            bool
 }
 
 // Dialect translates the headers of the platform's callers.
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -77,7 +77,7 @@
 		}
 		out = append(out, routing.Candidate{
 			Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
-			Indirect: b.isIndirect(),
+			Indirect: b.isIndirect(), Pace: n.estimatePace(now, b, wanted),
 		})
 	})
 	return n.filterReachable(now, out)
@@ -123,7 +123,7 @@
 	if !ok {
 		return service.Target{}, false
 	}
-	target := service.Target{ID: b.ID, Address: b.Address, Version: b.Version}
+	target := service.Target{ID: b.ID, Address: b.Address, Version: b.Version, Started: b.start}
 	if b.isIndirect() {
 		target.Gateway = n.paths.pickGateway(time.Now(), b.ID)
 	}
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -25,11 +25,15 @@
 
 // measureSignals returns what this VM measures.
 func (n *Node) measureSignals(now time.Time) *entryvm.LoadSignals {
-	return &entryvm.LoadSignals{}
+	signals := &entryvm.LoadSignals{}
+	signals.Paces = n.reportPaces(now)
+	return signals
 }
 
 // applySignals uses the signals of all VMs.
-func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {}
+func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {
+	n.applyPaces(now, fleet)
+}
 
 // updateSignals measures this VM's signals and applies the sum over all VMs if either is due. It must
 // be called without mu.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -27,6 +27,7 @@
 	"bergamotreel/refusal"
 	"bergamotreel/registry"
 	"bergamotreel/routing"
+	"bergamotreel/routing/pace"
 	"bergamotreel/service"
 )
 
@@ -144,7 +145,9 @@
 	retrySlack      *retrySlack
 	paths           *backendPaths
 	streamVersions  *streamVersions
-	registry        reachability
+	// paces is the pace of engines, nil if Config.Load.EnginePace is off.
+	paces    *pace.Table
+	registry reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
 
@@ -198,7 +201,7 @@
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, ForwardDirectory: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
-		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
+		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes, Pace: n.newPaceRecorder(),
 	})
 	return n
 }
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -169,6 +169,7 @@
 		if f.eventStream {
 			f.boundary.advance(piece)
 		}
+		f.observePace(now)
 		f.recordProgress(now)
 	}
 	return true
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -118,6 +118,8 @@
 	inEvent bool
 	// afterCR is whether the last byte ended a line as CR: a following LF belongs to it.
 	afterCR bool
+	// events counts the finished events.
+	events int
 }
 
 // advance processes the next piece of the stream.
@@ -139,6 +141,9 @@
 func (b *eventBoundary) endLine() {
 	switch {
 	case !b.inLine:
+		if b.inEvent {
+			b.events++
+		}
 		b.inEvent = false
 	case !b.inComment:
 		b.inEvent = true
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -127,7 +127,7 @@
 		ID: r.ID, Customer: r.Customer, Unit: unit, Pool: pool, Priority: r.Priority(),
 		Arrived: r.Arrived, Deadline: r.BeginDeadline, Cost: 1,
 	}
-	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes}
+	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes, Pace: s.paceTargets(&r, pool)}
 }
 
 // forwarding is the state of one opaque request that is being forwarded.
@@ -154,6 +154,8 @@
 	// in it the received data ends.
 	eventStream bool
 	boundary    eventBoundary
+	// pace is what was measured of the current attempt's stream.
+	pace streamPace
 	// version is the software version at which the stream has to go on, empty while it may begin
 	// at any.
 	version string
@@ -332,6 +334,7 @@
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
+	f.pace = streamPace{isWhole: f.lastEventID == ""}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
 	if !ok {
 		f.outcome = attemptOutcome{excludeBackend: true}
@@ -363,6 +366,7 @@
 		f.server.forwardDirectory().RecordAbandoned(f.pending.backend)
 	}
 	f.reportToQuarantine(ctx, head, err)
+	f.finishPace(err)
 	return err
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -16,6 +16,7 @@
 	"bergamotreel/engine"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
+	"bergamotreel/routing/pace"
 	"bergamotreel/service"
 )
 
@@ -59,6 +60,9 @@
 	// only forwards.
 	Forwarder        service.Forwarder
 	ForwardDirectory ForwardDirectory
+	// Pace, if not nil, records how fast engines write streams. Forwarded streams with a target for
+	// their gaps then go to engines that can keep their targets, as far as Directory knows their pace.
+	Pace PaceRecorder
 	// Quarantine may be nil: then no forwarded request is refused for earlier crashes.
 	Quarantine Quarantine
 }
@@ -87,6 +91,8 @@
 	abandoned  chan abandonedRequest
 
 	startedAt time.Time
+	// streamLengths estimates how many events streams have, by pool.
+	streamLengths *pace.Lengths
 
 	mu     sync.Mutex
 	budget *admission.RetryBudget
@@ -134,6 +140,7 @@
 		missingReportedAt: make(map[string]time.Time),
 		incarnations:      make(map[string]uint64),
 		cacheCursors:      make(map[string]*cacheCursor),
+		streamLengths:     pace.NewLengths(),
 
 		activeUnits:   make(map[string]unitActivity),
 		runningCounts: make(map[runKey]int),
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -358,7 +358,7 @@
 // engine's slots. Lower is better.
 func (r *Router) cost(now time.Time, q Query, v *eligibleEngine) float64 {
 	load := 1 - float64(v.freeSlots-1)/float64(v.candidate.Slots)
-	cost := load * r.latency[q.Pool].slowness(now, v.candidate.Engine)
+	cost := load*r.slowness(now, q, v) + paceCost*missProbability(now, q, v)
 	if !v.sameDomain {
 		cost += otherDomainCost
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -15,6 +15,8 @@
 
 import (
 	"time"
+
+	"bergamotreel/routing/pace"
 )
 
 // Candidate is an engine that could take a request, with what the entry VM knows
@@ -55,6 +57,8 @@
 	// PeersInFlightAge is the age of PeersInFlight if many entry VMs choose by the same
 	// counts. It is 0 if there are few entry VMs or the count is recent.
 	PeersInFlightAge time.Duration
+	// Pace is how fast the engine writes streams of the unit's model, nil if unknown.
+	Pace *pace.Distribution
 }
 
 // roleDecode is the role of engines that take no new prompts.
@@ -72,6 +76,8 @@
 	// OverFairShare is whether the customer uses more than its fair share (see
 	// admission.Ticket). Such a request must leave the pool's reserve free.
 	OverFairShare bool
+	// Pace is what a stream needs of its engine's pace, zero for nothing.
+	Pace pace.Targets
 }
 
 // Choice is the engine that takes a request.
--- a/routing/weighted.go
+++ b/routing/weighted.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -78,7 +79,7 @@
 
 // drawWeight returns the weight of an engine in the draw.
 func (r *Router) drawWeight(now time.Time, q Query, v *eligibleEngine) float64 {
-	weight := float64(v.freeSlots) / max(1, r.latency[q.Pool].slowness(now, v.candidate.Engine))
+	weight := float64(v.freeSlots) / r.slowness(now, q, v) * math.Exp(-paceDecay*missProbability(now, q, v))
 	if v.sameDomain {
 		weight *= ownDomainWeight
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -30,6 +30,8 @@
 	ID, Address string
 	// Version is the version of the backend server's software, empty if unknown.
 	Version string
+	// Started identifies the start of the backend server, 0 if unknown.
+	Started int64
 	// Gateway is the address of the entry VM through which the backend server is reached,
 	// empty for a direct connection.
 	Gateway string
