--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -64,6 +64,10 @@
 	quotaSlack          float64
 	// retryShare and retrySlack are the VMs' retry budget.
 	retryShare, retrySlack float64
+	// load are the parts of the scheduling under load of VMs booted next.
+	load LoadPolicies
+	// cutOneWay, if set, returns whether a VM does not reach another one.
+	cutOneWay func(from, to string) bool
 	// uplinkBytesPerSecond is the rate at which each VM can send its knowledge, 0 for no
 	// bound. The VMs that download it at the same time share the rate; downloads counts them.
 	uplinkBytesPerSecond int
@@ -140,7 +144,7 @@
 		Seeds: []string{"a", "b"}, Logger: zap.NewNop(), Rand: rand.New(rand.NewSource(1)),
 		Peers:          Peers{Registry: vmRegistry{w.registry, vm}, Engines: vmEngines{w, vm}, Backends: forwarder, EntryVMs: client},
 		Lease:          lease.ShardConfig{JoinTTL: 4 * time.Second, MinHandoverGap: 3 * time.Second, MaxOrderDelay: time.Second},
-		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, RetryShare: w.retryShare, RetrySlack: w.retrySlack, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
+		ReportInterval: 100 * time.Millisecond, MaxApplyDelay: 2 * time.Second, MaxDrainDelay: 2 * time.Second, MaxConfigurationAge: w.maxConfigurationAge, QuotaSlack: w.quotaSlack, RetryShare: w.retryShare, RetrySlack: w.retrySlack, Load: w.load, BootClock: func() time.Duration { return time.Since(w.start) + time.Hour },
 	})
 	client.process = n
 	ctx, stop := context.WithCancel(context.Background())
@@ -300,6 +304,9 @@
 	if side := w.bed.partitionOf; side != nil && side(address) != side(w.from) {
 		return nil, errPartitioned
 	}
+	if cut := w.bed.cutOneWay; cut != nil && cut(w.from, address) {
+		return nil, errPartitioned
+	}
 	if w.bed.domainsPartitioned && n.config.Domain != from.config.Domain {
 		return nil, errPartitioned
 	}
