routing/pace, serving: tests of estimates and measurements; gaps after slow deliveries don't count; sums keep at most 512 paces

A comment between two events made the gap after it count as a slow delivery, and the end of an engine's samples was not reported as a change.

--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -71,12 +71,36 @@
 	return sum
 }
 
+// maxPaces bounds the paces of a sum. Beyond it, engines with the fewest measured gaps are left out: they
+// count as the median of their pools.
+const maxPaces = 512
+
+// boundPaces returns the paces to keep; which ones does not depend on the order of the list.
+func boundPaces(list []entryvm.EnginePace) []entryvm.EnginePace {
+	if len(list) <= maxPaces {
+		return list
+	}
+	count := func(p *entryvm.EnginePace) (sum uint64) {
+		for _, c := range p.Gaps {
+			sum += uint64(c)
+		}
+		return sum
+	}
+	slices.SortFunc(list, func(a, b entryvm.EnginePace) int {
+		return cmp.Or(cmp.Compare(count(&b), count(&a)), comparePaces(a, b))
+	})
+	return list[:maxPaces]
+}
+
+// comparePaces orders paces by their keys.
+func comparePaces(a, b entryvm.EnginePace) int {
+	return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
+}
+
 // Total returns the sum.
 func (s *Sum) Total() *entryvm.LoadSignals {
-	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units))}
-	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
-		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
-	})
+	total := &entryvm.LoadSignals{Paces: boundPaces(slices.Collect(maps.Values(s.paces))), Workspaces: slices.Collect(maps.Values(s.workspaces)), Units: slices.Collect(maps.Values(s.units))}
+	slices.SortFunc(total.Paces, comparePaces)
 	slices.SortFunc(total.Workspaces, func(a, b entryvm.WorkspaceUsage) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
 	})
--- a/internal/loadsignals/loadsignals_test.go
+++ b/internal/loadsignals/loadsignals_test.go
@@ -1,6 +1,7 @@
 package loadsignals_test
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"testing"
@@ -36,3 +37,15 @@
 	}
 	testkit.That(t, slices.Equal(first.Paces[0].Gaps, []uint32{1, 2}), "the first VM's gaps changed to %v", first.Paces[0].Gaps)
 }
+
+// Guards against lists of paces that grow with the number of engines, and against a choice of the kept ones that
+// depends on the order of VMs.
+func TestSumBoundsPaces(t *testing.T) {
+	sum := loadsignals.NewSum()
+	for i := range 600 {
+		sum.Add(&entryvm.LoadSignals{Paces: []entryvm.EnginePace{{Backend: fmt.Sprint("e", i), Gaps: []uint32{uint32(i)}}}})
+	}
+	kept := sum.Total().Paces
+	testkit.Equal(t, "paces", len(kept), 512)
+	testkit.That(t, !slices.ContainsFunc(kept, func(p entryvm.EnginePace) bool { return p.Gaps[0] < 600-512 }), "a pace with few samples is kept")
+}
--- a/internal/serving/enginepace.go
+++ b/internal/serving/enginepace.go
@@ -36,6 +36,10 @@
 	// arrived then.
 	lastEvent time.Time
 	events    int
+	// lastPiece is when the last piece arrived, and delivery how long handing the pieces on took since
+	// the last event.
+	lastPiece time.Time
+	delivery  time.Duration
 	lateFirst bool
 	maxGap    time.Duration
 }
@@ -63,6 +67,10 @@
 		return
 	}
 	p := &f.pace
+	if !p.lastPiece.IsZero() {
+		p.delivery += f.lastReceived.Sub(p.lastPiece)
+	}
+	p.lastPiece = now
 	events := f.boundary.events - p.events
 	if events == 0 {
 		return
@@ -74,11 +82,11 @@
 	} else {
 		gap := now.Sub(p.lastEvent)
 		p.maxGap = max(p.maxGap, gap)
-		if f.lastReceived.Sub(p.lastEvent) <= maxPromptDelivery {
+		if p.delivery <= maxPromptDelivery {
 			recorder.ObserveGap(now, key, gap, events)
 		}
 	}
-	p.lastEvent, p.events = now, f.boundary.events
+	p.lastEvent, p.events, p.delivery = now, f.boundary.events, 0
 }
 
 // finishPace records the length of a complete stream, and whether it was in time.
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -80,13 +80,20 @@
 }
 
 func newForwardTestbedWithLog(t *testing.T, log *zap.Logger) *forwardTestbed {
+	return newConfiguredForwardTestbed(t, log, func(*serving.Config) {})
+}
+
+// newConfiguredForwardTestbed is newForwardTestbedWithLog with other settings of the server.
+func newConfiguredForwardTestbed(t *testing.T, log *zap.Logger, configure func(*serving.Config)) *forwardTestbed {
 	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost, begunStreams: make(map[streamversion.Stream]string)}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
-	b.server = serving.New(serving.Config{
+	config := serving.Config{
 		Domain: "a", Directory: b, ForwardDirectory: b, Forwarder: b, Admission: controller,
 		Router: routing.New(routing.Config{}, rand.New(rand.NewSource(1))), Logger: log, RetryShare: 0.1, Quarantine: b,
-	})
+	}
+	configure(&config)
+	b.server = serving.New(config)
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { b.server.Run(ctx) })
--- a/routing/pace/fleet_test.go
+++ b/routing/pace/fleet_test.go
@@ -234,3 +234,38 @@
 		}
 	}
 }
+
+// Load patterns: engines that start anew, and a slow period that passes. Guards against engines that get no streams
+// because of what was measured before.
+func TestEnginesAreUsedAgain(t *testing.T) {
+	f := newFleet(62, true, 800*time.Millisecond)
+	sentTo := func(begin, end int) (sum int) {
+		for _, e := range f.engines[begin:end] {
+			sum += e.sent
+			e.sent = 0
+		}
+		return sum
+	}
+	f.run(10*time.Second, 0.5)
+	for _, e := range f.engines[:3] {
+		e.started, e.speed = 2, 0.6
+	}
+	for _, e := range f.engines[3:6] {
+		e.speed *= 5
+	}
+	f.run(4*time.Second, 0.5)
+	sentTo(0, len(f.engines))
+	f.run(4*time.Second, 0.5)
+	restarted, slow, others := sentTo(0, 3), sentTo(3, 6), sentTo(6, 31)
+	t.Logf("sent to three restarted engines %d, to three slow ones %d, to 25 others %d", restarted, slow, others)
+	testkit.That(t, restarted*25 > others*3/2, "restarted engines got %d, 25 others %d", restarted, others)
+	testkit.That(t, slow*25 < others*3/2, "slow engines got %d, 25 others %d", slow, others)
+	for _, e := range f.engines[3:6] {
+		e.speed = 0.6
+	}
+	f.run(pace.Window+2*time.Second, 0.5)
+	sentTo(0, len(f.engines))
+	f.run(4*time.Second, 0.5)
+	recovered, others := sentTo(3, 6), sentTo(6, 31)
+	testkit.That(t, recovered*25 > others*3/2, "engines whose slow period has passed got %d, 25 others %d", recovered, others)
+}
--- a/routing/pace/table.go
+++ b/routing/pace/table.go
@@ -84,7 +84,8 @@
 type Change struct {
 	Key
 	Slow bool
-	// MeanGap is the engine's mean gap, Median that of its pool.
+	// MeanGap is the engine's mean gap, Median that of its pool. Both are 0 if the engine has no samples
+	// any more.
 	MeanGap, Median time.Duration
 }
 
@@ -108,20 +109,25 @@
 // updateSlow updates which engines count as slow. Call with mu held.
 func (t *Table) updateSlow() []Change {
 	var changes []Change
-	known := make(map[Key]bool)
+	slow := make(map[Key]bool)
+	for key := range t.slow {
+		if m := t.models[key.Model]; m == nil || m.of[key] == nil {
+			changes = append(changes, Change{Key: key})
+		}
+	}
 	for _, m := range t.models {
 		for key, d := range m.of {
 			was := t.slow[key]
 			is := d.slowness >= slowFrom || (was && d.slowness >= slowUntil)
 			if is {
-				known[key] = true
+				slow[key] = true
 			}
 			if was != is {
 				changes = append(changes, Change{key, is, seconds(d.meanGap), seconds(m.median.meanGap)})
 			}
 		}
 	}
-	t.slow = known
+	t.slow = slow
 	slices.SortFunc(changes, func(a, b Change) int {
 		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
 	})
