--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -28,6 +28,9 @@
 	if f.keptSilent {
 		fields = append(fields, zap.Bool("kept_silent", true))
 	}
+	if f.pace.events > 0 {
+		fields = append(fields, zap.Int("events", f.pace.events), zap.Duration("max_gap", f.pace.maxGap))
+	}
 	if f.framing != "" {
 		fields = append(fields, zap.String("framing", f.framing))
 	}
