--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -66,8 +66,10 @@
 	quotaSlack          float64
 	// retryShare and retrySlack are the VMs' retry budget.
 	retryShare, retrySlack float64
-	// load are the load policies of VMs booted next.
+	// load are the parts of the scheduling under load of VMs booted next.
 	load LoadPolicies
+	// cutOneWay, if set, returns whether a VM does not reach another one.
+	cutOneWay func(from, to string) bool
 	// uplinkBytesPerSecond is the rate at which each VM can send its knowledge, 0 for no
 	// bound. The VMs that download it at the same time share the rate; downloads counts them.
 	uplinkBytesPerSecond int
@@ -304,6 +306,9 @@
 	if side := w.bed.partitionOf; side != nil && side(address) != side(w.from) {
 		return nil, errPartitioned
 	}
+	if cut := w.bed.cutOneWay; cut != nil && cut(w.from, address) {
+		return nil, errPartitioned
+	}
 	if w.bed.domainsPartitioned && n.config.Domain != from.config.Domain {
 		return nil, errPartitioned
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -28,6 +28,7 @@
 	"bergamotreel/refusal"
 	"bergamotreel/registry"
 	"bergamotreel/routing"
+	"bergamotreel/routing/pace"
 	"bergamotreel/service"
 )
 
@@ -146,7 +147,9 @@
 	paths           *backendPaths
 	streamVersions  *streamVersions
 	backendQueues   *backendQueues // nil if not switched on
-	registry        reachability
+	// paces is the pace of engines, nil if Config.Load.EnginePace is off.
+	paces    *pace.Table
+	registry reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
 
@@ -204,6 +207,7 @@
 		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
 		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
 		BackendQueues: n.backendQueues.forServing(),
+		Pace:          n.newPaceRecorder(),
 	})
 	return n
 }
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -113,13 +113,37 @@
 	return sum
 }
 
+// maxPaces bounds the paces of a sum. Beyond it, engines with the fewest measured gaps are left out: they
+// count as the median of their pools.
+const maxPaces = 512
+
+// boundPaces returns the paces to keep; which ones does not depend on the order of the list.
+func boundPaces(list []entryvm.EnginePace) []entryvm.EnginePace {
+	if len(list) <= maxPaces {
+		return list
+	}
+	count := func(p *entryvm.EnginePace) (sum uint64) {
+		for _, c := range p.Gaps {
+			sum += uint64(c)
+		}
+		return sum
+	}
+	slices.SortFunc(list, func(a, b entryvm.EnginePace) int {
+		return cmp.Or(cmp.Compare(count(&b), count(&a)), comparePaces(a, b))
+	})
+	return list[:maxPaces]
+}
+
+// comparePaces orders paces by their keys.
+func comparePaces(a, b entryvm.EnginePace) int {
+	return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
+}
+
 // Total returns the sum.
 func (s *Sum) Total() *entryvm.LoadSignals {
-	total := &entryvm.LoadSignals{Paces: slices.Collect(maps.Values(s.paces)), Workspaces: s.largestWorkspaces(), Units: slices.Collect(maps.Values(s.units)),
+	total := &entryvm.LoadSignals{Paces: boundPaces(slices.Collect(maps.Values(s.paces))), Workspaces: s.largestWorkspaces(), Units: slices.Collect(maps.Values(s.units)),
 		Queues: slices.Collect(maps.Values(s.queues))}
-	slices.SortFunc(total.Paces, func(a, b entryvm.EnginePace) int {
-		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
-	})
+	slices.SortFunc(total.Paces, comparePaces)
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
 		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
 	})
--- a/internal/loadsignals/loadsignals_test.go
+++ b/internal/loadsignals/loadsignals_test.go
@@ -1,6 +1,7 @@
 package loadsignals_test
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"strconv"
@@ -51,3 +52,15 @@
 	list := sum.Total().Workspaces[0].Workspaces
 	testkit.That(t, len(list) == 64 && list[0].Workspace == "436" && list[63].Workspace == "499", "%d workspaces: %v", len(list), list)
 }
+
+// Guards against lists of paces that grow with the number of engines, and against a choice of the kept ones that
+// depends on the order of VMs.
+func TestSumBoundsPaces(t *testing.T) {
+	sum := loadsignals.NewSum()
+	for i := range 600 {
+		sum.Add(&entryvm.LoadSignals{Paces: []entryvm.EnginePace{{Backend: fmt.Sprint("e", i), Gaps: []uint32{uint32(i)}}}})
+	}
+	kept := sum.Total().Paces
+	testkit.Equal(t, "paces", len(kept), 512)
+	testkit.That(t, !slices.ContainsFunc(kept, func(p entryvm.EnginePace) bool { return p.Gaps[0] < 600-512 }), "a pace with few samples is kept")
+}
