--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"bergamotreel/admission/fleetload"
 	"bergamotreel/refusal"
 )
 
@@ -35,6 +36,10 @@
 	Deadline time.Time
 	// Cost is the expected work, where 1 is a typical request. 0 counts as 1.
 	Cost float64
+	// Target is the target for the time from Arrived to the first token, 0 for none.
+	Target time.Duration
+	// CallerDeadline is until when the caller waits for its answer; zero means Deadline.
+	CallerDeadline time.Time
 }
 
 // phase is a ticket's state. It moves held → queued ⇄ running → ended, and from
@@ -64,6 +69,8 @@
 	chargedVirtualTime float64 // virtual time charged to the customer for the running attempt
 	dispatchedAt       time.Time
 	heapIndex          int // index in its pool's deadlines while it waits
+	// heldForFleet is whether the ticket was held back for more urgent ones of other VMs.
+	heldForFleet bool
 }
 
 // HasEnded reports whether the ticket was finished, canceled or refused.
@@ -127,6 +134,8 @@
 	// PeerUsageTTL is the age of the last SetPeerUsage above which this VM counts
 	// as partitioned from the other entry VMs.
 	PeerUsageTTL time.Duration
+	// Fleet estimates the load of all entry VMs. With nil, each VM decides by its own queue.
+	Fleet *fleetload.Estimator
 }
 
 const (
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -127,6 +127,7 @@
 		return nil, refusal.New(refusal.CodeUnknownKey, 0, "no contract for customer %q", r.Customer)
 	}
 	cust.limit.arrivals.Add(now, 1, UsageWindow)
+	c.recordFleetArrival(now, r)
 	c.releaseHeld(now, cust)
 	if r.Cost <= 0 {
 		r.Cost = 1
@@ -197,6 +198,7 @@
 func (c *Controller) enqueue(now time.Time, cust *customer, t *Ticket) {
 	t.phase = phaseQueued
 	c.poolFor(t.Pool).addTicket(now, t, cust.weight())
+	c.recordFleetWaiting(now, t)
 }
 
 // Next dispatches the next ticket of the pool for which fits returns true. It
@@ -214,10 +216,12 @@
 		return now.Before(t.Deadline) && (fits == nil || fits(t))
 	}
 	isOverFairShare := func(f *flow) bool { return c.isOverFairShare(poolName, f) }
+	p.mayDispatch = c.fleetGate(now)
 	t := p.pick(now, isOverFairShare, canDispatch)
 	if t == nil {
 		return nil
 	}
+	c.recordFleetDispatch(now, t)
 	c.removeWaiting(t)
 	t.phase = phaseRunning
 	t.Attempts++
@@ -255,6 +259,7 @@
 	cust.runningCount--
 	c.pools[t.Pool].releaseSlot(now, t, 0)
 	c.addWaiting(t)
+	c.recordFleetUndo(now, t)
 	c.enqueue(now, cust, t)
 	c.recheckNeeded = c.recheckNeeded || cust.contract == nil
 	if _, loading := c.readyTimes[t.Unit]; loading {
@@ -307,6 +312,7 @@
 		c.removeHeld(cust, t)
 	case phaseQueued:
 		p.removeTicket(t)
+		c.recordFleetLeft(now, t)
 	case phaseRunning:
 		cust.runningCount--
 		p.releaseSlot(now, t, p.actualCost(t, serviceTime))
--- a/admission/expire.go
+++ b/admission/expire.go
@@ -66,6 +66,9 @@
 	if at, ok := c.readyTime(t.Unit, t.Pool); ok && at.After(now) {
 		return at.Sub(now)
 	}
+	if after, _, known := c.fleetRetryAfter(now, t.Request); known {
+		return after
+	}
 	if wait, ok := c.expectedQueueWait(now, t.Request); ok {
 		return clampRetryAfter(wait)
 	}
@@ -87,7 +90,11 @@
 				late = append(late, Expired{Ticket: t, Refusal: refused})
 			}
 		}
-		late = append(late, p.findLate(now)...)
+		if fleetLate, known := c.findLateInFleet(now, p); known {
+			late = append(late, fleetLate...)
+		} else {
+			late = append(late, p.findLate(now)...)
+		}
 	}
 	ended := late[:0]
 	for _, e := range late {
@@ -223,6 +230,9 @@
 	if refused := c.checkServable(now, p, r); refused != nil {
 		return refused
 	}
+	if refused, known := c.checkFleet(now, r); known {
+		return refused
+	}
 	wait, ok := c.expectedQueueWait(now, r)
 	if ok && p.willMissDeadline(now, &Ticket{Request: r}, wait) {
 		return newQueueTooSlowRefusal(r, wait)
--- /dev/null
+++ b/admission/fleetload/decisions.go
@@ -0,0 +1,187 @@
+package fleetload
+
+import "time"
+
+const (
+	// returnedAllowance is the part of the usual time of callers below which a caller counts as
+	// returned. A first retry time is at least minReturn of the time left, so that callers that
+	// waited for it are below.
+	returnedAllowance = 0.93
+	minReturn         = 0.1
+	// maxReturn is the part of the time that callers have left for which they wait at most.
+	maxReturn = 1.0 / 3
+	// maxWait is the part of a request's time until its deadline that the estimated wait may
+	// take. The rest is for errors of the estimate, so that few requests wait for nothing.
+	maxWait = 0.9
+	// The wait of a kind is held near a half of its target, but not below minAimedWait, as sums are a
+	// second old, and not above aimedWait of the time until the deadline.
+	minAimedWait = 500 * time.Millisecond
+	aimedWait    = 0.5
+	// correction is the time within which a wait is brought to the aimed one. It is at least twice
+	// the age of the sums; a shorter one makes the admitted rate oscillate.
+	correction = 4 * time.Second
+	// While more urgent requests wait, less urgent ones are dispatched at the rate that the former
+	// leave, raised by dispatchHeadroom of the whole rate so that the fleet follows a capacity
+	// that grows, and lowered so that the former's wait returns to dispatchHeadroom*urgentDrain =
+	// 100 ms of dispatches.
+	dispatchHeadroom = 0.2
+	urgentDrain      = 500 * time.Millisecond
+	// maxCreditAge is the time for which unused dispatches of a kind are kept.
+	maxCreditAge = time.Second
+)
+
+// Wait returns the expected time until a new request is dispatched: the requests of its kind
+// and of more urgent ones that wait in the fleet, divided by the rate at which the fleet
+// dispatches them. It returns false if too little is known.
+func (e *Estimator) Wait(now time.Time, r Request) (time.Duration, bool) {
+	u := e.knownUnit(now, r.Unit)
+	if u == nil {
+		return 0, false
+	}
+	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	if e.overloadedUnit(now, r.Unit) == nil {
+		// The dispatch rate is the demand, and the capacity may be far larger.
+		q.room = u.dispatched
+	}
+	return q.wait(), true
+}
+
+// Admit reports whether to admit a new request. While its unit is overloaded, all VMs admit
+// the same part of each kind, so that the sum follows the capacity that more urgent kinds
+// leave. Requests whose callers were refused before are only refused if they can't be
+// dispatched before their deadlines.
+func (e *Estimator) Admit(now time.Time, r Request) bool {
+	u := e.overloadedUnit(now, r.Unit)
+	if u == nil {
+		return true
+	}
+	s := e.kind(now, r.Kind)
+	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	left, wait := r.Deadline.Sub(now), q.wait()
+	admit := false
+	switch {
+	case wait > seconds(maxWait*left.Seconds()):
+	case s.hasReturned(r):
+		e.activity.Returned++
+		admit = true
+	default:
+		admit = s.takeCredit(admitFraction(&q, wait, r.aimedWait(left)))
+	}
+	if !admit {
+		e.activity.Refused++
+	}
+	return admit
+}
+
+// aimedWait returns the wait that an overloaded unit is held at, for a request that has the given
+// time left until its deadline.
+func (r *Request) aimedWait(left time.Duration) time.Duration {
+	return min(max(r.Target/2, minAimedWait), seconds(aimedWait*left.Seconds()))
+}
+
+// admitFraction returns which part of the new requests of a kind are to be admitted.
+func admitFraction(q *queue, wait, aimed time.Duration) float64 {
+	if q.own == nil || wait <= aimed/2 {
+		return 1
+	}
+	fresh := q.own.Arrived - q.own.Returned
+	if fresh <= 0 {
+		return 1
+	}
+	part := max(q.room-q.own.Returned, 0) / fresh
+	return min(max(part*(1+(aimed-wait).Seconds()/correction.Seconds()), 0), 1)
+}
+
+func (s *kindState) takeCredit(fraction float64) bool {
+	s.admitCredit += fraction
+	if s.admitCredit < 1 {
+		return false
+	}
+	s.admitCredit = min(s.admitCredit-1, 1)
+	return true
+}
+
+// MayDispatch reports whether a waiting request may be dispatched now. While more urgent
+// requests wait at any VM, the others share the rate that those leave.
+func (e *Estimator) MayDispatch(now time.Time, r Request) bool {
+	u := e.overloadedUnit(now, r.Unit)
+	if u == nil {
+		return true
+	}
+	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	if q.ahead == 0 || q.own == nil {
+		return true
+	}
+	s := e.kind(now, r.Kind)
+	rate := u.dispatched*(1+dispatchHeadroom) - q.aheadRate - float64(q.ahead)/urgentDrain.Seconds()
+	share := float64(s.waiting) / float64(max(q.own.waiting(), 1))
+	s.refillDispatchCredit(now, max(rate, 0)*share)
+	if s.dispatchCredit < 1 {
+		return false
+	}
+	return true
+}
+
+// refillDispatchCredit adds the dispatches that are allowed since the last call.
+func (s *kindState) refillDispatchCredit(now time.Time, perSecond float64) {
+	age := now.Sub(s.dispatchCreditAt)
+	s.dispatchCreditAt = now
+	if age > maxCreditAge {
+		s.dispatchCredit = 0
+		return
+	}
+	s.dispatchCredit = min(s.dispatchCredit+perSecond*age.Seconds(), max(1, perSecond*maxCreditAge.Seconds()))
+}
+
+// CanReach returns false if a waiting request can't be dispatched before its deadline, even if
+// it is the first of its kind. The time is that until the more urgent ones are dispatched.
+func (e *Estimator) CanReach(now time.Time, r Request) (time.Duration, bool) {
+	u := e.overloadedUnit(now, r.Unit)
+	if u == nil {
+		return 0, true
+	}
+	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	wait := seconds(float64(q.ahead) / q.room)
+	return wait, wait <= r.Deadline.Sub(now)
+}
+
+// RetryAfter returns after which time the caller of a refused request should return. Each call
+// takes the next position of a schedule that advances at this VM's share of the rate that the
+// unit's usual demand leaves, so that callers which return find room. If no position is free within the time for
+// which the caller waits, it returns that time and false. known is false if nothing is known
+// of the unit's capacity.
+func (e *Estimator) RetryAfter(now time.Time, r Request) (after time.Duration, free, known bool) {
+	u := e.overloadedUnit(now, r.Unit)
+	if u == nil {
+		return 0, false, false
+	}
+	left := max(r.CallerDeadline.Sub(now), 0)
+	longest := seconds(maxReturn * left.Seconds())
+	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	spare := u.dispatched
+	for i := range u.kinds {
+		if order(u.kinds[i].Kind, r.Kind) <= 0 {
+			spare -= u.kinds[i].Usual
+		}
+	}
+	if spare < minRoom*u.dispatched || q.own == nil {
+		e.activity.Unscheduled++
+		return longest, false, true
+	}
+	s := e.kind(now, r.Kind)
+	excess := q.wait() - r.aimedWait(r.Deadline.Sub(now))
+	earliest := now.Add(max(seconds(minReturn*left.Seconds()), excess))
+	position := s.nextReturn
+	if position.Before(earliest) {
+		position = earliest
+	}
+	if after = position.Sub(now); after > longest {
+		e.activity.Unscheduled++
+		return longest, false, true
+	}
+	// Where few requests arrive, one more or less would change the share by much.
+	share := (s.rate(now, &s.arrived, rateWindow) + 1/rateWindow.Seconds()) / (q.own.Arrived + 1/rateWindow.Seconds())
+	s.nextReturn = position.Add(seconds(1 / (spare * min(share, 1))))
+	e.activity.Scheduled++
+	return after, true, true
+}
--- /dev/null
+++ b/admission/fleetload/sums.go
@@ -0,0 +1,228 @@
+package fleetload
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxAge is the age of the last sum after which it says nothing. Sums come every 400 ms, and
+	// what VMs report is used within 2 s.
+	maxAge = 2 * time.Second
+	// minDispatchRate is the least dispatch rate of the fleet that predicts anything: eight
+	// dispatches within 2 s.
+	minDispatchRate = 4
+	// A unit is overloaded once its waiting requests have taken at least beginWait of dispatches
+	// for minBacklogAge, and until they take less than endWait. In shorter backlogs the first
+	// sums don't contain all VMs yet.
+	beginWait     = 250 * time.Millisecond
+	endWait       = 100 * time.Millisecond
+	minBacklogAge = 1200 * time.Millisecond
+	// steadyWindow is the time constant of the demand of more urgent kinds in wait estimates.
+	// Demand that swings with a period of 13 s would otherwise refuse requests that can wait for
+	// its next trough.
+	steadyWindow = 5 * time.Second
+	// minRoom is the least part of the dispatch rate that less urgent kinds are assumed to get.
+	minRoom = 0.02
+)
+
+// unitState is the fleet's load of a unit.
+type unitState struct {
+	at time.Time
+	// kinds are sorted by order. Their own* fields are replaced by this VM's newest counts.
+	kinds []fleetKind
+	// dispatched is the fleet's dispatch rate.
+	dispatched   float64
+	backlogSince time.Time // zero without a backlog
+	lastWaiting  time.Time
+	// announced is whether Changes returned the unit as overloaded.
+	announced bool
+}
+
+// fleetKind is the sum over all VMs of the load by one kind.
+type fleetKind struct {
+	Load
+	// others are the waiting requests of other VMs.
+	others int
+	// steady is the smoothed arrival rate.
+	steady float64
+	// own is this VM's state, nil without requests of the kind.
+	own *kindState
+}
+
+func (k *fleetKind) waiting() int {
+	if k.own == nil {
+		return k.others
+	}
+	return k.others + k.own.waiting
+}
+
+// SetFleet replaces the sums over all VMs, this one included. Entries with bad numbers are
+// ignored.
+func (e *Estimator) SetFleet(now time.Time, loads []Load) {
+	own := make(map[Kind]*kindState, len(e.kinds))
+	for k, s := range e.kinds {
+		k.Unit = e.hash(k.Unit)
+		own[k] = s
+	}
+	byUnit := make(map[string][]fleetKind)
+	for _, l := range loads {
+		if !l.isValid() {
+			continue
+		}
+		f := fleetKind{Load: l, others: l.Waiting, steady: l.Arrived, own: own[l.Kind]}
+		if f.own != nil {
+			f.others = max(l.Waiting-f.own.reported.Waiting, 0)
+		}
+		byUnit[l.Unit] = append(byUnit[l.Unit], f)
+	}
+	for unit, kinds := range byUnit {
+		u := e.units[unit]
+		if u == nil {
+			u = &unitState{}
+			e.units[unit] = u
+		}
+		u.update(now, kinds)
+	}
+	for unit, u := range e.units {
+		if now.Sub(u.at) > reportAfterWaiting && !u.announced {
+			delete(e.units, unit)
+		}
+	}
+}
+
+func (l *Load) isValid() bool {
+	for _, rate := range []float64{l.Arrived, l.Returned, l.Usual, l.Dispatched} {
+		if !(rate >= 0 && rate < math.MaxInt32) {
+			return false
+		}
+	}
+	return l.Waiting >= 0 && l.Waiting < math.MaxInt32 && l.Target >= 0
+}
+
+func (u *unitState) update(now time.Time, kinds []fleetKind) {
+	slices.SortFunc(kinds, func(a, b fleetKind) int { return order(a.Kind, b.Kind) })
+	keep := math.Exp(-now.Sub(u.at).Seconds() / steadyWindow.Seconds())
+	waiting := 0
+	u.dispatched = 0
+	for i := range kinds {
+		k := &kinds[i]
+		if j := slices.IndexFunc(u.kinds, func(known fleetKind) bool { return known.Kind == k.Kind }); j >= 0 {
+			k.steady = keep*u.kinds[j].steady + (1-keep)*k.Arrived
+		}
+		waiting += k.waiting()
+		u.dispatched += k.Dispatched
+	}
+	if now.Sub(u.at) > maxAge {
+		u.backlogSince = time.Time{}
+	}
+	u.kinds, u.at = kinds, now
+	if waiting > 0 {
+		u.lastWaiting = now
+	}
+	switch wait := float64(waiting) / max(u.dispatched, minDispatchRate); {
+	case wait < endWait.Seconds():
+		u.backlogSince = time.Time{}
+	case wait >= beginWait.Seconds() && u.backlogSince.IsZero():
+		u.backlogSince = now
+	}
+}
+
+// overloadedUnit returns the state of a unit whose demand exceeds its capacity, nil if that is not known.
+func (e *Estimator) overloadedUnit(now time.Time, unit string) *unitState {
+	u := e.units[e.hash(unit)]
+	if u == nil || !u.isOverloaded(now) {
+		return nil
+	}
+	return u
+}
+
+func (u *unitState) isOverloaded(now time.Time) bool {
+	return u.isKnown(now) && !u.backlogSince.IsZero() && now.Sub(u.backlogSince) >= minBacklogAge
+}
+
+func (u *unitState) isKnown(now time.Time) bool {
+	return now.Sub(u.at) <= maxAge && u.dispatched >= minDispatchRate
+}
+
+// knownUnit returns the state of a unit, nil if too little is known.
+func (e *Estimator) knownUnit(now time.Time, unit string) *unitState {
+	u := e.units[e.hash(unit)]
+	if u == nil || !u.isKnown(now) {
+		return nil
+	}
+	return u
+}
+
+// Change is a unit that became overloaded, or is overloaded no longer.
+type Change struct {
+	// Unit is the unit's name, or its hash if this VM has no requests for it.
+	Unit       string
+	Overloaded bool
+	// Waiting and Dispatched are the fleet's waiting requests and dispatch rate.
+	Waiting    int
+	Dispatched float64
+}
+
+// Changes returns the changes since the last call, and the number of overloaded units.
+func (e *Estimator) Changes(now time.Time) (changes []Change, overloaded int) {
+	for hash, u := range e.units {
+		is := u.isOverloaded(now)
+		if is {
+			overloaded++
+		}
+		if is == u.announced {
+			continue
+		}
+		u.announced = is
+		change := Change{Unit: hash, Overloaded: is, Dispatched: u.dispatched}
+		for i := range u.kinds {
+			change.Waiting += u.kinds[i].waiting()
+		}
+		for unit, h := range e.hashes {
+			if h == hash {
+				change.Unit = unit
+			}
+		}
+		changes = append(changes, change)
+	}
+	return changes, overloaded
+}
+
+// queue is what is ahead of a request in an overloaded unit.
+type queue struct {
+	// ahead are the waiting requests of more urgent kinds, withOwn those of its own kind too.
+	ahead, withOwn int
+	// aheadRate is the arrival rate of more urgent kinds, room what remains of the dispatch rate
+	// for its kind if that rate is the steady one.
+	aheadRate, room float64
+	// own is the request's kind, nil if the sum has none.
+	own *fleetKind
+}
+
+// queueFor returns what is ahead of a request of a kind that has the given time left until
+// its target. Of its own priority, the kinds whose requests have less time are ahead.
+func (u *unitState) queueFor(kind Kind, timeToTarget time.Duration) queue {
+	q := queue{room: u.dispatched}
+	for i := range u.kinds {
+		k := &u.kinds[i]
+		switch {
+		case k.Priority == kind.Priority && k.Target == kind.Target:
+			q.own = k
+			q.withOwn += k.waiting()
+		case k.Priority > kind.Priority, k.Priority == kind.Priority && k.looseness() < timeToTarget:
+			q.ahead += k.waiting()
+			q.aheadRate += k.Arrived
+			q.room -= k.steady
+		}
+	}
+	q.withOwn += q.ahead
+	q.room = max(q.room, minRoom*u.dispatched)
+	return q
+}
+
+func (q *queue) wait() time.Duration { return seconds(float64(q.withOwn) / q.room) }
+
+// seconds converts to a duration of at most an hour.
+func seconds(s float64) time.Duration { return time.Duration(min(s, 3600) * float64(time.Second)) }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -101,6 +101,9 @@
 	serviceTimeSamples int
 	// fitFailures counts the tickets for which fits returned false in one call of pick.
 	fitFailures map[fitFailureKey]int
+	// mayDispatch returns false for tickets that wait for more urgent ones of other VMs. It
+	// may be nil.
+	mayDispatch func(*Ticket) bool
 }
 
 // fitFailureKey groups tickets that did not fit. That a ticket of a customer over its fair
@@ -181,6 +184,9 @@
 			if p.fitFailures[key] >= maxFitFailuresPerUnit {
 				continue
 			}
+			if p.mayDispatch != nil && !p.mayDispatch(t) {
+				continue
+			}
 			t.OverFairShare = overFairShare
 			if fits(t) {
 				p.dispatchTicket(now, f, t)
--- a/entryvm/loadsignals.go
+++ b/entryvm/loadsignals.go
@@ -34,13 +34,20 @@
 	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
-// UnitLoad is the load of a unit by requests of one priority. Its key is Unit and Priority.
+// UnitLoad is the load of a unit by requests of one kind. Its key is Unit, Priority and Target.
 type UnitLoad struct {
+	// Unit is the hash of the unit's name by fleetload.UnitHash.
 	Unit     string `cbor:"1,keyasint,omitempty"`
 	Priority int    `cbor:"2,keyasint,omitempty"`
-	// Waiting is the number of requests that wait, Arrived and Dispatched are the requests for each
-	// second that arrived and that were sent to backend servers.
-	Waiting    int     `cbor:"3,keyasint,omitempty"`
-	Arrived    float32 `cbor:"4,keyasint,omitempty"`
-	Dispatched float32 `cbor:"5,keyasint,omitempty"`
+	// Target is the target for the time to the first event, in milliseconds.
+	Target int64 `cbor:"6,keyasint,omitempty"`
+	// Waiting is the number of requests that wait. The others are rates in requests for 10 seconds, as
+	// integers take fewer bytes: Arrived those that arrived, Returned those of them whose callers had
+	// been refused before, Usual the others over a longer time, and Dispatched those that were sent
+	// to backend servers.
+	Waiting    int    `cbor:"3,keyasint,omitempty"`
+	Arrived    uint32 `cbor:"4,keyasint,omitempty"`
+	Dispatched uint32 `cbor:"5,keyasint,omitempty"`
+	Returned   uint32 `cbor:"7,keyasint,omitempty"`
+	Usual      uint32 `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -25,11 +25,13 @@
 
 // measureSignals returns what this VM measures.
 func (n *Node) measureSignals(now time.Time) *entryvm.LoadSignals {
-	return &entryvm.LoadSignals{}
+	return &entryvm.LoadSignals{Units: n.fleetAdmission.measure(now)}
 }
 
 // applySignals uses the signals of all VMs.
-func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {}
+func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {
+	n.fleetAdmission.apply(now, fleet.Units)
+}
 
 // updateSignals measures this VM's signals and applies the sum over all VMs if either is due. It must
 // be called without mu.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -133,6 +133,7 @@
 	keeper          *keeper
 	planner         *planner
 	serving         *serving.Server
+	fleetAdmission  *fleetAdmission
 	demand          *demandMeter
 	adapterRequests *adapterLoader
 	quotas          *quotas
@@ -195,9 +196,10 @@
 	n.retrySlack = newRetrySlack(n)
 	n.keeper = newKeeper(n)
 	n.planner = newPlanner(n)
+	n.fleetAdmission = newFleetAdmission(n)
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, ForwardDirectory: n, Forwarder: config.Peers.Backends,
-		Admission: admission.New(config.Admission), Router: routing.New(routing.Config{}, config.Rand),
+		Admission: admission.New(n.fleetAdmission.admissionConfig(config.Admission)), Router: routing.New(routing.Config{}, config.Rand),
 		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
 	})
 	return n
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -27,6 +27,7 @@
 type unitKey struct {
 	unit     string
 	priority int
+	target   int64
 }
 
 // NewSum returns an empty sum.
@@ -52,9 +53,10 @@
 		s.workspaces[key] = w
 	}
 	for _, u := range signals.Units {
-		key := unitKey{u.Unit, u.Priority}
+		key := unitKey{u.Unit, u.Priority, u.Target}
 		known := s.units[key]
 		u.Waiting, u.Arrived, u.Dispatched = known.Waiting+u.Waiting, known.Arrived+u.Arrived, known.Dispatched+u.Dispatched
+		u.Returned, u.Usual = known.Returned+u.Returned, known.Usual+u.Usual
 		s.units[key] = u
 	}
 }
@@ -81,7 +83,7 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
 	})
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
-		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
+		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Target, b.Target))
 	})
 	return total
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -126,6 +126,7 @@
 	request := admission.Request{
 		ID: r.ID, Customer: r.Customer, Unit: unit, Pool: pool, Priority: r.Priority(),
 		Arrived: r.Arrived, Deadline: r.BeginDeadline, Cost: 1,
+		Target: r.Route.TargetLatency, CallerDeadline: r.AnswerDeadline,
 	}
 	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes}
 }
