--- a/admission/controller.go
+++ b/admission/controller.go
@@ -216,7 +216,7 @@
 		return now.Before(t.Deadline) && (fits == nil || fits(t))
 	}
 	isOverFairShare := func(f *flow) bool { return c.isOverFairShare(poolName, f) }
-	p.mayDispatch = c.fleetGate(now)
+	p.mayDispatch = c.fleetGate(now, canDispatch)
 	t := p.pick(now, isOverFairShare, canDispatch)
 	if t == nil {
 		return nil
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -59,12 +59,12 @@
 // fleetGate returns a function that reports whether a ticket may be dispatched before the more
 // urgent ones of other VMs, nil if none is held back. Tickets that were dispatched before are
 // not held back, as their callers may have a part of their answers.
-func (c *Controller) fleetGate(now time.Time) func(*Ticket) bool {
+func (c *Controller) fleetGate(now time.Time, fits func(*Ticket) bool) func(*Ticket) bool {
 	if c.cfg.Fleet == nil {
 		return nil
 	}
 	return func(t *Ticket) bool {
-		if t.Attempts > 0 || c.cfg.Fleet.MayDispatch(now, t.fleetRequest()) {
+		if t.Attempts > 0 || c.cfg.Fleet.MayDispatch(now, t.fleetRequest(), func() bool { return fits(t) }) {
 			return true
 		}
 		if !t.heldForFleet {
--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -17,6 +17,9 @@
 	// second old, and not above aimedWait of the time until the deadline.
 	minAimedWait = 500 * time.Millisecond
 	aimedWait    = 0.5
+	// returnShare is the least part of the room of a kind that callers have that were refused
+	// before. A larger one would refuse more callers once, without sparing others a second refusal.
+	returnShare = 0.5
 	// correction is the time within which a wait is brought to the aimed one. It is at least twice
 	// the age of the sums; a shorter one makes the admitted rate oscillate.
 	correction = 4 * time.Second
@@ -24,8 +27,11 @@
 	// leave, raised by dispatchHeadroom of the whole rate so that the fleet follows a capacity
 	// that grows, and lowered so that the former's wait returns to dispatchHeadroom*urgentDrain =
 	// 100 ms of dispatches.
-	dispatchHeadroom = 0.2
+	dispatchHeadroom = 0.1
 	urgentDrain      = 500 * time.Millisecond
+	// freeTime is for how long a place stays free until a request that was held back may use it. It is
+	// several times the latency between VMs and backend servers.
+	freeTime = 50 * time.Millisecond
 	// maxCreditAge is the time for which unused dispatches of a kind are kept.
 	maxCreditAge = time.Second
 )
@@ -38,7 +44,7 @@
 	if u == nil {
 		return 0, false
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	if e.overloadedUnit(now, r.Unit) == nil {
 		// The dispatch rate is the demand, and the capacity may be far larger.
 		q.room = u.dispatched
@@ -56,16 +62,15 @@
 		return true
 	}
 	s := e.kind(now, r.Kind)
-	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	left, wait := r.Deadline.Sub(now), q.wait()
 	admit := false
 	switch {
 	case wait > seconds(maxWait*left.Seconds()):
 	case s.hasReturned(r):
-		e.activity.Returned++
-		admit = true
+		admit = wait <= r.aimedWait(&q, left) || takeCredit(&s.returnCredit, q.returnFraction())
 	default:
-		admit = s.takeCredit(admitFraction(&q, wait, r.aimedWait(left)))
+		admit = takeCredit(&s.admitCredit, q.freshFraction(wait, r.aimedWait(&q, left)))
 	}
 	if !admit {
 		e.activity.Refused++
@@ -75,51 +80,80 @@
 
 // aimedWait returns the wait that an overloaded unit is held at, for a request that has the given
 // time left until its deadline.
-func (r *Request) aimedWait(left time.Duration) time.Duration {
-	return min(max(r.Target/2, minAimedWait), seconds(aimedWait*left.Seconds()))
+func (r *Request) aimedWait(q *queue, left time.Duration) time.Duration {
+	longest := seconds(aimedWait * left.Seconds())
+	if q.spare > 0 {
+		return longest
+	}
+	return min(max(r.Target/2, minAimedWait), longest)
 }
 
-// admitFraction returns which part of the new requests of a kind are to be admitted.
-func admitFraction(q *queue, wait, aimed time.Duration) float64 {
+// freshFraction returns which part of the requests of a kind to admit whose callers come for the
+// first time.
+func (q *queue) freshFraction(wait, aimed time.Duration) float64 {
 	if q.own == nil || wait <= aimed/2 {
 		return 1
 	}
-	fresh := q.own.Arrived - q.own.Returned
+	fresh := q.own.fresh()
 	if fresh <= 0 {
 		return 1
 	}
-	part := max(q.room-q.own.Returned, 0) / fresh
+	part := (q.room - min(q.own.Returned, q.returnRoom())) / fresh
 	return min(max(part*(1+(aimed-wait).Seconds()/correction.Seconds()), 0), 1)
 }
 
-func (s *kindState) takeCredit(fraction float64) bool {
-	s.admitCredit += fraction
-	if s.admitCredit < 1 {
+// returnFraction returns which part of the requests of a kind to admit whose callers have returned.
+func (q *queue) returnFraction() float64 {
+	if q.own == nil || q.own.Returned <= 0 {
+		return 1
+	}
+	return min(q.returnRoom()/q.own.Returned, 1)
+}
+
+// returnRoom returns the rate that is kept for callers that return: what the schedule of returns uses,
+// and in any case returnShare of the room.
+func (q *queue) returnRoom() float64 {
+	return max(min(max(q.spare, returnShare*q.room), q.room), 0)
+}
+
+// takeCredit admits the given fraction of the requests for which it is called.
+func takeCredit(credit *float64, fraction float64) bool {
+	*credit = min(*credit+fraction, 2)
+	if *credit < 1 {
 		return false
 	}
-	s.admitCredit = min(s.admitCredit-1, 1)
+	*credit--
 	return true
 }
 
 // MayDispatch reports whether a waiting request may be dispatched now. While more urgent
-// requests wait at any VM, the others share the rate that those leave.
-func (e *Estimator) MayDispatch(now time.Time, r Request) bool {
+// requests wait at any VM, the others share the rate that those leave. fits reports whether a
+// place is free for it: if one stays free, no other VM needs it.
+func (e *Estimator) MayDispatch(now time.Time, r Request, fits func() bool) bool {
 	u := e.overloadedUnit(now, r.Unit)
 	if u == nil {
 		return true
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	if q.ahead == 0 || q.own == nil {
 		return true
 	}
 	s := e.kind(now, r.Kind)
-	rate := u.dispatched*(1+dispatchHeadroom) - q.aheadRate - float64(q.ahead)/urgentDrain.Seconds()
+	rate := u.capacity*(1+dispatchHeadroom) - q.aheadRate - float64(q.ahead)/urgentDrain.Seconds()
 	share := float64(s.waiting) / float64(max(q.own.waiting(), 1))
 	s.refillDispatchCredit(now, max(rate, 0)*share)
-	if s.dispatchCredit < 1 {
+	if s.dispatchCredit >= 1 {
+		return true
+	}
+	if !fits() {
+		s.freeSince = time.Time{}
 		return false
 	}
-	return true
+	if s.freeSince.IsZero() || now.Sub(s.freeCheckedAt) > freeTime {
+		s.freeSince = now
+	}
+	s.freeCheckedAt = now
+	return now.Sub(s.freeSince) >= freeTime
 }
 
 // refillDispatchCredit adds the dispatches that are allowed since the last call.
@@ -140,7 +174,7 @@
 	if u == nil {
 		return 0, true
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now))
+	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	wait := seconds(float64(q.ahead) / q.room)
 	return wait, wait <= r.Deadline.Sub(now)
 }
@@ -157,19 +191,13 @@
 	}
 	left := max(r.CallerDeadline.Sub(now), 0)
 	longest := seconds(maxReturn * left.Seconds())
-	q := u.queueFor(r.Kind, r.timeToTarget(now))
-	spare := u.dispatched
-	for i := range u.kinds {
-		if order(u.kinds[i].Kind, r.Kind) <= 0 {
-			spare -= u.kinds[i].Usual
-		}
-	}
-	if spare < minRoom*u.dispatched || q.own == nil {
+	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	if q.spare < minRoom*u.capacity || q.own == nil {
 		e.activity.Unscheduled++
 		return longest, false, true
 	}
 	s := e.kind(now, r.Kind)
-	excess := q.wait() - r.aimedWait(r.Deadline.Sub(now))
+	excess := q.wait() - r.aimedWait(&q, r.Deadline.Sub(now))
 	earliest := now.Add(max(seconds(minReturn*left.Seconds()), excess))
 	position := s.nextReturn
 	if position.Before(earliest) {
@@ -181,7 +209,7 @@
 	}
 	// Where few requests arrive, one more or less would change the share by much.
 	share := (s.rate(now, &s.arrived, rateWindow) + 1/rateWindow.Seconds()) / (q.own.Arrived + 1/rateWindow.Seconds())
-	s.nextReturn = position.Add(seconds(1 / (spare * min(share, 1))))
+	s.nextReturn = position.Add(seconds(1 / (q.spare * min(share, 1))))
 	e.activity.Scheduled++
 	return after, true, true
 }
--- a/admission/fleetload/fleetload.go
+++ b/admission/fleetload/fleetload.go
@@ -31,7 +31,7 @@
 	rateWindow = 1500 * time.Millisecond
 	// usualWindow is the time constant of the usual demand. It is several times a burst of six
 	// seconds, so that retry times count on the capacity after the burst.
-	usualWindow = 30 * time.Second
+	usualWindow = 60 * time.Second
 	// maxEntries limits a report, also the part that one VM has in its receivers' bandwidth.
 	maxEntries = 64
 	// forgetAfter is the time without requests after which a kind is forgotten. The rates over
@@ -134,10 +134,14 @@
 	waiting                              int
 	arrived, returned, usual, dispatched meter.Meter
 	since, lastUsed                      time.Time
-	// admitCredit is the accumulated fraction of a request that may be admitted, dispatchCredit
-	// that of a waiting one that may be dispatched, as of dispatchCreditAt.
-	admitCredit, dispatchCredit float64
+	// admitCredit is the accumulated fraction of a new request that may be admitted, returnCredit
+	// the same for callers that return, and dispatchCredit that of a waiting request that may be
+	// dispatched, as of dispatchCreditAt.
+	admitCredit, returnCredit, dispatchCredit float64
 	dispatchCreditAt            time.Time
+	// freeSince is since when this VM has seen a free place each time that a request was held back,
+	// freeCheckedAt when it last saw one.
+	freeSince, freeCheckedAt time.Time
 	// nextReturn is the next free position of the schedule of returns.
 	nextReturn time.Time
 	// allowance is the longest time that callers had recently when they arrived: the maximum of
@@ -163,7 +167,7 @@
 	s := e.kinds[k]
 	if s == nil {
 		// VMs that all begin with the same credit would admit and refuse at the same moments.
-		s = &kindState{since: now, allowanceSince: now, admitCredit: e.random()}
+		s = &kindState{since: now, allowanceSince: now, admitCredit: e.random(), returnCredit: e.random()}
 		e.kinds[k] = s
 	}
 	s.lastUsed = now
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -19,10 +19,20 @@
 	beginWait     = 250 * time.Millisecond
 	endWait       = 100 * time.Millisecond
 	minBacklogAge = 1200 * time.Millisecond
-	// steadyWindow is the time constant of the demand of more urgent kinds in wait estimates.
-	// Demand that swings with a period of 13 s would otherwise refuse requests that can wait for
-	// its next trough.
+	// endDemand is the demand, in parts of the dispatch rate, above which a unit stays overloaded with
+	// few waiting requests, as the others are refused.
+	endDemand = 1.1
+	// steadyWindow is the time constant of the present demand of more urgent kinds in wait
+	// estimates, and the time for which it is expected to last; after that, the usual demand is
+	// expected. Demand that swings with a period of 13 s, or a burst, would otherwise refuse requests
+	// that can wait for its end.
 	steadyWindow = 5 * time.Second
+	// capacityGrowth is the part by which the assumed capacity grows in a second while too few requests
+	// wait to fill all places. Without it, a capacity that was estimated too low would stay so, as
+	// the requests that could show it are refused.
+	capacityGrowth = 0.1
+	// maxCapacity limits the assumed capacity, in parts of the dispatch rate.
+	maxCapacity = 2
 	// minRoom is the least part of the dispatch rate that less urgent kinds are assumed to get.
 	minRoom = 0.02
 )
@@ -32,8 +42,8 @@
 	at time.Time
 	// kinds are sorted by order. Their own* fields are replaced by this VM's newest counts.
 	kinds []fleetKind
-	// dispatched is the fleet's dispatch rate.
-	dispatched   float64
+	// dispatched is the fleet's dispatch rate, capacity the rate that it could have.
+	dispatched, capacity float64
 	backlogSince time.Time // zero without a backlog
 	lastWaiting  time.Time
 	// announced is whether Changes returned the unit as overloaded.
@@ -45,7 +55,7 @@
 	Load
 	// others are the waiting requests of other VMs.
 	others int
-	// steady is the smoothed arrival rate.
+	// steady is the smoothed arrival rate of callers that come for the first time.
 	steady float64
 	// own is this VM's state, nil without requests of the kind.
 	own *kindState
@@ -71,7 +81,7 @@
 		if !l.isValid() {
 			continue
 		}
-		f := fleetKind{Load: l, others: l.Waiting, steady: l.Arrived, own: own[l.Kind]}
+		f := fleetKind{Load: l, others: l.Waiting, steady: l.fresh(), own: own[l.Kind]}
 		if f.own != nil {
 			f.others = max(l.Waiting-f.own.reported.Waiting, 0)
 		}
@@ -92,6 +102,9 @@
 	}
 }
 
+// fresh is the arrival rate of callers that come for the first time.
+func (l *Load) fresh() float64 { return max(l.Arrived-l.Returned, 0) }
+
 func (l *Load) isValid() bool {
 	for _, rate := range []float64{l.Arrived, l.Returned, l.Usual, l.Dispatched} {
 		if !(rate >= 0 && rate < math.MaxInt32) {
@@ -103,15 +116,17 @@
 
 func (u *unitState) update(now time.Time, kinds []fleetKind) {
 	slices.SortFunc(kinds, func(a, b fleetKind) int { return order(a.Kind, b.Kind) })
+	age := now.Sub(u.at)
 	keep := math.Exp(-now.Sub(u.at).Seconds() / steadyWindow.Seconds())
-	waiting := 0
+	waiting, arrived := 0, 0.0
 	u.dispatched = 0
 	for i := range kinds {
 		k := &kinds[i]
 		if j := slices.IndexFunc(u.kinds, func(known fleetKind) bool { return known.Kind == k.Kind }); j >= 0 {
-			k.steady = keep*u.kinds[j].steady + (1-keep)*k.Arrived
+			k.steady = keep*u.kinds[j].steady + (1-keep)*k.fresh()
 		}
 		waiting += k.waiting()
+		arrived += k.Arrived
 		u.dispatched += k.Dispatched
 	}
 	if now.Sub(u.at) > maxAge {
@@ -121,12 +136,16 @@
 	if waiting > 0 {
 		u.lastWaiting = now
 	}
+	u.capacity = max(u.dispatched, min(u.capacity*(1+capacityGrowth*min(age, maxAge).Seconds()), maxCapacity*u.dispatched))
 	switch wait := float64(waiting) / max(u.dispatched, minDispatchRate); {
-	case wait < endWait.Seconds():
+	case wait < endWait.Seconds() && arrived < endDemand*u.dispatched:
 		u.backlogSince = time.Time{}
 	case wait >= beginWait.Seconds() && u.backlogSince.IsZero():
 		u.backlogSince = now
 	}
+	if float64(waiting) >= endWait.Seconds()*u.dispatched || age > maxAge {
+		u.capacity = u.dispatched
+	}
 }
 
 // overloadedUnit returns the state of a unit whose demand exceeds its capacity, nil if that is not known.
@@ -194,31 +213,36 @@
 type queue struct {
 	// ahead are the waiting requests of more urgent kinds, withOwn those of its own kind too.
 	ahead, withOwn int
-	// aheadRate is the arrival rate of more urgent kinds, room what remains of the dispatch rate
-	// for its kind if that rate is the steady one.
-	aheadRate, room float64
+	// aheadRate is the dispatch rate of more urgent kinds, room what remains of the dispatch rate
+	// for its kind of the capacity until the request's deadline, and spare what the usual demand leaves, its own
+	// kind's included.
+	aheadRate, room, spare float64
 	// own is the request's kind, nil if the sum has none.
 	own *fleetKind
 }
 
 // queueFor returns what is ahead of a request of a kind that has the given time left until
-// its target. Of its own priority, the kinds whose requests have less time are ahead.
-func (u *unitState) queueFor(kind Kind, timeToTarget time.Duration) queue {
-	q := queue{room: u.dispatched}
+// its target and the given time until its deadline. Of its own priority, the kinds whose requests have less time are ahead.
+func (u *unitState) queueFor(kind Kind, timeToTarget, left time.Duration) queue {
+	present := min(steadyWindow.Seconds()/max(left.Seconds(), 0.1), 1)
+	q := queue{room: u.capacity, spare: u.capacity}
 	for i := range u.kinds {
 		k := &u.kinds[i]
 		switch {
 		case k.Priority == kind.Priority && k.Target == kind.Target:
 			q.own = k
+			q.spare -= k.Usual
 			q.withOwn += k.waiting()
 		case k.Priority > kind.Priority, k.Priority == kind.Priority && k.looseness() < timeToTarget:
 			q.ahead += k.waiting()
-			q.aheadRate += k.Arrived
-			q.room -= k.steady
+			q.aheadRate += k.Dispatched
+			q.spare -= k.Usual
+			returning := min(k.Returned, q.returnRoom())
+			q.room -= present*k.steady + (1-present)*k.Usual + returning
 		}
 	}
 	q.withOwn += q.ahead
-	q.room = max(q.room, minRoom*u.dispatched)
+	q.room = max(q.room, minRoom*u.capacity)
 	return q
 }
 
