--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -13,10 +13,11 @@
 	// maxWait is the part of a request's time until its deadline that the estimated wait may
 	// take. The rest is for errors of the estimate, so that few requests wait for nothing.
 	maxWait = 0.9
-	// The wait of a kind is held near a half of its target, but not below minAimedWait, as sums are a
-	// second old, and not above aimedWait of the time until the deadline.
+	// The wait of a kind is held near aimedWait of the time until the deadline during a burst, so that few
+	// requests are refused, and near a half of its target in a long overload, where the same number
+	// is served whatever the wait is; but not below minAimedWait, as sums are a second old.
 	minAimedWait = 500 * time.Millisecond
-	aimedWait    = 0.5
+	aimedWait    = 0.8
 	// returnShare is the least part of the room of a kind that callers have that were refused
 	// before. A larger one would refuse more callers once, without sparing others a second refusal.
 	returnShare = 0.5
@@ -44,7 +45,7 @@
 	if u == nil {
 		return 0, false
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	if e.overloadedUnit(now, r.Unit) == nil {
 		// The dispatch rate is the demand, and the capacity may be far larger.
 		q.room = u.dispatched
@@ -62,7 +63,7 @@
 		return true
 	}
 	s := e.kind(now, r.Kind)
-	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	left, wait := r.Deadline.Sub(now), q.wait()
 	admit := false
 	switch {
@@ -81,11 +82,9 @@
 // aimedWait returns the wait that an overloaded unit is held at, for a request that has the given
 // time left until its deadline.
 func (r *Request) aimedWait(q *queue, left time.Duration) time.Duration {
-	longest := seconds(aimedWait * left.Seconds())
-	if q.spare > 0 {
-		return longest
-	}
-	return min(max(r.Target/2, minAimedWait), longest)
+	longest := aimedWait * left.Seconds()
+	shortest := min(max(r.Target/2, minAimedWait).Seconds(), longest)
+	return seconds(shortest + (1-q.present)*(longest-shortest))
 }
 
 // freshFraction returns which part of the requests of a kind to admit whose callers come for the
@@ -134,7 +133,7 @@
 	if u == nil {
 		return true
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	if q.ahead == 0 || q.own == nil {
 		return true
 	}
@@ -174,8 +173,13 @@
 	if u == nil {
 		return 0, true
 	}
-	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
-	wait := seconds(float64(q.ahead) / q.room)
+	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	// The overload may end at once, so that only the usual demand is certain.
+	usualRoom := q.spare
+	if q.own != nil {
+		usualRoom += q.own.Usual
+	}
+	wait := seconds(float64(q.ahead) / max(q.room, usualRoom))
 	return wait, wait <= r.Deadline.Sub(now)
 }
 
@@ -191,7 +195,7 @@
 	}
 	left := max(r.CallerDeadline.Sub(now), 0)
 	longest := seconds(maxReturn * left.Seconds())
-	q := u.queueFor(r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	if q.spare < minRoom*u.capacity || q.own == nil {
 		e.activity.Unscheduled++
 		return longest, false, true
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -23,9 +23,7 @@
 	// few waiting requests, as the others are refused.
 	endDemand = 1.1
 	// steadyWindow is the time constant of the present demand of more urgent kinds in wait
-	// estimates, and the time for which it is expected to last; after that, the usual demand is
-	// expected. Demand that swings with a period of 13 s, or a burst, would otherwise refuse requests
-	// that can wait for its end.
+	// estimates. A shorter one would follow demand that swings with a period of 13 s.
 	steadyWindow = 5 * time.Second
 	// capacityGrowth is the part by which the assumed capacity grows in a second while too few requests
 	// wait to fill all places. Without it, a capacity that was estimated too low would stay so, as
@@ -217,15 +215,23 @@
 	// for its kind of the capacity until the request's deadline, and spare what the usual demand leaves, its own
 	// kind's included.
 	aheadRate, room, spare float64
+	// present is the part of the time until the request's deadline for which the present demand is
+	// expected; after that, the usual demand is. An overload is expected to last once more as long as it has
+	// lasted, so that requests that can wait for the end of a burst are admitted, and are refused when
+	// the overload doesn't end.
+	present float64
 	// own is the request's kind, nil if the sum has none.
 	own *fleetKind
 }
 
 // queueFor returns what is ahead of a request of a kind that has the given time left until
 // its target and the given time until its deadline. Of its own priority, the kinds whose requests have less time are ahead.
-func (u *unitState) queueFor(kind Kind, timeToTarget, left time.Duration) queue {
-	present := min(steadyWindow.Seconds()/max(left.Seconds(), 0.1), 1)
-	q := queue{room: u.capacity, spare: u.capacity}
+func (u *unitState) queueFor(now time.Time, kind Kind, timeToTarget, left time.Duration) queue {
+	present := 1.0
+	if !u.backlogSince.IsZero() {
+		present = min(now.Sub(u.backlogSince).Seconds()/max(left.Seconds(), 0.1), 1)
+	}
+	q := queue{room: u.capacity, spare: u.capacity, present: present}
 	for i := range u.kinds {
 		k := &u.kinds[i]
 		switch {
@@ -238,7 +244,7 @@
 			q.aheadRate += k.Dispatched
 			q.spare -= k.Usual
 			returning := min(k.Returned, q.returnRoom())
-			q.room -= present*k.steady + (1-present)*k.Usual + returning
+			q.room -= present*(k.steady+returning) + (1-present)*k.Usual
 		}
 	}
 	q.withOwn += q.ahead
