--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -65,11 +65,13 @@
 	s := e.kind(now, r.Kind)
 	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
 	left, wait := r.Deadline.Sub(now), q.wait()
+	longest := seconds(maxWait * left.Seconds())
 	admit := false
 	switch {
-	case wait > seconds(maxWait*left.Seconds()):
 	case s.hasReturned(r):
-		admit = wait <= r.aimedWait(&q, left) || takeCredit(&s.returnCredit, q.returnFraction())
+		admit = q.leastWait(q.withOwn) <= longest &&
+			(wait <= r.aimedWait(&q, left) || takeCredit(&s.returnCredit, max(q.returnFraction(), 1-q.present)))
+	case wait > longest:
 	default:
 		admit = takeCredit(&s.admitCredit, q.freshFraction(wait, r.aimedWait(&q, left)))
 	}
@@ -174,12 +176,7 @@
 		return 0, true
 	}
 	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
-	// The overload may end at once, so that only the usual demand is certain.
-	usualRoom := q.spare
-	if q.own != nil {
-		usualRoom += q.own.Usual
-	}
-	wait := seconds(float64(q.ahead) / max(q.room, usualRoom))
+	wait := q.leastWait(q.ahead)
 	return wait, wait <= r.Deadline.Sub(now)
 }
 
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -254,5 +254,15 @@
 
 func (q *queue) wait() time.Duration { return seconds(float64(q.withOwn) / q.room) }
 
+// leastWait returns the time until the given number of waiting requests is dispatched if the overload
+// ends at once, so that only the usual demand continues.
+func (q *queue) leastWait(waiting int) time.Duration {
+	usualRoom := q.spare
+	if q.own != nil {
+		usualRoom += q.own.Usual
+	}
+	return seconds(float64(waiting) / max(q.room, usualRoom))
+}
+
 // seconds converts to a duration of at most an hour.
 func seconds(s float64) time.Duration { return time.Duration(min(s, 3600) * float64(time.Second)) }
