--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -236,13 +236,17 @@
 // requests that wait behind them.
 func TestFleetBurst(t *testing.T) {
 	for _, vms := range []int{8, 62, 300} {
-		s := newFleetSim(vms, 240, true)
-		s.run(60*time.Second, 1)
-		s.results = [3]simResult{}
-		s.run(6*time.Second, 3)
-		s.run(30*time.Second, 1)
-		got := s.shares()
-		t.Logf("%d VMs: served %.3f, in time %.3f, refused twice %.3f, unused %.0f s", vms, got.served, got.inTime, got.refusedTwice, s.unused)
+		var got, before simShares
+		for _, on := range []bool{false, true} {
+			s := newFleetSim(vms, 240, on)
+			s.run(60*time.Second, 1)
+			s.results = [3]simResult{}
+			s.run(6*time.Second, 3)
+			s.run(30*time.Second, 1)
+			before, got = got, s.shares()
+			t.Logf("%d VMs, on %v: served %.3f, in time %.3f, refused twice %.3f, unused %.0f s", vms, on, got.served, got.inTime, got.refusedTwice, s.unused)
+		}
+		testkit.That(t, got.inTime[0] > before.inTime[0], "in time %.3f, without the fleet's load %.3f", got.inTime, before.inTime)
 		testkit.That(t, got.served[0] >= 0.99 && got.inTime[0] >= 0.7 && got.served[2] >= 0.97, "served %.3f, in time %.3f", got.served, got.inTime)
 	}
 }
