admission/fleetload: VMs without waiting requests admit, capacity approaches a lower rate slowly, urgent kinds use free places first

A VM learns of places that become free up to a second late, so requests of VMs without others waiting are admitted up to half of their time.

--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -18,6 +18,10 @@
 	// is served whatever the wait is; but not below minAimedWait, as sums are a second old.
 	minAimedWait = 500 * time.Millisecond
 	aimedWait    = 0.8
+	// idleWait is the part of the time until its deadline that a request may wait if no other one
+	// waits at its VM. A place that becomes free is used at once only by the VM whose request ended;
+	// the others learn of it up to a second later.
+	idleWait = 0.5
 	// minRetryTime is the least time that a caller needs for a retry to be worth while: a refusal and an
 	// answer on new connections. Others are told nothing that would make them return.
 	minRetryTime = 500 * time.Millisecond
@@ -37,7 +41,7 @@
 	// freeTime is for how long a place stays free until a request that was held back may use it. With
 	// 50 ms, 300 VMs served least urgent requests at the cost of others; with 200 ms, half a percent of
 	// the places stayed free.
-	freeTime = 100 * time.Millisecond
+	freeTime = 60 * time.Millisecond
 	// maxCreditAge is the time for which unused dispatches of a kind are kept.
 	maxCreditAge = time.Second
 )
@@ -77,6 +81,8 @@
 		admit = q.leastWait(q.withOwn) <= longest &&
 			(wait <= r.aimedWait(&q, left) || takeCredit(&s.returnCredit, max(q.returnFraction(), 1-q.present)))
 	case wait > longest:
+	case u.ownWaiting() == 0 && wait <= seconds(idleWait*left.Seconds()):
+		admit = true
 	default:
 		admit = takeCredit(&s.admitCredit, q.freshFraction(wait, r.aimedWait(&q, left)))
 	}
@@ -155,11 +161,12 @@
 		s.freeSince = time.Time{}
 		return false
 	}
-	if s.freeSince.IsZero() || now.Sub(s.freeCheckedAt) > freeTime {
+	patience := freeTime * time.Duration(q.kindsAhead)
+	if s.freeSince.IsZero() || now.Sub(s.freeCheckedAt) > patience {
 		s.freeSince = now
 	}
 	s.freeCheckedAt = now
-	return now.Sub(s.freeSince) >= freeTime
+	return now.Sub(s.freeSince) >= patience
 }
 
 // refillDispatchCredit adds the dispatches that are allowed since the last call.
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -29,6 +29,9 @@
 	// wait to fill all places. Without it, a capacity that was estimated too low would stay so, as
 	// the requests that could show it are refused.
 	capacityGrowth = 0.1
+	// capacityWindow is the time constant with which the assumed capacity approaches a lower dispatch rate.
+	// Backend servers may pause for a second or two.
+	capacityWindow = 5 * time.Second
 	// maxCapacity limits the assumed capacity, in parts of the dispatch rate.
 	maxCapacity = 2
 	// minRoom is the least part of the dispatch rate that less urgent kinds are assumed to get.
@@ -112,6 +115,16 @@
 	return l.Waiting >= 0 && l.Waiting < math.MaxInt32 && l.Target >= 0
 }
 
+// ownWaiting returns the number of this VM's waiting requests.
+func (u *unitState) ownWaiting() (waiting int) {
+	for i := range u.kinds {
+		if own := u.kinds[i].own; own != nil {
+			waiting += own.waiting
+		}
+	}
+	return waiting
+}
+
 // update replaces the sums and updates what is derived from their course.
 func (u *unitState) update(now time.Time, kinds []fleetKind) {
 	slices.SortFunc(kinds, func(a, b fleetKind) int { return order(a.Kind, b.Kind) })
@@ -141,16 +154,17 @@
 	if age > maxAge {
 		u.backlogSince = time.Time{}
 	}
-	u.capacity = max(u.dispatched, min(u.capacity*(1+capacityGrowth*min(age, maxAge).Seconds()), maxCapacity*u.dispatched))
 	switch wait := waiting / max(u.dispatched, minDispatchRate); {
 	case wait < endWait.Seconds() && arrived < endDemand*u.dispatched:
 		u.backlogSince = time.Time{}
 	case wait >= beginWait.Seconds() && u.backlogSince.IsZero():
 		u.backlogSince = now
 	}
-	if waiting >= endWait.Seconds()*u.dispatched || age > maxAge {
-		u.capacity = u.dispatched
+	change := 1 + capacityGrowth*min(age, maxAge).Seconds()
+	if waiting >= endWait.Seconds()*u.dispatched {
+		change = math.Exp(-age.Seconds() / capacityWindow.Seconds())
 	}
+	u.capacity = max(u.dispatched, min(u.capacity*change, maxCapacity*u.dispatched))
 }
 
 // overloadedUnit returns the state of a unit whose demand exceeds its capacity, nil if that is not known.
@@ -218,6 +232,8 @@
 type queue struct {
 	// ahead are the waiting requests of more urgent kinds, withOwn those of its own kind too.
 	ahead, withOwn int
+	// kindsAhead is the number of more urgent kinds with waiting requests.
+	kindsAhead int
 	// aheadRate is the dispatch rate of more urgent kinds, room what remains of the dispatch rate
 	// for its kind of the capacity until the request's deadline, and spare what the usual demand leaves, its own
 	// kind's included.
@@ -248,6 +264,9 @@
 			q.withOwn += k.waiting()
 		case k.Priority > kind.Priority, k.Priority == kind.Priority && k.looseness() < timeToTarget:
 			q.ahead += k.waiting()
+			if k.waiting() > 0 {
+				q.kindsAhead++
+			}
 			q.aheadRate += k.Dispatched
 			q.spare -= k.Usual
 			returning := min(k.Returned, q.returnRoom())
@@ -255,6 +274,11 @@
 		}
 	}
 	q.withOwn += q.ahead
+	if float64(q.ahead) < beginWait.Seconds()*u.capacity {
+		// The more urgent kinds are served as they come. What is counted as their demand may be callers that
+		// return again and again after a burst.
+		q.room = max(q.room, u.capacity-q.aheadRate)
+	}
 	q.room = max(q.room, minRoom*u.capacity)
 	return q
 }
