--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -142,8 +142,9 @@
 // requests wait at any VM, the others share the rate that those leave. fits reports whether a
 // place is free for it: if one stays free, no other VM needs it.
 func (e *Estimator) MayDispatch(now time.Time, r Request, fits func() bool) bool {
-	u := e.overloadedUnit(now, r.Unit)
-	if u == nil {
+	// The order of dispatches does no harm in a short backlog, as free places are used anyway.
+	u := e.knownUnit(now, r.Unit)
+	if u == nil || u.backlogSince.IsZero() {
 		return true
 	}
 	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
