--- a/admission/admission.go
+++ b/admission/admission.go
@@ -40,6 +40,9 @@
 	Target time.Duration
 	// CallerDeadline is until when the caller waits for its answer; zero means Deadline.
 	CallerDeadline time.Time
+	// Trial is whether the request finds out if what it needs still crashes backend servers. The load of the
+	// fleet doesn't refuse or hold it back, as many requests may wait for its result.
+	Trial bool
 }
 
 // phase is a ticket's state. It moves held → queued ⇄ running → ended, and from
--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -66,10 +66,10 @@
 	}
 	var held []fleetload.Kind // by this call; no further ticket of these kinds is looked at
 	return func(t *Ticket) bool {
-		if t.Attempts == 0 && slices.Contains(held, t.fleetRequest().Kind) {
+		if t.Attempts == 0 && !t.Trial && slices.Contains(held, t.fleetRequest().Kind) {
 			return false
 		}
-		if t.Attempts > 0 || c.cfg.Fleet.MayDispatch(now, t.fleetRequest(), func() bool { return fits(t) }) {
+		if t.Attempts > 0 || t.Trial || c.cfg.Fleet.MayDispatch(now, t.fleetRequest(), func() bool { return fits(t) }) {
 			return true
 		}
 		held = append(held, t.fleetRequest().Kind)
@@ -100,7 +100,7 @@
 	if !known {
 		return nil, false
 	}
-	if c.cfg.Fleet.Admit(now, request) {
+	if r.Trial || c.cfg.Fleet.Admit(now, request) {
 		return nil, true
 	}
 	return c.newFleetRefusal(now, r, wait), true
@@ -136,7 +136,7 @@
 	}
 	var late []Expired
 	for _, t := range p.deadlines {
-		if t.phase != phaseQueued || t.Attempts > 0 || c.isLoading(now, t.Request) {
+		if t.phase != phaseQueued || t.Attempts > 0 || t.Trial || c.isLoading(now, t.Request) {
 			continue
 		}
 		if wait, ok := c.cfg.Fleet.CanReach(now, t.fleetRequest()); !ok {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -94,6 +94,7 @@
 		return refused
 	}
 	s.recordForward(r)
+	request.Trial = f.isTrial
 	p, w, refused := s.admit(request, query, known)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
