--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"bergamotreel/admission/fleetload"
 	"bergamotreel/refusal"
 )
 
@@ -39,6 +40,13 @@
 	Deadline time.Time
 	// Cost is the expected work, where 1 is a typical request. 0 counts as 1.
 	Cost float64
+	// Target is the target for the time from Arrived to the first token, 0 for none.
+	Target time.Duration
+	// CallerDeadline is until when the caller waits for its answer; zero means Deadline.
+	CallerDeadline time.Time
+	// Trial is whether the request finds out if what it needs still crashes backend servers. The load of the
+	// fleet doesn't refuse or hold it back, as many requests may wait for its result.
+	Trial bool
 }
 
 // phase is a ticket's state. It moves held → queued ⇄ running → ended, and from
@@ -69,6 +77,8 @@
 	chargedVirtualTime float64 // virtual time charged to the customer for the running attempt
 	dispatchedAt       time.Time
 	heapIndex          int // index in its pool's deadlines while it waits
+	// heldForFleet is whether the ticket was held back for more urgent ones of other VMs.
+	heldForFleet bool
 }
 
 // HasEnded reports whether the ticket was finished, canceled or refused.
@@ -135,6 +145,8 @@
 	// FairWorkspaces gives each workspace of a customer a flow of its own and shares services
 	// fairly between workspaces (package fairshare). The customer's limits apply unchanged.
 	FairWorkspaces bool
+	// Fleet estimates the load of all entry VMs. With nil, each VM decides by its own queue.
+	Fleet *fleetload.Estimator
 }
 
 const (
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -135,6 +135,7 @@
 		return nil, refusal.New(refusal.CodeUnknownKey, 0, "no contract for customer %q", r.Customer)
 	}
 	cust.limit.arrivals.Add(now, 1, UsageWindow)
+	c.recordFleetArrival(now, r)
 	c.releaseHeld(now, cust)
 	if r.Cost <= 0 {
 		r.Cost = 1
@@ -210,6 +211,7 @@
 	p := c.poolFor(t.Pool)
 	key, weight := c.flowKeyOf(cust, p, &t.Request)
 	p.addTicket(now, t, key, weight)
+	c.recordFleetWaiting(now, t)
 }
 
 // Next dispatches the next ticket of the pool for which fits returns true. It
@@ -227,6 +229,7 @@
 		return now.Before(t.Deadline) && (fits == nil || fits(t))
 	}
 	isOverFairShare := func(f *flow) bool { return c.isOverFairShare(poolName, f) }
+	p.mayDispatch = c.fleetGate(now, canDispatch)
 	var t *Ticket
 	if c.workspaces == nil {
 		t = p.pick(now, isOverFairShare, canDispatch)
@@ -236,6 +239,7 @@
 	if t == nil {
 		return nil
 	}
+	c.recordFleetDispatch(now, t)
 	c.removeWaiting(now, t)
 	c.recordRun(now, &t.Request, 1)
 	if c.isWorkspaceOver(now, &t.Request) {
@@ -281,6 +285,7 @@
 	c.recordRun(now, &t.Request, -1)
 	c.pools[t.Pool].releaseSlot(now, t, 0)
 	c.addWaiting(now, t)
+	c.recordFleetUndo(now, t)
 	c.enqueue(now, cust, t)
 	c.recheckNeeded = c.recheckNeeded || cust.contract == nil
 	if _, loading := c.readyTimes[t.Unit]; loading {
@@ -333,6 +338,7 @@
 		c.removeHeld(cust, t)
 	case phaseQueued:
 		p.removeTicket(t)
+		c.recordFleetLeft(now, t)
 	case phaseRunning:
 		cust.runningCount--
 		c.recordRun(now, &t.Request, -1)
--- a/admission/workspaces.go
+++ b/admission/workspaces.go
@@ -192,6 +192,9 @@
 					continue
 				}
 				t.OverFairShare = overFairShare
+				if p.mayDispatch != nil && !p.mayDispatch(t) {
+					continue
+				}
 				if fits(t) {
 					p.dispatchTicket(now, f, t)
 					return t
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -28,6 +28,7 @@
 	signals := &entryvm.LoadSignals{Workspaces: n.measureWorkspaces(now)}
 	n.backendQueues.report(now, signals)
 	signals.Paces = n.reportPaces(now)
+	signals.Units = n.fleetAdmission.measure(now)
 	return signals
 }
 
@@ -36,6 +37,7 @@
 	n.backendQueues.setFleet(now, fleet)
 	n.applyWorkspaces(now, fleet.Workspaces)
 	n.applyPaces(now, fleet)
+	n.fleetAdmission.apply(now, fleet.Units)
 }
 
 // updateSignals measures this VM's signals and applies the sum over all VMs if either is due. It must
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -30,6 +30,7 @@
 type unitKey struct {
 	unit     string
 	priority int
+	target   int64
 }
 
 // NewSum returns an empty sum.
@@ -58,9 +59,10 @@
 		}
 	}
 	for _, u := range signals.Units {
-		key := unitKey{u.Unit, u.Priority}
+		key := unitKey{u.Unit, u.Priority, u.Target}
 		known := s.units[key]
 		u.Waiting, u.Arrived, u.Dispatched = known.Waiting+u.Waiting, known.Arrived+u.Arrived, known.Dispatched+u.Dispatched
+		u.Returned, u.Usual = known.Returned+u.Returned, known.Usual+u.Usual
 		s.units[key] = u
 	}
 	for _, q := range signals.Queues {
@@ -145,7 +147,7 @@
 		Queues: slices.Collect(maps.Values(s.queues))}
 	slices.SortFunc(total.Paces, comparePaces)
 	slices.SortFunc(total.Units, func(a, b entryvm.UnitLoad) int {
-		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority))
+		return cmp.Or(cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Target, b.Target))
 	})
 	slices.SortFunc(total.Queues, func(a, b entryvm.QueueLoad) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -99,6 +99,7 @@
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
 	}
+	request.Trial = f.isTrial
 	p, w, refused := s.admit(request, query, known)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -131,6 +132,7 @@
 	request := admission.Request{
 		ID: r.ID, Customer: r.Customer, Workspace: r.WorkspaceName(), Service: r.Service, Unit: unit, Pool: pool, Priority: r.Priority(),
 		Arrived: r.Arrived, Deadline: r.BeginDeadline, Cost: 1,
+		Target: r.Route.TargetLatency, CallerDeadline: r.AnswerDeadline,
 	}
 	return request, routing.Query{Unit: unit, Pool: pool, Domain: s.config.Domain, Prefixes: r.Prefixes, Pace: s.paceTargets(&r, pool)}
 }
