routing/pace: only engines that count as slow differ from their pool, of three engines at least

Cause: with the pace of every engine, streams of small pools moved to the engine that looked faster at the moment.

--- a/routing/pace/distribution.go
+++ b/routing/pace/distribution.go
@@ -139,6 +139,10 @@
 	of map[Key]*Distribution
 }
 
+// minMedianEngines is the number of engines with samples from which they are compared: of two, either may be
+// the unusual one.
+const minMedianEngines = 3
+
 // newModelPaces derives the distributions of one model from the counts of its engines.
 func newModelPaces(list []Counts) *modelPaces {
 	var gaps, firsts [][len(bounds)]float64
@@ -150,6 +154,9 @@
 			firsts = append(firsts, sharesOver(c.FirstEvents, nil, 0))
 		}
 	}
+	if len(gaps) < minMedianEngines {
+		gaps, firsts = nil, nil
+	}
 	gapMedian, firstMedian := medianOver(gaps), medianOver(firsts)
 	m := &modelPaces{median: &Distribution{slowness: 1}, of: make(map[Key]*Distribution, len(list))}
 	if gapMedian != nil {
--- a/routing/pace/table.go
+++ b/routing/pace/table.go
@@ -136,8 +136,10 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Estimate returns the distribution of an engine, the median of its pool if there are no samples of
-// this start of it, and nil if nothing is known of the model or the sum is older than the window.
+// Estimate returns the distribution of an engine that counts as slow, the median of its pool for any
+// other, and nil if nothing is known of the model or the sum is older than the window. Engines of one speed
+// differ by their load of the moment; preferring those that look faster moves load about and
+// gives up the prompts that engines have cached.
 func (t *Table) Estimate(now time.Time, key Key) *Distribution {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -145,7 +147,7 @@
 	if m == nil || now.Sub(t.fleetAt) > Window {
 		return nil
 	}
-	if d := m.of[key]; d != nil {
+	if d := m.of[key]; d != nil && t.slow[key] {
 		return d
 	}
 	return m.median
