admission/quota: callers beyond a quota return by a schedule; the switch of the part not taken in is gone

Each VM now spreads the returns over half of the credit that it admits, up to a third of the time that the caller has left ([policy] spread_returns).

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -104,8 +104,8 @@
 		MaxApplyDelay: s.Platform.MaxApplyDelay, MaxDrainDelay: s.Platform.MaxDrainDelay,
 		MaxConfigurationAge: s.Platform.MaxConfigurationAge, QuotaSlack: s.Policy.QuotaSlack,
 		Load: hosted.LoadPolicies{
-			EnginePace: s.Policy.EnginePace, FairWorkspaces: s.Policy.FairWorkspaces, DeadlineUrgency: s.Policy.DeadlineUrgency,
-			BackendQueues: s.Policy.BackendQueues, FleetAdmission: s.Policy.FleetAdmission,
+			EnginePace: s.Policy.EnginePace, FairWorkspaces: s.Policy.FairWorkspaces,
+			BackendQueues: s.Policy.BackendQueues, FleetAdmission: s.Policy.FleetAdmission, SpreadReturns: s.Policy.SpreadReturns,
 		},
 	})
 	limits := callerLimits(s.Limits, nil)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -117,12 +117,12 @@
 	EnginePace bool
 	// FairWorkspaces shares pools fairly between workspaces over all VMs.
 	FairWorkspaces bool
-	// DeadlineUrgency orders requests by priority and by the time left until their target.
-	DeadlineUrgency bool
 	// BackendQueues lets plain services with fewer places than VMs queue requests themselves.
 	BackendQueues bool
 	// FleetAdmission refuses requests that the whole fleet can't serve in time.
 	FleetAdmission bool
+	// SpreadReturns gives requests beyond a workspace's quota retry times that spread their returns.
+	SpreadReturns bool
 }
 
 // Node is one entry VM. It is safe for concurrent use.
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -80,6 +80,7 @@
 
 	mu              sync.Mutex
 	localCredits    map[string]*quota.LocalCredit
+	returns         map[string]*quota.ReturnSchedule
 	buckets         map[string]*leaseBucket
 	fallbackBuckets map[string]*quota.Bucket
 	// fallbackUsedAt is when an even share was last used.
@@ -93,7 +94,7 @@
 }
 
 func newQuotas(n *Node) *quotas {
-	return &quotas{node: n, usage: newWorkspaceUsage(), localCredits: make(map[string]*quota.LocalCredit), buckets: make(map[string]*leaseBucket),
+	return &quotas{node: n, usage: newWorkspaceUsage(), localCredits: make(map[string]*quota.LocalCredit), returns: make(map[string]*quota.ReturnSchedule), buckets: make(map[string]*leaseBucket),
 		fallbackBuckets: make(map[string]*quota.Bucket), unresponsiveUntil: make(map[string]time.Time),
 		demandView: quota.NewDemandView(n.config.Domain, n.config.Domains)}
 }
@@ -138,7 +139,7 @@
 	maxWait := q.currentMaxCreditWait()
 	if credit.TrySpend(now, charge.cost) {
 		q.mu.Unlock()
-		q.usage.admitted(charge)
+		q.recordAdmitted(now, charge)
 		return charge, nil
 	}
 	if wait, blocked := credit.BlockedFor(now, maxWait); blocked {
@@ -173,7 +174,7 @@
 		if !covered {
 			return creditCharge{}, q.newQuotaRefusal(r, charge, wait, "no allocator answers")
 		}
-		q.usage.admitted(charge)
+		q.recordAdmitted(now, charge)
 		return charge, nil
 	}
 	if reply.Credit < charge.cost {
@@ -183,7 +184,7 @@
 		return creditCharge{}, q.newQuotaRefusal(r, charge, reply.Wait, "refused by "+from)
 	}
 	q.deposit(now, charge.workspace, reply.Credit-charge.cost)
-	q.usage.admitted(charge)
+	q.recordAdmitted(now, charge)
 	if reply.Wait > 0 && !pause.For(ctx, reply.Wait) {
 		q.returnCredit(charge)
 		return creditCharge{}, ctx.Err()
@@ -195,10 +196,37 @@
 func (q *quotas) newQuotaRefusal(r *caller.RelayRequest, charge creditCharge, wait time.Duration, reason string) error {
 	q.usage.refused(charge)
 	limit := r.Workspace.Quota
-	return refusal.New(refusal.CodeRateLimited, max(wait, minRetryAfter), "workspace %s: %.0f %s are over its quota of %.0f a second (%s)",
+	retryAfter := max(wait, minRetryAfter)
+	if q.node.config.Load.SpreadReturns {
+		now := time.Now()
+		q.mu.Lock()
+		retryAfter = q.returnSchedule(charge.workspace).Delay(now, charge.cost, retryAfter, r.AnswerDeadline.Sub(now))
+		q.mu.Unlock()
+	}
+	return refusal.New(refusal.CodeRateLimited, retryAfter, "workspace %s: %.0f %s are over its quota of %.0f a second (%s)",
 		charge.workspace, charge.cost, limit.Unit, limit.PerSecond, reason)
 }
 
+// recordAdmitted records a request that was charged.
+func (q *quotas) recordAdmitted(now time.Time, charge creditCharge) {
+	q.usage.admitted(charge)
+	if q.node.config.Load.SpreadReturns {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.returnSchedule(charge.workspace).RecordAdmitted(now, charge.cost)
+	}
+}
+
+// returnSchedule returns the schedule of a workspace's returns. Call with mu held.
+func (q *quotas) returnSchedule(workspace string) *quota.ReturnSchedule {
+	schedule := q.returns[workspace]
+	if schedule == nil {
+		schedule = &quota.ReturnSchedule{}
+		q.returns[workspace] = schedule
+	}
+	return schedule
+}
+
 // returnCredit returns the credit of a request that did not run.
 func (q *quotas) returnCredit(charge creditCharge) {
 	now := time.Now()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,9 +157,9 @@
 	ClaimTTL time.Duration
 	// ClaimShards is the number of streams over which claims are distributed.
 	ClaimShards int
-	// EnginePace, FairWorkspaces, DeadlineUrgency, BackendQueues and FleetAdmission switch on parts of
-	// the scheduling under load.
-	EnginePace, FairWorkspaces, DeadlineUrgency, BackendQueues, FleetAdmission bool
+	// EnginePace, FairWorkspaces, BackendQueues, FleetAdmission and SpreadReturns
+	// switch on parts of the scheduling under load.
+	EnginePace, FairWorkspaces, BackendQueues, FleetAdmission, SpreadReturns bool
 	// QuotaSlack is the number of units by which a workspace may briefly exceed its quota.
 	QuotaSlack float64
 	// RetryBudget is the maximum fraction of the traffic that may be retries.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -294,11 +294,6 @@
 		help: "share a contended pool fairly between workspaces over all entry VMs, by the engine time that they use; for kind = hosted",
 		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.FairWorkspaces }),
 	},
-	{
-		section: "policy", key: "deadline_urgency", defaultValue: "false",
-		help: "order requests by priority and by the time left until their route's target, at entry VMs and on engines; for kind = hosted",
-		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.DeadlineUrgency }),
-	},
 	{
 		section: "policy", key: "backend_queues", defaultValue: "false",
 		help: "let plain services with fewer places than entry VMs queue requests themselves, as far as they accept it; for kind = hosted",
@@ -309,6 +304,11 @@
 		help: "refuse requests that the whole fleet can't serve in time, with retry times that spread their returns; for kind = hosted",
 		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.FleetAdmission }),
 	},
+	{
+		section: "policy", key: "spread_returns", defaultValue: "false",
+		help: "give requests beyond a workspace's quota retry times that spread their returns over the credit that accrues; for kind = hosted",
+		set:  boolSetter(func(s *Settings) *bool { return &s.Policy.SpreadReturns }),
+	},
 	{
 		section: "policy", key: "shutdown_grace", defaultValue: "15m",
 		help: "longest graceful shutdown; longer than any answer streams, so that none is cut off",
