--- a/contract/route.go
+++ b/contract/route.go
@@ -66,9 +66,6 @@
 	MemoryBytes int64
 	// Slots is the number of requests that an engine runs concurrently.
 	Slots int
-	// MemoryTokens is an engine's memory for the tokens of running requests and cached prompts, 0
-	// if unknown.
-	MemoryTokens int64
 	// AdapterPlaces bounds the adapters loaded on an engine.
 	AdapterPlaces int
 	// LoadsPerSecond bounds the rate of loads from the weight store over all engines.
