--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -84,26 +84,25 @@
 // takeSignalsTurn reports whether to send this VM's signals to a peer again, and records that they are
 // sent. Call with mu held.
 func (m *members) takeSignalsTurn(now time.Time, address string) bool {
-	p := m.peers[address]
-	if p == nil {
-		return true
-	}
-	if now.Sub(p.signalsSentAt) < signalsInterval {
-		return false
-	}
-	p.signalsSentAt = now
-	return true
+	return m.takeTurn(now, address, func(p *member) *time.Time { return &p.signalsSentAt })
 }
 
 // takeSumTurn is takeSignalsTurn for the sums that relays send.
 func (m *members) takeSumTurn(now time.Time, address string) bool {
+	return m.takeTurn(now, address, func(p *member) *time.Time { return &p.sumSentAt })
+}
+
+// takeTurn reports whether signalsInterval has passed since the time that sentAt selects, and sets it
+// to now if so. Call with mu held.
+func (m *members) takeTurn(now time.Time, address string, sentAt func(*member) *time.Time) bool {
 	p := m.peers[address]
 	if p == nil {
 		return true
 	}
-	if now.Sub(p.sumSentAt) < signalsInterval {
+	last := sentAt(p)
+	if now.Sub(*last) < signalsInterval {
 		return false
 	}
-	p.sumSentAt = now
+	*last = now
 	return true
 }
