keeper: cluster test doesn't hold its lock while it views a replica

Cause: checkRights held the cluster's lock while it waited for a replica's read lock; a keeper that held the read lock called ShouldSettle, which takes the cluster's lock, and a waiting writer kept further readers out. The check itself is unchanged.

--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -222,14 +222,16 @@
 // applies the same record a moment later.
 func (tc *testCluster) checkRights(address string, e *engineserver.Engine) {
 	status, err := e.Status(tc.ctx)
+	// Keepers call functions that take tc.mu from within View, so tc.mu must not be held there.
 	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	if err != nil || tc.vms["b"] == nil {
+	vms := maps.Clone(tc.vms)
+	tc.mu.Unlock()
+	if err != nil || vms["b"] == nil {
 		return
 	}
 	var newest uint64
 	rights := make(map[string]bool)
-	for _, v := range tc.vms {
+	for _, v := range vms {
 		v.control.View(func(s *state.State) {
 			if s.Applied < newest {
 				return
@@ -245,7 +247,9 @@
 	}
 	for _, unit := range status.Units {
 		if unit.Unit != "stray" && !rights[unit.Unit] {
+			tc.mu.Lock()
 			tc.rightViolated = true
+			tc.mu.Unlock()
 		}
 	}
 }
