--- a/admission/queue.go
+++ b/admission/queue.go
@@ -184,24 +184,32 @@
 	for _, f := range p.backlogged {
 		overFairShare := isOverFairShare(f)
 		for _, t := range f.waiting {
-			key := fitFailureKey{unit: t.Unit, overFairShare: overFairShare}
-			if p.fitFailures[key] >= maxFitFailuresPerUnit {
-				continue
-			}
-			if p.mayDispatch != nil && !p.mayDispatch(t) {
-				continue
-			}
-			t.OverFairShare = overFairShare
-			if fits(t) {
-				p.dispatchTicket(now, f, t)
+			if p.tryDispatch(now, f, t, overFairShare, fits) {
 				return t
 			}
-			p.fitFailures[key]++
 		}
 	}
 	return nil
 }
 
+// tryDispatch dispatches a waiting ticket of a flow if it may be dispatched and fits.
+func (p *pool) tryDispatch(now time.Time, f *flow, t *Ticket, overFairShare bool, fits func(*Ticket) bool) bool {
+	key := fitFailureKey{unit: t.Unit, overFairShare: overFairShare}
+	if p.fitFailures[key] >= maxFitFailuresPerUnit {
+		return false
+	}
+	t.OverFairShare = overFairShare
+	if p.mayDispatch != nil && !p.mayDispatch(t) {
+		return false
+	}
+	if !fits(t) {
+		p.fitFailures[key]++
+		return false
+	}
+	p.dispatchTicket(now, f, t)
+	return true
+}
+
 // poolUsage is the total usage of a pool's customers.
 type poolUsage struct {
 	rate, weight      float64
--- a/admission/workspaces.go
+++ b/admission/workspaces.go
@@ -149,8 +149,7 @@
 
 // pickFair is pick for flows of workspaces: flows within their share go before those beyond it. Among
 // either, requests go by priority, and those of equal priority by the virtual start times of their
-// flows. A workspace with less urgent requests thus gets no turn before another one's urgent requests,
-// as was the case when a customer's workspaces had one flow.
+// flows. A workspace with less urgent requests thus gets no turn before another one's urgent requests.
 func (p *pool) pickFair(now time.Time, isOverFairShare func(*flow) bool, fits func(*Ticket) bool) *Ticket {
 	clear(p.fitFailures)
 	within, over := p.within[:0], p.over[:0]
@@ -186,20 +185,9 @@
 		}
 		for i, f := range flows {
 			for ; next[i] < len(f.waiting) && f.waiting[next[i]].Priority == priority; next[i]++ {
-				t := f.waiting[next[i]]
-				key := fitFailureKey{unit: t.Unit, overFairShare: overFairShare}
-				if p.fitFailures[key] >= maxFitFailuresPerUnit {
-					continue
-				}
-				t.OverFairShare = overFairShare
-				if p.mayDispatch != nil && !p.mayDispatch(t) {
-					continue
-				}
-				if fits(t) {
-					p.dispatchTicket(now, f, t)
+				if t := f.waiting[next[i]]; p.tryDispatch(now, f, t, overFairShare, fits) {
 					return t
 				}
-				p.fitFailures[key]++
 			}
 		}
 	}
