fleetload: queues are computed for a request

Cause: five callers derived the same two times from a request, and fleetGate and the record of a dispatch built a ticket's kind up to three times.

--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -44,8 +44,9 @@
 
 func (c *Controller) recordFleetDispatch(now time.Time, t *Ticket) {
 	if c.cfg.Fleet != nil {
-		c.cfg.Fleet.RecordLeft(now, t.fleetRequest().Kind)
-		c.cfg.Fleet.RecordDispatch(now, t.fleetRequest().Kind)
+		kind := t.fleetRequest().Kind
+		c.cfg.Fleet.RecordLeft(now, kind)
+		c.cfg.Fleet.RecordDispatch(now, kind)
 	}
 }
 
@@ -66,13 +67,17 @@
 	}
 	var held []fleetload.Kind // by this call; no further ticket of these kinds is looked at
 	return func(t *Ticket) bool {
-		if t.Attempts == 0 && !t.Trial && slices.Contains(held, t.fleetRequest().Kind) {
+		if t.Attempts > 0 || t.Trial {
+			return true
+		}
+		request := t.fleetRequest()
+		if slices.Contains(held, request.Kind) {
 			return false
 		}
-		if t.Attempts > 0 || t.Trial || c.cfg.Fleet.MayDispatch(now, t.fleetRequest(), func() bool { return fits(t) }) {
+		if c.cfg.Fleet.MayDispatch(now, request, func() bool { return fits(t) }) {
 			return true
 		}
-		held = append(held, t.fleetRequest().Kind)
+		held = append(held, request.Kind)
 		if !t.heldForFleet {
 			t.heldForFleet = true
 			c.cfg.Fleet.RecordHeld()
--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -54,8 +54,8 @@
 	if u == nil {
 		return 0, false
 	}
-	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
-	if e.overloadedUnit(now, r.Unit) == nil {
+	q := u.queueFor(now, &r)
+	if !u.isOverloaded(now) {
 		// The dispatch rate is the demand, and the capacity may be far larger.
 		q.room = u.dispatched
 	}
@@ -72,7 +72,7 @@
 		return true
 	}
 	s := e.kind(now, r.Kind)
-	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, &r)
 	left, wait := r.Deadline.Sub(now), q.wait()
 	longest := seconds(maxWait * left.Seconds())
 	admit := false
@@ -147,7 +147,7 @@
 	if u == nil || u.backlogSince.IsZero() {
 		return true
 	}
-	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, &r)
 	if q.ahead == 0 || q.own == nil {
 		return true
 	}
@@ -188,7 +188,7 @@
 	if u == nil {
 		return 0, true
 	}
-	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, &r)
 	wait := q.leastWait(q.ahead)
 	return wait, wait <= r.Deadline.Sub(now)
 }
@@ -208,7 +208,7 @@
 		return 0, false, false
 	}
 	longest := seconds(maxReturn * left.Seconds())
-	q := u.queueFor(now, r.Kind, r.timeToTarget(now), r.Deadline.Sub(now))
+	q := u.queueFor(now, &r)
 	if q.spare < minRoom*u.capacity || q.own == nil {
 		e.activity.Unscheduled++
 		return longest, false, true
--- a/admission/fleetload/fleetload.go
+++ b/admission/fleetload/fleetload.go
@@ -105,7 +105,7 @@
 	return strconv.FormatUint(uint64(hash.Sum32()), 36)
 }
 
-// hash is UnitHash.
+// hash returns UnitHash from a cache.
 func (e *Estimator) hash(unit string) string {
 	h, ok := e.hashes[unit]
 	if !ok {
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -255,22 +255,22 @@
 	own *fleetKind
 }
 
-// queueFor returns what is ahead of a request of a kind that has the given time left until
-// its target and the given time until its deadline. Of its own priority, the kinds whose requests have less time are ahead.
-func (u *unitState) queueFor(now time.Time, kind Kind, timeToTarget, left time.Duration) queue {
-	present := 1.0
+// queueFor returns what is ahead of a request. Of its own priority, the kinds whose targets are shorter
+// than the time left until its target are ahead.
+func (u *unitState) queueFor(now time.Time, r *Request) queue {
+	present, timeToTarget := 1.0, r.timeToTarget(now)
 	if !u.backlogSince.IsZero() {
-		present = min(now.Sub(u.backlogSince).Seconds()/max(left.Seconds(), 0.1), 1)
+		present = min(now.Sub(u.backlogSince).Seconds()/max(r.Deadline.Sub(now).Seconds(), 0.1), 1)
 	}
 	q := queue{room: u.capacity, spare: u.capacity, present: present}
 	for i := range u.kinds {
 		k := &u.kinds[i]
 		switch {
-		case k.Priority == kind.Priority && k.Target == kind.Target:
+		case k.Priority == r.Priority && k.Target == r.Target:
 			q.own = k
 			q.spare -= k.Usual
 			q.withOwn += k.waiting()
-		case k.Priority > kind.Priority, k.Priority == kind.Priority && k.looseness() < timeToTarget:
+		case k.Priority > r.Priority, k.Priority == r.Priority && k.looseness() < timeToTarget:
 			q.ahead += k.waiting()
 			if k.waiting() > 0 {
 				q.kindsAhead++
