meter, refusal: one function smooths means, one bounds retry delays

Cause: four places of the scheduling under load wrote the same exponential mean, and three the same third of the caller's time left. Change: meter.Smooth and refusal.MaxRetryAfter serve them.

--- a/admission/fairshare/meter.go
+++ b/admission/fairshare/meter.go
@@ -16,10 +16,12 @@
 	"slices"
 	"strings"
 	"time"
+
+	"bergamotreel/internal/meter"
 )
 
-// Window is the time constant of the smoothed usage. With a longer one, VMs that lose a third of the
-// reports find a tenfold burst too late.
+// Window is the time constant of the smoothed usage. A longer one would show a burst too late to VMs
+// that lose reports.
 const Window = time.Second
 
 // milli is the number of units of Usage.Used in one slot.
@@ -98,8 +100,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	running := float64(e.running)
-	e.used = running + (e.used-running)*math.Exp(-elapsed.Seconds()/Window.Seconds())
+	e.used = meter.Smooth(e.used, float64(e.running), elapsed, Window)
 	e.at = now
 }
 
--- a/admission/fairshare/shares.go
+++ b/admission/fairshare/shares.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotreel/contract"
+	"bergamotreel/internal/meter"
 )
 
 const (
@@ -135,8 +136,7 @@
 		} else if o.surgeStart.IsZero() {
 			o.surgeStart = now
 		}
-		elapsed := max(now.Sub(o.updatedAt), 0)
-		o.baseline = used + (o.baseline-used)*math.Exp(-elapsed.Seconds()/surgeWindow.Seconds())
+		o.baseline = meter.Smooth(o.baseline, used, now.Sub(o.updatedAt), surgeWindow)
 		o.updatedAt = now
 		own[u.Key] = o
 	}
--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -1,6 +1,10 @@
 package fleetload
 
-import "time"
+import (
+	"time"
+
+	"bergamotreel/refusal"
+)
 
 const (
 	// returnedAllowance is the part of the usual time of callers below which a caller counts as
@@ -8,8 +12,6 @@
 	// waited for it are below.
 	returnedAllowance = 0.93
 	minReturn         = 0.1
-	// maxReturn is the part of the time that callers have left for which they wait at most.
-	maxReturn = 1.0 / 3
 	// maxWait is the part of a request's time until its deadline that the estimated wait may
 	// take. The rest is for errors of the estimate, so that few requests wait for nothing.
 	maxWait = 0.9
@@ -207,7 +209,7 @@
 	if left < minRetryTime {
 		return 0, false, false
 	}
-	longest := seconds(maxReturn * left.Seconds())
+	longest := refusal.MaxRetryAfter(left)
 	q := u.queueFor(now, &r)
 	if q.spare < minRoom*u.capacity || q.own == nil {
 		e.activity.Unscheduled++
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bergamotreel/internal/meter"
 )
 
 const (
@@ -140,13 +142,12 @@
 func (u *unitState) update(now time.Time, kinds []fleetKind) {
 	slices.SortFunc(kinds, func(a, b fleetKind) int { return order(a.Kind, b.Kind) })
 	age := now.Sub(u.at)
-	keep := math.Exp(-age.Seconds() / steadyWindow.Seconds())
 	waiting, arrived := 0, 0.0
 	u.dispatched = 0
 	for i := range kinds {
 		k := &kinds[i]
 		if j := slices.IndexFunc(u.kinds, func(known fleetKind) bool { return known.Kind == k.Kind }); j >= 0 {
-			k.steady = keep*u.kinds[j].steady + (1-keep)*k.fresh()
+			k.steady = meter.Smooth(u.kinds[j].steady, k.fresh(), age, steadyWindow)
 		}
 		waiting += k.waiting()
 		arrived += k.Arrived
--- a/admission/quota/returns.go
+++ b/admission/quota/returns.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotreel/internal/meter"
+	"bergamotreel/refusal"
 )
 
 const (
@@ -12,9 +13,6 @@
 	// returningShare is the part of the admitted credit that returning requests are expected to get
 	// beside new ones.
 	returningShare = 0.5
-	// maxShareOfTimeLeft bounds the retry delay: callers wait no longer than a third of the time that
-	// they have left.
-	maxShareOfTimeLeft = 1.0 / 3
 )
 
 // ReturnSchedule spreads the returns of requests beyond one workspace's quota over the credit that
@@ -32,10 +30,10 @@
 }
 
 // Delay returns after which time a refused request of the given cost should return. wait is when its
-// workspace has credit again, left the time that its caller has left. If the schedule is full until a
-// third of that, the request returns then, as late as its caller can.
+// workspace has credit again, left the time that its caller has left. If the schedule is full until
+// refusal.MaxRetryAfter, the request returns then, as late as its caller can.
 func (s *ReturnSchedule) Delay(now time.Time, cost float64, wait, left time.Duration) time.Duration {
-	longest := time.Duration(maxShareOfTimeLeft * float64(left))
+	longest := refusal.MaxRetryAfter(left)
 	delay := max(wait, s.next.Sub(now))
 	if delay >= longest {
 		return max(wait, longest)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -71,6 +71,10 @@
 	return &Refusal{Code: code, Ran: RanNo, Message: fmt.Sprintf(format, args...), RetryAfter: retryAfter}
 }
 
+// MaxRetryAfter returns the longest useful delay for a caller that has the given time left, a third of
+// it: the rest is for the new attempt and its answer.
+func MaxRetryAfter(left time.Duration) time.Duration { return max(left, 0) / 3 }
+
 // NewMaybeRan returns a refusal of a request that may have run.
 func NewMaybeRan(code Code, format string, args ...any) *Refusal {
 	return &Refusal{Code: code, Ran: RanMaybe, Message: fmt.Sprintf(format, args...)}
--- a/routing/backendqueue/backendqueue.go
+++ b/routing/backendqueue/backendqueue.go
@@ -209,11 +209,7 @@
 
 // smoothPeers updates the mean count of other VMs' requests.
 func (b *backendState) smoothPeers(now time.Time, count int) {
-	weight := 1.0
-	if !b.peersAt.IsZero() {
-		weight = 1 - math.Exp(-max(0, now.Sub(b.peersAt).Seconds())/peersWindow.Seconds())
-	}
-	b.peers += weight * (float64(count) - b.peers)
+	b.peers = meter.Smooth(b.peers, float64(count), now.Sub(b.peersAt), peersWindow) // the first count is taken as it is
 	b.peersAt = now
 }
 
--- a/routing/backendqueue/returns.go
+++ b/routing/backendqueue/returns.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"bergamotreel/refusal"
 )
 
 const (
@@ -12,9 +14,6 @@
 	// minRetryAfter is long enough for the fleet's load to have changed and for the sums that VMs
 	// exchange to show it.
 	minRetryAfter = 400 * time.Millisecond
-	// maxShareOfTimeLeft bounds the retry delay: callers wait no longer than a third of the time
-	// that they have left.
-	maxShareOfTimeLeft = 1.0 / 3
 )
 
 // returnSchedule spreads the returns of refused requests: each gets the next free time.
@@ -27,7 +26,7 @@
 // next returns the delay after which a refused request should return, for a VM that admits the
 // given rate. Requests for which no time is free are spread over the times that are useful to them.
 func (r *returnSchedule) next(now time.Time, left time.Duration, admitted float64) time.Duration {
-	longest := max(0, time.Duration(maxShareOfTimeLeft*float64(left)))
+	longest := refusal.MaxRetryAfter(left)
 	shortest := min(minRetryAfter, longest)
 	step := longest
 	if admitted > 0 {
