pace: keys compare themselves

Cause: two lists were sorted by the same three fields, and a key was built in a third place. Change: Key.compare and Counts.key; MaxReported, used here only, is maxKeys. Result: tests of pace pass; behaviour is unchanged.

--- a/routing/pace/pace.go
+++ b/routing/pace/pace.go
@@ -9,7 +9,10 @@
 // The package does no I/O and returns no errors: bad counts and times are ignored. Times are passed in.
 package pace
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Key identifies what a pace is measured of: one start of an engine, and a model on it.
 type Key struct {
@@ -19,6 +22,11 @@
 	Model   string
 }
 
+// compare orders keys.
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Engine, other.Engine), cmp.Compare(k.Started, other.Started), cmp.Compare(k.Model, other.Model))
+}
+
 // Counts are the histograms of one Key over the recent window. Counts of several VMs are summed up bucket by
 // bucket. Its fields are those of entryvm.EnginePace.
 type Counts struct {
@@ -32,6 +40,8 @@
 	FirstEvents []uint32
 }
 
+func (c *Counts) key() Key { return Key{c.Backend, c.Started, c.Model} }
+
 // Targets are what a stream needs.
 type Targets struct {
 	// FirstEventDue is when the first event is due, zero for no target.
--- a/routing/pace/table.go
+++ b/routing/pace/table.go
@@ -1,17 +1,16 @@
 package pace
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// MaxReported bounds the list that Report returns, and the keys that a Table counts for.
-	MaxReported = 512
-	// An engine counts as slow from a slowness of slowFrom until it falls below slowUntil. Engines of the
-	// same speed differ by a tenth within a window.
+	// maxKeys bounds the keys that a Table counts for.
+	maxKeys = 512
+	// An engine counts as slow from a slowness of slowFrom until it falls below slowUntil. Both lie above
+	// what engines of the same speed differ by within a window.
 	slowFrom, slowUntil = 1.4, 1.2
 )
 
@@ -51,7 +50,7 @@
 	defer t.mu.Unlock()
 	w := t.windows[key]
 	if w == nil {
-		if len(t.windows) >= MaxReported {
+		if len(t.windows) >= maxKeys {
 			return // Report drops keys without recent samples
 		}
 		w = &window{}
@@ -74,9 +73,7 @@
 		}
 		out = append(out, c)
 	}
-	slices.SortFunc(out, func(a, b Counts) int {
-		return cmp.Or(cmp.Compare(a.Backend, b.Backend), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
-	})
+	slices.SortFunc(out, func(a, b Counts) int { return a.key().compare(b.key()) })
 	return out
 }
 
@@ -128,9 +125,7 @@
 		}
 	}
 	t.slow = slow
-	slices.SortFunc(changes, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Started, b.Started), cmp.Compare(a.Model, b.Model))
-	})
+	slices.SortFunc(changes, func(a, b Change) int { return a.compare(b.Key) })
 	return changes
 }
 
