--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -214,7 +214,7 @@
 }
 
 // Guards against VMs that serve by their own queues: with twice the demand that can be served, less urgent
-// requests that are alone on their VMs went before urgent ones of others, and the latter were late.
+// requests that are alone on their VMs would go before urgent ones of others.
 func TestFleetOverloadServesUrgentFirst(t *testing.T) {
 	for _, vms := range []int{8, 62, 300} {
 		off, on := newFleetSim(vms, 90, false), newFleetSim(vms, 90, true)
--- a/admission/fleetload/decisions.go
+++ b/admission/fleetload/decisions.go
@@ -36,13 +36,12 @@
 	// While more urgent requests wait, less urgent ones are dispatched at the rate that the former
 	// leave, raised by dispatchHeadroom of the whole rate so that the fleet follows a capacity
 	// that grows, and lowered so that the former's wait returns to dispatchHeadroom*urgentDrain =
-	// 50 ms of dispatches. Twice the headroom or four times the drain time delayed urgent requests
-	// by more than half of a target of 400 ms.
+	// 50 ms of dispatches, a small part of a target of 400 ms.
 	dispatchHeadroom = 0.1
 	urgentDrain      = 500 * time.Millisecond
 	// freeTime is for how long a place stays free until a request that was held back may use it, for each
-	// more urgent kind that waits, so that these find the place first. With 50 ms for all kinds, least
-	// urgent requests took places of others; with 200 ms, half a percent of the places stayed free.
+	// more urgent kind that waits, so that these find the place first. A shorter time lets less urgent
+	// requests take it; a longer one leaves places free.
 	freeTime = 60 * time.Millisecond
 	// maxCreditAge is the time for which unused dispatches of a kind are kept.
 	maxCreditAge = time.Second
--- a/admission/fleetload/fleetload.go
+++ b/admission/fleetload/fleetload.go
@@ -30,8 +30,7 @@
 	// second too late.
 	rateWindow = 1500 * time.Millisecond
 	// usualWindow is the time constant of the usual demand. It is ten times a burst of six seconds, so
-	// that waits and retry times count on the capacity after the burst. At 30 s a burst of three times
-	// the demand passed for the usual demand.
+	// that the burst doesn't pass for usual demand, and waits and retry times count on the capacity after it.
 	usualWindow = 60 * time.Second
 	// maxEntries limits a report of 26 bytes for an entry: the relay of a failure domain of 21 VMs receives at
 	// most 22 KB/s. The units with most waiting requests in the fleet come first, the same ones at all VMs.
--- a/admission/fleetload/sums.go
+++ b/admission/fleetload/sums.go
@@ -25,7 +25,7 @@
 	// few waiting requests, as the others are refused.
 	endDemand = 1.1
 	// steadyWindow is the time constant of the present demand of more urgent kinds in wait
-	// estimates. A shorter one would follow demand that swings with a period of 13 s.
+	// estimates. A shorter one would follow demand that swings within seconds.
 	steadyWindow = 5 * time.Second
 	// capacityGrowth is the part by which the assumed capacity grows in a second while too few requests
 	// wait to fill all places. Without it, a capacity that was estimated too low would stay so, as
--- a/routing/backendqueue/length.go
+++ b/routing/backendqueue/length.go
@@ -11,8 +11,7 @@
 	// has an effect, so more are rejected in the end.
 	acceptedRejections = 0.002
 	// growthPerSecond is the growth of the assumed queue while nothing is rejected, as a share of
-	// the backend server's slots. A quarter less gives more refusals after a decrease, and no fewer
-	// rejections.
+	// the backend server's slots. Slower growth prolongs refusals after a decrease.
 	growthPerSecond = 1.0 / 6
 	// rejectionWindow smooths the rates by which the length is decided. A queue that is full once
 	// rejects several requests in a row, which say as much as one.
--- a/routing/enginepace.go
+++ b/routing/enginepace.go
@@ -9,8 +9,7 @@
 	paceCost = 2.0
 	// paceDecay times the share of free slots is the exponent by which the same probability lowers the weight of an
 	// engine in the weighted draw. Only differences between engines count: if all are slow, all keep their share.
-	// With fewer free slots, an exponent as large fills the fast engines beyond their slots by outdated
-	// counts, and more streams are late than without it.
+	// It shrinks with the free slots, as it would fill fast engines beyond their slots by outdated counts.
 	paceDecay = 4.0
 )
 
--- a/routing/pace/distribution.go
+++ b/routing/pace/distribution.go
@@ -12,8 +12,8 @@
 	// once, and a few samples say little.
 	gapPriorSamples   = 20
 	firstPriorSamples = 4
-	// targetMargin is the part of a target that an engine must keep: gaps are measured at the VM, and a
-	// caller's link and a busy VM add up to a tenth of the target of 200 ms.
+	// targetMargin is the part of a target that an engine must keep. Gaps are measured at the VM; the rest
+	// is for the caller's link and a busy VM.
 	targetMargin = 0.9
 	// maxSlowness bounds Slowness. A factor above it comes from stalls of single streams, not from the speed
 	// of an engine.
@@ -175,7 +175,7 @@
 		if firstMedian != nil {
 			d.firstOver = sharesOver(c.FirstEvents, firstMedian, firstPriorSamples)
 		}
-		m.of[Key{c.Backend, c.Started, c.Model}] = &d
+		m.of[c.key()] = &d
 	}
 	return m
 }
--- a/routing/pace/fleet_test.go
+++ b/routing/pace/fleet_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// send has a VM send a stream, of 31 events or of 5 as on the deployment Messaging.
+// send has a VM send a stream of 31 events or of 5.
 func (f *fleet) send() {
 	s := &stream{vm: f.rng.Intn(len(f.routers)), events: 31, target: 400 * time.Millisecond, sent: f.now, last: f.now}
 	switch draw := f.rng.Float64(); {
--- a/routing/pace/window.go
+++ b/routing/pace/window.go
@@ -6,10 +6,8 @@
 )
 
 const (
-	// windowSlices slices of sliceLength make up the window: 8 s, at least one of which is in progress.
-	// An engine's slow periods of 600 ms come every few seconds, so a shorter window holds none of them at times,
-	// and the engine would look fast until a stream meets the next one. A longer window remembers
-	// a cause that has passed, and shortens the time in which a slow engine is avoided by nothing.
+	// windowSlices slices of sliceLength make up the window. An engine that is slow for a moment every few
+	// seconds looks fast in a shorter window; a longer one remembers causes that have passed.
 	windowSlices = 8
 	sliceLength  = time.Second
 	// Window is the time that counts cover.
