hosted: one function takes turns; a name for a backend server's start

Cause: renewals, loads, signals and their sums each decided by their own lines whether enough time had passed since the last sending to a peer. The crash detector built the name of a server's start in one place and took it apart in another. Change: takeTurn serves all four, instanceName both; the cases of buildOverview are nested once.

--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -239,13 +239,18 @@
 	c.recordCrash(id, b.Started, broken)
 }
 
+// instanceName identifies one start of a backend server among crashes.
+func instanceName(id string, started int64) string {
+	return id + "@" + strconv.FormatInt(started, 10)
+}
+
 // recordCrash records that an instance of a backend server ended and what broke there.
 func (c *crashDetector) recordCrash(id string, started int64, broken interruption) {
-	start := id + "@" + strconv.FormatInt(started, 10)
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspects.SetBackends(time.Now(), c.node.backends.count())
-	c.logQuarantined(c.suspects.RecordCrash(time.Now(), broken.at, start, broken.subjects))
+	c.suspects.SetBackends(now, c.node.backends.count())
+	c.logQuarantined(c.suspects.RecordCrash(now, broken.at, instanceName(id, started), broken.subjects))
 	c.hasSuspects.Store(true)
 }
 
@@ -318,9 +323,9 @@
 func (c *crashDetector) markEnded(now time.Time, entries []quarantine.Suspect) {
 	for _, entry := range entries {
 		for _, crash := range entry.Crashes {
-			id, start, _ := strings.Cut(crash.Backend, "@")
+			id, _, _ := strings.Cut(crash.Backend, "@")
 			b, listed := c.node.backends.get(id)
-			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && strconv.FormatInt(b.Started, 10) == start {
+			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && crash.Backend == instanceName(id, b.Started) {
 				c.node.backends.markUnreachable(now, id, true)
 			}
 		}
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -84,25 +84,10 @@
 // takeSignalsTurn reports whether to send this VM's signals to a peer again, and records that they are
 // sent. Call with mu held.
 func (m *members) takeSignalsTurn(now time.Time, address string) bool {
-	return m.takeTurn(now, address, func(p *member) *time.Time { return &p.signalsSentAt })
+	return m.takeTurn(now, address, signalsInterval, func(p *member) *time.Time { return &p.signalsSentAt })
 }
 
 // takeSumTurn is takeSignalsTurn for the sums that relays send.
 func (m *members) takeSumTurn(now time.Time, address string) bool {
-	return m.takeTurn(now, address, func(p *member) *time.Time { return &p.sumSentAt })
-}
-
-// takeTurn reports whether signalsInterval has passed since the time that sentAt selects, and sets it
-// to now if so. Call with mu held.
-func (m *members) takeTurn(now time.Time, address string, sentAt func(*member) *time.Time) bool {
-	p := m.peers[address]
-	if p == nil {
-		return true
-	}
-	last := sentAt(p)
-	if now.Sub(*last) < signalsInterval {
-		return false
-	}
-	*last = now
-	return true
+	return m.takeTurn(now, address, signalsInterval, func(p *member) *time.Time { return &p.sumSentAt })
 }
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -55,14 +55,15 @@
 		return o
 	}
 	load := m.domainLoad(now, own)
-	switch {
-	case !loadDue:
+	if !loadDue {
 		load = &entryvm.Load{Partial: true, Waiting: load.Waiting}
-	case !m.takeSumTurn(now, to.Address):
-		load.Signals = nil
-	}
-	if loadDue && !isPlanner {
-		load.Running = m.sumByBackend(load.Running, to.Domain)
+	} else {
+		if !m.takeSumTurn(now, to.Address) {
+			load.Signals = nil
+		}
+		if !isPlanner {
+			load.Running = m.sumByBackend(load.Running, to.Domain)
+		}
 	}
 	for i := range o.Domains {
 		if o.Domains[i].Domain == own.Domain {
@@ -75,15 +76,7 @@
 // takeRenewalTurn reports whether to send a VM the renewals of updates again, and records
 // that they are sent. Call with mu held.
 func (m *members) takeRenewalTurn(now time.Time, to *entryvm.Report) bool {
-	p := m.peers[to.Address]
-	if p == nil {
-		return true
-	}
-	if now.Sub(p.renewedAt) < minRenewalInterval {
-		return false
-	}
-	p.renewedAt = now
-	return true
+	return m.takeTurn(now, to.Address, minRenewalInterval, func(p *member) *time.Time { return &p.renewedAt })
 }
 
 // takeLoadTurn reports whether to send a VM the loads again, which is due about once per
@@ -93,18 +86,25 @@
 // domains in a calm minute of 500 requests per second; with this limit they send 1.32 GB.
 // Call with mu held.
 func (m *members) takeLoadTurn(now time.Time, to *entryvm.Report, r *roles) bool {
-	p := m.peers[to.Address]
-	if p == nil {
-		return true
-	}
 	interval := m.node.config.ReportInterval
 	if !r.isLeadRelay(to.Domain, to.VM) && to.Domain != m.node.config.Domain {
 		interval *= standbyIntervalFactor
 	}
-	if now.Sub(p.loadSentAt) < interval-minRelayExchangeInterval {
+	return m.takeTurn(now, to.Address, interval-minRelayExchangeInterval, func(p *member) *time.Time { return &p.loadSentAt })
+}
+
+// takeTurn reports whether the interval has passed since the time that sentAt selects of a peer, and
+// sets it to now if so. Call with mu held.
+func (m *members) takeTurn(now time.Time, address string, interval time.Duration, sentAt func(*member) *time.Time) bool {
+	p := m.peers[address]
+	if p == nil {
+		return true
+	}
+	last := sentAt(p)
+	if now.Sub(*last) < interval {
 		return false
 	}
-	p.loadSentAt = now
+	*last = now
 	return true
 }
 
