loadsignals: conversions of the messages, out of hosted

Cause: four files of hosted converted signals field by field, and the usage of workspaces was grouped by service here and in the sum. Change: loadsignals has a pair of functions for each list; appendWorkspace groups for both. Result: internal/hosted shrinks by some 60 lines.

--- a/internal/hosted/backendqueues.go
+++ b/internal/hosted/backendqueues.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/caller"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/loadsignals"
 	"bergamotreel/internal/serving"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
@@ -73,32 +74,20 @@
 	}
 }
 
-// report adds what this VM measured to its signals.
-func (q *backendQueues) report(now time.Time, signals *entryvm.LoadSignals) {
+// measure returns this VM's loads.
+func (q *backendQueues) measure(now time.Time) []entryvm.QueueLoad {
 	if q == nil {
-		return
-	}
-	for _, l := range q.queues.Report(now) {
-		signals.Queues = append(signals.Queues, entryvm.QueueLoad{
-			Service: l.Service, Backend: l.Backend, Arrived: float32(l.Arrived), Sent: float32(l.Sent), Rejected: float32(l.Rejected),
-			Work: float32(l.Work), Length: float32(l.Length), VMs: l.VMs,
-		})
+		return nil
 	}
+	return loadsignals.EncodeQueues(q.queues.Report(now))
 }
 
-// setFleet applies the signals of all VMs.
-func (q *backendQueues) setFleet(now time.Time, fleet *entryvm.LoadSignals) {
-	if q == nil || fleet == nil {
+// apply uses the loads of all VMs.
+func (q *backendQueues) apply(now time.Time, loads []entryvm.QueueLoad) {
+	if q == nil {
 		return
 	}
-	loads := make([]backendqueue.Load, 0, len(fleet.Queues))
-	for _, l := range fleet.Queues {
-		loads = append(loads, backendqueue.Load{
-			Service: l.Service, Backend: l.Backend, Arrived: float64(l.Arrived), Sent: float64(l.Sent), Rejected: float64(l.Rejected),
-			Work: float64(l.Work), Length: float64(l.Length), VMs: l.VMs,
-		})
-	}
-	for _, c := range q.queues.SetFleet(now, loads) {
+	for _, c := range q.queues.SetFleet(now, loadsignals.DecodeQueues(loads)) {
 		q.node.config.Logger.Info("queues of backend servers", zap.String("service", c.Service), zap.Bool("used", c.Queueing),
 			zap.Float64("admitted_share", c.Share), zap.Float64("capacity_per_second", c.Capacity), zap.Float64("demand_per_second", c.Demand))
 	}
--- a/internal/hosted/enginepace.go
+++ b/internal/hosted/enginepace.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/loadsignals"
 	"bergamotreel/internal/serving"
 	"bergamotreel/routing/pace"
 )
@@ -38,23 +39,15 @@
 	if n.paces == nil {
 		return nil
 	}
-	var out []entryvm.EnginePace
-	for _, c := range n.paces.Report(now) {
-		out = append(out, entryvm.EnginePace(c))
-	}
-	return out
+	return loadsignals.EncodePaces(n.paces.Report(now))
 }
 
 // applyPaces uses the paces that all VMs measured, and logs which engines began or ceased to be slow.
-func (n *Node) applyPaces(now time.Time, fleet *entryvm.LoadSignals) {
-	if n.paces == nil || fleet == nil {
+func (n *Node) applyPaces(now time.Time, fleet []entryvm.EnginePace) {
+	if n.paces == nil {
 		return
 	}
-	sum := make([]pace.Counts, 0, len(fleet.Paces))
-	for _, p := range fleet.Paces {
-		sum = append(sum, pace.Counts(p))
-	}
-	for _, c := range n.paces.SetFleet(now, sum) {
+	for _, c := range n.paces.SetFleet(now, loadsignals.DecodePaces(fleet)) {
 		n.config.Logger.Info("engine pace changed", zap.String("backend", c.Engine), zap.Int64("started", c.Started), zap.String("pool", c.Model),
 			zap.Bool("slow", c.Slow), zap.Duration("mean_gap", c.MeanGap), zap.Duration("median_gap", c.Median))
 	}
--- a/internal/hosted/fairworkspaces.go
+++ b/internal/hosted/fairworkspaces.go
@@ -9,6 +9,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/admission/fairshare"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/loadsignals"
 	"bergamotreel/routing"
 )
 
@@ -40,15 +41,7 @@
 	workspaceDispatches.Add(stats.DispatchedOverShare)
 	workspaceRefusals.Add(stats.RefusedOverShare)
 	workspaceDisplacement.Add(stats.Displaced)
-	var out []entryvm.ServiceUsage
-	for _, u := range usage { // sorted by service
-		if len(out) == 0 || out[len(out)-1].Service != u.Service {
-			out = append(out, entryvm.ServiceUsage{Service: u.Service})
-		}
-		last := &out[len(out)-1]
-		last.Workspaces = append(last.Workspaces, entryvm.WorkspaceUsage{Workspace: u.Workspace, Used: u.Used, Waiting: u.Waiting})
-	}
-	return out
+	return loadsignals.EncodeWorkspaces(usage)
 }
 
 // applyWorkspaces uses what workspaces use over all VMs.
@@ -56,12 +49,7 @@
 	if !n.config.Load.FairWorkspaces {
 		return
 	}
-	var usage []fairshare.Usage
-	for _, s := range fleet {
-		for _, w := range s.Workspaces {
-			usage = append(usage, fairshare.Usage{Key: fairshare.Key{Service: s.Service, Workspace: w.Workspace}, Used: w.Used, Waiting: w.Waiting})
-		}
-	}
+	usage := loadsignals.DecodeWorkspaces(fleet)
 	var changes []fairshare.Change
 	over := 0
 	n.serving.WithLockedState(func(a *admission.Controller, _ *routing.Router) {
--- a/internal/hosted/fleetadmission.go
+++ b/internal/hosted/fleetadmission.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,6 +9,7 @@
 	"bergamotreel/admission"
 	"bergamotreel/admission/fleetload"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/loadsignals"
 	"bergamotreel/routing"
 )
 
@@ -54,34 +54,15 @@
 	}
 	var loads []fleetload.Load
 	f.node.serving.WithLockedState(func(*admission.Controller, *routing.Router) { loads = f.estimator.Report(now) })
-	out := make([]entryvm.UnitLoad, 0, len(loads))
-	for _, l := range loads {
-		out = append(out, entryvm.UnitLoad{
-			Unit: l.Unit, Priority: l.Priority, Target: l.Target.Milliseconds(), Waiting: l.Waiting,
-			Arrived: encodeRate(l.Arrived), Returned: encodeRate(l.Returned), Usual: encodeRate(l.Usual), Dispatched: encodeRate(l.Dispatched),
-		})
-	}
-	return out
+	return loadsignals.EncodeUnits(loads)
 }
 
-// rateUnit is the time in which rates in messages are counted.
-const rateUnit = 10
-
-func encodeRate(perSecond float64) uint32 { return uint32(math.Round(perSecond * rateUnit)) }
-
 // apply uses the loads of all VMs.
 func (f *fleetAdmission) apply(now time.Time, units []entryvm.UnitLoad) {
 	if f == nil {
 		return
 	}
-	loads := make([]fleetload.Load, 0, len(units))
-	for _, u := range units {
-		loads = append(loads, fleetload.Load{
-			Kind:    fleetload.Kind{Unit: u.Unit, Priority: u.Priority, Target: time.Duration(u.Target) * time.Millisecond},
-			Waiting: u.Waiting, Arrived: float64(u.Arrived) / rateUnit, Returned: float64(u.Returned) / rateUnit,
-			Usual: float64(u.Usual) / rateUnit, Dispatched: float64(u.Dispatched) / rateUnit,
-		})
-	}
+	loads := loadsignals.DecodeUnits(units)
 	var changes []fleetload.Change
 	var overloaded int
 	f.node.serving.WithLockedState(func(*admission.Controller, *routing.Router) {
--- a/internal/hosted/loadsignals.go
+++ b/internal/hosted/loadsignals.go
@@ -25,19 +25,17 @@
 
 // measureSignals returns what this VM measures.
 func (n *Node) measureSignals(now time.Time) *entryvm.LoadSignals {
-	signals := &entryvm.LoadSignals{Workspaces: n.measureWorkspaces(now)}
-	n.backendQueues.report(now, signals)
-	signals.Paces = n.reportPaces(now)
-	signals.Units = n.fleetAdmission.measure(now)
-	return signals
+	return &entryvm.LoadSignals{
+		Paces: n.reportPaces(now), Workspaces: n.measureWorkspaces(now), Units: n.fleetAdmission.measure(now), Queues: n.backendQueues.measure(now),
+	}
 }
 
 // applySignals uses the signals of all VMs.
 func (n *Node) applySignals(now time.Time, fleet *entryvm.LoadSignals) {
-	n.backendQueues.setFleet(now, fleet)
+	n.applyPaces(now, fleet.Paces)
 	n.applyWorkspaces(now, fleet.Workspaces)
-	n.applyPaces(now, fleet)
 	n.fleetAdmission.apply(now, fleet.Units)
+	n.backendQueues.apply(now, fleet.Queues)
 }
 
 // updateSignals measures this VM's signals and applies the sum over all VMs if either is due. It must
--- a/internal/loadsignals/loadsignals.go
+++ b/internal/loadsignals/loadsignals.go
@@ -1,4 +1,5 @@
-// Package loadsignals sums up the signals of entry VMs. It does no I/O.
+// Package loadsignals sums up the signals of entry VMs, and converts them from and to what the
+// packages that decide by them use. It does no I/O.
 package loadsignals
 
 import (
@@ -94,11 +95,7 @@
 	slices.SortFunc(keys, compareKeys)
 	var list []entryvm.ServiceUsage
 	for _, key := range keys {
-		if len(list) == 0 || list[len(list)-1].Service != key.service {
-			list = append(list, entryvm.ServiceUsage{Service: key.service})
-		}
-		last := &list[len(list)-1]
-		last.Workspaces = append(last.Workspaces, s.workspaces[key])
+		list = appendWorkspace(list, key.service, s.workspaces[key])
 	}
 	return list
 }
