--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -50,18 +50,25 @@
 		synctest.Test(t, func(t *testing.T) {
 			b := newForwardTestbed(t)
 			b.suspects, b.quarantineFrom = true, sentBefore+1
-			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
-				return nil, service.ErrOutcomeUnknown
-			}
-			err := b.forward(context.Background(), route(contract.RepeatSafe), "m", &answerRecorder{})
-			wantRefusal(t, err, refusal.CodeQuarantined, ran)
-			testkit.Equal(t, "sent requests", len(b.sent), sentBefore)
-			testkit.Equal(t, "open requests", b.server.OpenRequests(), 0)
-			b.stop()
+			checkQuarantinedAfter(t, b, sentBefore, ran)
 		})
 	}
 }
 
+// checkQuarantinedAfter forwards a request whose attempts have no known outcome, and checks that it
+// is refused by the quarantine after it was sent the given number of times.
+func checkQuarantinedAfter(t *testing.T, b *forwardTestbed, sent int, ran refusal.Ran) {
+	t.Helper()
+	b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+		return nil, service.ErrOutcomeUnknown
+	}
+	err := b.forward(context.Background(), route(contract.RepeatSafe), "m", &answerRecorder{})
+	wantRefusal(t, err, refusal.CodeQuarantined, ran)
+	testkit.Equal(t, "sent requests", len(b.sent), sent)
+	testkit.Equal(t, "open requests", b.server.OpenRequests(), 0)
+	b.stop()
+}
+
 // Guards against a trial of a refused request that is refused all the same, and against one that
 // is repeated and so ends a second backend server.
 func TestTrialOfRefusedRequestIsSentOnce(t *testing.T) {
@@ -69,14 +76,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			b := newForwardTestbed(t)
 			b.suspects, b.quarantineFrom, b.trials = true, 1, trials
-			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
-				return nil, service.ErrOutcomeUnknown
-			}
-			err := b.forward(context.Background(), route(contract.RepeatSafe), "m", &answerRecorder{})
-			wantRefusal(t, err, refusal.CodeQuarantined, ran)
-			testkit.Equal(t, "sent requests", len(b.sent), trials)
-			testkit.Equal(t, "open requests", b.server.OpenRequests(), 0)
-			b.stop()
+			checkQuarantinedAfter(t, b, trials, ran)
 		})
 	}
 }
