--- a/internal/hosted/retryslack.go
+++ b/internal/hosted/retryslack.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
 )
@@ -27,6 +30,9 @@
 	fleetSizeInterval = 500 * time.Millisecond
 )
 
+// retrySlackGauge is this VM's part of the fleet's retry slack.
+var retrySlackGauge = metrics.NewGauge(`bergamotreel_retry_slack`, nil)
+
 // retrySlack is this VM's part of the retries that all VMs together may make at a service
 // beyond a share of its traffic: an equal part of an equal part for each failure domain. It is
 // safe for concurrent use.
@@ -54,9 +60,15 @@
 		domains, domainVMs := r.node.members.countSeen()
 		now := time.Now()
 		r.mu.Lock()
-		defer r.mu.Unlock()
+		before := [2]int{r.domains.count, r.domainVMs.count}
 		r.domains.update(now, domains)
 		r.domainVMs.update(now, domainVMs)
+		after := [2]int{r.domains.count, r.domainVMs.count}
+		r.mu.Unlock()
+		retrySlackGauge.Set(r.get())
+		if before != after {
+			r.node.config.Logger.Info("fleet counted", zap.Int("domains", after[0]), zap.Int("domain_vms", after[1]), zap.Float64("retry_slack", r.get()))
+		}
 	})
 }
 
