--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -20,6 +20,8 @@
 	retryClusterEngines = 2 * spreadDomainCount
 	// failingAfter is how long the engines of a retryCase answer before all of them fail.
 	failingAfter = 12 * time.Second
+	// budgetFillTime exceeds the time in which an empty budget fills.
+	budgetFillTime = 25 * time.Second
 )
 
 func fleetRetrySlack(vms int) float64 { return float64(40 + 2*vms) }
@@ -29,6 +31,8 @@
 	vms int
 	// pause is the time between two requests.
 	pause time.Duration
+	// prepare, if set, is called before the engines begin to fail.
+	prepare func(d *day)
 	// disturb, if set, is called when the engines begin to fail.
 	disturb func(d *day)
 }
@@ -58,19 +62,59 @@
 	}
 }
 
+// restartApart restarts all VMs while none reaches another one, and waits until their budgets are
+// full.
+func restartApart(d *day) {
+	d.isolateAll(true)
+	d.restart(d.vms)
+	time.Sleep(budgetFillTime)
+}
+
+// restartInTurnApart does that in groups, one after the other.
+func restartInTurnApart(d *day) {
+	d.isolateAll(true)
+	for i := 0; i < len(d.vms); i += 3 {
+		d.restart(d.vms[i:min(i+3, len(d.vms))])
+		time.Sleep(4 * time.Second)
+	}
+	time.Sleep(budgetFillTime)
+}
+
+// restartHalfApart restarts half of the VMs while they reach no other one.
+func restartHalfApart(d *day) {
+	half := d.vms[len(d.vms)/2:]
+	for _, vm := range half {
+		d.setIsolated(vm, true)
+	}
+	d.restart(half)
+	time.Sleep(budgetFillTime)
+}
+
+// isolateAll sets whether no VM reaches another one.
+func (d *day) isolateAll(isolated bool) {
+	for _, vm := range d.vms {
+		d.setIsolated(vm, isolated)
+	}
+}
+
 // Guards against retries that all VMs together may not make, while each of them keeps to a
 // budget of its own.
 func TestFleetKeepsRetryBudget(t *testing.T) {
 	for name, c := range map[string]retryCase{
-		"many VMs":                     {64, 30 * time.Millisecond, nil},
-		"much traffic":                 {8, 10 * time.Millisecond, nil},
-		"VMs killed in turn":           {9, 33 * time.Millisecond, killInTurn},
-		"many VMs killed in turn":      {24, 20 * time.Millisecond, killInTurn},
-		"all VMs killed":               {24, 20 * time.Millisecond, func(d *day) { d.restart(d.vms) }},
-		"partitioned domains":          {24, 20 * time.Millisecond, func(d *day) { d.partitionDomains(20 * time.Second) }},
-		"partitioned and killed":       {24, 20 * time.Millisecond, func(d *day) { d.setDomainsPartitioned(true); killInTurn(d) }},
-		"several faults at once":       {63, 14 * time.Millisecond, disturbInSeveralWays},
-		"VMs killed in turn, long ago": {24, 20 * time.Millisecond, func(d *day) { killInTurn(d); time.Sleep(15 * time.Second); killInTurn(d) }},
+		"many VMs":                     {64, 30 * time.Millisecond, nil, nil},
+		"much traffic":                 {8, 10 * time.Millisecond, nil, nil},
+		"VMs killed in turn":           {9, 33 * time.Millisecond, nil, killInTurn},
+		"many VMs killed in turn":      {24, 20 * time.Millisecond, nil, killInTurn},
+		"all VMs killed":               {24, 20 * time.Millisecond, nil, func(d *day) { d.restart(d.vms) }},
+		"partitioned domains":          {24, 20 * time.Millisecond, nil, func(d *day) { d.partitionDomains(20 * time.Second) }},
+		"partitioned and killed":       {24, 20 * time.Millisecond, nil, func(d *day) { d.setDomainsPartitioned(true); killInTurn(d) }},
+		"several faults at once":       {63, 14 * time.Millisecond, nil, disturbInSeveralWays},
+		"VMs killed in turn, long ago": {24, 20 * time.Millisecond, nil, func(d *day) { killInTurn(d); time.Sleep(15 * time.Second); killInTurn(d) }},
+		"restarted apart":              {24, 30 * time.Millisecond, restartApart, nil},
+		"many VMs restarted apart":     {64, 30 * time.Millisecond, restartApart, nil},
+		"restarted apart in turn":      {24, 30 * time.Millisecond, restartInTurnApart, nil},
+		"half restarted apart":         {30, 30 * time.Millisecond, restartHalfApart, nil},
+		"restarted apart and killed":   {24, 30 * time.Millisecond, restartApart, killInTurn},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -87,6 +131,9 @@
 		stop := make(chan struct{})
 		d.inFlight.Go(func() { d.sendUntil(stop, c.pause) })
 		time.Sleep(failingAfter)
+		if c.prepare != nil {
+			c.prepare(d)
+		}
 		d.setAllFailing(true)
 		startedAt := time.Now()
 		if c.disturb != nil {
@@ -192,6 +239,17 @@
 				b.restartAll()
 				time.Sleep(8 * time.Second)
 				check("all restarted")
+				for _, vm := range b.vms {
+					b.setIsolated(vm, true)
+				}
+				b.restartAll()
+				time.Sleep(time.Minute)
+				check("all restarted apart")
+				for _, vm := range b.vms {
+					b.setIsolated(vm, false)
+				}
+				time.Sleep(10 * time.Second)
+				check("in touch again")
 			})
 		}
 	}
