hosted, admission/fleetsize: VMs that know no others divide the retry slack by the registry's records

What callers saw: repeats at a service beyond what operators allow all VMs together, 240 in ten seconds for 153 allowed at 24 real processes.

Cause: each VM divided the fleet's slack by the VMs whose reports had reached it. A VM that starts, is replaced or restarts out of touch counts itself alone and takes ten retries, so the sum grows with the number of such VMs. Class: a bound of the fleet divided by a number that each process finds out for itself.

Ruled out: restarts in series (9 of 76, 24 of 129 here), arrivals without a unit (the excess equals the sum of the capacities).

Fix: each VM renews a record in the registry every 10 s (longer in a large fleet: at most 50 renewals a second at any size) and divides by the larger of what it has seen and what is recorded; before its first count from the registry it has no part of the slack. One VM of a domain reads the records, the others get the count with its reports. A record counts for three intervals without a renewal, by the reader's clock, and not while the registry doesn't answer. It works because a VM that serves has reached the registry or a VM that did: without a configuration it isn't ready.

--- /dev/null
+++ b/admission/fleetsize/fleetsize.go
@@ -0,0 +1,93 @@
+// Package fleetsize decides by how many entry VMs a bound on the whole fleet is divided.
+//
+// Each entry VM keeps to its own part of such a bound, for example of the retries that all VMs
+// together may send. A VM that counts only the VMs it exchanges reports with takes too large a part
+// while it can't reach the others: of 24 VMs that start during a partition, each takes the whole.
+// Therefore every VM also renews a record in the registry, and the parts are divided by the larger
+// one of both counts. It answers this load pattern: many VMs start while they reach the registry and
+// callers but not each other, and all their requests fail at once.
+//
+// The package reads no clock and does no I/O. Times are readings of a clock that keeps running while
+// the VM is suspended. Its types are not safe for concurrent use.
+package fleetsize
+
+import "time"
+
+const (
+	// seenTTL is how long the fleet counts as large as it was. It exceeds network partitions,
+	// whose sides would otherwise divide a bound a second time each.
+	seenTTL = 5 * time.Minute
+	// renewInterval is the time between two renewals of a VM's record in a small fleet, and
+	// renewIntervalPerVM what each recorded VM adds, so that a fleet of any size makes at most
+	// 50 renewals per second.
+	renewInterval      = 10 * time.Second
+	renewIntervalPerVM = 20 * time.Millisecond
+	// recordTTLIntervals is how many intervals a record counts without a renewal. It spans
+	// several renewals, so that losing one does not make a VM count as gone.
+	recordTTLIntervals = 3
+	// minReadAdvance is how much newer a count must be than the known one. Each forwarding adds the
+	// time on the way to the time of the read, so a count that two VMs send each other would
+	// otherwise never grow old.
+	minReadAdvance = time.Second
+)
+
+// RenewInterval returns the time between two renewals of a VM's record in a fleet with the given
+// number of recorded VMs.
+func RenewInterval(vms int) time.Duration {
+	return renewInterval + time.Duration(vms)*renewIntervalPerVM
+}
+
+// Count is a number of failure domains, and of the VMs in one of them.
+type Count struct{ Domains, DomainVMs int }
+
+func (c Count) max(other Count) Count {
+	return Count{max(c.Domains, other.Domains), max(c.DomainVMs, other.DomainVMs)}
+}
+
+// Size is the size of the fleet as one VM knows it.
+type Size struct {
+	domains, domainVMs recentMax
+	recorded           Count
+	recordedAt         time.Duration
+	hasRecorded        bool
+}
+
+// ObserveSeen records how many VMs this VM has seen, including itself.
+func (s *Size) ObserveSeen(now time.Duration, seen Count) {
+	s.domains.update(now, seen.Domains)
+	s.domainVMs.update(now, seen.DomainVMs)
+}
+
+// ObserveRecorded records how many VMs the registry had at readAt, unless a count of about that time
+// is known.
+func (s *Size) ObserveRecorded(readAt time.Duration, recorded Count) {
+	if !s.hasRecorded || readAt >= s.recordedAt+minReadAdvance {
+		s.recorded, s.recordedAt, s.hasRecorded = recorded, readAt, true
+	}
+}
+
+// Recorded returns the newest count of the recorded VMs and when it was read; false if there is none
+// yet.
+func (s *Size) Recorded() (recorded Count, readAt time.Duration, ok bool) {
+	return s.recorded, s.recordedAt, s.hasRecorded
+}
+
+// Count returns the numbers by which to divide a bound on the fleet: an equal part for each failure
+// domain, and an equal part of that for each VM. It returns false while the VM has no count from the
+// registry: until then it may be one of any number of VMs.
+func (s *Size) Count() (Count, bool) {
+	return Count{s.domains.count, s.domainVMs.count}.max(s.recorded).max(Count{1, 1}), s.hasRecorded
+}
+
+// recentMax is the maximum of the counts of the last seenTTL or, if they have been lower since, the
+// newest of them.
+type recentMax struct {
+	count  int
+	seenAt time.Duration
+}
+
+func (m *recentMax) update(now time.Duration, count int) {
+	if count >= m.count || now-m.seenAt > seenTTL {
+		m.count, m.seenAt = count, now
+	}
+}
--- /dev/null
+++ b/admission/fleetsize/fleetsize_test.go
@@ -0,0 +1,118 @@
+package fleetsize_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotreel/admission/fleetsize"
+	"bergamotreel/internal/testkit"
+)
+
+// fakeVM is a VM that knows others from their records only.
+type fakeVM struct {
+	records   fleetsize.Records
+	size      fleetsize.Size
+	revisions int
+	nextAt    time.Duration
+}
+
+// step renews the VM's record and reads all records, if that is due.
+func (v *fakeVM) step(now time.Duration, name string, registry map[string]fleetsize.Record) {
+	if now < v.nextAt {
+		return
+	}
+	v.nextAt = now + fleetsize.RenewInterval(len(registry))
+	v.revisions++
+	registry[name] = fleetsize.Record{VM: name, Domain: "d", Revision: fmt.Sprint(v.revisions)}
+	var list []fleetsize.Record
+	for _, record := range registry {
+		list = append(list, record)
+	}
+	v.size.ObserveSeen(now, fleetsize.Count{Domains: 1, DomainVMs: 1})
+	count, expired := v.records.Update(now, "d", list)
+	v.size.ObserveRecorded(now, count)
+	for _, vm := range expired {
+		delete(registry, vm)
+	}
+}
+
+// part returns the VM's part of a bound of 1 on the fleet.
+func (v *fakeVM) part() float64 {
+	count, known := v.size.Count()
+	if !known {
+		return 0
+	}
+	return 1 / float64(count.Domains*count.DomainVMs)
+}
+
+// Guards against parts that add up to a multiple of the bound, as VMs that start one after the other
+// never see each other.
+func TestPartsOfVMsThatNeverMeetAddUpToTheBound(t *testing.T) {
+	for _, vms := range []int{1, 8, 300} {
+		registry := make(map[string]fleetsize.Record)
+		fleet := make([]fakeVM, vms)
+		end := time.Duration(0)
+		for now := time.Duration(0); now < 2*time.Minute; now += time.Second {
+			for i := range fleet {
+				if now >= time.Duration(i)*30*time.Second/time.Duration(vms) {
+					fleet[i].step(now, fmt.Sprint(i), registry)
+				}
+			}
+			end = now
+		}
+		sum := 0.0
+		for i := range fleet {
+			sum += fleet[i].part()
+		}
+		testkit.That(t, sum > 0.999 && sum < 1.001, "%d VMs: the parts add up to %.3f at %s", vms, sum, end)
+	}
+}
+
+// Guards against a VM that takes a part before it knows how many share the bound.
+func TestNoPartBeforeTheRecordsWereRead(t *testing.T) {
+	var size fleetsize.Size
+	size.ObserveSeen(0, fleetsize.Count{Domains: 3, DomainVMs: 4})
+	_, known := size.Count()
+	testkit.That(t, !known, "a count without the registry's")
+	size.ObserveRecorded(0, fleetsize.Count{Domains: 2, DomainVMs: 9})
+	count, known := size.Count()
+	testkit.That(t, known && count == fleetsize.Count{Domains: 3, DomainVMs: 9}, "%v, %t", count, known)
+}
+
+// Guards against a VM that counts forever after it is gone, and against one that stops counting while
+// nobody can renew records.
+func TestRecordExpiresUnlessTheRegistryIsAway(t *testing.T) {
+	var records fleetsize.Records
+	count := func(now time.Duration, ownRevision string) (int, []string) {
+		c, expired := records.Update(now, "d", []fleetsize.Record{{VM: "own", Domain: "d", Revision: ownRevision}, {VM: "other", Domain: "d", Revision: "1"}})
+		return c.DomainVMs, expired
+	}
+	read := func(now time.Duration, ownRevision string, want int) []string {
+		got, expired := count(now, ownRevision)
+		testkit.Equal(t, fmt.Sprint("VMs at ", now), got, want)
+		return expired
+	}
+	read(0, "1", 2)
+	read(25*time.Second, "2", 2)
+	records.Reset()
+	read(40*time.Second, "3", 2)
+	read(65*time.Second, "4", 2)
+	expired := read(75*time.Second, "5", 1)
+	testkit.That(t, len(expired) == 1 && expired[0] == "other", "expired: %v", expired)
+}
+
+// Guards against a count that stays new forever because two VMs send it each other, each time with
+// the time on the way added.
+func TestForwardedCountGrowsOld(t *testing.T) {
+	const latency = 40 * time.Millisecond
+	var sizes [2]fleetsize.Size
+	sizes[0].ObserveRecorded(0, fleetsize.Count{Domains: 1, DomainVMs: 2})
+	for now, from := time.Duration(0), 0; now < 20*time.Second; now += latency {
+		recorded, readAt, _ := sizes[from].Recorded()
+		sizes[1-from].ObserveRecorded(readAt+latency, recorded)
+		from = 1 - from
+	}
+	_, readAt, _ := sizes[0].Recorded()
+	testkit.That(t, readAt < time.Second, "a count that was read at 0 s passes for one of %s", readAt)
+}
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -101,6 +101,18 @@
 	Fragile []FragileBackend `cbor:"38,keyasint,omitempty"`
 	// Signals are the sender's signals, nil if the last ones remain valid.
 	Signals *LoadSignals `cbor:"39,keyasint,omitempty"`
+	// RecordedVMs counts the entry VMs in the registry. It is sent within a failure domain, nil
+	// while the sender has no count.
+	RecordedVMs *RecordedVMs `cbor:"40,keyasint,omitempty"`
+}
+
+// RecordedVMs counts the records of entry VMs in the registry.
+type RecordedVMs struct {
+	// Domains is the number of failure domains, DomainVMs the number of VMs of the sender's own.
+	Domains   int `cbor:"1,keyasint,omitempty"`
+	DomainVMs int `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the records were read.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
--- /dev/null
+++ b/internal/hosted/fleetsize.go
@@ -0,0 +1,212 @@
+package hosted
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/admission/fleetsize"
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/registry"
+)
+
+const (
+	// fleetSizeInterval is the time between two counts of the VMs that this VM has seen.
+	fleetSizeInterval = 500 * time.Millisecond
+	// recordStartSpread spreads the first records of VMs that start together.
+	recordStartSpread = 400 * time.Millisecond
+	// recordRetryInterval is the pause after a call on records that failed.
+	recordRetryInterval = 2 * time.Second
+	// youngReadInterval is the time between two reads of the records during youngPeriod after
+	// this VM's start, when others may be starting as well.
+	youngReadInterval = 4 * time.Second
+	youngPeriod       = 20 * time.Second
+)
+
+// fleetSize counts the entry VMs that share the bounds on the whole fleet: those that this VM has
+// seen, and those that have a record in the registry. It renews this VM's record. It is safe for
+// concurrent use.
+type fleetSize struct {
+	node *Node
+
+	mu   sync.Mutex
+	size fleetsize.Size
+	// renewals counts the renewals of this VM's record, the next of which is due at renewAt.
+	renewals uint64
+	renewAt  time.Duration
+	// readAt is the earliest time of the next read of the records.
+	readAt time.Duration
+
+	// records is used by run only.
+	records fleetsize.Records
+}
+
+func newFleetSize(n *Node) *fleetSize {
+	return &fleetSize{node: n, renewAt: n.startedAt + n.jitter(0, recordStartSpread)}
+}
+
+// count returns the numbers by which to divide a bound on the fleet; see fleetsize.Size.Count.
+func (f *fleetSize) count() (fleetsize.Count, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count, ok := f.size.Count()
+	count.Domains = max(count.Domains, f.node.config.Domains)
+	return count, ok
+}
+
+// recordedInDomain returns the number of recorded VMs of this VM's domain, 0 if it is unknown.
+func (f *fleetSize) recordedInDomain() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	recorded, _, _ := f.size.Recorded()
+	return recorded.DomainVMs
+}
+
+// run counts the fleet until ctx ends.
+func (f *fleetSize) run(ctx context.Context) {
+	pause.Every(ctx, fleetSizeInterval, func(ctx context.Context) {
+		f.observe(func() { f.size.ObserveSeen(f.now(), f.node.members.countSeen()) })
+		f.renew(ctx)
+		f.read(ctx)
+	})
+}
+
+func (f *fleetSize) now() time.Duration { return f.node.config.BootClock() }
+
+// observe changes the size and logs the new count if that differs.
+func (f *fleetSize) observe(change func()) {
+	before, wasKnown := f.count()
+	f.mu.Lock()
+	change()
+	f.mu.Unlock()
+	after, known := f.count()
+	if before != after || wasKnown != known {
+		slack := f.node.retrySlack()
+		retrySlackGauge.Set(slack)
+		f.node.config.Logger.Info("fleet counted", zap.Int("domains", after.Domains), zap.Int("domain_vms", after.DomainVMs),
+			zap.Int("recorded_domain_vms", f.recordedInDomain()), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
+	}
+}
+
+// renew renews this VM's record if that is due.
+func (f *fleetSize) renew(ctx context.Context) {
+	f.mu.Lock()
+	due := f.now() >= f.renewAt
+	if due {
+		f.renewals++
+	}
+	revision := f.node.config.Incarnation + "-" + strconv.FormatUint(f.renewals, 10)
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	own := &f.node.config
+	err := own.Peers.Registry.RecordVM(callCtx, registry.VMRecord{VM: own.VM, Domain: own.Domain, Revision: revision})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.fail("record of this entry VM not renewed", err)
+		f.renewAt = f.now() + recordRetryInterval
+		return
+	}
+	f.renewAt = f.now() + f.interval()
+}
+
+// read reads the records unless they were read recently, by this VM or by another one of its domain.
+func (f *fleetSize) read(ctx context.Context) {
+	startedAt := f.now()
+	if !f.isReadDue(startedAt) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	own := &f.node.config
+	list, err := own.Peers.Registry.VMs(callCtx)
+	if err != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.fail("records of entry VMs not read", err)
+		f.readAt = f.now() + recordRetryInterval
+		return
+	}
+	records := make([]fleetsize.Record, len(list))
+	for i, r := range list {
+		records[i] = fleetsize.Record(r)
+	}
+	count, expired := f.records.Update(startedAt, own.Domain, records)
+	f.observe(func() { f.size.ObserveRecorded(startedAt, count) })
+	if len(expired) == 0 {
+		return
+	}
+	if err := own.Peers.Registry.DropVMs(callCtx, expired); err != nil {
+		own.Logger.Warn("records of entry VMs not dropped", zap.Strings("vms", expired), telemetry.Reason(err))
+		return
+	}
+	own.Logger.Info("entry VMs gone from the registry", zap.Strings("vms", expired))
+}
+
+// fail handles a failed call on the records. Call with mu held.
+func (f *fleetSize) fail(message string, err error) {
+	f.records.Reset()
+	f.node.config.Logger.Debug(message, telemetry.Reason(err))
+}
+
+// interval returns the time between two renewals and the minimum time between two reads. Call with
+// mu held.
+func (f *fleetSize) interval() time.Duration {
+	recorded, _, _ := f.size.Recorded()
+	return fleetsize.RenewInterval(recorded.Domains * recorded.DomainVMs)
+}
+
+// isReadDue reports whether this VM has to read the records. In a large fleet the relays read them
+// first and report the count to the other VMs of their domain.
+func (f *fleetSize) isReadDue(now time.Duration) bool {
+	isRelay := f.node.members.isRelay(time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, readAt, known := f.size.Recorded()
+	interval := f.interval()
+	if now-f.node.startedAt < youngPeriod {
+		interval = youngReadInterval
+	}
+	if !isRelay {
+		interval += f.node.jitter(0, interval)
+	}
+	return now >= f.readAt && f.renewals > 0 && (!known || now-readAt >= interval)
+}
+
+// publish adds the count of the recorded VMs to a report to a VM of this domain.
+func (f *fleetSize) publish(report *entryvm.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if recorded, readAt, known := f.size.Recorded(); known {
+		report.RecordedVMs = &entryvm.RecordedVMs{Domains: recorded.Domains, DomainVMs: recorded.DomainVMs, Age: f.now() - readAt}
+	}
+}
+
+// merge applies the count in a report.
+func (f *fleetSize) merge(report *entryvm.Report) {
+	recorded := report.RecordedVMs
+	if recorded == nil || report.Domain != f.node.config.Domain {
+		return
+	}
+	f.observe(func() {
+		f.size.ObserveRecorded(f.now()-recorded.Age, fleetsize.Count{Domains: recorded.Domains, DomainVMs: recorded.DomainVMs})
+	})
+}
+
+// countSeen returns how many failure domains, and how many VMs of its own, this VM has seen
+// and not forgotten since, whether they are live or not. Both include this VM.
+func (m *members) countSeen() fleetsize.Count {
+	own := m.node.config.Domain
+	vms := map[string]int{own: 1}
+	m.eachSeen(func(r *entryvm.Report) { vms[r.Domain]++ })
+	return fleetsize.Count{Domains: len(vms), DomainVMs: vms[own]}
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -144,7 +144,7 @@
 	limits          *backendLimits
 	rooms           *backendRooms
 	issuers         *permitIssuers
-	retrySlack      *retrySlack
+	fleetSize       *fleetSize
 	paths           *backendPaths
 	streamVersions  *streamVersions
 	backendQueues   *backendQueues // nil if not switched on
@@ -199,7 +199,7 @@
 	n.streamVersions = newStreamVersions(n)
 	n.members = newMembers(n)
 	n.quotas = newQuotas(n)
-	n.retrySlack = newRetrySlack(n)
+	n.fleetSize = newFleetSize(n)
 	n.backendQueues = newBackendQueues(n)
 	n.keeper = newKeeper(n)
 	n.planner = newPlanner(n)
@@ -207,7 +207,7 @@
 	n.serving = serving.New(serving.Config{
 		Domain: config.Domain, Directory: n, ForwardDirectory: n, Forwarder: config.Peers.Backends,
 		Admission: admission.New(n.fleetAdmission.admissionConfig(config.Admission)), Router: routing.New(routing.Config{}, config.Rand),
-		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack.get, Quarantine: n.crashes,
+		Logger: config.Logger, RetryShare: sustainedRetryShare * config.RetryShare, RetryWindow: config.RetryWindow, RetrySlack: n.retrySlack, Quarantine: n.crashes,
 		BackendQueues: n.backendQueues.forServing(),
 		Pace:          n.newPaceRecorder(),
 	})
@@ -220,7 +220,7 @@
 	defer tasks.Wait()
 	for _, task := range []func(context.Context){
 		n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
-		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.retrySlack.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
+		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.fleetSize.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -18,6 +18,7 @@
 	m.node.limits.merge(now, report.VM, report.Limits)
 	m.node.rooms.mergeReport(now, report.VM, report.Fragile)
 	m.node.mergeLeaving(now, report.VM, report.LeavingBackends)
+	m.node.fleetSize.merge(&report)
 	report.Suspects, report.Limits, report.LeavingBackends, report.Fragile = nil, nil, nil, nil
 	var addresses []string
 	for _, other := range report.Members {
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -69,6 +69,13 @@
 	return slices.Contains(r.relays[m.node.config.Domain], m.node.config.VM)
 }
 
+// isRelay reports whether this VM is one of its domain's relays.
+func (m *members) isRelay(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentRoles(now).isRelay(m)
+}
+
 // isLeadRelay reports whether the VM is the first relay of its domain.
 func (r *roles) isLeadRelay(domain, vm string) bool {
 	relays := r.relays[domain]
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -77,6 +77,9 @@
 	n.limits.publish(now, &r)
 	n.rooms.publish(now, &r)
 	n.backends.publishLeaving(now, &r)
+	if to.Domain == n.config.Domain {
+		n.fleetSize.publish(&r)
+	}
 	if large && relay && to.Domain != n.config.Domain {
 		// A relay of another domain takes these from the domain's Load.
 		r.Running, r.Waiting, r.Rates = nil, nil, nil
--- a/registry/metrics.go
+++ b/registry/metrics.go
@@ -9,6 +9,7 @@
 	UnreadableBackends       = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="backends"}`)
 	UnreadableOwners         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="owners"}`)
 	UnreadableEpochs         = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="epoch"}`)
+	UnreadableVMs            = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="vms"}`)
 	UnreadableQuarantine     = metrics.NewCounter(`bergamotreel_registry_entries_unreadable_total{topic="quarantine"}`)
 )
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -182,6 +182,13 @@
 	PromptPart bool
 }
 
+// VMRecord is the record that an entry VM renews as long as it runs.
+type VMRecord struct {
+	VM, Domain string
+	// Revision differs between any two writes of the record.
+	Revision string
+}
+
 // Registry is the interface to the platform's registry. All methods may fail with
 // ErrUnavailable, in addition to the errors that they name.
 type Registry interface {
@@ -219,4 +226,11 @@
 	Quarantined(ctx context.Context) ([]Quarantined, error)
 	// Quarantine adds records and drops others.
 	Quarantine(ctx context.Context, add []Quarantined, drop []QuarantineKey) error
+
+	// VMs returns the newest record of each entry VM.
+	VMs(ctx context.Context) ([]VMRecord, error)
+	// RecordVM adds or renews the record of an entry VM.
+	RecordVM(ctx context.Context, record VMRecord) error
+	// DropVMs drops the records of entry VMs.
+	DropVMs(ctx context.Context, vms []string) error
 }
