hosted: VMs that know no others divide a quota by the registry's records

What callers of other workspaces would see: a workspace above its quota uses a multiple of it, as each VM that starts out of touch takes itself for its domain's allocator and grants the domain's whole part. The rule holds over all machines, in touch or not.

An allocator counts the VMs of its domain by the larger of its own view and the records; one that knows nobody has no part until it has read them, at most half a second after its start; one that reaches a part of its domain grants what its bucket covers, since each bucket in debt would be one request more at each restart of each VM.

--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -47,7 +47,7 @@
 }
 
 func newFleetSize(n *Node) *fleetSize {
-	return &fleetSize{node: n, renewAt: n.startedAt + n.jitter(0, recordStartSpread)}
+	return &fleetSize{node: n}
 }
 
 // count returns the numbers by which to divide a bound on the fleet; see fleetsize.Size.Count.
@@ -69,6 +69,9 @@
 
 // run counts the fleet until ctx ends.
 func (f *fleetSize) run(ctx context.Context) {
+	if !pause.For(ctx, f.node.jitter(0, recordStartSpread)) {
+		return
+	}
 	pause.Every(ctx, fleetSizeInterval, func(ctx context.Context) {
 		f.observe(func() { f.size.ObserveSeen(f.now(), f.node.members.countSeen()) })
 		f.renew(ctx)
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -178,13 +178,22 @@
 	q.updateBucket(now, args.Workspace, bucket, limit)
 	q.grantedAt = now
 	bucket.demand.Add(now, args.Need+args.Refused, demandWindow)
-	wait, ok := bucket.Take(now, args.Need, args.MaxWait)
+	wait, ok := q.take(now, bucket, args)
 	if !ok {
 		return entryvm.LeaseReply{Wait: wait}
 	}
 	return entryvm.LeaseReply{Credit: args.Need + bucket.TakeSpare(now, args.Prefetch, prefetchReserve), Wait: wait}
 }
 
+// take charges a request to a bucket. Of VMs that don't reach each other each has a bucket, and if
+// requests put these into debt, each restart would grant one request for each VM. Call with mu held.
+func (q *quotas) take(now time.Time, bucket *leaseBucket, args entryvm.LeaseArgs) (wait time.Duration, ok bool) {
+	if q.allocators.reachableFraction() < 1 {
+		return bucket.WaitTime(now), bucket.TakeIfCovered(now, args.Need)
+	}
+	return bucket.Take(now, args.Need, args.MaxWait)
+}
+
 // updateBucket sets a bucket's rate and burst to this domain's share of the limit. Call with
 // mu held.
 func (q *quotas) updateBucket(now time.Time, workspace string, bucket *leaseBucket, limit contract.Quota) {
--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -17,13 +17,20 @@
 	// ownDomain are the allocators of this VM's domain in the order in which they are asked,
 	// otherDomains the first one of each other domain.
 	ownDomain, otherDomains []allocator
-	// liveVMs is how many live VMs this domain has, knownVMs how many it had recently: VMs
-	// that are known but not live may be partitioned and still serve requests.
+	// liveVMs is how many live VMs this domain has, knownVMs how many it had recently or has by
+	// the registry: VMs that are known but not live may be partitioned and still serve requests.
 	liveVMs, knownVMs int
+	// isAlone is whether this VM has met no other one of its domain and has no count from the
+	// registry either.
+	isAlone bool
 }
 
-// reachableFraction returns the fraction of its domain's VMs that this one reaches.
+// reachableFraction returns the fraction of its domain's VMs that this one reaches, 0 while it may be
+// one of any number of VMs.
 func (s *allocatorSelection) reachableFraction() float64 {
+	if s.isAlone {
+		return 0
+	}
 	return float64(s.liveVMs) / float64(max(s.knownVMs, s.liveVMs, 1))
 }
 
@@ -66,7 +73,9 @@
 	if !m.node.stopping.Load() {
 		candidates[own.Domain] = append(candidates[own.Domain], roleCandidate{own.VM, own.Capacity})
 	}
-	s := allocatorSelection{selectedAt: now, liveVMs: 1, knownVMs: 1 + m.countKnownInDomain()}
+	recorded := m.node.fleetSize.recordedInDomain()
+	s := allocatorSelection{selectedAt: now, liveVMs: 1, knownVMs: max(1+m.countKnownInDomain(), recorded)}
+	s.isAlone = s.knownVMs == 1 && recorded == 0
 	m.eachLive(now, func(r *entryvm.Report) {
 		if r.Domain == own.Domain {
 			s.liveVMs++
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -227,6 +227,13 @@
 // Guards against exceeding a quota while a partition splits each failure domain, so that both
 // sides have an allocator for each domain.
 func TestQuotaWhileEachDomainIsPartitioned(t *testing.T) {
+	t.Run("for seconds", func(t *testing.T) { checkQuotaInDividedDomains(t, 18*time.Second) })
+	// VMs that a VM has not heard for long no longer count by its own view.
+	t.Run("for a minute", func(t *testing.T) { checkQuotaInDividedDomains(t, time.Minute) })
+}
+
+// checkQuotaInDividedDomains checks quotas for some time while each domain is divided in two.
+func checkQuotaInDividedDomains(t *testing.T, span time.Duration) {
 	withQuotaCluster(t, 30, map[string]float64{"hot": 20_000, "calm": 20_000}, func(b *quotaCluster) {
 		few := make(map[string]bool)
 		for i, vm := range b.vms {
@@ -242,7 +249,7 @@
 				return 0
 			}
 		})
-		b.sendRequests(18*time.Second, map[string]float64{"hot": 80_000, "calm": 11_000}, b.randomVM)
+		b.sendRequests(span, map[string]float64{"hot": 80_000, "calm": 11_000}, b.randomVM)
 		b.inFlight.Wait()
 		b.checkWindows("hot", 20_000)
 		b.checkWindows("calm", 20_000)
@@ -250,6 +257,40 @@
 	})
 }
 
+// Guards against a whole domain's part of a quota at each VM that starts while it reaches no other
+// one.
+func TestQuotaOfVMsStartedApart(t *testing.T) {
+	for name, kills := range map[string]int{"started once": 1, "killed in turn": 12} {
+		t.Run(name, func(t *testing.T) {
+			withQuotaCluster(t, 15, map[string]float64{"hot": 20_000}, func(b *quotaCluster) {
+				for _, vm := range b.vms {
+					b.setIsolated(vm, true)
+				}
+				b.inFlight.Go(func() {
+					for range kills {
+						b.restartAll()
+						time.Sleep(1200 * time.Millisecond)
+					}
+				})
+				b.sendRequests(30*time.Second, map[string]float64{"hot": 80_000}, b.randomVM)
+				b.inFlight.Wait()
+				b.checkWindows("hot", 20_000)
+			})
+		})
+	}
+}
+
+// restartAll kills all VMs and starts them again.
+func (b *quotaCluster) restartAll() {
+	for _, vm := range b.vms {
+		b.kill(vm)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for i := range b.vms {
+		b.bootSpread(i)
+	}
+}
+
 // Guards against a full burst with each restart of an allocator, and against refusals until
 // another allocator is selected.
 func TestQuotaWhileAllocatorsAreKilled(t *testing.T) {
