hosted: VMs that have never met divide the limit of a backend server

What a backend server that asked for less would see: a multiple of the rate that it has named, as each VM that starts out of touch selects itself as the issuer of the server's permits and issues all of them.

An issuer issues the share of the VMs of the server's failure domain that it reaches, of those and of the recorded ones that it has never met. Counts of records are by failure domain now.

--- a/admission/fleetsize/fleetsize.go
+++ b/admission/fleetsize/fleetsize.go
@@ -40,43 +40,62 @@
 // Count is a number of failure domains, and of the VMs in one of them.
 type Count struct{ Domains, DomainVMs int }
 
-func (c Count) max(other Count) Count {
-	return Count{max(c.Domains, other.Domains), max(c.DomainVMs, other.DomainVMs)}
+// VMCounts is the number of VMs in each failure domain.
+type VMCounts map[string]int
+
+// Sum returns the number of VMs in all failure domains.
+func (c VMCounts) Sum() (sum int) {
+	for _, vms := range c {
+		sum += vms
+	}
+	return sum
 }
 
 // Size is the size of the fleet as one VM knows it.
 type Size struct {
-	domains, domainVMs recentMax
-	recorded           Count
-	recordedAt         time.Duration
-	hasRecorded        bool
+	domains    recentMax
+	seen       map[string]recentMax // by failure domain
+	recorded   VMCounts             // nil before the first
+	recordedAt time.Duration
 }
 
 // ObserveSeen records how many VMs this VM has seen, including itself.
-func (s *Size) ObserveSeen(now time.Duration, seen Count) {
-	s.domains.update(now, seen.Domains)
-	s.domainVMs.update(now, seen.DomainVMs)
+func (s *Size) ObserveSeen(now time.Duration, seen VMCounts) {
+	s.domains.update(now, len(seen))
+	if s.seen == nil {
+		s.seen = make(map[string]recentMax)
+	}
+	for domain := range seen {
+		if _, known := s.seen[domain]; !known {
+			s.seen[domain] = recentMax{}
+		}
+	}
+	for domain, m := range s.seen {
+		m.update(now, seen[domain])
+		s.seen[domain] = m
+	}
 }
 
+// Unseen returns how many recorded VMs of a failure domain this VM has not seen within seenTTL.
+func (s *Size) Unseen(domain string) int { return max(0, s.recorded[domain]-s.seen[domain].count) }
+
 // ObserveRecorded records how many VMs the registry had at readAt, unless a count of about that time
 // is known.
-func (s *Size) ObserveRecorded(readAt time.Duration, recorded Count) {
-	if !s.hasRecorded || readAt >= s.recordedAt+minReadAdvance {
-		s.recorded, s.recordedAt, s.hasRecorded = recorded, readAt, true
+func (s *Size) ObserveRecorded(readAt time.Duration, recorded VMCounts) {
+	if s.recorded == nil || readAt >= s.recordedAt+minReadAdvance {
+		s.recorded, s.recordedAt = recorded, readAt
 	}
 }
 
-// Recorded returns the newest count of the recorded VMs and when it was read; false if there is none
-// yet.
-func (s *Size) Recorded() (recorded Count, readAt time.Duration, ok bool) {
-	return s.recorded, s.recordedAt, s.hasRecorded
-}
+// Recorded returns the newest counts of the recorded VMs and when they were read; nil if there are
+// none yet. The caller must not change them.
+func (s *Size) Recorded() (recorded VMCounts, readAt time.Duration) { return s.recorded, s.recordedAt }
 
-// Count returns the numbers by which to divide a bound on the fleet: an equal part for each failure
-// domain, and an equal part of that for each VM. It returns false while the VM has no count from the
-// registry: until then it may be one of any number of VMs.
-func (s *Size) Count() (Count, bool) {
-	return Count{s.domains.count, s.domainVMs.count}.max(s.recorded).max(Count{1, 1}), s.hasRecorded
+// Count returns the numbers by which a VM of the failure domain divides a bound on the fleet: an equal
+// part for each failure domain, and an equal part of that for each VM. It returns false while the VM
+// has no count from the registry: until then it may be one of any number of VMs.
+func (s *Size) Count(domain string) (Count, bool) {
+	return Count{max(s.domains.count, len(s.recorded), 1), max(s.seen[domain].count, s.recorded[domain], 1)}, s.recorded != nil
 }
 
 // recentMax is the maximum of the counts of the last seenTTL or, if they have been lower since, the
--- a/admission/fleetsize/fleetsize_test.go
+++ b/admission/fleetsize/fleetsize_test.go
@@ -29,8 +29,8 @@
 	for _, record := range registry {
 		list = append(list, record)
 	}
-	v.size.ObserveSeen(now, fleetsize.Count{Domains: 1, DomainVMs: 1})
-	count, expired := v.records.Update(now, "d", list)
+	v.size.ObserveSeen(now, fleetsize.VMCounts{"d": 1})
+	count, expired := v.records.Update(now, list)
 	v.size.ObserveRecorded(now, count)
 	for _, vm := range expired {
 		delete(registry, vm)
@@ -39,7 +39,7 @@
 
 // part returns the VM's part of a bound of 1 on the fleet.
 func (v *fakeVM) part() float64 {
-	count, known := v.size.Count()
+	count, known := v.size.Count("d")
 	if !known {
 		return 0
 	}
@@ -72,12 +72,13 @@
 // Guards against a VM that takes a part before it knows how many share the bound.
 func TestNoPartBeforeTheRecordsWereRead(t *testing.T) {
 	var size fleetsize.Size
-	size.ObserveSeen(0, fleetsize.Count{Domains: 3, DomainVMs: 4})
-	_, known := size.Count()
+	size.ObserveSeen(0, fleetsize.VMCounts{"d": 4, "x": 1, "y": 2})
+	_, known := size.Count("d")
 	testkit.That(t, !known, "a count without the registry's")
-	size.ObserveRecorded(0, fleetsize.Count{Domains: 2, DomainVMs: 9})
-	count, known := size.Count()
+	size.ObserveRecorded(0, fleetsize.VMCounts{"d": 9, "other": 1})
+	count, known := size.Count("d")
 	testkit.That(t, known && count == fleetsize.Count{Domains: 3, DomainVMs: 9}, "%v, %t", count, known)
+	testkit.Equal(t, "unseen VMs", size.Unseen("d"), 5)
 }
 
 // Guards against a VM that counts forever after it is gone, and against one that stops counting while
@@ -85,8 +86,8 @@
 func TestRecordExpiresUnlessTheRegistryIsAway(t *testing.T) {
 	var records fleetsize.Records
 	count := func(now time.Duration, ownRevision string) (int, []string) {
-		c, expired := records.Update(now, "d", []fleetsize.Record{{VM: "own", Domain: "d", Revision: ownRevision}, {VM: "other", Domain: "d", Revision: "1"}})
-		return c.DomainVMs, expired
+		c, expired := records.Update(now, []fleetsize.Record{{VM: "own", Domain: "d", Revision: ownRevision}, {VM: "other", Domain: "d", Revision: "1"}})
+		return c["d"], expired
 	}
 	read := func(now time.Duration, ownRevision string, want int) []string {
 		got, expired := count(now, ownRevision)
@@ -107,12 +108,12 @@
 func TestForwardedCountGrowsOld(t *testing.T) {
 	const latency = 40 * time.Millisecond
 	var sizes [2]fleetsize.Size
-	sizes[0].ObserveRecorded(0, fleetsize.Count{Domains: 1, DomainVMs: 2})
+	sizes[0].ObserveRecorded(0, fleetsize.VMCounts{"d": 2})
 	for now, from := time.Duration(0), 0; now < 20*time.Second; now += latency {
-		recorded, readAt, _ := sizes[from].Recorded()
+		recorded, readAt := sizes[from].Recorded()
 		sizes[1-from].ObserveRecorded(readAt+latency, recorded)
 		from = 1 - from
 	}
-	_, readAt, _ := sizes[0].Recorded()
+	_, readAt := sizes[0].Recorded()
 	testkit.That(t, readAt < time.Second, "a count that was read at 0 s passes for one of %s", readAt)
 }
--- a/admission/fleetsize/records.go
+++ b/admission/fleetsize/records.go
@@ -22,12 +22,12 @@
 	at       time.Duration
 }
 
-// Update applies a read of all records that began at now. It returns the number of records that
-// count, with the VMs of the given failure domain, and the VMs whose records have expired.
-func (r *Records) Update(now time.Duration, domain string, list []Record) (count Count, expired []string) {
+// Update applies a read of all records that began at now. It returns the numbers of records that
+// count, and the VMs whose records have expired.
+func (r *Records) Update(now time.Duration, list []Record) (counts VMCounts, expired []string) {
 	ttl := recordTTLIntervals * RenewInterval(len(list))
 	changes := make(map[string]change, len(list))
-	domains := make(map[string]bool)
+	counts = make(VMCounts)
 	for _, record := range list {
 		c, known := r.changes[record.VM]
 		if !known || c.revision != record.Revision {
@@ -38,14 +38,10 @@
 			expired = append(expired, record.VM)
 			continue
 		}
-		domains[record.Domain] = true
-		if record.Domain == domain {
-			count.DomainVMs++
-		}
+		counts[record.Domain]++
 	}
 	r.changes = changes
-	count.Domains = len(domains)
-	return count, expired
+	return counts, expired
 }
 
 // Reset restarts the age of all records. It is called when the registry did not answer, because then
--- a/admission/permit/permit.go
+++ b/admission/permit/permit.go
@@ -96,12 +96,13 @@
 	deniedRequests int
 }
 
-// Issue grants up to want permits under a limit, and returns when to request the rest.
-func (i *Issuer) Issue(now time.Time, limit Limit, want int) (granted int, retryAfter time.Duration) {
-	if want <= 0 {
+// Issue grants up to want permits under a limit, and returns when to request the rest. It issues only
+// the share of the limit, between 0 and 1, that other issuers don't.
+func (i *Issuer) Issue(now time.Time, limit Limit, share float64, want int) (granted int, retryAfter time.Duration) {
+	if want <= 0 || share <= 0 {
 		return 0, minRetryAfter
 	}
-	rate := math.Max(limit.PerSecond, minRate)
+	rate := math.Max(limit.PerSecond, minRate) * share
 	i.bucket.SetRate(now, rate, math.Max(1, burstSeconds*rate))
 	for granted < want && i.bucket.TakeIfCovered(now, 1) {
 		granted++
--- a/admission/permit/permit_test.go
+++ b/admission/permit/permit_test.go
@@ -14,18 +14,19 @@
 // Guards against more permits than a limit allows, whatever is requested and when, and
 // against permits that are not granted although they are available and requested.
 func TestPermitsFollowTheLimit(t *testing.T) {
-	for _, perSecond := range []float64{0, 0.3, 1, 4.1, 40} {
+	for _, c := range []struct{ perSecond, share float64 }{{0, 1}, {0.3, 1}, {1, 1}, {4.1, 1}, {40, 1}, {40, 0.125}, {4.1, 0.5}} {
+		perSecond, share := c.perSecond, c.share
 		random := rand.New(rand.NewSource(5))
 		var issuer permit.Issuer
 		limit := permit.Limit{Limited: true, PerSecond: perSecond}
 		now, issued := start, 0
 		for now.Sub(start) < time.Minute {
-			granted, retryAfter := issuer.Issue(now, limit, 1+random.Intn(5))
+			granted, retryAfter := issuer.Issue(now, limit, share, 1+random.Intn(5))
 			issued += granted
 			testkit.That(t, retryAfter > 0, "retry after %s", retryAfter)
 			now = now.Add(time.Duration(random.Intn(20)) * time.Millisecond)
 		}
-		rate := max(perSecond, 0.25)
+		rate := max(perSecond, 0.25) * share
 		maxIssued := rate*60 + max(1, rate)
 		testkit.That(t, float64(issued) <= maxIssued, "%.1f a second: %d permits in a minute, at most %.0f", perSecond, issued, maxIssued)
 		testkit.That(t, float64(issued) >= 0.9*rate*60-1, "%.1f a second: only %d permits in a minute", perSecond, issued)
@@ -36,10 +37,10 @@
 func TestRetryDelayGrowsWithDeniedRequests(t *testing.T) {
 	var issuer permit.Issuer
 	limit := permit.Limit{Limited: true, PerSecond: 10}
-	_, first := issuer.Issue(start, limit, 1)
+	_, first := issuer.Issue(start, limit, 1, 1)
 	var last time.Duration
 	for range 10 {
-		_, last = issuer.Issue(start, limit, 1)
+		_, last = issuer.Issue(start, limit, 1, 1)
 	}
 	testkit.That(t, last > first && last <= 2*time.Second, "the first retries after %s, the last after %s", first, last)
 }
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -108,11 +108,10 @@
 
 // RecordedVMs counts the records of entry VMs in the registry.
 type RecordedVMs struct {
-	// Domains is the number of failure domains, DomainVMs the number of VMs of the sender's own.
-	Domains   int `cbor:"1,keyasint,omitempty"`
-	DomainVMs int `cbor:"2,keyasint,omitempty"`
+	// ByDomain is the number of VMs in each failure domain.
+	ByDomain map[string]int `cbor:"1,keyasint,omitempty"`
 	// Age is the time since the records were read.
-	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -54,17 +54,26 @@
 func (f *fleetSize) count() (fleetsize.Count, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	count, ok := f.size.Count()
+	count, ok := f.size.Count(f.node.config.Domain)
 	count.Domains = max(count.Domains, f.node.config.Domains)
 	return count, ok
 }
 
-// recordedInDomain returns the number of recorded VMs of this VM's domain, 0 if it is unknown.
-func (f *fleetSize) recordedInDomain() int {
+// recorded returns the numbers of recorded VMs, nil if they are unknown.
+func (f *fleetSize) recorded() fleetsize.VMCounts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	recorded, _, _ := f.size.Recorded()
-	return recorded.DomainVMs
+	recorded, _ := f.size.Recorded()
+	return recorded
+}
+
+// unseen returns how many recorded VMs of a failure domain this VM has not seen; false if it has no
+// count from the registry.
+func (f *fleetSize) unseen(domain string) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	recorded, _ := f.size.Recorded()
+	return f.size.Unseen(domain), recorded != nil
 }
 
 // run counts the fleet until ctx ends.
@@ -92,7 +101,7 @@
 		slack := f.node.retrySlack()
 		retrySlackGauge.Set(slack)
 		f.node.config.Logger.Info("fleet counted", zap.Int("domains", after.Domains), zap.Int("domain_vms", after.DomainVMs),
-			zap.Int("recorded_domain_vms", f.recordedInDomain()), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
+			zap.Any("recorded", f.recorded()), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
 	}
 }
 
@@ -143,8 +152,8 @@
 	for i, r := range list {
 		records[i] = fleetsize.Record(r)
 	}
-	count, expired := f.records.Update(startedAt, own.Domain, records)
-	f.observe(func() { f.size.ObserveRecorded(startedAt, count) })
+	counts, expired := f.records.Update(startedAt, records)
+	f.observe(func() { f.size.ObserveRecorded(startedAt, counts) })
 	if len(expired) == 0 {
 		return
 	}
@@ -164,8 +173,8 @@
 // interval returns the time between two renewals and the minimum time between two reads. Call with
 // mu held.
 func (f *fleetSize) interval() time.Duration {
-	recorded, _, _ := f.size.Recorded()
-	return fleetsize.RenewInterval(recorded.Domains * recorded.DomainVMs)
+	recorded, _ := f.size.Recorded()
+	return fleetsize.RenewInterval(recorded.Sum())
 }
 
 // isReadDue reports whether this VM has to read the records. In a large fleet the relays read them
@@ -174,7 +183,7 @@
 	isRelay := f.node.members.isRelay(time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, readAt, known := f.size.Recorded()
+	recorded, readAt := f.size.Recorded()
 	interval := f.interval()
 	if now-f.node.startedAt < youngPeriod {
 		interval = youngReadInterval
@@ -182,34 +191,31 @@
 	if !isRelay {
 		interval += f.node.jitter(0, interval)
 	}
-	return now >= f.readAt && f.renewals > 0 && (!known || now-readAt >= interval)
+	return now >= f.readAt && f.renewals > 0 && (recorded == nil || now-readAt >= interval)
 }
 
 // publish adds the count of the recorded VMs to a report to a VM of this domain.
 func (f *fleetSize) publish(report *entryvm.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if recorded, readAt, known := f.size.Recorded(); known {
-		report.RecordedVMs = &entryvm.RecordedVMs{Domains: recorded.Domains, DomainVMs: recorded.DomainVMs, Age: f.now() - readAt}
+	if recorded, readAt := f.size.Recorded(); recorded != nil {
+		report.RecordedVMs = &entryvm.RecordedVMs{ByDomain: recorded, Age: f.now() - readAt}
 	}
 }
 
 // merge applies the count in a report.
 func (f *fleetSize) merge(report *entryvm.Report) {
 	recorded := report.RecordedVMs
-	if recorded == nil || report.Domain != f.node.config.Domain {
+	if recorded == nil || recorded.ByDomain == nil || report.Domain != f.node.config.Domain {
 		return
 	}
-	f.observe(func() {
-		f.size.ObserveRecorded(f.now()-recorded.Age, fleetsize.Count{Domains: recorded.Domains, DomainVMs: recorded.DomainVMs})
-	})
+	f.observe(func() { f.size.ObserveRecorded(f.now()-recorded.Age, recorded.ByDomain) })
 }
 
-// countSeen returns how many failure domains, and how many VMs of its own, this VM has seen
-// and not forgotten since, whether they are live or not. Both include this VM.
-func (m *members) countSeen() fleetsize.Count {
-	own := m.node.config.Domain
-	vms := map[string]int{own: 1}
+// countSeen returns how many VMs of each failure domain this VM has seen and not forgotten since,
+// whether they are live or not. They include this VM.
+func (m *members) countSeen() fleetsize.VMCounts {
+	vms := fleetsize.VMCounts{m.node.config.Domain: 1}
 	m.eachSeen(func(r *entryvm.Report) { vms[r.Domain]++ })
-	return fleetsize.Count{Domains: len(vms), DomainVMs: vms[own]}
+	return vms
 }
--- a/internal/hosted/fleetsize_test.go
+++ b/internal/hosted/fleetsize_test.go
@@ -47,7 +47,7 @@
 		w.kill(names[8])
 		time.Sleep(time.Minute)
 		check("after one is gone", 8)
-		testkit.Equal(t, "recorded VMs of its domain", w.nodes[names[2]].fleetSize.recordedInDomain(), 2)
+		testkit.Equal(t, "recorded VMs of its domain", w.nodes[names[2]].fleetSize.recorded()["d2"], 2)
 	})
 }
 
--- a/internal/hosted/issuers.go
+++ b/internal/hosted/issuers.go
@@ -83,6 +83,24 @@
 	return rendezvous.Pick(backend, all)
 }
 
+// share returns the share of a backend server's permits that this VM issues. VMs that have never met
+// all select themselves, so each issues the share of those VMs of the server's failure domain that it
+// reaches. VMs that it has met and lost are taken for gone, so that a limited server keeps getting
+// requests while VMs fail.
+func (i *permitIssuers) share(now time.Time, backend string) float64 {
+	server, _ := i.node.backends.get(backend)
+	unseen, known := i.node.fleetSize.unseen(server.Domain)
+	count := i.node.members.countDomain(now, server.Domain)
+	switch {
+	case count.isUnsure:
+		return 0
+	case !known || unseen == 0:
+		return 1
+	default:
+		return float64(count.live) / float64(count.live+unseen)
+	}
+}
+
 // callIssuer calls the VM at an address, which may be this one: answer is its own method for such
 // a call, send that of a client of other VMs.
 func callIssuer[Args, Reply any](n *Node, address string, args Args, answer func(Args) Reply, send func(context.Context, string, Args) (Reply, error)) (Reply, error) {
--- a/internal/hosted/limits_test.go
+++ b/internal/hosted/limits_test.go
@@ -109,6 +109,40 @@
 	}
 }
 
+// Guards against the whole limit of a backend server at each VM that starts while it reaches no other
+// one, and against a limit that isn't used any more once VMs are gone.
+func TestVMsStartedApartShareABackendLimit(t *testing.T) {
+	const limit, pause = 4.1, 60 * time.Millisecond
+	for _, vms := range []int{8, 30} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			withEngineCluster(t, vms, 1, func(b *engineCluster) {
+				isolate := func(isolated bool) {
+					for _, vm := range b.vms {
+						b.setIsolated(vm, isolated)
+					}
+				}
+				isolate(true)
+				b.restartAll()
+				b.sendOtherRequests(8*time.Second, pause)
+				b.setLimit("e1", service.Limit{Limited: true, PerSecond: limit}, 1)
+				from := time.Now().Add(maxLimitPropagation)
+				b.sendOtherRequests(25*time.Second, pause)
+				b.checkLimit("e1", limit, from, time.Now(), 0.3)
+				isolate(false)
+				for _, vm := range b.vms[vms/2:] {
+					b.kill(vm)
+				}
+				b.vms = b.vms[:vms/2]
+				b.sendOtherRequests(time.Minute, pause)
+				from = time.Now()
+				b.sendOtherRequests(15*time.Second, pause)
+				b.checkLimit("e1", limit, from, time.Now(), 0.6)
+				b.inFlight.Wait()
+			})
+		})
+	}
+}
+
 // maxLimitLiftTime returns how long a limit may still have an effect after it ended. VMs notice
 // the end after ten responses at the limited rate; with a limit of zero, one request is sent
 // every four seconds.
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -71,6 +71,7 @@
 // Permit implements entryvm.Coordinator: it issues permits for a limited backend server.
 func (n *Node) Permit(args entryvm.PermitArgs) entryvm.PermitReply {
 	l, now, id := n.limits, time.Now(), args.Limit.Backend
+	share := n.issuers.share(now, id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mergeLimit(now, "", args.Limit)
@@ -92,6 +93,6 @@
 		delete(l.issuers, id)
 		return entryvm.PermitReply{Limit: b.toMessage(now, id)}
 	}
-	granted, retry := issuer.Issue(now, b.Limit, args.Requested)
+	granted, retry := issuer.Issue(now, b.Limit, share, args.Requested)
 	return entryvm.PermitReply{Granted: granted, Retry: retry, Limit: b.toMessage(now, id)}
 }
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -188,7 +188,7 @@
 // take charges a request to a bucket. Of VMs that don't reach each other each has a bucket, and if
 // requests put these into debt, each restart would grant one request for each VM. Call with mu held.
 func (q *quotas) take(now time.Time, bucket *leaseBucket, args entryvm.LeaseArgs) (wait time.Duration, ok bool) {
-	if q.allocators.reachableFraction() < 1 {
+	if q.allocators.vms.reachableFraction() < 1 {
 		return bucket.WaitTime(now), bucket.TakeIfCovered(now, args.Need)
 	}
 	return bucket.Take(now, args.Need, args.MaxWait)
@@ -197,7 +197,7 @@
 // updateBucket sets a bucket's rate and burst to this domain's share of the limit. Call with
 // mu held.
 func (q *quotas) updateBucket(now time.Time, workspace string, bucket *leaseBucket, limit contract.Quota) {
-	q.demandView.SetReachableFraction(q.allocators.reachableFraction())
+	q.demandView.SetReachableFraction(q.allocators.vms.reachableFraction())
 	share := q.demandView.Share(now, workspace, limit.PerSecond)
 	// Bursts are divided evenly: a burst that followed demand would take away the credit of
 	// a domain whose demand pauses, and allocators lend credit to each other anyway.
@@ -236,7 +236,7 @@
 			}
 			return
 		}
-		report := q.announceDemand(now, selection.reachableFraction())
+		report := q.announceDemand(now, selection.vms.reachableFraction())
 		for _, allocator := range selection.otherDomains {
 			exchanges.Go(func() { q.exchangeDemand(ctx, allocator.address, report) })
 		}
--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -17,21 +17,8 @@
 	// ownDomain are the allocators of this VM's domain in the order in which they are asked,
 	// otherDomains the first one of each other domain.
 	ownDomain, otherDomains []allocator
-	// liveVMs is how many live VMs this domain has, knownVMs how many it had recently or has by
-	// the registry: VMs that are known but not live may be partitioned and still serve requests.
-	liveVMs, knownVMs int
-	// isAlone is whether this VM has met no other one of its domain and has no count from the
-	// registry either.
-	isAlone bool
-}
-
-// reachableFraction returns the fraction of its domain's VMs that this one reaches, 0 while it may be
-// one of any number of VMs.
-func (s *allocatorSelection) reachableFraction() float64 {
-	if s.isAlone {
-		return 0
-	}
-	return float64(s.liveVMs) / float64(max(s.knownVMs, s.liveVMs, 1))
+	// vms counts the VMs of this domain.
+	vms domainCount
 }
 
 // isAllocator reports whether the VM at the address is the allocator of this VM's domain.
@@ -59,7 +46,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(s.ownDomain) > 0 && (len(q.allocators.ownDomain) == 0 || s.ownDomain[0] != q.allocators.ownDomain[0]) {
-		q.node.config.Logger.Info("quota allocator chosen", zap.String("allocator", s.ownDomain[0].vm), zap.Int("live", s.liveVMs), zap.Int("known", s.knownVMs))
+		q.node.config.Logger.Info("quota allocator chosen", zap.String("allocator", s.ownDomain[0].vm), zap.Int("live", s.vms.live), zap.Int("known", s.vms.known))
 	}
 	q.allocators = s
 	return s
@@ -73,13 +60,8 @@
 	if !m.node.stopping.Load() {
 		candidates[own.Domain] = append(candidates[own.Domain], roleCandidate{own.VM, own.Capacity})
 	}
-	recorded := m.node.fleetSize.recordedInDomain()
-	s := allocatorSelection{selectedAt: now, liveVMs: 1, knownVMs: max(1+m.countKnownInDomain(), recorded)}
-	s.isAlone = s.knownVMs == 1 && recorded == 0
+	s := allocatorSelection{selectedAt: now, vms: m.countDomain(now, own.Domain)}
 	m.eachLive(now, func(r *entryvm.Report) {
-		if r.Domain == own.Domain {
-			s.liveVMs++
-		}
 		if !r.Leaving {
 			candidates[r.Domain] = append(candidates[r.Domain], roleCandidate{r.VM, r.Capacity})
 			addresses[r.VM] = r.Address
@@ -98,14 +80,45 @@
 	return s
 }
 
-// countKnownInDomain returns how many other VMs of this domain this VM has received a report
-// from and not forgotten since, without those that are leaving. A VM that has just started
-// knows VMs by name that it has no report from yet; they don't count.
-func (m *members) countKnownInDomain() (known int) {
+// domainCount counts the VMs of a failure domain.
+type domainCount struct {
+	// live is how many live VMs the domain has, known how many it had recently or has by the
+	// registry: VMs that are known but not live may be partitioned and still serve requests.
+	live, known int
+	// isUnsure is whether this VM has met no other one and has no count from the registry either, so
+	// that it may be one of any number of VMs.
+	isUnsure bool
+}
+
+// reachableFraction returns the fraction of the domain's VMs that this VM reaches.
+func (c domainCount) reachableFraction() float64 {
+	if c.isUnsure {
+		return 0
+	}
+	return float64(c.live) / float64(max(c.known, c.live, 1))
+}
+
+// countDomain counts the VMs of a failure domain, this one included. Known are those that this VM has
+// received a report from and not forgotten since, without those that are leaving. A VM that has just
+// started knows VMs by name that it has no report from yet; they don't count.
+func (m *members) countDomain(now time.Time, domain string) domainCount {
+	var c domainCount
+	if domain == m.node.config.Domain {
+		c = domainCount{live: 1, known: 1}
+	}
+	recorded := m.node.fleetSize.recorded()
+	c.isUnsure = recorded == nil
+	m.eachLive(now, func(r *entryvm.Report) {
+		if r.Domain == domain {
+			c.live++
+		}
+	})
 	m.eachSeen(func(r *entryvm.Report) {
-		if r.Domain == m.node.config.Domain && !r.Leaving {
-			known++
+		c.isUnsure = false
+		if r.Domain == domain && !r.Leaving {
+			c.known++
 		}
 	})
-	return known
+	c.known = max(c.known, recorded[domain])
+	return c
 }
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -340,7 +340,7 @@
 		return 0, true
 	}
 	selection := q.currentAllocators(now)
-	share := 1 / float64(q.domainCount()*max(selection.knownVMs, selection.liveVMs))
+	share := 1 / float64(q.domainCount()*max(selection.vms.known, selection.vms.live))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if now.Sub(q.fallbackUsedAt) > quotaIdleTTL {
--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -521,6 +521,6 @@
 		a.members.addVMs(time.Now(), []entryvm.VMView{{VM: "x", Address: "x", Domain: "d"}, {VM: "y", Address: "y", Domain: "d"}})
 		a.members.mu.Unlock()
 		selection := a.members.selectAllocators(time.Now())
-		testkit.Equal(w, "reachable fraction of the domain", selection.reachableFraction(), 1.0)
+		testkit.Equal(w, "reachable fraction of the domain", selection.vms.reachableFraction(), 1.0)
 	})
 }
