--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bergamotreel/internal/judge"
+	"bergamotreel/internal/testkit"
 	"bergamotreel/refusal"
 )
 
@@ -170,6 +171,14 @@
 	}
 }
 
+// Guards against retries beyond the fleet's budget by VMs that start while they reach no other one,
+// before a day in which engines also fail all together.
+func TestRandomDaysOfVMsStartedApart(t *testing.T) {
+	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/repeatableDayDivisor); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playDayOfVMsStartedApart(t, seed) })
+	}
+}
+
 // Guards against VMs that get less than their share of a single engine that is overloaded: the
 // others use each slot again as it becomes free.
 func TestRandomDaysOfOverloadedEngine(t *testing.T) {
@@ -205,6 +214,37 @@
 	})
 }
 
+// playDayOfVMsStartedApart plays a random day of repeatable requests at whose start some VMs are
+// restarted, up to a quarter of the fleet at a time, while they reach no other one. They stay isolated
+// for a random part of the day. It checks the retries.
+func playDayOfVMsStartedApart(t *testing.T, seed int64) {
+	t.Parallel()
+	random := rand.New(rand.NewSource(seed))
+	vms := 2 + random.Intn(40)
+	withRetryCluster(t, vms, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: random, repeatable: true, kinds: slices.Concat(faultKinds, repeatableFaultKinds)}
+		d.allowRepeats()
+		apart := d.randomVMs(0.3 + 0.7*random.Float64())
+		for _, vm := range apart {
+			d.setIsolated(vm, true)
+		}
+		for group := range slices.Chunk(apart, 1+random.Intn(1+vms/4)) {
+			d.restart(group)
+			time.Sleep(time.Duration(random.Intn(6000)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(random.Intn(40)) * time.Second)
+		d.inFlight.Go(func() {
+			time.Sleep(time.Duration(random.Intn(30)) * time.Second)
+			for _, vm := range apart {
+				d.setIsolated(vm, false)
+			}
+		})
+		d.run()
+		violations := judge.CheckRetries(&d.history, retryBound(vms))
+		testkit.That(t, len(violations) == 0, "%d VMs, %d of them restarted apart; %s: %v", vms, len(apart), strings.Join(d.faultLog, "; "), violations)
+	})
+}
+
 // runAndCheck plays the day and checks it.
 func (d *day) runAndCheck(engines int) {
 	startedAt := time.Now()
