hosted: the state of the records' renewals belongs to the goroutine that renews them

Only the counts are shared with requests and reports; the rest needed no lock. No decision changes. A comment says what a record that is dropped and renewed at once loses.

--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"fmt"
 	"sync"
 	"time"
 
@@ -36,19 +36,17 @@
 
 	mu   sync.Mutex
 	size fleetsize.Size
+
+	// The fields below are used by run only.
+	records fleetsize.Records
 	// renewals counts the renewals of this VM's record, the next of which is due at renewAt.
 	renewals uint64
 	renewAt  time.Duration
 	// readAt is the earliest time of the next read of the records.
 	readAt time.Duration
-
-	// records is used by run only.
-	records fleetsize.Records
 }
 
-func newFleetSize(n *Node) *fleetSize {
-	return &fleetSize{node: n}
-}
+func newFleetSize(n *Node) *fleetSize { return &fleetSize{node: n} }
 
 // count returns the numbers by which to divide a bound on the fleet; see fleetsize.Size.Count.
 func (f *fleetSize) count() (fleetsize.Count, bool) {
@@ -107,24 +105,16 @@
 
 // renew renews this VM's record if that is due.
 func (f *fleetSize) renew(ctx context.Context) {
-	f.mu.Lock()
-	due := f.now() >= f.renewAt
-	if due {
-		f.renewals++
-	}
-	revision := f.node.config.Incarnation + "-" + strconv.FormatUint(f.renewals, 10)
-	f.mu.Unlock()
-	if !due {
+	if f.now() < f.renewAt {
 		return
 	}
+	f.renewals++
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	own := &f.node.config
-	err := own.Peers.Registry.RecordVM(callCtx, registry.VMRecord{VM: own.VM, Domain: own.Domain, Revision: revision})
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	err := own.Peers.Registry.RecordVM(callCtx, registry.VMRecord{VM: own.VM, Domain: own.Domain, Revision: fmt.Sprint(own.Incarnation, "-", f.renewals)})
 	if err != nil {
-		f.fail("record of this entry VM not renewed", err)
+		f.handleFailure("record of this entry VM not renewed", err)
 		f.renewAt = f.now() + recordRetryInterval
 		return
 	}
@@ -142,9 +132,7 @@
 	own := &f.node.config
 	list, err := own.Peers.Registry.VMs(callCtx)
 	if err != nil {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.fail("records of entry VMs not read", err)
+		f.handleFailure("records of entry VMs not read", err)
 		f.readAt = f.now() + recordRetryInterval
 		return
 	}
@@ -157,41 +145,40 @@
 	if len(expired) == 0 {
 		return
 	}
+	// A VM that renews its record between the read and the drop is without one until it next does.
 	if err := own.Peers.Registry.DropVMs(callCtx, expired); err != nil {
 		own.Logger.Warn("records of entry VMs not dropped", zap.Strings("vms", expired), telemetry.Reason(err))
 		return
 	}
-	own.Logger.Info("entry VMs gone from the registry", zap.Strings("vms", expired))
+	own.Logger.Info("records of entry VMs dropped", zap.Strings("vms", expired))
 }
 
-// fail handles a failed call on the records. Call with mu held.
-func (f *fleetSize) fail(message string, err error) {
+// handleFailure handles a call on the records that failed.
+func (f *fleetSize) handleFailure(message string, err error) {
 	f.records.Reset()
 	f.node.config.Logger.Debug(message, telemetry.Reason(err))
 }
 
-// interval returns the time between two renewals and the minimum time between two reads. Call with
-// mu held.
-func (f *fleetSize) interval() time.Duration {
-	recorded, _ := f.size.Recorded()
-	return fleetsize.RenewInterval(recorded.Sum())
-}
+// interval returns the time between two renewals and the minimum time between two reads.
+func (f *fleetSize) interval() time.Duration { return fleetsize.RenewInterval(f.recorded().Sum()) }
 
-// isReadDue reports whether this VM has to read the records. In a large fleet the relays read them
-// first and report the count to the other VMs of their domain.
+// isReadDue reports whether this VM has to read the records. Its own is among them then. In a large
+// fleet the relays read them first and report the counts to the other VMs of their domain.
 func (f *fleetSize) isReadDue(now time.Duration) bool {
-	isRelay := f.node.members.isRelay(time.Now())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	recorded, readAt := f.size.Recorded()
+	if f.renewals == 0 || now < f.readAt {
+		return false
+	}
 	interval := f.interval()
 	if now-f.node.startedAt < youngPeriod {
 		interval = youngReadInterval
 	}
-	if !isRelay {
+	if !f.node.members.isRelay(time.Now()) {
 		interval += f.node.jitter(0, interval)
 	}
-	return now >= f.readAt && f.renewals > 0 && (recorded == nil || now-readAt >= interval)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	recorded, lastReadAt := f.size.Recorded()
+	return recorded == nil || now-lastReadAt >= interval
 }
 
 // publish adds the count of the recorded VMs to a report to a VM of this domain.
