--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -185,10 +185,10 @@
 	return entryvm.LeaseReply{Credit: args.Need + bucket.TakeSpare(now, args.Prefetch, prefetchReserve), Wait: wait}
 }
 
-// take charges a request to a bucket. Of VMs that don't reach each other each has a bucket, and if
+// take charges a request to a bucket. Of VMs that reach no other one each has a bucket, and if
 // requests put these into debt, each restart would grant one request for each VM. Call with mu held.
 func (q *quotas) take(now time.Time, bucket *leaseBucket, args entryvm.LeaseArgs) (wait time.Duration, ok bool) {
-	if q.allocators.vms.reachableFraction() < 1 {
+	if vms := q.allocators.vms; vms.isUnsure || (vms.live == 1 && vms.known > 1) {
 		return bucket.WaitTime(now), bucket.TakeIfCovered(now, args.Need)
 	}
 	return bucket.Take(now, args.Need, args.MaxWait)
