--- a/admission/fleetsize/fleetsize.go
+++ b/admission/fleetsize/fleetsize.go
@@ -2,8 +2,7 @@
 //
 // Each entry VM keeps to its own part of such a bound, for example of the retries that all VMs
 // together may send. A VM that counts only the VMs it exchanges reports with takes too large a part
-// while it can't reach the others: of 24 VMs that start during a partition, each takes the whole.
-// Therefore every VM also renews a record in the registry, and the parts are divided by the larger
+// while it can't reach the others: VMs that start during a partition each take the whole. Therefore every VM also renews a record in the registry, and the parts are divided by the larger
 // one of both counts. It answers this load pattern: many VMs start while they reach the registry and
 // callers but not each other, and all their requests fail at once.
 //
--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -235,8 +235,9 @@
 			time.Sleep(time.Duration(random.Intn(6000)) * time.Millisecond)
 		}
 		time.Sleep(time.Duration(random.Intn(40)) * time.Second)
+		isolationLeft := time.Duration(random.Intn(30)) * time.Second
 		d.inFlight.Go(func() {
-			time.Sleep(time.Duration(random.Intn(30)) * time.Second)
+			time.Sleep(isolationLeft)
 			for _, vm := range apart {
 				d.setIsolated(vm, false)
 			}
