--- a/admission/fleetsize/fleetsize.go
+++ b/admission/fleetsize/fleetsize.go
@@ -2,9 +2,10 @@
 //
 // Each entry VM keeps to its own part of such a bound, for example of the retries that all VMs
 // together may send. A VM that counts only the VMs it exchanges reports with takes too large a part
-// while it can't reach the others: VMs that start during a partition each take the whole. Therefore every VM also renews a record in the registry, and the parts are divided by the larger
-// one of both counts. It answers this load pattern: many VMs start while they reach the registry and
-// callers but not each other, and all their requests fail at once.
+// while it can't reach the others: VMs that start during a partition each take the whole. Therefore
+// every VM also renews a record in the registry, and the parts are divided by the larger one of both
+// counts. It answers this load pattern: many VMs start while they reach the registry and callers but
+// not each other, and all their requests fail at once.
 //
 // The package reads no clock and does no I/O. Times are readings of a clock that keeps running while
 // the VM is suspended. Its types are not safe for concurrent use.
