--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -65,13 +65,12 @@
 	return recorded
 }
 
-// unseen returns how many recorded VMs of a failure domain this VM has not seen; false if it has no
-// count from the registry.
-func (f *fleetSize) unseen(domain string) (int, bool) {
+// unseen returns how many recorded VMs of a failure domain this VM has not seen, 0 if it has no count
+// from the registry.
+func (f *fleetSize) unseen(domain string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	recorded, _ := f.size.Recorded()
-	return f.size.Unseen(domain), recorded != nil
+	return f.size.Unseen(domain)
 }
 
 // run counts the fleet until ctx ends.
--- a/internal/hosted/issuers.go
+++ b/internal/hosted/issuers.go
@@ -89,12 +89,12 @@
 // requests while VMs fail.
 func (i *permitIssuers) share(now time.Time, backend string) float64 {
 	server, _ := i.node.backends.get(backend)
-	unseen, known := i.node.fleetSize.unseen(server.Domain)
+	unseen := i.node.fleetSize.unseen(server.Domain)
 	count := i.node.members.countDomain(now, server.Domain)
 	switch {
 	case count.isUnsure:
 		return 0
-	case !known || unseen == 0:
+	case unseen == 0:
 		return 1
 	default:
 		return float64(count.live) / float64(count.live+unseen)
--- a/internal/hosted/quotaallocator.go
+++ b/internal/hosted/quotaallocator.go
@@ -188,7 +188,7 @@
 // take charges a request to a bucket. Of VMs that reach no other one each has a bucket, and if
 // requests put these into debt, each restart would grant one request for each VM. Call with mu held.
 func (q *quotas) take(now time.Time, bucket *leaseBucket, args entryvm.LeaseArgs) (wait time.Duration, ok bool) {
-	if vms := q.allocators.vms; vms.isUnsure || (vms.live == 1 && vms.known > 1) {
+	if q.allocators.vms.isAlone() {
 		return bucket.WaitTime(now), bucket.TakeIfCovered(now, args.Need)
 	}
 	return bucket.Take(now, args.Need, args.MaxWait)
--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -98,6 +98,10 @@
 	return float64(c.live) / float64(max(c.known, c.live, 1))
 }
 
+// isAlone reports whether this VM reaches no other one of its domain though that has more, or may
+// have.
+func (c domainCount) isAlone() bool { return c.isUnsure || (c.live == 1 && c.known > 1) }
+
 // countDomain counts the VMs of a failure domain, this one included. Known are those that this VM has
 // received a report from and not forgotten since, without those that are leaving. A VM that has just
 // started knows VMs by name that it has no report from yet; they don't count.
