--- a/admission/fleetload/fleetload.go
+++ b/admission/fleetload/fleetload.go
@@ -32,8 +32,8 @@
 	// usualWindow is the time constant of the usual demand. It is ten times a burst of six seconds, so
 	// that the burst doesn't pass for usual demand, and waits and retry times count on the capacity after it.
 	usualWindow = 60 * time.Second
-	// maxEntries limits a report of 26 bytes for an entry: the relay of a failure domain of 21 VMs receives at
-	// most 22 KB/s. The units with most waiting requests in the fleet come first, the same ones at all VMs.
+	// maxEntries limits the size of a report, of which a relay receives one from each VM of its failure
+	// domain. The units with most waiting requests in the fleet come first, the same ones at all VMs.
 	maxEntries = 16
 	// forgetAfter is the time without requests after which a kind is forgotten. The rates over
 	// usualWindow are negligible by then.
