caller, serving: a request whose caller has left is not sent on

Callers saw nothing, but engines worked for nobody: requests whose callers had closed their connection before the VM read them reached an engine, and were closed again right behind.

Cause: net/http ends a request's context from a goroutine that reads ahead. On one core the handler runs first, up to where it waits for the engine's answer, so the request is on its way before the end of the connection is read. Where an unused connection to the engine is at hand nothing else stops it.

Before each attempt the VM now asks the socket whether its peer has closed it (poll, POLLRDHUP: also behind unread bytes, and without waiting for the goroutine that reads it).

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"slices"
@@ -31,6 +32,9 @@
 	remaining int64
 	// deadline is the current write deadline.
 	deadline time.Time
+	// endRequest ends the request's context. callerLeft is whether HasCallerLeft did so.
+	endRequest context.CancelFunc
+	callerLeft bool
 }
 
 func newAnswerWriter(w http.ResponseWriter, r *http.Request, limits Limits) answerWriter {
@@ -98,6 +102,15 @@
 // HasBegun implements AnswerWriter.
 func (a *answerWriter) HasBegun() bool { return a.begun }
 
+// HasCallerLeft implements AnswerWriter.
+func (a *answerWriter) HasCallerLeft() bool {
+	if !a.callerLeft && a.conn.isClosedByPeer() {
+		a.callerLeft = true
+		a.endRequest()
+	}
+	return a.callerLeft
+}
+
 // extendDeadline keeps the write deadline between half a WriteTimeout and a whole
 // one ahead. Without it a caller that stops reading would occupy its engine until the
 // route's timeout. The deadline is not moved on every write because resetting its
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -111,6 +111,10 @@
 	Write(piece []byte) error
 	// HasBegun reports whether the head was sent. No other answer can follow then.
 	HasBegun() bool
+	// HasCallerLeft reports whether the caller has closed its connection, and ends the request's
+	// context if so. Before a request is sent on, the context alone is not enough: it ends when
+	// another goroutine has read the end of the connection.
+	HasCallerLeft() bool
 }
 
 // RelayBackend authorizes and forwards requests.
@@ -191,7 +195,7 @@
 		x.answer.complete()
 		return
 	}
-	if x.answer.begun || r.Context().Err() != nil {
+	if x.answer.begun || x.hasCallerLeft(r) {
 		panic(http.ErrAbortHandler)
 	}
 	h.refuse(w, refusal.FromError(err))
@@ -205,6 +209,11 @@
 	bodySize int64
 }
 
+// hasCallerLeft reports whether the caller was found to have closed its connection.
+func (x *relayExchange) hasCallerLeft(r *http.Request) bool {
+	return x.answer.callerLeft || r.Context().Err() != nil
+}
+
 func (h *RelayHandler) relay(x *relayExchange, r *http.Request) error {
 	head, err := h.dialect.ReadHead(r)
 	if err != nil {
@@ -232,6 +241,7 @@
 	defer cancel()
 	stop := context.AfterFunc(h.ended, cancel)
 	defer stop()
+	x.answer.endRequest = cancel
 	err := h.backend.Relay(ctx, x.request, &x.answer)
 	if errors.Is(err, context.Canceled) && h.ended.Err() != nil {
 		return refusal.NewMaybeRan(refusal.CodeOutcomeUnknown, "this entry VM stops before the answer")
@@ -325,7 +335,7 @@
 	code := codeOK
 	switch {
 	case err == nil:
-	case r.Context().Err() != nil:
+	case x.hasCallerLeft(r):
 		code = codeCallerLeft
 	case x.answer.begun:
 		code = "broken_off"
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -23,6 +23,7 @@
 
 func (r *responseRecorder) WriteHead(status int, _ http.Header, _ int64) { r.status = status }
 func (r *responseRecorder) HasBegun() bool                               { return r.status != 0 }
+func (r *responseRecorder) HasCallerLeft() bool                          { return false }
 func (r *responseRecorder) Write([]byte) error                           { return nil }
 
 // sendRequest sends a request for a model, or MODEL/ADAPTER, and returns how long its
--- a/internal/hosted/streamdays_test.go
+++ b/internal/hosted/streamdays_test.go
@@ -90,7 +90,8 @@
 func (r *streamRecorder) WriteHead(status int, _ http.Header, length int64) {
 	r.status, r.length = status, length
 }
-func (r *streamRecorder) HasBegun() bool { return r.status != 0 }
+func (r *streamRecorder) HasBegun() bool      { return r.status != 0 }
+func (r *streamRecorder) HasCallerLeft() bool { return false }
 func (r *streamRecorder) Write(piece []byte) error {
 	r.body.Write(piece)
 	return nil
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/admission"
 	"bergamotreel/admission/quarantine"
 	"bergamotreel/caller"
@@ -33,6 +36,12 @@
 // backend server may serve sooner.
 var errHeadTimeout = errors.New("no answer within the route's patience")
 
+// errCallerLeft ends a request whose caller has closed its connection.
+var errCallerLeft = fmt.Errorf("the caller has left: %w", context.Canceled)
+
+// unsentOfLeftCallers counts the attempts that were not made because the caller had left.
+var unsentOfLeftCallers = metrics.NewCounter("bergamotreel_relay_unsent_of_left_callers_total")
+
 // errReplaced ends an attempt whose request continues on another backend server.
 var errReplaced = errors.New("continued elsewhere")
 
@@ -211,6 +220,9 @@
 		f.server.logNotSent(f.request.ID, f.pending.query.Unit, f.readyAtArrival, err)
 	}
 	for err == nil {
+		if f.answer.HasCallerLeft() {
+			return f.endUnsent()
+		}
 		// Check again: the request may have waited.
 		if refused := f.quarantineRefusalOrTrial(); refused != nil {
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
@@ -240,6 +252,13 @@
 	return f.finalError(ctx, err)
 }
 
+// endUnsent ends a request whose caller has left before an attempt. It returns the error that ends it.
+func (f *forwarding) endUnsent() error {
+	f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
+	unsentOfLeftCallers.Inc()
+	return errCallerLeft
+}
+
 // finalError turns the error that ended the request into the one for the caller.
 func (f *forwarding) finalError(ctx context.Context, err error) error {
 	var refused *refusal.Refusal
--- a/internal/serving/forward_test.go
+++ b/internal/serving/forward_test.go
@@ -240,6 +240,21 @@
 	})
 }
 
+// Guards against a request that is sent on although its caller has left: the request's context may
+// end only after that.
+func TestForwardSendsNothingForCallerThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newForwardTestbed(t)
+		b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+			return completeAnswer(http.StatusOK, "ok"), nil
+		}
+		answer := &answerRecorder{callerLeft: true}
+		err := b.forward(t.Context(), route(contract.RepeatSafe), "", answer)
+		testkit.That(t, errors.Is(err, context.Canceled) && len(b.sent) == 0 && !answer.begun, "got %v after %d sent requests", err, len(b.sent))
+		b.stop()
+	})
+}
+
 func TestModelUnit(t *testing.T) {
 	for _, unit := range []serving.ModelUnit{{Service: "s", Model: "m"}, {Service: "s", Model: "m", Adapter: "a1"}} {
 		got, ok := serving.ParseModelUnit(unit.String())
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -239,12 +239,16 @@
 	writeErr error
 	// writeTime is how long each Write takes.
 	writeTime time.Duration
+	// callerLeft is whether the caller has closed its connection.
+	callerLeft bool
 }
 
 func (r *answerRecorder) WriteHead(status int, _ http.Header, length int64) {
 	r.status, r.length, r.begun = status, length, true
 }
 func (r *answerRecorder) HasBegun() bool { return r.begun }
+
+func (r *answerRecorder) HasCallerLeft() bool { return r.callerLeft }
 func (r *answerRecorder) Write(piece []byte) error {
 	time.Sleep(r.writeTime)
 	r.body.Write(piece)
