tcpdial, sendonce: what a closed connection has not delivered does not arrive later

Callers saw nothing; engines got requests seconds after their callers had left.

Cause: a caller that leaves makes the VM close the connection to the engine, in good order. What a network partition holds up on that connection is then still delivered, the request before the close, as soon as the partition heals. Orders were protected from this since they exist (dialResetOnClose); requests and tunnels through gateways, with the same fault, were not.

Connections to backend servers, direct, by a gateway and to a gateway, are now reset when they are closed, which discards what is undelivered, also when the process is killed.

--- a/entryvm/client.go
+++ b/entryvm/client.go
@@ -142,7 +142,7 @@
 	return &Client{
 		secret:     secret,
 		dialTCP:    dialer.DialContext,
-		dialTunnel: tcpdial.Dialer.DialContext,
+		dialTunnel: tcpdial.DialDiscardOnClose,
 		tlsConfig:  tlsConfig,
 		slots:      map[connKey]*connSlot{},
 		conns:      map[*connection]struct{}{},
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -14,6 +14,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"bergamotreel/internal/tcpdial"
 )
 
 const (
@@ -49,7 +51,8 @@
 }
 
 // NewClientWithIdleTimeout returns a client like NewClientWithDial that closes
-// connections which have been unused for idle.
+// connections which have been unused for idle. A request that was abandoned does not
+// arrive later than its end: closing a connection discards what is undelivered.
 func NewClientWithIdleTimeout(dial DialFunc, idle time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -57,6 +60,10 @@
 			if err != nil {
 				return nil, err
 			}
+			if err := tcpdial.DiscardOnClose(inner); err != nil {
+				_ = inner.Close()
+				return nil, err
+			}
 			return &countingConn{Conn: inner}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -2,6 +2,7 @@
 package tcpdial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -43,3 +44,27 @@
 		return sockErr
 	},
 }
+
+// DialDiscardOnClose connects with Dialer, and with DiscardOnClose in effect.
+func DialDiscardOnClose(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := DiscardOnClose(conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// DiscardOnClose makes closing a TCP connection reset it and discard what its peer has not
+// received. Otherwise what a network partition holds up arrives when the partition heals, although
+// its sender has given it up. It leaves other connections alone, and fails if the connection is
+// broken.
+func DiscardOnClose(conn net.Conn) error {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
