--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bergamotreel/internal/sendonce"
 )
 
 const (
@@ -31,9 +33,10 @@
 func DefaultClient() *http.Client {
 	dialer := net.Dialer{Timeout: DialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: sendonce.MaxHeadBytes,
 	}}
 }
 
--- a/internal/sendonce/multiplexed.go
+++ b/internal/sendonce/multiplexed.go
@@ -40,10 +40,11 @@
 	return &http.Client{Transport: &http.Transport{
 		// Not wrapped in countingConn: canceling one request before its first
 		// byte would disable the connection for the writes of all others.
-		DialContext:        dial,
-		Protocols:          &protocols,
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
+		DialContext:            dial,
+		Protocols:              &protocols,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 		HTTP2: &http.HTTP2Config{
 			MaxReceiveBufferPerStream: maxStreamBufferBytes,
 			SendPingTimeout:           pingInterval,
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -8,13 +8,17 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/internal/tcpdial"
 )
 
@@ -28,8 +32,18 @@
 	// maxIdleConnsPerHost limits the unused connections kept to one backend
 	// server.
 	maxIdleConnsPerHost = 64
+	// MaxHeadBytes limits the head of an answer, together with the interim answers
+	// before it. A faulty peer may send bytes without end, on many connections at once.
+	MaxHeadBytes = 32 << 10
 )
 
+// ErrInvalidAnswer reports that a peer sent bytes that are no answer, among them a head cut off
+// within a line, or a head over
+// MaxHeadBytes.
+var ErrInvalidAnswer = errors.New("invalid answer")
+
+var invalidAnswers = metrics.NewCounter("bergamotreel_invalid_answers_total")
+
 // errWriteDisabled is returned by writes on a connection after its request was
 // reported as not sent.
 var errWriteDisabled = errors.New("writes disabled: the connection's request was abandoned before it was sent")
@@ -69,7 +83,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idle,
 		// Answers are forwarded unchanged.
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}}
 }
 
@@ -129,9 +144,11 @@
 
 // Attempt tracks one sending of one request.
 type Attempt struct {
-	mu            sync.Mutex
-	started       bool
-	sent          bool
+	mu      sync.Mutex
+	started bool
+	sent    bool
+	// answered is whether any byte of an answer was received.
+	answered      bool
 	conn          *countingConn
 	writtenBefore int64
 }
@@ -139,8 +156,9 @@
 // Trace returns a context for the request that the attempt tracks.
 func (a *Attempt) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GetConn: func(string) { a.markStarted() },
-		GotConn: func(info httptrace.GotConnInfo) { a.setConn(info.Conn) },
+		GetConn:              func(string) { a.markStarted() },
+		GotConn:              func(info httptrace.GotConnInfo) { a.setConn(info.Conn) },
+		GotFirstResponseByte: func() { a.markAnswered() },
 	})
 }
 
@@ -150,6 +168,22 @@
 	a.started = true
 }
 
+func (a *Attempt) markAnswered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answered = true
+}
+
+// isInvalidAnswer reports whether the error that ended the attempt is about the bytes that were
+// received, and not about the connection or the request's context.
+func (a *Attempt) isInvalidAnswer(err error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var connection net.Error
+	return a.answered && !errors.As(err, &connection) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) &&
+		!errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
 func (a *Attempt) setConn(inner net.Conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -192,7 +226,8 @@
 
 // Do sends the request without following redirects. The request's body must
 // come from NewBody and its GetBody must be nil. The second result is whether
-// any byte may have left; it is meaningful only with an error.
+// any byte may have left; it is meaningful only with an error. Bytes that are no
+// answer fail with ErrInvalidAnswer.
 func Do(client *http.Client, request *http.Request) (*http.Response, bool, error) {
 	ctx := request.Context()
 	if err := ctx.Err(); err != nil {
@@ -202,10 +237,15 @@
 	noRedirectClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	var attempt Attempt
 	answer, err := noRedirectClient.Do(request.WithContext(attempt.Trace(ctx)))
-	if err != nil {
-		return nil, attempt.MaybeSent(), err
+	if err == nil {
+		return answer, true, nil
+	}
+	var failed *url.Error // it implements net.Error, whatever its cause
+	if errors.As(err, &failed) && attempt.isInvalidAnswer(failed.Err) {
+		invalidAnswers.Inc()
+		err = fmt.Errorf("%w: %w", ErrInvalidAnswer, err)
 	}
-	return answer, true, nil
+	return nil, attempt.MaybeSent(), err
 }
 
 // ErrUnframed reports that an answer ended with its connection, complete or not.
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -160,3 +161,31 @@
 type roundTripFunc func(*http.Request) (*http.Response, error)
 
 func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against an invalid answer that looks like a broken connection, and the other way round.
+func TestInvalidAnswerIsReported(t *testing.T) {
+	for answer, isInvalid := range map[string]bool{
+		"no HTTP\r\n\r\n":                                         true,
+		"HTTP/1.1 200 OK\r\nno field\r\n\r\n":                     true,
+		"HTTP/1.1 200 OK\r\na: " + strings.Repeat("b", 1<<20):     true,
+		strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<16): true,
+		"":                            false,
+		"HTTP/1.1 200 OK\r\na: b\r\n": false,
+	} {
+		listener := testkit.Value(net.Listen("tcp", "127.0.0.1:0"))(t)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, answer)
+		}()
+		request := testkit.Value(http.NewRequestWithContext(t.Context(), "POST", "http://"+listener.Addr().String(), nil))(t)
+		request.Body = NewBody(nil)
+		_, sent, err := Do(NewClient(), request)
+		testkit.That(t, sent && err != nil && errors.Is(err, ErrInvalidAnswer) == isInvalid, "%.40q: %v", answer, err)
+		listener.Close()
+	}
+}
