serving: unfinished events of all streams share 16 MiB

Callers saw a VM short of memory while one backend server sent events without end on resumable streams.

Cause: each stream holds its unfinished event, up to 1 MiB, so that it can be resumed behind the last whole one; a hundred such streams take 100 MiB and what the growing buffers leave behind, on a VM of 160 MB.

Each stream now holds up to 64 KiB of its own; what goes beyond that is taken from 16 MiB for all. A stream that gets none ends like one whose event is too large. A single large event still passes.

Evidence: TestEventsWithoutEndShareMemory, 100 streams: fails without the shared bound (104,857,600 bytes), passes with it.

--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -98,7 +98,8 @@
 	if head.Length >= 0 {
 		head.Length = service.LengthChunked // the length of one attempt's answer isn't that of the resumed stream
 	}
-	events := newEventReader(head.Body)
+	events := newEventReader(head.Body, &f.server.eventMemory)
+	defer events.close()
 	for {
 		whole, err := events.next()
 		if !f.acceptPiece(guard, whole, err) {
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync/atomic"
 )
 
 const (
@@ -13,9 +14,31 @@
 	// maxEventSize bounds one event, so that a backend server that never ends an
 	// event can't exhaust the memory.
 	maxEventSize = 1 << 20
+	// ownEventBuffer is the size up to which each event reader's buffer grows.
+	ownEventBuffer = 64 << 10
+	// maxSharedEventBytes bounds what the buffers of all event readers take beyond that.
+	maxSharedEventBytes = 16 << 20
 )
 
-var errEventTooLarge = errors.New("event without an end")
+// eventMemory limits the bytes of unfinished events in memory. Without it, backend servers that never
+// end an event would take maxEventSize for each stream. It is safe for concurrent use.
+type eventMemory struct{ used atomic.Int64 }
+
+// reserve reserves n bytes if they are free.
+func (m *eventMemory) reserve(n int) bool {
+	if m.used.Add(int64(n)) <= maxSharedEventBytes {
+		return true
+	}
+	m.used.Add(-int64(n))
+	return false
+}
+
+func (m *eventMemory) release(n int) { m.used.Add(-int64(n)) }
+
+var (
+	errEventTooLarge   = errors.New("event without an end")
+	errEventMemoryFull = errors.New("too many bytes of unfinished events are held")
+)
 
 // eventReader splits an event stream into complete events. If a part of an event
 // were forwarded and the backend server died, the resumed stream couldn't continue
@@ -23,6 +46,9 @@
 type eventReader struct {
 	source io.Reader
 	buffer []byte
+	// memory is shared by all readers, reserved what this one has of it.
+	memory   *eventMemory
+	reserved int
 	// buffer[:consumed] has been returned, buffer[consumed:filled] has been read
 	// but not yet returned.
 	consumed, filled int
@@ -30,8 +56,15 @@
 	lastID string
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, initialEventBuffer)}
+// newEventReader returns a reader that the caller must close.
+func newEventReader(source io.Reader, memory *eventMemory) *eventReader {
+	return &eventReader{source: source, buffer: make([]byte, initialEventBuffer), memory: memory}
+}
+
+// close releases the reader's memory. The source stays open.
+func (r *eventReader) close() {
+	r.memory.release(r.reserved)
+	r.reserved = 0
 }
 
 // next returns the complete events that have been received, at least one; they are
@@ -69,10 +102,9 @@
 // fill reads at least one byte.
 func (r *eventReader) fill() error {
 	if r.filled == len(r.buffer) {
-		if len(r.buffer) >= maxEventSize {
-			return errEventTooLarge
+		if err := r.grow(); err != nil {
+			return err
 		}
-		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
 	n, err := r.source.Read(r.buffer[r.filled:])
 	r.filled += n
@@ -82,6 +114,22 @@
 	return err
 }
 
+// grow doubles the buffer.
+func (r *eventReader) grow() error {
+	size := len(r.buffer)
+	switch {
+	case size >= maxEventSize:
+		return errEventTooLarge
+	case size < ownEventBuffer:
+	case !r.memory.reserve(size):
+		return errEventMemoryFull
+	default:
+		r.reserved += size
+	}
+	r.buffer = append(r.buffer, make([]byte, size)...)
+	return nil
+}
+
 // lastEventEnd returns the end of the last complete event in data, 0 if there is none.
 func lastEventEnd(data []byte) int {
 	end := 0
--- a/internal/serving/events_test.go
+++ b/internal/serving/events_test.go
@@ -14,7 +14,8 @@
 // readEvents reads a stream to its end. It returns the bytes that next returned, the
 // last id, and the error at the end.
 func readEvents(source io.Reader) (whole []byte, lastID string, err error) {
-	r := newEventReader(source)
+	r := newEventReader(source, &eventMemory{})
+	defer r.close()
 	for {
 		events, err := r.next()
 		whole = append(whole, events...)
@@ -45,6 +46,40 @@
 	}
 }
 
+// endlessEvent is a stream whose only event has no end. Read counts the bytes that were read of it.
+type endlessEvent struct{ read int }
+
+func (e *endlessEvent) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// Guards against streams with events without end that together take a VM's memory.
+func TestEventsWithoutEndShareMemory(t *testing.T) {
+	const streams = 100
+	var memory eventMemory
+	held := 0
+	var readers []*eventReader
+	for range streams {
+		source := &endlessEvent{}
+		r := newEventReader(source, &memory)
+		readers = append(readers, r)
+		_, err := r.next()
+		testkit.That(t, errors.Is(err, errEventTooLarge) || errors.Is(err, errEventMemoryFull), "got %v", err)
+		held += source.read
+	}
+	testkit.That(t, held <= streams*ownEventBuffer+maxSharedEventBytes, "%d streams hold %d bytes", streams, held)
+	for _, r := range readers {
+		r.close()
+	}
+	large := append(bytes.Repeat([]byte("x"), maxEventSize/2), "\n\n"...)
+	events, err := newEventReader(bytes.NewReader(large), &memory).next()
+	testkit.That(t, err == nil && len(events) == len(large), "a large event after them: %d bytes, %v", len(events), err)
+}
+
 // FuzzEventReader checks that a complete stream passes unchanged however it is split
 // into reads, and that only complete events of a broken stream pass.
 func FuzzEventReader(f *testing.F) {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -91,6 +91,8 @@
 	// without any began, in Unix nanoseconds.
 	receivedAt atomic.Int64
 	abandoned  chan abandonedRequest
+	// eventMemory holds the unfinished events of all streams.
+	eventMemory eventMemory
 
 	startedAt time.Time
 	// streamLengths estimates how many events streams have, by pool.
