--- a/caller/body.go
+++ b/caller/body.go
@@ -8,9 +8,12 @@
 	"bergamotreel/refusal"
 )
 
+// errCallerLeft reports that the caller has closed its connection.
+var errCallerLeft = errors.New("the caller has left")
+
 // readBody reads the whole body. It enforces the limit on one body and the limit on
 // all bodies in memory; the body stays reserved in the latter until the request
-// ends.
+// ends. It fails with errCallerLeft if nobody waits for the answer any more.
 func (h *Handler) readBody(x *exchange) ([]byte, error) {
 	if x.r.ContentLength > h.limits.BodyBytes {
 		return nil, h.tooLarge()
@@ -27,6 +30,9 @@
 		return nil, refusal.New(refusal.CodeBadRequest, 0, "body: could not be read whole")
 	}
 	h.shrinkReservation(x, int64(len(body)))
+	if connectionOf(x.ctx()).isClosedByPeer() {
+		return nil, errCallerLeft
+	}
 	return body, nil
 }
 
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -90,7 +91,7 @@
 	if err == nil {
 		return codeOK
 	}
-	if x.r.Context().Err() != nil || (x.stream != nil && x.stream.writeFailed) {
+	if x.r.Context().Err() != nil || errors.Is(err, errCallerLeft) || (x.stream != nil && x.stream.writeFailed) {
 		return codeCallerLeft
 	}
 	r := refusal.FromError(err)
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -260,6 +260,31 @@
 	})
 }
 
+// Guards against a request that is carried out although its caller left before it was read.
+func TestRequestOfCallerThatLeftUnreadIsDropped(t *testing.T) {
+	backend := &fakeBackend{}
+	began := make(chan struct{}, 100)
+	backend.generate = func(context.Context, caller.Generation, caller.Sink) error {
+		began <- struct{}{}
+		return nil
+	}
+	listener := testkit.Value(caller.Listen(t.Context(), "127.0.0.1:0"))(t)
+	server := caller.NewServer(caller.New(backend, caller.Limits{}), caller.Limits{}, nil)
+	defer server.Close()
+	for range cap(began) {
+		conn := testkit.Value(net.Dial("tcp", listener.Addr().String()))(t)
+		testkit.OK(t, request("POST", chat, "key-rental", goodStream).Write(conn))
+		conn.Close()
+	}
+	go func() { _ = server.Serve(listener) }()
+	conn := testkit.Value(net.Dial("tcp", listener.Addr().String()))(t)
+	defer conn.Close()
+	send(conn, request("POST", chat, "key-rental", goodStream)) // accepted after all others
+	<-began
+	time.Sleep(100 * time.Millisecond)
+	testkit.Equal(t, "requests of callers that had left", len(began), 0)
+}
+
 // The caller stops reading in the middle of a stream without disconnecting. Without the
 // write timeout the stream would occupy an engine's slot indefinitely.
 func TestStreamNotReadTimesOut(t *testing.T) {
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -229,6 +229,26 @@
 	<-disconnected
 }
 
+// Guards against a caller that left, with bytes behind its request, and counts as connected: net/http
+// reads one byte ahead and so doesn't reach the end of the connection.
+func TestRelayNoticesCallerThatLeftBehindUnreadBytes(t *testing.T) {
+	left := make(chan bool)
+	b := &relayBackend{relay: func(ctx context.Context, _ RelayRequest, answer AnswerWriter) error {
+		connected := !answer.HasCallerLeft() && ctx.Err() == nil
+		left <- false
+		<-left
+		left <- connected && answer.HasCallerLeft() && ctx.Err() != nil
+		return ctx.Err()
+	}}
+	conn := testkit.Value(net.Dial("tcp", startRelayServer(t, b, Limits{})))(t)
+	_, _ = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h.example\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nabGET /a")
+	<-left
+	conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	left <- true
+	testkit.That(t, <-left, "the caller counts as connected")
+}
+
 // A backend server that ends its answer long after its last piece must not lose the end:
 // the write deadline of that piece has passed by then, and the caller would take the
 // answer for a broken one.
