entryvm, tcpdial: a gateway drops what a closed tunnel has left

A VM that works through a gateway closes the tunnel when its caller leaves. A gateway that reads late found the request before the end of the tunnel and sent it to the backend server, the same fault as with callers' own connections.

Before a gateway forwards what it read, it now asks the socket whether the tunnel is closed. TestRequestOfClosedTunnelIsDropped: the backend server received the request before, nothing now.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap/zapcore"
-	"golang.org/x/sys/unix"
+
+	"bergamotreel/internal/tcpdial"
 )
 
 // ConnectionCounts holds the numbers of open connections by their state. A connection
@@ -193,29 +193,9 @@
 	}
 }
 
-// isClosedByPeer reports whether the peer has closed or reset the connection, also if bytes that
-// it sent before are unread. A nil connection counts as open.
-func (c *limitedConn) isClosedByPeer() bool {
-	if c == nil {
-		return false
-	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	// Control and not Read, which would wait for the goroutine that reads the connection.
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(poll, 0)
-		closed = err == nil && n > 0
-	})
-	return closed || errors.Is(err, net.ErrClosed)
-}
+// isClosedByPeer reports whether the caller has closed the connection. A nil connection counts as
+// open.
+func (c *limitedConn) isClosedByPeer() bool { return c != nil && tcpdial.IsClosedByPeer(c.Conn) }
 
 func (c *limitedConn) setState(state http.ConnState) {
 	c.mu.Lock()
--- a/entryvm/tunnel.go
+++ b/entryvm/tunnel.go
@@ -177,7 +177,7 @@
 	}
 	tunnelsTotal.Inc()
 	detectSilence(raw)
-	t := &tunnel{client: conn, fromClient: f.reader, backend: backend}
+	t := &tunnel{client: conn, raw: raw, fromClient: f.reader, backend: backend}
 	t.forward()
 }
 
@@ -203,7 +203,8 @@
 
 // tunnel is the gateway's side of a tunnel.
 type tunnel struct {
-	client, backend net.Conn
+	// client is the client's connection, raw the one below it.
+	client, raw, backend net.Conn
 	// fromClient reads from client.
 	fromClient *bufio.Reader
 }
@@ -216,7 +217,7 @@
 	toBackend.Go(func() {
 		defer t.backend.Close()
 		buffer := make([]byte, tunnelBufferBytes)
-		_, err := io.CopyBuffer(writerOnly{t.backend}, readerOnly{t.fromClient}, buffer)
+		_, err := io.CopyBuffer(writerOnly{t.backend}, openTunnelReader{t}, buffer)
 		if err != nil {
 			// The backend server may answer without reading the whole request. Closing a
 			// connection with unread bytes would reset it and discard the answer.
@@ -231,6 +232,21 @@
 	toBackend.Wait()
 }
 
+// errTunnelClosed reports that the client has closed the tunnel.
+var errTunnelClosed = errors.New("the tunnel is closed")
+
+// openTunnelReader reads what a client sends until it closes the tunnel. Nobody waits for the answer to
+// bytes that are read after that.
+type openTunnelReader struct{ *tunnel }
+
+func (r openTunnelReader) Read(p []byte) (int, error) {
+	n, err := r.fromClient.Read(p)
+	if n > 0 && tcpdial.IsClosedByPeer(r.raw) {
+		return 0, errTunnelClosed
+	}
+	return n, err
+}
+
 // forwardToClient forwards the backend server's bytes. It returns nil if the backend server
 // closed its connection and the client was sent everything before that.
 func (t *tunnel) forwardToClient() error {
--- a/entryvm/tunnel_test.go
+++ b/entryvm/tunnel_test.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -121,6 +122,22 @@
 	})
 }
 
+// Guards against a request that reaches a backend server although the VM that sent it had closed the
+// tunnel before the gateway read it.
+func TestRequestOfClosedTunnelIsDropped(t *testing.T) {
+	listener := testkit.Value(net.Listen("tcp", "127.0.0.1:0"))(t)
+	defer listener.Close()
+	client := testkit.Value(net.Dial("tcp", listener.Addr().String()))(t)
+	conn := testkit.Value(listener.Accept())(t)
+	testkit.Value(client.Write([]byte("request")))(t)
+	client.Close()
+	near, far := net.Pipe()
+	opened := &tunnel{client: conn, raw: conn, fromClient: bufio.NewReader(conn), backend: near}
+	go opened.forward()
+	received, err := io.ReadAll(far)
+	testkit.That(t, len(received) == 0 && err == nil, "the backend server received %q, %v", received, err)
+}
+
 // Guards against an answer that is lost because the backend server closes its connection
 // without having read the whole request.
 func TestAnswerBeforeEndOfRequest(t *testing.T) {
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -68,3 +69,24 @@
 	}
 	return nil
 }
+
+// IsClosedByPeer reports whether the peer has closed or reset a TCP connection, also if bytes that it
+// sent before are unread. It doesn't wait for a Read in another goroutine. Other connections count as
+// open.
+func IsClosedByPeer(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		closed = err == nil && n > 0
+	})
+	return closed || errors.Is(err, net.ErrClosed)
+}
