--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -37,9 +37,8 @@
 	MaxHeadBytes = 32 << 10
 )
 
-// ErrInvalidAnswer reports that a peer sent bytes that are no answer, among them a head cut off
-// within a line, or a head over
-// MaxHeadBytes.
+// ErrInvalidAnswer reports that a peer sent bytes that are no answer, or a head that is
+// cut off within a line or over MaxHeadBytes.
 var ErrInvalidAnswer = errors.New("invalid answer")
 
 var invalidAnswers = metrics.NewCounter("bergamotreel_invalid_answers_total")
