hosted: a VM that has just started waits to meet its domain before it asks for credit

Cause: since the counts of VMs come from the registry, a VM that has just started knows at once how many VMs its domain has, and for up to a second reaches few of them. Until then it takes itself for the allocator, with the part of the quota that falls to the VMs it reaches: one of twenty, and nothing in advance. Requests beyond that were refused at once, although the whole domain's part was there as soon as the VMs had met.

A request now waits, for two seconds after the VM's start at the most and never beyond its own time, until the VM reaches three quarters of its domain, and then for the credit if the allocator expects to have it within that time. Nothing is granted sooner or in addition.

--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -38,6 +38,11 @@
 	// buckets may have started at the same time, empty.
 	maxStartupCreditWait = 200 * time.Millisecond
 	startupPeriod        = 2 * time.Second
+	// minStartupReach is the fraction of its domain's VMs that a VM which has just started must reach
+	// before it asks for credit: fewer grant only a part of it. startupPollInterval is the interval at
+	// which it checks that.
+	minStartupReach     = 0.75
+	startupPollInterval = 20 * time.Millisecond
 	// minRetryAfter is the minimum time after which a refused caller should retry.
 	minRetryAfter = 100 * time.Millisecond
 	// prefetchReserve is the share of a bucket's burst that is not granted ahead of use.
@@ -167,7 +172,7 @@
 
 // leaseAndSpend requests credit for a request and waits until the credit may be used.
 func (q *quotas) leaseAndSpend(ctx context.Context, r *caller.RelayRequest, charge creditCharge, args entryvm.LeaseArgs) (creditCharge, error) {
-	reply, from, ok := q.requestLease(ctx, args)
+	reply, from, ok := q.requestFirstLease(ctx, r, args)
 	now := time.Now()
 	if !ok {
 		wait, covered := q.spendEvenShare(now, charge)
@@ -192,6 +197,28 @@
 	return charge, nil
 }
 
+// requestFirstLease is requestLease for a VM that may have just started. Its request waits until the VM
+// has met most of its domain, and for credit if buckets that began empty will have it in time.
+func (q *quotas) requestFirstLease(ctx context.Context, r *caller.RelayRequest, args entryvm.LeaseArgs) (reply entryvm.LeaseReply, from string, ok bool) {
+	for q.canWaitToStart(r, startupPollInterval) && q.currentAllocators(time.Now()).vms.reachableFraction() < minStartupReach {
+		if !pause.For(ctx, startupPollInterval) {
+			return entryvm.LeaseReply{}, "", false
+		}
+	}
+	for {
+		reply, from, ok = q.requestLease(ctx, args)
+		if !ok || reply.Credit >= args.Need || !q.canWaitToStart(r, reply.Wait) || !pause.For(ctx, max(reply.Wait, startupPollInterval)) {
+			return reply, from, ok
+		}
+	}
+}
+
+// canWaitToStart reports whether a request may wait for some time because this VM has just started.
+func (q *quotas) canWaitToStart(r *caller.RelayRequest, wait time.Duration) bool {
+	inStartup := q.node.config.BootClock()-q.node.startedAt+wait < startupPeriod
+	return inStartup && (r.BeginDeadline.IsZero() || time.Until(r.BeginDeadline) > wait)
+}
+
 // newQuotaRefusal counts and returns the refusal of a request over its workspace's quota.
 func (q *quotas) newQuotaRefusal(r *caller.RelayRequest, charge creditCharge, wait time.Duration, reason string) error {
 	q.usage.refused(charge)
