serving, hosted: a run that was abandoned is a suspect when its backend server ends

Callers saw: whoever closes early ended engines without limit.

Cause: an attempt that this side had ended (its caller left, its deadline passed, it went on elsewhere, its caller doesn't read) was no evidence at all, so of all runs at the engine the one at fault was never a suspect. Evidence was dropped with the request that it belonged to.

Fix: abandoned runs are remembered per start of an engine for 10 s. When it is found to have ended, by a broken connection of this VM, a refused one, another VM's news or a probe (one a second at most, half a second after a run was abandoned: on an engine that runs nothing else nobody would notice), those that were abandoned at most 2 s before are suspects like the runs that broke. Parts of a prompt are not, once the engine has written for 0.5 s. Sound requests are told apart as before: by answers, and by three crashes.

The test bed's engines end a run when its caller leaves.

--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -41,6 +41,8 @@
 	backend  string
 	subjects []quarantine.Subject
 	at       time.Time
+	// delay is how long to wait before the backend server is investigated.
+	delay time.Duration
 }
 
 // interruption is what broke at a backend server, and when the first connection did.
@@ -62,6 +64,7 @@
 	mu sync.Mutex
 	// interruptions holds what broke at each backend server under investigation.
 	interruptions map[string]interruption
+	abandoned     abandonedRuns
 	suspects      *quarantine.Table
 	// clearanceNotifiedAt is when reports were last sent at once because something was cleared.
 	clearanceNotifiedAt time.Time
@@ -84,7 +87,7 @@
 
 func newCrashDetector(n *Node) *crashDetector {
 	return &crashDetector{node: n, interrupted: make(chan interruptedRequest, maxInterruptedRequests), interruptions: make(map[string]interruption),
-		suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
+		abandoned: newAbandonedRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
@@ -92,8 +95,13 @@
 
 // RecordConnectionLost implements serving.Quarantine.
 func (c *crashDetector) RecordConnectionLost(backend string, request []quarantine.Subject) {
+	c.enqueue(interruptedRequest{backend: backend, subjects: request, at: time.Now()})
+}
+
+// enqueue has run investigate an interrupted request.
+func (c *crashDetector) enqueue(run interruptedRequest) {
 	select {
-	case c.interrupted <- interruptedRequest{backend, request, time.Now()}:
+	case c.interrupted <- run:
 	default:
 		interruptedRequestsDropped.Inc()
 	}
@@ -169,7 +177,10 @@
 	for {
 		select {
 		case run := <-c.interrupted:
-			if c.addInterrupted(run) {
+			switch {
+			case run.delay > 0:
+				investigations.Go(func() { c.enqueueDelayed(ctx, run) })
+			case c.addInterrupted(run):
 				investigations.Go(func() { c.investigate(ctx, run.backend) })
 			}
 		case <-sweep.C:
@@ -185,6 +196,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects.Expire(time.Now())
+	c.abandoned.expire(time.Now())
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
 
@@ -233,9 +245,6 @@
 		announcedEnds.Inc()
 		return // it ended as announced, whatever it ran
 	}
-	crashesDetected.Inc()
-	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("backend", id),
-		zap.Stringers("fingerprints", broken.subjects))
 	c.recordCrash(id, b.Started, broken)
 }
 
@@ -244,11 +253,19 @@
 	return id + "@" + strconv.FormatInt(started, 10)
 }
 
-// recordCrash records that an instance of a backend server ended and what broke there.
+// recordCrash records that an instance of a backend server ended, what broke there, and what it may
+// have gone on running after this VM had abandoned it.
 func (c *crashDetector) recordCrash(id string, started int64, broken interruption) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	broken.subjects = append(broken.subjects, c.abandoned.take(instanceName(id, started), broken.at)...)
+	if len(broken.subjects) == 0 {
+		return
+	}
+	crashesDetected.Inc()
+	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("backend", id),
+		zap.Stringers("fingerprints", broken.subjects))
 	c.suspects.SetBackends(now, c.node.backends.count())
 	c.logQuarantined(c.suspects.RecordCrash(now, broken.at, instanceName(id, started), broken.subjects))
 	c.hasSuspects.Store(true)
@@ -309,6 +326,7 @@
 		c.suspects.SetBackends(now, c.node.backends.count())
 	}
 	c.logQuarantined(c.suspects.Merge(now, entries))
+	c.addAbandonedRuns(now, entries)
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 	c.markEnded(now, entries)
 }
--- a/internal/hosted/crashingparts_test.go
+++ b/internal/hosted/crashingparts_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -57,6 +58,9 @@
 	guilty, sound func(i int) []string
 	// disturb, if set, is called when requests with the crashing part begin to come.
 	disturb func(d *day, part *crashingPart)
+	// leaveAfter is after which time the callers of requests with the crashing part leave, zero if they
+	// stay.
+	leaveAfter time.Duration
 }
 
 const (
@@ -86,33 +90,34 @@
 // crash engine after engine; and against the refusal of sound requests that share their other parts.
 func TestCrashingPartOfPromptsIsQuarantined(t *testing.T) {
 	for name, c := range map[string]crashingPartCase{
-		"second part":         {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), nil},
-		"several first parts": {8, 18, 8, varied("first", crashingPartID, 3, 1), varied("first", "second", 3, 5), nil},
-		"first part":          {8, 18, 8, varied(crashingPartID, "second", 1, 5), varied("first", "second", 1, 5), nil},
-		"rarely sent":         {8, 18, 40, shared("first", crashingPartID), varied("first", "second", 1, 5), nil},
-		"large fleet":         {30, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), nil},
-		"few engines":         {8, 3, 20, shared("first", crashingPartID), varied("first", "second", 1, 5), nil},
+		"second part":         {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), nil, 0},
+		"several first parts": {8, 18, 8, varied("first", crashingPartID, 3, 1), varied("first", "second", 3, 5), nil, 0},
+		"first part":          {8, 18, 8, varied(crashingPartID, "second", 1, 5), varied("first", "second", 1, 5), nil, 0},
+		"rarely sent":         {8, 18, 40, shared("first", crashingPartID), varied("first", "second", 1, 5), nil, 0},
+		"callers leave":       {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), nil, 30 * time.Millisecond},
+		"large fleet":         {30, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), nil, 0},
+		"few engines":         {8, 3, 20, shared("first", crashingPartID), varied("first", "second", 1, 5), nil, 0},
 		"VMs killed": {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
 			time.Sleep(time.Second)
 			d.restart(d.vms[:3])
-		}},
+		}, 0},
 		"VMs without paths": {8, 18, 20, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
 			d.losePaths(d.vms[:7], pathLoss{}, nil)
-		}},
+		}, 0},
 		"all VMs killed": {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
 			time.Sleep(6 * time.Second)
 			d.restart(d.vms)
-		}},
+		}, 0},
 		"harmless at first": {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, part *crashingPart) {
 			d.setHarmless(part, true)
 			time.Sleep(4 * time.Second)
 			d.setHarmless(part, false)
-		}},
+		}, 0},
 		"engines crash at once": {8, 18, 8, shared("first", crashingPartID), varied("first", "second", 1, 5), func(d *day, _ *crashingPart) {
 			for range 6 {
 				d.engineCrashes(0)
 			}
-		}},
+		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -135,7 +140,7 @@
 			}
 			disturbed = disturbed || crashing
 			if crashing && i%c.every == 0 {
-				d.sendCrashing(part, i, c.guilty(i/c.every))
+				d.sendCrashing(part, i, c.leaveAfter, c.guilty(i/c.every))
 			} else {
 				d.sendSound(part, i, c.sound(i))
 			}
@@ -164,13 +169,21 @@
 	part.harmless = harmless
 }
 
-// sendCrashing sends a request with the crashing part to a VM at random.
-func (d *day) sendCrashing(part *crashingPart, i int, parts []string) {
+// sendCrashing sends a request with the crashing part to a VM at random. Its caller leaves after the
+// given time unless that is zero.
+func (d *day) sendCrashing(part *crashingPart, i int, leaveAfter time.Duration, parts []string) {
 	vm := d.pickVM()
+	ctx, cancel := context.WithCancel(context.Background())
+	if leaveAfter > 0 {
+		time.AfterFunc(leaveAfter, cancel)
+	}
 	d.statsMu.Lock()
 	part.history.Sent = append(part.history.Sent, time.Now())
 	d.statsMu.Unlock()
-	d.inFlight.Go(func() { _ = d.sendWithParts(vm, fmt.Sprint("crashing-", i), fmt.Sprint("/crashing/", i), parts...) })
+	d.inFlight.Go(func() {
+		defer cancel()
+		_ = d.sendWithContext(ctx, vm, fmt.Sprint("crashing-", i), fmt.Sprint("/crashing/", i), parts...)
+	})
 }
 
 // sendSound sends a sound request to a VM at random and records its outcome. One that its VM did
@@ -212,12 +225,17 @@
 	testkit.That(d, len(history.Crashes) > 0, "no engine ended")
 }
 
-// crashingPartDayDivisor is how many times fewer days with a crashing part are played.
-const crashingPartDayDivisor = 4
+// crashingPartDayDivisor is how many times fewer days with a crashing part are played, and
+// leftCrashingPartDayDivisor the same if callers leave before the crash.
+const (
+	crashingPartDayDivisor     = 4
+	leftCrashingPartDayDivisor = 8
+)
 
 // playCrashingPartDay plays and checks the random day of a seed on which engines crash under a part of
-// prompts, beside the other faults.
-func playCrashingPartDay(t *testing.T, seed int64) {
+// prompts, beside the other faults. The callers of requests with the part leave after the given time,
+// unless that is zero.
+func playCrashingPartDay(t *testing.T, seed int64, leaveAfter time.Duration) {
 	t.Parallel()
 	random := rand.New(rand.NewSource(seed))
 	vms, engines := 2+random.Intn(9), 4+random.Intn(12)
@@ -235,7 +253,7 @@
 			startedAt := time.Now()
 			for i := 0; time.Since(startedAt) < faultsEnd; i++ {
 				if time.Since(startedAt) >= from && i%every == 0 {
-					d.sendCrashing(part, i, guilty(i/every))
+					d.sendCrashing(part, i, leaveAfter, guilty(i/every))
 				} else {
 					d.sendSound(part, i, sound(i))
 				}
@@ -249,6 +267,13 @@
 // Guards against parts of prompts that go on crashing engines while faults of several kinds overlap.
 func TestRandomDaysOfCrashingParts(t *testing.T) {
 	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/crashingPartDayDivisor); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playCrashingPartDay(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playCrashingPartDay(t, seed, 0) })
+	}
+}
+
+// Guards against the same if whoever sends the part has always left before the crash.
+func TestRandomDaysOfCrashingPartsAfterCallersLeft(t *testing.T) {
+	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/leftCrashingPartDayDivisor); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playCrashingPartDay(t, seed, 30*time.Millisecond) })
 	}
 }
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -222,7 +222,7 @@
 }
 
 // Forward implements service.Forwarder.
-func (b vmEngineCluster) Forward(_ context.Context, target service.Target, f service.ForwardRequest) (*service.ForwardResponse, error) {
+func (b vmEngineCluster) Forward(ctx context.Context, target service.Target, f service.ForwardRequest) (*service.ForwardResponse, error) {
 	e, err := b.liveEngine(target.Address)
 	if err != nil && target.Gateway != "" {
 		return nil, b.refuseThrough(target)
@@ -276,7 +276,7 @@
 		time.AfterFunc(runTime, func() { b.leaveRoom(e) })
 		return nil, service.ErrOutcomeUnknown
 	}
-	answer := &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, e, time.Now().Add(runTime)}}
+	answer := &service.ForwardResponse{Status: http.StatusOK, Length: -1, Body: &answerBody{b.engineCluster, leftChannel(ctx), e, time.Now().Add(runTime)}}
 	if b.streaming {
 		answer = b.streamAnswer(e, &f)
 	}
@@ -296,9 +296,11 @@
 	return b.tryPathTo(target, e.id, true)
 }
 
-// answerBody is the body of an answer. It breaks off if the engine ends before endsAt.
+// answerBody is the body of an answer. It breaks off if the engine ends or the caller leaves before
+// endsAt. A deadline that passes doesn't end it.
 type answerBody struct {
 	cluster *engineCluster
+	left    <-chan struct{}
 	engine  *servingEngine
 	endsAt  time.Time
 }
@@ -308,11 +310,22 @@
 	select {
 	case <-c.engine.ended:
 		return 0, io.ErrUnexpectedEOF
+	case <-c.left:
+		return 0, context.Canceled
 	case <-time.After(time.Until(c.endsAt)):
 		return 0, io.EOF
 	}
 }
 
+// leftChannel returns the channel that is closed when the caller of a request leaves, nil if it stays.
+func leftChannel(ctx context.Context) <-chan struct{} {
+	left, _ := ctx.Value(leftKey{}).(<-chan struct{})
+	return left
+}
+
+// leftKey is the key of a context value for leftChannel.
+type leftKey struct{}
+
 // waitForPause waits while an engine pauses.
 func (b *engineCluster) waitForPause(e *servingEngine) {
 	b.statsMu.Lock()
@@ -355,6 +368,12 @@
 
 // sendWithParts is sendWithID for a request whose prompt has the given shared parts.
 func (b *engineCluster) sendWithParts(vm, id, uri string, parts ...string) error {
+	return b.sendWithContext(context.Background(), vm, id, uri, parts...)
+}
+
+// sendWithContext is sendWithParts for a caller that leaves when ctx ends.
+func (b *engineCluster) sendWithContext(ctx context.Context, vm, id, uri string, parts ...string) error {
+	ctx = context.WithValue(ctx, leftKey{}, ctx.Done())
 	b.mu.Lock()
 	n := b.nodes[vm]
 	b.mu.Unlock()
@@ -366,7 +385,7 @@
 		return err
 	}
 	now := time.Now()
-	return n.Relay(context.Background(), caller.RelayRequest{
+	return n.Relay(ctx, caller.RelayRequest{
 		RelayHead: caller.RelayHead{ID: id, Model: "m1", PromptParts: parts}, Grant: grant, Service: testService,
 		ForwardRequest: service.ForwardRequest{RequestID: id, Method: "POST", Host: "h", URI: uri, Body: []byte("body"), Header: http.Header{partsHeader: parts}},
 		Arrived:        now, AnswerDeadline: now.Add(4 * time.Second), BeginDeadline: now.Add(4 * time.Second),
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -199,8 +199,9 @@
 	movedFrom string
 	// subjects caches the result of quarantineSubjects.
 	subjects []quarantine.Subject
-	// progressDue is when progress of the current attempt is next reported to the quarantine.
-	progressDue time.Time
+	// partsSoundAt is when the current attempt's answer shows that the parts of the prompt are sound,
+	// progressDue when its progress is next reported to the quarantine.
+	partsSoundAt, progressDue time.Time
 	// isTrial is whether the next attempt is a trial of a refused request.
 	isTrial bool
 	// retry is the state of the permission for the current or next attempt, retryUsage that
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -49,7 +49,9 @@
 	busyUnits    map[string]bool // no backend server is ready for these
 	unitsNotHeld []string
 	brokenRuns   [][]quarantine.Subject
-	limits       []service.Limit
+	// abandonedRuns are the subjects of the attempts that were abandoned.
+	abandonedRuns [][]quarantine.Subject
+	limits        []service.Limit
 	// permits is how many permits were issued to each candidate, negative if it needs none;
 	// spent is how many were used.
 	permits, spent int
@@ -182,7 +184,12 @@
 	return true
 }
 
-// RecordConnectionLost implements serving.Quarantine, as do the next four methods.
+// RecordAbandonedRun implements serving.Quarantine, as do the next five methods.
+func (b *forwardTestbed) RecordAbandonedRun(_ string, request []quarantine.Subject) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.abandonedRuns = append(b.abandonedRuns, request)
+}
 func (b *forwardTestbed) RecordConnectionLost(_ string, request []quarantine.Subject) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -26,6 +26,9 @@
 	// RecordConnectionLost records that the connection to a backend server ended while it
 	// ran a request.
 	RecordConnectionLost(backend string, request []quarantine.Subject)
+	// RecordAbandonedRun records that this VM stopped waiting for a backend server that may go on
+	// running a request, given what of the request may still crash the server.
+	RecordAbandonedRun(backend string, request []quarantine.Subject)
 	// RecordSuccess records that a backend server answered a request completely and
 	// successfully.
 	RecordSuccess(request []quarantine.Subject)
@@ -41,7 +44,8 @@
 // reportProgress reports the progress of a stream to the quarantine if it is due.
 func (f *forwarding) reportProgress(now time.Time) {
 	if f.pieces == 1 {
-		f.progressDue = now.Add(soundAfter)
+		f.partsSoundAt = now.Add(soundAfter)
+		f.progressDue = f.partsSoundAt
 		return
 	}
 	q := f.server.config.Quarantine
@@ -73,9 +77,9 @@
 	return refused
 }
 
-// reportToQuarantine reports to the quarantine how an attempt ended. It doesn't report a
-// failure that the backend server answered with, nor an attempt that this side or the
-// caller ended: neither shows that the request crashed the server.
+// reportToQuarantine reports to the quarantine how an attempt ended. It doesn't report a failure
+// that the backend server answered with, which shows that the request didn't crash the server. An
+// attempt that this side or the caller ended shows nothing yet: the server may crash later.
 func (f *forwarding) reportToQuarantine(ctx context.Context, head *service.ForwardResponse, err error) {
 	q := f.server.config.Quarantine
 	switch {
@@ -85,11 +89,25 @@
 		if q.HasSuspects() && head.Status < http.StatusMultipleChoices && head.Length != service.LengthUntilClose {
 			q.RecordSuccess(f.quarantineSubjects())
 		}
-	case f.outcome.mayHaveRun && ctx.Err() == nil && !isTerminalError(err) && !errors.Is(err, errServerFailed):
+	case !f.outcome.mayHaveRun, errors.Is(err, errServerFailed):
+	case ctx.Err() != nil, isTerminalError(err):
+		q.RecordAbandonedRun(f.pending.backend, f.abandonedSubjects(time.Now()))
+	default:
 		q.RecordConnectionLost(f.pending.backend, f.quarantineSubjects())
 	}
 }
 
+// abandonedSubjects returns what of the request may still crash the backend server after an attempt
+// was abandoned: no longer the parts of a prompt to which the server has written an answer for
+// soundAfter.
+func (f *forwarding) abandonedSubjects(now time.Time) []quarantine.Subject {
+	subjects := f.quarantineSubjects()
+	if f.pieces > 0 && !now.Before(f.partsSoundAt) {
+		return subjects[:1]
+	}
+	return subjects
+}
+
 // quarantineSubjects returns what of the request may crash backend servers, and computes it only
 // once.
 func (f *forwarding) quarantineSubjects() []quarantine.Subject {
--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -185,3 +185,54 @@
 		b.stop()
 	})
 }
+
+// Guards against an abandoned attempt that is no evidence: its backend server may go on running the
+// request and crash. What the server had written shows that the parts of the prompt are sound.
+func TestAbandonedAttemptsAreReportedToQuarantine(t *testing.T) {
+	never := func(ctx context.Context) (*service.ForwardResponse, error) {
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", service.ErrOutcomeUnknown, ctx.Err())
+	}
+	stream := func(ctx context.Context) (*service.ForwardResponse, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			for ctx.Err() == nil {
+				_, _ = writer.Write([]byte("data: x\n\n"))
+				time.Sleep(50 * time.Millisecond)
+			}
+			_ = writer.CloseWithError(ctx.Err())
+		}()
+		return &service.ForwardResponse{Status: 200, Length: service.LengthChunked, Body: reader}, nil
+	}
+	for name, c := range map[string]struct {
+		respond func(ctx context.Context) (*service.ForwardResponse, error)
+		// leavesAfter is when the caller leaves, subjects what is reported then.
+		leavesAfter time.Duration
+		subjects    int
+	}{
+		"before the answer":     {never, 100 * time.Millisecond, 2},
+		"after the deadline":    {never, time.Hour, 2},
+		"as the answer begins":  {stream, 200 * time.Millisecond, 2},
+		"in the midst of it":    {stream, time.Second, 1},
+		"before it is sent":     {func(context.Context) (*service.ForwardResponse, error) { return nil, service.ErrNotSent }, 0, 0},
+		"after its own failure": {func(context.Context) (*service.ForwardResponse, error) { return completeAnswer(500, "x"), nil }, time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newForwardTestbed(t)
+				b.respond = func(ctx context.Context, _ int, _ sentRequest) (*service.ForwardResponse, error) { return c.respond(ctx) }
+				ctx, cancel := context.WithTimeout(context.Background(), c.leavesAfter)
+				defer cancel()
+				_ = b.forwardWithParts(ctx, route(contract.RepeatNever), "m", &answerRecorder{}, "shared")
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				subjects := 0
+				for _, run := range b.abandonedRuns {
+					subjects += len(run)
+				}
+				testkit.Equal(t, "abandoned subjects", subjects, c.subjects)
+				testkit.Equal(t, "broken runs", len(b.brokenRuns), 0)
+			})
+		})
+	}
+}
