--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -265,12 +265,42 @@
 	LastOrder time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
-// KnowledgeReply is what a VM that can't reach the registry needs to start.
+// KnowledgeArgs say what a VM needs. The zero value, which VMs of an older version send, requests
+// everything, uncompressed.
+type KnowledgeArgs struct {
+	// ForFeed requests what the registry listed up to a position from which the caller can go on
+	// reading changes, compressed with gzip.
+	ForFeed bool `cbor:"1,keyasint,omitempty"`
+	// Configuration is the version that the caller has in force, 0 for none. With ForFeed, only a newer
+	// one is sent.
+	Configuration uint64 `cbor:"2,keyasint,omitempty"`
+	// WithoutBackends omits the list of backend servers.
+	WithoutBackends bool `cbor:"3,keyasint,omitempty"`
+	// BackendsCursor is up to where the caller knows the list, 0 for nothing. With ForFeed, only a newer
+	// list is sent.
+	BackendsCursor uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// KnowledgeReply is what a VM needs to start, or a configuration that it lacks.
 type KnowledgeReply struct {
 	// Configuration is the source of the newest configuration, nil if none is known.
 	Configuration []byte `cbor:"1,keyasint,omitempty"`
 	// Backends is the list of backend servers, encoded with encoding/gob.
 	Backends []byte `cbor:"2,keyasint,omitempty"`
+	// ConfigurationPosition and BackendsPosition are set for a caller that asked ForFeed if this VM has
+	// the topic.
+	ConfigurationPosition *FeedPosition `cbor:"3,keyasint,omitempty"`
+	BackendsPosition      *FeedPosition `cbor:"4,keyasint,omitempty"`
+}
+
+// FeedPosition says up to where a VM has read a topic of the registry.
+type FeedPosition struct {
+	// Cursor is where the changes begin that the VM doesn't have.
+	Cursor uint64 `cbor:"1,keyasint,omitempty"`
+	// Age is the time since it last knew all changes.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
+	// Version is the version of the configuration in force.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty is a message without content.
@@ -282,7 +312,7 @@
 	Swap(SwapArgs) SwapReply
 	Adapter(AdapterArgs) AdapterReply
 	Release(ReleaseArgs) ReleaseReply
-	Knowledge() KnowledgeReply
+	Knowledge(KnowledgeArgs) KnowledgeReply
 	Lease(LeaseArgs) LeaseReply
 	Lend(LendArgs) LendReply
 	Demand(DemandReport) DemandReport
@@ -320,8 +350,8 @@
 }
 
 // Knowledge answers Coordination.Knowledge.
-func (c *coordination) Knowledge(_ *Empty, reply *KnowledgeReply) error {
-	*reply = c.coordinator.Knowledge()
+func (c *coordination) Knowledge(args *KnowledgeArgs, reply *KnowledgeReply) error {
+	*reply = c.coordinator.Knowledge(*args)
 	return nil
 }
 
@@ -353,6 +383,6 @@
 // Knowledge fetches the configuration and the list of backend servers from another VM. The
 // answer may take any time up to the call's deadline, but fails once no byte has arrived for
 // knowledgeStallTimeout.
-func (c *Client) Knowledge(ctx context.Context, address string) (KnowledgeReply, error) {
-	return call[KnowledgeReply](ctx, c, connKey{address, classKnowledge}, coordinationServiceName+".Knowledge", &Empty{})
+func (c *Client) Knowledge(ctx context.Context, address string, args KnowledgeArgs) (KnowledgeReply, error) {
+	return call[KnowledgeReply](ctx, c, connKey{address, classKnowledge}, coordinationServiceName+".Knowledge", &args)
 }
--- a/entryvm/knowledge_test.go
+++ b/entryvm/knowledge_test.go
@@ -17,7 +17,7 @@
 	bytes int
 }
 
-func (k knowledgeServer) Knowledge() KnowledgeReply {
+func (k knowledgeServer) Knowledge(KnowledgeArgs) KnowledgeReply {
 	return KnowledgeReply{Configuration: make([]byte, k.bytes)}
 }
 
@@ -65,7 +65,7 @@
 					return &slowConn{Conn: conn, bytesPerSecond: perSecond, silentAfter: link.silentAfter}, err
 				}
 				begun := time.Now()
-				reply, err := client.Knowledge(t.Context(), "a")
+				reply, err := client.Knowledge(t.Context(), "a", KnowledgeArgs{})
 				testkit.WantError(t, "the call", err, link.want)
 				testkit.That(t, err != nil || len(reply.Configuration) == size, "%d bytes came", len(reply.Configuration))
 				testkit.That(t, time.Since(begun) < link.within, "it took %s", time.Since(begun))
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -477,3 +478,18 @@
 	}
 	return out
 }
+
+// listRegistered returns the entries as the registry lists them, without those that only remain because
+// they may be listed again.
+func (t *backendTable) listRegistered() []registry.Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []registry.Backend
+	for _, b := range t.entries {
+		if b.removeAt.IsZero() {
+			out = append(out, b.Backend)
+		}
+	}
+	slices.SortFunc(out, func(a, b registry.Backend) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/internal/hosted/cluster_test.go
+++ b/internal/hosted/cluster_test.go
@@ -403,8 +403,8 @@
 	return reply, err
 }
 
-func (w peerClient) Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error) {
-	reply, err := callNode(w, address, func(n *Node, _ struct{}) entryvm.KnowledgeReply { return n.Knowledge() }, struct{}{})
+func (w peerClient) Knowledge(ctx context.Context, address string, args entryvm.KnowledgeArgs) (entryvm.KnowledgeReply, error) {
+	reply, err := callNode(w, address, (*Node).Knowledge, args)
 	if err == nil {
 		err = w.bed.transmit(ctx, address, len(reply.Configuration)+len(reply.Backends))
 	}
--- a/internal/hosted/coordinator.go
+++ b/internal/hosted/coordinator.go
@@ -9,6 +9,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/telemetry"
+	"bergamotreel/registry"
 )
 
 // Report implements entryvm.Coordinator.
@@ -46,7 +47,10 @@
 }
 
 // Knowledge implements entryvm.Coordinator.
-func (n *Node) Knowledge() entryvm.KnowledgeReply {
+func (n *Node) Knowledge(args entryvm.KnowledgeArgs) entryvm.KnowledgeReply {
+	if args.ForFeed {
+		return n.snapshots.answer(args)
+	}
 	var reply entryvm.KnowledgeReply
 	if current := n.active.Load(); current != nil {
 		reply.Configuration = current.Source
@@ -54,11 +58,19 @@
 	if !n.backends.hasList() {
 		return reply
 	}
-	var encoded bytes.Buffer
-	if err := gob.NewEncoder(&encoded).Encode(n.backends.list()); err != nil {
+	encoded, err := encodeBackends(n.backends.list())
+	if err != nil {
 		n.config.Logger.Error("list of backend servers can't be encoded", telemetry.Reason(err))
 		return reply
 	}
-	reply.Backends = encoded.Bytes()
+	reply.Backends = encoded
 	return reply
 }
+
+func encodeBackends(list []registry.Backend) ([]byte, error) {
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(list); err != nil {
+		return nil, err
+	}
+	return encoded.Bytes(), nil
+}
--- a/internal/hosted/fakeregistry_test.go
+++ b/internal/hosted/fakeregistry_test.go
@@ -47,6 +47,8 @@
 	epoch uint64
 	// reads counts the reads of the configuration and of the changes of the list.
 	reads int
+	// link, if set, is the link over which the VMs read.
+	link *registryLink
 }
 
 func newFakeRegistry() *fakeRegistry {
@@ -75,6 +77,9 @@
 	if err := r.failIfUnreachable(ctx, wait); err != nil {
 		return nil, from, err
 	}
+	if r.link != nil {
+		return r.awaitOverLink(ctx, from, wait)
+	}
 	return r.fakeRegistry.AwaitConfiguration(ctx, from, wait)
 }
 
@@ -96,6 +101,9 @@
 	if err := r.failIfUnreachable(ctx, wait); err != nil {
 		return registry.Changes{Next: from}, err
 	}
+	if r.link != nil {
+		return r.awaitBackendsOverLink(ctx, from, wait)
+	}
 	return r.fakeRegistry.AwaitBackends(ctx, from, wait)
 }
 
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -50,6 +50,8 @@
 	readerBatchPauseFraction = 0.15
 	// feedPollInterval is how often a VM that does not read checks whether it has to.
 	feedPollInterval = 50 * time.Millisecond
+	// maxCountedFailures bounds the count of failed reads.
+	maxCountedFailures = 16
 	// maxRecentChanges is how many changes the reader keeps for the other VMs. A VM that
 	// lacks older ones reads for itself.
 	maxRecentChanges = 512
@@ -73,6 +75,11 @@
 	everRead bool
 	// knownUntil is the time up to which all changes are known.
 	knownUntil time.Duration
+	// heldUntil is until when this VM doesn't read the topic itself, because another VM is likely to
+	// send it sooner or its own last reads failed.
+	heldUntil time.Duration
+	// failures counts the failed reads since the last successful one.
+	failures int
 	// recent holds the newest changes, oldest first; recentCount is their number.
 	recent      []changeBatch
 	recentCount int
@@ -110,6 +117,66 @@
 	f.knownUntil = 0
 }
 
+// hold keeps this VM from reading the topic itself until the given time, 0 for no longer.
+func (f *feed) hold(until time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heldUntil = until
+}
+
+// isHeld reports whether this VM must not read the topic itself yet.
+func (f *feed) isHeld(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now < f.heldUntil
+}
+
+// advance sets the cursor after apply has applied what another VM sent, unless this VM knows as much.
+func (f *feed) advance(cursor registry.Cursor, knownUntil time.Duration, apply func()) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cursorKnown && cursor < f.cursor {
+		return false
+	}
+	if !f.cursorKnown || cursor > f.cursor {
+		apply()
+		f.recent, f.recentCount = nil, 0
+	}
+	f.cursor, f.cursorKnown = cursor, true
+	f.knownUntil = max(f.knownUntil, knownUntil)
+	f.heldUntil = 0
+	return true
+}
+
+// recordFailure records a failed read. It returns the number of failures and the pause before the next
+// read.
+func (f *feed) recordFailure() (failures int, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pause = min(fractionOf(readBackoffFraction, f.maxDelay)<<f.failures, maxReadBackoffFactor*f.maxDelay)
+	f.failures = min(f.failures+1, maxCountedFailures)
+	return f.failures, pause
+}
+
+// recordSuccess records that a read succeeded.
+func (f *feed) recordSuccess() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failures = 0
+}
+
+// snapshot calls read while the feed does not change, and returns the cursor up to which the topic is
+// known then; ok is false if it is unknown.
+func (f *feed) snapshot(now time.Duration, read func()) (cursor registry.Cursor, age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.cursorKnown {
+		return 0, 0, false
+	}
+	read()
+	return f.cursor, now - f.knownUntil, true
+}
+
 // age returns the time since knownUntil.
 func (f *feed) age(now time.Duration) time.Duration {
 	f.mu.Lock()
@@ -237,15 +304,20 @@
 func (n *Node) waitUntilReadDue(ctx context.Context, f *feed, changed bool) (wait, batchPause time.Duration, err error) {
 	for {
 		reader := n.members.reader(time.Now())
+		now := n.config.BootClock()
 		switch {
 		case ctx.Err() != nil:
 			return 0, 0, ctx.Err()
+		case f.isHeld(now) && len(n.members.snapshotSources(time.Now()).addresses) > 0:
+			n.snapshots.askIfOld(f)
 		case reader == "":
 			return fractionOf(maxAgeFraction, f.maxDelay), fractionOf(batchPauseFraction, f.maxDelay), nil
 		case reader == n.config.VM && !changed:
 			return fractionOf(readWaitFraction, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
-		case reader == n.config.VM, f.isStale(n.config.BootClock()):
+		case reader == n.config.VM, f.isStale(now), f.age(now) > fractionOf(tryDeputyFraction, f.maxDelay) && n.members.snapshotSources(time.Now()).isDeputy:
 			return fractionOf(readWaitFractionAfterChanges, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
+		default:
+			n.snapshots.askIfOld(f)
 		}
 		select {
 		case <-time.After(feedPollInterval):
@@ -303,9 +375,7 @@
 	if answer.Configuration <= n.configurationVersion() {
 		n.configurationFeed.confirm(sentAt - answer.ConfigurationAge)
 	} else {
-		// This VM reads it from the registry, which serves all VMs at once; the reader's
-		// link may be slow.
-		n.configurationFeed.expire()
+		n.snapshots.announce(answer.Configuration)
 	}
 	batch := changeBatch{from: registry.Cursor(answer.ChangesFrom), to: registry.Cursor(answer.BackendsCursor)}
 	if len(answer.Changes) > 0 {
@@ -357,12 +427,14 @@
 	case errors.Is(err, registry.ErrHistoryLost):
 		n.config.Logger.Info("history of the configuration lost, reading the newest")
 		f.reset(0, false)
+		n.snapshots.request()
 		return true
 	case errors.Is(err, registry.ErrUnavailable):
 		if newest := n.members.newestConfiguration(); newest > n.configurationVersion() && ctx.Err() == nil {
 			n.config.Logger.Warn("newer configuration can't be read", zap.Uint64("version", n.configurationVersion()),
 				zap.Uint64("newest", newest), zap.Duration("took", n.config.BootClock()-start), telemetry.Reason(err))
 		}
+		n.snapshots.backOff(f)
 		n.recordRegistryFailure(ctx, err)
 		return false
 	case err != nil:
@@ -371,6 +443,7 @@
 		n.config.Logger.Error("configuration can't be used", telemetry.Reason(err))
 	}
 	n.recordRegistrySuccess()
+	f.recordSuccess()
 	f.reset(cursor, true)
 	if next != nil {
 		n.applyConfiguration(next, "registry")
@@ -403,15 +476,13 @@
 	if !known {
 		list, err := n.config.Peers.Registry.Backends(ctx)
 		if err != nil {
+			n.snapshots.backOff(f)
 			n.recordRegistryFailure(ctx, err)
 			return false
 		}
 		n.recordRegistrySuccess()
-		if f.recordEpoch(list.Next) {
-			n.config.Logger.Warn("list of backend servers read anew, as the registry came back without its newest records",
-				zap.Uint64("epoch", registry.EpochOf(uint64(list.Next))), zap.Int("listed", len(list.List)))
-			n.backends.handleRegistryRestore(time.Now())
-		}
+		f.recordSuccess()
+		n.prepareWholeList(list)
 		n.backends.replace(time.Now(), list.List)
 		f.reset(list.Next, true)
 		f.confirm(start)
@@ -422,13 +493,16 @@
 	if errors.Is(err, registry.ErrHistoryLost) {
 		n.config.Logger.Info("history of backend servers lost, reading the whole list")
 		f.reset(0, false)
+		n.snapshots.request()
 		return false
 	}
 	if err != nil {
+		n.snapshots.backOff(f)
 		n.recordRegistryFailure(ctx, err)
 		return false
 	}
 	n.recordRegistrySuccess()
+	f.recordSuccess()
 	changed = len(changes.List) > 0
 	if !f.applyBatch(changeBatch{from: cursor, to: changes.Next, list: changes.List}, n.applyChanges) {
 		return false // the reader's answer was newer
@@ -440,3 +514,13 @@
 	}
 	return changed
 }
+
+// prepareWholeList is called before a whole list of backend servers replaces the known one.
+func (n *Node) prepareWholeList(list registry.Backends) {
+	if !n.backendsFeed.recordEpoch(list.Next) {
+		return
+	}
+	n.config.Logger.Warn("list of backend servers read anew, as the registry came back without its newest records",
+		zap.Uint64("epoch", registry.EpochOf(uint64(list.Next))), zap.Int("listed", len(list.List)))
+	n.backends.handleRegistryRestore(time.Now())
+}
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"bergamotreel/entryvm"
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/registry"
@@ -165,7 +166,7 @@
 // fetchFromPeer fetches the list of backend servers, if this VM has none, and the
 // configuration from the VM at address. It reports whether it got a usable configuration.
 func (n *Node) fetchFromPeer(ctx context.Context, address string) bool {
-	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address)
+	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address, entryvm.KnowledgeArgs{})
 	if err != nil {
 		return false
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -51,7 +51,7 @@
 	Swap(ctx context.Context, address string, swap entryvm.SwapArgs) (entryvm.SwapReply, error)
 	Adapter(ctx context.Context, address string, adapter entryvm.AdapterArgs) (entryvm.AdapterReply, error)
 	Release(ctx context.Context, address string, release entryvm.ReleaseArgs) (entryvm.ReleaseReply, error)
-	Knowledge(ctx context.Context, address string) (entryvm.KnowledgeReply, error)
+	Knowledge(ctx context.Context, address string, args entryvm.KnowledgeArgs) (entryvm.KnowledgeReply, error)
 	Lease(ctx context.Context, address string, lease entryvm.LeaseArgs) (entryvm.LeaseReply, error)
 	Lend(ctx context.Context, address string, lend entryvm.LendArgs) (entryvm.LendReply, error)
 	Demand(ctx context.Context, address string, report entryvm.DemandReport) (entryvm.DemandReport, error)
@@ -153,6 +153,7 @@
 	registry reachability
 	// configurationFeed and backendsFeed track the registry's topics.
 	configurationFeed, backendsFeed feed
+	snapshots                       *snapshots
 
 	// active is the configuration in force, nil before the first one.
 	active  atomic.Pointer[activeConfiguration]
@@ -188,6 +189,7 @@
 	n.configurationFeed.maxDelay, n.configurationFeed.confirmIntervals = config.MaxApplyDelay, configurationConfirmIntervals
 	n.backendsFeed.maxDelay, n.backendsFeed.confirmIntervals = config.MaxDrainDelay, backendsConfirmIntervals
 	n.backends = newBackendTable(config.Logger)
+	n.snapshots = newSnapshots(n)
 	n.demand = newDemandMeter()
 	n.adapterRequests = newAdapterLoader(n)
 	n.readyEstimates = newReadyEstimates(n)
@@ -219,7 +221,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	for _, task := range []func(context.Context){
-		n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
+		n.snapshots.run, n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
 		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.fleetSize.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
--- /dev/null
+++ b/internal/hosted/snapshots.go
@@ -0,0 +1,476 @@
+package hosted
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/gob"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/internal/pause"
+	"bergamotreel/internal/telemetry"
+	"bergamotreel/registry"
+)
+
+const (
+	// startHold is how long a VM that starts waits for a snapshot before it reads the registry itself,
+	// and waitingHold how long if other VMs answer that they are waiting too. VMs that start together
+	// know each other after startChangesHold; until then they don't read changes themselves.
+	startHold        = 500 * time.Millisecond
+	startChangesHold = time.Second
+	waitingHold      = 2 * time.Second
+	// maxSnapshotAgeFactor is the multiple of maxDelay up to which what another VM knows is used. A VM
+	// that gets an old snapshot reads the changes since then at once.
+	maxSnapshotAgeFactor = 2
+	// tryDeputyFraction and askTreeFraction are the fractions of maxDelay after which the deputy reads
+	// the registry because the reader's answers are late, and after which the others ask for snapshots.
+	// Only at maxAgeFraction do they read the registry too.
+	tryDeputyFraction = 0.6
+	askTreeFraction   = 0.7
+	// announceHoldFraction is the fraction of maxDelay that an announced configuration may take to
+	// arrive from another VM before this VM reads it from the registry.
+	announceHoldFraction = 0.25
+	// snapshotRetryInterval is the pause after the first attempt that did not bring everything. It grows
+	// with each attempt up to maxSnapshotRetryInterval.
+	snapshotRetryInterval    = 50 * time.Millisecond
+	maxSnapshotRetryInterval = 500 * time.Millisecond
+	// askInterval is the minimum time between two rounds of questions because feeds are old.
+	askInterval = 200 * time.Millisecond
+	// readBackoffFraction is the fraction of maxDelay for which a VM that gets the registry's changes
+	// from others doesn't read the registry after a failed read. It doubles with each failure up to
+	// maxReadBackoffFactor times maxDelay, so that the reads of a fleet don't feed the queue that
+	// delays them.
+	readBackoffFraction  = 0.25
+	maxReadBackoffFactor = 4
+	// snapshotTimeout bounds a transfer. It is long because a transfer that is abandoned would begin
+	// again at its first byte; one that stalls ends sooner.
+	snapshotTimeout = 10 * time.Second
+	// snapshotFanOut is how many VMs get snapshots from one VM of their failure domain.
+	snapshotFanOut = 16
+	// maxSnapshotBytes bounds a decompressed snapshot.
+	maxSnapshotBytes = 64 << 20
+)
+
+var (
+	snapshotsReceived = metrics.NewCounter("bergamotreel_snapshots_received_total")
+	snapshotsFailed   = metrics.NewCounter("bergamotreel_snapshots_failed_total")
+	snapshotsSent     = metrics.NewCounter("bergamotreel_snapshots_sent_total")
+	snapshotBytesSent = metrics.NewCounter("bergamotreel_snapshot_bytes_sent_total")
+)
+
+var (
+	errSnapshotTooLarge = errors.New("snapshot too large")
+	errSnapshotTooOld   = errors.New("its sender has not known the registry's changes for too long")
+)
+
+// snapshots hands the configuration and the list of backend servers on from VM to VM, so that the
+// registry sends them once for each failure domain instead of once for each VM: all VMs share the rate
+// of its answers. The VMs of a domain form a tree with the domain's reader at its root. A VM that gets
+// nothing in time reads the registry itself. It is safe for concurrent use.
+type snapshots struct {
+	node *Node
+	// signal makes run look for what this VM lacks.
+	signal chan struct{}
+
+	mu sync.Mutex
+	// announced is the newest version of the configuration that the domain's reader named.
+	announced uint64
+	// askedAt is when this VM last asked for a snapshot because its feeds were old.
+	askedAt                 time.Duration
+	configuration, backends encodedSnapshot
+}
+
+// encodedSnapshot is a compressed snapshot of a topic at a position.
+type encodedSnapshot struct {
+	position uint64
+	encoded  []byte
+}
+
+func newSnapshots(n *Node) *snapshots {
+	return &snapshots{node: n, signal: make(chan struct{}, 1)}
+}
+
+// run gets what this VM lacks from other VMs until ctx ends.
+func (s *snapshots) run(ctx context.Context) {
+	s.request()
+	for {
+		select {
+		case <-s.signal:
+			s.fetch(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// request has run get the topics that this VM has to read as a whole, and holds back its own reads of
+// them meanwhile.
+func (s *snapshots) request() {
+	n := s.node
+	if len(n.members.snapshotSources(time.Now()).addresses) == 0 {
+		return
+	}
+	until := n.config.BootClock() + startHold
+	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.position(); !known {
+			f.hold(until)
+		}
+	}
+	wake(s.signal)
+}
+
+// announce has run get a version of the configuration that the domain's reader has. This VM reads the
+// registry if it has no such version in time.
+func (s *snapshots) announce(version uint64) {
+	s.mu.Lock()
+	isNew := version > s.announced
+	s.announced = max(s.announced, version)
+	s.mu.Unlock()
+	if !isNew {
+		return
+	}
+	n := s.node
+	f := &n.configurationFeed
+	hold := fractionOf(announceHoldFraction, f.maxDelay)
+	f.hold(n.config.BootClock() + hold)
+	time.AfterFunc(hold, func() {
+		if n.configurationVersion() < version {
+			f.expire()
+		}
+	})
+	wake(s.signal)
+}
+
+// askIfOld has run ask other VMs for what a feed lacks before this VM has to read it itself.
+func (s *snapshots) askIfOld(f *feed) {
+	now := s.node.config.BootClock()
+	if f.age(now) <= fractionOf(askTreeFraction, f.maxDelay) {
+		return
+	}
+	s.mu.Lock()
+	due := now-s.askedAt >= askInterval
+	if due {
+		s.askedAt = now
+	}
+	s.mu.Unlock()
+	if due {
+		wake(s.signal)
+	}
+}
+
+// lacks returns what this VM should get from others now.
+func (s *snapshots) lacks() (configuration, backends bool) {
+	n := s.node
+	s.mu.Lock()
+	announced := s.announced
+	s.mu.Unlock()
+	isLacking := func(f *feed) bool {
+		now := n.config.BootClock()
+		_, known := f.position()
+		return (!known && f.isHeld(now)) || (known && f.age(now) > fractionOf(askTreeFraction, f.maxDelay))
+	}
+	return isLacking(&n.configurationFeed) || n.configurationVersion() < announced, isLacking(&n.backendsFeed)
+}
+
+// fetch asks other VMs in turn for what this VM lacks, until it has everything or each of them was asked
+// in vain. A VM that starts goes on asking until it has to read the registry.
+func (s *snapshots) fetch(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		configuration, backends := s.lacks()
+		sources := s.node.members.snapshotSources(time.Now())
+		count := len(sources.addresses)
+		isHeld := s.node.configurationFeed.isHeld(s.node.config.BootClock()) || s.node.backendsFeed.isHeld(s.node.config.BootClock())
+		if (!configuration && !backends) || count == 0 || (attempt >= count && !isHeld) {
+			return
+		}
+		if err := s.fetchFrom(ctx, sources.addresses[attempt%count], configuration, backends); err != nil {
+			snapshotsFailed.Inc()
+		}
+		if !sources.isTree {
+			s.holdChanges()
+		}
+		if configuration, backends = s.lacks(); configuration || backends {
+			pause.For(ctx, min(time.Duration(attempt+1)*snapshotRetryInterval, maxSnapshotRetryInterval))
+		}
+	}
+}
+
+// fetchFrom gets from the VM at address what it has of the topics that this VM lacks.
+func (s *snapshots) fetchFrom(ctx context.Context, address string, configuration, backends bool) error {
+	n := s.node
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	sentAt := n.config.BootClock()
+	cursor, _ := n.backendsFeed.position()
+	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address, entryvm.KnowledgeArgs{
+		ForFeed: true, Configuration: n.configurationVersion(), WithoutBackends: !backends, BackendsCursor: uint64(cursor),
+	})
+	if err != nil {
+		return err
+	}
+	if configuration && reply.ConfigurationPosition != nil {
+		err = s.adoptConfiguration(address, sentAt, &reply)
+	}
+	if backends && reply.BackendsPosition != nil {
+		err = errors.Join(err, s.adoptBackends(sentAt, &reply))
+	}
+	if reply.ConfigurationPosition == nil || (backends && reply.BackendsPosition == nil) {
+		s.extendHold()
+	}
+	if err != nil {
+		n.config.Logger.Warn("snapshot from a peer not used", zap.String("peer", address), telemetry.Reason(err))
+	}
+	return err
+}
+
+// extendHold lets this VM wait longer after its start, as the VM that it asked is waiting too.
+func (s *snapshots) extendHold() {
+	n := s.node
+	until := n.startedAt + waitingHold
+	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.position(); !known && f.isHeld(n.config.BootClock()) {
+			f.hold(max(until, n.config.BootClock()))
+		}
+	}
+}
+
+// holdChanges keeps a VM that has just started, and got a snapshot from a seed, from reading changes
+// until it knows which VM of its domain does.
+func (s *snapshots) holdChanges() {
+	n := s.node
+	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.position(); known {
+			now := n.config.BootClock()
+			f.hold(min(n.startedAt+startChangesHold, now-f.age(now)+fractionOf(maxAgeFraction, f.maxDelay)))
+		}
+	}
+}
+
+// backOff keeps this VM from reading a topic itself for a while after a failed read, if other VMs of its
+// domain read it.
+func (s *snapshots) backOff(f *feed) {
+	n := s.node
+	if sources := n.members.snapshotSources(time.Now()); !sources.isTree || sources.isDeputy {
+		return
+	}
+	failures, pause := f.recordFailure()
+	f.hold(n.config.BootClock() + pause/2 + n.jitter(failures, pause))
+}
+
+// checkAge fails if the sender of a snapshot has not known all changes of the topic for too long.
+func (f *feed) checkAge(position *entryvm.FeedPosition) error {
+	if position.Age > maxSnapshotAgeFactor*f.maxDelay {
+		return errSnapshotTooOld
+	}
+	return nil
+}
+
+// adoptConfiguration puts a configuration from another VM in force.
+func (s *snapshots) adoptConfiguration(address string, sentAt time.Duration, reply *entryvm.KnowledgeReply) error {
+	n, position := s.node, reply.ConfigurationPosition
+	f := &n.configurationFeed
+	if err := f.checkAge(position); err != nil {
+		return err
+	}
+	if len(reply.Configuration) > 0 {
+		source, err := decompress(reply.Configuration)
+		if err != nil {
+			return err
+		}
+		configuration, err := n.config.Peers.Registry.Parse(source)
+		if err != nil {
+			return err
+		}
+		n.applyConfiguration(configuration, "peer "+address)
+		snapshotsReceived.Inc()
+	}
+	if n.configurationVersion() < position.Version {
+		return nil // the version can't be used here
+	}
+	f.advance(registry.Cursor(position.Cursor), sentAt-position.Age, func() {})
+	return nil
+}
+
+// adoptBackends uses a list of backend servers from another VM.
+func (s *snapshots) adoptBackends(sentAt time.Duration, reply *entryvm.KnowledgeReply) error {
+	n, position := s.node, reply.BackendsPosition
+	f := &n.backendsFeed
+	if err := f.checkAge(position); err != nil {
+		return err
+	}
+	cursor := registry.Cursor(position.Cursor)
+	if known, ok := f.position(); ok && known == cursor {
+		f.confirm(sentAt - position.Age)
+		return nil
+	}
+	if len(reply.Backends) == 0 {
+		return nil // this VM knows more than the sender
+	}
+	encoded, err := decompress(reply.Backends)
+	if err != nil {
+		return err
+	}
+	var list []registry.Backend
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&list); err != nil {
+		return err
+	}
+	n.prepareWholeList(registry.Backends{List: list, Next: cursor})
+	if f.advance(cursor, sentAt-position.Age, func() { n.backends.replace(time.Now(), list) }) {
+		snapshotsReceived.Inc()
+		n.handleBackendChanges()
+	}
+	return nil
+}
+
+// answer returns what this VM has of the topics that another VM lacks.
+func (s *snapshots) answer(args entryvm.KnowledgeArgs) entryvm.KnowledgeReply {
+	var reply entryvm.KnowledgeReply
+	s.addConfiguration(args.Configuration, &reply)
+	if !args.WithoutBackends {
+		s.addBackends(args.BackendsCursor, &reply)
+	}
+	if sent := len(reply.Configuration) + len(reply.Backends); sent > 0 {
+		snapshotsSent.Inc()
+		snapshotBytesSent.Add(sent)
+	}
+	return reply
+}
+
+// addConfiguration adds the configuration in force to a reply if it is newer than the given version.
+// The cursor is read before the configuration: the receiver may read a change again, but misses none.
+func (s *snapshots) addConfiguration(newerThan uint64, reply *entryvm.KnowledgeReply) {
+	n := s.node
+	cursor, age, known := n.configurationFeed.snapshot(n.config.BootClock(), func() {})
+	current := n.active.Load()
+	if !known || current == nil {
+		return
+	}
+	reply.ConfigurationPosition = &entryvm.FeedPosition{Cursor: uint64(cursor), Age: age, Version: current.Version}
+	if current.Version > newerThan {
+		reply.Configuration = s.encode(&s.configuration, current.Version, func() ([]byte, error) { return current.Source, nil })
+	}
+}
+
+// addBackends adds the list of backend servers to a reply if it is newer than the given cursor.
+func (s *snapshots) addBackends(newerThan uint64, reply *entryvm.KnowledgeReply) {
+	n := s.node
+	var list []registry.Backend
+	cursor, age, known := n.backendsFeed.snapshot(n.config.BootClock(), func() { list = n.backends.listRegistered() })
+	if !known {
+		return
+	}
+	reply.BackendsPosition = &entryvm.FeedPosition{Cursor: uint64(cursor), Age: age}
+	if uint64(cursor) <= newerThan {
+		return
+	}
+	reply.Backends = s.encode(&s.backends, uint64(cursor), func() ([]byte, error) { return encodeBackends(list) })
+}
+
+// encode returns the compressed snapshot of a topic at a position. All VMs that ask at that position
+// share it.
+func (s *snapshots) encode(cached *encodedSnapshot, position uint64, source func() ([]byte, error)) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cached.encoded != nil && cached.position == position {
+		return cached.encoded
+	}
+	data, err := source()
+	if err == nil {
+		data, err = compress(data)
+	}
+	if err != nil {
+		s.node.config.Logger.Error("snapshot can't be encoded", telemetry.Reason(err))
+		return nil
+	}
+	*cached = encodedSnapshot{position, data}
+	return data
+}
+
+func compress(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// decompress reverts compress. It fails if the data was altered, by gzip's check sum.
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	out, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(out) > maxSnapshotBytes {
+		return nil, errSnapshotTooLarge
+	}
+	return out, nil
+}
+
+// snapshotSources are the VMs to ask for snapshots, in this order. There are none for a VM that reads
+// the registry for others.
+type snapshotSources struct {
+	addresses []string
+	// isDeputy is whether this VM reads the registry if the reader's answers are late, isTree whether
+	// the sources are VMs of this VM's domain rather than seeds.
+	isDeputy, isTree bool
+}
+
+// snapshotSources returns this VM's parent in the tree of its domain, the root and the deputy. While
+// this VM is starting and doesn't know its domain, it returns the seeds.
+func (m *members) snapshotSources(now time.Time) snapshotSources {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := &m.node.config
+	reader := m.readerLocked(now)
+	isStarting := own.BootClock()-m.node.startedAt < waitingHold
+	switch {
+	case reader != "" && reader != own.VM:
+		return m.treeSources(now, reader)
+	case isStarting && !slices.Contains(own.Seeds, own.Address):
+		return snapshotSources{addresses: own.Seeds} // this VM may be the reader only because it doesn't know the others yet
+	default:
+		return snapshotSources{}
+	}
+}
+
+// treeSources returns the sources in this VM's domain. Call with mu held.
+func (m *members) treeSources(now time.Time, root string) snapshotSources {
+	own := &m.node.config
+	candidates := []roleCandidate{{own.VM, own.Capacity}}
+	addresses := make(map[string]string)
+	m.eachLiveLocked(now, func(r *entryvm.Report) {
+		if r.Domain == own.Domain && r.VM != root && !r.Leaving {
+			candidates = append(candidates, roleCandidate{r.VM, r.Capacity})
+		}
+		addresses[r.VM] = r.Address
+	})
+	// The root is at index 0, the others follow in the order of preference, the deputy first.
+	order := append([]string{root}, selectTop(relayKey, candidates, len(candidates))...)
+	index := slices.Index(order, own.VM)
+	sources := snapshotSources{isDeputy: index == 1, isTree: true}
+	for _, vm := range []string{order[(index-1)/snapshotFanOut], root, order[1]} {
+		if address := addresses[vm]; vm != own.VM && address != "" && !slices.Contains(sources.addresses, address) {
+			sources.addresses = append(sources.addresses, address)
+		}
+	}
+	return sources
+}
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -159,7 +159,10 @@
 		w.registry.mu.Unlock()
 		time.Sleep(time.Second)
 		w.listVersions("v1", "v2")
-		time.Sleep(100 * time.Millisecond)
+		for w.nodes[names[3]].backends.servesOnlyOtherVersions(testService, "v2") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		testkit.That(w, w.nodes[names[1]].backends.servesOnlyOtherVersions(testService, "v2"), "the VM is not outdated")
 		w.nodes[names[3]].RecordStream(testStream("1"), "v2")
 		time.Sleep(50 * time.Millisecond)
 		w.kill(names[3])
--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -220,7 +220,9 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newForwardTestbed(t)
-				b.respond = func(ctx context.Context, _ int, _ sentRequest) (*service.ForwardResponse, error) { return c.respond(ctx) }
+				b.respond = func(ctx context.Context, _ int, _ sentRequest) (*service.ForwardResponse, error) {
+					return c.respond(ctx)
+				}
 				ctx, cancel := context.WithTimeout(context.Background(), c.leavesAfter)
 				defer cancel()
 				_ = b.forwardWithParts(ctx, route(contract.RepeatNever), "m", &answerRecorder{}, "shared")
