--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -314,7 +314,7 @@
 			return fractionOf(maxAgeFraction, f.maxDelay), fractionOf(batchPauseFraction, f.maxDelay), nil
 		case reader == n.config.VM && !changed:
 			return fractionOf(readWaitFraction, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
-		case reader == n.config.VM, f.isStale(now), f.age(now) > fractionOf(tryDeputyFraction, f.maxDelay) && n.members.snapshotSources(time.Now()).isDeputy:
+		case reader == n.config.VM, f.isStale(now), f.age(now) > fractionOf(deputyAgeFraction, f.maxDelay) && n.members.snapshotSources(time.Now()).isDeputy:
 			return fractionOf(readWaitFractionAfterChanges, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
 		default:
 			n.snapshots.askIfOld(f)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -220,6 +220,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	n.snapshots.request()
 	for _, task := range []func(context.Context){
 		n.snapshots.run, n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
 		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.fleetSize.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
--- a/internal/hosted/snapshots.go
+++ b/internal/hosted/snapshots.go
@@ -30,11 +30,11 @@
 	// maxSnapshotAgeFactor is the multiple of maxDelay up to which what another VM knows is used. A VM
 	// that gets an old snapshot reads the changes since then at once.
 	maxSnapshotAgeFactor = 2
-	// tryDeputyFraction and askTreeFraction are the fractions of maxDelay after which the deputy reads
-	// the registry because the reader's answers are late, and after which the others ask for snapshots.
-	// Only at maxAgeFraction do they read the registry too.
-	tryDeputyFraction = 0.6
-	askTreeFraction   = 0.7
+	// deputyAgeFraction and askAgeFraction are the ages, as fractions of maxDelay, from which the deputy
+	// reads the registry because the reader's answers are late, and from which the others ask for
+	// snapshots. Only from maxAgeFraction on do they read the registry too.
+	deputyAgeFraction = 0.6
+	askAgeFraction    = 0.7
 	// announceHoldFraction is the fraction of maxDelay that an announced configuration may take to
 	// arrive from another VM before this VM reads it from the registry.
 	announceHoldFraction = 0.25
@@ -68,6 +68,7 @@
 
 var (
 	errSnapshotTooLarge = errors.New("snapshot too large")
+	errNoPosition       = errors.New("the sender is of an older version")
 	errSnapshotTooOld   = errors.New("its sender has not known the registry's changes for too long")
 )
 
@@ -100,7 +101,6 @@
 
 // run gets what this VM lacks from other VMs until ctx ends.
 func (s *snapshots) run(ctx context.Context) {
-	s.request()
 	for {
 		select {
 		case <-s.signal:
@@ -152,7 +152,7 @@
 // askIfOld has run ask other VMs for what a feed lacks before this VM has to read it itself.
 func (s *snapshots) askIfOld(f *feed) {
 	now := s.node.config.BootClock()
-	if f.age(now) <= fractionOf(askTreeFraction, f.maxDelay) {
+	if f.age(now) <= fractionOf(askAgeFraction, f.maxDelay) {
 		return
 	}
 	s.mu.Lock()
@@ -175,7 +175,7 @@
 	isLacking := func(f *feed) bool {
 		now := n.config.BootClock()
 		_, known := f.position()
-		return (!known && f.isHeld(now)) || (known && f.age(now) > fractionOf(askTreeFraction, f.maxDelay))
+		return (!known && f.isHeld(now)) || (known && f.age(now) > fractionOf(askAgeFraction, f.maxDelay))
 	}
 	return isLacking(&n.configurationFeed) || n.configurationVersion() < announced, isLacking(&n.backendsFeed)
 }
@@ -216,6 +216,9 @@
 	if err != nil {
 		return err
 	}
+	if len(reply.Configuration) > 0 && reply.ConfigurationPosition == nil {
+		return errNoPosition
+	}
 	if configuration && reply.ConfigurationPosition != nil {
 		err = s.adoptConfiguration(address, sentAt, &reply)
 	}
@@ -307,11 +310,12 @@
 		return err
 	}
 	cursor := registry.Cursor(position.Cursor)
-	if known, ok := f.position(); ok && known == cursor {
+	known, ok := f.position()
+	switch {
+	case ok && known == cursor:
 		f.confirm(sentAt - position.Age)
 		return nil
-	}
-	if len(reply.Backends) == 0 {
+	case ok && known > cursor, len(reply.Backends) == 0:
 		return nil // this VM knows more than the sender
 	}
 	encoded, err := decompress(reply.Backends)
