--- a/internal/hosted/abandonedruns.go
+++ b/internal/hosted/abandonedruns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,14 +13,6 @@
 )
 
 const (
-	// maxAbandonedRunTime is how long a backend server may go on running a request that this VM has
-	// abandoned: most stop when the connection closes, others only when they write.
-	maxAbandonedRunTime = 2 * time.Second
-	// abandonedRunTTL is how long an abandoned run is remembered. The news that its backend server has
-	// crashed meanwhile may come from another VM through two relays.
-	abandonedRunTTL = 10 * time.Second
-	// maxAbandonedRuns limits the abandoned runs that are remembered.
-	maxAbandonedRuns = 4096
 	// abandonedProbeDelay is the time from an abandoned run to the probe of its backend server, and
 	// minAbandonedProbeInterval the minimum time between two such probes. They find a crash that nobody
 	// else would report, because nothing else runs on that server.
@@ -34,78 +25,6 @@
 	abandonedRunsDropped   = metrics.NewCounter("bergamotreel_abandoned_runs_dropped_total")
 )
 
-// abandonedRun is a request that this VM stopped waiting for while a backend server ran it: its caller
-// left, its deadline passed, or it goes on elsewhere.
-type abandonedRun struct {
-	subjects []quarantine.Subject
-	at       time.Time
-}
-
-// abandonedRuns holds the newest abandoned runs of each backend server instance, oldest first. It is
-// not safe for concurrent use.
-type abandonedRuns struct {
-	byInstance map[string][]abandonedRun
-	count      int
-	// probedAt is when a backend server was last probed because of an abandoned run.
-	probedAt time.Time
-}
-
-func newAbandonedRuns() abandonedRuns {
-	return abandonedRuns{byInstance: make(map[string][]abandonedRun)}
-}
-
-// add adds a run and reports whether a probe of its backend server is due.
-func (a *abandonedRuns) add(instance string, run abandonedRun) (probe bool) {
-	if a.count >= maxAbandonedRuns {
-		a.expire(run.at)
-	}
-	if a.count >= maxAbandonedRuns {
-		abandonedRunsDropped.Inc()
-		return false
-	}
-	a.byInstance[instance] = append(a.byInstance[instance], run)
-	a.count++
-	if run.at.Sub(a.probedAt) < minAbandonedProbeInterval {
-		return false
-	}
-	a.probedAt = run.at
-	return true
-}
-
-// take removes the runs of an instance that crashed at the given time and returns the subjects of
-// those that it may still have run then.
-func (a *abandonedRuns) take(instance string, crashedAt time.Time) (subjects []quarantine.Subject) {
-	runs := a.byInstance[instance]
-	for _, run := range runs {
-		if crashedAt.Sub(run.at) <= maxAbandonedRunTime {
-			subjects = append(subjects, run.subjects...)
-			abandonedRunsSuspected.Inc()
-		}
-	}
-	a.count -= len(runs)
-	delete(a.byInstance, instance)
-	return subjects
-}
-
-// hasRecent reports whether an instance may still run a request that was abandoned.
-func (a *abandonedRuns) hasRecent(now time.Time, instance string) bool {
-	return slices.ContainsFunc(a.byInstance[instance], func(run abandonedRun) bool { return now.Sub(run.at) <= maxAbandonedRunTime })
-}
-
-// expire drops the runs that were abandoned too long ago.
-func (a *abandonedRuns) expire(now time.Time) {
-	a.count = 0
-	for instance, runs := range a.byInstance {
-		runs = slices.DeleteFunc(runs, func(run abandonedRun) bool { return now.Sub(run.at) >= abandonedRunTTL })
-		if len(runs) == 0 {
-			delete(a.byInstance, instance)
-			continue
-		}
-		a.byInstance[instance] = runs
-		a.count += len(runs)
-	}
-}
-
 // RecordAbandonedRun implements serving.Quarantine.
 func (c *crashDetector) RecordAbandonedRun(backend string, request []quarantine.Subject) {
 	b, listed := c.node.backends.get(backend)
@@ -114,8 +33,15 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	probe := c.abandoned.add(instanceName(b.ID, b.Started), abandonedRun{request, now})
+	added := c.abandoned.Add(now, instanceName(b.ID, b.Started), request)
+	probe := added && now.Sub(c.abandonedProbedAt) >= minAbandonedProbeInterval
+	if probe {
+		c.abandonedProbedAt = now
+	}
 	c.mu.Unlock()
+	if !added {
+		abandonedRunsDropped.Inc()
+	}
 	if probe {
 		c.enqueue(interruptedRequest{backend: backend, at: now, delay: abandonedProbeDelay})
 	}
@@ -133,7 +59,7 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	hasRecent := c.abandoned.hasRecent(now, instanceName(b.ID, b.Started))
+	hasRecent := c.abandoned.HasRecent(now, instanceName(b.ID, b.Started))
 	c.mu.Unlock()
 	if hasRecent {
 		c.enqueue(interruptedRequest{backend: target.ID, at: now})
@@ -148,16 +74,24 @@
 	}
 }
 
+// takeAbandoned returns the subjects of the runs that this VM had abandoned and that an instance may
+// still have run when it crashed. Call with mu held.
+func (c *crashDetector) takeAbandoned(instance string, crashedAt time.Time) []quarantine.Subject {
+	subjects, runs := c.abandoned.Take(instance, crashedAt)
+	abandonedRunsSuspected.Add(runs)
+	return subjects
+}
+
 // addAbandonedRuns adds the runs that this VM had abandoned to crashes that other VMs found. Call with
 // mu held.
 func (c *crashDetector) addAbandonedRuns(now time.Time, entries []quarantine.Suspect) {
-	if c.abandoned.count == 0 {
+	if c.abandoned.Len() == 0 {
 		return
 	}
 	for _, entry := range entries {
 		for _, crash := range entry.Crashes {
 			crashedAt := now.Add(-crash.Age)
-			if subjects := c.abandoned.take(crash.Backend, crashedAt); len(subjects) > 0 {
+			if subjects := c.takeAbandoned(crash.Backend, crashedAt); len(subjects) > 0 {
 				c.logQuarantined(c.suspects.RecordCrash(now, crashedAt, crash.Backend, subjects))
 			}
 		}
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -64,8 +64,10 @@
 	mu sync.Mutex
 	// interruptions holds what broke at each backend server under investigation.
 	interruptions map[string]interruption
-	abandoned     abandonedRuns
-	suspects      *quarantine.Table
+	abandoned     *quarantine.AbandonedRuns
+	// abandonedProbedAt is when a backend server was last probed because of an abandoned run.
+	abandonedProbedAt time.Time
+	suspects          *quarantine.Table
 	// clearanceNotifiedAt is when reports were last sent at once because something was cleared.
 	clearanceNotifiedAt time.Time
 	// seenFromPeers holds, for each other VM, the version up to which this VM has its suspects.
@@ -87,7 +89,7 @@
 
 func newCrashDetector(n *Node) *crashDetector {
 	return &crashDetector{node: n, interrupted: make(chan interruptedRequest, maxInterruptedRequests), interruptions: make(map[string]interruption),
-		abandoned: newAbandonedRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
+		abandoned: quarantine.NewAbandonedRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
@@ -196,7 +198,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects.Expire(time.Now())
-	c.abandoned.expire(time.Now())
+	c.abandoned.Expire(time.Now())
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
 
@@ -259,7 +261,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	broken.subjects = append(broken.subjects, c.abandoned.take(instanceName(id, started), broken.at)...)
+	broken.subjects = append(broken.subjects, c.takeAbandoned(instanceName(id, started), broken.at)...)
 	if len(broken.subjects) == 0 {
 		return
 	}
