hosted: runs that break without a known end of their server are logged and counted

Callers saw a request end engine after engine. Two hypotheses of the incident, an end that isn't found and one that is counted with another, could not be told apart: an investigation that found no end dropped what broke without a word.

It now logs what it knows of the process, the entry and the newest start, and counts. No logic is changed.

--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -216,6 +216,17 @@
 	processEnded
 )
 
+func (s processState) String() string {
+	switch s {
+	case processRuns:
+		return "runs"
+	case processEnded:
+		return "ended"
+	default:
+		return "unknown"
+	}
+}
+
 // probeProcess finds out whether a backend server's process has ended: its address refuses
 // connections, and no other VM reaches it. The network may also refuse connections of a VM whose
 // paths are lost, so such a VM relies on gateways alone. Other VMs ask gateways about an address
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -79,6 +79,7 @@
 var (
 	crashesDetected            = metrics.NewCounter("bergamotreel_backend_crashes_total")
 	announcedEnds              = metrics.NewCounter("bergamotreel_backend_announced_ends_total")
+	brokenRunsUnexplained      = metrics.NewCounter("bergamotreel_broken_runs_unexplained_total")
 	interruptedRequestsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
 	requestsQuarantined        = metrics.NewCounter("bergamotreel_requests_quarantined_total")
 	partsQuarantined           = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
@@ -241,6 +242,7 @@
 	}
 	broken := c.removeInterruption(id)
 	if state != processEnded {
+		c.logUnexplained(id, state, broken)
 		return
 	}
 	if latest, _ := c.node.backends.get(id); latest.isLeaving() || b.isLeaving() {
@@ -250,6 +252,18 @@
 	c.recordCrash(id, b.Started, broken)
 }
 
+// logUnexplained logs and counts runs that broke at a backend server whose process is not known to have
+// ended.
+func (c *crashDetector) logUnexplained(id string, state processState, broken interruption) {
+	if len(broken.subjects) == 0 {
+		return
+	}
+	brokenRunsUnexplained.Inc()
+	b, listed := c.node.backends.get(id)
+	c.node.config.Logger.Info("connections to a backend server broke, no end of it is known", zap.String("backend", id), zap.Stringer("process", state),
+		zap.Bool("listed", listed), zap.Int64("listed_start", b.Started), zap.Int64("newest_start", b.start), zap.Stringers("fingerprints", broken.subjects))
+}
+
 // instanceName identifies one start of a backend server among crashes.
 func instanceName(id string, started int64) string {
 	return id + "@" + strconv.FormatInt(started, 10)
