hosted: runs are judged whenever their server's start is known to have ended

Callers saw one request end 126 engines in 16 s, with callers that leave 64, a part of prompts 126 (4 VMs, real processes, engines that a supervisor restarts at once under their IDs), while all VMs logged "backend server started again" more than 400 times.

Cause: an end was inferred from one look at an address. 100 ms after a run broke, an address that accepted connections, an entry that was gone, or no answer at all meant that what had broken was dropped. The start of an engine, which entry, status and keeper's update show, reached every part of the program but the crash detector. And ends were counted by the start in the entry, not by that to which the request had gone.

Now admission/quarantine remembers runs that broke as it did abandoned ones, by the start that they were sent to, and judges them when that start is known to have ended, however that becomes known: a refused connection, another VM's crash, a later start by entry, keeper or another VM's report, an entry gone and an address that refuses. If the address accepts connections, the engine is asked for its start, once more after 0.5 s, as its status may be that old. New starts that were asked for go round in reports (BackendStarts); former ones are remembered, so that older news doesn't bring them back. Reset connections without a new start stay no evidence, an announced end is none.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -104,6 +104,8 @@
 	// RecordedVMs counts the entry VMs in the registry. It is sent within a failure domain, nil
 	// while the sender has no count.
 	RecordedVMs *RecordedVMs `cbor:"40,keyasint,omitempty"`
+	// BackendStarts are the starts that backend servers reported themselves a moment ago.
+	BackendStarts []BackendStart `cbor:"41,keyasint,omitempty"`
 }
 
 // RecordedVMs counts the records of entry VMs in the registry.
@@ -121,6 +123,14 @@
 	Started int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// BackendStart is the start of a backend server that has restarted under its ID.
+type BackendStart struct {
+	Backend string `cbor:"1,keyasint"`
+	// Started identifies the start, Before the one before it.
+	Started int64 `cbor:"2,keyasint"`
+	Before  int64 `cbor:"3,keyasint,omitempty"`
+}
+
 // Suspect is a request, or a part of prompts, that may crash the backend servers that run it. Its
 // fields correspond to those of quarantine.Suspect.
 type Suspect struct {
--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -1,20 +1,43 @@
 package hosted
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
+
+	"bergamotreel/entryvm"
+	"bergamotreel/service"
+)
+
+const (
+	// maxFormerStarts is how many former starts of a backend server are remembered.
+	maxFormerStarts = 8
+	// maxStartNewsAge is how old the news of a start may be: an entry that hasn't been renewed since, or
+	// another VM's report.
+	maxStartNewsAge = 5 * time.Second
+	// maxReportedStarts limits the starts in one report.
+	maxReportedStarts = 256
 )
 
 // formerInstance is the last known instance of a backend server that was dropped.
 type formerInstance struct {
 	start                  int64
+	formerStarts           []int64
 	announcedLeaving       bool
 	restartedAt, droppedAt time.Time
 }
 
+// endedInstance is an instance of a backend server that has ended or was dropped.
+type endedInstance struct {
+	target service.Target
+	// service is the name of its service.
+	service string
+	// announced is whether it had announced that it would leave. dropped is whether it is only known not
+	// to be listed any more, so that it may still run.
+	announced, dropped bool
+}
+
 // dropUnreadable drops a backend server whose entry can no longer be read. If the previous
 // entry stayed in use, a server that is leaving would continue to get requests. The entry
 // has not lapsed, so there is no grace period for it to be listed again. Call with mu held.
@@ -26,23 +49,42 @@
 	}
 }
 
-// recordInstance records the newest known instance of a backend server, from its entry or
-// from its keeper, which queries the engine itself. A server that restarts under its ID has
-// lost its models, cached prefixes and running requests, so the state of its previous
-// instance must not be used for routing. Call with mu held.
-func (t *backendTable) recordInstance(now time.Time, b *backend, start int64) {
+// startSource is where the news of a start comes from.
+type startSource int
+
+const (
+	startFromEntry startSource = iota
+	startFromKeeper
+	// startFromServer is the server's own status, which this VM or another one has just asked for.
+	startFromServer
+)
+
+// recordInstance records the newest known instance of a backend server and reports whether it is
+// another one than before. A server that restarts under its ID has lost its models, cached prefixes and
+// running requests, so the state of its previous instance must not be used for routing. Call with mu
+// held.
+func (t *backendTable) recordInstance(now time.Time, b *backend, start int64, source startSource) bool {
 	before := b.start
-	if start == 0 || start == before {
-		return
+	if start == 0 || start == before || b.isOutdatedStart(now, start, source) {
+		return false
 	}
 	b.start = start
 	if before == 0 {
-		return
+		return false
 	}
 	t.logger.Info("backend server started again", zap.String("backend", b.ID), zap.String("service", b.Service),
 		zap.Int64("started", start), zap.Int64("before", before))
-	t.endedInstances[b.ID] = true
+	ended := endedInstance{target: b.target(), service: b.Service, announced: b.isLeaving()}
+	ended.target.Started = before
+	t.endedInstances = append(t.endedInstances, ended)
+	b.formerStarts = append(slices.Clone(b.formerStarts), before)
+	if len(b.formerStarts) > maxFormerStarts {
+		b.formerStarts = b.formerStarts[1:]
+	}
 	b.restartedAt = now
+	if source == startFromServer {
+		b.startReportedAt, t.startReportedAt = now, now
+	}
 	b.announcedLeaving = false
 	b.probeBackoff, b.probeAt = 0, time.Time{}
 	b.loadedModels = nil
@@ -50,14 +92,69 @@
 	if b.keeperUpdate.Started != start {
 		b.keeperUpdateAt = time.Time{}
 	}
+	return true
+}
+
+// isOutdatedStart reports whether a start has ended: it is a former one, or earlier than what the server
+// itself reported a moment ago. A server whose clock was set back may start earlier, but not at once. An
+// entry that changes to a later start is right even if that was taken for a former one.
+func (b *backend) isOutdatedStart(now time.Time, start int64, source startSource) bool {
+	isFormer := slices.Contains(b.formerStarts, start)
+	if start > b.start {
+		return isFormer && source != startFromEntry
+	}
+	return isFormer || now.Sub(b.startReportedAt) < maxStartNewsAge
+}
+
+// recordStart records the start that a backend server reported itself, and reports whether it is new.
+func (t *backendTable) recordStart(now time.Time, id string, start int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.entries[id]
+	return b != nil && t.recordInstance(now, b, start, startFromServer)
+}
+
+// mergeStarts records the starts that another VM learned from the backend servers themselves, and
+// reports whether any is new.
+func (t *backendTable) mergeStarts(now time.Time, list []entryvm.BackendStart) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for _, news := range list {
+		b := t.entries[news.Backend]
+		if b != nil && b.start != 0 && (news.Started > b.start || news.Before == b.start) {
+			changed = t.recordInstance(now, b, news.Started, startFromServer) || changed
+		}
+	}
+	return changed
+}
+
+// publishStarts adds to a report the starts that backend servers reported a moment ago.
+func (t *backendTable) publishStarts(now time.Time, report *entryvm.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.startReportedAt) > urgentSignalPeriod {
+		return
+	}
+	for id, b := range t.entries {
+		if now.Sub(b.startReportedAt) <= urgentSignalPeriod && len(report.BackendStarts) < maxReportedStarts {
+			news := entryvm.BackendStart{Backend: id, Started: b.start, Before: b.formerStarts[len(b.formerStarts)-1]}
+			report.BackendStarts = append(report.BackendStarts, news)
+		}
+	}
+}
+
+// target returns the target of requests to the newest known instance.
+func (b *backend) target() service.Target {
+	return service.Target{ID: b.ID, Address: b.Address, Version: b.Version, Started: b.start}
 }
 
-// drainEndedInstances returns the backend servers of which an instance has ended since the
-// last call, because they restarted or were dropped.
-func (t *backendTable) drainEndedInstances() []string {
+// drainEndedInstances returns the instances of backend servers that have ended since the
+// last call, because the servers restarted or were dropped.
+func (t *backendTable) drainEndedInstances() []endedInstance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ended := slices.Collect(maps.Keys(t.endedInstances))
-	clear(t.endedInstances)
+	ended := t.endedInstances
+	t.endedInstances = nil
 	return ended
 }
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -39,8 +39,10 @@
 	// the most recent missing unit expires. Both avoid scanning all entries for each report.
 	hasUnreachable    bool
 	missingUnitsUntil time.Time
-	// endedInstances holds the IDs that drainEndedInstances returns next.
-	endedInstances map[string]bool
+	// endedInstances holds the instances that drainEndedInstances returns next.
+	endedInstances []endedInstance
+	// startReportedAt is when a backend server last reported a start that was new.
+	startReportedAt time.Time
 	// formerInstances holds the last instances of recently dropped backend servers. A server
 	// that is listed again may be a new instance, and orders to the earlier one may still be
 	// in transit.
@@ -94,10 +96,12 @@
 	// loadedModels are the models that accept requests.
 	loadedModels map[string]loadedModel
 	// start identifies the newest known instance by the time it started, 0 if the server
-	// reports none. restartedAt is when start was last seen to change, zero if it never
-	// changed.
-	start       int64
-	restartedAt time.Time
+	// reports none; formerStarts are the instances before it, the oldest first. restartedAt is
+	// when start was last seen to change, zero if it never changed. startReportedAt is the same, for
+	// changes that the server itself reported.
+	start                        int64
+	formerStarts                 []int64
+	restartedAt, startReportedAt time.Time
 }
 
 // loadedModel is a model that accepts requests on an engine, with its adapters.
@@ -107,7 +111,7 @@
 }
 
 func newBackendTable(logger *zap.Logger) *backendTable {
-	return &backendTable{logger: logger, entries: make(map[string]*backend), endedInstances: make(map[string]bool), formerInstances: make(map[string]formerInstance),
+	return &backendTable{logger: logger, entries: make(map[string]*backend), formerInstances: make(map[string]formerInstance),
 		versionHistory: streamversion.NewHistory()}
 }
 
@@ -159,11 +163,11 @@
 	}
 	if known == nil {
 		former := t.formerInstances[b.ID]
-		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, restartedAt: former.restartedAt, Backend: b}
+		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
 		known.announcedLeaving = former.announcedLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
-		t.recordInstance(now, known, b.Started)
+		t.recordInstance(now, known, b.Started, startFromEntry)
 		t.logger.Info("backend server listed", zap.String("backend", b.ID), zap.String("service", b.Service),
 			zap.String("address", b.Address), zap.String("domain", b.Domain), zap.String("version", b.Version), zap.Bool("leaving", b.Leaving))
 	} else if known.Leaving != b.Leaving {
@@ -178,11 +182,11 @@
 		t.versionHistory.Remove(now, known.Service, known.Version)
 	}
 	t.versionHistory.Add(b.Service, b.Version)
-	known.Backend = b
-	known.removeAt = time.Time{}
 	if restarted {
-		t.recordInstance(now, known, b.Started)
+		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
+	known.Backend = b
+	known.removeAt = time.Time{}
 	known.merge(now)
 }
 
@@ -208,11 +212,12 @@
 // drop deletes an entry and records its instance. Call with mu held.
 func (t *backendTable) drop(now time.Time, id string) {
 	before := t.entries[id]
-	t.formerInstances[id] = formerInstance{start: before.start, announcedLeaving: before.announcedLeaving, restartedAt: before.restartedAt, droppedAt: now}
+	t.formerInstances[id] = formerInstance{start: before.start, formerStarts: before.formerStarts, announcedLeaving: before.announcedLeaving,
+		restartedAt: before.restartedAt, droppedAt: now}
 	t.versionHistory.Remove(now, before.Service, before.Version)
 	delete(t.entries, id)
 	t.byService = nil
-	t.endedInstances[id] = true
+	t.endedInstances = append(t.endedInstances, endedInstance{target: before.target(), service: before.Service, announced: before.isLeaving(), dropped: true})
 }
 
 // recordRegistryOutageEnd records the end of a registry outage.
@@ -273,8 +278,8 @@
 		}
 		return false, inUse
 	}
-	if update.Started != 0 && update.Started < known.Started {
-		return false, false // from an instance that has ended, according to the entry
+	if update.Started != 0 && (update.Started < known.Started || known.isOutdatedStart(now, update.Started, startFromKeeper)) {
+		return false, false // from an instance that has ended
 	}
 	if known.keeperUpdateFrom != keeper && !known.keeperUpdateAt.IsZero() && known.keeperUpdate.Started == update.Started && known.keeperUpdate.Orders > update.Orders {
 		return false, false // from a former keeper
@@ -282,7 +287,7 @@
 	known.keeperUpdate, known.keeperUpdateFrom, known.keeperUpdateAt = update, keeper, now
 	known.keeperUpdateChecksum = updateChecksum(update.ID, update.Version)
 	known.loadReadyAt = now.Add(update.LoadTimeLeft)
-	t.recordInstance(now, known, update.Started)
+	t.recordInstance(now, known, update.Started, startFromKeeper)
 	known.merge(now)
 	return true, true
 }
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -16,12 +16,13 @@
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/serving"
 	"bergamotreel/refusal"
+	"bergamotreel/registry"
+	"bergamotreel/service"
 )
 
 const (
-	// maxInterruptedRequests is the maximum number of interrupted requests waiting to be
-	// investigated.
-	maxInterruptedRequests = 1024
+	// maxInvestigations is how many investigations may wait to begin.
+	maxInvestigations = 1024
 	// crashProbeDelay is the delay before each probe of a backend server with a broken
 	// connection. Further connections that break meanwhile are included in the investigation.
 	crashProbeDelay = 100 * time.Millisecond
@@ -29,6 +30,10 @@
 	maxCrashProbes = 3
 	// maxReportedSuspects limits the suspects in one report; the next one carries the rest.
 	maxReportedSuspects = 256
+	// An engine that accepts connections after runs broke there is asked for its start maxStartQueries
+	// times, startQueryInterval apart: its status may be that old.
+	maxStartQueries    = 2
+	startQueryInterval = 500 * time.Millisecond
 	// minClearanceInterval is the minimum time between two reports that are sent at once because
 	// something was cleared.
 	minClearanceInterval = 200 * time.Millisecond
@@ -36,35 +41,30 @@
 	suspectSweepInterval = 10 * time.Second
 )
 
-// interruptedRequest is a request whose connection broke while a backend server ran it.
-type interruptedRequest struct {
-	backend  string
-	subjects []quarantine.Subject
-	at       time.Time
-	// delay is how long to wait before the backend server is investigated.
+// investigation is a backend server that may have crashed.
+type investigation struct {
+	// target is the instance that ran what shows it.
+	target service.Target
+	// service is the name of its service, needed only if it is no longer listed.
+	service string
+	// delay is how long to wait before it begins.
 	delay time.Duration
 }
 
-// interruption is what broke at a backend server, and when the first connection did.
-type interruption struct {
-	subjects []quarantine.Subject
-	at       time.Time
-}
-
 // crashDetector detects backend servers whose process ended while they ran requests, and
 // shares these requests and the parts of their prompts (suspects) with the other entry VMs. A
 // broken connection alone is no evidence of a crash: it may have been reset, or the network path
-// may have failed.
+// may have failed. So runs are remembered until their instance of a server is known to have ended.
 type crashDetector struct {
-	node        *Node
-	interrupted chan interruptedRequest
+	node    *Node
+	pending chan investigation
 	// hasSuspects is whether the table may contain suspects. It is read without mu.
 	hasSuspects atomic.Bool
 
 	mu sync.Mutex
-	// interruptions holds what broke at each backend server under investigation.
-	interruptions map[string]interruption
-	abandoned     *quarantine.AbandonedRuns
+	// investigating holds the instances under investigation.
+	investigating map[string]bool
+	runs          *quarantine.Runs
 	// abandonedProbedAt is when a backend server was last probed because of an abandoned run.
 	abandonedProbedAt time.Time
 	suspects          *quarantine.Table
@@ -77,36 +77,45 @@
 }
 
 var (
-	crashesDetected            = metrics.NewCounter("bergamotreel_backend_crashes_total")
-	announcedEnds              = metrics.NewCounter("bergamotreel_backend_announced_ends_total")
-	brokenRunsUnexplained      = metrics.NewCounter("bergamotreel_broken_runs_unexplained_total")
-	interruptedRequestsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
-	requestsQuarantined        = metrics.NewCounter("bergamotreel_requests_quarantined_total")
-	partsQuarantined           = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
-	quarantineTrials           = metrics.NewCounter("bergamotreel_quarantine_trials_total")
+	crashesDetected       = metrics.NewCounter("bergamotreel_backend_crashes_total")
+	announcedEnds         = metrics.NewCounter("bergamotreel_backend_announced_ends_total")
+	brokenRunsUnexplained = metrics.NewCounter("bergamotreel_broken_runs_unexplained_total")
+	investigationsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
+	requestsQuarantined   = metrics.NewCounter("bergamotreel_requests_quarantined_total")
+	partsQuarantined      = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
+	quarantineTrials      = metrics.NewCounter("bergamotreel_quarantine_trials_total")
 )
 
 var _ serving.Quarantine = (*crashDetector)(nil)
 
 func newCrashDetector(n *Node) *crashDetector {
-	return &crashDetector{node: n, interrupted: make(chan interruptedRequest, maxInterruptedRequests), interruptions: make(map[string]interruption),
-		abandoned: quarantine.NewAbandonedRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
+	return &crashDetector{node: n, pending: make(chan investigation, maxInvestigations), investigating: make(map[string]bool),
+		runs: quarantine.NewRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
 func (c *crashDetector) HasSuspects() bool { return c.hasSuspects.Load() }
 
 // RecordConnectionLost implements serving.Quarantine.
-func (c *crashDetector) RecordConnectionLost(backend string, request []quarantine.Subject) {
-	c.enqueue(interruptedRequest{backend: backend, subjects: request, at: time.Now()})
+func (c *crashDetector) RecordConnectionLost(target service.Target, request []quarantine.Subject) {
+	c.addRun(time.Now(), target, quarantine.RunBroken, request)
+	c.enqueue(investigation{target: target})
 }
 
-// enqueue has run investigate an interrupted request.
-func (c *crashDetector) enqueue(run interruptedRequest) {
+// addRun remembers a run. If its instance is known to have crashed, it is evidence at once.
+func (c *crashDetector) addRun(now time.Time, target service.Target, end quarantine.RunEnd, request []quarantine.Subject) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	instance := instanceName(target.ID, target.Started)
+	c.addEvidence(now, instance, c.runs.Add(now, instance, end, request))
+}
+
+// enqueue has run investigate an instance.
+func (c *crashDetector) enqueue(i investigation) {
 	select {
-	case c.interrupted <- run:
+	case c.pending <- i:
 	default:
-		interruptedRequestsDropped.Inc()
+		investigationsDropped.Inc()
 	}
 }
 
@@ -171,7 +180,7 @@
 	return true
 }
 
-// run investigates interrupted requests until ctx ends.
+// run investigates backend servers that may have crashed until ctx ends.
 func (c *crashDetector) run(ctx context.Context) {
 	var investigations sync.WaitGroup
 	defer investigations.Wait()
@@ -179,12 +188,12 @@
 	defer sweep.Stop()
 	for {
 		select {
-		case run := <-c.interrupted:
+		case i := <-c.pending:
 			switch {
-			case run.delay > 0:
-				investigations.Go(func() { c.enqueueDelayed(ctx, run) })
-			case c.addInterrupted(run):
-				investigations.Go(func() { c.investigate(ctx, run.backend) })
+			case i.delay > 0:
+				investigations.Go(func() { c.enqueueDelayed(ctx, i) })
+			case c.beginInvestigation(i.target):
+				investigations.Go(func() { c.investigate(ctx, i) })
 			}
 		case <-sweep.C:
 			c.expire()
@@ -194,74 +203,121 @@
 	}
 }
 
-// expire drops expired suspects.
+// expire drops what happened too long ago.
 func (c *crashDetector) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects.Expire(time.Now())
-	c.abandoned.Expire(time.Now())
+	c.runs.Expire(time.Now())
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
 
-// addInterrupted records an interrupted request and reports whether it begins a new
-// investigation of the backend server.
-func (c *crashDetector) addInterrupted(run interruptedRequest) (first bool) {
+// beginInvestigation reports whether an instance has to be investigated that isn't yet: one that may have
+// ended, or that has and whose next one is unknown.
+func (c *crashDetector) beginInvestigation(target service.Target) bool {
+	b, listed := c.node.backends.get(target.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	broken, known := c.interruptions[run.backend]
-	if !known {
-		broken.at = run.at
+	instance := instanceName(target.ID, target.Started)
+	if c.investigating[instance] || (c.runs.HasEnded(instance) && (!listed || b.start != target.Started)) {
+		return false
 	}
-	broken.subjects = append(broken.subjects, run.subjects...)
-	c.interruptions[run.backend] = broken
-	return !known
+	c.investigating[instance] = true
+	return true
 }
 
-// removeInterruption removes and returns what broke at a backend server.
-func (c *crashDetector) removeInterruption(backend string) interruption {
+// investigate determines whether an instance of a backend server has ended, and records that it
+// crashed if it has.
+func (c *crashDetector) investigate(ctx context.Context, i investigation) {
+	instance := instanceName(i.target.ID, i.target.Started)
+	b, listed := c.node.backends.get(i.target.ID)
+	if !listed {
+		b.Backend = registry.Backend{ID: i.target.ID, Address: i.target.Address, Service: i.service}
+	}
+	state := processUnknown
+	if listed || i.service != "" {
+		state = c.probe(ctx, i.target, &b)
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	broken := c.interruptions[backend]
-	delete(c.interruptions, backend)
-	return broken
+	delete(c.investigating, instance)
+	ended := c.runs.HasEnded(instance)
+	c.mu.Unlock()
+	switch latest, _ := c.node.backends.get(i.target.ID); {
+	case ended, ctx.Err() != nil:
+	case state != processEnded:
+		c.logUnexplained(i.target, state)
+	case latest.isLeaving(), b.isLeaving():
+		c.recordAnnouncedEnd(instance)
+	default:
+		c.recordCrash(instance)
+	}
 }
 
-// investigate determines whether a backend server's process has ended, and records what broke there
-// if it has.
-func (c *crashDetector) investigate(ctx context.Context, id string) {
-	b, listed := c.node.backends.get(id)
+// probe determines whether the process of an instance has ended, or another one has taken its place.
+func (c *crashDetector) probe(ctx context.Context, target service.Target, b *backend) processState {
 	state := processUnknown
 	for probe := 1; probe <= maxCrashProbes && state == processUnknown; probe++ {
 		if !pause.For(ctx, crashProbeDelay) {
-			return
+			return processUnknown
 		}
-		if !listed {
-			break // its address is unknown
-		}
-		state = c.node.paths.probeProcess(ctx, &b, probe == maxCrashProbes)
+		state = c.node.paths.probeProcess(ctx, b, probe == maxCrashProbes)
 	}
-	broken := c.removeInterruption(id)
-	if state != processEnded {
-		c.logUnexplained(id, state, broken)
-		return
+	if state == processRuns && c.findNewStart(ctx, target, b) {
+		return processEnded
 	}
-	if latest, _ := c.node.backends.get(id); latest.isLeaving() || b.isLeaving() {
-		announcedEnds.Inc()
-		return // it ended as announced, whatever it ran
+	return state
+}
+
+// findNewStart asks an engine whose address accepts connections for its start, and reports whether that
+// is another one than the given. An engine may be started again so soon that no probe finds it down.
+func (c *crashDetector) findNewStart(ctx context.Context, target service.Target, b *backend) bool {
+	if !b.IsEngine || target.Started == 0 {
+		return false
 	}
-	c.recordCrash(id, b.Started, broken)
+	for query := range maxStartQueries {
+		if query > 0 && (!c.hasBroken(target) || !pause.For(ctx, startQueryInterval)) {
+			return false
+		}
+		if start := c.node.queryStart(ctx, target.Address); start != 0 && c.node.backends.recordStart(time.Now(), target.ID, start) {
+			c.node.handleBackendChanges()
+		}
+		c.mu.Lock()
+		ended := c.runs.HasEnded(instanceName(target.ID, target.Started))
+		c.mu.Unlock()
+		if ended {
+			return true
+		}
+	}
+	return false
+}
+
+// queryStart returns the start that an engine reports, 0 if it doesn't answer.
+func (n *Node) queryStart(ctx context.Context, address string) int64 {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	status, err := n.config.Peers.Engines.Status(ctx, address)
+	if err != nil {
+		return 0
+	}
+	return status.Started
+}
+
+// hasBroken reports whether connections to an instance broke that no known end explains.
+func (c *crashDetector) hasBroken(target service.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs.HasBroken(instanceName(target.ID, target.Started))
 }
 
-// logUnexplained logs and counts runs that broke at a backend server whose process is not known to have
-// ended.
-func (c *crashDetector) logUnexplained(id string, state processState, broken interruption) {
-	if len(broken.subjects) == 0 {
+// logUnexplained logs and counts that runs broke at an instance which is not known to have ended.
+func (c *crashDetector) logUnexplained(target service.Target, state processState) {
+	if !c.hasBroken(target) {
 		return
 	}
 	brokenRunsUnexplained.Inc()
-	b, listed := c.node.backends.get(id)
-	c.node.config.Logger.Info("connections to a backend server broke, no end of it is known", zap.String("backend", id), zap.Stringer("process", state),
-		zap.Bool("listed", listed), zap.Int64("listed_start", b.Started), zap.Int64("newest_start", b.start), zap.Stringers("fingerprints", broken.subjects))
+	b, listed := c.node.backends.get(target.ID)
+	c.node.config.Logger.Info("connections to a backend server broke, no end of it is known", zap.String("backend", target.ID), zap.Stringer("process", state),
+		zap.Bool("listed", listed), zap.Int64("started", target.Started), zap.Int64("listed_start", b.Started), zap.Int64("newest_start", b.start))
 }
 
 // instanceName identifies one start of a backend server among crashes.
@@ -269,21 +325,55 @@
 	return id + "@" + strconv.FormatInt(started, 10)
 }
 
-// recordCrash records that an instance of a backend server ended, what broke there, and what it may
-// have gone on running after this VM had abandoned it.
-func (c *crashDetector) recordCrash(id string, started int64, broken interruption) {
+// handleEnd handles the news that an instance of a backend server has ended. One that is only gone from
+// the list is investigated if it may have run anything.
+func (c *crashDetector) handleEnd(ended endedInstance) {
+	instance := instanceName(ended.target.ID, ended.target.Started)
+	c.mu.Lock()
+	hasEvidence := c.runs.HasEvidence(time.Now(), instance)
+	c.mu.Unlock()
+	switch {
+	case ended.announced:
+		c.recordAnnouncedEnd(instance)
+	case !ended.dropped:
+		c.recordCrash(instance)
+	case hasEvidence:
+		c.enqueue(investigation{target: ended.target, service: ended.service})
+	}
+}
+
+// recordAnnouncedEnd records that an instance ended as it had announced, whatever it ran.
+func (c *crashDetector) recordAnnouncedEnd(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs.RecordAnnouncedEnd(time.Now(), instance) {
+		announcedEnds.Inc()
+	}
+}
+
+// recordCrash records that an instance of a backend server ended, and what it may have run.
+func (c *crashDetector) recordCrash(instance string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	broken.subjects = append(broken.subjects, c.takeAbandoned(instanceName(id, started), broken.at)...)
-	if len(broken.subjects) == 0 {
+	found := c.runs.RecordCrash(now, instance, time.Time{})
+	if len(found.Subjects) == 0 {
 		return
 	}
 	crashesDetected.Inc()
-	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("backend", id),
-		zap.Stringers("fingerprints", broken.subjects))
+	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("instance", instance),
+		zap.Stringers("fingerprints", found.Subjects))
+	c.addEvidence(now, instance, found)
+}
+
+// addEvidence makes what an instance may have run when it crashed suspects. Call with mu held.
+func (c *crashDetector) addEvidence(now time.Time, instance string, found quarantine.Evidence) {
+	if len(found.Subjects) == 0 {
+		return
+	}
+	abandonedRunsSuspected.Add(found.Abandoned)
 	c.suspects.SetBackends(now, c.node.backends.count())
-	c.logQuarantined(c.suspects.RecordCrash(now, broken.at, instanceName(id, started), broken.subjects))
+	c.logQuarantined(c.suspects.RecordCrash(now, found.CrashedAt, instance, found.Subjects))
 	c.hasSuspects.Store(true)
 }
 
@@ -342,7 +432,7 @@
 		c.suspects.SetBackends(now, c.node.backends.count())
 	}
 	c.logQuarantined(c.suspects.Merge(now, entries))
-	c.addAbandonedRuns(now, entries)
+	c.addOwnRuns(now, entries)
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 	c.markEnded(now, entries)
 }
@@ -359,7 +449,7 @@
 		for _, crash := range entry.Crashes {
 			id, _, _ := strings.Cut(crash.Backend, "@")
 			b, listed := c.node.backends.get(id)
-			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && crash.Backend == instanceName(id, b.Started) {
+			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && crash.Backend == instanceName(id, b.start) {
 				c.node.backends.markUnreachable(now, id, true)
 			}
 		}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return service.Target{}, false
 	}
-	target := service.Target{ID: b.ID, Address: b.Address, Version: b.Version, Started: b.start}
+	target := b.target()
 	if b.isIndirect() {
 		target.Gateway = n.paths.pickGateway(time.Now(), b.ID)
 	}
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -65,6 +65,9 @@
 	crashingParts map[string]*crashingPart
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
+	// supervised has engines restarted under their IDs after supervisorDelay when they end.
+	supervised      bool
+	supervisorDelay time.Duration
 	// vmStarts counts the starts of each VM, killedInstances are the instances that were
 	// killed.
 	vmStarts        map[string]int
@@ -197,6 +200,10 @@
 	e.hasEnded = true
 	close(e.ended)
 	b.endedAt = append(b.endedAt, time.Now())
+	if b.supervised {
+		b.restartEngine(e)
+		return
+	}
 	go func() {
 		time.Sleep(crashRestartDelay)
 		b.registry.drop(e.id)
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -97,9 +97,11 @@
 }
 
 // forgetEndedInstances drops the state of backend server instances that have ended: requests in
-// flight, cached prefixes, the circuit breaker, and for an engine its orders.
+// flight, cached prefixes, the circuit breaker, and for an engine its orders. What it ran may be at fault.
 func (n *Node) forgetEndedInstances() {
-	for _, id := range n.backends.drainEndedInstances() {
+	for _, ended := range n.backends.drainEndedInstances() {
+		id := ended.target.ID
+		n.crashes.handleEnd(ended)
 		n.serving.Forget(id)
 		n.planner.dropEngine(id)
 		n.keeper.handleRestart(id)
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -332,7 +332,7 @@
 	b, _ := k.node.backends.get(e.id)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.applyStatusInstance(status.Started, b.Started) || status.AcceptedOrders < e.orderCount || status.OrderInFlight {
+	if !e.applyStatusInstance(status.Started, &b) || status.AcceptedOrders < e.orderCount || status.OrderInFlight {
 		return false
 	}
 	e.orderCount = status.AcceptedOrders
--- a/internal/hosted/keeperrestarts.go
+++ b/internal/hosted/keeperrestarts.go
@@ -92,12 +92,14 @@
 
 // applyStatusInstance compares the instance that a status belongs to with the known one and
 // adopts a newer one. It reports whether the status is valid: one of an ended instance
-// isn't. listed is the instance in the engine's entry. Call with e.mu held.
-func (e *keptEngine) applyStatusInstance(reported, listed int64) bool {
+// isn't. b is what is known of the engine otherwise. Call with e.mu held.
+func (e *keptEngine) applyStatusInstance(reported int64, b *backend) bool {
 	switch {
 	case reported == 0 || reported == e.started:
 		return true
-	case reported < e.started && reported != listed:
+	case b.isOutdatedStart(time.Now(), reported, startFromKeeper):
+		return false
+	case reported < e.started && reported != b.Started:
 		// After its clock was set back, a restarted engine reports an earlier time, too.
 		// Such an instance is accepted once the engine's entry lists it.
 		return false
@@ -188,5 +190,5 @@
 	b, _ := k.node.backends.get(e.id)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.applyStatusInstance(status.Started, b.Started)
+	return e.applyStatusInstance(status.Started, &b)
 }
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -14,12 +14,15 @@
 	if report.VM == m.node.config.VM || report.Address == "" {
 		return
 	}
+	if m.node.backends.mergeStarts(now, report.BackendStarts) {
+		m.node.handleBackendChanges()
+	}
 	m.node.crashes.merge(now, &report)
 	m.node.limits.merge(now, report.VM, report.Limits)
 	m.node.rooms.mergeReport(now, report.VM, report.Fragile)
 	m.node.mergeLeaving(now, report.VM, report.LeavingBackends)
 	m.node.fleetSize.merge(&report)
-	report.Suspects, report.Limits, report.LeavingBackends, report.Fragile = nil, nil, nil, nil
+	report.Suspects, report.Limits, report.LeavingBackends, report.Fragile, report.BackendStarts = nil, nil, nil, nil, nil
 	var addresses []string
 	for _, other := range report.Members {
 		addresses = append(addresses, other.Address)
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -77,6 +77,7 @@
 	n.limits.publish(now, &r)
 	n.rooms.publish(now, &r)
 	n.backends.publishLeaving(now, &r)
+	n.backends.publishStarts(now, &r)
 	if to.Domain == n.config.Domain {
 		n.fleetSize.publish(&r)
 	}
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -23,12 +23,12 @@
 	// BeginTrial reports whether a refused request may be sent all the same, once, to find out
 	// whether it is still at fault.
 	BeginTrial(request []quarantine.Subject) bool
-	// RecordConnectionLost records that the connection to a backend server ended while it
+	// RecordConnectionLost records that the connection to an instance of a backend server ended while it
 	// ran a request.
-	RecordConnectionLost(backend string, request []quarantine.Subject)
-	// RecordAbandonedRun records that this VM stopped waiting for a backend server that may go on
-	// running a request, given what of the request may still crash the server.
-	RecordAbandonedRun(backend string, request []quarantine.Subject)
+	RecordConnectionLost(target service.Target, request []quarantine.Subject)
+	// RecordAbandonedRun records that this VM stopped waiting for an instance of a backend server that
+	// may go on running a request, given what of the request may still crash the server.
+	RecordAbandonedRun(target service.Target, request []quarantine.Subject)
 	// RecordSuccess records that a backend server answered a request completely and
 	// successfully.
 	RecordSuccess(request []quarantine.Subject)
@@ -91,9 +91,9 @@
 		}
 	case !f.outcome.mayHaveRun, errors.Is(err, errServerFailed):
 	case ctx.Err() != nil, isTerminalError(err):
-		q.RecordAbandonedRun(f.pending.backend, f.abandonedSubjects(time.Now()))
+		q.RecordAbandonedRun(f.target, f.abandonedSubjects(time.Now()))
 	default:
-		q.RecordConnectionLost(f.pending.backend, f.quarantineSubjects())
+		q.RecordConnectionLost(f.target, f.quarantineSubjects())
 	}
 }
 
