quarantine: an answer clears a request once its server has outlived it

Callers saw a request that ends engines 60 ms after its complete answer sent on without end: 64 engines of 64 sendings (real processes, engines replaced 1.5 s later), 63 with engines that restart at once.

Cause: a successful answer cleared a whole request for good at the moment it ended, so an engine that ended because of it a little later was nobody's fault.

An answered run is now remembered like one that broke: it is a suspect if its server is found to have ended within a second of it (whole requests only; parts of prompts end servers as these begin to write, and are cleared at once as before). An answer to a suspect clears it only after the server has run on for a second: its address accepts connections and it names the same start. 0.2 s after such an answer the server is looked at once. Answers to requests that are no suspects cost a hash and no call. A failure that a server answered with is such a run too, and never cleared anything.

TestPopularRequestIsNotQuarantined and TestRequestOfCallersThatLeaveIsNotQuarantined, requests that many send beside engines that end for other reasons, pass as they were.

--- a/admission/quarantine/runs.go
+++ b/admission/quarantine/runs.go
@@ -9,6 +9,8 @@
 	// maxRunTime is how long a backend server may go on running a request whose connection broke or
 	// that was abandoned: most stop when the connection closes, others only when they write.
 	maxRunTime = 2 * time.Second
+	// maxCrashDelay is how long after its complete answer a run may crash the server.
+	maxCrashDelay = time.Second
 	// runTTL is how long a run is remembered, and that an instance has ended. The news of an end may
 	// come with the next renewal of the server's entry, or from another VM through two relays.
 	runTTL = 10 * time.Second
@@ -25,6 +27,8 @@
 	// RunAbandoned is a run that the VM stopped waiting for: the caller left, the deadline passed, or
 	// the request goes on elsewhere.
 	RunAbandoned
+	// RunAnswered is a run whose answer was complete, or may have been.
+	RunAnswered
 )
 
 // Runs holds the newest runs of an entry VM under which a backend server may have crashed, by the
@@ -97,7 +101,7 @@
 // since its last run.
 func (r *Runs) HasEvidence(now time.Time, instance string) bool {
 	return slices.ContainsFunc(r.remembered, func(run run) bool {
-		return run.instance == instance && (run.end == RunBroken || now.Sub(run.at) <= maxRunTime)
+		return run.instance == instance && (run.end != RunAbandoned || now.Sub(run.at) <= maxRunTime)
 	})
 }
 
@@ -136,15 +140,26 @@
 	return true
 }
 
-// lastSignOf returns the time of the last broken run of an instance, or of its last run if none broke.
+// lastSignOf returns the time of the last broken run of an instance, unless it answered much later. If
+// none broke, it is that of the last run.
 func (r *Runs) lastSignOf(now time.Time, instance string) time.Time {
-	last, broken := now, false
+	var last [RunAnswered + 1]time.Time
 	for _, run := range r.remembered {
-		if run.instance == instance && (run.end == RunBroken || !broken) {
-			last, broken = run.at, run.end == RunBroken
+		if run.instance == instance {
+			last[run.end] = run.at
 		}
 	}
-	return last
+	broken, answered, abandoned := last[RunBroken], last[RunAnswered], last[RunAbandoned]
+	switch {
+	case !broken.IsZero() && answered.Sub(broken) <= maxRunTime:
+		return broken
+	case !answered.IsZero():
+		return answered
+	case !abandoned.IsZero():
+		return abandoned
+	default:
+		return now
+	}
 }
 
 func (r *Runs) forget(instance string) {
@@ -163,7 +178,8 @@
 
 // add adds a run unless it had ended before the crash.
 func (e *Evidence) add(run *run) {
-	if e.CrashedAt.Sub(run.at) > maxRunTime {
+	delay := e.CrashedAt.Sub(run.at)
+	if delay > maxRunTime || (run.end == RunAnswered && (delay < 0 || delay > maxCrashDelay)) {
 		return
 	}
 	e.Subjects = append(e.Subjects, run.subjects...)
--- a/admission/quarantine/runs_test.go
+++ b/admission/quarantine/runs_test.go
@@ -30,6 +30,10 @@
 		"it broke, the news comes late":  {RunBroken, 5 * time.Second, crashOf("e1@1", false), 1},
 		"abandoned, the news comes late": {RunAbandoned, 5 * time.Second, crashOf("e1@1", false), 1},
 		"it broke long before":           {RunBroken, 3 * time.Second, crashOf("e1@1", true), 0},
+		"just after its answer":          {RunAnswered, 60 * time.Millisecond, crashOf("e1@1", true), 1},
+		"answered, the news comes late":  {RunAnswered, 5 * time.Second, crashOf("e1@1", false), 1},
+		"long after its answer":          {RunAnswered, 1100 * time.Millisecond, crashOf("e1@1", true), 0},
+		"before its answer":              {RunAnswered, -10 * time.Millisecond, crashOf("e1@1", true), 0},
 		"announced": {RunBroken, 0, func(r *Runs, at time.Time) Evidence {
 			r.RecordAnnouncedEnd(at, "e1@1")
 			return r.RecordCrash(at, "e1@1", at)
@@ -66,6 +70,25 @@
 	testkit.Equal(t, "remembered", r.Len(), 0)
 }
 
+// Guards against a crash of unknown time that is taken for that of a connection which broke long before.
+func TestAnswersBoundTimeOfCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		answeredAfter time.Duration
+		found         int
+	}{"reset, goes on": {5 * time.Second, 1}, "crash": {-100 * time.Millisecond, 2}} {
+		r := NewRuns()
+		at := runStart.Add(c.answeredAfter)
+		if c.answeredAfter < 0 {
+			r.Add(at, "e1@1", RunAnswered, runSubject)
+		}
+		r.Add(runStart, "e1@1", RunBroken, runSubject)
+		if c.answeredAfter > 0 {
+			r.Add(at, "e1@1", RunAnswered, runSubject)
+		}
+		testkit.Equal(t, name, len(r.RecordCrash(at.Add(time.Second), "e1@1", time.Time{}).Subjects), c.found)
+	}
+}
+
 // Guards against memory that grows with each caller that leaves, and against a full table that takes no
 // run any more.
 func TestRunsAreBounded(t *testing.T) {
--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -139,6 +139,12 @@
 	return t.RecordSuccess(now, slices.DeleteFunc(slices.Clone(subjects), func(s Subject) bool { return !s.PromptPart }))
 }
 
+// IsSuspect reports whether crashes count against a subject.
+func (t *Table) IsSuspect(subject Subject) bool {
+	s := t.suspects[subject]
+	return s != nil && !s.cleared && s.counting > 0
+}
+
 // Refusal says which subject of a request is refused, and when its next trial is due or its
 // refusal ends.
 type Refusal struct {
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -49,6 +49,8 @@
 	service string
 	// delay is how long to wait before it begins.
 	delay time.Duration
+	// answer has the instance's answers to suspects confirmed instead.
+	answer bool
 }
 
 // crashDetector detects backend servers whose process ended while they ran requests, and
@@ -65,6 +67,8 @@
 	// investigating holds the instances under investigation.
 	investigating map[string]bool
 	runs          *quarantine.Runs
+	// unconfirmed holds the answers to suspects by the instance that may yet crash under them.
+	unconfirmed map[string][]unconfirmedAnswer
 	// abandonedProbedAt is when a backend server was last probed because of an abandoned run.
 	abandonedProbedAt time.Time
 	suspects          *quarantine.Table
@@ -90,7 +94,7 @@
 
 func newCrashDetector(n *Node) *crashDetector {
 	return &crashDetector{node: n, pending: make(chan investigation, maxInvestigations), investigating: make(map[string]bool),
-		runs: quarantine.NewRuns(), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
+		runs: quarantine.NewRuns(), unconfirmed: make(map[string][]unconfirmedAnswer), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
@@ -119,11 +123,6 @@
 	}
 }
 
-// RecordSuccess implements serving.Quarantine.
-func (c *crashDetector) RecordSuccess(request []quarantine.Subject) {
-	c.recordEvidence(request, (*quarantine.Table).RecordSuccess)
-}
-
 // RecordProgress implements serving.Quarantine.
 func (c *crashDetector) RecordProgress(request []quarantine.Subject) {
 	c.recordEvidence(request, (*quarantine.Table).RecordProgress)
@@ -192,6 +191,8 @@
 			switch {
 			case i.delay > 0:
 				investigations.Go(func() { c.enqueueDelayed(ctx, i) })
+			case i.answer:
+				investigations.Go(func() { c.confirmAnswers(ctx, i) })
 			case c.beginInvestigation(i.target):
 				investigations.Go(func() { c.investigate(ctx, i) })
 			}
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -24,6 +24,9 @@
 	crashingURI       = "/crash"
 	crashAfter        = 80 * time.Millisecond
 	crashRestartDelay = 3 * time.Second
+	// lateCrashingURI is the URI of a request that ends the engine lateCrashAfter after its answer.
+	lateCrashingURI = "/crash-later"
+	lateCrashAfter  = 60 * time.Millisecond
 	// runTime is the duration of every other request.
 	runTime = 300 * time.Millisecond
 )
@@ -211,6 +214,18 @@
 	}()
 }
 
+// crashDelayOf returns how long after its start a request ends the engine that runs it, 0 for never.
+func crashDelayOf(uri string) time.Duration {
+	switch uri {
+	case crashingURI:
+		return crashAfter
+	case lateCrashingURI:
+		return runTime + lateCrashAfter
+	default:
+		return 0
+	}
+}
+
 // liveEngine returns the engine at an address, or an error if its process has ended.
 func (b *engineCluster) liveEngine(address string) (*servingEngine, error) {
 	b.statsMu.Lock()
@@ -245,14 +260,11 @@
 	}
 	b.waitForPause(e)
 	b.runCrashingPart(e, b.vm, &f)
-	if f.URI == crashingURI {
+	if delay := crashDelayOf(f.URI); delay > 0 {
 		b.statsMu.Lock()
 		b.crashSentAt = append(b.crashSentAt, time.Now())
 		b.statsMu.Unlock()
-		go func() {
-			time.Sleep(crashAfter)
-			b.endEngine(e)
-		}()
+		time.AfterFunc(delay, func() { b.endEngine(e) })
 	}
 	hasRoom := b.enterRoom(e)
 	b.statsMu.Lock()
--- a/internal/hosted/quickrestarts_test.go
+++ b/internal/hosted/quickrestarts_test.go
@@ -99,10 +99,7 @@
 		if leaveAfter > 0 {
 			b.sendUntilLeft(crashingURI, leaveAfter)
 		} else {
-			b.statsMu.Lock()
-			vm := b.vms[b.random.Intn(len(b.vms))]
-			b.statsMu.Unlock()
-			b.sendCrashingAfter(0, vm)
+			b.sendCrashingAfter(0, b.randomVM())
 		}
 		time.Sleep(interval)
 	}
--- /dev/null
+++ b/internal/hosted/suspectanswers.go
@@ -0,0 +1,86 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"bergamotreel/admission/quarantine"
+	"bergamotreel/service"
+)
+
+const (
+	// answerConfirmDelay is how long a backend server must run on after its answer before the answer shows
+	// that the request doesn't crash it.
+	answerConfirmDelay = time.Second
+	// answerProbeDelay is the time from an answer to a suspect to a first look at the server.
+	answerProbeDelay = 200 * time.Millisecond
+)
+
+// unconfirmedAnswer is an answer to a suspect.
+type unconfirmedAnswer struct {
+	subject quarantine.Subject
+	at      time.Time
+}
+
+// RecordAnswer implements serving.Quarantine. A part of prompts crashes servers as they begin to write,
+// so it is cleared at once, a whole request once the server has run on for answerConfirmDelay.
+func (c *crashDetector) RecordAnswer(target service.Target, request []quarantine.Subject, success bool) {
+	now := time.Now()
+	c.addRun(now, target, quarantine.RunAnswered, request[:1])
+	if !success || !c.HasSuspects() {
+		return
+	}
+	c.RecordProgress(request)
+	instance := instanceName(target.ID, target.Started)
+	c.mu.Lock()
+	waits := c.suspects.IsSuspect(request[0]) && !c.runs.HasEnded(instance)
+	first := waits && len(c.unconfirmed[instance]) == 0
+	if waits {
+		c.unconfirmed[instance] = append(c.unconfirmed[instance], unconfirmedAnswer{request[0], now})
+	}
+	c.mu.Unlock()
+	if first {
+		c.enqueue(investigation{target: target, delay: answerProbeDelay})
+		c.enqueue(investigation{target: target, delay: answerConfirmDelay, answer: true})
+	}
+}
+
+// confirmAnswers clears the suspects that an instance answered answerConfirmDelay ago, unless it has
+// ended since.
+func (c *crashDetector) confirmAnswers(ctx context.Context, i investigation) {
+	now := time.Now()
+	runs := c.runsOn(ctx, i.target)
+	instance := instanceName(i.target.ID, i.target.Started)
+	var confirmed []quarantine.Subject
+	c.mu.Lock()
+	answers := c.unconfirmed[instance]
+	delete(c.unconfirmed, instance)
+	for runs && len(answers) > 0 && now.Sub(answers[0].at) >= answerConfirmDelay {
+		confirmed = append(confirmed, answers[0].subject)
+		answers = answers[1:]
+	}
+	if runs && len(answers) > 0 {
+		c.unconfirmed[instance] = answers
+	}
+	c.mu.Unlock()
+	c.recordEvidence(confirmed, (*quarantine.Table).RecordSuccess)
+	if runs && len(answers) > 0 {
+		c.enqueue(investigation{target: i.target, delay: answerConfirmDelay - now.Sub(answers[0].at), answer: true})
+	}
+}
+
+// runsOn reports whether an instance of a backend server is found to run.
+func (c *crashDetector) runsOn(ctx context.Context, target service.Target) bool {
+	b, listed := c.node.backends.get(target.ID)
+	if !listed || b.start != target.Started || c.node.paths.probeProcess(ctx, &b, false) != processRuns {
+		return false
+	}
+	if !b.IsEngine || target.Started == 0 {
+		return true
+	}
+	start := c.node.queryStart(ctx, target.Address)
+	if start != 0 && c.node.backends.recordStart(time.Now(), target.ID, start) {
+		c.node.handleBackendChanges()
+	}
+	return start == target.Started
+}
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -63,6 +63,7 @@
 	quarantineFrom int
 	// trials is how many refused requests are sent as trials.
 	trials            int
+	answers           int
 	successes         int
 	markedUnreachable []string
 	missingReports    int
@@ -196,10 +197,13 @@
 	b.brokenRuns = append(b.brokenRuns, request)
 }
 func (b *forwardTestbed) HasSuspects() bool { return b.suspects }
-func (b *forwardTestbed) RecordSuccess([]quarantine.Subject) {
+func (b *forwardTestbed) RecordAnswer(_ service.Target, _ []quarantine.Subject, success bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.successes++
+	b.answers++
+	if success {
+		b.successes++
+	}
 }
 func (b *forwardTestbed) RecordProgress([]quarantine.Subject) {
 	b.mu.Lock()
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -29,9 +29,9 @@
 	// RecordAbandonedRun records that this VM stopped waiting for an instance of a backend server that
 	// may go on running a request, given what of the request may still crash the server.
 	RecordAbandonedRun(target service.Target, request []quarantine.Subject)
-	// RecordSuccess records that a backend server answered a request completely and
-	// successfully.
-	RecordSuccess(request []quarantine.Subject)
+	// RecordAnswer records that an instance of a backend server answered a request, which it may survive
+	// or not, and whether completely and successfully.
+	RecordAnswer(target service.Target, request []quarantine.Subject, success bool)
 	// RecordProgress records that a backend server has written the answer to a request for
 	// soundAfter: a part of prompts that crashes servers does so as they begin to write.
 	RecordProgress(request []quarantine.Subject)
@@ -77,8 +77,7 @@
 	return refused
 }
 
-// reportToQuarantine reports to the quarantine how an attempt ended. It doesn't report a failure
-// that the backend server answered with, which shows that the request didn't crash the server. An
+// reportToQuarantine reports to the quarantine how an attempt ended. An
 // attempt that this side or the caller ended shows nothing yet: the server may crash later.
 func (f *forwarding) reportToQuarantine(ctx context.Context, head *service.ForwardResponse, err error) {
 	q := f.server.config.Quarantine
@@ -86,10 +85,10 @@
 	case q == nil:
 	case err == nil:
 		// An answer that ended with its connection may have been cut off.
-		if q.HasSuspects() && head.Status < http.StatusMultipleChoices && head.Length != service.LengthUntilClose {
-			q.RecordSuccess(f.quarantineSubjects())
-		}
-	case !f.outcome.mayHaveRun, errors.Is(err, errServerFailed):
+		q.RecordAnswer(f.target, f.quarantineSubjects(), head.Status < http.StatusMultipleChoices && head.Length != service.LengthUntilClose)
+	case !f.outcome.mayHaveRun:
+	case errors.Is(err, errServerFailed):
+		q.RecordAnswer(f.target, f.quarantineSubjects(), false)
 	case ctx.Err() != nil, isTerminalError(err):
 		q.RecordAbandonedRun(f.target, f.abandonedSubjects(time.Now()))
 	default:
--- a/internal/serving/quarantine_test.go
+++ b/internal/serving/quarantine_test.go
@@ -116,6 +116,7 @@
 			}
 			_ = b.forward(context.Background(), route(contract.RepeatNever), "m", &answerRecorder{})
 			testkit.Equal(t, fmt.Sprint("cleared by ", status), b.successes, cleared)
+			testkit.Equal(t, fmt.Sprint("answers with ", status), b.answers, 1)
 			b.stop()
 		})
 	}
