hosted: a crash under a request that is about to be refused is reported at once

A VM that finds a crash of a whole request which one more has refused, or that is refused, now reports at once, as it does when something is cleared. Crashes of parts of prompts go with the next report as before: answers that clear parts must come first.

--- a/admission/quarantine/table.go
+++ b/admission/quarantine/table.go
@@ -145,6 +145,13 @@
 	return s != nil && !s.cleared && s.counting > 0
 }
 
+// IsNearlyRefused reports whether one more crash would have a whole request refused, given its subject, or
+// it is refused.
+func (t *Table) IsNearlyRefused(subject Subject) bool {
+	s := t.suspects[subject]
+	return s != nil && !subject.PromptPart && !s.cleared && s.counting >= t.config.MinCrashes-1
+}
+
 // Refusal says which subject of a request is refused, and when its next trial is due or its
 // refusal ends.
 type Refusal struct {
--- a/internal/hosted/crashdetector.go
+++ b/internal/hosted/crashdetector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -108,10 +109,13 @@
 
 // addRun remembers a run. If its instance is known to have crashed, it is evidence at once.
 func (c *crashDetector) addRun(now time.Time, target service.Target, end quarantine.RunEnd, request []quarantine.Subject) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	instance := instanceName(target.ID, target.Started)
-	c.addEvidence(now, instance, c.runs.Add(now, instance, end, request))
+	c.mu.Lock()
+	notify := c.addEvidence(now, instance, c.runs.Add(now, instance, end, request))
+	c.mu.Unlock()
+	if notify {
+		c.node.members.notifyAll()
+	}
 }
 
 // enqueue has run investigate an instance.
@@ -356,26 +360,32 @@
 func (c *crashDetector) recordCrash(instance string) {
 	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	found := c.runs.RecordCrash(now, instance, time.Time{})
+	notify := c.addEvidence(now, instance, found)
+	c.mu.Unlock()
 	if len(found.Subjects) == 0 {
 		return
 	}
 	crashesDetected.Inc()
 	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("instance", instance),
 		zap.Stringers("fingerprints", found.Subjects))
-	c.addEvidence(now, instance, found)
+	if notify {
+		c.node.members.notifyAll()
+	}
 }
 
-// addEvidence makes what an instance may have run when it crashed suspects. Call with mu held.
-func (c *crashDetector) addEvidence(now time.Time, instance string, found quarantine.Evidence) {
+// addEvidence makes what an instance may have run when it crashed suspects. It reports whether the other
+// VMs have to know at once, as a request that ends servers would reach more of them meanwhile. Call with
+// mu held.
+func (c *crashDetector) addEvidence(now time.Time, instance string, found quarantine.Evidence) (notify bool) {
 	if len(found.Subjects) == 0 {
-		return
+		return false
 	}
 	abandonedRunsSuspected.Add(found.Abandoned)
 	c.suspects.SetBackends(now, c.node.backends.count())
 	c.logQuarantined(c.suspects.RecordCrash(now, found.CrashedAt, instance, found.Subjects))
 	c.hasSuspects.Store(true)
+	return slices.ContainsFunc(found.Subjects, c.suspects.IsNearlyRefused)
 }
 
 // logQuarantined logs and counts the requests and parts of prompts that are refused from now on.
