--- a/internal/hosted/dayfaults_test.go
+++ b/internal/hosted/dayfaults_test.go
@@ -44,6 +44,38 @@
 	{"all engines reject requests", (*day).allEnginesReject},
 }
 
+// restartFaultKinds are further kinds for days on which a supervisor restarts engines under their IDs.
+var restartFaultKinds = []fault{
+	{"engines restart", (*day).enginesRestart},
+	{"engines restart without models", (*day).enginesRestartEmpty},
+}
+
+// restartDelays are after which times a supervisor restarts an engine: before or after others find it down.
+var restartDelays = []time.Duration{0, 30 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+// enginesRestart ends up to three engines in turn, which restart under their IDs.
+func (d *day) enginesRestart(time.Duration) { d.restartEngines("m1") }
+
+// enginesRestartEmpty is enginesRestart, but the engines hold no models until their keepers load them.
+func (d *day) enginesRestartEmpty(time.Duration) { d.restartEngines() }
+
+func (d *day) restartEngines(models ...string) {
+	for range 1 + d.random.Intn(3) {
+		e, delay := d.randomEngine(), restartDelays[d.random.Intn(len(restartDelays))]
+		if e == nil {
+			return
+		}
+		d.statsMu.Lock()
+		if !e.hasEnded && !d.isLeaving(e) {
+			e.hasEnded = true
+			close(e.ended)
+			d.restartEngine(e, delay, models...)
+		}
+		d.statsMu.Unlock()
+		time.Sleep(time.Duration(d.random.Intn(800)) * time.Millisecond)
+	}
+}
+
 // disrupt records a disruption of a VM's network paths, or of those of all VMs if vm is
 // empty.
 func (d *day) disrupt(vm string, duration time.Duration, registry bool) {
@@ -127,10 +159,10 @@
 	d.registry.put(entry)
 	d.statsMu.Lock()
 	defer d.statsMu.Unlock()
-	d.history.LeaveNotices = append(d.history.LeaveNotices, judge.LeaveNotice{Backend: e.id, At: time.Now()})
+	d.history.LeaveNotices = append(d.history.LeaveNotices, judge.LeaveNotice{Backend: e.name(), At: time.Now()})
 }
 
-func (d *day) isRegistryUnavailable() bool {
+func (d *engineCluster) isRegistryUnavailable() bool {
 	d.registry.mu.Lock()
 	defer d.registry.mu.Unlock()
 	return d.registry.unavailable
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -68,6 +68,9 @@
 	crashingParts map[string]*crashingPart
 	// lostPaths are the VMs that have lost their paths to engines.
 	lostPaths map[string]*lostPath
+	// crashingRequests, if set, records what the requests with crashingRequestURI cause.
+	crashingRequests   *judge.CrashingPart
+	crashingRequestURI string
 	// supervised has engines restarted under their IDs after supervisorDelay when they end.
 	supervised      bool
 	supervisorDelay time.Duration
@@ -96,6 +99,8 @@
 // servingEngine is one instance of an engine.
 type servingEngine struct {
 	id, domain string
+	// start counts the earlier instances under the same ID.
+	start int
 	// version is that of its software. unframed has its answers end with their connection.
 	version  string
 	unframed bool
@@ -120,6 +125,14 @@
 	room *engineRoom
 }
 
+// name returns the ID, which differs between instances for the checks in package judge.
+func (e *servingEngine) name() string {
+	if e.start == 0 {
+		return e.id
+	}
+	return fmt.Sprint(e.id, "/", e.start)
+}
+
 func withEngineCluster(t *testing.T, vms, engines int, run func(*engineCluster)) {
 	withConfiguredEngineCluster(t, vms, engines, func(*testCluster) {}, run)
 }
@@ -203,8 +216,8 @@
 	e.hasEnded = true
 	close(e.ended)
 	b.endedAt = append(b.endedAt, time.Now())
-	if b.supervised {
-		b.restartEngine(e)
+	if b.supervised && !b.isLeaving(e) {
+		b.restartEngine(e, b.supervisorDelay, "m1")
 		return
 	}
 	go func() {
@@ -226,6 +239,28 @@
 	}
 }
 
+// crashByRequest ends an engine because of a request, after a delay.
+func (b vmEngineCluster) crashByRequest(e *servingEngine, f *service.ForwardRequest, delay time.Duration) {
+	b.statsMu.Lock()
+	defer b.statsMu.Unlock()
+	b.crashSentAt = append(b.crashSentAt, time.Now())
+	history := b.crashingRequests
+	if f.URI != b.crashingRequestURI {
+		history = nil
+	}
+	if history != nil {
+		history.Arrivals = append(history.Arrivals, judge.Arrival{Request: f.RequestID, Backend: e.id, VM: b.vm, At: time.Now()})
+	}
+	time.AfterFunc(delay, func() {
+		b.statsMu.Lock()
+		if history != nil && !e.hasEnded {
+			history.Crashes = append(history.Crashes, time.Now())
+		}
+		b.statsMu.Unlock()
+		b.endEngine(e)
+	})
+}
+
 // liveEngine returns the engine at an address, or an error if its process has ended.
 func (b *engineCluster) liveEngine(address string) (*servingEngine, error) {
 	b.statsMu.Lock()
@@ -261,10 +296,7 @@
 	b.waitForPause(e)
 	b.runCrashingPart(e, b.vm, &f)
 	if delay := crashDelayOf(f.URI); delay > 0 {
-		b.statsMu.Lock()
-		b.crashSentAt = append(b.crashSentAt, time.Now())
-		b.statsMu.Unlock()
-		time.AfterFunc(delay, func() { b.endEngine(e) })
+		b.crashByRequest(e, &f, delay)
 	}
 	hasRoom := b.enterRoom(e)
 	b.statsMu.Lock()
@@ -375,7 +407,7 @@
 	if !known || b.killedInstances[from] {
 		return
 	}
-	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.id, Service: testService, VM: from.vm, Incarnation: from.start,
+	b.history.Arrivals = append(b.history.Arrivals, judge.Arrival{Request: request, Backend: e.name(), Service: testService, VM: from.vm, Incarnation: from.start,
 		Sent: sent, At: time.Now(), Ran: ran, Leaving: e.leaving, RetryAfter: retryAfter})
 }
 
--- a/internal/hosted/quickrestarts_test.go
+++ b/internal/hosted/quickrestarts_test.go
@@ -36,28 +36,45 @@
 	b.listEngine(fake)
 }
 
-// restartEngine restarts an engine that has ended under its ID, with its models. Its entry shows that
-// later. Call with statsMu held.
-func (b *engineCluster) restartEngine(e *servingEngine) {
-	next := &servingEngine{id: e.id, domain: e.domain, version: e.version, unframed: e.unframed, ended: make(chan struct{}), room: e.room}
+// restartEngine restarts an engine that has ended under its ID, with the given models. Its entry shows
+// that later. Call with statsMu held.
+func (b *engineCluster) restartEngine(e *servingEngine, delay time.Duration, models ...string) {
+	next := &servingEngine{id: e.id, start: e.start + 1, domain: e.domain, version: e.version, unframed: e.unframed, ended: make(chan struct{})}
+	if e.room != nil && b.newEngineRoom != nil {
+		next.room = b.newEngineRoom()
+	}
 	fakes := b.testCluster.engines
 	fake := fakes.all["at-"+e.id]
 	start := func() {
-		fakes.restart(fake, time.Now().UnixMilli(), "m1")
+		fakes.restart(fake, time.Now().UnixMilli(), models...)
 		b.engines[fake.address] = next
-		time.AfterFunc(entryRenewalInterval, func() { b.listEngine(fake) })
+		time.AfterFunc(entryRenewalInterval, func() {
+			b.statsMu.Lock()
+			lists := b.engines[fake.address] == next && !next.hasEnded && !b.isLeaving(next)
+			b.statsMu.Unlock()
+			if lists && !b.isRegistryUnavailable() {
+				b.listEngine(fake)
+			}
+		})
 	}
-	if b.supervisorDelay == 0 {
+	if delay == 0 {
 		start()
 		return
 	}
-	time.AfterFunc(b.supervisorDelay, func() {
+	time.AfterFunc(delay, func() {
 		b.statsMu.Lock()
 		defer b.statsMu.Unlock()
 		start()
 	})
 }
 
+// isLeaving reports whether an engine leaves, so that no supervisor restarts it. Call with statsMu held.
+func (b *engineCluster) isLeaving(e *servingEngine) bool {
+	b.registry.mu.Lock()
+	defer b.registry.mu.Unlock()
+	return e.leaving || b.registry.backends[e.id].Leaving
+}
+
 // Guards against a request that crashes engine after engine because a supervisor starts them again
 // before a probe finds them down.
 func TestRequestThatCrashesRestartedEnginesIsQuarantined(t *testing.T) {
