hosted: evidence of crashes has a package of its own

What a VM finds out of crashes (runs, investigations, answers, exchange, records: 830 lines) moves to internal/crash, unchanged but for names. What it needs of its VM is crash.Fleet, nine methods that crashFleet implements; what is known of a server goes there as crash.Server instead of a copy of the table's entry. Publishing and merging, with their encoding, have a file of their own.

No behaviour changes. Run: the tests of crashes, quarantine, restarts, answers and starts in internal/hosted, and internal/archtest, pass.

--- a/internal/hosted/abandonedruns.go
+++ b/internal/crash/abandonedruns.go
@@ -1,4 +1,4 @@
-package hosted
+package crash
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 var abandonedRunsSuspected = metrics.NewCounter("bergamotreel_abandoned_runs_suspected_total")
 
 // RecordAbandonedRun implements serving.Quarantine.
-func (c *crashDetector) RecordAbandonedRun(target service.Target, request []quarantine.Subject) {
+func (c *Detector) RecordAbandonedRun(target service.Target, request []quarantine.Subject) {
 	now := time.Now()
 	c.addRun(now, target, quarantine.RunAbandoned, request)
 	c.mu.Lock()
@@ -37,9 +37,9 @@
 	}
 }
 
-// recordRefusedConnection has an instance of a backend server investigated whose address refuses
+// RecordRefusedConnection has an instance of a backend server investigated whose address refuses
 // connections although it may still run a request of this VM.
-func (c *crashDetector) recordRefusedConnection(target service.Target, cause error) {
+func (c *Detector) RecordRefusedConnection(target service.Target, cause error) {
 	if target.Gateway != "" || !errors.Is(cause, service.ErrConnectionRefused) {
 		return
 	}
@@ -52,7 +52,7 @@
 }
 
 // enqueueDelayed enqueues an investigation again once its delay has passed.
-func (c *crashDetector) enqueueDelayed(ctx context.Context, i investigation) {
+func (c *Detector) enqueueDelayed(ctx context.Context, i investigation) {
 	if pause.For(ctx, i.delay) {
 		i.delay = 0
 		c.enqueue(i)
@@ -61,7 +61,7 @@
 
 // addOwnRuns adds what this VM had run on the instances whose crashes other VMs found. Call with mu
 // held.
-func (c *crashDetector) addOwnRuns(now time.Time, entries []quarantine.Suspect) {
+func (c *Detector) addOwnRuns(now time.Time, entries []quarantine.Suspect) {
 	for _, entry := range entries {
 		for _, crash := range entry.Crashes {
 			if !crash.Cleared {
--- a/internal/hosted/suspectanswers.go
+++ b/internal/crash/answers.go
@@ -1,4 +1,4 @@
-package hosted
+package crash
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 
 // RecordAnswer implements serving.Quarantine. A part of prompts crashes servers as they begin to write,
 // so it is cleared at once, a whole request once the server has run on for answerConfirmDelay.
-func (c *crashDetector) RecordAnswer(target service.Target, request []quarantine.Subject, success bool) {
+func (c *Detector) RecordAnswer(target service.Target, request []quarantine.Subject, success bool) {
 	now := time.Now()
 	c.addRun(now, target, quarantine.RunAnswered, request[:1])
 	if !success || !c.HasSuspects() {
@@ -47,7 +47,7 @@
 
 // confirmAnswers clears the suspects that an instance answered answerConfirmDelay ago, unless it has
 // ended since.
-func (c *crashDetector) confirmAnswers(ctx context.Context, i investigation) {
+func (c *Detector) confirmAnswers(ctx context.Context, i investigation) {
 	now := time.Now()
 	runs := c.runsOn(ctx, i.target)
 	instance := instanceName(i.target.ID, i.target.Started)
@@ -70,17 +70,17 @@
 }
 
 // runsOn reports whether an instance of a backend server is found to run.
-func (c *crashDetector) runsOn(ctx context.Context, target service.Target) bool {
-	b, listed := c.node.backends.get(target.ID)
-	if !listed || b.start != target.Started || c.node.paths.probeProcess(ctx, &b, false) != processRuns {
+func (c *Detector) runsOn(ctx context.Context, target service.Target) bool {
+	b, listed := c.config.Fleet.FindServer(target.ID)
+	if !listed || b.Start != target.Started || c.config.Fleet.ProbeProcess(ctx, &b, false) != ProcessRuns {
 		return false
 	}
 	if !b.IsEngine || target.Started == 0 {
 		return true
 	}
-	start := c.node.queryStart(ctx, target.Address)
-	if start != 0 && c.node.backends.recordStart(time.Now(), target.ID, start) {
-		c.node.handleBackendChanges()
+	start := c.queryStart(ctx, target.Address)
+	if start != 0 {
+		c.config.Fleet.RecordStart(target.ID, start)
 	}
 	return start == target.Started
 }
--- a/internal/hosted/crashdetector.go
+++ b/internal/crash/detector.go
@@ -1,10 +1,9 @@
-package hosted
+package crash
 
 import (
 	"context"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/serving"
 	"bergamotreel/refusal"
-	"bergamotreel/registry"
 	"bergamotreel/service"
 )
 
@@ -35,6 +33,8 @@
 	// times, startQueryInterval apart: its status may be that old.
 	maxStartQueries    = 2
 	startQueryInterval = 500 * time.Millisecond
+	// statusTimeout bounds one such query.
+	statusTimeout = 600 * time.Millisecond
 	// minClearanceInterval is the minimum time between two reports that are sent at once because
 	// something was cleared.
 	minClearanceInterval = 200 * time.Millisecond
@@ -54,12 +54,12 @@
 	answer bool
 }
 
-// crashDetector detects backend servers whose process ended while they ran requests, and
+// Detector detects backend servers whose process ended while they ran requests, and
 // shares these requests and the parts of their prompts (suspects) with the other entry VMs. A
 // broken connection alone is no evidence of a crash: it may have been reset, or the network path
 // may have failed. So runs are remembered until their instance of a server is known to have ended.
-type crashDetector struct {
-	node    *Node
+type Detector struct {
+	config  Config
 	pending chan investigation
 	// hasSuspects is whether the table may contain suspects. It is read without mu.
 	hasSuspects atomic.Bool
@@ -91,35 +91,36 @@
 	quarantineTrials      = metrics.NewCounter("bergamotreel_quarantine_trials_total")
 )
 
-var _ serving.Quarantine = (*crashDetector)(nil)
+var _ serving.Quarantine = (*Detector)(nil)
 
-func newCrashDetector(n *Node) *crashDetector {
-	return &crashDetector{node: n, pending: make(chan investigation, maxInvestigations), investigating: make(map[string]bool),
+// New returns a Detector that does nothing until Run is called.
+func New(config Config) *Detector {
+	return &Detector{config: config, pending: make(chan investigation, maxInvestigations), investigating: make(map[string]bool),
 		runs: quarantine.NewRuns(), unconfirmed: make(map[string][]unconfirmedAnswer), suspects: quarantine.NewTable(quarantine.Config{}), seenFromPeers: make(map[string]entryvm.PeerPosition), recorded: make(map[quarantine.Subject]bool)}
 }
 
 // HasSuspects implements serving.Quarantine.
-func (c *crashDetector) HasSuspects() bool { return c.hasSuspects.Load() }
+func (c *Detector) HasSuspects() bool { return c.hasSuspects.Load() }
 
 // RecordConnectionLost implements serving.Quarantine.
-func (c *crashDetector) RecordConnectionLost(target service.Target, request []quarantine.Subject) {
+func (c *Detector) RecordConnectionLost(target service.Target, request []quarantine.Subject) {
 	c.addRun(time.Now(), target, quarantine.RunBroken, request)
 	c.enqueue(investigation{target: target})
 }
 
 // addRun remembers a run. If its instance is known to have crashed, it is evidence at once.
-func (c *crashDetector) addRun(now time.Time, target service.Target, end quarantine.RunEnd, request []quarantine.Subject) {
+func (c *Detector) addRun(now time.Time, target service.Target, end quarantine.RunEnd, request []quarantine.Subject) {
 	instance := instanceName(target.ID, target.Started)
 	c.mu.Lock()
 	notify := c.addEvidence(now, instance, c.runs.Add(now, instance, end, request))
 	c.mu.Unlock()
 	if notify {
-		c.node.members.notifyAll()
+		c.config.Fleet.NotifyPeers()
 	}
 }
 
 // enqueue has run investigate an instance.
-func (c *crashDetector) enqueue(i investigation) {
+func (c *Detector) enqueue(i investigation) {
 	select {
 	case c.pending <- i:
 	default:
@@ -128,13 +129,13 @@
 }
 
 // RecordProgress implements serving.Quarantine.
-func (c *crashDetector) RecordProgress(request []quarantine.Subject) {
+func (c *Detector) RecordProgress(request []quarantine.Subject) {
 	c.recordEvidence(request, (*quarantine.Table).RecordProgress)
 }
 
 // recordEvidence records evidence that a request is sound. If that clears anything, it is reported
 // at once: otherwise the news of a crash could reach other VMs earlier than that of the answer.
-func (c *crashDetector) recordEvidence(request []quarantine.Subject, record func(*quarantine.Table, time.Time, []quarantine.Subject) []quarantine.Subject) {
+func (c *Detector) recordEvidence(request []quarantine.Subject, record func(*quarantine.Table, time.Time, []quarantine.Subject) []quarantine.Subject) {
 	now := time.Now()
 	c.mu.Lock()
 	cleared := record(c.suspects, now, request)
@@ -144,15 +145,15 @@
 	}
 	c.mu.Unlock()
 	if len(cleared) > 0 {
-		c.node.config.Logger.Info("request cleared of suspicion", zap.Stringers("fingerprints", cleared))
+		c.config.Logger.Info("request cleared of suspicion", zap.Stringers("fingerprints", cleared))
 	}
 	if notify {
-		c.node.members.notifyAll()
+		c.config.Fleet.NotifyPeers()
 	}
 }
 
 // RefusalFor implements serving.Quarantine.
-func (c *crashDetector) RefusalFor(request []quarantine.Subject) *refusal.Refusal {
+func (c *Detector) RefusalFor(request []quarantine.Subject) *refusal.Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	refused, ok := c.suspects.RefusalOf(time.Now(), request)
@@ -168,9 +169,9 @@
 
 // BeginTrial implements serving.Quarantine. Only the planner begins trials: each may end a backend
 // server.
-func (c *crashDetector) BeginTrial(request []quarantine.Subject) bool {
+func (c *Detector) BeginTrial(request []quarantine.Subject) bool {
 	now := time.Now()
-	if !c.node.canActAsPlanner(now) {
+	if !c.config.Fleet.CanActAsPlanner(now) {
 		return false
 	}
 	c.mu.Lock()
@@ -179,12 +180,12 @@
 		return false
 	}
 	quarantineTrials.Inc()
-	c.node.config.Logger.Warn("trial of a quarantined part of prompts", zap.Stringers("fingerprints", request))
+	c.config.Logger.Warn("trial of a quarantined part of prompts", zap.Stringers("fingerprints", request))
 	return true
 }
 
-// run investigates backend servers that may have crashed until ctx ends.
-func (c *crashDetector) run(ctx context.Context) {
+// Run investigates backend servers that may have crashed until ctx ends.
+func (c *Detector) Run(ctx context.Context) {
 	var investigations sync.WaitGroup
 	defer investigations.Wait()
 	sweep := time.NewTicker(suspectSweepInterval)
@@ -209,7 +210,7 @@
 }
 
 // expire drops what happened too long ago.
-func (c *crashDetector) expire() {
+func (c *Detector) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects.Expire(time.Now())
@@ -219,12 +220,12 @@
 
 // beginInvestigation reports whether an instance has to be investigated that isn't yet: one that may have
 // ended, or that has and whose next one is unknown.
-func (c *crashDetector) beginInvestigation(target service.Target) bool {
-	b, listed := c.node.backends.get(target.ID)
+func (c *Detector) beginInvestigation(target service.Target) bool {
+	b, listed := c.config.Fleet.FindServer(target.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	instance := instanceName(target.ID, target.Started)
-	if c.investigating[instance] || (c.runs.HasEnded(instance) && (!listed || b.start != target.Started)) {
+	if c.investigating[instance] || (c.runs.HasEnded(instance) && (!listed || b.Start != target.Started)) {
 		return false
 	}
 	c.investigating[instance] = true
@@ -233,13 +234,13 @@
 
 // investigate determines whether an instance of a backend server has ended, and records that it
 // crashed if it has.
-func (c *crashDetector) investigate(ctx context.Context, i investigation) {
+func (c *Detector) investigate(ctx context.Context, i investigation) {
 	instance := instanceName(i.target.ID, i.target.Started)
-	b, listed := c.node.backends.get(i.target.ID)
+	b, listed := c.config.Fleet.FindServer(i.target.ID)
 	if !listed {
-		b.Backend = registry.Backend{ID: i.target.ID, Address: i.target.Address, Service: i.service}
+		b = Server{ID: i.target.ID, Address: i.target.Address, Service: i.service}
 	}
-	state := processUnknown
+	state := ProcessUnknown
 	if listed || i.service != "" {
 		state = c.probe(ctx, i.target, &b)
 	}
@@ -247,11 +248,11 @@
 	delete(c.investigating, instance)
 	ended := c.runs.HasEnded(instance)
 	c.mu.Unlock()
-	switch latest, _ := c.node.backends.get(i.target.ID); {
+	switch latest, _ := c.config.Fleet.FindServer(i.target.ID); {
 	case ended, ctx.Err() != nil:
-	case state != processEnded:
+	case state != ProcessEnded:
 		c.logUnexplained(i.target, state)
-	case latest.isLeaving(), b.isLeaving():
+	case latest.Leaving, b.Leaving:
 		c.recordAnnouncedEnd(instance)
 	default:
 		c.recordCrash(instance)
@@ -259,23 +260,23 @@
 }
 
 // probe determines whether the process of an instance has ended, or another one has taken its place.
-func (c *crashDetector) probe(ctx context.Context, target service.Target, b *backend) processState {
-	state := processUnknown
-	for probe := 1; probe <= maxCrashProbes && state == processUnknown; probe++ {
+func (c *Detector) probe(ctx context.Context, target service.Target, b *Server) ProcessState {
+	state := ProcessUnknown
+	for probe := 1; probe <= maxCrashProbes && state == ProcessUnknown; probe++ {
 		if !pause.For(ctx, crashProbeDelay) {
-			return processUnknown
+			return ProcessUnknown
 		}
-		state = c.node.paths.probeProcess(ctx, b, probe == maxCrashProbes)
+		state = c.config.Fleet.ProbeProcess(ctx, b, probe == maxCrashProbes)
 	}
-	if state == processRuns && c.findNewStart(ctx, target, b) {
-		return processEnded
+	if state == ProcessRuns && c.findNewStart(ctx, target, b) {
+		return ProcessEnded
 	}
 	return state
 }
 
 // findNewStart asks an engine whose address accepts connections for its start, and reports whether that
 // is another one than the given. An engine may be started again so soon that no probe finds it down.
-func (c *crashDetector) findNewStart(ctx context.Context, target service.Target, b *backend) bool {
+func (c *Detector) findNewStart(ctx context.Context, target service.Target, b *Server) bool {
 	if !b.IsEngine || target.Started == 0 {
 		return false
 	}
@@ -283,8 +284,8 @@
 		if query > 0 && (!c.hasBroken(target) || !pause.For(ctx, startQueryInterval)) {
 			return false
 		}
-		if start := c.node.queryStart(ctx, target.Address); start != 0 && c.node.backends.recordStart(time.Now(), target.ID, start) {
-			c.node.handleBackendChanges()
+		if start := c.queryStart(ctx, target.Address); start != 0 {
+			c.config.Fleet.RecordStart(target.ID, start)
 		}
 		c.mu.Lock()
 		ended := c.runs.HasEnded(instanceName(target.ID, target.Started))
@@ -297,10 +298,10 @@
 }
 
 // queryStart returns the start that an engine reports, 0 if it doesn't answer.
-func (n *Node) queryStart(ctx context.Context, address string) int64 {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (c *Detector) queryStart(ctx context.Context, address string) int64 {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	status, err := n.config.Peers.Engines.Status(ctx, address)
+	status, err := c.config.Engines.Status(ctx, address)
 	if err != nil {
 		return 0
 	}
@@ -308,21 +309,21 @@
 }
 
 // hasBroken reports whether connections to an instance broke that no known end explains.
-func (c *crashDetector) hasBroken(target service.Target) bool {
+func (c *Detector) hasBroken(target service.Target) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.runs.HasBroken(instanceName(target.ID, target.Started))
 }
 
 // logUnexplained logs and counts that runs broke at an instance which is not known to have ended.
-func (c *crashDetector) logUnexplained(target service.Target, state processState) {
+func (c *Detector) logUnexplained(target service.Target, state ProcessState) {
 	if !c.hasBroken(target) {
 		return
 	}
 	brokenRunsUnexplained.Inc()
-	b, listed := c.node.backends.get(target.ID)
-	c.node.config.Logger.Info("connections to a backend server broke, no end of it is known", zap.String("backend", target.ID), zap.Stringer("process", state),
-		zap.Bool("listed", listed), zap.Int64("started", target.Started), zap.Int64("listed_start", b.Started), zap.Int64("newest_start", b.start))
+	b, listed := c.config.Fleet.FindServer(target.ID)
+	c.config.Logger.Info("connections to a backend server broke, no end of it is known", zap.String("backend", target.ID), zap.Stringer("process", state),
+		zap.Bool("listed", listed), zap.Int64("started", target.Started), zap.Int64("listed_start", b.ListedStart), zap.Int64("newest_start", b.Start))
 }
 
 // instanceName identifies one start of a backend server among crashes.
@@ -330,25 +331,25 @@
 	return id + "@" + strconv.FormatInt(started, 10)
 }
 
-// handleEnd handles the news that an instance of a backend server has ended. One that is only gone from
+// HandleEnd handles the news that an instance of a backend server has ended. One that is only gone from
 // the list is investigated if it may have run anything.
-func (c *crashDetector) handleEnd(ended endedInstance) {
-	instance := instanceName(ended.target.ID, ended.target.Started)
+func (c *Detector) HandleEnd(ended End) {
+	instance := instanceName(ended.Target.ID, ended.Target.Started)
 	c.mu.Lock()
 	hasEvidence := c.runs.HasEvidence(time.Now(), instance)
 	c.mu.Unlock()
 	switch {
-	case ended.announced:
+	case ended.Announced:
 		c.recordAnnouncedEnd(instance)
-	case !ended.dropped:
+	case !ended.Dropped:
 		c.recordCrash(instance)
 	case hasEvidence:
-		c.enqueue(investigation{target: ended.target, service: ended.service})
+		c.enqueue(investigation{target: ended.Target, service: ended.Service})
 	}
 }
 
 // recordAnnouncedEnd records that an instance ended as it had announced, whatever it ran.
-func (c *crashDetector) recordAnnouncedEnd(instance string) {
+func (c *Detector) recordAnnouncedEnd(instance string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.runs.RecordAnnouncedEnd(time.Now(), instance) {
@@ -357,7 +358,7 @@
 }
 
 // recordCrash records that an instance of a backend server ended, and what it may have run.
-func (c *crashDetector) recordCrash(instance string) {
+func (c *Detector) recordCrash(instance string) {
 	now := time.Now()
 	c.mu.Lock()
 	found := c.runs.RecordCrash(now, instance, time.Time{})
@@ -367,29 +368,29 @@
 		return
 	}
 	crashesDetected.Inc()
-	c.node.config.Logger.Warn("backend server ended while it ran requests", zap.String("instance", instance),
+	c.config.Logger.Warn("backend server ended while it ran requests", zap.String("instance", instance),
 		zap.Stringers("fingerprints", found.Subjects))
 	if notify {
-		c.node.members.notifyAll()
+		c.config.Fleet.NotifyPeers()
 	}
 }
 
 // addEvidence makes what an instance may have run when it crashed suspects. It reports whether the other
 // VMs have to know at once, as a request that ends servers would reach more of them meanwhile. Call with
 // mu held.
-func (c *crashDetector) addEvidence(now time.Time, instance string, found quarantine.Evidence) (notify bool) {
+func (c *Detector) addEvidence(now time.Time, instance string, found quarantine.Evidence) (notify bool) {
 	if len(found.Subjects) == 0 {
 		return false
 	}
 	abandonedRunsSuspected.Add(found.Abandoned)
-	c.suspects.SetBackends(now, c.node.backends.count())
+	c.suspects.SetBackends(now, c.config.Fleet.CountServers())
 	c.logQuarantined(c.suspects.RecordCrash(now, found.CrashedAt, instance, found.Subjects))
 	c.hasSuspects.Store(true)
 	return slices.ContainsFunc(found.Subjects, c.suspects.IsNearlyRefused)
 }
 
 // logQuarantined logs and counts the requests and parts of prompts that are refused from now on.
-func (c *crashDetector) logQuarantined(subjects []quarantine.Subject) {
+func (c *Detector) logQuarantined(subjects []quarantine.Subject) {
 	if len(subjects) == 0 {
 		return
 	}
@@ -400,102 +401,5 @@
 			requestsQuarantined.Inc()
 		}
 	}
-	c.node.config.Logger.Warn("requests quarantined", zap.Stringers("fingerprints", subjects))
-}
-
-// publish adds to a report the suspects that the receiving VM doesn't have yet; last is that
-// VM's newest report.
-func (c *crashDetector) publish(now time.Time, report, last *entryvm.Report) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	report.SuspectsSeen = c.seenFromPeers[last.VM]
-	if last.VM == "" {
-		return // before its first report it is unknown which suspects it has
-	}
-	from := uint64(0)
-	if last.SuspectsSeen.Incarnation == c.node.config.Incarnation {
-		from = last.SuspectsSeen.Next
-	}
-	entries, next := c.suspects.ChangedSince(now, from, maxReportedSuspects)
-	report.SuspectsNext = next
-	for _, e := range entries {
-		report.Suspects = append(report.Suspects, encodeSuspect(e))
-	}
-}
-
-// merge merges the suspects of a report and records the position up to which this VM has the
-// sender's suspects. Within an incarnation that position never moves back.
-func (c *crashDetector) merge(now time.Time, report *entryvm.Report) {
-	if report.SuspectsNext == 0 {
-		return
-	}
-	entries := make([]quarantine.Suspect, 0, len(report.Suspects))
-	for _, s := range report.Suspects {
-		entries = append(entries, decodeSuspect(s))
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	seen := c.seenFromPeers[report.VM]
-	if seen.Incarnation != report.Incarnation || seen.Next < report.SuspectsNext {
-		c.seenFromPeers[report.VM] = entryvm.PeerPosition{Incarnation: report.Incarnation, Next: report.SuspectsNext}
-	}
-	if len(entries) > 0 {
-		c.suspects.SetBackends(now, c.node.backends.count())
-	}
-	c.logQuarantined(c.suspects.Merge(now, entries))
-	c.addOwnRuns(now, entries)
-	c.hasSuspects.Store(c.suspects.Len() > 0)
-	c.markEnded(now, entries)
-}
-
-// maxEndNewsAge is how long ago a backend server may have ended for another VM's report of it to mark
-// it as unreachable here.
-const maxEndNewsAge = 2 * time.Second
-
-// markEnded marks the backend servers as unreachable that ended a moment ago. Without this, a VM takes
-// servers of which it has sent nothing to since for ready, and refuses requests for their crashes
-// instead of letting them wait for a server.
-func (c *crashDetector) markEnded(now time.Time, entries []quarantine.Suspect) {
-	for _, entry := range entries {
-		for _, crash := range entry.Crashes {
-			id, _, _ := strings.Cut(crash.Backend, "@")
-			b, listed := c.node.backends.get(id)
-			if crash.Age < maxEndNewsAge && listed && !b.isUnreachable() && crash.Backend == instanceName(id, b.start) {
-				c.node.backends.markUnreachable(now, id, true)
-			}
-		}
-	}
-}
-
-func encodeSuspect(s quarantine.Suspect) entryvm.Suspect {
-	encoded := entryvm.Suspect{
-		Request: uint64(s.Subject.Fingerprint), PromptPart: s.Subject.PromptPart, Cleared: s.Cleared, Age: s.Age,
-		Answered: s.Answered, AnswerAge: s.AnswerAge,
-	}
-	for _, crash := range s.Crashes {
-		if crash.Cleared {
-			encoded.ClearedBackends = append(encoded.ClearedBackends, crash.Backend)
-			continue
-		}
-		encoded.Backends, encoded.CrashAges = append(encoded.Backends, crash.Backend), append(encoded.CrashAges, crash.Age)
-	}
-	return encoded
-}
-
-func decodeSuspect(s entryvm.Suspect) quarantine.Suspect {
-	decoded := quarantine.Suspect{
-		Subject: quarantine.Subject{Fingerprint: quarantine.Fingerprint(s.Request), PromptPart: s.PromptPart},
-		Cleared: s.Cleared, Age: s.Age, Answered: s.Answered, AnswerAge: s.AnswerAge,
-	}
-	for i, backend := range s.Backends {
-		age := s.Age
-		if i < len(s.CrashAges) {
-			age = s.CrashAges[i]
-		}
-		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Backend: backend, Age: age})
-	}
-	for _, backend := range s.ClearedBackends {
-		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Backend: backend, Age: s.Age, Cleared: true})
-	}
-	return decoded
+	c.config.Logger.Warn("requests quarantined", zap.Stringers("fingerprints", subjects))
 }
--- a/internal/hosted/quarantinerecords.go
+++ b/internal/crash/records.go
@@ -1,4 +1,4 @@
-package hosted
+package crash
 
 import (
 	"context"
@@ -17,18 +17,18 @@
 // are not recorded.
 const recordInterval = time.Second
 
-// syncRecords stores quarantined requests in the registry until ctx ends, so that they
+// SyncRecords stores quarantined requests in the registry until ctx ends, so that they
 // survive a restart of the whole fleet. The planner reads the records once and distributes
 // them in its reports.
-func (c *crashDetector) syncRecords(ctx context.Context) {
+func (c *Detector) SyncRecords(ctx context.Context) {
 	read, epoch := false, uint64(0)
 	pause.Every(ctx, recordInterval, func(ctx context.Context) {
-		if !c.node.canActAsPlanner(time.Now()) {
+		if !c.config.Fleet.CanActAsPlanner(time.Now()) {
 			read = false // another VM may write records now
 			return
 		}
 		err := error(nil)
-		if current := c.node.config.Peers.Registry.Epoch(); current != epoch {
+		if current := c.config.Registry.Epoch(); current != epoch {
 			read, epoch = false, current // the registry may have lost records
 		}
 		if !read {
@@ -39,14 +39,14 @@
 			err = c.writeRecords(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
-			c.node.config.Logger.Warn("records of quarantined requests not synced", telemetry.Reason(err))
+			c.config.Logger.Warn("records of quarantined requests not synced", telemetry.Reason(err))
 		}
 	})
 }
 
 // readRecords merges the registry's records into the table.
-func (c *crashDetector) readRecords(ctx context.Context) error {
-	records, err := c.node.config.Peers.Registry.Quarantined(ctx)
+func (c *Detector) readRecords(ctx context.Context) error {
+	records, err := c.config.Registry.Quarantined(ctx)
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 
 // writeRecords records requests that are refused now, and deletes the records of requests
 // that are no longer refused.
-func (c *crashDetector) writeRecords(ctx context.Context) error {
+func (c *Detector) writeRecords(ctx context.Context) error {
 	now := time.Now()
 	c.mu.Lock()
 	outdated := maps.Clone(c.recorded)
@@ -86,7 +86,7 @@
 	for subject := range outdated {
 		drop = append(drop, quarantineKey(subject))
 	}
-	if err := c.node.config.Peers.Registry.Quarantine(ctx, add, drop); err != nil {
+	if err := c.config.Registry.Quarantine(ctx, add, drop); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -97,7 +97,7 @@
 	for subject := range outdated {
 		delete(c.recorded, subject)
 	}
-	c.node.config.Logger.Info("quarantined requests recorded", zap.Int("added", len(add)), zap.Int("dropped", len(drop)))
+	c.config.Logger.Info("quarantined requests recorded", zap.Int("added", len(add)), zap.Int("dropped", len(drop)))
 	return nil
 }
 
--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/crash"
 	"bergamotreel/service"
 )
 
@@ -28,16 +29,6 @@
 	restartedAt, droppedAt time.Time
 }
 
-// endedInstance is an instance of a backend server that has ended or was dropped.
-type endedInstance struct {
-	target service.Target
-	// service is the name of its service.
-	service string
-	// announced is whether it had announced that it would leave. dropped is whether it is only known not
-	// to be listed any more, so that it may still run.
-	announced, dropped bool
-}
-
 // dropUnreadable drops a backend server whose entry can no longer be read. If the previous
 // entry stayed in use, a server that is leaving would continue to get requests. The entry
 // has not lapsed, so there is no grace period for it to be listed again. Call with mu held.
@@ -74,8 +65,8 @@
 	}
 	t.logger.Info("backend server started again", zap.String("backend", b.ID), zap.String("service", b.Service),
 		zap.Int64("started", start), zap.Int64("before", before))
-	ended := endedInstance{target: b.target(), service: b.Service, announced: b.isLeaving()}
-	ended.target.Started = before
+	ended := crash.End{Target: b.target(), Service: b.Service, Announced: b.isLeaving()}
+	ended.Target.Started = before
 	t.endedInstances = append(t.endedInstances, ended)
 	b.formerStarts = append(slices.Clone(b.formerStarts), before)
 	if len(b.formerStarts) > maxFormerStarts {
@@ -151,7 +142,7 @@
 
 // drainEndedInstances returns the instances of backend servers that have ended since the
 // last call, because the servers restarted or were dropped.
-func (t *backendTable) drainEndedInstances() []endedInstance {
+func (t *backendTable) drainEndedInstances() []crash.End {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ended := t.endedInstances
--- a/internal/hosted/backendpaths.go
+++ b/internal/hosted/backendpaths.go
@@ -12,6 +12,7 @@
 
 	"bergamotreel/admission"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/crash"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/routing"
 	"bergamotreel/routing/pathloss"
@@ -207,51 +208,31 @@
 	})
 }
 
-// processState is what is known of a backend server's process.
-type processState int
-
-const (
-	processUnknown processState = iota
-	processRuns
-	processEnded
-)
-
-func (s processState) String() string {
-	switch s {
-	case processRuns:
-		return "runs"
-	case processEnded:
-		return "ended"
-	default:
-		return "unknown"
-	}
-}
-
 // probeProcess finds out whether a backend server's process has ended: its address refuses
 // connections, and no other VM reaches it. The network may also refuse connections of a VM whose
 // paths are lost, so such a VM relies on gateways alone. Other VMs ask gateways about an address
 // that doesn't answer only if askIfSilent is set.
-func (p *backendPaths) probeProcess(ctx context.Context, b *backend, askIfSilent bool) processState {
+func (p *backendPaths) probeProcess(ctx context.Context, b *crash.Server, askIfSilent bool) crash.ProcessState {
 	target := service.Target{ID: b.ID, Address: b.Address}
 	refused := false
 	if !p.areLostTo(b.Service) {
 		err := p.node.tryConnect(ctx, target)
 		if err == nil {
-			return processRuns
+			return crash.ProcessRuns
 		}
 		refused = errors.Is(err, service.ErrConnectionRefused)
 		if !refused && !askIfSilent {
-			return processUnknown
+			return crash.ProcessUnknown
 		}
 	}
 	answers := p.askGateways(ctx, target, gatewaysPerCheck)
 	switch {
 	case answers.gateway != "":
-		return processRuns
+		return crash.ProcessRuns
 	case answers.refused, refused && !p.areLostTo(b.Service):
-		return processEnded
+		return crash.ProcessEnded
 	default:
-		return processUnknown
+		return crash.ProcessUnknown
 	}
 }
 
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/crash"
 	"bergamotreel/registry"
 	"bergamotreel/routing/streamversion"
 )
@@ -40,7 +41,7 @@
 	hasUnreachable    bool
 	missingUnitsUntil time.Time
 	// endedInstances holds the instances that drainEndedInstances returns next.
-	endedInstances []endedInstance
+	endedInstances []crash.End
 	// startReportedAt is when a backend server last reported a start that was new.
 	startReportedAt time.Time
 	// formerInstances holds the last instances of recently dropped backend servers. A server
@@ -217,7 +218,7 @@
 	t.versionHistory.Remove(now, before.Service, before.Version)
 	delete(t.entries, id)
 	t.byService = nil
-	t.endedInstances = append(t.endedInstances, endedInstance{target: before.target(), service: before.Service, announced: before.isLeaving(), dropped: true})
+	t.endedInstances = append(t.endedInstances, crash.End{Target: before.target(), Service: before.Service, Announced: before.isLeaving(), Dropped: true})
 }
 
 // recordRegistryOutageEnd records the end of a registry outage.
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -143,7 +143,7 @@
 // MarkUnreachable implements serving.ForwardDirectory.
 func (n *Node) MarkUnreachable(target service.Target, cause error) {
 	n.paths.markUnreachable(time.Now(), target, cause)
-	n.crashes.recordRefusedConnection(target, cause)
+	n.crashes.RecordRefusedConnection(target, cause)
 }
 
 // probeUnreachable periodically probes unreachable backend servers, and has those verified that
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -100,8 +100,8 @@
 // flight, cached prefixes, the circuit breaker, and for an engine its orders. What it ran may be at fault.
 func (n *Node) forgetEndedInstances() {
 	for _, ended := range n.backends.drainEndedInstances() {
-		id := ended.target.ID
-		n.crashes.handleEnd(ended)
+		id := ended.Target.ID
+		n.crashes.HandleEnd(ended)
 		n.serving.Forget(id)
 		n.planner.dropEngine(id)
 		n.keeper.handleRestart(id)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -22,6 +22,7 @@
 	"bergamotreel/contract"
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/crash"
 	"bergamotreel/internal/serving"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/lease"
@@ -140,7 +141,7 @@
 	adapterRequests *adapterLoader
 	quotas          *quotas
 	readyEstimates  *readyEstimates
-	crashes         *crashDetector
+	crashes         *crash.Detector
 	limits          *backendLimits
 	rooms           *backendRooms
 	issuers         *permitIssuers
@@ -193,7 +194,7 @@
 	n.demand = newDemandMeter()
 	n.adapterRequests = newAdapterLoader(n)
 	n.readyEstimates = newReadyEstimates(n)
-	n.crashes = newCrashDetector(n)
+	n.crashes = crash.New(crash.Config{Fleet: crashFleet{n}, Engines: config.Peers.Engines, Registry: config.Peers.Registry, Incarnation: config.Incarnation, Logger: config.Logger})
 	n.limits = newBackendLimits(n)
 	n.rooms = newBackendRooms(n)
 	n.issuers = newPermitIssuers(n)
@@ -223,7 +224,7 @@
 	n.snapshots.request()
 	for _, task := range []func(context.Context){
 		n.snapshots.run, n.followConfiguration, n.followBackends, n.fetchFromPeers, n.sweep, n.probeUnreachable,
-		n.paths.run, n.crashes.run, n.crashes.syncRecords, n.members.run, n.quotas.run, n.fleetSize.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
+		n.paths.run, n.crashes.Run, n.crashes.SyncRecords, n.members.run, n.quotas.run, n.fleetSize.run, n.streamVersions.run, n.maintainShards, n.planner.run, n.serving.Run,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/internal/hosted/quickrestarts_test.go
+++ b/internal/hosted/quickrestarts_test.go
@@ -173,7 +173,7 @@
 	other := newBackendTable(zap.NewNop())
 	other.applyChanges(now, []registry.Change{{ID: "e", Backend: &registry.Backend{ID: "e", Service: "s", Started: firstStartTime}}})
 	testkit.That(t, other.mergeStarts(now, report.BackendStarts) && !other.mergeStarts(now, report.BackendStarts), "another VM's report is not news once")
-	testkit.Equal(t, "ended", other.drainEndedInstances()[0].target.Started, int64(firstStartTime))
+	testkit.Equal(t, "ended", other.drainEndedInstances()[0].Target.Started, int64(firstStartTime))
 	list(firstStartTime + 30)
 	checkStart("with the entry of the next start", 30)
 	list(firstStartTime + 20)
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -17,7 +17,7 @@
 	if m.node.backends.mergeStarts(now, report.BackendStarts) {
 		m.node.handleBackendChanges()
 	}
-	m.node.crashes.merge(now, &report)
+	m.node.crashes.Merge(now, &report)
 	m.node.limits.merge(now, report.VM, report.Limits)
 	m.node.rooms.mergeReport(now, report.VM, report.Fragile)
 	m.node.mergeLeaving(now, report.VM, report.LeavingBackends)
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -73,7 +73,7 @@
 	r.Failing = n.unavailableBackends(now)
 	r.EnginesMissingUnits = n.backends.idsMissingUnits(now)
 	r.Overview = m.buildOverview(now, &r, &to, isAnswer)
-	n.crashes.publish(now, &r, &to)
+	n.crashes.Publish(now, &r, &to)
 	n.limits.publish(now, &r)
 	n.rooms.publish(now, &r)
 	n.backends.publishLeaving(now, &r)
