--- a/internal/hosted/authorize.go
+++ b/internal/hosted/authorize.go
@@ -39,7 +39,7 @@
 	if current.workspaces == nil || route.Public {
 		return grant, nil
 	}
-	age := n.configurationFeed.age(n.config.BootClock())
+	age := n.configurationFeed.Age(n.config.BootClock())
 	grant.Workspace = current.workspaces.FindByKey(key)
 	if refusedKey := checkKey(grant.Workspace, age, n.config.MaxApplyDelay, n.config.MaxConfigurationAge); refusedKey != nil {
 		return caller.Grant{}, refusedKey
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -7,9 +7,11 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/feed"
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/registry"
@@ -28,16 +30,11 @@
 	// for all. With fewer VMs, the reader's more frequent reads cost as many calls as they
 	// save.
 	minVMsForSharedReads = 6
-	// maxAgeFraction is the fraction of maxDelay after which a VM reads the registry itself,
-	// and the wait of its reads if there is no reader. It bounds how late a change is seen:
-	// a broken connection is noticed only then, and a read that starts during an append may
-	// be answered only when its wait ends.
-	maxAgeFraction = 0.85
 	// readWaitFraction is the fraction of maxDelay for which the reader's reads wait for
 	// changes. readWaitFractionAfterChanges applies to the read that follows one with
 	// changes: a read with changes confirms nothing after its start (readKnownUntil), so the
 	// next one is short. Together with the pause after changes and the interval between two
-	// reports, both stay below maxAgeFraction.
+	// reports, both stay below feed.MaxAgeFraction.
 	readWaitFraction             = 0.35
 	readWaitFractionAfterChanges = 0.1
 	// batchPauseFraction is the fraction of maxDelay to pause after changes of backend
@@ -89,21 +86,21 @@
 // waitUntilReadDue blocks until this VM has to read the topic: because there is no other
 // reader, or because what it knows is too old. It returns how long the read should wait
 // for changes, and how long to pause after a read with changes.
-func (n *Node) waitUntilReadDue(ctx context.Context, f *feed, changed bool) (wait, batchPause time.Duration, err error) {
+func (n *Node) waitUntilReadDue(ctx context.Context, f *feed.State, changed bool) (wait, batchPause time.Duration, err error) {
 	for {
 		reader := n.members.reader(time.Now())
 		now := n.config.BootClock()
 		switch {
 		case ctx.Err() != nil:
 			return 0, 0, ctx.Err()
-		case f.isHeld(now) && len(n.members.snapshotSources(time.Now()).addresses) > 0:
+		case f.IsHeld(now) && len(n.members.snapshotSources(time.Now()).addresses) > 0:
 			n.snapshots.askIfOld(f)
 		case reader == "":
-			return fractionOf(maxAgeFraction, f.maxDelay), fractionOf(batchPauseFraction, f.maxDelay), nil
+			return feed.Fraction(feed.MaxAgeFraction, f.MaxDelay), feed.Fraction(batchPauseFraction, f.MaxDelay), nil
 		case reader == n.config.VM && !changed:
-			return fractionOf(readWaitFraction, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
-		case reader == n.config.VM, f.isStale(now), f.age(now) > fractionOf(deputyAgeFraction, f.maxDelay) && n.members.snapshotSources(time.Now()).isDeputy:
-			return fractionOf(readWaitFractionAfterChanges, f.maxDelay), fractionOf(readerBatchPauseFraction, f.maxDelay), nil
+			return feed.Fraction(readWaitFraction, f.MaxDelay), feed.Fraction(readerBatchPauseFraction, f.MaxDelay), nil
+		case reader == n.config.VM, f.IsStale(now), f.Age(now) > feed.Fraction(deputyAgeFraction, f.MaxDelay) && n.members.snapshotSources(time.Now()).isDeputy:
+			return feed.Fraction(readWaitFractionAfterChanges, f.MaxDelay), feed.Fraction(readerBatchPauseFraction, f.MaxDelay), nil
 		default:
 			n.snapshots.askIfOld(f)
 		}
@@ -114,18 +111,6 @@
 	}
 }
 
-// readKnownUntil returns the time up to which a read covers all changes. A read without
-// changes covers its wait only if it took that long. Otherwise an empty answer after 70 ms
-// to a 700 ms read, from a registry that then becomes unreachable, would confirm the next
-// 630 ms as well, and changes in that time, such as a leaving backend server, would be
-// applied after the limit.
-func readKnownUntil(start, end, wait time.Duration, changed bool) time.Duration {
-	if changed || end-start < wait {
-		return start
-	}
-	return start + wait
-}
-
 // addFeed adds the registry changes that the asker lacks to an answer, if this VM is the
 // asker's reader.
 func (n *Node) addFeed(asker entryvm.Report, answer *entryvm.Report) {
@@ -133,24 +118,24 @@
 		return
 	}
 	now := n.config.BootClock()
-	answer.ConfigurationAge, answer.BackendsAge = n.configurationFeed.age(now), n.backendsFeed.age(now)
+	answer.ConfigurationAge, answer.BackendsAge = n.configurationFeed.Age(now), n.backendsFeed.Age(now)
 	// Read after the age, so that a version that arrives in between is not counted as
 	// known to the asker.
 	answer.Configuration = n.configurationVersion()
-	batch, ok := n.backendsFeed.since(registry.Cursor(asker.BackendsCursor))
+	batch, ok := n.backendsFeed.Since(registry.Cursor(asker.BackendsCursor))
 	if !ok {
 		return
 	}
-	if len(batch.list) > 0 {
+	if len(batch.List) > 0 {
 		var encoded bytes.Buffer
-		if err := gob.NewEncoder(&encoded).Encode(batch.list); err != nil {
+		if err := gob.NewEncoder(&encoded).Encode(batch.List); err != nil {
 			n.config.Logger.Error("changes of backend servers can't be encoded", telemetry.Reason(err))
 			return
 		}
 		answer.Changes = encoded.Bytes()
 	}
 	answer.IsRegistryReader = true
-	answer.ChangesFrom, answer.BackendsCursor = uint64(batch.from), uint64(batch.to)
+	answer.ChangesFrom, answer.BackendsCursor = uint64(batch.From), uint64(batch.To)
 }
 
 // applyFeed applies the reader's answer to a report sent at sentAt. The age of its data is
@@ -161,26 +146,26 @@
 		return
 	}
 	if answer.Configuration <= n.configurationVersion() {
-		n.configurationFeed.confirm(sentAt - answer.ConfigurationAge)
+		n.configurationFeed.Confirm(sentAt - answer.ConfigurationAge)
 	} else {
 		n.snapshots.announce(answer.Configuration)
 	}
-	batch := changeBatch{from: registry.Cursor(answer.ChangesFrom), to: registry.Cursor(answer.BackendsCursor)}
+	batch := feed.Batch{From: registry.Cursor(answer.ChangesFrom), To: registry.Cursor(answer.BackendsCursor)}
 	if len(answer.Changes) > 0 {
-		if err := gob.NewDecoder(bytes.NewReader(answer.Changes)).Decode(&batch.list); err != nil {
+		if err := gob.NewDecoder(bytes.NewReader(answer.Changes)).Decode(&batch.List); err != nil {
 			n.config.Logger.Error("changes of backend servers from a peer can't be read", zap.String("peer", answer.VM), telemetry.Reason(err))
 			return
 		}
 	}
-	cursor, _ := n.backendsFeed.position()
+	cursor, _ := n.backendsFeed.Position()
 	if registry.EpochOf(answer.BackendsCursor) > registry.EpochOf(uint64(cursor)) {
-		n.backendsFeed.expire() // the reader's changes don't follow on this VM's cursor
+		n.backendsFeed.Expire() // the reader's changes don't follow on this VM's cursor
 	}
-	if !n.backendsFeed.applyBatch(batch, n.applyChanges) {
+	if !n.backendsFeed.ApplyBatch(batch, n.applyChanges) {
 		return
 	}
-	n.backendsFeed.confirm(sentAt - answer.BackendsAge)
-	if len(batch.list) > 0 {
+	n.backendsFeed.Confirm(sentAt - answer.BackendsAge)
+	if len(batch.List) > 0 {
 		n.handleBackendChanges()
 	}
 }
@@ -201,9 +186,9 @@
 
 // readConfiguration reads the configuration once. It reports whether the read counts as
 // one with changes: so do a first read, a lost history and an unusable version.
-func (n *Node) readConfiguration(ctx context.Context, f *feed, wait time.Duration) (changed bool) {
+func (n *Node) readConfiguration(ctx context.Context, f *feed.State, wait time.Duration) (changed bool) {
 	start := n.config.BootClock()
-	cursor, known := f.position()
+	cursor, known := f.Position()
 	var next *registry.Configuration
 	var err error
 	if known {
@@ -214,7 +199,7 @@
 	switch {
 	case errors.Is(err, registry.ErrHistoryLost):
 		n.config.Logger.Info("history of the configuration lost, reading the newest")
-		f.reset(0, false)
+		f.Reset(0, false)
 		n.snapshots.request()
 		return true
 	case errors.Is(err, registry.ErrUnavailable):
@@ -231,14 +216,14 @@
 		n.config.Logger.Error("configuration can't be used", telemetry.Reason(err))
 	}
 	n.recordRegistrySuccess()
-	f.recordSuccess()
-	f.reset(cursor, true)
+	f.RecordSuccess()
+	f.Reset(cursor, true)
 	if next != nil {
 		n.applyConfiguration(next, "registry")
 		n.members.notifyDomain()
 	}
 	changed = next != nil || err != nil || !known
-	f.confirm(readKnownUntil(start, n.config.BootClock(), wait, changed))
+	f.Confirm(feed.KnownUntil(start, n.config.BootClock(), wait, changed))
 	return changed
 }
 
@@ -258,9 +243,9 @@
 
 // readBackends reads the list of backend servers, or its changes, once. It reports whether
 // there were changes.
-func (n *Node) readBackends(ctx context.Context, f *feed, wait time.Duration) (changed bool) {
+func (n *Node) readBackends(ctx context.Context, f *feed.State, wait time.Duration) (changed bool) {
 	start := n.config.BootClock()
-	cursor, known := f.position()
+	cursor, known := f.Position()
 	if !known {
 		list, err := n.config.Peers.Registry.Backends(ctx)
 		if err != nil {
@@ -269,18 +254,18 @@
 			return false
 		}
 		n.recordRegistrySuccess()
-		f.recordSuccess()
+		f.RecordSuccess()
 		n.prepareWholeList(list)
 		n.backends.replace(time.Now(), list.List)
-		f.reset(list.Next, true)
-		f.confirm(start)
+		f.Reset(list.Next, true)
+		f.Confirm(start)
 		n.handleBackendChanges()
 		return false
 	}
 	changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, wait)
 	if errors.Is(err, registry.ErrHistoryLost) {
 		n.config.Logger.Info("history of backend servers lost, reading the whole list")
-		f.reset(0, false)
+		f.Reset(0, false)
 		n.snapshots.request()
 		return false
 	}
@@ -290,12 +275,12 @@
 		return false
 	}
 	n.recordRegistrySuccess()
-	f.recordSuccess()
+	f.RecordSuccess()
 	changed = len(changes.List) > 0
-	if !f.applyBatch(changeBatch{from: cursor, to: changes.Next, list: changes.List}, n.applyChanges) {
+	if !f.ApplyBatch(feed.Batch{From: cursor, To: changes.Next, List: changes.List}, n.applyChanges) {
 		return false // the reader's answer was newer
 	}
-	f.confirm(readKnownUntil(start, n.config.BootClock(), wait, changed))
+	f.Confirm(feed.KnownUntil(start, n.config.BootClock(), wait, changed))
 	if changed {
 		n.handleBackendChanges()
 		n.members.notifyDomain()
@@ -305,10 +290,15 @@
 
 // prepareWholeList is called before a whole list of backend servers replaces the known one.
 func (n *Node) prepareWholeList(list registry.Backends) {
-	if !n.backendsFeed.recordEpoch(list.Next) {
+	if !n.backendsFeed.RecordEpoch(list.Next) {
 		return
 	}
 	n.config.Logger.Warn("list of backend servers read anew, as the registry came back without its newest records",
 		zap.Uint64("epoch", registry.EpochOf(uint64(list.Next))), zap.Int("listed", len(list.List)))
 	n.backends.handleRegistryRestore(time.Now())
 }
+
+var (
+	configurationConfirmIntervals = metrics.NewHistogram(`bergamotreel_registry_renewed_seconds{topic="configuration"}`)
+	backendsConfirmIntervals      = metrics.NewHistogram(`bergamotreel_registry_renewed_seconds{topic="backends"}`)
+)
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -82,11 +82,6 @@
 	return now.Sub(r.failingSince)
 }
 
-// fractionOf returns the given fraction of a duration.
-func fractionOf(fraction float64, d time.Duration) time.Duration {
-	return time.Duration(fraction * float64(d))
-}
-
 // handleBackendChanges drops state of ended instances and wakes what depends on the backend
 // servers.
 func (n *Node) handleBackendChanges() {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -23,6 +23,7 @@
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/crash"
+	"bergamotreel/internal/feed"
 	"bergamotreel/internal/serving"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/lease"
@@ -153,7 +154,7 @@
 	paces    *pace.Table
 	registry reachability
 	// configurationFeed and backendsFeed track the registry's topics.
-	configurationFeed, backendsFeed feed
+	configurationFeed, backendsFeed feed.State
 	snapshots                       *snapshots
 
 	// active is the configuration in force, nil before the first one.
@@ -187,8 +188,8 @@
 	config.Admission.FairWorkspaces = config.Load.FairWorkspaces
 	n := &Node{config: config, startedAt: config.BootClock(), shards: lease.NewShards(config.Lease), settleSignal: make(chan struct{}, 1)}
 	n.registry = reachability{name: "registry", logger: config.Logger}
-	n.configurationFeed.maxDelay, n.configurationFeed.confirmIntervals = config.MaxApplyDelay, configurationConfirmIntervals
-	n.backendsFeed.maxDelay, n.backendsFeed.confirmIntervals = config.MaxDrainDelay, backendsConfirmIntervals
+	n.configurationFeed.MaxDelay, n.configurationFeed.ConfirmIntervals = config.MaxApplyDelay, configurationConfirmIntervals
+	n.backendsFeed.MaxDelay, n.backendsFeed.ConfirmIntervals = config.MaxDrainDelay, backendsConfirmIntervals
 	n.backends = newBackendTable(config.Logger)
 	n.snapshots = newSnapshots(n)
 	n.demand = newDemandMeter()
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -182,7 +182,7 @@
 // requestNewerChanges sends a report to the reader at once if the reader's report shows that it
 // knows of newer changes.
 func (m *members) requestNewerChanges(now time.Time, report *entryvm.Report) {
-	cursor, known := m.node.backendsFeed.position()
+	cursor, known := m.node.backendsFeed.Position()
 	if report.Domain != m.node.config.Domain || !known ||
 		(report.BackendsCursor <= uint64(cursor) && report.Configuration <= m.node.configurationVersion()) {
 		return
--- a/internal/hosted/registryrestore_test.go
+++ b/internal/hosted/registryrestore_test.go
@@ -24,7 +24,7 @@
 // epoch.
 func (w *testCluster) countInEpoch(epoch uint64) int {
 	return w.countVMs(func(n *Node) bool {
-		cursor, known := n.backendsFeed.position()
+		cursor, known := n.backendsFeed.Position()
 		return known && registry.EpochOf(uint64(cursor)) == epoch
 	})
 }
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -55,7 +55,7 @@
 		m.addOwnUpdatesToLog(now, r.Engines, r.AllEngines)
 		r.Engines, r.AllEngines = nil, false
 	}
-	if cursor, known := n.backendsFeed.position(); known {
+	if cursor, known := n.backendsFeed.Position(); known {
 		r.BackendsCursor = uint64(cursor)
 	}
 	r.Planning, r.StoreLoads, r.ReadyEstimates = n.planner.planStatus(now)
--- a/internal/hosted/snapshots.go
+++ b/internal/hosted/snapshots.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/feed"
 	"bergamotreel/internal/pause"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/registry"
@@ -32,7 +33,7 @@
 	maxSnapshotAgeFactor = 2
 	// deputyAgeFraction and askAgeFraction are the ages, as fractions of maxDelay, from which the deputy
 	// reads the registry because the reader's answers are late, and from which the others ask for
-	// snapshots. Only from maxAgeFraction on do they read the registry too.
+	// snapshots. Only from feed.MaxAgeFraction on do they read the registry too.
 	deputyAgeFraction = 0.6
 	askAgeFraction    = 0.7
 	// announceHoldFraction is the fraction of maxDelay that an announced configuration may take to
@@ -44,12 +45,6 @@
 	maxSnapshotRetryInterval = 500 * time.Millisecond
 	// askInterval is the minimum time between two rounds of questions because feeds are old.
 	askInterval = 200 * time.Millisecond
-	// readBackoffFraction is the fraction of maxDelay for which a VM that gets the registry's changes
-	// from others doesn't read the registry after a failed read. It doubles with each failure up to
-	// maxReadBackoffFactor times maxDelay, so that the reads of a fleet don't feed the queue that
-	// delays them.
-	readBackoffFraction  = 0.25
-	maxReadBackoffFactor = 4
 	// snapshotTimeout bounds a transfer. It is long because a transfer that is abandoned would begin
 	// again at its first byte; one that stalls ends sooner.
 	snapshotTimeout = 10 * time.Second
@@ -119,9 +114,9 @@
 		return
 	}
 	until := n.config.BootClock() + startHold
-	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
-		if _, known := f.position(); !known {
-			f.hold(until)
+	for _, f := range []*feed.State{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.Position(); !known {
+			f.Hold(until)
 		}
 	}
 	wake(s.signal)
@@ -139,20 +134,20 @@
 	}
 	n := s.node
 	f := &n.configurationFeed
-	hold := fractionOf(announceHoldFraction, f.maxDelay)
-	f.hold(n.config.BootClock() + hold)
+	hold := feed.Fraction(announceHoldFraction, f.MaxDelay)
+	f.Hold(n.config.BootClock() + hold)
 	time.AfterFunc(hold, func() {
 		if n.configurationVersion() < version {
-			f.expire()
+			f.Expire()
 		}
 	})
 	wake(s.signal)
 }
 
 // askIfOld has run ask other VMs for what a feed lacks before this VM has to read it itself.
-func (s *snapshots) askIfOld(f *feed) {
+func (s *snapshots) askIfOld(f *feed.State) {
 	now := s.node.config.BootClock()
-	if f.age(now) <= fractionOf(askAgeFraction, f.maxDelay) {
+	if f.Age(now) <= feed.Fraction(askAgeFraction, f.MaxDelay) {
 		return
 	}
 	s.mu.Lock()
@@ -172,10 +167,10 @@
 	s.mu.Lock()
 	announced := s.announced
 	s.mu.Unlock()
-	isLacking := func(f *feed) bool {
+	isLacking := func(f *feed.State) bool {
 		now := n.config.BootClock()
-		_, known := f.position()
-		return (!known && f.isHeld(now)) || (known && f.age(now) > fractionOf(askAgeFraction, f.maxDelay))
+		_, known := f.Position()
+		return (!known && f.IsHeld(now)) || (known && f.Age(now) > feed.Fraction(askAgeFraction, f.MaxDelay))
 	}
 	return isLacking(&n.configurationFeed) || n.configurationVersion() < announced, isLacking(&n.backendsFeed)
 }
@@ -187,7 +182,7 @@
 		configuration, backends := s.lacks()
 		sources := s.node.members.snapshotSources(time.Now())
 		count := len(sources.addresses)
-		isHeld := s.node.configurationFeed.isHeld(s.node.config.BootClock()) || s.node.backendsFeed.isHeld(s.node.config.BootClock())
+		isHeld := s.node.configurationFeed.IsHeld(s.node.config.BootClock()) || s.node.backendsFeed.IsHeld(s.node.config.BootClock())
 		if (!configuration && !backends) || count == 0 || (attempt >= count && !isHeld) {
 			return
 		}
@@ -209,7 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	sentAt := n.config.BootClock()
-	cursor, _ := n.backendsFeed.position()
+	cursor, _ := n.backendsFeed.Position()
 	reply, err := n.config.Peers.EntryVMs.Knowledge(ctx, address, entryvm.KnowledgeArgs{
 		ForFeed: true, Configuration: n.configurationVersion(), WithoutBackends: !backends, BackendsCursor: uint64(cursor),
 	})
@@ -238,9 +233,9 @@
 func (s *snapshots) extendHold() {
 	n := s.node
 	until := n.startedAt + waitingHold
-	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
-		if _, known := f.position(); !known && f.isHeld(n.config.BootClock()) {
-			f.hold(max(until, n.config.BootClock()))
+	for _, f := range []*feed.State{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.Position(); !known && f.IsHeld(n.config.BootClock()) {
+			f.Hold(max(until, n.config.BootClock()))
 		}
 	}
 }
@@ -249,28 +244,28 @@
 // until it knows which VM of its domain does.
 func (s *snapshots) holdChanges() {
 	n := s.node
-	for _, f := range []*feed{&n.configurationFeed, &n.backendsFeed} {
-		if _, known := f.position(); known {
+	for _, f := range []*feed.State{&n.configurationFeed, &n.backendsFeed} {
+		if _, known := f.Position(); known {
 			now := n.config.BootClock()
-			f.hold(min(n.startedAt+startChangesHold, now-f.age(now)+fractionOf(maxAgeFraction, f.maxDelay)))
+			f.Hold(min(n.startedAt+startChangesHold, now-f.Age(now)+feed.Fraction(feed.MaxAgeFraction, f.MaxDelay)))
 		}
 	}
 }
 
 // backOff keeps this VM from reading a topic itself for a while after a failed read, if other VMs of its
 // domain read it.
-func (s *snapshots) backOff(f *feed) {
+func (s *snapshots) backOff(f *feed.State) {
 	n := s.node
 	if sources := n.members.snapshotSources(time.Now()); !sources.isTree || sources.isDeputy {
 		return
 	}
-	failures, pause := f.recordFailure()
-	f.hold(n.config.BootClock() + pause/2 + n.jitter(failures, pause))
+	failures, pause := f.RecordFailure()
+	f.Hold(n.config.BootClock() + pause/2 + n.jitter(failures, pause))
 }
 
 // checkAge fails if the sender of a snapshot has not known all changes of the topic for too long.
-func (f *feed) checkAge(position *entryvm.FeedPosition) error {
-	if position.Age > maxSnapshotAgeFactor*f.maxDelay {
+func checkAge(f *feed.State, position *entryvm.FeedPosition) error {
+	if position.Age > maxSnapshotAgeFactor*f.MaxDelay {
 		return errSnapshotTooOld
 	}
 	return nil
@@ -280,7 +275,7 @@
 func (s *snapshots) adoptConfiguration(address string, sentAt time.Duration, reply *entryvm.KnowledgeReply) error {
 	n, position := s.node, reply.ConfigurationPosition
 	f := &n.configurationFeed
-	if err := f.checkAge(position); err != nil {
+	if err := checkAge(f, position); err != nil {
 		return err
 	}
 	if len(reply.Configuration) > 0 {
@@ -298,7 +293,7 @@
 	if n.configurationVersion() < position.Version {
 		return nil // the version can't be used here
 	}
-	f.advance(registry.Cursor(position.Cursor), sentAt-position.Age, func() {})
+	f.Advance(registry.Cursor(position.Cursor), sentAt-position.Age, func() {})
 	return nil
 }
 
@@ -306,14 +301,14 @@
 func (s *snapshots) adoptBackends(sentAt time.Duration, reply *entryvm.KnowledgeReply) error {
 	n, position := s.node, reply.BackendsPosition
 	f := &n.backendsFeed
-	if err := f.checkAge(position); err != nil {
+	if err := checkAge(f, position); err != nil {
 		return err
 	}
 	cursor := registry.Cursor(position.Cursor)
-	known, ok := f.position()
+	known, ok := f.Position()
 	switch {
 	case ok && known == cursor:
-		f.confirm(sentAt - position.Age)
+		f.Confirm(sentAt - position.Age)
 		return nil
 	case ok && known > cursor, len(reply.Backends) == 0:
 		return nil // this VM knows more than the sender
@@ -327,7 +322,7 @@
 		return err
 	}
 	n.prepareWholeList(registry.Backends{List: list, Next: cursor})
-	if f.advance(cursor, sentAt-position.Age, func() { n.backends.replace(time.Now(), list) }) {
+	if f.Advance(cursor, sentAt-position.Age, func() { n.backends.replace(time.Now(), list) }) {
 		snapshotsReceived.Inc()
 		n.handleBackendChanges()
 	}
@@ -352,7 +347,7 @@
 // The cursor is read before the configuration: the receiver may read a change again, but misses none.
 func (s *snapshots) addConfiguration(newerThan uint64, reply *entryvm.KnowledgeReply) {
 	n := s.node
-	cursor, age, known := n.configurationFeed.snapshot(n.config.BootClock(), func() {})
+	cursor, age, known := n.configurationFeed.Snapshot(n.config.BootClock(), func() {})
 	current := n.active.Load()
 	if !known || current == nil {
 		return
@@ -367,7 +362,7 @@
 func (s *snapshots) addBackends(newerThan uint64, reply *entryvm.KnowledgeReply) {
 	n := s.node
 	var list []registry.Backend
-	cursor, age, known := n.backendsFeed.snapshot(n.config.BootClock(), func() { list = n.backends.listRegistered() })
+	cursor, age, known := n.backendsFeed.Snapshot(n.config.BootClock(), func() { list = n.backends.listRegistered() })
 	if !known {
 		return
 	}
