hosted: an engine's status and other VMs' news only bring later starts

A VM that starts just after an engine has restarted, and asks it for its start while its status still is that of the start before, would have taken this for the newer one, and then refused the right one as a former start until the engine's next entry. Nobody saw it; found while reading the change.

Only the entry, and the keeper's update after it, may name an earlier start, as after a clock was set back. Reports need no start before then. TestStatusFromBeforeListedStart- IsIgnored has the case; on the commit before it fails: "an earlier start is recorded". Answered runs keep their own copy of the one subject that counts, not the request's whole list.

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -126,9 +126,8 @@
 // BackendStart is the start of a backend server that has restarted under its ID.
 type BackendStart struct {
 	Backend string `cbor:"1,keyasint"`
-	// Started identifies the start, Before the one before it.
+	// Started identifies the start by its time, in Unix milliseconds.
 	Started int64 `cbor:"2,keyasint"`
-	Before  int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Suspect is a request, or a part of prompts, that may crash the backend servers that run it. Its
--- a/internal/crash/answers.go
+++ b/internal/crash/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bergamotreel/admission/quarantine"
@@ -26,7 +27,7 @@
 // so it is cleared at once, a whole request once the server has run on for answerConfirmDelay.
 func (c *Detector) RecordAnswer(target service.Target, request []quarantine.Subject, success bool) {
 	now := time.Now()
-	c.addRun(now, target, quarantine.RunAnswered, request[:1])
+	c.addRun(now, target, quarantine.RunAnswered, slices.Clone(request[:1]))
 	if !success || !c.HasSuspects() {
 		return
 	}
--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -86,15 +86,20 @@
 	return true
 }
 
-// isOutdatedStart reports whether a start has ended: it is a former one, or earlier than what the server
-// itself reported a moment ago. A server whose clock was set back may start earlier, but not at once. An
-// entry that changes to a later start is right even if that was taken for a former one.
+// isOutdatedStart reports whether a start has ended: it is a former one, or earlier than another. A server
+// whose clock was set back starts earlier too, which only its entry shows, and its keeper's update after
+// that; an entry may also be older than what the server itself reported a moment ago. One that changes to
+// a later start is right even if that was taken for a former one.
 func (b *backend) isOutdatedStart(now time.Time, start int64, source startSource) bool {
 	isFormer := slices.Contains(b.formerStarts, start)
-	if start > b.start {
+	switch {
+	case start > b.start:
 		return isFormer && source != startFromEntry
+	case source == startFromServer:
+		return true
+	default:
+		return isFormer || now.Sub(b.startReportedAt) < maxStartNewsAge
 	}
-	return isFormer || now.Sub(b.startReportedAt) < maxStartNewsAge
 }
 
 // recordStart records the start that a backend server reported itself, and reports whether it is new.
@@ -112,8 +117,7 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, news := range list {
-		b := t.entries[news.Backend]
-		if b != nil && b.start != 0 && (news.Started > b.start || news.Before == b.start) {
+		if b := t.entries[news.Backend]; b != nil {
 			changed = t.recordInstance(now, b, news.Started, startFromServer) || changed
 		}
 	}
@@ -129,8 +133,7 @@
 	}
 	for id, b := range t.entries {
 		if now.Sub(b.startReportedAt) <= urgentSignalPeriod && len(report.BackendStarts) < maxReportedStarts {
-			news := entryvm.BackendStart{Backend: id, Started: b.start, Before: b.formerStarts[len(b.formerStarts)-1]}
-			report.BackendStarts = append(report.BackendStarts, news)
+			report.BackendStarts = append(report.BackendStarts, entryvm.BackendStart{Backend: id, Started: b.start})
 		}
 	}
 }
--- a/internal/hosted/quickrestarts_test.go
+++ b/internal/hosted/quickrestarts_test.go
@@ -148,6 +148,16 @@
 	})
 }
 
+// Guards against the status of an ended start that a VM takes for the newer one, as it didn't know either
+// before, and after which it refuses the right one.
+func TestStatusFromBeforeListedStartIsIgnored(t *testing.T) {
+	table, now := newBackendTable(zap.NewNop()), time.Now()
+	table.applyChanges(now, []registry.Change{{ID: "e", Backend: &registry.Backend{ID: "e", Service: "s", Started: firstStartTime}}})
+	testkit.That(t, !table.recordStart(now, "e", firstStartTime-5), "an earlier start is recorded")
+	b, _ := table.get("e")
+	testkit.Equal(t, "start", b.start, firstStartTime)
+}
+
 // Guards against an engine that goes back to an ended start because of an older entry, keeper's update
 // or report, and against one whose next start is not recognized after that.
 func TestOlderNewsOfStartIsIgnored(t *testing.T) {
