--- a/admission/quarantine/runs.go
+++ b/admission/quarantine/runs.go
@@ -111,14 +111,10 @@
 	if crashedAt.IsZero() {
 		crashedAt = r.lastSignOf(now, instance)
 	}
-	if now.Sub(crashedAt) >= runTTL {
+	if r.HasEnded(instance) || now.Sub(crashedAt) >= runTTL {
 		return Evidence{}
 	}
-	if known, ok := r.ended[instance]; ok {
-		crashedAt = known.at
-	} else {
-		r.ended[instance] = instanceEnd{at: crashedAt, knownAt: now, crashed: true}
-	}
+	r.ended[instance] = instanceEnd{at: crashedAt, knownAt: now, crashed: true}
 	found := Evidence{CrashedAt: crashedAt}
 	for i := range r.remembered {
 		if r.remembered[i].instance == instance {
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -211,10 +212,14 @@
 
 // expire drops what happened too long ago.
 func (c *Detector) expire() {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspects.Expire(time.Now())
-	c.runs.Expire(time.Now())
+	c.suspects.Expire(now)
+	c.runs.Expire(now)
+	maps.DeleteFunc(c.unconfirmed, func(_ string, answers []unconfirmedAnswer) bool {
+		return now.Sub(answers[0].at) >= suspectSweepInterval
+	})
 	c.hasSuspects.Store(c.suspects.Len() > 0)
 }
 
