--- a/admission/quarantine/runs.go
+++ b/admission/quarantine/runs.go
@@ -68,6 +68,9 @@
 // Len returns how many runs are remembered.
 func (r *Runs) Len() int { return len(r.remembered) }
 
+// IsFull reports whether the next run displaces the oldest one.
+func (r *Runs) IsFull() bool { return len(r.remembered) >= maxRuns }
+
 // Add adds a run, given what of its request may crash the instance. Beyond the limit it drops the
 // oldest run. If the instance is known to have crashed, it returns what the run adds to the evidence.
 func (r *Runs) Add(now time.Time, instance string, end RunEnd, subjects []Subject) (late Evidence) {
@@ -79,7 +82,7 @@
 		}
 		return late
 	}
-	if len(r.remembered) >= maxRuns {
+	if r.IsFull() {
 		r.remembered = r.remembered[1:]
 	}
 	r.remembered = append(r.remembered, added)
--- a/admission/quarantine/runs_test.go
+++ b/admission/quarantine/runs_test.go
@@ -96,7 +96,7 @@
 	for range maxRuns + 1 {
 		r.Add(runStart, "e1@1", RunAbandoned, nil)
 	}
-	testkit.Equal(t, "remembered", r.Len(), maxRuns)
+	testkit.That(t, r.IsFull() && r.Len() == maxRuns, "%d runs remembered", r.Len())
 	r.Add(runStart, "e2@1", RunAbandoned, nil)
 	testkit.That(t, r.HasEvidence(runStart, "e2@1") && !r.HasEvidence(runStart.Add(3*time.Second), "e2@1"), "wrong instances may run requests")
 	r.RecordCrash(runStart, "e3@1", time.Time{})
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -86,6 +86,7 @@
 	crashesDetected       = metrics.NewCounter("bergamotreel_backend_crashes_total")
 	announcedEnds         = metrics.NewCounter("bergamotreel_backend_announced_ends_total")
 	brokenRunsUnexplained = metrics.NewCounter("bergamotreel_broken_runs_unexplained_total")
+	runsDropped           = metrics.NewCounter("bergamotreel_runs_dropped_total")
 	investigationsDropped = metrics.NewCounter("bergamotreel_broken_runs_dropped_total")
 	requestsQuarantined   = metrics.NewCounter("bergamotreel_requests_quarantined_total")
 	partsQuarantined      = metrics.NewCounter("bergamotreel_prompt_parts_quarantined_total")
@@ -113,6 +114,9 @@
 func (c *Detector) addRun(now time.Time, target service.Target, end quarantine.RunEnd, request []quarantine.Subject) {
 	instance := instanceName(target.ID, target.Started)
 	c.mu.Lock()
+	if c.runs.IsFull() {
+		runsDropped.Inc()
+	}
 	notify := c.addEvidence(now, instance, c.runs.Add(now, instance, end, request))
 	c.mu.Unlock()
 	if notify {
