hosted: a comment names the function that moved to internal/feed

The comment on the waits of the reader's reads still said readKnownUntil, which is feed.KnownUntil since the move.

--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -32,7 +32,7 @@
 	minVMsForSharedReads = 6
 	// readWaitFraction is the fraction of maxDelay for which the reader's reads wait for
 	// changes. readWaitFractionAfterChanges applies to the read that follows one with
-	// changes: a read with changes confirms nothing after its start (readKnownUntil), so the
+	// changes: a read with changes confirms nothing after its start (feed.KnownUntil), so the
 	// next one is short. Together with the pause after changes and the interval between two
 	// reports, both stay below feed.MaxAgeFraction.
 	readWaitFraction             = 0.35
