review: case 2, a late copy of a rejection makes a request run twice

Cause: the entry VM tells answers apart by the ID of the request. A second sending of one request to the same engine on the same connection has the same ID, so a late copy of the first rejection counts as the answer to the second sending, which runs.

--- a/review/platform/rig/main.go
+++ b/review/platform/rig/main.go
@@ -22,6 +22,7 @@
 // cases maps the name of a case to what it does. Each returns the number of violations.
 var cases = map[string]func(*system) int{
 	"idempotency-key": runIdempotencyKey,
+	"late-copy":       runLateCopy,
 }
 
 func main() {
