review: case 3, bytes that belong to no request reach a client as a success

Cause: an answer without the ID of a request is taken for the answer of the request in flight, and nothing checks that a success carries the server's signature. So an answer-like text that a faulty server sends after a complete answer is given to the next request's client.

--- a/review/platform/rig/main.go
+++ b/review/platform/rig/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*system) int{
 	"idempotency-key": runIdempotencyKey,
 	"late-copy":       runLateCopy,
+	"foreign-bytes":   runForeignBytes,
 }
 
 func main() {
--- a/review/platform/rig/system.go
+++ b/review/platform/rig/system.go
@@ -177,7 +177,6 @@
 
 // startVMs starts entry VMs in each zone and waits until all are ready.
 func (s *system) startVMs(perZone int) error {
-	var peers []string
 	for i := range perZone * len(zones) {
 		zone := zones[i%len(zones)]
 		vm := &entryVM{name: fmt.Sprintf("front-%s-%d", zone, i/len(zones)+1), zone: zone}
@@ -188,11 +187,9 @@
 			}
 		}
 		s.vms = append(s.vms, vm)
-		peers = append(peers, vm.peers)
 	}
-	peers = peers[:min(len(peers), maxSeeds)]
 	for _, vm := range s.vms {
-		if err := s.startVM(vm, strings.Join(peers, ",")); err != nil {
+		if err := s.startVM(vm, s.seeds()); err != nil {
 			return err
 		}
 	}
@@ -205,6 +202,15 @@
 	return nil
 }
 
+// seeds returns the addresses of entry VMs that the settings name.
+func (s *system) seeds() string {
+	var seeds []string
+	for _, vm := range s.vms[:min(len(s.vms), maxSeeds)] {
+		seeds = append(seeds, vm.peers)
+	}
+	return strings.Join(seeds, ",")
+}
+
 func (s *system) startVM(vm *entryVM, seeds string) error {
 	file := filepath.Join(s.dir, vm.name+".ini")
 	text := fmt.Sprintf(vmSettings, vm.name, vm.zone, vm.callers, vm.peers, vm.ready, s.storeURL, seeds, vm.metrics)
