review: case 4, a late load overfills an engine after its keeper's process restarted

Cause: loads without an answer are known to the keeper's process that sent them. Its next process on the same VM owns the shard at once and reserves room for late loads only if it saw the engine's start change. If engine and keeper start again together, it fills the engine and the late load, whose count matches, goes beyond its memory. docs/design/platform.md lists a related finding as open.

--- a/review/platform/rig/main.go
+++ b/review/platform/rig/main.go
@@ -25,6 +25,7 @@
 	"late-copy":       runLateCopy,
 	"foreign-bytes":   runForeignBytes,
 	"changed-path":    runChangedPath,
+	"overfill":        runOverfill,
 }
 
 func main() {
--- a/review/platform/rig/system.go
+++ b/review/platform/rig/system.go
@@ -44,7 +44,7 @@
 [peers]
 secret = entry-vms-of-one-closed-network-know-this
 seeds = %[7]s
-domains = pos-a,pos-b
+domains = %[9]s
 [limits]
 held_bytes = 48MiB
 memory = 284MB
@@ -213,7 +213,7 @@
 
 func (s *system) startVM(vm *entryVM, seeds string) error {
 	file := filepath.Join(s.dir, vm.name+".ini")
-	text := fmt.Sprintf(vmSettings, vm.name, vm.zone, vm.callers, vm.peers, vm.ready, s.storeURL, seeds, vm.metrics)
+	text := fmt.Sprintf(vmSettings, vm.name, vm.zone, vm.callers, vm.peers, vm.ready, s.storeURL, seeds, vm.metrics, strings.Join(zones, ","))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
