--- a/review/platform/rig/main.go
+++ b/review/platform/rig/main.go
@@ -21,11 +21,12 @@
 
 // cases maps the name of a case to what it does. Each returns the number of violations.
 var cases = map[string]func(*system) int{
-	"idempotency-key": runIdempotencyKey,
-	"late-copy":       runLateCopy,
-	"foreign-bytes":   runForeignBytes,
-	"changed-path":    runChangedPath,
-	"overfill":        runOverfill,
+	"idempotency-key":   runIdempotencyKey,
+	"late-copy":         runLateCopy,
+	"foreign-bytes":     runForeignBytes,
+	"changed-path":      runChangedPath,
+	"overfill":          runOverfill,
+	"overfill-adapters": runOverfillAdapters,
 }
 
 func main() {
--- a/review/platform/rig/overfill.go
+++ b/review/platform/rig/overfill.go
@@ -16,6 +16,8 @@
 const (
 	// engineMemory is the engine's memory for weights, modelSize that of each model.
 	engineMemory, modelSize = 200, 90
+	// adapterPlaces is how many adapters the engine holds.
+	adapterPlaces = 8
 	// loadTime is how long a load takes.
 	loadTime = 300 * time.Millisecond
 	// orderDelay is how late the unanswered order is carried out.
@@ -30,7 +32,7 @@
 const overfillConfiguration = `{"version":7,"routes":[
  {"name":"draft","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"stream","timeoutMs":12000,"targetLatencyMs":250,"priority":2,"service":"dele69a","maxAttempts":1,"targetGapMs":150}],
  "services":[{"name":"dele69a","healthPath":"/health","maxConns":240,"engine":{"slots":16,"weightsSize":200,"adapterSlots":8,"loadsPerS":4,"models":[
-  {"name":"m1","weightsSize":90,"loadS":0.3,"diskLoadS":0.3,"warmS":0.3,"adapters":3,"adapterMb":1},
+  {"name":"m1","weightsSize":90,"loadS":0.3,"diskLoadS":0.3,"warmS":0.3,"adapters":9,"adapterMb":1},
   {"name":"m2","weightsSize":90,"loadS":0.3,"diskLoadS":0.3,"warmS":0.3},
   {"name":"m3","weightsSize":90,"loadS":0.3,"diskLoadS":0.3,"warmS":0.3},
   {"name":"m4","weightsSize":90,"loadS":0.3,"diskLoadS":0.3,"warmS":0.3}]}}],
@@ -48,10 +50,11 @@
 	models   map[string]map[string]bool
 	// loading is the model of the order that is being carried out, empty for none.
 	loading string
-	// lateModel is the model whose first load gets no answer and is carried out late, empty for none.
-	lateModel string
-	overfull  int
-	beats     int
+	// lateUnit is the model or MODEL/ADAPTER whose first load gets no answer and is carried out late,
+	// empty for none.
+	lateUnit string
+	overfull int
+	beats    int
 	// conns are the open connections, nil while the engine is down.
 	conns map[net.Conn]bool
 }
@@ -62,6 +65,14 @@
 	Expected                          *uint64
 }
 
+// unit returns the model, or MODEL/ADAPTER.
+func (o *modelOrder) unit() string {
+	if o.Adapter == "" {
+		return o.Model
+	}
+	return o.Model + "/" + o.Adapter
+}
+
 // start begins an instance that holds the models.
 func (e *modelEngine) start(held ...string) error {
 	address := e.address
@@ -173,11 +184,11 @@
 func (e *modelEngine) delays(order modelOrder) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if order.Operation != "load" || order.Adapter != "" || order.Model != e.lateModel {
+	if order.Operation != "load" || order.unit() != e.lateUnit {
 		return false
 	}
-	e.lateModel = ""
-	e.note("engine: load of %s after %d orders of %s gets no answer", order.Model, *order.Expected, order.Holder)
+	e.lateUnit = ""
+	e.note("engine: load of %s after %d orders of %s gets no answer", order.unit(), *order.Expected, order.Holder)
 	time.AfterFunc(orderDelay, func() { e.note("engine: late order answered %d", e.carryOut(order, "late order")) })
 	return true
 }
@@ -191,11 +202,20 @@
 	if order.Expected != nil {
 		expected = fmt.Sprint(*order.Expected)
 	}
-	e.note("engine: %s %s %s/%s of %s after %s orders: %d, now %d orders, holds %v", what, order.Operation, order.Model, order.Adapter,
-		order.Holder, expected, status, e.sequence, slices.Sorted(maps.Keys(e.models)))
+	e.note("engine: %s %s %s of %s after %s orders: %d, now %d orders, holds %s", what, order.Operation, order.unit(),
+		order.Holder, expected, status, e.sequence, e.describeModels())
 	return status
 }
 
+// countAdapters returns the number of adapters of all models. Call with mu held.
+func (e *modelEngine) countAdapters() int {
+	count := 0
+	for _, adapters := range e.models {
+		count += len(adapters)
+	}
+	return count
+}
+
 // accept is carryOut without the record. Call with mu held.
 func (e *modelEngine) accept(order modelOrder) int {
 	adapters, held := e.models[order.Model]
@@ -206,8 +226,15 @@
 		return http.StatusConflict
 	case order.Adapter != "" && !held:
 		return http.StatusBadRequest
+	case order.Adapter != "" && adapters[order.Adapter] == (order.Operation == "load"):
+		return http.StatusOK
 	case order.Adapter != "" && order.Operation == "load":
 		e.sequence++
+		if count := e.countAdapters(); count == adapterPlaces {
+			e.overfull++
+			e.note("LIMIT: the engine holds %d adapters of %d and is ordered to load %s", count, adapterPlaces, order.unit())
+			return http.StatusAccepted
+		}
 		adapters[order.Adapter] = true
 		return http.StatusAccepted
 	case order.Adapter != "":
@@ -278,7 +305,7 @@
 	time.Sleep(2 * time.Second) // the keeper owns the engine's shard
 	if s.trouble {
 		e.mu.Lock()
-		e.lateModel = "m3"
+		e.lateUnit = "m3"
 		e.mu.Unlock()
 	}
 	// The engine has accepted two orders when the load is sent: an adapter's load, and an unload that
