review: case 3, spoiled answers take a service out for good

Cause: an answer whose status is below 100 makes net/http's WriteHeader panic. The panic passes through Server.Forward, which ends a request's bookkeeping without defer, so that the place at the server stays taken on all entry VMs.

--- a/review/platform/rig/main.go
+++ b/review/platform/rig/main.go
@@ -24,7 +24,7 @@
 	"idempotency-key":   runIdempotencyKey,
 	"late-copy":         runLateCopy,
 	"foreign-bytes":     runForeignBytes,
-	"changed-path":      runChangedPath,
+	"hang":              runHang,
 	"overfill":          runOverfill,
 	"overfill-adapters": runOverfillAdapters,
 }
--- a/review/platform/rig/servers.go
+++ b/review/platform/rig/servers.go
@@ -120,7 +120,7 @@
 	if id != "" {
 		headers = "Bergamotreel-Attempt-Id: " + id + "\r\n" + headers
 	}
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s",
+	return fmt.Sprintf("HTTP/1.1 %03d %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), headers, len(body), body)
 }
 
