review: cases 1, 4 and 5 stay inside the doses of their site files

Changed: one server of two loses the answers of 5% of its runs for 5.5 s (case 1); six disruptions of 5.5 s at 2%, one server at a time (case 4); 5 s (case 5).

--- a/review/platform/rig/foreignbytes.go
+++ b/review/platform/rig/foreignbytes.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// extraShare is the share of a faulty server's answers after which additional bytes follow.
+	// extraShare is the share of a faulty server's answers after which additional bytes follow, for
+	// extraTime from the beginning of the traffic.
 	extraShare = 0.03
+	extraTime  = 5 * time.Second
 	// extraClients is the number of clients at each VM in this case.
 	extraClients = 15
 )
@@ -36,7 +38,7 @@
 			s.note("server: %s runs %s (run %d)", b.id, id, run)
 			time.Sleep(serverWork)
 			writeAnswer(c, http.StatusOK, id, b.seal(id, run), "booked\n")
-			if faulty && rand.Float64() < extraShare {
+			if faulty && time.Since(s.trafficStart) < extraTime && rand.Float64() < extraShare {
 				c.lateCopy = extraBytes
 			}
 		})
@@ -49,6 +51,7 @@
 		s.fail(err)
 		return 0
 	}
+	s.trafficStart = time.Now()
 	violations, answered := 0, 0
 	answers := s.sendBookings(extraClients, "", "{}")
 	for _, a := range answers {
--- a/review/platform/rig/hang.go
+++ b/review/platform/rig/hang.go
@@ -10,12 +10,12 @@
 
 const (
 	// spoiledShare is the share of a faulty server's answers whose status is spoiled.
-	spoiledShare = 0.029
+	spoiledShare = 0.02
 	// A disruption lasts spoilTime, spoilCount times, with spoilPause between. Half of the servers are
 	// faulty, the other half the next time.
-	spoilCount = 4
-	spoilTime  = 6 * time.Second
-	spoilPause = 2 * time.Second
+	spoilCount = 6
+	spoilTime  = 5500 * time.Millisecond
+	spoilPause = time.Second
 	// calmTime is how long the clients go on after that.
 	calmTime = 60 * time.Second
 	// bookingsPerSecond are the bookings at all VMs together.
--- a/review/platform/rig/idempotencykey.go
+++ b/review/platform/rig/idempotencykey.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// lostShare is the share of the requests that a server ran and whose answer is lost.
-	lostShare = 0.03
+	// lostShare is the share of the requests that the faulty server ran and whose answer is lost, for
+	// lostTime from the beginning of the traffic.
+	lostShare = 0.05
+	lostTime  = 5500 * time.Millisecond
 	// keyClients is the number of clients at each VM in this case, bookingsEach the number of requests
 	// of each client.
 	keyClients, bookingsEach = 6, 60
@@ -26,18 +28,18 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000}}`
 
 // runIdempotencyKey sends bookings without a body that carry the standard header Idempotency-Key.
-// The servers run some and close the connection without an answer. It returns how many bookings
-// ran more than once.
+// One of two servers runs some and closes the connection without an answer. It returns how many
+// bookings ran more than once.
 func runIdempotencyKey(s *system) int {
 	s.store.Put("keyed.op", "config", fmt.Appendf(nil, plainConfiguration, 1))
 	lost := make(map[string]bool)
 	var mu sync.Mutex
-	for _, zone := range zones {
+	for i, zone := range zones {
 		err := s.addServer("xano55b", zone, 6, "", func(b *backendServer, c *serverConn, _ *http.Request, id string) {
 			run := s.beginRun(id)
 			s.note("server: %s runs %s (run %d)", b.id, id, run)
 			time.Sleep(serverWork)
-			if s.trouble && rand.Float64() < lostShare {
+			if i == 0 && s.trouble && time.Since(s.trafficStart) < lostTime && rand.Float64() < lostShare {
 				mu.Lock()
 				lost[id] = true
 				mu.Unlock()
@@ -56,6 +58,7 @@
 		s.fail(err)
 		return 0
 	}
+	s.trafficStart = time.Now()
 	answers := s.sendBookings(keyClients, "Idempotency-Key: \"%s\"\r\n", "")
 	violations, answered := 0, 0
 	for _, a := range answers {
