registry, hosted: the first part of many changes is not taken for all of them

A read of the registry's log answers with 1 MB of records at most and names the end of the log. What was read counted as all changes up to the start of the read, also if the answer ended before the log did, so that a VM that was away for long, or in a fleet of thousands of engines, took its list of backend servers for up to date. AwaitBackends now reports whether there is more; such a read confirms nothing and the next one follows without a pause.

--- a/internal/hosted/fakeregistry_test.go
+++ b/internal/hosted/fakeregistry_test.go
@@ -32,6 +32,8 @@
 	// list of backend servers is read.
 	unavailable bool
 	historyLost bool
+	// maxChanges bounds the changes of one answer, 0 for no bound.
+	maxChanges int
 	// partitionedMembers are the members whose joins fail.
 	partitionedMembers map[string]bool
 	// latency is the duration of a call on ownership; conflicts counts the refused ones.
@@ -172,7 +174,11 @@
 		return registry.Changes{Next: from}, registry.ErrHistoryLost
 	}
 	list := slices.Clone(f.changes[registry.NumberInEpoch(uint64(from)):])
-	return registry.Changes{List: list, Next: from + registry.Cursor(len(list))}, nil
+	more := f.maxChanges > 0 && len(list) > f.maxChanges
+	if more {
+		list = list[:f.maxChanges]
+	}
+	return registry.Changes{List: list, Next: from + registry.Cursor(len(list)), More: more}, nil
 }
 
 // setConfiguration stores another configuration, as an operator would.
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -280,12 +280,14 @@
 	if !f.ApplyBatch(feed.Batch{From: cursor, To: changes.Next, List: changes.List}, n.applyChanges) {
 		return false // the reader's answer was newer
 	}
-	f.Confirm(feed.KnownUntil(start, n.config.BootClock(), wait, changed))
+	if !changes.More {
+		f.Confirm(feed.KnownUntil(start, n.config.BootClock(), wait, changed))
+	}
 	if changed {
 		n.handleBackendChanges()
 		n.members.notifyDomain()
 	}
-	return changed
+	return changed && !changes.More
 }
 
 // prepareWholeList is called before a whole list of backend servers replaces the known one.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -90,6 +90,8 @@
 type Changes struct {
 	List []Change
 	Next Cursor
+	// More is whether there were further changes after Next.
+	More bool
 }
 
 // Configuration is a version of the operators' configuration.
