streamversions: a version counts as the only one if the list is known to be up to date

Cause: completeness asked for how long the list of backend servers has been known, never when it was last confirmed, and VMs that don't answer counted as VMs that know nothing. Class: what a VM knows is taken for complete without asking how old it is.

What each VM knows is now a view of a stretch of time: from when on it has followed the list without a gap until its last confirmation. A version is the only one if the views of this VM and of those asked cover the last minute up to the caller's request (streamversion.Merge, pure). The end is confirmed by a read of the registry that begins after the request, shared by the streams of 0.1 s, only for streams that nobody knows; a VM without the registry, and in a large fleet one that is no relay, has the VMs that it asks read it. Otherwise the stream is refused, not run, to come back after 0.5 s. New streams begin as before.

A list that was read anew as a whole, from the registry or another VM, begins the stretch anew: what was listed and dropped meanwhile is unknown until the record of the served versions was read again.

--- a/entryvm/stream.go
+++ b/entryvm/stream.go
@@ -28,6 +28,9 @@
 type FindStreamArgs struct {
 	Key     StreamKey `cbor:"1,keyasint"`
 	Service string    `cbor:"2,keyasint,omitempty"`
+	// Confirm is whether the VM has to make sure that its list of backend servers is up to date unless it
+	// knows the stream.
+	Confirm bool `cbor:"3,keyasint,omitempty"`
 }
 
 // FindStreamReply is the answer to FindStreamArgs.
@@ -37,8 +40,11 @@
 	Version string `cbor:"2,keyasint,omitempty"`
 	// Versions are all versions of the service that the VM remembers.
 	Versions []string `cbor:"3,keyasint,omitempty"`
-	// Complete is whether these are all at which a stream may have begun.
-	Complete bool `cbor:"4,keyasint,omitempty"`
+	// KnownFor is for how long before its answer the VM has known every change of the versions, ListAge how long
+	// ago that was last confirmed. Confirmed is whether it was after the question.
+	KnownFor  time.Duration `cbor:"5,keyasint,omitempty"`
+	ListAge   time.Duration `cbor:"6,keyasint,omitempty"`
+	Confirmed bool          `cbor:"7,keyasint,omitempty"`
 }
 
 // StreamVersions answers Coordination.StreamVersions.
--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -290,6 +290,37 @@
 	return changed && !changes.More
 }
 
+// confirmBackends reads what has changed in the list of backend servers, and reports whether the list has all that
+// was written before the call. What only followBackends can settle, as a lost history, is left to it.
+func (n *Node) confirmBackends(ctx context.Context) bool {
+	f, start, applied := &n.backendsFeed, n.config.BootClock(), false
+	defer func() {
+		if applied {
+			n.handleBackendChanges()
+		}
+	}()
+	for {
+		cursor, known := f.Position()
+		if !known {
+			return false
+		}
+		changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, 0)
+		if err != nil {
+			n.config.Logger.Debug("list of backend servers not confirmed", telemetry.Reason(err))
+			return false
+		}
+		if f.ApplyBatch(feed.Batch{From: cursor, To: changes.Next, List: changes.List}, n.applyChanges) {
+			applied = applied || len(changes.List) > 0
+		} else if newest, known := f.Position(); !known || newest < changes.Next {
+			return false
+		}
+		if !changes.More {
+			f.Confirm(start)
+			return true
+		}
+	}
+}
+
 // prepareWholeList is called before a whole list of backend servers replaces the known one.
 func (n *Node) prepareWholeList(list registry.Backends) {
 	if !n.backendsFeed.RecordEpoch(list.Next) {
--- a/internal/hosted/streamfleet.go
+++ b/internal/hosted/streamfleet.go
@@ -17,16 +17,24 @@
 	return f.node.members.possibleStreamKeepers(now)
 }
 
-func (f streamFleet) Versions(now time.Time, service string) (versions []string, complete bool) {
-	return f.node.backends.versions(now, service)
+func (f streamFleet) VersionsView(now time.Time, service string) streamversion.View {
+	confirmedAt := now.Add(-f.node.backendsFeed.Age(f.node.config.BootClock()))
+	return f.node.backends.versionsView(now, service, confirmedAt)
 }
 
+func (f streamFleet) IsListStale() bool {
+	return f.node.backendsFeed.IsStale(f.node.config.BootClock())
+}
+
+func (f streamFleet) ConfirmList(ctx context.Context) bool { return f.node.confirmBackends(ctx) }
+
 func (f streamFleet) HasSeveralVersions(now time.Time, service string) bool {
 	return f.node.backends.hasSeveralVersions(now, service)
 }
 
 func (f streamFleet) AllVersions(now time.Time) (versions map[string][]string, complete bool) {
-	return f.node.backends.allVersions(now)
+	versions, complete = f.node.backends.allVersions(now)
+	return versions, complete && !f.IsListStale()
 }
 
 func (f streamFleet) RecoverVersions(now time.Time, versions map[string][]string, complete bool) {
@@ -114,12 +122,12 @@
 	return others
 }
 
-// versions returns the software versions that a stream of the service may have begun at, and whether
-// this VM has known the list for long enough to know all of them.
-func (t *backendTable) versions(now time.Time, service string) (versions []string, complete bool) {
+// versionsView returns what this VM knows of the software versions that a stream of the service may have begun
+// at, given when the list was last known to be up to date.
+func (t *backendTable) versionsView(now time.Time, service string, confirmedAt time.Time) streamversion.View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.versionHistory.Versions(now, service), t.versionHistory.IsComplete(now)
+	return t.versionHistory.View(now, service, confirmedAt)
 }
 
 // hasSeveralVersions reports whether a stream of the service may have begun at several versions.
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -163,3 +163,16 @@
 		w.expectVersion(names[1], testStream("1"), "v2")
 	})
 }
+
+// Guards against a list that counts as up to date though only a part of its changes was read.
+func TestListIsUpToDateOnlyWithAllChanges(t *testing.T) {
+	withVersionedFleet(t, 1, []string{"v1"}, func(w *testCluster, names []string) {
+		w.registry.mu.Lock()
+		w.registry.maxChanges = 1
+		w.registry.mu.Unlock()
+		n := w.nodes[names[0]]
+		w.listVersions("v2", "v3", "v4")
+		testkit.That(t, n.confirmBackends(w.Context()), "not confirmed")
+		testkit.Equal(t, "backend servers", n.backends.count(), 4)
+	})
+}
--- a/internal/streamversions/config.go
+++ b/internal/streamversions/config.go
@@ -10,6 +10,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/registry"
+	"bergamotreel/routing/streamversion"
 )
 
 // Fleet is what a Finder needs of the entry VM that it belongs to. Its methods may be called from any
@@ -17,10 +18,16 @@
 type Fleet interface {
 	// PossibleKeepers returns the VMs that other VMs may take for keepers of streams.
 	PossibleKeepers(now time.Time) []Keeper
-	// Versions returns the software versions that a stream of the service may have begun at, and whether
-	// this VM has known the list of backend servers for long enough to know all of them.
-	Versions(now time.Time, service string) (versions []string, complete bool)
-	// AllVersions returns Versions of each service.
+	// VersionsView returns what this VM knows of the software versions that a stream of the service may have
+	// begun at.
+	VersionsView(now time.Time, service string) streamversion.View
+	// IsListStale reports whether this VM has lost touch with the registry and with the VM that reads it for the
+	// failure domain.
+	IsListStale() bool
+	// ConfirmList reads what has changed in the list of backend servers, and reports whether the list has all that
+	// was written before the call.
+	ConfirmList(ctx context.Context) bool
+	// AllVersions returns the versions of each service, and whether this VM knows all of the last TTL.
 	AllVersions(now time.Time) (versions map[string][]string, complete bool)
 	// RecoverVersions adds the versions that served before this VM knew the list. complete is whether these
 	// are all.
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -44,6 +44,8 @@
 	config Config
 	wake   chan struct{}
 	memory *memory
+	// confirmation makes sure that the list of backend servers is up to date.
+	confirmation *confirmation
 
 	mu    sync.Mutex
 	table *streamversion.Table
@@ -59,7 +61,7 @@
 // New returns a finder that shares nothing until Run is called.
 func New(config Config) *Finder {
 	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[string]map[streamversion.Key]unsharedStream)}
-	s.memory = newMemory(s)
+	s.memory, s.confirmation = newMemory(s), newConfirmation(config.Fleet)
 	return s
 }
 
@@ -127,13 +129,23 @@
 func (s *Finder) Find(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
 	started, key := time.Now(), streamversion.Key(args.Key)
 	version, found := s.find(started, key)
-	versions, complete := s.config.Fleet.Versions(started, args.Service)
+	versions, complete := streamversion.Merge(started, s.upToDate(started, args.Service))
 	if !found && (!complete || len(versions) > 1) {
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
 		version, found = s.find(time.Now(), key)
-		versions, complete = s.config.Fleet.Versions(time.Now(), args.Service)
 	}
-	return entryvm.FindStreamReply{Found: found, Version: version, Versions: versions, Complete: complete}
+	confirmed := !found && args.Confirm && s.confirmation.await(started.Add(replyTimeout))
+	now := time.Now()
+	view := s.config.Fleet.VersionsView(now, args.Service)
+	return entryvm.FindStreamReply{Found: found, Version: version, Versions: view.Versions,
+		KnownFor: now.Sub(view.From), ListAge: now.Sub(view.To), Confirmed: confirmed}
+}
+
+// upToDate returns what this VM knows of a service's versions, as if its list was up to date.
+func (s *Finder) upToDate(now time.Time, service string) streamversion.View {
+	view := s.config.Fleet.VersionsView(now, service)
+	view.To = now
+	return view
 }
 
 // awaitLoad reads what the registry holds of streams, and waits for it until the deadline at most.
@@ -151,23 +163,26 @@
 }
 
 // FindVersion returns the software version at which a stream began that its caller takes up. A stream of
-// which nobody knows the version is refused unless its service is known to have had only one.
+// which nobody knows the version is refused unless its service is known to have had only one until now.
 func (s *Finder) FindVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
 	started, key := time.Now(), stream.Key()
 	if version, found := s.find(started, key); found {
 		resumedRecorded.Inc()
 		return version, nil
 	}
-	versions, complete := s.config.Fleet.Versions(started, stream.Service)
-	fields := []zap.Field{zap.String("stream", stream.Request), zap.String("service", stream.Service), zap.Bool("complete_here", complete)}
+	isKeeper := s.config.Fleet.KeepsStreams(started)
+	own := s.config.Fleet.VersionsView(started, stream.Service)
+	versions, complete := streamversion.Merge(started, s.upToDate(started, stream.Service))
+	question := entryvm.FindStreamArgs{Key: entryvm.StreamKey(key), Service: stream.Service, Confirm: !isKeeper || s.config.Fleet.IsListStale()}
+	var replies replies
 	// A version may be unknown here: the VM has just started, or the registry doesn't answer it.
-	if !complete || stream.Request != "" {
-		if s.config.Fleet.KeepsStreams(started) && (!complete || len(versions) > 1) {
+	if !complete || stream.Request != "" || question.Confirm {
+		if isKeeper && (!complete || len(versions) > 1) {
 			s.memory.load(ctx)
 		}
-		replies := s.ask(ctx, key, stream.Service, versions)
-		fields = append(fields, zap.Int("asked", replies.asked), zap.Int("answered", replies.answered))
-		if !replies.found && s.config.Fleet.KeepsStreams(started) && (!complete || len(replies.versions) > 1) {
+		replies = s.ask(ctx, question, versions)
+		versions, complete = streamversion.Merge(started, append(replies.views, s.upToDate(started, stream.Service))...)
+		if !replies.found && isKeeper && (!complete || len(versions) > 1) {
 			s.awaitLoad(ctx, started.Add(FindTimeout))
 			replies.version, replies.found = s.find(time.Now(), key)
 		}
@@ -176,16 +191,25 @@
 			s.keep(key, stream.Service, replies.version)
 			return replies.version, nil
 		}
-		versions, complete = s.config.Fleet.Versions(time.Now(), stream.Service)
-		versions, complete = mergeVersions(versions, replies.versions), complete || replies.complete
+	}
+	merge := func() ([]string, bool) {
+		view := s.config.Fleet.VersionsView(time.Now(), stream.Service)
+		return streamversion.Merge(started, append(replies.views, view)...)
+	}
+	versions, complete = merge()
+	if !complete && len(versions) == 1 && isKeeper && s.confirmation.await(time.Now().Add(FindTimeout)) {
+		replies.views = append(replies.views, s.upToDate(started, stream.Service))
+		versions, complete = merge()
 	}
 	// Whether a stream went on at the right version can't be told later without what was known then.
-	s.config.Logger.Info("nobody knows the version of a stream", append(fields, zap.Strings("versions", versions), zap.Bool("complete", complete))...)
+	s.config.Logger.Info("nobody knows the version of a stream", zap.String("stream", stream.Request), zap.String("service", stream.Service),
+		zap.Duration("known_here_for", started.Sub(own.From)), zap.Duration("list_age", started.Sub(own.To)), zap.Int("asked", replies.asked),
+		zap.Int("answered", replies.answered), zap.Strings("versions", versions), zap.Bool("complete", complete))
 	switch {
 	case len(versions) == 1 && complete:
 		resumedOnlyOne.Inc()
 		return versions[0], nil
-	case !complete || len(versions) == 0:
+	case len(versions) <= 1:
 		resumedUnknown.Inc()
 		return "", refusal.New(refusal.CodeNoCapacity, unknownRetryAfter, "the software versions that served before are not known yet, and the one that began the stream is not known")
 	}
@@ -193,10 +217,6 @@
 	return "", refusal.New(refusal.CodeNoCapacity, 0, "backend servers of several versions serve, and the one that began the stream is not known")
 }
 
-func mergeVersions(a, b []string) []string {
-	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
-}
-
 // keep records a version that another VM knew.
 func (s *Finder) keep(key streamversion.Key, service, version string) {
 	now := time.Now()
@@ -209,20 +229,19 @@
 type replies struct {
 	found   bool
 	version string
-	// versions are the versions of the service that they and this VM remember, complete whether one of them
-	// knows all.
-	versions []string
-	complete bool
+	// views are what they know of the versions of the service.
+	views []streamversion.View
 	// asked and answered count the VMs.
 	asked, answered int
 }
 
 // ask asks all possible keepers of a stream at once for its version, because VMs may differ in
 // who they think is live. It waits for VMs that aren't live here only if the service has several versions.
-func (s *Finder) ask(ctx context.Context, key streamversion.Key, service string, known []string) replies {
+func (s *Finder) ask(ctx context.Context, question entryvm.FindStreamArgs, known []string) replies {
 	// Calls are not canceled once the answer is known: that would close connections that others use.
 	ctx = context.WithoutCancel(ctx)
-	keepers := s.config.Fleet.PossibleKeepers(time.Now())
+	askedAt := time.Now()
+	keepers := s.config.Fleet.PossibleKeepers(askedAt)
 	type keeperReply struct {
 		entryvm.FindStreamReply
 		isLive, answered bool
@@ -236,30 +255,45 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, FindTimeout)
 			defer cancel()
-			reply, err := s.config.VMs.FindStream(ctx, keeper.Address, entryvm.FindStreamArgs{Key: entryvm.StreamKey(key), Service: service})
+			reply, err := s.config.VMs.FindStream(ctx, keeper.Address, question)
 			if err != nil {
 				s.config.Logger.Debug("version of a stream not asked", zap.String("vm", keeper.VM), telemetry.Reason(err))
 			}
 			received <- keeperReply{reply, keeper.IsLive, err == nil}
 		}()
 	}
-	out := replies{versions: known, asked: len(keepers)}
+	out := replies{asked: len(keepers)}
 	for range keepers {
-		if liveWithoutReply == 0 && len(out.versions) <= 1 {
+		if liveWithoutReply == 0 && len(known) <= 1 {
 			break
 		}
 		reply := <-received
 		if reply.isLive {
 			liveWithoutReply--
 		}
-		if reply.answered {
-			out.answered++
+		if !reply.answered {
+			continue
 		}
+		out.answered++
 		if reply.Found {
 			out.found, out.version = true, reply.Version
 			return out
 		}
-		out.versions, out.complete = mergeVersions(out.versions, reply.Versions), out.complete || reply.Complete
+		known = mergeVersions(known, reply.Versions)
+		out.views = append(out.views, viewOf(askedAt, time.Now(), &reply.FindStreamReply))
 	}
 	return out
 }
+
+// viewOf returns what a reply tells of the versions of a service, in times of this VM's clock.
+func viewOf(askedAt, receivedAt time.Time, reply *entryvm.FindStreamReply) streamversion.View {
+	view := streamversion.View{Versions: reply.Versions, From: receivedAt.Add(-reply.KnownFor), To: askedAt.Add(-reply.ListAge)}
+	if reply.Confirmed {
+		view.To = askedAt
+	}
+	return view
+}
+
+func mergeVersions(a, b []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
--- a/internal/streamversions/memory.go
+++ b/internal/streamversions/memory.go
@@ -252,8 +252,8 @@
 	}
 }
 
-// readVersions reads the record of the served versions. The first time, it recovers the versions that served
-// before this VM started.
+// readVersions reads the record of the served versions. It recovers the versions that served while this VM didn't
+// follow the list.
 func (m *memory) readVersions(ctx context.Context) error {
 	served, cursor, err := m.finder.config.Registry.ServedVersions(ctx)
 	if err != nil {
@@ -265,14 +265,20 @@
 	m.versionsRead, m.versionsCursor = true, cursor
 	m.served.SetRecorded(served.ByService, served.Outdated)
 	m.mu.Unlock()
-	if first {
-		complete := !served.Outdated && (len(served.ByService) > 0 || m.finder.config.FirstStart)
+	if first || !m.hasHistory(now) {
+		complete := !served.Outdated && (len(served.ByService) > 0 || first && m.finder.config.FirstStart)
 		m.finder.config.Fleet.RecoverVersions(now, served.ByService, complete)
 		m.finder.config.Logger.Info("served versions read", zap.Any("versions", served.ByService), zap.Bool("complete", complete))
 	}
 	return nil
 }
 
+// hasHistory reports whether this VM knows all versions of the last TTL that its list has had.
+func (m *memory) hasHistory(now time.Time) bool {
+	_, complete := m.finder.config.Fleet.AllVersions(now)
+	return complete
+}
+
 // load reads what the registry holds of streams, unless it was read a moment ago, and returns a channel that
 // is closed at its end.
 func (m *memory) load(ctx context.Context) <-chan struct{} {
@@ -307,7 +313,7 @@
 	m.mu.Lock()
 	versionsRead, from := m.versionsRead, m.streamsCursor
 	m.mu.Unlock()
-	if !versionsRead {
+	if !versionsRead || !m.hasHistory(time.Now()) {
 		if err := m.readVersions(ctx); err != nil {
 			return err
 		}
--- a/routing/streamversion/history.go
+++ b/routing/streamversion/history.go
@@ -10,8 +10,8 @@
 // remembers versions for TTL after the last one has gone. It is not safe for concurrent use.
 type History struct {
 	services map[string]map[string]*listing
-	// beganAt is when the first list was complete, zero before. recovered is whether the versions are known
-	// that served before.
+	// beganAt is from when on every change of the list is known, zero before the first list. recovered is whether
+	// the versions are known that served before.
 	beganAt   time.Time
 	recovered bool
 }
@@ -25,12 +25,8 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]map[string]*listing)} }
 
-// Begin records that the list is complete for the first time.
-func (h *History) Begin(now time.Time) {
-	if h.beganAt.IsZero() {
-		h.beganAt = now
-	}
-}
+// Begin records that the whole list was read. What was listed and dropped since the last known change isn't known.
+func (h *History) Begin(now time.Time) { h.beganAt, h.recovered = now, false }
 
 // Add counts a listed backend server.
 func (h *History) Add(service, version string) {
@@ -88,7 +84,21 @@
 	return all
 }
 
-// IsComplete reports whether Versions has every version of the last TTL.
-func (h *History) IsComplete(now time.Time) bool {
-	return !h.beganAt.IsZero() && (h.recovered || now.Sub(h.beganAt) >= TTL)
+// View returns what is known of a service, given when the list was last known to be up to date.
+func (h *History) View(now time.Time, service string, confirmedAt time.Time) View {
+	return View{Versions: h.Versions(now, service), From: h.knownFrom(now), To: confirmedAt}
+}
+
+// IsComplete reports whether Versions has every version of the last TTL that the list has had.
+func (h *History) IsComplete(now time.Time) bool { return now.Sub(h.knownFrom(now)) >= TTL }
+
+// knownFrom returns the time from which on every version is known that the list has had.
+func (h *History) knownFrom(now time.Time) time.Time {
+	switch {
+	case h.beganAt.IsZero():
+		return now
+	case h.recovered:
+		return now.Add(-2 * TTL)
+	}
+	return h.beganAt
 }
