streamversions: a recovered version counts as gone from when it was recovered

What callers saw: nothing yet; found by review. A VM that had seen a version leave kept the time at which it saw that, also when the record of the served versions, read after a gap in its list, still had the version. One that came back and left again within the gap was forgotten up to a minute too early, so that streams that began at it could go on at the other version.

Cause: Recover added only versions that the history had never seen. Now it counts every version of the record that no listed server has as gone from the time of the recovery.

TestRecoveredVersionCountsAsGoneAnew failed before: "[v1], true" instead of [v1 v1.1]; go test ./routing/streamversion passes with it.

--- a/routing/streamversion/history.go
+++ b/routing/streamversion/history.go
@@ -66,7 +66,7 @@
 func (h *History) Recover(now time.Time, versions map[string][]string, complete bool) {
 	for service, names := range versions {
 		for _, version := range names {
-			if h.services[service][version] == nil {
+			if l := h.services[service][version]; l == nil || l.servers == 0 {
 				h.Add(service, version)
 				h.Remove(now, service, version)
 			}
--- a/routing/streamversion/view_test.go
+++ b/routing/streamversion/view_test.go
@@ -52,3 +52,19 @@
 	versions, complete := streamversion.Merge(reread, h.View(reread.Add(time.Second), "s", reread))
 	testkit.That(t, complete && slices.Equal(versions, []string{"v1", "v2"}), "%v, %t", versions, complete)
 }
+
+// Guards against a version that is forgotten too early because this VM saw it leave once and missed that it came
+// back and left again.
+func TestRecoveredVersionCountsAsGoneAnew(t *testing.T) {
+	h := streamversion.NewHistory()
+	h.Add("s", "v1")
+	h.Add("s", "v1.1")
+	h.Begin(start)
+	h.Remove(start, "s", "v1.1")
+	reread := start.Add(streamversion.TTL - time.Second)
+	h.Begin(reread)
+	h.Recover(reread, map[string][]string{"s": {"v1", "v1.1"}}, true)
+	at := reread.Add(streamversion.TTL - time.Second)
+	versions, complete := streamversion.Merge(at, h.View(at, "s", at))
+	testkit.That(t, complete && slices.Equal(versions, []string{"v1", "v1.1"}), "%v, %t", versions, complete)
+}
