streamversions: a slow registry costs a stream that is taken up a wait instead of a refusal

Cause: a caller waited 0.3 s for a read that begins after its request, one read at a time and 0.1 s between two. With answers after 0.15 s the next read began too late, and the caller's next try began anew.

Now reads overlap while the registry is slow (at most ten a second begin, as before), and a caller waits for one up to FindTimeout and confirmTimeout, 1.3 s, after its request. Once a read has failed it waits FindTimeout only, so that a registry that has stopped answering isn't waited for by every caller. A caller that leaves waits no longer.

--- a/internal/hosted/fakeregistry_test.go
+++ b/internal/hosted/fakeregistry_test.go
@@ -41,14 +41,20 @@
 	conflicts int
 	// partitionedReaders are the VMs whose reads get no answer.
 	partitionedReaders map[string]bool
-	quarantined        map[registry.QuarantineKey]registry.Quarantined
-	vms                map[string]registry.VMRecord
+	// lostHistory are the VMs whose next read of changes fails as they are no longer kept.
+	lostHistory map[string]bool
+	// readLatency is the duration of a read of the list's changes before it waits for any.
+	readLatency time.Duration
+	quarantined map[registry.QuarantineKey]registry.Quarantined
+	vms         map[string]registry.VMRecord
 	// vmReads and vmRenewals count the calls on the records of VMs.
 	vmReads, vmRenewals int
 	// epoch counts the restores.
 	epoch uint64
 	// reads counts the reads of the configuration and of the changes of the list.
 	reads int
+	// confirmingReads counts the reads of the changes of the list that don't wait for any.
+	confirmingReads int
 	// streams is what it holds of streams.
 	streams fakeStreams
 	// link, if set, is the link over which the VMs read.
@@ -57,7 +63,7 @@
 
 func newFakeRegistry() *fakeRegistry {
 	return &fakeRegistry{backends: make(map[string]registry.Backend), owners: make(map[string][]registry.Ownership),
-		ownerWrites: make(map[string]registry.Cursor), generation: 1, assignedVM: make(map[int]string), sharedGroups: make(map[string]map[string]time.Time), partitionedMembers: make(map[string]bool), partitionedReaders: make(map[string]bool), quarantined: make(map[registry.QuarantineKey]registry.Quarantined), vms: make(map[string]registry.VMRecord)}
+		ownerWrites: make(map[string]registry.Cursor), generation: 1, assignedVM: make(map[int]string), sharedGroups: make(map[string]map[string]time.Time), partitionedMembers: make(map[string]bool), partitionedReaders: make(map[string]bool), lostHistory: make(map[string]bool), quarantined: make(map[registry.QuarantineKey]registry.Quarantined), vms: make(map[string]registry.VMRecord)}
 }
 
 // vmRegistry is the registry as one VM reaches it.
@@ -105,6 +111,9 @@
 	if err := r.failIfUnreachable(ctx, wait); err != nil {
 		return registry.Changes{Next: from}, err
 	}
+	if err := r.delayRead(ctx); err != nil {
+		return registry.Changes{Next: from}, err
+	}
 	if r.link != nil {
 		return r.awaitBackendsOverLink(ctx, from, wait)
 	}
@@ -170,6 +179,9 @@
 	}
 	defer end()
 	f.reads++
+	if wait == 0 {
+		f.confirmingReads++
+	}
 	if f.historyLost || registry.EpochOf(uint64(from)) != f.epoch {
 		return registry.Changes{Next: from}, registry.ErrHistoryLost
 	}
--- a/internal/streamversions/confirmation.go
+++ b/internal/streamversions/confirmation.go
@@ -30,8 +30,8 @@
 	// next is the read that hasn't begun yet, nil if none is due. lastBegan is when the last one began.
 	next      *listRead
 	lastBegan time.Time
-	// running is held while a read is under way.
-	running sync.Mutex
+	// failing is whether the last read failed.
+	failing bool
 }
 
 // listRead is a read of the list. ok is valid once done is closed.
@@ -42,20 +42,37 @@
 
 func newConfirmation(fleet Fleet) *confirmation { return &confirmation{fleet: fleet} }
 
-// await waits for a read of the list that begins after the call, until the deadline at most. It reports whether
-// the list has all that was written before the call.
-func (c *confirmation) await(deadline time.Time) bool {
+// await waits for a read of the list that begins after the call, until ctx ends. It reports whether the list has
+// all that was written before the call.
+func (c *confirmation) await(ctx context.Context) bool {
 	read := c.join()
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
 	select {
 	case <-read.done:
 		return read.ok
-	case <-timer.C:
+	case <-ctx.Done():
 		return false
 	}
 }
 
+// awaitForCaller is await for a caller whose stream was looked for since started. A registry that is slow keeps it
+// waiting for longer than one that has stopped answering.
+func (c *confirmation) awaitForCaller(ctx context.Context, started time.Time) bool {
+	deadline := started.Add(FindTimeout)
+	if !c.isFailing() {
+		deadline = deadline.Add(confirmTimeout)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return c.await(ctx)
+}
+
+// isFailing reports whether the last read failed.
+func (c *confirmation) isFailing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing
+}
+
 // join returns the next read.
 func (c *confirmation) join() *listRead {
 	c.mu.Lock()
@@ -67,11 +84,9 @@
 	return c.next
 }
 
-// run makes a read after a pause, and after the one before.
+// run makes a read after a pause. Reads overlap while the registry is slow.
 func (c *confirmation) run(read *listRead, pause time.Duration) {
 	time.Sleep(pause)
-	c.running.Lock()
-	defer c.running.Unlock()
 	c.mu.Lock()
 	c.next, c.lastBegan = nil, time.Now()
 	c.mu.Unlock()
@@ -81,5 +96,8 @@
 	if read.ok = c.fleet.ConfirmList(ctx); !read.ok {
 		listConfirmationsFailed.Inc()
 	}
+	c.mu.Lock()
+	c.failing = !read.ok
+	c.mu.Unlock()
 	close(read.done)
 }
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -134,7 +134,7 @@
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
 		version, found = s.find(time.Now(), key)
 	}
-	confirmed := !found && args.Confirm && s.confirmation.await(started.Add(replyTimeout))
+	confirmed := !found && args.Confirm && s.confirmUntil(started.Add(replyTimeout))
 	now := time.Now()
 	view := s.config.Fleet.VersionsView(now, args.Service)
 	return entryvm.FindStreamReply{Found: found, Version: version, Versions: view.Versions,
@@ -148,6 +148,13 @@
 	return view
 }
 
+// confirmUntil waits until the deadline at most for a read that confirms the list for another VM.
+func (s *Finder) confirmUntil(deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.confirmation.await(ctx)
+}
+
 // awaitLoad reads what the registry holds of streams, and waits for it until the deadline at most.
 func (s *Finder) awaitLoad(ctx context.Context, deadline time.Time) {
 	select {
@@ -197,7 +204,7 @@
 		return streamversion.Merge(started, append(replies.views, view)...)
 	}
 	versions, complete = merge()
-	if !complete && len(versions) == 1 && isKeeper && s.confirmation.await(time.Now().Add(FindTimeout)) {
+	if !complete && len(versions) == 1 && isKeeper && s.confirmation.awaitForCaller(ctx, started) {
 		replies.views = append(replies.views, s.upToDate(started, stream.Service))
 		versions, complete = merge()
 	}
