hosted: tests of streams that are taken up at a VM that is out of step

TestStreamsTakenUpAtVMOutOfStep plays, in virtual time at 4, 30 and 75 VMs, a release while a VM is cut from the registry and the VMs, from either of them, with its whole failure domain, or has lost the history of its list: no stream goes on at the other version, streams that nobody knows go on before the release, at the caller's second try at the latest, wherever the VM reaches the registry or another VM that does, and streams that began at the VM itself always go on. Where neither is reached, all 40 unknown streams are refused, as nothing can be proved.

No change of logic.

--- a/internal/hosted/outofstepversions_test.go
+++ b/internal/hosted/outofstepversions_test.go
@@ -74,6 +74,42 @@
 	return f.confirmingReads
 }
 
+// cutFromRegistry has the registry answer none of the VMs' reads and records.
+func (w *testCluster) cutFromRegistry(vms ...string) {
+	w.registry.mu.Lock()
+	defer w.registry.mu.Unlock()
+	for _, vm := range vms {
+		w.registry.partitionedReaders[vm] = true
+	}
+}
+
+// loseHistory has the registry answer a VM's next read of changes that they are no longer kept.
+func (w *testCluster) loseHistory(vm string) {
+	w.registry.mu.Lock()
+	defer w.registry.mu.Unlock()
+	w.registry.lostHistory[vm] = true
+}
+
+// vmsOfDomain returns the VMs of a failure domain.
+func (w *testCluster) vmsOfDomain(domain string) (vms []string) {
+	for vm, n := range w.nodes {
+		if n.config.Domain == domain {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// nonKeeper returns a VM of the second failure domain that keeps no streams for others, if there is one.
+func (w *testCluster) nonKeeper(names []string) string {
+	for i := 1; i < len(names); i += spreadDomainCount {
+		if !w.nodes[names[i]].members.keepsStreams(time.Now()) {
+			return names[i]
+		}
+	}
+	return names[1]
+}
+
 // takeUp takes streams up at a VM. It returns how many go on at each version, "" for refused ones.
 func (w *testCluster) takeUp(vm string, requests ...string) map[string]int {
 	versions := make(map[string]int)
@@ -99,6 +135,55 @@
 	return requests
 }
 
+// Guards against streams that go on at another software version at a VM that is out of step during a release, and
+// against refusals while one version serves though a VM reaches the registry or another VM that does.
+func TestStreamsTakenUpAtVMOutOfStep(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut func(w *testCluster, vm string)
+		// reachesRegistry is whether the VM reaches the registry, also through others; knowsStreams whether it learns
+		// the versions of streams that begin elsewhere.
+		reachesRegistry, knowsStreams bool
+	}{
+		"cut from registry and VMs": {func(w *testCluster, vm string) { w.cutFromRegistry(vm); w.setIsolated(vm, true) }, false, false},
+		"cut from registry":         {func(w *testCluster, vm string) { w.cutFromRegistry(vm) }, true, true},
+		"cut from VMs":              {func(w *testCluster, vm string) { w.setIsolated(vm, true) }, true, true},
+		"domain cut off": {func(w *testCluster, vm string) {
+			w.cutFromRegistry(w.vmsOfDomain(w.nodes[vm].config.Domain)...)
+			w.setDomainsPartitioned(true)
+		}, false, false},
+		"history lost": {func(w *testCluster, vm string) { w.loseHistory(vm) }, true, true},
+	} {
+		for _, vms := range outOfStepFleets {
+			t.Run(fmt.Sprint(name, ", ", vms, " VMs"), func(t *testing.T) {
+				withVersionedFleet(t, vms, []string{"v1"}, func(w *testCluster, names []string) {
+					const streams = 40
+					vm := w.nonKeeper(names)
+					w.nodes[vm].RecordStream(testStream("own"), "v1")
+					c.cut(w, vm)
+					time.Sleep(300 * time.Millisecond)
+					w.takeUp(vm, unknownStreams(streams)...)
+					time.Sleep(500 * time.Millisecond) // those that are refused come back
+					before := w.takeUp(vm, unknownStreams(streams)...)
+					testkit.That(w, before[""] == streams || c.reachesRegistry && before["v1"] == streams, "before the release: %v", before)
+					testkit.That(w, !c.reachesRegistry || before["v1"] == streams, "before the release: %v", before)
+					w.listVersions("v1", "v2")
+					time.Sleep(3 * time.Second)
+					w.beginStreams(names[2:3], "s", streams, "v2")
+					time.Sleep(300 * time.Millisecond)
+					var requests []string
+					for i := range streams {
+						requests = append(requests, fmt.Sprint("s", i))
+					}
+					after := w.takeUp(vm, requests...)
+					testkit.That(w, after["v1"] == 0 && (!c.knowsStreams || after["v2"] == streams), "streams of v2: %v", after)
+					w.expectVersion(vm, testStream("own"), "v1")
+					w.expectVersion(vm, testStream("unknown"), "")
+				})
+			})
+		}
+	}
+}
+
 // Guards against streams that are refused as long as the registry is slow though one version serves, and against
 // callers that wait for one that has stopped answering.
 func TestStreamsTakenUpWhileTheRegistryIsSlow(t *testing.T) {
