hosted: a route that the newest known configuration lacks is refused for good only while that is up to date

A VM that can't read the registry, as one that is cut off or has just been suspended, answered 404 on a route that was added since, and a caller doesn't repeat that. For keys the VM already asks how old its configuration is.

Now a missing route is refused as retryable (503, to come back after 0.5 s) once the configuration was last known to be the newest more than twice MaxApplyDelay ago, the bound that keys have. While the registry answers, the configuration is never that old, so nothing changes.

TestUnknownRouteIsRetryableDuringRegistryOutage failed before: got "not_found", want "not_ready".

--- a/internal/hosted/authorize.go
+++ b/internal/hosted/authorize.go
@@ -14,14 +14,16 @@
 // meanwhile the load balancer sends callers to another VM.
 const unsureRetryAfter = 500 * time.Millisecond
 
-// Once the configuration is older than unsureAgeFactor*MaxApplyDelay, a key in no workspace
-// may have been added since, so it is refused as retryable. While the registry answers, the
-// configuration is never that old.
+// Once the configuration is older than unsureAgeFactor*MaxApplyDelay, a route that it lacks or a
+// key in no workspace may have been added since, so it is refused as retryable. While the registry
+// answers, the configuration is never that old.
 const unsureAgeFactor = 2
 
 var (
 	unknownKeysTotal = metrics.NewCounter(`bergamotreel_workspace_refused_total{reason="unknown_key"}`)
 	unsureKeysTotal  = metrics.NewCounter(`bergamotreel_workspace_refused_total{reason="unsure"}`)
+	// unsureRoutesTotal counts the requests on routes that may have been added since.
+	unsureRoutesTotal = metrics.NewCounter(`bergamotreel_unsure_routes_total`)
 )
 
 // Authorize implements caller.RelayBackend: it finds the route of a request and checks its
@@ -31,15 +33,19 @@
 	if current == nil || !n.backends.hasList() {
 		return caller.Grant{}, refusal.New(refusal.CodeNotReady, unreadyRetryAfter, "%v", n.Ready())
 	}
+	age := n.configurationFeed.Age(n.config.BootClock())
 	route := current.routes.Find(host, path)
-	if route == nil {
+	switch {
+	case route == nil && age > unsureAgeFactor*n.config.MaxApplyDelay:
+		unsureRoutesTotal.Inc()
+		return caller.Grant{}, refusal.New(refusal.CodeNotReady, unsureRetryAfter, "no such route in configuration %d, the newest %s ago", current.Version, age.Round(time.Millisecond))
+	case route == nil:
 		return caller.Grant{}, refusal.New(refusal.CodeNotFound, 0, "no route in configuration %d", current.Version)
 	}
 	grant := caller.Grant{Customer: current.Contract.Customer, Route: route}
 	if current.workspaces == nil || route.Public {
 		return grant, nil
 	}
-	age := n.configurationFeed.Age(n.config.BootClock())
 	grant.Workspace = current.workspaces.FindByKey(key)
 	if refusedKey := checkKey(grant.Workspace, age, n.config.MaxApplyDelay, n.config.MaxConfigurationAge); refusedKey != nil {
 		return caller.Grant{}, refusedKey
--- a/internal/hosted/authorize_test.go
+++ b/internal/hosted/authorize_test.go
@@ -118,3 +118,23 @@
 		testkit.That(w, err == nil && grant.WorkspaceName() == "x", "got %+v, %v", grant, err)
 	})
 }
+
+// Guards against a VM that can't read a newer configuration and refuses a route for good that may have been added.
+func TestUnknownRouteIsRetryableDuringRegistryOutage(t *testing.T) {
+	withTestCluster(t, func(w *testCluster) {
+		w.registry.configuration = testContract("m1")
+		w.registry.assignAllShards("a")
+		a := w.boot("a", true)
+		time.Sleep(2 * time.Second)
+		_, err := a.Authorize("other", "/", "")
+		testkit.Equal(w, "code for an unknown route", codeOf(err), refusal.CodeNotFound)
+		w.registry.setUnavailable(true)
+		time.Sleep(5 * time.Second)
+		_, err = a.Authorize("other", "/", "")
+		testkit.Equal(w, "code for a route that may be new", codeOf(err), refusal.CodeNotReady)
+		w.registry.setUnavailable(false)
+		time.Sleep(5 * time.Second)
+		_, err = a.Authorize("other", "/", "")
+		testkit.Equal(w, "code for an unknown route later", codeOf(err), refusal.CodeNotFound)
+	})
+}
