fleetsize: a lapsed record still counts for the retry slack

What is shown is that the parts of the slack add up to more than the fleet's.

Cause: a VM that is cut off from the registry and the other VMs keeps its part of the slack. Its record is dropped 30 s later. VMs that have seen it go on counting it for five minutes, but a VM that starts after that has neither seen it nor finds a record, and divides the slack without it. What the registry names was taken for all VMs that may still retry.

Fix: a record that isn't renewed is marked as lapsed first, and dropped after the five minutes for which VMs that were seen count too. Lapsed records divide the retry slack only; quotas and limits count renewed records, as before. The mark is needed because a reader measures ages by its own clock: one that starts would take an old record for a renewed one. It goes with the reports beside the count. Marking replaces the drop of before, so the registry gets one call more for a VM that is gone, five minutes later.

Evidence, virtual time: a part of the VMs cut off for a minute, the others killed and started again, 25 s later. Parts of the slack, before and after (failed before: TestRetrySlackOfCutOffVMsIsNotDividedAgain, all six cases):

slack VMs cut off before after 58 9 4 58.3 43.5 58 9 6 59.0 43.5 64 12 6 72.0 48.0 64 12 8 68.0 48.0 88 24 12 99.0 66.0 88 24 16 108.0 66.0

Why it works: whoever may still retry by an old count is counted by those that start, for as long as by those that have seen it.

Tests changed: TestRecordsFollowTheVMsThatRun expected 8 records a minute after a VM's end; now 8 renewed and 1 lapsed then, and 8 five minutes later. TestRecordExpiresUnlessTheRegistryIsAway expects the mark at 75 s and the drop after five minutes. TestRecordsOfVMs reads a lapsed record back as well.

Open: VMs that join while all older ones are cut off (docs/design/fleet-size.md).

--- a/admission/fleetsize/fleetsize.go
+++ b/admission/fleetsize/fleetsize.go
@@ -4,8 +4,9 @@
 // together may send. A VM that counts only the VMs it exchanges reports with takes too large a part
 // while it can't reach the others: VMs that start during a partition each take the whole. Therefore
 // every VM also renews a record in the registry, and the parts are divided by the larger one of both
-// counts. It answers this load pattern: many VMs start while they reach the registry and callers but
-// not each other, and all their requests fail at once.
+// counts. It answers two load patterns in which all requests fail at once: many VMs start while they
+// reach the registry and callers but not each other, and VMs start while others reach callers but
+// neither the registry nor them.
 //
 // The package reads no clock and does no I/O. Times are readings of a clock that keeps running while
 // the VM is suspended. Its types are not safe for concurrent use.
@@ -55,7 +56,7 @@
 type Size struct {
 	domains    recentMax
 	seen       map[string]recentMax // by failure domain
-	recorded   VMCounts             // nil before the first
+	recorded   Recorded             // without counts before the first
 	recordedAt time.Duration
 }
 
@@ -76,26 +77,37 @@
 	}
 }
 
-// Unseen returns how many recorded VMs of a failure domain this VM has not seen within seenTTL.
-func (s *Size) Unseen(domain string) int { return max(0, s.recorded[domain]-s.seen[domain].count) }
+// Unseen returns how many VMs of a failure domain renew a record and were not seen within seenTTL.
+func (s *Size) Unseen(domain string) int {
+	return max(0, s.recorded.Renewed[domain]-s.seen[domain].count)
+}
 
 // ObserveRecorded records how many VMs the registry had at readAt, unless a count of about that time
 // is known.
-func (s *Size) ObserveRecorded(readAt time.Duration, recorded VMCounts) {
-	if s.recorded == nil || readAt >= s.recordedAt+minReadAdvance {
+func (s *Size) ObserveRecorded(readAt time.Duration, recorded Recorded) {
+	if !s.isRecordedKnown() || readAt >= s.recordedAt+minReadAdvance {
 		s.recorded, s.recordedAt = recorded, readAt
 	}
 }
 
-// Recorded returns the newest counts of the recorded VMs and when they were read; nil if there are
-// none yet. The caller must not change them.
-func (s *Size) Recorded() (recorded VMCounts, readAt time.Duration) { return s.recorded, s.recordedAt }
+func (s *Size) isRecordedKnown() bool { return s.recorded.Renewed != nil }
+
+// Recorded returns the newest counts of the recorded VMs and when they were read; nil maps if there
+// are none yet. The caller must not change them.
+func (s *Size) Recorded() (recorded Recorded, readAt time.Duration) { return s.recorded, s.recordedAt }
 
 // Count returns the numbers by which a VM of the failure domain divides a bound on the fleet: an equal
 // part for each failure domain, and an equal part of that for each VM. It returns false while the VM
 // has no count from the registry: until then it may be one of any number of VMs.
 func (s *Size) Count(domain string) (Count, bool) {
-	return Count{max(s.domains.count, len(s.recorded), 1), max(s.seen[domain].count, s.recorded[domain], 1)}, s.recorded != nil
+	domains := len(s.recorded.Renewed)
+	for lapsed := range s.recorded.Lapsed {
+		if s.recorded.Renewed[lapsed] == 0 {
+			domains++
+		}
+	}
+	domainVMs := s.recorded.Renewed[domain] + s.recorded.Lapsed[domain]
+	return Count{max(s.domains.count, domains, 1), max(s.seen[domain].count, domainVMs, 1)}, s.isRecordedKnown()
 }
 
 // recentMax is the maximum of the counts of the last seenTTL or, if they have been lower since, the
--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -110,10 +110,12 @@
 
 // RecordedVMs counts the records of entry VMs in the registry.
 type RecordedVMs struct {
-	// ByDomain is the number of VMs in each failure domain.
+	// ByDomain is the number of VMs in each failure domain that renew their records, LapsedByDomain of
+	// those that have stopped.
 	ByDomain map[string]int `cbor:"1,keyasint,omitempty"`
 	// Age is the time since the records were read.
-	Age time.Duration `cbor:"2,keyasint,omitempty"`
+	Age            time.Duration  `cbor:"2,keyasint,omitempty"`
+	LapsedByDomain map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
 // LeavingBackend is a backend server that announced that it is leaving.
--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -57,16 +57,19 @@
 	return count, ok
 }
 
-// recorded returns the numbers of recorded VMs, nil if they are unknown.
-func (f *fleetSize) recorded() fleetsize.VMCounts {
+// renewed returns the numbers of VMs that renew their records, nil if they are unknown.
+func (f *fleetSize) renewed() fleetsize.VMCounts { return f.recorded().Renewed }
+
+// recorded returns the numbers of recorded VMs, without counts if they are unknown.
+func (f *fleetSize) recorded() fleetsize.Recorded {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	recorded, _ := f.size.Recorded()
 	return recorded
 }
 
-// unseen returns how many recorded VMs of a failure domain this VM has not seen, 0 if it has no count
-// from the registry.
+// unseen returns how many VMs of a failure domain renew a record and were not seen by this VM, 0 if it
+// has no count from the registry.
 func (f *fleetSize) unseen(domain string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,10 +98,10 @@
 	f.mu.Unlock()
 	after, known := f.count()
 	if before != after || wasKnown != known {
-		slack := f.node.retrySlack()
+		slack, recorded := f.node.retrySlack(), f.recorded()
 		retrySlackGauge.Set(slack)
 		f.node.config.Logger.Info("fleet counted", zap.Int("domains", after.Domains), zap.Int("domain_vms", after.DomainVMs),
-			zap.Any("recorded", f.recorded()), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
+			zap.Any("recorded", recorded.Renewed), zap.Any("lapsed", recorded.Lapsed), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
 	}
 }
 
@@ -139,17 +142,27 @@
 	for i, r := range list {
 		records[i] = fleetsize.Record(r)
 	}
-	counts, expired := f.records.Update(startedAt, records)
-	f.observe(func() { f.size.ObserveRecorded(startedAt, counts) })
-	if len(expired) == 0 {
+	recorded, lapsed, expired := f.records.Update(startedAt, records)
+	f.observe(func() { f.size.ObserveRecorded(startedAt, recorded) })
+	f.maintain(callCtx, lapsed, expired)
+}
+
+// maintain marks the records that have lapsed and drops the expired ones. A VM that renews its record
+// between the read and this has a lapsed one, or none, until it next does.
+func (f *fleetSize) maintain(ctx context.Context, lapsed []fleetsize.Record, expired []string) {
+	if len(lapsed)+len(expired) == 0 {
 		return
 	}
-	// A VM that renews its record between the read and the drop is without one until it next does.
-	if err := own.Peers.Registry.DropVMs(callCtx, expired); err != nil {
-		own.Logger.Warn("records of entry VMs not dropped", zap.Strings("vms", expired), telemetry.Reason(err))
+	marked, names := make([]registry.VMRecord, len(lapsed)), make([]string, len(lapsed))
+	for i, r := range lapsed {
+		marked[i], names[i] = registry.VMRecord(r), r.VM
+	}
+	logger := f.node.config.Logger.With(zap.Strings("lapsed", names), zap.Strings("expired", expired))
+	if err := f.node.config.Peers.Registry.MaintainVMs(ctx, marked, expired); err != nil {
+		logger.Warn("records of entry VMs not marked as lapsed or dropped", telemetry.Reason(err))
 		return
 	}
-	own.Logger.Info("records of entry VMs dropped", zap.Strings("vms", expired))
+	logger.Info("records of entry VMs marked as lapsed or dropped")
 }
 
 // handleFailure handles a call on the records that failed.
@@ -159,7 +172,7 @@
 }
 
 // interval returns the time between two renewals and the minimum time between two reads.
-func (f *fleetSize) interval() time.Duration { return fleetsize.RenewInterval(f.recorded().Sum()) }
+func (f *fleetSize) interval() time.Duration { return fleetsize.RenewInterval(f.renewed().Sum()) }
 
 // isReadDue reports whether this VM has to read the records. Its own is among them then. In a large
 // fleet the relays read them first and report the counts to the other VMs of their domain.
@@ -177,15 +190,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	recorded, lastReadAt := f.size.Recorded()
-	return recorded == nil || now-lastReadAt >= interval
+	return recorded.Renewed == nil || now-lastReadAt >= interval
 }
 
 // publish adds the count of the recorded VMs to a report to a VM of this domain.
 func (f *fleetSize) publish(report *entryvm.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if recorded, readAt := f.size.Recorded(); recorded != nil {
-		report.RecordedVMs = &entryvm.RecordedVMs{ByDomain: recorded, Age: f.now() - readAt}
+	if recorded, readAt := f.size.Recorded(); recorded.Renewed != nil {
+		report.RecordedVMs = &entryvm.RecordedVMs{ByDomain: recorded.Renewed, LapsedByDomain: recorded.Lapsed, Age: f.now() - readAt}
 	}
 }
 
@@ -195,7 +208,9 @@
 	if recorded == nil || recorded.ByDomain == nil || report.Domain != f.node.config.Domain {
 		return
 	}
-	f.observe(func() { f.size.ObserveRecorded(f.now()-recorded.Age, recorded.ByDomain) })
+	f.observe(func() {
+		f.size.ObserveRecorded(f.now()-recorded.Age, fleetsize.Recorded{Renewed: recorded.ByDomain, Lapsed: recorded.LapsedByDomain})
+	})
 }
 
 // countSeen returns how many VMs of each failure domain this VM has seen and not forgotten since,
--- a/internal/hosted/quotaallocatorselection.go
+++ b/internal/hosted/quotaallocatorselection.go
@@ -110,7 +110,7 @@
 	if domain == m.node.config.Domain {
 		c = domainCount{live: 1, known: 1}
 	}
-	recorded := m.node.fleetSize.recorded()
+	recorded := m.node.fleetSize.renewed()
 	c.isUnsure = recorded == nil
 	m.eachLive(now, func(r *entryvm.Report) {
 		if r.Domain == domain {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -205,8 +205,10 @@
 // VMRecord is the record that an entry VM renews as long as it runs.
 type VMRecord struct {
 	VM, Domain string
-	// Revision differs between any two writes of the record.
+	// Revision differs between any two renewals of the record.
 	Revision string
+	// Lapsed is whether the VM has not renewed the record for long.
+	Lapsed bool
 }
 
 // Registry is the interface to the platform's registry. All methods may fail with
@@ -251,8 +253,8 @@
 	VMs(ctx context.Context) ([]VMRecord, error)
 	// RecordVM adds or renews the record of an entry VM.
 	RecordVM(ctx context.Context, record VMRecord) error
-	// DropVMs drops the records of entry VMs.
-	DropVMs(ctx context.Context, vms []string) error
+	// MaintainVMs replaces the records of entry VMs by lapsed ones and drops others.
+	MaintainVMs(ctx context.Context, lapsed []VMRecord, drop []string) error
 
 	// Streams returns the records of streams from the cursor on, all retained ones for 0, and the cursor after
 	// them. It may fail with ErrHistoryLost.
