serving, hosted: a software version belongs to a start of a backend server

Engines may start again under their ID at a new version (an upgrade in place). Callers saw streams that began at v1 go on at v1.1, within one answer and after they took them up at another VM.

Cause: the version was taken from the ID's list entry, whatever start it was read with. The entry names the new version with the next heartbeat, or much later while the registry is silent; until then streams of v1 were sent to an engine that was v1.1 by now, also by VMs that had already learned of the new start.

Change: - If the newest known start isn't the one that the entry names, the version of the running server is unknown: it gets a name of its own for this start, which no other server matches. A new stream there is recorded under that name, goes on at the same start, and at the version that the entry names for it later. The service counts as having several versions for that long. - An attempt that continues a stream asks the engine for its start (`/report`, by the path of the request, also through a gateway) after it was accepted and before anything of it is delivered. The same start is the proof that it runs the attempt.

No call for new streams unless connections to their engine broke; streams that go on share one.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -60,6 +60,7 @@
 type Backends interface {
 	service.Forwarder
 	service.Connector
+	service.StartReader
 }
 
 // Hosted is one entry VM on a hosting platform, with its listening ports.
@@ -93,7 +94,7 @@
 		return nil, err
 	}
 	backends := clients.NewBackends(peers)
-	clients.EntryVMs, clients.Backends, clients.Connector = peers, backends, backends
+	clients.EntryVMs, clients.Backends, clients.Connector, clients.Starts = peers, backends, backends, backends
 	h.node = hosted.New(hosted.Config{
 		VM: s.VM.ID, Address: s.VM.PeersAdvertise, Domain: s.VM.Domain, Domains: len(s.Peers.Domains), Incarnation: incarnation,
 		Capacity: s.Limits.Memory, Seeds: s.Peers.Seeds, FirstStart: s.VM.FirstStart, Shards: s.Platform.Shards,
--- a/internal/hosted/adapters.go
+++ b/internal/hosted/adapters.go
@@ -75,7 +75,7 @@
 	var engines []*backend
 	a.node.backends.each(wanted.Service, func(b *backend) {
 		held, ok := b.loadedModels[wanted.Model]
-		if !ok || (wanted.Version != "" && b.Version != wanted.Version) || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
+		if !ok || (wanted.Version != "" && b.softwareVersion() != wanted.Version) || b.isLeaving() || b.isSwapping() || held.adapters[wanted.Adapter] {
 			return
 		}
 		copied := *b
--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -60,6 +60,7 @@
 		return false
 	}
 	b.start = start
+	b.startDoubtsCleared = b.startDoubts
 	if before == 0 {
 		return false
 	}
@@ -140,7 +141,7 @@
 
 // target returns the target of requests to the newest known instance.
 func (b *backend) target() service.Target {
-	return service.Target{ID: b.ID, Address: b.Address, Version: b.Version, Started: b.start}
+	return service.Target{ID: b.ID, Address: b.Address, Version: b.softwareVersion(), Started: b.start}
 }
 
 // drainEndedInstances returns the instances of backend servers that have ended since the
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -76,7 +76,7 @@
 			ready = false
 		}
 		out = append(out, routing.Candidate{
-			Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
+			Engine: b.ID, Domain: b.Domain, Version: b.softwareVersion(), Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
 			Indirect: b.isIndirect(), Pace: n.estimatePace(now, b, wanted),
 		})
 	})
@@ -91,7 +91,7 @@
 		if b.isUnreachable() {
 			return
 		}
-		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Version: b.Version, Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
+		out = append(out, routing.Candidate{Engine: b.ID, Domain: b.Domain, Version: b.softwareVersion(), Slots: b.countSlots(), Ready: true, Leaving: b.isLeaving(), Indirect: b.isIndirect()})
 	})
 	out = n.filterReachable(now, out)
 	n.backendQueues.prepare(now, service, out)
@@ -143,6 +143,7 @@
 // MarkUnreachable implements serving.ForwardDirectory.
 func (n *Node) MarkUnreachable(target service.Target, cause error) {
 	n.paths.markUnreachable(time.Now(), target, cause)
+	n.backends.doubtStart(target.ID, target.Started)
 	n.crashes.RecordRefusedConnection(target, cause)
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -45,7 +45,9 @@
 	Backends service.Forwarder
 	// Connector connects to backend servers for other entry VMs.
 	Connector service.Connector
-	EntryVMs  EntryVMs
+	// Starts may be nil: then Engines is asked, which has no paths through gateways.
+	Starts   service.StartReader
+	EntryVMs EntryVMs
 }
 
 // EntryVMs calls other entry VMs by address.
@@ -149,6 +151,7 @@
 	issuers         *permitIssuers
 	fleetSize       *fleetSize
 	paths           *backendPaths
+	startChecks     *startChecks
 	streamVersions  *streamversions.Finder
 	backendQueues   *backendQueues // nil if not switched on
 	// paces is the pace of engines, nil if Config.Load.EnginePace is off.
@@ -201,6 +204,7 @@
 	n.rooms = newBackendRooms(n)
 	n.issuers = newPermitIssuers(n)
 	n.paths = newBackendPaths(n)
+	n.startChecks = newStartChecks(n)
 	n.streamVersions = streamversions.New(streamversions.Config{VM: config.VM, Domain: config.Domain, FirstStart: config.FirstStart, Fleet: streamFleet{n},
 		VMs: config.Peers.EntryVMs, Registry: config.Peers.Registry, Logger: config.Logger})
 	n.members = newMembers(n)
--- a/internal/hosted/plannerview.go
+++ b/internal/hosted/plannerview.go
@@ -24,7 +24,7 @@
 	for i := range all {
 		b := &all[i]
 		e := residency.Engine{
-			ID: b.ID, Domain: b.Domain, Version: b.Version, CapacityBytes: capacity - b.reservedBytes(), Slots: b.Slots, Serving: !b.isLeaving() && !unavailable[b.ID] && !isPartitioned(b.Domain),
+			ID: b.ID, Domain: b.Domain, Version: b.softwareVersion(), CapacityBytes: capacity - b.reservedBytes(), Slots: b.Slots, Serving: !b.isLeaving() && !unavailable[b.ID] && !isPartitioned(b.Domain),
 			InMemory: toSet(b.InMemory), OnDisk: toSet(b.OnDisk),
 		}
 		for name, model := range b.loadedModels {
--- a/internal/hosted/streamfleet.go
+++ b/internal/hosted/streamfleet.go
@@ -45,12 +45,16 @@
 
 // RecordStream implements serving.ForwardDirectory.
 func (n *Node) RecordStream(stream streamversion.Stream, version string) {
+	if streamversion.IsUnlisted(version) {
+		n.backends.recordUnlistedVersion(time.Now(), stream.Service, version)
+	}
 	n.streamVersions.RecordStream(stream, version)
 }
 
 // FindStreamVersion implements serving.ForwardDirectory.
 func (n *Node) FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
-	return n.streamVersions.FindVersion(ctx, stream)
+	version, refused := n.streamVersions.FindVersion(ctx, stream)
+	return n.backends.resolveVersion(stream.Service, version), refused
 }
 
 // StreamVersions implements entryvm.Coordinator.
@@ -114,7 +118,7 @@
 		if b.isLeaving() || b.isUnreachable() {
 			continue
 		}
-		if b.Version == version {
+		if b.softwareVersion() == version {
 			return false
 		}
 		others = true
--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -23,6 +23,10 @@
 		return service.ErrNotSent
 	}
 	f.target = target
+	if !f.mayContinueAt(ctx) {
+		f.outcome = attemptOutcome{excludeBackend: true}
+		return errors.Join(service.ErrNotSent, errStartUnverified)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := f.startStallGuard(cancel)
@@ -35,7 +39,7 @@
 	if err == nil {
 		f.attemptsRun++
 		f.server.forwardDirectory().MarkReachable(target)
-		err = f.deliver(head, guard)
+		err = f.verifyAndDeliver(ctx, head, guard)
 		_ = head.Body.Close()
 	} else if errors.Is(err, service.ErrOutcomeUnknown) {
 		f.attemptsRun++
@@ -48,11 +52,28 @@
 	if err != nil && f.outcome.mayHaveRun {
 		f.server.forwardDirectory().RecordAbandoned(f.pending.backend)
 	}
+	if f.hasConnectionBroken(ctx, err) {
+		f.server.forwardDirectory().DoubtStart(target)
+	}
 	f.reportToQuarantine(ctx, head, err)
 	f.finishPace(err)
 	return err
 }
 
+// mayContinueAt reports whether the target may be sent a stream to continue. If its connections broke, its start is
+// verified before an attempt is spent on it.
+func (f *forwarding) mayContinueAt(ctx context.Context) bool {
+	directory := f.server.forwardDirectory()
+	return f.version == "" || !directory.IsStartDoubtful(f.target) || directory.VerifyStart(ctx, f.target)
+}
+
+// hasConnectionBroken reports whether an attempt that may have run ended with its connection, and not because
+// this side or the caller ended it.
+func (f *forwarding) hasConnectionBroken(ctx context.Context, err error) bool {
+	return err != nil && f.outcome.mayHaveRun && ctx.Err() == nil && !isTerminalError(err) &&
+		!errors.Is(err, errServerFailed) && !errors.Is(err, errStartUnverified)
+}
+
 // recordBackendSignals passes what the answer says of its backend server to the
 // directory and the router: that it is leaving, a cooldown, a limit, and a bound on its
 // rejections. A successful answer without a limit lifts the limit; refusals and failures without one don't.
@@ -120,6 +141,8 @@
 		unit, _ := SplitVersion(f.pending.query.Unit)
 		f.server.forwardDirectory().RecordUnitNotHeld(f.pending.backend, unit)
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}, excludeBackend: true}
+	case errors.Is(err, errStartUnverified):
+		f.outcome = attemptOutcome{mayHaveRun: true, excludeBackend: true}
 	case errors.Is(err, service.ErrNotRun):
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 	default:
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -1,12 +1,15 @@
 package serving
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bergamotreel/contract"
 	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
@@ -20,11 +23,29 @@
 	copyBufferSize = 16 << 10
 )
 
+// unknownStart stands for a start of a backend server that isn't known and that nothing matches.
+const unknownStart = -1
+
+// unverifiedStarts counts the attempts to continue a stream that were given up because the backend server may
+// have started again.
+var unverifiedStarts = metrics.NewCounter("bergamotreel_resumed_streams_unverified_total")
+
 // errServerFailed reports that the backend server answered with a 5xx status.
 var errServerFailed = errors.New("the backend server failed")
 
+// verifyAndDeliver forwards the answer to the caller. A server that continues a stream must not have started
+// again since its version was read; it has accepted the request by now, so a start that is still the same
+// is the one that runs it.
+func (f *forwarding) verifyAndDeliver(ctx context.Context, head *service.ForwardResponse, guard *stallGuard) error {
+	if f.version != "" && head.Status < http.StatusInternalServerError && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
+		unverifiedStarts.Inc()
+		return errStartUnverified
+	}
+	return f.deliver(ctx, head, guard)
+}
+
 // deliver forwards the answer to the caller.
-func (f *forwarding) deliver(head *service.ForwardResponse, guard *stallGuard) error {
+func (f *forwarding) deliver(ctx context.Context, head *service.ForwardResponse, guard *stallGuard) error {
 	f.framing, f.eventStream = framingName(head.Length), isEventStream(f.request.Route, head)
 	failed := head.Status >= http.StatusInternalServerError
 	switch {
@@ -33,7 +54,7 @@
 	case failed && f.answer.HasBegun():
 		return errServerFailed // a failure can't continue a resumed stream
 	case f.request.Route.Repeat == contract.RepeatResume && !failed:
-		return f.deliverEvents(head, guard)
+		return f.deliverEvents(ctx, head, guard)
 	case f.canBuffer(head):
 		return f.deliverBuffered(head, guard)
 	default:
@@ -94,7 +115,7 @@
 }
 
 // deliverEvents forwards complete events and stores the id of the last one.
-func (f *forwarding) deliverEvents(head *service.ForwardResponse, guard *stallGuard) error {
+func (f *forwarding) deliverEvents(ctx context.Context, head *service.ForwardResponse, guard *stallGuard) error {
 	if head.Length >= 0 {
 		head.Length = service.LengthChunked // the length of one attempt's answer isn't that of the resumed stream
 	}
@@ -109,7 +130,7 @@
 			return errEventCutOff
 		}
 		if len(whole) > 0 {
-			f.bindVersion()
+			f.bindVersion(ctx)
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
 				return err
@@ -130,12 +151,15 @@
 }
 
 // bindVersion binds the stream to the software version of the backend server that sent its first
-// event.
-func (f *forwarding) bindVersion() {
+// event. If the server may have started again, nothing is known to go on where the stream began.
+func (f *forwarding) bindVersion(ctx context.Context) {
 	if f.version != "" || f.target.Version == "" {
 		return
 	}
 	f.version = f.target.Version
+	if f.server.forwardDirectory().IsStartDoubtful(f.target) && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
+		f.version = streamversion.UnlistedVersion(f.target.ID, unknownStart)
+	}
 	stream := streamversion.Stream{Workspace: f.request.WorkspaceName(), Service: f.request.Service, Request: f.request.ID}
 	f.server.forwardDirectory().RecordStream(stream, f.version)
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -48,6 +48,10 @@
 // errReplaced ends an attempt whose request continues on another backend server.
 var errReplaced = errors.New("continued elsewhere")
 
+// errStartUnverified ends an attempt to continue a stream whose backend server may have started again, so that
+// its software version is unknown.
+var errStartUnverified = errors.New("the backend server may have started again at another software version")
+
 // ForwardDirectory is a Directory for forwarded requests: it also knows the addresses
 // of backend servers and records what attempts show of their state.
 type ForwardDirectory interface {
@@ -79,6 +83,13 @@
 	// TryUsePermit uses one of the permits of a candidate with PermitRequired. It
 	// returns false if they have been used meanwhile or have expired.
 	TryUsePermit(backend string) bool
+	// DoubtStart records a sign that a target may have started again: its connections broke.
+	DoubtStart(target service.Target)
+	// IsStartDoubtful reports whether a target may have started again, according to DoubtStart.
+	IsStartDoubtful(target service.Target) bool
+	// VerifyStart asks a target whether it has started again since the target was returned. It
+	// returns false also if that remains unknown.
+	VerifyStart(ctx context.Context, target service.Target) bool
 	// RecordStream records that a stream began at a software version.
 	RecordStream(stream streamversion.Stream, version string)
 	// FindStreamVersion returns the software version at which a stream that its caller takes up
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -73,6 +73,9 @@
 	// versions are the software versions of backend servers.
 	versions     map[string]string
 	begunStreams map[streamversion.Stream]string
+	// doubted are the targets whose connections broke, verified those whose start was verified, restarted the
+	// backend servers that have started again since their versions were read.
+	doubted, verified, restarted []string
 	// method is that of the requests.
 	method string
 	// progress counts the reports to the quarantine that an answer goes on.
@@ -149,6 +152,27 @@
 
 func (b *forwardTestbed) RecordAbandoned(string) {}
 
+// DoubtStart records whose connections broke.
+func (b *forwardTestbed) DoubtStart(target service.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.doubted = append(b.doubted, target.ID)
+}
+
+func (b *forwardTestbed) IsStartDoubtful(target service.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Contains(b.doubted, target.ID)
+}
+
+// VerifyStart finds that the servers in restarted have started again.
+func (b *forwardTestbed) VerifyStart(_ context.Context, target service.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.verified = append(b.verified, target.ID)
+	return !slices.Contains(b.restarted, target.ID)
+}
+
 func (b *forwardTestbed) MarkLeaving(string) {}
 
 // RecordLimit records the limits that answers contained.
@@ -285,16 +309,21 @@
 
 // forwardWithParts is forward for a request whose prompt has the given shared parts.
 func (b *forwardTestbed) forwardWithParts(ctx context.Context, r *contract.Route, model string, answer *answerRecorder, parts ...string) error {
+	return b.forwardRequest(ctx, r, caller.RelayRequest{RelayHead: caller.RelayHead{ID: "id", Model: model, PromptParts: parts}}, answer)
+}
+
+// forwardRequest forwards a request of which only the head is given.
+func (b *forwardTestbed) forwardRequest(ctx context.Context, r *contract.Route, request caller.RelayRequest, answer *answerRecorder) error {
 	now := time.Now()
 	deadline := now.Add(r.Timeout)
 	begin := deadline
 	if r.Silence > 0 {
 		begin = now.Add(r.Silence)
 	}
-	return b.server.Forward(ctx, caller.RelayRequest{
-		RelayHead: caller.RelayHead{ID: "id", Model: model, PromptParts: parts}, Grant: caller.Grant{Customer: "c", Route: r}, Service: "s",
-		ForwardRequest: service.ForwardRequest{RequestID: "id", Method: b.method}, Arrived: now, AnswerDeadline: deadline, BeginDeadline: begin,
-	}, answer)
+	request.Grant, request.Service = caller.Grant{Customer: "c", Route: r}, "s"
+	request.ForwardRequest = service.ForwardRequest{RequestID: request.ID, Method: b.method, ResumeAfter: request.ResumedAfter}
+	request.Arrived, request.AnswerDeadline, request.BeginDeadline = now, deadline, begin
+	return b.server.Forward(ctx, request, answer)
 }
 
 func completeAnswer(status int, text string) *service.ForwardResponse {
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -93,7 +93,7 @@
 	case !f.outcome.mayHaveRun:
 	case errors.Is(err, errServerFailed):
 		q.RecordAnswer(f.target, f.quarantineSubjects(), false)
-	case ctx.Err() != nil, isTerminalError(err):
+	case !f.hasConnectionBroken(ctx, err):
 		q.RecordAbandonedRun(f.target, f.abandonedSubjects(time.Now()))
 	default:
 		q.RecordConnectionLost(f.target, f.quarantineSubjects())
--- a/routing/streamversion/history.go
+++ b/routing/streamversion/history.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// RecordBegin records that a stream of the service began at a version that no listed backend server may have.
+func (h *History) RecordBegin(now time.Time, service, version string) {
+	h.Add(service, version)
+	h.Remove(now, service, version)
+}
+
 // Versions returns the versions that a stream of the service may have begun at, sorted.
 func (h *History) Versions(now time.Time, service string) []string {
 	versions := h.services[service]
--- a/service/forward.go
+++ b/service/forward.go
@@ -123,6 +123,13 @@
 	Connect(ctx context.Context, target Target) (net.Conn, error)
 }
 
+// StartReader reads the starts of engines.
+type StartReader interface {
+	// Start returns the start that the target's engine reports, 0 if it reports none. It takes the path that
+	// requests to the target take, and fails if the engine doesn't answer.
+	Start(ctx context.Context, target Target) (int64, error)
+}
+
 // Forwarder forwards requests to backend servers.
 type Forwarder interface {
 	// Forward sends the request once, without retries, and returns after receiving
