streamversions: a version stays known until the decision that was begun while it was

What callers saw: nothing yet; found by review. A VM decides on a stream that nobody knows by what its list knew when the answers are in, up to 1.3 s after the request, or later if it is suspended meanwhile. A version that was known at the request and forgotten since, a minute after it went, was missing then, and the stream went on at the other one.

Now what the VM knew at the request counts beside what others and it itself know later.

TestVersionForgottenWhileTheRegistryIsSlow failed before: version "v2" where a refusal is due, at one VM whose registry takes 0.7 s, for a request 0.1 s before the version was forgotten; 0.2 s after it the stream goes on at v2.

--- a/internal/hosted/outofstepversions_test.go
+++ b/internal/hosted/outofstepversions_test.go
@@ -11,6 +11,7 @@
 	"bergamotreel/internal/streamversions"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/registry"
+	"bergamotreel/routing/streamversion"
 )
 
 // outOfStepFleets are the numbers of VMs at which VMs that are out of step are tried; the last one is a fleet that
@@ -35,6 +36,9 @@
 	if err := r.failIfUnreachable(ctx, 0); err != nil {
 		return nil, from, err
 	}
+	if err := r.delayRead(ctx); err != nil {
+		return nil, from, err
+	}
 	return r.fakeRegistry.Streams(ctx, from)
 }
 
@@ -236,3 +240,18 @@
 		})
 	}
 }
+
+// Guards against a version that is forgotten between the request of a caller and the answers about its stream.
+func TestVersionForgottenWhileTheRegistryIsSlow(t *testing.T) {
+	withVersionedFleet(t, 1, []string{"v1", "v2"}, func(w *testCluster, names []string) {
+		w.registry.setReadLatency(700 * time.Millisecond)
+		w.registry.drop("i-v1")
+		for w.nodes[names[0]].backends.count() > 1 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(streamversion.TTL - 100*time.Millisecond)
+		w.expectVersion(names[0], testStream("unknown"), "")
+		time.Sleep(200 * time.Millisecond)
+		w.expectVersion(names[0], testStream("unknown"), "v2")
+	})
+}
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -199,6 +199,8 @@
 			return replies.version, nil
 		}
 	}
+	// Versions may have been forgotten here since the caller asked.
+	replies.views = append(replies.views, own)
 	merge := func() ([]string, bool) {
 		view := s.config.Fleet.VersionsView(time.Now(), stream.Service)
 		return streamversion.Merge(started, append(replies.views, view)...)
