streamversions: relays that confirm a list are waited for while the registry is slow

What callers saw: nothing yet; found by review. In a large fleet only relays confirm the list, for the others too. With answers of the registry after 0.3 s, a VM that is no relay refused every stream that nobody knows, at each try, though one version serves.

Cause: a relay answered after 0.25 s whether the read had ended or not, and the VM gave its calls 0.3 s.

Now a relay that is asked to confirm answers when its read has ended, up to a second later unless its last read failed; a found stream is answered at once as before. The VM waits as long only if it knows one version at most, and once the answers so far cover the time of the stream, for the others no longer than FindTimeout. With several versions nothing is confirmed, as that can't prove anything. A VM whose own list is stale leaves it to those that it asks, so that callers wait for one of both only.

TestStreamsTakenUpAwayFromRelaysWhileTheRegistryIsSlow, virtual time, 30 VMs: 40 of 40 go on.

--- a/internal/hosted/outofstepversions_test.go
+++ b/internal/hosted/outofstepversions_test.go
@@ -211,6 +211,20 @@
 	}
 }
 
+// Guards against the same at a VM of a large fleet whose list only relays confirm.
+func TestStreamsTakenUpAwayFromRelaysWhileTheRegistryIsSlow(t *testing.T) {
+	withVersionedFleet(t, 30, []string{"v1"}, func(w *testCluster, names []string) {
+		const streams, latency = 40, 300 * time.Millisecond
+		w.registry.setReadLatency(latency)
+		time.Sleep(3 * time.Second)
+		vm, begun := w.nonKeeper(names), time.Now()
+		testkit.Need(w, !w.nodes[vm].members.keepsStreams(begun), "%s is a relay", vm)
+		got := w.takeUp(vm, unknownStreams(streams)...)
+		took := time.Since(begun)
+		testkit.That(w, got["v1"] == streams && took <= latency+150*time.Millisecond, "%v in %s", got, took)
+	})
+}
+
 // Guards against calls of the registry that grow with the streams that are taken up.
 func TestRegistryCallsOfManyUnknownStreams(t *testing.T) {
 	for _, vms := range outOfStepFleets {
--- a/internal/streamversions/confirmation.go
+++ b/internal/streamversions/confirmation.go
@@ -54,13 +54,17 @@
 	}
 }
 
-// awaitForCaller is await for a caller whose stream was looked for since started. A registry that is slow keeps it
-// waiting for longer than one that has stopped answering.
-func (c *confirmation) awaitForCaller(ctx context.Context, started time.Time) bool {
-	deadline := started.Add(FindTimeout)
-	if !c.isFailing() {
-		deadline = deadline.Add(confirmTimeout)
+// timeout returns how long a caller is kept waiting, given the time that its stream is looked for otherwise: longer
+// while the registry is slow than once it has stopped answering.
+func (c *confirmation) timeout(otherwise time.Duration) time.Duration {
+	if c.isFailing() {
+		return otherwise
 	}
+	return otherwise + confirmTimeout
+}
+
+// awaitUntil is await with a deadline.
+func (c *confirmation) awaitUntil(ctx context.Context, deadline time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return c.await(ctx)
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -134,7 +134,7 @@
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
 		version, found = s.find(time.Now(), key)
 	}
-	confirmed := !found && args.Confirm && s.confirmUntil(started.Add(replyTimeout))
+	confirmed := !found && args.Confirm && len(versions) <= 1 && s.confirmation.awaitUntil(context.Background(), started.Add(s.confirmation.timeout(replyTimeout)))
 	now := time.Now()
 	view := s.config.Fleet.VersionsView(now, args.Service)
 	return entryvm.FindStreamReply{Found: found, Version: version, Versions: view.Versions,
@@ -148,13 +148,6 @@
 	return view
 }
 
-// confirmUntil waits until the deadline at most for a read that confirms the list for another VM.
-func (s *Finder) confirmUntil(deadline time.Time) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	return s.confirmation.await(ctx)
-}
-
 // awaitLoad reads what the registry holds of streams, and waits for it until the deadline at most.
 func (s *Finder) awaitLoad(ctx context.Context, deadline time.Time) {
 	select {
@@ -206,7 +199,11 @@
 		return streamversion.Merge(started, append(replies.views, view)...)
 	}
 	versions, complete = merge()
-	if !complete && len(versions) == 1 && isKeeper && s.confirmation.awaitForCaller(ctx, started) {
+	ownTimeout := FindTimeout
+	if !question.Confirm { // else the registry doesn't answer this VM
+		ownTimeout = s.confirmation.timeout(FindTimeout)
+	}
+	if !complete && len(versions) == 1 && isKeeper && s.confirmation.awaitUntil(ctx, started.Add(ownTimeout)) {
 		replies.views = append(replies.views, s.upToDate(started, stream.Service))
 		versions, complete = merge()
 	}
@@ -256,13 +253,17 @@
 		isLive, answered bool
 	}
 	received := make(chan keeperReply, len(keepers))
+	timeout := FindTimeout
+	if question.Confirm && len(known) <= 1 {
+		timeout += confirmTimeout
+	}
 	liveWithoutReply := 0
 	for _, keeper := range keepers {
 		if keeper.IsLive {
 			liveWithoutReply++
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, FindTimeout)
+			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			reply, err := s.config.VMs.FindStream(ctx, keeper.Address, question)
 			if err != nil {
@@ -272,11 +273,18 @@
 		}()
 	}
 	out := replies{asked: len(keepers)}
+	// enough ends the wait for those that confirm their list once others have, but not for those that know the stream.
+	var enough <-chan time.Time
 	for range keepers {
 		if liveWithoutReply == 0 && len(known) <= 1 {
 			break
 		}
-		reply := <-received
+		var reply keeperReply
+		select {
+		case reply = <-received:
+		case <-enough:
+			return out
+		}
 		if reply.isLive {
 			liveWithoutReply--
 		}
@@ -290,6 +298,9 @@
 		}
 		known = mergeVersions(known, reply.Versions)
 		out.views = append(out.views, viewOf(askedAt, time.Now(), &reply.FindStreamReply))
+		if _, complete := streamversion.Merge(askedAt, out.views...); complete {
+			enough = time.After(time.Until(askedAt.Add(FindTimeout)))
+		}
 	}
 	return out
 }
