serving: a stream doesn't go on at a server that restarted after it was picked

Callers saw a stream of v1 go on at v1.1 although the VM knew of the engine's new start.

Cause: a server is picked by its version, and its target, with the start to compare, is read later. If the VM learned of a new start in between, the question for the start was compared with the new one, and passed.

The VM's log names the attempt: unit model@v1/llm/m1, version unlisted:i-5@, outcome answered.

Fix: the target's version must be the stream's. Otherwise nothing is sent, and no repeat is spent. TestStreamSkipsServerThatRestartedSincePicked failed before (the stream was sent to the server) and passes.

--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -60,11 +60,17 @@
 	return err
 }
 
-// mayContinueAt reports whether the target may be sent a stream to continue. If its connections broke, its start is
-// verified before an attempt is spent on it.
+// mayContinueAt reports whether the target may be sent a stream to continue. It may have been found to have started
+// again after it was picked. If its connections broke, its start is verified before an attempt is spent on it.
 func (f *forwarding) mayContinueAt(ctx context.Context) bool {
 	directory := f.server.forwardDirectory()
-	return f.version == "" || !directory.IsStartDoubtful(f.target) || directory.VerifyStart(ctx, f.target)
+	switch {
+	case f.version == "":
+		return true
+	case f.target.Version != f.version:
+		return false
+	}
+	return !directory.IsStartDoubtful(f.target) || directory.VerifyStart(ctx, f.target)
 }
 
 // hasConnectionBroken reports whether an attempt that may have run ended with its connection, and not because
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -76,6 +76,8 @@
 	// doubted are the targets whose connections broke, verified those whose start was verified, restarted the
 	// backend servers that have started again since their versions were read.
 	doubted, verified, restarted []string
+	// renamed are the versions of backend servers that are found to have changed after they were picked.
+	renamed map[string]string
 	// method is that of the requests.
 	method string
 	// progress counts the reports to the quarantine that an answer goes on.
@@ -132,7 +134,11 @@
 }
 
 func (b *forwardTestbed) Target(name string) (service.Target, bool) {
-	return service.Target{ID: name, Address: name, Version: b.versions[name]}, true
+	version := b.versions[name]
+	if b.renamed[name] != "" {
+		version = b.renamed[name]
+	}
+	return service.Target{ID: name, Address: name, Version: version}, true
 }
 func (b *forwardTestbed) MarkUnreachable(target service.Target, _ error) {
 	b.markedUnreachable = append(b.markedUnreachable, target.ID)
--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// Guards against events of another software version from a server that is found to have started again after it was
+// picked for the stream and before the stream was sent there.
+func TestStreamSkipsServerThatRestartedSincePicked(t *testing.T) {
+	for range 8 { // either server may be picked first
+		synctest.Test(t, func(t *testing.T) {
+			b, answer := startTestbed(t), &answerRecorder{}
+			b.renamed = map[string]string{"one": "v1.1"}
+			testkit.OK(t, b.takeUp(t.Context(), answer))
+			testkit.That(t, answer.body.String() == event(2) && b.countSent("one") == 0 && b.countSent("two") == 1, "sent %v", b.sent)
+			b.stop()
+		})
+	}
+}
+
 // Guards against a new stream that is recorded at a software version which its server may no longer have.
 func TestNewStreamAtServerInDoubtHasNoListedVersion(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
