hosted: a regression test for the retries of VMs that start beside cut-off ones

The started VMs get 13 requests in 10 s each and those that are cut off 4, just enough to spend their parts; with evenly spread requests the ratio's part hides the excess.

--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -292,3 +292,52 @@
 		}
 	}
 }
+
+// sendAtIntervals sends requests to one VM, with an interval between two.
+func (d *day) sendAtIntervals(stop <-chan struct{}, vm string, interval time.Duration) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(interval):
+		}
+		d.inFlight.Go(func() { d.sendAndRecord(vm, fmt.Sprint(vm, "-", i)) })
+	}
+}
+
+// Guards against more retries than the fleet may make, as VMs that start while others are cut off from the
+// registry and from them spend the parts of the others a second time.
+func TestFleetKeepsRetryBudgetBesideCutOffVMs(t *testing.T) {
+	const (
+		vms, cutOff = 24, 16
+		// cutOffInterval and startedInterval are the times between two requests to a VM that is cut off, and to
+		// one that starts: just short enough for each to spend its part.
+		cutOffInterval, startedInterval = retryWindow / 4, retryWindow / 13
+	)
+	withRetryCluster(t, vms, func(b *engineCluster) {
+		d := &day{engineCluster: b, random: rand.New(rand.NewSource(1))}
+		d.allowRepeats()
+		stop := make(chan struct{})
+		for i, vm := range d.vms {
+			interval := startedInterval
+			if i < cutOff {
+				interval = cutOffInterval
+			}
+			d.inFlight.Go(func() { d.sendAtIntervals(stop, vm, interval) })
+			time.Sleep(17 * time.Millisecond)
+		}
+		time.Sleep(failingAfter)
+		d.setCutOff(d.vms[:cutOff], true)
+		time.Sleep(time.Minute) // until their records have lapsed
+		d.restart(d.vms[cutOff:])
+		time.Sleep(budgetFillTime)
+		d.setAllFailing(true)
+		time.Sleep(2 * retryWindow)
+		close(stop)
+		d.inFlight.Wait()
+		violations := judge.CheckRetries(&d.history, retryBound(vms))
+		testkit.That(t, len(violations) == 0, "%v", violations)
+		t.Logf("%d retries of %d requests", d.countRetries(), len(d.history.Outcomes))
+		testkit.That(t, d.countRetries() > 0, "no retry of %d requests", len(d.history.Outcomes))
+	})
+}
