hosted: the start of another writer's entry is forgotten

What callers saw: another writer leaves an entry with a later start in place of an engine's own. The engine's own entry, written again with its next heartbeat, doesn't end that: its true start counts as a former one, so its statuses and its keeper's updates are ignored for good, and it gets no orders to load models until it starts again.

Cause: a former start named by an entry is always taken for outdated, also if nothing but an entry ever named the newer one. And a start that was taken for a former one and accepted again stayed among the former ones, so that the keeper's updates of the very start in use were ignored.

Fix: a former start that the entry goes on to name is accepted after maxStartNewsAge if the newer one stood in an entry only: the server hasn't reported it, nor was its keeper first. Not shortly after the registry was restored, when its entries are older. A start in use is no former one. Weighed: a bound on how far in the future a start may be (clocks differ, and a start a few minutes ahead passes); the order of the entries alone, without a delay (an entry that was written late would end the start in use; TestOlderNewsOfStartIsIgnored).

--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -24,6 +24,7 @@
 // formerInstance is the last known instance of a backend server that was dropped.
 type formerInstance struct {
 	start                  int64
+	onlyListed             bool
 	formerStarts           []int64
 	announcedLeaving       bool
 	restartedAt, droppedAt time.Time
@@ -56,11 +57,15 @@
 // held.
 func (t *backendTable) recordInstance(now time.Time, b *backend, start int64, source startSource) bool {
 	before := b.start
-	if start == 0 || start == before || b.isOutdatedStart(now, start, source) {
+	if start == before && source == startFromServer {
+		b.onlyListed = false
+	}
+	if start == 0 || start == before || b.isOutdatedStart(now, start, source) && !t.isListedAgain(now, b, start, source) {
 		return false
 	}
-	b.start = start
+	b.start, b.onlyListed = start, source == startFromEntry
 	b.startDoubtsCleared = b.startDoubts
+	b.formerStarts = slices.DeleteFunc(slices.Clone(b.formerStarts), func(former int64) bool { return former == start })
 	if before == 0 {
 		return false
 	}
@@ -69,7 +74,7 @@
 	ended := crash.End{Target: b.target(), Service: b.Service, Announced: b.isLeaving()}
 	ended.Target.Started = before
 	t.endedInstances = append(t.endedInstances, ended)
-	b.formerStarts = append(slices.Clone(b.formerStarts), before)
+	b.formerStarts = append(b.formerStarts, before)
 	if len(b.formerStarts) > maxFormerStarts {
 		b.formerStarts = b.formerStarts[1:]
 	}
@@ -103,6 +108,14 @@
 	}
 }
 
+// isListedAgain reports whether an entry names a former start and the newest known one stood in an entry only, some
+// time ago: that was another writer's. Entries that the registry lists after it was restored may be outdated.
+// Call with mu held.
+func (t *backendTable) isListedAgain(now time.Time, b *backend, start int64, source startSource) bool {
+	return source == startFromEntry && b.onlyListed && slices.Contains(b.formerStarts, start) &&
+		now.Sub(b.restartedAt) >= maxStartNewsAge && !now.Before(t.registryStaleUntil)
+}
+
 // recordStart records the start that a backend server reported itself, and reports whether it is new.
 func (t *backendTable) recordStart(now time.Time, id string, start int64) bool {
 	t.mu.Lock()
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -99,8 +99,9 @@
 	// start identifies the newest known instance by the time it started, 0 if the server
 	// reports none; formerStarts are the instances before it, the oldest first. restartedAt is
 	// when start was last seen to change, zero if it never changed. startReportedAt is the same, for
-	// changes that the server itself reported.
+	// changes that the server itself reported. onlyListed is whether nothing but the entry names start.
 	start                        int64
+	onlyListed                   bool
 	formerStarts                 []int64
 	restartedAt, startReportedAt time.Time
 	// startDoubts counts the signs that the server may have started again, startDoubtsCleared those that
@@ -167,7 +168,7 @@
 	}
 	if known == nil {
 		former := t.formerInstances[b.ID]
-		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
+		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
 		known.announcedLeaving = former.announcedLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
@@ -186,7 +187,7 @@
 		t.versionHistory.Remove(now, known.Service, known.Version)
 	}
 	t.versionHistory.Add(b.Service, b.Version)
-	if restarted {
+	if restarted || t.isListedAgain(now, known, b.Started, startFromEntry) {
 		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
 	known.Backend = b
@@ -216,7 +217,7 @@
 // drop deletes an entry and records its instance. Call with mu held.
 func (t *backendTable) drop(now time.Time, id string) {
 	before := t.entries[id]
-	t.formerInstances[id] = formerInstance{start: before.start, formerStarts: before.formerStarts, announcedLeaving: before.announcedLeaving,
+	t.formerInstances[id] = formerInstance{start: before.start, onlyListed: before.onlyListed, formerStarts: before.formerStarts, announcedLeaving: before.announcedLeaving,
 		restartedAt: before.restartedAt, droppedAt: now}
 	t.versionHistory.Remove(now, before.Service, before.Version)
 	delete(t.entries, id)
--- a/internal/hosted/quickrestarts_test.go
+++ b/internal/hosted/quickrestarts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -192,3 +193,56 @@
 	list(firstStartTime - 10)
 	checkStart("after the clock was set back", -10)
 }
+
+// Guards against an engine whose status and keeper's updates are ignored for good, as another writer left an entry
+// with a later start in place of its own one.
+func TestEntryWithOddStartIsForgotten(t *testing.T) {
+	for _, isRemoved := range []bool{false, true} {
+		table, now := newBackendTable(zap.NewNop()), time.Now()
+		list := func(started int64) {
+			table.applyChanges(now, []registry.Change{{ID: "e", Backend: &registry.Backend{ID: "e", Service: "s", IsEngine: true, Started: started}}})
+		}
+		list(firstStartTime)
+		list(math.MaxInt64)
+		if isRemoved {
+			table.applyChanges(now, []registry.Change{{ID: "e"}})
+		}
+		for range 3 {
+			list(firstStartTime)
+			now = now.Add(maxStartNewsAge / 2)
+		}
+		list(firstStartTime)
+		b, _ := table.get("e")
+		testkit.Equal(t, "start", b.start, firstStartTime)
+		changed, inUse := table.applyEngineUpdate(now, "a", entryvm.EngineUpdate{ID: "e", Version: 1, Started: firstStartTime, Models: []entryvm.EngineModel{{Model: "m"}}})
+		testkit.That(t, changed && inUse, "the keeper's update is ignored")
+		b, _ = table.get("e")
+		testkit.That(t, !b.isOutdatedStart(now, firstStartTime, startFromKeeper), "its status is ignored")
+	}
+}
+
+// Guards against a return to an ended start because its entry is read again, long after the server or its keeper
+// reported the next one.
+func TestEntryOfEndedStartReadAgainIsIgnored(t *testing.T) {
+	for name, report := range map[string]func(table *backendTable, now time.Time){
+		"server": func(table *backendTable, now time.Time) { table.recordStart(now, "e", firstStartTime+20) },
+		"keeper": func(table *backendTable, now time.Time) {
+			table.applyEngineUpdate(now, "a", entryvm.EngineUpdate{ID: "e", Version: 1, Started: firstStartTime + 20})
+		},
+		"server, listed before": func(table *backendTable, now time.Time) {
+			table.applyChanges(now, []registry.Change{{ID: "e", Backend: &registry.Backend{ID: "e", Service: "s", Started: firstStartTime + 20}}})
+			table.recordStart(now, "e", firstStartTime+20)
+		},
+	} {
+		table, now := newBackendTable(zap.NewNop()), time.Now()
+		list := []registry.Backend{{ID: "e", Service: "s", Started: firstStartTime}}
+		table.replace(now, list)
+		report(table, now)
+		for range 4 {
+			now = now.Add(maxStartNewsAge)
+			table.replace(now, list)
+		}
+		b, _ := table.get("e")
+		testkit.Equal(t, "start reported by the "+name, b.start, firstStartTime+20)
+	}
+}
--- a/internal/hosted/startchecks.go
+++ b/internal/hosted/startchecks.go
@@ -145,7 +145,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b := t.entries[id]; b != nil && b.start == start {
-		b.startDoubtsCleared = max(b.startDoubtsCleared, doubts)
+		b.startDoubtsCleared, b.onlyListed = max(b.startDoubtsCleared, doubts), false
 	}
 }
 
