streamversions: what is decided of an unknown stream has a function of its own

FindVersion gathered what is known and decided by it in one function of seventy lines. The decision is moved unchanged. Tests of internal/streamversions and of internal/hosted with Version, OutOfStep or Unknown in their names pass (25 s).

--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -211,6 +211,12 @@
 	s.config.Logger.Info("nobody knows the version of a stream", zap.String("stream", stream.Request), zap.String("service", stream.Service),
 		zap.Duration("known_here_for", started.Sub(own.From)), zap.Duration("list_age", started.Sub(own.To)), zap.Int("asked", replies.asked),
 		zap.Int("answered", replies.answered), zap.Strings("versions", versions), zap.Bool("complete", complete))
+	return decideUnknown(versions, complete)
+}
+
+// decideUnknown returns the version of a stream that nobody knows, given the versions that its service may have had and
+// whether these are all.
+func decideUnknown(versions []string, complete bool) (string, *refusal.Refusal) {
 	switch {
 	case len(versions) == 1 && complete:
 		resumedOnlyOne.Inc()
