--- a/internal/hosted/plannerswaps.go
+++ b/internal/hosted/plannerswaps.go
@@ -69,10 +69,9 @@
 		HasLocalCopy: swap.Load != "" && !swap.LoadsFromStore(),
 	}
 	reply, err := p.requestSwap(ctx, args)
-	// The update in the reply is applied at once because reports are rare in a large fleet:
-	// without it the planner treated a swapping engine as idle for 1-2 s; in one minute
-	// 1,778 of 3,342 planned swaps were refused for that reason, although their models could
-	// have gone to other engines.
+	// The update in the reply is applied at once because reports are rare in a large fleet: without
+	// it the planner takes a swapping engine for idle and plans swaps that are refused, although
+	// their models could go to other engines.
 	if err == nil && reply.Update != nil {
 		n.backends.applyEngineUpdate(time.Now(), reply.Keeper, *reply.Update)
 	}
--- a/placement/residency/round.go
+++ b/placement/residency/round.go
@@ -120,8 +120,8 @@
 
 // serveDemand places requested models and adds replicas of busy ones in a single pass, the
 // most urgent model first. With a separate first pass for models without a replica, those
-// models take all loads from the store as long as any of them is left: a busy model with 200
-// waiting requests gets none in 16 s.
+// models take all loads from the store as long as any of them is left, and a busy model gets
+// none.
 func (r *round) serveDemand() {
 	for _, m := range r.byUrgency {
 		r.placeAtVersions(m)
@@ -177,7 +177,7 @@
 // isDisplaced reports whether all engines that hold the model are full, mostly with
 // requests for other models. A rare model that shares its engines with a busy one gets no
 // slot, as requests for the busy one take each slot that becomes free: the rare model's
-// requests wait for up to 6 s while engines with a copy of it are idle.
+// requests wait while engines with a copy of it are idle.
 func (r *round) isDisplaced(m *Model) bool {
 	ownRequests := 0
 	for i := range r.Engines {
