serving: a stream goes on only with events that come after its last one

Cause: whatever an engine sent was taken for the continuation that was asked for. The reader recorded the last id and nobody compared it; a 404's body, another content type and an empty stream were appended as well. At a client's take-up the id was not even known here: callers put it into RelayHead.ResumedAfter, the server read ForwardRequest.ResumeAfter, which only the tests' stand-in filled in.

Now every event's id is compared with the one before it, over all attempts, without an allocation. Ids have to rise. An attempt that continues a stream has to begin above the last id and, if the stream's own ids rose by one step so far, by no more than that; an event without a number can't be told to go on. Such an attempt is given up before anything of it is passed on, the stream goes on at another server while the budget and the route allow it, and else ends without looking complete. Weighed: dropping events up to the last one (sound only for the same run; one that begins anew writes another text); giving up (taken: a repeat, no wrong text). After an event without a number nothing goes on, as that event would come twice.

--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -16,7 +16,8 @@
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
-	f.pace = streamPace{isWhole: f.lastEventID == ""}
+	f.order.beginAttempt()
+	f.pace = streamPace{isWhole: len(f.order.lastID) == 0}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
 	if !ok {
 		f.outcome = attemptOutcome{excludeBackend: true}
@@ -77,7 +78,7 @@
 // this side or the caller ended it.
 func (f *forwarding) hasConnectionBroken(ctx context.Context, err error) bool {
 	return err != nil && f.outcome.mayHaveRun && ctx.Err() == nil && !isTerminalError(err) &&
-		!errors.Is(err, errServerFailed) && !errors.Is(err, errStartUnverified)
+		!errors.Is(err, errServerFailed) && !errors.Is(err, errStartUnverified) && !isWrongEvents(err)
 }
 
 // recordBackendSignals passes what the answer says of its backend server to the
@@ -121,7 +122,7 @@
 
 func (f *forwarding) backendRequest() service.ForwardRequest {
 	out := f.request.ForwardRequest
-	out.ResumeAfter = f.lastEventID
+	out.ResumeAfter = string(f.order.lastID)
 	out.Sendings = &f.sendings
 	out.Urgency = -1
 	if f.request.Model != "" {
@@ -149,6 +150,9 @@
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}, excludeBackend: true}
 	case errors.Is(err, errStartUnverified):
 		f.outcome = attemptOutcome{mayHaveRun: true, excludeBackend: true}
+	case errors.Is(err, errNotContinued): // shows nothing of how the server runs new requests
+		f.server.recordNotContinuing(time.Now(), f.pending)
+		f.outcome = attemptOutcome{mayHaveRun: true, excludeBackend: true}
 	case errors.Is(err, service.ErrNotRun):
 		f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 	default:
--- /dev/null
+++ b/internal/serving/continuations_test.go
@@ -0,0 +1,89 @@
+package serving_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotreel/contract"
+	"bergamotreel/internal/serving"
+	"bergamotreel/internal/testkit"
+	"bergamotreel/refusal"
+	"bergamotreel/service"
+)
+
+// continuingTestbed breaks each new stream off after two events and lets the backend servers answer what continues
+// it; a name that is missing goes on soundly.
+func continuingTestbed(t *testing.T, answers map[string]func() *service.ForwardResponse) *forwardTestbed {
+	b := newConfiguredForwardTestbed(t, zap.NewNop(), func(c *serving.Config) { c.RetrySlack = func() float64 { return 10 } })
+	time.Sleep(time.Minute) // the retry budget is empty at first
+	b.backends, b.slots = []string{"one", "two", "three"}, 1
+	b.respond = func(_ context.Context, _ int, s sentRequest) (*service.ForwardResponse, error) {
+		switch respond := answers[s.target]; {
+		case s.forward.ResumeAfter == "":
+			return cutOffAnswer(event(1) + event(2)), nil
+		case respond != nil:
+			return respond(), nil
+		}
+		return completeAnswer(http.StatusOK, event(3)), nil
+	}
+	return b
+}
+
+// Guards against a stream that goes on with what doesn't continue it, and one that is then not tried elsewhere.
+func TestAnswerThatDoesNotContinueTheStream(t *testing.T) {
+	withHeader := func(name, value string) func() *service.ForwardResponse {
+		return func() *service.ForwardResponse {
+			answer := completeAnswer(http.StatusOK, event(3))
+			answer.Header = http.Header{name: {value}}
+			return answer
+		}
+	}
+	for name, wrong := range map[string]func() *service.ForwardResponse{
+		"anew":             func() *service.ForwardResponse { return completeAnswer(http.StatusOK, event(1)+event(2)+event(3)) },
+		"one left out":     func() *service.ForwardResponse { return completeAnswer(http.StatusOK, event(4)) },
+		"nothing":          func() *service.ForwardResponse { return completeAnswer(http.StatusOK, "") },
+		"only a comment":   func() *service.ForwardResponse { return completeAnswer(http.StatusOK, ": end\n\n") },
+		"a failure's body": func() *service.ForwardResponse { return completeAnswer(http.StatusNotFound, event(3)) },
+		"another status":   func() *service.ForwardResponse { return completeAnswer(http.StatusPartialContent, event(3)) },
+		"another type":     withHeader("Content-Type", "application/json"),
+		"encoded":          withHeader("Content-Encoding", "gzip"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				answers := map[string]func() *service.ForwardResponse{"one": wrong, "two": wrong, "three": wrong}
+				b, answer, r := continuingTestbed(t, answers), &answerRecorder{}, route(contract.RepeatResume)
+				r.MaxAttempts = 3
+				err := b.forward(t.Context(), r, "m", answer)
+				passedOn := strings.ReplaceAll(answer.body.String(), ": end\n\n", "") // comments make no event
+				testkit.That(t, err != nil && passedOn == event(1)+event(2), "all wrong: %q, %v", answer.body.String(), err)
+				testkit.That(t, len(b.sent) == 3 && len(b.doubted) == 1, "%d attempts, %d connections in doubt", len(b.sent), len(b.doubted))
+				clear(answers)
+				answer = &answerRecorder{}
+				testkit.OK(t, b.forward(t.Context(), r, "m", answer))
+				testkit.Equal(t, "answer", answer.body.String(), event(1)+event(2)+event(3))
+				sound := b.sent[0].target
+				testkit.That(t, b.sent[3].target == sound || b.sent[4].target == sound, "went on at %s, not at %s", b.sent[4].target, sound)
+				b.stop()
+			})
+		})
+	}
+}
+
+// Guards against a stream that its caller takes up and gets from its first event.
+func TestStreamTakenUpWhereNoneContinuesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, answer := startTestbed(t), &answerRecorder{}
+		b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+			return completeAnswer(http.StatusOK, event(1)+event(2)), nil
+		}
+		wantRefusal(t, b.takeUp(t.Context(), answer), refusal.CodeBackendFailed, refusal.RanMaybe)
+		testkit.That(t, !answer.begun && len(b.sent) == 2, "%d attempts, answer %q", len(b.sent), answer.body.String())
+		b.stop()
+	})
+}
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -23,6 +23,8 @@
 	copyBufferSize = 16 << 10
 )
 
+const headerContentEncoding = "Content-Encoding"
+
 // unknownStart stands for a start of a backend server that isn't known and that nothing matches.
 const unknownStart = -1
 
@@ -53,6 +55,8 @@
 		return errServerFailed
 	case failed && f.answer.HasBegun():
 		return errServerFailed // a failure can't continue a resumed stream
+	case f.answer.HasBegun() && !f.continuesAnswer(head):
+		return errNotContinued
 	case f.request.Route.Repeat == contract.RepeatResume && !failed:
 		return f.deliverEvents(ctx, head, guard)
 	case f.canBuffer(head):
@@ -114,7 +118,14 @@
 	}
 }
 
-// deliverEvents forwards complete events and stores the id of the last one.
+// continuesAnswer reports whether the head is that of an answer which can go on with what the caller's answer began.
+func (f *forwarding) continuesAnswer(head *service.ForwardResponse) bool {
+	route, begun := f.request.Route, f.answerHead
+	return head.Status == begun.Status && isEventStream(route, head) == isEventStream(route, begun) &&
+		head.Header.Get(headerContentEncoding) == begun.Header.Get(headerContentEncoding)
+}
+
+// deliverEvents forwards complete events while they are in order.
 func (f *forwarding) deliverEvents(ctx context.Context, head *service.ForwardResponse, guard *stallGuard) error {
 	if head.Length >= 0 {
 		head.Length = service.LengthChunked // the length of one attempt's answer isn't that of the resumed stream
@@ -129,18 +140,25 @@
 		if errors.Is(err, io.EOF) && f.endsInsideEvent() {
 			return errEventCutOff
 		}
+		var wrong error
+		if f.eventStream {
+			var accepted int
+			accepted, wrong = f.order.accept(whole)
+			whole = whole[:accepted]
+		}
 		if len(whole) > 0 {
 			f.bindVersion(ctx)
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
 				return err
 			}
-			if events.lastID != "" {
-				f.lastEventID = events.lastID
-			}
 			f.endPiece(guard)
 			f.lastDelivered = f.lastReceived
 		}
+		if wrong != nil {
+			wrongContinuations.Inc()
+			return wrong
+		}
 		if errors.Is(err, io.EOF) {
 			return f.endAnswer(head)
 		}
@@ -168,7 +186,7 @@
 // stream keeps that head.
 func (f *forwarding) beginAnswer(head *service.ForwardResponse) {
 	if !f.answer.HasBegun() {
-		f.answerLength = head.Length
+		f.answerHead = head
 		f.answer.WriteHead(head.Status, head.Header, head.Length)
 	}
 }
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -52,8 +52,6 @@
 	// buffer[:consumed] has been returned, buffer[consumed:filled] has been read
 	// but not yet returned.
 	consumed, filled int
-	// lastID is the id of the last returned event that had one.
-	lastID string
 }
 
 // newEventReader returns a reader that the caller must close.
@@ -77,9 +75,7 @@
 	for {
 		if end := lastEventEnd(r.buffer[searched:r.filled]); end > 0 {
 			r.consumed = searched + end
-			events := r.buffer[:r.consumed]
-			r.recordLastID(events)
-			return events, nil
+			return r.buffer[:r.consumed], nil
 		}
 		// The next read may complete a terminator that starts in the last bytes.
 		searched = max(0, r.filled-len("\r\n\r"))
@@ -141,22 +137,6 @@
 	return end
 }
 
-// recordLastID stores the last id in the events.
-func (r *eventReader) recordLastID(events []byte) {
-	const field = "id:"
-	i := bytes.LastIndex(events, []byte("\n"+field))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte(field)):
-		i = 0
-	default:
-		return
-	}
-	line, _, _ := bytes.Cut(events[i+len(field):], []byte("\n"))
-	r.lastID = string(bytes.TrimSpace(line))
-}
-
 // eventBoundary tracks whether an event stream that is read in pieces is between two events.
 // Lines end with LF, CR or CRLF, and an empty line ends an event. Comments belong to no event.
 type eventBoundary struct {
--- a/internal/serving/events_test.go
+++ b/internal/serving/events_test.go
@@ -16,11 +16,13 @@
 func readEvents(source io.Reader) (whole []byte, lastID string, err error) {
 	r := newEventReader(source, &eventMemory{})
 	defer r.close()
+	var order eventOrder
 	for {
 		events, err := r.next()
 		whole = append(whole, events...)
+		_, _ = order.accept(events)
 		if err != nil {
-			return whole, r.lastID, err
+			return whole, string(order.lastID), err
 		}
 	}
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -111,7 +111,7 @@
 	request.Unit = VersionedUnit(request.Unit, version)
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
-	f := &forwarding{server: s, request: r, answer: answer, lastEventID: r.ResumeAfter, version: version, readyAtArrival: hasReadyCandidate(known)}
+	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), version: version, readyAtArrival: hasReadyCandidate(known)}
 	// Without a backend server to send it to, the request waits: by then it may have been cleared.
 	if refused := f.quarantineRefusalOrTrial(); refused != nil && f.readyAtArrival {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -123,6 +123,9 @@
 		return refused
 	}
 	request.Trial = f.isTrial
+	if f.order.canContinue() {
+		query.Exclude = s.listNotContinuing(time.Now(), nil)
+	}
 	p, w, refused := s.admit(request, query, known)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -179,9 +182,8 @@
 	target service.Target
 	// attempts counts the attempts, attemptsRun those that may have run.
 	attempts, attemptsRun int
-	// lastEventID is the id of the last event that the caller received, empty before
-	// the first.
-	lastEventID string
+	// order follows the events that the caller received.
+	order eventOrder
 	// lastReceived is when the current attempt last received data, or was ready for more
 	// after it; zero before the first. pieces counts the pieces of data that it received.
 	lastReceived time.Time
@@ -197,8 +199,8 @@
 	// version is the software version at which the stream has to go on, empty while it may begin
 	// at any.
 	version string
-	// answerLength is the length that the caller's answer began with.
-	answerLength int64
+	// answerHead is the head that the caller's answer began with.
+	answerHead *service.ForwardResponse
 	// lastDelivered is when the caller received its last event, zero before the first.
 	lastDelivered time.Time
 	// keptSilent is whether the last attempt was silent for too long and went on, as
@@ -344,6 +346,7 @@
 		delete(f.pending.query.Exclude, f.movedFrom)
 	}
 	f.movedFrom = ""
+	f.excludeNotContinuing()
 	return f.pending.requeueFor(ctx, f.outcome, f.unitToContinue())
 }
 
@@ -363,7 +366,7 @@
 // canContinueAnswer reports whether another attempt could continue what the caller has of
 // the answer.
 func (f *forwarding) canContinueAnswer() bool {
-	return !f.answer.HasBegun() || (f.request.Route.Repeat == contract.RepeatResume && f.lastEventID != "")
+	return !f.answer.HasBegun() || (f.request.Route.Repeat == contract.RepeatResume && f.order.canContinue())
 }
 
 func (f *forwarding) brokenAnswerError(cause error) error {
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -327,7 +327,7 @@
 		begin = now.Add(r.Silence)
 	}
 	request.Grant, request.Service = caller.Grant{Customer: "c", Route: r}, "s"
-	request.ForwardRequest = service.ForwardRequest{RequestID: request.ID, Method: b.method, ResumeAfter: request.ResumedAfter}
+	request.ForwardRequest = service.ForwardRequest{RequestID: request.ID, Method: b.method}
 	request.Arrived, request.AnswerDeadline, request.BeginDeadline = now, deadline, begin
 	return b.server.Forward(ctx, request, answer)
 }
--- a/internal/serving/framing.go
+++ b/internal/serving/framing.go
@@ -27,10 +27,12 @@
 	switch {
 	case f.endsInsideEvent():
 		return errEventCutOff
+	case f.eventStream && f.order.isContinued:
+		return errNotContinued // the end of a stream without an event may be that of another one
 	case head.Length != service.LengthUntilClose:
 	case f.eventStream && f.pieces == 0:
 		return errNoEvent
-	case f.answer.HasBegun() && f.answerLength != service.LengthUntilClose:
+	case f.answer.HasBegun() && f.answerHead.Length != service.LengthUntilClose:
 		return errEndUnknown
 	}
 	f.beginAnswer(head)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -118,6 +118,8 @@
 	activeUnits map[string]unitActivity
 	// runningCounts is the number of these requests by backend server and unit.
 	runningCounts map[runKey]int
+	// notContinuing are the backend servers that recently didn't continue a stream.
+	notContinuing map[string]notContinuing
 	openRequests  int
 	// stopped is set by RefuseWaiting, also at the end of Run: from then on, requests
 	// are refused instead of queued, as nothing would end their wait.
@@ -148,6 +150,7 @@
 
 		activeUnits:   make(map[string]unitActivity),
 		runningCounts: make(map[runKey]int),
+		notContinuing: make(map[string]notContinuing),
 	}
 }
 
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -52,7 +52,7 @@
 	}
 	return []zap.Field{
 		zap.Bool("ended_for_silence", isEndedForSilence(err)), zap.Duration("silent_for", time.Since(since)),
-		zap.Int("pieces", f.pieces), zap.String("last_event", f.lastEventID), zap.Bool("stopping", f.server.isStopping()),
+		zap.Int("pieces", f.pieces), zap.ByteString("last_event", f.order.lastID), zap.Bool("stopping", f.server.isStopping()),
 	}
 }
 
@@ -63,6 +63,7 @@
 	if !f.canContinueAnswer() || f.quarantineRefusal() != nil {
 		return false
 	}
+	f.excludeNotContinuing()
 	f.replacement = f.pending.reserveReplacement(f.request.Service, f.unitToContinue())
 	return f.replacement != nil
 }
