--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -11,6 +11,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/crash"
+	"bergamotreel/internal/relaystate"
 	"bergamotreel/registry"
 	"bergamotreel/routing/streamversion"
 )
@@ -20,10 +21,6 @@
 	// outage may take to be listed again. Its backend server runs but could not renew the
 	// entry.
 	relistTimeout = 2200 * time.Millisecond
-	// engineUpdateTTL is how long an engine's update from its keeper takes precedence over
-	// the registry's entry. It is twice the interval at which a keeper repeats the update,
-	// so the update of a keeper that no longer runs expires.
-	engineUpdateTTL = 6 * time.Second
 )
 
 // backendTable holds the known backend servers: the registry's list, combined with the newer
@@ -258,7 +255,7 @@
 			t.drop(now, id)
 			t.logger.Info("backend server gone", zap.String("backend", id), zap.String("service", b.Service))
 		}
-		if b.keeperUpdateAt.IsZero() || now.Sub(b.keeperUpdateAt) <= engineUpdateTTL {
+		if b.keeperUpdateAt.IsZero() || now.Sub(b.keeperUpdateAt) <= relaystate.UpdateTTL {
 			continue
 		}
 		b.keeperUpdateAt = time.Time{}
--- a/internal/hosted/engineupdates.go
+++ b/internal/hosted/engineupdates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/relaystate"
 )
 
 // applyEngineUpdate applies an engine update from the keeper process named keeper. It
@@ -29,7 +30,7 @@
 		return false, false // from a former keeper
 	}
 	known.keeperUpdate, known.keeperUpdateFrom, known.keeperUpdateAt = update, keeper, now
-	known.keeperUpdateChecksum = updateChecksum(update.ID, update.Version)
+	known.keeperUpdateChecksum = relaystate.UpdateChecksum(update.ID, update.Version)
 	known.loadReadyAt = now.Add(update.LoadTimeLeft)
 	t.recordInstance(now, known, update.Started, startFromKeeper)
 	known.merge(now)
--- a/internal/hosted/members.go
+++ b/internal/hosted/members.go
@@ -167,7 +167,7 @@
 func (m *members) updateExchanges(ctx context.Context, now time.Time) []pendingExchange {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.relayed.updates.dropExpired(now)
+	m.relayed.updates.DropExpired(now)
 	r := m.currentRoles(now)
 	var out []pendingExchange
 	for _, p := range m.peers {
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -13,6 +13,7 @@
 	"bergamotreel/caller"
 	"bergamotreel/engine"
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/relaystate"
 	"bergamotreel/internal/testkit"
 	"bergamotreel/registry"
 	"bergamotreel/service"
@@ -292,7 +293,7 @@
 	table.applyEngineUpdate(now, "a", entryvm.EngineUpdate{ID: "e", Version: 2, Models: []entryvm.EngineModel{{Model: "m1"}, {Model: "m3"}}})
 	table.applyEngineUpdate(now, "a", entryvm.EngineUpdate{ID: "e", Version: 1})
 	holds("m1 m3")
-	table.sweep(now.Add(engineUpdateTTL + time.Second))
+	table.sweep(now.Add(relaystate.UpdateTTL + time.Second))
 	holds("m1 m2")
 }
 
--- a/internal/hosted/overview.go
+++ b/internal/hosted/overview.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/relaystate"
 )
 
 // buildOverview returns what this VM reports of other VMs, or nil if there is nothing to
@@ -32,11 +33,11 @@
 	if to.UpdatesSeen.Incarnation == own.Incarnation {
 		from = to.UpdatesSeen.Next
 	}
-	o.Updates, o.UpdatesNext, o.MoreUpdates = m.relayed.updates.since(from, !local)
+	o.Updates, o.UpdatesNext, o.MoreUpdates = m.relayed.updates.Since(from, !local)
 	if !o.MoreUpdates { // otherwise the checksums would differ by the updates not yet sent
-		o.Updates = append(o.Updates, m.relayed.updates.ofKeepers(to.ResendKeepers, !local)...)
+		o.Updates = append(o.Updates, m.relayed.updates.OfKeepers(to.ResendKeepers, !local)...)
 		if m.takeRenewalTurn(now, to) {
-			o.Renewals = m.relayed.updates.renewals(now, !local)
+			o.Renewals = m.relayed.updates.Renewals(now, !local)
 		}
 	}
 	if local {
@@ -137,9 +138,9 @@
 		update := entryvm.DomainView{Domain: domain, Version: view.version, Silent: silent}
 		if known := knows[domain]; !silent && known != view.version {
 			update.VMs = view.vms
-			if base, kept := view.history.vmsAt(known); kept {
+			if base, kept := view.history.VMsAt(known); kept {
 				update.Base = known
-				update.VMs, update.Removed = diffViews(base, view.vms)
+				update.VMs, update.Removed = relaystate.DiffViews(base, view.vms)
 			}
 		}
 		if silent || len(view.vms) > 0 {
--- a/internal/hosted/receive.go
+++ b/internal/hosted/receive.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/relaystate"
 )
 
 // receive applies a report. If this VM asked for the report, address is the peer it asked.
@@ -47,7 +48,7 @@
 	changed := m.applyEngineUpdates(now, keeper, report.Engines, local)
 	if report.AllEngines {
 		m.mu.Lock()
-		m.relayed.updates.recordFullList(now, keeper)
+		m.relayed.updates.RecordFullList(now, keeper)
 		m.mu.Unlock()
 	}
 	if report.Overview != nil {
@@ -101,7 +102,7 @@
 			continue
 		}
 		m.mu.Lock()
-		m.relayed.updates.put(now, keeper, update, local)
+		m.relayed.updates.Put(now, keeper, update, local)
 		m.mu.Unlock()
 	}
 	return changed
@@ -127,7 +128,7 @@
 // VM lacks some of a keeper's updates, as when it did not know an engine yet, its next
 // report asks that relay for them.
 func (m *members) applyRenewals(now time.Time, relay string, renewals []entryvm.UpdateRenewal) {
-	renewals = slices.DeleteFunc(renewals, func(r entryvm.UpdateRenewal) bool { return r.Keeper == m.node.origin() || r.Age > engineUpdateTTL })
+	renewals = slices.DeleteFunc(renewals, func(r entryvm.UpdateRenewal) bool { return r.Keeper == m.node.origin() || r.Age > relaystate.UpdateTTL })
 	if len(renewals) == 0 {
 		return
 	}
@@ -136,7 +137,7 @@
 	defer m.mu.Unlock()
 	for _, r := range renewals {
 		if !slices.Contains(mismatched, r.Keeper) {
-			m.relayed.updates.renew(now.Add(-r.Age), r.Keeper)
+			m.relayed.updates.Renew(now.Add(-r.Age), r.Keeper)
 			delete(m.relayed.resendAt, resendKey{relay, r.Keeper})
 			continue
 		}
@@ -152,7 +153,7 @@
 	var keepers []string
 	for key, at := range m.relayed.resendAt {
 		switch {
-		case now.Sub(at) > engineUpdateTTL:
+		case now.Sub(at) > relaystate.UpdateTTL:
 			delete(m.relayed.resendAt, key) // the relay no longer renews it
 		case key.relay == relay && !now.Before(at):
 			keepers = append(keepers, key.keeper)
--- a/internal/hosted/relays.go
+++ b/internal/hosted/relays.go
@@ -50,16 +50,12 @@
 	// probed.
 	probeRotationInterval = 2 * time.Second
 	// minResendInterval is the minimum time between two requests for a keeper's missing
-	// updates. An update is valid for engineUpdateTTL.
+	// updates. An update is valid for relaystate.UpdateTTL.
 	minResendInterval = 2 * time.Second
 	// minRenewalInterval is the minimum time between two renewals to one VM. It is short
 	// enough that through two relays, and after a keeper's longest pause, updates are
 	// renewed before they expire.
 	minRenewalInterval = 700 * time.Millisecond
-	// maxUpdatesPerReport is the maximum number of engine updates in one report. On a slow
-	// link, a report with everything that a new VM lacks would take too long and be lost
-	// as a whole.
-	maxUpdatesPerReport = 1000
 	// relayedReportsPerEngineList is reportsPerEngineList in a large fleet.
 	relayedReportsPerEngineList = 7
 )
--- a/internal/hosted/report.go
+++ b/internal/hosted/report.go
@@ -124,9 +124,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, update := range updates {
-		m.relayed.updates.put(now, m.node.origin(), update, true)
+		m.relayed.updates.Put(now, m.node.origin(), update, true)
 	}
 	if all {
-		m.relayed.updates.recordFullList(now, m.node.origin())
+		m.relayed.updates.RecordFullList(now, m.node.origin())
 	}
 }
--- a/internal/hosted/views.go
+++ b/internal/hosted/views.go
@@ -2,13 +2,12 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotreel/entryvm"
+	"bergamotreel/internal/relaystate"
 )
 
 // domainView is what this VM knows through relays of the VMs of a failure domain.
@@ -20,7 +19,7 @@
 	// silent is whether none of the domain's VMs answers the relay that reported the view.
 	silent bool
 	// history holds the view's last versions.
-	history viewHistory
+	history relaystate.ViewHistory
 	// load holds the requests in flight and waiting in the domain as of loadAt; only relays
 	// of other domains know it.
 	load   entryvm.Load
@@ -37,7 +36,7 @@
 	inFlightElsewhereAt time.Time
 	// updates are the engine updates that a relay forwards; updatesSeen is how far this VM
 	// has received each relay's updates.
-	updates     updateLog
+	updates     relaystate.UpdateLog
 	updatesSeen map[string]entryvm.PeerPosition
 	// resendAt is when to ask a relay for a keeper's updates, of which some are missing
 	// here.
@@ -51,7 +50,7 @@
 	// as a relay.
 	ownViewVersion uint64
 	// ownViewHistory holds the last versions of that view.
-	ownViewHistory viewHistory
+	ownViewHistory relaystate.ViewHistory
 }
 
 // resendKey identifies a keeper's updates as forwarded by one relay.
@@ -59,7 +58,7 @@
 
 func newRelayedState() relayedState {
 	return relayedState{views: make(map[string]*domainView), updatesSeen: make(map[string]entryvm.PeerPosition),
-		resendAt: make(map[resendKey]time.Time), updates: newUpdateLog()}
+		resendAt: make(map[resendKey]time.Time), updates: relaystate.NewUpdateLog()}
 }
 
 // buildOwnView returns the view of this relay's own domain by the reports that it
@@ -71,8 +70,8 @@
 			view.vms = append(view.vms, viewOf(r))
 		}
 	})
-	slices.SortFunc(view.vms, compareViews)
-	view.version = viewVersion(view.vms)
+	slices.SortFunc(view.vms, relaystate.CompareViews)
+	view.version = relaystate.ViewVersion(view.vms)
 	return view
 }
 
@@ -87,7 +86,7 @@
 		}
 	}
 	r.ownView = m.buildOwnView(now, own)
-	m.relayed.ownViewHistory.add(r.ownView.version, r.ownView.vms)
+	m.relayed.ownViewHistory.Add(r.ownView.version, r.ownView.vms)
 	r.ownView.history = m.relayed.ownViewHistory
 	m.relayed.ownViewVersion = r.ownView.version
 	return r.ownView
@@ -100,27 +99,6 @@
 	}
 }
 
-// viewVersion returns a hash over VMs. A VM that has the same version does not need the
-// list.
-func viewVersion(vms []entryvm.VMView) uint64 {
-	hash := xxhash.New()
-	var text []byte
-	for i := range vms {
-		v := &vms[i]
-		text = text[:0]
-		for _, field := range []string{v.VM, v.Address, v.Incarnation} {
-			text = append(append(text, field...), 0)
-		}
-		text = strconv.AppendInt(text, v.Capacity, 10)
-		text = strconv.AppendBool(strconv.AppendBool(text, v.Leaving), v.LostPaths)
-		for _, shard := range v.KeptShards {
-			text = append(strconv.AppendInt(text, int64(shard), 10), 0)
-		}
-		_, _ = hash.Write(append(text, '\n'))
-	}
-	return hash.Sum64()
-}
-
 // knownViewVersions returns the versions of the views that this VM has. It returns none to
 // ask for all views: as a new relay, and while this VM knows no other VM of its domain.
 // Call with mu held.
@@ -260,8 +238,8 @@
 		m.expireVMs(now, view.vms)
 		view.vms, view.version = nil, 0
 	case update.Base != 0 && update.Base == view.version:
-		patched := patchView(view.vms, update.VMs, update.Removed)
-		if viewVersion(patched) != update.Version {
+		patched := relaystate.PatchView(view.vms, update.VMs, update.Removed)
+		if relaystate.ViewVersion(patched) != update.Version {
 			m.node.config.Logger.Warn("view of a failure domain can't be patched", zap.String("domain", update.Domain))
 			view.version = 0 // this VM's next report asks for the whole view
 			break
@@ -286,7 +264,7 @@
 	m.expireVMs(now, view.vms)
 	m.addVMs(now, vms)
 	view.vms, view.version = vms, version
-	view.history.add(version, vms)
+	view.history.Add(version, vms)
 }
 
 // addVMs records VMs that a relay names without counting them as live. Call with mu held.
--- a/internal/hosted/updatelog.go
+++ b/internal/relaystate/updatelog.go
@@ -1,4 +1,7 @@
-package hosted
+// Package relaystate holds what the relays of a large fleet forward between its failure domains: a log of the engines'
+// updates, and the versions of each domain's view with the differences between them. It does no I/O; the caller
+// passes the time in.
+package relaystate
 
 import (
 	"cmp"
@@ -10,11 +13,22 @@
 	"bergamotreel/entryvm"
 )
 
-// updateLog holds the engine updates that a relay forwards, in the order of their arrival.
+const (
+	// UpdateTTL is how long an engine's update from its keeper takes precedence over
+	// the registry's entry. It is twice the interval at which a keeper repeats the update,
+	// so the update of a keeper that no longer runs expires.
+	UpdateTTL = 6 * time.Second
+	// MaxUpdatesPerReport is the maximum number of engine updates in one report. On a slow
+	// link, a report with everything that a new VM lacks would take too long and be lost
+	// as a whole.
+	MaxUpdatesPerReport = 1000
+)
+
+// UpdateLog holds the engine updates that a relay forwards, in the order of their arrival.
 // An unchanged update is not sent again: a renewal per keeper says that all its updates
 // are still valid, and a VM that finds some of them missing asks for that keeper's
 // updates.
-type updateLog struct {
+type UpdateLog struct {
 	next    uint64
 	entries map[string]*loggedUpdate
 	// fullListAt is when each keeper last listed all its engines.
@@ -35,12 +49,13 @@
 	at       time.Time
 }
 
-func newUpdateLog() updateLog {
-	return updateLog{next: 1, entries: make(map[string]*loggedUpdate), fullListAt: make(map[string]time.Time)}
+// NewUpdateLog returns an empty log.
+func NewUpdateLog() UpdateLog {
+	return UpdateLog{next: 1, entries: make(map[string]*loggedUpdate), fullListAt: make(map[string]time.Time)}
 }
 
-// put logs an update that the backend table has accepted.
-func (l *updateLog) put(now time.Time, keeper string, update entryvm.EngineUpdate, local bool) {
+// Put logs an update that the backend table has accepted.
+func (l *UpdateLog) Put(now time.Time, keeper string, update entryvm.EngineUpdate, local bool) {
 	existing := l.entries[update.ID]
 	if existing != nil && existing.Keeper == keeper && existing.Update.Version == update.Version && existing.local == (existing.local || local) {
 		existing.at = now
@@ -53,9 +68,9 @@
 	l.checksums = nil
 }
 
-// recordFullList records that a keeper has just listed all its engines, and drops the
+// RecordFullList records that a keeper has just listed all its engines, and drops the
 // updates of engines that it did not list.
-func (l *updateLog) recordFullList(now time.Time, keeper string) {
+func (l *UpdateLog) RecordFullList(now time.Time, keeper string) {
 	l.fullListAt[keeper] = now
 	for id, entry := range l.entries {
 		if entry.Keeper == keeper && entry.at.Before(now) {
@@ -65,8 +80,8 @@
 	}
 }
 
-// renew records that all updates of a keeper were valid at a time.
-func (l *updateLog) renew(at time.Time, keeper string) {
+// Renew records that all updates of a keeper were valid at a time.
+func (l *UpdateLog) Renew(at time.Time, keeper string) {
 	if at.Before(l.fullListAt[keeper]) {
 		return
 	}
@@ -78,9 +93,9 @@
 	}
 }
 
-// since returns up to maxUpdatesPerReport updates from a position on, the position to
+// Since returns up to MaxUpdatesPerReport updates from a position on, the position to
 // continue from, and whether there are more.
-func (l *updateLog) since(position uint64, localOnly bool) (out []entryvm.RelayedUpdate, next uint64, more bool) {
+func (l *UpdateLog) Since(position uint64, localOnly bool) (out []entryvm.RelayedUpdate, next uint64, more bool) {
 	var matching []*loggedUpdate
 	for _, entry := range l.entries {
 		if entry.position >= position && (entry.local || !localOnly) {
@@ -88,10 +103,10 @@
 		}
 	}
 	next = l.next
-	if len(matching) > maxUpdatesPerReport {
+	if len(matching) > MaxUpdatesPerReport {
 		slices.SortFunc(matching, func(a, b *loggedUpdate) int { return cmp.Compare(a.position, b.position) })
-		next, more = matching[maxUpdatesPerReport].position, true
-		matching = matching[:maxUpdatesPerReport]
+		next, more = matching[MaxUpdatesPerReport].position, true
+		matching = matching[:MaxUpdatesPerReport]
 	}
 	for _, entry := range matching {
 		out = append(out, entry.RelayedUpdate)
@@ -99,8 +114,8 @@
 	return out, next, more
 }
 
-// ofKeepers returns all updates of the given keepers.
-func (l *updateLog) ofKeepers(keepers []string, localOnly bool) (out []entryvm.RelayedUpdate) {
+// OfKeepers returns all updates of the given keepers.
+func (l *UpdateLog) OfKeepers(keepers []string, localOnly bool) (out []entryvm.RelayedUpdate) {
 	if len(keepers) == 0 {
 		return nil
 	}
@@ -112,8 +127,8 @@
 	return out
 }
 
-// renewals returns a renewal for each keeper that recently listed all its engines.
-func (l *updateLog) renewals(now time.Time, localOnly bool) []entryvm.UpdateRenewal {
+// Renewals returns a renewal for each keeper that recently listed all its engines.
+func (l *UpdateLog) Renewals(now time.Time, localOnly bool) []entryvm.UpdateRenewal {
 	if l.checksums == nil {
 		l.computeChecksums()
 	}
@@ -132,10 +147,10 @@
 }
 
 // computeChecksums computes the checksums for renewals.
-func (l *updateLog) computeChecksums() {
+func (l *UpdateLog) computeChecksums() {
 	l.checksums, l.localChecksums = make(map[string]uint64), make(map[string]uint64)
 	for id, entry := range l.entries {
-		sum := updateChecksum(id, entry.Update.Version)
+		sum := UpdateChecksum(id, entry.Update.Version)
 		l.checksums[entry.Keeper] += sum
 		if entry.local {
 			l.localChecksums[entry.Keeper] += sum
@@ -143,21 +158,21 @@
 	}
 }
 
-// updateChecksum returns an engine's part of the checksum over a keeper's updates.
-func updateChecksum(engine string, version uint64) uint64 {
+// UpdateChecksum returns an engine's part of the checksum over a keeper's updates.
+func UpdateChecksum(engine string, version uint64) uint64 {
 	return (xxhash.Sum64String(engine) ^ version) * 0x9E3779B97F4A7C15
 }
 
-// dropExpired drops updates and full lists that are older than engineUpdateTTL.
-func (l *updateLog) dropExpired(now time.Time) {
+// DropExpired drops updates and full lists that are older than UpdateTTL.
+func (l *UpdateLog) DropExpired(now time.Time) {
 	for id, entry := range l.entries {
-		if now.Sub(entry.at) > engineUpdateTTL {
+		if now.Sub(entry.at) > UpdateTTL {
 			delete(l.entries, id)
 			l.checksums = nil
 		}
 	}
 	for keeper, at := range l.fullListAt {
-		if now.Sub(at) > engineUpdateTTL {
+		if now.Sub(at) > UpdateTTL {
 			delete(l.fullListAt, keeper)
 		}
 	}
--- a/internal/hosted/viewdiff.go
+++ b/internal/relaystate/views.go
@@ -1,8 +1,11 @@
-package hosted
+package relaystate
 
 import (
 	"cmp"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"bergamotreel/entryvm"
 )
@@ -12,8 +15,8 @@
 // several times a second.
 const maxViewVersions = 16
 
-// viewHistory holds the newest versions of a failure domain's view, oldest first.
-type viewHistory []versionedView
+// ViewHistory holds the newest versions of a failure domain's view, oldest first.
+type ViewHistory []versionedView
 
 // versionedView is one version of a view, sorted by address.
 type versionedView struct {
@@ -21,8 +24,8 @@
 	vms     []entryvm.VMView
 }
 
-// add appends a version and drops the oldest ones beyond maxViewVersions.
-func (h *viewHistory) add(version uint64, vms []entryvm.VMView) {
+// Add appends a version and drops the oldest ones beyond maxViewVersions.
+func (h *ViewHistory) Add(version uint64, vms []entryvm.VMView) {
 	if n := len(*h); n > 0 && (*h)[n-1].version == version {
 		return
 	}
@@ -32,8 +35,8 @@
 	}
 }
 
-// vmsAt returns the VMs of a version, and false if it is no longer kept.
-func (h viewHistory) vmsAt(version uint64) ([]entryvm.VMView, bool) {
+// VMsAt returns the VMs of a version, and false if it is no longer kept.
+func (h ViewHistory) VMsAt(version uint64) ([]entryvm.VMView, bool) {
 	for i := len(h) - 1; i >= 0; i-- {
 		if h[i].version == version {
 			return h[i].vms, true
@@ -42,11 +45,12 @@
 	return nil, false
 }
 
-func compareViews(a, b entryvm.VMView) int { return cmp.Compare(a.Address, b.Address) }
+// CompareViews orders VMs by address.
+func CompareViews(a, b entryvm.VMView) int { return cmp.Compare(a.Address, b.Address) }
 
-// diffViews returns the changes that turn one list into another. Both must be sorted by
+// DiffViews returns the changes that turn one list into another. Both must be sorted by
 // address.
-func diffViews(from, to []entryvm.VMView) (changed []entryvm.VMView, removed []string) {
+func DiffViews(from, to []entryvm.VMView) (changed []entryvm.VMView, removed []string) {
 	for i, j := 0, 0; i < len(from) || j < len(to); {
 		order := 0
 		switch {
@@ -55,7 +59,7 @@
 		case j == len(to):
 			order = -1
 		default:
-			order = compareViews(from[i], to[j])
+			order = CompareViews(from[i], to[j])
 		}
 		switch {
 		case order < 0:
@@ -79,8 +83,8 @@
 		a.Leaving == b.Leaving && a.LostPaths == b.LostPaths && slices.Equal(a.KeptShards, b.KeptShards)
 }
 
-// patchView applies the changes that diffViews returned to the list from.
-func patchView(from, changed []entryvm.VMView, removed []string) []entryvm.VMView {
+// PatchView applies the changes that DiffViews returned to the list from.
+func PatchView(from, changed []entryvm.VMView, removed []string) []entryvm.VMView {
 	out := make([]entryvm.VMView, 0, len(from)+len(changed))
 	replaced := make(map[string]bool, len(changed)+len(removed))
 	for i := range changed {
@@ -95,6 +99,27 @@
 		}
 	}
 	out = append(out, changed...)
-	slices.SortFunc(out, compareViews)
+	slices.SortFunc(out, CompareViews)
 	return out
 }
+
+// ViewVersion returns a hash over VMs. A VM that has the same version does not need the
+// list.
+func ViewVersion(vms []entryvm.VMView) uint64 {
+	hash := xxhash.New()
+	var text []byte
+	for i := range vms {
+		v := &vms[i]
+		text = text[:0]
+		for _, field := range []string{v.VM, v.Address, v.Incarnation} {
+			text = append(append(text, field...), 0)
+		}
+		text = strconv.AppendInt(text, v.Capacity, 10)
+		text = strconv.AppendBool(strconv.AppendBool(text, v.Leaving), v.LostPaths)
+		for _, shard := range v.KeptShards {
+			text = append(strconv.AppendInt(text, int64(shard), 10), 0)
+		}
+		_, _ = hash.Write(append(text, '\n'))
+	}
+	return hash.Sum64()
+}
--- a/internal/hosted/viewdiff_test.go
+++ b/internal/relaystate/views_test.go
@@ -1,4 +1,4 @@
-package hosted
+package relaystate
 
 import (
 	"fmt"
@@ -36,26 +36,26 @@
 	for _, v := range byAddress {
 		out = append(out, v)
 	}
-	slices.SortFunc(out, compareViews)
+	slices.SortFunc(out, CompareViews)
 	return out
 }
 
 // Guards against a difference that turns a view into another one than the sender has.
 func TestPatchedViewEqualsSenderView(t *testing.T) {
 	random := rand.New(rand.NewSource(3))
-	var history viewHistory
+	var history ViewHistory
 	var view []entryvm.VMView
 	for range 2000 {
 		view = randomView(random, view)
-		history.add(viewVersion(view), view)
+		history.Add(ViewVersion(view), view)
 		at := random.Intn(len(history))
-		changed, removed := diffViews(history[at].vms, view)
-		patched := patchView(history[at].vms, changed, removed)
-		testkit.Need(t, viewVersion(patched) == viewVersion(view), "patched %v, want %v", patched, view)
+		changed, removed := DiffViews(history[at].vms, view)
+		patched := PatchView(history[at].vms, changed, removed)
+		testkit.Need(t, ViewVersion(patched) == ViewVersion(view), "patched %v, want %v", patched, view)
 		testkit.Need(t, len(history) <= maxViewVersions, "%d versions kept", len(history))
 	}
-	_, kept := history.vmsAt(history[0].version)
+	_, kept := history.VMsAt(history[0].version)
 	testkit.That(t, kept, "the oldest kept version is not found")
-	_, kept = history.vmsAt(12345)
+	_, kept = history.VMsAt(12345)
 	testkit.That(t, !kept, "an unknown version is found")
 }
