serving: an event without an id doesn't hide that the next one goes back

Callers could get events twice from a server whose stream has an event without an id: after it, the next id was compared with nothing. In TestEventOrder "back, after one without id", 4, one without an id and then 2 were all passed on.

Cause: whether the last event has a number decided both whether another run can go on after it and whether the next id is compared. The last number stays known and is compared, also for browsers, where an event without an id leaves the last one in force. Found by reading the check anew; not seen on a run of real processes.

Test: TestEventOrder failed before as above; ids that rise go on as before ("on, after one without id").

--- a/internal/serving/eventorder.go
+++ b/internal/serving/eventorder.go
@@ -24,10 +24,10 @@
 // numbers that rise, by how much isn't specified. A run that doesn't go on where the request names is another one,
 // and what two runs write doesn't fit together.
 type eventOrder struct {
-	// last is the id of the last event that was accepted. isNumbered is whether that event has one; if not, nothing
-	// can be compared with it and no other run can go on after it.
-	last       uint64
-	isNumbered bool
+	// last is the last id that was accepted and is a number, hasLast whether there is one. isNumbered is whether it is
+	// that of the last event; if not, no other run can go on after that event.
+	last                uint64
+	hasLast, isNumbered bool
 	// lastID is the last id as it was sent, empty before the first.
 	lastID []byte
 	// isContinued is whether the current attempt has to continue the stream and none of its events was accepted yet.
@@ -43,7 +43,7 @@
 // newEventOrder returns the state of a stream of which the caller has all events up to an id, none if it is empty.
 func newEventOrder(lastID string) eventOrder {
 	last, isNumber := parseEventID([]byte(lastID))
-	return eventOrder{last: last, isNumbered: isNumber, lastID: []byte(lastID)}
+	return eventOrder{last: last, hasLast: isNumber, isNumbered: isNumber, lastID: []byte(lastID)}
 }
 
 // beginAttempt prepares for the events of an attempt.
@@ -75,11 +75,11 @@
 		o.recordID(e)
 	case o.isContinued && (id <= o.last || o.skipsEvents(id)):
 		return errNotContinued
-	case o.isNumbered && id <= o.last:
+	case o.hasLast && id <= o.last:
 		return errOutOfOrder
 	default:
 		o.recordStep(id)
-		o.last, o.isNumbered = id, true
+		o.last, o.hasLast, o.isNumbered = id, true, true
 		o.recordID(e)
 	}
 	o.isContinued, o.isAnew = false, false
--- a/internal/serving/eventorder_test.go
+++ b/internal/serving/eventorder_test.go
@@ -54,6 +54,8 @@
 		{"an id in data", "", ids("1 2"), "id:3\r\ndata: id: 1\r\n\r\n", "id:3\r\ndata: id: 1\r\n\r\n", nil},
 		{"carriage returns", "", ids("1 2"), "id: 3\rdata: x\r\rid: 3\rdata: x\r\r", "id: 3\rdata: x\r\r", errOutOfOrder},
 		{"comments", "", ids("1 2"), ": id: 1\n\n:\n\n" + ids("3"), ": id: 1\n\n:\n\n" + ids("3"), nil},
+		{"back, after one without id", "", ids("1 2 3"), ids("4") + "data: x\n\n" + ids("2"), ids("4") + "data: x\n\n", errOutOfOrder},
+		{"on, after one without id", "", ids("1 2 3"), ids("4") + "data: x\n\n" + ids("6"), ids("4") + "data: x\n\n" + ids("6"), nil},
 		{"a field like id", "", ids("1 2"), "identity: 9\nid: 3\ndata: x\n\n", "identity: 9\nid: 3\ndata: x\n\n", nil},
 	} {
 		o := newEventOrder(test.after)
@@ -72,7 +74,7 @@
 func TestStreamIsNotContinuedAfterEventWithoutNumber(t *testing.T) {
 	for events, want := range map[string]bool{
 		"": false, numbered("1"): true, numbered("a"): false, numbered("1") + "data: x\n\n": false, numbered("1") + "id\n\n": false,
-		numbered("1") + "data: x\n\n" + numbered("3"): true, numbered("1") + ": comment\n\n": true, numbered("18446744073709551616"): false,
+		numbered("1") + "data: x\n\n" + numbered("3"): true, numbered("3") + "data: x\n\n": false, numbered("1") + ": comment\n\n": true, numbered("18446744073709551616"): false,
 	} {
 		var o eventOrder
 		o.beginAttempt()
