serving: streams that are taken up are compared on every route

A caller that names its last event on a stream route without resumption got what the server sent unchecked, also the events that it already had; and a stream that went on rightly was passed on whole and then ended as if it were cut off, on safe routes and on those that are never repeated.

Cause: only the delivery of resumable routes cuts events and compares them, while the end of each event stream asks whether one was accepted. Now every event stream whose caller names an event is cut and compared; others are passed on as they arrive, as before.

Test: TestStreamTakenUpOnRouteWithoutResumption failed before in both forms.

--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -87,3 +87,29 @@
 		b.stop()
 	})
 }
+
+// Guards against a stream on a route without resumption whose caller names its last event: it was passed on unchecked,
+// and a whole one ended as if it were cut off.
+func TestStreamTakenUpOnRouteWithoutResumption(t *testing.T) {
+	for _, repeat := range []contract.RepeatPolicy{contract.RepeatSafe, contract.RepeatNever} {
+		for text, sound := range map[string]bool{event(2) + event(3): true, event(1) + event(2): false} {
+			synctest.Test(t, func(t *testing.T) {
+				b, answer, r := startTestbed(t), &answerRecorder{}, route(repeat)
+				r.Stream = true
+				b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+					response := completeAnswer(http.StatusOK, text)
+					response.Length = service.LengthChunked
+					return response, nil
+				}
+				err := b.takeUpOn(t.Context(), r, answer)
+				if sound {
+					testkit.OK(t, err)
+					testkit.Equal(t, "answer", answer.body.String(), text)
+				} else {
+					testkit.That(t, err != nil && !answer.begun, "passed on %q, %v", answer.body.String(), err)
+				}
+				b.stop()
+			})
+		}
+	}
+}
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -57,7 +57,7 @@
 		return errServerFailed // a failure can't continue a resumed stream
 	case f.answer.HasBegun() && !f.continuesAnswer(head):
 		return errNotContinued
-	case f.request.Route.Repeat == contract.RepeatResume && !failed:
+	case !failed && (f.request.Route.Repeat == contract.RepeatResume || f.isTakenUp()):
 		return f.deliverEvents(ctx, head, guard)
 	case f.canBuffer(head):
 		return f.deliverBuffered(head, guard)
@@ -66,6 +66,9 @@
 	}
 }
 
+// isTakenUp reports whether the answer is a stream that the caller wants to go on after an event that it names.
+func (f *forwarding) isTakenUp() bool { return f.eventStream && f.request.ResumedAfter != "" }
+
 // canBuffer reports whether the whole answer is read before any of it is forwarded. The
 // length of an answer to HEAD is not that of its body, which is empty.
 func (f *forwarding) canBuffer(head *service.ForwardResponse) bool {
--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -61,10 +61,15 @@
 
 // takeUp forwards a stream of v1 that its caller takes up after its first event.
 func (b *forwardTestbed) takeUp(ctx context.Context, answer *answerRecorder) error {
+	return b.takeUpOn(ctx, route(contract.RepeatResume), answer)
+}
+
+// takeUpOn is takeUp on another route.
+func (b *forwardTestbed) takeUpOn(ctx context.Context, on *contract.Route, answer *answerRecorder) error {
 	stream := streamversion.Stream{Service: "s", Request: "first"}
 	b.begunStreams[stream] = "v1"
 	r := caller.RelayRequest{RelayHead: caller.RelayHead{ID: "again", Model: "m", ResumedAfter: "1", ResumedRequest: "first"}}
-	return b.forwardRequest(ctx, route(contract.RepeatResume), r, answer)
+	return b.forwardRequest(ctx, on, r, answer)
 }
 
 // Guards against events of another software version after a caller takes its stream up, against a stream that
