serving: an answer that isn't an event stream is not continued

A caller that named its last event and got a failure's body or JSON that broke off got the beginning of a second answer appended to it: 2 attempts, "{" twice, for status 200 and 404 alike.

Cause: whether an answer can go on was read from the event that the caller had named, not from what the answer is. An answer that isn't an event stream has no events to go on after, so it ends as broken. Found by reading the check anew.

Test: TestOtherAnswerIsNotContinued failed before as above, for both.

--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -113,3 +113,21 @@
 		}
 	}
 }
+
+// Guards against an answer that isn't an event stream and is continued with the beginning of another one, as its caller
+// had named an event.
+func TestOtherAnswerIsNotContinued(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusOK} {
+		synctest.Test(t, func(t *testing.T) {
+			b, answer := startTestbed(t), &answerRecorder{}
+			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+				response := cutOffAnswer("{\n\n")
+				response.Status, response.Header = status, http.Header{"Content-Type": {"application/json"}}
+				return response, nil
+			}
+			err := b.takeUp(t.Context(), answer)
+			testkit.That(t, err != nil && len(b.sent) == 1 && answer.body.String() == "{\n\n", "status %d: %d attempts, %q, %v", status, len(b.sent), answer.body.String(), err)
+			b.stop()
+		})
+	}
+}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -366,7 +366,8 @@
 // canContinueAnswer reports whether another attempt could continue what the caller has of
 // the answer.
 func (f *forwarding) canContinueAnswer() bool {
-	return !f.answer.HasBegun() || (f.request.Route.Repeat == contract.RepeatResume && f.order.canContinue())
+	route := f.request.Route
+	return !f.answer.HasBegun() || (route.Repeat == contract.RepeatResume && f.order.canContinue() && isEventStream(route, f.answerHead))
 }
 
 func (f *forwarding) brokenAnswerError(cause error) error {
