serving: a comment doesn't begin the answer to a stream that is taken up

A caller that takes its stream up at a server which sends a comment and then begins at the first event got a 200 that was broken off without an event, instead of a refusal, and its stream was bound to the software version of that server.

Cause: comments pass the comparison, as they are no events, and the first bytes begin the answer. Until an event shows that the attempt continues the stream, its comments are now dropped. Found by reading the check anew.

Test: TestStreamTakenUpWhereNoneContinuesIt with a comment in front, and with nothing but a comment; both failed before.

--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -75,17 +75,25 @@
 	}
 }
 
-// Guards against a stream that its caller takes up and gets from its first event.
+// takenUp are answers to a request of a caller that goes on after event 1, by what they hold.
+func takenUp(text string) func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+	return func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+		return completeAnswer(http.StatusOK, text), nil
+	}
+}
+
+// Guards against a stream that its caller takes up and gets from its first event, or whose head commits to a server of
+// which only a comment has arrived.
 func TestStreamTakenUpWhereNoneContinuesIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b, answer := startTestbed(t), &answerRecorder{}
-		b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
-			return completeAnswer(http.StatusOK, event(1)+event(2)), nil
-		}
-		wantRefusal(t, b.takeUp(t.Context(), answer), refusal.CodeBackendFailed, refusal.RanMaybe)
-		testkit.That(t, !answer.begun && len(b.sent) == 2, "%d attempts, answer %q", len(b.sent), answer.body.String())
-		b.stop()
-	})
+	for _, text := range []string{event(1) + event(2), ": working\n\n" + event(1) + event(2), ": working\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			b, answer := startTestbed(t), &answerRecorder{}
+			b.respond = takenUp(text)
+			wantRefusal(t, b.takeUp(t.Context(), answer), refusal.CodeBackendFailed, refusal.RanMaybe)
+			testkit.That(t, !answer.begun && len(b.sent) == 2, "%d attempts, answer %q", len(b.sent), answer.body.String())
+			b.stop()
+		})
+	}
 }
 
 // Guards against a stream on a route without resumption whose caller names its last event: it was passed on unchecked,
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -143,11 +143,10 @@
 		if errors.Is(err, io.EOF) && f.endsInsideEvent() {
 			return errEventCutOff
 		}
+		received := len(whole)
 		var wrong error
 		if f.eventStream {
-			var accepted int
-			accepted, wrong = f.order.accept(whole)
-			whole = whole[:accepted]
+			whole, wrong = f.acceptEvents(whole)
 		}
 		if len(whole) > 0 {
 			f.bindVersion(ctx)
@@ -155,13 +154,15 @@
 			if err := f.writeAnswer(whole); err != nil {
 				return err
 			}
-			f.endPiece(guard)
-			f.lastDelivered = f.lastReceived
+			f.lastDelivered = time.Now()
 		}
 		if wrong != nil {
 			wrongContinuations.Inc()
 			return wrong
 		}
+		if received > 0 {
+			f.endPiece(guard)
+		}
 		if errors.Is(err, io.EOF) {
 			return f.endAnswer(head)
 		}
@@ -171,6 +172,16 @@
 	}
 }
 
+// acceptEvents returns those of the events that are in order, and an error if there are others. Comments in front of
+// the event that shows whether the answer continues the stream are dropped: they would begin the caller's answer.
+func (f *forwarding) acceptEvents(events []byte) ([]byte, error) {
+	accepted, wrong := f.order.accept(events)
+	if f.order.isContinued {
+		accepted = 0
+	}
+	return events[:accepted], wrong
+}
+
 // bindVersion binds the stream to the software version of the backend server that sent its first
 // event. If the server may have started again, nothing is known to go on where the stream began.
 func (f *forwarding) bindVersion(ctx context.Context) {
