serving: an answer to HEAD needs no event to continue a stream

HEAD on a stream route with Last-Event-Id was refused as not continued, after an attempt at each server that the route allows: its answer has no body, so no event shows that it goes on. There is nothing to join either; it is passed on.

Test: TestHeadOfStreamTakenUp failed before (backend_failed).

--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -139,3 +139,14 @@
 		})
 	}
 }
+
+// Guards against a HEAD request that fails because its answer has no event.
+func TestHeadOfStreamTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, answer := startTestbed(t), &answerRecorder{}
+		b.method, b.respond = http.MethodHead, takenUp("")
+		testkit.OK(t, b.takeUp(t.Context(), answer))
+		testkit.That(t, answer.begun && len(b.sent) == 1, "%d attempts", len(b.sent))
+		b.stop()
+	})
+}
--- a/internal/serving/framing.go
+++ b/internal/serving/framing.go
@@ -27,7 +27,7 @@
 	switch {
 	case f.endsInsideEvent():
 		return errEventCutOff
-	case f.eventStream && f.order.isContinued:
+	case f.eventStream && f.order.isContinued && f.request.Method != http.MethodHead:
 		return errNotContinued // the end of a stream without an event may be that of another one
 	case head.Length != service.LengthUntilClose:
 	case f.eventStream && f.pieces == 0:
