--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -75,15 +75,78 @@
 	}
 }
 
-// Guards against a stream that its caller takes up and gets from its first event.
+// takenUp are answers to a request of a caller that goes on after event 1, by what they hold.
+func takenUp(text string) func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+	return func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+		return completeAnswer(http.StatusOK, text), nil
+	}
+}
+
+// Guards against a stream that its caller takes up and gets from its first event, or whose head commits to a server of
+// which only a comment has arrived.
 func TestStreamTakenUpWhereNoneContinuesIt(t *testing.T) {
+	for _, text := range []string{event(1) + event(2), ": working\n\n" + event(1) + event(2), ": working\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			b, answer := startTestbed(t), &answerRecorder{}
+			b.respond = takenUp(text)
+			wantRefusal(t, b.takeUp(t.Context(), answer), refusal.CodeBackendFailed, refusal.RanMaybe)
+			testkit.That(t, !answer.begun && len(b.sent) == 2, "%d attempts, answer %q", len(b.sent), answer.body.String())
+			b.stop()
+		})
+	}
+}
+
+// Guards against a stream on a route without resumption whose caller names its last event: it was passed on unchecked,
+// and a whole one ended as if it were cut off.
+func TestStreamTakenUpOnRouteWithoutResumption(t *testing.T) {
+	for _, repeat := range []contract.RepeatPolicy{contract.RepeatSafe, contract.RepeatNever} {
+		for text, sound := range map[string]bool{event(2) + event(3): true, event(1) + event(2): false} {
+			synctest.Test(t, func(t *testing.T) {
+				b, answer, r := startTestbed(t), &answerRecorder{}, route(repeat)
+				r.Stream = true
+				b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+					response := completeAnswer(http.StatusOK, text)
+					response.Length = service.LengthChunked
+					return response, nil
+				}
+				err := b.takeUpOn(t.Context(), r, answer)
+				if sound {
+					testkit.OK(t, err)
+					testkit.Equal(t, "answer", answer.body.String(), text)
+				} else {
+					testkit.That(t, err != nil && !answer.begun, "passed on %q, %v", answer.body.String(), err)
+				}
+				b.stop()
+			})
+		}
+	}
+}
+
+// Guards against an answer that isn't an event stream and is continued with the beginning of another one, as its caller
+// had named an event.
+func TestOtherAnswerIsNotContinued(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusOK} {
+		synctest.Test(t, func(t *testing.T) {
+			b, answer := startTestbed(t), &answerRecorder{}
+			b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
+				response := cutOffAnswer("{\n\n")
+				response.Status, response.Header = status, http.Header{"Content-Type": {"application/json"}}
+				return response, nil
+			}
+			err := b.takeUp(t.Context(), answer)
+			testkit.That(t, err != nil && len(b.sent) == 1 && answer.body.String() == "{\n\n", "status %d: %d attempts, %q, %v", status, len(b.sent), answer.body.String(), err)
+			b.stop()
+		})
+	}
+}
+
+// Guards against a HEAD request that fails because its answer has no event.
+func TestHeadOfStreamTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b, answer := startTestbed(t), &answerRecorder{}
-		b.respond = func(context.Context, int, sentRequest) (*service.ForwardResponse, error) {
-			return completeAnswer(http.StatusOK, event(1)+event(2)), nil
-		}
-		wantRefusal(t, b.takeUp(t.Context(), answer), refusal.CodeBackendFailed, refusal.RanMaybe)
-		testkit.That(t, !answer.begun && len(b.sent) == 2, "%d attempts, answer %q", len(b.sent), answer.body.String())
+		b.method, b.respond = http.MethodHead, takenUp("")
+		testkit.OK(t, b.takeUp(t.Context(), answer))
+		testkit.That(t, answer.begun && len(b.sent) == 1, "%d attempts", len(b.sent))
 		b.stop()
 	})
 }
