hosted, serving: a stopping VM sends on only what can end before it does

What callers saw: in a planned stop, requests were sent on that the VM then cut, among them requests that may not be repeated. Two forms: a VM that is suspended within its grace reads, as it goes on, what has arrived meanwhile, and sends it on, even after the grace; and requests that take longer than what is left of the grace were taken until 2.5 s after the signal.

Cause: only RefuseWaiting ended the taking of requests. It is called by a goroutine that waits for a timer, and after a suspension that goroutine and those of the requests run in any order. Nothing compared the time that a request needs with the time that is left.

Evidence (real processes, grace 5 s, 100 unsafe requests on kept connections, evenly over it): suspended from 1 to 4 s, work of 1.5 s: 15 and 11 requests got 504 at the end, of which most had reached an engine at 4.0 s. Work of 3.5 s, not suspended: 20 and 20 of 100, sent from 1.5 to 2.5 s.

Why the fix works: the schedule of the stop is known from the signal on, and each attempt asks it for the time right before it is sent, whichever goroutine ran first. Answers that have begun go on.

Ruled out: a second SIGTERM or SIGHUP in the grace ends nothing sooner.

Not seen: the time in which the whole virtual machine, and with it the monotonic clock, stands still.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/admission/stopping"
 	"bergamotreel/caller"
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/boottime"
@@ -193,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Policy.ShutdownGrace)
 	defer cancel()
 	h.callers.Drain()
-	h.node.BeginShutdown(ctx)
+	h.node.BeginShutdown(ctx, stopping.Schedule{TakesUntil: start.Add(hostedBalancerDelay), EndsAt: start.Add(h.settings.Policy.ShutdownGrace)})
 	pause.For(ctx, hostedBalancerDelay-time.Since(start))
 	h.node.RefuseWaiting()
 	shutDownCallers(ctx, h.callers, h.relay.EndRequests, h.node.OpenRequests, h.logger)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -18,6 +18,7 @@
 
 	"bergamotreel/admission"
 	"bergamotreel/admission/fairshare"
+	"bergamotreel/admission/stopping"
 	"bergamotreel/caller"
 	"bergamotreel/contract"
 	"bergamotreel/engine"
@@ -263,15 +264,15 @@
 func (n *Node) OpenRequests() int { return n.serving.OpenRequests() }
 
 // BeginShutdown begins a graceful shutdown: it notifies the peers and the load balancer
-// and stops sending orders. Open requests continue.
-func (n *Node) BeginShutdown(ctx context.Context) {
+// and stops sending orders. Open requests continue, and new ones are served while the schedule has time for them.
+func (n *Node) BeginShutdown(ctx context.Context, schedule stopping.Schedule) {
 	n.stopping.Store(true)
+	n.serving.BeginStop(schedule)
 	n.members.notifyAll()
 	n.leaveShards(ctx)
 }
 
-// RefuseWaiting refuses all waiting requests and any that would have to wait later. It is
-// the last step of a graceful shutdown before connections are closed.
+// RefuseWaiting refuses all requests that wait or would have to later, before connections are closed.
 func (n *Node) RefuseWaiting() { n.serving.RefuseWaiting() }
 
 // unreadyRetryAfter is the retry delay given to callers while the VM is starting.
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -256,6 +256,10 @@
 			return refused
 		}
 		f.isTrial = false
+		if refused := f.stoppingRefusal(time.Now()); refused != nil {
+			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
+			return refused
+		}
 		if !f.spendRetry() {
 			f.outcome = attemptOutcome{routerResult: routing.Result{NotRun: true}}
 			return f.overBudgetError(errRetryBudgetShrank)
@@ -267,6 +271,7 @@
 			silentKept.Inc()
 		}
 		if err == nil {
+			f.recordDuration(time.Now())
 			return nil
 		}
 		f.recordAttemptEnd(f.outcome.mayHaveRun || !errors.Is(err, service.ErrNotSent))
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bergamotreel/admission"
+	"bergamotreel/admission/stopping"
 	"bergamotreel/engine"
 	"bergamotreel/refusal"
 	"bergamotreel/routing"
@@ -124,6 +125,10 @@
 	// stopped is set by RefuseWaiting, also at the end of Run: from then on, requests
 	// are refused instead of queued, as nothing would end their wait.
 	stopped bool
+	// schedule holds the times of the planned stop.
+	schedule stopping.Schedule
+	// durations estimates how long forwarded requests take.
+	durations *stopping.Durations
 }
 
 // New returns a server; Run must be called for it to work.
@@ -147,6 +152,7 @@
 		incarnations:      make(map[string]uint64),
 		cacheCursors:      make(map[string]*cacheCursor),
 		streamLengths:     pace.NewLengths(),
+		durations:         stopping.NewDurations(),
 
 		activeUnits:   make(map[string]unitActivity),
 		runningCounts: make(map[runKey]int),
@@ -242,6 +248,14 @@
 	return max(delay, time.Millisecond)
 }
 
+// BeginStop makes the server refuse forwarded requests before they are sent to a backend server, once the schedule has no
+// time for them. A process that was suspended may still read requests long after the load balancer has reacted.
+func (s *Server) BeginStop(schedule stopping.Schedule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.schedule = schedule
+}
+
 // RefuseWaiting refuses all waiting requests, and from now on all that would wait.
 // Without it, a request that waits at the end of Run would wait until its caller
 // gives up, and one that waits at the end of a graceful shutdown would lose its
