crash: suspects in a report continue a position that the receiver has

A VM that restarts under its name could lack suspects of another VM for good. A report that was built for its former process holds only what that one lacked; the new process took the report's position for all that comes before it and never asked for the rest: 1 of 2 suspects in TestReportForFormerProcess. Such a VM goes on sending requests that the others refuse until an entry changes; refused ones are in the registry too, the others aren't.

Cause: the receiver compared the position with its own, not where the report begins. A report now names the position that it continues; one that begins after what the receiver has leaves the position, so that all are sent with the next report. Reports of older versions name none and count as before.

Not seen on real processes: found by searching for what else is taken for a continuation. Other exchanges compare already: views name their base and check the result's hash, changes of the list name their first cursor, updates of engines are checked by a sum for each keeper. Tests of crashes, suspects and quarantine in internal/hosted pass (241 s).

--- a/entryvm/coordination.go
+++ b/entryvm/coordination.go
@@ -81,10 +81,12 @@
 	// again.
 	ResendKeepers []string `cbor:"31,keyasint,omitempty"`
 	// Suspects are the requests that were running on backend servers when these ended and
-	// that the receiver hasn't acknowledged yet. SuspectsNext is the position after them in
-	// the sender's suspects. SuspectsSeen is the position up to which the sender has the
+	// that the receiver hasn't acknowledged yet. SuspectsFrom is the position in the sender's
+	// suspects that they continue, as the receiver has named it, SuspectsNext the one after
+	// them. SuspectsSeen is the position up to which the sender has the
 	// receiver's suspects.
 	Suspects     []Suspect    `cbor:"32,keyasint,omitempty"`
+	SuspectsFrom uint64       `cbor:"42,keyasint,omitempty"`
 	SuspectsNext uint64       `cbor:"33,keyasint,omitempty"`
 	SuspectsSeen PeerPosition `cbor:"34,keyasint,omitempty"`
 	// Limits are the request rate limits that overloaded backend servers have named. They are
--- a/internal/crash/exchange.go
+++ b/internal/crash/exchange.go
@@ -22,14 +22,15 @@
 		from = last.SuspectsSeen.Next
 	}
 	entries, next := c.suspects.ChangedSince(now, from, maxReportedSuspects)
-	report.SuspectsNext = next
+	report.SuspectsFrom, report.SuspectsNext = from, next
 	for _, e := range entries {
 		report.Suspects = append(report.Suspects, encodeSuspect(e))
 	}
 }
 
 // Merge merges the suspects of a report and records the position up to which this VM has the
-// sender's suspects. Within an incarnation that position never moves back.
+// sender's suspects. Within an incarnation that position never moves back. A report that continues a position which
+// this VM doesn't have, as it was built for a former process, leaves it unchanged.
 func (c *Detector) Merge(now time.Time, report *entryvm.Report) {
 	if report.SuspectsNext == 0 {
 		return
@@ -41,7 +42,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	seen := c.seenFromPeers[report.VM]
-	if seen.Incarnation != report.Incarnation || seen.Next < report.SuspectsNext {
+	if seen.Incarnation != report.Incarnation {
+		seen.Next = 0
+	}
+	if report.SuspectsFrom <= seen.Next && seen.Next < report.SuspectsNext {
 		c.seenFromPeers[report.VM] = entryvm.PeerPosition{Incarnation: report.Incarnation, Next: report.SuspectsNext}
 	}
 	if len(entries) > 0 {
