--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -256,8 +256,9 @@
 		n.recordRegistrySuccess()
 		f.RecordSuccess()
 		n.prepareWholeList(list)
-		n.backends.replace(time.Now(), list.List)
-		f.Reset(list.Next, true)
+		if !f.Advance(list.Next, 0, func() { n.backends.replace(time.Now(), list.List) }) {
+			return false // another VM's list was newer
+		}
 		f.Confirm(start)
 		n.handleBackendChanges()
 		return false
