--- a/internal/hosted/feed.go
+++ b/internal/hosted/feed.go
@@ -256,10 +256,10 @@
 		n.recordRegistrySuccess()
 		f.RecordSuccess()
 		n.prepareWholeList(list)
-		n.backends.replace(time.Now(), list.List)
-		f.Reset(list.Next, true)
-		f.Confirm(start)
-		n.handleBackendChanges()
+		if f.Advance(list.Next, 0, func() { n.backends.replace(time.Now(), list.List) }) { // else another VM's is newer
+			f.Confirm(start)
+			n.handleBackendChanges()
+		}
 		return false
 	}
 	changes, err := n.config.Peers.Registry.AwaitBackends(ctx, cursor, wait)
