caller: requests whose bodies still arrive at the end of a stop get an answer

Cause: EndRequests ended what had been passed on, but nothing that was still being read.

Why the fix works: EndRequests lets the read deadline of the body expire. net/http then ends the request's context as if the caller had left, which is told apart, so that the refusal is sent. It is sent within the time that open requests have for their final answers; the connection closes after it as before. A body that was whole at that moment is refused too, as nothing was sent on.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -180,7 +180,8 @@
 }
 
 // EndRequests ends all requests in flight, at the end of a shutdown. Those whose answer has
-// not begun are answered that they may have run, because a closed connection says less.
+// not begun are answered that they may have run, or that they haven't if their body is still
+// arriving, because a closed connection says less.
 func (h *RelayHandler) EndRequests() { h.endRequests() }
 
 // ServeHTTP implements http.Handler. It aborts the connection if an answer can't be
@@ -206,11 +207,13 @@
 	request  RelayRequest
 	arrived  time.Time
 	bodySize int64
+	// bodyEnded is whether EndRequests ended the reading of the body, which ends the request's context too.
+	bodyEnded bool
 }
 
 // hasCallerLeft reports whether the caller was found to have closed its connection.
 func (x *relayExchange) hasCallerLeft(r *http.Request) bool {
-	return x.answer.callerLeft || r.Context().Err() != nil
+	return x.answer.callerLeft || (r.Context().Err() != nil && !x.bodyEnded)
 }
 
 func (h *RelayHandler) relay(x *relayExchange, r *http.Request) error {
@@ -272,7 +275,12 @@
 	if r.ContentLength > h.limits.BodyBytes {
 		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
 	}
+	controller := http.NewResponseController(x.answer.w)
+	stop := context.AfterFunc(h.ended, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	body, err := readAll(limitBody(x.answer.w, r, h.limits.BodyBytes), r.ContentLength)
+	if x.bodyEnded = !stop(); x.bodyEnded {
+		return nil, refusal.New(refusal.CodeShuttingDown, shortRetryAfter, "this entry VM stops before the request can be sent on")
+	}
 	var limitErr *http.MaxBytesError
 	if errors.As(err, &limitErr) {
 		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
@@ -287,7 +295,7 @@
 	// The read deadline applies only until the body is read. If it stayed set, it would
 	// expire while net/http reads the connection to detect that the caller disconnects,
 	// and would look like a disconnect.
-	_ = http.NewResponseController(x.answer.w).SetReadDeadline(time.Time{})
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/caller/relay_test.go
+++ b/caller/relay_test.go
@@ -347,3 +347,19 @@
 		server.Close()
 	}
 }
+
+// Guards against a connection that is closed without an answer because the request's body is still arriving when the shutdown
+// ends: a caller may not repeat a request that may have been read.
+func TestRelayEndRequestsWhileBodiesArrive(t *testing.T) {
+	for name, body := range map[string]string{"length": "Content-Length: 10\r\n\r\nabc", "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nab"} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(nil)
+			defer server.Close()
+			handler := NewRelayHandler(&relayBackend{}, plainDialect{}, Limits{}, zap.NewNop())
+			server.Config.Handler = handler
+			time.AfterFunc(50*time.Millisecond, handler.EndRequests)
+			got := exchangeRaw(t, server.Listener.Addr().String(), "POST /a HTTP/1.1\r\n"+commonHeaders+body)
+			testkit.That(t, strings.HasPrefix(got, "HTTP/1.1 503") && strings.Contains(got, `"ran":"no"`), "got %q", got)
+		})
+	}
+}
