daemon: the grace of a stop counts from when it may have been requested

What callers saw: the platform ends a process a fixed time after SIGTERM. A process that was suspended as the signal came learns of it when it goes on, and took requests for 2.5 s from then on. It was killed in the middle of its own grace, and open requests ended without an answer.

Cause: the grace counted from the handling of the signal.

Evidence (real processes, grace 5 s, killed 6 s after the signal, suspended for 3 s from just before it, 100 unsafe requests on kept connections, work of 1.5 s): 9 of 100 reached an engine from 4.5 to 5.0 s and ended with no answer at 6.3 s, and the process was killed instead of ending.

Why the fix works: a tick each 0.25 s, by a clock that also runs while the machine is suspended, shows a suspension of 1 s or more. If it has just ended when the stop is learned of, the stop counts from its beginning. At least 1 s of the grace is kept, as nobody knows when within a long suspension the signal came.

Weighed: sending nothing at all after any suspension (also refuses where the whole grace is left); taken: the earliest time that is possible.

TestPlannedStopsCutNoRequests failed before in "suspended as the stop is requested" (9 of 100 cut), now 0 of 100: 60 whole, 3 refused, 37 connections closed unread; the process ends by itself.

--- a/admission/stopping/stopping_test.go
+++ b/admission/stopping/stopping_test.go
@@ -42,3 +42,23 @@
 	testkit.Equal(t, "twice the tokens", d.Expect("stream", 200), 2*time.Second)
 	testkit.Equal(t, "absurd tokens", d.Expect("stream", 1<<40), 4*time.Second)
 }
+
+// Guards against a process that takes a request to stop for a new one although it came while the process was suspended, and
+// against one that was suspended long ago and stops too soon.
+func TestWatchFindsSuspensions(t *testing.T) {
+	watch := stopping.NewWatch(0)
+	now := time.Duration(0)
+	tick := func(n int) {
+		for range n {
+			now += stopping.WatchInterval
+			watch.Tick(now)
+		}
+	}
+	tick(8)
+	testkit.Equal(t, "age without a suspension", watch.RequestAge(now+stopping.WatchInterval), 0)
+	now += 3 * time.Second
+	testkit.Equal(t, "age at the end of a suspension", watch.RequestAge(now), 3*time.Second-stopping.WatchInterval)
+	testkit.Equal(t, "age right after it", watch.RequestAge(now+time.Millisecond), 3*time.Second-stopping.WatchInterval+time.Millisecond)
+	tick(2)
+	testkit.Equal(t, "age later", watch.RequestAge(now), 0)
+}
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -28,6 +28,9 @@
 	// hostedBalancerDelay is how long a leaving VM still accepts connections: the hosting
 	// platform's balancer probes once a second and removes the VM after two failed probes.
 	hostedBalancerDelay = 2500 * time.Millisecond
+	// minGrace is what a VM keeps of its shutdown grace if it was suspended as the stop was requested, because
+	// nobody knows when within the suspension that was.
+	minGrace = time.Second
 	// joinTTL is how long a VM acts on an assignment without a new answer from the
 	// registry, so that registry outages of up to 9 s interrupt no model. A VM that fails
 	// for good and can't be asked delays the orders to its engines by the same time; a VM
@@ -172,12 +175,8 @@
 		group.serve(func() error { return serveHTTP(h.metricsServer, h.metricsListener) })
 	}
 	h.logger.Info("serving", zap.String("callers", h.settings.VM.CallersAddress))
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-group.failed:
-	}
-	h.shutdown()
+	age, err := awaitStop(ctx, group.failed)
+	h.shutdown(age)
 	stopWork()
 	_ = h.readyServer.Close()
 	_ = h.metricsServer.Close()
@@ -186,15 +185,34 @@
 	return Error.Wrap(err)
 }
 
+// awaitStop waits until ctx ends or a server fails. It returns how long ago the stop may have been requested.
+func awaitStop(ctx context.Context, failed <-chan error) (age time.Duration, err error) {
+	watch := stopping.NewWatch(boottime.Now())
+	ticker := time.NewTicker(stopping.WatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			watch.Tick(boottime.Now())
+		case <-ctx.Done():
+			return watch.RequestAge(boottime.Now()), nil
+		case err := <-failed:
+			return 0, err
+		}
+	}
+}
+
 // shutdown stops gracefully: it first leaves the balancer's rotation, then refuses new
-// connections, then waits for the open requests.
-func (h *Hosted) shutdown() {
-	start := time.Now()
-	h.logger.Info("shutting down", zap.Int("open", h.node.OpenRequests()))
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Policy.ShutdownGrace)
+// connections, then waits for the open requests. The platform ends the process a fixed time after it
+// requested the stop, which was the given time ago.
+func (h *Hosted) shutdown(age time.Duration) {
+	grace := h.settings.Policy.ShutdownGrace
+	start := time.Now().Add(-min(age, max(grace-minGrace, 0)))
+	h.logger.Info("shutting down", zap.Int("open", h.node.OpenRequests()), zap.Duration("requested_before", age))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace))
 	defer cancel()
 	h.callers.Drain()
-	h.node.BeginShutdown(ctx, stopping.Schedule{TakesUntil: start.Add(hostedBalancerDelay), EndsAt: start.Add(h.settings.Policy.ShutdownGrace)})
+	h.node.BeginShutdown(ctx, stopping.Schedule{TakesUntil: start.Add(hostedBalancerDelay), EndsAt: start.Add(grace)})
 	pause.For(ctx, hostedBalancerDelay-time.Since(start))
 	h.node.RefuseWaiting()
 	shutDownCallers(ctx, h.callers, h.relay.EndRequests, h.node.OpenRequests, h.logger)
