--- a/internal/hosted/days_test.go
+++ b/internal/hosted/days_test.go
@@ -136,6 +136,7 @@
 	var violations []judge.Violation
 	violations = append(violations, judge.CheckSoftwareVersions(h)...)
 	violations = append(violations, judge.CheckCompleteStreams(h)...)
+	violations = append(violations, judge.CheckStreamOrder(h)...)
 	if d.repeatable {
 		violations = append(violations, judge.CheckRetries(h, retryBound(len(d.vms)))...)
 	} else {
--- a/internal/hosted/enginecluster_test.go
+++ b/internal/hosted/enginecluster_test.go
@@ -62,6 +62,8 @@
 	rejections    int
 	roomCrashes   []time.Time
 	newEngineRoom func() *engineRoom
+	// takenUp counts the requests of callers that take a stream up, misled those that an engine continued wrongly.
+	takenUp, misled int
 	// streaming has engines answer with event streams. They have two software versions in turns, and
 	// every third one sends answers that end with their connection.
 	streaming bool
@@ -123,6 +125,10 @@
 	lostShare float64
 	// pausedUntil is until when the engine sends nothing.
 	pausedUntil time.Time
+	// breaking has it break off a share of new streams. continues, if set, returns the numbers of the events that it
+	// sends after the one that a request names.
+	breaking  bool
+	continues func(after int) []int
 	// room, if set, bounds the requests that the engine runs.
 	room *engineRoom
 }
--- a/internal/hosted/streamdays_test.go
+++ b/internal/hosted/streamdays_test.go
@@ -31,9 +31,11 @@
 // If the engine ends, the stream is cut off in the event that is due: with an error or, without a
 // frame, with the end of its connection.
 type streamBody struct {
-	cluster   *engineCluster
-	engine    *servingEngine
-	next      int
+	cluster *engineCluster
+	engine  *servingEngine
+	// numbers are those of the events that are due, breaksAt is the one within which it breaks off, 0 for none.
+	numbers   []int
+	breaksAt  int
 	remaining string
 	cutOff    bool
 }
@@ -49,8 +51,11 @@
 	if e.unframed {
 		length = service.LengthUntilClose
 	}
-	return &service.ForwardResponse{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: length,
-		Body: &streamBody{cluster: b, engine: e, next: last + 1}}
+	body := &streamBody{cluster: b, engine: e, numbers: b.eventsToSend(e, last)}
+	if b.breaksOff(e, f.RequestID, last) {
+		body.breaksAt = breaksAt
+	}
+	return &service.ForwardResponse{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: length, Body: body}
 }
 
 func (s *streamBody) Read(p []byte) (int, error) {
@@ -59,16 +64,20 @@
 		switch {
 		case s.cutOff && !s.engine.unframed:
 			return 0, io.ErrUnexpectedEOF
-		case s.cutOff || s.next > streamEvents:
+		case s.cutOff || len(s.numbers) == 0:
 			return 0, io.EOF
 		}
-		s.remaining = fmt.Sprintf("id: %d\ndata: %s\n\n", s.next, s.engine.version)
+		s.remaining = fmt.Sprintf("id: %d\ndata: %s\n\n", s.numbers[0], s.engine.version)
+		s.cutOff = s.numbers[0] == s.breaksAt
 		select {
 		case <-s.engine.ended:
-			s.cutOff, s.remaining = true, s.remaining[:len(s.remaining)-4]
+			s.cutOff = true
 		case <-time.After(eventInterval):
 		}
-		s.next++
+		if s.cutOff {
+			s.remaining = s.remaining[:len(s.remaining)-4]
+		}
+		s.numbers = s.numbers[1:]
 	}
 	n := copy(p, s.remaining)
 	s.remaining = s.remaining[n:]
@@ -100,7 +109,9 @@
 // receivedStream is what a caller has of a stream over its attempts.
 type receivedStream struct {
 	lastEvent int
-	versions  map[string]bool
+	// events are the numbers of all events in the order in which they came.
+	events   []int
+	versions map[string]bool
 }
 
 // add adds the whole events of an answer.
@@ -110,6 +121,7 @@
 			continue
 		}
 		_, _ = fmt.Sscanf(event, "id: %d", &s.lastEvent)
+		s.events = append(s.events, s.lastEvent)
 		_, version, _ := strings.Cut(strings.TrimSpace(event), "data: ")
 		s.versions[version] = true
 	}
@@ -130,6 +142,7 @@
 		vm = d.vms[d.engineRandom.Intn(len(d.vms))]
 		d.statsMu.Unlock()
 	}
+	outcome.Events = stream.events
 	for version := range stream.versions {
 		outcome.Versions = append(outcome.Versions, version)
 	}
@@ -150,6 +163,9 @@
 	id := fmt.Sprint(firstID, "-", attempt)
 	d.statsMu.Lock()
 	d.sentAt[id] = time.Now()
+	if stream.lastEvent > 0 {
+		d.takenUp++
+	}
 	instance := vmInstance{vm, d.vmStarts[vm]}
 	d.statsMu.Unlock()
 	grant, err := n.Authorize("h", "/day/"+id, "")
@@ -201,12 +217,15 @@
 	withStreamingEngineCluster(t, vms, engines, configure, func(b *engineCluster) {
 		d := &day{engineCluster: b, random: random, repeatable: true, streaming: true, kinds: faultKinds}
 		d.allowResuming()
+		d.misleadContinuations(rand.New(rand.NewSource(^seed)))
 		d.runAndCheck(engines)
+		d.Logf("%d streams continued wrongly, %d taken up", d.misled, d.takenUp)
 	})
 }
 
-// Guards against streams with events of two software versions, and against cut-off streams that their
-// callers take for whole, while faults of several kinds overlap.
+// Guards against streams with events of two software versions, events that are out of order, come twice or are missing, and
+// cut-off streams that their callers take for whole, while faults of several kinds overlap and engines don't continue
+// streams where they are told.
 func TestRandomDaysOfStreams(t *testing.T) {
 	for seed := *daysFrom; seed < *daysFrom+int64(*daySeeds/streamDayDivisor); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playStreamDay(t, seed) })
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -43,6 +43,9 @@
 	// Versions are the software versions of the backend servers whose events the caller received, over
 	// all of its attempts.
 	Versions []string
+	// Events are the numbers of a stream's events, from 1 on, in the order in which the caller received them over all
+	// of its attempts.
+	Events []int
 	// CutOff reports whether the caller was told that the answer is complete although it isn't.
 	CutOff bool
 }
@@ -111,6 +114,7 @@
 	roomKept        = "room kept"
 	oneVersion      = "one software version"
 	completeStreams = "complete streams"
+	streamOrder     = "streams in order"
 )
 
 // process identifies one instance of an entry VM.
@@ -159,6 +163,20 @@
 	return violations
 }
 
+// CheckStreamOrder finds streams whose callers received events out of order, twice, or not at all although later ones
+// came, over all of their attempts.
+func CheckStreamOrder(h *History) (violations []Violation) {
+	for _, o := range h.Outcomes {
+		for i, number := range o.Events {
+			if number != i+1 {
+				violations = append(violations, Violation{streamOrder, o.Sent, fmt.Sprintf("%s has the events %v", o.Request, o.Events)})
+				break
+			}
+		}
+	}
+	return violations
+}
+
 // CheckHonestRefusals finds requests that ran although their callers were told that they had
 // not.
 func CheckHonestRefusals(h *History) (violations []Violation) {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -58,6 +58,10 @@
 	}
 	oneVersion := func(h *judge.History) []judge.Violation { return judge.CheckSoftwareVersions(h) }
 	completeStreams := func(h *judge.History) []judge.Violation { return judge.CheckCompleteStreams(h) }
+	inOrder := func(h *judge.History) []judge.Violation { return judge.CheckStreamOrder(h) }
+	received := func(events ...int) judge.History {
+		return judge.History{Outcomes: []judge.Outcome{{Request: "r", Events: events}}}
+	}
 	retryBudget := func(h *judge.History) []judge.Violation {
 		return judge.CheckRetries(h, judge.RetryBound{Window: 10 * time.Second, Ratio: 0.5, Slack: 1})
 	}
@@ -102,6 +106,12 @@
 		{"events of two versions", oneVersion, 1, judge.History{Outcomes: []judge.Outcome{{Request: "r", Versions: []string{"v1", "v2"}}}}},
 		{"events of one version", oneVersion, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r", Versions: []string{"v1"}}, {Request: "q", Versions: []string{"v2"}}}}},
 		{"cut off and complete to the caller", completeStreams, 1, judge.History{Outcomes: []judge.Outcome{{Request: "r", CutOff: true}}}},
+		{"events in order", inOrder, 0, received(1, 2, 3)},
+		{"no events", inOrder, 0, received()},
+		{"an event twice", inOrder, 1, received(1, 2, 2, 3)},
+		{"from the first event again", inOrder, 1, received(1, 2, 1, 2, 3)},
+		{"an event left out", inOrder, 1, received(1, 3)},
+		{"the first event left out", inOrder, 1, received(2, 3)},
 		{"broken off", completeStreams, 0, judge.History{Outcomes: []judge.Outcome{{Request: "r"}}}},
 		{"sound requests refused for too long", soundPassed, 1, judge.History{Outcomes: quarantined(1, 1.2, 1.4)}},
 		{"sound requests refused briefly", soundPassed, 0, judge.History{Outcomes: quarantined(1, 1.02, 1.4)}},
