serving: a stream goes on within its answer only with the weights that began it

Cause: a stream was bound to the software version of its engine only, and nothing read or named versions of weights.

Now an answer's version of the weights binds the stream at its first event and follows events at which the version changes midway. Each attempt that continues the stream names it, so that an engine with others refuses it without running it; an answer that names others all the same is given up before anything of it is passed on. The unit that such a request needs names the weights beside the software version (BoundUnit), so dispatch, reservations and demand go to engines that are known to have them: their entries name them, and their answers sooner. Engines whose weights aren't known are used if none is known to have the right ones.

--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -11,6 +11,7 @@
 
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/crash"
+	"bergamotreel/internal/streamversions"
 	"bergamotreel/registry"
 	"bergamotreel/routing/streamversion"
 )
@@ -107,6 +108,8 @@
 	// startDoubts counts the signs that the server may have started again, startDoubtsCleared those that
 	// its report has disproved.
 	startDoubts, startDoubtsCleared uint64
+	// weights are the versions of the models' weights.
+	weights streamversions.Weights
 }
 
 // loadedModel is a model that accepts requests on an engine, with its adapters.
@@ -168,7 +171,7 @@
 	}
 	if known == nil {
 		former := t.formerInstances[b.ID]
-		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
+		known = &backend{missingUnits: make(map[string]time.Time), weights: make(streamversions.Weights), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
 		known.announcedLeaving = former.announcedLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
@@ -190,6 +193,11 @@
 	if restarted || t.isListedAgain(now, known, b.Started, startFromEntry) {
 		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
+	if isNew || restarted {
+		known.weights.Update(nil, b.Models)
+	} else {
+		known.weights.Update(known.Models, b.Models)
+	}
 	known.Backend = b
 	known.removeAt = time.Time{}
 	known.merge(now)
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -76,7 +76,7 @@
 			ready = false
 		}
 		out = append(out, routing.Candidate{
-			Engine: b.ID, Domain: b.Domain, Version: b.softwareVersion(), Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
+			Engine: b.ID, Domain: b.Domain, Version: b.softwareVersion(), Weights: b.weights[wanted.Model], Slots: b.Slots, Ready: ready, Leaving: b.isLeaving(),
 			Indirect: b.isIndirect(), Pace: n.estimatePace(now, b, wanted),
 		})
 	})
--- a/internal/hosted/streamfleet.go
+++ b/internal/hosted/streamfleet.go
@@ -57,6 +57,15 @@
 	return n.backends.resolveVersion(stream.Service, version), refused
 }
 
+// RecordWeights implements serving.ForwardDirectory.
+func (n *Node) RecordWeights(backend, model string, weights int64) {
+	n.backends.mu.Lock()
+	defer n.backends.mu.Unlock()
+	if b := n.backends.entries[backend]; b != nil {
+		b.weights[model] = weights
+	}
+}
+
 // StreamVersions implements entryvm.Coordinator.
 func (n *Node) StreamVersions(args entryvm.StreamVersionsArgs) { n.streamVersions.Add(args) }
 
--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -66,9 +66,9 @@
 func (f *forwarding) mayContinueAt(ctx context.Context) bool {
 	directory := f.server.forwardDirectory()
 	switch {
-	case f.version == "":
+	case f.origin.Version == "":
 		return true
-	case f.target.Version != f.version:
+	case f.target.Version != f.origin.Version:
 		return false
 	}
 	return !directory.IsStartDoubtful(f.target) || directory.VerifyStart(ctx, f.target)
@@ -93,6 +93,9 @@
 	if head.Leaving && f.pending.isCurrentIncarnation() {
 		f.server.forwardDirectory().MarkLeaving(f.pending.backend)
 	}
+	if head.Weights != 0 && f.request.Model != "" && f.pending.isCurrentIncarnation() {
+		f.server.forwardDirectory().RecordWeights(f.pending.backend, f.request.Model, head.Weights)
+	}
 	if head.Cooldown > 0 {
 		f.pending.startCooldown(time.Now().Add(head.Cooldown))
 	}
@@ -123,6 +126,7 @@
 func (f *forwarding) backendRequest() service.ForwardRequest {
 	out := f.request.ForwardRequest
 	out.ResumeAfter = string(f.order.lastID)
+	out.Weights = f.origin.Weights
 	out.Sendings = &f.sendings
 	out.Urgency = -1
 	if f.request.Model != "" {
@@ -144,6 +148,10 @@
 			f.server.forwardDirectory().MarkUnreachable(f.target, err)
 		}
 		f.outcome = attemptOutcome{routerResult: routing.Result{Failed: true, NotRun: true}, excludeBackend: true}
+	case hasOtherWeights(err):
+		f.recordOtherWeights()
+		f.outcome = attemptOutcome{mayHaveRun: errors.Is(err, errOtherWeights), excludeBackend: true}
+		f.outcome.routerResult.NotRun = !f.outcome.mayHaveRun
 	case errors.Is(err, service.ErrWrongServer):
 		unit, _ := SplitVersion(f.pending.query.Unit)
 		f.server.forwardDirectory().RecordUnitNotHeld(f.pending.backend, unit)
--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -48,6 +48,9 @@
 	if f.target.Version != "" {
 		fields = append(fields, zap.String("version", f.target.Version))
 	}
+	if f.origin.Weights != 0 {
+		fields = append(fields, zap.Int64("weights", f.origin.Weights))
+	}
 	if f.target.Gateway != "" {
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -39,7 +39,7 @@
 // again since its version was read; it has accepted the request by now, so a start that is still the same
 // is the one that runs it.
 func (f *forwarding) verifyAndDeliver(ctx context.Context, head *service.ForwardResponse, guard *stallGuard) error {
-	if f.version != "" && head.Status < http.StatusInternalServerError && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
+	if f.origin.Version != "" && head.Status < http.StatusInternalServerError && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
 		unverifiedStarts.Inc()
 		return errStartUnverified
 	}
@@ -57,6 +57,8 @@
 		return errServerFailed // a failure can't continue a resumed stream
 	case f.answer.HasBegun() && !f.continuesAnswer(head):
 		return errNotContinued
+	case !failed && isEventStream(f.request.Route, head) && !f.continuesWeights(head):
+		return errOtherWeights
 	case f.request.Route.Repeat == contract.RepeatResume && !failed:
 		return f.deliverEvents(ctx, head, guard)
 	case f.canBuffer(head):
@@ -132,6 +134,7 @@
 	}
 	events := newEventReader(head.Body, &f.server.eventMemory)
 	defer events.close()
+	isFirst := true
 	for {
 		whole, err := events.next()
 		if !f.acceptPiece(guard, whole, err) {
@@ -145,7 +148,11 @@
 			var accepted int
 			accepted, wrong = f.order.accept(whole)
 			whole = whole[:accepted]
+			if err := f.followWeights(head, whole, isFirst); err != nil {
+				return err
+			}
 		}
+		isFirst = isFirst && len(whole) == 0
 		if len(whole) > 0 {
 			f.bindVersion(ctx)
 			f.beginAnswer(head)
@@ -171,15 +178,15 @@
 // bindVersion binds the stream to the software version of the backend server that sent its first
 // event. If the server may have started again, nothing is known to go on where the stream began.
 func (f *forwarding) bindVersion(ctx context.Context) {
-	if f.version != "" || f.target.Version == "" {
+	if f.origin.Version != "" || f.target.Version == "" {
 		return
 	}
-	f.version = f.target.Version
+	f.origin.Version = f.target.Version
 	if f.server.forwardDirectory().IsStartDoubtful(f.target) && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
-		f.version = streamversion.UnlistedVersion(f.target.ID, unknownStart)
+		f.origin.Version = streamversion.UnlistedVersion(f.target.ID, unknownStart)
 	}
 	stream := streamversion.Stream{Workspace: f.request.WorkspaceName(), Service: f.request.Service, Request: f.request.ID}
-	f.server.forwardDirectory().RecordStream(stream, f.version)
+	f.server.forwardDirectory().RecordStream(stream, f.origin.Version)
 }
 
 // beginAnswer sends the head of the first attempt that returns data; a resumed
--- a/internal/serving/dispatch.go
+++ b/internal/serving/dispatch.go
@@ -58,7 +58,7 @@
 // its caller could have tried elsewhere.
 func (s *Server) refuseUnavailable(now time.Time) {
 	for unit := range s.waitersByUnit {
-		refused := s.config.Directory.UnavailableRefusal(unit)
+		refused := s.unavailableRefusal(unit)
 		if refused == nil {
 			continue
 		}
@@ -305,15 +305,18 @@
 	return true
 }
 
-// findCandidates returns the candidates for a unit or for the pool of a plain service, at the
-// software version that the unit names.
-func (s *Server) findCandidates(unit string) []routing.Candidate {
-	unit, version := SplitVersion(unit)
+// findCandidates returns the candidates for a unit or for the pool of a plain service, of the
+// origin that the unit names.
+func (s *Server) findCandidates(name string) []routing.Candidate {
+	unit, origin := SplitOrigin(name)
 	candidates := s.findAllCandidates(unit)
-	if version == "" {
-		return candidates
+	if origin.Version != "" {
+		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Version != origin.Version })
 	}
-	return slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Version != version })
+	if origin.Weights != 0 {
+		candidates = s.otherWeights.filter(time.Now(), name, origin.Weights, candidates)
+	}
+	return candidates
 }
 
 // findAllCandidates is findCandidates for all software versions.
--- a/internal/serving/eventorder.go
+++ b/internal/serving/eventorder.go
@@ -165,5 +165,5 @@
 // isWrongEvents reports whether an attempt was given up because of the events that it brought, while its connection
 // was sound.
 func isWrongEvents(err error) bool {
-	return errors.Is(err, errNotContinued) || errors.Is(err, errOutOfOrder)
+	return errors.Is(err, errNotContinued) || errors.Is(err, errOutOfOrder) || errors.Is(err, errOtherWeights)
 }
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -77,6 +77,8 @@
 	// second before it crashes, 0 for no bound; rejected is whether it had no room for the
 	// request.
 	RecordMaxRejections(backend string, maxRejections int, rejected bool)
+	// RecordWeights records the version of a model's weights that an answer of a backend server named.
+	RecordWeights(backend, model string, weights int64)
 	// RecordAbandoned records that an attempt ended without its whole answer, so that the
 	// backend server may still work on the request.
 	RecordAbandoned(backend string)
@@ -108,10 +110,11 @@
 		s.logNotSent(r.ID, request.Unit, false, refused)
 		return refused
 	}
-	request.Unit = VersionedUnit(request.Unit, version)
+	origin := streamversion.Origin{Version: version}
+	request.Unit = BoundUnit(request.Unit, origin)
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
-	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), version: version, readyAtArrival: hasReadyCandidate(known)}
+	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), origin: origin, readyAtArrival: hasReadyCandidate(known)}
 	// Without a backend server to send it to, the request waits: by then it may have been cleared.
 	if refused := f.quarantineRefusalOrTrial(); refused != nil && f.readyAtArrival {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -196,9 +199,8 @@
 	boundary    eventBoundary
 	// pace is what was measured of the current attempt's stream.
 	pace streamPace
-	// version is the software version at which the stream has to go on, empty while it may begin
-	// at any.
-	version string
+	// origin is where the stream has to go on, empty while it may begin anywhere.
+	origin streamversion.Origin
 	// answerHead is the head that the caller's answer began with.
 	answerHead *service.ForwardResponse
 	// lastDelivered is when the caller received its last event, zero before the first.
@@ -351,10 +353,10 @@
 }
 
 // unitToContinue returns the unit that the next attempt needs. What backend servers of two software
-// versions write doesn't fit together, so a stream goes on at the version that began it.
+// versions, or with weights of two versions, write doesn't fit together, so a stream goes on where it began.
 func (f *forwarding) unitToContinue() string {
 	unit, _ := SplitVersion(f.pending.query.Unit)
-	return VersionedUnit(unit, f.version)
+	return BoundUnit(unit, f.origin)
 }
 
 // canRepeat reports whether a request that may have run may be sent once more.
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -73,6 +73,8 @@
 	// versions are the software versions of backend servers.
 	versions     map[string]string
 	begunStreams map[streamversion.Stream]string
+	// weights are the known versions of the weights on backend servers.
+	weights map[string]int64
 	// doubted are the targets whose connections broke, verified those whose start was verified, restarted the
 	// backend servers that have started again since their versions were read.
 	doubted, verified, restarted []string
@@ -116,7 +118,7 @@
 	defer b.mu.Unlock()
 	var out []routing.Candidate
 	for _, name := range b.backends {
-		out = append(out, routing.Candidate{Engine: name, Domain: name, Version: b.versions[name], Slots: b.slots, Ready: b.ready && !b.busyUnits[unit], PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
+		out = append(out, routing.Candidate{Engine: name, Domain: name, Version: b.versions[name], Weights: b.weights[name], Slots: b.slots, Ready: b.ready && !b.busyUnits[unit], PermitRequired: b.permits >= 0, Permits: b.permits - b.spent})
 	}
 	return out
 }
@@ -158,6 +160,8 @@
 
 func (b *forwardTestbed) RecordAbandoned(string) {}
 
+func (b *forwardTestbed) RecordWeights(string, string, int64) {}
+
 // DoubtStart records whose connections broke.
 func (b *forwardTestbed) DoubtStart(target service.Target) {
 	b.mu.Lock()
--- a/internal/serving/modelunit.go
+++ b/internal/serving/modelunit.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
+
+	"bergamotreel/routing/streamversion"
 )
 
 // modelUnitPrefix marks the units of engine pools. A plain service's pool begins
@@ -31,31 +34,57 @@
 // versions.
 func (u ModelUnit) Pool() string { return modelUnitPrefix + u.Service + "/" + u.Model }
 
+// weightsSeparator separates a software version from a version of the model's weights. It is escaped within both.
+const weightsSeparator = ","
+
 // versionSeparator separates the kind of a unit, before its first slash, from a software version.
 const versionSeparator = "@"
 
 // VersionedUnit returns the name of the unit at a software version: only backend servers of that
 // version can serve it. An empty version stands for any.
 func VersionedUnit(unit, version string) string {
-	if version == "" {
+	return BoundUnit(unit, streamversion.Origin{Version: version})
+}
+
+// BoundUnit returns the name of the unit for streams that go on where they began: only backend servers of the origin
+// can serve it.
+func BoundUnit(unit string, origin streamversion.Origin) string {
+	if origin == (streamversion.Origin{}) {
 		return unit
 	}
 	kind, rest, _ := strings.Cut(unit, "/")
-	return kind + versionSeparator + url.PathEscape(version) + "/" + rest
+	name := kind + versionSeparator + url.PathEscape(origin.Version)
+	if origin.Weights != 0 {
+		name += weightsSeparator + strconv.FormatInt(origin.Weights, 10)
+	}
+	return name + "/" + rest
 }
 
-// SplitVersion parses the result of VersionedUnit.
+// SplitVersion returns the unit and the software version of a result of VersionedUnit or BoundUnit.
 func SplitVersion(name string) (unit, version string) {
+	unit, origin := SplitOrigin(name)
+	return unit, origin.Version
+}
+
+// SplitOrigin parses the result of BoundUnit.
+func SplitOrigin(name string) (unit string, origin streamversion.Origin) {
 	kind, rest, _ := strings.Cut(name, "/")
-	kind, escaped, versioned := strings.Cut(kind, versionSeparator)
-	if !versioned {
-		return name, ""
+	kind, bound, isBound := strings.Cut(kind, versionSeparator)
+	if !isBound {
+		return name, origin
 	}
+	escaped, weights, hasWeights := strings.Cut(bound, weightsSeparator)
 	version, err := url.PathUnescape(escaped)
 	if err != nil {
-		return name, ""
+		return name, origin
+	}
+	origin.Version = version
+	if hasWeights {
+		if origin.Weights, err = strconv.ParseInt(weights, 10, 64); err != nil {
+			return name, streamversion.Origin{}
+		}
 	}
-	return kind + "/" + rest, version
+	return kind + "/" + rest, origin
 }
 
 // ParseModelUnit parses the result of String. It returns false for any other name, such as the
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -120,7 +120,9 @@
 	runningCounts map[runKey]int
 	// notContinuing are the backend servers that recently didn't continue a stream.
 	notContinuing map[string]notContinuing
-	openRequests  int
+	// otherWeights are the backend servers that were found not to have the weights of streams.
+	otherWeights otherWeights
+	openRequests int
 	// stopped is set by RefuseWaiting, also at the end of Run: from then on, requests
 	// are refused instead of queued, as nothing would end their wait.
 	stopped bool
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -32,7 +32,9 @@
 
 // Held is a model that an engine has loaded, with its adapters.
 type Held struct {
-	Model    string
+	Model string
+	// Weights is the version of the model's weights, 0 if unknown.
+	Weights  int64
 	Adapters []string
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -27,6 +27,8 @@
 	Domain string
 	// Version is the version of the engine's software.
 	Version string
+	// Weights is the version of the model's weights on the engine, 0 if unknown.
+	Weights int64
 	// Slots is how many requests the engine runs at once.
 	Slots int
 	// Ready is whether the unit is loaded on the engine.
--- a/service/forward.go
+++ b/service/forward.go
@@ -25,6 +25,10 @@
 // needs.
 var ErrWrongServer = errs.New("not the backend server that was meant")
 
+// ErrOtherWeights accompanies ErrWrongServer: the backend server refused the request because its weights of the
+// model are not of the version that the request names.
+var ErrOtherWeights = errs.New("other weights than those that were meant")
+
 // ErrConnectionRefused accompanies ErrNotSent: the backend server's machine refused
 // the connection, so nothing listens at the address and the process has ended.
 var ErrConnectionRefused = errs.New("connection refused")
@@ -63,6 +67,8 @@
 	// ResumeAfter is the id of the last event that the caller received of a broken
 	// stream, empty for a new request.
 	ResumeAfter string
+	// Weights is the version of the model's weights that the request has to run with, 0 for any.
+	Weights int64
 	// Sendings tracks the connections over which this request was sent, also by earlier calls; nil for a
 	// request that is sent only once.
 	Sendings *sendonce.Sendings
@@ -103,6 +109,10 @@
 	// Leaving reports whether the answer announces that the backend server is about
 	// to end.
 	Leaving bool
+	// Weights is the version of the model's weights that the answer names, 0 if it names none. In an event stream,
+	// a first line of an event with the field WeightsField names the version from that event on.
+	Weights      int64
+	WeightsField string
 	// MaxRejections is how many requests the backend server can reject for want of room within
 	// a second. Beyond that it crashes. 0 means that the answer names no bound.
 	MaxRejections int
