streamversions: a stream that its client takes up goes on only with the weights that began it

Callers that took up a stream got its rest from another version of the model's weights: 30 of 48 at another VM, 15 of 32 after the VM that began them was killed, 4 of 4 after the only engine with their weights had loaded the model anew.

Cause: what is kept of a stream over its client's tries was the software version only.

Now a stream's origin is kept: software version and version of the weights (streamversion.Origin), in the table, in what is sent to two keepers and in the registry's records. A History counts the versions of each model's weights beside the software versions of services, from entries and from answers, which name them before entries do. While a model has several, or had in the last minute, its streams are shared and recorded like those of a service with several software versions. A stream that nobody knows goes on only if the views of the VMs that answer cover the last minute and name one version of each, with those weights named to the engine; else it is refused, not run. If weights change midway, the higher version replaces the recorded one.

What outlives all VMs: the record of the served versions has the versions of models too. They are written along with what is written anyway, and for themselves only once a model has several, so nothing is called while each has one. A model of which the record has nothing isn't known after all VMs were killed: its unknown streams are refused for a minute. The fields are new and optional; a VM that answers without them covers no time of a model's weights.

--- a/entryvm/stream.go
+++ b/entryvm/stream.go
@@ -8,13 +8,15 @@
 // StreamKey identifies a stream, see routing/streamversion.
 type StreamKey [8]byte
 
-// StreamGroup is streams of a service that began at one software version.
+// StreamGroup is streams of a service that began at one software version, with one version of their models' weights.
 type StreamGroup struct {
 	Service string      `cbor:"1,keyasint,omitempty"`
 	Version string      `cbor:"2,keyasint,omitempty"`
 	Keys    []StreamKey `cbor:"3,keyasint,omitempty"`
 	// Age is how long before the sending the youngest of them began.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Weights is the version of the weights, 0 if unknown.
+	Weights int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // StreamVersionsArgs carries versions of streams to a VM that keeps them for the others.
@@ -31,6 +33,8 @@
 	// Confirm is whether the VM has to make sure that its list of backend servers is up to date unless it
 	// knows the stream.
 	Confirm bool `cbor:"3,keyasint,omitempty"`
+	// Model is the stream's, empty for a plain service's.
+	Model string `cbor:"4,keyasint,omitempty"`
 }
 
 // FindStreamReply is the answer to FindStreamArgs.
@@ -45,6 +49,11 @@
 	KnownFor  time.Duration `cbor:"5,keyasint,omitempty"`
 	ListAge   time.Duration `cbor:"6,keyasint,omitempty"`
 	Confirmed bool          `cbor:"7,keyasint,omitempty"`
+	// Weights is the version of the model's weights, 0 if unknown, valid if Found is set. WeightVersions and
+	// WeightsKnownFor are like Versions and KnownFor, for the weights.
+	Weights         int64         `cbor:"8,keyasint,omitempty"`
+	WeightVersions  []string      `cbor:"9,keyasint,omitempty"`
+	WeightsKnownFor time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // StreamVersions answers Coordination.StreamVersions.
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -187,9 +187,9 @@
 	}
 	restarted := known.Started != b.Started
 	if !isNew {
-		t.versionHistory.Remove(now, known.Service, known.Version)
+		streamversions.UncountListed(now, t.versionHistory, &known.Backend)
 	}
-	t.versionHistory.Add(b.Service, b.Version)
+	streamversions.CountListed(t.versionHistory, &b)
 	if restarted || t.isListedAgain(now, known, b.Started, startFromEntry) {
 		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
@@ -227,7 +227,7 @@
 	before := t.entries[id]
 	t.formerInstances[id] = formerInstance{start: before.start, onlyListed: before.onlyListed, formerStarts: before.formerStarts, announcedLeaving: before.announcedLeaving,
 		restartedAt: before.restartedAt, droppedAt: now}
-	t.versionHistory.Remove(now, before.Service, before.Version)
+	streamversions.UncountListed(now, t.versionHistory, &before.Backend)
 	delete(t.entries, id)
 	t.byService = nil
 	t.endedInstances = append(t.endedInstances, crash.End{Target: before.target(), Service: before.Service, Announced: before.isLeaving(), Dropped: true})
--- a/internal/hosted/killedfleet_test.go
+++ b/internal/hosted/killedfleet_test.go
@@ -29,7 +29,7 @@
 // beginStreams begins streams at all VMs in turns, at the versions in turns.
 func (w *testCluster) beginStreams(names []string, prefix string, count int, versions ...string) {
 	for i := range count {
-		w.nodes[names[i%len(names)]].RecordStream(testStream(fmt.Sprint(prefix, i)), versions[i%len(versions)])
+		w.nodes[names[i%len(names)]].RecordStream(testStream(fmt.Sprint(prefix, i)), streamversion.Origin{Version: versions[i%len(versions)]})
 	}
 }
 
@@ -212,7 +212,7 @@
 		w.registry.put(registry.Backend{ID: "i-other", Service: "other", Address: "at-other", Domain: "d0", Slots: 8, Version: "v1"})
 		time.Sleep(3 * time.Second)
 		for i := range 60 {
-			w.nodes[names[i%4]].RecordStream(testStream(fmt.Sprint("last", i)), []string{"v1", "v2"}[i%2])
+			w.nodes[names[i%4]].RecordStream(testStream(fmt.Sprint("last", i)), streamversion.Origin{Version: []string{"v1", "v2"}[i%2]})
 			time.Sleep(5 * time.Millisecond)
 		}
 		w.killAll(names, 0)
@@ -220,7 +220,7 @@
 		found := 0
 		for i := range 60 {
 			got, refused := w.nodes[names[i%4]].FindStreamVersion(w.Context(), testStream(fmt.Sprint("last", i)))
-			testkit.That(w, got == []string{"v1", "v2"}[i%2] || refused != nil, "stream %d of the last moment is of version %q", i, got)
+			testkit.That(w, got.Version == []string{"v1", "v2"}[i%2] || refused != nil, "stream %d of the last moment is of version %q", i, got.Version)
 			if refused == nil {
 				found++
 			}
--- a/internal/hosted/outofstepversions_test.go
+++ b/internal/hosted/outofstepversions_test.go
@@ -121,10 +121,10 @@
 	var calls sync.WaitGroup
 	for _, request := range requests {
 		calls.Go(func() {
-			version, _ := w.nodes[vm].FindStreamVersion(w.Context(), testStream(request))
+			origin, _ := w.nodes[vm].FindStreamVersion(w.Context(), testStream(request))
 			mu.Lock()
 			defer mu.Unlock()
-			versions[version]++
+			versions[origin.Version]++
 		})
 	}
 	calls.Wait()
@@ -162,7 +162,7 @@
 				withVersionedFleet(t, vms, []string{"v1"}, func(w *testCluster, names []string) {
 					const streams = 40
 					vm := w.nonKeeper(names)
-					w.nodes[vm].RecordStream(testStream("own"), "v1")
+					w.nodes[vm].RecordStream(testStream("own"), streamversion.Origin{Version: "v1"})
 					c.cut(w, vm)
 					time.Sleep(300 * time.Millisecond)
 					w.takeUp(vm, unknownStreams(streams)...)
--- a/internal/hosted/streamfleet.go
+++ b/internal/hosted/streamfleet.go
@@ -17,9 +17,10 @@
 	return f.node.members.possibleStreamKeepers(now)
 }
 
-func (f streamFleet) VersionsView(now time.Time, service string) streamversion.View {
+func (f streamFleet) VersionsView(now time.Time, service string) (view streamversion.View) {
 	confirmedAt := now.Add(-f.node.backendsFeed.Age(f.node.config.BootClock()))
-	return f.node.backends.versionsView(now, service, confirmedAt)
+	f.node.backends.withVersions(func(h *streamversion.History) { view = h.View(now, service, confirmedAt) })
+	return view
 }
 
 func (f streamFleet) IsListStale() bool {
@@ -33,28 +34,32 @@
 }
 
 func (f streamFleet) AllVersions(now time.Time) (versions map[string][]string, complete bool) {
-	versions, complete = f.node.backends.allVersions(now)
+	f.node.backends.withVersions(func(h *streamversion.History) { versions, complete = h.All(now), h.IsComplete(now) })
 	return versions, complete && !f.IsListStale()
 }
 
 func (f streamFleet) RecoverVersions(now time.Time, versions map[string][]string, complete bool) {
-	f.node.backends.recoverVersions(now, versions, complete)
+	f.node.backends.withVersions(func(h *streamversion.History) { h.Recover(now, versions, complete) })
 }
 
 func (f streamFleet) KeepsStreams(now time.Time) bool { return f.node.members.keepsStreams(now) }
 
 // RecordStream implements serving.ForwardDirectory.
-func (n *Node) RecordStream(stream streamversion.Stream, version string) {
-	if streamversion.IsUnlisted(version) {
-		n.backends.recordUnlistedVersion(time.Now(), stream.Service, version)
+func (n *Node) RecordStream(stream streamversion.Stream, origin streamversion.Origin) {
+	if streamversion.IsUnlisted(origin.Version) {
+		n.backends.recordUnlistedVersion(time.Now(), stream.Service, origin.Version)
 	}
-	n.streamVersions.RecordStream(stream, version)
+	if stream.Model != "" && origin.Weights != 0 { // the engine's entry may be older than its weights
+		n.backends.recordUnlistedVersion(time.Now(), streamversion.ModelScope(stream.Service, stream.Model), streamversion.FormatWeights(origin.Weights))
+	}
+	n.streamVersions.RecordStream(stream, origin)
 }
 
 // FindStreamVersion implements serving.ForwardDirectory.
-func (n *Node) FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
-	version, refused := n.streamVersions.FindVersion(ctx, stream)
-	return n.backends.resolveVersion(stream.Service, version), refused
+func (n *Node) FindStreamVersion(ctx context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal) {
+	origin, refused := n.streamVersions.FindVersion(ctx, stream)
+	origin.Version = n.backends.resolveVersion(stream.Service, origin.Version)
+	return origin, refused
 }
 
 // RecordWeights implements serving.ForwardDirectory.
@@ -82,18 +87,11 @@
 	return !m.node.stopping.Load() && (!roles.large || roles.isRelayOf(m.node.config.Domain, m.node.config.VM))
 }
 
-// allVersions returns versions of each service.
-func (t *backendTable) allVersions(now time.Time) (versions map[string][]string, complete bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.versionHistory.All(now), t.versionHistory.IsComplete(now)
-}
-
-// recoverVersions adds the versions that served before this VM knew the list.
-func (t *backendTable) recoverVersions(now time.Time, versions map[string][]string, complete bool) {
+// withVersions calls a function with the versions that streams may have begun at.
+func (t *backendTable) withVersions(use func(*streamversion.History)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.versionHistory.Recover(now, versions, complete)
+	use(t.versionHistory)
 }
 
 // possibleStreamKeepers returns the VMs that other VMs may take for keepers of streams: the live ones, in a
@@ -135,14 +133,6 @@
 	return others
 }
 
-// versionsView returns what this VM knows of the software versions that a stream of the service may have begun
-// at, given when the list was last known to be up to date.
-func (t *backendTable) versionsView(now time.Time, service string, confirmedAt time.Time) streamversion.View {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.versionHistory.View(now, service, confirmedAt)
-}
-
 // hasSeveralVersions reports whether a stream of the service may have begun at several versions.
 func (t *backendTable) hasSeveralVersions(now time.Time, service string) bool {
 	t.mu.Lock()
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -42,7 +42,7 @@
 	n := w.nodes[vm]
 	w.mu.Unlock()
 	got, refused := n.FindStreamVersion(w.Context(), stream)
-	testkit.That(w, got == want && (refused != nil) == (want == ""), "%s: %+v is of version %q, %v; want %q", vm, stream, got, refused, want)
+	testkit.That(w, got.Version == want && (refused != nil) == (want == ""), "%s: %+v is of version %q, %v; want %q", vm, stream, got.Version, refused, want)
 }
 
 func testStream(request string) streamversion.Stream {
@@ -58,7 +58,7 @@
 			withVersionedFleet(t, vms, []string{"v1", "v2"}, func(w *testCluster, names []string) {
 				const streams = 40
 				for i := range streams {
-					w.nodes[names[3]].RecordStream(testStream(fmt.Sprint(i)), []string{"v1", "v2"}[i%2])
+					w.nodes[names[3]].RecordStream(testStream(fmt.Sprint(i)), streamversion.Origin{Version: []string{"v1", "v2"}[i%2]})
 				}
 				time.Sleep(50 * time.Millisecond)
 				w.setDomainsPartitioned(true)
@@ -82,7 +82,7 @@
 func TestVersionOfStreamBegunBeforeARelease(t *testing.T) {
 	withVersionedFleet(t, 4, []string{"v1"}, func(w *testCluster, names []string) {
 		w.expectVersion(names[1], testStream(""), "v1") // one version needs no name
-		w.nodes[names[3]].RecordStream(testStream("1"), "v1")
+		w.nodes[names[3]].RecordStream(testStream("1"), streamversion.Origin{Version: "v1"})
 		time.Sleep(5 * time.Second)
 		w.listVersions("v2")
 		time.Sleep(3 * time.Second)
@@ -141,7 +141,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		testkit.That(w, w.nodes[names[1]].backends.servesOnlyOtherVersions(testService, "v2"), "the VM is not outdated")
-		w.nodes[names[3]].RecordStream(testStream("1"), "v2")
+		w.nodes[names[3]].RecordStream(testStream("1"), streamversion.Origin{Version: "v2"})
 		time.Sleep(50 * time.Millisecond)
 		w.kill(names[3])
 		w.expectVersion(names[1], testStream("1"), "v2")
@@ -155,7 +155,7 @@
 	withVersionedFleet(t, 4, []string{"v1", "v2"}, func(w *testCluster, names []string) {
 		w.setIsolated(names[3], true)
 		time.Sleep(5 * time.Second)
-		w.nodes[names[3]].RecordStream(testStream("1"), "v2")
+		w.nodes[names[3]].RecordStream(testStream("1"), streamversion.Origin{Version: "v2"})
 		time.Sleep(time.Second)
 		w.setIsolated(names[3], false)
 		time.Sleep(5 * time.Second)
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -185,8 +185,7 @@
 	if f.server.forwardDirectory().IsStartDoubtful(f.target) && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
 		f.origin.Version = streamversion.UnlistedVersion(f.target.ID, unknownStart)
 	}
-	stream := streamversion.Stream{Workspace: f.request.WorkspaceName(), Service: f.request.Service, Request: f.request.ID}
-	f.server.forwardDirectory().RecordStream(stream, f.origin.Version)
+	f.server.forwardDirectory().RecordStream(streamOf(&f.request), f.origin)
 }
 
 // beginAnswer sends the head of the first attempt that returns data; a resumed
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -92,11 +92,10 @@
 	// VerifyStart asks a target whether it has started again since the target was returned. It
 	// returns false also if that remains unknown.
 	VerifyStart(ctx context.Context, target service.Target) bool
-	// RecordStream records that a stream began at a software version.
-	RecordStream(stream streamversion.Stream, version string)
-	// FindStreamVersion returns the software version at which a stream that its caller takes up
-	// began, empty if it may go on at any, or a refusal.
-	FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal)
+	// RecordStream records where a stream began, or that the weights of its model changed midway.
+	RecordStream(stream streamversion.Stream, origin streamversion.Origin)
+	// FindStreamVersion returns where a stream that its caller takes up has to go on, or a refusal.
+	FindStreamVersion(ctx context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal)
 }
 
 // Forward sends an opaque request to a backend server and returns its answer to the
@@ -105,12 +104,11 @@
 	ctx, cancel := context.WithDeadline(ctx, r.AnswerDeadline)
 	defer cancel()
 	request, query := s.describeForward(r)
-	version, refused := s.findVersion(ctx, &r)
+	origin, refused := s.findOrigin(ctx, &r)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, false, refused)
 		return refused
 	}
-	origin := streamversion.Origin{Version: version}
 	request.Unit = BoundUnit(request.Unit, origin)
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
@@ -150,14 +148,21 @@
 	return f.run(ctx, w)
 }
 
-// findVersion returns the software version at which the request has to run if its caller takes up a
-// stream with it, empty for any.
-func (s *Server) findVersion(ctx context.Context, r *caller.RelayRequest) (string, *refusal.Refusal) {
+// findOrigin returns where the request has to run if its caller takes up a stream with it.
+func (s *Server) findOrigin(ctx context.Context, r *caller.RelayRequest) (streamversion.Origin, *refusal.Refusal) {
 	if !r.Route.Stream || r.ResumedAfter == "" {
-		return "", nil
+		return streamversion.Origin{}, nil
 	}
-	stream := streamversion.Stream{Workspace: r.WorkspaceName(), Service: r.Service, Request: r.ResumedRequest}
-	return s.forwardDirectory().FindStreamVersion(ctx, stream)
+	return s.forwardDirectory().FindStreamVersion(ctx, streamOf(r))
+}
+
+// streamOf returns the stream that a request begins or takes up.
+func streamOf(r *caller.RelayRequest) streamversion.Stream {
+	stream := streamversion.Stream{Workspace: r.WorkspaceName(), Service: r.Service, Model: r.Model, Request: r.ID}
+	if r.ResumedAfter != "" {
+		stream.Request = r.ResumedRequest
+	}
+	return stream
 }
 
 func (s *Server) describeForward(r caller.RelayRequest) (admission.Request, routing.Query) {
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -72,7 +72,7 @@
 	backends          []string
 	// versions are the software versions of backend servers.
 	versions     map[string]string
-	begunStreams map[streamversion.Stream]string
+	begunStreams map[streamversion.Stream]streamversion.Origin
 	// weights are the known versions of the weights on backend servers.
 	weights map[string]int64
 	// doubted are the targets whose connections broke, verified those whose start was verified, restarted the
@@ -96,7 +96,7 @@
 
 // newConfiguredForwardTestbed is newForwardTestbedWithLog with other settings of the server.
 func newConfiguredForwardTestbed(t *testing.T, log *zap.Logger, configure func(*serving.Config)) *forwardTestbed {
-	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost, begunStreams: make(map[streamversion.Stream]string)}
+	b := &forwardTestbed{T: t, ready: true, slots: 8, permits: -1, backends: []string{"one", "two"}, method: http.MethodPost, begunStreams: make(map[streamversion.Stream]streamversion.Origin)}
 	controller := admission.New(admission.Config{})
 	controller.SetContracts(map[string]*contract.Contract{"c": {Customer: "c", MaxQueued: 1000}})
 	config := serving.Config{
@@ -192,21 +192,21 @@
 	b.limits = append(b.limits, limit)
 }
 
-// RecordStream records the versions at which streams began.
-func (b *forwardTestbed) RecordStream(stream streamversion.Stream, version string) {
+// RecordStream records where streams began.
+func (b *forwardTestbed) RecordStream(stream streamversion.Stream, origin streamversion.Origin) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.begunStreams[stream] = version
+	b.begunStreams[stream] = origin
 }
 
 // FindStreamVersion refuses streams that have not begun.
-func (b *forwardTestbed) FindStreamVersion(_ context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
+func (b *forwardTestbed) FindStreamVersion(_ context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version, known := b.begunStreams[stream]; known {
-		return version, nil
+	if origin, known := b.begunStreams[stream]; known {
+		return origin, nil
 	}
-	return "", refusal.New(refusal.CodeNoCapacity, 0, "unknown stream")
+	return streamversion.Origin{}, refusal.New(refusal.CodeNoCapacity, 0, "unknown stream")
 }
 
 // TryUsePermit counts the permits used.
--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -61,8 +61,8 @@
 
 // takeUp forwards a stream of v1 that its caller takes up after its first event.
 func (b *forwardTestbed) takeUp(ctx context.Context, answer *answerRecorder) error {
-	stream := streamversion.Stream{Service: "s", Request: "first"}
-	b.begunStreams[stream] = "v1"
+	stream := streamversion.Stream{Service: "s", Model: "m", Request: "first"}
+	b.begunStreams[stream] = streamversion.Origin{Version: "v1"}
 	r := caller.RelayRequest{RelayHead: caller.RelayHead{ID: "again", Model: "m", ResumedAfter: "1", ResumedRequest: "first"}}
 	return b.forwardRequest(ctx, route(contract.RepeatResume), r, answer)
 }
@@ -116,8 +116,8 @@
 				return completeAnswer(200, event(1)), nil
 			}
 			testkit.OK(t, b.forward(t.Context(), route(contract.RepeatResume), "m", &answerRecorder{}))
-			for _, version := range b.begunStreams {
-				testkit.That(t, streamversion.IsUnlisted(version) == restarted, "recorded at %q", version)
+			for _, origin := range b.begunStreams {
+				testkit.That(t, streamversion.IsUnlisted(origin.Version) == restarted, "recorded at %+v", origin)
 			}
 			testkit.Equal(t, "recorded streams", len(b.begunStreams), 1)
 			b.stop()
--- a/internal/serving/weights.go
+++ b/internal/serving/weights.go
@@ -111,8 +111,13 @@
 			f.origin.Weights = first
 		}
 	}
-	if last := lastWeights(events, head.WeightsField); last != 0 {
-		f.origin.Weights = last
+	last := lastWeights(events, head.WeightsField)
+	if last == 0 || last == f.origin.Weights {
+		return nil
+	}
+	f.origin.Weights = last
+	if f.origin.Version != "" {
+		f.server.forwardDirectory().RecordStream(streamOf(&f.request), f.origin)
 	}
 	return nil
 }
--- a/internal/streamversions/config.go
+++ b/internal/streamversions/config.go
@@ -1,5 +1,5 @@
-// Package streamversions finds the software version at which a stream began that its caller takes up,
-// also if another entry VM began it. Package streamversion holds the records.
+// Package streamversions finds the software version and the weights with which a stream began that its caller
+// takes up, also if another entry VM began it. Package streamversion holds the records.
 package streamversions
 
 import (
@@ -19,8 +19,8 @@
 	// PossibleKeepers returns the VMs that other VMs may take for keepers of streams.
 	PossibleKeepers(now time.Time) []Keeper
 	// VersionsView returns what this VM knows of the software versions that a stream of the service may have
-	// begun at.
-	VersionsView(now time.Time, service string) streamversion.View
+	// begun at, or of the versions of weights for the scope of a model.
+	VersionsView(now time.Time, scope string) streamversion.View
 	// IsListStale reports whether this VM has lost touch with the registry and with the VM that reads it for the
 	// failure domain.
 	IsListStale() bool
@@ -34,8 +34,8 @@
 	RecoverVersions(now time.Time, versions map[string][]string, complete bool)
 	// KeepsStreams reports whether other VMs may ask this VM for versions of streams.
 	KeepsStreams(now time.Time) bool
-	// HasSeveralVersions reports whether a stream of the service may have begun at several versions.
-	HasSeveralVersions(now time.Time, service string) bool
+	// HasSeveralVersions reports whether a stream of the service or of the model may have begun at several versions.
+	HasSeveralVersions(now time.Time, scope string) bool
 }
 
 // VMs calls other entry VMs by address.
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -49,8 +49,8 @@
 
 	mu    sync.Mutex
 	table *streamversion.Table
-	// unshared are the streams that began at this VM and were not sent to others, by service.
-	unshared map[string]map[streamversion.Key]unsharedStream
+	// unshared are the streams that began at this VM and were not sent to others.
+	unshared map[modelOfService]map[streamversion.Key]unsharedStream
 	// expiredAt is when unshared was last searched for expired records.
 	expiredAt time.Time
 }
@@ -60,7 +60,7 @@
 
 // New returns a finder that shares nothing until Run is called.
 func New(config Config) *Finder {
-	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[string]map[streamversion.Key]unsharedStream)}
+	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[modelOfService]map[streamversion.Key]unsharedStream)}
 	s.memory, s.confirmation = newMemory(s), newConfirmation(config.Fleet)
 	return s
 }
@@ -73,19 +73,19 @@
 	tasks.Wait()
 }
 
-// RecordStream records that a stream began at a software version.
-func (s *Finder) RecordStream(stream streamversion.Stream, version string) {
-	if stream.Request == "" || version == "" {
+// RecordStream records where a stream began, or that the weights of its model changed midway.
+func (s *Finder) RecordStream(stream streamversion.Stream, origin streamversion.Origin) {
+	if stream.Request == "" || origin.Version == "" {
 		return
 	}
 	now := time.Now()
-	key, record := stream.Key(), streamversion.Record{Service: stream.Service, Version: version, BegunAt: now}
+	key, record := stream.Key(), streamversion.Record{Service: stream.Service, Model: stream.Model, Version: origin.Version, Weights: origin.Weights, BegunAt: now}
 	s.mu.Lock()
 	if s.table.Add(now, key, record) {
 		s.addUnshared(key, unsharedStream{Record: record})
 	}
 	s.mu.Unlock()
-	if s.memory.hasSeveral(now, stream.Service) {
+	if s.memory.hasSeveral(now, modelOfService{stream.Service, stream.Model}) {
 		select {
 		case s.wake <- struct{}{}:
 		default:
@@ -99,7 +99,7 @@
 	streams := make(streamRecords)
 	for _, group := range args.Groups {
 		for _, key := range group.Keys {
-			streams[streamversion.Key(key)] = streamversion.Record{Service: group.Service, Version: group.Version, BegunAt: now.Add(-group.Age)}
+			streams[streamversion.Key(key)] = streamversion.Record{Service: group.Service, Version: group.Version, Weights: group.Weights, BegunAt: now.Add(-group.Age)}
 		}
 	}
 	if args.Record {
@@ -120,32 +120,29 @@
 	defer s.mu.Unlock()
 	for _, record := range slices.Backward(records) {
 		for _, key := range record.Streams {
-			s.table.Add(now, streamversion.Key(key), streamversion.Record{Service: record.Service, Version: record.Version, BegunAt: now})
+			s.table.Add(now, streamversion.Key(key), streamversion.Record{Service: record.Service, Version: record.Version, Weights: record.Weights, BegunAt: now})
 		}
 	}
 }
 
-// Find answers another VM that asks for the version of a stream.
+// Find answers another VM that asks for the origin of a stream.
 func (s *Finder) Find(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
-	started, key := time.Now(), streamversion.Key(args.Key)
-	version, found := s.find(started, key)
-	versions, complete := streamversion.Merge(started, s.upToDate(started, args.Service))
-	if !found && (!complete || len(versions) > 1) {
+	started, key, of := time.Now(), streamversion.Key(args.Key), modelOfService{args.Service, args.Model}
+	origin, found := s.find(started, key)
+	known := mergeViews(started, of, s.views(started, of).asOf(started))
+	if !found && (!known.complete || known.isAmbiguous()) {
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
-		version, found = s.find(time.Now(), key)
+		origin, found = s.find(time.Now(), key)
 	}
-	confirmed := !found && args.Confirm && len(versions) <= 1 && s.confirmation.awaitUntil(context.Background(), started.Add(s.confirmation.timeout(replyTimeout)))
+	confirmed := !found && args.Confirm && !known.isAmbiguous() && s.confirmation.awaitUntil(context.Background(), started.Add(s.confirmation.timeout(replyTimeout)))
 	now := time.Now()
-	view := s.config.Fleet.VersionsView(now, args.Service)
-	return entryvm.FindStreamReply{Found: found, Version: version, Versions: view.Versions,
-		KnownFor: now.Sub(view.From), ListAge: now.Sub(view.To), Confirmed: confirmed}
-}
-
-// upToDate returns what this VM knows of a service's versions, as if its list was up to date.
-func (s *Finder) upToDate(now time.Time, service string) streamversion.View {
-	view := s.config.Fleet.VersionsView(now, service)
-	view.To = now
-	return view
+	v := s.views(now, of)
+	reply := entryvm.FindStreamReply{Found: found, Version: origin.Version, Weights: origin.Weights, Versions: v.software.Versions,
+		KnownFor: now.Sub(v.software.From), ListAge: now.Sub(v.software.To), Confirmed: confirmed}
+	if of.model != "" {
+		reply.WeightVersions, reply.WeightsKnownFor = v.weights.Versions, now.Sub(v.weights.From)
+	}
+	return reply
 }
 
 // awaitLoad reads what the registry holds of streams, and waits for it until the deadline at most.
@@ -156,100 +153,122 @@
 	}
 }
 
-func (s *Finder) find(now time.Time, key streamversion.Key) (version string, found bool) {
+func (s *Finder) find(now time.Time, key streamversion.Key) (origin streamversion.Origin, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Version(now, key)
+	return s.table.Origin(now, key)
 }
 
-// FindVersion returns the software version at which a stream began that its caller takes up. A stream of
-// which nobody knows the version is refused unless its service is known to have had only one until now.
-func (s *Finder) FindVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
-	started, key := time.Now(), stream.Key()
-	if version, found := s.find(started, key); found {
-		resumedRecorded.Inc()
-		return version, nil
+// FindVersion returns where a stream began that its caller takes up. A stream of which nobody knows the origin is
+// refused unless its service is known to have had only one version until now, and its model one of its weights.
+func (s *Finder) FindVersion(ctx context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal) {
+	started, key, of := time.Now(), stream.Key(), modelOfService{stream.Service, stream.Model}
+	if origin, found := s.find(started, key); found {
+		return s.decideKnown(of, origin)
 	}
 	isKeeper := s.config.Fleet.KeepsStreams(started)
-	own := s.config.Fleet.VersionsView(started, stream.Service)
-	versions, complete := streamversion.Merge(started, s.upToDate(started, stream.Service))
-	question := entryvm.FindStreamArgs{Key: entryvm.StreamKey(key), Service: stream.Service, Confirm: !isKeeper || s.config.Fleet.IsListStale()}
+	own := s.views(started, of)
+	known := mergeViews(started, of, own.asOf(started))
+	question := entryvm.FindStreamArgs{Key: entryvm.StreamKey(key), Service: stream.Service, Model: stream.Model, Confirm: !isKeeper || s.config.Fleet.IsListStale()}
 	var replies replies
 	// A version may be unknown here: the VM has just started, or the registry doesn't answer it.
-	if !complete || stream.Request != "" || question.Confirm {
-		if isKeeper && (!complete || len(versions) > 1) {
+	if !known.complete || stream.Request != "" || question.Confirm {
+		if isKeeper && (!known.complete || known.isAmbiguous()) {
 			s.memory.load(ctx)
 		}
-		replies = s.ask(ctx, question, versions)
-		versions, complete = streamversion.Merge(started, append(replies.views, s.upToDate(started, stream.Service))...)
-		if !replies.found && isKeeper && (!complete || len(versions) > 1) {
+		replies = s.ask(ctx, question, known)
+		known = mergeViews(started, of, append(replies.views, s.views(started, of).asOf(started))...)
+		if !replies.found && isKeeper && (!known.complete || known.isAmbiguous()) {
 			s.awaitLoad(ctx, started.Add(FindTimeout))
-			replies.version, replies.found = s.find(time.Now(), key)
+			replies.origin, replies.found = s.find(time.Now(), key)
 		}
 		if replies.found {
-			resumedRecorded.Inc()
-			s.keep(key, stream.Service, replies.version)
-			return replies.version, nil
+			s.keep(key, stream.Service, replies.origin)
+			return s.decideKnown(of, replies.origin)
 		}
 	}
 	// Versions may have been forgotten here since the caller asked.
 	replies.views = append(replies.views, own)
-	merge := func() ([]string, bool) {
-		view := s.config.Fleet.VersionsView(time.Now(), stream.Service)
-		return streamversion.Merge(started, append(replies.views, view)...)
-	}
-	versions, complete = merge()
+	merge := func() knowledge { return mergeViews(started, of, append(replies.views, s.views(time.Now(), of))...) }
+	known = merge()
 	ownTimeout := FindTimeout
 	if !question.Confirm { // else the registry doesn't answer this VM
 		ownTimeout = s.confirmation.timeout(FindTimeout)
 	}
-	if !complete && len(versions) == 1 && isKeeper && s.confirmation.awaitUntil(ctx, started.Add(ownTimeout)) {
-		replies.views = append(replies.views, s.upToDate(started, stream.Service))
-		versions, complete = merge()
+	if !known.complete && len(known.versions) == 1 && !known.isAmbiguous() && isKeeper && s.confirmation.awaitUntil(ctx, started.Add(ownTimeout)) {
+		replies.views = append(replies.views, s.views(started, of).asOf(started))
+		known = merge()
 	}
 	// Whether a stream went on at the right version can't be told later without what was known then.
 	s.config.Logger.Info("nobody knows the version of a stream", zap.String("stream", stream.Request), zap.String("service", stream.Service),
-		zap.Duration("known_here_for", started.Sub(own.From)), zap.Duration("list_age", started.Sub(own.To)), zap.Int("asked", replies.asked),
-		zap.Int("answered", replies.answered), zap.Strings("versions", versions), zap.Bool("complete", complete))
-	return decideUnknown(versions, complete)
+		zap.Duration("known_here_for", started.Sub(own.software.From)), zap.Duration("list_age", started.Sub(own.software.To)), zap.Int("asked", replies.asked),
+		zap.Int("answered", replies.answered), zap.Strings("versions", known.versions), zap.Strings("weights", known.weights), zap.Bool("complete", known.complete))
+	return decideUnknown(known)
+}
+
+// decideKnown returns the origin of a stream that somebody knows. If that doesn't name the weights, they are the only
+// ones that the model is known to have had.
+func (s *Finder) decideKnown(of modelOfService, origin streamversion.Origin) (streamversion.Origin, *refusal.Refusal) {
+	if origin.Weights == 0 && of.model != "" {
+		versions := s.views(time.Now(), of).weights.Versions
+		if len(versions) > 1 {
+			resumedUnknown.Inc()
+			return streamversion.Origin{}, refuseSeveral()
+		}
+		origin.Weights = onlyWeights(versions)
+	}
+	resumedRecorded.Inc()
+	return origin, nil
 }
 
-// decideUnknown returns the version of a stream that nobody knows, given the versions that its service may have had and
-// whether these are all.
-func decideUnknown(versions []string, complete bool) (string, *refusal.Refusal) {
+// decideUnknown returns the origin of a stream that nobody knows, given what is known of the versions at which it may
+// have begun.
+func decideUnknown(known knowledge) (streamversion.Origin, *refusal.Refusal) {
 	switch {
-	case len(versions) == 1 && complete:
-		resumedOnlyOne.Inc()
-		return versions[0], nil
-	case len(versions) <= 1:
+	case known.isAmbiguous():
 		resumedUnknown.Inc()
-		return "", refusal.New(refusal.CodeNoCapacity, unknownRetryAfter, "the software versions that served before are not known yet, and the one that began the stream is not known")
+		return streamversion.Origin{}, refuseSeveral()
+	case len(known.versions) == 1 && known.complete:
+		resumedOnlyOne.Inc()
+		return streamversion.Origin{Version: known.versions[0], Weights: onlyWeights(known.weights)}, nil
 	}
 	resumedUnknown.Inc()
-	return "", refusal.New(refusal.CodeNoCapacity, 0, "backend servers of several versions serve, and the one that began the stream is not known")
+	return streamversion.Origin{}, refusal.New(refusal.CodeNoCapacity, unknownRetryAfter, "the versions that served before are not known yet, and the one that began the stream is not known")
 }
 
-// keep records a version that another VM knew.
-func (s *Finder) keep(key streamversion.Key, service, version string) {
+func refuseSeveral() *refusal.Refusal {
+	return refusal.New(refusal.CodeNoCapacity, 0, "backend servers or weights of several versions serve, and the one that began the stream is not known")
+}
+
+// onlyWeights returns the only version of weights, 0 if none is known.
+func onlyWeights(versions []string) int64 {
+	if len(versions) == 0 {
+		return 0
+	}
+	return streamversion.ParseWeights(versions[0])
+}
+
+// keep records an origin that another VM knew.
+func (s *Finder) keep(key streamversion.Key, service string, origin streamversion.Origin) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Add(now, key, streamversion.Record{Service: service, Version: version, BegunAt: now})
+	s.table.Add(now, key, streamversion.Record{Service: service, Version: origin.Version, Weights: origin.Weights, BegunAt: now})
 }
 
 // replies are what other VMs know of a stream.
 type replies struct {
-	found   bool
-	version string
-	// views are what they know of the versions of the service.
-	views []streamversion.View
+	found  bool
+	origin streamversion.Origin
+	// views are what they know of the versions.
+	views []views
 	// asked and answered count the VMs.
 	asked, answered int
 }
 
 // ask asks all possible keepers of a stream at once for its version, because VMs may differ in
-// who they think is live. It waits for VMs that aren't live here only if the service has several versions.
-func (s *Finder) ask(ctx context.Context, question entryvm.FindStreamArgs, known []string) replies {
+// who they think is live. It waits for VMs that aren't live here only if the service or the model has several versions.
+func (s *Finder) ask(ctx context.Context, question entryvm.FindStreamArgs, known knowledge) replies {
 	// Calls are not canceled once the answer is known: that would close connections that others use.
 	ctx = context.WithoutCancel(ctx)
 	askedAt := time.Now()
@@ -260,7 +279,7 @@
 	}
 	received := make(chan keeperReply, len(keepers))
 	timeout := FindTimeout
-	if question.Confirm && len(known) <= 1 {
+	if question.Confirm && !known.isAmbiguous() {
 		timeout += confirmTimeout
 	}
 	liveWithoutReply := 0
@@ -282,7 +301,7 @@
 	// enough ends the wait for those that confirm their list once others have, but not for those that know the stream.
 	var enough <-chan time.Time
 	for range keepers {
-		if liveWithoutReply == 0 && len(known) <= 1 {
+		if liveWithoutReply == 0 && !known.isAmbiguous() {
 			break
 		}
 		var reply keeperReply
@@ -299,27 +318,15 @@
 		}
 		out.answered++
 		if reply.Found {
-			out.found, out.version = true, reply.Version
+			out.found, out.origin = true, streamversion.Origin{Version: reply.Version, Weights: reply.Weights}
 			return out
 		}
-		known = mergeVersions(known, reply.Versions)
-		out.views = append(out.views, viewOf(askedAt, time.Now(), &reply.FindStreamReply))
-		if _, complete := streamversion.Merge(askedAt, out.views...); complete {
+		v := viewsOf(askedAt, time.Now(), &reply.FindStreamReply)
+		known.versions, known.weights = mergeVersions(known.versions, v.software.Versions), mergeVersions(known.weights, v.weights.Versions)
+		out.views = append(out.views, v)
+		if mergeViews(askedAt, modelOfService{question.Service, question.Model}, out.views...).complete {
 			enough = time.After(time.Until(askedAt.Add(FindTimeout)))
 		}
 	}
 	return out
 }
-
-// viewOf returns what a reply tells of the versions of a service, in times of this VM's clock.
-func viewOf(askedAt, receivedAt time.Time, reply *entryvm.FindStreamReply) streamversion.View {
-	view := streamversion.View{Versions: reply.Versions, From: receivedAt.Add(-reply.KnownFor), To: askedAt.Add(-reply.ListAge)}
-	if reply.Confirmed {
-		view.To = askedAt
-	}
-	return view
-}
-
-func mergeVersions(a, b []string) []string {
-	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
-}
--- a/internal/streamversions/memory.go
+++ b/internal/streamversions/memory.go
@@ -39,7 +39,7 @@
 )
 
 // memory is what the registry holds of streams, so that it outlives the processes of all entry VMs: which
-// versions served (always), and at which of them streams began (while a service has several). One VM of
+// versions served (always), and at which of them streams began (while a service or a model has several). One VM of
 // each failure domain writes. It is safe for concurrent use.
 type memory struct {
 	finder *Finder
@@ -67,14 +67,15 @@
 	return &memory{finder: f, unrecorded: make(map[streamversion.Key]streamversion.Record), served: streamversion.NewServed()}
 }
 
-// hasSeveral reports whether streams of a service have to be recorded.
-func (m *memory) hasSeveral(now time.Time, service string) bool {
-	if m.finder.config.Fleet.HasSeveralVersions(now, service) {
+// hasSeveral reports whether streams of a model have to be recorded.
+func (m *memory) hasSeveral(now time.Time, of modelOfService) bool {
+	fleet, scope := m.finder.config.Fleet, streamversion.ModelScope(of.service, of.model)
+	if fleet.HasSeveralVersions(now, of.service) || (of.model != "" && fleet.HasSeveralVersions(now, scope)) {
 		return true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.served.HasSeveral(service)
+	return m.served.HasSeveral(of.service) || (of.model != "" && m.served.HasSeveral(scope))
 }
 
 // hasAnySeveral reports whether streams of any service are recorded.
@@ -147,17 +148,19 @@
 	m.add(streams)
 }
 
-// groupRecords groups the streams that can still be taken up by their service and version.
+// groupRecords groups the streams that can still be taken up by their service and origin.
 func groupRecords(now time.Time, streams streamRecords) []registry.StreamRecord {
 	var out []registry.StreamRecord
 	for key, record := range streams {
 		if record.IsExpired(now) {
 			continue
 		}
-		i := slices.IndexFunc(out, func(r registry.StreamRecord) bool { return r.Service == record.Service && r.Version == record.Version })
+		i := slices.IndexFunc(out, func(r registry.StreamRecord) bool {
+			return r.Service == record.Service && r.Version == record.Version && r.Weights == record.Weights
+		})
 		if i < 0 {
 			i = len(out)
-			out = append(out, registry.StreamRecord{Service: record.Service, Version: record.Version})
+			out = append(out, registry.StreamRecord{Service: record.Service, Version: record.Version, Weights: record.Weights})
 		}
 		out[i].Streams = append(out[i].Streams, registry.StreamKey(key))
 	}
--- a/internal/streamversions/sharing.go
+++ b/internal/streamversions/sharing.go
@@ -39,10 +39,11 @@
 
 // addUnshared adds a stream to be shared. Call with mu held.
 func (s *Finder) addUnshared(key streamversion.Key, stream unsharedStream) {
-	if s.unshared[stream.Service] == nil {
-		s.unshared[stream.Service] = make(map[streamversion.Key]unsharedStream)
+	of := modelOfService{stream.Service, stream.Model}
+	if s.unshared[of] == nil {
+		s.unshared[of] = make(map[streamversion.Key]unsharedStream)
 	}
-	s.unshared[stream.Service][key] = stream
+	s.unshared[of][key] = stream
 }
 
 // runSharing shares the versions of streams until ctx ends.
@@ -78,7 +79,7 @@
 	return pickRecorder(s.config.Domain, keepers).Address
 }
 
-// share sends the streams that were not sent yet to their keepers, and to the recorder, if their service has
+// share sends the streams that were not sent yet to their keepers, and to the recorder, if their service or model has
 // several versions: then they may be taken up where more than one version serves. Those of other services are
 // sent once it has.
 func (s *Finder) share(ctx context.Context) {
@@ -112,16 +113,20 @@
 	}
 }
 
-// groupStreams groups streams by their service and version.
+// groupStreams groups streams by their service and origin.
 func groupStreams(now time.Time, streams streamRecords) []entryvm.StreamGroup {
-	type groupKey struct{ service, version string }
+	type groupKey struct {
+		service string
+		origin  streamversion.Origin
+	}
 	groups := make(map[groupKey]*entryvm.StreamGroup)
 	for key, record := range streams {
 		age := now.Sub(record.BegunAt)
-		group := groups[groupKey{record.Service, record.Version}]
+		of := groupKey{record.Service, streamversion.Origin{Version: record.Version, Weights: record.Weights}}
+		group := groups[of]
 		if group == nil {
-			group = &entryvm.StreamGroup{Service: record.Service, Version: record.Version, Age: age}
-			groups[groupKey{record.Service, record.Version}] = group
+			group = &entryvm.StreamGroup{Service: record.Service, Version: record.Version, Weights: record.Weights, Age: age}
+			groups[of] = group
 		}
 		group.Age = min(group.Age, age)
 		group.Keys = append(group.Keys, entryvm.StreamKey(key))
@@ -139,13 +144,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := make(map[streamversion.Key]unsharedStream)
-	for service, streams := range s.unshared {
-		if !s.memory.hasSeveral(now, service) {
+	for of, streams := range s.unshared {
+		if !s.memory.hasSeveral(now, of) {
 			continue
 		}
 		maps.Copy(due, streams)
 		if canShare {
-			delete(s.unshared, service)
+			delete(s.unshared, of)
 			continue
 		}
 		for key, stream := range streams {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -189,14 +189,16 @@
 // StreamKey identifies a stream; see package streamversion.
 type StreamKey [8]byte
 
-// StreamRecord holds streams of a service that began at one software version.
+// StreamRecord holds streams of a service that began at one software version, with one version of their models' weights.
 type StreamRecord struct {
 	Service, Version string
-	Streams          []StreamKey
+	// Weights is the version of the weights, 0 if unknown.
+	Weights int64
+	Streams []StreamKey
 }
 
-// ServedVersions are the software versions of each service at which streams may have begun that callers can
-// still take up.
+// ServedVersions are the software versions of each service, and the versions of models' weights under their
+// streamversion.ModelScope, at which streams may have begun that callers can still take up.
 type ServedVersions struct {
 	ByService map[string][]string
 	// Outdated is whether the record was written before the registry was last restored from an older copy,
--- a/routing/streamversion/history.go
+++ b/routing/streamversion/history.go
@@ -6,14 +6,17 @@
 	"time"
 )
 
-// History counts the listed backend servers of each service by their software version, and
-// remembers versions for TTL after the last one has gone. It is not safe for concurrent use.
+// History counts the listed backend servers of each service by their software version, and those of each model, under the
+// name of its ModelScope, by the version of its weights. It remembers versions for TTL after the last one has gone. It is not safe for concurrent use.
 type History struct {
 	services map[string]map[string]*listing
 	// beganAt is from when on every change of the list is known, zero before the first list. recovered is whether
 	// the versions are known that served before.
 	beganAt   time.Time
 	recovered bool
+	// recoveredModels are the scopes of models of which this is known, allModels whether it is of all.
+	recoveredModels map[string]bool
+	allModels       bool
 }
 
 // listing is the state of one version of a service.
@@ -26,7 +29,9 @@
 func NewHistory() *History { return &History{services: make(map[string]map[string]*listing)} }
 
 // Begin records that the whole list was read. What was listed and dropped since the last known change isn't known.
-func (h *History) Begin(now time.Time) { h.beganAt, h.recovered = now, false }
+func (h *History) Begin(now time.Time) {
+	h.beganAt, h.recovered, h.recoveredModels, h.allModels = now, false, nil, false
+}
 
 // Add counts a listed backend server.
 func (h *History) Add(service, version string) {
@@ -68,7 +73,7 @@
 }
 
 // Recover adds the versions of each service that served before the list was known, and counts them as gone
-// from now on. complete is whether these are all.
+// from now on. complete is whether these are all, except of models of which there are none, unless there are none at all.
 func (h *History) Recover(now time.Time, versions map[string][]string, complete bool) {
 	for service, names := range versions {
 		for _, version := range names {
@@ -78,7 +83,17 @@
 			}
 		}
 	}
-	h.recovered = h.recovered || complete
+	if !complete {
+		return
+	}
+	h.recovered = true
+	h.allModels = h.allModels || len(versions) == 0
+	if h.recoveredModels == nil {
+		h.recoveredModels = make(map[string]bool)
+	}
+	for scope := range versions {
+		h.recoveredModels[scope] = true
+	}
 }
 
 // All returns the versions of each service that a stream may have begun at, sorted.
@@ -92,7 +107,11 @@
 
 // View returns what is known of a service, given when the list was last known to be up to date.
 func (h *History) View(now time.Time, service string, confirmedAt time.Time) View {
-	return View{Versions: h.Versions(now, service), From: h.knownFrom(now), To: confirmedAt}
+	from := h.knownFrom(now)
+	if isModelScope(service) && h.recovered && !h.allModels && !h.recoveredModels[service] {
+		from = h.beganAt
+	}
+	return View{Versions: h.Versions(now, service), From: from, To: confirmedAt}
 }
 
 // IsComplete reports whether Versions has every version of the last TTL that the list has had.
--- a/routing/streamversion/served.go
+++ b/routing/streamversion/served.go
@@ -45,9 +45,10 @@
 }
 
 // Changes returns the services whose record has to change and their versions, sorted, given the versions that
-// this VM knows. A version that another VM recorded stays for TTL.
+// this VM knows. A version that another VM recorded stays for TTL. A model with one version of its weights is a
+// reason to write only if the record has several.
 func (s *Served) Changes(now time.Time, known map[string][]string) map[string][]string {
-	changes := make(map[string][]string)
+	changes, isDue := make(map[string][]string), s.outdated
 	if s.outdated {
 		maps.Copy(changes, s.recorded)
 	}
@@ -71,9 +72,13 @@
 		slices.Sort(want)
 		if len(versions) > 0 && (s.outdated || !slices.Equal(want, slices.Sorted(slices.Values(s.recorded[service])))) {
 			changes[service] = want
+			isDue = isDue || !isModelScope(service) || len(want) > 1 || s.HasSeveral(service)
 		}
 	}
 	s.foreignSince = foreign
+	if !isDue {
+		clear(changes)
+	}
 	return changes
 }
 
--- a/routing/streamversion/streamversion_test.go
+++ b/routing/streamversion/streamversion_test.go
@@ -33,9 +33,9 @@
 	table, key := streamversion.NewTable(), streamversion.Stream{Service: "s", Request: "1"}.Key()
 	table.Add(start, key, streamversion.Record{Version: "v1", BegunAt: start})
 	table.Add(start, key, streamversion.Record{Version: "v2", BegunAt: start})
-	version, known := table.Version(start.Add(streamversion.TTL-1), key)
-	testkit.That(t, known && version == "v1", "%q, %t", version, known)
-	_, known = table.Version(start.Add(streamversion.TTL), key)
+	origin, known := table.Origin(start.Add(streamversion.TTL-1), key)
+	testkit.That(t, known && origin.Version == "v1", "%+v, %t", origin, known)
+	_, known = table.Origin(start.Add(streamversion.TTL), key)
 	testkit.That(t, !known, "known after its time")
 	for i := range 1 << 17 {
 		table.Add(start, streamversion.Stream{Request: fmt.Sprint(i)}.Key(), streamversion.Record{Version: "v1", BegunAt: start})
--- a/routing/streamversion/table.go
+++ b/routing/streamversion/table.go
@@ -1,6 +1,6 @@
-// Package streamversion remembers at which software version streams began. What backend servers of
-// two versions write doesn't fit together, so a stream that its caller takes up has to go on at the
-// version that began it. The package does no I/O; the caller passes the time in.
+// Package streamversion remembers at which software version, and with which weights of their model, streams
+// began. What backend servers of two versions write doesn't fit together, so a stream that its caller takes up
+// has to go on at the version that began it. The package does no I/O; the caller passes the time in.
 package streamversion
 
 import (
@@ -18,8 +18,8 @@
 )
 
 // Stream identifies a stream by the request that brought its first event. Streams of different
-// workspaces or services never share a name.
-type Stream struct{ Workspace, Service, Request string }
+// workspaces or services never share a name. Model, empty for a plain service's, adds nothing to its identity.
+type Stream struct{ Workspace, Service, Model, Request string }
 
 // Key is a hash of a Stream.
 type Key [8]byte
@@ -35,10 +35,14 @@
 	return Key(hash.Sum(nil)[:len(Key{})])
 }
 
-// Record is the version at which a stream began.
+// Record is where a stream began.
 type Record struct {
 	Service, Version string
-	BegunAt          time.Time
+	// Model is known where the stream began only.
+	Model string
+	// Weights is the version of the model's weights, 0 if unknown.
+	Weights int64
+	BegunAt time.Time
 }
 
 // IsExpired reports whether the stream can't be taken up any more.
@@ -53,21 +57,30 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: make(map[Key]Record)} }
 
-// Add adds the record of a stream unless there is one: the first event decides. It returns false if it
-// doesn't, also because the table is full.
+// Add adds the record of a stream unless there is one: the first event decides. A version of the weights is replaced
+// by a higher one, as an engine may load newer ones while it writes the stream. Add returns false if it changes
+// nothing, also because the table is full.
 func (t *Table) Add(now time.Time, key Key, record Record) bool {
 	t.expire(now)
-	if _, known := t.records[key]; known || len(t.records) >= maxStreams || record.IsExpired(now) {
+	if before, known := t.records[key]; known {
+		if before.Version != record.Version || before.Weights >= record.Weights {
+			return false
+		}
+		before.Weights = record.Weights
+		t.records[key] = before
+		return true
+	}
+	if len(t.records) >= maxStreams || record.IsExpired(now) {
 		return false
 	}
 	t.records[key] = record
 	return true
 }
 
-// Version returns the version at which a stream began, false if it isn't known.
-func (t *Table) Version(now time.Time, key Key) (string, bool) {
+// Origin returns where a stream began, false if it isn't known.
+func (t *Table) Origin(now time.Time, key Key) (Origin, bool) {
 	record, known := t.records[key]
-	return record.Version, known && !record.IsExpired(now)
+	return Origin{Version: record.Version, Weights: record.Weights}, known && !record.IsExpired(now)
 }
 
 // Len returns the number of records.
