--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -12,6 +12,7 @@
 	"bergamotreel/entryvm"
 	"bergamotreel/internal/crash"
 	"bergamotreel/internal/relaystate"
+	"bergamotreel/internal/streamversions"
 	"bergamotreel/registry"
 	"bergamotreel/routing/streamversion"
 )
@@ -104,6 +105,8 @@
 	// startDoubts counts the signs that the server may have started again, startDoubtsCleared those that
 	// its report has disproved.
 	startDoubts, startDoubtsCleared uint64
+	// weights are the versions of the models' weights.
+	weights streamversions.Weights
 }
 
 // loadedModel is a model that accepts requests on an engine, with its adapters.
@@ -165,7 +168,7 @@
 	}
 	if known == nil {
 		former := t.formerInstances[b.ID]
-		known = &backend{missingUnits: make(map[string]time.Time), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
+		known = &backend{missingUnits: make(map[string]time.Time), weights: make(streamversions.Weights), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
 		known.announcedLeaving = former.announcedLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
@@ -181,12 +184,17 @@
 	}
 	restarted := known.Started != b.Started
 	if !isNew {
-		t.versionHistory.Remove(now, known.Service, known.Version)
+		streamversions.UncountListed(now, t.versionHistory, &known.Backend)
 	}
-	t.versionHistory.Add(b.Service, b.Version)
+	streamversions.CountListed(t.versionHistory, &b)
 	if restarted || t.isListedAgain(now, known, b.Started, startFromEntry) {
 		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
+	if isNew || restarted {
+		known.weights.Update(nil, b.Models)
+	} else {
+		known.weights.Update(known.Models, b.Models)
+	}
 	known.Backend = b
 	known.removeAt = time.Time{}
 	known.merge(now)
@@ -216,7 +224,7 @@
 	before := t.entries[id]
 	t.formerInstances[id] = formerInstance{start: before.start, onlyListed: before.onlyListed, formerStarts: before.formerStarts, announcedLeaving: before.announcedLeaving,
 		restartedAt: before.restartedAt, droppedAt: now}
-	t.versionHistory.Remove(now, before.Service, before.Version)
+	streamversions.UncountListed(now, t.versionHistory, &before.Backend)
 	delete(t.entries, id)
 	t.byService = nil
 	t.endedInstances = append(t.endedInstances, crash.End{Target: before.target(), Service: before.Service, Announced: before.isLeaving(), Dropped: true})
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -77,6 +77,8 @@
 	// second before it crashes, 0 for no bound; rejected is whether it had no room for the
 	// request.
 	RecordMaxRejections(backend string, maxRejections int, rejected bool)
+	// RecordWeights records the version of a model's weights that an answer of a backend server named.
+	RecordWeights(backend, model string, weights int64)
 	// RecordAbandoned records that an attempt ended without its whole answer, so that the
 	// backend server may still work on the request.
 	RecordAbandoned(backend string)
@@ -92,11 +94,10 @@
 	// VerifyStart asks a target whether it has started again since the target was returned. It
 	// returns false also if that remains unknown.
 	VerifyStart(ctx context.Context, target service.Target) bool
-	// RecordStream records that a stream began at a software version.
-	RecordStream(stream streamversion.Stream, version string)
-	// FindStreamVersion returns the software version at which a stream that its caller takes up
-	// began, empty if it may go on at any, or a refusal.
-	FindStreamVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal)
+	// RecordStream records where a stream began, or that the weights of its model changed midway.
+	RecordStream(stream streamversion.Stream, origin streamversion.Origin)
+	// FindStreamVersion returns where a stream that its caller takes up has to go on, or a refusal.
+	FindStreamVersion(ctx context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal)
 }
 
 // Forward sends an opaque request to a backend server and returns its answer to the
@@ -105,15 +106,15 @@
 	ctx, cancel := context.WithDeadline(ctx, r.AnswerDeadline)
 	defer cancel()
 	request, query := s.describeForward(r)
-	version, refused := s.findVersion(ctx, &r)
+	origin, refused := s.findOrigin(ctx, &r)
 	if refused != nil {
 		s.logNotSent(r.ID, request.Unit, false, refused)
 		return refused
 	}
-	request.Unit = VersionedUnit(request.Unit, version)
+	request.Unit = BoundUnit(request.Unit, origin)
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
-	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), version: version, readyAtArrival: hasReadyCandidate(known)}
+	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), origin: origin, readyAtArrival: hasReadyCandidate(known)}
 	// Without a backend server to send it to, the request waits: by then it may have been cleared.
 	if refused := f.quarantineRefusalOrTrial(); refused != nil && f.readyAtArrival {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
@@ -149,14 +150,21 @@
 	return f.run(ctx, w)
 }
 
-// findVersion returns the software version at which the request has to run if its caller takes up a
-// stream with it, empty for any.
-func (s *Server) findVersion(ctx context.Context, r *caller.RelayRequest) (string, *refusal.Refusal) {
+// findOrigin returns where the request has to run if its caller takes up a stream with it.
+func (s *Server) findOrigin(ctx context.Context, r *caller.RelayRequest) (streamversion.Origin, *refusal.Refusal) {
 	if !r.Route.Stream || r.ResumedAfter == "" {
-		return "", nil
+		return streamversion.Origin{}, nil
 	}
-	stream := streamversion.Stream{Workspace: r.WorkspaceName(), Service: r.Service, Request: r.ResumedRequest}
-	return s.forwardDirectory().FindStreamVersion(ctx, stream)
+	return s.forwardDirectory().FindStreamVersion(ctx, streamOf(r))
+}
+
+// streamOf returns the stream that a request begins or takes up.
+func streamOf(r *caller.RelayRequest) streamversion.Stream {
+	stream := streamversion.Stream{Workspace: r.WorkspaceName(), Service: r.Service, Model: r.Model, Request: r.ID}
+	if r.ResumedAfter != "" {
+		stream.Request = r.ResumedRequest
+	}
+	return stream
 }
 
 func (s *Server) describeForward(r caller.RelayRequest) (admission.Request, routing.Query) {
@@ -198,9 +206,8 @@
 	boundary    eventBoundary
 	// pace is what was measured of the current attempt's stream.
 	pace streamPace
-	// version is the software version at which the stream has to go on, empty while it may begin
-	// at any.
-	version string
+	// origin is where the stream has to go on, empty while it may begin anywhere.
+	origin streamversion.Origin
 	// answerHead is the head that the caller's answer began with.
 	answerHead *service.ForwardResponse
 	// lastDelivered is when the caller received its last event, zero before the first.
@@ -358,10 +365,10 @@
 }
 
 // unitToContinue returns the unit that the next attempt needs. What backend servers of two software
-// versions write doesn't fit together, so a stream goes on at the version that began it.
+// versions, or with weights of two versions, write doesn't fit together, so a stream goes on where it began.
 func (f *forwarding) unitToContinue() string {
 	unit, _ := SplitVersion(f.pending.query.Unit)
-	return VersionedUnit(unit, f.version)
+	return BoundUnit(unit, f.origin)
 }
 
 // canRepeat reports whether a request that may have run may be sent once more.
