serving, startchecks: a new stream has a version once its connection's start is confirmed

What callers saw: streams joined from pieces of two software versions (ORDER). An engine is upgraded in place, starting again under its ID, while no connection to it is open. A stream that begins there before its VM learns of the new start is recorded at the former version; taken up, it goes on at an engine of that version.

Cause: the version of a new stream was looked up in the list, and nothing showed that the connection led to the start which the list names. Only connections that broke gave a sign, and there were none.

The fix: after the first event over a connection that isn't known, which goes to the caller at once, the engine is asked for its start. A report that was asked for after the connection's first answer and names the expected start proves that the connection leads to it, for all later streams over it as well. Until then nobody is told a version: who asks the VM waits (0.25 s) and is told that the stream may be of any version; a stream that breaks off waits 0.3 s; a silent one isn't given up before. If the start differs, or is unknown after three questions, the stream is recorded at a version that no server has. A first event after a broken connection no longer waits for the question either. Weighed and not taken: holding the first event back, trusting a new connection beside an older one, correcting a record afterwards (docs/design/stream-versions.md).

The questions move from internal/hosted to internal/startchecks, with a pure table in place of counters of doubts, so that TestDoubtOutlivesEarlierReport moves there as well. TestNewStreamAtServerInDoubtHasNoListedVersion waits for the record, as that is now written beside the answer.

--- a/internal/hosted/backendinstances.go
+++ b/internal/hosted/backendinstances.go
@@ -64,7 +64,6 @@
 		return false
 	}
 	b.start, b.onlyListed = start, source == startFromEntry
-	b.startDoubtsCleared = b.startDoubts
 	b.formerStarts = slices.DeleteFunc(slices.Clone(b.formerStarts), func(former int64) bool { return former == start })
 	if before == 0 {
 		return false
--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -104,9 +104,6 @@
 	onlyListed                   bool
 	formerStarts                 []int64
 	restartedAt, startReportedAt time.Time
-	// startDoubts counts the signs that the server may have started again, startDoubtsCleared those that
-	// its report has disproved.
-	startDoubts, startDoubtsCleared uint64
 }
 
 // loadedModel is a model that accepts requests on an engine, with its adapters.
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -143,7 +143,7 @@
 // MarkUnreachable implements serving.ForwardDirectory.
 func (n *Node) MarkUnreachable(target service.Target, cause error) {
 	n.paths.markUnreachable(time.Now(), target, cause)
-	n.backends.doubtStart(target.ID, target.Started)
+	n.startChecks.Doubt(target)
 	n.crashes.RecordRefusedConnection(target, cause)
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -25,6 +25,7 @@
 	"bergamotreel/internal/crash"
 	"bergamotreel/internal/feed"
 	"bergamotreel/internal/serving"
+	"bergamotreel/internal/startchecks"
 	"bergamotreel/internal/streamversions"
 	"bergamotreel/internal/telemetry"
 	"bergamotreel/lease"
@@ -151,7 +152,7 @@
 	issuers         *permitIssuers
 	fleetSize       *fleetSize
 	paths           *backendPaths
-	startChecks     *startChecks
+	startChecks     *startchecks.Checker
 	streamVersions  *streamversions.Finder
 	backendQueues   *backendQueues // nil if not switched on
 	// paces is the pace of engines, nil if Config.Load.EnginePace is off.
@@ -204,7 +205,7 @@
 	n.rooms = newBackendRooms(n)
 	n.issuers = newPermitIssuers(n)
 	n.paths = newBackendPaths(n)
-	n.startChecks = newStartChecks(n)
+	n.startChecks = startchecks.New(startchecks.Config{Ask: n.askStart, RecordStart: crashFleet{n}.RecordStart})
 	n.streamVersions = streamversions.New(streamversions.Config{VM: config.VM, Domain: config.Domain, FirstStart: config.FirstStart, Fleet: streamFleet{n},
 		VMs: config.Peers.EntryVMs, Registry: config.Peers.Registry, Logger: config.Logger})
 	n.members = newMembers(n)
--- a/internal/hosted/startchecks_test.go
+++ b/internal/hosted/startchecks_test.go
@@ -55,24 +55,3 @@
 	testkit.That(t, table.hasSeveralVersions(now.Add(streamversion.TTL), testService), "forgotten while its last stream may be taken up")
 	testkit.That(t, !table.hasSeveralVersions(now.Add(2*streamversion.TTL), testService), "remembered for ever")
 }
-
-// Guards against a start that is taken for sound because of a report that was asked for before the last sign that
-// it ended.
-func TestDoubtOutlivesEarlierReport(t *testing.T) {
-	now, table := time.Now(), newBackendTable(zap.NewNop())
-	table.replace(now, []registry.Backend{{ID: "e", Service: testService, Version: "v1", Started: 1000, IsEngine: true}})
-	isDoubtful := func() bool {
-		b, _ := table.get("e")
-		return b.startDoubts != b.startDoubtsCleared
-	}
-	table.doubtStart("e", 1000)
-	asked, _ := table.get("e")
-	table.doubtStart("e", 1000)
-	table.clearStartDoubts("e", 1000, asked.startDoubts)
-	testkit.That(t, isDoubtful(), "cleared by an earlier report")
-	table.clearStartDoubts("e", 1000, asked.startDoubts+1)
-	testkit.That(t, !isDoubtful(), "not cleared")
-	table.recordStart(now, "e", 2000)
-	table.doubtStart("e", 1000)
-	testkit.That(t, !isDoubtful(), "doubted for what an earlier start did")
-}
--- a/internal/hosted/streamfleet.go
+++ b/internal/hosted/streamfleet.go
@@ -43,6 +43,9 @@
 
 func (f streamFleet) KeepsStreams(now time.Time) bool { return f.node.members.keepsStreams(now) }
 
+// ExpectStream implements serving.ForwardDirectory.
+func (n *Node) ExpectStream(stream streamversion.Stream) { n.streamVersions.ExpectStream(stream) }
+
 // RecordStream implements serving.ForwardDirectory.
 func (n *Node) RecordStream(stream streamversion.Stream, version string) {
 	if streamversion.IsUnlisted(version) {
--- a/internal/hosted/streamversions_test.go
+++ b/internal/hosted/streamversions_test.go
@@ -176,3 +176,24 @@
 		testkit.Equal(t, "backend servers", n.backends.count(), 4)
 	})
 }
+
+// Guards against a stream that goes on at the only listed version while its own VM still asks the engine that began it
+// for its start, and against callers that wait for long.
+func TestStreamTakenUpBeforeItsVersionIsKnown(t *testing.T) {
+	for verification, known := range map[time.Duration]bool{100 * time.Millisecond: true, time.Second: false} {
+		withVersionedFleet(t, 4, []string{"v1"}, func(w *testCluster, names []string) {
+			stream, version := testStream("begun"), streamversion.UnlistedVersion("e", 2000)
+			w.nodes[names[0]].ExpectStream(stream)
+			time.AfterFunc(verification, func() { w.nodes[names[0]].RecordStream(stream, version) })
+			begun := time.Now()
+			for _, vm := range names[:2] {
+				w.expectVersion(vm, stream, map[bool]string{true: version}[known])
+			}
+			testkit.That(w, time.Since(begun) < time.Second, "waited for %s", time.Since(begun))
+			time.Sleep(verification)
+			for _, vm := range names[:2] {
+				w.expectVersion(vm, stream, version)
+			}
+		})
+	}
+}
--- a/internal/sendonce/sendings.go
+++ b/internal/sendonce/sendings.go
@@ -5,6 +5,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -25,6 +26,8 @@
 	mu    sync.Mutex
 	conns []*countingConn
 	last  Sending
+	// lastConn is the connection of the newest sending, nil before it has one.
+	lastConn *countingConn
 }
 
 // Sending describes one sending of a request.
@@ -35,6 +38,9 @@
 	Closed int
 	// Repeats is how often net/http sent the request again by itself.
 	Repeats int
+	// AnsweredAt is when the connection brought the first byte of its first answer, to this request or an earlier
+	// one, zero before it did.
+	AnsweredAt time.Time
 }
 
 // sendingsKey is the context key of a request's Sendings.
@@ -44,7 +50,7 @@
 func WithSendings(ctx context.Context, s *Sendings) context.Context {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.last = Sending{}
+	s.last, s.lastConn = Sending{}, nil
 	return context.WithValue(ctx, sendingsKey{}, s)
 }
 
@@ -58,7 +64,11 @@
 func (s *Sendings) Last() Sending {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.last
+	last := s.last
+	if s.lastConn != nil {
+		last.AnsweredAt = s.lastConn.firstAnswerAt()
+	}
+	return last
 }
 
 // addConn records that the request is about to go over a connection. It returns false if it must not, because
@@ -75,6 +85,6 @@
 		sameConnectionsClosed.Inc()
 		return false
 	}
-	s.conns = append(s.conns, conn)
+	s.conns, s.lastConn = append(s.conns, conn), conn
 	return true
 }
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -107,6 +107,8 @@
 	written        int64
 	writing        bool
 	writesDisabled bool
+	// answeredAt is when the first byte of the first answer was received, zero before.
+	answeredAt time.Time
 }
 
 // Write implements net.Conn.
@@ -132,6 +134,22 @@
 	return nil
 }
 
+// markAnswered records that an answer has begun.
+func (c *countingConn) markAnswered(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredAt.IsZero() {
+		c.answeredAt = now
+	}
+}
+
+// firstAnswerAt returns when the first answer began, zero before that.
+func (c *countingConn) firstAnswerAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answeredAt
+}
+
 // totalWritten returns how many bytes were written so far.
 func (c *countingConn) totalWritten() int64 {
 	c.mu.Lock()
@@ -187,6 +205,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.answered = true
+	if a.conn != nil {
+		a.conn.markAnswered(time.Now())
+	}
 }
 
 // isInvalidAnswer reports whether the error that ended the attempt is about the bytes that were
--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -71,7 +71,7 @@
 	case f.target.Version != f.version:
 		return false
 	}
-	return !directory.IsStartDoubtful(f.target) || directory.VerifyStart(ctx, f.target)
+	return directory.IsStartConfirmed(f.target, time.Time{}) || directory.VerifyStart(ctx, f.target)
 }
 
 // hasConnectionBroken reports whether an attempt that may have run ended with its connection, and not because
--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bergamotreel/contract"
-	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
 )
 
@@ -25,9 +24,6 @@
 
 const headerContentEncoding = "Content-Encoding"
 
-// unknownStart stands for a start of a backend server that isn't known and that nothing matches.
-const unknownStart = -1
-
 // unverifiedStarts counts the attempts to continue a stream that were given up because the backend server may
 // have started again.
 var unverifiedStarts = metrics.NewCounter("bergamotreel_resumed_streams_unverified_total")
@@ -147,7 +143,7 @@
 			whole = whole[:accepted]
 		}
 		if len(whole) > 0 {
-			f.bindVersion(ctx)
+			f.bindVersion()
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
 				return err
@@ -168,20 +164,6 @@
 	}
 }
 
-// bindVersion binds the stream to the software version of the backend server that sent its first
-// event. If the server may have started again, nothing is known to go on where the stream began.
-func (f *forwarding) bindVersion(ctx context.Context) {
-	if f.version != "" || f.target.Version == "" {
-		return
-	}
-	f.version = f.target.Version
-	if f.server.forwardDirectory().IsStartDoubtful(f.target) && !f.server.forwardDirectory().VerifyStart(ctx, f.target) {
-		f.version = streamversion.UnlistedVersion(f.target.ID, unknownStart)
-	}
-	stream := streamversion.Stream{Workspace: f.request.WorkspaceName(), Service: f.request.Service, Request: f.request.ID}
-	f.server.forwardDirectory().RecordStream(stream, f.version)
-}
-
 // beginAnswer sends the head of the first attempt that returns data; a resumed
 // stream keeps that head.
 func (f *forwarding) beginAnswer(head *service.ForwardResponse) {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -85,11 +85,15 @@
 	TryUsePermit(backend string) bool
 	// DoubtStart records a sign that a target may have started again: its connections broke.
 	DoubtStart(target service.Target)
-	// IsStartDoubtful reports whether a target may have started again, according to DoubtStart.
-	IsStartDoubtful(target service.Target) bool
+	// IsStartConfirmed reports whether a connection leads to the target's start over which the first answer came at a
+	// time, zero if that isn't known: the target was found to run at that start later, and after the last DoubtStart.
+	IsStartConfirmed(target service.Target, answeredAt time.Time) bool
 	// VerifyStart asks a target whether it has started again since the target was returned. It
 	// returns false also if that remains unknown.
 	VerifyStart(ctx context.Context, target service.Target) bool
+	// ExpectStream records that a stream has begun, and that RecordStream follows within maxVerification. Until
+	// then its version is not known to anybody.
+	ExpectStream(stream streamversion.Stream)
 	// RecordStream records that a stream began at a software version.
 	RecordStream(stream streamversion.Stream, version string)
 	// FindStreamVersion returns the software version at which a stream that its caller takes up
@@ -199,6 +203,9 @@
 	// version is the software version at which the stream has to go on, empty while it may begin
 	// at any.
 	version string
+	// verifying brings the version of a stream once the start is verified that sent its first event, nil if that isn't
+	// needed.
+	verifying <-chan string
 	// answerHead is the head that the caller's answer began with.
 	answerHead *service.ForwardResponse
 	// lastDelivered is when the caller received its last event, zero before the first.
@@ -347,6 +354,7 @@
 	}
 	f.movedFrom = ""
 	f.excludeNotContinuing()
+	f.awaitVersion(ctx, versionTimeout)
 	return f.pending.requeueFor(ctx, f.outcome, f.unitToContinue())
 }
 
--- a/internal/serving/forwardtestbed_test.go
+++ b/internal/serving/forwardtestbed_test.go
@@ -73,9 +73,13 @@
 	// versions are the software versions of backend servers.
 	versions     map[string]string
 	begunStreams map[streamversion.Stream]string
+	// expectedStreams are those that had begun before their versions were recorded.
+	expectedStreams []streamversion.Stream
 	// doubted are the targets whose connections broke, verified those whose start was verified, restarted the
 	// backend servers that have started again since their versions were read.
 	doubted, verified, restarted []string
+	// firstVerification is how long the first server that is asked for its start takes.
+	firstVerification time.Duration
 	// renamed are the versions of backend servers that are found to have changed after they were picked.
 	renamed map[string]string
 	// method is that of the requests.
@@ -165,10 +169,18 @@
 	b.doubted = append(b.doubted, target.ID)
 }
 
-func (b *forwardTestbed) IsStartDoubtful(target service.Target) bool {
+// IsStartConfirmed finds that the servers in doubted are to be asked.
+func (b *forwardTestbed) IsStartConfirmed(target service.Target, _ time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Contains(b.doubted, target.ID)
+	return !slices.Contains(b.doubted, target.ID)
+}
+
+// ExpectStream records that a stream has begun.
+func (b *forwardTestbed) ExpectStream(stream streamversion.Stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expectedStreams = append(b.expectedStreams, stream)
 }
 
 // VerifyStart finds that the servers in restarted have started again.
@@ -176,6 +188,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.verified = append(b.verified, target.ID)
+	if len(b.verified) == 1 {
+		b.mu.Unlock()
+		time.Sleep(b.firstVerification)
+		b.mu.Lock()
+	}
 	return !slices.Contains(b.restarted, target.ID)
 }
 
@@ -286,6 +303,8 @@
 	callerLeft bool
 	// panics is whether WriteHead panics.
 	panics bool
+	// firstWrite is when the caller received the first piece.
+	firstWrite time.Time
 }
 
 func (r *answerRecorder) WriteHead(status int, _ http.Header, length int64) {
@@ -298,6 +317,9 @@
 
 func (r *answerRecorder) HasCallerLeft() bool { return r.callerLeft }
 func (r *answerRecorder) Write(piece []byte) error {
+	if r.body.Len() == 0 {
+		r.firstWrite = time.Now()
+	}
 	time.Sleep(r.writeTime)
 	r.body.Write(piece)
 	return r.writeErr
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -60,7 +60,7 @@
 // silent, and a retry of the budget. It returns false if the request can't continue
 // elsewhere now. The stall guard calls it.
 func (f *forwarding) secureReplacement() bool {
-	if !f.canContinueAnswer() || f.quarantineRefusal() != nil {
+	if !f.canContinueAnswer() || f.quarantineRefusal() != nil || !f.isVersionKnown() {
 		return false
 	}
 	f.excludeNotContinuing()
--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"bergamotreel/caller"
 	"bergamotreel/contract"
@@ -116,6 +119,8 @@
 				return completeAnswer(200, event(1)), nil
 			}
 			testkit.OK(t, b.forward(t.Context(), route(contract.RepeatResume), "m", &answerRecorder{}))
+			testkit.Equal(t, "streams that have begun", len(b.expectedStreams), 1)
+			time.Sleep(time.Second) // until the server was asked
 			for _, version := range b.begunStreams {
 				testkit.That(t, streamversion.IsUnlisted(version) == restarted, "recorded at %q", version)
 			}
@@ -124,3 +129,44 @@
 		})
 	}
 }
+
+// silentAnswer is an answer that brings an event and is silent after it.
+func silentAnswer(ctx context.Context) *service.ForwardResponse {
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
+	body := io.NopCloser(io.MultiReader(strings.NewReader(event(1)), reader))
+	return &service.ForwardResponse{Status: 200, Length: service.LengthChunked, Body: body}
+}
+
+// Guards against a first event that waits until its server's start is verified, against a stream that goes on before it
+// is, and against one that waits for long.
+func TestStreamGoesOnOnceItsStartIsVerified(t *testing.T) {
+	for delay, goesOn := range map[time.Duration]bool{0: true, 200 * time.Millisecond: true, 500 * time.Millisecond: false} {
+		for _, silent := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				b, answer := startTestbed(t), &answerRecorder{}
+				b.doubted, b.firstVerification = []string{"one", "two"}, delay
+				b.respond = func(ctx context.Context, number int, _ sentRequest) (*service.ForwardResponse, error) {
+					switch {
+					case number > 1:
+						return completeAnswer(200, event(2)), nil
+					case silent:
+						return silentAnswer(ctx), nil
+					}
+					return cutOffAnswer(event(1)), nil
+				}
+				begun := time.Now()
+				err := b.forward(t.Context(), route(contract.RepeatResume), "m", answer)
+				testkit.That(t, answer.firstWrite.Equal(begun), "%s: first event after %s", delay, answer.firstWrite.Sub(begun))
+				// A silent stream goes on until the version of its replacement is known.
+				want := goesOn || silent
+				testkit.That(t, (err == nil) == want && (len(b.sent) == 2) == want, "%s, silent %t: %v, %d attempts", delay, silent, err, len(b.sent))
+				time.Sleep(time.Second)
+				for _, version := range b.begunStreams {
+					testkit.Equal(t, "recorded at", version, "v1")
+				}
+				b.stop()
+			})
+		}
+	}
+}
--- a/internal/serving/versions_test.go
+++ b/internal/serving/versions_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"slices"
-	"strings"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -20,12 +19,6 @@
 // anywhere.
 func TestStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
 	brokenOff := func(context.Context) *service.ForwardResponse { return cutOffAnswer(event(1)) }
-	silent := func(ctx context.Context) *service.ForwardResponse {
-		reader, writer := io.Pipe()
-		context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
-		body := io.NopCloser(io.MultiReader(strings.NewReader(event(1)), reader))
-		return &service.ForwardResponse{Status: 200, Length: service.LengthChunked, Body: body}
-	}
 	brokenBeforeEvent := func(context.Context) *service.ForwardResponse {
 		return &service.ForwardResponse{Status: 200, Length: service.LengthChunked, Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF))}
 	}
@@ -37,8 +30,8 @@
 	}{
 		"broken, one of its version":          {brokenOff, map[string]string{"one": "v1", "two": "v2", "three": "v1", "four": "v2"}, true, false},
 		"broken, none of its version":         {brokenOff, map[string]string{"one": "v1", "two": "v2", "three": "v3", "four": "v4"}, true, false},
-		"silent, one of its version":          {silent, map[string]string{"one": "v1", "two": "v2", "three": "v1", "four": "v2"}, true, false},
-		"silent, none of its version":         {silent, map[string]string{"one": "v1", "two": "v2", "three": "v3", "four": "v4"}, false, false},
+		"silent, one of its version":          {silentAnswer, map[string]string{"one": "v1", "two": "v2", "three": "v1", "four": "v2"}, true, false},
+		"silent, none of its version":         {silentAnswer, map[string]string{"one": "v1", "two": "v2", "three": "v3", "four": "v4"}, false, false},
 		"broken before its first event":       {brokenBeforeEvent, map[string]string{"one": "v1", "two": "v2", "three": "v3", "four": "v4"}, true, true},
 		"broken, versions are not known":      {brokenOff, nil, true, true},
 		"broken, version with special letter": {brokenOff, map[string]string{"one": "v/1@%", "two": "v2", "three": "v/1@%", "four": "v2"}, true, false},
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -51,6 +51,9 @@
 	table *streamversion.Table
 	// unshared are the streams that began at this VM and were not sent to others, by service.
 	unshared map[string]map[streamversion.Key]unsharedStream
+	// expected are the streams that have begun at this VM and whose versions are not known yet. The channels are
+	// closed once they are.
+	expected map[streamversion.Key]chan struct{}
 	// expiredAt is when unshared was last searched for expired records.
 	expiredAt time.Time
 }
@@ -60,7 +63,7 @@
 
 // New returns a finder that shares nothing until Run is called.
 func New(config Config) *Finder {
-	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[string]map[streamversion.Key]unsharedStream)}
+	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[string]map[streamversion.Key]unsharedStream), expected: make(map[streamversion.Key]chan struct{})}
 	s.memory, s.confirmation = newMemory(s), newConfirmation(config.Fleet)
 	return s
 }
@@ -73,6 +76,27 @@
 	tasks.Wait()
 }
 
+// ExpectStream records that a stream has begun at this VM and that RecordStream follows. Until then, those who ask
+// for its version wait.
+func (s *Finder) ExpectStream(stream streamversion.Stream) {
+	if stream.Request == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key := stream.Key(); s.expected[key] == nil {
+		s.expected[key] = make(chan struct{})
+	}
+}
+
+// endExpected ends the waits for a stream. Call with mu held.
+func (s *Finder) endExpected(key streamversion.Key) {
+	if known := s.expected[key]; known != nil {
+		delete(s.expected, key)
+		close(known)
+	}
+}
+
 // RecordStream records that a stream began at a software version.
 func (s *Finder) RecordStream(stream streamversion.Stream, version string) {
 	if stream.Request == "" || version == "" {
@@ -84,6 +108,7 @@
 	if s.table.Add(now, key, record) {
 		s.addUnshared(key, unsharedStream{Record: record})
 	}
+	s.endExpected(key)
 	s.mu.Unlock()
 	if s.memory.hasSeveral(now, stream.Service) {
 		select {
@@ -128,7 +153,10 @@
 // Find answers another VM that asks for the version of a stream.
 func (s *Finder) Find(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
 	started, key := time.Now(), streamversion.Key(args.Key)
-	version, found := s.find(started, key)
+	version, found, expected := s.await(context.Background(), key, started.Add(replyTimeout))
+	if expected { // it began, at any version
+		return entryvm.FindStreamReply{Versions: []string{streamversion.UnlistedVersion("", 0)}}
+	}
 	versions, complete := streamversion.Merge(started, s.upToDate(started, args.Service))
 	if !found && (!complete || len(versions) > 1) {
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
@@ -156,6 +184,24 @@
 	}
 }
 
+// await is find for a stream whose version may be known soon. expected is whether it wasn't by the deadline.
+func (s *Finder) await(ctx context.Context, key streamversion.Key, deadline time.Time) (version string, found, expected bool) {
+	s.mu.Lock()
+	known := s.expected[key]
+	s.mu.Unlock()
+	if known != nil {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		select {
+		case <-known:
+		case <-ctx.Done():
+			return "", false, true
+		}
+	}
+	version, found = s.find(time.Now(), key)
+	return version, found, false
+}
+
 func (s *Finder) find(now time.Time, key streamversion.Key) (version string, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,9 +212,12 @@
 // which nobody knows the version is refused unless its service is known to have had only one until now.
 func (s *Finder) FindVersion(ctx context.Context, stream streamversion.Stream) (string, *refusal.Refusal) {
 	started, key := time.Now(), stream.Key()
-	if version, found := s.find(started, key); found {
+	switch version, found, expected := s.await(ctx, key, started.Add(FindTimeout)); {
+	case found:
 		resumedRecorded.Inc()
 		return version, nil
+	case expected:
+		return decideUnknown(nil, false)
 	}
 	isKeeper := s.config.Fleet.KeepsStreams(started)
 	own := s.config.Fleet.VersionsView(started, stream.Service)
