--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -102,9 +102,6 @@
 	onlyListed                   bool
 	formerStarts                 []int64
 	restartedAt, startReportedAt time.Time
-	// startDoubts counts the signs that the server may have started again, startDoubtsCleared those that
-	// its report has disproved.
-	startDoubts, startDoubtsCleared uint64
 	// weights are the versions of the models' weights.
 	weights streamversions.Weights
 }
--- a/internal/streamversions/finder.go
+++ b/internal/streamversions/finder.go
@@ -51,6 +51,9 @@
 	table *streamversion.Table
 	// unshared are the streams that began at this VM and were not sent to others.
 	unshared map[modelOfService]map[streamversion.Key]unsharedStream
+	// expected are the streams that have begun at this VM and whose versions are not known yet. The channels are
+	// closed once they are.
+	expected map[streamversion.Key]chan struct{}
 	// expiredAt is when unshared was last searched for expired records.
 	expiredAt time.Time
 }
@@ -60,7 +63,8 @@
 
 // New returns a finder that shares nothing until Run is called.
 func New(config Config) *Finder {
-	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[modelOfService]map[streamversion.Key]unsharedStream)}
+	s := &Finder{config: config, wake: make(chan struct{}, 1), table: streamversion.NewTable(), unshared: make(map[modelOfService]map[streamversion.Key]unsharedStream),
+		expected: make(map[streamversion.Key]chan struct{})}
 	s.memory, s.confirmation = newMemory(s), newConfirmation(config.Fleet)
 	return s
 }
@@ -73,6 +77,27 @@
 	tasks.Wait()
 }
 
+// ExpectStream records that a stream has begun at this VM and that RecordStream follows. Until then, those who ask
+// for its version wait.
+func (s *Finder) ExpectStream(stream streamversion.Stream) {
+	if stream.Request == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key := stream.Key(); s.expected[key] == nil {
+		s.expected[key] = make(chan struct{})
+	}
+}
+
+// endExpected ends the waits for a stream. Call with mu held.
+func (s *Finder) endExpected(key streamversion.Key) {
+	if known := s.expected[key]; known != nil {
+		delete(s.expected, key)
+		close(known)
+	}
+}
+
 // RecordStream records where a stream began, or that the weights of its model changed midway.
 func (s *Finder) RecordStream(stream streamversion.Stream, origin streamversion.Origin) {
 	if stream.Request == "" || origin.Version == "" {
@@ -84,6 +109,7 @@
 	if s.table.Add(now, key, record) {
 		s.addUnshared(key, unsharedStream{Record: record})
 	}
+	s.endExpected(key)
 	s.mu.Unlock()
 	if s.memory.hasSeveral(now, modelOfService{stream.Service, stream.Model}) {
 		select {
@@ -128,7 +154,10 @@
 // Find answers another VM that asks for the origin of a stream.
 func (s *Finder) Find(args entryvm.FindStreamArgs) entryvm.FindStreamReply {
 	started, key, of := time.Now(), streamversion.Key(args.Key), modelOfService{args.Service, args.Model}
-	origin, found := s.find(started, key)
+	origin, found, expected := s.await(context.Background(), key, started.Add(replyTimeout))
+	if expected { // it began, at any version
+		return entryvm.FindStreamReply{Versions: []string{streamversion.UnlistedVersion("", 0)}}
+	}
 	known := mergeViews(started, of, s.views(started, of).asOf(started))
 	if !found && (!known.complete || known.isAmbiguous()) {
 		s.awaitLoad(context.Background(), started.Add(replyTimeout))
@@ -153,6 +182,24 @@
 	}
 }
 
+// await is find for a stream whose version may be known soon. expected is whether it wasn't by the deadline.
+func (s *Finder) await(ctx context.Context, key streamversion.Key, deadline time.Time) (origin streamversion.Origin, found, expected bool) {
+	s.mu.Lock()
+	known := s.expected[key]
+	s.mu.Unlock()
+	if known != nil {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		select {
+		case <-known:
+		case <-ctx.Done():
+			return streamversion.Origin{}, false, true
+		}
+	}
+	origin, found = s.find(time.Now(), key)
+	return origin, found, false
+}
+
 func (s *Finder) find(now time.Time, key streamversion.Key) (origin streamversion.Origin, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,8 +210,11 @@
 // refused unless its service is known to have had only one version until now, and its model one of its weights.
 func (s *Finder) FindVersion(ctx context.Context, stream streamversion.Stream) (streamversion.Origin, *refusal.Refusal) {
 	started, key, of := time.Now(), stream.Key(), modelOfService{stream.Service, stream.Model}
-	if origin, found := s.find(started, key); found {
+	switch origin, found, expected := s.await(ctx, key, started.Add(FindTimeout)); {
+	case found:
 		return s.decideKnown(of, origin)
+	case expected:
+		return decideUnknown(knowledge{})
 	}
 	isKeeper := s.config.Fleet.KeepsStreams(started)
 	own := s.views(started, of)
