serving: an event that is left out shows where a stream has too few ids of its own

What the ids of a service's streams have in common is now remembered: once 16 runs in a row rose by the same step, others of the service are expected to, until one does not.

--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -46,6 +46,7 @@
 		f.attemptsRun++
 	}
 	guard.stop()
+	f.server.numberings.record(f.request.Service, &f.order)
 	f.keptSilent = guard.keptSilent && !guard.ended
 	err = withGuardCause(ctx, err)
 	f.classifyAttempt(err)
--- a/internal/serving/continuations_test.go
+++ b/internal/serving/continuations_test.go
@@ -150,3 +150,29 @@
 		b.stop()
 	})
 }
+
+// Guards against an event that is left out where a stream's own ids don't show it: its caller takes it up, or it broke off
+// after one event. Streams of a service whose ids rise otherwise go on.
+func TestGapWhereTheStreamShowsNoStep(t *testing.T) {
+	for _, regular := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := startTestbed(t)
+			b.respond = func(_ context.Context, number int, s sentRequest) (*service.ForwardResponse, error) {
+				switch {
+				case s.forward.ResumeAfter != "":
+					return completeAnswer(http.StatusOK, event(3)+event(4)), nil
+				case !regular && number%4 == 0:
+					return completeAnswer(http.StatusOK, event(1)+event(4)+event(5)), nil
+				}
+				return completeAnswer(http.StatusOK, event(1)+event(2)+event(3)), nil
+			}
+			for range 20 {
+				testkit.OK(t, b.forward(t.Context(), route(contract.RepeatResume), "m", &answerRecorder{}))
+			}
+			answer := &answerRecorder{}
+			err := b.takeUp(t.Context(), answer)
+			testkit.That(t, (err != nil) == regular && answer.begun != regular, "regular %t: %q, %v", regular, answer.body.String(), err)
+			b.stop()
+		})
+	}
+}
--- a/internal/serving/eventorder.go
+++ b/internal/serving/eventorder.go
@@ -36,18 +36,21 @@
 	// whether there were several differences, so that a missing event doesn't show.
 	step        uint64
 	isIrregular bool
+	// runSteps counts the differences between events of the current attempt.
+	runSteps int
 	// isAnew is whether no event of the current attempt was accepted yet.
 	isAnew bool
 }
 
-// newEventOrder returns the state of a stream of which the caller has all events up to an id, none if it is empty.
-func newEventOrder(lastID string) eventOrder {
+// newEventOrder returns the state of a stream of which the caller has all events up to an id, none if it is empty. step is
+// by how much the ids of such streams rise, 0 if that isn't known.
+func newEventOrder(lastID string, step uint64) eventOrder {
 	last, isNumber := parseEventID([]byte(lastID))
-	return eventOrder{last: last, hasLast: isNumber, isNumbered: isNumber, lastID: []byte(lastID)}
+	return eventOrder{last: last, hasLast: isNumber, isNumbered: isNumber, lastID: []byte(lastID), step: step}
 }
 
 // beginAttempt prepares for the events of an attempt.
-func (o *eventOrder) beginAttempt() { o.isContinued, o.isAnew = o.isNumbered, true }
+func (o *eventOrder) beginAttempt() { o.isContinued, o.isAnew, o.runSteps = o.isNumbered, true, 0 }
 
 // accept checks complete events in order. It returns the length of those before the first wrong one, and an error
 // if there is one.
@@ -106,6 +109,7 @@
 	step := id - o.last
 	o.isIrregular = o.isIrregular || (o.step > 0 && step != o.step)
 	o.step = step
+	o.runSteps++
 }
 
 // canContinue reports whether another run can go on after the last event.
--- a/internal/serving/eventorder_test.go
+++ b/internal/serving/eventorder_test.go
@@ -58,7 +58,7 @@
 		{"on, after one without id", "", ids("1 2 3"), ids("4") + "data: x\n\n" + ids("6"), ids("4") + "data: x\n\n" + ids("6"), nil},
 		{"a field like id", "", ids("1 2"), "identity: 9\nid: 3\ndata: x\n\n", "identity: 9\nid: 3\ndata: x\n\n", nil},
 	} {
-		o := newEventOrder(test.after)
+		o := newEventOrder(test.after, 0)
 		if test.first != "" {
 			o.beginAttempt()
 			n, err := o.accept([]byte(test.first))
@@ -101,11 +101,11 @@
 	f.Add([]byte("id: 1\r\rid: 2\r\n\r\n"), "")
 	f.Fuzz(func(t *testing.T, stream []byte, after string) {
 		stream = stream[:lastEventEnd(stream)]
-		whole := newEventOrder(after)
+		whole := newEventOrder(after, 0)
 		whole.beginAttempt()
 		accepted, err := whole.accept(stream)
 		testkit.That(t, (err == nil) == (accepted == len(stream)), "%d of %q, %v", accepted, stream, err)
-		inParts := newEventOrder(after)
+		inParts := newEventOrder(after, 0)
 		inParts.beginAttempt()
 		for rest := stream[:accepted]; len(rest) > 0; {
 			_, size := parseEvent(rest)
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -118,7 +118,7 @@
 	request.Unit = BoundUnit(request.Unit, origin)
 	query.Unit = request.Unit
 	known := s.findCandidates(request.Unit)
-	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter), origin: origin, readyAtArrival: hasReadyCandidate(known)}
+	f := &forwarding{server: s, request: r, answer: answer, order: newEventOrder(r.ResumedAfter, s.numberings.step(r.Service)), origin: origin, readyAtArrival: hasReadyCandidate(known)}
 	// Without a backend server to send it to, the request waits: by then it may have been cleared.
 	if refused := f.quarantineRefusalOrTrial(); refused != nil && f.readyAtArrival {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -98,6 +98,8 @@
 	startedAt time.Time
 	// streamLengths estimates how many events streams have, by pool.
 	streamLengths *pace.Lengths
+	// numberings is how the ids of streams rise, by service.
+	numberings numberings
 
 	mu     sync.Mutex
 	budget *admission.RetryBudget
