--- a/internal/hosted/backends.go
+++ b/internal/hosted/backends.go
@@ -171,7 +171,7 @@
 	}
 	if known == nil {
 		former := t.formerInstances[b.ID]
-		known = &backend{missingUnits: make(map[string]time.Time), weights: make(streamversions.Weights), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
+		known = &backend{missingUnits: make(map[string]time.Time), weights: streamversions.ListedWeights(&b), start: former.start, onlyListed: former.onlyListed, formerStarts: former.formerStarts, restartedAt: former.restartedAt, Backend: b}
 		known.announcedLeaving = former.announcedLeaving && b.Started != 0
 		t.entries[b.ID] = known
 		t.byService = nil
@@ -193,11 +193,7 @@
 	if restarted || t.isListedAgain(now, known, b.Started, startFromEntry) {
 		t.recordInstance(now, known, b.Started, startFromEntry)
 	}
-	if isNew || restarted {
-		known.weights.Update(nil, b.Models)
-	} else {
-		known.weights.Update(known.Models, b.Models)
-	}
+	known.weights.Update(&known.Backend, &b)
 	known.Backend = b
 	known.removeAt = time.Time{}
 	known.merge(now)
--- a/internal/streamversions/knowledge_test.go
+++ b/internal/streamversions/knowledge_test.go
@@ -40,14 +40,17 @@
 
 // Guards against weights that an answer has named and that an older entry hides again.
 func TestWeightsOfEntriesAndAnswers(t *testing.T) {
-	held := func(weights int64) []registry.Held { return []registry.Held{{Model: "m", Weights: weights}} }
-	w := make(Weights)
-	w.Update(nil, held(1))
+	entry := func(started, weights int64) *registry.Backend {
+		return &registry.Backend{Started: started, Models: []registry.Held{{Model: "m", Weights: weights}}}
+	}
+	w := ListedWeights(entry(1, 1))
 	testkit.Equal(t, "listed", w["m"], 1)
 	w["m"] = 2 // named by an answer
-	w.Update(held(1), held(1))
+	w.Update(entry(1, 1), entry(1, 1))
 	testkit.Equal(t, "after a heartbeat", w["m"], 2)
-	w.Update(held(1), held(3))
+	w.Update(entry(1, 1), entry(2, 1))
+	testkit.Equal(t, "after a new start", w["m"], 1)
+	w.Update(entry(2, 1), entry(2, 3))
 	testkit.Equal(t, "after a new entry", w["m"], 3)
 }
 
--- a/internal/streamversions/weights.go
+++ b/internal/streamversions/weights.go
@@ -32,10 +32,18 @@
 // engine names them a while after a load; its answers do at once.
 type Weights map[string]int64
 
-// Update takes over what a new entry says otherwise than the one before it.
-func (w Weights) Update(before, entry []registry.Held) {
-	for _, m := range entry {
-		if !slices.ContainsFunc(before, func(b registry.Held) bool { return b.Model == m.Model && b.Weights == m.Weights }) {
+// ListedWeights returns what an engine's entry says.
+func ListedWeights(entry *registry.Backend) Weights {
+	w := make(Weights)
+	w.Update(&registry.Backend{}, entry)
+	return w
+}
+
+// Update takes over what a new entry says otherwise than the one before it, or all of it if the engine has started again.
+func (w Weights) Update(before, entry *registry.Backend) {
+	for _, m := range entry.Models {
+		isSame := func(b registry.Held) bool { return b.Model == m.Model && b.Weights == m.Weights }
+		if entry.Started != before.Started || !slices.ContainsFunc(before.Models, isSame) {
 			w[m.Model] = m.Weights
 		}
 	}
