serve: SIGHUP before the settings are read doesn't end the process

It is now asked for before the settings are read, so that a change after that isn't missed either. What comes before main runs, in Go's own initialization, still ends the process.

--- a/cmd/bergamotreel/hosted.go
+++ b/cmd/bergamotreel/hosted.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -19,8 +17,8 @@
 	"bergamotreel/service"
 )
 
-// serveHosted runs one entry VM on the hosting platform.
-func serveHosted(ctx context.Context, s *settings.Settings) error {
+// serveHosted runs one entry VM on the hosting platform. It reads its settings again at each signal from reload.
+func serveHosted(ctx context.Context, s *settings.Settings, reload <-chan os.Signal) error {
 	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
 		return s.NewProblem("log", "level", "%v", err)
@@ -40,9 +38,6 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	return d.Run(ctx, reload)
 }
 
--- a/cmd/bergamotreel/serve.go
+++ b/cmd/bergamotreel/serve.go
@@ -38,6 +38,12 @@
 			if config == "" {
 				return verbs.UsageError("name the settings file with -config, or in " + configVariable)
 			}
+			// Before the settings are read, so that none of their changes is missed.
+			reload := make(chan os.Signal, 1)
+			if !check {
+				signal.Notify(reload, syscall.SIGHUP)
+				defer signal.Stop(reload)
+			}
 			s, err := settings.Load(config)
 			if err != nil {
 				return err
@@ -46,8 +52,9 @@
 				return explainSettings(out, s)
 			}
 			if s.Platform.Kind == settings.PlatformHosted {
-				return serveHosted(ctx, s)
+				return serveHosted(ctx, s, reload)
 			}
+			signal.Stop(reload) // the signal ends this runtime
 			logger, err := telemetry.NewLogger(s.Log.Level)
 			if err != nil {
 				return err
