serving: an event of other weights doesn't count as passed on

A stream whose next engine names other weights in its first event, and not in its head, lost that event: the attempt was given up, and the following one asked to go on after it ("4" instead of "2"). Found on reading the joined change; the check of order had counted the events before the weights were compared. The weights are now compared first, also behind comments.

TestEventOfOtherWeightsDoesNotCount failed before.

--- a/internal/serving/deliver.go
+++ b/internal/serving/deliver.go
@@ -145,15 +145,17 @@
 		received := len(whole)
 		var wrong error
 		if f.eventStream {
-			whole, wrong = f.acceptEvents(whole)
-		}
-		if len(whole) > 0 && f.eventStream {
-			if err := f.followWeights(head, whole, isFirst); err != nil {
-				return err
+			// First, as events that are accepted count as passed on.
+			if isFirst && !f.beginsWithWeights(whole, head.WeightsField) {
+				return errOtherWeights
 			}
-			isFirst = false
+			whole, wrong = f.acceptEvents(whole)
 		}
 		if len(whole) > 0 {
+			if f.eventStream {
+				f.followWeights(head, whole, isFirst)
+				isFirst = false
+			}
 			f.bindVersion()
 			f.beginAnswer(head)
 			if err := f.writeAnswer(whole); err != nil {
--- a/internal/serving/weights.go
+++ b/internal/serving/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -96,44 +97,60 @@
 	return f.origin.Weights == 0 || head.Weights == 0 || head.Weights == f.origin.Weights
 }
 
+// beginsWithWeights reports whether the first events of an attempt are of the weights of the last event, if they name any.
+// A run that continues a stream has to begin with these; within it, the weights may change.
+func (f *forwarding) beginsWithWeights(events []byte, field string) bool {
+	first := firstWeights(events, field)
+	return f.origin.Weights == 0 || first == 0 || first == f.origin.Weights
+}
+
 // followWeights binds the stream to the weights of its events. isFirst is whether these are the first of their attempt.
-// Within one run the weights may change; a run that continues a stream has to begin with those of the last event.
-func (f *forwarding) followWeights(head *service.ForwardResponse, events []byte, isFirst bool) error {
-	if isFirst {
-		first := firstWeights(events, head.WeightsField)
-		if first == 0 {
-			first = head.Weights
-		}
-		if f.origin.Weights != 0 && first != 0 && first != f.origin.Weights {
-			return errOtherWeights
-		}
-		if first != 0 {
-			f.origin.Weights = first
-		}
+func (f *forwarding) followWeights(head *service.ForwardResponse, events []byte, isFirst bool) {
+	if first := cmp.Or(firstWeights(events, head.WeightsField), head.Weights); isFirst && first != 0 {
+		f.origin.Weights = first
 	}
 	last := lastWeights(events, head.WeightsField)
 	if last == 0 || last == f.origin.Weights {
-		return nil
+		return
 	}
 	f.origin.Weights = last
 	if f.origin.Version != "" {
 		f.server.forwardDirectory().RecordStream(streamOf(&f.request), f.origin)
 	}
-	return nil
 }
 
 // firstWeights returns the version of the weights that the first event names, 0 if it names none.
 func firstWeights(events []byte, field string) int64 {
-	line, _ := cutLine(events)
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if field == "" || string(name) != field {
-		return 0
+	for len(events) > 0 {
+		e, size := parseEvent(events)
+		if e.hasID || e.hasData {
+			return eventWeights(events[:size], field)
+		}
+		events = events[size:]
 	}
-	version, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-	if err != nil || version < 0 {
-		return 0
+	return 0
+}
+
+// eventWeights returns the version of the weights that the first line of an event names, 0 if it names none. Comments
+// are no lines of an event.
+func eventWeights(event []byte, field string) int64 {
+	for field != "" && len(event) > 0 {
+		line, length := cutLine(event)
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) > 0 && len(name) == 0:
+			event = event[length:]
+			continue
+		case string(name) != field:
+			return 0
+		}
+		version, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil || version < 0 {
+			return 0
+		}
+		return version
 	}
-	return version
+	return 0
 }
 
 // lastWeights returns the version of the weights that the last event which names one names, 0 if none does.
@@ -142,10 +159,10 @@
 		return 0
 	}
 	for len(events) > 0 {
-		if named := firstWeights(events, field); named != 0 {
+		_, size := parseEvent(events)
+		if named := eventWeights(events[:size], field); named != 0 {
 			version = named
 		}
-		_, size := parseEvent(events)
 		events = events[size:]
 	}
 	return version
--- a/internal/serving/weights_test.go
+++ b/internal/serving/weights_test.go
@@ -99,6 +99,32 @@
 	})
 }
 
+// Guards against events that are lost: an attempt was given up as its first event names other weights, and the next one
+// went on after that event.
+func TestEventOfOtherWeightsDoesNotCount(t *testing.T) {
+	for _, comment := range []string{"", ": working\n", ": working\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			b, answer, r := continuingTestbed(t, nil), &answerRecorder{}, route(contract.RepeatResume)
+			r.MaxAttempts = 3
+			b.respond = func(_ context.Context, number int, s sentRequest) (*service.ForwardResponse, error) {
+				answer := cutOffAnswer(event(1) + event(2))
+				switch number {
+				case 2:
+					answer = completeAnswer(200, comment+"weights: 2\n"+event(3)+event(4))
+				case 3:
+					testkit.Equal(t, "asked to go on after", s.forward.ResumeAfter, "2")
+					answer = completeAnswer(200, event(3)+event(4))
+				}
+				answer.Weights, answer.WeightsField = 1, "weights"
+				return answer, nil
+			}
+			testkit.OK(t, b.forward(t.Context(), r, "m", answer))
+			testkit.Equal(t, "answer", answer.body.String(), event(1)+event(2)+event(3)+event(4))
+			b.stop()
+		})
+	}
+}
+
 // Guards against a unit with weights that is taken for another unit.
 func TestBoundUnitNames(t *testing.T) {
 	for _, unit := range []string{"service/booking", "model/llm/m1/a1", "model/llm/m@1,2"} {
