--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -16,6 +16,7 @@
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
+	f.arrival = arrivalNone
 	f.order.beginAttempt()
 	f.pace = streamPace{isWhole: len(f.order.lastID) == 0}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
@@ -37,6 +38,7 @@
 	if head != nil {
 		f.server.recordReceived(time.Now())
 	}
+	f.arrival = classifyArrival(head, err)
 	if err == nil {
 		f.attemptsRun++
 		f.server.forwardDirectory().MarkReachable(target)
--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -57,6 +57,9 @@
 	if f.retry == retrySpent {
 		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity))
 	}
+	if f.arrival == arrivalUnsettled {
+		fields = append(fields, zap.Bool("arrival_unsettled", true))
+	}
 	if f.limit.Limited {
 		fields = append(fields, zap.Float64("backend_limit", f.limit.PerSecond))
 	}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -202,6 +202,8 @@
 	// after it; zero before the first. pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
+	// arrival is what is known of the current attempt's arrival at its backend server.
+	arrival arrival
 	// framing is how the current attempt's answer marks its end, empty before its head.
 	framing string
 	// eventStream is whether the current attempt's answer is an event stream, boundary where
--- a/service/forward.go
+++ b/service/forward.go
@@ -33,6 +33,11 @@
 // the connection, so nothing listens at the address and the process has ended.
 var ErrConnectionRefused = errs.New("connection refused")
 
+// ErrClosedByServer accompanies ErrOutcomeUnknown: the backend server closed or reset the connection, so nothing
+// that was sent over it arrives any more. A reset by this side shows nothing: a stopped process reads what its
+// kernel has received when it goes on.
+var ErrClosedByServer = errs.New("connection closed by the backend server")
+
 // Target is the backend server that a request is sent to.
 type Target struct {
 	// ID identifies one start of the backend server; any other start refuses the
@@ -144,7 +149,7 @@
 type Forwarder interface {
 	// Forward sends the request once, without retries, and returns after receiving
 	// the head of the answer. It fails with ErrNotSent, ErrNotRun or
-	// ErrOutcomeUnknown. With ErrNotRun it also returns a ForwardResponse without a
+	// ErrOutcomeUnknown, the latter with ErrClosedByServer if that is known. With ErrNotRun it also returns a ForwardResponse without a
 	// body, which carries the answer's other fields. The end of ctx aborts the request
 	// at the backend server, also while the body is read.
 	Forward(ctx context.Context, target Target, request ForwardRequest) (*ForwardResponse, error)
