admission, serving: a retry holds its token until its arrival is settled

Cause: the budget counted a retry when it was sent and forgot it a window later, while the rule counts its arrival. What a stopped process was sent arrives when it goes on: retries, and first attempts whose request was retried elsewhere meanwhile, which come after the retry and so are the arrivals beyond it. Closing the connection with a reset doesn't take them back.

Fix: a retry takes its token when the second attempt of its request is settled, and holds it until then. An attempt is settled once its server has answered it, has closed the connection, has answered a later exchange, or is known to have ended. So in any window the arrivals beyond the first are at most what was held at its end and taken within it, which the bucket bounds whatever the delays. Attempts that are given up without a sign hold a third of the capacity at most: the rest stays usable, and what a killed process leaves behind fits into the fleet's bound beside all that its successor sends. A process in its first window gives up none, as earlier ones may have left theirs, and retries avoid servers that show no sign of life while there are others.

TestReplacedRetriesAreReleased answers its first attempt as a broken connection does, with ErrClosedByServer: what it checks is unchanged, and a server without any sign of life would hold the token for good reason.

--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -145,6 +146,9 @@
 	n.paths.markUnreachable(time.Now(), target, cause)
 	n.startChecks.Doubt(target)
 	n.crashes.RecordRefusedConnection(target, cause)
+	if target.Gateway == "" && errors.Is(cause, service.ErrConnectionRefused) {
+		n.serving.RecordProcessEnd(target.ID)
+	}
 }
 
 // probeUnreachable periodically probes unreachable backend servers, and has those verified that
--- a/internal/hosted/health.go
+++ b/internal/hosted/health.go
@@ -98,6 +98,9 @@
 		id := ended.Target.ID
 		n.crashes.HandleEnd(ended)
 		n.serving.Forget(id)
+		if !ended.Dropped { // one whose entry lapsed may still run
+			n.serving.RecordProcessEnd(id)
+		}
 		n.planner.dropEngine(id)
 		n.keeper.handleRestart(id)
 		n.limits.forget(id)
--- a/internal/hosted/keeper.go
+++ b/internal/hosted/keeper.go
@@ -308,7 +308,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
+	begun := time.Now()
 	status, err := k.node.config.Peers.Engines.Status(ctx, address)
+	if err == nil {
+		k.node.serving.RecordAnswer(e.id, begun)
+	}
 	if err == nil && status.Draining {
 		k.node.mergeLeaving(time.Now(), k.node.config.VM, []entryvm.LeavingBackend{{Backend: e.id, Started: status.Started}})
 	}
--- a/internal/hosted/startchecks.go
+++ b/internal/hosted/startchecks.go
@@ -4,17 +4,25 @@
 	"context"
 	"time"
 
+	"bergamotreel/engine"
 	"bergamotreel/routing/streamversion"
 	"bergamotreel/service"
 )
 
 // askStart asks an engine for its start.
-func (n *Node) askStart(ctx context.Context, target service.Target) (int64, error) {
+func (n *Node) askStart(ctx context.Context, target service.Target) (start int64, err error) {
+	begun := time.Now()
 	if starts := n.config.Peers.Starts; starts != nil {
-		return starts.Start(ctx, target)
+		start, err = starts.Start(ctx, target)
+	} else {
+		var status engine.Status
+		status, err = n.config.Peers.Engines.Status(ctx, target.Address)
+		start = status.Started
 	}
-	status, err := n.config.Peers.Engines.Status(ctx, target.Address)
-	return status.Started, err
+	if err == nil && start == target.Started {
+		n.serving.RecordAnswer(target.ID, begun)
+	}
+	return start, err
 }
 
 // DoubtStart implements serving.ForwardDirectory.
--- a/internal/sendonce/sendings.go
+++ b/internal/sendonce/sendings.go
@@ -71,6 +71,13 @@
 	return last
 }
 
+// HasConn reports whether the newest sending has a connection. Without one, nothing of it was sent yet.
+func (s *Sendings) HasConn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastConn != nil
+}
+
 // addConn records that the request is about to go over a connection. It returns false if it must not, because
 // that has carried it before. repeated is whether net/http had already sent the request over another one.
 func (s *Sendings) addConn(conn *countingConn, info httptrace.GotConnInfo, repeated bool) bool {
--- a/internal/serving/arrivals.go
+++ b/internal/serving/arrivals.go
@@ -1,15 +1,24 @@
 package serving
 
 import (
+	"cmp"
 	"errors"
+	"maps"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bergamotreel/admission"
+	"bergamotreel/routing"
 	"bergamotreel/service"
 )
 
-// attemptsUnsettled counts the attempts whose backend server may read them later.
-var attemptsUnsettled = metrics.NewCounter("bergamotreel_attempts_unsettled_total")
+var (
+	// attemptsUnsettled counts the attempts whose backend server may read them later.
+	attemptsUnsettled = metrics.NewCounter("bergamotreel_attempts_unsettled_total")
+	// unsettledGauge is how many of those of retried requests are not settled yet.
+	unsettledGauge = metrics.NewGauge("bergamotreel_unsettled_attempts", nil)
+)
 
 // arrival is what is known of an attempt's arrival at its backend server.
 type arrival int
@@ -39,3 +48,79 @@
 		return arrivalUnsettled
 	}
 }
+
+// settleArrival records that the current attempt has arrived at its backend server, or never will. hasAnswered is
+// whether the server has answered it.
+func (f *forwarding) settleArrival(hasAnswered bool) {
+	s := f.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.unsettled.Remove(f.pending.backend, f.arrivals) // the stall guard may just have given it up
+	unsettledGauge.Set(float64(s.unsettled.Count()))
+	f.arrivals.Settle(now)
+	if hasAnswered {
+		s.recordAnswer(now, f.pending.backend, f.pending.attemptStart)
+	}
+}
+
+// recordUnsettled keeps the attempt that was given up until it is settled, as its request is retried. Call with the
+// server's mu held.
+func (f *forwarding) recordUnsettled(now time.Time) {
+	if f.givenUp != "" {
+		f.hasUnsettled = true
+		f.server.unsettled.Add(now, f.givenUp, f.arrivals)
+		unsettledGauge.Set(float64(f.server.unsettled.Count()))
+		f.givenUp = ""
+	}
+}
+
+// dropUnsettled no longer keeps the attempts of a request that was not retried after all: each request has one
+// arrival.
+func (f *forwarding) dropUnsettled() {
+	if f.isRetried || !f.hasUnsettled {
+		return
+	}
+	f.server.mu.Lock()
+	defer f.server.mu.Unlock()
+	f.server.unsettled.Drop(f.arrivals)
+}
+
+// RecordAnswer records that a backend server has answered an exchange that began at a time.
+func (s *Server) RecordAnswer(backend string, begunAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordAnswer(time.Now(), backend, begunAt)
+}
+
+// recordAnswer is RecordAnswer for callers that hold mu.
+func (s *Server) recordAnswer(now time.Time, backend string, begunAt time.Time) {
+	s.answered[backend] = true
+	s.unsettled.SettleBefore(now, backend, begunAt)
+	unsettledGauge.Set(float64(s.unsettled.Count()))
+}
+
+// RecordProcessEnd records that a backend server's process has ended: it reads nothing any more.
+func (s *Server) RecordProcessEnd(backend string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.unsettled.SettleBefore(now, backend, now)
+}
+
+// excludeDoubtful excludes from a query for a retry the backend servers with unsettled attempts, while there are
+// others: what they are sent may arrive much later. A process that has just started knows of none, and excludes those that
+// haven't answered it yet. Call with mu held.
+func (s *Server) excludeDoubtful(now time.Time, query *routing.Query, candidates []routing.Candidate) {
+	isYoung := now.Sub(s.startedAt) < cmp.Or(s.config.RetryWindow, admission.DefaultRetryWindow)
+	excluded := make(map[string]bool, len(candidates))
+	maps.Copy(excluded, query.Exclude)
+	for _, c := range candidates {
+		if s.unsettled.Has(c.Engine) || isYoung && !s.answered[c.Engine] {
+			excluded[c.Engine] = true
+		}
+	}
+	if !allExcluded(candidates, excluded) {
+		query.Exclude = excluded
+	}
+}
--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -16,7 +16,8 @@
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
-	f.arrival = arrivalNone
+	f.arrival, f.isGivenUp = arrivalNone, false
+	f.hasArrived.Store(false)
 	f.order.beginAttempt()
 	f.pace = streamPace{isWhole: len(f.order.lastID) == 0}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
@@ -38,7 +39,10 @@
 	if head != nil {
 		f.server.recordReceived(time.Now())
 	}
-	f.arrival = classifyArrival(head, err)
+	if f.arrival = classifyArrival(head, err); f.arrival == arrivalSettled {
+		f.hasArrived.Store(true)
+		f.settleArrival(head != nil)
+	}
 	if err == nil {
 		f.attemptsRun++
 		f.server.forwardDirectory().MarkReachable(target)
--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -55,7 +55,7 @@
 		fields = append(fields, zap.String("gateway", f.target.Gateway))
 	}
 	if f.retry == retrySpent {
-		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity))
+		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity), zap.Int("retries_held", f.retryUsage.Held))
 	}
 	if f.arrival == arrivalUnsettled {
 		fields = append(fields, zap.Bool("arrival_unsettled", true))
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -124,7 +125,7 @@
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
 	}
-	s.recordForward(r)
+	f.arrivals = &admission.RequestArrivals{Budget: s.recordForward(r)}
 	if refused := s.queueRefusal(&r, query.Pool); refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
@@ -149,6 +150,7 @@
 	defer func() {
 		f.releaseReplacement()
 		f.releaseRetry()
+		f.dropUnsettled()
 		f.pending.finish(ctx, err, f.outcome)
 	}()
 	return f.run(ctx, w)
@@ -204,6 +206,16 @@
 	pieces       int
 	// arrival is what is known of the current attempt's arrival at its backend server.
 	arrival arrival
+	// arrivals counts the settled attempts. givenUp is the backend server of the last attempt if that was given up
+	// without a sign of its arrival and isn't kept among the unsettled ones yet; hasUnsettled is whether any was kept.
+	// isRetried is whether a retry was sent.
+	arrivals                *admission.RequestArrivals
+	givenUp                 string
+	hasUnsettled, isRetried bool
+	// isGivenUp is whether the stall guard has given up the current attempt, which is kept among the unsettled ones.
+	isGivenUp bool
+	// hasArrived is whether the current attempt is settled. The stall guard reads it.
+	hasArrived atomic.Bool
 	// framing is how the current attempt's answer marks its end, empty before its head.
 	framing string
 	// eventStream is whether the current attempt's answer is an event stream, boundary where
@@ -293,7 +305,7 @@
 			f.recordDuration(time.Now())
 			return nil
 		}
-		f.recordAttemptEnd(f.outcome.mayHaveRun || !errors.Is(err, service.ErrNotSent))
+		f.recordAttemptEnd()
 		endedForSilence := isEndedForSilence(err)
 		err = f.handleFailure(ctx, err)
 		if endedForSilence {
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -16,20 +16,22 @@
 }
 
 // reserveReplacement reserves another backend server for the unit while the current attempt runs, and
-// a retry of the service's budget. It returns nil, and takes nothing, if there
+// a retry of the service's budget. doubtful is whether the attempt is given up without a sign of its arrival, for which
+// the budget must have room. It returns nil, and takes nothing, if there
 // is no free server, no budget, or this VM is stopping.
-func (p *pendingRequest) reserveReplacement(service, unit string) *reservation {
+func (p *pendingRequest) reserveReplacement(service, unit string, doubtful bool) *reservation {
 	s := p.server
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	budget := s.serviceBudget(service)
-	if s.stopped || !budget.CanReserve(now) {
+	if s.stopped || !budget.CanReserve(now) || doubtful && !budget.CanDoubt(now) {
 		return nil
 	}
 	candidates := s.findCandidates(unit)
 	query := p.replacementQuery(candidates)
 	query.Unit = unit
+	s.excludeDoubtful(now, &query, candidates)
 	for {
 		choice, ok := s.config.Router.Pick(now, query, candidates)
 		if !ok {
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -64,11 +64,14 @@
 	return budget
 }
 
-// recordForward counts a request for the retry budget of its service.
-func (s *Server) recordForward(r caller.RelayRequest) {
+// recordForward counts a request for the retry budget of its service, which it returns.
+func (s *Server) recordForward(r caller.RelayRequest) *admission.RetryBudget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.serviceBudget(r.Service).RecordRequest(r.Arrived)
+	s.unsettled.Expire(r.Arrived)
+	budget := s.serviceBudget(r.Service)
+	budget.RecordRequest(r.Arrived)
+	return budget
 }
 
 // withRetryBudget calls a function with the retry budget of the request's service.
@@ -85,7 +88,13 @@
 		return true
 	}
 	reserved := false
-	f.withRetryBudget(func(b *admission.RetryBudget) { reserved = b.Reserve(time.Now()) })
+	f.withRetryBudget(func(b *admission.RetryBudget) {
+		now := time.Now()
+		reserved = (f.givenUp == "" || b.CanDoubt(now)) && b.Reserve(now)
+		if reserved {
+			f.recordUnsettled(now)
+		}
+	})
 	countRetry(reserved)
 	if reserved {
 		f.retry = retryReserved
@@ -106,20 +115,27 @@
 	})
 	if covered {
 		f.retry = retrySpent
+		f.isRetried = true
 	}
 	return covered
 }
 
-// recordAttemptEnd updates the retry's state after an attempt: one that reached no backend
-// server is reserved again.
-func (f *forwarding) recordAttemptEnd(sent bool) {
-	if f.retry != retrySpent {
-		return
+// recordAttemptEnd updates the state of retries after an attempt: one that reached no backend
+// server is reserved again, and one that may arrive later is kept until it is settled.
+func (f *forwarding) recordAttemptEnd() {
+	spent := f.retry == retrySpent
+	if spent {
+		f.retry = retryNotNeeded
 	}
-	f.retry = retryNotNeeded
-	if !sent {
-		f.withRetryBudget(func(b *admission.RetryBudget) { b.Unspend(time.Now()) })
+	switch {
+	case f.arrival == arrivalNone && spent:
+		f.withRetryBudget((*admission.RetryBudget).Unspend)
 		f.retry = retryReserved
+	case f.arrival == arrivalUnsettled && !f.isGivenUp:
+		f.givenUp = f.pending.backend
+		if f.isRetried || f.replacement != nil {
+			f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
+		}
 	}
 }
 
--- a/internal/serving/retries_test.go
+++ b/internal/serving/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -87,7 +88,7 @@
 			attempt++
 			switch attempt {
 			case 1:
-				return nil, service.ErrOutcomeUnknown
+				return nil, errors.Join(service.ErrOutcomeUnknown, service.ErrClosedByServer)
 			case 2:
 				<-ctx.Done()
 				return nil, service.ErrNotSent
@@ -106,3 +107,45 @@
 		b.stop()
 	})
 }
+
+// Guards against retries that hold their tokens for good: an attempt that was given up is settled once its backend
+// server answers a later request, whichever way its own request ended.
+func TestHeldRetriesAreSettledByLaterAnswers(t *testing.T) {
+	for name, second := range map[string]func(ctx context.Context) (*service.ForwardResponse, error){
+		"the retry is answered": func(context.Context) (*service.ForwardResponse, error) { return completeAnswer(200, "whole"), nil },
+		"the retry is rejected": func(context.Context) (*service.ForwardResponse, error) { return nil, service.ErrNotRun },
+		"the retry is not sent": func(context.Context) (*service.ForwardResponse, error) { return nil, service.ErrNotSent },
+		"the retry fails":       func(context.Context) (*service.ForwardResponse, error) { return nil, service.ErrOutcomeUnknown },
+		"the retry gets no answer": func(ctx context.Context) (*service.ForwardResponse, error) {
+			<-ctx.Done()
+			return nil, service.ErrOutcomeUnknown
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newForwardTestbed(t)
+				attempts := 0
+				b.respond = func(ctx context.Context, _ int, _ sentRequest) (*service.ForwardResponse, error) {
+					if attempts++; attempts > 1 {
+						return second(ctx)
+					}
+					<-ctx.Done()
+					return nil, service.ErrOutcomeUnknown
+				}
+				repeatable := route(contract.RepeatSafe)
+				repeatable.MaxAttempts = 2
+				for range 20 {
+					attempts = 0
+					_ = b.forward(t.Context(), repeatable, "", &answerRecorder{})
+					testkit.That(t, attempts >= 2, "not retried")
+					time.Sleep(30 * time.Second)
+					for _, backend := range b.backends {
+						b.server.RecordAnswer(backend, time.Now())
+					}
+					time.Sleep(30 * time.Second) // until the budget is full again
+				}
+				b.stop()
+			})
+		})
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -105,7 +105,11 @@
 	budget *admission.RetryBudget
 	// serviceBudgets are the retry budgets of forwarded requests, by service.
 	serviceBudgets map[string]*admission.RetryBudget
-	waiters        map[*admission.Ticket]*waiter
+	// answered holds the backend servers that have answered this process.
+	answered map[string]bool
+	// unsettled holds the attempts of forwarded requests that may arrive later.
+	unsettled admission.UnsettledAttempts
+	waiters   map[*admission.Ticket]*waiter
 	// waitersByPool and waitersByUnit count the waiters of each pool and unit.
 	waitersByPool, waitersByUnit map[string]int
 	// loadingUnits are the units that had candidates, but none ready, when last checked.
@@ -161,6 +165,7 @@
 		activeUnits:   make(map[string]unitActivity),
 		runningCounts: make(map[runKey]int),
 		notContinuing: make(map[string]notContinuing),
+		answered:      make(map[string]bool),
 	}
 }
 
@@ -189,6 +194,7 @@
 	s.config.Router.Forget(engine)
 	s.incarnations[engine]++
 	delete(s.cacheCursors, engine)
+	delete(s.answered, engine)
 }
 
 // DropInFlight no longer counts this VM's requests in flight on a backend server as its load.
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"bergamotreel/admission"
 )
 
 // silentAttemptsTotal counts the attempts whose backend server was silent for too long, by
@@ -64,8 +66,17 @@
 		return false
 	}
 	f.excludeNotContinuing()
-	f.replacement = f.pending.reserveReplacement(f.request.Service, f.unitToContinue())
-	return f.replacement != nil
+	doubtful := !f.hasArrived.Load() && f.sendings.HasConn()
+	f.replacement = f.pending.reserveReplacement(f.request.Service, f.unitToContinue(), doubtful)
+	if f.replacement == nil {
+		return false
+	}
+	if doubtful {
+		f.givenUp = f.pending.backend
+		f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
+		f.isGivenUp = true
+	}
+	return true
 }
 
 // releaseReplacement releases a reservation that isn't needed, because the attempt or the
