fleetsize: a VM whose count of the fleet is stale uses a part of its retry slack

What callers saw: a failing service may get more repeats than its operators allow while VMs join a fleet all of whose older VMs are cut off from the registry and from them. An open line of docs/design/fleet-size.md.

Cause: the parts of the slack are divided by a count; the VMs that join count the older ones by their records, but these never learn of the new ones and go on with the parts of a smaller fleet, without regard to the age of their count.

Fix: a count from the registry that is older than one and a half renewal intervals is stale, and its VM uses 0.55 of its part. Counts are read every interval in normal operation. Price: while the registry is away for over 15 s, all VMs have 0.55 of the slack.

--- a/admission/fleetsize/fleetsize.go
+++ b/admission/fleetsize/fleetsize.go
@@ -26,6 +26,9 @@
 	// recordTTLIntervals is how many intervals a record counts without a renewal. It spans
 	// several renewals, so that losing one does not make a VM count as gone.
 	recordTTLIntervals = 3
+	// countTTLIntervals is after how many intervals a count is stale: VMs that have started since may divide a bound
+	// by a larger number.
+	countTTLIntervals = 1.5
 	// minReadAdvance is how much newer a count must be than the known one. Each forwarding adds the
 	// time on the way to the time of the read, so a count that two VMs send each other would
 	// otherwise never grow old.
@@ -96,6 +99,13 @@
 // are none yet. The caller must not change them.
 func (s *Size) Recorded() (recorded Recorded, readAt time.Duration) { return s.recorded, s.recordedAt }
 
+// IsStale reports whether the newest count from the registry is so old that VMs which have started since may be missing in
+// it. They know of this VM by its record, but it doesn't know of them unless it has seen them.
+func (s *Size) IsStale(now time.Duration) bool {
+	ttl := time.Duration(countTTLIntervals * float64(RenewInterval(s.recorded.Renewed.Sum())))
+	return s.isRecordedKnown() && now-s.recordedAt > ttl
+}
+
 // Count returns the numbers by which a VM of the failure domain divides a bound on the fleet: an equal
 // part for each failure domain, and an equal part of that for each VM. It returns false while the VM
 // has no count from the registry: until then it may be one of any number of VMs.
--- a/internal/hosted/fleetsize.go
+++ b/internal/hosted/fleetsize.go
@@ -36,6 +36,8 @@
 
 	mu   sync.Mutex
 	size fleetsize.Size
+	// loggedSlack is the part of the retry slack that was logged last.
+	loggedSlack float64
 
 	// The fields below are used by run only.
 	records fleetsize.Records
@@ -57,6 +59,13 @@
 	return count, ok
 }
 
+// isStale is fleetsize.Size.IsStale.
+func (f *fleetSize) isStale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.size.IsStale(f.now())
+}
+
 // renewed returns the numbers of VMs that renew their records, nil if they are unknown.
 func (f *fleetSize) renewed() fleetsize.VMCounts { return f.recorded().Renewed }
 
@@ -97,11 +106,15 @@
 	change()
 	f.mu.Unlock()
 	after, known := f.count()
-	if before != after || wasKnown != known {
-		slack, recorded := f.node.retrySlack(), f.recorded()
+	slack, recorded := f.node.retrySlack(), f.recorded()
+	f.mu.Lock()
+	isLogged := slack == f.loggedSlack
+	f.loggedSlack = slack
+	f.mu.Unlock()
+	if before != after || wasKnown != known || !isLogged {
 		retrySlackGauge.Set(slack)
 		f.node.config.Logger.Info("fleet counted", zap.Int("domains", after.Domains), zap.Int("domain_vms", after.DomainVMs),
-			zap.Any("recorded", recorded.Renewed), zap.Any("lapsed", recorded.Lapsed), zap.Bool("registry_read", known), zap.Float64("retry_slack", slack))
+			zap.Any("recorded", recorded.Renewed), zap.Any("lapsed", recorded.Lapsed), zap.Bool("registry_read", known), zap.Bool("stale", f.isStale()), zap.Float64("retry_slack", slack))
 	}
 }
 
--- a/internal/hosted/retrybudget_test.go
+++ b/internal/hosted/retrybudget_test.go
@@ -293,6 +293,34 @@
 	}
 }
 
+// Guards against VMs that join a fleet all of whose VMs are cut off from the registry and from them: these never learn of
+// the new ones, and their parts of the retry slack are those of a smaller fleet.
+func TestRetrySlackOfVMsThatJoinBesideCutOffOnes(t *testing.T) {
+	for _, vms := range [][2]int{{4, 12}, {8, 24}, {6, 9}, {8, 12}, {6, 36}} {
+		for _, cutFor := range []time.Duration{2 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%d to %d VMs, %s after the cut", vms[0], vms[1], cutFor), func(t *testing.T) {
+				slack := fleetRetrySlack(vms[1])
+				withConfiguredEngineCluster(t, vms[0], 1, func(w *testCluster) {
+					w.domains, w.retrySlack = spreadDomainCount, slack
+				}, func(b *engineCluster) {
+					time.Sleep(budgetFillTime)
+					b.setCutOff(b.vms, true)
+					time.Sleep(cutFor)
+					for i := vms[0]; i < vms[1]; i++ {
+						b.bootSpread(i)
+					}
+					time.Sleep(budgetFillTime)
+					sum := 0.0
+					b.eachNode(func(_ string, n *Node) { sum += n.retrySlack() })
+					t.Logf("the parts of %.0f add up to %.1f", slack, sum)
+					testkit.That(t, sum <= slack, "the parts of %.0f add up to %.0f", slack, sum)
+					testkit.That(t, sum >= slack/3, "the parts of %.0f add up to only %.0f", slack, sum)
+				})
+			})
+		}
+	}
+}
+
 // sendAtIntervals sends requests to one VM, with an interval between two.
 func (d *day) sendAtIntervals(stop <-chan struct{}, vm string, interval time.Duration) {
 	for i := 0; ; i++ {
--- a/internal/hosted/retryslack.go
+++ b/internal/hosted/retryslack.go
@@ -14,6 +14,9 @@
 	// dividedRetrySlack is the part of the fleet's retry slack that is divided among its VMs.
 	// The rest covers retries that were delayed on their way, and VMs that were counted late.
 	dividedRetrySlack = 0.75
+	// staleSlackShare is the part of its slack that a VM uses while its count of the fleet is stale. What all VMs leave
+	// that are cut off is room for those that join meanwhile.
+	staleSlackShare = 0.55
 	// maxVMRetrySlack bounds the part of one VM, which may have started before others were recorded.
 	maxVMRetrySlack = 10
 )
@@ -29,5 +32,9 @@
 	if !known {
 		return 0
 	}
-	return math.Min(maxVMRetrySlack, dividedRetrySlack*n.config.RetrySlack/float64(fleet.Domains*fleet.DomainVMs))
+	slack := math.Min(maxVMRetrySlack, dividedRetrySlack*n.config.RetrySlack/float64(fleet.Domains*fleet.DomainVMs))
+	if n.fleetSize.isStale() {
+		slack *= staleSlackShare
+	}
+	return slack
 }
