serving: a server that has never answered a process can't be given up by it

What callers saw: 103 arrivals beyond the first of 96 allowed in 10 s, when backend servers that had stood still for 45 s went on while all VMs had been killed after 15 and 30 s.

Cause: each process that lived for longer than a window gave up attempts at the stopped servers once more, beside those that the processes before it had left there.

Fix: only a server that has answered this process may be given up without a sign of arrival; one that never has may have stopped before the process started. So each stop collects what the processes left that saw it begin. Retries avoid such servers while there are others, whatever the age of the process.

--- a/internal/serving/arrivals.go
+++ b/internal/serving/arrivals.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"time"
@@ -108,15 +107,21 @@
 	s.unsettled.SettleBefore(now, backend, now)
 }
 
-// excludeDoubtful excludes from a query for a retry the backend servers with unsettled attempts, while there are
-// others: what they are sent may arrive much later. A process that has just started knows of none, and excludes those that
-// haven't answered it yet. Call with mu held.
-func (s *Server) excludeDoubtful(now time.Time, query *routing.Query, candidates []routing.Candidate) {
-	isYoung := now.Sub(s.startedAt) < cmp.Or(s.config.RetryWindow, admission.DefaultRetryWindow)
+// canDoubt reports whether an attempt at a backend server may be given up without a sign of its arrival and its request
+// be sent elsewhere. A server that has never answered this process may have stopped before it started, and then holds
+// what earlier processes of this VM have given up. Call with mu held.
+func (s *Server) canDoubt(now time.Time, budget *admission.RetryBudget, backend string) bool {
+	isFirstProcess := s.config.RetrySlack == nil
+	return (isFirstProcess || s.answered[backend]) && budget.CanDoubt(now)
+}
+
+// excludeDoubtful excludes from a query for a retry the backend servers with unsettled attempts and those that have
+// never answered this process, while there are others: what they are sent may arrive much later. Call with mu held.
+func (s *Server) excludeDoubtful(query *routing.Query, candidates []routing.Candidate) {
 	excluded := make(map[string]bool, len(candidates))
 	maps.Copy(excluded, query.Exclude)
 	for _, c := range candidates {
-		if s.unsettled.Has(c.Engine) || isYoung && !s.answered[c.Engine] {
+		if s.unsettled.Has(c.Engine) || !s.answered[c.Engine] {
 			excluded[c.Engine] = true
 		}
 	}
--- a/internal/serving/replacement.go
+++ b/internal/serving/replacement.go
@@ -25,13 +25,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	budget := s.serviceBudget(service)
-	if s.stopped || !budget.CanReserve(now) || doubtful && !budget.CanDoubt(now) {
+	if s.stopped || !budget.CanReserve(now) || doubtful && !s.canDoubt(now, budget, p.backend) {
 		return nil
 	}
 	candidates := s.findCandidates(unit)
 	query := p.replacementQuery(candidates)
 	query.Unit = unit
-	s.excludeDoubtful(now, &query, candidates)
+	s.excludeDoubtful(&query, candidates)
 	for {
 		choice, ok := s.config.Router.Pick(now, query, candidates)
 		if !ok {
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -90,7 +90,7 @@
 	reserved := false
 	f.withRetryBudget(func(b *admission.RetryBudget) {
 		now := time.Now()
-		reserved = (f.givenUp == "" || b.CanDoubt(now)) && b.Reserve(now)
+		reserved = (f.givenUp == "" || f.server.canDoubt(now, b, f.givenUp)) && b.Reserve(now)
 		if reserved {
 			f.recordUnsettled(now)
 		}
