--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -76,8 +76,8 @@
 }
 
 // NewClientWithIdleTimeout returns a client like NewClientWithDial that closes
-// connections which have been unused for idle. A request that was abandoned does not
-// arrive later than its end: closing a connection discards what is undelivered.
+// connections which have been unused for idle. Nothing of a request
+// that was abandoned leaves this machine after its end; what has reached the server's machine may be read later.
 func NewClientWithIdleTimeout(dial DialFunc, idle time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -59,10 +59,10 @@
 	return conn, nil
 }
 
-// DiscardOnClose makes closing a TCP connection reset it and discard what its peer has not
-// received. Otherwise what a network partition holds up arrives when the partition heals, although
-// its sender has given it up. It leaves other connections alone, and fails if the connection is
-// broken.
+// DiscardOnClose makes closing a TCP connection reset it and discard what has not left this machine. Otherwise
+// what a network partition holds up arrives when the partition heals, although its sender has given it up. A
+// stopped peer reads what its kernel has received when it goes on, also after the reset. DiscardOnClose leaves
+// other connections alone, and fails if the connection is broken.
 func DiscardOnClose(conn net.Conn) error {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		return tcp.SetLinger(0)
