serving: a test waits for the goroutine whose record it reads

The race detector reported TestNewStreamAtServerInDoubtHasNoListedVersion, on too: it read what RecordStream wrote a second of virtual time earlier without waiting for that goroutine. What it checks is unchanged.

--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -126,6 +126,7 @@
 			testkit.OK(t, b.forward(t.Context(), route(contract.RepeatResume), "m", &answerRecorder{}))
 			testkit.Equal(t, "streams that have begun", len(b.expectedStreams), 1)
 			time.Sleep(time.Second) // until the server was asked
+			synctest.Wait()
 			for _, origin := range b.begunStreams {
 				testkit.That(t, streamversion.IsUnlisted(origin.Version) == restarted, "recorded at %+v", origin)
 			}
