--- a/internal/serving/arrivals.go
+++ b/internal/serving/arrivals.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,27 @@
 	arrivalUnsettled
 )
 
+// arrivalTracking is what is known of the arrivals of one request's attempts.
+type arrivalTracking struct {
+	// request counts the settled attempts for the budget of the request's service.
+	request *admission.RequestArrivals
+	// current is the arrival of the current attempt; isSettled is whether it is settled, for the stall guard.
+	current   arrival
+	isSettled atomic.Bool
+	// givenUp is the backend server of the last attempt if that is unsettled and not yet kept in Server.unsettled.
+	givenUp string
+	// isCurrentKept and isAnyKept are whether the current attempt, and any attempt, was kept there.
+	isCurrentKept, isAnyKept bool
+	// isRetried is whether a retry was sent.
+	isRetried bool
+}
+
+// beginAttempt resets what concerns the current attempt.
+func (t *arrivalTracking) beginAttempt() {
+	t.current, t.isCurrentKept = arrivalNone, false
+	t.isSettled.Store(false)
+}
+
 // classifyArrival returns what the result of an attempt shows of its arrival. head is the head of its answer, nil for
 // none.
 func classifyArrival(head *service.ForwardResponse, err error) arrival {
@@ -55,9 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.unsettled.Remove(f.pending.backend, f.arrivals) // the stall guard may just have given it up
+	s.unsettled.Remove(f.pending.backend, f.tracking.request) // the stall guard may just have given it up
 	unsettledGauge.Set(float64(s.unsettled.Count()))
-	f.arrivals.Settle(now)
+	f.tracking.request.Settle(now)
 	if hasAnswered {
 		s.recordAnswer(now, f.pending.backend, f.pending.attemptStart)
 	}
@@ -66,23 +88,23 @@
 // recordUnsettled keeps the attempt that was given up until it is settled, as its request is retried. Call with the
 // server's mu held.
 func (f *forwarding) recordUnsettled(now time.Time) {
-	if f.givenUp != "" {
-		f.hasUnsettled = true
-		f.server.unsettled.Add(now, f.givenUp, f.arrivals)
+	if f.tracking.givenUp != "" {
+		f.tracking.isAnyKept = true
+		f.server.unsettled.Add(now, f.tracking.givenUp, f.tracking.request)
 		unsettledGauge.Set(float64(f.server.unsettled.Count()))
-		f.givenUp = ""
+		f.tracking.givenUp = ""
 	}
 }
 
 // dropUnsettled no longer keeps the attempts of a request that was not retried after all: each request has one
 // arrival.
 func (f *forwarding) dropUnsettled() {
-	if f.isRetried || !f.hasUnsettled {
+	if f.tracking.isRetried || !f.tracking.isAnyKept {
 		return
 	}
 	f.server.mu.Lock()
 	defer f.server.mu.Unlock()
-	f.server.unsettled.Drop(f.arrivals)
+	f.server.unsettled.Drop(f.tracking.request)
 }
 
 // RecordAnswer records that a backend server has answered an exchange that began at a time.
--- a/internal/serving/attempt.go
+++ b/internal/serving/attempt.go
@@ -16,8 +16,7 @@
 	f.attempts++
 	f.lastReceived, f.pieces, f.keptSilent = time.Time{}, 0, false
 	f.framing, f.eventStream, f.boundary = "", false, eventBoundary{}
-	f.arrival, f.isGivenUp = arrivalNone, false
-	f.hasArrived.Store(false)
+	f.tracking.beginAttempt()
 	f.order.beginAttempt()
 	f.pace = streamPace{isWhole: len(f.order.lastID) == 0}
 	target, ok := f.server.forwardDirectory().Target(f.pending.backend)
@@ -39,8 +38,8 @@
 	if head != nil {
 		f.server.recordReceived(time.Now())
 	}
-	if f.arrival = classifyArrival(head, err); f.arrival == arrivalSettled {
-		f.hasArrived.Store(true)
+	if f.tracking.current = classifyArrival(head, err); f.tracking.current == arrivalSettled {
+		f.tracking.isSettled.Store(true)
 		f.settleArrival(head != nil)
 	}
 	if err == nil {
--- a/internal/serving/attemptlog.go
+++ b/internal/serving/attemptlog.go
@@ -57,7 +57,7 @@
 	if f.retry == retrySpent {
 		fields = append(fields, zap.Float64("retries_left", f.retryUsage.Left), zap.Float64("retry_capacity", f.retryUsage.Capacity), zap.Int("retries_held", f.retryUsage.Held))
 	}
-	if f.arrival == arrivalUnsettled {
+	if f.tracking.current == arrivalUnsettled {
 		fields = append(fields, zap.Bool("arrival_unsettled", true))
 	}
 	if f.limit.Limited {
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -125,7 +124,7 @@
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
 	}
-	f.arrivals = &admission.RequestArrivals{Budget: s.recordForward(r)}
+	f.tracking.request = &admission.RequestArrivals{Budget: s.recordForward(r)}
 	if refused := s.queueRefusal(&r, query.Pool); refused != nil {
 		s.logNotSent(r.ID, request.Unit, f.readyAtArrival, refused)
 		return refused
@@ -204,18 +203,8 @@
 	// after it; zero before the first. pieces counts the pieces of data that it received.
 	lastReceived time.Time
 	pieces       int
-	// arrival is what is known of the current attempt's arrival at its backend server.
-	arrival arrival
-	// arrivals counts the settled attempts. givenUp is the backend server of the last attempt if that was given up
-	// without a sign of its arrival and isn't kept among the unsettled ones yet; hasUnsettled is whether any was kept.
-	// isRetried is whether a retry was sent.
-	arrivals                *admission.RequestArrivals
-	givenUp                 string
-	hasUnsettled, isRetried bool
-	// isGivenUp is whether the stall guard has given up the current attempt, which is kept among the unsettled ones.
-	isGivenUp bool
-	// hasArrived is whether the current attempt is settled. The stall guard reads it.
-	hasArrived atomic.Bool
+	// tracking follows the arrivals of the attempts at their backend servers.
+	tracking arrivalTracking
 	// framing is how the current attempt's answer marks its end, empty before its head.
 	framing string
 	// eventStream is whether the current attempt's answer is an event stream, boundary where
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -90,7 +90,7 @@
 	reserved := false
 	f.withRetryBudget(func(b *admission.RetryBudget) {
 		now := time.Now()
-		reserved = (f.givenUp == "" || f.server.canDoubt(now, b, f.givenUp)) && b.Reserve(now)
+		reserved = (f.tracking.givenUp == "" || f.server.canDoubt(now, b, f.tracking.givenUp)) && b.Reserve(now)
 		if reserved {
 			f.recordUnsettled(now)
 		}
@@ -115,7 +115,7 @@
 	})
 	if covered {
 		f.retry = retrySpent
-		f.isRetried = true
+		f.tracking.isRetried = true
 	}
 	return covered
 }
@@ -128,12 +128,12 @@
 		f.retry = retryNotNeeded
 	}
 	switch {
-	case f.arrival == arrivalNone && spent:
+	case f.tracking.current == arrivalNone && spent:
 		f.withRetryBudget((*admission.RetryBudget).Unspend)
 		f.retry = retryReserved
-	case f.arrival == arrivalUnsettled && !f.isGivenUp:
-		f.givenUp = f.pending.backend
-		if f.isRetried || f.replacement != nil {
+	case f.tracking.current == arrivalUnsettled && !f.tracking.isCurrentKept:
+		f.tracking.givenUp = f.pending.backend
+		if f.tracking.isRetried || f.replacement != nil {
 			f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
 		}
 	}
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -66,15 +66,15 @@
 		return false
 	}
 	f.excludeNotContinuing()
-	doubtful := !f.hasArrived.Load() && f.sendings.HasConn()
+	doubtful := !f.tracking.isSettled.Load() && f.sendings.HasConn()
 	f.replacement = f.pending.reserveReplacement(f.request.Service, f.unitToContinue(), doubtful)
 	if f.replacement == nil {
 		return false
 	}
 	if doubtful {
-		f.givenUp = f.pending.backend
+		f.tracking.givenUp = f.pending.backend
 		f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
-		f.isGivenUp = true
+		f.tracking.isCurrentKept = true
 	}
 	return true
 }
