--- a/internal/serving/unverifiedstarts_test.go
+++ b/internal/serving/unverifiedstarts_test.go
@@ -168,6 +168,7 @@
 				want := goesOn || silent
 				testkit.That(t, (err == nil) == want && (len(b.sent) == 2) == want, "%s, silent %t: %v, %d attempts", delay, silent, err, len(b.sent))
 				time.Sleep(time.Second)
+				synctest.Wait()
 				for _, origin := range b.begunStreams {
 					testkit.Equal(t, "recorded at", origin.Version, "v1")
 				}
