--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -60,8 +60,8 @@
 	Window time.Duration
 
 	bucket quota.Bucket
-	// reserved is how many of the tokens are reserved, held how many are held by retries that were sent, doubtful
-	// how many of these wait for attempts that were given up.
+	// reserved is how many of the tokens are reserved, held how many are held by retries that were sent. doubtful is how
+	// many attempts were given up without a sign of their arrival.
 	reserved, held, doubtful int
 	// doubtsFrom is the time from which arrivals may become doubtful.
 	doubtsFrom time.Time
