admission, serving: less state for unsettled attempts, their gauge off the path of each answer

Read again as a whole; no decision changes. The count of unsettled attempts is derived from their lists instead of being kept in four places. The gauge was set twice with each answer, and not at all where attempts are dropped or a process ends; it is set once with each request. An attempt is kept by name (keepUnsettled) instead of by a field that was written just before.

--- a/admission/retryarrivals.go
+++ b/admission/retryarrivals.go
@@ -35,7 +35,6 @@
 // has reset. It reads no clock and is not safe for concurrent use. The zero value is empty.
 type UnsettledAttempts struct {
 	byBackend map[string][]unsettledAttempt
-	count     int
 	expiredAt time.Time
 }
 
@@ -50,12 +49,16 @@
 		u.byBackend = make(map[string][]unsettledAttempt)
 	}
 	u.byBackend[backend] = append(u.byBackend[backend], unsettledAttempt{request, givenUpAt})
-	u.count++
 	request.Budget.doubtful++
 }
 
 // Count returns how many attempts are not settled.
-func (u *UnsettledAttempts) Count() int { return u.count }
+func (u *UnsettledAttempts) Count() (count int) {
+	for _, attempts := range u.byBackend {
+		count += len(attempts)
+	}
+	return count
+}
 
 // Has reports whether attempts at a backend server are not settled.
 func (u *UnsettledAttempts) Has(backend string) bool { return len(u.byBackend[backend]) > 0 }
@@ -67,7 +70,8 @@
 		if !a.givenUpAt.Before(before) {
 			return false
 		}
-		u.settle(now, a)
+		a.request.Budget.doubtful--
+		a.request.Settle(now)
 		return true
 	})
 	u.keep(backend, kept)
@@ -80,7 +84,6 @@
 	if i < 0 {
 		return
 	}
-	u.count--
 	request.Budget.doubtful--
 	u.keep(backend, slices.Delete(attempts, i, i+1))
 }
@@ -89,13 +92,12 @@
 func (u *UnsettledAttempts) Drop(request *RequestArrivals) {
 	for backend, attempts := range u.byBackend {
 		kept := slices.DeleteFunc(attempts, func(a unsettledAttempt) bool { return a.request == request })
-		u.count -= len(attempts) - len(kept)
 		request.Budget.doubtful -= len(attempts) - len(kept)
 		u.keep(backend, kept)
 	}
 }
 
-// Expire drops the attempts that are older than unsettledTTL.
+// Expire settles the attempts that are older than unsettledTTL.
 func (u *UnsettledAttempts) Expire(now time.Time) {
 	if now.Sub(u.expiredAt) < expireInterval {
 		return
@@ -106,12 +108,6 @@
 	}
 }
 
-func (u *UnsettledAttempts) settle(now time.Time, a unsettledAttempt) {
-	u.count--
-	a.request.Budget.doubtful--
-	a.request.Settle(now)
-}
-
 func (u *UnsettledAttempts) keep(backend string, attempts []unsettledAttempt) {
 	if len(attempts) == 0 {
 		delete(u.byBackend, backend)
--- a/admission/retrybudget.go
+++ b/admission/retrybudget.go
@@ -22,8 +22,8 @@
 	// over each Window.
 	slackCapacityShare = 2.0 / 3
 	// maxDoubtfulShare is the part of the capacity that attempts may hold which were given up without a sign of
-	// their arrival. It keeps the rest usable while backend servers stand still, and is what a killed process
-	// may leave behind: together with all that its successor may send, it stays within the fleet's bound.
+	// their arrival. It keeps the rest usable while backend servers stand still, and together with all that the
+	// successor of a killed process may send it stays within the fleet's bound.
 	maxDoubtfulShare = 1.0 / 3
 )
 
--- a/internal/serving/arrivals.go
+++ b/internal/serving/arrivals.go
@@ -40,7 +40,7 @@
 	// current is the arrival of the current attempt; isSettled is whether it is settled, for the stall guard.
 	current   arrival
 	isSettled atomic.Bool
-	// givenUp is the backend server of the last attempt if that is unsettled and not yet kept in Server.unsettled.
+	// givenUp is the backend server of the last attempt if that is unsettled and not kept in Server.unsettled, empty if not.
 	givenUp string
 	// isCurrentKept and isAnyKept are whether the current attempt, and any attempt, was kept there.
 	isCurrentKept, isAnyKept bool
@@ -78,22 +78,17 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.unsettled.Remove(f.pending.backend, f.tracking.request) // the stall guard may just have given it up
-	unsettledGauge.Set(float64(s.unsettled.Count()))
 	f.tracking.request.Settle(now)
 	if hasAnswered {
 		s.recordAnswer(now, f.pending.backend, f.pending.attemptStart)
 	}
 }
 
-// recordUnsettled keeps the attempt that was given up until it is settled, as its request is retried. Call with the
-// server's mu held.
-func (f *forwarding) recordUnsettled(now time.Time) {
-	if f.tracking.givenUp != "" {
-		f.tracking.isAnyKept = true
-		f.server.unsettled.Add(now, f.tracking.givenUp, f.tracking.request)
-		unsettledGauge.Set(float64(f.server.unsettled.Count()))
-		f.tracking.givenUp = ""
-	}
+// keepUnsettled keeps an attempt at a backend server, which was given up, until it is settled, as its request is retried.
+// Call with the server's mu held.
+func (f *forwarding) keepUnsettled(now time.Time, backend string) {
+	f.tracking.isAnyKept = true
+	f.server.unsettled.Add(now, backend, f.tracking.request)
 }
 
 // dropUnsettled no longer keeps the attempts of a request that was not retried after all: each request has one
@@ -118,7 +113,6 @@
 func (s *Server) recordAnswer(now time.Time, backend string, begunAt time.Time) {
 	s.answered[backend] = true
 	s.unsettled.SettleBefore(now, backend, begunAt)
-	unsettledGauge.Set(float64(s.unsettled.Count()))
 }
 
 // RecordProcessEnd records that a backend server's process has ended: it reads nothing any more.
@@ -137,8 +131,8 @@
 	return (isFirstProcess || s.answered[backend]) && budget.CanDoubt(now)
 }
 
-// excludeDoubtful excludes from a query for a replacement the backend servers with unsettled attempts, while there are others: what
-// they are sent may arrive much later. Call with mu held.
+// excludeDoubtful excludes from a query for a replacement the backend servers with unsettled attempts, while there are
+// others: what they are sent may arrive much later. Call with mu held.
 func (s *Server) excludeDoubtful(query *routing.Query, candidates []routing.Candidate) {
 	excluded := make(map[string]bool, len(candidates))
 	maps.Copy(excluded, query.Exclude)
--- a/internal/serving/retries.go
+++ b/internal/serving/retries.go
@@ -69,6 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unsettled.Expire(r.Arrived)
+	unsettledGauge.Set(float64(s.unsettled.Count()))
 	budget := s.serviceBudget(r.Service)
 	budget.RecordRequest(r.Arrived)
 	return budget
@@ -89,10 +90,11 @@
 	}
 	reserved := false
 	f.withRetryBudget(func(b *admission.RetryBudget) {
-		now := time.Now()
-		reserved = (f.tracking.givenUp == "" || f.server.canDoubt(now, b, f.tracking.givenUp)) && b.Reserve(now)
-		if reserved {
-			f.recordUnsettled(now)
+		now, givenUp := time.Now(), f.tracking.givenUp
+		reserved = (givenUp == "" || f.server.canDoubt(now, b, givenUp)) && b.Reserve(now)
+		if reserved && givenUp != "" {
+			f.keepUnsettled(now, givenUp)
+			f.tracking.givenUp = ""
 		}
 	})
 	countRetry(reserved)
@@ -131,11 +133,13 @@
 	case f.tracking.current == arrivalNone && spent:
 		f.withRetryBudget((*admission.RetryBudget).Unspend)
 		f.retry = retryReserved
-	case f.tracking.current == arrivalUnsettled && !f.tracking.isCurrentKept:
+	case f.tracking.current != arrivalUnsettled || f.tracking.isCurrentKept:
+	case f.tracking.isRetried || f.replacement != nil:
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
+		f.keepUnsettled(time.Now(), f.pending.backend)
+	default:
 		f.tracking.givenUp = f.pending.backend
-		if f.tracking.isRetried || f.replacement != nil {
-			f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
-		}
 	}
 }
 
--- a/internal/serving/silence.go
+++ b/internal/serving/silence.go
@@ -7,8 +7,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
-
-	"bergamotreel/admission"
 )
 
 // silentAttemptsTotal counts the attempts whose backend server was silent for too long, by
@@ -72,8 +70,9 @@
 		return false
 	}
 	if doubtful {
-		f.tracking.givenUp = f.pending.backend
-		f.withRetryBudget(func(*admission.RetryBudget) { f.recordUnsettled(time.Now()) })
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
+		f.keepUnsettled(time.Now(), f.pending.backend)
 		f.tracking.isCurrentKept = true
 	}
 	return true
