caller, admission: bodies take memory as they arrive, and give it back when others wait for them

What callers saw: bodies that were being read counted toward no limit.

Cause: RelayHandler.readBody made a buffer of the declared length, or let io.ReadAll double one, and reserved its bytes only afterwards. The other handler reserved before it read, for as long as the peer liked: a client that stopped within its body kept its share until the read timeout.

Why it works: one reader serves both handlers and takes memory before it is used, from a budget that never grants more than held_bytes (admission/intake, pure). A body gets memory as its bytes arrive, so a declared length alone takes 4 KiB; from 64 KiB on it gets all that is missing or waits without holding more, so bodies can't block each other with parts. One that finds no memory within 0.7 s, or a quarter of its caller's time, is refused with 429 and was not run. While others wait, bodies that arrive slower than 16 KiB in 0.5 s are evicted, the longest without progress first, and small ones evict larger ones; so an ordinary body finds room. In calm no pace is too slow. A caller that is told to go on (Expect) has its memory already. On a hosting platform the budget is at most a quarter of the VM's memory, as the bodies of ended requests wait for the collector. A body that does not arrive within read_timeout gets a 408 that allows a retry; its connection was closed without an answer before.

A settings file with held_bytes under three times body_bytes is refused at start: a single body could find no room.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -42,8 +42,10 @@
 	identity Identity
 	// notReady is the result of Backend.Ready when identify called it.
 	notReady error
-	// reservedBytes is the number of bytes reserved in Handler.held for the body.
-	reservedBytes int64
+	// body is the memory of the body, nil before it is read. bodyUnread is whether the request was refused before its body
+	// was read to its end.
+	body       *heldBody
+	bodyUnread bool
 	// stream is set if the answer is sent as server-sent events.
 	stream *streamSink
 }
@@ -62,7 +64,7 @@
 		w.Header().Set(headerRequestID, x.id)
 		err := h.runRecovered(x, do)
 		code := h.finish(x, err)
-		h.held.release(x.identity.Customer, x.reservedBytes)
+		x.body.release()
 		h.record(x, code, err, span)
 		if err != nil && x.stream != nil && x.stream.headerSent {
 			// A client may ignore unknown event types, including the error event.
@@ -91,13 +93,16 @@
 	if err == nil {
 		return codeOK
 	}
-	if x.r.Context().Err() != nil || errors.Is(err, errCallerLeft) || (x.stream != nil && x.stream.writeFailed) {
+	if (x.r.Context().Err() != nil && !x.bodyUnread) || errors.Is(err, errCallerLeft) || (x.stream != nil && x.stream.writeFailed) {
 		return codeCallerLeft
 	}
 	r := refusal.FromError(err)
 	if x.stream != nil && x.stream.headerSent {
 		x.stream.writeError(r)
 	} else {
+		if x.bodyUnread {
+			endUnreadBody(x.w, x.r)
+		}
 		h.setWholeAnswerDeadline(x, 0)
 		writeRefusal(x.w, r)
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -15,7 +15,7 @@
 	log     *zap.Logger
 	tracer  trace.Tracer
 	metrics *instruments
-	held    *heldBytes
+	bodies  bodyReader
 	mux     *http.ServeMux
 }
 
@@ -42,7 +42,7 @@
 		metrics: newInstruments(),
 		mux:     http.NewServeMux(),
 	}
-	h.held = newHeldBytes(h.limits.HeldBytes)
+	h.bodies = bodyReader{held: newHeldBytes(h.limits.HeldBytes), limits: h.limits}
 	for _, option := range options {
 		option(h)
 	}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -165,7 +165,7 @@
 	dialect Dialect
 	limits  Limits
 	log     *zap.Logger
-	held    *heldBytes
+	bodies  bodyReader
 	// ended is done once EndRequests has been called.
 	ended       context.Context
 	endRequests context.CancelFunc
@@ -174,7 +174,8 @@
 // NewRelayHandler returns a RelayHandler.
 func NewRelayHandler(backend RelayBackend, dialect Dialect, limits Limits, log *zap.Logger) *RelayHandler {
 	limits = limits.withDefaults()
-	h := &RelayHandler{backend: backend, dialect: dialect, limits: limits, log: log, held: newHeldBytes(limits.HeldBytes)}
+	h := &RelayHandler{backend: backend, dialect: dialect, limits: limits, log: log}
+	h.bodies = bodyReader{held: newHeldBytes(limits.HeldBytes), limits: limits}
 	h.ended, h.endRequests = context.WithCancel(context.Background())
 	return h
 }
@@ -198,22 +199,22 @@
 	if x.answer.begun || x.hasCallerLeft(r) {
 		panic(http.ErrAbortHandler)
 	}
-	h.refuse(w, refusal.FromError(err))
+	h.refuse(w, r, x, refusal.FromError(err))
 }
 
 // relayExchange is one request in flight and its answer.
 type relayExchange struct {
-	answer   answerWriter
-	request  RelayRequest
-	arrived  time.Time
-	bodySize int64
-	// bodyEnded is whether EndRequests ended the reading of the body, which ends the request's context too.
-	bodyEnded bool
+	answer  answerWriter
+	request RelayRequest
+	arrived time.Time
+	// bodyUnread is whether the request was refused before its body was read to its end. If that ended the reading, it has
+	// ended the request's context too.
+	bodyUnread bool
 }
 
 // hasCallerLeft reports whether the caller was found to have closed its connection.
 func (x *relayExchange) hasCallerLeft(r *http.Request) bool {
-	return x.answer.callerLeft || (r.Context().Err() != nil && !x.bodyEnded)
+	return x.answer.callerLeft || (r.Context().Err() != nil && !x.bodyUnread)
 }
 
 func (h *RelayHandler) relay(x *relayExchange, r *http.Request) error {
@@ -228,11 +229,11 @@
 	if err != nil {
 		return err
 	}
-	body, err := h.readBody(x, r, grant.Customer)
+	memory, body, err := h.readBody(x, r, &grant)
+	defer memory.release()
 	if err != nil {
 		return err
 	}
-	defer h.held.release(grant.Customer, x.bodySize)
 	h.completeRequest(x, r, grant, body)
 	return h.forward(x, r)
 }
@@ -269,34 +270,34 @@
 	}
 }
 
-// readBody reads the whole body. It enforces the limit on one body and the limit on all
-// bodies in memory.
-func (h *RelayHandler) readBody(x *relayExchange, r *http.Request, customer string) ([]byte, error) {
-	if r.ContentLength > h.limits.BodyBytes {
-		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
+// readBody reads the whole body. The caller must release its memory, also after an error.
+func (h *RelayHandler) readBody(x *relayExchange, r *http.Request, grant *Grant) (*heldBody, []byte, error) {
+	wait := maxMemoryWait
+	if timeout := x.request.CallerTimeout; timeout > 0 {
+		wait = min(wait, timeout/memoryWaitDivisor)
 	}
-	controller := http.NewResponseController(x.answer.w)
-	stop := context.AfterFunc(h.ended, func() { _ = controller.SetReadDeadline(pastDeadline) })
-	body, err := readAll(limitBody(x.answer.w, r, h.limits.BodyBytes), r.ContentLength)
-	if x.bodyEnded = !stop(); x.bodyEnded {
-		return nil, refusal.New(refusal.CodeShuttingDown, shortRetryAfter, "this entry VM stops before the request can be sent on")
-	}
-	var limitErr *http.MaxBytesError
-	if errors.As(err, &limitErr) {
-		return nil, refusal.New(refusal.CodeTooLarge, 0, "body: over %d bytes", h.limits.BodyBytes)
-	}
-	if err != nil {
-		return nil, refusal.New(refusal.CodeBadRequest, 0, "body: could not be read whole")
+	memory, body, err := h.bodies.read(h.ended, x.answer.w, r, bodyOwner(grant, r), wait)
+	switch {
+	case err == nil:
+		return memory, body, nil
+	case errors.Is(err, errCallerLeft):
+		x.answer.callerLeft = true
+	case h.ended.Err() != nil && errors.Is(err, h.ended.Err()):
+		err = refusal.New(refusal.CodeShuttingDown, shortRetryAfter, "this entry VM stops before the request can be sent on")
+		x.bodyUnread = true
+	default:
+		x.bodyUnread = true
 	}
-	if err := h.held.reserve(customer, int64(len(body))); err != nil {
-		return nil, err
+	return memory, nil, err
+}
+
+// bodyOwner returns the owner of a request's body in memory: the workspace, or without one the caller's address.
+func bodyOwner(grant *Grant, r *http.Request) string {
+	if grant.Workspace != nil {
+		return grant.Customer + "/" + grant.Workspace.Name
 	}
-	x.bodySize = int64(len(body))
-	// The read deadline applies only until the body is read. If it stayed set, it would
-	// expire while net/http reads the connection to detect that the caller disconnects,
-	// and would look like a disconnect.
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return grant.Customer + "@" + host
 }
 
 // record logs the outcome of the request and updates the metrics.
@@ -358,14 +359,17 @@
 }
 
 // refuse sends a refusal as JSON, with the Retry-After header if it has a retry time.
-func (h *RelayHandler) refuse(w http.ResponseWriter, r *refusal.Refusal) {
-	if r.Code == refusal.CodeBadRequest || r.Code == refusal.CodeTooLarge {
+func (h *RelayHandler) refuse(w http.ResponseWriter, r *http.Request, x *relayExchange, refused *refusal.Refusal) {
+	switch {
+	case x.bodyUnread || r.ContentLength > h.limits.BodyBytes:
+		endUnreadBody(w, r)
+	case refused.Code == refusal.CodeBadRequest:
 		// What follows on the connection can't be told apart from the remainder of the
 		// bad request.
 		w.Header().Set("Connection", "close")
 	}
-	if r.RetryAfter > 0 {
-		w.Header().Set("Retry-After", h.dialect.FormatRetryAfter(r.RetryAfter))
+	if refused.RetryAfter > 0 {
+		w.Header().Set("Retry-After", h.dialect.FormatRetryAfter(refused.RetryAfter))
 	}
-	writeBody(w, r.HTTPStatus(), encodeRefusal(r))
+	writeBody(w, refused.HTTPStatus(), encodeRefusal(refused))
 }
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -46,6 +46,9 @@
 	// heapParts / memoryParts is the share of the VM's memory that Go may use. The
 	// remainder is for memory that Go doesn't count, such as kernel buffers.
 	heapParts, memoryParts = 3, 4
+	// heldDivisor makes what bodies of requests may take at most a quarter of the VM's memory. Until they are collected, bodies
+	// of ended requests can take as much again.
+	heldDivisor = 4
 	// readyPath is the path that the platform's balancer probes.
 	readyPath = "/ready"
 )
@@ -114,6 +117,7 @@
 		},
 	})
 	limits := callerLimits(s.Limits, nil)
+	limits.HeldBytes = min(limits.HeldBytes, s.Limits.Memory/heldDivisor)
 	h.relay = caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger)
 	h.callers = caller.NewServer(h.relay, limits, nil)
 	h.readyServer = &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: headerTimeout}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -37,7 +37,7 @@
 // Check validates settings across keys and loads the certificates. Its error wraps a
 // *Problem for each problem found.
 func (s *Settings) Check() error {
-	problems := strictini.FileProblems(slices.Concat(s.checkAddresses(), s.checkPolicy(),
+	problems := strictini.FileProblems(slices.Concat(s.checkAddresses(), s.checkLimits(), s.checkPolicy(),
 		s.checkCertificate("callers", s.TLS.CallersCert, s.TLS.CallersKey),
 		s.checkCertificate("operators", s.TLS.OperatorsCert, s.TLS.OperatorsKey)))
 	return Error.Wrap(problems.Err())
@@ -69,6 +69,18 @@
 	return problems
 }
 
+// minHeldBodies is how many bodies of the largest size held_bytes must hold, so that even one owner's share of what large
+// bodies may take is enough for one.
+const minHeldBodies = 3
+
+func (s *Settings) checkLimits() (problems []*Problem) {
+	l := s.Limits
+	if l.HeldBytes < minHeldBodies*l.BodyBytes {
+		problems = append(problems, s.NewProblem("limits", "held_bytes", "%d bytes are less than %d times body_bytes (%d)", l.HeldBytes, minHeldBodies, l.BodyBytes))
+	}
+	return problems
+}
+
 func (s *Settings) checkPolicy() (problems []*Problem) {
 	p := s.Policy
 	if p.KeepAliveMin > p.KeepAliveMax {
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -181,7 +181,7 @@
 	},
 	{
 		section: "limits", key: "held_bytes", defaultValue: "128MiB",
-		help: "bodies of all requests under way; 10,000 streams with 12 KiB of prompt each",
+		help: "bodies of all requests under way, those that are arriving included; at least three times body_bytes, and on a hosting platform at most a quarter of memory. 10,000 streams with 12 KiB of prompt each",
 		set:  bytesSetter(1<<20, 1<<40, func(s *Settings, bytes int64) { s.Limits.HeldBytes = bytes }),
 	},
 	{
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -30,6 +30,7 @@
 	CodeBadRequest     Code = "bad_request"     // 400
 	CodeUnknownKey     Code = "unknown_key"     // 401
 	CodeNotFound       Code = "not_found"       // 404
+	CodeBodyTimeout    Code = "body_timeout"    // 408: the body did not arrive in time
 	CodeKeyConflict    Code = "key_conflict"    // 409: same idempotency key, other body
 	CodeTooLarge       Code = "too_large"       // 413
 	CodeRateLimited    Code = "rate_limited"    // 429: over the contract's rate
@@ -48,7 +49,7 @@
 var statusByCode = map[Code]int{
 	CodeBadRequest: http.StatusBadRequest, CodeUnknownKey: http.StatusUnauthorized,
 	CodeNotFound: http.StatusNotFound, CodeKeyConflict: http.StatusConflict,
-	CodeTooLarge: http.StatusRequestEntityTooLarge, CodeRateLimited: http.StatusTooManyRequests,
+	CodeBodyTimeout: http.StatusRequestTimeout, CodeTooLarge: http.StatusRequestEntityTooLarge, CodeRateLimited: http.StatusTooManyRequests,
 	CodeQueueFull: http.StatusTooManyRequests, CodeWaitTooLong: http.StatusServiceUnavailable,
 	CodeNoCapacity: http.StatusServiceUnavailable, CodeQuarantined: http.StatusServiceUnavailable, CodeLogUnavailable: http.StatusServiceUnavailable,
 	CodeShuttingDown: http.StatusServiceUnavailable, CodeNotReady: http.StatusServiceUnavailable,
