caller: a refusal within a body reaches callers that write before they read

What callers saw: a connection reset instead of the refusal, when they read only after the whole body is written.

Cause: the connection was closed 0.5 s after the answer with unread bytes, which resets it.

Why it works: the sending side ends after the refusal, and what the caller still sends is read and dropped for up to 2 s before the connection is closed (RFC 9112, 9.6). Nothing of it is kept. The connection counts toward the limit of connections until then.

--- a/caller/body.go
+++ b/caller/body.go
@@ -179,10 +179,11 @@
 }
 
 // endUnreadBody prepares the refusal of a request whose body was not read to its end. What follows on the connection can't
-// be told apart from the remainder, so the connection ends.
+// be told apart from the remainder, so the connection ends, but not before the caller can have read the refusal.
 func endUnreadBody(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor != 1 {
 		return // the request's stream ends, not the connection
 	}
 	w.Header().Set("Connection", "close")
+	connectionOf(r.Context()).lingerOnClose()
 }
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -130,6 +131,8 @@
 	// next request has begun to arrive.
 	received bool
 	stopping bool
+	// lingers is whether the first Close reads and drops what the caller still sends.
+	lingers bool
 	// readDeadline is the one that net/http has set. It isn't in force while the
 	// connection is stopping and waits for a request.
 	readDeadline time.Time
@@ -173,10 +176,56 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
+	if c.beginLinger() {
+		go c.linger() // the caller of Close may hold locks
+		return nil
+	}
 	defer c.release()
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side. net/http calls it before it closes a connection with unread bytes.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// lingerTimeout bounds how long a closed connection is still read.
+const lingerTimeout = 2 * time.Second
+
+// lingerOnClose makes the first Close read and drop what the caller still sends, for up to lingerTimeout. Closing a
+// connection with unread bytes resets it, and a reset can destroy the answer that was sent before. A nil connection is left
+// alone.
+func (c *limitedConn) lingerOnClose() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = true
+}
+
+// beginLinger reports whether the connection lingers; a second call returns false.
+func (c *limitedConn) beginLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lingers := c.lingers
+	c.lingers = false
+	return lingers
+}
+
+// linger drops what the caller still sends, and closes the connection.
+func (c *limitedConn) linger() {
+	defer c.release()
+	_ = c.CloseWrite()
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.Conn.Close()
+}
+
 // setResetOnClose sets whether closing the connection resets it, also if the process ends. An
 // answer that ends with its connection would look complete if the connection were closed in good
 // order within it. A nil connection is left alone.
--- a/caller/unreadbody_test.go
+++ b/caller/unreadbody_test.go
@@ -20,6 +20,30 @@
 	return answer.Write([]byte("ok"))
 }
 
+// Guards against a refusal that is lost because the connection is reset while its caller still writes: callers may read
+// only after they have written everything.
+func TestRefusalReachesCallerThatWritesFirst(t *testing.T) {
+	const limit, sent = 2 << 20, 4 << 20
+	address := startRelayServer(t, &relayBackend{relay: answerOK}, Limits{BodyBytes: limit, HeldBytes: 16 << 20})
+	for name, framing := range map[string]string{
+		"declared": fmt.Sprintf("Content-Length: %d\r\n\r\n", sent),
+		"chunked":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", sent),
+	} {
+		conn := testkit.Value(net.Dial("tcp", address))(t)
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\n"+commonHeaders+framing)
+		testkit.OK(t, err)
+		piece := make([]byte, 64<<10)
+		for n := 0; n < sent && err == nil; n += len(piece) {
+			time.Sleep(12 * time.Millisecond)
+			_, err = conn.Write(piece)
+		}
+		testkit.That(t, err == nil, "%s: the connection was reset: %v", name, err)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		testkit.That(t, err == nil && answer.StatusCode == http.StatusRequestEntityTooLarge && answer.Close, "%s: %v, %v", name, answer, err)
+		conn.Close()
+	}
+}
+
 // Guards against a caller that stops within its body and keeps others from the memory until its read timeout.
 func TestStalledBodyYields(t *testing.T) {
 	const length = 256 << 10 // the memory that one address may have is enough for one such body
