caller: at the limit a new connection takes the place of one that waits for its caller

What callers saw: with as many open connections as the limit allows, each unused, idle or with a request that never ends, a new caller got 503 or a closed connection for as long as these stayed (10 s, idle ones 60 s, and they come back).

Cause: connections counted alike whether they had a request or not, and only timeouts ended those without.

Why it works: each connection knows what it waits for. At the limit the one that has waited for its caller longest is closed, first of the address with the most connections; one that began to wait within 50 ms, or whose request is being handled, never is. Progress of a body counts as a new begin. Below the limit nothing changes. What the kernel keeps of unread bytes is bounded on the way in as it was on the way out, and on a hosting platform all connections together are bounded to half of the VM's memory at 64 KiB each: 1,403 on the smallest VM, where open files allow 1,794.

--- a/admission/intake/intake.go
+++ b/admission/intake/intake.go
@@ -13,10 +13,10 @@
 	// SmallBytes is the size up to which a body counts as small. A small body evicts larger ones that are still arriving
 	// instead of waiting for them.
 	SmallBytes = 64 << 10
-	// StallTimeout and minProgressBytes are the slowest pace at which a body keeps its memory while others wait for it.
+	// StallTimeout and MinProgressBytes are the slowest pace at which a body keeps its memory while others wait for it.
 	// Without others that wait, a body may arrive at any pace.
 	StallTimeout     = 500 * time.Millisecond
-	minProgressBytes = 16 << 10
+	MinProgressBytes = 16 << 10
 	// Of all memory, and of each owner's share, large bodies may use largeParts / allParts.
 	largeParts, allParts = 3, 4
 	// ownerDivisor makes the share of one owner a half.
@@ -36,7 +36,7 @@
 	// order numbers the bodies by their begin.
 	order uint64
 	// received counts the bytes that have arrived. progressAt is when the body last began to wait for bytes or had received
-	// minProgressBytes more than at the time before, which was at progressBytes.
+	// MinProgressBytes more than at the time before, which was at progressBytes.
 	received, progressBytes int64
 	progressAt              time.Time
 }
@@ -100,7 +100,7 @@
 // Receive records that n more bytes of the body have arrived.
 func (b *Budget) Receive(body *Body, n int64, now time.Time) {
 	body.received += n
-	if body.received-body.progressBytes >= minProgressBytes {
+	if body.received-body.progressBytes >= MinProgressBytes {
 		body.progressBytes, body.progressAt = body.received, now
 	}
 }
--- a/caller/body.go
+++ b/caller/body.go
@@ -46,9 +46,13 @@
 	*bodyReader
 	memory *heldBody
 	r      *http.Request
+	// conn is the caller's connection, nil if it is shared by requests or isn't known.
+	conn *limitedConn
 	// wait bounds each wait for memory.
 	wait   time.Duration
 	buffer []byte
+	// progressBytes is how much had arrived when the connection's phase began anew.
+	progressBytes int64
 }
 
 // read reads the whole body of a request of the owner, whose bodies share a part of the memory. The caller must release
@@ -66,6 +70,11 @@
 	stop := context.AfterFunc(ctx, interrupt)
 	defer stop()
 	reading := &bodyRead{bodyReader: b, memory: b.held.begin(owner, interrupt), r: r, wait: wait}
+	if r.ProtoMajor == 1 {
+		reading.conn = connectionOf(r.Context())
+	}
+	reading.conn.enterPhase(phaseBody)
+	defer reading.conn.enterPhase(phaseAnswer)
 	err := reading.readAll(ctx)
 	if err == nil {
 		err = reading.complete()
@@ -109,7 +118,7 @@
 			return b.tooLarge()
 		}
 		b.buffer = b.buffer[:length+int64(n)]
-		b.memory.receive(n)
+		b.recordProgress(n)
 		if errors.Is(err, io.EOF) && (b.r.ContentLength < 0 || length+int64(n) == b.r.ContentLength) {
 			return nil
 		}
@@ -119,6 +128,15 @@
 	}
 }
 
+// recordProgress records that n more bytes have arrived.
+func (b *bodyRead) recordProgress(n int) {
+	b.memory.receive(n)
+	if length := int64(len(b.buffer)); length-b.progressBytes >= intake.MinProgressBytes {
+		b.progressBytes = length
+		b.conn.enterPhase(phaseBody)
+	}
+}
+
 // readError returns the error for a failed read.
 func (b *bodyRead) readError(err error) error {
 	switch {
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -46,8 +46,10 @@
 
 // connections is the set of a server's open connections.
 type connections struct {
-	mu       sync.Mutex
-	open     map[*limitedConn]struct{}
+	mu   sync.Mutex
+	open map[*limitedConn]struct{}
+	// byHost counts the open connections of each address.
+	byHost   map[string]int
 	stopping bool
 	// sealed is set once no more connections are added, and then empty is closed when
 	// the last one is removed.
@@ -57,7 +59,7 @@
 }
 
 func newConnections() *connections {
-	c := &connections{open: make(map[*limitedConn]struct{}), empty: make(chan struct{})}
+	c := &connections{open: make(map[*limitedConn]struct{}), byHost: make(map[string]int), empty: make(chan struct{})}
 	c.closeEmpty = sync.OnceFunc(func() { close(c.empty) })
 	return c
 }
@@ -66,6 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = struct{}{}
+	c.byHost[conn.host]++
 	if c.stopping {
 		conn.stop()
 	}
@@ -75,6 +78,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, conn)
+	if c.byHost[conn.host]--; c.byHost[conn.host] == 0 {
+		delete(c.byHost, conn.host)
+	}
 	c.closeEmptyIfDone()
 }
 
@@ -123,9 +129,16 @@
 	net.Conn
 	release   func()
 	overLimit bool
+	// host is the caller's address without the port.
+	host string
 
 	mu    sync.Mutex
 	state http.ConnState
+	// phase is what the connection is doing since phaseSince.
+	phase      phase
+	phaseSince time.Time
+	// evicted is whether the connection was closed to make room.
+	evicted bool
 	// received reports whether the last Read returned data. While a handler runs,
 	// net/http reads ahead by one byte, so at StateIdle received reports whether the
 	// next request has begun to arrive.
@@ -161,6 +174,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = n > 0
+	if c.received && c.phase == phaseWaiting {
+		c.setPhase(phaseHead, time.Now())
+	}
 	if c.received && c.stopping {
 		_ = c.applyReadDeadline()
 	}
@@ -211,9 +227,12 @@
 func (c *limitedConn) beginLinger() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lingers := c.lingers
+	if !c.lingers || c.evicted {
+		return false
+	}
 	c.lingers = false
-	return lingers
+	c.setPhase(phaseLingering, time.Now())
+	return true
 }
 
 // linger drops what the caller still sends, and closes the connection.
@@ -253,6 +272,13 @@
 	if c.stopping {
 		_ = c.applyReadDeadline()
 	}
+	if state != http.StateIdle {
+		return
+	}
+	c.setPhase(phaseWaiting, time.Now())
+	if c.received {
+		c.setPhase(phaseHead, time.Now())
+	}
 }
 
 // stop ends the connection once it waits for a request and none arrives within
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // overflowDivisor sets how many connections over the limit are accepted only to be
@@ -13,7 +14,8 @@
 
 // limitListener limits the number of open connections.
 //
-// If a listener stops accepting, the next callers wait in the kernel's accept
+// At the limit, a new connection takes the place of one that waits for its caller. If all have a request that is being
+// handled, new ones are over the limit. If a listener stopped accepting, the next callers would wait in the kernel's accept
 // queue without an answer until they time out. Therefore a few connections over
 // the limit are accepted and marked, and the server answers their requests with a
 // refusal. All further connections are closed at once.
@@ -42,7 +44,7 @@
 		// with another increment.
 		allowed := l.limiter.maxOpen()
 		switch {
-		case l.limiter.open.Load() < allowed:
+		case l.limiter.open.Load() < allowed || l.connections.evictOne(time.Now()):
 			return l.track(conn, &l.limiter.open, false), nil
 		case l.limiter.overflow.Load() < allowed/overflowDivisor+1:
 			return l.track(conn, &l.limiter.overflow, true), nil
@@ -52,16 +54,18 @@
 	}
 }
 
-// sendBufferBytes bounds what the kernel keeps for a caller that reads slowly or not at all. By default it keeps up to
-// several megabytes on each of many connections. At a round trip of 10 ms the bound allows 6 MB/s.
-const sendBufferBytes = 64 << 10
+// socketBufferBytes bounds what the kernel keeps for a caller that reads slowly or not at all, and of a caller whose bytes are
+// not read yet. By default it keeps up to several megabytes on each of many connections. At a round trip of 10 ms the bound
+// allows 6 MB/s.
+const socketBufferBytes = 64 << 10
 
 // track counts conn until it is closed.
 func (l *limitListener) track(conn net.Conn, count *atomic.Int64, overLimit bool) *limitedConn {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(sendBufferBytes) // fails only if the connection is closed
+		_ = tcp.SetWriteBuffer(socketBufferBytes) // fails only if the connection is closed
+		_ = tcp.SetReadBuffer(socketBufferBytes)
 	}
-	limited := &limitedConn{Conn: conn, overLimit: overLimit}
+	limited := &limitedConn{Conn: conn, overLimit: overLimit, host: hostOf(conn), phaseSince: time.Now()}
 	limited.release = sync.OnceFunc(func() {
 		count.Add(-1)
 		l.connections.remove(limited)
--- a/caller/server.go
+++ b/caller/server.go
@@ -50,7 +50,8 @@
 // NewServer returns a server. If tlsConfig is not nil, it serves TLS with HTTP/1.1
 // and HTTP/2.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
-	s := &Server{tls: tlsConfig != nil, handler: handler, limits: limits.withDefaults(), connections: newConnections()}
+	s := &Server{tls: tlsConfig != nil, handler: handler, limits: limits.withDefaults()}
+	s.connections = newConnections()
 	s.limiter = newConnectionLimiter(s.limits)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
@@ -179,6 +180,7 @@
 func (s *Server) OpenConnections() ConnectionCounts { return s.connections.count() }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	connectionOf(r.Context()).enterPhase(phaseAnswer)
 	overLimit := isOverLimit(r.Context()) || s.limiter.isExceeded()
 	draining := s.draining.Load()
 	if overLimit || draining {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -38,6 +38,17 @@
 	testkit.Equal(t, "held bytes", limits.Interface().(caller.Limits).HeldBytes, 128<<20)
 }
 
+// Guards against limits that together allow more than a small VM's memory.
+func TestHostedLimitsFitMemory(t *testing.T) {
+	l := sampleSettings(t).Limits
+	l.Memory = 184_000_000
+	small := hostedLimits(l)
+	testkit.That(t, small.HeldBytes <= l.Memory/4 && int64(small.Connections)*connectionBytes <= l.Memory/2, "%+v", small)
+	l.Memory = 1 << 40
+	large := hostedLimits(l)
+	testkit.That(t, large.HeldBytes == l.HeldBytes && large.Connections == l.Connections, "%+v", large)
+}
+
 func TestRetryBudgetReachesTheNode(t *testing.T) {
 	s := sampleSettings(t)
 	for budget, want := range map[float64]float64{0: -1, 0.25: 0.25} {
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -49,6 +49,10 @@
 	// heldDivisor makes what bodies of requests may take at most a quarter of the VM's memory. Until they are collected, bodies
 	// of ended requests can take as much again.
 	heldDivisor = 4
+	// connectionBytes is the memory of a connection with a request beside the bodies of request and answer. All connections may
+	// take the VM's memory divided by connectionsDivisor.
+	connectionBytes    = 64 << 10
+	connectionsDivisor = 2
 	// readyPath is the path that the platform's balancer probes.
 	readyPath = "/ready"
 )
@@ -116,8 +120,7 @@
 			BackendQueues: s.Policy.BackendQueues, FleetAdmission: s.Policy.FleetAdmission, SpreadReturns: s.Policy.SpreadReturns,
 		},
 	})
-	limits := callerLimits(s.Limits, nil)
-	limits.HeldBytes = min(limits.HeldBytes, s.Limits.Memory/heldDivisor)
+	limits := hostedLimits(s.Limits)
 	h.relay = caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger)
 	h.callers = caller.NewServer(h.relay, limits, nil)
 	h.readyServer = &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: headerTimeout}
@@ -127,6 +130,14 @@
 	return h, nil
 }
 
+// hostedLimits returns the limits on callers with what the VM's memory allows.
+func hostedLimits(l settings.Limits) caller.Limits {
+	limits := callerLimits(l, nil)
+	limits.HeldBytes = min(limits.HeldBytes, l.Memory/heldDivisor)
+	limits.Connections = int(min(int64(limits.Connections), l.Memory/connectionsDivisor/connectionBytes))
+	return limits
+}
+
 func (h *Hosted) listen() error {
 	s := h.settings
 	return openPorts(s,
