caller: the memory of request heads is bounded

What callers saw: a VM's memory exceeded by heads within the limit of 16 KiB. Each of their shortest fields takes some 130 bytes of memory beyond its text, so that a head takes up to 0.3 MB, as long as it or its request's body is unfinished.

Why it works: lines are counted as they are read, at 128 bytes each beside their text, before net/http parses them. What a head takes beyond 16 KiB counts toward a quarter of held_bytes; beyond that the connection with the largest unfinished head is closed. Ordinary heads stay below 16 KiB and don't count. A single head of any size within header_bytes always fits. The begin of a pipelined request counts when that request begins. Over TLS lines can't be seen, so that heads count by their text mostly: open.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -46,11 +46,17 @@
 
 // connections is the set of a server's open connections.
 type connections struct {
+	// maxHeadBytes bounds the memory of heads; see addHead.
+	maxHeadBytes int64
+
 	mu   sync.Mutex
 	open map[*limitedConn]struct{}
 	// byHost counts the open connections of each address.
-	byHost   map[string]int
-	stopping bool
+	byHost map[string]int
+	// heads holds the connections' shares of the memory of heads, headBytes their sum.
+	heads     map[*limitedConn]int64
+	headBytes int64
+	stopping  bool
 	// sealed is set once no more connections are added, and then empty is closed when
 	// the last one is removed.
 	sealed     bool
@@ -58,8 +64,11 @@
 	closeEmpty func()
 }
 
-func newConnections() *connections {
-	c := &connections{open: make(map[*limitedConn]struct{}), byHost: make(map[string]int), empty: make(chan struct{})}
+func newConnections(maxHeadBytes int64) *connections {
+	c := &connections{
+		maxHeadBytes: maxHeadBytes, open: make(map[*limitedConn]struct{}), byHost: make(map[string]int),
+		heads: make(map[*limitedConn]int64), empty: make(chan struct{}),
+	}
 	c.closeEmpty = sync.OnceFunc(func() { close(c.empty) })
 	return c
 }
@@ -81,6 +90,8 @@
 	if c.byHost[conn.host]--; c.byHost[conn.host] == 0 {
 		delete(c.byHost, conn.host)
 	}
+	c.headBytes -= c.heads[conn]
+	delete(c.heads, conn)
 	c.closeEmptyIfDone()
 }
 
@@ -131,6 +142,8 @@
 	overLimit bool
 	// host is the caller's address without the port.
 	host string
+	// all are the open connections of the server.
+	all *connections
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -139,6 +152,9 @@
 	phaseSince time.Time
 	// evicted is whether the connection was closed to make room.
 	evicted bool
+	// headSize is the memory of the current request's head, readAheadSize that of the bytes which may be the begin of the
+	// next one's.
+	headSize, readAheadSize int64
 	// received reports whether the last Read returned data. While a handler runs,
 	// net/http reads ahead by one byte, so at StateIdle received reports whether the
 	// next request has begun to arrive.
@@ -157,7 +173,7 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
 		n, err = c.Conn.Read(p)
 	}
-	c.endRead(n)
+	c.all.addHead(c, c.endRead(p[:n]))
 	return n, err
 }
 
@@ -169,17 +185,22 @@
 	return c.stopping && c.isWaiting() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-// endRead restores net/http's deadline if data arrived, since stop may have replaced it.
-func (c *limitedConn) endRead(n int) {
+// endRead restores net/http's deadline if data arrived, since stop may have replaced it. It returns the change of the
+// connection's share of the memory of heads.
+func (c *limitedConn) endRead(data []byte) (headGrown int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received = n > 0
-	if c.received && c.phase == phaseWaiting {
+	c.received = len(data) > 0
+	if !c.received {
+		return 0
+	}
+	if c.phase == phaseWaiting {
 		c.setPhase(phaseHead, time.Now())
 	}
-	if c.received && c.stopping {
+	if c.stopping {
 		_ = c.applyReadDeadline()
 	}
+	return c.countHead(data)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -265,7 +286,10 @@
 // open.
 func (c *limitedConn) isClosedByPeer() bool { return c != nil && tcpdial.IsClosedByPeer(c.Conn) }
 
-func (c *limitedConn) setState(state http.ConnState) {
+func (c *limitedConn) setState(state http.ConnState) { c.all.addHead(c, c.changeState(state)) }
+
+// changeState returns the change of the connection's share of the memory of heads.
+func (c *limitedConn) changeState(state http.ConnState) (headGrown int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
@@ -273,12 +297,15 @@
 		_ = c.applyReadDeadline()
 	}
 	if state != http.StateIdle {
-		return
+		return 0
 	}
+	before := c.heldHead()
 	c.setPhase(phaseWaiting, time.Now())
 	if c.received {
 		c.setPhase(phaseHead, time.Now())
 	}
+	c.headSize, c.readAheadSize = c.readAheadSize, 0
+	return c.heldHead() - before
 }
 
 // stop ends the connection once it waits for a request and none arrives within
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -65,7 +65,7 @@
 		_ = tcp.SetWriteBuffer(socketBufferBytes) // fails only if the connection is closed
 		_ = tcp.SetReadBuffer(socketBufferBytes)
 	}
-	limited := &limitedConn{Conn: conn, overLimit: overLimit, host: hostOf(conn), phaseSince: time.Now()}
+	limited := &limitedConn{Conn: conn, overLimit: overLimit, host: hostOf(conn), all: l.connections, phaseSince: time.Now()}
 	limited.release = sync.OnceFunc(func() {
 		count.Add(-1)
 		l.connections.remove(limited)
--- a/caller/server.go
+++ b/caller/server.go
@@ -51,7 +51,7 @@
 // and HTTP/2.
 func NewServer(handler http.Handler, limits Limits, tlsConfig *tls.Config) *Server {
 	s := &Server{tls: tlsConfig != nil, handler: handler, limits: limits.withDefaults()}
-	s.connections = newConnections()
+	s.connections = newConnections(maxHeadBytes(s.limits))
 	s.limiter = newConnectionLimiter(s.limits)
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
