caller, daemon: the ready, metrics and operators' ports have limits

What callers saw: nothing at first, but any peer of these ports could take the process's memory, and with it every caller's request.

Cause: they were served by http.Server with its defaults: heads of up to 1 MiB, any number of connections, no bound on idle ones, on bodies or on answers that nobody reads.

Why it works: they are served by the callers' server with limits of their own: 32 connections (64 for operators), heads of 4 KiB, the same eviction of connections that wait for their peer, and write deadlines. Readiness and metrics are answered before a body is read. Operators' TLS is set up by that server.

--- a/caller/eviction_test.go
+++ b/caller/eviction_test.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -79,3 +82,23 @@
 	testkit.That(t, all.evictOne(time.Now()) && all.byHost["a"] == 1, "evicted one of another address: %v", all.byHost)
 	testkit.That(t, all.evictOne(time.Now()) && all.byHost["b"] == 0, "not the longest waiting: %v", all.byHost)
 }
+
+// Guards against probes that find no connection because of others whose bodies never arrive.
+func TestProbesAreAnsweredBesideUnsentBodies(t *testing.T) {
+	server := NewProbeServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	listener := testkit.Value(Listen(t.Context(), "127.0.0.1:0"))(t)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	address := listener.Addr().String()
+	for range 2 * probeConnections {
+		conn := testkit.Value(net.Dial("tcp", address))(t)
+		defer conn.Close()
+		_, err := io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+		testkit.OK(t, err)
+		status, err := bufio.NewReader(conn).ReadString('\n')
+		testkit.That(t, err == nil && strings.Contains(status, " 204 "), "%q, %v", status, err)
+		time.Sleep(minEvictionAge / probeConnections * 2)
+	}
+	got := exchangeRaw(t, address, "GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	testkit.That(t, strings.HasPrefix(got, "HTTP/1.1 204 "), "got %q", got)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"encoding/hex"
 	mathrand "math/rand"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -44,8 +43,9 @@
 	stopTimeout = 10 * time.Second
 	// dialTimeout bounds connecting to another entry VM.
 	dialTimeout = time.Second
-	// headerTimeout bounds reading a header on the operators' and metrics ports.
-	headerTimeout = 5 * time.Second
+	// operatorReadTimeout bounds reading a request on the operators' port, operatorConnections the connections there.
+	operatorReadTimeout = 10 * time.Second
+	operatorConnections = 64
 	// maxDedicatedStreams bounds the streams with a connection of their own, which shortens
 	// the time to their first token. Each costs a third more processor time per token and
 	// a file descriptor.
@@ -66,7 +66,9 @@
 
 	callersListener, peersListener     net.Listener
 	operatorsListener, metricsListener net.Listener
-	operatorsServer, metricsServer     *http.Server
+	operatorsServer, metricsServer     *caller.Server
+	// operatorsTLS is nil for plain HTTP.
+	operatorsTLS *tls.Config
 }
 
 // New opens all ports and creates the node. It reports a port that is already in use as
@@ -95,8 +97,8 @@
 	if s.Metrics.Address == "" {
 		operators = withTelemetry(telemetry, operators)
 	}
-	d.operatorsServer = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout}
-	d.metricsServer = &http.Server{Handler: telemetry, ReadHeaderTimeout: headerTimeout}
+	d.operatorsServer = caller.NewServer(operators, operatorLimits(), d.operatorsTLS)
+	d.metricsServer = caller.NewProbeServer(telemetry)
 	return d, nil
 }
 
@@ -131,6 +133,10 @@
 	}
 }
 
+func operatorLimits() caller.Limits {
+	return caller.Limits{ReadTimeout: operatorReadTimeout, Connections: operatorConnections}
+}
+
 func (d *Daemon) serveCallers() error {
 	s := d.settings
 	limits := callerLimits(s.Limits, d.engines.SharedStreams)
@@ -177,9 +183,9 @@
 	group.serve(func() error {
 		return entryvm.Serve(workCtx, d.peersListener, []byte(d.settings.Peers.Secret), d.node, nil, entryvm.WithLogger(d.logger))
 	})
-	group.serve(func() error { return serveHTTP(d.operatorsServer, d.operatorsListener) })
+	group.serve(func() error { return d.operatorsServer.Serve(d.operatorsListener) })
 	if d.metricsListener != nil {
-		group.serve(func() error { return serveHTTP(d.metricsServer, d.metricsListener) })
+		group.serve(func() error { return d.metricsServer.Serve(d.metricsListener) })
 	}
 	d.logger.Info("serving", zap.String("callers", d.settings.VM.CallersAddress))
 	select {
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -85,7 +85,7 @@
 	relay    *caller.RelayHandler
 
 	callersListener, peersListener, readyListener, metricsListener net.Listener
-	readyServer, metricsServer                                     *http.Server
+	readyServer, metricsServer                                     *caller.Server
 }
 
 // NewHosted opens all ports and creates the node. It reports a port that is already in
@@ -123,8 +123,8 @@
 	limits := hostedLimits(s.Limits)
 	h.relay = caller.NewRelayHandler(h.node, clients.Dialect, limits, h.logger)
 	h.callers = caller.NewServer(h.relay, limits, nil)
-	h.readyServer = &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	h.metricsServer = &http.Server{Handler: telemetry.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
+	h.readyServer = caller.NewProbeServer(h.readyHandler())
+	h.metricsServer = caller.NewProbeServer(telemetry.MetricsHandler())
 	h.logger.Info("starting", zap.String("version", version), zap.String("incarnation", incarnation),
 		zap.String("domain", s.VM.Domain), zap.Bool("first_start", s.VM.FirstStart), zap.Strings("seeds", s.Peers.Seeds))
 	return h, nil
@@ -185,9 +185,9 @@
 		return entryvm.ServeCoordination(workCtx, h.peersListener, []byte(h.settings.Peers.Secret), h.node, nil,
 			entryvm.WithLogger(h.logger), entryvm.WithTunnels(h.node))
 	})
-	group.serve(func() error { return serveHTTP(h.readyServer, h.readyListener) })
+	group.serve(func() error { return h.readyServer.Serve(h.readyListener) })
 	if h.metricsListener != nil {
-		group.serve(func() error { return serveHTTP(h.metricsServer, h.metricsListener) })
+		group.serve(func() error { return h.metricsServer.Serve(h.metricsListener) })
 	}
 	h.logger.Info("serving", zap.String("callers", h.settings.VM.CallersAddress))
 	age, err := awaitStop(ctx, group.failed)
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
-	"net/http"
 	"syscall"
 
 	"bergamotreel/caller"
@@ -49,9 +47,7 @@
 	if err != nil {
 		return s.NewProblem("tls", "operators_cert", "%v", err)
 	}
-	if secure != nil {
-		d.operatorsListener = tls.NewListener(d.operatorsListener, secure)
-	}
+	d.operatorsTLS = secure
 	return nil
 }
 
@@ -72,11 +68,3 @@
 		}
 	}
 }
-
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -34,7 +34,7 @@
 	testkit.OK(t, err)
 	defer d.closeListeners()
 	go d.callers.Serve(d.callersListener)
-	go serveHTTP(d.operatorsServer, d.operatorsListener)
+	go d.operatorsServer.Serve(d.operatorsListener)
 	callers, operators := d.callersListener.Addr().String(), d.operatorsListener.Addr().String()
 	for _, c := range []struct {
 		url, token string
