sendonce: the head of each answer is checked by our own rule where it is read

Cause: net/http keeps names with blanks as they are, and other readers of the same bytes understand them as the field without the blank. Where bytes can be read in two ways, what we take for the body need not be the server's.

Why it works: the connection scans the heads of each answer, interim ones included, byte by byte as they are read, before net/http parses them: names are tokens that end with their colon, values have no control bytes, lines aren't folded, the version is HTTP/1.x, and a body has one frame (RFC 9112, 5, 6.3; RFC 9110, 5). What isn't fails with ErrInvalidAnswer, and the request gets a 502 that promises nothing. Trailers are checked at the body's end. All clients of the house use it: backend servers, tunnels, the registry, the log, the VM list and the weight store. Heads over TLS, which only the operators' tool speaks, are not checked. A JSON answer over 64 MiB is an error now and was cut off before.

--- a/cmd/bergamotreel/connection.go
+++ b/cmd/bergamotreel/connection.go
@@ -80,10 +80,8 @@
 const requestTimeout = operator.PublishTimeout + 5*time.Second
 
 func (c *connection) httpClient() (*http.Client, error) {
-	client := httpjson.DefaultClient()
-	client.Timeout = requestTimeout
 	if c.caFile == "" {
-		return client, nil
+		return withTimeout(httpjson.DefaultClient()), nil
 	}
 	pem, err := os.ReadFile(c.caFile)
 	if err != nil {
@@ -93,6 +91,10 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, verbs.UsageError("-ca: %s holds no certificate", c.caFile)
 	}
-	client.Transport.(*http.Transport).TLSClientConfig = &tls.Config{RootCAs: pool}
-	return client, nil
+	return withTimeout(httpjson.TLSClient(&tls.Config{RootCAs: pool})), nil
+}
+
+func withTimeout(client *http.Client) *http.Client {
+	client.Timeout = requestTimeout
+	return client
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -30,14 +31,18 @@
 
 // DefaultClient returns a client for one peer service. It uses no proxy and has no overall
 // timeout: callers bound each call by its context.
-func DefaultClient() *http.Client {
+func DefaultClient() *http.Client { return TLSClient(nil) }
+
+// TLSClient returns a client like DefaultClient with the configuration for https URLs, nil for the default.
+func TLSClient(config *tls.Config) *http.Client {
 	dialer := net.Dialer{Timeout: DialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: sendonce.CheckAnswers(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: sendonce.MaxHeadBytes,
-	}}
+		TLSClientConfig:        config,
+	})}
 }
 
 // ErrorBody is the JSON body of every answer that reports an error.
@@ -86,12 +91,16 @@
 	return json.Unmarshal(body, out)
 }
 
-// Read returns an answer's body, or a StatusError.
+// Read returns an answer's body, or a StatusError. It fails if the body may be cut off: it is longer than MaxBody, or has neither a
+// length nor chunks.
 func Read(answer *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxBody))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxBody+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("answer over %d bytes", MaxBody)
+	}
 	if answer.StatusCode == http.StatusOK {
 		return body, nil
 	}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -70,16 +70,20 @@
 // late answer to an earlier request can be taken for the answer to the next one. It is for peers whose answers don't
 // name their request.
 func NewSingleUseClient(dial DialFunc) *http.Client {
-	client := NewClientWithDial(dial)
-	client.Transport.(*http.Transport).DisableKeepAlives = true
-	return client
+	transport := newTransport(dial, idleTimeout)
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: CheckAnswers(transport)}
 }
 
 // NewClientWithIdleTimeout returns a client like NewClientWithDial that closes
 // connections which have been unused for idle. Nothing of a request
 // that was abandoned leaves this machine after its end; what has reached the server's machine may be read later.
 func NewClientWithIdleTimeout(dial DialFunc, idle time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: CheckAnswers(newTransport(dial, idle))}
+}
+
+func newTransport(dial DialFunc, idle time.Duration) *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			inner, err := dial(ctx, network, address)
 			if err != nil {
@@ -89,19 +93,19 @@
 				_ = inner.Close()
 				return nil, err
 			}
-			return &countingConn{Conn: inner}, nil
+			return &countingConn{scannedConn: scannedConn{Conn: inner}}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idle,
 		// Answers are forwarded unchanged.
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: MaxHeadBytes,
-	}}
+	}
 }
 
 // countingConn counts the bytes that the operating system accepted.
 type countingConn struct {
-	net.Conn
+	scannedConn
 
 	mu             sync.Mutex
 	written        int64
@@ -299,6 +303,10 @@
 	if a.hasRefusedConn() && !sent {
 		return fmt.Errorf("%w: %w", ErrSameConnection, err)
 	}
+	if errors.Is(err, ErrInvalidAnswer) {
+		invalidAnswers.Inc()
+		return err
+	}
 	var failed *url.Error // it implements net.Error, whatever its cause
 	if errors.As(err, &failed) && a.isInvalidAnswer(failed.Err) {
 		invalidAnswers.Inc()
@@ -331,6 +339,6 @@
 // IsUnframed reports whether the body of an answer has neither a length nor chunks and ends with
 // its connection (RFC 9112, 6.3). Its end doesn't show whether the answer was complete.
 func IsUnframed(answer *http.Response) bool {
-	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 &&
+	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !answer.Uncompressed &&
 		answer.Request.Method != http.MethodHead
 }
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -132,10 +132,10 @@
 func TestNoWriteAfterReportingNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
-		idle := &countingConn{Conn: near}
+		idle := &countingConn{scannedConn: scannedConn{Conn: near}}
 		testkit.That(t, !idle.hasSentSince(0), "an unused connection counts as sent")
 		testkit.WantError(t, "late write", testkit.Err(idle.Write([]byte("x"))), errWriteDisabled)
-		busy := &countingConn{Conn: near}
+		busy := &countingConn{scannedConn: scannedConn{Conn: near}}
 		go busy.Write([]byte("x")) // blocks: nobody reads
 		synctest.Wait()
 		testkit.That(t, busy.hasSentSince(0), "a write in progress does not count as sent")
