sendonce, entryvm: an answer that ends with its connection is whole only if its request was sent

Cause: a reset is reported to one call only. If the upload's write gets it, the next read of the answer finds an end, as after a close in good order. A gateway's end of a tunnel had the same fault one hop further: the client's writes end in the gateway, so that it can't even see that the server took only a part.

Why it works: the end of such an answer is io.EOF only once net/http has written the whole request without an error; else it is an unexpected end, whatever the route. A gateway says at the end how many of the client's bytes it has written to the server, and the client compares that with what it sent. Gateways and clients of the older version understand each other as before.

--- a/entryvm/tunnel.go
+++ b/entryvm/tunnel.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,10 +22,16 @@
 // the package's codec. From then on the client's bytes are forwarded unchanged. The backend
 // server's bytes are forwarded in segments with a length before each; an empty segment is the
 // end of the connection. Without it, the end of a gateway's process would look like the end of
-// an answer that has no length.
+// an answer that has no length. The empty segment is followed by the number of the client's bytes that the gateway has
+// written to the backend server. If it is too small, the end says as little as that of a direct connection which is still
+// being written: the server may have broken off. Gateways of an older version end the tunnel instead.
 const (
 	// segmentHeaderBytes is the size of the big-endian length before each segment.
 	segmentHeaderBytes = 2
+	// writtenBytes is the size of the big-endian number that follows the empty segment.
+	writtenBytes = 8
+	// writeEndTimeout bounds how long a gateway waits at the end of a backend server's bytes for the end of a write to it.
+	writeEndTimeout = 100 * time.Millisecond
 	// tunnelBufferBytes is the size of the buffer for either direction of a tunnel.
 	tunnelBufferBytes = 8 << 10
 	// tunnelCloseTimeout bounds how long a gateway waits for the client to close a tunnel
@@ -121,15 +128,25 @@
 	reader *bufio.Reader
 	// remaining is the number of bytes left of the current segment.
 	remaining int
-	ended     bool
+	// end is the result of Read after the last segment, nil before.
+	end error
+	// written counts the bytes that were sent.
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *tunnelConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // Read implements net.Conn. It returns io.EOF only if the backend server has closed its
-// connection.
+// connection and everything that was sent before reached it.
 func (c *tunnelConn) Read(p []byte) (int, error) {
 	for c.remaining == 0 {
-		if c.ended {
-			return 0, io.EOF
+		if c.end != nil {
+			return 0, c.end
 		}
 		// A header that is only peeked isn't lost if a read deadline interrupts it.
 		header, err := c.reader.Peek(segmentHeaderBytes)
@@ -138,13 +155,29 @@
 		}
 		c.remaining = int(binary.BigEndian.Uint16(header))
 		_, _ = c.reader.Discard(segmentHeaderBytes)
-		c.ended = c.remaining == 0
+		if c.remaining == 0 {
+			c.end = c.readEnd()
+		}
 	}
 	n, err := c.reader.Read(p[:min(len(p), c.remaining)])
 	c.remaining -= n
 	return n, truncatedError(err)
 }
 
+// readEnd reads what follows the empty segment. It returns the error that the tunnel ends with.
+func (c *tunnelConn) readEnd() error {
+	number, err := c.reader.Peek(writtenBytes)
+	switch {
+	case errors.Is(err, io.EOF) && len(number) == 0:
+		return io.EOF // from a gateway that sends no number
+	case err != nil:
+		return truncatedError(err)
+	case int64(binary.BigEndian.Uint64(number)) < c.written.Load():
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 // truncatedError returns the error for a tunnel that ended with err before its last segment.
 func truncatedError(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -177,7 +210,7 @@
 	}
 	tunnelsTotal.Inc()
 	detectSilence(raw)
-	t := &tunnel{client: conn, raw: raw, fromClient: f.reader, backend: backend}
+	t := &tunnel{client: conn, raw: raw, fromClient: f.reader, backend: backend, writing: make(chan struct{}, 1)}
 	t.forward()
 }
 
@@ -207,6 +240,18 @@
 	client, raw, backend net.Conn
 	// fromClient reads from client.
 	fromClient *bufio.Reader
+	// writing is held while bytes are written to the backend server. written counts those that were.
+	writing chan struct{}
+	written atomic.Int64
+}
+
+// Write writes a client's bytes to the backend server.
+func (t *tunnel) Write(p []byte) (int, error) {
+	t.writing <- struct{}{}
+	defer func() { <-t.writing }()
+	n, err := t.backend.Write(p)
+	t.written.Add(int64(n))
+	return n, err
 }
 
 // forward forwards bytes in both directions until the client has closed the tunnel. If the
@@ -217,7 +262,7 @@
 	toBackend.Go(func() {
 		defer t.backend.Close()
 		buffer := make([]byte, tunnelBufferBytes)
-		_, err := io.CopyBuffer(writerOnly{t.backend}, openTunnelReader{t}, buffer)
+		_, err := io.CopyBuffer(writerOnly{t}, openTunnelReader{t}, buffer)
 		if err != nil {
 			// The backend server may answer without reading the whole request. Closing a
 			// connection with unread bytes would reset it and discard the answer.
@@ -259,7 +304,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return t.writeSegment(buffer, 0)
+			return t.writeEnd()
 		}
 		if err != nil {
 			return err
@@ -274,6 +319,20 @@
 	return err
 }
 
+// writeEnd sends the empty segment and the number of bytes that were written to the backend server.
+func (t *tunnel) writeEnd() error {
+	timeout := time.NewTimer(writeEndTimeout)
+	defer timeout.Stop()
+	select {
+	case t.writing <- struct{}{}:
+		<-t.writing
+	case <-timeout.C:
+	}
+	end := binary.BigEndian.AppendUint64(make([]byte, segmentHeaderBytes), uint64(t.written.Load()))
+	_, err := t.client.Write(end)
+	return err
+}
+
 // writerOnly and readerOnly hide other methods, so that io.CopyBuffer uses its buffer.
 type (
 	writerOnly struct{ io.Writer }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -94,6 +94,9 @@
 // Read returns an answer's body, or a StatusError. It fails if the body may be cut off: it is longer than MaxBody, or has neither a
 // length nor chunks.
 func Read(answer *http.Response) ([]byte, error) {
+	if sendonce.IsUnframed(answer) {
+		return nil, sendonce.ErrUnframed
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxBody+1))
 	if err != nil {
 		return nil, err
--- a/internal/sendonce/answer.go
+++ b/internal/sendonce/answer.go
@@ -8,14 +8,25 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
+	"time"
 )
 
+// errUploadUnfinished reports that an answer ended with its connection although its request was not sent as a whole. On some
+// systems a reset is reported to one call only: if that is a write of the request, the next read finds an end.
+var errUploadUnfinished = fmt.Errorf("%w: the answer ended before its request was sent", io.ErrUnexpectedEOF)
+
+// uploadEndTimeout bounds the wait for the end of a request whose answer has ended: the goroutine that writes may learn of the
+// end a moment later than the one that reads.
+const uploadEndTimeout = 100 * time.Millisecond
+
 // answerChecker is an http.Transport that accepts only well-formed answers of HTTP/1.x, with a body that is as whole as it
 // can be known to be.
 type answerChecker struct{ *http.Transport }
 
 // CheckAnswers returns a round tripper that sends through a transport and checks each answer where it is read: its head
-// and interim answers fail with ErrInvalidAnswer, and the end of its body is io.EOF only if its trailer is well-formed. It changes the transport's
+// and interim answers fail with ErrInvalidAnswer, and the end of its body is io.EOF only if its trailer is well-formed and, for
+// an answer that ends with its connection, its request was sent as a whole. It changes the transport's
 // DialContext, which must be set. Heads over TLS are not checked.
 func CheckAnswers(transport *http.Transport) http.RoundTripper {
 	dial := transport.DialContext
@@ -37,26 +48,55 @@
 
 // RoundTrip implements http.RoundTripper.
 func (c *answerChecker) RoundTrip(request *http.Request) (*http.Response, error) {
+	sent := upload{ended: make(chan struct{})}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(answerBeginner); ok {
 				conn.beginAnswer()
 			}
 		},
+		WroteRequest: sent.end,
 	})
 	answer, err := c.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	answer.Request = request
-	answer.Body = &answerBody{ReadCloser: answer.Body, answer: answer}
+	answer.Body = &answerBody{ReadCloser: answer.Body, answer: answer, upload: &sent}
 	return answer, nil
 }
 
+// upload is the sending of a request.
+type upload struct {
+	once  sync.Once
+	ended chan struct{}
+	err   error
+}
+
+func (u *upload) end(info httptrace.WroteRequestInfo) {
+	u.once.Do(func() {
+		u.err = info.Err
+		close(u.ended)
+	})
+}
+
+// isWhole reports whether the whole request was sent.
+func (u *upload) isWhole() bool {
+	timeout := time.NewTimer(uploadEndTimeout)
+	defer timeout.Stop()
+	select {
+	case <-u.ended:
+		return u.err == nil
+	case <-timeout.C:
+		return false
+	}
+}
+
 // answerBody checks the end of an answer.
 type answerBody struct {
 	io.ReadCloser
 	answer *http.Response
+	upload *upload
 	// end is the result of Read after the body's end, nil before.
 	end error
 }
@@ -74,7 +114,7 @@
 	return n, err
 }
 
-// checkEnd returns io.EOF if the trailer is well-formed.
+// checkEnd returns io.EOF if the end of the body is that of a whole answer as far as it can be known.
 func (b *answerBody) checkEnd() error {
 	for name, values := range b.answer.Trailer {
 		if !isField(name, values) {
@@ -82,6 +122,9 @@
 			return fmt.Errorf("%w: malformed trailer", ErrInvalidAnswer)
 		}
 	}
+	if IsUnframed(b.answer) && !b.upload.isWhole() {
+		return errUploadUnfinished
+	}
 	return io.EOF
 }
 
