quarantine: fingerprints are taken without copies of the body

What callers saw: a part of what a burst of large bodies takes beyond the limit on bodies: each was copied twice before it was sent on, to be hashed, and the copies waited for the collector.

Evidence: TestFingerprintCopiesNoBody: 8,405,400 bytes were allocated for a body of 4 MiB; now under 64 KiB.

Why it works: the body is written to the hash as it is. Fingerprints stay the same: the same bytes go into the hash in the same order.

--- a/admission/quarantine/fingerprint.go
+++ b/admission/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"io"
 )
 
 // Fingerprint identifies a request by its content, or a part of prompts: a repetition has the
@@ -54,20 +55,31 @@
 
 // Fingerprint hashes the content except for PromptParts.
 func (c *Content) Fingerprint() Fingerprint {
-	distinction := string(c.Body)
+	distinction := c.Body // not copied: it may have megabytes
 	if len(c.Body) == 0 {
-		distinction = c.Caller
+		distinction = []byte(c.Caller)
 	}
-	return hash(c.Workspace, c.Method, c.Host, c.URI, distinction)
+	return hashBytes(distinction, c.Workspace, c.Method, c.Host, c.URI)
 }
 
 // hash returns the fingerprint of a list of texts. It is cryptographic, as callers could
 // otherwise craft a request that has the fingerprint of somebody else's.
 func hash(texts ...string) Fingerprint {
+	last := len(texts) - 1
+	return hashBytes([]byte(texts[last]), texts[:last]...)
+}
+
+// hashBytes is hash for a list that ends with last.
+func hashBytes(last []byte, texts ...string) Fingerprint {
 	digest := sha256.New()
 	for _, text := range texts {
-		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
-		_, _ = digest.Write([]byte(text))
+		writeText(digest, []byte(text))
 	}
+	writeText(digest, last)
 	return Fingerprint(binary.BigEndian.Uint64(digest.Sum(nil)))
 }
+
+func writeText(digest io.Writer, text []byte) {
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
+	_, _ = digest.Write(text)
+}
--- a/admission/quarantine/fingerprint_test.go
+++ b/admission/quarantine/fingerprint_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"runtime"
 	"testing"
 
 	"bergamotreel/admission/quarantine"
@@ -28,3 +29,16 @@
 	otherCaller.Caller = "10.0.0.2"
 	testkit.That(t, bodyless.Fingerprint() != otherCaller.Fingerprint(), "two callers' requests without a body have the same fingerprint")
 }
+
+// Guards against copies of large bodies, which no limit on bodies in memory counts.
+func TestFingerprintCopiesNoBody(t *testing.T) {
+	const bodyBytes, maxAllocated = 4 << 20, 64 << 10
+	content := quarantine.Content{Method: "POST", Host: "h", URI: "/", Body: make([]byte, bodyBytes)}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	first := content.Fingerprint()
+	runtime.ReadMemStats(&after)
+	testkit.That(t, after.TotalAlloc-before.TotalAlloc < maxAllocated, "%d bytes are allocated", after.TotalAlloc-before.TotalAlloc)
+	content.Body[bodyBytes-1] = 1
+	testkit.That(t, content.Fingerprint() != first, "another body has the same fingerprint")
+}
