caller: a refusal before a long body reaches callers that write before they read

What callers saw: a connection reset instead of a 404, 401, 429 or 503 when their body was longer than 256 KiB and they read only after they have written it. It is the same fault as that of refusals within a body, one step earlier.

Cause: net/http reads 256 KiB of an unread body, or nothing of one whose declared length is longer, and closes the connection 0.5 s later with unread bytes.

Why it works: these connections linger on their close as well. Short bodies are still read so that the connection is kept, and a kept connection forgets that it was to linger.

--- a/caller/body.go
+++ b/caller/body.go
@@ -15,6 +15,7 @@
 
 // readBody reads the whole body. It fails with errCallerLeft if nobody waits for the answer any more.
 func (h *Handler) readBody(x *exchange) ([]byte, error) {
+	x.bodyBegun = true
 	memory, body, err := h.bodies.read(context.Background(), x.w, x.r, x.identity.Customer, maxMemoryWait)
 	x.body = memory
 	if err != nil {
@@ -205,3 +206,16 @@
 	w.Header().Set("Connection", "close")
 	connectionOf(r.Context()).lingerOnClose()
 }
+
+// maxDiscardedBody is how much of an unread body net/http reads before it answers, so that the connection can be kept.
+const maxDiscardedBody = 256 << 10
+
+// endUnbegunBody prepares the refusal of a request of whose body nothing was read. If it is short, the connection is kept.
+func endUnbegunBody(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.ContentLength > maxDiscardedBody:
+		endUnreadBody(w, r)
+	case r.ContentLength < 0 && r.ProtoMajor == 1:
+		connectionOf(r.Context()).lingerOnClose() // net/http closes it if the body is long
+	}
+}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -299,6 +299,7 @@
 	if state != http.StateIdle {
 		return 0
 	}
+	c.lingers = false // what it was set for has been read
 	before := c.heldHead()
 	c.setPhase(phaseWaiting, time.Now())
 	if c.received {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -42,10 +42,10 @@
 	identity Identity
 	// notReady is the result of Backend.Ready when identify called it.
 	notReady error
-	// body is the memory of the body, nil before it is read. bodyUnread is whether the request was refused before its body
-	// was read to its end.
-	body       *heldBody
-	bodyUnread bool
+	// body is the memory of the body, nil before it is read. bodyBegun is whether the body was begun to be read, bodyUnread
+	// whether the request was refused before its body was read to its end.
+	body                  *heldBody
+	bodyBegun, bodyUnread bool
 	// stream is set if the answer is sent as server-sent events.
 	stream *streamSink
 }
@@ -100,8 +100,11 @@
 	if x.stream != nil && x.stream.headerSent {
 		x.stream.writeError(r)
 	} else {
-		if x.bodyUnread {
+		switch {
+		case x.bodyUnread:
 			endUnreadBody(x.w, x.r)
+		case !x.bodyBegun:
+			endUnbegunBody(x.w, x.r)
 		}
 		h.setWholeAnswerDeadline(x, 0)
 		writeRefusal(x.w, r)
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -207,9 +207,9 @@
 	answer  answerWriter
 	request RelayRequest
 	arrived time.Time
-	// bodyUnread is whether the request was refused before its body was read to its end. If that ended the reading, it has
-	// ended the request's context too.
-	bodyUnread bool
+	// bodyBegun is whether the body was begun to be read. bodyUnread is whether the request was refused before its body was
+	// read to its end. If that ended the reading, it has ended the request's context too.
+	bodyBegun, bodyUnread bool
 }
 
 // hasCallerLeft reports whether the caller was found to have closed its connection.
@@ -272,6 +272,7 @@
 
 // readBody reads the whole body. The caller must release its memory, also after an error.
 func (h *RelayHandler) readBody(x *relayExchange, r *http.Request, grant *Grant) (*heldBody, []byte, error) {
+	x.bodyBegun = true
 	wait := maxMemoryWait
 	if timeout := x.request.CallerTimeout; timeout > 0 {
 		wait = min(wait, timeout/memoryWaitDivisor)
@@ -361,9 +362,12 @@
 // refuse sends a refusal as JSON, with the Retry-After header if it has a retry time.
 func (h *RelayHandler) refuse(w http.ResponseWriter, r *http.Request, x *relayExchange, refused *refusal.Refusal) {
 	switch {
-	case x.bodyUnread || r.ContentLength > h.limits.BodyBytes:
+	case x.bodyUnread:
 		endUnreadBody(w, r)
-	case refused.Code == refusal.CodeBadRequest:
+	case !x.bodyBegun:
+		endUnbegunBody(w, r)
+	}
+	if refused.Code == refusal.CodeBadRequest {
 		// What follows on the connection can't be told apart from the remainder of the
 		// bad request.
 		w.Header().Set("Connection", "close")
--- a/caller/unreadbody_test.go
+++ b/caller/unreadbody_test.go
@@ -24,23 +24,32 @@
 // only after they have written everything.
 func TestRefusalReachesCallerThatWritesFirst(t *testing.T) {
 	const limit, sent = 2 << 20, 4 << 20
-	address := startRelayServer(t, &relayBackend{relay: answerOK}, Limits{BodyBytes: limit, HeldBytes: 16 << 20})
-	for name, framing := range map[string]string{
-		"declared": fmt.Sprintf("Content-Length: %d\r\n\r\n", sent),
-		"chunked":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", sent),
+	for name, test := range map[string]struct {
+		path, framing string
+		limit         int64
+		status        int
+	}{
+		"too large, declared": {"/a", fmt.Sprintf("Content-Length: %d\r\n\r\n", sent), limit, http.StatusRequestEntityTooLarge},
+		"too large, chunked":  {"/a", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", sent), limit, http.StatusRequestEntityTooLarge},
+		"no route, declared":  {"/b", fmt.Sprintf("Content-Length: %d\r\n\r\n", sent), sent, http.StatusNotFound},
+		"no route, chunked":   {"/b", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", sent), sent, http.StatusNotFound},
 	} {
-		conn := testkit.Value(net.Dial("tcp", address))(t)
-		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\n"+commonHeaders+framing)
-		testkit.OK(t, err)
-		piece := make([]byte, 64<<10)
-		for n := 0; n < sent && err == nil; n += len(piece) {
-			time.Sleep(12 * time.Millisecond)
-			_, err = conn.Write(piece)
-		}
-		testkit.That(t, err == nil, "%s: the connection was reset: %v", name, err)
-		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		testkit.That(t, err == nil && answer.StatusCode == http.StatusRequestEntityTooLarge && answer.Close, "%s: %v, %v", name, answer, err)
-		conn.Close()
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			address := startRelayServer(t, &relayBackend{relay: answerOK}, Limits{BodyBytes: test.limit, HeldBytes: 32 << 20})
+			conn := testkit.Value(net.Dial("tcp", address))(t)
+			defer conn.Close()
+			_, err := io.WriteString(conn, "POST "+test.path+" HTTP/1.1\r\nHost: h.example\r\nX-Id: 7\r\n"+test.framing)
+			testkit.OK(t, err)
+			piece := make([]byte, 64<<10)
+			for n := 0; n < sent && err == nil; n += len(piece) {
+				time.Sleep(12 * time.Millisecond)
+				_, err = conn.Write(piece)
+			}
+			testkit.That(t, err == nil, "the connection was reset: %v", err)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			testkit.That(t, err == nil && answer.StatusCode == test.status && answer.Close, "%v, %v", answer, err)
+		})
 	}
 }
 
