--- a/caller/relay.go
+++ b/caller/relay.go
@@ -30,6 +30,8 @@
 	Prefixes []uint64
 	// PromptParts are the IDs of the prompt's parts that other requests may share.
 	PromptParts []string
+	// Prompt identifies the whole prompt, empty if the head doesn't.
+	Prompt string
 	// ResumedRequest is the ID of the request that brought the first event of the stream that
 	// this one goes on with, ResumedAfter the ID of the last event that the caller received of
 	// it. Both are empty for a new stream.
