caller, daemon: a planned stop leaves the rest of whole answers to the kernel

Cause: a connection's send buffer has 64 KiB, so the process has to stay until the caller has read all but that. At the end of the grace all connections were closed, whether the server or the caller was the slow one.

Why it works: at the end of the grace the send buffers of connections with an answer are enlarged, so that what the server has sent fits into them; the process reads the rest, writes it and closes in good order, and the kernel goes on sending. Only then are the others ended, 0.2 s later than before. What is left to the kernel is bounded, and Linux bounds it by net.core.wmem_max: longer rests are still cut.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -116,6 +116,30 @@
 	return c.empty
 }
 
+const (
+	// finalBufferBytes bounds what is left to the kernel of one answer at the end of a shutdown, finalBuffersBytes what is left
+	// of all.
+	finalBufferBytes  = 1 << 20
+	finalBuffersBytes = 32 << 20
+)
+
+// enlargeSendBuffers enlarges the send buffers of the connections with an answer.
+func (c *connections) enlargeSendBuffers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var answering []*limitedConn
+	for conn := range c.open {
+		if conn.isAnswering() {
+			answering = append(answering, conn)
+		}
+	}
+	for _, conn := range answering {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(max(socketBufferBytes, min(finalBufferBytes, finalBuffersBytes/len(answering)))) // fails only if the connection is closed
+		}
+	}
+}
+
 func (c *connections) closeEmptyIfDone() {
 	if c.sealed && len(c.open) == 0 {
 		c.closeEmpty()
@@ -332,6 +356,13 @@
 	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
+// isAnswering reports whether a request is being handled.
+func (c *limitedConn) isAnswering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == http.StateActive && c.phase == phaseAnswer
+}
+
 func (c *limitedConn) addTo(counts *ConnectionCounts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/caller/server.go
+++ b/caller/server.go
@@ -155,6 +155,10 @@
 	return Error.Wrap(errors.Join(err, s.http.Close()))
 }
 
+// EnlargeSendBuffers leaves as much as possible of the answers that are being sent to the kernel, which goes on sending
+// after the process has ended. It is for the end of a shutdown: a whole answer whose caller reads slowly is not cut then.
+func (s *Server) EnlargeSendBuffers() { s.connections.enlargeSendBuffers() }
+
 // waitUntil waits for done until ctx ends.
 func waitUntil(ctx context.Context, done <-chan struct{}) error {
 	select {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -29,12 +29,12 @@
 	})
 }
 
-// finalAnswersTimeout bounds the time to answer the requests that are open when the
-// shutdown grace expires.
+// finalAnswersTimeout bounds the time to hand whole answers over to the kernel, and again that to answer the requests that
+// are still open, when the shutdown grace expires.
 const finalAnswersTimeout = 200 * time.Millisecond
 
-// shutDownCallers waits for the callers' open requests until ctx ends. Then it calls
-// endRequests and closes the connections that are open after finalAnswersTimeout.
+// shutDownCallers waits for the callers' open requests until ctx ends. Then it leaves answers whose callers read slowly to
+// the kernel, calls endRequests and closes the connections that are open after finalAnswersTimeout.
 func shutDownCallers(ctx context.Context, callers *caller.Server, endRequests func(), openRequests func() int, logger *zap.Logger) {
 	logger.Info("closing idle connections", zap.Int("open", openRequests()), zap.Object("connections", callers.OpenConnections()))
 	err := callers.Shutdown(ctx)
@@ -43,10 +43,20 @@
 	}
 	logger.Warn("shutdown grace expired, ending open requests", zap.Int("open", openRequests()),
 		zap.Object("connections", callers.OpenConnections()), telemetry.Reason(err))
+	callers.EnlargeSendBuffers()
+	if awaitCallers(ctx, callers) {
+		return
+	}
 	endRequests()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswersTimeout)
-	defer cancel()
-	if callers.Shutdown(ctx) != nil { // waits for the connections left by the first call
+	if !awaitCallers(ctx, callers) {
 		_ = callers.Close()
 	}
 }
+
+// awaitCallers waits for the connections that an earlier Shutdown left, and reports whether they have ended within
+// finalAnswersTimeout. ctx may have ended.
+func awaitCallers(ctx context.Context, callers *caller.Server) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswersTimeout)
+	defer cancel()
+	return callers.Shutdown(ctx) == nil
+}
