caller, service: whole answers in memory are bounded together

What callers saw: nothing at first; a process could take any amount of memory for answers that it sends in one piece.

Cause: answer_bytes bounds one answer, and nothing bounded their number.

Why it works: an answer's bytes are taken from a common limit as they are received, chunks of engines twice because the assembled answer is encoded once more, and given back when the request has ended.

--- a/caller/collect.go
+++ b/caller/collect.go
@@ -13,6 +13,7 @@
 	chat bool
 	// remaining is how many more bytes of chunks are accepted.
 	remaining int64
+	memory    *heldAnswer
 	head      chunkHead
 	usage     json.RawMessage
 	choices   []*choice
@@ -45,10 +46,13 @@
 // maxChoices is the maximum number of choices in one answer.
 const maxChoices = 128
 
-func newCollectSink(p progress, path string, maxBytes int64) *collectSink {
-	return &collectSink{progress: p, chat: path == pathChat, remaining: maxBytes}
+func newCollectSink(p progress, path string, maxBytes int64, memory *heldAnswer) *collectSink {
+	return &collectSink{progress: p, chat: path == pathChat, remaining: maxBytes, memory: memory}
 }
 
+// copiesOfChunk is how often a chunk's text is in memory: in the assembled answer and in its JSON form.
+const copiesOfChunk = 2
+
 // WriteChunk implements Sink.
 func (s *collectSink) WriteChunk(c engine.Chunk) error {
 	if s.chunkErr != nil {
@@ -74,6 +78,9 @@
 	if s.remaining < 0 {
 		return refusal.NewMaybeRan(refusal.CodeTooLarge, "the answer is too large to be sent in one piece; set stream")
 	}
+	if !s.memory.reserve(copiesOfChunk * int64(len(data))) {
+		return refusal.NewMaybeRan(refusal.CodeTooLarge, "too many bytes of answers are held; set stream")
+	}
 	var chunk chunkObject
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return refusal.NewMaybeRan(refusal.CodeBackendFailed, "the engine sent a malformed chunk")
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -46,6 +46,8 @@
 	// whether the request was refused before its body was read to its end.
 	body                  *heldBody
 	bodyBegun, bodyUnread bool
+	// answer is the memory of an answer that is sent in one piece.
+	answer heldAnswer
 	// stream is set if the answer is sent as server-sent events.
 	stream *streamSink
 }
@@ -60,11 +62,12 @@
 		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := h.tracer.Start(ctx, "caller/"+route, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		x := &exchange{w: w, r: r.WithContext(ctx), id: rand.Text(), route: route, arrived: arrived}
+		x := &exchange{w: w, r: r.WithContext(ctx), id: rand.Text(), route: route, arrived: arrived, answer: heldAnswer{all: &h.answers}}
 		w.Header().Set(headerRequestID, x.id)
 		err := h.runRecovered(x, do)
 		code := h.finish(x, err)
 		x.body.release()
+		x.answer.release()
 		h.record(x, code, err, span)
 		if err != nil && x.stream != nil && x.stream.headerSent {
 			// A client may ignore unknown event types, including the error event.
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -72,7 +72,7 @@
 
 // collectAnswer assembles the whole answer and sends it as one JSON object.
 func (h *Handler) collectAnswer(x *exchange, g Generation) error {
-	sink := newCollectSink(h.newProgress(x), g.Path, h.limits.AnswerBytes)
+	sink := newCollectSink(h.newProgress(x), g.Path, h.limits.AnswerBytes, &x.answer)
 	if err := sink.checkEnd(h.backend.Generate(x.ctx(), g, sink)); err != nil {
 		return err
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -16,6 +16,7 @@
 	tracer  trace.Tracer
 	metrics *instruments
 	bodies  bodyReader
+	answers heldAnswers
 	mux     *http.ServeMux
 }
 
@@ -42,6 +43,7 @@
 		metrics: newInstruments(),
 		mux:     http.NewServeMux(),
 	}
+	h.answers.limit = h.limits.HeldBytes
 	h.bodies = bodyReader{held: newHeldBytes(h.limits.HeldBytes), limits: h.limits}
 	for _, option := range options {
 		option(h)
--- a/caller/services.go
+++ b/caller/services.go
@@ -77,7 +77,7 @@
 		Service:  target,
 		Call: service.Call{
 			RequestID: x.id, Method: x.r.Method, Path: path,
-			Header: forwardedHeader(x.r.Header), Body: body,
+			Header: forwardedHeader(x.r.Header), Body: body, ReserveAnswer: x.answer.reserve,
 		},
 		IdempotencyKey: key,
 		AtMostOnce:     target.IsAtMostOnce(x.r.Method, path),
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -37,6 +37,8 @@
 		RequestID: w.Header().Get("X-Request-Id"), Method: "POST", Path: "/book/a%2Fb?day=1",
 		Header: http.Header{"Accept": {"text/plain"}, "Idempotency-Key": {"k 1"}}, Body: []byte("pan"),
 	}
+	testkit.That(t, got.ReserveAnswer != nil, "the answer takes memory without a limit")
+	got.ReserveAnswer = nil // functions can't be compared
 	testkit.NoDiff(t, want, got.Call)
 	testkit.That(t, got.AtMostOnce && got.IdempotencyKey == "k 1" && got.Service.Name == "booking", "got %+v", got)
 	id := w.Header().Get("X-Request-Id")
--- a/service/client.go
+++ b/service/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,7 +58,7 @@
 	if sendonce.IsUnframed(response) {
 		return Answer{}, outcomeUnknown(sendonce.ErrUnframed)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&reservingReader{response.Body, call.ReserveAnswer}, MaxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, outcomeUnknown(err)
 	}
@@ -67,6 +68,23 @@
 	return Answer{Status: response.StatusCode, Header: endToEndHeader(response.Header), Body: body}, nil
 }
 
+// errAnswerMemory reports that there is no memory for an answer.
+var errAnswerMemory = errors.New("too many bytes of answers are held")
+
+// reservingReader reserves memory for what it reads.
+type reservingReader struct {
+	source  io.Reader
+	reserve func(n int64) bool
+}
+
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if n > 0 && r.reserve != nil && !r.reserve(int64(n)) {
+		return 0, errAnswerMemory
+	}
+	return n, err
+}
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, nil)
 	if err != nil {
--- a/service/service.go
+++ b/service/service.go
@@ -28,6 +28,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ReserveAnswer takes memory for n more bytes of the answer before they are kept, and reports whether there is as much.
+	// Without memory the call ends with ErrOutcomeUnknown. Nil stands for no limit.
+	ReserveAnswer func(n int64) bool
 }
 
 // Answer is a complete answer to a call.
