caller: names and comments that a newcomer can follow

What readers met: endUnreadBody and endUnbegunBody for two ways to refuse a request whose body is still arriving, and comments that speak of a begin. Cause: written in one go; nobody read them apart from the code. Why this is enough: the names say what happens to the connection, and the comments say start. No change of behaviour: the tests of caller, sendonce and intake pass, and arm64 builds.

--- a/admission/intake/intake.go
+++ b/admission/intake/intake.go
@@ -33,7 +33,7 @@
 	held, wanted int64
 	arrived      bool
 	evicted      bool
-	// order numbers the bodies by their begin.
+	// order numbers the bodies in the order of their Begin calls.
 	order uint64
 	// received counts the bytes that have arrived. progressAt is when the body last began to wait for bytes or had received
 	// MinProgressBytes more than at the time before, which was at progressBytes.
--- a/caller/body.go
+++ b/caller/body.go
@@ -15,7 +15,7 @@
 
 // readBody reads the whole body. It fails with errCallerLeft if nobody waits for the answer any more.
 func (h *Handler) readBody(x *exchange) ([]byte, error) {
-	x.bodyBegun = true
+	x.bodyStarted = true
 	memory, body, err := h.bodies.read(context.Background(), x.w, x.r, x.identity.Customer, maxMemoryWait)
 	x.body = memory
 	if err != nil {
@@ -197,9 +197,9 @@
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// endUnreadBody prepares the refusal of a request whose body was not read to its end. What follows on the connection can't
+// closeAfterRefusal prepares the refusal of a request whose body was not read to its end, before it is written. What follows on the connection can't
 // be told apart from the remainder, so the connection ends, but not before the caller can have read the refusal.
-func endUnreadBody(w http.ResponseWriter, r *http.Request) {
+func closeAfterRefusal(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor != 1 {
 		return // the request's stream ends, not the connection
 	}
@@ -210,11 +210,12 @@
 // maxDiscardedBody is how much of an unread body net/http reads before it answers, so that the connection can be kept.
 const maxDiscardedBody = 256 << 10
 
-// endUnbegunBody prepares the refusal of a request of whose body nothing was read. If it is short, the connection is kept.
-func endUnbegunBody(w http.ResponseWriter, r *http.Request) {
+// handleUnreadBody prepares the refusal of a request of whose body nothing was read, before it is written. The connection is
+// kept if the body is short.
+func handleUnreadBody(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.ContentLength > maxDiscardedBody:
-		endUnreadBody(w, r)
+		closeAfterRefusal(w, r)
 	case r.ContentLength < 0 && r.ProtoMajor == 1:
 		connectionOf(r.Context()).lingerOnClose() // net/http closes it if the body is long
 	}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -176,8 +176,8 @@
 	phaseSince time.Time
 	// evicted is whether the connection was closed to make room.
 	evicted bool
-	// headSize is the memory of the current request's head, readAheadSize that of the bytes which may be the begin of the
-	// next one's.
+	// headSize is the memory of the current request's head, readAheadSize that of the bytes with which the next
+	// one may start.
 	headSize, readAheadSize int64
 	// received reports whether the last Read returned data. While a handler runs,
 	// net/http reads ahead by one byte, so at StateIdle received reports whether the
--- a/caller/eviction.go
+++ b/caller/eviction.go
@@ -135,8 +135,8 @@
 	return int64(len(text)) + int64(bytes.Count(text, []byte("\n")))*fieldBytes
 }
 
-// countHead records what was read, and returns how much larger the connection's share of the memory of heads is now. Of a
-// read that may contain the begin of the next request, the size is kept until that request begins.
+// countHead records what was read, and returns how much larger the connection's share of the memory of heads is now. The size of
+// bytes with which the next request may start is kept until that request starts.
 func (c *limitedConn) countHead(text []byte) (grown int64) {
 	before := c.heldHead()
 	body := text
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -42,10 +42,10 @@
 	identity Identity
 	// notReady is the result of Backend.Ready when identify called it.
 	notReady error
-	// body is the memory of the body, nil before it is read. bodyBegun is whether the body was begun to be read, bodyUnread
+	// body is the memory of the body, nil before it is read. bodyStarted is whether reading the body has started, bodyUnread
 	// whether the request was refused before its body was read to its end.
-	body                  *heldBody
-	bodyBegun, bodyUnread bool
+	body                    *heldBody
+	bodyStarted, bodyUnread bool
 	// answer is the memory of an answer that is sent in one piece.
 	answer heldAnswer
 	// stream is set if the answer is sent as server-sent events.
@@ -105,9 +105,9 @@
 	} else {
 		switch {
 		case x.bodyUnread:
-			endUnreadBody(x.w, x.r)
-		case !x.bodyBegun:
-			endUnbegunBody(x.w, x.r)
+			closeAfterRefusal(x.w, x.r)
+		case !x.bodyStarted:
+			handleUnreadBody(x.w, x.r)
 		}
 		h.setWholeAnswerDeadline(x, 0)
 		writeRefusal(x.w, r)
--- a/caller/probes.go
+++ b/caller/probes.go
@@ -35,7 +35,7 @@
 		return
 	}
 	// net/http would read the body before it answers.
-	endUnreadBody(w, r)
+	closeAfterRefusal(w, r)
 	h.handler.ServeHTTP(w, r)
 	_ = controller.Flush()
 	connectionOf(r.Context()).enterPhase(phaseLingering)
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -209,9 +209,9 @@
 	answer  answerWriter
 	request RelayRequest
 	arrived time.Time
-	// bodyBegun is whether the body was begun to be read. bodyUnread is whether the request was refused before its body was
+	// bodyStarted is whether reading the body has started. bodyUnread is whether the request was refused before its body was
 	// read to its end. If that ended the reading, it has ended the request's context too.
-	bodyBegun, bodyUnread bool
+	bodyStarted, bodyUnread bool
 }
 
 // hasCallerLeft reports whether the caller was found to have closed its connection.
@@ -274,7 +274,7 @@
 
 // readBody reads the whole body. The caller must release its memory, also after an error.
 func (h *RelayHandler) readBody(x *relayExchange, r *http.Request, grant *Grant) (*heldBody, []byte, error) {
-	x.bodyBegun = true
+	x.bodyStarted = true
 	wait := maxMemoryWait
 	if timeout := x.request.CallerTimeout; timeout > 0 {
 		wait = min(wait, timeout/memoryWaitDivisor)
@@ -365,9 +365,9 @@
 func (h *RelayHandler) refuse(w http.ResponseWriter, r *http.Request, x *relayExchange, refused *refusal.Refusal) {
 	switch {
 	case x.bodyUnread:
-		endUnreadBody(w, r)
-	case !x.bodyBegun:
-		endUnbegunBody(w, r)
+		closeAfterRefusal(w, r)
+	case !x.bodyStarted:
+		handleUnreadBody(w, r)
 	}
 	if refused.Code == refusal.CodeBadRequest {
 		// What follows on the connection can't be told apart from the remainder of the
--- a/internal/sendonce/head.go
+++ b/internal/sendonce/head.go
@@ -64,7 +64,7 @@
 type headScanner struct {
 	active bool
 	place  place
-	// line holds the begin of the status line or of a field's name in lower case, length how long that is.
+	// line holds the start of the status line or of a field's name in lower case, length how long that is.
 	line   [maxFramingLength + 1]byte
 	length int
 	// isInterim is whether the head is that of an interim answer, isOld whether its version is HTTP/1.0.
