quarantine: without a prompt, requests count as one whatever their model, as before

Requests without a prompt in their head were cleared by each other's answers until then; told apart by model, one whose model is seldom served can meet three ends before its first answer.

Requests of models bear the parts of their prompt, so the model adds nothing where both are given.

--- a/admission/quarantine/fingerprint.go
+++ b/admission/quarantine/fingerprint.go
@@ -35,9 +35,9 @@
 // between attempts.
 type Content struct {
 	Workspace, Method, Host, URI string
-	// Model is the model with its adapter, Prompt identifies the prompt. Both are empty if the request's head doesn't say.
-	// Requests to a model engine may be alike but for their head.
-	Model, Prompt string
+	// Prompt identifies the prompt, empty if the request's head doesn't say. Requests to a model engine may be alike but for
+	// their head.
+	Prompt string
 	// Caller is the caller's address without its port. It is hashed only for requests
 	// without a body; others are distinguished by their body, even if the address changes.
 	Caller string
@@ -62,7 +62,7 @@
 	if len(c.Body) == 0 {
 		distinction = []byte(c.Caller)
 	}
-	return hashBytes(distinction, c.Workspace, c.Method, c.Host, c.URI, c.Model, c.Prompt)
+	return hashBytes(distinction, c.Workspace, c.Method, c.Host, c.URI, c.Prompt)
 }
 
 // hash returns the fingerprint of a list of texts. It is cryptographic, as callers could
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -118,7 +118,7 @@
 		r := &f.request
 		content := quarantine.Content{
 			Workspace: r.WorkspaceName(), Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.CallerHost, Body: r.Body,
-			Model: r.Model + "/" + r.Adapter, Prompt: r.Prompt, PromptParts: r.PromptParts,
+			Prompt: r.Prompt, PromptParts: r.PromptParts,
 		}
 		f.subjects = content.Subjects()
 	}
