--- a/caller/heldbytes.go
+++ b/caller/heldbytes.go
@@ -145,9 +145,6 @@
 
 // complete records that the whole body has arrived and keeps n bytes, or returns a refusal if it was evicted before.
 func (b *heldBody) complete(n int64) error {
-	if err := b.checkEvicted(); err != nil {
-		return err
-	}
 	b.held.update(func(budget *intake.Budget) intake.Decision { return budget.Complete(b.body, n, time.Now()) })
 	return b.checkEvicted()
 }
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -231,6 +231,7 @@
 	if err != nil {
 		return err
 	}
+	x.request.CallerHost, _, _ = net.SplitHostPort(r.RemoteAddr)
 	memory, body, err := h.readBody(x, r, &grant)
 	defer memory.release()
 	if err != nil {
@@ -260,7 +261,6 @@
 	q.Grant = grant
 	route := grant.Route
 	q.Service = route.PickTarget(hashFraction(cmp.Or(q.ResumedRequest, q.ID)))
-	q.CallerHost, _, _ = net.SplitHostPort(r.RemoteAddr)
 	q.Arrived = x.arrived
 	q.AnswerDeadline = computeAnswerDeadline(x.arrived, q.CallerTimeout, route.Timeout)
 	q.BeginDeadline = computeBeginDeadline(x.arrived, q.AnswerDeadline, route.Silence)
@@ -279,7 +279,7 @@
 	if timeout := x.request.CallerTimeout; timeout > 0 {
 		wait = min(wait, timeout/memoryWaitDivisor)
 	}
-	memory, body, err := h.bodies.read(h.ended, x.answer.w, r, bodyOwner(grant, r), wait)
+	memory, body, err := h.bodies.read(h.ended, x.answer.w, r, bodyOwner(grant, x.request.CallerHost), wait)
 	switch {
 	case err == nil:
 		return memory, body, nil
@@ -295,12 +295,11 @@
 }
 
 // bodyOwner returns the owner of a request's body in memory: the workspace, or without one the caller's address.
-func bodyOwner(grant *Grant, r *http.Request) string {
+func bodyOwner(grant *Grant, callerHost string) string {
 	if grant.Workspace != nil {
 		return grant.Customer + "/" + grant.Workspace.Name
 	}
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
-	return grant.Customer + "@" + host
+	return grant.Customer + "@" + callerHost
 }
 
 // record logs the outcome of the request and updates the metrics.
--- a/internal/sendonce/answer.go
+++ b/internal/sendonce/answer.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // errUploadUnfinished reports that an answer ended with its connection although its request was not sent as a whole. On some
@@ -130,17 +133,6 @@
 
 // isField reports whether a name and its values are well-formed.
 func isField(name string, values []string) bool {
-	for i := range len(name) {
-		if !isTokenByte(name[i]) {
-			return false
-		}
-	}
-	for _, value := range values {
-		for i := range len(value) {
-			if isControl(value[i]) {
-				return false
-			}
-		}
-	}
-	return name != ""
+	return httpguts.ValidHeaderFieldName(name) &&
+		!slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) })
 }
--- a/internal/sendonce/head.go
+++ b/internal/sendonce/head.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // scannedConn checks the head of each answer, with the interim answers before it, as its bytes are read. net/http accepts
@@ -164,7 +166,7 @@
 	switch {
 	case c == ':':
 		s.endName()
-	case !isTokenByte(c):
+	case !httpguts.IsTokenRune(rune(c)):
 		return "malformed name of a field"
 	case s.length < len(s.line):
 		s.line[s.length] = lower(c)
@@ -216,19 +218,6 @@
 	return ""
 }
 
-// isTokenByte reports whether a name may contain c (RFC 9110, 5.6.2).
-func isTokenByte(c byte) bool {
-	switch {
-	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
-		return true
-	}
-	switch c {
-	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
-		return true
-	}
-	return false
-}
-
 // isControl reports whether a value may not contain c.
 func isControl(c byte) bool { return (c < ' ' && c != '\t') || c == 0x7f }
 
